--- a/src/bin/rockrock-adapter/main.rs
+++ b/src/bin/pebbleturn-benchlink/main.rs
@@ -3,11 +3,12 @@
 
 mod wire;
 
-use rockrock::{Action, Balancer, Event};
+use pebbleturn::config::{self, Names};
+use pebbleturn::{Action, Balancer, Event};
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
-use wire::{Form, In, Names, Out, Row};
+use wire::{Form, In, Out, Row};
 
 struct Instance {
     balancer: Balancer,
@@ -44,12 +45,12 @@
             Err(e) => Err(e.to_string()),
         };
         if let Err(fault) = fault {
-            eprintln!("rockrock-adapter: line {}: {fault}", n + 1);
+            eprintln!("pebbleturn-benchlink: line {}: {fault}", n + 1);
             return ExitCode::FAILURE;
         }
     }
     if adapter.clock.is_some() {
-        eprintln!("rockrock-adapter: input ended inside a batch");
+        eprintln!("pebbleturn-benchlink: input ended inside a batch");
         return ExitCode::FAILURE;
     }
     ExitCode::SUCCESS
@@ -72,7 +73,7 @@
                 return Ok(true);
             }
             In::PowerOn { root_id, init_seed, params } => {
-                let (settings, names) = wire::settings(&params)?;
+                let (settings, names) = config::settings(&params)?;
                 let balancer = Balancer::new(settings, init_seed, now).map_err(|e| e.to_string())?;
                 let heard = Vec::new();
                 self.instances.insert(root_id, Instance { balancer, names, heard, touched: true });
@@ -109,7 +110,7 @@
                 self.instance(&root_id)?.heard.push(Event::ClientGone { query });
             }
             In::Checked { root_id, leaf, how, rtt_ns, pressure } => {
-                let (replica, ok, busy) = (rockrock::ReplicaId(leaf), how == "ok", wire::busy(&pressure));
+                let (replica, ok, busy) = (pebbleturn::ReplicaId(leaf), how == "ok", wire::busy(&pressure));
                 self.instance(&root_id)?.heard.push(Event::Probed { replica, ok, latency: rtt_ns, busy });
             }
             In::Wakeup { root_id } => self.instance(&root_id)?.heard.push(Event::Woken),
--- /dev/null
+++ b/src/config/platform.rs
@@ -0,0 +1,94 @@
+//! The platform's configuration: the file that `GW_CONFIG` names, and the variables beside it.
+
+use super::settings::Params;
+use crate::front::platform::ServerList;
+use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
+
+/// A configuration that can't be used, in one line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigError(pub String);
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "unusable configuration: {}", self.0)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    limits: Option<Limits>,
+    known: Option<ServerList>,
+    settings: Params,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct Limits {
+    sockets: Option<usize>,
+}
+
+/// Descriptors of a broker that is told no limit.
+const SOCKETS: usize = 1024;
+
+/// What one broker on the platform is told.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Most descriptors.
+    pub sockets: usize,
+    /// The list of servers as this broker last had it.
+    pub known: Option<ServerList>,
+    /// The settings object.
+    pub params: Params,
+}
+
+impl Platform {
+    /// Reads the file that `GW_CONFIG` names. Where it leaves a name or an address out, the variable tells.
+    pub fn from_env() -> Result<Platform, ConfigError> {
+        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        let path = var("GW_CONFIG").ok_or(ConfigError("GW_CONFIG is not set".into()))?;
+        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{path}: {e}")))?;
+        Platform::read(&text, var)
+    }
+
+    /// Reads a configuration; `var` gives the variables.
+    pub fn read(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Platform, ConfigError> {
+        let file: File = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        let addr = |told: Option<String>, name: &str| {
+            let text = told.or_else(|| var(name)).ok_or(ConfigError(format!("{name} is not told")))?;
+            text.parse::<SocketAddr>().map_err(|e| ConfigError(format!("{name} {text:?}: {e}")))
+        };
+        let seed = match file.seed {
+            Some(text) => u64::from_str_radix(&text, 16)
+                .map_err(|_| ConfigError(format!("seed {text:?} is no hexadecimal number")))?,
+            None => std::process::id().into(),
+        };
+        let sockets = file.limits.and_then(|l| l.sockets).unwrap_or(SOCKETS);
+        if sockets < 64 {
+            return Err(ConfigError(format!("{sockets} sockets are too few")));
+        }
+        Ok(Platform {
+            name: file.name.or_else(|| var("GW_NAME")).unwrap_or_else(|| "broker".into()),
+            listen: addr(file.listen, "GW_LISTEN")?,
+            discovery: addr(file.discovery, "GW_DISCOVERY")?,
+            seed,
+            sockets,
+            known: file.known,
+            params: file.settings,
+        })
+    }
+}
--- /dev/null
+++ b/src/config/settings.rs
@@ -0,0 +1,208 @@
+//! The settings object that the platform and the simulator hand an instance, in the library's terms.
+
+use crate::api::*;
+use serde::Deserialize;
+use std::collections::HashMap;
+
+/// The settings object.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Params {
+    areas: Vec<String>,
+    ceilings: Ceilings,
+    discovery: String,
+    family_info: FamilyInfo,
+    fleet_size: u32,
+    my_zone: Option<String>,
+    over_share_worth: Option<f64>,
+    request_classes: Vec<WireClass>,
+    rules: Rules,
+    tariffs: Option<Tariffs>,
+    tenants: Option<Vec<WireTenant>>,
+    tick_ns: u64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Ceilings {
+    cancel: bool,
+    probes: bool,
+    second_copies: bool,
+    retry_after: Option<bool>,
+    max_retry_after_ns: Option<u64>,
+    open_cap: u32,
+    try_limit: u32,
+    conn_idle_ns: Option<u64>,
+    dial_timeout_ns: Option<u64>,
+    streams_per_conn: Option<u64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct FamilyInfo {
+    fetch_parts: Option<Vec<f64>>,
+    min_share: Vec<f64>,
+    need_by_class: Vec<f64>,
+    partial_earns: Option<Vec<f64>>,
+    per_call: Option<u32>,
+    per_call_work_ns: Option<u64>,
+    positions: u32,
+    slices: u32,
+    span: u32,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct WireClass {
+    name: String,
+    aim_stretch: Option<f64>,
+    deadline_ns: u64,
+    effect: String,
+    goal_time_ns: u64,
+    group: Option<String>,
+    late_worth: Option<f64>,
+    window_ns: Option<u64>,
+    worth: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Rules {
+    answer_slack_ns: Option<u64>,
+    budget_free: Option<f64>,
+    extra_share: Option<f64>,
+    counted_over_ns: Option<u64>,
+    cold_ns: Option<u64>,
+    cold_share: Option<f64>,
+    fall_multiple: Option<f64>,
+    must_ask_in_ns: Option<u64>,
+    tip_after_ns: Option<u64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Tariffs {
+    late_fail: Option<f64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct WireTenant {
+    name: String,
+    quota_per_s: f64,
+}
+
+/// The names of one instance's settings, as numbers.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    zones: HashMap<String, u32>,
+    classes: HashMap<String, usize>,
+    tenants: HashMap<String, usize>,
+}
+
+impl Names {
+    /// The place of a zone.
+    pub fn zone(&self, name: &str) -> Option<u32> {
+        self.zones.get(name).copied()
+    }
+
+    /// The place of a class.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.get(name).copied()
+    }
+
+    /// The place of a tenant.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.tenants.get(name).copied()
+    }
+}
+
+/// The settings in the library's terms; an error where the object's can't be read so.
+pub fn settings(p: &Params) -> Result<(Settings, Names), String> {
+    let f = &p.family_info;
+    let at = |v: &Option<Vec<f64>>, i: usize| v.as_ref().and_then(|v| v.get(i).copied()).unwrap_or(0.0);
+    let mut classes = Vec::new();
+    for (i, c) in p.request_classes.iter().enumerate() {
+        let window = c.window_ns.unwrap_or(0);
+        let effect = match (c.effect.as_str(), c.group.as_deref()) {
+            ("safe", _) => Effect::Safe,
+            ("keyed", None | Some("all")) => Effect::Keyed { window },
+            ("keyed" | "unsafe", _) => Effect::Unsafe,
+            (other, _) => return Err(format!("class {}: unknown effect {other}", c.name)),
+        };
+        let need = *f.need_by_class.get(i).ok_or("need_by_class is shorter than request_classes")?;
+        let min_share = *f.min_share.get(i).ok_or("min_share is shorter than request_classes")?;
+        classes.push(Class {
+            effect,
+            aim: c.goal_time_ns,
+            aim_stretch: c.aim_stretch.unwrap_or(0.0),
+            deadline: c.deadline_ns,
+            worth: c.worth,
+            late_worth: c.late_worth.unwrap_or(0.0),
+            need,
+            min_share,
+            partial_earns: at(&f.partial_earns, i),
+            fetch_parts: at(&f.fetch_parts, i) as u32,
+        });
+    }
+    let discovery = match p.discovery.as_str() {
+        "pushed" => Discovery::Pushed,
+        "on_request" => Discovery::OnRequest,
+        other => return Err(format!("unknown discovery {other}")),
+    };
+    let r = &p.rules;
+    let budget = match (r.extra_share, r.counted_over_ns) {
+        (Some(share), Some(window)) => {
+            Some(AttemptBudget { free: r.budget_free.unwrap_or(0.0), share, window })
+        }
+        _ => None,
+    };
+    let zones: HashMap<String, u32> = p.areas.iter().cloned().zip(0..).collect();
+    let tenants = p.tenants.as_deref().unwrap_or(&[]);
+    let names = Names {
+        classes: p.request_classes.iter().map(|c| c.name.clone()).zip(0..).collect(),
+        tenants: tenants.iter().map(|t| t.name.clone()).zip(0..).collect(),
+        zones,
+    };
+    let zone = p.my_zone.as_ref().and_then(|z| names.zones.get(z).copied()).unwrap_or(u32::MAX);
+    let settings = Settings {
+        classes,
+        tenants: tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
+        over_share_worth: p.over_share_worth.unwrap_or(1.0),
+        roots: p.fleet_size,
+        zone,
+        shards: f.slices,
+        cells: f.positions,
+        span: f.span,
+        parts_per_call: f.per_call.unwrap_or(1),
+        call_work: f.per_call_work_ns.unwrap_or(0),
+        discovery,
+        must_ask_in: r.must_ask_in_ns.unwrap_or(0),
+        may_cancel: p.ceilings.cancel,
+        may_probe: p.ceilings.probes,
+        may_copy: p.ceilings.second_copies,
+        max_attempts: p.ceilings.try_limit,
+        max_open: p.ceilings.open_cap,
+        may_advise_wait: p.ceilings.retry_after.unwrap_or(false),
+        max_wait: p.ceilings.max_retry_after_ns.unwrap_or(0),
+        budget,
+        answer_slack: r.answer_slack_ns.unwrap_or(0),
+        cold_share: r.cold_share.unwrap_or(1.0),
+        cold_time: r.cold_ns.unwrap_or(0),
+        fall_multiple: r.fall_multiple.unwrap_or(0.0),
+        fall_time: r.tip_after_ns.unwrap_or(0),
+        tick: p.tick_ns,
+        late_fail_price: p.tariffs.as_ref().and_then(|t| t.late_fail).unwrap_or(0.0),
+    };
+    Ok((settings, names))
+}
+
+impl Params {
+    /// Parts that one connection carries at once.
+    pub fn streams(&self) -> usize {
+        self.ceilings.streams_per_conn.unwrap_or(32).max(1) as usize
+    }
+
+    /// Time in which a connection must be up.
+    pub fn dial_timeout(&self) -> Nanos {
+        self.ceilings.dial_timeout_ns.unwrap_or(250_000_000)
+    }
+
+    /// Time after which an idle connection is closed by its peer.
+    pub fn idle(&self) -> Nanos {
+        self.ceilings.conn_idle_ns.unwrap_or(30_000_000_000)
+    }
+}
--- /dev/null
+++ b/src/core/exchange.rs
@@ -0,0 +1,366 @@
+//! The exchange: the one object where client side and server side meet.
+//!
+//! The client side hands in queries and gets exactly one final answer to each. The server side takes calls
+//! and reports one outcome for each attempt. Between them, the exchange runs the decision module's rounds.
+
+use super::work::*;
+use crate::api::*;
+use crate::balance::Balancer;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::rc::Rc;
+
+/// Time before a client's end at which a query still open is failed by the exchange itself.
+const GUARD: Nanos = 15_000_000;
+
+struct Part<V> {
+    id: RequestId,
+    ask: AskPart,
+    attempts: u32,
+    value: Option<V>,
+}
+
+struct Query<Q, V> {
+    class: usize,
+    key: Option<u64>,
+    end: Nanos,
+    parts: Vec<Part<V>>,
+    payload: Rc<Q>,
+}
+
+struct Out {
+    query: u64,
+    part: RequestId,
+    number: u32,
+    replica: ReplicaId,
+    sent: Nanos,
+    due: Nanos,
+}
+
+/// Queries, parts and attempts between the two sides. `Q` is what a query carries, `V` a part's value.
+pub struct Exchange<Q, V> {
+    balancer: Balancer,
+    settings: Settings,
+    next_id: u64,
+    queries: HashMap<u64, Query<Q, V>>,
+    /// The query of each part that is held.
+    parts: HashMap<RequestId, u64>,
+    outs: BTreeMap<AttemptId, Out>,
+    by_part: HashMap<(RequestId, u32), AttemptId>,
+    /// Time-outs of attempts and ends of queries.
+    timers: BTreeSet<(Nanos, AttemptId)>,
+    ends: BTreeSet<(Nanos, u64)>,
+    cells: HashMap<ReplicaId, u32>,
+    heard: Vec<Event>,
+    acts: Vec<Action>,
+    work: VecDeque<Work<Q, V>>,
+    last_round: Option<Nanos>,
+    wake: Option<Nanos>,
+    held: usize,
+}
+
+impl<Q, V> Exchange<Q, V> {
+    /// An exchange with nothing in it.
+    pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
+        Ok(Exchange {
+            balancer: Balancer::new(settings.clone(), seed, now)?,
+            settings,
+            next_id: 1,
+            queries: HashMap::new(),
+            parts: HashMap::new(),
+            outs: BTreeMap::new(),
+            by_part: HashMap::new(),
+            timers: BTreeSet::new(),
+            ends: BTreeSet::new(),
+            cells: HashMap::new(),
+            heard: Vec::new(),
+            acts: Vec::new(),
+            work: VecDeque::new(),
+            last_round: None,
+            wake: Some(now),
+            held: 0,
+        })
+    }
+
+    /// The settings it works by.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Queries that have no final answer yet.
+    pub fn open_queries(&self) -> usize {
+        self.queries.len()
+    }
+
+    /// Attempts whose outcome is awaited.
+    pub fn attempts_out(&self) -> usize {
+        self.outs.len()
+    }
+
+    fn fresh(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    // ---- client side ----
+
+    /// Takes a query in; its final answer comes as `Work::Finish`. Beyond `max_open` it is refused at once.
+    pub fn open(&mut self, now: Nanos, ask: Ask<Q>) -> Result<QueryId, Refused> {
+        let size = 1 + ask.parts.len();
+        // Guards the limit on what is held: a query that is not taken costs nothing and may come again.
+        if self.held + size > self.settings.max_open as usize {
+            let wait = if self.settings.may_advise_wait { self.settings.max_wait / 2 } else { 0 };
+            return Err(Refused { wait });
+        }
+        let job = self.fresh();
+        let end = now + ask.time_left.saturating_sub(GUARD);
+        let work = ask.parts.iter().filter_map(|p| p.work).reduce(|a, b| a + b);
+        self.heard.push(Event::Query {
+            query: RequestId(job.into()),
+            job,
+            class: ask.class,
+            tenant: None,
+            ttl: ask.time_left,
+            parts: ask.parts.len() as u32,
+            work,
+            again: ask.again,
+        });
+        let mut parts = Vec::with_capacity(ask.parts.len());
+        for p in ask.parts {
+            let id = RequestId(self.fresh().into());
+            self.heard.push(Event::Part { part: id, job, shard: p.shard, weight: p.weight });
+            self.parts.insert(id, job);
+            parts.push(Part { id, ask: p, attempts: 0, value: None });
+        }
+        self.held += size;
+        self.ends.insert((end, job));
+        let query = Query { class: ask.class, key: ask.key, end, parts, payload: ask.payload };
+        self.queries.insert(job, query);
+        Ok(QueryId(job))
+    }
+
+    /// The client is gone: all that its query held is freed, and no final answer comes.
+    pub fn client_gone(&mut self, query: QueryId) {
+        if self.forget(query.0).is_some() {
+            self.heard.push(Event::ClientGone { query: RequestId(query.0.into()) });
+        }
+    }
+
+    fn forget(&mut self, job: u64) -> Option<Query<Q, V>> {
+        let q = self.queries.remove(&job)?;
+        self.ends.remove(&(q.end, job));
+        self.held -= 1 + q.parts.len();
+        for p in &q.parts {
+            self.parts.remove(&p.id);
+        }
+        Some(q)
+    }
+
+    fn finish(&mut self, job: u64, answer: impl FnOnce(Query<Q, V>) -> Final<V>) {
+        // Guards the one final answer: a query that is not held has had its own.
+        if let Some(q) = self.forget(job) {
+            self.work.push_back(Work::Finish { query: QueryId(job), answer: answer(q) });
+        }
+    }
+
+    // ---- server side ----
+
+    /// The outcome of an attempt. What comes late, twice or for a given-up attempt is dropped.
+    pub fn ended(&mut self, now: Nanos, attempt: AttemptId, end: Ended<V>) {
+        let Some(out) = self.remove(attempt) else { return };
+        let mut outcome = end.outcome;
+        if outcome == Outcome::Ok {
+            let part =
+                self.queries.get_mut(&out.query).and_then(|q| q.parts.iter_mut().find(|p| p.id == out.part));
+            match (part, end.value) {
+                (Some(p), Some(value)) => p.value = p.value.take().or(Some(value)),
+                // Guards honest answers: without a value the part is not in.
+                (_, None) => outcome = Outcome::Error,
+                (None, _) => {}
+            }
+        }
+        self.tell_end(now, &out, outcome, end.busy);
+    }
+
+    fn tell_end(&mut self, now: Nanos, out: &Out, outcome: Outcome, busy: Option<f64>) {
+        self.heard.push(Event::Ended {
+            part: out.part,
+            replica: out.replica,
+            attempt: out.number,
+            latency: now.saturating_sub(out.sent),
+            outcome,
+            busy,
+        });
+    }
+
+    fn remove(&mut self, attempt: AttemptId) -> Option<Out> {
+        let out = self.outs.remove(&attempt)?;
+        self.timers.remove(&(out.due, attempt));
+        self.by_part.remove(&(out.part, out.number));
+        Some(out)
+    }
+
+    /// News of the list of servers.
+    pub fn listed(&mut self, full: bool, lines: Vec<Listed>) {
+        for line in &lines {
+            self.cells.insert(line.replica, line.cell);
+        }
+        self.heard.push(Event::Replicas { full, lines });
+    }
+
+    /// A call for the list failed, or the watch broke.
+    pub fn list_failed(&mut self) {
+        self.heard.push(Event::ListFailed);
+    }
+
+    /// A probe's answer.
+    pub fn probed(&mut self, replica: ReplicaId, ok: bool, latency: Nanos, busy: Option<f64>) {
+        self.heard.push(Event::Probed { replica, ok, latency, busy });
+    }
+
+    // ---- time ----
+
+    /// When `run` is next worth calling.
+    pub fn due(&self) -> Option<Nanos> {
+        let earliest = self.last_round.map_or(0, |t| t + self.settings.tick);
+        let heard = (!self.heard.is_empty()).then_some(earliest);
+        let wake = self.wake.map(|t| t.max(earliest));
+        let timer = self.timers.first().map(|(t, _)| *t);
+        let end = self.ends.first().map(|(t, _)| *t);
+        [heard, wake, timer, end].into_iter().flatten().min()
+    }
+
+    /// Lets timers run out and, if one is due, holds a round. `next` then gives the work.
+    pub fn run(&mut self, now: Nanos) {
+        while let Some((_, attempt)) = self.timers.first().copied().filter(|(t, _)| *t <= now) {
+            let Some(out) = self.remove(attempt) else { break };
+            self.work.push_back(Work::GiveUp { replica: out.replica, attempt });
+            self.tell_end(now, &out, Outcome::TimeOut, None);
+        }
+        // Guards the client's time: whatever the module does, each query ends before that is over.
+        while let Some((_, job)) = self.ends.first().copied().filter(|(t, _)| *t <= now) {
+            self.finish(job, |_| Final::Failed);
+            self.heard.push(Event::ClientGone { query: RequestId(job.into()) });
+        }
+        let woken = self.wake.is_some_and(|t| t <= now);
+        let early = self.last_round.is_some_and(|t| now < t + self.settings.tick);
+        if early || (self.heard.is_empty() && !woken) {
+            return;
+        }
+        if woken {
+            self.wake = None;
+            self.heard.push(Event::Woken);
+        }
+        self.last_round = Some(now);
+        let heard = std::mem::take(&mut self.heard);
+        let mut acts = std::mem::take(&mut self.acts);
+        self.balancer.round(now, &heard, &mut acts);
+        let mut calls: Vec<(ReplicaId, Vec<Dispatch<Q>>)> = Vec::new();
+        for act in acts.drain(..) {
+            self.act(now, act, &mut calls);
+        }
+        self.acts = acts;
+        let most = self.settings.parts_per_call.max(1) as usize;
+        for (replica, mut parts) in calls {
+            while !parts.is_empty() {
+                let rest = parts.split_off(parts.len().min(most));
+                self.work.push_back(Work::Call { replica, parts });
+                parts = rest;
+            }
+        }
+    }
+
+    /// The next piece of work, if there is any.
+    pub fn next_work(&mut self) -> Option<Work<Q, V>> {
+        self.work.pop_front()
+    }
+
+    fn act(&mut self, now: Nanos, act: Action, calls: &mut Vec<(ReplicaId, Vec<Dispatch<Q>>)>) {
+        match act {
+            Action::Send { part, replica, timeout } => self.send(now, part, replica, timeout, calls),
+            Action::Cancel { part, attempt } => {
+                let Some(id) = self.by_part.get(&(part, attempt)).copied() else { return };
+                let Some(out) = self.remove(id) else { return };
+                // A copy that was not handed on yet just stays here.
+                let unsent = calls.iter_mut().find_map(|(_, parts)| {
+                    parts.iter().position(|d| d.attempt == id).map(|i| parts.remove(i))
+                });
+                if unsent.is_none() {
+                    self.work.push_back(Work::GiveUp { replica: out.replica, attempt: id });
+                }
+                let outcome = if unsent.is_none() { Outcome::Cancelled } else { Outcome::Moot };
+                self.tell_end(now, &out, outcome, None);
+            }
+            Action::Answer { query, whole } => {
+                let classes = self.settings.classes.clone();
+                self.finish(query.0 as u64, |q| settle(q, whole, &classes));
+            }
+            Action::Refuse { query, wait } => {
+                let most = if self.settings.may_advise_wait { self.settings.max_wait } else { 0 };
+                self.finish(query.0 as u64, |_| Final::Refused { wait: wait.min(most) });
+            }
+            Action::Fail { query } => self.finish(query.0 as u64, |_| Final::Failed),
+            Action::Probe { replica } => self.work.push_back(Work::Probe { replica }),
+            Action::Watch => self.work.push_back(Work::Watch),
+            Action::Wake { after } => {
+                let at = now + after;
+                self.wake = Some(self.wake.map_or(at, |t| t.min(at)));
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Nanos,
+        part: RequestId,
+        replica: ReplicaId,
+        timeout: Nanos,
+        calls: &mut Vec<(ReplicaId, Vec<Dispatch<Q>>)>,
+    ) {
+        let job = self.parts.get(&part).copied().unwrap_or(0);
+        let attempt = AttemptId(self.fresh());
+        let (span, n) = (self.settings.span, self.settings.cells);
+        let cell = self.cells.get(&replica).copied();
+        let q = self.queries.get_mut(&job);
+        let Some((q, i)) = q.and_then(|q| q.parts.iter().position(|p| p.id == part).map(|i| (q, i))) else {
+            log::error!("the module sent a part that is over");
+            return;
+        };
+        let p = &mut q.parts[i];
+        let number = p.attempts;
+        p.attempts += 1;
+        // Guards the rule that only a holder of its shard is sent a part, and the cap on attempts.
+        let holds = cell.is_some_and(|c| (c + n - p.ask.shard % n) % n < span);
+        let over = now >= q.end || p.attempts > self.settings.max_attempts;
+        let due = (now + timeout).min(q.end);
+        let out = Out { query: job, part, number, replica, sent: now, due };
+        if !holds || over {
+            return self.tell_end(now, &out, Outcome::Moot, None);
+        }
+        let (shard, timeout) = (p.ask.shard, due - now);
+        let dispatch = Dispatch { attempt, shard, timeout, key: q.key, payload: q.payload.clone() };
+        match calls.iter_mut().find(|(r, _)| *r == replica) {
+            Some((_, parts)) => parts.push(dispatch),
+            None => calls.push((replica, vec![dispatch])),
+        }
+        self.timers.insert((due, attempt));
+        self.by_part.insert((part, number), attempt);
+        self.outs.insert(attempt, out);
+    }
+}
+
+/// The answer from the parts that are in. Guards honest answers: none under the floor, and whole only if so.
+fn settle<Q, V>(q: Query<Q, V>, whole: bool, classes: &[Class]) -> Final<V> {
+    const SHORT: f64 = 1e-4;
+    let asked = q.parts.len();
+    let share: f64 = q.parts.iter().filter(|p| p.value.is_some()).map(|p| p.ask.weight).sum();
+    let all = q.parts.iter().all(|p| p.value.is_some());
+    let (need, floor) = classes.get(q.class).map_or((1.0, 1.0), |c| (c.need, c.min_share.min(c.need)));
+    if !all && share + SHORT < floor {
+        log::error!("the module answered from {share} of a query's parts, under the floor of {floor}");
+        return Final::Failed;
+    }
+    let whole = whole && (all || share + SHORT >= need);
+    let parts = q.parts.into_iter();
+    let values = parts.filter_map(|p| p.value.map(|value| Value { shard: p.ask.shard, value })).collect();
+    Final::Answered(Answered { whole, values, asked })
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,4 @@
+//! Fronts: what turns a wire's messages into queries and calls, and back.
+
+pub mod http;
+pub mod platform;
--- /dev/null
+++ b/src/front/platform/clients.rs
@@ -0,0 +1,264 @@
+//! The client side: HTTP connections that hand queries to the exchange and wait for its answers.
+
+use super::Carried;
+use super::query::{self, Limits};
+use crate::api::Nanos;
+use crate::config::Names;
+use crate::core::{Exchange, Final, QueryId};
+use crate::front::http::{self, HttpError, Reader, Side};
+use crate::net::{ConnId, Filled, NetEvent, Reactor};
+use std::collections::HashMap;
+
+/// Time without a byte after which a connection that is in the middle of a request is closed.
+const STALLED: Nanos = 10_000_000_000;
+/// Time without a request after which a connection is closed.
+const IDLE: Nanos = 120_000_000_000;
+
+/// Time between two looks for such connections.
+const SWEEP: Nanos = 1_000_000_000;
+
+struct Client {
+    reader: Reader,
+    /// The query it waits for.
+    query: Option<QueryId>,
+    keep_alive: bool,
+    touched: Nanos,
+}
+
+/// All client connections.
+pub struct Clients {
+    names: Names,
+    deadlines: Vec<Nanos>,
+    shards: u32,
+    clients: HashMap<ConnId, Client>,
+    waiting: HashMap<QueryId, ConnId>,
+    draining: bool,
+    swept: Nanos,
+}
+
+type Platform = Exchange<Carried, String>;
+
+impl Clients {
+    /// The client side, with the classes' names and deadlines.
+    pub fn new(names: Names, deadlines: Vec<Nanos>, shards: u32) -> Clients {
+        let (clients, waiting) = (HashMap::new(), HashMap::new());
+        Clients { names, deadlines, shards, clients, waiting, draining: false, swept: 0 }
+    }
+
+    /// No connection is held.
+    pub fn is_empty(&self) -> bool {
+        self.clients.is_empty()
+    }
+
+    /// When `sweep` is next worth calling.
+    pub fn next_sweep(&self) -> Nanos {
+        self.swept + SWEEP
+    }
+
+    /// Takes in what happened on one of its connections.
+    pub fn event(&mut self, event: NetEvent, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+        match event {
+            NetEvent::Accepted { conn, .. } => {
+                let reader = Reader::new(Side::Requests);
+                let client = Client { reader, query: None, keep_alive: true, touched: now };
+                self.clients.insert(conn, client);
+                self.read(conn, now, net, exchange);
+            }
+            NetEvent::Readable { conn, .. } => self.read(conn, now, net, exchange),
+            NetEvent::Broken { conn, .. } => self.gone(conn, exchange),
+            NetEvent::Flushed { .. } | NetEvent::Connected { .. } | NetEvent::Signal => {}
+        }
+    }
+
+    fn gone(&mut self, conn: ConnId, exchange: &mut Platform) {
+        if let Some(query) = self.clients.remove(&conn).and_then(|c| c.query) {
+            self.waiting.remove(&query);
+            exchange.client_gone(query);
+        }
+    }
+
+    fn read(&mut self, conn: ConnId, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+        loop {
+            let filled = net.fill(conn);
+            if let Some(client) = self.clients.get_mut(&conn)
+                && matches!(filled, Filled::Some(_))
+            {
+                client.touched = now;
+            }
+            match filled {
+                Filled::Some(_) => self.work(conn, now, net, exchange),
+                // What a client sends ahead of its answer stays unread once the buffer is full.
+                Filled::Full => {
+                    self.work(conn, now, net, exchange);
+                    if self.clients.get(&conn).is_none_or(|c| c.query.is_some()) {
+                        return;
+                    }
+                }
+                Filled::Nothing | Filled::NoBuffer => return,
+                Filled::Ended => {
+                    net.close(conn);
+                    return self.gone(conn, exchange);
+                }
+            }
+        }
+    }
+
+    /// Parses what is there, and takes requests for as long as none waits for its answer.
+    fn work(&mut self, conn: ConnId, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+        loop {
+            let Some(client) = self.clients.get_mut(&conn).filter(|c| c.query.is_none()) else { return };
+            let pool = net.pool().clone();
+            let before = client.reader.head().is_some();
+            let used = match client.reader.advance(net.data(conn), &pool) {
+                Ok(used) => used,
+                Err(e) => return self.unreadable(conn, e, net),
+            };
+            net.consume(conn, used);
+            let head = client.reader.head().filter(|_| !before);
+            if head.is_some_and(|h| h.expects_continue) && !client.reader.is_done() {
+                let _ = net.send(conn, b"HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            if !client.reader.is_done() {
+                return;
+            }
+            self.request(conn, now, net, exchange);
+        }
+    }
+
+    fn unreadable(&mut self, conn: ConnId, e: HttpError, net: &mut Reactor) {
+        log::warn!("client connection closed: {e}");
+        let status = match e {
+            HttpError::Malformed(_) => 400,
+            HttpError::TooLarge => 413,
+            HttpError::HeadTooLarge => 431,
+            HttpError::NoBuffer => 503,
+        };
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.keep_alive = false;
+        }
+        self.reply(conn, status, &[], b"", net);
+    }
+
+    fn request(&mut self, conn: ConnId, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        let Some(head) = client.reader.head() else { return };
+        client.keep_alive = head.keep_alive;
+        let (method, path) = (head.method.as_str(), head.path());
+        let (status, allow) = match (method, path) {
+            ("POST", "/api") => {
+                let (names, deadlines, shards) = (&self.names, &self.deadlines[..], self.shards);
+                match query::read(head, client.reader.body(), &Limits { names, deadlines, shards }) {
+                    Err(why) => {
+                        log::info!("request refused: {why}");
+                        return self.reply(conn, 400, &[], why.as_bytes(), net);
+                    }
+                    Ok(ask) => match exchange.open(now, ask) {
+                        Ok(query) => {
+                            client.query = Some(query);
+                            client.reader.reset();
+                            self.waiting.insert(query, conn);
+                            return;
+                        }
+                        Err(refused) => {
+                            log::info!("query refused: as many are open as may be");
+                            return self.refuse(conn, refused.wait, net);
+                        }
+                    },
+                }
+            }
+            ("GET", "/-/ready") => (if self.draining { 503 } else { 200 }, ""),
+            ("GET", "/-/healthy") => (200, ""),
+            (_, "/api") => (405, "POST"),
+            (_, "/-/ready" | "/-/healthy") => (405, "GET"),
+            _ => (404, ""),
+        };
+        let headers: &[(&str, &str)] = if allow.is_empty() { &[] } else { &[("Allow", allow)] };
+        self.reply(conn, status, headers, b"", net);
+    }
+
+    fn refuse(&mut self, conn: ConnId, wait: Nanos, net: &mut Reactor) {
+        let text = http::retry_after(wait);
+        let headers: &[(&str, &str)] = if wait > 0 { &[("Retry-After", &text)] } else { &[] };
+        self.reply(conn, 503, headers, b"", net);
+    }
+
+    /// Writes a response and makes ready for the next request.
+    fn reply(&mut self, conn: ConnId, status: u16, headers: &[(&str, &str)], body: &[u8], net: &mut Reactor) {
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        client.reader.reset();
+        let keep = client.keep_alive && !self.draining;
+        let message = http::response(status, headers, keep, body);
+        if net.send(conn, &message).is_err() {
+            log::warn!("client connection closed: it does not read its answers");
+            net.close(conn);
+        } else if !keep {
+            net.close_after_flush(conn);
+        }
+        if !keep {
+            self.clients.remove(&conn);
+        }
+    }
+
+    /// Hands a final answer to the client that waits for it.
+    pub fn finish(
+        &mut self,
+        query: QueryId,
+        answer: Final<String>,
+        now: Nanos,
+        net: &mut Reactor,
+        exchange: &mut Platform,
+    ) {
+        let Some(conn) = self.waiting.remove(&query) else { return };
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.query = None;
+            client.touched = now;
+        }
+        match answer {
+            Final::Answered(answered) => {
+                let json = [("Content-Type", "application/json")];
+                self.reply(conn, 200, &json, &query::answer(&answered), net);
+            }
+            Final::Refused { wait } => self.refuse(conn, wait, net),
+            Final::Failed => self.reply(conn, 504, &[], b"", net),
+        }
+        // What the client sent ahead is read now.
+        self.work(conn, now, net, exchange);
+        if self.clients.contains_key(&conn) {
+            self.read(conn, now, net, exchange);
+        }
+    }
+
+    /// From now on answers say that their connection ends.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Reads once more whatever has come, then closes connections that ask for nothing.
+    pub fn close_idle(&mut self, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+        let conns: Vec<ConnId> = self.clients.keys().copied().collect();
+        for conn in conns {
+            self.read(conn, now, net, exchange);
+            if self.clients.get(&conn).is_some_and(|c| c.query.is_none() && c.reader.is_idle()) {
+                self.clients.remove(&conn);
+                net.close(conn);
+            }
+        }
+    }
+
+    /// Closes connections on which nothing moves. Guards the descriptors against peers that only hold them.
+    pub fn sweep(&mut self, now: Nanos, net: &mut Reactor) {
+        if now < self.swept + SWEEP {
+            return;
+        }
+        self.swept = now;
+        self.clients.retain(|conn, c| {
+            let most = if c.reader.is_idle() { IDLE } else { STALLED };
+            let stale = c.query.is_none() && now > c.touched + most;
+            if stale {
+                log::info!("client connection closed: nothing came for too long");
+                net.close(*conn);
+            }
+            !stale
+        });
+    }
+}
--- /dev/null
+++ b/src/front/platform/frame.rs
@@ -0,0 +1,131 @@
+//! Frames between brokers and shard servers: a length, a letter, and the rest.
+
+use std::fmt;
+
+/// Longest frame that is taken; the length counts the letter and the rest.
+pub const MAX_FRAME: usize = 64 * 1024;
+
+/// Why a frame can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FrameError {
+    /// Its length is nought or more than may be.
+    Length(usize),
+    /// A letter that a shard server does not send.
+    Letter(u8),
+    /// An answer that is not in the stated form.
+    Answer(&'static str),
+}
+
+impl fmt::Display for FrameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FrameError::Length(n) => write!(f, "a frame of length {n}"),
+            FrameError::Letter(l) => write!(f, "a frame with letter {:?}", char::from(*l)),
+            FrameError::Answer(what) => write!(f, "a bad answer: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for FrameError {}
+
+/// How a part ended at the shard server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served.
+    Ok,
+    /// An error; it may have run.
+    Error,
+    /// Turned away; it never ran.
+    Rejected,
+}
+
+/// A frame from a shard server.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FromServer<'a> {
+    /// The answer to a part.
+    Answer { id: &'a str, end: End, busy: Option<f64>, value: &'a str },
+    /// The frame before could not be used.
+    Unusable(&'a [u8]),
+}
+
+/// Reads the first frame of `data`: its size and what it says, or nothing while it is not whole.
+pub fn read(data: &[u8]) -> Result<Option<(usize, FromServer<'_>)>, FrameError> {
+    let Some((length, rest)) = data.split_first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*length) as usize;
+    if length == 0 || length > MAX_FRAME {
+        return Err(FrameError::Length(length));
+    }
+    // Guards against waiting for the end of what can't be used anyway.
+    if let Some(letter) = rest.first().filter(|l| !matches!(l, b'Y' | b'N')) {
+        return Err(FrameError::Letter(*letter));
+    }
+    let Some(frame) = rest.get(..length) else { return Ok(None) };
+    let body = &frame[1..];
+    let said = if frame[0] == b'N' { FromServer::Unusable(body) } else { answer(body)? };
+    Ok(Some((4 + length, said)))
+}
+
+fn answer(body: &[u8]) -> Result<FromServer<'_>, FrameError> {
+    let bad = FrameError::Answer;
+    let end = body.iter().position(|b| *b == b'\n').ok_or(bad("no line"))?;
+    let line = std::str::from_utf8(&body[..end]).map_err(|_| bad("the line is no text"))?;
+    let value = std::str::from_utf8(&body[end + 1..]).map_err(|_| bad("the value is no text"))?;
+    let mut words = line.split(' ');
+    let (Some(id), Some(end), Some(_score), Some(report), None) =
+        (words.next(), words.next(), words.next(), words.next(), words.next())
+    else {
+        return Err(bad("the line has not four words"));
+    };
+    let end = match end {
+        "OK" => End::Ok,
+        "ERROR" => End::Error,
+        "REJECTED" => End::Rejected,
+        _ => return Err(bad("an unknown end")),
+    };
+    Ok(FromServer::Answer { id, end, busy: busy(report), value })
+}
+
+/// The busy share in a report such as `queue=2,util=0.61`; nothing where there is none.
+fn busy(report: &str) -> Option<f64> {
+    let values = report.split(',').filter_map(|pair| pair.split_once('='));
+    let named =
+        |(name, value): (&str, &str)| matches!(name, "util" | "busy").then(|| value.parse::<f64>().ok());
+    values.filter_map(named).flatten().find(|x| x.is_finite())
+}
+
+/// One part of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartLine<'a> {
+    /// The part's id.
+    pub id: &'a str,
+    /// Its shard.
+    pub shard: u32,
+    /// Milliseconds that the broker will wait.
+    pub wait_ms: u64,
+    /// What it carries.
+    pub text: &'a str,
+}
+
+/// Writes a call.
+pub fn call(parts: &[PartLine]) -> Vec<u8> {
+    let mut out = vec![0, 0, 0, 0, b'R'];
+    for p in parts {
+        let line = format!("{} {} d={} {}\n", p.id, p.shard, p.wait_ms, p.text.len());
+        out.extend_from_slice(line.as_bytes());
+        out.extend_from_slice(p.text.as_bytes());
+    }
+    sized(out)
+}
+
+/// Writes that a part is given up.
+pub fn give_up(id: &str) -> Vec<u8> {
+    let mut out = vec![0, 0, 0, 0, b'A'];
+    out.extend_from_slice(id.as_bytes());
+    sized(out)
+}
+
+fn sized(mut frame: Vec<u8>) -> Vec<u8> {
+    let length = (frame.len() - 4) as u32;
+    frame[..4].copy_from_slice(&length.to_be_bytes());
+    frame
+}
--- /dev/null
+++ b/src/front/platform/query.rs
@@ -0,0 +1,109 @@
+//! A client's request on the platform's port, and the answer to it.
+
+use super::Carried;
+use crate::api::Nanos;
+use crate::config::Names;
+use crate::core::{Answered, Ask, AskPart};
+use crate::front::http::Head;
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+
+/// What a class's clients wait where a request does not say.
+pub struct Limits<'a> {
+    /// Names of the classes.
+    pub names: &'a Names,
+    /// Deadline of each class.
+    pub deadlines: &'a [Nanos],
+    /// Number of shards.
+    pub shards: u32,
+}
+
+#[derive(Deserialize)]
+struct Body {
+    segments: Vec<Segment>,
+    #[serde(default)]
+    text: String,
+}
+
+#[derive(Deserialize)]
+struct Segment {
+    segment: u32,
+    boost: f64,
+    work: Option<f64>,
+}
+
+/// Longest request id.
+const MAX_ID: usize = 128;
+/// Longest time a client may ask for.
+const MAX_WAIT: f64 = 3_600_000.0;
+
+/// Reads a query; says in a few words what is wrong with one that can't be used.
+pub fn read(head: &Head, body: &[u8], limits: &Limits) -> Result<Ask<Carried>, &'static str> {
+    let id = head.header("req-id").ok_or("no Req-Id")?;
+    // Guards the frames that the id stands in: it must be one word.
+    if id.is_empty() || id.len() > MAX_ID || !id.bytes().all(|b| b.is_ascii_graphic()) {
+        return Err("an unusable Req-Id");
+    }
+    let class = head.header("req-kind").ok_or("no Req-Kind")?;
+    let class = limits.names.class(class).ok_or("an unknown class")?;
+    let time_left = match head.header("req-deadline") {
+        Some(text) => duration(text).ok_or("an unusable Req-Deadline")?,
+        None => limits.deadlines[class],
+    };
+    let key = head.header("cookie").and_then(cookie_key);
+    let body: Body = serde_json::from_slice(body).map_err(|_| "a body that is no query")?;
+    if body.segments.is_empty() {
+        return Err("a query without parts");
+    }
+    let mut seen = vec![false; limits.shards as usize];
+    let mut parts = Vec::with_capacity(body.segments.len());
+    for s in &body.segments {
+        let place = seen.get_mut(s.segment as usize).ok_or("a shard that is not there")?;
+        if std::mem::replace(place, true) {
+            return Err("a shard that is named twice");
+        }
+        if !s.boost.is_finite() || s.boost < 0.0 {
+            return Err("a boost that is no share");
+        }
+        let work = s.work.filter(|w| w.is_finite() && *w >= 0.0).map(|us| (us * 1e3) as Nanos);
+        parts.push(AskPart { shard: s.segment, weight: s.boost, work });
+    }
+    let again = head.header("req-retry") == Some("1");
+    let payload = Rc::new(Carried { id: id.into(), text: body.text });
+    Ok(Ask { class, key, time_left, again, parts, payload })
+}
+
+/// A number plus a unit: `m` for milliseconds or `u` for microseconds.
+fn duration(text: &str) -> Option<Nanos> {
+    let scale = match text.as_bytes().last()? {
+        b'm' => 1.0,
+        b'u' => 1e-3,
+        _ => return None,
+    };
+    let ms = text[..text.len() - 1].parse::<f64>().ok()? * scale;
+    (ms.is_finite() && ms >= 0.0).then(|| (ms.min(MAX_WAIT) * 1e6) as Nanos)
+}
+
+fn cookie_key(cookies: &str) -> Option<u64> {
+    let named = cookies.split(';').filter_map(|c| c.trim().split_once('='));
+    let (_, value) = named.into_iter().find(|(name, _)| *name == "key")?;
+    u64::from_str_radix(value, 16).ok()
+}
+
+#[derive(Serialize)]
+struct Reply<'a> {
+    all_in: bool,
+    matches: Vec<Match<'a>>,
+}
+
+#[derive(Serialize)]
+struct Match<'a> {
+    segment: u32,
+    payload: &'a str,
+}
+
+/// The body of an answer.
+pub fn answer(answered: &Answered<String>) -> Vec<u8> {
+    let matches = answered.values.iter().map(|v| Match { segment: v.shard, payload: &v.value }).collect();
+    serde_json::to_vec(&Reply { all_in: answered.whole, matches }).unwrap_or_default()
+}
--- /dev/null
+++ b/src/front/platform/servers.rs
@@ -0,0 +1,249 @@
+//! The server side: connections to shard servers, which carry calls out and outcomes back.
+
+use super::Carried;
+use super::frame::{self, End, FromServer, PartLine};
+use crate::api::{Nanos, Outcome, ReplicaId};
+use crate::core::{AttemptId, Dispatch, Ended, Exchange};
+use crate::net::{ConnId, Filled, NetEvent, Reactor};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+type Platform = Exchange<Carried, String>;
+
+/// Limits on connections to shard servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkLimits {
+    /// Parts that one connection carries at once.
+    pub streams: usize,
+    /// A connection that is not up by then never comes up.
+    pub dial_timeout: Nanos,
+    /// The peer closes a connection that was idle for so long.
+    pub idle: Nanos,
+    /// Most connections, all servers together.
+    pub most: usize,
+}
+
+/// A part that travels on a connection.
+struct Riding {
+    attempt: AttemptId,
+    id: String,
+    /// Bytes written on the connection once its frame's last byte is.
+    end: u64,
+}
+
+struct Link {
+    replica: ReplicaId,
+    addr: SocketAddr,
+    riding: Vec<Riding>,
+    /// Until when it must be up; none once it is.
+    up_by: Option<Nanos>,
+    used: Nanos,
+}
+
+/// All connections to shard servers.
+pub struct Servers {
+    owner: u8,
+    limits: LinkLimits,
+    addrs: HashMap<ReplicaId, SocketAddr>,
+    links: BTreeMap<ConnId, Link>,
+    by_attempt: HashMap<AttemptId, ConnId>,
+    dialled: u64,
+}
+
+impl Servers {
+    /// The server side whose connections carry the mark `owner`.
+    pub fn new(owner: u8, limits: LinkLimits) -> Servers {
+        let (addrs, links, by_attempt) = (HashMap::new(), BTreeMap::new(), HashMap::new());
+        Servers { owner, limits, addrs, links, by_attempt, dialled: 0 }
+    }
+
+    /// Where a server is to be reached from now on; none: nowhere.
+    pub fn place(&mut self, replica: ReplicaId, addr: Option<SocketAddr>) {
+        match addr {
+            Some(addr) => self.addrs.insert(replica, addr),
+            None => self.addrs.remove(&replica),
+        };
+    }
+
+    /// Sends one call.
+    pub fn call(
+        &mut self,
+        replica: ReplicaId,
+        parts: Vec<Dispatch<Carried>>,
+        now: Nanos,
+        net: &mut Reactor,
+        exchange: &mut Platform,
+    ) {
+        let Some(conn) = self.link(replica, parts.len(), now, net) else {
+            for p in &parts {
+                exchange.ended(now, p.attempt, failed(Outcome::ConnectFailed));
+            }
+            return;
+        };
+        let ids: Vec<String> = parts.iter().map(|p| format!("{}.{}", p.payload.id, p.shard)).collect();
+        let lines = parts.iter().zip(&ids).map(|(p, id)| PartLine {
+            id,
+            shard: p.shard,
+            wait_ms: (p.timeout / 1_000_000).max(1),
+            text: &p.payload.text,
+        });
+        let message = frame::call(&lines.collect::<Vec<_>>());
+        if net.send(conn, &message).is_err() {
+            log::warn!("call not sent: the connection takes no more");
+            for p in &parts {
+                exchange.ended(now, p.attempt, failed(Outcome::ConnectFailed));
+            }
+            return;
+        }
+        let end = net.queued(conn);
+        if let Some(link) = self.links.get_mut(&conn) {
+            link.used = now;
+            for (p, id) in parts.iter().zip(ids) {
+                self.by_attempt.insert(p.attempt, conn);
+                link.riding.push(Riding { attempt: p.attempt, id, end });
+            }
+        }
+    }
+
+    /// A connection with room for so many parts: the fullest that is up, else one that is coming up, else new.
+    fn link(&mut self, replica: ReplicaId, parts: usize, now: Nanos, net: &mut Reactor) -> Option<ConnId> {
+        let addr = *self.addrs.get(&replica)?;
+        let room = |l: &Link| l.riding.is_empty() || l.riding.len() + parts <= self.limits.streams;
+        let fits = self.links.iter().filter(|(_, l)| l.replica == replica && l.addr == addr && room(l));
+        if let Some((conn, _)) = fits.max_by_key(|(_, l)| (l.up_by.is_none(), l.riding.len())) {
+            return Some(*conn);
+        }
+        if self.links.len() >= self.limits.most {
+            log::warn!("no connection to a shard server: {} are open", self.links.len());
+            return None;
+        }
+        match net.dial(addr, self.owner) {
+            Ok(conn) => {
+                self.dialled += 1;
+                log::debug!("dialled {addr}, connection {} to shard servers", self.dialled);
+                let up_by = Some(now + self.limits.dial_timeout);
+                self.links.insert(conn, Link { replica, addr, riding: Vec::new(), up_by, used: now });
+                Some(conn)
+            }
+            Err(e) => {
+                log::warn!("can't dial {addr}: {e}");
+                None
+            }
+        }
+    }
+
+    /// Tells the shard server that nobody waits for a part.
+    pub fn give_up(&mut self, attempt: AttemptId, net: &mut Reactor) {
+        let Some(conn) = self.by_attempt.remove(&attempt) else { return };
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        if let Some(at) = link.riding.iter().position(|r| r.attempt == attempt) {
+            let riding = link.riding.remove(at);
+            let _ = net.send(conn, &frame::give_up(&riding.id));
+        }
+    }
+
+    /// Takes in what happened on one of its connections.
+    pub fn event(&mut self, event: NetEvent, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+        match event {
+            NetEvent::Connected { conn, .. } => {
+                if let Some(link) = self.links.get_mut(&conn) {
+                    link.up_by = None;
+                }
+            }
+            NetEvent::Readable { conn, .. } => self.read(conn, now, net, exchange),
+            NetEvent::Broken { conn, flushed, .. } => self.broken(conn, flushed, now, exchange),
+            NetEvent::Accepted { .. } | NetEvent::Flushed { .. } | NetEvent::Signal => {}
+        }
+    }
+
+    fn read(&mut self, conn: ConnId, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+        while self.links.contains_key(&conn) {
+            match net.fill(conn) {
+                Filled::Some(_) => self.frames(conn, now, net, exchange),
+                Filled::Nothing | Filled::NoBuffer => return,
+                Filled::Full => {
+                    log::warn!("shard server connection closed: a frame larger than a buffer");
+                    return self.close(conn, now, net, exchange);
+                }
+                Filled::Ended => return self.close(conn, now, net, exchange),
+            }
+        }
+    }
+
+    fn frames(&mut self, conn: ConnId, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+        loop {
+            let Some(link) = self.links.get_mut(&conn) else { return };
+            let size = match frame::read(net.data(conn)) {
+                Ok(None) => return,
+                Ok(Some((size, FromServer::Answer { id, end, busy, value }))) => {
+                    // What is not out any more came late.
+                    if let Some(at) = link.riding.iter().position(|r| r.id == id) {
+                        let attempt = link.riding.remove(at).attempt;
+                        link.used = now;
+                        self.by_attempt.remove(&attempt);
+                        let outcome = match end {
+                            End::Ok => Outcome::Ok,
+                            End::Error => Outcome::Error,
+                            End::Rejected => Outcome::Full,
+                        };
+                        let value = (end == End::Ok).then(|| value.to_owned());
+                        exchange.ended(now, attempt, Ended { outcome, busy, value });
+                    }
+                    size
+                }
+                Ok(Some((_, FromServer::Unusable(words)))) => {
+                    let words = String::from_utf8_lossy(&words[..words.len().min(200)]);
+                    log::error!("shard server {} could not use a frame: {words:?}", link.addr);
+                    return self.close(conn, now, net, exchange);
+                }
+                Err(e) => {
+                    log::error!("shard server connection to {} closed: {e}", link.addr);
+                    return self.close(conn, now, net, exchange);
+                }
+            };
+            net.consume(conn, size);
+        }
+    }
+
+    fn close(&mut self, conn: ConnId, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+        let flushed = net.flushed(conn);
+        net.close(conn);
+        self.broken(conn, flushed, now, exchange);
+    }
+
+    /// A part whose frame was not written whole never ran; any other may have.
+    fn broken(&mut self, conn: ConnId, flushed: u64, now: Nanos, exchange: &mut Platform) {
+        let Some(link) = self.links.remove(&conn) else { return };
+        for r in link.riding {
+            self.by_attempt.remove(&r.attempt);
+            let outcome = if flushed >= r.end { Outcome::Reset } else { Outcome::ConnectFailed };
+            log::debug!("attempt at {} ended with its connection: {outcome:?}", link.addr);
+            exchange.ended(now, r.attempt, failed(outcome));
+        }
+    }
+
+    /// Ends dials that take too long, and connections before the peer closes them as idle.
+    pub fn tick(&mut self, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+        let idle = self.limits.idle / 10 * 9;
+        let over = |l: &Link| match l.up_by {
+            Some(t) => t <= now,
+            None => {
+                l.riding.is_empty() && (now >= l.used + idle || self.addrs.get(&l.replica) != Some(&l.addr))
+            }
+        };
+        let ended: Vec<ConnId> = self.links.iter().filter(|(_, l)| over(l)).map(|(c, _)| *c).collect();
+        for conn in ended {
+            self.close(conn, now, net, exchange);
+        }
+    }
+
+    /// When `tick` is next worth calling.
+    pub fn due(&self) -> Option<Nanos> {
+        let idle = self.limits.idle / 10 * 9;
+        self.links.values().map(|l| l.up_by.unwrap_or(l.used + idle)).min()
+    }
+}
+
+fn failed(outcome: Outcome) -> Ended<String> {
+    Ended { outcome, busy: None, value: None }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,10 @@
-//! rockrock decides for a query router (a root) in front of a sharded, replicated store.
+//! pebbleturn is a broker for sharded, replicated services: it takes a query, sends its parts to replicas
+//! of their shards, and gives one answer.
 //!
-//! Hand a [`Balancer`] what was heard, carry out the actions it gives back:
+//! The decisions stand apart from everything else. Hand a [`Balancer`] what was heard, carry out the actions it gives back:
 //!
 //! ```
-//! use rockrock::*;
+//! use pebbleturn::*;
 //!
 //! let class = Class {
 //!     effect: Effect::Safe,
@@ -66,8 +67,13 @@
 //! ```
 #![forbid(unsafe_code)]
 
-mod api;
+pub mod api;
 mod balance;
+pub mod config;
+pub mod core;
+pub mod front;
+pub mod log;
+pub mod net;
 
 pub use api::*;
 pub use balance::Balancer;
--- /dev/null
+++ b/src/net/buffer.rs
@@ -0,0 +1,106 @@
+//! Buffers of one size, used again from a bounded pool.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// Largest body of a message: what one side may make the other hold.
+pub const MAX_BODY: usize = 64 * 1024;
+/// Largest head of a message.
+pub const MAX_HEAD: usize = 8 * 1024;
+/// Size of every buffer: one whole message.
+pub const SIZE: usize = MAX_BODY + MAX_HEAD;
+
+#[derive(Debug)]
+struct Shelf {
+    free: Vec<Box<[u8]>>,
+    out: usize,
+    most: usize,
+}
+
+/// A bounded supply of buffers. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Pool(Rc<RefCell<Shelf>>);
+
+impl Pool {
+    /// A pool that hands out at most so many buffers at once.
+    pub fn new(most: usize) -> Pool {
+        Pool(Rc::new(RefCell::new(Shelf { free: Vec::new(), out: 0, most })))
+    }
+
+    /// An empty buffer; none while all are in use. A dropped buffer returns here.
+    pub fn take(&self) -> Option<Buf> {
+        let mut shelf = self.0.borrow_mut();
+        if shelf.out >= shelf.most {
+            return None;
+        }
+        shelf.out += 1;
+        let bytes = shelf.free.pop().unwrap_or_else(|| vec![0; SIZE].into_boxed_slice());
+        Some(Buf { bytes, start: 0, end: 0, home: self.0.clone() })
+    }
+
+    /// Buffers in use.
+    pub fn in_use(&self) -> usize {
+        self.0.borrow().out
+    }
+}
+
+/// One buffer: bytes are added at the end and consumed from the start.
+#[derive(Debug)]
+pub struct Buf {
+    bytes: Box<[u8]>,
+    start: usize,
+    end: usize,
+    home: Rc<RefCell<Shelf>>,
+}
+
+impl Buf {
+    /// What was added and not yet consumed.
+    pub fn data(&self) -> &[u8] {
+        &self.bytes[self.start..self.end]
+    }
+
+    /// Bytes that can still be added.
+    pub fn room(&self) -> usize {
+        SIZE - (self.end - self.start)
+    }
+
+    /// The space after the data, all of `room`.
+    pub fn space(&mut self) -> &mut [u8] {
+        if self.start > 0 {
+            self.bytes.copy_within(self.start..self.end, 0);
+            self.end -= self.start;
+            self.start = 0;
+        }
+        &mut self.bytes[self.end..]
+    }
+
+    /// Says that so many bytes of `space` were filled.
+    pub fn added(&mut self, n: usize) {
+        self.end = (self.end + n).min(SIZE);
+    }
+
+    /// Adds as much of `from` as fits; tells how much did.
+    pub fn push(&mut self, from: &[u8]) -> usize {
+        let n = from.len().min(self.room());
+        self.space()[..n].copy_from_slice(&from[..n]);
+        self.added(n);
+        n
+    }
+
+    /// Drops bytes from the start.
+    pub fn consume(&mut self, n: usize) {
+        self.start = (self.start + n).min(self.end);
+        if self.start == self.end {
+            (self.start, self.end) = (0, 0);
+        }
+    }
+}
+
+impl Drop for Buf {
+    fn drop(&mut self) {
+        let bytes = std::mem::take(&mut self.bytes);
+        let mut shelf = self.home.borrow_mut();
+        shelf.out -= 1;
+        shelf.free.push(bytes);
+    }
+}
--- /dev/null
+++ b/src/net/conn.rs
@@ -0,0 +1,135 @@
+//! One connection: partial reads, partial writes, a bounded queue of what is still to be written.
+
+use super::buffer::{Buf, Pool};
+use mio::net::TcpStream;
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, Read, Write};
+
+/// Most buffers that may wait to be written on one connection.
+const MOST_QUEUED: usize = 16;
+
+/// What a read brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Filled {
+    /// So many new bytes; there may be more.
+    Some(usize),
+    /// Nothing for now; an event will tell.
+    Nothing,
+    /// The input buffer is full; consume first.
+    Full,
+    /// No buffer can be had for now; an event will tell.
+    NoBuffer,
+    /// The peer has ended the connection, or it broke.
+    Ended,
+}
+
+/// The connection's queue, or the pool, has no room for the message. Nothing of it was queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueueFull;
+
+#[derive(Debug)]
+pub(super) struct Conn {
+    pub stream: TcpStream,
+    pub owner: u8,
+    pub input: Option<Buf>,
+    output: VecDeque<Buf>,
+    pub connected: bool,
+    /// Close as soon as all is written.
+    pub close_after: bool,
+    /// Bytes queued and bytes handed to the system since the start.
+    pub queued: u64,
+    pub flushed: u64,
+}
+
+impl Conn {
+    pub fn new(stream: TcpStream, owner: u8, connected: bool) -> Conn {
+        Conn {
+            stream,
+            owner,
+            input: None,
+            output: VecDeque::new(),
+            connected,
+            close_after: false,
+            queued: 0,
+            flushed: 0,
+        }
+    }
+
+    pub fn fill(&mut self, pool: &Pool) -> Filled {
+        if self.input.is_none() {
+            self.input = pool.take();
+        }
+        let Some(buf) = &mut self.input else { return Filled::NoBuffer };
+        if buf.room() == 0 {
+            return Filled::Full;
+        }
+        loop {
+            return match self.stream.read(buf.space()) {
+                Ok(0) => Filled::Ended,
+                Ok(n) => {
+                    buf.added(n);
+                    Filled::Some(n)
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.tidy();
+                    Filled::Nothing
+                }
+                Err(_) => Filled::Ended,
+            };
+        }
+    }
+
+    /// Gives an empty input buffer back: an idle connection holds none.
+    pub fn tidy(&mut self) {
+        if self.input.as_ref().is_some_and(|b| b.data().is_empty()) {
+            self.input = None;
+        }
+    }
+
+    /// Queues a whole message or nothing.
+    pub fn queue(&mut self, message: &[u8], pool: &Pool) -> Result<(), QueueFull> {
+        let mut fresh: Vec<Buf> = Vec::new();
+        let in_tail = self.output.back().map_or(0, Buf::room).min(message.len());
+        let mut rest = &message[in_tail..];
+        while !rest.is_empty() {
+            if self.output.len() + fresh.len() >= MOST_QUEUED {
+                return Err(QueueFull);
+            }
+            let mut buf = pool.take().ok_or(QueueFull)?;
+            let n = buf.push(rest);
+            rest = &rest[n..];
+            fresh.push(buf);
+        }
+        if let Some(tail) = self.output.back_mut() {
+            tail.push(&message[..in_tail]);
+        }
+        self.output.extend(fresh);
+        self.queued += message.len() as u64;
+        Ok(())
+    }
+
+    /// Writes what the system takes.
+    pub fn flush(&mut self) -> io::Result<()> {
+        while let Some(buf) = self.output.front_mut() {
+            match self.stream.write(buf.data()) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => {
+                    self.flushed += n as u64;
+                    buf.consume(n);
+                    if buf.data().is_empty() {
+                        self.output.pop_front();
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
+    pub fn all_written(&self) -> bool {
+        self.output.is_empty()
+    }
+}
--- /dev/null
+++ b/src/net/reactor.rs
@@ -0,0 +1,320 @@
+//! The poll loop's half that knows sockets: it turns readiness into events and owns all connections.
+
+use super::buffer::Pool;
+use super::conn::{Conn, Filled, QueueFull};
+use mio::net::{TcpListener, TcpStream, UnixStream};
+use mio::{Events, Interest, Poll, Token};
+use slab::Slab;
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, Read};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A connection. Numbers are never used again, so a late event can't reach a newer connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(usize, u32);
+
+/// What happened on the sockets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NetEvent {
+    /// A new connection from a listener, for its owner.
+    Accepted { owner: u8, conn: ConnId, peer: SocketAddr },
+    /// A dialled connection is up.
+    Connected { owner: u8, conn: ConnId },
+    /// There may be something to read.
+    Readable { owner: u8, conn: ConnId },
+    /// All that was queued is written.
+    Flushed { owner: u8, conn: ConnId },
+    /// The connection broke; so many of the bytes queued had been written. It is gone.
+    Broken { owner: u8, conn: ConnId, flushed: u64 },
+    /// A signal came.
+    Signal,
+}
+
+enum Source {
+    Listener { socket: TcpListener, owner: u8 },
+    Conn(Box<Conn>),
+    Signal(UnixStream),
+}
+
+/// All sockets of the program.
+pub struct Reactor {
+    poll: Poll,
+    ready: Events,
+    sources: Slab<(u32, Source)>,
+    serial: u32,
+    pool: Pool,
+    /// Connections that wait for a buffer.
+    starved: VecDeque<ConnId>,
+    /// Events that arose outside `wait`.
+    pending: VecDeque<NetEvent>,
+    most_accepted: usize,
+    conns: usize,
+}
+
+impl Reactor {
+    /// A reactor whose connections share `pool`. Beyond `most_accepted` connections, none is accepted.
+    pub fn new(pool: Pool, most_accepted: usize) -> io::Result<Reactor> {
+        Ok(Reactor {
+            poll: Poll::new()?,
+            ready: Events::with_capacity(256),
+            sources: Slab::new(),
+            serial: 0,
+            pool,
+            starved: VecDeque::new(),
+            pending: VecDeque::new(),
+            most_accepted,
+            conns: 0,
+        })
+    }
+
+    /// The pool that all buffers come from.
+    pub fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    /// Connections open now, accepted and dialled.
+    pub fn connections(&self) -> usize {
+        self.conns
+    }
+
+    /// Listens; returns the address, which tells the port where 0 was asked for.
+    pub fn listen(&mut self, addr: SocketAddr, owner: u8) -> io::Result<SocketAddr> {
+        let mut socket = TcpListener::bind(addr)?;
+        let bound = socket.local_addr()?;
+        let entry = self.sources.vacant_entry();
+        self.poll.registry().register(&mut socket, Token(entry.key()), Interest::READABLE)?;
+        self.serial = self.serial.wrapping_add(1);
+        entry.insert((self.serial, Source::Listener { socket, owner }));
+        Ok(bound)
+    }
+
+    /// Takes the end of a pipe that a signal handler writes to.
+    pub fn watch_signals(&mut self, mut pipe: UnixStream) -> io::Result<()> {
+        let entry = self.sources.vacant_entry();
+        self.poll.registry().register(&mut pipe, Token(entry.key()), Interest::READABLE)?;
+        self.serial = self.serial.wrapping_add(1);
+        entry.insert((self.serial, Source::Signal(pipe)));
+        Ok(())
+    }
+
+    /// Stops listening for this owner. What the system had accepted already is taken first: it counts as ours.
+    pub fn stop_listening(&mut self, owner: u8) {
+        let keys: Vec<usize> = self
+            .sources
+            .iter()
+            .filter(|(_, (_, s))| matches!(s, Source::Listener { owner: o, .. } if *o == owner))
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys {
+            self.accept(key);
+            if let (_, Source::Listener { mut socket, .. }) = self.sources.remove(key) {
+                let _ = self.poll.registry().deregister(&mut socket);
+            }
+        }
+    }
+
+    /// Starts a connection; `Connected` or `Broken` follows.
+    pub fn dial(&mut self, addr: SocketAddr, owner: u8) -> io::Result<ConnId> {
+        let stream = TcpStream::connect(addr)?;
+        self.add(stream, owner, false)
+    }
+
+    fn add(&mut self, mut stream: TcpStream, owner: u8, connected: bool) -> io::Result<ConnId> {
+        let entry = self.sources.vacant_entry();
+        let token = Token(entry.key());
+        self.poll.registry().register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
+        let _ = stream.set_nodelay(true);
+        self.serial = self.serial.wrapping_add(1);
+        let id = ConnId(entry.key(), self.serial);
+        entry.insert((self.serial, Source::Conn(Box::new(Conn::new(stream, owner, connected)))));
+        self.conns += 1;
+        Ok(id)
+    }
+
+    fn conn(&mut self, id: ConnId) -> Option<&mut Conn> {
+        match self.sources.get_mut(id.0) {
+            Some((serial, Source::Conn(c))) if *serial == id.1 => Some(c),
+            _ => None,
+        }
+    }
+
+    /// Whether the connection is still held.
+    pub fn is_open(&self, id: ConnId) -> bool {
+        matches!(self.sources.get(id.0), Some((serial, Source::Conn(_))) if *serial == id.1)
+    }
+
+    /// Bytes queued on this connection since its start: the position of the next message's first byte.
+    pub fn queued(&mut self, id: ConnId) -> u64 {
+        self.conn(id).map_or(0, |c| c.queued)
+    }
+
+    /// Bytes of it that were handed to the system.
+    pub fn flushed(&mut self, id: ConnId) -> u64 {
+        self.conn(id).map_or(0, |c| c.flushed)
+    }
+
+    /// Reads once.
+    pub fn fill(&mut self, id: ConnId) -> Filled {
+        let pool = self.pool.clone();
+        let Some(c) = self.conn(id) else { return Filled::Ended };
+        let filled = c.fill(&pool);
+        if filled == Filled::NoBuffer {
+            self.starved.push_back(id);
+        }
+        filled
+    }
+
+    /// What was read and not consumed.
+    pub fn data(&mut self, id: ConnId) -> &[u8] {
+        self.conn(id).and_then(|c| c.input.as_ref()).map_or(&[], |b| b.data())
+    }
+
+    /// Consumes input.
+    pub fn consume(&mut self, id: ConnId, n: usize) {
+        if let Some(c) = self.conn(id) {
+            if let Some(b) = &mut c.input {
+                b.consume(n);
+            }
+            c.tidy();
+        }
+    }
+
+    /// Queues a whole message and writes what can be written now.
+    pub fn send(&mut self, id: ConnId, message: &[u8]) -> Result<(), QueueFull> {
+        let pool = self.pool.clone();
+        let Some(c) = self.conn(id) else { return Err(QueueFull) };
+        c.queue(message, &pool)?;
+        if c.connected {
+            self.flush(id);
+        }
+        Ok(())
+    }
+
+    fn flush(&mut self, id: ConnId) {
+        let Some(c) = self.conn(id) else { return };
+        let (owner, before) = (c.owner, c.all_written());
+        match c.flush() {
+            Ok(()) => {
+                let (done, close) = (c.all_written(), c.close_after);
+                if done && close {
+                    self.close(id);
+                } else if done && !before {
+                    self.pending.push_back(NetEvent::Flushed { owner, conn: id });
+                }
+            }
+            Err(_) => self.broke(id),
+        }
+    }
+
+    /// Closes at once.
+    pub fn close(&mut self, id: ConnId) {
+        if self.is_open(id)
+            && let (_, Source::Conn(mut c)) = self.sources.remove(id.0)
+        {
+            self.conns -= 1;
+            let _ = self.poll.registry().deregister(&mut c.stream);
+        }
+    }
+
+    /// Closes once all that was queued is written.
+    pub fn close_after_flush(&mut self, id: ConnId) {
+        let Some(c) = self.conn(id) else { return };
+        c.close_after = true;
+        if c.all_written() {
+            self.close(id);
+        }
+    }
+
+    fn broke(&mut self, id: ConnId) {
+        let Some(c) = self.conn(id) else { return };
+        let event = NetEvent::Broken { owner: c.owner, conn: id, flushed: c.flushed };
+        self.close(id);
+        self.pending.push_back(event);
+    }
+
+    /// Waits for events for at most `timeout`, and adds them to `events`.
+    pub fn wait(&mut self, timeout: Option<Duration>, events: &mut Vec<NetEvent>) -> io::Result<()> {
+        let fed = !self.starved.is_empty() && self.pool.take().is_some();
+        let timeout = if fed || !self.pending.is_empty() { Some(Duration::ZERO) } else { timeout };
+        let mut ready = std::mem::replace(&mut self.ready, Events::with_capacity(0));
+        let polled = self.poll.poll(&mut ready, timeout);
+        if let Err(e) = &polled
+            && e.kind() != ErrorKind::Interrupted
+        {
+            self.ready = ready;
+            return polled;
+        }
+        if fed {
+            for conn in std::mem::take(&mut self.starved) {
+                if let Some(c) = self.conn(conn) {
+                    events.push(NetEvent::Readable { owner: c.owner, conn });
+                }
+            }
+        }
+        for event in ready.iter().filter(|_| polled.is_ok()) {
+            self.handle(event);
+        }
+        self.ready = ready;
+        events.extend(self.pending.drain(..));
+        Ok(())
+    }
+
+    fn handle(&mut self, event: &mio::event::Event) {
+        let key = event.token().0;
+        let Some((serial, source)) = self.sources.get_mut(key) else { return };
+        let id = ConnId(key, *serial);
+        match source {
+            Source::Listener { .. } => self.accept(key),
+            Source::Signal(pipe) => {
+                let mut sink = [0; 64];
+                while pipe.read(&mut sink).is_ok_and(|n| n > 0) {}
+                self.pending.push_back(NetEvent::Signal);
+            }
+            Source::Conn(c) => {
+                let owner = c.owner;
+                if !c.connected && (event.is_writable() || event.is_error()) {
+                    let failed = c.stream.take_error().map_or(true, |e| e.is_some());
+                    if failed || event.is_error() {
+                        return self.broke(id);
+                    }
+                    match c.stream.peer_addr() {
+                        Ok(_) => c.connected = true,
+                        Err(e) if e.kind() == ErrorKind::NotConnected => return,
+                        Err(_) => return self.broke(id),
+                    }
+                    self.pending.push_back(NetEvent::Connected { owner, conn: id });
+                }
+                if event.is_writable() {
+                    self.flush(id);
+                }
+                if self.is_open(id) && (event.is_readable() || event.is_error() || event.is_read_closed()) {
+                    self.pending.push_back(NetEvent::Readable { owner, conn: id });
+                }
+            }
+        }
+    }
+
+    fn accept(&mut self, key: usize) {
+        loop {
+            let Some((_, Source::Listener { socket, owner })) = self.sources.get(key) else { return };
+            let owner = *owner;
+            match socket.accept() {
+                Ok((stream, _)) if self.conns >= self.most_accepted => {
+                    log::warn!("connection refused: {} are open", self.conns);
+                    drop(stream);
+                }
+                Ok((stream, peer)) => match self.add(stream, owner, true) {
+                    Ok(conn) => self.pending.push_back(NetEvent::Accepted { owner, conn, peer }),
+                    Err(e) => log::warn!("connection not taken: {e}"),
+                },
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    log::warn!("accept failed: {e}");
+                    return;
+                }
+            }
+        }
+    }
+}
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -7,7 +7,7 @@
 const PART: &str = "0e6f2b19-abcc-43bb-a768-bae9a13eb972";
 
 fn run(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_rockrock-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pebbleturn-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small root for tests: scripted events in, actions out.
 #![allow(dead_code)]
 
-use rockrock::*;
+use pebbleturn::*;
 
 pub const MS: Nanos = 1_000_000;
 pub const S: Nanos = 1_000 * MS;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use rockrock::*;
+use pebbleturn::*;
 
 /// Plays `n` queries of three parts, 40 ms apart; `latency` says how long an attempt takes, `None`: for ever.
 fn play(r: &mut Root, n: u64, latency: impl Fn(&Sent) -> Option<Nanos>) -> Vec<RequestId> {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use rockrock::*;
+use pebbleturn::*;
 
 #[test]
 fn every_query_gets_one_final_answer_in_time_though_nothing_answers() {
