End a query that has nothing out and nothing left to send, with a wait

Seen: in `finish` a query whose class earns nothing after its aim sent no more parts from `useful` on (send_part returns there), yet stayed open until the client's end: usage-report was held from 2.5 s to 5 s. The same for a query whose part had used all its attempts. Holding back is ruled out.

Ruled out: the exchange, which passes a final answer on in the same round.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -498,9 +498,8 @@
             if step == 0 && !self.worth_taking(job) {
                 self.refused = Some(self.now);
                 self.close(job, acts);
-                let most = if self.cfg.may_advise_wait { self.cfg.max_wait } else { 0 };
-                let wait = (2.0 * uniform(&mut self.rng) * RETRY_AFTER * self.pace) as Nanos;
-                acts.push(Action::Refuse { query, wait: wait.min(most) });
+                let refusal = self.refusal(query);
+                acts.push(refusal);
                 return;
             }
             self.queries.get_mut(&job).unwrap().placed = true;
@@ -532,7 +531,7 @@
     /// Ends the query if it can or must be. Guards rules 1 and 5.
     fn finish(&mut self, job: u64, class: &Class, acts: &mut Vec<Action>) -> bool {
         let (now, full) = (self.now, self.held as f64 > ROOM * self.cfg.max_open as f64);
-        let q = self.queries.get_mut(&job).unwrap();
+        let q = &self.queries[&job];
         let here: Vec<&Part> = q.parts.iter().filter(|p| p.step == q.step).collect();
         let share: f64 = here.iter().filter(|p| p.done).map(|p| p.weight).sum();
         let all = here.iter().all(|p| p.done) && here.len() >= q.expect as usize && !here.is_empty();
@@ -541,13 +540,24 @@
         let empty = here.is_empty();
         let enough = if q.step == 0 || class.min_share < class.need { share + EPSILON >= floor } else { all };
         let late = now >= q.aim;
+        let spent = |p: &&Part| {
+            p.done
+                || (p.attempts.iter().all(|t| !t.open)
+                    && (now >= q.useful
+                        || p.attempts.len() >= self.cfg.max_attempts as usize
+                        || !self.may_repeat(p, class)))
+        };
+        // Nothing is out and nothing more will be sent: waiting on would only keep the client from asking again.
+        let stuck = !all && here.iter().all(spent);
+        let harmless =
+            class.effect == Effect::Safe || here.iter().all(|p| p.attempts.iter().all(|t| t.unrun));
         let over = (whole || late) && !q.judged;
         if over {
-            q.judged = true;
+            self.queries.get_mut(&job).unwrap().judged = true;
             self.learn_tail(job);
         }
         let q = self.queries.get_mut(&job).unwrap();
-        if (whole || (q.step > 0 && all) || (late && enough)) && !empty {
+        if (whole || (q.step > 0 && all) || ((late || stuck) && enough)) && !empty {
             let (query, step) = (q.id, q.step);
             acts.push(Action::Answer { query, whole });
             if step == 0 && class.fetch_parts > 0 {
@@ -562,15 +572,22 @@
         }
         // Late answers are worth waiting for only while they keep nothing else out.
         let hopeless = late && full;
-        if now >= q.end || hopeless {
-            let query = q.id;
+        if now >= q.end || hopeless || (stuck && !empty) {
+            let (query, refuse) = (q.id, stuck && harmless && now < q.end);
             self.close(job, acts);
-            acts.push(Action::Fail { query });
+            acts.push(if refuse { self.refusal(query) } else { Action::Fail { query } });
             return true;
         }
         false
     }
 
+    /// A refusal, with the time after which the client does well to come back.
+    fn refusal(&mut self, query: RequestId) -> Action {
+        let most = if self.cfg.may_advise_wait { self.cfg.max_wait } else { 0 };
+        let wait = (2.0 * uniform(&mut self.rng) * RETRY_AFTER * self.pace) as Nanos;
+        Action::Refuse { query, wait: wait.min(most) }
+    }
+
     /// Whether a new query can be answered in its aim as things stand.
     fn worth_taking(&mut self, job: u64) -> bool {
         let q = &self.queries[&job];
