--- /dev/null
+++ b/src/broker.rs
@@ -0,0 +1,172 @@
+//! One broker: the poll loop, with the exchange between the two sides of a front.
+
+use crate::api::Nanos;
+use crate::config::ConfigError;
+use crate::core::{Exchange, Work};
+use crate::net::{Clock, NetEvent, Reactor, Waker, signals};
+use std::io;
+use std::time::Duration;
+
+/// How long new connections are taken after the word to end.
+const KEEP_ACCEPTING: Nanos = 700_000_000;
+
+/// Why a broker can't start or go on.
+#[derive(Debug)]
+pub enum BrokerError {
+    /// It was told something unusable.
+    Config(ConfigError),
+    /// The system refused something that it can't do without.
+    Io(&'static str, io::Error),
+}
+
+impl BrokerError {
+    /// For `map_err`: what was being done.
+    pub fn io(what: &'static str) -> impl Fn(io::Error) -> BrokerError {
+        move |e| BrokerError::Io(what, e)
+    }
+}
+
+impl std::fmt::Display for BrokerError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            BrokerError::Config(e) => e.fmt(f),
+            BrokerError::Io(what, e) => write!(f, "{what}: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for BrokerError {}
+
+impl From<ConfigError> for BrokerError {
+    fn from(e: ConfigError) -> Self {
+        BrokerError::Config(e)
+    }
+}
+
+/// What is at hand while a front works.
+pub struct Hands<'a, Q, V> {
+    /// The time.
+    pub now: Nanos,
+    /// The sockets.
+    pub net: &'a mut Reactor,
+    /// The exchange.
+    pub exchange: &'a mut Exchange<Q, V>,
+}
+
+/// A front: a client side and a server side that meet only in the exchange.
+pub trait Front {
+    /// What a query carries.
+    type Query;
+    /// The value of a part.
+    type Value;
+
+    /// Something happened on a socket of the front's.
+    fn event(&mut self, event: NetEvent, hands: &mut Hands<Self::Query, Self::Value>);
+    /// Time has gone by.
+    fn tick(&mut self, hands: &mut Hands<Self::Query, Self::Value>);
+    /// The exchange wants something done.
+    fn work(&mut self, work: Work<Self::Query, Self::Value>, hands: &mut Hands<Self::Query, Self::Value>);
+    /// When `tick` is next worth calling.
+    fn due(&self) -> Option<Nanos>;
+    /// The word to end has come: ready no more, and each answer ends its connection.
+    fn drain(&mut self);
+    /// New connections are no longer taken: whoever waits for nothing is to be closed.
+    fn close_idle(&mut self, hands: &mut Hands<Self::Query, Self::Value>);
+    /// Owners of the listeners.
+    fn listeners(&self) -> &[u8];
+    /// No client is connected.
+    fn is_empty(&self) -> bool;
+}
+
+/// A broker, ready to run.
+pub struct Broker<F: Front> {
+    clock: Clock,
+    net: Reactor,
+    exchange: Exchange<F::Query, F::Value>,
+    front: F,
+    longest: Nanos,
+    /// When the word to end came, and whether the listeners are closed.
+    draining: Option<Nanos>,
+    closed: bool,
+}
+
+impl<F: Front> Broker<F> {
+    /// Puts a broker together.
+    pub fn new(clock: Clock, net: Reactor, exchange: Exchange<F::Query, F::Value>, front: F) -> Broker<F> {
+        let longest = exchange.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        Broker { clock, net, exchange, front, longest, draining: None, closed: false }
+    }
+
+    /// Ends in an orderly way on SIGTERM and SIGINT.
+    pub fn end_on_signals(&mut self) -> Result<(), BrokerError> {
+        let pipe = signals().map_err(BrokerError::io("signals"))?;
+        self.net.watch_signals(pipe).map_err(BrokerError::io("signals"))
+    }
+
+    /// Something by which another thread can tell this broker to end in an orderly way.
+    pub fn stopper(&mut self) -> Result<Waker, BrokerError> {
+        self.net.waker().map_err(BrokerError::io("waker"))
+    }
+
+    /// Serves until the word to end has come and all that was taken is answered.
+    pub fn run(mut self) -> Result<(), BrokerError> {
+        let mut events = Vec::new();
+        while !self.finished() {
+            let timeout = self.due().map(|t| Duration::from_nanos(t.saturating_sub(self.clock.now())));
+            self.net.wait(timeout, &mut events).map_err(BrokerError::io("poll"))?;
+            let now = self.clock.now();
+            for event in events.drain(..) {
+                self.event(event, now);
+            }
+            self.turn(now);
+        }
+        log::info!("ended: all that was taken is answered");
+        Ok(())
+    }
+
+    fn event(&mut self, event: NetEvent, now: Nanos) {
+        if event != NetEvent::Signal {
+            let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
+            self.front.event(event, &mut hands);
+        } else if self.draining.is_none() {
+            log::info!("draining: {} queries are open", self.exchange.open_queries());
+            self.draining = Some(now);
+            self.front.drain();
+        }
+    }
+
+    /// All that time alone brings, and the work that follows from it.
+    fn turn(&mut self, now: Nanos) {
+        let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
+        self.front.tick(&mut hands);
+        hands.exchange.run(now);
+        while let Some(work) = hands.exchange.next_work() {
+            self.front.work(work, &mut hands);
+        }
+        if self.draining.is_some_and(|t| now >= t + KEEP_ACCEPTING) {
+            if !self.closed {
+                self.closed = true;
+                for owner in self.front.listeners() {
+                    hands.net.stop_listening(*owner);
+                }
+            } else {
+                self.front.close_idle(&mut hands);
+            }
+        }
+    }
+
+    /// Guards the end of a drain: a peer that does not read its answer can't keep the program.
+    fn finished(&self) -> bool {
+        let longest = KEEP_ACCEPTING + self.longest;
+        let late = self.draining.is_some_and(|t| self.clock.now() >= t + longest);
+        self.closed && (late || (self.front.is_empty() && !self.net.is_flushing()))
+    }
+
+    fn due(&self) -> Option<Nanos> {
+        let drain = self.draining.map(|t| {
+            let next = if self.closed { self.clock.now() + 20_000_000 } else { 0 };
+            (t + KEEP_ACCEPTING).max(next)
+        });
+        [self.exchange.due(), self.front.due(), drain].into_iter().flatten().min()
+    }
+}
--- /dev/null
+++ b/src/front/catalogue/cql.rs
@@ -0,0 +1,306 @@
+//! CQL 1.1 and 1.2: read into a search, and written from one.
+
+use super::diagnostic::{Diagnostic, Trouble};
+use super::search::*;
+
+/// Deepest parentheses. Guards the stack.
+const DEEPEST: usize = 32;
+/// Longest query that is read.
+const LONGEST: usize = 8 * 1024;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Token {
+    /// A word or a quoted string, as written between the quotes.
+    Text {
+        raw: String,
+        quoted: bool,
+    },
+    Symbol(&'static str),
+}
+
+const SYMBOLS: &[&str] = &["<=", ">=", "<>", "==", "=", "<", ">", "(", ")", "/"];
+
+fn syntax(what: &str) -> Diagnostic {
+    Diagnostic::new(Trouble::QuerySyntax, what)
+}
+
+fn tokens(query: &str) -> Result<Vec<Token>, Diagnostic> {
+    let mut out = Vec::new();
+    let mut rest = query;
+    loop {
+        rest = rest.trim_start();
+        let Some(first) = rest.chars().next() else { return Ok(out) };
+        if first == '"' {
+            let mut escaped = false;
+            let end = rest[1..].find(|c| {
+                let ends = c == '"' && !escaped;
+                escaped = c == '\\' && !escaped;
+                ends
+            });
+            let end = end.ok_or_else(|| syntax("a quote that is not closed"))?;
+            out.push(Token::Text { raw: rest[1..1 + end].to_owned(), quoted: true });
+            rest = &rest[end + 2..];
+        } else if let Some(symbol) = SYMBOLS.iter().find(|s| rest.starts_with(**s)) {
+            out.push(Token::Symbol(symbol));
+            rest = &rest[symbol.len()..];
+        } else {
+            let end = rest.find(|c: char| c.is_whitespace() || "()=<>/\"".contains(c)).unwrap_or(rest.len());
+            out.push(Token::Text { raw: rest[..end].to_owned(), quoted: false });
+            rest = &rest[end..];
+        }
+    }
+}
+
+/// Reads a query.
+pub fn parse(query: &str) -> Result<Search, Diagnostic> {
+    if query.len() > LONGEST {
+        return Err(syntax("the query is too long"));
+    }
+    let mut p = Parser { tokens: tokens(query)?, at: 0, operators: 0, prefixes: Vec::new() };
+    let search = p.query(0)?;
+    match p.peek() {
+        None => search.check(),
+        Some(Token::Text { raw, .. }) if raw.eq_ignore_ascii_case("sortby") => {
+            Err(Diagnostic::new(Trouble::UnsupportedSort, "sortBy"))
+        }
+        Some(_) => Err(syntax("something after the end of the query")),
+    }
+}
+
+struct Parser {
+    tokens: Vec<Token>,
+    at: usize,
+    operators: usize,
+    /// Prefixes that the query gave to context sets of ours.
+    prefixes: Vec<(String, &'static str)>,
+}
+
+impl Parser {
+    fn peek(&self) -> Option<&Token> {
+        self.tokens.get(self.at)
+    }
+
+    fn take(&mut self) -> Option<Token> {
+        self.at += 1;
+        self.tokens.get(self.at - 1).cloned()
+    }
+
+    fn symbol(&mut self, symbol: &str) -> bool {
+        let there = matches!(self.peek(), Some(Token::Symbol(s)) if *s == symbol);
+        self.at += usize::from(there);
+        there
+    }
+
+    fn text(&mut self) -> Result<(String, bool), Diagnostic> {
+        match self.take() {
+            Some(Token::Text { raw, quoted }) => Ok((raw, quoted)),
+            _ => Err(syntax("a word is missing")),
+        }
+    }
+
+    fn query(&mut self, depth: usize) -> Result<Search, Diagnostic> {
+        if depth > DEEPEST {
+            return Err(syntax("parentheses nested too deep"));
+        }
+        while self.symbol(">") {
+            self.prefix()?;
+        }
+        let mut left = self.clause(depth)?;
+        while let Some(operator) = self.operator()? {
+            self.operators += 1;
+            if self.operators > MOST_OPERATORS {
+                return Err(Diagnostic::too_many_operators(MOST_OPERATORS));
+            }
+            left = Search::join(operator, left, self.clause(depth)?);
+        }
+        Ok(left)
+    }
+
+    fn prefix(&mut self) -> Result<(), Diagnostic> {
+        let (first, _) = self.text()?;
+        let (name, uri) = if self.symbol("=") { (first, self.text()?.0) } else { (String::new(), first) };
+        let set = CONTEXT_SETS.iter().find(|(_, known)| *known == uri);
+        let (set, _) = set.ok_or_else(|| Diagnostic::new(Trouble::UnsupportedContextSet, uri.as_str()))?;
+        self.prefixes.push((name.to_ascii_lowercase(), set));
+        Ok(())
+    }
+
+    fn operator(&mut self) -> Result<Option<Operator>, Diagnostic> {
+        let Some(Token::Text { raw, quoted: false }) = self.peek() else { return Ok(None) };
+        let operator = match raw.to_ascii_lowercase().as_str() {
+            "and" => Operator::And,
+            "or" => Operator::Or,
+            "not" => Operator::AndNot,
+            "prox" => return Err(Diagnostic::new(Trouble::ProximityUnsupported, "prox")),
+            "sortby" => return Ok(None),
+            other => return Err(Diagnostic::new(Trouble::UnsupportedOperator, other)),
+        };
+        self.at += 1;
+        if self.symbol("/") {
+            let modifier = self.text().map(|t| t.0).unwrap_or_default();
+            return Err(Diagnostic::new(Trouble::OperatorModifier, modifier));
+        }
+        Ok(Some(operator))
+    }
+
+    fn clause(&mut self, depth: usize) -> Result<Search, Diagnostic> {
+        if self.symbol("(") {
+            let inner = self.query(depth + 1)?;
+            return if self.symbol(")") { Ok(inner) } else { Err(syntax("a parenthesis is not closed")) };
+        }
+        let (first, quoted) = self.text()?;
+        let reserved =
+            |w: &str| ["and", "or", "not", "prox", "sortby"].contains(&w.to_ascii_lowercase().as_str());
+        let relation = match self.peek() {
+            Some(Token::Symbol(s)) if !matches!(*s, "(" | ")" | "/") => Some((*s).to_owned()),
+            Some(Token::Text { raw, quoted: false }) if !quoted && !reserved(raw) => {
+                Some(raw.to_ascii_lowercase())
+            }
+            _ => None,
+        };
+        let Some(relation) = relation else {
+            if !quoted && reserved(&first) {
+                return Err(syntax("an operator without its term"));
+            }
+            return words(1016, "=", &first);
+        };
+        self.at += 1;
+        if self.symbol("/") {
+            let modifier = self.text().map(|t| t.0).unwrap_or_default();
+            return Err(Diagnostic::new(Trouble::UnsupportedRelationModifier, modifier));
+        }
+        let (term, _) = self.text()?;
+        let access = self.access(&first)?;
+        words(access, relation.strip_prefix("cql.").unwrap_or(&relation), &term)
+    }
+
+    fn access(&self, index: &str) -> Result<u16, Diagnostic> {
+        let unknown = || Diagnostic::new(Trouble::UnsupportedIndex, index);
+        let (prefix, name) = index.split_once('.').unwrap_or(("", index));
+        let prefix = prefix.to_ascii_lowercase();
+        if let Some((_, set)) = self.prefixes.iter().rev().find(|(p, _)| *p == prefix) {
+            return access_of(&format!("{set}.{name}")).ok_or_else(unknown);
+        }
+        if !prefix.is_empty() {
+            if !CONTEXT_SETS.iter().any(|(set, _)| *set == prefix) {
+                return Err(Diagnostic::new(Trouble::UnsupportedContextSet, prefix));
+            }
+            return access_of(index).ok_or_else(unknown);
+        }
+        // A bare name is looked for in every set.
+        let mut sets = ["dc", "cql", "rec", "bath", "music"].iter();
+        sets.find_map(|set| access_of(&format!("{set}.{name}"))).ok_or_else(unknown)
+    }
+}
+
+/// One clause, or with `any` one for each word.
+fn words(access: u16, relation: &str, raw: &str) -> Result<Search, Diagnostic> {
+    let mut clause = term(access, raw)?;
+    match relation {
+        "=" | "scr" => {}
+        "adj" => clause.structure = Structure::Phrase,
+        "==" | "exact" => {
+            (clause.first_in_field, clause.complete_field) = (true, true);
+            clause.structure = Structure::Phrase;
+        }
+        "<" => clause.relation = Relation::Less,
+        "<=" => clause.relation = Relation::LessOrEqual,
+        ">" => clause.relation = Relation::Greater,
+        ">=" => clause.relation = Relation::GreaterOrEqual,
+        "<>" => clause.relation = Relation::NotEqual,
+        "all" => clause.structure = Structure::WordList,
+        "any" => {
+            let clauses = raw.split_whitespace().map(|w| term(access, w).map(Search::Clause));
+            let mut clauses = clauses.collect::<Result<Vec<_>, _>>()?.into_iter();
+            let first = clauses.next().ok_or_else(|| Diagnostic::new(Trouble::EmptyTerm, ""))?;
+            return Ok(clauses.fold(first, |l, r| Search::join(Operator::Or, l, r)));
+        }
+        other => return Err(Diagnostic::new(Trouble::UnsupportedRelation, other)),
+    }
+    Ok(Search::Clause(clause))
+}
+
+/// Reads a term: what is escaped, what is masked, and where it is anchored.
+fn term(access: u16, raw: &str) -> Result<Clause, Diagnostic> {
+    let mut chars: Vec<(char, bool)> = Vec::new();
+    let mut escaped = false;
+    for c in raw.chars() {
+        match (c, escaped) {
+            ('\\', false) => escaped = true,
+            (c, was) => {
+                chars.push((c, was));
+                escaped = false;
+            }
+        }
+    }
+    if escaped {
+        return Err(Diagnostic::new(Trouble::MalformedTerm, raw));
+    }
+    let first_in_field = chars.first() == Some(&('^', false));
+    chars.drain(..usize::from(first_in_field));
+    let left = chars.first() == Some(&('*', false));
+    let right = chars.len() > 1 && chars.last() == Some(&('*', false));
+    chars.drain(..usize::from(left));
+    chars.truncate(chars.len() - usize::from(right));
+    if let Some((c, _)) = chars.iter().find(|(c, escaped)| !escaped && matches!(c, '*' | '?' | '^')) {
+        let trouble = if *c == '^' { Trouble::AnchorUnsupported } else { Trouble::MaskingUnsupported };
+        return Err(Diagnostic::new(trouble, raw));
+    }
+    let text: String = chars.into_iter().map(|(c, _)| c).collect();
+    if text.trim().is_empty() {
+        return Err(Diagnostic::new(Trouble::EmptyTerm, raw));
+    }
+    let truncation = match (left, right) {
+        (false, false) => Truncation::None,
+        (false, true) => Truncation::Right,
+        (true, false) => Truncation::Left,
+        (true, true) => Truncation::Both,
+    };
+    Ok(Clause { truncation, first_in_field, ..Clause::new(access, text) })
+}
+
+/// Writes a search, in a form that versions 1.1 and 1.2 both read.
+pub fn write(search: &Search) -> Result<String, Diagnostic> {
+    match search {
+        Search::Clause(c) => write_clause(c),
+        Search::Both(operator, l, r) => {
+            let word = match operator {
+                Operator::And => "and",
+                Operator::Or => "or",
+                Operator::AndNot => "not",
+            };
+            Ok(format!("({}) {word} ({})", write(l)?, write(r)?))
+        }
+    }
+}
+
+fn write_clause(c: &Clause) -> Result<String, Diagnostic> {
+    let index =
+        index_of(c.access).ok_or_else(|| Diagnostic::new(Trouble::UnsupportedIndex, c.access.to_string()))?;
+    let relation = match (c.relation, c.structure) {
+        (Relation::Less, _) => "<",
+        (Relation::LessOrEqual, _) => "<=",
+        (Relation::GreaterOrEqual, _) => ">=",
+        (Relation::Greater, _) => ">",
+        (Relation::NotEqual, _) => "<>",
+        (Relation::Equal, _) if c.complete_field => "exact",
+        (Relation::Equal, Structure::WordList) => "all",
+        (Relation::Equal, Structure::Phrase) if Structure::plain(&c.term) == Structure::Word => "adj",
+        (Relation::Equal, _) => "=",
+    };
+    let (left, right) = match c.truncation {
+        Truncation::None => ("", ""),
+        Truncation::Right => ("", "*"),
+        Truncation::Left => ("*", ""),
+        Truncation::Both => ("*", "*"),
+    };
+    let anchor = if c.first_in_field && !c.complete_field { "^" } else { "" };
+    let mut term = String::with_capacity(c.term.len() + 2);
+    for ch in c.term.chars() {
+        if matches!(ch, '"' | '\\' | '*' | '?' | '^') {
+            term.push('\\');
+        }
+        term.push(ch);
+    }
+    Ok(format!("{index} {relation} \"{anchor}{left}{term}{right}\""))
+}
--- /dev/null
+++ b/src/front/catalogue/marc.rs
@@ -0,0 +1,249 @@
+//! MARC records: as ISO 2709 and as MARCXML.
+
+use quick_xml::events::Event;
+use quick_xml::reader::Reader;
+use std::fmt;
+
+/// The namespace of MARCXML.
+pub const MARCXML: &str = "http://www.loc.gov/MARC21/slim";
+
+const FIELD_END: u8 = 0x1e;
+const RECORD_END: u8 = 0x1d;
+const SUBFIELD: u8 = 0x1f;
+/// Longest record that ISO 2709 has room for.
+const LONGEST: usize = 99_999;
+
+/// Bytes or text that are no MARC record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MarcError(pub &'static str);
+
+impl fmt::Display for MarcError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "no MARC record: {}", self.0)
+    }
+}
+
+impl std::error::Error for MarcError {}
+
+/// One field.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Field {
+    /// A control field.
+    Control { tag: String, value: String },
+    /// A field with indicators and subfields.
+    Data { tag: String, indicators: [char; 2], subfields: Vec<(char, String)> },
+}
+
+/// A record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The leader's 24 characters. Lengths in it are made anew when the record is written.
+    pub leader: String,
+    /// The fields, in order.
+    pub fields: Vec<Field>,
+}
+
+/// Characters 0 to 4 and 12 to 16 are lengths of one written form, and say nothing in another.
+fn plain_leader(leader: &str) -> String {
+    let mut out: Vec<char> = leader.chars().map(|c| if c.is_ascii_graphic() { c } else { ' ' }).collect();
+    out.resize(24, ' ');
+    for place in (0..5).chain(12..17) {
+        out[place] = '0';
+    }
+    (out[9], out[10], out[11]) = ('a', '2', '2');
+    (out[20], out[21], out[22], out[23]) = ('4', '5', '0', '0');
+    out.into_iter().collect()
+}
+
+impl Record {
+    /// A record without fields.
+    pub fn new(leader: &str) -> Record {
+        Record { leader: plain_leader(leader), fields: Vec::new() }
+    }
+
+    /// Reads ISO 2709 in UTF-8, or in plain ASCII under any character set.
+    pub fn from_iso2709(bytes: &[u8]) -> Result<Record, MarcError> {
+        let leader = bytes.get(..24).ok_or(MarcError("no leader"))?;
+        let number = |b: &[u8]| -> Result<usize, MarcError> {
+            let text = std::str::from_utf8(b).ok().filter(|t| t.bytes().all(|b| b.is_ascii_digit()));
+            text.and_then(|t| t.parse().ok()).ok_or(MarcError("a length that is no number"))
+        };
+        let length = number(&leader[..5])?;
+        let base = number(&leader[12..17])?;
+        let record = bytes.get(..length).ok_or(MarcError("shorter than it says"))?;
+        if record.last() != Some(&RECORD_END) || base < 25 || base > length {
+            return Err(MarcError("its parts don't fit"));
+        }
+        let directory = &record[24..base - 1];
+        let utf8 = leader[9] == b'a';
+        let text = |b: &[u8]| -> Result<String, MarcError> {
+            // Guards against another character set taken for UTF-8: what can't be read is not passed on.
+            if !utf8 && !b.is_ascii() {
+                return Err(MarcError("a character set that is not read"));
+            }
+            String::from_utf8(b.to_vec()).map_err(|_| MarcError("not in UTF-8"))
+        };
+        let mut out = Record::new(&String::from_utf8_lossy(leader));
+        for entry in directory.chunks(12) {
+            let [tag, long, start] = [entry.get(..3), entry.get(3..7), entry.get(7..12)]
+                .map(|part| part.ok_or(MarcError("a broken directory")));
+            let (tag, long, start) = (text(tag?)?, number(long?)?, number(start?)?);
+            let end = base + start + long;
+            let body = record.get(base + start..end).ok_or(MarcError("a field past the end"))?;
+            let body = body.strip_suffix(&[FIELD_END]).ok_or(MarcError("a field without its end"))?;
+            if tag.starts_with("00") {
+                out.fields.push(Field::Control { tag, value: text(body)? });
+                continue;
+            }
+            let mut pieces = body.split(|b| *b == SUBFIELD);
+            let head = text(pieces.next().unwrap_or(&[]))?;
+            let mut marks = head.chars();
+            let indicators = [marks.next().unwrap_or(' '), marks.next().unwrap_or(' ')];
+            let mut subfields = Vec::new();
+            for piece in pieces {
+                let piece = text(piece)?;
+                let mut chars = piece.chars();
+                let code = chars.next().ok_or(MarcError("a subfield without its code"))?;
+                subfields.push((code, chars.as_str().to_owned()));
+            }
+            out.fields.push(Field::Data { tag, indicators, subfields });
+        }
+        Ok(out)
+    }
+
+    /// Writes ISO 2709 in UTF-8.
+    pub fn to_iso2709(&self) -> Result<Vec<u8>, MarcError> {
+        let (mut directory, mut data) = (Vec::new(), Vec::new());
+        for field in &self.fields {
+            let start = data.len();
+            let tag = match field {
+                Field::Control { tag, value } => {
+                    data.extend_from_slice(value.as_bytes());
+                    tag
+                }
+                Field::Data { tag, indicators, subfields } => {
+                    data.extend(indicators.iter().collect::<String>().bytes());
+                    for (code, value) in subfields {
+                        data.push(SUBFIELD);
+                        data.extend(code.to_string().bytes());
+                        data.extend_from_slice(value.as_bytes());
+                    }
+                    tag
+                }
+            };
+            data.push(FIELD_END);
+            let long = data.len() - start;
+            if tag.len() != 3 || !tag.is_ascii() || long > 9_999 || start > LONGEST {
+                return Err(MarcError("a field that ISO 2709 has no room for"));
+            }
+            directory.extend(format!("{tag}{long:04}{start:05}").bytes());
+        }
+        directory.push(FIELD_END);
+        data.push(RECORD_END);
+        let base = 24 + directory.len();
+        let length = base + data.len();
+        if length > LONGEST {
+            return Err(MarcError("longer than ISO 2709 has room for"));
+        }
+        let leader = &self.leader;
+        let mut out = format!("{length:05}{}{base:05}{}", &leader[5..12], &leader[17..24]).into_bytes();
+        out.extend(directory);
+        out.extend(data);
+        Ok(out)
+    }
+
+    /// Writes MARCXML.
+    pub fn to_marcxml(&self) -> String {
+        let mut out = format!("<record xmlns=\"{MARCXML}\"><leader>{}</leader>", escape(&self.leader));
+        for field in &self.fields {
+            match field {
+                Field::Control { tag, value } => {
+                    out += &format!("<controlfield tag=\"{}\">{}</controlfield>", escape(tag), escape(value));
+                }
+                Field::Data { tag, indicators: [a, b], subfields } => {
+                    let (a, b) = (escape(&a.to_string()), escape(&b.to_string()));
+                    out += &format!("<datafield tag=\"{}\" ind1=\"{a}\" ind2=\"{b}\">", escape(tag));
+                    for (code, value) in subfields {
+                        let code = escape(&code.to_string());
+                        out += &format!("<subfield code=\"{code}\">{}</subfield>", escape(value));
+                    }
+                    out += "</datafield>";
+                }
+            }
+        }
+        out + "</record>"
+    }
+
+    /// Reads MARCXML: the first record in it.
+    pub fn from_marcxml(xml: &str) -> Result<Record, MarcError> {
+        let mut reader = Reader::from_str(xml);
+        let mut record = Record::new("");
+        let mut text = String::new();
+        let mut subfield: Option<char> = None;
+        let mut within = false;
+        loop {
+            let event = reader.read_event().map_err(|_| MarcError("broken XML"))?;
+            match &event {
+                Event::Start(e) | Event::Empty(e) => {
+                    let attribute = |name: &str| {
+                        let found = e.try_get_attribute(name).ok().flatten();
+                        found.and_then(|a| unescape(&a.value))
+                    };
+                    text.clear();
+                    match e.local_name().as_ref() {
+                        "record" => within = true,
+                        "controlfield" => {
+                            let tag = attribute("tag").ok_or(MarcError("a field without a tag"))?;
+                            record.fields.push(Field::Control { tag, value: String::new() });
+                        }
+                        "datafield" => {
+                            let tag = attribute("tag").ok_or(MarcError("a field without a tag"))?;
+                            let mark = |name| attribute(name).and_then(|v| v.chars().next()).unwrap_or(' ');
+                            let indicators = [mark("ind1"), mark("ind2")];
+                            record.fields.push(Field::Data { tag, indicators, subfields: Vec::new() });
+                        }
+                        "subfield" => subfield = attribute("code").and_then(|v| v.chars().next()),
+                        _ => {}
+                    }
+                }
+                Event::Text(t) => {
+                    text += t;
+                }
+                Event::GeneralRef(r) => {
+                    let name: &str = r;
+                    text += &unescape(&format!("&{name};")).ok_or(MarcError("an unknown entity"))?;
+                }
+                Event::CData(t) => text += t,
+                Event::End(e) => {
+                    match (e.local_name().as_ref(), record.fields.last_mut()) {
+                        ("leader", _) => record.leader = plain_leader(&text),
+                        ("controlfield", Some(Field::Control { value, .. })) => {
+                            *value = std::mem::take(&mut text)
+                        }
+                        ("subfield", Some(Field::Data { subfields, .. })) => {
+                            let code = subfield.take().ok_or(MarcError("a subfield without its code"))?;
+                            subfields.push((code, std::mem::take(&mut text)));
+                        }
+                        ("record", _) if within => return Ok(record),
+                        _ => {}
+                    }
+                    text.clear();
+                }
+                Event::Eof => return Err(MarcError("no whole record")),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Text as XML content or attribute. Control characters that XML 1.0 has no form for are left out.
+pub fn escape(text: &str) -> String {
+    let allowed = |c: &char| !c.is_control() || matches!(c, '\t' | '\n' | '\r');
+    let plain: String = text.chars().filter(allowed).collect();
+    quick_xml::escape::escape(plain.as_str()).into_owned()
+}
+
+/// XML content or attribute as text; none with an unknown entity.
+pub fn unescape(text: &str) -> Option<String> {
+    quick_xml::escape::unescape(text).ok().map(|t| t.into_owned())
+}
--- /dev/null
+++ b/src/front/catalogue/rpn.rs
@@ -0,0 +1,185 @@
+//! Type-1 queries of Z39.50 with Bib-1 attributes: read into a search, and written from one.
+
+use super::ber::Element;
+use super::diagnostic::{Diagnostic, Trouble};
+use super::search::*;
+use bcder::Tag;
+
+/// The Bib-1 attribute set.
+pub const BIB1: &str = "1.2.840.10003.3.1";
+
+/// Reads the content of an RPNQuery. `stored` gives the search behind a result set's name.
+pub fn read(query: &[Element], stored: &impl Fn(&str) -> Option<Search>) -> Result<Search, Diagnostic> {
+    let [set, structure] = query else { return Err(malformed("an RPN query has two parts")) };
+    let set = set.as_oid().ok_or_else(|| malformed("no attribute set"))?;
+    check_set(&set)?;
+    structure_of(structure, stored, 0)?.check()
+}
+
+fn malformed(what: &str) -> Diagnostic {
+    Diagnostic::new(Trouble::QuerySyntax, what)
+}
+
+fn check_set(oid: &str) -> Result<(), Diagnostic> {
+    if oid == BIB1 { Ok(()) } else { Err(Diagnostic::new(Trouble::UnsupportedAttributeSet, oid)) }
+}
+
+fn structure_of(
+    e: &Element,
+    stored: &impl Fn(&str) -> Option<Search>,
+    depth: usize,
+) -> Result<Search, Diagnostic> {
+    if depth > MOST_OPERATORS {
+        return Err(Diagnostic::too_many_operators(MOST_OPERATORS));
+    }
+    match (e.tag, e.values()) {
+        (tag, [operand]) if tag == Tag::ctx(0) => match operand.tag {
+            t if t == Tag::ctx(102) => clause(operand).map(Search::Clause),
+            t if t == Tag::ctx(31) => {
+                let name = operand.as_text().unwrap_or_default();
+                stored(&name).ok_or_else(|| Diagnostic::new(Trouble::NoSuchResultSet, name))
+            }
+            _ => Err(malformed("an unknown operand")),
+        },
+        (tag, [left, right, operator]) if tag == Tag::ctx(1) => {
+            let [op] = operator.values() else { return Err(malformed("no operator")) };
+            let op = match op.tag {
+                t if operator.tag != Tag::ctx(46) || t.is_universal() => {
+                    return Err(malformed("no operator"));
+                }
+                t if t == Tag::ctx(0) => Operator::And,
+                t if t == Tag::ctx(1) => Operator::Or,
+                t if t == Tag::ctx(2) => Operator::AndNot,
+                t if t == Tag::ctx(3) => return Err(Diagnostic::new(Trouble::ProximityUnsupported, "prox")),
+                t => return Err(Diagnostic::new(Trouble::UnsupportedOperator, t.number().to_string())),
+            };
+            let left = structure_of(left, stored, depth + 1)?;
+            Ok(Search::join(op, left, structure_of(right, stored, depth + 1)?))
+        }
+        _ => Err(malformed("neither an operand nor an operation")),
+    }
+}
+
+fn clause(e: &Element) -> Result<Clause, Diagnostic> {
+    let [attributes, term] = e.values() else { return Err(malformed("a term has two parts")) };
+    if attributes.tag != Tag::ctx(44) {
+        return Err(malformed("no list of attributes"));
+    }
+    let text = match term.tag {
+        t if t == Tag::ctx(45) || t == Tag::ctx(216) => term.as_text(),
+        t if t == Tag::ctx(215) => term.as_integer().map(|n| n.to_string()),
+        _ => None,
+    };
+    let text =
+        text.ok_or_else(|| Diagnostic::new(Trouble::MalformedTerm, "a kind of term that is not read"))?;
+    if text.trim().is_empty() {
+        return Err(Diagnostic::new(Trouble::EmptyTerm, ""));
+    }
+    let mut c = Clause::new(1016, text);
+    for attribute in attributes.values() {
+        if let Some(set) = attribute.get(1) {
+            check_set(&set.as_oid().unwrap_or_default())?;
+        }
+        let kind =
+            attribute.get(120).and_then(Element::as_integer).ok_or_else(|| malformed("no attribute type"))?;
+        let value = attribute.get(121).and_then(Element::as_integer);
+        let value =
+            value.ok_or_else(|| Diagnostic::new(Trouble::UnsupportedAttributeType, "a complex value"))?;
+        let refuse = |trouble| Diagnostic::new(trouble, value.to_string());
+        match (kind, value) {
+            (1, n) => c.access = u16::try_from(n).map_err(|_| refuse(Trouble::UnsupportedIndex))?,
+            (2, 1) => c.relation = Relation::Less,
+            (2, 2) => c.relation = Relation::LessOrEqual,
+            (2, 3) => c.relation = Relation::Equal,
+            (2, 4) => c.relation = Relation::GreaterOrEqual,
+            (2, 5) => c.relation = Relation::Greater,
+            (2, 6) => c.relation = Relation::NotEqual,
+            (2, _) => return Err(refuse(Trouble::UnsupportedRelation)),
+            (3, 1 | 2) => c.first_in_field = true,
+            (3, 3) => {}
+            (3, _) => return Err(refuse(Trouble::AnchorUnsupported)),
+            (4, 1) => c.structure = Structure::Phrase,
+            (4, 2) => c.structure = Structure::Word,
+            (4, 6) => c.structure = Structure::WordList,
+            // Key, year, dates, numbers and local strings stand as they are written.
+            (4, 3 | 4 | 5 | 100 | 104 | 107 | 108 | 109) => {}
+            (4, _) => return Err(refuse(Trouble::UnsupportedStructure)),
+            (5, 1) => c.truncation = Truncation::Right,
+            (5, 2) => c.truncation = Truncation::Left,
+            (5, 3) => c.truncation = Truncation::Both,
+            (5, 100) => c.truncation = Truncation::None,
+            (5, _) => return Err(refuse(Trouble::MaskingUnsupported)),
+            (6, 1 | 2) => {}
+            (6, 3) => c.complete_field = true,
+            (6, _) => return Err(refuse(Trouble::UnsupportedStructure)),
+            (other, _) => return Err(Diagnostic::new(Trouble::UnsupportedAttributeType, other.to_string())),
+        }
+    }
+    if index_of(c.access).is_none() {
+        return Err(Diagnostic::new(Trouble::UnsupportedIndex, c.access.to_string()));
+    }
+    if c.complete_field {
+        (c.first_in_field, c.structure) = (true, Structure::Phrase);
+    }
+    Ok(c)
+}
+
+/// Writes the content of an RPNQuery.
+pub fn write(search: &Search) -> Vec<Element> {
+    vec![Element::oid(Tag::OID, BIB1), structure(search)]
+}
+
+fn structure(search: &Search) -> Element {
+    match search {
+        Search::Clause(c) => Element::of(Tag::ctx(0), vec![operand(c)]),
+        Search::Both(operator, l, r) => {
+            let number = match operator {
+                Operator::And => 0,
+                Operator::Or => 1,
+                Operator::AndNot => 2,
+            };
+            let op = Element::of(Tag::ctx(46), vec![Element::bytes(Tag::ctx(number), [])]);
+            Element::of(Tag::ctx(1), vec![structure(l), structure(r), op])
+        }
+    }
+}
+
+fn operand(c: &Clause) -> Element {
+    let relation = match c.relation {
+        Relation::Less => 1,
+        Relation::LessOrEqual => 2,
+        Relation::Equal => 3,
+        Relation::GreaterOrEqual => 4,
+        Relation::Greater => 5,
+        Relation::NotEqual => 6,
+    };
+    let structure = match c.structure {
+        Structure::Phrase => 1,
+        Structure::Word => 2,
+        Structure::WordList => 6,
+    };
+    let truncation = match c.truncation {
+        Truncation::Right => 1,
+        Truncation::Left => 2,
+        Truncation::Both => 3,
+        Truncation::None => 100,
+    };
+    let position = if c.first_in_field { 1 } else { 3 };
+    let completeness = if c.complete_field { 3 } else { 1 };
+    let pairs = [
+        (1, c.access.into()),
+        (2, relation),
+        (3, position),
+        (4, structure),
+        (5, truncation),
+        (6, completeness),
+    ];
+    let attributes = pairs.map(|(kind, value)| {
+        Element::of(
+            Tag::SEQUENCE,
+            vec![Element::integer(Tag::ctx(120), kind), Element::integer(Tag::ctx(121), value)],
+        )
+    });
+    let list = Element::of(Tag::ctx(44), attributes.into());
+    Element::of(Tag::ctx(102), vec![list, Element::bytes(Tag::ctx(45), c.term.as_bytes())])
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,4 +1,5 @@
 //! Fronts: what turns a wire's messages into queries and calls, and back.
 
+pub mod catalogue;
 pub mod http;
 pub mod platform;
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -3,8 +3,9 @@
 use super::Carried;
 use super::query::{self, Limits};
 use crate::api::Nanos;
+use crate::broker::Hands;
 use crate::config::Names;
-use crate::core::{Exchange, Final, QueryId};
+use crate::core::{Final, QueryId};
 use crate::front::http::{self, HttpError, Reader, Side};
 use crate::net::{ConnId, Filled, NetEvent, Reactor};
 use std::collections::HashMap;
@@ -36,7 +37,7 @@
     swept: Nanos,
 }
 
-type Platform = Exchange<Carried, String>;
+type Platform<'a> = Hands<'a, Carried, String>;
 
 impl Clients {
     /// The client side, with the classes' names and deadlines.
@@ -56,72 +57,72 @@
     }
 
     /// Takes in what happened on one of its connections.
-    pub fn event(&mut self, event: NetEvent, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+    pub fn event(&mut self, event: NetEvent, hands: &mut Platform) {
         match event {
             NetEvent::Accepted { conn, .. } => {
                 let reader = Reader::new(Side::Requests);
-                let client = Client { reader, query: None, keep_alive: true, touched: now };
+                let client = Client { reader, query: None, keep_alive: true, touched: hands.now };
                 self.clients.insert(conn, client);
-                self.read(conn, now, net, exchange);
+                self.read(conn, hands);
             }
-            NetEvent::Readable { conn, .. } => self.read(conn, now, net, exchange),
-            NetEvent::Broken { conn, .. } => self.gone(conn, exchange),
+            NetEvent::Readable { conn, .. } => self.read(conn, hands),
+            NetEvent::Broken { conn, .. } => self.gone(conn, hands),
             NetEvent::Flushed { .. } | NetEvent::Connected { .. } | NetEvent::Signal => {}
         }
     }
 
-    fn gone(&mut self, conn: ConnId, exchange: &mut Platform) {
+    fn gone(&mut self, conn: ConnId, hands: &mut Platform) {
         if let Some(query) = self.clients.remove(&conn).and_then(|c| c.query) {
             self.waiting.remove(&query);
-            exchange.client_gone(query);
+            hands.exchange.client_gone(query);
         }
     }
 
-    fn read(&mut self, conn: ConnId, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+    fn read(&mut self, conn: ConnId, hands: &mut Platform) {
         loop {
-            let filled = net.fill(conn);
+            let filled = hands.net.fill(conn);
             if let Some(client) = self.clients.get_mut(&conn)
                 && matches!(filled, Filled::Some(_))
             {
-                client.touched = now;
+                client.touched = hands.now;
             }
             match filled {
-                Filled::Some(_) => self.work(conn, now, net, exchange),
+                Filled::Some(_) => self.work(conn, hands),
                 // What a client sends ahead of its answer stays unread once the buffer is full.
                 Filled::Full => {
-                    self.work(conn, now, net, exchange);
+                    self.work(conn, hands);
                     if self.clients.get(&conn).is_none_or(|c| c.query.is_some()) {
                         return;
                     }
                 }
                 Filled::Nothing | Filled::NoBuffer => return,
                 Filled::Ended => {
-                    net.close(conn);
-                    return self.gone(conn, exchange);
+                    hands.net.close(conn);
+                    return self.gone(conn, hands);
                 }
             }
         }
     }
 
     /// Parses what is there, and takes requests for as long as none waits for its answer.
-    fn work(&mut self, conn: ConnId, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+    fn work(&mut self, conn: ConnId, hands: &mut Platform) {
         loop {
             let Some(client) = self.clients.get_mut(&conn).filter(|c| c.query.is_none()) else { return };
-            let pool = net.pool().clone();
+            let pool = hands.net.pool().clone();
             let before = client.reader.head().is_some();
-            let used = match client.reader.advance(net.data(conn), &pool) {
+            let used = match client.reader.advance(hands.net.data(conn), &pool) {
                 Ok(used) => used,
-                Err(e) => return self.unreadable(conn, e, net),
+                Err(e) => return self.unreadable(conn, e, hands.net),
             };
-            net.consume(conn, used);
+            hands.net.consume(conn, used);
             let head = client.reader.head().filter(|_| !before);
             if head.is_some_and(|h| h.expects_continue) && !client.reader.is_done() {
-                let _ = net.send(conn, b"HTTP/1.1 100 Continue\r\n\r\n");
+                let _ = hands.net.send(conn, b"HTTP/1.1 100 Continue\r\n\r\n");
             }
             if !client.reader.is_done() {
                 return;
             }
-            self.request(conn, now, net, exchange);
+            self.request(conn, hands);
         }
     }
 
@@ -139,7 +140,7 @@
         self.reply(conn, status, &[], b"", net);
     }
 
-    fn request(&mut self, conn: ConnId, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+    fn request(&mut self, conn: ConnId, hands: &mut Platform) {
         let Some(client) = self.clients.get_mut(&conn) else { return };
         let Some(head) = client.reader.head() else { return };
         client.keep_alive = head.keep_alive;
@@ -150,9 +151,9 @@
                 match query::read(head, client.reader.body(), &Limits { names, deadlines, shards }) {
                     Err(why) => {
                         log::info!("request refused: {why}");
-                        return self.reply(conn, 400, &[], why.as_bytes(), net);
+                        return self.reply(conn, 400, &[], why.as_bytes(), hands.net);
                     }
-                    Ok(ask) => match exchange.open(now, ask) {
+                    Ok(ask) => match hands.exchange.open(hands.now, ask) {
                         Ok(query) => {
                             client.query = Some(query);
                             client.reader.reset();
@@ -161,7 +162,7 @@
                         }
                         Err(refused) => {
                             log::info!("query refused: as many are open as may be");
-                            return self.refuse(conn, refused.wait, net);
+                            return self.refuse(conn, refused.wait, hands.net);
                         }
                     },
                 }
@@ -173,7 +174,7 @@
             _ => (404, ""),
         };
         let headers: &[(&str, &str)] = if allow.is_empty() { &[] } else { &[("Allow", allow)] };
-        self.reply(conn, status, headers, b"", net);
+        self.reply(conn, status, headers, b"", hands.net);
     }
 
     fn refuse(&mut self, conn: ConnId, wait: Nanos, net: &mut Reactor) {
@@ -200,47 +201,40 @@
     }
 
     /// Hands a final answer to the client that waits for it.
-    pub fn finish(
-        &mut self,
-        query: QueryId,
-        answer: Final<String>,
-        now: Nanos,
-        net: &mut Reactor,
-        exchange: &mut Platform,
-    ) {
+    pub fn finish(&mut self, query: QueryId, answer: Final<String>, hands: &mut Hands<Carried, String>) {
         let Some(conn) = self.waiting.remove(&query) else { return };
         if let Some(client) = self.clients.get_mut(&conn) {
             client.query = None;
-            client.touched = now;
+            client.touched = hands.now;
         }
         match answer {
             Final::Answered(answered) => {
                 let json = [("Content-Type", "application/json")];
-                self.reply(conn, 200, &json, &query::answer(&answered), net);
+                self.reply(conn, 200, &json, &query::answer(&answered), hands.net);
             }
-            Final::Refused { wait } => self.refuse(conn, wait, net),
-            Final::Failed => self.reply(conn, 504, &[], b"", net),
+            Final::Refused { wait } => self.refuse(conn, wait, hands.net),
+            Final::Failed => self.reply(conn, 504, &[], b"", hands.net),
         }
         // What the client sent ahead is read now.
-        self.work(conn, now, net, exchange);
+        self.work(conn, hands);
         if self.clients.contains_key(&conn) {
-            self.read(conn, now, net, exchange);
+            self.read(conn, hands);
         }
     }
 
-    /// From now on answers say that their connection ends.
+    /// From hands.now on answers say that their connection ends.
     pub fn drain(&mut self) {
         self.draining = true;
     }
 
     /// Reads once more whatever has come, then closes connections that ask for nothing.
-    pub fn close_idle(&mut self, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+    pub fn close_idle(&mut self, hands: &mut Platform) {
         let conns: Vec<ConnId> = self.clients.keys().copied().collect();
         for conn in conns {
-            self.read(conn, now, net, exchange);
+            self.read(conn, hands);
             if self.clients.get(&conn).is_some_and(|c| c.query.is_none() && c.reader.is_idle()) {
                 self.clients.remove(&conn);
-                net.close(conn);
+                hands.net.close(conn);
             }
         }
     }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -7,7 +7,7 @@
 pub mod query;
 mod servers;
 
-pub use broker::{Broker, BrokerError};
+pub use broker::{PlatformFront, broker};
 pub use clients::Clients;
 pub use discovery::{News, Roster, ServerLine, ServerList};
 pub use servers::{LinkLimits, Servers};
--- a/src/front/platform/servers.rs
+++ b/src/front/platform/servers.rs
@@ -3,12 +3,13 @@
 use super::Carried;
 use super::frame::{self, End, FromServer, PartLine};
 use crate::api::{Nanos, Outcome, ReplicaId};
-use crate::core::{AttemptId, Dispatch, Ended, Exchange};
+use crate::broker::Hands;
+use crate::core::{AttemptId, Dispatch, Ended};
 use crate::net::{ConnId, Filled, NetEvent, Reactor};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
-type Platform = Exchange<Carried, String>;
+type Platform<'a> = Hands<'a, Carried, String>;
 
 /// Limits on connections to shard servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,17 +67,10 @@
     }
 
     /// Sends one call.
-    pub fn call(
-        &mut self,
-        replica: ReplicaId,
-        parts: Vec<Dispatch<Carried>>,
-        now: Nanos,
-        net: &mut Reactor,
-        exchange: &mut Platform,
-    ) {
-        let Some(conn) = self.link(replica, parts.len(), now, net) else {
+    pub fn call(&mut self, replica: ReplicaId, parts: Vec<Dispatch<Carried>>, hands: &mut Platform) {
+        let Some(conn) = self.link(replica, parts.len(), hands.now, hands.net) else {
             for p in &parts {
-                exchange.ended(now, p.attempt, failed(Outcome::ConnectFailed));
+                hands.exchange.ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
             }
             return;
         };
@@ -88,16 +82,16 @@
             text: &p.payload.text,
         });
         let message = frame::call(&lines.collect::<Vec<_>>());
-        if net.send(conn, &message).is_err() {
+        if hands.net.send(conn, &message).is_err() {
             log::warn!("call not sent: the connection takes no more");
             for p in &parts {
-                exchange.ended(now, p.attempt, failed(Outcome::ConnectFailed));
+                hands.exchange.ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
             }
             return;
         }
-        let end = net.queued(conn);
+        let end = hands.net.queued(conn);
         if let Some(link) = self.links.get_mut(&conn) {
-            link.used = now;
+            link.used = hands.now;
             for (p, id) in parts.iter().zip(ids) {
                 self.by_attempt.insert(p.attempt, conn);
                 link.riding.push(Riding { attempt: p.attempt, id, end });
@@ -143,43 +137,43 @@
     }
 
     /// Takes in what happened on one of its connections.
-    pub fn event(&mut self, event: NetEvent, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+    pub fn event(&mut self, event: NetEvent, hands: &mut Platform) {
         match event {
             NetEvent::Connected { conn, .. } => {
                 if let Some(link) = self.links.get_mut(&conn) {
                     link.up_by = None;
                 }
             }
-            NetEvent::Readable { conn, .. } => self.read(conn, now, net, exchange),
-            NetEvent::Broken { conn, flushed, .. } => self.broken(conn, flushed, now, exchange),
+            NetEvent::Readable { conn, .. } => self.read(conn, hands),
+            NetEvent::Broken { conn, flushed, .. } => self.broken(conn, flushed, hands),
             NetEvent::Accepted { .. } | NetEvent::Flushed { .. } | NetEvent::Signal => {}
         }
     }
 
-    fn read(&mut self, conn: ConnId, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+    fn read(&mut self, conn: ConnId, hands: &mut Platform) {
         while self.links.contains_key(&conn) {
-            match net.fill(conn) {
-                Filled::Some(_) => self.frames(conn, now, net, exchange),
+            match hands.net.fill(conn) {
+                Filled::Some(_) => self.frames(conn, hands),
                 Filled::Nothing | Filled::NoBuffer => return,
                 Filled::Full => {
                     log::warn!("shard server connection closed: a frame larger than a buffer");
-                    return self.close(conn, now, net, exchange);
+                    return self.close(conn, hands);
                 }
-                Filled::Ended => return self.close(conn, now, net, exchange),
+                Filled::Ended => return self.close(conn, hands),
             }
         }
     }
 
-    fn frames(&mut self, conn: ConnId, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+    fn frames(&mut self, conn: ConnId, hands: &mut Platform) {
         loop {
             let Some(link) = self.links.get_mut(&conn) else { return };
-            let size = match frame::read(net.data(conn)) {
+            let size = match frame::read(hands.net.data(conn)) {
                 Ok(None) => return,
                 Ok(Some((size, FromServer::Answer { id, end, busy, value }))) => {
                     // What is not out any more came late.
                     if let Some(at) = link.riding.iter().position(|r| r.id == id) {
                         let attempt = link.riding.remove(at).attempt;
-                        link.used = now;
+                        link.used = hands.now;
                         self.by_attempt.remove(&attempt);
                         let outcome = match end {
                             End::Ok => Outcome::Ok,
@@ -187,53 +181,54 @@
                             End::Rejected => Outcome::Full,
                         };
                         let value = (end == End::Ok).then(|| value.to_owned());
-                        exchange.ended(now, attempt, Ended { outcome, busy, value });
+                        hands.exchange.ended(hands.now, attempt, Ended { outcome, busy, value });
                     }
                     size
                 }
                 Ok(Some((_, FromServer::Unusable(words)))) => {
                     let words = String::from_utf8_lossy(&words[..words.len().min(200)]);
                     log::error!("shard server {} could not use a frame: {words:?}", link.addr);
-                    return self.close(conn, now, net, exchange);
+                    return self.close(conn, hands);
                 }
                 Err(e) => {
                     log::error!("shard server connection to {} closed: {e}", link.addr);
-                    return self.close(conn, now, net, exchange);
+                    return self.close(conn, hands);
                 }
             };
-            net.consume(conn, size);
+            hands.net.consume(conn, size);
         }
     }
 
-    fn close(&mut self, conn: ConnId, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
-        let flushed = net.flushed(conn);
-        net.close(conn);
-        self.broken(conn, flushed, now, exchange);
+    fn close(&mut self, conn: ConnId, hands: &mut Platform) {
+        let flushed = hands.net.flushed(conn);
+        hands.net.close(conn);
+        self.broken(conn, flushed, hands);
     }
 
     /// A part whose frame was not written whole never ran; any other may have.
-    fn broken(&mut self, conn: ConnId, flushed: u64, now: Nanos, exchange: &mut Platform) {
+    fn broken(&mut self, conn: ConnId, flushed: u64, hands: &mut Platform) {
         let Some(link) = self.links.remove(&conn) else { return };
         for r in link.riding {
             self.by_attempt.remove(&r.attempt);
             let outcome = if flushed >= r.end { Outcome::Reset } else { Outcome::ConnectFailed };
             log::debug!("attempt at {} ended with its connection: {outcome:?}", link.addr);
-            exchange.ended(now, r.attempt, failed(outcome));
+            hands.exchange.ended(hands.now, r.attempt, failed(outcome));
         }
     }
 
     /// Ends dials that take too long, and connections before the peer closes them as idle.
-    pub fn tick(&mut self, now: Nanos, net: &mut Reactor, exchange: &mut Platform) {
+    pub fn tick(&mut self, hands: &mut Platform) {
         let idle = self.limits.idle / 10 * 9;
         let over = |l: &Link| match l.up_by {
-            Some(t) => t <= now,
+            Some(t) => t <= hands.now,
             None => {
-                l.riding.is_empty() && (now >= l.used + idle || self.addrs.get(&l.replica) != Some(&l.addr))
+                l.riding.is_empty()
+                    && (hands.now >= l.used + idle || self.addrs.get(&l.replica) != Some(&l.addr))
             }
         };
         let ended: Vec<ConnId> = self.links.iter().filter(|(_, l)| over(l)).map(|(c, _)| *c).collect();
         for conn in ended {
-            self.close(conn, now, net, exchange);
+            self.close(conn, hands);
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,8 @@
 
 pub mod api;
 mod balance;
+pub mod broker;
+pub mod cli;
 pub mod config;
 pub mod core;
 pub mod front;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,5 +9,5 @@
 pub use buffer::{Buf, MAX_BODY, MAX_HEAD, Pool};
 pub use clock::Clock;
 pub use conn::{Filled, QueueFull};
-pub use reactor::{ConnId, NetEvent, Reactor};
+pub use reactor::{ConnId, NetEvent, Reactor, Waker};
 pub use signals::signals;
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -8,6 +8,7 @@
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A connection. Numbers are never used again, so a late event can't reach a newer connection.
@@ -31,6 +32,36 @@
     Signal,
 }
 
+impl NetEvent {
+    /// Whose connection it is about.
+    pub fn owner(&self) -> Option<u8> {
+        match *self {
+            NetEvent::Accepted { owner, .. }
+            | NetEvent::Connected { owner, .. }
+            | NetEvent::Readable { owner, .. }
+            | NetEvent::Flushed { owner, .. }
+            | NetEvent::Broken { owner, .. } => Some(owner),
+            NetEvent::Signal => None,
+        }
+    }
+}
+
+/// Wakes the reactor from another thread with a `Signal`.
+#[derive(Clone, Debug)]
+pub struct Waker(Arc<mio::Waker>);
+
+impl Waker {
+    /// Sends the signal.
+    pub fn wake(&self) -> io::Result<()> {
+        self.0.wake()
+    }
+}
+
+/// The token of the waker: no slot of the slab has it.
+const WAKE: Token = Token(usize::MAX - 1);
+/// How long to wait before accepting again, when the system had refused.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+
 enum Source {
     Listener { socket: TcpListener, owner: u8 },
     Conn(Box<Conn>),
@@ -48,8 +79,13 @@
     starved: VecDeque<ConnId>,
     /// Events that arose outside `wait`.
     pending: VecDeque<NetEvent>,
+    /// Listeners whose last accept the system refused.
+    stuck: Vec<usize>,
+    waker: Option<Waker>,
     most_accepted: usize,
     conns: usize,
+    /// Connections to be closed once all is written.
+    flushing: usize,
 }
 
 impl Reactor {
@@ -63,8 +99,11 @@
             pool,
             starved: VecDeque::new(),
             pending: VecDeque::new(),
+            stuck: Vec::new(),
+            waker: None,
             most_accepted,
             conns: 0,
+            flushing: 0,
         })
     }
 
@@ -78,6 +117,19 @@
         self.conns
     }
 
+    /// Something to wake this reactor with.
+    pub fn waker(&mut self) -> io::Result<Waker> {
+        if self.waker.is_none() {
+            self.waker = Some(Waker(Arc::new(mio::Waker::new(self.poll.registry(), WAKE)?)));
+        }
+        self.waker.clone().ok_or_else(|| ErrorKind::NotFound.into())
+    }
+
+    /// Something is still to be written on a connection that closes after it.
+    pub fn is_flushing(&self) -> bool {
+        self.flushing > 0
+    }
+
     /// Listens; returns the address, which tells the port where 0 was asked for.
     pub fn listen(&mut self, addr: SocketAddr, owner: u8) -> io::Result<SocketAddr> {
         let mut socket = TcpListener::bind(addr)?;
@@ -213,15 +265,18 @@
             && let (_, Source::Conn(mut c)) = self.sources.remove(id.0)
         {
             self.conns -= 1;
+            self.flushing -= usize::from(c.close_after);
             let _ = self.poll.registry().deregister(&mut c.stream);
         }
     }
 
     /// Closes once all that was queued is written.
     pub fn close_after_flush(&mut self, id: ConnId) {
-        let Some(c) = self.conn(id) else { return };
+        let Some(c) = self.conn(id).filter(|c| !c.close_after) else { return };
         c.close_after = true;
-        if c.all_written() {
+        let done = c.all_written();
+        self.flushing += 1;
+        if done {
             self.close(id);
         }
     }
@@ -237,6 +292,10 @@
     pub fn wait(&mut self, timeout: Option<Duration>, events: &mut Vec<NetEvent>) -> io::Result<()> {
         let fed = !self.starved.is_empty() && self.pool.take().is_some();
         let timeout = if fed || !self.pending.is_empty() { Some(Duration::ZERO) } else { timeout };
+        // Guards against a listener that never wakes again: what waits there makes no second event.
+        let stuck = std::mem::take(&mut self.stuck);
+        let timeout =
+            if stuck.is_empty() { timeout } else { Some(timeout.unwrap_or(ACCEPT_AGAIN).min(ACCEPT_AGAIN)) };
         let mut ready = std::mem::replace(&mut self.ready, Events::with_capacity(0));
         let polled = self.poll.poll(&mut ready, timeout);
         if let Err(e) = &polled
@@ -256,11 +315,18 @@
             self.handle(event);
         }
         self.ready = ready;
+        for key in stuck {
+            self.accept(key);
+        }
         events.extend(self.pending.drain(..));
         Ok(())
     }
 
     fn handle(&mut self, event: &mio::event::Event) {
+        if event.token() == WAKE {
+            self.pending.push_back(NetEvent::Signal);
+            return;
+        }
         let key = event.token().0;
         let Some((serial, source)) = self.sources.get_mut(key) else { return };
         let id = ConnId(key, *serial);
@@ -312,6 +378,7 @@
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     log::warn!("accept failed: {e}");
+                    self.stuck.push(key);
                     return;
                 }
             }
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,356 @@
+//! Every parser against random cuts of valid messages and against garbage, from fixed seeds.
+
+use pebbleturn::front::catalogue::apdu::*;
+use pebbleturn::front::catalogue::ber::{self, Element};
+use pebbleturn::front::catalogue::diagnostic::{Diagnostic, Trouble};
+use pebbleturn::front::catalogue::marc::{Field, Record};
+use pebbleturn::front::catalogue::search::*;
+use pebbleturn::front::catalogue::{cql, rpn, sru};
+use pebbleturn::front::http::{HttpError, Reader, Side};
+use pebbleturn::front::platform::frame;
+use pebbleturn::net::Pool;
+use quickcheck::{Arbitrary, Gen};
+
+/// Holds a property against the same 300 values every time.
+fn check<A: Arbitrary>(seed: u64, property: impl Fn(A)) {
+    let mut source = Gen::from_size_and_seed(60, seed);
+    (0..300).for_each(|_| property(A::arbitrary(&mut source)));
+}
+
+/// Reads all messages of `bytes`, handed over in pieces of the given sizes.
+fn read_http(side: Side, bytes: &[u8], cuts: &[u8]) -> Result<Vec<(String, Vec<u8>)>, HttpError> {
+    let (pool, mut reader, mut out) = (Pool::new(4), Reader::new(side), vec![]);
+    let (mut held, mut from, mut cuts) = (vec![], 0, cuts.iter().cycle());
+    while from < bytes.len() {
+        let to = (from + 1 + usize::from(*cuts.next().unwrap_or(&255))).min(bytes.len());
+        held.extend_from_slice(&bytes[from..to]);
+        from = to;
+        loop {
+            let used = reader.advance(&held, &pool)?;
+            held.drain(..used);
+            if !reader.is_done() {
+                break;
+            }
+            let head = reader.head().unwrap();
+            out.push((format!("{}{}{}", head.method, head.target, head.status), reader.body().to_vec()));
+            reader.reset();
+        }
+    }
+    Ok(out)
+}
+
+const REQUESTS: &[u8] =
+    b"POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhelloGET /-/ready HTTP/1.1\r\n\r\n\
+    \r\nPOST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n";
+
+#[test]
+fn http_messages_read_alike_however_they_are_cut() {
+    let whole = read_http(Side::Requests, REQUESTS, &[]).unwrap();
+    let bodies: Vec<&[u8]> = whole.iter().map(|(_, b)| b.as_slice()).collect();
+    assert_eq!(bodies, [b"hello".as_slice(), b"", b"abcde"]);
+    check(1, move |cuts: Vec<u8>| assert_eq!(read_http(Side::Requests, REQUESTS, &cuts).unwrap(), whole));
+}
+
+#[test]
+fn http_refuses_what_has_two_readings_or_is_too_large() {
+    let read = |text: &str| read_http(Side::Requests, text.as_bytes(), &[]);
+    let post = |headers: &str| read(&format!("POST / HTTP/1.1\r\n{headers}\r\n\r\n"));
+    for bad in [
+        "Content-Length: 1\r\nContent-Length: 2",
+        "Content-Length: -1",
+        "Content-Length: +1",
+        "Content-Length: 1\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: gzip",
+    ] {
+        assert!(matches!(post(bad), Err(HttpError::Malformed(_))), "{bad}");
+    }
+    assert_eq!(post("Content-Length: 65537"), Err(HttpError::TooLarge));
+    assert_eq!(post("Content-Length: 99999999999999999999999"), Err(HttpError::TooLarge));
+    assert_eq!(post(&format!("X: {}", "a".repeat(9000))), Err(HttpError::HeadTooLarge));
+    let chunk = format!("8000\r\n{}\r\n", "x".repeat(0x8000));
+    let chunked = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{0}{0}{0}", chunk);
+    assert_eq!(read(&chunked), Err(HttpError::TooLarge));
+}
+
+#[test]
+fn garbage_breaks_no_parser() {
+    check(2, |(bytes, cut): (Vec<u8>, usize)| {
+        // Valid starts lead garbage further in.
+        let apdu = Element::of(bcder::Tag::ctx(22), vec![]).encode();
+        for start in
+            [&b""[..], b"\0\0\0\x20Y", &REQUESTS[..cut % REQUESTS.len()], &apdu, b"<searchRetrieveResponse>"]
+        {
+            let all = [start, &bytes].concat();
+            let _ = read_http(Side::Requests, &all, &[7]);
+            let _ = read_http(Side::Responses, &all, &[3]);
+            let _ = (frame::read(&all), ber::size(&all), Apdu::decode(&all), Record::from_iso2709(&all));
+            let _ = sru::read_response(&all);
+            let text = String::from_utf8_lossy(&all);
+            let _ = (cql::parse(&text), Record::from_marcxml(&text));
+            let _ = sru::read(&sru::parameters(&text, &text));
+        }
+    });
+}
+
+#[test]
+fn frames_read_alike_however_they_are_cut() {
+    let value = "5be2a07c";
+    let body = format!("Yq.3 OK 12 queue=2,util=0.61\n{value}");
+    let frame = [&(body.len() as u32).to_be_bytes()[..], body.as_bytes()].concat();
+    for cut in 0..frame.len() {
+        assert_eq!(frame::read(&frame[..cut]), Ok(None));
+    }
+    let answer = frame::FromServer::Answer { id: "q.3", end: frame::End::Ok, busy: Some(0.61), value };
+    assert_eq!(frame::read(&frame), Ok(Some((frame.len(), answer))));
+    for bad in [&b"\0\0\0\0"[..], b"\xff\0\0\0", b"\0\0\0\x05R", b"\0\0\0\x05Yabcd", b"\0\0\0\x08Ya B C -"] {
+        assert!(frame::read(bad).is_err(), "{bad:?}");
+    }
+}
+
+#[test]
+fn calls_are_written_as_the_protocol_shows() {
+    let line = frame::PartLine { id: "9b.3", shard: 3, wait_ms: 240, text: "c41e77d0" };
+    assert_eq!(frame::call(&[line]), b"\0\0\0\x18R9b.3 3 d=240 8\nc41e77d0");
+    assert_eq!(frame::give_up("9b.3"), b"\0\0\0\x05A9b.3");
+}
+
+/// A random search.
+#[derive(Clone, Debug)]
+struct Any(Search);
+
+impl Arbitrary for Any {
+    fn arbitrary(g: &mut Gen) -> Any {
+        fn search(g: &mut Gen, depth: usize) -> Search {
+            if depth > 0 && bool::arbitrary(g) {
+                let op = *g.choose(&[Operator::And, Operator::Or, Operator::AndNot]).unwrap();
+                return Search::join(op, search(g, depth - 1), search(g, depth - 1));
+            }
+            let letters: Vec<char> = "ab cé\"\\*?^&<".chars().collect();
+            let term: String = (0..4).map(|_| *g.choose(&letters).unwrap()).collect();
+            let mut c = Clause::new(*g.choose(&[4, 21, 1003, 1016, 5030]).unwrap(), format!("x{term}y"));
+            c.relation = *g.choose(&[Relation::Equal, Relation::Less, Relation::NotEqual]).unwrap();
+            c.truncation = *g.choose(&[Truncation::None, Truncation::Right, Truncation::Both]).unwrap();
+            c.first_in_field = bool::arbitrary(g);
+            c.complete_field = bool::arbitrary(g) && c.relation == Relation::Equal;
+            if c.relation == Relation::Equal && bool::arbitrary(g) {
+                c.structure = Structure::WordList;
+            }
+            if c.complete_field {
+                (c.first_in_field, c.structure) = (true, Structure::Phrase);
+            }
+            Search::Clause(c)
+        }
+        Any(search(g, 5))
+    }
+}
+
+#[test]
+fn searches_survive_both_languages() {
+    check(3, |any: Any| {
+        let text = cql::write(&any.0).unwrap();
+        assert_eq!(cql::parse(&text).as_ref(), Ok(&any.0), "{text}");
+        assert_eq!(rpn::read(&rpn::write(&any.0), &|_| None).as_ref(), Ok(&any.0));
+    });
+}
+
+#[test]
+fn cql_reads_what_the_standard_shows() {
+    let written = |text: &str| cql::parse(text).and_then(|s| cql::write(&s)).unwrap();
+    assert_eq!(written("fish"), "cql.serverchoice = \"fish\"");
+    assert_eq!(written("title any \"raga tala\""), "(dc.title = \"raga\") or (dc.title = \"tala\")");
+    assert_eq!(
+        written("dc.title exact \"raga tala\" and (a or b*)"),
+        "(dc.title exact \"raga tala\") and ((cql.serverchoice = \"a\") or (cql.serverchoice = \"b*\"))"
+    );
+    assert_eq!(written("> d = \"info:srw/cql-context-set/1/dc-v1.1\" d.title = x"), "dc.title = \"x\"");
+    let trouble = |text: &str| cql::parse(text).unwrap_err().sru();
+    let deep = "(".repeat(5000);
+    let long = vec!["a"; 200].join(" and ");
+    let cases = [
+        ("", 10),
+        ("a and", 10),
+        ("(a", 10),
+        ("a b", 10),
+        ("\"a", 10),
+        (&deep, 10),
+        ("xx.title = a", 15),
+        ("dc.nothing = a", 16),
+        ("title near a", 19),
+        ("title =/stem a", 20),
+        ("title = \"\"", 27),
+        ("a*b", 28),
+        ("a prox b", 39),
+        ("a and/rel b", 46),
+        ("a sortBy title", 80),
+        (&long, 38),
+        ("a^b", 31),
+    ];
+    for (text, number) in cases {
+        assert_eq!(trouble(text), number, "{}", &text[..text.len().min(20)]);
+    }
+}
+
+fn record() -> Record {
+    let mut r = Record::new("00000ccm a2200000 a 4500");
+    r.fields.push(Field::Control { tag: "001".into(), value: "k-17".into() });
+    let subfields = vec![('a', "Vātāpi <gaṇapatim> & co".into()), ('c', String::new())];
+    r.fields.push(Field::Data { tag: "245".into(), indicators: ['1', ' '], subfields });
+    r
+}
+
+#[test]
+fn marc_survives_both_forms_and_every_cut() {
+    let r = record();
+    let bytes = r.to_iso2709().unwrap();
+    assert_eq!(Record::from_iso2709(&bytes).as_ref(), Ok(&r));
+    assert_eq!(Record::from_marcxml(&r.to_marcxml()).as_ref(), Ok(&r));
+    for cut in 0..bytes.len() {
+        assert!(Record::from_iso2709(&bytes[..cut]).is_err());
+    }
+    let mut other = bytes.clone();
+    other[9] = b' ';
+    assert!(Record::from_iso2709(&other).is_err(), "MARC-8 beyond ASCII is not taken for UTF-8");
+    check(4, move |places: Vec<(usize, u8)>| {
+        let mut broken = bytes.clone();
+        for (at, byte) in places {
+            let n = broken.len();
+            broken[at % n] = byte;
+        }
+        let _ = Record::from_iso2709(&broken).map(|r| (r.to_iso2709(), r.to_marcxml()));
+    });
+}
+
+#[test]
+fn apdus_survive_and_tell_where_they_end() {
+    let d = || Diagnostic::new(Trouble::UnsupportedIndex, "99");
+    let reference = Some(vec![1, 2]);
+    let search = Search::Clause(Clause::new(4, "raga"));
+    let found =
+        vec![Retrieved::Record { syntax: USMARC.into(), bytes: vec![7; 300] }, Retrieved::Diagnostic(d())];
+    let init = InitRequest {
+        reference: reference.clone(),
+        versions: VERSIONS.into(),
+        options: OPTIONS.into(),
+        preferred_size: 65536,
+        largest_record: 65536,
+    };
+    let all = vec![
+        Apdu::InitRequest(init),
+        Apdu::InitResponse(InitResponse {
+            reference: None,
+            versions: VERSIONS.into(),
+            options: OPTIONS.into(),
+            preferred_size: 1,
+            largest_record: -129,
+            accepted: true,
+        }),
+        Apdu::SearchRequest(SearchRequest {
+            reference: reference.clone(),
+            small_upper: 0,
+            large_lower: 1,
+            medium_number: 0,
+            replace: true,
+            result_set: "default".into(),
+            databases: vec!["scores".into()],
+            element_set: Some("F".into()),
+            syntax: Some(USMARC.into()),
+            query: Query::Rpn(rpn::write(&search)),
+        }),
+        Apdu::SearchResponse(SearchResponse {
+            reference: None,
+            count: 1 << 40,
+            next: 1,
+            success: false,
+            set_status: Some(1),
+            present_status: Some(5),
+            records: Records::Diagnostic(d()),
+        }),
+        Apdu::PresentRequest(PresentRequest {
+            reference: None,
+            result_set: "1".into(),
+            start: 1,
+            number: 10,
+            element_set: None,
+            syntax: Some(XML.into()),
+            complex: false,
+        }),
+        Apdu::PresentResponse(PresentResponse {
+            reference,
+            next: 2,
+            status: 0,
+            records: Records::Some(found),
+        }),
+        Apdu::DeleteRequest { reference: None, sets: Some(vec!["a".into()]) },
+        Apdu::DeleteResponse { reference: None, status: 1 },
+        Apdu::Close { reference: None, reason: 1, words: "draining".into() },
+    ];
+    for apdu in all {
+        let bytes = apdu.encode();
+        assert_eq!(Apdu::decode(&bytes).as_ref(), Ok(&apdu));
+        assert_eq!(ber::size(&[&bytes[..], b"more"].concat()), Ok(Some(bytes.len())));
+        for cut in 0..bytes.len() {
+            assert_eq!(ber::size(&bytes[..cut]), Ok(None));
+        }
+    }
+}
+
+#[test]
+fn ber_takes_indefinite_lengths_and_bounds_depth() {
+    let bytes = [0xa1, 0x80, 0x24, 0x80, 4, 1, b'a', 4, 1, b'b', 0, 0, 0, 0];
+    assert_eq!(ber::size(&bytes), Ok(Some(bytes.len())));
+    let read = Element::decode(&bytes).unwrap();
+    assert_eq!(read.values()[0].as_bytes(), b"ab");
+    assert!(ber::size(&[0x30, 0x80].repeat(30_000)).is_err());
+    let nested = (0..200).fold(vec![5, 0], |inner: Vec<u8>, _| {
+        let n = inner.len();
+        let length = if n < 128 { vec![n as u8] } else { vec![0x82, (n >> 8) as u8, n as u8] };
+        [vec![0x30], length, inner].concat()
+    });
+    assert!(Element::decode(&nested).is_err());
+    assert!(ber::size(&[0x30, 0x84, 0x7f, 0, 0, 0]).is_err(), "a length past the limit");
+    for (dotted, bytes) in
+        [(USMARC, &[6, 7, 0x2a, 0x86, 0x48, 0xce, 0x13, 5, 10][..]), ("2.999.3", &[6, 3, 0x88, 0x37, 3])]
+    {
+        let e = Element::oid(bcder::Tag::OID, dotted);
+        assert_eq!((e.encode().as_slice(), e.as_oid().as_deref()), (bytes, Some(dotted)));
+    }
+}
+
+#[test]
+fn sru_responses_survive_in_both_packings() {
+    use sru::{Item, Packing, Response};
+    let d = Diagnostic::new(Trouble::PartialResult, "2 of 3 <parts>");
+    let items =
+        vec![Item::Record(record()), Item::Diagnostic(Diagnostic::new(Trouble::RecordUnavailable, "x"))];
+    let r = Response { total: 12, items, next: Some(3), diagnostics: vec![d] };
+    for packing in [Packing::Xml, Packing::String] {
+        let bytes = sru::write(&r, "1.1", packing, 1);
+        assert_eq!(sru::read_response(&bytes).as_ref(), Ok(&r));
+        for cut in 0..bytes.len() {
+            assert_ne!(sru::read_response(&bytes[..cut]).as_ref(), Ok(&r));
+        }
+    }
+}
+
+#[test]
+fn sru_requests_meet_the_standard_numbers() {
+    let number = |target: &str| sru::read(&sru::parameters(target, "")).map_err(|(d, _)| d.sru());
+    let base = "/scores?version=1.1&operation=searchRetrieve";
+    for (more, expected) in [
+        ("", 7),
+        ("&query=a&startRecord=0", 6),
+        ("&query=a&recordSchema=dc", 66),
+        ("&query=a&recordPacking=zip", 71),
+        ("&query=a&sortKeys=title", 80),
+        ("&query=a&nonsense=1", 8),
+    ] {
+        assert_eq!(number(&format!("{base}{more}")), Err(expected), "{more}");
+    }
+    assert_eq!(number("/scores?version=2.7&operation=explain"), Err(5));
+    assert_eq!(number("/scores?version=1.1&operation=scan"), Err(4));
+    assert_eq!(number("/scores?operation=explain"), Err(7));
+    let Ok(sru::Request::Search(s)) = number(&format!("{base}&query=dc.title%3D%22a+b%22&x-note=1")) else {
+        panic!()
+    };
+    assert_eq!((s.query.as_str(), s.start, s.maximum), ("dc.title=\"a b\"", 1, None));
+}
