Serve SRU and Z39.50 on the same exchange: one whole path, every pairing

It is off unless `--catalogue FILE` is given.

Parts are stateless: a search and a run of records. Where wanted records lie is known only after all partitions told their hits, so a later start takes two queries within the client's one time.

Checked: tests/fronts runs eleven tests over five pairings (HTTP to frames, SRU and Z39.50 both ways), with stand-ins: whole answers, failing, busy, breaking, dead and silent nodes, floors, the limit on open queries, clients that go, bad requests, garbage, drains.

Also: connections to shard servers may take a quarter of the descriptors and clients the rest; before, clients were turned away once both together held half.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,8 +1,9 @@
 //! The command line.
 
 use crate::broker::BrokerError;
-use crate::config::Platform;
-use crate::front::platform;
+use crate::config::{Operator, Platform};
+use crate::front::{catalogue, platform};
+use std::path::Path;
 use std::process::ExitCode;
 
 /// Does what the arguments say; without any, serves the platform.
@@ -11,8 +12,9 @@
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     let ran = match words[..] {
         [] => serve_platform(),
+        ["--catalogue", file] => serve_catalogue(file),
         _ => {
-            eprintln!("usage: pebbleturn");
+            eprintln!("usage: pebbleturn [--catalogue FILE]");
             return ExitCode::from(2);
         }
     };
@@ -28,3 +30,9 @@
     broker.end_on_signals()?;
     broker.run()
 }
+
+fn serve_catalogue(file: &str) -> Result<(), BrokerError> {
+    let (mut broker, _) = catalogue::broker(Operator::from_file(Path::new(file))?)?;
+    broker.end_on_signals()?;
+    broker.run()
+}
--- a/src/front/catalogue/diagnostic.rs
+++ b/src/front/catalogue/diagnostic.rs
@@ -7,6 +7,7 @@
 pub enum Trouble {
     GeneralError,
     TemporarilyUnavailable,
+    OutOfTime,
     UnsupportedOperation,
     UnsupportedVersion,
     UnsupportedParameterValue,
@@ -50,6 +51,7 @@
 const NUMBERS: &[(Trouble, u16, u16, &str)] = &[
     (Trouble::GeneralError, 1, 1, "General system error"),
     (Trouble::TemporarilyUnavailable, 2, 2, "System temporarily unavailable"),
+    (Trouble::OutOfTime, 1, 31, "Resources exhausted, no results available"),
     (Trouble::UnsupportedOperation, 4, 100, "Unsupported operation"),
     (Trouble::UnsupportedVersion, 5, 100, "Unsupported version"),
     (Trouble::UnsupportedParameterValue, 6, 100, "Unsupported parameter value"),
@@ -152,7 +154,7 @@
 
     /// Whether another replica may do better: the server is in trouble, not the search.
     pub fn is_of_server(&self) -> bool {
-        matches!(self.trouble, Trouble::GeneralError | Trouble::TemporarilyUnavailable)
+        matches!(self.trouble, Trouble::GeneralError | Trouble::TemporarilyUnavailable | Trouble::OutOfTime)
     }
 }
 
--- a/src/front/catalogue/mod.rs
+++ b/src/front/catalogue/mod.rs
@@ -2,9 +2,18 @@
 
 pub mod apdu;
 pub mod ber;
+mod broker;
+mod clients;
 pub mod cql;
 pub mod diagnostic;
+mod job;
 pub mod marc;
+mod nodes;
+pub mod plan;
 pub mod rpn;
 pub mod search;
+mod session;
 pub mod sru;
+mod talk;
+
+pub use broker::{CatalogueFront, broker};
--- a/src/front/platform/broker.rs
+++ b/src/front/platform/broker.rs
@@ -29,14 +29,15 @@
     let (settings, names) = config::settings(&told.params).map_err(ConfigError)?;
     let clock = Clock::start();
     let now = clock.now();
-    // Guards the limit on descriptors: clients and shard servers have half of the rest each.
-    let half = (told.sockets - SPARE) / 2;
-    let mut net = Reactor::new(Pool::new(BUFFERS), half).map_err(BrokerError::io("poll"))?;
+    // Guards the limit on descriptors: what connections to shard servers may take is not given to clients.
+    let to_servers = (told.sockets - SPARE) / 4;
+    let most = told.sockets - SPARE - to_servers;
+    let mut net = Reactor::new(Pool::new(BUFFERS), most).map_err(BrokerError::io("poll"))?;
     let limits = LinkLimits {
         streams: told.params.streams(),
         dial_timeout: told.params.dial_timeout(),
         idle: told.params.idle(),
-        most: half,
+        most: to_servers,
     };
     let deadlines = settings.classes.iter().map(|c| c.deadline).collect();
     let mut servers = Servers::new(SERVERS, limits);
--- /dev/null
+++ b/tests/fronts/clients.rs
@@ -0,0 +1,353 @@
+//! A broker in a thread of its own, and clients of all three protocols that see its answers alike.
+
+use crate::standins::*;
+use pebbleturn::config::{Operator, Platform};
+use pebbleturn::front::catalogue::apdu::*;
+use pebbleturn::front::catalogue::diagnostic::Trouble;
+use pebbleturn::front::catalogue::marc::{Field, Record};
+use pebbleturn::front::catalogue::search::{Clause, Search};
+use pebbleturn::front::catalogue::{rpn, sru};
+use pebbleturn::front::{catalogue, platform};
+use pebbleturn::net::Waker;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// What a client comes to know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// All partitions, with the right contents in the right order.
+    Whole,
+    /// So many partitions, and it says so.
+    Partial(usize),
+    /// Refused, with or without the time to come back.
+    Refused { told_wait: bool },
+    /// Given up.
+    Failed,
+    /// Something was wrong with the request.
+    Bad,
+}
+
+pub struct Served {
+    pub wire: Wire,
+    pub addr: SocketAddr,
+    pub script: Script,
+    waker: Waker,
+    thread: JoinHandle<()>,
+}
+
+pub const PARTITIONS: u32 = 3;
+
+/// Starts three nodes and a broker between them and clients of `wire`.
+pub fn serve(wire: Wire, nodes: Wire, max_open: u32) -> Served {
+    let script = Script::default();
+    let nodes: Vec<(SocketAddr, Wire)> = (0..3).map(|n| (node(nodes, n, script.clone()), nodes)).collect();
+    serve_with(wire, &nodes, max_open, script)
+}
+
+pub fn serve_with(wire: Wire, nodes: &[(SocketAddr, Wire)], max_open: u32, script: Script) -> Served {
+    let (tell, told) = mpsc::channel();
+    let nodes = nodes.to_vec();
+    let thread = std::thread::spawn(move || {
+        if wire == Wire::Http {
+            let (mut broker, addr) = platform::broker(told_platform(&nodes, max_open)).unwrap();
+            tell.send((addr, broker.stopper().unwrap())).unwrap();
+            broker.run().unwrap();
+        } else {
+            let (mut broker, addrs) = catalogue::broker(told_operator(&nodes, max_open)).unwrap();
+            let addr = addrs[usize::from(wire == Wire::Z3950)];
+            tell.send((addr, broker.stopper().unwrap())).unwrap();
+            broker.run().unwrap();
+        }
+    });
+    let (addr, waker) = told.recv().unwrap();
+    Served { wire, addr, script, waker, thread }
+}
+
+/// Classes alike on both fronts: `whole` needs all parts, `most` two of three, `short` has little time.
+const CLASSES: [(&str, u64, u64, f64); 3] =
+    [("whole", 8000, 20_000, 1.0), ("most", 3000, 20_000, 0.6), ("short", 600, 1500, 1.0)];
+
+fn told_operator(nodes: &[(SocketAddr, Wire)], max_open: u32) -> Operator {
+    let mut text = format!(
+        "name = \"test\"\nzone = \"a\"\n[limits]\nmax_open = {max_open}\npage = 2\n[partitions]\ncount = {PARTITIONS}\n\
+         cells = 3\nholders = 2\ndatabase = \"part-{{partition}}\"\nkey_index = \"music.compositionid\"\n"
+    );
+    for (name, aim, deadline, floor) in CLASSES {
+        text += &format!(
+            "[[class]]\nname = \"{name}\"\naim_ms = {aim}\ndeadline_ms = {deadline}\nfloor = {floor}\n"
+        );
+        text += &format!("[[database]]\nname = \"{name}\"\nclass = \"{name}\"\n");
+    }
+    for protocol in ["sru", "z3950"] {
+        text += &format!("[[listener]]\nprotocol = \"{protocol}\"\nlisten = \"127.0.0.1:0\"\n");
+    }
+    for (n, (addr, wire)) in nodes.iter().enumerate() {
+        let protocol = if *wire == Wire::Sru { "sru" } else { "z3950" };
+        text += &format!(
+            "[[node]]\nid = \"n{n}\"\nprotocol = \"{protocol}\"\naddress = \"{addr}\"\nzone = \"a\"\ncell = {n}\n"
+        );
+    }
+    Operator::read(&text).unwrap()
+}
+
+pub fn platform_config(nodes: &[(SocketAddr, Wire)], max_open: u32, discovery: Option<SocketAddr>) -> String {
+    let line = |(n, (addr, _)): (usize, &(SocketAddr, Wire))| {
+        format!(
+            r#"{{"id":"s-{n}","addr":"{addr}","zone":"a","kind":"k","cell":{n},"state":"Ready","weight":1.0,"started_ms":0}}"#
+        )
+    };
+    let lines: Vec<String> = nodes.iter().enumerate().map(line).collect();
+    let list = format!(r#"{{"version":7,"full":true,"servers":[{}]}}"#, lines.join(","));
+    let discovery = discovery.unwrap_or_else(|| self::discovery(list.clone()));
+    let class = |(name, aim, deadline, _): (&str, u64, u64, f64)| {
+        format!(
+            r#"{{"name":"{name}","goal_time_ns":{aim}000000,"deadline_ns":{deadline}000000,"effect":"safe","late_worth":0.0,"worth":1.0}}"#
+        )
+    };
+    let classes = CLASSES.map(class).join(",");
+    format!(
+        r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1f","limits":{{"sockets":256}},"known":{list},
+        "settings":{{"areas":["a"],"my_zone":"a","fleet_size":1,"tick_ns":5000000,"discovery":"on_request","request_classes":[{classes}],
+        "ceilings":{{"cancel":true,"probes":false,"second_copies":true,"retry_after":true,"max_retry_after_ns":2000000000,
+        "open_cap":{max_open},"try_limit":3,"streams_per_conn":32}},"family_info":{{"min_share":[1,0.6,1],"need_by_class":[1,1,1],
+        "per_call":16,"per_call_work_ns":1000000,"positions":3,"slices":{PARTITIONS},"span":2}},"rules":{{"must_ask_in_ns":10000000000}}}}}}"#
+    )
+}
+
+fn told_platform(nodes: &[(SocketAddr, Wire)], max_open: u32) -> Platform {
+    Platform::read(&platform_config(nodes, max_open, None), |_| None).unwrap()
+}
+
+impl Served {
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.addr).unwrap();
+        // Only a hang is caught by this; no test leans on it.
+        stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+        let mut client = Client { wire: self.wire, stream, asked: 0 };
+        if self.wire == Wire::Z3950 {
+            client.write(
+                &Apdu::InitRequest(InitRequest {
+                    reference: None,
+                    versions: VERSIONS.into(),
+                    options: OPTIONS.into(),
+                    preferred_size: 1 << 16,
+                    largest_record: 1 << 16,
+                })
+                .encode(),
+            );
+            let Some(Apdu::InitResponse(r)) = read_apdu(&mut client.stream) else { panic!("no Init") };
+            assert!(r.accepted);
+        }
+        client
+    }
+
+    pub fn ask(&self, class: &str) -> Reply {
+        self.client().ask(class)
+    }
+
+    /// Waits until so many parts have come to the nodes.
+    pub fn wait_for_parts(&self, n: usize) {
+        while self.script.came() < n {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    pub fn drain(&self) {
+        self.waker.wake().unwrap();
+    }
+
+    pub fn join(self) {
+        self.thread.join().unwrap();
+    }
+}
+
+pub struct Client {
+    pub wire: Wire,
+    pub stream: TcpStream,
+    asked: u32,
+}
+
+impl Client {
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    pub fn ask(&mut self, class: &str) -> Reply {
+        self.send(class, "raga");
+        self.reply()
+    }
+
+    /// Sends a query; an empty term makes it a bad one.
+    pub fn send(&mut self, class: &str, term: &str) {
+        self.asked += 1;
+        let (n, port) = (self.asked, self.stream.local_addr().unwrap().port());
+        let message = match self.wire {
+            Wire::Http => {
+                let part = |s: u32| format!(r#"{{"segment":{s},"boost":0.3333333,"work":1000}}"#);
+                let parts: Vec<String> = (0..PARTITIONS).map(part).collect();
+                let parts = if term.is_empty() { vec![part(0), part(0)] } else { parts };
+                let body = format!(r#"{{"segments":[{}],"text":"{term}"}}"#, parts.join(","));
+                let long = body.len();
+                format!("POST /api HTTP/1.1\r\nHost: x\r\nReq-Id: q{port}x{n}\r\nReq-Kind: {class}\r\nContent-Length: {long}\r\n\r\n{body}").into_bytes()
+            }
+            Wire::Sru => {
+                let query = sru::percent_encode(&format!("dc.title = \"{term}\""));
+                format!("GET /{class}?version=1.1&operation=searchRetrieve&maximumRecords=50&query={query} HTTP/1.1\r\nHost: x\r\n\r\n").into_bytes()
+            }
+            Wire::Z3950 => Apdu::SearchRequest(SearchRequest {
+                reference: Some(n.to_be_bytes().into()),
+                small_upper: 0,
+                large_lower: 1,
+                medium_number: 0,
+                replace: true,
+                result_set: "1".into(),
+                databases: vec![class.into()],
+                element_set: None,
+                syntax: Some(USMARC.into()),
+                query: Query::Rpn(rpn::write(&Search::Clause(Clause::new(4, term)))),
+            })
+            .encode(),
+        };
+        self.write(&message);
+    }
+
+    /// Reads the one final answer.
+    pub fn reply(&mut self) -> Reply {
+        match self.wire {
+            Wire::Http => {
+                let (head, body) = read_http(&mut self.stream).expect("an answer");
+                reply_http(&head, &body)
+            }
+            Wire::Sru => {
+                let (head, body) = read_http(&mut self.stream).expect("an answer");
+                reply_sru(&head, &body)
+            }
+            Wire::Z3950 => self.reply_z3950(),
+        }
+    }
+
+    fn reply_z3950(&mut self) -> Reply {
+        let Some(Apdu::SearchResponse(r)) = read_apdu(&mut self.stream) else {
+            panic!("no answer to a search")
+        };
+        assert_eq!(r.reference, Some(self.asked.to_be_bytes().into()));
+        let partial = match r.records {
+            Records::Diagnostic(d) => match d.trouble {
+                Trouble::TemporarilyUnavailable => {
+                    return Reply::Refused { told_wait: d.details.contains("after") };
+                }
+                Trouble::OutOfTime => return Reply::Failed,
+                Trouble::PartialResult if r.set_status == Some(1) => true,
+                _ => return Reply::Bad,
+            },
+            _ => false,
+        };
+        let present = PresentRequest {
+            reference: None,
+            result_set: "1".into(),
+            start: 1,
+            number: r.count,
+            element_set: None,
+            syntax: Some(USMARC.into()),
+            complex: false,
+        };
+        self.write(&Apdu::PresentRequest(present).encode());
+        let Some(Apdu::PresentResponse(p)) = read_apdu(&mut self.stream) else {
+            panic!("no answer to Present")
+        };
+        let Records::Some(found) = p.records else { panic!("{:?}", p.records) };
+        let record = |r: Retrieved| match r {
+            Retrieved::Record { bytes, .. } => Record::from_iso2709(&bytes).unwrap(),
+            Retrieved::Diagnostic(d) => panic!("{d}"),
+        };
+        judge(found.into_iter().map(record).collect(), partial)
+    }
+
+    /// True once the broker has ended the connection; on the way an open session must be told so.
+    pub fn is_ended(&mut self) -> bool {
+        use std::io::Read;
+        if self.wire == Wire::Z3950 {
+            assert!(
+                matches!(read_apdu(&mut self.stream), Some(Apdu::Close { reason: 1, .. })),
+                "a Close comes first"
+            );
+        }
+        matches!(self.stream.read(&mut [0]), Ok(0))
+    }
+}
+
+fn status(head: &str) -> u16 {
+    head.split(' ').nth(1).unwrap().parse().unwrap()
+}
+
+fn refused(head: &str) -> Reply {
+    let wait = head.lines().find_map(|l| l.strip_prefix("Retry-After: ")?.parse::<f64>().ok());
+    assert!(wait.is_none_or(|w| w <= 2.0), "the settings cap the wait");
+    Reply::Refused { told_wait: wait.is_some() }
+}
+
+fn reply_http(head: &str, body: &str) -> Reply {
+    match status(head) {
+        200 => {}
+        503 => return refused(head),
+        504 => return Reply::Failed,
+        _ => return Reply::Bad,
+    }
+    let body: serde_json::Value = serde_json::from_str(body).unwrap();
+    let matches = body["matches"].as_array().unwrap();
+    for m in matches {
+        assert_eq!(
+            m["payload"],
+            value(m["segment"].as_u64().unwrap() as u32),
+            "a value as its server gave it"
+        );
+    }
+    match body["all_in"].as_bool().unwrap() {
+        true => {
+            assert_eq!(matches.len(), PARTITIONS as usize);
+            Reply::Whole
+        }
+        false => Reply::Partial(matches.len()),
+    }
+}
+
+fn reply_sru(head: &str, body: &str) -> Reply {
+    match status(head) {
+        200 => {}
+        503 => return refused(head),
+        504 => return Reply::Failed,
+        _ => return Reply::Bad,
+    }
+    let r = sru::read_response(body.as_bytes()).unwrap();
+    let partial = match r.diagnostics.first().map(|d| d.trouble) {
+        None => false,
+        Some(Trouble::PartialResult) => true,
+        Some(_) => return Reply::Bad,
+    };
+    let record = |i: sru::Item| match i {
+        sru::Item::Record(r) => r,
+        sru::Item::Diagnostic(d) => panic!("{d}"),
+    };
+    judge(r.items.into_iter().map(record).collect(), partial)
+}
+
+/// Records must be as the nodes have them, partition after partition.
+fn judge(found: Vec<Record>, partial: bool) -> Reply {
+    let all = (0..PARTITIONS).flat_map(|p| (1..=RECORDS).map(move |n| record(p, n)));
+    let name = |r: &Record| match &r.fields[0] {
+        Field::Control { value, .. } => value.clone(),
+        Field::Data { .. } => panic!("no 001"),
+    };
+    let expected: Vec<Record> = all.filter(|r| found.iter().any(|f| name(f) == name(r))).collect();
+    assert_eq!(found, expected);
+    let partitions = found.len() / RECORDS as usize;
+    if partial {
+        Reply::Partial(partitions)
+    } else {
+        assert_eq!(partitions, PARTITIONS as usize);
+        Reply::Whole
+    }
+}
--- /dev/null
+++ b/tests/fronts/main.rs
@@ -0,0 +1,153 @@
+//! One suite for every pairing of client and node protocol: deadlines, part floors, drains, refusals and
+//! errors must look the same over HTTP, SRU and Z39.50.
+
+mod clients;
+mod standins;
+
+use clients::*;
+use standins::*;
+use std::net::{TcpListener, TcpStream};
+
+/// Runs a test once for each pairing.
+macro_rules! for_each_pairing {
+    ($($(#[$doc:meta])* fn $name:ident($wire:ident, $nodes:ident) $body:block)*) => {$(
+        mod $name {
+            use super::*;
+            fn run($wire: Wire, $nodes: Wire) $body
+            #[test]
+            fn http_to_frames() { run(Wire::Http, Wire::Http); }
+            #[test]
+            fn sru_to_sru() { run(Wire::Sru, Wire::Sru); }
+            #[test]
+            fn sru_to_z3950() { run(Wire::Sru, Wire::Z3950); }
+            #[test]
+            fn z3950_to_sru() { run(Wire::Z3950, Wire::Sru); }
+            #[test]
+            fn z3950_to_z3950() { run(Wire::Z3950, Wire::Z3950); }
+        }
+    )*};
+}
+
+const ALL: &[usize] = &[0, 1, 2];
+const REFUSED: Reply = Reply::Refused { told_wait: true };
+
+for_each_pairing! {
+    fn a_whole_answer_has_every_part_in_order(wire, nodes) {
+        let s = serve(wire, nodes, 100);
+        let mut client = s.client();
+        for _ in 0..3 {
+            assert_eq!(client.ask("whole"), Reply::Whole);
+        }
+    }
+
+    fn a_part_is_tried_elsewhere_when_a_node_fails_it(wire, nodes) {
+        for act in [Act::Fail, Act::Busy, Act::Break] {
+            let s = serve(wire, nodes, 100);
+            s.script.set(&[1], &[0, 1, 2], act);
+            assert_eq!(s.ask("whole"), Reply::Whole, "{act:?}");
+        }
+    }
+
+    fn a_dead_node_costs_no_answer(wire, nodes) {
+        let script = Script::default();
+        let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let alive = |n| (node(nodes, n, script.clone()), nodes);
+        let s = serve_with(wire, &[(closed, nodes), alive(1), alive(2)], 100, script.clone());
+        for _ in 0..4 {
+            assert_eq!(s.ask("whole"), Reply::Whole);
+        }
+    }
+
+    fn an_answer_from_the_floor_up_is_given_and_says_that_it_is_partial(wire, nodes) {
+        let s = serve(wire, nodes, 100);
+        s.script.set(ALL, &[1], Act::Silent);
+        assert_eq!(s.ask("most"), Reply::Partial(2));
+    }
+
+    fn no_answer_is_given_from_under_the_floor(wire, nodes) {
+        let s = serve(wire, nodes, 100);
+        s.script.set(ALL, &[1, 2], Act::Silent);
+        assert_eq!(s.ask("most"), REFUSED);
+        let whole = serve(wire, nodes, 100);
+        whole.script.set(ALL, &[1], Act::Silent);
+        assert!(matches!(whole.ask("short"), Reply::Refused { .. } | Reply::Failed));
+    }
+
+    fn a_query_that_no_replica_can_serve_is_refused_at_once_with_a_wait(wire, nodes) {
+        let s = serve(wire, nodes, 100);
+        s.script.set(ALL, &[2], Act::Fail);
+        let start = std::time::Instant::now();
+        assert_eq!(s.ask("whole"), REFUSED);
+        // Its class has 20 s; three failed attempts take milliseconds.
+        assert!(start.elapsed().as_secs() < 15);
+    }
+
+    fn silent_nodes_lead_to_one_final_answer_and_the_connection_lives_on(wire, nodes) {
+        let s = serve(wire, nodes, 100);
+        s.script.set(ALL, &[0, 1, 2], Act::Silent);
+        let mut client = s.client();
+        assert!(matches!(client.ask("short"), Reply::Refused { .. } | Reply::Failed));
+        s.script.set(ALL, &[0, 1, 2], Act::Serve);
+        // The nodes' connections that hold silent parts are busy or given up; the next answer is the next query's.
+        let again = (0..20).find(|_| client.ask("whole") == Reply::Whole);
+        assert!(again.is_some());
+    }
+
+    fn over_max_open_a_query_is_refused_and_a_client_that_goes_frees_its_place(wire, nodes) {
+        let s = serve(wire, nodes, 1 + PARTITIONS);
+        s.script.set(ALL, &[0], Act::Late(5000));
+        let mut first = s.client();
+        first.send("whole", "raga");
+        s.wait_for_parts(3);
+        assert_eq!(s.ask("whole"), REFUSED);
+        s.script.set(ALL, &[0], Act::Serve);
+        drop(first);
+        let served = (0..2000).any(|_| {
+            std::thread::sleep(std::time::Duration::from_millis(5));
+            s.ask("whole") == Reply::Whole
+        });
+        assert!(served, "the place of the client that went is free");
+    }
+
+    fn bad_requests_are_told_so_and_the_connection_lives_on(wire, nodes) {
+        let s = serve(wire, nodes, 100);
+        let mut client = s.client();
+        client.send("whole", "");
+        assert_eq!(client.reply(), Reply::Bad);
+        assert_eq!(client.ask("whole"), Reply::Whole);
+    }
+
+    fn garbage_closes_its_own_connection_alone(wire, nodes) {
+        use std::io::Read;
+        let s = serve(wire, nodes, 100);
+        let mut good = s.client();
+        let mut bad = TcpStream::connect(s.addr).unwrap();
+        std::io::Write::write_all(&mut bad, &[0x00, 0xff, 0x13, 0x0a, 0x0d, 0x0a, 0x00, 0x00]).unwrap();
+        let mut rest = Vec::new();
+        let _ = bad.read_to_end(&mut rest);
+        assert!(rest.is_empty() || rest.starts_with(b"HTTP/1.1 400"), "{rest:?}");
+        assert_eq!(good.ask("whole"), Reply::Whole);
+    }
+
+    fn a_drain_finishes_what_was_taken_ends_idle_connections_and_ends(wire, nodes) {
+        let s = serve(wire, nodes, 100);
+        let (mut idle, mut busy) = (s.client(), s.client());
+        assert_eq!(idle.ask("whole"), Reply::Whole);
+        let before = s.script.came();
+        s.script.set(ALL, &[0, 1, 2], Act::Late(300));
+        busy.send("whole", "raga");
+        s.wait_for_parts(before + 3);
+        s.drain();
+        if wire == Wire::Z3950 {
+            // The search is finished; then the session ends, so that nothing can be presented.
+            let answer = read_apdu(&mut busy.stream);
+            assert!(matches!(answer, Some(pebbleturn::front::catalogue::apdu::Apdu::SearchResponse(r)) if r.success));
+        } else {
+            assert_eq!(busy.reply(), Reply::Whole);
+        }
+        assert!(busy.is_ended() && idle.is_ended());
+        let addr = s.addr;
+        s.join();
+        assert!(TcpStream::connect(addr).is_err(), "nobody listens after the end");
+    }
+}
--- /dev/null
+++ b/tests/fronts/standins.rs
@@ -0,0 +1,252 @@
+//! Stand-ins for index nodes and discovery, written from the protocols' public specifications.
+
+use pebbleturn::front::catalogue::apdu::*;
+use pebbleturn::front::catalogue::diagnostic::{Diagnostic, Trouble};
+use pebbleturn::front::catalogue::marc::{Field, Record};
+use pebbleturn::front::catalogue::{ber, rpn, sru};
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wire {
+    Http,
+    Sru,
+    Z3950,
+}
+
+/// What a node does with a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    Serve,
+    /// Serves after so many milliseconds.
+    Late(u64),
+    /// Never answers.
+    Silent,
+    /// Answers with an error.
+    Fail,
+    /// Turns it away.
+    Busy,
+    /// Closes the connection.
+    Break,
+}
+
+/// What each node does with each partition, and how many parts came.
+#[derive(Clone, Default)]
+pub struct Script(Arc<Mutex<(HashMap<(usize, u32), Act>, usize)>>);
+
+impl Script {
+    pub fn set(&self, nodes: &[usize], partitions: &[u32], act: Act) {
+        let mut s = self.0.lock().unwrap();
+        s.0.extend(nodes.iter().flat_map(|n| partitions.iter().map(move |p| ((*n, *p), act))));
+    }
+
+    /// Parts that have come to nodes so far.
+    pub fn came(&self) -> usize {
+        self.0.lock().unwrap().1
+    }
+
+    fn act(&self, node: usize, partition: u32) -> Act {
+        let act = {
+            let mut s = self.0.lock().unwrap();
+            s.1 += 1;
+            s.0.get(&(node, partition)).copied().unwrap_or(Act::Serve)
+        };
+        match act {
+            Act::Late(ms) => std::thread::sleep(Duration::from_millis(ms)),
+            Act::Silent => std::thread::sleep(Duration::from_secs(30)),
+            _ => {}
+        }
+        act
+    }
+}
+
+/// Accepts on a port of its own; one thread a connection.
+pub fn listen(serve: impl Fn(TcpStream) -> Option<()> + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let serve = Arc::new(serve);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+    addr
+}
+
+pub fn node(wire: Wire, number: usize, script: Script) -> SocketAddr {
+    listen(move |stream| match wire {
+        Wire::Http => frames(stream, number, &script),
+        Wire::Sru => sru_node(stream, number, &script),
+        Wire::Z3950 => z3950_node(stream, number, &script),
+    })
+}
+
+pub fn value(partition: u32) -> String {
+    format!("value <{partition}> \"\u{e9}\"")
+}
+
+/// Records of each partition.
+pub const RECORDS: u64 = 3;
+
+pub fn record(partition: u32, n: u64) -> Record {
+    let mut r = Record::new("00000ccm a2200000 a 4500");
+    r.fields.push(Field::Control { tag: "001".into(), value: format!("p{partition}-{n}") });
+    let subfields = vec![('a', value(partition))];
+    r.fields.push(Field::Data { tag: "245".into(), indicators: ['0', '0'], subfields });
+    r
+}
+
+fn frames(mut stream: TcpStream, number: usize, script: &Script) -> Option<()> {
+    let writer = Arc::new(Mutex::new(stream.try_clone().ok()?));
+    loop {
+        let mut length = [0; 4];
+        stream.read_exact(&mut length).ok()?;
+        let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+        stream.read_exact(&mut frame).ok()?;
+        if frame[0] != b'R' {
+            continue;
+        }
+        let mut rest = &frame[1..];
+        while !rest.is_empty() {
+            let end = rest.iter().position(|b| *b == b'\n')?;
+            let line = String::from_utf8(rest[..end].to_vec()).ok()?;
+            let words: Vec<&str> = line.split(' ').collect();
+            let (id, shard, long): (String, u32, usize) =
+                (words[0].into(), words[1].parse().ok()?, words[3].parse().ok()?);
+            rest = &rest[end + 1 + long..];
+            let (script, writer) = (script.clone(), writer.clone());
+            std::thread::spawn(move || {
+                let (word, value) = match script.act(number, shard) {
+                    Act::Fail => ("ERROR", String::new()),
+                    Act::Busy => ("REJECTED", String::new()),
+                    Act::Break => return writer.lock().unwrap().shutdown(std::net::Shutdown::Both).ok(),
+                    _ => ("OK", value(shard)),
+                };
+                let body = format!("Y{id} {word} 17 queue=0,util=0.2\n{value}");
+                let mut w = writer.lock().unwrap();
+                w.write_all(&(body.len() as u32).to_be_bytes()).ok()?;
+                w.write_all(body.as_bytes()).ok()
+            });
+        }
+    }
+}
+
+/// Reads one HTTP message: its first line, and its body if it has a length.
+pub fn read_http(stream: &mut TcpStream) -> Option<(String, String)> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).ok()?;
+    let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")?.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, String::from_utf8_lossy(&body).into_owned()))
+}
+
+fn sru_node(mut stream: TcpStream, number: usize, script: &Script) -> Option<()> {
+    loop {
+        let (head, _) = read_http(&mut stream)?;
+        let target = head.split(' ').nth(1)?;
+        let partition: u32 = target.strip_prefix("/part-")?.split('?').next()?.parse().ok()?;
+        let Ok(sru::Request::Search(s)) = sru::read(&sru::parameters(target, "")) else { return None };
+        let mut status = "200 OK";
+        let mut r = sru::Response { total: RECORDS, ..Default::default() };
+        match script.act(number, partition) {
+            Act::Busy => status = "503 Service Unavailable",
+            Act::Fail => r.diagnostics.push(Diagnostic::new(Trouble::GeneralError, "broken")),
+            Act::Break => return None,
+            _ => {
+                let last = (s.start - 1 + s.maximum.unwrap_or(10)).min(RECORDS);
+                r.items = (s.start..=last).map(|n| sru::Item::Record(record(partition, n))).collect();
+            }
+        }
+        let body = sru::write(&r, s.version, s.packing, s.start);
+        write!(stream, "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len()).ok()?;
+        stream.write_all(&body).ok()?;
+    }
+}
+
+pub fn read_apdu(stream: &mut TcpStream) -> Option<Apdu> {
+    let mut bytes = Vec::new();
+    loop {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).ok()?;
+        bytes.push(byte[0]);
+        if ber::size(&bytes).ok()?.is_some() {
+            return Apdu::decode(&bytes).ok();
+        }
+    }
+}
+
+fn z3950_node(mut stream: TcpStream, number: usize, script: &Script) -> Option<()> {
+    let mut partition = 0;
+    loop {
+        let answer = match read_apdu(&mut stream)? {
+            Apdu::InitRequest(r) => Apdu::InitResponse(InitResponse {
+                reference: r.reference,
+                versions: VERSIONS.into(),
+                options: OPTIONS.into(),
+                preferred_size: r.preferred_size,
+                largest_record: r.largest_record,
+                accepted: true,
+            }),
+            Apdu::SearchRequest(r) => {
+                partition = r.databases[0].strip_prefix("part-")?.parse().ok()?;
+                let Query::Rpn(query) = &r.query else { return None };
+                rpn::read(query, &|_| None).ok()?;
+                let trouble = match script.act(number, partition) {
+                    Act::Busy => Some(Trouble::TemporarilyUnavailable),
+                    Act::Fail => Some(Trouble::GeneralError),
+                    Act::Break => return None,
+                    _ => None,
+                };
+                Apdu::SearchResponse(SearchResponse {
+                    reference: r.reference,
+                    count: RECORDS as i64,
+                    next: 1,
+                    success: trouble.is_none(),
+                    set_status: trouble.map(|_| 3),
+                    present_status: None,
+                    records: trouble
+                        .map_or(Records::None, |t| Records::Diagnostic(Diagnostic::new(t, "scripted"))),
+                })
+            }
+            Apdu::PresentRequest(r) => {
+                let numbers = r.start as u64..(r.start + r.number) as u64;
+                let found = |n| Retrieved::Record {
+                    syntax: USMARC.into(),
+                    bytes: record(partition, n).to_iso2709().unwrap(),
+                };
+                let records = Records::Some(numbers.map(found).collect());
+                Apdu::PresentResponse(PresentResponse { reference: r.reference, next: 0, status: 0, records })
+            }
+            _ => return None,
+        };
+        stream.write_all(&answer.encode()).ok()?;
+    }
+}
+
+/// Discovery that tells one list and then only empty lines.
+pub fn discovery(list: String) -> SocketAddr {
+    listen(move |mut stream| {
+        read_http(&mut stream)?;
+        let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+        write!(
+            stream,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}",
+            chunk(&format!("{list}\n"))
+        )
+        .ok()?;
+        loop {
+            std::thread::sleep(Duration::from_secs(1));
+            stream.write_all(chunk("\n").as_bytes()).ok()?;
+        }
+    })
+}
