--- a/tests/fronts/standins.rs
+++ b/tests/fronts/standins.rs
@@ -35,24 +35,30 @@
 
 /// What each node does with each partition, and how many parts came.
 #[derive(Clone, Default)]
-pub struct Script(Arc<Mutex<(HashMap<(usize, u32), Act>, usize)>>);
+pub struct Script(Arc<Mutex<State>>);
+
+#[derive(Default)]
+struct State {
+    acts: HashMap<(usize, u32), Act>,
+    came: usize,
+}
 
 impl Script {
     pub fn set(&self, nodes: &[usize], partitions: &[u32], act: Act) {
         let mut s = self.0.lock().unwrap();
-        s.0.extend(nodes.iter().flat_map(|n| partitions.iter().map(move |p| ((*n, *p), act))));
+        s.acts.extend(nodes.iter().flat_map(|n| partitions.iter().map(move |p| ((*n, *p), act))));
     }
 
     /// Parts that have come to nodes so far.
     pub fn came(&self) -> usize {
-        self.0.lock().unwrap().1
+        self.0.lock().unwrap().came
     }
 
     fn act(&self, node: usize, partition: u32) -> Act {
         let act = {
             let mut s = self.0.lock().unwrap();
-            s.1 += 1;
-            s.0.get(&(node, partition)).copied().unwrap_or(Act::Serve)
+            s.came += 1;
+            s.acts.get(&(node, partition)).copied().unwrap_or(Act::Serve)
         };
         match act {
             Act::Late(ms) => std::thread::sleep(Duration::from_millis(ms)),
