--- a/src/balance.rs
+++ b/src/balance.rs
@@ -547,7 +547,7 @@
                         || p.attempts.len() >= self.cfg.max_attempts as usize
                         || !self.may_repeat(p, class)))
         };
-        // Nothing is out and nothing more will be sent: waiting on would only keep the client from asking again.
+        // Nothing is out, nothing more will be sent: waiting on would only keep the client from asking again.
         let stuck = !all && here.iter().all(spent);
         let harmless =
             class.effect == Effect::Safe || here.iter().all(|p| p.attempts.iter().all(|t| t.unrun));
