--- a/src/cli.rs
+++ b/src/cli.rs
@@ -3,6 +3,7 @@
 use crate::broker::BrokerError;
 use crate::config::{Operator, Platform};
 use crate::front::{catalogue, platform};
+use crate::import;
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -13,8 +14,10 @@
     let ran = match words[..] {
         [] => serve_platform(),
         ["--catalogue", file] => serve_catalogue(file),
+        ["--import", kind @ ("apache" | "jk"), file] => return import(kind, file, None),
+        ["--import", kind @ ("apache" | "jk"), file, name] => return import(kind, file, Some(name)),
         _ => {
-            eprintln!("usage: pebbleturn [--catalogue FILE]");
+            eprintln!("usage: pebbleturn [--catalogue FILE | --import apache|jk FILE [BALANCER]]");
             return ExitCode::from(2);
         }
     };
@@ -36,3 +39,20 @@
     broker.end_on_signals()?;
     broker.run()
 }
+
+/// Writes the operator's file to standard output, and what has no counterpart to standard error.
+fn import(kind: &str, file: &str, name: Option<&str>) -> ExitCode {
+    let read = if kind == "apache" { import::read_apache } else { import::read_jk };
+    let text = std::fs::read_to_string(file).map_err(|e| e.to_string());
+    match text.and_then(|t| read(&t, name).map_err(|e| e.to_string())) {
+        Ok(imported) => {
+            imported.notes.iter().for_each(|n| eprintln!("{n}"));
+            print!("{}", imported.file);
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{file}: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -9,6 +9,7 @@
 use std::path::Path;
 
 const MS: Nanos = 1_000_000;
+const DAY_MS: u64 = 86_400_000;
 
 /// A protocol of the catalogue.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
@@ -215,6 +216,15 @@
         if self.limits.tick_ms == 0 || self.limits.page == 0 || self.limits.connections_per_node == 0 {
             return fail("limits: tick_ms, page and connections_per_node must be over 0".into());
         }
+        let l = &self.limits;
+        // Guards the sums that times go into: none is longer than a day.
+        let ms = [l.max_retry_after_ms, l.tick_ms, l.dial_timeout_ms].into_iter();
+        let ms = ms.chain(self.class.iter().map(|c| c.deadline_ms));
+        if let Some(long) =
+            ms.chain([l.session_idle_s, l.node_idle_s].map(|s| s.saturating_mul(1000))).find(|t| *t > DAY_MS)
+        {
+            return fail(format!("a time of {long} ms is longer than a day"));
+        }
         if self.limits.sockets < 64 {
             return fail(format!("limits: {} sockets are too few", self.limits.sockets));
         }
--- /dev/null
+++ b/src/import/jk.rs
@@ -0,0 +1,200 @@
+//! mod_jk's `workers.properties`.
+
+use super::{Draft, ImportError, Imported, LARGEST, Member, address};
+use std::collections::BTreeMap;
+
+/// Most replacements of `$(name)` in one value. Guards against names that stand for themselves.
+const MOST_REPLACEMENTS: usize = 32;
+
+/// A worker's properties, each with its line.
+type Worker = BTreeMap<String, (usize, String)>;
+
+fn replaced(value: &str, variables: &BTreeMap<String, String>) -> String {
+    let mut value = value.to_owned();
+    for _ in 0..MOST_REPLACEMENTS {
+        let found = value.find("$(").and_then(|at| Some((at, at + value[at..].find(')')?)));
+        let Some((at, end)) = found else { break };
+        let Some(by) = variables.get(&value[at + 2..end]) else { break };
+        value.replace_range(at..=end, by);
+    }
+    value
+}
+
+/// Imports a load-balancing worker: the named one, or the first that there is, or else all workers.
+pub fn read(text: &str, wanted: Option<&str>) -> Result<Imported, ImportError> {
+    let mut draft = Draft::default();
+    let mut workers: BTreeMap<String, Worker> = BTreeMap::new();
+    let mut variables = BTreeMap::new();
+    let mut order: Vec<String> = Vec::new();
+    for (line, text) in (1..).zip(text.lines()) {
+        let text = text.trim();
+        if text.is_empty() || text.starts_with(['#', '!']) {
+            continue;
+        }
+        let Some((key, value)) = text.split_once('=').map(|(k, v)| (k.trim(), v.trim())) else {
+            draft.note(line, "a line without a value");
+            continue;
+        };
+        let value = replaced(value, &variables);
+        variables.insert(key.to_owned(), value.clone());
+        match key.strip_prefix("worker.") {
+            Some("list" | "maintain") => {}
+            Some(rest) => match rest.rsplit_once('.') {
+                Some((name, property)) => {
+                    if !workers.contains_key(name) {
+                        order.push(name.to_owned());
+                    }
+                    let worker = workers.entry(name.to_owned()).or_default();
+                    let before = worker.insert(property.to_owned(), (line, value.clone()));
+                    // These may be told again and again, and add up.
+                    if let Some((first, before)) = before
+                        && matches!(property, "balance_workers" | "balanced_workers")
+                    {
+                        worker.insert(property.to_owned(), (first, format!("{before},{value}")));
+                    }
+                }
+                None => draft.note(line, format!("{key} has no counterpart")),
+            },
+            // Only a variable, unless nothing makes use of it.
+            None if text.starts_with("workers.") => draft.note(line, format!("{key} has no counterpart")),
+            None => {}
+        }
+    }
+    inherit(&mut workers, &mut draft);
+    let kind = |w: &Worker| w.get("type").map_or("ajp13", |(_, t)| t.as_str()).to_owned();
+    let is_lb = |name: &&String| kind(&workers[*name]) == "lb";
+    let lb = match wanted {
+        Some(name) => Some(name.to_owned()),
+        None => order.iter().find(is_lb).cloned(),
+    };
+    if let Some(name) = lb.as_ref().filter(|n| !workers.contains_key(*n)) {
+        return Err(ImportError(format!("there is no worker {name}")));
+    }
+    draft.name = lb.clone().unwrap_or_else(|| "workers".into());
+    let members: Vec<String> = match &lb {
+        Some(lb) => {
+            let lists = ["balance_workers", "balanced_workers"].iter().filter_map(|k| workers[lb].get(*k));
+            let names: Vec<String> = lists
+                .flat_map(|(_, v)| v.split([',', ' ', '\t']))
+                .filter(|n| !n.is_empty())
+                .map(str::to_owned)
+                .collect();
+            balancer(&workers[lb], &mut draft);
+            names
+        }
+        None => order.clone(),
+    };
+    for name in &members {
+        match workers.get(name) {
+            Some(worker) => member(name, worker, &kind(worker), &mut draft),
+            None => draft.note(0, format!("worker {name} is named and nowhere told")),
+        }
+    }
+    for name in order.iter().filter(|n| !members.contains(n) && lb.as_ref() != Some(n)) {
+        let line = workers[name].values().map(|(l, _)| *l).min().unwrap_or(0);
+        draft.note(
+            line,
+            format!("worker {name} belongs to no member of {} and is left out", draft.name.clone()),
+        );
+    }
+    draft.write()
+}
+
+/// Fills in what workers take over from others by `reference`.
+fn inherit(workers: &mut BTreeMap<String, Worker>, draft: &mut Draft) {
+    // A reference may lead to a worker that has one itself; as many steps as workers reach the end of any.
+    for _ in 0..workers.len().min(MOST_REPLACEMENTS) {
+        let before = workers.clone();
+        for worker in workers.values_mut() {
+            let Some((_, from)) = worker.get("reference") else { continue };
+            let Some(from) = before.get(from.trim_start_matches("worker.")) else { continue };
+            for (key, value) in from.iter().filter(|(k, _)| *k != "reference") {
+                worker.entry(key.clone()).or_insert_with(|| value.clone());
+            }
+        }
+    }
+    let known = workers.clone();
+    for worker in workers.values_mut() {
+        if let Some((line, from)) = worker.remove("reference")
+            && !known.contains_key(from.trim_start_matches("worker."))
+        {
+            draft.note(line, format!("reference to {from}, which is nowhere told"));
+        }
+    }
+}
+
+fn balancer(worker: &Worker, draft: &mut Draft) {
+    for (key, (line, value)) in worker {
+        match key.as_str() {
+            "type" | "balance_workers" | "balanced_workers" => {}
+            "retries" => number(&mut draft.attempts, value, |n| n, *line, key, &mut draft.notes),
+            _ => draft.note(*line, format!("{key}={value} has no counterpart")),
+        }
+    }
+}
+
+fn number(
+    place: &mut Option<u64>,
+    value: &str,
+    scale: impl Fn(u64) -> u64,
+    line: usize,
+    key: &str,
+    notes: &mut Vec<super::Note>,
+) {
+    let mut note = |text: String| notes.push(super::Note { line, text });
+    match value.parse::<u64>() {
+        Ok(n) if (1..=LARGEST / 1000).contains(&n) => {
+            if let Some(before) = place.replace(scale(n)).filter(|b| *b != scale(n)) {
+                note(format!("{key}={value} takes the place of {before}: there is one value for all nodes"));
+            }
+        }
+        _ => note(format!("{key}={value} has no counterpart")),
+    }
+}
+
+fn member(name: &str, worker: &Worker, kind: &str, draft: &mut Draft) {
+    let line = worker.values().map(|(l, _)| *l).min().unwrap_or(0);
+    let get = |key: &str| worker.get(key).map(|(_, v)| v.as_str());
+    if !matches!(kind, "ajp13" | "ajp14") {
+        return draft.note(line, format!("worker {name} of type {kind} has no counterpart and is left out"));
+    }
+    let activation = get("activation").unwrap_or("active").to_ascii_lowercase();
+    if !activation.starts_with('a')
+        || get("disabled").is_some_and(|d| d == "1" || d.eq_ignore_ascii_case("true"))
+    {
+        return draft.note(line, format!("worker {name} is off and is left out"));
+    }
+    draft.note(
+        line,
+        format!("worker {name}: AJP has no counterpart: the node must speak SRU at this address"),
+    );
+    let (mut id, mut zone) = (name.to_owned(), None);
+    for (key, (line, value)) in worker {
+        let d = &mut *draft;
+        match key.as_str() {
+            "type" | "host" | "port" | "activation" | "disabled" => {}
+            "route" | "jvm_route" => id = value.clone(),
+            "domain" => zone = Some(value.clone()),
+            "reply_timeout" => number(&mut d.deadline_ms, value, |ms| ms, *line, key, &mut d.notes),
+            "socket_connect_timeout" | "connect_timeout" => {
+                number(&mut d.dial_timeout_ms, value, |ms| ms, *line, key, &mut d.notes);
+            }
+            "connection_pool_size" | "cachesize" => {
+                number(&mut d.connections, value, |n| n, *line, key, &mut d.notes);
+            }
+            "connection_pool_timeout" | "cache_timeout" => {
+                number(&mut d.idle_s, value, |s| s, *line, key, &mut d.notes);
+            }
+            "retries" => number(&mut d.attempts, value, |n| n, *line, key, &mut d.notes),
+            _ => d.note(*line, format!("{key}={value} has no counterpart")),
+        }
+    }
+    let host = get("host").unwrap_or("localhost");
+    let Ok(port) = get("port").unwrap_or("8009").parse::<u16>() else {
+        return draft.note(line, format!("worker {name}: a port that is no number"));
+    };
+    match address(host, port) {
+        Some(address) => draft.add(line, Member { id, address, zone }),
+        None => draft.note(line, format!("{host} is a name: a node needs an address, so {name} is left out")),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod config;
 pub mod core;
 pub mod front;
+pub mod import;
 pub mod log;
 pub mod net;
 
--- /dev/null
+++ b/tests/exchange.rs
@@ -0,0 +1,142 @@
+//! The exchange without sockets and without waiting: time is an argument.
+
+mod common;
+use common::{MS, S, line, settings};
+use pebbleturn::core::*;
+use pebbleturn::*;
+use std::rc::Rc;
+
+struct Bench {
+    x: Exchange<&'static str, u32>,
+    now: Nanos,
+    sent: Vec<(ReplicaId, Dispatch<&'static str>)>,
+    finals: Vec<(QueryId, Nanos, Final<u32>)>,
+    given_up: Vec<AttemptId>,
+    calls: Vec<usize>,
+}
+
+impl Bench {
+    fn new(change: impl FnOnce(&mut Settings)) -> Bench {
+        let mut s = settings(Effect::Safe);
+        change(&mut s);
+        let mut x = Exchange::new(s, 7, 0).unwrap();
+        x.listed(true, (0..6).map(|n| line(n, Standing::In, None)).collect());
+        let mut b = Bench { x, now: 0, sent: vec![], finals: vec![], given_up: vec![], calls: vec![] };
+        b.to(0);
+        b
+    }
+
+    /// Runs all that is due up to then.
+    fn to(&mut self, until: Nanos) {
+        loop {
+            let next = self.x.due().unwrap_or(Nanos::MAX).clamp(self.now, until);
+            self.now = next;
+            self.x.run(next);
+            while let Some(work) = self.x.next_work() {
+                match work {
+                    Work::Call { replica, parts } => {
+                        self.calls.push(parts.len());
+                        self.sent.extend(parts.into_iter().map(|p| (replica, p)));
+                    }
+                    Work::GiveUp { attempt, .. } => self.given_up.push(attempt),
+                    Work::Finish { query, answer } => self.finals.push((query, next, answer)),
+                    Work::Watch | Work::Probe { .. } => {}
+                }
+            }
+            if next >= until {
+                return;
+            }
+        }
+    }
+
+    fn open(&mut self, shards: &[u32], time_left: Nanos) -> Result<QueryId, Refused> {
+        let weight = 1.0 / shards.len() as f64;
+        let parts = shards.iter().map(|s| AskPart { shard: *s, weight, work: None }).collect();
+        let ask = Ask { class: 0, key: None, time_left, again: false, parts, payload: Rc::new("text") };
+        let opened = self.x.open(self.now, ask);
+        self.to(self.now + 10 * MS);
+        opened
+    }
+
+    fn end(&mut self, n: usize, outcome: Outcome, value: Option<u32>) {
+        let attempt = self.sent[n].1.attempt;
+        self.x.ended(self.now, attempt, Ended { outcome, busy: None, value });
+    }
+}
+
+#[test]
+fn a_query_gets_one_answer_with_values_in_the_order_asked() {
+    let mut b = Bench::new(|_| {});
+    let q = b.open(&[4, 0, 2], 2 * S).unwrap();
+    for n in 0..3 {
+        let shard = b.sent[n].1.shard;
+        b.end(n, Outcome::Ok, Some(shard * 10));
+        b.end(n, Outcome::Ok, Some(99));
+    }
+    b.to(3 * S);
+    let values = [4, 0, 2].map(|shard| Value { shard, value: shard * 10 }).to_vec();
+    let [(id, at, answer)] = &b.finals[..] else { panic!("{:?}", b.finals) };
+    assert_eq!((*id, answer), (q, &Final::Answered(Answered { whole: true, values, asked: 3 })));
+    assert!(*at < 50 * MS && b.x.open_queries() == 0);
+}
+
+#[test]
+fn rounds_are_no_closer_than_the_tick_and_sends_of_one_share_calls() {
+    let mut b = Bench::new(|s| (s.parts_per_call, s.call_work, s.span, s.tick) = (2, 20 * MS, 6, 50 * MS));
+    b.to(S);
+    let before = b.now;
+    b.x.run(before);
+    let parts = (0..6).map(|shard| AskPart { shard, weight: 1.0 / 6.0, work: None }).collect();
+    let ask = Ask { class: 0, key: None, time_left: 2 * S, again: false, parts, payload: Rc::new("text") };
+    b.x.open(before, ask.clone()).unwrap();
+    b.x.run(before);
+    let first = b.x.due().unwrap();
+    b.to(first);
+    b.x.open(first, ask).unwrap();
+    assert!(b.x.due().unwrap() >= first + 50 * MS, "the next round waits for its tick");
+    assert!(b.calls.iter().all(|n| *n <= 2) && b.calls.contains(&2), "{:?}", b.calls);
+}
+
+#[test]
+fn a_query_ends_before_the_clients_time_whatever_is_silent() {
+    let mut b = Bench::new(|_| {});
+    for time_left in [30 * MS, 200 * MS, 2 * S] {
+        let start = b.now;
+        let q = b.open(&[0, 1], time_left).unwrap();
+        b.to(start + 4 * S);
+        let ends: Vec<Nanos> = b.finals.iter().filter(|f| f.0 == q).map(|f| f.1).collect();
+        assert!(matches!(ends[..], [at] if at < start + time_left), "{ends:?}");
+    }
+    assert_eq!((b.x.open_queries(), b.x.attempts_out()), (0, 0));
+}
+
+#[test]
+fn over_max_open_a_query_is_refused_at_once_and_one_that_goes_makes_room() {
+    let mut b = Bench::new(|s| s.max_open = 5);
+    let first = b.open(&[0, 1, 2], 2 * S).unwrap();
+    let refused = b.open(&[3, 4], 2 * S).unwrap_err();
+    assert!(refused.wait > 0 && refused.wait <= S);
+    b.x.client_gone(first);
+    b.to(b.now + 20 * MS);
+    assert!(b.finals.is_empty(), "nobody is there to be answered");
+    assert!(b.sent.iter().all(|(_, d)| b.given_up.contains(&d.attempt)), "all that was out is given up");
+    assert!(b.open(&[3, 4], 2 * S).is_ok());
+}
+
+#[test]
+fn what_comes_late_or_without_a_value_is_no_part_of_an_answer() {
+    let mut b = Bench::new(|s| (s.classes[0].min_share, s.classes[0].late_worth) = (0.5, 0.0));
+    b.open(&[0, 3], 2 * S).unwrap();
+    b.end(0, Outcome::Ok, None);
+    b.to(b.now + 50 * MS);
+    let again = b.sent.iter().rposition(|(_, d)| d.shard == b.sent[0].1.shard).unwrap();
+    assert!(again > 1, "a part without a value is tried elsewhere");
+    b.end(again, Outcome::Ok, Some(7));
+    b.to(3 * S);
+    let late = b.sent.iter().position(|(_, d)| d.shard != b.sent[0].1.shard).unwrap();
+    b.end(late, Outcome::Ok, Some(8));
+    b.to(4 * S);
+    let shard = b.sent[0].1.shard;
+    let answered = Answered { whole: false, values: vec![Value { shard, value: 7 }], asked: 2 };
+    assert!(matches!(&b.finals[..], [(_, _, f)] if *f == Final::Answered(answered)), "{:?}", b.finals);
+}
