--- /dev/null
+++ b/tests/fronts/protocols.rs
@@ -0,0 +1,257 @@
+//! What one protocol alone has: result sets, positions, services that are not there, explain.
+
+use crate::clients::*;
+use crate::standins::*;
+use pebbleturn::front::catalogue::apdu::*;
+use pebbleturn::front::catalogue::marc::Field;
+use pebbleturn::front::catalogue::search::{Clause, Operator, Search};
+use pebbleturn::front::catalogue::{plan, rpn, sru};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+fn ask(client: &mut Client, apdu: Apdu) -> Apdu {
+    client.write(&apdu.encode());
+    read_apdu(&mut client.stream).expect("an answer")
+}
+
+fn search(set: &str, query: Query) -> SearchRequest {
+    SearchRequest {
+        reference: None,
+        small_upper: 0,
+        large_lower: 1,
+        medium_number: 0,
+        replace: true,
+        result_set: set.into(),
+        databases: vec!["whole".into()],
+        element_set: None,
+        syntax: None,
+        query,
+    }
+}
+
+fn title(term: &str) -> Query {
+    Query::Rpn(rpn::write(&Search::Clause(Clause::new(4, term))))
+}
+
+fn present(set: &str, start: i64, number: i64, syntax: Option<&str>) -> Apdu {
+    Apdu::PresentRequest(PresentRequest {
+        reference: None,
+        result_set: set.into(),
+        start,
+        number,
+        element_set: Some("F".into()),
+        syntax: syntax.map(str::to_owned),
+        complex: false,
+    })
+}
+
+/// The Bib-1 number in an answer.
+fn number(apdu: &Apdu) -> Option<u16> {
+    match apdu {
+        Apdu::SearchResponse(SearchResponse { records: Records::Diagnostic(d), .. })
+        | Apdu::PresentResponse(PresentResponse { records: Records::Diagnostic(d), .. }) => Some(d.bib1()),
+        _ => None,
+    }
+}
+
+#[test]
+fn result_sets_are_named_bounded_refetched_and_deleted() {
+    let s = serve(Wire::Z3950, Wire::Sru, 100);
+    let mut c = s.client();
+    let found = ask(&mut c, Apdu::SearchRequest(search("a", title("raga"))));
+    assert!(matches!(&found, Apdu::SearchResponse(r) if r.success && r.count == 9));
+    // Positions run through the partitions: 3 and 4 lie in two of them.
+    let Apdu::PresentResponse(p) = ask(&mut c, present("a", 3, 2, Some(USMARC))) else { panic!() };
+    let expected = [record(0, 3), record(1, 1)].map(|r| r.to_iso2709().unwrap());
+    let expected = expected.map(|bytes| Retrieved::Record { syntax: USMARC.into(), bytes });
+    assert_eq!((p.records, p.next, p.status), (Records::Some(expected.into()), 5, 0));
+    let Apdu::PresentResponse(p) = ask(&mut c, present("a", 9, 1, Some(XML))) else { panic!() };
+    assert!(
+        matches!(&p.records, Records::Some(r) if matches!(&r[..], [Retrieved::Record { syntax, .. }] if syntax == XML))
+    );
+    assert_eq!(p.next, 0);
+    for (start, count, syntax, expected) in
+        [(10, 1, None, 13), (0, 1, None, 13), (8, 3, None, 13), (1, 1, Some("1.2.840.10003.5.101"), 239)]
+    {
+        assert_eq!(number(&ask(&mut c, present("a", start, count, syntax))), Some(expected));
+    }
+    assert_eq!(number(&ask(&mut c, present("b", 1, 1, None))), Some(30));
+    let kept = SearchRequest { replace: false, ..search("a", title("raga")) };
+    assert_eq!(number(&ask(&mut c, Apdu::SearchRequest(kept))), Some(21));
+    for n in 1..16 {
+        let more = ask(&mut c, Apdu::SearchRequest(search(&format!("set{n}"), title("raga"))));
+        assert_eq!(number(&more), None);
+    }
+    assert_eq!(number(&ask(&mut c, Apdu::SearchRequest(search("one more", title("raga"))))), Some(112));
+    let delete = |names: &[&str]| Apdu::DeleteRequest {
+        reference: None,
+        sets: Some(names.iter().map(|n| n.to_string()).collect()),
+    };
+    assert_eq!(ask(&mut c, delete(&["a"])), Apdu::DeleteResponse { reference: None, status: 0 });
+    assert_eq!(ask(&mut c, delete(&["a"])), Apdu::DeleteResponse { reference: None, status: 1 });
+}
+
+#[test]
+fn small_sets_bring_their_records_along() {
+    let s = serve(Wire::Z3950, Wire::Z3950, 100);
+    let mut c = s.client();
+    for (small, large, medium, expected) in [(9, 10, 0, 9), (8, 9, 5, 0), (1, 100, 4, 4)] {
+        let r = SearchRequest {
+            small_upper: small,
+            large_lower: large,
+            medium_number: medium,
+            ..search("a", title("raga"))
+        };
+        let Apdu::SearchResponse(r) = ask(&mut c, Apdu::SearchRequest(r)) else { panic!() };
+        assert_eq!((r.count, r.records.len()), (9, expected));
+    }
+}
+
+#[test]
+fn searches_that_can_t_be_understood_meet_the_standard_numbers() {
+    let s = serve(Wire::Z3950, Wire::Z3950, 100);
+    let mut c = s.client();
+    let unknown = SearchRequest { databases: vec!["nowhere".into()], ..search("a", title("raga")) };
+    let two = SearchRequest { databases: vec!["whole".into(), "most".into()], ..search("a", title("raga")) };
+    let used = |access| Query::Rpn(rpn::write(&Search::Clause(Clause::new(access, "x"))));
+    let cases = [
+        (unknown, 235),
+        (two, 23),
+        (search("a", used(9999)), 114),
+        (search("a", Query::Other(0)), 107),
+        (search("a", title("")), 125),
+        (search("a", Query::Cql("title = ((".into())), 108),
+    ];
+    for (request, expected) in cases {
+        assert_eq!(number(&ask(&mut c, Apdu::SearchRequest(request))), Some(expected));
+    }
+    let found = ask(&mut c, Apdu::SearchRequest(search("a", Query::Cql("title = raga".into()))));
+    assert!(matches!(found, Apdu::SearchResponse(r) if r.count == 9), "CQL is taken as a query of type 104");
+}
+
+#[test]
+fn services_that_were_not_agreed_on_are_answered_and_a_close_is_returned() {
+    let s = serve(Wire::Z3950, Wire::Z3950, 100);
+    let mut c = s.client();
+    for (request, response) in [(35, 36), (43, 44), (46, 47)] {
+        let answer = ask(&mut c, Apdu::Other { reference: Some(vec![9]), tag: request });
+        assert_eq!(answer, Apdu::Other { reference: Some(vec![9]), tag: response });
+    }
+    let answer = ask(&mut c, Apdu::Other { reference: None, tag: 30 });
+    assert!(matches!(answer, Apdu::Close { reason: 6, .. }));
+    let mut other = s.client();
+    let answer = ask(&mut other, Apdu::Close { reference: None, reason: 0, words: String::new() });
+    assert!(matches!(answer, Apdu::Close { reason: 0, .. }));
+    // Before Init, nothing else is taken.
+    let mut raw = TcpStream::connect(s.addr).unwrap();
+    raw.write_all(&Apdu::SearchRequest(search("a", title("raga"))).encode()).unwrap();
+    assert!(matches!(read_apdu(&mut raw), Some(Apdu::Close { reason: 6, .. })));
+    assert_eq!(raw.read(&mut [0]).unwrap(), 0);
+}
+
+fn get(s: &Served, target: &str) -> (String, String) {
+    let mut stream = TcpStream::connect(s.addr).unwrap();
+    write!(stream, "GET {target} HTTP/1.1\r\nHost: shop:8210\r\n\r\n").unwrap();
+    read_http(&mut stream).expect("an answer")
+}
+
+#[test]
+fn sru_pages_explains_and_meets_bad_requests() {
+    let s = serve(Wire::Sru, Wire::Z3950, 100);
+    let base = "/whole?version=1.2&operation=searchRetrieve&query=raga";
+    let (_, body) = get(&s, &format!("{base}&startRecord=3&maximumRecords=2"));
+    let r = sru::read_response(body.as_bytes()).unwrap();
+    assert_eq!((r.total, r.next), (9, Some(5)));
+    assert_eq!(r.items, [record(0, 3), record(1, 1)].map(sru::Item::Record));
+    let (_, body) = get(&s, &format!("{base}&maximumRecords=0"));
+    let r = sru::read_response(body.as_bytes()).unwrap();
+    assert_eq!((r.total, r.items.len(), r.next), (9, 0, Some(1)));
+    let (_, body) = get(&s, &format!("{base}&startRecord=10"));
+    assert_eq!(sru::read_response(body.as_bytes()).unwrap().diagnostics[0].sru(), 61);
+    let (_, body) = get(&s, &format!("{base}&startRecord=99999999999999999999"));
+    assert_eq!(sru::read_response(body.as_bytes()).unwrap().diagnostics[0].sru(), 6);
+    let (head, body) = get(&s, "/whole");
+    assert!(head.starts_with("HTTP/1.1 200") && body.contains("explainResponse") && body.contains("music"));
+    assert!(get(&s, "/nowhere?version=1.1&operation=explain").0.starts_with("HTTP/1.1 404"));
+    assert!(get(&s, "/-/ready").0.starts_with("HTTP/1.1 200"));
+    let mut stream = TcpStream::connect(s.addr).unwrap();
+    let form = "version=1.1&operation=searchRetrieve&query=raga&maximumRecords=1";
+    let long = form.len();
+    write!(stream, "POST /whole HTTP/1.1\r\nContent-Length: {long}\r\nContent-Type: application/x-www-form-urlencoded\r\n\r\n{form}").unwrap();
+    let (_, body) = read_http(&mut stream).unwrap();
+    assert_eq!(sru::read_response(body.as_bytes()).unwrap().items.len(), 1);
+    write!(stream, "DELETE /whole HTTP/1.1\r\n\r\n").unwrap();
+    assert!(read_http(&mut stream).unwrap().0.starts_with("HTTP/1.1 405"));
+    write!(stream, "POST /whole HTTP/1.1\r\nContent-Length: 65537\r\n\r\n").unwrap();
+    assert!(read_http(&mut stream).unwrap().0.starts_with("HTTP/1.1 413"));
+}
+
+#[test]
+fn a_composition_key_narrows_a_search_to_its_partitions() {
+    for wire in [Wire::Sru, Wire::Z3950] {
+        let s = serve(wire, Wire::Sru, 100);
+        let key = Clause::new(5030, "k-17");
+        let partition = plan::partitions(PARTITIONS, 1, Some(plan::key_number("k-17")))[0];
+        // Were another partition asked, there would be no whole answer.
+        let others: Vec<u32> = (0..PARTITIONS).filter(|p| *p != partition).collect();
+        s.script.set(&[0, 1, 2], &others, Act::Fail);
+        let both = Search::join(Operator::And, Search::Clause(key), Search::Clause(Clause::new(4, "raga")));
+        let first = if wire == Wire::Sru {
+            let query = sru::percent_encode("music.compositionid = \"k-17\" and dc.title = raga");
+            let (_, body) = get(&s, &format!("/whole?version=1.1&operation=searchRetrieve&query={query}"));
+            let r = sru::read_response(body.as_bytes()).unwrap();
+            assert_eq!(r.total, RECORDS);
+            let Some(sru::Item::Record(first)) = r.items.into_iter().next() else { panic!() };
+            first
+        } else {
+            let mut c = s.client();
+            let found = ask(&mut c, Apdu::SearchRequest(search("a", Query::Rpn(rpn::write(&both)))));
+            assert!(matches!(found, Apdu::SearchResponse(r) if r.count == RECORDS as i64));
+            record(partition, 1)
+        };
+        assert_eq!(first.fields[0], Field::Control { tag: "001".into(), value: format!("p{partition}-1") });
+    }
+}
+
+#[test]
+fn the_platform_s_port_answers_bad_requests_by_status() {
+    let s = serve(Wire::Http, Wire::Http, 100);
+    let send = |text: &str| {
+        let mut stream = TcpStream::connect(s.addr).unwrap();
+        stream.write_all(text.as_bytes()).unwrap();
+        read_http(&mut stream).expect("an answer").0[9..12].to_owned()
+    };
+    let query = |kind: &str, more: &str, body: &str| {
+        send(&format!(
+            "POST /api HTTP/1.1\r\nReq-Id: a\r\nReq-Kind: {kind}\r\n{more}Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        ))
+    };
+    let part = |n: u32| format!(r#"{{"segment":{n},"boost":1}}"#);
+    let good = format!(r#"{{"segments":[{}],"text":"x"}}"#, part(0));
+    assert_eq!(
+        query("whole", "Req-Deadline: 5000m\r\nReq-Retry: 1\r\nCookie: a=b; key=7f3a\r\n", &good),
+        "200"
+    );
+    assert_eq!(query("nothing", "", &good), "400");
+    assert_eq!(query("whole", "Req-Deadline: 5\r\n", &good), "400");
+    for body in [
+        "",
+        "{",
+        "{\"segments\":[]}",
+        &format!(r#"{{"segments":[{}]}}"#, part(3)),
+        &format!(r#"{{"segments":[{0},{0}]}}"#, part(1)),
+    ] {
+        assert_eq!(query("whole", "", body), "400", "{body}");
+    }
+    for (text, status) in [
+        ("GET /api HTTP/1.1\r\n\r\n", "405"),
+        ("POST /-/ready HTTP/1.1\r\n\r\n", "405"),
+        ("GET /x HTTP/1.1\r\n\r\n", "404"),
+        ("GET /-/ready HTTP/1.1\r\n\r\n", "200"),
+        ("nonsense\r\n\r\n", "400"),
+        ("POST /api HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", "413"),
+    ] {
+        assert_eq!(send(text), status, "{text}");
+    }
+}
--- /dev/null
+++ b/tests/program.rs
@@ -0,0 +1,120 @@
+//! The program as it is started: its exit codes, its log, and the signal to end.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Output, Stdio};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_pebbleturn");
+
+fn run(args: &[&str], config: Option<&str>) -> Output {
+    let mut command = Command::new(PROGRAM);
+    command.args(args).env_remove("GW_CONFIG");
+    if let Some(path) = config {
+        command.env("GW_CONFIG", path);
+    }
+    command.output().unwrap()
+}
+
+/// A file that is there for as long as the test.
+struct File(std::path::PathBuf);
+
+impl File {
+    fn new(name: &str, text: &str) -> File {
+        let path = std::env::temp_dir().join(format!("pebbleturn-{}-{name}", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        File(path)
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+#[test]
+fn an_unusable_configuration_is_one_clear_line_and_a_failure() {
+    let (broken, odd) = (File::new("broken", "{"), File::new("odd", "name = 1\n"));
+    let nowhere = "/nowhere/config.json";
+    for (args, config) in [
+        (&[][..], None),
+        (&[], Some(nowhere)),
+        (&[], Some(broken.path())),
+        (&["--catalogue", odd.path()], None),
+        (&["--catalogue", nowhere], None),
+        (&["--import", "jk", nowhere], None),
+    ] {
+        let out = run(args, config);
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert!(!out.status.success() && said.lines().count() == 1, "{args:?} {config:?}: {said}");
+    }
+    assert_eq!(run(&["--nonsense"], None).status.code(), Some(2));
+}
+
+/// A port that is free just now.
+fn free_port() -> u16 {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+}
+
+fn wait_for(lines: &mut impl Iterator<Item = std::io::Result<String>>, word: &str) -> String {
+    lines.map_while(Result::ok).find(|l| l.contains(word)).unwrap_or_else(|| panic!("no line with {word}"))
+}
+
+fn terminate(child: &Child) {
+    assert!(Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap().success());
+}
+
+#[test]
+fn the_signal_to_end_ends_it_in_an_orderly_way() {
+    let text = std::fs::read_to_string("deploy/catalogue.toml").unwrap();
+    let text = text.replace("127.0.0.1:8210", "127.0.0.1:0").replace("127.0.0.1:2100", "127.0.0.1:0");
+    let file = File::new("catalogue", &text);
+    let mut child =
+        Command::new(PROGRAM).args(["--catalogue", file.path()]).stderr(Stdio::piped()).spawn().unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let line = wait_for(&mut lines, "for Sru");
+    let addr = line.split(' ').find(|w| w.starts_with("127.")).unwrap().to_owned();
+    let mut stream = TcpStream::connect(&addr).unwrap();
+    write!(stream, "GET /-/ready HTTP/1.1\r\n\r\n").unwrap();
+    let mut answer = BufReader::new(stream.try_clone().unwrap()).lines();
+    wait_for(&mut answer, "200 OK");
+    terminate(&child);
+    wait_for(&mut lines, "draining");
+    // Still taken, but no longer ready, and the answer ends the connection.
+    if write!(stream, "GET /-/ready HTTP/1.1\r\n\r\n").is_ok() {
+        let rest: Vec<String> = answer.map_while(Result::ok).collect();
+        assert!(rest.iter().all(|l| !l.contains("200 OK")), "{rest:?}");
+    }
+    wait_for(&mut lines, "ended");
+    assert!(child.wait().unwrap().success());
+    assert!(TcpStream::connect(&addr).is_err());
+}
+
+#[test]
+fn without_discovery_it_starts_from_the_list_it_had() {
+    let port = free_port();
+    let config = format!(
+        r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"127.0.0.1:{port}","seed":"1f","known":{{"version":1,"full":true,"servers":
+        [{{"id":"s-1","addr":"127.0.0.1:{port}","zone":"a","cell":0,"state":"Ready"}}]}},"settings":{{"areas":["a"],"my_zone":"a",
+        "fleet_size":1,"tick_ns":5000000,"discovery":"on_request","request_classes":[{{"name":"c","goal_time_ns":1000000000,
+        "deadline_ns":2000000000,"effect":"safe","worth":1.0}}],"ceilings":{{"cancel":true,"probes":false,"second_copies":true,
+        "open_cap":9,"try_limit":3}},"family_info":{{"min_share":[1],"need_by_class":[1],"positions":1,"slices":1,"span":1}},
+        "rules":{{"must_ask_in_ns":1000000000}}}}}}"#
+    );
+    let file = File::new("config", &config);
+    let mut child =
+        Command::new(PROGRAM).env("GW_CONFIG", file.path()).stderr(Stdio::piped()).spawn().unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    wait_for(&mut lines, "list version 1: 1 servers");
+    wait_for(&mut lines, "listens");
+    // It asks, fails, and asks again.
+    wait_for(&mut lines, "watch on discovery ended");
+    wait_for(&mut lines, "watch on discovery ended");
+    terminate(&child);
+    wait_for(&mut lines, "ended");
+    assert!(child.wait().unwrap().success());
+}
