--- a/src/broker.rs
+++ b/src/broker.rs
@@ -2,7 +2,7 @@
 
 use crate::api::Nanos;
 use crate::config::ConfigError;
-use crate::core::{Exchange, Work};
+use crate::core::{Exchange, Final, Work};
 use crate::net::{Clock, NetEvent, Reactor, Waker, signals};
 use std::io;
 use std::time::Duration;
@@ -78,6 +78,41 @@
     fn is_empty(&self) -> bool;
 }
 
+/// Time between two lines that tell how queries ended.
+const TALLY: Nanos = 60_000_000_000;
+
+/// How queries ended since the last such line.
+#[derive(Default)]
+struct Tally {
+    told: Nanos,
+    whole: u64,
+    partial: u64,
+    refused: u64,
+    failed: u64,
+}
+
+impl Tally {
+    fn count<V>(&mut self, answer: &Final<V>) {
+        match answer {
+            Final::Answered(a) if a.whole => self.whole += 1,
+            Final::Answered(_) => self.partial += 1,
+            Final::Refused { .. } => self.refused += 1,
+            Final::Failed => self.failed += 1,
+        }
+    }
+
+    fn tell(&mut self, now: Nanos, open: usize, out: usize) {
+        let Tally { told, whole, partial, refused, failed } = *self;
+        if now >= told + TALLY && whole + partial + refused + failed > 0 {
+            log::info!(
+                "queries: {whole} whole, {partial} partial, {refused} refused, {failed} failed; \
+                 {open} open with {out} attempts out"
+            );
+            *self = Tally { told: now, ..Tally::default() };
+        }
+    }
+}
+
 /// A broker, ready to run.
 pub struct Broker<F: Front> {
     clock: Clock,
@@ -88,13 +123,15 @@
     /// When the word to end came, and whether the listeners are closed.
     draining: Option<Nanos>,
     closed: bool,
+    tally: Tally,
 }
 
 impl<F: Front> Broker<F> {
     /// Puts a broker together.
     pub fn new(clock: Clock, net: Reactor, exchange: Exchange<F::Query, F::Value>, front: F) -> Broker<F> {
         let longest = exchange.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        Broker { clock, net, exchange, front, longest, draining: None, closed: false }
+        let tally = Tally { told: clock.now(), ..Tally::default() };
+        Broker { clock, net, exchange, front, longest, draining: None, closed: false, tally }
     }
 
     /// Ends in an orderly way on SIGTERM and SIGINT.
@@ -141,8 +178,12 @@
         self.front.tick(&mut hands);
         hands.exchange.run(now);
         while let Some(work) = hands.exchange.next_work() {
+            if let Work::Finish { answer, .. } = &work {
+                self.tally.count(answer);
+            }
             self.front.work(work, &mut hands);
         }
+        self.tally.tell(now, hands.exchange.open_queries(), hands.exchange.attempts_out());
         if self.draining.is_some_and(|t| now >= t + KEEP_ACCEPTING) {
             if !self.closed {
                 self.closed = true;
--- a/src/front/catalogue/clients.rs
+++ b/src/front/catalogue/clients.rs
@@ -16,6 +16,7 @@
 use crate::front::http::{self, HttpError, Reader, Side};
 use crate::net::{ConnId, Filled, NetEvent};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Time without a byte after which a connection in the middle of a request is closed.
@@ -41,6 +42,7 @@
     speech: Speech,
     job: Option<(QueryId, Job)>,
     touched: Nanos,
+    peer: SocketAddr,
 }
 
 /// What the operator's file says, as the client side needs it.
@@ -96,14 +98,14 @@
     /// Takes in what happened on one of its connections.
     pub fn event(&mut self, event: NetEvent, hands: &mut Hand) {
         match event {
-            NetEvent::Accepted { owner, conn, .. } => {
+            NetEvent::Accepted { owner, conn, peer } => {
                 let reader = Reader::new(Side::Requests);
                 let speech = if owner == self.sru {
                     Speech::Sru { reader, keep_alive: true, asked: None }
                 } else {
                     Speech::Z3950(Box::default())
                 };
-                self.clients.insert(conn, Client { speech, job: None, touched: hands.now });
+                self.clients.insert(conn, Client { speech, job: None, touched: hands.now, peer });
                 self.read(conn, hands);
             }
             NetEvent::Readable { conn, .. } => self.read(conn, hands),
@@ -146,7 +148,9 @@
     }
 
     fn hang_up(&mut self, conn: ConnId, why: &str, hands: &mut Hand) {
-        log::warn!("client connection closed: {why}");
+        if let Some(client) = self.clients.get(&conn) {
+            log::warn!("client {} closed: {why}", client.peer);
+        }
         hands.net.close(conn);
         self.gone(conn, hands);
     }
@@ -168,7 +172,7 @@
     // ---- Z39.50 ----
 
     fn work_z3950(&mut self, conn: ConnId, hands: &mut Hand) -> bool {
-        let Some(Client { speech: Speech::Z3950(session), .. }) = self.clients.get_mut(&conn) else {
+        let Some(Client { speech: Speech::Z3950(session), peer, .. }) = self.clients.get_mut(&conn) else {
             return false;
         };
         let data = hands.net.data(conn);
@@ -178,7 +182,7 @@
             Ok(None) => return false,
             Ok(Some(read)) => read,
             Err(e) => {
-                log::warn!("client session closed: {e}");
+                log::warn!("client {peer} closed: {e}");
                 let close = Session::close(CloseReason::ProtocolError, &e.to_string());
                 let close = session.is_open().then_some(close);
                 self.last(conn, close, hands);
@@ -224,7 +228,8 @@
     // ---- SRU ----
 
     fn work_sru(&mut self, conn: ConnId, hands: &mut Hand) -> bool {
-        let Some(Client { speech: Speech::Sru { reader, keep_alive, .. }, .. }) = self.clients.get_mut(&conn)
+        let Some(Client { speech: Speech::Sru { reader, keep_alive, .. }, peer, .. }) =
+            self.clients.get_mut(&conn)
         else {
             return false;
         };
@@ -233,7 +238,7 @@
         let used = match reader.advance(hands.net.data(conn), &pool) {
             Ok(used) => used,
             Err(e) => {
-                log::warn!("client connection closed: {e}");
+                log::warn!("client {peer} closed: {e}");
                 *keep_alive = false;
                 let status = match e {
                     HttpError::Malformed(_) => 400,
@@ -508,8 +513,9 @@
         let conns: Vec<ConnId> =
             self.clients.iter().filter(|(_, c)| stale(c)).map(|(conn, _)| *conn).collect();
         for conn in conns {
-            log::info!("client connection closed: nothing came for too long");
-            let open = matches!(self.clients.get(&conn), Some(Client { speech: Speech::Z3950(s), .. }) if s.is_open());
+            let Some(client) = self.clients.get(&conn) else { continue };
+            log::info!("client {} closed: nothing came for too long", client.peer);
+            let open = matches!(&client.speech, Speech::Z3950(s) if s.is_open());
             let close = open.then(|| Session::close(CloseReason::LackOfActivity, "idle"));
             self.last(conn, close, hands);
         }
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -9,6 +9,7 @@
 use crate::front::http::{self, HttpError, Reader, Side};
 use crate::net::{ConnId, Filled, NetEvent, Reactor};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 /// Time without a byte after which a connection that is in the middle of a request is closed.
 const STALLED: Nanos = 10_000_000_000;
@@ -24,6 +25,7 @@
     query: Option<QueryId>,
     keep_alive: bool,
     touched: Nanos,
+    peer: SocketAddr,
 }
 
 /// All client connections.
@@ -59,9 +61,9 @@
     /// Takes in what happened on one of its connections.
     pub fn event(&mut self, event: NetEvent, hands: &mut Platform) {
         match event {
-            NetEvent::Accepted { conn, .. } => {
+            NetEvent::Accepted { conn, peer, .. } => {
                 let reader = Reader::new(Side::Requests);
-                let client = Client { reader, query: None, keep_alive: true, touched: hands.now };
+                let client = Client { reader, query: None, keep_alive: true, touched: hands.now, peer };
                 self.clients.insert(conn, client);
                 self.read(conn, hands);
             }
@@ -127,7 +129,9 @@
     }
 
     fn unreadable(&mut self, conn: ConnId, e: HttpError, net: &mut Reactor) {
-        log::warn!("client connection closed: {e}");
+        if let Some(client) = self.clients.get(&conn) {
+            log::warn!("client {} closed: {e}", client.peer);
+        }
         let status = match e {
             HttpError::Malformed(_) => 400,
             HttpError::TooLarge => 413,
@@ -150,7 +154,7 @@
                 let (names, deadlines, shards) = (&self.names, &self.deadlines[..], self.shards);
                 match query::read(head, client.reader.body(), &Limits { names, deadlines, shards }) {
                     Err(why) => {
-                        log::info!("request refused: {why}");
+                        log::info!("request of client {} is bad: {why}", client.peer);
                         return self.reply(conn, 400, &[], why.as_bytes(), hands.net);
                     }
                     Ok(ask) => match hands.exchange.open(hands.now, ask) {
@@ -190,7 +194,7 @@
         let keep = client.keep_alive && !self.draining;
         let message = http::response(status, headers, keep, body);
         if net.send(conn, &message).is_err() {
-            log::warn!("client connection closed: it does not read its answers");
+            log::warn!("client {} closed: it does not read its answers", client.peer);
             net.close(conn);
         } else if !keep {
             net.close_after_flush(conn);
@@ -249,7 +253,7 @@
             let most = if c.reader.is_idle() { IDLE } else { STALLED };
             let stale = c.query.is_none() && now > c.touched + most;
             if stale {
-                log::info!("client connection closed: nothing came for too long");
+                log::info!("client {} closed: nothing came for too long", c.peer);
                 net.close(*conn);
             }
             !stale
--- a/src/log.rs
+++ b/src/log.rs
@@ -2,10 +2,36 @@
 
 use log::{LevelFilter, Log, Metadata, Record};
 use std::io::Write;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
 
-struct Lines;
+/// Most lines in a second. Guards the poll loop: peers must not be able to make it write all day.
+const MOST_LINES: u32 = 200;
 
-static LINES: Lines = Lines;
+/// Lines written in this second, and lines left out.
+struct Lines(Mutex<Option<(Instant, u32, u32)>>);
+
+static LINES: Lines = Lines(Mutex::new(None));
+
+impl Lines {
+    /// Whether one more line may be written, and how many were left out before it.
+    fn admit(&self) -> Option<u32> {
+        let now = Instant::now();
+        let Ok(mut held) = self.0.lock() else { return Some(0) };
+        let (start, written, left_out) = held.get_or_insert((now, 0, 0));
+        let mut before = 0;
+        if now.duration_since(*start) >= Duration::from_secs(1) {
+            before = *left_out;
+            (*start, *written, *left_out) = (now, 0, 0);
+        }
+        if *written >= MOST_LINES {
+            *left_out += 1;
+            return None;
+        }
+        *written += 1;
+        Some(before)
+    }
+}
 
 impl Log for Lines {
     fn enabled(&self, metadata: &Metadata) -> bool {
@@ -13,13 +39,19 @@
     }
 
     fn log(&self, record: &Record) {
-        if self.enabled(record.metadata()) {
-            let target = record.target().strip_prefix("pebbleturn::").unwrap_or(record.target());
-            let level = record.level().as_str().to_ascii_lowercase();
-            // One line an event, whatever a peer sent.
-            let text = record.args().to_string().replace(['\n', '\r'], " ");
-            let _ = writeln!(std::io::stderr().lock(), "{level} {target}: {text}");
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let Some(left_out) = self.admit() else { return };
+        let target = record.target().strip_prefix("pebbleturn::").unwrap_or(record.target());
+        let level = record.level().as_str().to_ascii_lowercase();
+        // One line an event, whatever a peer sent.
+        let text = record.args().to_string().replace(|c: char| c.is_control(), " ");
+        let mut out = std::io::stderr().lock();
+        if left_out > 0 {
+            let _ = writeln!(out, "warn log: {left_out} lines were left out");
         }
+        let _ = writeln!(out, "{level} {target}: {text}");
     }
 
     fn flush(&self) {}
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -367,7 +367,7 @@
             let owner = *owner;
             match socket.accept() {
                 Ok((stream, _)) if self.conns >= self.most_accepted => {
-                    log::warn!("connection refused: {} are open", self.conns);
+                    log::warn!("connection turned away: {} are open", self.conns);
                     drop(stream);
                 }
                 Ok((stream, peer)) => match self.add(stream, owner, true) {
