--- a/src/broker.rs
+++ b/src/broker.rs
@@ -196,11 +196,12 @@
         }
     }
 
-    /// Guards the end of a drain: a peer that does not read its answer can't keep the program.
+    /// Guards the end of a drain: a connection that was just accepted is still served, and a peer that does not
+    /// read its answer can't keep the program.
     fn finished(&self) -> bool {
         let longest = KEEP_ACCEPTING + self.longest;
         let late = self.draining.is_some_and(|t| self.clock.now() >= t + longest);
-        self.closed && (late || (self.front.is_empty() && !self.net.is_flushing()))
+        self.closed && (late || (self.front.is_empty() && !self.net.is_busy()))
     }
 
     fn due(&self) -> Option<Nanos> {
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -125,9 +125,9 @@
         self.waker.clone().ok_or_else(|| ErrorKind::NotFound.into())
     }
 
-    /// Something is still to be written on a connection that closes after it.
-    pub fn is_flushing(&self) -> bool {
-        self.flushing > 0
+    /// Something is still to be written on a connection that closes after it, or to be told as an event.
+    pub fn is_busy(&self) -> bool {
+        self.flushing > 0 || !self.pending.is_empty()
     }
 
     /// Listens; returns the address, which tells the port where 0 was asked for.
