--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -32,10 +32,13 @@
 #[derive(Clone, Copy, Debug, Deserialize)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 /// Descriptors of a broker that is told no limit.
 const SOCKETS: usize = 1024;
+/// Memory of a broker that is told no limit, MB.
+const MEMORY: usize = 192;
 
 /// What one broker on the platform is told.
 #[derive(Clone, Debug)]
@@ -50,6 +53,8 @@
     pub seed: u64,
     /// Most descriptors.
     pub sockets: usize,
+    /// Most memory, MB.
+    pub memory_mb: usize,
     /// The list of servers as this broker last had it.
     pub known: Option<ServerList>,
     /// The settings object.
@@ -81,12 +86,17 @@
         if sockets < 64 {
             return Err(ConfigError(format!("{sockets} sockets are too few")));
         }
+        let memory_mb = file.limits.and_then(|l| l.memory_mb).unwrap_or(MEMORY);
+        if memory_mb < 16 {
+            return Err(ConfigError(format!("{memory_mb} MB of memory are too little")));
+        }
         Ok(Platform {
             name: file.name.or_else(|| var("GW_NAME")).unwrap_or_else(|| "broker".into()),
             listen: addr(file.listen, "GW_LISTEN")?,
             discovery: addr(file.discovery, "GW_DISCOVERY")?,
             seed,
             sockets,
+            memory_mb,
             known: file.known,
             params: file.settings,
         })
--- a/src/core/work.rs
+++ b/src/core/work.rs
@@ -72,7 +72,10 @@
     /// Served.
     Answered(Answered<V>),
     /// Refused: asking again is harmless, after the wait if it is not 0.
-    Refused { wait: Nanos },
+    Refused {
+        /// When the client does well to come back; 0: not told.
+        wait: Nanos,
+    },
     /// Given up.
     Failed,
 }
@@ -107,13 +110,31 @@
 #[derive(Clone, Debug)]
 pub enum Work<Q, V> {
     /// Server side: one call to one server. Each part's outcome is to be reported once.
-    Call { replica: ReplicaId, parts: Vec<Dispatch<Q>> },
+    Call {
+        /// The server.
+        replica: ReplicaId,
+        /// What it carries.
+        parts: Vec<Dispatch<Q>>,
+    },
     /// Server side: nobody waits for this attempt any more. No outcome is to be reported.
-    GiveUp { replica: ReplicaId, attempt: AttemptId },
+    GiveUp {
+        /// The server.
+        replica: ReplicaId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// Client side: the final answer.
-    Finish { query: QueryId, answer: Final<V> },
+    Finish {
+        /// The query.
+        query: QueryId,
+        /// Its answer.
+        answer: Final<V>,
+    },
     /// Discovery: the list is to be watched from now on.
     Watch,
     /// Server side: this server is to be probed.
-    Probe { replica: ReplicaId },
+    Probe {
+        /// The server.
+        replica: ReplicaId,
+    },
 }
--- a/src/front/catalogue/broker.rs
+++ b/src/front/catalogue/broker.rs
@@ -17,8 +17,8 @@
 
 /// Descriptors kept for what is neither a client nor a node.
 const SPARE: usize = 32;
-/// Most buffers at once: with 72 KiB each, 54 MiB.
-const BUFFERS: usize = 768;
+/// Memory that buffers may take, bytes.
+const BUFFERS: usize = 48 << 20;
 
 /// The catalogue's port: clients and index nodes, each of them speaking SRU or Z39.50.
 pub struct CatalogueFront {
@@ -49,7 +49,7 @@
         return Err(ConfigError(what.into()).into());
     }
     let most = told.limits.sockets - SPARE;
-    let mut net = Reactor::new(Pool::new(BUFFERS), most - to_nodes).map_err(BrokerError::io("poll"))?;
+    let mut net = Reactor::new(Pool::within(BUFFERS), most - to_nodes).map_err(BrokerError::io("poll"))?;
     let mut listening = Vec::new();
     for l in &told.listener {
         let owner = if l.protocol == Protocol::Sru { SRU } else { Z3950 };
--- a/src/front/platform/broker.rs
+++ b/src/front/platform/broker.rs
@@ -14,8 +14,8 @@
 
 /// Descriptors kept for what is neither a client nor a shard server.
 const SPARE: usize = 32;
-/// Most buffers at once: with 72 KiB each, 54 MiB.
-const BUFFERS: usize = 768;
+/// Part of the memory that buffers may take.
+const BUFFERS: usize = 4;
 
 /// The platform's port: clients, shard servers and discovery.
 pub struct PlatformFront {
@@ -32,7 +32,8 @@
     // Guards the limit on descriptors: what connections to shard servers may take is not given to clients.
     let to_servers = (told.sockets - SPARE) / 4;
     let most = told.sockets - SPARE - to_servers;
-    let mut net = Reactor::new(Pool::new(BUFFERS), most).map_err(BrokerError::io("poll"))?;
+    let mut net = Reactor::new(Pool::within((told.memory_mb << 20) / BUFFERS), most)
+        .map_err(BrokerError::io("poll"))?;
     let limits = LinkLimits {
         streams: told.params.streams(),
         dial_timeout: told.params.dial_timeout(),
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -27,6 +27,11 @@
         Pool(Rc::new(RefCell::new(Shelf { free: Vec::new(), out: 0, most })))
     }
 
+    /// A pool whose buffers take at most so many bytes together.
+    pub fn within(bytes: usize) -> Pool {
+        Pool::new((bytes / SIZE).max(16))
+    }
+
     /// An empty buffer; none while all are in use. A dropped buffer returns here.
     pub fn take(&self) -> Option<Buf> {
         let mut shelf = self.0.borrow_mut();
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -94,18 +94,32 @@
     assert!(TcpStream::connect(&addr).is_err());
 }
 
-#[test]
-fn without_discovery_it_starts_from_the_list_it_had() {
-    let port = free_port();
-    let config = format!(
-        r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"127.0.0.1:{port}","seed":"1f","known":{{"version":1,"full":true,"servers":
+/// A platform's configuration whose discovery and one server are at `port`.
+fn config(port: u16, limits: &str) -> String {
+    format!(
+        r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"127.0.0.1:{port}","seed":"1f","limits":{limits},"known":{{"version":1,"full":true,"servers":
         [{{"id":"s-1","addr":"127.0.0.1:{port}","zone":"a","cell":0,"state":"Ready"}}]}},"settings":{{"areas":["a"],"my_zone":"a",
         "fleet_size":1,"tick_ns":5000000,"discovery":"on_request","request_classes":[{{"name":"c","goal_time_ns":1000000000,
         "deadline_ns":2000000000,"effect":"safe","worth":1.0}}],"ceilings":{{"cancel":true,"probes":false,"second_copies":true,
         "open_cap":9,"try_limit":3}},"family_info":{{"min_share":[1],"need_by_class":[1],"positions":1,"slices":1,"span":1}},
         "rules":{{"must_ask_in_ns":1000000000}}}}}}"#
-    );
-    let file = File::new("config", &config);
+    )
+}
+
+#[test]
+fn limits_that_leave_too_little_room_are_refused() {
+    for (limits, word) in [(r#"{"sockets":8}"#, "sockets"), (r#"{"memory_mb":1}"#, "memory")] {
+        let file = File::new(word, &config(1, limits));
+        let out = run(&[], Some(file.path()));
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert!(!out.status.success() && said.contains(word) && said.lines().count() == 1, "{said}");
+    }
+}
+
+#[test]
+fn without_discovery_it_starts_from_the_list_it_had() {
+    let port = free_port();
+    let file = File::new("config", &config(port, "{}"));
     let mut child =
         Command::new(PROGRAM).env("GW_CONFIG", file.path()).stderr(Stdio::piped()).spawn().unwrap();
     let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
