--- a/src/front/catalogue/apdu.rs
+++ b/src/front/catalogue/apdu.rs
@@ -1,6 +1,6 @@
 //! Z39.50 version 3 APDUs that a catalogue needs, for both roles.
 
-use super::ber::{BerError, Element};
+use super::ber::{BerError, Element, Inner};
 use super::diagnostic::Diagnostic;
 use bcder::Tag;
 
@@ -270,8 +270,19 @@
 }
 
 impl Apdu {
-    /// Writes the APDU.
+    /// Writes the APDU as version 3 has it.
     pub fn encode(&self) -> Vec<u8> {
+        self.element().encode()
+    }
+
+    /// Writes the APDU for a session of version 2, where a diagnostic's words are a VisibleString.
+    pub fn encode_v2(&self) -> Vec<u8> {
+        let mut element = self.element();
+        visible(&mut element);
+        element.encode()
+    }
+
+    fn element(&self) -> Element {
         let (tag, body) = match self {
             Apdu::InitRequest(r) => {
                 (20, init(&r.reference, &r.versions, &r.options, [r.preferred_size, r.largest_record], None))
@@ -305,7 +316,7 @@
             }
             Apdu::Other { reference: r, tag } => (*tag, reference(r)),
         };
-        Element::of(Tag::ctx(tag), body).encode()
+        Element::of(Tag::ctx(tag), body)
     }
 
     /// Reads one whole APDU.
@@ -407,6 +418,18 @@
     }
 }
 
+/// Makes the words of diagnostics what version 2 reads; nothing else here is a GeneralString.
+fn visible(e: &mut Element) {
+    match &mut e.content {
+        Inner::Values(values) => values.iter_mut().for_each(visible),
+        Inner::Bytes(bytes) if e.tag == Tag::GENERAL_STRING => {
+            e.tag = Tag::VISIBLE_STRING;
+            bytes.iter_mut().filter(|b| !(0x20..0x7f).contains(*b)).for_each(|b| *b = b'?');
+        }
+        Inner::Bytes(_) => {}
+    }
+}
+
 fn init(
     mark: &Reference,
     versions: &[u8],
--- a/src/front/catalogue/session.rs
+++ b/src/front/catalogue/session.rs
@@ -64,6 +64,8 @@
 #[derive(Debug, Default)]
 pub struct Session {
     open: bool,
+    /// Version 3 was agreed on.
+    version3: bool,
     message: usize,
     largest_record: usize,
     sets: BTreeMap<String, ResultSet>,
@@ -116,6 +118,7 @@
         let versions = both(&r.versions, &VERSIONS);
         // Version 2 is the least that has what is offered here.
         let accepted = !draining && versions.first().is_some_and(|v| v & 0b0110_0000 != 0);
+        self.version3 = versions.first().is_some_and(|v| v & 0b0010_0000 != 0);
         (self.message, self.largest_record) = (size(r.preferred_size), size(r.largest_record));
         let response = Apdu::InitResponse(InitResponse {
             reference: r.reference,
@@ -136,7 +139,7 @@
                 if r.replace {
                     self.sets.remove(&r.result_set);
                 }
-                Reply::Send(search_failed(r.reference, d))
+                Reply::Send(self.write(search_failed(r.reference, d)))
             }
             Ok((shape, wait, syntax)) => {
                 let ahead = r.small_upper.max(r.medium_number).max(0) as u64;
@@ -176,7 +179,7 @@
 
     fn present(&mut self, r: PresentRequest, now: Nanos, catalogue: &impl Catalogue) -> Reply {
         let fail = |trouble, details: String| {
-            Reply::Send(present_failed(r.reference.clone(), Diagnostic::new(trouble, details)))
+            Reply::Send(self.write(present_failed(r.reference.clone(), Diagnostic::new(trouble, details))))
         };
         let Some(set) = self.sets.get(&r.result_set) else {
             return fail(Trouble::NoSuchResultSet, r.result_set);
@@ -186,7 +189,7 @@
         }
         let syntax = match syntax(&r.syntax) {
             Ok(syntax) => syntax,
-            Err(d) => return Reply::Send(present_failed(r.reference, d)),
+            Err(d) => return Reply::Send(self.write(present_failed(r.reference, d))),
         };
         let total = set.counts.total();
         let (start, number) = (u64::try_from(r.start).unwrap_or(0), u64::try_from(r.number).unwrap_or(0));
@@ -225,7 +228,7 @@
                     // A valid subset: the records that were found can be presented.
                     (answer.success, answer.set_status) = (false, Some(1));
                     answer.records = Records::Diagnostic(d);
-                    return Some(Apdu::SearchResponse(answer).encode());
+                    return Some(self.write(Apdu::SearchResponse(answer)));
                 }
                 let wanted = match count {
                     0 => 0,
@@ -240,7 +243,7 @@
                     answer.present_status = Some(if cut || (records.len() as i64) < wanted { 2 } else { 0 });
                     answer.records = records;
                 }
-                Some(Apdu::SearchResponse(answer).encode())
+                Some(self.write(Apdu::SearchResponse(answer)))
             }
             Pending::Present { reference, start, syntax } => {
                 let asked = outcome.items.len();
@@ -248,7 +251,7 @@
                 let next = start + records.len() as u64;
                 let next = if next > outcome.counts.total() { 0 } else { next as i64 };
                 let status = if cut || records.len() < asked { 2 } else { 0 };
-                Some(Apdu::PresentResponse(PresentResponse { reference, next, status, records }).encode())
+                Some(self.write(Apdu::PresentResponse(PresentResponse { reference, next, status, records })))
             }
         }
     }
@@ -260,12 +263,16 @@
                 if r.replace {
                     self.sets.remove(&r.result_set);
                 }
-                search_failed(r.reference, d)
+                self.write(search_failed(r.reference, d))
             }
-            Pending::Present { reference, .. } => present_failed(reference, d),
+            Pending::Present { reference, .. } => self.write(present_failed(reference, d)),
         })
     }
 
+    fn write(&self, apdu: Apdu) -> Vec<u8> {
+        if self.version3 { apdu.encode() } else { apdu.encode_v2() }
+    }
+
     /// As many records as fit into a message; true if there are more.
     fn pack(&self, items: Vec<Item>, syntax: Syntax) -> (Records, bool) {
         let (mut out, mut size) = (Vec::new(), 0);
@@ -305,7 +312,7 @@
     }
 }
 
-fn search_failed(reference: Reference, d: Diagnostic) -> Vec<u8> {
+fn search_failed(reference: Reference, d: Diagnostic) -> Apdu {
     let (set_status, records) = (Some(3), Records::Diagnostic(d));
     let answer = SearchResponse {
         reference,
@@ -316,10 +323,9 @@
         present_status: None,
         records,
     };
-    Apdu::SearchResponse(answer).encode()
+    Apdu::SearchResponse(answer)
 }
 
-fn present_failed(reference: Reference, d: Diagnostic) -> Vec<u8> {
+fn present_failed(reference: Reference, d: Diagnostic) -> Apdu {
     Apdu::PresentResponse(PresentResponse { reference, next: 0, status: 5, records: Records::Diagnostic(d) })
-        .encode()
 }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -294,6 +294,17 @@
     }
 }
 
+#[test]
+fn a_diagnostic_s_words_are_what_each_version_reads() {
+    let d = Diagnostic::new(Trouble::UnsupportedIndex, "9\u{e9}");
+    let records = Records::Diagnostic(d);
+    let apdu = Apdu::PresentResponse(PresentResponse { reference: None, next: 0, status: 5, records });
+    let has = |bytes: Vec<u8>, words: &[u8]| bytes.windows(words.len()).any(|w| w == words);
+    // Tag 27 is a GeneralString, 26 a VisibleString.
+    assert!(has(apdu.encode(), &[27, 3, b'9', 0xc3, 0xa9]));
+    assert!(has(apdu.encode_v2(), &[26, 3, b'9', b'?', b'?']));
+}
+
 #[test]
 fn ber_takes_indefinite_lengths_and_bounds_depth() {
     let bytes = [0xa1, 0x80, 0x24, 0x80, 4, 1, b'a', 4, 1, b'b', 0, 0, 0, 0];
