--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -116,6 +116,7 @@
     let first = b.open(&[0, 1, 2], 2 * S).unwrap();
     let refused = b.open(&[3, 4], 2 * S).unwrap_err();
     assert!(refused.wait > 0 && refused.wait <= S);
+    assert_ne!(b.open(&[3, 4], 2 * S).unwrap_err(), refused, "not all are told to come back together");
     b.x.client_gone(first);
     b.to(b.now + 20 * MS);
     assert!(b.finals.is_empty(), "nobody is there to be answered");
