Handle SIGHUP: read the configuration again and move the watch to the discovery it names

Cause: net/signals.rs registered SIGTERM and SIGINT only, so the system's default ended the process. The log shows nothing before the end, which rules out a panic.

Now two pipes tell the poll loop which signal came. They are registered before the program listens, so that a signal right after 'listens at' can't kill it. The platform's front reads the file again and asks the new address at once, from the version it has; a file that can't be read or used is one log line and changes nothing; the same address changes nothing; further SIGHUPs and one during a drain do no harm. The catalogue's front says that its file is read at the start only.

The test starts the program with two discoveries; without the change it dies of the first SIGHUP.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -3,7 +3,7 @@
 use crate::api::Nanos;
 use crate::config::ConfigError;
 use crate::core::{Exchange, Final, Work};
-use crate::net::{Clock, NetEvent, Reactor, Waker, signals};
+use crate::net::{Clock, NetEvent, Reactor, Signal, Signals, Waker};
 use std::io;
 use std::time::Duration;
 
@@ -70,6 +70,8 @@
     fn due(&self) -> Option<Nanos>;
     /// The word to end has come: ready no more, and each answer ends its connection.
     fn drain(&mut self);
+    /// The word to read its configuration again has come. Whatever it finds, it goes on serving.
+    fn reload(&mut self, hands: &mut Hands<Self::Query, Self::Value>);
     /// New connections are no longer taken: whoever waits for nothing is to be closed.
     fn close_idle(&mut self, hands: &mut Hands<Self::Query, Self::Value>);
     /// Owners of the listeners.
@@ -134,10 +136,9 @@
         Broker { clock, net, exchange, front, longest, draining: None, closed: false, tally }
     }
 
-    /// Ends in an orderly way on SIGTERM and SIGINT.
-    pub fn end_on_signals(&mut self) -> Result<(), BrokerError> {
-        let pipe = signals().map_err(BrokerError::io("signals"))?;
-        self.net.watch_signals(pipe).map_err(BrokerError::io("signals"))
+    /// Does from now on what these signals tell.
+    pub fn obey(&mut self, signals: Signals) -> Result<(), BrokerError> {
+        self.net.watch_signals(signals).map_err(BrokerError::io("signals"))
     }
 
     /// Something by which another thread can tell this broker to end in an orderly way.
@@ -162,13 +163,16 @@
     }
 
     fn event(&mut self, event: NetEvent, now: Nanos) {
-        if event != NetEvent::Signal {
-            let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
-            self.front.event(event, &mut hands);
-        } else if self.draining.is_none() {
-            log::info!("draining: {} queries are open", self.exchange.open_queries());
-            self.draining = Some(now);
-            self.front.drain();
+        let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
+        match event {
+            NetEvent::Signal(Signal::End) if self.draining.is_some() => {}
+            NetEvent::Signal(Signal::End) => {
+                log::info!("draining: {} queries are open", self.exchange.open_queries());
+                self.draining = Some(now);
+                self.front.drain();
+            }
+            NetEvent::Signal(Signal::Reload) => self.front.reload(&mut hands),
+            _ => self.front.event(event, &mut hands),
         }
     }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,6 +4,7 @@
 use crate::config::{Operator, Platform};
 use crate::front::{catalogue, platform};
 use crate::import;
+use crate::net::Signals;
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -29,14 +30,17 @@
 }
 
 fn serve_platform() -> Result<(), BrokerError> {
+    // Caught first: a signal that comes as soon as it listens must not kill it.
+    let signals = Signals::catch().map_err(BrokerError::io("signals"))?;
     let (mut broker, _) = platform::broker(Platform::from_env()?)?;
-    broker.end_on_signals()?;
+    broker.obey(signals)?;
     broker.run()
 }
 
 fn serve_catalogue(file: &str) -> Result<(), BrokerError> {
+    let signals = Signals::catch().map_err(BrokerError::io("signals"))?;
     let (mut broker, _) = catalogue::broker(Operator::from_file(Path::new(file))?)?;
-    broker.end_on_signals()?;
+    broker.obey(signals)?;
     broker.run()
 }
 
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 /// A configuration that can't be used, in one line.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -59,15 +60,23 @@
     pub known: Option<ServerList>,
     /// The settings object.
     pub params: Params,
+    /// The file that all this was read from, to be read again when its content is replaced.
+    pub file: Option<PathBuf>,
 }
 
 impl Platform {
     /// Reads the file that `GW_CONFIG` names. Where it leaves a name or an address out, the variable tells.
     pub fn from_env() -> Result<Platform, ConfigError> {
-        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
         let path = var("GW_CONFIG").ok_or(ConfigError("GW_CONFIG is not set".into()))?;
-        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{path}: {e}")))?;
-        Platform::read(&text, var)
+        Platform::from_file(Path::new(&path))
+    }
+
+    /// Reads a file. Where it leaves a name or an address out, the variable tells.
+    pub fn from_file(path: &Path) -> Result<Platform, ConfigError> {
+        let text =
+            std::fs::read_to_string(path).map_err(|e| ConfigError(format!("{}: {e}", path.display())))?;
+        let told = Platform::read(&text, var)?;
+        Ok(Platform { file: Some(path.to_owned()), ..told })
     }
 
     /// Reads a configuration; `var` gives the variables.
@@ -99,6 +108,11 @@
             memory_mb,
             known: file.known,
             params: file.settings,
+            file: None,
         })
     }
 }
+
+fn var(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|v| !v.is_empty())
+}
--- a/src/front/catalogue/broker.rs
+++ b/src/front/catalogue/broker.rs
@@ -97,6 +97,10 @@
         self.clients.drain();
     }
 
+    fn reload(&mut self, _: &mut Hands<Sought, PartValue>) {
+        log::info!("the operator's file is read at the start only; nothing is changed");
+    }
+
     fn close_idle(&mut self, hands: &mut Hands<Sought, PartValue>) {
         self.clients.close_idle(hands);
         if self.clients.is_empty() {
--- a/src/front/catalogue/nodes.rs
+++ b/src/front/catalogue/nodes.rs
@@ -175,7 +175,7 @@
             }
             NetEvent::Readable { conn, .. } => self.read(conn, hands),
             NetEvent::Broken { conn, flushed, .. } => self.broken(conn, flushed, hands),
-            NetEvent::Accepted { .. } | NetEvent::Flushed { .. } | NetEvent::Signal => {}
+            NetEvent::Accepted { .. } | NetEvent::Flushed { .. } | NetEvent::Signal(_) => {}
         }
     }
 
--- a/src/front/platform/broker.rs
+++ b/src/front/platform/broker.rs
@@ -7,6 +7,7 @@
 use crate::core::{Exchange, Work};
 use crate::net::{Clock, NetEvent, Pool, Reactor};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 const CLIENTS: u8 = 0;
 const SERVERS: u8 = 1;
@@ -22,6 +23,8 @@
     clients: Clients,
     servers: Servers,
     roster: Roster,
+    /// What is read again when the word comes.
+    file: Option<PathBuf>,
 }
 
 /// Builds a broker that listens; tells where.
@@ -53,7 +56,7 @@
     exchange.run(now);
     let listening = net.listen(told.listen, CLIENTS).map_err(BrokerError::io("listen"))?;
     log::info!("{} listens at {listening}", told.name);
-    let front = PlatformFront { clients, servers, roster };
+    let front = PlatformFront { clients, servers, roster, file: told.file };
     Ok((Broker::new(clock, net, exchange, front), listening))
 }
 
@@ -109,6 +112,17 @@
         self.clients.drain();
     }
 
+    /// Discovery alone may move while the broker serves; all else holds from the start to the end.
+    fn reload(&mut self, hands: &mut Hands<Carried, String>) {
+        let Some(file) = &self.file else { return };
+        match Platform::from_file(file) {
+            Ok(told) => self.roster.move_to(told.discovery, hands.now, hands.net),
+            // Guards the service against a file that is half written or wrong: what it was told before stays.
+            Err(e) => log::error!("the configuration stays as it was: {e}"),
+        }
+        pass_news(&mut self.roster, hands.exchange);
+    }
+
     fn close_idle(&mut self, hands: &mut Hands<Carried, String>) {
         self.clients.close_idle(hands);
     }
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -73,7 +73,7 @@
             }
             NetEvent::Readable { conn, .. } => self.read(conn, hands),
             NetEvent::Broken { conn, .. } => self.gone(conn, hands),
-            NetEvent::Flushed { .. } | NetEvent::Connected { .. } | NetEvent::Signal => {}
+            NetEvent::Flushed { .. } | NetEvent::Connected { .. } | NetEvent::Signal(_) => {}
         }
     }
 
--- a/src/front/platform/discovery.rs
+++ b/src/front/platform/discovery.rs
@@ -134,6 +134,19 @@
         }
     }
 
+    /// Discovery is at this address from now on: it is asked there at once.
+    pub fn move_to(&mut self, discovery: SocketAddr, now: Nanos, net: &mut Reactor) {
+        if discovery == self.discovery {
+            return log::info!("configuration read again: discovery stays at {discovery}");
+        }
+        log::info!("configuration read again: discovery moves to {discovery}");
+        self.discovery = discovery;
+        if let Some(old) = self.watch.take() {
+            net.close(old.conn);
+        }
+        self.watch(now, net);
+    }
+
     fn fail(&mut self, why: &str, net: &mut Reactor) {
         if let Some(watch) = self.watch.take() {
             net.close(watch.conn);
--- a/src/front/platform/servers.rs
+++ b/src/front/platform/servers.rs
@@ -158,7 +158,7 @@
             }
             NetEvent::Readable { conn, .. } => self.read(conn, hands),
             NetEvent::Broken { conn, flushed, .. } => self.broken(conn, flushed, hands),
-            NetEvent::Accepted { .. } | NetEvent::Flushed { .. } | NetEvent::Signal => {}
+            NetEvent::Accepted { .. } | NetEvent::Flushed { .. } | NetEvent::Signal(_) => {}
         }
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,4 +10,4 @@
 pub use clock::Clock;
 pub use conn::{Filled, QueueFull};
 pub use reactor::{ConnId, NetEvent, Reactor, Waker};
-pub use signals::signals;
+pub use signals::{Signal, Signals};
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -2,6 +2,7 @@
 
 use super::buffer::Pool;
 use super::conn::{Conn, Filled, QueueFull};
+use super::signals::{Signal, Signals};
 use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Token};
 use slab::Slab;
@@ -29,7 +30,7 @@
     /// The connection broke; so many of the bytes queued had been written. It is gone.
     Broken { owner: u8, conn: ConnId, flushed: u64 },
     /// A signal came.
-    Signal,
+    Signal(Signal),
 }
 
 impl NetEvent {
@@ -41,12 +42,12 @@
             | NetEvent::Readable { owner, .. }
             | NetEvent::Flushed { owner, .. }
             | NetEvent::Broken { owner, .. } => Some(owner),
-            NetEvent::Signal => None,
+            NetEvent::Signal(_) => None,
         }
     }
 }
 
-/// Wakes the reactor from another thread with a `Signal`.
+/// Wakes the reactor from another thread with `Signal::End`.
 #[derive(Clone, Debug)]
 pub struct Waker(Arc<mio::Waker>);
 
@@ -65,7 +66,7 @@
 enum Source {
     Listener { socket: TcpListener, owner: u8 },
     Conn(Box<Conn>),
-    Signal(UnixStream),
+    Signal(Signal, UnixStream),
 }
 
 /// All sockets of the program.
@@ -141,12 +142,14 @@
         Ok(bound)
     }
 
-    /// Takes the end of a pipe that a signal handler writes to.
-    pub fn watch_signals(&mut self, mut pipe: UnixStream) -> io::Result<()> {
-        let entry = self.sources.vacant_entry();
-        self.poll.registry().register(&mut pipe, Token(entry.key()), Interest::READABLE)?;
-        self.serial = self.serial.wrapping_add(1);
-        entry.insert((self.serial, Source::Signal(pipe)));
+    /// Tells of these signals from now on.
+    pub fn watch_signals(&mut self, signals: Signals) -> io::Result<()> {
+        for (signal, mut pipe) in signals.0 {
+            let entry = self.sources.vacant_entry();
+            self.poll.registry().register(&mut pipe, Token(entry.key()), Interest::READABLE)?;
+            self.serial = self.serial.wrapping_add(1);
+            entry.insert((self.serial, Source::Signal(signal, pipe)));
+        }
         Ok(())
     }
 
@@ -324,7 +327,7 @@
 
     fn handle(&mut self, event: &mio::event::Event) {
         if event.token() == WAKE {
-            self.pending.push_back(NetEvent::Signal);
+            self.pending.push_back(NetEvent::Signal(Signal::End));
             return;
         }
         let key = event.token().0;
@@ -332,10 +335,10 @@
         let id = ConnId(key, *serial);
         match source {
             Source::Listener { .. } => self.accept(key),
-            Source::Signal(pipe) => {
+            Source::Signal(signal, pipe) => {
                 let mut sink = [0; 64];
                 while pipe.read(&mut sink).is_ok_and(|n| n > 0) {}
-                self.pending.push_back(NetEvent::Signal);
+                self.pending.push_back(NetEvent::Signal(*signal));
             }
             Source::Conn(c) => {
                 let owner = c.owner;
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -64,8 +64,12 @@
     lines.map_while(Result::ok).find(|l| l.contains(word)).unwrap_or_else(|| panic!("no line with {word}"))
 }
 
+fn signal(child: &Child, name: &str) {
+    assert!(Command::new("kill").args([name, &child.id().to_string()]).status().unwrap().success());
+}
+
 fn terminate(child: &Child) {
-    assert!(Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap().success());
+    signal(child, "-TERM");
 }
 
 #[test]
@@ -82,8 +86,11 @@
     write!(stream, "GET /-/ready HTTP/1.1\r\n\r\n").unwrap();
     let mut answer = BufReader::new(stream.try_clone().unwrap()).lines();
     wait_for(&mut answer, "200 OK");
+    signal(&child, "-HUP");
+    wait_for(&mut lines, "read at the start only");
     terminate(&child);
     wait_for(&mut lines, "draining");
+    signal(&child, "-HUP");
     // Still taken, but no longer ready, and the answer ends the connection.
     if write!(stream, "GET /-/ready HTTP/1.1\r\n\r\n").is_ok() {
         let rest: Vec<String> = answer.map_while(Result::ok).collect();
@@ -132,3 +139,37 @@
     wait_for(&mut lines, "ended");
     assert!(child.wait().unwrap().success());
 }
+
+/// The first line of the next request that comes to a discovery; its connection stays open.
+fn asked(discovery: &TcpListener) -> (String, TcpStream) {
+    let (stream, _) = discovery.accept().unwrap();
+    let mut line = String::new();
+    BufReader::new(&stream).read_line(&mut line).unwrap();
+    (line, stream)
+}
+
+#[test]
+fn on_sighup_discovery_moves_and_a_file_that_can_t_be_used_changes_nothing() {
+    let (old, new) = (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
+    let port = |l: &TcpListener| l.local_addr().unwrap().port();
+    let file = File::new("reload", &config(port(&old), "{}"));
+    let mut child =
+        Command::new(PROGRAM).env("GW_CONFIG", file.path()).stderr(Stdio::piped()).spawn().unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let (first, _watch) = asked(&old);
+    signal(&child, "-HUP");
+    wait_for(&mut lines, "discovery stays at");
+    std::fs::write(file.path(), "{").unwrap();
+    signal(&child, "-HUP");
+    wait_for(&mut lines, "the configuration stays as it was");
+    std::fs::write(file.path(), config(port(&new), "{}")).unwrap();
+    signal(&child, "-HUP");
+    wait_for(&mut lines, "discovery moves to");
+    // It asks there for what came after the list it has, as it asked the old one.
+    assert_eq!((asked(&new).0, first.contains("since=1")), (first, true));
+    terminate(&child);
+    wait_for(&mut lines, "draining");
+    signal(&child, "-HUP");
+    wait_for(&mut lines, "ended");
+    assert!(child.wait().unwrap().success());
+}
