Close clients that ask nothing first when places run out, and end half requests in 2.5 s

Cause: net/reactor.rs counted dialled and accepted connections against one limit and dropped every newcomer at it, while platform/clients.rs let an idle one stay for 120 s and half a request for 10 s (catalogue/clients.rs the same). Ruled out: shard servers (in-time share was 99.7 % before second 15), CPU (0.05 s of a second).

front/places.rs now keeps who is without an open request, by what it is doing and since when, for both fronts. A newcomer above the limit closes the longest waiting: silent ones first, then half requests, then idle ones. A request has 2.5 s to be in whole. Half requests get 408. Where buffers run out, the oldest half request gives up its own; a quarter of the pool is kept from clients; most messages are written without a buffer. Connections are accepted eight at a time, so that their owner can look at them; one that sends without end is read four times a turn. An answer to what can't be read is sent, the write side is shut, and the peer gets 0.4 s to read it. Queries without Req-Deadline or whose boosts are no shares or don't add up to 1 get 400.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -179,6 +179,7 @@
     /// All that time alone brings, and the work that follows from it.
     fn turn(&mut self, now: Nanos) {
         let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
+        hands.net.tick(now);
         self.front.tick(&mut hands);
         hands.exchange.run(now);
         while let Some(work) = hands.exchange.next_work() {
@@ -213,6 +214,6 @@
             let next = if self.closed { self.clock.now() + 20_000_000 } else { 0 };
             (t + KEEP_ACCEPTING).max(next)
         });
-        [self.exchange.due(), self.front.due(), drain].into_iter().flatten().min()
+        [self.exchange.due(), self.front.due(), self.net.due(), drain].into_iter().flatten().min()
     }
 }
--- a/src/front/catalogue/broker.rs
+++ b/src/front/catalogue/broker.rs
@@ -58,7 +58,7 @@
         listening.push(at);
     }
     let nodes = Nodes::new(NODES, &told.node, &told.partitions.database, told.limits.clone());
-    let front = CatalogueFront { clients: Clients::new(told, SRU), nodes };
+    let front = CatalogueFront { clients: Clients::new(told, SRU, most - to_nodes), nodes };
     Ok((Broker::new(clock, net, exchange, front), listening))
 }
 
--- a/src/front/catalogue/clients.rs
+++ b/src/front/catalogue/clients.rs
@@ -13,16 +13,15 @@
 use crate::broker::Hands;
 use crate::config::Operator;
 use crate::core::{Final, QueryId};
-use crate::front::http::{self, HttpError, Reader, Side};
+use crate::front::http::{self, Reader, Side};
+use crate::front::places::Places;
 use crate::net::{ConnId, Filled, NetEvent};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Time in which a request must be in whole, from its first byte.
-const STALLED: Nanos = 10_000_000_000;
-/// Time between two looks for such connections.
-const SWEEP: Nanos = 1_000_000_000;
+/// Most reads of one connection at a time.
+const READS: usize = 4;
 
 type Hand<'a> = Hands<'a, Sought, PartValue>;
 
@@ -41,9 +40,6 @@
 struct Client {
     speech: Speech,
     job: Option<(QueryId, Job)>,
-    touched: Nanos,
-    /// When the first byte came of a request that is not whole.
-    begun: Option<Nanos>,
     peer: SocketAddr,
 }
 
@@ -59,8 +55,8 @@
     sru: u8,
     clients: HashMap<ConnId, Client>,
     waiting: HashMap<QueryId, ConnId>,
+    places: Places,
     draining: bool,
-    swept: Nanos,
 }
 
 impl session::Catalogue for Told {
@@ -85,11 +81,12 @@
 }
 
 impl Clients {
-    /// The client side; connections with the mark `sru` speak SRU, all others Z39.50.
-    pub fn new(operator: Operator, sru: u8) -> Clients {
+    /// The client side, with so many places; connections with the mark `sru` speak SRU, all others Z39.50.
+    pub fn new(operator: Operator, sru: u8, places: usize) -> Clients {
         let key_access = operator.key_index().and_then(search::access_of);
         let (clients, waiting) = (HashMap::new(), HashMap::new());
-        Clients { told: Told { operator, key_access }, sru, clients, waiting, draining: false, swept: 0 }
+        let places = Places::new(places, operator.limits.session_idle_s * 1_000_000_000);
+        Clients { told: Told { operator, key_access }, sru, clients, waiting, places, draining: false }
     }
 
     /// No connection is held.
@@ -107,9 +104,10 @@
                 } else {
                     Speech::Z3950(Box::default())
                 };
-                self.clients
-                    .insert(conn, Client { speech, job: None, touched: hands.now, begun: None, peer });
+                self.clients.insert(conn, Client { speech, job: None, peer });
+                self.places.take(conn, hands.now);
                 self.read(conn, hands);
+                self.make_room(hands);
             }
             NetEvent::Readable { conn, .. } => self.read(conn, hands),
             NetEvent::Broken { conn, .. } => self.gone(conn, hands),
@@ -117,7 +115,22 @@
         }
     }
 
+    /// Closes whom the places name while there are too many.
+    fn make_room(&mut self, hands: &mut Hand) {
+        while hands.net.accepted() > self.places.most() && !hands.net.drop_leaving() {
+            let Some(conn) = self.places.first_to_go() else { return };
+            log::debug!("client connection closed to make room");
+            self.close(conn, hands);
+        }
+    }
+
+    fn close(&mut self, conn: ConnId, hands: &mut Hand) {
+        hands.net.close(conn);
+        self.gone(conn, hands);
+    }
+
     fn gone(&mut self, conn: ConnId, hands: &mut Hand) {
+        self.places.gone(conn);
         if let Some((query, _)) = self.clients.remove(&conn).and_then(|c| c.job) {
             self.waiting.remove(&query);
             hands.exchange.client_gone(query);
@@ -125,14 +138,11 @@
     }
 
     fn read(&mut self, conn: ConnId, hands: &mut Hand) {
-        loop {
+        for _ in 0..READS {
             let filled = hands.net.fill(conn);
             let Some(client) = self.clients.get_mut(&conn) else { return };
             match filled {
-                Filled::Some(_) => {
-                    client.touched = hands.now;
-                    self.work(conn, hands);
-                }
+                Filled::Some(_) => self.work(conn, hands),
                 // What a client sends ahead of its answer stays unread once the buffer is full.
                 Filled::Full if client.job.is_some() => return,
                 Filled::Full => {
@@ -141,21 +151,29 @@
                         return self.hang_up(conn, "a request larger than a buffer", hands);
                     }
                 }
-                Filled::Nothing | Filled::NoBuffer => return,
-                Filled::Ended => {
-                    hands.net.close(conn);
-                    return self.gone(conn, hands);
+                Filled::Nothing => return,
+                Filled::NoBuffer => {
+                    // Guards those who ask against those who hold the buffers with half a request.
+                    if let Some(other) = self.places.first_with_buffer(conn) {
+                        log::debug!("client connection closed for its buffer");
+                        self.close(other, hands);
+                    }
+                    return;
                 }
+                Filled::Ended => return self.close(conn, hands),
+            }
+            if !self.clients.contains_key(&conn) {
+                return;
             }
         }
+        hands.net.read_later(conn);
     }
 
     fn hang_up(&mut self, conn: ConnId, why: &str, hands: &mut Hand) {
         if let Some(client) = self.clients.get(&conn) {
             log::warn!("client {} closed: {why}", client.peer);
         }
-        hands.net.close(conn);
-        self.gone(conn, hands);
+        self.close(conn, hands);
     }
 
     /// Takes requests for as long as none waits for its answer.
@@ -163,8 +181,9 @@
         loop {
             let Some(client) = self.clients.get_mut(&conn).filter(|c| c.job.is_none()) else { return };
             let reading = matches!(&client.speech, Speech::Sru { reader, .. } if !reader.is_idle());
-            let some = reading || !hands.net.data(conn).is_empty();
-            client.begun = some.then(|| client.begun.unwrap_or(hands.now));
+            if reading || !hands.net.data(conn).is_empty() {
+                self.places.reading(conn, hands.now);
+            }
             let more = match &mut client.speech {
                 Speech::Sru { .. } => self.work_sru(conn, hands),
                 Speech::Z3950(_) => self.work_z3950(conn, hands),
@@ -191,7 +210,7 @@
                 log::warn!("client {peer} closed: {e}");
                 let close = Session::close(CloseReason::ProtocolError, &e.to_string());
                 let close = session.is_open().then_some(close);
-                self.last(conn, close, hands);
+                self.part_with(conn, close, hands);
                 return false;
             }
         };
@@ -216,7 +235,9 @@
     /// Sends a message; false if the connection had to be closed for it.
     fn send(&mut self, conn: ConnId, message: &[u8], hands: &mut Hand) -> bool {
         let sent = hands.net.send(conn, message).is_ok();
-        if !sent {
+        if sent {
+            self.places.rest(conn, hands.now);
+        } else {
             self.hang_up(conn, "it does not read its answers", hands);
         }
         sent
@@ -231,6 +252,15 @@
         self.gone(conn, hands);
     }
 
+    /// The same for a client that may be in the middle of a request.
+    fn part_with(&mut self, conn: ConnId, message: Option<Vec<u8>>, hands: &mut Hand) {
+        if let Some(message) = message {
+            let _ = hands.net.send(conn, &message);
+        }
+        hands.net.close_lingering(conn, hands.now);
+        self.gone(conn, hands);
+    }
+
     // ---- SRU ----
 
     fn work_sru(&mut self, conn: ConnId, hands: &mut Hand) -> bool {
@@ -245,14 +275,7 @@
             Ok(used) => used,
             Err(e) => {
                 log::warn!("client {peer} closed: {e}");
-                *keep_alive = false;
-                let status = match e {
-                    HttpError::Malformed(_) => 400,
-                    HttpError::TooLarge => 413,
-                    HttpError::HeadTooLarge => 431,
-                    HttpError::NoBuffer => 503,
-                };
-                self.respond(conn, status, &[], b"", hands);
+                self.part_with(conn, Some(http::response(e.status(), &[], false, b"")), hands);
                 return false;
             }
         };
@@ -384,6 +407,7 @@
         match hands.exchange.open(hands.now, ask) {
             Ok(query) => {
                 self.waiting.insert(query, conn);
+                self.places.open(conn);
                 if let Some(client) = self.clients.get_mut(&conn) {
                     client.job = Some((query, job));
                 }
@@ -400,7 +424,6 @@
         let Some(conn) = self.waiting.remove(&query) else { return };
         let Some(client) = self.clients.get_mut(&conn) else { return };
         let Some((_, mut job)) = client.job.take() else { return };
-        client.touched = hands.now;
         match answer {
             Final::Refused { wait } => self.refused(conn, wait, hands),
             Final::Failed => {
@@ -507,29 +530,25 @@
         if self.draining {
             self.close_sessions(hands);
         }
-        if hands.now < self.swept + SWEEP {
-            return;
-        }
-        self.swept = hands.now;
-        let idle = self.told.operator.limits.session_idle_s * 1_000_000_000;
-        let stale = |c: &Client| {
-            let late = c.begun.map_or(c.touched + idle, |t| t + STALLED);
-            c.job.is_none() && hands.now > late
-        };
-        let conns: Vec<ConnId> =
-            self.clients.iter().filter(|(_, c)| stale(c)).map(|(conn, _)| *conn).collect();
-        for conn in conns {
-            let Some(client) = self.clients.get(&conn) else { continue };
+        while let Some(conn) = self.places.overdue(hands.now) {
+            let Some(client) = self.clients.get(&conn) else { return self.places.gone(conn) };
             log::info!("client {} closed: nothing came for too long", client.peer);
-            let open = matches!(&client.speech, Speech::Z3950(s) if s.is_open());
-            let close = open.then(|| Session::close(CloseReason::LackOfActivity, "idle"));
-            self.last(conn, close, hands);
+            let message = match &client.speech {
+                Speech::Z3950(s) => {
+                    s.is_open().then(|| Session::close(CloseReason::LackOfActivity, "nothing came"))
+                }
+                Speech::Sru { reader, .. } => {
+                    let some = !reader.is_idle() || !hands.net.data(conn).is_empty();
+                    some.then(|| http::response(408, &[], false, b""))
+                }
+            };
+            self.part_with(conn, message, hands);
         }
     }
 
     /// When `tick` is next worth calling.
     pub fn due(&self) -> Option<Nanos> {
-        (!self.clients.is_empty()).then_some(self.swept + SWEEP)
+        self.places.due()
     }
 }
 
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -33,6 +33,18 @@
 
 impl std::error::Error for HttpError {}
 
+impl HttpError {
+    /// The status that a client's request deserves for it.
+    pub fn status(self) -> u16 {
+        match self {
+            HttpError::Malformed(_) => 400,
+            HttpError::TooLarge => 413,
+            HttpError::HeadTooLarge => 431,
+            HttpError::NoBuffer => 503,
+        }
+    }
+}
+
 /// The head of a request or of a response.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Head {
@@ -262,7 +274,10 @@
             return Ok(0);
         }
         if self.body.is_none() {
-            self.body = pool.take();
+            self.body = match self.side {
+                Side::Requests => pool.take_for_stranger(),
+                Side::Responses => pool.take(),
+            };
         }
         let body = self.body.as_mut().ok_or(HttpError::NoBuffer)?;
         if body.data().len() + data.len() > MAX_BODY {
@@ -341,6 +356,8 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         415 => "Unsupported Media Type",
         429 => "Too Many Requests",
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod catalogue;
 pub mod http;
+pub mod places;
 pub mod platform;
--- /dev/null
+++ b/src/front/places.rs
@@ -0,0 +1,134 @@
+//! The places for client connections: how long a client may take to ask, and who has to go when there are no
+//! more places.
+//!
+//! Guards the usual clients against crowds that connect and say nothing, send half a request, or ask once and
+//! stay: those are closed first, the longest silent before all others.
+
+use crate::api::Nanos;
+use crate::net::ConnId;
+use std::collections::{BTreeSet, HashMap};
+
+/// Time in which a request must be in whole, from the connection's start or from the first byte of a further
+/// request.
+pub const WHOLE_IN: Nanos = 2_500_000_000;
+
+/// What a connection without an open request is doing, in the order in which they have to go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// It has asked nothing yet, and nothing has come.
+    Silent,
+    /// It has asked nothing yet, and a part of a request has come.
+    Begun,
+    /// It asked before.
+    Idle,
+    /// It asked before, and a part of a further request has come.
+    Reading,
+}
+
+const KINDS: [Kind; 4] = [Kind::Silent, Kind::Begun, Kind::Idle, Kind::Reading];
+
+#[derive(Debug, Default)]
+struct Held {
+    /// A query of it was taken.
+    proven: bool,
+    /// What it is doing, and since when; nothing while a request is open.
+    doing: Option<(Kind, Nanos)>,
+}
+
+/// The places of one front's clients.
+#[derive(Debug)]
+pub struct Places {
+    most: usize,
+    idle: Nanos,
+    held: HashMap<ConnId, Held>,
+    /// The connections of each kind, the longest waiting first.
+    waiting: [BTreeSet<(Nanos, ConnId)>; 4],
+}
+
+impl Places {
+    /// So many places. Who has asked may stay without asking for the time `idle`.
+    pub fn new(most: usize, idle: Nanos) -> Places {
+        Places { most, idle, held: HashMap::new(), waiting: Default::default() }
+    }
+
+    /// How many places there are.
+    pub fn most(&self) -> usize {
+        self.most
+    }
+
+    /// A connection was accepted.
+    pub fn take(&mut self, conn: ConnId, now: Nanos) {
+        self.held.insert(conn, Held::default());
+        self.set(conn, Some((Kind::Silent, now)));
+    }
+
+    /// A connection is gone.
+    pub fn gone(&mut self, conn: ConnId) {
+        self.set(conn, None);
+        self.held.remove(&conn);
+    }
+
+    /// A query of it was taken: until that is answered it is not closed.
+    pub fn open(&mut self, conn: ConnId) {
+        self.set(conn, None);
+        if let Some(held) = self.held.get_mut(&conn) {
+            held.proven = true;
+        }
+    }
+
+    /// A part of a request is in.
+    pub fn reading(&mut self, conn: ConnId, now: Nanos) {
+        let Some(held) = self.held.get(&conn) else { return };
+        let doing = match held.doing {
+            Some((Kind::Silent, since)) => (Kind::Begun, since),
+            Some((Kind::Idle, _)) => (Kind::Reading, now),
+            Some(same) => same,
+            None => (Kind::Reading, now),
+        };
+        self.set(conn, Some(doing));
+    }
+
+    /// A request of it was answered, and nothing of a further one is in.
+    pub fn rest(&mut self, conn: ConnId, now: Nanos) {
+        let Some(held) = self.held.get(&conn) else { return };
+        let kind = if held.proven { Kind::Idle } else { Kind::Silent };
+        self.set(conn, Some((kind, now)));
+    }
+
+    /// A connection whose time is over.
+    pub fn overdue(&self, now: Nanos) -> Option<ConnId> {
+        let firsts = KINDS.iter().filter_map(|k| Some((k, self.waiting[*k as usize].first()?)));
+        firsts.into_iter().find(|(k, (since, _))| since + self.limit(**k) <= now).map(|(_, (_, conn))| *conn)
+    }
+
+    /// When one will be.
+    pub fn due(&self) -> Option<Nanos> {
+        KINDS.iter().filter_map(|k| Some(self.waiting[*k as usize].first()?.0 + self.limit(*k))).min()
+    }
+
+    /// Who has to go for another connection's sake; nobody while all have open requests.
+    pub fn first_to_go(&self) -> Option<ConnId> {
+        self.waiting.iter().find_map(|w| w.first()).map(|(_, conn)| *conn)
+    }
+
+    /// Who has to go so that a buffer becomes free: one that holds a part of a request.
+    pub fn first_with_buffer(&self, but: ConnId) -> Option<ConnId> {
+        let kinds = [Kind::Begun, Kind::Reading].into_iter();
+        let mut conns = kinds.flat_map(|k| self.waiting[k as usize].iter().map(|(_, conn)| *conn));
+        conns.find(|conn| *conn != but)
+    }
+
+    fn limit(&self, kind: Kind) -> Nanos {
+        if kind == Kind::Idle { self.idle } else { WHOLE_IN }
+    }
+
+    fn set(&mut self, conn: ConnId, doing: Option<(Kind, Nanos)>) {
+        let Some(held) = self.held.get_mut(&conn) else { return };
+        if let Some((kind, since)) = std::mem::replace(&mut held.doing, doing) {
+            self.waiting[kind as usize].remove(&(since, conn));
+        }
+        if let Some((kind, since)) = doing {
+            self.waiting[kind as usize].insert((since, conn));
+        }
+    }
+}
--- a/src/front/platform/broker.rs
+++ b/src/front/platform/broker.rs
@@ -43,10 +43,9 @@
         idle: told.params.idle(),
         most: to_servers,
     };
-    let deadlines = settings.classes.iter().map(|c| c.deadline).collect();
     let mut servers = Servers::new(SERVERS, limits);
     let mut roster = Roster::new(ROSTER, told.discovery, names.clone());
-    let clients = Clients::new(names, deadlines, settings.shards);
+    let clients = Clients::new(names, settings.shards, most);
     let mut exchange = Exchange::new(settings, told.seed, now).map_err(|e| ConfigError(e.to_string()))?;
     if let Some(list) = told.known {
         roster.take_in(list, &mut servers);
@@ -85,7 +84,7 @@
     fn tick(&mut self, hands: &mut Hands<Carried, String>) {
         self.servers.tick(hands);
         self.roster.tick(hands.now, hands.net);
-        self.clients.sweep(hands.now, hands.net);
+        self.clients.tick(hands);
         pass_news(&mut self.roster, hands.exchange);
     }
 
@@ -104,8 +103,7 @@
     }
 
     fn due(&self) -> Option<Nanos> {
-        let sweep = (!self.clients.is_empty()).then(|| self.clients.next_sweep());
-        [self.servers.due(), self.roster.due(), sweep].into_iter().flatten().min()
+        [self.servers.due(), self.roster.due(), self.clients.due()].into_iter().flatten().min()
     }
 
     fn drain(&mut self) {
--- a/src/front/platform/query.rs
+++ b/src/front/platform/query.rs
@@ -8,16 +8,6 @@
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 
-/// What a class's clients wait where a request does not say.
-pub struct Limits<'a> {
-    /// Names of the classes.
-    pub names: &'a Names,
-    /// Deadline of each class.
-    pub deadlines: &'a [Nanos],
-    /// Number of shards.
-    pub shards: u32,
-}
-
 #[derive(Deserialize)]
 struct Body {
     segments: Vec<Segment>,
@@ -34,40 +24,44 @@
 
 /// Longest request id.
 const MAX_ID: usize = 128;
+/// What the shares of a query's parts may miss 1 by: clients round them.
+const ROUNDED: f64 = 1e-3;
 /// Longest time a client may ask for.
 const MAX_WAIT: f64 = 3_600_000.0;
 
-/// Reads a query; says in a few words what is wrong with one that can't be used.
-pub fn read(head: &Head, body: &[u8], limits: &Limits) -> Result<Ask<Carried>, &'static str> {
+/// Reads a query over so many shards; says in a few words what is wrong with one that can't be used.
+pub fn read(head: &Head, body: &[u8], names: &Names, shards: u32) -> Result<Ask<Carried>, &'static str> {
     let id = head.header("req-id").ok_or("no Req-Id")?;
     // Guards the frames that the id stands in: it must be one word.
     if id.is_empty() || id.len() > MAX_ID || !id.bytes().all(|b| b.is_ascii_graphic()) {
         return Err("an unusable Req-Id");
     }
     let class = head.header("req-kind").ok_or("no Req-Kind")?;
-    let class = limits.names.class(class).ok_or("an unknown class")?;
-    let time_left = match head.header("req-deadline") {
-        Some(text) => duration(text).ok_or("an unusable Req-Deadline")?,
-        None => limits.deadlines[class],
-    };
+    let class = names.class(class).ok_or("an unknown class")?;
+    let time_left = head.header("req-deadline").ok_or("no Req-Deadline")?;
+    let time_left = duration(time_left).ok_or("an unusable Req-Deadline")?;
     let key = head.header("cookie").and_then(cookie_key);
     let body: Body = serde_json::from_slice(body).map_err(|_| "a body that is no query")?;
     if body.segments.is_empty() {
         return Err("a query without parts");
     }
-    let mut seen = vec![false; limits.shards as usize];
+    let mut seen = vec![false; shards as usize];
     let mut parts = Vec::with_capacity(body.segments.len());
     for s in &body.segments {
         let place = seen.get_mut(s.segment as usize).ok_or("a shard that is not there")?;
         if std::mem::replace(place, true) {
             return Err("a shard that is named twice");
         }
-        if !s.boost.is_finite() || s.boost < 0.0 {
+        if !(0.0..=1.0).contains(&s.boost) {
             return Err("a boost that is no share");
         }
         let work = s.work.filter(|w| w.is_finite() && *w >= 0.0).map(|us| (us * 1e3) as Nanos);
         parts.push(AskPart { shard: s.segment, weight: s.boost, work });
     }
+    // Guards the rule on partial answers: shares that are none would make any answer look whole.
+    if (parts.iter().map(|p| p.weight).sum::<f64>() - 1.0).abs() > ROUNDED {
+        return Err("boosts that do not add up to 1");
+    }
     let again = head.header("req-retry") == Some("1");
     let payload = Rc::new(Carried { id: id.into(), text: body.text });
     Ok(Ask { class, key, time_left, again, parts, payload })
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -17,6 +17,9 @@
     most: usize,
 }
 
+/// Most unused buffers that are kept for later use; more go back to the system.
+const MOST_FREE: usize = 32;
+
 /// A bounded supply of buffers. Clones share it.
 #[derive(Clone, Debug)]
 pub struct Pool(Rc<RefCell<Shelf>>);
@@ -43,6 +46,15 @@
         Some(Buf { bytes, start: 0, end: 0, home: self.0.clone() })
     }
 
+    /// The same for peers that nobody vouches for: a quarter of the supply is not for them.
+    pub fn take_for_stranger(&self) -> Option<Buf> {
+        let room = {
+            let shelf = self.0.borrow();
+            shelf.out < shelf.most - shelf.most / 4
+        };
+        if room { self.take() } else { None }
+    }
+
     /// Buffers in use.
     pub fn in_use(&self) -> usize {
         self.0.borrow().out
@@ -106,6 +118,8 @@
         let bytes = std::mem::take(&mut self.bytes);
         let mut shelf = self.home.borrow_mut();
         shelf.out -= 1;
-        shelf.free.push(bytes);
+        if shelf.free.len() < MOST_FREE {
+            shelf.free.push(bytes);
+        }
     }
 }
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -34,6 +34,10 @@
     pub input: Option<Buf>,
     output: VecDeque<Buf>,
     pub connected: bool,
+    /// It came from a listener.
+    pub accepted: bool,
+    /// Its last message is out, and the peer is given a moment to read it: so many bytes are still dropped.
+    pub leaving: Option<usize>,
     /// Close as soon as all is written.
     pub close_after: bool,
     /// Bytes queued and bytes handed to the system since the start.
@@ -42,13 +46,15 @@
 }
 
 impl Conn {
-    pub fn new(stream: TcpStream, owner: u8, connected: bool) -> Conn {
+    pub fn new(stream: TcpStream, owner: u8, accepted: bool) -> Conn {
         Conn {
             stream,
             owner,
             input: None,
             output: VecDeque::new(),
-            connected,
+            connected: accepted,
+            accepted,
+            leaving: None,
             close_after: false,
             queued: 0,
             flushed: 0,
@@ -57,7 +63,7 @@
 
     pub fn fill(&mut self, pool: &Pool) -> Filled {
         if self.input.is_none() {
-            self.input = pool.take();
+            self.input = if self.accepted { pool.take_for_stranger() } else { pool.take() };
         }
         let Some(buf) = &mut self.input else { return Filled::NoBuffer };
         if buf.room() == 0 {
@@ -87,8 +93,32 @@
         }
     }
 
-    /// Queues a whole message or nothing.
+    /// Reads and drops what a peer sends that is to read its last message. False once that is enough.
+    pub fn discard(&mut self) -> bool {
+        let mut sink = [0; 16 * 1024];
+        while let Some(left) = self.leaving.filter(|left| *left > 0) {
+            match self.stream.read(&mut sink) {
+                Ok(0) => return false,
+                Ok(n) => self.leaving = Some(left.saturating_sub(n)),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return e.kind() == ErrorKind::WouldBlock,
+            }
+        }
+        true
+    }
+
+    /// Writes a message as far as the system takes it at once and queues the rest, or queues nothing.
     pub fn queue(&mut self, message: &[u8], pool: &Pool) -> Result<(), QueueFull> {
+        // Guards answers against an empty pool: most messages need no buffer.
+        let now = if self.connected && self.output.is_empty() {
+            // What is wrong with the connection shows at the next flush.
+            self.stream.write(message).unwrap_or(0)
+        } else {
+            0
+        };
+        self.queued += now as u64;
+        self.flushed += now as u64;
+        let message = &message[now..];
         let mut fresh: Vec<Buf> = Vec::new();
         let in_tail = self.output.back().map_or(0, Buf::room).min(message.len());
         let mut rest = &message[in_tail..];
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -3,6 +3,7 @@
 use super::buffer::Pool;
 use super::conn::{Conn, Filled, QueueFull};
 use super::signals::{Signal, Signals};
+use crate::api::Nanos;
 use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Token};
 use slab::Slab;
@@ -60,6 +61,12 @@
 
 /// The token of the waker: no slot of the slab has it.
 const WAKE: Token = Token(usize::MAX - 1);
+/// Most connections accepted at a time: the owner of each looks at it before more come in.
+const BATCH: usize = 8;
+/// How long a peer may take to read the last message before its connection is closed, and how much of what it
+/// sends meanwhile is read.
+const LINGER: Nanos = 400_000_000;
+const LINGER_BYTES: usize = 256 * 1024;
 /// How long to wait before accepting again, when the system had refused.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 
@@ -83,14 +90,20 @@
     /// Listeners whose last accept the system refused.
     stuck: Vec<usize>,
     waker: Option<Waker>,
+    /// Listeners at which more may wait.
+    more: Vec<usize>,
     most_accepted: usize,
+    accepted: usize,
     conns: usize,
+    /// Connections whose peers read a last message, until when.
+    leaving: VecDeque<(ConnId, Nanos)>,
     /// Connections to be closed once all is written.
     flushing: usize,
 }
 
 impl Reactor {
-    /// A reactor whose connections share `pool`. Beyond `most_accepted` connections, none is accepted.
+    /// A reactor whose connections share `pool`. Owners keep to `most_accepted` accepted connections; a few more
+    /// are taken for the moment in which they choose whom to close, and any beyond are turned away.
     pub fn new(pool: Pool, most_accepted: usize) -> io::Result<Reactor> {
         Ok(Reactor {
             poll: Poll::new()?,
@@ -102,8 +115,11 @@
             pending: VecDeque::new(),
             stuck: Vec::new(),
             waker: None,
+            more: Vec::new(),
             most_accepted,
+            accepted: 0,
             conns: 0,
+            leaving: VecDeque::new(),
             flushing: 0,
         })
     }
@@ -113,9 +129,9 @@
         &self.pool
     }
 
-    /// Connections open now, accepted and dialled.
-    pub fn connections(&self) -> usize {
-        self.conns
+    /// Accepted connections that are open.
+    pub fn accepted(&self) -> usize {
+        self.accepted
     }
 
     /// Something to wake this reactor with.
@@ -162,7 +178,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in keys {
-            self.accept(key);
+            self.accept(key, usize::MAX);
             if let (_, Source::Listener { mut socket, .. }) = self.sources.remove(key) {
                 let _ = self.poll.registry().deregister(&mut socket);
             }
@@ -175,15 +191,16 @@
         self.add(stream, owner, false)
     }
 
-    fn add(&mut self, mut stream: TcpStream, owner: u8, connected: bool) -> io::Result<ConnId> {
+    fn add(&mut self, mut stream: TcpStream, owner: u8, accepted: bool) -> io::Result<ConnId> {
         let entry = self.sources.vacant_entry();
         let token = Token(entry.key());
         self.poll.registry().register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
         let _ = stream.set_nodelay(true);
         self.serial = self.serial.wrapping_add(1);
         let id = ConnId(entry.key(), self.serial);
-        entry.insert((self.serial, Source::Conn(Box::new(Conn::new(stream, owner, connected)))));
+        entry.insert((self.serial, Source::Conn(Box::new(Conn::new(stream, owner, accepted)))));
         self.conns += 1;
+        self.accepted += usize::from(accepted);
         Ok(id)
     }
 
@@ -239,11 +256,16 @@
     pub fn send(&mut self, id: ConnId, message: &[u8]) -> Result<(), QueueFull> {
         let pool = self.pool.clone();
         let Some(c) = self.conn(id) else { return Err(QueueFull) };
-        c.queue(message, &pool)?;
-        if c.connected {
+        let before = c.queued;
+        let queued = c.queue(message, &pool);
+        let (half, connected) = (queued.is_err() && c.queued > before, c.connected);
+        if half {
+            // Guards the peer against half a message with another behind it.
+            self.broke(id);
+        } else if connected {
             self.flush(id);
         }
-        Ok(())
+        queued
     }
 
     fn flush(&mut self, id: ConnId) {
@@ -252,7 +274,10 @@
         match c.flush() {
             Ok(()) => {
                 let (done, close) = (c.all_written(), c.close_after);
-                if done && close {
+                if done && close && c.leaving.is_some() {
+                    // The peer reads the end; a close with input unread could take the last message from it.
+                    let _ = c.stream.shutdown(std::net::Shutdown::Write);
+                } else if done && close {
                     self.close(id);
                 } else if done && !before {
                     self.pending.push_back(NetEvent::Flushed { owner, conn: id });
@@ -268,6 +293,7 @@
             && let (_, Source::Conn(mut c)) = self.sources.remove(id.0)
         {
             self.conns -= 1;
+            self.accepted -= usize::from(c.accepted);
             self.flushing -= usize::from(c.close_after);
             let _ = self.poll.registry().deregister(&mut c.stream);
         }
@@ -284,6 +310,47 @@
         }
     }
 
+    /// Closes once all that was queued is written and the peer has had a moment to read it, even one that is
+    /// still sending.
+    pub fn close_lingering(&mut self, id: ConnId, now: Nanos) {
+        let Some(c) = self.conn(id).filter(|c| !c.close_after) else { return };
+        (c.close_after, c.leaving, c.input) = (true, Some(LINGER_BYTES), None);
+        self.flushing += 1;
+        self.leaving.push_back((id, now + LINGER));
+        self.flush(id);
+    }
+
+    /// Closes the connection that has been leaving for longest, if there is one.
+    pub fn drop_leaving(&mut self) -> bool {
+        while let Some((id, _)) = self.leaving.pop_front() {
+            if self.is_open(id) {
+                self.close(id);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Closes connections whose peers have had their moment.
+    pub fn tick(&mut self, now: Nanos) {
+        while let Some((id, _)) = self.leaving.pop_front_if(|(_, by)| *by <= now) {
+            self.close(id);
+        }
+    }
+
+    /// When `tick` is next worth calling.
+    pub fn due(&self) -> Option<Nanos> {
+        self.leaving.front().map(|(_, by)| *by)
+    }
+
+    /// Tells once more that there may be something to read: guards the other connections against a peer that
+    /// sends without end.
+    pub fn read_later(&mut self, id: ConnId) {
+        if let Some(owner) = self.conn(id).map(|c| c.owner) {
+            self.pending.push_back(NetEvent::Readable { owner, conn: id });
+        }
+    }
+
     fn broke(&mut self, id: ConnId) {
         let Some(c) = self.conn(id) else { return };
         let event = NetEvent::Broken { owner: c.owner, conn: id, flushed: c.flushed };
@@ -293,8 +360,9 @@
 
     /// Waits for events for at most `timeout`, and adds them to `events`.
     pub fn wait(&mut self, timeout: Option<Duration>, events: &mut Vec<NetEvent>) -> io::Result<()> {
-        let fed = !self.starved.is_empty() && self.pool.take().is_some();
-        let timeout = if fed || !self.pending.is_empty() { Some(Duration::ZERO) } else { timeout };
+        let fed = !self.starved.is_empty() && self.pool.take_for_stranger().is_some();
+        let at_once = fed || !self.pending.is_empty() || !self.more.is_empty();
+        let timeout = if at_once { Some(Duration::ZERO) } else { timeout };
         // Guards against a listener that never wakes again: what waits there makes no second event.
         let stuck = std::mem::take(&mut self.stuck);
         let timeout =
@@ -318,8 +386,13 @@
             self.handle(event);
         }
         self.ready = ready;
-        for key in stuck {
-            self.accept(key);
+        self.more.extend(stuck);
+        let mut listeners = std::mem::take(&mut self.more);
+        // Each once: no more than a batch comes in before the owner has looked at it.
+        listeners.sort_unstable();
+        listeners.dedup();
+        for key in listeners {
+            self.accept(key, BATCH);
         }
         events.extend(self.pending.drain(..));
         Ok(())
@@ -334,7 +407,7 @@
         let Some((serial, source)) = self.sources.get_mut(key) else { return };
         let id = ConnId(key, *serial);
         match source {
-            Source::Listener { .. } => self.accept(key),
+            Source::Listener { .. } => self.more.push(key),
             Source::Signal(signal, pipe) => {
                 let mut sink = [0; 64];
                 while pipe.read(&mut sink).is_ok_and(|n| n > 0) {}
@@ -357,6 +430,12 @@
                 if event.is_writable() {
                     self.flush(id);
                 }
+                if let Some(c) = self.conn(id).filter(|c| c.leaving.is_some()) {
+                    if !c.discard() {
+                        self.close(id);
+                    }
+                    return;
+                }
                 if self.is_open(id) && (event.is_readable() || event.is_error() || event.is_read_closed()) {
                     self.pending.push_back(NetEvent::Readable { owner, conn: id });
                 }
@@ -364,13 +443,13 @@
         }
     }
 
-    fn accept(&mut self, key: usize) {
-        loop {
+    fn accept(&mut self, key: usize, most: usize) {
+        for _ in 0..most {
             let Some((_, Source::Listener { socket, owner })) = self.sources.get(key) else { return };
             let owner = *owner;
             match socket.accept() {
-                Ok((stream, _)) if self.conns >= self.most_accepted => {
-                    log::warn!("connection turned away: {} are open", self.conns);
+                Ok((stream, _)) if self.accepted >= self.most_accepted + 2 * BATCH => {
+                    log::warn!("connection turned away: {} are open", self.accepted);
                     drop(stream);
                 }
                 Ok((stream, peer)) => match self.add(stream, owner, true) {
@@ -386,5 +465,6 @@
                 }
             }
         }
+        self.more.push(key);
     }
 }
--- a/tests/fronts/clients.rs
+++ b/tests/fronts/clients.rs
@@ -82,7 +82,7 @@
 
 fn told_operator(nodes: &[(SocketAddr, Wire)], max_open: u32) -> Operator {
     let mut text = format!(
-        "name = \"test\"\nzone = \"a\"\n[limits]\nmax_open = {max_open}\npage = 2\n[partitions]\ncount = {PARTITIONS}\n\
+        "name = \"test\"\nzone = \"a\"\n[limits]\nmax_open = {max_open}\nsockets = 96\npage = 2\n[partitions]\ncount = {PARTITIONS}\n\
          cells = 3\nholders = 2\ndatabase = \"part-{{partition}}\"\nkey_index = \"music.compositionid\"\n"
     );
     for (name, aim, deadline, floor) in CLASSES {
@@ -119,7 +119,7 @@
     };
     let classes = CLASSES.map(class).join(",");
     format!(
-        r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1f","limits":{{"sockets":256}},"known":{list},
+        r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1f","limits":{{"sockets":96}},"known":{list},
         "settings":{{"areas":["a"],"my_zone":"a","fleet_size":1,"tick_ns":5000000,"discovery":"on_request","request_classes":[{classes}],
         "ceilings":{{"cancel":true,"probes":false,"second_copies":true,"retry_after":true,"max_retry_after_ns":2000000000,
         "open_cap":{max_open},"try_limit":3,"streams_per_conn":32}},"family_info":{{"min_share":[1,0.6,1],"need_by_class":[1,1,1],
@@ -197,7 +197,8 @@
                 let parts = if term.is_empty() { vec![part(0), part(0)] } else { parts };
                 let body = format!(r#"{{"segments":[{}],"text":"{term}"}}"#, parts.join(","));
                 let long = body.len();
-                format!("POST /api HTTP/1.1\r\nHost: x\r\nReq-Id: q{port}x{n}\r\nReq-Kind: {class}\r\nContent-Length: {long}\r\n\r\n{body}").into_bytes()
+                let deadline = CLASSES.iter().find(|c| c.0 == class).map_or(0, |c| c.2);
+                format!("POST /api HTTP/1.1\r\nHost: x\r\nReq-Id: q{port}x{n}\r\nReq-Kind: {class}\r\nReq-Deadline: {deadline}m\r\nContent-Length: {long}\r\n\r\n{body}").into_bytes()
             }
             Wire::Sru => {
                 let query = sru::percent_encode(&format!("dc.title = \"{term}\""));
--- a/tests/fronts/main.rs
+++ b/tests/fronts/main.rs
@@ -130,6 +130,29 @@
         assert_eq!(good.ask("whole"), Reply::Whole);
     }
 
+    fn a_crowd_that_says_nothing_keeps_nobody_out(wire, nodes) {
+        let s = serve(wire, nodes, 100);
+        let mut first = s.client();
+        assert_eq!(first.ask("whole"), Reply::Whole);
+        // More than there are places on either port.
+        let crowd: Vec<TcpStream> = (0..100).map(|_| TcpStream::connect(s.addr).unwrap()).collect();
+        assert_eq!(s.ask("whole"), Reply::Whole);
+        // Whoever has asked before keeps its place.
+        assert_eq!(first.ask("whole"), Reply::Whole);
+        drop(crowd);
+    }
+
+    fn half_a_request_is_told_so_and_ends_its_connection(wire, nodes) {
+        use std::io::Read;
+        let s = serve(wire, nodes, 100);
+        let mut bad = TcpStream::connect(s.addr).unwrap();
+        let half: &[u8] = if wire == Wire::Z3950 { &[0xb4, 0x20, 0x83] } else { b"POST /api HTTP/1.1\r\nContent-Le" };
+        std::io::Write::write_all(&mut bad, half).unwrap();
+        let mut rest = String::new();
+        bad.read_to_string(&mut rest).unwrap();
+        assert!(rest.starts_with("HTTP/1.1 408") || (wire == Wire::Z3950 && rest.is_empty()), "{rest}");
+    }
+
     fn a_drain_finishes_what_was_taken_ends_idle_connections_and_ends(wire, nodes) {
         let s = serve(wire, nodes, 100);
         let (mut idle, mut busy) = (s.client(), s.client());
--- a/tests/fronts/protocols.rs
+++ b/tests/fronts/protocols.rs
@@ -309,3 +309,56 @@
     assert_eq!(s.script.came_to(9), 0, "a node that drains gets nothing new");
     assert!(s.script.came_to(8) > 0);
 }
+
+/// A query with this id, deadline line and body.
+fn query(id: &str, deadline: &str, body: &str) -> String {
+    let long = body.len();
+    format!(
+        "POST /api HTTP/1.1\r\nReq-Id: {id}\r\nReq-Kind: whole\r\n{deadline}Content-Length: {long}\r\n\r\n{body}"
+    )
+}
+
+#[test]
+fn queries_that_are_none_get_400_and_are_not_passed_on() {
+    let s = serve(Wire::Http, Wire::Http, 100);
+    let mut c = s.client();
+    let segments = |parts: &[(&str, &str)]| {
+        let one = |(s, b): &(&str, &str)| format!(r#"{{"segment":{s},"boost":{b}}}"#);
+        format!(r#"{{"segments":[{}],"text":"t"}}"#, parts.iter().map(one).collect::<Vec<_>>().join(","))
+    };
+    let (good, time) = (segments(&[("0", "0.4"), ("1", "0.6")]), "Req-Deadline: 900m\r\n");
+    let cases = [
+        query("a", "", &good),
+        query("b", "Req-Deadline: soon\r\n", &good),
+        query("c", "Req-Deadline: -5m\r\n", &good),
+        query("d d", time, &good),
+        query("e", time, &segments(&[("0", "0.4"), ("1", "0.5")])),
+        query("f", time, &segments(&[("0", "1.4"), ("1", "-0.4")])),
+        query("g", time, &segments(&[("0", "1.5")])),
+        query("h", time, &segments(&[("9", "1")])),
+        query("i", time, &segments(&[("0", "0.5"), ("0", "0.5")])),
+        query("j", time, "[]"),
+    ];
+    for case in cases {
+        c.write(case.as_bytes());
+        let (head, _) = read_http(&mut c.stream).unwrap();
+        assert!(head.starts_with("HTTP/1.1 400"), "{case}: {head}");
+    }
+    assert_eq!(s.script.came(), 0);
+    c.write(query("z", time, &good).as_bytes());
+    assert!(read_http(&mut c.stream).unwrap().0.starts_with("HTTP/1.1 200"));
+}
+
+#[test]
+fn a_body_that_is_too_large_is_refused_while_it_is_still_coming() {
+    for (wire, nodes) in [(Wire::Http, Wire::Http), (Wire::Sru, Wire::Sru)] {
+        let s = serve(wire, nodes, 100);
+        let mut c = TcpStream::connect(s.addr).unwrap();
+        c.write_all(b"POST /api HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n").unwrap();
+        // What is sent after the answer is not what is tested here; the client may be cut off.
+        let _ = c.write_all(&[b'x'; 100_000]);
+        let mut answer = [0; 12];
+        c.read_exact(&mut answer).unwrap();
+        assert_eq!(&answer, b"HTTP/1.1 413");
+    }
+}
