Take one broken connection for a closed one, not a dead process; answer a used id with 409

Cause: balance.rs took one reset for a dead process: ejected, and held to a cold one's allowance for 14 s once it answered. platform/servers.rs told of one broken connection once for each part on it.

Now a first reset since the last answer moves the part and no more; a second, or a refused dial, ejects as before. One connection tells one reset; what else rode on it counts as withdrawn. Also: a Req-Id that a query had in the last 10 s gets 409. Shard servers know a part by that id alone, so an answer made for one client could reach another (8,192 ids at most are remembered).

Both tests fail without the change.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -86,6 +86,8 @@
     newest: Nanos,
     /// First send not followed by any answer.
     unheard: Option<Nanos>,
+    /// Connections that broke since the last answer.
+    broken: u32,
     /// Set while it is taken to be down or silent: when to try again, and the wait after that.
     ejected: Option<Ejected>,
     /// Start of the cold time, and parts it may be sent now.
@@ -388,6 +390,7 @@
                     self.answered = now;
                     r.newest = r.newest.max(o.sent);
                     r.unheard = None;
+                    r.broken = 0;
                     if r.ejected.take().is_some_and(|b| b.down) && r.cold.is_none() {
                         r.cold = Some(now);
                         r.allowance = 0.0;
@@ -407,6 +410,12 @@
                     r.sample(mean * CLIP, o.depth as f64, fleet, now, forget);
                     None
                 }
+                // One broken connection is no dead process: peers close what stood idle. A dead one refuses the next.
+                Outcome::Reset if r.broken == 0 => {
+                    r.broken = 1;
+                    r.unheard = r.unheard.filter(|_| r.out > 0);
+                    None
+                }
                 Outcome::ConnectFailed | Outcome::Reset => {
                     r.fail(now, pace, true);
                     None
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -2,10 +2,11 @@
 
 use super::Carried;
 use super::query;
+use super::used::UsedIds;
 use crate::api::Nanos;
 use crate::broker::Hands;
 use crate::config::Names;
-use crate::core::{Final, QueryId};
+use crate::core::{Ask, Final, QueryId};
 use crate::front::http::{self, HttpError, Reader, Side};
 use crate::front::places::Places;
 use crate::net::{ConnId, Filled, MAX_BODY, NetEvent};
@@ -32,6 +33,7 @@
     clients: HashMap<ConnId, Client>,
     waiting: HashMap<QueryId, ConnId>,
     places: Places,
+    used: UsedIds,
     draining: bool,
 }
 
@@ -41,7 +43,8 @@
     /// The client side, with the classes' names, and places for so many connections.
     pub fn new(names: Names, shards: u32, places: usize) -> Clients {
         let (clients, waiting) = (HashMap::new(), HashMap::new());
-        Clients { names, shards, clients, waiting, places: Places::new(places, IDLE), draining: false }
+        let (places, used) = (Places::new(places, IDLE), UsedIds::default());
+        Clients { names, shards, clients, waiting, places, used, draining: false }
     }
 
     /// No connection is held.
@@ -171,19 +174,11 @@
                     log::info!("request of client {} is bad: {why}", client.peer);
                     return self.reply(conn, 400, &[], why.as_bytes(), hands);
                 }
-                Ok(ask) => match hands.exchange.open(hands.now, ask) {
-                    Ok(query) => {
-                        client.query = Some(query);
-                        client.reader.reset();
-                        self.waiting.insert(query, conn);
-                        self.places.open(conn);
-                        return;
-                    }
-                    Err(refused) => {
-                        log::info!("query refused: as many are open as may be");
-                        return self.refuse(conn, refused.wait, hands);
-                    }
-                },
+                Ok(ask) if self.used.has(&ask.payload.id) => {
+                    log::info!("request of client {} has the id of another", client.peer);
+                    return self.reply(conn, 409, &[], b"this Req-Id was used", hands);
+                }
+                Ok(ask) => return self.open(conn, ask, hands),
             },
             ("GET", "/-/ready") => (if self.draining { 503 } else { 200 }, ""),
             ("GET", "/-/healthy") => (200, ""),
@@ -195,6 +190,25 @@
         self.reply(conn, status, headers, b"", hands);
     }
 
+    fn open(&mut self, conn: ConnId, ask: Ask<Carried>, hands: &mut Platform) {
+        let id = ask.payload.id.clone();
+        match hands.exchange.open(hands.now, ask) {
+            Ok(query) => {
+                if let Some(client) = self.clients.get_mut(&conn) {
+                    client.query = Some(query);
+                    client.reader.reset();
+                }
+                self.used.add(hands.now, id);
+                self.waiting.insert(query, conn);
+                self.places.open(conn);
+            }
+            Err(refused) => {
+                log::info!("query refused: as many are open as may be");
+                self.refuse(conn, refused.wait, hands);
+            }
+        }
+    }
+
     fn refuse(&mut self, conn: ConnId, wait: Nanos, hands: &mut Platform) {
         let text = http::retry_after(wait);
         let headers: &[(&str, &str)] = if wait > 0 { &[("Retry-After", &text)] } else { &[] };
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -6,6 +6,7 @@
 pub mod frame;
 pub mod query;
 mod servers;
+mod used;
 
 pub use broker::{PlatformFront, broker};
 pub use clients::Clients;
--- a/src/front/platform/servers.rs
+++ b/src/front/platform/servers.rs
@@ -246,16 +246,12 @@
     /// Closes a connection on which something came that can't be used: what is out on it may have run, and no
     /// answer to it can be told from the rest.
     fn spoilt(&mut self, conn: ConnId, why: &str, hands: &mut Platform) {
-        let Some(link) = self.links.remove(&conn) else { return };
-        log::error!("shard server connection to {} closed: {why}", link.addr);
-        hands.net.close(conn);
-        let mut outcome = Outcome::Spoilt;
-        for r in link.riding {
-            self.by_attempt.remove(&r.attempt);
-            hands.exchange.ended(hands.now, r.attempt, failed(outcome));
-            // One answer was spoilt; the others are only not waited for any more.
-            outcome = Outcome::Cancelled;
+        if let Some(link) = self.links.get(&conn) {
+            log::error!("shard server connection to {} closed: {why}", link.addr);
         }
+        let flushed = hands.net.flushed(conn);
+        hands.net.close(conn);
+        self.end(conn, flushed, Outcome::Spoilt, hands);
     }
 
     fn close(&mut self, conn: ConnId, hands: &mut Platform) {
@@ -266,12 +262,20 @@
 
     /// A part whose frame was not written whole never ran; any other may have.
     fn broken(&mut self, conn: ConnId, flushed: u64, hands: &mut Platform) {
+        self.end(conn, flushed, Outcome::Reset, hands);
+    }
+
+    /// Ends all that is out on a connection. One connection is told of once: what else may have run there is
+    /// only not waited for any more.
+    fn end(&mut self, conn: ConnId, flushed: u64, mut why: Outcome, hands: &mut Platform) {
         let Some(link) = self.links.remove(&conn) else { return };
         for r in link.riding {
             self.by_attempt.remove(&r.attempt);
-            let outcome = if flushed >= r.end { Outcome::Reset } else { Outcome::ConnectFailed };
+            let written = flushed >= r.end;
+            let outcome = if written { why } else { Outcome::ConnectFailed };
             log::debug!("attempt at {} ended with its connection: {outcome:?}", link.addr);
             hands.exchange.ended(hands.now, r.attempt, failed(outcome));
+            why = if written { Outcome::Cancelled } else { why };
         }
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -516,3 +516,26 @@
     let at_once = first.iter().filter(|s| (s.at - start - 5 * MS).is_multiple_of(40 * MS)).count();
     assert!(at_once == first.len() && at_once > 240, "{at_once} of {}", first.len());
 }
+
+#[test]
+fn a_broken_connection_each_is_no_dead_process_but_a_second_one_is() {
+    let mut s = settings(Effect::Safe);
+    s.budget = None;
+    let mut r = Root::new(s);
+    for (start, dead) in [(0, false), (100 * MS, true)] {
+        let (_, acts) = r.query(start, &[0], 2 * S);
+        assert!(matches!(acts[0], Action::Send { .. }), "{acts:?}");
+        // Its three holders in turn.
+        for _ in 0..3 {
+            r.now += 10 * MS;
+            let end = r.ended(&r.sent.last().expect("sent").clone(), Outcome::Reset);
+            r.at(r.now, &[end]);
+        }
+        let (_, acts) = r.query(start + 60 * MS, &[0], 2 * S);
+        assert_eq!(matches!(acts[0], Action::Refuse { .. }), dead, "{acts:?}");
+        if let Some(open) = r.sent.last().filter(|_| !dead).cloned() {
+            let end = r.ended(&open, Outcome::Cancelled);
+            r.at(r.now, &[end]);
+        }
+    }
+}
--- a/tests/fronts/protocols.rs
+++ b/tests/fronts/protocols.rs
@@ -380,3 +380,22 @@
         assert!(ended, "{act:?}");
     }
 }
+
+#[test]
+fn the_id_of_another_query_gets_an_answer_of_its_own_and_harms_neither() {
+    let s = serve(Wire::Http, Wire::Http, 100);
+    s.script.set(&[0, 1, 2], &[0], Act::Late(500));
+    let body = r#"{"segments":[{"segment":0,"boost":1}],"text":"t"}"#;
+    let same = query("same", "Req-Deadline: 20000m\r\n", body);
+    let (mut first, mut second) = (s.client(), s.client());
+    first.write(same.as_bytes());
+    s.wait_for_parts(1);
+    // While it is open, and right after.
+    second.write(same.as_bytes());
+    assert!(read_http(&mut second.stream).unwrap().0.starts_with("HTTP/1.1 409"));
+    let (head, body) = read_http(&mut first.stream).unwrap();
+    assert!(head.starts_with("HTTP/1.1 200") && body.contains("value <0>"), "{head}{body}");
+    second.write(same.as_bytes());
+    assert!(read_http(&mut second.stream).unwrap().0.starts_with("HTTP/1.1 409"));
+    assert_eq!(second.ask("whole"), Reply::Whole);
+}
