--- a/src/balance.rs
+++ b/src/balance.rs
@@ -415,7 +415,8 @@
                     r.sample(mean * CLIP, o.depth as f64, fleet, now, forget);
                     None
                 }
-                // One broken connection is no dead process: peers close what stood idle. A dead one refuses the next.
+                // One broken connection is no dead process: peers close what stood idle.
+                // A dead one refuses the next.
                 Outcome::Reset if r.broken == 0 => {
                     r.broken = 1;
                     r.unheard = r.unheard.filter(|_| r.out > 0);
