Dial a shard server anew once its connection was silent for the shortest aim

Each trial of the decisions went out on the same dead connection until that had been silent for 4 s; meanwhile the other servers took the load, 30 parts out at one, and queries were refused for it.

At fault: servers.rs link(), SILENT of 4 s for further calls. It is now the shortest aim of the settings, 4 s at most; closing an idle connection for its silence stays at 4 s, since a call that was given up may rightly stay unanswered. The catalogue's connections carry one request each, so a silent one gets no second call there.

The test fails without the change.

--- a/src/front/platform/broker.rs
+++ b/src/front/platform/broker.rs
@@ -19,6 +19,8 @@
 /// Part of the descriptors that clients who have asked may hold. Clients keep to a third of them: this leaves
 /// room for those that come next.
 const CLIENTS_KEPT: usize = 4;
+/// Longest silence of a shard server's connection that is still called on, whatever the aims.
+const SILENT: Nanos = 4_000_000_000;
 /// Time without a request after which a client's connection is closed.
 const IDLE: Nanos = 60_000_000_000;
 /// Part of the memory that buffers may take.
@@ -47,6 +49,7 @@
         streams: told.params.streams(),
         dial_timeout: told.params.dial_timeout(),
         idle: told.params.idle(),
+        silent: settings.classes.iter().map(|c| c.aim).min().unwrap_or(SILENT).min(SILENT),
         most: to_servers,
     };
     let mut servers = Servers::new(SERVERS, limits);
--- a/src/front/platform/servers.rs
+++ b/src/front/platform/servers.rs
@@ -9,8 +9,8 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
-/// A connection on which calls went out and nothing came back for so long is not used again. Guards against a
-/// peer that vanished: nothing says so, and its connection stays open. Dialling shows whether it is there.
+/// A connection on which calls went out and nothing came back for so long is closed once nothing is out on it.
+/// Guards against a peer that vanished: nothing says so, and its connection stays open.
 const SILENT: Nanos = 4_000_000_000;
 
 type Platform<'a> = Hands<'a, Carried, String>;
@@ -33,6 +33,9 @@
     pub dial_timeout: Nanos,
     /// The peer closes a connection that was idle for so long.
     pub idle: Nanos,
+    /// A connection on which calls went out and nothing came back for so long gets no further call. Guards
+    /// against one that fell silent while its server is well: dialling shows whether that is there.
+    pub silent: Nanos,
     /// Most connections, all servers together.
     pub most: usize,
 }
@@ -123,7 +126,8 @@
     fn link(&mut self, replica: ReplicaId, parts: usize, now: Nanos, net: &mut Reactor) -> Option<ConnId> {
         let addr = *self.addrs.get(&replica)?;
         let heard = |l: &Link| {
-            l.unheard.is_none_or(|t| now < t + SILENT) && l.partly.is_none_or(|t| now < t + PARTLY)
+            l.unheard.is_none_or(|t| now < t + self.limits.silent)
+                && l.partly.is_none_or(|t| now < t + PARTLY)
         };
         let room =
             |l: &Link| heard(l) && (l.riding.is_empty() || l.riding.len() + parts <= self.limits.streams);
--- a/tests/fronts/protocols.rs
+++ b/tests/fronts/protocols.rs
@@ -260,17 +260,23 @@
 }
 
 #[test]
-fn a_connection_that_fell_silent_is_dialled_anew() {
-    let script = Script::default();
-    let first = Arc::new(AtomicUsize::new(0));
-    let nodes: Vec<_> =
-        (0..3).map(|n| (silent_at_first(n, script.clone(), first.clone()), Wire::Http)).collect();
-    let s = serve_with(Wire::Http, &nodes, 100, script);
-    let mut client = s.client();
-    // Six connections that swallow all: no answer comes before new ones are dialled.
-    let served = (0..60).any(|_| {
-        std::thread::sleep(Duration::from_millis(100));
-        client.ask("short") == Reply::Whole
+fn a_connection_that_fell_silent_is_dialled_anew_after_the_shortest_aim() {
+    // A machine so busy that seconds go by between two lines may need another try.
+    let served = (0..10).any(|_| {
+        let script = Script::default();
+        let first = Arc::new(AtomicUsize::new(0));
+        let nodes: Vec<_> =
+            (0..3).map(|n| (silent_at_first(n, script.clone(), first.clone()), Wire::Http)).collect();
+        let s = serve_with(Wire::Http, &nodes, 100, script);
+        let mut client = s.client();
+        let start = std::time::Instant::now();
+        // Six connections that swallow all: no answer comes before new ones are dialled. The aim is 0.6 s, and
+        // a connection that is closed for its silence is so after 4 s.
+        let served = (0..60).any(|_| {
+            std::thread::sleep(Duration::from_millis(100));
+            client.ask("short") == Reply::Whole
+        });
+        served && start.elapsed() < Duration::from_millis(3500)
     });
     assert!(served);
 }
