--- a/src/core/exchange.rs
+++ b/src/core/exchange.rs
@@ -24,6 +24,7 @@
 struct Query<Q, V> {
     class: usize,
     key: Option<u64>,
+    taken: Nanos,
     end: Nanos,
     parts: Vec<Part<V>>,
     payload: Rc<Q>,
@@ -58,6 +59,8 @@
     last_round: Option<Nanos>,
     wake: Option<Nanos>,
     held: usize,
+    /// The latest time that was told.
+    now: Nanos,
     /// When the last query must be over.
     end_by: Nanos,
     /// How attempts ended, for whoever minds membership.
@@ -84,6 +87,7 @@
             last_round: None,
             wake: Some(now),
             held: 0,
+            now,
             end_by: Nanos::MAX,
             outcomes: VecDeque::new(),
         })
@@ -149,7 +153,8 @@
         }
         self.held += size;
         self.ends.insert((end, job));
-        let query = Query { class: ask.class, key: ask.key, end, parts, payload: ask.payload };
+        let (class, key, payload) = (ask.class, ask.key, ask.payload);
+        let query = Query { class, key, taken: now, end, parts, payload };
         self.queries.insert(job, query);
         Ok(QueryId(job))
     }
@@ -174,7 +179,15 @@
     fn finish(&mut self, job: u64, answer: impl FnOnce(Query<Q, V>) -> Final<V>) {
         // Guards the one final answer: a query that is not held has had its own.
         if let Some(q) = self.forget(job) {
-            self.work.push_back(Work::Finish { query: QueryId(job), answer: answer(q) });
+            let (class, taken, n) = (q.class, q.taken, q.parts.len());
+            let sent = q.parts.iter().filter(|p| p.attempts > 0).count();
+            let answer = answer(q);
+            let ms = self.now.saturating_sub(taken) / 1_000_000;
+            tracing::debug!(
+                "query {job} of class {class} ended after {ms} ms: {}, {sent} of {n} parts sent",
+                answer.word()
+            );
+            self.work.push_back(Work::Finish { query: QueryId(job), answer });
         }
     }
 
@@ -202,6 +215,16 @@
         if self.outcomes.len() >= MOST_OUTCOMES {
             self.outcomes.pop_front();
         }
+        let ms = |t: Nanos| t / 1_000_000;
+        tracing::debug!(
+            "attempt {} of part {} of query {} at server {} ended after {} ms of {}: {outcome:?}, {busy:?} busy",
+            out.number,
+            out.part.0,
+            out.query,
+            out.replica.0,
+            ms(now.saturating_sub(out.sent)),
+            ms(out.due.saturating_sub(out.sent))
+        );
         self.outcomes.push_back(Ending {
             replica: out.replica,
             outcome,
@@ -272,6 +295,7 @@
 
     /// Lets timers run out and, if one is due, holds a round. `next` then gives the work.
     pub fn run(&mut self, now: Nanos) {
+        self.now = now;
         while let Some((_, attempt)) = self.timers.first().copied().filter(|(t, _)| *t <= now) {
             let Some(out) = self.remove(attempt) else { break };
             self.work.push_back(Work::GiveUp { replica: out.replica, attempt });
--- a/src/core/work.rs
+++ b/src/core/work.rs
@@ -80,6 +80,18 @@
     Failed,
 }
 
+impl<V> Final<V> {
+    /// What it is, in a word.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Final::Answered(a) if a.whole => "whole",
+            Final::Answered(_) => "partial",
+            Final::Refused { .. } => "refused",
+            Final::Failed => "failed",
+        }
+    }
+}
+
 /// One part to be sent to a server.
 #[derive(Clone, Debug)]
 pub struct Dispatch<Q> {
--- a/src/roster/members.rs
+++ b/src/roster/members.rs
@@ -660,6 +660,14 @@
         if m.told.as_ref() == Some(&line) {
             return;
         }
+        tracing::debug!(
+            "server {} is node {id} of cell {} in zone {}: {:?}, started at {:?} ns",
+            line.replica.0,
+            line.cell,
+            line.zone,
+            line.standing,
+            line.started
+        );
         m.told = Some(line.clone());
         let addr = Some(m.addr);
         self.changes.push(Change { listed: line, id: id.to_owned(), addr, kind: fact.kind.clone() });
