Try lost parts elsewhere beyond the copies' share, also when two attempts are lost

Checked and ruled out: connections (a server's dials fail after 60 ms and the part goes on at once); slow detection (a silent server is ejected after 215 ms, well inside the aim of 500 ms); admission (the 60 refusals a second then were of repeats with no aim left). Cause: send_part in src/balance.rs asked may_double() of a try for a lost part. Each of 49 brokers tries each of 30 ejected servers with a copy every half second, 6 copies a second are all a broker's share allows, so the trials used it up; and a part with two attempts out, both silent, never got its third.

Change: a part whose open attempts are all lost is bounded by the attempts budget alone: it runs nowhere, so another try is no second copy.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -815,7 +815,9 @@
             let least = p.attempts.iter().filter(|t| t.open).map(over).fold(f64::INFINITY, f64::min);
             let late = least > if sick { 1.0 } else { LATE } && (sick || !pressed);
             let end = (if self.now < q.aim { q.aim } else { q.end }) as f64;
-            if !late || open > 1 || !self.cfg.may_copy || !self.may_repeat(p, class) || !self.may_double() {
+            // What is lost runs nowhere: another try is no second copy of work, and the copies' share is not its bound.
+            let room = if sick { self.may_extra() } else { open == 1 && self.may_double() };
+            if !late || !self.cfg.may_copy || !self.may_repeat(p, class) || !room {
                 return;
             }
             let Some(other) = self.draw(shard, &used, false, None) else { return };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -129,6 +129,26 @@
     assert!(served >= 65, "{served} of 70 answered whole");
 }
 
+/// A zone goes without a word: trials of all that are silent use up the copies' share, and the parts that sit at
+/// them are no copies of work that is done anywhere.
+#[test]
+fn when_half_of_the_replicas_fall_silent_at_once_no_part_waits_for_the_copies_share() {
+    let mut r = Root::new(Settings { budget: None, ..settings(Effect::Safe) });
+    play(&mut r, 50, |_| Some(60 * MS));
+    let silent = |s: &Sent| s.replica.0 % 2 == 1;
+    let (from, mut done) = (r.sent.len(), vec![true; r.sent.len()]);
+    let queries: Vec<RequestId> = (0..20).map(|_| r.query(r.now, &[0, 2, 4], 3 * S).0).collect();
+    let at_silent = r.sent[from..].iter().filter(|s| silent(s)).count();
+    for now in (1..100).map(|n| r.now + n * 10 * MS).collect::<Vec<_>>() {
+        end_some(&mut r, now, &mut done, silent);
+    }
+    let n = queries.iter().filter(|q| matches!(r.finals(**q)[..], [(_, Action::Answer { .. })])).count();
+    assert!(
+        at_silent >= 20 && n == 20,
+        "{at_silent} parts were at silent ones, {n} of 20 answered in the aim"
+    );
+}
+
 #[test]
 fn when_all_replicas_fail_parts_still_go_out_to_some() {
     let mut s = settings(Effect::Safe);
