Keep the last try of a part that was turned away until queues have moved on

Cause: send_part in src/balance.rs tried a turned-away part again in the same round.

Change: where all tries so far never ran and their replicas are up, the last waits one mean latency of the fleet, unless the aim is under two means away. Test: three tries took 2 ms before; now the third comes after 40 ms, and at once where time is short.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -824,7 +824,13 @@
             }
             return;
         }
-        if !self.may_repeat(p, class) || !self.may_extra() {
+        // Three tries can be turned away within milliseconds: the last one waits until queues have moved on.
+        let up = |t: &Attempt| t.unrun && self.replicas.get(&t.replica).is_some_and(|r| r.ejected.is_none());
+        let last = p.attempts.len() + 1 >= self.cfg.max_attempts as usize && p.attempts.iter().all(up);
+        let since = p.attempts.last().map_or(0, |t| self.now - t.sent) as f64;
+        let soon = q.aim as f64 <= self.now as f64 + 2.0 * self.fleet_mean;
+        let early = last && since < self.fleet_mean && !soon;
+        if early || !self.may_repeat(p, class) || !self.may_extra() {
             return;
         }
         if let Some(other) = self.draw(shard, &used, true, None).or_else(|| self.draw(shard, &[], true, None))
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -713,3 +713,34 @@
         assert!(got <= most && got > 0.7 * most, "replica {n} got {got}, may have {most}");
     }
 }
+
+/// A hot stretch of the ring turns parts away in a millisecond: three tries at once lose a query that has seconds.
+#[test]
+fn a_part_that_was_turned_away_twice_keeps_its_last_try_until_queues_have_moved_on() {
+    let mut r = Root::new(Settings { may_copy: false, budget: None, ..settings(Effect::Safe) });
+    play(&mut r, 50, |_| Some(60 * MS));
+    r.answer_all(60 * MS, r.sent.len());
+    let start = r.now + S;
+    let (query, _) = r.query(start, &[0], 2 * S);
+    for n in 0..2 {
+        let last = r.sent.last().unwrap().clone();
+        r.now = start + (2 + n) * MS;
+        let end = r.ended(&last, Outcome::Full);
+        r.at(r.now, &[end]);
+    }
+    let tries = |r: &Root| {
+        r.sent.iter().filter(|s| s.part.0 == query.0 + 1).map(|s| s.at - start).collect::<Vec<_>>()
+    };
+    assert_eq!(tries(&r).len(), 2, "{:?}", tries(&r));
+    r.idle(start + 300 * MS);
+    assert!(tries(&r).len() == 3 && tries(&r)[2] >= 40 * MS, "{:?}", tries(&r));
+    // With little time left it is made at once.
+    let (query, _) = r.query(r.now, &[0], 2 * S);
+    r.idle(r.now + 920 * MS);
+    for _ in 0..2 {
+        let last = r.sent.last().unwrap().clone();
+        let end = r.ended(&last, Outcome::Full);
+        r.at(r.now, &[end]);
+    }
+    assert_eq!(r.sent.iter().filter(|s| s.part.0 == query.0 + 1).count(), 3);
+}
