Let an answer count by the age of what it replaces, not as a fifth of ever older ones

Cause: Replica::sample in src/balance.rs gave each answer a fifth of the weight whatever the age of what it replaced.

Change: the weight of an answer is a fifth, or one minus exp(-age / two aims) if that is more. With two or three brokers answers come many an aim, and nothing changes.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -313,8 +313,7 @@
             Event::Part { part, job, shard, weight } => {
                 self.taken.push_back(self.now);
                 let Some(q) = self.queries.get_mut(job) else { return };
-                let step = q.step;
-                let (id, shard, weight) = (*part, *shard, *weight);
+                let (id, shard, weight, step) = (*part, *shard, *weight, q.step);
                 q.parts.push(Part { id, shard, weight, step, attempts: Vec::new(), done: false });
                 if self.cfg.classes[q.class].effect == Effect::Safe {
                     self.safe_parts.push_back(self.now);
@@ -398,8 +397,8 @@
         acts: &mut Vec<Action>,
     ) {
         let Some(o) = self.outs.remove(&(id, n)) else { return };
-        let (now, pace) = (self.now, self.pace);
-        let (fleet, forget) = (self.fleet_mean, self.forget);
+        let (now, pace, fleet, forget) = (self.now, self.pace, self.fleet_mean, self.forget);
+        let fade = (forget, FORGET.0 * pace);
         if let Some(r) = self.replicas.get_mut(&o.replica) {
             r.out = r.out.saturating_sub(1);
             r.busy = busy.or(r.busy);
@@ -440,13 +439,13 @@
                 Outcome::Error | Outcome::Spoilt => {
                     r.unheard = None;
                     let slow = (mean * CLIP).min(mean.max(SILENT * fleet));
-                    r.sample(slow, o.depth as f64, fleet, now, forget);
+                    r.sample(slow, o.depth as f64, fleet, now, fade);
                     None
                 }
                 // Answers at once, but does not serve: speed must not draw more parts there.
                 Outcome::Full => {
                     r.unheard = None;
-                    r.sample(mean * CLIP, o.depth as f64, fleet, now, forget);
+                    r.sample(mean * CLIP, o.depth as f64, fleet, now, fade);
                     None
                 }
                 // One broken connection is no dead process: peers close what stood idle.
@@ -463,7 +462,7 @@
                 Outcome::Moot => None,
             };
             if let Some(lat) = seen {
-                r.sample(lat, o.depth as f64, fleet, now, forget);
+                r.sample(lat, o.depth as f64, fleet, now, fade);
                 self.recent = (self.recent.0 + lat.min(FLEET_CLIP * fleet), self.recent.1 + 1.0);
             }
         }
@@ -886,8 +885,7 @@
     }
 
     fn send(&mut self, job: u64, i: usize, replica: ReplicaId, acts: &mut Vec<Action>) {
-        let expected = self.expect(replica);
-        let now = self.now;
+        let (now, expected) = (self.now, self.expect(replica));
         let q = self.queries.get_mut(&job).unwrap();
         let p = &mut q.parts[i];
         let n = p.attempts.len() as u32;
@@ -939,9 +937,12 @@
 
 impl Replica {
     /// Takes in one latency, seen with so many own parts out at its sending.
-    fn sample(&mut self, lat: f64, depth: f64, fleet: f64, now: Nanos, forget: f64) {
-        let old = self.drifted(now, forget);
-        self.ratio = old + SMOOTH * ((lat / fleet).min(old * CLIP) - old);
+    /// What it replaces counts the less, the older it is: a root that hears of a replica every few seconds must
+    /// not need five answers to see that it has changed.
+    fn sample(&mut self, lat: f64, depth: f64, fleet: f64, now: Nanos, fade: (f64, f64)) {
+        let old = self.drifted(now, fade.0);
+        let weight = SMOOTH.max(1.0 - (-((now - self.used.min(now)) as f64) / fade.1).exp());
+        self.ratio = old + weight * ((lat / fleet).min(old * CLIP) - old);
         self.depth += SMOOTH * (depth - self.depth);
         let m = fleet * self.ratio;
         self.light = if m < self.light { m } else { self.light * (1.0 + LIGHT_RISE) };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -744,3 +744,52 @@
     }
     assert_eq!(r.sent.iter().filter(|s| s.part.0 == query.0 + 1).count(), 3);
 }
+
+/// One of many brokers hears of a server every few seconds: a belief that needs five answers to change is ten seconds
+/// old. Over twenty such brokers, in seconds: how long until a replica that slowed gets less than a fifth of its share,
+/// and one that has healed gets a third of it again.
+#[test]
+fn a_root_that_hears_little_changes_its_mind_within_seconds() {
+    let (slow, healed) = (20 * S, 40 * S);
+    let mut to_zero = vec![];
+    for seed in 0..20 {
+        let mut r = Root::seeded(Settings { may_copy: false, ..settings(Effect::Safe) }, seed);
+        let mut done = vec![];
+        for step in 0..6000 {
+            let now = step * 10 * MS;
+            r.now = now;
+            done.resize(r.sent.len(), false);
+            let mut ends = vec![];
+            for (s, d) in r.sent.iter().zip(done.iter_mut()) {
+                let latency = if s.replica.0 == 0 && (slow..healed).contains(&s.at) { 240 } else { 60 };
+                if !*d && s.at + latency * MS <= now {
+                    *d = true;
+                    ends.push(r.ended(s, Outcome::Ok));
+                }
+            }
+            r.at(now, &ends);
+            if step % 100 == 0 {
+                r.query(now, &[0], 2 * S);
+            }
+        }
+        to_zero.extend(r.sent.iter().filter(|s| s.replica.0 == 0).map(|s| s.at));
+    }
+    // A fair share is a third of twenty queries a second.
+    let share = |from: Nanos, to: Nanos| {
+        let n = to_zero.iter().filter(|t| (from..to).contains(t)).count() as f64;
+        n / (20.0 * ((to - from) / S) as f64)
+    };
+    let before = share(0, slow);
+    eprintln!(
+        "FIG {before} {} {} {} {}",
+        share(slow + 2 * S, slow + 5 * S),
+        share(slow + 5 * S, slow + 10 * S),
+        share(slow + 10 * S, healed),
+        share(healed + 10 * S, 60 * S)
+    );
+    assert!(before > 0.25 && before < 0.42, "{before}");
+    let soon = share(slow + 2 * S, slow + 10 * S);
+    assert!(soon < 0.07, "two to ten seconds after it slowed {soon}");
+    let after = share(healed + 10 * S, 60 * S);
+    assert!(after > 0.12, "ten seconds after it healed {after}");
+}
