--- a/src/balance.rs
+++ b/src/balance.rs
@@ -690,7 +690,7 @@
             cfg.cold_share + (1.0 - cfg.cold_share) * age.min(1.0)
         };
         let parts = self.queries[&job].parts.len() as f64;
-        // What the fleet can do now: where most are cold, a fair share of that is far more than one of the heads.
+        // What the fleet can do now: where most are cold, a share of that is far more than one by number.
         let whole: f64 = self.replicas.values().filter(|r| r.listed).map(|r| share(r.cold)).sum();
         for r in self.replicas.values_mut().filter(|r| r.listed && r.cold.is_some()) {
             let fill = (COLD_FILL * cfg.fall_multiple).max(1.0) * share(r.cold);
@@ -811,7 +811,7 @@
             let least = p.attempts.iter().filter(|t| t.open).map(over).fold(f64::INFINITY, f64::min);
             let late = least > if sick { 1.0 } else { LATE } && (sick || !pressed);
             let end = (if self.now < q.aim { q.aim } else { q.end }) as f64;
-            // What is lost runs nowhere: another try is no second copy of work, and the copies' share is not its bound.
+            // What is lost runs nowhere: another try is no second copy, and their share is not its bound.
             let room = if sick { self.may_extra() } else { open == 1 && self.may_double() };
             if !late || !self.cfg.may_copy || !self.may_repeat(p, class) || !room {
                 return;
