--- a/src/balance.rs
+++ b/src/balance.rs
@@ -937,8 +937,8 @@
 
 impl Replica {
     /// Takes in one latency, seen with so many own parts out at its sending.
-    /// What it replaces counts the less, the older it is: a root that hears of a replica every few seconds must
-    /// not need five answers to see that it has changed.
+    /// What it replaces counts the less, the older it is: a root that hears of a replica every few seconds
+    /// must not need five answers to see that it has changed.
     fn sample(&mut self, lat: f64, depth: f64, fleet: f64, now: Nanos, fade: (f64, f64)) {
         let old = self.drifted(now, fade.0);
         let weight = SMOOTH.max(1.0 - (-((now - self.used.min(now)) as f64) / fade.1).exp());
