Give every shard server a place for a connection, and blame none for our want of one

In a full fleet a broker meets 179 to 232 servers and had places for 120 connections (a quarter of 512 descriptors, platform/broker.rs), none of which was ever closed for another's sake. A call beyond them ended as ConnectFailed (servers.rs, `call` and `link`), which the decision module and the roster take as a dead process: ejected, and cold on its return.

Servers may take half of the descriptors; beyond them the connection unused for longest makes room; what finds no place even so, or no socket, ends as never sent (Moot), and the module no longer takes a replica that was sent nothing as silent (hear_end).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -429,7 +429,8 @@
                     Some((lat as f64).min(most))
                 }
                 // The age of what never came is a lower bound on latency.
-                Outcome::TimeOut | Outcome::Cancelled => {
+                // What was never sent says nothing of its replica.
+                Outcome::TimeOut | Outcome::Cancelled | Outcome::Moot => {
                     if r.out == 0 && age < mean * LATE {
                         r.unheard = None;
                     }
@@ -459,7 +460,6 @@
                     r.fail(now, pace, true);
                     None
                 }
-                Outcome::Moot => None,
             };
             if let Some(lat) = seen {
                 r.sample(lat, o.depth as f64, fleet, now, fade);
--- a/src/front/platform/broker.rs
+++ b/src/front/platform/broker.rs
@@ -20,6 +20,8 @@
 
 /// Descriptors kept for what is neither a client nor a shard server.
 const SPARE: usize = 32;
+/// Part of the descriptors that connections to shard servers may take.
+const TO_SERVERS: usize = 2;
 /// Part of the descriptors that clients who have asked may hold. Clients keep to a third of them: this leaves
 /// room for those that come next.
 const CLIENTS_KEPT: usize = 4;
@@ -48,8 +50,9 @@
     let (settings, names) = config::settings(&told.params).map_err(ConfigError)?;
     let clock = Clock::start();
     let now = clock.now();
-    // Guards the limit on descriptors: what connections to shard servers may take is not given to clients.
-    let to_servers = (told.sockets - SPARE) / 4;
+    // Guards the limit on descriptors: what connections to shard servers may take is not given to clients. In a
+    // large fleet a broker meets more servers than clients: with a place for each server none is dialled twice.
+    let to_servers = (told.sockets - SPARE) / TO_SERVERS;
     let most = told.sockets - SPARE - to_servers;
     let mut net = Reactor::new(Pool::within((told.memory_mb << 20) / BUFFERS), most)
         .map_err(BrokerError::io("poll"))?;
--- a/src/front/platform/servers.rs
+++ b/src/front/platform/servers.rs
@@ -36,7 +36,7 @@
     /// A connection on which calls went out and nothing came back for so long gets no further call. Guards
     /// against one that fell silent while its server is well: dialling shows whether that is there.
     pub silent: Nanos,
-    /// Most connections, all servers together.
+    /// Most connections, all servers together. Beyond them the one that has been unused for longest makes room.
     pub most: usize,
 }
 
@@ -90,11 +90,14 @@
 
     /// Sends one call.
     pub fn call(&mut self, replica: ReplicaId, parts: Vec<Dispatch<Carried>>, hands: &mut Platform) {
-        let Some(conn) = self.link(replica, parts.len(), hands.now, hands.net) else {
-            for p in &parts {
-                hands.exchange.ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
+        let conn = match self.link(replica, parts.len(), hands.now, hands.net) {
+            Ok(conn) => conn,
+            Err(outcome) => {
+                for p in &parts {
+                    hands.exchange.ended(hands.now, p.attempt, failed(outcome));
+                }
+                return;
             }
-            return;
         };
         let ids: Vec<String> = parts.iter().map(|p| format!("{}.{}", p.payload.id, p.shard)).collect();
         let lines = parts.iter().zip(&ids).map(|(p, id)| PartLine {
@@ -123,8 +126,15 @@
     }
 
     /// A connection with room for so many parts: the fullest that is up, else one that is coming up, else new.
-    fn link(&mut self, replica: ReplicaId, parts: usize, now: Nanos, net: &mut Reactor) -> Option<ConnId> {
-        let addr = *self.addrs.get(&replica)?;
+    /// What this broker has no place for is its own want: it tells nothing of the server.
+    fn link(
+        &mut self,
+        replica: ReplicaId,
+        parts: usize,
+        now: Nanos,
+        net: &mut Reactor,
+    ) -> Result<ConnId, Outcome> {
+        let addr = *self.addrs.get(&replica).ok_or(Outcome::ConnectFailed)?;
         let heard = |l: &Link| {
             l.unheard.is_none_or(|t| now < t + self.limits.silent)
                 && l.partly.is_none_or(|t| now < t + PARTLY)
@@ -133,11 +143,11 @@
             |l: &Link| heard(l) && (l.riding.is_empty() || l.riding.len() + parts <= self.limits.streams);
         let fits = self.links.iter().filter(|(_, l)| l.replica == replica && l.addr == addr && room(l));
         if let Some((conn, _)) = fits.max_by_key(|(_, l)| (l.up_by.is_none(), l.riding.len())) {
-            return Some(*conn);
+            return Ok(*conn);
         }
-        if self.links.len() >= self.limits.most {
-            tracing::warn!("no connection to a shard server: {} are open", self.links.len());
-            return None;
+        if self.links.len() >= self.limits.most && !self.make_room(net) {
+            tracing::warn!("no connection to a shard server: {} are in use", self.links.len());
+            return Err(Outcome::Moot);
         }
         match net.dial(addr, self.owner) {
             Ok(conn) => {
@@ -148,15 +158,27 @@
                 let link =
                     Link { replica, addr, riding, given_up, partly: None, up_by, used: now, unheard: None };
                 self.links.insert(conn, link);
-                Some(conn)
+                Ok(conn)
             }
+            // The system's word on a socket of ours: nothing has reached the server.
             Err(e) => {
                 tracing::warn!("can't dial {addr}: {e}");
-                None
+                Err(Outcome::Moot)
             }
         }
     }
 
+    /// Closes the connection that has carried nothing for longest. False while all are in use.
+    fn make_room(&mut self, net: &mut Reactor) -> bool {
+        let unused = self.links.iter().filter(|(_, l)| l.riding.is_empty());
+        let Some(conn) = unused.min_by_key(|(_, l)| l.used).map(|(conn, _)| *conn) else { return false };
+        if let Some(link) = self.links.remove(&conn) {
+            tracing::debug!("connection to shard server {} closed to make room", link.addr);
+        }
+        net.close(conn);
+        true
+    }
+
     /// Tells the shard server that nobody waits for a part.
     pub fn give_up(&mut self, attempt: AttemptId, net: &mut Reactor) {
         let Some(conn) = self.by_attempt.remove(&attempt) else { return };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -815,3 +815,21 @@
         assert!(got > can && got < multiple * can, "replica {n} got {got}, can do {can}");
     }
 }
+
+#[test]
+fn what_was_never_sent_makes_no_replica_suspect() {
+    let mut r = Root::new(settings(Effect::Safe));
+    play(&mut r, 20, |_| Some(20 * MS));
+    r.idle(r.now + S);
+    let before = r.sent.len();
+    r.query(r.now, &[0], 2 * S);
+    let first = r.sent[before].clone();
+    let moot = r.ended(&first, Outcome::Moot);
+    r.at(r.now + 5 * MS, &[moot]);
+    let (again, next) = (r.sent.len() - 1, r.sent[r.sent.len() - 1].replica);
+    assert!(again > before && next != first.replica, "the part is tried elsewhere");
+    r.answer_all(20 * MS, again);
+    r.idle(r.now + 3 * S);
+    let asked = r.acts.iter().any(|(_, a)| *a == Action::Probe { replica: first.replica });
+    assert!(!asked, "a replica that was sent nothing is taken for silent");
+}
