Give the simulated split lists that come late, and its wide tests one set-up

Now one in ten nodes is replaced meanwhile, and its test asserts that the new ones got work, which fails without news. The two tests with more servers than connections share their broker and their query.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -37,7 +37,8 @@
     Replaced,
     /// Every second node is lost without a word for five seconds and comes back cold.
     Zone,
-    /// For six seconds a fifth of the nodes is silent, lists come late, answers get lost and connections are reset.
+    /// For six seconds a fifth of the nodes is silent, answers get lost and connections are reset, while one in ten
+    /// nodes is replaced and lists come up to three seconds late.
     Split,
 }
 
@@ -134,6 +135,19 @@
 /// What happens to nodes: when, at which address, how it is met from then on, and what discovery says of it.
 type Course = Vec<(Nanos, SocketAddr, Option<Manner>, Option<ServerLine>)>;
 
+/// A node that drains once its successor, which starts then, is there.
+fn replaced(n: u32, at: Nanos) -> Course {
+    let (drains, gone) = (at + REPLACED.0, at + REPLACED.0 + REPLACED.1);
+    let told = |state| Some(line(n, 0, state, 0));
+    vec![
+        (at, addr(n, 1), Some(Manner::Serves), Some(line(n, 1, State::Ready, at))),
+        // It turns new parts away once all have had their time to learn of it.
+        (drains, addr(n, 0), None, told(State::Terminating)),
+        (drains + 2 * S, addr(n, 0), Some(Manner::Drains), None),
+        (gone, addr(n, 0), Some(Manner::Refuses), told(State::Gone)),
+    ]
+}
+
 impl Fleet {
     /// The brokers' settings: the users' classes with a quarter of their times.
     pub fn settings(&self) -> Settings {
@@ -166,16 +180,7 @@
         for n in 0..self.nodes {
             let (chance, at) = (uniform(rng), NOW + 3 * S + (uniform(rng) * RELEASE as f64) as Nanos);
             match trouble {
-                Trouble::Replaced if chance < 0.6 => {
-                    let new = line(n, 1, State::Ready, at);
-                    course.push((at, addr(n, 1), Some(Manner::Serves), Some(new)));
-                    let (drains, gone) = (at + REPLACED.0, at + REPLACED.0 + REPLACED.1);
-                    let told = |state| Some(line(n, 0, state, 0));
-                    // It turns new parts away once all have had their time to learn of it.
-                    course.push((drains, addr(n, 0), None, told(State::Terminating)));
-                    course.push((drains + 2 * S, addr(n, 0), Some(Manner::Drains), None));
-                    course.push((gone, addr(n, 0), Some(Manner::Refuses), told(State::Gone)));
-                }
+                Trouble::Replaced if chance < 0.6 => course.extend(replaced(n, at)),
                 Trouble::Zone if n.is_multiple_of(2) => {
                     let (lost, back) = (NOW + 4 * S, NOW + 4 * S + AWAY);
                     let (gone, new) = (line(n, 0, State::Gone, 0), line(n, 1, State::Ready, back));
@@ -187,6 +192,8 @@
                     course.push((NOW + 4 * S, addr(n, 0), Some(Manner::Silent), None));
                     course.push((NOW + 4 * S + SPLIT, addr(n, 0), Some(Manner::Heard), None));
                 }
+                // Lists can come late only where they have something to tell.
+                Trouble::Split if chance < 0.3 => course.extend(replaced(n, at)),
                 _ => {}
             }
         }
--- a/lab/tests/fleet.rs
+++ b/lab/tests/fleet.rs
@@ -36,4 +36,5 @@
     let p = fleet().play(Trouble::Split, 1);
     keeps_the_rules(&p);
     assert!(p.most_attempts > 1 && p.ended[0] > 0, "{p}");
+    assert!(p.most_pushed > 0.0, "the list reached them: {p}");
 }
--- a/tests/fronts/protocols.rs
+++ b/tests/fronts/protocols.rs
@@ -423,51 +423,48 @@
     assert_eq!(second.ask("whole"), Reply::Whole);
 }
 
-#[test]
-fn more_servers_than_connections_are_all_reached_and_none_is_blamed() {
-    // 96 descriptors leave 32 for connections to servers; each partition has one holder.
+/// A broker whose 96 descriptors leave 32 for connections to its 40 servers, each the one holder of its partition.
+fn serve_wide(act: Act) -> Served {
     const NODES: usize = 40;
     let script = Script::default();
+    script.set(&(0..NODES).collect::<Vec<_>>(), &(0..NODES as u32).collect::<Vec<_>>(), act);
     let nodes: Vec<_> = (0..NODES).map(|n| (node(Wire::Http, n, script.clone()), Wire::Http)).collect();
     let told = platform_config(&nodes, 100, None);
     let told = told.replace(r#""positions":3,"slices":3,"span":2"#, r#""positions":40,"slices":40,"span":1"#);
-    let s = serve_told(&told, script);
+    serve_told(&told, script)
+}
+
+/// Asks for these partitions; gives the first line and the headers of the answer.
+fn ask_for(c: &mut Client, id: &str, partitions: std::ops::Range<u32>) -> String {
+    let boost = 1.0 / partitions.len() as f64;
+    let parts: Vec<String> = partitions.map(|p| format!(r#"{{"segment":{p},"boost":{boost}}}"#)).collect();
+    let body = format!(r#"{{"segments":[{}],"text":"t"}}"#, parts.join(","));
+    c.write(query(id, "Req-Deadline: 20000m\r\n", &body).as_bytes());
+    read_http(&mut c.stream).unwrap().0
+}
+
+#[test]
+fn more_servers_than_connections_are_all_reached_and_none_is_blamed() {
+    let s = serve_wide(Act::Serve);
     let mut c = s.client();
-    for round in 0..3 {
-        for partition in 0..NODES {
-            let body = format!(r#"{{"segments":[{{"segment":{partition},"boost":1}}],"text":"t"}}"#);
-            c.write(query(&format!("q{round}-{partition}"), "Req-Deadline: 20000m\r\n", &body).as_bytes());
-            let (head, _) = read_http(&mut c.stream).unwrap();
-            assert!(head.starts_with("HTTP/1.1 200"), "round {round}, partition {partition}: {head}");
-        }
+    for ask in 0..120 {
+        let partition = ask % 40;
+        let head = ask_for(&mut c, &format!("q{ask}"), partition..partition + 1);
+        assert!(head.starts_with("HTTP/1.1 200"), "query {ask}: {head}");
     }
-    // Each partition was asked once a round: nothing was lost and tried again.
-    assert_eq!(s.script.came(), 3 * NODES);
+    assert_eq!(s.script.came(), 120, "nothing was lost and tried again");
 }
 
 #[test]
 fn a_query_over_more_servers_than_connections_ends_at_once_and_the_next_is_served() {
-    const NODES: usize = 40;
-    let script = Script::default();
-    let nodes: Vec<_> = (0..NODES).map(|n| (node(Wire::Http, n, script.clone()), Wire::Http)).collect();
-    let told = platform_config(&nodes, 100, None);
-    let told = told.replace(r#""positions":3,"slices":3,"span":2"#, r#""positions":40,"slices":40,"span":1"#);
-    script.set(&(0..NODES).collect::<Vec<_>>(), &(0..NODES as u32).collect::<Vec<_>>(), Act::Late(200));
-    let s = serve_told(&told, script);
-    let body = |parts: std::ops::Range<usize>| {
-        let boost = 1.0 / parts.len() as f64;
-        let one = |p| format!(r#"{{"segment":{p},"boost":{boost}}}"#);
-        format!(r#"{{"segments":[{}],"text":"t"}}"#, parts.map(one).collect::<Vec<_>>().join(","))
-    };
+    let s = serve_wide(Act::Late(200));
     let mut c = s.client();
-    // All 40 at once: eight find no connection. That is refused, as nothing of it was lost on a server.
-    c.write(query("all", "Req-Deadline: 20000m\r\n", &body(0..NODES)).as_bytes());
-    assert!(read_http(&mut c.stream).unwrap().0.starts_with("HTTP/1.1 503"));
+    // Eight parts find no connection. That is refused, as nothing of it was lost on a server.
+    assert!(ask_for(&mut c, "all", 0..40).starts_with("HTTP/1.1 503"));
     // Servers to which nothing could be sent are as good as before: each is asked at the first try.
-    for (n, parts) in [0..20, 20..NODES].into_iter().enumerate() {
+    for (id, partitions) in [("first", 0..20), ("last", 20..40)] {
         let before = s.script.came();
-        c.write(query(&format!("half{n}"), "Req-Deadline: 20000m\r\n", &body(parts)).as_bytes());
-        assert!(read_http(&mut c.stream).unwrap().0.starts_with("HTTP/1.1 200"));
+        assert!(ask_for(&mut c, id, partitions).starts_with("HTTP/1.1 200"));
         assert_eq!(s.script.came() - before, 20);
     }
 }
