Answer 503 to whoever has no place, and leave the rest unaccepted

Who has not asked, or is asking, gets 503 with Retry-After; who is idle after an answer is closed as before. On both HTTP fronts.

Two tests fail without it: of 70 clients that ask at once before 32 places some got no answer, and the first of a silent crowd read the end of its connection.

--- a/src/core/exchange.rs
+++ b/src/core/exchange.rs
@@ -125,11 +125,7 @@
         let size = 1 + ask.parts.len();
         // Guards the limit on what is held: a query that is not taken costs nothing and may come again.
         if self.held + size > self.settings.max_open as usize {
-            // Spread, so that those who were refused together don't come back together.
-            let spread =
-                (self.fresh().wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as f64 / f64::from(u32::MAX);
-            let most = if self.settings.may_advise_wait { self.settings.max_wait } else { 0 };
-            return Err(Refused { wait: (most as f64 * (0.25 + 0.5 * spread)) as Nanos });
+            return Err(self.no_room());
         }
         let job = self.fresh();
         let end = (now + ask.time_left.saturating_sub(GUARD)).min(self.end_by);
@@ -159,6 +155,14 @@
         Ok(QueryId(job))
     }
 
+    /// What a client is told for whom there is no room.
+    pub fn no_room(&mut self) -> Refused {
+        // Spread, so that those who were refused together don't come back together.
+        let spread = (self.fresh().wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as f64 / f64::from(u32::MAX);
+        let most = if self.settings.may_advise_wait { self.settings.max_wait } else { 0 };
+        Refused { wait: (most as f64 * (0.25 + 0.5 * spread)) as Nanos }
+    }
+
     /// The client is gone: all that its query held is freed, and no final answer comes.
     pub fn client_gone(&mut self, query: QueryId) {
         if let Some(q) = self.forget(query.0) {
--- a/src/front/catalogue/clients.rs
+++ b/src/front/catalogue/clients.rs
@@ -133,7 +133,13 @@
             self.read(conn, hands);
             if self.places.first_to_go() == Some(conn) {
                 tracing::debug!("client connection closed to make room");
-                self.close(conn, hands);
+                let http = self.clients.get(&conn).is_some_and(|c| matches!(c.speech, Speech::Sru { .. }));
+                if http && self.places.may_ask(conn) {
+                    let wait = hands.exchange.no_room().wait;
+                    self.part_with(conn, Some(http::no_room(wait)), hands);
+                } else {
+                    self.close(conn, hands);
+                }
             }
         }
     }
@@ -549,6 +555,8 @@
         if self.leaving {
             self.close_sessions(hands);
         }
+        // Who was answered meanwhile may have to go for those that wait to be accepted.
+        self.make_room(hands);
         while let Some(conn) = self.places.overdue(hands.now) {
             let Some(client) = self.clients.get(&conn) else { return self.places.gone(conn) };
             tracing::info!("client {} closed: nothing came for too long", client.peer);
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -345,6 +345,13 @@
     out
 }
 
+/// Tells a client that there is no room for it now, and when to come back if that is known; ends its connection.
+pub fn no_room(wait: u64) -> Vec<u8> {
+    let text = retry_after(wait);
+    let headers: &[(&str, &str)] = if wait > 0 { &[("Retry-After", &text)] } else { &[] };
+    response(503, headers, false, b"")
+}
+
 /// `Retry-After` for a wait in nanoseconds, in seconds with a fraction.
 pub fn retry_after(wait: u64) -> String {
     format!("{:.3}", wait as f64 / 1e9)
--- a/src/front/places.rs
+++ b/src/front/places.rs
@@ -115,6 +115,12 @@
         self.waiting.iter().find_map(|w| w.first()).map(|(_, conn)| *conn)
     }
 
+    /// Whether nothing was ever asked on it or a request is coming in: a close alone would leave that unanswered.
+    pub fn may_ask(&self, conn: ConnId) -> bool {
+        let doing = self.held.get(&conn).and_then(|h| h.doing);
+        doing.is_some_and(|(kind, _)| kind != Kind::Idle)
+    }
+
     /// Who has to go because too many who have asked are held: the one idle for longest.
     ///
     /// Guards clients that may hold only so many connections in all: one that asks once and stays would keep
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -80,7 +80,12 @@
             self.read(conn, hands);
             if self.places.first_to_go() == Some(conn) {
                 tracing::debug!("client connection closed to make room");
-                self.close(conn, hands);
+                if self.places.may_ask(conn) {
+                    let wait = hands.exchange.no_room().wait;
+                    self.part_with(conn, &http::no_room(wait), hands);
+                } else {
+                    self.close(conn, hands);
+                }
             }
         }
     }
@@ -156,12 +161,12 @@
         if let Some(client) = self.clients.get(&conn) {
             tracing::warn!("client {} closed: {e}", client.peer);
         }
-        self.part_with(conn, e.status(), hands);
+        self.part_with(conn, &http::response(e.status(), &[], false, b""), hands);
     }
 
     /// Tells a client what was wrong and closes, though it may be in the middle of a request.
-    fn part_with(&mut self, conn: ConnId, status: u16, hands: &mut Platform) {
-        let _ = hands.net.send(conn, &http::response(status, &[], false, b""));
+    fn part_with(&mut self, conn: ConnId, message: &[u8], hands: &mut Platform) {
+        let _ = hands.net.send(conn, message);
         hands.net.close_lingering(conn, hands.now);
         self.gone(conn, hands);
     }
@@ -293,6 +298,8 @@
 
     /// Closes connections that have had their time to ask. Who sent a part of a request is told.
     pub fn tick(&mut self, hands: &mut Platform) {
+        // Who was answered meanwhile may have to go for those that wait to be accepted.
+        self.make_room(hands);
         while let Some(conn) = self.places.first_to_rest() {
             self.read(conn, hands);
             if self.places.first_to_rest() == Some(conn) {
@@ -306,7 +313,7 @@
             if client.reader.is_idle() && hands.net.data(conn).is_empty() {
                 self.close(conn, hands);
             } else {
-                self.part_with(conn, 408, hands);
+                self.part_with(conn, &http::response(408, &[], false, b""), hands);
             }
         }
     }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -87,7 +87,7 @@
     starved: VecDeque<ConnId>,
     /// Events that arose outside `wait`.
     pending: VecDeque<NetEvent>,
-    /// Listeners whose last accept the system refused.
+    /// Listeners that are looked at again a little later: the system refused, or there is no room.
     stuck: Vec<usize>,
     waker: Option<Waker>,
     /// Listeners at which more may wait.
@@ -103,7 +103,7 @@
 
 impl Reactor {
     /// A reactor whose connections share `pool`. Owners keep to `most_accepted` accepted connections; a few more
-    /// are taken for the moment in which they choose whom to close, and any beyond are turned away.
+    /// are taken for the moment in which they choose whom to close, and any beyond wait unaccepted until there is room.
     pub fn new(pool: Pool, most_accepted: usize) -> io::Result<Reactor> {
         Ok(Reactor {
             poll: Poll::new()?,
@@ -447,11 +447,13 @@
         for _ in 0..most {
             let Some((_, Source::Listener { socket, owner })) = self.sources.get(key) else { return };
             let owner = *owner;
+            // Guards clients against a close without an answer: the system holds who is not accepted yet.
+            if self.accepted >= self.most_accepted + 2 * BATCH {
+                tracing::warn!("connections wait to be accepted: {} are open", self.accepted);
+                self.stuck.push(key);
+                return;
+            }
             match socket.accept() {
-                Ok((stream, _)) if self.accepted >= self.most_accepted + 2 * BATCH => {
-                    tracing::warn!("connection turned away: {} are open", self.accepted);
-                    drop(stream);
-                }
                 Ok((stream, peer)) => match self.add(stream, owner, true) {
                     Ok(conn) => self.pending.push_back(NetEvent::Accepted { owner, conn, peer }),
                     Err(e) => tracing::warn!("connection not taken: {e}"),
--- a/tests/fronts/protocols.rs
+++ b/tests/fronts/protocols.rs
@@ -468,3 +468,26 @@
         assert_eq!(s.script.came() - before, 20);
     }
 }
+
+#[test]
+fn whoever_asks_while_all_places_are_taken_gets_a_whole_answer() {
+    // 96 descriptors leave 32 places for clients, and up to 16 more for a moment.
+    let s = serve(Wire::Http, Wire::Http, 1000);
+    s.script.set(&[0, 1, 2], &[0, 1, 2], Act::Late(1000));
+    let mut clients: Vec<Client> = (0..70).map(|_| s.client()).collect();
+    clients.iter_mut().for_each(|c| c.send("whole", "raga"));
+    let replies: Vec<Reply> = clients.iter_mut().map(Client::reply).collect();
+    let whole = replies.iter().filter(|r| **r == Reply::Whole).count();
+    let refused = replies.iter().filter(|r| matches!(r, Reply::Refused { .. })).count();
+    assert!(whole >= 32 && whole + refused == 70, "{replies:?}");
+}
+
+#[test]
+fn who_has_to_go_before_it_has_asked_is_told_when_to_come_back() {
+    let s = serve(Wire::Http, Wire::Http, 100);
+    let mut first = TcpStream::connect(s.addr).unwrap();
+    let crowd: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(s.addr).unwrap()).collect();
+    let (head, _) = read_http(&mut first).unwrap();
+    assert!(head.starts_with("HTTP/1.1 503") && head.contains("Retry-After: "), "{head}");
+    drop(crowd);
+}
