--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The laboratory as a program.
 #![forbid(unsafe_code)]
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use pebbleturn_lab::fleet::{Fleet, TROUBLES};
 use pebbleturn_lab::restart::{AGES, ARMS, Line, Scene};
 use pebbleturn_lab::{demo, plot, routing, sockets};
@@ -16,30 +16,33 @@
     command: Command,
 }
 
+/// What every measurement is told.
+#[derive(Clone, Copy, Debug, Args)]
+struct Told {
+    /// For all that is drawn.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// JSON lines instead of text.
+    #[arg(long)]
+    json: bool,
+}
+
 #[derive(Debug, Subcommand)]
 enum Command {
     /// Start stand-in nodes and a broker, search once over SRU and once over Z39.50, print both answers and end.
     Demo,
     /// Shares of the work against weights, and a set that fails over to its spare and back; in simulated time.
     Routing {
-        /// For all that is drawn.
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-        /// JSON lines instead of text.
-        #[arg(long)]
-        json: bool,
+        #[command(flatten)]
+        told: Told,
         /// Draw the shares over the failover.
         #[arg(long, value_name = "FILE.svg")]
         plot: Option<PathBuf>,
     },
     /// Troubles of a large fleet: what all brokers do together; in simulated time.
     Fleet {
-        /// For all that is drawn.
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-        /// One JSON line for each trouble instead of text.
-        #[arg(long)]
-        json: bool,
+        #[command(flatten)]
+        told: Told,
         /// Brokers.
         #[arg(long, default_value_t = Fleet::default().brokers)]
         brokers: usize,
@@ -58,12 +61,8 @@
     },
     /// Restart all brokers without discovery, with lists of several ages; in simulated time.
     Restart {
-        /// For all that is drawn.
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-        /// One JSON line for each age and arm instead of a table.
-        #[arg(long)]
-        json: bool,
+        #[command(flatten)]
+        told: Told,
         /// Draw the service by age and arm.
         #[arg(long, value_name = "FILE.svg")]
         plot: Option<PathBuf>,
@@ -94,26 +93,15 @@
 fn main() -> ExitCode {
     let ran = match Cli::parse().command {
         Command::Demo => demo::run(),
-        Command::Routing { seed, json, plot } => routed(seed, json, plot),
-        Command::Fleet { seed, json, brokers, nodes, rate, parts, seconds } => {
+        Command::Routing { told, plot } => routed(told, plot),
+        Command::Fleet { told, brokers, nodes, rate, parts, seconds } => {
             let time = seconds * 1_000_000_000;
-            fleet(&Fleet { brokers, nodes, rate, parts, time, ..Fleet::default() }, seed, json)
+            fleet(&Fleet { brokers, nodes, rate, parts, time, ..Fleet::default() }, told)
         }
-        Command::Restart {
-            seed,
-            json,
-            plot,
-            worlds,
-            nodes,
-            rate,
-            changes_every,
-            restarts,
-            together,
-            sockets,
-        } => {
+        Command::Restart { told, plot, worlds, nodes, rate, changes_every, restarts, together, sockets } => {
             let changes_every = (changes_every * 3_600e9) as u64;
             let scene = Scene { worlds, nodes, rate, changes_every, restarts, together, ..Scene::default() };
-            if sockets { sockets::restart(json) } else { restart(&scene, seed, json, plot) }
+            if sockets { sockets::restart(told.json) } else { restart(&scene, told, plot) }
         }
     };
     match ran {
@@ -127,8 +115,7 @@
 
 fn restart(
     scene: &Scene,
-    seed: u64,
-    json: bool,
+    Told { seed, json }: Told,
     plot: Option<PathBuf>,
 ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
     let mut lines: Vec<Line> = Vec::new();
@@ -152,7 +139,7 @@
     }
 }
 
-fn fleet(fleet: &Fleet, seed: u64, json: bool) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+fn fleet(fleet: &Fleet, Told { seed, json }: Told) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
     for trouble in TROUBLES {
         let played = fleet.play(trouble, seed);
         if json { println!("{}", serde_json::to_string(&played)?) } else { println!("{played}") }
@@ -161,8 +148,7 @@
 }
 
 fn routed(
-    seed: u64,
-    json: bool,
+    Told { seed, json }: Told,
     plot: Option<PathBuf>,
 ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
     for parts in [1_000, 10_000, 100_000] {
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -160,6 +160,13 @@
     signal(child, "-TERM");
 }
 
+/// Ends it in an orderly way.
+fn end(child: Program, lines: &mut impl Iterator<Item = std::io::Result<String>>) {
+    terminate(&child);
+    wait_for(lines, "ended");
+    child.ends();
+}
+
 #[test]
 fn the_signal_to_end_ends_it_in_an_orderly_way() {
     let text = std::fs::read_to_string("deploy/catalogue.toml").unwrap();
@@ -248,9 +255,7 @@
     wait_for(&mut lines, "read again: 2 nodes");
     let before = script.came_to(0);
     assert!((0..10).all(|_| serves()) && script.came_to(0) == before && script.came_to(1) > 0);
-    terminate(&child);
-    wait_for(&mut lines, "ended");
-    child.ends();
+    end(child, &mut lines);
 }
 
 #[test]
@@ -282,9 +287,7 @@
     assert!(line.contains("is back after"), "nothing more was said while it was down: {line}");
     stop.send(()).unwrap();
     asking.join().unwrap();
-    terminate(&child);
-    wait_for(&mut lines, "ended");
-    child.ends();
+    end(child, &mut lines);
 }
 
 #[test]
@@ -334,9 +337,7 @@
     // It asks, fails, and asks again.
     wait_for(&mut lines, "watch on discovery ended");
     wait_for(&mut lines, "watch on discovery ended");
-    terminate(&child);
-    wait_for(&mut lines, "ended");
-    child.ends();
+    end(child, &mut lines);
 }
 
 #[test]
@@ -360,18 +361,14 @@
     for keep in [false, true] {
         let (child, mut lines) = start(keep);
         wait_for(&mut lines, "list version 1: 1 servers");
-        terminate(&child);
-        wait_for(&mut lines, "ended");
-        child.ends();
+        end(child, &mut lines);
         assert_eq!(files() > 0, keep);
     }
     directory.mode(Mode::Down);
     let (child, mut lines) = start(true);
     let line = wait_for(&mut lines, "kept list: ");
     assert!(line.contains("1 nodes") && line.contains("trusted at 1.00"), "{line}");
-    terminate(&child);
-    wait_for(&mut lines, "ended");
-    child.ends();
+    end(child, &mut lines);
 }
 
 #[test]
