Read lists that are indented, and count a query against its tenant's share

Change: a list ends where its object does, whatever lines it takes; blank lines between lists still say that the watch stands. Queries carry the place of their tenant; one that the settings don't name has no share.

--- a/lab/src/sim/world.rs
+++ b/lab/src/sim/world.rs
@@ -307,6 +307,7 @@
         self.counts.asked += c.worth;
         let ask = Ask {
             class,
+            tenant: None,
             key: None,
             time_left: c.deadline,
             again: false,
--- a/src/core/exchange.rs
+++ b/src/core/exchange.rs
@@ -179,7 +179,7 @@
             query: RequestId(job.into()),
             job,
             class: ask.class,
-            tenant: None,
+            tenant: ask.tenant,
             ttl: ask.time_left,
             parts: ask.parts.len() as u32,
             work,
--- a/src/core/work.rs
+++ b/src/core/work.rs
@@ -16,6 +16,8 @@
 pub struct Ask<Q> {
     /// Place of its class in the settings.
     pub class: usize,
+    /// Place of its tenant in the settings, where it has one.
+    pub tenant: Option<usize>,
     /// What it concerns, where queries have such a key.
     pub key: Option<u64>,
     /// Time left before the client gives up.
--- a/src/front/catalogue/plan.rs
+++ b/src/front/catalogue/plan.rs
@@ -113,7 +113,7 @@
     let weight = 1.0 / runs.len().max(1) as f64;
     let parts = runs.iter().map(|r| AskPart { shard: r.partition, weight, work: None }).collect();
     let payload = Rc::new(Sought { search: search.clone(), runs });
-    Ask { class, key, time_left, again: false, parts, payload }
+    Ask { class, tenant: None, key, time_left, again: false, parts, payload }
 }
 
 /// Takes an answer apart: the counts of all partitions asked, and what each brought, in partition order.
--- a/src/front/discovery.rs
+++ b/src/front/discovery.rs
@@ -22,6 +22,8 @@
     by: Nanos,
     /// Nothing has been told on it yet.
     first: bool,
+    /// The end of a list's last line is still to come.
+    line_end: bool,
 }
 
 /// The watch on discovery.
@@ -58,7 +60,8 @@
         let request =
             format!("GET /api/targets?follow=1&since={since} HTTP/1.1\r\nHost: {}\r\n\r\n", self.discovery);
         let reader = Reader::new(Side::Responses);
-        self.standing = Some(Standing { conn, reader, by: now + self.dial_timeout, first: true });
+        self.standing =
+            Some(Standing { conn, reader, by: now + self.dial_timeout, first: true, line_end: false });
         if net.send(conn, request.as_bytes()).is_err() {
             self.fail("no room to ask", net);
         }
@@ -128,7 +131,8 @@
         }
     }
 
-    /// Takes the lines that are whole.
+    /// Takes the lists that are whole, and the empty lines between them. A list may be indented, over many lines: it
+    /// ends where its object does.
     fn lines(&mut self, now: Nanos, roster: &mut Roster) -> Result<(), String> {
         loop {
             let Some(watch) = &mut self.standing else { return Ok(()) };
@@ -138,27 +142,29 @@
             }
             let done = watch.reader.is_done();
             let body = watch.reader.body();
-            let line = match body.iter().position(|b| *b == b'\n') {
-                Some(end) => &body[..end],
-                None if done && !body.is_empty() => body,
+            let blank = body.iter().take_while(|b| b.is_ascii_whitespace()).count();
+            let mut ends = body[..blank].iter().filter(|b| **b == b'\n').count();
+            if ends > 0 && std::mem::take(&mut watch.line_end) {
+                ends -= 1;
+            }
+            if ends > 0 {
+                roster.in_sync(now);
+            }
+            let mut lists = serde_json::Deserializer::from_slice(&body[blank..]).into_iter::<ServerList>();
+            let list = match lists.next() {
+                Some(Ok(list)) => Some(list),
+                Some(Err(e)) if !e.is_eof() => return Err(format!("a bad line: {e}")),
+                Some(Err(_)) if done => return Err("its answer ended within a list".into()),
                 None if done => return Err("its answer ended".into()),
-                None => return Ok(()),
-            };
-            let used = (line.len() + 1).min(body.len());
-            let list = match line.trim_ascii() {
-                [] => None,
-                text => {
-                    Some(serde_json::from_slice::<ServerList>(text).map_err(|e| format!("a bad line: {e}"))?)
-                }
+                // The rest of it is still to come.
+                Some(Err(_)) | None => None,
             };
+            let used = blank + list.as_ref().map_or(0, |_| lists.byte_offset());
             watch.reader.consume_body(used);
-            match list {
-                None => roster.in_sync(now),
-                Some(list) => {
-                    let first = std::mem::replace(&mut watch.first, false);
-                    roster.directory(&list, first, now);
-                }
-            }
+            let Some(list) = list else { return Ok(()) };
+            watch.line_end = true;
+            let first = std::mem::replace(&mut watch.first, false);
+            roster.directory(&list, first, now);
         }
     }
 
--- a/src/front/platform/query.rs
+++ b/src/front/platform/query.rs
@@ -40,6 +40,8 @@
     let class = names.class(class).ok_or("an unknown class")?;
     let time_left = head.header("req-deadline").ok_or("no Req-Deadline")?;
     let time_left = duration(time_left).ok_or("an unusable Req-Deadline")?;
+    // Traffic of nobody known has no share to keep to.
+    let tenant = head.header("req-owner").and_then(|name| names.tenant(name));
     let key = head.header("cookie").and_then(cookie_key);
     let body: Body = serde_json::from_slice(body).map_err(|_| "a body that is no query")?;
     if body.segments.is_empty() {
@@ -64,7 +66,7 @@
     }
     let again = head.header("req-retry") == Some("1");
     let payload = Rc::new(Carried { id: id.into(), text: body.text });
-    Ok(Ask { class, key, time_left, again, parts, payload })
+    Ok(Ask { class, tenant, key, time_left, again, parts, payload })
 }
 
 /// A number plus a unit: `m` for milliseconds or `u` for microseconds.
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -52,7 +52,15 @@
     fn open(&mut self, shards: &[u32], time_left: Nanos) -> Result<QueryId, Refused> {
         let weight = 1.0 / shards.len() as f64;
         let parts = shards.iter().map(|s| AskPart { shard: *s, weight, work: None }).collect();
-        let ask = Ask { class: 0, key: None, time_left, again: false, parts, payload: Rc::new("text") };
+        let ask = Ask {
+            class: 0,
+            tenant: None,
+            key: None,
+            time_left,
+            again: false,
+            parts,
+            payload: Rc::new("text"),
+        };
         let opened = self.x.open(self.now, ask);
         self.to(self.now + 10 * MS);
         opened
@@ -87,7 +95,15 @@
     let before = b.now;
     b.x.run(before);
     let parts = (0..6).map(|shard| AskPart { shard, weight: 1.0 / 6.0, work: None }).collect();
-    let ask = Ask { class: 0, key: None, time_left: 2 * S, again: false, parts, payload: Rc::new("text") };
+    let ask = Ask {
+        class: 0,
+        tenant: None,
+        key: None,
+        time_left: 2 * S,
+        again: false,
+        parts,
+        payload: Rc::new("text"),
+    };
     b.x.open(before, ask.clone()).unwrap();
     b.x.run(before);
     let first = b.x.due().unwrap();
--- a/tests/operation/rules.rs
+++ b/tests/operation/rules.rs
@@ -168,7 +168,15 @@
                 let part = |shard| AskPart { shard, weight: 1.0 / f64::from(n % 4 + 1), work: None };
                 let parts = (0..u32::from(n % 4) + 1).map(part).collect();
                 let payload = std::rc::Rc::new(());
-                let ask = Ask { class: 0, key: None, time_left: 3_000 * MS, again: false, parts, payload };
+                let ask = Ask {
+                    class: 0,
+                    tenant: None,
+                    key: None,
+                    time_left: 3_000 * MS,
+                    again: false,
+                    parts,
+                    payload,
+                };
                 match exchange.open(now, ask) {
                     Ok(query) => open.push(query),
                     Err(_) => seen[1] += 1,
--- a/tests/races/lists.rs
+++ b/tests/races/lists.rs
@@ -45,21 +45,43 @@
     let (head, mut third) = watches.recv_timeout(HUNG).expect("no watch after half a line");
     assert!(head.contains("follow=1&since=7"), "half a line changes nothing: {head}");
     begin(&mut third);
-    let gone = node(Wire::Http, 9, script.clone());
-    chunk(
-        &mut third,
-        &format!(
-            "{{\"version\":8,\"full\":false,\n  \"servers\":[{{\"id\":\"s-1\",\"addr\":\"{gone}\",\"zone\":\"a\",\"cell\":1,\"state\":\"Terminating\"}}]}}\n"
-        )
-        .replace("\n  ", " "),
-    );
-    // Partition 1 is held by nodes 1 and 2: with 2 failing all its parts, only a broker that has not heard asks 1.
-    script.set(&[2], &[1], Act::Fail);
-    let heard = (0..2000).any(|_| {
-        let before = script.came_to(1) + script.came_to(9);
-        let reply = s.ask("whole");
-        reply != Reply::Whole && script.came_to(1) + script.came_to(9) == before
-    });
-    assert!(heard, "the drain was not heard");
-    assert_eq!(script.came_to(9), 0);
+    chunk(&mut third, &drain_of_1(8, nodes[1].0));
+    assert!(hears_of_the_drain(&s));
+}
+
+/// A drain of node 1 as discovery may tell it: indented, over many lines.
+fn drain_of_1(version: u64, addr: SocketAddr) -> String {
+    format!(
+        "{{\n  \"version\": {version},\n  \"full\": false,\n  \"servers\": [\n    {{\n      \"id\": \"s-1\",\n      \"addr\": \"{addr}\",\n      \
+         \"zone\": \"a\",\n      \"cell\": 1,\n      \"state\": \"Terminating\"\n    }}\n  ]\n}}\n"
+    )
+}
+
+/// Whether the broker comes to send node 1 nothing, though nobody else serves partition 1.
+fn hears_of_the_drain(s: &Served) -> bool {
+    s.script.set(&[2], &[1], Act::Fail);
+    (0..2000).any(|_| {
+        let before = s.script.came_to(1);
+        s.ask("whole") != Reply::Whole && s.script.came_to(1) == before
+    })
+}
+
+/// An indented list has line ends within it, and a piece of it may end at any of them.
+#[test]
+fn an_indented_list_is_heard_in_whatever_pieces_it_comes() {
+    for cut in [1, 2, 40, 97] {
+        let script = Script::default();
+        let nodes: Vec<_> = (0..3).map(|n| (node(Wire::Http, n, script.clone()), Wire::Http)).collect();
+        let (discovery, watches) = handed_over();
+        let s = serve_told(&platform_config(&nodes, 100, Some(discovery)), script);
+        let (_, mut watch) = watches.recv_timeout(HUNG).expect("no watch");
+        begin(&mut watch);
+        chunk(&mut watch, "\n");
+        let text = drain_of_1(8, nodes[1].0);
+        for piece in [&text[..cut], &text[cut..text.len() - 1], "\n", "\n"] {
+            chunk(&mut watch, piece);
+        }
+        assert!(hears_of_the_drain(&s), "cut at {cut}");
+        assert!(watches.try_recv().is_err(), "the watch was taken for a broken one");
+    }
 }
--- a/tests/races/main.rs
+++ b/tests/races/main.rs
@@ -5,6 +5,7 @@
 #[allow(dead_code)]
 mod clients;
 mod lists;
+mod settings;
 
 use clients::*;
 use std::time::Duration;
--- /dev/null
+++ b/tests/races/settings.rs
@@ -0,0 +1,34 @@
+//! What other customers' settings tell, and one site's don't.
+
+use super::*;
+use pebbleturn_lab::standins::*;
+use std::io::Write;
+
+/// Whose a query is decides whether it is within a share. Worth past the share is below nothing here, so that the module
+/// refuses such queries whatever the load.
+#[test]
+fn a_query_counts_against_the_share_of_its_tenant() {
+    let script = Script::default();
+    let nodes: Vec<_> = (0..3).map(|n| (node(Wire::Http, n, script.clone()), Wire::Http)).collect();
+    let tenants = r#""over_share_worth":-30.0,"tenants":[{"name":"small","quota_per_s":0.000001},{"name":"large","quota_per_s":1000.0}],"tick_ns""#;
+    let config = platform_config(&nodes, 100, None).replace(r#""tick_ns""#, tenants);
+    let s = serve_told(&config, script);
+    let ask = |n: usize, owner: &str| {
+        let mut c = s.client();
+        let body = r#"{"segments":[{"segment":0,"boost":0.5},{"segment":1,"boost":0.5}],"text":"t"}"#;
+        write!(
+            c.stream,
+            "POST /api HTTP/1.1\r\nReq-Id: t-{n}\r\nReq-Kind: most\r\n{owner}Req-Deadline: 9000m\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+        .unwrap();
+        let (head, _) = read_http(&mut c.stream).unwrap();
+        head.split(' ').nth(1).unwrap().to_owned()
+    };
+    assert_eq!(ask(1, "Req-Owner: large\r\n"), "200");
+    assert_eq!(ask(2, "Req-Owner: small\r\n"), "503");
+    assert_eq!(ask(3, "Req-Owner: large\r\n"), "200");
+    // Of nobody known: there is no share to be past.
+    assert_eq!(ask(4, ""), "200");
+    assert_eq!(ask(5, "Req-Owner: unheard-of\r\n"), "200");
+}
