Look at a call again before its first byte when it waited for its connection

Cause: found by reading Servers::call and Servers::give_up. A call was written into the queue of a connection that was still being dialled, and whatever came between that line and the dial's end changed nothing: after its client left, the shard server still got 'Rleft.0' and an 'A' behind it; after a drain was told, parts 'asked.0' and 'probe.0' went to the draining server when the dial came up, at any later time; a repeat of a keyed class went out after the window for repeats.

Change: calls wait at their link as calls, not as bytes. Each attempt is shown to Exchange::begin once the connection is up and has taken all that went before; what is over by then is not sent and counts as never run.

Result: three tests over real connections, in which the dial comes up only when the test releases it. Without the change each fails: first came "Rleft.0 0 d=8000 1\nt"; left ["asked.0", "probe.0"], right []; left ["asked.0"], right [].

--- a/src/core/exchange.rs
+++ b/src/core/exchange.rs
@@ -19,6 +19,8 @@
     id: RequestId,
     ask: AskPart,
     attempts: u32,
+    /// When each attempt was begun that may have run.
+    begun: Vec<(u32, Nanos)>,
     value: Option<V>,
 }
 
@@ -38,6 +40,8 @@
     replica: ReplicaId,
     sent: Nanos,
     due: Nanos,
+    /// It waits at the server side for a connection: nothing of it has left.
+    waits: bool,
 }
 
 /// Queries, parts and attempts between the two sides. `Q` is what a query carries, `V` a part's value.
@@ -53,7 +57,8 @@
     /// Time-outs of attempts and ends of queries.
     timers: BTreeSet<(Nanos, AttemptId)>,
     ends: BTreeSet<(Nanos, u64)>,
-    cells: HashMap<ReplicaId, u32>,
+    /// The cell of each server that is listed, and whether it takes new work.
+    cells: HashMap<ReplicaId, (u32, bool)>,
     heard: Vec<Event>,
     acts: Vec<Action>,
     work: VecDeque<Work<Q, V>>,
@@ -190,7 +195,7 @@
             let id = RequestId(self.fresh().into());
             self.heard.push(Event::Part { part: id, job, shard: p.shard, weight: p.weight });
             self.parts.insert(id, job);
-            parts.push(Part { id, ask: p, attempts: 0, value: None });
+            parts.push(Part { id, ask: p, attempts: 0, begun: Vec::new(), value: None });
         }
         self.held += size;
         self.ends.insert((end, job));
@@ -256,6 +261,42 @@
 
     // ---- server side ----
 
+    /// This attempt waits for a connection; `begin` is to be asked before the first byte of it is written.
+    pub fn waits(&mut self, attempt: AttemptId) {
+        self.outs.entry(attempt).and_modify(|o| o.waits = true);
+    }
+
+    /// Whether an attempt that is about to be written is still to be: what was true when it was chosen may not be by
+    /// then. If so, it counts as begun; if not, it is over, and its server side forgets it.
+    ///
+    /// Guards against passing on what a client left behind while it waited, against sends to a server that was told to
+    /// drain meanwhile, and against a second run of what may not be run twice, or no longer.
+    pub fn begin(&mut self, now: Nanos, attempt: AttemptId) -> bool {
+        let Some(out) = self.outs.get_mut(&attempt) else { return false };
+        out.waits = false;
+        let takes_work = self.cells.get(&out.replica).is_some_and(|(_, takes)| *takes);
+        let query = self.queries.get_mut(&out.query);
+        let class = query.as_ref().map(|q| self.settings.classes[q.class].effect);
+        let part = query.and_then(|q| q.parts.iter_mut().find(|p| p.id == out.part));
+        let may = part.filter(|p| {
+            let first = p.begun.iter().map(|(_, t)| *t).min();
+            let again = match (class, first) {
+                (_, None) | (Some(Effect::Safe), _) => true,
+                (Some(Effect::Keyed { window }), Some(t)) => now + 2 * self.settings.tick < t + window,
+                (Some(Effect::Unsafe) | None, Some(_)) => false,
+            };
+            p.value.is_none() && takes_work && again && now < out.due
+        });
+        if let Some(part) = may {
+            part.begun.push((out.number, now));
+            return true;
+        }
+        if let Some(out) = self.remove(attempt) {
+            self.tell_end(now, &out, Outcome::Moot, None);
+        }
+        false
+    }
+
     /// The outcome of an attempt. What comes late, twice or for a given-up attempt is dropped.
     pub fn ended(&mut self, now: Nanos, attempt: AttemptId, end: Ended<V>) {
         let Some(out) = self.remove(attempt) else { return };
@@ -274,6 +315,15 @@
     }
 
     fn tell_end(&mut self, now: Nanos, out: &Out, outcome: Outcome, busy: Option<f64>) {
+        // What never left has not run, whatever ended the wait for it.
+        let waited = out.waits && matches!(outcome, Outcome::TimeOut | Outcome::Cancelled);
+        let outcome = if waited { Outcome::Moot } else { outcome };
+        let unrun = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        let part =
+            self.queries.get_mut(&out.query).and_then(|q| q.parts.iter_mut().find(|p| p.id == out.part));
+        if let Some(part) = part.filter(|_| unrun) {
+            part.begun.retain(|(number, _)| *number != out.number);
+        }
         // Guards memory where nobody takes them.
         if self.outcomes.len() >= MOST_OUTCOMES {
             self.outcomes.pop_front();
@@ -323,7 +373,8 @@
         for line in &lines {
             match line.standing {
                 Standing::Gone => self.cells.remove(&line.replica),
-                Standing::In | Standing::Draining => self.cells.insert(line.replica, line.cell),
+                Standing::In => self.cells.insert(line.replica, (line.cell, true)),
+                Standing::Draining => self.cells.insert(line.replica, (line.cell, false)),
             };
         }
         self.heard.push(Event::Replicas { full, lines });
@@ -457,10 +508,10 @@
         let number = p.attempts;
         p.attempts += 1;
         // Guards the rule that only a holder of its shard is sent a part, and the cap on attempts.
-        let holds = cell.is_some_and(|c| (c + n - p.ask.shard % n) % n < span);
+        let holds = cell.is_some_and(|(c, _)| (c + n - p.ask.shard % n) % n < span);
         let over = now >= q.end || p.attempts > self.settings.max_attempts;
         let due = (now + timeout).min(q.end);
-        let out = Out { query: job, part, number, replica, sent: now, due };
+        let out = Out { query: job, part, number, replica, sent: now, due, waits: false };
         if !holds || over {
             return self.tell_end(now, &out, Outcome::Moot, None);
         }
--- a/src/front/platform/servers.rs
+++ b/src/front/platform/servers.rs
@@ -48,9 +48,17 @@
     end: u64,
 }
 
+/// A call that waits for its connection to come up, or to take what was written before.
+struct Waiting {
+    since: Nanos,
+    parts: Vec<Dispatch<Carried>>,
+}
+
 struct Link {
     replica: ReplicaId,
     addr: SocketAddr,
+    /// Calls of which nothing was handed to the connection yet: what is given up meanwhile never leaves.
+    waiting: VecDeque<Waiting>,
     riding: Vec<Riding>,
     /// Parts that were given up and may still be answered.
     given_up: VecDeque<String>,
@@ -66,6 +74,11 @@
 }
 
 impl Link {
+    /// Parts that travel on it, or wait to.
+    fn load(&self) -> usize {
+        self.riding.len() + self.waiting.iter().map(|w| w.parts.len()).sum::<usize>()
+    }
+
     /// So many bytes are written: attempts that are whole among them now, each told once.
     fn written(&mut self, flushed: u64) -> u64 {
         let mut attempts = 0;
@@ -122,29 +135,56 @@
                 return;
             }
         };
-        let ids: Vec<String> = parts.iter().map(|p| format!("{}.{}", p.payload.id, p.shard)).collect();
-        let lines = parts.iter().zip(&ids).map(|(p, id)| PartLine {
-            id,
-            shard: p.shard,
-            wait_ms: (p.timeout / 1_000_000).max(1),
-            text: &p.payload.text,
-        });
-        let message = frame::call(&lines.collect::<Vec<_>>());
-        if hands.net.send(conn, &message).is_err() {
-            tracing::warn!("call not sent: the connection takes no more");
-            for p in &parts {
-                hands.exchange.ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
-            }
-            return;
+        for p in &parts {
+            self.by_attempt.insert(p.attempt, conn);
+            hands.exchange.waits(p.attempt);
         }
-        let (end, flushed) = (hands.net.queued(conn), hands.net.flushed(conn));
         if let Some(link) = self.links.get_mut(&conn) {
+            link.waiting.push_back(Waiting { since: hands.now, parts });
+        }
+        self.write(conn, hands);
+    }
+
+    /// Writes the calls that wait for this connection, for as long as it takes all that it is given.
+    fn write(&mut self, conn: ConnId, hands: &mut Platform) {
+        while let Some(link) = self.links.get_mut(&conn) {
+            if link.up_by.is_some() || !hands.net.is_flushed(conn) {
+                return;
+            }
+            let Some(Waiting { since, mut parts }) = link.waiting.pop_front() else { return };
+            parts.retain(|p| {
+                let may = hands.exchange.begin(hands.now, p.attempt);
+                if !may {
+                    self.by_attempt.remove(&p.attempt);
+                }
+                may
+            });
+            if parts.is_empty() {
+                continue;
+            }
+            let waited = hands.now.saturating_sub(since);
+            let ids: Vec<String> = parts.iter().map(|p| format!("{}.{}", p.payload.id, p.shard)).collect();
+            let lines = parts.iter().zip(&ids).map(|(p, id)| PartLine {
+                id,
+                shard: p.shard,
+                wait_ms: (p.timeout.saturating_sub(waited) / 1_000_000).max(1),
+                text: &p.payload.text,
+            });
+            let message = frame::call(&lines.collect::<Vec<_>>());
+            if hands.net.send(conn, &message).is_err() {
+                tracing::warn!("call not sent: the connection takes no more");
+                for p in &parts {
+                    self.by_attempt.remove(&p.attempt);
+                    hands.exchange.ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
+                }
+                continue;
+            }
+            let (end, flushed) = (hands.net.queued(conn), hands.net.flushed(conn));
             link.unwritten.push_back((end, parts.len() as u64));
             hands.exchange.written(link.written(flushed));
             link.used = hands.now;
             link.unheard.get_or_insert(hands.now);
             for (p, id) in parts.iter().zip(ids) {
-                self.by_attempt.insert(p.attempt, conn);
                 link.riding.push(Riding { attempt: p.attempt, id, end });
             }
         }
@@ -164,10 +204,9 @@
             l.unheard.is_none_or(|t| now < t + self.limits.silent)
                 && l.partly.is_none_or(|t| now < t + PARTLY)
         };
-        let room =
-            |l: &Link| heard(l) && (l.riding.is_empty() || l.riding.len() + parts <= self.limits.streams);
+        let room = |l: &Link| heard(l) && (l.load() == 0 || l.load() + parts <= self.limits.streams);
         let fits = self.links.iter().filter(|(_, l)| l.replica == replica && l.addr == addr && room(l));
-        if let Some((conn, _)) = fits.max_by_key(|(_, l)| (l.up_by.is_none(), l.riding.len())) {
+        if let Some((conn, _)) = fits.max_by_key(|(_, l)| (l.up_by.is_none(), l.load())) {
             return Ok(*conn);
         }
         if self.links.len() >= self.limits.most && !self.make_room(net) {
@@ -179,11 +218,18 @@
                 self.dialled += 1;
                 tracing::debug!("dialled {addr}, connection {} to shard servers", self.dialled);
                 let up_by = Some(now + self.limits.dial_timeout);
-                let (riding, given_up) = (Vec::new(), VecDeque::new());
-                let unwritten = VecDeque::new();
-                let (partly, unheard) = (None, None);
-                let link =
-                    Link { replica, addr, riding, given_up, partly, up_by, used: now, unheard, unwritten };
+                let link = Link {
+                    replica,
+                    addr,
+                    waiting: VecDeque::new(),
+                    riding: Vec::new(),
+                    given_up: VecDeque::new(),
+                    partly: None,
+                    up_by,
+                    used: now,
+                    unheard: None,
+                    unwritten: VecDeque::new(),
+                };
                 self.links.insert(conn, link);
                 Ok(conn)
             }
@@ -197,7 +243,7 @@
 
     /// Closes the connection that has carried nothing for longest. False while all are in use.
     fn make_room(&mut self, net: &mut Reactor) -> bool {
-        let unused = self.links.iter().filter(|(_, l)| l.riding.is_empty());
+        let unused = self.links.iter().filter(|(_, l)| l.load() == 0);
         let Some(conn) = unused.min_by_key(|(_, l)| l.used).map(|(conn, _)| *conn) else { return false };
         if let Some(link) = self.links.remove(&conn) {
             tracing::debug!("connection to shard server {} closed to make room", link.addr);
@@ -217,6 +263,9 @@
                 link.given_up.pop_front();
             }
             link.given_up.push_back(riding.id);
+        } else {
+            link.waiting.iter_mut().for_each(|w| w.parts.retain(|p| p.attempt != attempt));
+            link.waiting.retain(|w| !w.parts.is_empty());
         }
     }
 
@@ -227,6 +276,7 @@
                 if let Some(link) = self.links.get_mut(&conn) {
                     link.up_by = None;
                 }
+                self.write(conn, hands);
             }
             NetEvent::Readable { conn, .. } => self.read(conn, hands),
             NetEvent::Broken { conn, flushed, .. } => self.broken(conn, flushed, hands),
@@ -235,6 +285,7 @@
                 if let Some(link) = self.links.get_mut(&conn) {
                     hands.exchange.written(link.written(flushed));
                 }
+                self.write(conn, hands);
             }
             NetEvent::Accepted { .. } | NetEvent::Datagrams { .. } | NetEvent::Signal(_) => {}
         }
@@ -329,6 +380,10 @@
     fn end(&mut self, conn: ConnId, flushed: u64, mut why: Outcome, hands: &mut Platform) {
         let Some(mut link) = self.links.remove(&conn) else { return };
         hands.exchange.written(link.written(flushed));
+        for p in link.waiting.into_iter().flat_map(|w| w.parts) {
+            self.by_attempt.remove(&p.attempt);
+            hands.exchange.ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
+        }
         for r in link.riding {
             self.by_attempt.remove(&r.attempt);
             let written = flushed >= r.end;
@@ -341,7 +396,7 @@
 
     /// Ends dials that take too long, and connections before the peer closes them as idle.
     pub fn tick(&mut self, hands: &mut Platform) {
-        let moved = |l: &Link| l.riding.is_empty() && self.addrs.get(&l.replica) != Some(&l.addr);
+        let moved = |l: &Link| l.load() == 0 && self.addrs.get(&l.replica) != Some(&l.addr);
         let over = |l: &Link| self.ends(l) <= hands.now || moved(l);
         let ended: Vec<ConnId> = self.links.iter().filter(|(_, l)| over(l)).map(|(c, _)| *c).collect();
         for conn in ended {
@@ -358,7 +413,7 @@
         match (l.up_by, l.partly) {
             (Some(t), _) => t,
             (None, Some(t)) => t + WHOLE_IN,
-            (None, None) if !l.riding.is_empty() => Nanos::MAX,
+            (None, None) if l.load() > 0 => Nanos::MAX,
             (None, None) => l.unheard.map_or(idle, |t| idle.min(t + SILENT)),
         }
     }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -360,6 +360,11 @@
         self.conn(id).map_or(0, |c| c.flushed)
     }
 
+    /// Whether all of it was.
+    pub fn is_flushed(&mut self, id: ConnId) -> bool {
+        self.conn(id).is_some_and(|c| c.connected && c.all_written())
+    }
+
     /// Reads once.
     pub fn fill(&mut self, id: ConnId) -> Filled {
         let Some(c) = self.conn(id) else { return Filled::Ended };
--- a/tests/races/main.rs
+++ b/tests/races/main.rs
@@ -4,6 +4,7 @@
 #[path = "../fronts/clients.rs"]
 #[allow(dead_code)]
 mod clients;
+mod dials;
 mod lists;
 mod settings;
 
