End all queries before the program may be killed, and refuse what can't be finished

Cause: found by reading Broker::step and Exchange::end_by. The time by which all must be answered held for queries taken after the listeners closed only: one taken before, with a deadline beyond the earliest SIGKILL and a server that hangs, was open at that time ('503 after 8.000587673s' after the word; 3.7 s is the earliest kill). Queries taken late were sent on with the client's whole time in the decisions' eyes, and failed with 504 at the end.

Change: end_by moves open queries too. What ends so and is safe, or was never sent, is refused with the time to come back. The decisions are told the time that is left where it is less than the aim.

A check was replaced: tests/exchange.rs wanted a query taken before the end of service to outlast it, which is the fault; now both must end by then, and nothing may be held after.

--- a/src/core/exchange.rs
+++ b/src/core/exchange.rs
@@ -157,9 +157,18 @@
         self.heard.push(Event::Budget(budget));
     }
 
-    /// Queries that are taken from now on end by then, whatever their clients' time.
+    /// All queries end by then, whatever their clients' time: those that are open and those that are taken from now on.
+    ///
+    /// Guards the one final answer against the end of the program: what that finds open has none.
     pub fn end_by(&mut self, by: Nanos) {
         self.end_by = by;
+        let later = self.ends.split_off(&(by.saturating_add(1), 0));
+        for (_, job) in later {
+            if let Some(q) = self.queries.get_mut(&job) {
+                q.end = by;
+                self.ends.insert((by, job));
+            }
+        }
     }
 
     fn fresh(&mut self) -> u64 {
@@ -179,16 +188,21 @@
         }
         let job = self.fresh();
         let end = (now + ask.time_left.saturating_sub(GUARD)).min(self.end_by);
+        // Less than the aim is left where the program ends before: that is no client's doing, and nothing is sent on
+        // that can't be finished by then.
+        let left = (end + GUARD).saturating_sub(now);
+        let cut = left < ask.time_left && self.settings.classes.get(ask.class).is_some_and(|c| left < c.aim);
+        let (ttl, again) = if cut { (left, false) } else { (ask.time_left, ask.again) };
         let work = ask.parts.iter().filter_map(|p| p.work).reduce(|a, b| a + b);
         self.heard.push(Event::Query {
             query: RequestId(job.into()),
             job,
             class: ask.class,
             tenant: ask.tenant,
-            ttl: ask.time_left,
+            ttl,
             parts: ask.parts.len() as u32,
             work,
-            again: ask.again,
+            again,
         });
         let mut parts = Vec::with_capacity(ask.parts.len());
         for p in ask.parts {
@@ -417,7 +431,8 @@
         }
         // Guards the client's time: whatever the module does, each query ends before that is over.
         while let Some((_, job)) = self.ends.first().copied().filter(|(t, _)| *t <= now) {
-            self.finish(job, |_| Final::Failed);
+            let given_up = self.given_up(job);
+            self.finish(job, |_| given_up);
             self.heard.push(Event::ClientGone { query: RequestId(job.into()) });
         }
         let woken = self.wake.is_some_and(|t| t <= now);
@@ -448,6 +463,19 @@
         }
     }
 
+    /// What is told of a query whose time is over: where it is the program's time and not the client's, and to ask again
+    /// is harmless, that it was refused.
+    fn given_up(&mut self, job: u64) -> Final<V> {
+        let safe = |q: &Query<Q, V>| self.settings.classes[q.class].effect == Effect::Safe;
+        let never_ran = |q: &Query<Q, V>| q.parts.iter().all(|p| p.attempts == 0);
+        match self.queries.get(&job) {
+            Some(q) if q.end == self.end_by && (safe(q) || never_ran(q)) => {
+                Final::Refused { wait: self.no_room().wait }
+            }
+            _ => Final::Failed,
+        }
+    }
+
     /// The next piece of work, if there is any.
     pub fn next_work(&mut self) -> Option<Work<Q, V>> {
         self.work.pop_front()
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -159,7 +159,7 @@
 }
 
 #[test]
-fn a_query_taken_before_the_end_of_service_is_over_by_then() {
+fn all_queries_are_over_by_the_end_of_service_whenever_they_were_taken() {
     let mut b = Bench::new(|_| {});
     b.open(&[0], 2 * S).unwrap();
     let start = b.now;
@@ -167,5 +167,6 @@
     b.open(&[1], 2 * S).unwrap();
     b.to(start + 3 * S);
     let ends: Vec<Nanos> = b.finals.iter().map(|f| f.1).collect();
-    assert!(ends.len() == 2 && ends[0] <= start + 500 * MS && ends[1] > start + 500 * MS, "{ends:?}");
+    assert!(ends.len() == 2 && ends.iter().all(|t| *t <= start + 500 * MS), "{ends:?}");
+    assert_eq!(b.x.held(), 0);
 }
--- a/tests/races/bed.rs
+++ b/tests/races/bed.rs
@@ -97,12 +97,23 @@
 
 pub fn send_for(s: &Served, shard: u32, id: &str, ms: u64) -> Client {
     let mut c = s.client();
-    let body = format!(r#"{{"segments":[{{"segment":{shard},"boost":1}}],"text":"t"}}"#);
-    let head = format!("POST /api HTTP/1.1\r\nReq-Id: {id}\r\nReq-Kind: whole\r\nReq-Deadline: {ms}m\r\n");
-    write!(c.stream, "{head}Content-Length: {}\r\n\r\n{body}", body.len()).unwrap();
+    c.write(request_within(shard, id, ms, "").as_bytes());
     c
 }
 
+/// A query of one part, with these headers beside the usual ones.
+pub fn request(shard: u32, id: &str, headers: &str) -> String {
+    request_within(shard, id, 15_000, headers)
+}
+
+fn request_within(shard: u32, id: &str, ms: u64, headers: &str) -> String {
+    let body = format!(r#"{{"segments":[{{"segment":{shard},"boost":1}}],"text":"t"}}"#);
+    format!(
+        "POST /api HTTP/1.1\r\nReq-Id: {id}\r\nReq-Kind: whole\r\nReq-Deadline: {ms}m\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
 pub fn status(c: &mut Client) -> String {
     let (head, _) = read_http(&mut c.stream).expect("no answer");
     head.split(' ').nth(1).unwrap().to_owned()
--- a/tests/races/hangups.rs
+++ b/tests/races/hangups.rs
@@ -11,14 +11,6 @@
 /// end behind more than that is not told before the broker reads on: the system itself does not have it yet.)
 const TOO_MUCH: usize = 100 * 1024;
 
-fn request(shard: u32, id: &str, headers: &str) -> String {
-    let body = format!(r#"{{"segments":[{{"segment":{shard},"boost":1}}],"text":"t"}}"#);
-    format!(
-        "POST /api HTTP/1.1\r\nReq-Id: {id}\r\nReq-Kind: whole\r\nReq-Deadline: 15000m\r\n{headers}Content-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
 /// Requests that are sent ahead of the first answer, of so many bytes at least.
 fn ahead(bytes: usize) -> String {
     let mut all = String::new();
--- a/tests/races/main.rs
+++ b/tests/races/main.rs
@@ -6,6 +6,7 @@
 #[allow(dead_code)]
 mod clients;
 mod dials;
+mod ending;
 mod hangups;
 mod lists;
 mod settings;
