Begin a silent watch anew within 0.8 s, however rarely the list is to be asked for

A silent watch is shown by 3.2 s without a line; what it misses counts as told 6 s after the last one. When to call again was left to the decision module alone, which waits up to 0.075 of must_ask_in_ns: 0.75 s with this site's 10 s, 9 s with two minutes, so that drains told meanwhile go unheard past the 6 s.

Change: after a watch that stood and fell silent, the front itself calls within 0.8 s, spread by the broker's seed; the module's own call then finds a watch that stands. Other breaks keep to the settings' time.

Result: the test with real connections fails without the change ('no watch after a silent one: Timeout' after 6 s) and passes with it.

--- a/src/front/discovery.rs
+++ b/src/front/discovery.rs
@@ -34,12 +34,14 @@
     dial_timeout: Nanos,
     standing: Option<Standing>,
     failed: bool,
+    /// It stood and fell silent.
+    silent: bool,
 }
 
 impl Watch {
     /// A watch whose connections carry the mark `owner` and are up within `dial_timeout`. It begins with `begin`.
     pub fn new(owner: u8, discovery: SocketAddr, dial_timeout: Nanos) -> Watch {
-        Watch { owner, discovery, dial_timeout, standing: None, failed: false }
+        Watch { owner, discovery, dial_timeout, standing: None, failed: false, silent: false }
     }
 
     /// Whether it broke, or could not begin, since this was last asked.
@@ -47,6 +49,12 @@
         std::mem::take(&mut self.failed)
     }
 
+    /// Whether it stood and fell silent, since this was last asked. What such a watch misses counts as told a few seconds
+    /// later, whatever time there is between calls.
+    pub fn take_silent(&mut self) -> bool {
+        std::mem::take(&mut self.silent)
+    }
+
     /// Asks for the changes since the list held. A watch that stands already goes on.
     pub fn begin(&mut self, since: u64, now: Nanos, net: &mut Reactor) {
         if self.standing.is_some() {
@@ -170,7 +178,8 @@
 
     /// Ends a watch on which nothing came for too long: a silent peer shows by time alone.
     pub fn tick(&mut self, now: Nanos, net: &mut Reactor) {
-        if self.standing.as_ref().is_some_and(|w| w.by <= now) {
+        if let Some(watch) = self.standing.as_ref().filter(|w| w.by <= now) {
+            self.silent |= watch.reader.head().is_some();
             self.fail("nothing came for too long", net);
         }
     }
--- a/src/front/membership.rs
+++ b/src/front/membership.rs
@@ -18,10 +18,14 @@
 /// Most news for other brokers that waits; a list that is longer is told as it changes.
 const MOST_NEWS: usize = 32_768;
 
+/// Longest wait before discovery is asked again after a watch fell silent, however rarely the settings want it asked. What a
+/// silent watch misses counts as told 6 s after its last line: 3.2 s show the silence, and 2 s are left for the next call.
+const AFTER_SILENCE: Nanos = 800_000_000;
+
 /// Who decides when discovery is asked again.
 enum Asks {
-    /// The decision module, as the platform's settings have it.
-    Module,
+    /// The decision module, as the platform's settings have it; this side only after a watch fell silent, when.
+    Module { again: AskAgain, at: Option<Nanos> },
     /// This side: when next, none while a watch stands.
     Here { again: AskAgain, at: Option<Nanos> },
 }
@@ -54,13 +58,17 @@
 impl Membership {
     /// Membership by this roster, which keeps what it learns by `keeper`.
     pub fn new(roster: Roster, keeper: Option<Keeper>) -> Membership {
-        let (asks, hand) = (Asks::Module, ByHand::default());
+        let (asks, hand) = (
+            Asks::Module { again: AskAgain::new(AFTER_SILENCE, AFTER_SILENCE, 0), at: None },
+            ByHand::default(),
+        );
         Membership { roster, watch: None, asks, routing: None, hand, among: None, keeper, now: 0 }
     }
 
-    /// Watches discovery whenever the decision module says so.
-    pub fn asked_by_module(mut self, watch: Watch) -> Membership {
-        (self.watch, self.asks) = (Some(watch), Asks::Module);
+    /// Watches discovery whenever the decision module says so, and soon after a watch fell silent.
+    pub fn asked_by_module(mut self, watch: Watch, seed: u64) -> Membership {
+        let again = AskAgain::new(AFTER_SILENCE, AFTER_SILENCE, seed);
+        (self.watch, self.asks) = (Some(watch), Asks::Module { again, at: None });
         self
     }
 
@@ -118,9 +126,8 @@
         if let Some(watch) = &mut self.watch {
             watch.tick(now, hands.net);
         }
-        if let Asks::Here { at, .. } = &mut self.asks
-            && at.take_if(|t| *t <= now).is_some()
-        {
+        let (Asks::Module { at, .. } | Asks::Here { at, .. }) = &mut self.asks;
+        if at.take_if(|t| *t <= now).is_some() {
             self.begin(now, hands.net);
         }
         self.roster.tick(now);
@@ -155,8 +162,14 @@
         self.roster.take_warm().into_iter().for_each(|replica| hands.exchange.warm(replica));
         if self.watch.as_mut().is_some_and(Watch::take_failed) {
             self.roster.watch_lost();
+            let silent = self.watch.as_mut().is_some_and(Watch::take_silent);
             match &mut self.asks {
-                Asks::Module => hands.exchange.list_failed(),
+                Asks::Module { again, at } => {
+                    hands.exchange.list_failed();
+                    if silent {
+                        *at = Some(hands.now + again.failed());
+                    }
+                }
                 Asks::Here { again, at } => *at = Some(hands.now + again.failed()),
             }
         }
@@ -281,7 +294,7 @@
 
     /// When `tick` is next worth calling.
     pub fn due(&self) -> Option<Nanos> {
-        let ask = if let Asks::Here { at, .. } = &self.asks { *at } else { None };
+        let (Asks::Module { at: ask, .. } | Asks::Here { at: ask, .. }) = self.asks;
         // A keeper that is at work is looked at again when something else happens.
         let keep = self.keeper.as_ref().filter(|k| k.is_free()).and_then(|_| self.roster.keep_due());
         let routing = self.routing.as_ref().and_then(|r| r.due(self.now));
--- a/src/front/platform/broker.rs
+++ b/src/front/platform/broker.rs
@@ -108,7 +108,7 @@
     let watch = Watch::new(ROSTER, told.discovery, told.params.dial_timeout());
     let membership = Membership::new(roster, keeper).out_by_hand(out);
     let mut membership = match settings.discovery {
-        Discovery::OnRequest => membership.asked_by_module(watch),
+        Discovery::OnRequest => membership.asked_by_module(watch, told.seed),
         // What is pushed counts as told whether or not a watch is open: one has to be, from the first moment on,
         // and after a break soon enough that a drain is still heard of within its grace.
         Discovery::Pushed => {
--- a/tests/races/lists.rs
+++ b/tests/races/lists.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Mutex;
 use std::sync::mpsc::{Receiver, channel};
+use std::time::Instant;
 
 /// Discovery that hands each watch to the test as it comes: what was asked, and the connection.
 fn handed_over() -> (SocketAddr, Receiver<(String, TcpStream)>) {
@@ -85,3 +86,26 @@
         assert!(watches.try_recv().is_err(), "the watch was taken for a broken one");
     }
 }
+
+/// What a silent watch misses counts as told 6 s after its last line, also where the settings want the list asked for once in
+/// two minutes only.
+#[test]
+fn a_watch_that_fell_silent_is_begun_anew_in_time_however_rarely_the_list_is_to_be_asked_for() {
+    let script = Script::default();
+    let nodes: Vec<_> = (0..3).map(|n| (node(Wire::Http, n, script.clone()), Wire::Http)).collect();
+    let (discovery, watches) = handed_over();
+    let config = platform_config(&nodes, 100, Some(discovery))
+        .replace(r#""must_ask_in_ns":10000000000"#, r#""must_ask_in_ns":120000000000"#);
+    let s = serve_told(&config, script);
+    // The first call is spread over a twentieth of the two minutes.
+    let (_, mut silent) = watches.recv_timeout(HUNG).expect("no watch");
+    begin(&mut silent);
+    chunk(&mut silent, "\n");
+    let last_line = Instant::now();
+    let (_, mut next) = watches.recv_timeout(Duration::from_secs(6)).expect("no watch after a silent one");
+    assert!(last_line.elapsed() > Duration::from_secs(2), "an empty line comes every 2 s only");
+    begin(&mut next);
+    chunk(&mut next, &drain_of_1(8, nodes[1].0));
+    assert!(hears_of_the_drain(&s));
+    drop(silent);
+}
