Read a resting connection once more before a call goes on it

Cause: found by reading Servers::call. Events are heard once a poll; a server that closes a resting connection after the poll and before the call is written gets the call on a connection whose end has come. The answer is a reset, and by the protocol the part may have run: an unsafe one fails, a keyed one loses its window.

Change: a resting connection is read once before a call goes on it; if its end is there, another is taken or dialled.

--- a/src/front/platform/servers.rs
+++ b/src/front/platform/servers.rs
@@ -126,7 +126,7 @@
 
     /// Sends one call.
     pub fn call(&mut self, replica: ReplicaId, parts: Vec<Dispatch<Carried>>, hands: &mut Platform) {
-        let conn = match self.link(replica, parts.len(), hands.now, hands.net) {
+        let conn = match self.open_link(replica, parts.len(), hands) {
             Ok(conn) => conn,
             Err(outcome) => {
                 for p in &parts {
@@ -190,6 +190,25 @@
         }
     }
 
+    /// The same as `link`, for one that its server has not closed while it rested. Guards against a call that is written
+    /// after the peer's end has come and before the poll was asked for it: it would count as one that may have run.
+    fn open_link(
+        &mut self,
+        replica: ReplicaId,
+        parts: usize,
+        hands: &mut Platform,
+    ) -> Result<ConnId, Outcome> {
+        loop {
+            let conn = self.link(replica, parts, hands.now, hands.net)?;
+            if self.links.get(&conn).is_some_and(|l| l.up_by.is_none() && l.load() == 0) {
+                self.read(conn, hands);
+            }
+            if self.links.contains_key(&conn) {
+                return Ok(conn);
+            }
+        }
+    }
+
     /// A connection with room for so many parts: the fullest that is up, else one that is coming up, else new.
     /// What this broker has no place for is its own want: it tells nothing of the server.
     fn link(
--- /dev/null
+++ b/tests/links.rs
@@ -0,0 +1,103 @@
+//! Connections to shard servers, with the poll in the test's hands: what comes between a poll and a call.
+
+mod common;
+use common::{MS, S, line, settings};
+use pebbleturn::broker::Hands;
+use pebbleturn::core::*;
+use pebbleturn::front::platform::{Carried, LinkLimits, Servers};
+use pebbleturn::net::{Clock, Pool, Reactor};
+use pebbleturn::*;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+const HUNG: Duration = Duration::from_secs(20);
+
+struct Link {
+    clock: Clock,
+    net: Reactor,
+    exchange: Exchange<Carried, String>,
+    servers: Servers,
+}
+
+impl Link {
+    fn new(effect: Effect, listener: &TcpListener) -> Link {
+        let clock = Clock::start();
+        let mut exchange = Exchange::new(settings(effect), 7, clock.now()).unwrap();
+        exchange.listed(true, vec![line(0, Standing::In, None)]);
+        let limits = LinkLimits { streams: 8, dial_timeout: 5 * S, idle: 30 * S, silent: 5 * S, most: 8 };
+        let mut servers = Servers::new(0, limits);
+        servers.place(ReplicaId(0), Some(listener.local_addr().unwrap()));
+        Link { clock, net: Reactor::new(Pool::new(16), 16).unwrap(), exchange, servers }
+    }
+
+    /// Takes a query, and has its call written or its connection dialled; the poll is not asked.
+    fn ask(&mut self, id: &str) {
+        let payload = Rc::new(Carried { id: id.into(), text: "t".into() });
+        let parts = vec![AskPart { shard: 0, weight: 1.0, work: None }];
+        let ask = Ask { class: 0, tenant: None, key: None, time_left: 5 * S, again: false, parts, payload };
+        self.exchange.open(self.clock.now(), ask).unwrap();
+        while !self.turn() {
+            std::thread::sleep(Duration::from_nanos(MS));
+        }
+    }
+
+    /// A round and its work: whether a call was among it.
+    fn turn(&mut self) -> bool {
+        let now = self.clock.now();
+        self.exchange.run(now);
+        let mut called = false;
+        while let Some(work) = self.exchange.next_work() {
+            if let Work::Call { replica, parts } = work {
+                let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
+                self.servers.call(replica, parts, &mut hands);
+                called = true;
+            }
+        }
+        called
+    }
+
+    /// Polls until this holds.
+    fn poll_until(&mut self, done: impl Fn(&Link) -> bool) {
+        let mut events = Vec::new();
+        while !done(self) {
+            self.net.wait(Some(HUNG), &mut events).unwrap();
+            assert!(!events.is_empty(), "nothing came");
+            let now = self.clock.now();
+            let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
+            events.drain(..).for_each(|e| self.servers.event(e, &mut hands));
+        }
+    }
+}
+
+fn frame(stream: &mut TcpStream) -> String {
+    stream.set_read_timeout(Some(HUNG)).unwrap();
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).unwrap();
+    let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+    stream.read_exact(&mut frame).unwrap();
+    String::from_utf8(frame).unwrap()
+}
+
+/// The server closes a resting connection after the poll was asked and before a call is written on it: that call must not
+/// go where it is lost, since parts of such a class may not be sent again.
+#[test]
+fn a_call_is_not_written_on_a_connection_that_its_server_closed_since_the_last_poll() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    socket2::SockRef::from(&listener).set_read_timeout(Some(HUNG)).unwrap();
+    let mut link = Link::new(Effect::Unsafe, &listener);
+    link.ask("first");
+    let (mut conn, _) = listener.accept().unwrap();
+    link.poll_until(|l| l.exchange.figures().tries() == 1);
+    assert!(frame(&mut conn).starts_with("Rfirst.0 "));
+    let body = "Yfirst.0 OK 1 -\nvalue";
+    conn.write_all(&[&(body.len() as u32).to_be_bytes(), body.as_bytes()].concat()).unwrap();
+    link.poll_until(|l| l.exchange.attempts_out() == 0);
+    drop(conn);
+    link.ask("second");
+    let (mut conn, _) = listener.accept().expect("the call went where nobody reads");
+    link.poll_until(|l| l.exchange.figures().tries() == 2);
+    assert!(frame(&mut conn).starts_with("Rsecond.0 "));
+    assert_eq!(link.exchange.attempts_out(), 1, "the call that was written is out");
+}
