End a lingering connection's writing once: each end woke the poll again

Reactor::flush called shutdown on each word that such a connection can be written; the system wakes the poll at each shutdown, also of a side that is shut, so the poll returned at once until 0.4 s were over.

Change: the writing side is ended once.

Result: the test on a real connection fails without the change ('the poll returns at once, again and again') and passes with it.

--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -45,6 +45,8 @@
     pub leaving: Option<usize>,
     /// The peer's time to read its last message runs from when that was written, which was not seen yet.
     pub lingers_anew: bool,
+    /// Its writing side was ended.
+    pub shut: bool,
     /// The peer has ended the connection or it broke, though what came before that may be unread.
     pub peer_ended: bool,
     /// Close as soon as all is written.
@@ -67,6 +69,7 @@
             accepted,
             leaving: None,
             lingers_anew: false,
+            shut: false,
             peer_ended: false,
             close_after: false,
             queued: 0,
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -419,7 +419,10 @@
                 let (done, close) = (c.all_written(), c.close_after);
                 if done && close && c.leaving.is_some() {
                     // The peer reads the end; a close with input unread could take the last message from it.
-                    let _ = c.stream.shutdown(std::net::Shutdown::Write);
+                    // Once: each call wakes the poll, whose word that it can be written leads here again.
+                    if !std::mem::replace(&mut c.shut, true) {
+                        let _ = c.stream.shutdown(std::net::Shutdown::Write);
+                    }
                 } else if done && close {
                     self.close(id);
                 } else if done && !before {
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -5,12 +5,12 @@
 use pebbleturn::broker::Hands;
 use pebbleturn::core::*;
 use pebbleturn::front::platform::{Carried, LinkLimits, Servers};
-use pebbleturn::net::{Clock, Pool, Reactor};
+use pebbleturn::net::{Clock, NetEvent, Pool, Reactor};
 use pebbleturn::*;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const HUNG: Duration = Duration::from_secs(20);
 
@@ -101,3 +101,31 @@
     assert!(frame(&mut conn).starts_with("Rsecond.0 "));
     assert_eq!(link.exchange.attempts_out(), 1, "the call that was written is out");
 }
+
+/// A peer that does not close leaves the broker in peace: the poll waits, and does not spin until the peer's time is over.
+#[test]
+fn a_connection_that_lingers_wakes_nobody() {
+    let mut net = Reactor::new(Pool::new(16), 16).unwrap();
+    let addr = net.listen("127.0.0.1:0".parse().unwrap(), 0).unwrap();
+    let peer = TcpStream::connect(addr).unwrap();
+    let mut events = Vec::new();
+    let conn = loop {
+        net.wait(Some(HUNG), &mut events).unwrap();
+        let accepted =
+            |e: &NetEvent| if let NetEvent::Accepted { conn, .. } = e { Some(*conn) } else { None };
+        if let Some(conn) = events.iter().find_map(accepted) {
+            break conn;
+        }
+    };
+    net.send(conn, b"the last message").unwrap();
+    net.close_lingering(conn, 0);
+    // The end itself may wake it, and what came before: not without end.
+    let waits = (0..100).any(|_| {
+        let since = Instant::now();
+        net.wait(Some(Duration::from_millis(100)), &mut events).unwrap();
+        since.elapsed() >= Duration::from_millis(100)
+    });
+    assert!(waits, "the poll returns at once, again and again");
+    assert!(net.is_open(conn), "it lingers until its time is over");
+    drop(peer);
+}
