Close a peer that takes nothing of its last message for 2.5 s

Since the time to read a last message runs from when it is written, so that a peer which reads nothing was put back at each look: it held its descriptor and buffers without a bound, and drop_leaving passed it over when places ran out. Before, answers had no bound either (close_after_flush), errors 0.4 s.

Change: what such a peer has taken is looked at every 0.4 s; without any progress for 2.5 s, as long as a request may take to come, it is closed. One field tells progress where two cases were told apart before.

Result: the test on a real connection, with time as an argument, fails on the code before and passes now. races, links, fronts, operation, program and docs tests green, clippy clean.

--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -2,6 +2,7 @@
 
 use super::buffer::{Buf, Pool};
 use super::reactor::Place;
+use crate::api::Nanos;
 use mio::net::TcpStream;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
@@ -43,8 +44,8 @@
     pub accepted: bool,
     /// Its last message is out, and the peer is given a moment to read it: so many bytes are still dropped.
     pub leaving: Option<usize>,
-    /// The peer's time to read its last message runs from when that was written, which was not seen yet.
-    pub lingers_anew: bool,
+    /// While it is leaving: how many bytes had been taken when that was last seen to grow, and when.
+    pub progress: (u64, Nanos),
     /// Its writing side was ended.
     pub shut: bool,
     /// The peer has ended the connection or it broke, though what came before that may be unread.
@@ -68,7 +69,7 @@
             connected: accepted,
             accepted,
             leaving: None,
-            lingers_anew: false,
+            progress: (0, 0),
             shut: false,
             peer_ended: false,
             close_after: false,
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -85,6 +85,8 @@
 /// sends meanwhile is read.
 const LINGER: Nanos = 400_000_000;
 const LINGER_BYTES: usize = 256 * 1024;
+/// How long a peer may take nothing of a last message that is not written yet; as long as a request may take to come.
+const UNREAD: Nanos = 2_500_000_000;
 /// How long to wait before accepting again, when the system had refused.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 
@@ -461,10 +463,12 @@
     pub fn close_lingering(&mut self, id: ConnId, now: Nanos) {
         let Some(c) = self.conn(id).filter(|c| !c.close_after) else { return };
         (c.close_after, c.leaving, c.input) = (true, Some(LINGER_BYTES), None);
-        c.lingers_anew = !c.all_written();
         self.flushing += 1;
         self.leaving.push_back((id, now + LINGER));
         self.flush(id);
+        if let Some(c) = self.conn(id) {
+            c.progress = (c.flushed, now);
+        }
         // What is unread by now makes no further event.
         if self.conn(id).is_some_and(|c| !c.discard()) {
             self.close(id);
@@ -487,14 +491,19 @@
         false
     }
 
-    /// Closes connections whose peers have had their moment, which runs from when their last message was written.
+    /// Closes connections whose peers have had their moment, which runs from when their last message was written. Guards
+    /// the places of others against peers that read nothing.
     pub fn tick(&mut self, now: Nanos) {
         while let Some((id, _)) = self.leaving.pop_front_if(|(_, by)| *by <= now) {
             let Some(c) = self.conn(id) else { continue };
-            if c.all_written() && !std::mem::replace(&mut c.lingers_anew, false) {
-                self.close(id);
-            } else {
+            let grew = c.flushed > c.progress.0;
+            if grew {
+                c.progress = (c.flushed, now);
+            }
+            if grew || (!c.all_written() && now < c.progress.1 + UNREAD) {
                 self.leaving.push_back((id, now + LINGER));
+            } else {
+                self.close(id);
             }
         }
     }
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -5,7 +5,7 @@
 use pebbleturn::broker::Hands;
 use pebbleturn::core::*;
 use pebbleturn::front::platform::{Carried, LinkLimits, Servers};
-use pebbleturn::net::{Clock, NetEvent, Pool, Reactor};
+use pebbleturn::net::{Clock, ConnId, NetEvent, Pool, Reactor};
 use pebbleturn::*;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -102,21 +102,44 @@
     assert_eq!(link.exchange.attempts_out(), 1, "the call that was written is out");
 }
 
-/// A peer that does not close leaves the broker in peace: the poll waits, and does not spin until the peer's time is over.
-#[test]
-fn a_connection_that_lingers_wakes_nobody() {
-    let mut net = Reactor::new(Pool::new(16), 16).unwrap();
+/// A connection that was accepted, and its peer.
+fn accepted(net: &mut Reactor) -> (ConnId, TcpStream) {
     let addr = net.listen("127.0.0.1:0".parse().unwrap(), 0).unwrap();
     let peer = TcpStream::connect(addr).unwrap();
     let mut events = Vec::new();
-    let conn = loop {
+    loop {
         net.wait(Some(HUNG), &mut events).unwrap();
         let accepted =
             |e: &NetEvent| if let NetEvent::Accepted { conn, .. } = e { Some(*conn) } else { None };
         if let Some(conn) = events.iter().find_map(accepted) {
-            break conn;
+            return (conn, peer);
         }
-    };
+    }
+}
+
+/// A peer that reads nothing must not keep its place and buffers: time is told here, and nothing is waited for.
+#[test]
+fn a_peer_that_never_reads_its_last_message_is_closed_in_the_end() {
+    let mut net = Reactor::new(Pool::new(64), 16).unwrap();
+    let (conn, peer) = accepted(&mut net);
+    // More than both systems hold: the rest stands in buffers.
+    while net.is_flushed(conn) {
+        net.send(conn, &[b'm'; 64 * 1024]).unwrap();
+    }
+    net.close_lingering(conn, 0);
+    net.tick(2 * S);
+    assert!(net.is_open(conn), "it may still read");
+    net.tick(3 * S);
+    assert!(!net.is_open(conn) && net.accepted() == 0 && net.pool().in_use() == 0);
+    drop(peer);
+}
+
+/// A peer that does not close leaves the broker in peace: the poll waits, and does not spin until the peer's time is over.
+#[test]
+fn a_connection_that_lingers_wakes_nobody() {
+    let mut net = Reactor::new(Pool::new(16), 16).unwrap();
+    let (conn, peer) = accepted(&mut net);
+    let mut events = Vec::new();
     net.send(conn, b"the last message").unwrap();
     net.close_lingering(conn, 0);
     // The end itself may wake it, and what came before: not without end.
