--- a/lab/benches/decide.rs
+++ b/lab/benches/decide.rs
@@ -3,9 +3,9 @@
 //! Run with `cargo bench -p pebbleturn-lab`.
 
 use divan::Bencher;
-use pebbleturn::figures::{End, Figures, Now};
-use pebbleturn::roster::told::{ServerLine, ServerList};
-use pebbleturn::roster::{Layout, Roster, RosterSettings, State};
+use pebbleturn::membership::endpoint_list::{ServerLine, ServerList};
+use pebbleturn::membership::{Layout, Roster, RosterSettings, State};
+use pebbleturn::metrics::{End, Figures, Now};
 use pebbleturn::{Action, Balancer, Event, Listed, Nanos, Outcome, ReplicaId, RequestId, Standing};
 use pebbleturn_lab::restart::Scene;
 use std::collections::HashMap;
--- a/lab/src/cluster/measure.rs
+++ b/lab/src/cluster/measure.rs
@@ -4,11 +4,11 @@
 use super::links::Fault;
 use super::world::{Links, MS, S, World, name};
 use crate::running::until;
-use pebbleturn::keep::Disk;
-use pebbleturn::keep::journal;
-use pebbleturn::peers::swim::Probe;
-use pebbleturn::peers::wire::{self, Datagram, Sender};
-use pebbleturn::replica::{Bounds, Copy, Key, Origin, Said, Value};
+use pebbleturn::gossip::codec::{self, Datagram, Sender};
+use pebbleturn::gossip::swim::Probe;
+use pebbleturn::replication::{Bounds, Copy, Key, Origin, Said, Value};
+use pebbleturn::storage::Disk;
+use pebbleturn::storage::journal;
 use serde::Serialize;
 use std::fmt;
 use std::path::Path;
@@ -300,7 +300,7 @@
     clients.more(100);
     let (ticks, served, begun) = (bed.cpu_ticks(0), clients.served(), Instant::now());
     let sender = Sender {
-        cluster: wire::cluster("bed"),
+        cluster: codec::cluster("bed"),
         name: "b-1".into(),
         origin: Origin(9),
         incarnation: u64::MAX / 4,
--- a/lab/src/cluster/schedule.rs
+++ b/lab/src/cluster/schedule.rs
@@ -1,7 +1,7 @@
 //! Schedules of faults, drawn from a seed, played on simulated brokers, and shrunk where one fails.
 
 use super::world::{Links, MS, S, World};
-use pebbleturn::replica::{Key, Latest, Value};
+use pebbleturn::replication::{Key, Latest, Value};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 use std::collections::BTreeMap;
--- a/lab/src/cluster/world.rs
+++ b/lab/src/cluster/world.rs
@@ -4,11 +4,11 @@
 //! both; connections keep order and stall while their link is cut. Brokers are stopped, killed and started again, with
 //! their disk as it was, an old one, or none; their clocks are off.
 
-use pebbleturn::peers::member::Standing;
-use pebbleturn::peers::swim::{self, Status};
-use pebbleturn::peers::{Member, Output, Settings, Told, wire};
-use pebbleturn::replica::effect::Effect;
-use pebbleturn::replica::{Bounds, Copy, Dot, Entry, Fact, Key, Latest, Origin, Said, Value};
+use pebbleturn::gossip::node::Standing;
+use pebbleturn::gossip::swim::{self, Status};
+use pebbleturn::gossip::{Member, Output, Settings, Told, codec};
+use pebbleturn::replication::derived_state::Effect;
+use pebbleturn::replication::{Bounds, Copy, Dot, Entry, Fact, Key, Latest, Origin, Said, Value};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 use std::cmp::Reverse;
@@ -161,7 +161,7 @@
             streams: BTreeMap::new(),
             next_stream: 1 << 63,
             starts: 0,
-            speaks: wire::LATEST,
+            speaks: codec::LATEST,
             listed: (0..brokers).filter(|p| *p != n).collect(),
         };
         World {
@@ -445,7 +445,7 @@
             self.push(t, Event::Pump { node, stream });
         }
         for bytes in frames {
-            let end = wire::frame_end(&bytes).unwrap().unwrap();
+            let end = codec::frame_end(&bytes).unwrap().unwrap();
             assert_eq!(end, bytes.len());
             if let Some(m) = &mut self.nodes[node].member {
                 m.frame(stream, addr(peer), &bytes[4..], now);
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -2,10 +2,10 @@
 
 use crate::standins::{Script, Wire, node, read_apdu, read_http};
 use pebbleturn::config::Operator;
-use pebbleturn::front::catalogue::apdu::*;
-use pebbleturn::front::catalogue::marc::Record;
-use pebbleturn::front::catalogue::search::{Clause, Search};
-use pebbleturn::front::catalogue::{self, rpn};
+use pebbleturn::frontends::catalogue::apdu::*;
+use pebbleturn::frontends::catalogue::marc::Record;
+use pebbleturn::frontends::catalogue::search::{Clause, Search};
+use pebbleturn::frontends::catalogue::{self, rpn};
 use std::error::Error;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -37,7 +37,7 @@
     println!("three stand-in nodes: {nodes:?}");
     let operator = Operator::read(&operator(&nodes))?;
     let (tell, told) = std::sync::mpsc::channel();
-    let broker = std::thread::spawn(move || -> Result<(), pebbleturn::broker::BrokerError> {
+    let broker = std::thread::spawn(move || -> Result<(), pebbleturn::server::BrokerError> {
         let (mut broker, addrs) = catalogue::broker(operator)?;
         let _ = tell.send((addrs, broker.stopper()?));
         broker.run()
--- a/lab/src/directory.rs
+++ b/lab/src/directory.rs
@@ -2,8 +2,8 @@
 //! slow, stale or count anew.
 
 use crate::standins::{listen, read_http};
-use pebbleturn::roster::State;
-use pebbleturn::roster::told::{ServerLine, ServerList};
+use pebbleturn::membership::State;
+use pebbleturn::membership::endpoint_list::{ServerLine, ServerList};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -3,8 +3,8 @@
 
 use crate::restart::Scene;
 use crate::sim::{Counts, Listing, Manner, Node, NodeModel, Strain, World, WorldSettings, uniform};
-use pebbleturn::roster::told::{ServerLine, ServerList};
-use pebbleturn::roster::{Layout, Roster, RosterSettings, State};
+use pebbleturn::membership::endpoint_list::{ServerLine, ServerList};
+use pebbleturn::membership::{Layout, Roster, RosterSettings, State};
 use pebbleturn::{Nanos, Settings};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
--- a/lab/src/herd.rs
+++ b/lab/src/herd.rs
@@ -3,7 +3,7 @@
 
 use crate::fleet::Fleet;
 use crate::sim::uniform;
-use pebbleturn::core::{Exchange, Work};
+use pebbleturn::engine::{Exchange, Work};
 use pebbleturn::{Discovery, Listed, Nanos, ReplicaId, Standing};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
--- a/lab/src/restart.rs
+++ b/lab/src/restart.rs
@@ -2,9 +2,9 @@
 //! have and by how they trust it.
 
 use crate::sim::{Listing, Manner, Node, NodeModel, Strain, World, WorldSettings, exponential, uniform};
-use pebbleturn::roster::kept::{Kept, KeptNode};
-use pebbleturn::roster::trust::Rate;
-use pebbleturn::roster::{Fact, Layout, Roster, RosterSettings, State};
+use pebbleturn::membership::snapshot::{Kept, KeptNode};
+use pebbleturn::membership::staleness::Rate;
+use pebbleturn::membership::{Fact, Layout, Roster, RosterSettings, State};
 use pebbleturn::{Class, Discovery, Effect, Listed, Nanos, ReplicaId, Settings, Standing};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
--- a/lab/src/routing.rs
+++ b/lab/src/routing.rs
@@ -1,7 +1,7 @@
 //! Routing measured in simulated time: shares against weights, and a set that fails over to its spare and back.
 
 use crate::sim::{Listing, Manner, Node, NodeModel, Strain, World, WorldSettings};
-use pebbleturn::roster::{Fact, Layout, Roster, RosterSettings, State};
+use pebbleturn::membership::{Fact, Layout, Roster, RosterSettings, State};
 use pebbleturn::routing::{Routing, RoutingSettings, Rule, Spare, Standing};
 use pebbleturn::{Class, Discovery, Effect, Nanos, Settings};
 use serde::Serialize;
--- a/lab/src/running.rs
+++ b/lab/src/running.rs
@@ -3,7 +3,7 @@
 
 use crate::directory::{Directory, line};
 use crate::standins::{Script, Wire, node, read_http};
-use pebbleturn::roster::State;
+use pebbleturn::membership::State;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
--- a/lab/src/sim/world.rs
+++ b/lab/src/sim/world.rs
@@ -2,9 +2,9 @@
 
 use super::node::{Manner, Node, NodeModel};
 use super::{exponential, uniform};
-use pebbleturn::core::{Ask, AskPart, AttemptId, Ended, Exchange, Final, QueryId, Work};
-use pebbleturn::roster::told::ServerList;
-use pebbleturn::roster::{Change, Roster};
+use pebbleturn::engine::{Ask, AskPart, AttemptId, Ended, Exchange, Final, QueryId, Work};
+use pebbleturn::membership::endpoint_list::ServerList;
+use pebbleturn::membership::{Change, Roster};
 use pebbleturn::routing::Routing;
 use pebbleturn::{Listed, Nanos, Outcome, ReplicaId, Settings, Standing};
 use rand_pcg::Pcg64Mcg;
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -6,10 +6,10 @@
 use crate::restart::{AGES, Arm, Line, kept};
 use crate::standins::{Act, Script, Wire, node};
 use pebbleturn::config::Operator;
-use pebbleturn::front::catalogue;
-use pebbleturn::keep::{self, Disk};
+use pebbleturn::frontends::catalogue;
+use pebbleturn::membership::{Fact, State};
 use pebbleturn::net::Clock;
-use pebbleturn::roster::{Fact, State};
+use pebbleturn::storage::{Disk, snapshot_store};
 use std::error::Error;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -50,7 +50,7 @@
 fn ask(text: &str) -> Result<(Vec<Duration>, u64), Failure> {
     let operator = Operator::read(text)?;
     let (tell, told) = std::sync::mpsc::channel();
-    let broker = std::thread::spawn(move || -> Result<(), pebbleturn::broker::BrokerError> {
+    let broker = std::thread::spawn(move || -> Result<(), pebbleturn::server::BrokerError> {
         let (mut broker, addrs) = catalogue::broker(operator)?;
         let _ = tell.send((addrs[0], broker.stopper()?));
         broker.run()
@@ -96,7 +96,7 @@
         let at = Clock::start().now().saturating_sub(age_s * 1_000_000_000);
         if arm == Arm::Weighed {
             std::fs::create_dir_all(&place)?;
-            keep::write(&Disk, &place, &kept(&facts, at))?;
+            snapshot_store::write(&Disk, &place, &kept(&facts, at))?;
         }
         let nodes = if arm == Arm::Full { &facts[..] } else { &[] };
         let kept = (arm == Arm::Weighed).then_some(place.as_path());
--- a/lab/src/standins.rs
+++ b/lab/src/standins.rs
@@ -1,9 +1,9 @@
 //! Stand-ins for index nodes and discovery, written from the protocols' public specifications.
 
-use pebbleturn::front::catalogue::apdu::*;
-use pebbleturn::front::catalogue::diagnostic::{Diagnostic, Trouble};
-use pebbleturn::front::catalogue::marc::{Field, Record};
-use pebbleturn::front::catalogue::{ber, rpn, sru};
+use pebbleturn::frontends::catalogue::apdu::*;
+use pebbleturn::frontends::catalogue::diagnostic::{Diagnostic, Trouble};
+use pebbleturn::frontends::catalogue::marc::{Field, Record};
+use pebbleturn::frontends::catalogue::{ber, rpn, sru};
 use std::collections::{HashMap, VecDeque};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/src/front/operation/desk.rs
+++ b/src/admin/server.rs
@@ -1,6 +1,6 @@
 //! The connections of the second address. Each brings one line and gets one answer.
 
-use super::call::{self, BadCall, Call, LONGEST, Reply};
+use super::request::{self, BadCall, Call, LONGEST, Reply};
 use crate::api::Nanos;
 use crate::net::{ConnId, Filled, NetEvent, Place, Pool, Reactor};
 use std::collections::{HashMap, VecDeque};
@@ -76,10 +76,10 @@
             let data = net.data(conn);
             let end = data.iter().take(LONGEST + 1).position(|b| *b == b'\n');
             let line = match (end, filled) {
-                (Some(end), _) => call::read(data[..end].trim_ascii_end()),
+                (Some(end), _) => request::read(data[..end].trim_ascii_end()),
                 (None, _) if data.len() > LONGEST => Err(BadCall::TooLong),
                 // A last line may lack its end where the caller says that no more will come.
-                (None, Filled::Ended) if !data.is_empty() => call::read(data.trim_ascii_end()),
+                (None, Filled::Ended) if !data.is_empty() => request::read(data.trim_ascii_end()),
                 (None, Filled::Ended) => {
                     self.gone(conn);
                     return net.close(conn);
--- a/src/api.rs
+++ b/src/api.rs
@@ -1,5 +1,5 @@
 //! The interface of the decision module: settings, events, actions and ids. Plain types only; every
-//! decision is in `balance.rs`. All times are nanoseconds on the caller's own monotonic clock.
+//! decision is in `src/policy/`. All times are nanoseconds on the caller's own monotonic clock.
 
 /// A point in time or a span, in nanoseconds.
 pub type Nanos = u64;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,10 +1,12 @@
 //! The command line.
 
-use crate::broker::BrokerError;
+use crate::admin::client;
 use crate::config::{Operator, Platform};
-use crate::front::{catalogue, platform};
+use crate::frontends::{catalogue, platform};
 use crate::net::Signals;
-use crate::{cluster, import, keep, log, operate, roster};
+use crate::server::BrokerError;
+use crate::storage::snapshot_store;
+use crate::{cluster, import, log, membership};
 use clap::{Args, CommandFactory, Parser, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -52,7 +54,7 @@
     #[command(subcommand)]
     State(StateCommand),
     /// Call a broker's second address.
-    Operate(operate::Operate),
+    Operate(client::Operate),
     /// Write an operator's file from another balancer's; what has no counterpart goes to standard error.
     #[command(subcommand)]
     Import(Import),
@@ -215,11 +217,11 @@
         eprintln!("--changes-every {changes_every}: must be over 0");
         return ExitCode::from(2);
     }
-    let (lists, wrong) = keep::look(path);
+    let (lists, wrong) = snapshot_store::look(path);
     wrong.iter().for_each(|w| eprintln!("{w}"));
     let now = crate::net::Clock::start().now();
     if !lists.is_empty() {
-        let report = roster::report::Report::new(&lists, now, (changes_every * 3_600e9) as u64);
+        let report = membership::status_report::Report::new(&lists, now, (changes_every * 3_600e9) as u64);
         if json {
             println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
         } else {
@@ -249,7 +251,7 @@
     if json {
         println!("{told}");
     } else {
-        print!("{}", operate::facts(&told.to_string()).unwrap_or_default());
+        print!("{}", client::facts(&told.to_string()).unwrap_or_default());
     }
     if differs || !sound { ExitCode::FAILURE } else { ExitCode::SUCCESS }
 }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -1,24 +1,24 @@
 //! A broker's place in its cluster: the member, its sockets and its journal, tied to the poll loop.
 //!
-//! What is decided is in [`crate::peers`] and [`crate::replica`]; here bytes are moved, and words of staff wait until they
+//! What is decided is in [`crate::gossip`] and [`crate::replication`]; here bytes are moved, and words of staff wait until they
 //! are on disk. Peers have sockets, buffers and a bounded share of each turn of their own: they take nothing from
 //! clients.
 
-mod told;
+mod status_report;
 
-pub use told::{differences, shown};
+pub use status_report::{differences, shown};
 
+use crate::admin::request::Aside;
 use crate::api::Nanos;
 use crate::config::{Clustered, ConfigError, Operator};
-use crate::front::operation::call::Aside;
-use crate::keep::Disk;
-use crate::keep::journal::{self, Found, Journal};
+use crate::gossip::codec::{DATAGRAM, frame_end};
+use crate::gossip::node::Standing;
+use crate::gossip::{Member, Output, Settings, swim};
 use crate::net::{ConnId, Datagrams, Filled, NetEvent, Place, Pool, Reactor};
-use crate::peers::member::Standing;
-use crate::peers::wire::{DATAGRAM, frame_end};
-use crate::peers::{Member, Output, Settings, swim};
-use crate::replica::effect::{Effect, Heard};
-use crate::replica::{Bounds, Copy, Entry, Key, Latest, Origin, Refused, Said, Value};
+use crate::replication::derived_state::{Effect, Heard};
+use crate::replication::{Bounds, Copy, Entry, Key, Latest, Origin, Refused, Said, Value};
+use crate::storage::Disk;
+use crate::storage::journal::{self, Found, Journal};
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::io;
@@ -417,7 +417,7 @@
     fn carry(&mut self, now: Nanos, net: &mut Reactor) {
         let Some(member) = &mut self.member else { return };
         while let Some(told) = member.take_told() {
-            told::tell(&told, member);
+            status_report::tell(&told, member);
         }
         let Some(sockets) = &mut self.sockets else {
             // Without its address it reaches nobody: what it would send must not add up until it has it.
--- a/src/cluster/told.rs
+++ b/src/cluster/status_report.rs
@@ -2,10 +2,10 @@
 
 use super::Cluster;
 use crate::api::Nanos;
-use crate::peers::member::{Member, Standing, Told};
-use crate::peers::swim::Status;
-use crate::replica::effect;
-use crate::replica::{Bounds, Copy, Entry, Key, Register};
+use crate::gossip::node::{Member, Standing, Told};
+use crate::gossip::swim::Status;
+use crate::replication::derived_state;
+use crate::replication::{Bounds, Copy, Entry, Key, Register};
 use serde_json::{Value, json};
 
 /// Most things that an answer names, and their bytes: what the second address holds for one caller. How many there are
@@ -49,8 +49,8 @@
 }
 
 fn words(register: &Register) -> String {
-    let one = |(dot, s): (crate::replica::Dot, &crate::replica::Said)| {
-        format!("{} by {:?} at {} as {dot}", effect::word(&s.value), s.who, s.at_broker)
+    let one = |(dot, s): (crate::replication::Dot, &crate::replication::Said)| {
+        format!("{} by {:?} at {} as {dot}", derived_state::word(&s.value), s.who, s.at_broker)
     };
     let all: Vec<String> = register.said().map(one).collect();
     if all.is_empty() { "nothing".into() } else { all.join(", and ") }
@@ -58,9 +58,9 @@
 
 /// The words on a key, for scripts.
 pub fn register(key: &Key, register: &Register, now: Nanos) -> Value {
-    let said = |(dot, s): (crate::replica::Dot, &crate::replica::Said)| {
+    let said = |(dot, s): (crate::replication::Dot, &crate::replication::Said)| {
         json!({
-            "says": effect::word(&s.value), "by": s.who, "why": s.why, "at_broker": s.at_broker,
+            "says": derived_state::word(&s.value), "by": s.who, "why": s.why, "at_broker": s.at_broker,
             "at_ms": s.at / 1_000_000, "until_ms": s.until.map(|t| t / 1_000_000), "stamp": dot.to_string(),
         })
     };
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,6 @@
 //! What the program is told at its start.
 
-pub mod faults;
+pub mod diagnostics;
 pub mod index;
 mod operator;
 mod platform;
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -1,12 +1,12 @@
 //! The operator's file: what the catalogue front is told.
 
 use super::ConfigError;
-use super::faults::{Fault, Sheet};
+use super::diagnostics::{Fault, Sheet};
 use super::index;
 use crate::api::*;
-use crate::peers::wire;
-use crate::replica::word::LONGEST;
-use crate::roster::{Fact, State};
+use crate::gossip::codec;
+use crate::membership::{Fact, State};
+use crate::replication::multi_value_register::LONGEST;
 use crate::routing::{Rule, Spare, Standing};
 use serde::Deserialize;
 use std::collections::{HashMap, HashSet};
@@ -96,7 +96,7 @@
 }
 
 fn speak() -> u8 {
-    wire::LATEST
+    codec::LATEST
 }
 
 /// An index node.
@@ -620,8 +620,8 @@
         if c.keep_words_s == 0 || c.keep_words_s > 3650 * 86_400 {
             wrong("keep_words_s", format!("keep_words_s {} must be from 1 to ten years", c.keep_words_s));
         }
-        if !(wire::FIRST..=wire::LATEST).contains(&c.speak) {
-            wrong("speak", format!("speak {} must be from {} to {}", c.speak, wire::FIRST, wire::LATEST));
+        if !(codec::FIRST..=codec::LATEST).contains(&c.speak) {
+            wrong("speak", format!("speak {} must be from {} to {}", c.speak, codec::FIRST, codec::LATEST));
         }
         for (n, peer) in c.peers.iter().enumerate() {
             let mut wrong = |field: &str, what: String| {
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's configuration: the file that `GW_CONFIG` names, and the variables beside it.
 
 use super::settings::Params;
-use crate::roster::told::ServerList;
+use crate::membership::endpoint_list::ServerList;
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
--- a/src/core/exchange.rs
+++ b/src/engine/query_engine.rs
@@ -3,10 +3,10 @@
 //! The client side hands in queries and gets exactly one final answer to each. The server side takes calls
 //! and reports one outcome for each attempt. Between them, the exchange runs the decision module's rounds.
 
-use super::work::*;
+use super::messages::*;
 use crate::api::*;
-use crate::balance::Balancer;
-use crate::figures::{End, Figures};
+use crate::metrics::{End, Figures};
+use crate::policy::Balancer;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
--- a/src/front/catalogue/broker.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -1,24 +1,24 @@
 //! The catalogue's front as a whole.
 
-use super::clients::Clients;
-use super::nodes::Nodes;
+use super::downstream::Clients;
 use super::plan::{PartValue, Sought};
+use super::upstream::Nodes;
+use crate::admin;
 use crate::api::Nanos;
-use crate::broker::{Broker, BrokerError, Front, Hands};
 use crate::cluster;
 use crate::config::{self, ConfigError, Node, NodesFile, Operator, Protocol};
-use crate::core::{Exchange, Work};
-use crate::front::discovery::Watch;
-use crate::front::membership::Membership;
-use crate::front::operation;
-use crate::handover::Handover;
-use crate::handover::succession::Limits;
-use crate::keep::Keeper;
-use crate::leave::Step;
+use crate::engine::{Exchange, Work};
+use crate::hot_restart::Handover;
+use crate::hot_restart::coordination::Limits;
+use crate::membership::poll_backoff::AskAgain;
+use crate::membership::{Fact, Layout, Roster, RosterSettings};
 use crate::net::{Clock, NetEvent, Place, Pool, Reactor, inherited};
-use crate::roster::ask::AskAgain;
-use crate::roster::{Fact, Layout, Roster, RosterSettings};
 use crate::routing::{Routing, RoutingSettings, Rule};
+use crate::server::discovery_watch::Watch;
+use crate::server::drain::Step;
+use crate::server::membership_driver::Membership;
+use crate::server::{Broker, BrokerError, Front, Hands};
+use crate::storage::snapshot_store::Keeper;
 use std::collections::HashMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::SocketAddr;
@@ -167,7 +167,7 @@
     let mut exchange = Exchange::new(settings, seed, now).map_err(|e| ConfigError(e.to_string()))?;
     // Guards the limit on descriptors: what connections to nodes may take is not given to clients. Where nodes may
     // come and go, that is half of them.
-    let apart = told.operation.listen.map_or(0, |_| operation::PLACES)
+    let apart = told.operation.listen.map_or(0, |_| admin::PLACES)
         + told.cluster.as_ref().map_or(0, |_| cluster::PLACES + cluster::BESIDE);
     let most = told.limits.sockets - SPARE - apart;
     let changing = m.discovery.is_some() || files.path.is_some();
@@ -290,7 +290,7 @@
 
     fn keep_to(&mut self, descriptors: usize, net: &mut Reactor) {
         // What is held stays; only the rest is divided. Callers at the second address may still come.
-        let apart = operation::PLACES.saturating_sub(net.accepted_at(Place::Desk));
+        let apart = admin::PLACES.saturating_sub(net.accepted_at(Place::Desk));
         let rest = descriptors.saturating_sub(net.descriptors() + apart);
         let to_nodes = (self.nodes.links() + rest / 2).min(self.most_to_nodes);
         let clients = net.accepted() + rest - (to_nodes - self.nodes.links()).min(rest);
--- a/src/front/catalogue/job.rs
+++ b/src/frontends/catalogue/job.rs
@@ -5,7 +5,7 @@
 use super::search::Search;
 use super::sru::Item;
 use crate::api::Nanos;
-use crate::core::{Answered, Ask};
+use crate::engine::{Answered, Ask};
 use std::rc::Rc;
 
 /// A search as it is put to the nodes, again and again if need be.
--- a/src/front/catalogue/mod.rs
+++ b/src/frontends/catalogue/mod.rs
@@ -2,18 +2,18 @@
 
 pub mod apdu;
 pub mod ber;
-mod broker;
-mod clients;
 pub mod cql;
 pub mod diagnostic;
+mod downstream;
+mod frontend;
 mod job;
 pub mod marc;
-mod nodes;
+mod node_session;
 pub mod plan;
 pub mod rpn;
 pub mod search;
 mod session;
 pub mod sru;
-mod talk;
+mod upstream;
 
-pub use broker::{CatalogueFront, broker};
+pub use frontend::{CatalogueFront, broker};
--- a/src/front/catalogue/talk.rs
+++ b/src/frontends/catalogue/node_session.rs
@@ -10,7 +10,7 @@
 use super::{cql, rpn};
 use crate::api::Outcome;
 use crate::config::Protocol;
-use crate::front::http::{Reader, Side};
+use crate::http::{Reader, Side};
 use crate::net::Pool;
 use std::rc::Rc;
 
--- a/src/front/catalogue/plan.rs
+++ b/src/frontends/catalogue/plan.rs
@@ -5,7 +5,7 @@
 use super::search::Search;
 use super::sru::Item;
 use crate::api::Nanos;
-use crate::core::{Answered, Ask, AskPart};
+use crate::engine::{Answered, Ask, AskPart};
 use std::rc::Rc;
 
 /// A run of records of one partition.
--- a/src/front/catalogue/nodes.rs
+++ b/src/frontends/catalogue/upstream.rs
@@ -1,14 +1,14 @@
 //! The server side: index nodes that speak SRU or Z39.50, a few connections to each, one search at a time
 //! on a connection.
 
+use super::node_session::{Step, Talk, Task};
 use super::plan::{PartValue, Sought};
-use super::talk::{Step, Talk, Task};
 use crate::api::{Nanos, Outcome, ReplicaId};
-use crate::broker::Hands;
 use crate::config::{Limits, Protocol};
-use crate::core::{AttemptId, Dispatch, Ended};
+use crate::engine::{AttemptId, Dispatch, Ended};
+use crate::membership::Change;
 use crate::net::{ConnId, Filled, NetEvent, Reactor};
-use crate::roster::Change;
+use crate::server::Hands;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
--- a/src/front/platform/clients.rs
+++ b/src/frontends/platform/downstream.rs
@@ -2,15 +2,15 @@
 
 use super::Carried;
 use super::query;
-use super::used::UsedIds;
+use super::recent_request_ids::UsedIds;
 use crate::api::Nanos;
-use crate::broker::Hands;
 use crate::config::Names;
-use crate::core::{Ask, Final, QueryId};
-use crate::front::http::{self, HttpError, Reader, Side};
-use crate::front::places::Places;
-use crate::leave::Step;
+use crate::engine::{Ask, Final, QueryId};
+use crate::frontends::connection_slots::Places;
+use crate::http::{self, HttpError, Reader, Side};
 use crate::net::{ConnId, Filled, MAX_BODY, NetEvent};
+use crate::server::Hands;
+use crate::server::drain::Step;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/front/platform/broker.rs
+++ b/src/frontends/platform/frontend.rs
@@ -1,21 +1,21 @@
 //! The platform's front as a whole.
 
 use super::{Carried, Clients, LinkLimits, Servers};
+use crate::admin;
 use crate::api::{Discovery, Nanos};
-use crate::broker::{Broker, BrokerError, Front, Hands};
 use crate::config::{self, ConfigError, Platform};
-use crate::core::{Exchange, Work};
-use crate::front::discovery::Watch;
-use crate::front::membership::Membership;
-use crate::front::operation;
-use crate::front::places::Places;
-use crate::handover::Handover;
-use crate::handover::succession::Limits;
-use crate::keep::Keeper;
-use crate::leave::Step;
+use crate::engine::{Exchange, Work};
+use crate::frontends::connection_slots::Places;
+use crate::hot_restart::Handover;
+use crate::hot_restart::coordination::Limits;
+use crate::membership::poll_backoff::AskAgain;
+use crate::membership::{Layout, Roster, RosterSettings};
 use crate::net::{Clock, NetEvent, Place, Pool, Reactor, inherited};
-use crate::roster::ask::AskAgain;
-use crate::roster::{Layout, Roster, RosterSettings};
+use crate::server::discovery_watch::Watch;
+use crate::server::drain::Step;
+use crate::server::membership_driver::Membership;
+use crate::server::{Broker, BrokerError, Front, Hands};
+use crate::storage::snapshot_store::Keeper;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -68,7 +68,7 @@
     let now = clock.now();
     // Guards the limit on descriptors: what connections to shard servers may take is not given to clients. In a
     // large fleet a broker meets more servers than clients: with a place for each server none is dialled twice.
-    let apart = told.ops.map_or(0, |_| operation::PLACES);
+    let apart = told.ops.map_or(0, |_| admin::PLACES);
     let (to_servers, most) = divide(told.sockets, apart);
     let mut net = Reactor::new(Pool::within((told.memory_mb << 20) / BUFFERS), most)
         .map_err(BrokerError::io("poll"))?;
--- a/src/front/platform/mod.rs
+++ b/src/frontends/platform/mod.rs
@@ -1,15 +1,15 @@
 //! The platform's port: HTTP clients, shard servers that speak frames, and discovery.
 
-mod broker;
-mod clients;
+mod downstream;
 pub mod frame;
+mod frontend;
 pub mod query;
-mod servers;
-mod used;
+mod recent_request_ids;
+mod upstream;
 
-pub use broker::{PlatformFront, broker};
-pub use clients::Clients;
-pub use servers::{LinkLimits, Servers};
+pub use downstream::Clients;
+pub use frontend::{PlatformFront, broker};
+pub use upstream::{LinkLimits, Servers};
 
 use std::rc::Rc;
 
--- a/src/front/platform/query.rs
+++ b/src/frontends/platform/query.rs
@@ -3,8 +3,8 @@
 use super::Carried;
 use crate::api::Nanos;
 use crate::config::Names;
-use crate::core::{Answered, Ask, AskPart};
-use crate::front::http::Head;
+use crate::engine::{Answered, Ask, AskPart};
+use crate::http::Head;
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 
--- a/src/front/platform/servers.rs
+++ b/src/frontends/platform/upstream.rs
@@ -3,9 +3,9 @@
 use super::Carried;
 use super::frame::{self, End, FromServer, PartLine};
 use crate::api::{Nanos, Outcome, ReplicaId};
-use crate::broker::Hands;
-use crate::core::{AttemptId, Dispatch, Ended};
+use crate::engine::{AttemptId, Dispatch, Ended};
 use crate::net::{ConnId, Filled, NetEvent, Reactor};
+use crate::server::Hands;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
--- a/src/peers/wire.rs
+++ b/src/gossip/codec.rs
@@ -4,9 +4,9 @@
 //! its sender reads, and is answered in one that both do.
 
 use super::swim::{Probe, Rumour};
-use crate::replica::Origin;
-use crate::replica::copy::Fact;
-use crate::replica::walk::Message;
+use crate::replication::Origin;
+use crate::replication::anti_entropy::Message;
+use crate::replication::state_store::Fact;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::fmt;
--- a/src/peers/member.rs
+++ b/src/gossip/node.rs
@@ -1,13 +1,13 @@
 //! One broker of a cluster: what it sends to whom, and what it does with what comes. Free of I/O and clock.
 
+use super::codec::{self, BadFrame, DATAGRAM, Datagram, FIRST, LATEST, Line, Sender};
 use super::swim::{self, Event, Probe, Rumour, Status, Swim};
-use super::wire::{self, BadFrame, DATAGRAM, Datagram, FIRST, LATEST, Line, Sender};
 use crate::api::Nanos;
-use crate::replica::copy::Fact;
-use crate::replica::effect::Effect;
-use crate::replica::spread::News;
-use crate::replica::walk::{self, Message, Walk};
-use crate::replica::{Bounds, Copy, Dot, Entry, Key, Latest, Origin, Refused, Said};
+use crate::replication::anti_entropy::{self, Message, Walk};
+use crate::replication::derived_state::Effect;
+use crate::replication::rumor_queue::News;
+use crate::replication::state_store::Fact;
+use crate::replication::{Bounds, Copy, Dot, Entry, Key, Latest, Origin, Refused, Said};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
@@ -394,7 +394,7 @@
 
     fn sender(&self) -> Sender {
         Sender {
-            cluster: wire::cluster(&self.settings.cluster),
+            cluster: codec::cluster(&self.settings.cluster),
             name: self.settings.name.clone(),
             origin: self.copy.origin(),
             incarnation: self.swim.incarnation(),
@@ -444,7 +444,7 @@
         if !self.peers[n].listed {
             return Err(Dropped::Unlisted);
         }
-        if sender.cluster != wire::cluster(&self.settings.cluster) {
+        if sender.cluster != codec::cluster(&self.settings.cluster) {
             Err(Dropped::Cluster)
         } else if sender.name == self.settings.name {
             Err(Dropped::OwnName)
@@ -686,8 +686,8 @@
                 (n, Line::Hello { sender: self.sender(), rumours: self.swim.all() })
             }
             (Some(n), Line::Walk(message)) => {
-                self.take_in(walk::facts(&message), from, now);
-                (n, Line::Walk(walk::answer(&self.copy, &message).map_err(|_| Dropped::Stream)?))
+                self.take_in(anti_entropy::facts(&message), from, now);
+                (n, Line::Walk(anti_entropy::answer(&self.copy, &message).map_err(|_| Dropped::Stream)?))
             }
             _ => return Err(Dropped::Stream),
         };
@@ -709,7 +709,7 @@
                 Some(first)
             }
             (Line::Walk(message), None) => {
-                self.take_in(walk::facts(&message), from, now);
+                self.take_in(anti_entropy::facts(&message), from, now);
                 match o.walk.next(&self.copy, &message) {
                     Ok(next) => next,
                     Err(_) => {
--- a/src/peers/swim.rs
+++ b/src/gossip/swim.rs
@@ -9,7 +9,7 @@
 //! called late. A process that was stopped for a minute finds everybody as they were, and asks.
 
 use crate::api::Nanos;
-use crate::replica::spread::rounds;
+use crate::replication::rumor_queue::rounds;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 use serde::{Deserialize, Serialize};
--- a/src/handover/mod.rs
+++ b/src/hot_restart/mod.rs
@@ -1,21 +1,21 @@
 //! Several processes at one address: an old one and the new one that takes over from it are one broker.
 //!
 //! - [`state`] is what they tell each other, and how what staff say is merged;
-//! - [`succession`] decides what follows: who may have how much of the limits, and who leaves;
-//! - [`shelf`] is the directory through which they tell it.
+//! - [`coordination`] decides what follows: who may have how much of the limits, and who leaves;
+//! - [`state_directory`] is the directory through which they tell it.
 //!
 //! The ways that were weighed are in `docs/handover.md`.
 
-pub mod shelf;
+pub mod coordination;
 pub mod state;
-pub mod succession;
+pub mod state_directory;
 
 use crate::api::Nanos;
-use crate::roster::kept::Kept;
-use shelf::{Leaf, Shelf};
+use crate::membership::snapshot::Kept;
+use coordination::{Limits, Peer, Share, Succession};
 use state::{Stage, State, Words};
+use state_directory::{Leaf, Shelf};
 use std::path::Path;
-use succession::{Limits, Peer, Share, Succession};
 
 /// Time between two states that are left, and between two looks at what the others left.
 const EVERY: Nanos = 100_000_000;
--- a/src/handover/state.rs
+++ b/src/hot_restart/state.rs
@@ -1,7 +1,7 @@
 //! What one process leaves for the next: the words of staff, and what must not be taken twice.
 
 use crate::api::Nanos;
-use crate::envelope::{Format, Unsound};
+use crate::storage::checksummed_file::{Format, Unsound};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
--- a/src/handover/shelf.rs
+++ b/src/hot_restart/state_directory.rs
@@ -4,10 +4,10 @@
 //! system itself tells who is there; `N.state`, small and written often; `N.list`, its list of servers. Files are
 //! replaced by renaming: who reads finds one that is whole, unless the disk was full.
 
+use super::coordination::Peer;
 use super::state::State;
-use super::succession::Peer;
-use crate::keep::{Disk, Files};
-use crate::roster::kept::{self, Kept};
+use crate::membership::snapshot::{self, Kept};
+use crate::storage::{Disk, Files};
 use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::{self, ErrorKind};
@@ -86,8 +86,8 @@
 
 fn list(dir: &Path, serial: u64) -> Result<Option<Kept>, String> {
     let at = path(dir, serial, "list");
-    match Disk.read(&at, kept::MOST_BYTES) {
-        Ok(bytes) => kept::decode(&bytes).map(Some).map_err(|e| format!("{}: {e}", at.display())),
+    match Disk.read(&at, snapshot::MOST_BYTES) {
+        Ok(bytes) => snapshot::decode(&bytes).map(Some).map_err(|e| format!("{}: {e}", at.display())),
         Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
         Err(e) => Err(format!("{}: {e}", at.display())),
     }
@@ -127,7 +127,7 @@
         let written = (|| -> Result<(), String> {
             let said = |e: io::Error| e.to_string();
             if let Some(list) = &leaf.list {
-                let bytes = kept::encode(list).map_err(|e| e.to_string())?;
+                let bytes = snapshot::encode(list).map_err(|e| e.to_string())?;
                 replace(&self.dir, self.serial, "list", &bytes).map_err(said)?;
             }
             let bytes = leaf.state.encode().map_err(|e| e.to_string())?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,28 +70,27 @@
 //! ```
 #![forbid(unsafe_code)]
 
+pub mod admin;
 pub mod api;
-mod balance;
-pub mod broker;
 pub mod cli;
 pub mod cluster;
 pub mod config;
-pub mod core;
-pub mod envelope;
-pub mod figures;
-pub mod front;
-pub mod handover;
+pub mod engine;
+pub mod frontends;
+pub mod gossip;
+pub mod hot_restart;
+pub mod http;
 pub mod import;
-pub mod keep;
-pub mod leave;
 pub mod log;
+pub mod maintenance;
+pub mod membership;
+pub mod metrics;
 pub mod net;
-pub mod operate;
-pub mod peers;
-pub mod replica;
-pub mod roster;
+mod policy;
+pub mod replication;
 pub mod routing;
-pub mod work;
+pub mod server;
+pub mod storage;
 
 pub use api::*;
-pub use balance::Balancer;
+pub use policy::Balancer;
--- a/src/roster/heard.rs
+++ b/src/membership/gossip_hints.rs
@@ -5,8 +5,8 @@
 
 use super::Change;
 use crate::api::{Nanos, Standing};
-use crate::replica::Latest;
-use crate::replica::effect::Heard;
+use crate::replication::Latest;
+use crate::replication::derived_state::Heard;
 use std::collections::BTreeMap;
 
 /// Where this broker's own word on a node comes from.
--- a/src/roster/mod.rs
+++ b/src/membership/mod.rs
@@ -3,27 +3,27 @@
 //! Free of I/O and clock: reports and outcomes come in with the time, lines for the exchange come out. The ways
 //! that were weighed are in `docs/roster.md`.
 //!
-//! - [`belief`] merges facts so that their order does not matter and a drain stays learnt;
-//! - [`trust`] tells how far a fact of a given age is believed;
-//! - [`gate`] chooses which nodes that nobody has confirmed get work at once;
-//! - [`ask`] spaces out further calls for the list;
-//! - [`kept`] is the form in which a belief outlives the process;
-//! - [`hand`] and [`heard`] make what is told on more careful, by staff's words and by other brokers';
+//! - [`merged_view`] merges facts so that their order does not matter and a drain stays learnt;
+//! - [`staleness`] tells how far a fact of a given age is believed;
+//! - [`probation`] chooses which nodes that nobody has confirmed get work at once;
+//! - [`poll_backoff`] spaces out further calls for the list;
+//! - [`snapshot`] is the form in which a belief outlives the process;
+//! - [`manual_override`] and [`gossip_hints`] make what is told on more careful, by staff's words and by other brokers';
 //! - [`Roster`] ties them together.
 
-pub mod ask;
-pub mod belief;
-pub mod gate;
-pub mod hand;
-pub mod heard;
-pub mod kept;
-mod members;
-pub mod report;
-pub mod told;
-pub mod trust;
+pub mod endpoint_list;
+pub mod gossip_hints;
+pub mod manual_override;
+pub mod merged_view;
+pub mod poll_backoff;
+pub mod probation;
+mod registry;
+pub mod snapshot;
+pub mod staleness;
+pub mod status_report;
 
-pub use hand::{ByHand, NeverListed};
-pub use members::{Change, Layout, Note, Roster, RosterSettings};
+pub use manual_override::{ByHand, NeverListed};
+pub use registry::{Change, Layout, Note, Roster, RosterSettings};
 
 use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
--- a/src/roster/gate.rs
+++ b/src/membership/probation.rs
@@ -4,7 +4,7 @@
 //! holders as their trust allows; one more is let in each step, so that all are tried in the end. A node that
 //! failed while unconfirmed stays out, unless a partition has nobody else.
 
-use super::trust;
+use super::staleness;
 
 /// How the partitions lie: partition p is held by the nodes of cells p, p + 1, ... modulo `cells`, `span` of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,7 +65,7 @@
         }
     }
     let wanted: Vec<usize> = (0..cells)
-        .map(|g| trust::at_once(trusted[g] / f64::max(count[g] as f64, 1.0), count[g]) + steps)
+        .map(|g| staleness::at_once(trusted[g] / f64::max(count[g] as f64, 1.0), count[g]) + steps)
         .collect();
     for (c, yes) in candidates.iter().zip(&mut let_in).filter(|(c, _)| c.stands == Stands::Waits) {
         if layout.groups(c.cell).any(|g| there[g] < wanted[g]) {
--- a/src/roster/members.rs
+++ b/src/membership/registry.rs
@@ -1,11 +1,11 @@
 //! The roster: every source's news and every attempt's outcome in, lines for the exchange out.
 
-use super::belief::Belief;
-pub use super::gate::Layout;
-use super::gate::{self, Candidate, Stands};
-use super::kept::{Kept, KeptNode};
-use super::told::ServerList;
-use super::trust::{self, Rate};
+use super::endpoint_list::ServerList;
+use super::merged_view::Belief;
+pub use super::probation::Layout;
+use super::probation::{self, Candidate, Stands};
+use super::snapshot::{Kept, KeptNode};
+use super::staleness::{self, Rate};
 use super::{Fact, Rank, Stamp, State};
 use crate::api::{Listed, Nanos, Outcome, ReplicaId, Standing};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -462,7 +462,7 @@
         let trust = self.trust(self.members.get(id).and_then(|m| self.confirmed(m, id)), now);
         let Some(m) = self.members.get_mut(id) else { return };
         m.failures += 1;
-        if trust::strikes(trust).is_some_and(|n| m.failures >= n) && m.trial == Trial::Let {
+        if staleness::strikes(trust).is_some_and(|n| m.failures >= n) && m.trial == Trial::Let {
             m.out = (m.out * 2).clamp(OUT.0, OUT.1);
             m.trial = Trial::Failed { until: now + m.out };
             self.dirty = true;
@@ -479,7 +479,7 @@
 
     fn trust(&self, confirmed: Option<Nanos>, now: Nanos) -> f64 {
         let age = confirmed.map_or(self.settings.presumed_age, |t| now.saturating_sub(t));
-        trust::of_age(age, self.rate.mean(self.settings.changes_every))
+        staleness::of_age(age, self.rate.mean(self.settings.changes_every))
     }
 
     // ---- telling ----
@@ -602,7 +602,7 @@
             let trust = self.trust(self.confirmed(m, id), now);
             let stands = match m.trial {
                 // It answered, or was let in before: it stays until it fails.
-                _ if trust >= trust::SURE => Stands::Sure,
+                _ if trust >= staleness::SURE => Stands::Sure,
                 Trial::Let => Stands::Let,
                 Trial::Failed { until } if until > now => Stands::Failed,
                 Trial::Waits | Trial::Failed { .. } => Stands::Waits,
@@ -615,7 +615,7 @@
             self.began.get_or_insert(now);
         }
         let steps = self.began.map_or(0, |t| now.saturating_sub(t) / STEP) as usize;
-        let chosen = gate::admit(self.settings.layout, &candidates, steps);
+        let chosen = probation::admit(self.settings.layout, &candidates, steps);
         let mut due: Option<Nanos> = None;
         for (((_, id, fact), c), yes) in ready.iter().zip(&candidates).zip(chosen) {
             let cold_time = self.settings.cold_time;
@@ -629,7 +629,7 @@
             if yes && c.stands != Stands::Failed {
                 if c.stands == Stands::Waits {
                     m.failures = 0;
-                    m.assumed = trust::assumed_start(c.trust, now, cold_time);
+                    m.assumed = staleness::assumed_start(c.trust, now, cold_time);
                 }
                 m.trial = Trial::Let;
             }
@@ -732,7 +732,7 @@
 
     /// Whether a node may still come in time: one that was not tried yet, or a list that nobody confirmed.
     pub fn may_yet_come(&self, now: Nanos) -> bool {
-        self.synced.is_none_or(|t| self.trust(Some(t), now) < trust::SURE)
+        self.synced.is_none_or(|t| self.trust(Some(t), now) < staleness::SURE)
     }
 
     /// How each node stands.
--- a/src/roster/kept.rs
+++ b/src/membership/snapshot.rs
@@ -1,10 +1,10 @@
 //! The form in which a belief outlives the process.
 
-use super::belief::{Belief, Known};
-use super::trust::Rate;
+use super::merged_view::{Belief, Known};
+use super::staleness::Rate;
 use super::{Rank, Stamp};
 use crate::api::Nanos;
-use crate::envelope::Format;
+use crate::storage::checksummed_file::Format;
 use serde::{Deserialize, Serialize};
 
 /// The version that is written.
@@ -74,7 +74,7 @@
 }
 
 /// Why a kept list can't be used.
-pub use crate::envelope::Unsound as KeptError;
+pub use crate::storage::checksummed_file::Unsound as KeptError;
 
 /// Writes a list. One that would be too large is an error: nothing is cut off silently.
 pub fn encode(kept: &Kept) -> Result<Vec<u8>, KeptError> {
--- a/src/roster/report.rs
+++ b/src/membership/status_report.rs
@@ -1,8 +1,8 @@
 //! What a kept list says, for people and programs.
 
-use super::belief::Belief;
-use super::kept::Kept;
-use super::{State, trust};
+use super::merged_view::Belief;
+use super::snapshot::Kept;
+use super::{State, staleness};
 use crate::api::Nanos;
 use serde::Serialize;
 use std::fmt;
@@ -68,7 +68,7 @@
                 cell: view.known.fact.cell,
                 state: view.state,
                 age_s: age.map(|t| since(t, now)),
-                trust: age.filter(|_| ready).map_or(0.0, |t| trust::of_age(now.saturating_sub(t), mean)),
+                trust: age.filter(|_| ready).map_or(0.0, |t| staleness::of_age(now.saturating_sub(t), mean)),
                 learnt_s: (!ready).then(|| since(view.learnt, now)),
             })
         };
--- a/src/net/conn.rs
+++ b/src/net/connection.rs
@@ -1,7 +1,7 @@
 //! One connection: partial reads, partial writes, a bounded queue of what is still to be written.
 
 use super::buffer::{Buf, Pool};
-use super::reactor::Place;
+use super::poll_loop::Place;
 use crate::api::Nanos;
 use mio::net::TcpStream;
 use std::collections::VecDeque;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,13 +2,13 @@
 
 pub mod buffer;
 pub mod clock;
-mod conn;
+mod connection;
 pub mod inherited;
-pub mod reactor;
+pub mod poll_loop;
 mod signals;
 
 pub use buffer::{Buf, MAX_BODY, MAX_HEAD, Pool};
 pub use clock::Clock;
-pub use conn::{Filled, QueueFull};
-pub use reactor::{ConnId, Datagrams, NetEvent, Place, Reactor, Waker};
+pub use connection::{Filled, QueueFull};
+pub use poll_loop::{ConnId, Datagrams, NetEvent, Place, Reactor, Waker};
 pub use signals::{Signal, Signals};
--- a/src/net/reactor.rs
+++ b/src/net/poll_loop.rs
@@ -1,7 +1,7 @@
 //! The poll loop's half that knows sockets: it turns readiness into events and owns all connections.
 
 use super::buffer::Pool;
-use super::conn::{Conn, Filled, QueueFull};
+use super::connection::{Conn, Filled, QueueFull};
 use super::signals::{Signal, Signals};
 use crate::api::Nanos;
 use mio::net::{TcpListener, TcpStream, UdpSocket, UnixStream};
--- a/src/replica/walk.rs
+++ b/src/replication/anti_entropy.rs
@@ -4,8 +4,8 @@
 //! and then ours. Each message is bounded, one is under way at a time, and a walk has a budget: what is left after it is
 //! the next walk's. A walk that breaks off has lost nothing: what was taken in stays, and the next one finds less.
 
-use super::copy::{Copy, Entry, Fact, Key};
-use super::tree::{LEAVES, WIDTH};
+use super::merkle_tree::{LEAVES, WIDTH};
+use super::state_store::{Copy, Entry, Fact, Key};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
--- a/src/replica/effect.rs
+++ b/src/replication/derived_state.rs
@@ -1,8 +1,8 @@
 //! What follows from the facts for one broker. A peer's word makes more careful, never bolder: it takes servers out and
 //! sends clients away; nothing but a word by hand puts anything back.
 
-use super::copy::{Copy, Entry, Key, Latest};
-use super::word::Value;
+use super::multi_value_register::Value;
+use super::state_store::{Copy, Entry, Key, Latest};
 use crate::api::Nanos;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/src/replica/word.rs
+++ b/src/replication/multi_value_register.rs
@@ -4,7 +4,7 @@
 //! without knowledge of each other stand side by side until the next one: that is a conflict if they say different
 //! things.
 
-use super::dots::{Dot, Dots};
+use super::version_vector::{Dot, Dots};
 use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
--- a/src/replica/spread.rs
+++ b/src/replication/rumor_queue.rs
@@ -3,8 +3,8 @@
 //! A broker that learns of a fact tells it on for as many rounds as the logarithm of the cluster's size, and some. Who
 //! is missed, or was away, finds out by the digests.
 
-use super::copy::{Copy, Fact, Key};
-use super::walk;
+use super::anti_entropy;
+use super::state_store::{Copy, Fact, Key};
 use std::collections::BTreeMap;
 
 /// Rounds beyond the logarithm.
@@ -38,7 +38,7 @@
         let (mut facts, mut bytes) = (Vec::new(), 0);
         for (left, key) in order {
             let fact = copy.get(&key).map(|entry| (key.clone(), entry.clone()));
-            let size = fact.as_ref().map_or(usize::MAX, walk::size);
+            let size = fact.as_ref().map_or(usize::MAX, anti_entropy::size);
             if size <= room && bytes + size > room {
                 break;
             }
--- a/src/replica/copy.rs
+++ b/src/replication/state_store.rs
@@ -1,8 +1,8 @@
 //! One broker's copy of what all are to know.
 
-use super::dots::{Dot, Dots, Origin, Ranges};
-use super::tree::{self, Tree};
-use super::word::{LONGEST, Register, Said};
+use super::merkle_tree::{self, Tree};
+use super::multi_value_register::{LONGEST, Register, Said};
+use super::version_vector::{Dot, Dots, Origin, Ranges};
 use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -48,7 +48,7 @@
     }
 
     fn leaf(&self) -> u16 {
-        tree::leaf_of(&postcard::to_allocvec(self).unwrap_or_default())
+        merkle_tree::leaf_of(&postcard::to_allocvec(self).unwrap_or_default())
     }
 }
 
@@ -260,7 +260,7 @@
 
     /// The hash of a fact.
     pub fn hash(key: &Key, entry: &Entry) -> u64 {
-        tree::hash(&postcard::to_allocvec(&(key, entry)).unwrap_or_default())
+        merkle_tree::hash(&postcard::to_allocvec(&(key, entry)).unwrap_or_default())
     }
 
     /// Puts an entry in its place; none takes it away.
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -2,7 +2,7 @@
 
 use super::{Health, Rule, Spare, Standing, Stands};
 use crate::api::{self, Nanos, Outcome, ReplicaId};
-use crate::roster::{Change, Layout};
+use crate::membership::{Change, Layout};
 use std::collections::{BTreeMap, HashMap};
 
 /// What routing is told at its start.
--- a/src/front/discovery.rs
+++ b/src/server/discovery_watch.rs
@@ -1,10 +1,10 @@
 //! The watch on discovery: what it tells goes to the roster.
 
 use crate::api::Nanos;
-use crate::front::http::{Reader, Side};
+use crate::http::{Reader, Side};
+use crate::membership::Roster;
+use crate::membership::endpoint_list::ServerList;
 use crate::net::{ConnId, Filled, NetEvent, Reactor};
-use crate::roster::Roster;
-use crate::roster::told::ServerList;
 use std::net::SocketAddr;
 
 /// Time for a watch to begin once its connection is up. Discovery handles calls in turn, and answers 503 to one that
--- a/src/broker.rs
+++ b/src/server/event_loop.rs
@@ -1,19 +1,19 @@
 //! One broker: the poll loop, with the exchange between the two sides of a front.
 
+use crate::admin::{self, Aside, Call, Desk, Reply};
 use crate::api::Nanos;
 use crate::cluster::{self, Cluster};
 use crate::config::{Clustered, ConfigError};
-use crate::core::{Exchange, Final, Work};
-use crate::figures;
-use crate::front::membership::Membership;
-use crate::front::operation::{self, Aside, Call, Desk, Reply};
-use crate::handover::state::{Stage, Words};
-use crate::handover::succession::Share;
-use crate::handover::{Handover, Holds};
-use crate::leave::{Leave, Step};
+use crate::engine::{Exchange, Final, Work};
+use crate::hot_restart::coordination::Share;
+use crate::hot_restart::state::{Stage, Words};
+use crate::hot_restart::{Handover, Holds};
+use crate::membership::NeverListed;
+use crate::metrics;
 use crate::net::{Clock, ConnId, NetEvent, Reactor, Signal, Signals, Waker};
-use crate::replica::{Key, Value};
-use crate::roster::NeverListed;
+use crate::replication::{Key, Value};
+use crate::server::drain::{Leave, Step};
+use crate::server::membership_driver::Membership;
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
@@ -276,7 +276,7 @@
                 self.front.reload(&mut hands);
                 self.cluster.iter_mut().for_each(Cluster::reload);
             }
-            _ if event.owner() == Some(operation::OWNER) => {
+            _ if event.owner() == Some(admin::OWNER) => {
                 if let Some(desk) = &mut self.desk {
                     desk.event(event, now, &mut self.net);
                     self.calls(now);
@@ -362,7 +362,7 @@
             Call::Metrics => {
                 let (pool_size, out) = self.front.membership().listed();
                 let (active, ejected) = (self.exchange.open_queries(), self.exchange.ejected());
-                let at_once = figures::Now { active, pool_size, pool_ejected: out + ejected };
+                let at_once = metrics::Now { active, pool_size, pool_ejected: out + ejected };
                 Reply::Figures(self.exchange.figures().line(&self.class_names, at_once))
             }
             Call::Clients => Reply::Yes(self.net.accepted().to_string()),
--- a/src/front/membership.rs
+++ b/src/server/membership_driver.rs
@@ -1,17 +1,17 @@
 //! Membership as a front needs it: the roster, the watch on discovery and the kept list, tied to the exchange.
 
-use super::discovery::Watch;
+use super::discovery_watch::Watch;
 use crate::api::{Nanos, ReplicaId};
-use crate::broker::Hands;
-use crate::keep::Keeper;
+use crate::membership::gossip_hints::{Others, Own};
+use crate::membership::poll_backoff::AskAgain;
+use crate::membership::snapshot::Kept;
+use crate::membership::{ByHand, Change, Fact, NeverListed, Roster, State};
 use crate::net::{NetEvent, Reactor};
-use crate::replica::effect::Heard;
-use crate::replica::{Key, Latest};
-use crate::roster::ask::AskAgain;
-use crate::roster::heard::{Others, Own};
-use crate::roster::kept::Kept;
-use crate::roster::{ByHand, Change, Fact, NeverListed, Roster, State};
+use crate::replication::derived_state::Heard;
+use crate::replication::{Key, Latest};
 use crate::routing::{Routing, Rule};
+use crate::server::Hands;
+use crate::storage::snapshot_store::Keeper;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
--- a/src/keep/journal.rs
+++ b/src/storage/journal.rs
@@ -7,10 +7,10 @@
 //!
 //! All is done on a thread of its own. It has a copy to write snapshots from, so that the poll loop never makes one.
 
-use super::files::Files;
+use super::file_system::Files;
 use crate::api::Nanos;
-use crate::envelope::{Format, Unsound};
-use crate::replica::{Bounds, Copy, Fact, Origin};
+use crate::replication::{Bounds, Copy, Fact, Origin};
+use crate::storage::checksummed_file::{Format, Unsound};
 use serde::{Deserialize, Serialize};
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
--- a/src/keep/mod.rs
+++ b/src/storage/snapshot_store.rs
@@ -4,12 +4,8 @@
 //! is found at the start is merged from every generation that is sound: facts that were learnt are not lost by a
 //! kill between two steps. Nothing that goes wrong here stops the broker from serving.
 
-mod files;
-pub mod journal;
-
-pub use files::{Disk, Files};
-
-use crate::roster::kept::{self, Kept};
+use super::{Disk, Files};
+use crate::membership::snapshot::{self, Kept};
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -35,8 +31,8 @@
     let (mut sound, mut wrong) = (Vec::new(), Vec::new());
     for name in [OLDER, CURRENT, UNDER_WAY] {
         let path = dir.join(name);
-        match files.read(&path, kept::MOST_BYTES) {
-            Ok(bytes) => match kept::decode(&bytes) {
+        match files.read(&path, snapshot::MOST_BYTES) {
+            Ok(bytes) => match snapshot::decode(&bytes) {
                 Ok(list) => sound.push(list),
                 // Half a file is what a kill leaves of a write; the other generations have what was learnt.
                 Err(_) if name == UNDER_WAY => {}
@@ -54,8 +50,8 @@
     if path.is_dir() {
         return read(&Disk, path);
     }
-    let bytes = Disk.read(path, kept::MOST_BYTES).map_err(|e| e.to_string());
-    match bytes.and_then(|b| kept::decode(&b).map_err(|e| e.to_string())) {
+    let bytes = Disk.read(path, snapshot::MOST_BYTES).map_err(|e| e.to_string());
+    match bytes.and_then(|b| snapshot::decode(&b).map_err(|e| e.to_string())) {
         Ok(list) => (vec![list], Vec::new()),
         Err(e) => (Vec::new(), vec![format!("{}: {e}", path.display())]),
     }
@@ -63,7 +59,7 @@
 
 /// Writes one list: whatever happens on the way, a sound generation stays if there was one.
 pub fn write(files: &impl Files, dir: &Path, list: &Kept) -> Result<(), String> {
-    let bytes = kept::encode(list).map_err(|e| e.to_string())?;
+    let bytes = snapshot::encode(list).map_err(|e| e.to_string())?;
     let (current, older, tmp) = (dir.join(CURRENT), dir.join(OLDER), dir.join(UNDER_WAY));
     let said = |path: &Path| {
         let path = path.display().to_string();
--- a/tests/cluster/frames.rs
+++ b/tests/cluster/frames.rs
@@ -1,12 +1,12 @@
 //! Bytes that are not what they should be: every decoder of frames and files gives a typed error or a sound value, whatever
 //! comes, and a broker that is sent such things goes on.
 
-use pebbleturn::keep::Disk;
-use pebbleturn::keep::journal::{self, Journal, LOG, OLDER_LOG, OLDER_SNAPSHOT, SNAPSHOT, UNDER_WAY};
-use pebbleturn::peers::swim::{Probe, Rumour, Status};
-use pebbleturn::peers::wire::{self, BadFrame, DATAGRAM, Datagram, FRAME, LATEST, Line, Sender};
-use pebbleturn::replica::walk::{Message, Walk};
-use pebbleturn::replica::*;
+use pebbleturn::gossip::codec::{self, BadFrame, DATAGRAM, Datagram, FRAME, LATEST, Line, Sender};
+use pebbleturn::gossip::swim::{Probe, Rumour, Status};
+use pebbleturn::replication::anti_entropy::{Message, Walk};
+use pebbleturn::replication::*;
+use pebbleturn::storage::Disk;
+use pebbleturn::storage::journal::{self, Journal, LOG, OLDER_LOG, OLDER_SNAPSHOT, SNAPSHOT, UNDER_WAY};
 use pebbleturn_lab::cluster::world::{S, World, name};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
@@ -46,7 +46,7 @@
 
 fn sender() -> Sender {
     Sender {
-        cluster: wire::cluster("kochi"),
+        cluster: codec::cluster("kochi"),
         name: name(1),
         origin: Origin(3),
         incarnation: 4,
@@ -118,8 +118,8 @@
     assert_eq!(Datagram::decode(&datagram(2), 1), Err(BadFrame::Version(2)));
     assert!(Datagram::decode(&datagram(1), 1).unwrap().root.is_none());
     assert_eq!(Datagram::decode(&vec![0; DATAGRAM + 1], LATEST), Err(BadFrame::Length(DATAGRAM + 1)));
-    assert_eq!(wire::frame_end(&[0xff; 8]), Err(BadFrame::Length(u32::MAX as usize)));
-    assert_eq!(wire::frame_end(&(FRAME as u32).to_be_bytes()), Ok(None));
+    assert_eq!(codec::frame_end(&[0xff; 8]), Err(BadFrame::Length(u32::MAX as usize)));
+    assert_eq!(codec::frame_end(&(FRAME as u32).to_be_bytes()), Ok(None));
 }
 
 /// With a checksum that fits, whatever stands behind it: an error or a value, and a broker that takes it in goes on.
@@ -149,7 +149,7 @@
             if line.len() >= 9 {
                 reseal(&mut line);
                 if let Ok(Line::Walk(m)) = Line::decode(&line) {
-                    let _ = walk::answer(&copy(2), &m);
+                    let _ = anti_entropy::answer(&copy(2), &m);
                 }
             }
         }
--- a/tests/cluster/model.rs
+++ b/tests/cluster/model.rs
@@ -1,7 +1,7 @@
 //! A model check of joining, ending and forgetting with three copies: every order of a few words, of what reaches whom, of
 //! forgetting, of crashes and old disks. The real copies are walked; each rule is broken in turn, and the check must say so.
 
-use pebbleturn::replica::*;
+use pebbleturn::replication::*;
 use stateright::{Checker, HasDiscoveries, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
--- a/tests/cluster/processes.rs
+++ b/tests/cluster/processes.rs
@@ -1,10 +1,10 @@
 //! Several processes of the real program, faults on every link between them, and a judge over all that they wrote.
 
-use pebbleturn::peers::swim::Probe;
-use pebbleturn::peers::wire::{self, Datagram, Sender};
-use pebbleturn::replica::{Entry, Key, Latest, Origin, Register, Said, Value};
-use pebbleturn::roster::State;
-use pebbleturn::roster::told::ServerLine;
+use pebbleturn::gossip::codec::{self, Datagram, Sender};
+use pebbleturn::gossip::swim::Probe;
+use pebbleturn::membership::State;
+use pebbleturn::membership::endpoint_list::ServerLine;
+use pebbleturn::replication::{Entry, Key, Latest, Origin, Register, Said, Value};
 use pebbleturn_lab::cluster::bed::*;
 use pebbleturn_lab::cluster::links::Fault;
 use pebbleturn_lab::directory::{Directory, line};
@@ -258,7 +258,7 @@
 
 fn sender(origin: u64, cluster: &str) -> Sender {
     Sender {
-        cluster: wire::cluster(cluster),
+        cluster: codec::cluster(cluster),
         name: name(1),
         origin: Origin(origin),
         incarnation: u64::MAX / 4,
@@ -288,7 +288,7 @@
         until: None,
     };
     let mut register = Register::default();
-    register.say(pebbleturn::replica::Dot { origin: Origin(99), seq: 1 }, said);
+    register.say(pebbleturn::replication::Dot { origin: Origin(99), seq: 1 }, said);
     let fact = (Key::Server("n-1".into()), Entry::Words(register));
     bed.links.inject(1, 0, &frame(vec![fact.clone()]));
     bed.everywhere("server n-1", true);
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::{MS, S, line, settings};
-use pebbleturn::core::*;
+use pebbleturn::engine::*;
 use pebbleturn::*;
 use std::rc::Rc;
 
--- a/tests/fronts/clients.rs
+++ b/tests/fronts/clients.rs
@@ -1,12 +1,12 @@
 //! A broker in a thread of its own, and clients of all three protocols that see its answers alike.
 
 use pebbleturn::config::{Operator, Platform};
-use pebbleturn::front::catalogue::apdu::*;
-use pebbleturn::front::catalogue::diagnostic::Trouble;
-use pebbleturn::front::catalogue::marc::{Field, Record};
-use pebbleturn::front::catalogue::search::{Clause, Search};
-use pebbleturn::front::catalogue::{rpn, sru};
-use pebbleturn::front::{catalogue, platform};
+use pebbleturn::frontends::catalogue::apdu::*;
+use pebbleturn::frontends::catalogue::diagnostic::Trouble;
+use pebbleturn::frontends::catalogue::marc::{Field, Record};
+use pebbleturn::frontends::catalogue::search::{Clause, Search};
+use pebbleturn::frontends::catalogue::{rpn, sru};
+use pebbleturn::frontends::{catalogue, platform};
 use pebbleturn::net::Waker;
 use pebbleturn_lab::standins::*;
 use std::io::Write;
--- a/tests/fronts/main.rs
+++ b/tests/fronts/main.rs
@@ -176,7 +176,7 @@
         if wire == Wire::Z3950 {
             // The search is finished; then the session ends, so that nothing can be presented.
             let answer = read_apdu(&mut busy.stream);
-            assert!(matches!(answer, Some(pebbleturn::front::catalogue::apdu::Apdu::SearchResponse(r)) if r.success));
+            assert!(matches!(answer, Some(pebbleturn::frontends::catalogue::apdu::Apdu::SearchResponse(r)) if r.success));
         } else {
             assert_eq!(busy.reply(), Reply::Whole);
         }
--- a/tests/fronts/protocols.rs
+++ b/tests/fronts/protocols.rs
@@ -1,10 +1,10 @@
 //! What one protocol alone has: result sets, positions, services that are not there, explain.
 
 use crate::clients::*;
-use pebbleturn::front::catalogue::apdu::*;
-use pebbleturn::front::catalogue::marc::Field;
-use pebbleturn::front::catalogue::search::{Clause, Operator, Search};
-use pebbleturn::front::catalogue::{plan, rpn, sru};
+use pebbleturn::frontends::catalogue::apdu::*;
+use pebbleturn::frontends::catalogue::marc::Field;
+use pebbleturn::frontends::catalogue::search::{Clause, Operator, Search};
+use pebbleturn::frontends::catalogue::{plan, rpn, sru};
 use pebbleturn_lab::standins::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
--- a/tests/keep.rs
+++ b/tests/keep.rs
@@ -1,9 +1,10 @@
 //! The kept list on disk: every failure of the disk that the design note names.
 
-use pebbleturn::keep::{self, CURRENT, Disk, Files, Keeper, LOCK, OLDER};
-use pebbleturn::roster::kept::{Kept, KeptNode};
-use pebbleturn::roster::trust::Rate;
-use pebbleturn::roster::{Fact, State};
+use pebbleturn::membership::snapshot::{Kept, KeptNode};
+use pebbleturn::membership::staleness::Rate;
+use pebbleturn::membership::{Fact, State};
+use pebbleturn::storage::snapshot_store::{self, CURRENT, Keeper, LOCK, OLDER};
+use pebbleturn::storage::{Disk, Files};
 use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -84,9 +85,9 @@
 fn two_generations_are_kept_and_read_back() {
     let dir = tempfile::tempdir().unwrap();
     for n in 1..=3 {
-        keep::write(&Disk, dir.path(), &list(n, false)).unwrap();
+        snapshot_store::write(&Disk, dir.path(), &list(n, false)).unwrap();
     }
-    let (lists, wrong) = keep::read(&Disk, dir.path());
+    let (lists, wrong) = snapshot_store::read(&Disk, dir.path());
     assert_eq!((versions(&lists), wrong.len()), (vec![2, 3], 0));
     let mut names: Vec<_> = std::fs::read_dir(dir.path())
         .unwrap()
@@ -100,19 +101,19 @@
 fn a_kill_at_any_step_of_a_write_loses_nothing_that_was_kept() {
     for (from, written) in [(0, 0), (0, 20), (0, 200), (1, 0), (2, 0), (3, 0), (4, 0)] {
         let dir = tempfile::tempdir().unwrap();
-        keep::write(&Disk, dir.path(), &list(1, false)).unwrap();
-        keep::write(&Disk, dir.path(), &list(2, false)).unwrap();
+        snapshot_store::write(&Disk, dir.path(), &list(1, false)).unwrap();
+        snapshot_store::write(&Disk, dir.path(), &list(2, false)).unwrap();
         let killed = Failing { from: Arc::new(AtomicUsize::new(from)), written, ..Failing::default() };
-        let went = keep::write(&killed, dir.path(), &list(3, true));
+        let went = snapshot_store::write(&killed, dir.path(), &list(3, true));
         assert_eq!(went.is_ok(), from == 4);
-        let (lists, wrong) = keep::read(&Disk, dir.path());
+        let (lists, wrong) = snapshot_store::read(&Disk, dir.path());
         assert!(wrong.is_empty(), "{wrong:?}");
         assert!(versions(&lists).contains(&2), "step {from}: {:?}", versions(&lists));
         // Once the new list was whole on disk, the drain in it is known whatever came after.
         assert_eq!(versions(&lists).contains(&3), from > 0, "step {from}");
         // The next write goes well.
-        keep::write(&Disk, dir.path(), &list(4, true)).unwrap();
-        assert_eq!(versions(&keep::read(&Disk, dir.path()).0).last(), Some(&4));
+        snapshot_store::write(&Disk, dir.path(), &list(4, true)).unwrap();
+        assert_eq!(versions(&snapshot_store::read(&Disk, dir.path()).0).last(), Some(&4));
     }
 }
 
@@ -140,10 +141,10 @@
     ];
     for (word, corrupt) in corrupt {
         let dir = tempfile::tempdir().unwrap();
-        keep::write(&Disk, dir.path(), &list(1, false)).unwrap();
-        keep::write(&Disk, dir.path(), &list(2, false)).unwrap();
+        snapshot_store::write(&Disk, dir.path(), &list(1, false)).unwrap();
+        snapshot_store::write(&Disk, dir.path(), &list(2, false)).unwrap();
         corrupt(&dir.path().join(CURRENT));
-        let (lists, wrong) = keep::read(&Disk, dir.path());
+        let (lists, wrong) = snapshot_store::read(&Disk, dir.path());
         assert_eq!((versions(&lists), wrong.len()), (vec![1], 1), "{word}: {wrong:?}");
         assert!(wrong[0].contains(word) && wrong[0].contains(CURRENT), "{wrong:?}");
     }
@@ -158,13 +159,13 @@
     settle(&first);
     second.keep(list(2, false));
     settle(&second);
-    assert_eq!(versions(&keep::read(&Disk, dir.path()).0), [1]);
+    assert_eq!(versions(&snapshot_store::read(&Disk, dir.path()).0), [1]);
     assert!(dir.path().join(LOCK).exists());
     // As when a broker is replaced by the next: that one takes over.
     drop(first);
     second.keep(list(3, false));
     settle(&second);
-    assert_eq!(versions(&keep::read(&Disk, dir.path()).0), [1, 3]);
+    assert_eq!(versions(&snapshot_store::read(&Disk, dir.path()).0), [1, 3]);
 }
 
 /// Waits until the keeper has done with what it was given.
@@ -183,11 +184,11 @@
         keeper.keep(list(n, false));
         settle(&keeper);
     }
-    assert!(keep::read(&Disk, dir.path()).0.is_empty());
+    assert!(snapshot_store::read(&Disk, dir.path()).0.is_empty());
     disk.from.store(usize::MAX, Ordering::SeqCst);
     keeper.keep(list(4, false));
     settle(&keeper);
-    assert_eq!(versions(&keep::read(&Disk, dir.path()).0), [4]);
+    assert_eq!(versions(&snapshot_store::read(&Disk, dir.path()).0), [4]);
 }
 
 #[test]
@@ -202,7 +203,7 @@
     std::fs::create_dir(&place).unwrap();
     keeper.keep(list(2, false));
     settle(&keeper);
-    assert_eq!(versions(&keep::read(&Disk, &place).0), [2]);
+    assert_eq!(versions(&snapshot_store::read(&Disk, &place).0), [2]);
     // A place that is no directory at all keeps nothing.
     let file = dir.path().join("file");
     std::fs::write(&file, "").unwrap();
@@ -253,10 +254,10 @@
     while !begun.exists() {
         std::thread::yield_now();
     }
-    assert!(!keeper.is_free() && keep::read(&Disk, dir.path()).0.is_empty());
+    assert!(!keeper.is_free() && snapshot_store::read(&Disk, dir.path()).0.is_empty());
     go.send(()).unwrap();
     drop(keeper);
-    assert_eq!(versions(&keep::read(&Disk, dir.path()).0), [1]);
+    assert_eq!(versions(&snapshot_store::read(&Disk, dir.path()).0), [1]);
     // One that never comes back keeps the program only for a moment.
     let (stuck, wait) = mpsc::channel();
     let disk = Slow(begun, std::sync::Mutex::new(wait));
@@ -264,6 +265,6 @@
     keeper.keep(list(2, true));
     drop(keeper);
     // It is over, although the disk still hangs; what was kept before stands.
-    assert_eq!(versions(&keep::read(&Disk, dir.path()).0), [1]);
+    assert_eq!(versions(&snapshot_store::read(&Disk, dir.path()).0), [1]);
     drop(stuck);
 }
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -2,10 +2,10 @@
 
 mod common;
 use common::{MS, S, line, settings};
-use pebbleturn::broker::Hands;
-use pebbleturn::core::*;
-use pebbleturn::front::platform::{Carried, LinkLimits, Servers};
+use pebbleturn::engine::*;
+use pebbleturn::frontends::platform::{Carried, LinkLimits, Servers};
 use pebbleturn::net::{Clock, ConnId, NetEvent, Pool, Reactor};
+use pebbleturn::server::Hands;
 use pebbleturn::*;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,12 +1,12 @@
 //! Membership on real sockets: nodes that come, drain and go under a session, restarts without discovery.
 
-use pebbleturn::broker::BrokerError;
 use pebbleturn::config::Operator;
-use pebbleturn::front::catalogue;
-use pebbleturn::keep;
+use pebbleturn::frontends::catalogue;
+use pebbleturn::membership::State;
+use pebbleturn::membership::snapshot::Kept;
 use pebbleturn::net::Waker;
-use pebbleturn::roster::State;
-use pebbleturn::roster::kept::Kept;
+use pebbleturn::server::BrokerError;
+use pebbleturn::storage::snapshot_store;
 use pebbleturn_lab::demo::{by_sru, by_z3950};
 use pebbleturn_lab::directory::{Directory, Mode, line};
 use pebbleturn_lab::standins::{Script, Wire, node};
@@ -103,7 +103,7 @@
 
 #[test]
 fn nodes_come_drain_and_go_without_ending_a_session() {
-    use pebbleturn::front::catalogue::apdu::Apdu;
+    use pebbleturn::frontends::catalogue::apdu::Apdu;
     use pebbleturn_lab::demo::{self, init};
     use pebbleturn_lab::standins::read_apdu;
     use std::io::Write;
@@ -153,7 +153,7 @@
     let drained = |lists: &[Kept]| {
         lists.iter().any(|l| l.nodes.iter().any(|n| n.fact.id == "n-0" && n.fact.state == State::Terminating))
     };
-    until("the drain is kept", || drained(&keep::look(dir.path()).0));
+    until("the drain is kept", || drained(&snapshot_store::look(dir.path()).0));
     first.stop();
 
     fleet.directory.mode(Mode::Down);
@@ -181,7 +181,7 @@
 #[test]
 fn a_kept_list_that_is_corrupt_costs_nothing_but_itself() {
     let (fleet, dir) = (Fleet::new(), tempfile::tempdir().unwrap());
-    for name in [keep::CURRENT, keep::OLDER] {
+    for name in [snapshot_store::CURRENT, snapshot_store::OLDER] {
         std::fs::write(dir.path().join(name), "pebbleturn-roster 1 12 00000000\nnot so long").unwrap();
     }
     fleet.directory.mode(Mode::Refusing);
@@ -189,7 +189,7 @@
     let broker = Running::start(&with(&fleet.directory, dir.path()), &nodes);
     assert!(broker.serves());
     fleet.directory.mode(Mode::Up);
-    until("a sound list is kept", || !keep::look(dir.path()).0.is_empty());
+    until("a sound list is kept", || !snapshot_store::look(dir.path()).0.is_empty());
     broker.stop();
 }
 
@@ -198,12 +198,12 @@
     let (fleet, dir) = (Fleet::new(), tempfile::tempdir().unwrap());
     let first = Running::start(&with(&fleet.directory, dir.path()), &[]);
     first.until_it_serves();
-    until("the list is kept", || !keep::look(dir.path()).0.is_empty());
+    until("the list is kept", || !snapshot_store::look(dir.path()).0.is_empty());
     let second = Running::start(&with(&fleet.directory, dir.path()), &[]);
     assert!(second.serves(), "from what the other kept");
     second.stop();
     first.stop();
-    assert!(keep::look(dir.path()).1.is_empty());
+    assert!(snapshot_store::look(dir.path()).1.is_empty());
 }
 
 #[test]
--- a/tests/operation/handover.rs
+++ b/tests/operation/handover.rs
@@ -1,8 +1,8 @@
 //! What processes at one address tell each other and what follows: without disk, in simulated time.
 
 use pebbleturn::Nanos;
-use pebbleturn::handover::state::{Stage, State, Word, Words};
-use pebbleturn::handover::succession::{LEAST_DESCRIPTORS, Limits, Peer, Share, Succession};
+use pebbleturn::hot_restart::coordination::{LEAST_DESCRIPTORS, Limits, Peer, Share, Succession};
+use pebbleturn::hot_restart::state::{Stage, State, Word, Words};
 use quickcheck::quickcheck;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
--- a/tests/operation/processes.rs
+++ b/tests/operation/processes.rs
@@ -214,7 +214,7 @@
 
 #[test]
 fn a_server_that_moves_at_that_moment_stays_out_at_its_new_place() {
-    use pebbleturn::roster::State;
+    use pebbleturn::membership::State;
     use pebbleturn_lab::directory::line;
     use pebbleturn_lab::standins::{Wire, node};
     let site = Site::new(PROGRAM);
@@ -244,7 +244,7 @@
 
 #[test]
 fn a_server_put_back_while_it_is_cold_is_used_again_and_not_pushed_over() {
-    use pebbleturn::roster::State;
+    use pebbleturn::membership::State;
     use pebbleturn_lab::directory::line;
     let site = Site::new(PROGRAM);
     let process = site.start();
--- a/tests/operation/rules.rs
+++ b/tests/operation/rules.rs
@@ -1,9 +1,9 @@
 //! What the parts of operation decide, without processes or sockets.
 
-use pebbleturn::figures::{End, Figures, Now};
-use pebbleturn::front::operation::call::{self, Aside, BadCall, Call, LONGEST};
-use pebbleturn::leave::{KEEP_ACCEPTING, Leave, Step};
-use pebbleturn::roster::{ByHand, Change, NeverListed};
+use pebbleturn::admin::request::{self, Aside, BadCall, Call, LONGEST};
+use pebbleturn::membership::{ByHand, Change, NeverListed};
+use pebbleturn::metrics::{End, Figures, Now};
+use pebbleturn::server::drain::{KEEP_ACCEPTING, Leave, Step};
 use pebbleturn::{Listed, Nanos, ReplicaId, Standing};
 use quickcheck::quickcheck;
 
@@ -35,10 +35,10 @@
         ("STATE all", Err(BadCall::Extra("STATE"))),
         ("pause", Err(BadCall::Unknown("pause".into()))),
     ] {
-        assert_eq!(call::read(line.as_bytes()), want, "{line:?}");
+        assert_eq!(request::read(line.as_bytes()), want, "{line:?}");
     }
-    assert_eq!(call::read(b"\xff"), Err(BadCall::NotText));
-    assert_eq!(call::read(&[b'a'; LONGEST + 1]), Err(BadCall::TooLong));
+    assert_eq!(request::read(b"\xff"), Err(BadCall::NotText));
+    assert_eq!(request::read(&[b'a'; LONGEST + 1]), Err(BadCall::TooLong));
 }
 
 #[test]
@@ -155,7 +155,7 @@
 /// served, refused, failed, and open.
 fn history(steps: &[(u8, u8)]) -> ([u64; 4], [u64; 4]) {
     use crate::common::{line, settings};
-    use pebbleturn::core::{Ask, AskPart, AttemptId, Ended, Exchange, Final, QueryId, Work};
+    use pebbleturn::engine::{Ask, AskPart, AttemptId, Ended, Exchange, Final, QueryId, Work};
     use pebbleturn::{Effect, Outcome};
     let told = pebbleturn::Settings { max_open: 20, budget: None, ..settings(Effect::Safe) };
     let mut exchange: Exchange<(), u8> = Exchange::new(told, 7, 0).unwrap();
@@ -244,7 +244,7 @@
 
 #[test]
 fn tables_stay_bounded_over_a_long_run_and_no_server_that_is_out_is_forgotten() {
-    use pebbleturn::handover::state::Words;
+    use pebbleturn::hot_restart::state::Words;
     let (mut hand, mut words) = (ByHand::default(), Words::default());
     hand.pass(vec![change("stays", 1, Standing::In), change("out", 2, Standing::In)]);
     hand.suspend("out", false).unwrap();
@@ -263,7 +263,7 @@
 
 #[test]
 fn a_call_is_heard_behind_callers_that_say_nothing_though_no_time_goes_by() {
-    use pebbleturn::front::operation::Desk;
+    use pebbleturn::admin::Desk;
     use pebbleturn::net::{Pool, Reactor};
     use std::io::Write;
     use std::net::TcpStream;
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -1,13 +1,13 @@
 //! Every parser against random cuts of valid messages and against garbage, from fixed seeds.
 
-use pebbleturn::front::catalogue::apdu::*;
-use pebbleturn::front::catalogue::ber::{self, Element};
-use pebbleturn::front::catalogue::diagnostic::{Diagnostic, Trouble};
-use pebbleturn::front::catalogue::marc::{Field, Record};
-use pebbleturn::front::catalogue::search::*;
-use pebbleturn::front::catalogue::{cql, rpn, sru};
-use pebbleturn::front::http::{HttpError, Reader, Side};
-use pebbleturn::front::platform::frame;
+use pebbleturn::frontends::catalogue::apdu::*;
+use pebbleturn::frontends::catalogue::ber::{self, Element};
+use pebbleturn::frontends::catalogue::diagnostic::{Diagnostic, Trouble};
+use pebbleturn::frontends::catalogue::marc::{Field, Record};
+use pebbleturn::frontends::catalogue::search::*;
+use pebbleturn::frontends::catalogue::{cql, rpn, sru};
+use pebbleturn::frontends::platform::frame;
+use pebbleturn::http::{HttpError, Reader, Side};
 use pebbleturn::net::Pool;
 use quickcheck::{Arbitrary, Gen};
 
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -292,8 +292,8 @@
 
 #[test]
 fn a_kept_list_can_be_shown_and_an_unsound_one_is_told() {
-    use pebbleturn::roster::kept::{self, Kept, KeptNode};
-    use pebbleturn::roster::{Fact, State, trust::Rate};
+    use pebbleturn::membership::snapshot::{self, Kept, KeptNode};
+    use pebbleturn::membership::{Fact, State, staleness::Rate};
     let fact = |id: &str, state| Fact {
         id: id.into(),
         addr: Some("127.0.0.1:80".parse().unwrap()),
@@ -310,7 +310,7 @@
     let nodes = vec![node("s-1", State::Ready), node("s-2", State::Terminating)];
     let (whole, rate) = (Some((0, 4, 1)), Rate::NONE);
     let list = Kept { written: 1, synced: Some(1), whole, forgotten: None, rate, nodes };
-    let bytes = kept::encode(&list).unwrap();
+    let bytes = snapshot::encode(&list).unwrap();
     let file = File::new("list.kept", "");
     std::fs::write(file.path(), &bytes).unwrap();
     let out = run(&["roster", "show", file.path()], None);
@@ -342,7 +342,7 @@
 
 #[test]
 fn on_the_platform_a_list_is_kept_only_where_a_directory_is_given() {
-    use pebbleturn::roster::State;
+    use pebbleturn::membership::State;
     use pebbleturn_lab::directory::{Directory, Mode, line};
     let dir = tempfile::tempdir().unwrap();
     let node = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -373,8 +373,8 @@
 
 #[test]
 fn signals_and_a_replacement_are_minded_while_a_write_hangs() {
-    use pebbleturn::keep::{CURRENT, UNDER_WAY};
-    use pebbleturn::roster::State;
+    use pebbleturn::membership::State;
+    use pebbleturn::storage::snapshot_store::{CURRENT, UNDER_WAY};
     use pebbleturn_lab::directory::{Directory, line};
     let dir = tempfile::tempdir().unwrap();
     // Whoever opens a pipe to write waits until somebody reads: the disk that hangs.
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -1,9 +1,9 @@
 //! The copies of what all brokers are to know: what joining proves, what is forgotten, where copies differ.
 
-use pebbleturn::replica::effect::Effect;
-use pebbleturn::replica::spread::News;
-use pebbleturn::replica::walk::{self, Message, Walk};
-use pebbleturn::replica::*;
+use pebbleturn::replication::anti_entropy::{self, Message, Walk};
+use pebbleturn::replication::derived_state::Effect;
+use pebbleturn::replication::rumor_queue::News;
+use pebbleturn::replication::*;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 use std::collections::BTreeSet;
@@ -37,11 +37,11 @@
     for _ in 0..1000 {
         let (mut walk, mut ask) = Walk::begin(a, budget);
         loop {
-            for (key, entry) in walk::facts(&ask) {
+            for (key, entry) in anti_entropy::facts(&ask) {
                 b.join(key, entry, NOW).unwrap();
             }
-            let answer = walk::answer(b, &ask).unwrap();
-            for (key, entry) in walk::facts(&answer) {
+            let answer = anti_entropy::answer(b, &ask).unwrap();
+            for (key, entry) in anti_entropy::facts(&answer) {
                 a.join(key, entry, NOW).unwrap();
             }
             messages += 2;
@@ -305,7 +305,7 @@
     // One that knows nothing, with breaks after each 100 KB.
     let mut c = Copy::new(Origin(3), wide);
     let (_, largest) = walked(&mut c, &mut a, 100_000);
-    assert!(largest < 2 * walk::FACTS, "{largest}");
+    assert!(largest < 2 * anti_entropy::FACTS, "{largest}");
     assert_eq!(c.bytes(), a.bytes());
 }
 
@@ -325,7 +325,7 @@
     }
     let mut b = Copy::new(Origin(2000), Bounds::default());
     let (_, largest) = walked(&mut b, &mut a, 1 << 20);
-    assert!(largest < 2 * walk::FACTS, "{largest}");
+    assert!(largest < 2 * anti_entropy::FACTS, "{largest}");
     assert_eq!(a.bytes(), b.bytes());
     let mut c = Copy::new(Origin(2001), Bounds::default());
     walked(&mut a, &mut c, 1 << 20);
@@ -344,7 +344,7 @@
         Message::AskLeaves { branches: vec![0; 17] },
         Message::AskFacts { leaves: vec![0; 257], from: None },
     ] {
-        assert!(walk::answer(&a, &m).is_err());
+        assert!(anti_entropy::answer(&a, &m).is_err());
     }
 }
 
@@ -363,8 +363,8 @@
     let mut told = 0;
     while !news.is_empty() {
         let facts = news.take(&copy, 1000);
-        assert!(facts.iter().map(walk::size).sum::<usize>() <= 1000);
+        assert!(facts.iter().map(anti_entropy::size).sum::<usize>() <= 1000);
         told += facts.len();
     }
-    assert_eq!(told as u32, 3 * pebbleturn::replica::spread::rounds(3));
+    assert_eq!(told as u32, 3 * pebbleturn::replication::rumor_queue::rounds(3));
 }
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -1,9 +1,9 @@
 //! Membership by scripted news: every hard case that the design note names, with time as an argument.
 
-use pebbleturn::roster::belief::{Belief, Known, MOST_GONE};
-use pebbleturn::roster::kept::{self, Kept, KeptError};
-use pebbleturn::roster::told::{ServerLine, ServerList};
-use pebbleturn::roster::{Change, Fact, Layout, Rank, Roster, RosterSettings, Stamp, State};
+use pebbleturn::membership::endpoint_list::{ServerLine, ServerList};
+use pebbleturn::membership::merged_view::{Belief, Known, MOST_GONE};
+use pebbleturn::membership::snapshot::{self, Kept, KeptError};
+use pebbleturn::membership::{Change, Fact, Layout, Rank, Roster, RosterSettings, Stamp, State};
 use pebbleturn::{Nanos, Outcome, ReplicaId, Standing};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -195,7 +195,7 @@
     for _ in 0..200 {
         let all: Vec<News> = news(&mut rng).into_iter().filter(|n| n.stamp.rank == Rank::Directory).collect();
         let belief = believe(&all.iter().collect::<Vec<_>>());
-        let nodes = belief.directory().map(|k: &Known| kept::KeptNode {
+        let nodes = belief.directory().map(|k: &Known| snapshot::KeptNode {
             fact: k.fact.clone(),
             epoch: k.stamp.epoch,
             version: k.stamp.version,
@@ -204,9 +204,9 @@
             confirmed: None,
         });
         let whole = belief.whole(Rank::Directory).map(|(s, t)| (s.epoch, s.version, t));
-        let rate = pebbleturn::roster::trust::Rate::NONE;
+        let rate = pebbleturn::membership::staleness::Rate::NONE;
         let kept = Kept { written: NOON, synced: None, whole, forgotten: None, rate, nodes: nodes.collect() };
-        let back = kept::decode(&kept::encode(&kept).unwrap()).unwrap();
+        let back = snapshot::decode(&snapshot::encode(&kept).unwrap()).unwrap();
         let mut again = Belief::default();
         back.add_to(&mut again);
         assert_eq!(again, belief);
@@ -546,7 +546,7 @@
     b.directory(&list(42, false, vec![server(3, State::Terminating, 0)]), false, later);
     let kept = b.roster.take_kept(later).expect("news are kept at once");
     assert!(b.roster.take_kept(later + 40 * S).is_some(), "that the list still holds is news after a while");
-    let back = kept::decode(&kept::encode(&kept).unwrap()).unwrap();
+    let back = snapshot::decode(&snapshot::encode(&kept).unwrap()).unwrap();
     // Over a second restart too, and beside an older generation.
     let b = Bench::from(&[&kept_at(&eight(41), NOON), &back], later + S);
     let again = b.roster.as_kept(later + S);
@@ -568,26 +568,26 @@
 
 #[test]
 fn every_cut_and_every_changed_byte_is_found_out() {
-    let bytes = kept::encode(&kept_at(&eight(41), NOON)).unwrap();
-    assert!(kept::decode(&bytes).is_ok());
+    let bytes = snapshot::encode(&kept_at(&eight(41), NOON)).unwrap();
+    assert!(snapshot::decode(&bytes).is_ok());
     for n in 0..bytes.len() {
-        assert!(kept::decode(&bytes[..n]).is_err(), "cut at {n}");
+        assert!(snapshot::decode(&bytes[..n]).is_err(), "cut at {n}");
     }
     let mut rng = Pcg64Mcg::seed_from_u64(4);
     for n in 0..bytes.len() {
         let mut bad = bytes.clone();
         bad[n] ^= 1 << (rng.next_u64() % 8);
-        assert!(kept::decode(&bad).is_err(), "changed at {n}");
+        assert!(snapshot::decode(&bad).is_err(), "changed at {n}");
     }
-    assert_eq!(kept::decode(b""), Err(KeptError::Empty));
-    assert_eq!(kept::decode(b"pebbleturn-roster 2 0 00000000\n"), Err(KeptError::Version(2)));
+    assert_eq!(snapshot::decode(b""), Err(KeptError::Empty));
+    assert_eq!(snapshot::decode(b"pebbleturn-roster 2 0 00000000\n"), Err(KeptError::Version(2)));
     assert_eq!(
-        kept::decode(&vec![b'x'; kept::MOST_BYTES + 1]),
-        Err(KeptError::TooLarge(kept::MOST_BYTES + 1))
+        snapshot::decode(&vec![b'x'; snapshot::MOST_BYTES + 1]),
+        Err(KeptError::TooLarge(snapshot::MOST_BYTES + 1))
     );
     for _ in 0..2000 {
         let garbage: Vec<u8> = (0..rng.next_u64() % 200).map(|_| rng.next_u64() as u8).collect();
-        assert!(kept::decode(&garbage).is_err());
+        assert!(snapshot::decode(&garbage).is_err());
     }
 }
 
@@ -609,7 +609,7 @@
         if n > 1000 && n % 100 == 0 {
             let kept = b.roster.as_kept(now);
             most = most.max(kept.nodes.len());
-            largest = largest.max(kept::encode(&kept).unwrap().len());
+            largest = largest.max(snapshot::encode(&kept).unwrap().len());
         }
         assert!(b.told.len() <= 12);
     }
@@ -627,10 +627,10 @@
 /// What other brokers have heard: more careful, never bolder, and over once the own list is as new.
 #[test]
 fn a_drain_that_others_heard_holds_until_the_own_list_or_the_node_is_newer() {
-    use pebbleturn::replica::Latest;
-    use pebbleturn::replica::effect::Heard;
-    use pebbleturn::roster::Change;
-    use pebbleturn::roster::heard::{Others, Own};
+    use pebbleturn::membership::Change;
+    use pebbleturn::membership::gossip_hints::{Others, Own};
+    use pebbleturn::replication::Latest;
+    use pebbleturn::replication::derived_state::Heard;
     use pebbleturn::{Listed, ReplicaId, Standing};
     let change = |replica, standing| Change {
         listed: Listed {
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::{MS, S};
-use pebbleturn::roster::{Change, Layout};
+use pebbleturn::membership::{Change, Layout};
 use pebbleturn::routing::{Routing, RoutingSettings, Rule, Spare, Standing as Put};
 use pebbleturn::{Listed, Nanos, Outcome, ReplicaId, Standing};
 use std::collections::{BTreeMap, HashMap};
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,4 +1,4 @@
-//! The six rules, each by scripted events. Each test fails when its guard is taken out of `balance.rs`.
+//! The six rules, each by scripted events. Each test fails when its guard is taken out of `src/policy/`.
 
 mod common;
 use common::*;
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -1,6 +1,6 @@
 //! Permits for work on machines: the guards on the table, and a model check of the majority that agrees on it.
 
-use pebbleturn::work::*;
+use pebbleturn::maintenance::*;
 use quickcheck::quickcheck;
 use stateright::{Checker, HasDiscoveries, Model, Property};
 use std::collections::BTreeSet;
