--- a/lab/src/herd.rs
+++ b/lab/src/herd.rs
@@ -3,7 +3,7 @@
 
 use crate::fleet::Fleet;
 use crate::sim::uniform;
-use pebbleturn::engine::{Exchange, Work};
+use pebbleturn::engine::{EngineAction, QueryEngine};
 use pebbleturn::{Discovery, Nanos, ReplicaEntry, ReplicaId, ReplicaState};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
@@ -155,13 +155,14 @@
             ReplicaEntry { replica, zone: 0, cell: n, state: standing, started: None, weight: 1.0 }
         };
         let list: Vec<ReplicaEntry> = (0..settings.cells).map(line).collect();
-        let mut brokers: Vec<Exchange<(), ()>> = Vec::new();
+        let mut brokers: Vec<QueryEngine<(), ()>> = Vec::new();
         for n in 0..asking {
             let starts = (uniform(&mut play.rng) * S as f64) as Nanos;
             // Whoever runs while discovery moves calls the new one on the word itself.
             let runs = cause == Cause::Moved && n % 10 != 0;
-            let mut exchange = Exchange::new(settings.clone(), seed << 32 | n as u64, starts).expect("sound");
-            exchange.listed(true, list.clone());
+            let mut exchange =
+                QueryEngine::new(settings.clone(), seed << 32 | n as u64, starts).expect("sound");
+            exchange.update_endpoints(true, list.clone());
             play.at(if runs { S } else { starts }, if runs { Happens::Calls(n) } else { Happens::Due(n) });
             brokers.push(exchange);
         }
@@ -180,22 +181,22 @@
                 }
                 Happens::Answered(_) => {
                     has[n] = Some(now);
-                    brokers[n].listed(false, vec![]);
+                    brokers[n].update_endpoints(false, vec![]);
                 }
                 Happens::Failed(_) => {
                     play.failed += 1;
                     under_way[n] = false;
-                    brokers[n].list_failed();
+                    brokers[n].watch_failed();
                 }
             }
-            brokers[n].run(now);
-            while let Some(work) = brokers[n].next_work() {
-                if matches!(work, Work::Watch) && !under_way[n] {
+            brokers[n].advance(now);
+            while let Some(work) = brokers[n].next_action() {
+                if matches!(work, EngineAction::WatchEndpoints) && !under_way[n] {
                     under_way[n] = true;
                     play.call(n, now);
                 }
             }
-            if let Some(due) = brokers[n].due() {
+            if let Some(due) = brokers[n].next_deadline() {
                 play.at(due.max(now + MS), Happens::Due(n));
             }
         }
--- a/lab/src/sim/world.rs
+++ b/lab/src/sim/world.rs
@@ -2,7 +2,9 @@
 
 use super::node::{Manner, Node, NodeModel};
 use super::{exponential, uniform};
-use pebbleturn::engine::{Ask, AskPart, AttemptId, Ended, Exchange, Final, QueryId, Work};
+use pebbleturn::engine::{
+    AttemptId, AttemptOutcome, EngineAction, PartRequest, QueryEngine, QueryId, QueryOutcome, QueryRequest,
+};
 use pebbleturn::membership::endpoint_list::ServerList;
 use pebbleturn::membership::{Change, Roster};
 use pebbleturn::routing::Routing;
@@ -100,7 +102,7 @@
 
 /// One broker: an exchange, with or without a roster before it.
 pub struct Broker {
-    exchange: Exchange<Asking, ()>,
+    exchange: QueryEngine<Asking, ()>,
     roster: Option<Box<Roster>>,
     routing: Option<Box<Routing>>,
     addrs: HashMap<ReplicaId, SocketAddr>,
@@ -178,12 +180,12 @@
         let mut brokers = Vec::new();
         for (n, listing) in listings.into_iter().enumerate() {
             let mut exchange =
-                Exchange::new(told.settings.clone(), seed ^ (n as u64 + 1), now).expect("sound settings");
+                QueryEngine::new(told.settings.clone(), seed ^ (n as u64 + 1), now).expect("sound settings");
             let mut addrs = HashMap::new();
             let (roster, routing) = match listing {
                 Listing::Told(lines) => {
                     addrs.extend(lines.iter().map(|(l, a)| (l.replica, *a)));
-                    exchange.listed(true, lines.into_iter().map(|(l, _)| l).collect());
+                    exchange.update_endpoints(true, lines.into_iter().map(|(l, _)| l).collect());
                     (None, None)
                 }
                 Listing::Roster(roster) => (Some(roster), None),
@@ -263,7 +265,11 @@
                     let outcome = OUTCOMES[how as usize];
                     let b = &mut self.brokers[broker];
                     let value = (outcome == Outcome::Ok).then_some(());
-                    b.exchange.ended(now, attempt, Ended { outcome, busy: None, value });
+                    b.exchange.attempt_ended(
+                        now,
+                        attempt,
+                        AttemptOutcome { outcome, utilization: None, value },
+                    );
                     self.turn(broker, now);
                 }
                 Happens::News { broker, number } => {
@@ -284,7 +290,7 @@
         self.counts.cold_falls = self.nodes.values().filter(|n| n.fell).count() as u64;
         self.counts.most_pushed = self.nodes.values().map(|n| n.most_pushed).fold(0.0, f64::max);
         self.counts.most_attempts = self.attempts.values().copied().max().unwrap_or(0);
-        let held = |b: &Broker| b.exchange.open_queries() + b.exchange.attempts_out();
+        let held = |b: &Broker| b.exchange.open_queries() + b.exchange.attempts_in_flight();
         self.counts.held_at_end = self.brokers.iter().map(held).sum();
         self.latencies.sort_unstable();
         let p99 = self.latencies.get(self.latencies.len().saturating_sub(1) * 99 / 100).copied().unwrap_or(0);
@@ -306,20 +312,20 @@
         let shards = self.told.settings.shards;
         let first = (uniform(&mut self.rng) * f64::from(shards)) as u32;
         let weight = 1.0 / f64::from(parts);
-        let part = |n| AskPart { shard: (first + n) % shards, weight, work: Some(work) };
+        let part = |n| PartRequest { shard: (first + n) % shards, weight, work: Some(work) };
         let broker = self.broker();
         let c = &self.told.settings.classes[class];
         self.counts.asked += c.priority_weight;
-        let ask = Ask {
+        let ask = QueryRequest {
             class,
             tenant: None,
             key: None,
             time_left: c.deadline,
-            again: false,
+            is_retry: false,
             parts: (0..parts).map(part).collect(),
             payload: Rc::new(Asking { number: self.serial, work }),
         };
-        match self.brokers[broker].exchange.open(now, ask) {
+        match self.brokers[broker].exchange.submit(now, ask) {
             Ok(id) => {
                 self.queries.insert((broker, id), Asked { class, at: now, finals: 0, late: false });
             }
@@ -344,7 +350,7 @@
     fn turn(&mut self, broker: usize, now: Nanos) {
         let b = &mut self.brokers[broker];
         if let Some(roster) = &mut b.roster {
-            while let Some(end) = b.exchange.next_ending() {
+            while let Some(end) = b.exchange.next_attempt_end() {
                 roster.outcome(end.replica, end.outcome, end.latency, now);
                 if let Some(routing) = &mut b.routing {
                     routing.outcome(end.replica, end.outcome, now);
@@ -380,33 +386,35 @@
                     };
                     lines.push(listed);
                 }
-                b.exchange.listed(false, lines);
+                b.exchange.update_endpoints(false, lines);
             }
-            roster.take_warm().into_iter().for_each(|replica| b.exchange.warm(replica));
+            roster.take_warm().into_iter().for_each(|replica| b.exchange.replica_warmed_up(replica));
         }
-        b.exchange.run(now);
+        b.exchange.advance(now);
         let mut work = Vec::new();
-        while let Some(w) = b.exchange.next_work() {
+        while let Some(w) = b.exchange.next_action() {
             work.push(w);
         }
         for w in work {
             match w {
-                Work::Call { replica, parts } => {
+                EngineAction::Call { replica, parts } => {
                     for p in parts {
                         let tried = self.attempts.entry((p.payload.number, p.shard)).or_default();
                         *tried += 1;
                         self.send(broker, replica, p.attempt, p.payload.work, now);
                     }
                 }
-                Work::Finish { query, answer } => self.finish(broker, query, &answer, now),
-                Work::GiveUp { .. } | Work::Watch | Work::Probe { .. } => {}
+                EngineAction::Respond { query, outcome: answer } => self.finish(broker, query, &answer, now),
+                EngineAction::CancelAttempt { .. }
+                | EngineAction::WatchEndpoints
+                | EngineAction::HealthCheck { .. } => {}
             }
         }
         let b = &self.brokers[broker];
-        let held = b.exchange.open_queries() + b.exchange.attempts_out();
+        let held = b.exchange.open_queries() + b.exchange.attempts_in_flight();
         self.counts.most_held = self.counts.most_held.max(held);
         let routing = b.routing.as_ref().and_then(|r| r.due(now));
-        let due = [b.exchange.due(), b.roster.as_ref().and_then(|r| r.due()), routing];
+        let due = [b.exchange.next_deadline(), b.roster.as_ref().and_then(|r| r.due()), routing];
         let due = due.into_iter().flatten().min();
         if let Some(due) = due.map(|t| t.max(now + 1))
             && b.scheduled.is_none_or(|t| due < t || t <= now)
@@ -448,26 +456,26 @@
         self.at(when, Happens::Ends { broker, attempt, how });
     }
 
-    fn finish(&mut self, broker: usize, query: QueryId, answer: &Final<()>, now: Nanos) {
+    fn finish(&mut self, broker: usize, query: QueryId, answer: &QueryOutcome<()>, now: Nanos) {
         let Some(q) = self.queries.get_mut(&(broker, query)) else { return };
         let class = &self.told.settings.classes[q.class];
         q.finals += 1;
         q.late |= now > q.at + class.deadline;
         let time = now - q.at;
         match answer {
-            Final::Answered(a) => {
+            QueryOutcome::Answered(a) => {
                 self.counts.answered += 1;
                 self.latencies.push(time);
-                let share = a.values.len() as f64 / a.asked as f64;
-                let short = a.whole && a.values.len() < a.asked;
+                let share = a.values.len() as f64 / a.requested_parts as f64;
+                let short = a.complete && a.values.len() < a.requested_parts;
                 self.counts.dishonest +=
                     u64::from(short || share + 1e-4 < class.min_answer_share.min(class.complete_share));
-                let earns = if a.whole { 1.0 } else { class.partial_value * share };
+                let earns = if a.complete { 1.0 } else { class.partial_value * share };
                 self.counts.served +=
                     if time <= class.latency_objective { class.priority_weight * earns } else { 0.0 };
             }
-            Final::Refused { .. } => self.counts.refused += 1,
-            Final::Failed => self.counts.failed += 1,
+            QueryOutcome::Rejected { .. } => self.counts.refused += 1,
+            QueryOutcome::Failed => self.counts.failed += 1,
         }
     }
 }
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -13,7 +13,7 @@
 
 /// A query as the client side hands it in.
 #[derive(Clone, Debug)]
-pub struct Ask<Q> {
+pub struct QueryRequest<Q> {
     /// Place of its class in the settings.
     pub class: usize,
     /// Place of its tenant in the settings, where it has one.
@@ -23,16 +23,16 @@
     /// Time left before the client gives up.
     pub time_left: Nanos,
     /// The client says that it asks again.
-    pub again: bool,
+    pub is_retry: bool,
     /// Its parts, each of another shard.
-    pub parts: Vec<AskPart>,
+    pub parts: Vec<PartRequest>,
     /// What the server side is to carry; the core does not look at it.
     pub payload: Rc<Q>,
 }
 
 /// A part of a query.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct AskPart {
+pub struct PartRequest {
     /// Its shard.
     pub shard: u32,
     /// Its share of the whole answer.
@@ -43,14 +43,14 @@
 
 /// A query that is not taken, since as many are open as may be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refused {
+pub struct Overloaded {
     /// When the client does well to come back; 0: not told.
-    pub wait: Nanos,
+    pub retry_after: Nanos,
 }
 
 /// The value of a part, as a server gave it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Value<V> {
+pub struct ShardValue<V> {
     /// The part's shard.
     pub shard: u32,
     /// What the server answered.
@@ -59,44 +59,44 @@
 
 /// An answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Answered<V> {
+pub struct Answer<V> {
     /// Every part that a whole answer needs is in.
-    pub whole: bool,
+    pub complete: bool,
     /// The parts that are in, in the order in which the client named them.
-    pub values: Vec<Value<V>>,
+    pub values: Vec<ShardValue<V>>,
     /// Parts that were asked for.
-    pub asked: usize,
+    pub requested_parts: usize,
 }
 
 /// The one final answer to a query.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Final<V> {
+pub enum QueryOutcome<V> {
     /// Served.
-    Answered(Answered<V>),
+    Answered(Answer<V>),
     /// Refused: asking again is harmless, after the wait if it is not 0.
-    Refused {
+    Rejected {
         /// When the client does well to come back; 0: not told.
-        wait: Nanos,
+        retry_after: Nanos,
     },
     /// Given up.
     Failed,
 }
 
-impl<V> Final<V> {
+impl<V> QueryOutcome<V> {
     /// What it is, in a word.
     pub fn word(&self) -> &'static str {
         match self {
-            Final::Answered(a) if a.whole => "whole",
-            Final::Answered(_) => "partial",
-            Final::Refused { .. } => "refused",
-            Final::Failed => "failed",
+            QueryOutcome::Answered(a) if a.complete => "whole",
+            QueryOutcome::Answered(_) => "partial",
+            QueryOutcome::Rejected { .. } => "refused",
+            QueryOutcome::Failed => "failed",
         }
     }
 }
 
 /// One part to be sent to a server.
 #[derive(Clone, Debug)]
-pub struct Dispatch<Q> {
+pub struct AttemptRequest<Q> {
     /// Under this id its one outcome is reported.
     pub attempt: AttemptId,
     /// The part's shard.
@@ -111,18 +111,18 @@
 
 /// The outcome of one attempt, as the server side reports it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Ended<V> {
+pub struct AttemptOutcome<V> {
     /// How it ended.
     pub outcome: Outcome,
     /// Busy share of the server's processors, where it told.
-    pub busy: Option<f64>,
+    pub utilization: Option<f64>,
     /// The value, with `Outcome::Ok`.
     pub value: Option<V>,
 }
 
 /// How one attempt ended, as far as membership goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Ending {
+pub struct AttemptEnd {
     /// Where it was sent.
     pub replica: ReplicaId,
     /// How it ended.
@@ -133,32 +133,32 @@
 
 /// What the exchange wants done.
 #[derive(Clone, Debug)]
-pub enum Work<Q, V> {
+pub enum EngineAction<Q, V> {
     /// Server side: one call to one server. Each part's outcome is to be reported once.
     Call {
         /// The server.
         replica: ReplicaId,
         /// What it carries.
-        parts: Vec<Dispatch<Q>>,
+        parts: Vec<AttemptRequest<Q>>,
     },
     /// Server side: nobody waits for this attempt any more. No outcome is to be reported.
-    GiveUp {
+    CancelAttempt {
         /// The server.
         replica: ReplicaId,
         /// The attempt.
         attempt: AttemptId,
     },
     /// Client side: the final answer.
-    Finish {
+    Respond {
         /// The query.
         query: QueryId,
         /// Its answer.
-        answer: Final<V>,
+        outcome: QueryOutcome<V>,
     },
     /// Discovery: the list is to be watched from now on.
-    Watch,
+    WatchEndpoints,
     /// Server side: this server is to be probed.
-    Probe {
+    HealthCheck {
         /// The server.
         replica: ReplicaId,
     },
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -5,6 +5,7 @@
 mod query_engine;
 
 pub use messages::{
-    Answered, Ask, AskPart, AttemptId, Dispatch, Ended, Ending, Final, QueryId, Refused, Value, Work,
+    Answer, AttemptEnd, AttemptId, AttemptOutcome, AttemptRequest, EngineAction, Overloaded, PartRequest,
+    QueryId, QueryOutcome, QueryRequest, ShardValue,
 };
-pub use query_engine::Exchange;
+pub use query_engine::QueryEngine;
--- a/src/engine/query_engine.rs
+++ b/src/engine/query_engine.rs
@@ -17,7 +17,7 @@
 
 struct Part<V> {
     id: RequestId,
-    ask: AskPart,
+    ask: PartRequest,
     attempts: u32,
     /// When each attempt was begun that may have run.
     begun: Vec<(u32, Nanos)>,
@@ -45,7 +45,7 @@
 }
 
 /// Queries, parts and attempts between the two sides. `Q` is what a query carries, `V` a part's value.
-pub struct Exchange<Q, V> {
+pub struct QueryEngine<Q, V> {
     balancer: Balancer,
     settings: Settings,
     next_id: u64,
@@ -61,7 +61,7 @@
     cells: HashMap<ReplicaId, (u32, bool)>,
     heard: Vec<Event>,
     acts: Vec<Action>,
-    work: VecDeque<Work<Q, V>>,
+    work: VecDeque<EngineAction<Q, V>>,
     last_round: Option<Nanos>,
     wake: Option<Nanos>,
     held: usize,
@@ -72,15 +72,15 @@
     /// When the last query must be over.
     end_by: Nanos,
     /// How attempts ended, for whoever minds membership.
-    outcomes: VecDeque<Ending>,
+    outcomes: VecDeque<AttemptEnd>,
     figures: Figures,
 }
 
-impl<Q, V> Exchange<Q, V> {
+impl<Q, V> QueryEngine<Q, V> {
     /// An exchange with nothing in it.
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
         let (figures, room) = (Figures::new(settings.classes.len()), settings.max_in_flight as usize);
-        Ok(Exchange {
+        Ok(QueryEngine {
             balancer: Balancer::new(settings.clone(), seed, now)?,
             settings,
             next_id: 1,
@@ -111,12 +111,12 @@
     }
 
     /// How queries ended, and how many attempts were written.
-    pub fn figures(&self) -> &Figures {
+    pub fn metrics(&self) -> &Figures {
         &self.figures
     }
 
     /// So many attempts are written whole by now that were not before.
-    pub fn written(&mut self, attempts: u64) {
+    pub fn attempts_written(&mut self, attempts: u64) {
         self.figures.tried(attempts);
     }
 
@@ -131,27 +131,27 @@
     }
 
     /// Attempts whose outcome is awaited.
-    pub fn attempts_out(&self) -> usize {
+    pub fn attempts_in_flight(&self) -> usize {
         self.outs.len()
     }
 
     /// Attempts at one server whose outcome is awaited.
-    pub fn out_at(&self, replica: ReplicaId) -> usize {
+    pub fn in_flight_at(&self, replica: ReplicaId) -> usize {
         self.outs.values().filter(|o| o.replica == replica).count()
     }
 
     /// Queries and parts that are held.
-    pub fn held(&self) -> usize {
+    pub fn in_flight(&self) -> usize {
         self.held
     }
 
     /// From now on at most so many queries and parts are held; the settings' number at most.
-    pub fn keep_to(&mut self, open: usize) {
+    pub fn limit_in_flight(&mut self, open: usize) {
         self.room = open.min(self.settings.max_in_flight as usize);
     }
 
     /// Whether the free part of the attempts' budget is this process's, or still another's.
-    pub fn free_tries(&mut self, own: bool) {
+    pub fn set_free_retries(&mut self, own: bool) {
         let budget =
             self.settings.retry_budget.map(|b| RetryBudget { free: if own { b.free } else { 0.0 }, ..b });
         self.heard.push(Event::RetryBudget(budget));
@@ -160,7 +160,7 @@
     /// All queries end by then, whatever their clients' time: those that are open and those that are taken from now on.
     ///
     /// Guards the one final answer against the end of the program: what that finds open has none.
-    pub fn end_by(&mut self, by: Nanos) {
+    pub fn end_all_by(&mut self, by: Nanos) {
         self.end_by = by;
         let later = self.ends.split_off(&(by.saturating_add(1), 0));
         for (_, job) in later {
@@ -179,12 +179,12 @@
     // ---- client side ----
 
     /// Takes a query in; its final answer comes as `Work::Finish`. Beyond `max_open` it is refused at once.
-    pub fn open(&mut self, now: Nanos, ask: Ask<Q>) -> Result<QueryId, Refused> {
+    pub fn submit(&mut self, now: Nanos, ask: QueryRequest<Q>) -> Result<QueryId, Overloaded> {
         let size = 1 + ask.parts.len();
         // Guards the limit on what is held: a query that is not taken costs nothing and may come again.
         if self.held + size > self.room {
             self.figures.ended(ask.class, End::Shed);
-            return Err(self.no_room());
+            return Err(self.overloaded());
         }
         let job = self.fresh();
         let end = (now + ask.time_left.saturating_sub(GUARD)).min(self.end_by);
@@ -193,7 +193,7 @@
         let left = (end + GUARD).saturating_sub(now);
         let cut = left < ask.time_left
             && self.settings.classes.get(ask.class).is_some_and(|c| left < c.latency_objective);
-        let (ttl, again) = if cut { (left, false) } else { (ask.time_left, ask.again) };
+        let (ttl, again) = if cut { (left, false) } else { (ask.time_left, ask.is_retry) };
         let work = ask.parts.iter().filter_map(|p| p.work).reduce(|a, b| a + b);
         self.heard.push(Event::Query {
             query: RequestId(job.into()),
@@ -221,15 +221,15 @@
     }
 
     /// What a client is told for whom there is no room.
-    pub fn no_room(&mut self) -> Refused {
+    pub fn overloaded(&mut self) -> Overloaded {
         // Spread, so that those who were refused together don't come back together.
         let spread = (self.fresh().wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as f64 / f64::from(u32::MAX);
         let most = if self.settings.may_send_retry_after { self.settings.max_retry_after } else { 0 };
-        Refused { wait: (most as f64 * (0.25 + 0.5 * spread)) as Nanos }
+        Overloaded { retry_after: (most as f64 * (0.25 + 0.5 * spread)) as Nanos }
     }
 
     /// The client is gone: all that its query held is freed, and no final answer comes.
-    pub fn client_gone(&mut self, query: QueryId) {
+    pub fn client_disconnected(&mut self, query: QueryId) {
         if let Some(q) = self.forget(query.0) {
             let (ms, n) = (self.now.saturating_sub(q.taken) / 1_000_000, q.parts.len());
             let sent = q.parts.iter().filter(|p| p.attempts > 0).count();
@@ -251,7 +251,7 @@
         Some(q)
     }
 
-    fn finish(&mut self, job: u64, answer: impl FnOnce(Query<Q, V>) -> Final<V>) {
+    fn finish(&mut self, job: u64, answer: impl FnOnce(Query<Q, V>) -> QueryOutcome<V>) {
         // Guards the one final answer: a query that is not held has had its own.
         if let Some(q) = self.forget(job) {
             let (class, taken, n) = (q.class, q.taken, q.parts.len());
@@ -260,9 +260,9 @@
             self.figures.ended(
                 class,
                 match &answer {
-                    Final::Answered(_) => End::Ok,
-                    Final::Refused { .. } => End::Shed,
-                    Final::Failed => End::Error,
+                    QueryOutcome::Answered(_) => End::Ok,
+                    QueryOutcome::Rejected { .. } => End::Shed,
+                    QueryOutcome::Failed => End::Error,
                 },
             );
             let ms = self.now.saturating_sub(taken) / 1_000_000;
@@ -270,14 +270,14 @@
                 "query {job} of class {class} ended after {ms} ms: {}, {sent} of {n} parts sent",
                 answer.word()
             );
-            self.work.push_back(Work::Finish { query: QueryId(job), answer });
+            self.work.push_back(EngineAction::Respond { query: QueryId(job), outcome: answer });
         }
     }
 
     // ---- server side ----
 
     /// This attempt waits for a connection; `begin` is to be asked before the first byte of it is written.
-    pub fn waits(&mut self, attempt: AttemptId) {
+    pub fn attempt_queued(&mut self, attempt: AttemptId) {
         self.outs.entry(attempt).and_modify(|o| o.waits = true);
     }
 
@@ -286,7 +286,7 @@
     ///
     /// Guards against passing on what a client left behind while it waited, against sends to a server that was told to
     /// drain meanwhile, and against a second run of what may not be run twice, or no longer.
-    pub fn begin(&mut self, now: Nanos, attempt: AttemptId) -> bool {
+    pub fn begin_attempt(&mut self, now: Nanos, attempt: AttemptId) -> bool {
         let Some(out) = self.outs.get_mut(&attempt) else { return false };
         out.waits = false;
         let takes_work = self.cells.get(&out.replica).is_some_and(|(_, takes)| *takes);
@@ -315,7 +315,7 @@
     }
 
     /// The outcome of an attempt. What comes late, twice or for a given-up attempt is dropped.
-    pub fn ended(&mut self, now: Nanos, attempt: AttemptId, end: Ended<V>) {
+    pub fn attempt_ended(&mut self, now: Nanos, attempt: AttemptId, end: AttemptOutcome<V>) {
         let Some(out) = self.remove(attempt) else { return };
         let mut outcome = end.outcome;
         if outcome == Outcome::Ok {
@@ -328,7 +328,7 @@
                 (None, _) => {}
             }
         }
-        self.tell_end(now, &out, outcome, end.busy);
+        self.tell_end(now, &out, outcome, end.utilization);
     }
 
     fn tell_end(&mut self, now: Nanos, out: &Out, outcome: Outcome, busy: Option<f64>) {
@@ -355,7 +355,7 @@
             ms(now.saturating_sub(out.sent)),
             ms(out.due.saturating_sub(out.sent))
         );
-        self.outcomes.push_back(Ending {
+        self.outcomes.push_back(AttemptEnd {
             replica: out.replica,
             outcome,
             latency: now.saturating_sub(out.sent),
@@ -378,12 +378,12 @@
     }
 
     /// How the next attempt ended that nobody has been told of.
-    pub fn next_ending(&mut self) -> Option<Ending> {
+    pub fn next_attempt_end(&mut self) -> Option<AttemptEnd> {
         self.outcomes.pop_front()
     }
 
     /// News of the list of servers.
-    pub fn listed(&mut self, full: bool, lines: Vec<ReplicaEntry>) {
+    pub fn update_endpoints(&mut self, full: bool, lines: Vec<ReplicaEntry>) {
         if full {
             self.cells.clear();
         }
@@ -398,24 +398,24 @@
     }
 
     /// A server that was taken to have started lately is as fast as one that did long ago.
-    pub fn warm(&mut self, replica: ReplicaId) {
+    pub fn replica_warmed_up(&mut self, replica: ReplicaId) {
         self.heard.push(Event::WarmedUp { replica });
     }
 
     /// A call for the list failed, or the watch broke.
-    pub fn list_failed(&mut self) {
+    pub fn watch_failed(&mut self) {
         self.heard.push(Event::WatchFailed);
     }
 
     /// A probe's answer.
-    pub fn probed(&mut self, replica: ReplicaId, ok: bool, latency: Nanos, busy: Option<f64>) {
+    pub fn health_checked(&mut self, replica: ReplicaId, ok: bool, latency: Nanos, busy: Option<f64>) {
         self.heard.push(Event::HealthChecked { replica, ok, latency, utilization: busy });
     }
 
     // ---- time ----
 
     /// When `run` is next worth calling.
-    pub fn due(&self) -> Option<Nanos> {
+    pub fn next_deadline(&self) -> Option<Nanos> {
         let earliest = self.last_round.map_or(0, |t| t + self.settings.round_interval);
         let heard = (!self.heard.is_empty()).then_some(earliest);
         let wake = self.wake.map(|t| t.max(earliest));
@@ -425,11 +425,11 @@
     }
 
     /// Lets timers run out and, if one is due, holds a round. `next` then gives the work.
-    pub fn run(&mut self, now: Nanos) {
+    pub fn advance(&mut self, now: Nanos) {
         self.now = now;
         while let Some((_, attempt)) = self.timers.first().copied().filter(|(t, _)| *t <= now) {
             let Some(out) = self.remove(attempt) else { break };
-            self.work.push_back(Work::GiveUp { replica: out.replica, attempt });
+            self.work.push_back(EngineAction::CancelAttempt { replica: out.replica, attempt });
             self.tell_end(now, &out, Outcome::TimedOut, None);
         }
         // Guards the client's time: whatever the module does, each query ends before that is over.
@@ -451,7 +451,7 @@
         let heard = std::mem::take(&mut self.heard);
         let mut acts = std::mem::take(&mut self.acts);
         self.balancer.round(now, &heard, &mut acts);
-        let mut calls: Vec<(ReplicaId, Vec<Dispatch<Q>>)> = Vec::new();
+        let mut calls: Vec<(ReplicaId, Vec<AttemptRequest<Q>>)> = Vec::new();
         for act in acts.drain(..) {
             self.act(now, act, &mut calls);
         }
@@ -460,7 +460,7 @@
         for (replica, mut parts) in calls {
             while !parts.is_empty() {
                 let rest = parts.split_off(parts.len().min(most));
-                self.work.push_back(Work::Call { replica, parts });
+                self.work.push_back(EngineAction::Call { replica, parts });
                 parts = rest;
             }
         }
@@ -468,23 +468,23 @@
 
     /// What is told of a query whose time is over: where it is the program's time and not the client's, and to ask again
     /// is harmless, that it was refused.
-    fn given_up(&mut self, job: u64) -> Final<V> {
+    fn given_up(&mut self, job: u64) -> QueryOutcome<V> {
         let safe = |q: &Query<Q, V>| self.settings.classes[q.class].idempotency == Idempotency::Idempotent;
         let never_ran = |q: &Query<Q, V>| q.parts.iter().all(|p| p.attempts == 0);
         match self.queries.get(&job) {
             Some(q) if q.end == self.end_by && (safe(q) || never_ran(q)) => {
-                Final::Refused { wait: self.no_room().wait }
+                QueryOutcome::Rejected { retry_after: self.overloaded().retry_after }
             }
-            _ => Final::Failed,
+            _ => QueryOutcome::Failed,
         }
     }
 
     /// The next piece of work, if there is any.
-    pub fn next_work(&mut self) -> Option<Work<Q, V>> {
+    pub fn next_action(&mut self) -> Option<EngineAction<Q, V>> {
         self.work.pop_front()
     }
 
-    fn act(&mut self, now: Nanos, act: Action, calls: &mut Vec<(ReplicaId, Vec<Dispatch<Q>>)>) {
+    fn act(&mut self, now: Nanos, act: Action, calls: &mut Vec<(ReplicaId, Vec<AttemptRequest<Q>>)>) {
         match act {
             Action::Send { part, replica, timeout } => self.send(now, part, replica, timeout, calls),
             Action::Cancel { part, attempt } => {
@@ -495,7 +495,7 @@
                     parts.iter().position(|d| d.attempt == id).map(|i| parts.remove(i))
                 });
                 if unsent.is_none() {
-                    self.work.push_back(Work::GiveUp { replica: out.replica, attempt: id });
+                    self.work.push_back(EngineAction::CancelAttempt { replica: out.replica, attempt: id });
                 }
                 let outcome = if unsent.is_none() { Outcome::Cancelled } else { Outcome::NotSent };
                 self.tell_end(now, &out, outcome, None);
@@ -506,11 +506,11 @@
             }
             Action::Reject { query, retry_after: wait } => {
                 let most = if self.settings.may_send_retry_after { self.settings.max_retry_after } else { 0 };
-                self.finish(query.0 as u64, |_| Final::Refused { wait: wait.min(most) });
+                self.finish(query.0 as u64, |_| QueryOutcome::Rejected { retry_after: wait.min(most) });
             }
-            Action::Fail { query } => self.finish(query.0 as u64, |_| Final::Failed),
-            Action::HealthCheck { replica } => self.work.push_back(Work::Probe { replica }),
-            Action::WatchEndpoints => self.work.push_back(Work::Watch),
+            Action::Fail { query } => self.finish(query.0 as u64, |_| QueryOutcome::Failed),
+            Action::HealthCheck { replica } => self.work.push_back(EngineAction::HealthCheck { replica }),
+            Action::WatchEndpoints => self.work.push_back(EngineAction::WatchEndpoints),
             Action::SetTimer { after } => {
                 let at = now + after;
                 self.wake = Some(self.wake.map_or(at, |t| t.min(at)));
@@ -524,7 +524,7 @@
         part: RequestId,
         replica: ReplicaId,
         timeout: Nanos,
-        calls: &mut Vec<(ReplicaId, Vec<Dispatch<Q>>)>,
+        calls: &mut Vec<(ReplicaId, Vec<AttemptRequest<Q>>)>,
     ) {
         let job = self.parts.get(&part).copied().unwrap_or(0);
         let attempt = AttemptId(self.fresh());
@@ -547,7 +547,7 @@
             return self.tell_end(now, &out, Outcome::NotSent, None);
         }
         let (shard, timeout) = (p.ask.shard, due - now);
-        let dispatch = Dispatch { attempt, shard, timeout, key: q.key, payload: q.payload.clone() };
+        let dispatch = AttemptRequest { attempt, shard, timeout, key: q.key, payload: q.payload.clone() };
         match calls.iter_mut().find(|(r, _)| *r == replica) {
             Some((_, parts)) => parts.push(dispatch),
             None => calls.push((replica, vec![dispatch])),
@@ -559,7 +559,7 @@
 }
 
 /// The answer from the parts that are in. Guards honest answers: none under the floor, and whole only if so.
-fn settle<Q, V>(q: Query<Q, V>, whole: bool, classes: &[Class]) -> Final<V> {
+fn settle<Q, V>(q: Query<Q, V>, whole: bool, classes: &[Class]) -> QueryOutcome<V> {
     const SHORT: f64 = 1e-4;
     let asked = q.parts.len();
     let share: f64 = q.parts.iter().filter(|p| p.value.is_some()).map(|p| p.ask.weight).sum();
@@ -569,10 +569,11 @@
         .map_or((1.0, 1.0), |c| (c.complete_share, c.min_answer_share.min(c.complete_share)));
     if !all && share + SHORT < floor {
         tracing::error!("the module answered from {share} of a query's parts, under the floor of {floor}");
-        return Final::Failed;
+        return QueryOutcome::Failed;
     }
     let whole = whole && (all || share + SHORT >= need);
     let parts = q.parts.into_iter();
-    let values = parts.filter_map(|p| p.value.map(|value| Value { shard: p.ask.shard, value })).collect();
-    Final::Answered(Answered { whole, values, asked })
+    let values =
+        parts.filter_map(|p| p.value.map(|value| ShardValue { shard: p.ask.shard, value })).collect();
+    QueryOutcome::Answered(Answer { complete: whole, values, requested_parts: asked })
 }
--- a/src/frontends/catalogue/downstream.rs
+++ b/src/frontends/catalogue/downstream.rs
@@ -11,7 +11,7 @@
 use super::sru::{self, Packing, Request};
 use crate::api::Nanos;
 use crate::config::Operator;
-use crate::engine::{Final, QueryId};
+use crate::engine::{QueryId, QueryOutcome};
 use crate::frontends::connection_slots::Places;
 use crate::http::{self, Reader, Side};
 use crate::net::{ConnId, Filled, NetEvent};
@@ -138,7 +138,7 @@
                 tracing::debug!("client connection closed to make room");
                 let http = self.clients.get(&conn).is_some_and(|c| matches!(c.speech, Speech::Sru { .. }));
                 if http && self.places.may_ask(conn) {
-                    let wait = hands.exchange.no_room().wait;
+                    let wait = hands.exchange.overloaded().retry_after;
                     self.part_with(conn, Some(http::no_room(wait)), hands);
                 } else {
                     self.close(conn, hands);
@@ -156,7 +156,7 @@
         self.places.gone(conn);
         if let Some((query, _)) = self.clients.remove(&conn).and_then(|c| c.job) {
             self.waiting.remove(&query);
-            hands.exchange.client_gone(query);
+            hands.exchange.client_disconnected(query);
         }
     }
 
@@ -427,7 +427,7 @@
 
     fn start(&mut self, conn: ConnId, job: Job, hands: &mut Hand) {
         let ask = job.ask(hands.now);
-        match hands.exchange.open(hands.now, ask) {
+        match hands.exchange.submit(hands.now, ask) {
             Ok(query) => {
                 self.waiting.insert(query, conn);
                 self.places.open(conn);
@@ -437,23 +437,23 @@
             }
             Err(refused) => {
                 tracing::info!("query refused: as many are open as may be");
-                self.refused(conn, refused.wait, hands);
+                self.refused(conn, refused.retry_after, hands);
             }
         }
     }
 
     /// Takes the final answer to a query: the client's own answer, or the next query for it.
-    pub fn finish(&mut self, query: QueryId, answer: Final<PartValue>, hands: &mut Hand) {
+    pub fn finish(&mut self, query: QueryId, answer: QueryOutcome<PartValue>, hands: &mut Hand) {
         let Some(conn) = self.waiting.remove(&query) else { return };
         let Some(client) = self.clients.get_mut(&conn) else { return };
         let Some((_, mut job)) = client.job.take() else { return };
         match answer {
-            Final::Refused { wait } => self.refused(conn, wait, hands),
-            Final::Failed => {
+            QueryOutcome::Rejected { retry_after: wait } => self.refused(conn, wait, hands),
+            QueryOutcome::Failed => {
                 let d = Diagnostic::new(Trouble::OutOfTime, "no answer in time");
                 self.failed(conn, 504, &[], d, hands);
             }
-            Final::Answered(answered) => match job.answered(answered) {
+            QueryOutcome::Answered(answered) => match job.answered(answered) {
                 Next::Ask => self.start(conn, job, hands),
                 Next::Refused(d) => self.failed(conn, 200, &[], d, hands),
                 Next::Done(outcome) => self.done(conn, job.shape(), outcome, hands),
--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -7,7 +7,7 @@
 use crate::api::Nanos;
 use crate::cluster;
 use crate::config::{self, ConfigError, Node, NodesFile, Operator, Protocol};
-use crate::engine::{Exchange, Work};
+use crate::engine::{EngineAction, QueryEngine};
 use crate::hot_restart::Handover;
 use crate::hot_restart::coordination::Limits;
 use crate::membership::poll_backoff::AskAgain;
@@ -164,7 +164,7 @@
         let again = AskAgain::new(ASK.0, ASK.1, seed);
         membership = membership.asking(Watch::new(ROSTER, discovery, DIAL), again, now);
     }
-    let mut exchange = Exchange::new(settings, seed, now).map_err(|e| ConfigError(e.to_string()))?;
+    let mut exchange = QueryEngine::new(settings, seed, now).map_err(|e| ConfigError(e.to_string()))?;
     // Guards the limit on descriptors: what connections to nodes may take is not given to clients. Where nodes may
     // come and go, that is half of them.
     let apart = told.operation.listen.map_or(0, |_| admin::PLACES)
@@ -182,7 +182,7 @@
     let mut hands = Hands { now, net: &mut net, exchange: &mut exchange };
     membership.pass_on(&mut hands, |c| nodes.place(c));
     // The list of nodes is in before the first client can come.
-    exchange.run(now);
+    exchange.advance(now);
     let mut listening = Vec::new();
     for l in &told.listener {
         let owner = if l.protocol == Protocol::Sru { SRU } else { Z3950 };
@@ -233,13 +233,15 @@
         self.clients.tick(hands);
     }
 
-    fn work(&mut self, work: Work<Sought, PartValue>, hands: &mut Hands<Sought, PartValue>) {
+    fn work(&mut self, work: EngineAction<Sought, PartValue>, hands: &mut Hands<Sought, PartValue>) {
         match work {
-            Work::Call { replica, parts } => self.nodes.call(replica, parts, hands),
-            Work::GiveUp { replica, attempt } => self.nodes.give_up(replica, attempt, hands.now),
-            Work::Finish { query, answer } => self.clients.finish(query, answer, hands),
+            EngineAction::Call { replica, parts } => self.nodes.call(replica, parts, hands),
+            EngineAction::CancelAttempt { replica, attempt } => {
+                self.nodes.give_up(replica, attempt, hands.now)
+            }
+            EngineAction::Respond { query, outcome: answer } => self.clients.finish(query, answer, hands),
             // Membership itself asks for the list, and nodes are not probed.
-            Work::Watch | Work::Probe { .. } => {}
+            EngineAction::WatchEndpoints | EngineAction::HealthCheck { .. } => {}
         }
     }
 
--- a/src/frontends/catalogue/job.rs
+++ b/src/frontends/catalogue/job.rs
@@ -5,7 +5,7 @@
 use super::search::Search;
 use super::sru::Item;
 use crate::api::Nanos;
-use crate::engine::{Answered, Ask};
+use crate::engine::{Answer, QueryRequest};
 use std::rc::Rc;
 
 /// A search as it is put to the nodes, again and again if need be.
@@ -81,13 +81,13 @@
     }
 
     /// The query that is to be put to the exchange now.
-    pub fn ask(&self, now: Nanos) -> Ask<Sought> {
+    pub fn ask(&self, now: Nanos) -> QueryRequest<Sought> {
         let left = self.end.saturating_sub(now);
         plan::ask(&self.shape.search, self.runs.clone(), self.shape.class, self.shape.key, left)
     }
 
     /// Takes in the answer to that query.
-    pub fn answered(&mut self, answered: Answered<PartValue>) -> Next {
+    pub fn answered(&mut self, answered: Answer<PartValue>) -> Next {
         let (counts, items) = match plan::merge(&self.runs, answered) {
             Ok(merged) => merged,
             Err(d) => return Next::Refused(d),
--- a/src/frontends/catalogue/plan.rs
+++ b/src/frontends/catalogue/plan.rs
@@ -5,7 +5,7 @@
 use super::search::Search;
 use super::sru::Item;
 use crate::api::Nanos;
-use crate::engine::{Answered, Ask, AskPart};
+use crate::engine::{Answer, PartRequest, QueryRequest};
 use std::rc::Rc;
 
 /// A run of records of one partition.
@@ -109,16 +109,16 @@
     class: usize,
     key: Option<u64>,
     time_left: Nanos,
-) -> Ask<Sought> {
+) -> QueryRequest<Sought> {
     let weight = 1.0 / runs.len().max(1) as f64;
-    let parts = runs.iter().map(|r| AskPart { shard: r.partition, weight, work: None }).collect();
+    let parts = runs.iter().map(|r| PartRequest { shard: r.partition, weight, work: None }).collect();
     let payload = Rc::new(Sought { search: search.clone(), runs });
-    Ask { class, tenant: None, key, time_left, again: false, parts, payload }
+    QueryRequest { class, tenant: None, key, time_left, is_retry: false, parts, payload }
 }
 
 /// Takes an answer apart: the counts of all partitions asked, and what each brought, in partition order.
 /// A partition that can't answer the search speaks for all.
-pub fn merge(asked: &[Run], answered: Answered<PartValue>) -> Result<(Counts, Brought), Diagnostic> {
+pub fn merge(asked: &[Run], answered: Answer<PartValue>) -> Result<(Counts, Brought), Diagnostic> {
     let mut found = Vec::with_capacity(answered.values.len());
     for v in answered.values {
         found.push((v.shard, v.value?));
--- a/src/frontends/catalogue/upstream.rs
+++ b/src/frontends/catalogue/upstream.rs
@@ -5,7 +5,7 @@
 use super::plan::{PartValue, Sought};
 use crate::api::{Nanos, Outcome, ReplicaId};
 use crate::config::{Limits, Protocol};
-use crate::engine::{AttemptId, Dispatch, Ended};
+use crate::engine::{AttemptId, AttemptOutcome, AttemptRequest};
 use crate::membership::Change;
 use crate::net::{ConnId, Filled, NetEvent, Reactor};
 use crate::server::Hands;
@@ -107,7 +107,7 @@
     }
 
     /// Sends the parts of one call.
-    pub fn call(&mut self, replica: ReplicaId, parts: Vec<Dispatch<Sought>>, hands: &mut Catalogue) {
+    pub fn call(&mut self, replica: ReplicaId, parts: Vec<AttemptRequest<Sought>>, hands: &mut Catalogue) {
         for p in parts {
             let Some(run) = p.payload.runs.iter().find(|r| r.partition == p.shard) else { continue };
             let database = self.database.replace("{partition}", &p.shard.to_string());
@@ -145,11 +145,11 @@
             let attempt = next.attempt;
             match link.talk.begin(next.task) {
                 // No node that speaks this protocol can answer the search.
-                Err(d) => hands.exchange.ended(hands.now, attempt, done(Ok(Err(d)))),
+                Err(d) => hands.exchange.attempt_ended(hands.now, attempt, done(Ok(Err(d)))),
                 Ok(message) => {
                     link.used = hands.now;
                     if hands.net.send(conn, &message).is_err() {
-                        hands.exchange.ended(hands.now, attempt, done(Err(Outcome::ConnectFailed)));
+                        hands.exchange.attempt_ended(hands.now, attempt, done(Err(Outcome::ConnectFailed)));
                         self.close(conn, hands);
                         continue;
                     }
@@ -168,7 +168,7 @@
         let riding = self.links.get_mut(&conn).and_then(|l| l.riding.as_mut());
         if let Some(riding) = riding.filter(|r| flushed >= r.end && !r.written) {
             riding.written = true;
-            hands.exchange.written(1);
+            hands.exchange.attempts_written(1);
         }
     }
 
@@ -212,7 +212,7 @@
     fn fail_waiting(&mut self, replica: ReplicaId, outcome: Outcome, hands: &mut Catalogue) {
         let Some(place) = self.places.get_mut(&replica) else { return };
         for w in place.waiting.drain(..) {
-            hands.exchange.ended(hands.now, w.attempt, done(Err(outcome)));
+            hands.exchange.attempt_ended(hands.now, w.attempt, done(Err(outcome)));
         }
     }
 
@@ -310,7 +310,7 @@
         link.used = hands.now;
         if let Some(attempt) = link.riding.take().and_then(|r| r.attempt) {
             self.by_attempt.remove(&attempt);
-            hands.exchange.ended(hands.now, attempt, done(value));
+            hands.exchange.attempt_ended(hands.now, attempt, done(value));
         }
     }
 
@@ -341,7 +341,7 @@
         let Some(link) = self.links.remove(&conn) else { return };
         if let Some(attempt) = link.riding.and_then(|r| r.attempt) {
             self.by_attempt.remove(&attempt);
-            hands.exchange.ended(hands.now, attempt, done(Err(outcome)));
+            hands.exchange.attempt_ended(hands.now, attempt, done(Err(outcome)));
         }
         // Guards what waits against dials that never come up: while two were under way, each that failed used to
         // make room for another, for as long as the query lasted.
@@ -362,7 +362,7 @@
             self.say_goodbye(conn, hands);
         }
         for attempt in std::mem::take(&mut self.orphaned) {
-            hands.exchange.ended(now, attempt, done(Err(Outcome::ConnectFailed)));
+            hands.exchange.attempt_ended(now, attempt, done(Err(Outcome::ConnectFailed)));
         }
     }
 
@@ -395,9 +395,9 @@
     }
 }
 
-fn done(value: Result<PartValue, Outcome>) -> Ended<PartValue> {
+fn done(value: Result<PartValue, Outcome>) -> AttemptOutcome<PartValue> {
     match value {
-        Ok(value) => Ended { outcome: Outcome::Ok, busy: None, value: Some(value) },
-        Err(outcome) => Ended { outcome, busy: None, value: None },
+        Ok(value) => AttemptOutcome { outcome: Outcome::Ok, utilization: None, value: Some(value) },
+        Err(outcome) => AttemptOutcome { outcome, utilization: None, value: None },
     }
 }
--- a/src/frontends/platform/downstream.rs
+++ b/src/frontends/platform/downstream.rs
@@ -5,7 +5,7 @@
 use super::recent_request_ids::UsedIds;
 use crate::api::Nanos;
 use crate::config::Names;
-use crate::engine::{Ask, Final, QueryId};
+use crate::engine::{QueryId, QueryOutcome, QueryRequest};
 use crate::frontends::connection_slots::Places;
 use crate::http::{self, HttpError, Reader, Side};
 use crate::net::{ConnId, Filled, MAX_BODY, NetEvent};
@@ -109,7 +109,7 @@
             if self.places.first_to_go() == Some(conn) {
                 tracing::debug!("client connection closed to make room");
                 if self.places.may_ask(conn) {
-                    let wait = hands.exchange.no_room().wait;
+                    let wait = hands.exchange.overloaded().retry_after;
                     self.part_with(conn, &http::no_room(wait), hands);
                 } else {
                     self.close(conn, hands);
@@ -127,7 +127,7 @@
         self.places.gone(conn);
         if let Some(query) = self.clients.remove(&conn).and_then(|c| c.query) {
             self.waiting.remove(&query);
-            hands.exchange.client_gone(query);
+            hands.exchange.client_disconnected(query);
         }
     }
 
@@ -186,7 +186,7 @@
                     if self.free_a_buffer(conn, hands) {
                         continue;
                     }
-                    let wait = hands.exchange.no_room().wait;
+                    let wait = hands.exchange.overloaded().retry_after;
                     return self.part_with(conn, &http::no_room(wait), hands);
                 }
                 Err(e) => return self.unreadable(conn, e, hands),
@@ -247,9 +247,9 @@
         self.reply(conn, status, headers, b"", hands);
     }
 
-    fn open(&mut self, conn: ConnId, ask: Ask<Carried>, hands: &mut Platform) {
+    fn open(&mut self, conn: ConnId, ask: QueryRequest<Carried>, hands: &mut Platform) {
         let id = ask.payload.id.clone();
-        match hands.exchange.open(hands.now, ask) {
+        match hands.exchange.submit(hands.now, ask) {
             Ok(query) => {
                 if let Some(client) = self.clients.get_mut(&conn) {
                     (client.query, client.id) = (Some(query), Some(id.clone()));
@@ -261,7 +261,7 @@
             }
             Err(refused) => {
                 tracing::info!("query refused: as many are open as may be");
-                self.refuse(conn, refused.wait, hands);
+                self.refuse(conn, refused.retry_after, hands);
             }
         }
     }
@@ -300,13 +300,18 @@
     }
 
     /// Hands a final answer to the client that waits for it.
-    pub fn finish(&mut self, query: QueryId, answer: Final<String>, hands: &mut Hands<Carried, String>) {
+    pub fn finish(
+        &mut self,
+        query: QueryId,
+        answer: QueryOutcome<String>,
+        hands: &mut Hands<Carried, String>,
+    ) {
         let Some(conn) = self.waiting.remove(&query) else { return };
         if let Some(client) = self.clients.get_mut(&conn) {
             (client.query, client.id) = (None, None);
         }
         match answer {
-            Final::Answered(answered) => {
+            QueryOutcome::Answered(answered) => {
                 let json = [("Content-Type", "application/json")];
                 let body = query::answer(&answered);
                 // No body on this port is larger; half an answer would be worse than none.
@@ -317,8 +322,8 @@
                     self.reply(conn, 200, &json, &body, hands);
                 }
             }
-            Final::Refused { wait } => self.refuse(conn, wait, hands),
-            Final::Failed => self.reply(conn, 504, &[], b"", hands),
+            QueryOutcome::Rejected { retry_after: wait } => self.refuse(conn, wait, hands),
+            QueryOutcome::Failed => self.reply(conn, 504, &[], b"", hands),
         }
         // What the client sent ahead is read now.
         self.work(conn, hands);
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -4,7 +4,7 @@
 use crate::admin;
 use crate::api::{Discovery, Nanos};
 use crate::config::{self, ConfigError, Platform};
-use crate::engine::{Exchange, Work};
+use crate::engine::{EngineAction, QueryEngine};
 use crate::frontends::connection_slots::Places;
 use crate::hot_restart::Handover;
 use crate::hot_restart::coordination::Limits;
@@ -117,11 +117,11 @@
         }
     };
     let clients = Clients::new(names, settings.shards, Places::new(most, told.sockets / CLIENTS_KEPT, IDLE));
-    let mut exchange = Exchange::new(settings, told.seed, now).map_err(|e| ConfigError(e.to_string()))?;
+    let mut exchange = QueryEngine::new(settings, told.seed, now).map_err(|e| ConfigError(e.to_string()))?;
     let mut hands = Hands { now, net: &mut net, exchange: &mut exchange };
     membership.pass_on(&mut hands, |c| servers.place(c.listed.replica, c.addr));
     // The list of servers is in before the first client can come.
-    exchange.run(now);
+    exchange.advance(now);
     let listening = match told.inherited {
         Some(fd) => inherited::listener(fd, told.listen).and_then(|l| net.listen_on(l, CLIENTS)),
         None => net.listen(told.listen, CLIENTS),
@@ -158,17 +158,17 @@
         self.membership.tick(hands, |c| self.servers.place(c.listed.replica, c.addr));
     }
 
-    fn work(&mut self, work: Work<Carried, String>, hands: &mut Hands<Carried, String>) {
+    fn work(&mut self, work: EngineAction<Carried, String>, hands: &mut Hands<Carried, String>) {
         match work {
-            Work::Call { replica, parts } => self.servers.call(replica, parts, hands),
-            Work::GiveUp { attempt, .. } => self.servers.give_up(attempt, hands.net),
-            Work::Finish { query, answer } => self.clients.finish(query, answer, hands),
-            Work::Watch => {
+            EngineAction::Call { replica, parts } => self.servers.call(replica, parts, hands),
+            EngineAction::CancelAttempt { attempt, .. } => self.servers.give_up(attempt, hands.net),
+            EngineAction::Respond { query, outcome: answer } => self.clients.finish(query, answer, hands),
+            EngineAction::WatchEndpoints => {
                 self.membership.begin(hands.now, hands.net);
                 self.membership.pass_on(hands, |c| self.servers.place(c.listed.replica, c.addr));
             }
             // Shard servers on this port are not probed; the settings forbid it.
-            Work::Probe { replica } => hands.exchange.probed(replica, false, 0, None),
+            EngineAction::HealthCheck { replica } => hands.exchange.health_checked(replica, false, 0, None),
         }
     }
 
--- a/src/frontends/platform/query.rs
+++ b/src/frontends/platform/query.rs
@@ -3,7 +3,7 @@
 use super::Carried;
 use crate::api::Nanos;
 use crate::config::Names;
-use crate::engine::{Answered, Ask, AskPart};
+use crate::engine::{Answer, PartRequest, QueryRequest};
 use crate::http::Head;
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
@@ -30,7 +30,12 @@
 const MAX_WAIT: f64 = 3_600_000.0;
 
 /// Reads a query over so many shards; says in a few words what is wrong with one that can't be used.
-pub fn read(head: &Head, body: &[u8], names: &Names, shards: u32) -> Result<Ask<Carried>, &'static str> {
+pub fn read(
+    head: &Head,
+    body: &[u8],
+    names: &Names,
+    shards: u32,
+) -> Result<QueryRequest<Carried>, &'static str> {
     let id = head.header("req-id").ok_or("no Req-Id")?;
     // Guards the frames that the id stands in: it must be one word.
     if id.is_empty() || id.len() > MAX_ID || !id.bytes().all(|b| b.is_ascii_graphic()) {
@@ -58,7 +63,7 @@
             return Err("a boost that is no share");
         }
         let work = s.work.filter(|w| w.is_finite() && *w >= 0.0).map(|us| (us * 1e3) as Nanos);
-        parts.push(AskPart { shard: s.segment, weight: s.boost, work });
+        parts.push(PartRequest { shard: s.segment, weight: s.boost, work });
     }
     // Guards the rule on partial answers: shares that are none would make any answer look whole.
     if (parts.iter().map(|p| p.weight).sum::<f64>() - 1.0).abs() > ROUNDED {
@@ -66,7 +71,7 @@
     }
     let again = head.header("req-retry") == Some("1");
     let payload = Rc::new(Carried { id: id.into(), text: body.text });
-    Ok(Ask { class, tenant, key, time_left, again, parts, payload })
+    Ok(QueryRequest { class, tenant, key, time_left, is_retry: again, parts, payload })
 }
 
 /// A number plus a unit: `m` for milliseconds or `u` for microseconds.
@@ -99,7 +104,7 @@
 }
 
 /// The body of an answer.
-pub fn answer(answered: &Answered<String>) -> Vec<u8> {
+pub fn answer(answered: &Answer<String>) -> Vec<u8> {
     let matches = answered.values.iter().map(|v| Match { segment: v.shard, payload: &v.value }).collect();
-    serde_json::to_vec(&Reply { all_in: answered.whole, matches }).unwrap_or_default()
+    serde_json::to_vec(&Reply { all_in: answered.complete, matches }).unwrap_or_default()
 }
--- a/src/frontends/platform/upstream.rs
+++ b/src/frontends/platform/upstream.rs
@@ -3,7 +3,7 @@
 use super::Carried;
 use super::frame::{self, End, FromServer, PartLine};
 use crate::api::{Nanos, Outcome, ReplicaId};
-use crate::engine::{AttemptId, Dispatch, Ended};
+use crate::engine::{AttemptId, AttemptOutcome, AttemptRequest};
 use crate::net::{ConnId, Filled, NetEvent, Reactor};
 use crate::server::Hands;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -51,7 +51,7 @@
 /// A call that waits for its connection to come up, or to take what was written before.
 struct Waiting {
     since: Nanos,
-    parts: Vec<Dispatch<Carried>>,
+    parts: Vec<AttemptRequest<Carried>>,
 }
 
 struct Link {
@@ -125,19 +125,19 @@
     }
 
     /// Sends one call.
-    pub fn call(&mut self, replica: ReplicaId, parts: Vec<Dispatch<Carried>>, hands: &mut Platform) {
+    pub fn call(&mut self, replica: ReplicaId, parts: Vec<AttemptRequest<Carried>>, hands: &mut Platform) {
         let conn = match self.open_link(replica, parts.len(), hands) {
             Ok(conn) => conn,
             Err(outcome) => {
                 for p in &parts {
-                    hands.exchange.ended(hands.now, p.attempt, failed(outcome));
+                    hands.exchange.attempt_ended(hands.now, p.attempt, failed(outcome));
                 }
                 return;
             }
         };
         for p in &parts {
             self.by_attempt.insert(p.attempt, conn);
-            hands.exchange.waits(p.attempt);
+            hands.exchange.attempt_queued(p.attempt);
         }
         if let Some(link) = self.links.get_mut(&conn) {
             link.waiting.push_back(Waiting { since: hands.now, parts });
@@ -153,7 +153,7 @@
             }
             let Some(Waiting { since, mut parts }) = link.waiting.pop_front() else { return };
             parts.retain(|p| {
-                let may = hands.exchange.begin(hands.now, p.attempt);
+                let may = hands.exchange.begin_attempt(hands.now, p.attempt);
                 if !may {
                     self.by_attempt.remove(&p.attempt);
                 }
@@ -175,13 +175,13 @@
                 tracing::warn!("call not sent: the connection takes no more");
                 for p in &parts {
                     self.by_attempt.remove(&p.attempt);
-                    hands.exchange.ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
+                    hands.exchange.attempt_ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
                 }
                 continue;
             }
             let (end, flushed) = (hands.net.queued(conn), hands.net.flushed(conn));
             link.unwritten.push_back((end, parts.len() as u64));
-            hands.exchange.written(link.written(flushed));
+            hands.exchange.attempts_written(link.written(flushed));
             link.used = hands.now;
             link.unheard.get_or_insert(hands.now);
             for (p, id) in parts.iter().zip(ids) {
@@ -302,7 +302,7 @@
             NetEvent::Flushed { conn, .. } => {
                 let flushed = hands.net.flushed(conn);
                 if let Some(link) = self.links.get_mut(&conn) {
-                    hands.exchange.written(link.written(flushed));
+                    hands.exchange.attempts_written(link.written(flushed));
                 }
                 self.write(conn, hands);
             }
@@ -352,7 +352,11 @@
                             End::Rejected => Outcome::Rejected,
                         };
                         let value = (end == End::Ok).then(|| value.to_owned());
-                        hands.exchange.ended(hands.now, attempt, Ended { outcome, busy, value });
+                        hands.exchange.attempt_ended(
+                            hands.now,
+                            attempt,
+                            AttemptOutcome { outcome, utilization: busy, value },
+                        );
                     } else if let Some(late) = link.given_up.iter().position(|g| g == id) {
                         link.given_up.remove(late);
                     } else {
@@ -398,17 +402,17 @@
     /// only not waited for any more.
     fn end(&mut self, conn: ConnId, flushed: u64, mut why: Outcome, hands: &mut Platform) {
         let Some(mut link) = self.links.remove(&conn) else { return };
-        hands.exchange.written(link.written(flushed));
+        hands.exchange.attempts_written(link.written(flushed));
         for p in link.waiting.into_iter().flat_map(|w| w.parts) {
             self.by_attempt.remove(&p.attempt);
-            hands.exchange.ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
+            hands.exchange.attempt_ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
         }
         for r in link.riding {
             self.by_attempt.remove(&r.attempt);
             let written = flushed >= r.end;
             let outcome = if written { why } else { Outcome::ConnectFailed };
             tracing::debug!("attempt at {} ended with its connection: {outcome:?}", link.addr);
-            hands.exchange.ended(hands.now, r.attempt, failed(outcome));
+            hands.exchange.attempt_ended(hands.now, r.attempt, failed(outcome));
             why = if written { Outcome::Cancelled } else { why };
         }
     }
@@ -443,6 +447,6 @@
     }
 }
 
-fn failed(outcome: Outcome) -> Ended<String> {
-    Ended { outcome, busy: None, value: None }
+fn failed(outcome: Outcome) -> AttemptOutcome<String> {
+    AttemptOutcome { outcome, utilization: None, value: None }
 }
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -4,7 +4,7 @@
 use crate::api::Nanos;
 use crate::cluster::{self, Cluster};
 use crate::config::{Clustered, ConfigError};
-use crate::engine::{Exchange, Final, Work};
+use crate::engine::{EngineAction, QueryEngine, QueryOutcome};
 use crate::hot_restart::coordination::Share;
 use crate::hot_restart::state::{Stage, Words};
 use crate::hot_restart::{Handover, Holds};
@@ -62,7 +62,7 @@
     /// The sockets.
     pub net: &'a mut Reactor,
     /// The exchange.
-    pub exchange: &'a mut Exchange<Q, V>,
+    pub exchange: &'a mut QueryEngine<Q, V>,
 }
 
 /// A front: a client side and a server side that meet only in the exchange.
@@ -77,7 +77,11 @@
     /// Time has gone by.
     fn tick(&mut self, hands: &mut Hands<Self::Query, Self::Value>);
     /// The exchange wants something done.
-    fn work(&mut self, work: Work<Self::Query, Self::Value>, hands: &mut Hands<Self::Query, Self::Value>);
+    fn work(
+        &mut self,
+        work: EngineAction<Self::Query, Self::Value>,
+        hands: &mut Hands<Self::Query, Self::Value>,
+    );
     /// When `tick` is next worth calling.
     fn due(&self) -> Option<Nanos>;
     /// Whether it is ready for clients, for those who ask that.
@@ -120,12 +124,12 @@
 }
 
 impl Tally {
-    fn count<V>(&mut self, answer: &Final<V>) {
+    fn count<V>(&mut self, answer: &QueryOutcome<V>) {
         match answer {
-            Final::Answered(a) if a.whole => self.whole += 1,
-            Final::Answered(_) => self.partial += 1,
-            Final::Refused { .. } => self.refused += 1,
-            Final::Failed => self.failed += 1,
+            QueryOutcome::Answered(a) if a.complete => self.whole += 1,
+            QueryOutcome::Answered(_) => self.partial += 1,
+            QueryOutcome::Rejected { .. } => self.refused += 1,
+            QueryOutcome::Failed => self.failed += 1,
         }
     }
 
@@ -145,7 +149,7 @@
 pub struct Broker<F: Front> {
     clock: Clock,
     net: Reactor,
-    exchange: Exchange<F::Query, F::Value>,
+    exchange: QueryEngine<F::Query, F::Value>,
     front: F,
     leave: Leave,
     /// The step that the front was told, whether the listeners are closed, and when to look for idle clients again.
@@ -179,7 +183,7 @@
 
 impl<F: Front> Broker<F> {
     /// Puts a broker together.
-    pub fn new(clock: Clock, net: Reactor, exchange: Exchange<F::Query, F::Value>, front: F) -> Broker<F> {
+    pub fn new(clock: Clock, net: Reactor, exchange: QueryEngine<F::Query, F::Value>, front: F) -> Broker<F> {
         let longest = exchange.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let tally = Tally { told: clock.now(), ..Tally::default() };
         let class_names = front.class_names();
@@ -363,11 +367,11 @@
                 let (pool_size, out) = self.front.membership().listed();
                 let (active, ejected) = (self.exchange.open_queries(), self.exchange.ejected());
                 let at_once = metrics::Now { active, pool_size, pool_ejected: out + ejected };
-                Reply::Figures(self.exchange.figures().line(&self.class_names, at_once))
+                Reply::Figures(self.exchange.metrics().line(&self.class_names, at_once))
             }
             Call::Clients => Reply::Yes(self.net.accepted().to_string()),
             Call::Out(id) => match self.front.membership().replica(&id) {
-                Some(replica) => Reply::Yes(self.exchange.out_at(replica).to_string()),
+                Some(replica) => Reply::Yes(self.exchange.in_flight_at(replica).to_string()),
                 None => Reply::No(format!("{id} was never listed")),
             },
             Call::Suspend(_, aside)
@@ -499,14 +503,14 @@
             desk.tick(now, hands.net);
         }
         self.front.tick(&mut hands);
-        hands.exchange.run(now);
-        while let Some(work) = hands.exchange.next_work() {
-            if let Work::Finish { answer, .. } = &work {
+        hands.exchange.advance(now);
+        while let Some(work) = hands.exchange.next_action() {
+            if let EngineAction::Respond { outcome: answer, .. } = &work {
                 self.tally.count(answer);
             }
             self.front.work(work, &mut hands);
         }
-        self.tally.tell(now, hands.exchange.open_queries(), hands.exchange.attempts_out());
+        self.tally.tell(now, hands.exchange.open_queries(), hands.exchange.attempts_in_flight());
     }
 
     /// Hears of the other processes at this address, and tells them how this one stands.
@@ -514,7 +518,7 @@
         let Some(handover) = self.handover.as_mut().filter(|h| h.is_due(now)) else { return };
         let holds = Holds {
             descriptors: self.net.descriptors(),
-            held: self.exchange.held(),
+            held: self.exchange.in_flight(),
             open_ids: self.front.open_ids(),
         };
         let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
@@ -542,8 +546,8 @@
         let was = self.share.replace(share);
         if was != Some(share) {
             self.front.keep_to(share.descriptors, hands.net);
-            hands.exchange.keep_to(share.open);
-            hands.exchange.free_tries(share.free_tries);
+            hands.exchange.limit_in_flight(share.open);
+            hands.exchange.set_free_retries(share.free_tries);
         }
         if share.succeeded && !was.is_some_and(|w| w.succeeded) {
             tracing::info!(
@@ -575,7 +579,7 @@
                 hands.net.stop_listening(*owner, self.leave.is_succeeded());
             }
             // What is taken from now on must be answered before this program may be killed.
-            hands.exchange.end_by(self.leave.answer_by(now));
+            hands.exchange.end_all_by(self.leave.answer_by(now));
         }
         if step >= Step::CloseIdle && now >= self.look {
             self.look = now + LOOK;
@@ -597,7 +601,7 @@
         let desk = self.desk.as_ref().and_then(Desk::due);
         let others = self.handover.as_ref().map(|h| h.due(self.clock.now()));
         let peers = self.cluster.as_ref().map(|c| c.due(self.clock.now()));
-        [self.exchange.due(), self.front.due(), self.net.due(), leave, desk, others, peers]
+        [self.exchange.next_deadline(), self.front.due(), self.net.due(), leave, desk, others, peers]
             .into_iter()
             .flatten()
             .min()
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -117,7 +117,7 @@
     pub fn tick<Q, V>(&mut self, hands: &mut Hands<Q, V>, place: impl FnMut(&Change)) {
         let now = hands.now;
         self.now = now;
-        while let Some(end) = hands.exchange.next_ending() {
+        while let Some(end) = hands.exchange.next_attempt_end() {
             self.roster.outcome(end.replica, end.outcome, end.latency, now);
             if let Some(routing) = &mut self.routing {
                 routing.outcome(end.replica, end.outcome, now);
@@ -151,7 +151,7 @@
             let changes = self.with_others(changes);
             let changes = self.hand.pass(changes);
             changes.iter().for_each(&mut place);
-            hands.exchange.listed(false, changes.into_iter().map(|c| c.listed).collect());
+            hands.exchange.update_endpoints(false, changes.into_iter().map(|c| c.listed).collect());
         }
         self.relisted(hands);
         if self.roster.take_heard()
@@ -159,13 +159,13 @@
         {
             again.answered();
         }
-        self.roster.take_warm().into_iter().for_each(|replica| hands.exchange.warm(replica));
+        self.roster.take_warm().into_iter().for_each(|replica| hands.exchange.replica_warmed_up(replica));
         if self.watch.as_mut().is_some_and(Watch::take_failed) {
             self.roster.watch_lost();
             let silent = self.watch.as_mut().is_some_and(Watch::take_silent);
             match &mut self.asks {
                 Asks::Module { again, at } => {
-                    hands.exchange.list_failed();
+                    hands.exchange.watch_failed();
                     if silent {
                         *at = Some(hands.now + again.failed());
                     }
@@ -221,7 +221,7 @@
     fn tell<Q, V>(&mut self, changes: Vec<Change>, hands: &mut Hands<Q, V>) {
         if !changes.is_empty() {
             let changes = self.hand.pass(changes);
-            hands.exchange.listed(false, changes.into_iter().map(|c| c.listed).collect());
+            hands.exchange.update_endpoints(false, changes.into_iter().map(|c| c.listed).collect());
         }
     }
 
@@ -273,7 +273,7 @@
         let ever = told || self.roster.knows(id);
         let change = if out { self.hand.suspend(id, ever) } else { self.hand.restore(id, ever) }?;
         if let Some(change) = change {
-            hands.exchange.listed(false, vec![change.listed]);
+            hands.exchange.update_endpoints(false, vec![change.listed]);
         }
         Ok(())
     }
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -7,10 +7,10 @@
 use std::rc::Rc;
 
 struct Bench {
-    x: Exchange<&'static str, u32>,
+    x: QueryEngine<&'static str, u32>,
     now: Nanos,
-    sent: Vec<(ReplicaId, Dispatch<&'static str>)>,
-    finals: Vec<(QueryId, Nanos, Final<u32>)>,
+    sent: Vec<(ReplicaId, AttemptRequest<&'static str>)>,
+    finals: Vec<(QueryId, Nanos, QueryOutcome<u32>)>,
     given_up: Vec<AttemptId>,
     calls: Vec<usize>,
 }
@@ -19,8 +19,8 @@
     fn new(change: impl FnOnce(&mut Settings)) -> Bench {
         let mut s = settings(Idempotency::Idempotent);
         change(&mut s);
-        let mut x = Exchange::new(s, 7, 0).unwrap();
-        x.listed(true, (0..6).map(|n| line(n, ReplicaState::Active, None)).collect());
+        let mut x = QueryEngine::new(s, 7, 0).unwrap();
+        x.update_endpoints(true, (0..6).map(|n| line(n, ReplicaState::Active, None)).collect());
         let mut b = Bench { x, now: 0, sent: vec![], finals: vec![], given_up: vec![], calls: vec![] };
         b.to(0);
         b
@@ -29,18 +29,20 @@
     /// Runs all that is due up to then.
     fn to(&mut self, until: Nanos) {
         loop {
-            let next = self.x.due().unwrap_or(Nanos::MAX).clamp(self.now, until);
+            let next = self.x.next_deadline().unwrap_or(Nanos::MAX).clamp(self.now, until);
             self.now = next;
-            self.x.run(next);
-            while let Some(work) = self.x.next_work() {
+            self.x.advance(next);
+            while let Some(work) = self.x.next_action() {
                 match work {
-                    Work::Call { replica, parts } => {
+                    EngineAction::Call { replica, parts } => {
                         self.calls.push(parts.len());
                         self.sent.extend(parts.into_iter().map(|p| (replica, p)));
                     }
-                    Work::GiveUp { attempt, .. } => self.given_up.push(attempt),
-                    Work::Finish { query, answer } => self.finals.push((query, next, answer)),
-                    Work::Watch | Work::Probe { .. } => {}
+                    EngineAction::CancelAttempt { attempt, .. } => self.given_up.push(attempt),
+                    EngineAction::Respond { query, outcome: answer } => {
+                        self.finals.push((query, next, answer))
+                    }
+                    EngineAction::WatchEndpoints | EngineAction::HealthCheck { .. } => {}
                 }
             }
             if next >= until {
@@ -49,26 +51,26 @@
         }
     }
 
-    fn open(&mut self, shards: &[u32], time_left: Nanos) -> Result<QueryId, Refused> {
+    fn open(&mut self, shards: &[u32], time_left: Nanos) -> Result<QueryId, Overloaded> {
         let weight = 1.0 / shards.len() as f64;
-        let parts = shards.iter().map(|s| AskPart { shard: *s, weight, work: None }).collect();
-        let ask = Ask {
+        let parts = shards.iter().map(|s| PartRequest { shard: *s, weight, work: None }).collect();
+        let ask = QueryRequest {
             class: 0,
             tenant: None,
             key: None,
             time_left,
-            again: false,
+            is_retry: false,
             parts,
             payload: Rc::new("text"),
         };
-        let opened = self.x.open(self.now, ask);
+        let opened = self.x.submit(self.now, ask);
         self.to(self.now + 10 * MS);
         opened
     }
 
     fn end(&mut self, n: usize, outcome: Outcome, value: Option<u32>) {
         let attempt = self.sent[n].1.attempt;
-        self.x.ended(self.now, attempt, Ended { outcome, busy: None, value });
+        self.x.attempt_ended(self.now, attempt, AttemptOutcome { outcome, utilization: None, value });
     }
 }
 
@@ -82,9 +84,12 @@
         b.end(n, Outcome::Ok, Some(99));
     }
     b.to(3 * S);
-    let values = [4, 0, 2].map(|shard| Value { shard, value: shard * 10 }).to_vec();
+    let values = [4, 0, 2].map(|shard| ShardValue { shard, value: shard * 10 }).to_vec();
     let [(id, at, answer)] = &b.finals[..] else { panic!("{:?}", b.finals) };
-    assert_eq!((*id, answer), (q, &Final::Answered(Answered { whole: true, values, asked: 3 })));
+    assert_eq!(
+        (*id, answer),
+        (q, &QueryOutcome::Answered(Answer { complete: true, values, requested_parts: 3 }))
+    );
     assert!(*at < 50 * MS && b.x.open_queries() == 0);
 }
 
@@ -94,23 +99,23 @@
         Bench::new(|s| (s.parts_per_call, s.call_work, s.span, s.round_interval) = (2, 20 * MS, 6, 50 * MS));
     b.to(S);
     let before = b.now;
-    b.x.run(before);
-    let parts = (0..6).map(|shard| AskPart { shard, weight: 1.0 / 6.0, work: None }).collect();
-    let ask = Ask {
+    b.x.advance(before);
+    let parts = (0..6).map(|shard| PartRequest { shard, weight: 1.0 / 6.0, work: None }).collect();
+    let ask = QueryRequest {
         class: 0,
         tenant: None,
         key: None,
         time_left: 2 * S,
-        again: false,
+        is_retry: false,
         parts,
         payload: Rc::new("text"),
     };
-    b.x.open(before, ask.clone()).unwrap();
-    b.x.run(before);
-    let first = b.x.due().unwrap();
+    b.x.submit(before, ask.clone()).unwrap();
+    b.x.advance(before);
+    let first = b.x.next_deadline().unwrap();
     b.to(first);
-    b.x.open(first, ask).unwrap();
-    assert!(b.x.due().unwrap() >= first + 50 * MS, "the next round waits for its tick");
+    b.x.submit(first, ask).unwrap();
+    assert!(b.x.next_deadline().unwrap() >= first + 50 * MS, "the next round waits for its tick");
     assert!(b.calls.iter().all(|n| *n <= 2) && b.calls.contains(&2), "{:?}", b.calls);
 }
 
@@ -124,7 +129,7 @@
         let ends: Vec<Nanos> = b.finals.iter().filter(|f| f.0 == q).map(|f| f.1).collect();
         assert!(matches!(ends[..], [at] if at < start + time_left), "{ends:?}");
     }
-    assert_eq!((b.x.open_queries(), b.x.attempts_out()), (0, 0));
+    assert_eq!((b.x.open_queries(), b.x.attempts_in_flight()), (0, 0));
 }
 
 #[test]
@@ -132,9 +137,9 @@
     let mut b = Bench::new(|s| s.max_in_flight = 5);
     let first = b.open(&[0, 1, 2], 2 * S).unwrap();
     let refused = b.open(&[3, 4], 2 * S).unwrap_err();
-    assert!(refused.wait > 0 && refused.wait <= S);
+    assert!(refused.retry_after > 0 && refused.retry_after <= S);
     assert_ne!(b.open(&[3, 4], 2 * S).unwrap_err(), refused, "not all are told to come back together");
-    b.x.client_gone(first);
+    b.x.client_disconnected(first);
     b.to(b.now + 20 * MS);
     assert!(b.finals.is_empty(), "nobody is there to be answered");
     assert!(b.sent.iter().all(|(_, d)| b.given_up.contains(&d.attempt)), "all that was out is given up");
@@ -155,8 +160,9 @@
     b.end(late, Outcome::Ok, Some(8));
     b.to(4 * S);
     let shard = b.sent[0].1.shard;
-    let answered = Answered { whole: false, values: vec![Value { shard, value: 7 }], asked: 2 };
-    assert!(matches!(&b.finals[..], [(_, _, f)] if *f == Final::Answered(answered)), "{:?}", b.finals);
+    let answered =
+        Answer { complete: false, values: vec![ShardValue { shard, value: 7 }], requested_parts: 2 };
+    assert!(matches!(&b.finals[..], [(_, _, f)] if *f == QueryOutcome::Answered(answered)), "{:?}", b.finals);
 }
 
 #[test]
@@ -164,12 +170,12 @@
     let mut b = Bench::new(|_| {});
     b.open(&[0], 2 * S).unwrap();
     let start = b.now;
-    b.x.end_by(start + 500 * MS);
+    b.x.end_all_by(start + 500 * MS);
     b.open(&[1], 2 * S).unwrap();
     b.to(start + 3 * S);
     let ends: Vec<Nanos> = b.finals.iter().map(|f| f.1).collect();
     assert!(ends.len() == 2 && ends.iter().all(|t| *t <= start + 500 * MS), "{ends:?}");
-    assert_eq!(b.x.held(), 0);
+    assert_eq!(b.x.in_flight(), 0);
 }
 
 #[test]
@@ -178,7 +184,7 @@
     let mut b = Bench::new(|s| s.may_cancel = false);
     b.open(&[0, 3], 2 * S).unwrap();
     let waits = b.sent.iter().position(|(_, d)| d.shard == 0).unwrap();
-    b.x.waits(b.sent[waits].1.attempt);
+    b.x.attempt_queued(b.sent[waits].1.attempt);
     let copy = loop {
         if let Some(n) = (waits + 1..b.sent.len()).find(|n| b.sent[*n].1.shard == 0) {
             break n;
@@ -186,9 +192,9 @@
         assert!(b.now < 2 * S, "no copy was sent");
         b.to(b.now + 5 * MS);
     };
-    assert!(b.x.begin(b.now, b.sent[copy].1.attempt));
+    assert!(b.x.begin_attempt(b.now, b.sent[copy].1.attempt));
     b.end(copy, Outcome::Ok, Some(7));
-    assert!(!b.x.begin(b.now, b.sent[waits].1.attempt));
+    assert!(!b.x.begin_attempt(b.now, b.sent[waits].1.attempt));
 }
 
 #[test]
@@ -197,13 +203,13 @@
         let mut b = Bench::new(|s| s.classes[0].idempotency = Idempotency::NonIdempotent);
         b.open(&[0], 2 * S).unwrap();
         let dispatch = b.sent[0].1.clone();
-        b.x.waits(dispatch.attempt);
+        b.x.attempt_queued(dispatch.attempt);
         // The connection comes up before the time-out is looked at, or it never does.
         if asked {
-            assert!(!b.x.begin(b.now + dispatch.timeout, dispatch.attempt));
+            assert!(!b.x.begin_attempt(b.now + dispatch.timeout, dispatch.attempt));
         } else {
             b.to(b.now + dispatch.timeout);
         }
-        assert_eq!(b.x.next_ending().map(|e| e.outcome), Some(Outcome::NotSent), "asked: {asked}");
+        assert_eq!(b.x.next_attempt_end().map(|e| e.outcome), Some(Outcome::NotSent), "asked: {asked}");
     }
 }
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -17,15 +17,15 @@
 struct Link {
     clock: Clock,
     net: Reactor,
-    exchange: Exchange<Carried, String>,
+    exchange: QueryEngine<Carried, String>,
     servers: Servers,
 }
 
 impl Link {
     fn new(effect: Idempotency, listener: &TcpListener) -> Link {
         let clock = Clock::start();
-        let mut exchange = Exchange::new(settings(effect), 7, clock.now()).unwrap();
-        exchange.listed(true, vec![line(0, ReplicaState::Active, None)]);
+        let mut exchange = QueryEngine::new(settings(effect), 7, clock.now()).unwrap();
+        exchange.update_endpoints(true, vec![line(0, ReplicaState::Active, None)]);
         let limits = LinkLimits { streams: 8, dial_timeout: 5 * S, idle: 30 * S, silent: 5 * S, most: 8 };
         let mut servers = Servers::new(0, limits);
         servers.place(ReplicaId(0), Some(listener.local_addr().unwrap()));
@@ -35,9 +35,17 @@
     /// Takes a query, and has its call written or its connection dialled; the poll is not asked.
     fn ask(&mut self, id: &str) {
         let payload = Rc::new(Carried { id: id.into(), text: "t".into() });
-        let parts = vec![AskPart { shard: 0, weight: 1.0, work: None }];
-        let ask = Ask { class: 0, tenant: None, key: None, time_left: 5 * S, again: false, parts, payload };
-        self.exchange.open(self.clock.now(), ask).unwrap();
+        let parts = vec![PartRequest { shard: 0, weight: 1.0, work: None }];
+        let ask = QueryRequest {
+            class: 0,
+            tenant: None,
+            key: None,
+            time_left: 5 * S,
+            is_retry: false,
+            parts,
+            payload,
+        };
+        self.exchange.submit(self.clock.now(), ask).unwrap();
         while !self.turn() {
             std::thread::sleep(Duration::from_nanos(MS));
         }
@@ -46,10 +54,10 @@
     /// A round and its work: whether a call was among it.
     fn turn(&mut self) -> bool {
         let now = self.clock.now();
-        self.exchange.run(now);
+        self.exchange.advance(now);
         let mut called = false;
-        while let Some(work) = self.exchange.next_work() {
-            if let Work::Call { replica, parts } = work {
+        while let Some(work) = self.exchange.next_action() {
+            if let EngineAction::Call { replica, parts } = work {
                 let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
                 self.servers.call(replica, parts, &mut hands);
                 called = true;
@@ -89,17 +97,17 @@
     let mut link = Link::new(Idempotency::NonIdempotent, &listener);
     link.ask("first");
     let (mut conn, _) = listener.accept().unwrap();
-    link.poll_until(|l| l.exchange.figures().tries() == 1);
+    link.poll_until(|l| l.exchange.metrics().tries() == 1);
     assert!(frame(&mut conn).starts_with("Rfirst.0 "));
     let body = "Yfirst.0 OK 1 -\nvalue";
     conn.write_all(&[&(body.len() as u32).to_be_bytes(), body.as_bytes()].concat()).unwrap();
-    link.poll_until(|l| l.exchange.attempts_out() == 0);
+    link.poll_until(|l| l.exchange.attempts_in_flight() == 0);
     drop(conn);
     link.ask("second");
     let (mut conn, _) = listener.accept().expect("the call went where nobody reads");
-    link.poll_until(|l| l.exchange.figures().tries() == 2);
+    link.poll_until(|l| l.exchange.metrics().tries() == 2);
     assert!(frame(&mut conn).starts_with("Rsecond.0 "));
-    assert_eq!(link.exchange.attempts_out(), 1, "the call that was written is out");
+    assert_eq!(link.exchange.attempts_in_flight(), 1, "the call that was written is out");
 }
 
 /// A connection that was accepted, and its peer.
--- a/tests/operation/rules.rs
+++ b/tests/operation/rules.rs
@@ -167,30 +167,33 @@
 /// served, refused, failed, and open.
 fn history(steps: &[(u8, u8)]) -> ([u64; 4], [u64; 4]) {
     use crate::common::{line, settings};
-    use pebbleturn::engine::{Ask, AskPart, AttemptId, Ended, Exchange, Final, QueryId, Work};
+    use pebbleturn::engine::{
+        AttemptId, AttemptOutcome, EngineAction, PartRequest, QueryEngine, QueryId, QueryOutcome,
+        QueryRequest,
+    };
     use pebbleturn::{Idempotency, Outcome};
     let told =
         pebbleturn::Settings { max_in_flight: 20, retry_budget: None, ..settings(Idempotency::Idempotent) };
-    let mut exchange: Exchange<(), u8> = Exchange::new(told, 7, 0).unwrap();
-    exchange.listed(true, (0..6).map(|n| line(n, ReplicaState::Active, None)).collect());
+    let mut exchange: QueryEngine<(), u8> = QueryEngine::new(told, 7, 0).unwrap();
+    exchange.update_endpoints(true, (0..6).map(|n| line(n, ReplicaState::Active, None)).collect());
     let (mut now, mut seen) = (0, [0; 4]);
     let (mut out, mut open): (Vec<AttemptId>, Vec<QueryId>) = (vec![], vec![]);
     for (what, n) in steps {
         match what % 8 {
             0 => {
-                let part = |shard| AskPart { shard, weight: 1.0 / f64::from(n % 4 + 1), work: None };
+                let part = |shard| PartRequest { shard, weight: 1.0 / f64::from(n % 4 + 1), work: None };
                 let parts = (0..u32::from(n % 4) + 1).map(part).collect();
                 let payload = std::rc::Rc::new(());
-                let ask = Ask {
+                let ask = QueryRequest {
                     class: 0,
                     tenant: None,
                     key: None,
                     time_left: 3_000 * MS,
-                    again: false,
+                    is_retry: false,
                     parts,
                     payload,
                 };
-                match exchange.open(now, ask) {
+                match exchange.submit(now, ask) {
                     Ok(query) => open.push(query),
                     Err(_) => seen[1] += 1,
                 }
@@ -200,41 +203,41 @@
                 let outcome = [Outcome::Ok, Outcome::Error, Outcome::Rejected, Outcome::ConnectionReset]
                     [usize::from(n % 4)];
                 let value = (outcome == Outcome::Ok).then_some(1);
-                exchange.ended(now, attempt, Ended { outcome, busy: None, value });
+                exchange.attempt_ended(now, attempt, AttemptOutcome { outcome, utilization: None, value });
             }
             5 if !open.is_empty() && n % 8 == 0 => {
                 let query = open.swap_remove(usize::from(*n) % open.len());
-                exchange.client_gone(query);
+                exchange.client_disconnected(query);
             }
             // Now and then so long that all that is open runs out of time.
             _ => now += if *n == 0 { 4_000 * MS } else { u64::from(n % 32) * MS },
         }
-        exchange.run(now);
-        while let Some(work) = exchange.next_work() {
+        exchange.advance(now);
+        while let Some(work) = exchange.next_action() {
             match work {
-                Work::Call { parts, .. } => out.extend(parts.iter().map(|p| p.attempt)),
-                Work::GiveUp { attempt, .. } => out.retain(|a| *a != attempt),
-                Work::Finish { query, answer } => {
+                EngineAction::Call { parts, .. } => out.extend(parts.iter().map(|p| p.attempt)),
+                EngineAction::CancelAttempt { attempt, .. } => out.retain(|a| *a != attempt),
+                EngineAction::Respond { query, outcome: answer } => {
                     // Whose client had gone stands nowhere: no final answer of it may come.
                     assert!(open.contains(&query));
                     open.retain(|q| *q != query);
                     seen[match answer {
-                        Final::Answered(_) => 0,
-                        Final::Refused { .. } => 1,
-                        Final::Failed => 2,
+                        QueryOutcome::Answered(_) => 0,
+                        QueryOutcome::Rejected { .. } => 1,
+                        QueryOutcome::Failed => 2,
                     }] += 1;
                 }
-                Work::Watch | Work::Probe { .. } => {}
+                EngineAction::WatchEndpoints | EngineAction::HealthCheck { .. } => {}
             }
         }
     }
     seen[3] = open.len() as u64;
-    let f = exchange.figures().classes()[0];
+    let f = exchange.metrics().classes()[0];
     let figures = [f.ok, f.shed, f.errors, exchange.open_queries() as u64];
     // Once all time is over, nothing of it is held any more, however long it was.
-    exchange.run(now + 10_000 * MS);
-    while exchange.next_work().is_some() {}
-    assert_eq!((exchange.held(), exchange.open_queries(), exchange.attempts_out()), (0, 0, 0));
+    exchange.advance(now + 10_000 * MS);
+    while exchange.next_action().is_some() {}
+    assert_eq!((exchange.in_flight(), exchange.open_queries(), exchange.attempts_in_flight()), (0, 0, 0));
     (figures, seen)
 }
 
