--- a/lab/benches/decide.rs
+++ b/lab/benches/decide.rs
@@ -5,7 +5,7 @@
 use divan::Bencher;
 use pebbleturn::membership::endpoint_list::{ServerLine, ServerList};
 use pebbleturn::membership::{Layout, Roster, RosterSettings, State};
-use pebbleturn::metrics::{End, Figures, Now};
+use pebbleturn::metrics::{Gauges, Metrics, QueryResult};
 use pebbleturn::{Action, Balancer, Event, Nanos, Outcome, ReplicaEntry, ReplicaId, ReplicaState, RequestId};
 use pebbleturn_lab::restart::Scene;
 use std::collections::HashMap;
@@ -85,21 +85,21 @@
 /// What the figures add to one query: its end, and its attempts each written by itself.
 #[divan::bench(args = [4, 20, 73])]
 fn figures(bencher: Bencher, attempts: u32) {
-    let mut figures = Figures::new(3);
+    let mut figures = Metrics::new(3);
     bencher.bench_local(|| {
         for _ in 0..attempts {
             divan::black_box(&mut figures).tried(1);
         }
-        divan::black_box(&mut figures).ended(1, End::Ok);
+        divan::black_box(&mut figures).ended(1, QueryResult::Ok);
     });
 }
 
 /// The figures as they are fetched, without the socket.
 #[divan::bench]
 fn figures_fetched(bencher: Bencher) {
-    let figures = Figures::new(3);
+    let figures = Metrics::new(3);
     let names: Vec<String> = ["catalogue", "lookup", "report"].map(String::from).into();
-    let now = Now { active: 14, pool_size: 200, pool_ejected: 1 };
+    let now = Gauges { active: 14, pool_size: 200, pool_ejected: 1 };
     bencher.bench_local(|| divan::black_box(figures.line(&names, now).len()));
 }
 
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -39,7 +39,7 @@
     let (tell, told) = std::sync::mpsc::channel();
     let broker = std::thread::spawn(move || -> Result<(), pebbleturn::server::BrokerError> {
         let (mut broker, addrs) = catalogue::broker(operator)?;
-        let _ = tell.send((addrs, broker.stopper()?));
+        let _ = tell.send((addrs, broker.shutdown_handle()?));
         broker.run()
     });
     let (addrs, stopper) = told.recv()?;
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -52,7 +52,7 @@
     let (tell, told) = std::sync::mpsc::channel();
     let broker = std::thread::spawn(move || -> Result<(), pebbleturn::server::BrokerError> {
         let (mut broker, addrs) = catalogue::broker(operator)?;
-        let _ = tell.send((addrs[0], broker.stopper()?));
+        let _ = tell.send((addrs[0], broker.shutdown_handle()?));
         broker.run()
     });
     let (addr, stopper) = told.recv()?;
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -7,5 +7,5 @@
 pub mod request;
 pub mod server;
 
-pub use request::{Aside, Call, Reply};
-pub use server::{Desk, OWNER, PLACES};
+pub use request::{AdminRequest, AdminResponse, CommandOptions};
+pub use server::{AdminServer, OWNER, PLACES};
--- a/src/admin/request.rs
+++ b/src/admin/request.rs
@@ -9,7 +9,7 @@
 
 /// What staff say beside the thing itself: `by=WHO for=SECONDS why=WORDS`, in this order, the reason to the line's end.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Aside {
+pub struct CommandOptions {
     /// Who says it.
     pub by: String,
     /// Why.
@@ -20,23 +20,23 @@
 
 /// What staff ask for.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Call {
+pub enum AdminRequest {
     /// Whether this process takes clients.
     Status,
     /// The figures.
     Metrics,
     /// Take a server out.
-    Suspend(String, Aside),
+    Suspend(String, CommandOptions),
     /// Put a server back.
-    Restore(String, Aside),
+    Restore(String, CommandOptions),
     /// Send clients away: this broker's, or those of the peer that is named.
-    Pause(Option<String>, Aside),
+    Pause(Option<String>, CommandOptions),
     /// Take clients again.
-    Resume(Option<String>, Aside),
+    Resume(Option<String>, CommandOptions),
     /// Remove a peer for good.
-    Remove(String, Aside),
+    Remove(String, CommandOptions),
     /// Let a peer in again that was removed.
-    Admit(String, Aside),
+    Admit(String, CommandOptions),
     /// Who the peers are, and who is up.
     Peers,
     /// What this broker knows with its peers.
@@ -51,7 +51,7 @@
 
 /// A line that is no call.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum BadCall {
+pub enum RequestError {
     /// Nothing but space.
     Empty,
     /// Longer than may be.
@@ -68,63 +68,63 @@
     NoTime(String),
 }
 
-impl fmt::Display for BadCall {
+impl fmt::Display for RequestError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            BadCall::Empty => write!(f, "the line is empty"),
-            BadCall::TooLong => write!(f, "the line has more than {LONGEST} bytes"),
-            BadCall::NotText => write!(f, "the line is no text"),
-            BadCall::Unknown(word) => write!(
+            RequestError::Empty => write!(f, "the line is empty"),
+            RequestError::TooLong => write!(f, "the line has more than {LONGEST} bytes"),
+            RequestError::NotText => write!(f, "the line is no text"),
+            RequestError::Unknown(word) => write!(
                 f,
                 "unknown call {word:?}; known are STATUS, METRICS, SUSPEND ID, RESTORE ID, PAUSE, RESUME, \
                  CLIENTS, OUT ID, PEERS, STATE, CONFLICTS, REMOVE NAME and ADMIT NAME"
             ),
-            BadCall::NoId(word @ ("REMOVE" | "ADMIT")) => write!(f, "{word} needs the name of a broker"),
-            BadCall::NoId(word) => write!(f, "{word} needs the id of a server"),
-            BadCall::Extra(word) => write!(f, "{word} takes nothing more behind it"),
-            BadCall::NoTime(text) => write!(f, "for={text} is no number of seconds, or too many"),
+            RequestError::NoId(word @ ("REMOVE" | "ADMIT")) => write!(f, "{word} needs the name of a broker"),
+            RequestError::NoId(word) => write!(f, "{word} needs the id of a server"),
+            RequestError::Extra(word) => write!(f, "{word} takes nothing more behind it"),
+            RequestError::NoTime(text) => write!(f, "for={text} is no number of seconds, or too many"),
         }
     }
 }
 
-impl std::error::Error for BadCall {}
+impl std::error::Error for RequestError {}
 
 /// Reads a line without its end.
-pub fn read(line: &[u8]) -> Result<Call, BadCall> {
+pub fn read(line: &[u8]) -> Result<AdminRequest, RequestError> {
     if line.len() > LONGEST {
-        return Err(BadCall::TooLong);
+        return Err(RequestError::TooLong);
     }
-    let text = std::str::from_utf8(line).map_err(|_| BadCall::NotText)?;
-    let (word, rest) = cut(text).ok_or(BadCall::Empty)?;
-    let alone = |word, call| if rest.is_empty() { Ok(call) } else { Err(BadCall::Extra(word)) };
-    let named = |word, call: fn(String, Aside) -> Call| match cut(rest) {
-        None => Err(BadCall::NoId(word)),
+    let text = std::str::from_utf8(line).map_err(|_| RequestError::NotText)?;
+    let (word, rest) = cut(text).ok_or(RequestError::Empty)?;
+    let alone = |word, call| if rest.is_empty() { Ok(call) } else { Err(RequestError::Extra(word)) };
+    let named = |word, call: fn(String, CommandOptions) -> AdminRequest| match cut(rest) {
+        None => Err(RequestError::NoId(word)),
         Some((id, rest)) => Ok(call(id.to_owned(), aside(word, rest)?)),
     };
     // Without a name it is this broker.
-    let mine_or_named = |word, call: fn(Option<String>, Aside) -> Call| match cut(rest) {
+    let mine_or_named = |word, call: fn(Option<String>, CommandOptions) -> AdminRequest| match cut(rest) {
         Some((name, rest)) if !name.contains('=') => Ok(call(Some(name.to_owned()), aside(word, rest)?)),
         _ => Ok(call(None, aside(word, rest)?)),
     };
     match word {
-        "STATUS" => alone("STATUS", Call::Status),
-        "METRICS" => alone("METRICS", Call::Metrics),
-        "SUSPEND" => named("SUSPEND", Call::Suspend),
-        "RESTORE" => named("RESTORE", Call::Restore),
-        "PAUSE" => mine_or_named("PAUSE", Call::Pause),
-        "RESUME" => mine_or_named("RESUME", Call::Resume),
-        "REMOVE" => named("REMOVE", Call::Remove),
-        "ADMIT" => named("ADMIT", Call::Admit),
-        "CLIENTS" => alone("CLIENTS", Call::Clients),
-        "PEERS" => alone("PEERS", Call::Peers),
-        "STATE" => alone("STATE", Call::State),
-        "CONFLICTS" => alone("CONFLICTS", Call::Conflicts),
+        "STATUS" => alone("STATUS", AdminRequest::Status),
+        "METRICS" => alone("METRICS", AdminRequest::Metrics),
+        "SUSPEND" => named("SUSPEND", AdminRequest::Suspend),
+        "RESTORE" => named("RESTORE", AdminRequest::Restore),
+        "PAUSE" => mine_or_named("PAUSE", AdminRequest::Pause),
+        "RESUME" => mine_or_named("RESUME", AdminRequest::Resume),
+        "REMOVE" => named("REMOVE", AdminRequest::Remove),
+        "ADMIT" => named("ADMIT", AdminRequest::Admit),
+        "CLIENTS" => alone("CLIENTS", AdminRequest::Clients),
+        "PEERS" => alone("PEERS", AdminRequest::Peers),
+        "STATE" => alone("STATE", AdminRequest::State),
+        "CONFLICTS" => alone("CONFLICTS", AdminRequest::Conflicts),
         "OUT" => match cut(rest) {
-            None => Err(BadCall::NoId("OUT")),
-            Some((_, more)) if !more.is_empty() => Err(BadCall::Extra("OUT")),
-            Some((id, _)) => Ok(Call::Out(id.to_owned())),
+            None => Err(RequestError::NoId("OUT")),
+            Some((_, more)) if !more.is_empty() => Err(RequestError::Extra("OUT")),
+            Some((id, _)) => Ok(AdminRequest::Out(id.to_owned())),
         },
-        other => Err(BadCall::Unknown(other.chars().take(32).collect())),
+        other => Err(RequestError::Unknown(other.chars().take(32).collect())),
     }
 }
 
@@ -135,8 +135,8 @@
     if text.is_empty() { None } else { Some((&text[..end], text[end..].trim_ascii())) }
 }
 
-fn aside(word: &'static str, mut rest: &str) -> Result<Aside, BadCall> {
-    let mut aside = Aside::default();
+fn aside(word: &'static str, mut rest: &str) -> Result<CommandOptions, RequestError> {
+    let mut aside = CommandOptions::default();
     while let Some((one, more)) = cut(rest) {
         if let Some(why) = rest.trim_ascii().strip_prefix("why=") {
             aside.why = why.trim_matches('"').to_owned();
@@ -145,9 +145,9 @@
             aside.by = by.to_owned();
         } else if let Some(time) = one.strip_prefix("for=") {
             let seconds: Option<u64> = time.parse().ok().filter(|s| (1..=LONGEST_TIME).contains(s));
-            aside.holds = Some(seconds.ok_or_else(|| BadCall::NoTime(time.chars().take(32).collect()))?);
+            aside.holds = Some(seconds.ok_or_else(|| RequestError::NoTime(time.chars().take(32).collect()))?);
         } else {
-            return Err(BadCall::Extra(word));
+            return Err(RequestError::Extra(word));
         }
         rest = more;
     }
@@ -156,7 +156,7 @@
 
 /// What is answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Reply {
+pub enum AdminResponse {
     /// It is so, or done; a word on it.
     Yes(String),
     /// The figures, a line.
@@ -165,13 +165,13 @@
     No(String),
 }
 
-impl Reply {
+impl AdminResponse {
     /// The bytes of the answer.
     pub fn text(&self) -> String {
         match self {
-            Reply::Yes(words) => format!("SUCCESS {words}\n"),
-            Reply::Figures(line) => format!("{line}\nEOT\n"),
-            Reply::No(why) => format!("FAILURE {why}\n"),
+            AdminResponse::Yes(words) => format!("SUCCESS {words}\n"),
+            AdminResponse::Figures(line) => format!("{line}\nEOT\n"),
+            AdminResponse::No(why) => format!("FAILURE {why}\n"),
         }
     }
 }
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -1,6 +1,6 @@
 //! The connections of the second address. Each brings one line and gets one answer.
 
-use super::request::{self, BadCall, Call, LONGEST, Reply};
+use super::request::{self, AdminRequest, AdminResponse, LONGEST, RequestError};
 use crate::api::Nanos;
 use crate::net::{ConnId, Filled, NetEvent, Place, Pool, Reactor};
 use std::collections::{HashMap, VecDeque};
@@ -18,19 +18,19 @@
 const BUFFERS: usize = 4 * PLACES;
 
 /// The second address: its callers, and the calls that have come in whole.
-pub struct Desk {
+pub struct AdminServer {
     listening: SocketAddr,
     /// Callers without a whole line, the oldest first.
     waiting: VecDeque<(Nanos, ConnId)>,
     peers: HashMap<ConnId, SocketAddr>,
-    calls: VecDeque<(ConnId, Call)>,
+    calls: VecDeque<(ConnId, AdminRequest)>,
 }
 
-impl Desk {
+impl AdminServer {
     /// Listens.
-    pub fn open(addr: SocketAddr, net: &mut Reactor) -> io::Result<Desk> {
+    pub fn open(addr: SocketAddr, net: &mut Reactor) -> io::Result<AdminServer> {
         let listening = net.listen_apart(addr, OWNER, Place::Desk, PLACES, Pool::sized(BUFFERS, BUFFER))?;
-        Ok(Desk { listening, waiting: VecDeque::new(), peers: HashMap::new(), calls: VecDeque::new() })
+        Ok(AdminServer { listening, waiting: VecDeque::new(), peers: HashMap::new(), calls: VecDeque::new() })
     }
 
     /// Where it listens.
@@ -39,12 +39,12 @@
     }
 
     /// A call that waits for its answer, and on which connection.
-    pub fn next_call(&mut self) -> Option<(ConnId, Call)> {
+    pub fn next_request(&mut self) -> Option<(ConnId, AdminRequest)> {
         self.calls.pop_front()
     }
 
     /// Takes in what happened on one of its connections.
-    pub fn event(&mut self, event: NetEvent, now: Nanos, net: &mut Reactor) {
+    pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut Reactor) {
         match event {
             NetEvent::Accepted { conn, peer, .. } => {
                 self.waiting.push_back((now, conn));
@@ -77,7 +77,7 @@
             let end = data.iter().take(LONGEST + 1).position(|b| *b == b'\n');
             let line = match (end, filled) {
                 (Some(end), _) => request::read(data[..end].trim_ascii_end()),
-                (None, _) if data.len() > LONGEST => Err(BadCall::TooLong),
+                (None, _) if data.len() > LONGEST => Err(RequestError::TooLong),
                 // A last line may lack its end where the caller says that no more will come.
                 (None, Filled::Ended) if !data.is_empty() => request::read(data.trim_ascii_end()),
                 (None, Filled::Ended) => {
@@ -97,7 +97,7 @@
                 Err(e) => {
                     tracing::info!("call from {} refused: {e}", peer.map_or("?".into(), |p| p.to_string()));
                     // Who is still sending reads its answer before the connection breaks.
-                    let _ = net.send(conn, Reply::No(e.to_string()).text().as_bytes());
+                    let _ = net.send(conn, AdminResponse::No(e.to_string()).text().as_bytes());
                     net.close_lingering(conn, now);
                 }
             }
@@ -105,7 +105,7 @@
     }
 
     /// Answers a call; that ends its connection.
-    pub fn answer(&mut self, conn: ConnId, reply: &Reply, net: &mut Reactor) {
+    pub fn answer(&mut self, conn: ConnId, reply: &AdminResponse, net: &mut Reactor) {
         if net.send(conn, reply.text().as_bytes()).is_err() {
             return net.close(conn);
         }
@@ -121,7 +121,7 @@
     }
 
     /// When `tick` is next worth calling.
-    pub fn due(&self) -> Option<Nanos> {
+    pub fn next_deadline(&self) -> Option<Nanos> {
         self.waiting.front().map(|(since, _)| since + WHOLE_IN)
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -185,14 +185,14 @@
     // Caught first: a signal that comes as soon as it listens must not kill it.
     let signals = Signals::catch().map_err(BrokerError::io("signals"))?;
     let (mut broker, _) = platform::broker(Platform::from_env()?)?;
-    broker.obey(signals)?;
+    broker.handle_signals(signals)?;
     broker.run()
 }
 
 fn serve_catalogue(file: &Path) -> Result<(), BrokerError> {
     let signals = Signals::catch().map_err(BrokerError::io("signals"))?;
     let (mut broker, _) = catalogue::broker(Operator::from_file(file)?)?;
-    broker.obey(signals)?;
+    broker.handle_signals(signals)?;
     broker.run()
 }
 
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -8,7 +8,7 @@
 
 pub use status_report::{differences, shown};
 
-use crate::admin::request::Aside;
+use crate::admin::request::CommandOptions;
 use crate::api::Nanos;
 use crate::config::{Clustered, ConfigError, Operator};
 use crate::gossip::codec::{DATAGRAM, frame_end};
@@ -61,18 +61,20 @@
 
 /// A word of staff that came to nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum NotSaid {
+pub enum CommandError {
     /// The process before still has this broker's place in the cluster, or its disk is still being read.
     NotYet,
     /// It could not be taken.
     Refused(Refused),
 }
 
-impl std::fmt::Display for NotSaid {
+impl std::fmt::Display for CommandError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            NotSaid::NotYet => write!(f, "the cluster's facts are not here yet; say it again in a moment"),
-            NotSaid::Refused(why) => write!(f, "{why}"),
+            CommandError::NotYet => {
+                write!(f, "the cluster's facts are not here yet; say it again in a moment")
+            }
+            CommandError::Refused(why) => write!(f, "{why}"),
         }
     }
 }
@@ -246,12 +248,12 @@
         &mut self,
         key: Key,
         value: Value,
-        aside: Aside,
+        aside: CommandOptions,
         caller: ConnId,
         yes: String,
         now: Nanos,
-    ) -> Result<(), NotSaid> {
-        let member = self.member.as_mut().ok_or(NotSaid::NotYet)?;
+    ) -> Result<(), CommandError> {
+        let member = self.member.as_mut().ok_or(CommandError::NotYet)?;
         if member.is_doubled() {
             member.renew(Origin(drawn() ^ now.rotate_left(17)));
         }
@@ -259,7 +261,7 @@
             (self.settings.name.clone(), aside.holds.map(|s| now.saturating_add(s * 1_000_000_000)));
         let word = if value == Value::Out { "out" } else { "back" };
         let said = Said { value, who: aside.by, why: aside.why, at_broker, at: now, until };
-        let dot = member.say(&key, said, now).map_err(NotSaid::Refused)?;
+        let dot = member.say(&key, said, now).map_err(CommandError::Refused)?;
         tracing::info!("cluster: {key} is said to be {word} here as {dot}");
         self.waiting.push(Waiting { caller, key, yes, ticket: None });
         Ok(())
--- a/src/engine/query_engine.rs
+++ b/src/engine/query_engine.rs
@@ -5,7 +5,7 @@
 
 use super::messages::*;
 use crate::api::*;
-use crate::metrics::{End, Figures};
+use crate::metrics::{Metrics, QueryResult};
 use crate::policy::Balancer;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
@@ -73,13 +73,13 @@
     end_by: Nanos,
     /// How attempts ended, for whoever minds membership.
     outcomes: VecDeque<AttemptEnd>,
-    figures: Figures,
+    figures: Metrics,
 }
 
 impl<Q, V> QueryEngine<Q, V> {
     /// An exchange with nothing in it.
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
-        let (figures, room) = (Figures::new(settings.classes.len()), settings.max_in_flight as usize);
+        let (figures, room) = (Metrics::new(settings.classes.len()), settings.max_in_flight as usize);
         Ok(QueryEngine {
             balancer: Balancer::new(settings.clone(), seed, now)?,
             settings,
@@ -111,7 +111,7 @@
     }
 
     /// How queries ended, and how many attempts were written.
-    pub fn metrics(&self) -> &Figures {
+    pub fn metrics(&self) -> &Metrics {
         &self.figures
     }
 
@@ -183,7 +183,7 @@
         let size = 1 + ask.parts.len();
         // Guards the limit on what is held: a query that is not taken costs nothing and may come again.
         if self.held + size > self.room {
-            self.figures.ended(ask.class, End::Shed);
+            self.figures.ended(ask.class, QueryResult::Shed);
             return Err(self.overloaded());
         }
         let job = self.fresh();
@@ -260,9 +260,9 @@
             self.figures.ended(
                 class,
                 match &answer {
-                    QueryOutcome::Answered(_) => End::Ok,
-                    QueryOutcome::Rejected { .. } => End::Shed,
-                    QueryOutcome::Failed => End::Error,
+                    QueryOutcome::Answered(_) => QueryResult::Ok,
+                    QueryOutcome::Rejected { .. } => QueryResult::Shed,
+                    QueryOutcome::Failed => QueryResult::Error,
                 },
             );
             let ms = self.now.saturating_sub(taken) / 1_000_000;
--- a/src/frontends/catalogue/downstream.rs
+++ b/src/frontends/catalogue/downstream.rs
@@ -15,7 +15,7 @@
 use crate::frontends::connection_slots::Places;
 use crate::http::{self, Reader, Side};
 use crate::net::{ConnId, Filled, NetEvent};
-use crate::server::Hands;
+use crate::server::FrontendContext;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,7 +23,7 @@
 /// Most reads of one connection at a time.
 const READS: usize = 4;
 
-type Hand<'a> = Hands<'a, Sought, PartValue>;
+type Hand<'a> = FrontendContext<'a, Sought, PartValue>;
 
 /// An SRU search that waits for its answer.
 struct Asked {
@@ -138,7 +138,7 @@
                 tracing::debug!("client connection closed to make room");
                 let http = self.clients.get(&conn).is_some_and(|c| matches!(c.speech, Speech::Sru { .. }));
                 if http && self.places.may_ask(conn) {
-                    let wait = hands.exchange.overloaded().retry_after;
+                    let wait = hands.engine.overloaded().retry_after;
                     self.part_with(conn, Some(http::no_room(wait)), hands);
                 } else {
                     self.close(conn, hands);
@@ -156,7 +156,7 @@
         self.places.gone(conn);
         if let Some((query, _)) = self.clients.remove(&conn).and_then(|c| c.job) {
             self.waiting.remove(&query);
-            hands.exchange.client_disconnected(query);
+            hands.engine.client_disconnected(query);
         }
     }
 
@@ -427,7 +427,7 @@
 
     fn start(&mut self, conn: ConnId, job: Job, hands: &mut Hand) {
         let ask = job.ask(hands.now);
-        match hands.exchange.submit(hands.now, ask) {
+        match hands.engine.submit(hands.now, ask) {
             Ok(query) => {
                 self.waiting.insert(query, conn);
                 self.places.open(conn);
--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -8,16 +8,16 @@
 use crate::cluster;
 use crate::config::{self, ConfigError, Node, NodesFile, Operator, Protocol};
 use crate::engine::{EngineAction, QueryEngine};
-use crate::hot_restart::Handover;
+use crate::hot_restart::HotRestart;
 use crate::hot_restart::coordination::Limits;
 use crate::membership::poll_backoff::AskAgain;
 use crate::membership::{Fact, Layout, Roster, RosterSettings};
 use crate::net::{Clock, NetEvent, Place, Pool, Reactor, inherited};
 use crate::routing::{Routing, RoutingSettings, Rule};
-use crate::server::discovery_watch::Watch;
-use crate::server::drain::Step;
-use crate::server::membership_driver::Membership;
-use crate::server::{Broker, BrokerError, Front, Hands};
+use crate::server::discovery_watch::DiscoveryWatch;
+use crate::server::drain::DrainPhase;
+use crate::server::membership_driver::MembershipDriver;
+use crate::server::{Broker, BrokerError, Frontend, FrontendContext};
 use crate::storage::snapshot_store::Keeper;
 use std::collections::HashMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
@@ -47,7 +47,7 @@
 pub struct CatalogueFront {
     clients: Clients,
     nodes: Nodes,
-    membership: Membership,
+    membership: MembershipDriver,
     files: NodeFiles,
     /// Connections to nodes at most, however much room there is.
     most_to_nodes: usize,
@@ -135,7 +135,7 @@
         open: settings.max_in_flight as usize,
         window: settings.retry_budget.map_or(0, |b| b.window),
     };
-    let handed = told.operation.hand_over.as_deref().and_then(|dir| Handover::open(dir, limits, now));
+    let handed = told.operation.hand_over.as_deref().and_then(|dir| HotRestart::open(dir, limits, now));
     if let Some((_, _, lists)) = &handed {
         roster.kept(lists, now);
     }
@@ -156,13 +156,13 @@
         hold: told.routing.hold_ms * 1_000_000,
     });
     let out = handed.iter().flat_map(|(_, words, _)| words.out()).map(str::to_owned).collect::<Vec<_>>();
-    let mut membership = Membership::new(roster, keeper).out_by_hand(out).routed(routing);
+    let mut membership = MembershipDriver::new(roster, keeper).with_suspended(out).with_routing(routing);
     if told.cluster.is_some() {
-        membership = membership.among_others();
+        membership = membership.share_hints();
     }
     if let Some(discovery) = m.discovery {
         let again = AskAgain::new(ASK.0, ASK.1, seed);
-        membership = membership.asking(Watch::new(ROSTER, discovery, DIAL), again, now);
+        membership = membership.poll_with_backoff(DiscoveryWatch::new(ROSTER, discovery, DIAL), again, now);
     }
     let mut exchange = QueryEngine::new(settings, seed, now).map_err(|e| ConfigError(e.to_string()))?;
     // Guards the limit on descriptors: what connections to nodes may take is not given to clients. Where nodes may
@@ -179,7 +179,7 @@
     }
     let mut net = Reactor::new(Pool::within(BUFFERS), most - to_nodes).map_err(BrokerError::io("poll"))?;
     let mut nodes = Nodes::new(NODES, &told.partitions.database, told.limits.clone(), to_nodes);
-    let mut hands = Hands { now, net: &mut net, exchange: &mut exchange };
+    let mut hands = FrontendContext { now, net: &mut net, engine: &mut exchange };
     membership.pass_on(&mut hands, |c| nodes.place(c));
     // The list of nodes is in before the first client can come.
     exchange.advance(now);
@@ -199,41 +199,45 @@
     let front = CatalogueFront { clients, nodes, membership, files, most_to_nodes: to_nodes };
     let mut broker = Broker::new(clock, net, exchange, front);
     if let Some(ops) = ops {
-        broker.operated_at(ops)?;
+        broker.listen_admin(ops)?;
     }
     if let Some((handover, words, _)) = handed {
-        broker.among(handover, words);
+        broker.join_hot_restart(handover, words);
     }
     if let Some(cluster) = cluster {
-        broker.in_cluster(&cluster, &name)?;
+        broker.join_cluster(&cluster, &name)?;
     }
     Ok((broker, listening))
 }
 
-impl Front for CatalogueFront {
+impl Frontend for CatalogueFront {
     type Query = Sought;
     type Value = PartValue;
 
-    fn event(&mut self, event: NetEvent, hands: &mut Hands<Sought, PartValue>) {
+    fn on_event(&mut self, event: NetEvent, hands: &mut FrontendContext<Sought, PartValue>) {
         match event.owner() {
             Some(NODES) => self.nodes.event(event, hands),
-            Some(ROSTER) => self.membership.event(event, hands.now, hands.net),
+            Some(ROSTER) => self.membership.on_event(event, hands.now, hands.net),
             Some(_) => self.clients.event(event, hands),
             None => {}
         }
     }
 
-    fn tick(&mut self, hands: &mut Hands<Sought, PartValue>) {
+    fn tick(&mut self, hands: &mut FrontendContext<Sought, PartValue>) {
         if let Some(file) = self.files.take(hands.now) {
             let (facts, rules) = (self.files.facts(&file), self.files.rules(&file));
-            self.membership.operator(facts, rules, hands.now);
+            self.membership.set_operator_nodes(facts, rules, hands.now);
         }
         self.membership.tick(hands, |c| self.nodes.place(c));
         self.nodes.tick(hands);
         self.clients.tick(hands);
     }
 
-    fn work(&mut self, work: EngineAction<Sought, PartValue>, hands: &mut Hands<Sought, PartValue>) {
+    fn perform(
+        &mut self,
+        work: EngineAction<Sought, PartValue>,
+        hands: &mut FrontendContext<Sought, PartValue>,
+    ) {
         match work {
             EngineAction::Call { replica, parts } => self.nodes.call(replica, parts, hands),
             EngineAction::CancelAttempt { replica, attempt } => {
@@ -245,25 +249,28 @@
         }
     }
 
-    fn due(&self) -> Option<Nanos> {
+    fn next_deadline(&self) -> Option<Nanos> {
         let read = self.files.reading.as_ref().map(|_| self.files.look);
-        [self.nodes.due(), self.clients.due(), self.membership.due(), read].into_iter().flatten().min()
+        [self.nodes.due(), self.clients.due(), self.membership.next_deadline(), read]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
-    fn ready(&mut self, ready: bool) {
+    fn set_ready(&mut self, ready: bool) {
         self.clients.ready(ready);
     }
 
-    fn step(&mut self, step: Step) {
-        self.clients.last_answers(step >= Step::LastAnswers);
+    fn set_drain_phase(&mut self, step: DrainPhase) {
+        self.clients.last_answers(step >= DrainPhase::ClosingAfterAnswer);
     }
 
     /// The file of nodes alone may change while the broker serves; all else holds from the start to the end.
-    fn reload(&mut self, hands: &mut Hands<Sought, PartValue>) {
+    fn reload(&mut self, hands: &mut FrontendContext<Sought, PartValue>) {
         self.files.begin(hands.now);
     }
 
-    fn close_idle(&mut self, hands: &mut Hands<Sought, PartValue>) {
+    fn close_idle(&mut self, hands: &mut FrontendContext<Sought, PartValue>) {
         self.clients.close_idle(hands);
         if self.clients.is_empty() {
             self.nodes.farewell(hands.net);
@@ -282,15 +289,15 @@
         self.clients.class_names()
     }
 
-    fn membership(&self) -> &Membership {
+    fn membership(&self) -> &MembershipDriver {
         &self.membership
     }
 
-    fn membership_mut(&mut self) -> &mut Membership {
+    fn membership_mut(&mut self) -> &mut MembershipDriver {
         &mut self.membership
     }
 
-    fn keep_to(&mut self, descriptors: usize, net: &mut Reactor) {
+    fn limit_descriptors(&mut self, descriptors: usize, net: &mut Reactor) {
         // What is held stays; only the rest is divided. Callers at the second address may still come.
         let apart = admin::PLACES.saturating_sub(net.accepted_at(Place::Desk));
         let rest = descriptors.saturating_sub(net.descriptors() + apart);
@@ -305,5 +312,5 @@
         Vec::new()
     }
 
-    fn ids_in_use(&mut self, _: &[String], _: Nanos) {}
+    fn reserve_ids(&mut self, _: &[String], _: Nanos) {}
 }
--- a/src/frontends/catalogue/upstream.rs
+++ b/src/frontends/catalogue/upstream.rs
@@ -8,14 +8,14 @@
 use crate::engine::{AttemptId, AttemptOutcome, AttemptRequest};
 use crate::membership::Change;
 use crate::net::{ConnId, Filled, NetEvent, Reactor};
-use crate::server::Hands;
+use crate::server::FrontendContext;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 /// How long the answer to a given-up search is awaited before its connection is closed.
 const ABANDONED: Nanos = 2_000_000_000;
 
-type Catalogue<'a> = Hands<'a, Sought, PartValue>;
+type Catalogue<'a> = FrontendContext<'a, Sought, PartValue>;
 
 /// A part that waits for a free connection.
 struct Waiting {
@@ -145,11 +145,11 @@
             let attempt = next.attempt;
             match link.talk.begin(next.task) {
                 // No node that speaks this protocol can answer the search.
-                Err(d) => hands.exchange.attempt_ended(hands.now, attempt, done(Ok(Err(d)))),
+                Err(d) => hands.engine.attempt_ended(hands.now, attempt, done(Ok(Err(d)))),
                 Ok(message) => {
                     link.used = hands.now;
                     if hands.net.send(conn, &message).is_err() {
-                        hands.exchange.attempt_ended(hands.now, attempt, done(Err(Outcome::ConnectFailed)));
+                        hands.engine.attempt_ended(hands.now, attempt, done(Err(Outcome::ConnectFailed)));
                         self.close(conn, hands);
                         continue;
                     }
@@ -168,7 +168,7 @@
         let riding = self.links.get_mut(&conn).and_then(|l| l.riding.as_mut());
         if let Some(riding) = riding.filter(|r| flushed >= r.end && !r.written) {
             riding.written = true;
-            hands.exchange.attempts_written(1);
+            hands.engine.attempts_written(1);
         }
     }
 
@@ -212,7 +212,7 @@
     fn fail_waiting(&mut self, replica: ReplicaId, outcome: Outcome, hands: &mut Catalogue) {
         let Some(place) = self.places.get_mut(&replica) else { return };
         for w in place.waiting.drain(..) {
-            hands.exchange.attempt_ended(hands.now, w.attempt, done(Err(outcome)));
+            hands.engine.attempt_ended(hands.now, w.attempt, done(Err(outcome)));
         }
     }
 
@@ -310,7 +310,7 @@
         link.used = hands.now;
         if let Some(attempt) = link.riding.take().and_then(|r| r.attempt) {
             self.by_attempt.remove(&attempt);
-            hands.exchange.attempt_ended(hands.now, attempt, done(value));
+            hands.engine.attempt_ended(hands.now, attempt, done(value));
         }
     }
 
@@ -341,7 +341,7 @@
         let Some(link) = self.links.remove(&conn) else { return };
         if let Some(attempt) = link.riding.and_then(|r| r.attempt) {
             self.by_attempt.remove(&attempt);
-            hands.exchange.attempt_ended(hands.now, attempt, done(Err(outcome)));
+            hands.engine.attempt_ended(hands.now, attempt, done(Err(outcome)));
         }
         // Guards what waits against dials that never come up: while two were under way, each that failed used to
         // make room for another, for as long as the query lasted.
@@ -362,7 +362,7 @@
             self.say_goodbye(conn, hands);
         }
         for attempt in std::mem::take(&mut self.orphaned) {
-            hands.exchange.attempt_ended(now, attempt, done(Err(Outcome::ConnectFailed)));
+            hands.engine.attempt_ended(now, attempt, done(Err(Outcome::ConnectFailed)));
         }
     }
 
--- a/src/frontends/platform/downstream.rs
+++ b/src/frontends/platform/downstream.rs
@@ -9,8 +9,8 @@
 use crate::frontends::connection_slots::Places;
 use crate::http::{self, HttpError, Reader, Side};
 use crate::net::{ConnId, Filled, MAX_BODY, NetEvent};
-use crate::server::Hands;
-use crate::server::drain::Step;
+use crate::server::FrontendContext;
+use crate::server::drain::DrainPhase;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -37,16 +37,25 @@
     used: UsedIds,
     /// Not ready, and how far clients are sent away.
     draining: bool,
-    leaving: Step,
+    leaving: DrainPhase,
 }
 
-type Platform<'a> = Hands<'a, Carried, String>;
+type Platform<'a> = FrontendContext<'a, Carried, String>;
 
 impl Clients {
     /// The client side, with the classes' names, and its places.
     pub fn new(names: Names, shards: u32, places: Places) -> Clients {
         let (clients, waiting, used) = (HashMap::new(), HashMap::new(), UsedIds::default());
-        Clients { names, shards, clients, waiting, places, used, draining: false, leaving: Step::Serve }
+        Clients {
+            names,
+            shards,
+            clients,
+            waiting,
+            places,
+            used,
+            draining: false,
+            leaving: DrainPhase::Serving,
+        }
     }
 
     /// No connection is held.
@@ -109,7 +118,7 @@
             if self.places.first_to_go() == Some(conn) {
                 tracing::debug!("client connection closed to make room");
                 if self.places.may_ask(conn) {
-                    let wait = hands.exchange.overloaded().retry_after;
+                    let wait = hands.engine.overloaded().retry_after;
                     self.part_with(conn, &http::no_room(wait), hands);
                 } else {
                     self.close(conn, hands);
@@ -127,7 +136,7 @@
         self.places.gone(conn);
         if let Some(query) = self.clients.remove(&conn).and_then(|c| c.query) {
             self.waiting.remove(&query);
-            hands.exchange.client_disconnected(query);
+            hands.engine.client_disconnected(query);
         }
     }
 
@@ -186,7 +195,7 @@
                     if self.free_a_buffer(conn, hands) {
                         continue;
                     }
-                    let wait = hands.exchange.overloaded().retry_after;
+                    let wait = hands.engine.overloaded().retry_after;
                     return self.part_with(conn, &http::no_room(wait), hands);
                 }
                 Err(e) => return self.unreadable(conn, e, hands),
@@ -249,7 +258,7 @@
 
     fn open(&mut self, conn: ConnId, ask: QueryRequest<Carried>, hands: &mut Platform) {
         let id = ask.payload.id.clone();
-        match hands.exchange.submit(hands.now, ask) {
+        match hands.engine.submit(hands.now, ask) {
             Ok(query) => {
                 if let Some(client) = self.clients.get_mut(&conn) {
                     (client.query, client.id) = (Some(query), Some(id.clone()));
@@ -284,8 +293,8 @@
         let Some(client) = self.clients.get_mut(&conn) else { return };
         client.reader.reset();
         // Guards requests that were sent ahead: they are answered before the connection ends, but not without end.
-        let ahead = self.leaving < Step::Over && !hands.net.data(conn).is_empty();
-        let keep = client.keep_alive && (self.leaving < Step::LastAnswers || ahead);
+        let ahead = self.leaving < DrainPhase::ClosingAll && !hands.net.data(conn).is_empty();
+        let keep = client.keep_alive && (self.leaving < DrainPhase::ClosingAfterAnswer || ahead);
         let message = http::response(status, headers, keep, body);
         if hands.net.send(conn, &message).is_err() {
             tracing::warn!("client {} closed: it does not read its answers", client.peer);
@@ -304,7 +313,7 @@
         &mut self,
         query: QueryId,
         answer: QueryOutcome<String>,
-        hands: &mut Hands<Carried, String>,
+        hands: &mut FrontendContext<Carried, String>,
     ) {
         let Some(conn) = self.waiting.remove(&query) else { return };
         if let Some(client) = self.clients.get_mut(&conn) {
@@ -338,7 +347,7 @@
     }
 
     /// How clients are to be treated from now on.
-    pub fn step(&mut self, step: Step) {
+    pub fn step(&mut self, step: DrainPhase) {
         self.leaving = step;
     }
 
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -6,15 +6,15 @@
 use crate::config::{self, ConfigError, Platform};
 use crate::engine::{EngineAction, QueryEngine};
 use crate::frontends::connection_slots::Places;
-use crate::hot_restart::Handover;
+use crate::hot_restart::HotRestart;
 use crate::hot_restart::coordination::Limits;
 use crate::membership::poll_backoff::AskAgain;
 use crate::membership::{Layout, Roster, RosterSettings};
 use crate::net::{Clock, NetEvent, Place, Pool, Reactor, inherited};
-use crate::server::discovery_watch::Watch;
-use crate::server::drain::Step;
-use crate::server::membership_driver::Membership;
-use crate::server::{Broker, BrokerError, Front, Hands};
+use crate::server::discovery_watch::DiscoveryWatch;
+use crate::server::drain::DrainPhase;
+use crate::server::membership_driver::MembershipDriver;
+use crate::server::{Broker, BrokerError, Frontend, FrontendContext};
 use crate::storage::snapshot_store::Keeper;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -48,7 +48,7 @@
 pub struct PlatformFront {
     clients: Clients,
     servers: Servers,
-    membership: Membership,
+    membership: MembershipDriver,
     /// What is read again when the word comes.
     file: Option<PathBuf>,
     /// Descriptors for neither clients nor shard servers.
@@ -96,7 +96,7 @@
         open: settings.max_in_flight as usize,
         window: settings.retry_budget.map_or(0, |b| b.window),
     };
-    let handed = told.hand_over.as_deref().and_then(|dir| Handover::open(dir, limits_of_all, now));
+    let handed = told.hand_over.as_deref().and_then(|dir| HotRestart::open(dir, limits_of_all, now));
     if let Some((_, _, lists)) = &handed {
         roster.kept(lists, now);
     }
@@ -105,20 +105,24 @@
         roster.known(list, now);
     }
     let out = handed.iter().flat_map(|(_, words, _)| words.out()).map(str::to_owned).collect::<Vec<_>>();
-    let watch = Watch::new(ROSTER, told.discovery, told.params.dial_timeout());
-    let membership = Membership::new(roster, keeper).out_by_hand(out);
+    let watch = DiscoveryWatch::new(ROSTER, told.discovery, told.params.dial_timeout());
+    let membership = MembershipDriver::new(roster, keeper).with_suspended(out);
     let mut membership = match settings.discovery {
-        Discovery::Polled => membership.asked_by_module(watch, told.seed),
+        Discovery::Polled => membership.watch_on_request(watch, told.seed),
         // What is pushed counts as told whether or not a watch is open: one has to be, from the first moment on,
         // and after a break soon enough that a drain is still heard of within its grace.
         Discovery::Pushed => {
             let grace = told.params.drain_grace();
-            membership.asking(watch, AskAgain::new(grace / ASK_WITHIN, grace / ASK_WITHIN, told.seed), now)
+            membership.poll_with_backoff(
+                watch,
+                AskAgain::new(grace / ASK_WITHIN, grace / ASK_WITHIN, told.seed),
+                now,
+            )
         }
     };
     let clients = Clients::new(names, settings.shards, Places::new(most, told.sockets / CLIENTS_KEPT, IDLE));
     let mut exchange = QueryEngine::new(settings, told.seed, now).map_err(|e| ConfigError(e.to_string()))?;
-    let mut hands = Hands { now, net: &mut net, exchange: &mut exchange };
+    let mut hands = FrontendContext { now, net: &mut net, engine: &mut exchange };
     membership.pass_on(&mut hands, |c| servers.place(c.listed.replica, c.addr));
     // The list of servers is in before the first client can come.
     exchange.advance(now);
@@ -131,61 +135,61 @@
     let front = PlatformFront { clients, servers, membership, file: told.file, apart };
     let mut broker = Broker::new(clock, net, exchange, front);
     if let Some(ops) = told.ops {
-        broker.operated_at(ops)?;
+        broker.listen_admin(ops)?;
     }
     if let Some((handover, words, _)) = handed {
-        broker.among(handover, words);
+        broker.join_hot_restart(handover, words);
     }
     Ok((broker, listening))
 }
 
-impl Front for PlatformFront {
+impl Frontend for PlatformFront {
     type Query = Carried;
     type Value = String;
 
-    fn event(&mut self, event: NetEvent, hands: &mut Hands<Carried, String>) {
+    fn on_event(&mut self, event: NetEvent, hands: &mut FrontendContext<Carried, String>) {
         match event.owner() {
             Some(CLIENTS) => self.clients.event(event, hands),
             Some(SERVERS) => self.servers.event(event, hands),
-            Some(ROSTER) => self.membership.event(event, hands.now, hands.net),
+            Some(ROSTER) => self.membership.on_event(event, hands.now, hands.net),
             _ => {}
         }
     }
 
-    fn tick(&mut self, hands: &mut Hands<Carried, String>) {
+    fn tick(&mut self, hands: &mut FrontendContext<Carried, String>) {
         self.servers.tick(hands);
         self.clients.tick(hands);
         self.membership.tick(hands, |c| self.servers.place(c.listed.replica, c.addr));
     }
 
-    fn work(&mut self, work: EngineAction<Carried, String>, hands: &mut Hands<Carried, String>) {
+    fn perform(&mut self, work: EngineAction<Carried, String>, hands: &mut FrontendContext<Carried, String>) {
         match work {
             EngineAction::Call { replica, parts } => self.servers.call(replica, parts, hands),
             EngineAction::CancelAttempt { attempt, .. } => self.servers.give_up(attempt, hands.net),
             EngineAction::Respond { query, outcome: answer } => self.clients.finish(query, answer, hands),
             EngineAction::WatchEndpoints => {
-                self.membership.begin(hands.now, hands.net);
+                self.membership.begin_watch(hands.now, hands.net);
                 self.membership.pass_on(hands, |c| self.servers.place(c.listed.replica, c.addr));
             }
             // Shard servers on this port are not probed; the settings forbid it.
-            EngineAction::HealthCheck { replica } => hands.exchange.health_checked(replica, false, 0, None),
+            EngineAction::HealthCheck { replica } => hands.engine.health_checked(replica, false, 0, None),
         }
     }
 
-    fn due(&self) -> Option<Nanos> {
-        [self.servers.due(), self.membership.due(), self.clients.due()].into_iter().flatten().min()
+    fn next_deadline(&self) -> Option<Nanos> {
+        [self.servers.due(), self.membership.next_deadline(), self.clients.due()].into_iter().flatten().min()
     }
 
-    fn ready(&mut self, ready: bool) {
+    fn set_ready(&mut self, ready: bool) {
         self.clients.ready(ready);
     }
 
-    fn step(&mut self, step: Step) {
+    fn set_drain_phase(&mut self, step: DrainPhase) {
         self.clients.step(step);
     }
 
     /// Discovery alone may move while the broker serves; all else holds from the start to the end.
-    fn reload(&mut self, hands: &mut Hands<Carried, String>) {
+    fn reload(&mut self, hands: &mut FrontendContext<Carried, String>) {
         let Some(file) = &self.file else { return };
         match Platform::from_file(file) {
             Ok(told) => self.membership.move_to(told.discovery, hands.now, hands.net),
@@ -195,7 +199,7 @@
         self.membership.pass_on(hands, |c| self.servers.place(c.listed.replica, c.addr));
     }
 
-    fn close_idle(&mut self, hands: &mut Hands<Carried, String>) {
+    fn close_idle(&mut self, hands: &mut FrontendContext<Carried, String>) {
         self.clients.close_idle(hands);
     }
 
@@ -211,15 +215,15 @@
         self.clients.class_names()
     }
 
-    fn membership(&self) -> &Membership {
+    fn membership(&self) -> &MembershipDriver {
         &self.membership
     }
 
-    fn membership_mut(&mut self) -> &mut Membership {
+    fn membership_mut(&mut self) -> &mut MembershipDriver {
         &mut self.membership
     }
 
-    fn keep_to(&mut self, descriptors: usize, net: &mut Reactor) {
+    fn limit_descriptors(&mut self, descriptors: usize, net: &mut Reactor) {
         // What is held stays; only the rest is divided. Callers at the second address may still come.
         let rest = descriptors
             .saturating_sub(net.descriptors() + self.apart - net.accepted_at(Place::Desk).min(self.apart));
@@ -234,7 +238,7 @@
         self.clients.open_ids()
     }
 
-    fn ids_in_use(&mut self, ids: &[String], now: Nanos) {
+    fn reserve_ids(&mut self, ids: &[String], now: Nanos) {
         self.clients.ids_in_use(ids, now);
     }
 }
--- a/src/frontends/platform/upstream.rs
+++ b/src/frontends/platform/upstream.rs
@@ -5,7 +5,7 @@
 use crate::api::{Nanos, Outcome, ReplicaId};
 use crate::engine::{AttemptId, AttemptOutcome, AttemptRequest};
 use crate::net::{ConnId, Filled, NetEvent, Reactor};
-use crate::server::Hands;
+use crate::server::FrontendContext;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
@@ -13,7 +13,7 @@
 /// Guards against a peer that vanished: nothing says so, and its connection stays open.
 const SILENT: Nanos = 4_000_000_000;
 
-type Platform<'a> = Hands<'a, Carried, String>;
+type Platform<'a> = FrontendContext<'a, Carried, String>;
 
 /// A frame must be in whole so soon after its first byte. Guards against lengths that promise more than comes:
 /// the connection stays open, and nothing sent on it gets an answer.
@@ -130,14 +130,14 @@
             Ok(conn) => conn,
             Err(outcome) => {
                 for p in &parts {
-                    hands.exchange.attempt_ended(hands.now, p.attempt, failed(outcome));
+                    hands.engine.attempt_ended(hands.now, p.attempt, failed(outcome));
                 }
                 return;
             }
         };
         for p in &parts {
             self.by_attempt.insert(p.attempt, conn);
-            hands.exchange.attempt_queued(p.attempt);
+            hands.engine.attempt_queued(p.attempt);
         }
         if let Some(link) = self.links.get_mut(&conn) {
             link.waiting.push_back(Waiting { since: hands.now, parts });
@@ -153,7 +153,7 @@
             }
             let Some(Waiting { since, mut parts }) = link.waiting.pop_front() else { return };
             parts.retain(|p| {
-                let may = hands.exchange.begin_attempt(hands.now, p.attempt);
+                let may = hands.engine.begin_attempt(hands.now, p.attempt);
                 if !may {
                     self.by_attempt.remove(&p.attempt);
                 }
@@ -175,13 +175,13 @@
                 tracing::warn!("call not sent: the connection takes no more");
                 for p in &parts {
                     self.by_attempt.remove(&p.attempt);
-                    hands.exchange.attempt_ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
+                    hands.engine.attempt_ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
                 }
                 continue;
             }
             let (end, flushed) = (hands.net.queued(conn), hands.net.flushed(conn));
             link.unwritten.push_back((end, parts.len() as u64));
-            hands.exchange.attempts_written(link.written(flushed));
+            hands.engine.attempts_written(link.written(flushed));
             link.used = hands.now;
             link.unheard.get_or_insert(hands.now);
             for (p, id) in parts.iter().zip(ids) {
@@ -302,7 +302,7 @@
             NetEvent::Flushed { conn, .. } => {
                 let flushed = hands.net.flushed(conn);
                 if let Some(link) = self.links.get_mut(&conn) {
-                    hands.exchange.attempts_written(link.written(flushed));
+                    hands.engine.attempts_written(link.written(flushed));
                 }
                 self.write(conn, hands);
             }
@@ -352,7 +352,7 @@
                             End::Rejected => Outcome::Rejected,
                         };
                         let value = (end == End::Ok).then(|| value.to_owned());
-                        hands.exchange.attempt_ended(
+                        hands.engine.attempt_ended(
                             hands.now,
                             attempt,
                             AttemptOutcome { outcome, utilization: busy, value },
@@ -402,17 +402,17 @@
     /// only not waited for any more.
     fn end(&mut self, conn: ConnId, flushed: u64, mut why: Outcome, hands: &mut Platform) {
         let Some(mut link) = self.links.remove(&conn) else { return };
-        hands.exchange.attempts_written(link.written(flushed));
+        hands.engine.attempts_written(link.written(flushed));
         for p in link.waiting.into_iter().flat_map(|w| w.parts) {
             self.by_attempt.remove(&p.attempt);
-            hands.exchange.attempt_ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
+            hands.engine.attempt_ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
         }
         for r in link.riding {
             self.by_attempt.remove(&r.attempt);
             let written = flushed >= r.end;
             let outcome = if written { why } else { Outcome::ConnectFailed };
             tracing::debug!("attempt at {} ended with its connection: {outcome:?}", link.addr);
-            hands.exchange.attempt_ended(hands.now, r.attempt, failed(outcome));
+            hands.engine.attempt_ended(hands.now, r.attempt, failed(outcome));
             why = if written { Outcome::Cancelled } else { why };
         }
     }
--- a/src/hot_restart/coordination.rs
+++ b/src/hot_restart/coordination.rs
@@ -9,7 +9,7 @@
 //!   reserve, so that the next can start. A lease is lowered before that is told, and told before it is raised;
 //! - an older one leaves as soon as a younger one serves. One that ends or is killed before changes nothing.
 
-use super::state::{Stage, State, Words};
+use super::state::{Overrides, ProcessStage, ProcessState};
 use crate::api::Nanos;
 
 /// Another process at this address.
@@ -20,13 +20,13 @@
     /// Its process runs.
     pub alive: bool,
     /// What it told last, if that can be read.
-    pub state: Option<State>,
+    pub state: Option<ProcessState>,
 }
 
 impl Peer {
     /// What staff said, as far as it binds others. A server that is out stays out though the process that was told it has
     /// ended; a pause ends with that process, unless it could hand it on while it ran.
-    pub fn words(&self) -> Words {
+    pub fn words(&self) -> Overrides {
         let mut words = self.state.as_ref().map(|s| s.words.clone()).unwrap_or_default();
         words.pause = words.pause.filter(|_| self.alive);
         words
@@ -46,7 +46,7 @@
 
 /// What this process may have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Share {
+pub struct QuotaShare {
     /// Descriptors.
     pub descriptors: usize,
     /// Queries and parts.
@@ -66,7 +66,7 @@
 
 /// One process's view of the others.
 #[derive(Clone, Debug)]
-pub struct Succession {
+pub struct Coordination {
     serial: u64,
     limits: Limits,
     peers: Vec<Peer>,
@@ -78,10 +78,10 @@
     told: usize,
 }
 
-impl Succession {
+impl Coordination {
     /// The view of the process with this number; `found` is what it found at its start.
-    pub fn new(serial: u64, limits: Limits, found: Vec<Peer>, now: Nanos) -> Succession {
-        let mut s = Succession { serial, limits, peers: Vec::new(), older: None, frozen: None, told: 0 };
+    pub fn new(serial: u64, limits: Limits, found: Vec<Peer>, now: Nanos) -> Coordination {
+        let mut s = Coordination { serial, limits, peers: Vec::new(), older: None, frozen: None, told: 0 };
         // One that is found dead may have ended just now: its attempts count as those of one that runs.
         s.older = found.iter().any(|p| p.serial < serial).then_some(now);
         s.seen(found, (0, 0), now);
@@ -127,10 +127,10 @@
     }
 
     /// What this process may have now.
-    pub fn share(&self, now: Nanos) -> Share {
+    pub fn share(&self, now: Nanos) -> QuotaShare {
         let Limits { open, window, .. } = self.limits;
         let descriptors = self.lease().min(self.told);
-        let mut share = Share { descriptors, open, free_tries: true, succeeded: false };
+        let mut share = QuotaShare { descriptors, open, free_tries: true, succeeded: false };
         let alive = |p: &&Peer| p.alive;
         let older = self.peers.iter().filter(alive).filter(|p| p.serial < self.serial);
         let held: usize = older.filter_map(|p| p.state.as_ref()).map(|s| s.held).sum();
@@ -139,7 +139,7 @@
             share.open = share.open.min(queries.max(open / 2));
         }
         share.free_tries = self.older.is_none_or(|t| now >= t + window);
-        let serves = |p: &Peer| p.state.as_ref().is_some_and(|s| s.stage == Stage::Serving);
+        let serves = |p: &Peer| p.state.as_ref().is_some_and(|s| s.stage == ProcessStage::Serving);
         share.succeeded = self.peers.iter().filter(alive).any(|p| p.serial > self.serial && serves(p));
         share
     }
--- a/src/hot_restart/mod.rs
+++ b/src/hot_restart/mod.rs
@@ -12,9 +12,9 @@
 
 use crate::api::Nanos;
 use crate::membership::snapshot::Kept;
-use coordination::{Limits, Peer, Share, Succession};
-use state::{Stage, State, Words};
-use state_directory::{Leaf, Shelf};
+use coordination::{Coordination, Limits, Peer, QuotaShare};
+use state::{Overrides, ProcessStage, ProcessState};
+use state_directory::{StateDirectory, StateUpdate};
 use std::path::Path;
 
 /// Time between two states that are left, and between two looks at what the others left.
@@ -22,7 +22,7 @@
 
 /// How this process stands when it leaves a state.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Holds {
+pub struct ResourceUsage {
     /// Descriptors.
     pub descriptors: usize,
     /// Queries and parts.
@@ -33,20 +33,20 @@
 
 /// This process's place among those at its address.
 #[derive(Debug)]
-pub struct Handover {
-    shelf: Shelf,
-    succession: Succession,
-    stage: Stage,
+pub struct HotRestart {
+    shelf: StateDirectory,
+    succession: Coordination,
+    stage: ProcessStage,
     /// The list that was last left, by its version.
     list: Option<(u32, u64)>,
     due: Nanos,
 }
 
-impl Handover {
+impl HotRestart {
     /// Takes its place: what staff said to the processes before, and their lists of servers. None where the directory
     /// can't be used: the process then starts as if it were alone.
-    pub fn open(dir: &Path, limits: Limits, now: Nanos) -> Option<(Handover, Words, Vec<Kept>)> {
-        let (found, shelf) = match Shelf::open(dir) {
+    pub fn open(dir: &Path, limits: Limits, now: Nanos) -> Option<(HotRestart, Overrides, Vec<Kept>)> {
+        let (found, shelf) = match StateDirectory::open(dir) {
             Ok(opened) => opened,
             Err(e) => {
                 tracing::error!("nothing is handed over: {}: {e}", dir.display());
@@ -56,7 +56,7 @@
         if !found.wrong.is_empty() {
             tracing::error!("handed over and not used: {}", found.wrong.join("; "));
         }
-        let mut words = Words::default();
+        let mut words = Overrides::default();
         for peer in &found.peers {
             words.merge(&peer.words());
         }
@@ -66,32 +66,32 @@
             found.peers.iter().filter(|p| p.alive).count(),
             words.out().count()
         );
-        let succession = Succession::new(found.serial, limits, found.peers, now);
-        let handover = Handover { shelf, succession, stage: Stage::Starting, list: None, due: now };
+        let succession = Coordination::new(found.serial, limits, found.peers, now);
+        let handover = HotRestart { shelf, succession, stage: ProcessStage::Starting, list: None, due: now };
         Some((handover, words, found.lists))
     }
 
     /// What this process may have now.
-    pub fn share(&self, now: Nanos) -> Share {
+    pub fn share(&self, now: Nanos) -> QuotaShare {
         self.succession.share(now)
     }
 
     /// What the other processes told last, where that was looked at since.
-    pub fn look(&mut self, holds: &Holds, now: Nanos) -> Option<&[Peer]> {
+    pub fn observe(&mut self, holds: &ResourceUsage, now: Nanos) -> Option<&[Peer]> {
         let peers = self.shelf.seen()?;
         self.succession.seen(peers, (holds.descriptors, holds.held), now);
         Some(self.succession.peers())
     }
 
     /// How far this process has come; told with the next state, which is due at once.
-    pub fn stage(&mut self, stage: Stage) {
+    pub fn set_stage(&mut self, stage: ProcessStage) {
         if std::mem::replace(&mut self.stage, stage) != stage {
             self.due = 0;
         }
     }
 
     /// Something was said that must not be lost: the next state is due at once.
-    pub fn hurry(&mut self) {
+    pub fn publish_now(&mut self) {
         self.due = 0;
     }
 
@@ -101,20 +101,21 @@
     }
 
     /// Leaves a state, and with it the list where it has another version than the last one.
-    pub fn leave(
+    pub fn publish(
         &mut self,
-        holds: Holds,
-        words: &Words,
+        holds: ResourceUsage,
+        words: &Overrides,
         version: (u32, u64),
         list: impl FnOnce() -> Kept,
         now: Nanos,
     ) {
         self.due = now + EVERY;
         let list = (self.list != Some(version)).then(list);
-        let (Holds { held, open_ids, .. }, lease) = (holds, self.succession.lease());
-        let state = State { written: now, stage: self.stage, words: words.clone(), lease, held, open_ids };
+        let (ResourceUsage { held, open_ids, .. }, lease) = (holds, self.succession.lease());
+        let state =
+            ProcessState { written: now, stage: self.stage, words: words.clone(), lease, held, open_ids };
         let told = list.is_some();
-        if self.shelf.leave(Leaf { state, list }) {
+        if self.shelf.leave(StateUpdate { state, list }) {
             self.succession.told(lease);
             if told {
                 self.list = Some(version);
@@ -123,7 +124,7 @@
     }
 
     /// When something is next to be done.
-    pub fn due(&self, now: Nanos) -> Nanos {
+    pub fn next_deadline(&self, now: Nanos) -> Nanos {
         self.succession.due(now).map_or(self.due, |t| t.min(self.due))
     }
 }
--- a/src/hot_restart/state.rs
+++ b/src/hot_restart/state.rs
@@ -13,7 +13,7 @@
 
 /// How far a process has come.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Stage {
+pub enum ProcessStage {
     /// It takes no clients yet.
     #[default]
     Starting,
@@ -25,7 +25,7 @@
 
 /// Staff's last word on something, and when it was given. The later word holds; of two at one time the stricter.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Word {
+pub struct Override {
     /// Unix time, ns.
     pub at: Nanos,
     /// Taken out, or sent away.
@@ -35,19 +35,19 @@
 /// What staff have said. Merging is commutative, associative and idempotent: whoever hears what from whom in which
 /// order, all come to hold the same.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
-pub struct Words {
+pub struct Overrides {
     /// On each server by its id.
-    pub servers: BTreeMap<String, Word>,
+    pub servers: BTreeMap<String, Override>,
     /// On the pause.
-    pub pause: Option<Word>,
+    pub pause: Option<Override>,
 }
 
-impl Words {
+impl Overrides {
     /// A word on a server, later than any before it.
     pub fn server(&mut self, id: &str, out: bool, now: Nanos) {
         // Guards against a clock that went back between two processes: what is said last holds.
         let at = self.servers.get(id).map_or(now, |w| now.max(w.at + 1));
-        self.servers.insert(id.to_owned(), Word { at, out });
+        self.servers.insert(id.to_owned(), Override { at, out });
         while self.servers.len() > MOST_WORDS {
             let oldest = self.servers.iter().min_by_key(|(_, w)| (w.out, w.at)).map(|(id, _)| id.clone());
             oldest.and_then(|id| self.servers.remove(&id));
@@ -57,11 +57,11 @@
     /// A word on the pause.
     pub fn pause(&mut self, out: bool, now: Nanos) {
         let at = self.pause.map_or(now, |w| now.max(w.at + 1));
-        self.pause = Some(Word { at, out });
+        self.pause = Some(Override { at, out });
     }
 
     /// Takes in what another process holds. True if anything is new.
-    pub fn merge(&mut self, other: &Words) -> bool {
+    pub fn merge(&mut self, other: &Overrides) -> bool {
         let mut new = false;
         for (id, word) in &other.servers {
             if self.servers.get(id).is_none_or(|own| own < word) {
@@ -84,13 +84,13 @@
 
 /// What a process tells the others that serve at its address.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
-pub struct State {
+pub struct ProcessState {
     /// When this was written, unix ns.
     pub written: Nanos,
     /// How far it has come.
-    pub stage: Stage,
+    pub stage: ProcessStage,
     /// What staff have said.
-    pub words: Words,
+    pub words: Overrides,
     /// The most descriptors that it may come to hold.
     pub lease: usize,
     /// Queries and parts that it holds.
@@ -99,14 +99,14 @@
     pub open_ids: Vec<String>,
 }
 
-impl State {
+impl ProcessState {
     /// The bytes of a file.
     pub fn encode(&self) -> Result<Vec<u8>, Unsound> {
         FORMAT.encode(self)
     }
 
     /// Reads a file back.
-    pub fn decode(bytes: &[u8]) -> Result<State, Unsound> {
+    pub fn decode(bytes: &[u8]) -> Result<ProcessState, Unsound> {
         FORMAT.decode(bytes)
     }
 }
--- a/src/hot_restart/state_directory.rs
+++ b/src/hot_restart/state_directory.rs
@@ -5,7 +5,7 @@
 //! replaced by renaming: who reads finds one that is whole, unless the disk was full.
 
 use super::coordination::Peer;
-use super::state::State;
+use super::state::ProcessState;
 use crate::membership::snapshot::{self, Kept};
 use crate::storage::{Disk, Files};
 use std::collections::BTreeSet;
@@ -36,17 +36,17 @@
 
 /// What is to be written.
 #[derive(Debug)]
-pub struct Leaf {
+pub struct StateUpdate {
     /// The state.
-    pub state: State,
+    pub state: ProcessState,
     /// The list of servers, where it has changed.
     pub list: Option<Kept>,
 }
 
 /// The directory, worked on by a thread of its own.
 #[derive(Debug)]
-pub struct Shelf {
-    leaves: Option<SyncSender<Leaf>>,
+pub struct StateDirectory {
+    leaves: Option<SyncSender<StateUpdate>>,
     seen: Receiver<Vec<Peer>>,
     ended: Receiver<()>,
     thread: Option<JoinHandle<()>>,
@@ -74,7 +74,7 @@
     // Looked at first: a state that was read while its process lived is one that it wrote.
     let alive = is_alive(dir, serial);
     let read = match Disk.read(&at, super::state::FORMAT.most) {
-        Ok(bytes) => State::decode(&bytes).map(Some).map_err(|e| e.to_string()),
+        Ok(bytes) => ProcessState::decode(&bytes).map(Some).map_err(|e| e.to_string()),
         Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
         Err(e) => Err(e.to_string()),
     };
@@ -123,7 +123,7 @@
 }
 
 impl Clerk {
-    fn write(&mut self, leaf: &Leaf) {
+    fn write(&mut self, leaf: &StateUpdate) {
         let written = (|| -> Result<(), String> {
             let said = |e: io::Error| e.to_string();
             if let Some(list) = &leaf.list {
@@ -161,7 +161,7 @@
         peers
     }
 
-    fn work(mut self, leaves: &Receiver<Leaf>, tell: &SyncSender<Vec<Peer>>) {
+    fn work(mut self, leaves: &Receiver<StateUpdate>, tell: &SyncSender<Vec<Peer>>) {
         let mut next = Instant::now() + LOOK;
         // The number of looks since the first state of this process was written.
         let mut looks = 0;
@@ -186,10 +186,10 @@
     }
 }
 
-impl Shelf {
+impl StateDirectory {
     /// Takes a place in the directory, reads what the processes before have left, and starts the thread. Reads before
     /// the broker serves; from then on only the thread touches the disk.
-    pub fn open(dir: &Path) -> io::Result<(Found, Shelf)> {
+    pub fn open(dir: &Path) -> io::Result<(Found, StateDirectory)> {
         std::fs::create_dir_all(dir)?;
         let (serial, lock) = enter(dir)?;
         let mut found = Found { serial, ..Found::default() };
@@ -215,11 +215,11 @@
             let _ = end.send(());
         };
         let thread = std::thread::Builder::new().name("handover".into()).spawn(work)?;
-        Ok((found, Shelf { leaves: Some(leaves), seen, ended, thread: Some(thread) }))
+        Ok((found, StateDirectory { leaves: Some(leaves), seen, ended, thread: Some(thread) }))
     }
 
     /// Has a leaf written. Never blocks; false if the thread is behind.
-    pub fn leave(&self, leaf: Leaf) -> bool {
+    pub fn leave(&self, leaf: StateUpdate) -> bool {
         self.leaves.as_ref().is_some_and(|l| l.try_send(leaf).is_ok())
     }
 
@@ -229,7 +229,7 @@
     }
 }
 
-impl Drop for Shelf {
+impl Drop for StateDirectory {
     fn drop(&mut self) {
         drop(self.leaves.take());
         if self.ended.recv_timeout(LAST).is_ok()
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -7,7 +7,7 @@
 
 /// How a query ended, as clients see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
+pub enum QueryResult {
     /// Served, whole or in part.
     Ok,
     /// Refused: asking again is harmless.
@@ -18,7 +18,7 @@
 
 /// Queries of one class that have ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Ended {
+pub struct QueryCounts {
     /// Served.
     pub ok: u64,
     /// Refused.
@@ -29,14 +29,14 @@
 
 /// Counts from the process's start.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Figures {
-    classes: Vec<Ended>,
+pub struct Metrics {
+    classes: Vec<QueryCounts>,
     tries: u64,
 }
 
 /// How things stand.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Now {
+pub struct Gauges {
     /// Queries taken and not ended.
     pub active: usize,
     /// Servers in the list.
@@ -45,19 +45,19 @@
     pub pool_ejected: usize,
 }
 
-impl Figures {
+impl Metrics {
     /// All at 0, for so many classes.
-    pub fn new(classes: usize) -> Figures {
-        Figures { classes: vec![Ended::default(); classes], tries: 0 }
+    pub fn new(classes: usize) -> Metrics {
+        Metrics { classes: vec![QueryCounts::default(); classes], tries: 0 }
     }
 
     /// A query of this class has its final answer.
-    pub fn ended(&mut self, class: usize, end: End) {
+    pub fn ended(&mut self, class: usize, end: QueryResult) {
         let Some(c) = self.classes.get_mut(class) else { return };
         match end {
-            End::Ok => c.ok += 1,
-            End::Shed => c.shed += 1,
-            End::Error => c.errors += 1,
+            QueryResult::Ok => c.ok += 1,
+            QueryResult::Shed => c.shed += 1,
+            QueryResult::Error => c.errors += 1,
         }
     }
 
@@ -67,7 +67,7 @@
     }
 
     /// Queries that ended, class by class.
-    pub fn classes(&self) -> &[Ended] {
+    pub fn classes(&self) -> &[QueryCounts] {
         &self.classes
     }
 
@@ -77,8 +77,8 @@
     }
 
     /// One line of JSON; `names` are the classes' names in their order.
-    pub fn line(&self, names: &[String], now: Now) -> String {
-        let by_class = |count: fn(&Ended) -> u64| -> Value {
+    pub fn line(&self, names: &[String], now: Gauges) -> String {
+        let by_class = |count: fn(&QueryCounts) -> u64| -> Value {
             let counts = names.iter().zip(&self.classes).map(|(n, c)| (n.clone(), count(c).into()));
             counts.collect::<Map<String, Value>>().into()
         };
--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -27,7 +27,7 @@
 }
 
 /// The watch on discovery.
-pub struct Watch {
+pub struct DiscoveryWatch {
     owner: u8,
     discovery: SocketAddr,
     /// Time in which its connection must be up.
@@ -38,10 +38,10 @@
     silent: bool,
 }
 
-impl Watch {
+impl DiscoveryWatch {
     /// A watch whose connections carry the mark `owner` and are up within `dial_timeout`. It begins with `begin`.
-    pub fn new(owner: u8, discovery: SocketAddr, dial_timeout: Nanos) -> Watch {
-        Watch { owner, discovery, dial_timeout, standing: None, failed: false, silent: false }
+    pub fn new(owner: u8, discovery: SocketAddr, dial_timeout: Nanos) -> DiscoveryWatch {
+        DiscoveryWatch { owner, discovery, dial_timeout, standing: None, failed: false, silent: false }
     }
 
     /// Whether it broke, or could not begin, since this was last asked.
@@ -97,7 +97,7 @@
     }
 
     /// Takes in what happened on its connection.
-    pub fn event(&mut self, event: NetEvent, now: Nanos, net: &mut Reactor, roster: &mut Roster) {
+    pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut Reactor, roster: &mut Roster) {
         let ours = self.standing.as_ref().map(|w| w.conn);
         match event {
             NetEvent::Connected { conn, .. } if ours == Some(conn) => {
@@ -185,7 +185,7 @@
     }
 
     /// When `tick` is next worth calling.
-    pub fn due(&self) -> Option<Nanos> {
+    pub fn next_deadline(&self) -> Option<Nanos> {
         self.standing.as_ref().map(|w| w.by)
     }
 }
--- a/src/server/drain.rs
+++ b/src/server/drain.rs
@@ -25,17 +25,17 @@
 
 /// What is to be done with clients now. Each step holds what the one before it does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Step {
+pub enum DrainPhase {
     /// All are welcome.
-    Serve,
+    Serving,
     /// This broker says that it is not ready.
     NotReady,
     /// Each answer ends its connection, unless a further request was sent ahead.
-    LastAnswers,
+    ClosingAfterAnswer,
     /// Whoever waits for nothing is closed.
-    CloseIdle,
+    ClosingIdle,
     /// Each answer ends its connection, whatever was sent ahead.
-    Over,
+    ClosingAll,
 }
 
 /// Where other processes may serve at the same address: how long after the word to end it takes at most to know.
@@ -43,7 +43,7 @@
 
 /// The word to end, the pause, and the times that follow from them.
 #[derive(Clone, Copy, Debug)]
-pub struct Leave {
+pub struct DrainState {
     longest: Nanos,
     ending: Option<Nanos>,
     /// Another process serves at the same address by now: nobody need be waited for.
@@ -53,40 +53,40 @@
     shared: bool,
 }
 
-impl Leave {
+impl DrainState {
     /// Nobody leaves. `longest` is the longest time that any client waits.
-    pub fn new(longest: Nanos) -> Leave {
-        Leave { longest, ending: None, succeeded: false, paused: None, shared: false }
+    pub fn new(longest: Nanos) -> DrainState {
+        DrainState { longest, ending: None, succeeded: false, paused: None, shared: false }
     }
 
     /// Other processes may serve at this address.
-    pub fn shares(&mut self) {
+    pub fn share_address(&mut self) {
         self.shared = true;
     }
 
     /// Whether clients are welcome at this address, be it with this process or with the one that took over.
     pub fn is_ready(&self, now: Nanos) -> bool {
-        self.step(now) == Step::Serve || (self.succeeded && self.paused.is_none())
+        self.phase(now) == DrainPhase::Serving || (self.succeeded && self.paused.is_none())
     }
 
     /// The word to end. Only the first counts.
-    pub fn end(&mut self, now: Nanos) {
+    pub fn begin_shutdown(&mut self, now: Nanos) {
         self.ending.get_or_insert(now);
     }
 
     /// Another process serves at this address: this one ends, if it was not told to already.
-    pub fn succeeded(&mut self, now: Nanos) {
-        self.end(now);
+    pub fn successor_serves(&mut self, now: Nanos) {
+        self.begin_shutdown(now);
         self.succeeded = true;
     }
 
     /// Whether another process serves at this address.
-    pub fn is_succeeded(&self) -> bool {
+    pub fn has_successor(&self) -> bool {
         self.succeeded
     }
 
     /// Whether the word to end has come.
-    pub fn is_ending(&self) -> bool {
+    pub fn is_shutting_down(&self) -> bool {
         self.ending.is_some()
     }
 
@@ -106,29 +106,29 @@
     }
 
     /// What is to be done now.
-    pub fn step(&self, now: Nanos) -> Step {
-        let pause = self.paused.map_or(Step::Serve, |t| match now.saturating_sub(t) {
-            gone if gone < KEEP_ACCEPTING => Step::NotReady,
-            gone if gone < KEEP_ACCEPTING + ANSWERS_ALONE => Step::LastAnswers,
-            gone if gone < ANSWERS_AHEAD => Step::CloseIdle,
-            _ => Step::Over,
+    pub fn phase(&self, now: Nanos) -> DrainPhase {
+        let pause = self.paused.map_or(DrainPhase::Serving, |t| match now.saturating_sub(t) {
+            gone if gone < KEEP_ACCEPTING => DrainPhase::NotReady,
+            gone if gone < KEEP_ACCEPTING + ANSWERS_ALONE => DrainPhase::ClosingAfterAnswer,
+            gone if gone < ANSWERS_AHEAD => DrainPhase::ClosingIdle,
+            _ => DrainPhase::ClosingAll,
         });
-        let end = match (self.ending, self.stops_listening()) {
-            (Some(t), _) if self.succeeded && now >= t + ANSWERS_ALONE => Step::CloseIdle,
-            (Some(_), _) if self.succeeded => Step::LastAnswers,
+        let end = match (self.ending, self.stop_listening_at()) {
+            (Some(t), _) if self.succeeded && now >= t + ANSWERS_ALONE => DrainPhase::ClosingIdle,
+            (Some(_), _) if self.succeeded => DrainPhase::ClosingAfterAnswer,
             (Some(_), Some(t)) if now >= t && now >= self.killed().saturating_sub(STOP_SERVING) => {
-                Step::CloseIdle
+                DrainPhase::ClosingIdle
             }
             // Guards an upgrade: to say no while another process serves would send clients away from both.
-            (Some(t), _) if self.shared && now < t + KNOWN_BY => Step::Serve,
-            (Some(_), _) => Step::NotReady,
-            (None, _) => Step::Serve,
+            (Some(t), _) if self.shared && now < t + KNOWN_BY => DrainPhase::Serving,
+            (Some(_), _) => DrainPhase::NotReady,
+            (None, _) => DrainPhase::Serving,
         };
         pause.max(end)
     }
 
     /// When listeners close; none while they stay open.
-    pub fn stops_listening(&self) -> Option<Nanos> {
+    pub fn stop_listening_at(&self) -> Option<Nanos> {
         self.ending.map(|t| if self.succeeded { t } else { t + KEEP_ACCEPTING })
     }
 
@@ -143,19 +143,19 @@
     }
 
     /// When the program ends though somebody does not read an answer.
-    pub fn ends_at_last(&self) -> Option<Nanos> {
+    pub fn exit_by(&self) -> Option<Nanos> {
         self.ending.map(|t| t + KEEP_ACCEPTING + self.longest)
     }
 
     /// When the step next changes, or is to be looked at again.
-    pub fn due(&self, now: Nanos) -> Option<Nanos> {
-        if self.step(now) >= Step::CloseIdle {
+    pub fn next_deadline(&self, now: Nanos) -> Option<Nanos> {
+        if self.phase(now) >= DrainPhase::ClosingIdle {
             return Some(now + 20_000_000);
         }
         let told = self.ending.filter(|_| self.shared).map(|t| t + KNOWN_BY).filter(|t| now < *t);
         let pause = self.paused.map(|t| t + KEEP_ACCEPTING);
         let pause = pause.map(|t| if now >= t { t + ANSWERS_ALONE } else { t });
-        let end = self.stops_listening().map(|t| if now >= t { now + 20_000_000 } else { t });
+        let end = self.stop_listening_at().map(|t| if now >= t { now + 20_000_000 } else { t });
         [told, pause, end].into_iter().flatten().min()
     }
 }
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -1,19 +1,19 @@
 //! One broker: the poll loop, with the exchange between the two sides of a front.
 
-use crate::admin::{self, Aside, Call, Desk, Reply};
+use crate::admin::{self, AdminRequest, AdminResponse, AdminServer, CommandOptions};
 use crate::api::Nanos;
 use crate::cluster::{self, Cluster};
 use crate::config::{Clustered, ConfigError};
 use crate::engine::{EngineAction, QueryEngine, QueryOutcome};
-use crate::hot_restart::coordination::Share;
-use crate::hot_restart::state::{Stage, Words};
-use crate::hot_restart::{Handover, Holds};
+use crate::hot_restart::coordination::QuotaShare;
+use crate::hot_restart::state::{Overrides, ProcessStage};
+use crate::hot_restart::{HotRestart, ResourceUsage};
 use crate::membership::NeverListed;
 use crate::metrics;
 use crate::net::{Clock, ConnId, NetEvent, Reactor, Signal, Signals, Waker};
 use crate::replication::{Key, Value};
-use crate::server::drain::{Leave, Step};
-use crate::server::membership_driver::Membership;
+use crate::server::drain::{DrainPhase, DrainState};
+use crate::server::membership_driver::MembershipDriver;
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
@@ -56,42 +56,42 @@
 }
 
 /// What is at hand while a front works.
-pub struct Hands<'a, Q, V> {
+pub struct FrontendContext<'a, Q, V> {
     /// The time.
     pub now: Nanos,
     /// The sockets.
     pub net: &'a mut Reactor,
     /// The exchange.
-    pub exchange: &'a mut QueryEngine<Q, V>,
+    pub engine: &'a mut QueryEngine<Q, V>,
 }
 
 /// A front: a client side and a server side that meet only in the exchange.
-pub trait Front {
+pub trait Frontend {
     /// What a query carries.
     type Query;
     /// The value of a part.
     type Value;
 
     /// Something happened on a socket of the front's.
-    fn event(&mut self, event: NetEvent, hands: &mut Hands<Self::Query, Self::Value>);
+    fn on_event(&mut self, event: NetEvent, hands: &mut FrontendContext<Self::Query, Self::Value>);
     /// Time has gone by.
-    fn tick(&mut self, hands: &mut Hands<Self::Query, Self::Value>);
+    fn tick(&mut self, hands: &mut FrontendContext<Self::Query, Self::Value>);
     /// The exchange wants something done.
-    fn work(
+    fn perform(
         &mut self,
         work: EngineAction<Self::Query, Self::Value>,
-        hands: &mut Hands<Self::Query, Self::Value>,
+        hands: &mut FrontendContext<Self::Query, Self::Value>,
     );
     /// When `tick` is next worth calling.
-    fn due(&self) -> Option<Nanos>;
+    fn next_deadline(&self) -> Option<Nanos>;
     /// Whether it is ready for clients, for those who ask that.
-    fn ready(&mut self, ready: bool);
+    fn set_ready(&mut self, ready: bool);
     /// How clients are to be treated from now on.
-    fn step(&mut self, step: Step);
+    fn set_drain_phase(&mut self, step: DrainPhase);
     /// The word to read its configuration again has come. Whatever it finds, it goes on serving.
-    fn reload(&mut self, hands: &mut Hands<Self::Query, Self::Value>);
+    fn reload(&mut self, hands: &mut FrontendContext<Self::Query, Self::Value>);
     /// Clients are sent away: whoever waits for nothing is to be closed.
-    fn close_idle(&mut self, hands: &mut Hands<Self::Query, Self::Value>);
+    fn close_idle(&mut self, hands: &mut FrontendContext<Self::Query, Self::Value>);
     /// Owners of the listeners.
     fn listeners(&self) -> &[u8];
     /// No client is connected.
@@ -99,15 +99,15 @@
     /// The classes' names in the order of the settings.
     fn class_names(&self) -> Vec<String>;
     /// Who is there to take parts.
-    fn membership(&self) -> &Membership;
+    fn membership(&self) -> &MembershipDriver;
     /// See `membership`.
-    fn membership_mut(&mut self) -> &mut Membership;
+    fn membership_mut(&mut self) -> &mut MembershipDriver;
     /// From now on it keeps to so many descriptors.
-    fn keep_to(&mut self, descriptors: usize, net: &mut Reactor);
+    fn limit_descriptors(&mut self, descriptors: usize, net: &mut Reactor);
     /// Ids of open queries that must not be taken twice.
     fn open_ids(&self) -> Vec<String>;
     /// Ids that another process has in use.
-    fn ids_in_use(&mut self, ids: &[String], now: Nanos);
+    fn reserve_ids(&mut self, ids: &[String], now: Nanos);
 }
 
 /// Time between two lines that tell how queries ended.
@@ -115,7 +115,7 @@
 
 /// How queries ended since the last such line.
 #[derive(Default)]
-struct Tally {
+struct QueryStats {
     told: Nanos,
     whole: u64,
     partial: u64,
@@ -123,7 +123,7 @@
     failed: u64,
 }
 
-impl Tally {
+impl QueryStats {
     fn count<V>(&mut self, answer: &QueryOutcome<V>) {
         match answer {
             QueryOutcome::Answered(a) if a.complete => self.whole += 1,
@@ -134,45 +134,45 @@
     }
 
     fn tell(&mut self, now: Nanos, open: usize, out: usize) {
-        let Tally { told, whole, partial, refused, failed } = *self;
+        let QueryStats { told, whole, partial, refused, failed } = *self;
         if now >= told + TALLY && whole + partial + refused + failed > 0 {
             tracing::info!(
                 "queries: {whole} whole, {partial} partial, {refused} refused, {failed} failed; \
                  {open} open with {out} attempts out"
             );
-            *self = Tally { told: now, ..Tally::default() };
+            *self = QueryStats { told: now, ..QueryStats::default() };
         }
     }
 }
 
 /// A broker, ready to run.
-pub struct Broker<F: Front> {
+pub struct Broker<F: Frontend> {
     clock: Clock,
     net: Reactor,
     exchange: QueryEngine<F::Query, F::Value>,
     front: F,
-    leave: Leave,
+    leave: DrainState,
     /// The step that the front was told, whether the listeners are closed, and when to look for idle clients again.
-    step: Step,
+    step: DrainPhase,
     closed: bool,
     look: Nanos,
     /// The second address, where there is one.
-    desk: Option<Desk>,
+    desk: Option<AdminServer>,
     class_names: Vec<String>,
     /// What staff have said, here or to another process at this address.
-    words: Words,
+    words: Overrides,
     /// The other processes at this address, where there may be any, and the share that was told the front.
-    handover: Option<Handover>,
-    share: Option<Share>,
+    handover: Option<HotRestart>,
+    share: Option<QuotaShare>,
     /// Its place in a cluster, where it has one, and what of it holds here already.
     cluster: Option<Cluster>,
-    held: Held,
-    tally: Tally,
+    held: AppliedClusterState,
+    tally: QueryStats,
 }
 
 /// What a cluster's words have come to mean for this broker.
 #[derive(Default)]
-struct Held {
+struct AppliedClusterState {
     out: BTreeSet<String>,
     paused: bool,
     /// The words on disk were compared with what an earlier process handed over.
@@ -181,15 +181,16 @@
     longest_turn: Nanos,
 }
 
-impl<F: Front> Broker<F> {
+impl<F: Frontend> Broker<F> {
     /// Puts a broker together.
     pub fn new(clock: Clock, net: Reactor, exchange: QueryEngine<F::Query, F::Value>, front: F) -> Broker<F> {
         let longest = exchange.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        let tally = Tally { told: clock.now(), ..Tally::default() };
+        let tally = QueryStats { told: clock.now(), ..QueryStats::default() };
         let class_names = front.class_names();
-        let (leave, step, closed, look, desk) = (Leave::new(longest), Step::Serve, false, 0, None);
-        let (words, handover, share) = (Words::default(), None, None);
-        let (cluster, held) = (None, Held::default());
+        let (leave, step, closed, look, desk) =
+            (DrainState::new(longest), DrainPhase::Serving, false, 0, None);
+        let (words, handover, share) = (Overrides::default(), None, None);
+        let (cluster, held) = (None, AppliedClusterState::default());
         Broker {
             clock,
             net,
@@ -212,18 +213,18 @@
 
     /// Others may serve at this address too: the one before, and one day the one after. `words` is what the one before
     /// was told by staff.
-    pub fn among(&mut self, handover: Handover, words: Words) {
+    pub fn join_hot_restart(&mut self, handover: HotRestart, words: Overrides) {
         let now = self.clock.now();
         if words.pause.is_some_and(|w| w.out) {
             self.leave.pause(now);
         }
-        self.leave.shares();
+        self.leave.share_address();
         (self.handover, self.words) = (Some(handover), words);
         self.others(now);
     }
 
     /// It belongs to a cluster from now on.
-    pub fn in_cluster(&mut self, told: &Clustered, name: &str) -> Result<(), BrokerError> {
+    pub fn join_cluster(&mut self, told: &Clustered, name: &str) -> Result<(), BrokerError> {
         let now = self.clock.now();
         let cluster = Cluster::open(told, name, now, &mut self.net).map_err(BrokerError::io("cluster"))?;
         self.cluster = Some(cluster);
@@ -232,20 +233,20 @@
     }
 
     /// Answers at this second address from now on; tells where.
-    pub fn operated_at(&mut self, addr: SocketAddr) -> Result<SocketAddr, BrokerError> {
-        let desk = Desk::open(addr, &mut self.net).map_err(BrokerError::io("listen for operation"))?;
+    pub fn listen_admin(&mut self, addr: SocketAddr) -> Result<SocketAddr, BrokerError> {
+        let desk = AdminServer::open(addr, &mut self.net).map_err(BrokerError::io("listen for operation"))?;
         let listening = self.desk.insert(desk).listening();
         tracing::info!("calls for operation are taken at {listening}");
         Ok(listening)
     }
 
     /// Does from now on what these signals tell.
-    pub fn obey(&mut self, signals: Signals) -> Result<(), BrokerError> {
+    pub fn handle_signals(&mut self, signals: Signals) -> Result<(), BrokerError> {
         self.net.watch_signals(signals).map_err(BrokerError::io("signals"))
     }
 
     /// Something by which another thread can tell this broker to end in an orderly way.
-    pub fn stopper(&mut self) -> Result<Waker, BrokerError> {
+    pub fn shutdown_handle(&mut self) -> Result<Waker, BrokerError> {
         self.net.waker().map_err(BrokerError::io("waker"))
     }
 
@@ -253,11 +254,12 @@
     pub fn run(mut self) -> Result<(), BrokerError> {
         let mut events = Vec::new();
         while !self.finished() {
-            let timeout = self.due().map(|t| Duration::from_nanos(t.saturating_sub(self.clock.now())));
+            let timeout =
+                self.next_deadline().map(|t| Duration::from_nanos(t.saturating_sub(self.clock.now())));
             self.net.wait(timeout, &mut events).map_err(BrokerError::io("poll"))?;
             let now = self.clock.now();
             for event in events.drain(..) {
-                self.event(event, now);
+                self.on_event(event, now);
             }
             self.turn(now);
             if self.cluster.is_some() {
@@ -268,13 +270,13 @@
         Ok(())
     }
 
-    fn event(&mut self, event: NetEvent, now: Nanos) {
-        let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
+    fn on_event(&mut self, event: NetEvent, now: Nanos) {
+        let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
         match event {
-            NetEvent::Signal(Signal::End) if self.leave.is_ending() => {}
+            NetEvent::Signal(Signal::End) if self.leave.is_shutting_down() => {}
             NetEvent::Signal(Signal::End) => {
                 tracing::info!("draining: {} queries are open", self.exchange.open_queries());
-                self.leave.end(now);
+                self.leave.begin_shutdown(now);
             }
             NetEvent::Signal(Signal::Reload) => {
                 self.front.reload(&mut hands);
@@ -282,7 +284,7 @@
             }
             _ if event.owner() == Some(admin::OWNER) => {
                 if let Some(desk) = &mut self.desk {
-                    desk.event(event, now, &mut self.net);
+                    desk.on_event(event, now, &mut self.net);
                     self.calls(now);
                 }
             }
@@ -293,13 +295,13 @@
                     cluster.spent(self.clock.now().saturating_sub(begun));
                 }
             }
-            _ => self.front.event(event, &mut hands),
+            _ => self.front.on_event(event, &mut hands),
         }
     }
 
     /// Carries out the calls that have come.
     fn calls(&mut self, now: Nanos) {
-        while let Some((conn, call)) = self.desk.as_mut().and_then(Desk::next_call) {
+        while let Some((conn, call)) = self.desk.as_mut().and_then(AdminServer::next_request) {
             let reply = self.call(call, conn, now);
             if let (Some(desk), Some(reply)) = (&mut self.desk, reply) {
                 desk.answer(conn, &reply, &mut self.net);
@@ -308,18 +310,28 @@
     }
 
     /// The answer; none where it comes once a word is on disk.
-    fn call(&mut self, call: Call, caller: ConnId, now: Nanos) -> Option<Reply> {
+    fn call(&mut self, call: AdminRequest, caller: ConnId, now: Nanos) -> Option<AdminResponse> {
         if self.cluster.is_some() {
             let said = match call {
-                Call::Suspend(id, aside) => self.say(Key::Server(id), Value::Out, aside, caller, now),
-                Call::Restore(id, aside) => self.say(Key::Server(id), Value::Back, aside, caller, now),
-                Call::Pause(name, aside) => self.say(self.pause_of(name), Value::Out, aside, caller, now),
-                Call::Resume(name, aside) => self.say(self.pause_of(name), Value::Back, aside, caller, now),
-                Call::Remove(name, aside) => self.say(Key::Removed(name), Value::Out, aside, caller, now),
-                Call::Admit(name, aside) => self.say(Key::Removed(name), Value::Back, aside, caller, now),
+                AdminRequest::Suspend(id, aside) => self.say(Key::Server(id), Value::Out, aside, caller, now),
+                AdminRequest::Restore(id, aside) => {
+                    self.say(Key::Server(id), Value::Back, aside, caller, now)
+                }
+                AdminRequest::Pause(name, aside) => {
+                    self.say(self.pause_of(name), Value::Out, aside, caller, now)
+                }
+                AdminRequest::Resume(name, aside) => {
+                    self.say(self.pause_of(name), Value::Back, aside, caller, now)
+                }
+                AdminRequest::Remove(name, aside) => {
+                    self.say(Key::Removed(name), Value::Out, aside, caller, now)
+                }
+                AdminRequest::Admit(name, aside) => {
+                    self.say(Key::Removed(name), Value::Back, aside, caller, now)
+                }
                 other => return Some(self.answer(other, now)),
             };
-            return said.err().map(Reply::No);
+            return said.err().map(AdminResponse::No);
         }
         Some(self.answer(call, now))
     }
@@ -334,7 +346,7 @@
         &mut self,
         key: Key,
         value: Value,
-        aside: Aside,
+        aside: CommandOptions,
         caller: ConnId,
         now: Nanos,
     ) -> Result<(), String> {
@@ -358,75 +370,80 @@
         Ok(())
     }
 
-    fn answer(&mut self, call: Call, now: Nanos) -> Reply {
+    fn answer(&mut self, call: AdminRequest, now: Nanos) -> AdminResponse {
         match call {
-            Call::Status if self.leave.is_ending() => Reply::No("this process ends".into()),
-            Call::Status if self.leave.is_paused() => Reply::Yes("paused".into()),
-            Call::Status => Reply::Yes("serving".into()),
-            Call::Metrics => {
-                let (pool_size, out) = self.front.membership().listed();
+            AdminRequest::Status if self.leave.is_shutting_down() => {
+                AdminResponse::No("this process ends".into())
+            }
+            AdminRequest::Status if self.leave.is_paused() => AdminResponse::Yes("paused".into()),
+            AdminRequest::Status => AdminResponse::Yes("serving".into()),
+            AdminRequest::Metrics => {
+                let (pool_size, out) = self.front.membership().counts();
                 let (active, ejected) = (self.exchange.open_queries(), self.exchange.ejected());
-                let at_once = metrics::Now { active, pool_size, pool_ejected: out + ejected };
-                Reply::Figures(self.exchange.metrics().line(&self.class_names, at_once))
+                let at_once = metrics::Gauges { active, pool_size, pool_ejected: out + ejected };
+                AdminResponse::Figures(self.exchange.metrics().line(&self.class_names, at_once))
             }
-            Call::Clients => Reply::Yes(self.net.accepted().to_string()),
-            Call::Out(id) => match self.front.membership().replica(&id) {
-                Some(replica) => Reply::Yes(self.exchange.in_flight_at(replica).to_string()),
-                None => Reply::No(format!("{id} was never listed")),
+            AdminRequest::Clients => AdminResponse::Yes(self.net.accepted().to_string()),
+            AdminRequest::Out(id) => match self.front.membership().replica(&id) {
+                Some(replica) => AdminResponse::Yes(self.exchange.in_flight_at(replica).to_string()),
+                None => AdminResponse::No(format!("{id} was never listed")),
             },
-            Call::Suspend(_, aside)
-            | Call::Restore(_, aside)
-            | Call::Pause(_, aside)
-            | Call::Resume(_, aside)
+            AdminRequest::Suspend(_, aside)
+            | AdminRequest::Restore(_, aside)
+            | AdminRequest::Pause(_, aside)
+            | AdminRequest::Resume(_, aside)
                 if aside.holds.is_some() =>
             {
-                Reply::No("for= needs a cluster: without one a word holds until the next".into())
+                AdminResponse::No("for= needs a cluster: without one a word holds until the next".into())
             }
-            Call::Suspend(id, _) => self.by_hand(&id, true, now),
-            Call::Restore(id, _) => self.by_hand(&id, false, now),
-            Call::Peers | Call::State | Call::Conflicts => {
+            AdminRequest::Suspend(id, _) => self.by_hand(&id, true, now),
+            AdminRequest::Restore(id, _) => self.by_hand(&id, false, now),
+            AdminRequest::Peers | AdminRequest::State | AdminRequest::Conflicts => {
                 let longest = self.held.longest_turn;
                 let Some(cluster) = &self.cluster else {
-                    return Reply::No("this broker has no peers".into());
+                    return AdminResponse::No("this broker has no peers".into());
                 };
                 let told = match call {
-                    Call::Peers => cluster.peers(now, longest),
-                    Call::State => cluster.state(now),
+                    AdminRequest::Peers => cluster.peers(now, longest),
+                    AdminRequest::State => cluster.state(now),
                     _ => cluster.conflicts(now),
                 };
-                Reply::Figures(told.to_string())
-            }
-            Call::Pause(Some(_), _) | Call::Resume(Some(_), _) | Call::Remove(..) | Call::Admit(..) => {
-                Reply::No("this broker has no peers".into())
+                AdminResponse::Figures(told.to_string())
             }
-            Call::Pause(None, _) => {
+            AdminRequest::Pause(Some(_), _)
+            | AdminRequest::Resume(Some(_), _)
+            | AdminRequest::Remove(..)
+            | AdminRequest::Admit(..) => AdminResponse::No("this broker has no peers".into()),
+            AdminRequest::Pause(None, _) => {
                 self.words.pause(true, now);
-                self.handover.iter_mut().for_each(Handover::hurry);
+                self.handover.iter_mut().for_each(HotRestart::publish_now);
                 tracing::info!("paused by hand: {} queries are open", self.exchange.open_queries());
                 self.leave.pause(now);
-                Reply::Yes("clients are sent away".into())
+                AdminResponse::Yes("clients are sent away".into())
+            }
+            AdminRequest::Resume(..) if self.leave.is_shutting_down() => {
+                AdminResponse::No("this process ends".into())
             }
-            Call::Resume(..) if self.leave.is_ending() => Reply::No("this process ends".into()),
-            Call::Resume(None, _) => {
+            AdminRequest::Resume(None, _) => {
                 self.words.pause(false, now);
-                self.handover.iter_mut().for_each(Handover::hurry);
+                self.handover.iter_mut().for_each(HotRestart::publish_now);
                 tracing::info!("resumed by hand");
                 self.leave.resume();
-                Reply::Yes("clients are welcome".into())
+                AdminResponse::Yes("clients are welcome".into())
             }
         }
     }
 
-    fn by_hand(&mut self, id: &str, out: bool, now: Nanos) -> Reply {
-        let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
-        match self.front.membership_mut().by_hand(id, out, false, &mut hands) {
+    fn by_hand(&mut self, id: &str, out: bool, now: Nanos) -> AdminResponse {
+        let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
+        match self.front.membership_mut().set_suspended(id, out, false, &mut hands) {
             Ok(()) => {
                 self.words.server(id, out, now);
-                self.handover.iter_mut().for_each(Handover::hurry);
+                self.handover.iter_mut().for_each(HotRestart::publish_now);
                 tracing::info!("server {id} is {} by hand", if out { "out" } else { "put back" });
-                Reply::Yes(id.to_owned())
+                AdminResponse::Yes(id.to_owned())
             }
-            Err(NeverListed) => Reply::No(format!("{id} was never listed")),
+            Err(NeverListed) => AdminResponse::No(format!("{id} was never listed")),
         }
     }
 
@@ -436,14 +453,14 @@
         let begun = self.clock.now();
         // Until what is on disk is known, as beside a process before this one, there is nobody to be told.
         if cluster.effect().is_some() {
-            for (key, latest) in self.front.membership_mut().take_news() {
+            for (key, latest) in self.front.membership_mut().take_hints() {
                 cluster.note(key, latest, now);
             }
         }
         cluster.tick(now, &mut self.net);
-        let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
+        let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
         while let Some((id, heard)) = cluster.heard() {
-            self.front.membership_mut().heard(&id, heard, &mut hands);
+            self.front.membership_mut().on_hint(&id, heard, &mut hands);
         }
         let mut paused = None;
         if let Some(effect) = cluster.effect() {
@@ -454,9 +471,9 @@
             }
             for id in effect.out.symmetric_difference(&self.held.out) {
                 let out = effect.out.contains(id);
-                let _ = self.front.membership_mut().by_hand(id, out, true, &mut hands);
+                let _ = self.front.membership_mut().set_suspended(id, out, true, &mut hands);
                 self.words.server(id, out, now);
-                self.handover.iter_mut().for_each(Handover::hurry);
+                self.handover.iter_mut().for_each(HotRestart::publish_now);
                 tracing::info!("server {id} is {} by hand", if out { "out" } else { "put back" });
             }
             if effect.out != self.held.out {
@@ -469,8 +486,8 @@
         }
         for (caller, reply) in cluster.take_replies() {
             let reply = match reply {
-                Ok(yes) => Reply::Yes(yes),
-                Err(why) => Reply::No(why),
+                Ok(yes) => AdminResponse::Yes(yes),
+                Err(why) => AdminResponse::No(why),
             };
             if let Some(desk) = &mut self.desk {
                 desk.answer(caller, &reply, &mut self.net);
@@ -496,45 +513,45 @@
     fn turn(&mut self, now: Nanos) {
         self.others(now);
         self.peers(now);
-        self.step(now);
-        let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
+        self.update_drain_phase(now);
+        let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
         hands.net.tick(now);
         if let Some(desk) = &mut self.desk {
             desk.tick(now, hands.net);
         }
         self.front.tick(&mut hands);
-        hands.exchange.advance(now);
-        while let Some(work) = hands.exchange.next_action() {
+        hands.engine.advance(now);
+        while let Some(work) = hands.engine.next_action() {
             if let EngineAction::Respond { outcome: answer, .. } = &work {
                 self.tally.count(answer);
             }
-            self.front.work(work, &mut hands);
+            self.front.perform(work, &mut hands);
         }
-        self.tally.tell(now, hands.exchange.open_queries(), hands.exchange.attempts_in_flight());
+        self.tally.tell(now, hands.engine.open_queries(), hands.engine.attempts_in_flight());
     }
 
     /// Hears of the other processes at this address, and tells them how this one stands.
     fn others(&mut self, now: Nanos) {
         let Some(handover) = self.handover.as_mut().filter(|h| h.is_due(now)) else { return };
-        let holds = Holds {
+        let holds = ResourceUsage {
             descriptors: self.net.descriptors(),
             held: self.exchange.in_flight(),
             open_ids: self.front.open_ids(),
         };
-        let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
+        let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
         let mut paused = None;
-        for peer in handover.look(&holds, now).unwrap_or(&[]) {
+        for peer in handover.observe(&holds, now).unwrap_or(&[]) {
             let before = self.words.clone();
             if self.words.merge(&peer.words()) {
                 for (id, word) in
                     self.words.servers.iter().filter(|(id, w)| before.servers.get(*id) != Some(w))
                 {
-                    let _ = self.front.membership_mut().by_hand(id, word.out, true, &mut hands);
+                    let _ = self.front.membership_mut().set_suspended(id, word.out, true, &mut hands);
                 }
                 paused = self.words.pause.filter(|w| before.pause != Some(*w)).or(paused);
             }
             if let Some(state) = &peer.state {
-                self.front.ids_in_use(&state.open_ids, now);
+                self.front.reserve_ids(&state.open_ids, now);
             }
         }
         match paused {
@@ -545,43 +562,47 @@
         let share = handover.share(now);
         let was = self.share.replace(share);
         if was != Some(share) {
-            self.front.keep_to(share.descriptors, hands.net);
-            hands.exchange.limit_in_flight(share.open);
-            hands.exchange.set_free_retries(share.free_tries);
+            self.front.limit_descriptors(share.descriptors, hands.net);
+            hands.engine.limit_in_flight(share.open);
+            hands.engine.set_free_retries(share.free_tries);
         }
         if share.succeeded && !was.is_some_and(|w| w.succeeded) {
             tracing::info!(
                 "another process serves at this address: {} queries are open",
-                hands.exchange.open_queries()
+                hands.engine.open_queries()
             );
-            self.leave.succeeded(now);
+            self.leave.successor_serves(now);
         }
-        handover.stage(if self.leave.is_ending() { Stage::Leaving } else { Stage::Serving });
+        handover.set_stage(if self.leave.is_shutting_down() {
+            ProcessStage::Leaving
+        } else {
+            ProcessStage::Serving
+        });
         let members = self.front.membership();
-        handover.leave(holds, &self.words, members.version(), || members.kept(now), now);
+        handover.publish(holds, &self.words, members.version(), || members.snapshot(now), now);
     }
 
     /// Tells the front how clients are to be treated from now on.
-    fn step(&mut self, now: Nanos) {
-        let (step, was) = (self.leave.step(now), self.step);
+    fn update_drain_phase(&mut self, now: Nanos) {
+        let (step, was) = (self.leave.phase(now), self.step);
         let caught_up = self.cluster.as_ref().is_none_or(Cluster::is_ready);
-        self.front.ready(caught_up && self.leave.is_ready(now));
+        self.front.set_ready(caught_up && self.leave.is_ready(now));
         if step != was {
             self.step = step;
-            self.front.step(step);
+            self.front.set_drain_phase(step);
             // Its next tick says goodbye to those who must be told.
             self.look = now + LOOK;
         }
-        let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
-        if !self.closed && self.leave.stops_listening().is_some_and(|t| t <= now) {
+        let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
+        if !self.closed && self.leave.stop_listening_at().is_some_and(|t| t <= now) {
             self.closed = true;
             for owner in self.front.listeners() {
-                hands.net.stop_listening(*owner, self.leave.is_succeeded());
+                hands.net.stop_listening(*owner, self.leave.has_successor());
             }
             // What is taken from now on must be answered before this program may be killed.
-            hands.exchange.end_all_by(self.leave.answer_by(now));
+            hands.engine.end_all_by(self.leave.answer_by(now));
         }
-        if step >= Step::CloseIdle && now >= self.look {
+        if step >= DrainPhase::ClosingIdle && now >= self.look {
             self.look = now + LOOK;
             self.front.close_idle(&mut hands);
         }
@@ -590,20 +611,29 @@
     /// Guards the end of a drain: a connection that was just accepted is still served, and a peer that does not
     /// read its answer can't keep the program.
     fn finished(&self) -> bool {
-        let late = self.leave.ends_at_last().is_some_and(|t| self.clock.now() >= t);
+        let late = self.leave.exit_by().is_some_and(|t| self.clock.now() >= t);
         self.closed && (late || (self.front.is_empty() && !self.net.is_busy()))
     }
 
-    fn due(&self) -> Option<Nanos> {
+    fn next_deadline(&self) -> Option<Nanos> {
         // While nobody is connected there is nobody to close.
-        let gone = self.step >= Step::CloseIdle && !self.leave.is_ending() && self.front.is_empty();
-        let leave = self.leave.due(self.clock.now()).filter(|_| !gone);
-        let desk = self.desk.as_ref().and_then(Desk::due);
-        let others = self.handover.as_ref().map(|h| h.due(self.clock.now()));
+        let gone =
+            self.step >= DrainPhase::ClosingIdle && !self.leave.is_shutting_down() && self.front.is_empty();
+        let leave = self.leave.next_deadline(self.clock.now()).filter(|_| !gone);
+        let desk = self.desk.as_ref().and_then(AdminServer::next_deadline);
+        let others = self.handover.as_ref().map(|h| h.next_deadline(self.clock.now()));
         let peers = self.cluster.as_ref().map(|c| c.due(self.clock.now()));
-        [self.exchange.next_deadline(), self.front.due(), self.net.due(), leave, desk, others, peers]
-            .into_iter()
-            .flatten()
-            .min()
+        [
+            self.exchange.next_deadline(),
+            self.front.next_deadline(),
+            self.net.due(),
+            leave,
+            desk,
+            others,
+            peers,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
     }
 }
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -1,6 +1,6 @@
 //! Membership as a front needs it: the roster, the watch on discovery and the kept list, tied to the exchange.
 
-use super::discovery_watch::Watch;
+use super::discovery_watch::DiscoveryWatch;
 use crate::api::{Nanos, ReplicaId};
 use crate::membership::gossip_hints::{Others, Own};
 use crate::membership::poll_backoff::AskAgain;
@@ -10,7 +10,7 @@
 use crate::replication::derived_state::Heard;
 use crate::replication::{Key, Latest};
 use crate::routing::{Routing, Rule};
-use crate::server::Hands;
+use crate::server::FrontendContext;
 use crate::storage::snapshot_store::Keeper;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -40,9 +40,9 @@
 }
 
 /// The roster and its sources.
-pub struct Membership {
+pub struct MembershipDriver {
     roster: Roster,
-    watch: Option<Watch>,
+    watch: Option<DiscoveryWatch>,
     asks: Asks,
     /// What is offered of the nodes, where an operator has a say in that.
     routing: Option<Routing>,
@@ -55,37 +55,42 @@
     now: Nanos,
 }
 
-impl Membership {
+impl MembershipDriver {
     /// Membership by this roster, which keeps what it learns by `keeper`.
-    pub fn new(roster: Roster, keeper: Option<Keeper>) -> Membership {
+    pub fn new(roster: Roster, keeper: Option<Keeper>) -> MembershipDriver {
         let (asks, hand) = (
             Asks::Module { again: AskAgain::new(AFTER_SILENCE, AFTER_SILENCE, 0), at: None },
             ByHand::default(),
         );
-        Membership { roster, watch: None, asks, routing: None, hand, among: None, keeper, now: 0 }
+        MembershipDriver { roster, watch: None, asks, routing: None, hand, among: None, keeper, now: 0 }
     }
 
     /// Watches discovery whenever the decision module says so, and soon after a watch fell silent.
-    pub fn asked_by_module(mut self, watch: Watch, seed: u64) -> Membership {
+    pub fn watch_on_request(mut self, watch: DiscoveryWatch, seed: u64) -> MembershipDriver {
         let again = AskAgain::new(AFTER_SILENCE, AFTER_SILENCE, seed);
         (self.watch, self.asks) = (Some(watch), Asks::Module { again, at: None });
         self
     }
 
     /// Watches discovery from now on, and again after these waits whenever the watch breaks.
-    pub fn asking(mut self, watch: Watch, again: AskAgain, now: Nanos) -> Membership {
+    pub fn poll_with_backoff(
+        mut self,
+        watch: DiscoveryWatch,
+        again: AskAgain,
+        now: Nanos,
+    ) -> MembershipDriver {
         (self.watch, self.asks) = (Some(watch), Asks::Here { again, at: Some(now) });
         self
     }
 
     /// Offers what these rules let through.
-    pub fn routed(mut self, routing: Routing) -> Membership {
+    pub fn with_routing(mut self, routing: Routing) -> MembershipDriver {
         self.routing = Some(routing);
         self
     }
 
     /// The operator's nodes are these from now on, with these rules.
-    pub fn operator(&mut self, facts: Vec<Fact>, rules: HashMap<String, Rule>, now: Nanos) {
+    pub fn set_operator_nodes(&mut self, facts: Vec<Fact>, rules: HashMap<String, Rule>, now: Nanos) {
         if let Some(routing) = &mut self.routing {
             routing.rules(rules, now);
         }
@@ -93,7 +98,7 @@
     }
 
     /// The decision module wants the list watched.
-    pub fn begin(&mut self, now: Nanos, net: &mut Reactor) {
+    pub fn begin_watch(&mut self, now: Nanos, net: &mut Reactor) {
         if let Some(watch) = &mut self.watch {
             watch.begin(self.roster.version(), now, net);
         }
@@ -107,17 +112,17 @@
     }
 
     /// Takes in what happened on the watch's connection.
-    pub fn event(&mut self, event: NetEvent, now: Nanos, net: &mut Reactor) {
+    pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut Reactor) {
         if let Some(watch) = &mut self.watch {
-            watch.event(event, now, net, &mut self.roster);
+            watch.on_event(event, now, net, &mut self.roster);
         }
     }
 
     /// Lets time go by, and passes on what there is to tell; `place` learns where each node is.
-    pub fn tick<Q, V>(&mut self, hands: &mut Hands<Q, V>, place: impl FnMut(&Change)) {
+    pub fn tick<Q, V>(&mut self, hands: &mut FrontendContext<Q, V>, place: impl FnMut(&Change)) {
         let now = hands.now;
         self.now = now;
-        while let Some(end) = hands.exchange.next_attempt_end() {
+        while let Some(end) = hands.engine.next_attempt_end() {
             self.roster.outcome(end.replica, end.outcome, end.latency, now);
             if let Some(routing) = &mut self.routing {
                 routing.outcome(end.replica, end.outcome, now);
@@ -128,7 +133,7 @@
         }
         let (Asks::Module { at, .. } | Asks::Here { at, .. }) = &mut self.asks;
         if at.take_if(|t| *t <= now).is_some() {
-            self.begin(now, hands.net);
+            self.begin_watch(now, hands.net);
         }
         self.roster.tick(now);
         if let Some(routing) = &mut self.routing {
@@ -139,7 +144,7 @@
     }
 
     /// Passes on what there is to tell.
-    pub fn pass_on<Q, V>(&mut self, hands: &mut Hands<Q, V>, mut place: impl FnMut(&Change)) {
+    pub fn pass_on<Q, V>(&mut self, hands: &mut FrontendContext<Q, V>, mut place: impl FnMut(&Change)) {
         let mut changes = self.roster.take_changes();
         if let Some(routing) = &mut self.routing {
             if let Some(changes) = changes {
@@ -151,7 +156,7 @@
             let changes = self.with_others(changes);
             let changes = self.hand.pass(changes);
             changes.iter().for_each(&mut place);
-            hands.exchange.update_endpoints(false, changes.into_iter().map(|c| c.listed).collect());
+            hands.engine.update_endpoints(false, changes.into_iter().map(|c| c.listed).collect());
         }
         self.relisted(hands);
         if self.roster.take_heard()
@@ -159,13 +164,13 @@
         {
             again.answered();
         }
-        self.roster.take_warm().into_iter().for_each(|replica| hands.exchange.replica_warmed_up(replica));
-        if self.watch.as_mut().is_some_and(Watch::take_failed) {
+        self.roster.take_warm().into_iter().for_each(|replica| hands.engine.replica_warmed_up(replica));
+        if self.watch.as_mut().is_some_and(DiscoveryWatch::take_failed) {
             self.roster.watch_lost();
-            let silent = self.watch.as_mut().is_some_and(Watch::take_silent);
+            let silent = self.watch.as_mut().is_some_and(DiscoveryWatch::take_silent);
             match &mut self.asks {
                 Asks::Module { again, at } => {
-                    hands.exchange.watch_failed();
+                    hands.engine.watch_failed();
                     if silent {
                         *at = Some(hands.now + again.failed());
                     }
@@ -177,7 +182,7 @@
 
     /// There are other brokers: they are told of drains and starts, and heard. To be said before the first list is passed
     /// on: what that names is held back too.
-    pub fn among_others(mut self) -> Membership {
+    pub fn share_hints(mut self) -> MembershipDriver {
         self.among = Some(Among::default());
         self
     }
@@ -202,11 +207,11 @@
                 among.news.push((Key::Start(change.id.clone()), Latest { started, version: 0 }));
             }
         }
-        among.others.pass(changes, |id| Membership::own(roster, id))
+        among.others.pass(changes, |id| MembershipDriver::own(roster, id))
     }
 
     /// A newer list of one's own may let go what others' words held back.
-    fn relisted<Q, V>(&mut self, hands: &mut Hands<Q, V>) {
+    fn relisted<Q, V>(&mut self, hands: &mut FrontendContext<Q, V>) {
         let (roster, Some(among)) = (&self.roster, &mut self.among) else { return };
         let version = (roster.epoch(), roster.version());
         if version == among.version {
@@ -214,24 +219,24 @@
         }
         let anew = version.0 != among.version.0;
         among.version = version;
-        let changes = among.others.relist(anew, |id| Membership::own(roster, id));
+        let changes = among.others.relist(anew, |id| MembershipDriver::own(roster, id));
         self.tell(changes, hands);
     }
 
-    fn tell<Q, V>(&mut self, changes: Vec<Change>, hands: &mut Hands<Q, V>) {
+    fn tell<Q, V>(&mut self, changes: Vec<Change>, hands: &mut FrontendContext<Q, V>) {
         if !changes.is_empty() {
             let changes = self.hand.pass(changes);
-            hands.exchange.update_endpoints(false, changes.into_iter().map(|c| c.listed).collect());
+            hands.engine.update_endpoints(false, changes.into_iter().map(|c| c.listed).collect());
         }
     }
 
     /// What other brokers are to be told of drains and starts.
-    pub fn take_news(&mut self) -> Vec<(Key, Latest)> {
+    pub fn take_hints(&mut self) -> Vec<(Key, Latest)> {
         self.among.as_mut().map_or(Vec::new(), |a| std::mem::take(&mut a.news))
     }
 
     /// Other brokers have heard this of a node.
-    pub fn heard<Q, V>(&mut self, id: &str, heard: Heard, hands: &mut Hands<Q, V>) {
+    pub fn on_hint<Q, V>(&mut self, id: &str, heard: Heard, hands: &mut FrontendContext<Q, V>) {
         let change = self.among.as_mut().and_then(|a| a.others.heard(id, heard));
         self.tell(change.into_iter().collect(), hands);
     }
@@ -242,7 +247,7 @@
     }
 
     /// These are out by hand from the start.
-    pub fn out_by_hand(mut self, out: impl IntoIterator<Item = String>) -> Membership {
+    pub fn with_suspended(mut self, out: impl IntoIterator<Item = String>) -> MembershipDriver {
         self.hand = ByHand::with(out);
         self
     }
@@ -258,28 +263,28 @@
     }
 
     /// The list as it is to be handed over.
-    pub fn kept(&self, now: Nanos) -> Kept {
+    pub fn snapshot(&self, now: Nanos) -> Kept {
         self.roster.as_kept(now)
     }
 
     /// Takes a server out by hand, or puts it back; `told` where another process was told so, and knew its id.
-    pub fn by_hand<Q, V>(
+    pub fn set_suspended<Q, V>(
         &mut self,
         id: &str,
         out: bool,
         told: bool,
-        hands: &mut Hands<Q, V>,
+        hands: &mut FrontendContext<Q, V>,
     ) -> Result<(), NeverListed> {
         let ever = told || self.roster.knows(id);
         let change = if out { self.hand.suspend(id, ever) } else { self.hand.restore(id, ever) }?;
         if let Some(change) = change {
-            hands.exchange.update_endpoints(false, vec![change.listed]);
+            hands.engine.update_endpoints(false, vec![change.listed]);
         }
         Ok(())
     }
 
     /// Servers in the list, and how many of them are out by hand.
-    pub fn listed(&self) -> (usize, usize) {
+    pub fn counts(&self) -> (usize, usize) {
         (self.roster.listed(), self.hand.listed_out())
     }
 
@@ -293,19 +298,19 @@
     }
 
     /// When `tick` is next worth calling.
-    pub fn due(&self) -> Option<Nanos> {
+    pub fn next_deadline(&self) -> Option<Nanos> {
         let (Asks::Module { at: ask, .. } | Asks::Here { at: ask, .. }) = self.asks;
         // A keeper that is at work is looked at again when something else happens.
         let keep = self.keeper.as_ref().filter(|k| k.is_free()).and_then(|_| self.roster.keep_due());
         let routing = self.routing.as_ref().and_then(|r| r.due(self.now));
-        [self.roster.due(), routing, self.watch.as_ref().and_then(Watch::due), ask, keep]
+        [self.roster.due(), routing, self.watch.as_ref().and_then(DiscoveryWatch::next_deadline), ask, keep]
             .into_iter()
             .flatten()
             .min()
     }
 }
 
-impl Drop for Membership {
+impl Drop for MembershipDriver {
     /// What was learnt since the last write is not lost by an orderly end.
     fn drop(&mut self) {
         if let (Some(keeper), Some(kept)) = (&mut self.keeper, self.roster.last_kept(self.now)) {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -5,4 +5,4 @@
 mod event_loop;
 pub mod membership_driver;
 
-pub use event_loop::{Broker, BrokerError, Front, Hands};
+pub use event_loop::{Broker, BrokerError, Frontend, FrontendContext};
--- a/tests/fronts/clients.rs
+++ b/tests/fronts/clients.rs
@@ -56,7 +56,7 @@
     let thread = std::thread::spawn(move || {
         let (mut broker, addrs) = catalogue::broker(operator).unwrap();
         let addr = addrs[usize::from(wire == Wire::Z3950)];
-        tell.send((addr, broker.stopper().unwrap())).unwrap();
+        tell.send((addr, broker.shutdown_handle().unwrap())).unwrap();
         broker.run().unwrap();
     });
     let (addr, waker) = told.recv().unwrap();
@@ -69,7 +69,7 @@
     let config = Platform::read(config, |_| None).unwrap();
     let thread = std::thread::spawn(move || {
         let (mut broker, addr) = platform::broker(config).unwrap();
-        tell.send((addr, broker.stopper().unwrap())).unwrap();
+        tell.send((addr, broker.shutdown_handle().unwrap())).unwrap();
         broker.run().unwrap();
     });
     let (addr, waker) = told.recv().unwrap();
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -5,7 +5,7 @@
 use pebbleturn::engine::*;
 use pebbleturn::frontends::platform::{Carried, LinkLimits, Servers};
 use pebbleturn::net::{Clock, ConnId, NetEvent, Pool, Reactor};
-use pebbleturn::server::Hands;
+use pebbleturn::server::FrontendContext;
 use pebbleturn::*;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -58,7 +58,7 @@
         let mut called = false;
         while let Some(work) = self.exchange.next_action() {
             if let EngineAction::Call { replica, parts } = work {
-                let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
+                let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
                 self.servers.call(replica, parts, &mut hands);
                 called = true;
             }
@@ -73,7 +73,7 @@
             self.net.wait(Some(HUNG), &mut events).unwrap();
             assert!(!events.is_empty(), "nothing came");
             let now = self.clock.now();
-            let mut hands = Hands { now, net: &mut self.net, exchange: &mut self.exchange };
+            let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
             events.drain(..).for_each(|e| self.servers.event(e, &mut hands));
         }
     }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -67,7 +67,7 @@
         let (tell, told) = mpsc::channel();
         let thread = std::thread::spawn(move || {
             let (mut broker, addrs) = catalogue::broker(operator)?;
-            tell.send((addrs[0], addrs[1], broker.stopper()?)).unwrap();
+            tell.send((addrs[0], addrs[1], broker.shutdown_handle()?)).unwrap();
             broker.run()
         });
         let (sru, z3950, waker) = told.recv().unwrap();
--- a/tests/operation/handover.rs
+++ b/tests/operation/handover.rs
@@ -1,44 +1,51 @@
 //! What processes at one address tell each other and what follows: without disk, in simulated time.
 
 use pebbleturn::Nanos;
-use pebbleturn::hot_restart::coordination::{LEAST_DESCRIPTORS, Limits, Peer, Share, Succession};
-use pebbleturn::hot_restart::state::{Stage, State, Word, Words};
+use pebbleturn::hot_restart::coordination::{Coordination, LEAST_DESCRIPTORS, Limits, Peer, QuotaShare};
+use pebbleturn::hot_restart::state::{Override, Overrides, ProcessStage, ProcessState};
 use quickcheck::quickcheck;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 
 const MS: Nanos = 1_000_000;
 
-fn state() -> State {
-    let mut words = Words::default();
+fn state() -> ProcessState {
+    let mut words = Overrides::default();
     words.server("s-1", true, 5);
     words.server("s-2", false, 6);
     words.pause(true, 7);
-    State { written: 9, stage: Stage::Serving, words, lease: 300, held: 41, open_ids: vec!["9b1f".into()] }
+    ProcessState {
+        written: 9,
+        stage: ProcessStage::Serving,
+        words,
+        lease: 300,
+        held: 41,
+        open_ids: vec!["9b1f".into()],
+    }
 }
 
 #[test]
 fn a_file_cut_or_changed_at_any_byte_is_one_reason_and_never_another_state() {
     let (state, bytes) = (state(), state().encode().unwrap());
-    assert_eq!(State::decode(&bytes).as_ref(), Ok(&state));
+    assert_eq!(ProcessState::decode(&bytes).as_ref(), Ok(&state));
     for at in 0..bytes.len() {
-        assert!(State::decode(&bytes[..at]).is_err(), "cut at {at}");
+        assert!(ProcessState::decode(&bytes[..at]).is_err(), "cut at {at}");
         for bit in 0..8 {
             let mut changed = bytes.clone();
             changed[at] ^= 1 << bit;
-            assert!(State::decode(&changed).is_err(), "bit {bit} of byte {at}");
+            assert!(ProcessState::decode(&changed).is_err(), "bit {bit} of byte {at}");
         }
     }
     let other = String::from_utf8(bytes).unwrap().replacen(" 1 ", " 2 ", 1);
-    assert!(State::decode(other.as_bytes()).unwrap_err().to_string().contains("version 2"));
-    assert!(State::decode(&vec![b' '; 2 << 20]).unwrap_err().to_string().contains("more than may be"));
+    assert!(ProcessState::decode(other.as_bytes()).unwrap_err().to_string().contains("version 2"));
+    assert!(ProcessState::decode(&vec![b' '; 2 << 20]).unwrap_err().to_string().contains("more than may be"));
 }
 
-fn words_of(said: &[(u8, bool, u8)]) -> Words {
-    let mut words = Words::default();
+fn words_of(said: &[(u8, bool, u8)]) -> Overrides {
+    let mut words = Overrides::default();
     for (id, out, at) in said {
-        let word = Word { at: Nanos::from(*at % 4), out: *out };
-        let mut one = Words::default();
+        let word = Override { at: Nanos::from(*at % 4), out: *out };
+        let mut one = Overrides::default();
         match id % 4 {
             0 => one.pause = Some(word),
             n => drop(one.servers.insert(format!("s-{n}"), word)),
@@ -48,8 +55,8 @@
     words
 }
 
-fn merged(all: &[&Words]) -> Words {
-    let mut words = Words::default();
+fn merged(all: &[&Overrides]) -> Overrides {
+    let mut words = Overrides::default();
     for w in all {
         words.merge(w);
     }
@@ -64,7 +71,7 @@
     }
 
     fn the_last_word_of_staff_holds_whatever_the_clock_does(said: Vec<(bool, u8)>) -> bool {
-        let mut words = Words::default();
+        let mut words = Overrides::default();
         said.iter().for_each(|(out, clock)| words.server("s", *out, Nanos::from(*clock)));
         words.servers.get("s").map(|w| w.out) == said.last().map(|(out, _)| *out)
     }
@@ -73,7 +80,7 @@
 const LIMITS: Limits = Limits { descriptors: 384, open: 800, window: 2000 * MS };
 
 /// How the world turns a process's view into what it does.
-type Decide = fn(&Succession, &Seen, Nanos) -> Share;
+type Decide = fn(&Coordination, &Seen, Nanos) -> QuotaShare;
 
 /// What a process has seen and holds, for deciders that go wrong on purpose.
 struct Seen {
@@ -83,13 +90,13 @@
 
 struct Process {
     seen: Seen,
-    view: Succession,
-    share: Share,
-    stage: Stage,
+    view: Coordination,
+    share: QuotaShare,
+    stage: ProcessStage,
     alive: bool,
     holds: usize,
     /// The state that others can read.
-    written: Option<State>,
+    written: Option<ProcessState>,
     next_look: Nanos,
     serves_at: Nanos,
 }
@@ -117,11 +124,11 @@
     fn start(&mut self, decide: Decide) {
         let serial = self.processes.len() as u64 + 1;
         let peers = self.peers(serial);
-        let view = Succession::new(serial, LIMITS, peers.clone(), self.now);
+        let view = Coordination::new(serial, LIMITS, peers.clone(), self.now);
         let seen = Seen { serial, peers };
         let share = decide(&view, &seen, self.now);
         let serves_at = self.now + self.rng.next_u64() % 400 * MS;
-        let (stage, holds, next_look) = (Stage::Starting, 16, self.now);
+        let (stage, holds, next_look) = (ProcessStage::Starting, 16, self.now);
         self.processes.push(Process {
             seen,
             view,
@@ -147,15 +154,15 @@
                 continue;
             }
             // Killed at any moment, a young one more often.
-            let one_in = if self.processes[n].stage == Stage::Starting { 60 } else { 500 };
+            let one_in = if self.processes[n].stage == ProcessStage::Starting { 60 } else { 500 };
             if self.chance(one_in) {
                 self.processes[n].alive = false;
                 continue;
             }
             let (now, jitter, peers) = (self.now, self.rng.next_u64() % 40 * MS, self.peers(n as u64 + 1));
             let p = &mut self.processes[n];
-            if p.stage == Stage::Starting && p.serves_at <= now {
-                p.stage = Stage::Serving;
+            if p.stage == ProcessStage::Starting && p.serves_at <= now {
+                p.stage = ProcessStage::Serving;
             }
             if p.next_look <= now {
                 p.next_look = now + 90 * MS + jitter;
@@ -163,7 +170,7 @@
                 p.view.seen(peers, (p.holds, 0), now);
                 p.share = decide(&p.view, &p.seen, now);
                 let lease = p.view.lease();
-                p.written = Some(State { stage: p.stage, lease, ..State::default() });
+                p.written = Some(ProcessState { stage: p.stage, lease, ..ProcessState::default() });
                 p.view.told(lease);
             }
             // It takes all that it may at once, and leaves as soon as it may.
@@ -173,7 +180,7 @@
             }
             if p.share.succeeded {
                 p.alive = false;
-                let successor = self.processes[n + 1..].iter().any(|q| q.stage == Stage::Serving);
+                let successor = self.processes[n + 1..].iter().any(|q| q.stage == ProcessStage::Serving);
                 if !successor {
                     self.wrong.push("left the address to nobody");
                 }
@@ -201,7 +208,7 @@
     world.wrong
 }
 
-fn honest(view: &Succession, _: &Seen, now: Nanos) -> Share {
+fn honest(view: &Coordination, _: &Seen, now: Nanos) -> QuotaShare {
     view.share(now)
 }
 
@@ -215,25 +222,31 @@
 #[test]
 fn the_judge_catches_each_rule_that_is_taken_out() {
     let mutants: [(&str, Decide); 6] = [
-        ("free attempts for all", |v, _, now| Share { free_tries: true, ..v.share(now) }),
+        ("free attempts for all", |v, _, now| QuotaShare { free_tries: true, ..v.share(now) }),
         ("free attempts without a window", |v, seen, now| {
             let older = seen.peers.iter().any(|p| p.alive && p.serial < seen.serial);
-            Share { free_tries: !older, ..v.share(now) }
+            QuotaShare { free_tries: !older, ..v.share(now) }
+        }),
+        ("all descriptors for all", |v, _, now| QuotaShare {
+            descriptors: LIMITS.descriptors,
+            ..v.share(now)
         }),
-        ("all descriptors for all", |v, _, now| Share { descriptors: LIMITS.descriptors, ..v.share(now) }),
         ("no reserve", |v, seen, now| {
             let alone = !seen.peers.iter().any(|p| p.alive);
             let share = v.share(now);
-            Share { descriptors: if alone { LIMITS.descriptors } else { share.descriptors }, ..share }
+            QuotaShare { descriptors: if alone { LIMITS.descriptors } else { share.descriptors }, ..share }
         }),
         ("a process that only starts counts as one that serves", |v, seen, now| {
             let succeeded = seen.peers.iter().any(|p| p.alive && p.serial > seen.serial);
-            Share { succeeded, ..v.share(now) }
+            QuotaShare { succeeded, ..v.share(now) }
         }),
         ("half of what is there for the younger, whatever is leased", |v, seen, now| {
             let older = seen.peers.iter().any(|p| p.alive && p.serial < seen.serial);
             let share = v.share(now);
-            Share { descriptors: if older { LIMITS.descriptors / 2 } else { share.descriptors }, ..share }
+            QuotaShare {
+                descriptors: if older { LIMITS.descriptors / 2 } else { share.descriptors },
+                ..share
+            }
         }),
     ];
     for (what, mutant) in mutants {
@@ -243,15 +256,19 @@
 
 #[test]
 fn a_third_on_top_gets_what_it_needs_to_start_and_no_more() {
-    let peer = |serial, lease| Peer { serial, alive: true, state: Some(State { lease, ..State::default() }) };
-    let third = Succession::new(3, LIMITS, vec![peer(1, 200), peer(2, 150)], 0);
+    let peer = |serial, lease| Peer {
+        serial,
+        alive: true,
+        state: Some(ProcessState { lease, ..ProcessState::default() }),
+    };
+    let third = Coordination::new(3, LIMITS, vec![peer(1, 200), peer(2, 150)], 0);
     assert_eq!(third.share(0).descriptors, LEAST_DESCRIPTORS);
     // One that told nothing that can be read may hold all that one alone may.
-    let next = Succession::new(2, LIMITS, vec![Peer { serial: 1, alive: true, state: None }], 0);
+    let next = Coordination::new(2, LIMITS, vec![Peer { serial: 1, alive: true, state: None }], 0);
     assert_eq!(next.share(0).descriptors, LIMITS.descriptors / 3);
     // Those that are dead hold nothing; their free attempts count for a window.
     let dead = Peer { serial: 1, alive: false, state: Some(state()) };
-    let after = Succession::new(2, LIMITS, vec![dead], 0);
+    let after = Coordination::new(2, LIMITS, vec![dead], 0);
     assert_eq!((after.share(0).descriptors, after.share(0).free_tries), (256, false));
     assert!(after.share(LIMITS.window).free_tries && after.due(0) == Some(LIMITS.window));
 }
--- a/tests/operation/rules.rs
+++ b/tests/operation/rules.rs
@@ -1,9 +1,9 @@
 //! What the parts of operation decide, without processes or sockets.
 
-use pebbleturn::admin::request::{self, Aside, BadCall, Call, LONGEST};
+use pebbleturn::admin::request::{self, AdminRequest, CommandOptions, LONGEST, RequestError};
 use pebbleturn::membership::{ByHand, Change, NeverListed};
-use pebbleturn::metrics::{End, Figures, Now};
-use pebbleturn::server::drain::{KEEP_ACCEPTING, Leave, Step};
+use pebbleturn::metrics::{Gauges, Metrics, QueryResult};
+use pebbleturn::server::drain::{DrainPhase, DrainState, KEEP_ACCEPTING};
 use pebbleturn::{Nanos, ReplicaEntry, ReplicaId, ReplicaState};
 use quickcheck::quickcheck;
 
@@ -11,71 +11,84 @@
 
 #[test]
 fn each_line_is_one_call_or_one_clear_no() {
-    let no = Aside::default;
-    let said = Aside { by: "asha".into(), why: "new disk, twice".into(), holds: Some(60) };
+    let no = CommandOptions::default;
+    let said = CommandOptions { by: "asha".into(), why: "new disk, twice".into(), holds: Some(60) };
     for (line, want) in [
-        ("STATUS", Ok(Call::Status)),
-        ("  METRICS \r", Ok(Call::Metrics)),
-        ("SUSPEND s-1", Ok(Call::Suspend("s-1".into(), no()))),
-        ("RESTORE\ts-1", Ok(Call::Restore("s-1".into(), no()))),
-        ("SUSPEND s-1 by=asha for=60 why=new disk, twice", Ok(Call::Suspend("s-1".into(), said.clone()))),
-        ("PAUSE", Ok(Call::Pause(None, no()))),
-        ("PAUSE b-2", Ok(Call::Pause(Some("b-2".into()), no()))),
-        ("RESUME", Ok(Call::Resume(None, no()))),
-        ("RESUME by=asha for=60 why=\"new disk, twice\"", Ok(Call::Resume(None, said))),
-        ("REMOVE b-2", Ok(Call::Remove("b-2".into(), no()))),
-        ("PEERS", Ok(Call::Peers)),
-        ("", Err(BadCall::Empty)),
-        ("SUSPEND", Err(BadCall::NoId("SUSPEND"))),
-        ("SUSPEND a b", Err(BadCall::Extra("SUSPEND"))),
-        ("SUSPEND a for=0", Err(BadCall::NoTime("0".into()))),
-        ("SUSPEND a for=99999999999999999999", Err(BadCall::NoTime("99999999999999999999".into()))),
-        ("PAUSE b-2 now", Err(BadCall::Extra("PAUSE"))),
-        ("OUT a b", Err(BadCall::Extra("OUT"))),
-        ("STATE all", Err(BadCall::Extra("STATE"))),
-        ("pause", Err(BadCall::Unknown("pause".into()))),
+        ("STATUS", Ok(AdminRequest::Status)),
+        ("  METRICS \r", Ok(AdminRequest::Metrics)),
+        ("SUSPEND s-1", Ok(AdminRequest::Suspend("s-1".into(), no()))),
+        ("RESTORE\ts-1", Ok(AdminRequest::Restore("s-1".into(), no()))),
+        (
+            "SUSPEND s-1 by=asha for=60 why=new disk, twice",
+            Ok(AdminRequest::Suspend("s-1".into(), said.clone())),
+        ),
+        ("PAUSE", Ok(AdminRequest::Pause(None, no()))),
+        ("PAUSE b-2", Ok(AdminRequest::Pause(Some("b-2".into()), no()))),
+        ("RESUME", Ok(AdminRequest::Resume(None, no()))),
+        ("RESUME by=asha for=60 why=\"new disk, twice\"", Ok(AdminRequest::Resume(None, said))),
+        ("REMOVE b-2", Ok(AdminRequest::Remove("b-2".into(), no()))),
+        ("PEERS", Ok(AdminRequest::Peers)),
+        ("", Err(RequestError::Empty)),
+        ("SUSPEND", Err(RequestError::NoId("SUSPEND"))),
+        ("SUSPEND a b", Err(RequestError::Extra("SUSPEND"))),
+        ("SUSPEND a for=0", Err(RequestError::NoTime("0".into()))),
+        ("SUSPEND a for=99999999999999999999", Err(RequestError::NoTime("99999999999999999999".into()))),
+        ("PAUSE b-2 now", Err(RequestError::Extra("PAUSE"))),
+        ("OUT a b", Err(RequestError::Extra("OUT"))),
+        ("STATE all", Err(RequestError::Extra("STATE"))),
+        ("pause", Err(RequestError::Unknown("pause".into()))),
     ] {
         assert_eq!(request::read(line.as_bytes()), want, "{line:?}");
     }
-    assert_eq!(request::read(b"\xff"), Err(BadCall::NotText));
-    assert_eq!(request::read(&[b'a'; LONGEST + 1]), Err(BadCall::TooLong));
+    assert_eq!(request::read(b"\xff"), Err(RequestError::NotText));
+    assert_eq!(request::read(&[b'a'; LONGEST + 1]), Err(RequestError::TooLong));
 }
 
 #[test]
 fn a_pause_goes_step_by_step_and_ends_at_any_of_them() {
-    let mut leave = Leave::new(3000 * MS);
+    let mut leave = DrainState::new(3000 * MS);
     for at in [0, 50, 699, 700, 1199, 1200, 1899, 1900, 60_000] {
         leave.pause(10 * MS);
         // Said again, it does not begin anew.
         leave.pause(400 * MS);
         let want = match at {
-            0..700 => Step::NotReady,
-            700..1200 => Step::LastAnswers,
-            1200..1900 => Step::CloseIdle,
-            _ => Step::Over,
+            0..700 => DrainPhase::NotReady,
+            700..1200 => DrainPhase::ClosingAfterAnswer,
+            1200..1900 => DrainPhase::ClosingIdle,
+            _ => DrainPhase::ClosingAll,
         };
-        assert_eq!(leave.step((10 + at) * MS), want, "{at}");
-        assert_eq!(leave.stops_listening(), None);
+        assert_eq!(leave.phase((10 + at) * MS), want, "{at}");
+        assert_eq!(leave.stop_listening_at(), None);
         leave.resume();
-        assert_eq!((leave.step((10 + at) * MS), leave.due((10 + at) * MS)), (Step::Serve, None), "{at}");
+        assert_eq!(
+            (leave.phase((10 + at) * MS), leave.next_deadline((10 + at) * MS)),
+            (DrainPhase::Serving, None),
+            "{at}"
+        );
     }
 }
 
 #[test]
 fn the_word_to_end_outlasts_a_pause_and_leaves_the_door_to_a_successor() {
-    let mut leave = Leave::new(3000 * MS);
+    let mut leave = DrainState::new(3000 * MS);
     leave.pause(0);
-    leave.end(100 * MS);
+    leave.begin_shutdown(100 * MS);
     leave.resume();
-    assert_eq!(leave.step(200 * MS), Step::NotReady);
-    assert_eq!(leave.stops_listening(), Some(100 * MS + KEEP_ACCEPTING));
+    assert_eq!(leave.phase(200 * MS), DrainPhase::NotReady);
+    assert_eq!(leave.stop_listening_at(), Some(100 * MS + KEEP_ACCEPTING));
     // 3.7 s after the word it may be killed.
-    assert_eq!((leave.step(2500 * MS), leave.step(2700 * MS)), (Step::NotReady, Step::CloseIdle));
+    assert_eq!(
+        (leave.phase(2500 * MS), leave.phase(2700 * MS)),
+        (DrainPhase::NotReady, DrainPhase::ClosingIdle)
+    );
     assert!(leave.answer_by(900 * MS) < 3800 * MS);
-    let mut leave = Leave::new(3000 * MS);
-    leave.succeeded(100 * MS);
-    assert_eq!(leave.stops_listening(), Some(100 * MS));
-    assert_eq!((leave.step(100 * MS), leave.step(600 * MS)), (Step::LastAnswers, Step::CloseIdle));
+    let mut leave = DrainState::new(3000 * MS);
+    leave.successor_serves(100 * MS);
+    assert_eq!(leave.stop_listening_at(), Some(100 * MS));
+    assert_eq!(
+        (leave.phase(100 * MS), leave.phase(600 * MS)),
+        (DrainPhase::ClosingAfterAnswer, DrainPhase::ClosingIdle)
+    );
 }
 
 fn change(id: &str, replica: u32, standing: ReplicaState) -> Change {
@@ -126,11 +139,11 @@
 
 #[test]
 fn the_figures_are_one_line_of_json_under_the_names_asked_for() {
-    let mut figures = Figures::new(2);
-    figures.ended(0, End::Ok);
-    figures.ended(1, End::Shed);
+    let mut figures = Metrics::new(2);
+    figures.ended(0, QueryResult::Ok);
+    figures.ended(1, QueryResult::Shed);
     figures.tried(7);
-    let line = figures.line(&["a".into(), "b".into()], Now { active: 3, pool_size: 5, pool_ejected: 1 });
+    let line = figures.line(&["a".into(), "b".into()], Gauges { active: 3, pool_size: 5, pool_ejected: 1 });
     let want = serde_json::json!({"ok":{"a":1,"b":0},"shed":{"a":0,"b":1},"errors":{"a":0,"b":0},
         "tries":7,"active":3,"pool_size":5,"pool_ejected":1});
     assert_eq!(serde_json::from_str::<serde_json::Value>(&line).unwrap(), want);
@@ -260,8 +273,8 @@
 
 #[test]
 fn tables_stay_bounded_over_a_long_run_and_no_server_that_is_out_is_forgotten() {
-    use pebbleturn::hot_restart::state::Words;
-    let (mut hand, mut words) = (ByHand::default(), Words::default());
+    use pebbleturn::hot_restart::state::Overrides;
+    let (mut hand, mut words) = (ByHand::default(), Overrides::default());
     hand.pass(vec![change("stays", 1, ReplicaState::Active), change("out", 2, ReplicaState::Active)]);
     hand.suspend("out", false).unwrap();
     words.server("out", true, 1);
@@ -279,13 +292,13 @@
 
 #[test]
 fn a_call_is_heard_behind_callers_that_say_nothing_though_no_time_goes_by() {
-    use pebbleturn::admin::Desk;
+    use pebbleturn::admin::AdminServer;
     use pebbleturn::net::{Pool, Reactor};
     use std::io::Write;
     use std::net::TcpStream;
     use std::time::{Duration, Instant};
     let mut net = Reactor::new(Pool::new(16), 16).unwrap();
-    let mut desk = Desk::open("127.0.0.1:0".parse().unwrap(), &mut net).unwrap();
+    let mut desk = AdminServer::open("127.0.0.1:0".parse().unwrap(), &mut net).unwrap();
     let silent: Vec<TcpStream> = (0..100).map(|_| TcpStream::connect(desk.listening()).unwrap()).collect();
     let mut caller = TcpStream::connect(desk.listening()).unwrap();
     caller.write_all(b"STATUS\n").unwrap();
@@ -294,15 +307,15 @@
     let heard = loop {
         net.wait(Some(Duration::from_millis(50)), &mut events).unwrap();
         for event in events.drain(..) {
-            desk.event(event, now, &mut net);
+            desk.on_event(event, now, &mut net);
         }
         desk.tick(now, &mut net);
-        if let Some((_, call)) = desk.next_call() {
+        if let Some((_, call)) = desk.next_request() {
             break Some(call);
         }
         if start.elapsed() > Duration::from_secs(30) {
             break None;
         }
     };
-    assert_eq!((heard, silent.len()), (Some(Call::Status), 100));
+    assert_eq!((heard, silent.len()), (Some(AdminRequest::Status), 100));
 }
