--- a/lab/src/cluster/measure.rs
+++ b/lab/src/cluster/measure.rs
@@ -6,7 +6,7 @@
 use crate::running::until;
 use pebbleturn::gossip::codec::{self, Datagram, Sender};
 use pebbleturn::gossip::swim::Probe;
-use pebbleturn::replication::{Bounds, Copy, Key, Origin, Said, Value};
+use pebbleturn::replication::{CommandValue, FactKey, OperatorCommand, Origin, StateStore, StoreLimits};
 use pebbleturn::storage::Disk;
 use pebbleturn::storage::journal;
 use serde::Serialize;
@@ -101,8 +101,8 @@
         w.play_for(20 * S);
         let idle = (w.bytes_of.iter().sum::<u64>() - before) as f64 / 20.0 / brokers as f64;
         let (from, sent) = (w.now, w.bytes_of.iter().sum::<u64>());
-        let key = Key::Server("s-1".into());
-        let Some(dot) = w.say(0, &key, Value::Out) else { continue };
+        let key = FactKey::Server("s-1".into());
+        let Some(dot) = w.say(0, &key, CommandValue::Out) else { continue };
         let (mut half, mut most, mut all) = (None, None, None);
         while w.now < from + 10 * S {
             let known = w.known_to(&key, dot);
@@ -231,19 +231,19 @@
     w.start(2);
     w.until(120 * S, World::equal);
     let (ms, bytes) = ((w.now - from) as f64 / MS as f64, w.counts.bytes - sent);
-    let mut copy = Copy::new(Origin(1), Bounds::default());
+    let mut copy = StateStore::new(Origin(1), StoreLimits::default());
     let dir = tempfile::tempdir().expect("a directory for a while");
     let mut log = String::new();
     for n in 0..facts {
-        let said = Said {
-            value: Value::Out,
+        let said = OperatorCommand {
+            value: CommandValue::Out,
             who: "staff".into(),
             why: "filled".into(),
             at_broker: name(0),
             at: 1,
             until: None,
         };
-        let _ = copy.say(&Key::Server(format!("s-{n:05}")), said);
+        let _ = copy.record(&FactKey::Server(format!("s-{n:05}")), said);
     }
     for (key, entry) in copy.facts() {
         let text = serde_json::json!({ "Fact": (key, entry) }).to_string();
@@ -251,7 +251,7 @@
     }
     std::fs::write(dir.path().join(journal::LOG), &log).expect("room for it");
     let begun = Instant::now();
-    let found = journal::read(&Disk, dir.path(), Bounds::default());
+    let found = journal::read(&Disk, dir.path(), StoreLimits::default());
     let disk_ms = begun.elapsed().as_secs_f64() * 1e3;
     assert_eq!(found.facts.len(), facts, "{:?}", found.wrong);
     CatchUp { facts, ms, bytes, size: copy.bytes().len(), disk_ms, disk_bytes: log.len() as u64 }
--- a/lab/src/cluster/schedule.rs
+++ b/lab/src/cluster/schedule.rs
@@ -1,7 +1,7 @@
 //! Schedules of faults, drawn from a seed, played on simulated brokers, and shrunk where one fails.
 
 use super::world::{Links, MS, S, World};
-use pebbleturn::replication::{Key, Latest, Value};
+use pebbleturn::replication::{CommandValue, FactKey, ProcessStart};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 use std::collections::BTreeMap;
@@ -92,8 +92,8 @@
     for step in steps {
         match *step {
             Step::Say { at, server, out } => {
-                let value = if out { Value::Out } else { Value::Back };
-                w.say(at, &Key::Server(format!("s-{server}")), value);
+                let value = if out { CommandValue::Out } else { CommandValue::Back };
+                w.say(at, &FactKey::Server(format!("s-{server}")), value);
             }
             Step::Cut { from, to, both } if from != to => {
                 w.cut(from, to, true);
@@ -121,8 +121,8 @@
             Step::Look { at } => looked_at[at] = w.disk(at),
             Step::Clock { at, off } => w.set_skew(at, off * S as i64),
             Step::Told { at, drain, ago, version } => {
-                let key = if drain { Key::Drain("s-1".into()) } else { Key::Start("s-1".into()) };
-                w.note(at, key, Latest { started: w.now - S * ago as u64, version: version as u64 });
+                let key = if drain { FactKey::Drain("s-1".into()) } else { FactKey::Start("s-1".into()) };
+                w.note(at, key, ProcessStart { started: w.now - S * ago as u64, version: version as u64 });
             }
             Step::Wait { ms } => w.play_for(ms as u64 * MS),
         }
--- a/lab/src/cluster/world.rs
+++ b/lab/src/cluster/world.rs
@@ -4,11 +4,14 @@
 //! both; connections keep order and stall while their link is cut. Brokers are stopped, killed and started again, with
 //! their disk as it was, an old one, or none; their clocks are off.
 
-use pebbleturn::gossip::node::Standing;
-use pebbleturn::gossip::swim::{self, Status};
-use pebbleturn::gossip::{Member, Output, Settings, Told, codec};
-use pebbleturn::replication::derived_state::Effect;
-use pebbleturn::replication::{Bounds, Copy, Dot, Entry, Fact, Key, Latest, Origin, Said, Value};
+use pebbleturn::gossip::node::SyncStatus;
+use pebbleturn::gossip::swim::{self, PeerStatus};
+use pebbleturn::gossip::{GossipNode, GossipSettings, Notification, Output, codec};
+use pebbleturn::replication::derived_state::DerivedState;
+use pebbleturn::replication::{
+    CommandValue, Dot, Fact, FactKey, FactValue, OperatorCommand, Origin, ProcessStart, StateStore,
+    StoreLimits,
+};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 use std::cmp::Reverse;
@@ -58,8 +61,8 @@
 }
 
 struct Node {
-    member: Option<Member>,
-    disk: BTreeMap<Key, Entry>,
+    member: Option<GossipNode>,
+    disk: BTreeMap<FactKey, FactValue>,
     /// Changes that are on their way to the disk.
     writing: Vec<Fact>,
     /// Words that are acknowledged once these changes are kept.
@@ -78,9 +81,9 @@
 /// A word that somebody was told is taken.
 #[derive(Clone, Debug)]
 pub struct Acknowledged {
-    pub key: Key,
+    pub key: FactKey,
     pub dot: Dot,
-    pub value: Value,
+    pub value: CommandValue,
     /// Words that it took the place of.
     pub ends: Vec<Dot>,
     /// A broker that had it was set back, and no disk has it any more.
@@ -108,12 +111,12 @@
     pub links: Links,
     pub cuts: BTreeSet<(usize, usize)>,
     rng: Pcg32,
-    pub bounds: Bounds,
+    pub bounds: StoreLimits,
     pub words: Vec<Acknowledged>,
     /// Words that were said and may be acknowledged: what they ended.
-    said: BTreeMap<Dot, (Key, Value, Vec<Dot>)>,
+    said: BTreeMap<Dot, (FactKey, CommandValue, Vec<Dot>)>,
     /// All stamps with what they stand for: one that stands for two things was used twice.
-    stamps: BTreeMap<Dot, (Key, Said)>,
+    stamps: BTreeMap<Dot, (FactKey, OperatorCommand)>,
     pub counts: Counts,
     pub bytes_of: Vec<u64>,
     /// Walks that each has begun.
@@ -173,7 +176,7 @@
             links: Links::default(),
             cuts: BTreeSet::new(),
             rng: Pcg32::new(seed, 0x1e55),
-            bounds: Bounds { keep: 120 * S, ..Bounds::default() },
+            bounds: StoreLimits { keep: 120 * S, ..StoreLimits::default() },
             words: Vec::new(),
             said: BTreeMap::new(),
             stamps: BTreeMap::new(),
@@ -202,7 +205,7 @@
         self.brokers == 0
     }
 
-    pub fn member(&self, n: usize) -> Option<&Member> {
+    pub fn member(&self, n: usize) -> Option<&GossipNode> {
         self.nodes[n].member.as_ref()
     }
 
@@ -230,11 +233,11 @@
         let now = self.clock(n);
         let node = &mut self.nodes[n];
         node.starts += 1;
-        let settings = Settings {
+        let settings = GossipSettings {
             cluster: "kochi".into(),
             name: name(n),
             peers: node.listed.iter().map(|p| (name(*p), addr(*p))).collect(),
-            swim: swim::Settings { every: self.every, timeout: self.every * 3 / 10, indirect: 3 },
+            swim: swim::SwimSettings { every: self.every, timeout: self.every * 3 / 10, indirect: 3 },
             bounds: self.bounds,
             speaks: node.speaks,
             seed,
@@ -242,7 +245,7 @@
         let kept: Vec<Fact> = node.disk.iter().map(|(k, e)| (k.clone(), e.clone())).collect();
         // As the program does: by its clock, which may have gone back.
         let incarnation = now / MS;
-        node.member = Some(Member::new(settings, Origin(seed ^ n as u64), &kept, incarnation, now));
+        node.member = Some(GossipNode::new(settings, Origin(seed ^ n as u64), &kept, incarnation, now));
         (node.wake, node.stopped_until) = (None, 0);
         self.after(n);
     }
@@ -280,21 +283,22 @@
     }
 
     /// What its disk has now.
-    pub fn disk(&self, n: usize) -> BTreeMap<Key, Entry> {
+    pub fn disk(&self, n: usize) -> BTreeMap<FactKey, FactValue> {
         self.nodes[n].disk.clone()
     }
 
     /// Sets its disk back, or makes it empty, while it does not run. Words that no other broker has are lost with it.
-    pub fn set_disk(&mut self, n: usize, disk: BTreeMap<Key, Entry>) {
+    pub fn set_disk(&mut self, n: usize, disk: BTreeMap<FactKey, FactValue>) {
         self.nodes[n].disk = disk;
-        let known = |dot: Dot, key: &Key, facts: Option<&Entry>| {
-            matches!(facts, Some(Entry::Words(r)) if r.seen().contains(dot)) && !matches!(key, Key::Spent(_))
+        let known = |dot: Dot, key: &FactKey, facts: Option<&FactValue>| {
+            matches!(facts, Some(FactValue::Words(r)) if r.seen().contains(dot))
+                && !matches!(key, FactKey::Spent(_))
         };
         for i in 0..self.words.len() {
             let (dot, key) = (self.words[i].dot, self.words[i].key.clone());
             let held = self.nodes.iter().any(|node| {
                 known(dot, &key, node.disk.get(&key))
-                    || node.member.as_ref().is_some_and(|m| known(dot, &key, m.copy().get(&key)))
+                    || node.member.as_ref().is_some_and(|m| known(dot, &key, m.store().get(&key)))
             });
             self.words[i].lost_with_disk |= !held;
         }
@@ -310,9 +314,9 @@
     }
 
     /// Says something at a broker, by hand.
-    pub fn say(&mut self, n: usize, key: &Key, value: Value) -> Option<Dot> {
+    pub fn say(&mut self, n: usize, key: &FactKey, value: CommandValue) -> Option<Dot> {
         let now = self.clock(n);
-        let said = Said {
+        let said = OperatorCommand {
             value: value.clone(),
             who: "staff".into(),
             why: "test".into(),
@@ -322,8 +326,8 @@
         };
         let member = self.nodes[n].member.as_mut()?;
         let standing: Vec<Dot> =
-            member.copy().register(key).map_or(vec![], |r| r.said().map(|(d, _)| d).collect());
-        let dot = member.say(key, said.clone(), now).ok()?;
+            member.store().register(key).map_or(vec![], |r| r.commands().map(|(d, _)| d).collect());
+        let dot = member.record(key, said.clone(), now).ok()?;
         if self.stamps.insert(dot, (key.clone(), said)).is_some() {
             self.wrong.push(format!("stamp {dot} is used twice"));
         }
@@ -333,7 +337,7 @@
         Some(dot)
     }
 
-    pub fn note(&mut self, n: usize, key: Key, latest: Latest) {
+    pub fn note(&mut self, n: usize, key: FactKey, latest: ProcessStart) {
         let now = self.clock(n);
         if let Some(member) = &mut self.nodes[n].member {
             member.note(key, latest, now);
@@ -468,10 +472,10 @@
 
     /// What follows from whatever a broker was told.
     fn after(&mut self, n: usize) {
-        while let Some(out) = self.nodes[n].member.as_mut().and_then(Member::take_output) {
+        while let Some(out) = self.nodes[n].member.as_mut().and_then(GossipNode::take_output) {
             self.output(n, out);
         }
-        while let Some(told) = self.nodes[n].member.as_mut().and_then(Member::take_told) {
+        while let Some(told) = self.nodes[n].member.as_mut().and_then(GossipNode::take_told) {
             self.told(n, told);
         }
         let Some(m) = &mut self.nodes[n].member else { return };
@@ -494,17 +498,17 @@
         }
     }
 
-    fn told(&mut self, n: usize, told: Told) {
+    fn told(&mut self, n: usize, told: Notification) {
         match told {
-            Told::Down(peer) => {
+            Notification::Down(peer) => {
                 self.counts.down += 1;
                 let p = (0..self.brokers).find(|p| name(*p) == peer).unwrap_or(0);
                 if self.runs(p) && !self.cuts.contains(&(n, p)) && !self.cuts.contains(&(p, n)) {
                     self.counts.false_down += 1;
                 }
             }
-            Told::Refuted => self.counts.refuted += 1,
-            Told::CaughtUp(_) => self.counts.caught_up += 1,
+            Notification::Refuted => self.counts.refuted += 1,
+            Notification::CaughtUp(_) => self.counts.caught_up += 1,
             _ => {}
         }
     }
@@ -584,47 +588,47 @@
 
     /// All that run have equal copies.
     pub fn equal(&self) -> bool {
-        let mut roots = self.nodes.iter().filter_map(|n| Some(n.member.as_ref()?.copy().tree().root()));
+        let mut roots = self.nodes.iter().filter_map(|n| Some(n.member.as_ref()?.store().tree().root()));
         let first = roots.next();
         roots.all(|r| Some(r) == first)
     }
 
     /// All that run know this word.
-    pub fn known_to(&self, key: &Key, dot: Dot) -> usize {
-        let knows = |m: &&Member| m.copy().register(key).is_some_and(|r| r.seen().contains(dot));
+    pub fn known_to(&self, key: &FactKey, dot: Dot) -> usize {
+        let knows = |m: &&GossipNode| m.store().register(key).is_some_and(|r| r.seen().contains(dot));
         self.nodes.iter().filter_map(|n| n.member.as_ref()).filter(knows).count()
     }
 
     /// What holds everywhere must follow from what was acknowledged: to be asked when all copies are equal.
     pub fn judge(&mut self) {
-        let Some(copy) = self.nodes.iter().find_map(|n| n.member.as_ref()).map(|m| m.copy().clone()) else {
+        let Some(copy) = self.nodes.iter().find_map(|n| n.member.as_ref()).map(|m| m.store().clone()) else {
             return;
         };
         for n in &self.nodes {
             if let Some(m) = &n.member
-                && m.copy().bytes() != copy.bytes()
+                && m.store().bytes() != copy.bytes()
             {
                 self.wrong.push("copies differ in their bytes".into());
             }
         }
         let stands =
-            |key: &Key, dot: Dot| copy.register(key).is_some_and(|r| r.said().any(|(d, _)| d == dot));
+            |key: &FactKey, dot: Dot| copy.register(key).is_some_and(|r| r.commands().any(|(d, _)| d == dot));
         for w in &self.words {
             let ended = self.words.iter().any(|later| later.ends.contains(&w.dot) && !later.lost_with_disk);
             if ended && stands(&w.key, w.dot) {
                 self.wrong.push(format!("{} of {} came back", w.dot, w.key));
             }
-            let lost = w.value == Value::Out && !ended && !w.lost_with_disk && !stands(&w.key, w.dot);
+            let lost = w.value == CommandValue::Out && !ended && !w.lost_with_disk && !stands(&w.key, w.dot);
             // Somebody may have ended it by a word that was never acknowledged and yet lives.
-            let ended_unheard = copy
-                .register(&w.key)
-                .is_some_and(|r| r.said().any(|(d, _)| d != w.dot && !self.words.iter().any(|o| o.dot == d)));
+            let ended_unheard = copy.register(&w.key).is_some_and(|r| {
+                r.commands().any(|(d, _)| d != w.dot && !self.words.iter().any(|o| o.dot == d))
+            });
             if lost && !ended_unheard {
                 self.wrong.push(format!("{} of {} was acknowledged and is forgotten", w.dot, w.key));
             }
         }
         for (key, register) in copy.registers() {
-            for (dot, said) in register.said() {
+            for (dot, said) in register.commands() {
                 if self.stamps.get(&dot).is_none_or(|(k, s)| k != key || s != said) {
                     self.wrong.push(format!("{dot} of {key} was never said"));
                 }
@@ -643,10 +647,10 @@
                     .collect();
                 format!(
                     "{n}: {:?}, skew {}, root {:x}, {} facts, {peers:?}",
-                    m.standing(),
+                    m.sync_status(),
                     node.skew,
-                    m.copy().tree().root(),
-                    m.copy().len()
+                    m.store().tree().root(),
+                    m.store().len()
                 )
             }
         };
@@ -656,32 +660,32 @@
     /// Names of brokers that this one takes for up.
     pub fn up_at(&self, n: usize) -> usize {
         let now = self.clock(n);
-        self.nodes[n].member.as_ref().map_or(0, |m| m.peers(now).filter(|p| p.2 == Status::Alive).count())
+        self.nodes[n].member.as_ref().map_or(0, |m| m.peers(now).filter(|p| p.2 == PeerStatus::Alive).count())
     }
 
     pub fn caught_up(&self, n: usize) -> bool {
-        self.nodes[n].member.as_ref().is_some_and(|m| m.standing() == Standing::CaughtUp)
+        self.nodes[n].member.as_ref().is_some_and(|m| m.sync_status() == SyncStatus::CaughtUp)
     }
 
     /// What holds for a broker.
-    pub fn effect(&self, n: usize) -> Effect {
-        self.nodes[n].member.as_ref().map(|m| m.effect().clone()).unwrap_or_default()
+    pub fn effect(&self, n: usize) -> DerivedState {
+        self.nodes[n].member.as_ref().map(|m| m.derived_state().clone()).unwrap_or_default()
     }
 
     /// Fills a broker's disk with so many words, as if they had been said at it long ago.
     pub fn fill(&mut self, n: usize, facts: usize) {
-        let mut copy = Copy::new(Origin(0xf111 + n as u64), Bounds::default());
+        let mut copy = StateStore::new(Origin(0xf111 + n as u64), StoreLimits::default());
         for i in 0..facts {
-            let key = Key::Server(format!("s-{i:05}"));
-            let said = Said {
-                value: Value::Out,
+            let key = FactKey::Server(format!("s-{i:05}"));
+            let said = OperatorCommand {
+                value: CommandValue::Out,
                 who: "staff".into(),
                 why: "filled".into(),
                 at_broker: name(n),
                 at: BEGIN,
                 until: None,
             };
-            if let Ok(dot) = copy.say(&key, said.clone()) {
+            if let Ok(dot) = copy.record(&key, said.clone()) {
                 self.stamps.insert(dot, (key, said));
             }
         }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -12,11 +12,14 @@
 use crate::api::Nanos;
 use crate::config::{Clustered, ConfigError, Operator};
 use crate::gossip::codec::{DATAGRAM, frame_end};
-use crate::gossip::node::Standing;
-use crate::gossip::{Member, Output, Settings, swim};
+use crate::gossip::node::SyncStatus;
+use crate::gossip::{GossipNode, GossipSettings, Output, swim};
 use crate::net::{ConnId, Datagrams, Filled, NetEvent, Place, Pool, Reactor};
-use crate::replication::derived_state::{Effect, Heard};
-use crate::replication::{Bounds, Copy, Entry, Key, Latest, Origin, Refused, Said, Value};
+use crate::replication::derived_state::{DerivedState, NodeHints};
+use crate::replication::{
+    CommandValue, FactKey, FactValue, JoinError, OperatorCommand, Origin, ProcessStart, StateStore,
+    StoreLimits,
+};
 use crate::storage::Disk;
 use crate::storage::journal::{self, Found, Journal};
 use std::collections::BTreeMap;
@@ -54,7 +57,7 @@
 #[derive(Debug)]
 struct Waiting {
     caller: ConnId,
-    key: Key,
+    key: FactKey,
     yes: String,
     ticket: Option<u64>,
 }
@@ -65,7 +68,7 @@
     /// The process before still has this broker's place in the cluster, or its disk is still being read.
     NotYet,
     /// It could not be taken.
-    Refused(Refused),
+    Refused(JoinError),
 }
 
 impl std::fmt::Display for CommandError {
@@ -89,19 +92,19 @@
 
 /// A broker's place in its cluster.
 pub struct Cluster {
-    settings: Settings,
+    settings: GossipSettings,
     listen: SocketAddr,
     dir: String,
     journal: Journal,
     /// None until what is on disk is known.
-    member: Option<Box<Member>>,
+    member: Option<Box<GossipNode>>,
     /// None until the addresses are free.
     sockets: Option<Sockets>,
     bind_again: Nanos,
     bind_told: bool,
     write_again: Nanos,
     /// Keys of the writes that are out.
-    writing: BTreeMap<u64, Vec<Key>>,
+    writing: BTreeMap<u64, Vec<FactKey>>,
     waiting: Vec<Waiting>,
     replies: Vec<(ConnId, Result<String, String>)>,
     failing: bool,
@@ -114,12 +117,12 @@
 }
 
 /// What a directory holds, and what is wrong there. Nobody's origin: nothing is said with this copy.
-pub fn on_disk(dir: &Path) -> (Copy, Vec<String>) {
-    let mut copy = Copy::new(Origin(0), Bounds::default());
+pub fn on_disk(dir: &Path) -> (StateStore, Vec<String>) {
+    let mut copy = StateStore::new(Origin(0), StoreLimits::default());
     if !dir.is_dir() {
         return (copy, vec![format!("{}: it is no directory", dir.display())]);
     }
-    let found = journal::read(&Disk, dir, Bounds::default());
+    let found = journal::read(&Disk, dir, StoreLimits::default());
     for (key, entry) in &found.facts {
         let _ = copy.join(key, entry, Nanos::MAX);
     }
@@ -137,13 +140,13 @@
     /// A broker of this name among its peers. Waits a moment for what is on disk, so that what staff said holds before the
     /// first client comes; where a process before it still has the disk, that comes later.
     pub fn open(told: &Clustered, name: &str, now: Nanos, net: &mut Reactor) -> io::Result<Cluster> {
-        let bounds = Bounds { keep: told.keep_words_s * 1_000_000_000, ..Bounds::default() };
+        let bounds = StoreLimits { keep: told.keep_words_s * 1_000_000_000, ..StoreLimits::default() };
         let every = told.probe_ms * 1_000_000;
-        let settings = Settings {
+        let settings = GossipSettings {
             cluster: told.name.clone(),
             name: name.to_owned(),
             peers: told.peers.iter().map(|p| (p.name.clone(), p.address)).collect(),
-            swim: swim::Settings { every, timeout: every * 3 / 10, indirect: 3 },
+            swim: swim::SwimSettings { every, timeout: every * 3 / 10, indirect: 3 },
             bounds,
             speaks: told.speak,
             seed: drawn(),
@@ -196,7 +199,7 @@
         );
         self.journal.begin(incarnation);
         self.member =
-            Some(Box::new(Member::new(self.settings.clone(), origin, &found.facts, incarnation, now)));
+            Some(Box::new(GossipNode::new(self.settings.clone(), origin, &found.facts, incarnation, now)));
     }
 
     fn bind(&mut self, now: Nanos, net: &mut Reactor) {
@@ -224,13 +227,13 @@
     // ---- what is asked of it ----
 
     /// What holds for this broker; none until what is on disk is known.
-    pub fn effect(&self) -> Option<&Effect> {
-        self.member.as_ref().map(|m| m.effect())
+    pub fn effect(&self) -> Option<&DerivedState> {
+        self.member.as_ref().map(|m| m.derived_state())
     }
 
     /// Whether a key was ever spoken of.
-    pub fn knows(&self, key: &Key) -> bool {
-        self.member.as_ref().is_some_and(|m| m.copy().get(key).is_some())
+    pub fn knows(&self, key: &FactKey) -> bool {
+        self.member.as_ref().is_some_and(|m| m.store().get(key).is_some())
     }
 
     /// Whether the operator's file names this broker.
@@ -246,8 +249,8 @@
     /// Staff say something; it holds at once, and `caller` is answered once it is on disk.
     pub fn say(
         &mut self,
-        key: Key,
-        value: Value,
+        key: FactKey,
+        value: CommandValue,
         aside: CommandOptions,
         caller: ConnId,
         yes: String,
@@ -259,9 +262,9 @@
         }
         let (at_broker, until) =
             (self.settings.name.clone(), aside.holds.map(|s| now.saturating_add(s * 1_000_000_000)));
-        let word = if value == Value::Out { "out" } else { "back" };
-        let said = Said { value, who: aside.by, why: aside.why, at_broker, at: now, until };
-        let dot = member.say(&key, said, now).map_err(CommandError::Refused)?;
+        let word = if value == CommandValue::Out { "out" } else { "back" };
+        let said = OperatorCommand { value, who: aside.by, why: aside.why, at_broker, at: now, until };
+        let dot = member.record(&key, said, now).map_err(CommandError::Refused)?;
         tracing::info!("cluster: {key} is said to be {word} here as {dot}");
         self.waiting.push(Waiting { caller, key, yes, ticket: None });
         Ok(())
@@ -269,7 +272,7 @@
 
     /// Whether clients may be sent here: a broker that still asks its peers what it missed waits for that a moment.
     pub fn is_ready(&self) -> bool {
-        self.member.as_ref().is_none_or(|m| m.standing() != Standing::Catching)
+        self.member.as_ref().is_none_or(|m| m.sync_status() != SyncStatus::CatchingUp)
     }
 
     /// The word to read the operator's file again has come: the peers that it names may have changed. It is read on a
@@ -307,23 +310,23 @@
     }
 
     /// Discovery told this broker of a drain or a start.
-    pub fn note(&mut self, key: Key, latest: Latest, now: Nanos) {
+    pub fn note(&mut self, key: FactKey, latest: ProcessStart, now: Nanos) {
         if let Some(member) = &mut self.member {
             member.note(key, latest, now);
         }
     }
 
     /// A server of which others have heard something new, and what.
-    pub fn heard(&mut self) -> Option<(String, Heard)> {
+    pub fn heard(&mut self) -> Option<(String, NodeHints)> {
         let member = self.member.as_mut()?;
         let key = member.take_heard_of()?;
         let id = key.name()?.to_owned();
-        let latest = |key: &Key| match member.copy().get(key) {
-            Some(Entry::Latest(l)) => Some(*l),
+        let latest = |key: &FactKey| match member.store().get(key) {
+            Some(FactValue::Latest(l)) => Some(*l),
             _ => None,
         };
-        let started = latest(&Key::Start(id.clone())).map_or(0, |l| l.started);
-        Some((id.clone(), Heard { drain: latest(&Key::Drain(id)), started }))
+        let started = latest(&FactKey::Start(id.clone())).map_or(0, |l| l.started);
+        Some((id.clone(), NodeHints { drain: latest(&FactKey::Drain(id)), started }))
     }
 
     /// Callers to be answered.
@@ -522,7 +525,7 @@
             return;
         }
         let facts = member.take_unkept(IN_A_WRITE);
-        let keys: Vec<Key> = facts.iter().map(|(k, _)| k.clone()).collect();
+        let keys: Vec<FactKey> = facts.iter().map(|(k, _)| k.clone()).collect();
         match self.journal.write(facts) {
             Ok(ticket) => {
                 let unwritten = self.waiting.iter_mut().filter(|w| w.ticket.is_none());
--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -3,9 +3,9 @@
 //! Two versions are spoken, so that a cluster is upgraded broker by broker: every frame tells the latest version that
 //! its sender reads, and is answered in one that both do.
 
-use super::swim::{Probe, Rumour};
+use super::swim::{Probe, StatusUpdate};
 use crate::replication::Origin;
-use crate::replication::anti_entropy::Message;
+use crate::replication::anti_entropy::SyncMessage;
 use crate::replication::state_store::Fact;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -60,7 +60,7 @@
     /// What for.
     pub probe: Probe,
     /// What is said of others.
-    pub rumours: Vec<Rumour>,
+    pub rumours: Vec<StatusUpdate>,
     /// News.
     pub facts: Vec<Fact>,
     /// The root of the sender's digests; none in the first version.
@@ -71,7 +71,7 @@
 struct First {
     sender: Sender,
     probe: Probe,
-    rumours: Vec<Rumour>,
+    rumours: Vec<StatusUpdate>,
     facts: Vec<Fact>,
 }
 
@@ -80,22 +80,22 @@
     sender: Sender,
     probe: Probe,
     root: u64,
-    rumours: Vec<Rumour>,
+    rumours: Vec<StatusUpdate>,
     facts: Vec<Fact>,
 }
 
 /// What is sent on a connection.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
-pub enum Line {
+pub enum StreamFrame {
     /// Who speaks, and what it knows of others: the first line of either side.
-    Hello { sender: Sender, rumours: Vec<Rumour> },
+    Hello { sender: Sender, rumours: Vec<StatusUpdate> },
     /// A step of a walk.
-    Walk(Message),
+    Walk(SyncMessage),
 }
 
 /// Bytes that are no frame.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum BadFrame {
+pub enum FrameError {
     /// Shorter than a head, or longer than may be.
     Length(usize),
     /// It is something else.
@@ -108,19 +108,19 @@
     Body,
 }
 
-impl fmt::Display for BadFrame {
+impl fmt::Display for FrameError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            BadFrame::Length(n) => write!(f, "{n} bytes are no frame"),
-            BadFrame::Foreign => write!(f, "it is no frame of a cluster"),
-            BadFrame::Version(v) => write!(f, "version {v} is not read here"),
-            BadFrame::Checksum => write!(f, "its checksum does not fit"),
-            BadFrame::Body => write!(f, "its body can't be read"),
+            FrameError::Length(n) => write!(f, "{n} bytes are no frame"),
+            FrameError::Foreign => write!(f, "it is no frame of a cluster"),
+            FrameError::Version(v) => write!(f, "version {v} is not read here"),
+            FrameError::Checksum => write!(f, "its checksum does not fit"),
+            FrameError::Body => write!(f, "its body can't be read"),
         }
     }
 }
 
-impl std::error::Error for BadFrame {}
+impl std::error::Error for FrameError {}
 
 fn seal(kind: Kind, version: u8, body: &impl Serialize) -> Vec<u8> {
     let mut out = Vec::with_capacity(256);
@@ -143,27 +143,27 @@
     hasher.finalize().to_le_bytes()
 }
 
-fn open(kind: Kind, frame: &[u8], most: usize, reads: u8) -> Result<(u8, &[u8]), BadFrame> {
+fn open(kind: Kind, frame: &[u8], most: usize, reads: u8) -> Result<(u8, &[u8]), FrameError> {
     if frame.len() < HEAD || frame.len() > most {
-        return Err(BadFrame::Length(frame.len()));
+        return Err(FrameError::Length(frame.len()));
     }
     if &frame[..3] != MAGIC || frame[3] != kind as u8 {
-        return Err(BadFrame::Foreign);
+        return Err(FrameError::Foreign);
     }
     let version = frame[4];
     if checksum(frame) != frame[5..HEAD] {
-        return Err(BadFrame::Checksum);
+        return Err(FrameError::Checksum);
     }
     if !(FIRST..=reads).contains(&version) {
-        return Err(BadFrame::Version(version));
+        return Err(FrameError::Version(version));
     }
     Ok((version, &frame[HEAD..]))
 }
 
-fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, BadFrame> {
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, FrameError> {
     match postcard::take_from_bytes(body) {
         Ok((value, [])) => Ok(value),
-        _ => Err(BadFrame::Body),
+        _ => Err(FrameError::Body),
     }
 }
 
@@ -178,7 +178,7 @@
     }
 
     /// Reads a datagram, of versions up to `reads`.
-    pub fn decode(bytes: &[u8], reads: u8) -> Result<Datagram, BadFrame> {
+    pub fn decode(bytes: &[u8], reads: u8) -> Result<Datagram, FrameError> {
         let (version, body) = open(Kind::Datagram, bytes, DATAGRAM, reads)?;
         if version == FIRST {
             let First { sender, probe, rumours, facts } = read(body)?;
@@ -189,7 +189,7 @@
     }
 }
 
-impl Line {
+impl StreamFrame {
     /// The bytes, behind their length. Lines are the same in both versions.
     pub fn encode(&self) -> Vec<u8> {
         let frame = seal(Kind::Stream, FIRST, self);
@@ -200,18 +200,18 @@
     }
 
     /// Reads a frame without its length.
-    pub fn decode(frame: &[u8]) -> Result<Line, BadFrame> {
+    pub fn decode(frame: &[u8]) -> Result<StreamFrame, FrameError> {
         let (_, body) = open(Kind::Stream, frame, FRAME, LATEST)?;
         read(body)
     }
 }
 
 /// Where the first frame of these bytes ends, if it is there; an error where its length can't be.
-pub fn frame_end(bytes: &[u8]) -> Result<Option<usize>, BadFrame> {
+pub fn frame_end(bytes: &[u8]) -> Result<Option<usize>, FrameError> {
     let Some(length) = bytes.first_chunk::<4>() else { return Ok(None) };
     let length = u32::from_be_bytes(*length) as usize;
     if !(HEAD..=FRAME).contains(&length) {
-        return Err(BadFrame::Length(length));
+        return Err(FrameError::Length(length));
     }
     Ok(Some(4 + length).filter(|end| bytes.len() >= *end))
 }
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -9,4 +9,4 @@
 pub mod node;
 pub mod swim;
 
-pub use node::{Member, Output, Settings, Told};
+pub use node::{GossipNode, GossipSettings, Notification, Output};
--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -1,13 +1,15 @@
 //! One broker of a cluster: what it sends to whom, and what it does with what comes. Free of I/O and clock.
 
-use super::codec::{self, BadFrame, DATAGRAM, Datagram, FIRST, LATEST, Line, Sender};
-use super::swim::{self, Event, Probe, Rumour, Status, Swim};
+use super::codec::{self, DATAGRAM, Datagram, FIRST, FrameError, LATEST, Sender, StreamFrame};
+use super::swim::{self, PeerEvent, PeerStatus, Probe, StatusUpdate, Swim};
 use crate::api::Nanos;
-use crate::replication::anti_entropy::{self, Message, Walk};
-use crate::replication::derived_state::Effect;
-use crate::replication::rumor_queue::News;
+use crate::replication::anti_entropy::{self, SyncMessage, SyncSession};
+use crate::replication::derived_state::DerivedState;
+use crate::replication::rumor_queue::RumorQueue;
 use crate::replication::state_store::Fact;
-use crate::replication::{Bounds, Copy, Dot, Entry, Key, Latest, Origin, Refused, Said};
+use crate::replication::{
+    Dot, FactKey, FactValue, JoinError, OperatorCommand, Origin, ProcessStart, StateStore, StoreLimits,
+};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
@@ -39,13 +41,13 @@
 /// Time between two looks for what can be forgotten.
 const COLLECT: Nanos = 60_000 * MS;
 /// A quarter of the time for which words are kept, if that is shorter.
-fn collect_every(bounds: &Bounds) -> Nanos {
+fn collect_every(bounds: &StoreLimits) -> Nanos {
     COLLECT.min(bounds.keep / 4).max(100 * MS)
 }
 
 /// What a broker is told of its cluster.
 #[derive(Clone, Debug)]
-pub struct Settings {
+pub struct GossipSettings {
     /// The cluster's name: brokers of another one are not listened to.
     pub cluster: String,
     /// This broker's name.
@@ -53,9 +55,9 @@
     /// The other brokers, and where they are.
     pub peers: Vec<(String, SocketAddr)>,
     /// Times of the probing.
-    pub swim: swim::Settings,
+    pub swim: swim::SwimSettings,
     /// How much is held.
-    pub bounds: Bounds,
+    pub bounds: StoreLimits,
     /// The latest version of frames that is spoken.
     pub speaks: u8,
     /// For all that is drawn.
@@ -77,7 +79,7 @@
 
 /// Why something that came was dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Dropped {
+pub enum DropReason {
     /// It came from an address that the operator's file does not name.
     Unlisted,
     /// Its bytes are no frame.
@@ -100,26 +102,26 @@
     Stream,
 }
 
-impl fmt::Display for Dropped {
+impl fmt::Display for DropReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Dropped::Unlisted => "the operator's file does not name it",
-            Dropped::Frame => "what it sends is no frame",
-            Dropped::Version => "it speaks a later version than this program",
-            Dropped::Cluster => "it belongs to another cluster",
-            Dropped::Name => "it has another name than its address is listed under",
-            Dropped::OwnName => "it has this broker's own name",
-            Dropped::Removed => "it was removed from the cluster",
-            Dropped::Flood => "it sends more than may be",
-            Dropped::Fact => "it tells facts that can't be taken in",
-            Dropped::Stream => "it speaks out of turn, or opens too many connections",
+            DropReason::Unlisted => "the operator's file does not name it",
+            DropReason::Frame => "what it sends is no frame",
+            DropReason::Version => "it speaks a later version than this program",
+            DropReason::Cluster => "it belongs to another cluster",
+            DropReason::Name => "it has another name than its address is listed under",
+            DropReason::OwnName => "it has this broker's own name",
+            DropReason::Removed => "it was removed from the cluster",
+            DropReason::Flood => "it sends more than may be",
+            DropReason::Fact => "it tells facts that can't be taken in",
+            DropReason::Stream => "it speaks out of turn, or opens too many connections",
         })
     }
 }
 
 /// What people are told.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Told {
+pub enum Notification {
     /// A peer is up.
     Up(String),
     /// A peer does not answer.
@@ -131,7 +133,7 @@
     /// This process did not run for so long.
     Late(Nanos),
     /// Something was dropped; told once a minute for each reason.
-    Dropped(Dropped, SocketAddr),
+    Dropped(DropReason, SocketAddr),
     /// This copy is as new as that of a peer.
     CaughtUp(String),
     /// No peer can be reached: it serves as a lone one.
@@ -141,16 +143,16 @@
     /// This broker was removed from the cluster: it tells nobody anything any more.
     Removed,
     /// A word or several stand on this key.
-    Changed(Key),
+    Changed(FactKey),
     /// So many words came at once.
     Came(usize),
 }
 
 /// How far this copy is as new as the others'.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
+pub enum SyncStatus {
     /// Nobody was reached yet.
-    Catching,
+    CatchingUp,
     /// As new as a peer's, at some time since the start.
     CaughtUp,
     /// Nobody can be reached.
@@ -196,8 +198,8 @@
 struct Outgoing {
     stream: u64,
     peer: usize,
-    walk: Walk,
-    first: Option<Message>,
+    walk: SyncSession,
+    first: Option<SyncMessage>,
     silent_since: Nanos,
 }
 
@@ -209,11 +211,11 @@
 
 /// One broker of a cluster.
 #[derive(Clone, Debug)]
-pub struct Member {
-    settings: Settings,
+pub struct GossipNode {
+    settings: GossipSettings,
     swim: Swim,
-    copy: Copy,
-    news: News,
+    copy: StateStore,
+    news: RumorQueue,
     peers: Vec<Peer>,
     by_addr: BTreeMap<SocketAddr, usize>,
     outgoing: Option<Outgoing>,
@@ -223,21 +225,27 @@
     next_walk: Nanos,
     next_collect: Nanos,
     began: Nanos,
-    standing: Standing,
+    standing: SyncStatus,
     /// Keys that changed and are not on disk.
-    unkept: BTreeSet<Key>,
-    effect: Effect,
-    heard_of: VecDeque<Key>,
+    unkept: BTreeSet<FactKey>,
+    effect: DerivedState,
+    heard_of: VecDeque<FactKey>,
     out: VecDeque<Output>,
-    told: VecDeque<Told>,
-    dropped: BTreeMap<Dropped, (u64, Nanos)>,
+    told: VecDeque<Notification>,
+    dropped: BTreeMap<DropReason, (u64, Nanos)>,
     was_removed: bool,
 }
 
-impl Member {
+impl GossipNode {
     /// A broker that knows what was kept, and no more. `incarnation` is greater than any it had before, as far as it knows.
-    pub fn new(settings: Settings, origin: Origin, kept: &[Fact], incarnation: u64, now: Nanos) -> Member {
-        let mut copy = Copy::new(origin, settings.bounds);
+    pub fn new(
+        settings: GossipSettings,
+        origin: Origin,
+        kept: &[Fact],
+        incarnation: u64,
+        now: Nanos,
+    ) -> GossipNode {
+        let mut copy = StateStore::new(origin, settings.bounds);
         for (key, entry) in kept {
             // A start that lies ahead was kept under another clock; discovery tells it anew.
             let _ = copy.join(key, entry, now);
@@ -247,11 +255,11 @@
         let peers: Vec<Peer> = settings.peers.iter().map(|(name, at)| Peer::new(name, *at, now)).collect();
         let by_addr = peers.iter().enumerate().map(|(n, p)| (p.at, n)).collect();
         let next_collect = now + collect_every(&settings.bounds);
-        let mut member = Member {
+        let mut member = GossipNode {
             settings,
             swim,
             copy,
-            news: News::default(),
+            news: RumorQueue::default(),
             peers,
             by_addr,
             outgoing: None,
@@ -261,9 +269,9 @@
             next_walk: now,
             next_collect,
             began: now,
-            standing: Standing::Catching,
+            standing: SyncStatus::CatchingUp,
             unkept: BTreeSet::new(),
-            effect: Effect::default(),
+            effect: DerivedState::default(),
             heard_of: VecDeque::new(),
             out: VecDeque::new(),
             told: VecDeque::new(),
@@ -271,7 +279,7 @@
             was_removed: false,
         };
         member.next_walk += member.swim.jitter(WALKS.1);
-        let from_discovery = |k: &&Key| matches!(k, Key::Drain(_) | Key::Start(_));
+        let from_discovery = |k: &&FactKey| matches!(k, FactKey::Drain(_) | FactKey::Start(_));
         member.heard_of = member.copy.facts().map(|(k, _)| k).filter(from_discovery).cloned().collect();
         member.work_out(now);
         member
@@ -280,17 +288,17 @@
     // ---- what is asked of it ----
 
     /// The copy.
-    pub fn copy(&self) -> &Copy {
+    pub fn store(&self) -> &StateStore {
         &self.copy
     }
 
     /// What holds for this broker.
-    pub fn effect(&self) -> &Effect {
+    pub fn derived_state(&self) -> &DerivedState {
         &self.effect
     }
 
     /// How new the copy is.
-    pub fn standing(&self) -> Standing {
+    pub fn sync_status(&self) -> SyncStatus {
         self.standing
     }
 
@@ -308,7 +316,7 @@
     pub fn peers(
         &self,
         now: Nanos,
-    ) -> impl Iterator<Item = (&str, SocketAddr, Status, Option<bool>, Option<Nanos>)> {
+    ) -> impl Iterator<Item = (&str, SocketAddr, PeerStatus, Option<bool>, Option<Nanos>)> {
         let root = self.copy.tree().root();
         self.peers.iter().enumerate().filter(|(_, p)| p.listed).map(move |(n, p)| {
             let ago = p.heard.map(|t| now.saturating_sub(t));
@@ -317,27 +325,27 @@
     }
 
     /// What was dropped, by reason.
-    pub fn dropped(&self) -> impl Iterator<Item = (Dropped, u64)> {
+    pub fn dropped(&self) -> impl Iterator<Item = (DropReason, u64)> {
         self.dropped.iter().map(|(why, (n, _))| (*why, *n))
     }
 
     /// Says something by hand.
-    pub fn say(&mut self, key: &Key, said: Said, now: Nanos) -> Result<Dot, Refused> {
-        let dot = self.copy.say(key, said)?;
+    pub fn record(&mut self, key: &FactKey, said: OperatorCommand, now: Nanos) -> Result<Dot, JoinError> {
+        let dot = self.copy.record(key, said)?;
         self.changed(key.clone());
         self.work_out(now);
         Ok(dot)
     }
 
     /// Discovery told this broker of a drain or a start.
-    pub fn note(&mut self, key: Key, latest: Latest, now: Nanos) {
-        if self.copy.join(&key, &Entry::Latest(latest), now) == Ok(true) {
+    pub fn note(&mut self, key: FactKey, latest: ProcessStart, now: Nanos) {
+        if self.copy.join(&key, &FactValue::Latest(latest), now) == Ok(true) {
             self.changed(key);
         }
     }
 
     /// A fact that is new: to be told on, kept, and looked at for what follows.
-    fn changed(&mut self, key: Key) {
+    fn changed(&mut self, key: FactKey) {
         self.news.learnt(key.clone(), self.swim.brokers());
         self.unkept.insert(key);
     }
@@ -357,7 +365,7 @@
     }
 
     /// Facts could not be kept: they are still to be.
-    pub fn not_kept(&mut self, keys: impl IntoIterator<Item = Key>) {
+    pub fn not_kept(&mut self, keys: impl IntoIterator<Item = FactKey>) {
         self.unkept.extend(keys);
     }
 
@@ -367,7 +375,7 @@
     }
 
     /// Servers of which peers have heard something that is new here.
-    pub fn take_heard_of(&mut self) -> Option<Key> {
+    pub fn take_heard_of(&mut self) -> Option<FactKey> {
         self.heard_of.pop_front()
     }
 
@@ -377,19 +385,19 @@
     }
 
     /// What people are told.
-    pub fn take_told(&mut self) -> Option<Told> {
+    pub fn take_told(&mut self) -> Option<Notification> {
         self.told.pop_front()
     }
 
     /// A new origin, where somebody else uses this one.
     pub fn renew(&mut self, origin: Origin) {
-        self.copy.renew(origin);
-        self.told.push_back(Told::Doubled);
+        self.copy.set_origin(origin);
+        self.told.push_back(Notification::Doubled);
     }
 
     /// Whether somebody else uses this process's stamps.
     pub fn is_doubled(&self) -> bool {
-        self.copy.is_doubled()
+        self.copy.has_duplicate_origin()
     }
 
     fn sender(&self) -> Sender {
@@ -402,12 +410,12 @@
         }
     }
 
-    fn drop_it(&mut self, why: Dropped, from: SocketAddr, now: Nanos) {
+    fn drop_it(&mut self, why: DropReason, from: SocketAddr, now: Nanos) {
         let (count, told) = self.dropped.entry(why).or_insert((0, 0));
         *count += 1;
         if *count == 1 || now >= *told + 60_000 * MS {
             *told = now;
-            self.told.push_back(Told::Dropped(why, from));
+            self.told.push_back(Notification::Dropped(why, from));
         }
     }
 
@@ -415,17 +423,17 @@
 
     /// A datagram came.
     pub fn datagram(&mut self, from: SocketAddr, bytes: &[u8], now: Nanos) {
-        let Some(&n) = self.by_addr.get(&from) else { return self.drop_it(Dropped::Unlisted, from, now) };
+        let Some(&n) = self.by_addr.get(&from) else { return self.drop_it(DropReason::Unlisted, from, now) };
         let (since, count) = self.peers[n].second;
         self.peers[n].second =
             if now >= since + 1_000 * MS { (now, 1) } else { (since, count.saturating_add(1)) };
         if self.peers[n].second.1 > MOST_DATAGRAMS {
-            return self.drop_it(Dropped::Flood, from, now);
+            return self.drop_it(DropReason::Flood, from, now);
         }
         let d = match Datagram::decode(bytes, self.settings.speaks) {
             Ok(d) => d,
-            Err(BadFrame::Version(_)) => return self.drop_it(Dropped::Version, from, now),
-            Err(_) => return self.drop_it(Dropped::Frame, from, now),
+            Err(FrameError::Version(_)) => return self.drop_it(DropReason::Version, from, now),
+            Err(_) => return self.drop_it(DropReason::Frame, from, now),
         };
         if let Err(why) = self.vouch(n, &d.sender) {
             return self.drop_it(why, from, now);
@@ -440,18 +448,18 @@
     }
 
     /// Whether somebody at the address of peer `n` is that peer.
-    fn vouch(&self, n: usize, sender: &Sender) -> Result<(), Dropped> {
+    fn vouch(&self, n: usize, sender: &Sender) -> Result<(), DropReason> {
         if !self.peers[n].listed {
-            return Err(Dropped::Unlisted);
+            return Err(DropReason::Unlisted);
         }
         if sender.cluster != codec::cluster(&self.settings.cluster) {
-            Err(Dropped::Cluster)
+            Err(DropReason::Cluster)
         } else if sender.name == self.settings.name {
-            Err(Dropped::OwnName)
+            Err(DropReason::OwnName)
         } else if sender.name != self.peers[n].name {
-            Err(Dropped::Name)
+            Err(DropReason::Name)
         } else if self.effect.removed.contains(&sender.name) {
-            Err(Dropped::Removed)
+            Err(DropReason::Removed)
         } else {
             Ok(())
         }
@@ -481,17 +489,17 @@
                         self.unkept.insert(key.clone());
                     }
                     match key {
-                        Key::Drain(_) | Key::Start(_) => self.heard_of.push_back(key.clone()),
-                        _ if news => self.told.push_back(Told::Changed(key.clone())),
+                        FactKey::Drain(_) | FactKey::Start(_) => self.heard_of.push_back(key.clone()),
+                        _ if news => self.told.push_back(Notification::Changed(key.clone())),
                         _ => came += 1,
                     }
                 }
                 Ok(false) => {}
-                Err(_) => self.drop_it(Dropped::Fact, from, now),
+                Err(_) => self.drop_it(DropReason::Fact, from, now),
             }
         }
         if came > 0 {
-            self.told.push_back(Told::Came(came));
+            self.told.push_back(Notification::Came(came));
         }
         if self.copy.version() != before {
             self.work_out(now);
@@ -500,7 +508,7 @@
 
     /// What follows from the facts.
     fn work_out(&mut self, now: Nanos) {
-        let mut keys = self.copy.take_touched();
+        let mut keys = self.copy.take_changed_keys();
         keys.extend(self.effect.ended(now));
         if keys.is_empty() {
             return;
@@ -508,7 +516,7 @@
         let mut brokers_too = false;
         for key in &keys {
             self.effect.look(&self.copy, key, &self.settings.name, now);
-            brokers_too |= matches!(key, Key::Removed(_));
+            brokers_too |= matches!(key, FactKey::Removed(_));
         }
         if brokers_too {
             self.let_out();
@@ -522,7 +530,7 @@
         self.swim.removed(&out);
         let gone = self.effect.removed.contains(&self.settings.name);
         if gone && !self.was_removed {
-            self.told.push_back(Told::Removed);
+            self.told.push_back(Notification::Removed);
         }
         self.was_removed = gone;
     }
@@ -575,16 +583,16 @@
         for event in self.swim.take_events() {
             let name = |n: usize| self.peers[n].name.clone();
             let told = match event {
-                Event::Up(n) => Told::Up(name(n)),
-                Event::Suspected(n) => Told::Suspected(name(n)),
-                Event::Down(n) => Told::Down(name(n)),
-                Event::Refuted => Told::Refuted,
-                Event::Late(t) => {
+                PeerEvent::Up(n) => Notification::Up(name(n)),
+                PeerEvent::Suspected(n) => Notification::Suspected(name(n)),
+                PeerEvent::Down(n) => Notification::Down(name(n)),
+                PeerEvent::Refuted => Notification::Refuted,
+                PeerEvent::Late(t) => {
                     // What was missed meanwhile is asked for at once.
-                    if self.standing == Standing::CaughtUp && t > SILENT {
-                        (self.standing, self.began, self.next_walk) = (Standing::Catching, now, now);
+                    if self.standing == SyncStatus::CaughtUp && t > SILENT {
+                        (self.standing, self.began, self.next_walk) = (SyncStatus::CatchingUp, now, now);
                     }
-                    Told::Late(t)
+                    Notification::Late(t)
                 }
             };
             self.told.push_back(told);
@@ -598,9 +606,9 @@
     pub fn accepted(&mut self, stream: u64, from: SocketAddr, now: Nanos) {
         let listed = |ip: IpAddr| self.peers.iter().any(|p| p.listed && p.at.ip() == ip);
         let why = if !listed(from.ip()) {
-            Some(Dropped::Unlisted)
+            Some(DropReason::Unlisted)
         } else if self.incoming.len() >= ANSWERED || self.was_removed {
-            Some(Dropped::Stream)
+            Some(DropReason::Stream)
         } else {
             None
         };
@@ -613,7 +621,7 @@
 
     /// A connection that this broker opened is up.
     pub fn connected(&mut self, stream: u64, now: Nanos) {
-        let line = Line::Hello { sender: self.sender(), rumours: self.swim.all() };
+        let line = StreamFrame::Hello { sender: self.sender(), rumours: self.swim.all() };
         if let Some(o) = self.outgoing.as_mut().filter(|o| o.stream == stream) {
             o.silent_since = now;
             self.out.push_back(Output::Send { stream, bytes: line.encode() });
@@ -635,15 +643,15 @@
     }
 
     fn pace(&mut self, now: Nanos) {
-        let between = if self.standing == Standing::CaughtUp { WALKS.0 } else { WALKS.1 };
+        let between = if self.standing == SyncStatus::CaughtUp { WALKS.0 } else { WALKS.1 };
         self.next_walk = now + between / 2 + self.swim.jitter(between);
     }
 
     /// A frame came on a connection, without its length.
     pub fn frame(&mut self, stream: u64, from: SocketAddr, bytes: &[u8], now: Nanos) {
-        let heard = Line::decode(bytes).map_err(|e| match e {
-            BadFrame::Version(_) => Dropped::Version,
-            _ => Dropped::Frame,
+        let heard = StreamFrame::decode(bytes).map_err(|e| match e {
+            FrameError::Version(_) => DropReason::Version,
+            _ => DropReason::Frame,
         });
         let done = heard.and_then(|line| {
             if self.incoming.contains_key(&stream) {
@@ -661,7 +669,7 @@
         self.flush(now);
     }
 
-    fn hello(&mut self, n: usize, sender: &Sender, rumours: &[Rumour], now: Nanos) {
+    fn hello(&mut self, n: usize, sender: &Sender, rumours: &[StatusUpdate], now: Nanos) {
         let p = &mut self.peers[n];
         p.reads = sender.reads;
         // Another process under that name speaks by datagram: what it says of itself there holds.
@@ -672,35 +680,52 @@
         self.swim.rumours(&sender.name, rumours, now);
     }
 
-    fn answer(&mut self, stream: u64, from: SocketAddr, line: Line, now: Nanos) -> Result<(), Dropped> {
+    fn answer(
+        &mut self,
+        stream: u64,
+        from: SocketAddr,
+        line: StreamFrame,
+        now: Nanos,
+    ) -> Result<(), DropReason> {
         let known = self.incoming.get(&stream).and_then(|i| i.peer);
         let (peer, reply) = match (known, line) {
-            (None, Line::Hello { sender, rumours }) => {
+            (None, StreamFrame::Hello { sender, rumours }) => {
                 let n = self.swim.number(&sender.name).ok_or(if sender.name == self.settings.name {
-                    Dropped::OwnName
+                    DropReason::OwnName
                 } else {
-                    Dropped::Unlisted
+                    DropReason::Unlisted
                 })?;
                 self.vouch(n, &sender)?;
                 self.hello(n, &sender, &rumours, now);
-                (n, Line::Hello { sender: self.sender(), rumours: self.swim.all() })
+                (n, StreamFrame::Hello { sender: self.sender(), rumours: self.swim.all() })
             }
-            (Some(n), Line::Walk(message)) => {
+            (Some(n), StreamFrame::Walk(message)) => {
                 self.take_in(anti_entropy::facts(&message), from, now);
-                (n, Line::Walk(anti_entropy::answer(&self.copy, &message).map_err(|_| Dropped::Stream)?))
+                (
+                    n,
+                    StreamFrame::Walk(
+                        anti_entropy::answer(&self.copy, &message).map_err(|_| DropReason::Stream)?,
+                    ),
+                )
             }
-            _ => return Err(Dropped::Stream),
+            _ => return Err(DropReason::Stream),
         };
         self.incoming.insert(stream, Incoming { peer: Some(peer), silent_since: now });
         self.out.push_back(Output::Send { stream, bytes: reply.encode() });
         Ok(())
     }
 
-    fn go_on(&mut self, stream: u64, from: SocketAddr, line: Line, now: Nanos) -> Result<(), Dropped> {
+    fn go_on(
+        &mut self,
+        stream: u64,
+        from: SocketAddr,
+        line: StreamFrame,
+        now: Nanos,
+    ) -> Result<(), DropReason> {
         let Some(mut o) = self.outgoing.take() else { return Ok(()) };
         o.silent_since = now;
         let next = match (line, o.first.take()) {
-            (Line::Hello { sender, rumours }, Some(first)) => {
+            (StreamFrame::Hello { sender, rumours }, Some(first)) => {
                 if let Err(why) = self.vouch(o.peer, &sender) {
                     self.outgoing = Some(o);
                     return Err(why);
@@ -708,34 +733,34 @@
                 self.hello(o.peer, &sender, &rumours, now);
                 Some(first)
             }
-            (Line::Walk(message), None) => {
+            (StreamFrame::Walk(message), None) => {
                 self.take_in(anti_entropy::facts(&message), from, now);
                 match o.walk.next(&self.copy, &message) {
                     Ok(next) => next,
                     Err(_) => {
                         self.outgoing = Some(o);
-                        return Err(Dropped::Stream);
+                        return Err(DropReason::Stream);
                     }
                 }
             }
             (_, first) => {
                 o.first = first;
                 self.outgoing = Some(o);
-                return Err(Dropped::Stream);
+                return Err(DropReason::Stream);
             }
         };
         match next {
             Some(message) => {
-                self.out.push_back(Output::Send { stream, bytes: Line::Walk(message).encode() });
+                self.out.push_back(Output::Send { stream, bytes: StreamFrame::Walk(message).encode() });
                 self.outgoing = Some(o);
             }
             None => {
                 self.out.push_back(Output::Close { stream });
                 self.peers[o.peer].differs = None;
                 self.peers[o.peer].walked = now;
-                if o.walk.is_whole() && self.standing != Standing::CaughtUp {
-                    self.standing = Standing::CaughtUp;
-                    self.told.push_back(Told::CaughtUp(self.peers[o.peer].name.clone()));
+                if o.walk.is_whole() && self.standing != SyncStatus::CaughtUp {
+                    self.standing = SyncStatus::CaughtUp;
+                    self.told.push_back(Notification::CaughtUp(self.peers[o.peer].name.clone()));
                 }
                 self.pace(now);
                 if !o.walk.is_whole() {
@@ -769,7 +794,7 @@
         }
         if now >= self.next_collect {
             self.next_collect = now + collect_every(&self.settings.bounds);
-            for key in self.copy.collect(now) {
+            for key in self.copy.collect_garbage(now) {
                 self.unkept.insert(key);
             }
             self.work_out(now);
@@ -792,18 +817,20 @@
         if self.was_removed {
             return;
         }
-        if self.standing == Standing::CaughtUp && self.swim.draw(1, None).is_empty() && !self.peers.is_empty()
+        if self.standing == SyncStatus::CaughtUp
+            && self.swim.draw(1, None).is_empty()
+            && !self.peers.is_empty()
         {
-            self.standing = Standing::Alone;
-            self.told.push_back(Told::Alone);
+            self.standing = SyncStatus::Alone;
+            self.told.push_back(Notification::Alone);
         }
-        let peer = if self.standing == Standing::CaughtUp {
+        let peer = if self.standing == SyncStatus::CaughtUp {
             self.whose_copy_differs(now)
         } else {
             let lonely = 3 * self.settings.swim.every.max(1_000 * MS);
-            if self.standing == Standing::Catching && now >= self.began + lonely {
-                self.standing = Standing::Alone;
-                self.told.push_back(Told::Alone);
+            if self.standing == SyncStatus::CatchingUp && now >= self.began + lonely {
+                self.standing = SyncStatus::Alone;
+                self.told.push_back(Notification::Alone);
             }
             let up = self.swim.draw(1, None).first().copied();
             up.or_else(|| self.swim.any())
@@ -813,7 +840,7 @@
             return;
         };
         self.streams += 1;
-        let (walk, first) = Walk::begin(&self.copy, WALK);
+        let (walk, first) = SyncSession::begin(&self.copy, WALK);
         let stream = self.streams;
         self.outgoing = Some(Outgoing { stream, peer, walk, first: Some(first), silent_since: now });
         self.out.push_back(Output::Dial { stream, to: self.peers[peer].at });
@@ -826,7 +853,7 @@
         // Digests are not told in the first version.
         let speaks = self.settings.speaks;
         let untold = |p: &Peer| p.heard.is_some() && p.reads.min(speaks) == FIRST && p.walked + UNTOLD <= now;
-        let up = |n: &usize| self.swim.status(*n) == Status::Alive;
+        let up = |n: &usize| self.swim.status(*n) == PeerStatus::Alive;
         let all: Vec<usize> = (0..self.peers.len())
             .filter(|n| due(&self.peers[*n]) || untold(&self.peers[*n]))
             .filter(up)
--- a/src/gossip/swim.rs
+++ b/src/gossip/swim.rs
@@ -17,7 +17,7 @@
 
 /// Times of the probing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Settings {
+pub struct SwimSettings {
     /// Time between two probes.
     pub every: Nanos,
     /// Time after which others are asked to try.
@@ -28,7 +28,7 @@
 
 /// How a peer stands. Of one incarnation the later one in this order is believed.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Status {
+pub enum PeerStatus {
     /// It answers.
     Alive,
     /// It did not answer; it may still say so.
@@ -39,13 +39,13 @@
 
 /// What one says of another.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
-pub struct Rumour {
+pub struct StatusUpdate {
     /// Of whom.
     pub name: String,
     /// Of which of its incarnations.
     pub incarnation: u64,
     /// How it stands.
-    pub status: Status,
+    pub status: PeerStatus,
 }
 
 /// What a datagram is for.
@@ -65,7 +65,7 @@
 
 /// What has become of a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Event {
+pub enum PeerEvent {
     /// It is up.
     Up(usize),
     /// It did not answer.
@@ -101,7 +101,7 @@
 struct Peer {
     name: String,
     incarnation: u64,
-    status: Status,
+    status: PeerStatus,
     suspicion: Option<Suspicion>,
     /// It speaks under a lower incarnation than is known of it: it must be told.
     behind: bool,
@@ -110,7 +110,7 @@
 
 impl Peer {
     fn new(name: &str) -> Peer {
-        let (incarnation, status) = (0, Status::Down);
+        let (incarnation, status) = (0, PeerStatus::Down);
         Peer { name: name.to_owned(), incarnation, status, suspicion: None, behind: false, removed: false }
     }
 }
@@ -135,7 +135,7 @@
 /// One broker's view of its peers.
 #[derive(Clone, Debug)]
 pub struct Swim {
-    settings: Settings,
+    settings: SwimSettings,
     name: String,
     incarnation: u64,
     peers: Vec<Peer>,
@@ -151,7 +151,7 @@
     /// Time in which this process did not run.
     stood: Nanos,
     out: Vec<(usize, Probe)>,
-    events: Vec<Event>,
+    events: Vec<PeerEvent>,
     rng: Pcg32,
 }
 
@@ -159,7 +159,7 @@
     /// The view of the broker `name` of these peers. `incarnation` is greater than any that it had before, as far as it
     /// knows; `seed` is for the order of its probes.
     pub fn new(
-        settings: Settings,
+        settings: SwimSettings,
         name: &str,
         peers: &[String],
         incarnation: u64,
@@ -194,7 +194,7 @@
     }
 
     /// How a peer stands.
-    pub fn status(&self, peer: usize) -> Status {
+    pub fn status(&self, peer: usize) -> PeerStatus {
         self.peers[peer].status
     }
 
@@ -220,7 +220,7 @@
 
     /// Up to `n` peers drawn at random among those that are not down.
     pub fn draw(&mut self, n: usize, but: Option<usize>) -> Vec<usize> {
-        let up = |(_, p): &(usize, &Peer)| p.status != Status::Down && !p.removed;
+        let up = |(_, p): &(usize, &Peer)| p.status != PeerStatus::Down && !p.removed;
         let mut all: Vec<usize> = self.peers.iter().enumerate().filter(up).map(|(n, _)| n).collect();
         all.retain(|p| Some(*p) != but);
         let n = n.min(all.len());
@@ -244,7 +244,7 @@
     }
 
     /// What has become of peers since this was last asked.
-    pub fn take_events(&mut self) -> Vec<Event> {
+    pub fn take_events(&mut self) -> Vec<PeerEvent> {
         std::mem::take(&mut self.events)
     }
 
@@ -277,7 +277,7 @@
         if late > SLACK {
             self.stood += late - SLACK;
             self.health = (self.health + 1).min(WORST);
-            self.events.push(Event::Late(late));
+            self.events.push(PeerEvent::Late(late));
         }
         now.saturating_sub(self.stood)
     }
@@ -310,7 +310,7 @@
         for n in 0..self.peers.len() {
             if self.peers[n].suspicion.as_ref().is_some_and(|s| self.ends(s) <= now) {
                 let incarnation = self.peers[n].incarnation;
-                self.believe(n, incarnation, Status::Down, None, now);
+                self.believe(n, incarnation, PeerStatus::Down, None, now);
             }
         }
         while let Some((n, relay)) =
@@ -357,14 +357,14 @@
         }
         let incarnation = self.peers[p.peer].incarnation;
         let own = self.name.clone();
-        self.believe(p.peer, incarnation, Status::Suspect, Some(&own), now);
+        self.believe(p.peer, incarnation, PeerStatus::Suspect, Some(&own), now);
     }
 
     fn begin_probe(&mut self, now: Nanos) {
         self.count = self.count.wrapping_add(1);
         if self.count.is_multiple_of(DOWN_EVERY) {
             let down: Vec<usize> = (0..self.peers.len())
-                .filter(|n| self.peers[*n].status == Status::Down && !self.peers[*n].removed)
+                .filter(|n| self.peers[*n].status == PeerStatus::Down && !self.peers[*n].removed)
                 .collect();
             if !down.is_empty() {
                 let n = down[self.rng.next_u32() as usize % down.len()];
@@ -382,7 +382,7 @@
             let Some(peer) = self.order.pop_front() else { return };
             let p = &self.peers[peer];
             // One never heard of is probed as well: at the start that is everybody.
-            if p.removed || (p.status == Status::Down && p.incarnation > 0) {
+            if p.removed || (p.status == PeerStatus::Down && p.incarnation > 0) {
                 continue;
             }
             self.count = self.count.wrapping_add(1);
@@ -398,7 +398,7 @@
     pub fn heard(&mut self, from: usize, incarnation: u64, probe: &Probe, now: Nanos) {
         let now = self.own(now);
         self.peers[from].behind = incarnation < self.peers[from].incarnation;
-        self.believe(from, incarnation, Status::Alive, None, now);
+        self.believe(from, incarnation, PeerStatus::Alive, None, now);
         match probe {
             Probe::News => {}
             Probe::Ping { n } => self.out.push((from, Probe::Ack { n: *n })),
@@ -431,16 +431,16 @@
     }
 
     /// What a peer says of others, and of this broker.
-    pub fn rumours(&mut self, from: &str, rumours: &[Rumour], now: Nanos) {
+    pub fn rumours(&mut self, from: &str, rumours: &[StatusUpdate], now: Nanos) {
         let now = self.own(now);
         for r in rumours {
             if r.name == self.name {
-                let doubted = r.status != Status::Alive && r.incarnation >= self.incarnation;
+                let doubted = r.status != PeerStatus::Alive && r.incarnation >= self.incarnation;
                 // Known under more than it has: its clock or its disk was set back.
                 if doubted || r.incarnation > self.incarnation {
                     self.incarnation = r.incarnation.saturating_add(1);
                     self.rumours.insert(None, rounds(self.brokers()));
-                    self.events.push(Event::Refuted);
+                    self.events.push(PeerEvent::Refuted);
                 }
             } else if let Some(n) = self.number(&r.name) {
                 self.believe(n, r.incarnation, r.status, Some(from), now);
@@ -448,7 +448,7 @@
         }
     }
 
-    fn believe(&mut self, n: usize, incarnation: u64, status: Status, by: Option<&str>, now: Nanos) {
+    fn believe(&mut self, n: usize, incarnation: u64, status: PeerStatus, by: Option<&str>, now: Nanos) {
         let brokers = self.brokers();
         let p = &mut self.peers[n];
         if (incarnation, status) <= (p.incarnation, p.status) {
@@ -464,36 +464,36 @@
         }
         let was = p.status;
         (p.incarnation, p.status) = (incarnation, status);
-        p.suspicion = (status == Status::Suspect)
+        p.suspicion = (status == PeerStatus::Suspect)
             .then(|| Suspicion { since: now, by: by.into_iter().map(str::to_owned).collect() });
         self.rumours.insert(Some(n), rounds(brokers));
         match status {
             _ if was == status => {}
-            Status::Alive => self.events.push(Event::Up(n)),
-            Status::Suspect => self.events.push(Event::Suspected(n)),
-            Status::Down => self.events.push(Event::Down(n)),
+            PeerStatus::Alive => self.events.push(PeerEvent::Up(n)),
+            PeerStatus::Suspect => self.events.push(PeerEvent::Suspected(n)),
+            PeerStatus::Down => self.events.push(PeerEvent::Down(n)),
         }
     }
 
-    fn rumour(&self, about: Option<usize>) -> Rumour {
+    fn rumour(&self, about: Option<usize>) -> StatusUpdate {
         let (name, incarnation, status) = match about {
-            None => (&self.name, self.incarnation, Status::Alive),
+            None => (&self.name, self.incarnation, PeerStatus::Alive),
             Some(n) => (&self.peers[n].name, self.peers[n].incarnation, self.peers[n].status),
         };
-        Rumour { name: name.clone(), incarnation, status }
+        StatusUpdate { name: name.clone(), incarnation, status }
     }
 
     /// Rumours for a datagram to this peer, as many as fit into so many bytes: first what it must hear of itself.
-    pub fn rumours_for(&mut self, to: usize, room: usize) -> Vec<Rumour> {
+    pub fn rumours_for(&mut self, to: usize, room: usize) -> Vec<StatusUpdate> {
         let mut order: Vec<(u32, Option<usize>)> =
             self.rumours.iter().map(|(about, left)| (*left, *about)).collect();
         order.sort_by(|a, b| b.cmp(a));
         let mut told = Vec::new();
         let p = &self.peers[to];
-        if p.incarnation > 0 && (p.status != Status::Alive || p.behind) {
+        if p.incarnation > 0 && (p.status != PeerStatus::Alive || p.behind) {
             told.push(self.rumour(Some(to)));
         }
-        let cost = |r: &Rumour| r.name.len() + 13;
+        let cost = |r: &StatusUpdate| r.name.len() + 13;
         let mut bytes: usize = told.iter().map(cost).sum();
         for (left, about) in order {
             let rumour = self.rumour(about);
@@ -514,7 +514,7 @@
     }
 
     /// All that is known, for one that has just come.
-    pub fn all(&self) -> Vec<Rumour> {
+    pub fn all(&self) -> Vec<StatusUpdate> {
         let known =
             (0..self.peers.len()).filter(|n| self.peers[*n].incarnation > 0 && !self.peers[*n].removed);
         known.map(|n| self.rumour(Some(n))).collect()
@@ -532,7 +532,7 @@
         for p in &mut self.peers {
             p.removed = names.contains(&p.name);
             if p.removed {
-                (p.status, p.suspicion) = (Status::Down, None);
+                (p.status, p.suspicion) = (PeerStatus::Down, None);
             }
         }
         if self.probing.as_ref().is_some_and(|p| self.peers[p.peer].removed) {
--- a/src/maintenance/consensus.rs
+++ b/src/maintenance/consensus.rs
@@ -20,7 +20,7 @@
 
 /// What a proposer asks a voter.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Ask<V> {
+pub enum Request<V> {
     /// To take nothing of a lower ballot from now on, and to tell what it accepted last.
     Prepare { ballot: Ballot },
     /// To accept a value.
@@ -29,7 +29,7 @@
 
 /// What a voter answers.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Answer<V> {
+pub enum Response<V> {
     /// It takes nothing lower; what it accepted last, if anything.
     Promised { ballot: Ballot, accepted: Option<(Ballot, V)> },
     /// It accepted the value of this ballot.
@@ -40,33 +40,33 @@
 
 /// What a voter must have on disk before it answers.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Voter<V> {
+pub struct Acceptor<V> {
     promised: Ballot,
     accepted: Option<(Ballot, V)>,
 }
 
-impl<V> Default for Voter<V> {
-    fn default() -> Voter<V> {
-        Voter { promised: Ballot::default(), accepted: None }
+impl<V> Default for Acceptor<V> {
+    fn default() -> Acceptor<V> {
+        Acceptor { promised: Ballot::default(), accepted: None }
     }
 }
 
-impl<V: Clone> Voter<V> {
+impl<V: Clone> Acceptor<V> {
     /// Answers. The caller has the voter on disk before the answer leaves; an answer that can't be kept is not given.
-    pub fn answer(&mut self, ask: &Ask<V>) -> Answer<V> {
+    pub fn answer(&mut self, ask: &Request<V>) -> Response<V> {
         match ask {
-            Ask::Prepare { ballot } if *ballot > self.promised => {
+            Request::Prepare { ballot } if *ballot > self.promised => {
                 self.promised = *ballot;
-                Answer::Promised { ballot: *ballot, accepted: self.accepted.clone() }
+                Response::Promised { ballot: *ballot, accepted: self.accepted.clone() }
             }
             // The promise that holds is the one for this very ballot: its value is taken.
-            Ask::Accept { ballot, value } if *ballot >= self.promised => {
+            Request::Accept { ballot, value } if *ballot >= self.promised => {
                 self.promised = *ballot;
                 self.accepted = Some((*ballot, value.clone()));
-                Answer::Accepted { ballot: *ballot }
+                Response::Accepted { ballot: *ballot }
             }
-            Ask::Prepare { ballot } | Ask::Accept { ballot, .. } => {
-                Answer::Refused { ballot: *ballot, promised: self.promised }
+            Request::Prepare { ballot } | Request::Accept { ballot, .. } => {
+                Response::Refused { ballot: *ballot, promised: self.promised }
             }
         }
     }
@@ -79,7 +79,7 @@
 
 /// How an attempt stands.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Stage<V> {
+pub enum ProposerState<V> {
     /// Asking for promises.
     Preparing,
     /// A majority has told what stood: the caller works out the next value, or lets it be.
@@ -94,23 +94,26 @@
 
 /// One attempt at a change.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Attempt<V> {
+pub struct Proposer<V> {
     ballot: Ballot,
     group: usize,
-    stage: Stage<V>,
+    stage: ProposerState<V>,
     promised: BTreeMap<u64, Option<(Ballot, V)>>,
     accepted: BTreeSet<u64>,
 }
 
-impl<V: Clone + Ord> Attempt<V> {
+impl<V: Clone + Ord> Proposer<V> {
     /// An attempt in a group of so many voters, and what all of them are to be asked.
-    pub fn begin(ballot: Ballot, group: usize) -> (Attempt<V>, Ask<V>) {
+    pub fn begin(ballot: Ballot, group: usize) -> (Proposer<V>, Request<V>) {
         let (promised, accepted) = (BTreeMap::new(), BTreeSet::new());
-        (Attempt { ballot, group, stage: Stage::Preparing, promised, accepted }, Ask::Prepare { ballot })
+        (
+            Proposer { ballot, group, stage: ProposerState::Preparing, promised, accepted },
+            Request::Prepare { ballot },
+        )
     }
 
     /// How it stands.
-    pub fn stage(&self) -> &Stage<V> {
+    pub fn stage(&self) -> &ProposerState<V> {
         &self.stage
     }
 
@@ -124,27 +127,28 @@
     }
 
     /// A voter, by its number in the group, has answered. Answers may come twice, late, or to an earlier attempt.
-    pub fn heard(&mut self, voter: u64, answer: &Answer<V>) {
-        let (Answer::Promised { ballot, .. } | Answer::Accepted { ballot } | Answer::Refused { ballot, .. }) =
-            answer;
+    pub fn heard(&mut self, voter: u64, answer: &Response<V>) {
+        let (Response::Promised { ballot, .. }
+        | Response::Accepted { ballot }
+        | Response::Refused { ballot, .. }) = answer;
         if *ballot != self.ballot {
             return;
         }
         match (answer, &self.stage) {
-            (Answer::Refused { promised, .. }, Stage::Preparing | Stage::Proposing(_)) => {
-                self.stage = Stage::Overtaken(promised.round);
+            (Response::Refused { promised, .. }, ProposerState::Preparing | ProposerState::Proposing(_)) => {
+                self.stage = ProposerState::Overtaken(promised.round);
             }
-            (Answer::Promised { accepted, .. }, Stage::Preparing) => {
+            (Response::Promised { accepted, .. }, ProposerState::Preparing) => {
                 self.promised.insert(voter, accepted.clone());
                 if self.majority(self.promised.len()) {
                     let last = self.promised.values().flatten().max_by_key(|(ballot, _)| *ballot);
-                    self.stage = Stage::Read(last.map(|(_, v)| v.clone()));
+                    self.stage = ProposerState::Read(last.map(|(_, v)| v.clone()));
                 }
             }
-            (Answer::Accepted { .. }, Stage::Proposing(value)) => {
+            (Response::Accepted { .. }, ProposerState::Proposing(value)) => {
                 self.accepted.insert(voter);
                 if self.majority(self.accepted.len()) {
-                    self.stage = Stage::Agreed(value.clone());
+                    self.stage = ProposerState::Agreed(value.clone());
                 }
             }
             _ => {}
@@ -153,11 +157,11 @@
 
     /// The next value, worked out from the one that was read; what all voters are to be asked. Also to confirm what was
     /// read: a value that one voter has may not be agreed on yet.
-    pub fn propose(&mut self, value: V) -> Option<Ask<V>> {
-        if !matches!(self.stage, Stage::Read(_)) {
+    pub fn propose(&mut self, value: V) -> Option<Request<V>> {
+        if !matches!(self.stage, ProposerState::Read(_)) {
             return None;
         }
-        self.stage = Stage::Proposing(value.clone());
-        Some(Ask::Accept { ballot: self.ballot, value })
+        self.stage = ProposerState::Proposing(value.clone());
+        Some(Request::Accept { ballot: self.ballot, value })
     }
 }
--- a/src/maintenance/mod.rs
+++ b/src/maintenance/mod.rs
@@ -8,5 +8,5 @@
 pub mod consensus;
 pub mod permits;
 
-pub use consensus::{Answer, Ask, Attempt, Ballot, Stage, Voter};
-pub use permits::{Permit, Permits, Refused, Rules, Step};
+pub use consensus::{Acceptor, Ballot, Proposer, ProposerState, Request, Response};
+pub use permits::{MaintenancePhase, Permit, PermitError, PermitRules, Permits};
--- a/src/maintenance/permits.rs
+++ b/src/maintenance/permits.rs
@@ -11,7 +11,7 @@
 
 /// How far a machine has come.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Step {
+pub enum MaintenancePhase {
     /// It may be taken out: brokers that are up send it nothing new.
     Draining,
     /// No broker has anything out at it: the work may begin.
@@ -22,14 +22,14 @@
     Back,
 }
 
-impl Step {
+impl MaintenancePhase {
     /// What may follow, on the usual way.
-    fn next(self) -> Option<Step> {
+    fn next(self) -> Option<MaintenancePhase> {
         match self {
-            Step::Draining => Some(Step::Empty),
-            Step::Empty => Some(Step::Out),
-            Step::Out => Some(Step::Back),
-            Step::Back => None,
+            MaintenancePhase::Draining => Some(MaintenancePhase::Empty),
+            MaintenancePhase::Empty => Some(MaintenancePhase::Out),
+            MaintenancePhase::Out => Some(MaintenancePhase::Back),
+            MaintenancePhase::Back => None,
         }
     }
 }
@@ -42,7 +42,7 @@
     /// The order that it belongs to.
     pub order: String,
     /// How far the machine has come.
-    pub step: Step,
+    pub step: MaintenancePhase,
     /// Who carries it out.
     pub broker: String,
     /// When it came to this step, by that broker's clock, unix ns. For people.
@@ -51,7 +51,7 @@
 
 /// What must be so for one more machine to be taken out.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
-pub struct Rules {
+pub struct PermitRules {
     /// Machines that may be out together.
     pub most: usize,
     /// The cell of each machine: those of neighbouring cells hold the same partitions.
@@ -62,7 +62,7 @@
     pub holders: usize,
 }
 
-impl Rules {
+impl PermitRules {
     /// Machines of a partition that are not out while these are.
     fn left<'t>(&self, first: u32, out: impl Fn(&str) -> bool + 't) -> usize {
         let (cells, span) = (self.ring.0.max(1), self.ring.1);
@@ -73,7 +73,7 @@
 
 /// Why a change is not made.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Refused {
+pub enum PermitError {
     /// As many are out as may be.
     TooMany { out: usize, most: usize },
     /// A partition would be left with too few holders.
@@ -85,28 +85,30 @@
     /// The permit that is named does not stand: it has ended, or a newer one has taken its place.
     Fenced { named: u64, stands: Option<u64> },
     /// That step does not follow the present one.
-    OutOfTurn { from: Step, to: Step },
+    OutOfTurn { from: MaintenancePhase, to: MaintenancePhase },
 }
 
-impl fmt::Display for Refused {
+impl fmt::Display for PermitError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Refused::TooMany { out, most } => write!(f, "{out} machines are out, and {most} may be"),
-            Refused::Holders { partition, left } => {
+            PermitError::TooMany { out, most } => write!(f, "{out} machines are out, and {most} may be"),
+            PermitError::Holders { partition, left } => {
                 write!(f, "partition {partition} would be left with {left} holders")
             }
-            Refused::IsOut(fence) => write!(f, "it is out already, by permit {fence}"),
-            Refused::Unknown => write!(f, "no list names it"),
-            Refused::Fenced { named, stands: Some(stands) } => {
+            PermitError::IsOut(fence) => write!(f, "it is out already, by permit {fence}"),
+            PermitError::Unknown => write!(f, "no list names it"),
+            PermitError::Fenced { named, stands: Some(stands) } => {
                 write!(f, "permit {named} does not stand any more, {stands} does")
             }
-            Refused::Fenced { named, stands: None } => write!(f, "permit {named} does not stand any more"),
-            Refused::OutOfTurn { from, to } => write!(f, "{to:?} does not follow {from:?}"),
+            PermitError::Fenced { named, stands: None } => {
+                write!(f, "permit {named} does not stand any more")
+            }
+            PermitError::OutOfTurn { from, to } => write!(f, "{to:?} does not follow {from:?}"),
         }
     }
 }
 
-impl std::error::Error for Refused {}
+impl std::error::Error for PermitError {}
 
 /// All permits that stand.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -133,15 +135,15 @@
         machine: &str,
         order: &str,
         broker: &str,
-        rules: &Rules,
+        rules: &PermitRules,
         now: Nanos,
-    ) -> Result<Permits, Refused> {
-        let cell = *rules.cells.get(machine).ok_or(Refused::Unknown)?;
+    ) -> Result<Permits, PermitError> {
+        let cell = *rules.cells.get(machine).ok_or(PermitError::Unknown)?;
         if let Some(permit) = self.stand.get(machine) {
-            return Err(Refused::IsOut(permit.fence));
+            return Err(PermitError::IsOut(permit.fence));
         }
         if self.stand.len() >= rules.most {
-            return Err(Refused::TooMany { out: self.stand.len(), most: rules.most });
+            return Err(PermitError::TooMany { out: self.stand.len(), most: rules.most });
         }
         let out = |id: &str| id == machine || self.stand.contains_key(id);
         let (cells, span) = (rules.ring.0.max(1), rules.ring.1);
@@ -150,29 +152,35 @@
             let first = (cell % cells + cells - back) % cells;
             let left = rules.left(first, out);
             if left < rules.holders {
-                return Err(Refused::Holders { partition: first, left });
+                return Err(PermitError::Holders { partition: first, left });
             }
         }
         let mut next = self.clone();
         next.fence += 1;
         let (fence, order, broker) = (next.fence, order.to_owned(), broker.to_owned());
-        let permit = Permit { fence, order, step: Step::Draining, broker, since: now };
+        let permit = Permit { fence, order, step: MaintenancePhase::Draining, broker, since: now };
         next.stand.insert(machine.to_owned(), permit);
         Ok(next)
     }
 
-    fn named(&self, machine: &str, fence: u64) -> Result<&Permit, Refused> {
+    fn named(&self, machine: &str, fence: u64) -> Result<&Permit, PermitError> {
         match self.stand.get(machine) {
             Some(permit) if permit.fence == fence => Ok(permit),
-            other => Err(Refused::Fenced { named: fence, stands: other.map(|p| p.fence) }),
+            other => Err(PermitError::Fenced { named: fence, stands: other.map(|p| p.fence) }),
         }
     }
 
     /// The machine of this permit has come to its next step.
-    pub fn step(&self, machine: &str, fence: u64, to: Step, now: Nanos) -> Result<Permits, Refused> {
+    pub fn step(
+        &self,
+        machine: &str,
+        fence: u64,
+        to: MaintenancePhase,
+        now: Nanos,
+    ) -> Result<Permits, PermitError> {
         let permit = self.named(machine, fence)?;
         if permit.step.next() != Some(to) {
-            return Err(Refused::OutOfTurn { from: permit.step, to });
+            return Err(PermitError::OutOfTurn { from: permit.step, to });
         }
         let mut next = self.clone();
         next.stand.insert(machine.to_owned(), Permit { step: to, since: now, ..permit.clone() });
@@ -181,16 +189,16 @@
 
     /// The machine is warm again, or nothing was begun at it: its place is free. One whose work has begun comes free only
     /// once it is back.
-    pub fn end(&self, machine: &str, fence: u64) -> Result<Permits, Refused> {
+    pub fn end(&self, machine: &str, fence: u64) -> Result<Permits, PermitError> {
         let permit = self.named(machine, fence)?;
-        if permit.step == Step::Out {
-            return Err(Refused::OutOfTurn { from: Step::Out, to: Step::Back });
+        if permit.step == MaintenancePhase::Out {
+            return Err(PermitError::OutOfTurn { from: MaintenancePhase::Out, to: MaintenancePhase::Back });
         }
         Ok(self.without(machine))
     }
 
     /// A person says by name that the machine will not come back: its place is free, and it stays out by hand.
-    pub fn write_off(&self, machine: &str, fence: u64) -> Result<Permits, Refused> {
+    pub fn write_off(&self, machine: &str, fence: u64) -> Result<Permits, PermitError> {
         self.named(machine, fence)?;
         Ok(self.without(machine))
     }
--- a/src/membership/gossip_hints.rs
+++ b/src/membership/gossip_hints.rs
@@ -5,8 +5,8 @@
 
 use super::Change;
 use crate::api::{Nanos, ReplicaState};
-use crate::replication::Latest;
-use crate::replication::derived_state::Heard;
+use crate::replication::ProcessStart;
+use crate::replication::derived_state::NodeHints;
 use std::collections::BTreeMap;
 
 /// Where this broker's own word on a node comes from.
@@ -24,15 +24,15 @@
 /// What others have heard, and what the own sources say.
 #[derive(Debug, Default)]
 pub struct Others {
-    heard: BTreeMap<String, Heard>,
+    heard: BTreeMap<String, NodeHints>,
     /// The last that the own sources told of each node that is listed.
     own: BTreeMap<String, (Change, Own)>,
 }
 
 impl Others {
     /// The drain that others have heard of holds a node back.
-    fn holds(heard: &Heard, own: Own) -> bool {
-        let drained = |d: &Latest| {
+    fn holds(heard: &NodeHints, own: Own) -> bool {
+        let drained = |d: &ProcessStart| {
             let later = d.started > own.started || (d.started == own.started && d.version > own.version);
             // One that started after it was told to drain is another process.
             later && d.started >= heard.started
@@ -80,7 +80,7 @@
     }
 
     /// Others have heard this of a node. Tells what is to be told on, if this broker's own list names it.
-    pub fn heard(&mut self, id: &str, heard: Heard) -> Option<Change> {
+    pub fn heard(&mut self, id: &str, heard: NodeHints) -> Option<Change> {
         let before = self.own.get(id).map(|(c, own)| self.shown(c, *own));
         self.heard.insert(id.to_owned(), heard);
         if self.heard.len() > MOST {
--- a/src/replication/anti_entropy.rs
+++ b/src/replication/anti_entropy.rs
@@ -5,7 +5,7 @@
 //! the next walk's. A walk that breaks off has lost nothing: what was taken in stays, and the next one finds less.
 
 use super::merkle_tree::{LEAVES, WIDTH};
-use super::state_store::{Copy, Entry, Fact, Key};
+use super::state_store::{Fact, FactKey, FactValue, StateStore};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -20,11 +20,11 @@
 const RANGES: usize = 512;
 
 /// A place in a leaf: a key, and how many pieces of its fact have been told.
-pub type Place = (Key, u32);
+pub type SyncPosition = (FactKey, u32);
 
 /// What two brokers say to each other on a walk.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
-pub enum Message {
+pub enum SyncMessage {
     /// Asks for the digests of the branches; `root` is the asker's.
     Begin { root: u64 },
     /// The answerer's digests; none where the roots are equal.
@@ -34,9 +34,9 @@
     /// The digests, branch by branch.
     Leaves { digests: Vec<(u8, Vec<u64>)> },
     /// Asks for the facts of these leaves, of the first of them from this place on.
-    AskFacts { leaves: Vec<u16>, from: Option<Place> },
+    AskFacts { leaves: Vec<u16>, from: Option<SyncPosition> },
     /// Facts. If not all fitted, the leaf and the place to go on from.
-    Facts { facts: Vec<Fact>, stopped: Option<(u16, Place)> },
+    Facts { facts: Vec<Fact>, stopped: Option<(u16, SyncPosition)> },
     /// Facts that the answerer lacks.
     Give { facts: Vec<Fact> },
     /// They were taken in.
@@ -45,7 +45,7 @@
 
 /// A message out of turn, or one that could not have been made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OutOfTurn;
+pub struct UnexpectedMessage;
 
 /// The size of a fact on its way, bytes.
 pub fn size(fact: &Fact) -> usize {
@@ -53,29 +53,31 @@
 }
 
 /// A fact in pieces of which each fits a message.
-fn pieces(key: &Key, entry: &Entry) -> Vec<Fact> {
+fn pieces(key: &FactKey, entry: &FactValue) -> Vec<Fact> {
     match entry {
-        Entry::Words(r) => r.pieces(TOGETHER).into_iter().map(|r| (key.clone(), Entry::Words(r))).collect(),
-        Entry::Spent(ranges) => {
-            ranges.pieces(RANGES).into_iter().map(|r| (key.clone(), Entry::Spent(r))).collect()
+        FactValue::Words(r) => {
+            r.pieces(TOGETHER).into_iter().map(|r| (key.clone(), FactValue::Words(r))).collect()
+        }
+        FactValue::Spent(ranges) => {
+            ranges.pieces(RANGES).into_iter().map(|r| (key.clone(), FactValue::Spent(r))).collect()
         }
         other => vec![(key.clone(), other.clone())],
     }
 }
 
 /// The answer of the side that did not begin. Facts that came with the message are in `Give`: the caller takes them in.
-pub fn answer(copy: &Copy, message: &Message) -> Result<Message, OutOfTurn> {
+pub fn answer(copy: &StateStore, message: &SyncMessage) -> Result<SyncMessage, UnexpectedMessage> {
     match message {
-        Message::Begin { root } => {
+        SyncMessage::Begin { root } => {
             let same = *root == copy.tree().root();
             let digests = if same { Vec::new() } else { copy.tree().branches().to_vec() };
-            Ok(Message::Branches { digests })
+            Ok(SyncMessage::Branches { digests })
         }
-        Message::AskLeaves { branches } if branches.len() <= BRANCHES => {
+        SyncMessage::AskLeaves { branches } if branches.len() <= BRANCHES => {
             let digests = branches.iter().map(|b| (*b, copy.tree().leaves(*b))).collect();
-            Ok(Message::Leaves { digests })
+            Ok(SyncMessage::Leaves { digests })
         }
-        Message::AskFacts { leaves, from } if leaves.len() <= LEAVES_ASKED => {
+        SyncMessage::AskFacts { leaves, from } if leaves.len() <= LEAVES_ASKED => {
             let (mut facts, mut bytes) = (Vec::new(), 0);
             for (n, leaf) in leaves.iter().enumerate() {
                 let from = from.as_ref().filter(|_| n == 0);
@@ -85,17 +87,20 @@
                     for (n, fact) in pieces {
                         let more = size(&fact);
                         if bytes > 0 && bytes + more > FACTS {
-                            return Ok(Message::Facts { facts, stopped: Some((*leaf, (fact.0, n as u32))) });
+                            return Ok(SyncMessage::Facts {
+                                facts,
+                                stopped: Some((*leaf, (fact.0, n as u32))),
+                            });
                         }
                         bytes += more;
                         facts.push(fact);
                     }
                 }
             }
-            Ok(Message::Facts { facts, stopped: None })
+            Ok(SyncMessage::Facts { facts, stopped: None })
         }
-        Message::Give { .. } => Ok(Message::Taken),
-        _ => Err(OutOfTurn),
+        SyncMessage::Give { .. } => Ok(SyncMessage::Taken),
+        _ => Err(UnexpectedMessage),
     }
 }
 
@@ -111,14 +116,14 @@
 
 /// The side that began.
 #[derive(Clone, Debug)]
-pub struct Walk {
+pub struct SyncSession {
     step: Step,
     /// Branches and leaves still to be looked at.
     branches: VecDeque<u8>,
     leaves: VecDeque<u16>,
     /// Leaves whose facts are asked for, and what they hold there.
     asked: Vec<u16>,
-    theirs: BTreeMap<Key, u64>,
+    theirs: BTreeMap<FactKey, u64>,
     /// What is still to be given.
     give: VecDeque<Fact>,
     /// Bytes of facts that may still be taken and given.
@@ -127,10 +132,10 @@
     whole: bool,
 }
 
-impl Walk {
+impl SyncSession {
     /// A walk that moves about so many bytes of facts at most, and its first message.
-    pub fn begin(copy: &Copy, budget: usize) -> (Walk, Message) {
-        let walk = Walk {
+    pub fn begin(copy: &StateStore, budget: usize) -> (SyncSession, SyncMessage) {
+        let walk = SyncSession {
             step: Step::Branches,
             branches: VecDeque::new(),
             leaves: VecDeque::new(),
@@ -140,7 +145,7 @@
             budget,
             whole: true,
         };
-        (walk, Message::Begin { root: copy.tree().root() })
+        (walk, SyncMessage::Begin { root: copy.tree().root() })
     }
 
     /// All is said.
@@ -154,54 +159,58 @@
     }
 
     /// What to say next, once the facts of `message` are in `copy`; none when the walk is over.
-    pub fn next(&mut self, copy: &Copy, message: &Message) -> Result<Option<Message>, OutOfTurn> {
+    pub fn next(
+        &mut self,
+        copy: &StateStore,
+        message: &SyncMessage,
+    ) -> Result<Option<SyncMessage>, UnexpectedMessage> {
         match (&self.step, message) {
-            (Step::Branches, Message::Branches { digests }) if digests.is_empty() => {}
-            (Step::Branches, Message::Branches { digests }) if digests.len() == WIDTH => {
+            (Step::Branches, SyncMessage::Branches { digests }) if digests.is_empty() => {}
+            (Step::Branches, SyncMessage::Branches { digests }) if digests.len() == WIDTH => {
                 let own = copy.tree().branches();
                 self.branches = (0..WIDTH).filter(|b| own[*b] != digests[*b]).map(|b| b as u8).collect();
             }
-            (Step::Leaves, Message::Leaves { digests }) => {
+            (Step::Leaves, SyncMessage::Leaves { digests }) => {
                 for (branch, leaves) in digests {
                     if leaves.len() != WIDTH || usize::from(*branch) >= WIDTH {
-                        return Err(OutOfTurn);
+                        return Err(UnexpectedMessage);
                     }
                     let own = copy.tree().leaves(*branch);
                     let differ = (0..WIDTH).filter(|l| own[*l] != leaves[*l]);
                     self.leaves.extend(differ.map(|l| (usize::from(*branch) * WIDTH + l) as u16));
                 }
             }
-            (Step::Facts, Message::Facts { facts, stopped }) => {
+            (Step::Facts, SyncMessage::Facts { facts, stopped }) => {
                 for fact in facts {
-                    *self.theirs.entry(fact.0.clone()).or_insert(0) ^= Copy::hash(&fact.0, &fact.1);
+                    *self.theirs.entry(fact.0.clone()).or_insert(0) ^= StateStore::hash(&fact.0, &fact.1);
                     self.budget = self.budget.saturating_sub(size(fact));
                 }
                 if let Some((leaf, place)) = stopped {
                     // Guards against a peer that goes on from where it was, for ever.
-                    let from = self.asked.iter().position(|l| l == leaf).ok_or(OutOfTurn)?;
+                    let from = self.asked.iter().position(|l| l == leaf).ok_or(UnexpectedMessage)?;
                     if facts.is_empty() {
-                        return Err(OutOfTurn);
+                        return Err(UnexpectedMessage);
                     }
                     if self.budget > 0 {
                         let leaves = self.asked[from..].to_vec();
-                        return Ok(Some(Message::AskFacts { leaves, from: Some(place.clone()) }));
+                        return Ok(Some(SyncMessage::AskFacts { leaves, from: Some(place.clone()) }));
                     }
                     self.whole = false;
                 }
             }
-            (Step::Giving, Message::Taken) => {}
-            _ => return Err(OutOfTurn),
+            (Step::Giving, SyncMessage::Taken) => {}
+            _ => return Err(UnexpectedMessage),
         }
         Ok(self.go_on(copy))
     }
 
-    fn go_on(&mut self, copy: &Copy) -> Option<Message> {
+    fn go_on(&mut self, copy: &StateStore) -> Option<SyncMessage> {
         if self.step == Step::Facts {
             // Ours go after theirs are in: what they have told already is not told back.
             for leaf in std::mem::take(&mut self.asked) {
                 for (key, entry) in copy.leaf(leaf, None) {
                     let parts = pieces(key, entry);
-                    let own = parts.iter().fold(0, |h, (k, e)| h ^ Copy::hash(k, e));
+                    let own = parts.iter().fold(0, |h, (k, e)| h ^ StateStore::hash(k, e));
                     if self.theirs.get(key) != Some(&own) {
                         self.give.extend(parts);
                     }
@@ -221,7 +230,7 @@
             }
             self.budget = self.budget.saturating_sub(bytes);
             self.step = Step::Giving;
-            return Some(Message::Give { facts });
+            return Some(SyncMessage::Give { facts });
         }
         if self.budget == 0 && !(self.leaves.is_empty() && self.branches.is_empty()) {
             self.whole = false;
@@ -232,13 +241,13 @@
             let most = self.leaves.len().min(LEAVES_ASKED);
             self.asked = self.leaves.drain(..most).collect();
             self.step = Step::Facts;
-            return Some(Message::AskFacts { leaves: self.asked.clone(), from: None });
+            return Some(SyncMessage::AskFacts { leaves: self.asked.clone(), from: None });
         }
         if !self.branches.is_empty() {
             let most = self.branches.len().min(BRANCHES);
             let branches = self.branches.drain(..most).collect();
             self.step = Step::Leaves;
-            return Some(Message::AskLeaves { branches });
+            return Some(SyncMessage::AskLeaves { branches });
         }
         self.step = Step::Over;
         None
@@ -246,9 +255,9 @@
 }
 
 /// Facts that a message brings.
-pub fn facts(message: &Message) -> &[Fact] {
+pub fn facts(message: &SyncMessage) -> &[Fact] {
     match message {
-        Message::Facts { facts, .. } | Message::Give { facts } => facts,
+        SyncMessage::Facts { facts, .. } | SyncMessage::Give { facts } => facts,
         _ => &[],
     }
 }
--- a/src/replication/derived_state.rs
+++ b/src/replication/derived_state.rs
@@ -1,14 +1,14 @@
 //! What follows from the facts for one broker. A peer's word makes more careful, never bolder: it takes servers out and
 //! sends clients away; nothing but a word by hand puts anything back.
 
-use super::multi_value_register::Value;
-use super::state_store::{Copy, Entry, Key, Latest};
+use super::multi_value_register::CommandValue;
+use super::state_store::{FactKey, FactValue, ProcessStart, StateStore};
 use crate::api::Nanos;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What holds for a broker, kept up key by key: a cluster may hold thousands of words.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Effect {
+pub struct DerivedState {
     /// Servers that are out by hand.
     pub out: BTreeSet<String>,
     /// This broker sends its clients away.
@@ -16,16 +16,16 @@
     /// Brokers that were removed for good.
     pub removed: BTreeSet<String>,
     /// Keys on which words that know nothing of each other differ.
-    pub conflicts: BTreeSet<Key>,
+    pub conflicts: BTreeSet<FactKey>,
     /// When words end by themselves.
-    ends: BTreeSet<(Nanos, Key)>,
-    by_key: BTreeMap<Key, Nanos>,
+    ends: BTreeSet<(Nanos, FactKey)>,
+    by_key: BTreeMap<FactKey, Nanos>,
 }
 
-impl Effect {
+impl DerivedState {
     /// What holds for the broker of this name.
-    pub fn of(copy: &Copy, name: &str, now: Nanos) -> Effect {
-        let mut effect = Effect::default();
+    pub fn of(copy: &StateStore, name: &str, now: Nanos) -> DerivedState {
+        let mut effect = DerivedState::default();
         for (key, _) in copy.registers() {
             effect.look(copy, key, name, now);
         }
@@ -38,12 +38,12 @@
     }
 
     /// Words that have ended by themselves.
-    pub fn ended(&self, now: Nanos) -> Vec<Key> {
+    pub fn ended(&self, now: Nanos) -> Vec<FactKey> {
         self.ends.iter().take_while(|(t, _)| *t <= now).map(|(_, k)| k.clone()).collect()
     }
 
     /// Looks at a key that changed, or whose time has come.
-    pub fn look(&mut self, copy: &Copy, key: &Key, name: &str, now: Nanos) {
+    pub fn look(&mut self, copy: &StateStore, key: &FactKey, name: &str, now: Nanos) {
         if let Some(t) = self.by_key.remove(key) {
             self.ends.remove(&(t, key.clone()));
         }
@@ -61,9 +61,9 @@
         };
         let out = register.is_some_and(|r| r.is_out(now));
         match key {
-            Key::Server(id) => set(&mut self.out, id, out),
-            Key::Pause(broker) if broker == name => self.paused = out,
-            Key::Removed(broker) => set(&mut self.removed, broker, out),
+            FactKey::Server(id) => set(&mut self.out, id, out),
+            FactKey::Pause(broker) if broker == name => self.paused = out,
+            FactKey::Removed(broker) => set(&mut self.removed, broker, out),
             _ => {}
         }
         if register.is_some_and(|r| r.is_conflict(now)) {
@@ -76,21 +76,21 @@
 
 /// What the others have heard of a server from discovery.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Heard {
+pub struct NodeHints {
     /// Its latest drain.
-    pub drain: Option<Latest>,
+    pub drain: Option<ProcessStart>,
     /// Its latest start, unix ns.
     pub started: Nanos,
 }
 
 /// What the others have heard, by server.
-pub fn heard(copy: &Copy) -> BTreeMap<String, Heard> {
-    let mut all: BTreeMap<String, Heard> = BTreeMap::new();
+pub fn heard(copy: &StateStore) -> BTreeMap<String, NodeHints> {
+    let mut all: BTreeMap<String, NodeHints> = BTreeMap::new();
     for (key, entry) in copy.facts() {
-        let Entry::Latest(latest) = entry else { continue };
+        let FactValue::Latest(latest) = entry else { continue };
         match key {
-            Key::Drain(id) => all.entry(id.clone()).or_default().drain = Some(*latest),
-            Key::Start(id) => all.entry(id.clone()).or_default().started = latest.started,
+            FactKey::Drain(id) => all.entry(id.clone()).or_default().drain = Some(*latest),
+            FactKey::Start(id) => all.entry(id.clone()).or_default().started = latest.started,
             _ => {}
         }
     }
@@ -98,10 +98,10 @@
 }
 
 /// For people: how a word stands.
-pub fn word(value: &Value) -> &str {
+pub fn word(value: &CommandValue) -> &str {
     match value {
-        Value::Back => "back",
-        Value::Out => "out",
-        Value::Text(t) => t,
+        CommandValue::Back => "back",
+        CommandValue::Out => "out",
+        CommandValue::Text(t) => t,
     }
 }
--- a/src/replication/merkle_tree.rs
+++ b/src/replication/merkle_tree.rs
@@ -14,16 +14,16 @@
 
 /// The digests of a copy.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Tree {
+pub struct MerkleTree {
     /// Of leaves that hold anything.
     leaves: BTreeMap<u16, u64>,
     branches: [u64; WIDTH],
     root: u64,
 }
 
-impl Default for Tree {
-    fn default() -> Tree {
-        Tree { leaves: BTreeMap::new(), branches: [0; WIDTH], root: 0 }
+impl Default for MerkleTree {
+    fn default() -> MerkleTree {
+        MerkleTree { leaves: BTreeMap::new(), branches: [0; WIDTH], root: 0 }
     }
 }
 
@@ -37,7 +37,7 @@
     xxh3_64(fact)
 }
 
-impl Tree {
+impl MerkleTree {
     /// A fact of this leaf came or went; one that changed goes and comes.
     pub fn turn(&mut self, leaf: u16, hash: u64) {
         let digest = self.leaves.entry(leaf).or_insert(0);
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -19,6 +19,6 @@
 pub mod state_store;
 pub mod version_vector;
 
-pub use multi_value_register::{Register, Said, Value};
-pub use state_store::{Bounds, Copy, Entry, Fact, Key, Latest, Refused};
-pub use version_vector::{Dot, Dots, Origin, Ranges};
+pub use multi_value_register::{CommandValue, OperatorCommand, Register};
+pub use state_store::{Fact, FactKey, FactValue, JoinError, ProcessStart, StateStore, StoreLimits};
+pub use version_vector::{Dot, Origin, Ranges, VersionVector};
--- a/src/replication/multi_value_register.rs
+++ b/src/replication/multi_value_register.rs
@@ -4,14 +4,14 @@
 //! without knowledge of each other stand side by side until the next one: that is a conflict if they say different
 //! things.
 
-use super::version_vector::{Dot, Dots};
+use super::version_vector::{Dot, VersionVector};
 use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// What was said.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Value {
+pub enum CommandValue {
     /// Put back, welcome again, or no more.
     Back,
     /// Taken out, or sent away.
@@ -22,9 +22,9 @@
 
 /// One word.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Said {
+pub struct OperatorCommand {
     /// What.
-    pub value: Value,
+    pub value: CommandValue,
     /// By whom, as they named themselves.
     pub who: String,
     /// Why.
@@ -40,16 +40,16 @@
 /// Longest text of each kind, bytes: names and ids; reasons; values.
 pub const LONGEST: (usize, usize, usize) = (128, 256, 4096);
 
-impl Said {
+impl OperatorCommand {
     /// Whether it takes something out at this time.
     pub fn is_out(&self, now: Nanos) -> bool {
-        self.value == Value::Out && self.until.is_none_or(|t| now < t)
+        self.value == CommandValue::Out && self.until.is_none_or(|t| now < t)
     }
 
     /// Whether it has said nothing any more for so long. What can't come back without a word is never old.
     fn is_spent(&self, now: Nanos, keep: Nanos) -> bool {
         let since = match (&self.value, self.until) {
-            (Value::Back, _) => self.at,
+            (CommandValue::Back, _) => self.at,
             (_, Some(until)) => until.max(self.at),
             (_, None) => return false,
         };
@@ -58,7 +58,7 @@
 
     /// Whether all of it is as short as may be.
     pub fn fits(&self) -> bool {
-        let text = if let Value::Text(t) = &self.value { t.len() } else { 0 };
+        let text = if let CommandValue::Text(t) = &self.value { t.len() } else { 0 };
         self.who.len().max(self.at_broker.len()) <= LONGEST.0
             && self.why.len() <= LONGEST.1
             && text <= LONGEST.2
@@ -69,22 +69,22 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq, Hash)]
 pub struct Register {
     #[serde(with = "pairs")]
-    said: BTreeMap<Dot, Said>,
+    said: BTreeMap<Dot, OperatorCommand>,
     /// All stamps that it has had, those of `said` among them, but for the spent ones.
-    seen: Dots,
+    seen: VersionVector,
 }
 
 /// Stamps are no text: a map by them is written as a list.
 mod pairs {
-    use super::{BTreeMap, Dot, Said};
+    use super::{BTreeMap, Dot, OperatorCommand};
     use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-    pub fn serialize<S: Serializer>(map: &BTreeMap<Dot, Said>, s: S) -> Result<S::Ok, S::Error> {
+    pub fn serialize<S: Serializer>(map: &BTreeMap<Dot, OperatorCommand>, s: S) -> Result<S::Ok, S::Error> {
         map.iter().collect::<Vec<_>>().serialize(s)
     }
 
-    pub fn deserialize<'d, D: Deserializer<'d>>(d: D) -> Result<BTreeMap<Dot, Said>, D::Error> {
-        Ok(Vec::<(Dot, Said)>::deserialize(d)?.into_iter().collect())
+    pub fn deserialize<'d, D: Deserializer<'d>>(d: D) -> Result<BTreeMap<Dot, OperatorCommand>, D::Error> {
+        Ok(Vec::<(Dot, OperatorCommand)>::deserialize(d)?.into_iter().collect())
     }
 }
 
@@ -95,28 +95,28 @@
     }
 
     /// Says something here: it takes the place of all that is known here.
-    pub fn say(&mut self, dot: Dot, said: Said) {
+    pub fn record(&mut self, dot: Dot, said: OperatorCommand) {
         self.said = BTreeMap::from([(dot, said)]);
         self.seen.insert(dot);
     }
 
     /// The words that stand, by their stamps.
-    pub fn said(&self) -> impl Iterator<Item = (Dot, &Said)> {
+    pub fn commands(&self) -> impl Iterator<Item = (Dot, &OperatorCommand)> {
         self.said.iter().map(|(d, s)| (*d, s))
     }
 
     /// All stamps that it has had and that are not spent.
-    pub fn seen(&self) -> &Dots {
+    pub fn seen(&self) -> &VersionVector {
         &self.seen
     }
 
     /// Takes in what another copy holds. `spent` are the stamps of what was forgotten, here or there.
-    pub fn join(&mut self, other: &Register, spent: &Dots) {
+    pub fn join(&mut self, other: &Register, spent: &VersionVector) {
         let stands = |dot: &Dot, there: &Register, mine: &Register| {
             let known_there = there.seen.contains(*dot) && !there.said.contains_key(dot);
             mine.said.contains_key(dot) && !known_there && !spent.contains(*dot)
         };
-        let mut said: BTreeMap<Dot, Said> = BTreeMap::new();
+        let mut said: BTreeMap<Dot, OperatorCommand> = BTreeMap::new();
         for (dot, word) in &self.said {
             if stands(dot, other, self) {
                 said.insert(*dot, word.clone());
@@ -137,7 +137,7 @@
     }
 
     /// Takes out what is spent.
-    pub fn without(&mut self, spent: &Dots) {
+    pub fn without(&mut self, spent: &VersionVector) {
         self.said.retain(|dot, _| !spent.contains(*dot));
         self.seen.minus(spent);
     }
@@ -150,7 +150,7 @@
     /// Words that know nothing of each other say different things.
     pub fn is_conflict(&self, now: Nanos) -> bool {
         let mut effects = self.said.values().map(|s| match &s.value {
-            Value::Text(t) => (false, Some(t.as_str())),
+            CommandValue::Text(t) => (false, Some(t.as_str())),
             _ => (s.is_out(now), None),
         });
         let first = effects.next();
@@ -177,18 +177,18 @@
         if self.said.len() <= most {
             return vec![self.clone()];
         }
-        let words: Vec<(Dot, Said)> = self.said.iter().map(|(d, s)| (*d, s.clone())).collect();
+        let words: Vec<(Dot, OperatorCommand)> = self.said.iter().map(|(d, s)| (*d, s.clone())).collect();
         let mut pieces: Vec<Register> = words
             .chunks(most.max(1))
             .map(|part| {
-                let mut seen = Dots::default();
+                let mut seen = VersionVector::default();
                 part.iter().for_each(|(d, _)| seen.insert(*d));
                 Register { said: part.iter().cloned().collect(), seen }
             })
             .collect();
         // What was superseded is known without the words that stand: no piece may end a word of another one.
         let mut seen = self.seen.clone();
-        let mut standing = Dots::default();
+        let mut standing = VersionVector::default();
         self.said.keys().for_each(|d| standing.insert(*d));
         seen.minus(&standing);
         pieces.push(Register { said: BTreeMap::new(), seen });
--- a/src/replication/rumor_queue.rs
+++ b/src/replication/rumor_queue.rs
@@ -4,7 +4,7 @@
 //! is missed, or was away, finds out by the digests.
 
 use super::anti_entropy;
-use super::state_store::{Copy, Fact, Key};
+use super::state_store::{Fact, FactKey, StateStore};
 use std::collections::BTreeMap;
 
 /// Rounds beyond the logarithm.
@@ -14,13 +14,13 @@
 
 /// What is still to be told on, and how often.
 #[derive(Clone, Debug, Default)]
-pub struct News {
-    left: BTreeMap<Key, u32>,
+pub struct RumorQueue {
+    left: BTreeMap<FactKey, u32>,
 }
 
-impl News {
+impl RumorQueue {
     /// A fact is new here. `brokers` is the number of all.
-    pub fn learnt(&mut self, key: Key, brokers: usize) {
+    pub fn learnt(&mut self, key: FactKey, brokers: usize) {
         if self.left.len() < MOST || self.left.contains_key(&key) {
             self.left.insert(key, rounds(brokers));
         }
@@ -32,8 +32,8 @@
     }
 
     /// Facts that fit into so many bytes, those told least often first. Each counts as told once.
-    pub fn take(&mut self, copy: &Copy, room: usize) -> Vec<Fact> {
-        let mut order: Vec<(u32, Key)> = self.left.iter().map(|(k, n)| (*n, k.clone())).collect();
+    pub fn take(&mut self, copy: &StateStore, room: usize) -> Vec<Fact> {
+        let mut order: Vec<(u32, FactKey)> = self.left.iter().map(|(k, n)| (*n, k.clone())).collect();
         order.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         let (mut facts, mut bytes) = (Vec::new(), 0);
         for (left, key) in order {
--- a/src/replication/state_store.rs
+++ b/src/replication/state_store.rs
@@ -1,8 +1,8 @@
 //! One broker's copy of what all are to know.
 
-use super::merkle_tree::{self, Tree};
-use super::multi_value_register::{LONGEST, Register, Said};
-use super::version_vector::{Dot, Dots, Origin, Ranges};
+use super::merkle_tree::{self, MerkleTree};
+use super::multi_value_register::{LONGEST, OperatorCommand, Register};
+use super::version_vector::{Dot, Origin, Ranges, VersionVector};
 use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,7 +10,7 @@
 
 /// What a fact is about.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Key {
+pub enum FactKey {
     /// A server by its id: out by hand, or not.
     Server(String),
     /// A broker by its name: paused by hand, or not.
@@ -29,21 +29,21 @@
     Spent(Origin),
 }
 
-impl Key {
+impl FactKey {
     /// The least of all: where a walk over a leaf begins.
-    pub const LEAST: Key = Key::Server(String::new());
+    pub const LEAST: FactKey = FactKey::Server(String::new());
 
     /// The thing's name, if it has one.
     pub fn name(&self) -> Option<&str> {
         match self {
-            Key::Server(n)
-            | Key::Pause(n)
-            | Key::Removed(n)
-            | Key::Work(n)
-            | Key::Site(n)
-            | Key::Drain(n)
-            | Key::Start(n) => Some(n),
-            Key::Spent(_) => None,
+            FactKey::Server(n)
+            | FactKey::Pause(n)
+            | FactKey::Removed(n)
+            | FactKey::Work(n)
+            | FactKey::Site(n)
+            | FactKey::Drain(n)
+            | FactKey::Start(n) => Some(n),
+            FactKey::Spent(_) => None,
         }
     }
 
@@ -52,24 +52,24 @@
     }
 }
 
-impl fmt::Display for Key {
+impl fmt::Display for FactKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Key::Server(n) => write!(f, "server {n}"),
-            Key::Pause(n) => write!(f, "pause of {n}"),
-            Key::Removed(n) => write!(f, "removal of {n}"),
-            Key::Work(n) => write!(f, "work {n}"),
-            Key::Site(n) => write!(f, "site {n}"),
-            Key::Drain(n) => write!(f, "drain of {n}"),
-            Key::Start(n) => write!(f, "start of {n}"),
-            Key::Spent(o) => write!(f, "spent of {o}"),
+            FactKey::Server(n) => write!(f, "server {n}"),
+            FactKey::Pause(n) => write!(f, "pause of {n}"),
+            FactKey::Removed(n) => write!(f, "removal of {n}"),
+            FactKey::Work(n) => write!(f, "work {n}"),
+            FactKey::Site(n) => write!(f, "site {n}"),
+            FactKey::Drain(n) => write!(f, "drain of {n}"),
+            FactKey::Start(n) => write!(f, "start of {n}"),
+            FactKey::Spent(o) => write!(f, "spent of {o}"),
         }
     }
 }
 
 /// What discovery said of a server's process: the later start holds, of one start the later version of the list.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Latest {
+pub struct ProcessStart {
     /// Unix time of the process's start, ns; 0: long ago.
     pub started: Nanos,
     /// The version of discovery's list that told it; 0 where that does not matter.
@@ -78,50 +78,50 @@
 
 /// What is known of a key.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, Hash)]
-pub enum Entry {
+pub enum FactValue {
     /// Words by hand.
     Words(Register),
     /// Told by discovery.
-    Latest(Latest),
+    Latest(ProcessStart),
     /// Forgotten.
     Spent(Ranges),
 }
 
 /// A key with what is known of it.
-pub type Fact = (Key, Entry);
+pub type Fact = (FactKey, FactValue);
 
 /// Why a fact is not taken in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Refused {
+pub enum JoinError {
     /// It could not have been made by this program: its kind does not fit its key, or something in it is too long.
-    Unsound,
+    Invalid,
     /// It speaks of a start that lies ahead of this broker's clock.
-    Ahead,
+    FromTheFuture,
     /// There are as many facts as may be.
-    Full,
+    AtCapacity,
     /// Somebody else uses this origin; a new one must be drawn first.
-    Doubled,
+    DuplicateOrigin,
 }
 
-impl fmt::Display for Refused {
+impl fmt::Display for JoinError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Refused::Unsound => write!(f, "it is no sound fact"),
-            Refused::Ahead => write!(f, "it speaks of a start that is still to come"),
-            Refused::Full => write!(f, "there are as many facts as may be"),
-            Refused::Doubled => write!(f, "another process uses these stamps"),
+            JoinError::Invalid => write!(f, "it is no sound fact"),
+            JoinError::FromTheFuture => write!(f, "it speaks of a start that is still to come"),
+            JoinError::AtCapacity => write!(f, "there are as many facts as may be"),
+            JoinError::DuplicateOrigin => write!(f, "another process uses these stamps"),
         }
     }
 }
 
-impl std::error::Error for Refused {}
+impl std::error::Error for JoinError {}
 
 /// Things that are forgotten at a time: each look at all words is one for all of them.
 const AT_A_TIME: usize = 1024;
 
 /// How much a copy may hold, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Bounds {
+pub struct StoreLimits {
     /// Things that words may be about. Words that come from peers may be about twice as many: what was acknowledged
     /// elsewhere is not dropped.
     pub words: usize,
@@ -135,46 +135,46 @@
     pub origins: usize,
 }
 
-impl Default for Bounds {
-    fn default() -> Bounds {
+impl Default for StoreLimits {
+    fn default() -> StoreLimits {
         const S: Nanos = 1_000_000_000;
-        Bounds { words: 16_384, servers: 16_384, keep: 7 * 86_400 * S, ahead: 600 * S, origins: 16_384 }
+        StoreLimits { words: 16_384, servers: 16_384, keep: 7 * 86_400 * S, ahead: 600 * S, origins: 16_384 }
     }
 }
 
 /// A copy. Joining two is commutative, associative and idempotent: copies that have heard of the same facts are equal,
 /// in whatever order, however often and by whatever way these came.
 #[derive(Clone, Debug)]
-pub struct Copy {
-    bounds: Bounds,
+pub struct StateStore {
+    bounds: StoreLimits,
     origin: Origin,
     /// The number of the last word that this origin said.
     said: u64,
-    facts: BTreeMap<(u16, Key), Entry>,
-    tree: Tree,
+    facts: BTreeMap<(u16, FactKey), FactValue>,
+    tree: MerkleTree,
     /// The same stamps as the `Spent` entries.
-    spent: Dots,
+    spent: VersionVector,
     /// By start, to find the earliest: drains, then starts.
-    ages: [BTreeSet<(Latest, String)>; 2],
+    ages: [BTreeSet<(ProcessStart, String)>; 2],
     words: usize,
     /// Changes whenever any fact does.
     version: u64,
     /// Somebody else uses this origin: memory that was copied.
     doubled: bool,
     /// Keys that changed and were not looked at since.
-    touched: BTreeSet<Key>,
+    touched: BTreeSet<FactKey>,
 }
 
-impl Copy {
+impl StateStore {
     /// An empty copy of a process that was given this origin.
-    pub fn new(origin: Origin, bounds: Bounds) -> Copy {
-        Copy {
+    pub fn new(origin: Origin, bounds: StoreLimits) -> StateStore {
+        StateStore {
             bounds,
             origin,
             said: 0,
             facts: BTreeMap::new(),
-            tree: Tree::default(),
-            spent: Dots::default(),
+            tree: MerkleTree::default(),
+            spent: VersionVector::default(),
             ages: Default::default(),
             words: 0,
             version: 0,
@@ -189,17 +189,17 @@
     }
 
     /// Whether somebody else uses this origin: a new one must be drawn before the next word.
-    pub fn is_doubled(&self) -> bool {
+    pub fn has_duplicate_origin(&self) -> bool {
         self.doubled
     }
 
     /// From now on words have this origin.
-    pub fn renew(&mut self, origin: Origin) {
+    pub fn set_origin(&mut self, origin: Origin) {
         (self.origin, self.said, self.doubled) = (origin, 0, false);
     }
 
     /// The digests.
-    pub fn tree(&self) -> &Tree {
+    pub fn tree(&self) -> &MerkleTree {
         &self.tree
     }
 
@@ -209,7 +209,7 @@
     }
 
     /// Keys that changed since this was last asked.
-    pub fn take_touched(&mut self) -> BTreeSet<Key> {
+    pub fn take_changed_keys(&mut self) -> BTreeSet<FactKey> {
         std::mem::take(&mut self.touched)
     }
 
@@ -224,31 +224,31 @@
     }
 
     /// What is known of a key.
-    pub fn get(&self, key: &Key) -> Option<&Entry> {
+    pub fn get(&self, key: &FactKey) -> Option<&FactValue> {
         self.facts.get(&(key.leaf(), key.clone()))
     }
 
     /// The words on a key.
-    pub fn register(&self, key: &Key) -> Option<&Register> {
+    pub fn register(&self, key: &FactKey) -> Option<&Register> {
         match self.get(key) {
-            Some(Entry::Words(r)) => Some(r),
+            Some(FactValue::Words(r)) => Some(r),
             _ => None,
         }
     }
 
     /// All facts, by leaf.
-    pub fn facts(&self) -> impl Iterator<Item = (&Key, &Entry)> {
+    pub fn facts(&self) -> impl Iterator<Item = (&FactKey, &FactValue)> {
         self.facts.iter().map(|((_, k), e)| (k, e))
     }
 
     /// All words.
-    pub fn registers(&self) -> impl Iterator<Item = (&Key, &Register)> {
-        self.facts().filter_map(|(k, e)| if let Entry::Words(r) = e { Some((k, r)) } else { None })
+    pub fn registers(&self) -> impl Iterator<Item = (&FactKey, &Register)> {
+        self.facts().filter_map(|(k, e)| if let FactValue::Words(r) = e { Some((k, r)) } else { None })
     }
 
     /// The facts of a leaf, from this key on.
-    pub fn leaf(&self, leaf: u16, from: Option<&Key>) -> impl Iterator<Item = (&Key, &Entry)> {
-        let from = (leaf, from.unwrap_or(&Key::LEAST).clone());
+    pub fn leaf(&self, leaf: u16, from: Option<&FactKey>) -> impl Iterator<Item = (&FactKey, &FactValue)> {
+        let from = (leaf, from.unwrap_or(&FactKey::LEAST).clone());
         let facts = self.facts.range(from..).take_while(move |((l, _), _)| *l == leaf);
         facts.map(|((_, k), e)| (k, e))
     }
@@ -259,33 +259,33 @@
     }
 
     /// The hash of a fact.
-    pub fn hash(key: &Key, entry: &Entry) -> u64 {
+    pub fn hash(key: &FactKey, entry: &FactValue) -> u64 {
         merkle_tree::hash(&postcard::to_allocvec(&(key, entry)).unwrap_or_default())
     }
 
     /// Puts an entry in its place; none takes it away.
-    fn put(&mut self, key: &Key, entry: Option<Entry>) {
+    fn put(&mut self, key: &FactKey, entry: Option<FactValue>) {
         let place = (key.leaf(), key.clone());
-        let age = |k: &Key| match k {
-            Key::Drain(id) => Some((0, id.clone())),
-            Key::Start(id) => Some((1, id.clone())),
+        let age = |k: &FactKey| match k {
+            FactKey::Drain(id) => Some((0, id.clone())),
+            FactKey::Start(id) => Some((1, id.clone())),
             _ => None,
         };
         if let Some(old) = self.facts.get(&place) {
-            self.tree.turn(place.0, Copy::hash(key, old));
-            if let (Some((n, id)), Entry::Latest(l)) = (age(key), old) {
+            self.tree.turn(place.0, StateStore::hash(key, old));
+            if let (Some((n, id)), FactValue::Latest(l)) = (age(key), old) {
                 self.ages[n].remove(&(*l, id));
             }
-            self.words -= usize::from(matches!(old, Entry::Words(_)));
+            self.words -= usize::from(matches!(old, FactValue::Words(_)));
         }
         match entry {
             None => drop(self.facts.remove(&place)),
             Some(entry) => {
-                self.tree.turn(place.0, Copy::hash(key, &entry));
-                if let (Some((n, id)), Entry::Latest(l)) = (age(key), &entry) {
+                self.tree.turn(place.0, StateStore::hash(key, &entry));
+                if let (Some((n, id)), FactValue::Latest(l)) = (age(key), &entry) {
                     self.ages[n].insert((*l, id));
                 }
-                self.words += usize::from(matches!(entry, Entry::Words(_)));
+                self.words += usize::from(matches!(entry, FactValue::Words(_)));
                 self.facts.insert(place, entry);
             }
         }
@@ -293,45 +293,45 @@
         self.touched.insert(key.clone());
     }
 
-    /// Says something by hand. It takes the place of all that is known here of that key. Refused where this copy holds
+    /// Says something by hand. It takes the place of all that is known here of that key. JoinError where this copy holds
     /// as many things as may be, or the word is too long: then nothing was said.
-    pub fn say(&mut self, key: &Key, said: Said) -> Result<Dot, Refused> {
+    pub fn record(&mut self, key: &FactKey, said: OperatorCommand) -> Result<Dot, JoinError> {
         let sound = key.name().is_some_and(|n| !n.is_empty() && n.len() <= LONGEST.0) && said.fits();
-        if !sound || matches!(key, Key::Drain(_) | Key::Start(_)) {
-            return Err(Refused::Unsound);
+        if !sound || matches!(key, FactKey::Drain(_) | FactKey::Start(_)) {
+            return Err(JoinError::Invalid);
         }
         if self.doubled {
-            return Err(Refused::Doubled);
+            return Err(JoinError::DuplicateOrigin);
         }
         let mut register = self.register(key).cloned();
         if register.is_none() && self.words >= self.bounds.words {
-            return Err(Refused::Full);
+            return Err(JoinError::AtCapacity);
         }
         self.said += 1;
         let dot = Dot { origin: self.origin, seq: self.said };
         let mut r = register.take().unwrap_or_default();
-        r.say(dot, said);
-        self.put(key, Some(Entry::Words(r)));
+        r.record(dot, said);
+        self.put(key, Some(FactValue::Words(r)));
         Ok(dot)
     }
 
     /// Takes in a fact. True if it was new.
-    pub fn join(&mut self, key: &Key, entry: &Entry, now: Nanos) -> Result<bool, Refused> {
+    pub fn join(&mut self, key: &FactKey, entry: &FactValue, now: Nanos) -> Result<bool, JoinError> {
         if key.name().is_some_and(|n| n.is_empty() || n.len() > LONGEST.0) {
-            return Err(Refused::Unsound);
+            return Err(JoinError::Invalid);
         }
         match (key, entry) {
-            (Key::Spent(origin), Entry::Spent(ranges)) => self.forget(*origin, ranges),
-            (Key::Drain(_) | Key::Start(_), Entry::Latest(l)) => self.join_latest(key, *l, now),
-            (Key::Spent(_) | Key::Drain(_) | Key::Start(_), _) => Err(Refused::Unsound),
-            (_, Entry::Words(r)) => self.join_words(key, r),
-            (_, _) => Err(Refused::Unsound),
+            (FactKey::Spent(origin), FactValue::Spent(ranges)) => self.forget(*origin, ranges),
+            (FactKey::Drain(_) | FactKey::Start(_), FactValue::Latest(l)) => self.join_latest(key, *l, now),
+            (FactKey::Spent(_) | FactKey::Drain(_) | FactKey::Start(_), _) => Err(JoinError::Invalid),
+            (_, FactValue::Words(r)) => self.join_words(key, r),
+            (_, _) => Err(JoinError::Invalid),
         }
     }
 
-    fn join_words(&mut self, key: &Key, theirs: &Register) -> Result<bool, Refused> {
+    fn join_words(&mut self, key: &FactKey, theirs: &Register) -> Result<bool, JoinError> {
         if !theirs.is_sound() {
-            return Err(Refused::Unsound);
+            return Err(JoinError::Invalid);
         }
         // Guards stamps against a process whose memory was copied: what it said must not be said again as something else.
         let own = theirs.seen().of(self.origin).and_then(|r| r.iter().last()).map_or(0, |(_, last)| last);
@@ -340,35 +340,35 @@
         }
         let old = self.register(key);
         if old.is_none() && self.words >= 2 * self.bounds.words {
-            return Err(Refused::Full);
+            return Err(JoinError::AtCapacity);
         }
         let mut joined = old.cloned().unwrap_or_default();
         joined.join(theirs, &self.spent);
         if old == Some(&joined) || (old.is_none() && joined.is_empty()) {
             return Ok(false);
         }
-        self.put(key, Some(joined).filter(|r| !r.is_empty()).map(Entry::Words));
+        self.put(key, Some(joined).filter(|r| !r.is_empty()).map(FactValue::Words));
         Ok(true)
     }
 
-    fn join_latest(&mut self, key: &Key, theirs: Latest, now: Nanos) -> Result<bool, Refused> {
+    fn join_latest(&mut self, key: &FactKey, theirs: ProcessStart, now: Nanos) -> Result<bool, JoinError> {
         // Guards against a clock that runs ahead: it must not hold a server back until that time has come.
         if theirs.started > now.saturating_add(self.bounds.ahead) {
-            return Err(Refused::Ahead);
+            return Err(JoinError::FromTheFuture);
         }
-        if let Some(Entry::Latest(own)) = self.get(key)
+        if let Some(FactValue::Latest(own)) = self.get(key)
             && theirs <= *own
         {
             return Ok(false);
         }
-        self.put(key, Some(Entry::Latest(theirs)));
+        self.put(key, Some(FactValue::Latest(theirs)));
         // The earliest goes: keeping the latest of a union is the same in any order.
-        let drains = matches!(key, Key::Drain(_));
+        let drains = matches!(key, FactKey::Drain(_));
         let ages = &self.ages[usize::from(!drains)];
         if ages.len() > self.bounds.servers
             && let Some((_, id)) = ages.first().cloned()
         {
-            let earliest = if drains { Key::Drain(id) } else { Key::Start(id) };
+            let earliest = if drains { FactKey::Drain(id) } else { FactKey::Start(id) };
             self.put(&earliest, None);
             return Ok(earliest != *key);
         }
@@ -376,31 +376,32 @@
     }
 
     /// Stamps that are forgotten, here or elsewhere.
-    fn forget(&mut self, origin: Origin, ranges: &Ranges) -> Result<bool, Refused> {
+    fn forget(&mut self, origin: Origin, ranges: &Ranges) -> Result<bool, JoinError> {
         if self.spent.of(origin).is_none() && self.spent.len() >= 2 * self.bounds.origins {
-            return Err(Refused::Full);
+            return Err(JoinError::AtCapacity);
         }
         if !self.spent.add(origin, ranges) {
             return Ok(false);
         }
         let all = self.spent.of(origin).cloned().unwrap_or_default();
-        self.put(&Key::Spent(origin), Some(Entry::Spent(all)));
+        self.put(&FactKey::Spent(origin), Some(FactValue::Spent(all)));
         let touched = |r: &Register| r.seen().of(origin).is_some();
-        let keys: Vec<Key> = self.registers().filter(|(_, r)| touched(r)).map(|(k, _)| k.clone()).collect();
+        let keys: Vec<FactKey> =
+            self.registers().filter(|(_, r)| touched(r)).map(|(k, _)| k.clone()).collect();
         for key in keys {
             let Some(mut register) = self.register(&key).cloned() else { continue };
             register.without(&self.spent);
-            self.put(&key, Some(register).filter(|r| !r.is_empty()).map(Entry::Words));
+            self.put(&key, Some(register).filter(|r| !r.is_empty()).map(FactValue::Words));
         }
         Ok(true)
     }
 
     /// Forgets what has said nothing for as long as words are kept: only their stamps remain, so that no copy that was
     /// away can bring them back. Tells the keys that changed; a bounded number of things at a time.
-    pub fn collect(&mut self, now: Nanos) -> Vec<Key> {
+    pub fn collect_garbage(&mut self, now: Nanos) -> Vec<FactKey> {
         let old = |r: &Register| r.is_spent(now, self.bounds.keep);
         let mut changed = Vec::new();
-        let mut stamps = Dots::default();
+        let mut stamps = VersionVector::default();
         for (key, register) in self.registers().filter(|(_, r)| old(r)).take(AT_A_TIME) {
             let new = |(origin, _): &(Origin, &Ranges)| {
                 self.spent.of(*origin).is_none() && stamps.of(*origin).is_none()
@@ -414,7 +415,7 @@
         }
         for (origin, ranges) in stamps.iter() {
             if self.forget(origin, ranges) == Ok(true) {
-                changed.push(Key::Spent(origin));
+                changed.push(FactKey::Spent(origin));
             }
         }
         changed
--- a/src/replication/version_vector.rs
+++ b/src/replication/version_vector.rs
@@ -121,9 +121,9 @@
 /// A set of stamps.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq, Hash)]
 #[serde(transparent)]
-pub struct Dots(BTreeMap<Origin, Ranges>);
+pub struct VersionVector(BTreeMap<Origin, Ranges>);
 
-impl Dots {
+impl VersionVector {
     /// Whether the stamp is in it.
     pub fn contains(&self, dot: Dot) -> bool {
         self.0.get(&dot.origin).is_some_and(|r| r.contains(dot.seq))
@@ -140,14 +140,14 @@
     }
 
     /// Adds all of another set.
-    pub fn union(&mut self, other: &Dots) {
+    pub fn union(&mut self, other: &VersionVector) {
         for (origin, ranges) in &other.0 {
             self.add(*origin, ranges);
         }
     }
 
     /// Takes all of another set out.
-    pub fn minus(&mut self, other: &Dots) {
+    pub fn minus(&mut self, other: &VersionVector) {
         self.0.retain(|origin, ranges| {
             if let Some(out) = other.0.get(origin) {
                 ranges.minus(out);
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -11,7 +11,7 @@
 use crate::membership::NeverListed;
 use crate::metrics;
 use crate::net::{Clock, ConnId, NetEvent, Reactor, Signal, Signals, Waker};
-use crate::replication::{Key, Value};
+use crate::replication::{CommandValue, FactKey};
 use crate::server::drain::{DrainPhase, DrainState};
 use crate::server::membership_driver::MembershipDriver;
 use std::collections::BTreeSet;
@@ -313,21 +313,23 @@
     fn call(&mut self, call: AdminRequest, caller: ConnId, now: Nanos) -> Option<AdminResponse> {
         if self.cluster.is_some() {
             let said = match call {
-                AdminRequest::Suspend(id, aside) => self.say(Key::Server(id), Value::Out, aside, caller, now),
+                AdminRequest::Suspend(id, aside) => {
+                    self.say(FactKey::Server(id), CommandValue::Out, aside, caller, now)
+                }
                 AdminRequest::Restore(id, aside) => {
-                    self.say(Key::Server(id), Value::Back, aside, caller, now)
+                    self.say(FactKey::Server(id), CommandValue::Back, aside, caller, now)
                 }
                 AdminRequest::Pause(name, aside) => {
-                    self.say(self.pause_of(name), Value::Out, aside, caller, now)
+                    self.say(self.pause_of(name), CommandValue::Out, aside, caller, now)
                 }
                 AdminRequest::Resume(name, aside) => {
-                    self.say(self.pause_of(name), Value::Back, aside, caller, now)
+                    self.say(self.pause_of(name), CommandValue::Back, aside, caller, now)
                 }
                 AdminRequest::Remove(name, aside) => {
-                    self.say(Key::Removed(name), Value::Out, aside, caller, now)
+                    self.say(FactKey::Removed(name), CommandValue::Out, aside, caller, now)
                 }
                 AdminRequest::Admit(name, aside) => {
-                    self.say(Key::Removed(name), Value::Back, aside, caller, now)
+                    self.say(FactKey::Removed(name), CommandValue::Back, aside, caller, now)
                 }
                 other => return Some(self.answer(other, now)),
             };
@@ -336,16 +338,16 @@
         Some(self.answer(call, now))
     }
 
-    fn pause_of(&self, name: Option<String>) -> Key {
+    fn pause_of(&self, name: Option<String>) -> FactKey {
         let own = self.cluster.as_ref().map_or("", Cluster::name);
-        Key::Pause(name.unwrap_or_else(|| own.to_owned()))
+        FactKey::Pause(name.unwrap_or_else(|| own.to_owned()))
     }
 
     /// Staff say something to the whole cluster.
     fn say(
         &mut self,
-        key: Key,
-        value: Value,
+        key: FactKey,
+        value: CommandValue,
         aside: CommandOptions,
         caller: ConnId,
         now: Nanos,
@@ -353,14 +355,14 @@
         let Some(cluster) = &mut self.cluster else { return Err("this broker has no peers".into()) };
         let known = cluster.knows(&key);
         let yes = match &key {
-            Key::Server(id) if known || self.front.membership().knows(id) => id.clone(),
-            Key::Server(id) => return Err(format!("{id} was never listed")),
+            FactKey::Server(id) if known || self.front.membership().knows(id) => id.clone(),
+            FactKey::Server(id) => return Err(format!("{id} was never listed")),
             // It would stop talking at once, and nobody would hear of it.
-            Key::Removed(name) if name == cluster.name() && value == Value::Out => {
+            FactKey::Removed(name) if name == cluster.name() && value == CommandValue::Out => {
                 return Err(format!("{name} is this broker: say it at another one"));
             }
-            Key::Pause(name) | Key::Removed(name) if known || cluster.is_broker(name) => name.clone(),
-            Key::Pause(name) | Key::Removed(name) => {
+            FactKey::Pause(name) | FactKey::Removed(name) if known || cluster.is_broker(name) => name.clone(),
+            FactKey::Pause(name) | FactKey::Removed(name) => {
                 return Err(format!("{name} is no broker of this cluster"));
             }
             _ => return Err("nothing is said of that by hand".into()),
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -7,8 +7,8 @@
 use crate::membership::snapshot::Kept;
 use crate::membership::{ByHand, Change, Fact, NeverListed, Roster, State};
 use crate::net::{NetEvent, Reactor};
-use crate::replication::derived_state::Heard;
-use crate::replication::{Key, Latest};
+use crate::replication::derived_state::NodeHints;
+use crate::replication::{FactKey, ProcessStart};
 use crate::routing::{Routing, Rule};
 use crate::server::FrontendContext;
 use crate::storage::snapshot_store::Keeper;
@@ -36,7 +36,7 @@
     others: Others,
     /// Count and version of the own list that was last looked at.
     version: (u32, u64),
-    news: Vec<(Key, Latest)>,
+    news: Vec<(FactKey, ProcessStart)>,
 }
 
 /// The roster and its sources.
@@ -201,10 +201,10 @@
             }
             let Some((state, started, version)) = roster.told_by_discovery(&change.id) else { continue };
             if state != State::Ready {
-                among.news.push((Key::Drain(change.id.clone()), Latest { started, version }));
+                among.news.push((FactKey::Drain(change.id.clone()), ProcessStart { started, version }));
             }
             if started > 0 {
-                among.news.push((Key::Start(change.id.clone()), Latest { started, version: 0 }));
+                among.news.push((FactKey::Start(change.id.clone()), ProcessStart { started, version: 0 }));
             }
         }
         among.others.pass(changes, |id| MembershipDriver::own(roster, id))
@@ -231,12 +231,12 @@
     }
 
     /// What other brokers are to be told of drains and starts.
-    pub fn take_hints(&mut self) -> Vec<(Key, Latest)> {
+    pub fn take_hints(&mut self) -> Vec<(FactKey, ProcessStart)> {
         self.among.as_mut().map_or(Vec::new(), |a| std::mem::take(&mut a.news))
     }
 
     /// Other brokers have heard this of a node.
-    pub fn on_hint<Q, V>(&mut self, id: &str, heard: Heard, hands: &mut FrontendContext<Q, V>) {
+    pub fn on_hint<Q, V>(&mut self, id: &str, heard: NodeHints, hands: &mut FrontendContext<Q, V>) {
         let change = self.among.as_mut().and_then(|a| a.others.heard(id, heard));
         self.tell(change.into_iter().collect(), hands);
     }
--- a/src/storage/journal.rs
+++ b/src/storage/journal.rs
@@ -9,7 +9,7 @@
 
 use super::file_system::Files;
 use crate::api::Nanos;
-use crate::replication::{Bounds, Copy, Fact, Origin};
+use crate::replication::{Fact, Origin, StateStore, StoreLimits};
 use crate::storage::checksummed_file::{Format, Unsound};
 use serde::{Deserialize, Serialize};
 use std::io::ErrorKind;
@@ -91,11 +91,11 @@
     (line[8] == b' ' && crc32fast::hash(text) == sum).then(|| serde_json::from_slice(text).ok())?
 }
 
-fn join(copy: &mut Copy, fact: &Fact) -> bool {
+fn join(copy: &mut StateStore, fact: &Fact) -> bool {
     // Starts are taken as they are: they were looked at when they came.
     let joined = copy.join(&fact.0, &fact.1, Nanos::MAX).is_ok();
     // Nobody here asks which keys changed: they must not add up.
-    copy.take_touched();
+    copy.take_changed_keys();
     joined
 }
 
@@ -103,7 +103,7 @@
     files: &impl Files,
     dir: &Path,
     name: &'static str,
-    copy: &mut Copy,
+    copy: &mut StateStore,
     found: &mut Found,
 ) -> (usize, bool) {
     let path = &dir.join(name);
@@ -137,10 +137,10 @@
 }
 
 /// What a directory holds.
-pub fn read(files: &impl Files, dir: &Path, bounds: Bounds) -> Found {
+pub fn read(files: &impl Files, dir: &Path, bounds: StoreLimits) -> Found {
     let mut found = Found::default();
     // Nobody's origin: nothing is said with this copy.
-    let mut copy = Copy::new(Origin(0), bounds);
+    let mut copy = StateStore::new(Origin(0), bounds);
     for name in [OLDER_SNAPSHOT, SNAPSHOT, UNDER_WAY] {
         let path = dir.join(name);
         match files.read(&path, FORMAT.most).map(|bytes| (bytes.len(), FORMAT.decode::<Snapshot>(&bytes))) {
@@ -180,7 +180,7 @@
 struct Clerk<F: Files> {
     files: F,
     dir: PathBuf,
-    copy: Copy,
+    copy: StateStore,
     incarnation: u64,
     log: usize,
     snapshot: usize,
@@ -275,7 +275,7 @@
 
 impl Journal {
     /// Begins: the lock is taken, now or when the process that has it ends, and what is there is read.
-    pub fn start(files: impl Files, dir: &Path, bounds: Bounds) -> std::io::Result<Journal> {
+    pub fn start(files: impl Files, dir: &Path, bounds: StoreLimits) -> std::io::Result<Journal> {
         let (writes, taken) = sync_channel::<Write>(4);
         let (tell_found, found) = sync_channel(1);
         let (tell_done, done) = sync_channel(8);
@@ -284,7 +284,7 @@
         let work = move || {
             if let Some(_lock) = take_lock(&files, &dir, &tell_found, &taken) {
                 let read = read(&files, &dir, bounds);
-                let mut copy = Copy::new(Origin(0), bounds);
+                let mut copy = StateStore::new(Origin(0), bounds);
                 for fact in &read.facts {
                     let _ = join(&mut copy, fact);
                 }
--- a/tests/cluster/frames.rs
+++ b/tests/cluster/frames.rs
@@ -1,9 +1,9 @@
 //! Bytes that are not what they should be: every decoder of frames and files gives a typed error or a sound value, whatever
 //! comes, and a broker that is sent such things goes on.
 
-use pebbleturn::gossip::codec::{self, BadFrame, DATAGRAM, Datagram, FRAME, LATEST, Line, Sender};
-use pebbleturn::gossip::swim::{Probe, Rumour, Status};
-use pebbleturn::replication::anti_entropy::{Message, Walk};
+use pebbleturn::gossip::codec::{self, DATAGRAM, Datagram, FRAME, FrameError, LATEST, Sender, StreamFrame};
+use pebbleturn::gossip::swim::{PeerStatus, Probe, StatusUpdate};
+use pebbleturn::replication::anti_entropy::{SyncMessage, SyncSession};
 use pebbleturn::replication::*;
 use pebbleturn::storage::Disk;
 use pebbleturn::storage::journal::{self, Journal, LOG, OLDER_LOG, OLDER_SNAPSHOT, SNAPSHOT, UNDER_WAY};
@@ -13,22 +13,34 @@
 use std::path::Path;
 use std::time::Duration;
 
-fn copy(words: u32) -> Copy {
-    let mut copy = Copy::new(Origin(7), Bounds { keep: 0, ..Bounds::default() });
+fn copy(words: u32) -> StateStore {
+    let mut copy = StateStore::new(Origin(7), StoreLimits { keep: 0, ..StoreLimits::default() });
     for n in 0..words {
-        let value = [Value::Out, Value::Back, Value::Text("x".into())][n as usize % 3].clone();
-        let key = [Key::Server(format!("s-{n}")), Key::Work(format!("w-{n}"))][n as usize % 2].clone();
-        let said =
-            Said { value, who: "w".into(), why: "y".into(), at_broker: "b".into(), at: 1, until: Some(5) };
-        copy.say(&key, said).unwrap();
-        copy.join(&Key::Start(format!("s-{n}")), &Entry::Latest(Latest { started: 9, version: 0 }), 10)
-            .unwrap();
+        let value =
+            [CommandValue::Out, CommandValue::Back, CommandValue::Text("x".into())][n as usize % 3].clone();
+        let key =
+            [FactKey::Server(format!("s-{n}")), FactKey::Work(format!("w-{n}"))][n as usize % 2].clone();
+        let said = OperatorCommand {
+            value,
+            who: "w".into(),
+            why: "y".into(),
+            at_broker: "b".into(),
+            at: 1,
+            until: Some(5),
+        };
+        copy.record(&key, said).unwrap();
+        copy.join(
+            &FactKey::Start(format!("s-{n}")),
+            &FactValue::Latest(ProcessStart { started: 9, version: 0 }),
+            10,
+        )
+        .unwrap();
     }
-    copy.collect(100);
-    copy.say(
-        &Key::Server("s-0".into()),
-        Said {
-            value: Value::Out,
+    copy.collect_garbage(100);
+    copy.record(
+        &FactKey::Server("s-0".into()),
+        OperatorCommand {
+            value: CommandValue::Out,
             who: "w".into(),
             why: "y".into(),
             at_broker: "b".into(),
@@ -40,7 +52,7 @@
     copy
 }
 
-fn facts(copy: &Copy) -> Vec<Fact> {
+fn facts(copy: &StateStore) -> Vec<Fact> {
     copy.facts().map(|(k, e)| (k.clone(), e.clone())).collect()
 }
 
@@ -55,19 +67,20 @@
 }
 
 fn datagram(version: u8) -> Vec<u8> {
-    let rumours = vec![Rumour { name: name(2), incarnation: 5, status: Status::Suspect }];
+    let rumours = vec![StatusUpdate { name: name(2), incarnation: 5, status: PeerStatus::Suspect }];
     let probe = Probe::Ask { n: 8, name: name(2) };
     Datagram { sender: sender(), probe, rumours, facts: facts(&copy(6)), root: Some(77) }.encode(version)
 }
 
 fn lines() -> Vec<Vec<u8>> {
     let copy = copy(20);
-    let (_, begin) = Walk::begin(&copy, 1000);
-    let hello = Line::Hello { sender: sender(), rumours: vec![] };
-    let give = Message::Give { facts: facts(&copy) };
-    let leaves = Message::Leaves { digests: vec![(3, vec![1; 64])] };
-    let ask = Message::AskFacts { leaves: vec![1, 2], from: Some((Key::Site("k".into()), 2)) };
-    let walks = [begin, give, leaves, ask, Message::Branches { digests: vec![5; 64] }].map(Line::Walk);
+    let (_, begin) = SyncSession::begin(&copy, 1000);
+    let hello = StreamFrame::Hello { sender: sender(), rumours: vec![] };
+    let give = SyncMessage::Give { facts: facts(&copy) };
+    let leaves = SyncMessage::Leaves { digests: vec![(3, vec![1; 64])] };
+    let ask = SyncMessage::AskFacts { leaves: vec![1, 2], from: Some((FactKey::Site("k".into()), 2)) };
+    let walks =
+        [begin, give, leaves, ask, SyncMessage::Branches { digests: vec![5; 64] }].map(StreamFrame::Walk);
     [hello].into_iter().chain(walks).map(|l| l.encode()[4..].to_vec()).collect()
 }
 
@@ -115,10 +128,10 @@
             assert!(Datagram::decode(&changed, LATEST).is_err(), "changed at {at}");
         }
     }
-    assert_eq!(Datagram::decode(&datagram(2), 1), Err(BadFrame::Version(2)));
+    assert_eq!(Datagram::decode(&datagram(2), 1), Err(FrameError::Version(2)));
     assert!(Datagram::decode(&datagram(1), 1).unwrap().root.is_none());
-    assert_eq!(Datagram::decode(&vec![0; DATAGRAM + 1], LATEST), Err(BadFrame::Length(DATAGRAM + 1)));
-    assert_eq!(codec::frame_end(&[0xff; 8]), Err(BadFrame::Length(u32::MAX as usize)));
+    assert_eq!(Datagram::decode(&vec![0; DATAGRAM + 1], LATEST), Err(FrameError::Length(DATAGRAM + 1)));
+    assert_eq!(codec::frame_end(&[0xff; 8]), Err(FrameError::Length(u32::MAX as usize)));
     assert_eq!(codec::frame_end(&(FRAME as u32).to_be_bytes()), Ok(None));
 }
 
@@ -148,7 +161,7 @@
             spoil(&mut line, 9, &mut rng);
             if line.len() >= 9 {
                 reseal(&mut line);
-                if let Ok(Line::Walk(m)) = Line::decode(&line) {
+                if let Ok(StreamFrame::Walk(m)) = StreamFrame::decode(&line) {
                     let _ = anti_entropy::answer(&copy(2), &m);
                 }
             }
@@ -156,12 +169,12 @@
     }
     assert!(read > 300 && refused > 300, "{read} read, {refused} refused");
     // It still hears its peers, and they it.
-    let dot = w.say(1, &Key::Server("after".into()), Value::Out).unwrap();
-    assert!(w.until(30 * S, |w| w.known_to(&Key::Server("after".into()), dot) == 3));
+    let dot = w.say(1, &FactKey::Server("after".into()), CommandValue::Out).unwrap();
+    assert!(w.until(30 * S, |w| w.known_to(&FactKey::Server("after".into()), dot) == 3));
 }
 
 fn written(dir: &Path, batches: &[Vec<Fact>]) {
-    let mut journal = Journal::start(Disk, dir, Bounds::default()).unwrap();
+    let mut journal = Journal::start(Disk, dir, StoreLimits::default()).unwrap();
     journal.found_within(Duration::from_secs(60)).unwrap().unwrap();
     journal.begin(41);
     for facts in batches {
@@ -185,15 +198,15 @@
 fn batches() -> [Vec<Fact>; 2] {
     let mut copy = copy(8);
     let first = facts(&copy);
-    let said = Said {
-        value: Value::Back,
+    let said = OperatorCommand {
+        value: CommandValue::Back,
         who: "w".into(),
         why: "y".into(),
         at_broker: "b".into(),
         at: 2,
         until: None,
     };
-    copy.say(&Key::Server("s-0".into()), said).unwrap();
+    copy.record(&FactKey::Server("s-0".into()), said).unwrap();
     [first, facts(&copy)]
 }
 
@@ -203,7 +216,7 @@
     let batches = batches();
     written(dir.path(), &batches);
     let log = std::fs::read(dir.path().join(LOG)).unwrap();
-    let read = || journal::read(&Disk, dir.path(), Bounds::default());
+    let read = || journal::read(&Disk, dir.path(), StoreLimits::default());
     let whole = read();
     assert!(whole.wrong.is_empty() && whole.incarnation == 41);
     let whole_facts = whole.facts;
@@ -214,10 +227,11 @@
         assert!(cut.wrong.is_empty(), "{:?}", cut.wrong);
         let lines = log[..at].iter().filter(|b| **b == b'\n').count();
         // One line tells the incarnation; of each fact the last whole line is the newest.
-        let kept: std::collections::BTreeSet<&Key> =
+        let kept: std::collections::BTreeSet<&FactKey> =
             batches.iter().flatten().take(lines.saturating_sub(1)).map(|(k, _)| k).collect();
-        let lost =
-            kept.iter().filter(|k| !matches!(k, Key::Spent(_)) && !cut.facts.iter().any(|(c, _)| c == **k));
+        let lost = kept
+            .iter()
+            .filter(|k| !matches!(k, FactKey::Spent(_)) && !cut.facts.iter().any(|(c, _)| c == **k));
         assert_eq!(lost.count(), 0, "cut at {at}");
         assert!(lines <= batches[0].len() + batches[1].len() || cut.facts == whole_facts, "cut at {at}");
         // Changed at any byte: the other lines stand, and it is told.
@@ -241,12 +255,12 @@
 #[test]
 fn snapshots_are_written_as_the_log_grows_and_any_one_file_may_be_lost_but_the_newest() {
     let dir = tempfile::tempdir().unwrap();
-    let mut all = Copy::new(Origin(9), Bounds::default());
+    let mut all = StateStore::new(Origin(9), StoreLimits::default());
     let mut parts = Vec::new();
     for batch in 0..12 {
         for n in 0..200 {
-            let text = Value::Text("t".repeat(3000));
-            let said = Said {
+            let text = CommandValue::Text("t".repeat(3000));
+            let said = OperatorCommand {
                 value: text,
                 who: "w".into(),
                 why: "y".into(),
@@ -254,13 +268,13 @@
                 at: 2,
                 until: None,
             };
-            all.say(&Key::Work(format!("{batch}-{n}")), said).unwrap();
+            all.record(&FactKey::Work(format!("{batch}-{n}")), said).unwrap();
         }
         let new = |(k, _): &Fact| k.name().is_some_and(|n| n.starts_with(&format!("{batch}-")));
         parts.push(facts(&all).into_iter().filter(new).collect());
     }
     written(dir.path(), &parts);
-    let read = || journal::read(&Disk, dir.path(), Bounds::default());
+    let read = || journal::read(&Disk, dir.path(), StoreLimits::default());
     assert_eq!(read().facts, facts(&all));
     assert_eq!(read().incarnation, 41);
     for name in [SNAPSHOT, OLDER_SNAPSHOT, LOG, OLDER_LOG] {
--- a/tests/cluster/model.rs
+++ b/tests/cluster/model.rs
@@ -8,7 +8,7 @@
 
 const COPIES: usize = 3;
 /// A word put back is old at once: time to forget is a step like any other.
-const BOUNDS: Bounds = Bounds { words: 8, servers: 8, keep: 0, ahead: 0, origins: 64 };
+const BOUNDS: StoreLimits = StoreLimits { words: 8, servers: 8, keep: 0, ahead: 0, origins: 64 };
 
 /// Which rule is broken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,11 +29,11 @@
 }
 
 /// What a test says once, of one server.
-const WORDS: [Value; 2] = [Value::Out, Value::Back];
+const WORDS: [CommandValue; 2] = [CommandValue::Out, CommandValue::Back];
 
 #[derive(Clone, Debug)]
 struct Site {
-    copy: Copy,
+    copy: StateStore,
     disk: Vec<Fact>,
 }
 
@@ -108,56 +108,57 @@
     crashes: usize,
 }
 
-fn server() -> Key {
-    Key::Server("s".into())
+fn server() -> FactKey {
+    FactKey::Server("s".into())
 }
 
-fn facts(copy: &Copy) -> Vec<Fact> {
+fn facts(copy: &StateStore) -> Vec<Fact> {
     copy.facts().map(|(k, e)| (k.clone(), e.clone())).collect()
 }
 
-fn of(origin: u64, kept: &[Fact]) -> Copy {
-    let mut copy = Copy::new(Origin(origin), BOUNDS);
+fn of(origin: u64, kept: &[Fact]) -> StateStore {
+    let mut copy = StateStore::new(Origin(origin), BOUNDS);
     for (key, entry) in kept {
         copy.join(key, entry, 0).unwrap();
     }
     copy
 }
 
-fn standing(copy: &Copy) -> Vec<(Dot, bool)> {
-    copy.register(&server()).map_or(vec![], |r| r.said().map(|(d, s)| (d, s.value == Value::Out)).collect())
+fn standing(copy: &StateStore) -> Vec<(Dot, bool)> {
+    copy.register(&server())
+        .map_or(vec![], |r| r.commands().map(|(d, s)| (d, s.value == CommandValue::Out)).collect())
 }
 
 /// A register of these words that has seen no others.
-fn only(words: &[(Dot, Said)]) -> Register {
+fn only(words: &[(Dot, OperatorCommand)]) -> Register {
     let mut r = Register::default();
     for (dot, said) in words {
         let mut one = Register::default();
-        one.say(*dot, said.clone());
-        r.join(&one, &Dots::default());
+        one.record(*dot, said.clone());
+        r.join(&one, &VersionVector::default());
     }
     r
 }
 
-fn words(copy: &Copy) -> Vec<(Dot, Said)> {
-    copy.register(&server()).map_or(vec![], |r| r.said().map(|(d, s)| (d, s.clone())).collect())
+fn words(copy: &StateStore) -> Vec<(Dot, OperatorCommand)> {
+    copy.register(&server()).map_or(vec![], |r| r.commands().map(|(d, s)| (d, s.clone())).collect())
 }
 
 impl Check {
-    fn tell(&self, from: &Copy, to: &mut Copy) {
+    fn tell(&self, from: &StateStore, to: &mut StateStore) {
         for (key, entry) in facts(from) {
             match (&entry, self.broken) {
-                (Entry::Words(_), Broken::Seen) => {
-                    let told = Entry::Words(only(&words(from)));
+                (FactValue::Words(_), Broken::Seen) => {
+                    let told = FactValue::Words(only(&words(from)));
                     to.join(&key, &told, 0).unwrap();
                 }
-                (Entry::Words(_), Broken::Sides) => {
+                (FactValue::Words(_), Broken::Sides) => {
                     to.join(&key, &entry, 0).unwrap();
                     let all = words(to);
                     if all.len() > 1 {
                         let mut kept: Vec<Fact> = facts(to);
                         kept.retain(|(k, _)| *k != key);
-                        kept.push((key.clone(), Entry::Words(only(&all[all.len() - 1..]))));
+                        kept.push((key.clone(), FactValue::Words(only(&all[all.len() - 1..]))));
                         *to = of(to.origin().0, &kept);
                     }
                 }
@@ -180,7 +181,7 @@
     fn actions(&self, w: &World, steps: &mut Vec<Step>) {
         for at in 0..COPIES {
             if w.said < self.words {
-                steps.extend(WORDS.iter().map(|v| Step::Say { at, out: *v == Value::Out }));
+                steps.extend(WORDS.iter().map(|v| Step::Say { at, out: *v == CommandValue::Out }));
             }
             if w.starts < self.crashes {
                 steps.push(Step::Crash { at, without: false });
@@ -211,11 +212,11 @@
                 let ends: Vec<Dot> = standing(&w.sites[at].copy).into_iter().map(|(d, _)| d).collect();
                 if self.broken == Broken::Words {
                     // It takes the place of words that it never heard of.
-                    let all: Vec<Copy> = w.sites.iter().map(|s| s.copy.clone()).collect();
+                    let all: Vec<StateStore> = w.sites.iter().map(|s| s.copy.clone()).collect();
                     all.iter().for_each(|c| self.tell(c, &mut w.sites[at].copy));
                 }
-                let value = if out { Value::Out } else { Value::Back };
-                let said = Said {
+                let value = if out { CommandValue::Out } else { CommandValue::Back };
+                let said = OperatorCommand {
                     value,
                     who: "w".into(),
                     why: String::new(),
@@ -224,11 +225,11 @@
                     until: None,
                 };
                 // As the program does: what its disk or its peers tell of its own stamps makes it draw new ones.
-                if w.sites[at].copy.is_doubled() {
+                if w.sites[at].copy.has_duplicate_origin() {
                     w.starts += 1;
-                    w.sites[at].copy.renew(Origin(200 + w.starts as u64));
+                    w.sites[at].copy.set_origin(Origin(200 + w.starts as u64));
                 }
-                let dot = w.sites[at].copy.say(&server(), said).unwrap();
+                let dot = w.sites[at].copy.record(&server(), said).unwrap();
                 *w.stamps.entry(dot).or_insert(0) += 1;
                 w.said += 1;
                 // Acknowledged once it is on disk.
@@ -244,10 +245,12 @@
             Step::Forget { at } => {
                 w.forgot += 1;
                 let site = &mut w.sites[at];
-                site.copy.collect(1);
+                site.copy.collect_garbage(1);
                 if self.broken == Broken::Stamps {
-                    let kept: Vec<Fact> =
-                        facts(&site.copy).into_iter().filter(|(k, _)| !matches!(k, Key::Spent(_))).collect();
+                    let kept: Vec<Fact> = facts(&site.copy)
+                        .into_iter()
+                        .filter(|(k, _)| !matches!(k, FactKey::Spent(_)))
+                        .collect();
                     site.copy = of(site.copy.origin().0, &kept);
                 }
             }
@@ -270,7 +273,7 @@
 
     fn properties(&self) -> Vec<Property<Self>> {
         // What all would hold if all faults ended now: everybody's copy joined.
-        fn joined(check: &Check, w: &World) -> Copy {
+        fn joined(check: &Check, w: &World) -> StateStore {
             let mut all = of(999, &[]);
             w.sites.iter().for_each(|s| check.tell(&s.copy, &mut all));
             all
--- a/tests/cluster/processes.rs
+++ b/tests/cluster/processes.rs
@@ -4,7 +4,9 @@
 use pebbleturn::gossip::swim::Probe;
 use pebbleturn::membership::State;
 use pebbleturn::membership::endpoint_list::ServerLine;
-use pebbleturn::replication::{Entry, Key, Latest, Origin, Register, Said, Value};
+use pebbleturn::replication::{
+    CommandValue, FactKey, FactValue, OperatorCommand, Origin, ProcessStart, Register,
+};
 use pebbleturn_lab::cluster::bed::*;
 use pebbleturn_lab::cluster::links::Fault;
 use pebbleturn_lab::directory::{Directory, line};
@@ -270,17 +272,17 @@
 fn a_peer_that_floods_and_one_that_lives_in_the_future_are_bounded() {
     let mut bed = Bed::started(PROGRAM, 3, 10);
     let clients = Clients::at(&bed, 0, 2);
-    let ahead = Entry::Latest(Latest { started: u64::MAX / 2, version: u64::MAX });
+    let ahead = FactValue::Latest(ProcessStart { started: u64::MAX / 2, version: u64::MAX });
     let frame = |facts| {
         Datagram { sender: sender(99, "bed"), probe: Probe::News, rumours: vec![], facts, root: Some(1) }
             .encode(2)
     };
     // A drain of a server that is to start in three hundred years.
-    bed.links.inject(1, 0, &frame(vec![(Key::Drain("n-0".into()), ahead)]));
+    bed.links.inject(1, 0, &frame(vec![(FactKey::Drain("n-0".into()), ahead)]));
     until("refused", || bed.dropped(0, "can't be taken in") > 0);
     // A word from a clock that runs far ahead holds like any other, and the next one ends it.
-    let said = Said {
-        value: Value::Out,
+    let said = OperatorCommand {
+        value: CommandValue::Out,
         who: "x".into(),
         why: String::new(),
         at_broker: name(1),
@@ -288,8 +290,8 @@
         until: None,
     };
     let mut register = Register::default();
-    register.say(pebbleturn::replication::Dot { origin: Origin(99), seq: 1 }, said);
-    let fact = (Key::Server("n-1".into()), Entry::Words(register));
+    register.record(pebbleturn::replication::Dot { origin: Origin(99), seq: 1 }, said);
+    let fact = (FactKey::Server("n-1".into()), FactValue::Words(register));
     bed.links.inject(1, 0, &frame(vec![fact.clone()]));
     bed.everywhere("server n-1", true);
     bed.must(2, "RESTORE n-1");
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -1,8 +1,8 @@
 //! The copies of what all brokers are to know: what joining proves, what is forgotten, where copies differ.
 
-use pebbleturn::replication::anti_entropy::{self, Message, Walk};
-use pebbleturn::replication::derived_state::Effect;
-use pebbleturn::replication::rumor_queue::News;
+use pebbleturn::replication::anti_entropy::{self, SyncMessage, SyncSession};
+use pebbleturn::replication::derived_state::DerivedState;
+use pebbleturn::replication::rumor_queue::RumorQueue;
 use pebbleturn::replication::*;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
@@ -10,32 +10,33 @@
 
 const S: u64 = 1_000_000_000;
 const NOW: u64 = 1_000_000 * S;
-const BOUNDS: Bounds = Bounds { words: 64, servers: 8, keep: 100 * S, ahead: 600 * S, origins: 1000 };
+const BOUNDS: StoreLimits =
+    StoreLimits { words: 64, servers: 8, keep: 100 * S, ahead: 600 * S, origins: 1000 };
 
-fn said(value: Value, at: u64) -> Said {
-    Said { value, who: "w".into(), why: "y".into(), at_broker: "b".into(), at, until: None }
+fn said(value: CommandValue, at: u64) -> OperatorCommand {
+    OperatorCommand { value, who: "w".into(), why: "y".into(), at_broker: "b".into(), at, until: None }
 }
 
-fn server(n: u32) -> Key {
-    Key::Server(format!("s-{n}"))
+fn server(n: u32) -> FactKey {
+    FactKey::Server(format!("s-{n}"))
 }
 
-fn copies(n: u64) -> Vec<Copy> {
-    (0..n).map(|n| Copy::new(Origin(n + 1), BOUNDS)).collect()
+fn copies(n: u64) -> Vec<StateStore> {
+    (0..n).map(|n| StateStore::new(Origin(n + 1), BOUNDS)).collect()
 }
 
 /// All that one copy holds goes to another; refused facts are none.
-fn give(from: &Copy, to: &mut Copy, now: u64) {
+fn give(from: &StateStore, to: &mut StateStore, now: u64) {
     for (key, entry) in from.facts() {
         to.join(key, entry, now).unwrap();
     }
 }
 
 /// Two copies walk until they are equal; tells the number of messages and bytes of the largest.
-fn walked(a: &mut Copy, b: &mut Copy, budget: usize) -> (usize, usize) {
+fn walked(a: &mut StateStore, b: &mut StateStore, budget: usize) -> (usize, usize) {
     let (mut messages, mut largest) = (0, 0);
     for _ in 0..1000 {
-        let (mut walk, mut ask) = Walk::begin(a, budget);
+        let (mut walk, mut ask) = SyncSession::begin(a, budget);
         loop {
             for (key, entry) in anti_entropy::facts(&ask) {
                 b.join(key, entry, NOW).unwrap();
@@ -66,21 +67,22 @@
 
 /// A random step at one of several copies: a word, a fact from discovery, time to forget, or facts of another copy, some
 /// of them lost and some of them old ones from a pile.
-fn step(copies: &mut [Copy], pile: &mut Vec<Fact>, rng: &mut Pcg32, now: u64) {
+fn step(copies: &mut [StateStore], pile: &mut Vec<Fact>, rng: &mut Pcg32, now: u64) {
     let at = pick(rng, copies.len());
     match pick(rng, 8) {
         0 | 1 => {
-            let value = [Value::Out, Value::Back, Value::Back][pick(rng, 3)].clone();
-            let key = if pick(rng, 8) == 0 { Key::Pause("b".into()) } else { server(pick(rng, 4) as u32) };
-            copies[at].say(&key, said(value, now)).unwrap();
+            let value = [CommandValue::Out, CommandValue::Back, CommandValue::Back][pick(rng, 3)].clone();
+            let key =
+                if pick(rng, 8) == 0 { FactKey::Pause("b".into()) } else { server(pick(rng, 4) as u32) };
+            copies[at].record(&key, said(value, now)).unwrap();
         }
         2 => {
             let id = format!("s-{}", pick(rng, 20));
-            let latest = Latest { started: pick(rng, 50) as u64 * S, version: pick(rng, 9) as u64 };
-            let key = if pick(rng, 2) == 0 { Key::Drain(id) } else { Key::Start(id) };
-            copies[at].join(&key, &Entry::Latest(latest), now).unwrap();
+            let latest = ProcessStart { started: pick(rng, 50) as u64 * S, version: pick(rng, 9) as u64 };
+            let key = if pick(rng, 2) == 0 { FactKey::Drain(id) } else { FactKey::Start(id) };
+            copies[at].join(&key, &FactValue::Latest(latest), now).unwrap();
         }
-        3 if pick(rng, 3) == 0 => drop(copies[at].collect(now)),
+        3 if pick(rng, 3) == 0 => drop(copies[at].collect_garbage(now)),
         4 if !pile.is_empty() => {
             let (key, entry) = pile[pick(rng, pile.len())].clone();
             copies[at].join(&key, &entry, now).unwrap();
@@ -113,7 +115,7 @@
             step(&mut all, &mut pile, &mut rng, now);
         }
         let joined = |order: &[usize]| {
-            let mut copy = Copy::new(Origin(99), BOUNDS);
+            let mut copy = StateStore::new(Origin(99), BOUNDS);
             for n in order {
                 give(&all[*n], &mut copy, now);
                 give(&all[*n], &mut copy, now);
@@ -147,22 +149,23 @@
         let mut all = copies(4);
         let mut pile: Vec<Fact> = Vec::new();
         // Every word on one server: its stamp, and whether a later word was given by somebody who knew it.
-        let mut words: Vec<(Dot, Value, bool)> = Vec::new();
+        let mut words: Vec<(Dot, CommandValue, bool)> = Vec::new();
         let mut now = NOW;
         for _ in 0..60 {
             now += pick(&mut rng, 40) as u64 * S;
             let at = pick(&mut rng, all.len());
             match pick(&mut rng, 6) {
                 0 | 1 => {
-                    let standing: Vec<Dot> =
-                        all[at].register(&server(0)).map_or(vec![], |r| r.said().map(|(d, _)| d).collect());
-                    let value = if pick(&mut rng, 3) == 0 { Value::Out } else { Value::Back };
-                    let dot = all[at].say(&server(0), said(value.clone(), now)).unwrap();
+                    let standing: Vec<Dot> = all[at]
+                        .register(&server(0))
+                        .map_or(vec![], |r| r.commands().map(|(d, _)| d).collect());
+                    let value = if pick(&mut rng, 3) == 0 { CommandValue::Out } else { CommandValue::Back };
+                    let dot = all[at].record(&server(0), said(value.clone(), now)).unwrap();
                     assert!(words.iter().all(|(d, ..)| *d != dot), "a stamp is used twice");
                     words.iter_mut().filter(|(d, ..)| standing.contains(d)).for_each(|w| w.2 = true);
                     words.push((dot, value, false));
                 }
-                2 => drop(all[at].collect(now)),
+                2 => drop(all[at].collect_garbage(now)),
                 3 if !pile.is_empty() => {
                     let (key, entry) = pile[pick(&mut rng, pile.len())].clone();
                     all[at].join(&key, &entry, now).unwrap();
@@ -178,17 +181,17 @@
                 }
             }
         }
-        let mut end = Copy::new(Origin(99), BOUNDS);
+        let mut end = StateStore::new(Origin(99), BOUNDS);
         for (key, entry) in &pile {
             end.join(key, entry, now).unwrap();
         }
         all.iter().for_each(|c| give(c, &mut end, now));
         let stand: BTreeSet<Dot> =
-            end.register(&server(0)).map_or(BTreeSet::new(), |r| r.said().map(|(d, _)| d).collect());
+            end.register(&server(0)).map_or(BTreeSet::new(), |r| r.commands().map(|(d, _)| d).collect());
         for (dot, value, ended) in &words {
             if *ended {
                 assert!(!stand.contains(dot), "seed {seed}: {dot} came back");
-            } else if *value == Value::Out {
+            } else if *value == CommandValue::Out {
                 assert!(stand.contains(dot), "seed {seed}: {dot} is forgotten");
             }
         }
@@ -198,53 +201,55 @@
 #[test]
 fn words_that_know_nothing_of_each_other_are_a_conflict_on_the_careful_side_until_the_next_one() {
     let mut all = copies(3);
-    all[0].say(&server(1), said(Value::Out, NOW)).unwrap();
+    all[0].record(&server(1), said(CommandValue::Out, NOW)).unwrap();
     let (a, b) = (all[0].clone(), &mut all[1]);
     give(&a, b, NOW);
     // Cut off from each other: one puts it back, the other takes it out anew.
-    all[0].say(&server(1), said(Value::Out, NOW + S)).unwrap();
-    all[1].say(&server(1), said(Value::Back, NOW + 9 * S)).unwrap();
+    all[0].record(&server(1), said(CommandValue::Out, NOW + S)).unwrap();
+    all[1].record(&server(1), said(CommandValue::Back, NOW + 9 * S)).unwrap();
     let (a, b) = (all[0].clone(), all[1].clone());
     give(&b, &mut all[0], NOW);
     give(&a, &mut all[1], NOW);
     for copy in &all[..2] {
-        let effect = Effect::of(copy, "b", NOW + 10 * S);
+        let effect = DerivedState::of(copy, "b", NOW + 10 * S);
         assert!(effect.out.contains("s-1") && effect.conflicts.contains(&server(1)));
-        let origins: Vec<Origin> = copy.register(&server(1)).unwrap().said().map(|(d, _)| d.origin).collect();
+        let origins: Vec<Origin> =
+            copy.register(&server(1)).unwrap().commands().map(|(d, _)| d.origin).collect();
         assert_eq!(origins, [Origin(1), Origin(2)]);
     }
     // The next word settles it, whoever gives it.
     let a = all[0].clone();
     give(&a, &mut all[2], NOW);
-    all[2].say(&server(1), said(Value::Back, NOW)).unwrap();
+    all[2].record(&server(1), said(CommandValue::Back, NOW)).unwrap();
     let c = all[2].clone();
     give(&c, &mut all[0], NOW);
-    let effect = Effect::of(&all[0], "b", NOW);
+    let effect = DerivedState::of(&all[0], "b", NOW);
     assert!(effect.out.is_empty() && effect.conflicts.is_empty());
 }
 
 #[test]
 fn a_ban_until_some_time_ends_by_itself_and_tells_when() {
-    let mut copy = Copy::new(Origin(1), BOUNDS);
-    copy.say(&server(1), Said { until: Some(NOW + 5 * S), ..said(Value::Out, NOW) }).unwrap();
-    copy.say(&Key::Pause("b".into()), said(Value::Out, NOW)).unwrap();
-    let effect = Effect::of(&copy, "b", NOW);
+    let mut copy = StateStore::new(Origin(1), BOUNDS);
+    copy.record(&server(1), OperatorCommand { until: Some(NOW + 5 * S), ..said(CommandValue::Out, NOW) })
+        .unwrap();
+    copy.record(&FactKey::Pause("b".into()), said(CommandValue::Out, NOW)).unwrap();
+    let effect = DerivedState::of(&copy, "b", NOW);
     assert!(effect.out.contains("s-1") && effect.paused && effect.until() == Some(NOW + 5 * S));
-    assert!(!Effect::of(&copy, "other", NOW).paused);
-    assert!(Effect::of(&copy, "b", NOW + 5 * S).out.is_empty());
-    assert!(copy.collect(NOW + 100 * S).is_empty());
-    assert_eq!(copy.collect(NOW + 106 * S), [server(1), Key::Spent(Origin(1))]);
-    assert!(copy.register(&server(1)).is_none() && copy.register(&Key::Pause("b".into())).is_some());
+    assert!(!DerivedState::of(&copy, "other", NOW).paused);
+    assert!(DerivedState::of(&copy, "b", NOW + 5 * S).out.is_empty());
+    assert!(copy.collect_garbage(NOW + 100 * S).is_empty());
+    assert_eq!(copy.collect_garbage(NOW + 106 * S), [server(1), FactKey::Spent(Origin(1))]);
+    assert!(copy.register(&server(1)).is_none() && copy.register(&FactKey::Pause("b".into())).is_some());
 }
 
 #[test]
 fn the_later_start_holds_and_one_that_lies_ahead_is_refused() {
-    let mut copy = Copy::new(Origin(1), BOUNDS);
-    let start = |started| Entry::Latest(Latest { started, version: 0 });
-    let key = |n: u64| Key::Start(format!("s-{n}"));
+    let mut copy = StateStore::new(Origin(1), BOUNDS);
+    let start = |started| FactValue::Latest(ProcessStart { started, version: 0 });
+    let key = |n: u64| FactKey::Start(format!("s-{n}"));
     assert_eq!(copy.join(&key(1), &start(NOW), NOW), Ok(true));
     assert_eq!(copy.join(&key(1), &start(NOW - S), NOW), Ok(false));
-    assert_eq!(copy.join(&key(1), &start(u64::MAX), NOW), Err(Refused::Ahead));
+    assert_eq!(copy.join(&key(1), &start(u64::MAX), NOW), Err(JoinError::FromTheFuture));
     for n in 2..50 {
         copy.join(&key(n), &start(NOW + n), NOW).unwrap();
     }
@@ -254,56 +259,59 @@
 
 #[test]
 fn made_up_facts_are_refused_and_their_number_is_bounded() {
-    let mut copy = Copy::new(Origin(1), BOUNDS);
-    let words = Entry::Words(Register::default());
-    assert_eq!(copy.join(&Key::Drain("s".into()), &words, NOW), Err(Refused::Unsound));
-    assert_eq!(copy.join(&Key::Server(String::new()), &words, NOW), Err(Refused::Unsound));
-    assert_eq!(copy.say(&Key::Server("x".repeat(129)), said(Value::Out, NOW)), Err(Refused::Unsound));
-    let mut text = said(Value::Text("x".repeat(4097)), NOW);
-    assert_eq!(copy.say(&Key::Work("w".into()), text.clone()), Err(Refused::Unsound));
-    text.value = Value::Text("order".into());
-    copy.say(&Key::Work("w".into()), text).unwrap();
+    let mut copy = StateStore::new(Origin(1), BOUNDS);
+    let words = FactValue::Words(Register::default());
+    assert_eq!(copy.join(&FactKey::Drain("s".into()), &words, NOW), Err(JoinError::Invalid));
+    assert_eq!(copy.join(&FactKey::Server(String::new()), &words, NOW), Err(JoinError::Invalid));
+    assert_eq!(
+        copy.record(&FactKey::Server("x".repeat(129)), said(CommandValue::Out, NOW)),
+        Err(JoinError::Invalid)
+    );
+    let mut text = said(CommandValue::Text("x".repeat(4097)), NOW);
+    assert_eq!(copy.record(&FactKey::Work("w".into()), text.clone()), Err(JoinError::Invalid));
+    text.value = CommandValue::Text("order".into());
+    copy.record(&FactKey::Work("w".into()), text).unwrap();
     for n in 1..64 {
-        copy.say(&server(n), said(Value::Out, NOW)).unwrap();
+        copy.record(&server(n), said(CommandValue::Out, NOW)).unwrap();
     }
-    assert_eq!(copy.say(&server(64), said(Value::Out, NOW)), Err(Refused::Full));
-    copy.say(&server(1), said(Value::Back, NOW)).unwrap();
+    assert_eq!(copy.record(&server(64), said(CommandValue::Out, NOW)), Err(JoinError::AtCapacity));
+    copy.record(&server(1), said(CommandValue::Back, NOW)).unwrap();
     // A flood of sound words from elsewhere: twice as many at most.
-    let mut flood = Copy::new(Origin(2), Bounds { words: 1000, ..BOUNDS });
+    let mut flood = StateStore::new(Origin(2), StoreLimits { words: 1000, ..BOUNDS });
     for n in 0..500 {
-        flood.say(&Key::Server(format!("f-{n}")), said(Value::Out, NOW)).unwrap();
+        flood.record(&FactKey::Server(format!("f-{n}")), said(CommandValue::Out, NOW)).unwrap();
     }
-    let refused = flood.facts().filter(|(k, e)| copy.join(k, e, NOW) == Err(Refused::Full)).count();
+    let refused = flood.facts().filter(|(k, e)| copy.join(k, e, NOW) == Err(JoinError::AtCapacity)).count();
     assert!(refused > 300 && copy.len() <= 128);
 }
 
 #[test]
 fn memory_that_was_copied_is_noticed_before_a_stamp_is_used_twice() {
     let mut all = copies(1);
-    all[0].say(&server(1), said(Value::Out, NOW)).unwrap();
+    all[0].record(&server(1), said(CommandValue::Out, NOW)).unwrap();
     let mut twin = all[0].clone();
-    twin.say(&server(2), said(Value::Out, NOW)).unwrap();
+    twin.record(&server(2), said(CommandValue::Out, NOW)).unwrap();
     give(&twin, &mut all[0], NOW);
-    assert!(all[0].is_doubled());
-    all[0].renew(Origin(7));
-    assert_eq!(all[0].say(&server(3), said(Value::Out, NOW)).unwrap().origin, Origin(7));
+    assert!(all[0].has_duplicate_origin());
+    all[0].set_origin(Origin(7));
+    assert_eq!(all[0].record(&server(3), said(CommandValue::Out, NOW)).unwrap().origin, Origin(7));
 }
 
 #[test]
 fn copies_find_what_differs_in_bounded_messages_and_go_on_after_a_break() {
-    let wide = Bounds { words: 20_000, ..Bounds::default() };
-    let (mut a, mut b) = (Copy::new(Origin(1), wide), Copy::new(Origin(2), wide));
+    let wide = StoreLimits { words: 20_000, ..StoreLimits::default() };
+    let (mut a, mut b) = (StateStore::new(Origin(1), wide), StateStore::new(Origin(2), wide));
     for n in 0..5000 {
-        a.say(&server(n), said(Value::Out, NOW)).unwrap();
+        a.record(&server(n), said(CommandValue::Out, NOW)).unwrap();
     }
     give(&a.clone(), &mut b, NOW);
-    a.say(&server(7), said(Value::Back, NOW)).unwrap();
-    b.say(&server(4711), said(Value::Back, NOW)).unwrap();
+    a.record(&server(7), said(CommandValue::Back, NOW)).unwrap();
+    b.record(&server(4711), said(CommandValue::Back, NOW)).unwrap();
     let (messages, largest) = walked(&mut a, &mut b, 1 << 20);
     assert!(messages <= 8 && largest < 4096, "{messages} messages, {largest} bytes");
     assert_eq!(a.bytes(), b.bytes());
     // One that knows nothing, with breaks after each 100 KB.
-    let mut c = Copy::new(Origin(3), wide);
+    let mut c = StateStore::new(Origin(3), wide);
     let (_, largest) = walked(&mut c, &mut a, 100_000);
     assert!(largest < 2 * anti_entropy::FACTS, "{largest}");
     assert_eq!(c.bytes(), a.bytes());
@@ -311,38 +319,42 @@
 
 #[test]
 fn many_words_side_by_side_still_travel_in_bounded_messages() {
-    let mut a = Copy::new(Origin(1000), Bounds::default());
+    let mut a = StateStore::new(Origin(1000), StoreLimits::default());
     for n in 0..300 {
-        let mut other = Copy::new(Origin(n + 1), Bounds::default());
-        let mut word = said(if n % 2 == 0 { Value::Out } else { Value::Back }, NOW);
+        let mut other = StateStore::new(Origin(n + 1), StoreLimits::default());
+        let mut word = said(if n % 2 == 0 { CommandValue::Out } else { CommandValue::Back }, NOW);
         word.why = "x".repeat(250);
-        other.say(&server(1), word.clone()).unwrap();
+        other.record(&server(1), word.clone()).unwrap();
         // A word that was ended is known as ended in whatever piece it comes.
         if n == 5 {
-            other.say(&server(1), word).unwrap();
+            other.record(&server(1), word).unwrap();
         }
         give(&other, &mut a, NOW);
     }
-    let mut b = Copy::new(Origin(2000), Bounds::default());
+    let mut b = StateStore::new(Origin(2000), StoreLimits::default());
     let (_, largest) = walked(&mut b, &mut a, 1 << 20);
     assert!(largest < 2 * anti_entropy::FACTS, "{largest}");
     assert_eq!(a.bytes(), b.bytes());
-    let mut c = Copy::new(Origin(2001), Bounds::default());
+    let mut c = StateStore::new(Origin(2001), StoreLimits::default());
     walked(&mut a, &mut c, 1 << 20);
     assert_eq!(a.bytes(), c.bytes());
 }
 
 #[test]
 fn messages_out_of_turn_end_a_walk() {
-    let a = Copy::new(Origin(1), BOUNDS);
-    let (walk, _) = Walk::begin(&a, 1000);
-    for m in [Message::Taken, Message::Leaves { digests: vec![] }, Message::Branches { digests: vec![1] }] {
+    let a = StateStore::new(Origin(1), BOUNDS);
+    let (walk, _) = SyncSession::begin(&a, 1000);
+    for m in [
+        SyncMessage::Taken,
+        SyncMessage::Leaves { digests: vec![] },
+        SyncMessage::Branches { digests: vec![1] },
+    ] {
         assert!(walk.clone().next(&a, &m).is_err());
     }
     for m in [
-        Message::Taken,
-        Message::AskLeaves { branches: vec![0; 17] },
-        Message::AskFacts { leaves: vec![0; 257], from: None },
+        SyncMessage::Taken,
+        SyncMessage::AskLeaves { branches: vec![0; 17] },
+        SyncMessage::AskFacts { leaves: vec![0; 257], from: None },
     ] {
         assert!(anti_entropy::answer(&a, &m).is_err());
     }
@@ -350,14 +362,14 @@
 
 #[test]
 fn news_is_told_a_few_times_the_newest_first_and_what_is_too_large_is_left_to_the_digests() {
-    let mut copy = Copy::new(Origin(1), Bounds::default());
-    let mut news = News::default();
-    let mut large = said(Value::Text("x".repeat(3000)), NOW);
+    let mut copy = StateStore::new(Origin(1), StoreLimits::default());
+    let mut news = RumorQueue::default();
+    let mut large = said(CommandValue::Text("x".repeat(3000)), NOW);
     large.why = "large".into();
-    copy.say(&Key::Work("w".into()), large).unwrap();
-    news.learnt(Key::Work("w".into()), 3);
+    copy.record(&FactKey::Work("w".into()), large).unwrap();
+    news.learnt(FactKey::Work("w".into()), 3);
     for n in 0..3 {
-        copy.say(&server(n), said(Value::Out, NOW)).unwrap();
+        copy.record(&server(n), said(CommandValue::Out, NOW)).unwrap();
         news.learnt(server(n), 3);
     }
     let mut told = 0;
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -633,8 +633,8 @@
 fn a_drain_that_others_heard_holds_until_the_own_list_or_the_node_is_newer() {
     use pebbleturn::membership::Change;
     use pebbleturn::membership::gossip_hints::{Others, Own};
-    use pebbleturn::replication::Latest;
-    use pebbleturn::replication::derived_state::Heard;
+    use pebbleturn::replication::ProcessStart;
+    use pebbleturn::replication::derived_state::NodeHints;
     use pebbleturn::{ReplicaEntry, ReplicaId, ReplicaState};
     let change = |replica, standing| Change {
         listed: ReplicaEntry {
@@ -650,7 +650,7 @@
         kind: String::new(),
     };
     let own = |started, version| move |_: &str| Own { started, version };
-    let drain = |started, version| Heard { drain: Some(Latest { started, version }), started: 0 };
+    let drain = |started, version| NodeHints { drain: Some(ProcessStart { started, version }), started: 0 };
     let shown = |change: Option<Change>| change.map(|c| c.listed.state);
     let mut others = Others::default();
     // Nobody is named by others.
@@ -662,7 +662,7 @@
     assert_eq!(others.relist(false, own(0, 9))[0].listed.state, ReplicaState::Active);
     // A later drain, and the start after it that somebody heard of.
     assert_eq!(shown(others.heard("s", drain(0, 12))), Some(ReplicaState::Draining));
-    let back = others.heard("s", Heard { started: 7, ..drain(0, 12) }).unwrap();
+    let back = others.heard("s", NodeHints { started: 7, ..drain(0, 12) }).unwrap();
     assert_eq!((back.listed.state, back.listed.started), (ReplicaState::Active, Some(7)));
     // One's own draining and going is never made less.
     let gone =
@@ -675,7 +675,7 @@
     assert_eq!(others.relist(true, own(0, 1))[0].listed.state, ReplicaState::Active);
     // Of nodes that come and go without end a bounded number is held, the listed ones among them.
     for n in 0..20_000 {
-        others.heard(&format!("x-{n}"), Heard { drain: None, started: n });
+        others.heard(&format!("x-{n}"), NodeHints { drain: None, started: n });
     }
     assert_eq!(others.known(), 16_384);
     assert!(others.heard("s", drain(7, 90)).is_some());
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -6,12 +6,12 @@
 use std::collections::BTreeSet;
 
 /// Four machines in a ring of four cells; a partition is held by two in a row.
-fn rules(most: usize, holders: usize) -> Rules {
+fn rules(most: usize, holders: usize) -> PermitRules {
     let cells = (0..4).map(|n| (format!("m-{n}"), n)).collect();
-    Rules { most, cells, ring: (4, 2), holders }
+    PermitRules { most, cells, ring: (4, 2), holders }
 }
 
-fn grant(permits: &Permits, machine: &str, rules: &Rules) -> Result<Permits, Refused> {
+fn grant(permits: &Permits, machine: &str, rules: &PermitRules) -> Result<Permits, PermitError> {
     permits.grant(machine, "order", "b", rules, 7)
 }
 
@@ -23,28 +23,38 @@
 fn a_machine_goes_its_way_step_by_step_and_its_place_stays_taken_until_it_is_back() {
     let rules = rules(1, 1);
     let none = Permits::default();
-    assert_eq!(grant(&none, "m-9", &rules), Err(Refused::Unknown));
+    assert_eq!(grant(&none, "m-9", &rules), Err(PermitError::Unknown));
     let p = grant(&none, "m-0", &rules).unwrap();
-    assert_eq!(grant(&p, "m-0", &rules), Err(Refused::IsOut(1)));
-    assert_eq!(grant(&p, "m-2", &rules), Err(Refused::TooMany { out: 1, most: 1 }));
+    assert_eq!(grant(&p, "m-0", &rules), Err(PermitError::IsOut(1)));
+    assert_eq!(grant(&p, "m-2", &rules), Err(PermitError::TooMany { out: 1, most: 1 }));
     assert_eq!(
-        p.step("m-0", 1, Step::Out, 8),
-        Err(Refused::OutOfTurn { from: Step::Draining, to: Step::Out })
+        p.step("m-0", 1, MaintenancePhase::Out, 8),
+        Err(PermitError::OutOfTurn { from: MaintenancePhase::Draining, to: MaintenancePhase::Out })
     );
     // Nothing was begun: it may come back at once.
     assert_eq!(p.end("m-0", 1).unwrap().stand().count(), 0);
-    let p = p.step("m-0", 1, Step::Empty, 8).unwrap().step("m-0", 1, Step::Out, 9).unwrap();
-    assert_eq!(p.end("m-0", 1), Err(Refused::OutOfTurn { from: Step::Out, to: Step::Back }));
-    let back = p.step("m-0", 1, Step::Back, 10).unwrap();
+    let p = p
+        .step("m-0", 1, MaintenancePhase::Empty, 8)
+        .unwrap()
+        .step("m-0", 1, MaintenancePhase::Out, 9)
+        .unwrap();
+    assert_eq!(
+        p.end("m-0", 1),
+        Err(PermitError::OutOfTurn { from: MaintenancePhase::Out, to: MaintenancePhase::Back })
+    );
+    let back = p.step("m-0", 1, MaintenancePhase::Back, 10).unwrap();
     let next = grant(&back.end("m-0", 1).unwrap(), "m-2", &rules).unwrap();
     assert_eq!(fence(&next, "m-2"), 2);
     // Whoever comes late with an old permit is told so.
-    assert_eq!(next.end("m-0", 1), Err(Refused::Fenced { named: 1, stands: None }));
+    assert_eq!(next.end("m-0", 1), Err(PermitError::Fenced { named: 1, stands: None }));
     let again = grant(&next.end("m-2", 2).unwrap(), "m-0", &rules).unwrap();
-    assert_eq!(again.step("m-0", 1, Step::Empty, 11), Err(Refused::Fenced { named: 1, stands: Some(3) }));
+    assert_eq!(
+        again.step("m-0", 1, MaintenancePhase::Empty, 11),
+        Err(PermitError::Fenced { named: 1, stands: Some(3) })
+    );
     // A person writes it off by name, whatever its step.
     assert_eq!(p.write_off("m-0", 1).unwrap().stand().count(), 0);
-    assert_eq!(p.write_off("m-0", 2), Err(Refused::Fenced { named: 2, stands: Some(1) }));
+    assert_eq!(p.write_off("m-0", 2), Err(PermitError::Fenced { named: 2, stands: Some(1) }));
 }
 
 #[test]
@@ -53,7 +63,7 @@
     let p = grant(&Permits::default(), "m-1", &rules).unwrap();
     // Its neighbours hold partitions together with it; the one across holds none of them.
     for (neighbour, partition) in [("m-0", 0), ("m-2", 1)] {
-        assert_eq!(grant(&p, neighbour, &rules), Err(Refused::Holders { partition, left: 0 }));
+        assert_eq!(grant(&p, neighbour, &rules), Err(PermitError::Holders { partition, left: 0 }));
     }
     assert!(grant(&p, "m-3", &rules).is_ok());
 }
@@ -66,7 +76,7 @@
         for (what, n) in asked {
             let machine = format!("m-{}", n % 4);
             let standing = fence(&p, &machine);
-            let to = [Step::Empty, Step::Out, Step::Back][usize::from(n / 4 % 3)];
+            let to = [MaintenancePhase::Empty, MaintenancePhase::Out, MaintenancePhase::Back][usize::from(n / 4 % 3)];
             let next = match what % 4 {
                 0 => grant(&p, &machine, &rules),
                 1 => p.step(&machine, standing, to, 7),
@@ -114,12 +124,12 @@
 /// one has not heard of it for long: it ends the permit, if it may, and takes another machine out.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct World {
-    voters: Vec<Voter<Permits>>,
-    attempts: Vec<Option<Attempt<Permits>>>,
+    voters: Vec<Acceptor<Permits>>,
+    attempts: Vec<Option<Proposer<Permits>>>,
     /// Attempts that each has begun.
     begun: Vec<u64>,
-    asks: BTreeSet<(usize, usize, Ask<Permits>)>,
-    answers: BTreeSet<(usize, usize, Answer<Permits>)>,
+    asks: BTreeSet<(usize, usize, Request<Permits>)>,
+    answers: BTreeSet<(usize, usize, Response<Permits>)>,
     /// Machines on which work goes on.
     out: BTreeSet<&'static str>,
     crashes: usize,
@@ -129,10 +139,10 @@
 #[derive(Clone, Debug, PartialEq)]
 enum Act {
     Begin(usize),
-    Ask(usize, usize, Ask<Permits>),
-    Answer(usize, usize, Answer<Permits>),
+    Ask(usize, usize, Request<Permits>),
+    Answer(usize, usize, Response<Permits>),
     /// It comes, and will come once more.
-    Twice(usize, usize, Ask<Permits>),
+    Twice(usize, usize, Request<Permits>),
     Crash(usize),
 }
 
@@ -146,14 +156,14 @@
 
 fn first_table() -> Permits {
     let p = grant(&Permits::default(), "m-0", &rules(1, 1)).unwrap();
-    p.step("m-0", 1, Step::Empty, 7).unwrap()
+    p.step("m-0", 1, MaintenancePhase::Empty, 7).unwrap()
 }
 
 impl Check {
     /// What a broker makes of the table that it read, and the machine that is out from then on.
     fn change(&self, broker: usize, read: &Permits) -> Option<(Permits, &'static str)> {
         if broker == 0 {
-            return Some((read.step("m-0", 1, Step::Out, 7).ok()?, "m-0"));
+            return Some((read.step("m-0", 1, MaintenancePhase::Out, 7).ok()?, "m-0"));
         }
         let ended = match self.broken {
             Broken::Expires => read.write_off("m-0", 1),
@@ -161,11 +171,11 @@
         };
         let granted = grant(&ended.unwrap_or(read.clone()), "m-2", &rules(1, 1)).ok()?;
         let fence = fence(&granted, "m-2");
-        let empty = granted.step("m-2", fence, Step::Empty, 7).ok()?;
-        Some((empty.step("m-2", fence, Step::Out, 7).ok()?, "m-2"))
+        let empty = granted.step("m-2", fence, MaintenancePhase::Empty, 7).ok()?;
+        Some((empty.step("m-2", fence, MaintenancePhase::Out, 7).ok()?, "m-2"))
     }
 
-    fn ask_all(&self, w: &mut World, broker: usize, ask: &Ask<Permits>) {
+    fn ask_all(&self, w: &mut World, broker: usize, ask: &Request<Permits>) {
         w.asks.extend((0..VOTERS).map(|v| (broker, v, ask.clone())));
     }
 
@@ -173,7 +183,7 @@
     fn go_on(&self, w: &mut World, broker: usize) {
         let Some(mut attempt) = w.attempts[broker].clone() else { return };
         match attempt.stage().clone() {
-            Stage::Read(read) => {
+            ProposerState::Read(read) => {
                 let read = if self.broken == Broken::Read { None } else { read };
                 let Some((next, machine)) = self.change(broker, &read.unwrap_or_else(first_table)) else {
                     w.attempts[broker] = None;
@@ -187,12 +197,12 @@
                 }
                 w.attempts[broker] = Some(attempt);
             }
-            Stage::Agreed(_) => {
+            ProposerState::Agreed(_) => {
                 w.out.insert(["m-0", "m-2"][broker]);
                 w.attempts[broker] = None;
             }
-            Stage::Overtaken(_) => w.attempts[broker] = None,
-            Stage::Preparing | Stage::Proposing(_) => {}
+            ProposerState::Overtaken(_) => w.attempts[broker] = None,
+            ProposerState::Preparing | ProposerState::Proposing(_) => {}
         }
     }
 }
@@ -203,7 +213,7 @@
 
     fn init_states(&self) -> Vec<World> {
         vec![World {
-            voters: vec![Voter::default(); VOTERS],
+            voters: vec![Acceptor::default(); VOTERS],
             attempts: vec![None; 2],
             begun: vec![0; 2],
             asks: BTreeSet::new(),
@@ -240,7 +250,7 @@
                 w.begun[broker] += 1;
                 let ballot = Ballot { round: w.begun[broker], proposer: broker as u64 + 1 };
                 let group = if self.broken == Broken::Majority { 1 } else { VOTERS };
-                let (attempt, ask) = Attempt::begin(ballot, group);
+                let (attempt, ask) = Proposer::begin(ballot, group);
                 w.attempts[broker] = Some(attempt);
                 self.ask_all(&mut w, broker, &ask);
             }
@@ -251,8 +261,8 @@
                     }
                     _ => w.doubled += 1,
                 }
-                if self.broken == Broken::Promise && matches!(ask, Ask::Accept { .. }) {
-                    w.voters[voter] = Voter::default();
+                if self.broken == Broken::Promise && matches!(ask, Request::Accept { .. }) {
+                    w.voters[voter] = Acceptor::default();
                 }
                 let answer = w.voters[voter].answer(ask);
                 w.answers.insert((broker, voter, answer));
@@ -267,7 +277,7 @@
             Act::Crash(voter) => {
                 w.crashes += 1;
                 if self.broken == Broken::Disk {
-                    w.voters[voter] = Voter::default();
+                    w.voters[voter] = Acceptor::default();
                 }
             }
         }
