--- a/lab/benches/decide.rs
+++ b/lab/benches/decide.rs
@@ -3,8 +3,8 @@
 //! Run with `cargo bench -p pebbleturn-lab`.
 
 use divan::Bencher;
-use pebbleturn::membership::endpoint_list::{ServerLine, ServerList};
-use pebbleturn::membership::{Layout, Roster, RosterSettings, State};
+use pebbleturn::membership::endpoint_list::{Endpoint, EndpointList};
+use pebbleturn::membership::{NodeState, PartitionLayout, Registry, RegistrySettings};
 use pebbleturn::metrics::{Gauges, Metrics, QueryResult};
 use pebbleturn::{Action, Balancer, Event, Nanos, Outcome, ReplicaEntry, ReplicaId, ReplicaState, RequestId};
 use pebbleturn_lab::restart::Scene;
@@ -106,8 +106,8 @@
 /// One node that discovery tells anew.
 #[divan::bench(args = [16, 1000, 10_000])]
 fn news(bencher: Bencher, nodes: u32) {
-    let mut roster = Roster::new(RosterSettings {
-        layout: Layout { cells: 16, span: 4 },
+    let mut roster = Registry::new(RegistrySettings {
+        layout: PartitionLayout { cells: 16, span: 4 },
         cold_time: 14_000 * MS,
         changes_every: 86_400_000 * MS,
         presumed_age: 300_000 * MS,
@@ -116,23 +116,27 @@
         kinds: vec![],
         seed: 7,
     });
-    let line = |n: u32, started_ms| ServerLine {
+    let line = |n: u32, started_ms| Endpoint {
         id: format!("n-{n}"),
         addr: format!("127.{}.{}.{}:80", 1 + (n >> 16), (n >> 8) & 255, n & 255),
         zone: None,
         kind: String::new(),
         cell: n % 16,
-        state: State::Ready,
+        state: NodeState::Ready,
         started_ms,
     };
-    let list = |version, full, servers| ServerList { version, full, as_of_ms: None, servers };
-    roster.directory(&list(1, true, (0..nodes).map(|n| line(n, 0)).collect()), true, 1);
+    let list = |version, full, servers| EndpointList { version, full, as_of_ms: None, servers };
+    roster.on_discovery_update(&list(1, true, (0..nodes).map(|n| line(n, 0)).collect()), true, 1);
     roster.take_changes();
     let mut version = 1;
     bencher.bench_local(|| {
         version += 1;
         let now = version * 100 * MS;
-        roster.directory(&list(version, false, vec![line(version as u32 % nodes, now / MS)]), false, now);
+        roster.on_discovery_update(
+            &list(version, false, vec![line(version as u32 % nodes, now / MS)]),
+            false,
+            now,
+        );
         divan::black_box(roster.take_changes().map(|c| c.len()))
     });
 }
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -1,7 +1,7 @@
 //! A newcomer's first look: stand-in nodes, a broker, one search over each of the catalogue's protocols.
 
 use crate::standins::{Script, Wire, node, read_apdu, read_http};
-use pebbleturn::config::Operator;
+use pebbleturn::config::OperatorConfig;
 use pebbleturn::frontends::catalogue::apdu::*;
 use pebbleturn::frontends::catalogue::marc::Record;
 use pebbleturn::frontends::catalogue::search::{Clause, Search};
@@ -35,7 +35,7 @@
     let nodes: Vec<(SocketAddr, Wire)> =
         wires.iter().enumerate().map(|(n, w)| (node(*w, n, script.clone()), *w)).collect();
     println!("three stand-in nodes: {nodes:?}");
-    let operator = Operator::read(&operator(&nodes))?;
+    let operator = OperatorConfig::read(&operator(&nodes))?;
     let (tell, told) = std::sync::mpsc::channel();
     let broker = std::thread::spawn(move || -> Result<(), pebbleturn::server::BrokerError> {
         let (mut broker, addrs) = catalogue::broker(operator)?;
--- a/lab/src/directory.rs
+++ b/lab/src/directory.rs
@@ -2,8 +2,8 @@
 //! slow, stale or count anew.
 
 use crate::standins::{listen, read_http};
-use pebbleturn::membership::State;
-use pebbleturn::membership::endpoint_list::{ServerLine, ServerList};
+use pebbleturn::membership::NodeState;
+use pebbleturn::membership::endpoint_list::{Endpoint, EndpointList};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -30,10 +30,10 @@
 struct Held {
     mode: Mode,
     version: u64,
-    nodes: BTreeMap<String, ServerLine>,
+    nodes: BTreeMap<String, Endpoint>,
     /// Each change with the version that it made.
-    changes: Vec<(u64, ServerLine)>,
-    first: Option<ServerList>,
+    changes: Vec<(u64, Endpoint)>,
+    first: Option<EndpointList>,
     asked: Vec<Instant>,
 }
 
@@ -46,8 +46,8 @@
 }
 
 /// A line of the list.
-pub fn line(id: &str, addr: SocketAddr, kind: &str, cell: u32, state: State) -> ServerLine {
-    ServerLine {
+pub fn line(id: &str, addr: SocketAddr, kind: &str, cell: u32, state: NodeState) -> Endpoint {
+    Endpoint {
         id: id.into(),
         addr: addr.to_string(),
         zone: Some("a".into()),
@@ -60,7 +60,7 @@
 
 impl Directory {
     /// Discovery that tells this list, from version 1 on.
-    pub fn start(nodes: Vec<ServerLine>) -> Directory {
+    pub fn start(nodes: Vec<Endpoint>) -> Directory {
         let held = Arc::new(Mutex::new(Held::default()));
         let serving = held.clone();
         let addr = listen(move |stream| serve(stream, &serving));
@@ -79,19 +79,19 @@
     }
 
     /// One change, told to all who watch.
-    pub fn change(&self, line: ServerLine) {
+    pub fn change(&self, line: Endpoint) {
         self.locked(|h| {
             h.version += 1;
             h.changes.push((h.version, line.clone()));
             match line.state {
-                State::Gone => h.nodes.remove(&line.id),
+                NodeState::Gone => h.nodes.remove(&line.id),
                 _ => h.nodes.insert(line.id.clone(), line),
             };
         });
     }
 
     /// Restarts with this list and counts from 1 again.
-    pub fn count_anew(&self, nodes: Vec<ServerLine>) {
+    pub fn count_anew(&self, nodes: Vec<Endpoint>) {
         self.locked(|h| {
             h.version = 1;
             h.changes.clear();
@@ -106,12 +106,12 @@
     }
 }
 
-fn whole(version: u64, nodes: &BTreeMap<String, ServerLine>) -> ServerList {
-    ServerList { version, full: true, as_of_ms: None, servers: nodes.values().cloned().collect() }
+fn whole(version: u64, nodes: &BTreeMap<String, Endpoint>) -> EndpointList {
+    EndpointList { version, full: true, as_of_ms: None, servers: nodes.values().cloned().collect() }
 }
 
 /// What is to be told to one who has version `since`; `fresh`: who may need the whole list.
-fn news(held: &Held, since: u64, fresh: bool) -> Option<ServerList> {
+fn news(held: &Held, since: u64, fresh: bool) -> Option<EndpointList> {
     if held.mode == Mode::Stale {
         return held.first.clone().filter(|_| fresh);
     }
@@ -120,9 +120,9 @@
     {
         return Some(whole(held.version, &held.nodes));
     }
-    let servers: Vec<ServerLine> =
+    let servers: Vec<Endpoint> =
         held.changes.iter().filter(|(v, _)| *v > since).map(|(_, line)| line.clone()).collect();
-    let told = ServerList { version: held.version, full: false, as_of_ms: None, servers };
+    let told = EndpointList { version: held.version, full: false, as_of_ms: None, servers };
     (fresh || held.version > since).then_some(told)
 }
 
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -3,8 +3,8 @@
 
 use crate::restart::Scene;
 use crate::sim::{Counts, Listing, Manner, Node, NodeModel, Strain, World, WorldSettings, uniform};
-use pebbleturn::membership::endpoint_list::{ServerLine, ServerList};
-use pebbleturn::membership::{Layout, Roster, RosterSettings, State};
+use pebbleturn::membership::endpoint_list::{Endpoint, EndpointList};
+use pebbleturn::membership::{NodeState, PartitionLayout, Registry, RegistrySettings};
 use pebbleturn::{Nanos, Settings};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
@@ -120,8 +120,8 @@
     SocketAddr::from(([127, place + 1, (n >> 8) as u8, n as u8], 80))
 }
 
-fn line(n: u32, place: u8, state: State, started: Nanos) -> ServerLine {
-    ServerLine {
+fn line(n: u32, place: u8, state: NodeState, started: Nanos) -> Endpoint {
+    Endpoint {
         id: format!("n-{n}-{place}"),
         addr: addr(n, place).to_string(),
         zone: Some(if n.is_multiple_of(2) { "a" } else { "b" }.into()),
@@ -133,18 +133,18 @@
 }
 
 /// What happens to nodes: when, at which address, how it is met from then on, and what discovery says of it.
-type Course = Vec<(Nanos, SocketAddr, Option<Manner>, Option<ServerLine>)>;
+type Course = Vec<(Nanos, SocketAddr, Option<Manner>, Option<Endpoint>)>;
 
 /// A node that drains once its successor, which starts then, is there.
 fn replaced(n: u32, at: Nanos) -> Course {
     let (drains, gone) = (at + REPLACED.0, at + REPLACED.0 + REPLACED.1);
     let told = |state| Some(line(n, 0, state, 0));
     vec![
-        (at, addr(n, 1), Some(Manner::Serves), Some(line(n, 1, State::Ready, at))),
+        (at, addr(n, 1), Some(Manner::Serves), Some(line(n, 1, NodeState::Ready, at))),
         // It turns new parts away once all have had their time to learn of it.
-        (drains, addr(n, 0), None, told(State::Terminating)),
+        (drains, addr(n, 0), None, told(NodeState::Terminating)),
         (drains + 2 * S, addr(n, 0), Some(Manner::Drains), None),
-        (gone, addr(n, 0), Some(Manner::Refuses), told(State::Gone)),
+        (gone, addr(n, 0), Some(Manner::Refuses), told(NodeState::Gone)),
     ]
 }
 
@@ -183,7 +183,7 @@
                 Trouble::Replaced if chance < 0.6 => course.extend(replaced(n, at)),
                 Trouble::Zone if n.is_multiple_of(2) => {
                     let (lost, back) = (NOW + 4 * S, NOW + 4 * S + AWAY);
-                    let (gone, new) = (line(n, 0, State::Gone, 0), line(n, 1, State::Ready, back));
+                    let (gone, new) = (line(n, 0, NodeState::Gone, 0), line(n, 1, NodeState::Ready, back));
                     course.push((lost, addr(n, 0), Some(Manner::Silent), None));
                     course.push((lost + 3 * S, addr(n, 0), None, Some(gone)));
                     course.push((back, addr(n, 1), Some(Manner::Serves), Some(new)));
@@ -202,15 +202,15 @@
     }
 
     /// What discovery tells of this, a version each period in which something happened.
-    fn news(course: &Course) -> Vec<(Nanos, ServerList)> {
-        let mut news: Vec<(Nanos, ServerList)> = Vec::new();
+    fn news(course: &Course) -> Vec<(Nanos, EndpointList)> {
+        let mut news: Vec<(Nanos, EndpointList)> = Vec::new();
         for (at, line) in course.iter().filter_map(|(at, _, _, line)| Some((at, line.clone()?))) {
             let told = at.next_multiple_of(PERIOD);
             let version = 2 + news.len() as u64;
             match news.last_mut().filter(|(t, _)| *t == told) {
                 Some((_, list)) => list.servers.push(line),
                 None => news
-                    .push((told, ServerList { version, full: false, as_of_ms: None, servers: vec![line] })),
+                    .push((told, EndpointList { version, full: false, as_of_ms: None, servers: vec![line] })),
             }
         }
         news
@@ -230,15 +230,15 @@
             later.manner = Manner::Refuses;
             nodes.insert(addr(n, 1), later);
         }
-        let list = ServerList {
+        let list = EndpointList {
             version: 1,
             full: true,
             as_of_ms: Some(NOW / MS),
-            servers: (0..self.nodes).map(|n| line(n, 0, State::Ready, 0)).collect(),
+            servers: (0..self.nodes).map(|n| line(n, 0, NodeState::Ready, 0)).collect(),
         };
         let listing = |broker: u64| {
-            let mut roster = Roster::new(RosterSettings {
-                layout: Layout { cells: self.nodes, span: settings.span },
+            let mut roster = Registry::new(RegistrySettings {
+                layout: PartitionLayout { cells: self.nodes, span: settings.span },
                 cold_time: settings.slow_start_time,
                 changes_every: 24 * 3600 * S,
                 presumed_age: 300 * S,
@@ -247,7 +247,7 @@
                 kinds: vec![],
                 seed: seed ^ broker << 32 | broker,
             });
-            roster.known(&list, NOW);
+            roster.add_configured(&list, NOW);
             Listing::Roster(Box::new(roster))
         };
         let listings = (0..self.brokers as u64).map(listing).collect();
--- a/lab/src/restart.rs
+++ b/lab/src/restart.rs
@@ -2,9 +2,9 @@
 //! have and by how they trust it.
 
 use crate::sim::{Listing, Manner, Node, NodeModel, Strain, World, WorldSettings, exponential, uniform};
-use pebbleturn::membership::snapshot::{Kept, KeptNode};
-use pebbleturn::membership::staleness::Rate;
-use pebbleturn::membership::{Fact, Layout, Roster, RosterSettings, State};
+use pebbleturn::membership::snapshot::{Snapshot, SnapshotNode};
+use pebbleturn::membership::staleness::ChangeRate;
+use pebbleturn::membership::{NodeRecord, NodeState, PartitionLayout, Registry, RegistrySettings};
 use pebbleturn::{Class, Discovery, Idempotency, Nanos, ReplicaEntry, ReplicaId, ReplicaState, Settings};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
@@ -180,7 +180,7 @@
     fn drawn(&self, age: Nanos, seed: u64) -> Drawn {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let model = self.model();
-        let old = |n: u32, state| Fact {
+        let old = |n: u32, state| NodeRecord {
             id: format!("n-{n}"),
             addr: Some(addr(n, 0)),
             zone: "a".into(),
@@ -193,8 +193,8 @@
         for n in 0..self.nodes {
             // One node was told to drain as the last news, and has gone since.
             let drains = n == (seed % u64::from(self.nodes)) as u32;
-            drawn.old.push(old(n, State::Ready));
-            drawn.learnt.push(old(n, if drains { State::Terminating } else { State::Ready }));
+            drawn.old.push(old(n, NodeState::Ready));
+            drawn.learnt.push(old(n, if drains { NodeState::Terminating } else { NodeState::Ready }));
             let changed = exponential(&mut rng, self.changes_every as f64) < age as f64;
             let kind = uniform(&mut rng);
             let recent = uniform(&mut rng) < self.together;
@@ -204,7 +204,7 @@
             } else if changed && kind < self.restarts {
                 let before = if recent { uniform(&mut rng) * 10e9 } else { uniform(&mut rng) * age as f64 };
                 here.started = NOW - (before as Nanos).min(age);
-                let fact = Fact { started: here.started, ..old(n, State::Ready) };
+                let fact = NodeRecord { started: here.started, ..old(n, NodeState::Ready) };
                 drawn.right.push(fact);
             } else if changed {
                 // Moved, its old address refusing or another program's; gone with its machine; or draining.
@@ -218,10 +218,10 @@
                 if way < 0.5 {
                     let moved = addr(n, 1);
                     drawn.nodes.insert(moved, Node::new(n, 0, &model));
-                    drawn.right.push(Fact { addr: Some(moved), ..old(n, State::Ready) });
+                    drawn.right.push(NodeRecord { addr: Some(moved), ..old(n, NodeState::Ready) });
                 }
             } else {
-                drawn.right.push(old(n, State::Ready));
+                drawn.right.push(old(n, NodeState::Ready));
             }
             drawn.nodes.insert(addr(n, 0), here);
         }
@@ -231,19 +231,19 @@
     /// Plays one world.
     fn play(&self, age: Nanos, arm: Arm, seed: u64) -> (crate::sim::Counts, Nanos) {
         let drawn = self.drawn(age, seed);
-        let known = drawn.learnt.iter().filter(|f| f.state != State::Ready).filter_map(|f| f.addr);
+        let known = drawn.learnt.iter().filter(|f| f.state != NodeState::Ready).filter_map(|f| f.addr);
         let drains: HashSet<SocketAddr> = known.collect();
         let listing = |broker: u64| match arm {
             Arm::None => Listing::Told(vec![]),
             Arm::Full => Listing::Told(told(&drawn.old)),
             Arm::Right => Listing::Told(told(&drawn.right)),
             Arm::Possible => {
-                let holds = |f: &&Fact| drawn.old.iter().any(|o| o.addr == f.addr);
+                let holds = |f: &&NodeRecord| drawn.old.iter().any(|o| o.addr == f.addr);
                 Listing::Told(told(&drawn.right.iter().filter(holds).cloned().collect::<Vec<_>>()))
             }
             Arm::Weighed => {
-                let mut roster = Roster::new(RosterSettings {
-                    layout: Layout { cells: self.nodes, span: SPAN },
+                let mut roster = Registry::new(RegistrySettings {
+                    layout: PartitionLayout { cells: self.nodes, span: SPAN },
                     cold_time: COLD.1,
                     changes_every: self.changes_every,
                     presumed_age: 300 * S,
@@ -252,7 +252,7 @@
                     kinds: vec![],
                     seed: seed ^ broker << 32 | broker,
                 });
-                roster.kept(&[kept(&drawn.learnt, NOW - age)], NOW);
+                roster.restore(&[kept(&drawn.learnt, NOW - age)], NOW);
                 Listing::Roster(Box::new(roster))
             }
         };
@@ -295,17 +295,17 @@
     /// What is met at each address.
     nodes: HashMap<SocketAddr, Node>,
     /// The list as it was of old, the same with the last news, and as it should be.
-    old: Vec<Fact>,
-    learnt: Vec<Fact>,
-    right: Vec<Fact>,
+    old: Vec<NodeRecord>,
+    learnt: Vec<NodeRecord>,
+    right: Vec<NodeRecord>,
 }
 
 fn addr(n: u32, place: u8) -> SocketAddr {
     SocketAddr::from(([127, place + 1, (n >> 8) as u8, n as u8], 80))
 }
 
-fn told(facts: &[Fact]) -> Vec<(ReplicaEntry, SocketAddr)> {
-    let line = |(n, f): (usize, &Fact)| {
+fn told(facts: &[NodeRecord]) -> Vec<(ReplicaEntry, SocketAddr)> {
+    let line = |(n, f): (usize, &NodeRecord)| {
         let started = (f.started > 0).then_some(f.started);
         let listed = ReplicaEntry {
             replica: ReplicaId(n as u32),
@@ -321,21 +321,21 @@
 }
 
 /// A list that was last known to hold at `at`.
-pub(crate) fn kept(facts: &[Fact], at: Nanos) -> Kept {
-    let node = |f: &Fact| KeptNode {
+pub(crate) fn kept(facts: &[NodeRecord], at: Nanos) -> Snapshot {
+    let node = |f: &NodeRecord| SnapshotNode {
         fact: f.clone(),
         epoch: 0,
-        version: if f.state == State::Ready { 41 } else { 42 },
+        version: if f.state == NodeState::Ready { 41 } else { 42 },
         heard: at,
         anew: false,
         confirmed: Some(at),
     };
-    Kept {
+    Snapshot {
         written: at,
         synced: Some(at),
         whole: Some((0, 41, at)),
         forgotten: None,
-        rate: Rate::NONE,
+        rate: ChangeRate::NONE,
         nodes: facts.iter().map(node).collect(),
     }
 }
--- a/lab/src/routing.rs
+++ b/lab/src/routing.rs
@@ -1,8 +1,8 @@
 //! Routing measured in simulated time: shares against weights, and a set that fails over to its spare and back.
 
 use crate::sim::{Listing, Manner, Node, NodeModel, Strain, World, WorldSettings};
-use pebbleturn::membership::{Fact, Layout, Roster, RosterSettings, State};
-use pebbleturn::routing::{Routing, RoutingSettings, Rule, Spare, Standing};
+use pebbleturn::membership::{NodeRecord, NodeState, PartitionLayout, Registry, RegistrySettings};
+use pebbleturn::routing::{AdminState, Routing, RoutingSettings, Rule, Spare};
 use pebbleturn::{Class, Discovery, Idempotency, Nanos, Settings};
 use serde::Serialize;
 use std::collections::{HashMap, HashSet};
@@ -80,8 +80,8 @@
     script: Vec<(Nanos, SocketAddr, Manner)>,
     seed: u64,
 ) -> (crate::sim::Counts, Vec<(Nanos, SocketAddr)>) {
-    let layout = Layout { cells: 1, span: 1 };
-    let mut roster = Roster::new(RosterSettings {
+    let layout = PartitionLayout { cells: 1, span: 1 };
+    let mut roster = Registry::new(RegistrySettings {
         layout,
         cold_time: 0,
         changes_every: 24 * 3600 * S,
@@ -92,16 +92,16 @@
         seed,
     });
     let id = |n: usize| format!("n-{n}");
-    let fact = |n: usize| Fact {
+    let fact = |n: usize| NodeRecord {
         id: id(n),
         addr: Some(addr(n)),
         zone: String::new(),
         kind: String::new(),
         cell: 0,
-        state: State::Ready,
+        state: NodeState::Ready,
         started: 0,
     };
-    roster.operator((0..rules.len()).map(fact).collect(), NOW);
+    roster.set_operator_nodes((0..rules.len()).map(fact).collect(), NOW);
     let rules: HashMap<String, Rule> = rules.iter().enumerate().map(|(n, r)| (id(n), r.clone())).collect();
     let nodes = (0..rules.len()).map(|n| (addr(n), Node::new(0, 0, &MODEL))).collect();
     let routing = Routing::new(RoutingSettings { layout, rules, warm_up: 10 * S, hold: 15 * S });
@@ -192,7 +192,7 @@
         rule.clone(),
         rule.clone(),
         Rule { spare: Spare::Hot, ..rule.clone() },
-        Rule { standing: Standing::Stopped, ..rule },
+        Rule { standing: AdminState::Stopped, ..rule },
     ];
     let (down, up) = (NOW + 10 * S, NOW + 20 * S);
     let mut script = Vec::new();
--- a/lab/src/running.rs
+++ b/lab/src/running.rs
@@ -3,7 +3,7 @@
 
 use crate::directory::{Directory, line};
 use crate::standins::{Script, Wire, node, read_http};
-use pebbleturn::membership::State;
+use pebbleturn::membership::NodeState;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -44,8 +44,10 @@
     pub fn new(program: impl AsRef<Path>) -> Site {
         let script = Script::default();
         let nodes: Vec<SocketAddr> = (0..3).map(|n| node(Wire::Http, n, script.clone())).collect();
-        let listed =
-            nodes.iter().enumerate().map(|(n, at)| line(&format!("s-{n}"), *at, "", n as u32, State::Ready));
+        let listed = nodes
+            .iter()
+            .enumerate()
+            .map(|(n, at)| line(&format!("s-{n}"), *at, "", n as u32, NodeState::Ready));
         let directory = Directory::start(listed.collect());
         let door = TcpListener::bind("127.0.0.1:0").unwrap();
         let (program, tmp) = (program.as_ref().to_owned(), tempfile::tempdir().unwrap());
--- a/lab/src/sim/world.rs
+++ b/lab/src/sim/world.rs
@@ -5,8 +5,8 @@
 use pebbleturn::engine::{
     AttemptId, AttemptOutcome, EngineAction, PartRequest, QueryEngine, QueryId, QueryOutcome, QueryRequest,
 };
-use pebbleturn::membership::endpoint_list::ServerList;
-use pebbleturn::membership::{Change, Roster};
+use pebbleturn::membership::endpoint_list::EndpointList;
+use pebbleturn::membership::{NodeChange, Registry};
 use pebbleturn::routing::Routing;
 use pebbleturn::{Nanos, Outcome, ReplicaEntry, ReplicaId, ReplicaState, Settings};
 use rand_pcg::Pcg64Mcg;
@@ -52,7 +52,7 @@
     /// Each broker's share of the queries beside the others'; even where there are none.
     pub traffic: Vec<f64>,
     /// What discovery tells and when, and by how much it comes later at a broker, at most.
-    pub news: Vec<(Nanos, ServerList)>,
+    pub news: Vec<(Nanos, EndpointList)>,
     /// See `news`.
     pub late: Nanos,
     /// From when until when answers get lost or their connections are reset, and the share of each.
@@ -95,15 +95,15 @@
     /// Lines that it believes as they are.
     Told(Vec<(ReplicaEntry, SocketAddr)>),
     /// A roster that has heard its sources.
-    Roster(Box<Roster>),
+    Roster(Box<Registry>),
     /// The same with an operator's rules behind it.
-    Routed(Box<Roster>, Box<Routing>),
+    Routed(Box<Registry>, Box<Routing>),
 }
 
 /// One broker: an exchange, with or without a roster before it.
 pub struct Broker {
     exchange: QueryEngine<Asking, ()>,
-    roster: Option<Box<Roster>>,
+    roster: Option<Box<Registry>>,
     routing: Option<Box<Routing>>,
     addrs: HashMap<ReplicaId, SocketAddr>,
     /// Nodes that it knows to drain, and since when.
@@ -274,7 +274,7 @@
                 }
                 Happens::News { broker, number } => {
                     if let Some(roster) = &mut self.brokers[broker].roster {
-                        roster.directory(&self.told.strain.news[number].1, number == 0, now);
+                        roster.on_discovery_update(&self.told.strain.news[number].1, number == 0, now);
                     }
                     self.turn(broker, now);
                 }
@@ -351,7 +351,7 @@
         let b = &mut self.brokers[broker];
         if let Some(roster) = &mut b.roster {
             while let Some(end) = b.exchange.next_attempt_end() {
-                roster.outcome(end.replica, end.outcome, end.latency, now);
+                roster.on_attempt_end(end.replica, end.outcome, end.latency, now);
                 if let Some(routing) = &mut b.routing {
                     routing.outcome(end.replica, end.outcome, now);
                 }
@@ -367,7 +367,7 @@
             }
             if let Some(changes) = changes {
                 let mut lines = Vec::with_capacity(changes.len());
-                for Change { listed, addr, .. } in changes {
+                for NodeChange { listed, addr, .. } in changes {
                     match addr {
                         Some(addr) if listed.state == ReplicaState::Draining => {
                             b.drains.entry(addr).or_insert(now);
@@ -388,7 +388,7 @@
                 }
                 b.exchange.update_endpoints(false, lines);
             }
-            roster.take_warm().into_iter().for_each(|replica| b.exchange.replica_warmed_up(replica));
+            roster.take_warmed_up().into_iter().for_each(|replica| b.exchange.replica_warmed_up(replica));
         }
         b.exchange.advance(now);
         let mut work = Vec::new();
@@ -413,8 +413,8 @@
         let b = &self.brokers[broker];
         let held = b.exchange.open_queries() + b.exchange.attempts_in_flight();
         self.counts.most_held = self.counts.most_held.max(held);
-        let routing = b.routing.as_ref().and_then(|r| r.due(now));
-        let due = [b.exchange.next_deadline(), b.roster.as_ref().and_then(|r| r.due()), routing];
+        let routing = b.routing.as_ref().and_then(|r| r.next_deadline(now));
+        let due = [b.exchange.next_deadline(), b.roster.as_ref().and_then(|r| r.next_deadline()), routing];
         let due = due.into_iter().flatten().min();
         if let Some(due) = due.map(|t| t.max(now + 1))
             && b.scheduled.is_none_or(|t| due < t || t <= now)
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -5,9 +5,9 @@
 use crate::directory::{Directory, Mode};
 use crate::restart::{AGES, Arm, Line, kept};
 use crate::standins::{Act, Script, Wire, node};
-use pebbleturn::config::Operator;
+use pebbleturn::config::OperatorConfig;
 use pebbleturn::frontends::catalogue;
-use pebbleturn::membership::{Fact, State};
+use pebbleturn::membership::{NodeRecord, NodeState};
 use pebbleturn::net::Clock;
 use pebbleturn::storage::{Disk, snapshot_store};
 use std::error::Error;
@@ -27,7 +27,7 @@
 
 type Failure = Box<dyn Error + Send + Sync>;
 
-fn operator(directory: SocketAddr, keep: Option<&Path>, nodes: &[Fact]) -> String {
+fn operator(directory: SocketAddr, keep: Option<&Path>, nodes: &[NodeRecord]) -> String {
     let keep = keep.map_or(String::new(), |k| format!("keep = {:?}\n", k.to_string_lossy()));
     let mut text = format!(
         "name = \"b\"\nzone = \"a\"\nbrokers = {BROKERS}\n[membership]\ndiscovery = \"{directory}\"\n{keep}[partitions]\n\
@@ -48,7 +48,7 @@
 
 /// Starts a broker, asks it, stops it: the times of its answers, and how many failed to be one.
 fn ask(text: &str) -> Result<(Vec<Duration>, u64), Failure> {
-    let operator = Operator::read(text)?;
+    let operator = OperatorConfig::read(text)?;
     let (tell, told) = std::sync::mpsc::channel();
     let broker = std::thread::spawn(move || -> Result<(), pebbleturn::server::BrokerError> {
         let (mut broker, addrs) = catalogue::broker(operator)?;
@@ -84,9 +84,17 @@
         } else {
             node(Wire::Sru, n, script.clone())
         };
-        let state = if n == drained { State::Terminating } else { State::Ready };
+        let state = if n == drained { NodeState::Terminating } else { NodeState::Ready };
         let (id, kind) = (format!("n-{n}"), "sru".into());
-        facts.push(Fact { id, addr: Some(at), zone: "a".into(), kind, cell: n as u32, state, started: 0 });
+        facts.push(NodeRecord {
+            id,
+            addr: Some(at),
+            zone: "a".into(),
+            kind,
+            cell: n as u32,
+            state,
+            started: 0,
+        });
     }
     let directory = Directory::start(vec![]);
     directory.mode(Mode::Down);
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -2,7 +2,7 @@
 
 use super::request::{self, AdminRequest, AdminResponse, LONGEST, RequestError};
 use crate::api::Nanos;
-use crate::net::{ConnId, Filled, NetEvent, Place, Pool, Reactor};
+use crate::net::{ConnId, ConnectionClass, NetEvent, PollLoop, Pool, ReadOutcome};
 use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
@@ -28,8 +28,9 @@
 
 impl AdminServer {
     /// Listens.
-    pub fn open(addr: SocketAddr, net: &mut Reactor) -> io::Result<AdminServer> {
-        let listening = net.listen_apart(addr, OWNER, Place::Desk, PLACES, Pool::sized(BUFFERS, BUFFER))?;
+    pub fn open(addr: SocketAddr, net: &mut PollLoop) -> io::Result<AdminServer> {
+        let listening =
+            net.listen_apart(addr, OWNER, ConnectionClass::Admin, PLACES, Pool::sized(BUFFERS, BUFFER))?;
         Ok(AdminServer { listening, waiting: VecDeque::new(), peers: HashMap::new(), calls: VecDeque::new() })
     }
 
@@ -44,13 +45,13 @@
     }
 
     /// Takes in what happened on one of its connections.
-    pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut Reactor) {
+    pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut PollLoop) {
         match event {
             NetEvent::Accepted { conn, peer, .. } => {
                 self.waiting.push_back((now, conn));
                 self.peers.insert(conn, peer);
                 self.read(conn, now, net);
-                while net.accepted_at(Place::Desk) > PLACES {
+                while net.accepted_at(ConnectionClass::Admin) > PLACES {
                     let Some((_, oldest)) = self.waiting.front().copied() else { break };
                     self.gone(oldest);
                     net.close(oldest);
@@ -70,7 +71,7 @@
         self.peers.remove(&conn);
     }
 
-    fn read(&mut self, conn: ConnId, now: Nanos, net: &mut Reactor) {
+    fn read(&mut self, conn: ConnId, now: Nanos, net: &mut PollLoop) {
         while self.peers.contains_key(&conn) {
             let filled = net.fill(conn);
             let data = net.data(conn);
@@ -79,12 +80,12 @@
                 (Some(end), _) => request::read(data[..end].trim_ascii_end()),
                 (None, _) if data.len() > LONGEST => Err(RequestError::TooLong),
                 // A last line may lack its end where the caller says that no more will come.
-                (None, Filled::Ended) if !data.is_empty() => request::read(data.trim_ascii_end()),
-                (None, Filled::Ended) => {
+                (None, ReadOutcome::Ended) if !data.is_empty() => request::read(data.trim_ascii_end()),
+                (None, ReadOutcome::Ended) => {
                     self.gone(conn);
                     return net.close(conn);
                 }
-                (None, Filled::Some(_)) => continue,
+                (None, ReadOutcome::Some(_)) => continue,
                 (None, _) => return,
             };
             // One line to a connection: it waits for nothing more.
@@ -105,7 +106,7 @@
     }
 
     /// Answers a call; that ends its connection.
-    pub fn answer(&mut self, conn: ConnId, reply: &AdminResponse, net: &mut Reactor) {
+    pub fn answer(&mut self, conn: ConnId, reply: &AdminResponse, net: &mut PollLoop) {
         if net.send(conn, reply.text().as_bytes()).is_err() {
             return net.close(conn);
         }
@@ -113,7 +114,7 @@
     }
 
     /// Closes callers that have had their time.
-    pub fn tick(&mut self, now: Nanos, net: &mut Reactor) {
+    pub fn tick(&mut self, now: Nanos, net: &mut PollLoop) {
         while let Some((_, conn)) = self.waiting.pop_front_if(|(since, _)| *since + WHOLE_IN <= now) {
             self.peers.remove(&conn);
             net.close(conn);
--- a/src/bin/pebbleturn-benchlink/wire.rs
+++ b/src/bin/pebbleturn-benchlink/wire.rs
@@ -1,6 +1,6 @@
 //! The wire's messages as types, and their translation to and from the library's. No decision here.
 
-use pebbleturn::config::{Names, Params};
+use pebbleturn::config::{Names, PlatformSettings};
 use pebbleturn::*;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -13,7 +13,7 @@
     #[serde(rename = "EOF_BATCH")]
     EndOfBatch {},
     #[serde(rename = "POWER_ON")]
-    PowerOn { root_id: String, init_seed: u64, params: Box<Params> },
+    PowerOn { root_id: String, init_seed: u64, params: Box<PlatformSettings> },
     #[serde(rename = "KILL")]
     Kill { root_id: String },
     #[serde(rename = "SNAPSHOT_ROWS")]
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::admin::client;
-use crate::config::{Operator, Platform};
+use crate::config::{OperatorConfig, PlatformConfig};
 use crate::frontends::{catalogue, platform};
 use crate::net::Signals;
 use crate::server::BrokerError;
@@ -184,14 +184,14 @@
 fn serve_platform() -> Result<(), BrokerError> {
     // Caught first: a signal that comes as soon as it listens must not kill it.
     let signals = Signals::catch().map_err(BrokerError::io("signals"))?;
-    let (mut broker, _) = platform::broker(Platform::from_env()?)?;
+    let (mut broker, _) = platform::broker(PlatformConfig::from_env()?)?;
     broker.handle_signals(signals)?;
     broker.run()
 }
 
 fn serve_catalogue(file: &Path) -> Result<(), BrokerError> {
     let signals = Signals::catch().map_err(BrokerError::io("signals"))?;
-    let (mut broker, _) = catalogue::broker(Operator::from_file(file)?)?;
+    let (mut broker, _) = catalogue::broker(OperatorConfig::from_file(file)?)?;
     broker.handle_signals(signals)?;
     broker.run()
 }
@@ -199,9 +199,9 @@
 /// Names everything that is wrong, a line each, on standard error.
 fn check(file: &Path) -> ExitCode {
     let wrong = if file.extension().is_some_and(|e| e == "json") {
-        Platform::from_file(file).err().into_iter().map(|e| e.0).collect()
+        PlatformConfig::from_file(file).err().into_iter().map(|e| e.0).collect()
     } else {
-        Operator::faults(file)
+        OperatorConfig::faults(file)
     };
     wrong.iter().for_each(|w| eprintln!("{w}"));
     if wrong.is_empty() {
@@ -221,7 +221,8 @@
     wrong.iter().for_each(|w| eprintln!("{w}"));
     let now = crate::net::Clock::start().now();
     if !lists.is_empty() {
-        let report = membership::status_report::Report::new(&lists, now, (changes_every * 3_600e9) as u64);
+        let report =
+            membership::status_report::StatusReport::new(&lists, now, (changes_every * 3_600e9) as u64);
         if json {
             println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
         } else {
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -10,18 +10,18 @@
 
 use crate::admin::request::CommandOptions;
 use crate::api::Nanos;
-use crate::config::{Clustered, ConfigError, Operator};
+use crate::config::{ClusterConfig, ConfigError, OperatorConfig};
 use crate::gossip::codec::{DATAGRAM, frame_end};
 use crate::gossip::node::SyncStatus;
 use crate::gossip::{GossipNode, GossipSettings, Output, swim};
-use crate::net::{ConnId, Datagrams, Filled, NetEvent, Place, Pool, Reactor};
+use crate::net::{ConnId, ConnectionClass, Datagrams, NetEvent, PollLoop, Pool, ReadOutcome};
 use crate::replication::derived_state::{DerivedState, NodeHints};
 use crate::replication::{
     CommandValue, FactKey, FactValue, JoinError, OperatorCommand, Origin, ProcessStart, StateStore,
     StoreLimits,
 };
 use crate::storage::Disk;
-use crate::storage::journal::{self, Found, Journal};
+use crate::storage::journal::{self, Journal, JournalContents};
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::io;
@@ -110,7 +110,7 @@
     failing: bool,
     /// The operator's file, and what it says now, while that is read.
     file: Option<PathBuf>,
-    reading: Option<Receiver<Result<Operator, ConfigError>>>,
+    reading: Option<Receiver<Result<OperatorConfig, ConfigError>>>,
     /// The longest time that one turn spent here, ns.
     longest: Nanos,
     datagram: Box<[u8; DATAGRAM + 1]>,
@@ -139,7 +139,7 @@
 impl Cluster {
     /// A broker of this name among its peers. Waits a moment for what is on disk, so that what staff said holds before the
     /// first client comes; where a process before it still has the disk, that comes later.
-    pub fn open(told: &Clustered, name: &str, now: Nanos, net: &mut Reactor) -> io::Result<Cluster> {
+    pub fn open(told: &ClusterConfig, name: &str, now: Nanos, net: &mut PollLoop) -> io::Result<Cluster> {
         let bounds = StoreLimits { keep: told.keep_words_s * 1_000_000_000, ..StoreLimits::default() };
         let every = told.probe_ms * 1_000_000;
         let settings = GossipSettings {
@@ -180,10 +180,10 @@
         Ok(cluster)
     }
 
-    fn begin(&mut self, found: Result<Found, String>, now: Nanos) {
+    fn begin(&mut self, found: Result<JournalContents, String>, now: Nanos) {
         let found = found.unwrap_or_else(|why| {
             tracing::error!("cluster: nothing can be kept: {why}");
-            Found::default()
+            JournalContents::default()
         });
         if !found.wrong.is_empty() {
             tracing::error!("cluster: not used: {}", found.wrong.join("; "));
@@ -202,7 +202,7 @@
             Some(Box::new(GossipNode::new(self.settings.clone(), origin, &found.facts, incarnation, now)));
     }
 
-    fn bind(&mut self, now: Nanos, net: &mut Reactor) {
+    fn bind(&mut self, now: Nanos, net: &mut PollLoop) {
         if self.sockets.is_some() || self.member.is_none() || now < self.bind_again {
             return;
         }
@@ -216,7 +216,7 @@
             }
         };
         let pool = Pool::sized(BUFFERS.1, BUFFERS.0);
-        if let Err(e) = net.listen_apart(self.listen, OWNER, Place::Peers, PLACES, pool.clone()) {
+        if let Err(e) = net.listen_apart(self.listen, OWNER, ConnectionClass::Peers, PLACES, pool.clone()) {
             tracing::error!("cluster: no peer can connect to {}: {e}", self.listen);
         }
         let (streams, numbers) = (BTreeMap::new(), BTreeMap::new());
@@ -280,7 +280,7 @@
     pub fn reload(&mut self) {
         let Some(file) = self.file.clone() else { return };
         let (tell, told) = sync_channel(1);
-        let read = move || drop(tell.send(Operator::from_file(&file)));
+        let read = move || drop(tell.send(OperatorConfig::from_file(&file)));
         match std::thread::Builder::new().name("peers".into()).spawn(read) {
             Ok(_) => self.reading = Some(told),
             Err(e) => tracing::error!("cluster: the operator's file can't be read: {e}"),
@@ -342,7 +342,7 @@
     // ---- sockets ----
 
     /// Takes in what happened on one of its sockets.
-    pub fn event(&mut self, event: NetEvent, now: Nanos, net: &mut Reactor) {
+    pub fn event(&mut self, event: NetEvent, now: Nanos, net: &mut PollLoop) {
         let (Some(sockets), Some(member)) = (&mut self.sockets, &mut self.member) else { return };
         match event {
             NetEvent::Datagrams { .. } => {
@@ -359,7 +359,7 @@
                 }
             }
             NetEvent::Accepted { conn, peer, .. } => {
-                if net.accepted_at(Place::Peers) > PLACES {
+                if net.accepted_at(ConnectionClass::Peers) > PLACES {
                     return net.close(conn);
                 }
                 sockets.next += 1;
@@ -390,7 +390,7 @@
         }
     }
 
-    fn read(&mut self, conn: ConnId, now: Nanos, net: &mut Reactor) {
+    fn read(&mut self, conn: ConnId, now: Nanos, net: &mut PollLoop) {
         for n in 0.. {
             let Some(sockets) = &self.sockets else { return };
             let Some(stream) = sockets.numbers.get(&conn).copied() else { return };
@@ -402,11 +402,11 @@
             // A length that can't be is a frame that can't be read: the member says what follows.
             let end = match frame_end(net.data(conn)) {
                 Ok(Some(end)) => end,
-                Ok(None) if filled == Filled::Ended => {
+                Ok(None) if filled == ReadOutcome::Ended => {
                     self.gone(conn, now);
                     return net.close(conn);
                 }
-                Ok(None) if matches!(filled, Filled::Some(_)) => continue,
+                Ok(None) if matches!(filled, ReadOutcome::Some(_)) => continue,
                 Ok(None) => return,
                 Err(_) => net.data(conn).len().min(4),
             };
@@ -419,7 +419,7 @@
     }
 
     /// Sends what the member wants sent, and tells people what it tells.
-    fn carry(&mut self, now: Nanos, net: &mut Reactor) {
+    fn carry(&mut self, now: Nanos, net: &mut PollLoop) {
         let Some(member) = &mut self.member else { return };
         while let Some(told) = member.take_told() {
             status_report::tell(&told, member);
@@ -465,7 +465,7 @@
     // ---- time and disk ----
 
     /// Lets time go by.
-    pub fn tick(&mut self, now: Nanos, net: &mut Reactor) {
+    pub fn tick(&mut self, now: Nanos, net: &mut PollLoop) {
         if self.member.is_none()
             && let Some(found) = self.journal.found()
         {
--- a/src/config/diagnostics.rs
+++ b/src/config/diagnostics.rs
@@ -11,14 +11,14 @@
 
 /// One mistake.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Fault {
+pub struct Diagnostic {
     /// Its line, from 1; 0: the file as a whole.
     pub line: usize,
     /// What is wrong.
     pub what: String,
 }
 
-impl fmt::Display for Fault {
+impl fmt::Display for Diagnostic {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.line > 0 {
             write!(f, "line {}: {}", self.line, self.what)
@@ -29,11 +29,11 @@
 }
 
 /// The text of a file, its values with their places, and what is wrong with it so far.
-pub struct Sheet<'t> {
+pub struct TomlDocument<'t> {
     text: &'t str,
     root: DeTable<'t>,
     /// What is wrong.
-    pub faults: Vec<Fault>,
+    pub faults: Vec<Diagnostic>,
 }
 
 fn line_of(text: &str, at: usize) -> usize {
@@ -44,23 +44,23 @@
     message.replace('\n', " ").trim().to_owned()
 }
 
-impl<'t> Sheet<'t> {
+impl<'t> TomlDocument<'t> {
     /// Takes a text apart. One that is no TOML has one fault.
-    pub fn new(text: &'t str) -> Sheet<'t> {
+    pub fn new(text: &'t str) -> TomlDocument<'t> {
         let (root, faults) = match DeTable::parse(text) {
             Ok(root) => (root.into_inner(), Vec::new()),
             Err(e) => {
                 let line = e.span().map_or(0, |s| line_of(text, s.start));
-                (DeTable::new(), vec![Fault { line, what: first_line(e.message()) }])
+                (DeTable::new(), vec![Diagnostic { line, what: first_line(e.message()) }])
             }
         };
-        Sheet { text, root, faults }
+        TomlDocument { text, root, faults }
     }
 
     /// Something is wrong with a setting: with a field of the record `n` of a section, or with all of the section.
     pub fn wrong(&mut self, (section, n, field): (&str, usize, &str), what: impl Into<String>) {
         let line = self.place(section, n, field).map_or(0, |at| line_of(self.text, at));
-        self.faults.push(Fault { line, what: what.into() });
+        self.faults.push(Diagnostic { line, what: what.into() });
     }
 
     fn place(&self, section: &str, n: usize, field: &str) -> Option<usize> {
@@ -91,7 +91,8 @@
             }
             _ => {
                 let line = line_of(self.text, at);
-                self.faults.push(Fault { line, what: format!("{name} must be a list, as in [[{name}]]") });
+                self.faults
+                    .push(Diagnostic { line, what: format!("{name} must be a list, as in [[{name}]]") });
                 Vec::new()
             }
         }
@@ -111,7 +112,7 @@
             }
             let at = e.span().unwrap_or(value.span());
             let start = if at.start > 0 { at.start } else { self.place(name, 0, "").unwrap_or(0) };
-            self.faults.push(Fault { line: line_of(self.text, start), what: format!("{name}: {what}") });
+            self.faults.push(Diagnostic { line: line_of(self.text, start), what: format!("{name}: {what}") });
             let DeValue::Table(table) = value.get_mut() else { return None };
             let covers = |s: std::ops::Range<usize>| s.start <= at.start && at.end <= s.end;
             let found = table.iter().find(|(k, v)| covers(k.span()) || covers(v.span()));
@@ -131,10 +132,10 @@
             .collect();
         for (at, name) in strange {
             let what = format!("unknown setting {name}, expected one of {}", known.join(", "));
-            self.faults.push(Fault { line: line_of(self.text, at), what });
+            self.faults.push(Diagnostic { line: line_of(self.text, at), what });
         }
         for name in needed.iter().filter(|n| !self.root.contains_key(**n)) {
-            self.faults.push(Fault { line: 0, what: format!("{name} is not told") });
+            self.faults.push(Diagnostic { line: 0, what: format!("{name} is not told") });
         }
     }
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -7,8 +7,8 @@
 mod settings;
 
 pub use operator::{
-    Clustered, Database, Limits, Listener, Membership, Node, NodesFile, Operator, Partitions, PeerBroker,
-    Protocol, QueryClass, RoutingTimes, rules,
+    ClusterConfig, Database, Limits, Listener, Membership, Node, NodesFile, OperatorConfig, Partitions,
+    PeerBroker, Protocol, QueryClass, RoutingTimes, rules,
 };
-pub use platform::{ConfigError, Platform};
-pub use settings::{Names, Params, settings};
+pub use platform::{ConfigError, PlatformConfig};
+pub use settings::{Names, PlatformSettings, settings};
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -1,13 +1,13 @@
 //! The operator's file: what the catalogue front is told.
 
 use super::ConfigError;
-use super::diagnostics::{Fault, Sheet};
+use super::diagnostics::{Diagnostic, TomlDocument};
 use super::index;
 use crate::api::*;
 use crate::gossip::codec;
-use crate::membership::{Fact, State};
+use crate::membership::{NodeRecord, NodeState};
 use crate::replication::multi_value_register::LONGEST;
-use crate::routing::{Rule, Spare, Standing};
+use crate::routing::{AdminState, Rule, Spare};
 use serde::Deserialize;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -63,7 +63,7 @@
 /// The cluster that a broker belongs to.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Clustered {
+pub struct ClusterConfig {
     /// The cluster's name: brokers of another one are not listened to.
     pub name: String,
     /// Where peers reach this broker, by UDP and by TCP.
@@ -115,7 +115,7 @@
     pub cell: u32,
     /// Whether it takes work.
     #[serde(default)]
-    pub standing: Standing,
+    pub standing: AdminState,
     /// Share of the work beside others of its set; 0: none.
     #[serde(default = "one")]
     pub weight: f64,
@@ -171,14 +171,18 @@
 
 impl Node {
     /// What the file says of it, in membership's terms.
-    pub fn fact(&self) -> Fact {
-        Fact {
+    pub fn fact(&self) -> NodeRecord {
+        NodeRecord {
             id: self.id.clone(),
             addr: Some(self.address),
             zone: self.zone.clone(),
             kind: self.protocol.name().into(),
             cell: self.cell,
-            state: if self.standing == Standing::Draining { State::Terminating } else { State::Ready },
+            state: if self.standing == AdminState::Draining {
+                NodeState::Terminating
+            } else {
+                NodeState::Ready
+            },
             started: 0,
         }
     }
@@ -244,7 +248,7 @@
     pub fn from_file(path: &Path, cells: u32) -> Result<NodesFile, ConfigError> {
         let fail = |why: String| ConfigError(format!("{}: {why}", path.display()));
         let text = std::fs::read_to_string(path).map_err(|e| fail(e.to_string()))?;
-        let mut sheet = Sheet::new(&text);
+        let mut sheet = TomlDocument::new(&text);
         let node = sheet.all("node");
         sheet.names(&["node"], &[]);
         check_nodes(&node, cells, &mut sheet);
@@ -253,12 +257,12 @@
 }
 
 /// All faults in one line.
-fn joined(faults: Vec<Fault>) -> ConfigError {
-    let all: Vec<String> = faults.iter().map(Fault::to_string).collect();
+fn joined(faults: Vec<Diagnostic>) -> ConfigError {
+    let all: Vec<String> = faults.iter().map(Diagnostic::to_string).collect();
     ConfigError(all.join("; "))
 }
 
-fn check_nodes(nodes: &[Node], cells: u32, sheet: &mut Sheet) {
+fn check_nodes(nodes: &[Node], cells: u32, sheet: &mut TomlDocument) {
     let mut ids = HashSet::new();
     for (n, node) in nodes.iter().enumerate() {
         if !ids.insert(&node.id) {
@@ -405,7 +409,7 @@
 
 /// The operator's file.
 #[derive(Clone, Debug)]
-pub struct Operator {
+pub struct OperatorConfig {
     /// The broker's name, for the log.
     pub name: String,
     /// The zone it is in.
@@ -431,15 +435,15 @@
     /// What the staff on duty need.
     pub operation: Operation,
     /// The cluster that it belongs to, if to any.
-    pub cluster: Option<Clustered>,
+    pub cluster: Option<ClusterConfig>,
 }
 
-impl Operator {
+impl OperatorConfig {
     /// Reads the file at `path`.
-    pub fn from_file(path: &Path) -> Result<Operator, ConfigError> {
+    pub fn from_file(path: &Path) -> Result<OperatorConfig, ConfigError> {
         let fail = |why: String| ConfigError(format!("{}: {why}", path.display()));
         let text = std::fs::read_to_string(path).map_err(|e| fail(e.to_string()))?;
-        let mut told = Operator::read(&text).map_err(|e| fail(e.0))?;
+        let mut told = OperatorConfig::read(&text).map_err(|e| fail(e.0))?;
         if let Some(cluster) = &mut told.cluster {
             cluster.file = Some(path.to_owned());
         }
@@ -456,7 +460,7 @@
             Ok(text) => text,
             Err(e) => return vec![said(e.to_string())],
         };
-        match Operator::read_all(&text) {
+        match OperatorConfig::read_all(&text) {
             Err(faults) => faults.into_iter().map(|f| said(f.to_string())).collect(),
             Ok(told) => {
                 let nodes = told.membership.nodes_file.as_deref();
@@ -468,12 +472,12 @@
     }
 
     /// Reads the file's text; all that is wrong with it stands in one line.
-    pub fn read(text: &str) -> Result<Operator, ConfigError> {
-        Operator::read_all(text).map_err(joined)
+    pub fn read(text: &str) -> Result<OperatorConfig, ConfigError> {
+        OperatorConfig::read_all(text).map_err(joined)
     }
 
-    fn read_all(text: &str) -> Result<Operator, Vec<Fault>> {
-        let mut sheet = Sheet::new(text);
+    fn read_all(text: &str) -> Result<OperatorConfig, Vec<Diagnostic>> {
+        let mut sheet = TomlDocument::new(text);
         if !sheet.faults.is_empty() {
             return Err(sheet.faults);
         }
@@ -495,14 +499,14 @@
         ];
         sheet.names(&known, &["name", "zone", "partitions"]);
         let (name, zone, partitions) = (sheet.one("name"), sheet.one("zone"), sheet.one("partitions"));
-        let mut cluster: Option<Clustered> = sheet.one("cluster");
+        let mut cluster: Option<ClusterConfig> = sheet.one("cluster");
         let peers = sheet.all("peer");
         if let Some(cluster) = &mut cluster {
             cluster.peers = peers;
         } else if !peers.is_empty() {
             sheet.wrong(("peer", 0, ""), "peer: there is no [cluster] that it could belong to");
         }
-        let told = Operator {
+        let told = OperatorConfig {
             name: name.unwrap_or_default(),
             zone: zone.unwrap_or_default(),
             brokers: sheet.one("brokers").unwrap_or(1),
@@ -525,7 +529,7 @@
         if sheet.faults.is_empty() { Ok(told) } else { Err(sheet.faults) }
     }
 
-    fn check(&self, sheet: &mut Sheet) {
+    fn check(&self, sheet: &mut TomlDocument) {
         let p = &self.partitions;
         for (name, n, most) in
             [("count", p.count, 10_000), ("cells", p.cells, 10_000), ("per_key", p.per_key, p.count)]
@@ -573,7 +577,7 @@
         }
     }
 
-    fn check_operation(&self, sheet: &mut Sheet) {
+    fn check_operation(&self, sheet: &mut TomlDocument) {
         if let Some(ops) = self.operation.listen.filter(|ops| ops.port() != 0)
             && self.listener.iter().any(|l| l.listen == ops)
         {
@@ -597,7 +601,7 @@
         }
     }
 
-    fn check_cluster(&self, sheet: &mut Sheet) {
+    fn check_cluster(&self, sheet: &mut TomlDocument) {
         let Some(c) = &self.cluster else { return };
         let mut wrong =
             |field: &str, what: String| sheet.wrong(("cluster", 0, field), format!("cluster: {what}"));
@@ -645,7 +649,7 @@
         }
     }
 
-    fn check_limits(&self, sheet: &mut Sheet) {
+    fn check_limits(&self, sheet: &mut TomlDocument) {
         let l = &self.limits;
         let needed = [
             ("tick_ms", l.tick_ms),
@@ -685,7 +689,7 @@
         }
     }
 
-    fn check_classes(&self, sheet: &mut Sheet) {
+    fn check_classes(&self, sheet: &mut TomlDocument) {
         let mut names = HashSet::new();
         for (n, c) in self.class.iter().enumerate() {
             let mut wrong = |field: &str, what: String| {
@@ -730,7 +734,7 @@
         }
     }
 
-    fn check_membership(&self, sheet: &mut Sheet) {
+    fn check_membership(&self, sheet: &mut TomlDocument) {
         let m = &self.membership;
         if !(m.changes_every_h > 0.0 && m.changes_every_h <= 24.0 * 3650.0) {
             let what = format!(
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's configuration: the file that `GW_CONFIG` names, and the variables beside it.
 
-use super::settings::Params;
-use crate::membership::endpoint_list::ServerList;
+use super::settings::PlatformSettings;
+use crate::membership::endpoint_list::EndpointList;
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
@@ -27,9 +27,9 @@
     ops: Option<String>,
     seed: Option<String>,
     limits: Option<Limits>,
-    known: Option<ServerList>,
+    known: Option<EndpointList>,
     keep: Option<PathBuf>,
-    settings: Params,
+    settings: PlatformSettings,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize)]
@@ -48,7 +48,7 @@
 
 /// What one broker on the platform is told.
 #[derive(Clone, Debug)]
-pub struct Platform {
+pub struct PlatformConfig {
     /// Its name.
     pub name: String,
     /// Where clients connect.
@@ -68,32 +68,32 @@
     /// Most memory, MB.
     pub memory_mb: usize,
     /// The list of servers as this broker last had it.
-    pub known: Option<ServerList>,
+    pub known: Option<EndpointList>,
     /// The directory in which the list is kept over restarts; none: it is not kept.
     pub keep: Option<PathBuf>,
     /// The settings object.
-    pub params: Params,
+    pub params: PlatformSettings,
     /// The file that all this was read from, to be read again when its content is replaced.
     pub file: Option<PathBuf>,
 }
 
-impl Platform {
+impl PlatformConfig {
     /// Reads the file that `GW_CONFIG` names. Where it leaves a name or an address out, the variable tells.
-    pub fn from_env() -> Result<Platform, ConfigError> {
+    pub fn from_env() -> Result<PlatformConfig, ConfigError> {
         let path = var("GW_CONFIG").ok_or(ConfigError("GW_CONFIG is not set".into()))?;
-        Platform::from_file(Path::new(&path))
+        PlatformConfig::from_file(Path::new(&path))
     }
 
     /// Reads a file. Where it leaves a name or an address out, the variable tells.
-    pub fn from_file(path: &Path) -> Result<Platform, ConfigError> {
+    pub fn from_file(path: &Path) -> Result<PlatformConfig, ConfigError> {
         let text =
             std::fs::read_to_string(path).map_err(|e| ConfigError(format!("{}: {e}", path.display())))?;
-        let told = Platform::read(&text, var)?;
-        Ok(Platform { file: Some(path.to_owned()), ..told })
+        let told = PlatformConfig::read(&text, var)?;
+        Ok(PlatformConfig { file: Some(path.to_owned()), ..told })
     }
 
     /// Reads a configuration; `var` gives the variables.
-    pub fn read(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Platform, ConfigError> {
+    pub fn read(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<PlatformConfig, ConfigError> {
         let file: File = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
         let addr = |told: Option<String>, name: &str| {
             let text = told.or_else(|| var(name)).ok_or(ConfigError(format!("{name} is not told")))?;
@@ -121,7 +121,7 @@
         if memory_mb < 16 {
             return Err(ConfigError(format!("{memory_mb} MB of memory are too little")));
         }
-        Ok(Platform {
+        Ok(PlatformConfig {
             name: file.name.or_else(|| var("GW_NAME")).unwrap_or_else(|| "broker".into()),
             listen: addr(file.listen, "GW_LISTEN")?,
             discovery: addr(file.discovery, "GW_DISCOVERY")?,
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -6,7 +6,7 @@
 
 /// The settings object.
 #[derive(Clone, Debug, Deserialize)]
-pub struct Params {
+pub struct PlatformSettings {
     areas: Vec<String>,
     ceilings: Ceilings,
     discovery: String,
@@ -124,7 +124,7 @@
 }
 
 /// The settings in the library's terms; an error where the object's can't be read so.
-pub fn settings(p: &Params) -> Result<(Settings, Names), String> {
+pub fn settings(p: &PlatformSettings) -> Result<(Settings, Names), String> {
     let f = &p.family_info;
     let at = |v: &Option<Vec<f64>>, i: usize| v.as_ref().and_then(|v| v.get(i).copied()).unwrap_or(0.0);
     let mut classes = Vec::new();
@@ -203,7 +203,7 @@
     Ok((settings, names))
 }
 
-impl Params {
+impl PlatformSettings {
     /// Parts that one connection carries at once.
     pub fn streams(&self) -> usize {
         self.ceilings.streams_per_conn.unwrap_or(32).max(1) as usize
--- a/src/frontends/catalogue/downstream.rs
+++ b/src/frontends/catalogue/downstream.rs
@@ -10,11 +10,11 @@
 use super::session::{self, Reply, Session};
 use super::sru::{self, Packing, Request};
 use crate::api::Nanos;
-use crate::config::Operator;
+use crate::config::OperatorConfig;
 use crate::engine::{QueryId, QueryOutcome};
-use crate::frontends::connection_slots::Places;
+use crate::frontends::connection_slots::ConnectionSlots;
 use crate::http::{self, Reader, Side};
-use crate::net::{ConnId, Filled, NetEvent};
+use crate::net::{ConnId, NetEvent, ReadOutcome};
 use crate::server::FrontendContext;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -45,7 +45,7 @@
 
 /// What the operator's file says, as the client side needs it.
 struct Told {
-    operator: Operator,
+    operator: OperatorConfig,
     key_access: Option<u16>,
 }
 
@@ -55,7 +55,7 @@
     sru: u8,
     clients: HashMap<ConnId, Client>,
     waiting: HashMap<QueryId, ConnId>,
-    places: Places,
+    places: ConnectionSlots,
     /// Ready no more, and every answer the last on its connection.
     draining: bool,
     leaving: bool,
@@ -84,10 +84,10 @@
 
 impl Clients {
     /// The client side, with so many places; connections with the mark `sru` speak SRU, all others Z39.50.
-    pub fn new(operator: Operator, sru: u8, places: usize) -> Clients {
+    pub fn new(operator: OperatorConfig, sru: u8, places: usize) -> Clients {
         let key_access = operator.key_index().and_then(search::access_of);
         let (clients, waiting) = (HashMap::new(), HashMap::new());
-        let places = Places::new(places, places, operator.limits.session_idle_s * 1_000_000_000);
+        let places = ConnectionSlots::new(places, places, operator.limits.session_idle_s * 1_000_000_000);
         Clients {
             told: Told { operator, key_access },
             sru,
@@ -165,17 +165,17 @@
             let filled = hands.net.fill(conn);
             let Some(client) = self.clients.get_mut(&conn) else { return };
             match filled {
-                Filled::Some(_) => self.work(conn, hands),
+                ReadOutcome::Some(_) => self.work(conn, hands),
                 // What a client sends ahead of its answer stays unread once the buffer is full.
-                Filled::Full if client.job.is_some() => return,
-                Filled::Full => {
+                ReadOutcome::Full if client.job.is_some() => return,
+                ReadOutcome::Full => {
                     self.work(conn, hands);
                     if hands.net.data(conn).len() >= ber::MAX_APDU {
                         return self.hang_up(conn, "a request larger than a buffer", hands);
                     }
                 }
-                Filled::Nothing => return,
-                Filled::NoBuffer => {
+                ReadOutcome::Nothing => return,
+                ReadOutcome::NoBuffer => {
                     // Guards those who ask against those who hold the buffers with half a request.
                     if let Some(other) = self.places.first_with_buffer(conn) {
                         tracing::debug!("client connection closed for its buffer");
@@ -183,7 +183,7 @@
                     }
                     return;
                 }
-                Filled::Ended => return self.close(conn, hands),
+                ReadOutcome::Ended => return self.close(conn, hands),
             }
             if !self.clients.contains_key(&conn) {
                 return;
--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -6,19 +6,19 @@
 use crate::admin;
 use crate::api::Nanos;
 use crate::cluster;
-use crate::config::{self, ConfigError, Node, NodesFile, Operator, Protocol};
+use crate::config::{self, ConfigError, Node, NodesFile, OperatorConfig, Protocol};
 use crate::engine::{EngineAction, QueryEngine};
 use crate::hot_restart::HotRestart;
 use crate::hot_restart::coordination::Limits;
-use crate::membership::poll_backoff::AskAgain;
-use crate::membership::{Fact, Layout, Roster, RosterSettings};
-use crate::net::{Clock, NetEvent, Place, Pool, Reactor, inherited};
+use crate::membership::poll_backoff::PollBackoff;
+use crate::membership::{NodeRecord, PartitionLayout, Registry, RegistrySettings};
+use crate::net::{Clock, ConnectionClass, NetEvent, PollLoop, Pool, inherited};
 use crate::routing::{Routing, RoutingSettings, Rule};
 use crate::server::discovery_watch::DiscoveryWatch;
 use crate::server::drain::DrainPhase;
 use crate::server::membership_driver::MembershipDriver;
 use crate::server::{Broker, BrokerError, Frontend, FrontendContext};
-use crate::storage::snapshot_store::Keeper;
+use crate::storage::snapshot_store::SnapshotWriter;
 use std::collections::HashMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::SocketAddr;
@@ -44,7 +44,7 @@
 const BUFFERS: usize = 48 << 20;
 
 /// The catalogue's port: clients and index nodes, each of them speaking SRU or Z39.50.
-pub struct CatalogueFront {
+pub struct CatalogueFrontend {
     clients: Clients,
     nodes: Nodes,
     membership: MembershipDriver,
@@ -64,7 +64,7 @@
 }
 
 impl NodeFiles {
-    fn facts(&self, file: &NodesFile) -> Vec<Fact> {
+    fn facts(&self, file: &NodesFile) -> Vec<NodeRecord> {
         self.own.iter().chain(&file.node).map(Node::fact).collect()
     }
 
@@ -113,15 +113,15 @@
 }
 
 /// Builds a broker that listens; tells where, listener by listener.
-pub fn broker(told: Operator) -> Result<(Broker<CatalogueFront>, Vec<SocketAddr>), BrokerError> {
+pub fn broker(told: OperatorConfig) -> Result<(Broker<CatalogueFrontend>, Vec<SocketAddr>), BrokerError> {
     let clock = Clock::start();
     let now = clock.now();
     let seed = RandomState::new().build_hasher().finish();
     let settings = told.settings();
     let m = &told.membership;
-    let (kept, keeper) = m.keep.as_deref().map_or((Vec::new(), None), Keeper::open);
-    let mut roster = Roster::new(RosterSettings {
-        layout: Layout { cells: settings.cells, span: settings.span },
+    let (kept, keeper) = m.keep.as_deref().map_or((Vec::new(), None), SnapshotWriter::open);
+    let mut roster = Registry::new(RegistrySettings {
+        layout: PartitionLayout { cells: settings.cells, span: settings.span },
         cold_time: settings.slow_start_time,
         changes_every: (m.changes_every_h * 3_600e9) as Nanos,
         presumed_age: m.presumed_age_s * 1_000_000_000,
@@ -137,9 +137,9 @@
     };
     let handed = told.operation.hand_over.as_deref().and_then(|dir| HotRestart::open(dir, limits, now));
     if let Some((_, _, lists)) = &handed {
-        roster.kept(lists, now);
+        roster.restore(lists, now);
     }
-    roster.kept(&kept, now);
+    roster.restore(&kept, now);
     let path = m.nodes_file.clone();
     let files = NodeFiles { own: told.node.clone(), path, cells: settings.cells, reading: None, look: 0 };
     let file = files.path.as_deref().map(|p| NodesFile::from_file(p, settings.cells)).transpose()?;
@@ -147,10 +147,10 @@
     let (facts, rules) = (files.facts(&file), files.rules(&file));
     let named = facts.len();
     if named > 0 {
-        roster.operator(facts, now);
+        roster.set_operator_nodes(facts, now);
     }
     let routing = Routing::new(RoutingSettings {
-        layout: Layout { cells: settings.cells, span: settings.span },
+        layout: PartitionLayout { cells: settings.cells, span: settings.span },
         rules,
         warm_up: told.routing.warm_up_ms * 1_000_000,
         hold: told.routing.hold_ms * 1_000_000,
@@ -161,7 +161,7 @@
         membership = membership.share_hints();
     }
     if let Some(discovery) = m.discovery {
-        let again = AskAgain::new(ASK.0, ASK.1, seed);
+        let again = PollBackoff::new(ASK.0, ASK.1, seed);
         membership = membership.poll_with_backoff(DiscoveryWatch::new(ROSTER, discovery, DIAL), again, now);
     }
     let mut exchange = QueryEngine::new(settings, seed, now).map_err(|e| ConfigError(e.to_string()))?;
@@ -177,7 +177,7 @@
         let what = "limits: the connections to nodes leave no sockets for clients";
         return Err(ConfigError(what.into()).into());
     }
-    let mut net = Reactor::new(Pool::within(BUFFERS), most - to_nodes).map_err(BrokerError::io("poll"))?;
+    let mut net = PollLoop::new(Pool::within(BUFFERS), most - to_nodes).map_err(BrokerError::io("poll"))?;
     let mut nodes = Nodes::new(NODES, &told.partitions.database, told.limits.clone(), to_nodes);
     let mut hands = FrontendContext { now, net: &mut net, engine: &mut exchange };
     membership.pass_on(&mut hands, |c| nodes.place(c));
@@ -196,7 +196,7 @@
     }
     let (ops, cluster, name) = (told.operation.listen, told.cluster.clone(), told.name.clone());
     let clients = Clients::new(told, SRU, most - to_nodes);
-    let front = CatalogueFront { clients, nodes, membership, files, most_to_nodes: to_nodes };
+    let front = CatalogueFrontend { clients, nodes, membership, files, most_to_nodes: to_nodes };
     let mut broker = Broker::new(clock, net, exchange, front);
     if let Some(ops) = ops {
         broker.listen_admin(ops)?;
@@ -210,7 +210,7 @@
     Ok((broker, listening))
 }
 
-impl Frontend for CatalogueFront {
+impl Frontend for CatalogueFrontend {
     type Query = Sought;
     type Value = PartValue;
 
@@ -297,15 +297,15 @@
         &mut self.membership
     }
 
-    fn limit_descriptors(&mut self, descriptors: usize, net: &mut Reactor) {
+    fn limit_descriptors(&mut self, descriptors: usize, net: &mut PollLoop) {
         // What is held stays; only the rest is divided. Callers at the second address may still come.
-        let apart = admin::PLACES.saturating_sub(net.accepted_at(Place::Desk));
+        let apart = admin::PLACES.saturating_sub(net.accepted_at(ConnectionClass::Admin));
         let rest = descriptors.saturating_sub(net.descriptors() + apart);
         let to_nodes = (self.nodes.links() + rest / 2).min(self.most_to_nodes);
         let clients = net.accepted() + rest - (to_nodes - self.nodes.links()).min(rest);
         self.nodes.keep_to(to_nodes.max(1));
         self.clients.keep_to(clients);
-        net.keep_to(clients);
+        net.limit_accepted(clients);
     }
 
     fn open_ids(&self) -> Vec<String> {
--- a/src/frontends/catalogue/mod.rs
+++ b/src/frontends/catalogue/mod.rs
@@ -16,4 +16,4 @@
 pub mod sru;
 mod upstream;
 
-pub use frontend::{CatalogueFront, broker};
+pub use frontend::{CatalogueFrontend, broker};
--- a/src/frontends/catalogue/upstream.rs
+++ b/src/frontends/catalogue/upstream.rs
@@ -6,8 +6,8 @@
 use crate::api::{Nanos, Outcome, ReplicaId};
 use crate::config::{Limits, Protocol};
 use crate::engine::{AttemptId, AttemptOutcome, AttemptRequest};
-use crate::membership::Change;
-use crate::net::{ConnId, Filled, NetEvent, Reactor};
+use crate::membership::NodeChange;
+use crate::net::{ConnId, NetEvent, PollLoop, ReadOutcome};
 use crate::server::FrontendContext;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -90,7 +90,7 @@
     }
 
     /// Learns where a node is, or that it is gone. What was sent there may still be answered.
-    pub fn place(&mut self, change: &Change) {
+    pub fn place(&mut self, change: &NodeChange) {
         let replica = change.listed.replica;
         match (change.addr, Protocol::named(&change.kind)) {
             (Some(addr), Some(protocol)) => {
@@ -259,10 +259,10 @@
     fn read(&mut self, conn: ConnId, hands: &mut Catalogue) {
         while self.links.contains_key(&conn) {
             match hands.net.fill(conn) {
-                Filled::Some(_) => self.work(conn, hands),
-                Filled::Nothing | Filled::NoBuffer => return,
-                Filled::Full => return self.drop_link(conn, "an answer larger than a buffer", hands),
-                Filled::Ended => {
+                ReadOutcome::Some(_) => self.work(conn, hands),
+                ReadOutcome::Nothing | ReadOutcome::NoBuffer => return,
+                ReadOutcome::Full => return self.drop_link(conn, "an answer larger than a buffer", hands),
+                ReadOutcome::Ended => {
                     let step = self.links.get_mut(&conn).and_then(|l| l.talk.end());
                     if let Some(Step::Done(value)) = step {
                         self.done(conn, value, hands);
@@ -385,7 +385,7 @@
     }
 
     /// Says goodbye on all connections.
-    pub fn farewell(&mut self, net: &mut Reactor) {
+    pub fn farewell(&mut self, net: &mut PollLoop) {
         for (conn, link) in std::mem::take(&mut self.links) {
             if let Some(message) = link.talk.farewell() {
                 let _ = net.send(conn, &message);
--- a/src/frontends/connection_slots.rs
+++ b/src/frontends/connection_slots.rs
@@ -40,7 +40,7 @@
 
 /// The places of one front's clients.
 #[derive(Debug)]
-pub struct Places {
+pub struct ConnectionSlots {
     most: usize,
     most_proven: usize,
     proven: usize,
@@ -50,10 +50,17 @@
     waiting: [BTreeSet<(Nanos, ConnId)>; 4],
 }
 
-impl Places {
+impl ConnectionSlots {
     /// So many places, of which so many for who has asked. Those may stay without asking for the time `idle`.
-    pub fn new(most: usize, most_proven: usize, idle: Nanos) -> Places {
-        Places { most, most_proven, proven: 0, idle, held: HashMap::new(), waiting: Default::default() }
+    pub fn new(most: usize, most_proven: usize, idle: Nanos) -> ConnectionSlots {
+        ConnectionSlots {
+            most,
+            most_proven,
+            proven: 0,
+            idle,
+            held: HashMap::new(),
+            waiting: Default::default(),
+        }
     }
 
     /// From now on there are so many places, of which so many for who has asked.
--- a/src/frontends/platform/downstream.rs
+++ b/src/frontends/platform/downstream.rs
@@ -1,14 +1,14 @@
 //! The client side: HTTP connections that hand queries to the exchange and wait for its answers.
 
-use super::Carried;
+use super::RequestContext;
 use super::query;
 use super::recent_request_ids::UsedIds;
 use crate::api::Nanos;
 use crate::config::Names;
 use crate::engine::{QueryId, QueryOutcome, QueryRequest};
-use crate::frontends::connection_slots::Places;
+use crate::frontends::connection_slots::ConnectionSlots;
 use crate::http::{self, HttpError, Reader, Side};
-use crate::net::{ConnId, Filled, MAX_BODY, NetEvent};
+use crate::net::{ConnId, MAX_BODY, NetEvent, ReadOutcome};
 use crate::server::FrontendContext;
 use crate::server::drain::DrainPhase;
 use std::collections::HashMap;
@@ -28,25 +28,25 @@
 }
 
 /// All client connections.
-pub struct Clients {
+pub struct Downstream {
     names: Names,
     shards: u32,
     clients: HashMap<ConnId, Client>,
     waiting: HashMap<QueryId, ConnId>,
-    places: Places,
+    places: ConnectionSlots,
     used: UsedIds,
     /// Not ready, and how far clients are sent away.
     draining: bool,
     leaving: DrainPhase,
 }
 
-type Platform<'a> = FrontendContext<'a, Carried, String>;
+type Platform<'a> = FrontendContext<'a, RequestContext, String>;
 
-impl Clients {
+impl Downstream {
     /// The client side, with the classes' names, and its places.
-    pub fn new(names: Names, shards: u32, places: Places) -> Clients {
+    pub fn new(names: Names, shards: u32, places: ConnectionSlots) -> Downstream {
         let (clients, waiting, used) = (HashMap::new(), HashMap::new(), UsedIds::default());
-        Clients {
+        Downstream {
             names,
             shards,
             clients,
@@ -143,22 +143,22 @@
     fn read(&mut self, conn: ConnId, hands: &mut Platform) {
         for _ in 0..READS {
             match hands.net.fill(conn) {
-                Filled::Some(_) => self.work(conn, hands),
+                ReadOutcome::Some(_) => self.work(conn, hands),
                 // What a client sends ahead of its answer stays unread once the buffer is full.
-                Filled::Full => {
+                ReadOutcome::Full => {
                     self.work(conn, hands);
                     if self.clients.get(&conn).is_none_or(|c| c.query.is_some()) {
                         return self.close_if_ended(conn, hands);
                     }
                 }
-                Filled::Nothing => return,
-                Filled::NoBuffer if hands.net.peer_ended(conn) => return self.close(conn, hands),
-                Filled::NoBuffer => {
+                ReadOutcome::Nothing => return,
+                ReadOutcome::NoBuffer if hands.net.peer_ended(conn) => return self.close(conn, hands),
+                ReadOutcome::NoBuffer => {
                     // Guards those who ask against those who hold the buffers with half a request.
                     self.free_a_buffer(conn, hands);
                     return;
                 }
-                Filled::Ended => return self.close(conn, hands),
+                ReadOutcome::Ended => return self.close(conn, hands),
             }
             if !self.clients.contains_key(&conn) {
                 return;
@@ -256,7 +256,7 @@
         self.reply(conn, status, headers, b"", hands);
     }
 
-    fn open(&mut self, conn: ConnId, ask: QueryRequest<Carried>, hands: &mut Platform) {
+    fn open(&mut self, conn: ConnId, ask: QueryRequest<RequestContext>, hands: &mut Platform) {
         let id = ask.payload.id.clone();
         match hands.engine.submit(hands.now, ask) {
             Ok(query) => {
@@ -313,7 +313,7 @@
         &mut self,
         query: QueryId,
         answer: QueryOutcome<String>,
-        hands: &mut FrontendContext<Carried, String>,
+        hands: &mut FrontendContext<RequestContext, String>,
     ) {
         let Some(conn) = self.waiting.remove(&query) else { return };
         if let Some(client) = self.clients.get_mut(&conn) {
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -1,21 +1,21 @@
 //! The platform's front as a whole.
 
-use super::{Carried, Clients, LinkLimits, Servers};
+use super::{Downstream, RequestContext, Upstream, UpstreamLimits};
 use crate::admin;
 use crate::api::{Discovery, Nanos};
-use crate::config::{self, ConfigError, Platform};
+use crate::config::{self, ConfigError, PlatformConfig};
 use crate::engine::{EngineAction, QueryEngine};
-use crate::frontends::connection_slots::Places;
+use crate::frontends::connection_slots::ConnectionSlots;
 use crate::hot_restart::HotRestart;
 use crate::hot_restart::coordination::Limits;
-use crate::membership::poll_backoff::AskAgain;
-use crate::membership::{Layout, Roster, RosterSettings};
-use crate::net::{Clock, NetEvent, Place, Pool, Reactor, inherited};
+use crate::membership::poll_backoff::PollBackoff;
+use crate::membership::{PartitionLayout, Registry, RegistrySettings};
+use crate::net::{Clock, ConnectionClass, NetEvent, PollLoop, Pool, inherited};
 use crate::server::discovery_watch::DiscoveryWatch;
 use crate::server::drain::DrainPhase;
 use crate::server::membership_driver::MembershipDriver;
 use crate::server::{Broker, BrokerError, Frontend, FrontendContext};
-use crate::storage::snapshot_store::Keeper;
+use crate::storage::snapshot_store::SnapshotWriter;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -45,9 +45,9 @@
 const BUFFERS: usize = 4;
 
 /// The platform's port: clients, shard servers and discovery.
-pub struct PlatformFront {
-    clients: Clients,
-    servers: Servers,
+pub struct PlatformFrontend {
+    clients: Downstream,
+    servers: Upstream,
     membership: MembershipDriver,
     /// What is read again when the word comes.
     file: Option<PathBuf>,
@@ -62,7 +62,7 @@
 }
 
 /// Builds a broker that listens; tells where.
-pub fn broker(told: Platform) -> Result<(Broker<PlatformFront>, SocketAddr), BrokerError> {
+pub fn broker(told: PlatformConfig) -> Result<(Broker<PlatformFrontend>, SocketAddr), BrokerError> {
     let (settings, names) = config::settings(&told.params).map_err(ConfigError)?;
     let clock = Clock::start();
     let now = clock.now();
@@ -70,19 +70,19 @@
     // large fleet a broker meets more servers than clients: with a place for each server none is dialled twice.
     let apart = told.ops.map_or(0, |_| admin::PLACES);
     let (to_servers, most) = divide(told.sockets, apart);
-    let mut net = Reactor::new(Pool::within((told.memory_mb << 20) / BUFFERS), most)
+    let mut net = PollLoop::new(Pool::within((told.memory_mb << 20) / BUFFERS), most)
         .map_err(BrokerError::io("poll"))?;
-    let limits = LinkLimits {
+    let limits = UpstreamLimits {
         streams: told.params.streams(),
         dial_timeout: told.params.dial_timeout(),
         idle: told.params.idle(),
         silent: settings.classes.iter().map(|c| c.latency_objective).min().unwrap_or(SILENT).min(SILENT),
         most: to_servers,
     };
-    let mut servers = Servers::new(SERVERS, limits);
-    let (kept, keeper) = told.keep.as_deref().map_or((Vec::new(), None), Keeper::open);
-    let mut roster = Roster::new(RosterSettings {
-        layout: Layout { cells: settings.cells, span: settings.span },
+    let mut servers = Upstream::new(SERVERS, limits);
+    let (kept, keeper) = told.keep.as_deref().map_or((Vec::new(), None), SnapshotWriter::open);
+    let mut roster = Registry::new(RegistrySettings {
+        layout: PartitionLayout { cells: settings.cells, span: settings.span },
         cold_time: settings.slow_start_time,
         changes_every: CHANGES_EVERY,
         presumed_age: PRESUMED_AGE,
@@ -98,11 +98,11 @@
     };
     let handed = told.hand_over.as_deref().and_then(|dir| HotRestart::open(dir, limits_of_all, now));
     if let Some((_, _, lists)) = &handed {
-        roster.kept(lists, now);
+        roster.restore(lists, now);
     }
-    roster.kept(&kept, now);
+    roster.restore(&kept, now);
     if let Some(list) = &told.known {
-        roster.known(list, now);
+        roster.add_configured(list, now);
     }
     let out = handed.iter().flat_map(|(_, words, _)| words.out()).map(str::to_owned).collect::<Vec<_>>();
     let watch = DiscoveryWatch::new(ROSTER, told.discovery, told.params.dial_timeout());
@@ -115,12 +115,16 @@
             let grace = told.params.drain_grace();
             membership.poll_with_backoff(
                 watch,
-                AskAgain::new(grace / ASK_WITHIN, grace / ASK_WITHIN, told.seed),
+                PollBackoff::new(grace / ASK_WITHIN, grace / ASK_WITHIN, told.seed),
                 now,
             )
         }
     };
-    let clients = Clients::new(names, settings.shards, Places::new(most, told.sockets / CLIENTS_KEPT, IDLE));
+    let clients = Downstream::new(
+        names,
+        settings.shards,
+        ConnectionSlots::new(most, told.sockets / CLIENTS_KEPT, IDLE),
+    );
     let mut exchange = QueryEngine::new(settings, told.seed, now).map_err(|e| ConfigError(e.to_string()))?;
     let mut hands = FrontendContext { now, net: &mut net, engine: &mut exchange };
     membership.pass_on(&mut hands, |c| servers.place(c.listed.replica, c.addr));
@@ -132,7 +136,7 @@
     };
     let listening = listening.map_err(BrokerError::io("listen"))?;
     tracing::info!("{} listens at {listening}", told.name);
-    let front = PlatformFront { clients, servers, membership, file: told.file, apart };
+    let front = PlatformFrontend { clients, servers, membership, file: told.file, apart };
     let mut broker = Broker::new(clock, net, exchange, front);
     if let Some(ops) = told.ops {
         broker.listen_admin(ops)?;
@@ -143,11 +147,11 @@
     Ok((broker, listening))
 }
 
-impl Frontend for PlatformFront {
-    type Query = Carried;
+impl Frontend for PlatformFrontend {
+    type Query = RequestContext;
     type Value = String;
 
-    fn on_event(&mut self, event: NetEvent, hands: &mut FrontendContext<Carried, String>) {
+    fn on_event(&mut self, event: NetEvent, hands: &mut FrontendContext<RequestContext, String>) {
         match event.owner() {
             Some(CLIENTS) => self.clients.event(event, hands),
             Some(SERVERS) => self.servers.event(event, hands),
@@ -156,13 +160,17 @@
         }
     }
 
-    fn tick(&mut self, hands: &mut FrontendContext<Carried, String>) {
+    fn tick(&mut self, hands: &mut FrontendContext<RequestContext, String>) {
         self.servers.tick(hands);
         self.clients.tick(hands);
         self.membership.tick(hands, |c| self.servers.place(c.listed.replica, c.addr));
     }
 
-    fn perform(&mut self, work: EngineAction<Carried, String>, hands: &mut FrontendContext<Carried, String>) {
+    fn perform(
+        &mut self,
+        work: EngineAction<RequestContext, String>,
+        hands: &mut FrontendContext<RequestContext, String>,
+    ) {
         match work {
             EngineAction::Call { replica, parts } => self.servers.call(replica, parts, hands),
             EngineAction::CancelAttempt { attempt, .. } => self.servers.give_up(attempt, hands.net),
@@ -189,9 +197,9 @@
     }
 
     /// Discovery alone may move while the broker serves; all else holds from the start to the end.
-    fn reload(&mut self, hands: &mut FrontendContext<Carried, String>) {
+    fn reload(&mut self, hands: &mut FrontendContext<RequestContext, String>) {
         let Some(file) = &self.file else { return };
-        match Platform::from_file(file) {
+        match PlatformConfig::from_file(file) {
             Ok(told) => self.membership.move_to(told.discovery, hands.now, hands.net),
             // Guards the service against a file that is half written or wrong: what it was told before stays.
             Err(e) => tracing::error!("the configuration stays as it was: {e}"),
@@ -199,7 +207,7 @@
         self.membership.pass_on(hands, |c| self.servers.place(c.listed.replica, c.addr));
     }
 
-    fn close_idle(&mut self, hands: &mut FrontendContext<Carried, String>) {
+    fn close_idle(&mut self, hands: &mut FrontendContext<RequestContext, String>) {
         self.clients.close_idle(hands);
     }
 
@@ -223,15 +231,16 @@
         &mut self.membership
     }
 
-    fn limit_descriptors(&mut self, descriptors: usize, net: &mut Reactor) {
+    fn limit_descriptors(&mut self, descriptors: usize, net: &mut PollLoop) {
         // What is held stays; only the rest is divided. Callers at the second address may still come.
-        let rest = descriptors
-            .saturating_sub(net.descriptors() + self.apart - net.accepted_at(Place::Desk).min(self.apart));
+        let rest = descriptors.saturating_sub(
+            net.descriptors() + self.apart - net.accepted_at(ConnectionClass::Admin).min(self.apart),
+        );
         let servers = self.servers.links() + rest / 2;
         let clients = net.accepted() + rest - rest / 2;
         self.servers.keep_to(servers);
         self.clients.keep_to(clients, (descriptors / CLIENTS_KEPT).min(clients));
-        net.keep_to(clients);
+        net.limit_accepted(clients);
     }
 
     fn open_ids(&self) -> Vec<String> {
--- a/src/frontends/platform/query.rs
+++ b/src/frontends/platform/query.rs
@@ -1,6 +1,6 @@
 //! A client's request on the platform's port, and the answer to it.
 
-use super::Carried;
+use super::RequestContext;
 use crate::api::Nanos;
 use crate::config::Names;
 use crate::engine::{Answer, PartRequest, QueryRequest};
@@ -35,7 +35,7 @@
     body: &[u8],
     names: &Names,
     shards: u32,
-) -> Result<QueryRequest<Carried>, &'static str> {
+) -> Result<QueryRequest<RequestContext>, &'static str> {
     let id = head.header("req-id").ok_or("no Req-Id")?;
     // Guards the frames that the id stands in: it must be one word.
     if id.is_empty() || id.len() > MAX_ID || !id.bytes().all(|b| b.is_ascii_graphic()) {
@@ -70,7 +70,7 @@
         return Err("boosts that do not add up to 1");
     }
     let again = head.header("req-retry") == Some("1");
-    let payload = Rc::new(Carried { id: id.into(), text: body.text });
+    let payload = Rc::new(RequestContext { id: id.into(), text: body.text });
     Ok(QueryRequest { class, tenant, key, time_left, is_retry: again, parts, payload })
 }
 
--- a/src/frontends/platform/upstream.rs
+++ b/src/frontends/platform/upstream.rs
@@ -1,10 +1,10 @@
 //! The server side: connections to shard servers, which carry calls out and outcomes back.
 
-use super::Carried;
+use super::RequestContext;
 use super::frame::{self, End, FromServer, PartLine};
 use crate::api::{Nanos, Outcome, ReplicaId};
 use crate::engine::{AttemptId, AttemptOutcome, AttemptRequest};
-use crate::net::{ConnId, Filled, NetEvent, Reactor};
+use crate::net::{ConnId, NetEvent, PollLoop, ReadOutcome};
 use crate::server::FrontendContext;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -13,7 +13,7 @@
 /// Guards against a peer that vanished: nothing says so, and its connection stays open.
 const SILENT: Nanos = 4_000_000_000;
 
-type Platform<'a> = FrontendContext<'a, Carried, String>;
+type Platform<'a> = FrontendContext<'a, RequestContext, String>;
 
 /// A frame must be in whole so soon after its first byte. Guards against lengths that promise more than comes:
 /// the connection stays open, and nothing sent on it gets an answer.
@@ -26,7 +26,7 @@
 
 /// Limits on connections to shard servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LinkLimits {
+pub struct UpstreamLimits {
     /// Parts that one connection carries at once.
     pub streams: usize,
     /// A connection that is not up by then never comes up.
@@ -51,7 +51,7 @@
 /// A call that waits for its connection to come up, or to take what was written before.
 struct Waiting {
     since: Nanos,
-    parts: Vec<AttemptRequest<Carried>>,
+    parts: Vec<AttemptRequest<RequestContext>>,
 }
 
 struct Link {
@@ -90,20 +90,20 @@
 }
 
 /// All connections to shard servers.
-pub struct Servers {
+pub struct Upstream {
     owner: u8,
-    limits: LinkLimits,
+    limits: UpstreamLimits,
     addrs: HashMap<ReplicaId, SocketAddr>,
     links: BTreeMap<ConnId, Link>,
     by_attempt: HashMap<AttemptId, ConnId>,
     dialled: u64,
 }
 
-impl Servers {
+impl Upstream {
     /// The server side whose connections carry the mark `owner`.
-    pub fn new(owner: u8, limits: LinkLimits) -> Servers {
+    pub fn new(owner: u8, limits: UpstreamLimits) -> Upstream {
         let (addrs, links, by_attempt) = (HashMap::new(), BTreeMap::new(), HashMap::new());
-        Servers { owner, limits, addrs, links, by_attempt, dialled: 0 }
+        Upstream { owner, limits, addrs, links, by_attempt, dialled: 0 }
     }
 
     /// Connections that are open or coming up.
@@ -125,7 +125,12 @@
     }
 
     /// Sends one call.
-    pub fn call(&mut self, replica: ReplicaId, parts: Vec<AttemptRequest<Carried>>, hands: &mut Platform) {
+    pub fn call(
+        &mut self,
+        replica: ReplicaId,
+        parts: Vec<AttemptRequest<RequestContext>>,
+        hands: &mut Platform,
+    ) {
         let conn = match self.open_link(replica, parts.len(), hands) {
             Ok(conn) => conn,
             Err(outcome) => {
@@ -216,7 +221,7 @@
         replica: ReplicaId,
         parts: usize,
         now: Nanos,
-        net: &mut Reactor,
+        net: &mut PollLoop,
     ) -> Result<ConnId, Outcome> {
         let addr = *self.addrs.get(&replica).ok_or(Outcome::ConnectFailed)?;
         let heard = |l: &Link| {
@@ -261,7 +266,7 @@
     }
 
     /// Closes the connection that has carried nothing for longest. False while all are in use.
-    fn make_room(&mut self, net: &mut Reactor) -> bool {
+    fn make_room(&mut self, net: &mut PollLoop) -> bool {
         let unused = self.links.iter().filter(|(_, l)| l.load() == 0);
         let Some(conn) = unused.min_by_key(|(_, l)| l.used).map(|(conn, _)| *conn) else { return false };
         if let Some(link) = self.links.remove(&conn) {
@@ -272,7 +277,7 @@
     }
 
     /// Tells the shard server that nobody waits for a part.
-    pub fn give_up(&mut self, attempt: AttemptId, net: &mut Reactor) {
+    pub fn give_up(&mut self, attempt: AttemptId, net: &mut PollLoop) {
         let Some(conn) = self.by_attempt.remove(&attempt) else { return };
         let Some(link) = self.links.get_mut(&conn) else { return };
         if let Some(at) = link.riding.iter().position(|r| r.attempt == attempt) {
@@ -313,15 +318,15 @@
     fn read(&mut self, conn: ConnId, hands: &mut Platform) {
         while self.links.contains_key(&conn) {
             match hands.net.fill(conn) {
-                Filled::Some(_) => {
+                ReadOutcome::Some(_) => {
                     if let Some(link) = self.links.get_mut(&conn) {
                         link.unheard = None;
                     }
                     self.frames(conn, hands);
                 }
-                Filled::Nothing | Filled::NoBuffer => return,
-                Filled::Full => return self.spoilt(conn, "a frame larger than a buffer", hands),
-                Filled::Ended => return self.close(conn, hands),
+                ReadOutcome::Nothing | ReadOutcome::NoBuffer => return,
+                ReadOutcome::Full => return self.spoilt(conn, "a frame larger than a buffer", hands),
+                ReadOutcome::Ended => return self.close(conn, hands),
             }
         }
     }
--- a/src/hot_restart/mod.rs
+++ b/src/hot_restart/mod.rs
@@ -11,7 +11,7 @@
 pub mod state_directory;
 
 use crate::api::Nanos;
-use crate::membership::snapshot::Kept;
+use crate::membership::snapshot::Snapshot;
 use coordination::{Coordination, Limits, Peer, QuotaShare};
 use state::{Overrides, ProcessStage, ProcessState};
 use state_directory::{StateDirectory, StateUpdate};
@@ -45,7 +45,7 @@
 impl HotRestart {
     /// Takes its place: what staff said to the processes before, and their lists of servers. None where the directory
     /// can't be used: the process then starts as if it were alone.
-    pub fn open(dir: &Path, limits: Limits, now: Nanos) -> Option<(HotRestart, Overrides, Vec<Kept>)> {
+    pub fn open(dir: &Path, limits: Limits, now: Nanos) -> Option<(HotRestart, Overrides, Vec<Snapshot>)> {
         let (found, shelf) = match StateDirectory::open(dir) {
             Ok(opened) => opened,
             Err(e) => {
@@ -106,7 +106,7 @@
         holds: ResourceUsage,
         words: &Overrides,
         version: (u32, u64),
-        list: impl FnOnce() -> Kept,
+        list: impl FnOnce() -> Snapshot,
         now: Nanos,
     ) {
         self.due = now + EVERY;
--- a/src/hot_restart/state.rs
+++ b/src/hot_restart/state.rs
@@ -1,13 +1,13 @@
 //! What one process leaves for the next: the words of staff, and what must not be taken twice.
 
 use crate::api::Nanos;
-use crate::storage::checksummed_file::{Format, Unsound};
+use crate::storage::checksummed_file::{FileFormat, FileFormatError};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// The form on disk.
-pub const FORMAT: Format =
-    Format { magic: "pebbleturn-handover", what: "state handed over", version: 1, most: 1 << 20 };
+pub const FORMAT: FileFormat =
+    FileFormat { magic: "pebbleturn-handover", what: "state handed over", version: 1, most: 1 << 20 };
 /// Most words on servers that are kept; the oldest that let one in go first.
 const MOST_WORDS: usize = 4096;
 
@@ -101,12 +101,12 @@
 
 impl ProcessState {
     /// The bytes of a file.
-    pub fn encode(&self) -> Result<Vec<u8>, Unsound> {
+    pub fn encode(&self) -> Result<Vec<u8>, FileFormatError> {
         FORMAT.encode(self)
     }
 
     /// Reads a file back.
-    pub fn decode(bytes: &[u8]) -> Result<ProcessState, Unsound> {
+    pub fn decode(bytes: &[u8]) -> Result<ProcessState, FileFormatError> {
         FORMAT.decode(bytes)
     }
 }
--- a/src/hot_restart/state_directory.rs
+++ b/src/hot_restart/state_directory.rs
@@ -6,8 +6,8 @@
 
 use super::coordination::Peer;
 use super::state::ProcessState;
-use crate::membership::snapshot::{self, Kept};
-use crate::storage::{Disk, Files};
+use crate::membership::snapshot::{self, Snapshot};
+use crate::storage::{Disk, FileSystem};
 use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::{self, ErrorKind};
@@ -29,7 +29,7 @@
     /// The processes before it, the oldest first.
     pub peers: Vec<Peer>,
     /// Their lists of servers.
-    pub lists: Vec<Kept>,
+    pub lists: Vec<Snapshot>,
     /// What could not be used, and why.
     pub wrong: Vec<String>,
 }
@@ -40,7 +40,7 @@
     /// The state.
     pub state: ProcessState,
     /// The list of servers, where it has changed.
-    pub list: Option<Kept>,
+    pub list: Option<Snapshot>,
 }
 
 /// The directory, worked on by a thread of its own.
@@ -84,7 +84,7 @@
     }
 }
 
-fn list(dir: &Path, serial: u64) -> Result<Option<Kept>, String> {
+fn list(dir: &Path, serial: u64) -> Result<Option<Snapshot>, String> {
     let at = path(dir, serial, "list");
     match Disk.read(&at, snapshot::MOST_BYTES) {
         Ok(bytes) => snapshot::decode(&bytes).map(Some).map_err(|e| format!("{}: {e}", at.display())),
--- a/src/membership/endpoint_list.rs
+++ b/src/membership/endpoint_list.rs
@@ -1,11 +1,11 @@
 //! Discovery's own form of the list, as it stands on the wire and in the configuration.
 
-use super::{Fact, State};
+use super::{NodeRecord, NodeState};
 use serde::{Deserialize, Serialize};
 
 /// The list as discovery tells it, or what changed in it.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct ServerList {
+pub struct EndpointList {
     /// Its version.
     pub version: u64,
     /// All of it.
@@ -14,12 +14,12 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub as_of_ms: Option<u64>,
     /// The entries.
-    pub servers: Vec<ServerLine>,
+    pub servers: Vec<Endpoint>,
 }
 
 /// One entry.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct ServerLine {
+pub struct Endpoint {
     /// Its id.
     pub id: String,
     /// Its address, as text.
@@ -34,16 +34,16 @@
     #[serde(default)]
     pub cell: u32,
     /// What became of its process.
-    pub state: State,
+    pub state: NodeState,
     /// Unix time of its start, ms; 0: long ago.
     #[serde(default)]
     pub started_ms: u64,
 }
 
-impl ServerLine {
+impl Endpoint {
     /// What it says of the node. An address that can't be read is none.
-    pub fn fact(&self) -> Fact {
-        Fact {
+    pub fn fact(&self) -> NodeRecord {
+        NodeRecord {
             id: self.id.clone(),
             addr: self.addr.parse().ok(),
             zone: self.zone.clone().unwrap_or_default(),
--- a/src/membership/gossip_hints.rs
+++ b/src/membership/gossip_hints.rs
@@ -3,7 +3,7 @@
 //! A node that somebody has heard to drain is shown as draining until this broker's own list is as new, or the node has
 //! started anew; a start that somebody has heard of counts where it is later than one's own. No node is named by it.
 
-use super::Change;
+use super::NodeChange;
 use crate::api::{Nanos, ReplicaState};
 use crate::replication::ProcessStart;
 use crate::replication::derived_state::NodeHints;
@@ -11,7 +11,7 @@
 
 /// Where this broker's own word on a node comes from.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Own {
+pub struct LocalHints {
     /// Its start as the own list has it, unix ns; 0: long ago.
     pub started: Nanos,
     /// The own list's version.
@@ -23,15 +23,15 @@
 
 /// What others have heard, and what the own sources say.
 #[derive(Debug, Default)]
-pub struct Others {
+pub struct PeerHints {
     heard: BTreeMap<String, NodeHints>,
     /// The last that the own sources told of each node that is listed.
-    own: BTreeMap<String, (Change, Own)>,
+    own: BTreeMap<String, (NodeChange, LocalHints)>,
 }
 
-impl Others {
+impl PeerHints {
     /// The drain that others have heard of holds a node back.
-    fn holds(heard: &NodeHints, own: Own) -> bool {
+    fn holds(heard: &NodeHints, own: LocalHints) -> bool {
         let drained = |d: &ProcessStart| {
             let later = d.started > own.started || (d.started == own.started && d.version > own.version);
             // One that started after it was told to drain is another process.
@@ -40,12 +40,12 @@
         heard.drain.as_ref().is_some_and(drained)
     }
 
-    fn shown(&self, change: &Change, own: Own) -> Change {
+    fn shown(&self, change: &NodeChange, own: LocalHints) -> NodeChange {
         let mut change = change.clone();
         if let Some(heard) = self.heard.get(&change.id)
             && change.listed.state != ReplicaState::Removed
         {
-            if change.listed.state == ReplicaState::Active && Others::holds(heard, own) {
+            if change.listed.state == ReplicaState::Active && PeerHints::holds(heard, own) {
                 change.listed.state = ReplicaState::Draining;
             }
             if heard.started > own.started {
@@ -56,7 +56,7 @@
     }
 
     /// What is to be told on, of changes that the own sources bring; `own` tells what these rest on.
-    pub fn pass(&mut self, changes: Vec<Change>, own: impl Fn(&str) -> Own) -> Vec<Change> {
+    pub fn pass(&mut self, changes: Vec<NodeChange>, own: impl Fn(&str) -> LocalHints) -> Vec<NodeChange> {
         changes
             .into_iter()
             .map(|change| {
@@ -80,7 +80,7 @@
     }
 
     /// Others have heard this of a node. Tells what is to be told on, if this broker's own list names it.
-    pub fn heard(&mut self, id: &str, heard: NodeHints) -> Option<Change> {
+    pub fn heard(&mut self, id: &str, heard: NodeHints) -> Option<NodeChange> {
         let before = self.own.get(id).map(|(c, own)| self.shown(c, *own));
         self.heard.insert(id.to_owned(), heard);
         if self.heard.len() > MOST {
@@ -95,7 +95,7 @@
 
     /// The own list has another version, or discovery counts anew (`anew`: what others heard before says nothing any
     /// more). Tells what is to be told on.
-    pub fn relist(&mut self, anew: bool, own: impl Fn(&str) -> Own) -> Vec<Change> {
+    pub fn relist(&mut self, anew: bool, own: impl Fn(&str) -> LocalHints) -> Vec<NodeChange> {
         let mut changes = Vec::new();
         let ids: Vec<String> = self.heard.keys().filter(|id| self.own.contains_key(*id)).cloned().collect();
         for id in ids {
@@ -123,8 +123,8 @@
 
     /// Nodes that are held back.
     pub fn held(&self) -> usize {
-        let held = |(id, (_, own)): (&String, &(Change, Own))| {
-            self.heard.get(id).is_some_and(|h| Others::holds(h, *own))
+        let held = |(id, (_, own)): (&String, &(NodeChange, LocalHints))| {
+            self.heard.get(id).is_some_and(|h| PeerHints::holds(h, *own))
         };
         self.own.iter().filter(|e| held(*e)).count()
     }
--- a/src/membership/manual_override.rs
+++ b/src/membership/manual_override.rs
@@ -3,30 +3,30 @@
 //! What the other sources have come to say of each server is kept as it is, and shown as draining while the word holds:
 //! a server that moves, goes and comes back, or restarts meanwhile stays out.
 
-use super::Change;
+use super::NodeChange;
 use crate::api::{ReplicaId, ReplicaState};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// An id that no list has ever named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NeverListed;
+pub struct UnknownNode;
 
 /// Most servers that are gone and still known by their ids.
 const MOST_GONE: usize = 4096;
 
 /// Who is out by hand, and what would hold otherwise.
 #[derive(Debug, Default)]
-pub struct ByHand {
+pub struct ManualOverrides {
     out: BTreeSet<String>,
     /// The last that was told of each server.
-    told: BTreeMap<String, Change>,
+    told: BTreeMap<String, NodeChange>,
     gone: BTreeSet<String>,
 }
 
-impl ByHand {
+impl ManualOverrides {
     /// Nobody is out but these: what an earlier process handed over.
-    pub fn with(out: impl IntoIterator<Item = String>) -> ByHand {
-        ByHand { out: out.into_iter().collect(), ..ByHand::default() }
+    pub fn with(out: impl IntoIterator<Item = String>) -> ManualOverrides {
+        ManualOverrides { out: out.into_iter().collect(), ..ManualOverrides::default() }
     }
 
     /// Servers of the list that are out.
@@ -47,11 +47,11 @@
     }
 
     /// What is to be told on, of changes that the other sources bring.
-    pub fn pass(&mut self, changes: Vec<Change>) -> Vec<Change> {
+    pub fn pass(&mut self, changes: Vec<NodeChange>) -> Vec<NodeChange> {
         changes.into_iter().map(|change| self.one(change)).collect()
     }
 
-    fn one(&mut self, change: Change) -> Change {
+    fn one(&mut self, change: NodeChange) -> NodeChange {
         if change.listed.state == ReplicaState::Removed {
             // Guards memory over a long run: the oldest name goes first, as far as names tell.
             if self.gone.len() >= MOST_GONE
@@ -73,7 +73,7 @@
         shown
     }
 
-    fn shown(&self, mut change: Change) -> Change {
+    fn shown(&self, mut change: NodeChange) -> NodeChange {
         if change.listed.state == ReplicaState::Active && self.out.contains(&change.id) {
             change.listed.state = ReplicaState::Draining;
         }
@@ -81,18 +81,18 @@
     }
 
     /// Takes a server out. Again makes no difference. Tells what is to be told on.
-    pub fn suspend(&mut self, id: &str, ever_listed: bool) -> Result<Option<Change>, NeverListed> {
+    pub fn suspend(&mut self, id: &str, ever_listed: bool) -> Result<Option<NodeChange>, UnknownNode> {
         if !ever_listed && !self.knows(id) {
-            return Err(NeverListed);
+            return Err(UnknownNode);
         }
         let new = self.out.insert(id.to_owned());
         Ok(self.told.get(id).filter(|_| new).map(|c| self.shown(c.clone())))
     }
 
     /// Puts a server back, however often it was taken out. Tells what is to be told on.
-    pub fn restore(&mut self, id: &str, ever_listed: bool) -> Result<Option<Change>, NeverListed> {
+    pub fn restore(&mut self, id: &str, ever_listed: bool) -> Result<Option<NodeChange>, UnknownNode> {
         if !ever_listed && !self.knows(id) {
-            return Err(NeverListed);
+            return Err(UnknownNode);
         }
         let was = self.out.remove(id);
         Ok(self.told.get(id).filter(|_| was).cloned())
--- a/src/membership/merged_view.rs
+++ b/src/membership/merged_view.rs
@@ -6,7 +6,7 @@
 //! order, so any order of the same facts ends in the same belief. A drain gives way only to a higher stamp or to a
 //! start after it was learnt; to the first list of a source that counts anew it gives way only by such a start.
 
-use super::{Fact, Rank, Stamp, State};
+use super::{NodeRecord, NodeState, SourcePriority, SourceVersion};
 use crate::api::Nanos;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -17,20 +17,20 @@
 
 /// A fact with its place and the time it was first heard.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Known {
+pub struct VersionedRecord {
     /// The fact.
-    pub fact: Fact,
+    pub fact: NodeRecord,
     /// Its place in its source's order.
-    pub stamp: Stamp,
+    pub stamp: SourceVersion,
     /// When this broker first heard it, unix ns.
     pub heard: Nanos,
     /// It comes from the first list of a source that counts anew, and may be from before what was learnt last.
     pub anew: bool,
 }
 
-type Key<'a> = (Stamp, State, &'a Fact, Reverse<Nanos>, bool);
+type Key<'a> = (SourceVersion, NodeState, &'a NodeRecord, Reverse<Nanos>, bool);
 
-impl Known {
+impl VersionedRecord {
     fn key(&self) -> Key<'_> {
         // The earlier hearing of one fact counts: a drain is learnt once.
         (self.stamp, self.fact.state, &self.fact, Reverse(self.heard), self.anew)
@@ -43,36 +43,38 @@
     /// Whether it can name a later life: ready, with a start that had been when it was heard. Guards against
     /// starts in the future, which would outlast every drain.
     fn tells_life(&self) -> bool {
-        self.fact.state == State::Ready && self.fact.started > 0 && self.fact.started <= self.heard
+        self.fact.state == NodeState::Ready && self.fact.started > 0 && self.fact.started <= self.heard
     }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Held {
-    latest: Known,
+    latest: VersionedRecord,
     /// The last word that it drains or is gone, and the last that it is ready, but for lists that count anew.
-    drain: Option<Known>,
-    ready: Option<Known>,
+    drain: Option<VersionedRecord>,
+    ready: Option<VersionedRecord>,
     /// The word of the latest start.
-    life: Option<Known>,
+    life: Option<VersionedRecord>,
 }
 
 impl Held {
-    fn new(known: Known) -> Held {
+    fn new(known: VersionedRecord) -> Held {
         let mut held = Held { latest: known.clone(), drain: None, ready: None, life: None };
         held.take(&known);
         held
     }
 
-    fn take(&mut self, known: &Known) {
+    fn take(&mut self, known: &VersionedRecord) {
         if known.key() > self.latest.key() {
             self.latest = known.clone();
         }
-        let higher = |held: &Option<Known>| held.as_ref().is_none_or(|h| known.key() > h.key());
+        let higher = |held: &Option<VersionedRecord>| held.as_ref().is_none_or(|h| known.key() > h.key());
         match known.fact.state {
-            State::Ready if known.anew => {}
-            State::Ready if higher(&self.ready) => self.ready = Some(known.clone()),
-            State::Terminating | State::Gone if higher(&self.drain) => self.drain = Some(known.clone()),
+            NodeState::Ready if known.anew => {}
+            NodeState::Ready if higher(&self.ready) => self.ready = Some(known.clone()),
+            NodeState::Terminating | NodeState::Gone if higher(&self.drain) => {
+                self.drain = Some(known.clone())
+            }
             _ => {}
         }
         if known.tells_life() && self.life.as_ref().is_none_or(|l| known.life() > l.life()) {
@@ -81,7 +83,7 @@
     }
 
     /// The fact that speaks for the node, but for later lives.
-    fn speaks(&self) -> &Known {
+    fn speaks(&self) -> &VersionedRecord {
         match &self.drain {
             // A list that counts anew may be from before the drain.
             Some(d) if self.latest.anew && self.ready.as_ref().is_none_or(|r| r.stamp < d.stamp) => d,
@@ -90,7 +92,7 @@
     }
 
     /// All that is held, each fact once.
-    fn facts(&self) -> impl Iterator<Item = &Known> {
+    fn facts(&self) -> impl Iterator<Item = &VersionedRecord> {
         let all = [Some(&self.latest), self.drain.as_ref(), self.ready.as_ref(), self.life.as_ref()];
         (0..4).filter_map(move |n| all[n].filter(|k| !all[..n].contains(&Some(*k))))
     }
@@ -101,9 +103,9 @@
 struct Told {
     nodes: BTreeMap<String, Held>,
     /// Stamp of the latest whole list, and when it was first heard.
-    whole: Option<(Stamp, Reverse<Nanos>)>,
+    whole: Option<(SourceVersion, Reverse<Nanos>)>,
     /// Facts up to here about nodes that are not known are not believed.
-    forgotten: Option<Stamp>,
+    forgotten: Option<SourceVersion>,
     /// Nodes that were held when those that are gone were last counted.
     counted: usize,
 }
@@ -124,7 +126,7 @@
         Told { nodes: BTreeMap::new(), whole: None, forgotten: None, counted: 0 }
     }
 
-    fn take(&mut self, known: Known) {
+    fn take(&mut self, known: VersionedRecord) {
         if let Some(held) = self.nodes.get_mut(&known.fact.id) {
             held.take(&known);
         } else if self.forgotten.is_none_or(|f| known.stamp > f) {
@@ -133,20 +135,20 @@
     }
 
     /// What is believed of a node, and since when that has been known.
-    fn view<'a>(&'a self, held: &'a Held) -> View<'a> {
+    fn view<'a>(&'a self, held: &'a Held) -> NodeView<'a> {
         let replaced = self.whole.filter(|(stamp, _)| held.latest.stamp < *stamp);
         let speaks = held.speaks();
         let (state, learnt) = match replaced {
             // A whole list that leaves it out, unless it was known to be gone before.
-            Some((_, Reverse(heard))) if speaks.fact.state == State::Ready => (State::Gone, heard),
-            Some((_, Reverse(heard))) => (State::Gone, heard.max(speaks.heard)),
+            Some((_, Reverse(heard))) if speaks.fact.state == NodeState::Ready => (NodeState::Gone, heard),
+            Some((_, Reverse(heard))) => (NodeState::Gone, heard.max(speaks.heard)),
             _ => (speaks.fact.state, speaks.heard),
         };
         match &held.life {
-            Some(life) if state != State::Ready && life.fact.started > learnt => {
-                View { known: life, state: State::Ready, learnt: life.heard }
+            Some(life) if state != NodeState::Ready && life.fact.started > learnt => {
+                NodeView { known: life, state: NodeState::Ready, learnt: life.heard }
             }
-            _ => View { known: speaks, state, learnt },
+            _ => NodeView { known: speaks, state, learnt },
         }
     }
 
@@ -155,9 +157,9 @@
             return;
         }
         self.counted = self.nodes.len();
-        let mut gone: Vec<(Stamp, String)> = Vec::new();
+        let mut gone: Vec<(SourceVersion, String)> = Vec::new();
         for (id, held) in &self.nodes {
-            if self.view(held).state == State::Gone {
+            if self.view(held).state == NodeState::Gone {
                 gone.push((held.latest.stamp, id.clone()));
             }
         }
@@ -177,33 +179,33 @@
 
 /// What is believed of one node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct View<'a> {
+pub struct NodeView<'a> {
     /// The fact that speaks for it.
-    pub known: &'a Known,
+    pub known: &'a VersionedRecord,
     /// Its state: the fact's own, or gone where a whole list left the node out.
-    pub state: State,
+    pub state: NodeState,
     /// When that was learnt.
     pub learnt: Nanos,
 }
 
 /// What is believed of all nodes.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Belief {
+pub struct MergedView {
     operator: Told,
     directory: Told,
 }
 
-impl Default for Belief {
-    fn default() -> Belief {
-        Belief { operator: Told::new(), directory: Told::new() }
+impl Default for MergedView {
+    fn default() -> MergedView {
+        MergedView { operator: Told::new(), directory: Told::new() }
     }
 }
 
-impl Belief {
-    fn told(&mut self, rank: Rank) -> &mut Told {
+impl MergedView {
+    fn told(&mut self, rank: SourcePriority) -> &mut Told {
         match rank {
-            Rank::Operator => &mut self.operator,
-            Rank::Directory => &mut self.directory,
+            SourcePriority::Operator => &mut self.operator,
+            SourcePriority::Directory => &mut self.directory,
         }
     }
 
@@ -211,14 +213,14 @@
     /// `anew`: the first of a source that counts anew.
     pub fn take(
         &mut self,
-        stamp: Stamp,
+        stamp: SourceVersion,
         (full, anew): (bool, bool),
-        facts: impl IntoIterator<Item = Fact>,
+        facts: impl IntoIterator<Item = NodeRecord>,
         heard: Nanos,
     ) {
         let told = self.told(stamp.rank);
         for fact in facts {
-            told.take(Known { fact, stamp, heard, anew });
+            told.take(VersionedRecord { fact, stamp, heard, anew });
         }
         if full {
             told.whole = told.whole.max(Some((stamp, Reverse(heard))));
@@ -227,12 +229,12 @@
     }
 
     /// Takes in one fact with a stamp and time of its own: one that was kept.
-    pub fn take_known(&mut self, known: Known) {
+    pub fn take_known(&mut self, known: VersionedRecord) {
         self.told(known.stamp.rank).take(known);
     }
 
     /// A whole list with this stamp was heard then.
-    pub fn take_whole(&mut self, stamp: Stamp, heard: Nanos) {
+    pub fn take_whole(&mut self, stamp: SourceVersion, heard: Nanos) {
         let told = self.told(stamp.rank);
         told.whole = told.whole.max(Some((stamp, Reverse(heard))));
     }
@@ -244,21 +246,21 @@
     }
 
     /// Stamp of a source's latest whole list, and when it was first heard.
-    pub fn whole(&self, rank: Rank) -> Option<(Stamp, Nanos)> {
-        let told = if rank == Rank::Operator { &self.operator } else { &self.directory };
+    pub fn whole(&self, rank: SourcePriority) -> Option<(SourceVersion, Nanos)> {
+        let told = if rank == SourcePriority::Operator { &self.operator } else { &self.directory };
         told.whole.map(|(stamp, Reverse(heard))| (stamp, heard))
     }
 
     /// What is believed of a node. An operator's node is in until the directory says that it drains or is gone.
-    pub fn view(&self, id: &str) -> Option<View<'_>> {
-        let of = |told: &'_ Told| -> Option<(Stamp, bool)> {
-            told.nodes.get(id).map(|h| (h.latest.stamp, told.view(h).state == State::Ready))
+    pub fn view(&self, id: &str) -> Option<NodeView<'_>> {
+        let of = |told: &'_ Told| -> Option<(SourceVersion, bool)> {
+            told.nodes.get(id).map(|h| (h.latest.stamp, told.view(h).state == NodeState::Ready))
         };
         let told = match (of(&self.operator), of(&self.directory)) {
             (Some((_, true)), Some((stamp, false))) => {
                 // Left out of the directory's whole list: it may never have belonged there.
                 let left_out = self.directory.whole.is_some_and(|(whole, _)| stamp < whole)
-                    && self.directory.nodes.get(id).is_some_and(|h| h.latest.fact.state == State::Ready);
+                    && self.directory.nodes.get(id).is_some_and(|h| h.latest.fact.state == NodeState::Ready);
                 if left_out { &self.operator } else { &self.directory }
             }
             (_, Some(_)) => &self.directory,
@@ -275,17 +277,17 @@
     }
 
     /// The directory's facts that are held, of each node up to four.
-    pub fn directory(&self) -> impl Iterator<Item = &Known> {
+    pub fn directory(&self) -> impl Iterator<Item = &VersionedRecord> {
         self.directory.nodes.values().flat_map(Held::facts)
     }
 
     /// Facts up to this stamp about unknown nodes are not believed.
-    pub fn forgotten(&self) -> Option<Stamp> {
+    pub fn forgotten(&self) -> Option<SourceVersion> {
         self.directory.forgotten
     }
 
     /// Sets what `forgotten` tells, from a kept list.
-    pub fn forget_to(&mut self, stamp: Stamp) {
+    pub fn forget_to(&mut self, stamp: SourceVersion) {
         self.directory.forgotten = self.directory.forgotten.max(Some(stamp));
     }
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -9,7 +9,7 @@
 //! - [`poll_backoff`] spaces out further calls for the list;
 //! - [`snapshot`] is the form in which a belief outlives the process;
 //! - [`manual_override`] and [`gossip_hints`] make what is told on more careful, by staff's words and by other brokers';
-//! - [`Roster`] ties them together.
+//! - [`Registry`] ties them together.
 
 pub mod endpoint_list;
 pub mod gossip_hints;
@@ -22,8 +22,8 @@
 pub mod staleness;
 pub mod status_report;
 
-pub use manual_override::{ByHand, NeverListed};
-pub use registry::{Change, Layout, Note, Roster, RosterSettings};
+pub use manual_override::{ManualOverrides, UnknownNode};
+pub use registry::{NodeChange, NodeStatus, PartitionLayout, Registry, RegistrySettings};
 
 use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
@@ -32,7 +32,7 @@
 /// What a source says of a node's process. The order is that of severity: of two facts with one stamp the
 /// severer is believed.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum State {
+pub enum NodeState {
     /// It takes work.
     Ready,
     /// It finishes what it has and wants nothing new.
@@ -44,7 +44,7 @@
 
 /// One node as a source tells of it.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Fact {
+pub struct NodeRecord {
     /// The same for every broker, never used for two nodes at once.
     pub id: String,
     /// Where it is; none where the source names no usable address.
@@ -56,14 +56,14 @@
     /// The cell that determines the partitions it holds.
     pub cell: u32,
     /// What became of its process.
-    pub state: State,
+    pub state: NodeState,
     /// Unix time of its process's start, ns; 0: long ago.
     pub started: Nanos,
 }
 
 /// Who tells. A later one overrides an earlier one.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Rank {
+pub enum SourcePriority {
     /// A file of nodes that an operator keeps.
     Operator,
     /// Discovery, be it live, by a kept list or by the list that the configuration carries.
@@ -72,18 +72,18 @@
 
 /// The place of a fact in its source's own order. It owes nothing to clocks.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Stamp {
+pub struct SourceVersion {
     /// Who told.
-    pub rank: Rank,
+    pub rank: SourcePriority,
     /// How often the source began to count anew, as far as this broker saw.
     pub epoch: u32,
     /// The source's version.
     pub version: u64,
 }
 
-impl Stamp {
+impl SourceVersion {
     /// The first stamp of a source: older than all others of its own.
-    pub fn zero(rank: Rank) -> Stamp {
-        Stamp { rank, epoch: 0, version: 0 }
+    pub fn zero(rank: SourcePriority) -> SourceVersion {
+        SourceVersion { rank, epoch: 0, version: 0 }
     }
 }
--- a/src/membership/poll_backoff.rs
+++ b/src/membership/poll_backoff.rs
@@ -9,18 +9,18 @@
 
 /// Waits between calls for the list.
 #[derive(Clone, Debug)]
-pub struct AskAgain {
+pub struct PollBackoff {
     rng: Pcg64Mcg,
     first: Nanos,
     most: Nanos,
     bound: Nanos,
 }
 
-impl AskAgain {
+impl PollBackoff {
     /// Waits whose bound starts at `first` and doubles up to `most`.
-    pub fn new(first: Nanos, most: Nanos, seed: u64) -> AskAgain {
+    pub fn new(first: Nanos, most: Nanos, seed: u64) -> PollBackoff {
         let first = first.max(1);
-        AskAgain { rng: Pcg64Mcg::seed_from_u64(seed), first, most: most.max(first), bound: first }
+        PollBackoff { rng: Pcg64Mcg::seed_from_u64(seed), first, most: most.max(first), bound: first }
     }
 
     /// A call failed: so long until the next. Never less than a quarter of the bound, so that one broker alone
@@ -49,7 +49,7 @@
         // Sixty brokers that lost discovery at one moment: how many ask again within any 100 ms, later on.
         let mut asks: Vec<Nanos> = Vec::new();
         for seed in 0..60 {
-            let mut again = AskAgain::new(500 * MS, 8000 * MS, seed);
+            let mut again = PollBackoff::new(500 * MS, 8000 * MS, seed);
             let mut at = 0;
             while at < 40_000 * MS {
                 at += again.failed();
@@ -63,7 +63,7 @@
 
     #[test]
     fn the_wait_grows_to_its_bound_and_an_answer_resets_it() {
-        let mut again = AskAgain::new(500 * MS, 4000 * MS, 7);
+        let mut again = PollBackoff::new(500 * MS, 4000 * MS, 7);
         let waits: Vec<Nanos> = (0..20).map(|_| again.failed()).collect();
         assert!(waits[0] <= 500 * MS && waits.iter().all(|w| *w <= 4000 * MS && *w >= 125 * MS));
         assert!(waits[4..].iter().any(|w| *w > 2000 * MS));
--- a/src/membership/probation.rs
+++ b/src/membership/probation.rs
@@ -8,14 +8,14 @@
 
 /// How the partitions lie: partition p is held by the nodes of cells p, p + 1, ... modulo `cells`, `span` of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Layout {
+pub struct PartitionLayout {
     /// Number of cells.
     pub cells: u32,
     /// Cells that hold a partition.
     pub span: u32,
 }
 
-impl Layout {
+impl PartitionLayout {
     /// The groups of partitions that a cell holds; partitions whose numbers are the same modulo `cells` have the
     /// same holders and make one group.
     pub(crate) fn groups(self, cell: u32) -> impl Iterator<Item = usize> {
@@ -26,7 +26,7 @@
 
 /// How a node stands before the choice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stands {
+pub enum Admission {
     /// Confirmed, or trusted as if it were.
     Sure,
     /// Unconfirmed, and it gets work.
@@ -45,20 +45,20 @@
     /// How far it is trusted.
     pub trust: f64,
     /// How it stands.
-    pub stands: Stands,
+    pub stands: Admission,
 }
 
 /// Whether each candidate gets work, after so many steps since the first of them was believed. Where there is a
 /// choice, those that come first in the list are let in first.
-pub fn admit(layout: Layout, candidates: &[Candidate], steps: usize) -> Vec<bool> {
+pub fn admit(layout: PartitionLayout, candidates: &[Candidate], steps: usize) -> Vec<bool> {
     let cells = layout.cells.max(1) as usize;
     let (mut there, mut trusted, mut count) = (vec![0; cells], vec![0.0; cells], vec![0; cells]);
     let mut let_in = vec![false; candidates.len()];
     for (c, yes) in candidates.iter().zip(&mut let_in) {
-        *yes = matches!(c.stands, Stands::Sure | Stands::Let);
+        *yes = matches!(c.stands, Admission::Sure | Admission::Let);
         for g in layout.groups(c.cell) {
             there[g] += usize::from(*yes);
-            if c.stands != Stands::Sure {
+            if c.stands != Admission::Sure {
                 trusted[g] += c.trust;
                 count[g] += 1;
             }
@@ -67,14 +67,14 @@
     let wanted: Vec<usize> = (0..cells)
         .map(|g| staleness::at_once(trusted[g] / f64::max(count[g] as f64, 1.0), count[g]) + steps)
         .collect();
-    for (c, yes) in candidates.iter().zip(&mut let_in).filter(|(c, _)| c.stands == Stands::Waits) {
+    for (c, yes) in candidates.iter().zip(&mut let_in).filter(|(c, _)| c.stands == Admission::Waits) {
         if layout.groups(c.cell).any(|g| there[g] < wanted[g]) {
             *yes = true;
             layout.groups(c.cell).for_each(|g| there[g] += 1);
         }
     }
     // Guards partitions against distrust: a doubtful holder is better than none.
-    for (c, yes) in candidates.iter().zip(&mut let_in).filter(|(c, _)| c.stands == Stands::Failed) {
+    for (c, yes) in candidates.iter().zip(&mut let_in).filter(|(c, _)| c.stands == Admission::Failed) {
         if layout.groups(c.cell).any(|g| there[g] == 0) {
             *yes = true;
         }
@@ -86,9 +86,9 @@
 mod tests {
     use super::*;
 
-    const RING: Layout = Layout { cells: 8, span: 4 };
+    const RING: PartitionLayout = PartitionLayout { cells: 8, span: 4 };
 
-    fn all(trust: f64, stands: Stands) -> Vec<Candidate> {
+    fn all(trust: f64, stands: Admission) -> Vec<Candidate> {
         (0..16).map(|n| Candidate { cell: n % 8, trust, stands }).collect()
     }
 
@@ -101,7 +101,7 @@
     fn the_less_the_trust_the_fewer_get_work_at_once_and_each_partition_has_two() {
         let mut before = 16;
         for trust in [0.97, 0.7, 0.4, 0.01] {
-            let let_in = admit(RING, &all(trust, Stands::Waits), 0);
+            let let_in = admit(RING, &all(trust, Admission::Waits), 0);
             let n = let_in.iter().filter(|x| **x).count();
             assert!(n <= before && (0..8).all(|p| holders(&let_in, p) >= 2), "{n} at {trust}");
             before = n;
@@ -111,19 +111,19 @@
 
     #[test]
     fn with_time_all_are_tried() {
-        let let_in = admit(RING, &all(0.01, Stands::Waits), 7);
+        let let_in = admit(RING, &all(0.01, Admission::Waits), 7);
         assert!(let_in.iter().all(|x| *x));
     }
 
     #[test]
     fn who_failed_stays_out_unless_a_partition_has_nobody_else() {
-        let mut some = all(0.3, Stands::Sure);
-        some[3].stands = Stands::Failed;
+        let mut some = all(0.3, Admission::Sure);
+        some[3].stands = Admission::Failed;
         assert!(!admit(RING, &some, 100)[3]);
-        let none = admit(RING, &all(0.3, Stands::Failed), 0);
+        let none = admit(RING, &all(0.3, Admission::Failed), 0);
         assert!((0..8).all(|p| holders(&none, p) > 0));
         // One cell alone holds on to its partitions.
-        let last = [Candidate { cell: 2, trust: 0.0, stands: Stands::Failed }];
+        let last = [Candidate { cell: 2, trust: 0.0, stands: Admission::Failed }];
         assert_eq!(admit(RING, &last, 0), [true]);
     }
 }
--- a/src/membership/registry.rs
+++ b/src/membership/registry.rs
@@ -1,12 +1,12 @@
 //! The roster: every source's news and every attempt's outcome in, lines for the exchange out.
 
-use super::endpoint_list::ServerList;
-use super::merged_view::Belief;
-pub use super::probation::Layout;
-use super::probation::{self, Candidate, Stands};
-use super::snapshot::{Kept, KeptNode};
-use super::staleness::{self, Rate};
-use super::{Fact, Rank, Stamp, State};
+use super::endpoint_list::EndpointList;
+use super::merged_view::MergedView;
+pub use super::probation::PartitionLayout;
+use super::probation::{self, Admission, Candidate};
+use super::snapshot::{Snapshot, SnapshotNode};
+use super::staleness::{self, ChangeRate};
+use super::{NodeRecord, NodeState, SourcePriority, SourceVersion};
 use crate::api::{Nanos, Outcome, ReplicaEntry, ReplicaId, ReplicaState};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -26,9 +26,9 @@
 
 /// What a roster is told at its start.
 #[derive(Clone, Debug)]
-pub struct RosterSettings {
+pub struct RegistrySettings {
     /// How the partitions lie.
-    pub layout: Layout,
+    pub layout: PartitionLayout,
     /// How long a started node is cold.
     pub cold_time: Nanos,
     /// Stated mean time between two changes of one node: a move, a replacement, a drain or a restart.
@@ -48,7 +48,7 @@
 
 /// One line for the exchange, and what the server side needs to know.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Change {
+pub struct NodeChange {
     /// For the exchange.
     pub listed: ReplicaEntry,
     /// The node's id.
@@ -64,11 +64,11 @@
 
 /// How one node stands, for those who ask.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Note {
+pub struct NodeStatus {
     /// What is believed.
-    pub fact: Fact,
+    pub fact: NodeRecord,
     /// Its state: gone where a whole list left it out.
-    pub state: State,
+    pub state: NodeState,
     /// When that was learnt, unix ns.
     pub learnt: Nanos,
     /// When it was last confirmed, unix ns; none: never.
@@ -108,9 +108,9 @@
 
 /// Membership: what is believed of all nodes, and what the exchange has been told of them.
 #[derive(Debug)]
-pub struct Roster {
-    settings: RosterSettings,
-    belief: Belief,
+pub struct Registry {
+    settings: RegistrySettings,
+    belief: MergedView,
     members: BTreeMap<String, Member>,
     by_replica: HashMap<ReplicaId, String>,
     next: u32,
@@ -121,11 +121,11 @@
     synced: Option<Nanos>,
     /// Since when the watch has been standing, as far as the rate of change goes.
     watched: Option<Nanos>,
-    rate: Rate,
+    rate: ChangeRate,
     operator_version: u64,
     /// When the first unconfirmed node was believed.
     began: Option<Nanos>,
-    changes: Vec<Change>,
+    changes: Vec<NodeChange>,
     /// Nodes that proved as fast as warm ones.
     warm: Vec<ReplicaId>,
     /// Times of the last good answers, of all nodes, while some count as cold for want of trust.
@@ -146,12 +146,12 @@
     written: Option<Nanos>,
 }
 
-impl Roster {
+impl Registry {
     /// A roster that knows nothing yet.
-    pub fn new(settings: RosterSettings) -> Roster {
-        Roster {
+    pub fn new(settings: RegistrySettings) -> Registry {
+        Registry {
             settings,
-            belief: Belief::default(),
+            belief: MergedView::default(),
             members: BTreeMap::new(),
             by_replica: HashMap::new(),
             next: 0,
@@ -159,7 +159,7 @@
             version: 0,
             synced: None,
             watched: None,
-            rate: Rate::NONE,
+            rate: ChangeRate::NONE,
             operator_version: 0,
             began: None,
             changes: Vec::new(),
@@ -180,7 +180,7 @@
     // ---- sources ----
 
     /// What was kept on disk, every generation of it. Comes before all other sources.
-    pub fn kept(&mut self, generations: &[Kept], now: Nanos) {
+    pub fn restore(&mut self, generations: &[Snapshot], now: Nanos) {
         for kept in generations {
             kept.add_to(&mut self.belief);
             let stamps = kept.nodes.iter().map(|n| (n.epoch, n.version));
@@ -213,7 +213,7 @@
     }
 
     fn confirm_from(&mut self, id: &str, at: Nanos) {
-        let Some(view) = self.belief.view(id).filter(|v| v.state != State::Gone) else { return };
+        let Some(view) = self.belief.view(id).filter(|v| v.state != NodeState::Gone) else { return };
         let Some(addr) = view.known.fact.addr else { return };
         let m = self.member(id.to_owned(), addr);
         m.confirmed = m.confirmed.max(Some(at));
@@ -241,9 +241,9 @@
     }
 
     /// The list that the configuration carries: as this broker last had it, in discovery's form.
-    pub fn known(&mut self, list: &ServerList, now: Nanos) {
+    pub fn add_configured(&mut self, list: &EndpointList, now: Nanos) {
         // After a discovery counted anew there is no telling whether this list is older: it must not undo anything.
-        let stamp = Stamp { rank: Rank::Directory, epoch: 0, version: list.version };
+        let stamp = SourceVersion { rank: SourcePriority::Directory, epoch: 0, version: list.version };
         let as_of = list.as_of_ms.map(|ms| self.believable(ms.saturating_mul(1_000_000), now));
         let as_of = as_of.unwrap_or_else(|| now.saturating_sub(self.settings.presumed_age));
         if self.epoch == 0 && list.version >= self.version {
@@ -257,9 +257,10 @@
     }
 
     /// The nodes of an operator's file: all there are, as of now.
-    pub fn operator(&mut self, nodes: Vec<Fact>, now: Nanos) {
+    pub fn set_operator_nodes(&mut self, nodes: Vec<NodeRecord>, now: Nanos) {
         self.operator_version += 1;
-        let stamp = Stamp { rank: Rank::Operator, epoch: 0, version: self.operator_version };
+        let stamp =
+            SourceVersion { rank: SourcePriority::Operator, epoch: 0, version: self.operator_version };
         let ids: Vec<String> = nodes.iter().map(|n| n.id.clone()).collect();
         self.belief.take(stamp, (true, false), nodes, now);
         for id in ids {
@@ -270,7 +271,7 @@
 
     /// What discovery tells; `first`: as the first thing on a new watch, which tells all that changed since the
     /// version that was asked for, or else the whole list. Tells whether it was believed.
-    pub fn directory(&mut self, list: &ServerList, first: bool, now: Nanos) -> bool {
+    pub fn on_discovery_update(&mut self, list: &EndpointList, first: bool, now: Nanos) -> bool {
         (self.answered, self.heard) = (true, true);
         self.dirty = true;
         let anew = list.version < self.version;
@@ -292,7 +293,8 @@
             (!list.full && !anew).then(|| list.servers.iter().map(|s| s.id.as_str()).collect());
         let (before, all) = self.believed(touched.as_deref());
         self.version = list.version;
-        let stamp = Stamp { rank: Rank::Directory, epoch: self.epoch, version: list.version };
+        let stamp =
+            SourceVersion { rank: SourcePriority::Directory, epoch: self.epoch, version: list.version };
         self.take(stamp, list, anew, now);
         if list.full || first {
             // All that was not named holds as it did.
@@ -307,7 +309,7 @@
             let assumed = self.members.values().filter(|m| m.assumed.is_some()).map(|m| m.replica);
             assumed.collect::<Vec<_>>().into_iter().for_each(|r| self.lift(r));
         }
-        self.in_sync(now);
+        self.on_heartbeat(now);
         self.unwritten = true;
         // The list as a whole was just confirmed: only what was named can have changed, if nothing else is open.
         match touched {
@@ -317,10 +319,12 @@
         true
     }
 
-    fn take(&mut self, stamp: Stamp, list: &ServerList, anew: bool, now: Nanos) {
+    fn take(&mut self, stamp: SourceVersion, list: &EndpointList, anew: bool, now: Nanos) {
         let mut unusable = 0;
-        for s in
-            list.servers.iter().filter(|s| s.state != State::Gone && s.addr.parse::<SocketAddr>().is_err())
+        for s in list
+            .servers
+            .iter()
+            .filter(|s| s.state != NodeState::Gone && s.addr.parse::<SocketAddr>().is_err())
         {
             unusable += 1;
             if unusable <= TOLD_SINGLY {
@@ -340,7 +344,7 @@
     /// are watched in all.
     fn believed(&self, named: Option<&[&str]>) -> (HashMap<String, Place>, usize) {
         let place = |id: &str| {
-            let view = self.belief.view(id).filter(|v| v.state == State::Ready)?;
+            let view = self.belief.view(id).filter(|v| v.state == NodeState::Ready)?;
             let f = &view.known.fact;
             Some((id.to_owned(), (f.addr, f.cell, f.started)))
         };
@@ -360,7 +364,7 @@
         // A start that is no longer told was long ago: that is no change.
         let same = |a: &Place, b: &Place| (a.0, a.1) == (b.0, b.1) && (a.2 == b.2 || b.2 == 0);
         let holds = |id: &str, was: &Place| {
-            let view = self.belief.view(id).filter(|v| v.state == State::Ready);
+            let view = self.belief.view(id).filter(|v| v.state == NodeState::Ready);
             view.is_some_and(|v| same(was, &(v.known.fact.addr, v.known.fact.cell, v.known.fact.started)))
         };
         let changed = before.iter().filter(|(id, was)| !holds(id, was)).count();
@@ -368,7 +372,7 @@
     }
 
     /// The watch stands and has nothing to tell: the list holds as it is.
-    pub fn in_sync(&mut self, now: Nanos) {
+    pub fn on_heartbeat(&mut self, now: Nanos) {
         if self.synced.is_some() && self.watched.is_some() {
             self.synced = Some(now);
         }
@@ -384,7 +388,7 @@
 
     /// How an attempt at a node ended, `latency` after it was sent. What follows from it comes with the next `tick`, so
     /// that many at once cost no more than one.
-    pub fn outcome(&mut self, replica: ReplicaId, outcome: Outcome, latency: Nanos, now: Nanos) {
+    pub fn on_attempt_end(&mut self, replica: ReplicaId, outcome: Outcome, latency: Nanos, now: Nanos) {
         let Some(id) = self.by_replica.get(&replica) else { return };
         let Some(m) = self.members.get_mut(id) else { return };
         match outcome {
@@ -449,12 +453,12 @@
 
     /// Whether discovery has told anything since this was last asked. Trials and failures change the list too; they are
     /// no sign that discovery is there.
-    pub fn take_heard(&mut self) -> bool {
+    pub fn take_discovery_answered(&mut self) -> bool {
         std::mem::take(&mut self.heard)
     }
 
     /// Nodes that count as cold no longer, whatever they were told to be.
-    pub fn take_warm(&mut self) -> Vec<ReplicaId> {
+    pub fn take_warmed_up(&mut self) -> Vec<ReplicaId> {
         std::mem::take(&mut self.warm)
     }
 
@@ -475,7 +479,7 @@
 
     /// Last word that a node is there: its own, discovery's of it, or discovery's of the list as a whole.
     fn confirmed(&self, m: &Member, id: &str) -> Option<Nanos> {
-        let listed = self.belief.view(id).is_some_and(|v| v.known.stamp.rank == Rank::Directory);
+        let listed = self.belief.view(id).is_some_and(|v| v.known.stamp.rank == SourcePriority::Directory);
         m.confirmed.max(self.synced.filter(|_| listed))
     }
 
@@ -488,9 +492,9 @@
 
     /// Ids whose address another node holds by better right: the later word, or the later start.
     fn usurped(&self) -> HashSet<String> {
-        let mut by_addr: HashMap<SocketAddr, Vec<(Stamp, Nanos, &str)>> = HashMap::new();
+        let mut by_addr: HashMap<SocketAddr, Vec<(SourceVersion, Nanos, &str)>> = HashMap::new();
         for id in self.belief.ids() {
-            let Some(v) = self.belief.view(id).filter(|v| v.state == State::Ready) else { continue };
+            let Some(v) = self.belief.view(id).filter(|v| v.state == NodeState::Ready) else { continue };
             if let Some(addr) = v.known.fact.addr {
                 by_addr.entry(addr).or_default().push((v.known.stamp, v.known.fact.started, id));
             }
@@ -514,15 +518,15 @@
             let callable = self.settings.kinds.is_empty() || self.settings.kinds.contains(&fact.kind);
             let known = self.members.get(*id).map(|m| m.addr);
             let addr = match (state, fact.addr) {
-                (State::Ready, Some(addr)) if callable => addr,
-                (State::Gone, _) => {
+                (NodeState::Ready, Some(addr)) if callable => addr,
+                (NodeState::Gone, _) => {
                     if let Some(addr) = known {
                         self.by_addr.remove(&addr);
                     }
                     self.drop_member(id);
                     continue;
                 }
-                (State::Terminating, Some(addr)) if known == Some(addr) => {
+                (NodeState::Terminating, Some(addr)) if known == Some(addr) => {
                     self.by_addr.remove(&addr);
                     let line = self.line(id, &fact, addr, ReplicaState::Draining, now);
                     self.tell(id, &fact, line);
@@ -546,7 +550,7 @@
     fn settle(&mut self, now: Nanos) {
         self.dirty = false;
         let usurped = self.usurped();
-        let mut views: Vec<(String, Fact, State)> = Vec::new();
+        let mut views: Vec<(String, NodeRecord, NodeState)> = Vec::new();
         for id in self.belief.ids() {
             if let Some(v) = self.belief.view(id) {
                 views.push((id.to_owned(), v.known.fact.clone(), v.state));
@@ -556,24 +560,24 @@
             self.members.keys().filter(|id| self.belief.view(id).is_none()).cloned().collect();
         forgotten.iter().for_each(|id| self.drop_member(id));
         self.foreign.retain(|id| views.iter().any(|(v, ..)| v == id));
-        let mut ready: Vec<(u32, String, Fact)> = Vec::new();
+        let mut ready: Vec<(u32, String, NodeRecord)> = Vec::new();
         for (id, fact, state) in views {
             let callable = self.settings.kinds.is_empty() || self.settings.kinds.contains(&fact.kind);
             let known = self.members.contains_key(&id);
             match (state, fact.addr) {
-                (State::Gone, _) | (_, None) => self.drop_member(&id),
-                (State::Terminating, Some(_)) if !known => {}
-                (State::Terminating, Some(addr)) => {
+                (NodeState::Gone, _) | (_, None) => self.drop_member(&id),
+                (NodeState::Terminating, Some(_)) if !known => {}
+                (NodeState::Terminating, Some(addr)) => {
                     let line = self.line(&id, &fact, addr, ReplicaState::Draining, now);
                     self.tell(&id, &fact, line);
                 }
-                (State::Ready, Some(_)) if !callable => {
+                (NodeState::Ready, Some(_)) if !callable => {
                     if self.foreign.insert(id.clone()) {
                         tracing::error!("node {id} speaks {:?}, which can't be called", fact.kind);
                     }
                     self.drop_member(&id);
                 }
-                (State::Ready, Some(addr)) => {
+                (NodeState::Ready, Some(addr)) => {
                     if self.members.get(&id).is_some_and(|m| m.addr != addr) {
                         // Another place is another process: nothing that was learnt of the old one holds.
                         tracing::info!("node {id} is at {addr} now");
@@ -597,21 +601,21 @@
         self.let_in(ready, now);
     }
 
-    fn let_in(&mut self, ready: Vec<(u32, String, Fact)>, now: Nanos) {
+    fn let_in(&mut self, ready: Vec<(u32, String, NodeRecord)>, now: Nanos) {
         let mut candidates = Vec::with_capacity(ready.len());
         for (_, id, fact) in &ready {
             let m = &self.members[id];
             let trust = self.trust(self.confirmed(m, id), now);
             let stands = match m.trial {
                 // It answered, or was let in before: it stays until it fails.
-                _ if trust >= staleness::SURE => Stands::Sure,
-                Trial::Let => Stands::Let,
-                Trial::Failed { until } if until > now => Stands::Failed,
-                Trial::Waits | Trial::Failed { .. } => Stands::Waits,
+                _ if trust >= staleness::SURE => Admission::Sure,
+                Trial::Let => Admission::Let,
+                Trial::Failed { until } if until > now => Admission::Failed,
+                Trial::Waits | Trial::Failed { .. } => Admission::Waits,
             };
             candidates.push(Candidate { cell: fact.cell, trust, stands });
         }
-        let unsure = candidates.iter().any(|c| c.stands != Stands::Sure);
+        let unsure = candidates.iter().any(|c| c.stands != Admission::Sure);
         self.calm &= !unsure;
         if unsure {
             self.began.get_or_insert(now);
@@ -623,13 +627,13 @@
             let cold_time = self.settings.cold_time;
             let Some(m) = self.members.get_mut(id) else { continue };
             let next = match (m.trial, c.stands) {
-                (Trial::Failed { until }, Stands::Failed) => Some(until),
-                (_, Stands::Waits) if !yes => self.began.map(|t| t + (steps as Nanos + 1) * STEP),
+                (Trial::Failed { until }, Admission::Failed) => Some(until),
+                (_, Admission::Waits) if !yes => self.began.map(|t| t + (steps as Nanos + 1) * STEP),
                 _ => None,
             };
             due = due.into_iter().chain(next).min();
-            if yes && c.stands != Stands::Failed {
-                if c.stands == Stands::Waits {
+            if yes && c.stands != Admission::Failed {
+                if c.stands == Admission::Waits {
                     m.failures = 0;
                     m.assumed = staleness::assumed_start(c.trust, now, cold_time);
                 }
@@ -649,7 +653,7 @@
     fn line(
         &mut self,
         id: &str,
-        fact: &Fact,
+        fact: &NodeRecord,
         addr: SocketAddr,
         standing: ReplicaState,
         now: Nanos,
@@ -664,7 +668,7 @@
         ReplicaEntry { replica: m.replica, zone, cell: fact.cell, state: standing, started, weight: 1.0 }
     }
 
-    fn tell(&mut self, id: &str, fact: &Fact, line: ReplicaEntry) {
+    fn tell(&mut self, id: &str, fact: &NodeRecord, line: ReplicaEntry) {
         let Some(m) = self.members.get_mut(id) else { return };
         if m.told.as_ref() == Some(&line) {
             return;
@@ -679,7 +683,7 @@
         );
         m.told = Some(line.clone());
         let addr = Some(m.addr);
-        self.changes.push(Change { listed: line, id: id.to_owned(), addr, kind: fact.kind.clone() });
+        self.changes.push(NodeChange { listed: line, id: id.to_owned(), addr, kind: fact.kind.clone() });
     }
 
     fn drop_member(&mut self, id: &str) {
@@ -687,13 +691,13 @@
         self.by_replica.remove(&m.replica);
         if let Some(told) = m.told {
             let listed = ReplicaEntry { state: ReplicaState::Removed, ..told };
-            self.changes.push(Change { listed, id: id.to_owned(), addr: None, kind: String::new() });
+            self.changes.push(NodeChange { listed, id: id.to_owned(), addr: None, kind: String::new() });
         }
     }
 
     /// What the exchange is to be told: nothing, or lines, of which there may be none where discovery answered and
     /// nothing changed.
-    pub fn take_changes(&mut self) -> Option<Vec<Change>> {
+    pub fn take_changes(&mut self) -> Option<Vec<NodeChange>> {
         let answered = std::mem::take(&mut self.answered);
         (answered || !self.changes.is_empty()).then(|| std::mem::take(&mut self.changes))
     }
@@ -704,16 +708,16 @@
     }
 
     /// What discovery last said of a node's process: its state, its start and the list's version that told so.
-    pub fn told_by_discovery(&self, id: &str) -> Option<(State, Nanos, u64)> {
-        let view = self.belief.view(id).filter(|v| v.known.stamp.rank == Rank::Directory)?;
+    pub fn discovery_state(&self, id: &str) -> Option<(NodeState, Nanos, u64)> {
+        let view = self.belief.view(id).filter(|v| v.known.stamp.rank == SourcePriority::Directory)?;
         let version =
             if view.state == view.known.fact.state { view.known.stamp.version } else { self.version };
         Some((view.state, view.known.fact.started, version))
     }
 
     /// Nodes that are in the list, those that drain among them.
-    pub fn listed(&self) -> usize {
-        let there = |id: &&str| self.belief.view(id).is_some_and(|v| v.state != State::Gone);
+    pub fn listed_count(&self) -> usize {
+        let there = |id: &&str| self.belief.view(id).is_some_and(|v| v.state != NodeState::Gone);
         self.belief.ids().filter(there).count()
     }
 
@@ -725,7 +729,7 @@
     }
 
     /// When `tick` is next worth calling.
-    pub fn due(&self) -> Option<Nanos> {
+    pub fn next_deadline(&self) -> Option<Nanos> {
         self.due
     }
 
@@ -745,16 +749,16 @@
     }
 
     /// How each node stands.
-    pub fn notes(&self, now: Nanos) -> Vec<Note> {
+    pub fn statuses(&self, now: Nanos) -> Vec<NodeStatus> {
         let note = |id: &str| {
             let view = self.belief.view(id)?;
             let confirmed = match self.members.get(id) {
                 Some(m) => self.confirmed(m, id),
                 None => self.synced,
             };
-            let trust = if view.state == State::Ready { self.trust(confirmed, now) } else { 0.0 };
+            let trust = if view.state == NodeState::Ready { self.trust(confirmed, now) } else { 0.0 };
             let (fact, state, learnt) = (view.known.fact.clone(), view.state, view.learnt);
-            Some(Note { fact, state, learnt, confirmed, trust })
+            Some(NodeStatus { fact, state, learnt, confirmed, trust })
         };
         self.belief.ids().filter_map(note).collect()
     }
@@ -763,21 +767,21 @@
 
     /// The list as it is to be kept, once something is to be told that the last one did not, or it is time to tell
     /// that it still holds. Never sooner than half a second after the one before.
-    pub fn take_kept(&mut self, now: Nanos) -> Option<Kept> {
-        if self.keep_due().is_none_or(|t| t > now) {
+    pub fn take_snapshot(&mut self, now: Nanos) -> Option<Snapshot> {
+        if self.snapshot_due().is_none_or(|t| t > now) {
             return None;
         }
         (self.unwritten, self.written) = (false, Some(now));
-        Some(self.as_kept(now))
+        Some(self.snapshot(now))
     }
 
     /// The list as it is to be kept at the end of the process, if there is news since the last one.
-    pub fn last_kept(&self, now: Nanos) -> Option<Kept> {
-        self.unwritten.then(|| self.as_kept(now))
+    pub fn final_snapshot(&self, now: Nanos) -> Option<Snapshot> {
+        self.unwritten.then(|| self.snapshot(now))
     }
 
     /// When a list is next to be kept.
-    pub fn keep_due(&self) -> Option<Nanos> {
+    pub fn snapshot_due(&self) -> Option<Nanos> {
         // A list that nobody confirmed in this process's time says nothing that is not on disk already.
         self.watched.filter(|_| !self.unwritten).or(self.unwritten.then_some(0))?;
         let wait = if self.unwritten { WRITE.0 } else { WRITE.1 };
@@ -785,8 +789,8 @@
     }
 
     /// The list as it would be kept now.
-    pub fn as_kept(&self, now: Nanos) -> Kept {
-        let nodes = self.belief.directory().map(|k| KeptNode {
+    pub fn snapshot(&self, now: Nanos) -> Snapshot {
+        let nodes = self.belief.directory().map(|k| SnapshotNode {
             confirmed: self.members.get(&k.fact.id).and_then(|m| m.confirmed),
             fact: k.fact.clone(),
             epoch: k.stamp.epoch,
@@ -794,10 +798,10 @@
             heard: k.heard,
             anew: k.anew,
         });
-        Kept {
+        Snapshot {
             written: now,
             synced: self.synced,
-            whole: self.belief.whole(Rank::Directory).map(|(s, t)| (s.epoch, s.version, t)),
+            whole: self.belief.whole(SourcePriority::Directory).map(|(s, t)| (s.epoch, s.version, t)),
             forgotten: self.belief.forgotten().map(|s| (s.epoch, s.version)),
             rate: self.rate,
             nodes: nodes.collect(),
--- a/src/membership/snapshot.rs
+++ b/src/membership/snapshot.rs
@@ -1,25 +1,25 @@
 //! The form in which a belief outlives the process.
 
-use super::merged_view::{Belief, Known};
-use super::staleness::Rate;
-use super::{Rank, Stamp};
+use super::merged_view::{MergedView, VersionedRecord};
+use super::staleness::ChangeRate;
+use super::{SourcePriority, SourceVersion};
 use crate::api::Nanos;
-use crate::storage::checksummed_file::Format;
+use crate::storage::checksummed_file::FileFormat;
 use serde::{Deserialize, Serialize};
 
 /// The version that is written.
 pub const VERSION: u32 = 1;
 /// Largest file that is written or read, bytes.
 pub const MOST_BYTES: usize = 8 << 20;
-const FORMAT: Format =
-    Format { magic: "pebbleturn-roster", what: "kept list", version: VERSION, most: MOST_BYTES };
+const FORMAT: FileFormat =
+    FileFormat { magic: "pebbleturn-roster", what: "kept list", version: VERSION, most: MOST_BYTES };
 
 /// A node as it is kept.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
-pub struct KeptNode {
+pub struct SnapshotNode {
     /// What was told of it.
     #[serde(flatten)]
-    pub fact: super::Fact,
+    pub fact: super::NodeRecord,
     /// Discovery's count and version that told it.
     pub epoch: u32,
     /// See `epoch`.
@@ -33,17 +33,18 @@
     pub confirmed: Option<Nanos>,
 }
 
-impl KeptNode {
+impl SnapshotNode {
     /// The fact with its place in discovery's order.
-    pub fn known(&self) -> Known {
-        let stamp = Stamp { rank: Rank::Directory, epoch: self.epoch, version: self.version };
-        Known { fact: self.fact.clone(), stamp, heard: self.heard, anew: self.anew }
+    pub fn known(&self) -> VersionedRecord {
+        let stamp =
+            SourceVersion { rank: SourcePriority::Directory, epoch: self.epoch, version: self.version };
+        VersionedRecord { fact: self.fact.clone(), stamp, heard: self.heard, anew: self.anew }
     }
 }
 
 /// A list as it is kept.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
-pub struct Kept {
+pub struct Snapshot {
     /// When it was written, unix ns.
     pub written: Nanos,
     /// When the list as a whole was last known to hold, unix ns; none: never.
@@ -53,15 +54,15 @@
     /// Facts up to this count and version about unknown nodes are not believed.
     pub forgotten: Option<(u32, u64)>,
     /// How fast nodes change.
-    pub rate: Rate,
+    pub rate: ChangeRate,
     /// The nodes, those that drain and those that are gone among them.
-    pub nodes: Vec<KeptNode>,
+    pub nodes: Vec<SnapshotNode>,
 }
 
-impl Kept {
+impl Snapshot {
     /// Adds what was kept to a belief.
-    pub fn add_to(&self, belief: &mut Belief) {
-        let stamp = |epoch, version| Stamp { rank: Rank::Directory, epoch, version };
+    pub fn add_to(&self, belief: &mut MergedView) {
+        let stamp = |epoch, version| SourceVersion { rank: SourcePriority::Directory, epoch, version };
         self.nodes.iter().for_each(|n| belief.take_known(n.known()));
         if let Some((epoch, version, heard)) = self.whole {
             belief.take_whole(stamp(epoch, version), heard);
@@ -74,14 +75,14 @@
 }
 
 /// Why a kept list can't be used.
-pub use crate::storage::checksummed_file::Unsound as KeptError;
+pub use crate::storage::checksummed_file::FileFormatError as SnapshotError;
 
 /// Writes a list. One that would be too large is an error: nothing is cut off silently.
-pub fn encode(kept: &Kept) -> Result<Vec<u8>, KeptError> {
+pub fn encode(kept: &Snapshot) -> Result<Vec<u8>, SnapshotError> {
     FORMAT.encode(kept)
 }
 
 /// Reads a list back. Whatever the bytes are, the answer is a list or one reason.
-pub fn decode(bytes: &[u8]) -> Result<Kept, KeptError> {
+pub fn decode(bytes: &[u8]) -> Result<Snapshot, SnapshotError> {
     FORMAT.decode(bytes)
 }
--- a/src/membership/staleness.rs
+++ b/src/membership/staleness.rs
@@ -18,16 +18,16 @@
 
 /// The rate of change, stated and learned.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq)]
-pub struct Rate {
+pub struct ChangeRate {
     /// Changes of nodes that were seen.
     pub changes: f64,
     /// Time over which nodes were watched, ns, all nodes added up.
     pub watched: f64,
 }
 
-impl Rate {
+impl ChangeRate {
     /// Nothing seen yet.
-    pub const NONE: Rate = Rate { changes: 0.0, watched: 0.0 };
+    pub const NONE: ChangeRate = ChangeRate { changes: 0.0, watched: 0.0 };
     /// Watched time above which the older half is dropped, in stated times: a fleet's habits change.
     const KEEP: f64 = 400.0;
 
@@ -82,7 +82,7 @@
 
     #[test]
     fn an_older_fact_is_trusted_less_and_treated_with_more_care() {
-        let mean = Rate::NONE.mean(24 * HOUR);
+        let mean = ChangeRate::NONE.mean(24 * HOUR);
         let ages = [0, HOUR / 3600, HOUR / 60, HOUR / 6, HOUR, 24 * HOUR, 720 * HOUR];
         let trusts: Vec<f64> = ages.iter().map(|a| of_age(*a, mean)).collect();
         assert!(trusts.windows(2).all(|w| w[0] > w[1]) && trusts[0] == 1.0);
@@ -97,13 +97,13 @@
 
     #[test]
     fn the_rate_is_learned_from_what_is_seen_and_never_unsound() {
-        let mut busy = Rate::NONE;
+        let mut busy = ChangeRate::NONE;
         busy.saw(16, HOUR, 32, 24 * HOUR);
         assert!(busy.mean(24 * HOUR) < 4.0 * HOUR as f64);
-        let mut calm = Rate::NONE;
+        let mut calm = ChangeRate::NONE;
         calm.saw(1000, 24 * HOUR, 3, 24 * HOUR);
         assert!(calm.mean(24 * HOUR) > 48.0 * HOUR as f64);
-        let broken = Rate { changes: f64::NAN, watched: f64::INFINITY };
+        let broken = ChangeRate { changes: f64::NAN, watched: f64::INFINITY };
         assert!(broken.mean(HOUR) >= 1.0 && broken.mean(0) >= 1.0);
     }
 }
--- a/src/membership/status_report.rs
+++ b/src/membership/status_report.rs
@@ -1,15 +1,15 @@
 //! What a kept list says, for people and programs.
 
-use super::merged_view::Belief;
-use super::snapshot::Kept;
-use super::{State, staleness};
+use super::merged_view::MergedView;
+use super::snapshot::Snapshot;
+use super::{NodeState, staleness};
 use crate::api::Nanos;
 use serde::Serialize;
 use std::fmt;
 
 /// A kept list as it stands now.
 #[derive(Clone, Debug, Serialize)]
-pub struct Report {
+pub struct StatusReport {
     /// How often discovery was seen to count anew, and its version.
     pub epoch: u32,
     /// See `epoch`.
@@ -19,12 +19,12 @@
     /// Mean time between two changes of one node, stated and learned, hours.
     pub changes_every_h: f64,
     /// The nodes by id.
-    pub nodes: Vec<Entry>,
+    pub nodes: Vec<StatusEntry>,
 }
 
 /// One node.
 #[derive(Clone, Debug, Serialize)]
-pub struct Entry {
+pub struct StatusEntry {
     /// Its id.
     pub id: String,
     /// Where it is.
@@ -32,7 +32,7 @@
     /// Its cell.
     pub cell: u32,
     /// Its state: gone, too, where a whole list left it out.
-    pub state: State,
+    pub state: NodeState,
     /// Seconds since it was last confirmed; none: never.
     pub age_s: Option<f64>,
     /// How far it is trusted, from 0 to 1. Nodes that drain or are gone are not.
@@ -45,10 +45,10 @@
     now.saturating_sub(then) as f64 / 1e9
 }
 
-impl Report {
+impl StatusReport {
     /// What these generations of one list say together, with the stated time between two changes of a node.
-    pub fn new(lists: &[Kept], now: Nanos, stated: Nanos) -> Report {
-        let mut belief = Belief::default();
+    pub fn new(lists: &[Snapshot], now: Nanos, stated: Nanos) -> StatusReport {
+        let mut belief = MergedView::default();
         lists.iter().for_each(|l| l.add_to(&mut belief));
         let synced = lists.iter().filter_map(|l| l.synced).max();
         let mean = lists.last().map_or(stated as f64, |l| l.rate.mean(stated));
@@ -60,9 +60,9 @@
         };
         let entry = |id: &str| {
             let view = belief.view(id)?;
-            let ready = view.state == State::Ready;
+            let ready = view.state == NodeState::Ready;
             let age = confirmed(id);
-            Some(Entry {
+            Some(StatusEntry {
                 id: id.to_owned(),
                 addr: view.known.fact.addr,
                 cell: view.known.fact.cell,
@@ -74,11 +74,11 @@
         };
         let nodes = belief.ids().filter_map(entry).collect();
         let age_s = synced.map(|t| since(t, now));
-        Report { epoch, version, age_s, changes_every_h: mean / 3_600e9, nodes }
+        StatusReport { epoch, version, age_s, changes_every_h: mean / 3_600e9, nodes }
     }
 }
 
-impl fmt::Display for Report {
+impl fmt::Display for StatusReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let age = |a: Option<f64>| a.map_or("never".to_owned(), |s| format!("{s:.1} s"));
         writeln!(
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,7 +1,7 @@
 //! One connection: partial reads, partial writes, a bounded queue of what is still to be written.
 
 use super::buffer::{Buf, Pool};
-use super::poll_loop::Place;
+use super::poll_loop::ConnectionClass;
 use crate::api::Nanos;
 use mio::net::TcpStream;
 use std::collections::VecDeque;
@@ -12,7 +12,7 @@
 
 /// What a read brought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Filled {
+pub enum ReadOutcome {
     /// So many new bytes; there may be more.
     Some(usize),
     /// Nothing for now; an event will tell.
@@ -30,13 +30,13 @@
 pub struct QueueFull;
 
 #[derive(Debug)]
-pub(super) struct Conn {
+pub(super) struct Connection {
     pub stream: TcpStream,
     pub owner: u8,
     /// Where its buffers come from.
     pool: Pool,
     /// With whom it is counted.
-    pub place: Place,
+    pub place: ConnectionClass,
     pub input: Option<Buf>,
     output: VecDeque<Buf>,
     pub connected: bool,
@@ -57,9 +57,15 @@
     pub flushed: u64,
 }
 
-impl Conn {
-    pub fn new(stream: TcpStream, owner: u8, accepted: bool, place: Place, pool: Pool) -> Conn {
-        Conn {
+impl Connection {
+    pub fn new(
+        stream: TcpStream,
+        owner: u8,
+        accepted: bool,
+        place: ConnectionClass,
+        pool: Pool,
+    ) -> Connection {
+        Connection {
             stream,
             owner,
             pool,
@@ -78,27 +84,27 @@
         }
     }
 
-    pub fn fill(&mut self) -> Filled {
+    pub fn fill(&mut self) -> ReadOutcome {
         if self.input.is_none() {
             self.input = if self.accepted { self.pool.take_for_stranger() } else { self.pool.take() };
         }
-        let Some(buf) = &mut self.input else { return Filled::NoBuffer };
+        let Some(buf) = &mut self.input else { return ReadOutcome::NoBuffer };
         if buf.room() == 0 {
-            return Filled::Full;
+            return ReadOutcome::Full;
         }
         loop {
             return match self.stream.read(buf.space()) {
-                Ok(0) => Filled::Ended,
+                Ok(0) => ReadOutcome::Ended,
                 Ok(n) => {
                     buf.added(n);
-                    Filled::Some(n)
+                    ReadOutcome::Some(n)
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     self.tidy();
-                    Filled::Nothing
+                    ReadOutcome::Nothing
                 }
-                Err(_) => Filled::Ended,
+                Err(_) => ReadOutcome::Ended,
             };
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,6 @@
 
 pub use buffer::{Buf, MAX_BODY, MAX_HEAD, Pool};
 pub use clock::Clock;
-pub use connection::{Filled, QueueFull};
-pub use poll_loop::{ConnId, Datagrams, NetEvent, Place, Reactor, Waker};
+pub use connection::{QueueFull, ReadOutcome};
+pub use poll_loop::{ConnId, ConnectionClass, Datagrams, NetEvent, PollLoop, Waker};
 pub use signals::{Signal, Signals};
--- a/src/net/poll_loop.rs
+++ b/src/net/poll_loop.rs
@@ -1,7 +1,7 @@
 //! The poll loop's half that knows sockets: it turns readiness into events and owns all connections.
 
 use super::buffer::Pool;
-use super::connection::{Conn, Filled, QueueFull};
+use super::connection::{Connection, QueueFull, ReadOutcome};
 use super::signals::{Signal, Signals};
 use crate::api::Nanos;
 use mio::net::{TcpListener, TcpStream, UdpSocket, UnixStream};
@@ -38,11 +38,11 @@
 
 /// Whose connections are counted together, and have buffers of their own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Place {
+pub enum ConnectionClass {
     /// Clients, and all connections that are dialled for them.
     Clients,
     /// Callers at the second address.
-    Desk,
+    Admin,
     /// Other brokers.
     Peers,
 }
@@ -95,18 +95,18 @@
     Listener {
         socket: TcpListener,
         owner: u8,
-        apart: Option<(Place, Pool)>,
+        apart: Option<(ConnectionClass, Pool)>,
     },
     Datagrams {
         socket: UdpSocket,
         owner: u8,
     },
-    Conn(Box<Conn>),
+    Conn(Box<Connection>),
     Signal(Signal, UnixStream),
 }
 
 /// All sockets of the program.
-pub struct Reactor {
+pub struct PollLoop {
     poll: Poll,
     ready: Events,
     sources: Slab<(u32, Source)>,
@@ -131,11 +131,11 @@
     flushing: usize,
 }
 
-impl Reactor {
+impl PollLoop {
     /// A reactor whose connections share `pool`. Owners keep to `most_accepted` accepted connections; a few more
     /// are taken for the moment in which they choose whom to close, and any beyond wait unaccepted until there is room.
-    pub fn new(pool: Pool, most_accepted: usize) -> io::Result<Reactor> {
-        Ok(Reactor {
+    pub fn new(pool: Pool, most_accepted: usize) -> io::Result<PollLoop> {
+        Ok(PollLoop {
             poll: Poll::new()?,
             ready: Events::with_capacity(256),
             sources: Slab::new(),
@@ -165,7 +165,7 @@
     }
 
     /// From now on owners keep to so many accepted connections, without those counted apart.
-    pub fn keep_to(&mut self, most_accepted: usize) {
+    pub fn limit_accepted(&mut self, most_accepted: usize) {
         self.most[0] = most_accepted;
     }
 
@@ -176,7 +176,7 @@
     }
 
     /// Accepted connections that are open in this place.
-    pub fn accepted_at(&self, place: Place) -> usize {
+    pub fn accepted_at(&self, place: ConnectionClass) -> usize {
         self.accepted[place as usize]
     }
 
@@ -210,7 +210,7 @@
         &mut self,
         addr: SocketAddr,
         owner: u8,
-        place: Place,
+        place: ConnectionClass,
         most: usize,
         pool: Pool,
     ) -> io::Result<SocketAddr> {
@@ -268,7 +268,7 @@
         &mut self,
         mut socket: TcpListener,
         owner: u8,
-        apart: Option<(Place, Pool)>,
+        apart: Option<(ConnectionClass, Pool)>,
     ) -> io::Result<SocketAddr> {
         let bound = socket.local_addr()?;
         let entry = self.sources.vacant_entry();
@@ -312,20 +312,20 @@
     pub fn dial(&mut self, addr: SocketAddr, owner: u8) -> io::Result<ConnId> {
         let stream = TcpStream::connect(addr)?;
         let pool = self.pool.clone();
-        self.add(stream, owner, (false, Place::Clients), pool)
+        self.add(stream, owner, (false, ConnectionClass::Clients), pool)
     }
 
     /// The same with a pool of its own for the connection's buffers.
     pub fn dial_apart(&mut self, addr: SocketAddr, owner: u8, pool: Pool) -> io::Result<ConnId> {
         let stream = TcpStream::connect(addr)?;
-        self.add(stream, owner, (false, Place::Peers), pool)
+        self.add(stream, owner, (false, ConnectionClass::Peers), pool)
     }
 
     fn add(
         &mut self,
         mut stream: TcpStream,
         owner: u8,
-        (accepted, place): (bool, Place),
+        (accepted, place): (bool, ConnectionClass),
         pool: Pool,
     ) -> io::Result<ConnId> {
         let entry = self.sources.vacant_entry();
@@ -334,13 +334,16 @@
         let _ = stream.set_nodelay(true);
         self.serial = self.serial.wrapping_add(1);
         let id = ConnId(entry.key(), self.serial);
-        entry.insert((self.serial, Source::Conn(Box::new(Conn::new(stream, owner, accepted, place, pool)))));
+        entry.insert((
+            self.serial,
+            Source::Conn(Box::new(Connection::new(stream, owner, accepted, place, pool))),
+        ));
         self.conns += 1;
         self.accepted[place as usize] += usize::from(accepted);
         Ok(id)
     }
 
-    fn conn(&mut self, id: ConnId) -> Option<&mut Conn> {
+    fn conn(&mut self, id: ConnId) -> Option<&mut Connection> {
         match self.sources.get_mut(id.0) {
             Some((serial, Source::Conn(c))) if *serial == id.1 => Some(c),
             _ => None,
@@ -374,10 +377,10 @@
     }
 
     /// Reads once.
-    pub fn fill(&mut self, id: ConnId) -> Filled {
-        let Some(c) = self.conn(id) else { return Filled::Ended };
+    pub fn fill(&mut self, id: ConnId) -> ReadOutcome {
+        let Some(c) = self.conn(id) else { return ReadOutcome::Ended };
         let filled = c.fill();
-        if filled == Filled::NoBuffer {
+        if filled == ReadOutcome::NoBuffer {
             self.starved.push_back(id);
         }
         filled
@@ -509,7 +512,7 @@
     }
 
     /// When `tick` is next worth calling.
-    pub fn due(&self) -> Option<Nanos> {
+    pub fn next_deadline(&self) -> Option<Nanos> {
         self.leaving.front().map(|(_, by)| *by)
     }
 
@@ -624,7 +627,7 @@
         for _ in 0..most {
             let Some((_, Source::Listener { socket, owner, apart })) = self.sources.get(key) else { return };
             let owner = *owner;
-            let place = apart.as_ref().map_or(Place::Clients, |(place, _)| *place);
+            let place = apart.as_ref().map_or(ConnectionClass::Clients, |(place, _)| *place);
             let held = self.accepted[place as usize];
             // Guards clients against a close without an answer: the system holds who is not accepted yet.
             if held >= self.most[place as usize] + 2 * BATCH {
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -9,7 +9,7 @@
 
 /// How a node stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stands {
+pub enum Eligibility {
     /// It works as it should.
     Well,
     /// It failed, and gets nothing until then.
@@ -29,7 +29,7 @@
 /// How a node fares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Health {
-    stands: Stands,
+    stands: Eligibility,
     failures: u32,
     /// Since when it has been out of `Out` and `Trial` without a break.
     sound: Option<Nanos>,
@@ -38,11 +38,11 @@
 impl Health {
     /// A node of which nothing bad is known.
     pub fn new(now: Nanos) -> Health {
-        Health { stands: Stands::Well, failures: 0, sound: Some(now) }
+        Health { stands: Eligibility::Well, failures: 0, sound: Some(now) }
     }
 
     /// How it stands.
-    pub fn stands(&self) -> Stands {
+    pub fn stands(&self) -> Eligibility {
         self.stands
     }
 
@@ -52,8 +52,8 @@
         match outcome {
             Outcome::Ok => {
                 self.failures = 0;
-                if matches!(self.stands, Stands::Trial | Stands::Out { .. }) {
-                    (self.stands, self.sound) = (Stands::Warming { since: now }, Some(now));
+                if matches!(self.stands, Eligibility::Trial | Eligibility::Out { .. }) {
+                    (self.stands, self.sound) = (Eligibility::Warming { since: now }, Some(now));
                 }
             }
             // It turned a part away, or nobody waited: neither tells that it is ill.
@@ -61,7 +61,7 @@
             Outcome::ConnectFailed => self.fail(retry, now),
             Outcome::Error | Outcome::TimedOut | Outcome::ConnectionReset | Outcome::InvalidResponse => {
                 self.failures += 1;
-                if self.failures >= STRIKES || self.stands == Stands::Trial {
+                if self.failures >= STRIKES || self.stands == Eligibility::Trial {
                     self.fail(retry, now);
                 }
             }
@@ -71,16 +71,16 @@
 
     fn fail(&mut self, retry: Nanos, now: Nanos) {
         // What was sent before it was taken out does not keep it out for longer.
-        if !matches!(self.stands, Stands::Out { .. }) {
-            (self.stands, self.failures, self.sound) = (Stands::Out { until: now + retry }, 0, None);
+        if !matches!(self.stands, Eligibility::Out { .. }) {
+            (self.stands, self.failures, self.sound) = (Eligibility::Out { until: now + retry }, 0, None);
         }
     }
 
     /// Lets time go by. Whether that changes how it stands.
     pub fn tick(&mut self, warm_up: Nanos, now: Nanos) -> bool {
         match self.stands {
-            Stands::Out { until } if until <= now => self.stands = Stands::Trial,
-            Stands::Warming { since } if since + warm_up <= now => self.stands = Stands::Well,
+            Eligibility::Out { until } if until <= now => self.stands = Eligibility::Trial,
+            Eligibility::Warming { since } if since + warm_up <= now => self.stands = Eligibility::Well,
             _ => return false,
         }
         true
@@ -89,19 +89,19 @@
     /// When time alone next changes how it stands.
     pub fn due(&self, warm_up: Nanos) -> Option<Nanos> {
         match self.stands {
-            Stands::Out { until } => Some(until),
-            Stands::Warming { since } => Some(since + warm_up),
-            Stands::Well | Stands::Trial => None,
+            Eligibility::Out { until } => Some(until),
+            Eligibility::Warming { since } => Some(since + warm_up),
+            Eligibility::Well | Eligibility::Trial => None,
         }
     }
 
     /// Share of its weight that it has now: in steps of a tenth, so that the list does not change all the time.
     pub fn share(&self, warm_up: Nanos, now: Nanos) -> f64 {
         match self.stands {
-            Stands::Well => 1.0,
-            Stands::Out { .. } => 0.0,
-            Stands::Trial => RAMP,
-            Stands::Warming { since } => {
+            Eligibility::Well => 1.0,
+            Eligibility::Out { .. } => 0.0,
+            Eligibility::Trial => RAMP,
+            Eligibility::Warming { since } => {
                 let grown = now.saturating_sub(since) as f64 / warm_up.max(1) as f64;
                 RAMP + (1.0 - RAMP) * (grown.min(1.0) * 10.0).floor() / 10.0
             }
@@ -110,6 +110,6 @@
 
     /// Whether it works and has done so for so long without a break.
     pub fn sound_for(&self, time: Nanos, now: Nanos) -> bool {
-        self.stands == Stands::Well && self.sound.is_some_and(|t| t + time <= now)
+        self.stands == Eligibility::Well && self.sound.is_some_and(|t| t + time <= now)
     }
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -8,7 +8,7 @@
 mod health;
 mod table;
 
-pub use health::{Health, Stands};
+pub use health::{Eligibility, Health};
 pub use table::{Routing, RoutingSettings};
 
 use crate::api::Nanos;
@@ -16,7 +16,7 @@
 /// Whether a node takes work, by the operator's word.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub enum Standing {
+pub enum AdminState {
     /// It does.
     #[default]
     Active,
@@ -45,7 +45,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Rule {
     /// Whether it takes work.
-    pub standing: Standing,
+    pub standing: AdminState,
     /// Share of the work beside others of its set; 0: none.
     pub weight: f64,
     /// Sets are used in the order of their numbers, the next only when one has no usable node.
@@ -61,7 +61,7 @@
 impl Default for Rule {
     fn default() -> Rule {
         Rule {
-            standing: Standing::Active,
+            standing: AdminState::Active,
             weight: 1.0,
             set: 0,
             spare: Spare::None,
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -1,15 +1,15 @@
 //! Every node with its rule and its health, and what is offered of them.
 
-use super::{Health, Rule, Spare, Standing, Stands};
+use super::{AdminState, Eligibility, Health, Rule, Spare};
 use crate::api::{self, Nanos, Outcome, ReplicaId};
-use crate::membership::{Change, Layout};
+use crate::membership::{NodeChange, PartitionLayout};
 use std::collections::{BTreeMap, HashMap};
 
 /// What routing is told at its start.
 #[derive(Clone, Debug)]
 pub struct RoutingSettings {
     /// How the partitions lie.
-    pub layout: Layout,
+    pub layout: PartitionLayout,
     /// Rules by node id; a node without one has the default.
     pub rules: HashMap<String, Rule>,
     /// Time in which a node that came back grows to its full weight.
@@ -24,7 +24,7 @@
 #[derive(Debug)]
 struct Node {
     /// As membership has it.
-    base: Change,
+    base: NodeChange,
     rule: Rule,
     health: Health,
     /// What was told last.
@@ -35,17 +35,17 @@
     /// Whether it may get work at all.
     fn serves(&self) -> bool {
         self.base.listed.state == api::ReplicaState::Active
-            && self.rule.standing == Standing::Active
+            && self.rule.standing == AdminState::Active
             && self.rule.weight > 0.0
     }
 
     fn is_out(&self) -> bool {
-        matches!(self.health.stands(), Stands::Out { .. })
+        matches!(self.health.stands(), Eligibility::Out { .. })
     }
 
     /// It works, or comes back.
     fn bears(&self) -> bool {
-        matches!(self.health.stands(), Stands::Well | Stands::Warming { .. })
+        matches!(self.health.stands(), Eligibility::Well | Eligibility::Warming { .. })
     }
 }
 
@@ -56,7 +56,7 @@
     nodes: BTreeMap<ReplicaId, Node>,
     /// The highest tier in use, for each group of partitions with the same holders.
     in_use: Vec<Option<Tier>>,
-    changes: Vec<Change>,
+    changes: Vec<NodeChange>,
     /// Membership answered, if only to say that nothing changed.
     answered: bool,
     dirty: bool,
@@ -86,7 +86,7 @@
     }
 
     /// What membership has to tell.
-    pub fn listed(&mut self, changes: Vec<Change>, now: Nanos) {
+    pub fn listed(&mut self, changes: Vec<NodeChange>, now: Nanos) {
         self.answered = true;
         for change in changes {
             let replica = change.listed.replica;
@@ -125,14 +125,14 @@
             self.dirty |= node.health.outcome(outcome, node.rule.retry, now);
             let id = &node.base.id;
             match (before, node.health.stands()) {
-                (Stands::Out { .. }, Stands::Out { .. }) => {}
-                (_, Stands::Out { .. }) => {
+                (Eligibility::Out { .. }, Eligibility::Out { .. }) => {}
+                (_, Eligibility::Out { .. }) => {
                     tracing::warn!(
                         "node {id} gets no work for {} s: it failed",
                         node.rule.retry / 1_000_000_000
                     );
                 }
-                (Stands::Out { .. } | Stands::Trial, Stands::Warming { .. }) => {
+                (Eligibility::Out { .. } | Eligibility::Trial, Eligibility::Warming { .. }) => {
                     tracing::info!("node {id} gets work again, a little at first");
                 }
                 _ => {}
@@ -156,7 +156,7 @@
     }
 
     fn restless(&self) -> bool {
-        let warming = self.nodes.values().any(|n| matches!(n.health.stands(), Stands::Warming { .. }));
+        let warming = self.nodes.values().any(|n| matches!(n.health.stands(), Eligibility::Warming { .. }));
         warming || self.in_use.iter().flatten().any(|t| *t > self.lowest())
     }
 
@@ -165,7 +165,7 @@
     }
 
     /// When `tick` is next worth calling.
-    pub fn due(&self, now: Nanos) -> Option<Nanos> {
+    pub fn next_deadline(&self, now: Nanos) -> Option<Nanos> {
         if self.settings.rules.is_empty() {
             return None;
         }
@@ -191,7 +191,7 @@
                 && (node.told.is_some() || line.state == api::ReplicaState::Active || plain);
             if news {
                 node.told = Some(line.clone());
-                self.changes.push(Change { listed: line, ..node.base.clone() });
+                self.changes.push(NodeChange { listed: line, ..node.base.clone() });
             }
         }
     }
@@ -239,7 +239,7 @@
             let stand_in = self.nodes.iter().find(|(_, n)| n.base.id == id);
             if let Some((replica, n)) = stand_in
                 && n.base.listed.state == api::ReplicaState::Active
-                && matches!(n.rule.standing, Standing::Active | Standing::Disabled)
+                && matches!(n.rule.standing, AdminState::Active | AdminState::Disabled)
                 && !n.is_out()
             {
                 let weight =
@@ -250,7 +250,7 @@
     }
 
     /// What the exchange is to be told.
-    pub fn take_changes(&mut self) -> Option<Vec<Change>> {
+    pub fn take_changes(&mut self) -> Option<Vec<NodeChange>> {
         let answered = std::mem::take(&mut self.answered);
         (answered || !self.changes.is_empty()).then(|| std::mem::take(&mut self.changes))
     }
--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -2,9 +2,9 @@
 
 use crate::api::Nanos;
 use crate::http::{Reader, Side};
-use crate::membership::Roster;
-use crate::membership::endpoint_list::ServerList;
-use crate::net::{ConnId, Filled, NetEvent, Reactor};
+use crate::membership::Registry;
+use crate::membership::endpoint_list::EndpointList;
+use crate::net::{ConnId, NetEvent, PollLoop, ReadOutcome};
 use std::net::SocketAddr;
 
 /// Time for a watch to begin once its connection is up. Discovery handles calls in turn, and answers 503 to one that
@@ -56,7 +56,7 @@
     }
 
     /// Asks for the changes since the list held. A watch that stands already goes on.
-    pub fn begin(&mut self, since: u64, now: Nanos, net: &mut Reactor) {
+    pub fn begin(&mut self, since: u64, now: Nanos, net: &mut PollLoop) {
         if self.standing.is_some() {
             return;
         }
@@ -76,7 +76,7 @@
     }
 
     /// Discovery is at this address from now on: it is asked there at once.
-    pub fn move_to(&mut self, discovery: SocketAddr, since: u64, now: Nanos, net: &mut Reactor) {
+    pub fn move_to(&mut self, discovery: SocketAddr, since: u64, now: Nanos, net: &mut PollLoop) {
         if discovery == self.discovery {
             return tracing::info!("configuration read again: discovery stays at {discovery}");
         }
@@ -88,7 +88,7 @@
         self.begin(since, now, net);
     }
 
-    fn fail(&mut self, why: &str, net: &mut Reactor) {
+    fn fail(&mut self, why: &str, net: &mut PollLoop) {
         if let Some(watch) = self.standing.take() {
             net.close(watch.conn);
             tracing::warn!("watch on discovery ended: {why}");
@@ -97,7 +97,7 @@
     }
 
     /// Takes in what happened on its connection.
-    pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut Reactor, roster: &mut Roster) {
+    pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut PollLoop, roster: &mut Registry) {
         let ours = self.standing.as_ref().map(|w| w.conn);
         match event {
             NetEvent::Connected { conn, .. } if ours == Some(conn) => {
@@ -109,14 +109,14 @@
         }
     }
 
-    fn read(&mut self, now: Nanos, net: &mut Reactor, roster: &mut Roster) {
+    fn read(&mut self, now: Nanos, net: &mut PollLoop, roster: &mut Registry) {
         while let Some(conn) = self.standing.as_ref().map(|w| w.conn) {
             let filled = net.fill(conn);
             let pool = net.pool().clone();
             let Some(watch) = &mut self.standing else { return };
             match filled {
-                Filled::Nothing | Filled::NoBuffer => return,
-                Filled::Some(_) | Filled::Full => {
+                ReadOutcome::Nothing | ReadOutcome::NoBuffer => return,
+                ReadOutcome::Some(_) | ReadOutcome::Full => {
                     watch.by = now + SILENT;
                     let used = match watch.reader.advance(net.data(conn), &pool) {
                         Ok(used) => used,
@@ -126,11 +126,11 @@
                     if let Err(why) = self.lines(now, roster) {
                         return self.fail(&why, net);
                     }
-                    if used == 0 && filled == Filled::Full {
+                    if used == 0 && filled == ReadOutcome::Full {
                         return self.fail("a line larger than a buffer", net);
                     }
                 }
-                Filled::Ended => {
+                ReadOutcome::Ended => {
                     watch.reader.end();
                     let why = self.lines(now, roster).err().unwrap_or_else(|| "discovery closed it".into());
                     return self.fail(&why, net);
@@ -141,7 +141,7 @@
 
     /// Takes the lists that are whole, and the empty lines between them. A list may be indented, over many lines: it
     /// ends where its object does.
-    fn lines(&mut self, now: Nanos, roster: &mut Roster) -> Result<(), String> {
+    fn lines(&mut self, now: Nanos, roster: &mut Registry) -> Result<(), String> {
         loop {
             let Some(watch) = &mut self.standing else { return Ok(()) };
             let Some(status) = watch.reader.head().map(|h| h.status) else { return Ok(()) };
@@ -156,9 +156,9 @@
                 ends -= 1;
             }
             if ends > 0 {
-                roster.in_sync(now);
+                roster.on_heartbeat(now);
             }
-            let mut lists = serde_json::Deserializer::from_slice(&body[blank..]).into_iter::<ServerList>();
+            let mut lists = serde_json::Deserializer::from_slice(&body[blank..]).into_iter::<EndpointList>();
             let list = match lists.next() {
                 Some(Ok(list)) => Some(list),
                 Some(Err(e)) if !e.is_eof() => return Err(format!("a bad line: {e}")),
@@ -172,12 +172,12 @@
             let Some(list) = list else { return Ok(()) };
             watch.line_end = true;
             let first = std::mem::replace(&mut watch.first, false);
-            roster.directory(&list, first, now);
+            roster.on_discovery_update(&list, first, now);
         }
     }
 
     /// Ends a watch on which nothing came for too long: a silent peer shows by time alone.
-    pub fn tick(&mut self, now: Nanos, net: &mut Reactor) {
+    pub fn tick(&mut self, now: Nanos, net: &mut PollLoop) {
         if let Some(watch) = self.standing.as_ref().filter(|w| w.by <= now) {
             self.silent |= watch.reader.head().is_some();
             self.fail("nothing came for too long", net);
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -3,14 +3,14 @@
 use crate::admin::{self, AdminRequest, AdminResponse, AdminServer, CommandOptions};
 use crate::api::Nanos;
 use crate::cluster::{self, Cluster};
-use crate::config::{Clustered, ConfigError};
+use crate::config::{ClusterConfig, ConfigError};
 use crate::engine::{EngineAction, QueryEngine, QueryOutcome};
 use crate::hot_restart::coordination::QuotaShare;
 use crate::hot_restart::state::{Overrides, ProcessStage};
 use crate::hot_restart::{HotRestart, ResourceUsage};
-use crate::membership::NeverListed;
+use crate::membership::UnknownNode;
 use crate::metrics;
-use crate::net::{Clock, ConnId, NetEvent, Reactor, Signal, Signals, Waker};
+use crate::net::{Clock, ConnId, NetEvent, PollLoop, Signal, Signals, Waker};
 use crate::replication::{CommandValue, FactKey};
 use crate::server::drain::{DrainPhase, DrainState};
 use crate::server::membership_driver::MembershipDriver;
@@ -60,7 +60,7 @@
     /// The time.
     pub now: Nanos,
     /// The sockets.
-    pub net: &'a mut Reactor,
+    pub net: &'a mut PollLoop,
     /// The exchange.
     pub engine: &'a mut QueryEngine<Q, V>,
 }
@@ -103,7 +103,7 @@
     /// See `membership`.
     fn membership_mut(&mut self) -> &mut MembershipDriver;
     /// From now on it keeps to so many descriptors.
-    fn limit_descriptors(&mut self, descriptors: usize, net: &mut Reactor);
+    fn limit_descriptors(&mut self, descriptors: usize, net: &mut PollLoop);
     /// Ids of open queries that must not be taken twice.
     fn open_ids(&self) -> Vec<String>;
     /// Ids that another process has in use.
@@ -148,7 +148,7 @@
 /// A broker, ready to run.
 pub struct Broker<F: Frontend> {
     clock: Clock,
-    net: Reactor,
+    net: PollLoop,
     exchange: QueryEngine<F::Query, F::Value>,
     front: F,
     leave: DrainState,
@@ -183,7 +183,12 @@
 
 impl<F: Frontend> Broker<F> {
     /// Puts a broker together.
-    pub fn new(clock: Clock, net: Reactor, exchange: QueryEngine<F::Query, F::Value>, front: F) -> Broker<F> {
+    pub fn new(
+        clock: Clock,
+        net: PollLoop,
+        exchange: QueryEngine<F::Query, F::Value>,
+        front: F,
+    ) -> Broker<F> {
         let longest = exchange.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let tally = QueryStats { told: clock.now(), ..QueryStats::default() };
         let class_names = front.class_names();
@@ -224,7 +229,7 @@
     }
 
     /// It belongs to a cluster from now on.
-    pub fn join_cluster(&mut self, told: &Clustered, name: &str) -> Result<(), BrokerError> {
+    pub fn join_cluster(&mut self, told: &ClusterConfig, name: &str) -> Result<(), BrokerError> {
         let now = self.clock.now();
         let cluster = Cluster::open(told, name, now, &mut self.net).map_err(BrokerError::io("cluster"))?;
         self.cluster = Some(cluster);
@@ -628,7 +633,7 @@
         [
             self.exchange.next_deadline(),
             self.front.next_deadline(),
-            self.net.due(),
+            self.net.next_deadline(),
             leave,
             desk,
             others,
