--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -2,16 +2,16 @@
 
 use super::discovery_watch::DiscoveryWatch;
 use crate::api::{Nanos, ReplicaId};
-use crate::membership::gossip_hints::{Others, Own};
-use crate::membership::poll_backoff::AskAgain;
-use crate::membership::snapshot::Kept;
-use crate::membership::{ByHand, Change, Fact, NeverListed, Roster, State};
-use crate::net::{NetEvent, Reactor};
+use crate::membership::gossip_hints::{LocalHints, PeerHints};
+use crate::membership::poll_backoff::PollBackoff;
+use crate::membership::snapshot::Snapshot;
+use crate::membership::{ManualOverrides, NodeChange, NodeRecord, NodeState, Registry, UnknownNode};
+use crate::net::{NetEvent, PollLoop};
 use crate::replication::derived_state::NodeHints;
 use crate::replication::{FactKey, ProcessStart};
 use crate::routing::{Routing, Rule};
 use crate::server::FrontendContext;
-use crate::storage::snapshot_store::Keeper;
+use crate::storage::snapshot_store::SnapshotWriter;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -25,15 +25,15 @@
 /// Who decides when discovery is asked again.
 enum Asks {
     /// The decision module, as the platform's settings have it; this side only after a watch fell silent, when.
-    Module { again: AskAgain, at: Option<Nanos> },
+    Module { again: PollBackoff, at: Option<Nanos> },
     /// This side: when next, none while a watch stands.
-    Here { again: AskAgain, at: Option<Nanos> },
+    Here { again: PollBackoff, at: Option<Nanos> },
 }
 
 /// What other brokers have heard, and what they are to be told.
 #[derive(Default)]
 struct Among {
-    others: Others,
+    others: PeerHints,
     /// Count and version of the own list that was last looked at.
     version: (u32, u64),
     news: Vec<(FactKey, ProcessStart)>,
@@ -41,33 +41,33 @@
 
 /// The roster and its sources.
 pub struct MembershipDriver {
-    roster: Roster,
+    roster: Registry,
     watch: Option<DiscoveryWatch>,
     asks: Asks,
     /// What is offered of the nodes, where an operator has a say in that.
     routing: Option<Routing>,
     /// Who is out by hand, whatever the sources say.
-    hand: ByHand,
+    hand: ManualOverrides,
     /// Where there are other brokers that tell.
     among: Option<Among>,
-    keeper: Option<Keeper>,
+    keeper: Option<SnapshotWriter>,
     /// The time that was last told.
     now: Nanos,
 }
 
 impl MembershipDriver {
     /// Membership by this roster, which keeps what it learns by `keeper`.
-    pub fn new(roster: Roster, keeper: Option<Keeper>) -> MembershipDriver {
+    pub fn new(roster: Registry, keeper: Option<SnapshotWriter>) -> MembershipDriver {
         let (asks, hand) = (
-            Asks::Module { again: AskAgain::new(AFTER_SILENCE, AFTER_SILENCE, 0), at: None },
-            ByHand::default(),
+            Asks::Module { again: PollBackoff::new(AFTER_SILENCE, AFTER_SILENCE, 0), at: None },
+            ManualOverrides::default(),
         );
         MembershipDriver { roster, watch: None, asks, routing: None, hand, among: None, keeper, now: 0 }
     }
 
     /// Watches discovery whenever the decision module says so, and soon after a watch fell silent.
     pub fn watch_on_request(mut self, watch: DiscoveryWatch, seed: u64) -> MembershipDriver {
-        let again = AskAgain::new(AFTER_SILENCE, AFTER_SILENCE, seed);
+        let again = PollBackoff::new(AFTER_SILENCE, AFTER_SILENCE, seed);
         (self.watch, self.asks) = (Some(watch), Asks::Module { again, at: None });
         self
     }
@@ -76,7 +76,7 @@
     pub fn poll_with_backoff(
         mut self,
         watch: DiscoveryWatch,
-        again: AskAgain,
+        again: PollBackoff,
         now: Nanos,
     ) -> MembershipDriver {
         (self.watch, self.asks) = (Some(watch), Asks::Here { again, at: Some(now) });
@@ -90,40 +90,40 @@
     }
 
     /// The operator's nodes are these from now on, with these rules.
-    pub fn set_operator_nodes(&mut self, facts: Vec<Fact>, rules: HashMap<String, Rule>, now: Nanos) {
+    pub fn set_operator_nodes(&mut self, facts: Vec<NodeRecord>, rules: HashMap<String, Rule>, now: Nanos) {
         if let Some(routing) = &mut self.routing {
             routing.rules(rules, now);
         }
-        self.roster.operator(facts, now);
+        self.roster.set_operator_nodes(facts, now);
     }
 
     /// The decision module wants the list watched.
-    pub fn begin_watch(&mut self, now: Nanos, net: &mut Reactor) {
+    pub fn begin_watch(&mut self, now: Nanos, net: &mut PollLoop) {
         if let Some(watch) = &mut self.watch {
             watch.begin(self.roster.version(), now, net);
         }
     }
 
     /// Discovery is at this address from now on.
-    pub fn move_to(&mut self, discovery: SocketAddr, now: Nanos, net: &mut Reactor) {
+    pub fn move_to(&mut self, discovery: SocketAddr, now: Nanos, net: &mut PollLoop) {
         if let Some(watch) = &mut self.watch {
             watch.move_to(discovery, self.roster.version(), now, net);
         }
     }
 
     /// Takes in what happened on the watch's connection.
-    pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut Reactor) {
+    pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut PollLoop) {
         if let Some(watch) = &mut self.watch {
             watch.on_event(event, now, net, &mut self.roster);
         }
     }
 
     /// Lets time go by, and passes on what there is to tell; `place` learns where each node is.
-    pub fn tick<Q, V>(&mut self, hands: &mut FrontendContext<Q, V>, place: impl FnMut(&Change)) {
+    pub fn tick<Q, V>(&mut self, hands: &mut FrontendContext<Q, V>, place: impl FnMut(&NodeChange)) {
         let now = hands.now;
         self.now = now;
         while let Some(end) = hands.engine.next_attempt_end() {
-            self.roster.outcome(end.replica, end.outcome, end.latency, now);
+            self.roster.on_attempt_end(end.replica, end.outcome, end.latency, now);
             if let Some(routing) = &mut self.routing {
                 routing.outcome(end.replica, end.outcome, now);
             }
@@ -144,7 +144,7 @@
     }
 
     /// Passes on what there is to tell.
-    pub fn pass_on<Q, V>(&mut self, hands: &mut FrontendContext<Q, V>, mut place: impl FnMut(&Change)) {
+    pub fn pass_on<Q, V>(&mut self, hands: &mut FrontendContext<Q, V>, mut place: impl FnMut(&NodeChange)) {
         let mut changes = self.roster.take_changes();
         if let Some(routing) = &mut self.routing {
             if let Some(changes) = changes {
@@ -159,12 +159,12 @@
             hands.engine.update_endpoints(false, changes.into_iter().map(|c| c.listed).collect());
         }
         self.relisted(hands);
-        if self.roster.take_heard()
+        if self.roster.take_discovery_answered()
             && let Asks::Here { again, .. } = &mut self.asks
         {
             again.answered();
         }
-        self.roster.take_warm().into_iter().for_each(|replica| hands.engine.replica_warmed_up(replica));
+        self.roster.take_warmed_up().into_iter().for_each(|replica| hands.engine.replica_warmed_up(replica));
         if self.watch.as_mut().is_some_and(DiscoveryWatch::take_failed) {
             self.roster.watch_lost();
             let silent = self.watch.as_mut().is_some_and(DiscoveryWatch::take_silent);
@@ -187,20 +187,20 @@
         self
     }
 
-    fn own(roster: &Roster, id: &str) -> Own {
-        let started = roster.told_by_discovery(id).map_or(0, |(_, started, _)| started);
-        Own { started, version: roster.version() }
+    fn own(roster: &Registry, id: &str) -> LocalHints {
+        let started = roster.discovery_state(id).map_or(0, |(_, started, _)| started);
+        LocalHints { started, version: roster.version() }
     }
 
     /// Makes changes as careful as others' words want them, and notes what others are to be told.
-    fn with_others(&mut self, changes: Vec<Change>) -> Vec<Change> {
+    fn with_others(&mut self, changes: Vec<NodeChange>) -> Vec<NodeChange> {
         let (roster, Some(among)) = (&self.roster, &mut self.among) else { return changes };
         for change in &changes {
             if among.news.len() >= MOST_NEWS {
                 break;
             }
-            let Some((state, started, version)) = roster.told_by_discovery(&change.id) else { continue };
-            if state != State::Ready {
+            let Some((state, started, version)) = roster.discovery_state(&change.id) else { continue };
+            if state != NodeState::Ready {
                 among.news.push((FactKey::Drain(change.id.clone()), ProcessStart { started, version }));
             }
             if started > 0 {
@@ -223,7 +223,7 @@
         self.tell(changes, hands);
     }
 
-    fn tell<Q, V>(&mut self, changes: Vec<Change>, hands: &mut FrontendContext<Q, V>) {
+    fn tell<Q, V>(&mut self, changes: Vec<NodeChange>, hands: &mut FrontendContext<Q, V>) {
         if !changes.is_empty() {
             let changes = self.hand.pass(changes);
             hands.engine.update_endpoints(false, changes.into_iter().map(|c| c.listed).collect());
@@ -248,7 +248,7 @@
 
     /// These are out by hand from the start.
     pub fn with_suspended(mut self, out: impl IntoIterator<Item = String>) -> MembershipDriver {
-        self.hand = ByHand::with(out);
+        self.hand = ManualOverrides::with(out);
         self
     }
 
@@ -263,8 +263,8 @@
     }
 
     /// The list as it is to be handed over.
-    pub fn snapshot(&self, now: Nanos) -> Kept {
-        self.roster.as_kept(now)
+    pub fn snapshot(&self, now: Nanos) -> Snapshot {
+        self.roster.snapshot(now)
     }
 
     /// Takes a server out by hand, or puts it back; `told` where another process was told so, and knew its id.
@@ -274,7 +274,7 @@
         out: bool,
         told: bool,
         hands: &mut FrontendContext<Q, V>,
-    ) -> Result<(), NeverListed> {
+    ) -> Result<(), UnknownNode> {
         let ever = told || self.roster.knows(id);
         let change = if out { self.hand.suspend(id, ever) } else { self.hand.restore(id, ever) }?;
         if let Some(change) = change {
@@ -285,13 +285,13 @@
 
     /// Servers in the list, and how many of them are out by hand.
     pub fn counts(&self) -> (usize, usize) {
-        (self.roster.listed(), self.hand.listed_out())
+        (self.roster.listed_count(), self.hand.listed_out())
     }
 
     fn keep(&mut self, now: Nanos) {
         let Some(keeper) = &mut self.keeper else { return };
         if keeper.is_free()
-            && let Some(kept) = self.roster.take_kept(now)
+            && let Some(kept) = self.roster.take_snapshot(now)
         {
             keeper.keep(kept);
         }
@@ -301,19 +301,25 @@
     pub fn next_deadline(&self) -> Option<Nanos> {
         let (Asks::Module { at: ask, .. } | Asks::Here { at: ask, .. }) = self.asks;
         // A keeper that is at work is looked at again when something else happens.
-        let keep = self.keeper.as_ref().filter(|k| k.is_free()).and_then(|_| self.roster.keep_due());
-        let routing = self.routing.as_ref().and_then(|r| r.due(self.now));
-        [self.roster.due(), routing, self.watch.as_ref().and_then(DiscoveryWatch::next_deadline), ask, keep]
-            .into_iter()
-            .flatten()
-            .min()
+        let keep = self.keeper.as_ref().filter(|k| k.is_free()).and_then(|_| self.roster.snapshot_due());
+        let routing = self.routing.as_ref().and_then(|r| r.next_deadline(self.now));
+        [
+            self.roster.next_deadline(),
+            routing,
+            self.watch.as_ref().and_then(DiscoveryWatch::next_deadline),
+            ask,
+            keep,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
     }
 }
 
 impl Drop for MembershipDriver {
     /// What was learnt since the last write is not lost by an orderly end.
     fn drop(&mut self) {
-        if let (Some(keeper), Some(kept)) = (&mut self.keeper, self.roster.last_kept(self.now)) {
+        if let (Some(keeper), Some(kept)) = (&mut self.keeper, self.roster.final_snapshot(self.now)) {
             keeper.keep(kept);
         }
     }
--- a/src/storage/checksummed_file.rs
+++ b/src/storage/checksummed_file.rs
@@ -7,7 +7,7 @@
 
 /// One format.
 #[derive(Clone, Copy, Debug)]
-pub struct Format {
+pub struct FileFormat {
     /// Its name, the first word.
     pub magic: &'static str,
     /// What it is, for people.
@@ -20,7 +20,7 @@
 
 /// Why something that was written can't be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Unsound {
+pub enum FileFormatError {
     /// Nothing is in it.
     Empty,
     /// More bytes than may be.
@@ -37,44 +37,46 @@
     Body(String),
 }
 
-impl fmt::Display for Unsound {
+impl fmt::Display for FileFormatError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Unsound::Empty => write!(f, "it is empty"),
-            Unsound::TooLarge(n) => write!(f, "it has {n} bytes, more than may be"),
-            Unsound::Foreign(what) => write!(f, "it is no {what}"),
-            Unsound::Version(v) => write!(f, "it has version {v}, which is not known"),
-            Unsound::Length { has, wants } => write!(f, "its body has {has} bytes instead of {wants}"),
-            Unsound::Checksum => write!(f, "its checksum does not fit"),
-            Unsound::Body(why) => write!(f, "its body can't be read: {why}"),
+            FileFormatError::Empty => write!(f, "it is empty"),
+            FileFormatError::TooLarge(n) => write!(f, "it has {n} bytes, more than may be"),
+            FileFormatError::Foreign(what) => write!(f, "it is no {what}"),
+            FileFormatError::Version(v) => write!(f, "it has version {v}, which is not known"),
+            FileFormatError::Length { has, wants } => {
+                write!(f, "its body has {has} bytes instead of {wants}")
+            }
+            FileFormatError::Checksum => write!(f, "its checksum does not fit"),
+            FileFormatError::Body(why) => write!(f, "its body can't be read: {why}"),
         }
     }
 }
 
-impl std::error::Error for Unsound {}
+impl std::error::Error for FileFormatError {}
 
-impl Format {
+impl FileFormat {
     fn head(&self, version: u32, body: &[u8]) -> String {
         format!("{} {version} {} {:08x}\n", self.magic, body.len(), crc32fast::hash(body))
     }
 
     /// Writes a value. One that would be too large is an error: nothing is cut off silently.
-    pub fn encode(&self, value: &impl Serialize) -> Result<Vec<u8>, Unsound> {
-        let mut body = serde_json::to_vec_pretty(value).map_err(|e| Unsound::Body(e.to_string()))?;
+    pub fn encode(&self, value: &impl Serialize) -> Result<Vec<u8>, FileFormatError> {
+        let mut body = serde_json::to_vec_pretty(value).map_err(|e| FileFormatError::Body(e.to_string()))?;
         body.push(b'\n');
         let mut out = self.head(self.version, &body).into_bytes();
         out.append(&mut body);
-        if out.len() > self.most { Err(Unsound::TooLarge(out.len())) } else { Ok(out) }
+        if out.len() > self.most { Err(FileFormatError::TooLarge(out.len())) } else { Ok(out) }
     }
 
     /// Reads a value back.
-    pub fn decode<T: DeserializeOwned>(&self, bytes: &[u8]) -> Result<T, Unsound> {
-        let foreign = || Unsound::Foreign(self.what);
+    pub fn decode<T: DeserializeOwned>(&self, bytes: &[u8]) -> Result<T, FileFormatError> {
+        let foreign = || FileFormatError::Foreign(self.what);
         if bytes.is_empty() {
-            return Err(Unsound::Empty);
+            return Err(FileFormatError::Empty);
         }
         if bytes.len() > self.most {
-            return Err(Unsound::TooLarge(bytes.len()));
+            return Err(FileFormatError::TooLarge(bytes.len()));
         }
         let line = bytes.iter().take(96).position(|b| *b == b'\n').ok_or_else(foreign)?;
         let (first, body) = (&bytes[..=line], &bytes[line + 1..]);
@@ -87,15 +89,15 @@
             return Err(foreign());
         }
         if version != self.version {
-            return Err(Unsound::Version(version));
+            return Err(FileFormatError::Version(version));
         }
         if wants != body.len() {
-            return Err(Unsound::Length { has: body.len(), wants });
+            return Err(FileFormatError::Length { has: body.len(), wants });
         }
         // The line as it would be written: a changed byte anywhere in it shows, not only in the checksum.
         if self.head(version, body).as_bytes() != first {
-            return Err(Unsound::Checksum);
+            return Err(FileFormatError::Checksum);
         }
-        serde_json::from_slice(body).map_err(|e| Unsound::Body(e.to_string()))
+        serde_json::from_slice(body).map_err(|e| FileFormatError::Body(e.to_string()))
     }
 }
--- a/src/storage/file_system.rs
+++ b/src/storage/file_system.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 
 /// Files as the keeper needs them.
-pub trait Files: Send + 'static {
+pub trait FileSystem: Send + 'static {
     /// What holds the lock; it is given up when this is dropped.
     type Lock: Send;
 
@@ -27,7 +27,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Disk;
 
-impl Files for Disk {
+impl FileSystem for Disk {
     type Lock = File;
 
     fn read(&self, path: &Path, most: usize) -> io::Result<Vec<u8>> {
--- a/src/storage/journal.rs
+++ b/src/storage/journal.rs
@@ -7,10 +7,10 @@
 //!
 //! All is done on a thread of its own. It has a copy to write snapshots from, so that the poll loop never makes one.
 
-use super::file_system::Files;
+use super::file_system::FileSystem;
 use crate::api::Nanos;
 use crate::replication::{Fact, Origin, StateStore, StoreLimits};
-use crate::storage::checksummed_file::{Format, Unsound};
+use crate::storage::checksummed_file::{FileFormat, FileFormatError};
 use serde::{Deserialize, Serialize};
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
@@ -31,7 +31,7 @@
 /// See `LOG`.
 pub const LOCK: &str = "cluster.lock";
 
-const FORMAT: Format = Format {
+const FORMAT: FileFormat = FileFormat {
     magic: "pebbleturn-cluster",
     what: "snapshot of a cluster's facts",
     version: 1,
@@ -65,7 +65,7 @@
 
 /// What is found on disk.
 #[derive(Clone, Debug, Default)]
-pub struct Found {
+pub struct JournalContents {
     /// All facts that are sound, joined.
     pub facts: Vec<Fact>,
     /// The greatest incarnation under which a process of this broker began.
@@ -80,8 +80,8 @@
     damaged: Vec<&'static str>,
 }
 
-fn line(record: &Record) -> Result<String, Unsound> {
-    let text = serde_json::to_string(record).map_err(|e| Unsound::Body(e.to_string()))?;
+fn line(record: &Record) -> Result<String, FileFormatError> {
+    let text = serde_json::to_string(record).map_err(|e| FileFormatError::Body(e.to_string()))?;
     Ok(format!("{:08x} {text}\n", crc32fast::hash(text.as_bytes())))
 }
 
@@ -100,11 +100,11 @@
 }
 
 fn read_log(
-    files: &impl Files,
+    files: &impl FileSystem,
     dir: &Path,
     name: &'static str,
     copy: &mut StateStore,
-    found: &mut Found,
+    found: &mut JournalContents,
 ) -> (usize, bool) {
     let path = &dir.join(name);
     let bytes = match files.read(path, MOST_LOG) {
@@ -137,8 +137,8 @@
 }
 
 /// What a directory holds.
-pub fn read(files: &impl Files, dir: &Path, bounds: StoreLimits) -> Found {
-    let mut found = Found::default();
+pub fn read(files: &impl FileSystem, dir: &Path, bounds: StoreLimits) -> JournalContents {
+    let mut found = JournalContents::default();
     // Nobody's origin: nothing is said with this copy.
     let mut copy = StateStore::new(Origin(0), bounds);
     for name in [OLDER_SNAPSHOT, SNAPSHOT, UNDER_WAY] {
@@ -177,7 +177,7 @@
     Incarnation(u64),
 }
 
-struct Clerk<F: Files> {
+struct Clerk<F: FileSystem> {
     files: F,
     dir: PathBuf,
     copy: StateStore,
@@ -190,7 +190,7 @@
     damaged: Vec<&'static str>,
 }
 
-impl<F: Files> Clerk<F> {
+impl<F: FileSystem> Clerk<F> {
     fn append(&mut self, records: &[Record]) -> Result<(), String> {
         let mut text = if self.cut { "\n".to_owned() } else { String::new() };
         for r in records {
@@ -264,7 +264,7 @@
 #[derive(Debug)]
 pub struct Journal {
     writes: Option<SyncSender<Write>>,
-    found: Receiver<Result<Found, String>>,
+    found: Receiver<Result<JournalContents, String>>,
     done: Receiver<(u64, Result<(), String>)>,
     ended: Receiver<()>,
     thread: Option<JoinHandle<()>>,
@@ -275,7 +275,7 @@
 
 impl Journal {
     /// Begins: the lock is taken, now or when the process that has it ends, and what is there is read.
-    pub fn start(files: impl Files, dir: &Path, bounds: StoreLimits) -> std::io::Result<Journal> {
+    pub fn start(files: impl FileSystem, dir: &Path, bounds: StoreLimits) -> std::io::Result<Journal> {
         let (writes, taken) = sync_channel::<Write>(4);
         let (tell_found, found) = sync_channel(1);
         let (tell_done, done) = sync_channel(8);
@@ -310,12 +310,12 @@
     }
 
     /// What was found, once it is; an error where the directory can't be used at all.
-    pub fn found(&self) -> Option<Result<Found, String>> {
+    pub fn found(&self) -> Option<Result<JournalContents, String>> {
         self.found.try_recv().ok()
     }
 
     /// The same, waited for at most so long: for a start, before anybody is served.
-    pub fn found_within(&self, time: Duration) -> Option<Result<Found, String>> {
+    pub fn found_within(&self, time: Duration) -> Option<Result<JournalContents, String>> {
         self.found.recv_timeout(time).ok()
     }
 
@@ -367,10 +367,10 @@
 }
 
 /// Waits for the lock; none where the program ends before.
-fn take_lock<F: Files>(
+fn take_lock<F: FileSystem>(
     files: &F,
     dir: &Path,
-    tell: &SyncSender<Result<Found, String>>,
+    tell: &SyncSender<Result<JournalContents, String>>,
     taken: &Receiver<Write>,
 ) -> Option<F::Lock> {
     let fail = |what: String| {
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -5,4 +5,4 @@
 pub mod journal;
 pub mod snapshot_store;
 
-pub use file_system::{Disk, Files};
+pub use file_system::{Disk, FileSystem};
--- a/src/storage/snapshot_store.rs
+++ b/src/storage/snapshot_store.rs
@@ -4,8 +4,8 @@
 //! is found at the start is merged from every generation that is sound: facts that were learnt are not lost by a
 //! kill between two steps. Nothing that goes wrong here stops the broker from serving.
 
-use super::{Disk, Files};
-use crate::membership::snapshot::{self, Kept};
+use super::{Disk, FileSystem};
+use crate::membership::snapshot::{self, Snapshot};
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -27,7 +27,7 @@
 const LAST_WRITE: Duration = Duration::from_millis(500);
 
 /// Every generation in a directory that is sound, the oldest first, and what is wrong with the others.
-pub fn read(files: &impl Files, dir: &Path) -> (Vec<Kept>, Vec<String>) {
+pub fn read(files: &impl FileSystem, dir: &Path) -> (Vec<Snapshot>, Vec<String>) {
     let (mut sound, mut wrong) = (Vec::new(), Vec::new());
     for name in [OLDER, CURRENT, UNDER_WAY] {
         let path = dir.join(name);
@@ -46,7 +46,7 @@
 }
 
 /// What a directory, or one file, holds: every sound list, the oldest first, and what is wrong with the others.
-pub fn look(path: &Path) -> (Vec<Kept>, Vec<String>) {
+pub fn look(path: &Path) -> (Vec<Snapshot>, Vec<String>) {
     if path.is_dir() {
         return read(&Disk, path);
     }
@@ -58,7 +58,7 @@
 }
 
 /// Writes one list: whatever happens on the way, a sound generation stays if there was one.
-pub fn write(files: &impl Files, dir: &Path, list: &Kept) -> Result<(), String> {
+pub fn write(files: &impl FileSystem, dir: &Path, list: &Snapshot) -> Result<(), String> {
     let bytes = snapshot::encode(list).map_err(|e| e.to_string())?;
     let (current, older, tmp) = (dir.join(CURRENT), dir.join(OLDER), dir.join(UNDER_WAY));
     let said = |path: &Path| {
@@ -75,7 +75,7 @@
 }
 
 /// What the keeper's thread works with.
-struct Desk<F: Files> {
+struct Desk<F: FileSystem> {
     files: F,
     dir: PathBuf,
     /// Held from the first write on. Until another process lets go of it, nothing is written: a broker that starts
@@ -84,8 +84,8 @@
     failing: bool,
 }
 
-impl<F: Files> Desk<F> {
-    fn write(&mut self, list: &Kept) {
+impl<F: FileSystem> Desk<F> {
+    fn write(&mut self, list: &Snapshot) {
         if self.lock.is_none() {
             let path = self.dir.join(LOCK);
             match self.files.lock(&path) {
@@ -116,17 +116,17 @@
 
 /// Writes lists on a thread of its own, one at a time.
 #[derive(Debug)]
-pub struct Keeper {
-    lists: Option<SyncSender<Kept>>,
+pub struct SnapshotWriter {
+    lists: Option<SyncSender<Snapshot>>,
     busy: Arc<AtomicBool>,
     ended: Receiver<()>,
     thread: Option<JoinHandle<()>>,
 }
 
-impl Keeper {
+impl SnapshotWriter {
     /// Opens a directory: what was kept there, the oldest first, and a keeper. Reads before the broker serves; from
     /// then on only the keeper's own thread touches the disk.
-    pub fn open(dir: &Path) -> (Vec<Kept>, Option<Keeper>) {
+    pub fn open(dir: &Path) -> (Vec<Snapshot>, Option<SnapshotWriter>) {
         let disk = Disk;
         if let Err(e) = std::fs::create_dir_all(dir) {
             tracing::error!("no list is kept: {}: {e}", dir.display());
@@ -137,12 +137,12 @@
             let rest = if sound.is_empty() { "nothing is left" } else { "another generation is used" };
             tracing::error!("kept list not used: {}; {rest}", wrong.join("; "));
         }
-        (sound, Keeper::start(disk, dir.to_owned()))
+        (sound, SnapshotWriter::start(disk, dir.to_owned()))
     }
 
     /// A keeper for a directory.
-    pub fn start(files: impl Files, dir: PathBuf) -> Option<Keeper> {
-        let (lists, taken) = sync_channel::<Kept>(1);
+    pub fn start(files: impl FileSystem, dir: PathBuf) -> Option<SnapshotWriter> {
+        let (lists, taken) = sync_channel::<Snapshot>(1);
         let (end, ended) = sync_channel(1);
         let busy = Arc::new(AtomicBool::new(false));
         let at_work = busy.clone();
@@ -156,7 +156,7 @@
             let _ = end.send(());
         };
         match std::thread::Builder::new().name("keeper".into()).spawn(work) {
-            Ok(thread) => Some(Keeper { lists: Some(lists), busy, ended, thread: Some(thread) }),
+            Ok(thread) => Some(SnapshotWriter { lists: Some(lists), busy, ended, thread: Some(thread) }),
             Err(e) => {
                 tracing::error!("no list is kept: no thread: {e}");
                 None
@@ -170,7 +170,7 @@
     }
 
     /// Has a list written. Never blocks.
-    pub fn keep(&mut self, list: Kept) {
+    pub fn keep(&mut self, list: Snapshot) {
         let Some(lists) = &self.lists else { return };
         self.busy.store(true, Ordering::Release);
         if lists.try_send(list).is_err() {
@@ -179,7 +179,7 @@
     }
 }
 
-impl Drop for Keeper {
+impl Drop for SnapshotWriter {
     fn drop(&mut self) {
         drop(self.lists.take());
         if self.ended.recv_timeout(LAST_WRITE).is_ok()
--- a/tests/cluster/processes.rs
+++ b/tests/cluster/processes.rs
@@ -2,8 +2,8 @@
 
 use pebbleturn::gossip::codec::{self, Datagram, Sender};
 use pebbleturn::gossip::swim::Probe;
-use pebbleturn::membership::State;
-use pebbleturn::membership::endpoint_list::ServerLine;
+use pebbleturn::membership::NodeState;
+use pebbleturn::membership::endpoint_list::Endpoint;
 use pebbleturn::replication::{
     CommandValue, FactKey, FactValue, OperatorCommand, Origin, ProcessStart, Register,
 };
@@ -447,7 +447,7 @@
     let mut bed = Bed::new(PROGRAM, 3, 15);
     let all: Vec<_> = (0..3).map(|n| (format!("n-{n}"), bed.nodes()[n], n as u32)).collect();
     let says = |n: usize, state| line(&all[n].0, all[n].1, "sru", all[n].2, state);
-    let listed = || (0..3).map(|n| says(n, State::Ready)).collect::<Vec<_>>();
+    let listed = || (0..3).map(|n| says(n, NodeState::Ready)).collect::<Vec<_>>();
     let directories: Vec<Directory> = (0..3).map(|_| Directory::start(listed())).collect();
     // The second broker has no discovery: its nodes are those of its file, which it knew before it heard of any peer.
     for n in [0, 2] {
@@ -459,8 +459,8 @@
     let by_file = Clients::at(&bed, 1, 1);
     until("all nodes are used", || (0..3).all(|n| bed.script.came_to(n) > 5));
     // Only the first broker's discovery knows of the drain, and of a node that the others never heard of.
-    directories[0].change(says(1, State::Terminating));
-    directories[0].change(ServerLine { id: "n-9".into(), ..says(2, State::Ready) });
+    directories[0].change(says(1, NodeState::Terminating));
+    directories[0].change(Endpoint { id: "n-9".into(), ..says(2, NodeState::Ready) });
     let mut quiet = (bed.script.came_to(1), 0);
     until("the others send it nothing more", || {
         clients.more(20);
@@ -472,8 +472,8 @@
     assert_eq!(bed.json(2, "METRICS")["pool_size"], 3, "no node is named by a peer");
     assert!(bed.call(2, "SUSPEND n-9").starts_with("FAILURE"));
     // Its own list becomes newer: that says again that the node takes work.
-    directories[2].change(says(0, State::Ready));
-    directories[2].change(says(1, State::Ready));
+    directories[2].change(says(0, NodeState::Ready));
+    directories[2].change(says(1, NodeState::Ready));
     until("it is used again", || bed.script.came_to(1) > quiet.0);
     clients.end();
     // The one without discovery waits for its restart, which the first one hears of.
@@ -485,7 +485,7 @@
         quiet.1 == 3
     });
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
-    directories[0].change(ServerLine { started_ms: now, ..says(1, State::Ready) });
+    directories[0].change(Endpoint { started_ms: now, ..says(1, NodeState::Ready) });
     until("it is used again by the file too", || bed.script.came_to(1) > quiet.0);
     by_file.end();
     settled(&mut bed);
--- a/tests/fronts/clients.rs
+++ b/tests/fronts/clients.rs
@@ -1,6 +1,6 @@
 //! A broker in a thread of its own, and clients of all three protocols that see its answers alike.
 
-use pebbleturn::config::{Operator, Platform};
+use pebbleturn::config::{OperatorConfig, PlatformConfig};
 use pebbleturn::frontends::catalogue::apdu::*;
 use pebbleturn::frontends::catalogue::diagnostic::Trouble;
 use pebbleturn::frontends::catalogue::marc::{Field, Record};
@@ -66,7 +66,7 @@
 /// A broker on the platform with this configuration.
 pub fn serve_told(config: &str, script: Script) -> Served {
     let (tell, told) = mpsc::channel();
-    let config = Platform::read(config, |_| None).unwrap();
+    let config = PlatformConfig::read(config, |_| None).unwrap();
     let thread = std::thread::spawn(move || {
         let (mut broker, addr) = platform::broker(config).unwrap();
         tell.send((addr, broker.shutdown_handle().unwrap())).unwrap();
@@ -80,7 +80,7 @@
 const CLASSES: [(&str, u64, u64, f64); 3] =
     [("whole", 8000, 20_000, 1.0), ("most", 3000, 20_000, 0.6), ("short", 600, 1500, 1.0)];
 
-fn told_operator(nodes: &[(SocketAddr, Wire)], max_open: u32) -> Operator {
+fn told_operator(nodes: &[(SocketAddr, Wire)], max_open: u32) -> OperatorConfig {
     let mut text = format!(
         "name = \"test\"\nzone = \"a\"\n[limits]\nmax_open = {max_open}\nsockets = 96\npage = 2\n[partitions]\ncount = {PARTITIONS}\n\
          cells = 3\nholders = 2\ndatabase = \"part-{{partition}}\"\nkey_index = \"music.compositionid\"\n"
@@ -100,7 +100,7 @@
             "[[node]]\nid = \"n{n}\"\nprotocol = \"{protocol}\"\naddress = \"{addr}\"\nzone = \"a\"\ncell = {n}\n"
         );
     }
-    Operator::read(&text).unwrap()
+    OperatorConfig::read(&text).unwrap()
 }
 
 pub fn platform_config(nodes: &[(SocketAddr, Wire)], max_open: u32, discovery: Option<SocketAddr>) -> String {
--- a/tests/import.rs
+++ b/tests/import.rs
@@ -1,8 +1,8 @@
 //! Importers: what they make must be an operator's file that is taken, and nothing is dropped in silence.
 
-use pebbleturn::config::Operator;
+use pebbleturn::config::OperatorConfig;
 use pebbleturn::import::{Imported, read_apache, read_jk};
-use pebbleturn::routing::{Spare, Standing};
+use pebbleturn::routing::{AdminState, Spare};
 
 const APACHE: &str = r#"# a catalogue
 <Proxy "balancer://scores">
@@ -28,7 +28,7 @@
 #[test]
 fn an_apache_balancer_becomes_a_file_that_is_taken() {
     let i = read_apache(APACHE, None).unwrap();
-    let o = Operator::read(&i.file).unwrap();
+    let o = OperatorConfig::read(&i.file).unwrap();
     let nodes: Vec<String> = o.node.iter().map(|n| format!("{} {}", n.id, n.address)).collect();
     let expected = [
         "shop1 127.0.0.11:8080",
@@ -52,7 +52,10 @@
     ] {
         assert!(said(&i, line, word), "line {line}: {word}\n{:?}", i.notes);
     }
-    assert_eq!(Operator::read(&read_apache(APACHE, Some("other")).unwrap().file).unwrap().node.len(), 1);
+    assert_eq!(
+        OperatorConfig::read(&read_apache(APACHE, Some("other")).unwrap().file).unwrap().node.len(),
+        1
+    );
     assert!(read_apache("ProxyPass / http://x/", None).is_err());
 }
 
@@ -80,11 +83,11 @@
 #[test]
 fn mod_jk_workers_become_a_file_that_is_taken() {
     let i = read_jk(JK, None).unwrap();
-    let o = Operator::read(&i.file).unwrap();
+    let o = OperatorConfig::read(&i.file).unwrap();
     let nodes: Vec<String> = o.node.iter().map(|n| format!("{} {} {}", n.id, n.address, n.zone)).collect();
     let expected = ["a 127.0.0.21:8109 kochi-dc", "b 127.0.0.22:8109 default", "c 127.0.0.23:8009 default"];
     assert_eq!(nodes, expected);
-    assert_eq!((o.node[1].weight, o.node[2].standing), (2.0, Standing::Disabled));
+    assert_eq!((o.node[1].weight, o.node[2].standing), (2.0, AdminState::Disabled));
     assert_eq!((o.name.as_str(), o.class[0].deadline_ms), ("lb", 9000));
     for (line, word) in [(5, "socket_timeout"), (18, "sticky_session"), (19, "status")] {
         assert!(said(&i, line, word), "line {line}: {word}\n{:?}", i.notes);
@@ -108,15 +111,15 @@
 </Proxy>
 "#;
     let i = read_apache(text, None).unwrap();
-    let o = Operator::read(&i.file).unwrap();
+    let o = OperatorConfig::read(&i.file).unwrap();
     assert_eq!(o.name, "scores");
     let ids: Vec<&str> = o.node.iter().map(|n| n.id.as_str()).collect();
     assert_eq!(ids, ["a", "b", "B-2", "d", "d-2", "127.0.0.6"]);
     let n = &o.node;
     assert_eq!((n[0].weight, n[0].redirect.as_deref()), (2.5, Some("b")));
-    assert_eq!((n[1].spare, n[1].standing, n[1].retry_ms), (Spare::Standby, Standing::Active, 0));
+    assert_eq!((n[1].spare, n[1].standing, n[1].retry_ms), (Spare::Standby, AdminState::Active, 0));
     assert_eq!((n[2].spare, n[2].set, n[2].retry_ms), (Spare::Hot, 1, 30_000));
-    assert_eq!((n[3].standing, n[4].standing), (Standing::Stopped, Standing::Draining));
+    assert_eq!((n[3].standing, n[4].standing), (AdminState::Stopped, AdminState::Draining));
     for (line, word) in [
         (7, "differs only in case from b in line 6"),
         (9, "has the name of d in line 8"),
@@ -154,12 +157,12 @@
 worker.lb.recover_time=20
 ";
     let i = read_jk(text, None).unwrap();
-    let o = Operator::read(&i.file).unwrap();
+    let o = OperatorConfig::read(&i.file).unwrap();
     let n = &o.node;
     assert_eq!((n[0].weight, n[0].redirect.as_deref(), n[0].retry_ms), (4.0, Some("far"), 20_000));
-    assert_eq!((n[1].weight, n[1].set, n[1].standing), (4.0, 2, Standing::Disabled));
-    let standings: Vec<Standing> = n[2..].iter().map(|n| n.standing).collect();
-    assert_eq!(standings, [Standing::Stopped, Standing::Disabled, Standing::Active]);
+    assert_eq!((n[1].weight, n[1].set, n[1].standing), (4.0, 2, AdminState::Disabled));
+    let standings: Vec<AdminState> = n[2..].iter().map(|n| n.standing).collect();
+    assert_eq!(standings, [AdminState::Stopped, AdminState::Disabled, AdminState::Active]);
     assert!(said(&i, 15, "asleep"), "{:?}", i.notes);
     assert!(
         i.notes.iter().all(|n| !n.text.contains("template")),
--- a/tests/keep.rs
+++ b/tests/keep.rs
@@ -1,29 +1,30 @@
 //! The kept list on disk: every failure of the disk that the design note names.
 
-use pebbleturn::membership::snapshot::{Kept, KeptNode};
-use pebbleturn::membership::staleness::Rate;
-use pebbleturn::membership::{Fact, State};
-use pebbleturn::storage::snapshot_store::{self, CURRENT, Keeper, LOCK, OLDER};
-use pebbleturn::storage::{Disk, Files};
+use pebbleturn::membership::snapshot::{Snapshot, SnapshotNode};
+use pebbleturn::membership::staleness::ChangeRate;
+use pebbleturn::membership::{NodeRecord, NodeState};
+use pebbleturn::storage::snapshot_store::{self, CURRENT, LOCK, OLDER, SnapshotWriter};
+use pebbleturn::storage::{Disk, FileSystem};
 use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc;
 
-fn list(version: u64, drained: bool) -> Kept {
-    let fact = Fact {
+fn list(version: u64, drained: bool) -> Snapshot {
+    let fact = NodeRecord {
         id: "s-1".into(),
         addr: Some("127.0.0.1:80".parse().unwrap()),
         zone: "a".into(),
         kind: String::new(),
         cell: 0,
-        state: if drained { State::Terminating } else { State::Ready },
+        state: if drained { NodeState::Terminating } else { NodeState::Ready },
         started: 0,
     };
-    let node = KeptNode { fact, epoch: 0, version, heard: version, anew: false, confirmed: Some(version) };
-    let (whole, rate) = (Some((0, 1, 1)), Rate::NONE);
-    Kept { written: version, synced: Some(version), whole, forgotten: None, rate, nodes: vec![node] }
+    let node =
+        SnapshotNode { fact, epoch: 0, version, heard: version, anew: false, confirmed: Some(version) };
+    let (whole, rate) = (Some((0, 1, 1)), ChangeRate::NONE);
+    Snapshot { written: version, synced: Some(version), whole, forgotten: None, rate, nodes: vec![node] }
 }
 
 /// The disk, on which the step of that number and all after it fail: a kill, a full disk, a directory that is gone.
@@ -42,7 +43,7 @@
     }
 }
 
-impl Files for Failing {
+impl FileSystem for Failing {
     type Lock = ();
 
     fn read(&self, path: &Path, most: usize) -> io::Result<Vec<u8>> {
@@ -77,7 +78,7 @@
     }
 }
 
-fn versions(lists: &[Kept]) -> Vec<u64> {
+fn versions(lists: &[Snapshot]) -> Vec<u64> {
     lists.iter().map(|l| l.nodes[0].version).collect()
 }
 
@@ -153,7 +154,7 @@
 #[test]
 fn a_directory_belongs_to_one_process_until_that_ends() {
     let dir = tempfile::tempdir().unwrap();
-    let start = || Keeper::open(dir.path()).1.unwrap();
+    let start = || SnapshotWriter::open(dir.path()).1.unwrap();
     let (mut first, mut second) = (start(), start());
     first.keep(list(1, false));
     settle(&first);
@@ -169,7 +170,7 @@
 }
 
 /// Waits until the keeper has done with what it was given.
-fn settle(keeper: &Keeper) {
+fn settle(keeper: &SnapshotWriter) {
     while !keeper.is_free() {
         std::thread::yield_now();
     }
@@ -179,7 +180,7 @@
 fn a_disk_that_is_full_costs_only_the_list_and_it_is_kept_again_later() {
     let dir = tempfile::tempdir().unwrap();
     let disk = Failing::default();
-    let mut keeper = Keeper::start(disk.clone(), dir.path().to_owned()).unwrap();
+    let mut keeper = SnapshotWriter::start(disk.clone(), dir.path().to_owned()).unwrap();
     for n in 1..=3 {
         keeper.keep(list(n, false));
         settle(&keeper);
@@ -195,7 +196,7 @@
 fn a_directory_that_vanishes_and_comes_back_is_used_again() {
     let dir = tempfile::tempdir().unwrap();
     let place = dir.path().join("kept");
-    let (_, keeper) = Keeper::open(&place);
+    let (_, keeper) = SnapshotWriter::open(&place);
     let mut keeper = keeper.unwrap();
     std::fs::remove_dir_all(&place).unwrap();
     keeper.keep(list(1, false));
@@ -207,13 +208,13 @@
     // A place that is no directory at all keeps nothing.
     let file = dir.path().join("file");
     std::fs::write(&file, "").unwrap();
-    assert!(Keeper::open(&file).1.is_none());
+    assert!(SnapshotWriter::open(&file).1.is_none());
 }
 
 /// A disk whose writes wait for a word.
 struct Slow(PathBuf, std::sync::Mutex<mpsc::Receiver<()>>);
 
-impl Files for Slow {
+impl FileSystem for Slow {
     type Lock = ();
 
     fn read(&self, path: &Path, most: usize) -> io::Result<Vec<u8>> {
@@ -249,7 +250,7 @@
     let begun = dir.path().join("begun");
     let (go, wait) = mpsc::channel();
     let disk = Slow(begun.clone(), std::sync::Mutex::new(wait));
-    let mut keeper = Keeper::start(disk, dir.path().to_owned()).unwrap();
+    let mut keeper = SnapshotWriter::start(disk, dir.path().to_owned()).unwrap();
     keeper.keep(list(1, true));
     while !begun.exists() {
         std::thread::yield_now();
@@ -261,7 +262,7 @@
     // One that never comes back keeps the program only for a moment.
     let (stuck, wait) = mpsc::channel();
     let disk = Slow(begun, std::sync::Mutex::new(wait));
-    let mut keeper = Keeper::start(disk, dir.path().to_owned()).unwrap();
+    let mut keeper = SnapshotWriter::start(disk, dir.path().to_owned()).unwrap();
     keeper.keep(list(2, true));
     drop(keeper);
     // It is over, although the disk still hangs; what was kept before stands.
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -3,8 +3,8 @@
 mod common;
 use common::{MS, S, line, settings};
 use pebbleturn::engine::*;
-use pebbleturn::frontends::platform::{Carried, LinkLimits, Servers};
-use pebbleturn::net::{Clock, ConnId, NetEvent, Pool, Reactor};
+use pebbleturn::frontends::platform::{RequestContext, Upstream, UpstreamLimits};
+use pebbleturn::net::{Clock, ConnId, NetEvent, PollLoop, Pool};
 use pebbleturn::server::FrontendContext;
 use pebbleturn::*;
 use std::io::{Read, Write};
@@ -16,9 +16,9 @@
 
 struct Link {
     clock: Clock,
-    net: Reactor,
-    exchange: QueryEngine<Carried, String>,
-    servers: Servers,
+    net: PollLoop,
+    exchange: QueryEngine<RequestContext, String>,
+    servers: Upstream,
 }
 
 impl Link {
@@ -26,15 +26,15 @@
         let clock = Clock::start();
         let mut exchange = QueryEngine::new(settings(effect), 7, clock.now()).unwrap();
         exchange.update_endpoints(true, vec![line(0, ReplicaState::Active, None)]);
-        let limits = LinkLimits { streams: 8, dial_timeout: 5 * S, idle: 30 * S, silent: 5 * S, most: 8 };
-        let mut servers = Servers::new(0, limits);
+        let limits = UpstreamLimits { streams: 8, dial_timeout: 5 * S, idle: 30 * S, silent: 5 * S, most: 8 };
+        let mut servers = Upstream::new(0, limits);
         servers.place(ReplicaId(0), Some(listener.local_addr().unwrap()));
-        Link { clock, net: Reactor::new(Pool::new(16), 16).unwrap(), exchange, servers }
+        Link { clock, net: PollLoop::new(Pool::new(16), 16).unwrap(), exchange, servers }
     }
 
     /// Takes a query, and has its call written or its connection dialled; the poll is not asked.
     fn ask(&mut self, id: &str) {
-        let payload = Rc::new(Carried { id: id.into(), text: "t".into() });
+        let payload = Rc::new(RequestContext { id: id.into(), text: "t".into() });
         let parts = vec![PartRequest { shard: 0, weight: 1.0, work: None }];
         let ask = QueryRequest {
             class: 0,
@@ -111,7 +111,7 @@
 }
 
 /// A connection that was accepted, and its peer.
-fn accepted(net: &mut Reactor) -> (ConnId, TcpStream) {
+fn accepted(net: &mut PollLoop) -> (ConnId, TcpStream) {
     let addr = net.listen("127.0.0.1:0".parse().unwrap(), 0).unwrap();
     let peer = TcpStream::connect(addr).unwrap();
     let mut events = Vec::new();
@@ -128,7 +128,7 @@
 /// A peer that reads nothing must not keep its place and buffers: time is told here, and nothing is waited for.
 #[test]
 fn a_peer_that_never_reads_its_last_message_is_closed_in_the_end() {
-    let mut net = Reactor::new(Pool::new(64), 16).unwrap();
+    let mut net = PollLoop::new(Pool::new(64), 16).unwrap();
     let (conn, peer) = accepted(&mut net);
     // More than both systems hold: the rest stands in buffers.
     while net.is_flushed(conn) {
@@ -145,7 +145,7 @@
 /// A peer that does not close leaves the broker in peace: the poll waits, and does not spin until the peer's time is over.
 #[test]
 fn a_connection_that_lingers_wakes_nobody() {
-    let mut net = Reactor::new(Pool::new(16), 16).unwrap();
+    let mut net = PollLoop::new(Pool::new(16), 16).unwrap();
     let (conn, peer) = accepted(&mut net);
     let mut events = Vec::new();
     net.send(conn, b"the last message").unwrap();
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,9 +1,9 @@
 //! Membership on real sockets: nodes that come, drain and go under a session, restarts without discovery.
 
-use pebbleturn::config::Operator;
+use pebbleturn::config::OperatorConfig;
 use pebbleturn::frontends::catalogue;
-use pebbleturn::membership::State;
-use pebbleturn::membership::snapshot::Kept;
+use pebbleturn::membership::NodeState;
+use pebbleturn::membership::snapshot::Snapshot;
 use pebbleturn::net::Waker;
 use pebbleturn::server::BrokerError;
 use pebbleturn::storage::snapshot_store;
@@ -30,12 +30,12 @@
     fn new() -> Fleet {
         let script = Script::default();
         let nodes: Vec<SocketAddr> = (0..4).map(|n| node(Wire::Sru, n, script.clone())).collect();
-        let listed = (0..3).map(|n| line(&format!("n-{n}"), nodes[n], "sru", n as u32, State::Ready));
+        let listed = (0..3).map(|n| line(&format!("n-{n}"), nodes[n], "sru", n as u32, NodeState::Ready));
         let directory = Directory::start(listed.collect());
         Fleet { nodes, script, directory }
     }
 
-    fn tell(&self, n: usize, state: State) {
+    fn tell(&self, n: usize, state: NodeState) {
         self.directory.change(line(&format!("n-{n}"), self.nodes[n], "sru", n as u32 % 3, state));
     }
 }
@@ -63,7 +63,7 @@
                 n % 3
             );
         }
-        let operator = Operator::read(&text).unwrap();
+        let operator = OperatorConfig::read(&text).unwrap();
         let (tell, told) = mpsc::channel();
         let thread = std::thread::spawn(move || {
             let (mut broker, addrs) = catalogue::broker(operator)?;
@@ -123,8 +123,8 @@
     };
     search();
     // One drains, then another comes: once work reaches that, the drain is known.
-    fleet.tell(0, State::Terminating);
-    fleet.tell(3, State::Ready);
+    fleet.tell(0, NodeState::Terminating);
+    fleet.tell(3, NodeState::Ready);
     until("the new node gets work", || {
         search();
         fleet.script.came_to(3) > 0
@@ -132,8 +132,8 @@
     let before = fleet.script.came_to(0);
     (0..20).for_each(|_| search());
     assert_eq!(fleet.script.came_to(0), before, "a node that drains gets nothing new");
-    fleet.tell(0, State::Gone);
-    fleet.tell(1, State::Gone);
+    fleet.tell(0, NodeState::Gone);
+    fleet.tell(1, NodeState::Gone);
     let came = || fleet.script.came_to(1);
     until("the other one gets nothing any more", || {
         let before = came();
@@ -148,10 +148,12 @@
     let (fleet, dir) = (Fleet::new(), tempfile::tempdir().unwrap());
     let first = Running::start(&with(&fleet.directory, dir.path()), &[]);
     first.until_it_serves();
-    fleet.tell(3, State::Ready);
-    fleet.tell(0, State::Terminating);
-    let drained = |lists: &[Kept]| {
-        lists.iter().any(|l| l.nodes.iter().any(|n| n.fact.id == "n-0" && n.fact.state == State::Terminating))
+    fleet.tell(3, NodeState::Ready);
+    fleet.tell(0, NodeState::Terminating);
+    let drained = |lists: &[Snapshot]| {
+        lists
+            .iter()
+            .any(|l| l.nodes.iter().any(|n| n.fact.id == "n-0" && n.fact.state == NodeState::Terminating))
     };
     until("the drain is kept", || drained(&snapshot_store::look(dir.path()).0));
     first.stop();
@@ -165,7 +167,7 @@
     }
     assert_eq!(fleet.script.came_to(0), before);
     // Discovery comes back and counts anew, with an old view of that node: the drain stays learnt.
-    let list = (0..4).map(|n| line(&format!("n-{n}"), fleet.nodes[n], "sru", n as u32 % 3, State::Ready));
+    let list = (0..4).map(|n| line(&format!("n-{n}"), fleet.nodes[n], "sru", n as u32 % 3, NodeState::Ready));
     fleet.directory.count_anew(list.collect());
     fleet.directory.mode(Mode::Up);
     let asked = fleet.directory.asked().len();
@@ -173,7 +175,7 @@
     (0..20).for_each(|_| assert!(second.serves()));
     assert_eq!(fleet.script.came_to(0), before);
     // Its next word about the node counts.
-    fleet.tell(0, State::Ready);
+    fleet.tell(0, NodeState::Ready);
     until("the node is back", || second.serves() && fleet.script.came_to(0) > before);
     second.stop();
 }
@@ -212,8 +214,8 @@
         let (fleet, dir) = (Fleet::new(), tempfile::tempdir().unwrap());
         let first = Running::start(&with(&fleet.directory, dir.path()), &[]);
         first.until_it_serves();
-        fleet.tell(3, State::Ready);
-        fleet.tell(0, State::Terminating);
+        fleet.tell(3, NodeState::Ready);
+        fleet.tell(0, NodeState::Terminating);
         // News of the drain has been taken once work goes on to the other holders alone.
         until("the drain is learnt", || {
             let before = fleet.script.came_to(0);
--- a/tests/operation/processes.rs
+++ b/tests/operation/processes.rs
@@ -214,14 +214,14 @@
 
 #[test]
 fn a_server_that_moves_at_that_moment_stays_out_at_its_new_place() {
-    use pebbleturn::membership::State;
+    use pebbleturn::membership::NodeState;
     use pebbleturn_lab::directory::line;
     use pebbleturn_lab::standins::{Wire, node};
     let site = Site::new(PROGRAM);
     let process = site.start();
     let mut client = Client::connect(site.door());
     let moved = node(Wire::Http, 7, site.script.clone());
-    site.directory.change(line("s-1", moved, "", 1, State::Ready));
+    site.directory.change(line("s-1", moved, "", 1, NodeState::Ready));
     process.says_yes("SUSPEND s-1");
     process.wait("is at");
     let before = site.script.came_to(1) + site.script.came_to(7);
@@ -230,9 +230,9 @@
     }
     assert_eq!(site.script.came_to(1) + site.script.came_to(7), before);
     // It goes and comes back: still out.
-    site.directory.change(line("s-1", moved, "", 1, State::Gone));
+    site.directory.change(line("s-1", moved, "", 1, NodeState::Gone));
     until("it is gone", || process.figures()["pool_size"] == 2);
-    site.directory.change(line("s-1", moved, "", 1, State::Ready));
+    site.directory.change(line("s-1", moved, "", 1, NodeState::Ready));
     until("it is back", || process.figures()["pool_size"] == 3);
     for _ in 0..20 {
         assert!(client.ask().unwrap().starts_with("HTTP/1.1 200"));
@@ -244,7 +244,7 @@
 
 #[test]
 fn a_server_put_back_while_it_is_cold_is_used_again_and_not_pushed_over() {
-    use pebbleturn::membership::State;
+    use pebbleturn::membership::NodeState;
     use pebbleturn_lab::directory::line;
     let site = Site::new(PROGRAM);
     let process = site.start();
@@ -253,7 +253,7 @@
     process.says_yes("SUSPEND s-1");
     let at = site.nodes[1];
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
-    let mut restarted = line("s-1", at, "", 1, State::Ready);
+    let mut restarted = line("s-1", at, "", 1, NodeState::Ready);
     restarted.started_ms = now.as_millis() as u64 + 500;
     let before = site.script.came_to(1);
     site.directory.change(restarted);
--- a/tests/operation/rules.rs
+++ b/tests/operation/rules.rs
@@ -1,7 +1,7 @@
 //! What the parts of operation decide, without processes or sockets.
 
 use pebbleturn::admin::request::{self, AdminRequest, CommandOptions, LONGEST, RequestError};
-use pebbleturn::membership::{ByHand, Change, NeverListed};
+use pebbleturn::membership::{ManualOverrides, NodeChange, UnknownNode};
 use pebbleturn::metrics::{Gauges, Metrics, QueryResult};
 use pebbleturn::server::drain::{DrainPhase, DrainState, KEEP_ACCEPTING};
 use pebbleturn::{Nanos, ReplicaEntry, ReplicaId, ReplicaState};
@@ -91,7 +91,7 @@
     );
 }
 
-fn change(id: &str, replica: u32, standing: ReplicaState) -> Change {
+fn change(id: &str, replica: u32, standing: ReplicaState) -> NodeChange {
     let listed = ReplicaEntry {
         replica: ReplicaId(replica),
         zone: 0,
@@ -100,18 +100,18 @@
         started: None,
         weight: 1.0,
     };
-    Change { listed, id: id.into(), addr: None, kind: String::new() }
+    NodeChange { listed, id: id.into(), addr: None, kind: String::new() }
 }
 
-fn told(changes: &[Change]) -> Vec<(u32, ReplicaState)> {
+fn told(changes: &[NodeChange]) -> Vec<(u32, ReplicaState)> {
     changes.iter().map(|c| (c.listed.replica.0, c.listed.state)).collect()
 }
 
 #[test]
 fn a_server_out_by_hand_stays_out_whatever_the_list_says() {
     use ReplicaState::{Active, Draining, Removed};
-    let mut hand = ByHand::default();
-    assert_eq!(hand.suspend("s", false), Err(NeverListed));
+    let mut hand = ManualOverrides::default();
+    assert_eq!(hand.suspend("s", false), Err(UnknownNode));
     assert_eq!(
         told(&hand.pass(vec![change("s", 1, Active), change("t", 2, Active)])),
         [(1, Active), (2, Active)]
@@ -132,9 +132,9 @@
     assert_eq!(hand.restore("s", false), Ok(None));
     assert_eq!(told(&hand.pass(vec![change("s", 4, Draining)])), [(4, Draining)]);
     // A ban that came from an earlier process holds before any list names its server.
-    let mut hand = ByHand::with(["s".to_owned()]);
+    let mut hand = ManualOverrides::with(["s".to_owned()]);
     assert_eq!(told(&hand.pass(vec![change("s", 9, Active)])), [(9, Draining)]);
-    assert_eq!(hand.restore("nobody", false), Err(NeverListed));
+    assert_eq!(hand.restore("nobody", false), Err(UnknownNode));
 }
 
 #[test]
@@ -154,7 +154,7 @@
     /// Whatever is done in whatever order: a server is shown as in use only if the list says so and staff do not say no.
     fn hand_and_list_commute(words: Vec<(u8, u8)>) -> bool {
         use ReplicaState::{Draining, Removed, Active};
-        let (mut hand, mut shown) = (ByHand::default(), std::collections::BTreeMap::new());
+        let (mut hand, mut shown) = (ManualOverrides::default(), std::collections::BTreeMap::new());
         let (mut listed, mut out) = (std::collections::BTreeMap::new(), std::collections::BTreeSet::new());
         for (what, who) in words {
             let id = format!("s-{}", who % 4);
@@ -274,7 +274,7 @@
 #[test]
 fn tables_stay_bounded_over_a_long_run_and_no_server_that_is_out_is_forgotten() {
     use pebbleturn::hot_restart::state::Overrides;
-    let (mut hand, mut words) = (ByHand::default(), Overrides::default());
+    let (mut hand, mut words) = (ManualOverrides::default(), Overrides::default());
     hand.pass(vec![change("stays", 1, ReplicaState::Active), change("out", 2, ReplicaState::Active)]);
     hand.suspend("out", false).unwrap();
     words.server("out", true, 1);
@@ -293,11 +293,11 @@
 #[test]
 fn a_call_is_heard_behind_callers_that_say_nothing_though_no_time_goes_by() {
     use pebbleturn::admin::AdminServer;
-    use pebbleturn::net::{Pool, Reactor};
+    use pebbleturn::net::{PollLoop, Pool};
     use std::io::Write;
     use std::net::TcpStream;
     use std::time::{Duration, Instant};
-    let mut net = Reactor::new(Pool::new(16), 16).unwrap();
+    let mut net = PollLoop::new(Pool::new(16), 16).unwrap();
     let mut desk = AdminServer::open("127.0.0.1:0".parse().unwrap(), &mut net).unwrap();
     let silent: Vec<TcpStream> = (0..100).map(|_| TcpStream::connect(desk.listening()).unwrap()).collect();
     let mut caller = TcpStream::connect(desk.listening()).unwrap();
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -292,9 +292,9 @@
 
 #[test]
 fn a_kept_list_can_be_shown_and_an_unsound_one_is_told() {
-    use pebbleturn::membership::snapshot::{self, Kept, KeptNode};
-    use pebbleturn::membership::{Fact, State, staleness::Rate};
-    let fact = |id: &str, state| Fact {
+    use pebbleturn::membership::snapshot::{self, Snapshot, SnapshotNode};
+    use pebbleturn::membership::{NodeRecord, NodeState, staleness::ChangeRate};
+    let fact = |id: &str, state| NodeRecord {
         id: id.into(),
         addr: Some("127.0.0.1:80".parse().unwrap()),
         zone: "a".into(),
@@ -305,11 +305,11 @@
     };
     let node = |id, state| {
         let (confirmed, anew) = (Some(1), false);
-        KeptNode { fact: fact(id, state), epoch: 0, version: 4, heard: 1, anew, confirmed }
+        SnapshotNode { fact: fact(id, state), epoch: 0, version: 4, heard: 1, anew, confirmed }
     };
-    let nodes = vec![node("s-1", State::Ready), node("s-2", State::Terminating)];
-    let (whole, rate) = (Some((0, 4, 1)), Rate::NONE);
-    let list = Kept { written: 1, synced: Some(1), whole, forgotten: None, rate, nodes };
+    let nodes = vec![node("s-1", NodeState::Ready), node("s-2", NodeState::Terminating)];
+    let (whole, rate) = (Some((0, 4, 1)), ChangeRate::NONE);
+    let list = Snapshot { written: 1, synced: Some(1), whole, forgotten: None, rate, nodes };
     let bytes = snapshot::encode(&list).unwrap();
     let file = File::new("list.kept", "");
     std::fs::write(file.path(), &bytes).unwrap();
@@ -342,11 +342,11 @@
 
 #[test]
 fn on_the_platform_a_list_is_kept_only_where_a_directory_is_given() {
-    use pebbleturn::membership::State;
+    use pebbleturn::membership::NodeState;
     use pebbleturn_lab::directory::{Directory, Mode, line};
     let dir = tempfile::tempdir().unwrap();
     let node = TcpListener::bind("127.0.0.1:0").unwrap();
-    let directory = Directory::start(vec![line("s-9", node.local_addr().unwrap(), "", 0, State::Ready)]);
+    let directory = Directory::start(vec![line("s-9", node.local_addr().unwrap(), "", 0, NodeState::Ready)]);
     let told = config(directory.addr.port(), "{}").replace("\"version\":1,", "\"version\":0,");
     let file = File::new("keeping", &told);
     let start = |keep: bool| {
@@ -373,7 +373,7 @@
 
 #[test]
 fn signals_and_a_replacement_are_minded_while_a_write_hangs() {
-    use pebbleturn::membership::State;
+    use pebbleturn::membership::NodeState;
     use pebbleturn::storage::snapshot_store::{CURRENT, UNDER_WAY};
     use pebbleturn_lab::directory::{Directory, line};
     let dir = tempfile::tempdir().unwrap();
@@ -381,7 +381,7 @@
     let pipe = dir.path().join(UNDER_WAY);
     assert!(Command::new("mkfifo").arg(&pipe).status().unwrap().success());
     let node = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let directory = Directory::start(vec![line("s-9", node, "", 0, State::Ready)]);
+    let directory = Directory::start(vec![line("s-9", node, "", 0, NodeState::Ready)]);
     let file = File::new(
         "hanging",
         &config(directory.addr.port(), "{}").replace("\"version\":1,", "\"version\":0,"),
@@ -402,7 +402,7 @@
     old.ends();
     // The disk works again: who is left keeps the list.
     std::fs::remove_file(&pipe).unwrap();
-    directory.change(line("s-9", node, "", 0, State::Terminating));
+    directory.change(line("s-9", node, "", 0, NodeState::Terminating));
     wait_for(&mut next, "1 changes");
     terminate(&new);
     wait_for(&mut next, "ended");
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -1,9 +1,12 @@
 //! Membership by scripted news: every hard case that the design note names, with time as an argument.
 
-use pebbleturn::membership::endpoint_list::{ServerLine, ServerList};
-use pebbleturn::membership::merged_view::{Belief, Known, MOST_GONE};
-use pebbleturn::membership::snapshot::{self, Kept, KeptError};
-use pebbleturn::membership::{Change, Fact, Layout, Rank, Roster, RosterSettings, Stamp, State};
+use pebbleturn::membership::endpoint_list::{Endpoint, EndpointList};
+use pebbleturn::membership::merged_view::{MOST_GONE, MergedView, VersionedRecord};
+use pebbleturn::membership::snapshot::{self, Snapshot, SnapshotError};
+use pebbleturn::membership::{
+    NodeChange, NodeRecord, NodeState, PartitionLayout, Registry, RegistrySettings, SourcePriority,
+    SourceVersion,
+};
 use pebbleturn::{Nanos, Outcome, ReplicaId, ReplicaState};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -14,9 +17,9 @@
 /// A time of day for tests: long after the epoch.
 const NOON: Nanos = 1_000_000 * S;
 
-fn settings() -> RosterSettings {
-    RosterSettings {
-        layout: Layout { cells: 4, span: 2 },
+fn settings() -> RegistrySettings {
+    RegistrySettings {
+        layout: PartitionLayout { cells: 4, span: 2 },
         cold_time: 14 * S,
         changes_every: 24 * HOUR,
         presumed_age: 300 * S,
@@ -27,8 +30,8 @@
     }
 }
 
-fn server(n: u32, state: State, started_ms: u64) -> ServerLine {
-    ServerLine {
+fn server(n: u32, state: NodeState, started_ms: u64) -> Endpoint {
+    Endpoint {
         id: format!("s-{n}"),
         addr: format!("127.0.0.{}:80", n + 1),
         zone: Some("a".into()),
@@ -39,28 +42,28 @@
     }
 }
 
-fn list(version: u64, full: bool, servers: Vec<ServerLine>) -> ServerList {
-    ServerList { version, full, as_of_ms: None, servers }
+fn list(version: u64, full: bool, servers: Vec<Endpoint>) -> EndpointList {
+    EndpointList { version, full, as_of_ms: None, servers }
 }
 
-fn eight(version: u64) -> ServerList {
-    list(version, true, (0..8).map(|n| server(n, State::Ready, 0)).collect())
+fn eight(version: u64) -> EndpointList {
+    list(version, true, (0..8).map(|n| server(n, NodeState::Ready, 0)).collect())
 }
 
 /// A roster and what the exchange has been told by it.
 struct Bench {
-    roster: Roster,
-    told: BTreeMap<ReplicaId, Change>,
+    roster: Registry,
+    told: BTreeMap<ReplicaId, NodeChange>,
 }
 
 impl Bench {
     fn new() -> Bench {
-        Bench { roster: Roster::new(settings()), told: BTreeMap::new() }
+        Bench { roster: Registry::new(settings()), told: BTreeMap::new() }
     }
 
-    fn from(kept: &[&Kept], now: Nanos) -> Bench {
+    fn from(kept: &[&Snapshot], now: Nanos) -> Bench {
         let mut b = Bench::new();
-        b.roster.kept(&kept.iter().map(|k| (*k).clone()).collect::<Vec<_>>(), now);
+        b.roster.restore(&kept.iter().map(|k| (*k).clone()).collect::<Vec<_>>(), now);
         b.hear();
         b
     }
@@ -74,27 +77,27 @@
         }
     }
 
-    fn directory(&mut self, list: &ServerList, first: bool, now: Nanos) {
-        self.roster.directory(list, first, now);
+    fn directory(&mut self, list: &EndpointList, first: bool, now: Nanos) {
+        self.roster.on_discovery_update(list, first, now);
         self.hear();
     }
 
     fn outcome(&mut self, id: &str, outcome: Outcome, now: Nanos) {
         let replica = self.find(id).expect("told").listed.replica;
-        self.roster.outcome(replica, outcome, 2 * S, now);
+        self.roster.on_attempt_end(replica, outcome, 2 * S, now);
         self.roster.tick(now);
         self.hear();
     }
 
     fn to(&mut self, now: Nanos) {
-        while let Some(due) = self.roster.due().filter(|t| *t <= now) {
+        while let Some(due) = self.roster.next_deadline().filter(|t| *t <= now) {
             self.roster.tick(due);
         }
         self.roster.tick(now);
         self.hear();
     }
 
-    fn find(&self, id: &str) -> Option<&Change> {
+    fn find(&self, id: &str) -> Option<&NodeChange> {
         self.told.values().find(|c| c.id == id)
     }
 
@@ -113,26 +116,26 @@
     /// Holders of each of the four partitions that get new work.
     fn holders(&self) -> [usize; 4] {
         let at = |p: u32| {
-            let holds = |c: &&Change| (c.listed.cell + 4 - p) % 4 < 2;
+            let holds = |c: &&NodeChange| (c.listed.cell + 4 - p) % 4 < 2;
             self.told.values().filter(|c| c.listed.state == ReplicaState::Active).filter(holds).count()
         };
         [at(0), at(1), at(2), at(3)]
     }
 }
 
-fn kept_at(list: &ServerList, now: Nanos) -> Kept {
+fn kept_at(list: &EndpointList, now: Nanos) -> Snapshot {
     let mut b = Bench::new();
     b.directory(list, true, now);
-    b.roster.as_kept(now)
+    b.roster.snapshot(now)
 }
 
 // ---- any order of the same facts ----
 
 struct News {
-    stamp: Stamp,
+    stamp: SourceVersion,
     full: bool,
     anew: bool,
-    facts: Vec<Fact>,
+    facts: Vec<NodeRecord>,
     heard: Nanos,
 }
 
@@ -141,10 +144,10 @@
     let mut below = |n: u64| rng.next_u64() % n;
     let mut out: Vec<News> = Vec::new();
     for _ in 0..14 {
-        let rank = if below(6) == 0 { Rank::Operator } else { Rank::Directory };
+        let rank = if below(6) == 0 { SourcePriority::Operator } else { SourcePriority::Directory };
         let (epoch, version) =
-            if rank == Rank::Operator { (0, below(9)) } else { (below(3) as u32, below(9)) };
-        let stamp = Stamp { rank, epoch, version };
+            if rank == SourcePriority::Operator { (0, below(9)) } else { (below(3) as u32, below(9)) };
+        let stamp = SourceVersion { rank, epoch, version };
         // One message a stamp, as a source sends them.
         if out.iter().any(|n| n.stamp == stamp) {
             continue;
@@ -152,18 +155,19 @@
         let heard = NOON + below(100) * S;
         let facts = (0..below(5)).map(|_| {
             let n = below(6) as u32;
-            let state = [State::Ready, State::Ready, State::Terminating, State::Gone][below(4) as usize];
+            let state = [NodeState::Ready, NodeState::Ready, NodeState::Terminating, NodeState::Gone]
+                [below(4) as usize];
             let started = if below(2) == 0 { 0 } else { (NOON + below(120) * S) / 1_000_000 };
             server(n, state, started).fact()
         });
-        let facts: Vec<Fact> = facts.collect();
+        let facts: Vec<NodeRecord> = facts.collect();
         out.push(News { stamp, full: below(4) == 0, anew: epoch > 0 && below(4) == 0, facts, heard });
     }
     out
 }
 
-fn believe(news: &[&News]) -> Belief {
-    let mut b = Belief::default();
+fn believe(news: &[&News]) -> MergedView {
+    let mut b = MergedView::default();
     for n in news {
         b.take(n.stamp, (n.full, n.anew), n.facts.iter().cloned(), n.heard);
     }
@@ -197,9 +201,10 @@
 fn what_was_kept_is_believed_as_it_was() {
     let mut rng = Pcg64Mcg::seed_from_u64(2);
     for _ in 0..200 {
-        let all: Vec<News> = news(&mut rng).into_iter().filter(|n| n.stamp.rank == Rank::Directory).collect();
+        let all: Vec<News> =
+            news(&mut rng).into_iter().filter(|n| n.stamp.rank == SourcePriority::Directory).collect();
         let belief = believe(&all.iter().collect::<Vec<_>>());
-        let nodes = belief.directory().map(|k: &Known| snapshot::KeptNode {
+        let nodes = belief.directory().map(|k: &VersionedRecord| snapshot::SnapshotNode {
             fact: k.fact.clone(),
             epoch: k.stamp.epoch,
             version: k.stamp.version,
@@ -207,11 +212,12 @@
             anew: k.anew,
             confirmed: None,
         });
-        let whole = belief.whole(Rank::Directory).map(|(s, t)| (s.epoch, s.version, t));
-        let rate = pebbleturn::membership::staleness::Rate::NONE;
-        let kept = Kept { written: NOON, synced: None, whole, forgotten: None, rate, nodes: nodes.collect() };
+        let whole = belief.whole(SourcePriority::Directory).map(|(s, t)| (s.epoch, s.version, t));
+        let rate = pebbleturn::membership::staleness::ChangeRate::NONE;
+        let kept =
+            Snapshot { written: NOON, synced: None, whole, forgotten: None, rate, nodes: nodes.collect() };
         let back = snapshot::decode(&snapshot::encode(&kept).unwrap()).unwrap();
-        let mut again = Belief::default();
+        let mut again = MergedView::default();
         back.add_to(&mut again);
         assert_eq!(again, belief);
     }
@@ -223,22 +229,23 @@
     let (mut undone, mut stayed) = (0, 0);
     for _ in 0..400 {
         let all = news(&mut rng);
-        let mut order: Vec<&News> = all.iter().filter(|n| n.stamp.rank == Rank::Directory).collect();
+        let mut order: Vec<&News> =
+            all.iter().filter(|n| n.stamp.rank == SourcePriority::Directory).collect();
         shuffle(&mut rng, &mut order);
         for n in 0..6 {
             let id = format!("s-{n}");
             let says = |news: &News, ready: bool| {
                 let mut of = news.facts.iter().filter(|f| f.id == id);
-                of.any(|f| (f.state == State::Ready) == ready)
+                of.any(|f| (f.state == NodeState::Ready) == ready)
             };
             let drain = order.iter().filter(|m| says(m, false)).map(|m| (m.stamp, m.heard)).max();
             let Some((stamp, learnt)) = drain else { continue };
-            let ready = believe(&order).view(&id).is_some_and(|v| v.state == State::Ready);
+            let ready = believe(&order).view(&id).is_some_and(|v| v.state == NodeState::Ready);
             let newer = order.iter().any(|m| m.stamp > stamp && !m.anew && says(m, true));
             let newer = newer || order.iter().any(|m| m.stamp == stamp && says(m, true));
             let mut facts = order.iter().flat_map(|m| m.facts.iter().map(|f| (f, m.heard)));
             let later = facts.any(|(f, heard)| {
-                f.id == id && f.state == State::Ready && f.started > learnt && f.started <= heard
+                f.id == id && f.state == NodeState::Ready && f.started > learnt && f.started <= heard
             });
             assert!(!ready || newer || later, "{id} came back");
             if ready { undone += 1 } else { stayed += 1 }
@@ -254,13 +261,13 @@
 fn an_older_version_after_a_newer_is_left_alone() {
     let mut b = Bench::new();
     b.directory(&eight(41), true, NOON);
-    b.directory(&list(43, false, vec![server(3, State::Terminating, 0)]), false, NOON + S);
+    b.directory(&list(43, false, vec![server(3, NodeState::Terminating, 0)]), false, NOON + S);
     assert!(!b.ready().contains(&"s-3"));
-    b.directory(&list(42, false, vec![server(3, State::Ready, 0)]), false, NOON + 2 * S);
+    b.directory(&list(42, false, vec![server(3, NodeState::Ready, 0)]), false, NOON + 2 * S);
     assert!(!b.ready().contains(&"s-3") && b.ready().len() == 7);
     assert_eq!(b.roster.version(), 43);
     // Newer word brings it back.
-    b.directory(&list(44, false, vec![server(3, State::Ready, 0)]), false, NOON + 3 * S);
+    b.directory(&list(44, false, vec![server(3, NodeState::Ready, 0)]), false, NOON + 3 * S);
     assert_eq!(b.ready().len(), 8);
 }
 
@@ -268,22 +275,22 @@
 fn a_discovery_that_counts_anew_is_believed_but_does_not_undo_a_drain() {
     let mut b = Bench::new();
     b.directory(&eight(41), true, NOON);
-    b.directory(&list(42, false, vec![server(3, State::Terminating, 0)]), false, NOON + S);
+    b.directory(&list(42, false, vec![server(3, NodeState::Terminating, 0)]), false, NOON + S);
     b.roster.watch_lost();
     let mut fresh = eight(2);
     fresh.servers.remove(5);
-    fresh.servers.push(server(9, State::Ready, 0));
+    fresh.servers.push(server(9, NodeState::Ready, 0));
     b.directory(&fresh, true, NOON + 10 * S);
     assert_eq!(b.ready(), ["s-0", "s-1", "s-2", "s-4", "s-6", "s-7", "s-9"]);
     assert_eq!((b.roster.version(), b.roster.epoch()), (2, 1));
     // From there its changes count, small as their numbers are.
-    b.directory(&list(3, false, vec![server(3, State::Ready, 0)]), false, NOON + 11 * S);
+    b.directory(&list(3, false, vec![server(3, NodeState::Ready, 0)]), false, NOON + 11 * S);
     assert!(b.ready().contains(&"s-3"));
     // A start after the drain was learnt is a new life, whoever tells it.
-    b.directory(&list(4, false, vec![server(4, State::Gone, 0)]), false, NOON + 12 * S);
+    b.directory(&list(4, false, vec![server(4, NodeState::Gone, 0)]), false, NOON + 12 * S);
     b.roster.watch_lost();
     let started = (NOON + 15 * S) / 1_000_000;
-    b.directory(&list(1, true, vec![server(4, State::Ready, started)]), true, NOON + 20 * S);
+    b.directory(&list(1, true, vec![server(4, NodeState::Ready, started)]), true, NOON + 20 * S);
     assert_eq!(b.ready(), ["s-4"]);
 }
 
@@ -292,23 +299,23 @@
     let mut b = Bench::new();
     b.directory(&eight(41), true, NOON);
     b.directory(
-        &list(45, false, vec![server(3, State::Terminating, 0), server(4, State::Gone, 0)]),
+        &list(45, false, vec![server(3, NodeState::Terminating, 0), server(4, NodeState::Gone, 0)]),
         false,
         NOON,
     );
-    let kept = b.roster.as_kept(NOON + S);
+    let kept = b.roster.snapshot(NOON + S);
     let mut after = Bench::from(&[&kept], NOON + 5 * S);
-    after.roster.known(&eight(41), NOON + 5 * S);
+    after.roster.add_configured(&eight(41), NOON + 5 * S);
     after.hear();
     assert_eq!(after.ready(), ["s-0", "s-1", "s-2", "s-5", "s-6", "s-7"]);
     // Nor does one with a high number from before discovery counted anew.
     let mut anew = Bench::new();
     anew.directory(&eight(41), true, NOON);
     anew.directory(&eight(2), true, NOON + S);
-    anew.directory(&list(3, false, vec![server(3, State::Terminating, 0)]), false, NOON + S);
-    let kept = anew.roster.as_kept(NOON + S);
+    anew.directory(&list(3, false, vec![server(3, NodeState::Terminating, 0)]), false, NOON + S);
+    let kept = anew.roster.snapshot(NOON + S);
     let mut after = Bench::from(&[&kept], NOON + 5 * S);
-    after.roster.known(&eight(41), NOON + 5 * S);
+    after.roster.add_configured(&eight(41), NOON + 5 * S);
     after.hear();
     assert!(!after.ready().contains(&"s-3") && after.ready().len() == 7);
 }
@@ -318,7 +325,7 @@
     let mut b = Bench::new();
     b.directory(&eight(1), true, NOON);
     let before = b.find("s-2").unwrap().listed.replica;
-    let moved = ServerLine { addr: "127.0.0.99:80".into(), ..server(2, State::Ready, 0) };
+    let moved = Endpoint { addr: "127.0.0.99:80".into(), ..server(2, NodeState::Ready, 0) };
     b.directory(&list(2, false, vec![moved]), false, NOON + S);
     let after = b.find("s-2").unwrap();
     assert!(after.listed.replica != before && after.addr.unwrap().to_string() == "127.0.0.99:80");
@@ -329,11 +336,11 @@
 fn of_two_ids_at_one_address_the_later_word_has_it() {
     let mut b = Bench::new();
     b.directory(&eight(1), true, NOON);
-    let new = ServerLine { id: "s-20".into(), ..server(2, State::Ready, 0) };
+    let new = Endpoint { id: "s-20".into(), ..server(2, NodeState::Ready, 0) };
     b.directory(&list(2, false, vec![new]), false, NOON + S);
     assert!(b.ready().contains(&"s-20") && !b.ready().contains(&"s-2"));
     // Once the usurper is gone the other has its address again.
-    let gone = ServerLine { id: "s-20".into(), ..server(2, State::Gone, 0) };
+    let gone = Endpoint { id: "s-20".into(), ..server(2, NodeState::Gone, 0) };
     b.directory(&list(3, false, vec![gone]), false, NOON + 2 * S);
     assert!(b.ready().contains(&"s-2") && b.ready().len() == 8);
 }
@@ -343,7 +350,7 @@
     let mut b = Bench::new();
     b.directory(&eight(1), true, NOON);
     let before = b.find("s-2").unwrap().listed.clone();
-    let moved = ServerLine { cell: 3, ..server(2, State::Ready, 0) };
+    let moved = Endpoint { cell: 3, ..server(2, NodeState::Ready, 0) };
     b.directory(&list(2, false, vec![moved]), false, NOON + S);
     let after = b.find("s-2").unwrap().listed.clone();
     assert_eq!((before.cell, after.cell, after.replica), (2, 3, before.replica));
@@ -353,13 +360,13 @@
 fn a_start_in_the_future_is_cold_once_and_outlasts_no_drain() {
     let mut b = Bench::new();
     let future = (NOON + HOUR) / 1_000_000;
-    b.directory(&list(1, true, vec![server(0, State::Ready, future)]), true, NOON);
+    b.directory(&list(1, true, vec![server(0, NodeState::Ready, future)]), true, NOON);
     assert_eq!(b.find("s-0").unwrap().listed.started, Some(NOON));
     // The same fact later does not make it cold anew.
-    b.directory(&list(2, true, vec![server(0, State::Ready, future)]), true, NOON + 60 * S);
+    b.directory(&list(2, true, vec![server(0, NodeState::Ready, future)]), true, NOON + 60 * S);
     assert_eq!(b.find("s-0").unwrap().listed.started, Some(NOON));
-    b.directory(&list(3, false, vec![server(0, State::Terminating, future)]), false, NOON + 61 * S);
-    b.roster.known(&list(1, true, vec![server(0, State::Ready, future)]), NOON + 62 * S);
+    b.directory(&list(3, false, vec![server(0, NodeState::Terminating, future)]), false, NOON + 61 * S);
+    b.roster.add_configured(&list(1, true, vec![server(0, NodeState::Ready, future)]), NOON + 62 * S);
     b.hear();
     assert!(b.ready().is_empty());
 }
@@ -368,7 +375,7 @@
 fn a_clock_that_jumped_back_makes_a_kept_list_neither_fresh_nor_useless() {
     let kept = kept_at(&eight(1), NOON + HOUR);
     let b = Bench::from(&[&kept], NOON);
-    let notes = b.roster.notes(NOON);
+    let notes = b.roster.statuses(NOON);
     assert!(notes.iter().all(|n| n.trust > 0.9 && n.trust < 1.0), "{notes:?}");
     assert!(b.holders().iter().all(|n| *n >= 2));
 }
@@ -427,11 +434,11 @@
     let now = NOON + 24 * HOUR;
     let mut b = Bench::from(&[&kept], now);
     b.to(now + 3 * S);
-    b.roster.outcome(b.find("s-0").unwrap().listed.replica, Outcome::ConnectFailed, S, now + 3 * S);
+    b.roster.on_attempt_end(b.find("s-0").unwrap().listed.replica, Outcome::ConnectFailed, S, now + 3 * S);
     b.roster.tick(now + 3 * S);
-    assert!(b.roster.take_changes().is_some_and(|c| !c.is_empty()) && !b.roster.take_heard());
+    assert!(b.roster.take_changes().is_some_and(|c| !c.is_empty()) && !b.roster.take_discovery_answered());
     b.directory(&eight(2), true, now + 4 * S);
-    assert!(b.roster.take_heard() && !b.roster.take_heard());
+    assert!(b.roster.take_discovery_answered() && !b.roster.take_discovery_answered());
 }
 
 #[test]
@@ -455,7 +462,7 @@
     let mut b = Bench::from(&[&kept], now);
     assert!(b.ready().len() < 8 && b.roster.may_yet_come(now));
     let started = (now - 5 * S) / 1_000_000;
-    let news = list(90, true, vec![server(1, State::Ready, started), server(10, State::Ready, 0)]);
+    let news = list(90, true, vec![server(1, NodeState::Ready, started), server(10, NodeState::Ready, 0)]);
     b.directory(&news, true, now + S);
     assert_eq!(b.ready(), ["s-1", "s-10"]);
     assert!(b.find("s-1").unwrap().listed.started.unwrap() >= now - 5 * S);
@@ -467,7 +474,7 @@
     let kept = kept_at(&eight(7), NOON);
     let now = NOON + 24 * HOUR;
     let mut b = Bench::from(&[&kept], now);
-    b.directory(&list(8, false, vec![server(1, State::Terminating, 0)]), true, now);
+    b.directory(&list(8, false, vec![server(1, NodeState::Terminating, 0)]), true, now);
     assert_eq!(b.ready().len(), 7);
 }
 
@@ -479,32 +486,34 @@
     for n in 1..=60 {
         let now = NOON + n * 60 * S;
         b.directory(
-            &list(1 + n, false, vec![server(n as u32 % 8, State::Ready, now / 1_000_000)]),
+            &list(1 + n, false, vec![server(n as u32 % 8, NodeState::Ready, now / 1_000_000)]),
             false,
             now,
         );
     }
     let end = NOON + HOUR;
-    let kept = b.roster.as_kept(end);
-    let busy = Bench::from(&[&kept], end + 600 * S).roster.notes(end + 600 * S)[0].trust;
-    let calm = Bench::from(&[&kept_at(&eight(1), end)], end + 600 * S).roster.notes(end + 600 * S)[0].trust;
+    let kept = b.roster.snapshot(end);
+    let busy = Bench::from(&[&kept], end + 600 * S).roster.statuses(end + 600 * S)[0].trust;
+    let calm =
+        Bench::from(&[&kept_at(&eight(1), end)], end + 600 * S).roster.statuses(end + 600 * S)[0].trust;
     assert!(busy < calm - 0.05, "{busy} {calm}");
 }
 
 #[test]
 fn an_operators_nodes_come_drain_and_go_and_discovery_overrides_them() {
     let mut b = Bench::new();
-    let facts = |ns: &[(u32, State)]| ns.iter().map(|(n, s)| server(*n, *s, 0).fact()).collect::<Vec<_>>();
-    b.roster.operator(facts(&[(0, State::Ready), (1, State::Ready)]), NOON);
+    let facts =
+        |ns: &[(u32, NodeState)]| ns.iter().map(|(n, s)| server(*n, *s, 0).fact()).collect::<Vec<_>>();
+    b.roster.set_operator_nodes(facts(&[(0, NodeState::Ready), (1, NodeState::Ready)]), NOON);
     b.hear();
     assert_eq!(b.ready(), ["s-0", "s-1"]);
-    b.roster.operator(facts(&[(1, State::Terminating), (2, State::Ready)]), NOON + S);
+    b.roster.set_operator_nodes(facts(&[(1, NodeState::Terminating), (2, NodeState::Ready)]), NOON + S);
     b.hear();
     assert_eq!(b.ready(), ["s-2"]);
-    b.directory(&list(1, false, vec![server(2, State::Terminating, 0)]), true, NOON + 2 * S);
+    b.directory(&list(1, false, vec![server(2, NodeState::Terminating, 0)]), true, NOON + 2 * S);
     assert!(b.ready().is_empty());
     // Reading the file again does not bring it back.
-    b.roster.operator(facts(&[(2, State::Ready)]), NOON + 3 * S);
+    b.roster.set_operator_nodes(facts(&[(2, NodeState::Ready)]), NOON + 3 * S);
     b.hear();
     assert!(b.ready().is_empty());
 }
@@ -520,19 +529,20 @@
         let now = NOON + version * S;
         let n = below(10) as u32;
         let state =
-            [State::Ready, State::Ready, State::Ready, State::Terminating, State::Gone][below(5) as usize];
+            [NodeState::Ready, NodeState::Ready, NodeState::Ready, NodeState::Terminating, NodeState::Gone]
+                [below(5) as usize];
         let started = if below(2) == 0 { 0 } else { (now - below(20) * S) / 1_000_000 };
         // Now and then a node moves, changes its cell, or claims another's address.
         let addr = if below(8) == 0 { below(10) as u32 } else { n };
-        let line = ServerLine {
+        let line = Endpoint {
             addr: format!("127.0.0.{}:80", addr + 1),
             cell: (n + u32::from(below(9) == 0)) % 4,
             ..server(n, state, started)
         };
-        b.roster.directory(&list(version, false, vec![line]), false, now);
+        b.roster.on_discovery_update(&list(version, false, vec![line]), false, now);
         told += b.roster.take_changes().unwrap().len();
         // An operator's file without nodes changes nothing, and has all looked through.
-        b.roster.operator(vec![], now);
+        b.roster.set_operator_nodes(vec![], now);
         assert_eq!(b.roster.take_changes(), None, "at version {version}");
     }
     assert!(told > 1000, "{told}");
@@ -544,16 +554,19 @@
 fn a_drain_is_kept_at_once_and_learnt_over_a_restart() {
     let mut b = Bench::new();
     b.directory(&eight(41), true, NOON);
-    assert!(b.roster.take_kept(NOON).is_some());
-    assert!(b.roster.take_kept(NOON + 10 * S).is_none(), "nothing new");
+    assert!(b.roster.take_snapshot(NOON).is_some());
+    assert!(b.roster.take_snapshot(NOON + 10 * S).is_none(), "nothing new");
     let later = NOON + 10 * S;
-    b.directory(&list(42, false, vec![server(3, State::Terminating, 0)]), false, later);
-    let kept = b.roster.take_kept(later).expect("news are kept at once");
-    assert!(b.roster.take_kept(later + 40 * S).is_some(), "that the list still holds is news after a while");
+    b.directory(&list(42, false, vec![server(3, NodeState::Terminating, 0)]), false, later);
+    let kept = b.roster.take_snapshot(later).expect("news are kept at once");
+    assert!(
+        b.roster.take_snapshot(later + 40 * S).is_some(),
+        "that the list still holds is news after a while"
+    );
     let back = snapshot::decode(&snapshot::encode(&kept).unwrap()).unwrap();
     // Over a second restart too, and beside an older generation.
     let b = Bench::from(&[&kept_at(&eight(41), NOON), &back], later + S);
-    let again = b.roster.as_kept(later + S);
+    let again = b.roster.snapshot(later + S);
     let b = Bench::from(&[&again, &kept_at(&eight(41), NOON)], later + 2 * S);
     assert!(!b.ready().contains(&"s-3") && b.ready().len() == 7);
 }
@@ -564,8 +577,8 @@
     let mut writes = 0;
     for n in 0..1000 {
         let now = NOON + n * S / 100;
-        b.directory(&list(1 + n, false, vec![server(n as u32 % 8, State::Ready, 0)]), n == 0, now);
-        writes += usize::from(b.roster.take_kept(now).is_some());
+        b.directory(&list(1 + n, false, vec![server(n as u32 % 8, NodeState::Ready, 0)]), n == 0, now);
+        writes += usize::from(b.roster.take_snapshot(now).is_some());
     }
     assert!((15..=21).contains(&writes), "{writes} writes in 10 s");
 }
@@ -583,11 +596,11 @@
         bad[n] ^= 1 << (rng.next_u64() % 8);
         assert!(snapshot::decode(&bad).is_err(), "changed at {n}");
     }
-    assert_eq!(snapshot::decode(b""), Err(KeptError::Empty));
-    assert_eq!(snapshot::decode(b"pebbleturn-roster 2 0 00000000\n"), Err(KeptError::Version(2)));
+    assert_eq!(snapshot::decode(b""), Err(SnapshotError::Empty));
+    assert_eq!(snapshot::decode(b"pebbleturn-roster 2 0 00000000\n"), Err(SnapshotError::Version(2)));
     assert_eq!(
         snapshot::decode(&vec![b'x'; snapshot::MOST_BYTES + 1]),
-        Err(KeptError::TooLarge(snapshot::MOST_BYTES + 1))
+        Err(SnapshotError::TooLarge(snapshot::MOST_BYTES + 1))
     );
     for _ in 0..2000 {
         let garbage: Vec<u8> = (0..rng.next_u64() % 200).map(|_| rng.next_u64() as u8).collect();
@@ -603,15 +616,15 @@
     for n in 0..2000u64 {
         let now = NOON + n * S;
         let id = |n: u64| format!("new-{n}");
-        let old = ServerLine { id: id(n.saturating_sub(3)), ..server(5, State::Gone, 0) };
-        let new = ServerLine {
+        let old = Endpoint { id: id(n.saturating_sub(3)), ..server(5, NodeState::Gone, 0) };
+        let new = Endpoint {
             id: id(n),
             addr: format!("127.1.{}.{}:80", n / 250, n % 250),
-            ..server(5, State::Ready, 0)
+            ..server(5, NodeState::Ready, 0)
         };
         b.directory(&list(2 + n, false, vec![old, new]), false, now);
         if n > 1000 && n % 100 == 0 {
-            let kept = b.roster.as_kept(now);
+            let kept = b.roster.snapshot(now);
             most = most.max(kept.nodes.len());
             largest = largest.max(snapshot::encode(&kept).unwrap().len());
         }
@@ -620,8 +633,8 @@
     // A node that is gone is held as two facts at most: that it was there, and that it is gone.
     assert!(most <= 3 * MOST_GONE && largest < 1 << 20, "{most} facts, {largest} bytes");
     // One that was forgotten does not come back by what is older than that.
-    b.roster.known(
-        &list(2, false, vec![ServerLine { id: "new-1".into(), ..server(5, State::Ready, 0) }]),
+    b.roster.add_configured(
+        &list(2, false, vec![Endpoint { id: "new-1".into(), ..server(5, NodeState::Ready, 0) }]),
         NOON + HOUR,
     );
     b.hear();
@@ -631,12 +644,12 @@
 /// What other brokers have heard: more careful, never bolder, and over once the own list is as new.
 #[test]
 fn a_drain_that_others_heard_holds_until_the_own_list_or_the_node_is_newer() {
-    use pebbleturn::membership::Change;
-    use pebbleturn::membership::gossip_hints::{Others, Own};
+    use pebbleturn::membership::NodeChange;
+    use pebbleturn::membership::gossip_hints::{LocalHints, PeerHints};
     use pebbleturn::replication::ProcessStart;
     use pebbleturn::replication::derived_state::NodeHints;
     use pebbleturn::{ReplicaEntry, ReplicaId, ReplicaState};
-    let change = |replica, standing| Change {
+    let change = |replica, standing| NodeChange {
         listed: ReplicaEntry {
             replica: ReplicaId(replica),
             zone: 0,
@@ -649,10 +662,10 @@
         addr: None,
         kind: String::new(),
     };
-    let own = |started, version| move |_: &str| Own { started, version };
+    let own = |started, version| move |_: &str| LocalHints { started, version };
     let drain = |started, version| NodeHints { drain: Some(ProcessStart { started, version }), started: 0 };
-    let shown = |change: Option<Change>| change.map(|c| c.listed.state);
-    let mut others = Others::default();
+    let shown = |change: Option<NodeChange>| change.map(|c| c.listed.state);
+    let mut others = PeerHints::default();
     // Nobody is named by others.
     assert_eq!(others.heard("s", drain(0, 9)), None);
     let first = others.pass(vec![change(1, ReplicaState::Active)], own(0, 5));
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::{MS, S};
-use pebbleturn::membership::{Change, Layout};
-use pebbleturn::routing::{Routing, RoutingSettings, Rule, Spare, Standing as Put};
+use pebbleturn::membership::{NodeChange, PartitionLayout};
+use pebbleturn::routing::{AdminState as Put, Routing, RoutingSettings, Rule, Spare};
 use pebbleturn::{Nanos, Outcome, ReplicaEntry, ReplicaId, ReplicaState};
 use std::collections::{BTreeMap, HashMap};
 
@@ -14,8 +14,8 @@
     Rule { retry: 5 * S, ..Rule::default() }
 }
 
-fn change(n: u32, standing: ReplicaState) -> Change {
-    Change {
+fn change(n: u32, standing: ReplicaState) -> NodeChange {
+    NodeChange {
         listed: ReplicaEntry {
             replica: ReplicaId(n),
             zone: 0,
@@ -40,7 +40,7 @@
 impl Bench {
     fn new(rules: &[Rule]) -> Bench {
         let named = rules.iter().enumerate().map(|(n, r)| (format!("n-{n}"), r.clone()));
-        let layout = Layout { cells: 1, span: 1 };
+        let layout = PartitionLayout { cells: 1, span: 1 };
         let settings = RoutingSettings { layout, rules: named.collect(), warm_up: WARM_UP, hold: HOLD };
         let mut b = Bench { routing: Routing::new(settings), told: BTreeMap::new(), switches: 0 };
         b.routing.listed((0..rules.len() as u32).map(|n| change(n, ReplicaState::Active)).collect(), 0);
@@ -89,14 +89,14 @@
 #[test]
 fn without_rules_all_goes_through_as_it_is() {
     let settings = RoutingSettings {
-        layout: Layout { cells: 1, span: 1 },
+        layout: PartitionLayout { cells: 1, span: 1 },
         rules: HashMap::new(),
         warm_up: WARM_UP,
         hold: HOLD,
     };
     let mut r = Routing::new(settings);
     let all = [ReplicaState::Active, ReplicaState::Draining, ReplicaState::Removed];
-    let changes: Vec<Change> = (0..).zip(all).map(|(n, s)| change(n, s)).collect();
+    let changes: Vec<NodeChange> = (0..).zip(all).map(|(n, s)| change(n, s)).collect();
     r.listed(changes.clone(), 0);
     let mut told = r.take_changes().unwrap();
     told.sort_by_key(|c| c.listed.replica);
@@ -105,7 +105,7 @@
         r.outcome(ReplicaId(0), Outcome::ConnectFailed, S);
     }
     r.tick(S);
-    assert_eq!((r.take_changes(), r.due(S)), (None, None));
+    assert_eq!((r.take_changes(), r.next_deadline(S)), (None, None));
 }
 
 #[test]
@@ -251,7 +251,7 @@
 #[test]
 fn partitions_fall_back_each_on_its_own() {
     // A ring of three cells, each partition held by two; a spare in cell 0 only.
-    let layout = Layout { cells: 3, span: 2 };
+    let layout = PartitionLayout { cells: 3, span: 2 };
     let mut rules: HashMap<String, Rule> = (0..3).map(|n| (format!("n-{n}"), rule())).collect();
     rules.insert("n-3".into(), Rule { spare: Spare::Hot, ..rule() });
     let mut r = Routing::new(RoutingSettings { layout, rules, warm_up: WARM_UP, hold: HOLD });
