Record what is stored and sent byte for byte, before the code is reshaped

Need: types, fields and modules are about to be renamed and regrouped. What a broker leaves on disk and what it sends to its peers must stay as it is, or an upgrade in place loses lists and words, and mixed clusters fall apart. Tests so far read what the same program wrote, so a renamed field or a reordered variant would have passed them.

The new target stored_formats reads each of them and checks values, writes the same values to equal bytes, and checks that a flipped and a truncated copy is refused, with the typed error where there is one. It also reads a kept list of an earlier version ("Draining", no "anew") and pins the digest that peers compare.

Nothing under src/ or lab/ changes.

--- /dev/null
+++ b/tests/stored_formats/gossip_frames.rs
@@ -0,0 +1,234 @@
+//! Gossip frames: datagrams in both versions and for every purpose, and every line of a stream.
+
+use super::fixtures::{Fixture, flipped, stored, truncated};
+use super::samples::{BROKER, ORIGIN, SERVER, told_and_spent, words};
+use pebbleturn::peers::swim::{Probe, Rumour, Status};
+use pebbleturn::peers::wire::{self, BadFrame, DATAGRAM, Datagram, FIRST, LATEST, Line, Sender};
+use pebbleturn::replica::walk::Message;
+use pebbleturn::replica::{Bounds, Copy, Fact, Key, Origin};
+
+const FORMAT: &str = "gossip";
+const CLUSTER: &str = "clüster";
+/// The digest at the root of a copy that holds all facts of the samples. Peers compare it with their own.
+const ROOT: u64 = 5_247_899_228_306_079_608;
+/// Bytes before a frame on a stream that tell its length.
+const LENGTH_PREFIX: usize = 4;
+
+struct DatagramSample {
+    name: String,
+    version: u8,
+    datagram: Datagram,
+}
+
+struct LineSample {
+    name: String,
+    line: Line,
+}
+
+fn sender() -> Sender {
+    Sender {
+        cluster: wire::cluster(CLUSTER),
+        name: BROKER.into(),
+        origin: ORIGIN,
+        incarnation: 1_700_000_000_000,
+        reads: LATEST,
+    }
+}
+
+/// What is said of a peer in each status.
+fn rumours() -> Vec<Rumour> {
+    let rumour = |name: &str, incarnation, status| Rumour { name: name.into(), incarnation, status };
+    vec![
+        rumour("brøker-3", 7, Status::Alive),
+        rumour("broker-4", 300, Status::Suspect),
+        rumour("broker-5", u64::MAX, Status::Down),
+    ]
+}
+
+fn all_facts() -> Vec<Fact> {
+    [words(), told_and_spent()].concat()
+}
+
+fn probes() -> [Probe; 5] {
+    let ask = Probe::Ask { n: u32::MAX, name: "brøker-3".into() };
+    [Probe::News, Probe::Ping { n: 8 }, Probe::Ack { n: 300 }, ask, Probe::Nack { n: 9 }]
+}
+
+/// The name of a purpose. A new one does not compile before it has a name, and so a fixture.
+fn probe_name(probe: &Probe) -> &'static str {
+    match probe {
+        Probe::News => "news",
+        Probe::Ping { .. } => "ping",
+        Probe::Ack { .. } => "ack",
+        Probe::Ask { .. } => "ask",
+        Probe::Nack { .. } => "nack",
+    }
+}
+
+/// A datagram for every purpose in each version. Only news holds rumours and facts.
+fn datagram_samples() -> Vec<DatagramSample> {
+    let mut samples = Vec::new();
+    for version in FIRST..=LATEST {
+        for probe in probes() {
+            let name = format!("{FORMAT}/datagram-v{version}-{}.frame", probe_name(&probe));
+            let is_news = probe == Probe::News;
+            let (rumours, facts) = if is_news { (rumours(), all_facts()) } else { Default::default() };
+            let root = (version == LATEST).then_some(ROOT);
+            let datagram = Datagram { sender: sender(), probe, rumours, facts, root };
+            samples.push(DatagramSample { name, version, datagram });
+        }
+    }
+    samples
+}
+
+/// The name of a message of a walk; see `probe_name`. Two kinds of message have an option, and a name for each state.
+fn message_name(message: &Message) -> &'static str {
+    match message {
+        Message::Begin { .. } => "begin",
+        Message::Branches { .. } => "branches",
+        Message::AskLeaves { .. } => "ask-leaves",
+        Message::Leaves { .. } => "leaves",
+        Message::AskFacts { from: None, .. } => "ask-facts",
+        Message::AskFacts { from: Some(_), .. } => "ask-facts-from",
+        Message::Facts { stopped: None, .. } => "facts",
+        Message::Facts { stopped: Some(_), .. } => "facts-stopped",
+        Message::Give { .. } => "give",
+        Message::Taken => "taken",
+    }
+}
+
+/// A copy that holds all facts: digests are compared between peers, and so must stay as they are.
+fn copy() -> Copy {
+    let mut copy = Copy::new(Origin(1), Bounds::default());
+    for (key, entry) in all_facts() {
+        assert_eq!(copy.join(&key, &entry, u64::MAX), Ok(true));
+    }
+    copy
+}
+
+fn messages() -> [Message; 10] {
+    let copy = copy();
+    let tree = copy.tree();
+    let branch = tree.branches().iter().position(|digest| *digest != 0).unwrap() as u8;
+    let place = (Key::Site("sité".into()), 300);
+    [
+        Message::Begin { root: ROOT },
+        Message::Branches { digests: tree.branches().to_vec() },
+        Message::AskLeaves { branches: vec![0, 63] },
+        Message::Leaves { digests: vec![(branch, tree.leaves(branch)), (5, vec![])] },
+        Message::AskFacts { leaves: vec![1, 4095], from: None },
+        Message::AskFacts { leaves: vec![4095], from: Some(place.clone()) },
+        Message::Facts { facts: all_facts(), stopped: None },
+        Message::Facts { facts: words(), stopped: Some((4095, place)) },
+        Message::Give { facts: told_and_spent() },
+        Message::Taken,
+    ]
+}
+
+fn line_name(line: &Line) -> &'static str {
+    match line {
+        Line::Hello { .. } => "hello",
+        Line::Walk(message) => message_name(message),
+    }
+}
+
+fn line_samples() -> Vec<LineSample> {
+    let hello = Line::Hello { sender: sender(), rumours: rumours() };
+    let lines = [hello].into_iter().chain(messages().map(Line::Walk));
+    let sample = |line| LineSample { name: format!("{FORMAT}/stream-{}.frame", line_name(&line)), line };
+    lines.map(sample).collect()
+}
+
+/// Every datagram, and every line of a stream behind its length.
+pub fn written() -> Vec<Fixture> {
+    let datagram = |s: DatagramSample| Fixture { name: s.name, bytes: s.datagram.encode(s.version) };
+    let line = |s: LineSample| Fixture { name: s.name, bytes: s.line.encode() };
+    let datagrams = datagram_samples().into_iter().map(datagram);
+    datagrams.chain(line_samples().into_iter().map(line)).collect()
+}
+
+/// A datagram from its fixture.
+fn read_datagram(name: &str) -> Datagram {
+    Datagram::decode(&stored(&format!("{FORMAT}/{name}")), LATEST).unwrap()
+}
+
+/// The frame in a fixture of a stream, without its length.
+fn stored_frame(name: &str) -> Vec<u8> {
+    let bytes = stored(name);
+    assert_eq!(wire::frame_end(&bytes), Ok(Some(bytes.len())), "{name}");
+    bytes[LENGTH_PREFIX..].to_vec()
+}
+
+#[test]
+fn every_frame_is_written_as_before() {
+    written().iter().for_each(Fixture::assert_unchanged);
+}
+
+#[test]
+fn the_digest_of_a_copy_is_as_before() {
+    assert_eq!(copy().tree().root(), ROOT);
+}
+
+#[test]
+fn every_datagram_is_read() {
+    for sample in datagram_samples() {
+        let bytes = stored(&sample.name);
+        assert!(bytes.len() <= DATAGRAM);
+        assert_eq!(Datagram::decode(&bytes, LATEST), Ok(sample.datagram), "{}", sample.name);
+    }
+}
+
+#[test]
+fn every_line_is_read() {
+    for sample in line_samples() {
+        assert_eq!(Line::decode(&stored_frame(&sample.name)), Ok(sample.line), "{}", sample.name);
+    }
+}
+
+#[test]
+fn datagrams_are_read_field_by_field() {
+    let news = read_datagram("datagram-v2-news.frame");
+    assert_eq!((news.sender.cluster, news.sender.name.as_str()), (wire::cluster(CLUSTER), BROKER));
+    assert_eq!((news.sender.origin, news.sender.incarnation), (ORIGIN, 1_700_000_000_000));
+    assert_eq!((news.sender.reads, news.root), (2, Some(ROOT)));
+    let statuses: Vec<Status> = news.rumours.iter().map(|rumour| rumour.status).collect();
+    assert_eq!(statuses, [Status::Alive, Status::Suspect, Status::Down]);
+    assert_eq!((news.rumours[1].name.as_str(), news.rumours[1].incarnation), ("broker-4", 300));
+    assert_eq!(news.facts[0].0, Key::Server(SERVER.into()));
+    let ask = read_datagram("datagram-v1-ask.frame");
+    assert_eq!(ask.probe, Probe::Ask { n: u32::MAX, name: "brøker-3".into() });
+    assert_eq!(ask.root, None);
+}
+
+#[test]
+fn a_datagram_without_a_root_is_of_the_first_version() {
+    let sample = datagram_samples().remove(0);
+    assert_eq!(sample.datagram.root, None);
+    assert_eq!(sample.datagram.encode(LATEST), stored(&sample.name));
+}
+
+#[test]
+fn a_datagram_of_a_version_that_is_not_read_is_refused() {
+    let bytes = stored("gossip/datagram-v2-news.frame");
+    assert_eq!(Datagram::decode(&bytes, FIRST), Err(BadFrame::Version(LATEST)));
+}
+
+#[test]
+fn damaged_datagrams_are_refused() {
+    for sample in datagram_samples() {
+        let bytes = stored(&sample.name);
+        assert_eq!(Datagram::decode(&flipped(&bytes), LATEST), Err(BadFrame::Checksum));
+        assert_eq!(Datagram::decode(&truncated(&bytes), LATEST), Err(BadFrame::Checksum));
+    }
+}
+
+#[test]
+fn damaged_lines_are_refused() {
+    for sample in line_samples() {
+        let frame = stored_frame(&sample.name);
+        assert_eq!(Line::decode(&flipped(&frame)), Err(BadFrame::Checksum), "{}", sample.name);
+        assert_eq!(Line::decode(&truncated(&frame)), Err(BadFrame::Checksum), "{}", sample.name);
+        let whole = stored(&sample.name);
+        assert_eq!(wire::frame_end(&truncated(&whole)), Ok(None), "the rest is waited for");
+    }
+}
--- /dev/null
+++ b/tests/stored_formats/handover_state.rs
@@ -0,0 +1,116 @@
+//! What one process leaves for the next at a hot restart: `N.state`, `N.list` and the empty `N.lock`.
+
+use super::fixtures::{Fixture, directory_with, file_names, flipped, stored, truncated, wait_until};
+use super::samples::{SERVER, full_list};
+use pebbleturn::envelope::Unsound;
+use pebbleturn::handover::shelf::{Found, Leaf, Shelf};
+use pebbleturn::handover::state::{Stage, State, Word, Words};
+use pebbleturn::roster::kept;
+use std::path::Path;
+
+const FORMAT: &str = "handover";
+/// The list that the oldest process leaves.
+const LIST: &str = "1.list";
+/// The states of the processes, the oldest first.
+const STATES: [&str; 3] = ["1.state", "2.state", "3.state"];
+
+/// The states of three processes at one address: the oldest leaves, the next serves, the youngest starts.
+fn states() -> [State; 3] {
+    let server_words = [(SERVER, true, 11), ("server-2", false, 12)];
+    let servers = server_words.map(|(id, out, at)| (id.to_owned(), Word { at, out })).into();
+    let leaving = State {
+        written: 1_700_000_000_000_000_001,
+        stage: Stage::Leaving,
+        words: Words { servers, pause: Some(Word { at: 13, out: true }) },
+        lease: 300,
+        held: 41,
+        open_ids: vec!["quéry-1".into(), "query-2".into()],
+    };
+    let pause = Some(Word { at: 14, out: false });
+    let words = Words { pause, ..Words::default() };
+    let serving = State { written: 2, stage: Stage::Serving, words, lease: 96, ..State::default() };
+    let starting = State { written: 3, ..State::default() };
+    [leaving, serving, starting]
+}
+
+/// The files of the three processes; only the oldest has a list to leave.
+pub fn written() -> Vec<Fixture> {
+    let directory = tempfile::tempdir().unwrap();
+    let mut shelves = Vec::new();
+    let mut list = Some(full_list());
+    for (state, file) in states().into_iter().zip(STATES) {
+        let (_, shelf) = Shelf::open(directory.path()).unwrap();
+        assert!(shelf.leave(Leaf { state, list: list.take() }));
+        // A state is renamed into its place once it is whole, after the list.
+        wait_until(|| directory.path().join(file).exists());
+        shelves.push(shelf);
+    }
+    let locks = ["1.lock", "2.lock", "3.lock"];
+    let mut expected = [&STATES[..], &[LIST], &locks].concat();
+    expected.sort();
+    assert_eq!(file_names(directory.path()), expected);
+    let file = |name| Fixture::of_file(FORMAT, directory.path(), name);
+    assert!(locks.iter().all(|lock| file(lock).bytes.is_empty()));
+    STATES.into_iter().chain([LIST]).map(file).collect()
+}
+
+fn stored_file(file: &str) -> Vec<u8> {
+    stored(&format!("{FORMAT}/{file}"))
+}
+
+/// What the next process finds in a directory.
+fn find(directory: &Path) -> Found {
+    Shelf::open(directory).unwrap().0
+}
+
+#[test]
+fn every_file_is_written_as_before() {
+    written().iter().for_each(Fixture::assert_unchanged);
+}
+
+#[test]
+fn the_next_process_reads_states_and_list() {
+    let directory = directory_with(LIST, &stored_file(LIST));
+    for file in STATES {
+        std::fs::write(directory.path().join(file), stored_file(file)).unwrap();
+    }
+    let found = find(directory.path());
+    assert_eq!(found.wrong, Vec::<String>::new());
+    assert_eq!((found.serial, found.lists), (4, vec![full_list()]));
+    let read: Vec<State> = found.peers.into_iter().filter_map(|peer| peer.state).collect();
+    assert_eq!(read, states());
+}
+
+#[test]
+fn states_are_read_field_by_field() {
+    let [leaving, serving, starting] = STATES.map(|file| State::decode(&stored_file(file)).unwrap());
+    let stages = [leaving.stage, serving.stage, starting.stage];
+    assert_eq!(stages, [Stage::Leaving, Stage::Serving, Stage::Starting]);
+    assert_eq!((leaving.written, leaving.lease, leaving.held), (1_700_000_000_000_000_001, 300, 41));
+    assert_eq!(leaving.open_ids, ["quéry-1", "query-2"]);
+    assert_eq!(leaving.words.servers[SERVER], Word { at: 11, out: true });
+    assert_eq!(leaving.words.servers["server-2"], Word { at: 12, out: false });
+    assert_eq!(serving.words.pause, Some(Word { at: 14, out: false }));
+    assert_eq!(starting.words.pause, None);
+}
+
+#[test]
+fn damaged_states_are_refused() {
+    for file in STATES {
+        let bytes = stored_file(file);
+        assert_eq!(State::decode(&flipped(&bytes)), Err(Unsound::Checksum));
+        assert!(matches!(State::decode(&truncated(&bytes)), Err(Unsound::Length { .. })));
+        let found = find(directory_with(file, &flipped(&bytes)).path());
+        assert_eq!(found.peers[0].state, None);
+        assert_eq!(found.wrong.len(), 1); // The reason is a string.
+    }
+}
+
+#[test]
+fn a_damaged_list_is_refused() {
+    let bytes = stored_file(LIST);
+    assert_eq!(kept::decode(&flipped(&bytes)), Err(Unsound::Checksum));
+    assert!(matches!(kept::decode(&truncated(&bytes)), Err(Unsound::Length { .. })));
+    let found = find(directory_with(LIST, &flipped(&bytes)).path());
+    assert_eq!((found.lists.len(), found.wrong.len()), (0, 1)); // The reason is a string.
+}
--- /dev/null
+++ b/tests/stored_formats/kept_list.rs
@@ -0,0 +1,85 @@
+//! The kept list: `roster.kept`, and the older generation beside it.
+
+use super::fixtures::{Fixture, directory_with, flipped, stored, truncated};
+use super::samples::{SERVER, bare_list, full_list};
+use pebbleturn::keep::{self, CURRENT, Disk, OLDER};
+use pebbleturn::roster::State;
+use pebbleturn::roster::kept::{self, Kept, KeptError};
+
+const FORMAT: &str = "kept_list";
+
+/// Both generations, as they are on disk after two writes.
+pub fn written() -> Vec<Fixture> {
+    let directory = tempfile::tempdir().unwrap();
+    for list in [bare_list(), full_list()] {
+        keep::write(&Disk, directory.path(), &list).unwrap();
+    }
+    let file = |name| Fixture::of_file(FORMAT, directory.path(), name);
+    vec![file(CURRENT), file(OLDER)]
+}
+
+fn stored_generation(file: &str) -> Vec<u8> {
+    stored(&format!("{FORMAT}/{file}"))
+}
+
+/// The list in a fixture, read from a directory as at a broker's start.
+fn read_generation(file: &str) -> Kept {
+    let directory = directory_with(file, &stored_generation(file));
+    let (mut lists, wrong) = keep::read(&Disk, directory.path());
+    assert_eq!((lists.len(), wrong), (1, Vec::new()));
+    lists.remove(0)
+}
+
+#[test]
+fn both_generations_are_written_as_before() {
+    written().iter().for_each(Fixture::assert_unchanged);
+}
+
+#[test]
+fn the_current_generation_is_read_with_every_option_set() {
+    let list = read_generation(CURRENT);
+    assert_eq!(list.synced, Some(1_700_000_000_000_000_008));
+    assert_eq!(list.whole, Some((3, 70, 1_700_000_000_000_000_007)));
+    assert_eq!(list.forgotten, Some((2, 60)));
+    let states: Vec<State> = list.nodes.iter().map(|node| node.fact.state).collect();
+    assert_eq!(states, [State::Ready, State::Terminating, State::Gone]);
+    let ready = &list.nodes[0];
+    assert_eq!(ready.fact.id, SERVER);
+    assert_eq!((ready.epoch, ready.version, ready.heard), (3, 69, 21));
+    assert_eq!((ready.anew, ready.confirmed), (true, Some(22)));
+    assert_eq!(list.nodes[2].fact.addr, None);
+    assert_eq!(list, full_list());
+}
+
+#[test]
+fn the_older_generation_is_read_with_no_option_set() {
+    let list = read_generation(OLDER);
+    assert_eq!((list.synced, list.whole, list.forgotten), (None, None, None));
+    assert_eq!(list.nodes[0].fact.addr, Some("[2001:db8::2]:443".parse().unwrap()));
+    assert_eq!(list.nodes[0].confirmed, None);
+    assert_eq!(list, bare_list());
+}
+
+#[test]
+fn damaged_copies_are_refused() {
+    for file in [CURRENT, OLDER] {
+        let bytes = stored_generation(file);
+        assert_eq!(kept::decode(&flipped(&bytes)), Err(KeptError::Checksum));
+        assert!(matches!(kept::decode(&truncated(&bytes)), Err(KeptError::Length { .. })));
+        let directory = directory_with(file, &flipped(&bytes));
+        let (lists, wrong) = keep::read(&Disk, directory.path());
+        assert_eq!((lists.len(), wrong.len()), (0, 1)); // The reason is a string.
+    }
+}
+
+/// Lists of earlier versions have another name for a drain and do not tell whether a list counted anew.
+#[test]
+fn a_list_of_an_earlier_version_is_read() {
+    let text = String::from_utf8(stored_generation(OLDER)).unwrap();
+    let (_, body) = text.split_once('\n').unwrap();
+    let earlier = body.replace("\"Terminating\"", "\"Draining\"").replace("      \"anew\": false,\n", "");
+    assert!(earlier.contains("Draining") && !earlier.contains("anew"));
+    let checksum = crc32fast::hash(earlier.as_bytes());
+    let bytes = format!("pebbleturn-roster 1 {} {checksum:08x}\n{earlier}", earlier.len());
+    assert_eq!(kept::decode(bytes.as_bytes()), Ok(bare_list()));
+}
