Record what policy, membership, routing and engine decide, as digests

Need: the code is about to be renamed and reshaped with no change of behaviour, and no test compares all that the deciding parts emit with what they emitted before.

Change: the test target recorded_decisions drives the balancer (three settings), the roster with its parts, the gate, routing, the health of a node and the exchange through simulated time, from three fixed seeds each, and compares a digest (xxh3, 64 bits) of everything emitted, in order, with one recorded here. Values are encoded by hand with numeric tags, so names of types, fields and variants are no part of it. Each run also asserts that each kind of action or line came often enough. Nothing under src/ or lab/ is changed.

--- /dev/null
+++ b/tests/recorded_decisions/digest.rs
@@ -0,0 +1,186 @@
+//! A digest of emitted values that does not depend on the names of types, fields or variants.
+//!
+//! Every value is written by hand, and every variant has a numeric tag here. The tags and the order of the fields
+//! are part of the record: a renamed variant keeps its tag.
+
+use pebbleturn::roster::{Change, State};
+use pebbleturn::{Action, Listed, Outcome, Standing};
+use xxhash_rust::xxh3::Xxh3;
+
+/// Every way in which an attempt can end.
+pub const OUTCOMES: [Outcome; 9] = [
+    Outcome::Ok,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::TimeOut,
+    Outcome::ConnectFailed,
+    Outcome::Reset,
+    Outcome::Spoilt,
+    Outcome::Cancelled,
+    Outcome::Moot,
+];
+
+/// Number of kinds of [`Action`]; their tags lie below it.
+pub const ACTION_KINDS: usize = 8;
+
+/// The tag of an outcome.
+pub fn outcome_tag(outcome: Outcome) -> u8 {
+    match outcome {
+        Outcome::Ok => 0,
+        Outcome::Error => 1,
+        Outcome::Full => 2,
+        Outcome::TimeOut => 3,
+        Outcome::ConnectFailed => 4,
+        Outcome::Reset => 5,
+        Outcome::Spoilt => 6,
+        Outcome::Cancelled => 7,
+        Outcome::Moot => 8,
+    }
+}
+
+/// The tag of a replica's standing in the list.
+pub fn standing_tag(standing: Standing) -> u8 {
+    match standing {
+        Standing::In => 0,
+        Standing::Draining => 1,
+        Standing::Gone => 2,
+    }
+}
+
+/// The tag of a node's state.
+pub fn state_tag(state: State) -> u8 {
+    match state {
+        State::Ready => 0,
+        State::Terminating => 1,
+        State::Gone => 2,
+    }
+}
+
+/// The tag of an action.
+pub fn action_tag(action: &Action) -> u8 {
+    match action {
+        Action::Send { .. } => 0,
+        Action::Cancel { .. } => 1,
+        Action::Answer { .. } => 2,
+        Action::Refuse { .. } => 3,
+        Action::Fail { .. } => 4,
+        Action::Probe { .. } => 5,
+        Action::Watch => 6,
+        Action::Wake { .. } => 7,
+    }
+}
+
+/// A running digest.
+#[derive(Default)]
+pub struct Digest {
+    hasher: Xxh3,
+}
+
+impl Digest {
+    /// The digest of all that was put in.
+    pub fn value(&self) -> u64 {
+        self.hasher.digest()
+    }
+
+    pub fn put_tag(&mut self, tag: u8) {
+        self.hasher.update(&[tag]);
+    }
+
+    pub fn put_u64(&mut self, number: u64) {
+        self.hasher.update(&number.to_le_bytes());
+    }
+
+    pub fn put_u128(&mut self, number: u128) {
+        self.hasher.update(&number.to_le_bytes());
+    }
+
+    pub fn put_count(&mut self, count: usize) {
+        self.put_u64(count as u64);
+    }
+
+    pub fn put_f64(&mut self, number: f64) {
+        self.put_u64(number.to_bits());
+    }
+
+    pub fn put_bool(&mut self, yes: bool) {
+        self.put_tag(u8::from(yes));
+    }
+
+    pub fn put_bytes(&mut self, bytes: &[u8]) {
+        self.put_count(bytes.len());
+        self.hasher.update(bytes);
+    }
+
+    pub fn put_str(&mut self, text: &str) {
+        self.put_bytes(text.as_bytes());
+    }
+
+    /// Whether there is a value, and the value.
+    pub fn put_option<T>(&mut self, value: Option<T>, put: impl FnOnce(&mut Digest, T)) {
+        self.put_bool(value.is_some());
+        if let Some(value) = value {
+            put(self, value);
+        }
+    }
+
+    /// The number of values, and each of them.
+    pub fn put_all<T>(&mut self, values: &[T], put: impl Fn(&mut Digest, &T)) {
+        self.put_count(values.len());
+        values.iter().for_each(|value| put(self, value));
+    }
+
+    pub fn put_outcome(&mut self, outcome: Outcome) {
+        self.put_tag(outcome_tag(outcome));
+    }
+
+    /// One line of the list of replicas.
+    pub fn put_listed(&mut self, line: &Listed) {
+        self.put_u64(line.replica.0.into());
+        self.put_u64(line.zone.into());
+        self.put_u64(line.cell.into());
+        self.put_tag(standing_tag(line.standing));
+        self.put_option(line.started, Digest::put_u64);
+        self.put_f64(line.weight);
+    }
+
+    /// One change of the list, as membership and routing tell it on.
+    pub fn put_change(&mut self, change: &Change) {
+        self.put_listed(&change.listed);
+        self.put_str(&change.id);
+        self.put_option(change.addr, |digest, address| digest.put_str(&address.to_string()));
+        self.put_str(&change.kind);
+    }
+
+    /// Changes, where there was anything to tell.
+    pub fn put_changes(&mut self, changes: Option<&[Change]>) {
+        self.put_option(changes, |digest, changes| digest.put_all(changes, Digest::put_change));
+    }
+
+    /// One action of the balancer.
+    pub fn put_action(&mut self, action: &Action) {
+        self.put_tag(action_tag(action));
+        match action {
+            Action::Send { part, replica, timeout } => {
+                self.put_u128(part.0);
+                self.put_u64(replica.0.into());
+                self.put_u64(*timeout);
+            }
+            Action::Cancel { part, attempt } => {
+                self.put_u128(part.0);
+                self.put_u64((*attempt).into());
+            }
+            Action::Answer { query, whole } => {
+                self.put_u128(query.0);
+                self.put_bool(*whole);
+            }
+            Action::Refuse { query, wait } => {
+                self.put_u128(query.0);
+                self.put_u64(*wait);
+            }
+            Action::Fail { query } => self.put_u128(query.0),
+            Action::Probe { replica } => self.put_u64(replica.0.into()),
+            Action::Watch => {}
+            Action::Wake { after } => self.put_u64(*after),
+        }
+    }
+}
--- /dev/null
+++ b/tests/recorded_decisions/engine.rs
@@ -0,0 +1,290 @@
+//! The record of the exchange: all work it hands out, and what it tells of itself.
+//!
+//! Covered: work, refusals, endings of attempts, answers to `begin`, due times, counts of what is held, and the
+//! figures of ended queries as far as they are numbers. Payloads are handed through and checked nowhere else here.
+
+use crate::common::{MS, S, class, line, settings};
+use crate::digest::Digest;
+use crate::{RandomSource, Recorded, assert_recorded};
+use pebbleturn::core::*;
+use pebbleturn::*;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+const EXCHANGE: Recorded = [0x2b7d_a566_5fdc_aead, 0x791b_0e95_3c3b_d446, 0x7703_661a_2ea1_a597];
+
+const STEPS: u64 = 4000;
+const STEP: Nanos = 10 * MS;
+const OVERLOAD: std::ops::Range<u64> = 2000..2200;
+/// When the program's end is set, and for how long after that queries may go on.
+const END_SET_AT: u64 = 3900;
+const END_AFTER: Nanos = 300 * MS;
+
+/// How often each kind of work and answer came.
+#[derive(Debug, Default)]
+struct Counts {
+    calls: u64,
+    given_up: u64,
+    answered: u64,
+    refused: u64,
+    failed: u64,
+    watches: u64,
+    probes: u64,
+    refused_at_once: u64,
+    endings: u64,
+    not_begun: u64,
+}
+
+impl Counts {
+    fn least(&self) -> u64 {
+        let often =
+            [self.calls, self.given_up, self.answered, self.refused, self.refused_at_once, self.endings];
+        let seldom = [self.failed, self.watches, self.probes, self.not_begun];
+        let often = often.into_iter().map(|count| count / 10);
+        often.chain(seldom).min().unwrap_or(0)
+    }
+}
+
+/// The exchange between simulated clients and servers.
+struct Simulation {
+    exchange: Exchange<u64, u64>,
+    random: RandomSource,
+    digest: Digest,
+    now: Nanos,
+    next_number: u64,
+    /// Attempts that are out, by the time and the order in which they end.
+    upcoming: BTreeMap<(Nanos, u64), AttemptId>,
+    down: Option<ReplicaId>,
+    counts: Counts,
+}
+
+fn exchange_settings() -> Settings {
+    let keyed = Class { effect: Effect::Keyed { window: 500 * MS }, ..class(Effect::Safe) };
+    let partial = Class { min_share: 0.5, aim: 300 * MS, ..class(Effect::Safe) };
+    Settings {
+        classes: vec![partial, keyed, class(Effect::Unsafe)],
+        discovery: Discovery::OnRequest,
+        must_ask_in: 2 * S,
+        parts_per_call: 2,
+        max_open: 120,
+        ..settings(Effect::Safe)
+    }
+}
+
+impl Simulation {
+    fn new(seed: u64) -> Simulation {
+        let mut exchange = Exchange::new(exchange_settings(), seed, 0).expect("usable settings");
+        exchange.listed(true, (0..6).map(|number| line(number, Standing::In, None)).collect());
+        Simulation {
+            exchange,
+            random: RandomSource::new(seed),
+            digest: Digest::default(),
+            now: 0,
+            next_number: 0,
+            upcoming: BTreeMap::new(),
+            down: None,
+            counts: Counts::default(),
+        }
+    }
+
+    fn run(mut self) -> u64 {
+        for step in 0..STEPS {
+            self.now = step * STEP;
+            let arrivals = if OVERLOAD.contains(&step) { 10 } else { self.random.below(2) };
+            (0..arrivals).for_each(|_| self.client_asks());
+            self.world_changes(step);
+            self.attempts_end();
+            self.exchange.run(self.now);
+            while let Some(work) = self.exchange.next_work() {
+                self.carry_out(work);
+            }
+            self.record_state();
+        }
+        self.record_figures();
+        assert!(self.counts.least() >= 3, "too little work of some kind: {:?}", self.counts);
+        self.digest.value()
+    }
+
+    fn client_asks(&mut self) {
+        let count = 1 + self.random.below(3) as u32;
+        let first_shard = self.random.below(6) as u32;
+        let part = |place| AskPart {
+            shard: (first_shard + place) % 6,
+            weight: 1.0 / f64::from(count),
+            work: (place == 0).then_some(20 * MS),
+        };
+        let ask = Ask {
+            class: self.random.index(3),
+            tenant: None,
+            key: self.random.chance(50).then_some(7),
+            time_left: 100 * MS + self.random.below(2000) * MS,
+            again: self.random.chance(10),
+            parts: (0..count).map(part).collect(),
+            payload: Rc::new(self.now),
+        };
+        match self.exchange.open(self.now, ask) {
+            Ok(query) => {
+                self.digest.put_u64(query.0);
+                if self.random.chance(3) {
+                    self.exchange.client_gone(query);
+                }
+            }
+            Err(refused) => {
+                self.counts.refused_at_once += 1;
+                self.digest.put_u64(refused.wait);
+            }
+        }
+    }
+
+    /// Failures, drains, cold starts, reloads, cuts of the room and of the time.
+    fn world_changes(&mut self, step: u64) {
+        let number = self.random.below(6) as u32;
+        let replica = ReplicaId(number);
+        match step % 400 {
+            50 => self.down = Some(replica),
+            120 => self.down = None,
+            160 => self.exchange.listed(false, vec![line(number, Standing::Draining, None)]),
+            200 => self.exchange.listed(false, vec![line(number, Standing::Gone, None)]),
+            240 => self.exchange.listed(false, vec![line(number, Standing::In, Some(self.now))]),
+            280 => self.exchange.warm(replica),
+            300 => self.exchange.list_failed(),
+            320 => self.exchange.free_tries(self.random.chance(50)),
+            340 => self.exchange.keep_to(60 + self.random.index(80)),
+            360 => {
+                let lines = (0..6).map(|number| line(number, Standing::In, None)).collect();
+                self.exchange.listed(true, lines);
+            }
+            _ => {}
+        }
+        if step == END_SET_AT {
+            self.exchange.end_by(self.now + END_AFTER);
+        }
+    }
+
+    fn attempts_end(&mut self) {
+        let later = self.upcoming.split_off(&(self.now + 1, 0));
+        for attempt in std::mem::replace(&mut self.upcoming, later).into_values() {
+            // One in ten waits for a connection until now.
+            if self.random.chance(10) {
+                self.exchange.waits(attempt);
+            }
+            let begun = self.exchange.begin(self.now, attempt);
+            self.digest.put_bool(begun);
+            if !begun {
+                self.counts.not_begun += 1;
+                continue;
+            }
+            self.exchange.written(1);
+            let outcome = match self.random.below(20) {
+                0 => Outcome::Error,
+                1 => Outcome::Full,
+                2 => Outcome::Reset,
+                3 => Outcome::Spoilt,
+                _ => Outcome::Ok,
+            };
+            let value = (outcome == Outcome::Ok).then_some(attempt.0);
+            let busy = Some(self.random.share());
+            self.exchange.ended(self.now, attempt, Ended { outcome, busy, value });
+        }
+    }
+
+    fn carry_out(&mut self, work: Work<u64, u64>) {
+        match work {
+            Work::Call { replica, parts } => self.call(replica, &parts),
+            Work::GiveUp { replica, attempt } => {
+                self.counts.given_up += 1;
+                self.digest.put_tag(1);
+                self.digest.put_u64(replica.0.into());
+                self.digest.put_u64(attempt.0);
+            }
+            Work::Finish { query, answer } => {
+                self.digest.put_tag(2);
+                self.digest.put_u64(query.0);
+                self.record_answer(&answer);
+            }
+            Work::Watch => {
+                self.counts.watches += 1;
+                self.digest.put_tag(3);
+                self.exchange.listed(false, vec![]);
+            }
+            Work::Probe { replica } => {
+                self.counts.probes += 1;
+                self.digest.put_tag(4);
+                self.digest.put_u64(replica.0.into());
+                let ok = self.down != Some(replica);
+                self.exchange.probed(replica, ok, 5 * MS, ok.then_some(0.3));
+            }
+        }
+    }
+
+    fn call(&mut self, replica: ReplicaId, parts: &[Dispatch<u64>]) {
+        self.counts.calls += 1;
+        self.digest.put_tag(0);
+        self.digest.put_u64(replica.0.into());
+        self.digest.put_all(parts, |digest, part| {
+            digest.put_u64(part.attempt.0);
+            digest.put_u64(part.shard.into());
+            digest.put_u64(part.timeout);
+            digest.put_option(part.key, Digest::put_u64);
+            digest.put_u64(*part.payload);
+        });
+        for part in parts {
+            if self.down == Some(replica) {
+                let (outcome, busy, value) = (Outcome::ConnectFailed, None, None);
+                self.exchange.ended(self.now, part.attempt, Ended { outcome, busy, value });
+                continue;
+            }
+            let slow = if self.random.chance(8) { 20 } else { 1 };
+            let latency = (10 * MS + self.random.below(60) * MS) * slow;
+            self.next_number += 1;
+            self.upcoming.insert((self.now + latency, self.next_number), part.attempt);
+        }
+    }
+
+    fn record_answer(&mut self, answer: &Final<u64>) {
+        self.digest.put_str(answer.word());
+        match answer {
+            Final::Answered(answered) => {
+                self.counts.answered += 1;
+                self.digest.put_bool(answered.whole);
+                self.digest.put_count(answered.asked);
+                self.digest.put_all(&answered.values, |digest, value| {
+                    digest.put_u64(value.shard.into());
+                    digest.put_u64(value.value);
+                });
+            }
+            Final::Refused { wait } => {
+                self.counts.refused += 1;
+                self.digest.put_u64(*wait);
+            }
+            Final::Failed => self.counts.failed += 1,
+        }
+    }
+
+    fn record_state(&mut self) {
+        while let Some(ending) = self.exchange.next_ending() {
+            self.counts.endings += 1;
+            self.digest.put_u64(ending.replica.0.into());
+            self.digest.put_outcome(ending.outcome);
+            self.digest.put_u64(ending.latency);
+        }
+        self.digest.put_option(self.exchange.due(), Digest::put_u64);
+        self.digest.put_count(self.exchange.ejected());
+        self.digest.put_count(self.exchange.open_queries());
+        self.digest.put_count(self.exchange.attempts_out());
+        self.digest.put_count(self.exchange.out_at(ReplicaId(0)));
+        self.digest.put_count(self.exchange.held());
+    }
+
+    fn record_figures(&mut self) {
+        let names = ["partial", "keyed", "unsafe"].map(String::from);
+        let now = pebbleturn::figures::Now { active: 1, pool_size: 2, pool_ejected: 3 };
+        let line = self.exchange.figures().line(&names, now);
+        self.digest.put_str(&line);
+    }
+}
+
+#[test]
+fn the_work_of_an_exchange() {
+    assert_recorded("exchange", EXCHANGE, |seed| Simulation::new(seed).run());
+}
--- /dev/null
+++ b/tests/recorded_decisions/routing.rs
@@ -0,0 +1,161 @@
+//! The record of routing: what it offers of a ring of nodes with sets, spares and redirects, and how nodes fare.
+//!
+//! Covered: every change told on, when `tick` is due, and the health of one node with its share of work.
+
+use crate::common::{MS, S};
+use crate::digest::{Digest, OUTCOMES, standing_tag};
+use crate::{RandomSource, Recorded, assert_recorded};
+use pebbleturn::roster::{Change, Layout};
+use pebbleturn::routing::{Health, Routing, RoutingSettings, Rule, Spare, Standing as Put, Stands};
+use pebbleturn::{Listed, Nanos, Outcome, ReplicaId, Standing};
+use std::collections::HashMap;
+
+const OFFERED: Recorded = [0x3470_0234_acca_d4c0, 0xc5af_7f1e_9f04_8d04, 0x5597_23f4_e6d3_9cc6];
+const HEALTH: Recorded = [0xfd29_c455_71ca_11bf, 0x47b4_6a3d_9594_922b, 0x30be_9a41_d643_ed61];
+
+const NODES: u32 = 12;
+const STEPS: u64 = 4000;
+const STEP: Nanos = 100 * MS;
+const WARM_UP: Nanos = 10 * S;
+const HOLD: Nanos = 15 * S;
+const RETRY: Nanos = 5 * S;
+
+fn node_id(number: u32) -> String {
+    format!("node-{number}")
+}
+
+fn drawn_rule(random: &mut RandomSource) -> Rule {
+    let standings = [Put::Active, Put::Active, Put::Active, Put::Disabled, Put::Stopped, Put::Draining];
+    Rule {
+        standing: standings[random.index(standings.len())],
+        weight: [1.0, 1.0, 0.5, 2.0, 0.0][random.index(5)],
+        set: random.below(2) as u32,
+        spare: [Spare::None, Spare::None, Spare::Hot, Spare::Standby][random.index(4)],
+        redirect: random.chance(30).then(|| node_id(random.below(NODES.into()) as u32)),
+        retry: RETRY,
+    }
+}
+
+fn drawn_rules(random: &mut RandomSource) -> HashMap<String, Rule> {
+    (0..NODES).map(|number| (node_id(number), drawn_rule(random))).collect()
+}
+
+fn drawn_change(random: &mut RandomSource, standing: Standing) -> Change {
+    let number = random.below(NODES.into()) as u32;
+    change(number, standing, random.below(3) as u16)
+}
+
+fn change(number: u32, standing: Standing, port: u16) -> Change {
+    Change {
+        listed: Listed {
+            replica: ReplicaId(number),
+            zone: 0,
+            cell: number % 4,
+            standing,
+            started: None,
+            weight: 1.0,
+        },
+        id: node_id(number),
+        addr: Some(([127, 0, 0, 1], 8000 + port).into()),
+        kind: "sru".into(),
+    }
+}
+
+/// Half of all outcomes are good, so that nodes come back.
+fn drawn_outcome(random: &mut RandomSource) -> Outcome {
+    if random.chance(50) { Outcome::Ok } else { OUTCOMES[random.index(OUTCOMES.len())] }
+}
+
+/// Lines told on, by their standing.
+#[derive(Default)]
+struct Told {
+    by_standing: [u64; 3],
+}
+
+impl Told {
+    fn record(&mut self, routing: &mut Routing, now: Nanos, digest: &mut Digest) {
+        let changes = routing.take_changes();
+        digest.put_changes(changes.as_deref());
+        digest.put_option(routing.due(now), Digest::put_u64);
+        for change in changes.unwrap_or_default() {
+            self.by_standing[usize::from(standing_tag(change.listed.standing))] += 1;
+        }
+    }
+}
+
+fn offered(seed: u64) -> u64 {
+    let (mut random, mut digest, mut told) = (RandomSource::new(seed), Digest::default(), Told::default());
+    let layout = Layout { cells: 4, span: 2 };
+    let rules = drawn_rules(&mut random);
+    let mut routing = Routing::new(RoutingSettings { layout, rules, warm_up: WARM_UP, hold: HOLD });
+    routing.listed((0..NODES).map(|number| change(number, Standing::In, 0)).collect(), 0);
+    for step in 0..STEPS {
+        let now = step * STEP;
+        match random.below(100) {
+            0..3 => routing.listed(vec![drawn_change(&mut random, Standing::Draining)], now),
+            3..5 => routing.listed(vec![drawn_change(&mut random, Standing::Gone)], now),
+            5..15 => routing.listed(vec![drawn_change(&mut random, Standing::In)], now),
+            15 => routing.listed(vec![], now),
+            16 => routing.rules(drawn_rules(&mut random), now),
+            17 if random.chance(20) => routing.rules(HashMap::new(), now),
+            _ => {
+                let replica = ReplicaId(random.below(NODES.into()) as u32);
+                routing.outcome(replica, drawn_outcome(&mut random), now);
+            }
+        }
+        routing.tick(now);
+        told.record(&mut routing, now, &mut digest);
+    }
+    assert!(told.by_standing.iter().all(|count| *count > 50), "too few lines told: {:?}", told.by_standing);
+    digest.value()
+}
+
+fn put_stands(digest: &mut Digest, stands: Stands) -> usize {
+    match stands {
+        Stands::Well => digest.put_tag(0),
+        Stands::Out { until } => {
+            digest.put_tag(1);
+            digest.put_u64(until);
+        }
+        Stands::Trial => digest.put_tag(2),
+        Stands::Warming { since } => {
+            digest.put_tag(3);
+            digest.put_u64(since);
+        }
+    }
+    match stands {
+        Stands::Well => 0,
+        Stands::Out { .. } => 1,
+        Stands::Trial => 2,
+        Stands::Warming { .. } => 3,
+    }
+}
+
+fn health(seed: u64) -> u64 {
+    let (mut random, mut digest) = (RandomSource::new(seed), Digest::default());
+    let mut health = Health::new(0);
+    let mut seen = [0; 4];
+    for step in 0..STEPS {
+        let now = step * 10 * STEP;
+        if random.chance(40) {
+            digest.put_bool(health.outcome(drawn_outcome(&mut random), RETRY, now));
+        }
+        digest.put_bool(health.tick(WARM_UP, now));
+        seen[put_stands(&mut digest, health.stands())] += 1;
+        digest.put_option(health.due(WARM_UP), Digest::put_u64);
+        digest.put_f64(health.share(WARM_UP, now));
+        digest.put_bool(health.sound_for(HOLD, now));
+    }
+    assert!(seen.iter().all(|count| *count > 50), "a standing was seen too seldom: {seen:?}");
+    digest.value()
+}
+
+#[test]
+fn what_is_offered() {
+    assert_recorded("routing", OFFERED, offered);
+}
+
+#[test]
+fn how_a_node_fares() {
+    assert_recorded("health of a node", HEALTH, health);
+}
