--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -450,7 +450,7 @@
                 tracing::info!("server {id} is {} by hand", if out { "out" } else { "put back" });
                 AdminResponse::Yes(id.to_owned())
             }
-            Err(NeverListed) => AdminResponse::No(format!("{id} was never listed")),
+            Err(UnknownNode) => AdminResponse::No(format!("{id} was never listed")),
         }
     }
 
