Split the event loop into the frontend interface, handlers, statistics and errors

One file did six jobs, and the membership driver imported from the event loop that drives it. The frontend trait, its context, the admin handler, the cluster and hot restart drivers, the query statistics, the construction and the error now have a module each; the imports go one way.

--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -1,6 +1,7 @@
 //! Membership as a front needs it: the roster, the watch on discovery and the kept list, tied to the exchange.
 
 use super::discovery_watch::DiscoveryWatch;
+use super::frontend_context::FrontendContext;
 use crate::api::{Nanos, ReplicaId};
 use crate::membership::gossip_hints::{LocalHints, PeerHints};
 use crate::membership::poll_backoff::PollBackoff;
@@ -10,7 +11,6 @@
 use crate::replication::derived_state::NodeHints;
 use crate::replication::{FactKey, ProcessStart};
 use crate::routing::{Routing, Rule};
-use crate::server::FrontendContext;
 use crate::storage::snapshot_store::SnapshotWriter;
 use std::collections::HashMap;
 use std::net::SocketAddr;
