--- a/src/server/broker.rs
+++ b/src/server/broker.rs
@@ -17,23 +17,23 @@
 pub struct Broker<F: Frontend> {
     pub(super) clock: Clock,
     pub(super) net: PollLoop,
-    pub(super) exchange: QueryEngine<F::Query, F::Value>,
-    pub(super) front: F,
-    pub(super) leave: DrainState,
+    pub(super) engine: QueryEngine<F::Query, F::Value>,
+    pub(super) frontend: F,
+    pub(super) drain: DrainState,
     /// The step that the front was told, whether the listeners are closed, and when to look for idle clients again.
-    pub(super) step: DrainPhase,
-    pub(super) closed: bool,
-    pub(super) look: Nanos,
+    pub(super) drain_phase: DrainPhase,
+    pub(super) listeners_closed: bool,
+    pub(super) next_idle_scan: Nanos,
     /// The second address, where there is one.
-    pub(super) desk: Option<AdminServer>,
+    pub(super) admin_server: Option<AdminServer>,
     pub(super) class_names: Vec<String>,
     /// What staff have said, here or to another process at this address.
-    pub(super) words: Overrides,
+    pub(super) overrides: Overrides,
     /// The other processes at this address, where there may be any, and the share that was told the front.
-    pub(super) handover: Option<HotRestart>,
-    pub(super) share: Option<QuotaShare>,
+    pub(super) hot_restart: Option<HotRestart>,
+    pub(super) quota_share: Option<QuotaShare>,
     /// Its place in a cluster, where it has one, and what of it holds here already.
     pub(super) cluster: Option<Cluster>,
-    pub(super) held: AppliedClusterState,
-    pub(super) tally: QueryStats,
+    pub(super) applied: AppliedClusterState,
+    pub(super) query_stats: QueryStats,
 }
--- a/src/server/builder.rs
+++ b/src/server/builder.rs
@@ -20,61 +20,62 @@
     pub fn new(
         clock: Clock,
         net: PollLoop,
-        exchange: QueryEngine<F::Query, F::Value>,
-        front: F,
+        engine: QueryEngine<F::Query, F::Value>,
+        frontend: F,
     ) -> Broker<F> {
-        let longest = exchange.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        let tally = QueryStats::new(clock.now());
-        let class_names = front.class_names();
-        let (leave, step, closed, look, desk) =
-            (DrainState::new(longest), DrainPhase::Serving, false, 0, None);
-        let (words, handover, share) = (Overrides::default(), None, None);
-        let (cluster, held) = (None, AppliedClusterState::default());
+        let longest_deadline = engine.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let query_stats = QueryStats::new(clock.now());
+        let class_names = frontend.class_names();
+        let (drain, drain_phase, listeners_closed, next_idle_scan, admin_server) =
+            (DrainState::new(longest_deadline), DrainPhase::Serving, false, 0, None);
+        let (overrides, hot_restart, quota_share) = (Overrides::default(), None, None);
+        let (cluster, applied) = (None, AppliedClusterState::default());
         Broker {
             clock,
             net,
-            exchange,
-            front,
-            leave,
-            step,
-            closed,
-            look,
-            desk,
+            engine,
+            frontend,
+            drain,
+            drain_phase,
+            listeners_closed,
+            next_idle_scan,
+            admin_server,
             class_names,
-            words,
-            handover,
-            share,
+            overrides,
+            hot_restart,
+            quota_share,
             cluster,
-            held,
-            tally,
+            applied,
+            query_stats,
         }
     }
 
-    /// Others may serve at this address too: the one before, and one day the one after. `words` is what the one before
+    /// Others may serve at this address too: the one before, and one day the one after. `overrides` is what the one before
     /// was told by staff.
-    pub fn join_hot_restart(&mut self, handover: HotRestart, words: Overrides) {
+    pub fn join_hot_restart(&mut self, hot_restart: HotRestart, overrides: Overrides) {
         let now = self.clock.now();
-        if words.pause.is_some_and(|w| w.out) {
-            self.leave.pause(now);
+        if overrides.pause.is_some_and(|w| w.out) {
+            self.drain.pause(now);
         }
-        self.leave.share_address();
-        (self.handover, self.words) = (Some(handover), words);
-        self.others(now);
+        self.drain.share_address();
+        (self.hot_restart, self.overrides) = (Some(hot_restart), overrides);
+        self.observe_hot_restart(now);
     }
 
     /// It belongs to a cluster from now on.
-    pub fn join_cluster(&mut self, told: &ClusterConfig, name: &str) -> Result<(), BrokerError> {
+    pub fn join_cluster(&mut self, config: &ClusterConfig, name: &str) -> Result<(), BrokerError> {
         let now = self.clock.now();
-        let cluster = Cluster::open(told, name, now, &mut self.net).map_err(BrokerError::io("cluster"))?;
+        let cluster = Cluster::open(config, name, now, &mut self.net).map_err(BrokerError::io("cluster"))?;
         self.cluster = Some(cluster);
-        self.peers(now);
+        self.drive_cluster(now);
         Ok(())
     }
 
     /// Answers at this second address from now on; tells where.
     pub fn listen_admin(&mut self, addr: SocketAddr) -> Result<SocketAddr, BrokerError> {
-        let desk = AdminServer::open(addr, &mut self.net).map_err(BrokerError::io("listen for operation"))?;
-        let listening = self.desk.insert(desk).listening();
+        let admin_server =
+            AdminServer::open(addr, &mut self.net).map_err(BrokerError::io("listen for operation"))?;
+        let listening = self.admin_server.insert(admin_server).listening();
         tracing::info!("calls for operation are taken at {listening}");
         Ok(listening)
     }
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -12,13 +12,13 @@
 use std::time::Duration;
 
 /// Time between two looks for connections that wait for nothing, while such are closed.
-const LOOK: Nanos = 20_000_000;
+const IDLE_SCAN_INTERVAL: Nanos = 20_000_000;
 
 impl<F: Frontend> Broker<F> {
     /// Serves until the word to end has come and all that was taken is answered.
     pub fn run(mut self) -> Result<(), BrokerError> {
         let mut events = Vec::new();
-        while !self.finished() {
+        while !self.is_finished() {
             let timeout =
                 self.next_deadline().map(|t| Duration::from_nanos(t.saturating_sub(self.clock.now())));
             self.net.wait(timeout, &mut events).map_err(BrokerError::io("poll"))?;
@@ -26,9 +26,10 @@
             for event in events.drain(..) {
                 self.on_event(event, now);
             }
-            self.turn(now);
+            self.run_once(now);
             if self.cluster.is_some() {
-                self.held.longest_turn = self.held.longest_turn.max(self.clock.now().saturating_sub(now));
+                self.applied.longest_iteration =
+                    self.applied.longest_iteration.max(self.clock.now().saturating_sub(now));
             }
         }
         tracing::info!("ended: all that was taken is answered");
@@ -36,104 +37,105 @@
     }
 
     fn on_event(&mut self, event: NetEvent, now: Nanos) {
-        let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
+        let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
         match event {
-            NetEvent::Signal(Signal::End) if self.leave.is_shutting_down() => {}
+            NetEvent::Signal(Signal::End) if self.drain.is_shutting_down() => {}
             NetEvent::Signal(Signal::End) => {
-                tracing::info!("draining: {} queries are open", self.exchange.open_queries());
-                self.leave.begin_shutdown(now);
+                tracing::info!("draining: {} queries are open", self.engine.open_queries());
+                self.drain.begin_shutdown(now);
             }
             NetEvent::Signal(Signal::Reload) => {
-                self.front.reload(&mut hands);
+                self.frontend.reload(&mut context);
                 self.cluster.iter_mut().for_each(Cluster::reload);
             }
             _ if event.owner() == Some(admin::OWNER) => {
-                if let Some(desk) = &mut self.desk {
-                    desk.on_event(event, now, &mut self.net);
-                    self.calls(now);
+                if let Some(admin_server) = &mut self.admin_server {
+                    admin_server.on_event(event, now, &mut self.net);
+                    self.handle_admin_requests(now);
                 }
             }
             _ if event.owner() == Some(cluster::OWNER) => {
                 if let Some(cluster) = &mut self.cluster {
-                    let begun = self.clock.now();
+                    let started = self.clock.now();
                     cluster.event(event, now, &mut self.net);
-                    cluster.spent(self.clock.now().saturating_sub(begun));
+                    cluster.spent(self.clock.now().saturating_sub(started));
                 }
             }
-            _ => self.front.on_event(event, &mut hands),
+            _ => self.frontend.on_event(event, &mut context),
         }
     }
 
     /// All that time alone brings, and the work that follows from it.
-    fn turn(&mut self, now: Nanos) {
-        self.others(now);
-        self.peers(now);
+    fn run_once(&mut self, now: Nanos) {
+        self.observe_hot_restart(now);
+        self.drive_cluster(now);
         self.update_drain_phase(now);
-        let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
-        hands.net.tick(now);
-        if let Some(desk) = &mut self.desk {
-            desk.tick(now, hands.net);
+        let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
+        context.net.tick(now);
+        if let Some(admin_server) = &mut self.admin_server {
+            admin_server.tick(now, context.net);
         }
-        self.front.tick(&mut hands);
-        hands.engine.advance(now);
-        while let Some(work) = hands.engine.next_action() {
-            if let EngineAction::Respond { outcome: answer, .. } = &work {
-                self.tally.count(answer);
+        self.frontend.tick(&mut context);
+        context.engine.advance(now);
+        while let Some(action) = context.engine.next_action() {
+            if let EngineAction::Respond { outcome, .. } = &action {
+                self.query_stats.record(outcome);
             }
-            self.front.perform(work, &mut hands);
+            self.frontend.perform(action, &mut context);
         }
-        self.tally.tell(now, hands.engine.open_queries(), hands.engine.attempts_in_flight());
+        self.query_stats.log_if_due(now, context.engine.open_queries(), context.engine.attempts_in_flight());
     }
 
     /// Tells the front how clients are to be treated from now on.
     fn update_drain_phase(&mut self, now: Nanos) {
-        let (step, was) = (self.leave.phase(now), self.step);
+        let (phase, previous) = (self.drain.phase(now), self.drain_phase);
         let caught_up = self.cluster.as_ref().is_none_or(Cluster::is_ready);
-        self.front.set_ready(caught_up && self.leave.is_ready(now));
-        if step != was {
-            self.step = step;
-            self.front.set_drain_phase(step);
+        self.frontend.set_ready(caught_up && self.drain.is_ready(now));
+        if phase != previous {
+            self.drain_phase = phase;
+            self.frontend.set_drain_phase(phase);
             // Its next tick says goodbye to those who must be told.
-            self.look = now + LOOK;
+            self.next_idle_scan = now + IDLE_SCAN_INTERVAL;
         }
-        let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
-        if !self.closed && self.leave.stop_listening_at().is_some_and(|t| t <= now) {
-            self.closed = true;
-            for owner in self.front.listeners() {
-                hands.net.stop_listening(*owner, self.leave.has_successor());
+        let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
+        if !self.listeners_closed && self.drain.stop_listening_at().is_some_and(|t| t <= now) {
+            self.listeners_closed = true;
+            for owner in self.frontend.listeners() {
+                context.net.stop_listening(*owner, self.drain.has_successor());
             }
             // What is taken from now on must be answered before this program may be killed.
-            hands.engine.end_all_by(self.leave.answer_by(now));
+            context.engine.end_all_by(self.drain.answer_by(now));
         }
-        if step >= DrainPhase::ClosingIdle && now >= self.look {
-            self.look = now + LOOK;
-            self.front.close_idle(&mut hands);
+        if phase >= DrainPhase::ClosingIdle && now >= self.next_idle_scan {
+            self.next_idle_scan = now + IDLE_SCAN_INTERVAL;
+            self.frontend.close_idle(&mut context);
         }
     }
 
     /// Guards the end of a drain: a connection that was just accepted is still served, and a peer that does not
     /// read its answer can't keep the program.
-    fn finished(&self) -> bool {
-        let late = self.leave.exit_by().is_some_and(|t| self.clock.now() >= t);
-        self.closed && (late || (self.front.is_empty() && !self.net.is_busy()))
+    fn is_finished(&self) -> bool {
+        let overdue = self.drain.exit_by().is_some_and(|t| self.clock.now() >= t);
+        self.listeners_closed && (overdue || (self.frontend.is_empty() && !self.net.is_busy()))
     }
 
     fn next_deadline(&self) -> Option<Nanos> {
         // While nobody is connected there is nobody to close.
-        let gone =
-            self.step >= DrainPhase::ClosingIdle && !self.leave.is_shutting_down() && self.front.is_empty();
-        let leave = self.leave.next_deadline(self.clock.now()).filter(|_| !gone);
-        let desk = self.desk.as_ref().and_then(AdminServer::next_deadline);
-        let others = self.handover.as_ref().map(|h| h.next_deadline(self.clock.now()));
-        let peers = self.cluster.as_ref().map(|c| c.due(self.clock.now()));
+        let idle = self.drain_phase >= DrainPhase::ClosingIdle
+            && !self.drain.is_shutting_down()
+            && self.frontend.is_empty();
+        let drain = self.drain.next_deadline(self.clock.now()).filter(|_| !idle);
+        let admin_server = self.admin_server.as_ref().and_then(AdminServer::next_deadline);
+        let hot_restart = self.hot_restart.as_ref().map(|h| h.next_deadline(self.clock.now()));
+        let cluster = self.cluster.as_ref().map(|c| c.due(self.clock.now()));
         [
-            self.exchange.next_deadline(),
-            self.front.next_deadline(),
+            self.engine.next_deadline(),
+            self.frontend.next_deadline(),
             self.net.next_deadline(),
-            leave,
-            desk,
-            others,
-            peers,
+            drain,
+            admin_server,
+            hot_restart,
+            cluster,
         ]
         .into_iter()
         .flatten()
--- a/src/server/frontend.rs
+++ b/src/server/frontend.rs
@@ -8,7 +8,7 @@
 use crate::engine::EngineAction;
 use crate::net::{NetEvent, PollLoop};
 
-/// A front: a client side and a server side that meet only in the exchange.
+/// A front: a client side and a server side that meet only in the engine.
 pub trait Frontend {
     /// What a query carries.
     type Query;
@@ -16,25 +16,25 @@
     type Value;
 
     /// Something happened on a socket of the front's.
-    fn on_event(&mut self, event: NetEvent, hands: &mut FrontendContext<Self::Query, Self::Value>);
+    fn on_event(&mut self, event: NetEvent, context: &mut FrontendContext<Self::Query, Self::Value>);
     /// Time has gone by.
-    fn tick(&mut self, hands: &mut FrontendContext<Self::Query, Self::Value>);
+    fn tick(&mut self, context: &mut FrontendContext<Self::Query, Self::Value>);
     /// The exchange wants something done.
     fn perform(
         &mut self,
-        work: EngineAction<Self::Query, Self::Value>,
-        hands: &mut FrontendContext<Self::Query, Self::Value>,
+        action: EngineAction<Self::Query, Self::Value>,
+        context: &mut FrontendContext<Self::Query, Self::Value>,
     );
     /// When `tick` is next worth calling.
     fn next_deadline(&self) -> Option<Nanos>;
     /// Whether it is ready for clients, for those who ask that.
     fn set_ready(&mut self, ready: bool);
     /// How clients are to be treated from now on.
-    fn set_drain_phase(&mut self, step: DrainPhase);
+    fn set_drain_phase(&mut self, phase: DrainPhase);
     /// The word to read its configuration again has come. Whatever it finds, it goes on serving.
-    fn reload(&mut self, hands: &mut FrontendContext<Self::Query, Self::Value>);
+    fn reload(&mut self, context: &mut FrontendContext<Self::Query, Self::Value>);
     /// Clients are sent away: whoever waits for nothing is to be closed.
-    fn close_idle(&mut self, hands: &mut FrontendContext<Self::Query, Self::Value>);
+    fn close_idle(&mut self, context: &mut FrontendContext<Self::Query, Self::Value>);
     /// Owners of the listeners.
     fn listeners(&self) -> &[u8];
     /// No client is connected.
--- a/src/server/frontend_context.rs
+++ b/src/server/frontend_context.rs
@@ -10,6 +10,6 @@
     pub now: Nanos,
     /// The sockets.
     pub net: &'a mut PollLoop,
-    /// The exchange.
+    /// The engine.
     pub engine: &'a mut QueryEngine<Q, V>,
 }
--- a/src/server/hot_restart_driver.rs
+++ b/src/server/hot_restart_driver.rs
@@ -8,54 +8,54 @@
 
 impl<F: Frontend> Broker<F> {
     /// Hears of the other processes at this address, and tells them how this one stands.
-    pub(super) fn others(&mut self, now: Nanos) {
-        let Some(handover) = self.handover.as_mut().filter(|h| h.is_due(now)) else { return };
-        let holds = ResourceUsage {
+    pub(super) fn observe_hot_restart(&mut self, now: Nanos) {
+        let Some(hot_restart) = self.hot_restart.as_mut().filter(|h| h.is_due(now)) else { return };
+        let usage = ResourceUsage {
             descriptors: self.net.descriptors(),
-            held: self.exchange.in_flight(),
-            open_ids: self.front.open_ids(),
+            held: self.engine.in_flight(),
+            open_ids: self.frontend.open_ids(),
         };
-        let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
-        let mut paused = None;
-        for peer in handover.observe(&holds, now).unwrap_or(&[]) {
-            let before = self.words.clone();
-            if self.words.merge(&peer.words()) {
-                for (id, word) in
-                    self.words.servers.iter().filter(|(id, w)| before.servers.get(*id) != Some(w))
+        let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
+        let mut pause_change = None;
+        for peer in hot_restart.observe(&usage, now).unwrap_or(&[]) {
+            let previous = self.overrides.clone();
+            if self.overrides.merge(&peer.words()) {
+                for (id, command) in
+                    self.overrides.servers.iter().filter(|(id, w)| previous.servers.get(*id) != Some(w))
                 {
-                    let _ = self.front.membership_mut().set_suspended(id, word.out, true, &mut hands);
+                    let _ = self.frontend.membership_mut().set_suspended(id, command.out, true, &mut context);
                 }
-                paused = self.words.pause.filter(|w| before.pause != Some(*w)).or(paused);
+                pause_change = self.overrides.pause.filter(|w| previous.pause != Some(*w)).or(pause_change);
             }
             if let Some(state) = &peer.state {
-                self.front.reserve_ids(&state.open_ids, now);
+                self.frontend.reserve_ids(&state.open_ids, now);
             }
         }
-        match paused {
-            Some(word) if word.out => self.leave.pause(now),
-            Some(_) => self.leave.resume(),
+        match pause_change {
+            Some(command) if command.out => self.drain.pause(now),
+            Some(_) => self.drain.resume(),
             None => {}
         }
-        let share = handover.share(now);
-        let was = self.share.replace(share);
-        if was != Some(share) {
-            self.front.limit_descriptors(share.descriptors, hands.net);
-            hands.engine.limit_in_flight(share.open);
-            hands.engine.set_free_retries(share.free_tries);
+        let share = hot_restart.share(now);
+        let previous_share = self.quota_share.replace(share);
+        if previous_share != Some(share) {
+            self.frontend.limit_descriptors(share.descriptors, context.net);
+            context.engine.limit_in_flight(share.open);
+            context.engine.set_free_retries(share.free_tries);
         }
-        if share.succeeded && !was.is_some_and(|w| w.succeeded) {
+        if share.succeeded && !previous_share.is_some_and(|s| s.succeeded) {
             tracing::info!(
                 "another process serves at this address: {} queries are open",
-                hands.engine.open_queries()
+                context.engine.open_queries()
             );
-            self.leave.successor_serves(now);
+            self.drain.successor_serves(now);
         }
-        handover.set_stage(if self.leave.is_shutting_down() {
+        hot_restart.set_stage(if self.drain.is_shutting_down() {
             ProcessStage::Leaving
         } else {
             ProcessStage::Serving
         });
-        let members = self.front.membership();
-        handover.publish(holds, &self.words, members.version(), || members.snapshot(now), now);
+        let membership = self.frontend.membership();
+        hot_restart.publish(usage, &self.overrides, membership.version(), || membership.snapshot(now), now);
     }
 }
--- a/src/server/query_stats.rs
+++ b/src/server/query_stats.rs
@@ -4,39 +4,39 @@
 use crate::engine::QueryOutcome;
 
 /// Time between two lines that tell how queries ended.
-const TALLY: Nanos = 60_000_000_000;
+const LOG_INTERVAL: Nanos = 60_000_000_000;
 
 /// How queries ended since the last such line.
 #[derive(Default)]
 pub(super) struct QueryStats {
-    told: Nanos,
-    whole: u64,
+    last_log: Nanos,
+    complete: u64,
     partial: u64,
-    refused: u64,
+    rejected: u64,
     failed: u64,
 }
 
 impl QueryStats {
     /// No queries so far; the first line comes an interval after `now` at the earliest.
     pub(super) fn new(now: Nanos) -> QueryStats {
-        QueryStats { told: now, ..QueryStats::default() }
+        QueryStats { last_log: now, ..QueryStats::default() }
     }
 
-    pub(super) fn count<V>(&mut self, answer: &QueryOutcome<V>) {
-        match answer {
-            QueryOutcome::Answered(a) if a.complete => self.whole += 1,
+    pub(super) fn record<V>(&mut self, outcome: &QueryOutcome<V>) {
+        match outcome {
+            QueryOutcome::Answered(a) if a.complete => self.complete += 1,
             QueryOutcome::Answered(_) => self.partial += 1,
-            QueryOutcome::Rejected { .. } => self.refused += 1,
+            QueryOutcome::Rejected { .. } => self.rejected += 1,
             QueryOutcome::Failed => self.failed += 1,
         }
     }
 
-    pub(super) fn tell(&mut self, now: Nanos, open: usize, out: usize) {
-        let QueryStats { told, whole, partial, refused, failed } = *self;
-        if now >= told + TALLY && whole + partial + refused + failed > 0 {
+    pub(super) fn log_if_due(&mut self, now: Nanos, open: usize, in_flight: usize) {
+        let QueryStats { last_log, complete, partial, rejected, failed } = *self;
+        if now >= last_log + LOG_INTERVAL && complete + partial + rejected + failed > 0 {
             tracing::info!(
-                "queries: {whole} whole, {partial} partial, {refused} refused, {failed} failed; \
-                 {open} open with {out} attempts out"
+                "queries: {complete} whole, {partial} partial, {rejected} refused, {failed} failed; \
+                 {open} open with {in_flight} attempts out"
             );
             *self = QueryStats::new(now);
         }
