Build a broker from a builder, and carry out admin requests with typed errors

The admin handler was one function of 80 lines that returned strings, the cluster and hot restart handlers changed six things in one go, and a broker was changed after its construction.

--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -17,7 +17,7 @@
 use crate::server::discovery_watch::DiscoveryWatch;
 use crate::server::drain::DrainPhase;
 use crate::server::membership_driver::MembershipDriver;
-use crate::server::{Broker, BrokerError, Frontend, FrontendContext};
+use crate::server::{Broker, BrokerBuilder, BrokerError, Frontend, FrontendContext};
 use crate::storage::snapshot_store::SnapshotWriter;
 use std::collections::HashMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
@@ -197,17 +197,17 @@
     let (ops, cluster, name) = (told.operation.listen, told.cluster.clone(), told.name.clone());
     let clients = Clients::new(told, SRU, most - to_nodes);
     let front = CatalogueFrontend { clients, nodes, membership, files, most_to_nodes: to_nodes };
-    let mut broker = Broker::new(clock, net, exchange, front);
+    let mut broker = BrokerBuilder::new(clock, net, exchange, front);
     if let Some(ops) = ops {
-        broker.listen_admin(ops)?;
+        broker.listen_admin(ops);
     }
     if let Some((handover, words, _)) = handed {
         broker.join_hot_restart(handover, words);
     }
     if let Some(cluster) = cluster {
-        broker.join_cluster(&cluster, &name)?;
+        broker.join_cluster(&cluster, &name);
     }
-    Ok((broker, listening))
+    Ok((broker.build()?, listening))
 }
 
 impl Frontend for CatalogueFrontend {
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -14,7 +14,7 @@
 use crate::server::discovery_watch::DiscoveryWatch;
 use crate::server::drain::DrainPhase;
 use crate::server::membership_driver::MembershipDriver;
-use crate::server::{Broker, BrokerError, Frontend, FrontendContext};
+use crate::server::{Broker, BrokerBuilder, BrokerError, Frontend, FrontendContext};
 use crate::storage::snapshot_store::SnapshotWriter;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -137,14 +137,14 @@
     let listening = listening.map_err(BrokerError::io("listen"))?;
     tracing::info!("{} listens at {listening}", told.name);
     let front = PlatformFrontend { clients, servers, membership, file: told.file, apart };
-    let mut broker = Broker::new(clock, net, exchange, front);
+    let mut broker = BrokerBuilder::new(clock, net, exchange, front);
     if let Some(ops) = told.ops {
-        broker.listen_admin(ops)?;
+        broker.listen_admin(ops);
     }
     if let Some((handover, words, _)) = handed {
         broker.join_hot_restart(handover, words);
     }
-    Ok((broker, listening))
+    Ok((broker.build()?, listening))
 }
 
 impl Frontend for PlatformFrontend {
--- a/src/server/admin_handler.rs
+++ b/src/server/admin_handler.rs
@@ -1,18 +1,64 @@
 //! Carries out the requests of the admin endpoint.
 
 use super::broker::Broker;
-use super::frontend::{Frontend, FrontendContext};
+use super::frontend::Frontend;
 use crate::admin::{AdminRequest, AdminResponse, AdminServer, CommandOptions};
 use crate::api::Nanos;
-use crate::cluster::Cluster;
-use crate::hot_restart::HotRestart;
+use crate::cluster::{Cluster, CommandError};
 use crate::membership::UnknownNode;
-use crate::metrics;
+use crate::metrics::Gauges;
 use crate::net::ConnId;
 use crate::replication::{CommandValue, FactKey};
 
+/// Why a request is answered with a failure. The text is what the caller reads.
+#[derive(Debug, thiserror::Error)]
+enum AdminError {
+    #[error("this broker has no peers")]
+    NoPeers,
+    #[error("this process ends")]
+    ShuttingDown,
+    #[error("{0} was never listed")]
+    UnknownNode(String),
+    #[error("{0} is no broker of this cluster")]
+    UnknownBroker(String),
+    /// A broker that removed itself would stop talking at once, and no peer would learn of it.
+    #[error("{0} is this broker: say it at another one")]
+    RemovesItself(String),
+    #[error("nothing is said of that by hand")]
+    NoSuchCommand,
+    #[error("for= needs a cluster: without one a word holds until the next")]
+    ExpiryNeedsCluster,
+    #[error("{0}")]
+    Cluster(CommandError),
+}
+
+/// An operator's command to the whole cluster.
+struct ClusterCommand {
+    key: FactKey,
+    value: CommandValue,
+    options: CommandOptions,
+}
+
+impl ClusterCommand {
+    /// The command that a request stands for in a cluster; the request itself where it is none. Without the name of a broker it
+    /// is meant for this one, `own_name`.
+    fn from_request(request: AdminRequest, own_name: &str) -> Result<ClusterCommand, AdminRequest> {
+        let pause = |broker: Option<String>| FactKey::Pause(broker.unwrap_or_else(|| own_name.to_owned()));
+        let (key, value, options) = match request {
+            AdminRequest::Suspend(id, options) => (FactKey::Server(id), CommandValue::Out, options),
+            AdminRequest::Restore(id, options) => (FactKey::Server(id), CommandValue::Back, options),
+            AdminRequest::Pause(broker, options) => (pause(broker), CommandValue::Out, options),
+            AdminRequest::Resume(broker, options) => (pause(broker), CommandValue::Back, options),
+            AdminRequest::Remove(broker, options) => (FactKey::Removed(broker), CommandValue::Out, options),
+            AdminRequest::Admit(broker, options) => (FactKey::Removed(broker), CommandValue::Back, options),
+            other => return Err(other),
+        };
+        Ok(ClusterCommand { key, value, options })
+    }
+}
+
 impl<F: Frontend> Broker<F> {
-    /// Carries out the calls that have come.
+    /// Carries out the requests that have arrived.
     pub(super) fn handle_admin_requests(&mut self, now: Nanos) {
         while let Some((conn, request)) = self.admin_server.as_mut().and_then(AdminServer::next_request) {
             let response = self.handle_admin_request(request, conn, now);
@@ -22,148 +68,156 @@
         }
     }
 
-    /// The answer; none where it comes once a word is on disk.
+    /// The response; none for a command to the cluster, which is answered once it is on disk.
     fn handle_admin_request(
         &mut self,
-        request: AdminRequest,
+        mut request: AdminRequest,
         caller: ConnId,
         now: Nanos,
     ) -> Option<AdminResponse> {
-        if self.cluster.is_some() {
-            let recorded = match request {
-                AdminRequest::Suspend(id, options) => {
-                    self.record_command(FactKey::Server(id), CommandValue::Out, options, caller, now)
-                }
-                AdminRequest::Restore(id, options) => {
-                    self.record_command(FactKey::Server(id), CommandValue::Back, options, caller, now)
-                }
-                AdminRequest::Pause(name, options) => {
-                    self.record_command(self.pause_key(name), CommandValue::Out, options, caller, now)
-                }
-                AdminRequest::Resume(name, options) => {
-                    self.record_command(self.pause_key(name), CommandValue::Back, options, caller, now)
-                }
-                AdminRequest::Remove(name, options) => {
-                    self.record_command(FactKey::Removed(name), CommandValue::Out, options, caller, now)
-                }
-                AdminRequest::Admit(name, options) => {
-                    self.record_command(FactKey::Removed(name), CommandValue::Back, options, caller, now)
-                }
-                other => return Some(self.answer(other, now)),
-            };
-            return recorded.err().map(AdminResponse::No);
+        let failure = |error: AdminError| AdminResponse::No(error.to_string());
+        if let Some(cluster) = &self.cluster {
+            match ClusterCommand::from_request(request, cluster.name()) {
+                Ok(command) => return self.record_command(command, caller, now).err().map(failure),
+                Err(other) => request = other,
+            }
         }
-        Some(self.answer(request, now))
-    }
-
-    fn pause_key(&self, name: Option<String>) -> FactKey {
-        let own_name = self.cluster.as_ref().map_or("", Cluster::name);
-        FactKey::Pause(name.unwrap_or_else(|| own_name.to_owned()))
+        Some(self.carry_out(request, now).unwrap_or_else(failure))
     }
 
-    /// Staff say something to the whole cluster.
+    /// Records a command in the state of the cluster.
     fn record_command(
         &mut self,
-        key: FactKey,
-        value: CommandValue,
-        options: CommandOptions,
+        command: ClusterCommand,
         caller: ConnId,
         now: Nanos,
-    ) -> Result<(), String> {
-        let Some(cluster) = &mut self.cluster else { return Err("this broker has no peers".into()) };
-        let known = cluster.knows(&key);
-        let confirmation = match &key {
-            FactKey::Server(id) if known || self.frontend.membership().knows(id) => id.clone(),
-            FactKey::Server(id) => return Err(format!("{id} was never listed")),
-            // It would stop talking at once, and nobody would hear of it.
-            FactKey::Removed(name) if name == cluster.name() && value == CommandValue::Out => {
-                return Err(format!("{name} is this broker: say it at another one"));
-            }
-            FactKey::Pause(name) | FactKey::Removed(name) if known || cluster.is_broker(name) => name.clone(),
-            FactKey::Pause(name) | FactKey::Removed(name) => {
-                return Err(format!("{name} is no broker of this cluster"));
-            }
-            _ => return Err("nothing is said of that by hand".into()),
-        };
-        cluster.say(key, value, options, caller, confirmation, now).map_err(|e| e.to_string())?;
+    ) -> Result<(), AdminError> {
+        let confirmation = self.check_command(&command)?;
+        let Some(cluster) = &mut self.cluster else { return Err(AdminError::NoPeers) };
+        let ClusterCommand { key, value, options } = command;
+        cluster.say(key, value, options, caller, confirmation, now).map_err(AdminError::Cluster)?;
         self.drive_cluster(now);
         Ok(())
     }
 
-    fn answer(&mut self, request: AdminRequest, now: Nanos) -> AdminResponse {
-        match request {
-            AdminRequest::Status if self.drain.is_shutting_down() => {
-                AdminResponse::No("this process ends".into())
-            }
-            AdminRequest::Status if self.drain.is_paused() => AdminResponse::Yes("paused".into()),
-            AdminRequest::Status => AdminResponse::Yes("serving".into()),
-            AdminRequest::Metrics => {
-                let (pool_size, suspended) = self.frontend.membership().counts();
-                let (active, ejected) = (self.engine.open_queries(), self.engine.ejected());
-                let gauges = metrics::Gauges { active, pool_size, pool_ejected: suspended + ejected };
-                AdminResponse::Figures(self.engine.metrics().line(&self.class_names, gauges))
-            }
-            AdminRequest::Clients => AdminResponse::Yes(self.net.accepted().to_string()),
-            AdminRequest::Out(id) => match self.frontend.membership().replica(&id) {
-                Some(replica) => AdminResponse::Yes(self.engine.in_flight_at(replica).to_string()),
-                None => AdminResponse::No(format!("{id} was never listed")),
-            },
-            AdminRequest::Suspend(_, options)
-            | AdminRequest::Restore(_, options)
-            | AdminRequest::Pause(_, options)
-            | AdminRequest::Resume(_, options)
-                if options.holds.is_some() =>
-            {
-                AdminResponse::No("for= needs a cluster: without one a word holds until the next".into())
-            }
-            AdminRequest::Suspend(id, _) => self.set_suspended(&id, true, now),
-            AdminRequest::Restore(id, _) => self.set_suspended(&id, false, now),
-            AdminRequest::Peers | AdminRequest::State | AdminRequest::Conflicts => {
-                let longest_iteration = self.applied.longest_iteration;
-                let Some(cluster) = &self.cluster else {
-                    return AdminResponse::No("this broker has no peers".into());
-                };
-                let report = match request {
-                    AdminRequest::Peers => cluster.peers(now, longest_iteration),
-                    AdminRequest::State => cluster.state(now),
-                    _ => cluster.conflicts(now),
-                };
-                AdminResponse::Figures(report.to_string())
-            }
-            AdminRequest::Pause(Some(_), _)
-            | AdminRequest::Resume(Some(_), _)
-            | AdminRequest::Remove(..)
-            | AdminRequest::Admit(..) => AdminResponse::No("this broker has no peers".into()),
-            AdminRequest::Pause(None, _) => {
-                self.overrides.pause(true, now);
-                self.hot_restart.iter_mut().for_each(HotRestart::publish_now);
-                tracing::info!("paused by hand: {} queries are open", self.engine.open_queries());
-                self.drain.pause(now);
-                AdminResponse::Yes("clients are sent away".into())
+    /// Checks that what a command names exists; returns the text that confirms it.
+    fn check_command(&self, command: &ClusterCommand) -> Result<String, AdminError> {
+        let Some(cluster) = &self.cluster else { return Err(AdminError::NoPeers) };
+        let known = cluster.knows(&command.key);
+        match &command.key {
+            FactKey::Server(id) if known || self.frontend.membership().knows(id) => Ok(id.clone()),
+            FactKey::Server(id) => Err(AdminError::UnknownNode(id.clone())),
+            FactKey::Removed(name) if name == cluster.name() && command.value == CommandValue::Out => {
+                Err(AdminError::RemovesItself(name.clone()))
             }
-            AdminRequest::Resume(..) if self.drain.is_shutting_down() => {
-                AdminResponse::No("this process ends".into())
-            }
-            AdminRequest::Resume(None, _) => {
-                self.overrides.pause(false, now);
-                self.hot_restart.iter_mut().for_each(HotRestart::publish_now);
-                tracing::info!("resumed by hand");
-                self.drain.resume();
-                AdminResponse::Yes("clients are welcome".into())
+            FactKey::Pause(name) | FactKey::Removed(name) if known || cluster.is_broker(name) => {
+                Ok(name.clone())
             }
+            FactKey::Pause(name) | FactKey::Removed(name) => Err(AdminError::UnknownBroker(name.clone())),
+            _ => Err(AdminError::NoSuchCommand),
         }
     }
 
-    fn set_suspended(&mut self, id: &str, suspended: bool, now: Nanos) -> AdminResponse {
-        let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
-        match self.frontend.membership_mut().set_suspended(id, suspended, false, &mut context) {
-            Ok(()) => {
-                self.overrides.server(id, suspended, now);
-                self.hot_restart.iter_mut().for_each(HotRestart::publish_now);
-                tracing::info!("server {id} is {} by hand", if suspended { "out" } else { "put back" });
-                AdminResponse::Yes(id.to_owned())
+    /// Carries out a request that concerns this broker alone.
+    fn carry_out(&mut self, request: AdminRequest, now: Nanos) -> Result<AdminResponse, AdminError> {
+        match request {
+            AdminRequest::Status => self.status(),
+            AdminRequest::Metrics => Ok(self.metrics_report()),
+            AdminRequest::Clients => Ok(AdminResponse::Yes(self.net.accepted().to_string())),
+            AdminRequest::Out(id) => self.attempts_in_flight_at(id),
+            AdminRequest::Peers => {
+                let report = self.cluster()?.peers(now, self.longest_iteration);
+                Ok(AdminResponse::Figures(report.to_string()))
             }
-            Err(UnknownNode) => AdminResponse::No(format!("{id} was never listed")),
+            AdminRequest::State => Ok(AdminResponse::Figures(self.cluster()?.state(now).to_string())),
+            AdminRequest::Conflicts => Ok(AdminResponse::Figures(self.cluster()?.conflicts(now).to_string())),
+            AdminRequest::Suspend(id, options) => self.suspend_or_restore(id, true, &options, now),
+            AdminRequest::Restore(id, options) => self.suspend_or_restore(id, false, &options, now),
+            AdminRequest::Pause(broker, options) => self.pause(broker, &options, now),
+            AdminRequest::Resume(broker, options) => self.resume(broker, &options, now),
+            AdminRequest::Remove(..) | AdminRequest::Admit(..) => Err(AdminError::NoPeers),
+        }
+    }
+
+    fn cluster(&self) -> Result<&Cluster, AdminError> {
+        self.cluster.as_ref().ok_or(AdminError::NoPeers)
+    }
+
+    fn status(&self) -> Result<AdminResponse, AdminError> {
+        if self.drain.is_shutting_down() {
+            return Err(AdminError::ShuttingDown);
+        }
+        let status = if self.drain.is_paused() { "paused" } else { "serving" };
+        Ok(AdminResponse::Yes(status.into()))
+    }
+
+    fn metrics_report(&self) -> AdminResponse {
+        let (pool_size, suspended) = self.frontend.membership().counts();
+        let gauges = Gauges {
+            active: self.engine.open_queries(),
+            pool_size,
+            pool_ejected: suspended + self.engine.ejected(),
+        };
+        AdminResponse::Figures(self.engine.metrics().line(&self.class_names, gauges))
+    }
+
+    fn attempts_in_flight_at(&self, id: String) -> Result<AdminResponse, AdminError> {
+        match self.frontend.membership().replica(&id) {
+            Some(replica) => Ok(AdminResponse::Yes(self.engine.in_flight_at(replica).to_string())),
+            None => Err(AdminError::UnknownNode(id)),
         }
     }
+
+    fn suspend_or_restore(
+        &mut self,
+        id: String,
+        suspended: bool,
+        options: &CommandOptions,
+        now: Nanos,
+    ) -> Result<AdminResponse, AdminError> {
+        reject_expiry(options)?;
+        match self.set_suspended(&id, suspended, now) {
+            Ok(()) => Ok(AdminResponse::Yes(id)),
+            Err(UnknownNode) => Err(AdminError::UnknownNode(id)),
+        }
+    }
+
+    fn pause(
+        &mut self,
+        broker: Option<String>,
+        options: &CommandOptions,
+        now: Nanos,
+    ) -> Result<AdminResponse, AdminError> {
+        reject_expiry(options)?;
+        reject_other_broker(broker.as_deref())?;
+        self.set_paused(true, now);
+        self.publish_overrides();
+        Ok(AdminResponse::Yes("clients are sent away".into()))
+    }
+
+    fn resume(
+        &mut self,
+        broker: Option<String>,
+        options: &CommandOptions,
+        now: Nanos,
+    ) -> Result<AdminResponse, AdminError> {
+        reject_expiry(options)?;
+        reject_other_broker(broker.as_deref())?;
+        if self.drain.is_shutting_down() {
+            return Err(AdminError::ShuttingDown);
+        }
+        self.set_paused(false, now);
+        self.publish_overrides();
+        Ok(AdminResponse::Yes("clients are welcome".into()))
+    }
+}
+
+/// Without a cluster nothing keeps the time at which a command ends by itself.
+fn reject_expiry(options: &CommandOptions) -> Result<(), AdminError> {
+    if options.holds.is_some() { Err(AdminError::ExpiryNeedsCluster) } else { Ok(()) }
+}
+
+/// Without a cluster no other broker can be paused or resumed.
+fn reject_other_broker(broker: Option<&str>) -> Result<(), AdminError> {
+    if broker.is_some() { Err(AdminError::NoPeers) } else { Ok(()) }
 }
--- a/src/server/broker.rs
+++ b/src/server/broker.rs
@@ -2,7 +2,7 @@
 
 use super::cluster_state::AppliedClusterState;
 use super::drain::{DrainPhase, DrainState};
-use super::frontend::Frontend;
+use super::frontend::{Frontend, FrontendContext};
 use super::query_stats::QueryStats;
 use crate::admin::AdminServer;
 use crate::api::Nanos;
@@ -11,29 +11,85 @@
 use crate::hot_restart::HotRestart;
 use crate::hot_restart::coordination::QuotaShare;
 use crate::hot_restart::state::Overrides;
+use crate::membership::UnknownNode;
 use crate::net::{Clock, PollLoop};
 
-/// A broker, ready to run.
+/// A broker that listens. It serves once [`Broker::run`] is called.
+///
+/// It is put together by [`BrokerBuilder`](super::BrokerBuilder).
+#[must_use = "a broker serves nobody until it runs"]
 pub struct Broker<F: Frontend> {
     pub(super) clock: Clock,
     pub(super) net: PollLoop,
     pub(super) engine: QueryEngine<F::Query, F::Value>,
     pub(super) frontend: F,
+    /// Names of the query classes, in the order of the settings.
+    pub(super) class_names: Vec<String>,
     pub(super) drain: DrainState,
-    /// The step that the front was told, whether the listeners are closed, and when to look for idle clients again.
+    /// The phase that the frontend was last notified of.
     pub(super) drain_phase: DrainPhase,
     pub(super) listeners_closed: bool,
+    /// When idle connections are next looked for, while such are closed.
     pub(super) next_idle_scan: Nanos,
-    /// The second address, where there is one.
+    /// The admin endpoint, if one is configured.
     pub(super) admin_server: Option<AdminServer>,
-    pub(super) class_names: Vec<String>,
-    /// What staff have said, here or to another process at this address.
+    /// Operator commands that were given here or to another process at this address.
     pub(super) overrides: Overrides,
-    /// The other processes at this address, where there may be any, and the share that was told the front.
+    /// Coordination with other processes at this address, if there may be any.
     pub(super) hot_restart: Option<HotRestart>,
+    /// The share of the limits that was last applied.
     pub(super) quota_share: Option<QuotaShare>,
-    /// Its place in a cluster, where it has one, and what of it holds here already.
+    /// Membership in a cluster, if one is configured.
     pub(super) cluster: Option<Cluster>,
-    pub(super) applied: AppliedClusterState,
+    /// What of the cluster's state is applied here; none until that state was read from disk.
+    pub(super) applied: Option<AppliedClusterState>,
+    /// The longest iteration of the event loop, ns; measured in a cluster only.
+    pub(super) longest_iteration: Nanos,
     pub(super) query_stats: QueryStats,
 }
+
+impl<F: Frontend> Broker<F> {
+    /// Suspends or restores a node on an operator's command to this process.
+    ///
+    /// # Errors
+    ///
+    /// If no list has ever named the node.
+    pub(super) fn set_suspended(&mut self, id: &str, suspended: bool, now: Nanos) -> Result<(), UnknownNode> {
+        let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
+        self.frontend.membership_mut().set_suspended(id, suspended, &mut context)?;
+        self.record_suspension(id, suspended, now);
+        Ok(())
+    }
+
+    /// Applies a suspension or a restoration that another broker of the cluster accepted.
+    pub(super) fn apply_suspension(&mut self, id: &str, suspended: bool, now: Nanos) {
+        let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
+        self.frontend.membership_mut().apply_suspension(id, suspended, &mut context);
+        self.record_suspension(id, suspended, now);
+    }
+
+    fn record_suspension(&mut self, id: &str, suspended: bool, now: Nanos) {
+        self.overrides.server(id, suspended, now);
+        self.publish_overrides();
+        tracing::info!("server {id} is {} by hand", if suspended { "out" } else { "put back" });
+    }
+
+    /// Pauses or resumes this broker on an operator's command.
+    pub(super) fn set_paused(&mut self, paused: bool, now: Nanos) {
+        self.overrides.pause(paused, now);
+        if paused {
+            tracing::info!("paused by hand: {} queries are open", self.engine.open_queries());
+            self.drain.pause(now);
+        } else {
+            tracing::info!("resumed by hand");
+            self.drain.resume();
+        }
+    }
+
+    /// Makes the operator's commands known to the other processes at this address at once.
+    pub(super) fn publish_overrides(&mut self) {
+        if let Some(hot_restart) = &mut self.hot_restart {
+            hot_restart.publish_now();
+        }
+    }
+}
--- a/src/server/builder.rs
+++ b/src/server/builder.rs
@@ -1,7 +1,6 @@
 //! Puts a broker together.
 
 use super::broker::Broker;
-use super::cluster_state::AppliedClusterState;
 use super::drain::{DrainPhase, DrainState};
 use super::error::BrokerError;
 use super::frontend::Frontend;
@@ -12,81 +11,113 @@
 use crate::engine::QueryEngine;
 use crate::hot_restart::HotRestart;
 use crate::hot_restart::state::Overrides;
-use crate::net::{Clock, PollLoop, Signals, Waker};
+use crate::net::{Clock, PollLoop};
 use std::net::SocketAddr;
 
-impl<F: Frontend> Broker<F> {
-    /// Puts a broker together.
+/// Collects what a broker consists of. Nothing is opened before [`BrokerBuilder::build`].
+#[must_use = "a builder does nothing until `build` is called"]
+pub struct BrokerBuilder<F: Frontend> {
+    clock: Clock,
+    net: PollLoop,
+    engine: QueryEngine<F::Query, F::Value>,
+    frontend: F,
+    admin_address: Option<SocketAddr>,
+    hot_restart: Option<(HotRestart, Overrides)>,
+    cluster: Option<(ClusterConfig, String)>,
+}
+
+impl<F: Frontend> BrokerBuilder<F> {
+    /// A broker without an admin endpoint, alone at its address and without a cluster.
     pub fn new(
         clock: Clock,
         net: PollLoop,
         engine: QueryEngine<F::Query, F::Value>,
         frontend: F,
-    ) -> Broker<F> {
-        let longest_deadline = engine.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        let query_stats = QueryStats::new(clock.now());
-        let class_names = frontend.class_names();
-        let (drain, drain_phase, listeners_closed, next_idle_scan, admin_server) =
-            (DrainState::new(longest_deadline), DrainPhase::Serving, false, 0, None);
-        let (overrides, hot_restart, quota_share) = (Overrides::default(), None, None);
-        let (cluster, applied) = (None, AppliedClusterState::default());
-        Broker {
-            clock,
-            net,
-            engine,
-            frontend,
-            drain,
-            drain_phase,
-            listeners_closed,
-            next_idle_scan,
-            admin_server,
-            class_names,
-            overrides,
-            hot_restart,
-            quota_share,
-            cluster,
-            applied,
-            query_stats,
-        }
+    ) -> BrokerBuilder<F> {
+        BrokerBuilder { clock, net, engine, frontend, admin_address: None, hot_restart: None, cluster: None }
     }
 
-    /// Others may serve at this address too: the one before, and one day the one after. `overrides` is what the one before
-    /// was told by staff.
+    /// Serves the admin endpoint at this address.
+    pub fn listen_admin(&mut self, address: SocketAddr) {
+        self.admin_address = Some(address);
+    }
+
+    /// Shares the address with other processes: the one before, and later the one after. `overrides` are the operator's
+    /// commands that the processes before were given.
     pub fn join_hot_restart(&mut self, hot_restart: HotRestart, overrides: Overrides) {
+        self.hot_restart = Some((hot_restart, overrides));
+    }
+
+    /// Joins a cluster under the broker's own `name`.
+    pub fn join_cluster(&mut self, config: &ClusterConfig, name: &str) {
+        self.cluster = Some((config.clone(), name.to_owned()));
+    }
+
+    /// Opens the admin endpoint and joins the other processes and the cluster.
+    ///
+    /// # Errors
+    ///
+    /// If the operating system refuses the admin endpoint's socket, or what the cluster needs.
+    pub fn build(self) -> Result<Broker<F>, BrokerError> {
+        let deadlines = self.engine.settings().classes.iter().map(|class| class.deadline);
+        let longest_deadline = deadlines.max().unwrap_or(0);
+        let mut broker = Broker {
+            class_names: self.frontend.class_names(),
+            query_stats: QueryStats::new(self.clock.now()),
+            clock: self.clock,
+            net: self.net,
+            engine: self.engine,
+            frontend: self.frontend,
+            drain: DrainState::new(longest_deadline),
+            drain_phase: DrainPhase::Serving,
+            listeners_closed: false,
+            next_idle_scan: 0,
+            admin_server: None,
+            overrides: Overrides::default(),
+            hot_restart: None,
+            quota_share: None,
+            cluster: None,
+            applied: None,
+            longest_iteration: 0,
+        };
+        if let Some(address) = self.admin_address {
+            broker.open_admin_endpoint(address)?;
+        }
+        if let Some((hot_restart, overrides)) = self.hot_restart {
+            broker.start_hot_restart(hot_restart, overrides);
+        }
+        if let Some((config, name)) = self.cluster {
+            broker.open_cluster(&config, &name)?;
+        }
+        Ok(broker)
+    }
+}
+
+impl<F: Frontend> Broker<F> {
+    fn open_admin_endpoint(&mut self, address: SocketAddr) -> Result<(), BrokerError> {
+        let server =
+            AdminServer::open(address, &mut self.net).map_err(BrokerError::io("listen for operation"))?;
+        tracing::info!("calls for operation are taken at {}", server.listening());
+        self.admin_server = Some(server);
+        Ok(())
+    }
+
+    fn start_hot_restart(&mut self, hot_restart: HotRestart, overrides: Overrides) {
         let now = self.clock.now();
-        if overrides.pause.is_some_and(|w| w.out) {
+        if overrides.pause.is_some_and(|command| command.out) {
             self.drain.pause(now);
         }
         self.drain.share_address();
-        (self.hot_restart, self.overrides) = (Some(hot_restart), overrides);
+        self.hot_restart = Some(hot_restart);
+        self.overrides = overrides;
         self.observe_hot_restart(now);
     }
 
-    /// It belongs to a cluster from now on.
-    pub fn join_cluster(&mut self, config: &ClusterConfig, name: &str) -> Result<(), BrokerError> {
+    fn open_cluster(&mut self, config: &ClusterConfig, name: &str) -> Result<(), BrokerError> {
         let now = self.clock.now();
         let cluster = Cluster::open(config, name, now, &mut self.net).map_err(BrokerError::io("cluster"))?;
         self.cluster = Some(cluster);
         self.drive_cluster(now);
         Ok(())
     }
-
-    /// Answers at this second address from now on; tells where.
-    pub fn listen_admin(&mut self, addr: SocketAddr) -> Result<SocketAddr, BrokerError> {
-        let admin_server =
-            AdminServer::open(addr, &mut self.net).map_err(BrokerError::io("listen for operation"))?;
-        let listening = self.admin_server.insert(admin_server).listening();
-        tracing::info!("calls for operation are taken at {listening}");
-        Ok(listening)
-    }
-
-    /// Does from now on what these signals tell.
-    pub fn handle_signals(&mut self, signals: Signals) -> Result<(), BrokerError> {
-        self.net.watch_signals(signals).map_err(BrokerError::io("signals"))
-    }
-
-    /// Something by which another thread can tell this broker to end in an orderly way.
-    pub fn shutdown_handle(&mut self) -> Result<Waker, BrokerError> {
-        self.net.waker().map_err(BrokerError::io("waker"))
-    }
 }
--- a/src/server/cluster_driver.rs
+++ b/src/server/cluster_driver.rs
@@ -1,17 +1,35 @@
 //! Exchanges state with the cluster, and applies it to this broker.
 
 use super::broker::Broker;
+use super::cluster_state::{AppliedClusterState, StateChanges};
 use super::frontend::{Frontend, FrontendContext};
 use crate::admin::AdminResponse;
 use crate::api::Nanos;
-use crate::hot_restart::HotRestart;
 
 impl<F: Frontend> Broker<F> {
-    /// What the cluster tells, and what it is told.
+    /// Exchanges hints and state with the cluster, and applies what changed. Does nothing without a cluster.
     pub(super) fn drive_cluster(&mut self, now: Nanos) {
-        let Some(cluster) = &mut self.cluster else { return };
+        if self.cluster.is_none() {
+            return;
+        }
         let started = self.clock.now();
-        // Until what is on disk is known, as beside a process before this one, there is nobody to be told.
+        self.exchange_hints(now);
+        let changes = self.take_cluster_changes();
+        for change in changes.suspensions {
+            self.apply_suspension(&change.id, change.suspended, now);
+        }
+        self.answer_cluster_commands();
+        if let Some(cluster) = &mut self.cluster {
+            cluster.spent(self.clock.now().saturating_sub(started));
+        }
+        if let Some(paused) = changes.paused {
+            self.set_paused(paused, now);
+        }
+    }
+
+    fn exchange_hints(&mut self, now: Nanos) {
+        let Some(cluster) = &mut self.cluster else { return };
+        // Until the state on disk was read, and while the process before still has it, nothing can be recorded.
         if cluster.effect().is_some() {
             for (key, latest) in self.frontend.membership_mut().take_hints() {
                 cluster.note(key, latest, now);
@@ -22,28 +40,19 @@
         while let Some((id, hints)) = cluster.heard() {
             self.frontend.membership_mut().on_hint(&id, hints, &mut context);
         }
-        let mut pause_change = None;
-        if let Some(effect) = cluster.effect() {
-            if !std::mem::replace(&mut self.applied.overrides_compared, true) {
-                // What an earlier process handed over was told to the cluster too: its disk has the later word.
-                self.applied.suspended = self.overrides.out().map(str::to_owned).collect();
-                self.applied.paused = self.overrides.pause.is_some_and(|w| w.out);
-            }
-            for id in effect.out.symmetric_difference(&self.applied.suspended) {
-                let suspended = effect.out.contains(id);
-                let _ = self.frontend.membership_mut().set_suspended(id, suspended, true, &mut context);
-                self.overrides.server(id, suspended, now);
-                self.hot_restart.iter_mut().for_each(HotRestart::publish_now);
-                tracing::info!("server {id} is {} by hand", if suspended { "out" } else { "put back" });
-            }
-            if effect.out != self.applied.suspended {
-                self.applied.suspended = effect.out.clone();
-            }
-            if effect.paused != self.applied.paused {
-                self.applied.paused = effect.paused;
-                pause_change = Some(effect.paused);
-            }
-        }
+    }
+
+    fn take_cluster_changes(&mut self) -> StateChanges {
+        let Some(state) = self.cluster.as_ref().and_then(|cluster| cluster.effect()) else {
+            return StateChanges::default();
+        };
+        let overrides = &self.overrides;
+        self.applied.get_or_insert_with(|| AppliedClusterState::from_overrides(overrides)).update(state)
+    }
+
+    /// Answers the callers whose commands are on disk, or were rejected.
+    fn answer_cluster_commands(&mut self) {
+        let Some(cluster) = &mut self.cluster else { return };
         for (caller, result) in cluster.take_replies() {
             let response = match result {
                 Ok(confirmation) => AdminResponse::Yes(confirmation),
@@ -53,19 +62,5 @@
                 admin_server.answer(caller, &response, &mut self.net);
             }
         }
-        cluster.spent(self.clock.now().saturating_sub(started));
-        match pause_change {
-            Some(true) => {
-                self.overrides.pause(true, now);
-                tracing::info!("paused by hand: {} queries are open", self.engine.open_queries());
-                self.drain.pause(now);
-            }
-            Some(false) => {
-                self.overrides.pause(false, now);
-                tracing::info!("resumed by hand");
-                self.drain.resume();
-            }
-            None => {}
-        }
     }
 }
--- a/src/server/cluster_state.rs
+++ b/src/server/cluster_state.rs
@@ -1,15 +1,55 @@
 //! What the state of the cluster means for this broker.
 
-use crate::api::Nanos;
+use crate::hot_restart::state::Overrides;
+use crate::replication::derived_state::DerivedState;
 use std::collections::BTreeSet;
 
-/// What a cluster's words have come to mean for this broker.
-#[derive(Default)]
+/// What of the cluster's state is applied at this broker.
+#[derive(Debug)]
 pub(super) struct AppliedClusterState {
-    pub(super) suspended: BTreeSet<String>,
-    pub(super) paused: bool,
-    /// The words on disk were compared with what an earlier process handed over.
-    pub(super) overrides_compared: bool,
-    /// The longest turn of the loop, ns.
-    pub(super) longest_iteration: Nanos,
+    suspended: BTreeSet<String>,
+    paused: bool,
+}
+
+/// What an update of the cluster's state changes at this broker.
+#[derive(Debug, Default)]
+#[must_use = "the changes are recorded as applied"]
+pub(super) struct StateChanges {
+    pub(super) suspensions: Vec<SuspensionChange>,
+    /// Whether the broker is paused from now on, if that changed.
+    pub(super) paused: Option<bool>,
+}
+
+/// A node that is suspended or restored.
+#[derive(Debug)]
+pub(super) struct SuspensionChange {
+    pub(super) id: String,
+    pub(super) suspended: bool,
+}
+
+impl AppliedClusterState {
+    /// The state that an earlier process handed over. That process reported it to the cluster too, so the cluster's state on
+    /// disk is the newer one wherever they differ.
+    pub(super) fn from_overrides(overrides: &Overrides) -> AppliedClusterState {
+        AppliedClusterState {
+            suspended: overrides.out().map(str::to_owned).collect(),
+            paused: overrides.pause.is_some_and(|command| command.out),
+        }
+    }
+
+    /// Adopts the cluster's state, and returns what this changes.
+    pub(super) fn update(&mut self, state: &DerivedState) -> StateChanges {
+        let mut changes = StateChanges::default();
+        if state.out != self.suspended {
+            let changed = state.out.symmetric_difference(&self.suspended);
+            let change = |id: &String| SuspensionChange { id: id.clone(), suspended: state.out.contains(id) };
+            changes.suspensions = changed.map(change).collect();
+            self.suspended = state.out.clone();
+        }
+        if state.paused != self.paused {
+            self.paused = state.paused;
+            changes.paused = Some(state.paused);
+        }
+        changes
+    }
 }
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -8,13 +8,31 @@
 use crate::api::Nanos;
 use crate::cluster::{self, Cluster};
 use crate::engine::EngineAction;
-use crate::net::{NetEvent, Signal};
+use crate::net::{NetEvent, Signal, Signals, Waker};
 use std::time::Duration;
 
 /// Time between two looks for connections that wait for nothing, while such are closed.
 const IDLE_SCAN_INTERVAL: Nanos = 20_000_000;
 
 impl<F: Frontend> Broker<F> {
+    /// Acts on these signals from now on.
+    ///
+    /// # Errors
+    ///
+    /// If the operating system does not let the poll loop watch them.
+    pub fn handle_signals(&mut self, signals: Signals) -> Result<(), BrokerError> {
+        self.net.watch_signals(signals).map_err(BrokerError::io("signals"))
+    }
+
+    /// A handle by which another thread can begin a graceful shutdown of this broker.
+    ///
+    /// # Errors
+    ///
+    /// If the operating system refuses what wakes the poll loop.
+    pub fn shutdown_handle(&mut self) -> Result<Waker, BrokerError> {
+        self.net.waker().map_err(BrokerError::io("waker"))
+    }
+
     /// Serves until the word to end has come and all that was taken is answered.
     pub fn run(mut self) -> Result<(), BrokerError> {
         let mut events = Vec::new();
@@ -28,8 +46,8 @@
             }
             self.run_once(now);
             if self.cluster.is_some() {
-                self.applied.longest_iteration =
-                    self.applied.longest_iteration.max(self.clock.now().saturating_sub(now));
+                let iteration = self.clock.now().saturating_sub(now);
+                self.longest_iteration = self.longest_iteration.max(iteration);
             }
         }
         tracing::info!("ended: all that was taken is answered");
--- a/src/server/hot_restart_driver.rs
+++ b/src/server/hot_restart_driver.rs
@@ -7,25 +7,36 @@
 use crate::hot_restart::state::ProcessStage;
 
 impl<F: Frontend> Broker<F> {
-    /// Hears of the other processes at this address, and tells them how this one stands.
+    /// Observes the other processes at this address, applies what follows, and publishes the state of this one. Does nothing
+    /// until that is due.
     pub(super) fn observe_hot_restart(&mut self, now: Nanos) {
-        let Some(hot_restart) = self.hot_restart.as_mut().filter(|h| h.is_due(now)) else { return };
+        if !self.hot_restart.as_ref().is_some_and(|hot_restart| hot_restart.is_due(now)) {
+            return;
+        }
         let usage = ResourceUsage {
             descriptors: self.net.descriptors(),
             held: self.engine.in_flight(),
             open_ids: self.frontend.open_ids(),
         };
+        self.merge_peer_states(&usage, now);
+        self.apply_quota_share(now);
+        self.publish_state(usage, now);
+    }
+
+    /// Adopts the operator's commands and the reserved ids of the other processes.
+    fn merge_peer_states(&mut self, usage: &ResourceUsage, now: Nanos) {
+        let Some(hot_restart) = &mut self.hot_restart else { return };
         let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
         let mut pause_change = None;
-        for peer in hot_restart.observe(&usage, now).unwrap_or(&[]) {
+        for peer in hot_restart.observe(usage, now).unwrap_or(&[]) {
             let previous = self.overrides.clone();
             if self.overrides.merge(&peer.words()) {
-                for (id, command) in
-                    self.overrides.servers.iter().filter(|(id, w)| previous.servers.get(*id) != Some(w))
-                {
-                    let _ = self.frontend.membership_mut().set_suspended(id, command.out, true, &mut context);
+                for (id, command) in &self.overrides.servers {
+                    if previous.servers.get(id) != Some(command) {
+                        self.frontend.membership_mut().apply_suspension(id, command.out, &mut context);
+                    }
                 }
-                pause_change = self.overrides.pause.filter(|w| previous.pause != Some(*w)).or(pause_change);
+                pause_change = self.overrides.pause.filter(|c| previous.pause != Some(*c)).or(pause_change);
             }
             if let Some(state) = &peer.state {
                 self.frontend.reserve_ids(&state.open_ids, now);
@@ -36,26 +47,36 @@
             Some(_) => self.drain.resume(),
             None => {}
         }
+    }
+
+    /// Keeps to this process's share of the limits, and begins the shutdown once another process serves.
+    fn apply_quota_share(&mut self, now: Nanos) {
+        let Some(hot_restart) = &mut self.hot_restart else { return };
         let share = hot_restart.share(now);
-        let previous_share = self.quota_share.replace(share);
-        if previous_share != Some(share) {
-            self.frontend.limit_descriptors(share.descriptors, context.net);
-            context.engine.limit_in_flight(share.open);
-            context.engine.set_free_retries(share.free_tries);
+        let previous = self.quota_share.replace(share);
+        if previous != Some(share) {
+            self.frontend.limit_descriptors(share.descriptors, &mut self.net);
+            self.engine.limit_in_flight(share.open);
+            self.engine.set_free_retries(share.free_tries);
         }
-        if share.succeeded && !previous_share.is_some_and(|s| s.succeeded) {
+        if share.succeeded && !previous.is_some_and(|previous| previous.succeeded) {
             tracing::info!(
                 "another process serves at this address: {} queries are open",
-                context.engine.open_queries()
+                self.engine.open_queries()
             );
             self.drain.successor_serves(now);
         }
+    }
+
+    fn publish_state(&mut self, usage: ResourceUsage, now: Nanos) {
+        let Some(hot_restart) = &mut self.hot_restart else { return };
         hot_restart.set_stage(if self.drain.is_shutting_down() {
             ProcessStage::Leaving
         } else {
             ProcessStage::Serving
         });
         let membership = self.frontend.membership();
-        hot_restart.publish(usage, &self.overrides, membership.version(), || membership.snapshot(now), now);
+        let snapshot = || membership.snapshot(now);
+        hot_restart.publish(usage, &self.overrides, membership.version(), snapshot, now);
     }
 }
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -267,18 +267,37 @@
         self.roster.snapshot(now)
     }
 
-    /// Takes a server out by hand, or puts it back; `told` where another process was told so, and knew its id.
+    /// Suspends a node on an operator's command, or restores it.
+    ///
+    /// # Errors
+    ///
+    /// If no list has ever named the node.
     pub fn set_suspended<Q, V>(
         &mut self,
         id: &str,
-        out: bool,
-        told: bool,
-        hands: &mut FrontendContext<Q, V>,
+        suspended: bool,
+        context: &mut FrontendContext<Q, V>,
     ) -> Result<(), UnknownNode> {
-        let ever = told || self.roster.knows(id);
-        let change = if out { self.hand.suspend(id, ever) } else { self.hand.restore(id, ever) }?;
+        let known = self.roster.knows(id);
+        self.override_node(id, suspended, known, context)
+    }
+
+    /// Suspends or restores a node as another process or broker was commanded, which knew its id.
+    pub fn apply_suspension<Q, V>(&mut self, id: &str, suspended: bool, context: &mut FrontendContext<Q, V>) {
+        // An id that is known can't be rejected.
+        let _ = self.override_node(id, suspended, true, context);
+    }
+
+    fn override_node<Q, V>(
+        &mut self,
+        id: &str,
+        suspended: bool,
+        known: bool,
+        context: &mut FrontendContext<Q, V>,
+    ) -> Result<(), UnknownNode> {
+        let change = if suspended { self.hand.suspend(id, known) } else { self.hand.restore(id, known) }?;
         if let Some(change) = change {
-            hands.engine.update_endpoints(false, vec![change.listed]);
+            context.engine.update_endpoints(false, vec![change.listed]);
         }
         Ok(())
     }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -16,5 +16,6 @@
 mod query_stats;
 
 pub use broker::Broker;
+pub use builder::BrokerBuilder;
 pub use error::BrokerError;
 pub use frontend::{Frontend, FrontendContext};
