--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -1,4 +1,4 @@
-//! The watch on discovery: what it tells goes to the roster.
+//! The watch on discovery: what it tells goes to the registry.
 
 use crate::api::Nanos;
 use crate::http::{Reader, Side};
@@ -9,21 +9,21 @@
 
 /// Time for a watch to begin once its connection is up. Discovery handles calls in turn, and answers 503 to one that
 /// has waited for 2 s.
-const BEGIN_IN: Nanos = 2_500_000_000;
+const RESPONSE_TIMEOUT: Nanos = 2_500_000_000;
 /// A watch that says nothing for so long is silent: by the protocol an empty line comes every 2 s, and what a silent
 /// watch misses counts as told 6 s after its last line. This leaves over a second to a late line, and 2.8 s to the
 /// next watch.
-const SILENT: Nanos = 3_200_000_000;
+const HEARTBEAT_TIMEOUT: Nanos = 3_200_000_000;
 
-struct Standing {
+struct ActiveWatch {
     conn: ConnId,
     reader: Reader,
     /// Until when something must come.
-    by: Nanos,
+    deadline: Nanos,
     /// Nothing has been told on it yet.
-    first: bool,
+    awaiting_first_list: bool,
     /// The end of a list's last line is still to come.
-    line_end: bool,
+    awaiting_line_end: bool,
 }
 
 /// The watch on discovery.
@@ -32,7 +32,7 @@
     discovery: SocketAddr,
     /// Time in which its connection must be up.
     dial_timeout: Nanos,
-    standing: Option<Standing>,
+    active: Option<ActiveWatch>,
     failed: bool,
     /// It stood and fell silent.
     silent: bool,
@@ -41,7 +41,7 @@
 impl DiscoveryWatch {
     /// A watch whose connections carry the mark `owner` and are up within `dial_timeout`. It begins with `begin`.
     pub fn new(owner: u8, discovery: SocketAddr, dial_timeout: Nanos) -> DiscoveryWatch {
-        DiscoveryWatch { owner, discovery, dial_timeout, standing: None, failed: false, silent: false }
+        DiscoveryWatch { owner, discovery, dial_timeout, active: None, failed: false, silent: false }
     }
 
     /// Whether it broke, or could not begin, since this was last asked.
@@ -56,8 +56,8 @@
     }
 
     /// Asks for the changes since the list held. A watch that stands already goes on.
-    pub fn begin(&mut self, since: u64, now: Nanos, net: &mut PollLoop) {
-        if self.standing.is_some() {
+    pub fn begin(&mut self, version: u64, now: Nanos, net: &mut PollLoop) {
+        if self.active.is_some() {
             return;
         }
         let Ok(conn) = net.dial(self.discovery, self.owner) else {
@@ -66,74 +66,80 @@
             return;
         };
         let request =
-            format!("GET /api/targets?follow=1&since={since} HTTP/1.1\r\nHost: {}\r\n\r\n", self.discovery);
+            format!("GET /api/targets?follow=1&since={version} HTTP/1.1\r\nHost: {}\r\n\r\n", self.discovery);
         let reader = Reader::new(Side::Responses);
-        self.standing =
-            Some(Standing { conn, reader, by: now + self.dial_timeout, first: true, line_end: false });
+        self.active = Some(ActiveWatch {
+            conn,
+            reader,
+            deadline: now + self.dial_timeout,
+            awaiting_first_list: true,
+            awaiting_line_end: false,
+        });
         if net.send(conn, request.as_bytes()).is_err() {
             self.fail("no room to ask", net);
         }
     }
 
     /// Discovery is at this address from now on: it is asked there at once.
-    pub fn move_to(&mut self, discovery: SocketAddr, since: u64, now: Nanos, net: &mut PollLoop) {
+    pub fn move_to(&mut self, discovery: SocketAddr, version: u64, now: Nanos, net: &mut PollLoop) {
         if discovery == self.discovery {
             return tracing::info!("configuration read again: discovery stays at {discovery}");
         }
         tracing::info!("configuration read again: discovery moves to {discovery}");
         self.discovery = discovery;
-        if let Some(old) = self.standing.take() {
+        if let Some(old) = self.active.take() {
             net.close(old.conn);
         }
-        self.begin(since, now, net);
+        self.begin(version, now, net);
     }
 
-    fn fail(&mut self, why: &str, net: &mut PollLoop) {
-        if let Some(watch) = self.standing.take() {
+    fn fail(&mut self, reason: &str, net: &mut PollLoop) {
+        if let Some(watch) = self.active.take() {
             net.close(watch.conn);
-            tracing::warn!("watch on discovery ended: {why}");
+            tracing::warn!("watch on discovery ended: {reason}");
             self.failed = true;
         }
     }
 
     /// Takes in what happened on its connection.
-    pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut PollLoop, roster: &mut Registry) {
-        let ours = self.standing.as_ref().map(|w| w.conn);
+    pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut PollLoop, registry: &mut Registry) {
+        let own_conn = self.active.as_ref().map(|w| w.conn);
         match event {
-            NetEvent::Connected { conn, .. } if ours == Some(conn) => {
-                self.standing.iter_mut().for_each(|w| w.by = now + BEGIN_IN);
+            NetEvent::Connected { conn, .. } if own_conn == Some(conn) => {
+                self.active.iter_mut().for_each(|w| w.deadline = now + RESPONSE_TIMEOUT);
             }
-            NetEvent::Readable { conn, .. } if ours == Some(conn) => self.read(now, net, roster),
-            NetEvent::Broken { conn, .. } if ours == Some(conn) => self.fail("the connection broke", net),
+            NetEvent::Readable { conn, .. } if own_conn == Some(conn) => self.read(now, net, registry),
+            NetEvent::Broken { conn, .. } if own_conn == Some(conn) => self.fail("the connection broke", net),
             _ => {}
         }
     }
 
-    fn read(&mut self, now: Nanos, net: &mut PollLoop, roster: &mut Registry) {
-        while let Some(conn) = self.standing.as_ref().map(|w| w.conn) {
-            let filled = net.fill(conn);
+    fn read(&mut self, now: Nanos, net: &mut PollLoop, registry: &mut Registry) {
+        while let Some(conn) = self.active.as_ref().map(|w| w.conn) {
+            let outcome = net.fill(conn);
             let pool = net.pool().clone();
-            let Some(watch) = &mut self.standing else { return };
-            match filled {
+            let Some(watch) = &mut self.active else { return };
+            match outcome {
                 ReadOutcome::Nothing | ReadOutcome::NoBuffer => return,
                 ReadOutcome::Some(_) | ReadOutcome::Full => {
-                    watch.by = now + SILENT;
+                    watch.deadline = now + HEARTBEAT_TIMEOUT;
                     let used = match watch.reader.advance(net.data(conn), &pool) {
                         Ok(used) => used,
                         Err(e) => return self.fail(&e.to_string(), net),
                     };
                     net.consume(conn, used);
-                    if let Err(why) = self.lines(now, roster) {
-                        return self.fail(&why, net);
+                    if let Err(reason) = self.read_lists(now, registry) {
+                        return self.fail(&reason, net);
                     }
-                    if used == 0 && filled == ReadOutcome::Full {
+                    if used == 0 && outcome == ReadOutcome::Full {
                         return self.fail("a line larger than a buffer", net);
                     }
                 }
                 ReadOutcome::Ended => {
                     watch.reader.end();
-                    let why = self.lines(now, roster).err().unwrap_or_else(|| "discovery closed it".into());
-                    return self.fail(&why, net);
+                    let reason =
+                        self.read_lists(now, registry).err().unwrap_or_else(|| "discovery closed it".into());
+                    return self.fail(&reason, net);
                 }
             }
         }
@@ -141,9 +147,9 @@
 
     /// Takes the lists that are whole, and the empty lines between them. A list may be indented, over many lines: it
     /// ends where its object does.
-    fn lines(&mut self, now: Nanos, roster: &mut Registry) -> Result<(), String> {
+    fn read_lists(&mut self, now: Nanos, registry: &mut Registry) -> Result<(), String> {
         loop {
-            let Some(watch) = &mut self.standing else { return Ok(()) };
+            let Some(watch) = &mut self.active else { return Ok(()) };
             let Some(status) = watch.reader.head().map(|h| h.status) else { return Ok(()) };
             if status != 200 {
                 return Err(format!("status {status}"));
@@ -152,11 +158,11 @@
             let body = watch.reader.body();
             let blank = body.iter().take_while(|b| b.is_ascii_whitespace()).count();
             let mut ends = body[..blank].iter().filter(|b| **b == b'\n').count();
-            if ends > 0 && std::mem::take(&mut watch.line_end) {
+            if ends > 0 && std::mem::take(&mut watch.awaiting_line_end) {
                 ends -= 1;
             }
             if ends > 0 {
-                roster.on_heartbeat(now);
+                registry.on_heartbeat(now);
             }
             let mut lists = serde_json::Deserializer::from_slice(&body[blank..]).into_iter::<EndpointList>();
             let list = match lists.next() {
@@ -170,15 +176,15 @@
             let used = blank + list.as_ref().map_or(0, |_| lists.byte_offset());
             watch.reader.consume_body(used);
             let Some(list) = list else { return Ok(()) };
-            watch.line_end = true;
-            let first = std::mem::replace(&mut watch.first, false);
-            roster.on_discovery_update(&list, first, now);
+            watch.awaiting_line_end = true;
+            let first = std::mem::replace(&mut watch.awaiting_first_list, false);
+            registry.on_discovery_update(&list, first, now);
         }
     }
 
     /// Ends a watch on which nothing came for too long: a silent peer shows by time alone.
     pub fn tick(&mut self, now: Nanos, net: &mut PollLoop) {
-        if let Some(watch) = self.standing.as_ref().filter(|w| w.by <= now) {
+        if let Some(watch) = self.active.as_ref().filter(|w| w.deadline <= now) {
             self.silent |= watch.reader.head().is_some();
             self.fail("nothing came for too long", net);
         }
@@ -186,6 +192,6 @@
 
     /// When `tick` is next worth calling.
     pub fn next_deadline(&self) -> Option<Nanos> {
-        self.standing.as_ref().map(|w| w.by)
+        self.active.as_ref().map(|w| w.deadline)
     }
 }
--- a/tests/operation/rules.rs
+++ b/tests/operation/rules.rs
@@ -3,7 +3,7 @@
 use pebbleturn::admin::request::{self, AdminRequest, CommandOptions, LONGEST, RequestError};
 use pebbleturn::membership::{ManualOverrides, NodeChange, UnknownNode};
 use pebbleturn::metrics::{Gauges, Metrics, QueryResult};
-use pebbleturn::server::drain::{DrainPhase, DrainState, KEEP_ACCEPTING};
+use pebbleturn::server::drain::{ACCEPT_GRACE_PERIOD, DrainPhase, DrainState};
 use pebbleturn::{Nanos, ReplicaEntry, ReplicaId, ReplicaState};
 use quickcheck::quickcheck;
 
@@ -75,7 +75,7 @@
     leave.begin_shutdown(100 * MS);
     leave.resume();
     assert_eq!(leave.phase(200 * MS), DrainPhase::NotReady);
-    assert_eq!(leave.stop_listening_at(), Some(100 * MS + KEEP_ACCEPTING));
+    assert_eq!(leave.stop_listening_at(), Some(100 * MS + ACCEPT_GRACE_PERIOD));
     // 3.7 s after the word it may be killed.
     assert_eq!(
         (leave.phase(2500 * MS), leave.phase(2700 * MS)),
