--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -1,4 +1,6 @@
-//! The watch on discovery: what it tells goes to the registry.
+//! The watch on discovery: a long-lived request whose response brings endpoint lists to the registry.
+//!
+//! Discovery sends one JSON object for each list, and an empty line as a heartbeat in between.
 
 use crate::api::Nanos;
 use crate::http::{Reader, Side};
@@ -7,191 +9,256 @@
 use crate::net::{ConnId, NetEvent, PollLoop, ReadOutcome};
 use std::net::SocketAddr;
 
-/// Time for a watch to begin once its connection is up. Discovery handles calls in turn, and answers 503 to one that
-/// has waited for 2 s.
+/// Time for a response to begin once the connection is up, nanoseconds. Discovery handles requests in turn, and answers
+/// 503 to one that has waited for 2 s.
 const RESPONSE_TIMEOUT: Nanos = 2_500_000_000;
-/// A watch that says nothing for so long is silent: by the protocol an empty line comes every 2 s, and what a silent
-/// watch misses counts as told 6 s after its last line. This leaves over a second to a late line, and 2.8 s to the
-/// next watch.
+/// A watch without a line for so long is silent, nanoseconds. By the protocol an empty line comes every 2 s, and what a
+/// silent watch misses counts as reported 6 s after its last line. This leaves over a second to a late line, and 2.8 s
+/// to the next watch.
 const HEARTBEAT_TIMEOUT: Nanos = 3_200_000_000;
 
+/// Why a watch ended.
+#[derive(Debug, thiserror::Error)]
+enum WatchError {
+    #[error("no room to ask")]
+    RequestNotSent,
+    #[error("the connection broke")]
+    ConnectionBroken,
+    #[error("discovery closed it")]
+    Closed,
+    #[error("nothing came for too long")]
+    TimedOut,
+    #[error("status {0}")]
+    Status(u16),
+    #[error("{0}")]
+    Http(String),
+    #[error("a line larger than a buffer")]
+    LineTooLong,
+    #[error("a bad line: {0}")]
+    List(#[from] serde_json::Error),
+    #[error("its answer ended within a list")]
+    ListIncomplete,
+    #[error("its answer ended")]
+    ResponseEnded,
+}
+
+/// How a watch ended. The later variant is the stronger one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WatchEnd {
+    /// It broke, or could not begin.
+    Failed,
+    /// It was established, and no line came for too long. What it misses counts as reported a few seconds later, whatever
+    /// time there is between two requests.
+    Silent,
+}
+
+/// Where in the response a watch is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListProgress {
+    /// No list has come yet.
+    AwaitingFirstList,
+    /// A list has come; the end of its last line has not.
+    AwaitingLineEnd,
+    /// The next line is a heartbeat, or begins a list.
+    BetweenLists,
+}
+
 struct ActiveWatch {
     conn: ConnId,
     reader: Reader,
     /// Until when something must come.
     deadline: Nanos,
-    /// Nothing has been told on it yet.
-    awaiting_first_list: bool,
-    /// The end of a list's last line is still to come.
-    awaiting_line_end: bool,
+    progress: ListProgress,
+}
+
+impl ActiveWatch {
+    /// Consumes white space; returns whether a heartbeat was in it.
+    fn take_heartbeat(&mut self) -> bool {
+        let body = self.reader.body();
+        let blank = body.iter().take_while(|byte| byte.is_ascii_whitespace()).count();
+        let mut line_ends = body[..blank].iter().filter(|byte| **byte == b'\n').count();
+        self.reader.consume_body(blank);
+        if line_ends > 0 && self.progress == ListProgress::AwaitingLineEnd {
+            self.progress = ListProgress::BetweenLists;
+            line_ends -= 1;
+        }
+        line_ends > 0
+    }
+
+    /// The next list, if it has come whole. It may be indented, over many lines: it ends where its object does.
+    fn take_list(&mut self) -> Result<Option<EndpointList>, WatchError> {
+        let response_ended = self.reader.is_done();
+        let mut lists = serde_json::Deserializer::from_slice(self.reader.body()).into_iter::<EndpointList>();
+        let list = match lists.next() {
+            Some(Ok(list)) => list,
+            Some(Err(error)) if !error.is_eof() => return Err(error.into()),
+            Some(Err(_)) if response_ended => return Err(WatchError::ListIncomplete),
+            None if response_ended => return Err(WatchError::ResponseEnded),
+            // The rest of it is still to come.
+            Some(Err(_)) | None => return Ok(None),
+        };
+        let used = lists.byte_offset();
+        self.reader.consume_body(used);
+        Ok(Some(list))
+    }
 }
 
-/// The watch on discovery.
+/// The client side of the watch on discovery.
 pub struct DiscoveryWatch {
+    /// The owner under which its connections are registered at the poll loop.
     owner: u8,
     discovery: SocketAddr,
-    /// Time in which its connection must be up.
+    /// Time in which a connection must be up, nanoseconds.
     dial_timeout: Nanos,
     active: Option<ActiveWatch>,
-    failed: bool,
-    /// It stood and fell silent.
-    silent: bool,
+    /// How it ended since this was last taken.
+    ended: Option<WatchEnd>,
 }
 
 impl DiscoveryWatch {
-    /// A watch whose connections carry the mark `owner` and are up within `dial_timeout`. It begins with `begin`.
+    /// A watch whose connections belong to `owner` and must be up within `dial_timeout`. It begins with
+    /// [`DiscoveryWatch::begin`].
     pub fn new(owner: u8, discovery: SocketAddr, dial_timeout: Nanos) -> DiscoveryWatch {
-        DiscoveryWatch { owner, discovery, dial_timeout, active: None, failed: false, silent: false }
+        DiscoveryWatch { owner, discovery, dial_timeout, active: None, ended: None }
     }
 
-    /// Whether it broke, or could not begin, since this was last asked.
-    pub fn take_failed(&mut self) -> bool {
-        std::mem::take(&mut self.failed)
+    /// How it ended, if it did since this was last called.
+    pub fn take_end(&mut self) -> Option<WatchEnd> {
+        self.ended.take()
     }
 
-    /// Whether it stood and fell silent, since this was last asked. What such a watch misses counts as told a few seconds
-    /// later, whatever time there is between calls.
-    pub fn take_silent(&mut self) -> bool {
-        std::mem::take(&mut self.silent)
+    fn record_end(&mut self, end: WatchEnd) {
+        self.ended = self.ended.max(Some(end));
     }
 
-    /// Asks for the changes since the list held. A watch that stands already goes on.
+    /// Requests the changes since `version` of the list. A watch that is active goes on.
     pub fn begin(&mut self, version: u64, now: Nanos, net: &mut PollLoop) {
         if self.active.is_some() {
             return;
         }
         let Ok(conn) = net.dial(self.discovery, self.owner) else {
             tracing::warn!("discovery can't be dialled");
-            self.failed = true;
+            self.record_end(WatchEnd::Failed);
             return;
         };
-        let request =
-            format!("GET /api/targets?follow=1&since={version} HTTP/1.1\r\nHost: {}\r\n\r\n", self.discovery);
-        let reader = Reader::new(Side::Responses);
         self.active = Some(ActiveWatch {
             conn,
-            reader,
+            reader: Reader::new(Side::Responses),
             deadline: now + self.dial_timeout,
-            awaiting_first_list: true,
-            awaiting_line_end: false,
+            progress: ListProgress::AwaitingFirstList,
         });
+        let request =
+            format!("GET /api/targets?follow=1&since={version} HTTP/1.1\r\nHost: {}\r\n\r\n", self.discovery);
         if net.send(conn, request.as_bytes()).is_err() {
-            self.fail("no room to ask", net);
+            self.fail(WatchError::RequestNotSent, net);
         }
     }
 
-    /// Discovery is at this address from now on: it is asked there at once.
+    /// Discovery is at this address from now on: a watch begins there at once.
     pub fn move_to(&mut self, discovery: SocketAddr, version: u64, now: Nanos, net: &mut PollLoop) {
         if discovery == self.discovery {
             return tracing::info!("configuration read again: discovery stays at {discovery}");
         }
         tracing::info!("configuration read again: discovery moves to {discovery}");
         self.discovery = discovery;
-        if let Some(old) = self.active.take() {
-            net.close(old.conn);
+        if let Some(previous) = self.active.take() {
+            net.close(previous.conn);
         }
         self.begin(version, now, net);
     }
 
-    fn fail(&mut self, reason: &str, net: &mut PollLoop) {
+    fn fail(&mut self, error: WatchError, net: &mut PollLoop) {
         if let Some(watch) = self.active.take() {
             net.close(watch.conn);
-            tracing::warn!("watch on discovery ended: {reason}");
-            self.failed = true;
+            tracing::warn!("watch on discovery ended: {error}");
+            self.record_end(WatchEnd::Failed);
         }
     }
 
-    /// Takes in what happened on its connection.
+    /// Handles an event of its connection. Others are ignored.
     pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut PollLoop, registry: &mut Registry) {
-        let own_conn = self.active.as_ref().map(|w| w.conn);
+        let Some(watch) = &mut self.active else { return };
         match event {
-            NetEvent::Connected { conn, .. } if own_conn == Some(conn) => {
-                self.active.iter_mut().for_each(|w| w.deadline = now + RESPONSE_TIMEOUT);
+            NetEvent::Connected { conn, .. } if conn == watch.conn => {
+                watch.deadline = now + RESPONSE_TIMEOUT;
+            }
+            NetEvent::Readable { conn, .. } if conn == watch.conn => self.read(now, net, registry),
+            NetEvent::Broken { conn, .. } if conn == watch.conn => {
+                self.fail(WatchError::ConnectionBroken, net);
             }
-            NetEvent::Readable { conn, .. } if own_conn == Some(conn) => self.read(now, net, registry),
-            NetEvent::Broken { conn, .. } if own_conn == Some(conn) => self.fail("the connection broke", net),
             _ => {}
         }
     }
 
     fn read(&mut self, now: Nanos, net: &mut PollLoop, registry: &mut Registry) {
-        while let Some(conn) = self.active.as_ref().map(|w| w.conn) {
-            let outcome = net.fill(conn);
-            let pool = net.pool().clone();
-            let Some(watch) = &mut self.active else { return };
+        if let Err(error) = self.read_available(now, net, registry) {
+            self.fail(error, net);
+        }
+    }
+
+    /// Reads until nothing more has come.
+    fn read_available(
+        &mut self,
+        now: Nanos,
+        net: &mut PollLoop,
+        registry: &mut Registry,
+    ) -> Result<(), WatchError> {
+        while let Some(watch) = &mut self.active {
+            let outcome = net.fill(watch.conn);
             match outcome {
-                ReadOutcome::Nothing | ReadOutcome::NoBuffer => return,
+                ReadOutcome::Nothing | ReadOutcome::NoBuffer => return Ok(()),
                 ReadOutcome::Some(_) | ReadOutcome::Full => {
                     watch.deadline = now + HEARTBEAT_TIMEOUT;
-                    let used = match watch.reader.advance(net.data(conn), &pool) {
-                        Ok(used) => used,
-                        Err(e) => return self.fail(&e.to_string(), net),
-                    };
-                    net.consume(conn, used);
-                    if let Err(reason) = self.read_lists(now, registry) {
-                        return self.fail(&reason, net);
-                    }
+                    let pool = net.pool().clone();
+                    let used = watch
+                        .reader
+                        .advance(net.data(watch.conn), &pool)
+                        .map_err(|error| WatchError::Http(error.to_string()))?;
+                    net.consume(watch.conn, used);
+                    self.process_lists(now, registry)?;
                     if used == 0 && outcome == ReadOutcome::Full {
-                        return self.fail("a line larger than a buffer", net);
+                        return Err(WatchError::LineTooLong);
                     }
                 }
                 ReadOutcome::Ended => {
                     watch.reader.end();
-                    let reason =
-                        self.read_lists(now, registry).err().unwrap_or_else(|| "discovery closed it".into());
-                    return self.fail(&reason, net);
+                    self.process_lists(now, registry)?;
+                    return Err(WatchError::Closed);
                 }
             }
         }
+        Ok(())
     }
 
-    /// Takes the lists that are whole, and the empty lines between them. A list may be indented, over many lines: it
-    /// ends where its object does.
-    fn read_lists(&mut self, now: Nanos, registry: &mut Registry) -> Result<(), String> {
+    /// Passes on the lists that have come whole, and the heartbeats between them.
+    fn process_lists(&mut self, now: Nanos, registry: &mut Registry) -> Result<(), WatchError> {
+        let Some(watch) = &mut self.active else { return Ok(()) };
+        let Some(status) = watch.reader.head().map(|head| head.status) else { return Ok(()) };
+        if status != 200 {
+            return Err(WatchError::Status(status));
+        }
         loop {
-            let Some(watch) = &mut self.active else { return Ok(()) };
-            let Some(status) = watch.reader.head().map(|h| h.status) else { return Ok(()) };
-            if status != 200 {
-                return Err(format!("status {status}"));
-            }
-            let done = watch.reader.is_done();
-            let body = watch.reader.body();
-            let blank = body.iter().take_while(|b| b.is_ascii_whitespace()).count();
-            let mut ends = body[..blank].iter().filter(|b| **b == b'\n').count();
-            if ends > 0 && std::mem::take(&mut watch.awaiting_line_end) {
-                ends -= 1;
-            }
-            if ends > 0 {
+            if watch.take_heartbeat() {
                 registry.on_heartbeat(now);
             }
-            let mut lists = serde_json::Deserializer::from_slice(&body[blank..]).into_iter::<EndpointList>();
-            let list = match lists.next() {
-                Some(Ok(list)) => Some(list),
-                Some(Err(e)) if !e.is_eof() => return Err(format!("a bad line: {e}")),
-                Some(Err(_)) if done => return Err("its answer ended within a list".into()),
-                None if done => return Err("its answer ended".into()),
-                // The rest of it is still to come.
-                Some(Err(_)) | None => None,
-            };
-            let used = blank + list.as_ref().map_or(0, |_| lists.byte_offset());
-            watch.reader.consume_body(used);
-            let Some(list) = list else { return Ok(()) };
-            watch.awaiting_line_end = true;
-            let first = std::mem::replace(&mut watch.awaiting_first_list, false);
-            registry.on_discovery_update(&list, first, now);
+            let Some(list) = watch.take_list()? else { return Ok(()) };
+            let is_first = watch.progress == ListProgress::AwaitingFirstList;
+            watch.progress = ListProgress::AwaitingLineEnd;
+            registry.on_discovery_update(&list, is_first, now);
         }
     }
 
-    /// Ends a watch on which nothing came for too long: a silent peer shows by time alone.
+    /// Ends a watch on which nothing came for too long: a silent peer is noticed by time alone.
     pub fn tick(&mut self, now: Nanos, net: &mut PollLoop) {
-        if let Some(watch) = self.active.as_ref().filter(|w| w.deadline <= now) {
-            self.silent |= watch.reader.head().is_some();
-            self.fail("nothing came for too long", net);
+        let Some(watch) = self.active.as_ref().filter(|watch| watch.deadline <= now) else { return };
+        if watch.reader.head().is_some() {
+            self.record_end(WatchEnd::Silent);
         }
+        self.fail(WatchError::TimedOut, net);
     }
 
-    /// When `tick` is next worth calling.
+    /// When [`DiscoveryWatch::tick`] is next worth calling.
     pub fn next_deadline(&self) -> Option<Nanos> {
-        self.active.as_ref().map(|w| w.deadline)
+        self.active.as_ref().map(|watch| watch.deadline)
     }
 }
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -1,7 +1,7 @@
 //! The event loop of a broker: waits for events, passes them on, and carries out what follows.
 
 use super::broker::Broker;
-use super::drain::DrainPhase;
+use super::drain::{DrainPhase, IDLE_SCAN_INTERVAL};
 use super::error::BrokerError;
 use super::frontend::{Frontend, FrontendContext};
 use crate::admin::{self, AdminServer};
@@ -11,9 +11,6 @@
 use crate::net::{NetEvent, Signal, Signals, Waker};
 use std::time::Duration;
 
-/// Time between two looks for connections that wait for nothing, while such are closed.
-const IDLE_SCAN_INTERVAL: Nanos = 20_000_000;
-
 impl<F: Frontend> Broker<F> {
     /// Acts on these signals from now on.
     ///
--- /dev/null
+++ b/src/server/hint_exchange.rs
@@ -0,0 +1,76 @@
+//! Hints on drains and starts of nodes, from other brokers and for them.
+
+use crate::membership::gossip_hints::{LocalHints, PeerHints};
+use crate::membership::{NodeChange, NodeState, Registry};
+use crate::replication::derived_state::NodeHints;
+use crate::replication::{FactKey, ProcessStart};
+
+/// Most hints for other brokers that wait to be taken. What a longer list holds beyond is sent as it changes.
+const MAX_PENDING_HINTS: usize = 32_768;
+
+/// The version of an endpoint list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ListVersion {
+    /// Counts restarts of discovery.
+    epoch: u32,
+    version: u64,
+}
+
+/// Hints from other brokers, and those that they are to get.
+#[derive(Default)]
+pub(super) struct HintExchange {
+    peer_hints: PeerHints,
+    /// The own list that was last looked at.
+    list_version: ListVersion,
+    pending: Vec<(FactKey, ProcessStart)>,
+}
+
+impl HintExchange {
+    /// Records hints for other brokers, and makes changes as careful as the hints of others require.
+    pub(super) fn on_changes(&mut self, changes: Vec<NodeChange>, registry: &Registry) -> Vec<NodeChange> {
+        for change in &changes {
+            if self.pending.len() >= MAX_PENDING_HINTS {
+                break;
+            }
+            self.record(&change.id, registry);
+        }
+        self.peer_hints.pass(changes, |id| local_hints(registry, id))
+    }
+
+    fn record(&mut self, id: &str, registry: &Registry) {
+        let Some((state, started, version)) = registry.discovery_state(id) else { return };
+        if state != NodeState::Ready {
+            self.pending.push((FactKey::Drain(id.to_owned()), ProcessStart { started, version }));
+        }
+        if started > 0 {
+            self.pending.push((FactKey::Start(id.to_owned()), ProcessStart { started, version: 0 }));
+        }
+    }
+
+    /// The changes that follow from a newer list of this broker's own; none if the list is the one last looked at.
+    pub(super) fn on_list_version(&mut self, registry: &Registry) -> Vec<NodeChange> {
+        let current = ListVersion { epoch: registry.epoch(), version: registry.version() };
+        let previous = std::mem::replace(&mut self.list_version, current);
+        if current == previous {
+            return Vec::new();
+        }
+        let discovery_restarted = current.epoch != previous.epoch;
+        self.peer_hints.relist(discovery_restarted, |id| local_hints(registry, id))
+    }
+
+    /// The change that follows from a hint of other brokers, if there is one.
+    pub(super) fn on_hint(&mut self, id: &str, hints: NodeHints) -> Option<NodeChange> {
+        self.peer_hints.heard(id, hints)
+    }
+
+    /// Hints for other brokers since this was last called.
+    pub(super) fn take_pending(&mut self) -> Vec<(FactKey, ProcessStart)> {
+        std::mem::take(&mut self.pending)
+    }
+}
+
+/// What the own list reports of a node.
+fn local_hints(registry: &Registry, id: &str) -> LocalHints {
+    let started = registry.discovery_state(id).map_or(0, |(_, started, _)| started);
+    LocalHints { started, version: registry.version() }
+}
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -1,12 +1,12 @@
-//! Membership as a front needs it: the registry, the watch on discovery and the snapshot list, tied to the exchange.
+//! Membership as a frontend needs it: the registry, the watch on discovery and the list on disk, tied to the query engine.
 
-use super::discovery_watch::DiscoveryWatch;
+use super::discovery_watch::{DiscoveryWatch, WatchEnd};
 use super::frontend_context::FrontendContext;
+use super::hint_exchange::HintExchange;
 use crate::api::{Nanos, ReplicaId};
-use crate::membership::gossip_hints::{LocalHints, PeerHints};
 use crate::membership::poll_backoff::PollBackoff;
 use crate::membership::snapshot::Snapshot;
-use crate::membership::{ManualOverrides, NodeChange, NodeRecord, NodeState, Registry, UnknownNode};
+use crate::membership::{ManualOverrides, NodeChange, NodeRecord, Registry, UnknownNode};
 use crate::net::{NetEvent, PollLoop};
 use crate::replication::derived_state::NodeHints;
 use crate::replication::{FactKey, ProcessStart};
@@ -15,72 +15,69 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-/// Most pending for other brokers that waits; a list that is longer is told as it changes.
-const MAX_PENDING_HINTS: usize = 32_768;
-
-/// Longest wait before discovery is asked again after a watch fell silent, however rarely the settings want it asked. What a
-/// silent watch misses counts as told 6 s after its last line: 3.2 s show the silence, and 2 s are left for the next call.
+/// Longest wait before discovery is asked again after a watch fell silent, however rarely the settings want it asked,
+/// nanoseconds. What a silent watch misses counts as reported 6 s after its last line: 3.2 s pass until the silence is
+/// noticed, and 2 s are left for the next request.
 const MAX_BACKOFF_AFTER_SILENCE: Nanos = 800_000_000;
 
-/// Who decides when discovery is asked again.
+/// Who decides when a watch begins.
 enum PollTrigger {
-    /// The decision module, as the platform's settings have it; this side only after a watch fell silent, when.
-    Engine { again: PollBackoff, at: Option<Nanos> },
-    /// This side: when next, none while a watch stands.
-    Driver { again: PollBackoff, at: Option<Nanos> },
+    /// The query engine, as the settings want it; the driver only after a watch fell silent.
+    Engine,
+    /// The driver.
+    Driver,
+}
+
+/// When a watch begins again after the last one ended.
+struct PollSchedule {
+    trigger: PollTrigger,
+    backoff: PollBackoff,
+    /// When the driver begins the next watch; none while it doesn't have to.
+    next_at: Option<Nanos>,
 }
 
-/// What other brokers have heard, and what they are to be told.
-#[derive(Default)]
-struct HintExchange {
-    peer_hints: PeerHints,
-    /// Count and version of the own list that was last looked at.
-    version: (u32, u64),
-    pending: Vec<(FactKey, ProcessStart)>,
+impl PollSchedule {
+    fn on_engine_request(seed: u64) -> PollSchedule {
+        let backoff = PollBackoff::new(MAX_BACKOFF_AFTER_SILENCE, MAX_BACKOFF_AFTER_SILENCE, seed);
+        PollSchedule { trigger: PollTrigger::Engine, backoff, next_at: None }
+    }
 }
 
-/// The roster and its sources.
+/// The registry and its sources.
 pub struct MembershipDriver {
     registry: Registry,
     watch: Option<DiscoveryWatch>,
-    poll_trigger: PollTrigger,
-    /// What is offered of the nodes, where an operator has a say in that.
+    poll_schedule: PollSchedule,
+    /// The operator's routing rules, where there are any.
     routing: Option<Routing>,
-    /// Who is out by manual_overrides, whatever the sources say.
+    /// Nodes that an operator suspended, whatever the sources report.
     manual_overrides: ManualOverrides,
-    /// Where there are other brokers that tell.
+    /// Hints from and for other brokers, where there are any.
     hint_exchange: Option<HintExchange>,
     snapshot_writer: Option<SnapshotWriter>,
-    /// The time that was last told.
+    /// The time of the last tick.
     now: Nanos,
 }
 
 impl MembershipDriver {
-    /// Membership by this registry, which keeps what it learns by `snapshot_writer`.
+    /// Membership by this registry, whose list is written to disk by `snapshot_writer`. There is no watch on discovery.
     pub fn new(registry: Registry, snapshot_writer: Option<SnapshotWriter>) -> MembershipDriver {
-        let (poll_trigger, manual_overrides) = (
-            PollTrigger::Engine {
-                again: PollBackoff::new(MAX_BACKOFF_AFTER_SILENCE, MAX_BACKOFF_AFTER_SILENCE, 0),
-                at: None,
-            },
-            ManualOverrides::default(),
-        );
         MembershipDriver {
             registry,
             watch: None,
-            poll_trigger,
+            poll_schedule: PollSchedule::on_engine_request(0),
             routing: None,
-            manual_overrides,
+            manual_overrides: ManualOverrides::default(),
             hint_exchange: None,
             snapshot_writer,
             now: 0,
         }
     }
 
-    /// Watches discovery whenever the decision module says so, and soon after a watch fell silent.
+    /// Watches discovery whenever the query engine requests it, and soon after a watch fell silent.
     pub fn watch_on_request(mut self, watch: DiscoveryWatch, seed: u64) -> MembershipDriver {
-        let again = PollBackoff::new(MAX_BACKOFF_AFTER_SILENCE, MAX_BACKOFF_AFTER_SILENCE, seed);
-        (self.watch, self.poll_trigger) = (Some(watch), PollTrigger::Engine { again, at: None });
+        self.watch = Some(watch);
+        self.poll_schedule = PollSchedule::on_engine_request(seed);
         self
     }
 
@@ -88,19 +85,33 @@
     pub fn poll_with_backoff(
         mut self,
         watch: DiscoveryWatch,
-        again: PollBackoff,
+        backoff: PollBackoff,
         now: Nanos,
     ) -> MembershipDriver {
-        (self.watch, self.poll_trigger) = (Some(watch), PollTrigger::Driver { again, at: Some(now) });
+        self.watch = Some(watch);
+        self.poll_schedule = PollSchedule { trigger: PollTrigger::Driver, backoff, next_at: Some(now) };
         self
     }
 
-    /// Offers what these rules let through.
+    /// Offers the query engine the nodes that these rules let through.
     pub fn with_routing(mut self, routing: Routing) -> MembershipDriver {
         self.routing = Some(routing);
         self
     }
 
+    /// These nodes are suspended from the start.
+    pub fn with_suspended(mut self, ids: impl IntoIterator<Item = String>) -> MembershipDriver {
+        self.manual_overrides = ManualOverrides::with(ids);
+        self
+    }
+
+    /// Exchanges hints on drains and starts with other brokers. To be called before the first list is passed on: hints hold
+    /// back the nodes of that list too.
+    pub fn share_hints(mut self) -> MembershipDriver {
+        self.hint_exchange = Some(HintExchange::default());
+        self
+    }
+
     /// The operator's nodes are these from now on, with these rules.
     pub fn set_operator_nodes(&mut self, nodes: Vec<NodeRecord>, rules: HashMap<String, Rule>, now: Nanos) {
         if let Some(routing) = &mut self.routing {
@@ -109,7 +120,7 @@
         self.registry.set_operator_nodes(nodes, now);
     }
 
-    /// The decision module wants the list watched.
+    /// Begins a watch on discovery, unless one is active or there is no discovery.
     pub fn begin_watch(&mut self, now: Nanos, net: &mut PollLoop) {
         if let Some(watch) = &mut self.watch {
             watch.begin(self.registry.version(), now, net);
@@ -123,168 +134,141 @@
         }
     }
 
-    /// Takes in what happened on the watch's connection.
+    /// Handles an event of the watch's connection.
     pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut PollLoop) {
         if let Some(watch) = &mut self.watch {
             watch.on_event(event, now, net, &mut self.registry);
         }
     }
 
-    /// Lets time go by, and passes on what there is to tell; `place` learns where each node is.
-    pub fn tick<Q, V>(&mut self, context: &mut FrontendContext<Q, V>, place: impl FnMut(&NodeChange)) {
+    /// Does what is due at the context's time, and passes on what changed. `set_address` is called with each change, so that
+    /// the frontend learns where the node is.
+    pub fn tick<Q, V>(&mut self, context: &mut FrontendContext<Q, V>, set_address: impl FnMut(&NodeChange)) {
         let now = context.now;
         self.now = now;
-        while let Some(end) = context.engine.next_attempt_end() {
-            self.registry.on_attempt_end(end.replica, end.outcome, end.latency, now);
-            if let Some(routing) = &mut self.routing {
-                routing.outcome(end.replica, end.outcome, now);
-            }
-        }
+        self.record_attempts(context);
         if let Some(watch) = &mut self.watch {
             watch.tick(now, context.net);
         }
-        let (PollTrigger::Engine { at, .. } | PollTrigger::Driver { at, .. }) = &mut self.poll_trigger;
-        if at.take_if(|t| *t <= now).is_some() {
+        if self.poll_schedule.next_at.take_if(|next_at| *next_at <= now).is_some() {
             self.begin_watch(now, context.net);
         }
         self.registry.tick(now);
         if let Some(routing) = &mut self.routing {
             routing.tick(now);
         }
-        self.pass_on(context, place);
+        self.pass_on(context, set_address);
         self.write_snapshot(now);
     }
 
-    /// Passes on what there is to tell.
-    pub fn pass_on<Q, V>(&mut self, context: &mut FrontendContext<Q, V>, mut place: impl FnMut(&NodeChange)) {
-        let mut changes = self.registry.take_changes();
-        if let Some(routing) = &mut self.routing {
-            if let Some(changes) = changes {
-                routing.listed(changes, context.now);
+    /// Passes the results of attempts on to the health checks of registry and routing.
+    fn record_attempts<Q, V>(&mut self, context: &mut FrontendContext<Q, V>) {
+        while let Some(end) = context.engine.next_attempt_end() {
+            self.registry.on_attempt_end(end.replica, end.outcome, end.latency, context.now);
+            if let Some(routing) = &mut self.routing {
+                routing.outcome(end.replica, end.outcome, context.now);
             }
-            changes = routing.take_changes();
         }
-        if let Some(changes) = changes {
-            let changes = self.with_peer_hints(changes);
+    }
+
+    /// Passes changes on to the query engine, and schedules the next watch if the last one ended.
+    pub fn pass_on<Q, V>(
+        &mut self,
+        context: &mut FrontendContext<Q, V>,
+        mut set_address: impl FnMut(&NodeChange),
+    ) {
+        if let Some(changes) = self.take_changes(context.now) {
+            let changes = self.hold_back_by_hints(changes);
             let changes = self.manual_overrides.pass(changes);
-            changes.iter().for_each(&mut place);
-            context.engine.update_endpoints(false, changes.into_iter().map(|c| c.listed).collect());
+            changes.iter().for_each(&mut set_address);
+            update_endpoints(changes, context);
         }
-        self.release_peer_hints(context);
+        self.release_by_newer_list(context);
         if self.registry.take_discovery_answered()
-            && let PollTrigger::Driver { again, .. } = &mut self.poll_trigger
+            && let PollTrigger::Driver = self.poll_schedule.trigger
         {
-            again.answered();
+            self.poll_schedule.backoff.answered();
         }
-        self.registry
-            .take_warmed_up()
-            .into_iter()
-            .for_each(|replica| context.engine.replica_warmed_up(replica));
-        if self.watch.as_mut().is_some_and(DiscoveryWatch::take_failed) {
-            self.registry.watch_lost();
-            let silent = self.watch.as_mut().is_some_and(DiscoveryWatch::take_silent);
-            match &mut self.poll_trigger {
-                PollTrigger::Engine { again, at } => {
-                    context.engine.watch_failed();
-                    if silent {
-                        *at = Some(context.now + again.failed());
-                    }
-                }
-                PollTrigger::Driver { again, at } => *at = Some(context.now + again.failed()),
-            }
+        for replica in self.registry.take_warmed_up() {
+            context.engine.replica_warmed_up(replica);
+        }
+        if let Some(end) = self.watch.as_mut().and_then(DiscoveryWatch::take_end) {
+            self.on_watch_end(end, context);
         }
     }
 
-    /// There are other brokers: they are told of drains and starts, and heard. To be said before the first list is passed
-    /// on: what that names is held back too.
-    pub fn share_hints(mut self) -> MembershipDriver {
-        self.hint_exchange = Some(HintExchange::default());
-        self
-    }
-
-    fn local_hints(registry: &Registry, id: &str) -> LocalHints {
-        let started = registry.discovery_state(id).map_or(0, |(_, started, _)| started);
-        LocalHints { started, version: registry.version() }
+    /// Changes of the registry, as routing lets them through.
+    fn take_changes(&mut self, now: Nanos) -> Option<Vec<NodeChange>> {
+        let changes = self.registry.take_changes();
+        let Some(routing) = &mut self.routing else { return changes };
+        if let Some(changes) = changes {
+            routing.listed(changes, now);
+        }
+        routing.take_changes()
     }
 
-    /// Makes changes as careful as others' words want them, and notes what others are to be told.
-    fn with_peer_hints(&mut self, changes: Vec<NodeChange>) -> Vec<NodeChange> {
-        let (registry, Some(hint_exchange)) = (&self.registry, &mut self.hint_exchange) else {
-            return changes;
-        };
-        for change in &changes {
-            if hint_exchange.pending.len() >= MAX_PENDING_HINTS {
-                break;
-            }
-            let Some((state, started, version)) = registry.discovery_state(&change.id) else { continue };
-            if state != NodeState::Ready {
-                hint_exchange
-                    .pending
-                    .push((FactKey::Drain(change.id.clone()), ProcessStart { started, version }));
-            }
-            if started > 0 {
-                hint_exchange
-                    .pending
-                    .push((FactKey::Start(change.id.clone()), ProcessStart { started, version: 0 }));
+    fn on_watch_end<Q, V>(&mut self, end: WatchEnd, context: &mut FrontendContext<Q, V>) {
+        self.registry.watch_lost();
+        let schedule = &mut self.poll_schedule;
+        let driver_retries = match schedule.trigger {
+            PollTrigger::Engine => {
+                context.engine.watch_failed();
+                end == WatchEnd::Silent
             }
+            PollTrigger::Driver => true,
+        };
+        if driver_retries {
+            schedule.next_at = Some(context.now + schedule.backoff.failed());
         }
-        hint_exchange.peer_hints.pass(changes, |id| MembershipDriver::local_hints(registry, id))
     }
 
-    /// A newer list of one's own may let go what others' words held back.
-    fn release_peer_hints<Q, V>(&mut self, context: &mut FrontendContext<Q, V>) {
-        let (registry, Some(hint_exchange)) = (&self.registry, &mut self.hint_exchange) else { return };
-        let version = (registry.epoch(), registry.version());
-        if version == hint_exchange.version {
-            return;
+    fn hold_back_by_hints(&mut self, changes: Vec<NodeChange>) -> Vec<NodeChange> {
+        match &mut self.hint_exchange {
+            Some(hints) => hints.on_changes(changes, &self.registry),
+            None => changes,
         }
-        let restarted = version.0 != hint_exchange.version.0;
-        hint_exchange.version = version;
-        let changes =
-            hint_exchange.peer_hints.relist(restarted, |id| MembershipDriver::local_hints(registry, id));
-        self.update_engine(changes, context);
     }
 
-    fn update_engine<Q, V>(&mut self, changes: Vec<NodeChange>, context: &mut FrontendContext<Q, V>) {
+    /// A newer list of this broker's own may release nodes that hints held back.
+    fn release_by_newer_list<Q, V>(&mut self, context: &mut FrontendContext<Q, V>) {
+        let Some(hints) = &mut self.hint_exchange else { return };
+        let changes = hints.on_list_version(&self.registry);
+        self.pass_on_hinted(changes, context);
+    }
+
+    fn pass_on_hinted<Q, V>(&mut self, changes: Vec<NodeChange>, context: &mut FrontendContext<Q, V>) {
         if !changes.is_empty() {
-            let changes = self.manual_overrides.pass(changes);
-            context.engine.update_endpoints(false, changes.into_iter().map(|c| c.listed).collect());
+            update_endpoints(self.manual_overrides.pass(changes), context);
         }
     }
 
-    /// What other brokers are to be told of drains and starts.
+    /// Hints on drains and starts for other brokers, since this was last called.
     pub fn take_hints(&mut self) -> Vec<(FactKey, ProcessStart)> {
-        self.hint_exchange.as_mut().map_or(Vec::new(), |a| std::mem::take(&mut a.pending))
+        self.hint_exchange.as_mut().map_or(Vec::new(), HintExchange::take_pending)
     }
 
-    /// Other brokers have heard this of a node.
+    /// Handles a hint of other brokers on a node.
     pub fn on_hint<Q, V>(&mut self, id: &str, hints: NodeHints, context: &mut FrontendContext<Q, V>) {
-        let change = self.hint_exchange.as_mut().and_then(|a| a.peer_hints.heard(id, hints));
-        self.update_engine(change.into_iter().collect(), context);
+        let change = self.hint_exchange.as_mut().and_then(|exchange| exchange.on_hint(id, hints));
+        self.pass_on_hinted(change.into_iter().collect(), context);
     }
 
-    /// Whether any list has named this server.
+    /// Whether any list, or an operator's command, has named this node.
     pub fn knows(&self, id: &str) -> bool {
         self.registry.knows(id) || self.manual_overrides.knows(id)
     }
 
-    /// These are out by hand from the start.
-    pub fn with_suspended(mut self, out: impl IntoIterator<Item = String>) -> MembershipDriver {
-        self.manual_overrides = ManualOverrides::with(out);
-        self
-    }
-
-    /// The number under which a server takes parts, or took them until it was gone.
+    /// The replica under which a node gets parts, or got them until it was removed.
     pub fn replica(&self, id: &str) -> Option<ReplicaId> {
         self.manual_overrides.replica(id)
     }
 
-    /// Count and version of the list that is held.
+    /// Epoch and version of the current list.
     pub fn version(&self) -> (u32, u64) {
         (self.registry.epoch(), self.registry.version())
     }
 
-    /// The list as it is to be handed over.
+    /// The list as it is handed over to the next process.
     pub fn snapshot(&self, now: Nanos) -> Snapshot {
         self.registry.snapshot(now)
     }
@@ -328,33 +312,30 @@
         Ok(())
     }
 
-    /// Servers in the list, and how many of them are out by hand.
+    /// Nodes in the list, and how many of them are suspended.
     pub fn counts(&self) -> (usize, usize) {
         (self.registry.listed_count(), self.manual_overrides.listed_out())
     }
 
     fn write_snapshot(&mut self, now: Nanos) {
-        let Some(snapshot_writer) = &mut self.snapshot_writer else { return };
-        if snapshot_writer.is_free()
+        let Some(writer) = &mut self.snapshot_writer else { return };
+        if writer.is_free()
             && let Some(snapshot) = self.registry.take_snapshot(now)
         {
-            snapshot_writer.keep(snapshot);
+            writer.keep(snapshot);
         }
     }
 
-    /// When `tick` is next worth calling.
+    /// When [`MembershipDriver::tick`] is next worth calling.
     pub fn next_deadline(&self) -> Option<Nanos> {
-        let (PollTrigger::Engine { at: ask, .. } | PollTrigger::Driver { at: ask, .. }) = self.poll_trigger;
-        // A snapshot_writer that is at work is looked at again when something else happens.
-        let snapshot_due =
-            self.snapshot_writer.as_ref().filter(|k| k.is_free()).and_then(|_| self.registry.snapshot_due());
-        let routing = self.routing.as_ref().and_then(|r| r.next_deadline(self.now));
+        // A writer that is busy is looked at again when something else happens.
+        let idle_writer = self.snapshot_writer.as_ref().filter(|writer| writer.is_free());
         [
             self.registry.next_deadline(),
-            routing,
+            self.routing.as_ref().and_then(|routing| routing.next_deadline(self.now)),
             self.watch.as_ref().and_then(DiscoveryWatch::next_deadline),
-            ask,
-            snapshot_due,
+            self.poll_schedule.next_at,
+            idle_writer.and_then(|_| self.registry.snapshot_due()),
         ]
         .into_iter()
         .flatten()
@@ -363,12 +344,16 @@
 }
 
 impl Drop for MembershipDriver {
-    /// What was learnt since the last write is not lost by an orderly end.
+    /// Writes what was learnt since the last write, so that an orderly end does not lose it.
     fn drop(&mut self) {
-        if let (Some(snapshot_writer), Some(snapshot)) =
+        if let (Some(writer), Some(snapshot)) =
             (&mut self.snapshot_writer, self.registry.final_snapshot(self.now))
         {
-            snapshot_writer.keep(snapshot);
+            writer.keep(snapshot);
         }
     }
 }
+
+fn update_endpoints<Q, V>(changes: Vec<NodeChange>, context: &mut FrontendContext<Q, V>) {
+    context.engine.update_endpoints(false, changes.into_iter().map(|change| change.listed).collect());
+}
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -11,6 +11,7 @@
 mod event_loop;
 pub mod frontend;
 mod frontend_context;
+mod hint_exchange;
 mod hot_restart_driver;
 pub mod membership_driver;
 mod query_stats;
