--- a/lab/benches/decide.rs
+++ b/lab/benches/decide.rs
@@ -88,9 +88,9 @@
     let mut figures = Metrics::new(3);
     bencher.bench_local(|| {
         for _ in 0..attempts {
-            divan::black_box(&mut figures).tried(1);
+            divan::black_box(&mut figures).record_attempts(1);
         }
-        divan::black_box(&mut figures).ended(1, QueryResult::Ok);
+        divan::black_box(&mut figures).record_query(1, QueryResult::Ok);
     });
 }
 
@@ -100,7 +100,7 @@
     let figures = Metrics::new(3);
     let names: Vec<String> = ["catalogue", "lookup", "report"].map(String::from).into();
     let now = Gauges { active: 14, pool_size: 200, pool_ejected: 1 };
-    bencher.bench_local(|| divan::black_box(figures.line(&names, now).len()));
+    bencher.bench_local(|| divan::black_box(figures.to_json_line(&names, now).len()));
 }
 
 /// One node that discovery tells anew.
--- a/src/admin/client.rs
+++ b/src/admin/client.rs
@@ -10,22 +10,22 @@
 
 /// Exit codes beside 0 (yes) and 2 (the command can't be made out): the broker says no; it can't be reached or does not
 /// answer; what was waited for did not come in time.
-const NO: u8 = 1;
-const NO_ANSWER: u8 = 3;
-const WAITED: u8 = 4;
+const EXIT_REJECTED: u8 = 1;
+const EXIT_NO_RESPONSE: u8 = 3;
+const EXIT_TIMED_OUT: u8 = 4;
 /// Time between two questions while waiting.
-const AGAIN: Duration = Duration::from_millis(200);
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest answer that is read, bytes.
-const MOST: u64 = 1 << 20;
+const MAX_RESPONSE_BYTES: u64 = 1 << 20;
 
 /// Calls a broker's second address. Exits with 0 for a yes, 1 for a no, 2 for a mistake in the command, 3 where nobody
 /// answers, 4 where what `--wait` waits for does not come in time.
 #[derive(Debug, Args)]
-pub struct Operate {
+pub struct OperateArgs {
     /// Where the broker takes calls: the `ops` of its configuration.
     address: SocketAddr,
     #[command(subcommand)]
-    what: What,
+    command: AdminCommand,
     /// Write one JSON object.
     #[arg(long, global = true)]
     json: bool,
@@ -44,11 +44,11 @@
     why: Option<String>,
     /// Seconds after which the word ends by itself; in a cluster.
     #[arg(long = "for", global = true, value_name = "SECONDS")]
-    holds: Option<u64>,
+    valid_for_s: Option<u64>,
 }
 
 #[derive(Clone, Debug, Subcommand)]
-enum What {
+enum AdminCommand {
     /// Whether the process takes clients.
     Status,
     /// The figures.
@@ -91,54 +91,63 @@
     },
 }
 
-impl What {
+impl AdminCommand {
     /// The line of the call.
-    fn line(&self) -> String {
+    fn request_line(&self) -> String {
         match self {
-            What::Status => "STATUS".into(),
-            What::Metrics => "METRICS".into(),
-            What::Suspend { id } => format!("SUSPEND {id}"),
-            What::Restore { id } => format!("RESTORE {id}"),
-            What::Pause { broker } => {
+            AdminCommand::Status => "STATUS".into(),
+            AdminCommand::Metrics => "METRICS".into(),
+            AdminCommand::Suspend { id } => format!("SUSPEND {id}"),
+            AdminCommand::Restore { id } => format!("RESTORE {id}"),
+            AdminCommand::Pause { broker } => {
                 format!("PAUSE {}", broker.as_deref().unwrap_or_default()).trim_end().into()
             }
-            What::Resume { broker } => {
+            AdminCommand::Resume { broker } => {
                 format!("RESUME {}", broker.as_deref().unwrap_or_default()).trim_end().into()
             }
-            What::Peers => "PEERS".into(),
-            What::State => "STATE".into(),
-            What::Conflicts => "CONFLICTS".into(),
-            What::Remove { broker } => format!("REMOVE {broker}"),
-            What::Admit { broker } => format!("ADMIT {broker}"),
+            AdminCommand::Peers => "PEERS".into(),
+            AdminCommand::State => "STATE".into(),
+            AdminCommand::Conflicts => "CONFLICTS".into(),
+            AdminCommand::Remove { broker } => format!("REMOVE {broker}"),
+            AdminCommand::Admit { broker } => format!("ADMIT {broker}"),
         }
     }
 
     /// Whether it is a word by hand, with which more can be said.
-    fn is_word(&self) -> bool {
-        !matches!(self, What::Status | What::Metrics | What::Peers | What::State | What::Conflicts)
+    fn is_operator_command(&self) -> bool {
+        !matches!(
+            self,
+            AdminCommand::Status
+                | AdminCommand::Metrics
+                | AdminCommand::Peers
+                | AdminCommand::State
+                | AdminCommand::Conflicts
+        )
     }
 
     /// The call that tells whether it is done: what it asks, how many are still to come, as it tells, and of what.
     fn progress(&self) -> Option<(String, &'static str)> {
         match self {
-            What::Pause { broker: None } => Some(("CLIENTS".into(), "clients are connected")),
-            What::Suspend { id } => Some((format!("OUT {id}"), "attempts are out at the server")),
-            What::Status | What::Resume { broker: None } => Some(("STATUS".into(), "it does not serve yet")),
+            AdminCommand::Pause { broker: None } => Some(("CLIENTS".into(), "clients are connected")),
+            AdminCommand::Suspend { id } => Some((format!("OUT {id}"), "attempts are out at the server")),
+            AdminCommand::Status | AdminCommand::Resume { broker: None } => {
+                Some(("STATUS".into(), "it does not serve yet"))
+            }
             _ => None,
         }
     }
 }
 
 /// One call: a yes with its words, or a no with the reason.
-type Answer = Result<String, String>;
+type CallResult = Result<String, String>;
 
-fn call(address: SocketAddr, line: &str, within: Duration) -> io::Result<Answer> {
+fn call(address: SocketAddr, line: &str, within: Duration) -> io::Result<CallResult> {
     let mut stream = TcpStream::connect_timeout(&address, within.min(Duration::from_secs(5)))?;
     stream.set_read_timeout(Some(within))?;
     stream.set_write_timeout(Some(within))?;
     stream.write_all(format!("{line}\n").as_bytes())?;
     let mut text = String::new();
-    stream.take(MOST).read_to_string(&mut text)?;
+    stream.take(MAX_RESPONSE_BYTES).read_to_string(&mut text)?;
     let words = |rest: &str| rest.trim().to_owned();
     if let Some(rest) = text.strip_prefix("SUCCESS") {
         Ok(Ok(words(rest)))
@@ -152,7 +161,7 @@
 }
 
 /// The figures as a table: a line for each class, then what stands alone.
-fn table(line: &str) -> Option<String> {
+fn metrics_table(line: &str) -> Option<String> {
     let figures: Value = serde_json::from_str(line).ok()?;
     let figures = figures.as_object()?;
     let mut out = format!("{:<24} {:>10} {:>10} {:>10}\n", "class", "ok", "shed", "errors");
@@ -167,22 +176,22 @@
     Some(out)
 }
 
-fn text<'v>(value: &'v Value, name: &str) -> &'v str {
+fn string_field<'v>(value: &'v Value, name: &str) -> &'v str {
     value.get(name).and_then(Value::as_str).unwrap_or("-")
 }
 
 /// The peers as a table.
-fn peers(line: &str) -> Option<String> {
-    let told: Value = serde_json::from_str(line).ok()?;
+fn peers_table(line: &str) -> Option<String> {
+    let report: Value = serde_json::from_str(line).ok()?;
     let mut out = format!(
         "{} of cluster {}: {}\n",
-        text(&told, "name"),
-        text(&told, "cluster"),
-        text(&told, "standing")
+        string_field(&report, "name"),
+        string_field(&report, "cluster"),
+        string_field(&report, "standing")
     );
     let _ =
         writeln!(out, "{:<24} {:<22} {:<14} {:<8} {:>12}", "peer", "address", "is", "copy", "heard ms ago");
-    for peer in told.get("peers")?.as_array()? {
+    for peer in report.get("peers")?.as_array()? {
         let same = match peer.get("same_copy").and_then(Value::as_bool) {
             Some(true) => "same",
             Some(false) => "differs",
@@ -192,86 +201,86 @@
         let _ = writeln!(
             out,
             "{:<24} {:<22} {:<14} {same:<8} {heard:>12}",
-            text(peer, "name"),
-            text(peer, "address"),
-            text(peer, "is")
+            string_field(peer, "name"),
+            string_field(peer, "address"),
+            string_field(peer, "is")
         );
     }
-    for (why, n) in told.get("dropped")?.as_object()? {
+    for (why, n) in report.get("dropped")?.as_object()? {
         let _ = writeln!(out, "not listened to, {n} times: {why}");
     }
     Some(out)
 }
 
 /// Words by hand, with what was said of each thing by whom.
-pub(crate) fn facts(line: &str) -> Option<String> {
-    let told: Value = serde_json::from_str(line).ok()?;
+pub(crate) fn cluster_state_text(line: &str) -> Option<String> {
+    let report: Value = serde_json::from_str(line).ok()?;
     let mut out = String::new();
     for name in ["standing", "digest", "facts", "on_disk", "words", "conflicts"] {
-        if let Some(value) = told.get(name) {
+        if let Some(value) = report.get(name) {
             let _ = writeln!(out, "{name}: {}", value.as_str().map_or(value.to_string(), str::to_owned));
         }
     }
-    for thing in told.get("first")?.as_array()? {
-        out += &words(thing);
+    for thing in report.get("first")?.as_array()? {
+        out += &key_history(thing);
     }
     Some(out)
 }
 
 /// What was said of one thing.
-pub(crate) fn words(thing: &Value) -> String {
+pub(crate) fn key_history(thing: &Value) -> String {
     let yes = |name: &str| thing.get(name).and_then(Value::as_bool) == Some(true);
     let mark = match (yes("conflict"), yes("out")) {
         (true, _) => " (conflict: out until it is settled)",
         (false, true) => " (out)",
         _ => "",
     };
-    let mut out = format!("{}{mark}\n", text(thing, "of"));
+    let mut out = format!("{}{mark}\n", string_field(thing, "of"));
     for word in thing.get("words").and_then(Value::as_array).unwrap_or(&Vec::new()) {
         let until =
             word.get("until_ms").and_then(Value::as_u64).map_or(String::new(), |t| format!(", until {t} ms"));
         let _ = writeln!(
             out,
             "  {} by {} at {}, {} ms{until}: {} [{}]",
-            text(word, "says"),
-            text(word, "by"),
-            text(word, "at_broker"),
+            string_field(word, "says"),
+            string_field(word, "by"),
+            string_field(word, "at_broker"),
             word.get("at_ms").unwrap_or(&Value::Null),
-            text(word, "why"),
-            text(word, "stamp")
+            string_field(word, "why"),
+            string_field(word, "stamp")
         );
     }
     out
 }
 
-impl Operate {
+impl OperateArgs {
     /// Calls, tells, and waits where that was asked for.
     pub fn run(self) -> ExitCode {
         let within = Duration::from_secs(self.within.clamp(1, 24 * 3600));
         let until = Instant::now() + within;
-        let line = self.line();
+        let line = self.request_line();
         let answer = match self.call_until(&line, until) {
             Ok(answer) => answer,
             Err(e) => {
                 eprintln!("{}: {e}", self.address);
-                return ExitCode::from(NO_ANSWER);
+                return ExitCode::from(EXIT_NO_RESPONSE);
             }
         };
-        self.tell(&line, &answer);
+        self.print(&line, &answer);
         match answer {
-            Err(_) => ExitCode::from(NO),
+            Err(_) => ExitCode::from(EXIT_REJECTED),
             Ok(_) if self.wait => self.wait_for(until),
             Ok(_) => ExitCode::SUCCESS,
         }
     }
 
     /// The line of the call, with what is said beside it.
-    fn line(&self) -> String {
-        let mut line = self.what.line();
-        if self.what.is_word() {
+    fn request_line(&self) -> String {
+        let mut line = self.command.request_line();
+        if self.command.is_operator_command() {
             for (name, value) in [
                 ("by", self.by.clone()),
-                ("for", self.holds.map(|s| s.to_string())),
+                ("for", self.valid_for_s.map(|s| s.to_string())),
                 ("why", self.why.clone()),
             ] {
                 if let Some(value) = value {
@@ -283,30 +292,30 @@
     }
 
     /// Asks once; where the status is waited for, until somebody says yes.
-    fn call_until(&self, line: &str, until: Instant) -> io::Result<Answer> {
-        let patient = self.wait && matches!(self.what, What::Status);
+    fn call_until(&self, line: &str, until: Instant) -> io::Result<CallResult> {
+        let wait_until_success = self.wait && matches!(self.command, AdminCommand::Status);
         loop {
             let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
             let answer = call(self.address, line, left);
             let yes = matches!(answer, Ok(Ok(_)));
-            if yes || !patient || Instant::now() + AGAIN >= until {
+            if yes || !wait_until_success || Instant::now() + POLL_INTERVAL >= until {
                 return answer;
             }
-            std::thread::sleep(AGAIN);
+            std::thread::sleep(POLL_INTERVAL);
         }
     }
 
-    fn tell(&self, line: &str, answer: &Answer) {
-        let in_words: Option<fn(&str) -> Option<String>> = match self.what {
-            What::Metrics => Some(table),
-            What::Peers => Some(peers),
-            What::State | What::Conflicts => Some(facts),
+    fn print(&self, line: &str, answer: &CallResult) {
+        let formatter: Option<fn(&str) -> Option<String>> = match self.command {
+            AdminCommand::Metrics => Some(metrics_table),
+            AdminCommand::Peers => Some(peers_table),
+            AdminCommand::State | AdminCommand::Conflicts => Some(cluster_state_text),
             _ => None,
         };
         match answer {
-            Ok(words) if in_words.is_some() && self.json => println!("{words}"),
-            Ok(words) if let Some(in_words) = in_words => {
-                print!("{}", in_words(words).unwrap_or_else(|| format!("{words}\n")));
+            Ok(words) if formatter.is_some() && self.json => println!("{words}"),
+            Ok(words) if let Some(formatter) = formatter => {
+                print!("{}", formatter(words).unwrap_or_else(|| format!("{words}\n")));
             }
             _ if self.json => {
                 let words = answer.as_ref().unwrap_or_else(|e| e);
@@ -319,7 +328,7 @@
 
     /// Asks again until nothing is left, with a line whenever the number changes.
     fn wait_for(&self, until: Instant) -> ExitCode {
-        let Some((line, left_of)) = self.what.progress() else { return ExitCode::SUCCESS };
+        let Some((line, left_of)) = self.command.progress() else { return ExitCode::SUCCESS };
         let mut last = String::new();
         loop {
             let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
@@ -333,11 +342,11 @@
                 eprintln!("waiting: {left_of}: {seen}");
                 last = seen;
             }
-            if Instant::now() + AGAIN >= until {
+            if Instant::now() + POLL_INTERVAL >= until {
                 eprintln!("waited for {} s", self.within);
-                return ExitCode::from(WAITED);
+                return ExitCode::from(EXIT_TIMED_OUT);
             }
-            std::thread::sleep(AGAIN);
+            std::thread::sleep(POLL_INTERVAL);
         }
     }
 }
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -8,4 +8,4 @@
 pub mod server;
 
 pub use request::{AdminRequest, AdminResponse, CommandOptions};
-pub use server::{AdminServer, OWNER, PLACES};
+pub use server::{AdminServer, MAX_CONNECTIONS, OWNER};
--- a/src/admin/request.rs
+++ b/src/admin/request.rs
@@ -3,19 +3,19 @@
 use std::fmt;
 
 /// Longest line, bytes, without its end.
-pub const LONGEST: usize = 512;
+pub const MAX_LINE_BYTES: usize = 512;
 /// Longest time for which a word may hold, seconds: a hundred years.
-const LONGEST_TIME: u64 = 100 * 366 * 86_400;
+const MAX_VALIDITY_S: u64 = 100 * 366 * 86_400;
 
 /// What staff say beside the thing itself: `by=WHO for=SECONDS why=WORDS`, in this order, the reason to the line's end.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CommandOptions {
     /// Who says it.
-    pub by: String,
+    pub operator: String,
     /// Why.
-    pub why: String,
+    pub reason: String,
     /// For how long it holds, seconds; none: until the next word.
-    pub holds: Option<u64>,
+    pub valid_for_s: Option<u64>,
 }
 
 /// What staff ask for.
@@ -46,7 +46,7 @@
     /// How many clients are connected: a pause is done at 0.
     Clients,
     /// How many attempts are out at a server: work on it can begin at 0.
-    Out(String),
+    InFlight(String),
 }
 
 /// A line that is no call.
@@ -59,30 +59,34 @@
     /// Not text.
     NotText,
     /// No such word.
-    Unknown(String),
+    UnknownCommand(String),
     /// The word needs an id behind it.
-    NoId(&'static str),
+    MissingName(&'static str),
     /// The word takes nothing behind it, or nothing more.
-    Extra(&'static str),
+    UnexpectedArgument(&'static str),
     /// `for=` is no number of seconds.
-    NoTime(String),
+    InvalidDuration(String),
 }
 
 impl fmt::Display for RequestError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             RequestError::Empty => write!(f, "the line is empty"),
-            RequestError::TooLong => write!(f, "the line has more than {LONGEST} bytes"),
+            RequestError::TooLong => write!(f, "the line has more than {MAX_LINE_BYTES} bytes"),
             RequestError::NotText => write!(f, "the line is no text"),
-            RequestError::Unknown(word) => write!(
+            RequestError::UnknownCommand(word) => write!(
                 f,
                 "unknown call {word:?}; known are STATUS, METRICS, SUSPEND ID, RESTORE ID, PAUSE, RESUME, \
                  CLIENTS, OUT ID, PEERS, STATE, CONFLICTS, REMOVE NAME and ADMIT NAME"
             ),
-            RequestError::NoId(word @ ("REMOVE" | "ADMIT")) => write!(f, "{word} needs the name of a broker"),
-            RequestError::NoId(word) => write!(f, "{word} needs the id of a server"),
-            RequestError::Extra(word) => write!(f, "{word} takes nothing more behind it"),
-            RequestError::NoTime(text) => write!(f, "for={text} is no number of seconds, or too many"),
+            RequestError::MissingName(word @ ("REMOVE" | "ADMIT")) => {
+                write!(f, "{word} needs the name of a broker")
+            }
+            RequestError::MissingName(word) => write!(f, "{word} needs the id of a server"),
+            RequestError::UnexpectedArgument(word) => write!(f, "{word} takes nothing more behind it"),
+            RequestError::InvalidDuration(text) => {
+                write!(f, "for={text} is no number of seconds, or too many")
+            }
         }
     }
 }
@@ -90,88 +94,93 @@
 impl std::error::Error for RequestError {}
 
 /// Reads a line without its end.
-pub fn read(line: &[u8]) -> Result<AdminRequest, RequestError> {
-    if line.len() > LONGEST {
+pub fn parse(line: &[u8]) -> Result<AdminRequest, RequestError> {
+    if line.len() > MAX_LINE_BYTES {
         return Err(RequestError::TooLong);
     }
     let text = std::str::from_utf8(line).map_err(|_| RequestError::NotText)?;
-    let (word, rest) = cut(text).ok_or(RequestError::Empty)?;
-    let alone = |word, call| if rest.is_empty() { Ok(call) } else { Err(RequestError::Extra(word)) };
-    let named = |word, call: fn(String, CommandOptions) -> AdminRequest| match cut(rest) {
-        None => Err(RequestError::NoId(word)),
-        Some((id, rest)) => Ok(call(id.to_owned(), aside(word, rest)?)),
+    let (word, rest) = split_word(text).ok_or(RequestError::Empty)?;
+    let without_argument =
+        |word, call| if rest.is_empty() { Ok(call) } else { Err(RequestError::UnexpectedArgument(word)) };
+    let named = |word, call: fn(String, CommandOptions) -> AdminRequest| match split_word(rest) {
+        None => Err(RequestError::MissingName(word)),
+        Some((id, rest)) => Ok(call(id.to_owned(), parse_options(word, rest)?)),
     };
     // Without a name it is this broker.
-    let mine_or_named = |word, call: fn(Option<String>, CommandOptions) -> AdminRequest| match cut(rest) {
-        Some((name, rest)) if !name.contains('=') => Ok(call(Some(name.to_owned()), aside(word, rest)?)),
-        _ => Ok(call(None, aside(word, rest)?)),
-    };
+    let optionally_named =
+        |word, call: fn(Option<String>, CommandOptions) -> AdminRequest| match split_word(rest) {
+            Some((name, rest)) if !name.contains('=') => {
+                Ok(call(Some(name.to_owned()), parse_options(word, rest)?))
+            }
+            _ => Ok(call(None, parse_options(word, rest)?)),
+        };
     match word {
-        "STATUS" => alone("STATUS", AdminRequest::Status),
-        "METRICS" => alone("METRICS", AdminRequest::Metrics),
+        "STATUS" => without_argument("STATUS", AdminRequest::Status),
+        "METRICS" => without_argument("METRICS", AdminRequest::Metrics),
         "SUSPEND" => named("SUSPEND", AdminRequest::Suspend),
         "RESTORE" => named("RESTORE", AdminRequest::Restore),
-        "PAUSE" => mine_or_named("PAUSE", AdminRequest::Pause),
-        "RESUME" => mine_or_named("RESUME", AdminRequest::Resume),
+        "PAUSE" => optionally_named("PAUSE", AdminRequest::Pause),
+        "RESUME" => optionally_named("RESUME", AdminRequest::Resume),
         "REMOVE" => named("REMOVE", AdminRequest::Remove),
         "ADMIT" => named("ADMIT", AdminRequest::Admit),
-        "CLIENTS" => alone("CLIENTS", AdminRequest::Clients),
-        "PEERS" => alone("PEERS", AdminRequest::Peers),
-        "STATE" => alone("STATE", AdminRequest::State),
-        "CONFLICTS" => alone("CONFLICTS", AdminRequest::Conflicts),
-        "OUT" => match cut(rest) {
-            None => Err(RequestError::NoId("OUT")),
-            Some((_, more)) if !more.is_empty() => Err(RequestError::Extra("OUT")),
-            Some((id, _)) => Ok(AdminRequest::Out(id.to_owned())),
+        "CLIENTS" => without_argument("CLIENTS", AdminRequest::Clients),
+        "PEERS" => without_argument("PEERS", AdminRequest::Peers),
+        "STATE" => without_argument("STATE", AdminRequest::State),
+        "CONFLICTS" => without_argument("CONFLICTS", AdminRequest::Conflicts),
+        "OUT" => match split_word(rest) {
+            None => Err(RequestError::MissingName("OUT")),
+            Some((_, more)) if !more.is_empty() => Err(RequestError::UnexpectedArgument("OUT")),
+            Some((id, _)) => Ok(AdminRequest::InFlight(id.to_owned())),
         },
-        other => Err(RequestError::Unknown(other.chars().take(32).collect())),
+        other => Err(RequestError::UnknownCommand(other.chars().take(32).collect())),
     }
 }
 
 /// The first word of a text, and the rest.
-fn cut(text: &str) -> Option<(&str, &str)> {
+fn split_word(text: &str) -> Option<(&str, &str)> {
     let text = text.trim_ascii();
     let end = text.find(|c: char| c.is_ascii_whitespace()).unwrap_or(text.len());
     if text.is_empty() { None } else { Some((&text[..end], text[end..].trim_ascii())) }
 }
 
-fn aside(word: &'static str, mut rest: &str) -> Result<CommandOptions, RequestError> {
-    let mut aside = CommandOptions::default();
-    while let Some((one, more)) = cut(rest) {
-        if let Some(why) = rest.trim_ascii().strip_prefix("why=") {
-            aside.why = why.trim_matches('"').to_owned();
-            return Ok(aside);
-        } else if let Some(by) = one.strip_prefix("by=") {
-            aside.by = by.to_owned();
-        } else if let Some(time) = one.strip_prefix("for=") {
-            let seconds: Option<u64> = time.parse().ok().filter(|s| (1..=LONGEST_TIME).contains(s));
-            aside.holds = Some(seconds.ok_or_else(|| RequestError::NoTime(time.chars().take(32).collect()))?);
+fn parse_options(word: &'static str, mut rest: &str) -> Result<CommandOptions, RequestError> {
+    let mut options = CommandOptions::default();
+    while let Some((argument, remaining)) = split_word(rest) {
+        if let Some(reason) = rest.trim_ascii().strip_prefix("why=") {
+            options.reason = reason.trim_matches('"').to_owned();
+            return Ok(options);
+        } else if let Some(by) = argument.strip_prefix("by=") {
+            options.operator = by.to_owned();
+        } else if let Some(time) = argument.strip_prefix("for=") {
+            let seconds: Option<u64> = time.parse().ok().filter(|s| (1..=MAX_VALIDITY_S).contains(s));
+            options.valid_for_s =
+                Some(seconds.ok_or_else(|| RequestError::InvalidDuration(time.chars().take(32).collect()))?);
         } else {
-            return Err(RequestError::Extra(word));
+            return Err(RequestError::UnexpectedArgument(word));
         }
-        rest = more;
+        rest = remaining;
     }
-    Ok(aside)
+    Ok(options)
 }
 
 /// What is answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AdminResponse {
     /// It is so, or done; a word on it.
-    Yes(String),
+    Success(String),
     /// The figures, a line.
-    Figures(String),
+    Report(String),
     /// It is not so, or not done, and why.
-    No(String),
+    Failure(String),
 }
 
 impl AdminResponse {
     /// The bytes of the answer.
-    pub fn text(&self) -> String {
+    pub fn encode(&self) -> String {
         match self {
-            AdminResponse::Yes(words) => format!("SUCCESS {words}\n"),
-            AdminResponse::Figures(line) => format!("{line}\nEOT\n"),
-            AdminResponse::No(why) => format!("FAILURE {why}\n"),
+            AdminResponse::Success(words) => format!("SUCCESS {words}\n"),
+            AdminResponse::Report(line) => format!("{line}\nEOT\n"),
+            AdminResponse::Failure(reason) => format!("FAILURE {reason}\n"),
         }
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -54,7 +54,7 @@
     #[command(subcommand)]
     State(StateCommand),
     /// Call a broker's second address.
-    Operate(client::Operate),
+    Operate(client::OperateArgs),
     /// Write an operator's file from another balancer's; what has no counterpart goes to standard error.
     #[command(subcommand)]
     Import(Import),
@@ -252,7 +252,7 @@
     if json {
         println!("{told}");
     } else {
-        print!("{}", client::facts(&told.to_string()).unwrap_or_default());
+        print!("{}", client::cluster_state_text(&told.to_string()).unwrap_or_default());
     }
     if differs || !sound { ExitCode::FAILURE } else { ExitCode::SUCCESS }
 }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -261,9 +261,10 @@
             member.renew(Origin(drawn() ^ now.rotate_left(17)));
         }
         let (at_broker, until) =
-            (self.settings.name.clone(), aside.holds.map(|s| now.saturating_add(s * 1_000_000_000)));
+            (self.settings.name.clone(), aside.valid_for_s.map(|s| now.saturating_add(s * 1_000_000_000)));
         let word = if value == CommandValue::Out { "out" } else { "back" };
-        let said = OperatorCommand { value, who: aside.by, why: aside.why, at_broker, at: now, until };
+        let said =
+            OperatorCommand { value, who: aside.operator, why: aside.reason, at_broker, at: now, until };
         let dot = member.record(&key, said, now).map_err(CommandError::Refused)?;
         tracing::info!("cluster: {key} is said to be {word} here as {dot}");
         self.waiting.push(Waiting { caller, key, yes, ticket: None });
--- a/src/engine/query_engine.rs
+++ b/src/engine/query_engine.rs
@@ -117,7 +117,7 @@
 
     /// So many attempts are written whole by now that were not before.
     pub fn attempts_written(&mut self, attempts: u64) {
-        self.figures.tried(attempts);
+        self.figures.record_attempts(attempts);
     }
 
     /// Servers that take work and get none, by the decision module's choice.
@@ -183,7 +183,7 @@
         let size = 1 + ask.parts.len();
         // Guards the limit on what is held: a query that is not taken costs nothing and may come again.
         if self.held + size > self.room {
-            self.figures.ended(ask.class, QueryResult::Shed);
+            self.figures.record_query(ask.class, QueryResult::Shed);
             return Err(self.overloaded());
         }
         let job = self.fresh();
@@ -257,7 +257,7 @@
             let (class, taken, n) = (q.class, q.taken, q.parts.len());
             let sent = q.parts.iter().filter(|p| p.attempts > 0).count();
             let answer = answer(q);
-            self.figures.ended(
+            self.figures.record_query(
                 class,
                 match &answer {
                     QueryOutcome::Answered(_) => QueryResult::Ok,
--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -167,7 +167,7 @@
     let mut exchange = QueryEngine::new(settings, seed, now).map_err(|e| ConfigError(e.to_string()))?;
     // Guards the limit on descriptors: what connections to nodes may take is not given to clients. Where nodes may
     // come and go, that is half of them.
-    let apart = told.operation.listen.map_or(0, |_| admin::PLACES)
+    let apart = told.operation.listen.map_or(0, |_| admin::MAX_CONNECTIONS)
         + told.cluster.as_ref().map_or(0, |_| cluster::PLACES + cluster::BESIDE);
     let most = told.limits.sockets - SPARE - apart;
     let changing = m.discovery.is_some() || files.path.is_some();
@@ -299,7 +299,7 @@
 
     fn limit_descriptors(&mut self, descriptors: usize, net: &mut PollLoop) {
         // What is held stays; only the rest is divided. Callers at the second address may still come.
-        let apart = admin::PLACES.saturating_sub(net.accepted_at(ConnectionClass::Admin));
+        let apart = admin::MAX_CONNECTIONS.saturating_sub(net.accepted_at(ConnectionClass::Admin));
         let rest = descriptors.saturating_sub(net.descriptors() + apart);
         let to_nodes = (self.nodes.links() + rest / 2).min(self.most_to_nodes);
         let clients = net.accepted() + rest - (to_nodes - self.nodes.links()).min(rest);
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -68,7 +68,7 @@
     let now = clock.now();
     // Guards the limit on descriptors: what connections to shard servers may take is not given to clients. In a
     // large fleet a broker meets more servers than clients: with a place for each server none is dialled twice.
-    let apart = told.ops.map_or(0, |_| admin::PLACES);
+    let apart = told.ops.map_or(0, |_| admin::MAX_CONNECTIONS);
     let (to_servers, most) = divide(told.sockets, apart);
     let mut net = PollLoop::new(Pool::within((told.memory_mb << 20) / BUFFERS), most)
         .map_err(BrokerError::io("poll"))?;
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -31,7 +31,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Metrics {
     classes: Vec<QueryCounts>,
-    tries: u64,
+    attempts: u64,
 }
 
 /// How things stand.
@@ -48,22 +48,22 @@
 impl Metrics {
     /// All at 0, for so many classes.
     pub fn new(classes: usize) -> Metrics {
-        Metrics { classes: vec![QueryCounts::default(); classes], tries: 0 }
+        Metrics { classes: vec![QueryCounts::default(); classes], attempts: 0 }
     }
 
     /// A query of this class has its final answer.
-    pub fn ended(&mut self, class: usize, end: QueryResult) {
-        let Some(c) = self.classes.get_mut(class) else { return };
-        match end {
-            QueryResult::Ok => c.ok += 1,
-            QueryResult::Shed => c.shed += 1,
-            QueryResult::Error => c.errors += 1,
+    pub fn record_query(&mut self, class: usize, result: QueryResult) {
+        let Some(counts) = self.classes.get_mut(class) else { return };
+        match result {
+            QueryResult::Ok => counts.ok += 1,
+            QueryResult::Shed => counts.shed += 1,
+            QueryResult::Error => counts.errors += 1,
         }
     }
 
     /// So many more attempts are written whole.
-    pub fn tried(&mut self, attempts: u64) {
-        self.tries += attempts;
+    pub fn record_attempts(&mut self, attempts: u64) {
+        self.attempts += attempts;
     }
 
     /// Queries that ended, class by class.
@@ -72,12 +72,12 @@
     }
 
     /// Attempts written whole to servers.
-    pub fn tries(&self) -> u64 {
-        self.tries
+    pub fn attempts(&self) -> u64 {
+        self.attempts
     }
 
     /// One line of JSON; `names` are the classes' names in their order.
-    pub fn line(&self, names: &[String], now: Gauges) -> String {
+    pub fn to_json_line(&self, names: &[String], gauges: Gauges) -> String {
         let by_class = |count: fn(&QueryCounts) -> u64| -> Value {
             let counts = names.iter().zip(&self.classes).map(|(n, c)| (n.clone(), count(c).into()));
             counts.collect::<Map<String, Value>>().into()
@@ -86,10 +86,10 @@
             "ok": by_class(|c| c.ok),
             "shed": by_class(|c| c.shed),
             "errors": by_class(|c| c.errors),
-            "tries": self.tries,
-            "active": now.active,
-            "pool_size": now.pool_size,
-            "pool_ejected": now.pool_ejected,
+            "tries": self.attempts,
+            "active": gauges.active,
+            "pool_size": gauges.pool_size,
+            "pool_ejected": gauges.pool_ejected,
         })
         .to_string()
     }
--- a/src/server/admin_handler.rs
+++ b/src/server/admin_handler.rs
@@ -63,7 +63,7 @@
         while let Some((conn, request)) = self.admin_server.as_mut().and_then(AdminServer::next_request) {
             let response = self.handle_admin_request(request, conn, now);
             if let (Some(admin_server), Some(response)) = (&mut self.admin_server, response) {
-                admin_server.answer(conn, &response, &mut self.net);
+                admin_server.respond(conn, &response, &mut self.net);
             }
         }
     }
@@ -75,7 +75,7 @@
         caller: ConnId,
         now: Nanos,
     ) -> Option<AdminResponse> {
-        let failure = |error: AdminError| AdminResponse::No(error.to_string());
+        let failure = |error: AdminError| AdminResponse::Failure(error.to_string());
         if let Some(cluster) = &self.cluster {
             match ClusterCommand::from_request(request, cluster.name()) {
                 Ok(command) => return self.record_command(command, caller, now).err().map(failure),
@@ -123,14 +123,14 @@
         match request {
             AdminRequest::Status => self.status(),
             AdminRequest::Metrics => Ok(self.metrics_report()),
-            AdminRequest::Clients => Ok(AdminResponse::Yes(self.net.accepted().to_string())),
-            AdminRequest::Out(id) => self.attempts_in_flight_at(id),
+            AdminRequest::Clients => Ok(AdminResponse::Success(self.net.accepted().to_string())),
+            AdminRequest::InFlight(id) => self.attempts_in_flight_at(id),
             AdminRequest::Peers => {
                 let report = self.cluster()?.peers(now, self.longest_iteration);
-                Ok(AdminResponse::Figures(report.to_string()))
+                Ok(AdminResponse::Report(report.to_string()))
             }
-            AdminRequest::State => Ok(AdminResponse::Figures(self.cluster()?.state(now).to_string())),
-            AdminRequest::Conflicts => Ok(AdminResponse::Figures(self.cluster()?.conflicts(now).to_string())),
+            AdminRequest::State => Ok(AdminResponse::Report(self.cluster()?.state(now).to_string())),
+            AdminRequest::Conflicts => Ok(AdminResponse::Report(self.cluster()?.conflicts(now).to_string())),
             AdminRequest::Suspend(id, options) => self.suspend_or_restore(id, true, &options, now),
             AdminRequest::Restore(id, options) => self.suspend_or_restore(id, false, &options, now),
             AdminRequest::Pause(broker, options) => self.pause(broker, &options, now),
@@ -148,7 +148,7 @@
             return Err(AdminError::ShuttingDown);
         }
         let status = if self.drain.is_paused() { "paused" } else { "serving" };
-        Ok(AdminResponse::Yes(status.into()))
+        Ok(AdminResponse::Success(status.into()))
     }
 
     fn metrics_report(&self) -> AdminResponse {
@@ -158,12 +158,12 @@
             pool_size,
             pool_ejected: suspended + self.engine.ejected(),
         };
-        AdminResponse::Figures(self.engine.metrics().line(&self.class_names, gauges))
+        AdminResponse::Report(self.engine.metrics().to_json_line(&self.class_names, gauges))
     }
 
     fn attempts_in_flight_at(&self, id: String) -> Result<AdminResponse, AdminError> {
         match self.frontend.membership().replica(&id) {
-            Some(replica) => Ok(AdminResponse::Yes(self.engine.in_flight_at(replica).to_string())),
+            Some(replica) => Ok(AdminResponse::Success(self.engine.in_flight_at(replica).to_string())),
             None => Err(AdminError::UnknownNode(id)),
         }
     }
@@ -177,7 +177,7 @@
     ) -> Result<AdminResponse, AdminError> {
         reject_expiry(options)?;
         match self.set_suspended(&id, suspended, now) {
-            Ok(()) => Ok(AdminResponse::Yes(id)),
+            Ok(()) => Ok(AdminResponse::Success(id)),
             Err(UnknownNode) => Err(AdminError::UnknownNode(id)),
         }
     }
@@ -192,7 +192,7 @@
         reject_other_broker(broker.as_deref())?;
         self.set_paused(true, now);
         self.publish_overrides();
-        Ok(AdminResponse::Yes("clients are sent away".into()))
+        Ok(AdminResponse::Success("clients are sent away".into()))
     }
 
     fn resume(
@@ -208,13 +208,13 @@
         }
         self.set_paused(false, now);
         self.publish_overrides();
-        Ok(AdminResponse::Yes("clients are welcome".into()))
+        Ok(AdminResponse::Success("clients are welcome".into()))
     }
 }
 
 /// Without a cluster nothing keeps the time at which a command ends by itself.
 fn reject_expiry(options: &CommandOptions) -> Result<(), AdminError> {
-    if options.holds.is_some() { Err(AdminError::ExpiryNeedsCluster) } else { Ok(()) }
+    if options.valid_for_s.is_some() { Err(AdminError::ExpiryNeedsCluster) } else { Ok(()) }
 }
 
 /// Without a cluster no other broker can be paused or resumed.
--- a/src/server/cluster_driver.rs
+++ b/src/server/cluster_driver.rs
@@ -55,11 +55,11 @@
         let Some(cluster) = &mut self.cluster else { return };
         for (caller, result) in cluster.take_replies() {
             let response = match result {
-                Ok(confirmation) => AdminResponse::Yes(confirmation),
-                Err(reason) => AdminResponse::No(reason),
+                Ok(confirmation) => AdminResponse::Success(confirmation),
+                Err(reason) => AdminResponse::Failure(reason),
             };
             if let Some(admin_server) = &mut self.admin_server {
-                admin_server.answer(caller, &response, &mut self.net);
+                admin_server.respond(caller, &response, &mut self.net);
             }
         }
     }
--- a/tests/operation/rules.rs
+++ b/tests/operation/rules.rs
@@ -1,6 +1,6 @@
 //! What the parts of operation decide, without processes or sockets.
 
-use pebbleturn::admin::request::{self, AdminRequest, CommandOptions, LONGEST, RequestError};
+use pebbleturn::admin::request::{self, AdminRequest, CommandOptions, MAX_LINE_BYTES, RequestError};
 use pebbleturn::membership::{ManualOverrides, NodeChange, UnknownNode};
 use pebbleturn::metrics::{Gauges, Metrics, QueryResult};
 use pebbleturn::server::drain::{ACCEPT_GRACE_PERIOD, DrainPhase, DrainState};
@@ -12,7 +12,8 @@
 #[test]
 fn each_line_is_one_call_or_one_clear_no() {
     let no = CommandOptions::default;
-    let said = CommandOptions { by: "asha".into(), why: "new disk, twice".into(), holds: Some(60) };
+    let said =
+        CommandOptions { operator: "asha".into(), reason: "new disk, twice".into(), valid_for_s: Some(60) };
     for (line, want) in [
         ("STATUS", Ok(AdminRequest::Status)),
         ("  METRICS \r", Ok(AdminRequest::Metrics)),
@@ -29,19 +30,22 @@
         ("REMOVE b-2", Ok(AdminRequest::Remove("b-2".into(), no()))),
         ("PEERS", Ok(AdminRequest::Peers)),
         ("", Err(RequestError::Empty)),
-        ("SUSPEND", Err(RequestError::NoId("SUSPEND"))),
-        ("SUSPEND a b", Err(RequestError::Extra("SUSPEND"))),
-        ("SUSPEND a for=0", Err(RequestError::NoTime("0".into()))),
-        ("SUSPEND a for=99999999999999999999", Err(RequestError::NoTime("99999999999999999999".into()))),
-        ("PAUSE b-2 now", Err(RequestError::Extra("PAUSE"))),
-        ("OUT a b", Err(RequestError::Extra("OUT"))),
-        ("STATE all", Err(RequestError::Extra("STATE"))),
-        ("pause", Err(RequestError::Unknown("pause".into()))),
+        ("SUSPEND", Err(RequestError::MissingName("SUSPEND"))),
+        ("SUSPEND a b", Err(RequestError::UnexpectedArgument("SUSPEND"))),
+        ("SUSPEND a for=0", Err(RequestError::InvalidDuration("0".into()))),
+        (
+            "SUSPEND a for=99999999999999999999",
+            Err(RequestError::InvalidDuration("99999999999999999999".into())),
+        ),
+        ("PAUSE b-2 now", Err(RequestError::UnexpectedArgument("PAUSE"))),
+        ("OUT a b", Err(RequestError::UnexpectedArgument("OUT"))),
+        ("STATE all", Err(RequestError::UnexpectedArgument("STATE"))),
+        ("pause", Err(RequestError::UnknownCommand("pause".into()))),
     ] {
-        assert_eq!(request::read(line.as_bytes()), want, "{line:?}");
+        assert_eq!(request::parse(line.as_bytes()), want, "{line:?}");
     }
-    assert_eq!(request::read(b"\xff"), Err(RequestError::NotText));
-    assert_eq!(request::read(&[b'a'; LONGEST + 1]), Err(RequestError::TooLong));
+    assert_eq!(request::parse(b"\xff"), Err(RequestError::NotText));
+    assert_eq!(request::parse(&[b'a'; MAX_LINE_BYTES + 1]), Err(RequestError::TooLong));
 }
 
 #[test]
@@ -140,10 +144,11 @@
 #[test]
 fn the_figures_are_one_line_of_json_under_the_names_asked_for() {
     let mut figures = Metrics::new(2);
-    figures.ended(0, QueryResult::Ok);
-    figures.ended(1, QueryResult::Shed);
-    figures.tried(7);
-    let line = figures.line(&["a".into(), "b".into()], Gauges { active: 3, pool_size: 5, pool_ejected: 1 });
+    figures.record_query(0, QueryResult::Ok);
+    figures.record_query(1, QueryResult::Shed);
+    figures.record_attempts(7);
+    let line =
+        figures.to_json_line(&["a".into(), "b".into()], Gauges { active: 3, pool_size: 5, pool_ejected: 1 });
     let want = serde_json::json!({"ok":{"a":1,"b":0},"shed":{"a":0,"b":1},"errors":{"a":0,"b":0},
         "tries":7,"active":3,"pool_size":5,"pool_ejected":1});
     assert_eq!(serde_json::from_str::<serde_json::Value>(&line).unwrap(), want);
@@ -299,8 +304,8 @@
     use std::time::{Duration, Instant};
     let mut net = PollLoop::new(Pool::new(16), 16).unwrap();
     let mut desk = AdminServer::open("127.0.0.1:0".parse().unwrap(), &mut net).unwrap();
-    let silent: Vec<TcpStream> = (0..100).map(|_| TcpStream::connect(desk.listening()).unwrap()).collect();
-    let mut caller = TcpStream::connect(desk.listening()).unwrap();
+    let silent: Vec<TcpStream> = (0..100).map(|_| TcpStream::connect(desk.local_addr()).unwrap()).collect();
+    let mut caller = TcpStream::connect(desk.local_addr()).unwrap();
     caller.write_all(b"STATUS\n").unwrap();
     // The desk's own clock stands still: nobody's time runs out, whatever this machine does meanwhile.
     let (now, start, mut events) = (1, Instant::now(), vec![]);
--- a/tests/recorded_decisions/engine.rs
+++ b/tests/recorded_decisions/engine.rs
@@ -297,7 +297,7 @@
     fn record_figures(&mut self) {
         let names = ["partial", "keyed", "unsafe"].map(String::from);
         let now = pebbleturn::metrics::Gauges { active: 1, pool_size: 2, pool_ejected: 3 };
-        let line = self.exchange.metrics().line(&names, now);
+        let line = self.exchange.metrics().to_json_line(&names, now);
         self.digest.put_str(&line);
     }
 }
