Split the admin client by concern, and give admin requests typed errors by thiserror

The client was one file for arguments, connection and tables; parsing of requests was one function of closures; the server had two collections of the same callers.

--- /dev/null
+++ b/src/admin/client/mod.rs
@@ -0,0 +1,253 @@
+//! The command that calls a broker's admin endpoint, for people and for scripts.
+
+mod connection;
+mod output;
+
+pub(crate) use output::cluster_state_text;
+
+use clap::{Args, Subcommand};
+use connection::{Response, call};
+use serde_json::json;
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+/// Exit code where the broker rejected the request. 0 is a success, and 2 a mistake in the command.
+const EXIT_REJECTED: u8 = 1;
+/// Exit code where the broker can't be reached or does not respond.
+const EXIT_NO_RESPONSE: u8 = 3;
+/// Exit code where what `--wait` waits for did not come in time.
+const EXIT_TIMED_OUT: u8 = 4;
+/// Time between two requests while waiting.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest time that `--within` may allow, seconds.
+const MAX_TIMEOUT_S: u64 = 24 * 3600;
+
+/// Calls a broker's second address. Exits with 0 for a yes, 1 for a no, 2 for a mistake in the command, 3 where nobody
+/// answers, 4 where what `--wait` waits for does not come in time.
+#[derive(Debug, Args)]
+pub struct OperateArgs {
+    /// Where the broker takes calls: the `ops` of its configuration.
+    address: SocketAddr,
+    #[command(subcommand)]
+    command: AdminCommand,
+    /// Write one JSON object.
+    #[arg(long, global = true)]
+    json: bool,
+    /// Wait until it is done: after `pause` until no client is connected, after `suspend` until nothing is out at the
+    /// server, after `resume` and `status` until the broker serves.
+    #[arg(long, global = true)]
+    wait: bool,
+    /// Seconds for an answer, and for what is waited for.
+    #[arg(long, global = true, default_value_t = 30, value_name = "SECONDS")]
+    within: u64,
+    /// Who says it, one word; kept with the word and shown to others.
+    #[arg(long, global = true, value_name = "WHO")]
+    by: Option<String>,
+    /// Why it is said; kept with the word and shown to others.
+    #[arg(long, global = true, value_name = "WORDS")]
+    why: Option<String>,
+    /// Seconds after which the word ends by itself; in a cluster.
+    #[arg(long = "for", global = true, value_name = "SECONDS")]
+    valid_for_s: Option<u64>,
+}
+
+#[derive(Clone, Debug, Subcommand)]
+enum AdminCommand {
+    /// Whether the process takes clients.
+    Status,
+    /// The figures.
+    Metrics,
+    /// Take a server out.
+    Suspend {
+        /// Its id in the list.
+        id: String,
+    },
+    /// Put a server back.
+    Restore {
+        /// Its id in the list.
+        id: String,
+    },
+    /// Send clients away.
+    Pause {
+        /// The broker of the cluster; without a name the one that is called.
+        broker: Option<String>,
+    },
+    /// Take clients again.
+    Resume {
+        /// The broker of the cluster; without a name the one that is called.
+        broker: Option<String>,
+    },
+    /// Who the brokers of the cluster are, and who is up.
+    Peers,
+    /// What the cluster knows: words by hand, and whether all of it is on disk.
+    State,
+    /// On what words by hand differ that know nothing of each other.
+    Conflicts,
+    /// Remove a broker from the cluster for good.
+    Remove {
+        /// Its name.
+        broker: String,
+    },
+    /// Let a broker in again that was removed.
+    Admit {
+        /// Its name.
+        broker: String,
+    },
+}
+
+impl AdminCommand {
+    /// The request line, without what `--by`, `--for` and `--why` add.
+    fn request_line(&self) -> String {
+        match self {
+            AdminCommand::Status => "STATUS".into(),
+            AdminCommand::Metrics => "METRICS".into(),
+            AdminCommand::Suspend { id } => format!("SUSPEND {id}"),
+            AdminCommand::Restore { id } => format!("RESTORE {id}"),
+            AdminCommand::Pause { broker } => with_optional_broker("PAUSE", broker.as_deref()),
+            AdminCommand::Resume { broker } => with_optional_broker("RESUME", broker.as_deref()),
+            AdminCommand::Peers => "PEERS".into(),
+            AdminCommand::State => "STATE".into(),
+            AdminCommand::Conflicts => "CONFLICTS".into(),
+            AdminCommand::Remove { broker } => format!("REMOVE {broker}"),
+            AdminCommand::Admit { broker } => format!("ADMIT {broker}"),
+        }
+    }
+
+    /// Whether it changes something, so that `--by`, `--for` and `--why` may be added.
+    fn is_operator_command(&self) -> bool {
+        !matches!(
+            self,
+            AdminCommand::Status
+                | AdminCommand::Metrics
+                | AdminCommand::Peers
+                | AdminCommand::State
+                | AdminCommand::Conflicts
+        )
+    }
+
+    /// How `--wait` learns whether the command is complete; none where there is nothing to wait for.
+    fn completion_check(&self) -> Option<CompletionCheck> {
+        let (request, awaited) = match self {
+            AdminCommand::Pause { broker: None } => ("CLIENTS".into(), "clients are connected"),
+            AdminCommand::Suspend { id } => (format!("OUT {id}"), "attempts are out at the server"),
+            AdminCommand::Status | AdminCommand::Resume { broker: None } => {
+                ("STATUS".into(), "it does not serve yet")
+            }
+            _ => return None,
+        };
+        Some(CompletionCheck { request, awaited })
+    }
+}
+
+fn with_optional_broker(command: &str, broker: Option<&str>) -> String {
+    format!("{command} {}", broker.unwrap_or_default()).trim_end().into()
+}
+
+/// A request that is repeated until its response shows that a command is complete.
+struct CompletionCheck {
+    request: String,
+    /// What is still waited for, as printed with each response.
+    awaited: &'static str,
+}
+
+impl OperateArgs {
+    /// Sends the command, prints the response, and waits for completion where that was asked for.
+    pub fn run(self) -> ExitCode {
+        let timeout = Duration::from_secs(self.within.clamp(1, MAX_TIMEOUT_S));
+        let deadline = Instant::now() + timeout;
+        let line = self.request_line();
+        let response = match self.call_until(&line, deadline) {
+            Ok(response) => response,
+            Err(error) => {
+                eprintln!("{}: {error}", self.address);
+                return ExitCode::from(EXIT_NO_RESPONSE);
+            }
+        };
+        self.print(&line, &response);
+        match response {
+            Response::Failure(_) => ExitCode::from(EXIT_REJECTED),
+            Response::Success(_) if self.wait => self.wait_for_completion(deadline),
+            Response::Success(_) => ExitCode::SUCCESS,
+        }
+    }
+
+    /// The whole request line.
+    fn request_line(&self) -> String {
+        let mut line = self.command.request_line();
+        if self.command.is_operator_command() {
+            let valid_for_s = self.valid_for_s.map(|seconds| seconds.to_string());
+            for (name, value) in [("by", self.by.clone()), ("for", valid_for_s), ("why", self.why.clone())] {
+                if let Some(value) = value {
+                    line += &format!(" {name}={}", value.replace(char::is_control, " "));
+                }
+            }
+        }
+        line
+    }
+
+    /// Calls once; where the status is waited for, until the broker responds with a success.
+    fn call_until(&self, line: &str, deadline: Instant) -> io::Result<Response> {
+        let wait_until_success = self.wait && matches!(self.command, AdminCommand::Status);
+        loop {
+            let response = call(self.address, line, time_left(deadline));
+            let succeeded = matches!(response, Ok(Response::Success(_)));
+            if succeeded || !wait_until_success || Instant::now() + POLL_INTERVAL >= deadline {
+                return response;
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    fn print(&self, line: &str, response: &Response) {
+        let formatter: Option<fn(&str) -> Option<String>> = match self.command {
+            AdminCommand::Metrics => Some(output::metrics_table),
+            AdminCommand::Peers => Some(output::peers_table),
+            AdminCommand::State | AdminCommand::Conflicts => Some(output::cluster_state_text),
+            _ => None,
+        };
+        match (response, formatter) {
+            (Response::Success(report), Some(_)) if self.json => println!("{report}"),
+            (Response::Success(report), Some(format)) => {
+                print!("{}", format(report).unwrap_or_else(|| format!("{report}\n")));
+            }
+            (Response::Success(text), None) if self.json => print_json(line, true, text),
+            (Response::Failure(text), _) if self.json => print_json(line, false, text),
+            (Response::Success(text), None) => println!("{text}"),
+            (Response::Failure(reason), _) => eprintln!("{}: {reason}", self.address),
+        }
+    }
+
+    /// Repeats the completion check until it succeeds, with a line whenever its response changes.
+    fn wait_for_completion(&self, deadline: Instant) -> ExitCode {
+        let Some(check) = self.command.completion_check() else { return ExitCode::SUCCESS };
+        let mut last_response = String::new();
+        loop {
+            let response = match call(self.address, &check.request, time_left(deadline)) {
+                Ok(Response::Success(text)) if text == "0" || text == "serving" => return ExitCode::SUCCESS,
+                Ok(Response::Success(text) | Response::Failure(text)) => text,
+                // One process may just hand over to the next.
+                Err(error) => error.to_string(),
+            };
+            if response != last_response {
+                eprintln!("waiting: {}: {response}", check.awaited);
+                last_response = response;
+            }
+            if Instant::now() + POLL_INTERVAL >= deadline {
+                eprintln!("waited for {} s", self.within);
+                return ExitCode::from(EXIT_TIMED_OUT);
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+}
+
+/// The time until `deadline`, but never 0: sockets take that for no limit.
+fn time_left(deadline: Instant) -> Duration {
+    deadline.saturating_duration_since(Instant::now()).max(Duration::from_millis(1))
+}
+
+fn print_json(line: &str, succeeded: bool, text: &str) {
+    println!("{}", json!({ "call": line, "ok": succeeded, "answer": text }));
+}
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,7 +1,8 @@
-//! The second address, for the staff on duty: one line to a connection, one answer.
+//! The admin endpoint, for operators: one request a connection, one line each, one response.
 //!
-//! It has places and buffers of its own, so that neither a crowd of clients nor one of idle callers keeps a call from
-//! its answer. What the calls mean is in [`request`], the connections are in [`server`]; carrying them out is the broker's.
+//! It has connections and buffers of its own, so that neither a crowd of clients nor one of idle callers keeps a request
+//! from its response. [`request`] defines requests and responses, [`server`] has the connections, and [`client`] is the
+//! command that calls them. The broker carries the requests out.
 
 pub mod client;
 pub mod request;
--- a/src/admin/request.rs
+++ b/src/admin/request.rs
@@ -1,138 +1,157 @@
-//! The calls of the second address: one line each, and what is answered.
+//! The requests of the admin endpoint, one line each, and its responses.
 
-use std::fmt;
-
-/// Longest line, bytes, without its end.
+/// Longest request line without its end, bytes.
 pub const MAX_LINE_BYTES: usize = 512;
-/// Longest time for which a word may hold, seconds: a hundred years.
+/// Longest time for which a command may be valid, seconds: a hundred years.
 const MAX_VALIDITY_S: u64 = 100 * 366 * 86_400;
+/// Longest part of an invalid request that its answer repeats, characters.
+const MAX_QUOTED_CHARS: usize = 32;
 
-/// What staff say beside the thing itself: `by=WHO for=SECONDS why=WORDS`, in this order, the reason to the line's end.
+/// What an operator may add to a command: `by=WHO for=SECONDS why=WORDS`, with the reason last, up to the line's end.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CommandOptions {
-    /// Who says it.
+    /// Who gives the command; empty if not stated.
     pub operator: String,
-    /// Why.
+    /// Why it is given; empty if not stated.
     pub reason: String,
-    /// For how long it holds, seconds; none: until the next word.
+    /// For how long it is valid, seconds; none: until the next command on the same thing.
     pub valid_for_s: Option<u64>,
 }
 
-/// What staff ask for.
+/// A request of an operator.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AdminRequest {
-    /// Whether this process takes clients.
+    /// Whether this process serves clients.
     Status,
-    /// The figures.
+    /// The metrics.
     Metrics,
-    /// Take a server out.
+    /// Suspend a node: it gets no new work.
     Suspend(String, CommandOptions),
-    /// Put a server back.
+    /// Restore a suspended node.
     Restore(String, CommandOptions),
-    /// Send clients away: this broker's, or those of the peer that is named.
+    /// Pause a broker of the cluster, by default this one: clients are sent away.
     Pause(Option<String>, CommandOptions),
-    /// Take clients again.
+    /// End a pause.
     Resume(Option<String>, CommandOptions),
-    /// Remove a peer for good.
+    /// Remove a broker from the cluster for good.
     Remove(String, CommandOptions),
-    /// Let a peer in again that was removed.
+    /// Admit a broker again that was removed.
     Admit(String, CommandOptions),
-    /// Who the peers are, and who is up.
+    /// The brokers of the cluster, and which of them are up.
     Peers,
-    /// What this broker knows with its peers.
+    /// The replicated state of the cluster.
     State,
-    /// On what words that know nothing of each other differ.
+    /// Concurrent commands that contradict each other.
     Conflicts,
-    /// How many clients are connected: a pause is done at 0.
+    /// The number of connected clients: a pause is complete at 0.
     Clients,
-    /// How many attempts are out at a server: work on it can begin at 0.
+    /// The number of attempts in flight at a node: work on a suspended one can begin at 0.
     InFlight(String),
 }
 
-/// A line that is no call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Why a line is no valid request. The text is the answer that the caller reads.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RequestError {
-    /// Nothing but space.
+    /// The line is blank.
+    #[error("the line is empty")]
     Empty,
-    /// Longer than may be.
+    /// The line is longer than [`MAX_LINE_BYTES`].
+    #[error("the line has more than {MAX_LINE_BYTES} bytes")]
     TooLong,
-    /// Not text.
+    /// The line is not UTF-8.
+    #[error("the line is no text")]
     NotText,
-    /// No such word.
+    /// There is no request of this name.
+    #[error(
+        "unknown call {0:?}; known are STATUS, METRICS, SUSPEND ID, RESTORE ID, PAUSE, RESUME, \
+         CLIENTS, OUT ID, PEERS, STATE, CONFLICTS, REMOVE NAME and ADMIT NAME"
+    )]
     UnknownCommand(String),
-    /// The word needs an id behind it.
-    MissingName(&'static str),
-    /// The word takes nothing behind it, or nothing more.
+    /// The request needs the id of a node.
+    #[error("{0} needs the id of a server")]
+    MissingNode(&'static str),
+    /// The request needs the name of a broker.
+    #[error("{0} needs the name of a broker")]
+    MissingBroker(&'static str),
+    /// The request takes no argument, or no further one.
+    #[error("{0} takes nothing more behind it")]
     UnexpectedArgument(&'static str),
-    /// `for=` is no number of seconds.
+    /// The value of `for=` is no number of seconds, or out of range.
+    #[error("for={0} is no number of seconds, or too many")]
     InvalidDuration(String),
 }
 
-impl fmt::Display for RequestError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            RequestError::Empty => write!(f, "the line is empty"),
-            RequestError::TooLong => write!(f, "the line has more than {MAX_LINE_BYTES} bytes"),
-            RequestError::NotText => write!(f, "the line is no text"),
-            RequestError::UnknownCommand(word) => write!(
-                f,
-                "unknown call {word:?}; known are STATUS, METRICS, SUSPEND ID, RESTORE ID, PAUSE, RESUME, \
-                 CLIENTS, OUT ID, PEERS, STATE, CONFLICTS, REMOVE NAME and ADMIT NAME"
-            ),
-            RequestError::MissingName(word @ ("REMOVE" | "ADMIT")) => {
-                write!(f, "{word} needs the name of a broker")
-            }
-            RequestError::MissingName(word) => write!(f, "{word} needs the id of a server"),
-            RequestError::UnexpectedArgument(word) => write!(f, "{word} takes nothing more behind it"),
-            RequestError::InvalidDuration(text) => {
-                write!(f, "for={text} is no number of seconds, or too many")
-            }
-        }
-    }
-}
-
-impl std::error::Error for RequestError {}
-
-/// Reads a line without its end.
+/// Parses a line without its end.
+///
+/// # Errors
+///
+/// If the line is no valid request.
 pub fn parse(line: &[u8]) -> Result<AdminRequest, RequestError> {
     if line.len() > MAX_LINE_BYTES {
         return Err(RequestError::TooLong);
     }
     let text = std::str::from_utf8(line).map_err(|_| RequestError::NotText)?;
-    let (word, rest) = split_word(text).ok_or(RequestError::Empty)?;
-    let without_argument =
-        |word, call| if rest.is_empty() { Ok(call) } else { Err(RequestError::UnexpectedArgument(word)) };
-    let named = |word, call: fn(String, CommandOptions) -> AdminRequest| match split_word(rest) {
-        None => Err(RequestError::MissingName(word)),
-        Some((id, rest)) => Ok(call(id.to_owned(), parse_options(word, rest)?)),
-    };
-    // Without a name it is this broker.
-    let optionally_named =
-        |word, call: fn(Option<String>, CommandOptions) -> AdminRequest| match split_word(rest) {
-            Some((name, rest)) if !name.contains('=') => {
-                Ok(call(Some(name.to_owned()), parse_options(word, rest)?))
-            }
-            _ => Ok(call(None, parse_options(word, rest)?)),
-        };
-    match word {
-        "STATUS" => without_argument("STATUS", AdminRequest::Status),
-        "METRICS" => without_argument("METRICS", AdminRequest::Metrics),
-        "SUSPEND" => named("SUSPEND", AdminRequest::Suspend),
-        "RESTORE" => named("RESTORE", AdminRequest::Restore),
-        "PAUSE" => optionally_named("PAUSE", AdminRequest::Pause),
-        "RESUME" => optionally_named("RESUME", AdminRequest::Resume),
-        "REMOVE" => named("REMOVE", AdminRequest::Remove),
-        "ADMIT" => named("ADMIT", AdminRequest::Admit),
-        "CLIENTS" => without_argument("CLIENTS", AdminRequest::Clients),
-        "PEERS" => without_argument("PEERS", AdminRequest::Peers),
-        "STATE" => without_argument("STATE", AdminRequest::State),
-        "CONFLICTS" => without_argument("CONFLICTS", AdminRequest::Conflicts),
-        "OUT" => match split_word(rest) {
-            None => Err(RequestError::MissingName("OUT")),
-            Some((_, more)) if !more.is_empty() => Err(RequestError::UnexpectedArgument("OUT")),
-            Some((id, _)) => Ok(AdminRequest::InFlight(id.to_owned())),
-        },
-        other => Err(RequestError::UnknownCommand(other.chars().take(32).collect())),
+    let (command, arguments) = split_word(text).ok_or(RequestError::Empty)?;
+    match command {
+        "STATUS" => without_argument("STATUS", arguments, AdminRequest::Status),
+        "METRICS" => without_argument("METRICS", arguments, AdminRequest::Metrics),
+        "CLIENTS" => without_argument("CLIENTS", arguments, AdminRequest::Clients),
+        "PEERS" => without_argument("PEERS", arguments, AdminRequest::Peers),
+        "STATE" => without_argument("STATE", arguments, AdminRequest::State),
+        "CONFLICTS" => without_argument("CONFLICTS", arguments, AdminRequest::Conflicts),
+        "OUT" => parse_in_flight(arguments),
+        "SUSPEND" => with_node("SUSPEND", arguments, AdminRequest::Suspend),
+        "RESTORE" => with_node("RESTORE", arguments, AdminRequest::Restore),
+        "REMOVE" => with_broker("REMOVE", arguments, AdminRequest::Remove),
+        "ADMIT" => with_broker("ADMIT", arguments, AdminRequest::Admit),
+        "PAUSE" => with_optional_broker("PAUSE", arguments, AdminRequest::Pause),
+        "RESUME" => with_optional_broker("RESUME", arguments, AdminRequest::Resume),
+        other => Err(RequestError::UnknownCommand(truncated(other))),
+    }
+}
+
+fn without_argument(
+    command: &'static str,
+    arguments: &str,
+    request: AdminRequest,
+) -> Result<AdminRequest, RequestError> {
+    if arguments.is_empty() { Ok(request) } else { Err(RequestError::UnexpectedArgument(command)) }
+}
+
+fn parse_in_flight(arguments: &str) -> Result<AdminRequest, RequestError> {
+    let (id, rest) = split_word(arguments).ok_or(RequestError::MissingNode("OUT"))?;
+    without_argument("OUT", rest, AdminRequest::InFlight(id.to_owned()))
+}
+
+fn with_node(
+    command: &'static str,
+    arguments: &str,
+    request: fn(String, CommandOptions) -> AdminRequest,
+) -> Result<AdminRequest, RequestError> {
+    let (id, options) = split_word(arguments).ok_or(RequestError::MissingNode(command))?;
+    Ok(request(id.to_owned(), parse_options(command, options)?))
+}
+
+fn with_broker(
+    command: &'static str,
+    arguments: &str,
+    request: fn(String, CommandOptions) -> AdminRequest,
+) -> Result<AdminRequest, RequestError> {
+    let (name, options) = split_word(arguments).ok_or(RequestError::MissingBroker(command))?;
+    Ok(request(name.to_owned(), parse_options(command, options)?))
+}
+
+/// Without a name the request is meant for the broker that gets it.
+fn with_optional_broker(
+    command: &'static str,
+    arguments: &str,
+    request: fn(Option<String>, CommandOptions) -> AdminRequest,
+) -> Result<AdminRequest, RequestError> {
+    match split_word(arguments) {
+        Some((name, options)) if !name.contains('=') => {
+            Ok(request(Some(name.to_owned()), parse_options(command, options)?))
+        }
+        _ => Ok(request(None, parse_options(command, arguments)?)),
     }
 }
 
@@ -143,39 +162,50 @@
     if text.is_empty() { None } else { Some((&text[..end], text[end..].trim_ascii())) }
 }
 
-fn parse_options(word: &'static str, mut rest: &str) -> Result<CommandOptions, RequestError> {
+/// Bounds what of an invalid request is repeated in its answer.
+fn truncated(word: &str) -> String {
+    word.chars().take(MAX_QUOTED_CHARS).collect()
+}
+
+fn parse_options(command: &'static str, text: &str) -> Result<CommandOptions, RequestError> {
     let mut options = CommandOptions::default();
+    let mut rest = text;
     while let Some((argument, remaining)) = split_word(rest) {
+        // The reason extends to the end of the line.
         if let Some(reason) = rest.trim_ascii().strip_prefix("why=") {
             options.reason = reason.trim_matches('"').to_owned();
             return Ok(options);
-        } else if let Some(by) = argument.strip_prefix("by=") {
-            options.operator = by.to_owned();
-        } else if let Some(time) = argument.strip_prefix("for=") {
-            let seconds: Option<u64> = time.parse().ok().filter(|s| (1..=MAX_VALIDITY_S).contains(s));
-            options.valid_for_s =
-                Some(seconds.ok_or_else(|| RequestError::InvalidDuration(time.chars().take(32).collect()))?);
+        } else if let Some(operator) = argument.strip_prefix("by=") {
+            options.operator = operator.to_owned();
+        } else if let Some(seconds) = argument.strip_prefix("for=") {
+            options.valid_for_s = Some(parse_validity(seconds)?);
         } else {
-            return Err(RequestError::UnexpectedArgument(word));
+            return Err(RequestError::UnexpectedArgument(command));
         }
         rest = remaining;
     }
     Ok(options)
 }
 
-/// What is answered.
+fn parse_validity(text: &str) -> Result<u64, RequestError> {
+    let seconds: Option<u64> = text.parse().ok();
+    let valid = seconds.filter(|seconds| (1..=MAX_VALIDITY_S).contains(seconds));
+    valid.ok_or_else(|| RequestError::InvalidDuration(truncated(text)))
+}
+
+/// A response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AdminResponse {
-    /// It is so, or done; a word on it.
+    /// The request was carried out, or the answer is yes; with a short text.
     Success(String),
-    /// The figures, a line.
+    /// A report, one line of JSON.
     Report(String),
-    /// It is not so, or not done, and why.
+    /// The request was rejected, or the answer is no; with the reason.
     Failure(String),
 }
 
 impl AdminResponse {
-    /// The bytes of the answer.
+    /// The response as it is sent.
     pub fn encode(&self) -> String {
         match self {
             AdminResponse::Success(words) => format!("SUCCESS {words}\n"),
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -1,74 +1,84 @@
-//! The connections of the second address. Each brings one line and gets one answer.
+//! The connections of the admin endpoint. Each brings one request and gets one response.
 
 use super::request::{self, AdminRequest, AdminResponse, MAX_LINE_BYTES, RequestError};
 use crate::api::Nanos;
 use crate::net::{ConnId, ConnectionClass, NetEvent, PollLoop, Pool, ReadOutcome};
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 
-/// The mark of its connections: no front's owners come near it.
+/// The owner under which its connections are registered at the poll loop. No frontend uses owners near it.
 pub const OWNER: u8 = 200;
-/// Callers that are held at once. Beyond them the one that has been silent for longest goes.
+/// Most connections at once. Beyond them the one that has been silent for longest is closed.
 pub const MAX_CONNECTIONS: usize = 16;
-/// How long a caller may take to bring a whole line.
+/// Time in which a caller has to send a whole line, nanoseconds.
 const REQUEST_TIMEOUT: Nanos = 10_000_000_000;
-/// Bytes of a buffer, and buffers in all: each caller may hold one, and as many again wait to be written.
+/// Size of a buffer, bytes.
 const BUFFER_BYTES: usize = 4096;
+/// Buffers in all: each caller may use one, and as many again wait to be written.
 const BUFFER_COUNT: usize = 4 * MAX_CONNECTIONS;
 
-/// The second address: its callers, and the calls that have come in whole.
+/// A caller whose line has not come whole.
+#[derive(Debug)]
+struct PendingCaller {
+    conn: ConnId,
+    address: SocketAddr,
+    accepted_at: Nanos,
+}
+
+/// What reading from a caller has brought.
+enum LineRead {
+    /// There may be more to read.
+    Progress,
+    /// Nothing more can be read for now.
+    Blocked,
+    /// The caller closed the connection without a request.
+    Closed,
+    /// A whole line, or what can't become a valid one.
+    Line(Result<AdminRequest, RequestError>),
+}
+
+/// The admin endpoint: its callers, and the requests that have come whole.
+#[derive(Debug)]
 pub struct AdminServer {
     local_addr: SocketAddr,
-    /// Callers without a whole line, the oldest first.
-    pending: VecDeque<(Nanos, ConnId)>,
-    peers: HashMap<ConnId, SocketAddr>,
+    /// The oldest first.
+    pending: VecDeque<PendingCaller>,
     requests: VecDeque<(ConnId, AdminRequest)>,
 }
 
 impl AdminServer {
-    /// Listens.
+    /// Listens at `addr`.
+    ///
+    /// # Errors
+    ///
+    /// If the operating system refuses the socket.
     pub fn open(addr: SocketAddr, net: &mut PollLoop) -> io::Result<AdminServer> {
-        let local_addr = net.listen_apart(
-            addr,
-            OWNER,
-            ConnectionClass::Admin,
-            MAX_CONNECTIONS,
-            Pool::sized(BUFFER_COUNT, BUFFER_BYTES),
-        )?;
-        Ok(AdminServer {
-            local_addr,
-            pending: VecDeque::new(),
-            peers: HashMap::new(),
-            requests: VecDeque::new(),
-        })
+        let pool = Pool::sized(BUFFER_COUNT, BUFFER_BYTES);
+        let local_addr = net.listen_apart(addr, OWNER, ConnectionClass::Admin, MAX_CONNECTIONS, pool)?;
+        Ok(AdminServer { local_addr, pending: VecDeque::new(), requests: VecDeque::new() })
     }
 
-    /// Where it listens.
+    /// The address at which it listens.
     pub fn local_addr(&self) -> SocketAddr {
         self.local_addr
     }
 
-    /// A call that waits for its answer, and on which connection.
+    /// The next request to be carried out, and the connection on which its response is expected.
     pub fn next_request(&mut self) -> Option<(ConnId, AdminRequest)> {
         self.requests.pop_front()
     }
 
-    /// Takes in what happened on one of its connections.
+    /// Handles an event of one of its connections.
     pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut PollLoop) {
         match event {
             NetEvent::Accepted { conn, peer, .. } => {
-                self.pending.push_back((now, conn));
-                self.peers.insert(conn, peer);
+                self.pending.push_back(PendingCaller { conn, address: peer, accepted_at: now });
                 self.read(conn, now, net);
-                while net.accepted_at(ConnectionClass::Admin) > MAX_CONNECTIONS {
-                    let Some((_, oldest)) = self.pending.front().copied() else { break };
-                    self.forget(oldest);
-                    net.close(oldest);
-                }
+                self.close_excess_callers(net);
             }
             NetEvent::Readable { conn, .. } => self.read(conn, now, net),
-            NetEvent::Broken { conn, .. } => self.forget(conn),
+            NetEvent::Broken { conn, .. } => _ = self.remove(conn),
             NetEvent::Flushed { .. }
             | NetEvent::Connected { .. }
             | NetEvent::Datagrams { .. }
@@ -76,46 +86,43 @@
         }
     }
 
-    fn forget(&mut self, conn: ConnId) {
-        self.pending.retain(|(_, c)| *c != conn);
-        self.peers.remove(&conn);
+    fn close_excess_callers(&mut self, net: &mut PollLoop) {
+        while net.accepted_at(ConnectionClass::Admin) > MAX_CONNECTIONS
+            && let Some(oldest) = self.pending.pop_front()
+        {
+            net.close(oldest.conn);
+        }
+    }
+
+    fn remove(&mut self, conn: ConnId) -> Option<PendingCaller> {
+        let position = self.pending.iter().position(|caller| caller.conn == conn)?;
+        self.pending.remove(position)
     }
 
     fn read(&mut self, conn: ConnId, now: Nanos, net: &mut PollLoop) {
-        while self.peers.contains_key(&conn) {
-            let outcome = net.fill(conn);
-            let data = net.data(conn);
-            let end = data.iter().take(MAX_LINE_BYTES + 1).position(|b| *b == b'\n');
-            let line = match (end, outcome) {
-                (Some(end), _) => request::parse(data[..end].trim_ascii_end()),
-                (None, _) if data.len() > MAX_LINE_BYTES => Err(RequestError::TooLong),
-                // A last line may lack its end where the caller says that no more will come.
-                (None, ReadOutcome::Ended) if !data.is_empty() => request::parse(data.trim_ascii_end()),
-                (None, ReadOutcome::Ended) => {
-                    self.forget(conn);
+        while self.pending.iter().any(|caller| caller.conn == conn) {
+            match read_line(conn, net) {
+                LineRead::Progress => {}
+                LineRead::Blocked => return,
+                LineRead::Closed => {
+                    self.remove(conn);
                     return net.close(conn);
                 }
-                (None, ReadOutcome::Some(_)) => continue,
-                (None, _) => return,
-            };
-            // One line to a connection: it waits for nothing more.
-            self.pending.retain(|(_, c)| *c != conn);
-            let peer = self.peers.remove(&conn);
-            let length = net.data(conn).len();
-            net.consume(conn, length);
-            match line {
-                Ok(request) => self.requests.push_back((conn, request)),
-                Err(e) => {
-                    tracing::info!("call from {} refused: {e}", peer.map_or("?".into(), |p| p.to_string()));
-                    // Who is still sending reads its answer before the connection breaks.
-                    let _ = net.send(conn, AdminResponse::Failure(e.to_string()).encode().as_bytes());
-                    net.close_lingering(conn, now);
+                LineRead::Line(request) => {
+                    let caller = self.remove(conn);
+                    // A connection has one line; what comes behind it is dropped.
+                    let length = net.data(conn).len();
+                    net.consume(conn, length);
+                    match request {
+                        Ok(request) => self.requests.push_back((conn, request)),
+                        Err(error) => reject(conn, caller, error, now, net),
+                    }
                 }
             }
         }
     }
 
-    /// Answers a call; that ends its connection.
+    /// Sends the response to a request; that ends its connection.
     pub fn respond(&mut self, conn: ConnId, response: &AdminResponse, net: &mut PollLoop) {
         if net.send(conn, response.encode().as_bytes()).is_err() {
             return net.close(conn);
@@ -123,16 +130,43 @@
         net.close_after_flush(conn);
     }
 
-    /// Closes callers that have had their time.
+    /// Closes callers whose time to send a request is over.
     pub fn tick(&mut self, now: Nanos, net: &mut PollLoop) {
-        while let Some((_, conn)) = self.pending.pop_front_if(|(since, _)| *since + REQUEST_TIMEOUT <= now) {
-            self.peers.remove(&conn);
-            net.close(conn);
+        while let Some(caller) =
+            self.pending.pop_front_if(|caller| caller.accepted_at + REQUEST_TIMEOUT <= now)
+        {
+            net.close(caller.conn);
         }
     }
 
-    /// When `tick` is next worth calling.
+    /// When [`AdminServer::tick`] is next worth calling.
     pub fn next_deadline(&self) -> Option<Nanos> {
-        self.pending.front().map(|(since, _)| since + REQUEST_TIMEOUT)
+        self.pending.front().map(|caller| caller.accepted_at + REQUEST_TIMEOUT)
     }
 }
+
+fn read_line(conn: ConnId, net: &mut PollLoop) -> LineRead {
+    let outcome = net.fill(conn);
+    let data = net.data(conn);
+    let line_end = data.iter().take(MAX_LINE_BYTES + 1).position(|byte| *byte == b'\n');
+    match (line_end, outcome) {
+        (Some(line_end), _) => LineRead::Line(request::parse(data[..line_end].trim_ascii_end())),
+        (None, _) if data.len() > MAX_LINE_BYTES => LineRead::Line(Err(RequestError::TooLong)),
+        // The end of the line may be missing where the caller has closed its side.
+        (None, ReadOutcome::Ended) if !data.is_empty() => {
+            LineRead::Line(request::parse(data.trim_ascii_end()))
+        }
+        (None, ReadOutcome::Ended) => LineRead::Closed,
+        (None, ReadOutcome::Some(_)) => LineRead::Progress,
+        (None, _) => LineRead::Blocked,
+    }
+}
+
+fn reject(conn: ConnId, caller: Option<PendingCaller>, error: RequestError, now: Nanos, net: &mut PollLoop) {
+    let address = caller.map_or("?".into(), |caller| caller.address.to_string());
+    tracing::info!("call from {address} refused: {error}");
+    // A caller that is still sending reads its response before the connection breaks.
+    let response = AdminResponse::Failure(error.to_string());
+    let _ = net.send(conn, response.encode().as_bytes());
+    net.close_lingering(conn, now);
+}
--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -3,7 +3,7 @@
 //! Discovery sends one JSON object for each list, and an empty line as a heartbeat in between.
 
 use crate::api::Nanos;
-use crate::http::{Reader, Side};
+use crate::http::{HttpError, Reader, Side};
 use crate::membership::Registry;
 use crate::membership::endpoint_list::EndpointList;
 use crate::net::{ConnId, NetEvent, PollLoop, ReadOutcome};
@@ -30,8 +30,8 @@
     TimedOut,
     #[error("status {0}")]
     Status(u16),
-    #[error("{0}")]
-    Http(String),
+    #[error(transparent)]
+    Http(#[from] HttpError),
     #[error("a line larger than a buffer")]
     LineTooLong,
     #[error("a bad line: {0}")]
@@ -210,10 +210,7 @@
                 ReadOutcome::Some(_) | ReadOutcome::Full => {
                     watch.deadline = now + HEARTBEAT_TIMEOUT;
                     let pool = net.pool().clone();
-                    let used = watch
-                        .reader
-                        .advance(net.data(watch.conn), &pool)
-                        .map_err(|error| WatchError::Http(error.to_string()))?;
+                    let used = watch.reader.advance(net.data(watch.conn), &pool)?;
                     net.consume(watch.conn, used);
                     self.process_lists(now, registry)?;
                     if used == 0 && outcome == ReadOutcome::Full {
--- a/tests/operation/rules.rs
+++ b/tests/operation/rules.rs
@@ -30,7 +30,7 @@
         ("REMOVE b-2", Ok(AdminRequest::Remove("b-2".into(), no()))),
         ("PEERS", Ok(AdminRequest::Peers)),
         ("", Err(RequestError::Empty)),
-        ("SUSPEND", Err(RequestError::MissingName("SUSPEND"))),
+        ("SUSPEND", Err(RequestError::MissingNode("SUSPEND"))),
         ("SUSPEND a b", Err(RequestError::UnexpectedArgument("SUSPEND"))),
         ("SUSPEND a for=0", Err(RequestError::InvalidDuration("0".into()))),
         (
