--- a/src/cli.rs
+++ b/src/cli.rs
@@ -19,10 +19,10 @@
 struct Cli {
     /// The least level of log lines that are written; else PEBBLETURN_LOG tells, else info.
     #[arg(long, value_enum, global = true, value_name = "LEVEL")]
-    log: Option<log::Level>,
+    log: Option<log::LogLevel>,
     /// The form of log lines; else PEBBLETURN_LOG_FORMAT tells, else text.
     #[arg(long, value_enum, global = true, value_name = "FORM")]
-    log_format: Option<log::Form>,
+    log_format: Option<log::LogFormat>,
     /// Seconds by which the clock is off, for tests of clusters.
     #[arg(
         long,
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -1,57 +1,58 @@
-//! What the broker reports of itself: counts that only grow, and how things stand at the moment.
+//! The metrics of a broker: counters since its start, and gauges of the moment.
 //!
-//! Each count has one place: a query where its one final answer is given, an attempt where its frame's last byte is
-//! written. There is no second bookkeeping beside that. Free of I/O and clock.
+//! Each counter has one place where it is incremented: a query where its only final response is given, an attempt where
+//! the last byte of its frame is written. There is no I/O and no clock here.
 
 use serde_json::{Map, Value, json};
 
-/// How a query ended, as clients see it.
+/// The result of a query, as its client sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QueryResult {
-    /// Served, whole or in part.
+    /// It was answered, completely or in part.
     Ok,
-    /// Refused: asking again is harmless.
+    /// It was rejected to shed load; a retry is harmless.
     Shed,
-    /// Failed.
+    /// It failed.
     Error,
 }
 
-/// Queries of one class that have ended.
+/// Counters of the queries of one class.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct QueryCounts {
-    /// Served.
+    /// Answered, completely or in part.
     pub ok: u64,
-    /// Refused.
+    /// Rejected to shed load.
     pub shed: u64,
     /// Failed.
     pub errors: u64,
 }
 
-/// Counts from the process's start.
+/// Counters since the start of the process.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[must_use]
 pub struct Metrics {
     classes: Vec<QueryCounts>,
     attempts: u64,
 }
 
-/// How things stand.
+/// Gauges of the moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Gauges {
-    /// Queries taken and not ended.
+    /// Queries that were accepted and have not ended.
     pub active: usize,
-    /// Servers in the list.
+    /// Nodes in the endpoint list.
     pub pool_size: usize,
-    /// Those of them that get nothing, by hand or by the decision module's choice.
+    /// Those of them that get no work: suspended by an operator, or ejected as outliers.
     pub pool_ejected: usize,
 }
 
 impl Metrics {
-    /// All at 0, for so many classes.
+    /// Counters at 0 for this number of classes.
     pub fn new(classes: usize) -> Metrics {
         Metrics { classes: vec![QueryCounts::default(); classes], attempts: 0 }
     }
 
-    /// A query of this class has its final answer.
+    /// Counts a query that ended. A class that does not exist is ignored.
     pub fn record_query(&mut self, class: usize, result: QueryResult) {
         let Some(counts) = self.classes.get_mut(class) else { return };
         match result {
@@ -61,26 +62,29 @@
         }
     }
 
-    /// So many more attempts are written whole.
+    /// Counts attempts whose frames were written whole.
     pub fn record_attempts(&mut self, attempts: u64) {
         self.attempts += attempts;
     }
 
-    /// Queries that ended, class by class.
+    /// The counters of queries, in the order of the classes.
     pub fn classes(&self) -> &[QueryCounts] {
         &self.classes
     }
 
-    /// Attempts written whole to servers.
+    /// Attempts whose frames were written whole.
     pub fn attempts(&self) -> u64 {
         self.attempts
     }
 
-    /// One line of JSON; `names` are the classes' names in their order.
-    pub fn to_json_line(&self, names: &[String], gauges: Gauges) -> String {
+    /// One line of JSON. `class_names` are in the order of the classes.
+    pub fn to_json_line(&self, class_names: &[String], gauges: Gauges) -> String {
         let by_class = |count: fn(&QueryCounts) -> u64| -> Value {
-            let counts = names.iter().zip(&self.classes).map(|(n, c)| (n.clone(), count(c).into()));
-            counts.collect::<Map<String, Value>>().into()
+            let by_name = class_names
+                .iter()
+                .zip(&self.classes)
+                .map(|(name, counts)| (name.clone(), count(counts).into()));
+            by_name.collect::<Map<String, Value>>().into()
         };
         json!({
             "ok": by_class(|c| c.ok),
