--- a/src/cli.rs
+++ b/src/cli.rs
@@ -109,7 +109,7 @@
 }
 
 #[derive(Debug, Args)]
-struct From {
+struct ImportSource {
     /// The file to read.
     file: PathBuf,
     /// The balancer to take, where the file has several.
@@ -119,13 +119,13 @@
 #[derive(Debug, Subcommand)]
 enum Import {
     /// An Apache httpd configuration with balancers.
-    Apache(From),
+    Apache(ImportSource),
     /// A mod_jk workers.properties.
-    Jk(From),
+    Jk(ImportSource),
 }
 
 /// The arguments as they were before there were commands, in today's words.
-fn modern(mut args: Vec<String>) -> Vec<String> {
+fn translate_legacy_arguments(mut args: Vec<String>) -> Vec<String> {
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     let instead: &[&str] = match words[..] {
         [_, "--catalogue", ..] => &["serve", "catalogue"],
@@ -139,7 +139,7 @@
 /// Does what the arguments say; without any, serves the platform. Exits with 0, with 1 where it could not do it,
 /// or with 2 where it could not make out what to do.
 pub fn main(args: impl Iterator<Item = String>) -> ExitCode {
-    let cli = match Cli::try_parse_from(modern(args.collect())) {
+    let cli = match Cli::try_parse_from(translate_legacy_arguments(args.collect())) {
         Ok(cli) => cli,
         // Help and the version are printed as asked for, anything else is a mistake.
         Err(e) => {
@@ -152,17 +152,17 @@
         crate::net::clock::set_off(cli.clock_off);
     }
     match cli.command.unwrap_or(Command::Serve(Serve::Platform)) {
-        Command::Serve(Serve::Platform) => said(serve_platform()),
-        Command::Serve(Serve::Catalogue { file }) => said(serve_catalogue(&file)),
+        Command::Serve(Serve::Platform) => exit_code(serve_platform()),
+        Command::Serve(Serve::Catalogue { file }) => exit_code(serve_catalogue(&file)),
         Command::Check { file } => check(&file),
         Command::Roster(RosterCommand::Show { path, json, changes_every }) => {
-            show(&path, json, changes_every)
+            show_roster(&path, json, changes_every)
         }
         Command::State(StateCommand::Show { dir, json }) => state(&dir, None, json),
         Command::State(StateCommand::Diff { dir, other, json }) => state(&dir, Some(other.as_deref()), json),
         Command::Operate(operate) => operate.run(),
-        Command::Import(Import::Apache(from)) => import(import::read_apache, &from),
-        Command::Import(Import::Jk(from)) => import(import::read_jk, &from),
+        Command::Import(Import::Apache(source)) => run_import(import::read_apache, &source),
+        Command::Import(Import::Jk(source)) => run_import(import::read_jk, &source),
     }
 }
 
@@ -171,7 +171,7 @@
     Cli::command()
 }
 
-fn said(ran: Result<(), BrokerError>) -> ExitCode {
+fn exit_code(ran: Result<(), BrokerError>) -> ExitCode {
     match ran {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -198,27 +198,27 @@
 
 /// Names everything that is wrong, a line each, on standard error.
 fn check(file: &Path) -> ExitCode {
-    let wrong = if file.extension().is_some_and(|e| e == "json") {
+    let faults = if file.extension().is_some_and(|e| e == "json") {
         PlatformConfig::from_file(file).err().into_iter().map(|e| e.0).collect()
     } else {
         OperatorConfig::faults(file)
     };
-    wrong.iter().for_each(|w| eprintln!("{w}"));
-    if wrong.is_empty() {
+    faults.iter().for_each(|fault| eprintln!("{fault}"));
+    if faults.is_empty() {
         println!("{}: sound", file.display());
         return ExitCode::SUCCESS;
     }
-    eprintln!("{}: {} in all", file.display(), wrong.len());
+    eprintln!("{}: {} in all", file.display(), faults.len());
     ExitCode::FAILURE
 }
 
-fn show(path: &Path, json: bool, changes_every: f64) -> ExitCode {
+fn show_roster(path: &Path, json: bool, changes_every: f64) -> ExitCode {
     if !(changes_every > 0.0 && changes_every.is_finite()) {
         eprintln!("--changes-every {changes_every}: must be over 0");
         return ExitCode::from(2);
     }
-    let (lists, wrong) = snapshot_store::look(path);
-    wrong.iter().for_each(|w| eprintln!("{w}"));
+    let (lists, faults) = snapshot_store::look(path);
+    faults.iter().for_each(|fault| eprintln!("{fault}"));
     let now = crate::net::Clock::start().now();
     if !lists.is_empty() {
         let report =
@@ -228,10 +228,10 @@
         } else {
             print!("{report}");
         }
-    } else if wrong.is_empty() {
+    } else if faults.is_empty() {
         eprintln!("{}: no list is kept there", path.display());
     }
-    if wrong.is_empty() && !lists.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    if faults.is_empty() && !lists.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 /// What a directory holds, or (`other`) on what it differs from another one.
@@ -258,19 +258,19 @@
 }
 
 /// Writes the operator's file to standard output, and what has no counterpart to standard error.
-fn import(
+fn run_import(
     read: impl Fn(&str, Option<&str>) -> Result<import::Imported, import::ImportError>,
-    from: &From,
+    source: &ImportSource,
 ) -> ExitCode {
-    let text = std::fs::read_to_string(&from.file).map_err(|e| e.to_string());
-    match text.and_then(|t| read(&t, from.name.as_deref()).map_err(|e| e.to_string())) {
+    let text = std::fs::read_to_string(&source.file).map_err(|e| e.to_string());
+    match text.and_then(|t| read(&t, source.name.as_deref()).map_err(|e| e.to_string())) {
         Ok(imported) => {
             imported.notes.iter().for_each(|n| eprintln!("{n}"));
             print!("{}", imported.file);
             ExitCode::SUCCESS
         }
         Err(e) => {
-            eprintln!("{}: {e}", from.file.display());
+            eprintln!("{}: {e}", source.file.display());
             ExitCode::FAILURE
         }
     }
