--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,16 +1,24 @@
-//! The command line.
+//! The command line: its arguments, and the commands that they stand for.
 
 use crate::admin::client;
+use crate::api::Nanos;
 use crate::config::{OperatorConfig, PlatformConfig};
 use crate::frontends::{catalogue, platform};
-use crate::net::Signals;
+use crate::membership::status_report::StatusReport;
+use crate::net::{Clock, Signals};
+use crate::replication::StateStore;
 use crate::server::BrokerError;
 use crate::storage::snapshot_store;
-use crate::{cluster, import, log, membership};
+use crate::{cluster, import, log, net};
 use clap::{Args, CommandFactory, Parser, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+const NANOS_PER_HOUR: f64 = 3_600e9;
+
+/// Exit code for arguments that can't be used, as clap has it.
+const EXIT_USAGE: u8 = 2;
+
 /// A broker for sharded, replicated services, and a translator between their protocols.
 ///
 /// Without a command it serves the platform, as `serve platform` does.
@@ -124,7 +132,7 @@
     Jk(ImportSource),
 }
 
-/// The arguments as they were before there were commands, in today's words.
+/// Translates the arguments that were used before there were commands.
 fn translate_legacy_arguments(mut args: Vec<String>) -> Vec<String> {
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     let instead: &[&str] = match words[..] {
@@ -132,12 +140,13 @@
         [_, "--import", ..] => &["import"],
         _ => return args,
     };
-    args.splice(1..2, instead.iter().map(|w| (*w).to_owned()));
+    args.splice(1..2, instead.iter().map(|word| (*word).to_owned()));
     args
 }
 
-/// Does what the arguments say; without any, serves the platform. Exits with 0, with 1 where it could not do it,
-/// or with 2 where it could not make out what to do.
+/// Runs the command that the arguments (with the program's name first) stand for; without any, serves the platform.
+///
+/// The exit code is 0 for a success, 1 for a failure, and 2 for arguments that can't be used.
 pub fn main(args: impl Iterator<Item = String>) -> ExitCode {
     let cli = match Cli::try_parse_from(translate_legacy_arguments(args.collect())) {
         Ok(cli) => cli,
@@ -149,7 +158,7 @@
     };
     log::start(cli.log, cli.log_format);
     if cli.clock_off != 0 {
-        crate::net::clock::set_off(cli.clock_off);
+        net::clock::set_off(cli.clock_off);
     }
     match cli.command.unwrap_or(Command::Serve(Serve::Platform)) {
         Command::Serve(Serve::Platform) => exit_code(serve_platform()),
@@ -158,21 +167,21 @@
         Command::Roster(RosterCommand::Show { path, json, changes_every }) => {
             show_roster(&path, json, changes_every)
         }
-        Command::State(StateCommand::Show { dir, json }) => state(&dir, None, json),
-        Command::State(StateCommand::Diff { dir, other, json }) => state(&dir, Some(other.as_deref()), json),
+        Command::State(StateCommand::Show { dir, json }) => show_state(&dir, json),
+        Command::State(StateCommand::Diff { dir, other, json }) => diff_state(&dir, other.as_deref(), json),
         Command::Operate(operate) => operate.run(),
         Command::Import(Import::Apache(source)) => run_import(import::read_apache, &source),
         Command::Import(Import::Jk(source)) => run_import(import::read_jk, &source),
     }
 }
 
-/// The program's own description, for whoever checks its pages.
+/// The description of the command line, against which the documentation can be checked.
 pub fn command() -> clap::Command {
     Cli::command()
 }
 
-fn exit_code(ran: Result<(), BrokerError>) -> ExitCode {
-    match ran {
+fn exit_code(result: Result<(), BrokerError>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             tracing::error!("{e}");
@@ -181,8 +190,12 @@
     }
 }
 
+fn success_if(success: bool) -> ExitCode {
+    if success { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 fn serve_platform() -> Result<(), BrokerError> {
-    // Caught first: a signal that comes as soon as it listens must not kill it.
+    // Before it listens: a signal that comes right after that must not kill the process.
     let signals = Signals::catch().map_err(BrokerError::io("signals"))?;
     let (mut broker, _) = platform::broker(PlatformConfig::from_env()?)?;
     broker.handle_signals(signals)?;
@@ -196,7 +209,7 @@
     broker.run()
 }
 
-/// Names everything that is wrong, a line each, on standard error.
+/// Prints all faults of a configuration to standard error, one a line.
 fn check(file: &Path) -> ExitCode {
     let faults = if file.extension().is_some_and(|e| e == "json") {
         PlatformConfig::from_file(file).err().into_iter().map(|e| e.0).collect()
@@ -215,14 +228,13 @@
 fn show_roster(path: &Path, json: bool, changes_every: f64) -> ExitCode {
     if !(changes_every > 0.0 && changes_every.is_finite()) {
         eprintln!("--changes-every {changes_every}: must be over 0");
-        return ExitCode::from(2);
+        return ExitCode::from(EXIT_USAGE);
     }
     let (lists, faults) = snapshot_store::look(path);
     faults.iter().for_each(|fault| eprintln!("{fault}"));
-    let now = crate::net::Clock::start().now();
+    let now = Clock::start().now();
     if !lists.is_empty() {
-        let report =
-            membership::status_report::StatusReport::new(&lists, now, (changes_every * 3_600e9) as u64);
+        let report = StatusReport::new(&lists, now, (changes_every * NANOS_PER_HOUR) as Nanos);
         if json {
             println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
         } else {
@@ -231,30 +243,37 @@
     } else if faults.is_empty() {
         eprintln!("{}: no list is kept there", path.display());
     }
-    if faults.is_empty() && !lists.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    success_if(faults.is_empty() && !lists.is_empty())
 }
 
-/// What a directory holds, or (`other`) on what it differs from another one.
-fn state(dir: &Path, other: Option<Option<&Path>>, json: bool) -> ExitCode {
-    let mut sound = true;
-    let mut read = |dir: &Path| {
-        let (copy, wrong) = cluster::on_disk(dir);
-        wrong.iter().for_each(|w| eprintln!("{w}"));
-        sound &= wrong.is_empty();
-        copy
-    };
-    let (first, second) = (read(dir), other.flatten().map(read));
-    let now = crate::net::Clock::start().now();
-    let (told, differs) = match other {
-        None => (cluster::shown(&first, now), false),
-        Some(_) => cluster::differences(&first, second.as_ref(), now),
-    };
+/// Reads a broker's cluster state from a directory and prints what is unsound there; returns whether nothing is.
+fn read_cluster_state(dir: &Path) -> (StateStore, bool) {
+    let (store, faults) = cluster::on_disk(dir);
+    faults.iter().for_each(|fault| eprintln!("{fault}"));
+    (store, faults.is_empty())
+}
+
+fn print_cluster_state(report: &serde_json::Value, json: bool) {
+    let line = report.to_string();
     if json {
-        println!("{told}");
+        println!("{line}");
     } else {
-        print!("{}", client::cluster_state_text(&told.to_string()).unwrap_or_default());
+        print!("{}", client::cluster_state_text(&line).unwrap_or_default());
     }
-    if differs || !sound { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
+
+fn show_state(dir: &Path, json: bool) -> ExitCode {
+    let (store, sound) = read_cluster_state(dir);
+    print_cluster_state(&cluster::shown(&store, Clock::start().now()), json);
+    success_if(sound)
+}
+
+fn diff_state(dir: &Path, other: Option<&Path>, json: bool) -> ExitCode {
+    let (first, first_sound) = read_cluster_state(dir);
+    let (second, second_sound) = other.map(read_cluster_state).unzip();
+    let (report, differs) = cluster::differences(&first, second.as_ref(), Clock::start().now());
+    print_cluster_state(&report, json);
+    success_if(first_sound && second_sound.unwrap_or(true) && !differs)
 }
 
 /// Writes the operator's file to standard output, and what has no counterpart to standard error.
