--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,16 +1,24 @@
-//! The command line.
+//! The command line: its arguments, and the commands that they stand for.
 
 use crate::admin::client;
+use crate::api::Nanos;
 use crate::config::{OperatorConfig, PlatformConfig};
 use crate::frontends::{catalogue, platform};
-use crate::net::Signals;
+use crate::membership::status_report::StatusReport;
+use crate::net::{Clock, Signals};
+use crate::replication::StateStore;
 use crate::server::BrokerError;
 use crate::storage::snapshot_store;
-use crate::{cluster, import, log, membership};
+use crate::{cluster, import, log, net};
 use clap::{Args, CommandFactory, Parser, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+const NANOS_PER_HOUR: f64 = 3_600e9;
+
+/// Exit code for arguments that can't be used, as clap has it.
+const EXIT_USAGE: u8 = 2;
+
 /// A broker for sharded, replicated services, and a translator between their protocols.
 ///
 /// Without a command it serves the platform, as `serve platform` does.
@@ -19,10 +27,10 @@
 struct Cli {
     /// The least level of log lines that are written; else PEBBLETURN_LOG tells, else info.
     #[arg(long, value_enum, global = true, value_name = "LEVEL")]
-    log: Option<log::Level>,
+    log: Option<log::LogLevel>,
     /// The form of log lines; else PEBBLETURN_LOG_FORMAT tells, else text.
     #[arg(long, value_enum, global = true, value_name = "FORM")]
-    log_format: Option<log::Form>,
+    log_format: Option<log::LogFormat>,
     /// Seconds by which the clock is off, for tests of clusters.
     #[arg(
         long,
@@ -54,7 +62,7 @@
     #[command(subcommand)]
     State(StateCommand),
     /// Call a broker's second address.
-    Operate(client::Operate),
+    Operate(client::OperateArgs),
     /// Write an operator's file from another balancer's; what has no counterpart goes to standard error.
     #[command(subcommand)]
     Import(Import),
@@ -109,7 +117,7 @@
 }
 
 #[derive(Debug, Args)]
-struct From {
+struct ImportSource {
     /// The file to read.
     file: PathBuf,
     /// The balancer to take, where the file has several.
@@ -119,27 +127,28 @@
 #[derive(Debug, Subcommand)]
 enum Import {
     /// An Apache httpd configuration with balancers.
-    Apache(From),
+    Apache(ImportSource),
     /// A mod_jk workers.properties.
-    Jk(From),
+    Jk(ImportSource),
 }
 
-/// The arguments as they were before there were commands, in today's words.
-fn modern(mut args: Vec<String>) -> Vec<String> {
+/// Translates the arguments that were used before there were commands.
+fn translate_legacy_arguments(mut args: Vec<String>) -> Vec<String> {
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     let instead: &[&str] = match words[..] {
         [_, "--catalogue", ..] => &["serve", "catalogue"],
         [_, "--import", ..] => &["import"],
         _ => return args,
     };
-    args.splice(1..2, instead.iter().map(|w| (*w).to_owned()));
+    args.splice(1..2, instead.iter().map(|word| (*word).to_owned()));
     args
 }
 
-/// Does what the arguments say; without any, serves the platform. Exits with 0, with 1 where it could not do it,
-/// or with 2 where it could not make out what to do.
+/// Runs the command that the arguments (with the program's name first) stand for; without any, serves the platform.
+///
+/// The exit code is 0 for a success, 1 for a failure, and 2 for arguments that can't be used.
 pub fn main(args: impl Iterator<Item = String>) -> ExitCode {
-    let cli = match Cli::try_parse_from(modern(args.collect())) {
+    let cli = match Cli::try_parse_from(translate_legacy_arguments(args.collect())) {
         Ok(cli) => cli,
         // Help and the version are printed as asked for, anything else is a mistake.
         Err(e) => {
@@ -149,30 +158,30 @@
     };
     log::start(cli.log, cli.log_format);
     if cli.clock_off != 0 {
-        crate::net::clock::set_off(cli.clock_off);
+        net::clock::set_off(cli.clock_off);
     }
     match cli.command.unwrap_or(Command::Serve(Serve::Platform)) {
-        Command::Serve(Serve::Platform) => said(serve_platform()),
-        Command::Serve(Serve::Catalogue { file }) => said(serve_catalogue(&file)),
+        Command::Serve(Serve::Platform) => exit_code(serve_platform()),
+        Command::Serve(Serve::Catalogue { file }) => exit_code(serve_catalogue(&file)),
         Command::Check { file } => check(&file),
         Command::Roster(RosterCommand::Show { path, json, changes_every }) => {
-            show(&path, json, changes_every)
+            show_roster(&path, json, changes_every)
         }
-        Command::State(StateCommand::Show { dir, json }) => state(&dir, None, json),
-        Command::State(StateCommand::Diff { dir, other, json }) => state(&dir, Some(other.as_deref()), json),
+        Command::State(StateCommand::Show { dir, json }) => show_state(&dir, json),
+        Command::State(StateCommand::Diff { dir, other, json }) => diff_state(&dir, other.as_deref(), json),
         Command::Operate(operate) => operate.run(),
-        Command::Import(Import::Apache(from)) => import(import::read_apache, &from),
-        Command::Import(Import::Jk(from)) => import(import::read_jk, &from),
+        Command::Import(Import::Apache(source)) => run_import(import::read_apache, &source),
+        Command::Import(Import::Jk(source)) => run_import(import::read_jk, &source),
     }
 }
 
-/// The program's own description, for whoever checks its pages.
+/// The description of the command line, against which the documentation can be checked.
 pub fn command() -> clap::Command {
     Cli::command()
 }
 
-fn said(ran: Result<(), BrokerError>) -> ExitCode {
-    match ran {
+fn exit_code(result: Result<(), BrokerError>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             tracing::error!("{e}");
@@ -181,8 +190,12 @@
     }
 }
 
+fn success_if(success: bool) -> ExitCode {
+    if success { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 fn serve_platform() -> Result<(), BrokerError> {
-    // Caught first: a signal that comes as soon as it listens must not kill it.
+    // Before it listens: a signal that comes right after that must not kill the process.
     let signals = Signals::catch().map_err(BrokerError::io("signals"))?;
     let (mut broker, _) = platform::broker(PlatformConfig::from_env()?)?;
     broker.handle_signals(signals)?;
@@ -196,81 +209,87 @@
     broker.run()
 }
 
-/// Names everything that is wrong, a line each, on standard error.
+/// Prints all faults of a configuration to standard error, one a line.
 fn check(file: &Path) -> ExitCode {
-    let wrong = if file.extension().is_some_and(|e| e == "json") {
+    let faults = if file.extension().is_some_and(|e| e == "json") {
         PlatformConfig::from_file(file).err().into_iter().map(|e| e.0).collect()
     } else {
         OperatorConfig::faults(file)
     };
-    wrong.iter().for_each(|w| eprintln!("{w}"));
-    if wrong.is_empty() {
+    faults.iter().for_each(|fault| eprintln!("{fault}"));
+    if faults.is_empty() {
         println!("{}: sound", file.display());
         return ExitCode::SUCCESS;
     }
-    eprintln!("{}: {} in all", file.display(), wrong.len());
+    eprintln!("{}: {} in all", file.display(), faults.len());
     ExitCode::FAILURE
 }
 
-fn show(path: &Path, json: bool, changes_every: f64) -> ExitCode {
+fn show_roster(path: &Path, json: bool, changes_every: f64) -> ExitCode {
     if !(changes_every > 0.0 && changes_every.is_finite()) {
         eprintln!("--changes-every {changes_every}: must be over 0");
-        return ExitCode::from(2);
+        return ExitCode::from(EXIT_USAGE);
     }
-    let (lists, wrong) = snapshot_store::look(path);
-    wrong.iter().for_each(|w| eprintln!("{w}"));
-    let now = crate::net::Clock::start().now();
+    let (lists, faults) = snapshot_store::look(path);
+    faults.iter().for_each(|fault| eprintln!("{fault}"));
+    let now = Clock::start().now();
     if !lists.is_empty() {
-        let report =
-            membership::status_report::StatusReport::new(&lists, now, (changes_every * 3_600e9) as u64);
+        let report = StatusReport::new(&lists, now, (changes_every * NANOS_PER_HOUR) as Nanos);
         if json {
             println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
         } else {
             print!("{report}");
         }
-    } else if wrong.is_empty() {
+    } else if faults.is_empty() {
         eprintln!("{}: no list is kept there", path.display());
     }
-    if wrong.is_empty() && !lists.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    success_if(faults.is_empty() && !lists.is_empty())
 }
 
-/// What a directory holds, or (`other`) on what it differs from another one.
-fn state(dir: &Path, other: Option<Option<&Path>>, json: bool) -> ExitCode {
-    let mut sound = true;
-    let mut read = |dir: &Path| {
-        let (copy, wrong) = cluster::on_disk(dir);
-        wrong.iter().for_each(|w| eprintln!("{w}"));
-        sound &= wrong.is_empty();
-        copy
-    };
-    let (first, second) = (read(dir), other.flatten().map(read));
-    let now = crate::net::Clock::start().now();
-    let (told, differs) = match other {
-        None => (cluster::shown(&first, now), false),
-        Some(_) => cluster::differences(&first, second.as_ref(), now),
-    };
+/// Reads a broker's cluster state from a directory and prints what is unsound there; returns whether nothing is.
+fn read_cluster_state(dir: &Path) -> (StateStore, bool) {
+    let (store, faults) = cluster::on_disk(dir);
+    faults.iter().for_each(|fault| eprintln!("{fault}"));
+    (store, faults.is_empty())
+}
+
+fn print_cluster_state(report: &serde_json::Value, json: bool) {
+    let line = report.to_string();
     if json {
-        println!("{told}");
+        println!("{line}");
     } else {
-        print!("{}", client::facts(&told.to_string()).unwrap_or_default());
+        print!("{}", client::cluster_state_text(&line).unwrap_or_default());
     }
-    if differs || !sound { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
+
+fn show_state(dir: &Path, json: bool) -> ExitCode {
+    let (store, sound) = read_cluster_state(dir);
+    print_cluster_state(&cluster::shown(&store, Clock::start().now()), json);
+    success_if(sound)
+}
+
+fn diff_state(dir: &Path, other: Option<&Path>, json: bool) -> ExitCode {
+    let (first, first_sound) = read_cluster_state(dir);
+    let (second, second_sound) = other.map(read_cluster_state).unzip();
+    let (report, differs) = cluster::differences(&first, second.as_ref(), Clock::start().now());
+    print_cluster_state(&report, json);
+    success_if(first_sound && second_sound.unwrap_or(true) && !differs)
 }
 
 /// Writes the operator's file to standard output, and what has no counterpart to standard error.
-fn import(
+fn run_import(
     read: impl Fn(&str, Option<&str>) -> Result<import::Imported, import::ImportError>,
-    from: &From,
+    source: &ImportSource,
 ) -> ExitCode {
-    let text = std::fs::read_to_string(&from.file).map_err(|e| e.to_string());
-    match text.and_then(|t| read(&t, from.name.as_deref()).map_err(|e| e.to_string())) {
+    let text = std::fs::read_to_string(&source.file).map_err(|e| e.to_string());
+    match text.and_then(|t| read(&t, source.name.as_deref()).map_err(|e| e.to_string())) {
         Ok(imported) => {
             imported.notes.iter().for_each(|n| eprintln!("{n}"));
             print!("{}", imported.file);
             ExitCode::SUCCESS
         }
         Err(e) => {
-            eprintln!("{}: {e}", from.file.display());
+            eprintln!("{}: {e}", source.file.display());
             ExitCode::FAILURE
         }
     }
--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -17,7 +17,7 @@
 use crate::server::discovery_watch::DiscoveryWatch;
 use crate::server::drain::DrainPhase;
 use crate::server::membership_driver::MembershipDriver;
-use crate::server::{Broker, BrokerError, Frontend, FrontendContext};
+use crate::server::{Broker, BrokerBuilder, BrokerError, Frontend, FrontendContext};
 use crate::storage::snapshot_store::SnapshotWriter;
 use std::collections::HashMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
@@ -167,7 +167,7 @@
     let mut exchange = QueryEngine::new(settings, seed, now).map_err(|e| ConfigError(e.to_string()))?;
     // Guards the limit on descriptors: what connections to nodes may take is not given to clients. Where nodes may
     // come and go, that is half of them.
-    let apart = told.operation.listen.map_or(0, |_| admin::PLACES)
+    let apart = told.operation.listen.map_or(0, |_| admin::MAX_CONNECTIONS)
         + told.cluster.as_ref().map_or(0, |_| cluster::PLACES + cluster::BESIDE);
     let most = told.limits.sockets - SPARE - apart;
     let changing = m.discovery.is_some() || files.path.is_some();
@@ -197,17 +197,17 @@
     let (ops, cluster, name) = (told.operation.listen, told.cluster.clone(), told.name.clone());
     let clients = Clients::new(told, SRU, most - to_nodes);
     let front = CatalogueFrontend { clients, nodes, membership, files, most_to_nodes: to_nodes };
-    let mut broker = Broker::new(clock, net, exchange, front);
+    let mut broker = BrokerBuilder::new(clock, net, exchange, front);
     if let Some(ops) = ops {
-        broker.listen_admin(ops)?;
+        broker.listen_admin(ops);
     }
     if let Some((handover, words, _)) = handed {
         broker.join_hot_restart(handover, words);
     }
     if let Some(cluster) = cluster {
-        broker.join_cluster(&cluster, &name)?;
+        broker.join_cluster(&cluster, &name);
     }
-    Ok((broker, listening))
+    Ok((broker.build()?, listening))
 }
 
 impl Frontend for CatalogueFrontend {
@@ -299,7 +299,7 @@
 
     fn limit_descriptors(&mut self, descriptors: usize, net: &mut PollLoop) {
         // What is held stays; only the rest is divided. Callers at the second address may still come.
-        let apart = admin::PLACES.saturating_sub(net.accepted_at(ConnectionClass::Admin));
+        let apart = admin::MAX_CONNECTIONS.saturating_sub(net.accepted_at(ConnectionClass::Admin));
         let rest = descriptors.saturating_sub(net.descriptors() + apart);
         let to_nodes = (self.nodes.links() + rest / 2).min(self.most_to_nodes);
         let clients = net.accepted() + rest - (to_nodes - self.nodes.links()).min(rest);
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -14,7 +14,7 @@
 use crate::server::discovery_watch::DiscoveryWatch;
 use crate::server::drain::DrainPhase;
 use crate::server::membership_driver::MembershipDriver;
-use crate::server::{Broker, BrokerError, Frontend, FrontendContext};
+use crate::server::{Broker, BrokerBuilder, BrokerError, Frontend, FrontendContext};
 use crate::storage::snapshot_store::SnapshotWriter;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -68,7 +68,7 @@
     let now = clock.now();
     // Guards the limit on descriptors: what connections to shard servers may take is not given to clients. In a
     // large fleet a broker meets more servers than clients: with a place for each server none is dialled twice.
-    let apart = told.ops.map_or(0, |_| admin::PLACES);
+    let apart = told.ops.map_or(0, |_| admin::MAX_CONNECTIONS);
     let (to_servers, most) = divide(told.sockets, apart);
     let mut net = PollLoop::new(Pool::within((told.memory_mb << 20) / BUFFERS), most)
         .map_err(BrokerError::io("poll"))?;
@@ -137,14 +137,14 @@
     let listening = listening.map_err(BrokerError::io("listen"))?;
     tracing::info!("{} listens at {listening}", told.name);
     let front = PlatformFrontend { clients, servers, membership, file: told.file, apart };
-    let mut broker = Broker::new(clock, net, exchange, front);
+    let mut broker = BrokerBuilder::new(clock, net, exchange, front);
     if let Some(ops) = told.ops {
-        broker.listen_admin(ops)?;
+        broker.listen_admin(ops);
     }
     if let Some((handover, words, _)) = handed {
         broker.join_hot_restart(handover, words);
     }
-    Ok((broker, listening))
+    Ok((broker.build()?, listening))
 }
 
 impl Frontend for PlatformFrontend {
