--- a/lab/benches/decide.rs
+++ b/lab/benches/decide.rs
@@ -108,10 +108,10 @@
 fn news(bencher: Bencher, nodes: u32) {
     let mut roster = Registry::new(RegistrySettings {
         layout: PartitionLayout { cells: 16, span: 4 },
-        cold_time: 14_000 * MS,
-        changes_every: 86_400_000 * MS,
-        presumed_age: 300_000 * MS,
-        silent_after: 400 * MS,
+        warm_up: 14_000 * MS,
+        mean_change_interval: 86_400_000 * MS,
+        default_list_age: 300_000 * MS,
+        silence_timeout: 400 * MS,
         zones: HashMap::new(),
         kinds: vec![],
         seed: 7,
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -239,10 +239,10 @@
         let listing = |broker: u64| {
             let mut roster = Registry::new(RegistrySettings {
                 layout: PartitionLayout { cells: self.nodes, span: settings.span },
-                cold_time: settings.slow_start_time,
-                changes_every: 24 * 3600 * S,
-                presumed_age: 300 * S,
-                silent_after: 100 * MS,
+                warm_up: settings.slow_start_time,
+                mean_change_interval: 24 * 3600 * S,
+                default_list_age: 300 * S,
+                silence_timeout: 100 * MS,
                 zones: HashMap::from([("a".into(), 0), ("b".into(), 1)]),
                 kinds: vec![],
                 seed: seed ^ broker << 32 | broker,
--- a/lab/src/restart.rs
+++ b/lab/src/restart.rs
@@ -244,10 +244,10 @@
             Arm::Weighed => {
                 let mut roster = Registry::new(RegistrySettings {
                     layout: PartitionLayout { cells: self.nodes, span: SPAN },
-                    cold_time: COLD.1,
-                    changes_every: self.changes_every,
-                    presumed_age: 300 * S,
-                    silent_after: 400 * MS,
+                    warm_up: COLD.1,
+                    mean_change_interval: self.changes_every,
+                    default_list_age: 300 * S,
+                    silence_timeout: 400 * MS,
                     zones: HashMap::new(),
                     kinds: vec![],
                     seed: seed ^ broker << 32 | broker,
@@ -323,18 +323,18 @@
 /// A list that was last known to hold at `at`.
 pub(crate) fn kept(facts: &[NodeRecord], at: Nanos) -> Snapshot {
     let node = |f: &NodeRecord| SnapshotNode {
-        fact: f.clone(),
+        record: f.clone(),
         epoch: 0,
         version: if f.state == NodeState::Ready { 41 } else { 42 },
-        heard: at,
-        anew: false,
+        received: at,
+        after_reset: false,
         confirmed: Some(at),
     };
     Snapshot {
         written: at,
         synced: Some(at),
-        whole: Some((0, 41, at)),
-        forgotten: None,
+        full_list: Some((0, 41, at)),
+        pruned_up_to: None,
         rate: ChangeRate::NONE,
         nodes: facts.iter().map(node).collect(),
     }
--- a/lab/src/routing.rs
+++ b/lab/src/routing.rs
@@ -83,10 +83,10 @@
     let layout = PartitionLayout { cells: 1, span: 1 };
     let mut roster = Registry::new(RegistrySettings {
         layout,
-        cold_time: 0,
-        changes_every: 24 * 3600 * S,
-        presumed_age: 300 * S,
-        silent_after: 400 * MS,
+        warm_up: 0,
+        mean_change_interval: 24 * 3600 * S,
+        default_list_age: 300 * S,
+        silence_timeout: 400 * MS,
         zones: HashMap::new(),
         kinds: vec![],
         seed,
@@ -104,7 +104,7 @@
     roster.set_operator_nodes((0..rules.len()).map(fact).collect(), NOW);
     let rules: HashMap<String, Rule> = rules.iter().enumerate().map(|(n, r)| (id(n), r.clone())).collect();
     let nodes = (0..rules.len()).map(|n| (addr(n), Node::new(0, 0, &MODEL))).collect();
-    let routing = Routing::new(RoutingSettings { layout, rules, warm_up: 10 * S, hold: 15 * S });
+    let routing = Routing::new(RoutingSettings { layout, rules, warm_up: 10 * S, failback_delay: 15 * S });
     let told = WorldSettings {
         settings: settings(),
         classes: vec![(1.0, 1, WORK)],
@@ -192,7 +192,7 @@
         rule.clone(),
         rule.clone(),
         Rule { spare: Spare::Hot, ..rule.clone() },
-        Rule { standing: AdminState::Stopped, ..rule },
+        Rule { admin_state: AdminState::Stopped, ..rule },
     ];
     let (down, up) = (NOW + 10 * S, NOW + 20 * S);
     let mut script = Vec::new();
--- a/lab/src/sim/world.rs
+++ b/lab/src/sim/world.rs
@@ -353,7 +353,7 @@
             while let Some(end) = b.exchange.next_attempt_end() {
                 roster.on_attempt_end(end.replica, end.outcome, end.latency, now);
                 if let Some(routing) = &mut b.routing {
-                    routing.outcome(end.replica, end.outcome, now);
+                    routing.on_attempt_end(end.replica, end.outcome, now);
                 }
             }
             roster.tick(now);
@@ -361,13 +361,13 @@
             if let Some(routing) = &mut b.routing {
                 routing.tick(now);
                 if let Some(changes) = changes {
-                    routing.listed(changes, now);
+                    routing.on_membership_changes(changes, now);
                 }
                 changes = routing.take_changes();
             }
             if let Some(changes) = changes {
                 let mut lines = Vec::with_capacity(changes.len());
-                for NodeChange { listed, addr, .. } in changes {
+                for NodeChange { entry: listed, addr, .. } in changes {
                     match addr {
                         Some(addr) if listed.state == ReplicaState::Draining => {
                             b.drains.entry(addr).or_insert(now);
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -190,7 +190,7 @@
     /// What the file says of its work, in routing's terms.
     pub fn rule(&self) -> Rule {
         Rule {
-            standing: self.standing,
+            admin_state: self.standing,
             weight: self.weight,
             set: self.set,
             spare: self.spare,
--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -122,10 +122,10 @@
     let (kept, keeper) = m.keep.as_deref().map_or((Vec::new(), None), SnapshotWriter::open);
     let mut roster = Registry::new(RegistrySettings {
         layout: PartitionLayout { cells: settings.cells, span: settings.span },
-        cold_time: settings.slow_start_time,
-        changes_every: (m.changes_every_h * 3_600e9) as Nanos,
-        presumed_age: m.presumed_age_s * 1_000_000_000,
-        silent_after: settings.classes.iter().map(|c| c.latency_objective).min().unwrap_or(0) / 5,
+        warm_up: settings.slow_start_time,
+        mean_change_interval: (m.changes_every_h * 3_600e9) as Nanos,
+        default_list_age: m.presumed_age_s * 1_000_000_000,
+        silence_timeout: settings.classes.iter().map(|c| c.latency_objective).min().unwrap_or(0) / 5,
         zones: told.node.iter().map(|n| (n.zone.clone(), told.zone_number(&n.zone))).collect(),
         kinds: [Protocol::Sru, Protocol::Z3950].map(|p| p.name().to_owned()).into(),
         seed,
@@ -153,7 +153,7 @@
         layout: PartitionLayout { cells: settings.cells, span: settings.span },
         rules,
         warm_up: told.routing.warm_up_ms * 1_000_000,
-        hold: told.routing.hold_ms * 1_000_000,
+        failback_delay: told.routing.hold_ms * 1_000_000,
     });
     let out = handed.iter().flat_map(|(_, words, _)| words.out()).map(str::to_owned).collect::<Vec<_>>();
     let mut membership = MembershipDriver::new(roster, keeper).with_suspended(out).with_routing(routing);
--- a/src/frontends/catalogue/upstream.rs
+++ b/src/frontends/catalogue/upstream.rs
@@ -91,7 +91,7 @@
 
     /// Learns where a node is, or that it is gone. What was sent there may still be answered.
     pub fn place(&mut self, change: &NodeChange) {
-        let replica = change.listed.replica;
+        let replica = change.entry.replica;
         match (change.addr, Protocol::named(&change.kind)) {
             (Some(addr), Some(protocol)) => {
                 let id = change.id.clone();
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -83,10 +83,10 @@
     let (kept, keeper) = told.keep.as_deref().map_or((Vec::new(), None), SnapshotWriter::open);
     let mut roster = Registry::new(RegistrySettings {
         layout: PartitionLayout { cells: settings.cells, span: settings.span },
-        cold_time: settings.slow_start_time,
-        changes_every: CHANGES_EVERY,
-        presumed_age: PRESUMED_AGE,
-        silent_after: limits.silent / 5,
+        warm_up: settings.slow_start_time,
+        mean_change_interval: CHANGES_EVERY,
+        default_list_age: PRESUMED_AGE,
+        silence_timeout: limits.silent / 5,
         zones: names.zones().clone(),
         kinds: Vec::new(),
         seed: told.seed,
@@ -127,7 +127,7 @@
     );
     let mut exchange = QueryEngine::new(settings, told.seed, now).map_err(|e| ConfigError(e.to_string()))?;
     let mut hands = FrontendContext { now, net: &mut net, engine: &mut exchange };
-    membership.pass_on(&mut hands, |c| servers.place(c.listed.replica, c.addr));
+    membership.pass_on(&mut hands, |c| servers.place(c.entry.replica, c.addr));
     // The list of servers is in before the first client can come.
     exchange.advance(now);
     let listening = match told.inherited {
@@ -163,7 +163,7 @@
     fn tick(&mut self, hands: &mut FrontendContext<RequestContext, String>) {
         self.servers.tick(hands);
         self.clients.tick(hands);
-        self.membership.tick(hands, |c| self.servers.place(c.listed.replica, c.addr));
+        self.membership.tick(hands, |c| self.servers.place(c.entry.replica, c.addr));
     }
 
     fn perform(
@@ -177,7 +177,7 @@
             EngineAction::Respond { query, outcome: answer } => self.clients.finish(query, answer, hands),
             EngineAction::WatchEndpoints => {
                 self.membership.begin_watch(hands.now, hands.net);
-                self.membership.pass_on(hands, |c| self.servers.place(c.listed.replica, c.addr));
+                self.membership.pass_on(hands, |c| self.servers.place(c.entry.replica, c.addr));
             }
             // Shard servers on this port are not probed; the settings forbid it.
             EngineAction::HealthCheck { replica } => hands.engine.health_checked(replica, false, 0, None),
@@ -204,7 +204,7 @@
             // Guards the service against a file that is half written or wrong: what it was told before stays.
             Err(e) => tracing::error!("the configuration stays as it was: {e}"),
         }
-        self.membership.pass_on(hands, |c| self.servers.place(c.listed.replica, c.addr));
+        self.membership.pass_on(hands, |c| self.servers.place(c.entry.replica, c.addr));
     }
 
     fn close_idle(&mut self, hands: &mut FrontendContext<RequestContext, String>) {
--- a/src/hot_restart/state_directory.rs
+++ b/src/hot_restart/state_directory.rs
@@ -86,7 +86,7 @@
 
 fn list(dir: &Path, serial: u64) -> Result<Option<Snapshot>, String> {
     let at = path(dir, serial, "list");
-    match Disk.read(&at, snapshot::MOST_BYTES) {
+    match Disk.read(&at, snapshot::MAX_FILE_BYTES) {
         Ok(bytes) => snapshot::decode(&bytes).map(Some).map_err(|e| format!("{}: {e}", at.display())),
         Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
         Err(e) => Err(format!("{}: {e}", at.display())),
--- a/src/membership/endpoint_list.rs
+++ b/src/membership/endpoint_list.rs
@@ -42,7 +42,7 @@
 
 impl Endpoint {
     /// What it says of the node. An address that can't be read is none.
-    pub fn fact(&self) -> NodeRecord {
+    pub fn record(&self) -> NodeRecord {
         NodeRecord {
             id: self.id.clone(),
             addr: self.addr.parse().ok(),
--- a/src/membership/gossip_hints.rs
+++ b/src/membership/gossip_hints.rs
@@ -43,30 +43,34 @@
     fn shown(&self, change: &NodeChange, own: LocalHints) -> NodeChange {
         let mut change = change.clone();
         if let Some(heard) = self.heard.get(&change.id)
-            && change.listed.state != ReplicaState::Removed
+            && change.entry.state != ReplicaState::Removed
         {
-            if change.listed.state == ReplicaState::Active && PeerHints::holds(heard, own) {
-                change.listed.state = ReplicaState::Draining;
+            if change.entry.state == ReplicaState::Active && PeerHints::holds(heard, own) {
+                change.entry.state = ReplicaState::Draining;
             }
             if heard.started > own.started {
-                change.listed.started = change.listed.started.max(Some(heard.started));
+                change.entry.started = change.entry.started.max(Some(heard.started));
             }
         }
         change
     }
 
     /// What is to be told on, of changes that the own sources bring; `own` tells what these rest on.
-    pub fn pass(&mut self, changes: Vec<NodeChange>, own: impl Fn(&str) -> LocalHints) -> Vec<NodeChange> {
+    pub fn apply_changes(
+        &mut self,
+        changes: Vec<NodeChange>,
+        own: impl Fn(&str) -> LocalHints,
+    ) -> Vec<NodeChange> {
         changes
             .into_iter()
             .map(|change| {
                 let of = own(&change.id);
                 let shown = self.shown(&change, of);
-                if change.listed.state == ReplicaState::Removed {
+                if change.entry.state == ReplicaState::Removed {
                     let moved = self
                         .own
                         .get(&change.id)
-                        .is_some_and(|(c, _)| c.listed.replica != change.listed.replica);
+                        .is_some_and(|(c, _)| c.entry.replica != change.entry.replica);
                     // One that moved is gone under its old number after it was named under its new one.
                     if !moved {
                         self.own.remove(&change.id);
@@ -80,7 +84,7 @@
     }
 
     /// Others have heard this of a node. Tells what is to be told on, if this broker's own list names it.
-    pub fn heard(&mut self, id: &str, heard: NodeHints) -> Option<NodeChange> {
+    pub fn on_hint(&mut self, id: &str, heard: NodeHints) -> Option<NodeChange> {
         let before = self.own.get(id).map(|(c, own)| self.shown(c, *own));
         self.heard.insert(id.to_owned(), heard);
         if self.heard.len() > MOST {
@@ -95,7 +99,7 @@
 
     /// The own list has another version, or discovery counts anew (`anew`: what others heard before says nothing any
     /// more). Tells what is to be told on.
-    pub fn relist(&mut self, anew: bool, own: impl Fn(&str) -> LocalHints) -> Vec<NodeChange> {
+    pub fn on_list_change(&mut self, anew: bool, own: impl Fn(&str) -> LocalHints) -> Vec<NodeChange> {
         let mut changes = Vec::new();
         let ids: Vec<String> = self.heard.keys().filter(|id| self.own.contains_key(*id)).cloned().collect();
         for id in ids {
@@ -117,12 +121,12 @@
     }
 
     /// Nodes of which others' words are held.
-    pub fn known(&self) -> usize {
+    pub fn hinted_count(&self) -> usize {
         self.heard.len()
     }
 
     /// Nodes that are held back.
-    pub fn held(&self) -> usize {
+    pub fn drained_count(&self) -> usize {
         let held = |(id, (_, own)): (&String, &(NodeChange, LocalHints))| {
             self.heard.get(id).is_some_and(|h| PeerHints::holds(h, *own))
         };
--- a/src/membership/manual_override.rs
+++ b/src/membership/manual_override.rs
@@ -25,20 +25,19 @@
 
 impl ManualOverrides {
     /// Nobody is out but these: what an earlier process handed over.
-    pub fn with(out: impl IntoIterator<Item = String>) -> ManualOverrides {
+    pub fn with_suspended(out: impl IntoIterator<Item = String>) -> ManualOverrides {
         ManualOverrides { out: out.into_iter().collect(), ..ManualOverrides::default() }
     }
 
     /// Servers of the list that are out.
-    pub fn listed_out(&self) -> usize {
-        let there =
-            |id: &&String| self.told.get(*id).is_some_and(|c| c.listed.state != ReplicaState::Removed);
+    pub fn listed_suspended(&self) -> usize {
+        let there = |id: &&String| self.told.get(*id).is_some_and(|c| c.entry.state != ReplicaState::Removed);
         self.out.iter().filter(there).count()
     }
 
     /// The number under which a server takes parts, or took them until it was gone.
     pub fn replica(&self, id: &str) -> Option<ReplicaId> {
-        self.told.get(id).map(|c| c.listed.replica)
+        self.told.get(id).map(|c| c.entry.replica)
     }
 
     /// Whether any list has named it.
@@ -47,12 +46,12 @@
     }
 
     /// What is to be told on, of changes that the other sources bring.
-    pub fn pass(&mut self, changes: Vec<NodeChange>) -> Vec<NodeChange> {
+    pub fn apply_changes(&mut self, changes: Vec<NodeChange>) -> Vec<NodeChange> {
         changes.into_iter().map(|change| self.one(change)).collect()
     }
 
     fn one(&mut self, change: NodeChange) -> NodeChange {
-        if change.listed.state == ReplicaState::Removed {
+        if change.entry.state == ReplicaState::Removed {
             // Guards memory over a long run: the oldest name goes first, as far as names tell.
             if self.gone.len() >= MOST_GONE
                 && let Some(old) = self.gone.pop_first()
@@ -65,8 +64,8 @@
         }
         let shown = self.shown(change.clone());
         // One that moved is gone under its old number after it was named under its new one.
-        let stale = change.listed.state == ReplicaState::Removed
-            && self.told.get(&change.id).is_some_and(|c| c.listed.replica != change.listed.replica);
+        let stale = change.entry.state == ReplicaState::Removed
+            && self.told.get(&change.id).is_some_and(|c| c.entry.replica != change.entry.replica);
         if !stale {
             self.told.insert(change.id.clone(), change);
         }
@@ -74,8 +73,8 @@
     }
 
     fn shown(&self, mut change: NodeChange) -> NodeChange {
-        if change.listed.state == ReplicaState::Active && self.out.contains(&change.id) {
-            change.listed.state = ReplicaState::Draining;
+        if change.entry.state == ReplicaState::Active && self.out.contains(&change.id) {
+            change.entry.state = ReplicaState::Draining;
         }
         change
     }
--- a/src/membership/merged_view.rs
+++ b/src/membership/merged_view.rs
@@ -13,19 +13,19 @@
 
 /// Most nodes that are gone and still known as such. Above that the oldest go, and unknown nodes whose facts are
 /// as old as those are not believed any more: ids are always new, and what is gone must not add up.
-pub const MOST_GONE: usize = 512;
+pub const MAX_GONE_NODES: usize = 512;
 
 /// A fact with its place and the time it was first heard.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VersionedRecord {
     /// The fact.
-    pub fact: NodeRecord,
+    pub record: NodeRecord,
     /// Its place in its source's order.
-    pub stamp: SourceVersion,
+    pub version: SourceVersion,
     /// When this broker first heard it, unix ns.
-    pub heard: Nanos,
+    pub received: Nanos,
     /// It comes from the first list of a source that counts anew, and may be from before what was learnt last.
-    pub anew: bool,
+    pub after_reset: bool,
 }
 
 type Key<'a> = (SourceVersion, NodeState, &'a NodeRecord, Reverse<Nanos>, bool);
@@ -33,17 +33,19 @@
 impl VersionedRecord {
     fn key(&self) -> Key<'_> {
         // The earlier hearing of one fact counts: a drain is learnt once.
-        (self.stamp, self.fact.state, &self.fact, Reverse(self.heard), self.anew)
+        (self.version, self.record.state, &self.record, Reverse(self.received), self.after_reset)
     }
 
     fn life(&self) -> (Nanos, Key<'_>) {
-        (self.fact.started, self.key())
+        (self.record.started, self.key())
     }
 
     /// Whether it can name a later life: ready, with a start that had been when it was heard. Guards against
     /// starts in the future, which would outlast every drain.
     fn tells_life(&self) -> bool {
-        self.fact.state == NodeState::Ready && self.fact.started > 0 && self.fact.started <= self.heard
+        self.record.state == NodeState::Ready
+            && self.record.started > 0
+            && self.record.started <= self.received
     }
 }
 
@@ -69,8 +71,8 @@
             self.latest = known.clone();
         }
         let higher = |held: &Option<VersionedRecord>| held.as_ref().is_none_or(|h| known.key() > h.key());
-        match known.fact.state {
-            NodeState::Ready if known.anew => {}
+        match known.record.state {
+            NodeState::Ready if known.after_reset => {}
             NodeState::Ready if higher(&self.ready) => self.ready = Some(known.clone()),
             NodeState::Terminating | NodeState::Gone if higher(&self.drain) => {
                 self.drain = Some(known.clone())
@@ -86,7 +88,11 @@
     fn speaks(&self) -> &VersionedRecord {
         match &self.drain {
             // A list that counts anew may be from before the drain.
-            Some(d) if self.latest.anew && self.ready.as_ref().is_none_or(|r| r.stamp < d.stamp) => d,
+            Some(d)
+                if self.latest.after_reset && self.ready.as_ref().is_none_or(|r| r.version < d.version) =>
+            {
+                d
+            }
             _ => &self.latest,
         }
     }
@@ -127,28 +133,28 @@
     }
 
     fn take(&mut self, known: VersionedRecord) {
-        if let Some(held) = self.nodes.get_mut(&known.fact.id) {
+        if let Some(held) = self.nodes.get_mut(&known.record.id) {
             held.take(&known);
-        } else if self.forgotten.is_none_or(|f| known.stamp > f) {
-            self.nodes.insert(known.fact.id.clone(), Held::new(known));
+        } else if self.forgotten.is_none_or(|f| known.version > f) {
+            self.nodes.insert(known.record.id.clone(), Held::new(known));
         }
     }
 
     /// What is believed of a node, and since when that has been known.
     fn view<'a>(&'a self, held: &'a Held) -> NodeView<'a> {
-        let replaced = self.whole.filter(|(stamp, _)| held.latest.stamp < *stamp);
+        let replaced = self.whole.filter(|(stamp, _)| held.latest.version < *stamp);
         let speaks = held.speaks();
         let (state, learnt) = match replaced {
             // A whole list that leaves it out, unless it was known to be gone before.
-            Some((_, Reverse(heard))) if speaks.fact.state == NodeState::Ready => (NodeState::Gone, heard),
-            Some((_, Reverse(heard))) => (NodeState::Gone, heard.max(speaks.heard)),
-            _ => (speaks.fact.state, speaks.heard),
+            Some((_, Reverse(heard))) if speaks.record.state == NodeState::Ready => (NodeState::Gone, heard),
+            Some((_, Reverse(heard))) => (NodeState::Gone, heard.max(speaks.received)),
+            _ => (speaks.record.state, speaks.received),
         };
         match &held.life {
-            Some(life) if state != NodeState::Ready && life.fact.started > learnt => {
-                NodeView { known: life, state: NodeState::Ready, learnt: life.heard }
+            Some(life) if state != NodeState::Ready && life.record.started > learnt => {
+                NodeView { versioned: life, state: NodeState::Ready, learned: life.received }
             }
-            _ => NodeView { known: speaks, state, learnt },
+            _ => NodeView { versioned: speaks, state, learned: learnt },
         }
     }
 
@@ -160,15 +166,15 @@
         let mut gone: Vec<(SourceVersion, String)> = Vec::new();
         for (id, held) in &self.nodes {
             if self.view(held).state == NodeState::Gone {
-                gone.push((held.latest.stamp, id.clone()));
+                gone.push((held.latest.version, id.clone()));
             }
         }
-        if gone.len() <= MOST_GONE {
+        if gone.len() <= MAX_GONE_NODES {
             return;
         }
         gone.sort_unstable();
         // Some at a time, so that not each new one looks through all.
-        let over = gone.len() - MOST_GONE / 2;
+        let over = gone.len() - MAX_GONE_NODES / 2;
         for (stamp, id) in gone.drain(..over) {
             self.nodes.remove(&id);
             self.forgotten = self.forgotten.max(Some(stamp));
@@ -181,11 +187,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NodeView<'a> {
     /// The fact that speaks for it.
-    pub known: &'a VersionedRecord,
+    pub versioned: &'a VersionedRecord,
     /// Its state: the fact's own, or gone where a whole list left the node out.
     pub state: NodeState,
     /// When that was learnt.
-    pub learnt: Nanos,
+    pub learned: Nanos,
 }
 
 /// What is believed of all nodes.
@@ -211,16 +217,16 @@
 
     /// Takes in one report: facts with one stamp, all there are if `full`.
     /// `anew`: the first of a source that counts anew.
-    pub fn take(
+    pub fn apply_report(
         &mut self,
         stamp: SourceVersion,
         (full, anew): (bool, bool),
         facts: impl IntoIterator<Item = NodeRecord>,
         heard: Nanos,
     ) {
-        let told = self.told(stamp.rank);
+        let told = self.told(stamp.priority);
         for fact in facts {
-            told.take(VersionedRecord { fact, stamp, heard, anew });
+            told.take(VersionedRecord { record: fact, version: stamp, received: heard, after_reset: anew });
         }
         if full {
             told.whole = told.whole.max(Some((stamp, Reverse(heard))));
@@ -229,13 +235,13 @@
     }
 
     /// Takes in one fact with a stamp and time of its own: one that was kept.
-    pub fn take_known(&mut self, known: VersionedRecord) {
-        self.told(known.stamp.rank).take(known);
+    pub fn insert_record(&mut self, known: VersionedRecord) {
+        self.told(known.version.priority).take(known);
     }
 
     /// A whole list with this stamp was heard then.
-    pub fn take_whole(&mut self, stamp: SourceVersion, heard: Nanos) {
-        let told = self.told(stamp.rank);
+    pub fn insert_full_list(&mut self, stamp: SourceVersion, heard: Nanos) {
+        let told = self.told(stamp.priority);
         told.whole = told.whole.max(Some((stamp, Reverse(heard))));
     }
 
@@ -246,7 +252,7 @@
     }
 
     /// Stamp of a source's latest whole list, and when it was first heard.
-    pub fn whole(&self, rank: SourcePriority) -> Option<(SourceVersion, Nanos)> {
+    pub fn full_list(&self, rank: SourcePriority) -> Option<(SourceVersion, Nanos)> {
         let told = if rank == SourcePriority::Operator { &self.operator } else { &self.directory };
         told.whole.map(|(stamp, Reverse(heard))| (stamp, heard))
     }
@@ -254,13 +260,17 @@
     /// What is believed of a node. An operator's node is in until the directory says that it drains or is gone.
     pub fn view(&self, id: &str) -> Option<NodeView<'_>> {
         let of = |told: &'_ Told| -> Option<(SourceVersion, bool)> {
-            told.nodes.get(id).map(|h| (h.latest.stamp, told.view(h).state == NodeState::Ready))
+            told.nodes.get(id).map(|h| (h.latest.version, told.view(h).state == NodeState::Ready))
         };
         let told = match (of(&self.operator), of(&self.directory)) {
             (Some((_, true)), Some((stamp, false))) => {
                 // Left out of the directory's whole list: it may never have belonged there.
                 let left_out = self.directory.whole.is_some_and(|(whole, _)| stamp < whole)
-                    && self.directory.nodes.get(id).is_some_and(|h| h.latest.fact.state == NodeState::Ready);
+                    && self
+                        .directory
+                        .nodes
+                        .get(id)
+                        .is_some_and(|h| h.latest.record.state == NodeState::Ready);
                 if left_out { &self.operator } else { &self.directory }
             }
             (_, Some(_)) => &self.directory,
@@ -277,17 +287,17 @@
     }
 
     /// The directory's facts that are held, of each node up to four.
-    pub fn directory(&self) -> impl Iterator<Item = &VersionedRecord> {
+    pub fn directory_records(&self) -> impl Iterator<Item = &VersionedRecord> {
         self.directory.nodes.values().flat_map(Held::facts)
     }
 
     /// Facts up to this stamp about unknown nodes are not believed.
-    pub fn forgotten(&self) -> Option<SourceVersion> {
+    pub fn pruned_up_to(&self) -> Option<SourceVersion> {
         self.directory.forgotten
     }
 
     /// Sets what `forgotten` tells, from a kept list.
-    pub fn forget_to(&mut self, stamp: SourceVersion) {
+    pub fn set_pruned_up_to(&mut self, stamp: SourceVersion) {
         self.directory.forgotten = self.directory.forgotten.max(Some(stamp));
     }
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -74,7 +74,8 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SourceVersion {
     /// Who told.
-    pub rank: SourcePriority,
+    #[serde(rename = "rank")]
+    pub priority: SourcePriority,
     /// How often the source began to count anew, as far as this broker saw.
     pub epoch: u32,
     /// The source's version.
@@ -84,6 +85,6 @@
 impl SourceVersion {
     /// The first stamp of a source: older than all others of its own.
     pub fn zero(rank: SourcePriority) -> SourceVersion {
-        SourceVersion { rank, epoch: 0, version: 0 }
+        SourceVersion { priority: rank, epoch: 0, version: 0 }
     }
 }
--- a/src/membership/poll_backoff.rs
+++ b/src/membership/poll_backoff.rs
@@ -25,7 +25,7 @@
 
     /// A call failed: so long until the next. Never less than a quarter of the bound, so that one broker alone
     /// does not hammer either.
-    pub fn failed(&mut self) -> Nanos {
+    pub fn on_failure(&mut self) -> Nanos {
         let x = (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
         let wait = self.bound as f64 * (0.25 + 0.75 * x);
         self.bound = self.bound.saturating_mul(2).min(self.most);
@@ -33,7 +33,7 @@
     }
 
     /// A call was answered.
-    pub fn answered(&mut self) {
+    pub fn on_success(&mut self) {
         self.bound = self.first;
     }
 }
@@ -52,7 +52,7 @@
             let mut again = PollBackoff::new(500 * MS, 8000 * MS, seed);
             let mut at = 0;
             while at < 40_000 * MS {
-                at += again.failed();
+                at += again.on_failure();
                 asks.push(at);
             }
         }
@@ -64,10 +64,10 @@
     #[test]
     fn the_wait_grows_to_its_bound_and_an_answer_resets_it() {
         let mut again = PollBackoff::new(500 * MS, 4000 * MS, 7);
-        let waits: Vec<Nanos> = (0..20).map(|_| again.failed()).collect();
+        let waits: Vec<Nanos> = (0..20).map(|_| again.on_failure()).collect();
         assert!(waits[0] <= 500 * MS && waits.iter().all(|w| *w <= 4000 * MS && *w >= 125 * MS));
         assert!(waits[4..].iter().any(|w| *w > 2000 * MS));
-        again.answered();
-        assert!(again.failed() <= 500 * MS);
+        again.on_success();
+        assert!(again.on_failure() <= 500 * MS);
     }
 }
--- a/src/membership/probation.rs
+++ b/src/membership/probation.rs
@@ -28,11 +28,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
     /// Confirmed, or trusted as if it were.
-    Sure,
+    Confirmed,
     /// Unconfirmed, and it gets work.
-    Let,
+    Admitted,
     /// Unconfirmed, and it has not got any yet.
-    Waits,
+    Waiting,
     /// Unconfirmed, and it failed not long ago.
     Failed,
 }
@@ -45,7 +45,7 @@
     /// How far it is trusted.
     pub trust: f64,
     /// How it stands.
-    pub stands: Admission,
+    pub admission: Admission,
 }
 
 /// Whether each candidate gets work, after so many steps since the first of them was believed. Where there is a
@@ -55,26 +55,26 @@
     let (mut there, mut trusted, mut count) = (vec![0; cells], vec![0.0; cells], vec![0; cells]);
     let mut let_in = vec![false; candidates.len()];
     for (c, yes) in candidates.iter().zip(&mut let_in) {
-        *yes = matches!(c.stands, Admission::Sure | Admission::Let);
+        *yes = matches!(c.admission, Admission::Confirmed | Admission::Admitted);
         for g in layout.groups(c.cell) {
             there[g] += usize::from(*yes);
-            if c.stands != Admission::Sure {
+            if c.admission != Admission::Confirmed {
                 trusted[g] += c.trust;
                 count[g] += 1;
             }
         }
     }
     let wanted: Vec<usize> = (0..cells)
-        .map(|g| staleness::at_once(trusted[g] / f64::max(count[g] as f64, 1.0), count[g]) + steps)
+        .map(|g| staleness::initial_admissions(trusted[g] / f64::max(count[g] as f64, 1.0), count[g]) + steps)
         .collect();
-    for (c, yes) in candidates.iter().zip(&mut let_in).filter(|(c, _)| c.stands == Admission::Waits) {
+    for (c, yes) in candidates.iter().zip(&mut let_in).filter(|(c, _)| c.admission == Admission::Waiting) {
         if layout.groups(c.cell).any(|g| there[g] < wanted[g]) {
             *yes = true;
             layout.groups(c.cell).for_each(|g| there[g] += 1);
         }
     }
     // Guards partitions against distrust: a doubtful holder is better than none.
-    for (c, yes) in candidates.iter().zip(&mut let_in).filter(|(c, _)| c.stands == Admission::Failed) {
+    for (c, yes) in candidates.iter().zip(&mut let_in).filter(|(c, _)| c.admission == Admission::Failed) {
         if layout.groups(c.cell).any(|g| there[g] == 0) {
             *yes = true;
         }
@@ -89,7 +89,7 @@
     const RING: PartitionLayout = PartitionLayout { cells: 8, span: 4 };
 
     fn all(trust: f64, stands: Admission) -> Vec<Candidate> {
-        (0..16).map(|n| Candidate { cell: n % 8, trust, stands }).collect()
+        (0..16).map(|n| Candidate { cell: n % 8, trust, admission: stands }).collect()
     }
 
     fn holders(let_in: &[bool], partition: u32) -> usize {
@@ -101,7 +101,7 @@
     fn the_less_the_trust_the_fewer_get_work_at_once_and_each_partition_has_two() {
         let mut before = 16;
         for trust in [0.97, 0.7, 0.4, 0.01] {
-            let let_in = admit(RING, &all(trust, Admission::Waits), 0);
+            let let_in = admit(RING, &all(trust, Admission::Waiting), 0);
             let n = let_in.iter().filter(|x| **x).count();
             assert!(n <= before && (0..8).all(|p| holders(&let_in, p) >= 2), "{n} at {trust}");
             before = n;
@@ -111,19 +111,19 @@
 
     #[test]
     fn with_time_all_are_tried() {
-        let let_in = admit(RING, &all(0.01, Admission::Waits), 7);
+        let let_in = admit(RING, &all(0.01, Admission::Waiting), 7);
         assert!(let_in.iter().all(|x| *x));
     }
 
     #[test]
     fn who_failed_stays_out_unless_a_partition_has_nobody_else() {
-        let mut some = all(0.3, Admission::Sure);
-        some[3].stands = Admission::Failed;
+        let mut some = all(0.3, Admission::Confirmed);
+        some[3].admission = Admission::Failed;
         assert!(!admit(RING, &some, 100)[3]);
         let none = admit(RING, &all(0.3, Admission::Failed), 0);
         assert!((0..8).all(|p| holders(&none, p) > 0));
         // One cell alone holds on to its partitions.
-        let last = [Candidate { cell: 2, trust: 0.0, stands: Admission::Failed }];
+        let last = [Candidate { cell: 2, trust: 0.0, admission: Admission::Failed }];
         assert_eq!(admit(RING, &last, 0), [true]);
     }
 }
--- a/src/membership/registry.rs
+++ b/src/membership/registry.rs
@@ -30,13 +30,13 @@
     /// How the partitions lie.
     pub layout: PartitionLayout,
     /// How long a started node is cold.
-    pub cold_time: Nanos,
+    pub warm_up: Nanos,
     /// Stated mean time between two changes of one node: a move, a replacement, a drain or a restart.
-    pub changes_every: Nanos,
+    pub mean_change_interval: Nanos,
     /// Age of a list that does not tell its own.
-    pub presumed_age: Nanos,
+    pub default_list_age: Nanos,
     /// An attempt given up after so long without an answer counts as silence.
-    pub silent_after: Nanos,
+    pub silence_timeout: Nanos,
     /// Names of zones and their numbers.
     pub zones: HashMap<String, u32>,
     /// Kinds of node that can be called; empty: all.
@@ -50,7 +50,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct NodeChange {
     /// For the exchange.
-    pub listed: ReplicaEntry,
+    pub entry: ReplicaEntry,
     /// The node's id.
     pub id: String,
     /// Where it is; none once it is gone.
@@ -66,11 +66,11 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct NodeStatus {
     /// What is believed.
-    pub fact: NodeRecord,
+    pub record: NodeRecord,
     /// Its state: gone where a whole list left it out.
     pub state: NodeState,
     /// When that was learnt, unix ns.
-    pub learnt: Nanos,
+    pub learned: Nanos,
     /// When it was last confirmed, unix ns; none: never.
     pub confirmed: Option<Nanos>,
     /// How far it is trusted now.
@@ -182,9 +182,9 @@
     /// What was kept on disk, every generation of it. Comes before all other sources.
     pub fn restore(&mut self, generations: &[Snapshot], now: Nanos) {
         for kept in generations {
-            kept.add_to(&mut self.belief);
+            kept.merge_into(&mut self.belief);
             let stamps = kept.nodes.iter().map(|n| (n.epoch, n.version));
-            let last = stamps.chain(kept.whole.map(|(e, v, _)| (e, v))).max().unwrap_or((0, 0));
+            let last = stamps.chain(kept.full_list.map(|(e, v, _)| (e, v))).max().unwrap_or((0, 0));
             if last >= (self.epoch, self.version) {
                 (self.epoch, self.version) = last;
                 self.rate = kept.rate;
@@ -193,7 +193,7 @@
         }
         for n in generations.iter().flat_map(|k| &k.nodes) {
             if let Some(at) = n.confirmed.map(|t| self.believable(t, now)) {
-                self.confirm_from(&n.fact.id, at);
+                self.confirm_from(&n.record.id, at);
             }
         }
         self.settle(now);
@@ -209,12 +209,12 @@
 
     /// A time that was kept: one that lies ahead says only that a clock was wrong, and counts as the age presumed.
     fn believable(&self, at: Nanos, now: Nanos) -> Nanos {
-        if at <= now { at } else { now.saturating_sub(self.settings.presumed_age) }
+        if at <= now { at } else { now.saturating_sub(self.settings.default_list_age) }
     }
 
     fn confirm_from(&mut self, id: &str, at: Nanos) {
         let Some(view) = self.belief.view(id).filter(|v| v.state != NodeState::Gone) else { return };
-        let Some(addr) = view.known.fact.addr else { return };
+        let Some(addr) = view.versioned.record.addr else { return };
         let m = self.member(id.to_owned(), addr);
         m.confirmed = m.confirmed.max(Some(at));
     }
@@ -243,9 +243,9 @@
     /// The list that the configuration carries: as this broker last had it, in discovery's form.
     pub fn add_configured(&mut self, list: &EndpointList, now: Nanos) {
         // After a discovery counted anew there is no telling whether this list is older: it must not undo anything.
-        let stamp = SourceVersion { rank: SourcePriority::Directory, epoch: 0, version: list.version };
+        let stamp = SourceVersion { priority: SourcePriority::Directory, epoch: 0, version: list.version };
         let as_of = list.as_of_ms.map(|ms| self.believable(ms.saturating_mul(1_000_000), now));
-        let as_of = as_of.unwrap_or_else(|| now.saturating_sub(self.settings.presumed_age));
+        let as_of = as_of.unwrap_or_else(|| now.saturating_sub(self.settings.default_list_age));
         if self.epoch == 0 && list.version >= self.version {
             self.version = list.version;
             if list.full {
@@ -260,9 +260,9 @@
     pub fn set_operator_nodes(&mut self, nodes: Vec<NodeRecord>, now: Nanos) {
         self.operator_version += 1;
         let stamp =
-            SourceVersion { rank: SourcePriority::Operator, epoch: 0, version: self.operator_version };
+            SourceVersion { priority: SourcePriority::Operator, epoch: 0, version: self.operator_version };
         let ids: Vec<String> = nodes.iter().map(|n| n.id.clone()).collect();
-        self.belief.take(stamp, (true, false), nodes, now);
+        self.belief.apply_report(stamp, (true, false), nodes, now);
         for id in ids {
             self.confirm_from(&id, now);
         }
@@ -294,7 +294,7 @@
         let (before, all) = self.believed(touched.as_deref());
         self.version = list.version;
         let stamp =
-            SourceVersion { rank: SourcePriority::Directory, epoch: self.epoch, version: list.version };
+            SourceVersion { priority: SourcePriority::Directory, epoch: self.epoch, version: list.version };
         self.take(stamp, list, anew, now);
         if list.full || first {
             // All that was not named holds as it did.
@@ -331,7 +331,7 @@
                 tracing::error!("discovery names no usable address for {}: {:?}", s.id, s.addr);
             }
         }
-        self.belief.take(stamp, (list.full, anew), list.servers.iter().map(|s| s.fact()), now);
+        self.belief.apply_report(stamp, (list.full, anew), list.servers.iter().map(|s| s.record()), now);
         tracing::info!(
             "list version {}: {} {}",
             list.version,
@@ -345,7 +345,7 @@
     fn believed(&self, named: Option<&[&str]>) -> (HashMap<String, Place>, usize) {
         let place = |id: &str| {
             let view = self.belief.view(id).filter(|v| v.state == NodeState::Ready)?;
-            let f = &view.known.fact;
+            let f = &view.versioned.record;
             Some((id.to_owned(), (f.addr, f.cell, f.started)))
         };
         match named {
@@ -365,10 +365,12 @@
         let same = |a: &Place, b: &Place| (a.0, a.1) == (b.0, b.1) && (a.2 == b.2 || b.2 == 0);
         let holds = |id: &str, was: &Place| {
             let view = self.belief.view(id).filter(|v| v.state == NodeState::Ready);
-            view.is_some_and(|v| same(was, &(v.known.fact.addr, v.known.fact.cell, v.known.fact.started)))
+            view.is_some_and(|v| {
+                same(was, &(v.versioned.record.addr, v.versioned.record.cell, v.versioned.record.started))
+            })
         };
         let changed = before.iter().filter(|(id, was)| !holds(id, was)).count();
-        self.rate.saw(watched, now.saturating_sub(since), changed, self.settings.changes_every);
+        self.rate.observe(watched, now.saturating_sub(since), changed, self.settings.mean_change_interval);
     }
 
     /// The watch stands and has nothing to tell: the list holds as it is.
@@ -413,7 +415,7 @@
             }
             Outcome::TimedOut => self.failed(replica, now),
             // Given up for another's answer, with nothing heard for too long.
-            Outcome::Cancelled if latency >= self.settings.silent_after => self.failed(replica, now),
+            Outcome::Cancelled if latency >= self.settings.silence_timeout => self.failed(replica, now),
             // It may be another program by now; one that has answered is only in trouble. One that turns parts away is
             // there: it may just be full.
             Outcome::Error | Outcome::InvalidResponse | Outcome::ConnectionReset if !m.answered => {
@@ -438,7 +440,7 @@
         let mut sorted: Vec<Nanos> = self.pace.iter().copied().collect();
         sorted.sort_unstable();
         let usual = sorted[sorted.len() / 4] as f64;
-        if latency as f64 <= PACE.1 * usual && latency <= self.settings.silent_after {
+        if latency as f64 <= PACE.1 * usual && latency <= self.settings.silence_timeout {
             self.lift(replica);
         }
     }
@@ -468,7 +470,8 @@
         let trust = self.trust(self.members.get(id).and_then(|m| self.confirmed(m, id)), now);
         let Some(m) = self.members.get_mut(id) else { return };
         m.failures += 1;
-        if staleness::strikes(trust).is_some_and(|n| m.failures >= n) && m.trial == Trial::Let {
+        if staleness::failures_until_ejection(trust).is_some_and(|n| m.failures >= n) && m.trial == Trial::Let
+        {
             m.out = (m.out * 2).clamp(OUT.0, OUT.1);
             m.trial = Trial::Failed { until: now + m.out };
             self.dirty = true;
@@ -479,13 +482,14 @@
 
     /// Last word that a node is there: its own, discovery's of it, or discovery's of the list as a whole.
     fn confirmed(&self, m: &Member, id: &str) -> Option<Nanos> {
-        let listed = self.belief.view(id).is_some_and(|v| v.known.stamp.rank == SourcePriority::Directory);
+        let listed =
+            self.belief.view(id).is_some_and(|v| v.versioned.version.priority == SourcePriority::Directory);
         m.confirmed.max(self.synced.filter(|_| listed))
     }
 
     fn trust(&self, confirmed: Option<Nanos>, now: Nanos) -> f64 {
-        let age = confirmed.map_or(self.settings.presumed_age, |t| now.saturating_sub(t));
-        staleness::of_age(age, self.rate.mean(self.settings.changes_every))
+        let age = confirmed.map_or(self.settings.default_list_age, |t| now.saturating_sub(t));
+        staleness::trust_at_age(age, self.rate.mean_interval(self.settings.mean_change_interval))
     }
 
     // ---- telling ----
@@ -495,8 +499,8 @@
         let mut by_addr: HashMap<SocketAddr, Vec<(SourceVersion, Nanos, &str)>> = HashMap::new();
         for id in self.belief.ids() {
             let Some(v) = self.belief.view(id).filter(|v| v.state == NodeState::Ready) else { continue };
-            if let Some(addr) = v.known.fact.addr {
-                by_addr.entry(addr).or_default().push((v.known.stamp, v.known.fact.started, id));
+            if let Some(addr) = v.versioned.record.addr {
+                by_addr.entry(addr).or_default().push((v.versioned.version, v.versioned.record.started, id));
             }
         }
         let mut out = HashSet::new();
@@ -514,7 +518,9 @@
     fn settle_some(&mut self, ids: &[&str], now: Nanos) -> bool {
         for id in ids {
             let view = self.belief.view(id);
-            let Some((fact, state)) = view.map(|v| (v.known.fact.clone(), v.state)) else { return false };
+            let Some((fact, state)) = view.map(|v| (v.versioned.record.clone(), v.state)) else {
+                return false;
+            };
             let callable = self.settings.kinds.is_empty() || self.settings.kinds.contains(&fact.kind);
             let known = self.members.get(*id).map(|m| m.addr);
             let addr = match (state, fact.addr) {
@@ -553,7 +559,7 @@
         let mut views: Vec<(String, NodeRecord, NodeState)> = Vec::new();
         for id in self.belief.ids() {
             if let Some(v) = self.belief.view(id) {
-                views.push((id.to_owned(), v.known.fact.clone(), v.state));
+                views.push((id.to_owned(), v.versioned.record.clone(), v.state));
             }
         }
         let forgotten: Vec<String> =
@@ -608,14 +614,14 @@
             let trust = self.trust(self.confirmed(m, id), now);
             let stands = match m.trial {
                 // It answered, or was let in before: it stays until it fails.
-                _ if trust >= staleness::SURE => Admission::Sure,
-                Trial::Let => Admission::Let,
+                _ if trust >= staleness::CONFIRMED_TRUST => Admission::Confirmed,
+                Trial::Let => Admission::Admitted,
                 Trial::Failed { until } if until > now => Admission::Failed,
-                Trial::Waits | Trial::Failed { .. } => Admission::Waits,
+                Trial::Waits | Trial::Failed { .. } => Admission::Waiting,
             };
-            candidates.push(Candidate { cell: fact.cell, trust, stands });
+            candidates.push(Candidate { cell: fact.cell, trust, admission: stands });
         }
-        let unsure = candidates.iter().any(|c| c.stands != Admission::Sure);
+        let unsure = candidates.iter().any(|c| c.admission != Admission::Confirmed);
         self.calm &= !unsure;
         if unsure {
             self.began.get_or_insert(now);
@@ -624,16 +630,16 @@
         let chosen = probation::admit(self.settings.layout, &candidates, steps);
         let mut due: Option<Nanos> = None;
         for (((_, id, fact), c), yes) in ready.iter().zip(&candidates).zip(chosen) {
-            let cold_time = self.settings.cold_time;
+            let cold_time = self.settings.warm_up;
             let Some(m) = self.members.get_mut(id) else { continue };
-            let next = match (m.trial, c.stands) {
+            let next = match (m.trial, c.admission) {
                 (Trial::Failed { until }, Admission::Failed) => Some(until),
-                (_, Admission::Waits) if !yes => self.began.map(|t| t + (steps as Nanos + 1) * STEP),
+                (_, Admission::Waiting) if !yes => self.began.map(|t| t + (steps as Nanos + 1) * STEP),
                 _ => None,
             };
             due = due.into_iter().chain(next).min();
-            if yes && c.stands != Admission::Failed {
-                if c.stands == Admission::Waits {
+            if yes && c.admission != Admission::Failed {
+                if c.admission == Admission::Waiting {
                     m.failures = 0;
                     m.assumed = staleness::assumed_start(c.trust, now, cold_time);
                 }
@@ -683,7 +689,7 @@
         );
         m.told = Some(line.clone());
         let addr = Some(m.addr);
-        self.changes.push(NodeChange { listed: line, id: id.to_owned(), addr, kind: fact.kind.clone() });
+        self.changes.push(NodeChange { entry: line, id: id.to_owned(), addr, kind: fact.kind.clone() });
     }
 
     fn drop_member(&mut self, id: &str) {
@@ -691,7 +697,12 @@
         self.by_replica.remove(&m.replica);
         if let Some(told) = m.told {
             let listed = ReplicaEntry { state: ReplicaState::Removed, ..told };
-            self.changes.push(NodeChange { listed, id: id.to_owned(), addr: None, kind: String::new() });
+            self.changes.push(NodeChange {
+                entry: listed,
+                id: id.to_owned(),
+                addr: None,
+                kind: String::new(),
+            });
         }
     }
 
@@ -709,10 +720,14 @@
 
     /// What discovery last said of a node's process: its state, its start and the list's version that told so.
     pub fn discovery_state(&self, id: &str) -> Option<(NodeState, Nanos, u64)> {
-        let view = self.belief.view(id).filter(|v| v.known.stamp.rank == SourcePriority::Directory)?;
-        let version =
-            if view.state == view.known.fact.state { view.known.stamp.version } else { self.version };
-        Some((view.state, view.known.fact.started, version))
+        let view =
+            self.belief.view(id).filter(|v| v.versioned.version.priority == SourcePriority::Directory)?;
+        let version = if view.state == view.versioned.record.state {
+            view.versioned.version.version
+        } else {
+            self.version
+        };
+        Some((view.state, view.versioned.record.started, version))
     }
 
     /// Nodes that are in the list, those that drain among them.
@@ -744,8 +759,8 @@
     }
 
     /// Whether a node may still come in time: one that was not tried yet, or a list that nobody confirmed.
-    pub fn may_yet_come(&self, now: Nanos) -> bool {
-        self.synced.is_none_or(|t| self.trust(Some(t), now) < staleness::SURE)
+    pub fn may_gain_nodes(&self, now: Nanos) -> bool {
+        self.synced.is_none_or(|t| self.trust(Some(t), now) < staleness::CONFIRMED_TRUST)
     }
 
     /// How each node stands.
@@ -757,8 +772,8 @@
                 None => self.synced,
             };
             let trust = if view.state == NodeState::Ready { self.trust(confirmed, now) } else { 0.0 };
-            let (fact, state, learnt) = (view.known.fact.clone(), view.state, view.learnt);
-            Some(NodeStatus { fact, state, learnt, confirmed, trust })
+            let (fact, state, learnt) = (view.versioned.record.clone(), view.state, view.learned);
+            Some(NodeStatus { record: fact, state, learned: learnt, confirmed, trust })
         };
         self.belief.ids().filter_map(note).collect()
     }
@@ -790,19 +805,19 @@
 
     /// The list as it would be kept now.
     pub fn snapshot(&self, now: Nanos) -> Snapshot {
-        let nodes = self.belief.directory().map(|k| SnapshotNode {
-            confirmed: self.members.get(&k.fact.id).and_then(|m| m.confirmed),
-            fact: k.fact.clone(),
-            epoch: k.stamp.epoch,
-            version: k.stamp.version,
-            heard: k.heard,
-            anew: k.anew,
+        let nodes = self.belief.directory_records().map(|k| SnapshotNode {
+            confirmed: self.members.get(&k.record.id).and_then(|m| m.confirmed),
+            record: k.record.clone(),
+            epoch: k.version.epoch,
+            version: k.version.version,
+            received: k.received,
+            after_reset: k.after_reset,
         });
         Snapshot {
             written: now,
             synced: self.synced,
-            whole: self.belief.whole(SourcePriority::Directory).map(|(s, t)| (s.epoch, s.version, t)),
-            forgotten: self.belief.forgotten().map(|s| (s.epoch, s.version)),
+            full_list: self.belief.full_list(SourcePriority::Directory).map(|(s, t)| (s.epoch, s.version, t)),
+            pruned_up_to: self.belief.pruned_up_to().map(|s| (s.epoch, s.version)),
             rate: self.rate,
             nodes: nodes.collect(),
         }
--- a/src/membership/snapshot.rs
+++ b/src/membership/snapshot.rs
@@ -10,35 +10,41 @@
 /// The version that is written.
 pub const VERSION: u32 = 1;
 /// Largest file that is written or read, bytes.
-pub const MOST_BYTES: usize = 8 << 20;
+pub const MAX_FILE_BYTES: usize = 8 << 20;
 const FORMAT: FileFormat =
-    FileFormat { magic: "pebbleturn-roster", what: "kept list", version: VERSION, most: MOST_BYTES };
+    FileFormat { magic: "pebbleturn-roster", what: "kept list", version: VERSION, most: MAX_FILE_BYTES };
 
 /// A node as it is kept.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
 pub struct SnapshotNode {
     /// What was told of it.
     #[serde(flatten)]
-    pub fact: super::NodeRecord,
+    pub record: super::NodeRecord,
     /// Discovery's count and version that told it.
     pub epoch: u32,
     /// See `epoch`.
     pub version: u64,
     /// When it was first heard, unix ns. For a drain: when that was learnt.
-    pub heard: Nanos,
+    #[serde(rename = "heard")]
+    pub received: Nanos,
     /// It was told by the first list of a discovery that counted anew.
-    #[serde(default)]
-    pub anew: bool,
+    #[serde(default, rename = "anew")]
+    pub after_reset: bool,
     /// When it was last confirmed, unix ns; none: never.
     pub confirmed: Option<Nanos>,
 }
 
 impl SnapshotNode {
     /// The fact with its place in discovery's order.
-    pub fn known(&self) -> VersionedRecord {
+    pub fn versioned(&self) -> VersionedRecord {
         let stamp =
-            SourceVersion { rank: SourcePriority::Directory, epoch: self.epoch, version: self.version };
-        VersionedRecord { fact: self.fact.clone(), stamp, heard: self.heard, anew: self.anew }
+            SourceVersion { priority: SourcePriority::Directory, epoch: self.epoch, version: self.version };
+        VersionedRecord {
+            record: self.record.clone(),
+            version: stamp,
+            received: self.received,
+            after_reset: self.after_reset,
+        }
     }
 }
 
@@ -50,9 +56,11 @@
     /// When the list as a whole was last known to hold, unix ns; none: never.
     pub synced: Option<Nanos>,
     /// Discovery's latest whole list: its count, its version and when it was heard.
-    pub whole: Option<(u32, u64, Nanos)>,
+    #[serde(rename = "whole")]
+    pub full_list: Option<(u32, u64, Nanos)>,
     /// Facts up to this count and version about unknown nodes are not believed.
-    pub forgotten: Option<(u32, u64)>,
+    #[serde(rename = "forgotten")]
+    pub pruned_up_to: Option<(u32, u64)>,
     /// How fast nodes change.
     pub rate: ChangeRate,
     /// The nodes, those that drain and those that are gone among them.
@@ -61,14 +69,14 @@
 
 impl Snapshot {
     /// Adds what was kept to a belief.
-    pub fn add_to(&self, belief: &mut MergedView) {
-        let stamp = |epoch, version| SourceVersion { rank: SourcePriority::Directory, epoch, version };
-        self.nodes.iter().for_each(|n| belief.take_known(n.known()));
-        if let Some((epoch, version, heard)) = self.whole {
-            belief.take_whole(stamp(epoch, version), heard);
+    pub fn merge_into(&self, belief: &mut MergedView) {
+        let stamp = |epoch, version| SourceVersion { priority: SourcePriority::Directory, epoch, version };
+        self.nodes.iter().for_each(|n| belief.insert_record(n.versioned()));
+        if let Some((epoch, version, heard)) = self.full_list {
+            belief.insert_full_list(stamp(epoch, version), heard);
         }
-        if let Some((epoch, version)) = self.forgotten {
-            belief.forget_to(stamp(epoch, version));
+        if let Some((epoch, version)) = self.pruned_up_to {
+            belief.set_pruned_up_to(stamp(epoch, version));
         }
         belief.prune();
     }
--- a/src/membership/status_report.rs
+++ b/src/membership/status_report.rs
@@ -49,13 +49,13 @@
     /// What these generations of one list say together, with the stated time between two changes of a node.
     pub fn new(lists: &[Snapshot], now: Nanos, stated: Nanos) -> StatusReport {
         let mut belief = MergedView::default();
-        lists.iter().for_each(|l| l.add_to(&mut belief));
+        lists.iter().for_each(|l| l.merge_into(&mut belief));
         let synced = lists.iter().filter_map(|l| l.synced).max();
-        let mean = lists.last().map_or(stated as f64, |l| l.rate.mean(stated));
-        let stamps = belief.directory().map(|k| (k.stamp.epoch, k.stamp.version));
+        let mean = lists.last().map_or(stated as f64, |l| l.rate.mean_interval(stated));
+        let stamps = belief.directory_records().map(|k| (k.version.epoch, k.version.version));
         let (epoch, version) = stamps.max().unwrap_or((0, 0));
         let confirmed = |id: &str| {
-            let nodes = lists.iter().flat_map(|l| &l.nodes).filter(|n| n.fact.id == id);
+            let nodes = lists.iter().flat_map(|l| &l.nodes).filter(|n| n.record.id == id);
             nodes.filter_map(|n| n.confirmed).max().max(synced)
         };
         let entry = |id: &str| {
@@ -64,12 +64,14 @@
             let age = confirmed(id);
             Some(StatusEntry {
                 id: id.to_owned(),
-                addr: view.known.fact.addr,
-                cell: view.known.fact.cell,
+                addr: view.versioned.record.addr,
+                cell: view.versioned.record.cell,
                 state: view.state,
                 age_s: age.map(|t| since(t, now)),
-                trust: age.filter(|_| ready).map_or(0.0, |t| staleness::of_age(now.saturating_sub(t), mean)),
-                learnt_s: (!ready).then(|| since(view.learnt, now)),
+                trust: age
+                    .filter(|_| ready)
+                    .map_or(0.0, |t| staleness::trust_at_age(now.saturating_sub(t), mean)),
+                learnt_s: (!ready).then(|| since(view.learned, now)),
             })
         };
         let nodes = belief.ids().filter_map(entry).collect();
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -11,16 +11,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Eligibility {
     /// It works as it should.
-    Well,
+    Healthy,
     /// It failed, and gets nothing until then.
-    Out {
+    Ejected {
         /// When it may be tried.
         until: Nanos,
     },
     /// It may be tried: one answer decides.
-    Trial,
+    Probing,
     /// It answered its trial then, and is warming up.
-    Warming {
+    WarmingUp {
         /// When that was.
         since: Nanos,
     },
@@ -38,22 +38,22 @@
 impl Health {
     /// A node of which nothing bad is known.
     pub fn new(now: Nanos) -> Health {
-        Health { stands: Eligibility::Well, failures: 0, sound: Some(now) }
+        Health { stands: Eligibility::Healthy, failures: 0, sound: Some(now) }
     }
 
     /// How it stands.
-    pub fn stands(&self) -> Eligibility {
+    pub fn eligibility(&self) -> Eligibility {
         self.stands
     }
 
     /// An attempt at it ended. Whether that changes how it stands.
-    pub fn outcome(&mut self, outcome: Outcome, retry: Nanos, now: Nanos) -> bool {
+    pub fn on_attempt_end(&mut self, outcome: Outcome, retry: Nanos, now: Nanos) -> bool {
         let before = self.stands;
         match outcome {
             Outcome::Ok => {
                 self.failures = 0;
-                if matches!(self.stands, Eligibility::Trial | Eligibility::Out { .. }) {
-                    (self.stands, self.sound) = (Eligibility::Warming { since: now }, Some(now));
+                if matches!(self.stands, Eligibility::Probing | Eligibility::Ejected { .. }) {
+                    (self.stands, self.sound) = (Eligibility::WarmingUp { since: now }, Some(now));
                 }
             }
             // It turned a part away, or nobody waited: neither tells that it is ill.
@@ -61,7 +61,7 @@
             Outcome::ConnectFailed => self.fail(retry, now),
             Outcome::Error | Outcome::TimedOut | Outcome::ConnectionReset | Outcome::InvalidResponse => {
                 self.failures += 1;
-                if self.failures >= STRIKES || self.stands == Eligibility::Trial {
+                if self.failures >= STRIKES || self.stands == Eligibility::Probing {
                     self.fail(retry, now);
                 }
             }
@@ -71,37 +71,37 @@
 
     fn fail(&mut self, retry: Nanos, now: Nanos) {
         // What was sent before it was taken out does not keep it out for longer.
-        if !matches!(self.stands, Eligibility::Out { .. }) {
-            (self.stands, self.failures, self.sound) = (Eligibility::Out { until: now + retry }, 0, None);
+        if !matches!(self.stands, Eligibility::Ejected { .. }) {
+            (self.stands, self.failures, self.sound) = (Eligibility::Ejected { until: now + retry }, 0, None);
         }
     }
 
     /// Lets time go by. Whether that changes how it stands.
     pub fn tick(&mut self, warm_up: Nanos, now: Nanos) -> bool {
         match self.stands {
-            Eligibility::Out { until } if until <= now => self.stands = Eligibility::Trial,
-            Eligibility::Warming { since } if since + warm_up <= now => self.stands = Eligibility::Well,
+            Eligibility::Ejected { until } if until <= now => self.stands = Eligibility::Probing,
+            Eligibility::WarmingUp { since } if since + warm_up <= now => self.stands = Eligibility::Healthy,
             _ => return false,
         }
         true
     }
 
     /// When time alone next changes how it stands.
-    pub fn due(&self, warm_up: Nanos) -> Option<Nanos> {
+    pub fn next_transition(&self, warm_up: Nanos) -> Option<Nanos> {
         match self.stands {
-            Eligibility::Out { until } => Some(until),
-            Eligibility::Warming { since } => Some(since + warm_up),
-            Eligibility::Well | Eligibility::Trial => None,
+            Eligibility::Ejected { until } => Some(until),
+            Eligibility::WarmingUp { since } => Some(since + warm_up),
+            Eligibility::Healthy | Eligibility::Probing => None,
         }
     }
 
     /// Share of its weight that it has now: in steps of a tenth, so that the list does not change all the time.
-    pub fn share(&self, warm_up: Nanos, now: Nanos) -> f64 {
+    pub fn weight_share(&self, warm_up: Nanos, now: Nanos) -> f64 {
         match self.stands {
-            Eligibility::Well => 1.0,
-            Eligibility::Out { .. } => 0.0,
-            Eligibility::Trial => RAMP,
-            Eligibility::Warming { since } => {
+            Eligibility::Healthy => 1.0,
+            Eligibility::Ejected { .. } => 0.0,
+            Eligibility::Probing => RAMP,
+            Eligibility::WarmingUp { since } => {
                 let grown = now.saturating_sub(since) as f64 / warm_up.max(1) as f64;
                 RAMP + (1.0 - RAMP) * (grown.min(1.0) * 10.0).floor() / 10.0
             }
@@ -109,7 +109,7 @@
     }
 
     /// Whether it works and has done so for so long without a break.
-    pub fn sound_for(&self, time: Nanos, now: Nanos) -> bool {
-        self.stands == Eligibility::Well && self.sound.is_some_and(|t| t + time <= now)
+    pub fn healthy_for(&self, time: Nanos, now: Nanos) -> bool {
+        self.stands == Eligibility::Healthy && self.sound.is_some_and(|t| t + time <= now)
     }
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -45,7 +45,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Rule {
     /// Whether it takes work.
-    pub standing: AdminState,
+    pub admin_state: AdminState,
     /// Share of the work beside others of its set; 0: none.
     pub weight: f64,
     /// Sets are used in the order of their numbers, the next only when one has no usable node.
@@ -61,7 +61,7 @@
 impl Default for Rule {
     fn default() -> Rule {
         Rule {
-            standing: AdminState::Active,
+            admin_state: AdminState::Active,
             weight: 1.0,
             set: 0,
             spare: Spare::None,
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -15,7 +15,7 @@
     /// Time in which a node that came back grows to its full weight.
     pub warm_up: Nanos,
     /// Time for which a node must have worked before those who stood in for it are let go. Guards against flapping.
-    pub hold: Nanos,
+    pub failback_delay: Nanos,
 }
 
 /// Order in which nodes are used: lower ones first.
@@ -34,18 +34,18 @@
 impl Node {
     /// Whether it may get work at all.
     fn serves(&self) -> bool {
-        self.base.listed.state == api::ReplicaState::Active
-            && self.rule.standing == AdminState::Active
+        self.base.entry.state == api::ReplicaState::Active
+            && self.rule.admin_state == AdminState::Active
             && self.rule.weight > 0.0
     }
 
     fn is_out(&self) -> bool {
-        matches!(self.health.stands(), Eligibility::Out { .. })
+        matches!(self.health.eligibility(), Eligibility::Ejected { .. })
     }
 
     /// It works, or comes back.
     fn bears(&self) -> bool {
-        matches!(self.health.stands(), Eligibility::Well | Eligibility::Warming { .. })
+        matches!(self.health.eligibility(), Eligibility::Healthy | Eligibility::WarmingUp { .. })
     }
 }
 
@@ -77,7 +77,7 @@
     }
 
     /// Rules from now on. What runs goes on; what is stopped gets nothing new.
-    pub fn rules(&mut self, rules: HashMap<String, Rule>, now: Nanos) {
+    pub fn set_rules(&mut self, rules: HashMap<String, Rule>, now: Nanos) {
         self.settings.rules = rules;
         for node in self.nodes.values_mut() {
             node.rule = self.settings.rules.get(&node.base.id).cloned().unwrap_or_default();
@@ -86,11 +86,11 @@
     }
 
     /// What membership has to tell.
-    pub fn listed(&mut self, changes: Vec<NodeChange>, now: Nanos) {
+    pub fn on_membership_changes(&mut self, changes: Vec<NodeChange>, now: Nanos) {
         self.answered = true;
         for change in changes {
-            let replica = change.listed.replica;
-            if change.listed.state == api::ReplicaState::Removed {
+            let replica = change.entry.replica;
+            if change.entry.state == api::ReplicaState::Removed {
                 self.nodes.remove(&replica);
                 self.changes.push(change);
                 continue;
@@ -115,24 +115,24 @@
     }
 
     /// How an attempt at a node ended.
-    pub fn outcome(&mut self, replica: ReplicaId, outcome: Outcome, now: Nanos) {
+    pub fn on_attempt_end(&mut self, replica: ReplicaId, outcome: Outcome, now: Nanos) {
         // Without rules the decisions mind failures alone, as they always did.
         if self.settings.rules.is_empty() {
             return;
         }
         if let Some(node) = self.nodes.get_mut(&replica) {
-            let before = node.health.stands();
-            self.dirty |= node.health.outcome(outcome, node.rule.retry, now);
+            let before = node.health.eligibility();
+            self.dirty |= node.health.on_attempt_end(outcome, node.rule.retry, now);
             let id = &node.base.id;
-            match (before, node.health.stands()) {
-                (Eligibility::Out { .. }, Eligibility::Out { .. }) => {}
-                (_, Eligibility::Out { .. }) => {
+            match (before, node.health.eligibility()) {
+                (Eligibility::Ejected { .. }, Eligibility::Ejected { .. }) => {}
+                (_, Eligibility::Ejected { .. }) => {
                     tracing::warn!(
                         "node {id} gets no work for {} s: it failed",
                         node.rule.retry / 1_000_000_000
                     );
                 }
-                (Eligibility::Out { .. } | Eligibility::Trial, Eligibility::Warming { .. }) => {
+                (Eligibility::Ejected { .. } | Eligibility::Probing, Eligibility::WarmingUp { .. }) => {
                     tracing::info!("node {id} gets work again, a little at first");
                 }
                 _ => {}
@@ -156,7 +156,8 @@
     }
 
     fn restless(&self) -> bool {
-        let warming = self.nodes.values().any(|n| matches!(n.health.stands(), Eligibility::Warming { .. }));
+        let warming =
+            self.nodes.values().any(|n| matches!(n.health.eligibility(), Eligibility::WarmingUp { .. }));
         warming || self.in_use.iter().flatten().any(|t| *t > self.lowest())
     }
 
@@ -169,7 +170,7 @@
         if self.settings.rules.is_empty() {
             return None;
         }
-        let turns = self.nodes.values().filter_map(|n| n.health.due(self.settings.warm_up)).min();
+        let turns = self.nodes.values().filter_map(|n| n.health.next_transition(self.settings.warm_up)).min();
         let step = self.restless().then(|| now + (self.settings.warm_up / 10).max(50_000_000));
         turns.into_iter().chain(step).min()
     }
@@ -179,7 +180,7 @@
         let offered = self.offered(now);
         let plain = self.settings.rules.is_empty();
         for (replica, node) in &mut self.nodes {
-            let mut line = node.base.listed.clone();
+            let mut line = node.base.entry.clone();
             if !plain && line.state == api::ReplicaState::Active {
                 match offered.get(replica) {
                     Some(weight) => line.weight = *weight,
@@ -191,17 +192,18 @@
                 && (node.told.is_some() || line.state == api::ReplicaState::Active || plain);
             if news {
                 node.told = Some(line.clone());
-                self.changes.push(NodeChange { listed: line, ..node.base.clone() });
+                self.changes.push(NodeChange { entry: line, ..node.base.clone() });
             }
         }
     }
 
     /// The nodes that are offered, with their weights.
     fn offered(&mut self, now: Nanos) -> HashMap<ReplicaId, f64> {
-        let (layout, hold, warm_up) = (self.settings.layout, self.settings.hold, self.settings.warm_up);
+        let (layout, hold, warm_up) =
+            (self.settings.layout, self.settings.failback_delay, self.settings.warm_up);
         let mut groups: Vec<Vec<ReplicaId>> = vec![Vec::new(); self.in_use.len()];
         for (replica, node) in self.nodes.iter().filter(|(_, n)| n.serves()) {
-            layout.groups(node.base.listed.cell).for_each(|g| groups[g].push(*replica));
+            layout.groups(node.base.entry.cell).for_each(|g| groups[g].push(*replica));
         }
         let mut out = HashMap::new();
         for (group, in_use) in groups.iter().zip(&mut self.in_use) {
@@ -213,7 +215,7 @@
                 continue;
             };
             let held =
-                |t: Tier| group.iter().any(|r| of(r).rule.tier() <= t && of(r).health.sound_for(hold, now));
+                |t: Tier| group.iter().any(|r| of(r).rule.tier() <= t && of(r).health.healthy_for(hold, now));
             // Up at once, down only when who is to take over has worked for a while. At the start nobody has.
             *in_use = Some(match *in_use {
                 Some(tier) if lowest < tier && !held(lowest) => {
@@ -225,7 +227,7 @@
             let tier = in_use.unwrap_or(lowest);
             for replica in group.iter().filter(|r| of(r).rule.tier() <= tier && !of(r).is_out()) {
                 let node = of(replica);
-                out.insert(*replica, node.rule.weight * node.health.share(warm_up, now));
+                out.insert(*replica, node.rule.weight * node.health.weight_share(warm_up, now));
             }
         }
         self.redirected(&mut out, now);
@@ -238,12 +240,12 @@
         for id in failing.filter_map(|n| n.rule.redirect.as_deref()) {
             let stand_in = self.nodes.iter().find(|(_, n)| n.base.id == id);
             if let Some((replica, n)) = stand_in
-                && n.base.listed.state == api::ReplicaState::Active
-                && matches!(n.rule.standing, AdminState::Active | AdminState::Disabled)
+                && n.base.entry.state == api::ReplicaState::Active
+                && matches!(n.rule.admin_state, AdminState::Active | AdminState::Disabled)
                 && !n.is_out()
             {
                 let weight =
-                    n.rule.weight.max(f64::MIN_POSITIVE) * n.health.share(self.settings.warm_up, now);
+                    n.rule.weight.max(f64::MIN_POSITIVE) * n.health.weight_share(self.settings.warm_up, now);
                 out.entry(*replica).or_insert(weight);
             }
         }
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -92,7 +92,7 @@
     /// The operator's nodes are these from now on, with these rules.
     pub fn set_operator_nodes(&mut self, facts: Vec<NodeRecord>, rules: HashMap<String, Rule>, now: Nanos) {
         if let Some(routing) = &mut self.routing {
-            routing.rules(rules, now);
+            routing.set_rules(rules, now);
         }
         self.roster.set_operator_nodes(facts, now);
     }
@@ -125,7 +125,7 @@
         while let Some(end) = hands.engine.next_attempt_end() {
             self.roster.on_attempt_end(end.replica, end.outcome, end.latency, now);
             if let Some(routing) = &mut self.routing {
-                routing.outcome(end.replica, end.outcome, now);
+                routing.on_attempt_end(end.replica, end.outcome, now);
             }
         }
         if let Some(watch) = &mut self.watch {
@@ -148,21 +148,21 @@
         let mut changes = self.roster.take_changes();
         if let Some(routing) = &mut self.routing {
             if let Some(changes) = changes {
-                routing.listed(changes, hands.now);
+                routing.on_membership_changes(changes, hands.now);
             }
             changes = routing.take_changes();
         }
         if let Some(changes) = changes {
             let changes = self.with_others(changes);
-            let changes = self.hand.pass(changes);
+            let changes = self.hand.apply_changes(changes);
             changes.iter().for_each(&mut place);
-            hands.engine.update_endpoints(false, changes.into_iter().map(|c| c.listed).collect());
+            hands.engine.update_endpoints(false, changes.into_iter().map(|c| c.entry).collect());
         }
         self.relisted(hands);
         if self.roster.take_discovery_answered()
             && let Asks::Here { again, .. } = &mut self.asks
         {
-            again.answered();
+            again.on_success();
         }
         self.roster.take_warmed_up().into_iter().for_each(|replica| hands.engine.replica_warmed_up(replica));
         if self.watch.as_mut().is_some_and(DiscoveryWatch::take_failed) {
@@ -172,10 +172,10 @@
                 Asks::Module { again, at } => {
                     hands.engine.watch_failed();
                     if silent {
-                        *at = Some(hands.now + again.failed());
+                        *at = Some(hands.now + again.on_failure());
                     }
                 }
-                Asks::Here { again, at } => *at = Some(hands.now + again.failed()),
+                Asks::Here { again, at } => *at = Some(hands.now + again.on_failure()),
             }
         }
     }
@@ -207,7 +207,7 @@
                 among.news.push((FactKey::Start(change.id.clone()), ProcessStart { started, version: 0 }));
             }
         }
-        among.others.pass(changes, |id| MembershipDriver::own(roster, id))
+        among.others.apply_changes(changes, |id| MembershipDriver::own(roster, id))
     }
 
     /// A newer list of one's own may let go what others' words held back.
@@ -219,14 +219,14 @@
         }
         let anew = version.0 != among.version.0;
         among.version = version;
-        let changes = among.others.relist(anew, |id| MembershipDriver::own(roster, id));
+        let changes = among.others.on_list_change(anew, |id| MembershipDriver::own(roster, id));
         self.tell(changes, hands);
     }
 
     fn tell<Q, V>(&mut self, changes: Vec<NodeChange>, hands: &mut FrontendContext<Q, V>) {
         if !changes.is_empty() {
-            let changes = self.hand.pass(changes);
-            hands.engine.update_endpoints(false, changes.into_iter().map(|c| c.listed).collect());
+            let changes = self.hand.apply_changes(changes);
+            hands.engine.update_endpoints(false, changes.into_iter().map(|c| c.entry).collect());
         }
     }
 
@@ -237,7 +237,7 @@
 
     /// Other brokers have heard this of a node.
     pub fn on_hint<Q, V>(&mut self, id: &str, heard: NodeHints, hands: &mut FrontendContext<Q, V>) {
-        let change = self.among.as_mut().and_then(|a| a.others.heard(id, heard));
+        let change = self.among.as_mut().and_then(|a| a.others.on_hint(id, heard));
         self.tell(change.into_iter().collect(), hands);
     }
 
@@ -248,7 +248,7 @@
 
     /// These are out by hand from the start.
     pub fn with_suspended(mut self, out: impl IntoIterator<Item = String>) -> MembershipDriver {
-        self.hand = ManualOverrides::with(out);
+        self.hand = ManualOverrides::with_suspended(out);
         self
     }
 
@@ -278,14 +278,14 @@
         let ever = told || self.roster.knows(id);
         let change = if out { self.hand.suspend(id, ever) } else { self.hand.restore(id, ever) }?;
         if let Some(change) = change {
-            hands.engine.update_endpoints(false, vec![change.listed]);
+            hands.engine.update_endpoints(false, vec![change.entry]);
         }
         Ok(())
     }
 
     /// Servers in the list, and how many of them are out by hand.
     pub fn counts(&self) -> (usize, usize) {
-        (self.roster.listed_count(), self.hand.listed_out())
+        (self.roster.listed_count(), self.hand.listed_suspended())
     }
 
     fn keep(&mut self, now: Nanos) {
--- a/src/storage/snapshot_store.rs
+++ b/src/storage/snapshot_store.rs
@@ -31,7 +31,7 @@
     let (mut sound, mut wrong) = (Vec::new(), Vec::new());
     for name in [OLDER, CURRENT, UNDER_WAY] {
         let path = dir.join(name);
-        match files.read(&path, snapshot::MOST_BYTES) {
+        match files.read(&path, snapshot::MAX_FILE_BYTES) {
             Ok(bytes) => match snapshot::decode(&bytes) {
                 Ok(list) => sound.push(list),
                 // Half a file is what a kill leaves of a write; the other generations have what was learnt.
@@ -50,7 +50,7 @@
     if path.is_dir() {
         return read(&Disk, path);
     }
-    let bytes = Disk.read(path, snapshot::MOST_BYTES).map_err(|e| e.to_string());
+    let bytes = Disk.read(path, snapshot::MAX_FILE_BYTES).map_err(|e| e.to_string());
     match bytes.and_then(|b| snapshot::decode(&b).map_err(|e| e.to_string())) {
         Ok(list) => (vec![list], Vec::new()),
         Err(e) => (Vec::new(), vec![format!("{}: {e}", path.display())]),
--- a/tests/keep.rs
+++ b/tests/keep.rs
@@ -21,10 +21,23 @@
         state: if drained { NodeState::Terminating } else { NodeState::Ready },
         started: 0,
     };
-    let node =
-        SnapshotNode { fact, epoch: 0, version, heard: version, anew: false, confirmed: Some(version) };
+    let node = SnapshotNode {
+        record: fact,
+        epoch: 0,
+        version,
+        received: version,
+        after_reset: false,
+        confirmed: Some(version),
+    };
     let (whole, rate) = (Some((0, 1, 1)), ChangeRate::NONE);
-    Snapshot { written: version, synced: Some(version), whole, forgotten: None, rate, nodes: vec![node] }
+    Snapshot {
+        written: version,
+        synced: Some(version),
+        full_list: whole,
+        pruned_up_to: None,
+        rate,
+        nodes: vec![node],
+    }
 }
 
 /// The disk, on which the step of that number and all after it fail: a kill, a full disk, a directory that is gone.
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -153,7 +153,7 @@
     let drained = |lists: &[Snapshot]| {
         lists
             .iter()
-            .any(|l| l.nodes.iter().any(|n| n.fact.id == "n-0" && n.fact.state == NodeState::Terminating))
+            .any(|l| l.nodes.iter().any(|n| n.record.id == "n-0" && n.record.state == NodeState::Terminating))
     };
     until("the drain is kept", || drained(&snapshot_store::look(dir.path()).0));
     first.stop();
--- a/tests/operation/rules.rs
+++ b/tests/operation/rules.rs
@@ -100,11 +100,11 @@
         started: None,
         weight: 1.0,
     };
-    NodeChange { listed, id: id.into(), addr: None, kind: String::new() }
+    NodeChange { entry: listed, id: id.into(), addr: None, kind: String::new() }
 }
 
 fn told(changes: &[NodeChange]) -> Vec<(u32, ReplicaState)> {
-    changes.iter().map(|c| (c.listed.replica.0, c.listed.state)).collect()
+    changes.iter().map(|c| (c.entry.replica.0, c.entry.state)).collect()
 }
 
 #[test]
@@ -113,27 +113,33 @@
     let mut hand = ManualOverrides::default();
     assert_eq!(hand.suspend("s", false), Err(UnknownNode));
     assert_eq!(
-        told(&hand.pass(vec![change("s", 1, Active), change("t", 2, Active)])),
+        told(&hand.apply_changes(vec![change("s", 1, Active), change("t", 2, Active)])),
         [(1, Active), (2, Active)]
     );
     assert_eq!(told(hand.suspend("s", false).unwrap().as_slice()), [(1, Draining)]);
     // Again makes no difference.
     assert_eq!(hand.suspend("s", false), Ok(None));
     // It restarts, moves under a new number, goes and comes back.
-    assert_eq!(told(&hand.pass(vec![change("s", 1, Active)])), [(1, Draining)]);
+    assert_eq!(told(&hand.apply_changes(vec![change("s", 1, Active)])), [(1, Draining)]);
     assert_eq!(
-        told(&hand.pass(vec![change("s", 1, Removed), change("s", 3, Active)])),
+        told(&hand.apply_changes(vec![change("s", 1, Removed), change("s", 3, Active)])),
         [(1, Removed), (3, Draining)]
     );
-    assert_eq!((hand.listed_out(), told(&hand.pass(vec![change("s", 3, Removed)]))), (1, vec![(3, Removed)]));
-    assert_eq!((hand.listed_out(), told(&hand.pass(vec![change("s", 4, Active)]))), (0, vec![(4, Draining)]));
+    assert_eq!(
+        (hand.listed_suspended(), told(&hand.apply_changes(vec![change("s", 3, Removed)]))),
+        (1, vec![(3, Removed)])
+    );
+    assert_eq!(
+        (hand.listed_suspended(), told(&hand.apply_changes(vec![change("s", 4, Active)]))),
+        (0, vec![(4, Draining)])
+    );
     // One call back is enough.
     assert_eq!(told(hand.restore("s", false).unwrap().as_slice()), [(4, Active)]);
     assert_eq!(hand.restore("s", false), Ok(None));
-    assert_eq!(told(&hand.pass(vec![change("s", 4, Draining)])), [(4, Draining)]);
+    assert_eq!(told(&hand.apply_changes(vec![change("s", 4, Draining)])), [(4, Draining)]);
     // A ban that came from an earlier process holds before any list names its server.
-    let mut hand = ManualOverrides::with(["s".to_owned()]);
-    assert_eq!(told(&hand.pass(vec![change("s", 9, Active)])), [(9, Draining)]);
+    let mut hand = ManualOverrides::with_suspended(["s".to_owned()]);
+    assert_eq!(told(&hand.apply_changes(vec![change("s", 9, Active)])), [(9, Draining)]);
     assert_eq!(hand.restore("nobody", false), Err(UnknownNode));
 }
 
@@ -164,10 +170,10 @@
                 n => {
                     let standing = [Active, Draining, Removed][n as usize - 2];
                     listed.insert(id.clone(), standing);
-                    hand.pass(vec![change(&id, u32::from(who % 4), standing)])
+                    hand.apply_changes(vec![change(&id, u32::from(who % 4), standing)])
                 }
             };
-            shown.extend(changes.into_iter().map(|c| (c.id, c.listed.state)));
+            shown.extend(changes.into_iter().map(|c| (c.id, c.entry.state)));
         }
         listed.iter().all(|(id, standing)| {
             let want = if *standing == Active && out.contains(id) { Draining } else { *standing };
@@ -275,19 +281,22 @@
 fn tables_stay_bounded_over_a_long_run_and_no_server_that_is_out_is_forgotten() {
     use pebbleturn::hot_restart::state::Overrides;
     let (mut hand, mut words) = (ManualOverrides::default(), Overrides::default());
-    hand.pass(vec![change("stays", 1, ReplicaState::Active), change("out", 2, ReplicaState::Active)]);
+    hand.apply_changes(vec![
+        change("stays", 1, ReplicaState::Active),
+        change("out", 2, ReplicaState::Active),
+    ]);
     hand.suspend("out", false).unwrap();
     words.server("out", true, 1);
     for n in 0..20_000u32 {
         let id = format!("s-{n}");
-        hand.pass(vec![change(&id, 10 + n, ReplicaState::Active)]);
-        hand.pass(vec![change(&id, 10 + n, ReplicaState::Removed)]);
+        hand.apply_changes(vec![change(&id, 10 + n, ReplicaState::Active)]);
+        hand.apply_changes(vec![change(&id, 10 + n, ReplicaState::Removed)]);
         words.server(&id, true, u64::from(n));
         words.server(&id, false, u64::from(n));
     }
     let known = (0..20_000).filter(|n| hand.knows(&format!("s-{n}"))).count();
     assert!(known <= 4096 && words.servers.len() <= 4096, "{known}, {}", words.servers.len());
-    assert!(hand.knows("stays") && hand.listed_out() == 1 && words.out().eq(["out"]));
+    assert!(hand.knows("stays") && hand.listed_suspended() == 1 && words.out().eq(["out"]));
 }
 
 #[test]
--- a/tests/printed_formats/commands.rs
+++ b/tests/printed_formats/commands.rs
@@ -71,12 +71,18 @@
             state,
             started: 0,
         };
-        SnapshotNode { fact, epoch: 0, version: 4, heard: 1, anew: false, confirmed }
+        SnapshotNode { record: fact, epoch: 0, version: 4, received: 1, after_reset: false, confirmed }
     };
     let nodes = vec![node("s-1", NodeState::Ready), node("s-2", NodeState::Terminating)];
     let whole = Some((0, 4, 1));
-    let list =
-        Snapshot { written: 1, synced: confirmed, whole, forgotten: None, rate: ChangeRate::NONE, nodes };
+    let list = Snapshot {
+        written: 1,
+        synced: confirmed,
+        full_list: whole,
+        pruned_up_to: None,
+        rate: ChangeRate::NONE,
+        nodes,
+    };
     snapshot::encode(&list).unwrap()
 }
 
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -305,11 +305,18 @@
     };
     let node = |id, state| {
         let (confirmed, anew) = (Some(1), false);
-        SnapshotNode { fact: fact(id, state), epoch: 0, version: 4, heard: 1, anew, confirmed }
+        SnapshotNode {
+            record: fact(id, state),
+            epoch: 0,
+            version: 4,
+            received: 1,
+            after_reset: anew,
+            confirmed,
+        }
     };
     let nodes = vec![node("s-1", NodeState::Ready), node("s-2", NodeState::Terminating)];
     let (whole, rate) = (Some((0, 4, 1)), ChangeRate::NONE);
-    let list = Snapshot { written: 1, synced: Some(1), whole, forgotten: None, rate, nodes };
+    let list = Snapshot { written: 1, synced: Some(1), full_list: whole, pruned_up_to: None, rate, nodes };
     let bytes = snapshot::encode(&list).unwrap();
     let file = File::new("list.kept", "");
     std::fs::write(file.path(), &bytes).unwrap();
--- a/tests/recorded_decisions/digest.rs
+++ b/tests/recorded_decisions/digest.rs
@@ -145,7 +145,7 @@
 
     /// One change of the list, as membership and routing tell it on.
     pub fn put_change(&mut self, change: &NodeChange) {
-        self.put_listed(&change.listed);
+        self.put_listed(&change.entry);
         self.put_str(&change.id);
         self.put_option(change.addr, |digest, address| digest.put_str(&address.to_string()));
         self.put_str(&change.kind);
--- a/tests/recorded_decisions/membership.rs
+++ b/tests/recorded_decisions/membership.rs
@@ -42,10 +42,10 @@
 fn settings(seed: u64) -> RegistrySettings {
     RegistrySettings {
         layout: LAYOUT,
-        cold_time: 14 * S,
-        changes_every: CHANGES_EVERY,
-        presumed_age: 300 * S,
-        silent_after: S,
+        warm_up: 14 * S,
+        mean_change_interval: CHANGES_EVERY,
+        default_list_age: 300 * S,
+        silence_timeout: S,
         zones: [("a".to_owned(), 0), ("b".to_owned(), 1)].into(),
         kinds: vec!["sru".to_owned()],
         seed,
@@ -125,7 +125,7 @@
         let kept = self.roster.snapshot(self.now);
         self.now += (1 + self.random.below(30)) * HOUR;
         self.roster = Registry::new(settings(self.seed));
-        (self.by_hand, self.others) = (ManualOverrides::with([node_id(0)]), PeerHints::default());
+        (self.by_hand, self.others) = (ManualOverrides::with_suspended([node_id(0)]), PeerHints::default());
         self.replicas.clear();
         self.record_report(&kept);
         self.roster.restore(&[kept], self.now);
@@ -189,12 +189,12 @@
             }
             173..183 => {
                 self.roster.watch_lost();
-                let wait = self.ask_again.failed();
+                let wait = self.ask_again.on_failure();
                 self.digest.put_u64(wait);
             }
             183..220 => {
                 self.roster.on_heartbeat(self.now);
-                self.ask_again.answered();
+                self.ask_again.on_success();
             }
             _ => {}
         }
@@ -205,7 +205,7 @@
         let believed = self.roster.on_discovery_update(list, first, self.now);
         self.digest.put_bool(believed);
         let anew = self.roster.epoch() != epoch;
-        let changes = self.others.relist(anew, |id| own_word(&self.roster, id));
+        let changes = self.others.on_list_change(anew, |id| own_word(&self.roster, id));
         self.digest.put_all(&changes, Digest::put_change);
     }
 
@@ -217,7 +217,7 @@
         match self.random.below(200) {
             0 => {
                 let line = self.drawn_line(number);
-                self.roster.set_operator_nodes(vec![line.fact()], self.now);
+                self.roster.set_operator_nodes(vec![line.record()], self.now);
             }
             1..5 => {
                 let answer = self.by_hand.suspend(&id, self.roster.knows(&id));
@@ -231,7 +231,7 @@
                 let started = self.now - self.random.below(20) * S;
                 let version = self.version + self.random.below(5);
                 let drain = self.random.chance(70).then_some(ProcessStart { started, version });
-                let change = self.others.heard(&id, NodeHints { drain, started });
+                let change = self.others.on_hint(&id, NodeHints { drain, started });
                 self.digest.put_option(change, |digest, change| digest.put_change(&change));
             }
             _ => {}
@@ -258,17 +258,18 @@
     fn record_step(&mut self) {
         let changes = self.roster.take_changes();
         self.digest.put_changes(changes.as_deref());
-        let after_others = self.others.pass(changes.unwrap_or_default(), |id| own_word(&self.roster, id));
-        let told_on = self.by_hand.pass(after_others);
+        let after_others =
+            self.others.apply_changes(changes.unwrap_or_default(), |id| own_word(&self.roster, id));
+        let told_on = self.by_hand.apply_changes(after_others);
         self.digest.put_all(&told_on, Digest::put_change);
         for change in told_on {
-            self.replicas.insert(change.listed.replica);
-            self.told_by_standing[usize::from(standing_tag(change.listed.state))] += 1;
+            self.replicas.insert(change.entry.replica);
+            self.told_by_standing[usize::from(standing_tag(change.entry.state))] += 1;
         }
         let warm = self.roster.take_warmed_up();
         self.warm += warm.len() as u64;
         self.digest.put_all(&warm, |digest, replica| digest.put_u64(replica.0.into()));
-        self.held_back += self.others.held() as u64;
+        self.held_back += self.others.drained_count() as u64;
         self.record_counts();
         let kept = self.roster.take_snapshot(self.now);
         self.kept += u64::from(kept.is_some());
@@ -282,10 +283,10 @@
         self.digest.put_u64(self.roster.version());
         self.digest.put_u64(self.roster.epoch().into());
         self.digest.put_count(self.roster.listed_count());
-        self.digest.put_bool(self.roster.may_yet_come(self.now));
-        self.digest.put_count(self.others.known());
-        self.digest.put_count(self.others.held());
-        self.digest.put_count(self.by_hand.listed_out());
+        self.digest.put_bool(self.roster.may_gain_nodes(self.now));
+        self.digest.put_count(self.others.hinted_count());
+        self.digest.put_count(self.others.drained_count());
+        self.digest.put_count(self.by_hand.listed_suspended());
     }
 
     fn record_notes(&mut self) {
@@ -341,15 +342,15 @@
 }
 
 fn put_note(digest: &mut Digest, note: &NodeStatus) {
-    digest.put_str(&note.fact.id);
-    digest.put_option(note.fact.addr, |digest, address| digest.put_str(&address.to_string()));
-    digest.put_str(&note.fact.zone);
-    digest.put_str(&note.fact.kind);
-    digest.put_u64(note.fact.cell.into());
-    digest.put_tag(state_tag(note.fact.state));
-    digest.put_u64(note.fact.started);
+    digest.put_str(&note.record.id);
+    digest.put_option(note.record.addr, |digest, address| digest.put_str(&address.to_string()));
+    digest.put_str(&note.record.zone);
+    digest.put_str(&note.record.kind);
+    digest.put_u64(note.record.cell.into());
+    digest.put_tag(state_tag(note.record.state));
+    digest.put_u64(note.record.started);
     digest.put_tag(state_tag(note.state));
-    digest.put_u64(note.learnt);
+    digest.put_u64(note.learned);
     digest.put_option(note.confirmed, Digest::put_u64);
     digest.put_f64(note.trust);
 }
@@ -357,22 +358,24 @@
 /// The gate's choice and the figures of trust, over drawn candidates.
 fn admitted(seed: u64) -> u64 {
     let (mut random, mut digest) = (RandomSource::new(seed), Digest::default());
-    let stands = [Admission::Sure, Admission::Let, Admission::Waits, Admission::Failed];
+    let stands = [Admission::Confirmed, Admission::Admitted, Admission::Waiting, Admission::Failed];
     let mut counts = [0u64; 2];
     for _ in 0..1000 {
         let mut candidates = Vec::new();
         for _ in 0..random.below(20) {
             let (cell, trust) = (random.below(8) as u32, random.share());
-            candidates.push(Candidate { cell, trust, stands: stands[random.index(stands.len())] });
+            candidates.push(Candidate { cell, trust, admission: stands[random.index(stands.len())] });
         }
         let chosen = admit(PartitionLayout { cells: 8, span: 3 }, &candidates, random.index(4));
         chosen.iter().for_each(|yes| counts[usize::from(*yes)] += 1);
         digest.put_all(&chosen, |digest, yes| digest.put_bool(*yes));
         let age = random.below(100) * HOUR;
-        let trusted = staleness::of_age(age, CHANGES_EVERY as f64);
+        let trusted = staleness::trust_at_age(age, CHANGES_EVERY as f64);
         digest.put_f64(trusted);
-        digest.put_option(staleness::strikes(trusted), |digest, strikes| digest.put_u64(strikes.into()));
-        digest.put_count(staleness::at_once(trusted, candidates.len()));
+        digest.put_option(staleness::failures_until_ejection(trusted), |digest, strikes| {
+            digest.put_u64(strikes.into())
+        });
+        digest.put_count(staleness::initial_admissions(trusted, candidates.len()));
         digest.put_option(staleness::assumed_start(trusted, NOON, HOUR), Digest::put_u64);
     }
     assert!(counts.iter().all(|count| *count > 500), "the gate nearly always says the same: {counts:?}");
--- a/tests/recorded_decisions/routing.rs
+++ b/tests/recorded_decisions/routing.rs
@@ -34,7 +34,7 @@
         AdminState::Draining,
     ];
     Rule {
-        standing: standings[random.index(standings.len())],
+        admin_state: standings[random.index(standings.len())],
         weight: [1.0, 1.0, 0.5, 2.0, 0.0][random.index(5)],
         set: random.below(2) as u32,
         spare: [Spare::None, Spare::None, Spare::Hot, Spare::Standby][random.index(4)],
@@ -54,7 +54,7 @@
 
 fn change(number: u32, standing: ReplicaState, port: u16) -> NodeChange {
     NodeChange {
-        listed: ReplicaEntry {
+        entry: ReplicaEntry {
             replica: ReplicaId(number),
             zone: 0,
             cell: number % 4,
@@ -85,7 +85,7 @@
         digest.put_changes(changes.as_deref());
         digest.put_option(routing.next_deadline(now), Digest::put_u64);
         for change in changes.unwrap_or_default() {
-            self.by_standing[usize::from(standing_tag(change.listed.state))] += 1;
+            self.by_standing[usize::from(standing_tag(change.entry.state))] += 1;
         }
     }
 }
@@ -94,20 +94,27 @@
     let (mut random, mut digest, mut told) = (RandomSource::new(seed), Digest::default(), Told::default());
     let layout = PartitionLayout { cells: 4, span: 2 };
     let rules = drawn_rules(&mut random);
-    let mut routing = Routing::new(RoutingSettings { layout, rules, warm_up: WARM_UP, hold: HOLD });
-    routing.listed((0..NODES).map(|number| change(number, ReplicaState::Active, 0)).collect(), 0);
+    let mut routing = Routing::new(RoutingSettings { layout, rules, warm_up: WARM_UP, failback_delay: HOLD });
+    routing
+        .on_membership_changes((0..NODES).map(|number| change(number, ReplicaState::Active, 0)).collect(), 0);
     for step in 0..STEPS {
         let now = step * STEP;
         match random.below(100) {
-            0..3 => routing.listed(vec![drawn_change(&mut random, ReplicaState::Draining)], now),
-            3..5 => routing.listed(vec![drawn_change(&mut random, ReplicaState::Removed)], now),
-            5..15 => routing.listed(vec![drawn_change(&mut random, ReplicaState::Active)], now),
-            15 => routing.listed(vec![], now),
-            16 => routing.rules(drawn_rules(&mut random), now),
-            17 if random.chance(20) => routing.rules(HashMap::new(), now),
+            0..3 => {
+                routing.on_membership_changes(vec![drawn_change(&mut random, ReplicaState::Draining)], now)
+            }
+            3..5 => {
+                routing.on_membership_changes(vec![drawn_change(&mut random, ReplicaState::Removed)], now)
+            }
+            5..15 => {
+                routing.on_membership_changes(vec![drawn_change(&mut random, ReplicaState::Active)], now)
+            }
+            15 => routing.on_membership_changes(vec![], now),
+            16 => routing.set_rules(drawn_rules(&mut random), now),
+            17 if random.chance(20) => routing.set_rules(HashMap::new(), now),
             _ => {
                 let replica = ReplicaId(random.below(NODES.into()) as u32);
-                routing.outcome(replica, drawn_outcome(&mut random), now);
+                routing.on_attempt_end(replica, drawn_outcome(&mut random), now);
             }
         }
         routing.tick(now);
@@ -119,22 +126,22 @@
 
 fn put_stands(digest: &mut Digest, stands: Eligibility) -> usize {
     match stands {
-        Eligibility::Well => digest.put_tag(0),
-        Eligibility::Out { until } => {
+        Eligibility::Healthy => digest.put_tag(0),
+        Eligibility::Ejected { until } => {
             digest.put_tag(1);
             digest.put_u64(until);
         }
-        Eligibility::Trial => digest.put_tag(2),
-        Eligibility::Warming { since } => {
+        Eligibility::Probing => digest.put_tag(2),
+        Eligibility::WarmingUp { since } => {
             digest.put_tag(3);
             digest.put_u64(since);
         }
     }
     match stands {
-        Eligibility::Well => 0,
-        Eligibility::Out { .. } => 1,
-        Eligibility::Trial => 2,
-        Eligibility::Warming { .. } => 3,
+        Eligibility::Healthy => 0,
+        Eligibility::Ejected { .. } => 1,
+        Eligibility::Probing => 2,
+        Eligibility::WarmingUp { .. } => 3,
     }
 }
 
@@ -145,13 +152,13 @@
     for step in 0..STEPS {
         let now = step * 10 * STEP;
         if random.chance(40) {
-            digest.put_bool(health.outcome(drawn_outcome(&mut random), RETRY, now));
+            digest.put_bool(health.on_attempt_end(drawn_outcome(&mut random), RETRY, now));
         }
         digest.put_bool(health.tick(WARM_UP, now));
-        seen[put_stands(&mut digest, health.stands())] += 1;
-        digest.put_option(health.due(WARM_UP), Digest::put_u64);
-        digest.put_f64(health.share(WARM_UP, now));
-        digest.put_bool(health.sound_for(HOLD, now));
+        seen[put_stands(&mut digest, health.eligibility())] += 1;
+        digest.put_option(health.next_transition(WARM_UP), Digest::put_u64);
+        digest.put_f64(health.weight_share(WARM_UP, now));
+        digest.put_bool(health.healthy_for(HOLD, now));
     }
     assert!(seen.iter().all(|count| *count > 50), "a standing was seen too seldom: {seen:?}");
     digest.value()
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -1,7 +1,7 @@
 //! Membership by scripted news: every hard case that the design note names, with time as an argument.
 
 use pebbleturn::membership::endpoint_list::{Endpoint, EndpointList};
-use pebbleturn::membership::merged_view::{MOST_GONE, MergedView, VersionedRecord};
+use pebbleturn::membership::merged_view::{MAX_GONE_NODES, MergedView, VersionedRecord};
 use pebbleturn::membership::snapshot::{self, Snapshot, SnapshotError};
 use pebbleturn::membership::{
     NodeChange, NodeRecord, NodeState, PartitionLayout, Registry, RegistrySettings, SourcePriority,
@@ -20,10 +20,10 @@
 fn settings() -> RegistrySettings {
     RegistrySettings {
         layout: PartitionLayout { cells: 4, span: 2 },
-        cold_time: 14 * S,
-        changes_every: 24 * HOUR,
-        presumed_age: 300 * S,
-        silent_after: S,
+        warm_up: 14 * S,
+        mean_change_interval: 24 * HOUR,
+        default_list_age: 300 * S,
+        silence_timeout: S,
         zones: [("a".to_owned(), 0)].into(),
         kinds: vec![],
         seed: 7,
@@ -70,9 +70,9 @@
 
     fn hear(&mut self) {
         for c in self.roster.take_changes().unwrap_or_default() {
-            match c.listed.state {
-                ReplicaState::Removed => self.told.remove(&c.listed.replica),
-                _ => self.told.insert(c.listed.replica, c),
+            match c.entry.state {
+                ReplicaState::Removed => self.told.remove(&c.entry.replica),
+                _ => self.told.insert(c.entry.replica, c),
             };
         }
     }
@@ -83,7 +83,7 @@
     }
 
     fn outcome(&mut self, id: &str, outcome: Outcome, now: Nanos) {
-        let replica = self.find(id).expect("told").listed.replica;
+        let replica = self.find(id).expect("told").entry.replica;
         self.roster.on_attempt_end(replica, outcome, 2 * S, now);
         self.roster.tick(now);
         self.hear();
@@ -106,7 +106,7 @@
         let mut ids: Vec<&str> = self
             .told
             .values()
-            .filter(|c| c.listed.state == ReplicaState::Active)
+            .filter(|c| c.entry.state == ReplicaState::Active)
             .map(|c| c.id.as_str())
             .collect();
         ids.sort_unstable();
@@ -116,8 +116,8 @@
     /// Holders of each of the four partitions that get new work.
     fn holders(&self) -> [usize; 4] {
         let at = |p: u32| {
-            let holds = |c: &&NodeChange| (c.listed.cell + 4 - p) % 4 < 2;
-            self.told.values().filter(|c| c.listed.state == ReplicaState::Active).filter(holds).count()
+            let holds = |c: &&NodeChange| (c.entry.cell + 4 - p) % 4 < 2;
+            self.told.values().filter(|c| c.entry.state == ReplicaState::Active).filter(holds).count()
         };
         [at(0), at(1), at(2), at(3)]
     }
@@ -147,7 +147,7 @@
         let rank = if below(6) == 0 { SourcePriority::Operator } else { SourcePriority::Directory };
         let (epoch, version) =
             if rank == SourcePriority::Operator { (0, below(9)) } else { (below(3) as u32, below(9)) };
-        let stamp = SourceVersion { rank, epoch, version };
+        let stamp = SourceVersion { priority: rank, epoch, version };
         // One message a stamp, as a source sends them.
         if out.iter().any(|n| n.stamp == stamp) {
             continue;
@@ -158,7 +158,7 @@
             let state = [NodeState::Ready, NodeState::Ready, NodeState::Terminating, NodeState::Gone]
                 [below(4) as usize];
             let started = if below(2) == 0 { 0 } else { (NOON + below(120) * S) / 1_000_000 };
-            server(n, state, started).fact()
+            server(n, state, started).record()
         });
         let facts: Vec<NodeRecord> = facts.collect();
         out.push(News { stamp, full: below(4) == 0, anew: epoch > 0 && below(4) == 0, facts, heard });
@@ -169,7 +169,7 @@
 fn believe(news: &[&News]) -> MergedView {
     let mut b = MergedView::default();
     for n in news {
-        b.take(n.stamp, (n.full, n.anew), n.facts.iter().cloned(), n.heard);
+        b.apply_report(n.stamp, (n.full, n.anew), n.facts.iter().cloned(), n.heard);
     }
     b
 }
@@ -202,23 +202,29 @@
     let mut rng = Pcg64Mcg::seed_from_u64(2);
     for _ in 0..200 {
         let all: Vec<News> =
-            news(&mut rng).into_iter().filter(|n| n.stamp.rank == SourcePriority::Directory).collect();
+            news(&mut rng).into_iter().filter(|n| n.stamp.priority == SourcePriority::Directory).collect();
         let belief = believe(&all.iter().collect::<Vec<_>>());
-        let nodes = belief.directory().map(|k: &VersionedRecord| snapshot::SnapshotNode {
-            fact: k.fact.clone(),
-            epoch: k.stamp.epoch,
-            version: k.stamp.version,
-            heard: k.heard,
-            anew: k.anew,
+        let nodes = belief.directory_records().map(|k: &VersionedRecord| snapshot::SnapshotNode {
+            record: k.record.clone(),
+            epoch: k.version.epoch,
+            version: k.version.version,
+            received: k.received,
+            after_reset: k.after_reset,
             confirmed: None,
         });
-        let whole = belief.whole(SourcePriority::Directory).map(|(s, t)| (s.epoch, s.version, t));
+        let whole = belief.full_list(SourcePriority::Directory).map(|(s, t)| (s.epoch, s.version, t));
         let rate = pebbleturn::membership::staleness::ChangeRate::NONE;
-        let kept =
-            Snapshot { written: NOON, synced: None, whole, forgotten: None, rate, nodes: nodes.collect() };
+        let kept = Snapshot {
+            written: NOON,
+            synced: None,
+            full_list: whole,
+            pruned_up_to: None,
+            rate,
+            nodes: nodes.collect(),
+        };
         let back = snapshot::decode(&snapshot::encode(&kept).unwrap()).unwrap();
         let mut again = MergedView::default();
-        back.add_to(&mut again);
+        back.merge_into(&mut again);
         assert_eq!(again, belief);
     }
 }
@@ -230,7 +236,7 @@
     for _ in 0..400 {
         let all = news(&mut rng);
         let mut order: Vec<&News> =
-            all.iter().filter(|n| n.stamp.rank == SourcePriority::Directory).collect();
+            all.iter().filter(|n| n.stamp.priority == SourcePriority::Directory).collect();
         shuffle(&mut rng, &mut order);
         for n in 0..6 {
             let id = format!("s-{n}");
@@ -324,11 +330,11 @@
 fn a_node_at_another_address_is_another_place() {
     let mut b = Bench::new();
     b.directory(&eight(1), true, NOON);
-    let before = b.find("s-2").unwrap().listed.replica;
+    let before = b.find("s-2").unwrap().entry.replica;
     let moved = Endpoint { addr: "127.0.0.99:80".into(), ..server(2, NodeState::Ready, 0) };
     b.directory(&list(2, false, vec![moved]), false, NOON + S);
     let after = b.find("s-2").unwrap();
-    assert!(after.listed.replica != before && after.addr.unwrap().to_string() == "127.0.0.99:80");
+    assert!(after.entry.replica != before && after.addr.unwrap().to_string() == "127.0.0.99:80");
     assert_eq!(b.told.len(), 8, "the old place is gone");
 }
 
@@ -349,10 +355,10 @@
 fn a_cell_that_changed_is_told() {
     let mut b = Bench::new();
     b.directory(&eight(1), true, NOON);
-    let before = b.find("s-2").unwrap().listed.clone();
+    let before = b.find("s-2").unwrap().entry.clone();
     let moved = Endpoint { cell: 3, ..server(2, NodeState::Ready, 0) };
     b.directory(&list(2, false, vec![moved]), false, NOON + S);
-    let after = b.find("s-2").unwrap().listed.clone();
+    let after = b.find("s-2").unwrap().entry.clone();
     assert_eq!((before.cell, after.cell, after.replica), (2, 3, before.replica));
 }
 
@@ -361,10 +367,10 @@
     let mut b = Bench::new();
     let future = (NOON + HOUR) / 1_000_000;
     b.directory(&list(1, true, vec![server(0, NodeState::Ready, future)]), true, NOON);
-    assert_eq!(b.find("s-0").unwrap().listed.started, Some(NOON));
+    assert_eq!(b.find("s-0").unwrap().entry.started, Some(NOON));
     // The same fact later does not make it cold anew.
     b.directory(&list(2, true, vec![server(0, NodeState::Ready, future)]), true, NOON + 60 * S);
-    assert_eq!(b.find("s-0").unwrap().listed.started, Some(NOON));
+    assert_eq!(b.find("s-0").unwrap().entry.started, Some(NOON));
     b.directory(&list(3, false, vec![server(0, NodeState::Terminating, future)]), false, NOON + 61 * S);
     b.roster.add_configured(&list(1, true, vec![server(0, NodeState::Ready, future)]), NOON + 62 * S);
     b.hear();
@@ -390,7 +396,7 @@
         let now = NOON + age;
         let b = Bench::from(&[&kept], now);
         let n = b.ready().len();
-        let start = b.told.values().map(|c| c.listed.started.map_or(0, |t| t + 14 * S - now)).max().unwrap();
+        let start = b.told.values().map(|c| c.entry.started.map_or(0, |t| t + 14 * S - now)).max().unwrap();
         assert!(n <= before.0 && start >= before.1, "{n} after {} at {age}", before.0);
         assert!(b.holders().iter().all(|n| *n >= 2));
         before = (n, start);
@@ -434,7 +440,7 @@
     let now = NOON + 24 * HOUR;
     let mut b = Bench::from(&[&kept], now);
     b.to(now + 3 * S);
-    b.roster.on_attempt_end(b.find("s-0").unwrap().listed.replica, Outcome::ConnectFailed, S, now + 3 * S);
+    b.roster.on_attempt_end(b.find("s-0").unwrap().entry.replica, Outcome::ConnectFailed, S, now + 3 * S);
     b.roster.tick(now + 3 * S);
     assert!(b.roster.take_changes().is_some_and(|c| !c.is_empty()) && !b.roster.take_discovery_answered());
     b.directory(&eight(2), true, now + 4 * S);
@@ -460,13 +466,13 @@
     let kept = kept_at(&eight(7), NOON);
     let now = NOON + 24 * HOUR;
     let mut b = Bench::from(&[&kept], now);
-    assert!(b.ready().len() < 8 && b.roster.may_yet_come(now));
+    assert!(b.ready().len() < 8 && b.roster.may_gain_nodes(now));
     let started = (now - 5 * S) / 1_000_000;
     let news = list(90, true, vec![server(1, NodeState::Ready, started), server(10, NodeState::Ready, 0)]);
     b.directory(&news, true, now + S);
     assert_eq!(b.ready(), ["s-1", "s-10"]);
-    assert!(b.find("s-1").unwrap().listed.started.unwrap() >= now - 5 * S);
-    assert!(!b.roster.may_yet_come(now + S));
+    assert!(b.find("s-1").unwrap().entry.started.unwrap() >= now - 5 * S);
+    assert!(!b.roster.may_gain_nodes(now + S));
 }
 
 #[test]
@@ -503,7 +509,7 @@
 fn an_operators_nodes_come_drain_and_go_and_discovery_overrides_them() {
     let mut b = Bench::new();
     let facts =
-        |ns: &[(u32, NodeState)]| ns.iter().map(|(n, s)| server(*n, *s, 0).fact()).collect::<Vec<_>>();
+        |ns: &[(u32, NodeState)]| ns.iter().map(|(n, s)| server(*n, *s, 0).record()).collect::<Vec<_>>();
     b.roster.set_operator_nodes(facts(&[(0, NodeState::Ready), (1, NodeState::Ready)]), NOON);
     b.hear();
     assert_eq!(b.ready(), ["s-0", "s-1"]);
@@ -599,8 +605,8 @@
     assert_eq!(snapshot::decode(b""), Err(SnapshotError::Empty));
     assert_eq!(snapshot::decode(b"pebbleturn-roster 2 0 00000000\n"), Err(SnapshotError::Version(2)));
     assert_eq!(
-        snapshot::decode(&vec![b'x'; snapshot::MOST_BYTES + 1]),
-        Err(SnapshotError::TooLarge(snapshot::MOST_BYTES + 1))
+        snapshot::decode(&vec![b'x'; snapshot::MAX_FILE_BYTES + 1]),
+        Err(SnapshotError::TooLarge(snapshot::MAX_FILE_BYTES + 1))
     );
     for _ in 0..2000 {
         let garbage: Vec<u8> = (0..rng.next_u64() % 200).map(|_| rng.next_u64() as u8).collect();
@@ -631,7 +637,7 @@
         assert!(b.told.len() <= 12);
     }
     // A node that is gone is held as two facts at most: that it was there, and that it is gone.
-    assert!(most <= 3 * MOST_GONE && largest < 1 << 20, "{most} facts, {largest} bytes");
+    assert!(most <= 3 * MAX_GONE_NODES && largest < 1 << 20, "{most} facts, {largest} bytes");
     // One that was forgotten does not come back by what is older than that.
     b.roster.add_configured(
         &list(2, false, vec![Endpoint { id: "new-1".into(), ..server(5, NodeState::Ready, 0) }]),
@@ -650,7 +656,7 @@
     use pebbleturn::replication::derived_state::NodeHints;
     use pebbleturn::{ReplicaEntry, ReplicaId, ReplicaState};
     let change = |replica, standing| NodeChange {
-        listed: ReplicaEntry {
+        entry: ReplicaEntry {
             replica: ReplicaId(replica),
             zone: 0,
             cell: 0,
@@ -664,32 +670,32 @@
     };
     let own = |started, version| move |_: &str| LocalHints { started, version };
     let drain = |started, version| NodeHints { drain: Some(ProcessStart { started, version }), started: 0 };
-    let shown = |change: Option<NodeChange>| change.map(|c| c.listed.state);
+    let shown = |change: Option<NodeChange>| change.map(|c| c.entry.state);
     let mut others = PeerHints::default();
     // Nobody is named by others.
-    assert_eq!(others.heard("s", drain(0, 9)), None);
-    let first = others.pass(vec![change(1, ReplicaState::Active)], own(0, 5));
-    assert_eq!(first[0].listed.state, ReplicaState::Draining);
+    assert_eq!(others.on_hint("s", drain(0, 9)), None);
+    let first = others.apply_changes(vec![change(1, ReplicaState::Active)], own(0, 5));
+    assert_eq!(first[0].entry.state, ReplicaState::Draining);
     // The own list goes on, and is not as new yet; then it is.
-    assert!(others.relist(false, own(0, 8)).is_empty() && others.held() == 1);
-    assert_eq!(others.relist(false, own(0, 9))[0].listed.state, ReplicaState::Active);
+    assert!(others.on_list_change(false, own(0, 8)).is_empty() && others.drained_count() == 1);
+    assert_eq!(others.on_list_change(false, own(0, 9))[0].entry.state, ReplicaState::Active);
     // A later drain, and the start after it that somebody heard of.
-    assert_eq!(shown(others.heard("s", drain(0, 12))), Some(ReplicaState::Draining));
-    let back = others.heard("s", NodeHints { started: 7, ..drain(0, 12) }).unwrap();
-    assert_eq!((back.listed.state, back.listed.started), (ReplicaState::Active, Some(7)));
+    assert_eq!(shown(others.on_hint("s", drain(0, 12))), Some(ReplicaState::Draining));
+    let back = others.on_hint("s", NodeHints { started: 7, ..drain(0, 12) }).unwrap();
+    assert_eq!((back.entry.state, back.entry.started), (ReplicaState::Active, Some(7)));
     // One's own draining and going is never made less.
-    let gone =
-        others.pass(vec![change(1, ReplicaState::Draining), change(1, ReplicaState::Removed)], own(0, 12));
-    assert_eq!([gone[0].listed.state, gone[1].listed.state], [ReplicaState::Draining, ReplicaState::Removed]);
-    assert_eq!(others.held(), 0);
+    let gone = others
+        .apply_changes(vec![change(1, ReplicaState::Draining), change(1, ReplicaState::Removed)], own(0, 12));
+    assert_eq!([gone[0].entry.state, gone[1].entry.state], [ReplicaState::Draining, ReplicaState::Removed]);
+    assert_eq!(others.drained_count(), 0);
     // A discovery that counts anew: versions from before say nothing.
-    others.pass(vec![change(2, ReplicaState::Active)], own(0, 12));
-    assert_eq!(shown(others.heard("s", drain(7, 40))), Some(ReplicaState::Draining));
-    assert_eq!(others.relist(true, own(0, 1))[0].listed.state, ReplicaState::Active);
+    others.apply_changes(vec![change(2, ReplicaState::Active)], own(0, 12));
+    assert_eq!(shown(others.on_hint("s", drain(7, 40))), Some(ReplicaState::Draining));
+    assert_eq!(others.on_list_change(true, own(0, 1))[0].entry.state, ReplicaState::Active);
     // Of nodes that come and go without end a bounded number is held, the listed ones among them.
     for n in 0..20_000 {
-        others.heard(&format!("x-{n}"), NodeHints { drain: None, started: n });
+        others.on_hint(&format!("x-{n}"), NodeHints { drain: None, started: n });
     }
-    assert_eq!(others.known(), 16_384);
-    assert!(others.heard("s", drain(7, 90)).is_some());
+    assert_eq!(others.hinted_count(), 16_384);
+    assert!(others.on_hint("s", drain(7, 90)).is_some());
 }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -16,7 +16,7 @@
 
 fn change(n: u32, standing: ReplicaState) -> NodeChange {
     NodeChange {
-        listed: ReplicaEntry {
+        entry: ReplicaEntry {
             replica: ReplicaId(n),
             zone: 0,
             cell: 0,
@@ -41,23 +41,27 @@
     fn new(rules: &[Rule]) -> Bench {
         let named = rules.iter().enumerate().map(|(n, r)| (format!("n-{n}"), r.clone()));
         let layout = PartitionLayout { cells: 1, span: 1 };
-        let settings = RoutingSettings { layout, rules: named.collect(), warm_up: WARM_UP, hold: HOLD };
+        let settings =
+            RoutingSettings { layout, rules: named.collect(), warm_up: WARM_UP, failback_delay: HOLD };
         let mut b = Bench { routing: Routing::new(settings), told: BTreeMap::new(), switches: 0 };
-        b.routing.listed((0..rules.len() as u32).map(|n| change(n, ReplicaState::Active)).collect(), 0);
+        b.routing.on_membership_changes(
+            (0..rules.len() as u32).map(|n| change(n, ReplicaState::Active)).collect(),
+            0,
+        );
         b.hear();
         b
     }
 
     fn hear(&mut self) {
         for c in self.routing.take_changes().unwrap_or_default() {
-            let n = c.listed.replica.0;
-            let was = self.told.insert(n, c.listed.clone()).is_some_and(|l| l.state == ReplicaState::Active);
-            self.switches += usize::from(was != (c.listed.state == ReplicaState::Active));
+            let n = c.entry.replica.0;
+            let was = self.told.insert(n, c.entry.clone()).is_some_and(|l| l.state == ReplicaState::Active);
+            self.switches += usize::from(was != (c.entry.state == ReplicaState::Active));
         }
     }
 
     fn outcome(&mut self, n: u32, outcome: Outcome, now: Nanos) {
-        self.routing.outcome(ReplicaId(n), outcome, now);
+        self.routing.on_attempt_end(ReplicaId(n), outcome, now);
         self.routing.tick(now);
         self.hear();
     }
@@ -92,17 +96,17 @@
         layout: PartitionLayout { cells: 1, span: 1 },
         rules: HashMap::new(),
         warm_up: WARM_UP,
-        hold: HOLD,
+        failback_delay: HOLD,
     };
     let mut r = Routing::new(settings);
     let all = [ReplicaState::Active, ReplicaState::Draining, ReplicaState::Removed];
     let changes: Vec<NodeChange> = (0..).zip(all).map(|(n, s)| change(n, s)).collect();
-    r.listed(changes.clone(), 0);
+    r.on_membership_changes(changes.clone(), 0);
     let mut told = r.take_changes().unwrap();
-    told.sort_by_key(|c| c.listed.replica);
+    told.sort_by_key(|c| c.entry.replica);
     assert_eq!(told, changes);
     for _ in 0..9 {
-        r.outcome(ReplicaId(0), Outcome::ConnectFailed, S);
+        r.on_attempt_end(ReplicaId(0), Outcome::ConnectFailed, S);
     }
     r.tick(S);
     assert_eq!((r.take_changes(), r.next_deadline(S)), (None, None));
@@ -110,7 +114,7 @@
 
 #[test]
 fn what_is_switched_off_gets_nothing() {
-    let put = |standing| Rule { standing, ..rule() };
+    let put = |standing| Rule { admin_state: standing, ..rule() };
     let weightless = Rule { weight: 0.0, ..rule() };
     let mut b = Bench::new(&[
         put(Put::Active),
@@ -122,14 +126,14 @@
     assert_eq!(b.offered(), [0]);
     // A rule that comes while it serves holds from then on.
     let rules = [("n-0".to_owned(), put(Put::Stopped)), ("n-1".to_owned(), put(Put::Active))];
-    b.routing.rules(rules.into(), S);
+    b.routing.set_rules(rules.into(), S);
     b.hear();
     assert_eq!(b.offered(), [1, 2, 3, 4], "those that the new rules don't name have the usual one");
 }
 
 #[test]
 fn every_node_disabled_offers_none() {
-    let b = Bench::new(&vec![Rule { standing: Put::Disabled, ..rule() }; 3]);
+    let b = Bench::new(&vec![Rule { admin_state: Put::Disabled, ..rule() }; 3]);
     assert!(b.offered().is_empty());
 }
 
@@ -224,14 +228,14 @@
 #[test]
 fn a_redirect_takes_the_place_unless_it_is_down_itself() {
     let to = |id: &str| Rule { redirect: Some(id.into()), ..rule() };
-    let off = Rule { standing: Put::Disabled, ..rule() };
+    let off = Rule { admin_state: Put::Disabled, ..rule() };
     let mut b = Bench::new(&[to("n-2"), rule(), off.clone()]);
     assert_eq!(b.offered(), [0, 1]);
     b.outcome(0, Outcome::ConnectFailed, S);
     assert_eq!(b.offered(), [1, 2]);
     b.outcome(2, Outcome::ConnectFailed, S);
     assert_eq!(b.offered(), [1]);
-    let mut b = Bench::new(&[to("n-1"), Rule { standing: Put::Stopped, ..rule() }, rule()]);
+    let mut b = Bench::new(&[to("n-1"), Rule { admin_state: Put::Stopped, ..rule() }, rule()]);
     b.outcome(0, Outcome::ConnectFailed, S);
     assert_eq!(b.offered(), [2], "what is stopped stays so");
 }
@@ -239,7 +243,8 @@
 #[test]
 fn a_node_that_membership_drops_or_drains_is_never_offered() {
     let mut b = Bench::new(&[rule(), rule(), Rule { spare: Spare::Hot, ..rule() }]);
-    b.routing.listed(vec![change(0, ReplicaState::Draining), change(1, ReplicaState::Removed)], S);
+    b.routing
+        .on_membership_changes(vec![change(0, ReplicaState::Draining), change(1, ReplicaState::Removed)], S);
     b.hear();
     assert_eq!(b.offered(), [2]);
     for outcome in [Outcome::ConnectFailed, Outcome::ConnectFailed] {
@@ -254,24 +259,24 @@
     let layout = PartitionLayout { cells: 3, span: 2 };
     let mut rules: HashMap<String, Rule> = (0..3).map(|n| (format!("n-{n}"), rule())).collect();
     rules.insert("n-3".into(), Rule { spare: Spare::Hot, ..rule() });
-    let mut r = Routing::new(RoutingSettings { layout, rules, warm_up: WARM_UP, hold: HOLD });
+    let mut r = Routing::new(RoutingSettings { layout, rules, warm_up: WARM_UP, failback_delay: HOLD });
     let at = |n: u32| {
         let mut c = change(n, ReplicaState::Active);
-        c.listed.cell = n % 3;
+        c.entry.cell = n % 3;
         c
     };
-    r.listed((0..4).map(at).collect(), 0);
+    r.on_membership_changes((0..4).map(at).collect(), 0);
     let spare = |r: &mut Routing| {
         let told = r.take_changes().unwrap_or_default();
-        told.into_iter().rfind(|c| c.listed.replica.0 == 3).map(|c| c.listed.state)
+        told.into_iter().rfind(|c| c.entry.replica.0 == 3).map(|c| c.entry.state)
     };
     assert_eq!(spare(&mut r), None);
     // Partition 1 loses both holders: the spare holds others, and would not help.
-    r.outcome(ReplicaId(1), Outcome::ConnectFailed, S);
-    r.outcome(ReplicaId(2), Outcome::ConnectFailed, S);
+    r.on_attempt_end(ReplicaId(1), Outcome::ConnectFailed, S);
+    r.on_attempt_end(ReplicaId(2), Outcome::ConnectFailed, S);
     r.tick(S);
     assert_eq!(spare(&mut r), None);
-    r.outcome(ReplicaId(0), Outcome::ConnectFailed, S);
+    r.on_attempt_end(ReplicaId(0), Outcome::ConnectFailed, S);
     r.tick(S);
     assert_eq!(spare(&mut r), Some(ReplicaState::Active));
 }
--- a/tests/stored_formats/kept_list.rs
+++ b/tests/stored_formats/kept_list.rs
@@ -40,23 +40,23 @@
 fn the_current_generation_is_read_with_every_option_set() {
     let list = read_generation(CURRENT);
     assert_eq!(list.synced, Some(1_700_000_000_000_000_008));
-    assert_eq!(list.whole, Some((3, 70, 1_700_000_000_000_000_007)));
-    assert_eq!(list.forgotten, Some((2, 60)));
-    let states: Vec<NodeState> = list.nodes.iter().map(|node| node.fact.state).collect();
+    assert_eq!(list.full_list, Some((3, 70, 1_700_000_000_000_000_007)));
+    assert_eq!(list.pruned_up_to, Some((2, 60)));
+    let states: Vec<NodeState> = list.nodes.iter().map(|node| node.record.state).collect();
     assert_eq!(states, [NodeState::Ready, NodeState::Terminating, NodeState::Gone]);
     let ready = &list.nodes[0];
-    assert_eq!(ready.fact.id, SERVER);
-    assert_eq!((ready.epoch, ready.version, ready.heard), (3, 69, 21));
-    assert_eq!((ready.anew, ready.confirmed), (true, Some(22)));
-    assert_eq!(list.nodes[2].fact.addr, None);
+    assert_eq!(ready.record.id, SERVER);
+    assert_eq!((ready.epoch, ready.version, ready.received), (3, 69, 21));
+    assert_eq!((ready.after_reset, ready.confirmed), (true, Some(22)));
+    assert_eq!(list.nodes[2].record.addr, None);
     assert_eq!(list, full_list());
 }
 
 #[test]
 fn the_older_generation_is_read_with_no_option_set() {
     let list = read_generation(OLDER);
-    assert_eq!((list.synced, list.whole, list.forgotten), (None, None, None));
-    assert_eq!(list.nodes[0].fact.addr, Some("[2001:db8::2]:443".parse().unwrap()));
+    assert_eq!((list.synced, list.full_list, list.pruned_up_to), (None, None, None));
+    assert_eq!(list.nodes[0].record.addr, Some("[2001:db8::2]:443".parse().unwrap()));
     assert_eq!(list.nodes[0].confirmed, None);
     assert_eq!(list, bare_list());
 }
--- a/tests/stored_formats/samples.rs
+++ b/tests/stored_formats/samples.rs
@@ -21,8 +21,8 @@
     Snapshot {
         written: 1_700_000_000_000_000_009,
         synced: Some(1_700_000_000_000_000_008),
-        whole: Some((3, 70, 1_700_000_000_000_000_007)),
-        forgotten: Some((2, 60)),
+        full_list: Some((3, 70, 1_700_000_000_000_000_007)),
+        pruned_up_to: Some((2, 60)),
         rate: ChangeRate { changes: 2.5, watched: 3.6e15 },
         nodes: vec![ready_node(), draining_node(), gone_node()],
     }
@@ -33,8 +33,8 @@
     Snapshot {
         written: 5,
         synced: None,
-        whole: None,
-        forgotten: None,
+        full_list: None,
+        pruned_up_to: None,
         rate: ChangeRate::NONE,
         nodes: vec![draining_node()],
     }
@@ -50,7 +50,7 @@
         state: membership::NodeState::Ready,
         started: 1_600_000_000_000_000_001,
     };
-    SnapshotNode { fact, epoch: 3, version: 69, heard: 21, anew: true, confirmed: Some(22) }
+    SnapshotNode { record: fact, epoch: 3, version: 69, received: 21, after_reset: true, confirmed: Some(22) }
 }
 
 fn draining_node() -> SnapshotNode {
@@ -63,7 +63,7 @@
         state: membership::NodeState::Terminating,
         started: 0,
     };
-    SnapshotNode { fact, epoch: 2, version: 68, heard: 31, anew: false, confirmed: None }
+    SnapshotNode { record: fact, epoch: 2, version: 68, received: 31, after_reset: false, confirmed: None }
 }
 
 fn gone_node() -> SnapshotNode {
@@ -76,7 +76,14 @@
         state: membership::NodeState::Gone,
         started: 41,
     };
-    SnapshotNode { fact, epoch: 1, version: u64::MAX, heard: 42, anew: false, confirmed: Some(43) }
+    SnapshotNode {
+        record: fact,
+        epoch: 1,
+        version: u64::MAX,
+        received: 42,
+        after_reset: false,
+        confirmed: Some(43),
+    }
 }
 
 /// Words by hand on every kind of key that takes them, with every kind of value. On the server two words stand side
