--- a/src/membership/gossip_hints.rs
+++ b/src/membership/gossip_hints.rs
@@ -19,19 +19,19 @@
 }
 
 /// Most nodes of which others' words are held: ids are always new, and what is gone must not add up.
-const MOST: usize = 16_384;
+const MAX_HINTED_NODES: usize = 16_384;
 
 /// What others have heard, and what the own sources say.
 #[derive(Debug, Default)]
 pub struct PeerHints {
-    heard: BTreeMap<String, NodeHints>,
+    hints: BTreeMap<String, NodeHints>,
     /// The last that the own sources told of each node that is listed.
-    own: BTreeMap<String, (NodeChange, LocalHints)>,
+    local: BTreeMap<String, (NodeChange, LocalHints)>,
 }
 
 impl PeerHints {
     /// The drain that others have heard of holds a node back.
-    fn holds(heard: &NodeHints, own: LocalHints) -> bool {
+    fn is_drained(heard: &NodeHints, own: LocalHints) -> bool {
         let drained = |d: &ProcessStart| {
             let later = d.started > own.started || (d.started == own.started && d.version > own.version);
             // One that started after it was told to drain is another process.
@@ -40,12 +40,12 @@
         heard.drain.as_ref().is_some_and(drained)
     }
 
-    fn shown(&self, change: &NodeChange, own: LocalHints) -> NodeChange {
+    fn with_hints(&self, change: &NodeChange, own: LocalHints) -> NodeChange {
         let mut change = change.clone();
-        if let Some(heard) = self.heard.get(&change.id)
+        if let Some(heard) = self.hints.get(&change.id)
             && change.entry.state != ReplicaState::Removed
         {
-            if change.entry.state == ReplicaState::Active && PeerHints::holds(heard, own) {
+            if change.entry.state == ReplicaState::Active && PeerHints::is_drained(heard, own) {
                 change.entry.state = ReplicaState::Draining;
             }
             if heard.started > own.started {
@@ -65,18 +65,18 @@
             .into_iter()
             .map(|change| {
                 let of = own(&change.id);
-                let shown = self.shown(&change, of);
+                let shown = self.with_hints(&change, of);
                 if change.entry.state == ReplicaState::Removed {
                     let moved = self
-                        .own
+                        .local
                         .get(&change.id)
                         .is_some_and(|(c, _)| c.entry.replica != change.entry.replica);
                     // One that moved is gone under its old number after it was named under its new one.
                     if !moved {
-                        self.own.remove(&change.id);
+                        self.local.remove(&change.id);
                     }
                 } else {
-                    self.own.insert(change.id.clone(), (change, of));
+                    self.local.insert(change.id.clone(), (change, of));
                 }
                 shown
             })
@@ -85,15 +85,15 @@
 
     /// Others have heard this of a node. Tells what is to be told on, if this broker's own list names it.
     pub fn on_hint(&mut self, id: &str, heard: NodeHints) -> Option<NodeChange> {
-        let before = self.own.get(id).map(|(c, own)| self.shown(c, *own));
-        self.heard.insert(id.to_owned(), heard);
-        if self.heard.len() > MOST {
+        let before = self.local.get(id).map(|(c, own)| self.with_hints(c, *own));
+        self.hints.insert(id.to_owned(), heard);
+        if self.hints.len() > MAX_HINTED_NODES {
             // What no list of one's own names goes first, the earliest start of it.
-            let unlisted = self.heard.iter().filter(|(id, _)| !self.own.contains_key(*id));
+            let unlisted = self.hints.iter().filter(|(id, _)| !self.local.contains_key(*id));
             let earliest = unlisted.min_by_key(|(_, h)| h.started).map(|(id, _)| id.clone());
-            earliest.and_then(|id| self.heard.remove(&id));
+            earliest.and_then(|id| self.hints.remove(&id));
         }
-        let now = self.own.get(id).map(|(c, own)| self.shown(c, *own));
+        let now = self.local.get(id).map(|(c, own)| self.with_hints(c, *own));
         now.filter(|change| before.as_ref() != Some(change))
     }
 
@@ -101,35 +101,35 @@
     /// more). Tells what is to be told on.
     pub fn on_list_change(&mut self, anew: bool, own: impl Fn(&str) -> LocalHints) -> Vec<NodeChange> {
         let mut changes = Vec::new();
-        let ids: Vec<String> = self.heard.keys().filter(|id| self.own.contains_key(*id)).cloned().collect();
+        let ids: Vec<String> = self.hints.keys().filter(|id| self.local.contains_key(*id)).cloned().collect();
         for id in ids {
-            let Some((change, was)) = self.own.get(&id).cloned() else { continue };
-            let (before, of) = (self.shown(&change, was), own(&id));
-            if anew && let Some(h) = self.heard.get_mut(&id) {
+            let Some((change, was)) = self.local.get(&id).cloned() else { continue };
+            let (before, of) = (self.with_hints(&change, was), own(&id));
+            if anew && let Some(h) = self.hints.get_mut(&id) {
                 h.drain = None;
             }
-            let now = self.shown(&change, of);
-            self.own.insert(id, (change, of));
+            let now = self.with_hints(&change, of);
+            self.local.insert(id, (change, of));
             if now != before {
                 changes.push(now);
             }
         }
         if anew {
-            self.heard.values_mut().for_each(|h| h.drain = None);
+            self.hints.values_mut().for_each(|h| h.drain = None);
         }
         changes
     }
 
     /// Nodes of which others' words are held.
     pub fn hinted_count(&self) -> usize {
-        self.heard.len()
+        self.hints.len()
     }
 
     /// Nodes that are held back.
     pub fn drained_count(&self) -> usize {
         let held = |(id, (_, own)): (&String, &(NodeChange, LocalHints))| {
-            self.heard.get(id).is_some_and(|h| PeerHints::holds(h, *own))
+            self.hints.get(id).is_some_and(|h| PeerHints::is_drained(h, *own))
         };
-        self.own.iter().filter(|e| held(*e)).count()
+        self.local.iter().filter(|e| held(*e)).count()
     }
 }
--- a/src/membership/merged_view.rs
+++ b/src/membership/merged_view.rs
@@ -21,28 +21,28 @@
     /// The fact.
     pub record: NodeRecord,
     /// Its place in its source's order.
-    pub version: SourceVersion,
+    pub source_version: SourceVersion,
     /// When this broker first heard it, unix ns.
     pub received: Nanos,
     /// It comes from the first list of a source that counts anew, and may be from before what was learnt last.
     pub after_reset: bool,
 }
 
-type Key<'a> = (SourceVersion, NodeState, &'a NodeRecord, Reverse<Nanos>, bool);
+type PrecedenceKey<'a> = (SourceVersion, NodeState, &'a NodeRecord, Reverse<Nanos>, bool);
 
 impl VersionedRecord {
-    fn key(&self) -> Key<'_> {
+    fn precedence(&self) -> PrecedenceKey<'_> {
         // The earlier hearing of one fact counts: a drain is learnt once.
-        (self.version, self.record.state, &self.record, Reverse(self.received), self.after_reset)
+        (self.source_version, self.record.state, &self.record, Reverse(self.received), self.after_reset)
     }
 
-    fn life(&self) -> (Nanos, Key<'_>) {
-        (self.record.started, self.key())
+    fn start_precedence(&self) -> (Nanos, PrecedenceKey<'_>) {
+        (self.record.started, self.precedence())
     }
 
     /// Whether it can name a later life: ready, with a start that had been when it was heard. Guards against
     /// starts in the future, which would outlast every drain.
-    fn tells_life(&self) -> bool {
+    fn proves_restart(&self) -> bool {
         self.record.state == NodeState::Ready
             && self.record.started > 0
             && self.record.started <= self.received
@@ -50,27 +50,29 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct Held {
+struct NodeRecords {
     latest: VersionedRecord,
     /// The last word that it drains or is gone, and the last that it is ready, but for lists that count anew.
     drain: Option<VersionedRecord>,
     ready: Option<VersionedRecord>,
     /// The word of the latest start.
-    life: Option<VersionedRecord>,
+    latest_start: Option<VersionedRecord>,
 }
 
-impl Held {
-    fn new(known: VersionedRecord) -> Held {
-        let mut held = Held { latest: known.clone(), drain: None, ready: None, life: None };
-        held.take(&known);
+impl NodeRecords {
+    fn new(known: VersionedRecord) -> NodeRecords {
+        let mut held = NodeRecords { latest: known.clone(), drain: None, ready: None, latest_start: None };
+        held.insert(&known);
         held
     }
 
-    fn take(&mut self, known: &VersionedRecord) {
-        if known.key() > self.latest.key() {
+    fn insert(&mut self, known: &VersionedRecord) {
+        if known.precedence() > self.latest.precedence() {
             self.latest = known.clone();
         }
-        let higher = |held: &Option<VersionedRecord>| held.as_ref().is_none_or(|h| known.key() > h.key());
+        let higher = |held: &Option<VersionedRecord>| {
+            held.as_ref().is_none_or(|h| known.precedence() > h.precedence())
+        };
         match known.record.state {
             NodeState::Ready if known.after_reset => {}
             NodeState::Ready if higher(&self.ready) => self.ready = Some(known.clone()),
@@ -79,17 +81,20 @@
             }
             _ => {}
         }
-        if known.tells_life() && self.life.as_ref().is_none_or(|l| known.life() > l.life()) {
-            self.life = Some(known.clone());
+        if known.proves_restart()
+            && self.latest_start.as_ref().is_none_or(|l| known.start_precedence() > l.start_precedence())
+        {
+            self.latest_start = Some(known.clone());
         }
     }
 
     /// The fact that speaks for the node, but for later lives.
-    fn speaks(&self) -> &VersionedRecord {
+    fn authoritative(&self) -> &VersionedRecord {
         match &self.drain {
             // A list that counts anew may be from before the drain.
             Some(d)
-                if self.latest.after_reset && self.ready.as_ref().is_none_or(|r| r.version < d.version) =>
+                if self.latest.after_reset
+                    && self.ready.as_ref().is_none_or(|r| r.source_version < d.source_version) =>
             {
                 d
             }
@@ -98,59 +103,60 @@
     }
 
     /// All that is held, each fact once.
-    fn facts(&self) -> impl Iterator<Item = &VersionedRecord> {
-        let all = [Some(&self.latest), self.drain.as_ref(), self.ready.as_ref(), self.life.as_ref()];
+    fn distinct(&self) -> impl Iterator<Item = &VersionedRecord> {
+        let all = [Some(&self.latest), self.drain.as_ref(), self.ready.as_ref(), self.latest_start.as_ref()];
         (0..4).filter_map(move |n| all[n].filter(|k| !all[..n].contains(&Some(*k))))
     }
 }
 
 /// All that one source told.
 #[derive(Clone, Debug)]
-struct Told {
-    nodes: BTreeMap<String, Held>,
+struct SourceView {
+    nodes: BTreeMap<String, NodeRecords>,
     /// Stamp of the latest whole list, and when it was first heard.
-    whole: Option<(SourceVersion, Reverse<Nanos>)>,
+    full_list: Option<(SourceVersion, Reverse<Nanos>)>,
     /// Facts up to here about nodes that are not known are not believed.
-    forgotten: Option<SourceVersion>,
+    pruned_up_to: Option<SourceVersion>,
     /// Nodes that were held when those that are gone were last counted.
-    counted: usize,
+    nodes_at_last_prune: usize,
 }
 
-impl PartialEq for Told {
-    fn eq(&self, other: &Told) -> bool {
-        (&self.nodes, self.whole, self.forgotten) == (&other.nodes, other.whole, other.forgotten)
+impl PartialEq for SourceView {
+    fn eq(&self, other: &SourceView) -> bool {
+        (&self.nodes, self.full_list, self.pruned_up_to)
+            == (&other.nodes, other.full_list, other.pruned_up_to)
     }
 }
 
-impl Eq for Told {}
+impl Eq for SourceView {}
 
 /// New nodes after which those that are gone are counted again: not each piece of news looks through all.
-const COUNT_AFTER: usize = 64;
+const PRUNE_INTERVAL_NODES: usize = 64;
 
-impl Told {
-    const fn new() -> Told {
-        Told { nodes: BTreeMap::new(), whole: None, forgotten: None, counted: 0 }
+impl SourceView {
+    const fn new() -> SourceView {
+        SourceView { nodes: BTreeMap::new(), full_list: None, pruned_up_to: None, nodes_at_last_prune: 0 }
     }
 
-    fn take(&mut self, known: VersionedRecord) {
+    fn insert(&mut self, known: VersionedRecord) {
         if let Some(held) = self.nodes.get_mut(&known.record.id) {
-            held.take(&known);
-        } else if self.forgotten.is_none_or(|f| known.version > f) {
-            self.nodes.insert(known.record.id.clone(), Held::new(known));
+            held.insert(&known);
+        } else if self.pruned_up_to.is_none_or(|f| known.source_version > f) {
+            self.nodes.insert(known.record.id.clone(), NodeRecords::new(known));
         }
     }
 
     /// What is believed of a node, and since when that has been known.
-    fn view<'a>(&'a self, held: &'a Held) -> NodeView<'a> {
-        let replaced = self.whole.filter(|(stamp, _)| held.latest.version < *stamp);
-        let speaks = held.speaks();
+    fn view<'a>(&'a self, held: &'a NodeRecords) -> NodeView<'a> {
+        let replaced = self.full_list.filter(|(stamp, _)| held.latest.source_version < *stamp);
+        let speaks = held.authoritative();
         let (state, learnt) = match replaced {
             // A whole list that leaves it out, unless it was known to be gone before.
             Some((_, Reverse(heard))) if speaks.record.state == NodeState::Ready => (NodeState::Gone, heard),
             Some((_, Reverse(heard))) => (NodeState::Gone, heard.max(speaks.received)),
             _ => (speaks.record.state, speaks.received),
         };
-        match &held.life {
+        match &held.latest_start {
             Some(life) if state != NodeState::Ready && life.record.started > learnt => {
                 NodeView { versioned: life, state: NodeState::Ready, learned: life.received }
             }
@@ -159,14 +165,14 @@
     }
 
     fn prune(&mut self, full: bool) {
-        if !full && self.nodes.len() < self.counted + COUNT_AFTER {
+        if !full && self.nodes.len() < self.nodes_at_last_prune + PRUNE_INTERVAL_NODES {
             return;
         }
-        self.counted = self.nodes.len();
+        self.nodes_at_last_prune = self.nodes.len();
         let mut gone: Vec<(SourceVersion, String)> = Vec::new();
         for (id, held) in &self.nodes {
             if self.view(held).state == NodeState::Gone {
-                gone.push((held.latest.version, id.clone()));
+                gone.push((held.latest.source_version, id.clone()));
             }
         }
         if gone.len() <= MAX_GONE_NODES {
@@ -177,9 +183,9 @@
         let over = gone.len() - MAX_GONE_NODES / 2;
         for (stamp, id) in gone.drain(..over) {
             self.nodes.remove(&id);
-            self.forgotten = self.forgotten.max(Some(stamp));
+            self.pruned_up_to = self.pruned_up_to.max(Some(stamp));
         }
-        self.counted = self.nodes.len();
+        self.nodes_at_last_prune = self.nodes.len();
     }
 }
 
@@ -197,18 +203,18 @@
 /// What is believed of all nodes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MergedView {
-    operator: Told,
-    directory: Told,
+    operator: SourceView,
+    directory: SourceView,
 }
 
 impl Default for MergedView {
     fn default() -> MergedView {
-        MergedView { operator: Told::new(), directory: Told::new() }
+        MergedView { operator: SourceView::new(), directory: SourceView::new() }
     }
 }
 
 impl MergedView {
-    fn told(&mut self, rank: SourcePriority) -> &mut Told {
+    fn source_mut(&mut self, rank: SourcePriority) -> &mut SourceView {
         match rank {
             SourcePriority::Operator => &mut self.operator,
             SourcePriority::Directory => &mut self.directory,
@@ -224,25 +230,30 @@
         facts: impl IntoIterator<Item = NodeRecord>,
         heard: Nanos,
     ) {
-        let told = self.told(stamp.priority);
+        let told = self.source_mut(stamp.priority);
         for fact in facts {
-            told.take(VersionedRecord { record: fact, version: stamp, received: heard, after_reset: anew });
+            told.insert(VersionedRecord {
+                record: fact,
+                source_version: stamp,
+                received: heard,
+                after_reset: anew,
+            });
         }
         if full {
-            told.whole = told.whole.max(Some((stamp, Reverse(heard))));
+            told.full_list = told.full_list.max(Some((stamp, Reverse(heard))));
         }
         told.prune(full);
     }
 
     /// Takes in one fact with a stamp and time of its own: one that was kept.
     pub fn insert_record(&mut self, known: VersionedRecord) {
-        self.told(known.version.priority).take(known);
+        self.source_mut(known.source_version.priority).insert(known);
     }
 
     /// A whole list with this stamp was heard then.
     pub fn insert_full_list(&mut self, stamp: SourceVersion, heard: Nanos) {
-        let told = self.told(stamp.priority);
-        told.whole = told.whole.max(Some((stamp, Reverse(heard))));
+        let told = self.source_mut(stamp.priority);
+        told.full_list = told.full_list.max(Some((stamp, Reverse(heard))));
     }
 
     /// Bounds what is kept of nodes that are gone.
@@ -254,18 +265,18 @@
     /// Stamp of a source's latest whole list, and when it was first heard.
     pub fn full_list(&self, rank: SourcePriority) -> Option<(SourceVersion, Nanos)> {
         let told = if rank == SourcePriority::Operator { &self.operator } else { &self.directory };
-        told.whole.map(|(stamp, Reverse(heard))| (stamp, heard))
+        told.full_list.map(|(stamp, Reverse(heard))| (stamp, heard))
     }
 
     /// What is believed of a node. An operator's node is in until the directory says that it drains or is gone.
     pub fn view(&self, id: &str) -> Option<NodeView<'_>> {
-        let of = |told: &'_ Told| -> Option<(SourceVersion, bool)> {
-            told.nodes.get(id).map(|h| (h.latest.version, told.view(h).state == NodeState::Ready))
+        let of = |told: &'_ SourceView| -> Option<(SourceVersion, bool)> {
+            told.nodes.get(id).map(|h| (h.latest.source_version, told.view(h).state == NodeState::Ready))
         };
         let told = match (of(&self.operator), of(&self.directory)) {
             (Some((_, true)), Some((stamp, false))) => {
                 // Left out of the directory's whole list: it may never have belonged there.
-                let left_out = self.directory.whole.is_some_and(|(whole, _)| stamp < whole)
+                let left_out = self.directory.full_list.is_some_and(|(whole, _)| stamp < whole)
                     && self
                         .directory
                         .nodes
@@ -288,16 +299,16 @@
 
     /// The directory's facts that are held, of each node up to four.
     pub fn directory_records(&self) -> impl Iterator<Item = &VersionedRecord> {
-        self.directory.nodes.values().flat_map(Held::facts)
+        self.directory.nodes.values().flat_map(NodeRecords::distinct)
     }
 
     /// Facts up to this stamp about unknown nodes are not believed.
     pub fn pruned_up_to(&self) -> Option<SourceVersion> {
-        self.directory.forgotten
+        self.directory.pruned_up_to
     }
 
     /// Sets what `forgotten` tells, from a kept list.
     pub fn set_pruned_up_to(&mut self, stamp: SourceVersion) {
-        self.directory.forgotten = self.directory.forgotten.max(Some(stamp));
+        self.directory.pruned_up_to = self.directory.pruned_up_to.max(Some(stamp));
     }
 }
--- a/src/membership/poll_backoff.rs
+++ b/src/membership/poll_backoff.rs
@@ -11,8 +11,8 @@
 #[derive(Clone, Debug)]
 pub struct PollBackoff {
     rng: Pcg64Mcg,
-    first: Nanos,
-    most: Nanos,
+    initial: Nanos,
+    max: Nanos,
     bound: Nanos,
 }
 
@@ -20,7 +20,7 @@
     /// Waits whose bound starts at `first` and doubles up to `most`.
     pub fn new(first: Nanos, most: Nanos, seed: u64) -> PollBackoff {
         let first = first.max(1);
-        PollBackoff { rng: Pcg64Mcg::seed_from_u64(seed), first, most: most.max(first), bound: first }
+        PollBackoff { rng: Pcg64Mcg::seed_from_u64(seed), initial: first, max: most.max(first), bound: first }
     }
 
     /// A call failed: so long until the next. Never less than a quarter of the bound, so that one broker alone
@@ -28,13 +28,13 @@
     pub fn on_failure(&mut self) -> Nanos {
         let x = (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
         let wait = self.bound as f64 * (0.25 + 0.75 * x);
-        self.bound = self.bound.saturating_mul(2).min(self.most);
+        self.bound = self.bound.saturating_mul(2).min(self.max);
         wait as Nanos
     }
 
     /// A call was answered.
     pub fn on_success(&mut self) {
-        self.bound = self.first;
+        self.bound = self.initial;
     }
 }
 
--- a/src/membership/registry.rs
+++ b/src/membership/registry.rs
@@ -60,7 +60,7 @@
 }
 
 /// A node's address, cell and start.
-type Place = (Option<SocketAddr>, u32, Nanos);
+type Placement = (Option<SocketAddr>, u32, Nanos);
 
 /// How one node stands, for those who ask.
 #[derive(Clone, Debug, PartialEq)]
@@ -78,72 +78,72 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Trial {
+enum AdmissionState {
     /// It was not let in yet.
-    Waits,
+    Waiting,
     /// It gets work.
-    Let,
+    Admitted,
     /// It failed, and stays out until then.
-    Failed { until: Nanos },
+    Ejected { until: Nanos },
 }
 
 #[derive(Debug)]
-struct Member {
+struct TrackedNode {
     replica: ReplicaId,
     addr: SocketAddr,
     /// Last word that it is there: discovery's or its own good answer.
     confirmed: Option<Nanos>,
-    trial: Trial,
+    admission: AdmissionState,
     failures: u32,
     /// For how long it stayed out after its last failure.
-    out: Nanos,
+    ejection_time: Nanos,
     /// The start it is taken to have had while it is unconfirmed.
-    assumed: Option<Nanos>,
+    assumed_start: Option<Nanos>,
     /// It has given a good answer.
-    answered: bool,
-    told: Option<ReplicaEntry>,
+    has_answered: bool,
+    announced: Option<ReplicaEntry>,
     /// Since when its connections fail.
-    down: Option<Nanos>,
+    unreachable_since: Option<Nanos>,
 }
 
 /// Membership: what is believed of all nodes, and what the exchange has been told of them.
 #[derive(Debug)]
 pub struct Registry {
     settings: RegistrySettings,
-    belief: MergedView,
-    members: BTreeMap<String, Member>,
-    by_replica: HashMap<ReplicaId, String>,
-    next: u32,
+    view: MergedView,
+    nodes: BTreeMap<String, TrackedNode>,
+    node_ids: HashMap<ReplicaId, String>,
+    next_replica: u32,
     /// The directory's count and version.
     epoch: u32,
     version: u64,
     /// When the directory's list as a whole was last known to hold.
-    synced: Option<Nanos>,
+    last_confirmed: Option<Nanos>,
     /// Since when the watch has been standing, as far as the rate of change goes.
-    watched: Option<Nanos>,
-    rate: ChangeRate,
+    watched_since: Option<Nanos>,
+    change_rate: ChangeRate,
     operator_version: u64,
     /// When the first unconfirmed node was believed.
-    began: Option<Nanos>,
+    probation_start: Option<Nanos>,
     changes: Vec<NodeChange>,
     /// Nodes that proved as fast as warm ones.
-    warm: Vec<ReplicaId>,
+    warmed_up: Vec<ReplicaId>,
     /// Times of the last good answers, of all nodes, while some count as cold for want of trust.
-    pace: VecDeque<Nanos>,
+    recent_latencies: VecDeque<Nanos>,
     /// A directory's report has come that the exchange has not been told of.
-    answered: bool,
-    heard: bool,
+    unreported_update: bool,
+    discovery_answered: bool,
     dirty: bool,
     /// Nobody is unconfirmed, and no address is claimed twice: each node can be settled on its own.
-    calm: bool,
+    all_confirmed: bool,
     /// Who has which address, of those that are ready.
-    by_addr: HashMap<SocketAddr, String>,
+    ready_by_addr: HashMap<SocketAddr, String>,
     /// Nodes of kinds that can't be called, so that each is told of once.
-    foreign: BTreeSet<String>,
-    due: Option<Nanos>,
+    uncallable: BTreeSet<String>,
+    next_deadline: Option<Nanos>,
     /// What a write is for: news, and whether a drain is among it.
-    unwritten: bool,
-    written: Option<Nanos>,
+    unsaved: bool,
+    last_snapshot: Option<Nanos>,
 }
 
 impl Registry {
@@ -151,29 +151,29 @@
     pub fn new(settings: RegistrySettings) -> Registry {
         Registry {
             settings,
-            belief: MergedView::default(),
-            members: BTreeMap::new(),
-            by_replica: HashMap::new(),
-            next: 0,
+            view: MergedView::default(),
+            nodes: BTreeMap::new(),
+            node_ids: HashMap::new(),
+            next_replica: 0,
             epoch: 0,
             version: 0,
-            synced: None,
-            watched: None,
-            rate: ChangeRate::NONE,
+            last_confirmed: None,
+            watched_since: None,
+            change_rate: ChangeRate::NONE,
             operator_version: 0,
-            began: None,
+            probation_start: None,
             changes: Vec::new(),
-            warm: Vec::new(),
-            pace: VecDeque::new(),
-            answered: false,
-            heard: false,
+            warmed_up: Vec::new(),
+            recent_latencies: VecDeque::new(),
+            unreported_update: false,
+            discovery_answered: false,
             dirty: false,
-            calm: false,
-            by_addr: HashMap::new(),
-            foreign: BTreeSet::new(),
-            due: None,
-            unwritten: false,
-            written: None,
+            all_confirmed: false,
+            ready_by_addr: HashMap::new(),
+            uncallable: BTreeSet::new(),
+            next_deadline: None,
+            unsaved: false,
+            last_snapshot: None,
         }
     }
 
@@ -182,60 +182,61 @@
     /// What was kept on disk, every generation of it. Comes before all other sources.
     pub fn restore(&mut self, generations: &[Snapshot], now: Nanos) {
         for kept in generations {
-            kept.merge_into(&mut self.belief);
+            kept.merge_into(&mut self.view);
             let stamps = kept.nodes.iter().map(|n| (n.epoch, n.version));
             let last = stamps.chain(kept.full_list.map(|(e, v, _)| (e, v))).max().unwrap_or((0, 0));
             if last >= (self.epoch, self.version) {
                 (self.epoch, self.version) = last;
-                self.rate = kept.rate;
+                self.change_rate = kept.rate;
             }
-            self.synced = self.synced.max(kept.synced.map(|t| self.believable(t, now)));
+            self.last_confirmed =
+                self.last_confirmed.max(kept.synced.map(|t| self.clamp_stored_time(t, now)));
         }
         for n in generations.iter().flat_map(|k| &k.nodes) {
-            if let Some(at) = n.confirmed.map(|t| self.believable(t, now)) {
-                self.confirm_from(&n.record.id, at);
+            if let Some(at) = n.confirmed.map(|t| self.clamp_stored_time(t, now)) {
+                self.confirm_node(&n.record.id, at);
             }
         }
-        self.settle(now);
+        self.reconcile_all(now);
         if !generations.is_empty() {
             tracing::info!(
                 "kept list: {} nodes, {} s old, trusted at {:.2}",
-                self.members.len(),
-                self.synced.map_or(0, |t| now.saturating_sub(t)) / 1_000_000_000,
-                self.synced.map_or(0.0, |t| self.trust(Some(t), now))
+                self.nodes.len(),
+                self.last_confirmed.map_or(0, |t| now.saturating_sub(t)) / 1_000_000_000,
+                self.last_confirmed.map_or(0.0, |t| self.trust(Some(t), now))
             );
         }
     }
 
     /// A time that was kept: one that lies ahead says only that a clock was wrong, and counts as the age presumed.
-    fn believable(&self, at: Nanos, now: Nanos) -> Nanos {
+    fn clamp_stored_time(&self, at: Nanos, now: Nanos) -> Nanos {
         if at <= now { at } else { now.saturating_sub(self.settings.default_list_age) }
     }
 
-    fn confirm_from(&mut self, id: &str, at: Nanos) {
-        let Some(view) = self.belief.view(id).filter(|v| v.state != NodeState::Gone) else { return };
+    fn confirm_node(&mut self, id: &str, at: Nanos) {
+        let Some(view) = self.view.view(id).filter(|v| v.state != NodeState::Gone) else { return };
         let Some(addr) = view.versioned.record.addr else { return };
-        let m = self.member(id.to_owned(), addr);
+        let m = self.track_node(id.to_owned(), addr);
         m.confirmed = m.confirmed.max(Some(at));
     }
 
-    fn member(&mut self, id: String, addr: SocketAddr) -> &mut Member {
-        let (next, by_replica) = (&mut self.next, &mut self.by_replica);
-        self.members.entry(id).or_insert_with_key(|id| {
+    fn track_node(&mut self, id: String, addr: SocketAddr) -> &mut TrackedNode {
+        let (next, by_replica) = (&mut self.next_replica, &mut self.node_ids);
+        self.nodes.entry(id).or_insert_with_key(|id| {
             let replica = ReplicaId(*next);
             *next += 1;
             by_replica.insert(replica, id.clone());
-            Member {
+            TrackedNode {
                 replica,
                 addr,
                 confirmed: None,
-                trial: Trial::Waits,
+                admission: AdmissionState::Waiting,
                 failures: 0,
-                out: 0,
-                assumed: None,
-                answered: false,
-                told: None,
-                down: None,
+                ejection_time: 0,
+                assumed_start: None,
+                has_answered: false,
+                announced: None,
+                unreachable_since: None,
             }
         })
     }
@@ -244,16 +245,16 @@
     pub fn add_configured(&mut self, list: &EndpointList, now: Nanos) {
         // After a discovery counted anew there is no telling whether this list is older: it must not undo anything.
         let stamp = SourceVersion { priority: SourcePriority::Directory, epoch: 0, version: list.version };
-        let as_of = list.as_of_ms.map(|ms| self.believable(ms.saturating_mul(1_000_000), now));
+        let as_of = list.as_of_ms.map(|ms| self.clamp_stored_time(ms.saturating_mul(1_000_000), now));
         let as_of = as_of.unwrap_or_else(|| now.saturating_sub(self.settings.default_list_age));
         if self.epoch == 0 && list.version >= self.version {
             self.version = list.version;
             if list.full {
-                self.synced = self.synced.max(Some(as_of));
+                self.last_confirmed = self.last_confirmed.max(Some(as_of));
             }
         }
-        self.take(stamp, list, false, now);
-        self.settle(now);
+        self.merge_list(stamp, list, false, now);
+        self.reconcile_all(now);
     }
 
     /// The nodes of an operator's file: all there are, as of now.
@@ -262,17 +263,17 @@
         let stamp =
             SourceVersion { priority: SourcePriority::Operator, epoch: 0, version: self.operator_version };
         let ids: Vec<String> = nodes.iter().map(|n| n.id.clone()).collect();
-        self.belief.apply_report(stamp, (true, false), nodes, now);
+        self.view.apply_report(stamp, (true, false), nodes, now);
         for id in ids {
-            self.confirm_from(&id, now);
+            self.confirm_node(&id, now);
         }
-        self.settle(now);
+        self.reconcile_all(now);
     }
 
     /// What discovery tells; `first`: as the first thing on a new watch, which tells all that changed since the
     /// version that was asked for, or else the whole list. Tells whether it was believed.
     pub fn on_discovery_update(&mut self, list: &EndpointList, first: bool, now: Nanos) -> bool {
-        (self.answered, self.heard) = (true, true);
+        (self.unreported_update, self.discovery_answered) = (true, true);
         self.dirty = true;
         let anew = list.version < self.version;
         if anew {
@@ -282,7 +283,7 @@
                     list.version,
                     self.version
                 );
-                self.settle(now);
+                self.reconcile_all(now);
                 return false;
             }
             // Only a discovery that restarted tells a whole list from before what it told already.
@@ -291,35 +292,35 @@
         }
         let touched: Option<Vec<&str>> =
             (!list.full && !anew).then(|| list.servers.iter().map(|s| s.id.as_str()).collect());
-        let (before, all) = self.believed(touched.as_deref());
+        let (before, all) = self.ready_placements(touched.as_deref());
         self.version = list.version;
         let stamp =
             SourceVersion { priority: SourcePriority::Directory, epoch: self.epoch, version: list.version };
-        self.take(stamp, list, anew, now);
+        self.merge_list(stamp, list, anew, now);
         if list.full || first {
             // All that was not named holds as it did.
-            self.synced = Some(now);
+            self.last_confirmed = Some(now);
         }
-        self.learn(&before, all, now);
+        self.observe_changes(&before, all, now);
         for s in &list.servers {
-            self.confirm_from(&s.id, now);
+            self.confirm_node(&s.id, now);
         }
         if list.full || first {
             // Discovery knows when each started: nothing need be assumed.
-            let assumed = self.members.values().filter(|m| m.assumed.is_some()).map(|m| m.replica);
-            assumed.collect::<Vec<_>>().into_iter().for_each(|r| self.lift(r));
+            let assumed = self.nodes.values().filter(|m| m.assumed_start.is_some()).map(|m| m.replica);
+            assumed.collect::<Vec<_>>().into_iter().for_each(|r| self.end_assumed_warm_up(r));
         }
         self.on_heartbeat(now);
-        self.unwritten = true;
+        self.unsaved = true;
         // The list as a whole was just confirmed: only what was named can have changed, if nothing else is open.
         match touched {
-            Some(touched) if self.calm && self.settle_some(&touched, now) => self.dirty = false,
-            _ => self.settle(now),
+            Some(touched) if self.all_confirmed && self.reconcile_named(&touched, now) => self.dirty = false,
+            _ => self.reconcile_all(now),
         }
         true
     }
 
-    fn take(&mut self, stamp: SourceVersion, list: &EndpointList, anew: bool, now: Nanos) {
+    fn merge_list(&mut self, stamp: SourceVersion, list: &EndpointList, anew: bool, now: Nanos) {
         let mut unusable = 0;
         for s in list
             .servers
@@ -331,7 +332,7 @@
                 tracing::error!("discovery names no usable address for {}: {:?}", s.id, s.addr);
             }
         }
-        self.belief.apply_report(stamp, (list.full, anew), list.servers.iter().map(|s| s.record()), now);
+        self.view.apply_report(stamp, (list.full, anew), list.servers.iter().map(|s| s.record()), now);
         tracing::info!(
             "list version {}: {} {}",
             list.version,
@@ -342,16 +343,16 @@
 
     /// What a change is told from: of the named nodes, or all, those that are ready with their place; and how many
     /// are watched in all.
-    fn believed(&self, named: Option<&[&str]>) -> (HashMap<String, Place>, usize) {
+    fn ready_placements(&self, named: Option<&[&str]>) -> (HashMap<String, Placement>, usize) {
         let place = |id: &str| {
-            let view = self.belief.view(id).filter(|v| v.state == NodeState::Ready)?;
+            let view = self.view.view(id).filter(|v| v.state == NodeState::Ready)?;
             let f = &view.versioned.record;
             Some((id.to_owned(), (f.addr, f.cell, f.started)))
         };
         match named {
-            Some(named) => (named.iter().copied().filter_map(place).collect(), self.members.len()),
+            Some(named) => (named.iter().copied().filter_map(place).collect(), self.nodes.len()),
             None => {
-                let all: HashMap<String, Place> = self.belief.ids().filter_map(place).collect();
+                let all: HashMap<String, Placement> = self.view.ids().filter_map(place).collect();
                 let n = all.len();
                 (all, n)
             }
@@ -359,31 +360,36 @@
     }
 
     /// Counts the nodes, of `watched` in all, that changed since the watch last told anything.
-    fn learn(&mut self, before: &HashMap<String, Place>, watched: usize, now: Nanos) {
-        let Some(since) = self.watched.replace(now) else { return };
+    fn observe_changes(&mut self, before: &HashMap<String, Placement>, watched: usize, now: Nanos) {
+        let Some(since) = self.watched_since.replace(now) else { return };
         // A start that is no longer told was long ago: that is no change.
-        let same = |a: &Place, b: &Place| (a.0, a.1) == (b.0, b.1) && (a.2 == b.2 || b.2 == 0);
-        let holds = |id: &str, was: &Place| {
-            let view = self.belief.view(id).filter(|v| v.state == NodeState::Ready);
+        let same = |a: &Placement, b: &Placement| (a.0, a.1) == (b.0, b.1) && (a.2 == b.2 || b.2 == 0);
+        let holds = |id: &str, was: &Placement| {
+            let view = self.view.view(id).filter(|v| v.state == NodeState::Ready);
             view.is_some_and(|v| {
                 same(was, &(v.versioned.record.addr, v.versioned.record.cell, v.versioned.record.started))
             })
         };
         let changed = before.iter().filter(|(id, was)| !holds(id, was)).count();
-        self.rate.observe(watched, now.saturating_sub(since), changed, self.settings.mean_change_interval);
+        self.change_rate.observe(
+            watched,
+            now.saturating_sub(since),
+            changed,
+            self.settings.mean_change_interval,
+        );
     }
 
     /// The watch stands and has nothing to tell: the list holds as it is.
     pub fn on_heartbeat(&mut self, now: Nanos) {
-        if self.synced.is_some() && self.watched.is_some() {
-            self.synced = Some(now);
+        if self.last_confirmed.is_some() && self.watched_since.is_some() {
+            self.last_confirmed = Some(now);
         }
-        self.watched = self.watched.or(Some(now));
+        self.watched_since = self.watched_since.or(Some(now));
     }
 
     /// The watch broke, or a call failed.
     pub fn watch_lost(&mut self) {
-        self.watched = None;
+        self.watched_since = None;
     }
 
     // ---- outcomes ----
@@ -391,35 +397,38 @@
     /// How an attempt at a node ended, `latency` after it was sent. What follows from it comes with the next `tick`, so
     /// that many at once cost no more than one.
     pub fn on_attempt_end(&mut self, replica: ReplicaId, outcome: Outcome, latency: Nanos, now: Nanos) {
-        let Some(id) = self.by_replica.get(&replica) else { return };
-        let Some(m) = self.members.get_mut(id) else { return };
+        let Some(id) = self.node_ids.get(&replica) else { return };
+        let Some(m) = self.nodes.get_mut(id) else { return };
         match outcome {
             Outcome::Ok => {
-                if let Some(since) = m.down.take() {
+                if let Some(since) = m.unreachable_since.take() {
                     let s = now.saturating_sub(since) as f64 / 1e9;
                     tracing::info!("node {id} at {} is back after {s:.1} s", m.addr);
                 }
-                (m.failures, m.out, m.answered) = (0, 0, true);
+                (m.failures, m.ejection_time, m.has_answered) = (0, 0, true);
                 m.confirmed = Some(now);
-                self.dirty |= std::mem::replace(&mut m.trial, Trial::Let) != Trial::Let;
-                if m.assumed.is_some() {
-                    self.judge_warmth(replica, latency);
+                self.dirty |=
+                    std::mem::replace(&mut m.admission, AdmissionState::Admitted) != AdmissionState::Admitted;
+                if m.assumed_start.is_some() {
+                    self.judge_warm_up(replica, latency);
                 }
             }
             Outcome::ConnectFailed => {
-                if m.down.is_none() {
-                    m.down = Some(now);
+                if m.unreachable_since.is_none() {
+                    m.unreachable_since = Some(now);
                     tracing::warn!("node {id} at {} is down: no connection comes up", m.addr);
                 }
-                self.failed(replica, now);
+                self.record_failure(replica, now);
             }
-            Outcome::TimedOut => self.failed(replica, now),
+            Outcome::TimedOut => self.record_failure(replica, now),
             // Given up for another's answer, with nothing heard for too long.
-            Outcome::Cancelled if latency >= self.settings.silence_timeout => self.failed(replica, now),
+            Outcome::Cancelled if latency >= self.settings.silence_timeout => {
+                self.record_failure(replica, now)
+            }
             // It may be another program by now; one that has answered is only in trouble. One that turns parts away is
             // there: it may just be full.
-            Outcome::Error | Outcome::InvalidResponse | Outcome::ConnectionReset if !m.answered => {
-                self.failed(replica, now)
+            Outcome::Error | Outcome::InvalidResponse | Outcome::ConnectionReset if !m.has_answered => {
+                self.record_failure(replica, now)
             }
             Outcome::Cancelled
             | Outcome::ConnectionReset
@@ -432,48 +441,49 @@
 
     /// Whether a node that counts as cold for want of trust has shown that it is not: it answered about as fast as
     /// most, and faster than a cold one could where all are cold.
-    fn judge_warmth(&mut self, replica: ReplicaId, latency: Nanos) {
-        if self.pace.len() >= PACE.0 {
-            self.pace.pop_front();
+    fn judge_warm_up(&mut self, replica: ReplicaId, latency: Nanos) {
+        if self.recent_latencies.len() >= PACE.0 {
+            self.recent_latencies.pop_front();
         }
-        self.pace.push_back(latency);
-        let mut sorted: Vec<Nanos> = self.pace.iter().copied().collect();
+        self.recent_latencies.push_back(latency);
+        let mut sorted: Vec<Nanos> = self.recent_latencies.iter().copied().collect();
         sorted.sort_unstable();
         let usual = sorted[sorted.len() / 4] as f64;
         if latency as f64 <= PACE.1 * usual && latency <= self.settings.silence_timeout {
-            self.lift(replica);
+            self.end_assumed_warm_up(replica);
         }
     }
 
-    fn lift(&mut self, replica: ReplicaId) {
-        let member = self.by_replica.get(&replica).and_then(|id| self.members.get_mut(id));
-        if let Some(m) = member.filter(|m| m.assumed.is_some()) {
-            m.assumed = None;
-            self.warm.push(replica);
+    fn end_assumed_warm_up(&mut self, replica: ReplicaId) {
+        let member = self.node_ids.get(&replica).and_then(|id| self.nodes.get_mut(id));
+        if let Some(m) = member.filter(|m| m.assumed_start.is_some()) {
+            m.assumed_start = None;
+            self.warmed_up.push(replica);
         }
     }
 
     /// Whether discovery has told anything since this was last asked. Trials and failures change the list too; they are
     /// no sign that discovery is there.
     pub fn take_discovery_answered(&mut self) -> bool {
-        std::mem::take(&mut self.heard)
+        std::mem::take(&mut self.discovery_answered)
     }
 
     /// Nodes that count as cold no longer, whatever they were told to be.
     pub fn take_warmed_up(&mut self) -> Vec<ReplicaId> {
-        std::mem::take(&mut self.warm)
+        std::mem::take(&mut self.warmed_up)
     }
 
     /// Counts a failure against a node that nobody confirmed lately.
-    fn failed(&mut self, replica: ReplicaId, now: Nanos) {
-        let Some(id) = self.by_replica.get(&replica) else { return };
-        let trust = self.trust(self.members.get(id).and_then(|m| self.confirmed(m, id)), now);
-        let Some(m) = self.members.get_mut(id) else { return };
+    fn record_failure(&mut self, replica: ReplicaId, now: Nanos) {
+        let Some(id) = self.node_ids.get(&replica) else { return };
+        let trust = self.trust(self.nodes.get(id).and_then(|m| self.last_confirmation(m, id)), now);
+        let Some(m) = self.nodes.get_mut(id) else { return };
         m.failures += 1;
-        if staleness::failures_until_ejection(trust).is_some_and(|n| m.failures >= n) && m.trial == Trial::Let
+        if staleness::failures_until_ejection(trust).is_some_and(|n| m.failures >= n)
+            && m.admission == AdmissionState::Admitted
         {
-            m.out = (m.out * 2).clamp(OUT.0, OUT.1);
-            m.trial = Trial::Failed { until: now + m.out };
+            m.ejection_time = (m.ejection_time * 2).clamp(OUT.0, OUT.1);
+            m.admission = AdmissionState::Ejected { until: now + m.ejection_time };
             self.dirty = true;
         }
     }
@@ -481,26 +491,32 @@
     // ---- trust ----
 
     /// Last word that a node is there: its own, discovery's of it, or discovery's of the list as a whole.
-    fn confirmed(&self, m: &Member, id: &str) -> Option<Nanos> {
-        let listed =
-            self.belief.view(id).is_some_and(|v| v.versioned.version.priority == SourcePriority::Directory);
-        m.confirmed.max(self.synced.filter(|_| listed))
+    fn last_confirmation(&self, m: &TrackedNode, id: &str) -> Option<Nanos> {
+        let listed = self
+            .view
+            .view(id)
+            .is_some_and(|v| v.versioned.source_version.priority == SourcePriority::Directory);
+        m.confirmed.max(self.last_confirmed.filter(|_| listed))
     }
 
     fn trust(&self, confirmed: Option<Nanos>, now: Nanos) -> f64 {
         let age = confirmed.map_or(self.settings.default_list_age, |t| now.saturating_sub(t));
-        staleness::trust_at_age(age, self.rate.mean_interval(self.settings.mean_change_interval))
+        staleness::trust_at_age(age, self.change_rate.mean_interval(self.settings.mean_change_interval))
     }
 
     // ---- telling ----
 
     /// Ids whose address another node holds by better right: the later word, or the later start.
-    fn usurped(&self) -> HashSet<String> {
+    fn displaced_nodes(&self) -> HashSet<String> {
         let mut by_addr: HashMap<SocketAddr, Vec<(SourceVersion, Nanos, &str)>> = HashMap::new();
-        for id in self.belief.ids() {
-            let Some(v) = self.belief.view(id).filter(|v| v.state == NodeState::Ready) else { continue };
+        for id in self.view.ids() {
+            let Some(v) = self.view.view(id).filter(|v| v.state == NodeState::Ready) else { continue };
             if let Some(addr) = v.versioned.record.addr {
-                by_addr.entry(addr).or_default().push((v.versioned.version, v.versioned.record.started, id));
+                by_addr.entry(addr).or_default().push((
+                    v.versioned.source_version,
+                    v.versioned.record.started,
+                    id,
+                ));
             }
         }
         let mut out = HashSet::new();
@@ -515,84 +531,84 @@
 
     /// Brings what the exchange is told of some nodes in line with what is believed, while all that are listed are
     /// as good as confirmed. False where it takes a look at all of them.
-    fn settle_some(&mut self, ids: &[&str], now: Nanos) -> bool {
+    fn reconcile_named(&mut self, ids: &[&str], now: Nanos) -> bool {
         for id in ids {
-            let view = self.belief.view(id);
+            let view = self.view.view(id);
             let Some((fact, state)) = view.map(|v| (v.versioned.record.clone(), v.state)) else {
                 return false;
             };
             let callable = self.settings.kinds.is_empty() || self.settings.kinds.contains(&fact.kind);
-            let known = self.members.get(*id).map(|m| m.addr);
+            let known = self.nodes.get(*id).map(|m| m.addr);
             let addr = match (state, fact.addr) {
                 (NodeState::Ready, Some(addr)) if callable => addr,
                 (NodeState::Gone, _) => {
                     if let Some(addr) = known {
-                        self.by_addr.remove(&addr);
+                        self.ready_by_addr.remove(&addr);
                     }
-                    self.drop_member(id);
+                    self.remove_node(id);
                     continue;
                 }
                 (NodeState::Terminating, Some(addr)) if known == Some(addr) => {
-                    self.by_addr.remove(&addr);
-                    let line = self.line(id, &fact, addr, ReplicaState::Draining, now);
-                    self.tell(id, &fact, line);
+                    self.ready_by_addr.remove(&addr);
+                    let line = self.replica_entry(id, &fact, addr, ReplicaState::Draining, now);
+                    self.announce(id, &fact, line);
                     continue;
                 }
                 _ => return false,
             };
             let moved = known.is_some_and(|at| at != addr);
-            if moved || self.by_addr.get(&addr).is_some_and(|other| other != id) {
+            if moved || self.ready_by_addr.get(&addr).is_some_and(|other| other != id) {
                 return false;
             }
-            self.by_addr.insert(addr, (*id).to_owned());
-            self.member((*id).to_owned(), addr).trial = Trial::Let;
-            let line = self.line(id, &fact, addr, ReplicaState::Active, now);
-            self.tell(id, &fact, line);
+            self.ready_by_addr.insert(addr, (*id).to_owned());
+            self.track_node((*id).to_owned(), addr).admission = AdmissionState::Admitted;
+            let line = self.replica_entry(id, &fact, addr, ReplicaState::Active, now);
+            self.announce(id, &fact, line);
         }
         true
     }
 
     /// Brings what the exchange is told in line with what is believed.
-    fn settle(&mut self, now: Nanos) {
+    fn reconcile_all(&mut self, now: Nanos) {
         self.dirty = false;
-        let usurped = self.usurped();
+        let usurped = self.displaced_nodes();
         let mut views: Vec<(String, NodeRecord, NodeState)> = Vec::new();
-        for id in self.belief.ids() {
-            if let Some(v) = self.belief.view(id) {
+        for id in self.view.ids() {
+            if let Some(v) = self.view.view(id) {
                 views.push((id.to_owned(), v.versioned.record.clone(), v.state));
             }
         }
         let forgotten: Vec<String> =
-            self.members.keys().filter(|id| self.belief.view(id).is_none()).cloned().collect();
-        forgotten.iter().for_each(|id| self.drop_member(id));
-        self.foreign.retain(|id| views.iter().any(|(v, ..)| v == id));
+            self.nodes.keys().filter(|id| self.view.view(id).is_none()).cloned().collect();
+        forgotten.iter().for_each(|id| self.remove_node(id));
+        self.uncallable.retain(|id| views.iter().any(|(v, ..)| v == id));
         let mut ready: Vec<(u32, String, NodeRecord)> = Vec::new();
         for (id, fact, state) in views {
             let callable = self.settings.kinds.is_empty() || self.settings.kinds.contains(&fact.kind);
-            let known = self.members.contains_key(&id);
+            let known = self.nodes.contains_key(&id);
             match (state, fact.addr) {
-                (NodeState::Gone, _) | (_, None) => self.drop_member(&id),
+                (NodeState::Gone, _) | (_, None) => self.remove_node(&id),
                 (NodeState::Terminating, Some(_)) if !known => {}
                 (NodeState::Terminating, Some(addr)) => {
-                    let line = self.line(&id, &fact, addr, ReplicaState::Draining, now);
-                    self.tell(&id, &fact, line);
+                    let line = self.replica_entry(&id, &fact, addr, ReplicaState::Draining, now);
+                    self.announce(&id, &fact, line);
                 }
                 (NodeState::Ready, Some(_)) if !callable => {
-                    if self.foreign.insert(id.clone()) {
+                    if self.uncallable.insert(id.clone()) {
                         tracing::error!("node {id} speaks {:?}, which can't be called", fact.kind);
                     }
-                    self.drop_member(&id);
+                    self.remove_node(&id);
                 }
                 (NodeState::Ready, Some(addr)) => {
-                    if self.members.get(&id).is_some_and(|m| m.addr != addr) {
+                    if self.nodes.get(&id).is_some_and(|m| m.addr != addr) {
                         // Another place is another process: nothing that was learnt of the old one holds.
                         tracing::info!("node {id} is at {addr} now");
-                        self.drop_member(&id);
+                        self.remove_node(&id);
                     }
-                    self.member(id.clone(), addr);
+                    self.track_node(id.clone(), addr);
                     if usurped.contains(&id) {
-                        let line = self.line(&id, &fact, addr, ReplicaState::Draining, now);
-                        self.tell(&id, &fact, line);
+                        let line = self.replica_entry(&id, &fact, addr, ReplicaState::Draining, now);
+                        self.announce(&id, &fact, line);
                     } else {
                         let mut hasher = crc32fast::Hasher::new_with_initial(self.settings.seed as u32);
                         hasher.update(id.as_bytes());
@@ -601,62 +617,64 @@
                 }
             }
         }
-        self.by_addr = ready.iter().filter_map(|(_, id, f)| f.addr.map(|a| (a, id.clone()))).collect();
-        self.calm = usurped.is_empty();
+        self.ready_by_addr = ready.iter().filter_map(|(_, id, f)| f.addr.map(|a| (a, id.clone()))).collect();
+        self.all_confirmed = usurped.is_empty();
         ready.sort_unstable_by(|a, b| (a.0, &a.1).cmp(&(b.0, &b.1)));
-        self.let_in(ready, now);
+        self.admit_ready(ready, now);
     }
 
-    fn let_in(&mut self, ready: Vec<(u32, String, NodeRecord)>, now: Nanos) {
+    fn admit_ready(&mut self, ready: Vec<(u32, String, NodeRecord)>, now: Nanos) {
         let mut candidates = Vec::with_capacity(ready.len());
         for (_, id, fact) in &ready {
-            let m = &self.members[id];
-            let trust = self.trust(self.confirmed(m, id), now);
-            let stands = match m.trial {
+            let m = &self.nodes[id];
+            let trust = self.trust(self.last_confirmation(m, id), now);
+            let stands = match m.admission {
                 // It answered, or was let in before: it stays until it fails.
                 _ if trust >= staleness::CONFIRMED_TRUST => Admission::Confirmed,
-                Trial::Let => Admission::Admitted,
-                Trial::Failed { until } if until > now => Admission::Failed,
-                Trial::Waits | Trial::Failed { .. } => Admission::Waiting,
+                AdmissionState::Admitted => Admission::Admitted,
+                AdmissionState::Ejected { until } if until > now => Admission::Failed,
+                AdmissionState::Waiting | AdmissionState::Ejected { .. } => Admission::Waiting,
             };
             candidates.push(Candidate { cell: fact.cell, trust, admission: stands });
         }
         let unsure = candidates.iter().any(|c| c.admission != Admission::Confirmed);
-        self.calm &= !unsure;
+        self.all_confirmed &= !unsure;
         if unsure {
-            self.began.get_or_insert(now);
+            self.probation_start.get_or_insert(now);
         }
-        let steps = self.began.map_or(0, |t| now.saturating_sub(t) / STEP) as usize;
+        let steps = self.probation_start.map_or(0, |t| now.saturating_sub(t) / STEP) as usize;
         let chosen = probation::admit(self.settings.layout, &candidates, steps);
         let mut due: Option<Nanos> = None;
         for (((_, id, fact), c), yes) in ready.iter().zip(&candidates).zip(chosen) {
             let cold_time = self.settings.warm_up;
-            let Some(m) = self.members.get_mut(id) else { continue };
-            let next = match (m.trial, c.admission) {
-                (Trial::Failed { until }, Admission::Failed) => Some(until),
-                (_, Admission::Waiting) if !yes => self.began.map(|t| t + (steps as Nanos + 1) * STEP),
+            let Some(m) = self.nodes.get_mut(id) else { continue };
+            let next = match (m.admission, c.admission) {
+                (AdmissionState::Ejected { until }, Admission::Failed) => Some(until),
+                (_, Admission::Waiting) if !yes => {
+                    self.probation_start.map(|t| t + (steps as Nanos + 1) * STEP)
+                }
                 _ => None,
             };
             due = due.into_iter().chain(next).min();
             if yes && c.admission != Admission::Failed {
                 if c.admission == Admission::Waiting {
                     m.failures = 0;
-                    m.assumed = staleness::assumed_start(c.trust, now, cold_time);
+                    m.assumed_start = staleness::assumed_start(c.trust, now, cold_time);
                 }
-                m.trial = Trial::Let;
+                m.admission = AdmissionState::Admitted;
             }
             let addr = m.addr;
             let standing = if yes { ReplicaState::Active } else { ReplicaState::Draining };
             // Who never got work need not be told of as one that gets none.
-            if yes || self.members[id].told.is_some() {
-                let line = self.line(id, fact, addr, standing, now);
-                self.tell(id, fact, line);
+            if yes || self.nodes[id].announced.is_some() {
+                let line = self.replica_entry(id, fact, addr, standing, now);
+                self.announce(id, fact, line);
             }
         }
-        self.due = due;
+        self.next_deadline = due;
     }
 
-    fn line(
+    fn replica_entry(
         &mut self,
         id: &str,
         fact: &NodeRecord,
@@ -665,18 +683,18 @@
         now: Nanos,
     ) -> ReplicaEntry {
         let zone = self.settings.zones.get(&fact.zone).copied().unwrap_or(u32::MAX);
-        let m = self.member(id.to_owned(), addr);
+        let m = self.track_node(id.to_owned(), addr);
         // Guards against starts in the future: such a node would be cold for as long as its clock is wrong.
         let told = (fact.started > 0).then(|| fact.started.min(now));
         // What was said of a start in the future is not said anew each time.
-        let before = m.told.as_ref().and_then(|t| t.started).filter(|_| fact.started > now);
-        let started = before.or(told).max(m.assumed);
+        let before = m.announced.as_ref().and_then(|t| t.started).filter(|_| fact.started > now);
+        let started = before.or(told).max(m.assumed_start);
         ReplicaEntry { replica: m.replica, zone, cell: fact.cell, state: standing, started, weight: 1.0 }
     }
 
-    fn tell(&mut self, id: &str, fact: &NodeRecord, line: ReplicaEntry) {
-        let Some(m) = self.members.get_mut(id) else { return };
-        if m.told.as_ref() == Some(&line) {
+    fn announce(&mut self, id: &str, fact: &NodeRecord, line: ReplicaEntry) {
+        let Some(m) = self.nodes.get_mut(id) else { return };
+        if m.announced.as_ref() == Some(&line) {
             return;
         }
         tracing::debug!(
@@ -687,15 +705,15 @@
             line.state,
             line.started
         );
-        m.told = Some(line.clone());
+        m.announced = Some(line.clone());
         let addr = Some(m.addr);
         self.changes.push(NodeChange { entry: line, id: id.to_owned(), addr, kind: fact.kind.clone() });
     }
 
-    fn drop_member(&mut self, id: &str) {
-        let Some(m) = self.members.remove(id) else { return };
-        self.by_replica.remove(&m.replica);
-        if let Some(told) = m.told {
+    fn remove_node(&mut self, id: &str) {
+        let Some(m) = self.nodes.remove(id) else { return };
+        self.node_ids.remove(&m.replica);
+        if let Some(told) = m.announced {
             let listed = ReplicaEntry { state: ReplicaState::Removed, ..told };
             self.changes.push(NodeChange {
                 entry: listed,
@@ -709,21 +727,23 @@
     /// What the exchange is to be told: nothing, or lines, of which there may be none where discovery answered and
     /// nothing changed.
     pub fn take_changes(&mut self) -> Option<Vec<NodeChange>> {
-        let answered = std::mem::take(&mut self.answered);
+        let answered = std::mem::take(&mut self.unreported_update);
         (answered || !self.changes.is_empty()).then(|| std::mem::take(&mut self.changes))
     }
 
     /// Whether any source has named this node, as far back as is remembered.
     pub fn knows(&self, id: &str) -> bool {
-        self.belief.view(id).is_some()
+        self.view.view(id).is_some()
     }
 
     /// What discovery last said of a node's process: its state, its start and the list's version that told so.
     pub fn discovery_state(&self, id: &str) -> Option<(NodeState, Nanos, u64)> {
-        let view =
-            self.belief.view(id).filter(|v| v.versioned.version.priority == SourcePriority::Directory)?;
+        let view = self
+            .view
+            .view(id)
+            .filter(|v| v.versioned.source_version.priority == SourcePriority::Directory)?;
         let version = if view.state == view.versioned.record.state {
-            view.versioned.version.version
+            view.versioned.source_version.version
         } else {
             self.version
         };
@@ -732,20 +752,20 @@
 
     /// Nodes that are in the list, those that drain among them.
     pub fn listed_count(&self) -> usize {
-        let there = |id: &&str| self.belief.view(id).is_some_and(|v| v.state != NodeState::Gone);
-        self.belief.ids().filter(there).count()
+        let there = |id: &&str| self.view.view(id).is_some_and(|v| v.state != NodeState::Gone);
+        self.view.ids().filter(there).count()
     }
 
     /// Lets time go by.
     pub fn tick(&mut self, now: Nanos) {
-        if self.due.is_some_and(|t| t <= now) || self.dirty {
-            self.settle(now);
+        if self.next_deadline.is_some_and(|t| t <= now) || self.dirty {
+            self.reconcile_all(now);
         }
     }
 
     /// When `tick` is next worth calling.
     pub fn next_deadline(&self) -> Option<Nanos> {
-        self.due
+        self.next_deadline
     }
 
     /// The version after which discovery is to tell changes.
@@ -760,22 +780,22 @@
 
     /// Whether a node may still come in time: one that was not tried yet, or a list that nobody confirmed.
     pub fn may_gain_nodes(&self, now: Nanos) -> bool {
-        self.synced.is_none_or(|t| self.trust(Some(t), now) < staleness::CONFIRMED_TRUST)
+        self.last_confirmed.is_none_or(|t| self.trust(Some(t), now) < staleness::CONFIRMED_TRUST)
     }
 
     /// How each node stands.
     pub fn statuses(&self, now: Nanos) -> Vec<NodeStatus> {
         let note = |id: &str| {
-            let view = self.belief.view(id)?;
-            let confirmed = match self.members.get(id) {
-                Some(m) => self.confirmed(m, id),
-                None => self.synced,
+            let view = self.view.view(id)?;
+            let confirmed = match self.nodes.get(id) {
+                Some(m) => self.last_confirmation(m, id),
+                None => self.last_confirmed,
             };
             let trust = if view.state == NodeState::Ready { self.trust(confirmed, now) } else { 0.0 };
             let (fact, state, learnt) = (view.versioned.record.clone(), view.state, view.learned);
             Some(NodeStatus { record: fact, state, learned: learnt, confirmed, trust })
         };
-        self.belief.ids().filter_map(note).collect()
+        self.view.ids().filter_map(note).collect()
     }
 
     // ---- keeping ----
@@ -786,39 +806,39 @@
         if self.snapshot_due().is_none_or(|t| t > now) {
             return None;
         }
-        (self.unwritten, self.written) = (false, Some(now));
+        (self.unsaved, self.last_snapshot) = (false, Some(now));
         Some(self.snapshot(now))
     }
 
     /// The list as it is to be kept at the end of the process, if there is news since the last one.
     pub fn final_snapshot(&self, now: Nanos) -> Option<Snapshot> {
-        self.unwritten.then(|| self.snapshot(now))
+        self.unsaved.then(|| self.snapshot(now))
     }
 
     /// When a list is next to be kept.
     pub fn snapshot_due(&self) -> Option<Nanos> {
         // A list that nobody confirmed in this process's time says nothing that is not on disk already.
-        self.watched.filter(|_| !self.unwritten).or(self.unwritten.then_some(0))?;
-        let wait = if self.unwritten { WRITE.0 } else { WRITE.1 };
-        Some(self.written.map_or(0, |t| t + wait))
+        self.watched_since.filter(|_| !self.unsaved).or(self.unsaved.then_some(0))?;
+        let wait = if self.unsaved { WRITE.0 } else { WRITE.1 };
+        Some(self.last_snapshot.map_or(0, |t| t + wait))
     }
 
     /// The list as it would be kept now.
     pub fn snapshot(&self, now: Nanos) -> Snapshot {
-        let nodes = self.belief.directory_records().map(|k| SnapshotNode {
-            confirmed: self.members.get(&k.record.id).and_then(|m| m.confirmed),
+        let nodes = self.view.directory_records().map(|k| SnapshotNode {
+            confirmed: self.nodes.get(&k.record.id).and_then(|m| m.confirmed),
             record: k.record.clone(),
-            epoch: k.version.epoch,
-            version: k.version.version,
+            epoch: k.source_version.epoch,
+            version: k.source_version.version,
             received: k.received,
             after_reset: k.after_reset,
         });
         Snapshot {
             written: now,
-            synced: self.synced,
-            full_list: self.belief.full_list(SourcePriority::Directory).map(|(s, t)| (s.epoch, s.version, t)),
-            pruned_up_to: self.belief.pruned_up_to().map(|s| (s.epoch, s.version)),
-            rate: self.rate,
+            synced: self.last_confirmed,
+            full_list: self.view.full_list(SourcePriority::Directory).map(|(s, t)| (s.epoch, s.version, t)),
+            pruned_up_to: self.view.pruned_up_to().map(|s| (s.epoch, s.version)),
+            rate: self.change_rate,
             nodes: nodes.collect(),
         }
     }
--- a/src/membership/snapshot.rs
+++ b/src/membership/snapshot.rs
@@ -8,11 +8,15 @@
 use serde::{Deserialize, Serialize};
 
 /// The version that is written.
-pub const VERSION: u32 = 1;
+pub const FORMAT_VERSION: u32 = 1;
 /// Largest file that is written or read, bytes.
 pub const MAX_FILE_BYTES: usize = 8 << 20;
-const FORMAT: FileFormat =
-    FileFormat { magic: "pebbleturn-roster", what: "kept list", version: VERSION, most: MAX_FILE_BYTES };
+const FORMAT: FileFormat = FileFormat {
+    magic: "pebbleturn-roster",
+    what: "kept list",
+    version: FORMAT_VERSION,
+    most: MAX_FILE_BYTES,
+};
 
 /// A node as it is kept.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
@@ -41,7 +45,7 @@
             SourceVersion { priority: SourcePriority::Directory, epoch: self.epoch, version: self.version };
         VersionedRecord {
             record: self.record.clone(),
-            version: stamp,
+            source_version: stamp,
             received: self.received,
             after_reset: self.after_reset,
         }
--- a/src/membership/staleness.rs
+++ b/src/membership/staleness.rs
@@ -12,9 +12,9 @@
 /// caution costs.
 pub const CONFIRMED_TRUST: f64 = 0.98;
 /// Trust under which one failure takes an unconfirmed node out; above, it takes two.
-const ONE_STRIKE: f64 = 0.5;
+const SINGLE_FAILURE_TRUST: f64 = 0.5;
 /// Weight of the stated time, in changes seen: the first few changes of a day must not settle the figure.
-const STATED: f64 = 4.0;
+const STATED_INTERVAL_WEIGHT: f64 = 4.0;
 
 /// The rate of change, stated and learned.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq)]
@@ -44,7 +44,7 @@
     pub fn mean_interval(&self, stated: Nanos) -> f64 {
         let sound = |x: f64| if x.is_finite() && x >= 0.0 { x } else { 0.0 };
         let (watched, changes) = (sound(self.watched), sound(self.changes));
-        ((STATED * stated as f64 + watched) / (STATED + changes)).max(1.0)
+        ((STATED_INTERVAL_WEIGHT * stated as f64 + watched) / (STATED_INTERVAL_WEIGHT + changes)).max(1.0)
     }
 }
 
@@ -57,7 +57,7 @@
 pub fn failures_until_ejection(trust: f64) -> Option<u32> {
     match trust {
         t if t >= CONFIRMED_TRUST => None,
-        t if t >= ONE_STRIKE => Some(2),
+        t if t >= SINGLE_FAILURE_TRUST => Some(2),
         _ => Some(1),
     }
 }
--- a/src/membership/status_report.rs
+++ b/src/membership/status_report.rs
@@ -52,7 +52,7 @@
         lists.iter().for_each(|l| l.merge_into(&mut belief));
         let synced = lists.iter().filter_map(|l| l.synced).max();
         let mean = lists.last().map_or(stated as f64, |l| l.rate.mean_interval(stated));
-        let stamps = belief.directory_records().map(|k| (k.version.epoch, k.version.version));
+        let stamps = belief.directory_records().map(|k| (k.source_version.epoch, k.source_version.version));
         let (epoch, version) = stamps.max().unwrap_or((0, 0));
         let confirmed = |id: &str| {
             let nodes = lists.iter().flat_map(|l| &l.nodes).filter(|n| n.record.id == id);
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -3,9 +3,9 @@
 use crate::api::{Nanos, Outcome};
 
 /// Failures in a row, other than connections that don't come up, that take a node out. One error is no dead node.
-const STRIKES: u32 = 3;
+const MAX_CONSECUTIVE_FAILURES: u32 = 3;
 /// Share of its weight that a node has right after a trial; it grows to all of it while the node warms up.
-const RAMP: f64 = 0.1;
+const INITIAL_WEIGHT_SHARE: f64 = 0.1;
 
 /// How a node stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,58 +29,64 @@
 /// How a node fares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Health {
-    stands: Eligibility,
-    failures: u32,
+    eligibility: Eligibility,
+    consecutive_failures: u32,
     /// Since when it has been out of `Out` and `Trial` without a break.
-    sound: Option<Nanos>,
+    healthy_since: Option<Nanos>,
 }
 
 impl Health {
     /// A node of which nothing bad is known.
     pub fn new(now: Nanos) -> Health {
-        Health { stands: Eligibility::Healthy, failures: 0, sound: Some(now) }
+        Health { eligibility: Eligibility::Healthy, consecutive_failures: 0, healthy_since: Some(now) }
     }
 
     /// How it stands.
     pub fn eligibility(&self) -> Eligibility {
-        self.stands
+        self.eligibility
     }
 
     /// An attempt at it ended. Whether that changes how it stands.
     pub fn on_attempt_end(&mut self, outcome: Outcome, retry: Nanos, now: Nanos) -> bool {
-        let before = self.stands;
+        let before = self.eligibility;
         match outcome {
             Outcome::Ok => {
-                self.failures = 0;
-                if matches!(self.stands, Eligibility::Probing | Eligibility::Ejected { .. }) {
-                    (self.stands, self.sound) = (Eligibility::WarmingUp { since: now }, Some(now));
+                self.consecutive_failures = 0;
+                if matches!(self.eligibility, Eligibility::Probing | Eligibility::Ejected { .. }) {
+                    (self.eligibility, self.healthy_since) =
+                        (Eligibility::WarmingUp { since: now }, Some(now));
                 }
             }
             // It turned a part away, or nobody waited: neither tells that it is ill.
             Outcome::Rejected | Outcome::Cancelled | Outcome::NotSent => {}
-            Outcome::ConnectFailed => self.fail(retry, now),
+            Outcome::ConnectFailed => self.eject(retry, now),
             Outcome::Error | Outcome::TimedOut | Outcome::ConnectionReset | Outcome::InvalidResponse => {
-                self.failures += 1;
-                if self.failures >= STRIKES || self.stands == Eligibility::Probing {
-                    self.fail(retry, now);
+                self.consecutive_failures += 1;
+                if self.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
+                    || self.eligibility == Eligibility::Probing
+                {
+                    self.eject(retry, now);
                 }
             }
         }
-        self.stands != before
+        self.eligibility != before
     }
 
-    fn fail(&mut self, retry: Nanos, now: Nanos) {
+    fn eject(&mut self, retry: Nanos, now: Nanos) {
         // What was sent before it was taken out does not keep it out for longer.
-        if !matches!(self.stands, Eligibility::Ejected { .. }) {
-            (self.stands, self.failures, self.sound) = (Eligibility::Ejected { until: now + retry }, 0, None);
+        if !matches!(self.eligibility, Eligibility::Ejected { .. }) {
+            (self.eligibility, self.consecutive_failures, self.healthy_since) =
+                (Eligibility::Ejected { until: now + retry }, 0, None);
         }
     }
 
     /// Lets time go by. Whether that changes how it stands.
     pub fn tick(&mut self, warm_up: Nanos, now: Nanos) -> bool {
-        match self.stands {
-            Eligibility::Ejected { until } if until <= now => self.stands = Eligibility::Probing,
-            Eligibility::WarmingUp { since } if since + warm_up <= now => self.stands = Eligibility::Healthy,
+        match self.eligibility {
+            Eligibility::Ejected { until } if until <= now => self.eligibility = Eligibility::Probing,
+            Eligibility::WarmingUp { since } if since + warm_up <= now => {
+                self.eligibility = Eligibility::Healthy
+            }
             _ => return false,
         }
         true
@@ -88,7 +94,7 @@
 
     /// When time alone next changes how it stands.
     pub fn next_transition(&self, warm_up: Nanos) -> Option<Nanos> {
-        match self.stands {
+        match self.eligibility {
             Eligibility::Ejected { until } => Some(until),
             Eligibility::WarmingUp { since } => Some(since + warm_up),
             Eligibility::Healthy | Eligibility::Probing => None,
@@ -97,19 +103,19 @@
 
     /// Share of its weight that it has now: in steps of a tenth, so that the list does not change all the time.
     pub fn weight_share(&self, warm_up: Nanos, now: Nanos) -> f64 {
-        match self.stands {
+        match self.eligibility {
             Eligibility::Healthy => 1.0,
             Eligibility::Ejected { .. } => 0.0,
-            Eligibility::Probing => RAMP,
+            Eligibility::Probing => INITIAL_WEIGHT_SHARE,
             Eligibility::WarmingUp { since } => {
                 let grown = now.saturating_sub(since) as f64 / warm_up.max(1) as f64;
-                RAMP + (1.0 - RAMP) * (grown.min(1.0) * 10.0).floor() / 10.0
+                INITIAL_WEIGHT_SHARE + (1.0 - INITIAL_WEIGHT_SHARE) * (grown.min(1.0) * 10.0).floor() / 10.0
             }
         }
     }
 
     /// Whether it works and has done so for so long without a break.
     pub fn healthy_for(&self, time: Nanos, now: Nanos) -> bool {
-        self.stands == Eligibility::Healthy && self.sound.is_some_and(|t| t + time <= now)
+        self.eligibility == Eligibility::Healthy && self.healthy_since.is_some_and(|t| t + time <= now)
     }
 }
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -24,27 +24,27 @@
 #[derive(Debug)]
 struct Node {
     /// As membership has it.
-    base: NodeChange,
+    listed: NodeChange,
     rule: Rule,
     health: Health,
     /// What was told last.
-    told: Option<api::ReplicaEntry>,
+    announced: Option<api::ReplicaEntry>,
 }
 
 impl Node {
     /// Whether it may get work at all.
-    fn serves(&self) -> bool {
-        self.base.entry.state == api::ReplicaState::Active
+    fn is_enabled(&self) -> bool {
+        self.listed.entry.state == api::ReplicaState::Active
             && self.rule.admin_state == AdminState::Active
             && self.rule.weight > 0.0
     }
 
-    fn is_out(&self) -> bool {
+    fn is_ejected(&self) -> bool {
         matches!(self.health.eligibility(), Eligibility::Ejected { .. })
     }
 
     /// It works, or comes back.
-    fn bears(&self) -> bool {
+    fn is_usable(&self) -> bool {
         matches!(self.health.eligibility(), Eligibility::Healthy | Eligibility::WarmingUp { .. })
     }
 }
@@ -55,10 +55,10 @@
     settings: RoutingSettings,
     nodes: BTreeMap<ReplicaId, Node>,
     /// The highest tier in use, for each group of partitions with the same holders.
-    in_use: Vec<Option<Tier>>,
+    active_tiers: Vec<Option<Tier>>,
     changes: Vec<NodeChange>,
     /// Membership answered, if only to say that nothing changed.
-    answered: bool,
+    unreported_update: bool,
     dirty: bool,
 }
 
@@ -69,9 +69,9 @@
         Routing {
             settings,
             nodes: BTreeMap::new(),
-            in_use: vec![None; groups],
+            active_tiers: vec![None; groups],
             changes: Vec::new(),
-            answered: false,
+            unreported_update: false,
             dirty: false,
         }
     }
@@ -80,14 +80,14 @@
     pub fn set_rules(&mut self, rules: HashMap<String, Rule>, now: Nanos) {
         self.settings.rules = rules;
         for node in self.nodes.values_mut() {
-            node.rule = self.settings.rules.get(&node.base.id).cloned().unwrap_or_default();
+            node.rule = self.settings.rules.get(&node.listed.id).cloned().unwrap_or_default();
         }
-        self.settle(now);
+        self.reconcile(now);
     }
 
     /// What membership has to tell.
     pub fn on_membership_changes(&mut self, changes: Vec<NodeChange>, now: Nanos) {
-        self.answered = true;
+        self.unreported_update = true;
         for change in changes {
             let replica = change.entry.replica;
             if change.entry.state == api::ReplicaState::Removed {
@@ -99,19 +99,19 @@
             match self.nodes.get_mut(&replica) {
                 Some(node) => {
                     // Its address or kind may have changed: whoever is told must be told again.
-                    node.told = node
-                        .told
+                    node.announced = node
+                        .announced
                         .take()
-                        .filter(|_| (node.base.addr, &node.base.kind) == (change.addr, &change.kind));
-                    node.base = change;
+                        .filter(|_| (node.listed.addr, &node.listed.kind) == (change.addr, &change.kind));
+                    node.listed = change;
                 }
                 None => {
                     let health = Health::new(now);
-                    self.nodes.insert(replica, Node { base: change, rule, health, told: None });
+                    self.nodes.insert(replica, Node { listed: change, rule, health, announced: None });
                 }
             }
         }
-        self.settle(now);
+        self.reconcile(now);
     }
 
     /// How an attempt at a node ended.
@@ -123,7 +123,7 @@
         if let Some(node) = self.nodes.get_mut(&replica) {
             let before = node.health.eligibility();
             self.dirty |= node.health.on_attempt_end(outcome, node.rule.retry, now);
-            let id = &node.base.id;
+            let id = &node.listed.id;
             match (before, node.health.eligibility()) {
                 (Eligibility::Ejected { .. }, Eligibility::Ejected { .. }) => {}
                 (_, Eligibility::Ejected { .. }) => {
@@ -150,19 +150,19 @@
             self.dirty |= node.health.tick(warm_up, now);
         }
         // While a node warms up or is to prove that it stays, time alone changes what is offered.
-        if self.dirty || self.restless() {
-            self.settle(now);
+        if self.dirty || self.depends_on_time() {
+            self.reconcile(now);
         }
     }
 
-    fn restless(&self) -> bool {
+    fn depends_on_time(&self) -> bool {
         let warming =
             self.nodes.values().any(|n| matches!(n.health.eligibility(), Eligibility::WarmingUp { .. }));
-        warming || self.in_use.iter().flatten().any(|t| *t > self.lowest())
+        warming || self.active_tiers.iter().flatten().any(|t| *t > self.lowest_tier())
     }
 
-    fn lowest(&self) -> Tier {
-        self.nodes.values().filter(|n| n.serves()).map(|n| n.rule.tier()).min().unwrap_or_default()
+    fn lowest_tier(&self) -> Tier {
+        self.nodes.values().filter(|n| n.is_enabled()).map(|n| n.rule.tier()).min().unwrap_or_default()
     }
 
     /// When `tick` is next worth calling.
@@ -171,16 +171,16 @@
             return None;
         }
         let turns = self.nodes.values().filter_map(|n| n.health.next_transition(self.settings.warm_up)).min();
-        let step = self.restless().then(|| now + (self.settings.warm_up / 10).max(50_000_000));
+        let step = self.depends_on_time().then(|| now + (self.settings.warm_up / 10).max(50_000_000));
         turns.into_iter().chain(step).min()
     }
 
-    fn settle(&mut self, now: Nanos) {
+    fn reconcile(&mut self, now: Nanos) {
         self.dirty = false;
-        let offered = self.offered(now);
+        let offered = self.offered_weights(now);
         let plain = self.settings.rules.is_empty();
         for (replica, node) in &mut self.nodes {
-            let mut line = node.base.entry.clone();
+            let mut line = node.listed.entry.clone();
             if !plain && line.state == api::ReplicaState::Active {
                 match offered.get(replica) {
                     Some(weight) => line.weight = *weight,
@@ -188,27 +188,27 @@
                 }
             }
             // Who never got work need not be told of as one that gets none.
-            let news = node.told.as_ref() != Some(&line)
-                && (node.told.is_some() || line.state == api::ReplicaState::Active || plain);
+            let news = node.announced.as_ref() != Some(&line)
+                && (node.announced.is_some() || line.state == api::ReplicaState::Active || plain);
             if news {
-                node.told = Some(line.clone());
-                self.changes.push(NodeChange { entry: line, ..node.base.clone() });
+                node.announced = Some(line.clone());
+                self.changes.push(NodeChange { entry: line, ..node.listed.clone() });
             }
         }
     }
 
     /// The nodes that are offered, with their weights.
-    fn offered(&mut self, now: Nanos) -> HashMap<ReplicaId, f64> {
+    fn offered_weights(&mut self, now: Nanos) -> HashMap<ReplicaId, f64> {
         let (layout, hold, warm_up) =
             (self.settings.layout, self.settings.failback_delay, self.settings.warm_up);
-        let mut groups: Vec<Vec<ReplicaId>> = vec![Vec::new(); self.in_use.len()];
-        for (replica, node) in self.nodes.iter().filter(|(_, n)| n.serves()) {
-            layout.groups(node.base.entry.cell).for_each(|g| groups[g].push(*replica));
+        let mut groups: Vec<Vec<ReplicaId>> = vec![Vec::new(); self.active_tiers.len()];
+        for (replica, node) in self.nodes.iter().filter(|(_, n)| n.is_enabled()) {
+            layout.groups(node.listed.entry.cell).for_each(|g| groups[g].push(*replica));
         }
         let mut out = HashMap::new();
-        for (group, in_use) in groups.iter().zip(&mut self.in_use) {
+        for (group, in_use) in groups.iter().zip(&mut self.active_tiers) {
             let of = |r: &ReplicaId| &self.nodes[r];
-            let lowest = group.iter().filter(|r| of(r).bears()).map(|r| of(r).rule.tier()).min();
+            let lowest = group.iter().filter(|r| of(r).is_usable()).map(|r| of(r).rule.tier()).min();
             let Some(lowest) = lowest else {
                 // Nobody is known to work: all are tried, for a doubtful holder is better than none.
                 out.extend(group.iter().map(|r| (*r, of(r).rule.weight)));
@@ -225,24 +225,24 @@
                 _ => lowest,
             });
             let tier = in_use.unwrap_or(lowest);
-            for replica in group.iter().filter(|r| of(r).rule.tier() <= tier && !of(r).is_out()) {
+            for replica in group.iter().filter(|r| of(r).rule.tier() <= tier && !of(r).is_ejected()) {
                 let node = of(replica);
                 out.insert(*replica, node.rule.weight * node.health.weight_share(warm_up, now));
             }
         }
-        self.redirected(&mut out, now);
+        self.add_redirect_targets(&mut out, now);
         out
     }
 
     /// Adds those who are to take the place of nodes that fail.
-    fn redirected(&self, out: &mut HashMap<ReplicaId, f64>, now: Nanos) {
-        let failing = self.nodes.values().filter(|n| n.serves() && n.is_out());
+    fn add_redirect_targets(&self, out: &mut HashMap<ReplicaId, f64>, now: Nanos) {
+        let failing = self.nodes.values().filter(|n| n.is_enabled() && n.is_ejected());
         for id in failing.filter_map(|n| n.rule.redirect.as_deref()) {
-            let stand_in = self.nodes.iter().find(|(_, n)| n.base.id == id);
+            let stand_in = self.nodes.iter().find(|(_, n)| n.listed.id == id);
             if let Some((replica, n)) = stand_in
-                && n.base.entry.state == api::ReplicaState::Active
+                && n.listed.entry.state == api::ReplicaState::Active
                 && matches!(n.rule.admin_state, AdminState::Active | AdminState::Disabled)
-                && !n.is_out()
+                && !n.is_ejected()
             {
                 let weight =
                     n.rule.weight.max(f64::MIN_POSITIVE) * n.health.weight_share(self.settings.warm_up, now);
@@ -253,7 +253,7 @@
 
     /// What the exchange is to be told.
     pub fn take_changes(&mut self) -> Option<Vec<NodeChange>> {
-        let answered = std::mem::take(&mut self.answered);
+        let answered = std::mem::take(&mut self.unreported_update);
         (answered || !self.changes.is_empty()).then(|| std::mem::take(&mut self.changes))
     }
 }
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -206,8 +206,8 @@
         let belief = believe(&all.iter().collect::<Vec<_>>());
         let nodes = belief.directory_records().map(|k: &VersionedRecord| snapshot::SnapshotNode {
             record: k.record.clone(),
-            epoch: k.version.epoch,
-            version: k.version.version,
+            epoch: k.source_version.epoch,
+            version: k.source_version.version,
             received: k.received,
             after_reset: k.after_reset,
             confirmed: None,
