--- a/src/server/hint_exchange.rs
+++ b/src/server/hint_exchange.rs
@@ -34,7 +34,7 @@
             }
             self.record(&change.id, registry);
         }
-        self.peer_hints.pass(changes, |id| local_hints(registry, id))
+        self.peer_hints.apply_changes(changes, |id| local_hints(registry, id))
     }
 
     fn record(&mut self, id: &str, registry: &Registry) {
@@ -55,12 +55,12 @@
             return Vec::new();
         }
         let discovery_restarted = current.epoch != previous.epoch;
-        self.peer_hints.relist(discovery_restarted, |id| local_hints(registry, id))
+        self.peer_hints.on_list_change(discovery_restarted, |id| local_hints(registry, id))
     }
 
     /// The change that follows from a hint of other brokers, if there is one.
     pub(super) fn on_hint(&mut self, id: &str, hints: NodeHints) -> Option<NodeChange> {
-        self.peer_hints.heard(id, hints)
+        self.peer_hints.on_hint(id, hints)
     }
 
     /// Hints for other brokers since this was last called.
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -101,7 +101,7 @@
 
     /// These nodes are suspended from the start.
     pub fn with_suspended(mut self, ids: impl IntoIterator<Item = String>) -> MembershipDriver {
-        self.manual_overrides = ManualOverrides::with(ids);
+        self.manual_overrides = ManualOverrides::with_suspended(ids);
         self
     }
 
@@ -115,7 +115,7 @@
     /// The operator's nodes are these from now on, with these rules.
     pub fn set_operator_nodes(&mut self, nodes: Vec<NodeRecord>, rules: HashMap<String, Rule>, now: Nanos) {
         if let Some(routing) = &mut self.routing {
-            routing.rules(rules, now);
+            routing.set_rules(rules, now);
         }
         self.registry.set_operator_nodes(nodes, now);
     }
@@ -166,7 +166,7 @@
         while let Some(end) = context.engine.next_attempt_end() {
             self.registry.on_attempt_end(end.replica, end.outcome, end.latency, context.now);
             if let Some(routing) = &mut self.routing {
-                routing.outcome(end.replica, end.outcome, context.now);
+                routing.on_attempt_end(end.replica, end.outcome, context.now);
             }
         }
     }
@@ -179,7 +179,7 @@
     ) {
         if let Some(changes) = self.take_changes(context.now) {
             let changes = self.hold_back_by_hints(changes);
-            let changes = self.manual_overrides.pass(changes);
+            let changes = self.manual_overrides.apply_changes(changes);
             changes.iter().for_each(&mut set_address);
             update_endpoints(changes, context);
         }
@@ -187,7 +187,7 @@
         if self.registry.take_discovery_answered()
             && let PollTrigger::Driver = self.poll_schedule.trigger
         {
-            self.poll_schedule.backoff.answered();
+            self.poll_schedule.backoff.on_success();
         }
         for replica in self.registry.take_warmed_up() {
             context.engine.replica_warmed_up(replica);
@@ -202,7 +202,7 @@
         let changes = self.registry.take_changes();
         let Some(routing) = &mut self.routing else { return changes };
         if let Some(changes) = changes {
-            routing.listed(changes, now);
+            routing.on_membership_changes(changes, now);
         }
         routing.take_changes()
     }
@@ -218,7 +218,7 @@
             PollTrigger::Driver => true,
         };
         if driver_retries {
-            schedule.next_at = Some(context.now + schedule.backoff.failed());
+            schedule.next_at = Some(context.now + schedule.backoff.on_failure());
         }
     }
 
@@ -238,7 +238,7 @@
 
     fn pass_on_hinted<Q, V>(&mut self, changes: Vec<NodeChange>, context: &mut FrontendContext<Q, V>) {
         if !changes.is_empty() {
-            update_endpoints(self.manual_overrides.pass(changes), context);
+            update_endpoints(self.manual_overrides.apply_changes(changes), context);
         }
     }
 
@@ -307,14 +307,14 @@
             self.manual_overrides.restore(id, known)
         }?;
         if let Some(change) = change {
-            context.engine.update_endpoints(false, vec![change.listed]);
+            context.engine.update_endpoints(false, vec![change.entry]);
         }
         Ok(())
     }
 
     /// Nodes in the list, and how many of them are suspended.
     pub fn counts(&self) -> (usize, usize) {
-        (self.registry.listed_count(), self.manual_overrides.listed_out())
+        (self.registry.listed_count(), self.manual_overrides.listed_suspended())
     }
 
     fn write_snapshot(&mut self, now: Nanos) {
@@ -355,5 +355,5 @@
 }
 
 fn update_endpoints<Q, V>(changes: Vec<NodeChange>, context: &mut FrontendContext<Q, V>) {
-    context.engine.update_endpoints(false, changes.into_iter().map(|change| change.listed).collect());
+    context.engine.update_endpoints(false, changes.into_iter().map(|change| change.entry).collect());
 }
