Split the decision module by concern

Need: one file of a thousand lines held every job of the decision module. Change: a file for each concern under src/policy; tuples of constants become single constants, tuples become structs, and the two flags of an attempt become its state.

--- /dev/null
+++ b/src/policy/request.rs
@@ -0,0 +1,78 @@
+//! Queries, their parts, and the attempts made for a part.
+
+use crate::api::*;
+
+/// One part of a query, by the query's job and the part's index.
+#[derive(Clone, Copy)]
+pub(super) struct PartKey {
+    pub(super) job: u64,
+    pub(super) index: usize,
+}
+
+/// What is known of the execution of an attempt.
+#[derive(Clone, Copy, PartialEq)]
+pub(super) enum AttemptState {
+    InFlight,
+    MayHaveRun,
+    NeverRan,
+}
+
+/// One attempt at a part, as its query sees it.
+pub(super) struct Attempt {
+    pub(super) replica: ReplicaId,
+    pub(super) sent_at: Nanos,
+    pub(super) expected_latency: f64,
+    pub(super) state: AttemptState,
+}
+
+/// An attempt whose end was not yet reported.
+pub(super) struct InFlightAttempt {
+    pub(super) part: PartKey,
+    pub(super) replica: ReplicaId,
+    pub(super) sent_at: Nanos,
+    /// This broker's other parts in flight at the replica when it was sent.
+    pub(super) others_in_flight: u32,
+}
+
+/// One part: a request for one shard.
+pub(super) struct Part {
+    pub(super) id: RequestId,
+    pub(super) shard: u32,
+    pub(super) weight: f64,
+    pub(super) step: u32,
+    pub(super) attempts: Vec<Attempt>,
+    pub(super) answered: bool,
+}
+
+/// One query that has no final answer yet.
+pub(super) struct Query {
+    pub(super) id: RequestId,
+    pub(super) class: usize,
+    pub(super) tenant: Option<usize>,
+    pub(super) received_at: Nanos,
+    /// Latency expected of its slowest part at admission, ns.
+    pub(super) expected_latency: f64,
+    /// When its latency objective has passed.
+    pub(super) objective_at: Nanos,
+    /// Until when parts are worth sending.
+    pub(super) send_until: Nanos,
+    pub(super) deadline: Nanos,
+    pub(super) expected_parts: u32,
+    pub(super) step: u32,
+    pub(super) complete: bool,
+    pub(super) overrun_recorded: bool,
+    pub(super) admitted: bool,
+    pub(super) parts: Vec<Part>,
+}
+
+impl Part {
+    /// The attempts in flight and their numbers.
+    pub(super) fn in_flight(&self) -> impl Iterator<Item = (usize, &Attempt)> {
+        self.attempts.iter().enumerate().filter(|(_, a)| a.state == AttemptState::InFlight)
+    }
+
+    /// The replicas that it was sent to.
+    pub(super) fn replicas(&self) -> Vec<ReplicaId> {
+        self.attempts.iter().map(|a| a.replica).collect()
+    }
+}
