--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -1,45 +1,33 @@
 //! Admission: which queries are taken, by expected latency, priority weight and tenant quota.
 
-use super::answer::{WEIGHT_SUM_TOLERANCE, least_answer_share};
-use super::balancer::Balancer;
-use super::request::Part;
-use crate::api::*;
+use super::*;
 
 /// Share of queries whose time should lie within the learned multiple of what was expected.
 const OVERRUN_QUANTILE: f64 = 0.7;
 /// Bounds of that multiple and its change per query: one odd spell must not open or close admission.
-const MIN_OVERRUN_MULTIPLE: f64 = 0.4;
-const MAX_OVERRUN_MULTIPLE: f64 = 2.5;
+const OVERRUN_MULTIPLE_MIN: f64 = 0.4;
+const OVERRUN_MULTIPLE_MAX: f64 = 2.5;
 const OVERRUN_STEP: f64 = 0.1;
 /// Share of its objective that a query of the least priority weight per part may use.
 const LEAST_OBJECTIVE_SHARE: f64 = 0.75;
-/// Weight of a query in its class's mean number of parts.
-const PARTS_EWMA_WEIGHT: f64 = 0.2;
-/// Difference between two equal time-outs, as a share of the deadline: network time varies a little.
-const SAME_TIMEOUT_TOLERANCE: f64 = 0.01;
-/// Mean Retry-After, in shortest objectives: queues move on and the objective can still be met.
-const RETRY_AFTER_OBJECTIVES: f64 = 0.25;
+/// Network time varies a little.
+const SAME_TIMEOUT_DEADLINE_SHARE: f64 = 0.01;
+/// Queues move on, and the objective can still be met.
+const RETRY_AFTER_MEAN_OBJECTIVES: f64 = 0.25;
 
 /// Token bucket of one tenant at this broker.
 pub(super) struct TenantQuota {
-    tokens: f64,
-    refilled_at: Nanos,
+    pub(super) tokens: f64,
+    pub(super) refilled_at: Nanos,
 }
 
 impl TenantQuota {
-    pub(super) fn new(tokens: f64, now: Nanos) -> Self {
-        TenantQuota { tokens, refilled_at: now }
-    }
-
     /// Takes one token, of which `rate` are added a second; false if there is none.
     fn take(&mut self, rate: f64, now: Nanos) -> bool {
-        let refill = rate * (now - self.refilled_at) as f64 / 1e9;
-        self.tokens = (self.tokens + refill).min(rate.max(1.0));
+        self.tokens = (self.tokens + rate * (now - self.refilled_at) as f64 / 1e9).min(rate.max(1.0));
         self.refilled_at = now;
         let taken = self.tokens >= 1.0;
-        if taken {
-            self.tokens -= 1.0;
-        }
+        self.tokens -= f64::from(taken);
         taken
     }
 }
@@ -54,15 +42,13 @@
 impl UsualTimeout {
     /// Time that a client's earlier attempts have used up: what a retry has less than the usual time-out.
     /// A client that allows less than the objective is impatient instead: only load rejects its query.
-    pub(super) fn time_already_spent(&mut self, class: &Class, time_left: Nanos, is_retry: bool) -> Nanos {
-        let difference = time_left.abs_diff(self.timeout) as f64;
-        let same = difference < SAME_TIMEOUT_TOLERANCE * class.deadline as f64;
-        if same {
-            self.votes += 1;
-        } else if self.votes == 0 {
-            *self = UsualTimeout { timeout: time_left, votes: 1 };
-        } else {
-            self.votes -= 1;
+    pub(super) fn time_spent(&mut self, class: &Class, time_left: Nanos, is_retry: bool) -> Nanos {
+        let tolerance = SAME_TIMEOUT_DEADLINE_SHARE * class.deadline as f64;
+        let same = (time_left.abs_diff(self.timeout) as f64) < tolerance;
+        match self.votes {
+            votes if same => self.votes = votes + 1,
+            0 => *self = UsualTimeout { timeout: time_left, votes: 1 },
+            votes => self.votes = votes - 1,
         }
         let impatient = time_left < class.latency_objective && !is_retry;
         let first = same || self.votes <= 1 || impatient;
@@ -76,8 +62,6 @@
         let rank = self.rank(job);
         let q = &self.queries[&job];
         let class = &self.settings.classes[q.class];
-        let usable = (LEAST_OBJECTIVE_SHARE + (1.0 - LEAST_OBJECTIVE_SHARE) * rank) / self.overrun_multiple;
-        let time = (q.objective_at - self.now) as f64 * usable;
         let down = |id: &ReplicaId| {
             self.replicas[id].ejected.as_ref().is_some_and(|e| e.process_down && !e.on_trial)
         };
@@ -87,26 +71,25 @@
             return false;
         }
         let fastest = |p: &Part| {
-            let mut replicas = self.replicas_of_shard(p.shard);
-            replicas.retain(|id| self.replicas[id].ejected.is_none());
-            replicas.into_iter().map(|id| self.expected_latency(id)).reduce(f64::min)
+            let replicas = self.replicas_of_shard(p.shard).into_iter();
+            let sound = replicas.filter(|id| self.replicas[id].ejected.is_none());
+            sound.map(|id| self.expected_latency(id)).reduce(f64::min)
         };
         let slowest = q.parts.iter().filter_map(fastest).fold(0.0, f64::max);
+        let usable = (LEAST_OBJECTIVE_SHARE + (1.0 - LEAST_OBJECTIVE_SHARE) * rank) / self.overrun_multiple;
+        let time = (q.objective_at - self.now) as f64 * usable;
         // A retry with little of its objective left is no sign of overload.
         if slowest > time.max(class.latency_objective as f64 * usable) {
             self.last_overload_at = Some(self.now);
         }
-        if let Some(q) = self.queries.get_mut(&job) {
-            q.expected_latency = slowest;
-        }
+        self.queries.entry(job).and_modify(|q| q.expected_latency = slowest);
         slowest <= time
     }
 
     /// Priority weight per part, relative to the best class and reduced beyond the tenant's quota.
     fn rank(&mut self, job: u64) -> f64 {
         let q = &self.queries[&job];
-        let mean_parts = &mut self.mean_parts[q.class];
-        *mean_parts += PARTS_EWMA_WEIGHT * (q.parts.len() as f64 - *mean_parts);
+        self.mean_parts[q.class] += EWMA_WEIGHT * (q.parts.len() as f64 - self.mean_parts[q.class]);
         let weight_per_part = |(c, parts): (&Class, &f64)| c.priority_weight / parts.max(1.0);
         let classes = self.settings.classes.iter().zip(&self.mean_parts);
         let best = classes.map(weight_per_part).fold(f64::MIN_POSITIVE, f64::max);
@@ -124,13 +107,14 @@
         let overran = (self.now - q.received_at) as f64 > q.expected_latency * self.overrun_multiple;
         let step = if overran { OVERRUN_QUANTILE } else { OVERRUN_QUANTILE - 1.0 };
         let multiple = self.overrun_multiple * (1.0 + OVERRUN_STEP * step);
-        self.overrun_multiple = multiple.clamp(MIN_OVERRUN_MULTIPLE, MAX_OVERRUN_MULTIPLE);
+        self.overrun_multiple = multiple.clamp(OVERRUN_MULTIPLE_MIN, OVERRUN_MULTIPLE_MAX);
     }
 
-    /// A rejection, with the time after which the client should come back.
-    pub(super) fn rejection(&mut self, query: RequestId) -> Action {
+    pub(super) fn reject(&mut self, job: u64, actions: &mut Vec<Action>) {
+        let query = self.queries[&job].id;
+        self.remove_query(job, actions);
         let longest = if self.settings.may_send_retry_after { self.settings.max_retry_after } else { 0 };
-        let retry_after = (2.0 * self.uniform() * RETRY_AFTER_OBJECTIVES * self.objective) as Nanos;
-        Action::Reject { query, retry_after: retry_after.min(longest) }
+        let wait = 2.0 * self.uniform() * RETRY_AFTER_MEAN_OBJECTIVES * self.fleet.objective;
+        actions.push(Action::Reject { query, retry_after: longest.min(wait as Nanos) });
     }
 }
--- a/src/policy/answer.rs
+++ b/src/policy/answer.rs
@@ -1,28 +1,13 @@
 //! The end of a query: when it is answered, rejected or failed. Guards rules 1 and 5.
 
-use super::balancer::Balancer;
-use super::request::{AttemptState, Part, Query};
-use crate::api::*;
+use super::*;
 
 /// What a sum of weights may fall short by. The wire allows ten times this.
 pub(super) const WEIGHT_SUM_TOLERANCE: f64 = 1e-5;
 /// Share of the room for queries and parts above which late ones end, before others are rejected.
 const PRESSURE_SHARE: f64 = 0.9;
 
-/// How far the current step of a query has come.
-struct Progress {
-    empty: bool,
-    all_answered: bool,
-    complete: bool,
-    /// Whether a partial answer may be given.
-    sufficient: bool,
-    /// Nothing is in flight and nothing more will be sent: waiting would only delay the client's retry.
-    stuck: bool,
-    /// Whether the client can repeat the query without a second effect.
-    repeatable: bool,
-}
-
-/// Least share of the weight that an answer may be given from.
+/// Least weight of parts that an answer may be given from.
 pub(super) fn least_answer_share(class: &Class) -> f64 {
     class.min_answer_share.min(class.complete_share)
 }
@@ -30,67 +15,52 @@
 impl Balancer {
     /// Ends the query, or its step, if it can or must end; true if it did.
     pub(super) fn finish_query(&mut self, job: u64, class: &Class, actions: &mut Vec<Action>) -> bool {
-        let progress = self.progress(&self.queries[&job], class);
         let q = &self.queries[&job];
-        let (query, step, expired) = (q.id, q.step, self.now >= q.deadline);
-        let late = self.now >= q.objective_at;
-        if (progress.complete || late) && !q.overrun_recorded {
+        let (query, step) = (q.id, q.step);
+        let (late, expired) = (self.now >= q.objective_at, self.now >= q.deadline);
+        let parts: Vec<&Part> = q.parts.iter().filter(|p| p.step == step).collect();
+        let share = parts.iter().filter(|p| p.answered).map(|p| p.weight).sum::<f64>() + WEIGHT_SUM_TOLERANCE;
+        let (empty, all_came) = (parts.is_empty(), parts.len() >= q.expected_parts as usize);
+        let all = parts.iter().all(|p| p.answered) && all_came && !empty;
+        let complete = (all && q.complete) || (step == 0 && share >= class.complete_share);
+        let partial = step == 0 || class.min_answer_share < class.complete_share;
+        let sufficient = if partial { share >= least_answer_share(class) } else { all };
+        // Nothing is in flight and nothing more will be sent: waiting would only delay the client's retry.
+        let stuck = !all && parts.iter().all(|p| self.is_settled(q, p, class));
+        let idempotent = class.idempotency == Idempotency::Idempotent;
+        let may_reject = stuck && !expired && (idempotent || parts.iter().all(|p| p.never_ran()));
+        if (complete || late) && !q.overrun_recorded {
             self.record_overrun(job);
         }
-        let finished = progress.complete || (step > 0 && progress.all_answered);
-        let partial = (late || progress.stuck) && progress.sufficient;
-        if (finished || partial) && !progress.empty {
-            actions.push(Action::Answer { query, complete: progress.complete });
+        let finished = complete || (step > 0 && all) || ((late || stuck) && sufficient);
+        // Late answers are worth waiting for only while there is room for other queries.
+        let full = self.tracked_requests as f64 > PRESSURE_SHARE * self.settings.max_in_flight as f64;
+        if finished && !empty {
+            actions.push(Action::Answer { query, complete });
             if step == 0 && class.fetch_parts > 0 {
-                self.start_fetch(job, progress.complete);
+                self.start_second_step(job, complete);
             } else {
                 self.remove_query(job, actions);
             }
-            return true;
-        }
-        // Late answers are worth waiting for only while there is room for other queries.
-        let full = self.tracked_requests as f64 > PRESSURE_SHARE * self.settings.max_in_flight as f64;
-        if expired || (late && full) || (progress.stuck && !progress.empty) {
+        } else if !(expired || (late && full) || (stuck && !empty)) {
+            return false;
+        } else if may_reject {
+            self.reject(job, actions);
+        } else {
             self.remove_query(job, actions);
-            let reject = progress.stuck && progress.repeatable && !expired;
-            actions.push(if reject { self.rejection(query) } else { Action::Fail { query } });
-            return true;
-        }
-        false
-    }
-
-    fn progress(&self, q: &Query, class: &Class) -> Progress {
-        let parts: Vec<&Part> = q.parts.iter().filter(|p| p.step == q.step).collect();
-        let answered: f64 = parts.iter().filter(|p| p.answered).map(|p| p.weight).sum();
-        let share = answered + WEIGHT_SUM_TOLERANCE;
-        let empty = parts.is_empty();
-        let all_came = parts.len() >= q.expected_parts as usize;
-        let all_answered = parts.iter().all(|p| p.answered) && all_came && !empty;
-        let (first_step, partial) = (q.step == 0, class.min_answer_share < class.complete_share);
-        let never_ran = |p: &&Part| p.attempts.iter().all(|a| a.state == AttemptState::NeverRan);
-        Progress {
-            empty,
-            all_answered,
-            complete: all_answered && q.complete || first_step && share >= class.complete_share,
-            sufficient: if first_step || partial { share >= least_answer_share(class) } else { all_answered },
-            stuck: !all_answered && parts.iter().all(|p| self.is_settled(q, p, class)),
-            repeatable: class.idempotency == Idempotency::Idempotent || parts.iter().all(never_ran),
+            actions.push(Action::Fail { query });
         }
+        true
     }
 
     /// Whether the part is answered, or nothing is in flight for it and nothing more will be sent.
     fn is_settled(&self, q: &Query, p: &Part, class: &Class) -> bool {
-        let exhausted = || {
-            self.now >= q.send_until
-                || p.attempts.len() >= self.settings.max_attempts as usize
-                || !self.may_run_again(p, class)
-                || self.replicas_of_shard(p.shard).is_empty()
-        };
-        p.answered || (p.in_flight().next().is_none() && exhausted())
+        let exhausted = p.attempts.len() >= self.settings.max_attempts as usize || self.now >= q.send_until;
+        let may_send = |p| self.may_run_again(p, class) && !self.replicas_of_shard(p.shard).is_empty();
+        p.answered || (p.in_flight().next().is_none() && (exhausted || !may_send(p)))
     }
 
-    /// Starts the second step of a query.
-    fn start_fetch(&mut self, job: u64, complete: bool) {
+    fn start_second_step(&mut self, job: u64, complete: bool) {
         let Some(q) = self.queries.get_mut(&job) else { return };
         q.step = 1;
         q.complete = complete;
@@ -103,8 +73,7 @@
         let Some(q) = self.queries.remove(&job) else { return };
         self.jobs.remove(&q.id);
         for p in q.parts.iter().filter(|p| !p.answered && self.settings.may_cancel) {
-            let cancel = |(n, _)| Action::Cancel { part: p.id, attempt: n as u32 };
-            actions.extend(p.in_flight().map(cancel));
+            actions.extend(p.in_flight().map(|(n, _)| Action::Cancel { part: p.id, attempt: n as u32 }));
         }
     }
 }
--- a/src/policy/events.rs
+++ b/src/policy/events.rs
@@ -1,12 +1,9 @@
-//! The events of a round, one after the other.
+//! What each event changes in the state.
 
-use super::balancer::{Balancer, POLL_BACKOFF_INITIAL_SHARE};
-use super::latency_estimate::INITIAL_LATENCY_OBJECTIVES;
-use super::replica::Replica;
-use super::request::{Part, Query};
-use crate::api::*;
+use super::*;
 
-/// Longest backoff of polls for the endpoint list, as a share of the longest poll interval.
+/// Backoff of polls for the endpoint list, as a share of the longest poll interval.
+pub(super) const POLL_BACKOFF_INITIAL_SHARE: f64 = 0.05;
 const POLL_BACKOFF_MAX_SHARE: f64 = 0.5;
 /// Weight of late answers below which a query ends at its objective: waiting takes room and gains little.
 const WAIT_MIN_LATE_WEIGHT: f64 = 0.2;
@@ -25,8 +22,12 @@
             Event::Part { part, job, shard, weight } => self.on_part(*job, *part, *shard, *weight),
             Event::AttemptEnded { part, attempt, latency, outcome, utilization, .. } => {
                 let Some(ended) = self.in_flight.remove(&(*part, *attempt)) else { return };
-                self.record_outcome(&ended, *latency, *outcome, *utilization);
-                self.end_attempt(&ended, (*part, *attempt), *outcome, actions);
+                if let Some(r) = self.replicas.get_mut(&ended.replica) {
+                    r.in_flight = r.in_flight.saturating_sub(1);
+                    r.utilization = utilization.or(r.utilization);
+                }
+                self.record_outcome(&ended, *latency, *outcome);
+                self.end_attempt(&ended, *outcome, actions);
             }
             Event::ClientDisconnected { query } => {
                 if let Some(job) = self.jobs.get(query).copied() {
@@ -55,9 +56,9 @@
             return;
         };
         let Some(c) = self.settings.classes.get(*class) else { return };
-        let extension = (c.objective_per_work * work.unwrap_or(0) as f64) as Nanos;
         let deadline = self.now + time_left.saturating_sub(self.deadline_margin);
-        let spent = self.usual_timeouts[*class].time_already_spent(c, *time_left, *is_retry);
+        let spent = self.usual_timeouts[*class].time_spent(c, *time_left, *is_retry);
+        let extension = (c.objective_per_work * work.unwrap_or(0) as f64) as Nanos;
         let objective = (c.latency_objective + extension).min(c.deadline).saturating_sub(spent);
         let objective_at = (self.now + objective.saturating_sub(self.deadline_margin)).min(deadline);
         let query_state = Query {
@@ -95,20 +96,21 @@
         if self.poll_at.is_none() {
             self.poll_backoff = self.settings.max_poll_interval as f64 * POLL_BACKOFF_INITIAL_SHARE;
         }
-        for r in self.replicas.values_mut().filter(|_| full) {
-            r.listed = false;
-            r.removed = true;
+        for r in self.replicas.values_mut() {
+            r.listed &= !full;
+            r.removed |= full;
         }
-        let light_load_latency = INITIAL_LATENCY_OBJECTIVES * self.objective;
+        let light_load_latency = INITIAL_LATENCY_OBJECTIVES * self.fleet.objective;
+        let unknown = || Replica { light_load_latency, latency_ratio: 1.0, ..Replica::default() };
         for entry in entries {
-            let new = || Replica { light_load_latency, latency_ratio: 1.0, ..Replica::default() };
-            let r = self.replicas.entry(entry.replica).or_insert_with(new);
+            let r = self.replicas.entry(entry.replica).or_insert_with(unknown);
             r.cell = entry.cell;
             r.weight = entry.weight;
             r.listed = entry.state == ReplicaState::Active;
             r.removed = entry.state == ReplicaState::Removed;
-            if let Some(started) = entry.started {
-                r.start_warming(started, self.now, self.settings.slow_start_time);
+            let lately = |t: &Nanos| t.saturating_add(self.settings.slow_start_time) > self.now;
+            if let Some(started) = entry.started.filter(lately) {
+                r.start_warming(started);
             }
         }
         // Ids of removed replicas are not used again.
@@ -120,4 +122,76 @@
             }
         }
     }
+
+    /// Records what the end of an attempt says of its replica.
+    fn record_outcome(&mut self, ended: &InFlightAttempt, latency: Nanos, outcome: Outcome) {
+        let (now, fleet) = (self.now, &mut self.fleet);
+        let Some(r) = self.replicas.get_mut(&ended.replica) else { return };
+        let age = (now - ended.sent_at) as f64;
+        let mean = r.mean_latency(now, fleet);
+        // Overtaken by later sends, the part is costly rather than the replica slow.
+        let overtaken = r.newest_answered_send > ended.sent_at;
+        let lost = overtaken && age > LOST_LATENCY_MULTIPLE * mean;
+        let limit = if overtaken && age > 2.0 * mean { mean } else { f64::INFINITY };
+        let sample = match outcome {
+            Outcome::Ok => {
+                fleet.record_answer(now);
+                r.on_answer(ended.sent_at, now);
+                Some(latency as f64)
+            }
+            // Without an answer, the age is a lower bound; what was never sent shows nothing.
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent => {
+                if r.in_flight == 0 && age < mean * RETRY_LATENCY_MULTIPLE {
+                    r.unanswered_since = None;
+                }
+                if lost && outcome != Outcome::NotSent {
+                    r.record_fault(true);
+                }
+                (age > mean).then_some(age)
+            }
+            // Perhaps load: a fast failure must not draw parts, nor a few of them read as seconds.
+            Outcome::Error | Outcome::InvalidResponse | Outcome::Rejected => {
+                r.unanswered_since = None;
+                let failed = outcome != Outcome::Rejected;
+                let silence = mean.max(SILENCE_LATENCY_MULTIPLE * fleet.mean);
+                let longest = if failed { silence } else { f64::INFINITY };
+                let sample = (mean * SAMPLE_CLIP_MULTIPLE).min(longest);
+                r.record_latency(sample, ended.others_in_flight, fleet, now);
+                if failed {
+                    r.record_fault(true);
+                }
+                None
+            }
+            // One broken connection may have been idle; a dead process refuses the next.
+            Outcome::ConnectionReset if !r.connection_broke => {
+                r.connection_broke = true;
+                r.unanswered_since = r.unanswered_since.filter(|_| r.in_flight > 0);
+                None
+            }
+            Outcome::ConnectFailed | Outcome::ConnectionReset => {
+                r.eject(now, fleet.objective, true);
+                None
+            }
+        };
+        if let Some(sample) = sample.map(|s| s.min(limit)) {
+            r.record_latency(sample, ended.others_in_flight, fleet, now);
+            fleet.record_latency(sample);
+        }
+    }
+
+    /// Records the end of an attempt at its part; the first answer cancels the other attempts.
+    fn end_attempt(&mut self, ended: &InFlightAttempt, outcome: Outcome, actions: &mut Vec<Action>) {
+        let Some(q) = self.queries.get_mut(&ended.part.job) else { return };
+        let Some(p) = q.parts.get_mut(ended.part.index).filter(|p| p.id == ended.part_id) else { return };
+        let Some(a) = p.attempts.get_mut(ended.number as usize) else { return };
+        let never_ran = matches!(outcome, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent);
+        a.state = if never_ran { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
+        if outcome == Outcome::Ok && !p.answered {
+            p.answered = true;
+            // A trial runs on: its answer shows that a replica has recovered.
+            let ejected = |id: &ReplicaId| self.replicas.get(id).is_some_and(|r| r.ejected.is_some());
+            let others = p.in_flight().filter(|(_, a)| self.settings.may_cancel && !ejected(&a.replica));
+            actions.extend(others.map(|(n, _)| Action::Cancel { part: p.id, attempt: n as u32 }));
+        }
+    }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,5 +1,4 @@
 //! The decision module: where each part is sent, when it is sent again, and which queries are rejected.
-//!
 //! It has no I/O and no clock. Its settings, events, actions and ids are in `src/api.rs`.
 
 #![deny(missing_docs, rust_2018_idioms)]
@@ -7,7 +6,6 @@
 
 mod admission;
 mod answer;
-mod attempt_outcome;
 mod balancer;
 mod events;
 mod hedging;
@@ -17,7 +15,10 @@
 mod replica_selection;
 mod request;
 mod retry;
-mod round;
 mod slow_start;
 
+use crate::api::*;
+use {admission::*, answer::*, events::*, hedging::*, latency_estimate::*, outlier_ejection::*, replica::*};
+use {request::*, retry::*};
+
 pub use balancer::Balancer;
--- a/src/policy/outlier_ejection.rs
+++ b/src/policy/outlier_ejection.rs
@@ -1,14 +1,10 @@
 //! Ejection of silent and failed replicas, and the health checks and trials that bring them back.
 
-use super::balancer::Balancer;
-use super::replica::Replica;
-use crate::api::*;
+use super::*;
 
-/// A replica without an answer for so many fleet means since a send is ejected: beyond ordinary pauses.
+/// Time without an answer before ejection, in fleet means: beyond ordinary pauses.
 pub(super) const SILENCE_LATENCY_MULTIPLE: f64 = 5.0;
-/// Least time without an answer before ejection, in shortest objectives.
 const SILENCE_MIN_OBJECTIVES: f64 = 0.2;
-/// First and longest backoff of health checks, in shortest objectives.
 const PROBE_BACKOFF_INITIAL_OBJECTIVES: f64 = 0.2;
 const PROBE_BACKOFF_MAX_OBJECTIVES: f64 = 1.0;
 
@@ -18,7 +14,7 @@
     probe_backoff: f64,
     /// A health check passed: one part may be tried.
     pub(super) on_trial: bool,
-    /// Connections failed: its process was gone, so it comes back cold.
+    /// Connections failed: the process was gone, so it comes back cold.
     pub(super) process_down: bool,
 }
 
@@ -33,14 +29,14 @@
         ejection.process_down |= process_down;
     }
 
-    /// Records an answer: the replica is neither silent nor ejected, and warms up if its process was down.
     pub(super) fn on_answer(&mut self, sent_at: Nanos, now: Nanos) {
+        self.record_fault(false);
         self.newest_answered_send = self.newest_answered_send.max(sent_at);
         self.unanswered_since = None;
         self.connection_broke = false;
         if self.ejected.take().is_some_and(|e| e.process_down) && self.warming_since.is_none() {
             self.warming_since = Some(now);
-            self.slow_start_allowance = 0.0;
+            self.allowance = 0.0;
         }
     }
 }
@@ -48,13 +44,10 @@
 impl Balancer {
     /// Ends slow starts, ejects silent replicas and checks the health of ejected ones.
     pub(super) fn check_replicas(&mut self, actions: &mut Vec<Action>) {
-        let (now, objective) = (self.now, self.objective);
+        let (now, objective) = (self.now, self.fleet.objective);
         let silence = (SILENCE_LATENCY_MULTIPLE * self.fleet.mean).max(SILENCE_MIN_OBJECTIVES * objective);
         for (id, r) in self.replicas.iter_mut().filter(|(_, r)| r.listed) {
-            if r.warming_since.is_some_and(|t| t + self.settings.slow_start_time <= now) {
-                r.warming_since = None;
-            }
-            // Guards against replicas that take parts and answer none: hung, silent or cut off.
+            r.warming_since = r.warming_since.filter(|t| t + self.settings.slow_start_time > now);
             if r.ejected.is_none() && r.unanswered_since.is_some_and(|t| (now - t) as f64 > silence) {
                 r.eject(now, objective, false);
             }
@@ -72,9 +65,7 @@
 
     /// An ejected replica of the shard that is due for one part.
     pub(super) fn replica_on_trial(&self, shard: u32) -> Option<ReplicaId> {
-        self.replicas_of_shard(shard).into_iter().find(|id| {
-            let r = &self.replicas[id];
-            r.accepts_part() && r.ejected.as_ref().is_some_and(|e| e.on_trial)
-        })
+        let on_trial = |r: &Replica| r.accepts_part() && r.ejected.as_ref().is_some_and(|e| e.on_trial);
+        self.replicas_of_shard(shard).into_iter().find(|id| on_trial(&self.replicas[id]))
     }
 }
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -1,6 +1,6 @@
 //! Queries, their parts, and the attempts made for a part.
 
-use crate::api::*;
+use super::*;
 
 /// One part of a query, by the query's job and the part's index.
 #[derive(Clone, Copy)]
@@ -9,8 +9,8 @@
     pub(super) index: usize,
 }
 
-/// What is known of the execution of an attempt.
-#[derive(Clone, Copy, PartialEq)]
+/// What is known of an attempt's execution.
+#[derive(PartialEq)]
 pub(super) enum AttemptState {
     InFlight,
     MayHaveRun,
@@ -25,12 +25,14 @@
     pub(super) state: AttemptState,
 }
 
-/// An attempt whose end was not yet reported.
+/// An attempt whose end was not reported yet.
 pub(super) struct InFlightAttempt {
     pub(super) part: PartKey,
+    pub(super) part_id: RequestId,
+    pub(super) number: u32,
     pub(super) replica: ReplicaId,
     pub(super) sent_at: Nanos,
-    /// This broker's other parts in flight at the replica when it was sent.
+    /// Own parts in flight at the replica when it was sent.
     pub(super) others_in_flight: u32,
 }
 
@@ -52,7 +54,6 @@
     pub(super) received_at: Nanos,
     /// Latency expected of its slowest part at admission, ns.
     pub(super) expected_latency: f64,
-    /// When its latency objective has passed.
     pub(super) objective_at: Nanos,
     /// Until when parts are worth sending.
     pub(super) send_until: Nanos,
@@ -66,13 +67,12 @@
 }
 
 impl Part {
-    /// The attempts in flight and their numbers.
     pub(super) fn in_flight(&self) -> impl Iterator<Item = (usize, &Attempt)> {
         self.attempts.iter().enumerate().filter(|(_, a)| a.state == AttemptState::InFlight)
     }
 
-    /// The replicas that it was sent to.
-    pub(super) fn replicas(&self) -> Vec<ReplicaId> {
-        self.attempts.iter().map(|a| a.replica).collect()
+    /// Whether no attempt can have had an effect.
+    pub(super) fn never_ran(&self) -> bool {
+        self.attempts.iter().all(|a| a.state == AttemptState::NeverRan)
     }
 }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -1,9 +1,6 @@
 //! Attempts at a part: the first, retries, and the budget of retries.
 
-use super::balancer::Balancer;
-use super::hedging::{HEDGE_MAX_LOAD, HEDGE_WINDOW_NS};
-use super::request::{Attempt, AttemptState, InFlightAttempt, Part, PartKey};
-use crate::api::*;
+use super::*;
 use std::collections::VecDeque;
 
 /// A part is retried when in flight for so many times its expected latency: past most honest tails.
@@ -12,9 +9,6 @@
 pub(super) const LOST_LATENCY_MULTIPLE: f64 = 10.0;
 /// Retries for each query and part above which no part is in flight twice: many brokers' would add up.
 const DUPLICATE_BUDGET_RATIO: f64 = 0.1;
-/// Time between the last attempt and those before it, and the time it needs itself, in fleet means.
-const LAST_ATTEMPT_DELAY_MEANS: f64 = 1.0;
-const LAST_ATTEMPT_TIME_MEANS: f64 = 2.0;
 
 /// Times of what was received and sent within the windows of the budgets.
 #[derive(Default)]
@@ -30,16 +24,15 @@
     pub(super) fn expire(&mut self, now: Nanos, settings: &Settings) {
         let window = settings.retry_budget.map_or(HEDGE_WINDOW_NS, |b| b.window);
         let tick = settings.round_interval;
-        for (times, start) in [
-            (&mut self.idempotent_parts, now.saturating_sub(HEDGE_WINDOW_NS)),
-            (&mut self.hedges, now.saturating_sub(HEDGE_WINDOW_NS)),
-            (&mut self.requests, (now + tick).saturating_sub(window)),
-            (&mut self.retries, now.saturating_sub(window + 2 * tick)),
-        ] {
-            while times.front().is_some_and(|t| *t <= start) {
+        let expire = |times: &mut VecDeque<Nanos>, end: Nanos, window: Nanos| {
+            while times.front().is_some_and(|t| *t <= end.saturating_sub(window)) {
                 times.pop_front();
             }
-        }
+        };
+        expire(&mut self.idempotent_parts, now, HEDGE_WINDOW_NS);
+        expire(&mut self.hedges, now, HEDGE_WINDOW_NS);
+        expire(&mut self.requests, now + tick, window);
+        expire(&mut self.retries, now, window + 2 * tick);
     }
 }
 
@@ -62,14 +55,11 @@
     }
 
     fn send_first_attempt(&mut self, key: PartKey, class: &Class, actions: &mut Vec<Action>) {
-        let shard = self.queries[&key.job].parts[key.index].shard;
-        let may_hedge = class.idempotency == Idempotency::Idempotent
-            && self.settings.may_hedge
-            && self.settings.max_attempts > 1;
-        let on_trial = self.replica_on_trial(shard);
+        let idempotent = class.idempotency == Idempotency::Idempotent;
+        let may_hedge = idempotent && self.settings.may_hedge && self.settings.max_attempts > 1;
+        let on_trial = self.replica_on_trial(self.queries[&key.job].parts[key.index].shard);
         let unhedged_trial = on_trial.filter(|_| !may_hedge);
-        let first = unhedged_trial.or_else(|| self.select_replica(shard, &[], true, Some(key)));
-        let Some(first) = first else { return };
+        let Some(first) = unhedged_trial.or_else(|| self.select(key, &[], true)) else { return };
         self.send_attempt(key, first, actions);
         for index in self.parts_sharing_call(key, first) {
             if self.replicas[&first].accepts_part() {
@@ -88,23 +78,22 @@
     fn retry_late_part(&mut self, key: PartKey, class: &Class, actions: &mut Vec<Action>) {
         let q = &self.queries[&key.job];
         let p = &q.parts[key.index];
-        let (shard, used) = (p.shard, p.replicas());
-        let overloaded = self.last_overload_at.is_some_and(|t| (self.now - t) as f64 <= self.objective);
+        let used: Vec<ReplicaId> = p.attempts.iter().map(|a| a.replica).collect();
+        let end = if self.now < q.objective_at { q.objective_at } else { q.deadline } as f64;
         let lost = p.in_flight().all(|(_, a)| self.is_lost(a));
-        let lateness = |a: &Attempt| (self.now - a.sent_at) as f64 / a.expected_latency.max(1.0);
-        let lateness = p.in_flight().map(|(_, a)| lateness(a)).fold(f64::INFINITY, f64::min);
+        let lateness =
+            |(_, a): (usize, &Attempt)| (self.now - a.sent_at) as f64 / a.expected_latency.max(1.0);
+        let lateness = p.in_flight().map(lateness).fold(f64::INFINITY, f64::min);
         let late = lateness > if lost { 1.0 } else { RETRY_LATENCY_MULTIPLE };
-        let end = if self.now < q.objective_at { q.objective_at } else { q.deadline } as f64;
+        let overloaded = |t| (self.now - t) as f64 <= self.fleet.objective;
+        let overloaded = self.last_overload_at.is_some_and(overloaded);
         // A lost part runs nowhere, so its retry is no duplicate, nor does it add work under overload.
-        let within_budget = if lost {
-            self.within_retry_budget()
-        } else {
-            !overloaded && p.in_flight().count() == 1 && self.may_duplicate()
-        };
+        let may_duplicate = !overloaded && p.in_flight().count() == 1 && self.may_duplicate();
+        let within_budget = if lost { self.within_retry_budget() } else { may_duplicate };
         if !late || !self.settings.may_hedge || !self.may_run_again(p, class) || !within_budget {
             return;
         }
-        let Some(other) = self.select_replica(shard, &used, false, None) else { return };
+        let Some(other) = self.select(key, &used, false) else { return };
         let lightly_loaded = lost || self.load(other) < HEDGE_MAX_LOAD;
         if lightly_loaded && self.now as f64 + self.expected_latency(other) < end {
             self.send_attempt(key, other, actions);
@@ -120,34 +109,31 @@
     fn retry_failed_part(&mut self, key: PartKey, class: &Class, actions: &mut Vec<Action>) {
         let q = &self.queries[&key.job];
         let p = &q.parts[key.index];
-        let (shard, used) = (p.shard, p.replicas());
+        let used: Vec<ReplicaId> = p.attempts.iter().map(|a| a.replica).collect();
         // All attempts can be rejected within milliseconds: the last one waits until queues have moved on.
-        let sound = |id: &ReplicaId| self.replicas.get(id).is_some_and(|r| r.ejected.is_none());
-        let rejected = |a: &Attempt| a.state == AttemptState::NeverRan && sound(&a.replica);
-        let last = used.len() + 1 >= self.settings.max_attempts as usize && p.attempts.iter().all(rejected);
+        let sound = |id| self.replicas.get(id).is_some_and(|r| r.ejected.is_none());
+        let last = used.len() + 1 >= self.settings.max_attempts as usize;
+        let delayed = last && p.never_ran() && used.iter().all(sound);
         let age = p.attempts.last().map_or(0, |a| self.now - a.sent_at) as f64;
-        let needed = LAST_ATTEMPT_TIME_MEANS * self.fleet.mean;
-        let urgent = q.objective_at as f64 <= self.now as f64 + needed;
-        let early = last && age < LAST_ATTEMPT_DELAY_MEANS * self.fleet.mean && !urgent;
+        let urgent = q.objective_at as f64 <= self.now as f64 + 2.0 * self.fleet.mean;
+        let early = delayed && age < self.fleet.mean && !urgent;
         if early || !self.may_run_again(p, class) || !self.within_retry_budget() {
             return;
         }
-        let other = self.select_replica(shard, &used, true, None);
-        if let Some(other) = other.or_else(|| self.select_replica(shard, &[], true, None)) {
+        if let Some(other) = self.select(key, &used, true).or_else(|| self.select(key, &[], true)) {
             self.send_attempt(key, other, actions);
         }
     }
 
     /// Whether another attempt can do no harm. Guards rule 2.
     pub(super) fn may_run_again(&self, p: &Part, class: &Class) -> bool {
-        let Some(ran) = p.attempts.iter().find(|a| a.state != AttemptState::NeverRan) else { return true };
-        match class.idempotency {
+        let first_run = p.attempts.iter().find(|a| a.state != AttemptState::NeverRan);
+        let soon = self.now + 2 * self.settings.round_interval;
+        first_run.is_none_or(|first| match class.idempotency {
             Idempotency::Idempotent => true,
-            Idempotency::IdempotencyKey { window } => {
-                self.now + 2 * self.settings.round_interval < ran.sent_at + window
-            }
+            Idempotency::IdempotencyKey { window } => soon < first.sent_at + window,
             Idempotency::NonIdempotent => false,
-        }
+        })
     }
 
     /// Guards rule 6.
@@ -167,9 +153,9 @@
         let Some(q) = self.queries.get_mut(&part.job) else { return };
         let Some(r) = self.replicas.get_mut(&replica) else { return };
         let p = &mut q.parts[part.index];
-        let number = p.attempts.len() as u32;
-        let in_flight = InFlightAttempt { part, replica, sent_at: now, others_in_flight: r.in_flight };
-        self.in_flight.insert((p.id, number), in_flight);
+        let (part_id, number, others_in_flight) = (p.id, p.attempts.len() as u32, r.in_flight);
+        let sent = InFlightAttempt { part, part_id, number, replica, sent_at: now, others_in_flight };
+        self.in_flight.insert((part_id, number), sent);
         p.attempts.push(Attempt { replica, sent_at: now, expected_latency, state: AttemptState::InFlight });
         r.in_flight += 1;
         r.unanswered_since.get_or_insert(now);
@@ -177,13 +163,13 @@
             ejection.on_trial = false;
         }
         if r.warming_since.is_some() {
-            r.slow_start_allowance -= 1.0;
+            r.allowance -= 1.0;
         }
         if number > 0 {
             self.recent.retries.push_back(now);
         }
         let time_left = (q.send_until + self.deadline_margin).saturating_sub(now);
         let timeout = time_left.max(self.settings.round_interval);
-        actions.push(Action::Send { part: p.id, replica, timeout });
+        actions.push(Action::Send { part: part_id, replica, timeout });
     }
 }
