--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -2,17 +2,12 @@
 
 use super::*;
 
-/// Share of queries whose time should lie within the learned multiple of what was expected.
 const OVERRUN_QUANTILE: f64 = 0.7;
-/// Bounds of that multiple and its change per query: one odd spell must not open or close admission.
 const OVERRUN_MULTIPLE_MIN: f64 = 0.4;
 const OVERRUN_MULTIPLE_MAX: f64 = 2.5;
 const OVERRUN_STEP: f64 = 0.1;
-/// Share of its objective that a query of the least priority weight per part may use.
 const LEAST_OBJECTIVE_SHARE: f64 = 0.75;
-/// Network time varies a little.
 const SAME_TIMEOUT_DEADLINE_SHARE: f64 = 0.01;
-/// Queues move on, and the objective can still be met.
 const RETRY_AFTER_MEAN_OBJECTIVES: f64 = 0.25;
 
 /// Token bucket of one tenant at this broker.
@@ -57,17 +52,15 @@
 }
 
 impl Balancer {
-    /// Whether a new query can be answered within its objective.
     pub(super) fn admit(&mut self, job: u64) -> bool {
         let rank = self.rank(job);
         let q = &self.queries[&job];
         let class = &self.settings.classes[q.class];
-        let down = |id: &ReplicaId| {
-            self.replicas[id].ejected.as_ref().is_some_and(|e| e.process_down && !e.on_trial)
-        };
+        let down = |r: &Replica| !r.on_trial && r.ejected.as_ref().is_some_and(|e| e.process_down);
+        let down = |id: &ReplicaId| down(&self.replicas[id]);
         let lost = q.parts.iter().filter(|p| self.replicas_of_shard(p.shard).iter().all(down));
         let lost_share = lost.map(|p| p.weight).sum::<f64>();
-        if lost_share > 1.0 - least_answer_share(class) + WEIGHT_SUM_TOLERANCE {
+        if lost_share > 1.0 - class.min_answer_share.min(class.complete_share) + WEIGHT_SUM_TOLERANCE {
             return false;
         }
         let fastest = |p: &Part| {
@@ -114,7 +107,7 @@
         let query = self.queries[&job].id;
         self.remove_query(job, actions);
         let longest = if self.settings.may_send_retry_after { self.settings.max_retry_after } else { 0 };
-        let wait = 2.0 * self.uniform() * RETRY_AFTER_MEAN_OBJECTIVES * self.fleet.objective;
+        let wait = 2.0 * uniform(&mut self.rng) * RETRY_AFTER_MEAN_OBJECTIVES * self.fleet.objective;
         actions.push(Action::Reject { query, retry_after: longest.min(wait as Nanos) });
     }
 }
--- a/src/policy/answer.rs
+++ b/src/policy/answer.rs
@@ -2,16 +2,9 @@
 
 use super::*;
 
-/// What a sum of weights may fall short by. The wire allows ten times this.
 pub(super) const WEIGHT_SUM_TOLERANCE: f64 = 1e-5;
-/// Share of the room for queries and parts above which late ones end, before others are rejected.
 const PRESSURE_SHARE: f64 = 0.9;
 
-/// Least weight of parts that an answer may be given from.
-pub(super) fn least_answer_share(class: &Class) -> f64 {
-    class.min_answer_share.min(class.complete_share)
-}
-
 impl Balancer {
     /// Ends the query, or its step, if it can or must end; true if it did.
     pub(super) fn finish_query(&mut self, job: u64, class: &Class, actions: &mut Vec<Action>) -> bool {
@@ -24,7 +17,8 @@
         let all = parts.iter().all(|p| p.answered) && all_came && !empty;
         let complete = (all && q.complete) || (step == 0 && share >= class.complete_share);
         let partial = step == 0 || class.min_answer_share < class.complete_share;
-        let sufficient = if partial { share >= least_answer_share(class) } else { all };
+        let least_share = class.min_answer_share.min(class.complete_share);
+        let sufficient = if partial { share >= least_share } else { all };
         // Nothing is in flight and nothing more will be sent: waiting would only delay the client's retry.
         let stuck = !all && parts.iter().all(|p| self.is_settled(q, p, class));
         let idempotent = class.idempotency == Idempotency::Idempotent;
@@ -37,10 +31,10 @@
         let full = self.tracked_requests as f64 > PRESSURE_SHARE * self.settings.max_in_flight as f64;
         if finished && !empty {
             actions.push(Action::Answer { query, complete });
-            if step == 0 && class.fetch_parts > 0 {
-                self.start_second_step(job, complete);
-            } else {
-                self.remove_query(job, actions);
+            let first_of_two = |q: &&mut Query| q.step == 0 && class.fetch_parts > 0;
+            match self.queries.get_mut(&job).filter(first_of_two) {
+                Some(q) => q.start_second_step(complete),
+                None => self.remove_query(job, actions),
             }
         } else if !(expired || (late && full) || (stuck && !empty)) {
             return false;
@@ -60,15 +54,6 @@
         p.answered || (p.in_flight().next().is_none() && (exhausted || !may_send(p)))
     }
 
-    fn start_second_step(&mut self, job: u64, complete: bool) {
-        let Some(q) = self.queries.get_mut(&job) else { return };
-        q.step = 1;
-        q.complete = complete;
-        q.admitted = false;
-        q.expected_parts = 1;
-    }
-
-    /// Drops a query and cancels its attempts in flight.
     pub(super) fn remove_query(&mut self, job: u64, actions: &mut Vec<Action>) {
         let Some(q) = self.queries.remove(&job) else { return };
         self.jobs.remove(&q.id);
--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -11,7 +11,7 @@
 /// One broker's decisions.
 pub struct Balancer {
     pub(super) settings: Settings,
-    rng: Pcg64Mcg,
+    pub(super) rng: Pcg64Mcg,
     pub(super) now: Nanos,
     /// Time before its deadline at which a query ends.
     pub(super) deadline_margin: Nanos,
@@ -23,12 +23,10 @@
     pub(super) in_flight: HashMap<(RequestId, u32), InFlightAttempt>,
     pub(super) recent: RecentRequests,
     pub(super) quotas: Vec<TenantQuota>,
-    /// By class.
     pub(super) usual_timeouts: Vec<UsualTimeout>,
     pub(super) mean_parts: Vec<f64>,
     /// Multiple of its expected latency within which most queries end.
     pub(super) overrun_multiple: f64,
-    /// Number of queries and parts that have not ended.
     pub(super) tracked_requests: usize,
     /// When a query was last rejected that had its whole objective left.
     pub(super) last_overload_at: Option<Nanos>,
@@ -128,13 +126,8 @@
             actions.push(Action::SetTimer { after: (t - self.now).max(1) });
         }
     }
-
-    pub(super) fn uniform(&mut self) -> f64 {
-        uniform(&mut self.rng)
-    }
 }
 
-/// A random number in [0, 1).
-fn uniform(rng: &mut Pcg64Mcg) -> f64 {
+pub(super) fn uniform(rng: &mut Pcg64Mcg) -> f64 {
     (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
 }
--- a/src/policy/events.rs
+++ b/src/policy/events.rs
@@ -2,10 +2,8 @@
 
 use super::*;
 
-/// Backoff of polls for the endpoint list, as a share of the longest poll interval.
 pub(super) const POLL_BACKOFF_INITIAL_SHARE: f64 = 0.05;
 const POLL_BACKOFF_MAX_SHARE: f64 = 0.5;
-/// Weight of late answers below which a query ends at its objective: waiting takes room and gains little.
 const WAIT_MIN_LATE_WEIGHT: f64 = 0.2;
 
 impl Balancer {
@@ -13,7 +11,7 @@
         match event {
             Event::EndpointList { full, entries } => self.on_endpoint_list(*full, entries),
             Event::WatchFailed => {
-                let backoff = self.poll_backoff * (0.5 + self.uniform());
+                let backoff = self.poll_backoff * (0.5 + uniform(&mut self.rng));
                 let longest = self.settings.max_poll_interval as f64 * POLL_BACKOFF_MAX_SHARE;
                 self.poll_backoff = (self.poll_backoff * 2.0).min(longest);
                 self.poll_at = Some(self.now + backoff as Nanos);
@@ -37,14 +35,10 @@
             Event::HealthChecked { replica, ok, utilization, .. } => {
                 let Some(r) = self.replicas.get_mut(replica) else { return };
                 r.utilization = utilization.or(r.utilization);
-                if let Some(ejection) = &mut r.ejected {
-                    ejection.on_trial = *ok;
-                }
+                r.on_trial = *ok;
             }
             Event::WarmedUp { replica } => {
-                if let Some(r) = self.replicas.get_mut(replica) {
-                    r.warming_since = None;
-                }
+                self.replicas.entry(*replica).and_modify(|r| r.warming_since = None);
             }
             Event::RetryBudget(budget) => self.settings.retry_budget = *budget,
             Event::TimerFired => self.timer_at = None,
@@ -113,7 +107,6 @@
                 r.start_warming(started);
             }
         }
-        // Ids of removed replicas are not used again.
         self.replicas.retain(|_, r| !r.removed || r.in_flight > 0);
         self.replicas_by_cell.iter_mut().for_each(Vec::clear);
         for (id, r) in self.replicas.iter().filter(|(_, r)| r.listed) {
@@ -123,7 +116,6 @@
         }
     }
 
-    /// Records what the end of an attempt says of its replica.
     fn record_outcome(&mut self, ended: &InFlightAttempt, latency: Nanos, outcome: Outcome) {
         let (now, fleet) = (self.now, &mut self.fleet);
         let Some(r) = self.replicas.get_mut(&ended.replica) else { return };
@@ -133,46 +125,40 @@
         let overtaken = r.newest_answered_send > ended.sent_at;
         let lost = overtaken && age > LOST_LATENCY_MULTIPLE * mean;
         let limit = if overtaken && age > 2.0 * mean { mean } else { f64::INFINITY };
-        let sample = match outcome {
+        let failed = matches!(outcome, Outcome::Error | Outcome::InvalidResponse);
+        let lost = lost && matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
+        if failed || lost || outcome == Outcome::Ok {
+            r.fault_rate += FAULT_EWMA_WEIGHT * (f64::from(failed || lost) - r.fault_rate);
+        }
+        let mut sample = None;
+        match outcome {
             Outcome::Ok => {
                 fleet.record_answer(now);
                 r.on_answer(ended.sent_at, now);
-                Some(latency as f64)
+                sample = Some(latency as f64);
             }
             // Without an answer, the age is a lower bound; what was never sent shows nothing.
             Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent => {
                 if r.in_flight == 0 && age < mean * RETRY_LATENCY_MULTIPLE {
                     r.unanswered_since = None;
                 }
-                if lost && outcome != Outcome::NotSent {
-                    r.record_fault(true);
-                }
-                (age > mean).then_some(age)
+                sample = (age > mean).then_some(age);
             }
             // Perhaps load: a fast failure must not draw parts, nor a few of them read as seconds.
             Outcome::Error | Outcome::InvalidResponse | Outcome::Rejected => {
                 r.unanswered_since = None;
-                let failed = outcome != Outcome::Rejected;
                 let silence = mean.max(SILENCE_LATENCY_MULTIPLE * fleet.mean);
                 let longest = if failed { silence } else { f64::INFINITY };
                 let sample = (mean * SAMPLE_CLIP_MULTIPLE).min(longest);
                 r.record_latency(sample, ended.others_in_flight, fleet, now);
-                if failed {
-                    r.record_fault(true);
-                }
-                None
             }
             // One broken connection may have been idle; a dead process refuses the next.
             Outcome::ConnectionReset if !r.connection_broke => {
                 r.connection_broke = true;
                 r.unanswered_since = r.unanswered_since.filter(|_| r.in_flight > 0);
-                None
-            }
-            Outcome::ConnectFailed | Outcome::ConnectionReset => {
-                r.eject(now, fleet.objective, true);
-                None
             }
-        };
+            Outcome::ConnectFailed | Outcome::ConnectionReset => r.eject(now, fleet.objective, true),
+        }
         if let Some(sample) = sample.map(|s| s.min(limit)) {
             r.record_latency(sample, ended.others_in_flight, fleet, now);
             fleet.record_latency(sample);
--- a/src/policy/hedging.rs
+++ b/src/policy/hedging.rs
@@ -3,7 +3,6 @@
 use super::*;
 
 pub(super) const HEDGE_MAX_LOAD: f64 = 0.5;
-/// Hedged requests for each idempotent part of the window.
 const HEDGE_BUDGET_RATIO: f64 = 0.1;
 pub(super) const HEDGE_WINDOW_NS: Nanos = 1_000_000_000;
 
--- a/src/policy/latency_estimate.rs
+++ b/src/policy/latency_estimate.rs
@@ -2,14 +2,10 @@
 
 use super::*;
 
-/// Latency assumed of an unknown replica: a part is a small piece of a query.
 pub(super) const INITIAL_LATENCY_OBJECTIVES: f64 = 0.1;
-/// Clips what lost answers add: they are not load.
 const FLEET_SAMPLE_CLIP_MULTIPLE: f64 = 2.0;
 const FLEET_DECAY_OBJECTIVES: f64 = 1.5;
-/// Answers that light load counts for: a broker without answers takes the fleet as lightly loaded.
 const LIGHT_LOAD_SAMPLES: f64 = 2.0;
-/// Decay time of an unused replica's ratio, the longer of the two: one that recovered is tried again.
 pub(super) const RATIO_DECAY_OBJECTIVES: f64 = 2.0;
 const RATIO_DECAY_ANSWER_GAPS: f64 = 3.0;
 const GAP_EWMA_WEIGHT: f64 = 0.02;
@@ -25,7 +21,6 @@
     samples: f64,
     answer_gap: f64,
     last_answer_at: Nanos,
-    /// Decay time of an unused replica's ratio.
     pub(super) ratio_decay: f64,
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -18,7 +18,10 @@
 mod slow_start;
 
 use crate::api::*;
-use {admission::*, answer::*, events::*, hedging::*, latency_estimate::*, outlier_ejection::*, replica::*};
+use {
+    admission::*, answer::*, balancer::*, events::*, hedging::*, latency_estimate::*, outlier_ejection::*,
+    replica::*,
+};
 use {request::*, retry::*};
 
 pub use balancer::Balancer;
--- a/src/policy/outlier_ejection.rs
+++ b/src/policy/outlier_ejection.rs
@@ -2,7 +2,6 @@
 
 use super::*;
 
-/// Time without an answer before ejection, in fleet means: beyond ordinary pauses.
 pub(super) const SILENCE_LATENCY_MULTIPLE: f64 = 5.0;
 const SILENCE_MIN_OBJECTIVES: f64 = 0.2;
 const PROBE_BACKOFF_INITIAL_OBJECTIVES: f64 = 0.2;
@@ -12,25 +11,21 @@
 pub(super) struct Ejection {
     probe_at: Nanos,
     probe_backoff: f64,
-    /// A health check passed: one part may be tried.
-    pub(super) on_trial: bool,
     /// Connections failed: the process was gone, so it comes back cold.
     pub(super) process_down: bool,
 }
 
 impl Replica {
-    /// Ejects the replica, or ends its trial.
     pub(super) fn eject(&mut self, now: Nanos, objective: f64, process_down: bool) {
         let probe_backoff = PROBE_BACKOFF_INITIAL_OBJECTIVES * objective;
         let probe_at = now + probe_backoff as Nanos;
-        let new = Ejection { probe_at, probe_backoff, on_trial: false, process_down };
+        let new = Ejection { probe_at, probe_backoff, process_down };
         let ejection = self.ejected.get_or_insert(new);
-        ejection.on_trial = false;
         ejection.process_down |= process_down;
+        self.on_trial = false;
     }
 
     pub(super) fn on_answer(&mut self, sent_at: Nanos, now: Nanos) {
-        self.record_fault(false);
         self.newest_answered_send = self.newest_answered_send.max(sent_at);
         self.unanswered_since = None;
         self.connection_broke = false;
@@ -51,21 +46,18 @@
             if r.ejected.is_none() && r.unanswered_since.is_some_and(|t| (now - t) as f64 > silence) {
                 r.eject(now, objective, false);
             }
-            if let Some(ejection) = r.ejected.as_mut().filter(|e| e.probe_at <= now && !e.on_trial) {
+            if let Some(ejection) = r.ejected.as_mut().filter(|e| e.probe_at <= now && !r.on_trial) {
                 let longest = PROBE_BACKOFF_MAX_OBJECTIVES * objective;
                 ejection.probe_backoff = (ejection.probe_backoff * 2.0).min(longest);
                 ejection.probe_at = now + ejection.probe_backoff as Nanos;
-                ejection.on_trial = !self.settings.may_health_check;
-                if self.settings.may_health_check {
-                    actions.push(Action::HealthCheck { replica: *id });
-                }
+                r.on_trial = !self.settings.may_health_check;
+                actions.extend((!r.on_trial).then_some(Action::HealthCheck { replica: *id }));
             }
         }
     }
 
-    /// An ejected replica of the shard that is due for one part.
     pub(super) fn replica_on_trial(&self, shard: u32) -> Option<ReplicaId> {
-        let on_trial = |r: &Replica| r.accepts_part() && r.ejected.as_ref().is_some_and(|e| e.on_trial);
+        let on_trial = |r: &Replica| r.accepts_part() && r.ejected.is_some() && r.on_trial;
         self.replicas_of_shard(shard).into_iter().find(|id| on_trial(&self.replicas[id]))
     }
 }
--- a/src/policy/replica.rs
+++ b/src/policy/replica.rs
@@ -2,15 +2,11 @@
 
 use super::*;
 
-/// About the last five answers count.
 pub(super) const EWMA_WEIGHT: f64 = 0.2;
-/// Clips a sample, as a multiple of the mean: one costly part must not condemn a replica.
 pub(super) const SAMPLE_CLIP_MULTIPLE: f64 = 4.0;
-/// Slow, so that it stays the latency under light load.
 const LIGHT_LOAD_RISE_PER_SAMPLE: f64 = 0.005;
 const ASSUMED_OTHERS_IN_FLIGHT: f64 = 1.0;
-/// Two faults in a few dozen answers are more than chance.
-const FAULT_EWMA_WEIGHT: f64 = 0.05;
+pub(super) const FAULT_EWMA_WEIGHT: f64 = 0.05;
 const TOLERATED_FAULT_RATE: f64 = 0.05;
 const FAULT_DECAY_OBJECTIVES: f64 = 4.0;
 
@@ -34,6 +30,8 @@
     /// Whether a connection broke since the last answer.
     pub(super) connection_broke: bool,
     pub(super) ejected: Option<Ejection>,
+    /// While ejected: a health check passed, so one part may be tried.
+    pub(super) on_trial: bool,
     /// Start of its slow start, and the number of parts that it may be sent now.
     pub(super) warming_since: Option<Nanos>,
     pub(super) allowance: f64,
@@ -54,10 +52,6 @@
         self.sampled_at = now;
     }
 
-    pub(super) fn record_fault(&mut self, fault: bool) {
-        self.fault_rate += FAULT_EWMA_WEIGHT * (f64::from(fault) - self.fault_rate);
-    }
-
     pub(super) fn excess_fault_rate(&self, now: Nanos, objective: f64) -> f64 {
         let decay = (-self.idle(now) / (FAULT_DECAY_OBJECTIVES * objective)).exp();
         (self.fault_rate * decay - TOLERATED_FAULT_RATE).max(0.0)
--- a/src/policy/replica_selection.rs
+++ b/src/policy/replica_selection.rs
@@ -2,14 +2,11 @@
 
 use super::*;
 
-/// A strong preference for low latency that never excludes.
 const SELECTION_EXPONENT: f64 = 6.0;
-/// Cost of a lost part: the time until its retry, or else its query.
 const RETRIED_LOSS_OBJECTIVES: f64 = 0.3;
 const FINAL_LOSS_OBJECTIVES: f64 = 1.0;
 
 impl Balancer {
-    /// The listed replicas that have the shard.
     pub(super) fn replicas_of_shard(&self, shard: u32) -> Vec<ReplicaId> {
         let cells = self.settings.cells;
         let of_shard = (0..self.settings.span.min(cells)).map(|j| ((shard + j) % cells) as usize);
@@ -34,7 +31,7 @@
             replicas.into_iter().partition(|id| self.replicas[id].ejected.is_none());
         let pool = if sound.is_empty() && or_ejected { ejected } else { sound };
         let weights = self.selection_weights(key, &pool);
-        let mut x = self.uniform() * weights.iter().sum::<f64>();
+        let mut x = uniform(&mut self.rng) * weights.iter().sum::<f64>();
         let drawn = pool.iter().zip(&weights).find(|(_, weight)| {
             x -= **weight;
             x < 0.0
@@ -59,7 +56,6 @@
         pool.iter().map(weight).collect()
     }
 
-    /// Cost of the part when its call is shared, over that of a call of its own.
     fn call_cost(&self, key: PartKey, id: ReplicaId) -> f64 {
         let call = self.settings.call_work as f64;
         let work = (self.fleet.mean - call).max(call / 2.0);
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -52,10 +52,8 @@
     pub(super) class: usize,
     pub(super) tenant: Option<usize>,
     pub(super) received_at: Nanos,
-    /// Latency expected of its slowest part at admission, ns.
     pub(super) expected_latency: f64,
     pub(super) objective_at: Nanos,
-    /// Until when parts are worth sending.
     pub(super) send_until: Nanos,
     pub(super) deadline: Nanos,
     pub(super) expected_parts: u32,
@@ -66,12 +64,20 @@
     pub(super) parts: Vec<Part>,
 }
 
+impl Query {
+    pub(super) fn start_second_step(&mut self, complete: bool) {
+        self.step = 1;
+        self.complete = complete;
+        self.admitted = false;
+        self.expected_parts = 1;
+    }
+}
+
 impl Part {
     pub(super) fn in_flight(&self) -> impl Iterator<Item = (usize, &Attempt)> {
         self.attempts.iter().enumerate().filter(|(_, a)| a.state == AttemptState::InFlight)
     }
 
-    /// Whether no attempt can have had an effect.
     pub(super) fn never_ran(&self) -> bool {
         self.attempts.iter().all(|a| a.state == AttemptState::NeverRan)
     }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -3,11 +3,8 @@
 use super::*;
 use std::collections::VecDeque;
 
-/// A part is retried when in flight for so many times its expected latency: past most honest tails.
 pub(super) const RETRY_LATENCY_MULTIPLE: f64 = 2.5;
-/// A part is lost once in flight for so many means of its replica while a later one was answered.
 pub(super) const LOST_LATENCY_MULTIPLE: f64 = 10.0;
-/// Retries for each query and part above which no part is in flight twice: many brokers' would add up.
 const DUPLICATE_BUDGET_RATIO: f64 = 0.1;
 
 /// Times of what was received and sent within the windows of the budgets.
@@ -37,7 +34,6 @@
 }
 
 impl Balancer {
-    /// Sends the part's next attempt if it is due.
     pub(super) fn advance_part(&mut self, key: PartKey, class: &Class, actions: &mut Vec<Action>) {
         let q = &self.queries[&key.job];
         let p = &q.parts[key.index];
@@ -45,12 +41,10 @@
         if p.answered || p.step != q.step || self.now >= q.send_until || exhausted {
             return;
         }
-        if p.attempts.is_empty() {
-            self.send_first_attempt(key, class, actions);
-        } else if p.in_flight().next().is_some() {
-            self.retry_late_part(key, class, actions);
-        } else {
-            self.retry_failed_part(key, class, actions);
+        match (p.attempts.is_empty(), p.in_flight().count()) {
+            (true, _) => self.send_first_attempt(key, class, actions),
+            (false, 0) => self.retry_failed_part(key, class, actions),
+            (false, _) => self.retry_late_part(key, class, actions),
         }
     }
 
@@ -142,7 +136,6 @@
         self.recent.retries.len() as f64 + 1.0 <= b.free + b.share * self.recent.requests.len() as f64
     }
 
-    /// Whether one more part may be in flight twice.
     pub(super) fn may_duplicate(&self) -> bool {
         let budget = DUPLICATE_BUDGET_RATIO * self.recent.requests.len() as f64;
         self.within_retry_budget() && self.recent.retries.len() as f64 <= budget
@@ -159,15 +152,9 @@
         p.attempts.push(Attempt { replica, sent_at: now, expected_latency, state: AttemptState::InFlight });
         r.in_flight += 1;
         r.unanswered_since.get_or_insert(now);
-        if let Some(ejection) = &mut r.ejected {
-            ejection.on_trial = false;
-        }
-        if r.warming_since.is_some() {
-            r.allowance -= 1.0;
-        }
-        if number > 0 {
-            self.recent.retries.push_back(now);
-        }
+        r.on_trial = false;
+        r.allowance -= 1.0;
+        self.recent.retries.extend((number > 0).then_some(now));
         let time_left = (q.send_until + self.deadline_margin).saturating_sub(now);
         let timeout = time_left.max(self.settings.round_interval);
         actions.push(Action::Send { part: part_id, replica, timeout });
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -2,7 +2,6 @@
 
 use super::*;
 
-/// Shares of the overload multiple: what a warming replica gets, and the most that a full load may reach.
 const SLOW_START_FILL: f64 = 0.5;
 const SLOW_START_MAX_FILL: f64 = 0.8;
 const MAX_ALLOWANCE_PARTS: f64 = 2.0;
@@ -26,7 +25,6 @@
         self.warming_since.is_none() || self.allowance >= 1.0
     }
 
-    /// Share of its capacity that the replica has for certain.
     fn capacity(&self, now: Nanos, settings: &Settings) -> f64 {
         let warmed = |t: Nanos| (now - t.min(now)) as f64 / settings.slow_start_time.max(1) as f64;
         let age = self.warming_since.map_or(1.0, warmed);
@@ -35,8 +33,7 @@
 }
 
 impl Balancer {
-    /// Adds to each warming replica's allowance its share of an admitted query's parts, as the fleet's capacity
-    /// is now. A full load on a cold fleet stays below the overload multiple.
+    /// Adds to each warming replica's allowance its share of the parts, by the capacity of all as they are now.
     pub(super) fn grant_allowance(&mut self, job: u64) {
         let (now, settings) = (self.now, &self.settings);
         let Some(q) = self.queries.get_mut(&job) else { return };
