--- /dev/null
+++ b/src/policy/admission.rs
@@ -0,0 +1,113 @@
+//! Admission: which queries are taken, by expected latency, priority weight and tenant quota.
+
+use super::*;
+
+const OVERRUN_QUANTILE: f64 = 0.7;
+const OVERRUN_MULTIPLE_MIN: f64 = 0.4;
+const OVERRUN_MULTIPLE_MAX: f64 = 2.5;
+const OVERRUN_STEP: f64 = 0.1;
+const LEAST_OBJECTIVE_SHARE: f64 = 0.75;
+const SAME_TIMEOUT_DEADLINE_SHARE: f64 = 0.01;
+const RETRY_AFTER_MEAN_OBJECTIVES: f64 = 0.25;
+
+/// Token bucket of one tenant at this broker.
+pub(super) struct TenantQuota {
+    pub(super) tokens: f64,
+    pub(super) refilled_at: Nanos,
+}
+
+impl TenantQuota {
+    /// Takes one token, of which `rate` are added a second; false if there is none.
+    fn take(&mut self, rate: f64, now: Nanos) -> bool {
+        self.tokens = (self.tokens + rate * (now - self.refilled_at) as f64 / 1e9).min(rate.max(1.0));
+        self.refilled_at = now;
+        let taken = self.tokens >= 1.0;
+        self.tokens -= f64::from(taken);
+        taken
+    }
+}
+
+/// The time-out that most clients of a class send, by majority vote.
+#[derive(Clone, Default)]
+pub(super) struct UsualTimeout {
+    timeout: Nanos,
+    votes: u32,
+}
+
+impl UsualTimeout {
+    /// Time that a client's earlier attempts have used up: what a retry has less than the usual time-out.
+    /// A client that allows less than the objective is impatient instead: only load rejects its query.
+    pub(super) fn time_spent(&mut self, class: &Class, time_left: Nanos, is_retry: bool) -> Nanos {
+        let tolerance = SAME_TIMEOUT_DEADLINE_SHARE * class.deadline as f64;
+        let same = (time_left.abs_diff(self.timeout) as f64) < tolerance;
+        match self.votes {
+            votes if same => self.votes = votes + 1,
+            0 => *self = UsualTimeout { timeout: time_left, votes: 1 },
+            votes => self.votes = votes - 1,
+        }
+        let impatient = time_left < class.latency_objective && !is_retry;
+        let first = same || self.votes <= 1 || impatient;
+        if first { 0 } else { class.deadline.saturating_sub(time_left) }
+    }
+}
+
+impl Balancer {
+    pub(super) fn admit(&mut self, job: u64) -> bool {
+        let rank = self.rank(job);
+        let q = &self.queries[&job];
+        let class = &self.settings.classes[q.class];
+        let down = |r: &Replica| !r.on_trial && r.ejected.as_ref().is_some_and(|e| e.process_down);
+        let down = |id: &ReplicaId| down(&self.replicas[id]);
+        let lost = q.parts.iter().filter(|p| self.replicas_of_shard(p.shard).iter().all(down));
+        let lost_share = lost.map(|p| p.weight).sum::<f64>();
+        if lost_share > 1.0 - class.min_answer_share.min(class.complete_share) + WEIGHT_SUM_TOLERANCE {
+            return false;
+        }
+        let fastest = |p: &Part| {
+            let replicas = self.replicas_of_shard(p.shard).into_iter();
+            let sound = replicas.filter(|id| self.replicas[id].ejected.is_none());
+            sound.map(|id| self.expected_latency(id)).reduce(f64::min)
+        };
+        let slowest = q.parts.iter().filter_map(fastest).fold(0.0, f64::max);
+        let usable = (LEAST_OBJECTIVE_SHARE + (1.0 - LEAST_OBJECTIVE_SHARE) * rank) / self.overrun_multiple;
+        let time = (q.objective_at - self.now) as f64 * usable;
+        // A retry with little of its objective left is no sign of overload.
+        if slowest > time.max(class.latency_objective as f64 * usable) {
+            self.last_overload_at = Some(self.now);
+        }
+        self.queries.entry(job).and_modify(|q| q.expected_latency = slowest);
+        slowest <= time
+    }
+
+    /// Priority weight per part, relative to the best class and reduced beyond the tenant's quota.
+    fn rank(&mut self, job: u64) -> f64 {
+        let q = &self.queries[&job];
+        self.mean_parts[q.class] += EWMA_WEIGHT * (q.parts.len() as f64 - self.mean_parts[q.class]);
+        let weight_per_part = |(c, parts): (&Class, &f64)| c.priority_weight / parts.max(1.0);
+        let classes = self.settings.classes.iter().zip(&self.mean_parts);
+        let best = classes.map(weight_per_part).fold(f64::MIN_POSITIVE, f64::max);
+        let rank = weight_per_part((&self.settings.classes[q.class], &self.mean_parts[q.class])) / best;
+        let Some(tenant) = q.tenant.filter(|t| *t < self.quotas.len()) else { return rank };
+        let rate = self.settings.tenants[tenant].quota_per_s / self.settings.brokers.max(1) as f64;
+        let within_quota = self.quotas[tenant].take(rate, self.now);
+        if within_quota { rank } else { rank * self.settings.over_quota_weight }
+    }
+
+    /// Learns how far queries overrun the latency that was expected of them.
+    pub(super) fn record_overrun(&mut self, job: u64) {
+        let Some(q) = self.queries.get_mut(&job) else { return };
+        q.overrun_recorded = true;
+        let overran = (self.now - q.received_at) as f64 > q.expected_latency * self.overrun_multiple;
+        let step = if overran { OVERRUN_QUANTILE } else { OVERRUN_QUANTILE - 1.0 };
+        let multiple = self.overrun_multiple * (1.0 + OVERRUN_STEP * step);
+        self.overrun_multiple = multiple.clamp(OVERRUN_MULTIPLE_MIN, OVERRUN_MULTIPLE_MAX);
+    }
+
+    pub(super) fn reject(&mut self, job: u64, actions: &mut Vec<Action>) {
+        let query = self.queries[&job].id;
+        self.remove_query(job, actions);
+        let longest = if self.settings.may_send_retry_after { self.settings.max_retry_after } else { 0 };
+        let wait = 2.0 * uniform(&mut self.rng) * RETRY_AFTER_MEAN_OBJECTIVES * self.fleet.objective;
+        actions.push(Action::Reject { query, retry_after: longest.min(wait as Nanos) });
+    }
+}
--- /dev/null
+++ b/src/policy/replica_selection.rs
@@ -0,0 +1,78 @@
+//! The choice of a replica: a random draw weighted by expected latency.
+
+use super::*;
+
+const SELECTION_EXPONENT: f64 = 6.0;
+const RETRIED_LOSS_OBJECTIVES: f64 = 0.3;
+const FINAL_LOSS_OBJECTIVES: f64 = 1.0;
+
+impl Balancer {
+    pub(super) fn replicas_of_shard(&self, shard: u32) -> Vec<ReplicaId> {
+        let cells = self.settings.cells;
+        let of_shard = (0..self.settings.span.min(cells)).map(|j| ((shard + j) % cells) as usize);
+        of_shard.flat_map(|cell| self.replicas_by_cell[cell].iter().copied()).collect()
+    }
+
+    pub(super) fn expected_latency(&self, id: ReplicaId) -> f64 {
+        self.replicas[&id].expected_latency(self.now, &self.fleet)
+    }
+
+    /// Reported utilization, or else one minus light-load over expected latency.
+    pub(super) fn load(&self, id: ReplicaId) -> f64 {
+        let r = &self.replicas[&id];
+        r.utilization.unwrap_or_else(|| 1.0 - r.light_load_latency / self.expected_latency(id).max(1.0))
+    }
+
+    /// Draws a replica for the part. Ejected ones are drawn only if all are: the fault is rather this broker's.
+    pub(super) fn select(&mut self, key: PartKey, used: &[ReplicaId], or_ejected: bool) -> Option<ReplicaId> {
+        let mut replicas = self.replicas_of_shard(self.queries[&key.job].parts[key.index].shard);
+        replicas.retain(|id| !used.contains(id) && self.replicas[id].accepts_part());
+        let (sound, ejected): (Vec<ReplicaId>, _) =
+            replicas.into_iter().partition(|id| self.replicas[id].ejected.is_none());
+        let pool = if sound.is_empty() && or_ejected { ejected } else { sound };
+        let weights = self.selection_weights(key, &pool);
+        let mut x = uniform(&mut self.rng) * weights.iter().sum::<f64>();
+        let drawn = pool.iter().zip(&weights).find(|(_, weight)| {
+            x -= **weight;
+            x < 0.0
+        });
+        drawn.map(|(id, _)| id).or(pool.last()).copied()
+    }
+
+    fn selection_weights(&self, key: PartKey, pool: &[ReplicaId]) -> Vec<f64> {
+        let (q, objective) = (&self.queries[&key.job], self.fleet.objective);
+        let first = q.parts[key.index].attempts.is_empty();
+        let idempotency = self.settings.classes[q.class].idempotency;
+        let retried = first && idempotency != Idempotency::NonIdempotent && self.settings.max_attempts > 1;
+        let loss = objective * if retried { RETRIED_LOSS_OBJECTIVES } else { FINAL_LOSS_OBJECTIVES };
+        // Faults that all replicas have are no reason to choose.
+        let faults = |id: &ReplicaId| self.replicas[id].excess_fault_rate(self.now, objective);
+        let least_faults = pool.iter().map(faults).fold(f64::INFINITY, f64::min);
+        let weight = |id: &ReplicaId| {
+            let call_cost = if first { self.call_cost(key, *id) } else { 1.0 };
+            let cost = self.expected_latency(*id) * call_cost + (faults(id) - least_faults) * loss;
+            self.replicas[id].weight * (objective / cost.max(1.0)).powf(SELECTION_EXPONENT)
+        };
+        pool.iter().map(weight).collect()
+    }
+
+    fn call_cost(&self, key: PartKey, id: ReplicaId) -> f64 {
+        let call = self.settings.call_work as f64;
+        let work = (self.fleet.mean - call).max(call / 2.0);
+        (call / (1 + self.parts_sharing_call(key, id).len()) as f64 + work) / (call + work)
+    }
+
+    /// Unsent parts of the same query that one call to this replica could take along.
+    pub(super) fn parts_sharing_call(&self, key: PartKey, id: ReplicaId) -> Vec<usize> {
+        if self.settings.call_work == 0 || self.settings.parts_per_call < 2 {
+            return Vec::new();
+        }
+        let q = &self.queries[&key.job];
+        let (cell, cells) = (self.replicas[&id].cell, self.settings.cells);
+        let on_replica = |p: &Part| (cell + cells - p.shard % cells) % cells < self.settings.span;
+        let unsent = |p: &Part| !p.answered && p.step == q.step && p.attempts.is_empty();
+        let parts = q.parts.iter().enumerate();
+        let sharing = parts.filter(|(n, p)| *n != key.index && unsent(p) && on_replica(p));
+        sharing.map(|(n, _)| n).take(self.settings.parts_per_call as usize - 1).collect()
+    }
+}
