Name the socket layer's state and operations by the field's terms

The names of fields, constants and methods of net were our own words: place, leaving, stuck, apart, stranger. They are now class, lingering, paused listeners, with_pool, untrusted; what a read gives is named as the system names it (WouldBlock, Closed). Call sites follow, nothing else changes.

--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -29,8 +29,13 @@
 impl AdminServer {
     /// Listens.
     pub fn open(addr: SocketAddr, net: &mut PollLoop) -> io::Result<AdminServer> {
-        let listening =
-            net.listen_apart(addr, OWNER, ConnectionClass::Admin, PLACES, Pool::sized(BUFFERS, BUFFER))?;
+        let listening = net.listen_with_pool(
+            addr,
+            OWNER,
+            ConnectionClass::Admin,
+            PLACES,
+            Pool::with_buffer_size(BUFFERS, BUFFER),
+        )?;
         Ok(AdminServer { listening, waiting: VecDeque::new(), peers: HashMap::new(), calls: VecDeque::new() })
     }
 
@@ -51,7 +56,7 @@
                 self.waiting.push_back((now, conn));
                 self.peers.insert(conn, peer);
                 self.read(conn, now, net);
-                while net.accepted_at(ConnectionClass::Admin) > PLACES {
+                while net.accepted_in_class(ConnectionClass::Admin) > PLACES {
                     let Some((_, oldest)) = self.waiting.front().copied() else { break };
                     self.gone(oldest);
                     net.close(oldest);
@@ -80,12 +85,12 @@
                 (Some(end), _) => request::read(data[..end].trim_ascii_end()),
                 (None, _) if data.len() > LONGEST => Err(RequestError::TooLong),
                 // A last line may lack its end where the caller says that no more will come.
-                (None, ReadOutcome::Ended) if !data.is_empty() => request::read(data.trim_ascii_end()),
-                (None, ReadOutcome::Ended) => {
+                (None, ReadOutcome::Closed) if !data.is_empty() => request::read(data.trim_ascii_end()),
+                (None, ReadOutcome::Closed) => {
                     self.gone(conn);
                     return net.close(conn);
                 }
-                (None, ReadOutcome::Some(_)) => continue,
+                (None, ReadOutcome::Read(_)) => continue,
                 (None, _) => return,
             };
             // One line to a connection: it waits for nothing more.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -149,7 +149,7 @@
     };
     log::start(cli.log, cli.log_format);
     if cli.clock_off != 0 {
-        crate::net::clock::set_off(cli.clock_off);
+        crate::net::clock::set_offset(cli.clock_off);
     }
     match cli.command.unwrap_or(Command::Serve(Serve::Platform)) {
         Command::Serve(Serve::Platform) => said(serve_platform()),
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -215,8 +215,9 @@
                 return tracing::warn!("cluster: {} can't be taken yet: {e}; it is tried again", self.listen);
             }
         };
-        let pool = Pool::sized(BUFFERS.1, BUFFERS.0);
-        if let Err(e) = net.listen_apart(self.listen, OWNER, ConnectionClass::Peers, PLACES, pool.clone()) {
+        let pool = Pool::with_buffer_size(BUFFERS.1, BUFFERS.0);
+        if let Err(e) = net.listen_with_pool(self.listen, OWNER, ConnectionClass::Peers, PLACES, pool.clone())
+        {
             tracing::error!("cluster: no peer can connect to {}: {e}", self.listen);
         }
         let (streams, numbers) = (BTreeMap::new(), BTreeMap::new());
@@ -348,10 +349,10 @@
             NetEvent::Datagrams { .. } => {
                 for n in 0.. {
                     if n == IN_A_TURN {
-                        net.datagrams_later(OWNER);
+                        net.requeue_datagrams(OWNER);
                         break;
                     }
-                    let Some((len, from)) = net.take_datagram(sockets.datagrams, &mut self.datagram[..])
+                    let Some((len, from)) = net.receive_datagram(sockets.datagrams, &mut self.datagram[..])
                     else {
                         break;
                     };
@@ -359,7 +360,7 @@
                 }
             }
             NetEvent::Accepted { conn, peer, .. } => {
-                if net.accepted_at(ConnectionClass::Peers) > PLACES {
+                if net.accepted_in_class(ConnectionClass::Peers) > PLACES {
                     return net.close(conn);
                 }
                 sockets.next += 1;
@@ -396,17 +397,17 @@
             let Some(stream) = sockets.numbers.get(&conn).copied() else { return };
             let Some((_, from)) = sockets.streams.get(&stream).copied() else { return };
             if n == FRAMES_IN_A_TURN {
-                return net.read_later(conn);
+                return net.requeue_readable(conn);
             }
             let filled = net.fill(conn);
             // A length that can't be is a frame that can't be read: the member says what follows.
             let end = match frame_end(net.data(conn)) {
                 Ok(Some(end)) => end,
-                Ok(None) if filled == ReadOutcome::Ended => {
+                Ok(None) if filled == ReadOutcome::Closed => {
                     self.gone(conn, now);
                     return net.close(conn);
                 }
-                Ok(None) if matches!(filled, ReadOutcome::Some(_)) => continue,
+                Ok(None) if matches!(filled, ReadOutcome::Read(_)) => continue,
                 Ok(None) => return,
                 Err(_) => net.data(conn).len().min(4),
             };
@@ -436,7 +437,7 @@
         while let Some(out) = member.take_output() {
             match out {
                 Output::Datagram { to, bytes } => net.send_datagram(sockets.datagrams, to, &bytes),
-                Output::Dial { stream, to } => match net.dial_apart(to, OWNER, sockets.pool.clone()) {
+                Output::Dial { stream, to } => match net.dial_with_pool(to, OWNER, sockets.pool.clone()) {
                     Ok(conn) => {
                         sockets.streams.insert(stream, (conn, to));
                         sockets.numbers.insert(conn, stream);
--- a/src/frontends/catalogue/downstream.rs
+++ b/src/frontends/catalogue/downstream.rs
@@ -130,7 +130,7 @@
 
     /// Closes whom the places name while there are too many.
     fn make_room(&mut self, hands: &mut Hand) {
-        while hands.net.accepted() > self.places.most() && !hands.net.drop_leaving() {
+        while hands.net.accepted() > self.places.most() && !hands.net.close_oldest_lingering() {
             let Some(conn) = self.places.first_to_go() else { return };
             // Who has asked meanwhile stays.
             self.read(conn, hands);
@@ -139,7 +139,7 @@
                 let http = self.clients.get(&conn).is_some_and(|c| matches!(c.speech, Speech::Sru { .. }));
                 if http && self.places.may_ask(conn) {
                     let wait = hands.engine.overloaded().retry_after;
-                    self.part_with(conn, Some(http::no_room(wait)), hands);
+                    self.part_with(conn, Some(http::service_unavailable(wait)), hands);
                 } else {
                     self.close(conn, hands);
                 }
@@ -165,16 +165,16 @@
             let filled = hands.net.fill(conn);
             let Some(client) = self.clients.get_mut(&conn) else { return };
             match filled {
-                ReadOutcome::Some(_) => self.work(conn, hands),
+                ReadOutcome::Read(_) => self.work(conn, hands),
                 // What a client sends ahead of its answer stays unread once the buffer is full.
-                ReadOutcome::Full if client.job.is_some() => return,
-                ReadOutcome::Full => {
+                ReadOutcome::BufferFull if client.job.is_some() => return,
+                ReadOutcome::BufferFull => {
                     self.work(conn, hands);
                     if hands.net.data(conn).len() >= ber::MAX_APDU {
                         return self.hang_up(conn, "a request larger than a buffer", hands);
                     }
                 }
-                ReadOutcome::Nothing => return,
+                ReadOutcome::WouldBlock => return,
                 ReadOutcome::NoBuffer => {
                     // Guards those who ask against those who hold the buffers with half a request.
                     if let Some(other) = self.places.first_with_buffer(conn) {
@@ -183,13 +183,13 @@
                     }
                     return;
                 }
-                ReadOutcome::Ended => return self.close(conn, hands),
+                ReadOutcome::Closed => return self.close(conn, hands),
             }
             if !self.clients.contains_key(&conn) {
                 return;
             }
         }
-        hands.net.read_later(conn);
+        hands.net.requeue_readable(conn);
     }
 
     fn hang_up(&mut self, conn: ConnId, why: &str, hands: &mut Hand) {
--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -177,7 +177,8 @@
         let what = "limits: the connections to nodes leave no sockets for clients";
         return Err(ConfigError(what.into()).into());
     }
-    let mut net = PollLoop::new(Pool::within(BUFFERS), most - to_nodes).map_err(BrokerError::io("poll"))?;
+    let mut net =
+        PollLoop::new(Pool::with_byte_limit(BUFFERS), most - to_nodes).map_err(BrokerError::io("poll"))?;
     let mut nodes = Nodes::new(NODES, &told.partitions.database, told.limits.clone(), to_nodes);
     let mut hands = FrontendContext { now, net: &mut net, engine: &mut exchange };
     membership.pass_on(&mut hands, |c| nodes.place(c));
@@ -299,13 +300,13 @@
 
     fn limit_descriptors(&mut self, descriptors: usize, net: &mut PollLoop) {
         // What is held stays; only the rest is divided. Callers at the second address may still come.
-        let apart = admin::PLACES.saturating_sub(net.accepted_at(ConnectionClass::Admin));
+        let apart = admin::PLACES.saturating_sub(net.accepted_in_class(ConnectionClass::Admin));
         let rest = descriptors.saturating_sub(net.descriptors() + apart);
         let to_nodes = (self.nodes.links() + rest / 2).min(self.most_to_nodes);
         let clients = net.accepted() + rest - (to_nodes - self.nodes.links()).min(rest);
         self.nodes.keep_to(to_nodes.max(1));
         self.clients.keep_to(clients);
-        net.limit_accepted(clients);
+        net.set_accepted_limit(clients);
     }
 
     fn open_ids(&self) -> Vec<String> {
--- a/src/frontends/catalogue/upstream.rs
+++ b/src/frontends/catalogue/upstream.rs
@@ -259,10 +259,12 @@
     fn read(&mut self, conn: ConnId, hands: &mut Catalogue) {
         while self.links.contains_key(&conn) {
             match hands.net.fill(conn) {
-                ReadOutcome::Some(_) => self.work(conn, hands),
-                ReadOutcome::Nothing | ReadOutcome::NoBuffer => return,
-                ReadOutcome::Full => return self.drop_link(conn, "an answer larger than a buffer", hands),
-                ReadOutcome::Ended => {
+                ReadOutcome::Read(_) => self.work(conn, hands),
+                ReadOutcome::WouldBlock | ReadOutcome::NoBuffer => return,
+                ReadOutcome::BufferFull => {
+                    return self.drop_link(conn, "an answer larger than a buffer", hands);
+                }
+                ReadOutcome::Closed => {
                     let step = self.links.get_mut(&conn).and_then(|l| l.talk.end());
                     if let Some(Step::Done(value)) = step {
                         self.done(conn, value, hands);
--- a/src/frontends/platform/downstream.rs
+++ b/src/frontends/platform/downstream.rs
@@ -111,7 +111,7 @@
 
     /// Closes whom the places name while there are too many.
     fn make_room(&mut self, hands: &mut Platform) {
-        while hands.net.accepted() > self.places.most() && !hands.net.drop_leaving() {
+        while hands.net.accepted() > self.places.most() && !hands.net.close_oldest_lingering() {
             let Some(conn) = self.places.first_to_go() else { return };
             // Who has asked meanwhile stays.
             self.read(conn, hands);
@@ -119,7 +119,7 @@
                 tracing::debug!("client connection closed to make room");
                 if self.places.may_ask(conn) {
                     let wait = hands.engine.overloaded().retry_after;
-                    self.part_with(conn, &http::no_room(wait), hands);
+                    self.part_with(conn, &http::service_unavailable(wait), hands);
                 } else {
                     self.close(conn, hands);
                 }
@@ -143,28 +143,28 @@
     fn read(&mut self, conn: ConnId, hands: &mut Platform) {
         for _ in 0..READS {
             match hands.net.fill(conn) {
-                ReadOutcome::Some(_) => self.work(conn, hands),
+                ReadOutcome::Read(_) => self.work(conn, hands),
                 // What a client sends ahead of its answer stays unread once the buffer is full.
-                ReadOutcome::Full => {
+                ReadOutcome::BufferFull => {
                     self.work(conn, hands);
                     if self.clients.get(&conn).is_none_or(|c| c.query.is_some()) {
                         return self.close_if_ended(conn, hands);
                     }
                 }
-                ReadOutcome::Nothing => return,
+                ReadOutcome::WouldBlock => return,
                 ReadOutcome::NoBuffer if hands.net.peer_ended(conn) => return self.close(conn, hands),
                 ReadOutcome::NoBuffer => {
                     // Guards those who ask against those who hold the buffers with half a request.
                     self.free_a_buffer(conn, hands);
                     return;
                 }
-                ReadOutcome::Ended => return self.close(conn, hands),
+                ReadOutcome::Closed => return self.close(conn, hands),
             }
             if !self.clients.contains_key(&conn) {
                 return;
             }
         }
-        hands.net.read_later(conn);
+        hands.net.requeue_readable(conn);
     }
 
     /// Guards against work for a client that has gone, the end of whose connection can't be read for what lies before.
@@ -196,7 +196,7 @@
                         continue;
                     }
                     let wait = hands.engine.overloaded().retry_after;
-                    return self.part_with(conn, &http::no_room(wait), hands);
+                    return self.part_with(conn, &http::service_unavailable(wait), hands);
                 }
                 Err(e) => return self.unreadable(conn, e, hands),
             };
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -70,7 +70,7 @@
     // large fleet a broker meets more servers than clients: with a place for each server none is dialled twice.
     let apart = told.ops.map_or(0, |_| admin::PLACES);
     let (to_servers, most) = divide(told.sockets, apart);
-    let mut net = PollLoop::new(Pool::within((told.memory_mb << 20) / BUFFERS), most)
+    let mut net = PollLoop::new(Pool::with_byte_limit((told.memory_mb << 20) / BUFFERS), most)
         .map_err(BrokerError::io("poll"))?;
     let limits = UpstreamLimits {
         streams: told.params.streams(),
@@ -234,13 +234,13 @@
     fn limit_descriptors(&mut self, descriptors: usize, net: &mut PollLoop) {
         // What is held stays; only the rest is divided. Callers at the second address may still come.
         let rest = descriptors.saturating_sub(
-            net.descriptors() + self.apart - net.accepted_at(ConnectionClass::Admin).min(self.apart),
+            net.descriptors() + self.apart - net.accepted_in_class(ConnectionClass::Admin).min(self.apart),
         );
         let servers = self.servers.links() + rest / 2;
         let clients = net.accepted() + rest - rest / 2;
         self.servers.keep_to(servers);
         self.clients.keep_to(clients, (descriptors / CLIENTS_KEPT).min(clients));
-        net.limit_accepted(clients);
+        net.set_accepted_limit(clients);
     }
 
     fn open_ids(&self) -> Vec<String> {
--- a/src/frontends/platform/upstream.rs
+++ b/src/frontends/platform/upstream.rs
@@ -318,15 +318,15 @@
     fn read(&mut self, conn: ConnId, hands: &mut Platform) {
         while self.links.contains_key(&conn) {
             match hands.net.fill(conn) {
-                ReadOutcome::Some(_) => {
+                ReadOutcome::Read(_) => {
                     if let Some(link) = self.links.get_mut(&conn) {
                         link.unheard = None;
                     }
                     self.frames(conn, hands);
                 }
-                ReadOutcome::Nothing | ReadOutcome::NoBuffer => return,
-                ReadOutcome::Full => return self.spoilt(conn, "a frame larger than a buffer", hands),
-                ReadOutcome::Ended => return self.close(conn, hands),
+                ReadOutcome::WouldBlock | ReadOutcome::NoBuffer => return,
+                ReadOutcome::BufferFull => return self.spoilt(conn, "a frame larger than a buffer", hands),
+                ReadOutcome::Closed => return self.close(conn, hands),
             }
         }
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -278,7 +278,7 @@
         }
         if self.body.is_none() {
             self.body = match self.side {
-                Side::Requests => pool.take_for_stranger(),
+                Side::Requests => pool.take_for_untrusted(),
                 Side::Responses => pool.take(),
             };
         }
@@ -352,7 +352,7 @@
 }
 
 /// Tells a client that there is no room for it now, and when to come back if that is known; ends its connection.
-pub fn no_room(wait: u64) -> Vec<u8> {
+pub fn service_unavailable(wait: u64) -> Vec<u8> {
     let text = retry_after(wait);
     let headers: &[(&str, &str)] = if wait > 0 { &[("Retry-After", &text)] } else { &[] };
     response(503, headers, false, b"")
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -8,64 +8,64 @@
 /// Largest head of a message.
 pub const MAX_HEAD: usize = 8 * 1024;
 /// Size of a buffer unless its pool has another: one whole message.
-pub const SIZE: usize = MAX_BODY + MAX_HEAD;
+pub const BUFFER_SIZE: usize = MAX_BODY + MAX_HEAD;
 
 #[derive(Debug)]
-struct Shelf {
+struct Supply {
     free: Vec<Box<[u8]>>,
-    out: usize,
-    most: usize,
+    in_use: usize,
+    limit: usize,
     /// Bytes of one buffer.
     size: usize,
 }
 
 /// Most unused buffers that are kept for later use; more go back to the system.
-const MOST_FREE: usize = 32;
+const MAX_FREE_BUFFERS: usize = 32;
 
 /// A bounded supply of buffers. Clones share it.
 #[derive(Clone, Debug)]
-pub struct Pool(Rc<RefCell<Shelf>>);
+pub struct Pool(Rc<RefCell<Supply>>);
 
 impl Pool {
     /// A pool that hands out at most so many buffers at once.
-    pub fn new(most: usize) -> Pool {
-        Pool::sized(most, SIZE)
+    pub fn new(limit: usize) -> Pool {
+        Pool::with_buffer_size(limit, BUFFER_SIZE)
     }
 
     /// The same with buffers of so many bytes, for peers whose messages are short.
-    pub fn sized(most: usize, size: usize) -> Pool {
-        Pool(Rc::new(RefCell::new(Shelf { free: Vec::new(), out: 0, most, size })))
+    pub fn with_buffer_size(limit: usize, size: usize) -> Pool {
+        Pool(Rc::new(RefCell::new(Supply { free: Vec::new(), in_use: 0, limit, size })))
     }
 
     /// A pool whose buffers take at most so many bytes together.
-    pub fn within(bytes: usize) -> Pool {
-        Pool::new((bytes / SIZE).max(16))
+    pub fn with_byte_limit(bytes: usize) -> Pool {
+        Pool::new((bytes / BUFFER_SIZE).max(16))
     }
 
     /// An empty buffer; none while all are in use. A dropped buffer returns here.
     pub fn take(&self) -> Option<Buf> {
-        let mut shelf = self.0.borrow_mut();
-        if shelf.out >= shelf.most {
+        let mut supply = self.0.borrow_mut();
+        if supply.in_use >= supply.limit {
             return None;
         }
-        shelf.out += 1;
-        let size = shelf.size;
-        let bytes = shelf.free.pop().unwrap_or_else(|| vec![0; size].into_boxed_slice());
-        Some(Buf { bytes, start: 0, end: 0, home: self.0.clone() })
+        supply.in_use += 1;
+        let size = supply.size;
+        let bytes = supply.free.pop().unwrap_or_else(|| vec![0; size].into_boxed_slice());
+        Some(Buf { bytes, start: 0, end: 0, supply: self.0.clone() })
     }
 
     /// The same for peers that nobody vouches for: a quarter of the supply is not for them.
-    pub fn take_for_stranger(&self) -> Option<Buf> {
+    pub fn take_for_untrusted(&self) -> Option<Buf> {
         let room = {
-            let shelf = self.0.borrow();
-            shelf.out < shelf.most - shelf.most / 4
+            let supply = self.0.borrow();
+            supply.in_use < supply.limit - supply.limit / 4
         };
         if room { self.take() } else { None }
     }
 
     /// Buffers in use.
     pub fn in_use(&self) -> usize {
-        self.0.borrow().out
+        self.0.borrow().in_use
     }
 }
 
@@ -75,7 +75,7 @@
     bytes: Box<[u8]>,
     start: usize,
     end: usize,
-    home: Rc<RefCell<Shelf>>,
+    supply: Rc<RefCell<Supply>>,
 }
 
 impl Buf {
@@ -124,10 +124,10 @@
 impl Drop for Buf {
     fn drop(&mut self) {
         let bytes = std::mem::take(&mut self.bytes);
-        let mut shelf = self.home.borrow_mut();
-        shelf.out -= 1;
-        if shelf.free.len() < MOST_FREE {
-            shelf.free.push(bytes);
+        let mut supply = self.supply.borrow_mut();
+        supply.in_use -= 1;
+        if supply.free.len() < MAX_FREE_BUFFERS {
+            supply.free.push(bytes);
         }
     }
 }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -8,21 +8,21 @@
 use std::io::{self, ErrorKind, Read, Write};
 
 /// Most buffers that may wait to be written on one connection.
-const MOST_QUEUED: usize = 32;
+const MAX_QUEUED_BUFFERS: usize = 32;
 
 /// What a read brought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadOutcome {
     /// So many new bytes; there may be more.
-    Some(usize),
+    Read(usize),
     /// Nothing for now; an event will tell.
-    Nothing,
+    WouldBlock,
     /// The input buffer is full; consume first.
-    Full,
+    BufferFull,
     /// No buffer can be had for now; an event will tell.
     NoBuffer,
     /// The peer has ended the connection, or it broke.
-    Ended,
+    Closed,
 }
 
 /// The connection's queue, or the pool, has no room for the message. Nothing of it was queued.
@@ -36,25 +36,25 @@
     /// Where its buffers come from.
     pool: Pool,
     /// With whom it is counted.
-    pub place: ConnectionClass,
+    pub class: ConnectionClass,
     pub input: Option<Buf>,
     output: VecDeque<Buf>,
     pub connected: bool,
     /// It came from a listener.
     pub accepted: bool,
     /// Its last message is out, and the peer is given a moment to read it: so many bytes are still dropped.
-    pub leaving: Option<usize>,
-    /// While it is leaving: how many bytes had been taken when that was last seen to grow, and when.
-    pub progress: (u64, Nanos),
+    pub lingering: Option<usize>,
+    /// While it is lingering: how many bytes had been taken when that was last seen to grow, and when.
+    pub linger_progress: (u64, Nanos),
     /// Its writing side was ended.
-    pub shut: bool,
+    pub write_shut: bool,
     /// The peer has ended the connection or it broke, though what came before that may be unread.
     pub peer_ended: bool,
     /// Close as soon as all is written.
-    pub close_after: bool,
+    pub close_when_flushed: bool,
     /// Bytes queued and bytes handed to the system since the start.
-    pub queued: u64,
-    pub flushed: u64,
+    pub bytes_queued: u64,
+    pub bytes_flushed: u64,
 }
 
 impl Connection {
@@ -62,55 +62,55 @@
         stream: TcpStream,
         owner: u8,
         accepted: bool,
-        place: ConnectionClass,
+        class: ConnectionClass,
         pool: Pool,
     ) -> Connection {
         Connection {
             stream,
             owner,
             pool,
-            place,
+            class,
             input: None,
             output: VecDeque::new(),
             connected: accepted,
             accepted,
-            leaving: None,
-            progress: (0, 0),
-            shut: false,
+            lingering: None,
+            linger_progress: (0, 0),
+            write_shut: false,
             peer_ended: false,
-            close_after: false,
-            queued: 0,
-            flushed: 0,
+            close_when_flushed: false,
+            bytes_queued: 0,
+            bytes_flushed: 0,
         }
     }
 
     pub fn fill(&mut self) -> ReadOutcome {
         if self.input.is_none() {
-            self.input = if self.accepted { self.pool.take_for_stranger() } else { self.pool.take() };
+            self.input = if self.accepted { self.pool.take_for_untrusted() } else { self.pool.take() };
         }
         let Some(buf) = &mut self.input else { return ReadOutcome::NoBuffer };
         if buf.room() == 0 {
-            return ReadOutcome::Full;
+            return ReadOutcome::BufferFull;
         }
         loop {
             return match self.stream.read(buf.space()) {
-                Ok(0) => ReadOutcome::Ended,
+                Ok(0) => ReadOutcome::Closed,
                 Ok(n) => {
                     buf.added(n);
-                    ReadOutcome::Some(n)
+                    ReadOutcome::Read(n)
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.tidy();
-                    ReadOutcome::Nothing
+                    self.release_empty_input();
+                    ReadOutcome::WouldBlock
                 }
-                Err(_) => ReadOutcome::Ended,
+                Err(_) => ReadOutcome::Closed,
             };
         }
     }
 
     /// Gives an empty input buffer back: an idle connection holds none.
-    pub fn tidy(&mut self) {
+    pub fn release_empty_input(&mut self) {
         if self.input.as_ref().is_some_and(|b| b.data().is_empty()) {
             self.input = None;
         }
@@ -119,10 +119,10 @@
     /// Reads and drops what a peer sends that is to read its last message. False once that is enough.
     pub fn discard(&mut self) -> bool {
         let mut sink = [0; 16 * 1024];
-        while let Some(left) = self.leaving.filter(|left| *left > 0) {
+        while let Some(left) = self.lingering.filter(|left| *left > 0) {
             match self.stream.read(&mut sink) {
                 Ok(0) => return false,
-                Ok(n) => self.leaving = Some(left.saturating_sub(n)),
+                Ok(n) => self.lingering = Some(left.saturating_sub(n)),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => return e.kind() == ErrorKind::WouldBlock,
             }
@@ -133,32 +133,32 @@
     /// Writes a message as far as the system takes it at once and queues the rest, or queues nothing.
     pub fn queue(&mut self, message: &[u8]) -> Result<(), QueueFull> {
         // Guards answers against an empty pool: most messages need no buffer.
-        let now = if self.connected && self.output.is_empty() {
+        let written = if self.connected && self.output.is_empty() {
             // What is wrong with the connection shows at the next flush.
             self.stream.write(message).unwrap_or(0)
         } else {
             0
         };
-        self.queued += now as u64;
-        self.flushed += now as u64;
-        let message = &message[now..];
-        let mut fresh: Vec<Buf> = Vec::new();
-        let in_tail = self.output.back().map_or(0, Buf::room).min(message.len());
-        let mut rest = &message[in_tail..];
+        self.bytes_queued += written as u64;
+        self.bytes_flushed += written as u64;
+        let message = &message[written..];
+        let mut new_buffers: Vec<Buf> = Vec::new();
+        let fits_in_tail = self.output.back().map_or(0, Buf::room).min(message.len());
+        let mut rest = &message[fits_in_tail..];
         while !rest.is_empty() {
-            if self.output.len() + fresh.len() >= MOST_QUEUED {
+            if self.output.len() + new_buffers.len() >= MAX_QUEUED_BUFFERS {
                 return Err(QueueFull);
             }
             let mut buf = self.pool.take().ok_or(QueueFull)?;
             let n = buf.push(rest);
             rest = &rest[n..];
-            fresh.push(buf);
+            new_buffers.push(buf);
         }
         if let Some(tail) = self.output.back_mut() {
-            tail.push(&message[..in_tail]);
+            tail.push(&message[..fits_in_tail]);
         }
-        self.output.extend(fresh);
-        self.queued += message.len() as u64;
+        self.output.extend(new_buffers);
+        self.bytes_queued += message.len() as u64;
         Ok(())
     }
 
@@ -168,7 +168,7 @@
             match self.stream.write(buf.data()) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(n) => {
-                    self.flushed += n as u64;
+                    self.bytes_flushed += n as u64;
                     buf.consume(n);
                     if buf.data().is_empty() {
                         self.output.pop_front();
--- a/src/net/poll_loop.rs
+++ b/src/net/poll_loop.rs
@@ -78,24 +78,24 @@
 }
 
 /// The token of the waker: no slot of the slab has it.
-const WAKE: Token = Token(usize::MAX - 1);
+const WAKE_TOKEN: Token = Token(usize::MAX - 1);
 /// Most connections accepted at a time: the owner of each looks at it before more come in.
-const BATCH: usize = 8;
+const ACCEPT_BATCH: usize = 8;
 /// How long a peer may take to read the last message before its connection is closed, and how much of what it
 /// sends meanwhile is read.
-const LINGER: Nanos = 400_000_000;
-const LINGER_BYTES: usize = 256 * 1024;
+const LINGER_TIMEOUT: Nanos = 400_000_000;
+const MAX_LINGER_DISCARD_BYTES: usize = 256 * 1024;
 /// How long a peer may take nothing of a last message that is not written yet; as long as a request may take to come.
-const UNREAD: Nanos = 2_500_000_000;
+const UNREAD_MESSAGE_TIMEOUT: Nanos = 2_500_000_000;
 /// How long to wait before accepting again, when the system had refused.
-const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 enum Source {
     /// A listener; one whose connections are counted apart brings the pool for their buffers.
     Listener {
         socket: TcpListener,
         owner: u8,
-        apart: Option<(ConnectionClass, Pool)>,
+        isolated: Option<(ConnectionClass, Pool)>,
     },
     Datagrams {
         socket: UdpSocket,
@@ -108,27 +108,27 @@
 /// All sockets of the program.
 pub struct PollLoop {
     poll: Poll,
-    ready: Events,
+    mio_events: Events,
     sources: Slab<(u32, Source)>,
     serial: u32,
     pool: Pool,
     /// Connections that wait for a buffer.
-    starved: VecDeque<ConnId>,
+    awaiting_buffer: VecDeque<ConnId>,
     /// Events that arose outside `wait`.
-    pending: VecDeque<NetEvent>,
+    pending_events: VecDeque<NetEvent>,
     /// Listeners that are looked at again a little later: the system refused, or there is no room.
-    stuck: Vec<usize>,
+    paused_listeners: Vec<usize>,
     waker: Option<Waker>,
     /// Listeners at which more may wait.
-    more: Vec<usize>,
+    ready_listeners: Vec<usize>,
     /// Most accepted connections and how many are open; of those that are counted apart, too.
-    most: [usize; 3],
-    accepted: [usize; 3],
+    accept_limits: [usize; 3],
+    accepted_counts: [usize; 3],
     conns: usize,
     /// Connections whose peers read a last message, until when.
-    leaving: VecDeque<(ConnId, Nanos)>,
+    lingering: VecDeque<(ConnId, Nanos)>,
     /// Connections to be closed once all is written.
-    flushing: usize,
+    closing_after_flush: usize,
 }
 
 impl PollLoop {
@@ -137,20 +137,20 @@
     pub fn new(pool: Pool, most_accepted: usize) -> io::Result<PollLoop> {
         Ok(PollLoop {
             poll: Poll::new()?,
-            ready: Events::with_capacity(256),
+            mio_events: Events::with_capacity(256),
             sources: Slab::new(),
             serial: 0,
             pool,
-            starved: VecDeque::new(),
-            pending: VecDeque::new(),
-            stuck: Vec::new(),
+            awaiting_buffer: VecDeque::new(),
+            pending_events: VecDeque::new(),
+            paused_listeners: Vec::new(),
             waker: None,
-            more: Vec::new(),
-            most: [most_accepted, 0, 0],
-            accepted: [0; 3],
+            ready_listeners: Vec::new(),
+            accept_limits: [most_accepted, 0, 0],
+            accepted_counts: [0; 3],
             conns: 0,
-            leaving: VecDeque::new(),
-            flushing: 0,
+            lingering: VecDeque::new(),
+            closing_after_flush: 0,
         })
     }
 
@@ -161,36 +161,36 @@
 
     /// Accepted connections that are open, without those counted apart.
     pub fn accepted(&self) -> usize {
-        self.accepted[0]
+        self.accepted_counts[0]
     }
 
     /// From now on owners keep to so many accepted connections, without those counted apart.
-    pub fn limit_accepted(&mut self, most_accepted: usize) {
-        self.most[0] = most_accepted;
+    pub fn set_accepted_limit(&mut self, most_accepted: usize) {
+        self.accept_limits[0] = most_accepted;
     }
 
     /// Descriptors that are held: all sockets, and what the program holds beside them.
     pub fn descriptors(&self) -> usize {
-        const BESIDE: usize = 16;
-        self.sources.len() + BESIDE
+        const OTHER_DESCRIPTORS: usize = 16;
+        self.sources.len() + OTHER_DESCRIPTORS
     }
 
-    /// Accepted connections that are open in this place.
-    pub fn accepted_at(&self, place: ConnectionClass) -> usize {
-        self.accepted[place as usize]
+    /// Accepted connections that are open in this class.
+    pub fn accepted_in_class(&self, class: ConnectionClass) -> usize {
+        self.accepted_counts[class as usize]
     }
 
     /// Something to wake this reactor with.
     pub fn waker(&mut self) -> io::Result<Waker> {
         if self.waker.is_none() {
-            self.waker = Some(Waker(Arc::new(mio::Waker::new(self.poll.registry(), WAKE)?)));
+            self.waker = Some(Waker(Arc::new(mio::Waker::new(self.poll.registry(), WAKE_TOKEN)?)));
         }
         self.waker.clone().ok_or_else(|| ErrorKind::NotFound.into())
     }
 
     /// Something is still to be written on a connection that closes after it, or to be told as an event.
     pub fn is_busy(&self) -> bool {
-        self.flushing > 0 || !self.pending.is_empty()
+        self.closing_after_flush > 0 || !self.pending_events.is_empty()
     }
 
     /// Listens; returns the address, which tells the port where 0 was asked for.
@@ -206,17 +206,17 @@
 
     /// Listens for peers that have places and buffers of their own: crowds elsewhere take nothing from them, nor
     /// they from others. The owner keeps to `most` connections.
-    pub fn listen_apart(
+    pub fn listen_with_pool(
         &mut self,
         addr: SocketAddr,
         owner: u8,
-        place: ConnectionClass,
+        class: ConnectionClass,
         most: usize,
         pool: Pool,
     ) -> io::Result<SocketAddr> {
         let socket = TcpListener::bind(addr)?;
-        self.most[place as usize] += most;
-        self.listen_with(socket, owner, Some((place, pool)))
+        self.accept_limits[class as usize] += most;
+        self.listen_with(socket, owner, Some((class, pool)))
     }
 
     /// Takes and sends datagrams at this address.
@@ -246,7 +246,7 @@
     }
 
     /// The next datagram; none when all are taken. A longer one than `into` is cut.
-    pub fn take_datagram(&self, socket: Datagrams, into: &mut [u8]) -> Option<(usize, SocketAddr)> {
+    pub fn receive_datagram(&self, socket: Datagrams, into: &mut [u8]) -> Option<(usize, SocketAddr)> {
         let Some((_, Source::Datagrams { socket, .. })) = self.sources.get(socket.0) else { return None };
         loop {
             match socket.recv_from(into) {
@@ -260,21 +260,21 @@
     }
 
     /// Tells once more that there may be datagrams: guards all else against a flood of them.
-    pub fn datagrams_later(&mut self, owner: u8) {
-        self.pending.push_back(NetEvent::Datagrams { owner });
+    pub fn requeue_datagrams(&mut self, owner: u8) {
+        self.pending_events.push_back(NetEvent::Datagrams { owner });
     }
 
     fn listen_with(
         &mut self,
         mut socket: TcpListener,
         owner: u8,
-        apart: Option<(ConnectionClass, Pool)>,
+        isolated: Option<(ConnectionClass, Pool)>,
     ) -> io::Result<SocketAddr> {
         let bound = socket.local_addr()?;
         let entry = self.sources.vacant_entry();
         self.poll.registry().register(&mut socket, Token(entry.key()), Interest::READABLE)?;
         self.serial = self.serial.wrapping_add(1);
-        entry.insert((self.serial, Source::Listener { socket, owner, apart }));
+        entry.insert((self.serial, Source::Listener { socket, owner, isolated }));
         Ok(bound)
     }
 
@@ -316,7 +316,7 @@
     }
 
     /// The same with a pool of its own for the connection's buffers.
-    pub fn dial_apart(&mut self, addr: SocketAddr, owner: u8, pool: Pool) -> io::Result<ConnId> {
+    pub fn dial_with_pool(&mut self, addr: SocketAddr, owner: u8, pool: Pool) -> io::Result<ConnId> {
         let stream = TcpStream::connect(addr)?;
         self.add(stream, owner, (false, ConnectionClass::Peers), pool)
     }
@@ -325,7 +325,7 @@
         &mut self,
         mut stream: TcpStream,
         owner: u8,
-        (accepted, place): (bool, ConnectionClass),
+        (accepted, class): (bool, ConnectionClass),
         pool: Pool,
     ) -> io::Result<ConnId> {
         let entry = self.sources.vacant_entry();
@@ -336,10 +336,10 @@
         let id = ConnId(entry.key(), self.serial);
         entry.insert((
             self.serial,
-            Source::Conn(Box::new(Connection::new(stream, owner, accepted, place, pool))),
+            Source::Conn(Box::new(Connection::new(stream, owner, accepted, class, pool))),
         ));
         self.conns += 1;
-        self.accepted[place as usize] += usize::from(accepted);
+        self.accepted_counts[class as usize] += usize::from(accepted);
         Ok(id)
     }
 
@@ -363,12 +363,12 @@
 
     /// Bytes queued on this connection since its start: the position of the next message's first byte.
     pub fn queued(&mut self, id: ConnId) -> u64 {
-        self.conn(id).map_or(0, |c| c.queued)
+        self.conn(id).map_or(0, |c| c.bytes_queued)
     }
 
     /// Bytes of it that were handed to the system.
     pub fn flushed(&mut self, id: ConnId) -> u64 {
-        self.conn(id).map_or(0, |c| c.flushed)
+        self.conn(id).map_or(0, |c| c.bytes_flushed)
     }
 
     /// Whether all of it was.
@@ -378,10 +378,10 @@
 
     /// Reads once.
     pub fn fill(&mut self, id: ConnId) -> ReadOutcome {
-        let Some(c) = self.conn(id) else { return ReadOutcome::Ended };
+        let Some(c) = self.conn(id) else { return ReadOutcome::Closed };
         let filled = c.fill();
         if filled == ReadOutcome::NoBuffer {
-            self.starved.push_back(id);
+            self.awaiting_buffer.push_back(id);
         }
         filled
     }
@@ -397,19 +397,19 @@
             if let Some(b) = &mut c.input {
                 b.consume(n);
             }
-            c.tidy();
+            c.release_empty_input();
         }
     }
 
     /// Queues a whole message and writes what can be written now.
     pub fn send(&mut self, id: ConnId, message: &[u8]) -> Result<(), QueueFull> {
         let Some(c) = self.conn(id) else { return Err(QueueFull) };
-        let before = c.queued;
+        let before = c.bytes_queued;
         let queued = c.queue(message);
-        let (half, connected) = (queued.is_err() && c.queued > before, c.connected);
-        if half {
+        let (half_sent, connected) = (queued.is_err() && c.bytes_queued > before, c.connected);
+        if half_sent {
             // Guards the peer against half a message with another behind it.
-            self.broke(id);
+            self.report_broken(id);
         } else if connected {
             self.flush(id);
         }
@@ -421,20 +421,20 @@
         let (owner, before) = (c.owner, c.all_written());
         match c.flush() {
             Ok(()) => {
-                let (done, close) = (c.all_written(), c.close_after);
-                if done && close && c.leaving.is_some() {
+                let (done, close) = (c.all_written(), c.close_when_flushed);
+                if done && close && c.lingering.is_some() {
                     // The peer reads the end; a close with input unread could take the last message from it.
                     // Once: each call wakes the poll, whose word that it can be written leads here again.
-                    if !std::mem::replace(&mut c.shut, true) {
+                    if !std::mem::replace(&mut c.write_shut, true) {
                         let _ = c.stream.shutdown(std::net::Shutdown::Write);
                     }
                 } else if done && close {
                     self.close(id);
                 } else if done && !before {
-                    self.pending.push_back(NetEvent::Flushed { owner, conn: id });
+                    self.pending_events.push_back(NetEvent::Flushed { owner, conn: id });
                 }
             }
-            Err(_) => self.broke(id),
+            Err(_) => self.report_broken(id),
         }
     }
 
@@ -444,18 +444,18 @@
             && let (_, Source::Conn(mut c)) = self.sources.remove(id.0)
         {
             self.conns -= 1;
-            self.accepted[c.place as usize] -= usize::from(c.accepted);
-            self.flushing -= usize::from(c.close_after);
+            self.accepted_counts[c.class as usize] -= usize::from(c.accepted);
+            self.closing_after_flush -= usize::from(c.close_when_flushed);
             let _ = self.poll.registry().deregister(&mut c.stream);
         }
     }
 
     /// Closes once all that was queued is written.
     pub fn close_after_flush(&mut self, id: ConnId) {
-        let Some(c) = self.conn(id).filter(|c| !c.close_after) else { return };
-        c.close_after = true;
+        let Some(c) = self.conn(id).filter(|c| !c.close_when_flushed) else { return };
+        c.close_when_flushed = true;
         let done = c.all_written();
-        self.flushing += 1;
+        self.closing_after_flush += 1;
         if done {
             self.close(id);
         }
@@ -464,13 +464,13 @@
     /// Closes once all that was queued is written and the peer has had a moment to read it, even one that is
     /// still sending: a close over unread bytes would take from it what the system still holds.
     pub fn close_lingering(&mut self, id: ConnId, now: Nanos) {
-        let Some(c) = self.conn(id).filter(|c| !c.close_after) else { return };
-        (c.close_after, c.leaving, c.input) = (true, Some(LINGER_BYTES), None);
-        self.flushing += 1;
-        self.leaving.push_back((id, now + LINGER));
+        let Some(c) = self.conn(id).filter(|c| !c.close_when_flushed) else { return };
+        (c.close_when_flushed, c.lingering, c.input) = (true, Some(MAX_LINGER_DISCARD_BYTES), None);
+        self.closing_after_flush += 1;
+        self.lingering.push_back((id, now + LINGER_TIMEOUT));
         self.flush(id);
         if let Some(c) = self.conn(id) {
-            c.progress = (c.flushed, now);
+            c.linger_progress = (c.bytes_flushed, now);
         }
         // What is unread by now makes no further event.
         if self.conn(id).is_some_and(|c| !c.discard()) {
@@ -478,10 +478,10 @@
         }
     }
 
-    /// Closes the connection that has been leaving for longest, if there is one whose last message is written.
-    pub fn drop_leaving(&mut self) -> bool {
-        for _ in 0..self.leaving.len() {
-            let Some((id, by)) = self.leaving.pop_front() else { break };
+    /// Closes the connection that has been lingering for longest, if there is one whose last message is written.
+    pub fn close_oldest_lingering(&mut self) -> bool {
+        for _ in 0..self.lingering.len() {
+            let Some((id, by)) = self.lingering.pop_front() else { break };
             if !self.is_open(id) {
                 continue;
             }
@@ -489,7 +489,7 @@
                 self.close(id);
                 return true;
             }
-            self.leaving.push_back((id, by));
+            self.lingering.push_back((id, by));
         }
         false
     }
@@ -497,14 +497,14 @@
     /// Closes connections whose peers have had their moment, which runs from when their last message was written. Guards
     /// the places of others against peers that read nothing.
     pub fn tick(&mut self, now: Nanos) {
-        while let Some((id, _)) = self.leaving.pop_front_if(|(_, by)| *by <= now) {
+        while let Some((id, _)) = self.lingering.pop_front_if(|(_, by)| *by <= now) {
             let Some(c) = self.conn(id) else { continue };
-            let grew = c.flushed > c.progress.0;
+            let grew = c.bytes_flushed > c.linger_progress.0;
             if grew {
-                c.progress = (c.flushed, now);
+                c.linger_progress = (c.bytes_flushed, now);
             }
-            if grew || (!c.all_written() && now < c.progress.1 + UNREAD) {
-                self.leaving.push_back((id, now + LINGER));
+            if grew || (!c.all_written() && now < c.linger_progress.1 + UNREAD_MESSAGE_TIMEOUT) {
+                self.lingering.push_back((id, now + LINGER_TIMEOUT));
             } else {
                 self.close(id);
             }
@@ -513,43 +513,46 @@
 
     /// When `tick` is next worth calling.
     pub fn next_deadline(&self) -> Option<Nanos> {
-        self.leaving.front().map(|(_, by)| *by)
+        self.lingering.front().map(|(_, by)| *by)
     }
 
     /// Tells once more that there may be something to read: guards the other connections against a peer that
     /// sends without end.
-    pub fn read_later(&mut self, id: ConnId) {
+    pub fn requeue_readable(&mut self, id: ConnId) {
         if let Some(owner) = self.conn(id).map(|c| c.owner) {
-            self.pending.push_back(NetEvent::Readable { owner, conn: id });
+            self.pending_events.push_back(NetEvent::Readable { owner, conn: id });
         }
     }
 
-    fn broke(&mut self, id: ConnId) {
+    fn report_broken(&mut self, id: ConnId) {
         let Some(c) = self.conn(id) else { return };
-        let event = NetEvent::Broken { owner: c.owner, conn: id, flushed: c.flushed };
+        let event = NetEvent::Broken { owner: c.owner, conn: id, flushed: c.bytes_flushed };
         self.close(id);
-        self.pending.push_back(event);
+        self.pending_events.push_back(event);
     }
 
     /// Waits for events for at most `timeout`, and adds them to `events`.
     pub fn wait(&mut self, timeout: Option<Duration>, events: &mut Vec<NetEvent>) -> io::Result<()> {
-        let fed = !self.starved.is_empty() && self.pool.take_for_stranger().is_some();
-        let at_once = fed || !self.pending.is_empty() || !self.more.is_empty();
+        let buffer_available = !self.awaiting_buffer.is_empty() && self.pool.take_for_untrusted().is_some();
+        let at_once = buffer_available || !self.pending_events.is_empty() || !self.ready_listeners.is_empty();
         let timeout = if at_once { Some(Duration::ZERO) } else { timeout };
         // Guards against a listener that never wakes again: what waits there makes no second event.
-        let stuck = std::mem::take(&mut self.stuck);
-        let timeout =
-            if stuck.is_empty() { timeout } else { Some(timeout.unwrap_or(ACCEPT_AGAIN).min(ACCEPT_AGAIN)) };
-        let mut ready = std::mem::replace(&mut self.ready, Events::with_capacity(0));
+        let paused_listeners = std::mem::take(&mut self.paused_listeners);
+        let timeout = if paused_listeners.is_empty() {
+            timeout
+        } else {
+            Some(timeout.unwrap_or(ACCEPT_RETRY_DELAY).min(ACCEPT_RETRY_DELAY))
+        };
+        let mut ready = std::mem::replace(&mut self.mio_events, Events::with_capacity(0));
         let polled = self.poll.poll(&mut ready, timeout);
         if let Err(e) = &polled
             && e.kind() != ErrorKind::Interrupted
         {
-            self.ready = ready;
+            self.mio_events = ready;
             return polled;
         }
-        if fed {
-            for conn in std::mem::take(&mut self.starved) {
+        if buffer_available {
+            for conn in std::mem::take(&mut self.awaiting_buffer) {
                 if let Some(c) = self.conn(conn) {
                     events.push(NetEvent::Readable { owner: c.owner, conn });
                 }
@@ -558,56 +561,56 @@
         for event in ready.iter().filter(|_| polled.is_ok()) {
             self.handle(event);
         }
-        self.ready = ready;
-        self.more.extend(stuck);
-        let mut listeners = std::mem::take(&mut self.more);
+        self.mio_events = ready;
+        self.ready_listeners.extend(paused_listeners);
+        let mut listeners = std::mem::take(&mut self.ready_listeners);
         // Each once: no more than a batch comes in before the owner has looked at it.
         listeners.sort_unstable();
         listeners.dedup();
         for key in listeners {
-            self.accept(key, BATCH);
+            self.accept(key, ACCEPT_BATCH);
         }
-        events.extend(self.pending.drain(..));
+        events.extend(self.pending_events.drain(..));
         Ok(())
     }
 
     fn handle(&mut self, event: &mio::event::Event) {
-        if event.token() == WAKE {
-            self.pending.push_back(NetEvent::Signal(Signal::End));
+        if event.token() == WAKE_TOKEN {
+            self.pending_events.push_back(NetEvent::Signal(Signal::End));
             return;
         }
         let key = event.token().0;
         let Some((serial, source)) = self.sources.get_mut(key) else { return };
         let id = ConnId(key, *serial);
         match source {
-            Source::Listener { .. } => self.more.push(key),
+            Source::Listener { .. } => self.ready_listeners.push(key),
             Source::Datagrams { owner, .. } => {
                 let owner = *owner;
-                self.pending.push_back(NetEvent::Datagrams { owner });
+                self.pending_events.push_back(NetEvent::Datagrams { owner });
             }
             Source::Signal(signal, pipe) => {
                 let mut sink = [0; 64];
                 while pipe.read(&mut sink).is_ok_and(|n| n > 0) {}
-                self.pending.push_back(NetEvent::Signal(*signal));
+                self.pending_events.push_back(NetEvent::Signal(*signal));
             }
             Source::Conn(c) => {
                 let owner = c.owner;
                 if !c.connected && (event.is_writable() || event.is_error()) {
                     let failed = c.stream.take_error().map_or(true, |e| e.is_some());
                     if failed || event.is_error() {
-                        return self.broke(id);
+                        return self.report_broken(id);
                     }
                     match c.stream.peer_addr() {
                         Ok(_) => c.connected = true,
                         Err(e) if e.kind() == ErrorKind::NotConnected => return,
-                        Err(_) => return self.broke(id),
+                        Err(_) => return self.report_broken(id),
                     }
-                    self.pending.push_back(NetEvent::Connected { owner, conn: id });
+                    self.pending_events.push_back(NetEvent::Connected { owner, conn: id });
                 }
                 if event.is_writable() {
                     self.flush(id);
                 }
-                if let Some(c) = self.conn(id).filter(|c| c.leaving.is_some()) {
+                if let Some(c) = self.conn(id).filter(|c| c.lingering.is_some()) {
                     if !c.discard() {
                         self.close(id);
                     }
@@ -617,7 +620,7 @@
                     c.peer_ended |= event.is_read_closed() || event.is_error();
                 }
                 if self.is_open(id) && (event.is_readable() || event.is_error() || event.is_read_closed()) {
-                    self.pending.push_back(NetEvent::Readable { owner, conn: id });
+                    self.pending_events.push_back(NetEvent::Readable { owner, conn: id });
                 }
             }
         }
@@ -625,21 +628,23 @@
 
     fn accept(&mut self, key: usize, most: usize) {
         for _ in 0..most {
-            let Some((_, Source::Listener { socket, owner, apart })) = self.sources.get(key) else { return };
+            let Some((_, Source::Listener { socket, owner, isolated })) = self.sources.get(key) else {
+                return;
+            };
             let owner = *owner;
-            let place = apart.as_ref().map_or(ConnectionClass::Clients, |(place, _)| *place);
-            let held = self.accepted[place as usize];
+            let class = isolated.as_ref().map_or(ConnectionClass::Clients, |(class, _)| *class);
+            let held = self.accepted_counts[class as usize];
             // Guards clients against a close without an answer: the system holds who is not accepted yet.
-            if held >= self.most[place as usize] + 2 * BATCH {
+            if held >= self.accept_limits[class as usize] + 2 * ACCEPT_BATCH {
                 tracing::warn!("connections wait to be accepted: {held} are open");
-                self.stuck.push(key);
+                self.paused_listeners.push(key);
                 return;
             }
             match socket.accept() {
                 Ok((stream, peer)) => {
-                    let pool = apart.as_ref().map_or(&self.pool, |(_, pool)| pool).clone();
-                    match self.add(stream, owner, (true, place), pool) {
-                        Ok(conn) => self.pending.push_back(NetEvent::Accepted { owner, conn, peer }),
+                    let pool = isolated.as_ref().map_or(&self.pool, |(_, pool)| pool).clone();
+                    match self.add(stream, owner, (true, class), pool) {
+                        Ok(conn) => self.pending_events.push_back(NetEvent::Accepted { owner, conn, peer }),
                         Err(e) => tracing::warn!("connection not taken: {e}"),
                     }
                 }
@@ -647,11 +652,11 @@
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     tracing::warn!("accept failed: {e}");
-                    self.stuck.push(key);
+                    self.paused_listeners.push(key);
                     return;
                 }
             }
         }
-        self.more.push(key);
+        self.ready_listeners.push(key);
     }
 }
--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -115,8 +115,8 @@
             let pool = net.pool().clone();
             let Some(watch) = &mut self.standing else { return };
             match filled {
-                ReadOutcome::Nothing | ReadOutcome::NoBuffer => return,
-                ReadOutcome::Some(_) | ReadOutcome::Full => {
+                ReadOutcome::WouldBlock | ReadOutcome::NoBuffer => return,
+                ReadOutcome::Read(_) | ReadOutcome::BufferFull => {
                     watch.by = now + SILENT;
                     let used = match watch.reader.advance(net.data(conn), &pool) {
                         Ok(used) => used,
@@ -126,11 +126,11 @@
                     if let Err(why) = self.lines(now, roster) {
                         return self.fail(&why, net);
                     }
-                    if used == 0 && filled == ReadOutcome::Full {
+                    if used == 0 && filled == ReadOutcome::BufferFull {
                         return self.fail("a line larger than a buffer", net);
                     }
                 }
-                ReadOutcome::Ended => {
+                ReadOutcome::Closed => {
                     watch.reader.end();
                     let why = self.lines(now, roster).err().unwrap_or_else(|| "discovery closed it".into());
                     return self.fail(&why, net);
