--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -54,8 +54,8 @@
     ///
     /// If the operating system refuses the socket.
     pub fn open(addr: SocketAddr, net: &mut PollLoop) -> io::Result<AdminServer> {
-        let pool = Pool::sized(BUFFER_COUNT, BUFFER_BYTES);
-        let local_addr = net.listen_apart(addr, OWNER, ConnectionClass::Admin, MAX_CONNECTIONS, pool)?;
+        let pool = Pool::with_buffer_size(BUFFER_COUNT, BUFFER_BYTES);
+        let local_addr = net.listen_with_pool(addr, OWNER, ConnectionClass::Admin, MAX_CONNECTIONS, pool)?;
         Ok(AdminServer { local_addr, pending: VecDeque::new(), requests: VecDeque::new() })
     }
 
@@ -87,7 +87,7 @@
     }
 
     fn close_excess_callers(&mut self, net: &mut PollLoop) {
-        while net.accepted_at(ConnectionClass::Admin) > MAX_CONNECTIONS
+        while net.accepted_in_class(ConnectionClass::Admin) > MAX_CONNECTIONS
             && let Some(oldest) = self.pending.pop_front()
         {
             net.close(oldest.conn);
@@ -153,11 +153,11 @@
         (Some(line_end), _) => LineRead::Line(request::parse(data[..line_end].trim_ascii_end())),
         (None, _) if data.len() > MAX_LINE_BYTES => LineRead::Line(Err(RequestError::TooLong)),
         // The end of the line may be missing where the caller has closed its side.
-        (None, ReadOutcome::Ended) if !data.is_empty() => {
+        (None, ReadOutcome::Closed) if !data.is_empty() => {
             LineRead::Line(request::parse(data.trim_ascii_end()))
         }
-        (None, ReadOutcome::Ended) => LineRead::Closed,
-        (None, ReadOutcome::Some(_)) => LineRead::Progress,
+        (None, ReadOutcome::Closed) => LineRead::Closed,
+        (None, ReadOutcome::Read(_)) => LineRead::Progress,
         (None, _) => LineRead::Blocked,
     }
 }
--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -206,18 +206,18 @@
         while let Some(watch) = &mut self.active {
             let outcome = net.fill(watch.conn);
             match outcome {
-                ReadOutcome::Nothing | ReadOutcome::NoBuffer => return Ok(()),
-                ReadOutcome::Some(_) | ReadOutcome::Full => {
+                ReadOutcome::WouldBlock | ReadOutcome::NoBuffer => return Ok(()),
+                ReadOutcome::Read(_) | ReadOutcome::BufferFull => {
                     watch.deadline = now + HEARTBEAT_TIMEOUT;
                     let pool = net.pool().clone();
                     let used = watch.reader.advance(net.data(watch.conn), &pool)?;
                     net.consume(watch.conn, used);
                     self.process_lists(now, registry)?;
-                    if used == 0 && outcome == ReadOutcome::Full {
+                    if used == 0 && outcome == ReadOutcome::BufferFull {
                         return Err(WatchError::LineTooLong);
                     }
                 }
-                ReadOutcome::Ended => {
+                ReadOutcome::Closed => {
                     watch.reader.end();
                     self.process_lists(now, registry)?;
                     return Err(WatchError::Closed);
