--- a/lab/src/cluster/measure.rs
+++ b/lab/src/cluster/measure.rs
@@ -253,7 +253,7 @@
     let begun = Instant::now();
     let found = journal::read(&Disk, dir.path(), StoreLimits::default());
     let disk_ms = begun.elapsed().as_secs_f64() * 1e3;
-    assert_eq!(found.facts.len(), facts, "{:?}", found.wrong);
+    assert_eq!(found.facts.len(), facts, "{:?}", found.problems);
     CatchUp { facts, ms, bytes, size: copy.bytes().len(), disk_ms, disk_bytes: log.len() as u64 }
 }
 
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -126,7 +126,7 @@
     for (key, entry) in &found.facts {
         let _ = copy.join(key, entry, Nanos::MAX);
     }
-    (copy, found.wrong)
+    (copy, found.problems)
 }
 
 /// Sixty-four bits that no other process has drawn: the system seeds each thread's hashing anew.
@@ -152,7 +152,7 @@
             seed: drawn(),
         };
         let journal = Journal::start(Disk, &told.keep, bounds)?;
-        let found = journal.found_within(AT_THE_START);
+        let found = journal.wait_for_contents(AT_THE_START);
         let mut cluster = Cluster {
             settings,
             listen: told.listen,
@@ -185,8 +185,8 @@
             tracing::error!("cluster: nothing can be kept: {why}");
             JournalContents::default()
         });
-        if !found.wrong.is_empty() {
-            tracing::error!("cluster: not used: {}", found.wrong.join("; "));
+        if !found.problems.is_empty() {
+            tracing::error!("cluster: not used: {}", found.problems.join("; "));
         }
         let (seed, origin) = (&self.settings, Origin(drawn() ^ now.rotate_left(17)));
         let incarnation = (found.incarnation + 1).max(now / 1_000_000);
@@ -197,7 +197,7 @@
             seed.peers.len(),
             found.facts.len()
         );
-        self.journal.begin(incarnation);
+        self.journal.record_incarnation(incarnation);
         self.member =
             Some(Box::new(GossipNode::new(self.settings.clone(), origin, &found.facts, incarnation, now)));
     }
@@ -467,7 +467,7 @@
     /// Lets time go by.
     pub fn tick(&mut self, now: Nanos, net: &mut PollLoop) {
         if self.member.is_none()
-            && let Some(found) = self.journal.found()
+            && let Some(found) = self.journal.poll_contents()
         {
             self.begin(found, now);
         }
@@ -487,7 +487,7 @@
 
     fn write(&mut self, now: Nanos) {
         let Some(member) = &mut self.member else { return };
-        while let Some((ticket, done)) = self.journal.done() {
+        while let Some((ticket, done)) = self.journal.poll_result() {
             let keys = self.writing.remove(&ticket).unwrap_or_default();
             let (over, rest) = self.waiting.drain(..).partition(|w: &Waiting| w.ticket == Some(ticket));
             self.waiting = rest;
@@ -513,10 +513,10 @@
                 }
             }
         }
-        if member.is_kept() || !self.journal.is_free() || now < self.write_again {
+        if member.is_kept() || !self.journal.can_write() || now < self.write_again {
             return;
         }
-        if self.journal.is_dead() {
+        if self.journal.has_stopped() {
             self.write_again = now + WRITE_AGAIN;
             let no = |w: Waiting| {
                 (w.caller, Err(format!("{}: it holds here, and nothing can be kept on disk", w.key)))
@@ -543,8 +543,8 @@
     pub fn due(&self, now: Nanos) -> Nanos {
         let Some(member) = &self.member else { return now + BIND_AGAIN };
         let bind = self.sockets.is_none().then_some(self.bind_again);
-        let look = (self.journal.is_at_work() || self.reading.is_some()).then_some(now + LOOK);
-        let write = (!member.is_kept() && self.journal.is_free()).then_some(self.write_again);
+        let look = (self.journal.has_pending_writes() || self.reading.is_some()).then_some(now + LOOK);
+        let write = (!member.is_kept() && self.journal.can_write()).then_some(self.write_again);
         [Some(member.due(now)), bind, look, write].into_iter().flatten().min().unwrap_or(now + BIND_AGAIN)
     }
 }
--- a/src/hot_restart/state.rs
+++ b/src/hot_restart/state.rs
@@ -6,8 +6,12 @@
 use std::collections::BTreeMap;
 
 /// The form on disk.
-pub const FORMAT: FileFormat =
-    FileFormat { magic: "pebbleturn-handover", what: "state handed over", version: 1, most: 1 << 20 };
+pub const FORMAT: FileFormat = FileFormat {
+    magic: "pebbleturn-handover",
+    description: "state handed over",
+    version: 1,
+    max_bytes: 1 << 20,
+};
 /// Most words on servers that are kept; the oldest that let one in go first.
 const MOST_WORDS: usize = 4096;
 
--- a/src/hot_restart/state_directory.rs
+++ b/src/hot_restart/state_directory.rs
@@ -73,7 +73,7 @@
     let at = path(dir, serial, "state");
     // Looked at first: a state that was read while its process lived is one that it wrote.
     let alive = is_alive(dir, serial);
-    let read = match Disk.read(&at, super::state::FORMAT.most) {
+    let read = match Disk.read(&at, super::state::FORMAT.max_bytes) {
         Ok(bytes) => ProcessState::decode(&bytes).map(Some).map_err(|e| e.to_string()),
         Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
         Err(e) => Err(e.to_string()),
--- a/src/membership/snapshot.rs
+++ b/src/membership/snapshot.rs
@@ -11,8 +11,12 @@
 pub const VERSION: u32 = 1;
 /// Largest file that is written or read, bytes.
 pub const MOST_BYTES: usize = 8 << 20;
-const FORMAT: FileFormat =
-    FileFormat { magic: "pebbleturn-roster", what: "kept list", version: VERSION, most: MOST_BYTES };
+const FORMAT: FileFormat = FileFormat {
+    magic: "pebbleturn-roster",
+    description: "kept list",
+    version: VERSION,
+    max_bytes: MOST_BYTES,
+};
 
 /// A node as it is kept.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -290,10 +290,10 @@
 
     fn keep(&mut self, now: Nanos) {
         let Some(keeper) = &mut self.keeper else { return };
-        if keeper.is_free()
+        if keeper.is_idle()
             && let Some(kept) = self.roster.take_snapshot(now)
         {
-            keeper.keep(kept);
+            keeper.write(kept);
         }
     }
 
@@ -301,7 +301,7 @@
     pub fn next_deadline(&self) -> Option<Nanos> {
         let (Asks::Module { at: ask, .. } | Asks::Here { at: ask, .. }) = self.asks;
         // A keeper that is at work is looked at again when something else happens.
-        let keep = self.keeper.as_ref().filter(|k| k.is_free()).and_then(|_| self.roster.snapshot_due());
+        let keep = self.keeper.as_ref().filter(|k| k.is_idle()).and_then(|_| self.roster.snapshot_due());
         let routing = self.routing.as_ref().and_then(|r| r.next_deadline(self.now));
         [
             self.roster.next_deadline(),
@@ -320,7 +320,7 @@
     /// What was learnt since the last write is not lost by an orderly end.
     fn drop(&mut self) {
         if let (Some(keeper), Some(kept)) = (&mut self.keeper, self.roster.final_snapshot(self.now)) {
-            keeper.keep(kept);
+            keeper.write(kept);
         }
     }
 }
--- a/src/storage/checksummed_file.rs
+++ b/src/storage/checksummed_file.rs
@@ -11,11 +11,11 @@
     /// Its name, the first word.
     pub magic: &'static str,
     /// What it is, for people.
-    pub what: &'static str,
+    pub description: &'static str,
     /// The version that is written, and the only one that is read.
     pub version: u32,
     /// Largest file that is written or read, bytes.
-    pub most: usize,
+    pub max_bytes: usize,
 }
 
 /// Why something that was written can't be used.
@@ -26,11 +26,11 @@
     /// More bytes than may be.
     TooLarge(usize),
     /// It is something else than this.
-    Foreign(&'static str),
+    UnknownFormat(&'static str),
     /// A version that this program does not know.
     Version(u32),
-    /// Its body is shorter or longer than stated: `has`, `wants`, in bytes.
-    Length { has: usize, wants: usize },
+    /// Its body is shorter or longer than stated: `actual`, `expected`, in bytes.
+    Length { actual: usize, expected: usize },
     /// Its body is not what was written.
     Checksum,
     /// Its body has the right checksum and can't be read.
@@ -42,10 +42,10 @@
         match self {
             FileFormatError::Empty => write!(f, "it is empty"),
             FileFormatError::TooLarge(n) => write!(f, "it has {n} bytes, more than may be"),
-            FileFormatError::Foreign(what) => write!(f, "it is no {what}"),
+            FileFormatError::UnknownFormat(what) => write!(f, "it is no {what}"),
             FileFormatError::Version(v) => write!(f, "it has version {v}, which is not known"),
-            FileFormatError::Length { has, wants } => {
-                write!(f, "its body has {has} bytes instead of {wants}")
+            FileFormatError::Length { actual, expected } => {
+                write!(f, "its body has {actual} bytes instead of {expected}")
             }
             FileFormatError::Checksum => write!(f, "its checksum does not fit"),
             FileFormatError::Body(why) => write!(f, "its body can't be read: {why}"),
@@ -56,7 +56,7 @@
 impl std::error::Error for FileFormatError {}
 
 impl FileFormat {
-    fn head(&self, version: u32, body: &[u8]) -> String {
+    fn header(&self, version: u32, body: &[u8]) -> String {
         format!("{} {version} {} {:08x}\n", self.magic, body.len(), crc32fast::hash(body))
     }
 
@@ -64,38 +64,38 @@
     pub fn encode(&self, value: &impl Serialize) -> Result<Vec<u8>, FileFormatError> {
         let mut body = serde_json::to_vec_pretty(value).map_err(|e| FileFormatError::Body(e.to_string()))?;
         body.push(b'\n');
-        let mut out = self.head(self.version, &body).into_bytes();
+        let mut out = self.header(self.version, &body).into_bytes();
         out.append(&mut body);
-        if out.len() > self.most { Err(FileFormatError::TooLarge(out.len())) } else { Ok(out) }
+        if out.len() > self.max_bytes { Err(FileFormatError::TooLarge(out.len())) } else { Ok(out) }
     }
 
     /// Reads a value back.
     pub fn decode<T: DeserializeOwned>(&self, bytes: &[u8]) -> Result<T, FileFormatError> {
-        let foreign = || FileFormatError::Foreign(self.what);
+        let unknown_format = || FileFormatError::UnknownFormat(self.description);
         if bytes.is_empty() {
             return Err(FileFormatError::Empty);
         }
-        if bytes.len() > self.most {
+        if bytes.len() > self.max_bytes {
             return Err(FileFormatError::TooLarge(bytes.len()));
         }
-        let line = bytes.iter().take(96).position(|b| *b == b'\n').ok_or_else(foreign)?;
+        let line = bytes.iter().take(96).position(|b| *b == b'\n').ok_or_else(unknown_format)?;
         let (first, body) = (&bytes[..=line], &bytes[line + 1..]);
-        let words = std::str::from_utf8(first).map_err(|_| foreign())?;
+        let words = std::str::from_utf8(first).map_err(|_| unknown_format())?;
         let words: Vec<&str> = words.trim_end().split(' ').collect();
-        let [magic, version, length, _] = words[..] else { return Err(foreign()) };
-        let version: u32 = version.parse().map_err(|_| foreign())?;
-        let wants: usize = length.parse().map_err(|_| foreign())?;
+        let [magic, version, length, _] = words[..] else { return Err(unknown_format()) };
+        let version: u32 = version.parse().map_err(|_| unknown_format())?;
+        let expected: usize = length.parse().map_err(|_| unknown_format())?;
         if magic != self.magic {
-            return Err(foreign());
+            return Err(unknown_format());
         }
         if version != self.version {
             return Err(FileFormatError::Version(version));
         }
-        if wants != body.len() {
-            return Err(FileFormatError::Length { has: body.len(), wants });
+        if expected != body.len() {
+            return Err(FileFormatError::Length { actual: body.len(), expected });
         }
         // The line as it would be written: a changed byte anywhere in it shows, not only in the checksum.
-        if self.head(version, body).as_bytes() != first {
+        if self.header(version, body).as_bytes() != first {
             return Err(FileFormatError::Checksum);
         }
         serde_json::from_slice(body).map_err(|e| FileFormatError::Body(e.to_string()))
--- a/src/storage/file_system.rs
+++ b/src/storage/file_system.rs
@@ -10,7 +10,7 @@
     type Lock: Send;
 
     /// Reads a file of at most so many bytes.
-    fn read(&self, path: &Path, most: usize) -> io::Result<Vec<u8>>;
+    fn read(&self, path: &Path, max_bytes: usize) -> io::Result<Vec<u8>>;
     /// Writes a file anew and has it on disk before it returns.
     fn write_synced(&self, path: &Path, bytes: &[u8]) -> io::Result<()>;
     /// Adds to the end of a file, which need not be there, and has that on disk before it returns.
@@ -30,14 +30,14 @@
 impl FileSystem for Disk {
     type Lock = File;
 
-    fn read(&self, path: &Path, most: usize) -> io::Result<Vec<u8>> {
+    fn read(&self, path: &Path, max_bytes: usize) -> io::Result<Vec<u8>> {
         // Guards against devices and pipes, which may have no end or no beginning: opening a pipe waits for its other
         // side.
         if !std::fs::metadata(path)?.is_file() {
             return Err(io::Error::new(ErrorKind::InvalidInput, "it is no file"));
         }
         let mut bytes = Vec::new();
-        File::open(path)?.take(most as u64 + 1).read_to_end(&mut bytes)?;
+        File::open(path)?.take(max_bytes as u64 + 1).read_to_end(&mut bytes)?;
         Ok(bytes)
     }
 
--- a/src/storage/journal.rs
+++ b/src/storage/journal.rs
@@ -27,26 +27,26 @@
 /// See `LOG`.
 pub const OLDER_SNAPSHOT: &str = "cluster.kept.1";
 /// See `LOG`.
-pub const UNDER_WAY: &str = "cluster.kept.tmp";
+pub const TEMPORARY: &str = "cluster.kept.tmp";
 /// See `LOG`.
 pub const LOCK: &str = "cluster.lock";
 
 const FORMAT: FileFormat = FileFormat {
     magic: "pebbleturn-cluster",
-    what: "snapshot of a cluster's facts",
+    description: "snapshot of a cluster's facts",
     version: 1,
-    most: 128 << 20,
+    max_bytes: 128 << 20,
 };
 /// Largest log that is read, bytes.
-const MOST_LOG: usize = 128 << 20;
+const MAX_LOG_BYTES: usize = 128 << 20;
 /// A snapshot is written when the log is larger than this, and than twice the last snapshot.
-const SNAPSHOT_AT: usize = 1 << 20;
+const SNAPSHOT_LOG_BYTES: usize = 1 << 20;
 /// Time between two tries to take the lock.
-const LOCK_AGAIN: Duration = Duration::from_millis(100);
+const LOCK_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// How long the end of the program waits for the last write: a disk that hangs must not keep it.
-const LAST: Duration = Duration::from_millis(500);
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Most damaged lines of a file that are told one by one.
-const TOLD_SINGLY: usize = 4;
+const MAX_LISTED_LINES: usize = 4;
 
 /// One line of the log.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -71,7 +71,7 @@
     /// The greatest incarnation under which a process of this broker began.
     pub incarnation: u64,
     /// What could not be used, and why.
-    pub wrong: Vec<String>,
+    pub problems: Vec<String>,
     /// Size of the log, bytes, and of the snapshot.
     sizes: (usize, usize),
     /// The log's last line is cut.
@@ -107,11 +107,11 @@
     found: &mut JournalContents,
 ) -> (usize, bool) {
     let path = &dir.join(name);
-    let bytes = match files.read(path, MOST_LOG) {
+    let bytes = match files.read(path, MAX_LOG_BYTES) {
         Ok(bytes) => bytes,
         Err(e) if e.kind() == ErrorKind::NotFound => return (0, false),
         Err(e) => {
-            found.wrong.push(format!("{}: {e}", path.display()));
+            found.problems.push(format!("{}: {e}", path.display()));
             return (0, false);
         }
     };
@@ -127,11 +127,11 @@
     if !damaged.is_empty() {
         found.damaged.push(name);
     }
-    for n in damaged.iter().take(TOLD_SINGLY) {
-        found.wrong.push(format!("{}: line {n} is damaged", path.display()));
+    for n in damaged.iter().take(MAX_LISTED_LINES) {
+        found.problems.push(format!("{}: line {n} is damaged", path.display()));
     }
-    if damaged.len() > TOLD_SINGLY {
-        found.wrong.push(format!("{}: {} damaged lines in all", path.display(), damaged.len()));
+    if damaged.len() > MAX_LISTED_LINES {
+        found.problems.push(format!("{}: {} damaged lines in all", path.display(), damaged.len()));
     }
     (bytes.len(), whole < bytes.len())
 }
@@ -141,27 +141,30 @@
     let mut found = JournalContents::default();
     // Nobody's origin: nothing is said with this copy.
     let mut copy = StateStore::new(Origin(0), bounds);
-    for name in [OLDER_SNAPSHOT, SNAPSHOT, UNDER_WAY] {
+    for name in [OLDER_SNAPSHOT, SNAPSHOT, TEMPORARY] {
         let path = dir.join(name);
-        match files.read(&path, FORMAT.most).map(|bytes| (bytes.len(), FORMAT.decode::<Snapshot>(&bytes))) {
+        match files
+            .read(&path, FORMAT.max_bytes)
+            .map(|bytes| (bytes.len(), FORMAT.decode::<Snapshot>(&bytes)))
+        {
             Ok((size, Ok(snapshot))) => {
                 found.incarnation = found.incarnation.max(snapshot.incarnation);
                 let refused = snapshot.facts.iter().filter(|f| !join(&mut copy, f)).count();
                 if refused > 0 {
-                    found.wrong.push(format!("{}: {refused} facts can't be taken in", path.display()));
+                    found.problems.push(format!("{}: {refused} facts can't be taken in", path.display()));
                 }
                 if name == SNAPSHOT {
                     found.sizes.1 = size;
                 }
             }
             // Half a file is what a kill leaves of a write; the other files have what was known.
-            Ok((_, Err(_))) if name == UNDER_WAY => {}
+            Ok((_, Err(_))) if name == TEMPORARY => {}
             Ok((_, Err(e))) => {
                 found.damaged.push(name);
-                found.wrong.push(format!("{}: {e}", path.display()));
+                found.problems.push(format!("{}: {e}", path.display()));
             }
             Err(e) if e.kind() == ErrorKind::NotFound => {}
-            Err(e) => found.wrong.push(format!("{}: {e}", path.display())),
+            Err(e) => found.problems.push(format!("{}: {e}", path.display())),
         }
     }
     read_log(files, dir, OLDER_LOG, &mut copy, &mut found);
@@ -177,7 +180,7 @@
     Incarnation(u64),
 }
 
-struct Clerk<F: FileSystem> {
+struct JournalWriter<F: FileSystem> {
     files: F,
     dir: PathBuf,
     copy: StateStore,
@@ -190,7 +193,7 @@
     damaged: Vec<&'static str>,
 }
 
-impl<F: FileSystem> Clerk<F> {
+impl<F: FileSystem> JournalWriter<F> {
     fn append(&mut self, records: &[Record]) -> Result<(), String> {
         let mut text = if self.cut { "\n".to_owned() } else { String::new() };
         for r in records {
@@ -217,14 +220,14 @@
             Err(e) if e.kind() != ErrorKind::NotFound => Err(said(from)(e)),
             _ => Ok(()),
         };
-        self.files.write_synced(&path(UNDER_WAY), &bytes).map_err(said(UNDER_WAY))?;
+        self.files.write_synced(&path(TEMPORARY), &bytes).map_err(said(TEMPORARY))?;
         // From here on what is sound is on disk anew: for whoever looks into it, what is damaged stays under another name.
         for name in &self.damaged {
             shift(name, &format!("{name}.damaged"))?;
         }
         self.damaged.clear();
         shift(SNAPSHOT, OLDER_SNAPSHOT)?;
-        shift(UNDER_WAY, SNAPSHOT)?;
+        shift(TEMPORARY, SNAPSHOT)?;
         // What the log says is in the snapshot; it is kept beside the snapshot before, which lacks it.
         shift(LOG, OLDER_LOG)?;
         (self.log, self.snapshot, self.cut) = (0, bytes.len(), false);
@@ -253,7 +256,7 @@
             }
         };
         let done = self.append(&records);
-        if done.is_ok() && self.log > SNAPSHOT_AT.max(2 * self.snapshot) {
+        if done.is_ok() && self.log > SNAPSHOT_LOG_BYTES.max(2 * self.snapshot) {
             self.try_snapshot();
         }
         ticket.map(|t| (t, done))
@@ -291,13 +294,13 @@
                 let (log, snapshot, cut) = (read.sizes.0, read.sizes.1, read.cut);
                 let incarnation = read.incarnation;
                 let damaged = read.damaged.clone();
-                let mut clerk = Clerk { files, dir, copy, incarnation, log, snapshot, cut, damaged };
-                if !clerk.damaged.is_empty() {
-                    clerk.try_snapshot();
+                let mut writer = JournalWriter { files, dir, copy, incarnation, log, snapshot, cut, damaged };
+                if !writer.damaged.is_empty() {
+                    writer.try_snapshot();
                 }
                 let _ = tell_found.send(Ok(read));
                 for write in taken {
-                    if let Some(done) = clerk.write(write) {
+                    if let Some(done) = writer.write(write) {
                         let _ = tell_done.send(done);
                     }
                 }
@@ -310,34 +313,34 @@
     }
 
     /// What was found, once it is; an error where the directory can't be used at all.
-    pub fn found(&self) -> Option<Result<JournalContents, String>> {
+    pub fn poll_contents(&self) -> Option<Result<JournalContents, String>> {
         self.found.try_recv().ok()
     }
 
     /// The same, waited for at most so long: for a start, before anybody is served.
-    pub fn found_within(&self, time: Duration) -> Option<Result<JournalContents, String>> {
+    pub fn wait_for_contents(&self, time: Duration) -> Option<Result<JournalContents, String>> {
         self.found.recv_timeout(time).ok()
     }
 
     /// Has the incarnation of this process written.
-    pub fn begin(&self, incarnation: u64) {
+    pub fn record_incarnation(&self, incarnation: u64) {
         if let Some(writes) = &self.writes {
             let _ = writes.try_send(Write::Incarnation(incarnation));
         }
     }
 
     /// Nothing will ever be written: the thread has ended.
-    pub fn is_dead(&self) -> bool {
+    pub fn has_stopped(&self) -> bool {
         self.thread.as_ref().is_none_or(JoinHandle::is_finished)
     }
 
     /// Whether facts can be taken now.
-    pub fn is_free(&self) -> bool {
+    pub fn can_write(&self) -> bool {
         self.out < 2
     }
 
     /// Whether an answer is still to come.
-    pub fn is_at_work(&self) -> bool {
+    pub fn has_pending_writes(&self) -> bool {
         self.out > 0
     }
 
@@ -359,7 +362,7 @@
     }
 
     /// What was written, or why not.
-    pub fn done(&mut self) -> Option<(u64, Result<(), String>)> {
+    pub fn poll_result(&mut self) -> Option<(u64, Result<(), String>)> {
         let done = self.done.try_recv().ok()?;
         self.out -= 1;
         Some(done)
@@ -387,7 +390,7 @@
             Err(e) if e.kind() == ErrorKind::WouldBlock => {}
             Err(e) => return fail(format!("{}: {e}", path.display())),
         }
-        let again = Instant::now() + LOCK_AGAIN;
+        let again = Instant::now() + LOCK_RETRY_INTERVAL;
         // Nothing is written before it is read; an end of the program ends the wait.
         while let Some(left) = again.checked_duration_since(Instant::now()).filter(|d| !d.is_zero()) {
             if let Err(std::sync::mpsc::RecvTimeoutError::Disconnected) = taken.recv_timeout(left) {
@@ -400,7 +403,7 @@
 impl Drop for Journal {
     fn drop(&mut self) {
         drop(self.writes.take());
-        if self.ended.recv_timeout(LAST).is_ok()
+        if self.ended.recv_timeout(SHUTDOWN_TIMEOUT).is_ok()
             && let Some(thread) = self.thread.take()
         {
             let _ = thread.join();
--- a/src/storage/snapshot_store.rs
+++ b/src/storage/snapshot_store.rs
@@ -19,23 +19,23 @@
 /// See `CURRENT`.
 pub const OLDER: &str = "roster.kept.1";
 /// See `CURRENT`.
-pub const UNDER_WAY: &str = "roster.kept.tmp";
+pub const TEMPORARY: &str = "roster.kept.tmp";
 /// See `CURRENT`.
 pub const LOCK: &str = "roster.lock";
 
 /// How long the end of the program waits for the last write: a disk that hangs must not keep it.
-const LAST_WRITE: Duration = Duration::from_millis(500);
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Every generation in a directory that is sound, the oldest first, and what is wrong with the others.
 pub fn read(files: &impl FileSystem, dir: &Path) -> (Vec<Snapshot>, Vec<String>) {
     let (mut sound, mut wrong) = (Vec::new(), Vec::new());
-    for name in [OLDER, CURRENT, UNDER_WAY] {
+    for name in [OLDER, CURRENT, TEMPORARY] {
         let path = dir.join(name);
         match files.read(&path, snapshot::MOST_BYTES) {
             Ok(bytes) => match snapshot::decode(&bytes) {
                 Ok(list) => sound.push(list),
                 // Half a file is what a kill leaves of a write; the other generations have what was learnt.
-                Err(_) if name == UNDER_WAY => {}
+                Err(_) if name == TEMPORARY => {}
                 Err(e) => wrong.push(format!("{}: {e}", path.display())),
             },
             Err(e) if e.kind() == ErrorKind::NotFound => {}
@@ -46,7 +46,7 @@
 }
 
 /// What a directory, or one file, holds: every sound list, the oldest first, and what is wrong with the others.
-pub fn look(path: &Path) -> (Vec<Snapshot>, Vec<String>) {
+pub fn read_path(path: &Path) -> (Vec<Snapshot>, Vec<String>) {
     if path.is_dir() {
         return read(&Disk, path);
     }
@@ -60,7 +60,7 @@
 /// Writes one list: whatever happens on the way, a sound generation stays if there was one.
 pub fn write(files: &impl FileSystem, dir: &Path, list: &Snapshot) -> Result<(), String> {
     let bytes = snapshot::encode(list).map_err(|e| e.to_string())?;
-    let (current, older, tmp) = (dir.join(CURRENT), dir.join(OLDER), dir.join(UNDER_WAY));
+    let (current, older, tmp) = (dir.join(CURRENT), dir.join(OLDER), dir.join(TEMPORARY));
     let said = |path: &Path| {
         let path = path.display().to_string();
         move |e: std::io::Error| format!("{path}: {e}")
@@ -75,7 +75,7 @@
 }
 
 /// What the keeper's thread works with.
-struct Desk<F: FileSystem> {
+struct WriterState<F: FileSystem> {
     files: F,
     dir: PathBuf,
     /// Held from the first write on. Until another process lets go of it, nothing is written: a broker that starts
@@ -84,7 +84,7 @@
     failing: bool,
 }
 
-impl<F: FileSystem> Desk<F> {
+impl<F: FileSystem> WriterState<F> {
     fn write(&mut self, list: &Snapshot) {
         if self.lock.is_none() {
             let path = self.dir.join(LOCK);
@@ -147,12 +147,12 @@
         let busy = Arc::new(AtomicBool::new(false));
         let at_work = busy.clone();
         let work = move || {
-            let mut desk = Desk { files, dir, lock: None, failing: false };
+            let mut state = WriterState { files, dir, lock: None, failing: false };
             for list in taken {
-                desk.write(&list);
+                state.write(&list);
                 at_work.store(false, Ordering::Release);
             }
-            drop(desk);
+            drop(state);
             let _ = end.send(());
         };
         match std::thread::Builder::new().name("keeper".into()).spawn(work) {
@@ -165,12 +165,12 @@
     }
 
     /// Whether a list can be taken now.
-    pub fn is_free(&self) -> bool {
+    pub fn is_idle(&self) -> bool {
         !self.busy.load(Ordering::Acquire)
     }
 
     /// Has a list written. Never blocks.
-    pub fn keep(&mut self, list: Snapshot) {
+    pub fn write(&mut self, list: Snapshot) {
         let Some(lists) = &self.lists else { return };
         self.busy.store(true, Ordering::Release);
         if lists.try_send(list).is_err() {
@@ -182,7 +182,7 @@
 impl Drop for SnapshotWriter {
     fn drop(&mut self) {
         drop(self.lists.take());
-        if self.ended.recv_timeout(LAST_WRITE).is_ok()
+        if self.ended.recv_timeout(SHUTDOWN_TIMEOUT).is_ok()
             && let Some(thread) = self.thread.take()
         {
             let _ = thread.join();
--- a/tests/cluster/frames.rs
+++ b/tests/cluster/frames.rs
@@ -6,7 +6,7 @@
 use pebbleturn::replication::anti_entropy::{SyncMessage, SyncSession};
 use pebbleturn::replication::*;
 use pebbleturn::storage::Disk;
-use pebbleturn::storage::journal::{self, Journal, LOG, OLDER_LOG, OLDER_SNAPSHOT, SNAPSHOT, UNDER_WAY};
+use pebbleturn::storage::journal::{self, Journal, LOG, OLDER_LOG, OLDER_SNAPSHOT, SNAPSHOT, TEMPORARY};
 use pebbleturn_lab::cluster::world::{S, World, name};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
@@ -175,20 +175,20 @@
 
 fn written(dir: &Path, batches: &[Vec<Fact>]) {
     let mut journal = Journal::start(Disk, dir, StoreLimits::default()).unwrap();
-    journal.found_within(Duration::from_secs(60)).unwrap().unwrap();
-    journal.begin(41);
+    journal.wait_for_contents(Duration::from_secs(60)).unwrap().unwrap();
+    journal.record_incarnation(41);
     for facts in batches {
         let mut left = Some(facts.clone());
         while let Some(facts) = left.take() {
             left = journal.write(facts).err();
-            while let Some((_, done)) = journal.done() {
+            while let Some((_, done)) = journal.poll_result() {
                 done.unwrap();
             }
             std::thread::yield_now();
         }
     }
-    while journal.is_at_work() {
-        if let Some((_, done)) = journal.done() {
+    while journal.has_pending_writes() {
+        if let Some((_, done)) = journal.poll_result() {
             done.unwrap();
         }
     }
@@ -218,13 +218,13 @@
     let log = std::fs::read(dir.path().join(LOG)).unwrap();
     let read = || journal::read(&Disk, dir.path(), StoreLimits::default());
     let whole = read();
-    assert!(whole.wrong.is_empty() && whole.incarnation == 41);
+    assert!(whole.problems.is_empty() && whole.incarnation == 41);
     let whole_facts = whole.facts;
     for at in (0..log.len()).step_by(3) {
         // Killed at any byte: what was written before stands, and nothing is told as damage.
         std::fs::write(dir.path().join(LOG), &log[..at]).unwrap();
         let cut = read();
-        assert!(cut.wrong.is_empty(), "{:?}", cut.wrong);
+        assert!(cut.problems.is_empty(), "{:?}", cut.problems);
         let lines = log[..at].iter().filter(|b| **b == b'\n').count();
         // One line tells the incarnation; of each fact the last whole line is the newest.
         let kept: std::collections::BTreeSet<&FactKey> =
@@ -240,7 +240,7 @@
         std::fs::write(dir.path().join(LOG), &changed).unwrap();
         let damaged = read();
         assert!(
-            damaged.wrong.iter().all(|w| w.contains("damaged")) && !damaged.wrong.is_empty(),
+            damaged.problems.iter().all(|w| w.contains("damaged")) && !damaged.problems.is_empty(),
             "changed at {at}"
         );
         assert!(damaged.facts.len() + 1 >= batches[0].len(), "changed at {at}");
@@ -249,7 +249,7 @@
     std::fs::write(dir.path().join(LOG), &log[..log.len() - 5]).unwrap();
     written(dir.path(), &batches[1..]);
     let again = read();
-    assert!(again.facts == whole_facts, "{:?}", again.wrong);
+    assert!(again.facts == whole_facts, "{:?}", again.problems);
 }
 
 #[test]
@@ -292,12 +292,12 @@
     }
     // Noise in place of any file is told, and what is under way when it dies is no damage.
     let mut rng = Pcg32::new(3, 3);
-    std::fs::write(dir.path().join(UNDER_WAY), b"pebbleturn-cluster 1 77").unwrap();
-    assert!(read().wrong.is_empty());
+    std::fs::write(dir.path().join(TEMPORARY), b"pebbleturn-cluster 1 77").unwrap();
+    assert!(read().problems.is_empty());
     for name in [SNAPSHOT, OLDER_SNAPSHOT, LOG, OLDER_LOG] {
         let noise: Vec<u8> = (0..4000).map(|_| rng.next_u32() as u8).collect();
         std::fs::write(dir.path().join(name), noise).unwrap();
     }
     let found = read();
-    assert!(found.facts.is_empty() && found.wrong.len() >= 4, "{:?}", found.wrong);
+    assert!(found.facts.is_empty() && found.problems.len() >= 4, "{:?}", found.problems);
 }
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -374,11 +374,11 @@
 #[test]
 fn signals_and_a_replacement_are_minded_while_a_write_hangs() {
     use pebbleturn::membership::NodeState;
-    use pebbleturn::storage::snapshot_store::{CURRENT, UNDER_WAY};
+    use pebbleturn::storage::snapshot_store::{CURRENT, TEMPORARY};
     use pebbleturn_lab::directory::{Directory, line};
     let dir = tempfile::tempdir().unwrap();
     // Whoever opens a pipe to write waits until somebody reads: the disk that hangs.
-    let pipe = dir.path().join(UNDER_WAY);
+    let pipe = dir.path().join(TEMPORARY);
     assert!(Command::new("mkfifo").arg(&pipe).status().unwrap().success());
     let node = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let directory = Directory::start(vec![line("s-9", node, "", 0, NodeState::Ready)]);
--- /dev/null
+++ b/tests/query_engine.rs
@@ -0,0 +1,239 @@
+//! The query engine without sockets and without waiting: time is an argument.
+
+mod common;
+use common::{MS, S, line, settings};
+use pebbleturn::engine::*;
+use pebbleturn::*;
+use std::rc::Rc;
+
+struct EngineHarness {
+    engine: QueryEngine<&'static str, u32>,
+    now: Nanos,
+    sent: Vec<(ReplicaId, AttemptRequest<&'static str>)>,
+    outcomes: Vec<(QueryId, Nanos, QueryOutcome<u32>)>,
+    cancelled: Vec<AttemptId>,
+    calls: Vec<usize>,
+}
+
+impl EngineHarness {
+    fn new(change: impl FnOnce(&mut Settings)) -> EngineHarness {
+        let mut s = settings(Idempotency::Idempotent);
+        change(&mut s);
+        let mut engine = QueryEngine::new(s, 7, 0).unwrap();
+        engine.update_endpoints(true, (0..6).map(|n| line(n, ReplicaState::Active, None)).collect());
+        let mut harness = EngineHarness {
+            engine,
+            now: 0,
+            sent: vec![],
+            outcomes: vec![],
+            cancelled: vec![],
+            calls: vec![],
+        };
+        harness.run_until(0);
+        harness
+    }
+
+    /// Runs all that is due until then.
+    fn run_until(&mut self, until: Nanos) {
+        loop {
+            let next = self.engine.next_deadline().unwrap_or(Nanos::MAX).clamp(self.now, until);
+            self.now = next;
+            self.engine.advance(next);
+            while let Some(action) = self.engine.next_action() {
+                match action {
+                    EngineAction::Call { replica, parts } => {
+                        self.calls.push(parts.len());
+                        self.sent.extend(parts.into_iter().map(|p| (replica, p)));
+                    }
+                    EngineAction::CancelAttempt { attempt, .. } => self.cancelled.push(attempt),
+                    EngineAction::Respond { query, outcome: answer } => {
+                        self.outcomes.push((query, next, answer))
+                    }
+                    EngineAction::WatchEndpoints | EngineAction::HealthCheck { .. } => {}
+                }
+            }
+            if next >= until {
+                return;
+            }
+        }
+    }
+
+    fn submit(&mut self, shards: &[u32], time_left: Nanos) -> Result<QueryId, Overloaded> {
+        let weight = 1.0 / shards.len() as f64;
+        let parts = shards.iter().map(|s| PartRequest { shard: *s, weight, work: None }).collect();
+        let request = QueryRequest {
+            class: 0,
+            tenant: None,
+            key: None,
+            time_left,
+            is_retry: false,
+            parts,
+            payload: Rc::new("text"),
+        };
+        let submitted = self.engine.submit(self.now, request);
+        self.run_until(self.now + 10 * MS);
+        submitted
+    }
+
+    fn end_attempt(&mut self, n: usize, outcome: Outcome, value: Option<u32>) {
+        let attempt = self.sent[n].1.attempt;
+        self.engine.attempt_ended(self.now, attempt, AttemptOutcome { outcome, utilization: None, value });
+    }
+}
+
+#[test]
+fn a_query_gets_one_answer_with_values_in_the_requested_order() {
+    let mut harness = EngineHarness::new(|_| {});
+    let q = harness.submit(&[4, 0, 2], 2 * S).unwrap();
+    for n in 0..3 {
+        let shard = harness.sent[n].1.shard;
+        harness.end_attempt(n, Outcome::Ok, Some(shard * 10));
+        harness.end_attempt(n, Outcome::Ok, Some(99));
+    }
+    harness.run_until(3 * S);
+    let values = [4, 0, 2].map(|shard| ShardValue { shard, value: shard * 10 }).to_vec();
+    let [(id, at, answer)] = &harness.outcomes[..] else { panic!("{:?}", harness.outcomes) };
+    assert_eq!(
+        (*id, answer),
+        (q, &QueryOutcome::Answered(Answer { complete: true, values, requested_parts: 3 }))
+    );
+    assert!(*at < 50 * MS && harness.engine.open_queries() == 0);
+}
+
+#[test]
+fn rounds_keep_the_round_interval_and_the_parts_of_one_round_share_calls() {
+    let mut harness = EngineHarness::new(|s| {
+        (s.parts_per_call, s.call_work, s.span, s.round_interval) = (2, 20 * MS, 6, 50 * MS)
+    });
+    harness.run_until(S);
+    let before = harness.now;
+    harness.engine.advance(before);
+    let parts = (0..6).map(|shard| PartRequest { shard, weight: 1.0 / 6.0, work: None }).collect();
+    let request = QueryRequest {
+        class: 0,
+        tenant: None,
+        key: None,
+        time_left: 2 * S,
+        is_retry: false,
+        parts,
+        payload: Rc::new("text"),
+    };
+    harness.engine.submit(before, request.clone()).unwrap();
+    harness.engine.advance(before);
+    let first = harness.engine.next_deadline().unwrap();
+    harness.run_until(first);
+    harness.engine.submit(first, request).unwrap();
+    assert!(harness.engine.next_deadline().unwrap() >= first + 50 * MS, "the next round waits for its tick");
+    assert!(harness.calls.iter().all(|n| *n <= 2) && harness.calls.contains(&2), "{:?}", harness.calls);
+}
+
+#[test]
+fn a_query_ends_before_its_deadline_when_no_server_answers() {
+    let mut harness = EngineHarness::new(|_| {});
+    for time_left in [30 * MS, 200 * MS, 2 * S] {
+        let start = harness.now;
+        let q = harness.submit(&[0, 1], time_left).unwrap();
+        harness.run_until(start + 4 * S);
+        let ends: Vec<Nanos> = harness.outcomes.iter().filter(|f| f.0 == q).map(|f| f.1).collect();
+        assert!(matches!(ends[..], [at] if at < start + time_left), "{ends:?}");
+    }
+    assert_eq!((harness.engine.open_queries(), harness.engine.attempts_in_flight()), (0, 0));
+}
+
+#[test]
+fn a_query_over_the_in_flight_limit_is_rejected_and_a_disconnected_client_frees_capacity() {
+    let mut harness = EngineHarness::new(|s| s.max_in_flight = 5);
+    let first = harness.submit(&[0, 1, 2], 2 * S).unwrap();
+    let rejected = harness.submit(&[3, 4], 2 * S).unwrap_err();
+    assert!(rejected.retry_after > 0 && rejected.retry_after <= S);
+    assert_ne!(
+        harness.submit(&[3, 4], 2 * S).unwrap_err(),
+        rejected,
+        "not all are told to come back together"
+    );
+    harness.engine.client_disconnected(first);
+    harness.run_until(harness.now + 20 * MS);
+    assert!(harness.outcomes.is_empty(), "nobody is there to be answered");
+    assert!(
+        harness.sent.iter().all(|(_, d)| harness.cancelled.contains(&d.attempt)),
+        "all that was out is given up"
+    );
+    assert!(harness.submit(&[3, 4], 2 * S).is_ok());
+}
+
+#[test]
+fn values_that_are_late_or_missing_are_not_in_an_answer() {
+    let mut harness =
+        EngineHarness::new(|s| (s.classes[0].min_answer_share, s.classes[0].late_weight) = (0.5, 0.0));
+    harness.submit(&[0, 3], 2 * S).unwrap();
+    harness.end_attempt(0, Outcome::Ok, None);
+    harness.run_until(harness.now + 50 * MS);
+    let again = harness.sent.iter().rposition(|(_, d)| d.shard == harness.sent[0].1.shard).unwrap();
+    assert!(again > 1, "a part without a value is tried elsewhere");
+    harness.end_attempt(again, Outcome::Ok, Some(7));
+    harness.run_until(3 * S);
+    let late = harness.sent.iter().position(|(_, d)| d.shard != harness.sent[0].1.shard).unwrap();
+    harness.end_attempt(late, Outcome::Ok, Some(8));
+    harness.run_until(4 * S);
+    let shard = harness.sent[0].1.shard;
+    let answered =
+        Answer { complete: false, values: vec![ShardValue { shard, value: 7 }], requested_parts: 2 };
+    assert!(
+        matches!(&harness.outcomes[..], [(_, _, f)] if *f == QueryOutcome::Answered(answered)),
+        "{:?}",
+        harness.outcomes
+    );
+}
+
+#[test]
+fn all_queries_end_by_the_shutdown_deadline() {
+    let mut harness = EngineHarness::new(|_| {});
+    harness.submit(&[0], 2 * S).unwrap();
+    let start = harness.now;
+    harness.engine.end_all_by(start + 500 * MS);
+    harness.submit(&[1], 2 * S).unwrap();
+    harness.run_until(start + 3 * S);
+    let ends: Vec<Nanos> = harness.outcomes.iter().map(|f| f.1).collect();
+    assert!(ends.len() == 2 && ends.iter().all(|t| *t <= start + 500 * MS), "{ends:?}");
+    assert_eq!(harness.engine.in_flight(), 0);
+}
+
+#[test]
+fn a_queued_attempt_is_not_begun_once_a_hedge_has_answered() {
+    // Nothing is cancelled here: only the second look keeps it from being sent.
+    let mut harness = EngineHarness::new(|s| s.may_cancel = false);
+    harness.submit(&[0, 3], 2 * S).unwrap();
+    let waits = harness.sent.iter().position(|(_, d)| d.shard == 0).unwrap();
+    harness.engine.attempt_queued(harness.sent[waits].1.attempt);
+    let copy = loop {
+        if let Some(n) = (waits + 1..harness.sent.len()).find(|n| harness.sent[*n].1.shard == 0) {
+            break n;
+        }
+        assert!(harness.now < 2 * S, "no copy was sent");
+        harness.run_until(harness.now + 5 * MS);
+    };
+    assert!(harness.engine.begin_attempt(harness.now, harness.sent[copy].1.attempt));
+    harness.end_attempt(copy, Outcome::Ok, Some(7));
+    assert!(!harness.engine.begin_attempt(harness.now, harness.sent[waits].1.attempt));
+}
+
+#[test]
+fn a_queued_attempt_past_its_timeout_is_not_begun_and_counts_as_not_sent() {
+    for asked in [true, false] {
+        let mut harness = EngineHarness::new(|s| s.classes[0].idempotency = Idempotency::NonIdempotent);
+        harness.submit(&[0], 2 * S).unwrap();
+        let dispatch = harness.sent[0].1.clone();
+        harness.engine.attempt_queued(dispatch.attempt);
+        // The connection comes up before the time-out is looked at, or it never does.
+        if asked {
+            assert!(!harness.engine.begin_attempt(harness.now + dispatch.timeout, dispatch.attempt));
+        } else {
+            harness.run_until(harness.now + dispatch.timeout);
+        }
+        assert_eq!(
+            harness.engine.next_attempt_end().map(|e| e.outcome),
+            Some(Outcome::NotSent),
+            "asked: {asked}"
+        );
+    }
+}
--- a/tests/keep.rs
+++ b/tests/storage.rs
@@ -1,4 +1,4 @@
-//! The kept list on disk: every failure of the disk that the design note names.
+//! Snapshots of the node list on disk: each failure of the disk that the design note names.
 
 use pebbleturn::membership::snapshot::{Snapshot, SnapshotNode};
 use pebbleturn::membership::staleness::ChangeRate;
@@ -11,14 +11,14 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc;
 
-fn list(version: u64, drained: bool) -> Snapshot {
+fn snapshot(version: u64, terminating: bool) -> Snapshot {
     let fact = NodeRecord {
         id: "s-1".into(),
         addr: Some("127.0.0.1:80".parse().unwrap()),
         zone: "a".into(),
         kind: String::new(),
         cell: 0,
-        state: if drained { NodeState::Terminating } else { NodeState::Ready },
+        state: if terminating { NodeState::Terminating } else { NodeState::Ready },
         started: 0,
     };
     let node =
@@ -27,23 +27,24 @@
     Snapshot { written: version, synced: Some(version), whole, forgotten: None, rate, nodes: vec![node] }
 }
 
-/// The disk, on which the step of that number and all after it fail: a kill, a full disk, a directory that is gone.
+/// A disk on which the step number `from` and all later steps fail, as in a crash, on a full disk or in a directory
+/// that was removed.
 #[derive(Clone, Default)]
-struct Failing {
+struct FailingDisk {
     steps: Arc<AtomicUsize>,
     from: Arc<AtomicUsize>,
-    /// Bytes of a file that are written before it fails.
+    /// Bytes of a file that are written before its write fails.
     written: usize,
 }
 
-impl Failing {
+impl FailingDisk {
     fn step(&self) -> io::Result<()> {
         let n = self.steps.fetch_add(1, Ordering::SeqCst);
         if n < self.from.load(Ordering::SeqCst) { Ok(()) } else { Err(ErrorKind::StorageFull.into()) }
     }
 }
 
-impl FileSystem for Failing {
+impl FileSystem for FailingDisk {
     type Lock = ();
 
     fn read(&self, path: &Path, most: usize) -> io::Result<Vec<u8>> {
@@ -83,13 +84,13 @@
 }
 
 #[test]
-fn two_generations_are_kept_and_read_back() {
+fn two_generations_are_written_and_read_back() {
     let dir = tempfile::tempdir().unwrap();
     for n in 1..=3 {
-        snapshot_store::write(&Disk, dir.path(), &list(n, false)).unwrap();
+        snapshot_store::write(&Disk, dir.path(), &snapshot(n, false)).unwrap();
     }
-    let (lists, wrong) = snapshot_store::read(&Disk, dir.path());
-    assert_eq!((versions(&lists), wrong.len()), (vec![2, 3], 0));
+    let (lists, problems) = snapshot_store::read(&Disk, dir.path());
+    assert_eq!((versions(&lists), problems.len()), (vec![2, 3], 0));
     let mut names: Vec<_> = std::fs::read_dir(dir.path())
         .unwrap()
         .map(|e| e.unwrap().file_name().into_string().unwrap())
@@ -99,27 +100,28 @@
 }
 
 #[test]
-fn a_kill_at_any_step_of_a_write_loses_nothing_that_was_kept() {
+fn a_crash_at_any_step_of_a_write_loses_no_stored_snapshot() {
     for (from, written) in [(0, 0), (0, 20), (0, 200), (1, 0), (2, 0), (3, 0), (4, 0)] {
         let dir = tempfile::tempdir().unwrap();
-        snapshot_store::write(&Disk, dir.path(), &list(1, false)).unwrap();
-        snapshot_store::write(&Disk, dir.path(), &list(2, false)).unwrap();
-        let killed = Failing { from: Arc::new(AtomicUsize::new(from)), written, ..Failing::default() };
-        let went = snapshot_store::write(&killed, dir.path(), &list(3, true));
-        assert_eq!(went.is_ok(), from == 4);
-        let (lists, wrong) = snapshot_store::read(&Disk, dir.path());
-        assert!(wrong.is_empty(), "{wrong:?}");
+        snapshot_store::write(&Disk, dir.path(), &snapshot(1, false)).unwrap();
+        snapshot_store::write(&Disk, dir.path(), &snapshot(2, false)).unwrap();
+        let crashing =
+            FailingDisk { from: Arc::new(AtomicUsize::new(from)), written, ..FailingDisk::default() };
+        let result = snapshot_store::write(&crashing, dir.path(), &snapshot(3, true));
+        assert_eq!(result.is_ok(), from == 4);
+        let (lists, problems) = snapshot_store::read(&Disk, dir.path());
+        assert!(problems.is_empty(), "{problems:?}");
         assert!(versions(&lists).contains(&2), "step {from}: {:?}", versions(&lists));
-        // Once the new list was whole on disk, the drain in it is known whatever came after.
+        // Once the new snapshot was complete on disk, its draining node is known whatever failed later.
         assert_eq!(versions(&lists).contains(&3), from > 0, "step {from}");
-        // The next write goes well.
-        snapshot_store::write(&Disk, dir.path(), &list(4, true)).unwrap();
+        // The next write succeeds.
+        snapshot_store::write(&Disk, dir.path(), &snapshot(4, true)).unwrap();
         assert_eq!(versions(&snapshot_store::read(&Disk, dir.path()).0).last(), Some(&4));
     }
 }
 
 #[test]
-fn of_two_generations_a_corrupt_one_is_told_and_the_other_used() {
+fn a_corrupt_generation_is_reported_and_the_other_one_is_used() {
     type Corrupt = fn(&Path);
     let corrupt: [(&str, Corrupt); 6] = [
         ("empty", |p| std::fs::write(p, b"").unwrap()),
@@ -142,79 +144,79 @@
     ];
     for (word, corrupt) in corrupt {
         let dir = tempfile::tempdir().unwrap();
-        snapshot_store::write(&Disk, dir.path(), &list(1, false)).unwrap();
-        snapshot_store::write(&Disk, dir.path(), &list(2, false)).unwrap();
+        snapshot_store::write(&Disk, dir.path(), &snapshot(1, false)).unwrap();
+        snapshot_store::write(&Disk, dir.path(), &snapshot(2, false)).unwrap();
         corrupt(&dir.path().join(CURRENT));
-        let (lists, wrong) = snapshot_store::read(&Disk, dir.path());
-        assert_eq!((versions(&lists), wrong.len()), (vec![1], 1), "{word}: {wrong:?}");
-        assert!(wrong[0].contains(word) && wrong[0].contains(CURRENT), "{wrong:?}");
+        let (lists, problems) = snapshot_store::read(&Disk, dir.path());
+        assert_eq!((versions(&lists), problems.len()), (vec![1], 1), "{word}: {problems:?}");
+        assert!(problems[0].contains(word) && problems[0].contains(CURRENT), "{problems:?}");
     }
 }
 
 #[test]
-fn a_directory_belongs_to_one_process_until_that_ends() {
+fn a_directory_is_locked_by_one_process_until_it_ends() {
     let dir = tempfile::tempdir().unwrap();
     let start = || SnapshotWriter::open(dir.path()).1.unwrap();
     let (mut first, mut second) = (start(), start());
-    first.keep(list(1, false));
-    settle(&first);
-    second.keep(list(2, false));
-    settle(&second);
+    first.write(snapshot(1, false));
+    wait_until_idle(&first);
+    second.write(snapshot(2, false));
+    wait_until_idle(&second);
     assert_eq!(versions(&snapshot_store::read(&Disk, dir.path()).0), [1]);
     assert!(dir.path().join(LOCK).exists());
-    // As when a broker is replaced by the next: that one takes over.
+    // As in a hot restart: the next process takes over.
     drop(first);
-    second.keep(list(3, false));
-    settle(&second);
+    second.write(snapshot(3, false));
+    wait_until_idle(&second);
     assert_eq!(versions(&snapshot_store::read(&Disk, dir.path()).0), [1, 3]);
 }
 
-/// Waits until the keeper has done with what it was given.
-fn settle(keeper: &SnapshotWriter) {
-    while !keeper.is_free() {
+/// Waits until the writer has finished its last write.
+fn wait_until_idle(writer: &SnapshotWriter) {
+    while !writer.is_idle() {
         std::thread::yield_now();
     }
 }
 
 #[test]
-fn a_disk_that_is_full_costs_only_the_list_and_it_is_kept_again_later() {
+fn a_full_disk_only_stops_snapshots_until_there_is_room_again() {
     let dir = tempfile::tempdir().unwrap();
-    let disk = Failing::default();
-    let mut keeper = SnapshotWriter::start(disk.clone(), dir.path().to_owned()).unwrap();
+    let disk = FailingDisk::default();
+    let mut writer = SnapshotWriter::start(disk.clone(), dir.path().to_owned()).unwrap();
     for n in 1..=3 {
-        keeper.keep(list(n, false));
-        settle(&keeper);
+        writer.write(snapshot(n, false));
+        wait_until_idle(&writer);
     }
     assert!(snapshot_store::read(&Disk, dir.path()).0.is_empty());
     disk.from.store(usize::MAX, Ordering::SeqCst);
-    keeper.keep(list(4, false));
-    settle(&keeper);
+    writer.write(snapshot(4, false));
+    wait_until_idle(&writer);
     assert_eq!(versions(&snapshot_store::read(&Disk, dir.path()).0), [4]);
 }
 
 #[test]
-fn a_directory_that_vanishes_and_comes_back_is_used_again() {
+fn a_removed_directory_is_used_again_once_it_is_recreated() {
     let dir = tempfile::tempdir().unwrap();
     let place = dir.path().join("kept");
-    let (_, keeper) = SnapshotWriter::open(&place);
-    let mut keeper = keeper.unwrap();
+    let (_, writer) = SnapshotWriter::open(&place);
+    let mut writer = writer.unwrap();
     std::fs::remove_dir_all(&place).unwrap();
-    keeper.keep(list(1, false));
-    settle(&keeper);
+    writer.write(snapshot(1, false));
+    wait_until_idle(&writer);
     std::fs::create_dir(&place).unwrap();
-    keeper.keep(list(2, false));
-    settle(&keeper);
+    writer.write(snapshot(2, false));
+    wait_until_idle(&writer);
     assert_eq!(versions(&snapshot_store::read(&Disk, &place).0), [2]);
-    // A place that is no directory at all keeps nothing.
+    // Nothing is stored where the path is no directory.
     let file = dir.path().join("file");
     std::fs::write(&file, "").unwrap();
     assert!(SnapshotWriter::open(&file).1.is_none());
 }
 
-/// A disk whose writes wait for a word.
-struct Slow(PathBuf, std::sync::Mutex<mpsc::Receiver<()>>);
+/// A disk whose writes block until the channel has a message.
+struct SlowDisk(PathBuf, std::sync::Mutex<mpsc::Receiver<()>>);
 
-impl FileSystem for Slow {
+impl FileSystem for SlowDisk {
     type Lock = ();
 
     fn read(&self, path: &Path, most: usize) -> io::Result<Vec<u8>> {
@@ -245,27 +247,27 @@
 }
 
 #[test]
-fn a_disk_that_hangs_blocks_nobody_and_a_write_under_way_is_finished_at_the_end() {
+fn a_hanging_disk_blocks_no_caller_and_a_started_write_is_finished_at_shutdown() {
     let dir = tempfile::tempdir().unwrap();
     let begun = dir.path().join("begun");
     let (go, wait) = mpsc::channel();
-    let disk = Slow(begun.clone(), std::sync::Mutex::new(wait));
-    let mut keeper = SnapshotWriter::start(disk, dir.path().to_owned()).unwrap();
-    keeper.keep(list(1, true));
+    let disk = SlowDisk(begun.clone(), std::sync::Mutex::new(wait));
+    let mut writer = SnapshotWriter::start(disk, dir.path().to_owned()).unwrap();
+    writer.write(snapshot(1, true));
     while !begun.exists() {
         std::thread::yield_now();
     }
-    assert!(!keeper.is_free() && snapshot_store::read(&Disk, dir.path()).0.is_empty());
+    assert!(!writer.is_idle() && snapshot_store::read(&Disk, dir.path()).0.is_empty());
     go.send(()).unwrap();
-    drop(keeper);
+    drop(writer);
     assert_eq!(versions(&snapshot_store::read(&Disk, dir.path()).0), [1]);
-    // One that never comes back keeps the program only for a moment.
+    // A disk that never answers delays the end of the program only by the timeout.
     let (stuck, wait) = mpsc::channel();
-    let disk = Slow(begun, std::sync::Mutex::new(wait));
-    let mut keeper = SnapshotWriter::start(disk, dir.path().to_owned()).unwrap();
-    keeper.keep(list(2, true));
-    drop(keeper);
-    // It is over, although the disk still hangs; what was kept before stands.
+    let disk = SlowDisk(begun, std::sync::Mutex::new(wait));
+    let mut writer = SnapshotWriter::start(disk, dir.path().to_owned()).unwrap();
+    writer.write(snapshot(2, true));
+    drop(writer);
+    // The drop has returned although the disk still hangs; the stored snapshot is unchanged.
     assert_eq!(versions(&snapshot_store::read(&Disk, dir.path()).0), [1]);
     drop(stuck);
 }
--- a/tests/stored_formats/cluster_journal.rs
+++ b/tests/stored_formats/cluster_journal.rs
@@ -7,7 +7,7 @@
 use pebbleturn::replication::{CommandValue, Dot, Fact, FactKey, FactValue, Register, StoreLimits};
 use pebbleturn::storage::Disk;
 use pebbleturn::storage::journal::{
-    self, Journal, JournalContents, LOCK, LOG, OLDER_LOG, OLDER_SNAPSHOT, SNAPSHOT, UNDER_WAY,
+    self, Journal, JournalContents, LOCK, LOG, OLDER_LOG, OLDER_SNAPSHOT, SNAPSHOT, TEMPORARY,
 };
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -41,12 +41,12 @@
 
 fn run_process(directory: &Path, incarnation: u64, facts: Vec<Fact>) {
     let mut journal = Journal::start(Disk, directory, StoreLimits::default()).unwrap();
-    journal.found_within(PATIENCE).unwrap().unwrap();
-    journal.begin(incarnation);
+    journal.wait_for_contents(PATIENCE).unwrap().unwrap();
+    journal.record_incarnation(incarnation);
     let ticket = journal.write(facts).unwrap();
     let mut done = None;
     wait_until(|| {
-        done = journal.done();
+        done = journal.poll_result();
         done.is_some()
     });
     assert_eq!(done, Some((ticket, Ok(()))));
@@ -73,7 +73,7 @@
 /// The facts and the incarnation that a file holds by itself.
 fn assert_holds(file: &str, bytes: &[u8], incarnation: u64, facts: Vec<Fact>) {
     let found = find(file, bytes);
-    assert_eq!(found.wrong, Vec::<String>::new());
+    assert_eq!(found.problems, Vec::<String>::new());
     assert_eq!(found.incarnation, incarnation, "{file}");
     assert_eq!(by_key(found.facts), by_key(facts), "{file}");
 }
@@ -97,7 +97,7 @@
     let both = [first, second].concat();
     assert_holds(SNAPSHOT, &stored_file(SNAPSHOT), INCARNATIONS[1], both.clone());
     // A kill just before a snapshot is renamed leaves it under the name of the one under way.
-    assert_holds(UNDER_WAY, &stored_file(SNAPSHOT), INCARNATIONS[1], both);
+    assert_holds(TEMPORARY, &stored_file(SNAPSHOT), INCARNATIONS[1], both);
 }
 
 fn register(facts: &BTreeMap<FactKey, FactValue>, key: FactKey) -> Register {
@@ -127,7 +127,7 @@
         for damaged in [flipped(&bytes), truncated(&bytes)] {
             let found = find(file, &damaged);
             assert_eq!((found.facts.len(), found.incarnation), (0, 0));
-            assert_eq!(found.wrong.len(), 1); // The reason is a string.
+            assert_eq!(found.problems.len(), 1); // The reason is a string.
         }
     }
 }
@@ -138,7 +138,7 @@
         let bytes = stored_file(file);
         let lines = bytes.iter().filter(|byte| **byte == b'\n').count();
         let found = find(file, &flipped(&bytes));
-        assert_eq!(found.wrong.len(), 1); // The reason is a string.
+        assert_eq!(found.problems.len(), 1); // The reason is a string.
         assert_eq!(found.facts.len(), lines - 2, "all but the incarnation and the damaged line");
     }
 }
@@ -151,6 +151,6 @@
         let whole = find(file, &bytes);
         let cut = find(file, &truncated(&bytes));
         assert_eq!(cut.facts.len(), whole.facts.len() - 1);
-        assert_eq!((cut.incarnation, cut.wrong), (whole.incarnation, Vec::new()));
+        assert_eq!((cut.incarnation, cut.problems), (whole.incarnation, Vec::new()));
     }
 }
