--- a/src/cli.rs
+++ b/src/cli.rs
@@ -230,7 +230,7 @@
         eprintln!("--changes-every {changes_every}: must be over 0");
         return ExitCode::from(EXIT_USAGE);
     }
-    let (lists, faults) = snapshot_store::look(path);
+    let (lists, faults) = snapshot_store::read_path(path);
     faults.iter().for_each(|fault| eprintln!("{fault}"));
     let now = Clock::start().now();
     if !lists.is_empty() {
--- a/src/membership/snapshot.rs
+++ b/src/membership/snapshot.rs
@@ -13,9 +13,9 @@
 pub const MAX_FILE_BYTES: usize = 8 << 20;
 const FORMAT: FileFormat = FileFormat {
     magic: "pebbleturn-roster",
-    what: "kept list",
+    description: "kept list",
     version: FORMAT_VERSION,
-    most: MAX_FILE_BYTES,
+    max_bytes: MAX_FILE_BYTES,
 };
 
 /// A node as it is kept.
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -319,17 +319,17 @@
 
     fn write_snapshot(&mut self, now: Nanos) {
         let Some(writer) = &mut self.snapshot_writer else { return };
-        if writer.is_free()
+        if writer.is_idle()
             && let Some(snapshot) = self.registry.take_snapshot(now)
         {
-            writer.keep(snapshot);
+            writer.write(snapshot);
         }
     }
 
     /// When [`MembershipDriver::tick`] is next worth calling.
     pub fn next_deadline(&self) -> Option<Nanos> {
         // A writer that is busy is looked at again when something else happens.
-        let idle_writer = self.snapshot_writer.as_ref().filter(|writer| writer.is_free());
+        let idle_writer = self.snapshot_writer.as_ref().filter(|writer| writer.is_idle());
         [
             self.registry.next_deadline(),
             self.routing.as_ref().and_then(|routing| routing.next_deadline(self.now)),
@@ -349,7 +349,7 @@
         if let (Some(writer), Some(snapshot)) =
             (&mut self.snapshot_writer, self.registry.final_snapshot(self.now))
         {
-            writer.keep(snapshot);
+            writer.write(snapshot);
         }
     }
 }
