Name the tests and the page of replication and maintenance like their modules

Need: after the move of modules, tests/replica.rs, tests/work.rs and docs/work.md still had the old names.

--- a/src/maintenance/mod.rs
+++ b/src/maintenance/mod.rs
@@ -3,7 +3,7 @@
 //! - [`consensus`] is one value that a small group of brokers agrees on by majority;
 //! - [`permits`] is that value: which machines may be out, and every guard on a change of it.
 //!
-//! What was weighed stands in `docs/work.md`.
+//! What was weighed stands in `docs/maintenance.md`.
 
 pub mod consensus;
 pub mod permits;
