Name permits and consensus by the terms of Paxos and fencing tokens

Need: readers look for chosen values, preempted ballots, fencing tokens and rejected requests. Change: variants, fields and methods of src/maintenance are renamed; stored names stay by #[serde(rename)]. The printed text of a phase is now its Display, with the words it had.

--- a/src/maintenance/consensus.rs
+++ b/src/maintenance/consensus.rs
@@ -35,7 +35,8 @@
     /// It accepted the value of this ballot.
     Accepted { ballot: Ballot },
     /// It has promised a higher one.
-    Refused { ballot: Ballot, promised: Ballot },
+    #[serde(rename = "Refused")]
+    Rejected { ballot: Ballot, promised: Ballot },
 }
 
 /// What a voter must have on disk before it answers.
@@ -53,7 +54,7 @@
 
 impl<V: Clone> Acceptor<V> {
     /// Answers. The caller has the voter on disk before the answer leaves; an answer that can't be kept is not given.
-    pub fn answer(&mut self, ask: &Request<V>) -> Response<V> {
+    pub fn on_request(&mut self, ask: &Request<V>) -> Response<V> {
         match ask {
             Request::Prepare { ballot } if *ballot > self.promised => {
                 self.promised = *ballot;
@@ -66,13 +67,13 @@
                 Response::Accepted { ballot: *ballot }
             }
             Request::Prepare { ballot } | Request::Accept { ballot, .. } => {
-                Response::Refused { ballot: *ballot, promised: self.promised }
+                Response::Rejected { ballot: *ballot, promised: self.promised }
             }
         }
     }
 
     /// What it accepted last.
-    pub fn accepted(&self) -> Option<&V> {
+    pub fn accepted_value(&self) -> Option<&V> {
         self.accepted.as_ref().map(|(_, v)| v)
     }
 }
@@ -83,21 +84,21 @@
     /// Asking for promises.
     Preparing,
     /// A majority has told what stood: the caller works out the next value, or lets it be.
-    Read(Option<V>),
+    Prepared(Option<V>),
     /// Asking to accept.
     Proposing(V),
     /// A majority accepted the value: it is agreed on.
-    Agreed(V),
+    Chosen(V),
     /// Somebody has a higher ballot: to be tried again later, under a round above this.
-    Overtaken(u64),
+    Preempted(u64),
 }
 
 /// One attempt at a change.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Proposer<V> {
     ballot: Ballot,
-    group: usize,
-    stage: ProposerState<V>,
+    group_size: usize,
+    state: ProposerState<V>,
     promised: BTreeMap<u64, Option<(Ballot, V)>>,
     accepted: BTreeSet<u64>,
 }
@@ -107,14 +108,14 @@
     pub fn begin(ballot: Ballot, group: usize) -> (Proposer<V>, Request<V>) {
         let (promised, accepted) = (BTreeMap::new(), BTreeSet::new());
         (
-            Proposer { ballot, group, stage: ProposerState::Preparing, promised, accepted },
+            Proposer { ballot, group_size: group, state: ProposerState::Preparing, promised, accepted },
             Request::Prepare { ballot },
         )
     }
 
     /// How it stands.
-    pub fn stage(&self) -> &ProposerState<V> {
-        &self.stage
+    pub fn state(&self) -> &ProposerState<V> {
+        &self.state
     }
 
     /// Its ballot.
@@ -122,33 +123,33 @@
         self.ballot
     }
 
-    fn majority(&self, n: usize) -> bool {
-        2 * n > self.group
+    fn is_majority(&self, n: usize) -> bool {
+        2 * n > self.group_size
     }
 
     /// A voter, by its number in the group, has answered. Answers may come twice, late, or to an earlier attempt.
-    pub fn heard(&mut self, voter: u64, answer: &Response<V>) {
+    pub fn on_response(&mut self, voter: u64, answer: &Response<V>) {
         let (Response::Promised { ballot, .. }
         | Response::Accepted { ballot }
-        | Response::Refused { ballot, .. }) = answer;
+        | Response::Rejected { ballot, .. }) = answer;
         if *ballot != self.ballot {
             return;
         }
-        match (answer, &self.stage) {
-            (Response::Refused { promised, .. }, ProposerState::Preparing | ProposerState::Proposing(_)) => {
-                self.stage = ProposerState::Overtaken(promised.round);
+        match (answer, &self.state) {
+            (Response::Rejected { promised, .. }, ProposerState::Preparing | ProposerState::Proposing(_)) => {
+                self.state = ProposerState::Preempted(promised.round);
             }
             (Response::Promised { accepted, .. }, ProposerState::Preparing) => {
                 self.promised.insert(voter, accepted.clone());
-                if self.majority(self.promised.len()) {
+                if self.is_majority(self.promised.len()) {
                     let last = self.promised.values().flatten().max_by_key(|(ballot, _)| *ballot);
-                    self.stage = ProposerState::Read(last.map(|(_, v)| v.clone()));
+                    self.state = ProposerState::Prepared(last.map(|(_, v)| v.clone()));
                 }
             }
             (Response::Accepted { .. }, ProposerState::Proposing(value)) => {
                 self.accepted.insert(voter);
-                if self.majority(self.accepted.len()) {
-                    self.stage = ProposerState::Agreed(value.clone());
+                if self.is_majority(self.accepted.len()) {
+                    self.state = ProposerState::Chosen(value.clone());
                 }
             }
             _ => {}
@@ -158,10 +159,10 @@
     /// The next value, worked out from the one that was read; what all voters are to be asked. Also to confirm what was
     /// read: a value that one voter has may not be agreed on yet.
     pub fn propose(&mut self, value: V) -> Option<Request<V>> {
-        if !matches!(self.stage, ProposerState::Read(_)) {
+        if !matches!(self.state, ProposerState::Prepared(_)) {
             return None;
         }
-        self.stage = ProposerState::Proposing(value.clone());
+        self.state = ProposerState::Proposing(value.clone());
         Some(Request::Accept { ballot: self.ballot, value })
     }
 }
--- a/src/maintenance/permits.rs
+++ b/src/maintenance/permits.rs
@@ -15,34 +15,50 @@
     /// It may be taken out: brokers that are up send it nothing new.
     Draining,
     /// No broker has anything out at it: the work may begin.
-    Empty,
+    #[serde(rename = "Empty")]
+    Drained,
     /// The work has begun.
-    Out,
+    #[serde(rename = "Out")]
+    UnderMaintenance,
     /// Its process is there again, and cold.
-    Back,
+    #[serde(rename = "Back")]
+    WarmingUp,
 }
 
 impl MaintenancePhase {
     /// What may follow, on the usual way.
     fn next(self) -> Option<MaintenancePhase> {
         match self {
-            MaintenancePhase::Draining => Some(MaintenancePhase::Empty),
-            MaintenancePhase::Empty => Some(MaintenancePhase::Out),
-            MaintenancePhase::Out => Some(MaintenancePhase::Back),
-            MaintenancePhase::Back => None,
+            MaintenancePhase::Draining => Some(MaintenancePhase::Drained),
+            MaintenancePhase::Drained => Some(MaintenancePhase::UnderMaintenance),
+            MaintenancePhase::UnderMaintenance => Some(MaintenancePhase::WarmingUp),
+            MaintenancePhase::WarmingUp => None,
         }
     }
 }
 
+impl fmt::Display for MaintenancePhase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            MaintenancePhase::Draining => "Draining",
+            MaintenancePhase::Drained => "Empty",
+            MaintenancePhase::UnderMaintenance => "Out",
+            MaintenancePhase::WarmingUp => "Back",
+        })
+    }
+}
+
 /// Leave for one machine to be out.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Permit {
     /// Greater than that of any permit before it. Whoever acts on a machine names it; an older one is not obeyed.
-    pub fence: u64,
+    #[serde(rename = "fence")]
+    pub fencing_token: u64,
     /// The order that it belongs to.
     pub order: String,
     /// How far the machine has come.
-    pub step: MaintenancePhase,
+    #[serde(rename = "step")]
+    pub phase: MaintenancePhase,
     /// Who carries it out.
     pub broker: String,
     /// When it came to this step, by that broker's clock, unix ns. For people.
@@ -53,13 +69,15 @@
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
 pub struct PermitRules {
     /// Machines that may be out together.
-    pub most: usize,
+    #[serde(rename = "most")]
+    pub max_permits: usize,
     /// The cell of each machine: those of neighbouring cells hold the same partitions.
     pub cells: BTreeMap<String, u32>,
     /// Number of cells, and cells in a row that hold a partition.
     pub ring: (u32, u32),
     /// Holders of any partition that must stay.
-    pub holders: usize,
+    #[serde(rename = "holders")]
+    pub min_holders: usize,
 }
 
 impl PermitRules {
@@ -75,35 +93,37 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PermitError {
     /// As many are out as may be.
-    TooMany { out: usize, most: usize },
+    LimitReached { active: usize, limit: usize },
     /// A partition would be left with too few holders.
-    Holders { partition: u32, left: usize },
+    TooFewHolders { partition: u32, remaining: usize },
     /// It is out already, under this fence.
-    IsOut(u64),
+    AlreadyGranted(u64),
     /// The operator's file and lists do not name it.
-    Unknown,
+    UnknownMachine,
     /// The permit that is named does not stand: it has ended, or a newer one has taken its place.
-    Fenced { named: u64, stands: Option<u64> },
+    StaleFencingToken { given: u64, current: Option<u64> },
     /// That step does not follow the present one.
-    OutOfTurn { from: MaintenancePhase, to: MaintenancePhase },
+    InvalidTransition { from: MaintenancePhase, to: MaintenancePhase },
 }
 
 impl fmt::Display for PermitError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            PermitError::TooMany { out, most } => write!(f, "{out} machines are out, and {most} may be"),
-            PermitError::Holders { partition, left } => {
+            PermitError::LimitReached { active: out, limit: most } => {
+                write!(f, "{out} machines are out, and {most} may be")
+            }
+            PermitError::TooFewHolders { partition, remaining: left } => {
                 write!(f, "partition {partition} would be left with {left} holders")
             }
-            PermitError::IsOut(fence) => write!(f, "it is out already, by permit {fence}"),
-            PermitError::Unknown => write!(f, "no list names it"),
-            PermitError::Fenced { named, stands: Some(stands) } => {
+            PermitError::AlreadyGranted(fence) => write!(f, "it is out already, by permit {fence}"),
+            PermitError::UnknownMachine => write!(f, "no list names it"),
+            PermitError::StaleFencingToken { given: named, current: Some(stands) } => {
                 write!(f, "permit {named} does not stand any more, {stands} does")
             }
-            PermitError::Fenced { named, stands: None } => {
+            PermitError::StaleFencingToken { given: named, current: None } => {
                 write!(f, "permit {named} does not stand any more")
             }
-            PermitError::OutOfTurn { from, to } => write!(f, "{to:?} does not follow {from:?}"),
+            PermitError::InvalidTransition { from, to } => write!(f, "{to} does not follow {from}"),
         }
     }
 }
@@ -114,19 +134,21 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Permits {
     /// The last fence that was given out.
-    fence: u64,
-    stand: BTreeMap<String, Permit>,
+    #[serde(rename = "fence")]
+    last_fencing_token: u64,
+    #[serde(rename = "stand")]
+    active: BTreeMap<String, Permit>,
 }
 
 impl Permits {
     /// The permits that stand, by machine.
-    pub fn stand(&self) -> impl Iterator<Item = (&str, &Permit)> {
-        self.stand.iter().map(|(m, p)| (m.as_str(), p))
+    pub fn active(&self) -> impl Iterator<Item = (&str, &Permit)> {
+        self.active.iter().map(|(m, p)| (m.as_str(), p))
     }
 
     /// The last fence that was given out.
-    pub fn fence(&self) -> u64 {
-        self.fence
+    pub fn last_fencing_token(&self) -> u64 {
+        self.last_fencing_token
     }
 
     /// Lets one more machine be taken out.
@@ -138,74 +160,80 @@
         rules: &PermitRules,
         now: Nanos,
     ) -> Result<Permits, PermitError> {
-        let cell = *rules.cells.get(machine).ok_or(PermitError::Unknown)?;
-        if let Some(permit) = self.stand.get(machine) {
-            return Err(PermitError::IsOut(permit.fence));
+        let cell = *rules.cells.get(machine).ok_or(PermitError::UnknownMachine)?;
+        if let Some(permit) = self.active.get(machine) {
+            return Err(PermitError::AlreadyGranted(permit.fencing_token));
         }
-        if self.stand.len() >= rules.most {
-            return Err(PermitError::TooMany { out: self.stand.len(), most: rules.most });
+        if self.active.len() >= rules.max_permits {
+            return Err(PermitError::LimitReached { active: self.active.len(), limit: rules.max_permits });
         }
-        let out = |id: &str| id == machine || self.stand.contains_key(id);
+        let out = |id: &str| id == machine || self.active.contains_key(id);
         let (cells, span) = (rules.ring.0.max(1), rules.ring.1);
         // Partition p is held by the cells from p on: this machine's are those that begin at most a span before it.
         for back in 0..span.min(cells) {
             let first = (cell % cells + cells - back) % cells;
             let left = rules.left(first, out);
-            if left < rules.holders {
-                return Err(PermitError::Holders { partition: first, left });
+            if left < rules.min_holders {
+                return Err(PermitError::TooFewHolders { partition: first, remaining: left });
             }
         }
         let mut next = self.clone();
-        next.fence += 1;
-        let (fence, order, broker) = (next.fence, order.to_owned(), broker.to_owned());
-        let permit = Permit { fence, order, step: MaintenancePhase::Draining, broker, since: now };
-        next.stand.insert(machine.to_owned(), permit);
+        next.last_fencing_token += 1;
+        let (fence, order, broker) = (next.last_fencing_token, order.to_owned(), broker.to_owned());
+        let permit =
+            Permit { fencing_token: fence, order, phase: MaintenancePhase::Draining, broker, since: now };
+        next.active.insert(machine.to_owned(), permit);
         Ok(next)
     }
 
-    fn named(&self, machine: &str, fence: u64) -> Result<&Permit, PermitError> {
-        match self.stand.get(machine) {
-            Some(permit) if permit.fence == fence => Ok(permit),
-            other => Err(PermitError::Fenced { named: fence, stands: other.map(|p| p.fence) }),
+    fn checked_permit(&self, machine: &str, fence: u64) -> Result<&Permit, PermitError> {
+        match self.active.get(machine) {
+            Some(permit) if permit.fencing_token == fence => Ok(permit),
+            other => {
+                Err(PermitError::StaleFencingToken { given: fence, current: other.map(|p| p.fencing_token) })
+            }
         }
     }
 
     /// The machine of this permit has come to its next step.
-    pub fn step(
+    pub fn advance(
         &self,
         machine: &str,
         fence: u64,
         to: MaintenancePhase,
         now: Nanos,
     ) -> Result<Permits, PermitError> {
-        let permit = self.named(machine, fence)?;
-        if permit.step.next() != Some(to) {
-            return Err(PermitError::OutOfTurn { from: permit.step, to });
+        let permit = self.checked_permit(machine, fence)?;
+        if permit.phase.next() != Some(to) {
+            return Err(PermitError::InvalidTransition { from: permit.phase, to });
         }
         let mut next = self.clone();
-        next.stand.insert(machine.to_owned(), Permit { step: to, since: now, ..permit.clone() });
+        next.active.insert(machine.to_owned(), Permit { phase: to, since: now, ..permit.clone() });
         Ok(next)
     }
 
     /// The machine is warm again, or nothing was begun at it: its place is free. One whose work has begun comes free only
     /// once it is back.
-    pub fn end(&self, machine: &str, fence: u64) -> Result<Permits, PermitError> {
-        let permit = self.named(machine, fence)?;
-        if permit.step == MaintenancePhase::Out {
-            return Err(PermitError::OutOfTurn { from: MaintenancePhase::Out, to: MaintenancePhase::Back });
+    pub fn release(&self, machine: &str, fence: u64) -> Result<Permits, PermitError> {
+        let permit = self.checked_permit(machine, fence)?;
+        if permit.phase == MaintenancePhase::UnderMaintenance {
+            return Err(PermitError::InvalidTransition {
+                from: MaintenancePhase::UnderMaintenance,
+                to: MaintenancePhase::WarmingUp,
+            });
         }
         Ok(self.without(machine))
     }
 
     /// A person says by name that the machine will not come back: its place is free, and it stays out by hand.
     pub fn write_off(&self, machine: &str, fence: u64) -> Result<Permits, PermitError> {
-        self.named(machine, fence)?;
+        self.checked_permit(machine, fence)?;
         Ok(self.without(machine))
     }
 
     fn without(&self, machine: &str) -> Permits {
         let mut next = self.clone();
-        next.stand.remove(machine);
+        next.active.remove(machine);
         next
     }
 }
--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -8,7 +8,7 @@
 /// Four machines in a ring of four cells; a partition is held by two in a row.
 fn rules(most: usize, holders: usize) -> PermitRules {
     let cells = (0..4).map(|n| (format!("m-{n}"), n)).collect();
-    PermitRules { most, cells, ring: (4, 2), holders }
+    PermitRules { max_permits: most, cells, ring: (4, 2), min_holders: holders }
 }
 
 fn grant(permits: &Permits, machine: &str, rules: &PermitRules) -> Result<Permits, PermitError> {
@@ -16,45 +16,51 @@
 }
 
 fn fence(permits: &Permits, machine: &str) -> u64 {
-    permits.stand().find(|(m, _)| *m == machine).map_or(0, |(_, p)| p.fence)
+    permits.active().find(|(m, _)| *m == machine).map_or(0, |(_, p)| p.fencing_token)
 }
 
 #[test]
 fn a_machine_goes_its_way_step_by_step_and_its_place_stays_taken_until_it_is_back() {
     let rules = rules(1, 1);
     let none = Permits::default();
-    assert_eq!(grant(&none, "m-9", &rules), Err(PermitError::Unknown));
+    assert_eq!(grant(&none, "m-9", &rules), Err(PermitError::UnknownMachine));
     let p = grant(&none, "m-0", &rules).unwrap();
-    assert_eq!(grant(&p, "m-0", &rules), Err(PermitError::IsOut(1)));
-    assert_eq!(grant(&p, "m-2", &rules), Err(PermitError::TooMany { out: 1, most: 1 }));
+    assert_eq!(grant(&p, "m-0", &rules), Err(PermitError::AlreadyGranted(1)));
+    assert_eq!(grant(&p, "m-2", &rules), Err(PermitError::LimitReached { active: 1, limit: 1 }));
     assert_eq!(
-        p.step("m-0", 1, MaintenancePhase::Out, 8),
-        Err(PermitError::OutOfTurn { from: MaintenancePhase::Draining, to: MaintenancePhase::Out })
+        p.advance("m-0", 1, MaintenancePhase::UnderMaintenance, 8),
+        Err(PermitError::InvalidTransition {
+            from: MaintenancePhase::Draining,
+            to: MaintenancePhase::UnderMaintenance
+        })
     );
     // Nothing was begun: it may come back at once.
-    assert_eq!(p.end("m-0", 1).unwrap().stand().count(), 0);
+    assert_eq!(p.release("m-0", 1).unwrap().active().count(), 0);
     let p = p
-        .step("m-0", 1, MaintenancePhase::Empty, 8)
+        .advance("m-0", 1, MaintenancePhase::Drained, 8)
         .unwrap()
-        .step("m-0", 1, MaintenancePhase::Out, 9)
+        .advance("m-0", 1, MaintenancePhase::UnderMaintenance, 9)
         .unwrap();
     assert_eq!(
-        p.end("m-0", 1),
-        Err(PermitError::OutOfTurn { from: MaintenancePhase::Out, to: MaintenancePhase::Back })
+        p.release("m-0", 1),
+        Err(PermitError::InvalidTransition {
+            from: MaintenancePhase::UnderMaintenance,
+            to: MaintenancePhase::WarmingUp
+        })
     );
-    let back = p.step("m-0", 1, MaintenancePhase::Back, 10).unwrap();
-    let next = grant(&back.end("m-0", 1).unwrap(), "m-2", &rules).unwrap();
+    let back = p.advance("m-0", 1, MaintenancePhase::WarmingUp, 10).unwrap();
+    let next = grant(&back.release("m-0", 1).unwrap(), "m-2", &rules).unwrap();
     assert_eq!(fence(&next, "m-2"), 2);
     // Whoever comes late with an old permit is told so.
-    assert_eq!(next.end("m-0", 1), Err(PermitError::Fenced { named: 1, stands: None }));
-    let again = grant(&next.end("m-2", 2).unwrap(), "m-0", &rules).unwrap();
+    assert_eq!(next.release("m-0", 1), Err(PermitError::StaleFencingToken { given: 1, current: None }));
+    let again = grant(&next.release("m-2", 2).unwrap(), "m-0", &rules).unwrap();
     assert_eq!(
-        again.step("m-0", 1, MaintenancePhase::Empty, 11),
-        Err(PermitError::Fenced { named: 1, stands: Some(3) })
+        again.advance("m-0", 1, MaintenancePhase::Drained, 11),
+        Err(PermitError::StaleFencingToken { given: 1, current: Some(3) })
     );
     // A person writes it off by name, whatever its step.
-    assert_eq!(p.write_off("m-0", 1).unwrap().stand().count(), 0);
-    assert_eq!(p.write_off("m-0", 2), Err(PermitError::Fenced { named: 2, stands: Some(1) }));
+    assert_eq!(p.write_off("m-0", 1).unwrap().active().count(), 0);
+    assert_eq!(p.write_off("m-0", 2), Err(PermitError::StaleFencingToken { given: 2, current: Some(1) }));
 }
 
 #[test]
@@ -63,7 +69,7 @@
     let p = grant(&Permits::default(), "m-1", &rules).unwrap();
     // Its neighbours hold partitions together with it; the one across holds none of them.
     for (neighbour, partition) in [("m-0", 0), ("m-2", 1)] {
-        assert_eq!(grant(&p, neighbour, &rules), Err(PermitError::Holders { partition, left: 0 }));
+        assert_eq!(grant(&p, neighbour, &rules), Err(PermitError::TooFewHolders { partition, remaining: 0 }));
     }
     assert!(grant(&p, "m-3", &rules).is_ok());
 }
@@ -76,20 +82,20 @@
         for (what, n) in asked {
             let machine = format!("m-{}", n % 4);
             let standing = fence(&p, &machine);
-            let to = [MaintenancePhase::Empty, MaintenancePhase::Out, MaintenancePhase::Back][usize::from(n / 4 % 3)];
+            let to = [MaintenancePhase::Drained, MaintenancePhase::UnderMaintenance, MaintenancePhase::WarmingUp][usize::from(n / 4 % 3)];
             let next = match what % 4 {
                 0 => grant(&p, &machine, &rules),
-                1 => p.step(&machine, standing, to, 7),
-                2 => p.end(&machine, standing),
-                _ => p.step(&machine, standing.saturating_sub(1), to, 7),
+                1 => p.advance(&machine, standing, to, 7),
+                2 => p.release(&machine, standing),
+                _ => p.advance(&machine, standing.saturating_sub(1), to, 7),
             };
             if let Ok(next) = next {
-                if next.fence() != p.fence() && !fences.insert(fence(&next, &machine)) {
+                if next.last_fencing_token() != p.last_fencing_token() && !fences.insert(fence(&next, &machine)) {
                     return false;
                 }
                 p = next;
             }
-            let out: Vec<&str> = p.stand().map(|(m, _)| m).collect();
+            let out: Vec<&str> = p.active().map(|(m, _)| m).collect();
             let together = |a: &str, b: &str| out.contains(&a) && out.contains(&b);
             let held = (0..4).all(|n| !together(&format!("m-{n}"), &format!("m-{}", (n + 1) % 4)));
             if out.len() > 2 || !held {
@@ -156,23 +162,23 @@
 
 fn first_table() -> Permits {
     let p = grant(&Permits::default(), "m-0", &rules(1, 1)).unwrap();
-    p.step("m-0", 1, MaintenancePhase::Empty, 7).unwrap()
+    p.advance("m-0", 1, MaintenancePhase::Drained, 7).unwrap()
 }
 
 impl Check {
     /// What a broker makes of the table that it read, and the machine that is out from then on.
     fn change(&self, broker: usize, read: &Permits) -> Option<(Permits, &'static str)> {
         if broker == 0 {
-            return Some((read.step("m-0", 1, MaintenancePhase::Out, 7).ok()?, "m-0"));
+            return Some((read.advance("m-0", 1, MaintenancePhase::UnderMaintenance, 7).ok()?, "m-0"));
         }
         let ended = match self.broken {
             Broken::Expires => read.write_off("m-0", 1),
-            _ => read.end("m-0", 1),
+            _ => read.release("m-0", 1),
         };
         let granted = grant(&ended.unwrap_or(read.clone()), "m-2", &rules(1, 1)).ok()?;
         let fence = fence(&granted, "m-2");
-        let empty = granted.step("m-2", fence, MaintenancePhase::Empty, 7).ok()?;
-        Some((empty.step("m-2", fence, MaintenancePhase::Out, 7).ok()?, "m-2"))
+        let empty = granted.advance("m-2", fence, MaintenancePhase::Drained, 7).ok()?;
+        Some((empty.advance("m-2", fence, MaintenancePhase::UnderMaintenance, 7).ok()?, "m-2"))
     }
 
     fn ask_all(&self, w: &mut World, broker: usize, ask: &Request<Permits>) {
@@ -182,8 +188,8 @@
     /// Goes on where an attempt has come to its next stage.
     fn go_on(&self, w: &mut World, broker: usize) {
         let Some(mut attempt) = w.attempts[broker].clone() else { return };
-        match attempt.stage().clone() {
-            ProposerState::Read(read) => {
+        match attempt.state().clone() {
+            ProposerState::Prepared(read) => {
                 let read = if self.broken == Broken::Read { None } else { read };
                 let Some((next, machine)) = self.change(broker, &read.unwrap_or_else(first_table)) else {
                     w.attempts[broker] = None;
@@ -197,11 +203,11 @@
                 }
                 w.attempts[broker] = Some(attempt);
             }
-            ProposerState::Agreed(_) => {
+            ProposerState::Chosen(_) => {
                 w.out.insert(["m-0", "m-2"][broker]);
                 w.attempts[broker] = None;
             }
-            ProposerState::Overtaken(_) => w.attempts[broker] = None,
+            ProposerState::Preempted(_) => w.attempts[broker] = None,
             ProposerState::Preparing | ProposerState::Proposing(_) => {}
         }
     }
@@ -264,13 +270,13 @@
                 if self.broken == Broken::Promise && matches!(ask, Request::Accept { .. }) {
                     w.voters[voter] = Acceptor::default();
                 }
-                let answer = w.voters[voter].answer(ask);
+                let answer = w.voters[voter].on_request(ask);
                 w.answers.insert((broker, voter, answer));
             }
             Act::Answer(broker, voter, answer) => {
                 w.answers.remove(&(broker, voter, answer.clone()));
                 if let Some(attempt) = &mut w.attempts[broker] {
-                    attempt.heard(voter as u64, &answer);
+                    attempt.on_response(voter as u64, &answer);
                 }
                 self.go_on(&mut w, broker);
             }
--- a/tests/recorded_replication/permits.rs
+++ b/tests/recorded_replication/permits.rs
@@ -22,8 +22,12 @@
 const VOTERS: usize = 3;
 const PROPOSERS: usize = 3;
 const MACHINES: u32 = 6;
-const STEPS: [MaintenancePhase; 4] =
-    [MaintenancePhase::Draining, MaintenancePhase::Empty, MaintenancePhase::Out, MaintenancePhase::Back];
+const STEPS: [MaintenancePhase; 4] = [
+    MaintenancePhase::Draining,
+    MaintenancePhase::Drained,
+    MaintenancePhase::UnderMaintenance,
+    MaintenancePhase::WarmingUp,
+];
 
 #[derive(Clone)]
 enum Letter {
@@ -54,7 +58,7 @@
             random: random(seed),
             recorder: Recorder::new(),
             now: SECOND,
-            rules: PermitRules { most: 2, cells, ring: (MACHINES, 2), holders: 1 },
+            rules: PermitRules { max_permits: 2, cells, ring: (MACHINES, 2), min_holders: 1 },
             voters: vec![Acceptor::default(); VOTERS],
             proposers: (0..PROPOSERS).map(|_| ProposerProcess::default()).collect(),
             letters: Vec::new(),
@@ -103,7 +107,7 @@
         let disk = postcard::to_allocvec(&self.voters[voter]).unwrap();
         self.recorder.put_bytes(&disk);
         self.voters[voter] = postcard::from_bytes(&disk).unwrap();
-        self.recorder.put_stored(&self.voters[voter].accepted());
+        self.recorder.put_stored(&self.voters[voter].accepted_value());
         self.recorder.count("voter restart");
     }
 
@@ -132,7 +136,7 @@
     fn deliver(&mut self) {
         match self.take_letter() {
             Some(Letter::Ask { proposer, voter, ask }) => {
-                let answer = self.voters[voter].answer(&ask);
+                let answer = self.voters[voter].on_request(&ask);
                 put_answer(&mut self.recorder, &answer);
                 self.letters.push(Letter::Answer { proposer, voter, answer });
             }
@@ -143,15 +147,15 @@
 
     fn hear(&mut self, at: usize, voter: usize, answer: &Response<Permits>) {
         let Some(mut attempt) = self.proposers[at].attempt.take() else { return };
-        attempt.heard(voter as u64, answer);
-        put_stage(&mut self.recorder, attempt.stage());
-        match attempt.stage().clone() {
+        attempt.on_response(voter as u64, answer);
+        put_stage(&mut self.recorder, attempt.state());
+        match attempt.state().clone() {
             ProposerState::Preparing | ProposerState::Proposing(_) => {
                 self.proposers[at].attempt = Some(attempt)
             }
-            ProposerState::Read(table) => self.propose(at, attempt, table.unwrap_or_default()),
-            ProposerState::Agreed(_) => {}
-            ProposerState::Overtaken(round) => {
+            ProposerState::Prepared(table) => self.propose(at, attempt, table.unwrap_or_default()),
+            ProposerState::Chosen(_) => {}
+            ProposerState::Preempted(round) => {
                 self.proposers[at].round = self.proposers[at].round.max(round);
             }
         }
@@ -179,27 +183,29 @@
     fn change(&mut self, table: &Permits, broker: &str) -> Result<Permits, PermitError> {
         // One more than there are: no list names the last.
         let machine = format!("machine-{}", pick(&mut self.random, MACHINES as usize + 1));
-        let stands = table.stand().find(|(id, _)| *id == machine).map(|(_, permit)| permit.clone());
+        let stands = table.active().find(|(id, _)| *id == machine).map(|(_, permit)| permit.clone());
         let stale = u64::from(one_in(&mut self.random, 8));
-        let fence = stands.as_ref().map_or(table.fence(), |permit| permit.fence.saturating_sub(stale));
-        let usual = stands.as_ref().map_or(MaintenancePhase::Empty, |permit| usual_next(permit.step));
+        let fence = stands
+            .as_ref()
+            .map_or(table.last_fencing_token(), |permit| permit.fencing_token.saturating_sub(stale));
+        let usual = stands.as_ref().map_or(MaintenancePhase::Drained, |permit| usual_next(permit.phase));
         let grants = stands.is_none() && !one_in(&mut self.random, 8);
         let choice = if grants { 0 } else { pick(&mut self.random, 16) };
         match choice {
             0 => table.grant(&machine, "order", broker, &self.rules, self.now),
-            1 | 2 => table.step(&machine, fence, STEPS[pick(&mut self.random, STEPS.len())], self.now),
-            3..=5 => table.end(&machine, fence),
+            1 | 2 => table.advance(&machine, fence, STEPS[pick(&mut self.random, STEPS.len())], self.now),
+            3..=5 => table.release(&machine, fence),
             6 => table.write_off(&machine, fence),
-            _ => table.step(&machine, fence, usual, self.now),
+            _ => table.advance(&machine, fence, usual, self.now),
         }
     }
 }
 
 fn usual_next(step: MaintenancePhase) -> MaintenancePhase {
     match step {
-        MaintenancePhase::Draining => MaintenancePhase::Empty,
-        MaintenancePhase::Empty => MaintenancePhase::Out,
-        MaintenancePhase::Out | MaintenancePhase::Back => MaintenancePhase::Back,
+        MaintenancePhase::Draining => MaintenancePhase::Drained,
+        MaintenancePhase::Drained => MaintenancePhase::UnderMaintenance,
+        MaintenancePhase::UnderMaintenance | MaintenancePhase::WarmingUp => MaintenancePhase::WarmingUp,
     }
 }
 
@@ -207,7 +213,7 @@
     recorder.count(match answer {
         Response::Promised { .. } => "promised",
         Response::Accepted { .. } => "accepted",
-        Response::Refused { .. } => "refused by a voter",
+        Response::Rejected { .. } => "refused by a voter",
     });
     recorder.put_stored(answer);
 }
@@ -215,7 +221,7 @@
 fn put_stage(recorder: &mut Recorder, stage: &ProposerState<Permits>) {
     match stage {
         ProposerState::Preparing => recorder.put_tag(0),
-        ProposerState::Read(value) => {
+        ProposerState::Prepared(value) => {
             recorder.put_tag(1);
             recorder.put_stored(value);
         }
@@ -223,12 +229,12 @@
             recorder.put_tag(2);
             recorder.put_stored(value);
         }
-        ProposerState::Agreed(value) => {
+        ProposerState::Chosen(value) => {
             recorder.count("agreed");
             recorder.put_tag(3);
             recorder.put_stored(value);
         }
-        ProposerState::Overtaken(round) => {
+        ProposerState::Preempted(round) => {
             recorder.count("overtaken");
             recorder.put_tag(4);
             recorder.put_u64(*round);
@@ -238,34 +244,34 @@
 
 fn put_refused(recorder: &mut Recorder, refused: &PermitError) {
     match refused {
-        PermitError::TooMany { out, most } => {
+        PermitError::LimitReached { active: out, limit: most } => {
             recorder.count("too many");
             recorder.put_tag(0);
             recorder.put_usize(*out);
             recorder.put_usize(*most);
         }
-        PermitError::Holders { partition, left } => {
+        PermitError::TooFewHolders { partition, remaining: left } => {
             recorder.count("too few holders");
             recorder.put_tag(1);
             recorder.put_u64(u64::from(*partition));
             recorder.put_usize(*left);
         }
-        PermitError::IsOut(fence) => {
+        PermitError::AlreadyGranted(fence) => {
             recorder.count("out already");
             recorder.put_tag(2);
             recorder.put_u64(*fence);
         }
-        PermitError::Unknown => {
+        PermitError::UnknownMachine => {
             recorder.count("unknown");
             recorder.put_tag(3);
         }
-        PermitError::Fenced { named, stands } => {
+        PermitError::StaleFencingToken { given: named, current: stands } => {
             recorder.count("fenced");
             recorder.put_tag(4);
             recorder.put_u64(*named);
             recorder.put_option(*stands, Recorder::put_u64);
         }
-        PermitError::OutOfTurn { from, to } => {
+        PermitError::InvalidTransition { from, to } => {
             recorder.count("out of turn");
             recorder.put_tag(5);
             recorder.put_stored(&(from, to));
