--- a/lab/src/cluster/measure.rs
+++ b/lab/src/cluster/measure.rs
@@ -102,7 +102,7 @@
         let idle = (w.bytes_of.iter().sum::<u64>() - before) as f64 / 20.0 / brokers as f64;
         let (from, sent) = (w.now, w.bytes_of.iter().sum::<u64>());
         let key = FactKey::Server("s-1".into());
-        let Some(dot) = w.say(0, &key, CommandValue::Out) else { continue };
+        let Some(dot) = w.say(0, &key, CommandValue::Set) else { continue };
         let (mut half, mut most, mut all) = (None, None, None);
         while w.now < from + 10 * S {
             let known = w.known_to(&key, dot);
@@ -236,12 +236,12 @@
     let mut log = String::new();
     for n in 0..facts {
         let said = OperatorCommand {
-            value: CommandValue::Out,
-            who: "staff".into(),
-            why: "filled".into(),
-            at_broker: name(0),
-            at: 1,
-            until: None,
+            value: CommandValue::Set,
+            author: "staff".into(),
+            reason: "filled".into(),
+            broker: name(0),
+            issued_at: 1,
+            expires_at: None,
         };
         let _ = copy.record(&FactKey::Server(format!("s-{n:05}")), said);
     }
@@ -254,7 +254,7 @@
     let found = journal::read(&Disk, dir.path(), StoreLimits::default());
     let disk_ms = begun.elapsed().as_secs_f64() * 1e3;
     assert_eq!(found.facts.len(), facts, "{:?}", found.wrong);
-    CatchUp { facts, ms, bytes, size: copy.bytes().len(), disk_ms, disk_bytes: log.len() as u64 }
+    CatchUp { facts, ms, bytes, size: copy.to_bytes().len(), disk_ms, disk_bytes: log.len() as u64 }
 }
 
 /// What peers cost the service.
--- a/lab/src/cluster/schedule.rs
+++ b/lab/src/cluster/schedule.rs
@@ -92,7 +92,7 @@
     for step in steps {
         match *step {
             Step::Say { at, server, out } => {
-                let value = if out { CommandValue::Out } else { CommandValue::Back };
+                let value = if out { CommandValue::Set } else { CommandValue::Clear };
                 w.say(at, &FactKey::Server(format!("s-{server}")), value);
             }
             Step::Cut { from, to, both } if from != to => {
@@ -122,7 +122,11 @@
             Step::Clock { at, off } => w.set_skew(at, off * S as i64),
             Step::Told { at, drain, ago, version } => {
                 let key = if drain { FactKey::Drain("s-1".into()) } else { FactKey::Start("s-1".into()) };
-                w.note(at, key, ProcessStart { started: w.now - S * ago as u64, version: version as u64 });
+                w.note(
+                    at,
+                    key,
+                    ProcessStart { started: w.now - S * ago as u64, list_version: version as u64 },
+                );
             }
             Step::Wait { ms } => w.play_for(ms as u64 * MS),
         }
--- a/lab/src/cluster/world.rs
+++ b/lab/src/cluster/world.rs
@@ -176,7 +176,7 @@
             links: Links::default(),
             cuts: BTreeSet::new(),
             rng: Pcg32::new(seed, 0x1e55),
-            bounds: StoreLimits { keep: 120 * S, ..StoreLimits::default() },
+            bounds: StoreLimits { retention: 120 * S, ..StoreLimits::default() },
             words: Vec::new(),
             said: BTreeMap::new(),
             stamps: BTreeMap::new(),
@@ -291,8 +291,8 @@
     pub fn set_disk(&mut self, n: usize, disk: BTreeMap<FactKey, FactValue>) {
         self.nodes[n].disk = disk;
         let known = |dot: Dot, key: &FactKey, facts: Option<&FactValue>| {
-            matches!(facts, Some(FactValue::Words(r)) if r.seen().contains(dot))
-                && !matches!(key, FactKey::Spent(_))
+            matches!(facts, Some(FactValue::Commands(r)) if r.causal_context().contains(dot))
+                && !matches!(key, FactKey::Collected(_))
         };
         for i in 0..self.words.len() {
             let (dot, key) = (self.words[i].dot, self.words[i].key.clone());
@@ -318,11 +318,11 @@
         let now = self.clock(n);
         let said = OperatorCommand {
             value: value.clone(),
-            who: "staff".into(),
-            why: "test".into(),
-            at_broker: name(n),
-            at: now,
-            until: None,
+            author: "staff".into(),
+            reason: "test".into(),
+            broker: name(n),
+            issued_at: now,
+            expires_at: None,
         };
         let member = self.nodes[n].member.as_mut()?;
         let standing: Vec<Dot> =
@@ -595,7 +595,8 @@
 
     /// All that run know this word.
     pub fn known_to(&self, key: &FactKey, dot: Dot) -> usize {
-        let knows = |m: &&GossipNode| m.store().register(key).is_some_and(|r| r.seen().contains(dot));
+        let knows =
+            |m: &&GossipNode| m.store().register(key).is_some_and(|r| r.causal_context().contains(dot));
         self.nodes.iter().filter_map(|n| n.member.as_ref()).filter(knows).count()
     }
 
@@ -606,7 +607,7 @@
         };
         for n in &self.nodes {
             if let Some(m) = &n.member
-                && m.store().bytes() != copy.bytes()
+                && m.store().to_bytes() != copy.to_bytes()
             {
                 self.wrong.push("copies differ in their bytes".into());
             }
@@ -618,7 +619,7 @@
             if ended && stands(&w.key, w.dot) {
                 self.wrong.push(format!("{} of {} came back", w.dot, w.key));
             }
-            let lost = w.value == CommandValue::Out && !ended && !w.lost_with_disk && !stands(&w.key, w.dot);
+            let lost = w.value == CommandValue::Set && !ended && !w.lost_with_disk && !stands(&w.key, w.dot);
             // Somebody may have ended it by a word that was never acknowledged and yet lives.
             let ended_unheard = copy.register(&w.key).is_some_and(|r| {
                 r.commands().any(|(d, _)| d != w.dot && !self.words.iter().any(|o| o.dot == d))
@@ -678,12 +679,12 @@
         for i in 0..facts {
             let key = FactKey::Server(format!("s-{i:05}"));
             let said = OperatorCommand {
-                value: CommandValue::Out,
-                who: "staff".into(),
-                why: "filled".into(),
-                at_broker: name(n),
-                at: BEGIN,
-                until: None,
+                value: CommandValue::Set,
+                author: "staff".into(),
+                reason: "filled".into(),
+                broker: name(n),
+                issued_at: BEGIN,
+                expires_at: None,
             };
             if let Ok(dot) = copy.record(&key, said.clone()) {
                 self.stamps.insert(dot, (key, said));
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -140,7 +140,7 @@
     /// A broker of this name among its peers. Waits a moment for what is on disk, so that what staff said holds before the
     /// first client comes; where a process before it still has the disk, that comes later.
     pub fn open(told: &ClusterConfig, name: &str, now: Nanos, net: &mut PollLoop) -> io::Result<Cluster> {
-        let bounds = StoreLimits { keep: told.keep_words_s * 1_000_000_000, ..StoreLimits::default() };
+        let bounds = StoreLimits { retention: told.keep_words_s * 1_000_000_000, ..StoreLimits::default() };
         let every = told.probe_ms * 1_000_000;
         let settings = GossipSettings {
             cluster: told.name.clone(),
@@ -262,8 +262,15 @@
         }
         let (at_broker, until) =
             (self.settings.name.clone(), aside.holds.map(|s| now.saturating_add(s * 1_000_000_000)));
-        let word = if value == CommandValue::Out { "out" } else { "back" };
-        let said = OperatorCommand { value, who: aside.by, why: aside.why, at_broker, at: now, until };
+        let word = if value == CommandValue::Set { "out" } else { "back" };
+        let said = OperatorCommand {
+            value,
+            author: aside.by,
+            reason: aside.why,
+            broker: at_broker,
+            issued_at: now,
+            expires_at: until,
+        };
         let dot = member.record(&key, said, now).map_err(CommandError::Refused)?;
         tracing::info!("cluster: {key} is said to be {word} here as {dot}");
         self.waiting.push(Waiting { caller, key, yes, ticket: None });
--- a/src/cluster/status_report.rs
+++ b/src/cluster/status_report.rs
@@ -52,7 +52,7 @@
 
 fn words(register: &Register) -> String {
     let one = |(dot, s): (crate::replication::Dot, &crate::replication::OperatorCommand)| {
-        format!("{} by {:?} at {} as {dot}", derived_state::word(&s.value), s.who, s.at_broker)
+        format!("{} by {:?} at {} as {dot}", derived_state::word(&s.value), s.author, s.broker)
     };
     let all: Vec<String> = register.commands().map(one).collect();
     if all.is_empty() { "nothing".into() } else { all.join(", and ") }
@@ -62,12 +62,12 @@
 pub fn register(key: &FactKey, register: &Register, now: Nanos) -> Value {
     let said = |(dot, s): (crate::replication::Dot, &crate::replication::OperatorCommand)| {
         json!({
-            "says": derived_state::word(&s.value), "by": s.who, "why": s.why, "at_broker": s.at_broker,
-            "at_ms": s.at / 1_000_000, "until_ms": s.until.map(|t| t / 1_000_000), "stamp": dot.to_string(),
+            "says": derived_state::word(&s.value), "by": s.author, "why": s.reason, "at_broker": s.broker,
+            "at_ms": s.issued_at / 1_000_000, "until_ms": s.expires_at.map(|t| t / 1_000_000), "stamp": dot.to_string(),
         })
     };
     json!({
-        "of": key.to_string(), "out": register.is_out(now), "conflict": register.is_conflict(now),
+        "of": key.to_string(), "out": register.is_set(now), "conflict": register.has_conflict(now),
         "words": register.commands().map(said).collect::<Vec<_>>(),
     })
 }
@@ -108,7 +108,7 @@
     for (side, one, two) in [("first", copy, other), ("second", other, copy)] {
         for (key, entry) in one.facts().filter(|(key, entry)| two.get(key) != Some(*entry)) {
             let mut shown = match entry {
-                FactValue::Words(r) => register(key, r, now),
+                FactValue::Commands(r) => register(key, r, now),
                 _ => json!({ "of": key.to_string() }),
             };
             shown["of"] = format!("{side}: {key}").into();
@@ -152,7 +152,7 @@
             "cluster": self.settings.cluster, "name": self.settings.name, "standing": self.standing(),
             "slowness": self.member.as_ref().map_or(0, |m| m.health()),
             "incarnation": self.member.as_ref().map_or(0, |m| m.incarnation()),
-            "removed": self.effect().map(|e| &e.removed), "peers": peers, "dropped": dropped,
+            "removed": self.effect().map(|e| &e.removed_brokers), "peers": peers, "dropped": dropped,
             "longest_turn_us": longest_turn / 1000, "longest_for_peers_us": self.longest / 1000,
         })
     }
--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -42,7 +42,7 @@
 const COLLECT: Nanos = 60_000 * MS;
 /// A quarter of the time for which words are kept, if that is shorter.
 fn collect_every(bounds: &StoreLimits) -> Nanos {
-    COLLECT.min(bounds.keep / 4).max(100 * MS)
+    COLLECT.min(bounds.retention / 4).max(100 * MS)
 }
 
 /// What a broker is told of its cluster.
@@ -346,7 +346,7 @@
 
     /// A fact that is new: to be told on, kept, and looked at for what follows.
     fn changed(&mut self, key: FactKey) {
-        self.news.learnt(key.clone(), self.swim.brokers());
+        self.news.push(key.clone(), self.swim.brokers());
         self.unkept.insert(key);
     }
 
@@ -458,7 +458,7 @@
             Err(DropReason::OwnName)
         } else if sender.name != self.peers[n].name {
             Err(DropReason::Name)
-        } else if self.effect.removed.contains(&sender.name) {
+        } else if self.effect.removed_brokers.contains(&sender.name) {
             Err(DropReason::Removed)
         } else {
             Ok(())
@@ -509,13 +509,13 @@
     /// What follows from the facts.
     fn work_out(&mut self, now: Nanos) {
         let mut keys = self.copy.take_changed_keys();
-        keys.extend(self.effect.ended(now));
+        keys.extend(self.effect.expired_keys(now));
         if keys.is_empty() {
             return;
         }
         let mut brokers_too = false;
         for key in &keys {
-            self.effect.look(&self.copy, key, &self.settings.name, now);
+            self.effect.update(&self.copy, key, &self.settings.name, now);
             brokers_too |= matches!(key, FactKey::Removed(_));
         }
         if brokers_too {
@@ -525,10 +525,10 @@
 
     /// Who was removed by hand, or is not in the operator's file any more, is not spoken to.
     fn let_out(&mut self) {
-        let mut out = self.effect.removed.clone();
+        let mut out = self.effect.removed_brokers.clone();
         out.extend(self.peers.iter().filter(|p| !p.listed).map(|p| p.name.clone()));
         self.swim.removed(&out);
-        let gone = self.effect.removed.contains(&self.settings.name);
+        let gone = self.effect.removed_brokers.contains(&self.settings.name);
         if gone && !self.was_removed {
             self.told.push_back(Notification::Removed);
         }
@@ -704,7 +704,7 @@
                 (
                     n,
                     StreamFrame::Walk(
-                        anti_entropy::answer(&self.copy, &message).map_err(|_| DropReason::Stream)?,
+                        anti_entropy::respond(&self.copy, &message).map_err(|_| DropReason::Stream)?,
                     ),
                 )
             }
@@ -735,7 +735,7 @@
             }
             (StreamFrame::Walk(message), None) => {
                 self.take_in(anti_entropy::facts(&message), from, now);
-                match o.walk.next(&self.copy, &message) {
+                match o.walk.on_response(&self.copy, &message) {
                     Ok(next) => next,
                     Err(_) => {
                         self.outgoing = Some(o);
@@ -758,12 +758,12 @@
                 self.out.push_back(Output::Close { stream });
                 self.peers[o.peer].differs = None;
                 self.peers[o.peer].walked = now;
-                if o.walk.is_whole() && self.standing != SyncStatus::CaughtUp {
+                if o.walk.is_complete() && self.standing != SyncStatus::CaughtUp {
                     self.standing = SyncStatus::CaughtUp;
                     self.told.push_back(Notification::CaughtUp(self.peers[o.peer].name.clone()));
                 }
                 self.pace(now);
-                if !o.walk.is_whole() {
+                if !o.walk.is_complete() {
                     self.next_walk = now + WALKS.1 / 2 + self.swim.jitter(WALKS.1);
                     self.peers[o.peer].differs = Some(now.saturating_sub(2 * DIFFERS));
                 }
@@ -876,7 +876,7 @@
             round,
             walk,
             Some(self.next_collect),
-            self.effect.until().map(|t| t.max(now + MS)),
+            self.effect.next_expiry().map(|t| t.max(now + MS)),
         ];
         all.into_iter().flatten().chain(silent.map(|t| t + SILENT)).min().unwrap_or(now + ROUND)
     }
--- a/src/gossip/swim.rs
+++ b/src/gossip/swim.rs
@@ -9,7 +9,7 @@
 //! called late. A process that was stopped for a minute finds everybody as they were, and asks.
 
 use crate::api::Nanos;
-use crate::replication::rumor_queue::rounds;
+use crate::replication::rumor_queue::dissemination_rounds;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 use serde::{Deserialize, Serialize};
@@ -439,7 +439,7 @@
                 // Known under more than it has: its clock or its disk was set back.
                 if doubted || r.incarnation > self.incarnation {
                     self.incarnation = r.incarnation.saturating_add(1);
-                    self.rumours.insert(None, rounds(self.brokers()));
+                    self.rumours.insert(None, dissemination_rounds(self.brokers()));
                     self.events.push(PeerEvent::Refuted);
                 }
             } else if let Some(n) = self.number(&r.name) {
@@ -458,7 +458,7 @@
                 && s.by.len() < SHARED_BY + 1
                 && s.by.insert(by.to_owned())
             {
-                self.rumours.insert(Some(n), rounds(brokers));
+                self.rumours.insert(Some(n), dissemination_rounds(brokers));
             }
             return;
         }
@@ -466,7 +466,7 @@
         (p.incarnation, p.status) = (incarnation, status);
         p.suspicion = (status == PeerStatus::Suspect)
             .then(|| Suspicion { since: now, by: by.into_iter().map(str::to_owned).collect() });
-        self.rumours.insert(Some(n), rounds(brokers));
+        self.rumours.insert(Some(n), dissemination_rounds(brokers));
         match status {
             _ if was == status => {}
             PeerStatus::Alive => self.events.push(PeerEvent::Up(n)),
--- a/src/membership/gossip_hints.rs
+++ b/src/membership/gossip_hints.rs
@@ -33,7 +33,7 @@
     /// The drain that others have heard of holds a node back.
     fn holds(heard: &NodeHints, own: LocalHints) -> bool {
         let drained = |d: &ProcessStart| {
-            let later = d.started > own.started || (d.started == own.started && d.version > own.version);
+            let later = d.started > own.started || (d.started == own.started && d.list_version > own.version);
             // One that started after it was told to drain is another process.
             later && d.started >= heard.started
         };
--- a/src/replication/anti_entropy.rs
+++ b/src/replication/anti_entropy.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// Most bytes of facts in a message; one fact may be larger and goes alone.
-pub const FACTS: usize = 24 * 1024;
+pub const MAX_FACT_BYTES: usize = 24 * 1024;
 /// Most branches asked about, and most leaves, in one message.
 const BRANCHES: usize = 16;
 const LEAVES_ASKED: usize = 256;
@@ -28,19 +28,25 @@
     /// Asks for the digests of the branches; `root` is the asker's.
     Begin { root: u64 },
     /// The answerer's digests; none where the roots are equal.
-    Branches { digests: Vec<u64> },
+    #[serde(rename = "Branches")]
+    BranchDigests { digests: Vec<u64> },
     /// Asks for the digests of these branches' leaves.
-    AskLeaves { branches: Vec<u8> },
+    #[serde(rename = "AskLeaves")]
+    RequestLeaves { branches: Vec<u8> },
     /// The digests, branch by branch.
-    Leaves { digests: Vec<(u8, Vec<u64>)> },
+    #[serde(rename = "Leaves")]
+    LeafDigests { digests: Vec<(u8, Vec<u64>)> },
     /// Asks for the facts of these leaves, of the first of them from this place on.
-    AskFacts { leaves: Vec<u16>, from: Option<SyncPosition> },
+    #[serde(rename = "AskFacts")]
+    RequestFacts { leaves: Vec<u16>, from: Option<SyncPosition> },
     /// Facts. If not all fitted, the leaf and the place to go on from.
     Facts { facts: Vec<Fact>, stopped: Option<(u16, SyncPosition)> },
     /// Facts that the answerer lacks.
-    Give { facts: Vec<Fact> },
+    #[serde(rename = "Give")]
+    Push { facts: Vec<Fact> },
     /// They were taken in.
-    Taken,
+    #[serde(rename = "Taken")]
+    PushAccepted,
 }
 
 /// A message out of turn, or one that could not have been made.
@@ -48,45 +54,45 @@
 pub struct UnexpectedMessage;
 
 /// The size of a fact on its way, bytes.
-pub fn size(fact: &Fact) -> usize {
+pub fn encoded_size(fact: &Fact) -> usize {
     postcard::experimental::serialized_size(fact).unwrap_or(usize::MAX)
 }
 
 /// A fact in pieces of which each fits a message.
 fn pieces(key: &FactKey, entry: &FactValue) -> Vec<Fact> {
     match entry {
-        FactValue::Words(r) => {
-            r.pieces(TOGETHER).into_iter().map(|r| (key.clone(), FactValue::Words(r))).collect()
+        FactValue::Commands(r) => {
+            r.split(TOGETHER).into_iter().map(|r| (key.clone(), FactValue::Commands(r))).collect()
         }
-        FactValue::Spent(ranges) => {
-            ranges.pieces(RANGES).into_iter().map(|r| (key.clone(), FactValue::Spent(r))).collect()
+        FactValue::Collected(ranges) => {
+            ranges.split(RANGES).into_iter().map(|r| (key.clone(), FactValue::Collected(r))).collect()
         }
         other => vec![(key.clone(), other.clone())],
     }
 }
 
 /// The answer of the side that did not begin. Facts that came with the message are in `Give`: the caller takes them in.
-pub fn answer(copy: &StateStore, message: &SyncMessage) -> Result<SyncMessage, UnexpectedMessage> {
+pub fn respond(copy: &StateStore, message: &SyncMessage) -> Result<SyncMessage, UnexpectedMessage> {
     match message {
         SyncMessage::Begin { root } => {
             let same = *root == copy.tree().root();
             let digests = if same { Vec::new() } else { copy.tree().branches().to_vec() };
-            Ok(SyncMessage::Branches { digests })
+            Ok(SyncMessage::BranchDigests { digests })
         }
-        SyncMessage::AskLeaves { branches } if branches.len() <= BRANCHES => {
+        SyncMessage::RequestLeaves { branches } if branches.len() <= BRANCHES => {
             let digests = branches.iter().map(|b| (*b, copy.tree().leaves(*b))).collect();
-            Ok(SyncMessage::Leaves { digests })
+            Ok(SyncMessage::LeafDigests { digests })
         }
-        SyncMessage::AskFacts { leaves, from } if leaves.len() <= LEAVES_ASKED => {
+        SyncMessage::RequestFacts { leaves, from } if leaves.len() <= LEAVES_ASKED => {
             let (mut facts, mut bytes) = (Vec::new(), 0);
             for (n, leaf) in leaves.iter().enumerate() {
                 let from = from.as_ref().filter(|_| n == 0);
-                for (key, entry) in copy.leaf(*leaf, from.map(|(k, _)| k)) {
+                for (key, entry) in copy.facts_of_leaf(*leaf, from.map(|(k, _)| k)) {
                     let told = from.filter(|(k, _)| k == key).map_or(0, |(_, n)| *n);
                     let pieces = pieces(key, entry).into_iter().enumerate().skip(told as usize);
                     for (n, fact) in pieces {
-                        let more = size(&fact);
-                        if bytes > 0 && bytes + more > FACTS {
+                        let more = encoded_size(&fact);
+                        if bytes > 0 && bytes + more > MAX_FACT_BYTES {
                             return Ok(SyncMessage::Facts {
                                 facts,
                                 stopped: Some((*leaf, (fact.0, n as u32))),
@@ -99,7 +105,7 @@
             }
             Ok(SyncMessage::Facts { facts, stopped: None })
         }
-        SyncMessage::Give { .. } => Ok(SyncMessage::Taken),
+        SyncMessage::Push { .. } => Ok(SyncMessage::PushAccepted),
         _ => Err(UnexpectedMessage),
     }
 }
@@ -149,28 +155,28 @@
     }
 
     /// All is said.
-    pub fn is_over(&self) -> bool {
+    pub fn is_finished(&self) -> bool {
         self.step == Step::Over
     }
 
     /// All that differed was looked at.
-    pub fn is_whole(&self) -> bool {
-        self.is_over() && self.whole
+    pub fn is_complete(&self) -> bool {
+        self.is_finished() && self.whole
     }
 
     /// What to say next, once the facts of `message` are in `copy`; none when the walk is over.
-    pub fn next(
+    pub fn on_response(
         &mut self,
         copy: &StateStore,
         message: &SyncMessage,
     ) -> Result<Option<SyncMessage>, UnexpectedMessage> {
         match (&self.step, message) {
-            (Step::Branches, SyncMessage::Branches { digests }) if digests.is_empty() => {}
-            (Step::Branches, SyncMessage::Branches { digests }) if digests.len() == WIDTH => {
+            (Step::Branches, SyncMessage::BranchDigests { digests }) if digests.is_empty() => {}
+            (Step::Branches, SyncMessage::BranchDigests { digests }) if digests.len() == WIDTH => {
                 let own = copy.tree().branches();
                 self.branches = (0..WIDTH).filter(|b| own[*b] != digests[*b]).map(|b| b as u8).collect();
             }
-            (Step::Leaves, SyncMessage::Leaves { digests }) => {
+            (Step::Leaves, SyncMessage::LeafDigests { digests }) => {
                 for (branch, leaves) in digests {
                     if leaves.len() != WIDTH || usize::from(*branch) >= WIDTH {
                         return Err(UnexpectedMessage);
@@ -182,8 +188,9 @@
             }
             (Step::Facts, SyncMessage::Facts { facts, stopped }) => {
                 for fact in facts {
-                    *self.theirs.entry(fact.0.clone()).or_insert(0) ^= StateStore::hash(&fact.0, &fact.1);
-                    self.budget = self.budget.saturating_sub(size(fact));
+                    *self.theirs.entry(fact.0.clone()).or_insert(0) ^=
+                        StateStore::fact_hash(&fact.0, &fact.1);
+                    self.budget = self.budget.saturating_sub(encoded_size(fact));
                 }
                 if let Some((leaf, place)) = stopped {
                     // Guards against a peer that goes on from where it was, for ever.
@@ -193,12 +200,12 @@
                     }
                     if self.budget > 0 {
                         let leaves = self.asked[from..].to_vec();
-                        return Ok(Some(SyncMessage::AskFacts { leaves, from: Some(place.clone()) }));
+                        return Ok(Some(SyncMessage::RequestFacts { leaves, from: Some(place.clone()) }));
                     }
                     self.whole = false;
                 }
             }
-            (Step::Giving, SyncMessage::Taken) => {}
+            (Step::Giving, SyncMessage::PushAccepted) => {}
             _ => return Err(UnexpectedMessage),
         }
         Ok(self.go_on(copy))
@@ -208,9 +215,9 @@
         if self.step == Step::Facts {
             // Ours go after theirs are in: what they have told already is not told back.
             for leaf in std::mem::take(&mut self.asked) {
-                for (key, entry) in copy.leaf(leaf, None) {
+                for (key, entry) in copy.facts_of_leaf(leaf, None) {
                     let parts = pieces(key, entry);
-                    let own = parts.iter().fold(0, |h, (k, e)| h ^ StateStore::hash(k, e));
+                    let own = parts.iter().fold(0, |h, (k, e)| h ^ StateStore::fact_hash(k, e));
                     if self.theirs.get(key) != Some(&own) {
                         self.give.extend(parts);
                     }
@@ -221,8 +228,8 @@
         if !self.give.is_empty() {
             let (mut facts, mut bytes) = (Vec::new(), 0);
             while let Some(fact) = self.give.front() {
-                let more = size(fact);
-                if bytes > 0 && bytes + more > FACTS {
+                let more = encoded_size(fact);
+                if bytes > 0 && bytes + more > MAX_FACT_BYTES {
                     break;
                 }
                 bytes += more;
@@ -230,7 +237,7 @@
             }
             self.budget = self.budget.saturating_sub(bytes);
             self.step = Step::Giving;
-            return Some(SyncMessage::Give { facts });
+            return Some(SyncMessage::Push { facts });
         }
         if self.budget == 0 && !(self.leaves.is_empty() && self.branches.is_empty()) {
             self.whole = false;
@@ -241,13 +248,13 @@
             let most = self.leaves.len().min(LEAVES_ASKED);
             self.asked = self.leaves.drain(..most).collect();
             self.step = Step::Facts;
-            return Some(SyncMessage::AskFacts { leaves: self.asked.clone(), from: None });
+            return Some(SyncMessage::RequestFacts { leaves: self.asked.clone(), from: None });
         }
         if !self.branches.is_empty() {
             let most = self.branches.len().min(BRANCHES);
             let branches = self.branches.drain(..most).collect();
             self.step = Step::Leaves;
-            return Some(SyncMessage::AskLeaves { branches });
+            return Some(SyncMessage::RequestLeaves { branches });
         }
         self.step = Step::Over;
         None
@@ -257,7 +264,7 @@
 /// Facts that a message brings.
 pub fn facts(message: &SyncMessage) -> &[Fact] {
     match message {
-        SyncMessage::Facts { facts, .. } | SyncMessage::Give { facts } => facts,
+        SyncMessage::Facts { facts, .. } | SyncMessage::Push { facts } => facts,
         _ => &[],
     }
 }
--- a/src/replication/derived_state.rs
+++ b/src/replication/derived_state.rs
@@ -10,11 +10,11 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DerivedState {
     /// Servers that are out by hand.
-    pub out: BTreeSet<String>,
+    pub disabled_servers: BTreeSet<String>,
     /// This broker sends its clients away.
     pub paused: bool,
     /// Brokers that were removed for good.
-    pub removed: BTreeSet<String>,
+    pub removed_brokers: BTreeSet<String>,
     /// Keys on which words that know nothing of each other differ.
     pub conflicts: BTreeSet<FactKey>,
     /// When words end by themselves.
@@ -24,31 +24,31 @@
 
 impl DerivedState {
     /// What holds for the broker of this name.
-    pub fn of(copy: &StateStore, name: &str, now: Nanos) -> DerivedState {
+    pub fn new(copy: &StateStore, name: &str, now: Nanos) -> DerivedState {
         let mut effect = DerivedState::default();
         for (key, _) in copy.registers() {
-            effect.look(copy, key, name, now);
+            effect.update(copy, key, name, now);
         }
         effect
     }
 
     /// When it changes by itself.
-    pub fn until(&self) -> Option<Nanos> {
+    pub fn next_expiry(&self) -> Option<Nanos> {
         self.ends.first().map(|(t, _)| *t)
     }
 
     /// Words that have ended by themselves.
-    pub fn ended(&self, now: Nanos) -> Vec<FactKey> {
+    pub fn expired_keys(&self, now: Nanos) -> Vec<FactKey> {
         self.ends.iter().take_while(|(t, _)| *t <= now).map(|(_, k)| k.clone()).collect()
     }
 
     /// Looks at a key that changed, or whose time has come.
-    pub fn look(&mut self, copy: &StateStore, key: &FactKey, name: &str, now: Nanos) {
+    pub fn update(&mut self, copy: &StateStore, key: &FactKey, name: &str, now: Nanos) {
         if let Some(t) = self.by_key.remove(key) {
             self.ends.remove(&(t, key.clone()));
         }
         let register = copy.register(key);
-        if let Some(t) = register.and_then(|r| r.ends_at(now)) {
+        if let Some(t) = register.and_then(|r| r.next_expiry(now)) {
             self.ends.insert((t, key.clone()));
             self.by_key.insert(key.clone(), t);
         }
@@ -59,14 +59,14 @@
                 into.remove(id)
             };
         };
-        let out = register.is_some_and(|r| r.is_out(now));
+        let out = register.is_some_and(|r| r.is_set(now));
         match key {
-            FactKey::Server(id) => set(&mut self.out, id, out),
+            FactKey::Server(id) => set(&mut self.disabled_servers, id, out),
             FactKey::Pause(broker) if broker == name => self.paused = out,
-            FactKey::Removed(broker) => set(&mut self.removed, broker, out),
+            FactKey::Removed(broker) => set(&mut self.removed_brokers, broker, out),
             _ => {}
         }
-        if register.is_some_and(|r| r.is_conflict(now)) {
+        if register.is_some_and(|r| r.has_conflict(now)) {
             self.conflicts.insert(key.clone());
         } else {
             self.conflicts.remove(key);
@@ -84,7 +84,7 @@
 }
 
 /// What the others have heard, by server.
-pub fn heard(copy: &StateStore) -> BTreeMap<String, NodeHints> {
+pub fn node_hints(copy: &StateStore) -> BTreeMap<String, NodeHints> {
     let mut all: BTreeMap<String, NodeHints> = BTreeMap::new();
     for (key, entry) in copy.facts() {
         let FactValue::Latest(latest) = entry else { continue };
@@ -100,8 +100,8 @@
 /// For people: how a word stands.
 pub fn word(value: &CommandValue) -> &str {
     match value {
-        CommandValue::Back => "back",
-        CommandValue::Out => "out",
+        CommandValue::Clear => "back",
+        CommandValue::Set => "out",
         CommandValue::Text(t) => t,
     }
 }
--- a/src/replication/merkle_tree.rs
+++ b/src/replication/merkle_tree.rs
@@ -39,7 +39,7 @@
 
 impl MerkleTree {
     /// A fact of this leaf came or went; one that changed goes and comes.
-    pub fn turn(&mut self, leaf: u16, hash: u64) {
+    pub fn toggle(&mut self, leaf: u16, hash: u64) {
         let digest = self.leaves.entry(leaf).or_insert(0);
         *digest ^= hash;
         if *digest == 0 {
--- a/src/replication/multi_value_register.rs
+++ b/src/replication/multi_value_register.rs
@@ -13,9 +13,11 @@
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum CommandValue {
     /// Put back, welcome again, or no more.
-    Back,
+    #[serde(rename = "Back")]
+    Clear,
     /// Taken out, or sent away.
-    Out,
+    #[serde(rename = "Out")]
+    Set,
     /// Something that whoever asks for it can read.
     Text(String),
 }
@@ -26,15 +28,20 @@
     /// What.
     pub value: CommandValue,
     /// By whom, as they named themselves.
-    pub who: String,
+    #[serde(rename = "who")]
+    pub author: String,
     /// Why.
-    pub why: String,
+    #[serde(rename = "why")]
+    pub reason: String,
     /// The broker that was told.
-    pub at_broker: String,
+    #[serde(rename = "at_broker")]
+    pub broker: String,
     /// When, by that broker's clock, unix ns. For people, and for how long it is kept; it decides nothing.
-    pub at: Nanos,
+    #[serde(rename = "at")]
+    pub issued_at: Nanos,
     /// Until when it holds, unix ns.
-    pub until: Option<Nanos>,
+    #[serde(rename = "until")]
+    pub expires_at: Option<Nanos>,
 }
 
 /// Longest text of each kind, bytes: names and ids; reasons; values.
@@ -42,25 +49,25 @@
 
 impl OperatorCommand {
     /// Whether it takes something out at this time.
-    pub fn is_out(&self, now: Nanos) -> bool {
-        self.value == CommandValue::Out && self.until.is_none_or(|t| now < t)
+    pub fn is_in_effect(&self, now: Nanos) -> bool {
+        self.value == CommandValue::Set && self.expires_at.is_none_or(|t| now < t)
     }
 
     /// Whether it has said nothing any more for so long. What can't come back without a word is never old.
-    fn is_spent(&self, now: Nanos, keep: Nanos) -> bool {
-        let since = match (&self.value, self.until) {
-            (CommandValue::Back, _) => self.at,
-            (_, Some(until)) => until.max(self.at),
+    fn is_expired(&self, now: Nanos, keep: Nanos) -> bool {
+        let since = match (&self.value, self.expires_at) {
+            (CommandValue::Clear, _) => self.issued_at,
+            (_, Some(until)) => until.max(self.issued_at),
             (_, None) => return false,
         };
         since.saturating_add(keep) < now
     }
 
     /// Whether all of it is as short as may be.
-    pub fn fits(&self) -> bool {
+    pub fn is_within_limits(&self) -> bool {
         let text = if let CommandValue::Text(t) = &self.value { t.len() } else { 0 };
-        self.who.len().max(self.at_broker.len()) <= LONGEST.0
-            && self.why.len() <= LONGEST.1
+        self.author.len().max(self.broker.len()) <= LONGEST.0
+            && self.reason.len() <= LONGEST.1
             && text <= LONGEST.2
     }
 }
@@ -69,9 +76,11 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq, Hash)]
 pub struct Register {
     #[serde(with = "pairs")]
-    said: BTreeMap<Dot, OperatorCommand>,
+    #[serde(rename = "said")]
+    commands: BTreeMap<Dot, OperatorCommand>,
     /// All stamps that it has had, those of `said` among them, but for the spent ones.
-    seen: VersionVector,
+    #[serde(rename = "seen")]
+    causal_context: VersionVector,
 }
 
 /// Stamps are no text: a map by them is written as a list.
@@ -90,39 +99,41 @@
 
 impl Register {
     /// Whether it could have been made by words: what is said is also seen, and short.
-    pub fn is_sound(&self) -> bool {
-        self.said.iter().all(|(dot, said)| dot.seq > 0 && self.seen.contains(*dot) && said.fits())
+    pub fn is_valid(&self) -> bool {
+        self.commands.iter().all(|(dot, said)| {
+            dot.sequence > 0 && self.causal_context.contains(*dot) && said.is_within_limits()
+        })
     }
 
     /// Says something here: it takes the place of all that is known here.
     pub fn record(&mut self, dot: Dot, said: OperatorCommand) {
-        self.said = BTreeMap::from([(dot, said)]);
-        self.seen.insert(dot);
+        self.commands = BTreeMap::from([(dot, said)]);
+        self.causal_context.insert(dot);
     }
 
     /// The words that stand, by their stamps.
     pub fn commands(&self) -> impl Iterator<Item = (Dot, &OperatorCommand)> {
-        self.said.iter().map(|(d, s)| (*d, s))
+        self.commands.iter().map(|(d, s)| (*d, s))
     }
 
     /// All stamps that it has had and that are not spent.
-    pub fn seen(&self) -> &VersionVector {
-        &self.seen
+    pub fn causal_context(&self) -> &VersionVector {
+        &self.causal_context
     }
 
     /// Takes in what another copy holds. `spent` are the stamps of what was forgotten, here or there.
     pub fn join(&mut self, other: &Register, spent: &VersionVector) {
         let stands = |dot: &Dot, there: &Register, mine: &Register| {
-            let known_there = there.seen.contains(*dot) && !there.said.contains_key(dot);
-            mine.said.contains_key(dot) && !known_there && !spent.contains(*dot)
+            let known_there = there.causal_context.contains(*dot) && !there.commands.contains_key(dot);
+            mine.commands.contains_key(dot) && !known_there && !spent.contains(*dot)
         };
         let mut said: BTreeMap<Dot, OperatorCommand> = BTreeMap::new();
-        for (dot, word) in &self.said {
+        for (dot, word) in &self.commands {
             if stands(dot, other, self) {
                 said.insert(*dot, word.clone());
             }
         }
-        for (dot, word) in &other.said {
+        for (dot, word) in &other.commands {
             if stands(dot, self, other) {
                 // One stamp, two words: that is never made. If it is, all copies keep the same one.
                 let own = said.entry(*dot).or_insert_with(|| word.clone());
@@ -131,67 +142,67 @@
                 }
             }
         }
-        self.said = said;
-        self.seen.union(&other.seen);
-        self.seen.minus(spent);
+        self.commands = said;
+        self.causal_context.union(&other.causal_context);
+        self.causal_context.subtract(spent);
     }
 
     /// Takes out what is spent.
-    pub fn without(&mut self, spent: &VersionVector) {
-        self.said.retain(|dot, _| !spent.contains(*dot));
-        self.seen.minus(spent);
+    pub fn remove_collected(&mut self, spent: &VersionVector) {
+        self.commands.retain(|dot, _| !spent.contains(*dot));
+        self.causal_context.subtract(spent);
     }
 
     /// Something is out: one word of those that stand side by side is enough.
-    pub fn is_out(&self, now: Nanos) -> bool {
-        self.said.values().any(|s| s.is_out(now))
+    pub fn is_set(&self, now: Nanos) -> bool {
+        self.commands.values().any(|s| s.is_in_effect(now))
     }
 
     /// Words that know nothing of each other say different things.
-    pub fn is_conflict(&self, now: Nanos) -> bool {
-        let mut effects = self.said.values().map(|s| match &s.value {
+    pub fn has_conflict(&self, now: Nanos) -> bool {
+        let mut effects = self.commands.values().map(|s| match &s.value {
             CommandValue::Text(t) => (false, Some(t.as_str())),
-            _ => (s.is_out(now), None),
+            _ => (s.is_in_effect(now), None),
         });
         let first = effects.next();
         effects.any(|e| Some(e) != first)
     }
 
     /// The next time at which a word ends by itself.
-    pub fn ends_at(&self, now: Nanos) -> Option<Nanos> {
-        self.said.values().filter(|s| s.is_out(now)).filter_map(|s| s.until).min()
+    pub fn next_expiry(&self, now: Nanos) -> Option<Nanos> {
+        self.commands.values().filter(|s| s.is_in_effect(now)).filter_map(|s| s.expires_at).min()
     }
 
     /// Nothing that stands has said anything for so long.
-    pub fn is_spent(&self, now: Nanos, keep: Nanos) -> bool {
-        self.said.values().all(|s| s.is_spent(now, keep))
+    pub fn is_expired(&self, now: Nanos, keep: Nanos) -> bool {
+        self.commands.values().all(|s| s.is_expired(now, keep))
     }
 
     /// Nothing is left of it.
     pub fn is_empty(&self) -> bool {
-        self.said.is_empty() && self.seen.is_empty()
+        self.commands.is_empty() && self.causal_context.is_empty()
     }
 
     /// The same in registers with at most so many words each; joined, they are this one again.
-    pub fn pieces(&self, most: usize) -> Vec<Register> {
-        if self.said.len() <= most {
+    pub fn split(&self, most: usize) -> Vec<Register> {
+        if self.commands.len() <= most {
             return vec![self.clone()];
         }
-        let words: Vec<(Dot, OperatorCommand)> = self.said.iter().map(|(d, s)| (*d, s.clone())).collect();
+        let words: Vec<(Dot, OperatorCommand)> = self.commands.iter().map(|(d, s)| (*d, s.clone())).collect();
         let mut pieces: Vec<Register> = words
             .chunks(most.max(1))
             .map(|part| {
                 let mut seen = VersionVector::default();
                 part.iter().for_each(|(d, _)| seen.insert(*d));
-                Register { said: part.iter().cloned().collect(), seen }
+                Register { commands: part.iter().cloned().collect(), causal_context: seen }
             })
             .collect();
         // What was superseded is known without the words that stand: no piece may end a word of another one.
-        let mut seen = self.seen.clone();
+        let mut seen = self.causal_context.clone();
         let mut standing = VersionVector::default();
-        self.said.keys().for_each(|d| standing.insert(*d));
-        seen.minus(&standing);
-        pieces.push(Register { said: BTreeMap::new(), seen });
+        self.commands.keys().for_each(|d| standing.insert(*d));
+        seen.subtract(&standing);
+        pieces.push(Register { commands: BTreeMap::new(), causal_context: seen });
         pieces
     }
 }
--- a/src/replication/rumor_queue.rs
+++ b/src/replication/rumor_queue.rs
@@ -20,9 +20,9 @@
 
 impl RumorQueue {
     /// A fact is new here. `brokers` is the number of all.
-    pub fn learnt(&mut self, key: FactKey, brokers: usize) {
+    pub fn push(&mut self, key: FactKey, brokers: usize) {
         if self.left.len() < MOST || self.left.contains_key(&key) {
-            self.left.insert(key, rounds(brokers));
+            self.left.insert(key, dissemination_rounds(brokers));
         }
     }
 
@@ -38,7 +38,7 @@
         let (mut facts, mut bytes) = (Vec::new(), 0);
         for (left, key) in order {
             let fact = copy.get(&key).map(|entry| (key.clone(), entry.clone()));
-            let size = fact.as_ref().map_or(usize::MAX, anti_entropy::size);
+            let size = fact.as_ref().map_or(usize::MAX, anti_entropy::encoded_size);
             if size <= room && bytes + size > room {
                 break;
             }
@@ -58,6 +58,6 @@
 }
 
 /// How often a broker tells a fact on.
-pub fn rounds(brokers: usize) -> u32 {
+pub fn dissemination_rounds(brokers: usize) -> u32 {
     (brokers.max(1) as u64 + 1).next_power_of_two().trailing_zeros() + BEYOND
 }
--- a/src/replication/state_store.rs
+++ b/src/replication/state_store.rs
@@ -18,7 +18,8 @@
     /// A broker by its name: removed for good, or not.
     Removed(String),
     /// A work order by its id.
-    Work(String),
+    #[serde(rename = "Work")]
+    MaintenanceOrder(String),
     /// A site by its name.
     Site(String),
     /// A server by its id: the latest drain that was learnt.
@@ -26,7 +27,8 @@
     /// A server by its id: its latest start.
     Start(String),
     /// Stamps of what was forgotten.
-    Spent(Origin),
+    #[serde(rename = "Spent")]
+    Collected(Origin),
 }
 
 impl FactKey {
@@ -39,11 +41,11 @@
             FactKey::Server(n)
             | FactKey::Pause(n)
             | FactKey::Removed(n)
-            | FactKey::Work(n)
+            | FactKey::MaintenanceOrder(n)
             | FactKey::Site(n)
             | FactKey::Drain(n)
             | FactKey::Start(n) => Some(n),
-            FactKey::Spent(_) => None,
+            FactKey::Collected(_) => None,
         }
     }
 
@@ -58,11 +60,11 @@
             FactKey::Server(n) => write!(f, "server {n}"),
             FactKey::Pause(n) => write!(f, "pause of {n}"),
             FactKey::Removed(n) => write!(f, "removal of {n}"),
-            FactKey::Work(n) => write!(f, "work {n}"),
+            FactKey::MaintenanceOrder(n) => write!(f, "work {n}"),
             FactKey::Site(n) => write!(f, "site {n}"),
             FactKey::Drain(n) => write!(f, "drain of {n}"),
             FactKey::Start(n) => write!(f, "start of {n}"),
-            FactKey::Spent(o) => write!(f, "spent of {o}"),
+            FactKey::Collected(o) => write!(f, "spent of {o}"),
         }
     }
 }
@@ -73,18 +75,21 @@
     /// Unix time of the process's start, ns; 0: long ago.
     pub started: Nanos,
     /// The version of discovery's list that told it; 0 where that does not matter.
-    pub version: u64,
+    #[serde(rename = "version")]
+    pub list_version: u64,
 }
 
 /// What is known of a key.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, Hash)]
 pub enum FactValue {
     /// Words by hand.
-    Words(Register),
+    #[serde(rename = "Words")]
+    Commands(Register),
     /// Told by discovery.
     Latest(ProcessStart),
     /// Forgotten.
-    Spent(Ranges),
+    #[serde(rename = "Spent")]
+    Collected(Ranges),
 }
 
 /// A key with what is known of it.
@@ -124,21 +129,27 @@
 pub struct StoreLimits {
     /// Things that words may be about. Words that come from peers may be about twice as many: what was acknowledged
     /// elsewhere is not dropped.
-    pub words: usize,
+    pub max_registers: usize,
     /// Servers whose latest drains, and whose latest starts, are kept; the earliest go first.
-    pub servers: usize,
+    pub max_servers: usize,
     /// How long a word that has ended is kept before its stamps alone remain.
-    pub keep: Nanos,
+    pub retention: Nanos,
     /// How far ahead of this clock a start may lie.
-    pub ahead: Nanos,
+    pub max_clock_lead: Nanos,
     /// Origins whose spent stamps are kept; beyond that nothing is forgotten any more.
-    pub origins: usize,
+    pub max_origins: usize,
 }
 
 impl Default for StoreLimits {
     fn default() -> StoreLimits {
         const S: Nanos = 1_000_000_000;
-        StoreLimits { words: 16_384, servers: 16_384, keep: 7 * 86_400 * S, ahead: 600 * S, origins: 16_384 }
+        StoreLimits {
+            max_registers: 16_384,
+            max_servers: 16_384,
+            retention: 7 * 86_400 * S,
+            max_clock_lead: 600 * S,
+            max_origins: 16_384,
+        }
     }
 }
 
@@ -146,40 +157,40 @@
 /// in whatever order, however often and by whatever way these came.
 #[derive(Clone, Debug)]
 pub struct StateStore {
-    bounds: StoreLimits,
+    limits: StoreLimits,
     origin: Origin,
     /// The number of the last word that this origin said.
-    said: u64,
+    last_sequence: u64,
     facts: BTreeMap<(u16, FactKey), FactValue>,
     tree: MerkleTree,
     /// The same stamps as the `Spent` entries.
-    spent: VersionVector,
+    collected: VersionVector,
     /// By start, to find the earliest: drains, then starts.
     ages: [BTreeSet<(ProcessStart, String)>; 2],
-    words: usize,
+    register_count: usize,
     /// Changes whenever any fact does.
     version: u64,
     /// Somebody else uses this origin: memory that was copied.
-    doubled: bool,
+    duplicate_origin: bool,
     /// Keys that changed and were not looked at since.
-    touched: BTreeSet<FactKey>,
+    changed_keys: BTreeSet<FactKey>,
 }
 
 impl StateStore {
     /// An empty copy of a process that was given this origin.
     pub fn new(origin: Origin, bounds: StoreLimits) -> StateStore {
         StateStore {
-            bounds,
+            limits: bounds,
             origin,
-            said: 0,
+            last_sequence: 0,
             facts: BTreeMap::new(),
             tree: MerkleTree::default(),
-            spent: VersionVector::default(),
+            collected: VersionVector::default(),
             ages: Default::default(),
-            words: 0,
+            register_count: 0,
             version: 0,
-            doubled: false,
-            touched: BTreeSet::new(),
+            duplicate_origin: false,
+            changed_keys: BTreeSet::new(),
         }
     }
 
@@ -190,12 +201,12 @@
 
     /// Whether somebody else uses this origin: a new one must be drawn before the next word.
     pub fn has_duplicate_origin(&self) -> bool {
-        self.doubled
+        self.duplicate_origin
     }
 
     /// From now on words have this origin.
     pub fn set_origin(&mut self, origin: Origin) {
-        (self.origin, self.said, self.doubled) = (origin, 0, false);
+        (self.origin, self.last_sequence, self.duplicate_origin) = (origin, 0, false);
     }
 
     /// The digests.
@@ -210,7 +221,7 @@
 
     /// Keys that changed since this was last asked.
     pub fn take_changed_keys(&mut self) -> BTreeSet<FactKey> {
-        std::mem::take(&mut self.touched)
+        std::mem::take(&mut self.changed_keys)
     }
 
     /// Number of facts.
@@ -231,7 +242,7 @@
     /// The words on a key.
     pub fn register(&self, key: &FactKey) -> Option<&Register> {
         match self.get(key) {
-            Some(FactValue::Words(r)) => Some(r),
+            Some(FactValue::Commands(r)) => Some(r),
             _ => None,
         }
     }
@@ -243,23 +254,27 @@
 
     /// All words.
     pub fn registers(&self) -> impl Iterator<Item = (&FactKey, &Register)> {
-        self.facts().filter_map(|(k, e)| if let FactValue::Words(r) = e { Some((k, r)) } else { None })
+        self.facts().filter_map(|(k, e)| if let FactValue::Commands(r) = e { Some((k, r)) } else { None })
     }
 
     /// The facts of a leaf, from this key on.
-    pub fn leaf(&self, leaf: u16, from: Option<&FactKey>) -> impl Iterator<Item = (&FactKey, &FactValue)> {
+    pub fn facts_of_leaf(
+        &self,
+        leaf: u16,
+        from: Option<&FactKey>,
+    ) -> impl Iterator<Item = (&FactKey, &FactValue)> {
         let from = (leaf, from.unwrap_or(&FactKey::LEAST).clone());
         let facts = self.facts.range(from..).take_while(move |((l, _), _)| *l == leaf);
         facts.map(|((_, k), e)| (k, e))
     }
 
     /// The bytes of all that is known, the same in copies that are equal.
-    pub fn bytes(&self) -> Vec<u8> {
+    pub fn to_bytes(&self) -> Vec<u8> {
         postcard::to_allocvec(&self.facts().collect::<Vec<_>>()).unwrap_or_default()
     }
 
     /// The hash of a fact.
-    pub fn hash(key: &FactKey, entry: &FactValue) -> u64 {
+    pub fn fact_hash(key: &FactKey, entry: &FactValue) -> u64 {
         merkle_tree::hash(&postcard::to_allocvec(&(key, entry)).unwrap_or_default())
     }
 
@@ -272,46 +287,47 @@
             _ => None,
         };
         if let Some(old) = self.facts.get(&place) {
-            self.tree.turn(place.0, StateStore::hash(key, old));
+            self.tree.toggle(place.0, StateStore::fact_hash(key, old));
             if let (Some((n, id)), FactValue::Latest(l)) = (age(key), old) {
                 self.ages[n].remove(&(*l, id));
             }
-            self.words -= usize::from(matches!(old, FactValue::Words(_)));
+            self.register_count -= usize::from(matches!(old, FactValue::Commands(_)));
         }
         match entry {
             None => drop(self.facts.remove(&place)),
             Some(entry) => {
-                self.tree.turn(place.0, StateStore::hash(key, &entry));
+                self.tree.toggle(place.0, StateStore::fact_hash(key, &entry));
                 if let (Some((n, id)), FactValue::Latest(l)) = (age(key), &entry) {
                     self.ages[n].insert((*l, id));
                 }
-                self.words += usize::from(matches!(entry, FactValue::Words(_)));
+                self.register_count += usize::from(matches!(entry, FactValue::Commands(_)));
                 self.facts.insert(place, entry);
             }
         }
         self.version += 1;
-        self.touched.insert(key.clone());
+        self.changed_keys.insert(key.clone());
     }
 
     /// Says something by hand. It takes the place of all that is known here of that key. JoinError where this copy holds
     /// as many things as may be, or the word is too long: then nothing was said.
     pub fn record(&mut self, key: &FactKey, said: OperatorCommand) -> Result<Dot, JoinError> {
-        let sound = key.name().is_some_and(|n| !n.is_empty() && n.len() <= LONGEST.0) && said.fits();
+        let sound =
+            key.name().is_some_and(|n| !n.is_empty() && n.len() <= LONGEST.0) && said.is_within_limits();
         if !sound || matches!(key, FactKey::Drain(_) | FactKey::Start(_)) {
             return Err(JoinError::Invalid);
         }
-        if self.doubled {
+        if self.duplicate_origin {
             return Err(JoinError::DuplicateOrigin);
         }
         let mut register = self.register(key).cloned();
-        if register.is_none() && self.words >= self.bounds.words {
+        if register.is_none() && self.register_count >= self.limits.max_registers {
             return Err(JoinError::AtCapacity);
         }
-        self.said += 1;
-        let dot = Dot { origin: self.origin, seq: self.said };
+        self.last_sequence += 1;
+        let dot = Dot { origin: self.origin, sequence: self.last_sequence };
         let mut r = register.take().unwrap_or_default();
         r.record(dot, said);
-        self.put(key, Some(FactValue::Words(r)));
+        self.put(key, Some(FactValue::Commands(r)));
         Ok(dot)
     }
 
@@ -321,39 +337,43 @@
             return Err(JoinError::Invalid);
         }
         match (key, entry) {
-            (FactKey::Spent(origin), FactValue::Spent(ranges)) => self.forget(*origin, ranges),
+            (FactKey::Collected(origin), FactValue::Collected(ranges)) => self.forget(*origin, ranges),
             (FactKey::Drain(_) | FactKey::Start(_), FactValue::Latest(l)) => self.join_latest(key, *l, now),
-            (FactKey::Spent(_) | FactKey::Drain(_) | FactKey::Start(_), _) => Err(JoinError::Invalid),
-            (_, FactValue::Words(r)) => self.join_words(key, r),
+            (FactKey::Collected(_) | FactKey::Drain(_) | FactKey::Start(_), _) => Err(JoinError::Invalid),
+            (_, FactValue::Commands(r)) => self.join_words(key, r),
             (_, _) => Err(JoinError::Invalid),
         }
     }
 
     fn join_words(&mut self, key: &FactKey, theirs: &Register) -> Result<bool, JoinError> {
-        if !theirs.is_sound() {
+        if !theirs.is_valid() {
             return Err(JoinError::Invalid);
         }
         // Guards stamps against a process whose memory was copied: what it said must not be said again as something else.
-        let own = theirs.seen().of(self.origin).and_then(|r| r.iter().last()).map_or(0, |(_, last)| last);
-        if own > self.said {
-            self.doubled = true;
+        let own = theirs
+            .causal_context()
+            .ranges_of(self.origin)
+            .and_then(|r| r.iter().last())
+            .map_or(0, |(_, last)| last);
+        if own > self.last_sequence {
+            self.duplicate_origin = true;
         }
         let old = self.register(key);
-        if old.is_none() && self.words >= 2 * self.bounds.words {
+        if old.is_none() && self.register_count >= 2 * self.limits.max_registers {
             return Err(JoinError::AtCapacity);
         }
         let mut joined = old.cloned().unwrap_or_default();
-        joined.join(theirs, &self.spent);
+        joined.join(theirs, &self.collected);
         if old == Some(&joined) || (old.is_none() && joined.is_empty()) {
             return Ok(false);
         }
-        self.put(key, Some(joined).filter(|r| !r.is_empty()).map(FactValue::Words));
+        self.put(key, Some(joined).filter(|r| !r.is_empty()).map(FactValue::Commands));
         Ok(true)
     }
 
     fn join_latest(&mut self, key: &FactKey, theirs: ProcessStart, now: Nanos) -> Result<bool, JoinError> {
         // Guards against a clock that runs ahead: it must not hold a server back until that time has come.
-        if theirs.started > now.saturating_add(self.bounds.ahead) {
+        if theirs.started > now.saturating_add(self.limits.max_clock_lead) {
             return Err(JoinError::FromTheFuture);
         }
         if let Some(FactValue::Latest(own)) = self.get(key)
@@ -365,7 +385,7 @@
         // The earliest goes: keeping the latest of a union is the same in any order.
         let drains = matches!(key, FactKey::Drain(_));
         let ages = &self.ages[usize::from(!drains)];
-        if ages.len() > self.bounds.servers
+        if ages.len() > self.limits.max_servers
             && let Some((_, id)) = ages.first().cloned()
         {
             let earliest = if drains { FactKey::Drain(id) } else { FactKey::Start(id) };
@@ -377,21 +397,21 @@
 
     /// Stamps that are forgotten, here or elsewhere.
     fn forget(&mut self, origin: Origin, ranges: &Ranges) -> Result<bool, JoinError> {
-        if self.spent.of(origin).is_none() && self.spent.len() >= 2 * self.bounds.origins {
+        if self.collected.ranges_of(origin).is_none() && self.collected.len() >= 2 * self.limits.max_origins {
             return Err(JoinError::AtCapacity);
         }
-        if !self.spent.add(origin, ranges) {
+        if !self.collected.insert_ranges(origin, ranges) {
             return Ok(false);
         }
-        let all = self.spent.of(origin).cloned().unwrap_or_default();
-        self.put(&FactKey::Spent(origin), Some(FactValue::Spent(all)));
-        let touched = |r: &Register| r.seen().of(origin).is_some();
+        let all = self.collected.ranges_of(origin).cloned().unwrap_or_default();
+        self.put(&FactKey::Collected(origin), Some(FactValue::Collected(all)));
+        let touched = |r: &Register| r.causal_context().ranges_of(origin).is_some();
         let keys: Vec<FactKey> =
             self.registers().filter(|(_, r)| touched(r)).map(|(k, _)| k.clone()).collect();
         for key in keys {
             let Some(mut register) = self.register(&key).cloned() else { continue };
-            register.without(&self.spent);
-            self.put(&key, Some(register).filter(|r| !r.is_empty()).map(FactValue::Words));
+            register.remove_collected(&self.collected);
+            self.put(&key, Some(register).filter(|r| !r.is_empty()).map(FactValue::Commands));
         }
         Ok(true)
     }
@@ -399,23 +419,23 @@
     /// Forgets what has said nothing for as long as words are kept: only their stamps remain, so that no copy that was
     /// away can bring them back. Tells the keys that changed; a bounded number of things at a time.
     pub fn collect_garbage(&mut self, now: Nanos) -> Vec<FactKey> {
-        let old = |r: &Register| r.is_spent(now, self.bounds.keep);
+        let old = |r: &Register| r.is_expired(now, self.limits.retention);
         let mut changed = Vec::new();
         let mut stamps = VersionVector::default();
         for (key, register) in self.registers().filter(|(_, r)| old(r)).take(AT_A_TIME) {
             let new = |(origin, _): &(Origin, &Ranges)| {
-                self.spent.of(*origin).is_none() && stamps.of(*origin).is_none()
+                self.collected.ranges_of(*origin).is_none() && stamps.ranges_of(*origin).is_none()
             };
-            let more = register.seen().iter().filter(new).count();
-            if self.spent.len() + stamps.len() + more > self.bounds.origins {
+            let more = register.causal_context().iter().filter(new).count();
+            if self.collected.len() + stamps.len() + more > self.limits.max_origins {
                 break;
             }
-            stamps.union(register.seen());
+            stamps.union(register.causal_context());
             changed.push(key.clone());
         }
         for (origin, ranges) in stamps.iter() {
             if self.forget(origin, ranges) == Ok(true) {
-                changed.push(FactKey::Spent(origin));
+                changed.push(FactKey::Collected(origin));
             }
         }
         changed
--- a/src/replication/version_vector.rs
+++ b/src/replication/version_vector.rs
@@ -24,12 +24,13 @@
     /// Who said it.
     pub origin: Origin,
     /// Its number there.
-    pub seq: u64,
+    #[serde(rename = "seq")]
+    pub sequence: u64,
 }
 
 impl fmt::Display for Dot {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}", self.origin, self.seq)
+        write!(f, "{}:{}", self.origin, self.sequence)
     }
 }
 
@@ -63,7 +64,7 @@
     }
 
     /// Adds all numbers from `start` to `end`. True if any is new.
-    pub fn add(&mut self, start: u64, end: u64) -> bool {
+    pub fn insert_range(&mut self, start: u64, end: u64) -> bool {
         let from = self.0.partition_point(|(_, e)| e.saturating_add(1) < start);
         let to = self.0.partition_point(|(s, _)| *s <= end.saturating_add(1));
         if let [(s, e)] = self.0[from..to]
@@ -80,11 +81,11 @@
 
     /// Adds all of another set. True if anything is new.
     pub fn union(&mut self, other: &Ranges) -> bool {
-        other.0.iter().fold(false, |new, (a, b)| self.add(*a, *b) | new)
+        other.0.iter().fold(false, |new, (a, b)| self.insert_range(*a, *b) | new)
     }
 
     /// Takes all of another set out.
-    pub fn minus(&mut self, other: &Ranges) {
+    pub fn subtract(&mut self, other: &Ranges) {
         for (start, end) in &other.0 {
             let from = self.0.partition_point(|(_, e)| e < start);
             let to = self.0.partition_point(|(s, _)| s <= end);
@@ -107,7 +108,7 @@
     }
 
     /// The same in sets of at most so many ranges each, one at least.
-    pub fn pieces(&self, most: usize) -> Vec<Ranges> {
+    pub fn split(&self, most: usize) -> Vec<Ranges> {
         let pieces: Vec<Ranges> = self.0.chunks(most.max(1)).map(|c| Ranges(c.to_vec())).collect();
         if pieces.is_empty() { vec![Ranges::default()] } else { pieces }
     }
@@ -126,38 +127,38 @@
 impl VersionVector {
     /// Whether the stamp is in it.
     pub fn contains(&self, dot: Dot) -> bool {
-        self.0.get(&dot.origin).is_some_and(|r| r.contains(dot.seq))
+        self.0.get(&dot.origin).is_some_and(|r| r.contains(dot.sequence))
     }
 
     /// Adds one stamp.
     pub fn insert(&mut self, dot: Dot) {
-        self.0.entry(dot.origin).or_default().add(dot.seq, dot.seq);
+        self.0.entry(dot.origin).or_default().insert_range(dot.sequence, dot.sequence);
     }
 
     /// Adds stamps of one origin. True if any is new.
-    pub fn add(&mut self, origin: Origin, ranges: &Ranges) -> bool {
+    pub fn insert_ranges(&mut self, origin: Origin, ranges: &Ranges) -> bool {
         !ranges.is_empty() && self.0.entry(origin).or_default().union(ranges)
     }
 
     /// Adds all of another set.
     pub fn union(&mut self, other: &VersionVector) {
         for (origin, ranges) in &other.0 {
-            self.add(*origin, ranges);
+            self.insert_ranges(*origin, ranges);
         }
     }
 
     /// Takes all of another set out.
-    pub fn minus(&mut self, other: &VersionVector) {
+    pub fn subtract(&mut self, other: &VersionVector) {
         self.0.retain(|origin, ranges| {
             if let Some(out) = other.0.get(origin) {
-                ranges.minus(out);
+                ranges.subtract(out);
             }
             !ranges.is_empty()
         });
     }
 
     /// What is known of one origin.
-    pub fn of(&self, origin: Origin) -> Option<&Ranges> {
+    pub fn ranges_of(&self, origin: Origin) -> Option<&Ranges> {
         self.0.get(&origin)
     }
 
@@ -190,7 +191,7 @@
                 for (start, len) in all {
                     let (start, end) = (u64::from(*start) + 1, u64::from(*start) + 1 + u64::from(*len % 5));
                     let new = (start..=end).fold(false, |new, n| set.insert(n) | new);
-                    assert_eq!(r.add(start, end), new);
+                    assert_eq!(r.insert_range(start, end), new);
                 }
                 (r, set)
             };
@@ -200,7 +201,7 @@
             };
             let ((mut x, mut xs), (y, ys)) = (build(&a), build(&b));
             let both = { let mut u = x.clone(); u.union(&y); same(&u, &(&xs | &ys)) };
-            x.minus(&y);
+            x.subtract(&y);
             xs.retain(|n| !ys.contains(n));
             both && same(&x, &xs)
         }
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -319,22 +319,22 @@
         if self.cluster.is_some() {
             let said = match call {
                 AdminRequest::Suspend(id, aside) => {
-                    self.say(FactKey::Server(id), CommandValue::Out, aside, caller, now)
+                    self.say(FactKey::Server(id), CommandValue::Set, aside, caller, now)
                 }
                 AdminRequest::Restore(id, aside) => {
-                    self.say(FactKey::Server(id), CommandValue::Back, aside, caller, now)
+                    self.say(FactKey::Server(id), CommandValue::Clear, aside, caller, now)
                 }
                 AdminRequest::Pause(name, aside) => {
-                    self.say(self.pause_of(name), CommandValue::Out, aside, caller, now)
+                    self.say(self.pause_of(name), CommandValue::Set, aside, caller, now)
                 }
                 AdminRequest::Resume(name, aside) => {
-                    self.say(self.pause_of(name), CommandValue::Back, aside, caller, now)
+                    self.say(self.pause_of(name), CommandValue::Clear, aside, caller, now)
                 }
                 AdminRequest::Remove(name, aside) => {
-                    self.say(FactKey::Removed(name), CommandValue::Out, aside, caller, now)
+                    self.say(FactKey::Removed(name), CommandValue::Set, aside, caller, now)
                 }
                 AdminRequest::Admit(name, aside) => {
-                    self.say(FactKey::Removed(name), CommandValue::Back, aside, caller, now)
+                    self.say(FactKey::Removed(name), CommandValue::Clear, aside, caller, now)
                 }
                 other => return Some(self.answer(other, now)),
             };
@@ -363,7 +363,7 @@
             FactKey::Server(id) if known || self.front.membership().knows(id) => id.clone(),
             FactKey::Server(id) => return Err(format!("{id} was never listed")),
             // It would stop talking at once, and nobody would hear of it.
-            FactKey::Removed(name) if name == cluster.name() && value == CommandValue::Out => {
+            FactKey::Removed(name) if name == cluster.name() && value == CommandValue::Set => {
                 return Err(format!("{name} is this broker: say it at another one"));
             }
             FactKey::Pause(name) | FactKey::Removed(name) if known || cluster.is_broker(name) => name.clone(),
@@ -476,15 +476,15 @@
                 self.held.out = self.words.out().map(str::to_owned).collect();
                 self.held.paused = self.words.pause.is_some_and(|w| w.out);
             }
-            for id in effect.out.symmetric_difference(&self.held.out) {
-                let out = effect.out.contains(id);
+            for id in effect.disabled_servers.symmetric_difference(&self.held.out) {
+                let out = effect.disabled_servers.contains(id);
                 let _ = self.front.membership_mut().set_suspended(id, out, true, &mut hands);
                 self.words.server(id, out, now);
                 self.handover.iter_mut().for_each(HotRestart::publish_now);
                 tracing::info!("server {id} is {} by hand", if out { "out" } else { "put back" });
             }
-            if effect.out != self.held.out {
-                self.held.out = effect.out.clone();
+            if effect.disabled_servers != self.held.out {
+                self.held.out = effect.disabled_servers.clone();
             }
             if effect.paused != self.held.paused {
                 self.held.paused = effect.paused;
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -201,10 +201,15 @@
             }
             let Some((state, started, version)) = roster.discovery_state(&change.id) else { continue };
             if state != NodeState::Ready {
-                among.news.push((FactKey::Drain(change.id.clone()), ProcessStart { started, version }));
+                among.news.push((
+                    FactKey::Drain(change.id.clone()),
+                    ProcessStart { started, list_version: version },
+                ));
             }
             if started > 0 {
-                among.news.push((FactKey::Start(change.id.clone()), ProcessStart { started, version: 0 }));
+                among
+                    .news
+                    .push((FactKey::Start(change.id.clone()), ProcessStart { started, list_version: 0 }));
             }
         }
         among.others.pass(changes, |id| MembershipDriver::own(roster, id))
--- a/tests/cluster/frames.rs
+++ b/tests/cluster/frames.rs
@@ -14,24 +14,25 @@
 use std::time::Duration;
 
 fn copy(words: u32) -> StateStore {
-    let mut copy = StateStore::new(Origin(7), StoreLimits { keep: 0, ..StoreLimits::default() });
+    let mut copy = StateStore::new(Origin(7), StoreLimits { retention: 0, ..StoreLimits::default() });
     for n in 0..words {
         let value =
-            [CommandValue::Out, CommandValue::Back, CommandValue::Text("x".into())][n as usize % 3].clone();
-        let key =
-            [FactKey::Server(format!("s-{n}")), FactKey::Work(format!("w-{n}"))][n as usize % 2].clone();
+            [CommandValue::Set, CommandValue::Clear, CommandValue::Text("x".into())][n as usize % 3].clone();
+        let key = [FactKey::Server(format!("s-{n}")), FactKey::MaintenanceOrder(format!("w-{n}"))]
+            [n as usize % 2]
+            .clone();
         let said = OperatorCommand {
             value,
-            who: "w".into(),
-            why: "y".into(),
-            at_broker: "b".into(),
-            at: 1,
-            until: Some(5),
+            author: "w".into(),
+            reason: "y".into(),
+            broker: "b".into(),
+            issued_at: 1,
+            expires_at: Some(5),
         };
         copy.record(&key, said).unwrap();
         copy.join(
             &FactKey::Start(format!("s-{n}")),
-            &FactValue::Latest(ProcessStart { started: 9, version: 0 }),
+            &FactValue::Latest(ProcessStart { started: 9, list_version: 0 }),
             10,
         )
         .unwrap();
@@ -40,12 +41,12 @@
     copy.record(
         &FactKey::Server("s-0".into()),
         OperatorCommand {
-            value: CommandValue::Out,
-            who: "w".into(),
-            why: "y".into(),
-            at_broker: "b".into(),
-            at: 1,
-            until: None,
+            value: CommandValue::Set,
+            author: "w".into(),
+            reason: "y".into(),
+            broker: "b".into(),
+            issued_at: 1,
+            expires_at: None,
         },
     )
     .unwrap();
@@ -76,11 +77,11 @@
     let copy = copy(20);
     let (_, begin) = SyncSession::begin(&copy, 1000);
     let hello = StreamFrame::Hello { sender: sender(), rumours: vec![] };
-    let give = SyncMessage::Give { facts: facts(&copy) };
-    let leaves = SyncMessage::Leaves { digests: vec![(3, vec![1; 64])] };
-    let ask = SyncMessage::AskFacts { leaves: vec![1, 2], from: Some((FactKey::Site("k".into()), 2)) };
-    let walks =
-        [begin, give, leaves, ask, SyncMessage::Branches { digests: vec![5; 64] }].map(StreamFrame::Walk);
+    let give = SyncMessage::Push { facts: facts(&copy) };
+    let leaves = SyncMessage::LeafDigests { digests: vec![(3, vec![1; 64])] };
+    let ask = SyncMessage::RequestFacts { leaves: vec![1, 2], from: Some((FactKey::Site("k".into()), 2)) };
+    let walks = [begin, give, leaves, ask, SyncMessage::BranchDigests { digests: vec![5; 64] }]
+        .map(StreamFrame::Walk);
     [hello].into_iter().chain(walks).map(|l| l.encode()[4..].to_vec()).collect()
 }
 
@@ -162,14 +163,14 @@
             if line.len() >= 9 {
                 reseal(&mut line);
                 if let Ok(StreamFrame::Walk(m)) = StreamFrame::decode(&line) {
-                    let _ = anti_entropy::answer(&copy(2), &m);
+                    let _ = anti_entropy::respond(&copy(2), &m);
                 }
             }
         }
     }
     assert!(read > 300 && refused > 300, "{read} read, {refused} refused");
     // It still hears its peers, and they it.
-    let dot = w.say(1, &FactKey::Server("after".into()), CommandValue::Out).unwrap();
+    let dot = w.say(1, &FactKey::Server("after".into()), CommandValue::Set).unwrap();
     assert!(w.until(30 * S, |w| w.known_to(&FactKey::Server("after".into()), dot) == 3));
 }
 
@@ -199,12 +200,12 @@
     let mut copy = copy(8);
     let first = facts(&copy);
     let said = OperatorCommand {
-        value: CommandValue::Back,
-        who: "w".into(),
-        why: "y".into(),
-        at_broker: "b".into(),
-        at: 2,
-        until: None,
+        value: CommandValue::Clear,
+        author: "w".into(),
+        reason: "y".into(),
+        broker: "b".into(),
+        issued_at: 2,
+        expires_at: None,
     };
     copy.record(&FactKey::Server("s-0".into()), said).unwrap();
     [first, facts(&copy)]
@@ -231,7 +232,7 @@
             batches.iter().flatten().take(lines.saturating_sub(1)).map(|(k, _)| k).collect();
         let lost = kept
             .iter()
-            .filter(|k| !matches!(k, FactKey::Spent(_)) && !cut.facts.iter().any(|(c, _)| c == **k));
+            .filter(|k| !matches!(k, FactKey::Collected(_)) && !cut.facts.iter().any(|(c, _)| c == **k));
         assert_eq!(lost.count(), 0, "cut at {at}");
         assert!(lines <= batches[0].len() + batches[1].len() || cut.facts == whole_facts, "cut at {at}");
         // Changed at any byte: the other lines stand, and it is told.
@@ -262,13 +263,13 @@
             let text = CommandValue::Text("t".repeat(3000));
             let said = OperatorCommand {
                 value: text,
-                who: "w".into(),
-                why: "y".into(),
-                at_broker: "b".into(),
-                at: 2,
-                until: None,
+                author: "w".into(),
+                reason: "y".into(),
+                broker: "b".into(),
+                issued_at: 2,
+                expires_at: None,
             };
-            all.record(&FactKey::Work(format!("{batch}-{n}")), said).unwrap();
+            all.record(&FactKey::MaintenanceOrder(format!("{batch}-{n}")), said).unwrap();
         }
         let new = |(k, _): &Fact| k.name().is_some_and(|n| n.starts_with(&format!("{batch}-")));
         parts.push(facts(&all).into_iter().filter(new).collect());
--- a/tests/cluster/model.rs
+++ b/tests/cluster/model.rs
@@ -8,7 +8,8 @@
 
 const COPIES: usize = 3;
 /// A word put back is old at once: time to forget is a step like any other.
-const BOUNDS: StoreLimits = StoreLimits { words: 8, servers: 8, keep: 0, ahead: 0, origins: 64 };
+const BOUNDS: StoreLimits =
+    StoreLimits { max_registers: 8, max_servers: 8, retention: 0, max_clock_lead: 0, max_origins: 64 };
 
 /// Which rule is broken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,7 +30,7 @@
 }
 
 /// What a test says once, of one server.
-const WORDS: [CommandValue; 2] = [CommandValue::Out, CommandValue::Back];
+const WORDS: [CommandValue; 2] = [CommandValue::Set, CommandValue::Clear];
 
 #[derive(Clone, Debug)]
 struct Site {
@@ -59,7 +60,8 @@
 
 impl World {
     fn key(&self) -> impl Hash + Eq + '_ {
-        let sites: Vec<_> = self.sites.iter().map(|s| (s.copy.bytes(), s.copy.origin(), &s.disk)).collect();
+        let sites: Vec<_> =
+            self.sites.iter().map(|s| (s.copy.to_bytes(), s.copy.origin(), &s.disk)).collect();
         (sites, &self.promises, self.said, self.starts, self.forgot, &self.stamps)
     }
 }
@@ -126,7 +128,7 @@
 
 fn standing(copy: &StateStore) -> Vec<(Dot, bool)> {
     copy.register(&server())
-        .map_or(vec![], |r| r.commands().map(|(d, s)| (d, s.value == CommandValue::Out)).collect())
+        .map_or(vec![], |r| r.commands().map(|(d, s)| (d, s.value == CommandValue::Set)).collect())
 }
 
 /// A register of these words that has seen no others.
@@ -148,17 +150,17 @@
     fn tell(&self, from: &StateStore, to: &mut StateStore) {
         for (key, entry) in facts(from) {
             match (&entry, self.broken) {
-                (FactValue::Words(_), Broken::Seen) => {
-                    let told = FactValue::Words(only(&words(from)));
+                (FactValue::Commands(_), Broken::Seen) => {
+                    let told = FactValue::Commands(only(&words(from)));
                     to.join(&key, &told, 0).unwrap();
                 }
-                (FactValue::Words(_), Broken::Sides) => {
+                (FactValue::Commands(_), Broken::Sides) => {
                     to.join(&key, &entry, 0).unwrap();
                     let all = words(to);
                     if all.len() > 1 {
                         let mut kept: Vec<Fact> = facts(to);
                         kept.retain(|(k, _)| *k != key);
-                        kept.push((key.clone(), FactValue::Words(only(&all[all.len() - 1..]))));
+                        kept.push((key.clone(), FactValue::Commands(only(&all[all.len() - 1..]))));
                         *to = of(to.origin().0, &kept);
                     }
                 }
@@ -181,7 +183,7 @@
     fn actions(&self, w: &World, steps: &mut Vec<Step>) {
         for at in 0..COPIES {
             if w.said < self.words {
-                steps.extend(WORDS.iter().map(|v| Step::Say { at, out: *v == CommandValue::Out }));
+                steps.extend(WORDS.iter().map(|v| Step::Say { at, out: *v == CommandValue::Set }));
             }
             if w.starts < self.crashes {
                 steps.push(Step::Crash { at, without: false });
@@ -189,7 +191,7 @@
                 let known = |other: &Site| {
                     let mut told = other.copy.clone();
                     self.tell(&w.sites[at].copy, &mut told);
-                    told.bytes() == other.copy.bytes()
+                    told.to_bytes() == other.copy.to_bytes()
                 };
                 if (0..COPIES).any(|n| n != at && known(&w.sites[n])) {
                     steps.push(Step::Crash { at, without: true });
@@ -215,14 +217,14 @@
                     let all: Vec<StateStore> = w.sites.iter().map(|s| s.copy.clone()).collect();
                     all.iter().for_each(|c| self.tell(c, &mut w.sites[at].copy));
                 }
-                let value = if out { CommandValue::Out } else { CommandValue::Back };
+                let value = if out { CommandValue::Set } else { CommandValue::Clear };
                 let said = OperatorCommand {
                     value,
-                    who: "w".into(),
-                    why: String::new(),
-                    at_broker: at.to_string(),
-                    at: 0,
-                    until: None,
+                    author: "w".into(),
+                    reason: String::new(),
+                    broker: at.to_string(),
+                    issued_at: 0,
+                    expires_at: None,
                 };
                 // As the program does: what its disk or its peers tell of its own stamps makes it draw new ones.
                 if w.sites[at].copy.has_duplicate_origin() {
@@ -249,7 +251,7 @@
                 if self.broken == Broken::Stamps {
                     let kept: Vec<Fact> = facts(&site.copy)
                         .into_iter()
-                        .filter(|(k, _)| !matches!(k, FactKey::Spent(_)))
+                        .filter(|(k, _)| !matches!(k, FactKey::Collected(_)))
                         .collect();
                     site.copy = of(site.copy.origin().0, &kept);
                 }
@@ -296,7 +298,7 @@
             Property::always("the order of joining does not matter", |check: &Check, w: &World| {
                 let mut back = of(999, &[]);
                 w.sites.iter().rev().for_each(|s| check.tell(&s.copy, &mut back));
-                back.bytes() == joined(check, w).bytes()
+                back.to_bytes() == joined(check, w).to_bytes()
             }),
         ]
     }
--- a/tests/cluster/processes.rs
+++ b/tests/cluster/processes.rs
@@ -272,7 +272,7 @@
 fn a_peer_that_floods_and_one_that_lives_in_the_future_are_bounded() {
     let mut bed = Bed::started(PROGRAM, 3, 10);
     let clients = Clients::at(&bed, 0, 2);
-    let ahead = FactValue::Latest(ProcessStart { started: u64::MAX / 2, version: u64::MAX });
+    let ahead = FactValue::Latest(ProcessStart { started: u64::MAX / 2, list_version: u64::MAX });
     let frame = |facts| {
         Datagram { sender: sender(99, "bed"), probe: Probe::News, rumours: vec![], facts, root: Some(1) }
             .encode(2)
@@ -282,16 +282,16 @@
     until("refused", || bed.dropped(0, "can't be taken in") > 0);
     // A word from a clock that runs far ahead holds like any other, and the next one ends it.
     let said = OperatorCommand {
-        value: CommandValue::Out,
-        who: "x".into(),
-        why: String::new(),
-        at_broker: name(1),
-        at: u64::MAX / 2,
-        until: None,
+        value: CommandValue::Set,
+        author: "x".into(),
+        reason: String::new(),
+        broker: name(1),
+        issued_at: u64::MAX / 2,
+        expires_at: None,
     };
     let mut register = Register::default();
-    register.record(pebbleturn::replication::Dot { origin: Origin(99), seq: 1 }, said);
-    let fact = (FactKey::Server("n-1".into()), FactValue::Words(register));
+    register.record(pebbleturn::replication::Dot { origin: Origin(99), sequence: 1 }, said);
+    let fact = (FactKey::Server("n-1".into()), FactValue::Commands(register));
     bed.links.inject(1, 0, &frame(vec![fact.clone()]));
     bed.everywhere("server n-1", true);
     bed.must(2, "RESTORE n-1");
--- a/tests/cluster/simulated.rs
+++ b/tests/cluster/simulated.rs
@@ -45,11 +45,11 @@
     let mut w = World::new(5, 1);
     w.play_for(5 * S);
     assert!((0..5).all(|n| w.up_at(n) == 4 && w.caught_up(n)));
-    w.say(0, &server(1), CommandValue::Out).unwrap();
-    assert!(w.until(2 * S, |w| (0..5).all(|n| w.effect(n).out.contains("s-1"))));
-    w.say(3, &server(1), CommandValue::Back).unwrap();
-    assert!(w.until(2 * S, |w| (0..5).all(|n| w.effect(n).out.is_empty())));
-    w.say(2, &FactKey::Pause(name(4)), CommandValue::Out).unwrap();
+    w.say(0, &server(1), CommandValue::Set).unwrap();
+    assert!(w.until(2 * S, |w| (0..5).all(|n| w.effect(n).disabled_servers.contains("s-1"))));
+    w.say(3, &server(1), CommandValue::Clear).unwrap();
+    assert!(w.until(2 * S, |w| (0..5).all(|n| w.effect(n).disabled_servers.is_empty())));
+    w.say(2, &FactKey::Pause(name(4)), CommandValue::Set).unwrap();
     assert!(w.until(2 * S, |w| w.effect(4).paused));
     assert!(!w.effect(3).paused);
     settles(&mut w, "calm");
@@ -59,21 +59,25 @@
 fn words_on_both_sides_of_a_cut_are_a_conflict_everywhere_once_it_heals() {
     let mut w = World::new(5, 2);
     w.play_for(3 * S);
-    w.say(0, &server(1), CommandValue::Out).unwrap();
+    w.say(0, &server(1), CommandValue::Set).unwrap();
     w.play_for(2 * S);
     let sides = |n: usize| usize::from(n < 2);
     for a in 0..5 {
         (0..5).filter(|b| sides(a) != sides(*b)).for_each(|b| w.cut(a, b, true));
     }
-    w.say(0, &server(1), CommandValue::Back).unwrap();
-    w.say(4, &server(1), CommandValue::Out).unwrap();
+    w.say(0, &server(1), CommandValue::Clear).unwrap();
+    w.say(4, &server(1), CommandValue::Set).unwrap();
     w.play_for(60 * S);
-    assert!(w.effect(1).out.is_empty() && w.effect(3).out.contains("s-1"));
+    assert!(w.effect(1).disabled_servers.is_empty() && w.effect(3).disabled_servers.contains("s-1"));
     settles(&mut w, "healed");
-    assert!((0..5).all(|n| w.effect(n).out.contains("s-1") && w.effect(n).conflicts.contains(&server(1))));
-    w.say(2, &server(1), CommandValue::Back).unwrap();
+    assert!(
+        (0..5)
+            .all(|n| w.effect(n).disabled_servers.contains("s-1")
+                && w.effect(n).conflicts.contains(&server(1)))
+    );
+    w.say(2, &server(1), CommandValue::Clear).unwrap();
     settles(&mut w, "settled");
-    assert!((0..5).all(|n| w.effect(n).out.is_empty() && w.effect(n).conflicts.is_empty()));
+    assert!((0..5).all(|n| w.effect(n).disabled_servers.is_empty() && w.effect(n).conflicts.is_empty()));
 }
 
 /// A cut in one direction only, and cuts that at no time leave more than two of five connected.
@@ -84,13 +88,13 @@
     for a in 0..5 {
         (0..5).filter(|b| a != *b).for_each(|b| w.cut(a, b, true));
     }
-    w.say(0, &server(1), CommandValue::Out).unwrap();
+    w.say(0, &server(1), CommandValue::Set).unwrap();
     // One pair after the other.
     for pair in [(0, 1), (1, 2), (2, 3), (3, 4)] {
         for (a, b) in [pair, (pair.1, pair.0)] {
             w.cut(a, b, false);
         }
-        assert!(w.until(60 * S, |w| w.effect(pair.1).out.contains("s-1")), "{pair:?}");
+        assert!(w.until(60 * S, |w| w.effect(pair.1).disabled_servers.contains("s-1")), "{pair:?}");
         for (a, b) in [pair, (pair.1, pair.0)] {
             w.cut(a, b, true);
         }
@@ -99,8 +103,8 @@
     let mut w = World::new(3, 4);
     w.play_for(3 * S);
     w.cut(0, 1, true);
-    w.say(0, &server(1), CommandValue::Out).unwrap();
-    assert!(w.until(10 * S, |w| w.effect(1).out.contains("s-1")), "by way of the third");
+    w.say(0, &server(1), CommandValue::Set).unwrap();
+    assert!(w.until(10 * S, |w| w.effect(1).disabled_servers.contains("s-1")), "by way of the third");
     // Who can be heard by a third is not taken for down.
     w.play_for(60 * S);
     assert_eq!(w.up_at(0) + w.up_at(1) + w.up_at(2), 6);
@@ -113,12 +117,12 @@
     w.play_for(5 * S);
     w.stop(2, 20 * S);
     w.play_for(10 * S);
-    w.say(0, &server(1), CommandValue::Out).unwrap();
+    w.say(0, &server(1), CommandValue::Set).unwrap();
     w.play_for(9 * S);
-    assert!(w.effect(2).out.is_empty());
+    assert!(w.effect(2).disabled_servers.is_empty());
     w.play_for(2 * S);
     assert_eq!(w.up_at(2), 4, "it takes all others for what they were");
-    assert!(w.until(5 * S, |w| w.effect(2).out.contains("s-1")));
+    assert!(w.until(5 * S, |w| w.effect(2).disabled_servers.contains("s-1")));
     assert!(w.until(10 * S, |w| (0..5).all(|n| w.up_at(n) == 4)));
     // It was taken for down, if at all, while it did stand still.
     assert_eq!(w.counts.false_down, 0);
@@ -141,20 +145,22 @@
 fn old_disks_bring_nothing_back_and_use_no_stamp_twice() {
     let mut w = World::new(5, 6);
     w.play_for(3 * S);
-    w.say(0, &server(1), CommandValue::Out).unwrap();
-    w.say(1, &server(2), CommandValue::Out).unwrap();
+    w.say(0, &server(1), CommandValue::Set).unwrap();
+    w.say(1, &server(2), CommandValue::Set).unwrap();
     w.play_for(5 * S);
     let old = w.disk(1);
-    w.say(1, &server(2), CommandValue::Back).unwrap();
-    w.say(1, &server(3), CommandValue::Out).unwrap();
+    w.say(1, &server(2), CommandValue::Clear).unwrap();
+    w.say(1, &server(3), CommandValue::Set).unwrap();
     w.play_for(5 * S);
     // All are killed; four start, one of them from its old disk; it says something at once.
     (0..5).for_each(|n| w.kill(n));
     w.set_disk(1, old.clone());
     [1, 2, 3, 4].into_iter().for_each(|n| w.start(n));
-    w.say(1, &server(4), CommandValue::Out).unwrap();
+    w.say(1, &server(4), CommandValue::Set).unwrap();
     w.play_for(20 * S);
-    assert!((1..5).all(|n| !w.effect(n).out.contains("s-2") && w.effect(n).out.contains("s-3")));
+    assert!((1..5).all(
+        |n| !w.effect(n).disabled_servers.contains("s-2") && w.effect(n).disabled_servers.contains("s-3")
+    ));
     // Longer than words are kept: the ended ones are forgotten everywhere, and then the oldest disk comes back.
     w.play_for(300 * S);
     assert!(w.member(2).unwrap().store().register(&server(2)).is_none());
@@ -162,7 +168,7 @@
     w.set_disk(1, old);
     w.start(1);
     settles(&mut w, "old disks");
-    assert!((0..5).all(|n| !w.effect(n).out.contains("s-2") && w.effect(n).out.len() == 3));
+    assert!((0..5).all(|n| !w.effect(n).disabled_servers.contains("s-2") && w.effect(n).disabled_servers.len() == 3));
 }
 
 #[test]
@@ -173,14 +179,16 @@
         w.cut(2, b, true);
         w.cut(b, 2, true);
     }
-    w.say(2, &server(1), CommandValue::Out).unwrap();
-    w.say(0, &server(2), CommandValue::Out).unwrap();
-    w.say(0, &server(2), CommandValue::Back).unwrap();
+    w.say(2, &server(1), CommandValue::Set).unwrap();
+    w.say(0, &server(2), CommandValue::Set).unwrap();
+    w.say(0, &server(2), CommandValue::Clear).unwrap();
     w.play_for(10 * S);
     w.kill(2);
     w.play_for(1000 * S);
     settles(&mut w, "late word");
-    assert!((0..3).all(|n| w.effect(n).out.contains("s-1") && !w.effect(n).out.contains("s-2")));
+    assert!((0..3).all(
+        |n| w.effect(n).disabled_servers.contains("s-1") && !w.effect(n).disabled_servers.contains("s-2")
+    ));
 }
 
 #[test]
@@ -193,13 +201,13 @@
     w.start(1);
     w.start(2);
     w.play_for(5 * S);
-    w.say(1, &server(1), CommandValue::Out).unwrap();
+    w.say(1, &server(1), CommandValue::Set).unwrap();
     w.play_for(3 * S);
-    w.say(2, &server(1), CommandValue::Back).unwrap();
+    w.say(2, &server(1), CommandValue::Clear).unwrap();
     w.play_for(3 * S);
-    assert!((0..4).all(|n| w.effect(n).out.is_empty()));
+    assert!((0..4).all(|n| w.effect(n).disabled_servers.is_empty()));
     // A start that lies ahead is taken from nobody.
-    let ahead = ProcessStart { started: w.now + 3600 * S, version: 1 };
+    let ahead = ProcessStart { started: w.now + 3600 * S, list_version: 1 };
     w.note(1, FactKey::Start("s-9".into()), ahead);
     w.play_for(3 * S);
     assert!(
@@ -221,11 +229,11 @@
     }
     (0..4).for_each(|n| w.start(n));
     w.play_for(5 * S);
-    w.say(0, &server(1), CommandValue::Out).unwrap();
+    w.say(0, &server(1), CommandValue::Set).unwrap();
     w.cut(3, 4, true);
     w.cut(4, 3, true);
     w.start(4);
-    assert!(w.until(30 * S, |w| (0..5).all(|n| w.effect(n).out.contains("s-1"))));
+    assert!(w.until(30 * S, |w| (0..5).all(|n| w.effect(n).disabled_servers.contains("s-1"))));
     settles(&mut w, "ring");
 }
 
@@ -233,13 +241,13 @@
 fn a_broker_that_was_removed_is_not_listened_to_until_it_is_let_in_again() {
     let mut w = World::new(4, 10);
     w.play_for(4 * S);
-    w.say(0, &FactKey::Removed(name(3)), CommandValue::Out).unwrap();
+    w.say(0, &FactKey::Removed(name(3)), CommandValue::Set).unwrap();
     w.play_for(5 * S);
-    w.say(3, &server(1), CommandValue::Out).unwrap();
+    w.say(3, &server(1), CommandValue::Set).unwrap();
     w.play_for(30 * S);
-    assert!((0..3).all(|n| w.effect(n).out.is_empty() && w.up_at(n) == 2));
+    assert!((0..3).all(|n| w.effect(n).disabled_servers.is_empty() && w.up_at(n) == 2));
     w.kill(3);
-    w.say(1, &FactKey::Removed(name(3)), CommandValue::Back).unwrap();
+    w.say(1, &FactKey::Removed(name(3)), CommandValue::Clear).unwrap();
     w.play_for(3 * S);
     w.set_disk(3, Default::default());
     w.start(3);
@@ -254,19 +262,19 @@
     (0..5).for_each(|n| w.start(n));
     w.links = Links { loss: 0.1, doubled: 0.1, delay: (MS, 20 * MS) };
     w.play_for(5 * S);
-    w.say(0, &server(1), CommandValue::Out).unwrap();
-    w.say(4, &server(2), CommandValue::Out).unwrap();
-    assert!(w.until(30 * S, |w| (0..5).all(|n| w.effect(n).out.len() == 2)));
+    w.say(0, &server(1), CommandValue::Set).unwrap();
+    w.say(4, &server(2), CommandValue::Set).unwrap();
+    assert!(w.until(30 * S, |w| (0..5).all(|n| w.effect(n).disabled_servers.len() == 2)));
     // One after the other is upgraded.
     for n in 0..3 {
         w.kill(n);
         w.speaks(n, codec::LATEST);
         w.start(n);
-        w.say(n, &server(3 + n), CommandValue::Out).unwrap();
+        w.say(n, &server(3 + n), CommandValue::Set).unwrap();
         w.play_for(5 * S);
     }
     settles(&mut w, "upgraded");
-    assert!((0..5).all(|n| w.effect(n).out.len() == 5));
+    assert!((0..5).all(|n| w.effect(n).disabled_servers.len() == 5));
 }
 
 /// What goes wrong with a schedule of faults once they are over, if anything.
@@ -310,7 +318,7 @@
         let steps = schedule::draw(6, 60, 7);
         schedule::play(&mut w, &steps);
         w.play_for(60 * S);
-        let copies: Vec<Vec<u8>> = (0..6).filter_map(|n| Some(w.member(n)?.store().bytes())).collect();
+        let copies: Vec<Vec<u8>> = (0..6).filter_map(|n| Some(w.member(n)?.store().to_bytes())).collect();
         (copies, w.counts.datagrams, w.counts.bytes)
     };
     assert_eq!(play(), play());
@@ -325,7 +333,7 @@
     let idle = (w.bytes_of.iter().sum::<u64>() - before) / 30 / 300;
     assert!(idle < 1024, "{idle} bytes a second");
     w.links.loss = 0.05;
-    let dot = w.say(0, &server(1), CommandValue::Out).unwrap();
+    let dot = w.say(0, &server(1), CommandValue::Set).unwrap();
     assert!(w.until(10 * S, |w| w.known_to(&server(1), dot) == 300), "{}", w.known_to(&server(1), dot));
     settles(&mut w, "300");
 }
--- a/tests/recorded_decisions/membership.rs
+++ b/tests/recorded_decisions/membership.rs
@@ -230,7 +230,7 @@
             9..20 => {
                 let started = self.now - self.random.below(20) * S;
                 let version = self.version + self.random.below(5);
-                let drain = self.random.chance(70).then_some(ProcessStart { started, version });
+                let drain = self.random.chance(70).then_some(ProcessStart { started, list_version: version });
                 let change = self.others.heard(&id, NodeHints { drain, started });
                 self.digest.put_option(change, |digest, change| digest.put_change(&change));
             }
--- a/tests/recorded_replication/gossip.rs
+++ b/tests/recorded_replication/gossip.rs
@@ -128,7 +128,7 @@
             name: name(n),
             peers: self.peer_list(n),
             swim: swim::SwimSettings { every: SECOND, timeout: 300 * MILLISECOND, indirect: 2 },
-            bounds: StoreLimits { keep: 20 * SECOND, ..StoreLimits::default() },
+            bounds: StoreLimits { retention: 20 * SECOND, ..StoreLimits::default() },
             speaks,
             seed: pick(&mut self.random, 1 << 30) as u64,
         }
@@ -208,11 +208,11 @@
         let lasts = one_in(&mut self.random, 4).then_some(self.now + 10 * SECOND);
         let word = OperatorCommand {
             value,
-            who: "staff".into(),
-            why: "reason".into(),
-            at_broker: name(n),
-            at: self.now,
-            until: lasts,
+            author: "staff".into(),
+            reason: "reason".into(),
+            broker: name(n),
+            issued_at: self.now,
+            expires_at: lasts,
         };
         self.with_member(n, |member, now| {
             let _ = member.record(key, word, now);
@@ -222,13 +222,13 @@
 
     fn say(&mut self, n: usize) {
         let value = match pick(&mut self.random, 5) {
-            0 | 1 => CommandValue::Back,
-            2 | 3 => CommandValue::Out,
+            0 | 1 => CommandValue::Clear,
+            2 | 3 => CommandValue::Set,
             _ => CommandValue::Text("text ".repeat(1 + pick(&mut self.random, 300))),
         };
         let key = match pick(&mut self.random, 6) {
             0 => FactKey::Pause(name(pick(&mut self.random, MEMBERS))),
-            1 => FactKey::Work("order".into()),
+            1 => FactKey::MaintenanceOrder("order".into()),
             _ => FactKey::Server(format!("server-{}", pick(&mut self.random, 30))),
         };
         self.say_word(n, &key, value);
@@ -237,14 +237,14 @@
     /// Removes the last member, or takes it in again.
     fn remove(&mut self, n: usize) {
         let key = FactKey::Removed(name(MEMBERS - 1));
-        let value = if one_in(&mut self.random, 3) { CommandValue::Out } else { CommandValue::Back };
+        let value = if one_in(&mut self.random, 3) { CommandValue::Set } else { CommandValue::Clear };
         self.say_word(n, &key, value);
     }
 
     fn note(&mut self, n: usize) {
         let id = format!("server-{}", pick(&mut self.random, 30));
         let key = if one_in(&mut self.random, 2) { FactKey::Drain(id) } else { FactKey::Start(id) };
-        let latest = ProcessStart { started: self.now, version: 1 };
+        let latest = ProcessStart { started: self.now, list_version: 1 };
         self.with_member(n, |member, now| member.note(key, latest, now));
     }
 
@@ -306,7 +306,7 @@
     fn speak_out_of_turn(&mut self, to: usize) {
         self.next_accepted += 1;
         let (stream, from) = (self.next_accepted, address((to + 1) % MEMBERS));
-        let line = StreamFrame::Walk(SyncMessage::Taken).encode();
+        let line = StreamFrame::Walk(SyncMessage::PushAccepted).encode();
         self.with_member(to, |member, now| {
             member.accepted(stream, from, now);
             member.frame(stream, from, &line[4..], now);
@@ -442,7 +442,7 @@
         });
         let due = member.due(now) / MILLISECOND;
         recorder.put_stored(&(member.incarnation(), member.health(), due, member.is_doubled()));
-        recorder.put_bytes(&member.store().bytes());
+        recorder.put_bytes(&member.store().to_bytes());
         put_effect(recorder, member.derived_state());
         recorder.put_sequence(member.dropped(), |recorder, (why, times)| {
             put_dropped(recorder, why);
--- a/tests/recorded_replication/replicated_state.rs
+++ b/tests/recorded_replication/replicated_state.rs
@@ -25,8 +25,13 @@
 
 const EVENTS: usize = 4_000;
 const COPIES: usize = 4;
-const BOUNDS: StoreLimits =
-    StoreLimits { words: 20, servers: 8, keep: 100 * SECOND, ahead: 600 * SECOND, origins: 24 };
+const BOUNDS: StoreLimits = StoreLimits {
+    max_registers: 20,
+    max_servers: 8,
+    retention: 100 * SECOND,
+    max_clock_lead: 600 * SECOND,
+    max_origins: 24,
+};
 /// Bytes of news that one message holds.
 const NEWS_ROOM: usize = 500;
 /// Words that do not fit into one message, and walks that bring them.
@@ -100,7 +105,7 @@
         match pick(&mut self.random, 16) {
             0 | 1 => FactKey::Pause(format!("broker-{}", pick(&mut self.random, COPIES))),
             2 => FactKey::Removed(format!("broker-{}", pick(&mut self.random, COPIES))),
-            3 => FactKey::Work(format!("order-{}", pick(&mut self.random, 3))),
+            3 => FactKey::MaintenanceOrder(format!("order-{}", pick(&mut self.random, 3))),
             4 => FactKey::Site(format!("site-{}", pick(&mut self.random, 3))),
             5 if one_in(&mut self.random, 4) => FactKey::Server(String::new()),
             6 if one_in(&mut self.random, 4) => FactKey::Drain("server-0".into()),
@@ -110,18 +115,18 @@
 
     fn draw_word(&mut self, at: usize) -> OperatorCommand {
         let value = match pick(&mut self.random, 6) {
-            0..=2 => CommandValue::Back,
-            3 | 4 => CommandValue::Out,
+            0..=2 => CommandValue::Clear,
+            3 | 4 => CommandValue::Set,
             _ => CommandValue::Text("text ".repeat(1 + pick(&mut self.random, 900))),
         };
         let lasts = one_in(&mut self.random, 3).then(|| 1 + pick(&mut self.random, 90) as u64 * SECOND);
         OperatorCommand {
             value,
-            who: "staff".into(),
-            why: "reason".into(),
-            at_broker: format!("broker-{at}"),
-            at: self.now,
-            until: lasts.map(|time| self.now + time),
+            author: "staff".into(),
+            reason: "reason".into(),
+            broker: format!("broker-{at}"),
+            issued_at: self.now,
+            expires_at: lasts.map(|time| self.now + time),
         }
     }
 
@@ -130,7 +135,7 @@
         let replica = &mut self.replicas[at];
         let result = replica.copy.record(&key, word);
         if result.is_ok() {
-            replica.news.learnt(key, COPIES);
+            replica.news.push(key, COPIES);
             self.recorder.count("said");
         }
         put_result(&mut self.recorder, result);
@@ -141,7 +146,7 @@
         let key = if one_in(&mut self.random, 2) { FactKey::Drain(id) } else { FactKey::Start(id) };
         // Some lie further ahead than may be.
         let started = self.now - 100 * SECOND + pick(&mut self.random, 800) as u64 * SECOND;
-        let latest = ProcessStart { started, version: pick(&mut self.random, 9) as u64 };
+        let latest = ProcessStart { started, list_version: pick(&mut self.random, 9) as u64 };
         self.join(at, &key, &FactValue::Latest(latest));
     }
 
@@ -150,7 +155,7 @@
         let result = replica.copy.join(key, entry, self.now);
         match result {
             Ok(true) => {
-                replica.news.learnt(key.clone(), COPIES);
+                replica.news.push(key.clone(), COPIES);
                 self.recorder.count("joined");
             }
             Ok(false) => self.recorder.count("known already"),
@@ -176,9 +181,12 @@
     }
 
     fn join_unsound(&mut self, at: usize) {
-        let words = FactValue::Words(Register::default());
-        let keys =
-            [FactKey::Drain("server-1".into()), FactKey::Server("x".repeat(129)), FactKey::Spent(Origin(1))];
+        let words = FactValue::Commands(Register::default());
+        let keys = [
+            FactKey::Drain("server-1".into()),
+            FactKey::Server("x".repeat(129)),
+            FactKey::Collected(Origin(1)),
+        ];
         for key in &keys {
             self.join(at, key, &words);
         }
@@ -258,23 +266,23 @@
         while !one_in(&mut self.random, 20) {
             let answer = self.answer(other, &ask);
             anti_entropy::facts(&answer).iter().for_each(|(key, entry)| self.join(at, key, entry));
-            match walk.next(&self.replicas[at].copy, &answer).unwrap() {
+            match walk.on_response(&self.replicas[at].copy, &answer).unwrap() {
                 Some(next) => ask = next,
                 None => break,
             }
         }
-        self.recorder.put_bool(walk.is_over());
-        self.recorder.put_bool(walk.is_whole());
-        self.recorder.count(if walk.is_whole() { "whole walk" } else { "partial walk" });
+        self.recorder.put_bool(walk.is_finished());
+        self.recorder.put_bool(walk.is_complete());
+        self.recorder.count(if walk.is_complete() { "whole walk" } else { "partial walk" });
         // What is out of turn ends a walk.
-        let refused = walk.next(&self.replicas[at].copy, &SyncMessage::Begin { root: 0 }).is_err();
+        let refused = walk.on_response(&self.replicas[at].copy, &SyncMessage::Begin { root: 0 }).is_err();
         self.recorder.put_bool(refused);
     }
 
     fn answer(&mut self, other: usize, ask: &SyncMessage) -> SyncMessage {
         self.put_message(ask);
         anti_entropy::facts(ask).iter().for_each(|(key, entry)| self.join(other, key, entry));
-        let answer = anti_entropy::answer(&self.replicas[other].copy, ask).unwrap();
+        let answer = anti_entropy::respond(&self.replicas[other].copy, ask).unwrap();
         self.put_message(&answer);
         answer
     }
@@ -282,7 +290,7 @@
     fn put_message(&mut self, message: &SyncMessage) {
         match message {
             SyncMessage::Facts { stopped: Some(_), .. } => self.recorder.count("facts in parts"),
-            SyncMessage::Give { .. } => self.recorder.count("given"),
+            SyncMessage::Push { .. } => self.recorder.count("given"),
             _ => {}
         }
         self.recorder.put_stored(message);
@@ -293,10 +301,10 @@
         let Replica { name, copy, effect, .. } = &mut self.replicas[at];
         let mut keys = copy.take_changed_keys();
         recorder.put_stored(&keys);
-        let ended = effect.ended(now);
+        let ended = effect.expired_keys(now);
         recorder.put_stored(&ended);
         keys.extend(ended);
-        keys.iter().for_each(|key| effect.look(copy, key, name, now));
+        keys.iter().for_each(|key| effect.update(copy, key, name, now));
         recorder.put_stored(&(copy.origin(), copy.version(), copy.len(), copy.tree().root()));
         put_effect(recorder, effect);
         if !effect.conflicts.is_empty() {
@@ -312,7 +320,10 @@
         for n in 0..LARGE_WORDS {
             let mut author = StateStore::new(Origin(1_000 + n), StoreLimits::default());
             let word = OperatorCommand { value: CommandValue::Text("x".repeat(4_000)), ..self.draw_word(0) };
-            for key in [FactKey::Work(format!("order-{n}")), FactKey::Work("contested".into())] {
+            for key in [
+                FactKey::MaintenanceOrder(format!("order-{n}")),
+                FactKey::MaintenanceOrder("contested".into()),
+            ] {
                 author.record(&key, word.clone()).unwrap();
             }
             author.facts().for_each(|(key, entry)| self.join(0, key, entry));
@@ -323,15 +334,15 @@
     fn finish(mut self) -> Recorder {
         for replica in &self.replicas {
             let recorder = &mut self.recorder;
-            recorder.put_bytes(&replica.copy.bytes());
+            recorder.put_bytes(&replica.copy.to_bytes());
             for (_, register) in replica.copy.registers() {
-                recorder.put_stored(&register.pieces(1));
+                recorder.put_stored(&register.split(1));
                 register.commands().for_each(|(_, said)| recorder.put_str(derived_state::word(&said.value)));
             }
-            for (id, heard) in derived_state::heard(&replica.copy) {
+            for (id, heard) in derived_state::node_hints(&replica.copy) {
                 recorder.put_stored(&(id, heard.drain, heard.started));
             }
-            put_effect(recorder, &DerivedState::of(&replica.copy, &replica.name, self.now));
+            put_effect(recorder, &DerivedState::new(&replica.copy, &replica.name, self.now));
         }
         self.recorder
     }
@@ -353,7 +364,13 @@
 }
 
 pub fn put_effect(recorder: &mut Recorder, effect: &DerivedState) {
-    recorder.put_stored(&(&effect.out, effect.paused, &effect.removed, &effect.conflicts, effect.until()));
+    recorder.put_stored(&(
+        &effect.disabled_servers,
+        effect.paused,
+        &effect.removed_brokers,
+        &effect.conflicts,
+        effect.next_expiry(),
+    ));
 }
 
 #[test]
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -10,11 +10,23 @@
 
 const S: u64 = 1_000_000_000;
 const NOW: u64 = 1_000_000 * S;
-const BOUNDS: StoreLimits =
-    StoreLimits { words: 64, servers: 8, keep: 100 * S, ahead: 600 * S, origins: 1000 };
+const BOUNDS: StoreLimits = StoreLimits {
+    max_registers: 64,
+    max_servers: 8,
+    retention: 100 * S,
+    max_clock_lead: 600 * S,
+    max_origins: 1000,
+};
 
 fn said(value: CommandValue, at: u64) -> OperatorCommand {
-    OperatorCommand { value, who: "w".into(), why: "y".into(), at_broker: "b".into(), at, until: None }
+    OperatorCommand {
+        value,
+        author: "w".into(),
+        reason: "y".into(),
+        broker: "b".into(),
+        issued_at: at,
+        expires_at: None,
+    }
 }
 
 fn server(n: u32) -> FactKey {
@@ -41,7 +53,7 @@
             for (key, entry) in anti_entropy::facts(&ask) {
                 b.join(key, entry, NOW).unwrap();
             }
-            let answer = anti_entropy::answer(b, &ask).unwrap();
+            let answer = anti_entropy::respond(b, &ask).unwrap();
             for (key, entry) in anti_entropy::facts(&answer) {
                 a.join(key, entry, NOW).unwrap();
             }
@@ -49,12 +61,12 @@
             for m in [&ask, &answer] {
                 largest = largest.max(postcard::to_allocvec(m).unwrap().len());
             }
-            match walk.next(a, &answer).unwrap() {
+            match walk.on_response(a, &answer).unwrap() {
                 Some(next) => ask = next,
                 None => break,
             }
         }
-        if walk.is_whole() && a.tree().root() == b.tree().root() {
+        if walk.is_complete() && a.tree().root() == b.tree().root() {
             return (messages, largest);
         }
     }
@@ -71,14 +83,15 @@
     let at = pick(rng, copies.len());
     match pick(rng, 8) {
         0 | 1 => {
-            let value = [CommandValue::Out, CommandValue::Back, CommandValue::Back][pick(rng, 3)].clone();
+            let value = [CommandValue::Set, CommandValue::Clear, CommandValue::Clear][pick(rng, 3)].clone();
             let key =
                 if pick(rng, 8) == 0 { FactKey::Pause("b".into()) } else { server(pick(rng, 4) as u32) };
             copies[at].record(&key, said(value, now)).unwrap();
         }
         2 => {
             let id = format!("s-{}", pick(rng, 20));
-            let latest = ProcessStart { started: pick(rng, 50) as u64 * S, version: pick(rng, 9) as u64 };
+            let latest =
+                ProcessStart { started: pick(rng, 50) as u64 * S, list_version: pick(rng, 9) as u64 };
             let key = if pick(rng, 2) == 0 { FactKey::Drain(id) } else { FactKey::Start(id) };
             copies[at].join(&key, &FactValue::Latest(latest), now).unwrap();
         }
@@ -120,7 +133,7 @@
                 give(&all[*n], &mut copy, now);
                 give(&all[*n], &mut copy, now);
             }
-            copy.bytes()
+            copy.to_bytes()
         };
         let one = joined(&[0, 1, 2]);
         for order in [[0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]] {
@@ -130,13 +143,13 @@
         give(&all[2], &mut pair, now);
         let mut grouped = all[0].clone();
         give(&pair, &mut grouped, now);
-        assert_eq!(grouped.bytes(), one, "seed {seed}");
+        assert_eq!(grouped.to_bytes(), one, "seed {seed}");
         // The digests say the same as the bytes.
         let mut others = all.clone();
         for to in &mut others {
             all.iter().for_each(|from| give(from, to, now));
         }
-        assert!(others.iter().all(|c| c.tree().root() == grouped.tree().root() && c.bytes() == one));
+        assert!(others.iter().all(|c| c.tree().root() == grouped.tree().root() && c.to_bytes() == one));
     }
 }
 
@@ -159,7 +172,7 @@
                     let standing: Vec<Dot> = all[at]
                         .register(&server(0))
                         .map_or(vec![], |r| r.commands().map(|(d, _)| d).collect());
-                    let value = if pick(&mut rng, 3) == 0 { CommandValue::Out } else { CommandValue::Back };
+                    let value = if pick(&mut rng, 3) == 0 { CommandValue::Set } else { CommandValue::Clear };
                     let dot = all[at].record(&server(0), said(value.clone(), now)).unwrap();
                     assert!(words.iter().all(|(d, ..)| *d != dot), "a stamp is used twice");
                     words.iter_mut().filter(|(d, ..)| standing.contains(d)).for_each(|w| w.2 = true);
@@ -191,7 +204,7 @@
         for (dot, value, ended) in &words {
             if *ended {
                 assert!(!stand.contains(dot), "seed {seed}: {dot} came back");
-            } else if *value == CommandValue::Out {
+            } else if *value == CommandValue::Set {
                 assert!(stand.contains(dot), "seed {seed}: {dot} is forgotten");
             }
         }
@@ -201,18 +214,18 @@
 #[test]
 fn words_that_know_nothing_of_each_other_are_a_conflict_on_the_careful_side_until_the_next_one() {
     let mut all = copies(3);
-    all[0].record(&server(1), said(CommandValue::Out, NOW)).unwrap();
+    all[0].record(&server(1), said(CommandValue::Set, NOW)).unwrap();
     let (a, b) = (all[0].clone(), &mut all[1]);
     give(&a, b, NOW);
     // Cut off from each other: one puts it back, the other takes it out anew.
-    all[0].record(&server(1), said(CommandValue::Out, NOW + S)).unwrap();
-    all[1].record(&server(1), said(CommandValue::Back, NOW + 9 * S)).unwrap();
+    all[0].record(&server(1), said(CommandValue::Set, NOW + S)).unwrap();
+    all[1].record(&server(1), said(CommandValue::Clear, NOW + 9 * S)).unwrap();
     let (a, b) = (all[0].clone(), all[1].clone());
     give(&b, &mut all[0], NOW);
     give(&a, &mut all[1], NOW);
     for copy in &all[..2] {
-        let effect = DerivedState::of(copy, "b", NOW + 10 * S);
-        assert!(effect.out.contains("s-1") && effect.conflicts.contains(&server(1)));
+        let effect = DerivedState::new(copy, "b", NOW + 10 * S);
+        assert!(effect.disabled_servers.contains("s-1") && effect.conflicts.contains(&server(1)));
         let origins: Vec<Origin> =
             copy.register(&server(1)).unwrap().commands().map(|(d, _)| d.origin).collect();
         assert_eq!(origins, [Origin(1), Origin(2)]);
@@ -220,32 +233,37 @@
     // The next word settles it, whoever gives it.
     let a = all[0].clone();
     give(&a, &mut all[2], NOW);
-    all[2].record(&server(1), said(CommandValue::Back, NOW)).unwrap();
+    all[2].record(&server(1), said(CommandValue::Clear, NOW)).unwrap();
     let c = all[2].clone();
     give(&c, &mut all[0], NOW);
-    let effect = DerivedState::of(&all[0], "b", NOW);
-    assert!(effect.out.is_empty() && effect.conflicts.is_empty());
+    let effect = DerivedState::new(&all[0], "b", NOW);
+    assert!(effect.disabled_servers.is_empty() && effect.conflicts.is_empty());
 }
 
 #[test]
 fn a_ban_until_some_time_ends_by_itself_and_tells_when() {
     let mut copy = StateStore::new(Origin(1), BOUNDS);
-    copy.record(&server(1), OperatorCommand { until: Some(NOW + 5 * S), ..said(CommandValue::Out, NOW) })
-        .unwrap();
-    copy.record(&FactKey::Pause("b".into()), said(CommandValue::Out, NOW)).unwrap();
-    let effect = DerivedState::of(&copy, "b", NOW);
-    assert!(effect.out.contains("s-1") && effect.paused && effect.until() == Some(NOW + 5 * S));
-    assert!(!DerivedState::of(&copy, "other", NOW).paused);
-    assert!(DerivedState::of(&copy, "b", NOW + 5 * S).out.is_empty());
+    copy.record(
+        &server(1),
+        OperatorCommand { expires_at: Some(NOW + 5 * S), ..said(CommandValue::Set, NOW) },
+    )
+    .unwrap();
+    copy.record(&FactKey::Pause("b".into()), said(CommandValue::Set, NOW)).unwrap();
+    let effect = DerivedState::new(&copy, "b", NOW);
+    assert!(
+        effect.disabled_servers.contains("s-1") && effect.paused && effect.next_expiry() == Some(NOW + 5 * S)
+    );
+    assert!(!DerivedState::new(&copy, "other", NOW).paused);
+    assert!(DerivedState::new(&copy, "b", NOW + 5 * S).disabled_servers.is_empty());
     assert!(copy.collect_garbage(NOW + 100 * S).is_empty());
-    assert_eq!(copy.collect_garbage(NOW + 106 * S), [server(1), FactKey::Spent(Origin(1))]);
+    assert_eq!(copy.collect_garbage(NOW + 106 * S), [server(1), FactKey::Collected(Origin(1))]);
     assert!(copy.register(&server(1)).is_none() && copy.register(&FactKey::Pause("b".into())).is_some());
 }
 
 #[test]
 fn the_later_start_holds_and_one_that_lies_ahead_is_refused() {
     let mut copy = StateStore::new(Origin(1), BOUNDS);
-    let start = |started| FactValue::Latest(ProcessStart { started, version: 0 });
+    let start = |started| FactValue::Latest(ProcessStart { started, list_version: 0 });
     let key = |n: u64| FactKey::Start(format!("s-{n}"));
     assert_eq!(copy.join(&key(1), &start(NOW), NOW), Ok(true));
     assert_eq!(copy.join(&key(1), &start(NOW - S), NOW), Ok(false));
@@ -253,33 +271,33 @@
     for n in 2..50 {
         copy.join(&key(n), &start(NOW + n), NOW).unwrap();
     }
-    assert_eq!(copy.len(), BOUNDS.servers);
+    assert_eq!(copy.len(), BOUNDS.max_servers);
     assert_eq!(copy.join(&key(1), &start(NOW), NOW), Ok(false), "the earliest stays out");
 }
 
 #[test]
 fn made_up_facts_are_refused_and_their_number_is_bounded() {
     let mut copy = StateStore::new(Origin(1), BOUNDS);
-    let words = FactValue::Words(Register::default());
+    let words = FactValue::Commands(Register::default());
     assert_eq!(copy.join(&FactKey::Drain("s".into()), &words, NOW), Err(JoinError::Invalid));
     assert_eq!(copy.join(&FactKey::Server(String::new()), &words, NOW), Err(JoinError::Invalid));
     assert_eq!(
-        copy.record(&FactKey::Server("x".repeat(129)), said(CommandValue::Out, NOW)),
+        copy.record(&FactKey::Server("x".repeat(129)), said(CommandValue::Set, NOW)),
         Err(JoinError::Invalid)
     );
     let mut text = said(CommandValue::Text("x".repeat(4097)), NOW);
-    assert_eq!(copy.record(&FactKey::Work("w".into()), text.clone()), Err(JoinError::Invalid));
+    assert_eq!(copy.record(&FactKey::MaintenanceOrder("w".into()), text.clone()), Err(JoinError::Invalid));
     text.value = CommandValue::Text("order".into());
-    copy.record(&FactKey::Work("w".into()), text).unwrap();
+    copy.record(&FactKey::MaintenanceOrder("w".into()), text).unwrap();
     for n in 1..64 {
-        copy.record(&server(n), said(CommandValue::Out, NOW)).unwrap();
+        copy.record(&server(n), said(CommandValue::Set, NOW)).unwrap();
     }
-    assert_eq!(copy.record(&server(64), said(CommandValue::Out, NOW)), Err(JoinError::AtCapacity));
-    copy.record(&server(1), said(CommandValue::Back, NOW)).unwrap();
+    assert_eq!(copy.record(&server(64), said(CommandValue::Set, NOW)), Err(JoinError::AtCapacity));
+    copy.record(&server(1), said(CommandValue::Clear, NOW)).unwrap();
     // A flood of sound words from elsewhere: twice as many at most.
-    let mut flood = StateStore::new(Origin(2), StoreLimits { words: 1000, ..BOUNDS });
+    let mut flood = StateStore::new(Origin(2), StoreLimits { max_registers: 1000, ..BOUNDS });
     for n in 0..500 {
-        flood.record(&FactKey::Server(format!("f-{n}")), said(CommandValue::Out, NOW)).unwrap();
+        flood.record(&FactKey::Server(format!("f-{n}")), said(CommandValue::Set, NOW)).unwrap();
     }
     let refused = flood.facts().filter(|(k, e)| copy.join(k, e, NOW) == Err(JoinError::AtCapacity)).count();
     assert!(refused > 300 && copy.len() <= 128);
@@ -288,33 +306,33 @@
 #[test]
 fn memory_that_was_copied_is_noticed_before_a_stamp_is_used_twice() {
     let mut all = copies(1);
-    all[0].record(&server(1), said(CommandValue::Out, NOW)).unwrap();
+    all[0].record(&server(1), said(CommandValue::Set, NOW)).unwrap();
     let mut twin = all[0].clone();
-    twin.record(&server(2), said(CommandValue::Out, NOW)).unwrap();
+    twin.record(&server(2), said(CommandValue::Set, NOW)).unwrap();
     give(&twin, &mut all[0], NOW);
     assert!(all[0].has_duplicate_origin());
     all[0].set_origin(Origin(7));
-    assert_eq!(all[0].record(&server(3), said(CommandValue::Out, NOW)).unwrap().origin, Origin(7));
+    assert_eq!(all[0].record(&server(3), said(CommandValue::Set, NOW)).unwrap().origin, Origin(7));
 }
 
 #[test]
 fn copies_find_what_differs_in_bounded_messages_and_go_on_after_a_break() {
-    let wide = StoreLimits { words: 20_000, ..StoreLimits::default() };
+    let wide = StoreLimits { max_registers: 20_000, ..StoreLimits::default() };
     let (mut a, mut b) = (StateStore::new(Origin(1), wide), StateStore::new(Origin(2), wide));
     for n in 0..5000 {
-        a.record(&server(n), said(CommandValue::Out, NOW)).unwrap();
+        a.record(&server(n), said(CommandValue::Set, NOW)).unwrap();
     }
     give(&a.clone(), &mut b, NOW);
-    a.record(&server(7), said(CommandValue::Back, NOW)).unwrap();
-    b.record(&server(4711), said(CommandValue::Back, NOW)).unwrap();
+    a.record(&server(7), said(CommandValue::Clear, NOW)).unwrap();
+    b.record(&server(4711), said(CommandValue::Clear, NOW)).unwrap();
     let (messages, largest) = walked(&mut a, &mut b, 1 << 20);
     assert!(messages <= 8 && largest < 4096, "{messages} messages, {largest} bytes");
-    assert_eq!(a.bytes(), b.bytes());
+    assert_eq!(a.to_bytes(), b.to_bytes());
     // One that knows nothing, with breaks after each 100 KB.
     let mut c = StateStore::new(Origin(3), wide);
     let (_, largest) = walked(&mut c, &mut a, 100_000);
-    assert!(largest < 2 * anti_entropy::FACTS, "{largest}");
-    assert_eq!(c.bytes(), a.bytes());
+    assert!(largest < 2 * anti_entropy::MAX_FACT_BYTES, "{largest}");
+    assert_eq!(c.to_bytes(), a.to_bytes());
 }
 
 #[test]
@@ -322,8 +340,8 @@
     let mut a = StateStore::new(Origin(1000), StoreLimits::default());
     for n in 0..300 {
         let mut other = StateStore::new(Origin(n + 1), StoreLimits::default());
-        let mut word = said(if n % 2 == 0 { CommandValue::Out } else { CommandValue::Back }, NOW);
-        word.why = "x".repeat(250);
+        let mut word = said(if n % 2 == 0 { CommandValue::Set } else { CommandValue::Clear }, NOW);
+        word.reason = "x".repeat(250);
         other.record(&server(1), word.clone()).unwrap();
         // A word that was ended is known as ended in whatever piece it comes.
         if n == 5 {
@@ -333,11 +351,11 @@
     }
     let mut b = StateStore::new(Origin(2000), StoreLimits::default());
     let (_, largest) = walked(&mut b, &mut a, 1 << 20);
-    assert!(largest < 2 * anti_entropy::FACTS, "{largest}");
-    assert_eq!(a.bytes(), b.bytes());
+    assert!(largest < 2 * anti_entropy::MAX_FACT_BYTES, "{largest}");
+    assert_eq!(a.to_bytes(), b.to_bytes());
     let mut c = StateStore::new(Origin(2001), StoreLimits::default());
     walked(&mut a, &mut c, 1 << 20);
-    assert_eq!(a.bytes(), c.bytes());
+    assert_eq!(a.to_bytes(), c.to_bytes());
 }
 
 #[test]
@@ -345,18 +363,18 @@
     let a = StateStore::new(Origin(1), BOUNDS);
     let (walk, _) = SyncSession::begin(&a, 1000);
     for m in [
-        SyncMessage::Taken,
-        SyncMessage::Leaves { digests: vec![] },
-        SyncMessage::Branches { digests: vec![1] },
+        SyncMessage::PushAccepted,
+        SyncMessage::LeafDigests { digests: vec![] },
+        SyncMessage::BranchDigests { digests: vec![1] },
     ] {
-        assert!(walk.clone().next(&a, &m).is_err());
+        assert!(walk.clone().on_response(&a, &m).is_err());
     }
     for m in [
-        SyncMessage::Taken,
-        SyncMessage::AskLeaves { branches: vec![0; 17] },
-        SyncMessage::AskFacts { leaves: vec![0; 257], from: None },
+        SyncMessage::PushAccepted,
+        SyncMessage::RequestLeaves { branches: vec![0; 17] },
+        SyncMessage::RequestFacts { leaves: vec![0; 257], from: None },
     ] {
-        assert!(anti_entropy::answer(&a, &m).is_err());
+        assert!(anti_entropy::respond(&a, &m).is_err());
     }
 }
 
@@ -365,18 +383,18 @@
     let mut copy = StateStore::new(Origin(1), StoreLimits::default());
     let mut news = RumorQueue::default();
     let mut large = said(CommandValue::Text("x".repeat(3000)), NOW);
-    large.why = "large".into();
-    copy.record(&FactKey::Work("w".into()), large).unwrap();
-    news.learnt(FactKey::Work("w".into()), 3);
+    large.reason = "large".into();
+    copy.record(&FactKey::MaintenanceOrder("w".into()), large).unwrap();
+    news.push(FactKey::MaintenanceOrder("w".into()), 3);
     for n in 0..3 {
-        copy.record(&server(n), said(CommandValue::Out, NOW)).unwrap();
-        news.learnt(server(n), 3);
+        copy.record(&server(n), said(CommandValue::Set, NOW)).unwrap();
+        news.push(server(n), 3);
     }
     let mut told = 0;
     while !news.is_empty() {
         let facts = news.take(&copy, 1000);
-        assert!(facts.iter().map(anti_entropy::size).sum::<usize>() <= 1000);
+        assert!(facts.iter().map(anti_entropy::encoded_size).sum::<usize>() <= 1000);
         told += facts.len();
     }
-    assert_eq!(told as u32, 3 * pebbleturn::replication::rumor_queue::rounds(3));
+    assert_eq!(told as u32, 3 * pebbleturn::replication::rumor_queue::dissemination_rounds(3));
 }
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -663,7 +663,10 @@
         kind: String::new(),
     };
     let own = |started, version| move |_: &str| LocalHints { started, version };
-    let drain = |started, version| NodeHints { drain: Some(ProcessStart { started, version }), started: 0 };
+    let drain = |started, version| NodeHints {
+        drain: Some(ProcessStart { started, list_version: version }),
+        started: 0,
+    };
     let shown = |change: Option<NodeChange>| change.map(|c| c.listed.state);
     let mut others = PeerHints::default();
     // Nobody is named by others.
--- a/tests/stored_formats/cluster_journal.rs
+++ b/tests/stored_formats/cluster_journal.rs
@@ -101,7 +101,7 @@
 }
 
 fn register(facts: &BTreeMap<FactKey, FactValue>, key: FactKey) -> Register {
-    let FactValue::Words(register) = &facts[&key] else { panic!("{key} has no words") };
+    let FactValue::Commands(register) = &facts[&key] else { panic!("{key} has no words") };
     register.clone()
 }
 
@@ -110,14 +110,14 @@
     let facts = by_key(find(SNAPSHOT, &stored_file(SNAPSHOT)).facts);
     let on_server = register(&facts, FactKey::Server(SERVER.into()));
     let dots: Vec<Dot> = on_server.commands().map(|(dot, _)| dot).collect();
-    assert_eq!(dots, [Dot { origin: OTHER_ORIGIN, seq: 1 }, Dot { origin: ORIGIN, seq: 1 }]);
+    assert_eq!(dots, [Dot { origin: OTHER_ORIGIN, sequence: 1 }, Dot { origin: ORIGIN, sequence: 1 }]);
     let (_, said) = on_server.commands().last().unwrap();
-    assert_eq!((said.value.clone(), said.at, said.until), (CommandValue::Out, 800, Some(900)));
-    assert_eq!([&said.who, &said.why, &said.at_broker], ["whó", "why-✓", BROKER]);
-    let on_work = register(&facts, FactKey::Work("wörk-1".into()));
+    assert_eq!((said.value.clone(), said.issued_at, said.expires_at), (CommandValue::Set, 800, Some(900)));
+    assert_eq!([&said.author, &said.reason, &said.broker], ["whó", "why-✓", BROKER]);
+    let on_work = register(&facts, FactKey::MaintenanceOrder("wörk-1".into()));
     assert_eq!(on_work.commands().next().unwrap().1.value, CommandValue::Text("tëxt".into()));
     let FactValue::Latest(drain) = facts[&FactKey::Drain(SERVER.into())] else { panic!("no drain") };
-    assert_eq!((drain.started, drain.version), (1_600_000_000, 12));
+    assert_eq!((drain.started, drain.list_version), (1_600_000_000, 12));
 }
 
 #[test]
--- a/tests/stored_formats/gossip_frames.rs
+++ b/tests/stored_formats/gossip_frames.rs
@@ -85,15 +85,15 @@
 fn message_name(message: &SyncMessage) -> &'static str {
     match message {
         SyncMessage::Begin { .. } => "begin",
-        SyncMessage::Branches { .. } => "branches",
-        SyncMessage::AskLeaves { .. } => "ask-leaves",
-        SyncMessage::Leaves { .. } => "leaves",
-        SyncMessage::AskFacts { from: None, .. } => "ask-facts",
-        SyncMessage::AskFacts { from: Some(_), .. } => "ask-facts-from",
+        SyncMessage::BranchDigests { .. } => "branches",
+        SyncMessage::RequestLeaves { .. } => "ask-leaves",
+        SyncMessage::LeafDigests { .. } => "leaves",
+        SyncMessage::RequestFacts { from: None, .. } => "ask-facts",
+        SyncMessage::RequestFacts { from: Some(_), .. } => "ask-facts-from",
         SyncMessage::Facts { stopped: None, .. } => "facts",
         SyncMessage::Facts { stopped: Some(_), .. } => "facts-stopped",
-        SyncMessage::Give { .. } => "give",
-        SyncMessage::Taken => "taken",
+        SyncMessage::Push { .. } => "give",
+        SyncMessage::PushAccepted => "taken",
     }
 }
 
@@ -113,15 +113,15 @@
     let place = (FactKey::Site("sité".into()), 300);
     [
         SyncMessage::Begin { root: ROOT },
-        SyncMessage::Branches { digests: tree.branches().to_vec() },
-        SyncMessage::AskLeaves { branches: vec![0, 63] },
-        SyncMessage::Leaves { digests: vec![(branch, tree.leaves(branch)), (5, vec![])] },
-        SyncMessage::AskFacts { leaves: vec![1, 4095], from: None },
-        SyncMessage::AskFacts { leaves: vec![4095], from: Some(place.clone()) },
+        SyncMessage::BranchDigests { digests: tree.branches().to_vec() },
+        SyncMessage::RequestLeaves { branches: vec![0, 63] },
+        SyncMessage::LeafDigests { digests: vec![(branch, tree.leaves(branch)), (5, vec![])] },
+        SyncMessage::RequestFacts { leaves: vec![1, 4095], from: None },
+        SyncMessage::RequestFacts { leaves: vec![4095], from: Some(place.clone()) },
         SyncMessage::Facts { facts: all_facts(), stopped: None },
         SyncMessage::Facts { facts: words(), stopped: Some((4095, place)) },
-        SyncMessage::Give { facts: told_and_spent() },
-        SyncMessage::Taken,
+        SyncMessage::Push { facts: told_and_spent() },
+        SyncMessage::PushAccepted,
     ]
 }
 
--- a/tests/stored_formats/samples.rs
+++ b/tests/stored_formats/samples.rs
@@ -82,22 +82,22 @@
 /// Words by hand on every kind of key that takes them, with every kind of value. On the server two words stand side
 /// by side.
 pub fn words() -> Vec<Fact> {
-    let mut conflict = register(ORIGIN, 1, CommandValue::Out, Some(900));
-    conflict.join(&register(OTHER_ORIGIN, 1, CommandValue::Back, None), &Default::default());
+    let mut conflict = register(ORIGIN, 1, CommandValue::Set, Some(900));
+    conflict.join(&register(OTHER_ORIGIN, 1, CommandValue::Clear, None), &Default::default());
     vec![
-        (FactKey::Server(SERVER.into()), FactValue::Words(conflict)),
-        (FactKey::Pause(BROKER.into()), FactValue::Words(register(ORIGIN, 2, CommandValue::Out, None))),
+        (FactKey::Server(SERVER.into()), FactValue::Commands(conflict)),
+        (FactKey::Pause(BROKER.into()), FactValue::Commands(register(ORIGIN, 2, CommandValue::Set, None))),
         (
             FactKey::Removed("broker-3".into()),
-            FactValue::Words(register(ORIGIN, 3, CommandValue::Back, Some(901))),
+            FactValue::Commands(register(ORIGIN, 3, CommandValue::Clear, Some(901))),
         ),
         (
-            FactKey::Work("wörk-1".into()),
-            FactValue::Words(register(ORIGIN, 4, CommandValue::Text("tëxt".into()), None)),
+            FactKey::MaintenanceOrder("wörk-1".into()),
+            FactValue::Commands(register(ORIGIN, 4, CommandValue::Text("tëxt".into()), None)),
         ),
         (
             FactKey::Site("site-1".into()),
-            FactValue::Words(register(ORIGIN, 300, CommandValue::Text(String::new()), None)),
+            FactValue::Commands(register(ORIGIN, 300, CommandValue::Text(String::new()), None)),
         ),
     ]
 }
@@ -108,39 +108,39 @@
     vec![
         (
             FactKey::Drain(SERVER.into()),
-            FactValue::Latest(ProcessStart { started: 1_600_000_000, version: 12 }),
+            FactValue::Latest(ProcessStart { started: 1_600_000_000, list_version: 12 }),
         ),
         (
             FactKey::Start(SERVER.into()),
-            FactValue::Latest(ProcessStart { started: 1_700_000_000, version: 0 }),
+            FactValue::Latest(ProcessStart { started: 1_700_000_000, list_version: 0 }),
         ),
-        (FactKey::Spent(Origin(4)), FactValue::Spent(spent)),
+        (FactKey::Collected(Origin(4)), FactValue::Collected(spent)),
     ]
 }
 
 /// A later word on the server of `words`, which takes the place of both that stand there.
 pub fn later_word() -> Fact {
-    let [(key, FactValue::Words(before)), ..] = &words()[..] else {
+    let [(key, FactValue::Commands(before)), ..] = &words()[..] else {
         unreachable!("the first fact has words")
     };
     let mut after = before.clone();
-    after.record(Dot { origin: ORIGIN, seq: 301 }, said(CommandValue::Out, None));
-    (key.clone(), FactValue::Words(after))
+    after.record(Dot { origin: ORIGIN, sequence: 301 }, said(CommandValue::Set, None));
+    (key.clone(), FactValue::Commands(after))
 }
 
 fn register(origin: Origin, seq: u64, value: CommandValue, until: Option<u64>) -> Register {
     let mut register = Register::default();
-    register.record(Dot { origin, seq }, said(value, until));
+    register.record(Dot { origin, sequence: seq }, said(value, until));
     register
 }
 
 fn said(value: CommandValue, until: Option<u64>) -> OperatorCommand {
     OperatorCommand {
         value,
-        who: "whó".into(),
-        why: "why-✓".into(),
-        at_broker: BROKER.into(),
-        at: 800,
-        until,
+        author: "whó".into(),
+        reason: "why-✓".into(),
+        broker: BROKER.into(),
+        issued_at: 800,
+        expires_at: until,
     }
 }
