Name and document the Merkle tree and the rumor queue

Need: both spoke of news that is told on; constants had no unit. Change: FANOUT, LEAF_COUNT, remaining rounds, queued facts; docs say what is returned.

--- a/src/replication/anti_entropy.rs
+++ b/src/replication/anti_entropy.rs
@@ -4,7 +4,7 @@
 //! and then ours. Each message is bounded, one is under way at a time, and a walk has a budget: what is left after it is
 //! the next walk's. A walk that breaks off has lost nothing: what was taken in stays, and the next one finds less.
 
-use super::merkle_tree::{LEAVES, WIDTH};
+use super::merkle_tree::{LEAF_COUNT, FANOUT};
 use super::state_store::{Fact, FactKey, FactValue, StateStore};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -172,18 +172,18 @@
     ) -> Result<Option<SyncMessage>, UnexpectedMessage> {
         match (&self.step, message) {
             (Step::Branches, SyncMessage::BranchDigests { digests }) if digests.is_empty() => {}
-            (Step::Branches, SyncMessage::BranchDigests { digests }) if digests.len() == WIDTH => {
+            (Step::Branches, SyncMessage::BranchDigests { digests }) if digests.len() == FANOUT => {
                 let own = copy.tree().branches();
-                self.branches = (0..WIDTH).filter(|b| own[*b] != digests[*b]).map(|b| b as u8).collect();
+                self.branches = (0..FANOUT).filter(|b| own[*b] != digests[*b]).map(|b| b as u8).collect();
             }
             (Step::Leaves, SyncMessage::LeafDigests { digests }) => {
                 for (branch, leaves) in digests {
-                    if leaves.len() != WIDTH || usize::from(*branch) >= WIDTH {
+                    if leaves.len() != FANOUT || usize::from(*branch) >= FANOUT {
                         return Err(UnexpectedMessage);
                     }
                     let own = copy.tree().leaves(*branch);
-                    let differ = (0..WIDTH).filter(|l| own[*l] != leaves[*l]);
-                    self.leaves.extend(differ.map(|l| (usize::from(*branch) * WIDTH + l) as u16));
+                    let differ = (0..FANOUT).filter(|l| own[*l] != leaves[*l]);
+                    self.leaves.extend(differ.map(|l| (usize::from(*branch) * FANOUT + l) as u16));
                 }
             }
             (Step::Facts, SyncMessage::Facts { facts, stopped }) => {
@@ -269,4 +269,4 @@
     }
 }
 
-const _: () = assert!(LEAVES <= 1 << 16);
+const _: () = assert!(LEAF_COUNT <= 1 << 16);
--- a/src/replication/merkle_tree.rs
+++ b/src/replication/merkle_tree.rs
@@ -1,55 +1,60 @@
-//! Digests of a copy: two copies that differ find out where by looking at few of them.
+//! Digests of a store, by which two stores that differ find the differing facts after few comparisons.
 //!
-//! Every fact has a leaf by the hash of its key. A leaf's digest is the exclusive or of its facts' hashes, a branch's
-//! that of its leaves, the root's that of all: a change costs three steps, whatever the size. Peers are the operator's
-//! own, so nobody makes collisions on purpose; by chance two copies look alike with one in 2^64.
+//! Every fact belongs to a leaf, chosen by the hash of its key. The digest of a leaf is the exclusive or of the hashes of
+//! its facts, that of a branch combines its leaves, that of the root combines all. One change therefore updates three
+//! digests, whatever the size of the store. The hash is not cryptographic: peers belong to the operator, so nobody makes
+//! collisions on purpose; two different stores have equal roots by chance with probability 2^-64.
+#![deny(missing_docs, rust_2018_idioms, clippy::too_many_lines, clippy::type_complexity, clippy::cognitive_complexity)]
 
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Branches, and leaves of a branch.
-pub const WIDTH: usize = 64;
-/// Leaves in all.
-pub const LEAVES: usize = WIDTH * WIDTH;
+/// The number of branches, and the number of leaves of each branch.
+pub const FANOUT: usize = 64;
+/// The number of leaves of the tree.
+pub const LEAF_COUNT: usize = FANOUT * FANOUT;
+/// The leaf is given by the highest bits of a key's hash: log2 of [`LEAF_COUNT`] of 64 bits.
+const LEAF_SHIFT: u32 = u64::BITS - LEAF_COUNT.trailing_zeros();
 
-/// The digests of a copy.
+/// The digests of a store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MerkleTree {
-    /// Of leaves that hold anything.
+    /// Digests that are not zero, by the index of the leaf.
     leaves: BTreeMap<u16, u64>,
-    branches: [u64; WIDTH],
+    branches: [u64; FANOUT],
     root: u64,
 }
 
 impl Default for MerkleTree {
     fn default() -> MerkleTree {
-        MerkleTree { leaves: BTreeMap::new(), branches: [0; WIDTH], root: 0 }
+        MerkleTree { leaves: BTreeMap::new(), branches: [0; FANOUT], root: 0 }
     }
 }
 
-/// The leaf of a key.
-pub fn leaf_of(key: &[u8]) -> u16 {
-    (xxh3_64(key) >> 52) as u16
+/// Returns the index of the leaf to which an encoded key belongs.
+pub fn leaf_index(key: &[u8]) -> u16 {
+    (xxh3_64(key) >> LEAF_SHIFT) as u16
 }
 
-/// The hash of a fact.
+/// Returns the hash of an encoded fact.
 pub fn hash(fact: &[u8]) -> u64 {
     xxh3_64(fact)
 }
 
 impl MerkleTree {
-    /// A fact of this leaf came or went; one that changed goes and comes.
+    /// Adds the hash of a fact to the digests on its path, or removes it if it was added before. To change a fact, toggle
+    /// the hash of its old value and that of its new one.
     pub fn toggle(&mut self, leaf: u16, hash: u64) {
         let digest = self.leaves.entry(leaf).or_insert(0);
         *digest ^= hash;
         if *digest == 0 {
             self.leaves.remove(&leaf);
         }
-        self.branches[usize::from(leaf) / WIDTH % WIDTH] ^= hash;
+        self.branches[usize::from(leaf) / FANOUT % FANOUT] ^= hash;
         self.root ^= hash;
     }
 
-    /// The digest of all.
+    /// The digest of the whole store.
     pub fn root(&self) -> u64 {
         self.root
     }
@@ -59,12 +64,12 @@
         &self.branches
     }
 
-    /// The digests of a branch's leaves.
+    /// Returns the digests of all leaves of a branch. The index wraps around at [`FANOUT`].
     pub fn leaves(&self, branch: u8) -> Vec<u64> {
-        let from = u16::from(branch) % WIDTH as u16 * WIDTH as u16;
-        let mut digests = vec![0; WIDTH];
-        for (leaf, digest) in self.leaves.range(from..from + WIDTH as u16) {
-            digests[usize::from(leaf - from)] = *digest;
+        let first = u16::from(branch) % FANOUT as u16 * FANOUT as u16;
+        let mut digests = vec![0; FANOUT];
+        for (leaf, digest) in self.leaves.range(first..first + FANOUT as u16) {
+            digests[usize::from(leaf - first)] = *digest;
         }
         digests
     }
--- a/src/replication/rumor_queue.rs
+++ b/src/replication/rumor_queue.rs
@@ -1,63 +1,72 @@
-//! What is told on while it is news: each fact a few times, to peers drawn at random.
+//! Rumor mongering: a fact that is new to a broker is sent a few times, to peers drawn at random.
 //!
-//! A broker that learns of a fact tells it on for as many rounds as the logarithm of the cluster's size, and some. Who
-//! is missed, or was away, finds out by the digests.
+//! A broker sends such a fact for a number of rounds that grows with the logarithm of the cluster's size. A peer that was
+//! missed, or was away, receives the fact by anti-entropy.
+#![deny(missing_docs, rust_2018_idioms, clippy::too_many_lines, clippy::type_complexity, clippy::cognitive_complexity)]
 
 use super::anti_entropy;
 use super::state_store::{Fact, FactKey, StateStore};
 use std::collections::BTreeMap;
 
-/// Rounds beyond the logarithm.
-const BEYOND: u32 = 2;
-/// Most news that is held; beyond that the digests bring it.
-const MOST: usize = 4096;
+/// Rounds in addition to the logarithm of the cluster's size.
+const EXTRA_ROUNDS: u32 = 2;
+/// Most facts that are queued; those beyond are left to anti-entropy.
+const MAX_QUEUED_FACTS: usize = 4096;
 
-/// What is still to be told on, and how often.
+/// The facts that are still to be sent, each with the number of rounds that remain for it.
 #[derive(Clone, Debug, Default)]
 pub struct RumorQueue {
-    left: BTreeMap<FactKey, u32>,
+    remaining_rounds: BTreeMap<FactKey, u32>,
 }
 
 impl RumorQueue {
-    /// A fact is new here. `brokers` is the number of all.
+    /// Queues a fact that is new here, in a cluster of so many brokers. One that is queued already starts anew.
     pub fn push(&mut self, key: FactKey, brokers: usize) {
-        if self.left.len() < MOST || self.left.contains_key(&key) {
-            self.left.insert(key, dissemination_rounds(brokers));
+        if self.remaining_rounds.len() < MAX_QUEUED_FACTS || self.remaining_rounds.contains_key(&key) {
+            self.remaining_rounds.insert(key, dissemination_rounds(brokers));
         }
     }
 
-    /// Whether there is nothing to tell.
+    /// Whether no fact is queued.
     pub fn is_empty(&self) -> bool {
-        self.left.is_empty()
+        self.remaining_rounds.is_empty()
     }
 
-    /// Facts that fit into so many bytes, those told least often first. Each counts as told once.
-    pub fn take(&mut self, copy: &StateStore, room: usize) -> Vec<Fact> {
-        let mut order: Vec<(u32, FactKey)> = self.left.iter().map(|(k, n)| (*n, k.clone())).collect();
-        order.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
-        let (mut facts, mut bytes) = (Vec::new(), 0);
-        for (left, key) in order {
-            let fact = copy.get(&key).map(|entry| (key.clone(), entry.clone()));
+    /// Takes the facts of the next datagram, at most `max_bytes` of them, those with most rounds remaining first. Each of
+    /// them has one round less afterwards. Facts that are not in the store any more, or that alone exceed `max_bytes`, are
+    /// removed from the queue: anti-entropy transfers the latter.
+    pub fn take(&mut self, store: &StateStore, max_bytes: usize) -> Vec<Fact> {
+        let mut facts = Vec::new();
+        let mut bytes = 0;
+        for (rounds, key) in self.by_remaining_rounds() {
+            let fact = store.get(&key).map(|value| (key.clone(), value.clone()));
             let size = fact.as_ref().map_or(usize::MAX, anti_entropy::encoded_size);
-            if size <= room && bytes + size > room {
+            let fits_alone = size <= max_bytes;
+            if fits_alone && bytes + size > max_bytes {
                 break;
             }
-            if left <= 1 || size > room {
-                // Gone in the meantime, or too large for a datagram: the digests bring it.
-                self.left.remove(&key);
+            if rounds <= 1 || !fits_alone {
+                self.remaining_rounds.remove(&key);
             } else {
-                self.left.insert(key, left - 1);
+                self.remaining_rounds.insert(key, rounds - 1);
             }
-            if size <= room {
+            if fits_alone {
                 bytes += size;
                 facts.extend(fact);
             }
         }
         facts
     }
+
+    fn by_remaining_rounds(&self) -> Vec<(u32, FactKey)> {
+        let mut queued: Vec<(u32, FactKey)> =
+            self.remaining_rounds.iter().map(|(key, rounds)| (*rounds, key.clone())).collect();
+        queued.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        queued
+    }
 }
 
-/// How often a broker tells a fact on.
+/// Returns the number of rounds for which a fact is sent in a cluster of so many brokers.
 pub fn dissemination_rounds(brokers: usize) -> u32 {
-    (brokers.max(1) as u64 + 1).next_power_of_two().trailing_zeros() + BEYOND
+    (brokers.max(1) as u64 + 1).next_power_of_two().trailing_zeros() + EXTRA_ROUNDS
 }
--- a/src/replication/state_store.rs
+++ b/src/replication/state_store.rs
@@ -50,7 +50,7 @@
     }
 
     fn leaf(&self) -> u16 {
-        merkle_tree::leaf_of(&postcard::to_allocvec(self).unwrap_or_default())
+        merkle_tree::leaf_index(&postcard::to_allocvec(self).unwrap_or_default())
     }
 }
 
