--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -6,7 +6,7 @@
 use crate::api::*;
 use crate::gossip::codec;
 use crate::membership::{NodeRecord, NodeState};
-use crate::replication::multi_value_register::LONGEST;
+use crate::replication::multi_value_register::MAX_NAME_BYTES;
 use crate::routing::{AdminState, Rule, Spare};
 use serde::Deserialize;
 use std::collections::{HashMap, HashSet};
@@ -605,11 +605,11 @@
         let Some(c) = &self.cluster else { return };
         let mut wrong =
             |field: &str, what: String| sheet.wrong(("cluster", 0, field), format!("cluster: {what}"));
-        if c.name.is_empty() || c.name.len() > LONGEST.0 {
-            wrong("name", format!("name {:?} must have from 1 to {} bytes", c.name, LONGEST.0));
+        if c.name.is_empty() || c.name.len() > MAX_NAME_BYTES {
+            wrong("name", format!("name {:?} must have from 1 to {} bytes", c.name, MAX_NAME_BYTES));
         }
-        if self.name.is_empty() || self.name.len() > LONGEST.0 {
-            wrong("name", format!("the broker's own name must have from 1 to {} bytes", LONGEST.0));
+        if self.name.is_empty() || self.name.len() > MAX_NAME_BYTES {
+            wrong("name", format!("the broker's own name must have from 1 to {} bytes", MAX_NAME_BYTES));
         }
         if c.listen.port() == 0 || c.listen.ip().is_unspecified() {
             wrong("listen", format!("listen {} must be an address that peers can name", c.listen));
@@ -631,8 +631,8 @@
             let mut wrong = |field: &str, what: String| {
                 sheet.wrong(("peer", n, field), format!("peer {:?}: {what}", peer.name));
             };
-            if peer.name.is_empty() || peer.name.len() > LONGEST.0 {
-                wrong("name", format!("a name must have from 1 to {} bytes", LONGEST.0));
+            if peer.name.is_empty() || peer.name.len() > MAX_NAME_BYTES {
+                wrong("name", format!("a name must have from 1 to {} bytes", MAX_NAME_BYTES));
             }
             if peer.name == self.name {
                 wrong("name", "it is this broker's own name".into());
--- a/src/replication/anti_entropy.rs
+++ b/src/replication/anti_entropy.rs
@@ -4,7 +4,7 @@
 //! and then ours. Each message is bounded, one is under way at a time, and a walk has a budget: what is left after it is
 //! the next walk's. A walk that breaks off has lost nothing: what was taken in stays, and the next one finds less.
 
-use super::merkle_tree::{LEAF_COUNT, FANOUT};
+use super::merkle_tree::{FANOUT, LEAF_COUNT};
 use super::state_store::{Fact, FactKey, FactValue, StateStore};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
--- a/src/replication/derived_state.rs
+++ b/src/replication/derived_state.rs
@@ -97,11 +97,11 @@
     all
 }
 
-/// For people: how a word stands.
-pub fn word(value: &CommandValue) -> &str {
+/// The value of a command as it is printed for operators.
+pub fn label(value: &CommandValue) -> &str {
     match value {
         CommandValue::Clear => "back",
         CommandValue::Set => "out",
-        CommandValue::Text(t) => t,
+        CommandValue::Text(text) => text,
     }
 }
--- a/src/replication/multi_value_register.rs
+++ b/src/replication/multi_value_register.rs
@@ -1,90 +1,101 @@
-//! Words by hand, and the register that holds what was last said of one thing.
+//! Operators' commands, and the multi-value register that holds the latest commands on one subject.
 //!
-//! A word takes the place of all words that were known where it was given, and of no others. Words that were given
-//! without knowledge of each other stand side by side until the next one: that is a conflict if they say different
-//! things.
+//! A command supersedes the commands that were known where it was given, and no others. Concurrent commands, each given
+//! without knowledge of the other, are both retained until the next command; they conflict if they differ in effect.
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 use super::version_vector::{Dot, VersionVector};
 use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// What was said.
+/// Longest name or id, in bytes: of brokers, servers, maintenance orders, sites and authors.
+pub const MAX_NAME_BYTES: usize = 128;
+/// Longest reason of a command, in bytes.
+pub const MAX_REASON_BYTES: usize = 256;
+/// Longest text that a command carries as its value, in bytes.
+pub const MAX_TEXT_BYTES: usize = 4096;
+
+/// What a command says about its subject.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum CommandValue {
-    /// Put back, welcome again, or no more.
+    /// Ends the condition that [`CommandValue::Set`] began.
     #[serde(rename = "Back")]
     Clear,
-    /// Taken out, or sent away.
+    /// The server is disabled, or the broker is paused or removed.
     #[serde(rename = "Out")]
     Set,
-    /// Something that whoever asks for it can read.
+    /// A text for whoever reads the register.
     Text(String),
 }
 
-/// One word.
+/// A command of an operator.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct OperatorCommand {
-    /// What.
+    /// What it says about its subject.
     pub value: CommandValue,
-    /// By whom, as they named themselves.
+    /// Who gave it, by the name that they gave.
     #[serde(rename = "who")]
     pub author: String,
-    /// Why.
+    /// Why it was given.
     #[serde(rename = "why")]
     pub reason: String,
-    /// The broker that was told.
+    /// The broker that accepted it.
     #[serde(rename = "at_broker")]
     pub broker: String,
-    /// When, by that broker's clock, unix ns. For people, and for how long it is kept; it decides nothing.
+    /// When that broker accepted it, in Unix nanoseconds by its clock. Shown to operators and used for retention; it never
+    /// decides between commands.
     #[serde(rename = "at")]
     pub issued_at: Nanos,
-    /// Until when it holds, unix ns.
+    /// When it ceases to be in effect, in Unix nanoseconds; without it, at the next command.
     #[serde(rename = "until")]
     pub expires_at: Option<Nanos>,
 }
 
-/// Longest text of each kind, bytes: names and ids; reasons; values.
-pub const LONGEST: (usize, usize, usize) = (128, 256, 4096);
-
 impl OperatorCommand {
-    /// Whether it takes something out at this time.
+    /// Whether it sets its condition at this time.
     pub fn is_in_effect(&self, now: Nanos) -> bool {
-        self.value == CommandValue::Set && self.expires_at.is_none_or(|t| now < t)
+        self.value == CommandValue::Set && self.expires_at.is_none_or(|expiry| now < expiry)
     }
 
-    /// Whether it has said nothing any more for so long. What can't come back without a word is never old.
-    fn is_expired(&self, now: Nanos, keep: Nanos) -> bool {
-        let since = match (&self.value, self.expires_at) {
+    /// Whether it has had no effect for longer than `retention`. A command that only another one can end never expires.
+    fn is_expired(&self, now: Nanos, retention: Nanos) -> bool {
+        let ended_at = match (&self.value, self.expires_at) {
             (CommandValue::Clear, _) => self.issued_at,
-            (_, Some(until)) => until.max(self.issued_at),
+            (_, Some(expiry)) => expiry.max(self.issued_at),
             (_, None) => return false,
         };
-        since.saturating_add(keep) < now
+        ended_at.saturating_add(retention) < now
     }
 
-    /// Whether all of it is as short as may be.
+    /// Whether all its texts are within their maximum lengths.
     pub fn is_within_limits(&self) -> bool {
-        let text = if let CommandValue::Text(t) = &self.value { t.len() } else { 0 };
-        self.author.len().max(self.broker.len()) <= LONGEST.0
-            && self.reason.len() <= LONGEST.1
-            && text <= LONGEST.2
+        let text_bytes = if let CommandValue::Text(text) = &self.value { text.len() } else { 0 };
+        self.author.len() <= MAX_NAME_BYTES
+            && self.broker.len() <= MAX_NAME_BYTES
+            && self.reason.len() <= MAX_REASON_BYTES
+            && text_bytes <= MAX_TEXT_BYTES
     }
 }
 
-/// What is said of one thing. Joining is commutative, associative and idempotent.
+/// The commands on one subject. Joining registers is commutative, associative and idempotent.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq, Hash)]
 pub struct Register {
-    #[serde(with = "pairs")]
-    #[serde(rename = "said")]
+    #[serde(rename = "said", with = "as_pairs")]
     commands: BTreeMap<Dot, OperatorCommand>,
-    /// All stamps that it has had, those of `said` among them, but for the spent ones.
+    /// The dots of all commands that the register ever had, superseded ones included and collected ones excluded.
     #[serde(rename = "seen")]
     causal_context: VersionVector,
 }
 
-/// Stamps are no text: a map by them is written as a list.
-mod pairs {
+/// Serializes a map as a list of pairs, since JSON takes only texts as keys.
+mod as_pairs {
     use super::{BTreeMap, Dot, OperatorCommand};
     use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
@@ -98,111 +109,112 @@
 }
 
 impl Register {
-    /// Whether it could have been made by words: what is said is also seen, and short.
+    /// Whether commands could have produced this register: each is in the causal context and within the limits.
     pub fn is_valid(&self) -> bool {
-        self.commands.iter().all(|(dot, said)| {
-            dot.sequence > 0 && self.causal_context.contains(*dot) && said.is_within_limits()
+        self.commands.iter().all(|(dot, command)| {
+            dot.sequence > 0 && self.causal_context.contains(*dot) && command.is_within_limits()
         })
     }
 
-    /// Says something here: it takes the place of all that is known here.
-    pub fn record(&mut self, dot: Dot, said: OperatorCommand) {
-        self.commands = BTreeMap::from([(dot, said)]);
+    /// Records a command, which supersedes all that the register holds.
+    pub fn record(&mut self, dot: Dot, command: OperatorCommand) {
+        self.commands = BTreeMap::from([(dot, command)]);
         self.causal_context.insert(dot);
     }
 
-    /// The words that stand, by their stamps.
+    /// The commands that no other one has superseded, by their dots.
     pub fn commands(&self) -> impl Iterator<Item = (Dot, &OperatorCommand)> {
-        self.commands.iter().map(|(d, s)| (*d, s))
+        self.commands.iter().map(|(dot, command)| (*dot, command))
     }
 
-    /// All stamps that it has had and that are not spent.
+    /// The dots of all commands that the register ever had and that are not collected.
     pub fn causal_context(&self) -> &VersionVector {
         &self.causal_context
     }
 
-    /// Takes in what another copy holds. `spent` are the stamps of what was forgotten, here or there.
-    pub fn join(&mut self, other: &Register, spent: &VersionVector) {
-        let stands = |dot: &Dot, there: &Register, mine: &Register| {
-            let known_there = there.causal_context.contains(*dot) && !there.commands.contains_key(dot);
-            mine.commands.contains_key(dot) && !known_there && !spent.contains(*dot)
+    /// Joins the register of another copy. `collected` are the dots that garbage collection removed, in any copy.
+    pub fn join(&mut self, other: &Register, collected: &VersionVector) {
+        let is_retained = |dot: &Dot, register: &Register| {
+            !register.causal_context.contains(*dot) || register.commands.contains_key(dot)
         };
-        let mut said: BTreeMap<Dot, OperatorCommand> = BTreeMap::new();
-        for (dot, word) in &self.commands {
-            if stands(dot, other, self) {
-                said.insert(*dot, word.clone());
+        let mut joined = BTreeMap::new();
+        for (dot, command) in &self.commands {
+            if is_retained(dot, other) && !collected.contains(*dot) {
+                joined.insert(*dot, command.clone());
             }
         }
-        for (dot, word) in &other.commands {
-            if stands(dot, self, other) {
-                // One stamp, two words: that is never made. If it is, all copies keep the same one.
-                let own = said.entry(*dot).or_insert_with(|| word.clone());
-                if word > own {
-                    *own = word.clone();
+        for (dot, command) in &other.commands {
+            if is_retained(dot, self) && !collected.contains(*dot) {
+                // No dot has two commands. Should it happen all the same, all copies choose the same one.
+                let own = joined.entry(*dot).or_insert_with(|| command.clone());
+                if command > own {
+                    *own = command.clone();
                 }
             }
         }
-        self.commands = said;
+        self.commands = joined;
         self.causal_context.union(&other.causal_context);
-        self.causal_context.subtract(spent);
+        self.causal_context.subtract(collected);
     }
 
-    /// Takes out what is spent.
-    pub fn remove_collected(&mut self, spent: &VersionVector) {
-        self.commands.retain(|dot, _| !spent.contains(*dot));
-        self.causal_context.subtract(spent);
+    /// Removes the dots that garbage collection removed.
+    pub fn remove_collected(&mut self, collected: &VersionVector) {
+        self.commands.retain(|dot, _| !collected.contains(*dot));
+        self.causal_context.subtract(collected);
     }
 
-    /// Something is out: one word of those that stand side by side is enough.
+    /// Whether the condition is set at this time; of concurrent commands, one that sets it suffices.
     pub fn is_set(&self, now: Nanos) -> bool {
-        self.commands.values().any(|s| s.is_in_effect(now))
+        self.commands.values().any(|command| command.is_in_effect(now))
     }
 
-    /// Words that know nothing of each other say different things.
+    /// Whether concurrent commands differ in effect.
     pub fn has_conflict(&self, now: Nanos) -> bool {
-        let mut effects = self.commands.values().map(|s| match &s.value {
-            CommandValue::Text(t) => (false, Some(t.as_str())),
-            _ => (s.is_in_effect(now), None),
+        let mut effects = self.commands.values().map(|command| match &command.value {
+            CommandValue::Text(text) => (false, Some(text.as_str())),
+            _ => (command.is_in_effect(now), None),
         });
         let first = effects.next();
-        effects.any(|e| Some(e) != first)
+        effects.any(|effect| Some(effect) != first)
     }
 
-    /// The next time at which a word ends by itself.
+    /// The next time at which a command ceases to be in effect.
     pub fn next_expiry(&self, now: Nanos) -> Option<Nanos> {
-        self.commands.values().filter(|s| s.is_in_effect(now)).filter_map(|s| s.expires_at).min()
+        let in_effect = self.commands.values().filter(|command| command.is_in_effect(now));
+        in_effect.filter_map(|command| command.expires_at).min()
     }
 
-    /// Nothing that stands has said anything for so long.
-    pub fn is_expired(&self, now: Nanos, keep: Nanos) -> bool {
-        self.commands.values().all(|s| s.is_expired(now, keep))
+    /// Whether no command has had any effect for longer than `retention`.
+    pub fn is_expired(&self, now: Nanos, retention: Nanos) -> bool {
+        self.commands.values().all(|command| command.is_expired(now, retention))
     }
 
-    /// Nothing is left of it.
+    /// Whether it has neither commands nor a causal context.
     pub fn is_empty(&self) -> bool {
         self.commands.is_empty() && self.causal_context.is_empty()
     }
 
-    /// The same in registers with at most so many words each; joined, they are this one again.
-    pub fn split(&self, most: usize) -> Vec<Register> {
-        if self.commands.len() <= most {
+    /// Splits the register into registers of at most `max_commands` commands each, which join to this one.
+    pub fn split(&self, max_commands: usize) -> Vec<Register> {
+        if self.commands.len() <= max_commands {
             return vec![self.clone()];
         }
-        let words: Vec<(Dot, OperatorCommand)> = self.commands.iter().map(|(d, s)| (*d, s.clone())).collect();
-        let mut pieces: Vec<Register> = words
-            .chunks(most.max(1))
+        let commands: Vec<(Dot, OperatorCommand)> =
+            self.commands.iter().map(|(dot, command)| (*dot, command.clone())).collect();
+        let mut parts: Vec<Register> = commands
+            .chunks(max_commands.max(1))
             .map(|part| {
-                let mut seen = VersionVector::default();
-                part.iter().for_each(|(d, _)| seen.insert(*d));
-                Register { commands: part.iter().cloned().collect(), causal_context: seen }
+                let mut causal_context = VersionVector::default();
+                part.iter().for_each(|(dot, _)| causal_context.insert(*dot));
+                Register { commands: part.iter().cloned().collect(), causal_context }
             })
             .collect();
-        // What was superseded is known without the words that stand: no piece may end a word of another one.
-        let mut seen = self.causal_context.clone();
-        let mut standing = VersionVector::default();
-        self.commands.keys().for_each(|d| standing.insert(*d));
-        seen.subtract(&standing);
-        pieces.push(Register { commands: BTreeMap::new(), causal_context: seen });
-        pieces
+        // The superseded dots travel in a part without the retained ones: no part may end a command of another part.
+        let mut superseded = self.causal_context.clone();
+        let mut retained = VersionVector::default();
+        self.commands.keys().for_each(|dot| retained.insert(*dot));
+        superseded.subtract(&retained);
+        parts.push(Register { commands: BTreeMap::new(), causal_context: superseded });
+        parts
     }
 }
--- a/src/replication/state_store.rs
+++ b/src/replication/state_store.rs
@@ -1,7 +1,7 @@
 //! One broker's copy of what all are to know.
 
 use super::merkle_tree::{self, MerkleTree};
-use super::multi_value_register::{LONGEST, OperatorCommand, Register};
+use super::multi_value_register::{MAX_NAME_BYTES, OperatorCommand, Register};
 use super::version_vector::{Dot, Origin, Ranges, VersionVector};
 use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
@@ -312,7 +312,7 @@
     /// as many things as may be, or the word is too long: then nothing was said.
     pub fn record(&mut self, key: &FactKey, said: OperatorCommand) -> Result<Dot, JoinError> {
         let sound =
-            key.name().is_some_and(|n| !n.is_empty() && n.len() <= LONGEST.0) && said.is_within_limits();
+            key.name().is_some_and(|n| !n.is_empty() && n.len() <= MAX_NAME_BYTES) && said.is_within_limits();
         if !sound || matches!(key, FactKey::Drain(_) | FactKey::Start(_)) {
             return Err(JoinError::Invalid);
         }
@@ -333,7 +333,7 @@
 
     /// Takes in a fact. True if it was new.
     pub fn join(&mut self, key: &FactKey, entry: &FactValue, now: Nanos) -> Result<bool, JoinError> {
-        if key.name().is_some_and(|n| n.is_empty() || n.len() > LONGEST.0) {
+        if key.name().is_some_and(|n| n.is_empty() || n.len() > MAX_NAME_BYTES) {
             return Err(JoinError::Invalid);
         }
         match (key, entry) {
--- a/src/replication/version_vector.rs
+++ b/src/replication/version_vector.rs
@@ -1,13 +1,21 @@
-//! Stamps: who said something, as the how-manieth thing. Sets of them, kept as ranges.
+//! Version vectors: sets of dots, that is of operations by origin and sequence number.
 //!
-//! Clocks have no say in what came before what. A stamp's origin is one process of a broker, drawn anew at each start:
-//! a disk that was set back, a copied directory or two processes under one name can't use a stamp twice.
+//! Causality is tracked by dots alone; clocks take no part in it. An origin is one process of a broker, drawn at random at
+//! each start. A disk that was restored, a copied directory or two processes under one name therefore can't use a dot
+//! twice.
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
 
-/// One process of a broker. Drawn at random at its start, never used again.
+/// One process of a broker. The number is drawn at random when it starts, and never used again.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[serde(transparent)]
 pub struct Origin(pub u64);
@@ -18,12 +26,12 @@
     }
 }
 
-/// The stamp of one word: the `seq`-th that its origin said, from 1.
+/// Identifies one operation.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Dot {
-    /// Who said it.
+    /// The process that issued the operation.
     pub origin: Origin,
-    /// Its number there.
+    /// The number of the operation at its origin, from 1.
     #[serde(rename = "seq")]
     pub sequence: u64,
 }
@@ -34,36 +42,40 @@
     }
 }
 
-/// A set of numbers as ranges that neither touch nor overlap, the lowest first.
+/// A set of sequence numbers, stored as inclusive ranges in ascending order that neither touch nor overlap.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq, Hash)]
 #[serde(try_from = "Vec<(u64, u64)>", into = "Vec<(u64, u64)>")]
 pub struct Ranges(Vec<(u64, u64)>);
 
 impl From<Ranges> for Vec<(u64, u64)> {
-    fn from(r: Ranges) -> Self {
-        r.0
+    fn from(ranges: Ranges) -> Self {
+        ranges.0
     }
 }
 
 impl TryFrom<Vec<(u64, u64)>> for Ranges {
     type Error = &'static str;
 
-    /// Guards every later look-up against ranges that a peer made up: out of order, touching, empty.
+    /// Validates what a peer or a disk supplies: all look-ups rely on the order of the ranges.
     fn try_from(ranges: Vec<(u64, u64)>) -> Result<Self, Self::Error> {
-        let sound = ranges.iter().all(|(a, b)| 0 < *a && a <= b && *b < u64::MAX)
-            && ranges.windows(2).all(|w| w[0].1 + 1 < w[1].0);
-        if sound { Ok(Ranges(ranges)) } else { Err("ranges that are out of order") }
+        let is_range = |(start, end): &(u64, u64)| 0 < *start && start <= end && *end < u64::MAX;
+        let is_gap = |pair: &[(u64, u64)]| pair[0].1 + 1 < pair[1].0;
+        if ranges.iter().all(is_range) && ranges.windows(2).all(is_gap) {
+            Ok(Ranges(ranges))
+        } else {
+            Err("ranges that are out of order")
+        }
     }
 }
 
 impl Ranges {
-    /// Whether the number is in it.
-    pub fn contains(&self, n: u64) -> bool {
-        let at = self.0.partition_point(|(_, end)| *end < n);
-        self.0.get(at).is_some_and(|(start, _)| *start <= n)
+    /// Whether the number is in the set.
+    pub fn contains(&self, number: u64) -> bool {
+        let index = self.0.partition_point(|(_, end)| *end < number);
+        self.0.get(index).is_some_and(|(start, _)| *start <= number)
     }
 
-    /// Adds all numbers from `start` to `end`. True if any is new.
+    /// Inserts all numbers from `start` to `end`, both included. Returns whether any of them is new.
     pub fn insert_range(&mut self, start: u64, end: u64) -> bool {
         let from = self.0.partition_point(|(_, e)| e.saturating_add(1) < start);
         let to = self.0.partition_point(|(s, _)| *s <= end.saturating_add(1));
@@ -73,106 +85,109 @@
         {
             return false;
         }
-        let low = self.0[from..to].first().map_or(start, |r| r.0.min(start));
-        let high = self.0[from..to].last().map_or(end, |r| r.1.max(end));
+        let low = self.0[from..to].first().map_or(start, |range| range.0.min(start));
+        let high = self.0[from..to].last().map_or(end, |range| range.1.max(end));
         self.0.splice(from..to, [(low, high)]);
         true
     }
 
-    /// Adds all of another set. True if anything is new.
+    /// Inserts all numbers of another set. Returns whether any of them is new.
     pub fn union(&mut self, other: &Ranges) -> bool {
-        other.0.iter().fold(false, |new, (a, b)| self.insert_range(*a, *b) | new)
+        other.0.iter().fold(false, |new, (start, end)| self.insert_range(*start, *end) | new)
     }
 
-    /// Takes all of another set out.
+    /// Removes all numbers of another set.
     pub fn subtract(&mut self, other: &Ranges) {
         for (start, end) in &other.0 {
             let from = self.0.partition_point(|(_, e)| e < start);
             let to = self.0.partition_point(|(s, _)| s <= end);
-            let mut left = Vec::new();
+            let mut remaining = Vec::new();
             for (s, e) in &self.0[from..to] {
                 if s < start {
-                    left.push((*s, start - 1));
+                    remaining.push((*s, start - 1));
                 }
                 if e > end {
-                    left.push((end + 1, *e));
+                    remaining.push((end + 1, *e));
                 }
             }
-            self.0.splice(from..to, left);
+            self.0.splice(from..to, remaining);
         }
     }
 
-    /// The ranges.
+    /// The ranges in ascending order, with both ends included.
     pub fn iter(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
         self.0.iter().copied()
     }
 
-    /// The same in sets of at most so many ranges each, one at least.
-    pub fn split(&self, most: usize) -> Vec<Ranges> {
-        let pieces: Vec<Ranges> = self.0.chunks(most.max(1)).map(|c| Ranges(c.to_vec())).collect();
-        if pieces.is_empty() { vec![Ranges::default()] } else { pieces }
+    /// Splits the set into sets of at most `max_ranges` ranges, or of one range if that is 0. An empty set gives one empty
+    /// set.
+    pub fn split(&self, max_ranges: usize) -> Vec<Ranges> {
+        if self.is_empty() {
+            return vec![Ranges::default()];
+        }
+        self.0.chunks(max_ranges.max(1)).map(|ranges| Ranges(ranges.to_vec())).collect()
     }
 
-    /// Whether nothing is in it.
+    /// Whether the set has no number.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
 }
 
-/// A set of stamps.
+/// A set of dots.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq, Hash)]
 #[serde(transparent)]
 pub struct VersionVector(BTreeMap<Origin, Ranges>);
 
 impl VersionVector {
-    /// Whether the stamp is in it.
+    /// Whether the dot is in the set.
     pub fn contains(&self, dot: Dot) -> bool {
-        self.0.get(&dot.origin).is_some_and(|r| r.contains(dot.sequence))
+        self.0.get(&dot.origin).is_some_and(|ranges| ranges.contains(dot.sequence))
     }
 
-    /// Adds one stamp.
+    /// Inserts one dot.
     pub fn insert(&mut self, dot: Dot) {
         self.0.entry(dot.origin).or_default().insert_range(dot.sequence, dot.sequence);
     }
 
-    /// Adds stamps of one origin. True if any is new.
+    /// Inserts dots of one origin. Returns whether any of them is new.
     pub fn insert_ranges(&mut self, origin: Origin, ranges: &Ranges) -> bool {
         !ranges.is_empty() && self.0.entry(origin).or_default().union(ranges)
     }
 
-    /// Adds all of another set.
+    /// Inserts all dots of another set.
     pub fn union(&mut self, other: &VersionVector) {
         for (origin, ranges) in &other.0 {
             self.insert_ranges(*origin, ranges);
         }
     }
 
-    /// Takes all of another set out.
+    /// Removes all dots of another set.
     pub fn subtract(&mut self, other: &VersionVector) {
         self.0.retain(|origin, ranges| {
-            if let Some(out) = other.0.get(origin) {
-                ranges.subtract(out);
+            if let Some(removed) = other.0.get(origin) {
+                ranges.subtract(removed);
             }
             !ranges.is_empty()
         });
     }
 
-    /// What is known of one origin.
+    /// The sequence numbers of one origin, if it has any.
     pub fn ranges_of(&self, origin: Origin) -> Option<&Ranges> {
         self.0.get(&origin)
     }
 
-    /// All of it, by origin.
+    /// All origins in ascending order, with their sequence numbers.
     pub fn iter(&self) -> impl Iterator<Item = (Origin, &Ranges)> {
-        self.0.iter().map(|(o, r)| (*o, r))
+        self.0.iter().map(|(origin, ranges)| (*origin, ranges))
     }
 
-    /// Number of origins.
+    /// The number of origins.
     pub fn len(&self) -> usize {
         self.0.len()
     }
 
-    /// Whether nothing is in it.
+    /// Whether the set has no dot.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
