--- a/src/cluster/status_report.rs
+++ b/src/cluster/status_report.rs
@@ -4,7 +4,6 @@
 use crate::api::Nanos;
 use crate::gossip::node::{GossipNode, Notification, SyncStatus};
 use crate::gossip::swim::PeerStatus;
-use crate::replication::derived_state;
 use crate::replication::{FactKey, FactValue, Register, StateStore, StoreLimits};
 use serde_json::{Value, json};
 
@@ -52,7 +51,7 @@
 
 fn words(register: &Register) -> String {
     let one = |(dot, s): (crate::replication::Dot, &crate::replication::OperatorCommand)| {
-        format!("{} by {:?} at {} as {dot}", derived_state::label(&s.value), s.author, s.broker)
+        format!("{} by {:?} at {} as {dot}", s.value.label(), s.author, s.broker)
     };
     let all: Vec<String> = register.commands().map(one).collect();
     if all.is_empty() { "nothing".into() } else { all.join(", and ") }
@@ -62,7 +61,7 @@
 pub fn register(key: &FactKey, register: &Register, now: Nanos) -> Value {
     let said = |(dot, s): (crate::replication::Dot, &crate::replication::OperatorCommand)| {
         json!({
-            "says": derived_state::label(&s.value), "by": s.author, "why": s.reason, "at_broker": s.broker,
+            "says": s.value.label(), "by": s.author, "why": s.reason, "at_broker": s.broker,
             "at_ms": s.issued_at / 1_000_000, "until_ms": s.expires_at.map(|t| t / 1_000_000), "stamp": dot.to_string(),
         })
     };
--- a/src/replication/derived_state.rs
+++ b/src/replication/derived_state.rs
@@ -1,7 +1,6 @@
 //! What follows from the facts for one broker. A peer's word makes more careful, never bolder: it takes servers out and
 //! sends clients away; nothing but a word by hand puts anything back.
 
-use super::multi_value_register::CommandValue;
 use super::state_store::{FactKey, FactValue, ProcessStart, StateStore};
 use crate::api::Nanos;
 use std::collections::{BTreeMap, BTreeSet};
@@ -96,12 +95,3 @@
     }
     all
 }
-
-/// The value of a command as it is printed for operators.
-pub fn label(value: &CommandValue) -> &str {
-    match value {
-        CommandValue::Clear => "back",
-        CommandValue::Set => "out",
-        CommandValue::Text(text) => text,
-    }
-}
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -21,4 +21,4 @@
 
 pub use multi_value_register::{CommandValue, OperatorCommand, Register};
 pub use state_store::{Fact, FactKey, FactValue, JoinError, ProcessStart, StateStore, StoreLimits};
-pub use version_vector::{Dot, Origin, Ranges, VersionVector};
+pub use version_vector::{Dot, InvalidRanges, Origin, Ranges, VersionVector};
--- a/src/replication/multi_value_register.rs
+++ b/src/replication/multi_value_register.rs
@@ -35,6 +35,17 @@
     Text(String),
 }
 
+impl CommandValue {
+    /// The value as it is printed for operators.
+    pub fn label(&self) -> &str {
+        match self {
+            CommandValue::Clear => "back",
+            CommandValue::Set => "out",
+            CommandValue::Text(text) => text,
+        }
+    }
+}
+
 /// A command of an operator.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct OperatorCommand {
@@ -134,17 +145,14 @@
 
     /// Joins the register of another copy. `collected` are the dots that garbage collection removed, in any copy.
     pub fn join(&mut self, other: &Register, collected: &VersionVector) {
-        let is_retained = |dot: &Dot, register: &Register| {
-            !register.causal_context.contains(*dot) || register.commands.contains_key(dot)
-        };
         let mut joined = BTreeMap::new();
         for (dot, command) in &self.commands {
-            if is_retained(dot, other) && !collected.contains(*dot) {
+            if !other.has_superseded(dot) && !collected.contains(*dot) {
                 joined.insert(*dot, command.clone());
             }
         }
         for (dot, command) in &other.commands {
-            if is_retained(dot, self) && !collected.contains(*dot) {
+            if !self.has_superseded(dot) && !collected.contains(*dot) {
                 // No dot has two commands. Should it happen all the same, all copies choose the same one.
                 let own = joined.entry(*dot).or_insert_with(|| command.clone());
                 if command > own {
@@ -157,6 +165,10 @@
         self.causal_context.subtract(collected);
     }
 
+    fn has_superseded(&self, dot: &Dot) -> bool {
+        self.causal_context.contains(*dot) && !self.commands.contains_key(dot)
+    }
+
     /// Removes the dots that garbage collection removed.
     pub fn remove_collected(&mut self, collected: &VersionVector) {
         self.commands.retain(|dot, _| !collected.contains(*dot));
@@ -201,19 +213,14 @@
         }
         let commands: Vec<(Dot, OperatorCommand)> =
             self.commands.iter().map(|(dot, command)| (*dot, command.clone())).collect();
-        let mut parts: Vec<Register> = commands
-            .chunks(max_commands.max(1))
-            .map(|part| {
-                let mut causal_context = VersionVector::default();
-                part.iter().for_each(|(dot, _)| causal_context.insert(*dot));
-                Register { commands: part.iter().cloned().collect(), causal_context }
-            })
-            .collect();
+        let part = |commands: &[(Dot, OperatorCommand)]| Register {
+            commands: commands.iter().cloned().collect(),
+            causal_context: commands.iter().map(|(dot, _)| *dot).collect(),
+        };
+        let mut parts: Vec<Register> = commands.chunks(max_commands.max(1)).map(part).collect();
         // The superseded dots travel in a part without the retained ones: no part may end a command of another part.
         let mut superseded = self.causal_context.clone();
-        let mut retained = VersionVector::default();
-        self.commands.keys().for_each(|dot| retained.insert(*dot));
-        superseded.subtract(&retained);
+        superseded.subtract(&self.commands.keys().copied().collect());
         parts.push(Register { commands: BTreeMap::new(), causal_context: superseded });
         parts
     }
