--- a/src/server/admin_handler.rs
+++ b/src/server/admin_handler.rs
@@ -45,12 +45,12 @@
     fn from_request(request: AdminRequest, own_name: &str) -> Result<ClusterCommand, AdminRequest> {
         let pause = |broker: Option<String>| FactKey::Pause(broker.unwrap_or_else(|| own_name.to_owned()));
         let (key, value, options) = match request {
-            AdminRequest::Suspend(id, options) => (FactKey::Server(id), CommandValue::Out, options),
-            AdminRequest::Restore(id, options) => (FactKey::Server(id), CommandValue::Back, options),
-            AdminRequest::Pause(broker, options) => (pause(broker), CommandValue::Out, options),
-            AdminRequest::Resume(broker, options) => (pause(broker), CommandValue::Back, options),
-            AdminRequest::Remove(broker, options) => (FactKey::Removed(broker), CommandValue::Out, options),
-            AdminRequest::Admit(broker, options) => (FactKey::Removed(broker), CommandValue::Back, options),
+            AdminRequest::Suspend(id, options) => (FactKey::Server(id), CommandValue::Set, options),
+            AdminRequest::Restore(id, options) => (FactKey::Server(id), CommandValue::Clear, options),
+            AdminRequest::Pause(broker, options) => (pause(broker), CommandValue::Set, options),
+            AdminRequest::Resume(broker, options) => (pause(broker), CommandValue::Clear, options),
+            AdminRequest::Remove(broker, options) => (FactKey::Removed(broker), CommandValue::Set, options),
+            AdminRequest::Admit(broker, options) => (FactKey::Removed(broker), CommandValue::Clear, options),
             other => return Err(other),
         };
         Ok(ClusterCommand { key, value, options })
@@ -107,7 +107,7 @@
         match &command.key {
             FactKey::Server(id) if known || self.frontend.membership().knows(id) => Ok(id.clone()),
             FactKey::Server(id) => Err(AdminError::UnknownNode(id.clone())),
-            FactKey::Removed(name) if name == cluster.name() && command.value == CommandValue::Out => {
+            FactKey::Removed(name) if name == cluster.name() && command.value == CommandValue::Set => {
                 Err(AdminError::RemovesItself(name.clone()))
             }
             FactKey::Pause(name) | FactKey::Removed(name) if known || cluster.is_broker(name) => {
--- a/src/server/cluster_state.rs
+++ b/src/server/cluster_state.rs
@@ -40,11 +40,14 @@
     /// Adopts the cluster's state, and returns what this changes.
     pub(super) fn update(&mut self, state: &DerivedState) -> StateChanges {
         let mut changes = StateChanges::default();
-        if state.out != self.suspended {
-            let changed = state.out.symmetric_difference(&self.suspended);
-            let change = |id: &String| SuspensionChange { id: id.clone(), suspended: state.out.contains(id) };
+        if state.disabled_servers != self.suspended {
+            let changed = state.disabled_servers.symmetric_difference(&self.suspended);
+            let change = |id: &String| SuspensionChange {
+                id: id.clone(),
+                suspended: state.disabled_servers.contains(id),
+            };
             changes.suspensions = changed.map(change).collect();
-            self.suspended = state.out.clone();
+            self.suspended = state.disabled_servers.clone();
         }
         if state.paused != self.paused {
             self.paused = state.paused;
--- a/src/server/hint_exchange.rs
+++ b/src/server/hint_exchange.rs
@@ -40,10 +40,11 @@
     fn record(&mut self, id: &str, registry: &Registry) {
         let Some((state, started, version)) = registry.discovery_state(id) else { return };
         if state != NodeState::Ready {
-            self.pending.push((FactKey::Drain(id.to_owned()), ProcessStart { started, version }));
+            self.pending
+                .push((FactKey::Drain(id.to_owned()), ProcessStart { started, list_version: version }));
         }
         if started > 0 {
-            self.pending.push((FactKey::Start(id.to_owned()), ProcessStart { started, version: 0 }));
+            self.pending.push((FactKey::Start(id.to_owned()), ProcessStart { started, list_version: 0 }));
         }
     }
 
