Name the items of hot_restart by the field's terms

Fields, constants and methods still spoke of words, being told and leaving. They are now overrides, leases, published states, successors and quotas.

--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -9,7 +9,7 @@
 use crate::config::{self, ConfigError, Node, NodesFile, OperatorConfig, Protocol};
 use crate::engine::{EngineAction, QueryEngine};
 use crate::hot_restart::HotRestart;
-use crate::hot_restart::coordination::Limits;
+use crate::hot_restart::coordination::SharedLimits;
 use crate::membership::poll_backoff::PollBackoff;
 use crate::membership::{NodeRecord, PartitionLayout, Registry, RegistrySettings};
 use crate::net::{Clock, ConnectionClass, NetEvent, PollLoop, Pool, inherited};
@@ -130,10 +130,10 @@
         kinds: [Protocol::Sru, Protocol::Z3950].map(|p| p.name().to_owned()).into(),
         seed,
     });
-    let limits = Limits {
+    let limits = SharedLimits {
         descriptors: told.limits.sockets,
-        open: settings.max_in_flight as usize,
-        window: settings.retry_budget.map_or(0, |b| b.window),
+        max_in_flight: settings.max_in_flight as usize,
+        retry_budget_window: settings.retry_budget.map_or(0, |b| b.window),
     };
     let handed = told.operation.hand_over.as_deref().and_then(|dir| HotRestart::open(dir, limits, now));
     if let Some((_, _, lists)) = &handed {
@@ -155,7 +155,11 @@
         warm_up: told.routing.warm_up_ms * 1_000_000,
         hold: told.routing.hold_ms * 1_000_000,
     });
-    let out = handed.iter().flat_map(|(_, words, _)| words.out()).map(str::to_owned).collect::<Vec<_>>();
+    let out = handed
+        .iter()
+        .flat_map(|(_, words, _)| words.suspended_servers())
+        .map(str::to_owned)
+        .collect::<Vec<_>>();
     let mut membership = MembershipDriver::new(roster, keeper).with_suspended(out).with_routing(routing);
     if told.cluster.is_some() {
         membership = membership.share_hints();
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -7,7 +7,7 @@
 use crate::engine::{EngineAction, QueryEngine};
 use crate::frontends::connection_slots::ConnectionSlots;
 use crate::hot_restart::HotRestart;
-use crate::hot_restart::coordination::Limits;
+use crate::hot_restart::coordination::SharedLimits;
 use crate::membership::poll_backoff::PollBackoff;
 use crate::membership::{PartitionLayout, Registry, RegistrySettings};
 use crate::net::{Clock, ConnectionClass, NetEvent, PollLoop, Pool, inherited};
@@ -91,10 +91,10 @@
         kinds: Vec::new(),
         seed: told.seed,
     });
-    let limits_of_all = Limits {
+    let limits_of_all = SharedLimits {
         descriptors: told.sockets,
-        open: settings.max_in_flight as usize,
-        window: settings.retry_budget.map_or(0, |b| b.window),
+        max_in_flight: settings.max_in_flight as usize,
+        retry_budget_window: settings.retry_budget.map_or(0, |b| b.window),
     };
     let handed = told.hand_over.as_deref().and_then(|dir| HotRestart::open(dir, limits_of_all, now));
     if let Some((_, _, lists)) = &handed {
@@ -104,7 +104,11 @@
     if let Some(list) = &told.known {
         roster.add_configured(list, now);
     }
-    let out = handed.iter().flat_map(|(_, words, _)| words.out()).map(str::to_owned).collect::<Vec<_>>();
+    let out = handed
+        .iter()
+        .flat_map(|(_, words, _)| words.suspended_servers())
+        .map(str::to_owned)
+        .collect::<Vec<_>>();
     let watch = DiscoveryWatch::new(ROSTER, told.discovery, told.params.dial_timeout());
     let membership = MembershipDriver::new(roster, keeper).with_suspended(out);
     let mut membership = match settings.discovery {
--- a/src/hot_restart/state.rs
+++ b/src/hot_restart/state.rs
@@ -9,7 +9,7 @@
 pub const FORMAT: FileFormat =
     FileFormat { magic: "pebbleturn-handover", what: "state handed over", version: 1, most: 1 << 20 };
 /// Most words on servers that are kept; the oldest that let one in go first.
-const MOST_WORDS: usize = 4096;
+const MAX_SERVER_OVERRIDES: usize = 4096;
 
 /// How far a process has come.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
@@ -20,16 +20,19 @@
     /// It takes clients.
     Serving,
     /// It finishes what it took.
-    Leaving,
+    #[serde(rename = "Leaving")]
+    Draining,
 }
 
 /// Staff's last word on something, and when it was given. The later word holds; of two at one time the stricter.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Override {
     /// Unix time, ns.
-    pub at: Nanos,
+    #[serde(rename = "at")]
+    pub set_at: Nanos,
     /// Taken out, or sent away.
-    pub out: bool,
+    #[serde(rename = "out")]
+    pub active: bool,
 }
 
 /// What staff have said. Merging is commutative, associative and idempotent: whoever hears what from whom in which
@@ -44,20 +47,21 @@
 
 impl Overrides {
     /// A word on a server, later than any before it.
-    pub fn server(&mut self, id: &str, out: bool, now: Nanos) {
+    pub fn set_server_suspended(&mut self, id: &str, out: bool, now: Nanos) {
         // Guards against a clock that went back between two processes: what is said last holds.
-        let at = self.servers.get(id).map_or(now, |w| now.max(w.at + 1));
-        self.servers.insert(id.to_owned(), Override { at, out });
-        while self.servers.len() > MOST_WORDS {
-            let oldest = self.servers.iter().min_by_key(|(_, w)| (w.out, w.at)).map(|(id, _)| id.clone());
+        let at = self.servers.get(id).map_or(now, |w| now.max(w.set_at + 1));
+        self.servers.insert(id.to_owned(), Override { set_at: at, active: out });
+        while self.servers.len() > MAX_SERVER_OVERRIDES {
+            let oldest =
+                self.servers.iter().min_by_key(|(_, w)| (w.active, w.set_at)).map(|(id, _)| id.clone());
             oldest.and_then(|id| self.servers.remove(&id));
         }
     }
 
     /// A word on the pause.
-    pub fn pause(&mut self, out: bool, now: Nanos) {
-        let at = self.pause.map_or(now, |w| now.max(w.at + 1));
-        self.pause = Some(Override { at, out });
+    pub fn set_paused(&mut self, out: bool, now: Nanos) {
+        let at = self.pause.map_or(now, |w| now.max(w.set_at + 1));
+        self.pause = Some(Override { set_at: at, active: out });
     }
 
     /// Takes in what another process holds. True if anything is new.
@@ -77,8 +81,8 @@
     }
 
     /// The ids that are out.
-    pub fn out(&self) -> impl Iterator<Item = &str> {
-        self.servers.iter().filter(|(_, w)| w.out).map(|(id, _)| id.as_str())
+    pub fn suspended_servers(&self) -> impl Iterator<Item = &str> {
+        self.servers.iter().filter(|(_, w)| w.active).map(|(id, _)| id.as_str())
     }
 }
 
@@ -86,17 +90,22 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
 pub struct ProcessState {
     /// When this was written, unix ns.
-    pub written: Nanos,
+    #[serde(rename = "written")]
+    pub written_at: Nanos,
     /// How far it has come.
     pub stage: ProcessStage,
     /// What staff have said.
-    pub words: Overrides,
+    #[serde(rename = "words")]
+    pub overrides: Overrides,
     /// The most descriptors that it may come to hold.
-    pub lease: usize,
+    #[serde(rename = "lease")]
+    pub descriptor_lease: usize,
     /// Queries and parts that it holds.
-    pub held: usize,
+    #[serde(rename = "held")]
+    pub in_flight: usize,
     /// Ids of its open queries.
-    pub open_ids: Vec<String>,
+    #[serde(rename = "open_ids")]
+    pub open_query_ids: Vec<String>,
 }
 
 impl ProcessState {
--- a/src/hot_restart/state_directory.rs
+++ b/src/hot_restart/state_directory.rs
@@ -4,7 +4,7 @@
 //! system itself tells who is there; `N.state`, small and written often; `N.list`, its list of servers. Files are
 //! replaced by renaming: who reads finds one that is whole, unless the disk was full.
 
-use super::coordination::Peer;
+use super::coordination::PeerProcess;
 use super::state::ProcessState;
 use crate::membership::snapshot::{self, Snapshot};
 use crate::storage::{Disk, FileSystem};
@@ -17,21 +17,21 @@
 use std::time::{Duration, Instant};
 
 /// Time between two looks at the other processes.
-const LOOK: Duration = Duration::from_millis(100);
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// How long the end of the program waits for the thread: a disk that hangs must not keep it.
-const LAST: Duration = Duration::from_millis(200);
+const SHUTDOWN_WAIT: Duration = Duration::from_millis(200);
 
 /// What a process finds at its start.
 #[derive(Debug, Default)]
-pub struct Found {
+pub struct StartupContents {
     /// The number that it has.
     pub serial: u64,
     /// The processes before it, the oldest first.
-    pub peers: Vec<Peer>,
+    pub peers: Vec<PeerProcess>,
     /// Their lists of servers.
-    pub lists: Vec<Snapshot>,
+    pub snapshots: Vec<Snapshot>,
     /// What could not be used, and why.
-    pub wrong: Vec<String>,
+    pub errors: Vec<String>,
 }
 
 /// What is to be written.
@@ -40,15 +40,15 @@
     /// The state.
     pub state: ProcessState,
     /// The list of servers, where it has changed.
-    pub list: Option<Snapshot>,
+    pub snapshot: Option<Snapshot>,
 }
 
 /// The directory, worked on by a thread of its own.
 #[derive(Debug)]
 pub struct StateDirectory {
-    leaves: Option<SyncSender<StateUpdate>>,
-    seen: Receiver<Vec<Peer>>,
-    ended: Receiver<()>,
+    updates: Option<SyncSender<StateUpdate>>,
+    observations: Receiver<Vec<PeerProcess>>,
+    worker_done: Receiver<()>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -69,7 +69,7 @@
 }
 
 /// Another process and what it told. A file that can't be used is `Err`, one that is not there is no state.
-fn look(dir: &Path, serial: u64) -> (Peer, Option<String>) {
+fn look(dir: &Path, serial: u64) -> (PeerProcess, Option<String>) {
     let at = path(dir, serial, "state");
     // Looked at first: a state that was read while its process lived is one that it wrote.
     let alive = is_alive(dir, serial);
@@ -79,8 +79,8 @@
         Err(e) => Err(e.to_string()),
     };
     match read {
-        Ok(state) => (Peer { serial, alive, state }, None),
-        Err(why) => (Peer { serial, alive, state: None }, Some(format!("{}: {why}", at.display()))),
+        Ok(state) => (PeerProcess { serial, alive, state }, None),
+        Err(why) => (PeerProcess { serial, alive, state: None }, Some(format!("{}: {why}", at.display()))),
     }
 }
 
@@ -115,18 +115,18 @@
     std::fs::rename(tmp, at)
 }
 
-struct Clerk {
+struct DirectoryWorker {
     dir: PathBuf,
     serial: u64,
     _lock: File,
     failing: bool,
 }
 
-impl Clerk {
+impl DirectoryWorker {
     fn write(&mut self, leaf: &StateUpdate) {
         let written = (|| -> Result<(), String> {
             let said = |e: io::Error| e.to_string();
-            if let Some(list) = &leaf.list {
+            if let Some(list) = &leaf.snapshot {
                 let bytes = snapshot::encode(list).map_err(|e| e.to_string())?;
                 replace(&self.dir, self.serial, "list", &bytes).map_err(said)?;
             }
@@ -147,10 +147,10 @@
     }
 
     /// The others. What dead ones left is thrown away once this process has left a state that holds all of it.
-    fn peers(&self, tidy: bool) -> Vec<Peer> {
+    fn peers(&self, tidy: bool) -> Vec<PeerProcess> {
         let others = serials(&self.dir).unwrap_or_default();
         let others = others.into_iter().filter(|n| *n != self.serial);
-        let peers: Vec<Peer> = others.map(|n| look(&self.dir, n).0).collect();
+        let peers: Vec<PeerProcess> = others.map(|n| look(&self.dir, n).0).collect();
         if tidy {
             for dead in peers.iter().filter(|p| !p.alive && p.serial < self.serial) {
                 for kind in ["state", "list", "tmp", "lock"] {
@@ -161,8 +161,8 @@
         peers
     }
 
-    fn work(mut self, leaves: &Receiver<StateUpdate>, tell: &SyncSender<Vec<Peer>>) {
-        let mut next = Instant::now() + LOOK;
+    fn work(mut self, leaves: &Receiver<StateUpdate>, tell: &SyncSender<Vec<PeerProcess>>) {
+        let mut next = Instant::now() + POLL_INTERVAL;
         // The number of looks since the first state of this process was written.
         let mut looks = 0;
         loop {
@@ -172,7 +172,7 @@
                     looks += u32::from(looks == 0 && !self.failing);
                 }
                 Err(RecvTimeoutError::Timeout) => {
-                    next = Instant::now() + LOOK;
+                    next = Instant::now() + POLL_INTERVAL;
                     // Some looks later, what was told last by one that has died is in this process's own state.
                     looks += u32::from(looks > 0 && looks < 20);
                     match tell.try_send(self.peers(looks >= 20 && !self.failing)) {
@@ -189,50 +189,58 @@
 impl StateDirectory {
     /// Takes a place in the directory, reads what the processes before have left, and starts the thread. Reads before
     /// the broker serves; from then on only the thread touches the disk.
-    pub fn open(dir: &Path) -> io::Result<(Found, StateDirectory)> {
+    pub fn open(dir: &Path) -> io::Result<(StartupContents, StateDirectory)> {
         std::fs::create_dir_all(dir)?;
         let (serial, lock) = enter(dir)?;
-        let mut found = Found { serial, ..Found::default() };
+        let mut found = StartupContents { serial, ..StartupContents::default() };
         for n in serials(dir)?.into_iter().filter(|n| *n < serial) {
             let (peer, wrong) = look(dir, n);
             let missing = peer.alive && peer.state.is_none() && wrong.is_none();
-            found.wrong.extend(wrong);
+            found.errors.extend(wrong);
             if missing {
-                found.wrong.push(format!("{} is not there yet", path(dir, n, "state").display()));
+                found.errors.push(format!("{} is not there yet", path(dir, n, "state").display()));
             }
             found.peers.push(peer);
             match list(dir, n) {
-                Ok(list) => found.lists.extend(list),
-                Err(why) => found.wrong.push(why),
+                Ok(list) => found.snapshots.extend(list),
+                Err(why) => found.errors.push(why),
             }
         }
         let (leaves, taken) = sync_channel(4);
         let (tell, seen) = sync_channel(4);
         let (end, ended) = sync_channel(1);
-        let clerk = Clerk { dir: dir.to_owned(), serial, _lock: lock, failing: false };
+        let clerk = DirectoryWorker { dir: dir.to_owned(), serial, _lock: lock, failing: false };
         let work = move || {
             clerk.work(&taken, &tell);
             let _ = end.send(());
         };
         let thread = std::thread::Builder::new().name("handover".into()).spawn(work)?;
-        Ok((found, StateDirectory { leaves: Some(leaves), seen, ended, thread: Some(thread) }))
+        Ok((
+            found,
+            StateDirectory {
+                updates: Some(leaves),
+                observations: seen,
+                worker_done: ended,
+                thread: Some(thread),
+            },
+        ))
     }
 
     /// Has a leaf written. Never blocks; false if the thread is behind.
-    pub fn leave(&self, leaf: StateUpdate) -> bool {
-        self.leaves.as_ref().is_some_and(|l| l.try_send(leaf).is_ok())
+    pub fn publish(&self, leaf: StateUpdate) -> bool {
+        self.updates.as_ref().is_some_and(|l| l.try_send(leaf).is_ok())
     }
 
     /// What was last seen of the other processes, since this was last asked.
-    pub fn seen(&self) -> Option<Vec<Peer>> {
-        self.seen.try_iter().last()
+    pub fn latest_peers(&self) -> Option<Vec<PeerProcess>> {
+        self.observations.try_iter().last()
     }
 }
 
 impl Drop for StateDirectory {
     fn drop(&mut self) {
-        drop(self.leaves.take());
-        if self.ended.recv_timeout(LAST).is_ok()
+        drop(self.updates.take());
+        if self.worker_done.recv_timeout(SHUTDOWN_WAIT).is_ok()
             && let Some(thread) = self.thread.take()
         {
             let _ = thread.join();
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -220,7 +220,7 @@
     /// was told by staff.
     pub fn join_hot_restart(&mut self, handover: HotRestart, words: Overrides) {
         let now = self.clock.now();
-        if words.pause.is_some_and(|w| w.out) {
+        if words.pause.is_some_and(|w| w.active) {
             self.leave.pause(now);
         }
         self.leave.share_address();
@@ -422,7 +422,7 @@
             | AdminRequest::Remove(..)
             | AdminRequest::Admit(..) => AdminResponse::No("this broker has no peers".into()),
             AdminRequest::Pause(None, _) => {
-                self.words.pause(true, now);
+                self.words.set_paused(true, now);
                 self.handover.iter_mut().for_each(HotRestart::publish_now);
                 tracing::info!("paused by hand: {} queries are open", self.exchange.open_queries());
                 self.leave.pause(now);
@@ -432,7 +432,7 @@
                 AdminResponse::No("this process ends".into())
             }
             AdminRequest::Resume(None, _) => {
-                self.words.pause(false, now);
+                self.words.set_paused(false, now);
                 self.handover.iter_mut().for_each(HotRestart::publish_now);
                 tracing::info!("resumed by hand");
                 self.leave.resume();
@@ -445,7 +445,7 @@
         let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
         match self.front.membership_mut().set_suspended(id, out, false, &mut hands) {
             Ok(()) => {
-                self.words.server(id, out, now);
+                self.words.set_server_suspended(id, out, now);
                 self.handover.iter_mut().for_each(HotRestart::publish_now);
                 tracing::info!("server {id} is {} by hand", if out { "out" } else { "put back" });
                 AdminResponse::Yes(id.to_owned())
@@ -473,13 +473,13 @@
         if let Some(effect) = cluster.effect() {
             if !std::mem::replace(&mut self.held.compared, true) {
                 // What an earlier process handed over was told to the cluster too: its disk has the later word.
-                self.held.out = self.words.out().map(str::to_owned).collect();
-                self.held.paused = self.words.pause.is_some_and(|w| w.out);
+                self.held.out = self.words.suspended_servers().map(str::to_owned).collect();
+                self.held.paused = self.words.pause.is_some_and(|w| w.active);
             }
             for id in effect.out.symmetric_difference(&self.held.out) {
                 let out = effect.out.contains(id);
                 let _ = self.front.membership_mut().set_suspended(id, out, true, &mut hands);
-                self.words.server(id, out, now);
+                self.words.set_server_suspended(id, out, now);
                 self.handover.iter_mut().for_each(HotRestart::publish_now);
                 tracing::info!("server {id} is {} by hand", if out { "out" } else { "put back" });
             }
@@ -503,12 +503,12 @@
         cluster.spent(self.clock.now().saturating_sub(begun));
         match paused {
             Some(true) => {
-                self.words.pause(true, now);
+                self.words.set_paused(true, now);
                 tracing::info!("paused by hand: {} queries are open", self.exchange.open_queries());
                 self.leave.pause(now);
             }
             Some(false) => {
-                self.words.pause(false, now);
+                self.words.set_paused(false, now);
                 tracing::info!("resumed by hand");
                 self.leave.resume();
             }
@@ -542,38 +542,38 @@
         let Some(handover) = self.handover.as_mut().filter(|h| h.is_due(now)) else { return };
         let holds = ResourceUsage {
             descriptors: self.net.descriptors(),
-            held: self.exchange.in_flight(),
-            open_ids: self.front.open_ids(),
+            in_flight: self.exchange.in_flight(),
+            open_query_ids: self.front.open_ids(),
         };
         let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
         let mut paused = None;
         for peer in handover.observe(&holds, now).unwrap_or(&[]) {
             let before = self.words.clone();
-            if self.words.merge(&peer.words()) {
+            if self.words.merge(&peer.effective_overrides()) {
                 for (id, word) in
                     self.words.servers.iter().filter(|(id, w)| before.servers.get(*id) != Some(w))
                 {
-                    let _ = self.front.membership_mut().set_suspended(id, word.out, true, &mut hands);
+                    let _ = self.front.membership_mut().set_suspended(id, word.active, true, &mut hands);
                 }
                 paused = self.words.pause.filter(|w| before.pause != Some(*w)).or(paused);
             }
             if let Some(state) = &peer.state {
-                self.front.reserve_ids(&state.open_ids, now);
+                self.front.reserve_ids(&state.open_query_ids, now);
             }
         }
         match paused {
-            Some(word) if word.out => self.leave.pause(now),
+            Some(word) if word.active => self.leave.pause(now),
             Some(_) => self.leave.resume(),
             None => {}
         }
-        let share = handover.share(now);
+        let share = handover.quota_share(now);
         let was = self.share.replace(share);
         if was != Some(share) {
             self.front.limit_descriptors(share.descriptors, hands.net);
-            hands.engine.limit_in_flight(share.open);
-            hands.engine.set_free_retries(share.free_tries);
+            hands.engine.limit_in_flight(share.max_in_flight);
+            hands.engine.set_free_retries(share.free_retries);
         }
-        if share.succeeded && !was.is_some_and(|w| w.succeeded) {
+        if share.successor_serving && !was.is_some_and(|w| w.successor_serving) {
             tracing::info!(
                 "another process serves at this address: {} queries are open",
                 hands.engine.open_queries()
@@ -581,7 +581,7 @@
             self.leave.successor_serves(now);
         }
         handover.set_stage(if self.leave.is_shutting_down() {
-            ProcessStage::Leaving
+            ProcessStage::Draining
         } else {
             ProcessStage::Serving
         });
--- a/tests/operation/handover.rs
+++ b/tests/operation/handover.rs
@@ -1,7 +1,9 @@
 //! What processes at one address tell each other and what follows: without disk, in simulated time.
 
 use pebbleturn::Nanos;
-use pebbleturn::hot_restart::coordination::{Coordination, LEAST_DESCRIPTORS, Limits, Peer, QuotaShare};
+use pebbleturn::hot_restart::coordination::{
+    Coordination, MIN_DESCRIPTORS, PeerProcess, QuotaShare, SharedLimits,
+};
 use pebbleturn::hot_restart::state::{Override, Overrides, ProcessStage, ProcessState};
 use quickcheck::quickcheck;
 use rand_pcg::Pcg64Mcg;
@@ -11,16 +13,16 @@
 
 fn state() -> ProcessState {
     let mut words = Overrides::default();
-    words.server("s-1", true, 5);
-    words.server("s-2", false, 6);
-    words.pause(true, 7);
+    words.set_server_suspended("s-1", true, 5);
+    words.set_server_suspended("s-2", false, 6);
+    words.set_paused(true, 7);
     ProcessState {
-        written: 9,
+        written_at: 9,
         stage: ProcessStage::Serving,
-        words,
-        lease: 300,
-        held: 41,
-        open_ids: vec!["9b1f".into()],
+        overrides: words,
+        descriptor_lease: 300,
+        in_flight: 41,
+        open_query_ids: vec!["9b1f".into()],
     }
 }
 
@@ -44,7 +46,7 @@
 fn words_of(said: &[(u8, bool, u8)]) -> Overrides {
     let mut words = Overrides::default();
     for (id, out, at) in said {
-        let word = Override { at: Nanos::from(*at % 4), out: *out };
+        let word = Override { set_at: Nanos::from(*at % 4), active: *out };
         let mut one = Overrides::default();
         match id % 4 {
             0 => one.pause = Some(word),
@@ -72,12 +74,13 @@
 
     fn the_last_word_of_staff_holds_whatever_the_clock_does(said: Vec<(bool, u8)>) -> bool {
         let mut words = Overrides::default();
-        said.iter().for_each(|(out, clock)| words.server("s", *out, Nanos::from(*clock)));
-        words.servers.get("s").map(|w| w.out) == said.last().map(|(out, _)| *out)
+        said.iter().for_each(|(out, clock)| words.set_server_suspended("s", *out, Nanos::from(*clock)));
+        words.servers.get("s").map(|w| w.active) == said.last().map(|(out, _)| *out)
     }
 }
 
-const LIMITS: Limits = Limits { descriptors: 384, open: 800, window: 2000 * MS };
+const LIMITS: SharedLimits =
+    SharedLimits { descriptors: 384, max_in_flight: 800, retry_budget_window: 2000 * MS };
 
 /// How the world turns a process's view into what it does.
 type Decide = fn(&Coordination, &Seen, Nanos) -> QuotaShare;
@@ -85,7 +88,7 @@
 /// What a process has seen and holds, for deciders that go wrong on purpose.
 struct Seen {
     serial: u64,
-    peers: Vec<Peer>,
+    peers: Vec<PeerProcess>,
 }
 
 struct Process {
@@ -116,9 +119,11 @@
         self.rng.next_u64().is_multiple_of(u64::from(one_in))
     }
 
-    fn peers(&self, of: u64) -> Vec<Peer> {
+    fn peers(&self, of: u64) -> Vec<PeerProcess> {
         let others = self.processes.iter().filter(|p| p.seen.serial != of);
-        others.map(|p| Peer { serial: p.seen.serial, alive: p.alive, state: p.written.clone() }).collect()
+        others
+            .map(|p| PeerProcess { serial: p.seen.serial, alive: p.alive, state: p.written.clone() })
+            .collect()
     }
 
     fn start(&mut self, decide: Decide) {
@@ -167,18 +172,19 @@
             if p.next_look <= now {
                 p.next_look = now + 90 * MS + jitter;
                 p.seen.peers = peers.clone();
-                p.view.seen(peers, (p.holds, 0), now);
+                p.view.on_peers_observed(peers, (p.holds, 0), now);
                 p.share = decide(&p.view, &p.seen, now);
-                let lease = p.view.lease();
-                p.written = Some(ProcessState { stage: p.stage, lease, ..ProcessState::default() });
-                p.view.told(lease);
+                let lease = p.view.descriptor_lease();
+                p.written =
+                    Some(ProcessState { stage: p.stage, descriptor_lease: lease, ..ProcessState::default() });
+                p.view.on_lease_published(lease);
             }
             // It takes all that it may at once, and leaves as soon as it may.
             p.holds = p.holds.max(p.share.descriptors);
-            if p.share.free_tries {
+            if p.share.free_retries {
                 self.free[n] = Some(now);
             }
-            if p.share.succeeded {
+            if p.share.successor_serving {
                 p.alive = false;
                 let successor = self.processes[n + 1..].iter().any(|q| q.stage == ProcessStage::Serving);
                 if !successor {
@@ -190,7 +196,8 @@
         if held > LIMITS.descriptors {
             self.wrong.push("more descriptors than there are");
         }
-        let recent = self.free.iter().flatten().filter(|t| **t + LIMITS.window > self.now).count();
+        let recent =
+            self.free.iter().flatten().filter(|t| **t + LIMITS.retry_budget_window > self.now).count();
         if recent > 1 {
             self.wrong.push("two used the free attempts within one window");
         }
@@ -209,7 +216,7 @@
 }
 
 fn honest(view: &Coordination, _: &Seen, now: Nanos) -> QuotaShare {
-    view.share(now)
+    view.quota_share(now)
 }
 
 #[test]
@@ -222,27 +229,27 @@
 #[test]
 fn the_judge_catches_each_rule_that_is_taken_out() {
     let mutants: [(&str, Decide); 6] = [
-        ("free attempts for all", |v, _, now| QuotaShare { free_tries: true, ..v.share(now) }),
+        ("free attempts for all", |v, _, now| QuotaShare { free_retries: true, ..v.quota_share(now) }),
         ("free attempts without a window", |v, seen, now| {
             let older = seen.peers.iter().any(|p| p.alive && p.serial < seen.serial);
-            QuotaShare { free_tries: !older, ..v.share(now) }
+            QuotaShare { free_retries: !older, ..v.quota_share(now) }
         }),
         ("all descriptors for all", |v, _, now| QuotaShare {
             descriptors: LIMITS.descriptors,
-            ..v.share(now)
+            ..v.quota_share(now)
         }),
         ("no reserve", |v, seen, now| {
             let alone = !seen.peers.iter().any(|p| p.alive);
-            let share = v.share(now);
+            let share = v.quota_share(now);
             QuotaShare { descriptors: if alone { LIMITS.descriptors } else { share.descriptors }, ..share }
         }),
         ("a process that only starts counts as one that serves", |v, seen, now| {
             let succeeded = seen.peers.iter().any(|p| p.alive && p.serial > seen.serial);
-            QuotaShare { succeeded, ..v.share(now) }
+            QuotaShare { successor_serving: succeeded, ..v.quota_share(now) }
         }),
         ("half of what is there for the younger, whatever is leased", |v, seen, now| {
             let older = seen.peers.iter().any(|p| p.alive && p.serial < seen.serial);
-            let share = v.share(now);
+            let share = v.quota_share(now);
             QuotaShare {
                 descriptors: if older { LIMITS.descriptors / 2 } else { share.descriptors },
                 ..share
@@ -256,19 +263,22 @@
 
 #[test]
 fn a_third_on_top_gets_what_it_needs_to_start_and_no_more() {
-    let peer = |serial, lease| Peer {
+    let peer = |serial, lease| PeerProcess {
         serial,
         alive: true,
-        state: Some(ProcessState { lease, ..ProcessState::default() }),
+        state: Some(ProcessState { descriptor_lease: lease, ..ProcessState::default() }),
     };
     let third = Coordination::new(3, LIMITS, vec![peer(1, 200), peer(2, 150)], 0);
-    assert_eq!(third.share(0).descriptors, LEAST_DESCRIPTORS);
+    assert_eq!(third.quota_share(0).descriptors, MIN_DESCRIPTORS);
     // One that told nothing that can be read may hold all that one alone may.
-    let next = Coordination::new(2, LIMITS, vec![Peer { serial: 1, alive: true, state: None }], 0);
-    assert_eq!(next.share(0).descriptors, LIMITS.descriptors / 3);
+    let next = Coordination::new(2, LIMITS, vec![PeerProcess { serial: 1, alive: true, state: None }], 0);
+    assert_eq!(next.quota_share(0).descriptors, LIMITS.descriptors / 3);
     // Those that are dead hold nothing; their free attempts count for a window.
-    let dead = Peer { serial: 1, alive: false, state: Some(state()) };
+    let dead = PeerProcess { serial: 1, alive: false, state: Some(state()) };
     let after = Coordination::new(2, LIMITS, vec![dead], 0);
-    assert_eq!((after.share(0).descriptors, after.share(0).free_tries), (256, false));
-    assert!(after.share(LIMITS.window).free_tries && after.due(0) == Some(LIMITS.window));
+    assert_eq!((after.quota_share(0).descriptors, after.quota_share(0).free_retries), (256, false));
+    assert!(
+        after.quota_share(LIMITS.retry_budget_window).free_retries
+            && after.next_deadline(0) == Some(LIMITS.retry_budget_window)
+    );
 }
--- a/tests/operation/rules.rs
+++ b/tests/operation/rules.rs
@@ -277,17 +277,17 @@
     let (mut hand, mut words) = (ManualOverrides::default(), Overrides::default());
     hand.pass(vec![change("stays", 1, ReplicaState::Active), change("out", 2, ReplicaState::Active)]);
     hand.suspend("out", false).unwrap();
-    words.server("out", true, 1);
+    words.set_server_suspended("out", true, 1);
     for n in 0..20_000u32 {
         let id = format!("s-{n}");
         hand.pass(vec![change(&id, 10 + n, ReplicaState::Active)]);
         hand.pass(vec![change(&id, 10 + n, ReplicaState::Removed)]);
-        words.server(&id, true, u64::from(n));
-        words.server(&id, false, u64::from(n));
+        words.set_server_suspended(&id, true, u64::from(n));
+        words.set_server_suspended(&id, false, u64::from(n));
     }
     let known = (0..20_000).filter(|n| hand.knows(&format!("s-{n}"))).count();
     assert!(known <= 4096 && words.servers.len() <= 4096, "{known}, {}", words.servers.len());
-    assert!(hand.knows("stays") && hand.listed_out() == 1 && words.out().eq(["out"]));
+    assert!(hand.knows("stays") && hand.listed_out() == 1 && words.suspended_servers().eq(["out"]));
 }
 
 #[test]
--- a/tests/recorded_replication/hot_restart.rs
+++ b/tests/recorded_replication/hot_restart.rs
@@ -7,7 +7,7 @@
 use super::digest::{
     AtLeast, MILLISECOND, Recorder, Recording, SECOND, assert_recorded, one_in, pick, random,
 };
-use pebbleturn::hot_restart::coordination::{Coordination, Limits, Peer, QuotaShare};
+use pebbleturn::hot_restart::coordination::{Coordination, PeerProcess, QuotaShare, SharedLimits};
 use pebbleturn::hot_restart::state::{Overrides, ProcessStage, ProcessState};
 use pebbleturn::server::drain::{DrainPhase, DrainState};
 use rand_pcg::Pcg32;
@@ -20,7 +20,8 @@
 ];
 
 const EVENTS: usize = 6_000;
-const LIMITS: Limits = Limits { descriptors: 1_200, open: 400, window: 10 * SECOND };
+const LIMITS: SharedLimits =
+    SharedLimits { descriptors: 1_200, max_in_flight: 400, retry_budget_window: 10 * SECOND };
 const LONGEST_WAIT: u64 = 4 * SECOND;
 /// Processes that run together at most.
 const TOGETHER: usize = 3;
@@ -43,8 +44,8 @@
 }
 
 impl Process {
-    fn as_peer(&self) -> Peer {
-        Peer { serial: self.serial, alive: self.alive, state: ProcessState::decode(&self.left).ok() }
+    fn as_peer(&self) -> PeerProcess {
+        PeerProcess { serial: self.serial, alive: self.alive, state: ProcessState::decode(&self.left).ok() }
     }
 }
 
@@ -83,7 +84,7 @@
         self.observe(at);
     }
 
-    fn others(&self, serial: u64) -> Vec<Peer> {
+    fn others(&self, serial: u64) -> Vec<PeerProcess> {
         let others = self.processes.iter().filter(|process| process.serial != serial);
         others.map(Process::as_peer).collect()
     }
@@ -94,8 +95,8 @@
         let found = self.others(serial);
         let mut words = Overrides::default();
         for peer in &found {
-            put_words(&mut self.recorder, &peer.words());
-            words.merge(&peer.words());
+            put_words(&mut self.recorder, &peer.effective_overrides());
+            words.merge(&peer.effective_overrides());
         }
         let mut leave = DrainState::new(LONGEST_WAIT);
         if one_in(&mut self.random, 2) {
@@ -103,7 +104,7 @@
         }
         let succession = Coordination::new(serial, LIMITS, found, self.now);
         self.recorder.count("start");
-        self.recorder.put_usize(succession.lease());
+        self.recorder.put_usize(succession.descriptor_lease());
         self.processes.push(Process {
             serial,
             alive: true,
@@ -126,19 +127,19 @@
 
     fn end(&mut self, at: usize) {
         self.processes[at].leave.begin_shutdown(self.now);
-        self.processes[at].stage = ProcessStage::Leaving;
+        self.processes[at].stage = ProcessStage::Draining;
         self.recorder.count("end");
     }
 
     fn pause(&mut self, at: usize) {
         self.processes[at].leave.pause(self.now);
-        self.processes[at].words.pause(true, self.now);
+        self.processes[at].words.set_paused(true, self.now);
         self.recorder.count("pause");
     }
 
     fn resume(&mut self, at: usize) {
         self.processes[at].leave.resume();
-        self.processes[at].words.pause(false, self.now);
+        self.processes[at].words.set_paused(false, self.now);
         self.recorder.count("resume");
     }
 
@@ -147,7 +148,7 @@
         let out = one_in(&mut self.random, 2);
         // The clock may have gone back between two processes.
         let clock = self.now - pick(&mut self.random, 3) as u64 * SECOND;
-        self.processes[at].words.server(&server, out, clock);
+        self.processes[at].words.set_server_suspended(&server, out, clock);
         self.recorder.count("word");
         put_words(&mut self.recorder, &self.processes[at].words);
     }
@@ -160,27 +161,27 @@
     }
 
     fn demand(&mut self, at: usize) {
-        let share = self.processes[at].succession.share(self.now);
+        let share = self.processes[at].succession.quota_share(self.now);
         put_share(&mut self.recorder, share);
         self.processes[at].descriptors = pick(&mut self.random, share.descriptors + 1);
-        self.processes[at].held = pick(&mut self.random, share.open + 1);
+        self.processes[at].held = pick(&mut self.random, share.max_in_flight + 1);
     }
 
     fn leave_state(&mut self, at: usize) {
         let process = &mut self.processes[at];
-        let lease = process.succession.lease();
+        let lease = process.succession.descriptor_lease();
         let state = ProcessState {
-            written: self.now,
+            written_at: self.now,
             stage: process.stage,
-            words: process.words.clone(),
-            lease,
-            held: process.held,
-            open_ids: (0..process.held.min(3)).map(|n| format!("query-{n}")).collect(),
+            overrides: process.words.clone(),
+            descriptor_lease: lease,
+            in_flight: process.held,
+            open_query_ids: (0..process.held.min(3)).map(|n| format!("query-{n}")).collect(),
         };
         process.left = state.encode().unwrap();
         self.recorder.count("state");
         self.recorder.put_bytes(&process.left);
-        process.succession.told(lease);
+        process.succession.on_lease_published(lease);
         if one_in(&mut self.random, 30) {
             process.left.pop();
             self.recorder.count("unreadable state");
@@ -191,16 +192,16 @@
         let others = self.others(self.processes[at].serial);
         let process = &mut self.processes[at];
         for peer in &others {
-            self.recorder.put_bool(process.words.merge(&peer.words()));
+            self.recorder.put_bool(process.words.merge(&peer.effective_overrides()));
         }
-        process.succession.seen(others, (process.descriptors, process.held), self.now);
+        process.succession.on_peers_observed(others, (process.descriptors, process.held), self.now);
         self.recorder.count("look");
         self.recorder.put_sequence(process.succession.peers(), put_peer);
         put_words(&mut self.recorder, &process.words);
-        let share = process.succession.share(self.now);
-        if share.succeeded && !process.leave.has_successor() {
+        let share = process.succession.quota_share(self.now);
+        if share.successor_serving && !process.leave.has_successor() {
             process.leave.successor_serves(self.now);
-            process.stage = ProcessStage::Leaving;
+            process.stage = ProcessStage::Draining;
             self.recorder.count("succeeded");
         }
     }
@@ -208,9 +209,9 @@
     fn observe(&mut self, at: usize) {
         let process = &mut self.processes[at];
         self.recorder.put_u64(process.serial);
-        self.recorder.put_usize(process.succession.lease());
-        put_share(&mut self.recorder, process.succession.share(self.now));
-        self.recorder.put_option(process.succession.due(self.now), Recorder::put_u64);
+        self.recorder.put_usize(process.succession.descriptor_lease());
+        put_share(&mut self.recorder, process.succession.quota_share(self.now));
+        self.recorder.put_option(process.succession.next_deadline(self.now), Recorder::put_u64);
         put_leave(&mut self.recorder, &process.leave, self.now);
         if process.leave.exit_by().is_some_and(|end| end <= self.now) {
             process.alive = false;
@@ -223,7 +224,7 @@
         let mut words = Overrides::default();
         for n in 0..MANY_WORDS {
             let out = one_in(&mut self.random, 3);
-            words.server(&format!("server-{n}"), out, self.now + n);
+            words.set_server_suspended(&format!("server-{n}"), out, self.now + n);
         }
         put_words(&mut self.recorder, &words);
     }
@@ -231,16 +232,21 @@
 
 fn put_words(recorder: &mut Recorder, words: &Overrides) {
     recorder.put_stored(words);
-    recorder.put_sequence(words.out(), Recorder::put_str);
+    recorder.put_sequence(words.suspended_servers(), Recorder::put_str);
 }
 
-fn put_peer(recorder: &mut Recorder, peer: &Peer) {
+fn put_peer(recorder: &mut Recorder, peer: &PeerProcess) {
     recorder.put_stored(&(peer.serial, peer.alive, &peer.state));
 }
 
 fn put_share(recorder: &mut Recorder, share: QuotaShare) {
-    recorder.put_stored(&(share.descriptors, share.open, share.free_tries, share.succeeded));
-    if !share.free_tries {
+    recorder.put_stored(&(
+        share.descriptors,
+        share.max_in_flight,
+        share.free_retries,
+        share.successor_serving,
+    ));
+    if !share.free_retries {
         recorder.count("no free tries");
     }
 }
--- a/tests/stored_formats/handover_state.rs
+++ b/tests/stored_formats/handover_state.rs
@@ -3,7 +3,7 @@
 use super::fixtures::{Fixture, directory_with, file_names, flipped, stored, truncated, wait_until};
 use super::samples::{SERVER, full_list};
 use pebbleturn::hot_restart::state::{Override, Overrides, ProcessStage, ProcessState};
-use pebbleturn::hot_restart::state_directory::{Found, StateDirectory, StateUpdate};
+use pebbleturn::hot_restart::state_directory::{StartupContents, StateDirectory, StateUpdate};
 use pebbleturn::membership::snapshot;
 use pebbleturn::storage::checksummed_file::FileFormatError;
 use std::path::Path;
@@ -17,25 +17,26 @@
 /// The states of three processes at one address: the oldest leaves, the next serves, the youngest starts.
 fn states() -> [ProcessState; 3] {
     let server_words = [(SERVER, true, 11), ("server-2", false, 12)];
-    let servers = server_words.map(|(id, out, at)| (id.to_owned(), Override { at, out })).into();
+    let servers =
+        server_words.map(|(id, out, at)| (id.to_owned(), Override { set_at: at, active: out })).into();
     let leaving = ProcessState {
-        written: 1_700_000_000_000_000_001,
-        stage: ProcessStage::Leaving,
-        words: Overrides { servers, pause: Some(Override { at: 13, out: true }) },
-        lease: 300,
-        held: 41,
-        open_ids: vec!["quéry-1".into(), "query-2".into()],
+        written_at: 1_700_000_000_000_000_001,
+        stage: ProcessStage::Draining,
+        overrides: Overrides { servers, pause: Some(Override { set_at: 13, active: true }) },
+        descriptor_lease: 300,
+        in_flight: 41,
+        open_query_ids: vec!["quéry-1".into(), "query-2".into()],
     };
-    let pause = Some(Override { at: 14, out: false });
+    let pause = Some(Override { set_at: 14, active: false });
     let words = Overrides { pause, ..Overrides::default() };
     let serving = ProcessState {
-        written: 2,
+        written_at: 2,
         stage: ProcessStage::Serving,
-        words,
-        lease: 96,
+        overrides: words,
+        descriptor_lease: 96,
         ..ProcessState::default()
     };
-    let starting = ProcessState { written: 3, ..ProcessState::default() };
+    let starting = ProcessState { written_at: 3, ..ProcessState::default() };
     [leaving, serving, starting]
 }
 
@@ -46,7 +47,7 @@
     let mut list = Some(full_list());
     for (state, file) in states().into_iter().zip(STATES) {
         let (_, shelf) = StateDirectory::open(directory.path()).unwrap();
-        assert!(shelf.leave(StateUpdate { state, list: list.take() }));
+        assert!(shelf.publish(StateUpdate { state, snapshot: list.take() }));
         // A state is renamed into its place once it is whole, after the list.
         wait_until(|| directory.path().join(file).exists());
         shelves.push(shelf);
@@ -65,7 +66,7 @@
 }
 
 /// What the next process finds in a directory.
-fn find(directory: &Path) -> Found {
+fn find(directory: &Path) -> StartupContents {
     StateDirectory::open(directory).unwrap().0
 }
 
@@ -81,8 +82,8 @@
         std::fs::write(directory.path().join(file), stored_file(file)).unwrap();
     }
     let found = find(directory.path());
-    assert_eq!(found.wrong, Vec::<String>::new());
-    assert_eq!((found.serial, found.lists), (4, vec![full_list()]));
+    assert_eq!(found.errors, Vec::<String>::new());
+    assert_eq!((found.serial, found.snapshots), (4, vec![full_list()]));
     let read: Vec<ProcessState> = found.peers.into_iter().filter_map(|peer| peer.state).collect();
     assert_eq!(read, states());
 }
@@ -91,13 +92,16 @@
 fn states_are_read_field_by_field() {
     let [leaving, serving, starting] = STATES.map(|file| ProcessState::decode(&stored_file(file)).unwrap());
     let stages = [leaving.stage, serving.stage, starting.stage];
-    assert_eq!(stages, [ProcessStage::Leaving, ProcessStage::Serving, ProcessStage::Starting]);
-    assert_eq!((leaving.written, leaving.lease, leaving.held), (1_700_000_000_000_000_001, 300, 41));
-    assert_eq!(leaving.open_ids, ["quéry-1", "query-2"]);
-    assert_eq!(leaving.words.servers[SERVER], Override { at: 11, out: true });
-    assert_eq!(leaving.words.servers["server-2"], Override { at: 12, out: false });
-    assert_eq!(serving.words.pause, Some(Override { at: 14, out: false }));
-    assert_eq!(starting.words.pause, None);
+    assert_eq!(stages, [ProcessStage::Draining, ProcessStage::Serving, ProcessStage::Starting]);
+    assert_eq!(
+        (leaving.written_at, leaving.descriptor_lease, leaving.in_flight),
+        (1_700_000_000_000_000_001, 300, 41)
+    );
+    assert_eq!(leaving.open_query_ids, ["quéry-1", "query-2"]);
+    assert_eq!(leaving.overrides.servers[SERVER], Override { set_at: 11, active: true });
+    assert_eq!(leaving.overrides.servers["server-2"], Override { set_at: 12, active: false });
+    assert_eq!(serving.overrides.pause, Some(Override { set_at: 14, active: false }));
+    assert_eq!(starting.overrides.pause, None);
 }
 
 #[test]
@@ -108,7 +112,7 @@
         assert!(matches!(ProcessState::decode(&truncated(&bytes)), Err(FileFormatError::Length { .. })));
         let found = find(directory_with(file, &flipped(&bytes)).path());
         assert_eq!(found.peers[0].state, None);
-        assert_eq!(found.wrong.len(), 1); // The reason is a string.
+        assert_eq!(found.errors.len(), 1); // The reason is a string.
     }
 }
 
@@ -118,5 +122,5 @@
     assert_eq!(snapshot::decode(&flipped(&bytes)), Err(FileFormatError::Checksum));
     assert!(matches!(snapshot::decode(&truncated(&bytes)), Err(FileFormatError::Length { .. })));
     let found = find(directory_with(LIST, &flipped(&bytes)).path());
-    assert_eq!((found.lists.len(), found.wrong.len()), (0, 1)); // The reason is a string.
+    assert_eq!((found.snapshots.len(), found.errors.len()), (0, 1)); // The reason is a string.
 }
