--- a/src/server/broker.rs
+++ b/src/server/broker.rs
@@ -69,14 +69,14 @@
     }
 
     fn record_suspension(&mut self, id: &str, suspended: bool, now: Nanos) {
-        self.overrides.server(id, suspended, now);
+        self.overrides.set_server_suspended(id, suspended, now);
         self.publish_overrides();
         tracing::info!("server {id} is {} by hand", if suspended { "out" } else { "put back" });
     }
 
     /// Pauses or resumes this broker on an operator's command.
     pub(super) fn set_paused(&mut self, paused: bool, now: Nanos) {
-        self.overrides.pause(paused, now);
+        self.overrides.set_paused(paused, now);
         if paused {
             tracing::info!("paused by hand: {} queries are open", self.engine.open_queries());
             self.drain.pause(now);
--- a/src/server/builder.rs
+++ b/src/server/builder.rs
@@ -104,7 +104,7 @@
 
     fn start_hot_restart(&mut self, hot_restart: HotRestart, overrides: Overrides) {
         let now = self.clock.now();
-        if overrides.pause.is_some_and(|command| command.out) {
+        if overrides.pause.is_some_and(|command| command.active) {
             self.drain.pause(now);
         }
         self.drain.share_address();
--- a/src/server/cluster_state.rs
+++ b/src/server/cluster_state.rs
@@ -32,8 +32,8 @@
     /// disk is the newer one wherever they differ.
     pub(super) fn from_overrides(overrides: &Overrides) -> AppliedClusterState {
         AppliedClusterState {
-            suspended: overrides.out().map(str::to_owned).collect(),
-            paused: overrides.pause.is_some_and(|command| command.out),
+            suspended: overrides.suspended_servers().map(str::to_owned).collect(),
+            paused: overrides.pause.is_some_and(|command| command.active),
         }
     }
 
--- a/src/server/hot_restart_driver.rs
+++ b/src/server/hot_restart_driver.rs
@@ -15,8 +15,8 @@
         }
         let usage = ResourceUsage {
             descriptors: self.net.descriptors(),
-            held: self.engine.in_flight(),
-            open_ids: self.frontend.open_ids(),
+            in_flight: self.engine.in_flight(),
+            open_query_ids: self.frontend.open_ids(),
         };
         self.merge_peer_states(&usage, now);
         self.apply_quota_share(now);
@@ -30,20 +30,20 @@
         let mut pause_change = None;
         for peer in hot_restart.observe(usage, now).unwrap_or(&[]) {
             let previous = self.overrides.clone();
-            if self.overrides.merge(&peer.words()) {
+            if self.overrides.merge(&peer.effective_overrides()) {
                 for (id, command) in &self.overrides.servers {
                     if previous.servers.get(id) != Some(command) {
-                        self.frontend.membership_mut().apply_suspension(id, command.out, &mut context);
+                        self.frontend.membership_mut().apply_suspension(id, command.active, &mut context);
                     }
                 }
                 pause_change = self.overrides.pause.filter(|c| previous.pause != Some(*c)).or(pause_change);
             }
             if let Some(state) = &peer.state {
-                self.frontend.reserve_ids(&state.open_ids, now);
+                self.frontend.reserve_ids(&state.open_query_ids, now);
             }
         }
         match pause_change {
-            Some(command) if command.out => self.drain.pause(now),
+            Some(command) if command.active => self.drain.pause(now),
             Some(_) => self.drain.resume(),
             None => {}
         }
@@ -52,14 +52,14 @@
     /// Keeps to this process's share of the limits, and begins the shutdown once another process serves.
     fn apply_quota_share(&mut self, now: Nanos) {
         let Some(hot_restart) = &mut self.hot_restart else { return };
-        let share = hot_restart.share(now);
+        let share = hot_restart.quota_share(now);
         let previous = self.quota_share.replace(share);
         if previous != Some(share) {
             self.frontend.limit_descriptors(share.descriptors, &mut self.net);
-            self.engine.limit_in_flight(share.open);
-            self.engine.set_free_retries(share.free_tries);
+            self.engine.limit_in_flight(share.max_in_flight);
+            self.engine.set_free_retries(share.free_retries);
         }
-        if share.succeeded && !previous.is_some_and(|previous| previous.succeeded) {
+        if share.successor_serving && !previous.is_some_and(|previous| previous.successor_serving) {
             tracing::info!(
                 "another process serves at this address: {} queries are open",
                 self.engine.open_queries()
@@ -71,7 +71,7 @@
     fn publish_state(&mut self, usage: ResourceUsage, now: Nanos) {
         let Some(hot_restart) = &mut self.hot_restart else { return };
         hot_restart.set_stage(if self.drain.is_shutting_down() {
-            ProcessStage::Leaving
+            ProcessStage::Draining
         } else {
             ProcessStage::Serving
         });
