--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -164,7 +164,7 @@
 
 fn reject(conn: ConnId, caller: Option<PendingCaller>, error: RequestError, now: Nanos, net: &mut PollLoop) {
     let address = caller.map_or("?".into(), |caller| caller.address.to_string());
-    tracing::info!("call from {address} refused: {error}");
+    tracing::info!(caller = %address, reason = %error, "admin request rejected");
     // A caller that is still sending reads its response before the connection breaks.
     let response = AdminResponse::Failure(error.to_string());
     let _ = net.send(conn, response.encode().as_bytes());
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -184,7 +184,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            tracing::error!("{e}");
+            tracing::error!(error = %e, "broker failed");
             ExitCode::FAILURE
         }
     }
--- a/src/log.rs
+++ b/src/log.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
 pub enum LogFormat {
     /// `LEVEL PART: TEXT`.
+/// The line that reports lines over the rate limit, with their number as its field `dropped`.
+const DROPPED_LINES: &str = "lines over the rate limit were dropped";
     #[default]
     Text,
     /// One JSON object.
@@ -107,10 +109,10 @@
         let mut out = io::stderr().lock();
         // There is nowhere to report that standard error can't be written.
         let _ = match self.format {
-            LogFormat::Text => writeln!(out, "warn log: {dropped} lines were left out"),
+            LogFormat::Text => writeln!(out, "warn log: {DROPPED_LINES} dropped={dropped}"),
             LogFormat::Json => writeln!(
                 out,
-                r#"{{"level":"WARN","target":"log","message":"{dropped} lines were left out"}}"#
+                r#"{{"level":"WARN","target":"log","message":"{DROPPED_LINES}","dropped":{dropped}}}"#
             ),
         };
     }
--- a/src/server/broker.rs
+++ b/src/server/broker.rs
@@ -71,17 +71,22 @@
     fn record_suspension(&mut self, id: &str, suspended: bool, now: Nanos) {
         self.overrides.server(id, suspended, now);
         self.publish_overrides();
-        tracing::info!("server {id} is {} by hand", if suspended { "out" } else { "put back" });
+        if suspended {
+            tracing::info!(node = %id, "node is suspended by an operator");
+        } else {
+            tracing::info!(node = %id, "node is restored by an operator");
+        }
     }
 
     /// Pauses or resumes this broker on an operator's command.
     pub(super) fn set_paused(&mut self, paused: bool, now: Nanos) {
         self.overrides.pause(paused, now);
         if paused {
-            tracing::info!("paused by hand: {} queries are open", self.engine.open_queries());
+            let open_queries = self.engine.open_queries();
+            tracing::info!(open_queries, "broker is paused by an operator");
             self.drain.pause(now);
         } else {
-            tracing::info!("resumed by hand");
+            tracing::info!("broker is resumed by an operator");
             self.drain.resume();
         }
     }
--- a/src/server/builder.rs
+++ b/src/server/builder.rs
@@ -97,7 +97,7 @@
     fn open_admin_endpoint(&mut self, address: SocketAddr) -> Result<(), BrokerError> {
         let server =
             AdminServer::open(address, &mut self.net).map_err(BrokerError::io("listen for operation"))?;
-        tracing::info!("calls for operation are taken at {}", server.local_addr());
+        tracing::info!(addr = %server.local_addr(), "admin endpoint listens");
         self.admin_server = Some(server);
         Ok(())
     }
--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -137,7 +137,7 @@
             return;
         }
         let Ok(conn) = net.dial(self.discovery, self.owner) else {
-            tracing::warn!("discovery can't be dialled");
+            tracing::warn!(addr = %self.discovery, "discovery can't be dialled");
             self.record_end(WatchEnd::Failed);
             return;
         };
@@ -157,9 +157,9 @@
     /// Discovery is at this address from now on: a watch begins there at once.
     pub fn move_to(&mut self, discovery: SocketAddr, version: u64, now: Nanos, net: &mut PollLoop) {
         if discovery == self.discovery {
-            return tracing::info!("configuration read again: discovery stays at {discovery}");
+            return tracing::info!(addr = %discovery, "configuration reloaded: discovery stays");
         }
-        tracing::info!("configuration read again: discovery moves to {discovery}");
+        tracing::info!(addr = %discovery, "configuration reloaded: discovery moves");
         self.discovery = discovery;
         if let Some(previous) = self.active.take() {
             net.close(previous.conn);
@@ -170,7 +170,7 @@
     fn fail(&mut self, error: WatchError, net: &mut PollLoop) {
         if let Some(watch) = self.active.take() {
             net.close(watch.conn);
-            tracing::warn!("watch on discovery ended: {error}");
+            tracing::warn!(reason = %error, "discovery watch ended");
             self.record_end(WatchEnd::Failed);
         }
     }
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -47,7 +47,7 @@
                 self.longest_iteration = self.longest_iteration.max(iteration);
             }
         }
-        tracing::info!("ended: all that was taken is answered");
+        tracing::info!("graceful shutdown is complete");
         Ok(())
     }
 
@@ -56,7 +56,8 @@
         match event {
             NetEvent::Signal(Signal::End) if self.drain.is_shutting_down() => {}
             NetEvent::Signal(Signal::End) => {
-                tracing::info!("draining: {} queries are open", self.engine.open_queries());
+                let open_queries = self.engine.open_queries();
+                tracing::info!(open_queries, "graceful shutdown begins");
                 self.drain.begin_shutdown(now);
             }
             NetEvent::Signal(Signal::Reload) => {
--- a/src/server/hot_restart_driver.rs
+++ b/src/server/hot_restart_driver.rs
@@ -60,10 +60,8 @@
             self.engine.set_free_retries(share.free_tries);
         }
         if share.succeeded && !previous.is_some_and(|previous| previous.succeeded) {
-            tracing::info!(
-                "another process serves at this address: {} queries are open",
-                self.engine.open_queries()
-            );
+            let open_queries = self.engine.open_queries();
+            tracing::info!(open_queries, "another process serves at this address");
             self.drain.successor_serves(now);
         }
     }
--- a/src/server/query_stats.rs
+++ b/src/server/query_stats.rs
@@ -31,13 +31,12 @@
         }
     }
 
-    pub(super) fn log_if_due(&mut self, now: Nanos, open: usize, in_flight: usize) {
+    /// Logs and resets the counts, if an interval has passed and a query has ended since. `open` queries and
+    /// `attempts_in_flight` are logged as they are now.
+    pub(super) fn log_if_due(&mut self, now: Nanos, open: usize, attempts_in_flight: usize) {
         let QueryStats { last_log, complete, partial, rejected, failed } = *self;
         if now >= last_log + LOG_INTERVAL && complete + partial + rejected + failed > 0 {
-            tracing::info!(
-                "queries: {complete} whole, {partial} partial, {rejected} refused, {failed} failed; \
-                 {open} open with {in_flight} attempts out"
-            );
+            tracing::info!(complete, partial, rejected, failed, open, attempts_in_flight, "query statistics");
             *self = QueryStats::new(now);
         }
     }
--- a/tests/cluster/processes.rs
+++ b/tests/cluster/processes.rs
@@ -30,7 +30,10 @@
     clients.more(20);
     bed.must(0, "SUSPEND n-1 by=asha for=86400 why=new disk");
     bed.everywhere("server n-1", true);
-    until("it is taken out at the third", || bed.said(2, "server n-1 is out by hand"));
+    let suspended = |line: &String| {
+        line.contains(r#""message":"node is suspended by an operator""#) && line.contains(r#""node":"n-1""#)
+    };
+    until("it is taken out at the third", || bed.lines(2).iter().any(suspended));
     let state = bed.json(2, "STATE");
     let word = &state["first"][0]["words"][0];
     assert_eq!(
--- a/tests/operation/processes.rs
+++ b/tests/operation/processes.rs
@@ -74,7 +74,7 @@
     };
     asks(&mut client);
     process.signal("-HUP");
-    process.wait("discovery stays at");
+    process.wait("discovery stays addr=");
     asks(&mut client);
     assert_eq!(site.script.came_to(1), before);
     process.says_yes("RESTORE s-1");
@@ -121,7 +121,7 @@
     // The word to end outlasts a pause.
     process.says_yes("PAUSE");
     process.signal("-TERM");
-    process.wait("draining");
+    process.wait("graceful shutdown begins");
     assert!(process.says_no("RESUME").contains("ends") && !ready(door));
     process.ends();
 }
@@ -317,7 +317,7 @@
     clients.iter_mut().for_each(|c| c.send().unwrap());
     until("all are at work", || process.figures()["active"] == 8);
     process.signal("-TERM");
-    process.wait("draining");
+    process.wait("graceful shutdown begins");
     assert!(process.says_no("STATUS").contains("ends"));
     let mut last = process.figures();
     let answers = clients.iter_mut().filter_map(Client::answer);
--- a/tests/operation/upgrades.rs
+++ b/tests/operation/upgrades.rs
@@ -199,7 +199,7 @@
     let mut most = 0;
     until("the old one has left", || {
         most = most.max(old.descriptors() + new.descriptors());
-        old.said("ended: all that was taken is answered")
+        old.said("graceful shutdown is complete")
     });
     old.ends();
     load.more(50);
--- a/tests/printed_formats/admin_endpoint.rs
+++ b/tests/printed_formats/admin_endpoint.rs
@@ -110,7 +110,7 @@
     client.send().unwrap();
     until("a query is open", || process.figures()["active"] == 1);
     process.signal("-TERM");
-    process.wait("draining");
+    process.wait("graceful shutdown begins");
     for line in [&b"STATUS"[..], b"RESUME", b"METRICS"] {
         answers += &exchange(process.ops, line);
     }
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -163,7 +163,7 @@
 /// Ends it in an orderly way.
 fn end(child: Program, lines: &mut impl Iterator<Item = std::io::Result<String>>) {
     terminate(&child);
-    wait_for(lines, "ended");
+    wait_for(lines, "graceful shutdown is complete");
     child.ends();
 }
 
@@ -182,14 +182,14 @@
     signal(&child, "-HUP");
     wait_for(&mut lines, "read at the start only");
     terminate(&child);
-    wait_for(&mut lines, "draining");
+    wait_for(&mut lines, "graceful shutdown begins");
     signal(&child, "-HUP");
     // Still taken, but no longer ready, and the answer ends the connection.
     if write!(stream, "GET /-/ready HTTP/1.1\r\n\r\n").is_ok() {
         let rest: Vec<String> = answer.map_while(Result::ok).collect();
         assert!(rest.iter().all(|l| !l.contains("200 OK")), "{rest:?}");
     }
-    wait_for(&mut lines, "ended");
+    wait_for(&mut lines, "graceful shutdown is complete");
     child.ends();
     assert!(TcpStream::connect(&addr).is_err());
 }
@@ -335,8 +335,8 @@
     wait_for(&mut lines, "list version 1: 1 servers");
     wait_for(&mut lines, "listens");
     // It asks, fails, and asks again.
-    wait_for(&mut lines, "watch on discovery ended");
-    wait_for(&mut lines, "watch on discovery ended");
+    wait_for(&mut lines, "discovery watch ended");
+    wait_for(&mut lines, "discovery watch ended");
     end(child, &mut lines);
 }
 
@@ -392,20 +392,20 @@
     let (old, mut said) = start();
     wait_for(&mut said, "list version 1: 1 servers");
     signal(&old, "-HUP");
-    wait_for(&mut said, "discovery stays at");
+    wait_for(&mut said, "discovery stays addr=");
     // The next one starts and serves while the old one still has the directory.
     let (new, mut next) = start();
     wait_for(&mut next, "listens");
     wait_for(&mut next, "list version 1: 1 servers");
     terminate(&old);
-    wait_for(&mut said, "ended");
+    wait_for(&mut said, "graceful shutdown is complete");
     old.ends();
     // The disk works again: who is left keeps the list.
     std::fs::remove_file(&pipe).unwrap();
     directory.change(line("s-9", node, "", 0, NodeState::Terminating));
     wait_for(&mut next, "1 changes");
     terminate(&new);
-    wait_for(&mut next, "ended");
+    wait_for(&mut next, "graceful shutdown is complete");
     new.ends();
     let kept = std::fs::read_to_string(dir.path().join(CURRENT)).unwrap();
     assert!(kept.contains("Terminating"), "{kept}");
@@ -427,19 +427,19 @@
     let (child, mut lines) = Program::start(Command::new(PROGRAM).env("GW_CONFIG", file.path()));
     let (first, _watch) = asked(&old);
     signal(&child, "-HUP");
-    wait_for(&mut lines, "discovery stays at");
+    wait_for(&mut lines, "discovery stays addr=");
     std::fs::write(file.path(), "{").unwrap();
     signal(&child, "-HUP");
     wait_for(&mut lines, "the configuration stays as it was");
     std::fs::write(file.path(), config(port(&new), "{}")).unwrap();
     signal(&child, "-HUP");
-    wait_for(&mut lines, "discovery moves to");
+    wait_for(&mut lines, "discovery moves addr=");
     // It asks there for what came after the list it has, as it asked the old one.
     assert_eq!((asked(&new).0, first.contains("since=1")), (first, true));
     terminate(&child);
-    wait_for(&mut lines, "draining");
+    wait_for(&mut lines, "graceful shutdown begins");
     signal(&child, "-HUP");
-    wait_for(&mut lines, "ended");
+    wait_for(&mut lines, "graceful shutdown is complete");
     child.ends();
 }
 
