--- a/src/admin/client/mod.rs
+++ b/src/admin/client/mod.rs
@@ -24,8 +24,8 @@
 /// Longest time that `--within` may allow, seconds.
 const MAX_TIMEOUT_S: u64 = 24 * 3600;
 
-/// Calls a broker's second address. Exits with 0 for a yes, 1 for a no, 2 for a mistake in the command, 3 where nobody
-/// answers, 4 where what `--wait` waits for does not come in time.
+/// Calls a broker's second address. Exits with 0 for a yes, 1 for a no, 2 for a mistake in the command, 3
+/// where nobody answers, 4 where what `--wait` waits for does not come in time.
 #[derive(Debug, Args)]
 pub struct OperateArgs {
     /// Where the broker takes calls: the `ops` of its configuration.
--- a/src/admin/client/output.rs
+++ b/src/admin/client/output.rs
@@ -3,7 +3,8 @@
 use serde_json::Value;
 use std::fmt::Write as _;
 
-/// The metrics as a table: a row for each class, then the figures of the whole broker. None if `line` is no such report.
+/// The metrics as a table: a row for each class, then the figures of the whole broker. None if `line` is no
+/// such report.
 pub(super) fn metrics_table(line: &str) -> Option<String> {
     let report: Value = serde_json::from_str(line).ok()?;
     let figures = report.as_object()?;
--- a/src/admin/request.rs
+++ b/src/admin/request.rs
@@ -7,7 +7,8 @@
 /// Longest part of an invalid request that its answer repeats, characters.
 const MAX_QUOTED_CHARS: usize = 32;
 
-/// What an operator may add to a command: `by=WHO for=SECONDS why=WORDS`, with the reason last, up to the line's end.
+/// What an operator may add to a command: `by=WHO for=SECONDS why=WORDS`, with the reason last, up to the
+/// line's end.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CommandOptions {
     /// Who gives the command; empty if not stated.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,4 +1,11 @@
 //! The command line: its arguments, and the commands that they stand for.
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 use crate::admin::client;
 use crate::api::Nanos;
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,4 +1,11 @@
 //! The program's log: one line an event on standard error, as text or JSON, at a limited rate.
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 use std::fmt;
 use std::io::{self, Write as _};
@@ -20,6 +27,8 @@
 const LEVEL_VARIABLE: &str = "PEBBLETURN_LOG";
 /// The environment variable that sets the format where the command line does not.
 const FORMAT_VARIABLE: &str = "PEBBLETURN_LOG_FORMAT";
+/// The line that reports lines over the rate limit, with their number as its field `dropped`.
+const DROPPED_LINES: &str = "lines over the rate limit were dropped";
 /// The prefix that targets of this crate's own modules have in common.
 const TARGET_PREFIX: &str = "pebbleturn::";
 
@@ -27,8 +36,6 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
 pub enum LogFormat {
     /// `LEVEL PART: TEXT`.
-/// The line that reports lines over the rate limit, with their number as its field `dropped`.
-const DROPPED_LINES: &str = "lines over the rate limit were dropped";
     #[default]
     Text,
     /// One JSON object.
@@ -80,7 +87,8 @@
         RateLimit { window: Mutex::new(RateWindow { start: now, admitted: 0, dropped: 0 }) }
     }
 
-    /// Whether one more line may be written: if so, how many lines were dropped in the second that ended before it.
+    /// Whether one more line may be written: if so, how many lines were dropped in the second that ended
+    /// before it.
     pub fn admit(&self, now: Instant) -> Option<u32> {
         // A thread that panicked while it logged must not end the log.
         let Ok(mut window) = self.window.lock() else { return Some(0) };
@@ -157,8 +165,8 @@
     std::env::var(name).ok().and_then(|value| T::from_str(&value, true).ok())
 }
 
-/// A subscriber that writes the lines of at least this level to `writer`. The number of lines over the rate limit goes to
-/// standard error.
+/// A subscriber that writes the lines of at least this level to `writer`. The number of lines over the rate
+/// limit goes to standard error.
 pub fn subscriber<W>(level: LogLevel, format: LogFormat, writer: W) -> impl Subscriber + Send + Sync
 where
     W: for<'w> MakeWriter<'w> + Send + Sync + 'static,
@@ -172,8 +180,8 @@
     tracing_subscriber::registry().with(LevelFilter::from(level)).with(limit).with(lines)
 }
 
-/// Writes all log lines to standard error from now on. Without an argument, `PEBBLETURN_LOG` (error, warn, info, debug) and
-/// `PEBBLETURN_LOG_FORMAT` (text, json) decide.
+/// Writes all log lines to standard error from now on. Without an argument, `PEBBLETURN_LOG` (error, warn,
+/// info, debug) and `PEBBLETURN_LOG_FORMAT` (text, json) decide.
 pub fn start(level: Option<LogLevel>, format: Option<LogFormat>) {
     let level = level.or_else(|| from_environment(LEVEL_VARIABLE)).unwrap_or_default();
     let format = format.or_else(|| from_environment(FORMAT_VARIABLE)).unwrap_or_default();
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -1,7 +1,14 @@
 //! The metrics of a broker: counters since its start, and gauges of the moment.
 //!
-//! Each counter has one place where it is incremented: a query where its only final response is given, an attempt where
-//! the last byte of its frame is written. There is no I/O and no clock here.
+//! Each counter has one place where it is incremented: a query where its only final response is given, an
+//! attempt where the last byte of its frame is written. There is no I/O and no clock here.
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 use serde_json::{Map, Value, json};
 
--- a/src/server/admin_handler.rs
+++ b/src/server/admin_handler.rs
@@ -40,8 +40,8 @@
 }
 
 impl ClusterCommand {
-    /// The command that a request stands for in a cluster; the request itself where it is none. Without the name of a broker it
-    /// is meant for this one, `own_name`.
+    /// The command that a request stands for in a cluster; the request itself where it is none. Without the
+    /// name of a broker it is meant for this one, `own_name`.
     fn from_request(request: AdminRequest, own_name: &str) -> Result<ClusterCommand, AdminRequest> {
         let pause = |broker: Option<String>| FactKey::Pause(broker.unwrap_or_else(|| own_name.to_owned()));
         let (key, value, options) = match request {
--- a/src/server/builder.rs
+++ b/src/server/builder.rs
@@ -42,8 +42,8 @@
         self.admin_address = Some(address);
     }
 
-    /// Shares the address with other processes: the one before, and later the one after. `overrides` are the operator's
-    /// commands that the processes before were given.
+    /// Shares the address with other processes: the one before, and later the one after. `overrides` are the
+    /// operator's commands that the processes before were given.
     pub fn join_hot_restart(&mut self, hot_restart: HotRestart, overrides: Overrides) {
         self.hot_restart = Some((hot_restart, overrides));
     }
--- a/src/server/cluster_driver.rs
+++ b/src/server/cluster_driver.rs
@@ -29,7 +29,8 @@
 
     fn exchange_hints(&mut self, now: Nanos) {
         let Some(cluster) = &mut self.cluster else { return };
-        // Until the state on disk was read, and while the process before still has it, nothing can be recorded.
+        // Until the state on disk was read, and while the process before still has it, nothing can be
+        // recorded.
         if cluster.effect().is_some() {
             for (key, latest) in self.frontend.membership_mut().take_hints() {
                 cluster.note(key, latest, now);
--- a/src/server/cluster_state.rs
+++ b/src/server/cluster_state.rs
@@ -28,8 +28,8 @@
 }
 
 impl AppliedClusterState {
-    /// The state that an earlier process handed over. That process reported it to the cluster too, so the cluster's state on
-    /// disk is the newer one wherever they differ.
+    /// The state that an earlier process handed over. That process reported it to the cluster too, so the
+    /// cluster's state on disk is the newer one wherever they differ.
     pub(super) fn from_overrides(overrides: &Overrides) -> AppliedClusterState {
         AppliedClusterState {
             suspended: overrides.out().map(str::to_owned).collect(),
--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -9,12 +9,12 @@
 use crate::net::{ConnId, NetEvent, PollLoop, ReadOutcome};
 use std::net::SocketAddr;
 
-/// Time for a response to begin once the connection is up, nanoseconds. Discovery handles requests in turn, and answers
-/// 503 to one that has waited for 2 s.
+/// Time for a response to begin once the connection is up, nanoseconds. Discovery handles requests in turn,
+/// and answers 503 to one that has waited for 2 s.
 const RESPONSE_TIMEOUT: Nanos = 2_500_000_000;
-/// A watch without a line for so long is silent, nanoseconds. By the protocol an empty line comes every 2 s, and what a
-/// silent watch misses counts as reported 6 s after its last line. This leaves over a second to a late line, and 2.8 s
-/// to the next watch.
+/// A watch without a line for so long is silent, nanoseconds. By the protocol an empty line comes every 2 s,
+/// and what a silent watch misses counts as reported 6 s after its last line. This leaves over a second to a
+/// late line, and 2.8 s to the next watch.
 const HEARTBEAT_TIMEOUT: Nanos = 3_200_000_000;
 
 /// Why a watch ended.
@@ -47,8 +47,8 @@
 pub enum WatchEnd {
     /// It broke, or could not begin.
     Failed,
-    /// It was established, and no line came for too long. What it misses counts as reported a few seconds later, whatever
-    /// time there is between two requests.
+    /// It was established, and no line came for too long. What it misses counts as reported a few seconds
+    /// later, whatever time there is between two requests.
     Silent,
 }
 
@@ -85,7 +85,8 @@
         line_ends > 0
     }
 
-    /// The next list, if it has come whole. It may be indented, over many lines: it ends where its object does.
+    /// The next list, if it has come whole. It may be indented, over many lines: it ends where its object
+    /// does.
     fn take_list(&mut self) -> Result<Option<EndpointList>, WatchError> {
         let response_ended = self.reader.is_done();
         let mut lists = serde_json::Deserializer::from_slice(self.reader.body()).into_iter::<EndpointList>();
--- a/src/server/drain.rs
+++ b/src/server/drain.rs
@@ -1,35 +1,39 @@
 //! How clients are sent away: for good by a graceful shutdown, or until further notice by a pause.
 //!
-//! A state machine without I/O and clock. A load balancer checks now and then whether this broker is ready, and sends
-//! connections for a moment after it was not; clients use connections for as long as those stay open. So the phases
-//! are: not ready; then each answer closes its connection; then idle connections are closed.
+//! A state machine without I/O and clock. A load balancer checks now and then whether this broker is ready,
+//! and sends connections for a moment after it was not; clients use connections for as long as those stay
+//! open. So the phases are: not ready; then each answer closes its connection; then idle connections are
+//! closed.
 //!
 //! In a pause the phases follow each other by time alone. In a graceful shutdown the listeners stay open for
-//! [`ACCEPT_GRACE_PERIOD`], and open connections are served until shortly before the process may be killed. Where
-//! another process took over the address, nobody has to be waited for: answers close connections at once.
+//! [`ACCEPT_GRACE_PERIOD`], and open connections are served until shortly before the process may be killed.
+//! Where another process took over the address, nobody has to be waited for: answers close connections at
+//! once.
 
 use crate::api::Nanos;
 
-/// How long new connections are still to be expected after a shutdown or a pause began, with room to spare: a load
-/// balancer checks every 0.1 s, and sends connections for 0.2 to 0.4 s more. Nanoseconds.
+/// How long new connections are still to be expected after a shutdown or a pause began, with room to spare: a
+/// load balancer checks every 0.1 s, and sends connections for 0.2 to 0.4 s more. Nanoseconds.
 pub const ACCEPT_GRACE_PERIOD: Nanos = 700_000_000;
 /// Time between two scans for idle connections while such are closed, nanoseconds.
 pub const IDLE_SCAN_INTERVAL: Nanos = 20_000_000;
-/// How long answers alone close connections before idle ones are closed, in a pause or after another process took over.
-/// A close may cross a request; an answer never does.
+/// How long answers alone close connections before idle ones are closed, in a pause or after another process
+/// took over. A close may cross a request; an answer never does.
 const ANSWER_ONLY_PERIOD: Nanos = 500_000_000;
-/// How long after a pause began requests that were pipelined on one connection are still answered: no client may go on
-/// without end. Clients have to be gone 4 s after the pause, and none may have sent a request in the last 2 s of it.
+/// How long after a pause began requests that were pipelined on one connection are still answered: no client
+/// may go on without end. Clients have to be gone 4 s after the pause, and none may have sent a request in
+/// the last 2 s of it.
 const PIPELINED_ANSWER_PERIOD: Nanos = 1_900_000_000;
-/// Upper bound of the time between the end of the grace period and the moment at which a broker that shuts down may be
-/// killed. That time is the longest deadline, up to this.
+/// Upper bound of the time between the end of the grace period and the moment at which a broker that shuts
+/// down may be killed. That time is the longest deadline, up to this.
 const MAX_KILL_DELAY: Nanos = 3_000_000_000;
-/// How long before the broker may be killed idle connections are closed. Guards clients whose other brokers shut down
-/// too: they stay on the connections that they have.
+/// How long before the broker may be killed idle connections are closed. Guards clients whose other brokers
+/// shut down too: they stay on the connections that they have.
 const CLOSE_IDLE_BEFORE_KILL: Nanos = 1_200_000_000;
 /// How long before the broker may be killed its last query has ended.
 const LAST_ANSWER_BEFORE_KILL: Nanos = 400_000_000;
-/// Where other processes may serve at the same address: how long after a shutdown began it takes at most to notice them.
+/// Where other processes may serve at the same address: how long after a shutdown began it takes at most to
+/// notice them.
 const SUCCESSOR_DETECTION_PERIOD: Nanos = 250_000_000;
 
 /// What is done with clients. Each phase includes what the one before it does.
@@ -87,7 +91,8 @@
 }
 
 impl DrainState {
-    /// Everybody is served. `longest_deadline` is the longest time that any client waits for its answer, nanoseconds.
+    /// Everybody is served. `longest_deadline` is the longest time that any client waits for its answer,
+    /// nanoseconds.
     pub fn new(longest_deadline: Nanos) -> DrainState {
         DrainState {
             longest_deadline,
@@ -130,7 +135,8 @@
         self.shutdown_since().is_some()
     }
 
-    /// Sends clients away until [`DrainState::resume`]. Repeated it changes nothing: the time runs from the first call.
+    /// Sends clients away until [`DrainState::resume`]. Repeated it changes nothing: the time runs from the
+    /// first call.
     pub fn pause(&mut self, now: Nanos) {
         if let Pause::Inactive = self.pause {
             self.pause = Pause::Active { since: now };
@@ -207,8 +213,8 @@
         self.shutdown_since().map_or(Nanos::MAX, |since| since + delay)
     }
 
-    /// By when queries that are accepted after the listeners closed have to be answered, as of `now`: before the process
-    /// may be killed.
+    /// By when queries that are accepted after the listeners closed have to be answered, as of `now`: before
+    /// the process may be killed.
     pub fn answer_by(&self, now: Nanos) -> Nanos {
         let earliest_kill = self.earliest_kill();
         earliest_kill - LAST_ANSWER_BEFORE_KILL.min(earliest_kill.saturating_sub(now))
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -30,7 +30,11 @@
         self.net.waker().map_err(BrokerError::io("waker"))
     }
 
-    /// Serves until the word to end has come and all that was taken is answered.
+    /// Serves until a graceful shutdown is complete.
+    ///
+    /// # Errors
+    ///
+    /// If the operating system refuses to wait for events.
     pub fn run(mut self) -> Result<(), BrokerError> {
         let mut events = Vec::new();
         while !self.is_finished() {
@@ -81,7 +85,7 @@
         }
     }
 
-    /// All that time alone brings, and the work that follows from it.
+    /// Does what is due at this time, and carries out what the query engine decided.
     fn run_once(&mut self, now: Nanos) {
         self.observe_hot_restart(now);
         self.drive_cluster(now);
@@ -102,7 +106,7 @@
         self.query_stats.log_if_due(now, context.engine.open_queries(), context.engine.attempts_in_flight());
     }
 
-    /// Tells the front how clients are to be treated from now on.
+    /// Notifies the frontend of the drain phase, and closes listeners and idle connections when that is due.
     fn update_drain_phase(&mut self, now: Nanos) {
         let (phase, previous) = (self.drain.phase(now), self.drain_phase);
         let caught_up = self.cluster.as_ref().is_none_or(Cluster::is_ready);
@@ -110,7 +114,8 @@
         if phase != previous {
             self.drain_phase = phase;
             self.frontend.set_drain_phase(phase);
-            // Its next tick says goodbye to those who must be told.
+            // The next tick of the frontend notifies the clients that have to be notified; then idle ones are
+            // closed.
             self.next_idle_scan = now + IDLE_SCAN_INTERVAL;
         }
         let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
@@ -119,7 +124,7 @@
             for owner in self.frontend.listeners() {
                 context.net.stop_listening(*owner, self.drain.has_successor());
             }
-            // What is taken from now on must be answered before this program may be killed.
+            // Queries that are accepted from now on must be answered before the process may be killed.
             context.engine.end_all_by(self.drain.answer_by(now));
         }
         if phase >= DrainPhase::ClosingIdle && now >= self.next_idle_scan {
@@ -128,8 +133,8 @@
         }
     }
 
-    /// Guards the end of a drain: a connection that was just accepted is still served, and a peer that does not
-    /// read its answer can't keep the program.
+    /// Whether a graceful shutdown is complete: a connection that was just accepted is still served, but a
+    /// peer that does not read its response can't keep the process running.
     fn is_finished(&self) -> bool {
         let overdue = self.drain.exit_by().is_some_and(|t| self.clock.now() >= t);
         self.listeners_closed && (overdue || (self.frontend.is_empty() && !self.net.is_busy()))
--- a/src/server/frontend.rs
+++ b/src/server/frontend.rs
@@ -1,4 +1,4 @@
-//! The interface between the event loop and a frontend, which speaks the protocols of clients and servers.
+//! The interface between the event loop and a frontend, which speaks the protocols of clients and nodes.
 
 pub use super::frontend_context::FrontendContext;
 
@@ -8,47 +8,64 @@
 use crate::engine::EngineAction;
 use crate::net::{NetEvent, PollLoop};
 
-/// A front: a client side and a server side that meet only in the engine.
+/// A frontend: the downstream connections of clients and the upstream connections of nodes, which meet only
+/// in the query engine.
 pub trait Frontend {
-    /// What a query carries.
+    /// What a query carries from its client.
     type Query;
-    /// The value of a part.
+    /// The value of a part's response.
     type Value;
 
-    /// Something happened on a socket of the front's.
-    fn on_event(&mut self, event: NetEvent, context: &mut FrontendContext<Self::Query, Self::Value>);
-    /// Time has gone by.
-    fn tick(&mut self, context: &mut FrontendContext<Self::Query, Self::Value>);
-    /// The exchange wants something done.
+    /// Handles an event of one of the frontend's connections.
+    fn on_event(&mut self, event: NetEvent, context: &mut FrontendContext<'_, Self::Query, Self::Value>);
+
+    /// Does what is due at the context's time. Called once in each iteration of the event loop.
+    fn tick(&mut self, context: &mut FrontendContext<'_, Self::Query, Self::Value>);
+
+    /// Carries out what the query engine decided.
     fn perform(
         &mut self,
         action: EngineAction<Self::Query, Self::Value>,
-        context: &mut FrontendContext<Self::Query, Self::Value>,
+        context: &mut FrontendContext<'_, Self::Query, Self::Value>,
     );
-    /// When `tick` is next worth calling.
+
+    /// When [`Frontend::tick`] is next worth calling.
     fn next_deadline(&self) -> Option<Nanos>;
-    /// Whether it is ready for clients, for those who ask that.
+
+    /// Sets what health checks of this broker are answered: whether it is ready for clients.
     fn set_ready(&mut self, ready: bool);
-    /// How clients are to be treated from now on.
+
+    /// Sets how clients are treated from now on.
     fn set_drain_phase(&mut self, phase: DrainPhase);
-    /// The word to read its configuration again has come. Whatever it finds, it goes on serving.
-    fn reload(&mut self, context: &mut FrontendContext<Self::Query, Self::Value>);
-    /// Clients are sent away: whoever waits for nothing is to be closed.
-    fn close_idle(&mut self, context: &mut FrontendContext<Self::Query, Self::Value>);
-    /// Owners of the listeners.
+
+    /// Reloads the configuration. If it can't be used, the frontend logs that and goes on as before.
+    fn reload(&mut self, context: &mut FrontendContext<'_, Self::Query, Self::Value>);
+
+    /// Closes the connections of clients that wait for no response.
+    fn close_idle(&mut self, context: &mut FrontendContext<'_, Self::Query, Self::Value>);
+
+    /// The owners under which its listeners are registered at the poll loop.
     fn listeners(&self) -> &[u8];
-    /// No client is connected.
+
+    /// Whether no client is connected.
     fn is_empty(&self) -> bool;
-    /// The classes' names in the order of the settings.
+
+    /// Names of the query classes, in the order of the settings.
     fn class_names(&self) -> Vec<String>;
-    /// Who is there to take parts.
+
+    /// The nodes that parts can be sent to.
     fn membership(&self) -> &MembershipDriver;
-    /// See `membership`.
+
+    /// The nodes that parts can be sent to.
     fn membership_mut(&mut self) -> &mut MembershipDriver;
-    /// From now on it keeps to so many descriptors.
+
+    /// Limits the descriptors of clients and nodes together. Connections that are open already are not
+    /// closed.
     fn limit_descriptors(&mut self, descriptors: usize, net: &mut PollLoop);
-    /// Ids of open queries that must not be taken twice.
+
+    /// Ids of open queries that must not be accepted twice.
     fn open_ids(&self) -> Vec<String>;
-    /// Ids that another process has in use.
+
+    /// Reserves ids that are in use at another process.
     fn reserve_ids(&mut self, ids: &[String], now: Nanos);
 }
--- a/src/server/frontend_context.rs
+++ b/src/server/frontend_context.rs
@@ -4,12 +4,12 @@
 use crate::engine::QueryEngine;
 use crate::net::PollLoop;
 
-/// What is at hand while a front works.
+/// What the event loop lends to a frontend for the time of one call.
 pub struct FrontendContext<'a, Q, V> {
-    /// The time.
+    /// The time of this iteration of the event loop, unix time in nanoseconds.
     pub now: Nanos,
     /// The sockets.
     pub net: &'a mut PollLoop,
-    /// The engine.
+    /// The queries, their parts and attempts.
     pub engine: &'a mut QueryEngine<Q, V>,
 }
--- a/src/server/hint_exchange.rs
+++ b/src/server/hint_exchange.rs
@@ -47,7 +47,8 @@
         }
     }
 
-    /// The changes that follow from a newer list of this broker's own; none if the list is the one last looked at.
+    /// The changes that follow from a newer list of this broker's own; none if the list is the one last
+    /// looked at.
     pub(super) fn on_list_version(&mut self, registry: &Registry) -> Vec<NodeChange> {
         let current = ListVersion { epoch: registry.epoch(), version: registry.version() };
         let previous = std::mem::replace(&mut self.list_version, current);
--- a/src/server/hot_restart_driver.rs
+++ b/src/server/hot_restart_driver.rs
@@ -7,8 +7,8 @@
 use crate::hot_restart::state::ProcessStage;
 
 impl<F: Frontend> Broker<F> {
-    /// Observes the other processes at this address, applies what follows, and publishes the state of this one. Does nothing
-    /// until that is due.
+    /// Observes the other processes at this address, applies what follows, and publishes the state of this
+    /// one. Does nothing until that is due.
     pub(super) fn observe_hot_restart(&mut self, now: Nanos) {
         if !self.hot_restart.as_ref().is_some_and(|hot_restart| hot_restart.is_due(now)) {
             return;
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -1,4 +1,5 @@
-//! Membership as a frontend needs it: the registry, the watch on discovery and the list on disk, tied to the query engine.
+//! Membership as a frontend needs it: the registry, the watch on discovery and the list on disk, tied to the
+//! query engine.
 
 use super::discovery_watch::{DiscoveryWatch, WatchEnd};
 use super::frontend_context::FrontendContext;
@@ -15,9 +16,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-/// Longest wait before discovery is asked again after a watch fell silent, however rarely the settings want it asked,
-/// nanoseconds. What a silent watch misses counts as reported 6 s after its last line: 3.2 s pass until the silence is
-/// noticed, and 2 s are left for the next request.
+/// Longest wait before discovery is asked again after a watch fell silent, however rarely the settings want
+/// it asked, nanoseconds. What a silent watch misses counts as reported 6 s after its last line: 3.2 s pass
+/// until the silence is noticed, and 2 s are left for the next request.
 const MAX_BACKOFF_AFTER_SILENCE: Nanos = 800_000_000;
 
 /// Who decides when a watch begins.
@@ -60,7 +61,8 @@
 }
 
 impl MembershipDriver {
-    /// Membership by this registry, whose list is written to disk by `snapshot_writer`. There is no watch on discovery.
+    /// Membership by this registry, whose list is written to disk by `snapshot_writer`. There is no watch on
+    /// discovery.
     pub fn new(registry: Registry, snapshot_writer: Option<SnapshotWriter>) -> MembershipDriver {
         MembershipDriver {
             registry,
@@ -105,8 +107,8 @@
         self
     }
 
-    /// Exchanges hints on drains and starts with other brokers. To be called before the first list is passed on: hints hold
-    /// back the nodes of that list too.
+    /// Exchanges hints on drains and starts with other brokers. To be called before the first list is passed
+    /// on: hints hold back the nodes of that list too.
     pub fn share_hints(mut self) -> MembershipDriver {
         self.hint_exchange = Some(HintExchange::default());
         self
@@ -141,9 +143,13 @@
         }
     }
 
-    /// Does what is due at the context's time, and passes on what changed. `set_address` is called with each change, so that
-    /// the frontend learns where the node is.
-    pub fn tick<Q, V>(&mut self, context: &mut FrontendContext<Q, V>, set_address: impl FnMut(&NodeChange)) {
+    /// Does what is due at the context's time, and passes on what changed. `set_address` is called with each
+    /// change, so that the frontend learns where the node is.
+    pub fn tick<Q, V>(
+        &mut self,
+        context: &mut FrontendContext<'_, Q, V>,
+        set_address: impl FnMut(&NodeChange),
+    ) {
         let now = context.now;
         self.now = now;
         self.record_attempts(context);
@@ -162,7 +168,7 @@
     }
 
     /// Passes the results of attempts on to the health checks of registry and routing.
-    fn record_attempts<Q, V>(&mut self, context: &mut FrontendContext<Q, V>) {
+    fn record_attempts<Q, V>(&mut self, context: &mut FrontendContext<'_, Q, V>) {
         while let Some(end) = context.engine.next_attempt_end() {
             self.registry.on_attempt_end(end.replica, end.outcome, end.latency, context.now);
             if let Some(routing) = &mut self.routing {
@@ -174,7 +180,7 @@
     /// Passes changes on to the query engine, and schedules the next watch if the last one ended.
     pub fn pass_on<Q, V>(
         &mut self,
-        context: &mut FrontendContext<Q, V>,
+        context: &mut FrontendContext<'_, Q, V>,
         mut set_address: impl FnMut(&NodeChange),
     ) {
         if let Some(changes) = self.take_changes(context.now) {
@@ -207,7 +213,7 @@
         routing.take_changes()
     }
 
-    fn on_watch_end<Q, V>(&mut self, end: WatchEnd, context: &mut FrontendContext<Q, V>) {
+    fn on_watch_end<Q, V>(&mut self, end: WatchEnd, context: &mut FrontendContext<'_, Q, V>) {
         self.registry.watch_lost();
         let schedule = &mut self.poll_schedule;
         let driver_retries = match schedule.trigger {
@@ -230,13 +236,13 @@
     }
 
     /// A newer list of this broker's own may release nodes that hints held back.
-    fn release_by_newer_list<Q, V>(&mut self, context: &mut FrontendContext<Q, V>) {
+    fn release_by_newer_list<Q, V>(&mut self, context: &mut FrontendContext<'_, Q, V>) {
         let Some(hints) = &mut self.hint_exchange else { return };
         let changes = hints.on_list_version(&self.registry);
         self.pass_on_hinted(changes, context);
     }
 
-    fn pass_on_hinted<Q, V>(&mut self, changes: Vec<NodeChange>, context: &mut FrontendContext<Q, V>) {
+    fn pass_on_hinted<Q, V>(&mut self, changes: Vec<NodeChange>, context: &mut FrontendContext<'_, Q, V>) {
         if !changes.is_empty() {
             update_endpoints(self.manual_overrides.pass(changes), context);
         }
@@ -248,7 +254,7 @@
     }
 
     /// Handles a hint of other brokers on a node.
-    pub fn on_hint<Q, V>(&mut self, id: &str, hints: NodeHints, context: &mut FrontendContext<Q, V>) {
+    pub fn on_hint<Q, V>(&mut self, id: &str, hints: NodeHints, context: &mut FrontendContext<'_, Q, V>) {
         let change = self.hint_exchange.as_mut().and_then(|exchange| exchange.on_hint(id, hints));
         self.pass_on_hinted(change.into_iter().collect(), context);
     }
@@ -282,14 +288,19 @@
         &mut self,
         id: &str,
         suspended: bool,
-        context: &mut FrontendContext<Q, V>,
+        context: &mut FrontendContext<'_, Q, V>,
     ) -> Result<(), UnknownNode> {
         let known = self.registry.knows(id);
         self.override_node(id, suspended, known, context)
     }
 
     /// Suspends or restores a node as another process or broker was commanded, which knew its id.
-    pub fn apply_suspension<Q, V>(&mut self, id: &str, suspended: bool, context: &mut FrontendContext<Q, V>) {
+    pub fn apply_suspension<Q, V>(
+        &mut self,
+        id: &str,
+        suspended: bool,
+        context: &mut FrontendContext<'_, Q, V>,
+    ) {
         // An id that is known can't be rejected.
         let _ = self.override_node(id, suspended, true, context);
     }
@@ -299,7 +310,7 @@
         id: &str,
         suspended: bool,
         known: bool,
-        context: &mut FrontendContext<Q, V>,
+        context: &mut FrontendContext<'_, Q, V>,
     ) -> Result<(), UnknownNode> {
         let change = if suspended {
             self.manual_overrides.suspend(id, known)
@@ -354,6 +365,6 @@
     }
 }
 
-fn update_endpoints<Q, V>(changes: Vec<NodeChange>, context: &mut FrontendContext<Q, V>) {
+fn update_endpoints<Q, V>(changes: Vec<NodeChange>, context: &mut FrontendContext<'_, Q, V>) {
     context.engine.update_endpoints(false, changes.into_iter().map(|change| change.listed).collect());
 }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -1,4 +1,14 @@
-//! The broker as a server: its event loop, the interface of a frontend, and what ties membership to both.
+//! The broker as a server: its event loop, the interface of a frontend, and the membership that both use.
+//!
+//! The event loop is on top of the handlers of admin requests, cluster and hot restart, which work on the
+//! state of the [`Broker`]; that is on top of [`frontend`], which is on top of [`membership_driver`].
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 mod admin_handler;
 mod broker;
--- a/src/server/query_stats.rs
+++ b/src/server/query_stats.rs
@@ -3,11 +3,11 @@
 use crate::api::Nanos;
 use crate::engine::QueryOutcome;
 
-/// Time between two lines that tell how queries ended.
+/// Least time between two log lines, nanoseconds.
 const LOG_INTERVAL: Nanos = 60_000_000_000;
 
-/// How queries ended since the last such line.
-#[derive(Default)]
+/// Results of queries since the last log line.
+#[derive(Debug, Default)]
 pub(super) struct QueryStats {
     last_log: Nanos,
     complete: u64,
@@ -22,6 +22,7 @@
         QueryStats { last_log: now, ..QueryStats::default() }
     }
 
+    /// Counts the outcome of a query.
     pub(super) fn record<V>(&mut self, outcome: &QueryOutcome<V>) {
         match outcome {
             QueryOutcome::Answered(a) if a.complete => self.complete += 1,
