--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -14,7 +14,7 @@
 }
 
 #[test]
-fn the_on_call_page_has_every_log_line() {
+fn on_call_page_has_every_log_line() {
     let page = std::fs::read_to_string("docs/on-call.md").unwrap();
     let mut texts = Vec::new();
     sources(Path::new("src"), &mut texts);
--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -24,14 +24,14 @@
 }
 
 #[test]
-fn without_a_list_any_failure_fails() {
+fn unlisted_failure_fails() {
     assert_eq!(judge(GREEN, 0, None), (true, String::new()));
     assert_eq!(judge(GREEN, 0, Some("\n")), (true, String::new()));
     assert_eq!(judge(TWO, 101, None), (false, "known-red: failed: a::two\n".into()));
 }
 
 #[test]
-fn a_listed_failure_is_printed_and_passed_over() {
+fn listed_failure_is_printed_and_ignored() {
     let line = "a::two | the end is not heard | issue 28";
     assert_eq!(judge(TWO, 101, Some(line)), (true, format!("known red: {line}\n")));
     let (passes, said) = judge(&TWO.replace("a::one ... ok", "a::one ... FAILED"), 101, Some(line));
@@ -39,7 +39,7 @@
 }
 
 #[test]
-fn a_listed_test_that_passes_or_is_missing_fails() {
+fn listed_test_that_passes_or_is_missing_fails() {
     let (passes, said) = judge(GREEN, 0, Some("a::one | was red | issue 28\n"));
     assert!(!passes && said.contains("passes, and is to be taken off the list: a::one"), "{said}");
     let (passes, said) = judge(GREEN, 0, Some("a::gone | was red | issue 28\n"));
@@ -47,7 +47,7 @@
 }
 
 #[test]
-fn a_fourth_line_or_one_without_cause_or_issue_fails() {
+fn fourth_line_or_one_without_cause_or_issue_fails() {
     let red = |n: usize| (0..n).map(|n| format!("t{n} | cause | issue 28\n")).collect::<String>();
     let log = |n: usize| {
         let lines: String = (0..n).map(|n| format!("test t{n} ... FAILED\n")).collect();
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn a_run_that_broke_off_fails_whatever_is_listed() {
+fn aborted_run_fails_whatever_is_listed() {
     let (passes, said) = judge(KILLED, 101, Some("a::two | cause | issue 28"));
     assert!(!passes && said.contains("1 test binaries ran and 0 told a result"), "{said}");
     assert!(!judge("error: could not compile\n", 101, None).0);
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -102,7 +102,7 @@
 }
 
 #[test]
-fn nodes_come_drain_and_go_without_ending_a_session() {
+fn nodes_are_added_drained_and_removed_without_ending_a_session() {
     use pebbleturn::frontends::catalogue::apdu::Apdu;
     use pebbleturn_lab::demo::{self, init};
     use pebbleturn_lab::standins::read_apdu;
@@ -144,7 +144,7 @@
 }
 
 #[test]
-fn without_discovery_it_starts_from_the_list_it_kept_and_a_learnt_drain_stays_learnt() {
+fn restart_without_discovery_uses_the_cached_list_and_its_drains() {
     let (fleet, dir) = (Fleet::new(), tempfile::tempdir().unwrap());
     let first = Running::start(&with(&fleet.directory, dir.path()), &[]);
     first.until_it_serves();
@@ -181,7 +181,7 @@
 }
 
 #[test]
-fn a_kept_list_that_is_corrupt_costs_nothing_but_itself() {
+fn corrupt_cached_list_costs_nothing_but_itself() {
     let (fleet, dir) = (Fleet::new(), tempfile::tempdir().unwrap());
     for name in [snapshot_store::CURRENT, snapshot_store::OLDER] {
         std::fs::write(dir.path().join(name), "pebbleturn-roster 1 12 00000000\nnot so long").unwrap();
@@ -209,7 +209,7 @@
 }
 
 #[test]
-fn a_restart_while_discovery_is_slow_or_stale_serves_from_what_was_kept() {
+fn restart_with_slow_or_stale_discovery_serves_from_the_cached_list() {
     for mode in [Mode::Slow(30_000), Mode::Stale] {
         let (fleet, dir) = (Fleet::new(), tempfile::tempdir().unwrap());
         let first = Running::start(&with(&fleet.directory, dir.path()), &[]);
@@ -232,7 +232,7 @@
 }
 
 #[test]
-fn with_every_node_refusing_a_search_is_refused_at_once() {
+fn search_is_rejected_at_once_when_every_node_refuses_connections() {
     let closed = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     for protocol in ["sru", "z3950"] {
         let nodes: Vec<(SocketAddr, &str)> = (0..3).map(|_| (closed(), protocol)).collect();
--- a/tests/operation/catalogue.rs
+++ b/tests/operation/catalogue.rs
@@ -52,7 +52,7 @@
 }
 
 #[test]
-fn the_catalogue_s_port_takes_the_same_calls_and_hands_over_too() {
+fn catalogue_broker_has_the_admin_endpoint_and_hot_restart() {
     let site = Catalogue::new();
     let mut old = site.start();
     assert!((0..5).all(|_| site.serves()));
--- a/tests/operation/handover.rs
+++ b/tests/operation/handover.rs
@@ -25,7 +25,7 @@
 }
 
 #[test]
-fn a_file_cut_or_changed_at_any_byte_is_one_reason_and_never_another_state() {
+fn truncated_or_corrupted_state_file_is_rejected_with_one_reason() {
     let (state, bytes) = (state(), state().encode().unwrap());
     assert_eq!(ProcessState::decode(&bytes).as_ref(), Ok(&state));
     for at in 0..bytes.len() {
@@ -213,14 +213,14 @@
 }
 
 #[test]
-fn two_processes_keep_the_limits_of_one_whoever_starts_ends_and_is_killed_when() {
+fn two_processes_share_the_limits_of_one_in_any_order_of_start_end_and_kill() {
     for seed in 0..3000 {
         assert_eq!(play(seed, honest), [""; 0], "seed {seed}");
     }
 }
 
 #[test]
-fn the_judge_catches_each_rule_that_is_taken_out() {
+fn the_checker_detects_each_removed_rule() {
     let mutants: [(&str, Decide); 6] = [
         ("free attempts for all", |v, _, now| QuotaShare { free_tries: true, ..v.share(now) }),
         ("free attempts without a window", |v, seen, now| {
@@ -255,7 +255,7 @@
 }
 
 #[test]
-fn a_third_on_top_gets_what_it_needs_to_start_and_no_more() {
+fn third_process_gets_only_what_it_needs_to_start() {
     let peer = |serial, lease| Peer {
         serial,
         alive: true,
--- a/tests/operation/processes.rs
+++ b/tests/operation/processes.rs
@@ -6,7 +6,7 @@
 use std::net::TcpStream;
 
 #[test]
-fn the_second_address_answers_beside_a_thousand_callers_that_say_nothing() {
+fn admin_endpoint_responds_beside_a_thousand_silent_callers() {
     let site = Site::new(PROGRAM);
     let process = site.start();
     // Who does not even come in soon need not be waited for: the call behind all of them must.
@@ -38,7 +38,7 @@
 }
 
 #[test]
-fn the_figures_tell_what_clients_saw_and_servers_got() {
+fn metrics_match_what_clients_received_and_servers_got() {
     let site = Site::new(PROGRAM);
     let process = site.start();
     let mut client = Client::connect(site.door());
@@ -60,7 +60,7 @@
 }
 
 #[test]
-fn a_server_out_by_hand_gets_nothing_until_it_is_put_back_once() {
+fn suspended_node_gets_no_work_until_it_is_restored_once() {
     let site = Site::new(PROGRAM);
     let process = site.start();
     let mut client = Client::connect(site.door());
@@ -82,7 +82,7 @@
 }
 
 #[test]
-fn a_pause_sends_clients_away_without_losing_a_request_and_ends_at_the_word() {
+fn pause_drains_clients_without_losing_a_request_and_ends_on_resume() {
     let site = Site::new(PROGRAM);
     let mut process = site.start();
     let door = site.door();
@@ -133,7 +133,7 @@
 }
 
 #[test]
-fn the_command_tells_people_and_scripts_what_the_broker_says() {
+fn operate_command_prints_responses_for_people_and_scripts() {
     let site = Site::new(PROGRAM);
     let process = site.start();
     let ops = process.ops.to_string();
@@ -159,7 +159,7 @@
 }
 
 #[test]
-fn the_command_waits_for_a_server_with_nothing_out_and_a_broker_without_clients() {
+fn operate_command_waits_until_no_attempt_is_in_flight_and_no_client_connected() {
     use pebbleturn_lab::standins::Act;
     let site = Site::new(PROGRAM);
     let process = site.start();
@@ -194,7 +194,7 @@
 }
 
 #[test]
-fn with_all_servers_out_every_query_is_refused_at_once_and_told_when_to_come_back() {
+fn with_all_nodes_suspended_queries_are_rejected_at_once_with_retry_after() {
     let site = Site::new(PROGRAM);
     let process = site.start();
     let mut client = Client::connect(site.door());
@@ -213,7 +213,7 @@
 }
 
 #[test]
-fn a_server_that_moves_at_that_moment_stays_out_at_its_new_place() {
+fn node_that_moves_while_it_is_suspended_stays_suspended() {
     use pebbleturn::membership::NodeState;
     use pebbleturn_lab::directory::line;
     use pebbleturn_lab::standins::{Wire, node};
@@ -243,7 +243,7 @@
 }
 
 #[test]
-fn a_server_put_back_while_it_is_cold_is_used_again_and_not_pushed_over() {
+fn restored_cold_node_gets_work_again_without_overload() {
     use pebbleturn::membership::NodeState;
     use pebbleturn_lab::directory::line;
     let site = Site::new(PROGRAM);
@@ -269,7 +269,7 @@
 }
 
 #[test]
-fn a_pause_answers_half_a_request_that_is_completed_and_those_sent_ahead() {
+fn pause_answers_partial_and_pipelined_requests() {
     let site = Site::new(PROGRAM);
     let process = site.start();
     let (mut half, mut ahead, mut never) =
@@ -308,7 +308,7 @@
 }
 
 #[test]
-fn figures_are_told_during_a_burst_and_during_a_drain() {
+fn metrics_are_served_during_a_burst_and_during_a_drain() {
     use pebbleturn_lab::standins::Act;
     let site = Site::new(PROGRAM);
     let mut process = site.start();
@@ -337,7 +337,7 @@
 }
 
 #[test]
-fn clients_that_hold_all_buffers_with_half_a_request_keep_nobody_from_an_answer() {
+fn clients_with_partial_requests_in_all_buffers_do_not_block_responses() {
     let site = Site::new(PROGRAM);
     // Sixteen MB make 58 buffers of one message each, 44 of them for clients.
     let process = site.begin_within((1000, 16));
--- a/tests/operation/rules.rs
+++ b/tests/operation/rules.rs
@@ -10,7 +10,7 @@
 const MS: Nanos = 1_000_000;
 
 #[test]
-fn each_line_is_one_call_or_one_clear_no() {
+fn each_request_line_is_parsed_or_rejected_with_one_error() {
     let no = CommandOptions::default;
     let said =
         CommandOptions { operator: "asha".into(), reason: "new disk, twice".into(), valid_for_s: Some(60) };
@@ -49,23 +49,23 @@
 }
 
 #[test]
-fn a_pause_goes_step_by_step_and_ends_at_any_of_them() {
-    let mut leave = DrainState::new(3000 * MS);
+fn pause_goes_through_its_phases_and_can_end_in_each() {
+    let mut drain = DrainState::new(3000 * MS);
     for at in [0, 50, 699, 700, 1199, 1200, 1899, 1900, 60_000] {
-        leave.pause(10 * MS);
+        drain.pause(10 * MS);
         // Said again, it does not begin anew.
-        leave.pause(400 * MS);
+        drain.pause(400 * MS);
         let want = match at {
             0..700 => DrainPhase::NotReady,
             700..1200 => DrainPhase::ClosingAfterAnswer,
             1200..1900 => DrainPhase::ClosingIdle,
             _ => DrainPhase::ClosingAll,
         };
-        assert_eq!(leave.phase((10 + at) * MS), want, "{at}");
-        assert_eq!(leave.stop_listening_at(), None);
-        leave.resume();
+        assert_eq!(drain.phase((10 + at) * MS), want, "{at}");
+        assert_eq!(drain.stop_listening_at(), None);
+        drain.resume();
         assert_eq!(
-            (leave.phase((10 + at) * MS), leave.next_deadline((10 + at) * MS)),
+            (drain.phase((10 + at) * MS), drain.next_deadline((10 + at) * MS)),
             (DrainPhase::Serving, None),
             "{at}"
         );
@@ -73,24 +73,24 @@
 }
 
 #[test]
-fn the_word_to_end_outlasts_a_pause_and_leaves_the_door_to_a_successor() {
-    let mut leave = DrainState::new(3000 * MS);
-    leave.pause(0);
-    leave.begin_shutdown(100 * MS);
-    leave.resume();
-    assert_eq!(leave.phase(200 * MS), DrainPhase::NotReady);
-    assert_eq!(leave.stop_listening_at(), Some(100 * MS + ACCEPT_GRACE_PERIOD));
+fn shutdown_outlasts_a_pause_and_yields_the_address_to_a_successor() {
+    let mut drain = DrainState::new(3000 * MS);
+    drain.pause(0);
+    drain.begin_shutdown(100 * MS);
+    drain.resume();
+    assert_eq!(drain.phase(200 * MS), DrainPhase::NotReady);
+    assert_eq!(drain.stop_listening_at(), Some(100 * MS + ACCEPT_GRACE_PERIOD));
     // 3.7 s after the word it may be killed.
     assert_eq!(
-        (leave.phase(2500 * MS), leave.phase(2700 * MS)),
+        (drain.phase(2500 * MS), drain.phase(2700 * MS)),
         (DrainPhase::NotReady, DrainPhase::ClosingIdle)
     );
-    assert!(leave.answer_by(900 * MS) < 3800 * MS);
-    let mut leave = DrainState::new(3000 * MS);
-    leave.successor_serves(100 * MS);
-    assert_eq!(leave.stop_listening_at(), Some(100 * MS));
+    assert!(drain.answer_by(900 * MS) < 3800 * MS);
+    let mut drain = DrainState::new(3000 * MS);
+    drain.successor_serves(100 * MS);
+    assert_eq!(drain.stop_listening_at(), Some(100 * MS));
     assert_eq!(
-        (leave.phase(100 * MS), leave.phase(600 * MS)),
+        (drain.phase(100 * MS), drain.phase(600 * MS)),
         (DrainPhase::ClosingAfterAnswer, DrainPhase::ClosingIdle)
     );
 }
@@ -112,43 +112,49 @@
 }
 
 #[test]
-fn a_server_out_by_hand_stays_out_whatever_the_list_says() {
+fn suspended_node_stays_suspended_whatever_the_list_reports() {
     use ReplicaState::{Active, Draining, Removed};
-    let mut hand = ManualOverrides::default();
-    assert_eq!(hand.suspend("s", false), Err(UnknownNode));
+    let mut overrides = ManualOverrides::default();
+    assert_eq!(overrides.suspend("s", false), Err(UnknownNode));
     assert_eq!(
-        told(&hand.pass(vec![change("s", 1, Active), change("t", 2, Active)])),
+        told(&overrides.pass(vec![change("s", 1, Active), change("t", 2, Active)])),
         [(1, Active), (2, Active)]
     );
-    assert_eq!(told(hand.suspend("s", false).unwrap().as_slice()), [(1, Draining)]);
+    assert_eq!(told(overrides.suspend("s", false).unwrap().as_slice()), [(1, Draining)]);
     // Again makes no difference.
-    assert_eq!(hand.suspend("s", false), Ok(None));
+    assert_eq!(overrides.suspend("s", false), Ok(None));
     // It restarts, moves under a new number, goes and comes back.
-    assert_eq!(told(&hand.pass(vec![change("s", 1, Active)])), [(1, Draining)]);
+    assert_eq!(told(&overrides.pass(vec![change("s", 1, Active)])), [(1, Draining)]);
     assert_eq!(
-        told(&hand.pass(vec![change("s", 1, Removed), change("s", 3, Active)])),
+        told(&overrides.pass(vec![change("s", 1, Removed), change("s", 3, Active)])),
         [(1, Removed), (3, Draining)]
     );
-    assert_eq!((hand.listed_out(), told(&hand.pass(vec![change("s", 3, Removed)]))), (1, vec![(3, Removed)]));
-    assert_eq!((hand.listed_out(), told(&hand.pass(vec![change("s", 4, Active)]))), (0, vec![(4, Draining)]));
+    assert_eq!(
+        (overrides.listed_out(), told(&overrides.pass(vec![change("s", 3, Removed)]))),
+        (1, vec![(3, Removed)])
+    );
+    assert_eq!(
+        (overrides.listed_out(), told(&overrides.pass(vec![change("s", 4, Active)]))),
+        (0, vec![(4, Draining)])
+    );
     // One call back is enough.
-    assert_eq!(told(hand.restore("s", false).unwrap().as_slice()), [(4, Active)]);
-    assert_eq!(hand.restore("s", false), Ok(None));
-    assert_eq!(told(&hand.pass(vec![change("s", 4, Draining)])), [(4, Draining)]);
+    assert_eq!(told(overrides.restore("s", false).unwrap().as_slice()), [(4, Active)]);
+    assert_eq!(overrides.restore("s", false), Ok(None));
+    assert_eq!(told(&overrides.pass(vec![change("s", 4, Draining)])), [(4, Draining)]);
     // A ban that came from an earlier process holds before any list names its server.
-    let mut hand = ManualOverrides::with(["s".to_owned()]);
-    assert_eq!(told(&hand.pass(vec![change("s", 9, Active)])), [(9, Draining)]);
-    assert_eq!(hand.restore("nobody", false), Err(UnknownNode));
+    let mut overrides = ManualOverrides::with(["s".to_owned()]);
+    assert_eq!(told(&overrides.pass(vec![change("s", 9, Active)])), [(9, Draining)]);
+    assert_eq!(overrides.restore("nobody", false), Err(UnknownNode));
 }
 
 #[test]
-fn the_figures_are_one_line_of_json_under_the_names_asked_for() {
-    let mut figures = Metrics::new(2);
-    figures.record_query(0, QueryResult::Ok);
-    figures.record_query(1, QueryResult::Shed);
-    figures.record_attempts(7);
+fn metrics_are_one_line_of_json_with_the_documented_names() {
+    let mut metrics = Metrics::new(2);
+    metrics.record_query(0, QueryResult::Ok);
+    metrics.record_query(1, QueryResult::Shed);
+    metrics.record_attempts(7);
     let line =
-        figures.to_json_line(&["a".into(), "b".into()], Gauges { active: 3, pool_size: 5, pool_ejected: 1 });
+        metrics.to_json_line(&["a".into(), "b".into()], Gauges { active: 3, pool_size: 5, pool_ejected: 1 });
     let want = serde_json::json!({"ok":{"a":1,"b":0},"shed":{"a":0,"b":1},"errors":{"a":0,"b":0},
         "tries":7,"active":3,"pool_size":5,"pool_ejected":1});
     assert_eq!(serde_json::from_str::<serde_json::Value>(&line).unwrap(), want);
@@ -157,19 +163,19 @@
 
 quickcheck! {
     /// Whatever is done in whatever order: a server is shown as in use only if the list says so and staff do not say no.
-    fn hand_and_list_commute(words: Vec<(u8, u8)>) -> bool {
+    fn manual_overrides_and_list_updates_commute(words: Vec<(u8, u8)>) -> bool {
         use ReplicaState::{Draining, Removed, Active};
-        let (mut hand, mut shown) = (ManualOverrides::default(), std::collections::BTreeMap::new());
+        let (mut overrides, mut shown) = (ManualOverrides::default(), std::collections::BTreeMap::new());
         let (mut listed, mut out) = (std::collections::BTreeMap::new(), std::collections::BTreeSet::new());
         for (what, who) in words {
             let id = format!("s-{}", who % 4);
             let changes = match what % 5 {
-                0 => hand.suspend(&id, false).map_or(vec![], |c| { out.insert(id.clone()); c.into_iter().collect() }),
-                1 => hand.restore(&id, false).map_or(vec![], |c| { out.remove(&id); c.into_iter().collect() }),
+                0 => overrides.suspend(&id, false).map_or(vec![], |c| { out.insert(id.clone()); c.into_iter().collect() }),
+                1 => overrides.restore(&id, false).map_or(vec![], |c| { out.remove(&id); c.into_iter().collect() }),
                 n => {
                     let standing = [Active, Draining, Removed][n as usize - 2];
                     listed.insert(id.clone(), standing);
-                    hand.pass(vec![change(&id, u32::from(who % 4), standing)])
+                    overrides.pass(vec![change(&id, u32::from(who % 4), standing)])
                 }
             };
             shown.extend(changes.into_iter().map(|c| (c.id, c.listed.state)));
@@ -251,71 +257,72 @@
     }
     seen[3] = open.len() as u64;
     let f = exchange.metrics().classes()[0];
-    let figures = [f.ok, f.shed, f.errors, exchange.open_queries() as u64];
+    let metrics = [f.ok, f.shed, f.errors, exchange.open_queries() as u64];
     // Once all time is over, nothing of it is held any more, however long it was.
     exchange.advance(now + 10_000 * MS);
     while exchange.next_action().is_some() {}
     assert_eq!((exchange.in_flight(), exchange.open_queries(), exchange.attempts_in_flight()), (0, 0, 0));
-    (figures, seen)
+    (metrics, seen)
 }
 
 quickcheck! {
-    fn the_figures_are_what_the_events_count(steps: Vec<(u8, u8)>) -> bool {
-        let (figures, seen) = history(&steps);
-        figures == seen
+    fn metrics_equal_the_counted_events(steps: Vec<(u8, u8)>) -> bool {
+        let (metrics, seen) = history(&steps);
+        metrics == seen
     }
 }
 
 #[test]
-fn a_long_history_has_every_ending_in_its_figures() {
+fn long_history_counts_every_kind_of_result() {
     use rand_pcg::rand_core::{Rng, SeedableRng};
     let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(3);
     let steps: Vec<(u8, u8)> = (0..20_000).map(|_| (rng.next_u32() as u8, rng.next_u32() as u8)).collect();
-    let (figures, seen) = history(&steps);
-    assert_eq!(figures, seen);
+    let (metrics, seen) = history(&steps);
+    assert_eq!(metrics, seen);
     assert!(seen[..3].iter().all(|n| *n > 10), "{seen:?}");
 }
 
 #[test]
-fn tables_stay_bounded_over_a_long_run_and_no_server_that_is_out_is_forgotten() {
+fn tables_stay_bounded_over_a_long_run_and_keep_suspended_nodes() {
     use pebbleturn::hot_restart::state::Overrides;
-    let (mut hand, mut words) = (ManualOverrides::default(), Overrides::default());
-    hand.pass(vec![change("stays", 1, ReplicaState::Active), change("out", 2, ReplicaState::Active)]);
-    hand.suspend("out", false).unwrap();
+    let (mut overrides, mut words) = (ManualOverrides::default(), Overrides::default());
+    overrides.pass(vec![change("stays", 1, ReplicaState::Active), change("out", 2, ReplicaState::Active)]);
+    overrides.suspend("out", false).unwrap();
     words.server("out", true, 1);
     for n in 0..20_000u32 {
         let id = format!("s-{n}");
-        hand.pass(vec![change(&id, 10 + n, ReplicaState::Active)]);
-        hand.pass(vec![change(&id, 10 + n, ReplicaState::Removed)]);
+        overrides.pass(vec![change(&id, 10 + n, ReplicaState::Active)]);
+        overrides.pass(vec![change(&id, 10 + n, ReplicaState::Removed)]);
         words.server(&id, true, u64::from(n));
         words.server(&id, false, u64::from(n));
     }
-    let known = (0..20_000).filter(|n| hand.knows(&format!("s-{n}"))).count();
+    let known = (0..20_000).filter(|n| overrides.knows(&format!("s-{n}"))).count();
     assert!(known <= 4096 && words.servers.len() <= 4096, "{known}, {}", words.servers.len());
-    assert!(hand.knows("stays") && hand.listed_out() == 1 && words.out().eq(["out"]));
+    assert!(overrides.knows("stays") && overrides.listed_out() == 1 && words.out().eq(["out"]));
 }
 
 #[test]
-fn a_call_is_heard_behind_callers_that_say_nothing_though_no_time_goes_by() {
+fn admin_request_is_read_behind_silent_callers_without_time_passing() {
     use pebbleturn::admin::AdminServer;
     use pebbleturn::net::{PollLoop, Pool};
     use std::io::Write;
     use std::net::TcpStream;
     use std::time::{Duration, Instant};
     let mut net = PollLoop::new(Pool::new(16), 16).unwrap();
-    let mut desk = AdminServer::open("127.0.0.1:0".parse().unwrap(), &mut net).unwrap();
-    let silent: Vec<TcpStream> = (0..100).map(|_| TcpStream::connect(desk.local_addr()).unwrap()).collect();
-    let mut caller = TcpStream::connect(desk.local_addr()).unwrap();
+    let mut admin_server = AdminServer::open("127.0.0.1:0".parse().unwrap(), &mut net).unwrap();
+    let silent: Vec<TcpStream> =
+        (0..100).map(|_| TcpStream::connect(admin_server.local_addr()).unwrap()).collect();
+    let mut caller = TcpStream::connect(admin_server.local_addr()).unwrap();
     caller.write_all(b"STATUS\n").unwrap();
-    // The desk's own clock stands still: nobody's time runs out, whatever this machine does meanwhile.
+    // The admin_server's own clock stands still: nobody's time runs out, whatever this machine does meanwhile.
     let (now, start, mut events) = (1, Instant::now(), vec![]);
     let heard = loop {
         net.wait(Some(Duration::from_millis(50)), &mut events).unwrap();
         for event in events.drain(..) {
-            desk.on_event(event, now, &mut net);
+            admin_server.on_event(event, now, &mut net);
         }
-        desk.tick(now, &mut net);
-        if let Some((_, call)) = desk.next_request() {
+        admin_server.tick(now, &mut net);
+        if let Some((_, call)) = admin_server.next_request() {
             break Some(call);
         }
         if start.elapsed() > Duration::from_secs(30) {
--- a/tests/operation/upgrades.rs
+++ b/tests/operation/upgrades.rs
@@ -4,7 +4,7 @@
 use pebbleturn_lab::running::*;
 
 #[test]
-fn an_upgrade_under_load_loses_nothing_at_the_door() {
+fn upgrade_under_load_loses_no_request() {
     let site = Site::new(PROGRAM);
     let mut old = site.start();
     let load = Load::start(&site, 6);
@@ -24,7 +24,7 @@
 }
 
 #[test]
-fn staff_s_words_hold_over_two_upgrades_and_reach_a_process_that_runs_already() {
+fn operator_commands_survive_two_upgrades_and_reach_running_processes() {
     let site = Site::new(PROGRAM);
     let mut old = site.start();
     let mut client = Client::connect(site.door());
@@ -57,7 +57,7 @@
 }
 
 #[test]
-fn a_word_to_the_old_process_reaches_the_new_one_that_serves_already() {
+fn command_to_the_old_process_reaches_the_new_one_that_serves() {
     use pebbleturn_lab::standins::Act;
     let site = Site::new(PROGRAM);
     let mut old = site.start();
@@ -78,7 +78,7 @@
 }
 
 #[test]
-fn a_pause_is_handed_over_and_ends_at_either_word() {
+fn pause_is_handed_over_and_ends_on_resume_at_either_process() {
     let site = Site::new(PROGRAM);
     let mut old = site.start();
     old.says_yes("PAUSE");
@@ -90,7 +90,7 @@
 }
 
 #[test]
-fn a_pause_ends_with_a_process_that_is_killed() {
+fn pause_ends_with_a_killed_process() {
     let site = Site::new(PROGRAM);
     let mut old = site.start();
     old.says_yes("PAUSE");
@@ -109,7 +109,7 @@
 }
 
 #[test]
-fn one_that_never_serves_changes_nothing_and_a_third_may_start_on_top() {
+fn process_that_never_serves_changes_nothing_and_a_third_may_start() {
     let site = Site::new(PROGRAM);
     let mut old = site.start();
     let load = Load::start(&site, 4);
@@ -135,7 +135,7 @@
 }
 
 #[test]
-fn the_old_one_killed_outright_leaves_the_door_and_staff_s_words_to_the_new() {
+fn killed_process_hands_listener_and_commands_to_the_new_one() {
     let site = Site::new(PROGRAM);
     let mut old = site.start();
     old.says_yes("SUSPEND s-1");
@@ -155,7 +155,7 @@
 }
 
 #[test]
-fn what_an_earlier_process_left_damaged_is_told_in_one_line_and_the_start_goes_on() {
+fn damaged_state_of_an_earlier_process_is_one_log_line_and_the_start_continues() {
     let site = Site::new(PROGRAM);
     let mut old = site.start();
     old.says_yes("SUSPEND s-1");
@@ -186,7 +186,7 @@
 }
 
 #[test]
-fn an_upgrade_with_half_of_the_descriptors_in_use_keeps_to_the_limit_of_one() {
+fn upgrade_with_half_of_the_descriptors_in_use_stays_within_the_limit_of_one() {
     let site = Site::new(PROGRAM);
     let mut old = site.start();
     // Idle clients up to what one process takes, with some that ask beside them.
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -60,7 +60,7 @@
 }
 
 #[test]
-fn an_unusable_configuration_is_one_clear_line_and_a_failure() {
+fn unusable_configuration_is_one_line_and_a_failure() {
     let (broken, odd) = (File::new("broken", "{"), File::new("odd", "name = 1\n"));
     let nowhere = "/nowhere/config.json";
     for (args, config) in [
@@ -80,7 +80,7 @@
 }
 
 #[test]
-fn help_and_version_are_no_mistakes_and_what_is_wrong_is_named() {
+fn help_and_version_succeed_and_usage_errors_are_named() {
     for args in [&["--help"][..], &["-h"], &["--version"], &["serve", "--help"], &["help", "roster", "show"]]
     {
         let out = run(args, None);
@@ -99,7 +99,7 @@
 }
 
 #[test]
-fn check_names_every_mistake_with_its_line() {
+fn check_reports_every_fault_with_its_line() {
     let sound = run(&["check", "deploy/catalogue.toml"], None);
     assert!(sound.status.success());
     let text = std::fs::read_to_string("deploy/catalogue.toml").unwrap();
@@ -135,7 +135,7 @@
 }
 
 #[test]
-fn log_lines_are_json_where_that_is_asked_for() {
+fn log_lines_are_json_on_request() {
     let out = run(&["--log-format", "json"], Some("/nowhere/config.json"));
     let said = String::from_utf8(out.stderr).unwrap();
     let line: serde_json::Value = serde_json::from_str(said.trim()).unwrap();
@@ -168,7 +168,7 @@
 }
 
 #[test]
-fn the_signal_to_end_ends_it_in_an_orderly_way() {
+fn sigterm_begins_a_graceful_shutdown() {
     let text = std::fs::read_to_string("deploy/catalogue.toml").unwrap();
     let text = text.replace("127.0.0.1:8210", "127.0.0.1:0").replace("127.0.0.1:2100", "127.0.0.1:0");
     let file = File::new("catalogue", &text);
@@ -207,7 +207,7 @@
 }
 
 #[test]
-fn limits_that_leave_too_little_room_are_refused() {
+fn limits_that_are_too_small_are_rejected() {
     for (limits, word) in [(r#"{"sockets":8}"#, "sockets"), (r#"{"memory_mb":1}"#, "memory")] {
         let file = File::new(word, &config(1, limits));
         let out = run(&[], Some(file.path()));
@@ -217,7 +217,7 @@
 }
 
 #[test]
-fn on_sighup_the_file_of_nodes_is_read_again_and_one_that_can_t_be_used_changes_nothing() {
+fn sighup_reloads_the_nodes_file_and_ignores_an_unusable_one() {
     use pebbleturn_lab::demo::by_sru;
     use pebbleturn_lab::standins::{Script, Wire, node};
     let script = Script::default();
@@ -259,7 +259,7 @@
 }
 
 #[test]
-fn a_node_that_goes_down_and_comes_back_is_told_of_once_each() {
+fn node_that_goes_down_and_recovers_is_logged_once_each() {
     use pebbleturn_lab::demo::{by_sru, operator};
     use pebbleturn_lab::standins::{Script, Wire, node, node_at};
     let script = Script::default();
@@ -291,7 +291,7 @@
 }
 
 #[test]
-fn a_kept_list_can_be_shown_and_an_unsound_one_is_told() {
+fn cached_list_can_be_shown_and_a_corrupt_one_is_reported() {
     use pebbleturn::membership::snapshot::{self, Snapshot, SnapshotNode};
     use pebbleturn::membership::{NodeRecord, NodeState, staleness::ChangeRate};
     let fact = |id: &str, state| NodeRecord {
@@ -328,7 +328,7 @@
 }
 
 #[test]
-fn without_discovery_it_starts_from_the_list_it_had() {
+fn without_discovery_it_starts_from_the_configured_list() {
     let port = free_port();
     let file = File::new("config", &config(port, "{}"));
     let (child, mut lines) = Program::start(Command::new(PROGRAM).env("GW_CONFIG", file.path()));
@@ -341,7 +341,7 @@
 }
 
 #[test]
-fn on_the_platform_a_list_is_kept_only_where_a_directory_is_given() {
+fn platform_caches_the_list_only_with_a_directory() {
     use pebbleturn::membership::NodeState;
     use pebbleturn_lab::directory::{Directory, Mode, line};
     let dir = tempfile::tempdir().unwrap();
@@ -372,7 +372,7 @@
 }
 
 #[test]
-fn signals_and_a_replacement_are_minded_while_a_write_hangs() {
+fn signals_and_a_replacement_are_handled_while_a_write_hangs() {
     use pebbleturn::membership::NodeState;
     use pebbleturn::storage::snapshot_store::{CURRENT, UNDER_WAY};
     use pebbleturn_lab::directory::{Directory, line};
@@ -420,7 +420,7 @@
 }
 
 #[test]
-fn on_sighup_discovery_moves_and_a_file_that_can_t_be_used_changes_nothing() {
+fn sighup_moves_discovery_and_ignores_an_unusable_file() {
     let (old, new) = (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
     let port = |l: &TcpListener| l.local_addr().unwrap().port();
     let file = File::new("reload", &config(port(&old), "{}"));
@@ -444,7 +444,7 @@
 }
 
 #[test]
-fn check_names_what_is_wrong_with_operation_and_its_line() {
+fn check_reports_faults_of_the_admin_endpoint_with_their_line() {
     let text = std::fs::read_to_string("deploy/catalogue.toml").unwrap();
     let listen = text.lines().find(|l| l.starts_with("listen = ")).unwrap();
     let wrong = text.replace("[operation] ", &format!("[operation]\n{listen}\nhand_over = \"/tmp\"\n#"));
@@ -466,7 +466,7 @@
 }
 
 #[test]
-fn check_names_all_that_is_wrong_with_a_cluster_and_the_lines() {
+fn check_reports_all_faults_of_a_cluster_with_their_lines() {
     let text = std::fs::read_to_string("deploy/catalogue.toml").unwrap();
     let cluster = "[cluster]\nname = \"\"\nlisten = \"0.0.0.0:0\"\nkeep = \"/tmp/k\"\nprobe_ms = 1\nkeep_words_s = 0\nspeak = 9\n\
                    [[peer]]\nname = \"kochi-catalogue\"\naddress = \"127.0.0.1:8301\"\n\
--- a/tests/races/dials.rs
+++ b/tests/races/dials.rs
@@ -7,14 +7,14 @@
 use std::time::Instant;
 
 #[test]
-fn what_a_client_left_behind_while_a_dial_was_under_way_is_never_sent() {
+fn call_of_a_disconnected_client_is_not_sent_after_the_dial() {
     for cancel in [true, false] {
         only_who_stays_is_sent_on(cancel, |_, _| {});
     }
 }
 
 #[test]
-fn a_drain_told_while_a_dial_was_under_way_holds_for_what_waits_for_it() {
+fn drain_during_a_dial_applies_to_the_calls_that_wait_for_it() {
     let server = Blocked::new();
     let (discovery, tell) = told_discovery();
     let s = serve_shard(&[server.addr], discovery, r#""effect":"safe""#);
@@ -29,7 +29,7 @@
 }
 
 #[test]
-fn a_repeat_that_waits_for_a_dial_is_not_sent_past_the_window_for_repeats() {
+fn retry_that_waits_for_a_dial_is_not_sent_past_the_idempotency_window() {
     const WINDOW: Duration = Duration::from_secs(2);
     let (first, second) = (TcpListener::bind("127.0.0.1:0").unwrap(), Blocked::new());
     let (discovery, tell) = told_discovery();
--- a/tests/races/ending.rs
+++ b/tests/races/ending.rs
@@ -54,7 +54,7 @@
 
 /// Its class has 20 s; the program may be killed after 3.7 s.
 #[test]
-fn what_was_taken_before_the_word_is_answered_before_the_program_may_be_killed() {
+fn accepted_queries_are_answered_before_the_earliest_kill() {
     let (s, server) = serve_hanging();
     let mut asked = send(&s, "asked");
     let mut conn = accepted(&server);
@@ -73,7 +73,7 @@
 }
 
 #[test]
-fn half_a_head_at_the_close_of_resting_connections_keeps_its_connection_until_it_is_whole() {
+fn partial_head_keeps_its_connection_when_idle_ones_are_closed() {
     let (s, listener) = serve_hanging();
     let mut server = None;
     let mut rests = resting(&s, &mut server, &listener, "rests", Duration::ZERO);
@@ -91,7 +91,7 @@
 }
 
 #[test]
-fn a_request_that_comes_behind_the_end_of_its_connection_is_not_sent_on() {
+fn request_behind_the_end_of_its_connection_is_not_forwarded() {
     let (s, listener) = serve_hanging();
     let mut server = None;
     let mut rests = resting(&s, &mut server, &listener, "rests", Duration::ZERO);
@@ -111,7 +111,7 @@
 
 /// Half a second is left; the server has taken a good second for each request so far.
 #[test]
-fn a_request_that_can_not_be_finished_before_the_end_is_refused_at_once_and_not_sent_on() {
+fn request_that_cannot_finish_before_the_end_is_rejected_and_not_forwarded() {
     const SLOW: Duration = Duration::from_millis(1200);
     let (s, listener) = serve_hanging();
     let mut server = None;
--- a/tests/races/hangups.rs
+++ b/tests/races/hangups.rs
@@ -24,7 +24,7 @@
 
 /// Reading is off: the buffer is full of what was sent ahead, and the end lies unread behind it.
 #[test]
-fn a_client_that_sent_much_ahead_and_went_is_gone_though_its_buffer_is_full() {
+fn disconnect_of_a_pipelining_client_is_noticed_with_a_full_buffer() {
     for cancel in [true, false] {
         only_who_stays_is_sent_on(cancel, |s, left| {
             left.write(ahead(TOO_MUCH).as_bytes());
@@ -35,7 +35,7 @@
 
 /// No buffer is left to read the end with: all are held by clients that wait and have sent a byte ahead.
 #[test]
-fn a_client_that_went_is_gone_though_there_is_no_buffer_to_read_its_end() {
+fn disconnect_is_noticed_without_a_buffer_to_read_it() {
     let (server, other) = (Blocked::new(), Blocked::new());
     let s = serve_two(&[server.addr, other.addr], true);
     let left = send(&s, "left");
@@ -65,7 +65,7 @@
 /// The answer is larger than the client's window, and further requests of its lie unread: a close would reset the
 /// connection, and take from the client what the system still holds of the answer.
 #[test]
-fn an_answer_that_ends_its_connection_is_whole_though_more_was_sent_behind_its_request() {
+fn final_response_is_complete_despite_pipelined_requests() {
     let server = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = server.local_addr().unwrap();
     let s = serve_two(&[addr, addr], true);
--- a/tests/races/lists.rs
+++ b/tests/races/lists.rs
@@ -31,7 +31,7 @@
 /// Where lists are pushed nothing asks for them but the front itself: what discovery has counts as told whether or not
 /// a watch is open.
 #[test]
-fn where_lists_are_pushed_a_watch_stands_from_the_start_and_again_after_each_break() {
+fn pushed_lists_are_watched_from_the_start_and_after_each_break() {
     let script = Script::default();
     let nodes: Vec<_> = (0..3).map(|n| (node(Wire::Http, n, script.clone()), Wire::Http)).collect();
     let (discovery, watches) = handed_over();
@@ -69,7 +69,7 @@
 
 /// An indented list has line ends within it, and a piece of it may end at any of them.
 #[test]
-fn an_indented_list_is_heard_in_whatever_pieces_it_comes() {
+fn indented_list_is_read_in_any_pieces() {
     for cut in [1, 2, 40, 97] {
         let script = Script::default();
         let nodes: Vec<_> = (0..3).map(|n| (node(Wire::Http, n, script.clone()), Wire::Http)).collect();
@@ -90,7 +90,7 @@
 /// What a silent watch misses counts as told 6 s after its last line, also where the settings want the list asked for once in
 /// two minutes only.
 #[test]
-fn a_watch_that_fell_silent_is_begun_anew_in_time_however_rarely_the_list_is_to_be_asked_for() {
+fn silent_watch_is_replaced_in_time_whatever_the_poll_interval() {
     let script = Script::default();
     let nodes: Vec<_> = (0..3).map(|n| (node(Wire::Http, n, script.clone()), Wire::Http)).collect();
     let (discovery, watches) = handed_over();
--- a/tests/races/settings.rs
+++ b/tests/races/settings.rs
@@ -7,7 +7,7 @@
 /// Whose a query is decides whether it is within a share. Worth past the share is below nothing here, so that the module
 /// refuses such queries whatever the load.
 #[test]
-fn a_query_counts_against_the_share_of_its_tenant() {
+fn query_counts_against_the_quota_of_its_tenant() {
     let script = Script::default();
     let nodes: Vec<_> = (0..3).map(|n| (node(Wire::Http, n, script.clone()), Wire::Http)).collect();
     let tenants = r#""over_share_worth":-30.0,"tenants":[{"name":"small","quota_per_s":0.000001},{"name":"large","quota_per_s":1000.0}],"tick_ns""#;
