--- a/src/server/builder.rs
+++ b/src/server/builder.rs
@@ -42,8 +42,8 @@
         self.admin_address = Some(address);
     }
 
-    /// Shares the address with other processes: the one before, and later the one after. `overrides` are the operator's
-    /// commands that the processes before were given.
+    /// Shares the address with other processes: the one before, and later the one after. `overrides` are the
+    /// operator's commands that the processes before were given.
     pub fn join_hot_restart(&mut self, hot_restart: HotRestart, overrides: Overrides) {
         self.hot_restart = Some((hot_restart, overrides));
     }
@@ -97,7 +97,7 @@
     fn open_admin_endpoint(&mut self, address: SocketAddr) -> Result<(), BrokerError> {
         let server =
             AdminServer::open(address, &mut self.net).map_err(BrokerError::io("listen for operation"))?;
-        tracing::info!("calls for operation are taken at {}", server.local_addr());
+        tracing::info!(addr = %server.local_addr(), "admin endpoint listens");
         self.admin_server = Some(server);
         Ok(())
     }
--- a/src/server/query_stats.rs
+++ b/src/server/query_stats.rs
@@ -3,11 +3,11 @@
 use crate::api::Nanos;
 use crate::engine::QueryOutcome;
 
-/// Time between two lines that tell how queries ended.
+/// Least time between two log lines, nanoseconds.
 const LOG_INTERVAL: Nanos = 60_000_000_000;
 
-/// How queries ended since the last such line.
-#[derive(Default)]
+/// Results of queries since the last log line.
+#[derive(Debug, Default)]
 pub(super) struct QueryStats {
     last_log: Nanos,
     complete: u64,
@@ -22,6 +22,7 @@
         QueryStats { last_log: now, ..QueryStats::default() }
     }
 
+    /// Counts the outcome of a query.
     pub(super) fn record<V>(&mut self, outcome: &QueryOutcome<V>) {
         match outcome {
             QueryOutcome::Answered(a) if a.complete => self.complete += 1,
@@ -31,13 +32,12 @@
         }
     }
 
-    pub(super) fn log_if_due(&mut self, now: Nanos, open: usize, in_flight: usize) {
+    /// Logs and resets the counts, if an interval has passed and a query has ended since. `open` queries and
+    /// `attempts_in_flight` are logged as they are now.
+    pub(super) fn log_if_due(&mut self, now: Nanos, open: usize, attempts_in_flight: usize) {
         let QueryStats { last_log, complete, partial, rejected, failed } = *self;
         if now >= last_log + LOG_INTERVAL && complete + partial + rejected + failed > 0 {
-            tracing::info!(
-                "queries: {complete} whole, {partial} partial, {rejected} refused, {failed} failed; \
-                 {open} open with {in_flight} attempts out"
-            );
+            tracing::info!(complete, partial, rejected, failed, open, attempts_in_flight, "query statistics");
             *self = QueryStats::new(now);
         }
     }
