--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -3,12 +3,13 @@
 use super::*;
 
 const OVERRUN_QUANTILE: f64 = 0.7;
-const OVERRUN_MULTIPLE_MIN: f64 = 0.4;
-const OVERRUN_MULTIPLE_MAX: f64 = 2.5;
+const OVERRUN_MIN: f64 = 0.4;
+const OVERRUN_MAX: f64 = 2.5;
 const OVERRUN_STEP: f64 = 0.1;
 const LEAST_OBJECTIVE_SHARE: f64 = 0.75;
 const SAME_TIMEOUT_DEADLINE_SHARE: f64 = 0.01;
 const RETRY_AFTER_MEAN_OBJECTIVES: f64 = 0.25;
+const WAIT_MIN_LATE_WEIGHT: f64 = 0.2;
 
 /// Token bucket of one tenant at this broker.
 pub(super) struct TenantQuota {
@@ -52,6 +53,42 @@
 }
 
 impl Balancer {
+    pub(super) fn on_query(&mut self, e: &Event) {
+        let Event::Query { query, job, class, tenant, time_left, parts, work, is_retry } = e else { return };
+        let Some(c) = self.settings.classes.get(*class) else { return };
+        let deadline = self.now + time_left.saturating_sub(self.deadline_margin);
+        let spent = self.usual_timeouts[*class].time_spent(c, *time_left, *is_retry);
+        let extension = (c.objective_per_work * work.unwrap_or(0) as f64) as Nanos;
+        let objective = (c.latency_objective + extension).min(c.deadline).saturating_sub(spent);
+        let objective_at = (self.now + objective.saturating_sub(self.deadline_margin)).min(deadline);
+        let query_state = Query {
+            id: *query,
+            class: *class,
+            tenant: *tenant,
+            received_at: self.now,
+            expected_latency: None,
+            objective_at,
+            send_until: if c.late_weight < WAIT_MIN_LATE_WEIGHT { objective_at } else { deadline },
+            deadline,
+            expected_parts: *parts,
+            step: 0,
+            complete: true,
+            admitted: false,
+            parts: Vec::new(),
+        };
+        self.queries.insert(*job, query_state);
+        self.jobs.insert(*query, *job);
+        self.recent.requests.push_back(self.now);
+    }
+
+    pub(super) fn on_part(&mut self, job: u64, id: RequestId, shard: u32, weight: f64) {
+        self.recent.requests.push_back(self.now);
+        let Some(q) = self.queries.get_mut(&job) else { return };
+        q.parts.push(Part { id, shard, weight, step: q.step, attempts: Vec::new(), answered: false });
+        let idempotent = self.settings.classes[q.class].idempotency == Idempotency::Idempotent;
+        self.recent.idempotent_parts.extend(idempotent.then_some(self.now));
+    }
+
     pub(super) fn admit(&mut self, job: u64) -> bool {
         let rank = self.rank(job);
         let q = &self.queries[&job];
@@ -60,9 +97,8 @@
         let down = |id: &ReplicaId| down(&self.replicas[id]);
         let lost = q.parts.iter().filter(|p| self.replicas_of_shard(p.shard).iter().all(down));
         let lost_share = lost.map(|p| p.weight).sum::<f64>();
-        if lost_share > 1.0 - class.min_answer_share.min(class.complete_share) + WEIGHT_SUM_TOLERANCE {
-            return false;
-        }
+        let may_lose = 1.0 - class.min_answer_share.min(class.complete_share) + WEIGHT_SUM_TOLERANCE;
+        let unanswerable = lost_share > may_lose;
         let fastest = |p: &Part| {
             let replicas = self.replicas_of_shard(p.shard).into_iter();
             let sound = replicas.filter(|id| self.replicas[id].ejected.is_none());
@@ -72,11 +108,11 @@
         let usable = (LEAST_OBJECTIVE_SHARE + (1.0 - LEAST_OBJECTIVE_SHARE) * rank) / self.overrun_multiple;
         let time = (q.objective_at - self.now) as f64 * usable;
         // A retry with little of its objective left is no sign of overload.
-        if slowest > time.max(class.latency_objective as f64 * usable) {
+        if !unanswerable && slowest > time.max(class.latency_objective as f64 * usable) {
             self.last_overload_at = Some(self.now);
         }
-        self.queries.entry(job).and_modify(|q| q.expected_latency = slowest);
-        slowest <= time
+        self.queries.entry(job).and_modify(|q| q.expected_latency = Some(slowest));
+        !unanswerable && slowest <= time
     }
 
     /// Priority weight per part, relative to the best class and reduced beyond the tenant's quota.
@@ -93,19 +129,17 @@
         if within_quota { rank } else { rank * self.settings.over_quota_weight }
     }
 
-    /// Learns how far queries overrun the latency that was expected of them.
     pub(super) fn record_overrun(&mut self, job: u64) {
         let Some(q) = self.queries.get_mut(&job) else { return };
-        q.overrun_recorded = true;
-        let overran = (self.now - q.received_at) as f64 > q.expected_latency * self.overrun_multiple;
+        let Some(expected) = q.expected_latency.take() else { return };
+        let overran = (self.now - q.received_at) as f64 > expected * self.overrun_multiple;
         let step = if overran { OVERRUN_QUANTILE } else { OVERRUN_QUANTILE - 1.0 };
-        let multiple = self.overrun_multiple * (1.0 + OVERRUN_STEP * step);
-        self.overrun_multiple = multiple.clamp(OVERRUN_MULTIPLE_MIN, OVERRUN_MULTIPLE_MAX);
+        self.overrun_multiple =
+            (self.overrun_multiple * (1.0 + OVERRUN_STEP * step)).clamp(OVERRUN_MIN, OVERRUN_MAX);
     }
 
-    pub(super) fn reject(&mut self, job: u64, actions: &mut Vec<Action>) {
-        let query = self.queries[&job].id;
-        self.remove_query(job, actions);
+    pub(super) fn reject(&mut self, query: RequestId, actions: &mut Vec<Action>) {
+        self.remove_query(query, actions);
         let longest = if self.settings.may_send_retry_after { self.settings.max_retry_after } else { 0 };
         let wait = 2.0 * uniform(&mut self.rng) * RETRY_AFTER_MEAN_OBJECTIVES * self.fleet.objective;
         actions.push(Action::Reject { query, retry_after: longest.min(wait as Nanos) });
--- a/src/policy/answer.rs
+++ b/src/policy/answer.rs
@@ -6,6 +6,27 @@
 const PRESSURE_SHARE: f64 = 0.9;
 
 impl Balancer {
+    /// Records the end of an attempt at its part; the first answer cancels the other attempts.
+    pub(super) fn end_attempt(
+        &mut self,
+        ended: &InFlightAttempt,
+        outcome: Outcome,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(q) = self.queries.get_mut(&ended.part.job) else { return };
+        let Some(p) = q.parts.get_mut(ended.part.index).filter(|p| p.id == ended.part_id) else { return };
+        let Some(a) = p.attempts.get_mut(ended.number as usize) else { return };
+        let never_ran = matches!(outcome, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent);
+        a.state = if never_ran { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
+        if outcome == Outcome::Ok && !p.answered {
+            p.answered = true;
+            // A trial runs on: its answer shows that a replica has recovered.
+            let ejected = |id: &ReplicaId| self.replicas.get(id).is_some_and(|r| r.ejected.is_some());
+            let others = p.in_flight().filter(|(_, a)| self.settings.may_cancel && !ejected(&a.replica));
+            actions.extend(others.map(|(n, _)| Action::Cancel { part: p.id, attempt: n as u32 }));
+        }
+    }
+
     /// Ends the query, or its step, if it can or must end; true if it did.
     pub(super) fn finish_query(&mut self, job: u64, class: &Class, actions: &mut Vec<Action>) -> bool {
         let q = &self.queries[&job];
@@ -20,10 +41,14 @@
         let least_share = class.min_answer_share.min(class.complete_share);
         let sufficient = if partial { share >= least_share } else { all };
         // Nothing is in flight and nothing more will be sent: waiting would only delay the client's retry.
-        let stuck = !all && parts.iter().all(|p| self.is_settled(q, p, class));
-        let idempotent = class.idempotency == Idempotency::Idempotent;
-        let may_reject = stuck && !expired && (idempotent || parts.iter().all(|p| p.never_ran()));
-        if (complete || late) && !q.overrun_recorded {
+        let exhausted =
+            |p: &Part| p.attempts.len() >= self.settings.max_attempts as usize || self.now >= q.send_until;
+        let may_send = |p: &Part| self.may_run_again(p, class) && !self.replicas_of_shard(p.shard).is_empty();
+        let pending = |p: &Part| p.in_flight().next().is_some() || (!exhausted(p) && may_send(p));
+        let stuck = !all && parts.iter().all(|p| p.answered || !pending(p));
+        let never_ran = parts.iter().flat_map(|p| &p.attempts).all(|a| a.state == AttemptState::NeverRan);
+        let repeatable = class.idempotency == Idempotency::Idempotent || never_ran;
+        if complete || late {
             self.record_overrun(job);
         }
         let finished = complete || (step > 0 && all) || ((late || stuck) && sufficient);
@@ -33,30 +58,23 @@
             actions.push(Action::Answer { query, complete });
             let first_of_two = |q: &&mut Query| q.step == 0 && class.fetch_parts > 0;
             match self.queries.get_mut(&job).filter(first_of_two) {
-                Some(q) => q.start_second_step(complete),
-                None => self.remove_query(job, actions),
+                Some(q) => (q.step, q.complete, q.admitted, q.expected_parts) = (1, complete, false, 1),
+                None => self.remove_query(query, actions),
             }
         } else if !(expired || (late && full) || (stuck && !empty)) {
             return false;
-        } else if may_reject {
-            self.reject(job, actions);
+        } else if stuck && repeatable && !expired {
+            self.reject(query, actions);
         } else {
-            self.remove_query(job, actions);
+            self.remove_query(query, actions);
             actions.push(Action::Fail { query });
         }
         true
     }
 
-    /// Whether the part is answered, or nothing is in flight for it and nothing more will be sent.
-    fn is_settled(&self, q: &Query, p: &Part, class: &Class) -> bool {
-        let exhausted = p.attempts.len() >= self.settings.max_attempts as usize || self.now >= q.send_until;
-        let may_send = |p| self.may_run_again(p, class) && !self.replicas_of_shard(p.shard).is_empty();
-        p.answered || (p.in_flight().next().is_none() && (exhausted || !may_send(p)))
-    }
-
-    pub(super) fn remove_query(&mut self, job: u64, actions: &mut Vec<Action>) {
+    pub(super) fn remove_query(&mut self, query: RequestId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.remove(&query) else { return };
         let Some(q) = self.queries.remove(&job) else { return };
-        self.jobs.remove(&q.id);
         for p in q.parts.iter().filter(|p| !p.answered && self.settings.may_cancel) {
             actions.extend(p.in_flight().map(|(n, _)| Action::Cancel { part: p.id, attempt: n as u32 }));
         }
--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -8,12 +8,15 @@
 const SCAN_INTERVAL_OBJECTIVES: f64 = 0.01;
 const INITIAL_OVERRUN_MULTIPLE: f64 = 1.5;
 
+const POLL_BACKOFF_INITIAL_SHARE: f64 = 0.05;
+const POLL_BACKOFF_MAX_SHARE: f64 = 0.5;
+
 /// One broker's decisions.
 pub struct Balancer {
     pub(super) settings: Settings,
     pub(super) rng: Pcg64Mcg,
     pub(super) now: Nanos,
-    /// Time before its deadline at which a query ends.
+    scan_interval: Nanos,
     pub(super) deadline_margin: Nanos,
     pub(super) replicas: BTreeMap<ReplicaId, Replica>,
     pub(super) replicas_by_cell: Vec<Vec<ReplicaId>>,
@@ -40,8 +43,7 @@
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
         settings.check()?;
         let objective = settings.classes.iter().map(|c| c.latency_objective).min().unwrap_or(1) as f64;
-        let scan_interval =
-            ((objective * SCAN_INTERVAL_OBJECTIVES) as Nanos).max(settings.round_interval).max(1);
+        let scan_interval = ((objective * SCAN_INTERVAL_OBJECTIVES) as Nanos).max(settings.round_interval);
         let poll_backoff = settings.max_poll_interval as f64 * POLL_BACKOFF_INITIAL_SHARE;
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let first_poll = now + (poll_backoff * uniform(&mut rng)) as Nanos;
@@ -49,7 +51,8 @@
         Ok(Balancer {
             rng,
             now,
-            deadline_margin: 2 * scan_interval + 2 * settings.round_interval,
+            scan_interval,
+            deadline_margin: 2 * scan_interval.max(1) + 2 * settings.round_interval,
             replicas: BTreeMap::new(),
             replicas_by_cell: vec![Vec::new(); settings.cells as usize],
             fleet: FleetLatency::new(objective, now),
@@ -80,13 +83,10 @@
         self.fleet.update(self.replicas.values().filter(|r| r.listed).map(|r| r.light_load_latency));
         self.recent.expire(self.now, &self.settings);
         self.tracked_requests = self.queries.values().map(|q| 1 + q.parts.len()).sum();
-        if self.poll_at.is_some_and(|t| t <= self.now) {
-            self.poll_at = None;
-            actions.push(Action::WatchEndpoints);
-        }
+        let due = self.poll_at.take_if(|t| *t <= self.now);
+        actions.extend(due.map(|_| Action::WatchEndpoints));
         self.check_replicas(actions);
-        let jobs: Vec<u64> = self.queries.keys().copied().collect();
-        for job in jobs {
+        for job in self.queries.keys().copied().collect::<Vec<u64>>() {
             self.advance_query(job, actions);
         }
         self.schedule_timer(actions);
@@ -98,12 +98,77 @@
         self.replicas.values().filter(|r| r.listed && r.ejected.is_some()).count()
     }
 
+    fn on_event(&mut self, event: &Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::EndpointList { full, entries } => self.on_endpoint_list(*full, entries),
+            Event::WatchFailed => {
+                let backoff = self.poll_backoff * (0.5 + uniform(&mut self.rng));
+                let longest = self.settings.max_poll_interval as f64 * POLL_BACKOFF_MAX_SHARE;
+                self.poll_backoff = (self.poll_backoff * 2.0).min(longest);
+                self.poll_at = Some(self.now + backoff as Nanos);
+            }
+            Event::Query { .. } => self.on_query(event),
+            Event::Part { part, job, shard, weight } => self.on_part(*job, *part, *shard, *weight),
+            Event::AttemptEnded { part, attempt, latency, outcome, utilization, .. } => {
+                let Some(ended) = self.in_flight.remove(&(*part, *attempt)) else { return };
+                if let Some(r) = self.replicas.get_mut(&ended.replica) {
+                    r.in_flight = r.in_flight.saturating_sub(1);
+                    r.utilization = utilization.or(r.utilization);
+                }
+                self.record_outcome(&ended, *latency, *outcome);
+                self.end_attempt(&ended, *outcome, actions);
+            }
+            Event::ClientDisconnected { query } => self.remove_query(*query, actions),
+            Event::HealthChecked { replica, ok, utilization, .. } => {
+                let Some(r) = self.replicas.get_mut(replica) else { return };
+                r.utilization = utilization.or(r.utilization);
+                r.on_trial = *ok;
+            }
+            Event::WarmedUp { replica } => {
+                _ = self.replicas.entry(*replica).and_modify(|r| r.warming_since = None)
+            }
+            Event::RetryBudget(budget) => self.settings.retry_budget = *budget,
+            Event::TimerFired => self.timer_at = None,
+        }
+    }
+
+    fn on_endpoint_list(&mut self, full: bool, entries: &[ReplicaEntry]) {
+        // No poll is due: this answers one, so the watch works again.
+        if self.poll_at.is_none() {
+            self.poll_backoff = self.settings.max_poll_interval as f64 * POLL_BACKOFF_INITIAL_SHARE;
+        }
+        for r in self.replicas.values_mut() {
+            r.listed &= !full;
+            r.removed |= full;
+        }
+        let light_load_latency = INITIAL_LATENCY_OBJECTIVES * self.fleet.objective;
+        let unknown = || Replica { light_load_latency, latency_ratio: 1.0, ..Replica::default() };
+        for entry in entries {
+            let r = self.replicas.entry(entry.replica).or_insert_with(unknown);
+            r.cell = entry.cell;
+            r.weight = entry.weight;
+            r.listed = entry.state == ReplicaState::Active;
+            r.removed = entry.state == ReplicaState::Removed;
+            let lately = |t: &Nanos| t.saturating_add(self.settings.slow_start_time) > self.now;
+            if entry.started.filter(lately) > r.warming_since {
+                r.start_warming(entry.started);
+            }
+        }
+        self.replicas.retain(|_, r| !r.removed || r.in_flight > 0);
+        self.replicas_by_cell.iter_mut().for_each(Vec::clear);
+        for (id, r) in self.replicas.iter().filter(|(_, r)| r.listed) {
+            if let Some(cell) = self.replicas_by_cell.get_mut(r.cell as usize) {
+                cell.push(*id);
+            }
+        }
+    }
+
     fn advance_query(&mut self, job: u64, actions: &mut Vec<Action>) {
         let q = &self.queries[&job];
-        let class = self.settings.classes[q.class].clone();
+        let (query, class) = (q.id, self.settings.classes[q.class].clone());
         if !q.admitted {
             if q.step == 0 && !self.admit(job) {
-                return self.reject(job, actions);
+                return self.reject(query, actions);
             }
             self.grant_allowance(job);
         }
@@ -115,10 +180,8 @@
     }
 
     fn schedule_timer(&mut self, actions: &mut Vec<Action>) {
-        let objective = self.fleet.objective;
-        let interval = ((objective * SCAN_INTERVAL_OBJECTIVES) as Nanos).max(self.settings.round_interval);
-        let in_flight = (!self.queries.is_empty()).then_some(self.now + interval);
-        let ejected = (self.ejected() > 0).then_some(self.now + 4 * interval);
+        let in_flight = (!self.queries.is_empty()).then_some(self.now + self.scan_interval);
+        let ejected = (self.ejected() > 0).then_some(self.now + 4 * self.scan_interval);
         if let Some(t) = [in_flight, self.poll_at, ejected].into_iter().flatten().min()
             && self.timer_at.is_none_or(|set| set > t || set <= self.now)
         {
--- a/src/policy/latency_estimate.rs
+++ b/src/policy/latency_estimate.rs
@@ -47,8 +47,7 @@
         self.samples += 1.0;
     }
 
-    /// Updates the mean from recent answers and the light-load latencies of the listed replicas. Without answers
-    /// it drifts to light load, or a broker that rejects all would reject for ever.
+    /// Without answers the mean drifts to light load, or a broker that rejects all would reject for ever.
     pub(super) fn update(&mut self, light_load: impl Iterator<Item = f64>) {
         let (sum, listed) = light_load.fold((0.0, 0.0), |(sum, n), latency| (sum + latency, n + 1.0));
         let least_decay = RATIO_DECAY_OBJECTIVES * self.objective;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,7 +7,6 @@
 mod admission;
 mod answer;
 mod balancer;
-mod events;
 mod hedging;
 mod latency_estimate;
 mod outlier_ejection;
@@ -17,11 +16,8 @@
 mod retry;
 mod slow_start;
 
+use self::{admission::*, answer::*, balancer::*, latency_estimate::*, outlier_ejection::*};
+use self::{hedging::*, replica::*, request::*, retry::*};
 use crate::api::*;
-use {
-    admission::*, answer::*, balancer::*, events::*, hedging::*, latency_estimate::*, outlier_ejection::*,
-    replica::*,
-};
-use {request::*, retry::*};
 
 pub use balancer::Balancer;
--- a/src/policy/outlier_ejection.rs
+++ b/src/policy/outlier_ejection.rs
@@ -4,39 +4,59 @@
 
 pub(super) const SILENCE_LATENCY_MULTIPLE: f64 = 5.0;
 const SILENCE_MIN_OBJECTIVES: f64 = 0.2;
-const PROBE_BACKOFF_INITIAL_OBJECTIVES: f64 = 0.2;
+pub(super) const PROBE_BACKOFF_INITIAL_OBJECTIVES: f64 = 0.2;
 const PROBE_BACKOFF_MAX_OBJECTIVES: f64 = 1.0;
 
-/// State of a replica that is taken to be down or silent.
-pub(super) struct Ejection {
-    probe_at: Nanos,
-    probe_backoff: f64,
-    /// Connections failed: the process was gone, so it comes back cold.
-    pub(super) process_down: bool,
-}
-
-impl Replica {
-    pub(super) fn eject(&mut self, now: Nanos, objective: f64, process_down: bool) {
-        let probe_backoff = PROBE_BACKOFF_INITIAL_OBJECTIVES * objective;
-        let probe_at = now + probe_backoff as Nanos;
-        let new = Ejection { probe_at, probe_backoff, process_down };
-        let ejection = self.ejected.get_or_insert(new);
-        ejection.process_down |= process_down;
-        self.on_trial = false;
-    }
-
-    pub(super) fn on_answer(&mut self, sent_at: Nanos, now: Nanos) {
-        self.newest_answered_send = self.newest_answered_send.max(sent_at);
-        self.unanswered_since = None;
-        self.connection_broke = false;
-        if self.ejected.take().is_some_and(|e| e.process_down) && self.warming_since.is_none() {
-            self.warming_since = Some(now);
-            self.allowance = 0.0;
+impl Balancer {
+    /// Records what the end of an attempt says of its replica.
+    pub(super) fn record_outcome(&mut self, ended: &InFlightAttempt, latency: Nanos, outcome: Outcome) {
+        let (now, fleet) = (self.now, &mut self.fleet);
+        let Some(r) = self.replicas.get_mut(&ended.replica) else { return };
+        let age = (now - ended.sent_at) as f64;
+        let mean = fleet.mean * r.latency_ratio_at(now, fleet);
+        // Overtaken by later sends, the part is costly rather than the replica slow.
+        let overtaken = r.newest_answered_send > ended.sent_at;
+        let lost = overtaken && age > LOST_LATENCY_MULTIPLE * mean;
+        let limit = if overtaken && age > 2.0 * mean { mean } else { f64::INFINITY };
+        let failed = matches!(outcome, Outcome::Error | Outcome::InvalidResponse);
+        let lost = lost && matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
+        if failed || lost || outcome == Outcome::Ok {
+            r.fault_rate += FAULT_EWMA_WEIGHT * (f64::from(failed || lost) - r.fault_rate);
+        }
+        let mut sample = None;
+        match outcome {
+            Outcome::Ok => {
+                fleet.record_answer(now);
+                r.on_answer(ended.sent_at, now);
+                sample = Some(latency as f64);
+            }
+            // Without an answer, the age is a lower bound; what was never sent shows nothing.
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent => {
+                let overdue = age >= mean * RETRY_LATENCY_MULTIPLE;
+                r.unanswered_since = r.unanswered_since.filter(|_| r.in_flight > 0 || overdue);
+                sample = (age > mean).then_some(age);
+            }
+            // Perhaps load: a fast failure must not draw parts, nor a few of them read as seconds.
+            Outcome::Error | Outcome::InvalidResponse | Outcome::Rejected => {
+                r.unanswered_since = None;
+                let silence = mean.max(SILENCE_LATENCY_MULTIPLE * fleet.mean);
+                let longest = if failed { silence } else { f64::INFINITY };
+                let sample = (mean * SAMPLE_CLIP_MULTIPLE).min(longest);
+                r.record_latency(sample, ended.others_in_flight, fleet, now);
+            }
+            // One broken connection may have been idle; a dead process refuses the next.
+            Outcome::ConnectionReset if !r.connection_broke => {
+                r.connection_broke = true;
+                r.unanswered_since = r.unanswered_since.filter(|_| r.in_flight > 0);
+            }
+            Outcome::ConnectFailed | Outcome::ConnectionReset => r.eject(now, fleet.objective, true),
+        }
+        if let Some(sample) = sample.map(|s| s.min(limit)) {
+            r.record_latency(sample, ended.others_in_flight, fleet, now);
+            fleet.record_latency(sample);
         }
     }
-}
 
-impl Balancer {
     /// Ends slow starts, ejects silent replicas and checks the health of ejected ones.
     pub(super) fn check_replicas(&mut self, actions: &mut Vec<Action>) {
         let (now, objective) = (self.now, self.fleet.objective);
@@ -55,9 +75,4 @@
             }
         }
     }
-
-    pub(super) fn replica_on_trial(&self, shard: u32) -> Option<ReplicaId> {
-        let on_trial = |r: &Replica| r.accepts_part() && r.ejected.is_some() && r.on_trial;
-        self.replicas_of_shard(shard).into_iter().find(|id| on_trial(&self.replicas[id]))
-    }
 }
--- a/src/policy/replica.rs
+++ b/src/policy/replica.rs
@@ -5,7 +5,6 @@
 pub(super) const EWMA_WEIGHT: f64 = 0.2;
 pub(super) const SAMPLE_CLIP_MULTIPLE: f64 = 4.0;
 const LIGHT_LOAD_RISE_PER_SAMPLE: f64 = 0.005;
-const ASSUMED_OTHERS_IN_FLIGHT: f64 = 1.0;
 pub(super) const FAULT_EWMA_WEIGHT: f64 = 0.05;
 const TOLERATED_FAULT_RATE: f64 = 0.05;
 const FAULT_DECAY_OBJECTIVES: f64 = 4.0;
@@ -27,21 +26,27 @@
     pub(super) in_flight: u32,
     pub(super) newest_answered_send: Nanos,
     pub(super) unanswered_since: Option<Nanos>,
-    /// Whether a connection broke since the last answer.
     pub(super) connection_broke: bool,
     pub(super) ejected: Option<Ejection>,
     /// While ejected: a health check passed, so one part may be tried.
     pub(super) on_trial: bool,
-    /// Start of its slow start, and the number of parts that it may be sent now.
     pub(super) warming_since: Option<Nanos>,
     pub(super) allowance: f64,
     pub(super) utilization: Option<f64>,
 }
 
+/// State of a replica that is taken to be down or silent.
+pub(super) struct Ejection {
+    pub(super) probe_at: Nanos,
+    pub(super) probe_backoff: f64,
+    /// Connections failed: the process was gone, so it comes back cold.
+    pub(super) process_down: bool,
+}
+
 impl Replica {
     /// Records a latency, and the number of own parts in flight at its sending. An old mean weighs less.
     pub(super) fn record_latency(&mut self, latency: f64, in_flight: u32, fleet: &FleetLatency, now: Nanos) {
-        let old = self.decayed_ratio(now, fleet);
+        let old = self.latency_ratio_at(now, fleet);
         let decay = (-self.idle(now) / (RATIO_DECAY_OBJECTIVES * fleet.objective)).exp();
         let clipped = (latency / fleet.mean).min(old * SAMPLE_CLIP_MULTIPLE);
         self.latency_ratio = old + EWMA_WEIGHT.max(1.0 - decay) * (clipped - old);
@@ -57,23 +62,52 @@
         (self.fault_rate * decay - TOLERATED_FAULT_RATE).max(0.0)
     }
 
-    pub(super) fn mean_latency(&self, now: Nanos, fleet: &FleetLatency) -> f64 {
-        fleet.mean * self.decayed_ratio(now, fleet)
+    pub(super) fn eject(&mut self, now: Nanos, objective: f64, process_down: bool) {
+        let probe_backoff = PROBE_BACKOFF_INITIAL_OBJECTIVES * objective;
+        let probe_at = now + probe_backoff as Nanos;
+        let new = Ejection { probe_at, probe_backoff, process_down };
+        let ejection = self.ejected.get_or_insert(new);
+        ejection.process_down |= process_down;
+        self.on_trial = false;
+    }
+
+    pub(super) fn on_answer(&mut self, sent_at: Nanos, now: Nanos) {
+        self.newest_answered_send = self.newest_answered_send.max(sent_at);
+        self.unanswered_since = None;
+        self.connection_broke = false;
+        if self.ejected.take().is_some_and(|e| e.process_down) && self.warming_since.is_none() {
+            self.warming_since = Some(now);
+            self.allowance = 0.0;
+        }
+    }
+
+    /// Starts the slow start of a new process; an ejection of the process before it ends.
+    pub(super) fn start_warming(&mut self, started: Option<Nanos>) {
+        self.warming_since = started;
+        // One part shows how fast an unknown replica is.
+        self.allowance = if self.sampled_at == 0 { 1.0 } else { 0.0 };
+        if self.ejected.take().is_some() {
+            self.unanswered_since = None;
+            self.latency_ratio = 1.0;
+        }
+    }
+
+    pub(super) fn accepts_part(&self) -> bool {
+        self.warming_since.is_none() || self.allowance >= 1.0
     }
 
-    /// Latency expected of one more part: scaled by own parts in flight, at least the time without an answer.
-    pub(super) fn expected_latency(&self, now: Nanos, fleet: &FleetLatency) -> f64 {
-        let usual_in_flight = self.mean_in_flight + 1.0 + ASSUMED_OTHERS_IN_FLIGHT;
-        let in_flight = self.in_flight as f64 + 1.0 + ASSUMED_OTHERS_IN_FLIGHT;
-        let scaled = self.mean_latency(now, fleet) * in_flight / usual_in_flight;
-        scaled.max(self.unanswered_since.map_or(0.0, |t| (now - t) as f64))
+    pub(super) fn capacity(&self, now: Nanos, settings: &Settings) -> f64 {
+        let warmed = |t: Nanos| (now - t.min(now)) as f64 / settings.slow_start_time.max(1) as f64;
+        let age = self.warming_since.map_or(1.0, warmed);
+        settings.slow_start_share + (1.0 - settings.slow_start_share) * age.min(1.0)
     }
 
     fn idle(&self, now: Nanos) -> f64 {
         (now - self.sampled_at.min(now)) as f64
     }
 
-    fn decayed_ratio(&self, now: Nanos, fleet: &FleetLatency) -> f64 {
+    /// The latency ratio, drifted to one while unused.
+    pub(super) fn latency_ratio_at(&self, now: Nanos, fleet: &FleetLatency) -> f64 {
         1.0 + (self.latency_ratio - 1.0) * (-self.idle(now) / fleet.ratio_decay).exp()
     }
 }
--- a/src/policy/replica_selection.rs
+++ b/src/policy/replica_selection.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 
+const ASSUMED_OTHERS_IN_FLIGHT: f64 = 1.0;
 const SELECTION_EXPONENT: f64 = 6.0;
 const RETRIED_LOSS_OBJECTIVES: f64 = 0.3;
 const FINAL_LOSS_OBJECTIVES: f64 = 1.0;
@@ -13,8 +14,14 @@
         of_shard.flat_map(|cell| self.replicas_by_cell[cell].iter().copied()).collect()
     }
 
+    /// Latency expected of one more part: scaled by own parts in flight, at least the time without an answer.
     pub(super) fn expected_latency(&self, id: ReplicaId) -> f64 {
-        self.replicas[&id].expected_latency(self.now, &self.fleet)
+        let r = &self.replicas[&id];
+        let usual_in_flight = r.mean_in_flight + 1.0 + ASSUMED_OTHERS_IN_FLIGHT;
+        let in_flight = r.in_flight as f64 + 1.0 + ASSUMED_OTHERS_IN_FLIGHT;
+        let mean = self.fleet.mean * r.latency_ratio_at(self.now, &self.fleet);
+        let unanswered = r.unanswered_since.map_or(0.0, |t| (self.now - t) as f64);
+        (mean * in_flight / usual_in_flight).max(unanswered)
     }
 
     /// Reported utilization, or else one minus light-load over expected latency.
@@ -45,23 +52,21 @@
         let idempotency = self.settings.classes[q.class].idempotency;
         let retried = first && idempotency != Idempotency::NonIdempotent && self.settings.max_attempts > 1;
         let loss = objective * if retried { RETRIED_LOSS_OBJECTIVES } else { FINAL_LOSS_OBJECTIVES };
+        let call = self.settings.call_work as f64;
+        let work = (self.fleet.mean - call).max(call / 2.0);
         // Faults that all replicas have are no reason to choose.
         let faults = |id: &ReplicaId| self.replicas[id].excess_fault_rate(self.now, objective);
         let least_faults = pool.iter().map(faults).fold(f64::INFINITY, f64::min);
         let weight = |id: &ReplicaId| {
-            let call_cost = if first { self.call_cost(key, *id) } else { 1.0 };
+            let sharing = if first { self.parts_sharing_call(key, *id).len() } else { 0 };
+            let shared_call = (call / (1 + sharing) as f64 + work) / (call + work);
+            let call_cost = if sharing > 0 { shared_call } else { 1.0 };
             let cost = self.expected_latency(*id) * call_cost + (faults(id) - least_faults) * loss;
             self.replicas[id].weight * (objective / cost.max(1.0)).powf(SELECTION_EXPONENT)
         };
         pool.iter().map(weight).collect()
     }
 
-    fn call_cost(&self, key: PartKey, id: ReplicaId) -> f64 {
-        let call = self.settings.call_work as f64;
-        let work = (self.fleet.mean - call).max(call / 2.0);
-        (call / (1 + self.parts_sharing_call(key, id).len()) as f64 + work) / (call + work)
-    }
-
     /// Unsent parts of the same query that one call to this replica could take along.
     pub(super) fn parts_sharing_call(&self, key: PartKey, id: ReplicaId) -> Vec<usize> {
         if self.settings.call_work == 0 || self.settings.parts_per_call < 2 {
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -32,7 +32,6 @@
     pub(super) number: u32,
     pub(super) replica: ReplicaId,
     pub(super) sent_at: Nanos,
-    /// Own parts in flight at the replica when it was sent.
     pub(super) others_in_flight: u32,
 }
 
@@ -52,33 +51,19 @@
     pub(super) class: usize,
     pub(super) tenant: Option<usize>,
     pub(super) received_at: Nanos,
-    pub(super) expected_latency: f64,
+    pub(super) expected_latency: Option<f64>,
     pub(super) objective_at: Nanos,
     pub(super) send_until: Nanos,
     pub(super) deadline: Nanos,
     pub(super) expected_parts: u32,
     pub(super) step: u32,
     pub(super) complete: bool,
-    pub(super) overrun_recorded: bool,
     pub(super) admitted: bool,
     pub(super) parts: Vec<Part>,
 }
 
-impl Query {
-    pub(super) fn start_second_step(&mut self, complete: bool) {
-        self.step = 1;
-        self.complete = complete;
-        self.admitted = false;
-        self.expected_parts = 1;
-    }
-}
-
 impl Part {
     pub(super) fn in_flight(&self) -> impl Iterator<Item = (usize, &Attempt)> {
         self.attempts.iter().enumerate().filter(|(_, a)| a.state == AttemptState::InFlight)
     }
-
-    pub(super) fn never_ran(&self) -> bool {
-        self.attempts.iter().all(|a| a.state == AttemptState::NeverRan)
-    }
 }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -21,10 +21,8 @@
     pub(super) fn expire(&mut self, now: Nanos, settings: &Settings) {
         let window = settings.retry_budget.map_or(HEDGE_WINDOW_NS, |b| b.window);
         let tick = settings.round_interval;
-        let expire = |times: &mut VecDeque<Nanos>, end: Nanos, window: Nanos| {
-            while times.front().is_some_and(|t| *t <= end.saturating_sub(window)) {
-                times.pop_front();
-            }
+        let expire = |times: &mut VecDeque<Nanos>, now: Nanos, window: Nanos| {
+            times.drain(..times.partition_point(|t| *t <= now.saturating_sub(window)));
         };
         expire(&mut self.idempotent_parts, now, HEDGE_WINDOW_NS);
         expire(&mut self.hedges, now, HEDGE_WINDOW_NS);
@@ -38,10 +36,9 @@
         let q = &self.queries[&key.job];
         let p = &q.parts[key.index];
         let exhausted = p.attempts.len() >= self.settings.max_attempts as usize;
-        if p.answered || p.step != q.step || self.now >= q.send_until || exhausted {
-            return;
-        }
+        let settled = p.answered || p.step != q.step || self.now >= q.send_until || exhausted;
         match (p.attempts.is_empty(), p.in_flight().count()) {
+            _ if settled => {}
             (true, _) => self.send_first_attempt(key, class, actions),
             (false, 0) => self.retry_failed_part(key, class, actions),
             (false, _) => self.retry_late_part(key, class, actions),
@@ -51,7 +48,9 @@
     fn send_first_attempt(&mut self, key: PartKey, class: &Class, actions: &mut Vec<Action>) {
         let idempotent = class.idempotency == Idempotency::Idempotent;
         let may_hedge = idempotent && self.settings.may_hedge && self.settings.max_attempts > 1;
-        let on_trial = self.replica_on_trial(self.queries[&key.job].parts[key.index].shard);
+        let shard = self.queries[&key.job].parts[key.index].shard;
+        let due = |r: &Replica| r.accepts_part() && r.ejected.is_some() && r.on_trial;
+        let on_trial = self.replicas_of_shard(shard).into_iter().find(|id| due(&self.replicas[id]));
         let unhedged_trial = on_trial.filter(|_| !may_hedge);
         let Some(first) = unhedged_trial.or_else(|| self.select(key, &[], true)) else { return };
         self.send_attempt(key, first, actions);
@@ -75,9 +74,8 @@
         let used: Vec<ReplicaId> = p.attempts.iter().map(|a| a.replica).collect();
         let end = if self.now < q.objective_at { q.objective_at } else { q.deadline } as f64;
         let lost = p.in_flight().all(|(_, a)| self.is_lost(a));
-        let lateness =
-            |(_, a): (usize, &Attempt)| (self.now - a.sent_at) as f64 / a.expected_latency.max(1.0);
-        let lateness = p.in_flight().map(lateness).fold(f64::INFINITY, f64::min);
+        let lateness = |a: &Attempt| (self.now - a.sent_at) as f64 / a.expected_latency.max(1.0);
+        let lateness = p.in_flight().map(|(_, a)| lateness(a)).fold(f64::INFINITY, f64::min);
         let late = lateness > if lost { 1.0 } else { RETRY_LATENCY_MULTIPLE };
         let overloaded = |t| (self.now - t) as f64 <= self.fleet.objective;
         let overloaded = self.last_overload_at.is_some_and(overloaded);
@@ -96,7 +94,7 @@
 
     fn is_lost(&self, a: &Attempt) -> bool {
         let r = &self.replicas[&a.replica];
-        let overdue = LOST_LATENCY_MULTIPLE * r.mean_latency(self.now, &self.fleet);
+        let overdue = LOST_LATENCY_MULTIPLE * (self.fleet.mean * r.latency_ratio_at(self.now, &self.fleet));
         r.ejected.is_some() || (r.newest_answered_send > a.sent_at && (self.now - a.sent_at) as f64 > overdue)
     }
 
@@ -105,12 +103,12 @@
         let p = &q.parts[key.index];
         let used: Vec<ReplicaId> = p.attempts.iter().map(|a| a.replica).collect();
         // All attempts can be rejected within milliseconds: the last one waits until queues have moved on.
-        let sound = |id| self.replicas.get(id).is_some_and(|r| r.ejected.is_none());
-        let last = used.len() + 1 >= self.settings.max_attempts as usize;
-        let delayed = last && p.never_ran() && used.iter().all(sound);
+        let sound = |id: &ReplicaId| self.replicas.get(id).is_some_and(|r| r.ejected.is_none());
+        let rejected = |a: &Attempt| a.state == AttemptState::NeverRan && sound(&a.replica);
+        let last = used.len() + 1 >= self.settings.max_attempts as usize && p.attempts.iter().all(rejected);
         let age = p.attempts.last().map_or(0, |a| self.now - a.sent_at) as f64;
         let urgent = q.objective_at as f64 <= self.now as f64 + 2.0 * self.fleet.mean;
-        let early = delayed && age < self.fleet.mean && !urgent;
+        let early = last && age < self.fleet.mean && !urgent;
         if early || !self.may_run_again(p, class) || !self.within_retry_budget() {
             return;
         }
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -6,32 +6,6 @@
 const SLOW_START_MAX_FILL: f64 = 0.8;
 const MAX_ALLOWANCE_PARTS: f64 = 2.0;
 
-impl Replica {
-    /// Starts the slow start of a new process; an ejection of the process before it ends.
-    pub(super) fn start_warming(&mut self, started: Nanos) {
-        if self.warming_since.is_some_and(|known| known >= started) {
-            return;
-        }
-        self.warming_since = Some(started);
-        // One part shows how fast an unknown replica is.
-        self.allowance = if self.sampled_at == 0 { 1.0 } else { 0.0 };
-        if self.ejected.take().is_some() {
-            self.unanswered_since = None;
-            self.latency_ratio = 1.0;
-        }
-    }
-
-    pub(super) fn accepts_part(&self) -> bool {
-        self.warming_since.is_none() || self.allowance >= 1.0
-    }
-
-    fn capacity(&self, now: Nanos, settings: &Settings) -> f64 {
-        let warmed = |t: Nanos| (now - t.min(now)) as f64 / settings.slow_start_time.max(1) as f64;
-        let age = self.warming_since.map_or(1.0, warmed);
-        settings.slow_start_share + (1.0 - settings.slow_start_share) * age.min(1.0)
-    }
-}
-
 impl Balancer {
     /// Adds to each warming replica's allowance its share of the parts, by the capacity of all as they are now.
     pub(super) fn grant_allowance(&mut self, job: u64) {
