--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -3,8 +3,8 @@
 use super::*;
 
 const OVERRUN_QUANTILE: f64 = 0.7;
-const OVERRUN_MIN: f64 = 0.4;
-const OVERRUN_MAX: f64 = 2.5;
+const OVERRUN_MULTIPLE_MIN: f64 = 0.4;
+const OVERRUN_MULTIPLE_MAX: f64 = 2.5;
 const OVERRUN_STEP: f64 = 0.1;
 const LEAST_OBJECTIVE_SHARE: f64 = 0.75;
 const SAME_TIMEOUT_DEADLINE_SHARE: f64 = 0.01;
@@ -18,9 +18,9 @@
 }
 
 impl TenantQuota {
-    /// Takes one token, of which `rate` are added a second; false if there is none.
-    fn take(&mut self, rate: f64, now: Nanos) -> bool {
-        self.tokens = (self.tokens + rate * (now - self.refilled_at) as f64 / 1e9).min(rate.max(1.0));
+    fn take(&mut self, rate_per_s: f64, now: Nanos) -> bool {
+        self.tokens =
+            (self.tokens + rate_per_s * (now - self.refilled_at) as f64 / 1e9).min(rate_per_s.max(1.0));
         self.refilled_at = now;
         let taken = self.tokens >= 1.0;
         self.tokens -= f64::from(taken);
@@ -125,8 +125,7 @@
         let rank = weight_per_part((&self.settings.classes[q.class], &self.mean_parts[q.class])) / best;
         let Some(tenant) = q.tenant.filter(|t| *t < self.quotas.len()) else { return rank };
         let rate = self.settings.tenants[tenant].quota_per_s / self.settings.brokers.max(1) as f64;
-        let within_quota = self.quotas[tenant].take(rate, self.now);
-        if within_quota { rank } else { rank * self.settings.over_quota_weight }
+        if self.quotas[tenant].take(rate, self.now) { rank } else { rank * self.settings.over_quota_weight }
     }
 
     pub(super) fn record_overrun(&mut self, job: u64) {
@@ -134,14 +133,13 @@
         let Some(expected) = q.expected_latency.take() else { return };
         let overran = (self.now - q.received_at) as f64 > expected * self.overrun_multiple;
         let step = if overran { OVERRUN_QUANTILE } else { OVERRUN_QUANTILE - 1.0 };
-        self.overrun_multiple =
-            (self.overrun_multiple * (1.0 + OVERRUN_STEP * step)).clamp(OVERRUN_MIN, OVERRUN_MAX);
+        let multiple = self.overrun_multiple * (1.0 + OVERRUN_STEP * step);
+        self.overrun_multiple = multiple.clamp(OVERRUN_MULTIPLE_MIN, OVERRUN_MULTIPLE_MAX);
     }
 
-    pub(super) fn reject(&mut self, query: RequestId, actions: &mut Vec<Action>) {
-        self.remove_query(query, actions);
+    pub(super) fn rejection(&mut self, query: RequestId) -> Action {
         let longest = if self.settings.may_send_retry_after { self.settings.max_retry_after } else { 0 };
         let wait = 2.0 * uniform(&mut self.rng) * RETRY_AFTER_MEAN_OBJECTIVES * self.fleet.objective;
-        actions.push(Action::Reject { query, retry_after: longest.min(wait as Nanos) });
+        Action::Reject { query, retry_after: longest.min(wait as Nanos) }
     }
 }
--- a/src/policy/answer.rs
+++ b/src/policy/answer.rs
@@ -6,13 +6,7 @@
 const PRESSURE_SHARE: f64 = 0.9;
 
 impl Balancer {
-    /// Records the end of an attempt at its part; the first answer cancels the other attempts.
-    pub(super) fn end_attempt(
-        &mut self,
-        ended: &InFlightAttempt,
-        outcome: Outcome,
-        actions: &mut Vec<Action>,
-    ) {
+    pub(super) fn end_attempt(&mut self, ended: &SentAttempt, outcome: Outcome, actions: &mut Vec<Action>) {
         let Some(q) = self.queries.get_mut(&ended.part.job) else { return };
         let Some(p) = q.parts.get_mut(ended.part.index).filter(|p| p.id == ended.part_id) else { return };
         let Some(a) = p.attempts.get_mut(ended.number as usize) else { return };
@@ -38,20 +32,19 @@
         let all = parts.iter().all(|p| p.answered) && all_came && !empty;
         let complete = (all && q.complete) || (step == 0 && share >= class.complete_share);
         let partial = step == 0 || class.min_answer_share < class.complete_share;
-        let least_share = class.min_answer_share.min(class.complete_share);
-        let sufficient = if partial { share >= least_share } else { all };
+        let enough = if partial { share >= class.min_answer_share.min(class.complete_share) } else { all };
         // Nothing is in flight and nothing more will be sent: waiting would only delay the client's retry.
-        let exhausted =
-            |p: &Part| p.attempts.len() >= self.settings.max_attempts as usize || self.now >= q.send_until;
+        let spent =
+            |p: &Part| p.attempts.len() as u32 >= self.settings.max_attempts || self.now >= q.send_until;
         let may_send = |p: &Part| self.may_run_again(p, class) && !self.replicas_of_shard(p.shard).is_empty();
-        let pending = |p: &Part| p.in_flight().next().is_some() || (!exhausted(p) && may_send(p));
+        let pending = |p: &Part| p.in_flight().next().is_some() || (!spent(p) && may_send(p));
         let stuck = !all && parts.iter().all(|p| p.answered || !pending(p));
         let never_ran = parts.iter().flat_map(|p| &p.attempts).all(|a| a.state == AttemptState::NeverRan);
-        let repeatable = class.idempotency == Idempotency::Idempotent || never_ran;
+        let may_reject = stuck && !expired && (class.idempotency == Idempotency::Idempotent || never_ran);
         if complete || late {
             self.record_overrun(job);
         }
-        let finished = complete || (step > 0 && all) || ((late || stuck) && sufficient);
+        let finished = complete || (step > 0 && all) || ((late || stuck) && enough);
         // Late answers are worth waiting for only while there is room for other queries.
         let full = self.tracked_requests as f64 > PRESSURE_SHARE * self.settings.max_in_flight as f64;
         if finished && !empty {
@@ -59,22 +52,20 @@
             let first_of_two = |q: &&mut Query| q.step == 0 && class.fetch_parts > 0;
             match self.queries.get_mut(&job).filter(first_of_two) {
                 Some(q) => (q.step, q.complete, q.admitted, q.expected_parts) = (1, complete, false, 1),
-                None => self.remove_query(query, actions),
+                None => self.remove_query(job, actions),
             }
         } else if !(expired || (late && full) || (stuck && !empty)) {
             return false;
-        } else if stuck && repeatable && !expired {
-            self.reject(query, actions);
         } else {
-            self.remove_query(query, actions);
-            actions.push(Action::Fail { query });
+            self.remove_query(job, actions);
+            actions.push(if may_reject { self.rejection(query) } else { Action::Fail { query } });
         }
         true
     }
 
-    pub(super) fn remove_query(&mut self, query: RequestId, actions: &mut Vec<Action>) {
-        let Some(job) = self.jobs.remove(&query) else { return };
+    pub(super) fn remove_query(&mut self, job: u64, actions: &mut Vec<Action>) {
         let Some(q) = self.queries.remove(&job) else { return };
+        self.jobs.remove(&q.id);
         for p in q.parts.iter().filter(|p| !p.answered && self.settings.may_cancel) {
             actions.extend(p.in_flight().map(|(n, _)| Action::Cancel { part: p.id, attempt: n as u32 }));
         }
--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -3,7 +3,6 @@
 use super::*;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
-use std::collections::{BTreeMap, HashMap};
 
 const SCAN_INTERVAL_OBJECTIVES: f64 = 0.01;
 const INITIAL_OVERRUN_MULTIPLE: f64 = 1.5;
@@ -23,7 +22,7 @@
     pub(super) fleet: FleetLatency,
     pub(super) queries: BTreeMap<u64, Query>,
     pub(super) jobs: HashMap<RequestId, u64>,
-    pub(super) in_flight: HashMap<(RequestId, u32), InFlightAttempt>,
+    pub(super) in_flight: HashMap<(RequestId, u32), SentAttempt>,
     pub(super) recent: RecentRequests,
     pub(super) quotas: Vec<TenantQuota>,
     pub(super) usual_timeouts: Vec<UsualTimeout>,
@@ -83,8 +82,7 @@
         self.fleet.update(self.replicas.values().filter(|r| r.listed).map(|r| r.light_load_latency));
         self.recent.expire(self.now, &self.settings);
         self.tracked_requests = self.queries.values().map(|q| 1 + q.parts.len()).sum();
-        let due = self.poll_at.take_if(|t| *t <= self.now);
-        actions.extend(due.map(|_| Action::WatchEndpoints));
+        actions.extend(self.poll_at.take_if(|t| *t <= self.now).map(|_| Action::WatchEndpoints));
         self.check_replicas(actions);
         for job in self.queries.keys().copied().collect::<Vec<u64>>() {
             self.advance_query(job, actions);
@@ -118,7 +116,10 @@
                 self.record_outcome(&ended, *latency, *outcome);
                 self.end_attempt(&ended, *outcome, actions);
             }
-            Event::ClientDisconnected { query } => self.remove_query(*query, actions),
+            Event::ClientDisconnected { query } => {
+                let Some(&job) = self.jobs.get(query) else { return };
+                self.remove_query(job, actions);
+            }
             Event::HealthChecked { replica, ok, utilization, .. } => {
                 let Some(r) = self.replicas.get_mut(replica) else { return };
                 r.utilization = utilization.or(r.utilization);
@@ -141,7 +142,7 @@
             r.listed &= !full;
             r.removed |= full;
         }
-        let light_load_latency = INITIAL_LATENCY_OBJECTIVES * self.fleet.objective;
+        let light_load_latency = START_LATENCY_OBJECTIVES * self.fleet.objective;
         let unknown = || Replica { light_load_latency, latency_ratio: 1.0, ..Replica::default() };
         for entry in entries {
             let r = self.replicas.entry(entry.replica).or_insert_with(unknown);
@@ -164,11 +165,12 @@
     }
 
     fn advance_query(&mut self, job: u64, actions: &mut Vec<Action>) {
-        let q = &self.queries[&job];
+        let Some(q) = self.queries.get(&job) else { return };
         let (query, class) = (q.id, self.settings.classes[q.class].clone());
         if !q.admitted {
             if q.step == 0 && !self.admit(job) {
-                return self.reject(query, actions);
+                self.remove_query(job, actions);
+                return actions.push(self.rejection(query));
             }
             self.grant_allowance(job);
         }
--- a/src/policy/hedging.rs
+++ b/src/policy/hedging.rs
@@ -7,7 +7,6 @@
 pub(super) const HEDGE_WINDOW_NS: Nanos = 1_000_000_000;
 
 impl Balancer {
-    /// Sends a part to a second replica at once, while both are lightly loaded and the budgets allow it.
     pub(super) fn hedge(&mut self, key: PartKey, first: ReplicaId, actions: &mut Vec<Action>) {
         let budget = HEDGE_BUDGET_RATIO * self.recent.idempotent_parts.len() as f64;
         // The budget goes to parts on replicas slower than most: those are what a query waits for.
--- a/src/policy/latency_estimate.rs
+++ b/src/policy/latency_estimate.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-pub(super) const INITIAL_LATENCY_OBJECTIVES: f64 = 0.1;
+pub(super) const START_LATENCY_OBJECTIVES: f64 = 0.1;
 const FLEET_SAMPLE_CLIP_MULTIPLE: f64 = 2.0;
 const FLEET_DECAY_OBJECTIVES: f64 = 1.5;
 const LIGHT_LOAD_SAMPLES: f64 = 2.0;
@@ -16,7 +16,6 @@
     /// Shortest latency objective: the unit of most time spans here.
     pub(super) objective: f64,
     pub(super) mean: f64,
-    /// Sum and number of recent answers, both decaying with time.
     sum: f64,
     samples: f64,
     answer_gap: f64,
@@ -26,8 +25,7 @@
 
 impl FleetLatency {
     pub(super) fn new(objective: f64, now: Nanos) -> Self {
-        let (mean, ratio_decay) =
-            (INITIAL_LATENCY_OBJECTIVES * objective, RATIO_DECAY_OBJECTIVES * objective);
+        let (mean, ratio_decay) = (START_LATENCY_OBJECTIVES * objective, RATIO_DECAY_OBJECTIVES * objective);
         FleetLatency { objective, mean, ratio_decay, last_answer_at: now, ..Default::default() }
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,5 +1,5 @@
-//! The decision module: where each part is sent, when it is sent again, and which queries are rejected.
-//! It has no I/O and no clock. Its settings, events, actions and ids are in `src/api.rs`.
+//! The decision module: where parts are sent, when they are retried, which queries are rejected.
+//! No I/O and no clock. `docs/decision-constants.md` says why each constant has its value.
 
 #![deny(missing_docs, rust_2018_idioms)]
 #![deny(clippy::too_many_lines, clippy::type_complexity, clippy::cognitive_complexity)]
@@ -19,5 +19,6 @@
 use self::{admission::*, answer::*, balancer::*, latency_estimate::*, outlier_ejection::*};
 use self::{hedging::*, replica::*, request::*, retry::*};
 use crate::api::*;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 pub use balancer::Balancer;
--- a/src/policy/outlier_ejection.rs
+++ b/src/policy/outlier_ejection.rs
@@ -2,14 +2,13 @@
 
 use super::*;
 
-pub(super) const SILENCE_LATENCY_MULTIPLE: f64 = 5.0;
+pub(super) const SILENCE_FLEET_MEANS: f64 = 5.0;
 const SILENCE_MIN_OBJECTIVES: f64 = 0.2;
 pub(super) const PROBE_BACKOFF_INITIAL_OBJECTIVES: f64 = 0.2;
 const PROBE_BACKOFF_MAX_OBJECTIVES: f64 = 1.0;
 
 impl Balancer {
-    /// Records what the end of an attempt says of its replica.
-    pub(super) fn record_outcome(&mut self, ended: &InFlightAttempt, latency: Nanos, outcome: Outcome) {
+    pub(super) fn record_outcome(&mut self, ended: &SentAttempt, latency: Nanos, outcome: Outcome) {
         let (now, fleet) = (self.now, &mut self.fleet);
         let Some(r) = self.replicas.get_mut(&ended.replica) else { return };
         let age = (now - ended.sent_at) as f64;
@@ -39,10 +38,9 @@
             // Perhaps load: a fast failure must not draw parts, nor a few of them read as seconds.
             Outcome::Error | Outcome::InvalidResponse | Outcome::Rejected => {
                 r.unanswered_since = None;
-                let silence = mean.max(SILENCE_LATENCY_MULTIPLE * fleet.mean);
-                let longest = if failed { silence } else { f64::INFINITY };
-                let sample = (mean * SAMPLE_CLIP_MULTIPLE).min(longest);
-                r.record_latency(sample, ended.others_in_flight, fleet, now);
+                let longest = if failed { mean.max(SILENCE_FLEET_MEANS * fleet.mean) } else { f64::INFINITY };
+                let clipped = (mean * SAMPLE_CLIP_MULTIPLE).min(longest);
+                r.record_latency(clipped, ended.others_in_flight, fleet, now);
             }
             // One broken connection may have been idle; a dead process refuses the next.
             Outcome::ConnectionReset if !r.connection_broke => {
@@ -60,16 +58,15 @@
     /// Ends slow starts, ejects silent replicas and checks the health of ejected ones.
     pub(super) fn check_replicas(&mut self, actions: &mut Vec<Action>) {
         let (now, objective) = (self.now, self.fleet.objective);
-        let silence = (SILENCE_LATENCY_MULTIPLE * self.fleet.mean).max(SILENCE_MIN_OBJECTIVES * objective);
+        let silence = (SILENCE_FLEET_MEANS * self.fleet.mean).max(SILENCE_MIN_OBJECTIVES * objective);
         for (id, r) in self.replicas.iter_mut().filter(|(_, r)| r.listed) {
             r.warming_since = r.warming_since.filter(|t| t + self.settings.slow_start_time > now);
             if r.ejected.is_none() && r.unanswered_since.is_some_and(|t| (now - t) as f64 > silence) {
                 r.eject(now, objective, false);
             }
-            if let Some(ejection) = r.ejected.as_mut().filter(|e| e.probe_at <= now && !r.on_trial) {
-                let longest = PROBE_BACKOFF_MAX_OBJECTIVES * objective;
-                ejection.probe_backoff = (ejection.probe_backoff * 2.0).min(longest);
-                ejection.probe_at = now + ejection.probe_backoff as Nanos;
+            if let Some(e) = r.ejected.as_mut().filter(|e| e.probe_at <= now && !r.on_trial) {
+                e.probe_backoff = (e.probe_backoff * 2.0).min(PROBE_BACKOFF_MAX_OBJECTIVES * objective);
+                e.probe_at = now + e.probe_backoff as Nanos;
                 r.on_trial = !self.settings.may_health_check;
                 actions.extend((!r.on_trial).then_some(Action::HealthCheck { replica: *id }));
             }
--- a/src/policy/replica.rs
+++ b/src/policy/replica.rs
@@ -39,12 +39,10 @@
 pub(super) struct Ejection {
     pub(super) probe_at: Nanos,
     pub(super) probe_backoff: f64,
-    /// Connections failed: the process was gone, so it comes back cold.
     pub(super) process_down: bool,
 }
 
 impl Replica {
-    /// Records a latency, and the number of own parts in flight at its sending. An old mean weighs less.
     pub(super) fn record_latency(&mut self, latency: f64, in_flight: u32, fleet: &FleetLatency, now: Nanos) {
         let old = self.latency_ratio_at(now, fleet);
         let decay = (-self.idle(now) / (RATIO_DECAY_OBJECTIVES * fleet.objective)).exp();
@@ -65,8 +63,7 @@
     pub(super) fn eject(&mut self, now: Nanos, objective: f64, process_down: bool) {
         let probe_backoff = PROBE_BACKOFF_INITIAL_OBJECTIVES * objective;
         let probe_at = now + probe_backoff as Nanos;
-        let new = Ejection { probe_at, probe_backoff, process_down };
-        let ejection = self.ejected.get_or_insert(new);
+        let ejection = self.ejected.get_or_insert(Ejection { probe_at, probe_backoff, process_down });
         ejection.process_down |= process_down;
         self.on_trial = false;
     }
@@ -81,7 +78,6 @@
         }
     }
 
-    /// Starts the slow start of a new process; an ejection of the process before it ends.
     pub(super) fn start_warming(&mut self, started: Option<Nanos>) {
         self.warming_since = started;
         // One part shows how fast an unknown replica is.
@@ -106,7 +102,6 @@
         (now - self.sampled_at.min(now)) as f64
     }
 
-    /// The latency ratio, drifted to one while unused.
     pub(super) fn latency_ratio_at(&self, now: Nanos, fleet: &FleetLatency) -> f64 {
         1.0 + (self.latency_ratio - 1.0) * (-self.idle(now) / fleet.ratio_decay).exp()
     }
--- a/src/policy/replica_selection.rs
+++ b/src/policy/replica_selection.rs
@@ -24,13 +24,12 @@
         (mean * in_flight / usual_in_flight).max(unanswered)
     }
 
-    /// Reported utilization, or else one minus light-load over expected latency.
     pub(super) fn load(&self, id: ReplicaId) -> f64 {
         let r = &self.replicas[&id];
         r.utilization.unwrap_or_else(|| 1.0 - r.light_load_latency / self.expected_latency(id).max(1.0))
     }
 
-    /// Draws a replica for the part. Ejected ones are drawn only if all are: the fault is rather this broker's.
+    /// Draws a replica for the part. Ejected ones only if all are: then the fault is rather this broker's.
     pub(super) fn select(&mut self, key: PartKey, used: &[ReplicaId], or_ejected: bool) -> Option<ReplicaId> {
         let mut replicas = self.replicas_of_shard(self.queries[&key.job].parts[key.index].shard);
         replicas.retain(|id| !used.contains(id) && self.replicas[id].accepts_part());
@@ -67,17 +66,14 @@
         pool.iter().map(weight).collect()
     }
 
-    /// Unsent parts of the same query that one call to this replica could take along.
     pub(super) fn parts_sharing_call(&self, key: PartKey, id: ReplicaId) -> Vec<usize> {
-        if self.settings.call_work == 0 || self.settings.parts_per_call < 2 {
-            return Vec::new();
-        }
+        let per_call = if self.settings.call_work > 0 { self.settings.parts_per_call as usize } else { 1 };
         let q = &self.queries[&key.job];
         let (cell, cells) = (self.replicas[&id].cell, self.settings.cells);
         let on_replica = |p: &Part| (cell + cells - p.shard % cells) % cells < self.settings.span;
         let unsent = |p: &Part| !p.answered && p.step == q.step && p.attempts.is_empty();
         let parts = q.parts.iter().enumerate();
         let sharing = parts.filter(|(n, p)| *n != key.index && unsent(p) && on_replica(p));
-        sharing.map(|(n, _)| n).take(self.settings.parts_per_call as usize - 1).collect()
+        sharing.map(|(n, _)| n).take(per_call.saturating_sub(1)).collect()
     }
 }
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -26,7 +26,7 @@
 }
 
 /// An attempt whose end was not reported yet.
-pub(super) struct InFlightAttempt {
+pub(super) struct SentAttempt {
     pub(super) part: PartKey,
     pub(super) part_id: RequestId,
     pub(super) number: u32,
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -1,7 +1,6 @@
 //! Attempts at a part: the first, retries, and the budget of retries.
 
 use super::*;
-use std::collections::VecDeque;
 
 pub(super) const RETRY_LATENCY_MULTIPLE: f64 = 2.5;
 pub(super) const LOST_LATENCY_MULTIPLE: f64 = 10.0;
@@ -17,17 +16,16 @@
 }
 
 impl RecentRequests {
-    /// Drops what has left its window; retries stay a tick longer, what they are measured against a tick less.
+    /// Drops what has left its window: retries a tick late, the requests that allow them a tick early.
     pub(super) fn expire(&mut self, now: Nanos, settings: &Settings) {
         let window = settings.retry_budget.map_or(HEDGE_WINDOW_NS, |b| b.window);
-        let tick = settings.round_interval;
         let expire = |times: &mut VecDeque<Nanos>, now: Nanos, window: Nanos| {
             times.drain(..times.partition_point(|t| *t <= now.saturating_sub(window)));
         };
         expire(&mut self.idempotent_parts, now, HEDGE_WINDOW_NS);
         expire(&mut self.hedges, now, HEDGE_WINDOW_NS);
-        expire(&mut self.requests, now + tick, window);
-        expire(&mut self.retries, now, window + 2 * tick);
+        expire(&mut self.requests, now + settings.round_interval, window);
+        expire(&mut self.retries, now, window + 2 * settings.round_interval);
     }
 }
 
@@ -67,7 +65,6 @@
         }
     }
 
-    /// Tries a late part elsewhere while its first attempt runs, unless there is no time for it.
     fn retry_late_part(&mut self, key: PartKey, class: &Class, actions: &mut Vec<Action>) {
         let q = &self.queries[&key.job];
         let p = &q.parts[key.index];
@@ -77,8 +74,7 @@
         let lateness = |a: &Attempt| (self.now - a.sent_at) as f64 / a.expected_latency.max(1.0);
         let lateness = p.in_flight().map(|(_, a)| lateness(a)).fold(f64::INFINITY, f64::min);
         let late = lateness > if lost { 1.0 } else { RETRY_LATENCY_MULTIPLE };
-        let overloaded = |t| (self.now - t) as f64 <= self.fleet.objective;
-        let overloaded = self.last_overload_at.is_some_and(overloaded);
+        let overloaded = self.last_overload_at.is_some_and(|t| (self.now - t) as f64 <= self.fleet.objective);
         // A lost part runs nowhere, so its retry is no duplicate, nor does it add work under overload.
         let may_duplicate = !overloaded && p.in_flight().count() == 1 && self.may_duplicate();
         let within_budget = if lost { self.within_retry_budget() } else { may_duplicate };
@@ -145,7 +141,7 @@
         let Some(r) = self.replicas.get_mut(&replica) else { return };
         let p = &mut q.parts[part.index];
         let (part_id, number, others_in_flight) = (p.id, p.attempts.len() as u32, r.in_flight);
-        let sent = InFlightAttempt { part, part_id, number, replica, sent_at: now, others_in_flight };
+        let sent = SentAttempt { part, part_id, number, replica, sent_at: now, others_in_flight };
         self.in_flight.insert((part_id, number), sent);
         p.attempts.push(Attempt { replica, sent_at: now, expected_latency, state: AttemptState::InFlight });
         r.in_flight += 1;
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -7,7 +7,7 @@
 const MAX_ALLOWANCE_PARTS: f64 = 2.0;
 
 impl Balancer {
-    /// Adds to each warming replica's allowance its share of the parts, by the capacity of all as they are now.
+    /// Adds to each warming replica's allowance its share of the parts, by the present capacity of all.
     pub(super) fn grant_allowance(&mut self, job: u64) {
         let (now, settings) = (self.now, &self.settings);
         let Some(q) = self.queries.get_mut(&job) else { return };
