Split the decision module's tests by concern

Need: one file of 878 lines held the tests of every concern. Change: tests/failures.rs and tests/rules.rs become modules of the test target policy; the scripted broker, which only they use, moves out of tests/common. Text unchanged.

--- /dev/null
+++ b/tests/policy/main.rs
@@ -0,0 +1,15 @@
+//! The decision module by scripted events: the rules, the mechanism, and its behaviour under faults.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod admission;
+mod answer;
+mod broker;
+mod hedging;
+mod interface;
+mod outlier_ejection;
+mod replica_selection;
+mod retry;
+mod rules;
+mod slow_start;
--- a/tests/rules.rs
+++ b/tests/policy/rules.rs
@@ -1,7 +1,7 @@
 //! The six rules, each by scripted events. Each test fails when its guard is taken out of `src/policy/`.
 
-mod common;
-use common::*;
+use crate::broker::*;
+use crate::common::*;
 use pebbleturn::*;
 
 #[test]
