--- a/tests/policy/interface.rs
+++ b/tests/policy/interface.rs
@@ -5,18 +5,18 @@
 use pebbleturn::*;
 
 #[test]
-fn same_events_same_actions_and_instances_share_nothing() {
+fn same_events_give_same_actions_and_instances_share_nothing() {
     let run = |seed| {
-        let mut r = Root::seeded(settings(Idempotency::Idempotent), seed);
-        play(&mut r, 50, |s| Some((70 + 10 * s.replica.0 as u64) * MS));
-        r.acts
+        let mut broker = ScriptedBroker::seeded(settings(Idempotency::Idempotent), seed);
+        play(&mut broker, 50, |s| Some((70 + 10 * s.replica.0 as u64) * MS));
+        broker.actions
     };
     let alone = run(3);
-    let mut a = Root::seeded(settings(Idempotency::Idempotent), 3);
-    let mut b = Root::seeded(settings(Idempotency::Idempotent), 4);
+    let mut a = ScriptedBroker::seeded(settings(Idempotency::Idempotent), 3);
+    let mut b = ScriptedBroker::seeded(settings(Idempotency::Idempotent), 4);
     play(&mut b, 20, |_| Some(300 * MS));
     play(&mut a, 50, |s| Some((70 + 10 * s.replica.0 as u64) * MS));
-    assert_eq!(alone, a.acts);
+    assert_eq!(alone, a.actions);
     assert_ne!(alone, run(4), "the seed must matter");
 }
 
@@ -37,10 +37,10 @@
 }
 
 #[test]
-fn ids_that_are_not_held_are_ignored() {
-    let mut r = Root::new(settings(Idempotency::Idempotent));
+fn unknown_ids_are_ignored() {
+    let mut broker = ScriptedBroker::new(settings(Idempotency::Idempotent));
     let (part, replica) = (RequestId(5), ReplicaId(99));
-    let acts = r.at(
+    let actions = broker.at(
         MS,
         &[
             Event::AttemptEnded {
@@ -58,5 +58,5 @@
             Event::TimerFired,
         ],
     );
-    assert!(!acts.iter().any(|a| matches!(a, Action::Send { .. } | Action::Fail { .. })));
+    assert!(!actions.iter().any(|a| matches!(a, Action::Send { .. } | Action::Fail { .. })));
 }
--- a/tests/policy/replica_selection.rs
+++ b/tests/policy/replica_selection.rs
@@ -5,20 +5,20 @@
 use pebbleturn::*;
 
 #[test]
-fn odds_fall_as_latency_rises_yet_no_sound_replica_is_shut_out() {
-    let mut r = Root::new(settings(Idempotency::Idempotent));
-    play(&mut r, 400, |s| Some(if s.replica.0 == 1 { 160 * MS } else { 80 * MS }));
-    let to = |n| r.sent.iter().filter(|s| s.replica.0 == n && s.attempt == 0).count();
+fn slower_replicas_are_selected_less_often_but_never_excluded() {
+    let mut broker = ScriptedBroker::new(settings(Idempotency::Idempotent));
+    play(&mut broker, 400, |s| Some(if s.replica.0 == 1 { 160 * MS } else { 80 * MS }));
+    let to = |n| broker.sent.iter().filter(|s| s.replica.0 == n && s.attempt == 0).count();
     assert!(to(1) > 0 && to(1) * 2 < to(0).min(to(2)), "{} {} {}", to(0), to(1), to(2));
 }
 
 #[test]
-fn costly_parts_overtaken_by_others_do_not_turn_the_odds_against_their_replica() {
-    let mut r = Root::new(settings(Idempotency::Idempotent));
+fn costly_parts_overtaken_by_others_do_not_count_against_their_replica() {
+    let mut broker = ScriptedBroker::new(settings(Idempotency::Idempotent));
     // One part in seven that goes to replica 1 runs for 350 ms; all else takes 80 ms.
     let costly = |s: &Sent| s.replica.0 == 1 && (s.part.0 / 100).is_multiple_of(7);
-    play(&mut r, 300, |s| Some(if costly(s) { 350 * MS } else { 80 * MS }));
-    let to = |n| r.sent.iter().filter(|s| s.replica.0 == n && s.attempt == 0).count();
+    play(&mut broker, 300, |s| Some(if costly(s) { 350 * MS } else { 80 * MS }));
+    let to = |n| broker.sent.iter().filter(|s| s.replica.0 == n && s.attempt == 0).count();
     // Those not overtaken still count against it, so it keeps a part of its share, not all.
     assert!(to(1) * 12 > (to(0) + to(2)) / 2, "{} {} {}", to(0), to(1), to(2));
 }
@@ -28,16 +28,16 @@
     let calls = |call_work| {
         let mut s = settings(Idempotency::Idempotent);
         (s.call_work, s.parts_per_call, s.shards) = (call_work, 16, 12);
-        let mut r = Root::new(s);
+        let mut broker = ScriptedBroker::new(s);
         let mut n = 0;
         for k in 0..50 {
-            let from = r.sent.len();
-            r.query(k * 200 * MS + MS, &[0, 1, 2, 6, 7, 8], 2 * S);
-            let mut to: Vec<u32> = r.sent[from..].iter().map(|s| s.replica.0).collect();
+            let from = broker.sent.len();
+            broker.query(k * 200 * MS + MS, &[0, 1, 2, 6, 7, 8], 2 * S);
+            let mut to: Vec<u32> = broker.sent[from..].iter().map(|s| s.replica.0).collect();
             to.sort();
             to.dedup();
             n += to.len();
-            r.answer_all(90 * MS, from);
+            broker.answer_all(90 * MS, from);
         }
         n
     };
@@ -46,30 +46,30 @@
 }
 
 #[test]
-fn what_was_heard_of_a_slow_replica_lasts_to_its_next_part() {
+fn a_slow_replica_is_remembered_until_its_next_part() {
     let firsts = |slow: Nanos| {
         let (mut n, mut all) = (0, 0);
         for seed in 0..20 {
-            let mut r = Root::seeded(settings(Idempotency::Idempotent), seed);
+            let mut broker = ScriptedBroker::seeded(settings(Idempotency::Idempotent), seed);
             let mut ends: Vec<(Nanos, Sent)> = vec![];
-            // One query of three parts every three seconds: a replica is heard every six.
+            // One query of three parts every three seconds: a replica answers every six.
             for k in 0..40 {
-                let from = r.sent.len();
-                r.query(MS + k * 3 * S, &[0, 2, 4], 2 * S);
-                ends.extend(r.sent[from..].iter().map(|s| {
-                    let lat = if s.replica.0 == 1 { slow } else { 80 * MS };
-                    (s.at + lat, s.clone())
+                let from = broker.sent.len();
+                broker.query(MS + k * 3 * S, &[0, 2, 4], 2 * S);
+                ends.extend(broker.sent[from..].iter().map(|s| {
+                    let latency = if s.replica.0 == 1 { slow } else { 80 * MS };
+                    (s.at + latency, s.clone())
                 }));
                 ends.sort_by_key(|(t, _)| *t);
                 for (t, s) in ends.drain(..) {
-                    r.now = t;
-                    let end = r.ended(&s, Outcome::Ok);
-                    r.at(t, &[end]);
+                    broker.now = t;
+                    let end = broker.ended(&s, Outcome::Ok);
+                    broker.at(t, &[end]);
                 }
             }
             let late = |s: &&Sent| s.attempt == 0 && s.at > 30 * S;
-            n += r.sent.iter().filter(late).filter(|s| s.replica.0 == 1).count();
-            all += r.sent.iter().filter(late).count();
+            n += broker.sent.iter().filter(late).filter(|s| s.replica.0 == 1).count();
+            all += broker.sent.iter().filter(late).count();
         }
         n as f64 / all as f64
     };
@@ -77,34 +77,35 @@
     assert!(slow > 0.0 && slow < even / 2.0, "{slow} of the parts went to it, {even} were it like the rest");
 }
 
-/// One of many brokers hears of a server every few seconds: a belief that needs five answers to change is ten seconds
-/// old. Over twenty such brokers, in seconds: how long until a replica that slowed gets less than a fifth of its share,
-/// and one that has healed gets a third of it again.
+/// One of many brokers gets an answer of a replica every few seconds: a mean of five answers is ten seconds
+/// old. Over twenty such brokers: how long until a replica that slowed gets less than a fifth of its
+/// share, and one that has recovered gets a third of it again.
 #[test]
-fn a_root_that_hears_little_changes_its_mind_within_seconds() {
-    let (slow, healed) = (20 * S, 40 * S);
+fn a_broker_with_few_answers_adapts_within_seconds() {
+    let (slow, recovered_at) = (20 * S, 40 * S);
     let mut to_zero = vec![];
     for seed in 0..20 {
-        let mut r = Root::seeded(Settings { may_hedge: false, ..settings(Idempotency::Idempotent) }, seed);
+        let mut broker =
+            ScriptedBroker::seeded(Settings { may_hedge: false, ..settings(Idempotency::Idempotent) }, seed);
         let mut done = vec![];
         for step in 0..6000 {
             let now = step * 10 * MS;
-            r.now = now;
-            done.resize(r.sent.len(), false);
+            broker.now = now;
+            done.resize(broker.sent.len(), false);
             let mut ends = vec![];
-            for (s, d) in r.sent.iter().zip(done.iter_mut()) {
-                let latency = if s.replica.0 == 0 && (slow..healed).contains(&s.at) { 240 } else { 60 };
+            for (s, d) in broker.sent.iter().zip(done.iter_mut()) {
+                let latency = if s.replica.0 == 0 && (slow..recovered_at).contains(&s.at) { 240 } else { 60 };
                 if !*d && s.at + latency * MS <= now {
                     *d = true;
-                    ends.push(r.ended(s, Outcome::Ok));
+                    ends.push(broker.ended(s, Outcome::Ok));
                 }
             }
-            r.at(now, &ends);
+            broker.at(now, &ends);
             if step % 100 == 0 {
-                r.query(now, &[0], 2 * S);
+                broker.query(now, &[0], 2 * S);
             }
         }
-        to_zero.extend(r.sent.iter().filter(|s| s.replica.0 == 0).map(|s| s.at));
+        to_zero.extend(broker.sent.iter().filter(|s| s.replica.0 == 0).map(|s| s.at));
     }
     // A fair share is a third of twenty queries a second.
     let share = |from: Nanos, to: Nanos| {
@@ -113,38 +114,38 @@
     };
     let before = share(0, slow);
     eprintln!(
-        "FIG {before} {} {} {} {}",
+        "shares: {before} {} {} {} {}",
         share(slow + 2 * S, slow + 5 * S),
         share(slow + 5 * S, slow + 10 * S),
-        share(slow + 10 * S, healed),
-        share(healed + 10 * S, 60 * S)
+        share(slow + 10 * S, recovered_at),
+        share(recovered_at + 10 * S, 60 * S)
     );
     assert!(before > 0.25 && before < 0.42, "{before}");
     let soon = share(slow + 2 * S, slow + 10 * S);
     assert!(soon < 0.07, "two to ten seconds after it slowed {soon}");
-    let after = share(healed + 10 * S, 60 * S);
-    assert!(after > 0.12, "ten seconds after it healed {after}");
+    let after = share(recovered_at + 10 * S, 60 * S);
+    assert!(after > 0.12, "ten seconds after it recovered {after}");
 }
 
 #[test]
-fn a_replica_that_loses_some_parts_and_answers_the_rest_fast_is_shunned_until_it_is_well() {
+fn a_replica_that_loses_some_parts_and_answers_the_rest_fast_is_avoided_until_it_recovers() {
     let mut s = settings(Idempotency::NonIdempotent);
     s.may_health_check = false;
-    let mut r = Root::new(s);
+    let mut broker = ScriptedBroker::new(s);
     let lost = |s: &Sent| s.at < 20 * S && s.replica.0 == 1 && (s.part.0 / 100).is_multiple_of(5);
     let mut done = vec![];
     for step in 0..10_000u64 {
         let now = (step + 1) * 5 * MS;
-        end_some(&mut r, now, &mut done, lost);
+        end_some(&mut broker, now, &mut done, lost);
         if step % 2 == 0 {
-            r.query(now, &[0, 2, 4], 2 * S);
+            broker.query(now, &[0, 2, 4], 2 * S);
         }
     }
-    // Replicas 3 and 5 are held to as much as 1 is.
+    // Replicas 3 and 5 have as many shards as 1.
     let to = |n: u32, from: Nanos| {
-        r.sent.iter().filter(|s| s.replica.0 == n && (from..from + 12 * S).contains(&s.at)).count()
+        broker.sent.iter().filter(|s| s.replica.0 == n && (from..from + 12 * S).contains(&s.at)).count()
     };
     let share = |from| 2 * to(1, from) * 100 / (to(3, from) + to(5, from));
     assert!(share(8 * S) < 30, "{} % of an even share while it lost parts", share(8 * S));
-    assert!(share(38 * S) > 60, "{} % of an even share when it was well", share(38 * S));
+    assert!(share(38 * S) > 60, "{} % of an even share when it had recovered", share(38 * S));
 }
--- a/tests/policy/rules.rs
+++ b/tests/policy/rules.rs
@@ -5,45 +5,45 @@
 use pebbleturn::*;
 
 #[test]
-fn every_query_gets_one_final_answer_in_time_though_nothing_answers() {
-    for late_worth in [0.0, 0.5] {
+fn every_query_gets_one_final_answer_in_time_even_without_any_response() {
+    for late_weight in [0.0, 0.5] {
         let mut s = settings(Idempotency::Idempotent);
-        s.classes[0].late_weight = late_worth;
-        let mut r = Root::new(s);
-        let (query, _) = r.query(0, &[0, 1], 2 * S);
-        r.idle(3 * S);
-        let finals = r.finals(query);
+        s.classes[0].late_weight = late_weight;
+        let mut broker = ScriptedBroker::new(s);
+        let (query, _) = broker.query(0, &[0, 1], 2 * S);
+        broker.idle(3 * S);
+        let finals = broker.finals(query);
         assert_eq!(finals.len(), 1, "{finals:?}");
         assert!(finals[0].0 <= 2 * S, "final answer at {}", finals[0].0);
-        assert!(r.sent.iter().all(|x| x.at <= finals[0].0), "a part was sent after the end");
+        assert!(broker.sent.iter().all(|x| x.at <= finals[0].0), "a part was sent after the end");
     }
 }
 
 #[test]
 fn a_query_is_ended_in_time_when_no_replica_is_listed() {
-    let mut r = Root::new(settings(Idempotency::Idempotent));
-    r.at(1, &[Event::EndpointList { full: true, entries: vec![] }]);
-    let (query, _) = r.query(2, &[0], S);
-    r.idle(2 * S);
-    assert_eq!(r.finals(query).len(), 1);
-    assert!(r.sent.is_empty());
+    let mut broker = ScriptedBroker::new(settings(Idempotency::Idempotent));
+    broker.at(1, &[Event::EndpointList { full: true, entries: vec![] }]);
+    let (query, _) = broker.query(2, &[0], S);
+    broker.idle(2 * S);
+    assert_eq!(broker.finals(query).len(), 1);
+    assert!(broker.sent.is_empty());
 }
 
 #[test]
-fn nothing_follows_the_end_of_a_query_whose_client_left() {
-    let mut r = Root::new(settings(Idempotency::Idempotent));
-    let (query, _) = r.query(0, &[0], 2 * S);
-    r.at(10 * MS, &[Event::ClientDisconnected { query }]);
-    let sent = r.sent.len();
-    let fail = r.ended(&r.sent[0].clone(), Outcome::ConnectionReset);
-    r.at(20 * MS, &[fail]);
-    r.idle(3 * S);
-    assert_eq!(r.sent.len(), sent);
-    assert!(r.finals(query).is_empty());
+fn nothing_is_sent_for_a_query_whose_client_disconnected() {
+    let mut broker = ScriptedBroker::new(settings(Idempotency::Idempotent));
+    let (query, _) = broker.query(0, &[0], 2 * S);
+    broker.at(10 * MS, &[Event::ClientDisconnected { query }]);
+    let sent = broker.sent.len();
+    let fail = broker.ended(&broker.sent[0].clone(), Outcome::ConnectionReset);
+    broker.at(20 * MS, &[fail]);
+    broker.idle(3 * S);
+    assert_eq!(broker.sent.len(), sent);
+    assert!(broker.finals(query).is_empty());
 }
 
 #[test]
-fn an_unsafe_part_goes_out_again_only_when_it_never_ran() {
+fn a_non_idempotent_part_is_retried_only_when_it_never_ran() {
     for (outcome, again) in [
         (Outcome::ConnectionReset, false),
         (Outcome::TimedOut, false),
@@ -51,92 +51,95 @@
         (Outcome::ConnectFailed, true),
         (Outcome::Rejected, true),
     ] {
-        let mut r = Root::new(settings(Idempotency::NonIdempotent));
-        r.query(0, &[0], 3 * S);
-        r.now = 20 * MS;
-        let end = r.ended(&r.sent[0].clone(), outcome);
-        r.at(20 * MS, &[end]);
-        r.idle(S);
-        assert_eq!(r.sent.len() > 1, again, "{outcome:?}");
+        let mut broker = ScriptedBroker::new(settings(Idempotency::NonIdempotent));
+        broker.query(0, &[0], 3 * S);
+        broker.now = 20 * MS;
+        let end = broker.ended(&broker.sent[0].clone(), outcome);
+        broker.at(20 * MS, &[end]);
+        broker.idle(S);
+        assert_eq!(broker.sent.len() > 1, again, "{outcome:?}");
     }
 }
 
 #[test]
-fn an_unsafe_part_gets_no_second_copy_and_its_query_is_not_refused_once_sent() {
-    let mut r = Root::new(settings(Idempotency::NonIdempotent));
-    let (query, _) = r.query(0, &[0], 3 * S);
-    r.idle(4 * S);
-    assert_eq!(r.sent.len(), 1);
-    assert!(matches!(r.finals(query)[..], [(_, Action::Fail { .. })]));
+fn a_non_idempotent_part_is_not_duplicated_and_its_query_is_not_rejected_once_sent() {
+    let mut broker = ScriptedBroker::new(settings(Idempotency::NonIdempotent));
+    let (query, _) = broker.query(0, &[0], 3 * S);
+    broker.idle(4 * S);
+    assert_eq!(broker.sent.len(), 1);
+    assert!(matches!(broker.finals(query)[..], [(_, Action::Fail { .. })]));
 }
 
 #[test]
-fn a_keyed_part_that_may_have_run_is_sent_again_only_inside_its_window() {
+fn a_part_with_an_idempotency_key_that_may_have_run_is_retried_only_inside_its_window() {
     for (at, again) in [(400 * MS, true), (600 * MS, false)] {
-        let mut r = Root::new(settings(Idempotency::IdempotencyKey { window: 500 * MS }));
-        r.query(0, &[0], 3 * S);
-        let first = r.sent[0].clone();
-        r.now = at;
-        let end = r.ended(&first, Outcome::ConnectionReset);
-        r.at(at, &[end]);
-        r.idle(2 * S);
-        // Late tries inside the window are allowed too; what counts is that none leaves it.
-        assert!(r.sent.iter().all(|s| s.at < 500 * MS), "{:?}", r.sent);
-        assert_eq!(r.sent.iter().any(|s| s.at == at), again);
+        let mut broker = ScriptedBroker::new(settings(Idempotency::IdempotencyKey { window: 500 * MS }));
+        broker.query(0, &[0], 3 * S);
+        let first = broker.sent[0].clone();
+        broker.now = at;
+        let end = broker.ended(&first, Outcome::ConnectionReset);
+        broker.at(at, &[end]);
+        broker.idle(2 * S);
+        // Late retries inside the window are allowed too; what counts is that none is after it.
+        assert!(broker.sent.iter().all(|s| s.at < 500 * MS), "{:?}", broker.sent);
+        assert_eq!(broker.sent.iter().any(|s| s.at == at), again);
     }
 }
 
 #[test]
-fn nothing_is_sent_to_a_replica_that_drains_or_is_gone() {
-    let mut r = Root::new(settings(Idempotency::Idempotent));
+fn nothing_is_sent_to_a_draining_or_removed_replica() {
+    let mut broker = ScriptedBroker::new(settings(Idempotency::Idempotent));
     let news = vec![line(0, ReplicaState::Draining, None), line(1, ReplicaState::Removed, None)];
-    r.at(MS, &[Event::EndpointList { full: false, entries: news }]);
+    broker.at(MS, &[Event::EndpointList { full: false, entries: news }]);
     for k in 0..60 {
-        r.query(2 * MS + k * 20 * MS, &[4, 5, 0, 1], 2 * S);
-        let from = r.sent.len().saturating_sub(4);
-        r.answer_all(10 * MS, from);
+        broker.query(2 * MS + k * 20 * MS, &[4, 5, 0, 1], 2 * S);
+        let from = broker.sent.len().saturating_sub(4);
+        broker.answer_all(10 * MS, from);
     }
-    assert!(r.sent.len() > 200);
-    assert!(r.sent.iter().all(|s| s.replica.0 > 1));
+    assert!(broker.sent.len() > 200);
+    assert!(broker.sent.iter().all(|s| s.replica.0 > 1));
 }
 
 #[test]
-fn a_cold_replica_gets_no_more_than_its_share_of_what_the_others_get() {
-    let mut r = Root::new(settings(Idempotency::Idempotent));
-    r.at(MS, &[Event::EndpointList { full: false, entries: vec![line(2, ReplicaState::Active, Some(MS))] }]);
-    // Its two fellow holders are gone: parts of shard 2 have nowhere else to go.
+fn a_warming_replica_gets_no_more_than_its_share_of_what_the_others_get() {
+    let mut broker = ScriptedBroker::new(settings(Idempotency::Idempotent));
+    broker.at(
+        MS,
+        &[Event::EndpointList { full: false, entries: vec![line(2, ReplicaState::Active, Some(MS))] }],
+    );
+    // The two other replicas of the shard were removed: parts of shard 2 have nowhere else to go.
     let gone = vec![line(3, ReplicaState::Removed, None), line(4, ReplicaState::Removed, None)];
-    r.at(2 * MS, &[Event::EndpointList { full: false, entries: gone }]);
+    broker.at(2 * MS, &[Event::EndpointList { full: false, entries: gone }]);
     let mut taken = 0;
     for k in 0..100 {
-        r.query(3 * MS + k * 20 * MS, &[2, 5, 0], 2 * S);
+        broker.query(3 * MS + k * 20 * MS, &[2, 5, 0], 2 * S);
         taken += 3;
     }
-    let cold = r.sent.iter().filter(|s| s.replica == ReplicaId(2)).count() as f64;
+    let cold = broker.sent.iter().filter(|s| s.replica == ReplicaId(2)).count() as f64;
     // Two seconds in, it can do 0.3 of its capacity for certain; half of three times that is what it may get.
     let share = taken as f64 / 4.0;
     assert!(cold >= 1.0 && cold <= 0.5 * 3.0 * 0.3 * share + 2.0, "{cold} of {share}");
 }
 
 #[test]
-fn answers_are_marked_whole_and_given_only_from_what_came() {
+fn answers_are_marked_complete_and_given_only_from_answered_parts() {
     let mut s = settings(Idempotency::Idempotent);
     s.classes[0].min_answer_share = 0.6;
     for (shards, whole) in [(vec![0, 3, 5], None), (vec![0, 2, 3, 5], Some(false))] {
-        let mut r = Root::new(s.clone());
-        let (query, _) = r.query(0, &shards, 2 * S);
-        r.now = 100 * MS;
+        let mut broker = ScriptedBroker::new(s.clone());
+        let (query, _) = broker.query(0, &shards, 2 * S);
+        broker.now = 100 * MS;
         // All but one, or, of three, all but two.
         let (last, out) = (shards.len() as u128, if whole.is_some() { 1 } else { 2 });
-        let ends: Vec<Event> = r
+        let ends: Vec<Event> = broker
             .sent
             .iter()
             .filter(|x| x.part.0 <= query.0 + last - out)
-            .map(|x| r.ended(x, Outcome::Ok))
+            .map(|x| broker.ended(x, Outcome::Ok))
             .collect();
-        r.at(100 * MS, &ends);
-        r.idle(3 * S);
-        let given = r.finals(query);
+        broker.at(100 * MS, &ends);
+        broker.idle(3 * S);
+        let given = broker.finals(query);
         match whole {
             Some(whole) => {
                 assert!(matches!(given[..], [(_, Action::Answer { complete: w, .. })] if w == whole))
@@ -144,102 +147,109 @@
             None => assert!(matches!(given[..], [(_, Action::Fail { .. })]), "{given:?}"),
         }
     }
-    let mut r = Root::new(s);
-    let (query, _) = r.query(0, &[0, 3], 2 * S);
-    r.answer_all(100 * MS, 0);
-    assert!(matches!(r.finals(query)[..], [(at, Action::Answer { complete: true, .. })] if at == 100 * MS));
+    let mut broker = ScriptedBroker::new(s);
+    let (query, _) = broker.query(0, &[0, 3], 2 * S);
+    broker.answer_all(100 * MS, 0);
+    assert!(
+        matches!(broker.finals(query)[..], [(at, Action::Answer { complete: true, .. })] if at == 100 * MS)
+    );
 }
 
 #[test]
-fn a_second_step_is_waited_for_and_whole_only_if_all_of_it_came() {
+fn a_second_step_is_awaited_and_complete_only_if_all_of_it_is_answered() {
     let mut s = settings(Idempotency::Idempotent);
     s.classes[0].fetch_parts = 1;
     for answered in [true, false] {
-        let mut r = Root::new(s.clone());
-        let (query, _) = r.query(0, &[0, 3], 2 * S);
-        r.answer_all(100 * MS, 0);
-        let from = r.sent.len();
-        let more = Event::Part { part: RequestId(999), job: r.job, shard: 0, weight: 1.0 };
-        r.at(105 * MS, &[more]);
-        assert!(r.sent[from..].iter().any(|x| x.part == RequestId(999)));
+        let mut broker = ScriptedBroker::new(s.clone());
+        let (query, _) = broker.query(0, &[0, 3], 2 * S);
+        broker.answer_all(100 * MS, 0);
+        let from = broker.sent.len();
+        let more = Event::Part { part: RequestId(999), job: broker.job, shard: 0, weight: 1.0 };
+        broker.at(105 * MS, &[more]);
+        assert!(broker.sent[from..].iter().any(|x| x.part == RequestId(999)));
         if answered {
-            r.answer_all(50 * MS, from);
+            broker.answer_all(50 * MS, from);
         }
-        r.idle(3 * S);
-        let finals = r.finals(query);
+        broker.idle(3 * S);
+        let finals = broker.finals(query);
         assert_eq!(finals.len(), 2, "{finals:?}");
         assert_eq!(matches!(finals[1].1, Action::Answer { complete: true, .. }), answered, "{finals:?}");
     }
 }
 
 #[test]
-fn further_attempts_stay_within_the_budget() {
+fn retries_stay_within_the_budget() {
     let mut s = settings(Idempotency::Idempotent);
     s.retry_budget = Some(RetryBudget { free: 2.0, share: 0.1, window: 2 * S });
     s.max_attempts = 9;
-    let mut r = Root::new(s);
+    let mut broker = ScriptedBroker::new(s);
     let mut taken: Vec<Nanos> = vec![];
     for k in 0..300 {
         let now = 5 * MS + k * 20 * MS;
-        r.now = now;
-        let ends: Vec<Event> =
-            r.sent.iter().filter(|x| x.at + 15 * MS == now).map(|x| r.ended(x, Outcome::Error)).collect();
-        r.at(now, &ends);
-        r.query(now + 5 * MS, &[0, 2, 4], S);
+        broker.now = now;
+        let ends: Vec<Event> = broker
+            .sent
+            .iter()
+            .filter(|x| x.at + 15 * MS == now)
+            .map(|x| broker.ended(x, Outcome::Error))
+            .collect();
+        broker.at(now, &ends);
+        broker.query(now + 5 * MS, &[0, 2, 4], S);
         taken.extend([now + 5 * MS; 4]);
     }
-    let extras: Vec<Nanos> = r.sent.iter().filter(|x| x.attempt > 0).map(|x| x.at).collect();
-    assert!(extras.len() > 10, "no further attempts were seen");
-    for t in &extras {
+    let retries: Vec<Nanos> = broker.sent.iter().filter(|x| x.attempt > 0).map(|x| x.at).collect();
+    assert!(retries.len() > 10, "no retries were seen");
+    for t in &retries {
         let inside = |v: &&Nanos| **v > t.saturating_sub(2 * S) && *v <= t;
-        let (made, took) = (extras.iter().filter(inside).count(), taken.iter().filter(inside).count());
+        let (made, took) = (retries.iter().filter(inside).count(), taken.iter().filter(inside).count());
         assert!(made as f64 <= 2.0 + 0.1 * took as f64, "{made} against {took} taken");
     }
 }
 
 #[test]
-fn a_list_that_must_be_asked_for_is_asked_for_again_after_a_failure_but_not_in_a_storm() {
+fn a_polled_endpoint_list_is_polled_again_after_a_failure_with_backoff() {
     let mut s = settings(Idempotency::Idempotent);
     s.discovery = Discovery::Polled;
-    let mut r = Root::new(s);
-    r.idle(10 * S);
-    let watches = |r: &Root| r.acts.iter().filter(|(_, a)| *a == Action::WatchEndpoints).count();
-    assert_eq!(watches(&r), 1);
+    let mut broker = ScriptedBroker::new(s);
+    broker.idle(10 * S);
+    let watches =
+        |broker: &ScriptedBroker| broker.actions.iter().filter(|(_, a)| *a == Action::WatchEndpoints).count();
+    assert_eq!(watches(&broker), 1);
     let mut last = 1;
     for k in 0..300 {
-        r.at(10 * S + k * 100 * MS, &[Event::TimerFired]);
-        if watches(&r) > last {
-            last = watches(&r);
-            r.at(r.now + MS, &[Event::WatchFailed]);
+        broker.at(10 * S + k * 100 * MS, &[Event::TimerFired]);
+        if watches(&broker) > last {
+            last = watches(&broker);
+            broker.at(broker.now + MS, &[Event::WatchFailed]);
         } else if k == 0 {
-            r.at(r.now + MS, &[Event::WatchFailed]);
+            broker.at(broker.now + MS, &[Event::WatchFailed]);
         }
     }
-    assert!((4..=15).contains(&last), "{last} asks in 30 s of failures");
+    assert!((4..=15).contains(&last), "{last} polls in 30 s of failures");
 }
 
 #[test]
-fn work_is_shared_by_weight() {
+fn parts_are_shared_by_replica_weight() {
     // Replicas 0 and 3 hold shard 0 together with others; all alike but for their weights.
-    let mut r = Root::new(Settings { may_hedge: false, ..settings(Idempotency::Idempotent) });
+    let mut broker = ScriptedBroker::new(Settings { may_hedge: false, ..settings(Idempotency::Idempotent) });
     let weights = [1.0, 3.0, 6.0];
     let lines =
         (0..3).map(|n| ReplicaEntry { weight: weights[n as usize], ..line(n, ReplicaState::Active, None) });
-    r.at(0, &[Event::EndpointList { full: true, entries: lines.collect() }]);
+    broker.at(0, &[Event::EndpointList { full: true, entries: lines.collect() }]);
     let mut came = [0.0; 3];
     for n in 0..4000u64 {
         let now = n * 40 * MS;
-        let (_, acts) = r.query(now, &[0], 2 * S);
-        let Some(Action::Send { replica, .. }) = acts.iter().find(|a| matches!(a, Action::Send { .. }))
+        let (_, actions) = broker.query(now, &[0], 2 * S);
+        let Some(Action::Send { replica, .. }) = actions.iter().find(|a| matches!(a, Action::Send { .. }))
         else {
-            panic!("{acts:?}")
+            panic!("{actions:?}")
         };
         came[replica.0 as usize] += 1.0;
-        let sent = r.sent.last().unwrap().clone();
-        r.now = now + 20 * MS;
-        let ended = r.ended(&sent, Outcome::Ok);
-        r.at(now + 20 * MS, &[ended]);
-        r.sent.clear();
+        let sent = broker.sent.last().unwrap().clone();
+        broker.now = now + 20 * MS;
+        let ended = broker.ended(&sent, Outcome::Ok);
+        broker.at(now + 20 * MS, &[ended]);
+        broker.sent.clear();
     }
     for (share, weight) in came.iter().zip(weights) {
         let (share, wanted) = (share / 4000.0, weight / 10.0);
