--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -9,6 +9,7 @@
 const LEAST_OBJECTIVE_SHARE: f64 = 0.75;
 const SAME_TIMEOUT_DEADLINE_SHARE: f64 = 0.01;
 const RETRY_AFTER_MEAN_OBJECTIVES: f64 = 0.25;
+const WAIT_MIN_LATE_WEIGHT: f64 = 0.2;
 
 /// Token bucket of one tenant at this broker.
 pub(super) struct TenantQuota {
@@ -17,9 +18,9 @@
 }
 
 impl TenantQuota {
-    /// Takes one token, of which `rate` are added a second; false if there is none.
-    fn take(&mut self, rate: f64, now: Nanos) -> bool {
-        self.tokens = (self.tokens + rate * (now - self.refilled_at) as f64 / 1e9).min(rate.max(1.0));
+    fn take(&mut self, rate_per_s: f64, now: Nanos) -> bool {
+        self.tokens =
+            (self.tokens + rate_per_s * (now - self.refilled_at) as f64 / 1e9).min(rate_per_s.max(1.0));
         self.refilled_at = now;
         let taken = self.tokens >= 1.0;
         self.tokens -= f64::from(taken);
@@ -52,6 +53,42 @@
 }
 
 impl Balancer {
+    pub(super) fn on_query(&mut self, e: &Event) {
+        let Event::Query { query, job, class, tenant, time_left, parts, work, is_retry } = e else { return };
+        let Some(c) = self.settings.classes.get(*class) else { return };
+        let deadline = self.now + time_left.saturating_sub(self.deadline_margin);
+        let spent = self.usual_timeouts[*class].time_spent(c, *time_left, *is_retry);
+        let extension = (c.objective_per_work * work.unwrap_or(0) as f64) as Nanos;
+        let objective = (c.latency_objective + extension).min(c.deadline).saturating_sub(spent);
+        let objective_at = (self.now + objective.saturating_sub(self.deadline_margin)).min(deadline);
+        let query_state = Query {
+            id: *query,
+            class: *class,
+            tenant: *tenant,
+            received_at: self.now,
+            expected_latency: None,
+            objective_at,
+            send_until: if c.late_weight < WAIT_MIN_LATE_WEIGHT { objective_at } else { deadline },
+            deadline,
+            expected_parts: *parts,
+            step: 0,
+            complete: true,
+            admitted: false,
+            parts: Vec::new(),
+        };
+        self.queries.insert(*job, query_state);
+        self.jobs.insert(*query, *job);
+        self.recent.requests.push_back(self.now);
+    }
+
+    pub(super) fn on_part(&mut self, job: u64, id: RequestId, shard: u32, weight: f64) {
+        self.recent.requests.push_back(self.now);
+        let Some(q) = self.queries.get_mut(&job) else { return };
+        q.parts.push(Part { id, shard, weight, step: q.step, attempts: Vec::new(), answered: false });
+        let idempotent = self.settings.classes[q.class].idempotency == Idempotency::Idempotent;
+        self.recent.idempotent_parts.extend(idempotent.then_some(self.now));
+    }
+
     pub(super) fn admit(&mut self, job: u64) -> bool {
         let rank = self.rank(job);
         let q = &self.queries[&job];
@@ -60,9 +97,8 @@
         let down = |id: &ReplicaId| down(&self.replicas[id]);
         let lost = q.parts.iter().filter(|p| self.replicas_of_shard(p.shard).iter().all(down));
         let lost_share = lost.map(|p| p.weight).sum::<f64>();
-        if lost_share > 1.0 - class.min_answer_share.min(class.complete_share) + WEIGHT_SUM_TOLERANCE {
-            return false;
-        }
+        let may_lose = 1.0 - class.min_answer_share.min(class.complete_share) + WEIGHT_SUM_TOLERANCE;
+        let unanswerable = lost_share > may_lose;
         let fastest = |p: &Part| {
             let replicas = self.replicas_of_shard(p.shard).into_iter();
             let sound = replicas.filter(|id| self.replicas[id].ejected.is_none());
@@ -72,11 +108,11 @@
         let usable = (LEAST_OBJECTIVE_SHARE + (1.0 - LEAST_OBJECTIVE_SHARE) * rank) / self.overrun_multiple;
         let time = (q.objective_at - self.now) as f64 * usable;
         // A retry with little of its objective left is no sign of overload.
-        if slowest > time.max(class.latency_objective as f64 * usable) {
+        if !unanswerable && slowest > time.max(class.latency_objective as f64 * usable) {
             self.last_overload_at = Some(self.now);
         }
-        self.queries.entry(job).and_modify(|q| q.expected_latency = slowest);
-        slowest <= time
+        self.queries.entry(job).and_modify(|q| q.expected_latency = Some(slowest));
+        !unanswerable && slowest <= time
     }
 
     /// Priority weight per part, relative to the best class and reduced beyond the tenant's quota.
@@ -89,25 +125,21 @@
         let rank = weight_per_part((&self.settings.classes[q.class], &self.mean_parts[q.class])) / best;
         let Some(tenant) = q.tenant.filter(|t| *t < self.quotas.len()) else { return rank };
         let rate = self.settings.tenants[tenant].quota_per_s / self.settings.brokers.max(1) as f64;
-        let within_quota = self.quotas[tenant].take(rate, self.now);
-        if within_quota { rank } else { rank * self.settings.over_quota_weight }
+        if self.quotas[tenant].take(rate, self.now) { rank } else { rank * self.settings.over_quota_weight }
     }
 
-    /// Learns how far queries overrun the latency that was expected of them.
     pub(super) fn record_overrun(&mut self, job: u64) {
         let Some(q) = self.queries.get_mut(&job) else { return };
-        q.overrun_recorded = true;
-        let overran = (self.now - q.received_at) as f64 > q.expected_latency * self.overrun_multiple;
+        let Some(expected) = q.expected_latency.take() else { return };
+        let overran = (self.now - q.received_at) as f64 > expected * self.overrun_multiple;
         let step = if overran { OVERRUN_QUANTILE } else { OVERRUN_QUANTILE - 1.0 };
         let multiple = self.overrun_multiple * (1.0 + OVERRUN_STEP * step);
         self.overrun_multiple = multiple.clamp(OVERRUN_MULTIPLE_MIN, OVERRUN_MULTIPLE_MAX);
     }
 
-    pub(super) fn reject(&mut self, job: u64, actions: &mut Vec<Action>) {
-        let query = self.queries[&job].id;
-        self.remove_query(job, actions);
+    pub(super) fn rejection(&mut self, query: RequestId) -> Action {
         let longest = if self.settings.may_send_retry_after { self.settings.max_retry_after } else { 0 };
         let wait = 2.0 * uniform(&mut self.rng) * RETRY_AFTER_MEAN_OBJECTIVES * self.fleet.objective;
-        actions.push(Action::Reject { query, retry_after: longest.min(wait as Nanos) });
+        Action::Reject { query, retry_after: longest.min(wait as Nanos) }
     }
 }
