--- a/lab/src/restart.rs
+++ b/lab/src/restart.rs
@@ -332,7 +332,7 @@
     };
     Snapshot {
         written: at,
-        synced: Some(at),
+        last_confirmed: Some(at),
         full_list: Some((0, 41, at)),
         pruned_up_to: None,
         rate: ChangeRate::NONE,
--- a/src/membership/endpoint_list.rs
+++ b/src/membership/endpoint_list.rs
@@ -1,47 +1,48 @@
-//! Discovery's own form of the list, as it stands on the wire and in the configuration.
+//! The endpoint list in discovery's own form, as it is sent and as the configuration carries it.
 
 use super::{NodeRecord, NodeState};
 use serde::{Deserialize, Serialize};
 
-/// The list as discovery tells it, or what changed in it.
+/// A full endpoint list, or the changes of one.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct EndpointList {
-    /// Its version.
+    /// Version of the list, counted by discovery.
     pub version: u64,
-    /// All of it.
+    /// Whether this is the full list; if not, it has only the endpoints that changed.
     pub full: bool,
-    /// Unix time at which it was last known to hold, ms, where that is told.
+    /// Unix time at which the list was last known to be current, ms, if the sender states it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub as_of_ms: Option<u64>,
-    /// The entries.
+    /// The endpoints.
     pub servers: Vec<Endpoint>,
 }
 
-/// One entry.
+/// One endpoint of the list.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Endpoint {
-    /// Its id.
+    /// Id of the node.
     pub id: String,
-    /// Its address, as text.
+    /// Address as text.
     #[serde(default)]
     pub addr: String,
-    /// Its zone.
+    /// Name of the zone.
     pub zone: Option<String>,
-    /// Its kind.
+    /// Kind of the node: what it speaks.
     #[serde(default)]
     pub kind: String,
-    /// Its cell.
+    /// Cell, which determines the partitions that the node holds.
     #[serde(default)]
     pub cell: u32,
-    /// What became of its process.
+    /// State of the node's process.
     pub state: NodeState,
-    /// Unix time of its start, ms; 0: long ago.
+    /// Unix time of the process start, ms; 0: long ago.
     #[serde(default)]
     pub started_ms: u64,
 }
 
 impl Endpoint {
-    /// What it says of the node. An address that can't be read is none.
+    /// The endpoint as a record of the node. An address that can't be parsed counts as none.
+    #[must_use]
     pub fn record(&self) -> NodeRecord {
         NodeRecord {
             id: self.id.clone(),
--- a/src/membership/gossip_hints.rs
+++ b/src/membership/gossip_hints.rs
@@ -1,7 +1,8 @@
-//! What other brokers have heard of nodes from discovery: it makes this broker more careful, never bolder.
+//! Hints of other brokers about nodes, received by gossip. They make this broker more careful, never less.
 //!
-//! A node that somebody has heard to drain is shown as draining until this broker's own list is as new, or the node has
-//! started anew; a start that somebody has heard of counts where it is later than one's own. No node is named by it.
+//! A node that another broker knows to be terminating is reported as draining until this broker's own list is as new,
+//! or the node has restarted; a process start that another broker knows counts if it is later than the local one. Hints
+//! never add a node.
 
 use super::NodeChange;
 use crate::api::{Nanos, ReplicaState};
@@ -9,127 +10,147 @@
 use crate::replication::derived_state::NodeHints;
 use std::collections::BTreeMap;
 
-/// Where this broker's own word on a node comes from.
+/// What this broker's own sources say of a node.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LocalHints {
-    /// Its start as the own list has it, unix ns; 0: long ago.
+    /// The node's process start in the own list, unix ns; 0: long ago.
     pub started: Nanos,
-    /// The own list's version.
+    /// Version of the own list.
     pub version: u64,
 }
 
-/// Most nodes of which others' words are held: ids are always new, and what is gone must not add up.
+/// Most nodes of which hints are stored: ids are never reused, and nodes that are gone must not accumulate.
 const MAX_HINTED_NODES: usize = 16_384;
 
-/// What others have heard, and what the own sources say.
+/// A node as the own sources reported it last.
+#[derive(Clone, Debug)]
+struct LocalNode {
+    change: NodeChange,
+    hints: LocalHints,
+}
+
+/// The hints of other brokers, and the nodes that they are applied to.
 #[derive(Debug, Default)]
 pub struct PeerHints {
     hints: BTreeMap<String, NodeHints>,
-    /// The last that the own sources told of each node that is listed.
-    local: BTreeMap<String, (NodeChange, LocalHints)>,
+    /// The nodes that the own list names.
+    local: BTreeMap<String, LocalNode>,
 }
 
 impl PeerHints {
-    /// The drain that others have heard of holds a node back.
-    fn is_drained(heard: &NodeHints, own: LocalHints) -> bool {
-        let drained = |d: &ProcessStart| {
-            let later = d.started > own.started || (d.started == own.started && d.version > own.version);
-            // One that started after it was told to drain is another process.
-            later && d.started >= heard.started
+    /// Whether a peer knows of a drain that the own list does not have yet.
+    fn is_drained(hints: &NodeHints, local: LocalHints) -> bool {
+        let is_newer = |drain: &ProcessStart| {
+            let newer = (drain.started, drain.version) > (local.started, local.version);
+            // A process that started after the drain is another one.
+            newer && drain.started >= hints.started
         };
-        heard.drain.as_ref().is_some_and(drained)
+        hints.drain.as_ref().is_some_and(is_newer)
     }
 
-    fn with_hints(&self, change: &NodeChange, own: LocalHints) -> NodeChange {
+    fn with_hints(&self, change: &NodeChange, local: LocalHints) -> NodeChange {
         let mut change = change.clone();
-        if let Some(heard) = self.hints.get(&change.id)
+        if let Some(hints) = self.hints.get(&change.id)
             && change.entry.state != ReplicaState::Removed
         {
-            if change.entry.state == ReplicaState::Active && PeerHints::is_drained(heard, own) {
+            if change.entry.state == ReplicaState::Active && PeerHints::is_drained(hints, local) {
                 change.entry.state = ReplicaState::Draining;
             }
-            if heard.started > own.started {
-                change.entry.started = change.entry.started.max(Some(heard.started));
+            if hints.started > local.started {
+                change.entry.started = change.entry.started.max(Some(hints.started));
             }
         }
         change
     }
 
-    /// What is to be told on, of changes that the own sources bring; `own` tells what these rest on.
+    fn current(&self, id: &str) -> Option<NodeChange> {
+        self.local.get(id).map(|node| self.with_hints(&node.change, node.hints))
+    }
+
+    /// Applies the hints to changes from the own sources; `local_hints` returns what these sources say of a node.
     pub fn apply_changes(
         &mut self,
         changes: Vec<NodeChange>,
-        own: impl Fn(&str) -> LocalHints,
+        local_hints: impl Fn(&str) -> LocalHints,
     ) -> Vec<NodeChange> {
         changes
             .into_iter()
             .map(|change| {
-                let of = own(&change.id);
-                let shown = self.with_hints(&change, of);
-                if change.entry.state == ReplicaState::Removed {
-                    let moved = self
-                        .local
-                        .get(&change.id)
-                        .is_some_and(|(c, _)| c.entry.replica != change.entry.replica);
-                    // One that moved is gone under its old number after it was named under its new one.
-                    if !moved {
-                        self.local.remove(&change.id);
-                    }
-                } else {
-                    self.local.insert(change.id.clone(), (change, of));
-                }
-                shown
+                let hints = local_hints(&change.id);
+                let hinted = self.with_hints(&change, hints);
+                self.store_local(change, hints);
+                hinted
             })
             .collect()
     }
 
-    /// Others have heard this of a node. Tells what is to be told on, if this broker's own list names it.
-    pub fn on_hint(&mut self, id: &str, heard: NodeHints) -> Option<NodeChange> {
-        let before = self.local.get(id).map(|(c, own)| self.with_hints(c, *own));
-        self.hints.insert(id.to_owned(), heard);
+    fn store_local(&mut self, change: NodeChange, hints: LocalHints) {
+        if change.entry.state != ReplicaState::Removed {
+            self.local.insert(change.id.clone(), LocalNode { change, hints });
+            return;
+        }
+        // A node that moved is removed under its old replica number after it was added under the new one.
+        let stored = self.local.get(&change.id);
+        let moved = stored.is_some_and(|node| node.change.entry.replica != change.entry.replica);
+        if !moved {
+            self.local.remove(&change.id);
+        }
+    }
+
+    /// Stores hints of a peer. Returns the change that follows, if the own list names the node.
+    pub fn on_hint(&mut self, id: &str, hints: NodeHints) -> Option<NodeChange> {
+        let before = self.current(id);
+        self.hints.insert(id.to_owned(), hints);
         if self.hints.len() > MAX_HINTED_NODES {
-            // What no list of one's own names goes first, the earliest start of it.
+            // Nodes that the own list does not name are removed first, the earliest start of them.
             let unlisted = self.hints.iter().filter(|(id, _)| !self.local.contains_key(*id));
-            let earliest = unlisted.min_by_key(|(_, h)| h.started).map(|(id, _)| id.clone());
+            let earliest = unlisted.min_by_key(|(_, hints)| hints.started).map(|(id, _)| id.clone());
             earliest.and_then(|id| self.hints.remove(&id));
         }
-        let now = self.local.get(id).map(|(c, own)| self.with_hints(c, *own));
-        now.filter(|change| before.as_ref() != Some(change))
+        self.current(id).filter(|change| before.as_ref() != Some(change))
     }
 
-    /// The own list has another version, or discovery counts anew (`anew`: what others heard before says nothing any
-    /// more). Tells what is to be told on.
-    pub fn on_list_change(&mut self, anew: bool, own: impl Fn(&str) -> LocalHints) -> Vec<NodeChange> {
+    /// Applies the hints anew when the own list has another version. `version_reset`: discovery's versions were reset,
+    /// and drains that peers knew before are dropped. Returns the changes that follow.
+    pub fn on_list_change(
+        &mut self,
+        version_reset: bool,
+        local_hints: impl Fn(&str) -> LocalHints,
+    ) -> Vec<NodeChange> {
         let mut changes = Vec::new();
-        let ids: Vec<String> = self.hints.keys().filter(|id| self.local.contains_key(*id)).cloned().collect();
+        let is_listed = |id: &&String| self.local.contains_key(*id);
+        let ids: Vec<String> = self.hints.keys().filter(is_listed).cloned().collect();
         for id in ids {
-            let Some((change, was)) = self.local.get(&id).cloned() else { continue };
-            let (before, of) = (self.with_hints(&change, was), own(&id));
-            if anew && let Some(h) = self.hints.get_mut(&id) {
-                h.drain = None;
+            let Some(node) = self.local.get(&id).cloned() else { continue };
+            let before = self.with_hints(&node.change, node.hints);
+            let hints = local_hints(&id);
+            if version_reset && let Some(hinted) = self.hints.get_mut(&id) {
+                hinted.drain = None;
             }
-            let now = self.with_hints(&change, of);
-            self.local.insert(id, (change, of));
-            if now != before {
-                changes.push(now);
+            let after = self.with_hints(&node.change, hints);
+            self.local.insert(id, LocalNode { hints, ..node });
+            if after != before {
+                changes.push(after);
             }
         }
-        if anew {
-            self.hints.values_mut().for_each(|h| h.drain = None);
+        if version_reset {
+            self.hints.values_mut().for_each(|hints| hints.drain = None);
         }
         changes
     }
 
-    /// Nodes of which others' words are held.
+    /// Number of nodes of which hints are stored.
+    #[must_use]
     pub fn hinted_count(&self) -> usize {
         self.hints.len()
     }
 
-    /// Nodes that are held back.
+    /// Number of nodes that are draining by a peer's hint.
+    #[must_use]
     pub fn drained_count(&self) -> usize {
-        let held = |(id, (_, own)): (&String, &(NodeChange, LocalHints))| {
-            self.hints.get(id).is_some_and(|h| PeerHints::is_drained(h, *own))
+        let is_drained = |(id, node): &(&String, &LocalNode)| {
+            self.hints.get(*id).is_some_and(|hints| PeerHints::is_drained(hints, node.hints))
         };
-        self.local.iter().filter(|e| held(*e)).count()
+        self.local.iter().filter(is_drained).count()
     }
 }
--- a/src/membership/manual_override.rs
+++ b/src/membership/manual_override.rs
@@ -1,76 +1,82 @@
-//! Servers that staff have taken out: a word that stands above every other source until staff take it back.
+//! Nodes that an operator has suspended by command. A suspension outranks every other source until it is lifted.
 //!
-//! What the other sources have come to say of each server is kept as it is, and shown as draining while the word holds:
-//! a server that moves, goes and comes back, or restarts meanwhile stays out.
+//! What the other sources report of a node is stored as it is, and passed on as draining while the node is suspended: a
+//! node that moves, is removed and listed again, or restarts meanwhile stays suspended.
 
 use super::NodeChange;
 use crate::api::{ReplicaId, ReplicaState};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// An id that no list has ever named.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// The id of a command was never listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("no list has named this node")]
 pub struct UnknownNode;
 
-/// Most servers that are gone and still known by their ids.
+/// Most removed nodes whose ids are still known.
 const MAX_REMOVED_NODES: usize = 4096;
 
-/// Who is out by hand, and what would hold otherwise.
+/// The suspended nodes, and the last change of each node from the other sources.
 #[derive(Debug, Default)]
 pub struct ManualOverrides {
     suspended: BTreeSet<String>,
-    /// The last that was told of each server.
     latest: BTreeMap<String, NodeChange>,
     removed: BTreeSet<String>,
 }
 
 impl ManualOverrides {
-    /// Nobody is out but these: what an earlier process handed over.
-    pub fn with_suspended(out: impl IntoIterator<Item = String>) -> ManualOverrides {
-        ManualOverrides { suspended: out.into_iter().collect(), ..ManualOverrides::default() }
+    /// Overrides that suspend these nodes only, as handed over by an earlier process.
+    #[must_use]
+    pub fn with_suspended(ids: impl IntoIterator<Item = String>) -> ManualOverrides {
+        ManualOverrides { suspended: ids.into_iter().collect(), ..ManualOverrides::default() }
     }
 
-    /// Servers of the list that are out.
+    /// Number of listed nodes that are suspended.
+    #[must_use]
     pub fn listed_suspended(&self) -> usize {
-        let there =
-            |id: &&String| self.latest.get(*id).is_some_and(|c| c.entry.state != ReplicaState::Removed);
-        self.suspended.iter().filter(there).count()
+        let is_listed = |id: &&String| {
+            self.latest.get(*id).is_some_and(|change| change.entry.state != ReplicaState::Removed)
+        };
+        self.suspended.iter().filter(is_listed).count()
     }
 
-    /// The number under which a server takes parts, or took them until it was gone.
+    /// The replica number of a node, or the last one of a removed node.
+    #[must_use]
     pub fn replica(&self, id: &str) -> Option<ReplicaId> {
-        self.latest.get(id).map(|c| c.entry.replica)
+        self.latest.get(id).map(|change| change.entry.replica)
     }
 
-    /// Whether any list has named it.
+    /// Whether any list has named this node, or it is suspended.
+    #[must_use]
     pub fn knows(&self, id: &str) -> bool {
         self.latest.contains_key(id) || self.suspended.contains(id)
     }
 
-    /// What is to be told on, of changes that the other sources bring.
+    /// Applies the overrides to changes from the other sources.
     pub fn apply_changes(&mut self, changes: Vec<NodeChange>) -> Vec<NodeChange> {
         changes.into_iter().map(|change| self.apply_change(change)).collect()
     }
 
     fn apply_change(&mut self, change: NodeChange) -> NodeChange {
-        if change.entry.state == ReplicaState::Removed {
-            // Guards memory over a long run: the oldest name goes first, as far as names tell.
+        let removed = change.entry.state == ReplicaState::Removed;
+        if removed {
+            // Bounds memory over a long run: the lowest id is taken for the oldest.
             if self.removed.len() >= MAX_REMOVED_NODES
-                && let Some(old) = self.removed.pop_first()
+                && let Some(oldest) = self.removed.pop_first()
             {
-                self.latest.remove(&old);
+                self.latest.remove(&oldest);
             }
             self.removed.insert(change.id.clone());
         } else {
             self.removed.remove(&change.id);
         }
-        let shown = self.overridden(change.clone());
-        // One that moved is gone under its old number after it was named under its new one.
-        let stale = change.entry.state == ReplicaState::Removed
-            && self.latest.get(&change.id).is_some_and(|c| c.entry.replica != change.entry.replica);
-        if !stale {
+        let overridden = self.overridden(change.clone());
+        // A node that moved is removed under its old replica number after it was added under the new one.
+        let stored = self.latest.get(&change.id);
+        let moved = removed && stored.is_some_and(|stored| stored.entry.replica != change.entry.replica);
+        if !moved {
             self.latest.insert(change.id.clone(), change);
         }
-        shown
+        overridden
     }
 
     fn overridden(&self, mut change: NodeChange) -> NodeChange {
@@ -80,21 +86,30 @@
         change
     }
 
-    /// Takes a server out. Again makes no difference. Tells what is to be told on.
+    /// Suspends a node; idempotent. Returns the change that follows, if any. `ever_listed`: another source knows the id.
+    ///
+    /// # Errors
+    ///
+    /// [`UnknownNode`] if no list has ever named the id.
     pub fn suspend(&mut self, id: &str, ever_listed: bool) -> Result<Option<NodeChange>, UnknownNode> {
-        if !ever_listed && !self.knows(id) {
-            return Err(UnknownNode);
-        }
-        let new = self.suspended.insert(id.to_owned());
-        Ok(self.latest.get(id).filter(|_| new).map(|c| self.overridden(c.clone())))
+        self.check_known(id, ever_listed)?;
+        let newly_suspended = self.suspended.insert(id.to_owned());
+        let latest = self.latest.get(id).filter(|_| newly_suspended);
+        Ok(latest.map(|change| self.overridden(change.clone())))
     }
 
-    /// Puts a server back, however often it was taken out. Tells what is to be told on.
+    /// Lifts the suspension of a node, however often it was suspended. Returns the change that follows, if any.
+    ///
+    /// # Errors
+    ///
+    /// [`UnknownNode`] if no list has ever named the id.
     pub fn restore(&mut self, id: &str, ever_listed: bool) -> Result<Option<NodeChange>, UnknownNode> {
-        if !ever_listed && !self.knows(id) {
-            return Err(UnknownNode);
-        }
-        let was = self.suspended.remove(id);
-        Ok(self.latest.get(id).filter(|_| was).cloned())
+        self.check_known(id, ever_listed)?;
+        let was_suspended = self.suspended.remove(id);
+        Ok(self.latest.get(id).filter(|_| was_suspended).cloned())
+    }
+
+    fn check_known(&self, id: &str, ever_listed: bool) -> Result<(), UnknownNode> {
+        if ever_listed || self.knows(id) { Ok(()) } else { Err(UnknownNode) }
     }
 }
--- a/src/membership/merged_view.rs
+++ b/src/membership/merged_view.rs
@@ -1,47 +1,50 @@
-//! What is believed of each node, merged from facts whose order of arrival does not matter.
+//! The merged view of all nodes, which does not depend on the order in which records arrive.
 //!
-//! For each node and source a few registers are kept: the fact with the highest stamp, the last one that it drains
-//! or is gone, the last one that it is ready, and the one of the latest start. Beside them, each source has the
-//! stamp of its latest whole list, under which every fact has been replaced. All of them only grow, by a total
-//! order, so any order of the same facts ends in the same belief. A drain gives way only to a higher stamp or to a
-//! start after it was learnt; to the first list of a source that counts anew it gives way only by such a start.
+//! For each node and source a few registers are stored: the record with the highest version, the last one that is
+//! terminating or gone, the last one that is ready, and the one with the latest process start. Beside them, each source
+//! has the version of its latest full list, which replaces all records before it. All of them only grow, by a total
+//! order, so any order of the same records ends in the same view. A drain gives way only to a higher version or to a
+//! process start after it was learned; to the first list after a reset of the source's versions it gives way only by
+//! such a start.
 
 use super::{NodeRecord, NodeState, SourcePriority, SourceVersion};
 use crate::api::Nanos;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-/// Most nodes that are gone and still known as such. Above that the oldest go, and unknown nodes whose facts are
-/// as old as those are not believed any more: ids are always new, and what is gone must not add up.
+/// Most nodes that are gone and still stored. Above that the oldest are removed, and records of unknown nodes that
+/// are as old as those are ignored: ids are never reused, and nodes that are gone must not accumulate.
 pub const MAX_GONE_NODES: usize = 512;
 
-/// A fact with its place and the time it was first heard.
+/// A record with its version and the time at which it was first received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VersionedRecord {
-    /// The fact.
+    /// The record.
     pub record: NodeRecord,
     /// Its place in its source's order.
     pub source_version: SourceVersion,
-    /// When this broker first heard it, unix ns.
+    /// When this broker first received it, unix ns.
     pub received: Nanos,
-    /// It comes from the first list of a source that counts anew, and may be from before what was learnt last.
+    /// Whether it came with the first list after a reset of its source's versions, and may be older than what was
+    /// learned before.
     pub after_reset: bool,
 }
 
-type PrecedenceKey<'a> = (SourceVersion, NodeState, &'a NodeRecord, Reverse<Nanos>, bool);
+/// The total order of records: the greater one takes precedence.
+type Precedence<'a> = (SourceVersion, NodeState, &'a NodeRecord, Reverse<Nanos>, bool);
 
 impl VersionedRecord {
-    fn precedence(&self) -> PrecedenceKey<'_> {
-        // The earlier hearing of one fact counts: a drain is learnt once.
+    fn precedence(&self) -> Precedence<'_> {
+        // Of equal records the one received earlier counts: a drain is learned once.
         (self.source_version, self.record.state, &self.record, Reverse(self.received), self.after_reset)
     }
 
-    fn start_precedence(&self) -> (Nanos, PrecedenceKey<'_>) {
+    fn start_precedence(&self) -> (Nanos, Precedence<'_>) {
         (self.record.started, self.precedence())
     }
 
-    /// Whether it can name a later life: ready, with a start that had been when it was heard. Guards against
-    /// starts in the future, which would outlast every drain.
+    /// Whether it can prove a restart: it is ready, and its process start was in the past when it was received.
+    /// A start in the future would outlast every drain.
     fn proves_restart(&self) -> bool {
         self.record.state == NodeState::Ready
             && self.record.started > 0
@@ -49,75 +52,80 @@
     }
 }
 
+/// The records that one source has reported of one node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct NodeRecords {
     latest: VersionedRecord,
-    /// The last word that it drains or is gone, and the last that it is ready, but for lists that count anew.
+    /// The last record that is terminating or gone.
     drain: Option<VersionedRecord>,
+    /// The last record that is ready, except from the first list after a reset.
     ready: Option<VersionedRecord>,
-    /// The word of the latest start.
+    /// The record with the latest process start.
     latest_start: Option<VersionedRecord>,
 }
 
 impl NodeRecords {
-    fn new(known: VersionedRecord) -> NodeRecords {
-        let mut held = NodeRecords { latest: known.clone(), drain: None, ready: None, latest_start: None };
-        held.insert(&known);
-        held
+    fn new(record: VersionedRecord) -> NodeRecords {
+        let mut records =
+            NodeRecords { latest: record.clone(), drain: None, ready: None, latest_start: None };
+        records.insert(&record);
+        records
     }
 
-    fn insert(&mut self, known: &VersionedRecord) {
-        if known.precedence() > self.latest.precedence() {
-            self.latest = known.clone();
+    fn insert(&mut self, new: &VersionedRecord) {
+        if new.precedence() > self.latest.precedence() {
+            self.latest = new.clone();
         }
-        let higher = |held: &Option<VersionedRecord>| {
-            held.as_ref().is_none_or(|h| known.precedence() > h.precedence())
+        let precedes = |stored: &Option<VersionedRecord>| {
+            stored.as_ref().is_none_or(|stored| new.precedence() > stored.precedence())
         };
-        match known.record.state {
-            NodeState::Ready if known.after_reset => {}
-            NodeState::Ready if higher(&self.ready) => self.ready = Some(known.clone()),
-            NodeState::Terminating | NodeState::Gone if higher(&self.drain) => {
-                self.drain = Some(known.clone())
+        match new.record.state {
+            NodeState::Ready if new.after_reset => {}
+            NodeState::Ready if precedes(&self.ready) => self.ready = Some(new.clone()),
+            NodeState::Terminating | NodeState::Gone if precedes(&self.drain) => {
+                self.drain = Some(new.clone());
             }
             _ => {}
         }
-        if known.proves_restart()
-            && self.latest_start.as_ref().is_none_or(|l| known.start_precedence() > l.start_precedence())
-        {
-            self.latest_start = Some(known.clone());
+        let later_start = |stored: &VersionedRecord| new.start_precedence() > stored.start_precedence();
+        if new.proves_restart() && self.latest_start.as_ref().is_none_or(later_start) {
+            self.latest_start = Some(new.clone());
         }
     }
 
-    /// The fact that speaks for the node, but for later lives.
+    /// The record that determines the node's state, unless a restart was proved.
     fn authoritative(&self) -> &VersionedRecord {
         match &self.drain {
-            // A list that counts anew may be from before the drain.
-            Some(d)
+            // The first list after a reset may be older than the drain.
+            Some(drain)
                 if self.latest.after_reset
-                    && self.ready.as_ref().is_none_or(|r| r.source_version < d.source_version) =>
+                    && self.ready.as_ref().is_none_or(|r| r.source_version < drain.source_version) =>
             {
-                d
+                drain
             }
             _ => &self.latest,
         }
     }
 
-    /// All that is held, each fact once.
+    /// All stored records, each once.
     fn distinct(&self) -> impl Iterator<Item = &VersionedRecord> {
         let all = [Some(&self.latest), self.drain.as_ref(), self.ready.as_ref(), self.latest_start.as_ref()];
-        (0..4).filter_map(move |n| all[n].filter(|k| !all[..n].contains(&Some(*k))))
+        (0..all.len()).filter_map(move |n| all[n].filter(|record| !all[..n].contains(&Some(*record))))
     }
 }
 
-/// All that one source told.
-#[derive(Clone, Debug)]
+/// Number of new nodes after which nodes that are gone are counted again, so that not each report scans all nodes.
+const PRUNE_INTERVAL_NODES: usize = 64;
+
+/// All that one source has reported.
+#[derive(Clone, Debug, Default)]
 struct SourceView {
     nodes: BTreeMap<String, NodeRecords>,
-    /// Stamp of the latest whole list, and when it was first heard.
+    /// Version of the latest full list, and when it was first received.
     full_list: Option<(SourceVersion, Reverse<Nanos>)>,
-    /// Facts up to here about nodes that are not known are not believed.
+    /// Version up to which records of unknown nodes are ignored.
     pruned_up_to: Option<SourceVersion>,
-    /// Nodes that were held when those that are gone were last counted.
+    /// Number of nodes when those that are gone were last counted.
     nodes_at_last_prune: usize,
 }
 
@@ -130,185 +138,187 @@
 
 impl Eq for SourceView {}
 
-/// New nodes after which those that are gone are counted again: not each piece of news looks through all.
-const PRUNE_INTERVAL_NODES: usize = 64;
-
 impl SourceView {
-    const fn new() -> SourceView {
-        SourceView { nodes: BTreeMap::new(), full_list: None, pruned_up_to: None, nodes_at_last_prune: 0 }
+    fn insert(&mut self, record: VersionedRecord) {
+        if let Some(records) = self.nodes.get_mut(&record.record.id) {
+            records.insert(&record);
+        } else if self.pruned_up_to.is_none_or(|version| record.source_version > version) {
+            self.nodes.insert(record.record.id.clone(), NodeRecords::new(record));
+        }
     }
 
-    fn insert(&mut self, known: VersionedRecord) {
-        if let Some(held) = self.nodes.get_mut(&known.record.id) {
-            held.insert(&known);
-        } else if self.pruned_up_to.is_none_or(|f| known.source_version > f) {
-            self.nodes.insert(known.record.id.clone(), NodeRecords::new(known));
-        }
+    fn insert_full_list(&mut self, version: SourceVersion, received: Nanos) {
+        self.full_list = self.full_list.max(Some((version, Reverse(received))));
     }
 
-    /// What is believed of a node, and since when that has been known.
-    fn view<'a>(&'a self, held: &'a NodeRecords) -> NodeView<'a> {
-        let replaced = self.full_list.filter(|(stamp, _)| held.latest.source_version < *stamp);
-        let speaks = held.authoritative();
-        let (state, learnt) = match replaced {
-            // A whole list that leaves it out, unless it was known to be gone before.
-            Some((_, Reverse(heard))) if speaks.record.state == NodeState::Ready => (NodeState::Gone, heard),
-            Some((_, Reverse(heard))) => (NodeState::Gone, heard.max(speaks.received)),
-            _ => (speaks.record.state, speaks.received),
+    /// Version and time of the full list that omits the node, if there is one.
+    fn omitted_by(&self, records: &NodeRecords) -> Option<(SourceVersion, Reverse<Nanos>)> {
+        self.full_list.filter(|(version, _)| records.latest.source_version < *version)
+    }
+
+    fn view<'a>(&'a self, records: &'a NodeRecords) -> NodeView<'a> {
+        let authoritative = records.authoritative();
+        let (state, learned) = match self.omitted_by(records) {
+            Some((_, Reverse(received))) if authoritative.record.state == NodeState::Ready => {
+                (NodeState::Gone, received)
+            }
+            // It was known to be terminating or gone before.
+            Some((_, Reverse(received))) => (NodeState::Gone, received.max(authoritative.received)),
+            None => (authoritative.record.state, authoritative.received),
         };
-        match &held.latest_start {
-            Some(life) if state != NodeState::Ready && life.record.started > learnt => {
-                NodeView { versioned: life, state: NodeState::Ready, learned: life.received }
+        match &records.latest_start {
+            Some(restart) if state != NodeState::Ready && restart.record.started > learned => {
+                NodeView { versioned: restart, state: NodeState::Ready, learned: restart.received }
             }
-            _ => NodeView { versioned: speaks, state, learned: learnt },
+            _ => NodeView { versioned: authoritative, state, learned },
         }
     }
 
+    fn node(&self, id: &str) -> Option<NodeView<'_>> {
+        self.nodes.get(id).map(|records| self.view(records))
+    }
+
     fn prune(&mut self, full: bool) {
         if !full && self.nodes.len() < self.nodes_at_last_prune + PRUNE_INTERVAL_NODES {
             return;
         }
         self.nodes_at_last_prune = self.nodes.len();
         let mut gone: Vec<(SourceVersion, String)> = Vec::new();
-        for (id, held) in &self.nodes {
-            if self.view(held).state == NodeState::Gone {
-                gone.push((held.latest.source_version, id.clone()));
+        for (id, records) in &self.nodes {
+            if self.view(records).state == NodeState::Gone {
+                gone.push((records.latest.source_version, id.clone()));
             }
         }
         if gone.len() <= MAX_GONE_NODES {
             return;
         }
         gone.sort_unstable();
-        // Some at a time, so that not each new one looks through all.
-        let over = gone.len() - MAX_GONE_NODES / 2;
-        for (stamp, id) in gone.drain(..over) {
+        // Half of them at a time, so that not each new one scans all nodes.
+        let excess = gone.len() - MAX_GONE_NODES / 2;
+        for (version, id) in gone.drain(..excess) {
             self.nodes.remove(&id);
-            self.pruned_up_to = self.pruned_up_to.max(Some(stamp));
+            self.pruned_up_to = self.pruned_up_to.max(Some(version));
         }
         self.nodes_at_last_prune = self.nodes.len();
     }
 }
 
-/// What is believed of one node.
+/// The merged state of one node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NodeView<'a> {
-    /// The fact that speaks for it.
+    /// The record that determines the state.
     pub versioned: &'a VersionedRecord,
-    /// Its state: the fact's own, or gone where a whole list left the node out.
+    /// The node's state: the record's own, or gone if a full list omitted the node.
     pub state: NodeState,
-    /// When that was learnt.
+    /// When the state was learned, unix ns.
     pub learned: Nanos,
 }
 
-/// What is believed of all nodes.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// The merged state of all nodes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct MergedView {
     operator: SourceView,
     directory: SourceView,
 }
 
-impl Default for MergedView {
-    fn default() -> MergedView {
-        MergedView { operator: SourceView::new(), directory: SourceView::new() }
-    }
-}
-
 impl MergedView {
-    fn source_mut(&mut self, rank: SourcePriority) -> &mut SourceView {
-        match rank {
+    fn source_mut(&mut self, priority: SourcePriority) -> &mut SourceView {
+        match priority {
             SourcePriority::Operator => &mut self.operator,
             SourcePriority::Directory => &mut self.directory,
         }
     }
 
-    /// Takes in one report: facts with one stamp, all there are if `full`.
-    /// `anew`: the first of a source that counts anew.
+    /// Merges one report: records with one version, received at `received`. `full`: it has all nodes of its source;
+    /// `after_reset`: it is the first after a reset of the source's versions.
     pub fn apply_report(
         &mut self,
-        stamp: SourceVersion,
-        (full, anew): (bool, bool),
-        facts: impl IntoIterator<Item = NodeRecord>,
-        heard: Nanos,
+        source_version: SourceVersion,
+        (full, after_reset): (bool, bool),
+        records: impl IntoIterator<Item = NodeRecord>,
+        received: Nanos,
     ) {
-        let told = self.source_mut(stamp.priority);
-        for fact in facts {
-            told.insert(VersionedRecord {
-                record: fact,
-                source_version: stamp,
-                received: heard,
-                after_reset: anew,
-            });
+        let source = self.source_mut(source_version.priority);
+        for record in records {
+            source.insert(VersionedRecord { record, source_version, received, after_reset });
         }
         if full {
-            told.full_list = told.full_list.max(Some((stamp, Reverse(heard))));
+            source.insert_full_list(source_version, received);
         }
-        told.prune(full);
+        source.prune(full);
     }
 
-    /// Takes in one fact with a stamp and time of its own: one that was kept.
-    pub fn insert_record(&mut self, known: VersionedRecord) {
-        self.source_mut(known.source_version.priority).insert(known);
+    /// Merges one stored record, which has a version and time of its own.
+    pub fn insert_record(&mut self, record: VersionedRecord) {
+        self.source_mut(record.source_version.priority).insert(record);
     }
 
-    /// A whole list with this stamp was heard then.
-    pub fn insert_full_list(&mut self, stamp: SourceVersion, heard: Nanos) {
-        let told = self.source_mut(stamp.priority);
-        told.full_list = told.full_list.max(Some((stamp, Reverse(heard))));
+    /// Merges the fact that a full list with this version was received then.
+    pub fn insert_full_list(&mut self, version: SourceVersion, received: Nanos) {
+        self.source_mut(version.priority).insert_full_list(version, received);
     }
 
-    /// Bounds what is kept of nodes that are gone.
+    /// Removes the oldest nodes that are gone, if there are more than [`MAX_GONE_NODES`].
     pub fn prune(&mut self) {
         self.operator.prune(true);
         self.directory.prune(true);
     }
 
-    /// Stamp of a source's latest whole list, and when it was first heard.
-    pub fn full_list(&self, rank: SourcePriority) -> Option<(SourceVersion, Nanos)> {
-        let told = if rank == SourcePriority::Operator { &self.operator } else { &self.directory };
-        told.full_list.map(|(stamp, Reverse(heard))| (stamp, heard))
+    /// Version of a source's latest full list, and when it was first received, unix ns.
+    #[must_use]
+    pub fn full_list(&self, priority: SourcePriority) -> Option<(SourceVersion, Nanos)> {
+        let source = match priority {
+            SourcePriority::Operator => &self.operator,
+            SourcePriority::Directory => &self.directory,
+        };
+        source.full_list.map(|(version, Reverse(received))| (version, received))
     }
 
-    /// What is believed of a node. An operator's node is in until the directory says that it drains or is gone.
+    /// The merged state of a node. A node of the operator is ready until the directory reports it as terminating or
+    /// gone.
+    #[must_use]
     pub fn view(&self, id: &str) -> Option<NodeView<'_>> {
-        let of = |told: &'_ SourceView| -> Option<(SourceVersion, bool)> {
-            told.nodes.get(id).map(|h| (h.latest.source_version, told.view(h).state == NodeState::Ready))
-        };
-        let told = match (of(&self.operator), of(&self.directory)) {
-            (Some((_, true)), Some((stamp, false))) => {
-                // Left out of the directory's whole list: it may never have belonged there.
-                let left_out = self.directory.full_list.is_some_and(|(whole, _)| stamp < whole)
-                    && self
-                        .directory
-                        .nodes
-                        .get(id)
-                        .is_some_and(|h| h.latest.record.state == NodeState::Ready);
-                if left_out { &self.operator } else { &self.directory }
+        let operator = self.operator.node(id);
+        let directory = self.directory.node(id);
+        match (operator, directory) {
+            (Some(operator), Some(directory))
+                if operator.state == NodeState::Ready
+                    && directory.state != NodeState::Ready
+                    && self.merely_omitted_by_directory(id) =>
+            {
+                Some(operator)
             }
-            (_, Some(_)) => &self.directory,
-            (Some(_), None) => &self.operator,
-            (None, None) => return None,
-        };
-        told.nodes.get(id).map(|h| told.view(h))
+            (_, Some(directory)) => Some(directory),
+            (operator, None) => operator,
+        }
+    }
+
+    /// Whether the directory's full list omits a node whose last record was ready: it may never have belonged there.
+    fn merely_omitted_by_directory(&self, id: &str) -> bool {
+        self.directory.nodes.get(id).is_some_and(|records| {
+            self.directory.omitted_by(records).is_some() && records.latest.record.state == NodeState::Ready
+        })
     }
 
-    /// All nodes of which anything is known, by id.
+    /// Ids of all nodes of which anything is known.
     pub fn ids(&self) -> impl Iterator<Item = &str> {
-        let own = self.operator.nodes.keys().filter(|id| !self.directory.nodes.contains_key(*id));
-        self.directory.nodes.keys().chain(own).map(String::as_str)
+        let operator_only = self.operator.nodes.keys().filter(|id| !self.directory.nodes.contains_key(*id));
+        self.directory.nodes.keys().chain(operator_only).map(String::as_str)
     }
 
-    /// The directory's facts that are held, of each node up to four.
+    /// All stored records of the directory, up to four of each node.
     pub fn directory_records(&self) -> impl Iterator<Item = &VersionedRecord> {
         self.directory.nodes.values().flat_map(NodeRecords::distinct)
     }
 
-    /// Facts up to this stamp about unknown nodes are not believed.
+    /// Version up to which records of nodes unknown to the directory are ignored.
+    #[must_use]
     pub fn pruned_up_to(&self) -> Option<SourceVersion> {
         self.directory.pruned_up_to
     }
 
-    /// Sets what `forgotten` tells, from a kept list.
-    pub fn set_pruned_up_to(&mut self, stamp: SourceVersion) {
-        self.directory.pruned_up_to = self.directory.pruned_up_to.max(Some(stamp));
+    /// Raises what [`MergedView::pruned_up_to`] returns, as stored in a snapshot.
+    pub fn set_pruned_up_to(&mut self, version: SourceVersion) {
+        self.directory.pruned_up_to = self.directory.pruned_up_to.max(Some(version));
     }
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,15 +1,16 @@
-//! Membership: one belief about the nodes from every source that tells of them, and how far it is trusted.
+//! Membership: one merged view of all nodes from every source, and how far it is trusted.
 //!
-//! Free of I/O and clock: reports and outcomes come in with the time, lines for the exchange come out. The ways
-//! that were weighed are in `docs/roster.md`.
+//! Free of I/O and clock: reports and attempt outcomes come in with the time, entries for the engine go out. The
+//! design and its alternatives are described in `docs/membership-design.md`.
 //!
-//! - [`merged_view`] merges facts so that their order does not matter and a drain stays learnt;
-//! - [`staleness`] tells how far a fact of a given age is believed;
-//! - [`probation`] chooses which nodes that nobody has confirmed get work at once;
-//! - [`poll_backoff`] spaces out further calls for the list;
-//! - [`snapshot`] is the form in which a belief outlives the process;
-//! - [`manual_override`] and [`gossip_hints`] make what is told on more careful, by staff's words and by other brokers';
-//! - [`Registry`] ties them together.
+//! - [`merged_view`] merges records so that their order does not matter and a drain is never undone by older records;
+//! - [`staleness`] computes the trust in a record from its age;
+//! - [`probation`] chooses which unconfirmed nodes are admitted;
+//! - [`poll_backoff`] spaces out polls for the endpoint list;
+//! - [`snapshot`] is the stored form of the view, and [`status_report`] a report of it;
+//! - [`manual_override`] and [`gossip_hints`] restrict the announced nodes by operators' commands and by hints of other
+//!   brokers;
+//! - [`Registry`] combines them.
 
 pub mod endpoint_list;
 pub mod gossip_hints;
@@ -29,62 +30,63 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// What a source says of a node's process. The order is that of severity: of two facts with one stamp the
-/// severer is believed.
+/// State of a node's process as a source reports it. The order is that of severity: of two records with one version
+/// the severer one takes precedence.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum NodeState {
-    /// It takes work.
+    /// It accepts work.
     Ready,
-    /// It finishes what it has and wants nothing new.
+    /// It completes what is in flight and accepts nothing new.
     #[serde(alias = "Draining")]
     Terminating,
-    /// It is no more.
+    /// Its process has ended.
     Gone,
 }
 
-/// One node as a source tells of it.
+/// One node as a source reports it.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
 pub struct NodeRecord {
-    /// The same for every broker, never used for two nodes at once.
+    /// Id: the same for every broker, never used for two nodes at once.
     pub id: String,
-    /// Where it is; none where the source names no usable address.
+    /// Address; none if the source names no usable one.
     pub addr: Option<SocketAddr>,
-    /// Its zone by name, empty where untold.
+    /// Name of its zone, empty if not stated.
     pub zone: String,
-    /// What it speaks, in the words of the source; empty where all speak alike.
+    /// Kind of the node, the protocol it speaks, as the source names it; empty if all nodes speak the same.
     pub kind: String,
-    /// The cell that determines the partitions it holds.
+    /// Cell, which determines the partitions it holds.
     pub cell: u32,
-    /// What became of its process.
+    /// State of its process.
     pub state: NodeState,
-    /// Unix time of its process's start, ns; 0: long ago.
+    /// Unix time of its process start, ns; 0: long ago.
     pub started: Nanos,
 }
 
-/// Who tells. A later one overrides an earlier one.
+/// The kinds of source. A later one overrides an earlier one.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum SourcePriority {
-    /// A file of nodes that an operator keeps.
+    /// The operator's file of nodes.
     Operator,
-    /// Discovery, be it live, by a kept list or by the list that the configuration carries.
+    /// Discovery: live, from a snapshot, or from the list in the configuration.
     Directory,
 }
 
-/// The place of a fact in its source's own order. It owes nothing to clocks.
+/// The version of a record in its source's own order, independent of clocks.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SourceVersion {
-    /// Who told.
+    /// The source.
     #[serde(rename = "rank")]
     pub priority: SourcePriority,
-    /// How often the source began to count anew, as far as this broker saw.
+    /// Number of resets of the source's versions that this broker has seen.
     pub epoch: u32,
     /// The source's version.
     pub version: u64,
 }
 
 impl SourceVersion {
-    /// The first stamp of a source: older than all others of its own.
-    pub fn zero(rank: SourcePriority) -> SourceVersion {
-        SourceVersion { priority: rank, epoch: 0, version: 0 }
+    /// The lowest version of a source.
+    #[must_use]
+    pub fn zero(priority: SourcePriority) -> SourceVersion {
+        SourceVersion { priority, epoch: 0, version: 0 }
     }
 }
--- a/src/membership/registry.rs
+++ b/src/membership/registry.rs
@@ -13,16 +13,22 @@
 
 /// Time after which one more unconfirmed holder of each partition is let in. Short beside the aims of queries: no
 /// node that is there waits long, and a wrong one has shown itself by then.
-const STEP: Nanos = 250_000_000;
-/// First and longest time for which an unconfirmed node that failed stays out.
-const OUT: (Nanos, Nanos) = (1_000_000_000, 30_000_000_000);
-/// Shortest time between two writes of the list, and between two that only tell that it still holds.
-const WRITE: (Nanos, Nanos) = (500_000_000, 30_000_000_000);
-/// Answers that show the usual time, and the multiple of its lower quarter up to which a node counts as warm. Parts
-/// differ in work by less than that; a node just started is slower by more.
-const PACE: (usize, f64) = (32, 2.5);
-/// Most nodes that are told about one by one in the log, in one report.
-const TOLD_SINGLY: usize = 8;
+const PROBATION_STEP: Nanos = 250_000_000;
+/// Shortest ejection of an unconfirmed node that failed, ns; each further one is twice as long.
+const MIN_EJECTION: Nanos = 1_000_000_000;
+/// Longest ejection of an unconfirmed node that failed, ns.
+const MAX_EJECTION: Nanos = 30_000_000_000;
+/// Shortest time between two snapshots, ns.
+const MIN_SNAPSHOT_INTERVAL: Nanos = 500_000_000;
+/// Time after which a snapshot is renewed although only its confirmation is newer, ns.
+const SNAPSHOT_REFRESH_INTERVAL: Nanos = 30_000_000_000;
+/// Number of recent latencies from which the usual one is estimated.
+const LATENCY_WINDOW: usize = 32;
+/// Multiple of the lower quartile of recent latencies up to which a node counts as warmed up. Parts differ in work
+/// by less than that; a node that has just started is slower by more.
+const WARM_LATENCY_MULTIPLE: f64 = 2.5;
+/// Most endpoints of one list that are logged one by one.
+const MAX_LOGGED_ENDPOINTS: usize = 8;
 
 /// What a roster is told at its start.
 #[derive(Clone, Debug)]
@@ -62,7 +68,7 @@
 /// A node's address, cell and start.
 type Placement = (Option<SocketAddr>, u32, Nanos);
 
-/// How one node stands, for those who ask.
+/// How one node is known, for those who ask.
 #[derive(Clone, Debug, PartialEq)]
 pub struct NodeStatus {
     /// What is believed.
@@ -119,7 +125,7 @@
     version: u64,
     /// When the directory's list as a whole was last known to hold.
     last_confirmed: Option<Nanos>,
-    /// Since when the watch has been standing, as far as the rate of change goes.
+    /// Since when the watch has been up, as far as the rate of change goes.
     watched_since: Option<Nanos>,
     change_rate: ChangeRate,
     operator_version: u64,
@@ -181,16 +187,16 @@
 
     /// What was kept on disk, every generation of it. Comes before all other sources.
     pub fn restore(&mut self, generations: &[Snapshot], now: Nanos) {
-        for kept in generations {
-            kept.merge_into(&mut self.view);
-            let stamps = kept.nodes.iter().map(|n| (n.epoch, n.version));
-            let last = stamps.chain(kept.full_list.map(|(e, v, _)| (e, v))).max().unwrap_or((0, 0));
+        for snapshot in generations {
+            snapshot.merge_into(&mut self.view);
+            let versions = snapshot.nodes.iter().map(|n| (n.epoch, n.version));
+            let last = versions.chain(snapshot.full_list.map(|(e, v, _)| (e, v))).max().unwrap_or((0, 0));
             if last >= (self.epoch, self.version) {
                 (self.epoch, self.version) = last;
-                self.change_rate = kept.rate;
+                self.change_rate = snapshot.rate;
             }
             self.last_confirmed =
-                self.last_confirmed.max(kept.synced.map(|t| self.clamp_stored_time(t, now)));
+                self.last_confirmed.max(snapshot.last_confirmed.map(|t| self.clamp_stored_time(t, now)));
         }
         for n in generations.iter().flat_map(|k| &k.nodes) {
             if let Some(at) = n.confirmed.map(|t| self.clamp_stored_time(t, now)) {
@@ -243,8 +249,9 @@
 
     /// The list that the configuration carries: as this broker last had it, in discovery's form.
     pub fn add_configured(&mut self, list: &EndpointList, now: Nanos) {
-        // After a discovery counted anew there is no telling whether this list is older: it must not undo anything.
-        let stamp = SourceVersion { priority: SourcePriority::Directory, epoch: 0, version: list.version };
+        // After a discovery started over there is no telling whether this list is older: it must not undo anything.
+        let source_version =
+            SourceVersion { priority: SourcePriority::Directory, epoch: 0, version: list.version };
         let as_of = list.as_of_ms.map(|ms| self.clamp_stored_time(ms.saturating_mul(1_000_000), now));
         let as_of = as_of.unwrap_or_else(|| now.saturating_sub(self.settings.default_list_age));
         if self.epoch == 0 && list.version >= self.version {
@@ -253,17 +260,17 @@
                 self.last_confirmed = self.last_confirmed.max(Some(as_of));
             }
         }
-        self.merge_list(stamp, list, false, now);
+        self.merge_list(source_version, list, false, now);
         self.reconcile_all(now);
     }
 
     /// The nodes of an operator's file: all there are, as of now.
     pub fn set_operator_nodes(&mut self, nodes: Vec<NodeRecord>, now: Nanos) {
         self.operator_version += 1;
-        let stamp =
+        let source_version =
             SourceVersion { priority: SourcePriority::Operator, epoch: 0, version: self.operator_version };
         let ids: Vec<String> = nodes.iter().map(|n| n.id.clone()).collect();
-        self.view.apply_report(stamp, (true, false), nodes, now);
+        self.view.apply_report(source_version, (true, false), nodes, now);
         for id in ids {
             self.confirm_node(&id, now);
         }
@@ -275,8 +282,8 @@
     pub fn on_discovery_update(&mut self, list: &EndpointList, first: bool, now: Nanos) -> bool {
         (self.unreported_update, self.discovery_answered) = (true, true);
         self.dirty = true;
-        let anew = list.version < self.version;
-        if anew {
+        let version_reset = list.version < self.version;
+        if version_reset {
             if !(first && list.full) {
                 tracing::warn!(
                     "news of version {} is older than {}; it is left alone",
@@ -290,13 +297,13 @@
             tracing::warn!("discovery counts anew: version {} after {}", list.version, self.version);
             self.epoch += 1;
         }
-        let touched: Option<Vec<&str>> =
-            (!list.full && !anew).then(|| list.servers.iter().map(|s| s.id.as_str()).collect());
-        let (before, all) = self.ready_placements(touched.as_deref());
+        let named: Option<Vec<&str>> =
+            (!list.full && !version_reset).then(|| list.servers.iter().map(|s| s.id.as_str()).collect());
+        let (before, all) = self.ready_placements(named.as_deref());
         self.version = list.version;
-        let stamp =
+        let source_version =
             SourceVersion { priority: SourcePriority::Directory, epoch: self.epoch, version: list.version };
-        self.merge_list(stamp, list, anew, now);
+        self.merge_list(source_version, list, version_reset, now);
         if list.full || first {
             // All that was not named holds as it did.
             self.last_confirmed = Some(now);
@@ -313,14 +320,20 @@
         self.on_heartbeat(now);
         self.unsaved = true;
         // The list as a whole was just confirmed: only what was named can have changed, if nothing else is open.
-        match touched {
-            Some(touched) if self.all_confirmed && self.reconcile_named(&touched, now) => self.dirty = false,
+        match named {
+            Some(named) if self.all_confirmed && self.reconcile_named(&named, now) => self.dirty = false,
             _ => self.reconcile_all(now),
         }
         true
     }
 
-    fn merge_list(&mut self, stamp: SourceVersion, list: &EndpointList, anew: bool, now: Nanos) {
+    fn merge_list(
+        &mut self,
+        source_version: SourceVersion,
+        list: &EndpointList,
+        version_reset: bool,
+        now: Nanos,
+    ) {
         let mut unusable = 0;
         for s in list
             .servers
@@ -328,11 +341,16 @@
             .filter(|s| s.state != NodeState::Gone && s.addr.parse::<SocketAddr>().is_err())
         {
             unusable += 1;
-            if unusable <= TOLD_SINGLY {
+            if unusable <= MAX_LOGGED_ENDPOINTS {
                 tracing::error!("discovery names no usable address for {}: {:?}", s.id, s.addr);
             }
         }
-        self.view.apply_report(stamp, (list.full, anew), list.servers.iter().map(|s| s.record()), now);
+        self.view.apply_report(
+            source_version,
+            (list.full, version_reset),
+            list.servers.iter().map(|s| s.record()),
+            now,
+        );
         tracing::info!(
             "list version {}: {} {}",
             list.version,
@@ -379,7 +397,7 @@
         );
     }
 
-    /// The watch stands and has nothing to tell: the list holds as it is.
+    /// The watch is up and has nothing to tell: the list holds as it is.
     pub fn on_heartbeat(&mut self, now: Nanos) {
         if self.last_confirmed.is_some() && self.watched_since.is_some() {
             self.last_confirmed = Some(now);
@@ -442,14 +460,14 @@
     /// Whether a node that counts as cold for want of trust has shown that it is not: it answered about as fast as
     /// most, and faster than a cold one could where all are cold.
     fn judge_warm_up(&mut self, replica: ReplicaId, latency: Nanos) {
-        if self.recent_latencies.len() >= PACE.0 {
+        if self.recent_latencies.len() >= LATENCY_WINDOW {
             self.recent_latencies.pop_front();
         }
         self.recent_latencies.push_back(latency);
         let mut sorted: Vec<Nanos> = self.recent_latencies.iter().copied().collect();
         sorted.sort_unstable();
         let usual = sorted[sorted.len() / 4] as f64;
-        if latency as f64 <= PACE.1 * usual && latency <= self.settings.silence_timeout {
+        if latency as f64 <= WARM_LATENCY_MULTIPLE * usual && latency <= self.settings.silence_timeout {
             self.end_assumed_warm_up(replica);
         }
     }
@@ -482,7 +500,7 @@
         if staleness::failures_until_ejection(trust).is_some_and(|n| m.failures >= n)
             && m.admission == AdmissionState::Admitted
         {
-            m.ejection_time = (m.ejection_time * 2).clamp(OUT.0, OUT.1);
+            m.ejection_time = (m.ejection_time * 2).clamp(MIN_EJECTION, MAX_EJECTION);
             m.admission = AdmissionState::Ejected { until: now + m.ejection_time };
             self.dirty = true;
         }
@@ -521,7 +539,7 @@
         }
         let mut out = HashSet::new();
         for claims in by_addr.values().filter(|c| c.len() > 1) {
-            let best = claims.iter().map(|(stamp, started, _)| (*stamp, *started)).max();
+            let best = claims.iter().map(|(source_version, started, _)| (*source_version, *started)).max();
             out.extend(
                 claims.iter().filter(|(s, t, _)| Some((*s, *t)) < best).map(|(_, _, id)| (*id).to_owned()),
             );
@@ -571,7 +589,7 @@
     /// Brings what the exchange is told in line with what is believed.
     fn reconcile_all(&mut self, now: Nanos) {
         self.dirty = false;
-        let usurped = self.displaced_nodes();
+        let displaced = self.displaced_nodes();
         let mut views: Vec<(String, NodeRecord, NodeState)> = Vec::new();
         for id in self.view.ids() {
             if let Some(v) = self.view.view(id) {
@@ -606,7 +624,7 @@
                         self.remove_node(&id);
                     }
                     self.track_node(id.clone(), addr);
-                    if usurped.contains(&id) {
+                    if displaced.contains(&id) {
                         let line = self.replica_entry(&id, &fact, addr, ReplicaState::Draining, now);
                         self.announce(&id, &fact, line);
                     } else {
@@ -618,7 +636,7 @@
             }
         }
         self.ready_by_addr = ready.iter().filter_map(|(_, id, f)| f.addr.map(|a| (a, id.clone()))).collect();
-        self.all_confirmed = usurped.is_empty();
+        self.all_confirmed = displaced.is_empty();
         ready.sort_unstable_by(|a, b| (a.0, &a.1).cmp(&(b.0, &b.1)));
         self.admit_ready(ready, now);
     }
@@ -628,21 +646,21 @@
         for (_, id, fact) in &ready {
             let m = &self.nodes[id];
             let trust = self.trust(self.last_confirmation(m, id), now);
-            let stands = match m.admission {
+            let admission = match m.admission {
                 // It answered, or was let in before: it stays until it fails.
                 _ if trust >= staleness::CONFIRMED_TRUST => Admission::Confirmed,
                 AdmissionState::Admitted => Admission::Admitted,
                 AdmissionState::Ejected { until } if until > now => Admission::Failed,
                 AdmissionState::Waiting | AdmissionState::Ejected { .. } => Admission::Waiting,
             };
-            candidates.push(Candidate { cell: fact.cell, trust, admission: stands });
+            candidates.push(Candidate { cell: fact.cell, trust, admission });
         }
         let unsure = candidates.iter().any(|c| c.admission != Admission::Confirmed);
         self.all_confirmed &= !unsure;
         if unsure {
             self.probation_start.get_or_insert(now);
         }
-        let steps = self.probation_start.map_or(0, |t| now.saturating_sub(t) / STEP) as usize;
+        let steps = self.probation_start.map_or(0, |t| now.saturating_sub(t) / PROBATION_STEP) as usize;
         let chosen = probation::admit(self.settings.layout, &candidates, steps);
         let mut due: Option<Nanos> = None;
         for (((_, id, fact), c), yes) in ready.iter().zip(&candidates).zip(chosen) {
@@ -651,7 +669,7 @@
             let next = match (m.admission, c.admission) {
                 (AdmissionState::Ejected { until }, Admission::Failed) => Some(until),
                 (_, Admission::Waiting) if !yes => {
-                    self.probation_start.map(|t| t + (steps as Nanos + 1) * STEP)
+                    self.probation_start.map(|t| t + (steps as Nanos + 1) * PROBATION_STEP)
                 }
                 _ => None,
             };
@@ -664,10 +682,10 @@
                 m.admission = AdmissionState::Admitted;
             }
             let addr = m.addr;
-            let standing = if yes { ReplicaState::Active } else { ReplicaState::Draining };
+            let state = if yes { ReplicaState::Active } else { ReplicaState::Draining };
             // Who never got work need not be told of as one that gets none.
             if yes || self.nodes[id].announced.is_some() {
-                let line = self.replica_entry(id, fact, addr, standing, now);
+                let line = self.replica_entry(id, fact, addr, state, now);
                 self.announce(id, fact, line);
             }
         }
@@ -679,17 +697,17 @@
         id: &str,
         fact: &NodeRecord,
         addr: SocketAddr,
-        standing: ReplicaState,
+        state: ReplicaState,
         now: Nanos,
     ) -> ReplicaEntry {
         let zone = self.settings.zones.get(&fact.zone).copied().unwrap_or(u32::MAX);
         let m = self.track_node(id.to_owned(), addr);
         // Guards against starts in the future: such a node would be cold for as long as its clock is wrong.
         let told = (fact.started > 0).then(|| fact.started.min(now));
-        // What was said of a start in the future is not said anew each time.
+        // What was said of a start in the future is not renewed each time.
         let before = m.announced.as_ref().and_then(|t| t.started).filter(|_| fact.started > now);
         let started = before.or(told).max(m.assumed_start);
-        ReplicaEntry { replica: m.replica, zone, cell: fact.cell, state: standing, started, weight: 1.0 }
+        ReplicaEntry { replica: m.replica, zone, cell: fact.cell, state, started, weight: 1.0 }
     }
 
     fn announce(&mut self, id: &str, fact: &NodeRecord, line: ReplicaEntry) {
@@ -773,7 +791,7 @@
         self.version
     }
 
-    /// How often discovery was seen to count anew.
+    /// How often discovery was seen to start over.
     pub fn epoch(&self) -> u32 {
         self.epoch
     }
@@ -783,7 +801,7 @@
         self.last_confirmed.is_none_or(|t| self.trust(Some(t), now) < staleness::CONFIRMED_TRUST)
     }
 
-    /// How each node stands.
+    /// How each node is known.
     pub fn statuses(&self, now: Nanos) -> Vec<NodeStatus> {
         let note = |id: &str| {
             let view = self.view.view(id)?;
@@ -819,7 +837,7 @@
     pub fn snapshot_due(&self) -> Option<Nanos> {
         // A list that nobody confirmed in this process's time says nothing that is not on disk already.
         self.watched_since.filter(|_| !self.unsaved).or(self.unsaved.then_some(0))?;
-        let wait = if self.unsaved { WRITE.0 } else { WRITE.1 };
+        let wait = if self.unsaved { MIN_SNAPSHOT_INTERVAL } else { SNAPSHOT_REFRESH_INTERVAL };
         Some(self.last_snapshot.map_or(0, |t| t + wait))
     }
 
@@ -835,7 +853,7 @@
         });
         Snapshot {
             written: now,
-            synced: self.last_confirmed,
+            last_confirmed: self.last_confirmed,
             full_list: self.view.full_list(SourcePriority::Directory).map(|(s, t)| (s.epoch, s.version, t)),
             pruned_up_to: self.view.pruned_up_to().map(|s| (s.epoch, s.version)),
             rate: self.change_rate,
--- a/src/membership/snapshot.rs
+++ b/src/membership/snapshot.rs
@@ -1,4 +1,4 @@
-//! The form in which a belief outlives the process.
+//! The stored form of the merged view, which outlives the process.
 
 use super::merged_view::{MergedView, VersionedRecord};
 use super::staleness::ChangeRate;
@@ -7,9 +7,9 @@
 use crate::storage::checksummed_file::FileFormat;
 use serde::{Deserialize, Serialize};
 
-/// The version that is written.
+/// Version of the file format that is written.
 pub const FORMAT_VERSION: u32 = 1;
-/// Largest file that is written or read, bytes.
+/// Size of the largest file that is written or read, bytes.
 pub const MAX_FILE_BYTES: usize = 8 << 20;
 const FORMAT: FileFormat = FileFormat {
     magic: "pebbleturn-roster",
@@ -18,83 +18,94 @@
     most: MAX_FILE_BYTES,
 };
 
-/// A node as it is kept.
+/// One record of a node, as it is stored.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
 pub struct SnapshotNode {
-    /// What was told of it.
+    /// The record.
     #[serde(flatten)]
     pub record: super::NodeRecord,
-    /// Discovery's count and version that told it.
+    /// Epoch of discovery's versions in which it was reported.
     pub epoch: u32,
-    /// See `epoch`.
+    /// Version of the list that reported it.
     pub version: u64,
-    /// When it was first heard, unix ns. For a drain: when that was learnt.
+    /// When it was first received, unix ns. For a drain: when that was learned.
     #[serde(rename = "heard")]
     pub received: Nanos,
-    /// It was told by the first list of a discovery that counted anew.
+    /// Whether it came with the first list after a reset of discovery's versions.
     #[serde(default, rename = "anew")]
     pub after_reset: bool,
-    /// When it was last confirmed, unix ns; none: never.
+    /// When the node was last confirmed, unix ns; none: never.
     pub confirmed: Option<Nanos>,
 }
 
 impl SnapshotNode {
-    /// The fact with its place in discovery's order.
+    /// The record with its place in discovery's order.
+    #[must_use]
     pub fn versioned(&self) -> VersionedRecord {
-        let stamp =
-            SourceVersion { priority: SourcePriority::Directory, epoch: self.epoch, version: self.version };
         VersionedRecord {
             record: self.record.clone(),
-            source_version: stamp,
+            source_version: directory_version(self.epoch, self.version),
             received: self.received,
             after_reset: self.after_reset,
         }
     }
 }
 
-/// A list as it is kept.
+/// A merged view of discovery's records, as it is stored.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 pub struct Snapshot {
     /// When it was written, unix ns.
     pub written: Nanos,
-    /// When the list as a whole was last known to hold, unix ns; none: never.
-    pub synced: Option<Nanos>,
-    /// Discovery's latest whole list: its count, its version and when it was heard.
+    /// When the list as a whole was last known to be current, unix ns; none: never.
+    #[serde(rename = "synced")]
+    pub last_confirmed: Option<Nanos>,
+    /// Epoch and version of discovery's latest full list, and when it was received, unix ns.
     #[serde(rename = "whole")]
     pub full_list: Option<(u32, u64, Nanos)>,
-    /// Facts up to this count and version about unknown nodes are not believed.
+    /// Epoch and version up to which records of unknown nodes are ignored.
     #[serde(rename = "forgotten")]
     pub pruned_up_to: Option<(u32, u64)>,
-    /// How fast nodes change.
+    /// The observed rate at which nodes change.
     pub rate: ChangeRate,
-    /// The nodes, those that drain and those that are gone among them.
+    /// The records of all nodes, those that are terminating or gone among them.
     pub nodes: Vec<SnapshotNode>,
 }
 
 impl Snapshot {
-    /// Adds what was kept to a belief.
-    pub fn merge_into(&self, belief: &mut MergedView) {
-        let stamp = |epoch, version| SourceVersion { priority: SourcePriority::Directory, epoch, version };
-        self.nodes.iter().for_each(|n| belief.insert_record(n.versioned()));
-        if let Some((epoch, version, heard)) = self.full_list {
-            belief.insert_full_list(stamp(epoch, version), heard);
+    /// Merges this snapshot into a view.
+    pub fn merge_into(&self, view: &mut MergedView) {
+        self.nodes.iter().for_each(|node| view.insert_record(node.versioned()));
+        if let Some((epoch, version, received)) = self.full_list {
+            view.insert_full_list(directory_version(epoch, version), received);
         }
         if let Some((epoch, version)) = self.pruned_up_to {
-            belief.set_pruned_up_to(stamp(epoch, version));
+            view.set_pruned_up_to(directory_version(epoch, version));
         }
-        belief.prune();
+        view.prune();
     }
 }
 
-/// Why a kept list can't be used.
+fn directory_version(epoch: u32, version: u64) -> SourceVersion {
+    SourceVersion { priority: SourcePriority::Directory, epoch, version }
+}
+
+/// Why a snapshot can't be written or read.
 pub use crate::storage::checksummed_file::FileFormatError as SnapshotError;
 
-/// Writes a list. One that would be too large is an error: nothing is cut off silently.
-pub fn encode(kept: &Snapshot) -> Result<Vec<u8>, SnapshotError> {
-    FORMAT.encode(kept)
+/// Encodes a snapshot.
+///
+/// # Errors
+///
+/// If it would be larger than [`MAX_FILE_BYTES`]: nothing is cut off silently.
+pub fn encode(snapshot: &Snapshot) -> Result<Vec<u8>, SnapshotError> {
+    FORMAT.encode(snapshot)
 }
 
-/// Reads a list back. Whatever the bytes are, the answer is a list or one reason.
+/// Decodes a snapshot.
+///
+/// # Errors
+///
+/// If the bytes are empty, too many, cut short, corrupt or of an unknown format version.
 pub fn decode(bytes: &[u8]) -> Result<Snapshot, SnapshotError> {
     FORMAT.decode(bytes)
 }
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -178,64 +178,65 @@
     fn reconcile(&mut self, now: Nanos) {
         self.dirty = false;
         let offered = self.offered_weights(now);
-        let plain = self.settings.rules.is_empty();
+        let no_rules = self.settings.rules.is_empty();
         for (replica, node) in &mut self.nodes {
-            let mut line = node.listed.entry.clone();
-            if !plain && line.state == api::ReplicaState::Active {
+            let mut entry = node.listed.entry.clone();
+            if !no_rules && entry.state == api::ReplicaState::Active {
                 match offered.get(replica) {
-                    Some(weight) => line.weight = *weight,
-                    None => line.state = api::ReplicaState::Draining,
+                    Some(weight) => entry.weight = *weight,
+                    None => entry.state = api::ReplicaState::Draining,
                 }
             }
             // Who never got work need not be told of as one that gets none.
-            let news = node.announced.as_ref() != Some(&line)
-                && (node.announced.is_some() || line.state == api::ReplicaState::Active || plain);
-            if news {
-                node.announced = Some(line.clone());
-                self.changes.push(NodeChange { entry: line, ..node.listed.clone() });
+            let changed = node.announced.as_ref() != Some(&entry)
+                && (node.announced.is_some() || entry.state == api::ReplicaState::Active || no_rules);
+            if changed {
+                node.announced = Some(entry.clone());
+                self.changes.push(NodeChange { entry, ..node.listed.clone() });
             }
         }
     }
 
     /// The nodes that are offered, with their weights.
     fn offered_weights(&mut self, now: Nanos) -> HashMap<ReplicaId, f64> {
-        let (layout, hold, warm_up) =
+        let (layout, failback_delay, warm_up) =
             (self.settings.layout, self.settings.failback_delay, self.settings.warm_up);
         let mut groups: Vec<Vec<ReplicaId>> = vec![Vec::new(); self.active_tiers.len()];
         for (replica, node) in self.nodes.iter().filter(|(_, n)| n.is_enabled()) {
             layout.groups(node.listed.entry.cell).for_each(|g| groups[g].push(*replica));
         }
-        let mut out = HashMap::new();
+        let mut weights = HashMap::new();
         for (group, in_use) in groups.iter().zip(&mut self.active_tiers) {
             let of = |r: &ReplicaId| &self.nodes[r];
             let lowest = group.iter().filter(|r| of(r).is_usable()).map(|r| of(r).rule.tier()).min();
             let Some(lowest) = lowest else {
                 // Nobody is known to work: all are tried, for a doubtful holder is better than none.
-                out.extend(group.iter().map(|r| (*r, of(r).rule.weight)));
+                weights.extend(group.iter().map(|r| (*r, of(r).rule.weight)));
                 continue;
             };
-            let held =
-                |t: Tier| group.iter().any(|r| of(r).rule.tier() <= t && of(r).health.healthy_for(hold, now));
+            let proven = |t: Tier| {
+                group.iter().any(|r| of(r).rule.tier() <= t && of(r).health.healthy_for(failback_delay, now))
+            };
             // Up at once, down only when who is to take over has worked for a while. At the start nobody has.
             *in_use = Some(match *in_use {
-                Some(tier) if lowest < tier && !held(lowest) => {
-                    let bears = group.iter().filter(|r| of(r).rule.tier() <= tier);
-                    bears.map(|r| of(r).rule.tier()).max().unwrap_or(lowest)
+                Some(tier) if lowest < tier && !proven(lowest) => {
+                    let usable = group.iter().filter(|r| of(r).rule.tier() <= tier);
+                    usable.map(|r| of(r).rule.tier()).max().unwrap_or(lowest)
                 }
                 _ => lowest,
             });
             let tier = in_use.unwrap_or(lowest);
             for replica in group.iter().filter(|r| of(r).rule.tier() <= tier && !of(r).is_ejected()) {
                 let node = of(replica);
-                out.insert(*replica, node.rule.weight * node.health.weight_share(warm_up, now));
+                weights.insert(*replica, node.rule.weight * node.health.weight_share(warm_up, now));
             }
         }
-        self.add_redirect_targets(&mut out, now);
-        out
+        self.add_redirect_targets(&mut weights, now);
+        weights
     }
 
     /// Adds those who are to take the place of nodes that fail.
-    fn add_redirect_targets(&self, out: &mut HashMap<ReplicaId, f64>, now: Nanos) {
+    fn add_redirect_targets(&self, weights: &mut HashMap<ReplicaId, f64>, now: Nanos) {
         let failing = self.nodes.values().filter(|n| n.is_enabled() && n.is_ejected());
         for id in failing.filter_map(|n| n.rule.redirect.as_deref()) {
             let stand_in = self.nodes.iter().find(|(_, n)| n.listed.id == id);
@@ -246,7 +247,7 @@
             {
                 let weight =
                     n.rule.weight.max(f64::MIN_POSITIVE) * n.health.weight_share(self.settings.warm_up, now);
-                out.entry(*replica).or_insert(weight);
+                weights.entry(*replica).or_insert(weight);
             }
         }
     }
--- a/tests/keep.rs
+++ b/tests/keep.rs
@@ -32,7 +32,7 @@
     let (whole, rate) = (Some((0, 1, 1)), ChangeRate::NONE);
     Snapshot {
         written: version,
-        synced: Some(version),
+        last_confirmed: Some(version),
         full_list: whole,
         pruned_up_to: None,
         rate,
--- /dev/null
+++ b/tests/membership_units/main.rs
@@ -0,0 +1,5 @@
+//! The parts of membership that need no registry: probation, backoff of polls, staleness.
+
+mod poll_backoff;
+mod probation;
+mod staleness;
--- a/tests/printed_formats/commands.rs
+++ b/tests/printed_formats/commands.rs
@@ -77,7 +77,7 @@
     let whole = Some((0, 4, 1));
     let list = Snapshot {
         written: 1,
-        synced: confirmed,
+        last_confirmed: confirmed,
         full_list: whole,
         pruned_up_to: None,
         rate: ChangeRate::NONE,
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -316,7 +316,8 @@
     };
     let nodes = vec![node("s-1", NodeState::Ready), node("s-2", NodeState::Terminating)];
     let (whole, rate) = (Some((0, 4, 1)), ChangeRate::NONE);
-    let list = Snapshot { written: 1, synced: Some(1), full_list: whole, pruned_up_to: None, rate, nodes };
+    let list =
+        Snapshot { written: 1, last_confirmed: Some(1), full_list: whole, pruned_up_to: None, rate, nodes };
     let bytes = snapshot::encode(&list).unwrap();
     let file = File::new("list.kept", "");
     std::fs::write(file.path(), &bytes).unwrap();
--- a/tests/recorded_decisions/membership.rs
+++ b/tests/recorded_decisions/membership.rs
@@ -317,7 +317,7 @@
             digest.put_tag(state_tag(node.state));
             digest.put_option(node.age_s, Digest::put_f64);
             digest.put_f64(node.trust);
-            digest.put_option(node.learnt_s, Digest::put_f64);
+            digest.put_option(node.learned_s, Digest::put_f64);
         });
     }
 
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -216,7 +216,7 @@
         let rate = pebbleturn::membership::staleness::ChangeRate::NONE;
         let kept = Snapshot {
             written: NOON,
-            synced: None,
+            last_confirmed: None,
             full_list: whole,
             pruned_up_to: None,
             rate,
--- a/tests/stored_formats/kept_list.rs
+++ b/tests/stored_formats/kept_list.rs
@@ -39,7 +39,7 @@
 #[test]
 fn the_current_generation_is_read_with_every_option_set() {
     let list = read_generation(CURRENT);
-    assert_eq!(list.synced, Some(1_700_000_000_000_000_008));
+    assert_eq!(list.last_confirmed, Some(1_700_000_000_000_000_008));
     assert_eq!(list.full_list, Some((3, 70, 1_700_000_000_000_000_007)));
     assert_eq!(list.pruned_up_to, Some((2, 60)));
     let states: Vec<NodeState> = list.nodes.iter().map(|node| node.record.state).collect();
@@ -55,7 +55,7 @@
 #[test]
 fn the_older_generation_is_read_with_no_option_set() {
     let list = read_generation(OLDER);
-    assert_eq!((list.synced, list.full_list, list.pruned_up_to), (None, None, None));
+    assert_eq!((list.last_confirmed, list.full_list, list.pruned_up_to), (None, None, None));
     assert_eq!(list.nodes[0].record.addr, Some("[2001:db8::2]:443".parse().unwrap()));
     assert_eq!(list.nodes[0].confirmed, None);
     assert_eq!(list, bare_list());
--- a/tests/stored_formats/samples.rs
+++ b/tests/stored_formats/samples.rs
@@ -20,7 +20,7 @@
 pub fn full_list() -> Snapshot {
     Snapshot {
         written: 1_700_000_000_000_000_009,
-        synced: Some(1_700_000_000_000_000_008),
+        last_confirmed: Some(1_700_000_000_000_000_008),
         full_list: Some((3, 70, 1_700_000_000_000_000_007)),
         pruned_up_to: Some((2, 60)),
         rate: ChangeRate { changes: 2.5, watched: 3.6e15 },
@@ -32,7 +32,7 @@
 pub fn bare_list() -> Snapshot {
     Snapshot {
         written: 5,
-        synced: None,
+        last_confirmed: None,
         full_list: None,
         pruned_up_to: None,
         rate: ChangeRate::NONE,
