Split the registry and the merged view by concern

The merged view has a report as a struct in place of two flags, and discovery's state of a node is a struct too.

--- /dev/null
+++ b/src/membership/merged_view/mod.rs
@@ -0,0 +1,150 @@
+//! The merged view of all nodes, which does not depend on the order in which records arrive.
+//!
+//! For each node and source a few registers are stored: the record with the highest version, the last one that is
+//! terminating or gone, the last one that is ready, and the one with the latest process start. Beside them, each source
+//! has the version of its latest full list, which replaces all records before it. All of them only grow, by a total
+//! order, so any order of the same records ends in the same view. A drain gives way only to a higher version or to a
+//! process start after it was learned; to the first list after a reset of the source's versions it gives way only by
+//! such a start.
+
+mod records;
+mod source_view;
+
+pub use records::VersionedRecord;
+
+use super::{NodeRecord, NodeState, SourcePriority, SourceVersion};
+use crate::api::Nanos;
+use records::NodeRecords;
+use source_view::SourceView;
+use std::cmp::Reverse;
+
+/// Most nodes that are gone and still stored. Above that the oldest are removed, and records of unknown nodes that
+/// are as old as those are ignored: ids are never reused, and nodes that are gone must not accumulate.
+pub const MAX_GONE_NODES: usize = 512;
+
+/// The merged state of one node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodeView<'a> {
+    /// The record that determines the state.
+    pub versioned: &'a VersionedRecord,
+    /// The node's state: the record's own, or gone if a full list omitted the node.
+    pub state: NodeState,
+    /// When the state was learned, unix ns.
+    pub learned: Nanos,
+}
+
+/// The circumstances of one report of a source.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Version of all its records.
+    pub source_version: SourceVersion,
+    /// Whether it has all nodes of its source.
+    pub full: bool,
+    /// Whether it is the first after a reset of the source's versions.
+    pub after_reset: bool,
+    /// When this broker received it, unix ns.
+    pub received: Nanos,
+}
+
+/// The merged state of all nodes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MergedView {
+    operator: SourceView,
+    directory: SourceView,
+}
+
+impl MergedView {
+    fn source_mut(&mut self, priority: SourcePriority) -> &mut SourceView {
+        match priority {
+            SourcePriority::Operator => &mut self.operator,
+            SourcePriority::Directory => &mut self.directory,
+        }
+    }
+
+    /// Merges one report of a source.
+    pub fn apply_report(&mut self, report: Report, records: impl IntoIterator<Item = NodeRecord>) {
+        let Report { source_version, full, after_reset, received } = report;
+        let source = self.source_mut(source_version.priority);
+        for record in records {
+            source.insert(VersionedRecord { record, source_version, received, after_reset });
+        }
+        if full {
+            source.insert_full_list(source_version, received);
+        }
+        source.prune(full);
+    }
+
+    /// Merges one stored record, which has a version and time of its own.
+    pub fn insert_record(&mut self, record: VersionedRecord) {
+        self.source_mut(record.source_version.priority).insert(record);
+    }
+
+    /// Merges the fact that a full list with this version was received then.
+    pub fn insert_full_list(&mut self, version: SourceVersion, received: Nanos) {
+        self.source_mut(version.priority).insert_full_list(version, received);
+    }
+
+    /// Removes the oldest nodes that are gone, if there are more than [`MAX_GONE_NODES`].
+    pub fn prune(&mut self) {
+        self.operator.prune(true);
+        self.directory.prune(true);
+    }
+
+    /// Version of a source's latest full list, and when it was first received, unix ns.
+    #[must_use]
+    pub fn full_list(&self, priority: SourcePriority) -> Option<(SourceVersion, Nanos)> {
+        let source = match priority {
+            SourcePriority::Operator => &self.operator,
+            SourcePriority::Directory => &self.directory,
+        };
+        source.full_list.map(|(version, Reverse(received))| (version, received))
+    }
+
+    /// The merged state of a node. A node of the operator is ready until the directory reports it as terminating or
+    /// gone.
+    #[must_use]
+    pub fn view(&self, id: &str) -> Option<NodeView<'_>> {
+        let operator = self.operator.node(id);
+        let directory = self.directory.node(id);
+        match (operator, directory) {
+            (Some(operator), Some(directory))
+                if operator.state == NodeState::Ready
+                    && directory.state != NodeState::Ready
+                    && self.merely_omitted_by_directory(id) =>
+            {
+                Some(operator)
+            }
+            (_, Some(directory)) => Some(directory),
+            (operator, None) => operator,
+        }
+    }
+
+    /// Whether the directory's full list omits a node whose last record was ready: it may never have belonged there.
+    fn merely_omitted_by_directory(&self, id: &str) -> bool {
+        self.directory.nodes.get(id).is_some_and(|records| {
+            self.directory.omitted_by(records).is_some() && records.latest.record.state == NodeState::Ready
+        })
+    }
+
+    /// Ids of all nodes of which anything is known.
+    pub fn ids(&self) -> impl Iterator<Item = &str> {
+        let operator_only = self.operator.nodes.keys().filter(|id| !self.directory.nodes.contains_key(*id));
+        self.directory.nodes.keys().chain(operator_only).map(String::as_str)
+    }
+
+    /// All stored records of the directory, up to four of each node.
+    pub fn directory_records(&self) -> impl Iterator<Item = &VersionedRecord> {
+        self.directory.nodes.values().flat_map(NodeRecords::distinct)
+    }
+
+    /// Version up to which records of nodes unknown to the directory are ignored.
+    #[must_use]
+    pub fn pruned_up_to(&self) -> Option<SourceVersion> {
+        self.directory.pruned_up_to
+    }
+
+    /// Raises what [`MergedView::pruned_up_to`] returns, as stored in a snapshot.
+    pub fn set_pruned_up_to(&mut self, version: SourceVersion) {
+        self.directory.pruned_up_to = self.directory.pruned_up_to.max(Some(version));
+    }
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -24,7 +24,8 @@
 pub mod status_report;
 
 pub use manual_override::{ManualOverrides, UnknownNode};
-pub use registry::{NodeChange, NodeStatus, PartitionLayout, Registry, RegistrySettings};
+pub use probation::PartitionLayout;
+pub use registry::{DiscoveryState, NodeChange, NodeStatus, Registry, RegistrySettings};
 
 use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/src/membership/registry/attempts.rs
@@ -0,0 +1,96 @@
+//! Judges nodes by the outcomes of attempts: confirmed by good answers, ejected after failures, warmed up or not.
+
+use super::Registry;
+use crate::api::{Nanos, Outcome, ReplicaId};
+
+/// What an attempt's outcome says of the node.
+enum Evidence {
+    /// The node is there and works.
+    Success,
+    /// No connection could be established.
+    Unreachable,
+    /// The node may not be there any more.
+    Failure,
+    /// Nothing: it is there, but rejects work or has faults, or nobody waited for it.
+    Inconclusive,
+}
+
+impl Registry {
+    /// Records the outcome of an attempt that ended `latency` ns after it was sent. Its consequences come with the next
+    /// [`Registry::tick`], so that many at once cost no more than one.
+    pub fn on_attempt_end(&mut self, replica: ReplicaId, outcome: Outcome, latency: Nanos, now: Nanos) {
+        let Some((id, node)) = self.nodes.by_replica_mut(replica) else { return };
+        let silent = latency >= self.settings.silence_timeout;
+        match judge(outcome, silent, node.has_answered) {
+            Evidence::Success => {
+                self.dirty |= node.on_success(id, now);
+                if node.assumed_start.is_some() {
+                    self.judge_warm_up(replica, latency);
+                }
+            }
+            Evidence::Unreachable => {
+                node.on_unreachable(id, now);
+                self.record_failure(replica, now);
+            }
+            Evidence::Failure => self.record_failure(replica, now),
+            Evidence::Inconclusive => {}
+        }
+    }
+
+    /// Ends the assumed warm-up of a node whose answer came about as fast as most, and faster than one could come where
+    /// all nodes are cold.
+    fn judge_warm_up(&mut self, replica: ReplicaId, latency: Nanos) {
+        let is_warm = self.recent_latencies.observe(latency);
+        if is_warm && latency <= self.settings.silence_timeout {
+            self.end_assumed_warm_up(replica);
+        }
+    }
+
+    fn end_assumed_warm_up(&mut self, replica: ReplicaId) {
+        if let Some((_, node)) = self.nodes.by_replica_mut(replica)
+            && node.assumed_start.take().is_some()
+        {
+            self.warmed_up.push(replica);
+        }
+    }
+
+    /// Ends all assumed warm-ups: the starts of all nodes are known.
+    pub(super) fn end_assumed_warm_ups(&mut self) {
+        for node in self.nodes.values_mut() {
+            if node.assumed_start.take().is_some() {
+                self.warmed_up.push(node.replica);
+            }
+        }
+    }
+
+    /// Counts a failure, which ejects a node that was not confirmed recently.
+    fn record_failure(&mut self, replica: ReplicaId, now: Nanos) {
+        let Some((id, node)) = self.nodes.by_replica(replica) else { return };
+        let trust = self.trust(self.last_confirmation(node, id), now);
+        if let Some((_, node)) = self.nodes.by_replica_mut(replica) {
+            self.dirty |= node.on_failure(trust, now);
+        }
+    }
+}
+
+/// `silent`: nothing was received for longer than the silence timeout.
+fn judge(outcome: Outcome, silent: bool, has_answered: bool) -> Evidence {
+    match outcome {
+        Outcome::Ok => Evidence::Success,
+        Outcome::ConnectFailed => Evidence::Unreachable,
+        Outcome::TimedOut => Evidence::Failure,
+        // Cancelled for another's answer, but nothing was received for too long.
+        Outcome::Cancelled if silent => Evidence::Failure,
+        // It may be another program by now; one that has answered before only has a fault.
+        Outcome::Error | Outcome::InvalidResponse | Outcome::ConnectionReset if !has_answered => {
+            Evidence::Failure
+        }
+        // A node that rejects work is there: it may just be full.
+        Outcome::Cancelled
+        | Outcome::ConnectionReset
+        | Outcome::Error
+        | Outcome::Rejected
+        | Outcome::InvalidResponse
+        | Outcome::NotSent => Evidence::Inconclusive,
+    }
+}
--- /dev/null
+++ b/src/membership/registry/latency_window.rs
@@ -0,0 +1,30 @@
+//! Recent latencies of good answers, by which a node is judged to be warmed up.
+
+use crate::api::Nanos;
+use std::collections::VecDeque;
+
+/// Number of latencies in the window.
+const WINDOW_LEN: usize = 32;
+/// Multiple of the lower quartile up to which a latency is that of a warm node. Parts differ in work by less than
+/// that; a node that has just started is slower by more.
+const WARM_LATENCY_MULTIPLE: f64 = 2.5;
+
+/// The latencies of the last good answers of all nodes.
+#[derive(Debug, Default)]
+pub(super) struct LatencyWindow {
+    latencies: VecDeque<Nanos>,
+}
+
+impl LatencyWindow {
+    /// Adds a latency. Returns whether it is that of a warm node, compared with the others in the window.
+    pub(super) fn observe(&mut self, latency: Nanos) -> bool {
+        if self.latencies.len() >= WINDOW_LEN {
+            self.latencies.pop_front();
+        }
+        self.latencies.push_back(latency);
+        let mut sorted: Vec<Nanos> = self.latencies.iter().copied().collect();
+        sorted.sort_unstable();
+        let lower_quartile = sorted[sorted.len() / 4] as f64;
+        latency as f64 <= WARM_LATENCY_MULTIPLE * lower_quartile
+    }
+}
--- /dev/null
+++ b/src/membership/registry/sources.rs
@@ -0,0 +1,221 @@
+//! Merges the reports of all sources: snapshots, the configured list, the operator's file and discovery.
+
+use super::Registry;
+use super::placement::{Placement, ReadyPlacements};
+use crate::api::Nanos;
+use crate::membership::endpoint_list::EndpointList;
+use crate::membership::merged_view::Report;
+use crate::membership::snapshot::Snapshot;
+use crate::membership::{NodeRecord, NodeState, SourcePriority, SourceVersion};
+use std::net::SocketAddr;
+
+/// Most endpoints of one list that are logged one by one.
+const MAX_LOGGED_ENDPOINTS: usize = 8;
+
+impl Registry {
+    /// Restores all generations of the stored snapshot. Comes before all other sources.
+    pub fn restore(&mut self, generations: &[Snapshot], now: Nanos) {
+        for snapshot in generations {
+            snapshot.merge_into(&mut self.view);
+            let versions = snapshot.nodes.iter().map(|node| (node.epoch, node.version));
+            let full_list = snapshot.full_list.map(|(epoch, version, _)| (epoch, version));
+            let last = versions.chain(full_list).max().unwrap_or((0, 0));
+            if last >= (self.directory.epoch, self.directory.version) {
+                (self.directory.epoch, self.directory.version) = last;
+                self.directory.change_rate = snapshot.rate;
+            }
+            let confirmed = snapshot.last_confirmed.map(|at| self.clamp_stored_time(at, now));
+            self.directory.confirm(confirmed);
+        }
+        for node in generations.iter().flat_map(|snapshot| &snapshot.nodes) {
+            if let Some(at) = node.confirmed.map(|at| self.clamp_stored_time(at, now)) {
+                self.confirm_node(&node.record.id, at);
+            }
+        }
+        self.reconcile_all(now);
+        if !generations.is_empty() {
+            let confirmed = self.directory.last_confirmed;
+            tracing::info!(
+                "kept list: {} nodes, {} s old, trusted at {:.2}",
+                self.nodes.len(),
+                confirmed.map_or(0, |at| now.saturating_sub(at)) / 1_000_000_000,
+                confirmed.map_or(0.0, |at| self.trust(Some(at), now))
+            );
+        }
+    }
+
+    /// A stored time. One in the future says only that a clock was wrong, and counts as the default age.
+    fn clamp_stored_time(&self, at: Nanos, now: Nanos) -> Nanos {
+        if at <= now { at } else { now.saturating_sub(self.settings.default_list_age) }
+    }
+
+    fn confirm_node(&mut self, id: &str, at: Nanos) {
+        let Some(view) = self.view.view(id).filter(|view| view.state != NodeState::Gone) else { return };
+        let Some(addr) = view.versioned.record.addr else { return };
+        let node = self.nodes.track(id, addr);
+        node.confirmed = node.confirmed.max(Some(at));
+    }
+
+    /// Merges the list in the configuration, in discovery's form: as this broker last received it.
+    pub fn add_configured(&mut self, list: &EndpointList, now: Nanos) {
+        // After a reset of discovery's versions this list may be older: it must not undo anything.
+        let source_version =
+            SourceVersion { priority: SourcePriority::Directory, epoch: 0, version: list.version };
+        let stated = list.as_of_ms.map(|ms| self.clamp_stored_time(ms.saturating_mul(1_000_000), now));
+        let as_of = stated.unwrap_or_else(|| now.saturating_sub(self.settings.default_list_age));
+        if self.directory.epoch == 0 && list.version >= self.directory.version {
+            self.directory.version = list.version;
+            if list.full {
+                self.directory.confirm(Some(as_of));
+            }
+        }
+        self.merge_list(source_version, list, false, now);
+        self.reconcile_all(now);
+    }
+
+    /// Replaces the nodes of the operator's file.
+    pub fn set_operator_nodes(&mut self, nodes: Vec<NodeRecord>, now: Nanos) {
+        self.operator_version += 1;
+        let source_version =
+            SourceVersion { priority: SourcePriority::Operator, epoch: 0, version: self.operator_version };
+        let ids: Vec<String> = nodes.iter().map(|node| node.id.clone()).collect();
+        self.view
+            .apply_report(Report { source_version, full: true, after_reset: false, received: now }, nodes);
+        for id in ids {
+            self.confirm_node(&id, now);
+        }
+        self.reconcile_all(now);
+    }
+
+    /// Merges an update from discovery. `first`: it is the first of a new watch, which has all changes since the
+    /// requested version, or else the full list. Returns whether it was accepted: one that is older than the current
+    /// version is ignored, unless it shows that discovery's versions were reset.
+    pub fn on_discovery_update(&mut self, list: &EndpointList, first: bool, now: Nanos) -> bool {
+        self.unreported_update = true;
+        self.discovery_answered = true;
+        self.dirty = true;
+        let version_reset = list.version < self.directory.version;
+        if version_reset && !(first && list.full) {
+            tracing::warn!(
+                "news of version {} is older than {}; it is left alone",
+                list.version,
+                self.directory.version
+            );
+            self.reconcile_all(now);
+            return false;
+        }
+        if version_reset {
+            // Only a discovery that restarted sends a full list older than what it sent already.
+            tracing::warn!(
+                "discovery counts anew: version {} after {}",
+                list.version,
+                self.directory.version
+            );
+            self.directory.epoch += 1;
+        }
+        let has_all = list.full || version_reset;
+        let named: Option<Vec<&str>> =
+            (!has_all).then(|| list.servers.iter().map(|server| server.id.as_str()).collect());
+        let before = self.ready_placements(named.as_deref());
+        self.merge_discovery_update(list, first, version_reset, &before, now);
+        // The list as a whole was just confirmed: only named nodes can have changed, if nothing else is open.
+        match named {
+            Some(named) if self.all_confirmed && self.reconcile_named(&named, now) => self.dirty = false,
+            _ => self.reconcile_all(now),
+        }
+        true
+    }
+
+    fn merge_discovery_update(
+        &mut self,
+        list: &EndpointList,
+        first: bool,
+        version_reset: bool,
+        before: &ReadyPlacements,
+        now: Nanos,
+    ) {
+        self.directory.version = list.version;
+        self.merge_list(self.directory.source_version(), list, version_reset, now);
+        let confirms_all = list.full || first;
+        if confirms_all {
+            self.directory.last_confirmed = Some(now);
+        }
+        self.observe_changes(before, now);
+        for server in &list.servers {
+            self.confirm_node(&server.id, now);
+        }
+        if confirms_all {
+            // Discovery knows when each node started: nothing need be assumed.
+            self.end_assumed_warm_ups();
+        }
+        self.directory.on_heartbeat(now);
+        self.snapshot_schedule.mark_unsaved();
+    }
+
+    fn merge_list(
+        &mut self,
+        source_version: SourceVersion,
+        list: &EndpointList,
+        after_reset: bool,
+        now: Nanos,
+    ) {
+        let unusable = list
+            .servers
+            .iter()
+            .filter(|server| server.state != NodeState::Gone && server.addr.parse::<SocketAddr>().is_err());
+        for server in unusable.take(MAX_LOGGED_ENDPOINTS) {
+            tracing::error!("discovery names no usable address for {}: {:?}", server.id, server.addr);
+        }
+        let report = Report { source_version, full: list.full, after_reset, received: now };
+        self.view.apply_report(report, list.servers.iter().map(|server| server.record()));
+        tracing::info!(
+            "list version {}: {} {}",
+            list.version,
+            list.servers.len(),
+            if list.full { "servers" } else { "changes" }
+        );
+    }
+
+    /// The placements of the named nodes that are ready, or of all.
+    fn ready_placements(&self, named: Option<&[&str]>) -> ReadyPlacements {
+        let placement =
+            |id: &str| self.ready_view(id).map(|view| (id.to_owned(), Placement::of(&view.versioned.record)));
+        match named {
+            Some(named) => ReadyPlacements {
+                by_id: named.iter().copied().filter_map(placement).collect(),
+                watched_nodes: self.nodes.len(),
+            },
+            None => {
+                let by_id: std::collections::HashMap<String, Placement> =
+                    self.view.ids().filter_map(placement).collect();
+                ReadyPlacements { watched_nodes: by_id.len(), by_id }
+            }
+        }
+    }
+
+    /// Counts the nodes that changed since the previous update of the watch.
+    fn observe_changes(&mut self, before: &ReadyPlacements, now: Nanos) {
+        let Some(since) = self.directory.watched_since.replace(now) else { return };
+        let is_unchanged = |id: &str, placement: &Placement| {
+            self.ready_view(id)
+                .is_some_and(|view| placement.is_unchanged_in(&Placement::of(&view.versioned.record)))
+        };
+        let changed = before.by_id.iter().filter(|(id, placement)| !is_unchanged(id, placement)).count();
+        self.directory.change_rate.observe(
+            before.watched_nodes,
+            now.saturating_sub(since),
+            changed,
+            self.settings.mean_change_interval,
+        );
+    }
+
+    /// Records that the watch is established and has nothing to report: the list is current.
+    pub fn on_heartbeat(&mut self, now: Nanos) {
+        self.directory.on_heartbeat(now);
+    }
+
+    /// Records that the watch ended, or could not be established.
+    pub fn watch_lost(&mut self) {
+        self.directory.watched_since = None;
+    }
+}
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -5,7 +5,9 @@
 use crate::membership::gossip_hints::{LocalHints, PeerHints};
 use crate::membership::poll_backoff::PollBackoff;
 use crate::membership::snapshot::Snapshot;
-use crate::membership::{ManualOverrides, NodeChange, NodeRecord, NodeState, Registry, UnknownNode};
+use crate::membership::{
+    DiscoveryState, ManualOverrides, NodeChange, NodeRecord, NodeState, Registry, UnknownNode,
+};
 use crate::net::{NetEvent, PollLoop};
 use crate::replication::derived_state::NodeHints;
 use crate::replication::{FactKey, ProcessStart};
@@ -188,7 +190,7 @@
     }
 
     fn own(roster: &Registry, id: &str) -> LocalHints {
-        let started = roster.discovery_state(id).map_or(0, |(_, started, _)| started);
+        let started = roster.discovery_state(id).map_or(0, |known| known.started);
         LocalHints { started, version: roster.version() }
     }
 
@@ -199,7 +201,8 @@
             if among.news.len() >= MOST_NEWS {
                 break;
             }
-            let Some((state, started, version)) = roster.discovery_state(&change.id) else { continue };
+            let Some(known) = roster.discovery_state(&change.id) else { continue };
+            let DiscoveryState { state, started, version } = known;
             if state != NodeState::Ready {
                 among.news.push((FactKey::Drain(change.id.clone()), ProcessStart { started, version }));
             }
--- a/tests/recorded_decisions/membership.rs
+++ b/tests/recorded_decisions/membership.rs
@@ -15,8 +15,8 @@
 use pebbleturn::membership::snapshot::{Snapshot, encode};
 use pebbleturn::membership::status_report::StatusReport;
 use pebbleturn::membership::{
-    ManualOverrides, NodeChange, NodeState, NodeStatus, PartitionLayout, Registry, RegistrySettings,
-    UnknownNode, staleness,
+    DiscoveryState, ManualOverrides, NodeChange, NodeState, NodeStatus, PartitionLayout, Registry,
+    RegistrySettings, UnknownNode, staleness,
 };
 use pebbleturn::replication::ProcessStart;
 use pebbleturn::replication::derived_state::NodeHints;
@@ -296,7 +296,7 @@
             let replica = self.by_hand.replica(&id);
             self.digest.put_option(replica, |digest, replica| digest.put_u64(replica.0.into()));
             let told = self.roster.discovery_state(&id);
-            self.digest.put_option(told, |digest, (state, started, version)| {
+            self.digest.put_option(told, |digest, DiscoveryState { state, started, version }| {
                 digest.put_tag(state_tag(state));
                 digest.put_u64(started);
                 digest.put_u64(version);
@@ -333,7 +333,7 @@
 /// What this broker's own list says of a node.
 fn own_word(roster: &Registry, id: &str) -> LocalHints {
     let told = roster.discovery_state(id);
-    told.map_or(LocalHints::default(), |(_, started, version)| LocalHints { started, version })
+    told.map_or(LocalHints::default(), |told| LocalHints { started: told.started, version: told.version })
 }
 
 /// The stored form, whose names stay.
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -1,7 +1,7 @@
 //! Membership by scripted news: every hard case that the design note names, with time as an argument.
 
 use pebbleturn::membership::endpoint_list::{Endpoint, EndpointList};
-use pebbleturn::membership::merged_view::{MAX_GONE_NODES, MergedView, VersionedRecord};
+use pebbleturn::membership::merged_view::{MAX_GONE_NODES, MergedView, Report, VersionedRecord};
 use pebbleturn::membership::snapshot::{self, Snapshot, SnapshotError};
 use pebbleturn::membership::{
     NodeChange, NodeRecord, NodeState, PartitionLayout, Registry, RegistrySettings, SourcePriority,
@@ -169,7 +169,8 @@
 fn believe(news: &[&News]) -> MergedView {
     let mut b = MergedView::default();
     for n in news {
-        b.apply_report(n.stamp, (n.full, n.anew), n.facts.iter().cloned(), n.heard);
+        let report = Report { source_version: n.stamp, full: n.full, after_reset: n.anew, received: n.heard };
+        b.apply_report(report, n.facts.iter().cloned());
     }
     b
 }
