--- a/src/membership/gossip_hints.rs
+++ b/src/membership/gossip_hints.rs
@@ -1,8 +1,8 @@
 //! Hints of other brokers about nodes, received by gossip. They make this broker more careful, never less.
 //!
-//! A node that another broker knows to be terminating is reported as draining until this broker's own list is as new,
-//! or the node has restarted; a process start that another broker knows counts if it is later than the local one. Hints
-//! never add a node.
+//! A node that another broker knows to be terminating is reported as draining until this broker's own list is
+//! as new, or the node has restarted; a process start that another broker knows counts if it is later than
+//! the local one. Hints never add a node.
 
 use super::NodeChange;
 use crate::api::{Nanos, ReplicaState};
@@ -67,7 +67,8 @@
         self.local.get(id).map(|node| self.with_hints(&node.change, node.hints))
     }
 
-    /// Applies the hints to changes from the own sources; `local_hints` returns what these sources say of a node.
+    /// Applies the hints to changes from the own sources; `local_hints` returns what these sources say of a
+    /// node.
     pub fn apply_changes(
         &mut self,
         changes: Vec<NodeChange>,
@@ -110,8 +111,8 @@
         self.current(id).filter(|change| before.as_ref() != Some(change))
     }
 
-    /// Applies the hints anew when the own list has another version. `version_reset`: discovery's versions were reset,
-    /// and drains that peers knew before are dropped. Returns the changes that follow.
+    /// Applies the hints anew when the own list has another version. `version_reset`: discovery's versions
+    /// were reset, and drains that peers knew before are dropped. Returns the changes that follow.
     pub fn on_list_change(
         &mut self,
         version_reset: bool,
--- a/src/membership/manual_override.rs
+++ b/src/membership/manual_override.rs
@@ -1,7 +1,8 @@
-//! Nodes that an operator has suspended by command. A suspension outranks every other source until it is lifted.
+//! Nodes that an operator has suspended by command. A suspension outranks every other source until it is
+//! lifted.
 //!
-//! What the other sources report of a node is stored as it is, and passed on as draining while the node is suspended: a
-//! node that moves, is removed and listed again, or restarts meanwhile stays suspended.
+//! What the other sources report of a node is stored as it is, and passed on as draining while the node is
+//! suspended: a node that moves, is removed and listed again, or restarts meanwhile stays suspended.
 
 use super::NodeChange;
 use crate::api::{ReplicaId, ReplicaState};
@@ -86,7 +87,8 @@
         change
     }
 
-    /// Suspends a node; idempotent. Returns the change that follows, if any. `ever_listed`: another source knows the id.
+    /// Suspends a node; idempotent. Returns the change that follows, if any. `ever_listed`: another source
+    /// knows the id.
     ///
     /// # Errors
     ///
@@ -98,7 +100,8 @@
         Ok(latest.map(|change| self.overridden(change.clone())))
     }
 
-    /// Lifts the suspension of a node, however often it was suspended. Returns the change that follows, if any.
+    /// Lifts the suspension of a node, however often it was suspended. Returns the change that follows, if
+    /// any.
     ///
     /// # Errors
     ///
--- a/src/membership/merged_view/mod.rs
+++ b/src/membership/merged_view/mod.rs
@@ -1,11 +1,11 @@
 //! The merged view of all nodes, which does not depend on the order in which records arrive.
 //!
-//! For each node and source a few registers are stored: the record with the highest version, the last one that is
-//! terminating or gone, the last one that is ready, and the one with the latest process start. Beside them, each source
-//! has the version of its latest full list, which replaces all records before it. All of them only grow, by a total
-//! order, so any order of the same records ends in the same view. A drain gives way only to a higher version or to a
-//! process start after it was learned; to the first list after a reset of the source's versions it gives way only by
-//! such a start.
+//! For each node and source a few registers are stored: the record with the highest version, the last one
+//! that is terminating or gone, the last one that is ready, and the one with the latest process start. Beside
+//! them, each source has the version of its latest full list, which replaces all records before it. All of
+//! them only grow, by a total order, so any order of the same records ends in the same view. A drain gives
+//! way only to a higher version or to a process start after it was learned; to the first list after a reset
+//! of the source's versions it gives way only by such a start.
 
 mod records;
 mod source_view;
@@ -18,8 +18,8 @@
 use source_view::SourceView;
 use std::cmp::Reverse;
 
-/// Most nodes that are gone and still stored. Above that the oldest are removed, and records of unknown nodes that
-/// are as old as those are ignored: ids are never reused, and nodes that are gone must not accumulate.
+/// Most nodes that are gone and still stored. Above that the oldest are removed, and records of unknown nodes
+/// that are as old as those are ignored: ids are never reused, and nodes that are gone must not accumulate.
 pub const MAX_GONE_NODES: usize = 512;
 
 /// The merged state of one node.
@@ -100,8 +100,8 @@
         source.full_list.map(|(version, Reverse(received))| (version, received))
     }
 
-    /// The merged state of a node. A node of the operator is ready until the directory reports it as terminating or
-    /// gone.
+    /// The merged state of a node. A node of the operator is ready until the directory reports it as
+    /// terminating or gone.
     #[must_use]
     pub fn view(&self, id: &str) -> Option<NodeView<'_>> {
         let operator = self.operator.node(id);
@@ -119,7 +119,8 @@
         }
     }
 
-    /// Whether the directory's full list omits a node whose last record was ready: it may never have belonged there.
+    /// Whether the directory's full list omits a node whose last record was ready: it may never have belonged
+    /// there.
     fn merely_omitted_by_directory(&self, id: &str) -> bool {
         self.directory.nodes.get(id).is_some_and(|records| {
             self.directory.omitted_by(records).is_some() && records.latest.record.state == NodeState::Ready
--- a/src/membership/merged_view/records.rs
+++ b/src/membership/merged_view/records.rs
@@ -13,8 +13,8 @@
     pub source_version: SourceVersion,
     /// When this broker first received it, unix ns.
     pub received: Nanos,
-    /// Whether it came with the first list after a reset of its source's versions, and may be older than what was
-    /// learned before.
+    /// Whether it came with the first list after a reset of its source's versions, and may be older than what
+    /// was learned before.
     pub after_reset: bool,
 }
 
@@ -31,8 +31,8 @@
         (self.record.started, self.precedence())
     }
 
-    /// Whether it can prove a restart: it is ready, and its process start was in the past when it was received.
-    /// A start in the future would outlast every drain.
+    /// Whether it can prove a restart: it is ready, and its process start was in the past when it was
+    /// received. A start in the future would outlast every drain.
     pub(super) fn proves_restart(&self) -> bool {
         self.record.state == NodeState::Ready
             && self.record.started > 0
--- a/src/membership/merged_view/source_view.rs
+++ b/src/membership/merged_view/source_view.rs
@@ -7,7 +7,8 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-/// Number of new nodes after which nodes that are gone are counted again, so that not each report scans all nodes.
+/// Number of new nodes after which nodes that are gone are counted again, so that not each report scans all
+/// nodes.
 const PRUNE_INTERVAL_NODES: usize = 64;
 
 /// All that one source has reported.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,15 +1,16 @@
 //! Membership: one merged view of all nodes from every source, and how far it is trusted.
 //!
-//! Free of I/O and clock: reports and attempt outcomes come in with the time, entries for the engine go out. The
-//! design and its alternatives are described in `docs/membership-design.md`.
+//! Free of I/O and clock: reports and attempt outcomes come in with the time, entries for the engine go out.
+//! The design and its alternatives are described in `docs/membership-design.md`.
 //!
-//! - [`merged_view`] merges records so that their order does not matter and a drain is never undone by older records;
+//! - [`merged_view`] merges records so that their order does not matter and a drain is never undone by older
+//!   records;
 //! - [`staleness`] computes the trust in a record from its age;
 //! - [`probation`] chooses which unconfirmed nodes are admitted;
 //! - [`poll_backoff`] spaces out polls for the endpoint list;
 //! - [`snapshot`] is the stored form of the view, and [`status_report`] a report of it;
-//! - [`manual_override`] and [`gossip_hints`] restrict the announced nodes by operators' commands and by hints of other
-//!   brokers;
+//! - [`manual_override`] and [`gossip_hints`] restrict the announced nodes by operators' commands and by
+//!   hints of other brokers;
 //! - [`Registry`] combines them.
 
 pub mod endpoint_list;
@@ -31,8 +32,8 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// State of a node's process as a source reports it. The order is that of severity: of two records with one version
-/// the severer one takes precedence.
+/// State of a node's process as a source reports it. The order is that of severity: of two records with one
+/// version the severer one takes precedence.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum NodeState {
     /// It accepts work.
--- a/src/membership/poll_backoff.rs
+++ b/src/membership/poll_backoff.rs
@@ -1,7 +1,8 @@
 //! Exponential backoff with jitter between polls for the endpoint list.
 //!
-//! Brokers that are restarted together must not poll together: each waits a random share of a bound that doubles, so
-//! that a discovery service which has just come back sees their polls spread over that bound (full jitter).
+//! Brokers that are restarted together must not poll together: each waits a random share of a bound that
+//! doubles, so that a discovery service which has just come back sees their polls spread over that bound
+//! (full jitter).
 
 use crate::api::Nanos;
 use rand_pcg::Pcg64Mcg;
@@ -27,7 +28,8 @@
         PollBackoff { rng: Pcg64Mcg::seed_from_u64(seed), initial, max: max.max(initial), bound: initial }
     }
 
-    /// Records that a poll failed, and returns the time until the next one, ns: a quarter of the bound at least.
+    /// Records that a poll failed, and returns the time until the next one, ns: a quarter of the bound at
+    /// least.
     pub fn on_failure(&mut self) -> Nanos {
         let uniform = (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
         let wait = self.bound as f64 * (MIN_BOUND_SHARE + (1.0 - MIN_BOUND_SHARE) * uniform);
--- a/src/membership/probation.rs
+++ b/src/membership/probation.rs
@@ -1,13 +1,13 @@
 //! Chooses which nodes are admitted, given how far each is trusted.
 //!
-//! A node that is as good as confirmed is always admitted. Of the others, each partition starts with as many holders
-//! as their trust allows; one more is admitted with each step, so that all are tried in the end. A node that failed
-//! while it was unconfirmed stays ejected, unless a partition has no other holder.
+//! A node that is as good as confirmed is always admitted. Of the others, each partition starts with as many
+//! holders as their trust allows; one more is admitted with each step, so that all are tried in the end. A
+//! node that failed while it was unconfirmed stays ejected, unless a partition has no other holder.
 
 use super::staleness;
 
-/// How partitions are assigned: partition p is held by the nodes of the cells p, p + 1, ... modulo `cells`, `span` of
-/// them.
+/// How partitions are assigned: partition p is held by the nodes of the cells p, p + 1, ... modulo `cells`,
+/// `span` of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PartitionLayout {
     /// Number of cells.
@@ -17,8 +17,8 @@
 }
 
 impl PartitionLayout {
-    /// The groups of partitions that a cell holds. Partitions whose numbers are equal modulo `cells` have the same
-    /// holders and form one group.
+    /// The groups of partitions that a cell holds. Partitions whose numbers are equal modulo `cells` have the
+    /// same holders and form one group.
     pub(crate) fn groups(self, cell: u32) -> impl Iterator<Item = usize> {
         let cells = self.cells.max(1);
         (0..self.span.min(cells)).map(move |j| ((cell % cells + cells - j) % cells) as usize)
@@ -66,8 +66,8 @@
     }
 }
 
-/// Tells for each candidate whether it is admitted, `steps` steps after the first unconfirmed one was seen. Where
-/// there is a choice, candidates at the front of the list are admitted first.
+/// Tells for each candidate whether it is admitted, `steps` steps after the first unconfirmed one was seen.
+/// Where there is a choice, candidates at the front of the list are admitted first.
 #[must_use]
 pub fn admit(layout: PartitionLayout, candidates: &[Candidate], steps: usize) -> Vec<bool> {
     let mut groups = vec![GroupCounts::default(); layout.cells.max(1) as usize];
--- a/src/membership/registry/admission.rs
+++ b/src/membership/registry/admission.rs
@@ -6,8 +6,8 @@
 use crate::membership::probation::{self, Admission, Candidate};
 use crate::membership::{NodeRecord, staleness};
 
-/// Time after which one more unconfirmed holder of each partition is admitted, ns. Short compared with the latency
-/// objectives of queries: no node that is there waits long, and a wrong one has failed by then.
+/// Time after which one more unconfirmed holder of each partition is admitted, ns. Short compared with the
+/// latency objectives of queries: no node that is there waits long, and a wrong one has failed by then.
 const PROBATION_STEP: Nanos = 250_000_000;
 
 /// A ready node with its place in the order of admission.
--- a/src/membership/registry/attempts.rs
+++ b/src/membership/registry/attempts.rs
@@ -1,4 +1,5 @@
-//! Judges nodes by the outcomes of attempts: confirmed by good answers, ejected after failures, warmed up or not.
+//! Judges nodes by the outcomes of attempts: confirmed by good answers, ejected after failures, warmed up or
+//! not.
 
 use super::Registry;
 use crate::api::{Nanos, Outcome, ReplicaId};
@@ -16,8 +17,8 @@
 }
 
 impl Registry {
-    /// Records the outcome of an attempt that ended `latency` ns after it was sent. Its consequences come with the next
-    /// [`Registry::tick`], so that many at once cost no more than one.
+    /// Records the outcome of an attempt that ended `latency` ns after it was sent. Its consequences come
+    /// with the next [`Registry::tick`], so that many at once cost no more than one.
     pub fn on_attempt_end(&mut self, replica: ReplicaId, outcome: Outcome, latency: Nanos, now: Nanos) {
         let Some((id, node)) = self.nodes.by_replica_mut(replica) else { return };
         let silent = latency >= self.settings.silence_timeout;
@@ -37,8 +38,8 @@
         }
     }
 
-    /// Ends the assumed warm-up of a node whose answer came about as fast as most, and faster than one could come where
-    /// all nodes are cold.
+    /// Ends the assumed warm-up of a node whose answer came about as fast as most, and faster than one could
+    /// come where all nodes are cold.
     fn judge_warm_up(&mut self, replica: ReplicaId, latency: Nanos) {
         let is_warm = self.recent_latencies.observe(latency);
         if is_warm && latency <= self.settings.silence_timeout {
--- a/src/membership/registry/directory_state.rs
+++ b/src/membership/registry/directory_state.rs
@@ -1,4 +1,5 @@
-//! What is known of discovery as a source: its list's version, when it was last confirmed, and how fast it changes.
+//! What is known of discovery as a source: its list's version, when it was last confirmed, and how fast it
+//! changes.
 
 use crate::api::Nanos;
 use crate::membership::staleness::ChangeRate;
--- a/src/membership/registry/latency_window.rs
+++ b/src/membership/registry/latency_window.rs
@@ -5,8 +5,8 @@
 
 /// Number of latencies in the window.
 const WINDOW_LEN: usize = 32;
-/// Multiple of the lower quartile up to which a latency is that of a warm node. Parts differ in work by less than
-/// that; a node that has just started is slower by more.
+/// Multiple of the lower quartile up to which a latency is that of a warm node. Parts differ in work by less
+/// than that; a node that has just started is slower by more.
 const WARM_LATENCY_MULTIPLE: f64 = 2.5;
 
 /// The latencies of the last good answers of all nodes.
--- a/src/membership/registry/mod.rs
+++ b/src/membership/registry/mod.rs
@@ -2,10 +2,11 @@
 //!
 //! - [`sources`] merges the reports of snapshots, configuration, operator and discovery;
 //! - [`attempts`] judges nodes by the outcomes of attempts;
-//! - [`reconciliation`] compares the merged view with what was announced, and [`admission`] decides which of the ready
-//!   nodes get work;
+//! - [`reconciliation`] compares the merged view with what was announced, and [`admission`] decides which of
+//!   the ready nodes get work;
 //! - [`node_table`] has the tracked nodes and the changes to announce;
-//! - [`directory_state`], [`latency_window`], [`placement`] and [`snapshot_schedule`] each hold one piece of state.
+//! - [`directory_state`], [`latency_window`], [`placement`] and [`snapshot_schedule`] each hold one piece of
+//!   state.
 
 mod admission;
 mod attempts;
@@ -104,8 +105,8 @@
         self.next_deadline
     }
 
-    /// The changes to announce to the engine. None if there is nothing to announce; an empty list if discovery sent an
-    /// update that changed nothing.
+    /// The changes to announce to the engine. None if there is nothing to announce; an empty list if
+    /// discovery sent an update that changed nothing.
     pub fn take_changes(&mut self) -> Option<Vec<NodeChange>> {
         let updated = std::mem::take(&mut self.unreported_update);
         (updated || self.nodes.has_changes()).then(|| self.nodes.take_changes())
@@ -116,8 +117,8 @@
         std::mem::take(&mut self.warmed_up)
     }
 
-    /// Whether discovery has sent an update since the last call. Admissions and failures change the list too, but are
-    /// no sign that discovery is available.
+    /// Whether discovery has sent an update since the last call. Admissions and failures change the list too,
+    /// but are no sign that discovery is available.
     pub fn take_discovery_answered(&mut self) -> bool {
         std::mem::take(&mut self.discovery_answered)
     }
@@ -127,7 +128,8 @@
         self.view.view(id).filter(|node| node.state == NodeState::Ready)
     }
 
-    /// When a node was last confirmed: by its own answer, by discovery's report of it, or of the list as a whole.
+    /// When a node was last confirmed: by its own answer, by discovery's report of it, or of the list as a
+    /// whole.
     fn last_confirmation(&self, node: &TrackedNode, id: &str) -> Option<Nanos> {
         let listed = self
             .view
--- a/src/membership/registry/placement.rs
+++ b/src/membership/registry/placement.rs
@@ -18,7 +18,8 @@
         Placement { addr: record.addr, cell: record.cell, started: record.started }
     }
 
-    /// Whether a later placement is the same. A start that is no longer stated was long ago: that is no change.
+    /// Whether a later placement is the same. A start that is no longer stated was long ago: that is no
+    /// change.
     pub(super) fn is_unchanged_in(&self, later: &Placement) -> bool {
         let same_start = self.started == later.started || later.started == 0;
         self.addr == later.addr && self.cell == later.cell && same_start
--- a/src/membership/registry/reconciliation.rs
+++ b/src/membership/registry/reconciliation.rs
@@ -43,8 +43,8 @@
         displaced
     }
 
-    /// Reconciles only the named nodes, which suffices while all nodes are confirmed. Returns false if all nodes must be
-    /// reconciled.
+    /// Reconciles only the named nodes, which suffices while all nodes are confirmed. Returns false if all
+    /// nodes must be reconciled.
     pub(super) fn reconcile_named(&mut self, ids: &[&str], now: Nanos) -> bool {
         ids.iter().all(|id| self.reconcile_one(id, now))
     }
@@ -134,7 +134,8 @@
         self.nodes.remove(id);
     }
 
-    /// Tracks a node at this address. At another address it is another process: nothing that was learned holds.
+    /// Tracks a node at this address. At another address it is another process: nothing that was learned
+    /// holds.
     fn track_at(&mut self, id: &str, addr: SocketAddr) {
         if self.nodes.get(id).is_some_and(|node| node.addr != addr) {
             tracing::info!("node {id} is at {addr} now");
--- a/src/membership/registry/settings.rs
+++ b/src/membership/registry/settings.rs
@@ -11,8 +11,8 @@
     pub layout: PartitionLayout,
     /// Time in which a started node warms up, ns.
     pub warm_up: Nanos,
-    /// Configured estimate of the mean time between two changes of one node (a move, a replacement, a drain or a
-    /// restart), ns.
+    /// Configured estimate of the mean time between two changes of one node (a move, a replacement, a drain
+    /// or a restart), ns.
     pub mean_change_interval: Nanos,
     /// Age that is assumed of a list that does not state its own, ns.
     pub default_list_age: Nanos,
@@ -22,8 +22,8 @@
     pub zones: HashMap<String, u32>,
     /// Kinds of node that can be called; empty: all.
     pub kinds: Vec<String>,
-    /// Seed of the order in which unconfirmed nodes are admitted. Each broker needs its own, so that they don't all
-    /// send to the same node, which may be cold.
+    /// Seed of the order in which unconfirmed nodes are admitted. Each broker needs its own, so that they
+    /// don't all send to the same node, which may be cold.
     pub seed: u64,
 }
 
--- a/src/membership/registry/sources.rs
+++ b/src/membership/registry/sources.rs
@@ -87,9 +87,9 @@
         self.reconcile_all(now);
     }
 
-    /// Merges an update from discovery. `first`: it is the first of a new watch, which has all changes since the
-    /// requested version, or else the full list. Returns whether it was accepted: one that is older than the current
-    /// version is ignored, unless it shows that discovery's versions were reset.
+    /// Merges an update from discovery. `first`: it is the first of a new watch, which has all changes since
+    /// the requested version, or else the full list. Returns whether it was accepted: one that is older than
+    /// the current version is ignored, unless it shows that discovery's versions were reset.
     pub fn on_discovery_update(&mut self, list: &EndpointList, first: bool, now: Nanos) -> bool {
         self.unreported_update = true;
         self.discovery_answered = true;
--- a/src/membership/staleness.rs
+++ b/src/membership/staleness.rs
@@ -1,9 +1,9 @@
 //! Trust in a record by its age.
 //!
-//! A node's address, cell and state hold until it is moved, replaced, drained or restarted. If such changes come at
-//! random and at a steady rate, a record of age `a` still holds with probability `exp(-a / t)`, where `t` is the mean
-//! time between two changes of one node. `t` starts from the configured estimate and is learned from what discovery
-//! reports while it is watched.
+//! A node's address, cell and state hold until it is moved, replaced, drained or restarted. If such changes
+//! come at random and at a steady rate, a record of age `a` still holds with probability `exp(-a / t)`, where
+//! `t` is the mean time between two changes of one node. `t` starts from the configured estimate and is
+//! learned from what discovery reports while it is watched.
 
 use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
@@ -12,9 +12,11 @@
 pub const CONFIRMED_TRUST: f64 = 0.98;
 /// Trust below which a single failure ejects an unconfirmed node; above it, two do.
 const SINGLE_FAILURE_TRUST: f64 = 0.5;
-/// Weight of the configured estimate, in observed changes: the first few changes of a day must not decide the rate.
+/// Weight of the configured estimate, in observed changes: the first few changes of a day must not decide the
+/// rate.
 const ESTIMATE_WEIGHT: f64 = 4.0;
-/// Fewest unconfirmed holders of a partition that are admitted at once: a part that fails at one needs another.
+/// Fewest unconfirmed holders of a partition that are admitted at once: a part that fails at one needs
+/// another.
 const MIN_INITIAL_ADMISSIONS: usize = 2;
 
 /// The observed rate at which nodes change.
@@ -43,7 +45,8 @@
         }
     }
 
-    /// Mean time between two changes of one node, ns, given the configured estimate. Always finite and at least 1.
+    /// Mean time between two changes of one node, ns, given the configured estimate. Always finite and at
+    /// least 1.
     #[must_use]
     pub fn mean_interval(&self, estimate: Nanos) -> f64 {
         let finite = |x: f64| if x.is_finite() && x >= 0.0 { x } else { 0.0 };
@@ -53,8 +56,8 @@
     }
 }
 
-/// Probability, from 0 to 1, that a record of this age still holds; `mean_interval` is the mean time between two
-/// changes of a node, ns.
+/// Probability, from 0 to 1, that a record of this age still holds; `mean_interval` is the mean time between
+/// two changes of a node, ns.
 #[must_use]
 pub fn trust_at_age(age: Nanos, mean_interval: f64) -> f64 {
     (-(age as f64) / mean_interval.max(1.0)).exp()
@@ -76,8 +79,9 @@
     ((trust * holders as f64).round() as usize).max(MIN_INITIAL_ADMISSIONS).min(holders)
 }
 
-/// The process start that is assumed for an unconfirmed node, unix ns, given the time of its admission and the warm-up
-/// time of a started node. The lower the trust the later the start: the node may have restarted just now.
+/// The process start that is assumed for an unconfirmed node, unix ns, given the time of its admission and
+/// the warm-up time of a started node. The lower the trust the later the start: the node may have restarted
+/// just now.
 #[must_use]
 pub fn assumed_start(trust: f64, now: Nanos, warm_up: Nanos) -> Option<Nanos> {
     let age = (warm_up as f64 * trust) as Nanos;
--- a/src/membership/status_report.rs
+++ b/src/membership/status_report.rs
@@ -51,8 +51,8 @@
 }
 
 impl StatusReport {
-    /// The merged contents of all generations of one stored list; `estimate` is the configured mean time between two
-    /// changes of a node, ns.
+    /// The merged contents of all generations of one stored list; `estimate` is the configured mean time
+    /// between two changes of a node, ns.
     #[must_use]
     pub fn new(snapshots: &[Snapshot], now: Nanos, estimate: Nanos) -> StatusReport {
         let mut view = MergedView::default();
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,9 +1,9 @@
-//! Routing: which of the nodes that membership knows are offered to the decisions, and with what weight.
+//! Routing: which of the nodes that membership announces are offered to the policy, and with what weight.
 //!
-//! An operator may put nodes into sets that are used one after the other, hold spares back, give weights, and switch
-//! nodes off. The decision module still decides which server among those offered, whether again, and what to turn
-//! away. Free of I/O and clock: lines of the list and outcomes come in with the time, lines go out. The ways that
-//! were weighed are in `docs/routing.md`.
+//! An operator may put nodes into sets that are used in order, reserve spares, set weights, and disable
+//! nodes. The policy still decides which of the offered nodes gets a part, whether to retry, and what to
+//! reject. Free of I/O and clock: changes from membership and outcomes of attempts come in with the time,
+//! changes for the engine go out. The design and its alternatives are described in `docs/routing.md`.
 
 mod health;
 mod table;
@@ -13,48 +13,50 @@
 
 use crate::api::Nanos;
 
-/// Whether a node takes work, by the operator's word.
+/// The administrative state of a node, set by the operator.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum AdminState {
-    /// It does.
+    /// It gets work.
     #[default]
     Active,
-    /// It keeps only what is bound to it. No query is bound to a node here, so it gets nothing new.
+    /// It gets only sticky work. No query is sticky here, so it gets nothing new; it may be a redirect's
+    /// target.
     Disabled,
     /// It gets nothing new.
     Stopped,
-    /// It finishes what it has and gets nothing new; it is about to go.
+    /// It completes what is in flight and gets nothing new; it is to be removed.
     Draining,
 }
 
-/// Whether a node waits for others to fail.
+/// Whether a node is reserved until others fail.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Spare {
-    /// It works with the others of its set.
+    /// It is a regular node of its set.
     #[default]
     None,
-    /// It works when no regular node of its set does.
+    /// It gets work when no regular node of its set works.
     Hot,
-    /// It works when no regular node and no hot spare of its set does.
+    /// It gets work when no regular node and no hot spare of its set works.
     Standby,
 }
 
-/// What the operator says of a node.
+/// The operator's rule for a node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Rule {
-    /// Whether it takes work.
+    /// Its administrative state.
     pub admin_state: AdminState,
-    /// Share of the work beside others of its set; 0: none.
+    /// Weight of its share of the work among the nodes of its set; 0: no work.
     pub weight: f64,
-    /// Sets are used in the order of their numbers, the next only when one has no usable node.
+    /// Its set. Sets are used in the order of their numbers, the next one only if no node of the earlier ones
+    /// works.
     pub set: u32,
-    /// Whether it waits for others to fail.
+    /// Whether it is reserved until others fail.
     pub spare: Spare,
-    /// The node that takes its place while it fails, by id; that one is offered although it is a spare.
+    /// Id of the node that replaces it while it is ejected; that one is offered even if it is a spare.
     pub redirect: Option<String>,
-    /// Time after a failure in which it gets no work; then one trial.
+    /// Length of an ejection, ns; then it is probed.
     pub retry: Nanos,
 }
 
@@ -72,7 +74,8 @@
 }
 
 impl Rule {
-    /// Whether it says nothing that would change what is offered.
+    /// Whether it has no effect on what is offered.
+    #[must_use]
     pub fn is_plain(&self) -> bool {
         *self == Rule { retry: self.retry, ..Rule::default() }
     }
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -1,33 +1,37 @@
-//! Every node with its rule and its health, and what is offered of them.
+//! All nodes with their rules and health, and what is offered of them.
 
 use super::{AdminState, Eligibility, Health, Rule, Spare};
 use crate::api::{self, Nanos, Outcome, ReplicaId};
 use crate::membership::{NodeChange, PartitionLayout};
 use std::collections::{BTreeMap, HashMap};
 
-/// What routing is told at its start.
+/// Settings of [`Routing`].
 #[derive(Clone, Debug)]
 pub struct RoutingSettings {
-    /// How the partitions lie.
+    /// How partitions are assigned to cells.
     pub layout: PartitionLayout,
     /// Rules by node id; a node without one has the default.
     pub rules: HashMap<String, Rule>,
-    /// Time in which a node that came back grows to its full weight.
+    /// Time in which a node that was ejected returns to its full weight, ns.
     pub warm_up: Nanos,
-    /// Time for which a node must have worked before those who stood in for it are let go. Guards against flapping.
+    /// Time for which a node must have worked before the nodes that replaced it are withdrawn, ns: against
+    /// flapping.
     pub failback_delay: Nanos,
 }
 
+/// Shortest time between two reconciliations while time alone changes what is offered, ns.
+const MIN_RECONCILE_INTERVAL: Nanos = 50_000_000;
+
 /// Order in which nodes are used: lower ones first.
 type Tier = (u32, Spare);
 
 #[derive(Debug)]
 struct Node {
-    /// As membership has it.
+    /// The last change from membership.
     listed: NodeChange,
     rule: Rule,
     health: Health,
-    /// What was told last.
+    /// The entry that was announced last.
     announced: Option<api::ReplicaEntry>,
 }
 
@@ -43,13 +47,13 @@
         matches!(self.health.eligibility(), Eligibility::Ejected { .. })
     }
 
-    /// It works, or comes back.
+    /// Whether it works, or is warming up.
     fn is_usable(&self) -> bool {
         matches!(self.health.eligibility(), Eligibility::Healthy | Eligibility::WarmingUp { .. })
     }
 }
 
-/// What is offered of the nodes that membership knows.
+/// The offered nodes and their weights.
 #[derive(Debug)]
 pub struct Routing {
     settings: RoutingSettings,
@@ -57,13 +61,14 @@
     /// The highest tier in use, for each group of partitions with the same holders.
     active_tiers: Vec<Option<Tier>>,
     changes: Vec<NodeChange>,
-    /// Membership answered, if only to say that nothing changed.
+    /// An update of membership was received that [`Routing::take_changes`] has not reported.
     unreported_update: bool,
     dirty: bool,
 }
 
 impl Routing {
-    /// Routing that knows no node yet.
+    /// Routing without nodes.
+    #[must_use]
     pub fn new(settings: RoutingSettings) -> Routing {
         let groups = settings.layout.cells.max(1) as usize;
         Routing {
@@ -76,7 +81,7 @@
         }
     }
 
-    /// Rules from now on. What runs goes on; what is stopped gets nothing new.
+    /// Replaces the rules. Work in flight continues; nodes that are stopped get nothing new.
     pub fn set_rules(&mut self, rules: HashMap<String, Rule>, now: Nanos) {
         self.settings.rules = rules;
         for node in self.nodes.values_mut() {
@@ -85,7 +90,7 @@
         self.reconcile(now);
     }
 
-    /// What membership has to tell.
+    /// Applies changes from membership.
     pub fn on_membership_changes(&mut self, changes: Vec<NodeChange>, now: Nanos) {
         self.unreported_update = true;
         for change in changes {
@@ -98,7 +103,7 @@
             let rule = self.settings.rules.get(&change.id).cloned().unwrap_or_default();
             match self.nodes.get_mut(&replica) {
                 Some(node) => {
-                    // Its address or kind may have changed: whoever is told must be told again.
+                    // A change of address or kind must be announced even if the entry is the same.
                     node.announced = node
                         .announced
                         .take()
@@ -114,9 +119,9 @@
         self.reconcile(now);
     }
 
-    /// How an attempt at a node ended.
+    /// Records the outcome of an attempt at a node.
     pub fn on_attempt_end(&mut self, replica: ReplicaId, outcome: Outcome, now: Nanos) {
-        // Without rules the decisions mind failures alone, as they always did.
+        // Without rules only the policy considers failures.
         if self.settings.rules.is_empty() {
             return;
         }
@@ -140,7 +145,7 @@
         }
     }
 
-    /// Lets time go by.
+    /// Handles deadlines up to `now`.
     pub fn tick(&mut self, now: Nanos) {
         if self.settings.rules.is_empty() {
             return;
@@ -149,7 +154,8 @@
         for node in self.nodes.values_mut() {
             self.dirty |= node.health.tick(warm_up, now);
         }
-        // While a node warms up or is to prove that it stays, time alone changes what is offered.
+        // While a node warms up, or must work for a while before it replaces others, time alone changes what
+        // is offered.
         if self.dirty || self.depends_on_time() {
             self.reconcile(now);
         }
@@ -165,13 +171,15 @@
         self.nodes.values().filter(|n| n.is_enabled()).map(|n| n.rule.tier()).min().unwrap_or_default()
     }
 
-    /// When `tick` is next worth calling.
+    /// When [`Routing::tick`] must be called next, if time alone changes anything.
+    #[must_use]
     pub fn next_deadline(&self, now: Nanos) -> Option<Nanos> {
         if self.settings.rules.is_empty() {
             return None;
         }
         let turns = self.nodes.values().filter_map(|n| n.health.next_transition(self.settings.warm_up)).min();
-        let step = self.depends_on_time().then(|| now + (self.settings.warm_up / 10).max(50_000_000));
+        let step =
+            self.depends_on_time().then(|| now + (self.settings.warm_up / 10).max(MIN_RECONCILE_INTERVAL));
         turns.into_iter().chain(step).min()
     }
 
@@ -187,7 +195,7 @@
                     None => entry.state = api::ReplicaState::Draining,
                 }
             }
-            // Who never got work need not be told of as one that gets none.
+            // A node that never got work need not be announced as one that gets none.
             let changed = node.announced.as_ref() != Some(&entry)
                 && (node.announced.is_some() || entry.state == api::ReplicaState::Active || no_rules);
             if changed {
@@ -197,7 +205,7 @@
         }
     }
 
-    /// The nodes that are offered, with their weights.
+    /// The weights of the nodes that are offered.
     fn offered_weights(&mut self, now: Nanos) -> HashMap<ReplicaId, f64> {
         let (layout, failback_delay, warm_up) =
             (self.settings.layout, self.settings.failback_delay, self.settings.warm_up);
@@ -210,14 +218,15 @@
             let of = |r: &ReplicaId| &self.nodes[r];
             let lowest = group.iter().filter(|r| of(r).is_usable()).map(|r| of(r).rule.tier()).min();
             let Some(lowest) = lowest else {
-                // Nobody is known to work: all are tried, for a doubtful holder is better than none.
+                // No node is known to work: all are tried, since a doubtful holder is better than none.
                 weights.extend(group.iter().map(|r| (*r, of(r).rule.weight)));
                 continue;
             };
             let proven = |t: Tier| {
                 group.iter().any(|r| of(r).rule.tier() <= t && of(r).health.healthy_for(failback_delay, now))
             };
-            // Up at once, down only when who is to take over has worked for a while. At the start nobody has.
+            // To a higher tier at once, to a lower one only when a node of it has worked for a while. At the
+            // start none has.
             *in_use = Some(match *in_use {
                 Some(tier) if lowest < tier && !proven(lowest) => {
                     let usable = group.iter().filter(|r| of(r).rule.tier() <= tier);
@@ -235,7 +244,7 @@
         weights
     }
 
-    /// Adds those who are to take the place of nodes that fail.
+    /// Adds the nodes that replace ejected ones by redirect.
     fn add_redirect_targets(&self, weights: &mut HashMap<ReplicaId, f64>, now: Nanos) {
         let failing = self.nodes.values().filter(|n| n.is_enabled() && n.is_ejected());
         for id in failing.filter_map(|n| n.rule.redirect.as_deref()) {
@@ -252,7 +261,8 @@
         }
     }
 
-    /// What the exchange is to be told.
+    /// The changes to announce to the engine: none if there is nothing to announce, an empty list if
+    /// membership sent an update that changed nothing.
     pub fn take_changes(&mut self) -> Option<Vec<NodeChange>> {
         let answered = std::mem::take(&mut self.unreported_update);
         (answered || !self.changes.is_empty()).then(|| std::mem::take(&mut self.changes))
