Split routing into rules, nodes, offers and the table

One file held the nodes, the choice of tiers, redirects and the announcements, and a tier was a tuple. Rules, a routed node with its health, the offered weights of a group and the table have a module each; a tier is a struct.

--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -1,7 +1,10 @@
-//! All nodes with their rules and health, and what is offered of them.
+//! All routed nodes, and the changes to announce of them.
 
-use super::{AdminState, Eligibility, Health, Rule, Spare};
-use crate::api::{self, Nanos, Outcome, ReplicaId};
+use super::node::RoutedNode;
+use super::offers::offered_weights;
+use super::rule::Tier;
+use super::{Eligibility, Rule};
+use crate::api::{Nanos, Outcome, ReplicaId, ReplicaState};
 use crate::membership::{NodeChange, PartitionLayout};
 use std::collections::{BTreeMap, HashMap};
 
@@ -22,42 +25,11 @@
 /// Shortest time between two reconciliations while time alone changes what is offered, ns.
 const MIN_RECONCILE_INTERVAL: Nanos = 50_000_000;
 
-/// Order in which nodes are used: lower ones first.
-type Tier = (u32, Spare);
-
-#[derive(Debug)]
-struct Node {
-    /// The last change from membership.
-    listed: NodeChange,
-    rule: Rule,
-    health: Health,
-    /// The entry that was announced last.
-    announced: Option<api::ReplicaEntry>,
-}
-
-impl Node {
-    /// Whether it may get work at all.
-    fn is_enabled(&self) -> bool {
-        self.listed.entry.state == api::ReplicaState::Active
-            && self.rule.admin_state == AdminState::Active
-            && self.rule.weight > 0.0
-    }
-
-    fn is_ejected(&self) -> bool {
-        matches!(self.health.eligibility(), Eligibility::Ejected { .. })
-    }
-
-    /// Whether it works, or is warming up.
-    fn is_usable(&self) -> bool {
-        matches!(self.health.eligibility(), Eligibility::Healthy | Eligibility::WarmingUp { .. })
-    }
-}
-
 /// The offered nodes and their weights.
 #[derive(Debug)]
 pub struct Routing {
     settings: RoutingSettings,
-    nodes: BTreeMap<ReplicaId, Node>,
+    nodes: BTreeMap<ReplicaId, RoutedNode>,
     /// The highest tier in use, for each group of partitions with the same holders.
     active_tiers: Vec<Option<Tier>>,
     changes: Vec<NodeChange>,
@@ -94,31 +66,24 @@
     pub fn on_membership_changes(&mut self, changes: Vec<NodeChange>, now: Nanos) {
         self.unreported_update = true;
         for change in changes {
-            let replica = change.entry.replica;
-            if change.entry.state == api::ReplicaState::Removed {
-                self.nodes.remove(&replica);
-                self.changes.push(change);
-                continue;
-            }
-            let rule = self.settings.rules.get(&change.id).cloned().unwrap_or_default();
-            match self.nodes.get_mut(&replica) {
-                Some(node) => {
-                    // A change of address or kind must be announced even if the entry is the same.
-                    node.announced = node
-                        .announced
-                        .take()
-                        .filter(|_| (node.listed.addr, &node.listed.kind) == (change.addr, &change.kind));
-                    node.listed = change;
-                }
-                None => {
-                    let health = Health::new(now);
-                    self.nodes.insert(replica, Node { listed: change, rule, health, announced: None });
-                }
-            }
+            self.apply_change(change, now);
         }
         self.reconcile(now);
     }
 
+    fn apply_change(&mut self, change: NodeChange, now: Nanos) {
+        let replica = change.entry.replica;
+        if change.entry.state == ReplicaState::Removed {
+            self.nodes.remove(&replica);
+            self.changes.push(change);
+        } else if let Some(node) = self.nodes.get_mut(&replica) {
+            node.set_listed(change);
+        } else {
+            let rule = self.settings.rules.get(&change.id).cloned().unwrap_or_default();
+            self.nodes.insert(replica, RoutedNode::new(change, rule, now));
+        }
+    }
+
     /// Records the outcome of an attempt at a node.
     pub fn on_attempt_end(&mut self, replica: ReplicaId, outcome: Outcome, now: Nanos) {
         // Without rules only the policy considers failures.
@@ -126,22 +91,7 @@
             return;
         }
         if let Some(node) = self.nodes.get_mut(&replica) {
-            let before = node.health.eligibility();
-            self.dirty |= node.health.on_attempt_end(outcome, node.rule.retry, now);
-            let id = &node.listed.id;
-            match (before, node.health.eligibility()) {
-                (Eligibility::Ejected { .. }, Eligibility::Ejected { .. }) => {}
-                (_, Eligibility::Ejected { .. }) => {
-                    tracing::warn!(
-                        "node {id} gets no work for {} s: it failed",
-                        node.rule.retry / 1_000_000_000
-                    );
-                }
-                (Eligibility::Ejected { .. } | Eligibility::Probing, Eligibility::WarmingUp { .. }) => {
-                    tracing::info!("node {id} gets work again, a little at first");
-                }
-                _ => {}
-            }
+            self.dirty |= node.on_attempt_end(outcome, now);
         }
     }
 
@@ -154,21 +104,24 @@
         for node in self.nodes.values_mut() {
             self.dirty |= node.health.tick(warm_up, now);
         }
-        // While a node warms up, or must work for a while before it replaces others, time alone changes what
-        // is offered.
         if self.dirty || self.depends_on_time() {
             self.reconcile(now);
         }
     }
 
+    /// Whether time alone changes what is offered: a node warms up, or must work for a while before it
+    /// replaces others.
     fn depends_on_time(&self) -> bool {
-        let warming =
-            self.nodes.values().any(|n| matches!(n.health.eligibility(), Eligibility::WarmingUp { .. }));
-        warming || self.active_tiers.iter().flatten().any(|t| *t > self.lowest_tier())
+        let is_warming_up =
+            |node: &RoutedNode| matches!(node.health.eligibility(), Eligibility::WarmingUp { .. });
+        let lowest_tier = self.lowest_tier();
+        self.nodes.values().any(is_warming_up)
+            || self.active_tiers.iter().flatten().any(|tier| *tier > lowest_tier)
     }
 
     fn lowest_tier(&self) -> Tier {
-        self.nodes.values().filter(|n| n.is_enabled()).map(|n| n.rule.tier()).min().unwrap_or_default()
+        let enabled = self.nodes.values().filter(|node| node.is_enabled());
+        enabled.map(|node| node.rule.tier()).min().unwrap_or_default()
     }
 
     /// When [`Routing::tick`] must be called next, if time alone changes anything.
@@ -177,94 +130,32 @@
         if self.settings.rules.is_empty() {
             return None;
         }
-        let turns = self.nodes.values().filter_map(|n| n.health.next_transition(self.settings.warm_up)).min();
-        let step =
-            self.depends_on_time().then(|| now + (self.settings.warm_up / 10).max(MIN_RECONCILE_INTERVAL));
-        turns.into_iter().chain(step).min()
+        let warm_up = self.settings.warm_up;
+        let transition = self.nodes.values().filter_map(|node| node.health.next_transition(warm_up)).min();
+        let step = self.depends_on_time().then(|| now + (warm_up / 10).max(MIN_RECONCILE_INTERVAL));
+        transition.into_iter().chain(step).min()
     }
 
     fn reconcile(&mut self, now: Nanos) {
         self.dirty = false;
-        let offered = self.offered_weights(now);
-        let no_rules = self.settings.rules.is_empty();
+        let weights = offered_weights(&self.nodes, &self.settings, &mut self.active_tiers, now);
+        let without_rules = self.settings.rules.is_empty();
         for (replica, node) in &mut self.nodes {
             let mut entry = node.listed.entry.clone();
-            if !no_rules && entry.state == api::ReplicaState::Active {
-                match offered.get(replica) {
+            if !without_rules && entry.state == ReplicaState::Active {
+                match weights.get(replica) {
                     Some(weight) => entry.weight = *weight,
-                    None => entry.state = api::ReplicaState::Draining,
+                    None => entry.state = ReplicaState::Draining,
                 }
             }
-            // A node that never got work need not be announced as one that gets none.
-            let changed = node.announced.as_ref() != Some(&entry)
-                && (node.announced.is_some() || entry.state == api::ReplicaState::Active || no_rules);
-            if changed {
-                node.announced = Some(entry.clone());
-                self.changes.push(NodeChange { entry, ..node.listed.clone() });
-            }
-        }
-    }
-
-    /// The weights of the nodes that are offered.
-    fn offered_weights(&mut self, now: Nanos) -> HashMap<ReplicaId, f64> {
-        let (layout, failback_delay, warm_up) =
-            (self.settings.layout, self.settings.failback_delay, self.settings.warm_up);
-        let mut groups: Vec<Vec<ReplicaId>> = vec![Vec::new(); self.active_tiers.len()];
-        for (replica, node) in self.nodes.iter().filter(|(_, n)| n.is_enabled()) {
-            layout.groups(node.listed.entry.cell).for_each(|g| groups[g].push(*replica));
-        }
-        let mut weights = HashMap::new();
-        for (group, in_use) in groups.iter().zip(&mut self.active_tiers) {
-            let of = |r: &ReplicaId| &self.nodes[r];
-            let lowest = group.iter().filter(|r| of(r).is_usable()).map(|r| of(r).rule.tier()).min();
-            let Some(lowest) = lowest else {
-                // No node is known to work: all are tried, since a doubtful holder is better than none.
-                weights.extend(group.iter().map(|r| (*r, of(r).rule.weight)));
-                continue;
-            };
-            let proven = |t: Tier| {
-                group.iter().any(|r| of(r).rule.tier() <= t && of(r).health.healthy_for(failback_delay, now))
-            };
-            // To a higher tier at once, to a lower one only when a node of it has worked for a while. At the
-            // start none has.
-            *in_use = Some(match *in_use {
-                Some(tier) if lowest < tier && !proven(lowest) => {
-                    let usable = group.iter().filter(|r| of(r).rule.tier() <= tier);
-                    usable.map(|r| of(r).rule.tier()).max().unwrap_or(lowest)
-                }
-                _ => lowest,
-            });
-            let tier = in_use.unwrap_or(lowest);
-            for replica in group.iter().filter(|r| of(r).rule.tier() <= tier && !of(r).is_ejected()) {
-                let node = of(replica);
-                weights.insert(*replica, node.rule.weight * node.health.weight_share(warm_up, now));
-            }
-        }
-        self.add_redirect_targets(&mut weights, now);
-        weights
-    }
-
-    /// Adds the nodes that replace ejected ones by redirect.
-    fn add_redirect_targets(&self, weights: &mut HashMap<ReplicaId, f64>, now: Nanos) {
-        let failing = self.nodes.values().filter(|n| n.is_enabled() && n.is_ejected());
-        for id in failing.filter_map(|n| n.rule.redirect.as_deref()) {
-            let stand_in = self.nodes.iter().find(|(_, n)| n.listed.id == id);
-            if let Some((replica, n)) = stand_in
-                && n.listed.entry.state == api::ReplicaState::Active
-                && matches!(n.rule.admin_state, AdminState::Active | AdminState::Disabled)
-                && !n.is_ejected()
-            {
-                let weight =
-                    n.rule.weight.max(f64::MIN_POSITIVE) * n.health.weight_share(self.settings.warm_up, now);
-                weights.entry(*replica).or_insert(weight);
-            }
+            self.changes.extend(node.announce(entry, without_rules));
         }
     }
 
     /// The changes to announce to the engine: none if there is nothing to announce, an empty list if
     /// membership sent an update that changed nothing.
     pub fn take_changes(&mut self) -> Option<Vec<NodeChange>> {
-        let answered = std::mem::take(&mut self.unreported_update);
-        (answered || !self.changes.is_empty()).then(|| std::mem::take(&mut self.changes))
+        let updated = std::mem::take(&mut self.unreported_update);
+        (updated || !self.changes.is_empty()).then(|| std::mem::take(&mut self.changes))
     }
 }
