--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -1,69 +1,46 @@
-//! Every node with its rule and its health, and what is offered of them.
+//! All routed nodes, and the changes to announce of them.
 
-use super::{AdminState, Eligibility, Health, Rule, Spare};
-use crate::api::{self, Nanos, Outcome, ReplicaId};
+use super::node::RoutedNode;
+use super::offers::offered_weights;
+use super::rule::Tier;
+use super::{Eligibility, Rule};
+use crate::api::{Nanos, Outcome, ReplicaId, ReplicaState};
 use crate::membership::{NodeChange, PartitionLayout};
 use std::collections::{BTreeMap, HashMap};
 
-/// What routing is told at its start.
+/// Settings of [`Routing`].
 #[derive(Clone, Debug)]
 pub struct RoutingSettings {
-    /// How the partitions lie.
+    /// How partitions are assigned to cells.
     pub layout: PartitionLayout,
     /// Rules by node id; a node without one has the default.
     pub rules: HashMap<String, Rule>,
-    /// Time in which a node that came back grows to its full weight.
+    /// Time in which a node that was ejected returns to its full weight, ns.
     pub warm_up: Nanos,
-    /// Time for which a node must have worked before those who stood in for it are let go. Guards against flapping.
+    /// Time for which a node must have worked before the nodes that replaced it are withdrawn, ns: against
+    /// flapping.
     pub failback_delay: Nanos,
 }
 
-/// Order in which nodes are used: lower ones first.
-type Tier = (u32, Spare);
+/// Shortest time between two reconciliations while time alone changes what is offered, ns.
+const MIN_RECONCILE_INTERVAL: Nanos = 50_000_000;
 
-#[derive(Debug)]
-struct Node {
-    /// As membership has it.
-    listed: NodeChange,
-    rule: Rule,
-    health: Health,
-    /// What was told last.
-    announced: Option<api::ReplicaEntry>,
-}
-
-impl Node {
-    /// Whether it may get work at all.
-    fn is_enabled(&self) -> bool {
-        self.listed.entry.state == api::ReplicaState::Active
-            && self.rule.admin_state == AdminState::Active
-            && self.rule.weight > 0.0
-    }
-
-    fn is_ejected(&self) -> bool {
-        matches!(self.health.eligibility(), Eligibility::Ejected { .. })
-    }
-
-    /// It works, or comes back.
-    fn is_usable(&self) -> bool {
-        matches!(self.health.eligibility(), Eligibility::Healthy | Eligibility::WarmingUp { .. })
-    }
-}
-
-/// What is offered of the nodes that membership knows.
+/// The offered nodes and their weights.
 #[derive(Debug)]
 pub struct Routing {
     settings: RoutingSettings,
-    nodes: BTreeMap<ReplicaId, Node>,
+    nodes: BTreeMap<ReplicaId, RoutedNode>,
     /// The highest tier in use, for each group of partitions with the same holders.
     active_tiers: Vec<Option<Tier>>,
     changes: Vec<NodeChange>,
-    /// Membership answered, if only to say that nothing changed.
+    /// An update of membership was received that [`Routing::take_changes`] has not reported.
     unreported_update: bool,
     dirty: bool,
 }
 
 impl Routing {
-    /// Routing that knows no node yet.
+    /// Routing without nodes.
+    #[must_use]
     pub fn new(settings: RoutingSettings) -> Routing {
         let groups = settings.layout.cells.max(1) as usize;
         Routing {
@@ -76,7 +53,7 @@
         }
     }
 
-    /// Rules from now on. What runs goes on; what is stopped gets nothing new.
+    /// Replaces the rules. Work in flight continues; nodes that are stopped get nothing new.
     pub fn set_rules(&mut self, rules: HashMap<String, Rule>, now: Nanos) {
         self.settings.rules = rules;
         for node in self.nodes.values_mut() {
@@ -85,62 +62,40 @@
         self.reconcile(now);
     }
 
-    /// What membership has to tell.
+    /// Applies changes from membership.
     pub fn on_membership_changes(&mut self, changes: Vec<NodeChange>, now: Nanos) {
         self.unreported_update = true;
         for change in changes {
-            let replica = change.entry.replica;
-            if change.entry.state == api::ReplicaState::Removed {
-                self.nodes.remove(&replica);
-                self.changes.push(change);
-                continue;
-            }
-            let rule = self.settings.rules.get(&change.id).cloned().unwrap_or_default();
-            match self.nodes.get_mut(&replica) {
-                Some(node) => {
-                    // Its address or kind may have changed: whoever is told must be told again.
-                    node.announced = node
-                        .announced
-                        .take()
-                        .filter(|_| (node.listed.addr, &node.listed.kind) == (change.addr, &change.kind));
-                    node.listed = change;
-                }
-                None => {
-                    let health = Health::new(now);
-                    self.nodes.insert(replica, Node { listed: change, rule, health, announced: None });
-                }
-            }
+            self.apply_change(change, now);
         }
         self.reconcile(now);
     }
 
-    /// How an attempt at a node ended.
+    fn apply_change(&mut self, change: NodeChange, now: Nanos) {
+        let replica = change.entry.replica;
+        if change.entry.state == ReplicaState::Removed {
+            self.nodes.remove(&replica);
+            self.changes.push(change);
+        } else if let Some(node) = self.nodes.get_mut(&replica) {
+            node.set_listed(change);
+        } else {
+            let rule = self.settings.rules.get(&change.id).cloned().unwrap_or_default();
+            self.nodes.insert(replica, RoutedNode::new(change, rule, now));
+        }
+    }
+
+    /// Records the outcome of an attempt at a node.
     pub fn on_attempt_end(&mut self, replica: ReplicaId, outcome: Outcome, now: Nanos) {
-        // Without rules the decisions mind failures alone, as they always did.
+        // Without rules only the policy considers failures.
         if self.settings.rules.is_empty() {
             return;
         }
         if let Some(node) = self.nodes.get_mut(&replica) {
-            let before = node.health.eligibility();
-            self.dirty |= node.health.on_attempt_end(outcome, node.rule.retry, now);
-            let id = &node.listed.id;
-            match (before, node.health.eligibility()) {
-                (Eligibility::Ejected { .. }, Eligibility::Ejected { .. }) => {}
-                (_, Eligibility::Ejected { .. }) => {
-                    tracing::warn!(
-                        "node {id} gets no work for {} s: it failed",
-                        node.rule.retry / 1_000_000_000
-                    );
-                }
-                (Eligibility::Ejected { .. } | Eligibility::Probing, Eligibility::WarmingUp { .. }) => {
-                    tracing::info!("node {id} gets work again, a little at first");
-                }
-                _ => {}
-            }
+            self.dirty |= node.on_attempt_end(outcome, now);
         }
     }
 
-    /// Lets time go by.
+    /// Handles deadlines up to `now`.
     pub fn tick(&mut self, now: Nanos) {
         if self.settings.rules.is_empty() {
             return;
@@ -149,111 +104,58 @@
         for node in self.nodes.values_mut() {
             self.dirty |= node.health.tick(warm_up, now);
         }
-        // While a node warms up or is to prove that it stays, time alone changes what is offered.
         if self.dirty || self.depends_on_time() {
             self.reconcile(now);
         }
     }
 
+    /// Whether time alone changes what is offered: a node warms up, or must work for a while before it
+    /// replaces others.
     fn depends_on_time(&self) -> bool {
-        let warming =
-            self.nodes.values().any(|n| matches!(n.health.eligibility(), Eligibility::WarmingUp { .. }));
-        warming || self.active_tiers.iter().flatten().any(|t| *t > self.lowest_tier())
+        let is_warming_up =
+            |node: &RoutedNode| matches!(node.health.eligibility(), Eligibility::WarmingUp { .. });
+        let lowest_tier = self.lowest_tier();
+        self.nodes.values().any(is_warming_up)
+            || self.active_tiers.iter().flatten().any(|tier| *tier > lowest_tier)
     }
 
     fn lowest_tier(&self) -> Tier {
-        self.nodes.values().filter(|n| n.is_enabled()).map(|n| n.rule.tier()).min().unwrap_or_default()
+        let enabled = self.nodes.values().filter(|node| node.is_enabled());
+        enabled.map(|node| node.rule.tier()).min().unwrap_or_default()
     }
 
-    /// When `tick` is next worth calling.
+    /// When [`Routing::tick`] must be called next, if time alone changes anything.
+    #[must_use]
     pub fn next_deadline(&self, now: Nanos) -> Option<Nanos> {
         if self.settings.rules.is_empty() {
             return None;
         }
-        let turns = self.nodes.values().filter_map(|n| n.health.next_transition(self.settings.warm_up)).min();
-        let step = self.depends_on_time().then(|| now + (self.settings.warm_up / 10).max(50_000_000));
-        turns.into_iter().chain(step).min()
+        let warm_up = self.settings.warm_up;
+        let transition = self.nodes.values().filter_map(|node| node.health.next_transition(warm_up)).min();
+        let step = self.depends_on_time().then(|| now + (warm_up / 10).max(MIN_RECONCILE_INTERVAL));
+        transition.into_iter().chain(step).min()
     }
 
     fn reconcile(&mut self, now: Nanos) {
         self.dirty = false;
-        let offered = self.offered_weights(now);
-        let plain = self.settings.rules.is_empty();
+        let weights = offered_weights(&self.nodes, &self.settings, &mut self.active_tiers, now);
+        let without_rules = self.settings.rules.is_empty();
         for (replica, node) in &mut self.nodes {
-            let mut line = node.listed.entry.clone();
-            if !plain && line.state == api::ReplicaState::Active {
-                match offered.get(replica) {
-                    Some(weight) => line.weight = *weight,
-                    None => line.state = api::ReplicaState::Draining,
+            let mut entry = node.listed.entry.clone();
+            if !without_rules && entry.state == ReplicaState::Active {
+                match weights.get(replica) {
+                    Some(weight) => entry.weight = *weight,
+                    None => entry.state = ReplicaState::Draining,
                 }
             }
-            // Who never got work need not be told of as one that gets none.
-            let news = node.announced.as_ref() != Some(&line)
-                && (node.announced.is_some() || line.state == api::ReplicaState::Active || plain);
-            if news {
-                node.announced = Some(line.clone());
-                self.changes.push(NodeChange { entry: line, ..node.listed.clone() });
-            }
-        }
-    }
-
-    /// The nodes that are offered, with their weights.
-    fn offered_weights(&mut self, now: Nanos) -> HashMap<ReplicaId, f64> {
-        let (layout, hold, warm_up) =
-            (self.settings.layout, self.settings.failback_delay, self.settings.warm_up);
-        let mut groups: Vec<Vec<ReplicaId>> = vec![Vec::new(); self.active_tiers.len()];
-        for (replica, node) in self.nodes.iter().filter(|(_, n)| n.is_enabled()) {
-            layout.groups(node.listed.entry.cell).for_each(|g| groups[g].push(*replica));
-        }
-        let mut out = HashMap::new();
-        for (group, in_use) in groups.iter().zip(&mut self.active_tiers) {
-            let of = |r: &ReplicaId| &self.nodes[r];
-            let lowest = group.iter().filter(|r| of(r).is_usable()).map(|r| of(r).rule.tier()).min();
-            let Some(lowest) = lowest else {
-                // Nobody is known to work: all are tried, for a doubtful holder is better than none.
-                out.extend(group.iter().map(|r| (*r, of(r).rule.weight)));
-                continue;
-            };
-            let held =
-                |t: Tier| group.iter().any(|r| of(r).rule.tier() <= t && of(r).health.healthy_for(hold, now));
-            // Up at once, down only when who is to take over has worked for a while. At the start nobody has.
-            *in_use = Some(match *in_use {
-                Some(tier) if lowest < tier && !held(lowest) => {
-                    let bears = group.iter().filter(|r| of(r).rule.tier() <= tier);
-                    bears.map(|r| of(r).rule.tier()).max().unwrap_or(lowest)
-                }
-                _ => lowest,
-            });
-            let tier = in_use.unwrap_or(lowest);
-            for replica in group.iter().filter(|r| of(r).rule.tier() <= tier && !of(r).is_ejected()) {
-                let node = of(replica);
-                out.insert(*replica, node.rule.weight * node.health.weight_share(warm_up, now));
-            }
-        }
-        self.add_redirect_targets(&mut out, now);
-        out
-    }
-
-    /// Adds those who are to take the place of nodes that fail.
-    fn add_redirect_targets(&self, out: &mut HashMap<ReplicaId, f64>, now: Nanos) {
-        let failing = self.nodes.values().filter(|n| n.is_enabled() && n.is_ejected());
-        for id in failing.filter_map(|n| n.rule.redirect.as_deref()) {
-            let stand_in = self.nodes.iter().find(|(_, n)| n.listed.id == id);
-            if let Some((replica, n)) = stand_in
-                && n.listed.entry.state == api::ReplicaState::Active
-                && matches!(n.rule.admin_state, AdminState::Active | AdminState::Disabled)
-                && !n.is_ejected()
-            {
-                let weight =
-                    n.rule.weight.max(f64::MIN_POSITIVE) * n.health.weight_share(self.settings.warm_up, now);
-                out.entry(*replica).or_insert(weight);
-            }
+            self.changes.extend(node.announce(entry, without_rules));
         }
     }
 
-    /// What the exchange is to be told.
+    /// The changes to announce to the engine: none if there is nothing to announce, an empty list if
+    /// membership sent an update that changed nothing.
     pub fn take_changes(&mut self) -> Option<Vec<NodeChange>> {
-        let answered = std::mem::take(&mut self.unreported_update);
-        (answered || !self.changes.is_empty()).then(|| std::mem::take(&mut self.changes))
+        let updated = std::mem::take(&mut self.unreported_update);
+        (updated || !self.changes.is_empty()).then(|| std::mem::take(&mut self.changes))
     }
 }
--- a/src/server/hint_exchange.rs
+++ b/src/server/hint_exchange.rs
@@ -1,7 +1,7 @@
 //! Hints on drains and starts of nodes, from other brokers and for them.
 
 use crate::membership::gossip_hints::{LocalHints, PeerHints};
-use crate::membership::{NodeChange, NodeState, Registry};
+use crate::membership::{DiscoveryState, NodeChange, NodeState, Registry};
 use crate::replication::derived_state::NodeHints;
 use crate::replication::{FactKey, ProcessStart};
 
@@ -38,7 +38,8 @@
     }
 
     fn record(&mut self, id: &str, registry: &Registry) {
-        let Some((state, started, version)) = registry.discovery_state(id) else { return };
+        let Some(known) = registry.discovery_state(id) else { return };
+        let DiscoveryState { state, started, version } = known;
         if state != NodeState::Ready {
             self.pending
                 .push((FactKey::Drain(id.to_owned()), ProcessStart { started, list_version: version }));
@@ -73,6 +74,6 @@
 
 /// What the own list reports of a node.
 fn local_hints(registry: &Registry, id: &str) -> LocalHints {
-    let started = registry.discovery_state(id).map_or(0, |(_, started, _)| started);
+    let started = registry.discovery_state(id).map_or(0, |known| known.started);
     LocalHints { started, version: registry.version() }
 }
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -316,7 +316,8 @@
     };
     let nodes = vec![node("s-1", NodeState::Ready), node("s-2", NodeState::Terminating)];
     let (whole, rate) = (Some((0, 4, 1)), ChangeRate::NONE);
-    let list = Snapshot { written: 1, synced: Some(1), full_list: whole, pruned_up_to: None, rate, nodes };
+    let list =
+        Snapshot { written: 1, last_confirmed: Some(1), full_list: whole, pruned_up_to: None, rate, nodes };
     let bytes = snapshot::encode(&list).unwrap();
     let file = File::new("list.kept", "");
     std::fs::write(file.path(), &bytes).unwrap();
