--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -1,8 +1,10 @@
 //! Signals as bytes on pipes, so that the poll loop sees them as it sees sockets.
 
 use mio::net::UnixStream;
+use mio::{Registry, Token};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::io;
+use std::sync::Arc;
 
 /// What a signal tells the program.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,3 +34,18 @@
         Ok(Signals(vec![pipe(Signal::End, &[SIGTERM, SIGINT])?, pipe(Signal::Reload, &[SIGHUP])?]))
     }
 }
+
+/// Wakes the poll loop from another thread with `Signal::End`. Clones wake the same loop.
+#[derive(Clone, Debug)]
+pub struct Waker(Arc<mio::Waker>);
+
+impl Waker {
+    pub(super) fn new(registry: &Registry, token: Token) -> io::Result<Waker> {
+        Ok(Waker(Arc::new(mio::Waker::new(registry, token)?)))
+    }
+
+    /// Sends the signal. An error of the system is returned as it is.
+    pub fn wake(&self) -> io::Result<()> {
+        self.0.wake()
+    }
+}
