Name the parts of the config and HTTP readers by the field's terms

The diagnostics' functions were wrong, one, all and names; they are report, value, records and check_names. Constants have a unit.

--- a/src/config/diagnostics.rs
+++ b/src/config/diagnostics.rs
@@ -15,15 +15,15 @@
     /// Its line, from 1; 0: the file as a whole.
     pub line: usize,
     /// What is wrong.
-    pub what: String,
+    pub message: String,
 }
 
 impl fmt::Display for Diagnostic {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.line > 0 {
-            write!(f, "line {}: {}", self.line, self.what)
+            write!(f, "line {}: {}", self.line, self.message)
         } else {
-            write!(f, "{}", self.what)
+            write!(f, "{}", self.message)
         }
     }
 }
@@ -33,7 +33,7 @@
     text: &'t str,
     root: DeTable<'t>,
     /// What is wrong.
-    pub faults: Vec<Diagnostic>,
+    pub diagnostics: Vec<Diagnostic>,
 }
 
 fn line_of(text: &str, at: usize) -> usize {
@@ -47,23 +47,23 @@
 impl<'t> TomlDocument<'t> {
     /// Takes a text apart. One that is no TOML has one fault.
     pub fn new(text: &'t str) -> TomlDocument<'t> {
-        let (root, faults) = match DeTable::parse(text) {
+        let (root, diagnostics) = match DeTable::parse(text) {
             Ok(root) => (root.into_inner(), Vec::new()),
             Err(e) => {
                 let line = e.span().map_or(0, |s| line_of(text, s.start));
-                (DeTable::new(), vec![Diagnostic { line, what: first_line(e.message()) }])
+                (DeTable::new(), vec![Diagnostic { line, message: first_line(e.message()) }])
             }
         };
-        TomlDocument { text, root, faults }
+        TomlDocument { text, root, diagnostics }
     }
 
     /// Something is wrong with a setting: with a field of the record `n` of a section, or with all of the section.
-    pub fn wrong(&mut self, (section, n, field): (&str, usize, &str), what: impl Into<String>) {
-        let line = self.place(section, n, field).map_or(0, |at| line_of(self.text, at));
-        self.faults.push(Diagnostic { line, what: what.into() });
+    pub fn report(&mut self, (section, n, field): (&str, usize, &str), what: impl Into<String>) {
+        let line = self.position(section, n, field).map_or(0, |at| line_of(self.text, at));
+        self.diagnostics.push(Diagnostic { line, message: what.into() });
     }
 
-    fn place(&self, section: &str, n: usize, field: &str) -> Option<usize> {
+    fn position(&self, section: &str, n: usize, field: &str) -> Option<usize> {
         let (key, value) = self.root.get_key_value(section)?;
         let record = match value.get_ref() {
             DeValue::Array(all) => all.get(n)?,
@@ -75,13 +75,13 @@
     }
 
     /// Reads one value of the top, told or not.
-    pub fn one<T: Deserialize<'t>>(&mut self, name: &str) -> Option<T> {
+    pub fn value<T: Deserialize<'t>>(&mut self, name: &str) -> Option<T> {
         let value = self.root.get(name)?.clone();
         self.record(name, value)
     }
 
     /// Reads all records of a section.
-    pub fn all<T: Deserialize<'t>>(&mut self, name: &str) -> Vec<T> {
+    pub fn records<T: Deserialize<'t>>(&mut self, name: &str) -> Vec<T> {
         let Some(value) = self.root.get(name).cloned() else { return Vec::new() };
         let at = value.span().start;
         match value.into_inner() {
@@ -91,51 +91,52 @@
             }
             _ => {
                 let line = line_of(self.text, at);
-                self.faults
-                    .push(Diagnostic { line, what: format!("{name} must be a list, as in [[{name}]]") });
+                self.diagnostics
+                    .push(Diagnostic { line, message: format!("{name} must be a list, as in [[{name}]]") });
                 Vec::new()
             }
         }
     }
 
     fn record<T: Deserialize<'t>>(&mut self, name: &str, mut value: Spanned<DeValue<'t>>) -> Option<T> {
-        let mut taken_out = Vec::new();
+        let mut removed = Vec::new();
         loop {
             let e = match T::deserialize(value.clone().into_deserializer()) {
-                Ok(read) => return Some(read).filter(|_| taken_out.is_empty()),
+                Ok(read) => return Some(read).filter(|_| removed.is_empty()),
                 Err(e) => e,
             };
             let what = first_line(e.message());
             // What was taken out is missed now: that is no further mistake.
-            if taken_out.iter().any(|k: &String| what == format!("missing field `{k}`")) {
+            if removed.iter().any(|k: &String| what == format!("missing field `{k}`")) {
                 return None;
             }
             let at = e.span().unwrap_or(value.span());
-            let start = if at.start > 0 { at.start } else { self.place(name, 0, "").unwrap_or(0) };
-            self.faults.push(Diagnostic { line: line_of(self.text, start), what: format!("{name}: {what}") });
+            let start = if at.start > 0 { at.start } else { self.position(name, 0, "").unwrap_or(0) };
+            self.diagnostics
+                .push(Diagnostic { line: line_of(self.text, start), message: format!("{name}: {what}") });
             let DeValue::Table(table) = value.get_mut() else { return None };
             let covers = |s: std::ops::Range<usize>| s.start <= at.start && at.end <= s.end;
             let found = table.iter().find(|(k, v)| covers(k.span()) || covers(v.span()));
             let key = found.map(|(k, _)| k.get_ref().to_string())?;
             table.remove(key.as_str());
-            taken_out.push(key);
+            removed.push(key);
         }
     }
 
     /// Finds settings of the top that are not known, and known ones that must be there and are not.
-    pub fn names(&mut self, known: &[&str], needed: &[&str]) {
-        let strange: Vec<(usize, String)> = self
+    pub fn check_names(&mut self, known: &[&str], required: &[&str]) {
+        let unknown: Vec<(usize, String)> = self
             .root
             .iter()
             .filter(|(k, _)| !known.contains(&k.get_ref().as_ref()))
             .map(|(k, _)| (k.span().start, k.get_ref().to_string()))
             .collect();
-        for (at, name) in strange {
+        for (at, name) in unknown {
             let what = format!("unknown setting {name}, expected one of {}", known.join(", "));
-            self.faults.push(Diagnostic { line: line_of(self.text, at), what });
+            self.diagnostics.push(Diagnostic { line: line_of(self.text, at), message: what });
         }
-        for name in needed.iter().filter(|n| !self.root.contains_key(**n)) {
-            self.faults.push(Diagnostic { line: 0, what: format!("{name} is not told") });
+        for name in required.iter().filter(|n| !self.root.contains_key(**n)) {
+            self.diagnostics.push(Diagnostic { line: 0, message: format!("{name} is not told") });
         }
     }
 }
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -13,10 +13,10 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-const MS: Nanos = 1_000_000;
+const MILLISECOND: Nanos = 1_000_000;
 const DAY_MS: u64 = 86_400_000;
 /// Largest weight: the decisions multiply it.
-const MOST_WEIGHT: f64 = 1e6;
+const MAX_WEIGHT: f64 = 1e6;
 
 /// A protocol of the catalogue.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
@@ -195,7 +195,7 @@
             set: self.set,
             spare: self.spare,
             redirect: self.redirect.clone(),
-            retry: self.retry_ms * MS,
+            retry: self.retry_ms * MILLISECOND,
         }
     }
 }
@@ -248,11 +248,15 @@
     pub fn from_file(path: &Path, cells: u32) -> Result<NodesFile, ConfigError> {
         let fail = |why: String| ConfigError(format!("{}: {why}", path.display()));
         let text = std::fs::read_to_string(path).map_err(|e| fail(e.to_string()))?;
-        let mut sheet = TomlDocument::new(&text);
-        let node = sheet.all("node");
-        sheet.names(&["node"], &[]);
-        check_nodes(&node, cells, &mut sheet);
-        if sheet.faults.is_empty() { Ok(NodesFile { node }) } else { Err(fail(joined(sheet.faults).0)) }
+        let mut document = TomlDocument::new(&text);
+        let node = document.records("node");
+        document.check_names(&["node"], &[]);
+        check_nodes(&node, cells, &mut document);
+        if document.diagnostics.is_empty() {
+            Ok(NodesFile { node })
+        } else {
+            Err(fail(joined(document.diagnostics).0))
+        }
     }
 }
 
@@ -262,28 +266,30 @@
     ConfigError(all.join("; "))
 }
 
-fn check_nodes(nodes: &[Node], cells: u32, sheet: &mut TomlDocument) {
+fn check_nodes(nodes: &[Node], cells: u32, document: &mut TomlDocument) {
     let mut ids = HashSet::new();
     for (n, node) in nodes.iter().enumerate() {
         if !ids.insert(&node.id) {
-            sheet.wrong(("node", n, "id"), format!("node {:?} is there twice", node.id));
+            document.report(("node", n, "id"), format!("node {:?} is there twice", node.id));
         }
         if node.id.is_empty() {
-            sheet.wrong(("node", n, "id"), "a node needs an id");
+            document.report(("node", n, "id"), "a node needs an id");
         }
-        if !(0.0..=MOST_WEIGHT).contains(&node.weight) {
-            let what = format!("node {:?}: weight {} must be from 0 to {MOST_WEIGHT}", node.id, node.weight);
-            sheet.wrong(("node", n, "weight"), what);
+        if !(0.0..=MAX_WEIGHT).contains(&node.weight) {
+            let what = format!("node {:?}: weight {} must be from 0 to {MAX_WEIGHT}", node.id, node.weight);
+            document.report(("node", n, "weight"), what);
         }
         if node.retry_ms > DAY_MS {
-            sheet
-                .wrong(("node", n, "retry_ms"), format!("node {:?}: retry_ms is longer than a day", node.id));
+            document.report(
+                ("node", n, "retry_ms"),
+                format!("node {:?}: retry_ms is longer than a day", node.id),
+            );
         }
         if let Some(to) =
             node.redirect.as_ref().filter(|to| **to == node.id || !nodes.iter().any(|n| n.id == **to))
         {
             let what = format!("node {:?}: redirect {to:?} names no other node", node.id);
-            sheet.wrong(("node", n, "redirect"), what);
+            document.report(("node", n, "redirect"), what);
         }
         if node.cell >= cells {
             let what = format!(
@@ -292,7 +298,7 @@
                 node.cell,
                 cells.max(1) - 1
             );
-            sheet.wrong(("node", n, "cell"), what);
+            document.report(("node", n, "cell"), what);
         }
     }
 }
@@ -443,29 +449,29 @@
     pub fn from_file(path: &Path) -> Result<OperatorConfig, ConfigError> {
         let fail = |why: String| ConfigError(format!("{}: {why}", path.display()));
         let text = std::fs::read_to_string(path).map_err(|e| fail(e.to_string()))?;
-        let mut told = OperatorConfig::read(&text).map_err(|e| fail(e.0))?;
-        if let Some(cluster) = &mut told.cluster {
+        let mut config = OperatorConfig::read(&text).map_err(|e| fail(e.0))?;
+        if let Some(cluster) = &mut config.cluster {
             cluster.file = Some(path.to_owned());
         }
-        if let Some(nodes) = &mut told.membership.nodes_file {
+        if let Some(nodes) = &mut config.membership.nodes_file {
             *nodes = path.parent().unwrap_or(Path::new("")).join(&*nodes);
         }
-        Ok(told)
+        Ok(config)
     }
 
     /// All that is wrong with the file at `path`, and with the file of nodes that it names.
     pub fn faults(path: &Path) -> Vec<String> {
-        let said = |why: String| format!("{}: {why}", path.display());
+        let line = |why: String| format!("{}: {why}", path.display());
         let text = match std::fs::read_to_string(path) {
             Ok(text) => text,
-            Err(e) => return vec![said(e.to_string())],
+            Err(e) => return vec![line(e.to_string())],
         };
         match OperatorConfig::read_all(&text) {
-            Err(faults) => faults.into_iter().map(|f| said(f.to_string())).collect(),
-            Ok(told) => {
-                let nodes = told.membership.nodes_file.as_deref();
+            Err(faults) => faults.into_iter().map(|f| line(f.to_string())).collect(),
+            Ok(config) => {
+                let nodes = config.membership.nodes_file.as_deref();
                 let nodes = nodes.map(|n| path.parent().unwrap_or(Path::new("")).join(n));
-                let cells = told.partitions.cells;
+                let cells = config.partitions.cells;
                 nodes.and_then(|n| NodesFile::from_file(&n, cells).err()).into_iter().map(|e| e.0).collect()
             }
         }
@@ -477,9 +483,9 @@
     }
 
     fn read_all(text: &str) -> Result<OperatorConfig, Vec<Diagnostic>> {
-        let mut sheet = TomlDocument::new(text);
-        if !sheet.faults.is_empty() {
-            return Err(sheet.faults);
+        let mut document = TomlDocument::new(text);
+        if !document.diagnostics.is_empty() {
+            return Err(document.diagnostics);
         }
         let known = [
             "name",
@@ -497,45 +503,46 @@
             "cluster",
             "peer",
         ];
-        sheet.names(&known, &["name", "zone", "partitions"]);
-        let (name, zone, partitions) = (sheet.one("name"), sheet.one("zone"), sheet.one("partitions"));
-        let mut cluster: Option<ClusterConfig> = sheet.one("cluster");
-        let peers = sheet.all("peer");
+        document.check_names(&known, &["name", "zone", "partitions"]);
+        let (name, zone, partitions) =
+            (document.value("name"), document.value("zone"), document.value("partitions"));
+        let mut cluster: Option<ClusterConfig> = document.value("cluster");
+        let peers = document.records("peer");
         if let Some(cluster) = &mut cluster {
             cluster.peers = peers;
         } else if !peers.is_empty() {
-            sheet.wrong(("peer", 0, ""), "peer: there is no [cluster] that it could belong to");
+            document.report(("peer", 0, ""), "peer: there is no [cluster] that it could belong to");
         }
-        let told = OperatorConfig {
+        let config = OperatorConfig {
             name: name.unwrap_or_default(),
             zone: zone.unwrap_or_default(),
-            brokers: sheet.one("brokers").unwrap_or(1),
-            limits: sheet.one("limits").unwrap_or_default(),
+            brokers: document.value("brokers").unwrap_or(1),
+            limits: document.value("limits").unwrap_or_default(),
             partitions: partitions.unwrap_or_default(),
-            class: sheet.all("class"),
-            database: sheet.all("database"),
-            listener: sheet.all("listener"),
-            node: sheet.all("node"),
-            membership: sheet.one("membership").unwrap_or_default(),
-            routing: sheet.one("routing").unwrap_or_default(),
-            operation: sheet.one("operation").unwrap_or_default(),
+            class: document.records("class"),
+            database: document.records("database"),
+            listener: document.records("listener"),
+            node: document.records("node"),
+            membership: document.value("membership").unwrap_or_default(),
+            routing: document.value("routing").unwrap_or_default(),
+            operation: document.value("operation").unwrap_or_default(),
             cluster,
         };
         // What could not be read would be told of twice.
-        if sheet.faults.is_empty() {
-            told.check(&mut sheet);
+        if document.diagnostics.is_empty() {
+            config.check(&mut document);
         }
-        sheet.faults.sort();
-        if sheet.faults.is_empty() { Ok(told) } else { Err(sheet.faults) }
+        document.diagnostics.sort();
+        if document.diagnostics.is_empty() { Ok(config) } else { Err(document.diagnostics) }
     }
 
-    fn check(&self, sheet: &mut TomlDocument) {
+    fn check(&self, document: &mut TomlDocument) {
         let p = &self.partitions;
         for (name, n, most) in
             [("count", p.count, 10_000), ("cells", p.cells, 10_000), ("per_key", p.per_key, p.count)]
         {
             if n == 0 || n > most {
-                sheet.wrong(
+                document.report(
                     ("partitions", 0, name),
                     format!("partitions: {name} {n} must be from 1 to {most}"),
                 );
@@ -543,27 +550,27 @@
         }
         if p.holders == 0 || p.holders > p.cells {
             let what = format!("partitions: holders {} must be from 1 to cells, {}", p.holders, p.cells);
-            sheet.wrong(("partitions", 0, "holders"), what);
+            document.report(("partitions", 0, "holders"), what);
         }
         if let Some(index) = self.key_index().filter(|i| index::access_of(i).is_none()) {
-            sheet.wrong(
+            document.report(
                 ("partitions", 0, "key_index"),
                 format!("partitions: key_index {index:?} is no known index"),
             );
         }
-        self.check_operation(sheet);
-        self.check_cluster(sheet);
-        self.check_limits(sheet);
-        self.check_classes(sheet);
-        self.check_membership(sheet);
-        check_nodes(&self.node, p.cells, sheet);
+        self.check_operation(document);
+        self.check_cluster(document);
+        self.check_limits(document);
+        self.check_classes(document);
+        self.check_membership(document);
+        check_nodes(&self.node, p.cells, document);
         let elsewhere = self.membership.discovery.is_some() || self.membership.nodes_file.is_some();
         let held = |s: u32| (0..p.holders).any(|j| self.node.iter().any(|n| n.cell == (s + j) % p.cells));
         let sound = p.cells > 0 && p.count <= 10_000 && !self.node.is_empty();
         let bare: Vec<u32> = (0..p.count).filter(|s| sound && !elsewhere && !held(*s)).collect();
         if let Some(s) = bare.first() {
             let what = format!("no node holds partition {s}, nor {} others", bare.len() - 1);
-            sheet.wrong(("partitions", 0, "count"), what);
+            document.report(("partitions", 0, "count"), what);
         }
         for (section, empty) in [
             ("class", self.class.is_empty()),
@@ -572,84 +579,84 @@
             ("node", self.node.is_empty() && !elsewhere),
         ] {
             if empty {
-                sheet.wrong((section, 0, ""), format!("at least one [[{section}]] is needed"));
+                document.report((section, 0, ""), format!("at least one [[{section}]] is needed"));
             }
         }
     }
 
-    fn check_operation(&self, sheet: &mut TomlDocument) {
+    fn check_operation(&self, document: &mut TomlDocument) {
         if let Some(ops) = self.operation.listen.filter(|ops| ops.port() != 0)
             && self.listener.iter().any(|l| l.listen == ops)
         {
             let what = format!("operation: clients connect to {ops} already");
-            sheet.wrong(("operation", 0, "listen"), what);
+            document.report(("operation", 0, "listen"), what);
         }
         for (n, l) in self.listener.iter().enumerate() {
             let Some(fd) = l.descriptor else { continue };
             if fd < 3 {
                 let what = format!("listener: descriptor {fd} must be over 2");
-                sheet.wrong(("listener", n, "descriptor"), what);
+                document.report(("listener", n, "descriptor"), what);
             }
             if self.listener[..n].iter().any(|other| other.descriptor == Some(fd)) {
                 let what = format!("listener: descriptor {fd} is there twice");
-                sheet.wrong(("listener", n, "descriptor"), what);
+                document.report(("listener", n, "descriptor"), what);
             }
         }
         if self.operation.hand_over.is_some() && self.listener.iter().any(|l| l.descriptor.is_none()) {
             let what = "operation: hand_over needs a descriptor for each listener, which both processes hold";
-            sheet.wrong(("operation", 0, "hand_over"), what);
+            document.report(("operation", 0, "hand_over"), what);
         }
     }
 
-    fn check_cluster(&self, sheet: &mut TomlDocument) {
+    fn check_cluster(&self, document: &mut TomlDocument) {
         let Some(c) = &self.cluster else { return };
-        let mut wrong =
-            |field: &str, what: String| sheet.wrong(("cluster", 0, field), format!("cluster: {what}"));
+        let mut report =
+            |field: &str, what: String| document.report(("cluster", 0, field), format!("cluster: {what}"));
         if c.name.is_empty() || c.name.len() > LONGEST.0 {
-            wrong("name", format!("name {:?} must have from 1 to {} bytes", c.name, LONGEST.0));
+            report("name", format!("name {:?} must have from 1 to {} bytes", c.name, LONGEST.0));
         }
         if self.name.is_empty() || self.name.len() > LONGEST.0 {
-            wrong("name", format!("the broker's own name must have from 1 to {} bytes", LONGEST.0));
+            report("name", format!("the broker's own name must have from 1 to {} bytes", LONGEST.0));
         }
         if c.listen.port() == 0 || c.listen.ip().is_unspecified() {
-            wrong("listen", format!("listen {} must be an address that peers can name", c.listen));
+            report("listen", format!("listen {} must be an address that peers can name", c.listen));
         }
         let operated = self.operation.listen.into_iter();
         if operated.chain(self.listener.iter().map(|l| l.listen)).any(|at| at == c.listen) {
-            wrong("listen", format!("something else listens at {} already", c.listen));
+            report("listen", format!("something else listens at {} already", c.listen));
         }
         if !(20..=60_000).contains(&c.probe_ms) {
-            wrong("probe_ms", format!("probe_ms {} must be from 20 to 60000", c.probe_ms));
+            report("probe_ms", format!("probe_ms {} must be from 20 to 60000", c.probe_ms));
         }
         if c.keep_words_s == 0 || c.keep_words_s > 3650 * 86_400 {
-            wrong("keep_words_s", format!("keep_words_s {} must be from 1 to ten years", c.keep_words_s));
+            report("keep_words_s", format!("keep_words_s {} must be from 1 to ten years", c.keep_words_s));
         }
         if !(codec::FIRST..=codec::LATEST).contains(&c.speak) {
-            wrong("speak", format!("speak {} must be from {} to {}", c.speak, codec::FIRST, codec::LATEST));
+            report("speak", format!("speak {} must be from {} to {}", c.speak, codec::FIRST, codec::LATEST));
         }
         for (n, peer) in c.peers.iter().enumerate() {
-            let mut wrong = |field: &str, what: String| {
-                sheet.wrong(("peer", n, field), format!("peer {:?}: {what}", peer.name));
+            let mut report = |field: &str, what: String| {
+                document.report(("peer", n, field), format!("peer {:?}: {what}", peer.name));
             };
             if peer.name.is_empty() || peer.name.len() > LONGEST.0 {
-                wrong("name", format!("a name must have from 1 to {} bytes", LONGEST.0));
+                report("name", format!("a name must have from 1 to {} bytes", LONGEST.0));
             }
             if peer.name == self.name {
-                wrong("name", "it is this broker's own name".into());
+                report("name", "it is this broker's own name".into());
             }
             if c.peers[..n].iter().any(|p| p.name == peer.name) {
-                wrong("name", "it is there twice".into());
+                report("name", "it is there twice".into());
             }
             if peer.address == c.listen || c.peers[..n].iter().any(|p| p.address == peer.address) {
-                wrong("address", format!("{} is another broker's already", peer.address));
+                report("address", format!("{} is another broker's already", peer.address));
             }
             if peer.address.port() == 0 || peer.address.ip().is_unspecified() {
-                wrong("address", format!("{} is no address to send to", peer.address));
+                report("address", format!("{} is no address to send to", peer.address));
             }
         }
     }
 
-    fn check_limits(&self, sheet: &mut TomlDocument) {
+    fn check_limits(&self, document: &mut TomlDocument) {
         let l = &self.limits;
         let needed = [
             ("tick_ms", l.tick_ms),
@@ -658,7 +665,7 @@
             ("max_attempts", l.max_attempts.into()),
         ];
         for (name, _) in needed.iter().filter(|(_, n)| *n == 0) {
-            sheet.wrong(("limits", 0, name), format!("limits: {name} must be over 0"));
+            document.report(("limits", 0, name), format!("limits: {name} must be over 0"));
         }
         // Guards the sums that times go into: none is longer than a day.
         let times = [
@@ -669,15 +676,15 @@
             ("node_idle_s", l.node_idle_s.saturating_mul(1000)),
         ];
         for (name, _) in times.iter().filter(|(_, t)| *t > DAY_MS) {
-            sheet.wrong(("limits", 0, name), format!("limits: {name} is longer than a day"));
+            document.report(("limits", 0, name), format!("limits: {name} is longer than a day"));
         }
         for (name, t) in [("warm_up_ms", self.routing.warm_up_ms), ("hold_ms", self.routing.hold_ms)] {
             if t > DAY_MS {
-                sheet.wrong(("routing", 0, name), format!("routing: {name} is longer than a day"));
+                document.report(("routing", 0, name), format!("routing: {name} is longer than a day"));
             }
         }
         if l.sockets < 64 {
-            sheet.wrong(
+            document.report(
                 ("limits", 0, "sockets"),
                 format!("limits: {} sockets are too few, 64 are the least", l.sockets),
             );
@@ -685,18 +692,18 @@
         if l.max_open < 1 + self.partitions.count.min(10_000) {
             let what =
                 format!("limits: max_open {} has no room for one query over all partitions", l.max_open);
-            sheet.wrong(("limits", 0, "max_open"), what);
+            document.report(("limits", 0, "max_open"), what);
         }
     }
 
-    fn check_classes(&self, sheet: &mut TomlDocument) {
+    fn check_classes(&self, document: &mut TomlDocument) {
         let mut names = HashSet::new();
         for (n, c) in self.class.iter().enumerate() {
-            let mut wrong = |field: &str, what: String| {
-                sheet.wrong(("class", n, field), format!("class {:?}: {what}", c.name));
+            let mut report = |field: &str, what: String| {
+                document.report(("class", n, field), format!("class {:?}: {what}", c.name));
             };
             if !names.insert(&c.name) {
-                wrong("name", "it is there twice".into());
+                report("name", "it is there twice".into());
             }
             for (field, x, most) in [
                 ("worth", c.worth, f64::MAX),
@@ -705,14 +712,14 @@
             ] {
                 if !(0.0..=most).contains(&x) {
                     let bound = if most == 1.0 { "from 0 to 1" } else { "a number from 0 up" };
-                    wrong(field, format!("{field} {x} must be {bound}"));
+                    report(field, format!("{field} {x} must be {bound}"));
                 }
             }
             if c.deadline_ms > DAY_MS {
-                wrong("deadline_ms", "deadline_ms is longer than a day".into());
+                report("deadline_ms", "deadline_ms is longer than a day".into());
             }
             if c.aim_ms == 0 || c.aim_ms > c.deadline_ms {
-                wrong(
+                report(
                     "aim_ms",
                     format!("aim_ms {} must be from 1 to deadline_ms, {}", c.aim_ms, c.deadline_ms),
                 );
@@ -722,36 +729,37 @@
         for (n, d) in self.database.iter().enumerate() {
             if !self.class.iter().any(|c| c.name == d.class) {
                 let what = format!("database {:?}: there is no class {:?}", d.name, d.class);
-                sheet.wrong(("database", n, "class"), what);
+                document.report(("database", n, "class"), what);
             }
             let usable = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
             if d.name.is_empty() || d.name == "-" || !d.name.bytes().all(usable) {
-                sheet.wrong(("database", n, "name"), format!("database {:?} has an unusable name", d.name));
+                document
+                    .report(("database", n, "name"), format!("database {:?} has an unusable name", d.name));
             }
             if !names.insert(&d.name) {
-                sheet.wrong(("database", n, "name"), format!("database {:?} is there twice", d.name));
+                document.report(("database", n, "name"), format!("database {:?} is there twice", d.name));
             }
         }
     }
 
-    fn check_membership(&self, sheet: &mut TomlDocument) {
+    fn check_membership(&self, document: &mut TomlDocument) {
         let m = &self.membership;
         if !(m.changes_every_h > 0.0 && m.changes_every_h <= 24.0 * 3650.0) {
             let what = format!(
                 "membership: changes_every_h {} must be over 0, and ten years at most",
                 m.changes_every_h
             );
-            sheet.wrong(("membership", 0, "changes_every_h"), what);
+            document.report(("membership", 0, "changes_every_h"), what);
         }
         if m.presumed_age_s.saturating_mul(1000) > DAY_MS * 3650 {
-            sheet.wrong(
+            document.report(
                 ("membership", 0, "presumed_age_s"),
                 "membership: presumed_age_s is longer than ten years",
             );
         }
         if m.keep.is_some() && m.discovery.is_none() {
             let what = "membership: keep needs discovery, there is no other list to keep";
-            sheet.wrong(("membership", 0, "keep"), what);
+            document.report(("membership", 0, "keep"), what);
         }
     }
 
@@ -772,9 +780,9 @@
     pub fn settings(&self) -> Settings {
         let class = |c: &QueryClass| Class {
             idempotency: Idempotency::Idempotent,
-            latency_objective: c.aim_ms * MS,
+            latency_objective: c.aim_ms * MILLISECOND,
             objective_per_work: 0.0,
-            deadline: c.deadline_ms * MS,
+            deadline: c.deadline_ms * MILLISECOND,
             priority_weight: c.worth,
             late_weight: c.late_worth,
             complete_share: 1.0,
@@ -803,14 +811,14 @@
             max_attempts: l.max_attempts,
             max_in_flight: l.max_open,
             may_send_retry_after: l.max_retry_after_ms > 0,
-            max_retry_after: l.max_retry_after_ms * MS,
+            max_retry_after: l.max_retry_after_ms * MILLISECOND,
             retry_budget: None,
             answer_slack: 0,
             slow_start_share: 1.0,
             slow_start_time: 0,
             overload_multiple: 3.0,
-            overload_time: 1_500 * MS,
-            round_interval: l.tick_ms * MS,
+            overload_time: 1_500 * MILLISECOND,
+            round_interval: l.tick_ms * MILLISECOND,
             late_failure_cost: 0.0,
         }
     }
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -39,12 +39,12 @@
 }
 
 /// Descriptors of a broker that is told no limit.
-const SOCKETS: usize = 1024;
+const DEFAULT_SOCKETS: usize = 1024;
 /// Memory of a broker that is told no limit, MB.
-const MEMORY: usize = 192;
+const DEFAULT_MEMORY_MB: usize = 192;
 
 /// Where processes at one address hand over, in `$TMPDIR`.
-const HAND_OVER: &str = "pebbleturn-handover";
+const HOT_RESTART_DIRECTORY: &str = "pebbleturn-handover";
 
 /// What one broker on the platform is told.
 #[derive(Clone, Debug)]
@@ -88,15 +88,15 @@
     pub fn from_file(path: &Path) -> Result<PlatformConfig, ConfigError> {
         let text =
             std::fs::read_to_string(path).map_err(|e| ConfigError(format!("{}: {e}", path.display())))?;
-        let told = PlatformConfig::read(&text, var)?;
-        Ok(PlatformConfig { file: Some(path.to_owned()), ..told })
+        let config = PlatformConfig::read(&text, var)?;
+        Ok(PlatformConfig { file: Some(path.to_owned()), ..config })
     }
 
     /// Reads a configuration; `var` gives the variables.
     pub fn read(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<PlatformConfig, ConfigError> {
         let file: File = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
-        let addr = |told: Option<String>, name: &str| {
-            let text = told.or_else(|| var(name)).ok_or(ConfigError(format!("{name} is not told")))?;
+        let addr = |text: Option<String>, name: &str| {
+            let text = text.or_else(|| var(name)).ok_or(ConfigError(format!("{name} is not told")))?;
             text.parse::<SocketAddr>().map_err(|e| ConfigError(format!("{name} {text:?}: {e}")))
         };
         let ops = file.ops.or_else(|| var("GW_OPS"));
@@ -107,17 +107,18 @@
         });
         let inherited = inherited.transpose()?;
         // Only where the platform holds the socket does it start a process beside this one.
-        let hand_over = inherited.and(var("TMPDIR")).map(|tmp| PathBuf::from(tmp).join(HAND_OVER));
+        let hand_over =
+            inherited.and(var("TMPDIR")).map(|tmp| PathBuf::from(tmp).join(HOT_RESTART_DIRECTORY));
         let seed = match file.seed {
             Some(text) => u64::from_str_radix(&text, 16)
                 .map_err(|_| ConfigError(format!("seed {text:?} is no hexadecimal number")))?,
             None => std::process::id().into(),
         };
-        let sockets = file.limits.and_then(|l| l.sockets).unwrap_or(SOCKETS);
+        let sockets = file.limits.and_then(|l| l.sockets).unwrap_or(DEFAULT_SOCKETS);
         if sockets < 64 {
             return Err(ConfigError(format!("{sockets} sockets are too few")));
         }
-        let memory_mb = file.limits.and_then(|l| l.memory_mb).unwrap_or(MEMORY);
+        let memory_mb = file.limits.and_then(|l| l.memory_mb).unwrap_or(DEFAULT_MEMORY_MB);
         if memory_mb < 16 {
             return Err(ConfigError(format!("{memory_mb} MB of memory are too little")));
         }
--- a/src/http.rs
+++ b/src/http.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 
 /// Most header lines of a message.
-const MOST_HEADERS: usize = 64;
+const MAX_HEADERS: usize = 64;
 
 /// Why a message can't be read on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -91,7 +91,7 @@
     Chunk(usize),
     ChunkEnd,
     Trailer,
-    ToTheEnd,
+    UntilClose,
     Done,
 }
 
@@ -103,14 +103,14 @@
     head: Option<Head>,
     body: Option<Buf>,
     /// Bytes of what comes next that were read before a buffer was wanting.
-    ahead: usize,
-    trailer: usize,
+    resume_at: usize,
+    trailer_bytes: usize,
 }
 
 impl Reader {
     /// A reader at the start of a message.
     pub fn new(side: Side) -> Reader {
-        Reader { side, stage: Stage::Head, head: None, body: None, ahead: 0, trailer: 0 }
+        Reader { side, stage: Stage::Head, head: None, body: None, resume_at: 0, trailer_bytes: 0 }
     }
 
     /// The head, once it is in.
@@ -147,7 +147,7 @@
 
     /// The connection has ended. True if that makes the message whole.
     pub fn end(&mut self) -> bool {
-        if self.stage == Stage::ToTheEnd {
+        if self.stage == Stage::UntilClose {
             self.stage = Stage::Done;
         }
         self.is_done()
@@ -156,7 +156,7 @@
     /// Takes in `data` and returns how much of it was used. What is left belongs to the next message or must
     /// be given again with more behind it.
     pub fn advance(&mut self, data: &[u8], pool: &Pool) -> Result<usize, HttpError> {
-        let mut used = std::mem::take(&mut self.ahead);
+        let mut used = std::mem::take(&mut self.resume_at);
         loop {
             let rest = &data[used..];
             let n = match self.stage {
@@ -171,7 +171,7 @@
                     self.stage = Stage::Length(left - n);
                     n
                 }
-                Stage::ToTheEnd => self.read_body(rest, pool, used)?,
+                Stage::UntilClose => self.read_body(rest, pool, used)?,
                 Stage::ChunkSize => self.read_chunk_size(rest)?,
                 Stage::Chunk(left) => {
                     let n = self.read_body(&rest[..rest.len().min(left)], pool, used)?;
@@ -200,7 +200,7 @@
         if self.side == Side::Requests && data.starts_with(b"\r\n") {
             return Ok(2);
         }
-        let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let within = &data[..data.len().min(MAX_HEAD)];
         let mut head = Head::default();
         let (size, version, headers) = match self.side {
@@ -263,7 +263,7 @@
             (false, Some(n)) => Stage::Length(n),
             (false, None) if self.side == Side::Responses => {
                 head.keep_alive = false;
-                Stage::ToTheEnd
+                Stage::UntilClose
             }
             (false, None) => Stage::Done,
         };
@@ -283,7 +283,7 @@
             };
         }
         let Some(body) = self.body.as_mut() else {
-            self.ahead = before;
+            self.resume_at = before;
             return Err(HttpError::NoBuffer);
         };
         if body.data().len() + data.len() > MAX_BODY {
@@ -315,8 +315,8 @@
         let Some(end) = data.windows(2).position(|w| w == b"\r\n") else {
             return if data.len() > MAX_HEAD { Err(HttpError::HeadTooLarge) } else { Ok(0) };
         };
-        self.trailer += end + 2;
-        if self.trailer > MAX_HEAD {
+        self.trailer_bytes += end + 2;
+        if self.trailer_bytes > MAX_HEAD {
             return Err(HttpError::HeadTooLarge);
         }
         if end == 0 {
@@ -341,7 +341,8 @@
 
 /// Writes a whole response.
 pub fn response(status: u16, headers: &[(&str, &str)], keep_alive: bool, body: &[u8]) -> Vec<u8> {
-    let mut out = format!("HTTP/1.1 {status} {}\r\nContent-Length: {}\r\n", reason(status), body.len());
+    let mut out =
+        format!("HTTP/1.1 {status} {}\r\nContent-Length: {}\r\n", reason_phrase(status), body.len());
     for (name, value) in headers {
         out += &format!("{name}: {value}\r\n");
     }
@@ -363,7 +364,7 @@
     format!("{:.3}", wait as f64 / 1e9)
 }
 
-fn reason(status: u16) -> &'static str {
+fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
         400 => "Bad Request",
