Split the operator's file by section and type the configuration's errors

ConfigError(String) becomes a kind with its source and the file; the printed text is the same. settings() is split by what it reads; a settings object's mistake is an enum.

--- a/src/bin/pebbleturn-benchlink/main.rs
+++ b/src/bin/pebbleturn-benchlink/main.rs
@@ -73,7 +73,7 @@
                 return Ok(true);
             }
             In::PowerOn { root_id, init_seed, params } => {
-                let (settings, names) = config::settings(&params)?;
+                let (settings, names) = config::settings(&params).map_err(|e| e.to_string())?;
                 let balancer = Balancer::new(settings, init_seed, now).map_err(|e| e.to_string())?;
                 let heard = Vec::new();
                 self.instances.insert(root_id, Instance { balancer, names, heard, touched: true });
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -199,7 +199,7 @@
 /// Names everything that is wrong, a line each, on standard error.
 fn check(file: &Path) -> ExitCode {
     let wrong = if file.extension().is_some_and(|e| e == "json") {
-        PlatformConfig::from_file(file).err().into_iter().map(|e| e.0).collect()
+        PlatformConfig::from_file(file).err().into_iter().map(|e| e.message()).collect()
     } else {
         OperatorConfig::faults(file)
     };
--- a/src/config/diagnostics.rs
+++ b/src/config/diagnostics.rs
@@ -1,20 +1,21 @@
 //! Every mistake of a TOML file at once, each with its line.
 //!
 //! A deserializer stops at the first mistake. Here each record is read on its own, and what is wrong in it is
-//! taken out and told, until the rest can be read.
+//! reported and removed, until the rest can be read.
 
 use serde::Deserialize;
 use serde::de::IntoDeserializer;
 use std::fmt;
+use std::ops::Range;
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
-/// One mistake.
+/// One mistake of a file.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Diagnostic {
     /// Its line, from 1; 0: the file as a whole.
     pub line: usize,
-    /// What is wrong.
+    /// What is wrong, without the line.
     pub message: String,
 }
 
@@ -28,11 +29,33 @@
     }
 }
 
+/// A setting of a file: a field of a section's record.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Setting<'a> {
+    section: &'a str,
+    /// Number of the record in a section that is a list.
+    record: usize,
+    field: &'a str,
+}
+
+impl<'a> Setting<'a> {
+    /// A field of a section. An empty `field` means all of the section.
+    pub fn new(section: &'a str, field: &'a str) -> Setting<'a> {
+        Setting::nth(section, 0, field)
+    }
+
+    /// A field of the record of that number, from 0, in a section that is a list.
+    pub fn nth(section: &'a str, record: usize, field: &'a str) -> Setting<'a> {
+        Setting { section, record, field }
+    }
+}
+
 /// The text of a file, its values with their places, and what is wrong with it so far.
-pub struct TomlDocument<'t> {
+#[derive(Debug)]
+pub(super) struct TomlDocument<'t> {
     text: &'t str,
     root: DeTable<'t>,
-    /// What is wrong.
+    /// All that was found to be wrong.
     pub diagnostics: Vec<Diagnostic>,
 }
 
@@ -45,7 +68,7 @@
 }
 
 impl<'t> TomlDocument<'t> {
-    /// Takes a text apart. One that is no TOML has one fault.
+    /// Parses a text. One that is no TOML has one mistake, and no values.
     pub fn new(text: &'t str) -> TomlDocument<'t> {
         let (root, diagnostics) = match DeTable::parse(text) {
             Ok(root) => (root.into_inner(), Vec::new()),
@@ -57,73 +80,67 @@
         TomlDocument { text, root, diagnostics }
     }
 
-    /// Something is wrong with a setting: with a field of the record `n` of a section, or with all of the section.
-    pub fn report(&mut self, (section, n, field): (&str, usize, &str), what: impl Into<String>) {
-        let line = self.position(section, n, field).map_or(0, |at| line_of(self.text, at));
-        self.diagnostics.push(Diagnostic { line, message: what.into() });
+    /// Reports a mistake in a setting.
+    pub fn report(&mut self, setting: Setting<'_>, message: impl Into<String>) {
+        let line = self.position(setting).map_or(0, |at| line_of(self.text, at));
+        self.diagnostics.push(Diagnostic { line, message: message.into() });
     }
 
-    fn position(&self, section: &str, n: usize, field: &str) -> Option<usize> {
-        let (key, value) = self.root.get_key_value(section)?;
+    fn report_at(&mut self, at: usize, message: String) {
+        self.diagnostics.push(Diagnostic { line: line_of(self.text, at), message });
+    }
+
+    /// Where a setting starts: its key, or else its record or section.
+    fn position(&self, setting: Setting<'_>) -> Option<usize> {
+        let (key, value) = self.root.get_key_value(setting.section)?;
         let record = match value.get_ref() {
-            DeValue::Array(all) => all.get(n)?,
+            DeValue::Array(records) => records.get(setting.record)?,
             _ => value,
         };
-        let within = record.get_ref().as_table().and_then(|t| t.get_key_value(field));
-        let start = |s: std::ops::Range<usize>| Some(s.start).filter(|s| *s > 0);
-        within.map(|(k, _)| k.span().start).or(start(record.span())).or(start(key.span()))
+        let field = record.get_ref().as_table().and_then(|t| t.get_key_value(setting.field));
+        let start = |span: Range<usize>| Some(span.start).filter(|start| *start > 0);
+        field.map(|(k, _)| k.span().start).or(start(record.span())).or(start(key.span()))
     }
 
-    /// Reads one value of the top, told or not.
+    /// Reads one value of the top level; none where it is missing or can't be read.
     pub fn value<T: Deserialize<'t>>(&mut self, name: &str) -> Option<T> {
         let value = self.root.get(name)?.clone();
         self.record(name, value)
     }
 
-    /// Reads all records of a section.
+    /// Reads all records of a section, without those that can't be read.
     pub fn records<T: Deserialize<'t>>(&mut self, name: &str) -> Vec<T> {
         let Some(value) = self.root.get(name).cloned() else { return Vec::new() };
         let at = value.span().start;
-        match value.into_inner() {
-            DeValue::Array(all) => {
-                let records: Vec<_> = all.into_iter().collect();
-                records.into_iter().filter_map(|r| self.record(name, r)).collect()
-            }
-            _ => {
-                let line = line_of(self.text, at);
-                self.diagnostics
-                    .push(Diagnostic { line, message: format!("{name} must be a list, as in [[{name}]]") });
-                Vec::new()
-            }
-        }
+        let DeValue::Array(records) = value.into_inner() else {
+            self.report_at(at, format!("{name} must be a list, as in [[{name}]]"));
+            return Vec::new();
+        };
+        let records: Vec<_> = records.into_iter().collect();
+        records.into_iter().filter_map(|r| self.record(name, r)).collect()
     }
 
     fn record<T: Deserialize<'t>>(&mut self, name: &str, mut value: Spanned<DeValue<'t>>) -> Option<T> {
         let mut removed = Vec::new();
         loop {
-            let e = match T::deserialize(value.clone().into_deserializer()) {
+            let error = match T::deserialize(value.clone().into_deserializer()) {
                 Ok(read) => return Some(read).filter(|_| removed.is_empty()),
-                Err(e) => e,
+                Err(error) => error,
             };
-            let what = first_line(e.message());
-            // What was taken out is missed now: that is no further mistake.
-            if removed.iter().any(|k: &String| what == format!("missing field `{k}`")) {
+            let message = first_line(error.message());
+            // What was removed is missed now: that is no further mistake.
+            if removed.iter().any(|key: &String| message == format!("missing field `{key}`")) {
                 return None;
             }
-            let at = e.span().unwrap_or(value.span());
-            let start = if at.start > 0 { at.start } else { self.position(name, 0, "").unwrap_or(0) };
-            self.diagnostics
-                .push(Diagnostic { line: line_of(self.text, start), message: format!("{name}: {what}") });
-            let DeValue::Table(table) = value.get_mut() else { return None };
-            let covers = |s: std::ops::Range<usize>| s.start <= at.start && at.end <= s.end;
-            let found = table.iter().find(|(k, v)| covers(k.span()) || covers(v.span()));
-            let key = found.map(|(k, _)| k.get_ref().to_string())?;
-            table.remove(key.as_str());
-            removed.push(key);
+            let at = error.span().unwrap_or(value.span());
+            let section = Setting::new(name, "");
+            let start = if at.start > 0 { at.start } else { self.position(section).unwrap_or(0) };
+            self.report_at(start, format!("{name}: {message}"));
+            removed.push(remove_field_at(&mut value, &at)?);
         }
     }
 
-    /// Finds settings of the top that are not known, and known ones that must be there and are not.
+    /// Reports settings of the top level that are not known, and required ones that are missing.
     pub fn check_names(&mut self, known: &[&str], required: &[&str]) {
         let unknown: Vec<(usize, String)> = self
             .root
@@ -132,11 +149,20 @@
             .map(|(k, _)| (k.span().start, k.get_ref().to_string()))
             .collect();
         for (at, name) in unknown {
-            let what = format!("unknown setting {name}, expected one of {}", known.join(", "));
-            self.diagnostics.push(Diagnostic { line: line_of(self.text, at), message: what });
+            self.report_at(at, format!("unknown setting {name}, expected one of {}", known.join(", ")));
         }
         for name in required.iter().filter(|n| !self.root.contains_key(**n)) {
             self.diagnostics.push(Diagnostic { line: 0, message: format!("{name} is not told") });
         }
     }
 }
+
+/// Removes the field that holds the place `at` from a record, and returns its name; none where there is no such.
+fn remove_field_at(record: &mut Spanned<DeValue<'_>>, at: &Range<usize>) -> Option<String> {
+    let DeValue::Table(table) = record.get_mut() else { return None };
+    let covers = |span: Range<usize>| span.start <= at.start && at.end <= span.end;
+    let found = table.iter().find(|(k, v)| covers(k.span()) || covers(v.span()));
+    let key = found.map(|(k, _)| k.get_ref().to_string())?;
+    table.remove(key.as_str());
+    Some(key)
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,14 +1,17 @@
-//! What the program is told at its start.
+//! Configuration of the broker: the operator's file of the catalogue, and the platform's file and variables.
 
-pub mod diagnostics;
+mod diagnostics;
+mod error;
 pub mod index;
 mod operator;
 mod platform;
 mod settings;
 
+pub use diagnostics::Diagnostic;
+pub use error::{ConfigError, ConfigErrorKind};
 pub use operator::{
-    ClusterConfig, Database, Limits, Listener, Membership, Node, NodesFile, OperatorConfig, Partitions,
-    PeerBroker, Protocol, QueryClass, RoutingTimes, rules,
+    ClusterConfig, Database, Limits, Listener, Membership, Node, NodesFile, Operation, OperatorConfig,
+    Partitions, PeerBroker, Protocol, QueryClass, RoutingTimes, rules,
 };
-pub use platform::{ConfigError, PlatformConfig};
-pub use settings::{Names, PlatformSettings, settings};
+pub use platform::PlatformConfig;
+pub use settings::{Names, PlatformSettings, PlatformSettingsError, settings};
--- /dev/null
+++ b/src/config/operator/limits.rs
@@ -0,0 +1,103 @@
+//! The section `limits`.
+
+use super::bounds::{DAY_MS, MAX_PARTITIONS};
+use crate::config::diagnostics::{Setting, TomlDocument};
+use serde::Deserialize;
+
+/// Fewest descriptors that a broker can do with.
+const MIN_SOCKETS: usize = 64;
+
+/// Limits.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Most queries and parts held at once.
+    pub max_open: u32,
+    /// Most descriptors.
+    pub sockets: usize,
+    /// Most attempts at a part.
+    pub max_attempts: u32,
+    /// A part may run at two nodes at once.
+    pub second_copies: bool,
+    /// Longest wait that a refused client is told.
+    pub max_retry_after_ms: u64,
+    /// Shortest time between two rounds of decisions.
+    pub tick_ms: u64,
+    /// Most records in one answer.
+    pub records: u64,
+    /// Most records asked of a node at once.
+    pub page: u64,
+    /// Most result sets of a session.
+    pub result_sets: usize,
+    /// Time after which an idle session is closed.
+    pub session_idle_s: u64,
+    /// Time in which a connection to a node must be up.
+    pub dial_timeout_ms: u64,
+    /// Most connections to one node.
+    pub connections_per_node: usize,
+    /// Time after which an idle connection to a node is closed.
+    pub node_idle_s: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            max_open: 400,
+            sockets: 1024,
+            max_attempts: 3,
+            second_copies: true,
+            max_retry_after_ms: 2000,
+            tick_ms: 5,
+            records: 50,
+            page: 8,
+            result_sets: 16,
+            session_idle_s: 300,
+            dial_timeout_ms: 250,
+            connections_per_node: 4,
+            node_idle_s: 30,
+        }
+    }
+}
+
+impl Limits {
+    /// Checks the section; a query takes a place for itself and one for each of `partitions`.
+    pub(super) fn check(&self, partitions: u32, document: &mut TomlDocument<'_>) {
+        self.check_positive(document);
+        self.check_times(document);
+        if self.sockets < MIN_SOCKETS {
+            let what = format!("limits: {} sockets are too few, {MIN_SOCKETS} are the least", self.sockets);
+            document.report(Setting::new("limits", "sockets"), what);
+        }
+        if self.max_open < 1 + partitions.min(MAX_PARTITIONS) {
+            let what =
+                format!("limits: max_open {} has no room for one query over all partitions", self.max_open);
+            document.report(Setting::new("limits", "max_open"), what);
+        }
+    }
+
+    fn check_positive(&self, document: &mut TomlDocument<'_>) {
+        let needed = [
+            ("tick_ms", self.tick_ms),
+            ("page", self.page),
+            ("connections_per_node", self.connections_per_node as u64),
+            ("max_attempts", self.max_attempts.into()),
+        ];
+        for (name, _) in needed.iter().filter(|(_, n)| *n == 0) {
+            document.report(Setting::new("limits", name), format!("limits: {name} must be over 0"));
+        }
+    }
+
+    /// Guards the sums that times go into: none is longer than a day.
+    fn check_times(&self, document: &mut TomlDocument<'_>) {
+        let times = [
+            ("max_retry_after_ms", self.max_retry_after_ms),
+            ("tick_ms", self.tick_ms),
+            ("dial_timeout_ms", self.dial_timeout_ms),
+            ("session_idle_s", self.session_idle_s.saturating_mul(1000)),
+            ("node_idle_s", self.node_idle_s.saturating_mul(1000)),
+        ];
+        for (name, _) in times.iter().filter(|(_, time)| *time > DAY_MS) {
+            document.report(Setting::new("limits", name), format!("limits: {name} is longer than a day"));
+        }
+    }
+}
--- /dev/null
+++ b/src/config/operator/mod.rs
@@ -0,0 +1,193 @@
+//! The operator's file of a catalogue broker: its sections, and all that is wrong with them.
+
+mod bounds;
+mod classes;
+mod cluster;
+mod limits;
+mod listeners;
+mod membership;
+mod nodes;
+mod partitions;
+mod policy_settings;
+
+pub use classes::{Database, QueryClass};
+pub use cluster::{ClusterConfig, PeerBroker};
+pub use limits::Limits;
+pub use listeners::{Listener, Operation, Protocol};
+pub use membership::{Membership, RoutingTimes};
+pub use nodes::{Node, NodesFile, rules};
+pub use partitions::Partitions;
+
+use super::diagnostics::{Diagnostic, Setting, TomlDocument};
+use super::error::ConfigError;
+use std::path::{Path, PathBuf};
+
+/// All settings of the top level.
+const KNOWN_SETTINGS: [&str; 14] = [
+    "name",
+    "zone",
+    "brokers",
+    "limits",
+    "partitions",
+    "class",
+    "database",
+    "listener",
+    "node",
+    "membership",
+    "routing",
+    "operation",
+    "cluster",
+    "peer",
+];
+/// Those that must be there.
+const REQUIRED_SETTINGS: [&str; 3] = ["name", "zone", "partitions"];
+
+/// The operator's file.
+#[derive(Clone, Debug)]
+pub struct OperatorConfig {
+    /// The broker's name, for the log.
+    pub name: String,
+    /// The zone it is in.
+    pub zone: String,
+    /// Brokers that share the nodes, this one included.
+    pub brokers: u32,
+    /// Limits.
+    pub limits: Limits,
+    /// How the catalogue is cut.
+    pub partitions: Partitions,
+    /// Classes of query.
+    pub class: Vec<QueryClass>,
+    /// Databases.
+    pub database: Vec<Database>,
+    /// Where clients connect.
+    pub listener: Vec<Listener>,
+    /// Index nodes.
+    pub node: Vec<Node>,
+    /// Where else they come from, and where their list is kept.
+    pub membership: Membership,
+    /// How nodes that failed come back to work.
+    pub routing: RoutingTimes,
+    /// What the staff on duty need.
+    pub operation: Operation,
+    /// The cluster that it belongs to, if to any.
+    pub cluster: Option<ClusterConfig>,
+}
+
+impl OperatorConfig {
+    /// Reads the file at `path`. An error names the file and all that is wrong with it.
+    pub fn from_file(path: &Path) -> Result<OperatorConfig, ConfigError> {
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError::from(e).in_file(path))?;
+        let mut config = OperatorConfig::read(&text).map_err(|e| e.in_file(path))?;
+        if let Some(cluster) = &mut config.cluster {
+            cluster.file = Some(path.to_owned());
+        }
+        if let Some(nodes) = &mut config.membership.nodes_file {
+            *nodes = beside(path, nodes);
+        }
+        Ok(config)
+    }
+
+    /// All that is wrong with the file at `path`, and with the file of nodes that it names: a line each.
+    pub fn faults(path: &Path) -> Vec<String> {
+        let line = |why: String| format!("{}: {why}", path.display());
+        let text = match std::fs::read_to_string(path) {
+            Ok(text) => text,
+            Err(e) => return vec![line(e.to_string())],
+        };
+        let config = match OperatorConfig::read_all(&text) {
+            Ok(config) => config,
+            Err(diagnostics) => return diagnostics.into_iter().map(|d| line(d.to_string())).collect(),
+        };
+        let Some(nodes) = &config.membership.nodes_file else { return Vec::new() };
+        let read = NodesFile::from_file(&beside(path, nodes), config.partitions.cells);
+        read.err().into_iter().map(|e| e.message()).collect()
+    }
+
+    /// Reads the file's text. An error holds all that is wrong with it.
+    pub fn read(text: &str) -> Result<OperatorConfig, ConfigError> {
+        OperatorConfig::read_all(text).map_err(ConfigError::from)
+    }
+
+    fn read_all(text: &str) -> Result<OperatorConfig, Vec<Diagnostic>> {
+        let mut document = TomlDocument::new(text);
+        if !document.diagnostics.is_empty() {
+            return Err(document.diagnostics);
+        }
+        document.check_names(&KNOWN_SETTINGS, &REQUIRED_SETTINGS);
+        let config = OperatorConfig::from_document(&mut document);
+        // A section that could not be read would be reported twice.
+        if document.diagnostics.is_empty() {
+            config.check(&mut document);
+        }
+        document.diagnostics.sort();
+        if document.diagnostics.is_empty() { Ok(config) } else { Err(document.diagnostics) }
+    }
+
+    /// Reads each section; what can't be read is reported and replaced by a default.
+    fn from_document(document: &mut TomlDocument<'_>) -> OperatorConfig {
+        OperatorConfig {
+            name: document.value("name").unwrap_or_default(),
+            zone: document.value("zone").unwrap_or_default(),
+            brokers: document.value("brokers").unwrap_or(1),
+            limits: document.value("limits").unwrap_or_default(),
+            partitions: document.value("partitions").unwrap_or_default(),
+            class: document.records("class"),
+            database: document.records("database"),
+            listener: document.records("listener"),
+            node: document.records("node"),
+            membership: document.value("membership").unwrap_or_default(),
+            routing: document.value("routing").unwrap_or_default(),
+            operation: document.value("operation").unwrap_or_default(),
+            cluster: OperatorConfig::cluster_from_document(document),
+        }
+    }
+
+    fn cluster_from_document(document: &mut TomlDocument<'_>) -> Option<ClusterConfig> {
+        let mut cluster: Option<ClusterConfig> = document.value("cluster");
+        let peers = document.records("peer");
+        if let Some(cluster) = &mut cluster {
+            cluster.peers = peers;
+        } else if !peers.is_empty() {
+            let what = "peer: there is no [cluster] that it could belong to";
+            document.report(Setting::nth("peer", 0, ""), what);
+        }
+        cluster
+    }
+
+    fn check(&self, document: &mut TomlDocument<'_>) {
+        self.partitions.check(document);
+        listeners::check(&self.listener, &self.operation, document);
+        cluster::check(self, document);
+        self.limits.check(self.partitions.count, document);
+        self.routing.check(document);
+        classes::check_classes(&self.class, document);
+        classes::check_databases(&self.database, &self.class, document);
+        self.membership.check(document);
+        nodes::check(&self.node, self.partitions.cells, document);
+        let has_other_nodes = self.membership.has_other_source();
+        if !has_other_nodes {
+            self.partitions.check_coverage(&self.node, document);
+        }
+        for (section, is_missing) in [
+            ("class", self.class.is_empty()),
+            ("database", self.database.is_empty()),
+            ("listener", self.listener.is_empty()),
+            ("node", self.node.is_empty() && !has_other_nodes),
+        ] {
+            if is_missing {
+                let what = format!("at least one [[{section}]] is needed");
+                document.report(Setting::new(section, ""), what);
+            }
+        }
+    }
+
+    /// The index of the composition key.
+    pub fn key_index(&self) -> Option<&str> {
+        self.partitions.key_index.as_deref()
+    }
+}
+
+/// A path as it is meant in the file at `file`: a relative one starts there.
+fn beside(file: &Path, path: &Path) -> PathBuf {
+    file.parent().unwrap_or(Path::new("")).join(path)
+}
--- /dev/null
+++ b/src/config/operator/nodes.rs
@@ -0,0 +1,148 @@
+//! The section `node`, and the file of nodes that may be read beside the operator's file.
+
+use super::bounds::{DAY_MS, MILLISECOND, default_weight};
+use super::listeners::Protocol;
+use crate::config::diagnostics::{Setting, TomlDocument};
+use crate::config::error::ConfigError;
+use crate::membership::{NodeRecord, NodeState};
+use crate::routing::{AdminState, Rule, Spare};
+use serde::Deserialize;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Largest weight: the decisions multiply it.
+const MAX_WEIGHT: f64 = 1e6;
+
+/// An index node.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Node {
+    /// Its name, for the log.
+    pub id: String,
+    /// What it speaks.
+    pub protocol: Protocol,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// The zone it is in.
+    pub zone: String,
+    /// Its cell, which determines the partitions it holds.
+    pub cell: u32,
+    /// Whether it takes work.
+    #[serde(default)]
+    pub standing: AdminState,
+    /// Share of the work beside others of its set; 0: none.
+    #[serde(default = "default_weight")]
+    pub weight: f64,
+    /// Sets are used in the order of their numbers, the next only when one has no usable node.
+    #[serde(default)]
+    pub set: u32,
+    /// Whether it waits for others to fail.
+    #[serde(default)]
+    pub spare: Spare,
+    /// The node that takes its place while it fails, by id.
+    #[serde(default)]
+    pub redirect: Option<String>,
+    /// Time after a failure in which it gets no work.
+    #[serde(default = "retry_ms")]
+    pub retry_ms: u64,
+}
+
+/// As mod_jk and httpd have it: a minute.
+fn retry_ms() -> u64 {
+    60_000
+}
+
+impl Node {
+    /// What the file says of it, in membership's terms.
+    pub fn fact(&self) -> NodeRecord {
+        NodeRecord {
+            id: self.id.clone(),
+            addr: Some(self.address),
+            zone: self.zone.clone(),
+            kind: self.protocol.name().into(),
+            cell: self.cell,
+            state: if self.standing == AdminState::Draining {
+                NodeState::Terminating
+            } else {
+                NodeState::Ready
+            },
+            started: 0,
+        }
+    }
+
+    /// What the file says of its work, in routing's terms.
+    pub fn rule(&self) -> Rule {
+        Rule {
+            standing: self.standing,
+            weight: self.weight,
+            set: self.set,
+            spare: self.spare,
+            redirect: self.redirect.clone(),
+            retry: self.retry_ms * MILLISECOND,
+        }
+    }
+}
+
+/// The rules of these nodes by id; none at all where no node has one that differs from the usual.
+pub fn rules<'a>(nodes: impl Iterator<Item = &'a Node> + Clone) -> HashMap<String, Rule> {
+    if nodes.clone().all(|n| n.rule().is_plain()) {
+        return HashMap::new();
+    }
+    nodes.map(|n| (n.id.clone(), n.rule())).collect()
+}
+
+/// A file of nodes.
+#[derive(Clone, Debug, Default)]
+pub struct NodesFile {
+    /// Index nodes.
+    pub node: Vec<Node>,
+}
+
+impl NodesFile {
+    /// Reads the file at `path`, whose nodes must fit a ring of so many cells. An error names the file and all that
+    /// is wrong with it.
+    pub fn from_file(path: &Path, cells: u32) -> Result<NodesFile, ConfigError> {
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError::from(e).in_file(path))?;
+        let mut document = TomlDocument::new(&text);
+        let node = document.records("node");
+        document.check_names(&["node"], &[]);
+        check(&node, cells, &mut document);
+        if document.diagnostics.is_empty() {
+            Ok(NodesFile { node })
+        } else {
+            Err(ConfigError::from(document.diagnostics).in_file(path))
+        }
+    }
+}
+
+/// Checks each node by itself and against the others.
+pub(super) fn check(nodes: &[Node], cells: u32, document: &mut TomlDocument<'_>) {
+    let mut ids = HashSet::new();
+    for (n, node) in nodes.iter().enumerate() {
+        let mut report = |field: &str, what: String| document.report(Setting::nth("node", n, field), what);
+        if !ids.insert(&node.id) {
+            report("id", format!("node {:?} is there twice", node.id));
+        }
+        if node.id.is_empty() {
+            report("id", "a node needs an id".into());
+        }
+        if !(0.0..=MAX_WEIGHT).contains(&node.weight) {
+            let what = format!("node {:?}: weight {} must be from 0 to {MAX_WEIGHT}", node.id, node.weight);
+            report("weight", what);
+        }
+        if node.retry_ms > DAY_MS {
+            report("retry_ms", format!("node {:?}: retry_ms is longer than a day", node.id));
+        }
+        let names_no_other = |to: &&String| **to == node.id || !nodes.iter().any(|n| n.id == **to);
+        if let Some(to) = node.redirect.as_ref().filter(names_no_other) {
+            report("redirect", format!("node {:?}: redirect {to:?} names no other node", node.id));
+        }
+        if node.cell >= cells {
+            let last = cells.max(1) - 1;
+            let what =
+                format!("node {:?}: there is no cell {}, cells go from 0 to {last}", node.id, node.cell);
+            report("cell", what);
+        }
+    }
+}
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -1,24 +1,12 @@
 //! The platform's configuration: the file that `GW_CONFIG` names, and the variables beside it.
 
+use super::error::{ConfigError, ConfigErrorKind};
 use super::settings::PlatformSettings;
 use crate::membership::endpoint_list::EndpointList;
 use serde::Deserialize;
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-/// A configuration that can't be used, in one line.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ConfigError(pub String);
-
-impl fmt::Display for ConfigError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "unusable configuration: {}", self.0)
-    }
-}
-
-impl std::error::Error for ConfigError {}
-
 #[derive(Deserialize)]
 struct File {
     name: Option<String>,
@@ -38,12 +26,17 @@
     memory_mb: Option<usize>,
 }
 
-/// Descriptors of a broker that is told no limit.
+/// Most descriptors where the file has no limit.
 const DEFAULT_SOCKETS: usize = 1024;
-/// Memory of a broker that is told no limit, MB.
+/// Fewest descriptors that a broker can do with.
+const MIN_SOCKETS: usize = 64;
+/// Most memory where the file has no limit, MB.
 const DEFAULT_MEMORY_MB: usize = 192;
-
-/// Where processes at one address hand over, in `$TMPDIR`.
+/// Least memory that a broker can do with, MB.
+const MIN_MEMORY_MB: usize = 16;
+/// Descriptors below it are the standard streams.
+const FIRST_INHERITED_DESCRIPTOR: i32 = 3;
+/// The directory of hot restarts, in `$TMPDIR`.
 const HOT_RESTART_DIRECTORY: &str = "pebbleturn-handover";
 
 /// What one broker on the platform is told.
@@ -78,54 +71,38 @@
 }
 
 impl PlatformConfig {
-    /// Reads the file that `GW_CONFIG` names. Where it leaves a name or an address out, the variable tells.
+    /// Reads the file that `GW_CONFIG` names. A name or an address that it leaves out comes from its variable.
     pub fn from_env() -> Result<PlatformConfig, ConfigError> {
-        let path = var("GW_CONFIG").ok_or(ConfigError("GW_CONFIG is not set".into()))?;
+        let path = var("GW_CONFIG").ok_or(ConfigErrorKind::NoFile)?;
         PlatformConfig::from_file(Path::new(&path))
     }
 
-    /// Reads a file. Where it leaves a name or an address out, the variable tells.
+    /// Reads a file. A name or an address that it leaves out comes from its variable.
     pub fn from_file(path: &Path) -> Result<PlatformConfig, ConfigError> {
-        let text =
-            std::fs::read_to_string(path).map_err(|e| ConfigError(format!("{}: {e}", path.display())))?;
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError::from(e).in_file(path))?;
         let config = PlatformConfig::read(&text, var)?;
         Ok(PlatformConfig { file: Some(path.to_owned()), ..config })
     }
 
     /// Reads a configuration; `var` gives the variables.
     pub fn read(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<PlatformConfig, ConfigError> {
-        let file: File = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
-        let addr = |text: Option<String>, name: &str| {
-            let text = text.or_else(|| var(name)).ok_or(ConfigError(format!("{name} is not told")))?;
-            text.parse::<SocketAddr>().map_err(|e| ConfigError(format!("{name} {text:?}: {e}")))
-        };
+        let file: File = serde_json::from_str(text)?;
         let ops = file.ops.or_else(|| var("GW_OPS"));
-        let ops = ops.map(|ops| addr(Some(ops), "GW_OPS")).transpose()?;
-        let inherited = var("GW_INHERITED_FD").map(|fd| {
-            let fd_of = |fd: &str| fd.parse::<i32>().ok().filter(|fd| *fd > 2);
-            fd_of(&fd).ok_or(ConfigError(format!("GW_INHERITED_FD {fd:?} is no descriptor")))
-        });
-        let inherited = inherited.transpose()?;
+        let ops = ops.map(|text| parse_address(text, "GW_OPS")).transpose()?;
+        let inherited = var("GW_INHERITED_FD").map(parse_descriptor).transpose()?;
         // Only where the platform holds the socket does it start a process beside this one.
         let hand_over =
             inherited.and(var("TMPDIR")).map(|tmp| PathBuf::from(tmp).join(HOT_RESTART_DIRECTORY));
-        let seed = match file.seed {
-            Some(text) => u64::from_str_radix(&text, 16)
-                .map_err(|_| ConfigError(format!("seed {text:?} is no hexadecimal number")))?,
-            None => std::process::id().into(),
+        let seed = file.seed.map(parse_seed).transpose()?.unwrap_or_else(|| std::process::id().into());
+        let (sockets, memory_mb) = limits(file.limits)?;
+        let address = |text: Option<String>, variable: &'static str| {
+            let text = text.or_else(|| var(variable)).ok_or(ConfigErrorKind::NoAddress { variable })?;
+            parse_address(text, variable)
         };
-        let sockets = file.limits.and_then(|l| l.sockets).unwrap_or(DEFAULT_SOCKETS);
-        if sockets < 64 {
-            return Err(ConfigError(format!("{sockets} sockets are too few")));
-        }
-        let memory_mb = file.limits.and_then(|l| l.memory_mb).unwrap_or(DEFAULT_MEMORY_MB);
-        if memory_mb < 16 {
-            return Err(ConfigError(format!("{memory_mb} MB of memory are too little")));
-        }
         Ok(PlatformConfig {
             name: file.name.or_else(|| var("GW_NAME")).unwrap_or_else(|| "broker".into()),
-            listen: addr(file.listen, "GW_LISTEN")?,
-            discovery: addr(file.discovery, "GW_DISCOVERY")?,
+            listen: address(file.listen, "GW_LISTEN")?,
+            discovery: address(file.discovery, "GW_DISCOVERY")?,
             ops,
             inherited,
             hand_over,
@@ -140,6 +117,33 @@
     }
 }
 
+fn parse_address(text: String, variable: &'static str) -> Result<SocketAddr, ConfigErrorKind> {
+    text.parse().map_err(|source| ConfigErrorKind::Address { variable, text, source })
+}
+
+fn parse_descriptor(text: String) -> Result<i32, ConfigErrorKind> {
+    let descriptor = text.parse().ok().filter(|fd| *fd >= FIRST_INHERITED_DESCRIPTOR);
+    descriptor.ok_or(ConfigErrorKind::InheritedDescriptor { text })
+}
+
+fn parse_seed(text: String) -> Result<u64, ConfigErrorKind> {
+    u64::from_str_radix(&text, 16).map_err(|source| ConfigErrorKind::Seed { text, source })
+}
+
+/// Most descriptors, and most memory in MB.
+fn limits(limits: Option<Limits>) -> Result<(usize, usize), ConfigErrorKind> {
+    let sockets = limits.and_then(|l| l.sockets).unwrap_or(DEFAULT_SOCKETS);
+    if sockets < MIN_SOCKETS {
+        return Err(ConfigErrorKind::TooFewSockets { sockets });
+    }
+    let megabytes = limits.and_then(|l| l.memory_mb).unwrap_or(DEFAULT_MEMORY_MB);
+    if megabytes < MIN_MEMORY_MB {
+        return Err(ConfigErrorKind::TooLittleMemory { megabytes });
+    }
+    Ok((sockets, megabytes))
+}
+
+/// A variable of the process; an empty one counts as missing.
 fn var(name: &str) -> Option<String> {
     std::env::var(name).ok().filter(|v| !v.is_empty())
 }
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -123,87 +123,141 @@
     }
 }
 
-/// The settings in the library's terms; an error where the object's can't be read so.
-pub fn settings(p: &PlatformSettings) -> Result<(Settings, Names), String> {
-    let f = &p.family_info;
-    let at = |v: &Option<Vec<f64>>, i: usize| v.as_ref().and_then(|v| v.get(i).copied()).unwrap_or(0.0);
-    let mut classes = Vec::new();
-    for (i, c) in p.request_classes.iter().enumerate() {
-        let window = c.window_ns.unwrap_or(0);
-        let effect = match (c.effect.as_str(), c.group.as_deref()) {
-            ("safe", _) => Idempotency::Idempotent,
-            ("keyed", None | Some("all")) => Idempotency::IdempotencyKey { window },
-            ("keyed" | "unsafe", _) => Idempotency::NonIdempotent,
-            (other, _) => return Err(format!("class {}: unknown effect {other}", c.name)),
-        };
-        let need = *f.need_by_class.get(i).ok_or("need_by_class is shorter than request_classes")?;
-        let min_share = *f.min_share.get(i).ok_or("min_share is shorter than request_classes")?;
-        classes.push(Class {
-            idempotency: effect,
-            latency_objective: c.goal_time_ns,
-            objective_per_work: c.aim_stretch.unwrap_or(0.0),
-            deadline: c.deadline_ns,
-            priority_weight: c.worth,
-            late_weight: c.late_worth.unwrap_or(0.0),
-            complete_share: need,
-            min_answer_share: min_share,
-            partial_value: at(&f.partial_earns, i),
-            fetch_parts: at(&f.fetch_parts, i) as u32,
-        });
-    }
-    let discovery = match p.discovery.as_str() {
-        "pushed" => Discovery::Pushed,
-        "on_request" => Discovery::Polled,
-        other => return Err(format!("unknown discovery {other}")),
-    };
-    let r = &p.rules;
-    let budget = match (r.extra_share, r.counted_over_ns) {
-        (Some(share), Some(window)) => {
-            Some(RetryBudget { free: r.budget_free.unwrap_or(0.0), share, window })
-        }
-        _ => None,
-    };
-    let zones: HashMap<String, u32> = p.areas.iter().cloned().zip(0..).collect();
-    let tenants = p.tenants.as_deref().unwrap_or(&[]);
-    let names = Names {
-        classes: p.request_classes.iter().map(|c| c.name.clone()).zip(0..).collect(),
-        tenants: tenants.iter().map(|t| t.name.clone()).zip(0..).collect(),
-        zones,
-    };
-    let zone = p.my_zone.as_ref().and_then(|z| names.zones.get(z).copied()).unwrap_or(u32::MAX);
+/// Why a settings object can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PlatformSettingsError {
+    /// A request class has an effect that is not known.
+    #[error("class {class}: unknown effect {effect}")]
+    UnknownEffect {
+        /// Name of the class.
+        class: String,
+        /// The effect.
+        effect: String,
+    },
+    /// A list has no value for each request class.
+    #[error("{list} is shorter than request_classes")]
+    ShortList {
+        /// Name of the list.
+        list: &'static str,
+    },
+    /// The kind of discovery is not known.
+    #[error("unknown discovery {0}")]
+    UnknownDiscovery(String),
+}
+
+/// The settings in the policy's terms, and the names that it knows by number.
+///
+/// # Errors
+///
+/// Fails where an effect or the kind of discovery is not known, or a list has no value for each request class.
+pub fn settings(platform: &PlatformSettings) -> Result<(Settings, Names), PlatformSettingsError> {
+    let classes = (0..platform.request_classes.len()).map(|n| platform.class(n));
+    let classes: Vec<Class> = classes.collect::<Result<_, _>>()?;
+    let discovery = platform.discovery()?;
+    let names = platform.names();
+    let zone = platform.my_zone.as_ref().and_then(|z| names.zone(z)).unwrap_or(u32::MAX);
+    let tenants = platform.tenants();
+    let (family, ceilings, rules) = (&platform.family_info, &platform.ceilings, &platform.rules);
     let settings = Settings {
         classes,
         tenants: tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
-        over_quota_weight: p.over_share_worth.unwrap_or(1.0),
-        brokers: p.fleet_size,
+        over_quota_weight: platform.over_share_worth.unwrap_or(1.0),
+        brokers: platform.fleet_size,
         zone,
-        shards: f.slices,
-        cells: f.positions,
-        span: f.span,
-        parts_per_call: f.per_call.unwrap_or(1),
-        call_work: f.per_call_work_ns.unwrap_or(0),
+        shards: family.slices,
+        cells: family.positions,
+        span: family.span,
+        parts_per_call: family.per_call.unwrap_or(1),
+        call_work: family.per_call_work_ns.unwrap_or(0),
         discovery,
-        max_poll_interval: r.must_ask_in_ns.unwrap_or(0),
-        may_cancel: p.ceilings.cancel,
-        may_health_check: p.ceilings.probes,
-        may_hedge: p.ceilings.second_copies,
-        max_attempts: p.ceilings.try_limit,
-        max_in_flight: p.ceilings.open_cap,
-        may_send_retry_after: p.ceilings.retry_after.unwrap_or(false),
-        max_retry_after: p.ceilings.max_retry_after_ns.unwrap_or(0),
-        retry_budget: budget,
-        answer_slack: r.answer_slack_ns.unwrap_or(0),
-        slow_start_share: r.cold_share.unwrap_or(1.0),
-        slow_start_time: r.cold_ns.unwrap_or(0),
-        overload_multiple: r.fall_multiple.unwrap_or(0.0),
-        overload_time: r.tip_after_ns.unwrap_or(0),
-        round_interval: p.tick_ns,
-        late_failure_cost: p.tariffs.as_ref().and_then(|t| t.late_fail).unwrap_or(0.0),
+        max_poll_interval: rules.must_ask_in_ns.unwrap_or(0),
+        may_cancel: ceilings.cancel,
+        may_health_check: ceilings.probes,
+        may_hedge: ceilings.second_copies,
+        max_attempts: ceilings.try_limit,
+        max_in_flight: ceilings.open_cap,
+        may_send_retry_after: ceilings.retry_after.unwrap_or(false),
+        max_retry_after: ceilings.max_retry_after_ns.unwrap_or(0),
+        retry_budget: rules.retry_budget(),
+        answer_slack: rules.answer_slack_ns.unwrap_or(0),
+        slow_start_share: rules.cold_share.unwrap_or(1.0),
+        slow_start_time: rules.cold_ns.unwrap_or(0),
+        overload_multiple: rules.fall_multiple.unwrap_or(0.0),
+        overload_time: rules.tip_after_ns.unwrap_or(0),
+        round_interval: platform.tick_ns,
+        late_failure_cost: platform.tariffs.as_ref().and_then(|t| t.late_fail).unwrap_or(0.0),
     };
     Ok((settings, names))
 }
 
+impl WireClass {
+    fn idempotency(&self) -> Result<Idempotency, PlatformSettingsError> {
+        let window = self.window_ns.unwrap_or(0);
+        match (self.effect.as_str(), self.group.as_deref()) {
+            ("safe", _) => Ok(Idempotency::Idempotent),
+            ("keyed", None | Some("all")) => Ok(Idempotency::IdempotencyKey { window }),
+            ("keyed" | "unsafe", _) => Ok(Idempotency::NonIdempotent),
+            (effect, _) => {
+                let (class, effect) = (self.name.clone(), effect.to_owned());
+                Err(PlatformSettingsError::UnknownEffect { class, effect })
+            }
+        }
+    }
+}
+
+impl Rules {
+    /// The budget of retries; none where the object has no share or no window.
+    fn retry_budget(&self) -> Option<RetryBudget> {
+        let (share, window) = (self.extra_share?, self.counted_over_ns?);
+        Some(RetryBudget { free: self.budget_free.unwrap_or(0.0), share, window })
+    }
+}
+
+/// The value of class `n` in an optional list.
+fn optional_value(list: &Option<Vec<f64>>, n: usize) -> f64 {
+    list.as_ref().and_then(|values| values.get(n).copied()).unwrap_or(0.0)
+}
+
 impl PlatformSettings {
+    fn class(&self, n: usize) -> Result<Class, PlatformSettingsError> {
+        let (class, family) = (&self.request_classes[n], &self.family_info);
+        let required = |list: &'static str, values: &[f64]| {
+            values.get(n).copied().ok_or(PlatformSettingsError::ShortList { list })
+        };
+        Ok(Class {
+            idempotency: class.idempotency()?,
+            latency_objective: class.goal_time_ns,
+            objective_per_work: class.aim_stretch.unwrap_or(0.0),
+            deadline: class.deadline_ns,
+            priority_weight: class.worth,
+            late_weight: class.late_worth.unwrap_or(0.0),
+            complete_share: required("need_by_class", &family.need_by_class)?,
+            min_answer_share: required("min_share", &family.min_share)?,
+            partial_value: optional_value(&family.partial_earns, n),
+            fetch_parts: optional_value(&family.fetch_parts, n) as u32,
+        })
+    }
+
+    fn discovery(&self) -> Result<Discovery, PlatformSettingsError> {
+        match self.discovery.as_str() {
+            "pushed" => Ok(Discovery::Pushed),
+            "on_request" => Ok(Discovery::Polled),
+            other => Err(PlatformSettingsError::UnknownDiscovery(other.to_owned())),
+        }
+    }
+
+    fn tenants(&self) -> &[WireTenant] {
+        self.tenants.as_deref().unwrap_or(&[])
+    }
+
+    fn names(&self) -> Names {
+        Names {
+            classes: self.request_classes.iter().map(|c| c.name.clone()).zip(0..).collect(),
+            tenants: self.tenants().iter().map(|t| t.name.clone()).zip(0..).collect(),
+            zones: self.areas.iter().cloned().zip(0..).collect(),
+        }
+    }
+
     /// Parts that one connection carries at once.
     pub fn streams(&self) -> usize {
         self.ceilings.streams_per_conn.unwrap_or(32).max(1) as usize
--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -164,7 +164,7 @@
         let again = PollBackoff::new(ASK.0, ASK.1, seed);
         membership = membership.poll_with_backoff(DiscoveryWatch::new(ROSTER, discovery, DIAL), again, now);
     }
-    let mut exchange = QueryEngine::new(settings, seed, now).map_err(|e| ConfigError(e.to_string()))?;
+    let mut exchange = QueryEngine::new(settings, seed, now).map_err(ConfigError::rejected)?;
     // Guards the limit on descriptors: what connections to nodes may take is not given to clients. Where nodes may
     // come and go, that is half of them.
     let apart = told.operation.listen.map_or(0, |_| admin::PLACES)
@@ -175,7 +175,7 @@
     let to_nodes = if changing { most / 2 } else { all };
     if most.saturating_sub(to_nodes) < 8 {
         let what = "limits: the connections to nodes leave no sockets for clients";
-        return Err(ConfigError(what.into()).into());
+        return Err(ConfigError::rejected(what).into());
     }
     let mut net =
         PollLoop::new(Pool::with_byte_limit(BUFFERS), most - to_nodes).map_err(BrokerError::io("poll"))?;
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -63,7 +63,7 @@
 
 /// Builds a broker that listens; tells where.
 pub fn broker(told: PlatformConfig) -> Result<(Broker<PlatformFrontend>, SocketAddr), BrokerError> {
-    let (settings, names) = config::settings(&told.params).map_err(ConfigError)?;
+    let (settings, names) = config::settings(&told.params).map_err(ConfigError::from)?;
     let clock = Clock::start();
     let now = clock.now();
     // Guards the limit on descriptors: what connections to shard servers may take is not given to clients. In a
@@ -125,7 +125,7 @@
         settings.shards,
         ConnectionSlots::new(most, told.sockets / CLIENTS_KEPT, IDLE),
     );
-    let mut exchange = QueryEngine::new(settings, told.seed, now).map_err(|e| ConfigError(e.to_string()))?;
+    let mut exchange = QueryEngine::new(settings, told.seed, now).map_err(ConfigError::rejected)?;
     let mut hands = FrontendContext { now, net: &mut net, engine: &mut exchange };
     membership.pass_on(&mut hands, |c| servers.place(c.listed.replica, c.addr));
     // The list of servers is in before the first client can come.
