Split the HTTP reader into head, body and response

read_head was over 60 lines and mixed parsing, the framing of the body and the connection's headers. A head now says how its body ends (BodyFraming), and the reader takes its stage from that. HttpError derives its texts, which are the same.

--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,12 @@
+//! HTTP/1.1 messages, read piece by piece as they come in, and written. Bodies have a length or come in
+//! chunks; nothing larger than the stated limits is ever held.
+
+mod error;
+mod head;
+mod reader;
+mod response;
+
+pub use error::HttpError;
+pub use head::{Head, Side};
+pub use reader::Reader;
+pub use response::{response, retry_after, service_unavailable};
