--- a/src/net/poll_loop/listeners.rs
+++ b/src/net/poll_loop/listeners.rs
@@ -11,8 +11,8 @@
 use std::net::SocketAddr;
 
 impl PollLoop {
-    /// Listens, and returns the address with the port that the system chose where 0 was asked for. An error of the
-    /// system is returned as it is.
+    /// Listens, and returns the address with the port that the system chose where 0 was asked for. An error
+    /// of the system is returned as it is.
     pub fn listen(&mut self, addr: SocketAddr, owner: u8) -> io::Result<SocketAddr> {
         let (class, pool) = (ConnectionClass::Clients, self.pool.clone());
         self.add_listener(Listener { socket: TcpListener::bind(addr)?, owner, class, pool })
@@ -25,8 +25,8 @@
         self.add_listener(Listener { socket: TcpListener::from_std(socket), owner, class, pool })
     }
 
-    /// Listens for peers that have a limit and buffers of their own: crowds elsewhere take nothing from them, nor
-    /// they from others. The owner keeps to `max_accepted` connections.
+    /// Listens for peers that have a limit and buffers of their own: crowds elsewhere take nothing from them,
+    /// nor they from others. The owner keeps to `max_accepted` connections.
     pub fn listen_with_pool(
         &mut self,
         addr: SocketAddr,
@@ -46,8 +46,8 @@
         Ok(bound)
     }
 
-    /// Stops listening for this owner. What the system had accepted already is taken first: it counts as ours, unless
-    /// the socket is `shared` with a process that takes it.
+    /// Stops listening for this owner. What the system had accepted already is taken first: it counts as
+    /// ours, unless the socket is `shared` with a process that takes it.
     pub fn stop_listening(&mut self, owner: u8, shared: bool) {
         for slot in self.sources.listeners_of(owner) {
             if !shared {
@@ -57,8 +57,8 @@
         }
     }
 
-    /// Accepts from each listener at which connections may wait, once: no more than a batch comes in before the
-    /// owner has looked at it.
+    /// Accepts from each listener at which connections may wait, once: no more than a batch comes in before
+    /// the owner has looked at it.
     pub(super) fn accept_from_ready(&mut self) {
         let mut listeners = std::mem::take(&mut self.ready_listeners);
         listeners.sort_unstable();
@@ -74,8 +74,8 @@
             let (owner, class) = (listener.owner, listener.class);
             // Guards clients against a close without an answer: the system holds who is not accepted yet.
             if self.accept_limits.is_exhausted(class) {
-                let held = self.accept_limits.open(class);
-                tracing::warn!("connections wait to be accepted: {held} are open");
+                let open = self.accept_limits.open(class);
+                tracing::warn!(open, "accepting is paused: the connection limit is reached");
                 self.paused_listeners.push(slot);
                 return;
             }
@@ -85,13 +85,13 @@
                     let connection = Connection::new(stream, owner, Origin::Accepted, class, pool);
                     match self.add_connection(connection) {
                         Ok(conn) => self.pending_events.push_back(NetEvent::Accepted { owner, conn, peer }),
-                        Err(e) => tracing::warn!("connection not taken: {e}"),
+                        Err(e) => tracing::warn!(error = %e, "accepted connection could not be registered"),
                     }
                 }
                 AcceptOutcome::WouldBlock => return,
                 AcceptOutcome::Retry => {}
                 AcceptOutcome::Failed(e) => {
-                    tracing::warn!("accept failed: {e}");
+                    tracing::warn!(error = %e, "accept failed, retrying in 50 ms");
                     self.paused_listeners.push(slot);
                     return;
                 }
