Document net, http and config in plain terms and deny what is finished

Doc comments say units, errors and what a missing value means. missing_docs, too_many_lines, type_complexity and cognitive_complexity are denied in net, http and config.

--- a/src/config/diagnostics.rs
+++ b/src/config/diagnostics.rs
@@ -157,7 +157,8 @@
     }
 }
 
-/// Removes the field that holds the place `at` from a record, and returns its name; none where there is no such.
+/// Removes the field that holds the place `at` from a record, and returns its name; none where there is no
+/// such.
 fn remove_field_at(record: &mut Spanned<DeValue<'_>>, at: &Range<usize>) -> Option<String> {
     let DeValue::Table(table) = record.get_mut() else { return None };
     let covers = |span: Range<usize>| span.start <= at.start && at.end <= span.end;
--- a/src/config/index.rs
+++ b/src/config/index.rs
@@ -1,6 +1,6 @@
-//! The indexes that searches may name: CQL's names and Bib-1's numbers.
+//! The indexes that searches may use: their names in CQL and their access points in Bib-1.
 
-/// CQL's names of the access points that are known, and their Bib-1 numbers. The first name of a number is
+/// Names of indexes in CQL, and the numbers of their access points in Bib-1. The first name of a number is
 /// the one that is written.
 const NAMES: &[(&str, u16)] = &[
     ("cql.serverchoice", 1016),
@@ -32,13 +32,13 @@
     ("music.instrumentation", 5032),
 ];
 
-/// The access point that a CQL index means.
+/// The access point of a CQL index; none where the index is not known.
 pub fn access_of(index: &str) -> Option<u16> {
     let index = index.to_ascii_lowercase();
     NAMES.iter().find(|(name, _)| *name == index).map(|(_, n)| *n)
 }
 
-/// The CQL index for an access point.
+/// The CQL index of an access point; none where no known index has it.
 pub fn index_of(access: u16) -> Option<&'static str> {
     NAMES.iter().find(|(_, n)| *n == access).map(|(name, _)| *name)
 }
@@ -52,7 +52,7 @@
     ("music", "info:srw/cql-context-set/5/music"),
 ];
 
-/// All known indexes, for explain.
+/// All known indexes and their access points, as the explain response lists them.
 pub fn indexes() -> impl Iterator<Item = (&'static str, u16)> {
     NAMES.iter().copied()
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,4 +1,11 @@
 //! Configuration of the broker: the operator's file of the catalogue, and the platform's file and variables.
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 mod diagnostics;
 mod error;
--- a/src/config/operator/classes.rs
+++ b/src/config/operator/classes.rs
@@ -11,17 +11,17 @@
 pub struct QueryClass {
     /// Its name.
     pub name: String,
-    /// Time within which an answer is wanted.
+    /// Latency objective, ms.
     pub aim_ms: u64,
-    /// Time after which clients give up.
+    /// Time after which clients give up, ms.
     pub deadline_ms: u64,
-    /// What an answer is worth beside those of other classes.
+    /// Priority weight of an answer among those of other classes.
     #[serde(default = "default_weight")]
     pub worth: f64,
-    /// Share of the worth that is left after the aim.
+    /// Share of that weight that an answer after the latency objective has.
     #[serde(default)]
     pub late_worth: f64,
-    /// Least share of the partitions that an answer may be given from.
+    /// Smallest share of the partitions that an answer may be given from, 0 to 1.
     #[serde(default = "all_partitions")]
     pub floor: f64,
 }
@@ -30,7 +30,7 @@
     1.0
 }
 
-/// A database as clients name it.
+/// A database by the name that clients use.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Database {
--- a/src/config/operator/cluster.rs
+++ b/src/config/operator/cluster.rs
@@ -9,13 +9,13 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// Another broker of the cluster.
+/// Another broker of the cluster, as `[[peer]]` has it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
 #[serde(deny_unknown_fields)]
 pub struct PeerBroker {
-    /// Its name, as its own file has it.
+    /// Its name in its own file.
     pub name: String,
-    /// Where it takes datagrams and connections of its peers.
+    /// The address at which its peers reach it, by UDP and by TCP.
     pub address: SocketAddr,
 }
 
@@ -23,25 +23,25 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClusterConfig {
-    /// The cluster's name: brokers of another one are not listened to.
+    /// The cluster's name: messages from brokers of another cluster are ignored.
     pub name: String,
-    /// Where peers reach this broker, by UDP and by TCP.
+    /// The address at which peers reach this broker, by UDP and by TCP.
     pub listen: SocketAddr,
-    /// The directory in which the cluster's facts are kept.
+    /// The directory of the journal of replicated state.
     pub keep: PathBuf,
-    /// Time between two probes of a peer.
+    /// Time between two probes of a peer, ms.
     #[serde(default = "probe_ms")]
     pub probe_ms: u64,
-    /// How long words that have ended are kept.
+    /// How long commands that have ended are retained, seconds.
     #[serde(default = "keep_words_s")]
     pub keep_words_s: u64,
-    /// The latest version of frames that is spoken; a cluster that is being upgraded may hold it back.
+    /// The latest version of frames that is sent; it may be lowered while a cluster is being upgraded.
     #[serde(default = "speak")]
     pub speak: u8,
     /// The other brokers.
     #[serde(skip)]
     pub peers: Vec<PeerBroker>,
-    /// The file that says so; its peers are read again on SIGHUP.
+    /// The file that this was read from; its peers are read again on SIGHUP.
     #[serde(skip)]
     pub file: Option<PathBuf>,
 }
--- a/src/config/operator/limits.rs
+++ b/src/config/operator/limits.rs
@@ -7,35 +7,35 @@
 /// Fewest descriptors that a broker can do with.
 const MIN_SOCKETS: usize = 64;
 
-/// Limits.
+/// Limits of the broker.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
-    /// Most queries and parts held at once.
+    /// Most queries and parts in flight.
     pub max_open: u32,
-    /// Most descriptors.
+    /// Most open descriptors.
     pub sockets: usize,
-    /// Most attempts at a part.
+    /// Most attempts of a part.
     pub max_attempts: u32,
-    /// A part may run at two nodes at once.
+    /// Whether requests may be hedged: a part may run at two nodes at once.
     pub second_copies: bool,
-    /// Longest wait that a refused client is told.
+    /// Longest `Retry-After` of a rejected client, ms; 0: none is sent.
     pub max_retry_after_ms: u64,
-    /// Shortest time between two rounds of decisions.
+    /// Shortest time between two rounds of decisions, ms.
     pub tick_ms: u64,
     /// Most records in one answer.
     pub records: u64,
-    /// Most records asked of a node at once.
+    /// Most records requested from a node at once.
     pub page: u64,
     /// Most result sets of a session.
     pub result_sets: usize,
-    /// Time after which an idle session is closed.
+    /// Time after which an idle session is closed, seconds.
     pub session_idle_s: u64,
-    /// Time in which a connection to a node must be up.
+    /// Time in which a connection to a node must be established, ms.
     pub dial_timeout_ms: u64,
     /// Most connections to one node.
     pub connections_per_node: usize,
-    /// Time after which an idle connection to a node is closed.
+    /// Time after which an idle connection to a node is closed, seconds.
     pub node_idle_s: u64,
 }
 
--- a/src/config/operator/listeners.rs
+++ b/src/config/operator/listeners.rs
@@ -8,7 +8,7 @@
 /// Descriptors below it are the standard streams.
 const FIRST_INHERITED_DESCRIPTOR: i32 = 3;
 
-/// A protocol of the catalogue.
+/// A protocol of the catalogue's clients and nodes.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
 pub enum Protocol {
@@ -19,7 +19,7 @@
 }
 
 impl Protocol {
-    /// Its name, as files and discovery have it.
+    /// The name that files and discovery use for it.
     pub fn name(self) -> &'static str {
         match self {
             Protocol::Sru => "sru",
@@ -33,25 +33,25 @@
     }
 }
 
-/// Where clients connect.
+/// An address at which clients connect.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listener {
-    /// What they speak.
+    /// The protocol of these clients.
     pub protocol: Protocol,
-    /// The address.
+    /// The address to listen at.
     pub listen: SocketAddr,
-    /// The descriptor on which a socket bound to it stands open already; none: it is to be opened.
+    /// Descriptor of an inherited socket that is bound to the address; without one a socket is opened.
     pub descriptor: Option<i32>,
 }
 
-/// What the staff on duty need.
+/// The admin endpoint and hot restarts.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Operation {
-    /// The second address, where calls are taken.
+    /// The address of the admin endpoint; without one there is none.
     pub listen: Option<SocketAddr>,
-    /// The directory in which processes at the same addresses hand over.
+    /// The directory through which processes at the same addresses coordinate a hot restart.
     pub hand_over: Option<PathBuf>,
 }
 
--- a/src/config/operator/membership.rs
+++ b/src/config/operator/membership.rs
@@ -9,19 +9,20 @@
 /// Hours of ten years.
 const TEN_YEARS_H: f64 = 24.0 * 3650.0;
 
-/// Where the list of nodes comes from, beside the operator's file, and where it is kept.
+/// Sources of nodes beside the operator's file, and where their list is cached.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Membership {
-    /// A discovery that is watched. It names a node's protocol as its `kind`: `sru` or `z3950`.
+    /// Address of the discovery that is watched. It has a node's protocol as its `kind`: `sru` or `z3950`.
     pub discovery: Option<SocketAddr>,
-    /// A file of nodes that is read again on SIGHUP. A relative path starts at the operator's file.
+    /// A file of nodes that is read again on SIGHUP. A relative path starts at the operator's file's
+    /// directory.
     pub nodes_file: Option<PathBuf>,
-    /// The directory in which discovery's list is kept over restarts.
+    /// The directory in which discovery's list is cached over restarts.
     pub keep: Option<PathBuf>,
-    /// Mean time between two changes of one node, hours.
+    /// Expected mean time between two changes of one node, hours.
     pub changes_every_h: f64,
-    /// Age of a list that does not tell its own, seconds.
+    /// Assumed age of a cached list that has no time of its own, seconds.
     pub presumed_age_s: u64,
 }
 
@@ -37,13 +38,13 @@
     }
 }
 
-/// How nodes that failed come back to work.
+/// How nodes come back after a failure.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RoutingTimes {
-    /// Time in which a node that came back grows to its full weight.
+    /// Length of the recovery ramp, in which a recovered node grows to its full weight, ms.
     pub warm_up_ms: u64,
-    /// Time for which it must have worked before those who stood in for it are let go.
+    /// Time for which a recovered node must work before its stand-ins are released, ms.
     pub hold_ms: u64,
 }
 
--- a/src/config/operator/mod.rs
+++ b/src/config/operator/mod.rs
@@ -42,34 +42,34 @@
 /// Those that must be there.
 const REQUIRED_SETTINGS: [&str; 3] = ["name", "zone", "partitions"];
 
-/// The operator's file.
+/// The operator's file of a catalogue broker.
 #[derive(Clone, Debug)]
 pub struct OperatorConfig {
-    /// The broker's name, for the log.
+    /// The broker's name, in log lines and among its peers.
     pub name: String,
-    /// The zone it is in.
+    /// The zone that the broker is in.
     pub zone: String,
     /// Brokers that share the nodes, this one included.
     pub brokers: u32,
-    /// Limits.
+    /// Limits of the broker.
     pub limits: Limits,
-    /// How the catalogue is cut.
+    /// How the catalogue is divided.
     pub partitions: Partitions,
-    /// Classes of query.
+    /// Classes of query, `[[class]]`.
     pub class: Vec<QueryClass>,
-    /// Databases.
+    /// Databases, `[[database]]`.
     pub database: Vec<Database>,
-    /// Where clients connect.
+    /// The addresses at which clients connect, `[[listener]]`.
     pub listener: Vec<Listener>,
-    /// Index nodes.
+    /// Index nodes, `[[node]]`.
     pub node: Vec<Node>,
-    /// Where else they come from, and where their list is kept.
+    /// Other sources of nodes, and where their list is cached.
     pub membership: Membership,
-    /// How nodes that failed come back to work.
+    /// How nodes come back after a failure.
     pub routing: RoutingTimes,
-    /// What the staff on duty need.
+    /// The admin endpoint and hot restarts.
     pub operation: Operation,
-    /// The cluster that it belongs to, if to any.
+    /// The cluster that the broker belongs to, if any.
     pub cluster: Option<ClusterConfig>,
 }
 
@@ -181,7 +181,7 @@
         }
     }
 
-    /// The index of the composition key.
+    /// The CQL index of the composition key.
     pub fn key_index(&self) -> Option<&str> {
         self.partitions.key_index.as_deref()
     }
--- a/src/config/operator/nodes.rs
+++ b/src/config/operator/nodes.rs
@@ -18,43 +18,43 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Node {
-    /// Its name, for the log.
+    /// Its identifier, also in log lines.
     pub id: String,
-    /// What it speaks.
+    /// Its protocol.
     pub protocol: Protocol,
-    /// Where it is.
+    /// Its address.
     pub address: SocketAddr,
     /// The zone it is in.
     pub zone: String,
     /// Its cell, which determines the partitions it holds.
     pub cell: u32,
-    /// Whether it takes work.
+    /// Whether it gets new queries.
     #[serde(default)]
     pub standing: AdminState,
-    /// Share of the work beside others of its set; 0: none.
+    /// Weight among the nodes of its set; 0: it gets no queries.
     #[serde(default = "default_weight")]
     pub weight: f64,
     /// Sets are used in the order of their numbers, the next only when one has no usable node.
     #[serde(default)]
     pub set: u32,
-    /// Whether it waits for others to fail.
+    /// Whether it is a spare, used only while others have failed.
     #[serde(default)]
     pub spare: Spare,
-    /// The node that takes its place while it fails, by id.
+    /// Identifier of the node that replaces it while it has failed.
     #[serde(default)]
     pub redirect: Option<String>,
-    /// Time after a failure in which it gets no work.
+    /// Time after a failure in which it gets no queries, ms.
     #[serde(default = "retry_ms")]
     pub retry_ms: u64,
 }
 
-/// As mod_jk and httpd have it: a minute.
+/// A minute, as in mod_jk and httpd.
 fn retry_ms() -> u64 {
     60_000
 }
 
 impl Node {
-    /// What the file says of it, in membership's terms.
+    /// The node as a record of membership.
     pub fn fact(&self) -> NodeRecord {
         NodeRecord {
             id: self.id.clone(),
@@ -71,7 +71,7 @@
         }
     }
 
-    /// What the file says of its work, in routing's terms.
+    /// The node's rule of routing.
     pub fn rule(&self) -> Rule {
         Rule {
             standing: self.standing,
@@ -84,7 +84,7 @@
     }
 }
 
-/// The rules of these nodes by id; none at all where no node has one that differs from the usual.
+/// The rules of routing of these nodes by id; none at all where every node has the default one.
 pub fn rules<'a>(nodes: impl Iterator<Item = &'a Node> + Clone) -> HashMap<String, Rule> {
     if nodes.clone().all(|n| n.rule().is_plain()) {
         return HashMap::new();
@@ -100,8 +100,8 @@
 }
 
 impl NodesFile {
-    /// Reads the file at `path`, whose nodes must fit a ring of so many cells. An error names the file and all that
-    /// is wrong with it.
+    /// Reads the file at `path`, whose nodes must fit a ring of so many cells. An error names the file and
+    /// all that is wrong with it.
     pub fn from_file(path: &Path, cells: u32) -> Result<NodesFile, ConfigError> {
         let text = std::fs::read_to_string(path).map_err(|e| ConfigError::from(e).in_file(path))?;
         let mut document = TomlDocument::new(&text);
--- a/src/config/operator/partitions.rs
+++ b/src/config/operator/partitions.rs
@@ -6,7 +6,7 @@
 use crate::config::index;
 use serde::Deserialize;
 
-/// How the catalogue is cut.
+/// How the catalogue is divided.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Partitions {
@@ -14,13 +14,14 @@
     pub count: u32,
     /// Number of cells.
     pub cells: u32,
-    /// Cells in a row that hold a partition: partition p is in cells p, p + 1 and so on, modulo `cells`.
+    /// Number of consecutive cells that hold a partition: partition p is in cells p, p + 1 and so on, modulo
+    /// `cells`.
     pub holders: u32,
-    /// A partition's database at the nodes; `{partition}` stands for its number.
+    /// Name of a partition's database at the nodes, in which `{partition}` is replaced by its number.
     pub database: String,
-    /// The CQL index of the composition key.
+    /// The CQL index of the composition key, by which records are assigned to partitions.
     pub key_index: Option<String>,
-    /// Partitions in a row over which one key's records may lie.
+    /// Number of consecutive partitions over which the records of one key may be spread.
     #[serde(default = "one_partition")]
     pub per_key: u32,
 }
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -39,39 +39,41 @@
 /// The directory of hot restarts, in `$TMPDIR`.
 const HOT_RESTART_DIRECTORY: &str = "pebbleturn-handover";
 
-/// What one broker on the platform is told.
+/// The configuration of one broker on the platform.
 #[derive(Clone, Debug)]
 pub struct PlatformConfig {
-    /// Its name.
+    /// The broker's name.
     pub name: String,
-    /// Where clients connect.
+    /// The address at which clients connect.
     pub listen: SocketAddr,
-    /// Where discovery is.
+    /// The address of discovery.
     pub discovery: SocketAddr,
-    /// The second address, for operation; none: there is no such.
+    /// The address of the admin endpoint; without one there is none.
     pub ops: Option<SocketAddr>,
-    /// The descriptor on which the clients' listening socket stands open already; none: it is to be opened.
+    /// Descriptor of the inherited listening socket for clients; without one a socket is opened.
     pub inherited: Option<i32>,
-    /// The directory in which processes at this address hand over; none: there are no others.
+    /// The directory through which processes at this address coordinate a hot restart; without one there are
+    /// no others.
     pub hand_over: Option<PathBuf>,
-    /// For random numbers.
+    /// Seed of the random numbers.
     pub seed: u64,
-    /// Most descriptors.
+    /// Most open descriptors.
     pub sockets: usize,
     /// Most memory, MB.
     pub memory_mb: usize,
-    /// The list of servers as this broker last had it.
+    /// The endpoint list that this broker had last.
     pub known: Option<EndpointList>,
-    /// The directory in which the list is kept over restarts; none: it is not kept.
+    /// The directory in which the endpoint list is cached over restarts; without one it is not.
     pub keep: Option<PathBuf>,
     /// The settings object.
     pub params: PlatformSettings,
-    /// The file that all this was read from, to be read again when its content is replaced.
+    /// The file that this was read from; it is read again on SIGHUP.
     pub file: Option<PathBuf>,
 }
 
 impl PlatformConfig {
-    /// Reads the file that `GW_CONFIG` names. A name or an address that it leaves out comes from its variable.
+    /// Reads the file that `GW_CONFIG` names. A name or an address that it leaves out comes from its
+    /// variable.
     pub fn from_env() -> Result<PlatformConfig, ConfigError> {
         let path = var("GW_CONFIG").ok_or(ConfigErrorKind::NoFile)?;
         PlatformConfig::from_file(Path::new(&path))
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -1,10 +1,11 @@
-//! The settings object that the platform and the simulator hand an instance, in the library's terms.
+//! The settings object that the platform and the simulator pass to a broker, and the policy's settings from
+//! it.
 
 use crate::api::*;
 use serde::Deserialize;
 use std::collections::HashMap;
 
-/// The settings object.
+/// The settings object as the platform writes it.
 #[derive(Clone, Debug, Deserialize)]
 pub struct PlatformSettings {
     areas: Vec<String>,
@@ -86,7 +87,7 @@
     quota_per_s: f64,
 }
 
-/// The names of one instance's settings, as numbers.
+/// The names in a settings object, and the numbers that the policy has for them.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
     zones: HashMap<String, u32>,
@@ -95,29 +96,29 @@
 }
 
 impl Names {
-    /// The place of a zone.
+    /// The number of a zone.
     pub fn zone(&self, name: &str) -> Option<u32> {
         self.zones.get(name).copied()
     }
 
-    /// All zones and their places.
+    /// All zones and their numbers.
     pub fn zones(&self) -> &HashMap<String, u32> {
         &self.zones
     }
 
-    /// The place of a class.
+    /// The number of a class.
     pub fn class(&self, name: &str) -> Option<usize> {
         self.classes.get(name).copied()
     }
 
-    /// All classes' names in the order of their places.
+    /// The names of all classes in the order of their numbers.
     pub fn classes(&self) -> Vec<String> {
         let mut classes: Vec<(&String, &usize)> = self.classes.iter().collect();
         classes.sort_unstable_by_key(|(_, place)| **place);
         classes.into_iter().map(|(name, _)| name.clone()).collect()
     }
 
-    /// The place of a tenant.
+    /// The number of a tenant.
     pub fn tenant(&self, name: &str) -> Option<usize> {
         self.tenants.get(name).copied()
     }
@@ -149,7 +150,8 @@
 ///
 /// # Errors
 ///
-/// Fails where an effect or the kind of discovery is not known, or a list has no value for each request class.
+/// Fails where an effect or the kind of discovery is not known, or a list has no value for each request
+/// class.
 pub fn settings(platform: &PlatformSettings) -> Result<(Settings, Names), PlatformSettingsError> {
     let classes = (0..platform.request_classes.len()).map(|n| platform.class(n));
     let classes: Vec<Class> = classes.collect::<Result<_, _>>()?;
@@ -258,22 +260,22 @@
         }
     }
 
-    /// Parts that one connection carries at once.
+    /// Most parts that one connection carries at once.
     pub fn streams(&self) -> usize {
         self.ceilings.streams_per_conn.unwrap_or(32).max(1) as usize
     }
 
-    /// Time in which a connection must be up.
+    /// Time in which a connection must be established.
     pub fn dial_timeout(&self) -> Nanos {
         self.ceilings.dial_timeout_ns.unwrap_or(250_000_000)
     }
 
-    /// Time in which sends to a server must cease once it is told that this drains.
+    /// Time after the notification of a server's draining in which sends to it must cease.
     pub fn drain_grace(&self) -> Nanos {
         self.rules.drain_grace_ns.unwrap_or(2_000_000_000)
     }
 
-    /// Time after which an idle connection is closed by its peer.
+    /// Time after which servers close an idle connection.
     pub fn idle(&self) -> Nanos {
         self.ceilings.conn_idle_ns.unwrap_or(30_000_000_000)
     }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,5 +1,12 @@
 //! HTTP/1.1 messages, read piece by piece as they come in, and written. Bodies have a length or come in
 //! chunks; nothing larger than the stated limits is ever held.
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 mod error;
 mod head;
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -1,13 +1,13 @@
-//! Buffers of one size, used again from a bounded pool.
+//! Buffers of one size, reused from a bounded pool.
 
 use std::cell::RefCell;
 use std::rc::Rc;
 
-/// Largest body of a message: what one side may make the other hold.
+/// Largest body of a message, bytes: what one side may make the other hold.
 pub const MAX_BODY: usize = 64 * 1024;
-/// Largest head of a message.
+/// Largest head of a message, bytes.
 pub const MAX_HEAD: usize = 8 * 1024;
-/// Size of a buffer unless its pool has another: one whole message.
+/// Size of a buffer unless its pool has another, bytes: one whole message.
 pub const BUFFER_SIZE: usize = MAX_BODY + MAX_HEAD;
 
 #[derive(Debug)]
@@ -19,7 +19,7 @@
     size: usize,
 }
 
-/// Most unused buffers that are kept for later use; more go back to the system.
+/// Most unused buffers that are cached; more go back to the system.
 const MAX_FREE_BUFFERS: usize = 32;
 
 /// A bounded supply of buffers. Clones share it.
@@ -27,22 +27,23 @@
 pub struct Pool(Rc<RefCell<Supply>>);
 
 impl Pool {
-    /// A pool that hands out at most so many buffers at once.
+    /// A pool that hands out at most `limit` buffers at once.
     pub fn new(limit: usize) -> Pool {
         Pool::with_buffer_size(limit, BUFFER_SIZE)
     }
 
-    /// The same with buffers of so many bytes, for peers whose messages are short.
+    /// A pool that hands out at most `limit` buffers of `size` bytes at once, for peers whose messages are
+    /// short.
     pub fn with_buffer_size(limit: usize, size: usize) -> Pool {
         Pool(Rc::new(RefCell::new(Supply { free: Vec::new(), in_use: 0, limit, size })))
     }
 
-    /// A pool whose buffers take at most so many bytes together.
+    /// A pool whose buffers take at most `bytes` together, but never fewer than 16 buffers.
     pub fn with_byte_limit(bytes: usize) -> Pool {
         Pool::new((bytes / BUFFER_SIZE).max(16))
     }
 
-    /// An empty buffer; none while all are in use. A dropped buffer returns here.
+    /// An empty buffer; none while all are in use. A dropped buffer returns to the pool.
     pub fn take(&self) -> Option<Buf> {
         let mut supply = self.0.borrow_mut();
         if supply.in_use >= supply.limit {
@@ -54,7 +55,7 @@
         Some(Buf { bytes, start: 0, end: 0, supply: self.0.clone() })
     }
 
-    /// The same for peers that nobody vouches for: a quarter of the supply is not for them.
+    /// An empty buffer for an untrusted peer; none while three quarters are in use.
     pub fn take_for_untrusted(&self) -> Option<Buf> {
         let room = {
             let supply = self.0.borrow();
@@ -79,7 +80,7 @@
 }
 
 impl Buf {
-    /// What was added and not yet consumed.
+    /// The bytes added and not yet consumed.
     pub fn data(&self) -> &[u8] {
         &self.bytes[self.start..self.end]
     }
@@ -89,7 +90,7 @@
         self.bytes.len() - (self.end - self.start)
     }
 
-    /// The space after the data, all of `room`.
+    /// The space after the data, all of [`room`](Buf::room).
     pub fn space(&mut self) -> &mut [u8] {
         if self.start > 0 {
             self.bytes.copy_within(self.start..self.end, 0);
@@ -99,12 +100,12 @@
         &mut self.bytes[self.end..]
     }
 
-    /// Says that so many bytes of `space` were filled.
+    /// Counts `n` filled bytes of [`space`](Buf::space) as data.
     pub fn added(&mut self, n: usize) {
         self.end = (self.end + n).min(self.bytes.len());
     }
 
-    /// Adds as much of `from` as fits; tells how much did.
+    /// Adds as much of `from` as fits, and returns how many bytes did.
     pub fn push(&mut self, from: &[u8]) -> usize {
         let n = from.len().min(self.room());
         self.space()[..n].copy_from_slice(&from[..n]);
@@ -112,7 +113,7 @@
         n
     }
 
-    /// Drops bytes from the start.
+    /// Drops `n` bytes from the start.
     pub fn consume(&mut self, n: usize) {
         self.start = (self.start + n).min(self.end);
         if self.start == self.end {
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -3,15 +3,15 @@
 use std::sync::OnceLock;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// Seconds by which this process's clocks are off on purpose: how tests show that clocks decide nothing.
+/// Seconds added to this process's clocks, for tests that show that decisions don't depend on the wall clock.
 static OFFSET_SECONDS: OnceLock<i64> = OnceLock::new();
 
-/// Sets all clocks that start from now on off by so many seconds; the first word holds.
+/// Offsets all clocks that are started from now on by so many seconds. Only the first call has an effect.
 pub fn set_offset(seconds: i64) {
     let _ = OFFSET_SECONDS.set(seconds);
 }
 
-/// Nanoseconds that never run backwards, counted from the Unix epoch as it was read at the start.
+/// A monotonic clock in nanoseconds since the Unix epoch, which was read once when it was started.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     base: u64,
@@ -26,7 +26,7 @@
         Clock { base: (unix.as_nanos() as u64).saturating_add_signed(offset), start: Instant::now() }
     }
 
-    /// The time now.
+    /// The time now, nanoseconds since the Unix epoch.
     pub fn now(&self) -> u64 {
         self.base + self.start.elapsed().as_nanos() as u64
     }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -13,7 +13,8 @@
 const MAX_QUEUED_BUFFERS: usize = 32;
 /// How much of what a peer sends while its connection lingers is read, bytes.
 const MAX_LINGER_DISCARD_BYTES: usize = 256 * 1024;
-/// How long a peer may take nothing of a last message that is not written yet; as long as a request may take to come.
+/// How long a peer may take nothing of a last message that is not written yet; as long as a request may take
+/// to come.
 const UNREAD_MESSAGE_TIMEOUT: Nanos = 2_500_000_000;
 
 /// What a read gave.
@@ -328,7 +329,8 @@
         }
     }
 
-    /// The time of a lingering peer is over. Whether it gets more: it has taken some since, or may still take the first.
+    /// The time of a lingering peer is over. Whether it gets more: it has taken some since, or may still take
+    /// the first.
     pub fn extend_linger(&mut self, now: Nanos) -> bool {
         let (bytes_flushed, all_written) = (self.bytes_flushed, self.all_written());
         let Closing::Lingering(linger) = &mut self.closing else { return false };
--- a/src/net/inherited.rs
+++ b/src/net/inherited.rs
@@ -1,12 +1,16 @@
-//! A listening socket that another process opened and holds, taken over by the number of its descriptor.
+//! A listening socket inherited from the process that started this one, by the number of its descriptor.
 
 use filedescriptor::FileDescriptor;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{OwnedFd, RawFd};
 
-/// A listener of this process's own on the socket that stands open as descriptor `fd`. The descriptor itself stays
-/// as it is: whoever gave it may count on it. An error where it is no socket, or not the one bound to `addr`.
+/// A listener on a duplicate of the descriptor `fd`; `fd` itself stays open, since whoever passed it may rely
+/// on it.
+///
+/// # Errors
+///
+/// Fails where `fd` is no open socket, or one that is not bound to `addr`.
 pub fn listener(fd: RawFd, addr: SocketAddr) -> io::Result<TcpListener> {
     let file = FileDescriptor::dup(&fd).and_then(|d| d.as_file()).map_err(io::Error::other)?;
     let listener = TcpListener::from(OwnedFd::from(file));
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -25,7 +25,8 @@
 pub(super) enum AcceptOutcome {
     /// A connection and the address of its peer.
     Accepted(TcpStream, SocketAddr),
-    /// The connection was gone before it was accepted, or the call was interrupted; the next one may be there.
+    /// The connection was gone before it was accepted, or the call was interrupted; the next one may be
+    /// there.
     Retry,
     /// None waits.
     WouldBlock,
--- a/src/net/poll_loop/closing.rs
+++ b/src/net/poll_loop/closing.rs
@@ -1,4 +1,5 @@
-//! Closing of the poll loop's connections: at once, after what was queued, or after a moment for the peer to read.
+//! Closing of the poll loop's connections: at once, after what was queued, or after a moment for the peer to
+//! read.
 
 use super::PollLoop;
 use crate::api::Nanos;
@@ -52,7 +53,8 @@
         }
     }
 
-    /// Closes the connection that has been lingering for longest, if there is one whose last message is written.
+    /// Closes the connection that has been lingering for longest, if there is one whose last message is
+    /// written.
     pub fn close_oldest_lingering(&mut self) -> bool {
         for _ in 0..self.lingering.len() {
             let Some(check) = self.lingering.pop_front() else { break };
@@ -66,8 +68,8 @@
         false
     }
 
-    /// Closes connections whose peers have had their moment, which runs from when their last message was written. Guards
-    /// the places of others against peers that read nothing.
+    /// Closes connections whose peers have had their moment, which runs from when their last message was
+    /// written. Guards the places of others against peers that read nothing.
     pub fn tick(&mut self, now: Nanos) {
         while let Some(LingerCheck { conn, .. }) = self.lingering.pop_front_if(|check| check.due <= now) {
             let Some(c) = self.sources.connection_mut(conn) else { continue };
--- a/src/net/poll_loop/connections.rs
+++ b/src/net/poll_loop/connections.rs
@@ -40,8 +40,8 @@
         self.sources.connection(id).is_some()
     }
 
-    /// Whether the peer has ended the connection, though what it sent before may be unread. Guards against working for
-    /// a peer that went while there was no room to read on.
+    /// Whether the peer has ended the connection, though what it sent before may be unread. Guards against
+    /// working for a peer that went while there was no room to read on.
     pub fn peer_ended(&mut self, id: ConnId) -> bool {
         self.sources.connection(id).is_some_and(|c| c.peer_ended)
     }
@@ -83,8 +83,8 @@
         }
     }
 
-    /// Queues a whole message and writes what can be written now. Fails where the connection is closed, or it or
-    /// its pool has no room.
+    /// Queues a whole message and writes what can be written now. Fails where the connection is closed, or it
+    /// or its pool has no room.
     pub fn send(&mut self, id: ConnId, message: &[u8]) -> Result<(), QueueFull> {
         let Some(c) = self.sources.connection_mut(id) else { return Err(QueueFull) };
         let before = c.bytes_queued();
@@ -112,8 +112,8 @@
         }
     }
 
-    /// Repeats the event that there may be something to read: guards the other connections against a peer that
-    /// sends without end.
+    /// Repeats the event that there may be something to read: guards the other connections against a peer
+    /// that sends without end.
     pub fn requeue_readable(&mut self, id: ConnId) {
         if let Some(owner) = self.sources.connection(id).map(|c| c.owner) {
             self.pending_events.push_back(NetEvent::Readable { owner, conn: id });
--- a/src/net/poll_loop/mod.rs
+++ b/src/net/poll_loop/mod.rs
@@ -48,9 +48,9 @@
 }
 
 impl PollLoop {
-    /// A poll loop whose connections share `pool`. Owners keep to `max_accepted` accepted connections; a few more
-    /// are taken for the moment in which they choose whom to close, and any beyond wait unaccepted until there is
-    /// room. An error of the system is returned as it is.
+    /// A poll loop whose connections share `pool`. Owners keep to `max_accepted` accepted connections; a few
+    /// more are taken for the moment in which they choose whom to close, and any beyond wait unaccepted until
+    /// there is room. An error of the system is returned as it is.
     pub fn new(pool: Pool, max_accepted: usize) -> io::Result<PollLoop> {
         let mut accept_limits = AcceptLimits::default();
         accept_limits.set_limit(ConnectionClass::Clients, max_accepted);
@@ -116,8 +116,8 @@
         Ok(())
     }
 
-    /// Waits for events for at most `timeout`, and adds them to `events`. An error of the system is returned as it
-    /// is.
+    /// Waits for events for at most `timeout`, and adds them to `events`. An error of the system is returned
+    /// as it is.
     pub fn wait(&mut self, timeout: Option<Duration>, events: &mut Vec<NetEvent>) -> io::Result<()> {
         let buffer_free = !self.awaiting_buffer.is_empty() && self.pool.take_for_untrusted().is_some();
         let at_once = buffer_free || !self.pending_events.is_empty() || !self.ready_listeners.is_empty();
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -6,21 +6,22 @@
 use std::io;
 use std::sync::Arc;
 
-/// What a signal tells the program.
+/// What a signal asks of the program.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
-    /// To end in an orderly way: SIGTERM and SIGINT.
+    /// A graceful shutdown: SIGTERM and SIGINT.
     End,
-    /// To read its configuration again: SIGHUP.
+    /// A reload of the configuration: SIGHUP.
     Reload,
 }
 
-/// The signals that the program catches; from here on none of them kills it.
+/// The caught signals, each with the pipe on which it arrives.
 #[derive(Debug)]
 pub struct Signals(pub(super) Vec<(Signal, UnixStream)>);
 
 impl Signals {
-    /// Catches them.
+    /// Catches SIGTERM, SIGINT and SIGHUP: from here on none of them kills the process. An error of the
+    /// system is returned as it is.
     pub fn catch() -> io::Result<Signals> {
         let pipe = |signal: Signal, numbers: &[i32]| -> io::Result<(Signal, UnixStream)> {
             let (read, write) = std::os::unix::net::UnixStream::pair()?;
