--- a/tests/links.rs
+++ b/tests/links.rs
@@ -1,4 +1,4 @@
-//! Connections to shard servers, with the poll in the test's hands: what comes between a poll and a call.
+//! Connections whose poll loop is driven by the test: what comes between a poll and a call.
 
 mod common;
 use common::{MS, S, line, settings};
@@ -12,31 +12,31 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-const HUNG: Duration = Duration::from_secs(20);
+const TIMEOUT: Duration = Duration::from_secs(20);
 
-struct Link {
+struct UpstreamBench {
     clock: Clock,
     net: PollLoop,
-    exchange: QueryEngine<RequestContext, String>,
-    servers: Upstream,
+    engine: QueryEngine<RequestContext, String>,
+    upstream: Upstream,
 }
 
-impl Link {
-    fn new(effect: Idempotency, listener: &TcpListener) -> Link {
+impl UpstreamBench {
+    fn new(effect: Idempotency, listener: &TcpListener) -> UpstreamBench {
         let clock = Clock::start();
-        let mut exchange = QueryEngine::new(settings(effect), 7, clock.now()).unwrap();
-        exchange.update_endpoints(true, vec![line(0, ReplicaState::Active, None)]);
+        let mut engine = QueryEngine::new(settings(effect), 7, clock.now()).unwrap();
+        engine.update_endpoints(true, vec![line(0, ReplicaState::Active, None)]);
         let limits = UpstreamLimits { streams: 8, dial_timeout: 5 * S, idle: 30 * S, silent: 5 * S, most: 8 };
-        let mut servers = Upstream::new(0, limits);
-        servers.place(ReplicaId(0), Some(listener.local_addr().unwrap()));
-        Link { clock, net: PollLoop::new(Pool::new(16), 16).unwrap(), exchange, servers }
+        let mut upstream = Upstream::new(0, limits);
+        upstream.place(ReplicaId(0), Some(listener.local_addr().unwrap()));
+        UpstreamBench { clock, net: PollLoop::new(Pool::new(16), 16).unwrap(), engine, upstream }
     }
 
     /// Takes a query, and has its call written or its connection dialled; the poll is not asked.
-    fn ask(&mut self, id: &str) {
+    fn submit_until_called(&mut self, id: &str) {
         let payload = Rc::new(RequestContext { id: id.into(), text: "t".into() });
         let parts = vec![PartRequest { shard: 0, weight: 1.0, work: None }];
-        let ask = QueryRequest {
+        let query = QueryRequest {
             class: 0,
             tenant: None,
             key: None,
@@ -45,21 +45,21 @@
             parts,
             payload,
         };
-        self.exchange.submit(self.clock.now(), ask).unwrap();
-        while !self.turn() {
+        self.engine.submit(self.clock.now(), query).unwrap();
+        while !self.run_round() {
             std::thread::sleep(Duration::from_nanos(MS));
         }
     }
 
     /// A round and its work: whether a call was among it.
-    fn turn(&mut self) -> bool {
+    fn run_round(&mut self) -> bool {
         let now = self.clock.now();
-        self.exchange.advance(now);
+        self.engine.advance(now);
         let mut called = false;
-        while let Some(work) = self.exchange.next_action() {
+        while let Some(work) = self.engine.next_action() {
             if let EngineAction::Call { replica, parts } = work {
-                let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
-                self.servers.call(replica, parts, &mut hands);
+                let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
+                self.upstream.call(replica, parts, &mut context);
                 called = true;
             }
         }
@@ -67,20 +67,20 @@
     }
 
     /// Polls until this holds.
-    fn poll_until(&mut self, done: impl Fn(&Link) -> bool) {
+    fn poll_until(&mut self, condition: impl Fn(&UpstreamBench) -> bool) {
         let mut events = Vec::new();
-        while !done(self) {
-            self.net.wait(Some(HUNG), &mut events).unwrap();
+        while !condition(self) {
+            self.net.wait(Some(TIMEOUT), &mut events).unwrap();
             assert!(!events.is_empty(), "nothing came");
             let now = self.clock.now();
-            let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
-            events.drain(..).for_each(|e| self.servers.event(e, &mut hands));
+            let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
+            events.drain(..).for_each(|e| self.upstream.event(e, &mut context));
         }
     }
 }
 
 fn frame(stream: &mut TcpStream) -> String {
-    stream.set_read_timeout(Some(HUNG)).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
     let mut length = [0; 4];
     stream.read_exact(&mut length).unwrap();
     let mut frame = vec![0; u32::from_be_bytes(length) as usize];
@@ -88,26 +88,26 @@
     String::from_utf8(frame).unwrap()
 }
 
-/// The server closes a resting connection after the poll was asked and before a call is written on it: that call must not
-/// go where it is lost, since parts of such a class may not be sent again.
+/// The server closes a resting connection after the poll was asked and before a call is written on it: that
+/// call must not go where it is lost, since parts of such a class may not be sent again.
 #[test]
 fn a_call_is_not_written_on_a_connection_that_its_server_closed_since_the_last_poll() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    socket2::SockRef::from(&listener).set_read_timeout(Some(HUNG)).unwrap();
-    let mut link = Link::new(Idempotency::NonIdempotent, &listener);
-    link.ask("first");
+    socket2::SockRef::from(&listener).set_read_timeout(Some(TIMEOUT)).unwrap();
+    let mut bench = UpstreamBench::new(Idempotency::NonIdempotent, &listener);
+    bench.submit_until_called("first");
     let (mut conn, _) = listener.accept().unwrap();
-    link.poll_until(|l| l.exchange.metrics().tries() == 1);
+    bench.poll_until(|b| b.engine.metrics().tries() == 1);
     assert!(frame(&mut conn).starts_with("Rfirst.0 "));
     let body = "Yfirst.0 OK 1 -\nvalue";
     conn.write_all(&[&(body.len() as u32).to_be_bytes(), body.as_bytes()].concat()).unwrap();
-    link.poll_until(|l| l.exchange.attempts_in_flight() == 0);
+    bench.poll_until(|b| b.engine.attempts_in_flight() == 0);
     drop(conn);
-    link.ask("second");
+    bench.submit_until_called("second");
     let (mut conn, _) = listener.accept().expect("the call went where nobody reads");
-    link.poll_until(|l| l.exchange.metrics().tries() == 2);
+    bench.poll_until(|b| b.engine.metrics().tries() == 2);
     assert!(frame(&mut conn).starts_with("Rsecond.0 "));
-    assert_eq!(link.exchange.attempts_in_flight(), 1, "the call that was written is out");
+    assert_eq!(bench.engine.attempts_in_flight(), 1, "the call that was written is in flight");
 }
 
 /// A connection that was accepted, and its peer.
@@ -116,7 +116,7 @@
     let peer = TcpStream::connect(addr).unwrap();
     let mut events = Vec::new();
     loop {
-        net.wait(Some(HUNG), &mut events).unwrap();
+        net.wait(Some(TIMEOUT), &mut events).unwrap();
         let accepted =
             |e: &NetEvent| if let NetEvent::Accepted { conn, .. } = e { Some(*conn) } else { None };
         if let Some(conn) = events.iter().find_map(accepted) {
@@ -125,9 +125,10 @@
     }
 }
 
-/// A peer that reads nothing must not keep its place and buffers: time is told here, and nothing is waited for.
+/// A peer that reads nothing must not keep its place and buffers: time is told here, and nothing is waited
+/// for.
 #[test]
-fn a_peer_that_never_reads_its_last_message_is_closed_in_the_end() {
+fn a_lingering_peer_that_never_reads_is_closed_after_the_timeout() {
     let mut net = PollLoop::new(Pool::new(64), 16).unwrap();
     let (conn, peer) = accepted(&mut net);
     // More than both systems hold: the rest stands in buffers.
@@ -142,9 +143,10 @@
     drop(peer);
 }
 
-/// A peer that does not close leaves the broker in peace: the poll waits, and does not spin until the peer's time is over.
+/// A peer that does not close leaves the broker in peace: the poll waits, and does not spin until the peer's
+/// time is over.
 #[test]
-fn a_connection_that_lingers_wakes_nobody() {
+fn a_lingering_connection_does_not_wake_the_poll() {
     let mut net = PollLoop::new(Pool::new(16), 16).unwrap();
     let (conn, peer) = accepted(&mut net);
     let mut events = Vec::new();
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -44,7 +44,7 @@
     \r\nPOST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n";
 
 #[test]
-fn http_messages_read_alike_however_they_are_cut() {
+fn http_messages_parse_alike_however_they_are_fragmented() {
     let whole = read_http(Side::Requests, REQUESTS, &[]).unwrap();
     let bodies: Vec<&[u8]> = whole.iter().map(|(_, b)| b.as_slice()).collect();
     assert_eq!(bodies, [b"hello".as_slice(), b"", b"abcde"]);
@@ -52,7 +52,7 @@
 }
 
 #[test]
-fn http_refuses_what_has_two_readings_or_is_too_large() {
+fn http_rejects_ambiguous_and_oversized_messages() {
     let read = |text: &str| read_http(Side::Requests, text.as_bytes(), &[]);
     let post = |headers: &str| read(&format!("POST / HTTP/1.1\r\n{headers}\r\n\r\n"));
     for bad in [
