--- a/src/cli.rs
+++ b/src/cli.rs
@@ -219,7 +219,7 @@
 /// Prints all faults of a configuration to standard error, one a line.
 fn check(file: &Path) -> ExitCode {
     let faults = if file.extension().is_some_and(|e| e == "json") {
-        PlatformConfig::from_file(file).err().into_iter().map(|e| e.0).collect()
+        PlatformConfig::from_file(file).err().into_iter().map(|e| e.message()).collect()
     } else {
         OperatorConfig::faults(file)
     };
