--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -84,7 +84,7 @@
 
 impl<V> QueryOutcome<V> {
     /// What it is, in a word.
-    pub fn word(&self) -> &'static str {
+    pub fn label(&self) -> &'static str {
         match self {
             QueryOutcome::Answered(a) if a.complete => "whole",
             QueryOutcome::Answered(_) => "partial",
--- a/tests/recorded_decisions/engine.rs
+++ b/tests/recorded_decisions/engine.rs
@@ -260,7 +260,7 @@
     }
 
     fn record_answer(&mut self, answer: &QueryOutcome<u64>) {
-        self.digest.put_str(answer.word());
+        self.digest.put_str(answer.label());
         match answer {
             QueryOutcome::Answered(answered) => {
                 self.counts.answered += 1;
