--- /dev/null
+++ b/src/engine/calls.rs
@@ -0,0 +1,54 @@
+//! Attempts that are sent in one round, grouped into calls by server.
+
+use super::messages::{AttemptId, AttemptRequest, EngineAction};
+use crate::api::ReplicaId;
+
+/// The attempts of one server.
+#[derive(Debug)]
+struct ServerCalls<Q> {
+    replica: ReplicaId,
+    parts: Vec<AttemptRequest<Q>>,
+}
+
+/// The attempts of one round, servers in the order of their first attempt.
+#[derive(Debug)]
+pub(super) struct CallBatch<Q> {
+    servers: Vec<ServerCalls<Q>>,
+}
+
+impl<Q> CallBatch<Q> {
+    pub(super) fn new() -> CallBatch<Q> {
+        CallBatch { servers: Vec::new() }
+    }
+
+    pub(super) fn push(&mut self, replica: ReplicaId, part: AttemptRequest<Q>) {
+        match self.servers.iter_mut().find(|server| server.replica == replica) {
+            Some(server) => server.parts.push(part),
+            None => self.servers.push(ServerCalls { replica, parts: vec![part] }),
+        }
+    }
+
+    /// Removes an attempt. False if it is not of this batch, and so was sent in an earlier round.
+    pub(super) fn remove(&mut self, attempt: AttemptId) -> bool {
+        for server in &mut self.servers {
+            if let Some(index) = server.parts.iter().position(|part| part.attempt == attempt) {
+                server.parts.remove(index);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// The calls, each with at most so many parts.
+    pub(super) fn into_actions<V>(self, parts_per_call: usize) -> Vec<EngineAction<Q, V>> {
+        let mut actions = Vec::new();
+        for ServerCalls { replica, mut parts } in self.servers {
+            while !parts.is_empty() {
+                let rest = parts.split_off(parts.len().min(parts_per_call));
+                actions.push(EngineAction::Call { replica, parts });
+                parts = rest;
+            }
+        }
+        actions
+    }
+}
--- /dev/null
+++ b/src/engine/timers.rs
@@ -0,0 +1,112 @@
+//! When the engine has something to do: time-outs of attempts, deadlines of queries, and rounds of the policy.
+
+use super::messages::AttemptId;
+use crate::api::Nanos;
+use std::collections::BTreeSet;
+
+/// For log lines.
+pub(super) const NANOS_PER_MILLI: Nanos = 1_000_000;
+
+/// Ends of attempts and of queries, by time.
+#[derive(Debug, Default)]
+pub(super) struct Timers {
+    attempt_timeouts: BTreeSet<(Nanos, AttemptId)>,
+    query_deadlines: BTreeSet<(Nanos, u64)>,
+}
+
+impl Timers {
+    pub(super) fn add_attempt(&mut self, due: Nanos, attempt: AttemptId) {
+        self.attempt_timeouts.insert((due, attempt));
+    }
+
+    pub(super) fn remove_attempt(&mut self, due: Nanos, attempt: AttemptId) {
+        self.attempt_timeouts.remove(&(due, attempt));
+    }
+
+    pub(super) fn add_query(&mut self, deadline: Nanos, query: u64) {
+        self.query_deadlines.insert((deadline, query));
+    }
+
+    pub(super) fn remove_query(&mut self, deadline: Nanos, query: u64) {
+        self.query_deadlines.remove(&(deadline, query));
+    }
+
+    /// Removes the deadlines after a time, and gives their queries.
+    pub(super) fn take_queries_after(&mut self, time: Nanos) -> Vec<u64> {
+        let later = self.query_deadlines.split_off(&(time.saturating_add(1), 0));
+        later.into_iter().map(|(_, query)| query).collect()
+    }
+
+    /// The attempt that has timed out by `now`, the earliest first. It stays until it is removed.
+    pub(super) fn timed_out_attempt(&self, now: Nanos) -> Option<AttemptId> {
+        self.attempt_timeouts.first().filter(|(due, _)| *due <= now).map(|(_, attempt)| *attempt)
+    }
+
+    /// The query whose deadline has come by `now`, the earliest first. It stays until it is removed.
+    pub(super) fn expired_query(&self, now: Nanos) -> Option<u64> {
+        self.query_deadlines.first().filter(|(deadline, _)| *deadline <= now).map(|(_, query)| *query)
+    }
+
+    /// The earliest of all.
+    pub(super) fn next(&self) -> Option<Nanos> {
+        let timeout = self.attempt_timeouts.first().map(|(due, _)| *due);
+        let deadline = self.query_deadlines.first().map(|(deadline, _)| *deadline);
+        [timeout, deadline].into_iter().flatten().min()
+    }
+}
+
+/// A round that is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DueRound {
+    /// There are events for the policy.
+    Events,
+    /// The time that the policy asked for has come.
+    Timer,
+}
+
+/// When rounds are held: for events or at the time that the policy asked for, and no closer than an interval.
+#[derive(Debug)]
+pub(super) struct RoundSchedule {
+    interval: Nanos,
+    last_round: Option<Nanos>,
+    /// The time that the policy asked for.
+    wake_at: Option<Nanos>,
+}
+
+impl RoundSchedule {
+    /// A schedule whose first round is due at once.
+    pub(super) fn new(interval: Nanos, now: Nanos) -> RoundSchedule {
+        RoundSchedule { interval, last_round: None, wake_at: Some(now) }
+    }
+
+    /// Asks for a round at a time, at the latest.
+    pub(super) fn wake_by(&mut self, time: Nanos) {
+        self.wake_at = Some(self.wake_at.map_or(time, |earlier| earlier.min(time)));
+    }
+
+    /// When the next round is due.
+    pub(super) fn next(&self, has_events: bool) -> Option<Nanos> {
+        let earliest = self.last_round.map_or(0, |last| last + self.interval);
+        let for_events = has_events.then_some(earliest);
+        let woken = self.wake_at.map(|time| time.max(earliest));
+        [for_events, woken].into_iter().flatten().min()
+    }
+
+    /// The round that is due, which counts as held from now on.
+    pub(super) fn take_due(&mut self, now: Nanos, has_events: bool) -> Option<DueRound> {
+        if self.last_round.is_some_and(|last| now < last + self.interval) {
+            return None;
+        }
+        let woken = self.wake_at.is_some_and(|time| time <= now);
+        let due = match (woken, has_events) {
+            (true, _) => DueRound::Timer,
+            (false, true) => DueRound::Events,
+            (false, false) => return None,
+        };
+        if woken {
+            self.wake_at = None;
+        }
+        self.last_round = Some(now);
+        Some(due)
+    }
+}
