Document the policy's interface and the engine's messages, and type SettingsError

Every public item and field says what it is and its unit. SettingsError has a variant for each reason in place of a string, and prints the same text; a class that can't be used is named by index.

--- a/src/api.rs
+++ b/src/api.rs
@@ -1,289 +1,387 @@
-//! The interface of the decision module: settings, events, actions and ids. Plain types only; every
-//! decision is in `src/policy/`. All times are nanoseconds on the caller's own monotonic clock.
+//! The interface of the policy: settings, events, actions and ids.
+//!
+//! Plain types only; all decisions are in the policy itself, which has no I/O and no clock. A broker hands
+//! [`Event`]s to the policy in rounds and carries out the [`Action`]s that it gives back. All times are nanoseconds: an
+//! instant is read from the caller's own monotonic clock, a span is a difference of two.
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
-/// A point in time or a span, in nanoseconds.
+/// An instant or a span, in nanoseconds.
 pub type Nanos = u64;
 
-/// A query or a part. Ids are never reused and carry no meaning.
+/// Id of a query or of a part of one. Ids are never reused, and their numbers have no meaning.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u128);
 
-/// A replica: one server that holds some shards.
+/// Id of a replica: one server that has some of the shards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ReplicaId(pub u32);
 
-/// Whether a request of a class may be repeated.
+/// Whether a part of a class may be attempted more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Idempotency {
-    /// Repeats are harmless.
+    /// Further attempts are harmless.
     Idempotent,
-    /// Every holder of the shard drops a repeat that comes within `window` of the first attempt.
-    IdempotencyKey { window: Nanos },
-    /// A repeat would be a second effect.
+    /// Parts carry an idempotency key: every replica of the shard drops a further attempt that comes within `window` of
+    /// the first.
+    IdempotencyKey {
+        /// How long replicas remember a key, ns.
+        window: Nanos,
+    },
+    /// A further attempt could have a second effect.
     NonIdempotent,
 }
 
-/// One class of query.
+/// A class of queries, with one objective and one value.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
+    /// Whether parts may be attempted more than once.
     pub idempotency: Idempotency,
-    /// Answers inside this time earn full worth.
+    /// Latency up to which an answer has its full value, ns; over 0.
     pub latency_objective: Nanos,
-    /// The aim grows by this multiple of the query's own work, where work is told.
+    /// Multiple of the expected work of a query that is added to the objective, where that work is known; 0 or more.
     pub objective_per_work: f64,
-    /// The client's whole patience.
+    /// Time after which clients give up, ns; over 0.
     pub deadline: Nanos,
+    /// Value of a complete answer within the objective, relative to other classes; 0 or more.
     pub priority_weight: f64,
-    /// Share of the worth that an answer earns between aim and deadline.
+    /// Share of the value that an answer between objective and deadline has.
     pub late_weight: f64,
-    /// Weight of parts that makes an answer whole.
+    /// Weight of the parts from which an answer is complete; the weights of all parts add up to 1.
     pub complete_share: f64,
-    /// Least weight of parts that an answer may be given from.
+    /// Least weight of the parts that an answer may be given from.
     pub min_answer_share: f64,
-    /// What an answer that is not whole earns, times its share over `need`.
+    /// Share of the value that a partial answer has, times its weight over `complete_share`.
     pub partial_value: f64,
-    /// Parts of the second step; 0 where there is one step only.
+    /// Number of parts in the second step of a query; 0 where there is only one step.
     pub fetch_parts: u32,
 }
 
-/// A tenant and its share.
+/// A tenant and its quota.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
-    /// Queries a second over all roots; what comes beyond is worth little.
+    /// Queries a second, over all brokers. Queries over the quota have a lower value.
     pub quota_per_s: f64,
 }
 
-/// How the list of replicas reaches this root.
+/// How the endpoint list reaches this broker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Discovery {
+    /// The source sends changes as they come.
     Pushed,
+    /// The broker asks the source from time to time.
     Polled,
 }
 
-/// Bound on attempts beyond each part's first.
+/// Retry budget: the limit on attempts beyond the first of each part.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBudget {
+    /// Further attempts allowed in a window, whatever the number of queries.
     pub free: f64,
-    /// Further attempts allowed for each query and part taken in the window.
+    /// Further attempts allowed for each query and part admitted in the window.
     pub share: f64,
+    /// Length of the window, ns.
     pub window: Nanos,
 }
 
-/// Everything a root is told at its start.
+/// The settings of the policy of one broker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
+    /// Classes of queries, at least one; events name them by their index.
     pub classes: Vec<Class>,
+    /// Tenants with quotas; events name them by their index.
     pub tenants: Vec<Tenant>,
-    /// Worth of a query past its tenant's share, as a fraction of its class's worth.
+    /// Value of a query over its tenant's quota, as a share of the value of its class.
     pub over_quota_weight: f64,
-    /// Number of roots, this one included.
+    /// Number of brokers, this one included.
     pub brokers: u32,
-    /// Zone of this root.
+    /// Zone of this broker.
     pub zone: u32,
+    /// Number of shards; over 0.
     pub shards: u32,
-    /// Shard s is held by the replicas of cells (s + j) mod `cells`, j from 0 to `span` - 1.
+    /// Number of cells; over 0. The replicas of shard `s` are those in the cells `(s + j) mod cells` for `j` from 0 to
+    /// `span - 1`.
     pub cells: u32,
+    /// Number of cells that have each shard; over 0.
     pub span: u32,
-    /// Parts that one call to a replica may carry, and the replica's work for the call itself.
+    /// Most parts in one call to a replica.
     pub parts_per_call: u32,
+    /// Work of a replica for a call itself, beside that for its parts, ns.
     pub call_work: Nanos,
+    /// How the endpoint list is discovered.
     pub discovery: Discovery,
-    /// Where the list is asked for: longest time without asking before old news counts as told.
+    /// Longest time without a poll of the endpoint list, ns; changes count as known to the broker after it.
     pub max_poll_interval: Nanos,
+    /// Whether attempts may be cancelled.
     pub may_cancel: bool,
+    /// Whether replicas may be sent health checks.
     pub may_health_check: bool,
+    /// Whether hedged requests may be sent.
     pub may_hedge: bool,
-    /// Most attempts for one part.
+    /// Most attempts at one part; over 0.
     pub max_attempts: u32,
-    /// Most queries and parts held at once.
+    /// Most queries and parts in flight.
     pub max_in_flight: u32,
-    /// Whether clients are told when to come back, and the longest such time.
+    /// Whether rejections may carry a Retry-After time.
     pub may_send_retry_after: bool,
+    /// Longest Retry-After time, ns.
     pub max_retry_after: Nanos,
+    /// Limit on further attempts; `None` for no limit.
     pub retry_budget: Option<RetryBudget>,
-    /// Slack after a client's time in which a final answer still counts.
+    /// Time after the client's deadline within which a final outcome still counts, ns.
     pub answer_slack: Nanos,
-    /// A started replica has at least this share of its capacity, and all of it after `cold_time`.
+    /// Slow start: share of its capacity that a replica has when it starts.
     pub slow_start_share: f64,
+    /// Time from its start after which a replica has all of its capacity, ns.
     pub slow_start_time: Nanos,
-    /// A cold replica sent more than this multiple of what it can do for `fall_time` falls over.
+    /// A replica that is warming up fails when its load exceeds this multiple of its capacity for `overload_time`.
     pub overload_multiple: f64,
+    /// See `overload_multiple`, ns.
     pub overload_time: Nanos,
-    /// Shortest time between two rounds.
+    /// Shortest time between two rounds, ns.
     pub round_interval: Nanos,
-    /// Price of worth left unserved once its aim had passed.
+    /// Cost of a query that is not answered after its objective had passed, relative to its value.
     pub late_failure_cost: f64,
 }
 
-/// What the list says of a replica.
+/// State of a replica in the endpoint list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReplicaState {
+    /// Accepts attempts.
     Active,
-    /// Finishes what it has; nothing new may be sent.
+    /// Completes the attempts that it has; no further ones may be sent.
     Draining,
+    /// Is no longer listed.
     Removed,
 }
 
-/// One line of the list of replicas.
+/// One entry of the endpoint list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ReplicaEntry {
+    /// The replica.
     pub replica: ReplicaId,
+    /// Its zone.
     pub zone: u32,
+    /// Its cell; see [`Settings::cells`].
     pub cell: u32,
+    /// Its state.
     pub state: ReplicaState,
-    /// When its process last started; `None`: long ago.
+    /// When its process last started; `None` if that was long ago.
     pub started: Option<Nanos>,
-    /// Share of the work beside others that are as good, over 0; 1 where nobody says otherwise.
+    /// Its share of the load, relative to other replicas that are as fast; over 0, and 1 by default.
     pub weight: f64,
 }
 
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
+    /// The replica answered.
     Ok,
     /// The replica answered with an error; the part may have run.
     Error,
-    /// Turned away unseen; it never ran.
+    /// The replica rejected the attempt before it ran.
     Rejected,
-    /// No answer within the attempt's time-out; may have run or still run.
+    /// No answer came within the time-out; the part may have run, or may still run.
     TimedOut,
-    /// No connection; it never ran.
+    /// No connection came up; the part did not run.
     ConnectFailed,
-    /// The connection broke; may have run.
+    /// The connection broke; the part may have run.
     ConnectionReset,
-    /// What came back can't be used; it may have run. The replica is up.
+    /// The answer was not valid; the part may have run, and the replica is up.
     InvalidResponse,
-    /// Withdrawn; may have run.
+    /// The broker cancelled the attempt; the part may have run.
     Cancelled,
-    /// Never sent.
+    /// The attempt was not sent; the part did not run.
     NotSent,
 }
 
-/// What a root hears.
+/// Input of the policy.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
-    /// News of the list: changes, or with `full` all of it.
+    /// The endpoint list has changed.
     EndpointList {
+        /// `entries` is the whole list, and not only what has changed.
         full: bool,
+        /// The entries.
         entries: Vec<ReplicaEntry>,
     },
-    /// A call for the list failed, or the watch broke.
+    /// A poll of the endpoint list failed, or the watch was interrupted.
     WatchFailed,
-    /// A query. Its parts follow in the same round and carry the same `job`.
+    /// A query was admitted. Its parts follow in the same round, with the same `job`.
     Query {
+        /// The query.
         query: RequestId,
+        /// Number that connects a query with its parts.
         job: u64,
+        /// Index of its class in the settings.
         class: usize,
+        /// Index of its tenant in the settings, if it has one.
         tenant: Option<usize>,
-        /// Time left before the client gives up this try.
+        /// Time until its client gives up, ns.
         time_left: Nanos,
-        /// Parts of the first step.
+        /// Number of parts of its first step.
         parts: u32,
-        /// Expected work, where told.
+        /// Expected work of all parts, if known, ns.
         work: Option<Nanos>,
-        /// True where clients mark their repeats and this is one.
+        /// The client has marked it as a retry.
         is_retry: bool,
     },
+    /// A part of a query.
     Part {
+        /// The part.
         part: RequestId,
+        /// The number of its query.
         job: u64,
+        /// The shard that it is for.
         shard: u32,
+        /// Its share of the complete answer.
         weight: f64,
     },
-    /// The end of one attempt; exactly one comes for every `Send`.
+    /// An attempt has ended; there is exactly one such event for each [`Action::Send`].
     AttemptEnded {
+        /// The part.
         part: RequestId,
+        /// The replica that it was sent to.
         replica: ReplicaId,
+        /// Number of the attempt among those at its part, from 0.
         attempt: u32,
+        /// Time since it was sent, ns.
         latency: Nanos,
+        /// How it ended.
         outcome: Outcome,
-        /// Busy share of the replica's processors, where a report came along.
+        /// Busy share of the replica's processors, 0 to 1, where a load report came with the answer.
         utilization: Option<f64>,
     },
-    /// The client is gone; the query is over.
+    /// The client of a query has disconnected, or the query has ended otherwise.
     ClientDisconnected {
+        /// The query.
         query: RequestId,
     },
+    /// A health check has ended.
     HealthChecked {
+        /// The replica.
         replica: ReplicaId,
+        /// It answered.
         ok: bool,
+        /// Time until it answered, ns.
         latency: Nanos,
+        /// Busy share of the replica's processors, 0 to 1, where it reported that.
         utilization: Option<f64>,
     },
-    /// A replica that was taken to have started lately is as fast as one that did long ago.
+    /// A replica that was taken for warming up is as fast as the others.
     WarmedUp {
+        /// The replica.
         replica: ReplicaId,
     },
-    /// Further attempts are bounded so from now on: part of the bound may be another process's.
+    /// The retry budget from now on: part of it may belong to another process at the same address.
     RetryBudget(Option<RetryBudget>),
-    /// A time asked for with `Wake` has come.
+    /// The time asked for with [`Action::SetTimer`] has come.
     TimerFired,
 }
 
-/// What a root is to do. Actions hold in the order given.
+/// Output of the policy. Actions are carried out in the order given.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Start an attempt; a part's attempts are numbered 0, 1, 2 in the order of these.
+    /// Send an attempt at a part. The attempts at a part are numbered from 0 in the order of these actions.
     Send {
+        /// The part.
         part: RequestId,
+        /// The replica to send it to.
         replica: ReplicaId,
+        /// Time after which the attempt times out, ns.
         timeout: Nanos,
     },
+    /// Cancel an attempt.
     Cancel {
+        /// The part.
         part: RequestId,
+        /// Number of the attempt among those at its part.
         attempt: u32,
     },
+    /// Answer a query from the parts that have values.
     Answer {
+        /// The query.
         query: RequestId,
+        /// The answer is complete, and not partial.
         complete: bool,
     },
+    /// Reject a query: shed load. A retry by the client is harmless.
     Reject {
+        /// The query.
         query: RequestId,
+        /// When the client should retry, ns from now; 0 for no advice.
         retry_after: Nanos,
     },
+    /// Fail a query: its parts may have run, and there is no answer.
     Fail {
+        /// The query.
         query: RequestId,
     },
+    /// Send a health check to a replica.
     HealthCheck {
+        /// The replica.
         replica: ReplicaId,
     },
-    /// Ask the list to send its changes from now on, what was missed first.
+    /// Watch the endpoint list from now on; changes since the last event come first.
     WatchEndpoints,
-    /// Call again after this time, at the latest.
+    /// Run the next round after this time at the latest.
     SetTimer {
+        /// The time from now, ns.
         after: Nanos,
     },
 }
 
-/// Settings that cannot be used.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SettingsError(pub String);
+/// Why settings can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SettingsError {
+    /// There is no class, or a class has an objective or deadline of 0, or a weight or share that is negative or not
+    /// finite.
+    #[error("unusable settings: each class needs an aim, a deadline, and sound worths and shares")]
+    Classes {
+        /// Index of the first such class; `None` if there is no class at all.
+        class: Option<usize>,
+    },
+    /// A count is 0, or a setting of slow start is negative or not finite.
+    #[error("unusable settings: cells, span, shards, attempts or the cold figures are unusable")]
+    Counts,
+}
 
 impl Settings {
-    /// Whether these settings make sense; says which do not.
+    /// Checks that the settings can be used.
+    ///
+    /// # Errors
+    ///
+    /// The first reason for which they can't be.
     pub fn check(&self) -> Result<(), SettingsError> {
-        let amount = |x: f64| x.is_finite() && x >= 0.0;
-        let usable = |c: &Class| {
-            let shares = [c.priority_weight, c.complete_share, c.min_answer_share, c.objective_per_work];
-            c.latency_objective > 0 && c.deadline > 0 && shares.into_iter().all(amount)
-        };
-        if self.classes.is_empty() || !self.classes.iter().all(usable) {
-            let what = "each class needs an aim, a deadline, and sound worths and shares";
-            return Err(SettingsError(what.into()));
+        if self.classes.is_empty() {
+            return Err(SettingsError::Classes { class: None });
+        }
+        if let Some(index) = self.classes.iter().position(|class| !class.is_usable()) {
+            return Err(SettingsError::Classes { class: Some(index) });
         }
         let counts = [self.cells, self.span, self.shards, self.max_attempts];
-        if counts.contains(&0) || !amount(self.overload_multiple) || !amount(self.slow_start_share) {
-            let what = "cells, span, shards, attempts or the cold figures are unusable";
-            return Err(SettingsError(what.into()));
+        let is_slow_start_usable = is_amount(self.overload_multiple) && is_amount(self.slow_start_share);
+        if counts.contains(&0) || !is_slow_start_usable {
+            return Err(SettingsError::Counts);
         }
         Ok(())
     }
 }
 
-impl std::fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "unusable settings: {}", self.0)
+impl Class {
+    fn is_usable(&self) -> bool {
+        let amounts =
+            [self.priority_weight, self.complete_share, self.min_answer_share, self.objective_per_work];
+        self.latency_objective > 0 && self.deadline > 0 && amounts.into_iter().all(is_amount)
     }
 }
 
-impl std::error::Error for SettingsError {}
+/// Whether a number is finite and not negative.
+fn is_amount(number: f64) -> bool {
+    number.is_finite() && number >= 0.0
+}
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -1,89 +1,89 @@
-//! What the two sides hand to the exchange, and what it hands to them.
+//! What the client side and the server side hand to the engine, and what it hands to them.
 
 use crate::api::{Nanos, Outcome, ReplicaId};
 use std::rc::Rc;
 
-/// A query held by the exchange.
+/// Id of a query in the engine. Ids are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct QueryId(pub u64);
 
-/// One attempt at a part.
+/// Id of an attempt at a part. Ids are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId(pub u64);
 
-/// A query as the client side hands it in.
+/// A query that the client side submits. `Q` is its payload.
 #[derive(Clone, Debug)]
 pub struct QueryRequest<Q> {
-    /// Place of its class in the settings.
+    /// Index of its class in the settings.
     pub class: usize,
-    /// Place of its tenant in the settings, where it has one.
+    /// Index of its tenant in the settings, if it has one.
     pub tenant: Option<usize>,
-    /// What it concerns, where queries have such a key.
+    /// Key of what it is about, where queries have one; the server side may route by it.
     pub key: Option<u64>,
-    /// Time left before the client gives up.
+    /// Time until the client gives up, ns.
     pub time_left: Nanos,
-    /// The client says that it asks again.
+    /// The client has marked it as a retry.
     pub is_retry: bool,
-    /// Its parts, each of another shard.
+    /// Its parts, each for another shard.
     pub parts: Vec<PartRequest>,
-    /// What the server side is to carry; the core does not look at it.
+    /// What the server side sends; the engine does not look at it.
     pub payload: Rc<Q>,
 }
 
-/// A part of a query.
+/// A part of a query, for one shard.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PartRequest {
-    /// Its shard.
+    /// The shard.
     pub shard: u32,
-    /// Its share of the whole answer.
+    /// Its share of the complete answer; those of all parts add up to 1.
     pub weight: f64,
-    /// A guess at its work.
+    /// Its expected work, if known, ns.
     pub work: Option<Nanos>,
 }
 
-/// A query that is not taken, since as many are open as may be.
+/// Rejection of a query, as the limit on queries and parts in flight is reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Overloaded {
-    /// When the client does well to come back; 0: not told.
+    /// When the client should retry, ns from now; 0 for no advice.
     pub retry_after: Nanos,
 }
 
-/// The value of a part, as a server gave it.
+/// The value that a server gave for a part.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ShardValue<V> {
     /// The part's shard.
     pub shard: u32,
-    /// What the server answered.
+    /// The value.
     pub value: V,
 }
 
-/// An answer.
+/// An answer to a query.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer<V> {
-    /// Every part that a whole answer needs is in.
+    /// The parts with values are enough for a complete answer of the class.
     pub complete: bool,
-    /// The parts that are in, in the order in which the client named them.
+    /// The values, in the order in which the client named the parts.
     pub values: Vec<ShardValue<V>>,
-    /// Parts that were asked for.
+    /// Number of parts that the query has.
     pub requested_parts: usize,
 }
 
-/// The one final answer to a query.
+/// The final outcome of a query; each has exactly one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum QueryOutcome<V> {
-    /// Served.
+    /// Answered, completely or partially.
     Answered(Answer<V>),
-    /// Refused: asking again is harmless, after the wait if it is not 0.
+    /// Rejected: a retry by the client is harmless.
     Rejected {
-        /// When the client does well to come back; 0: not told.
+        /// When the client should retry, ns from now; 0 for no advice.
         retry_after: Nanos,
     },
-    /// Given up.
+    /// Failed: there is no answer, and parts may have run.
     Failed,
 }
 
 impl<V> QueryOutcome<V> {
-    /// What it is, in a word.
+    /// The outcome as a word for log lines.
     pub fn label(&self) -> &'static str {
         match self {
             QueryOutcome::Answered(a) if a.complete => "whole",
@@ -94,16 +94,16 @@
     }
 }
 
-/// One part to be sent to a server.
+/// An attempt at a part, to be sent to a server.
 #[derive(Clone, Debug)]
 pub struct AttemptRequest<Q> {
-    /// Under this id its one outcome is reported.
+    /// The id with which its one outcome is reported.
     pub attempt: AttemptId,
     /// The part's shard.
     pub shard: u32,
-    /// How long the broker will wait.
+    /// How long the broker waits for the outcome, ns.
     pub timeout: Nanos,
-    /// What the query concerns.
+    /// The key of the query.
     pub key: Option<u64>,
     /// The query's payload.
     pub payload: Rc<Q>,
@@ -114,50 +114,50 @@
 pub struct AttemptOutcome<V> {
     /// How it ended.
     pub outcome: Outcome,
-    /// Busy share of the server's processors, where it told.
+    /// Busy share of the server's processors, 0 to 1, where it reported that.
     pub utilization: Option<f64>,
-    /// The value, with `Outcome::Ok`.
+    /// The value of the part, with [`Outcome::Ok`].
     pub value: Option<V>,
 }
 
-/// How one attempt ended, as far as membership goes.
+/// The end of an attempt, for the membership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptEnd {
-    /// Where it was sent.
+    /// The server that it was sent to.
     pub replica: ReplicaId,
     /// How it ended.
     pub outcome: Outcome,
-    /// Time since it was sent.
+    /// Time since it was sent, ns.
     pub latency: Nanos,
 }
 
-/// What the exchange wants done.
+/// What the client side, the server side or the discovery is to do.
 #[derive(Clone, Debug)]
 pub enum EngineAction<Q, V> {
-    /// Server side: one call to one server. Each part's outcome is to be reported once.
+    /// Server side: send a call to a server. One outcome is to be reported for each part.
     Call {
         /// The server.
         replica: ReplicaId,
-        /// What it carries.
+        /// The attempts in the call.
         parts: Vec<AttemptRequest<Q>>,
     },
-    /// Server side: nobody waits for this attempt any more. No outcome is to be reported.
+    /// Server side: cancel an attempt. No outcome is to be reported.
     CancelAttempt {
         /// The server.
         replica: ReplicaId,
         /// The attempt.
         attempt: AttemptId,
     },
-    /// Client side: the final answer.
+    /// Client side: send a query's final outcome.
     Respond {
         /// The query.
         query: QueryId,
-        /// Its answer.
+        /// Its final outcome.
         outcome: QueryOutcome<V>,
     },
-    /// Discovery: the list is to be watched from now on.
+    /// Discovery: watch the endpoint list from now on.
     WatchEndpoints,
-    /// Server side: this server is to be probed.
+    /// Server side: send a health check to a server.
     HealthCheck {
         /// The server.
         replica: ReplicaId,
