--- a/src/cli.rs
+++ b/src/cli.rs
@@ -15,7 +15,7 @@
 use crate::net::{Clock, Signals};
 use crate::replication::StateStore;
 use crate::server::BrokerError;
-use crate::storage::snapshot_store;
+use crate::storage::snapshot_store::{self, StoredSnapshots};
 use crate::{cluster, import, log, net};
 use clap::{Args, CommandFactory, Parser, Subcommand};
 use std::path::{Path, PathBuf};
@@ -237,7 +237,7 @@
         eprintln!("--changes-every {changes_every}: must be over 0");
         return ExitCode::from(EXIT_USAGE);
     }
-    let (lists, faults) = snapshot_store::read_path(path);
+    let StoredSnapshots { snapshots: lists, problems: faults } = snapshot_store::read_path(path);
     faults.iter().for_each(|fault| eprintln!("{fault}"));
     let now = Clock::start().now();
     if !lists.is_empty() {
