--- a/src/replication/state_store.rs
+++ b/src/replication/state_store.rs
@@ -1,4 +1,4 @@
-//! One broker's copy of what all are to know.
+//! One broker's copy of the replicated facts.
 
 use super::merkle_tree::{self, MerkleTree};
 use super::multi_value_register::{MAX_NAME_BYTES, OperatorCommand, Register};
@@ -8,43 +8,43 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
-/// What a fact is about.
+/// The subject of a fact.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum FactKey {
-    /// A server by its id: out by hand, or not.
+    /// Whether an operator has disabled a server, by its id.
     Server(String),
-    /// A broker by its name: paused by hand, or not.
+    /// Whether an operator has paused a broker, by its name.
     Pause(String),
-    /// A broker by its name: removed for good, or not.
+    /// Whether an operator has removed a broker for good, by its name.
     Removed(String),
-    /// A work order by its id.
+    /// A maintenance order, by its id.
     #[serde(rename = "Work")]
     MaintenanceOrder(String),
-    /// A site by its name.
+    /// The state of a site, by its name.
     Site(String),
-    /// A server by its id: the latest drain that was learnt.
+    /// The latest drain of a server that discovery reported, by the server's id.
     Drain(String),
-    /// A server by its id: its latest start.
+    /// The latest start of a server that discovery reported, by the server's id.
     Start(String),
-    /// Stamps of what was forgotten.
+    /// The dots of an origin that garbage collection removed.
     #[serde(rename = "Spent")]
     Collected(Origin),
 }
 
 impl FactKey {
-    /// The least of all: where a walk over a leaf begins.
-    pub const LEAST: FactKey = FactKey::Server(String::new());
+    /// The least key of all, at which the facts of a leaf begin.
+    pub const MIN: FactKey = FactKey::Server(String::new());
 
-    /// The thing's name, if it has one.
+    /// The name or id of the subject; none for collected dots.
     pub fn name(&self) -> Option<&str> {
         match self {
-            FactKey::Server(n)
-            | FactKey::Pause(n)
-            | FactKey::Removed(n)
-            | FactKey::MaintenanceOrder(n)
-            | FactKey::Site(n)
-            | FactKey::Drain(n)
-            | FactKey::Start(n) => Some(n),
+            FactKey::Server(name)
+            | FactKey::Pause(name)
+            | FactKey::Removed(name)
+            | FactKey::MaintenanceOrder(name)
+            | FactKey::Site(name)
+            | FactKey::Drain(name)
+            | FactKey::Start(name) => Some(name),
             FactKey::Collected(_) => None,
         }
     }
@@ -57,54 +57,55 @@
 impl fmt::Display for FactKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            FactKey::Server(n) => write!(f, "server {n}"),
-            FactKey::Pause(n) => write!(f, "pause of {n}"),
-            FactKey::Removed(n) => write!(f, "removal of {n}"),
-            FactKey::MaintenanceOrder(n) => write!(f, "work {n}"),
-            FactKey::Site(n) => write!(f, "site {n}"),
-            FactKey::Drain(n) => write!(f, "drain of {n}"),
-            FactKey::Start(n) => write!(f, "start of {n}"),
-            FactKey::Collected(o) => write!(f, "spent of {o}"),
+            FactKey::Server(id) => write!(f, "server {id}"),
+            FactKey::Pause(name) => write!(f, "pause of {name}"),
+            FactKey::Removed(name) => write!(f, "removal of {name}"),
+            FactKey::MaintenanceOrder(id) => write!(f, "work {id}"),
+            FactKey::Site(name) => write!(f, "site {name}"),
+            FactKey::Drain(id) => write!(f, "drain of {id}"),
+            FactKey::Start(id) => write!(f, "start of {id}"),
+            FactKey::Collected(origin) => write!(f, "spent of {origin}"),
         }
     }
 }
 
-/// What discovery said of a server's process: the later start holds, of one start the later version of the list.
+/// Which process of a server a report of discovery is about, and how recent the report is. Reports are ordered by the
+/// start of the process, those of one process by the version of the list.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ProcessStart {
-    /// Unix time of the process's start, ns; 0: long ago.
+    /// When the process started, in Unix nanoseconds; 0 if that is unknown.
     pub started: Nanos,
-    /// The version of discovery's list that told it; 0 where that does not matter.
+    /// The version of discovery's list that reported it; 0 for starts, of which the time suffices.
     #[serde(rename = "version")]
     pub list_version: u64,
 }
 
-/// What is known of a key.
+/// What is known of a subject.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, Hash)]
 pub enum FactValue {
-    /// Words by hand.
+    /// Commands of operators: a multi-value register.
     #[serde(rename = "Words")]
     Commands(Register),
-    /// Told by discovery.
+    /// The latest report of discovery: a last-writer-wins register.
     Latest(ProcessStart),
-    /// Forgotten.
+    /// Sequence numbers that garbage collection removed: a set that only grows.
     #[serde(rename = "Spent")]
     Collected(Ranges),
 }
 
-/// A key with what is known of it.
+/// A subject with what is known of it.
 pub type Fact = (FactKey, FactValue);
 
-/// Why a fact is not taken in.
+/// Why a fact or a command is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum JoinError {
-    /// It could not have been made by this program: its kind does not fit its key, or something in it is too long.
+    /// This program could not have made it: its value does not fit its key, or a text in it is too long.
     Invalid,
-    /// It speaks of a start that lies ahead of this broker's clock.
+    /// It reports a start that is too far ahead of this broker's clock.
     FromTheFuture,
-    /// There are as many facts as may be.
+    /// The store has as many facts as its limits permit.
     AtCapacity,
-    /// Somebody else uses this origin; a new one must be drawn first.
+    /// Another process uses the origin of this store; [`StateStore::set_origin`] must give it a new one first.
     DuplicateOrigin,
 }
 
@@ -121,72 +122,70 @@
 
 impl std::error::Error for JoinError {}
 
-/// Things that are forgotten at a time: each look at all words is one for all of them.
-const AT_A_TIME: usize = 1024;
+/// Most registers that one run of garbage collection removes.
+const MAX_REGISTERS_PER_COLLECTION: usize = 1024;
 
-/// How much a copy may hold, and for how long.
+/// How many facts a store holds, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreLimits {
-    /// Things that words may be about. Words that come from peers may be about twice as many: what was acknowledged
-    /// elsewhere is not dropped.
+    /// Most registers that commands at this broker may create. Those of peers are taken up to twice this number, since
+    /// what another broker has acknowledged must not be lost.
     pub max_registers: usize,
-    /// Servers whose latest drains, and whose latest starts, are kept; the earliest go first.
+    /// Most servers of which the latest drain is held, and of which the latest start is held; the earliest are evicted.
     pub max_servers: usize,
-    /// How long a word that has ended is kept before its stamps alone remain.
+    /// How long an expired register is retained until only its dots remain, in nanoseconds.
     pub retention: Nanos,
-    /// How far ahead of this clock a start may lie.
+    /// How far ahead of this broker's clock a reported start may be, in nanoseconds.
     pub max_clock_lead: Nanos,
-    /// Origins whose spent stamps are kept; beyond that nothing is forgotten any more.
+    /// Most origins of which collected dots are held; beyond it nothing is collected here.
     pub max_origins: usize,
 }
 
 impl Default for StoreLimits {
     fn default() -> StoreLimits {
-        const S: Nanos = 1_000_000_000;
+        const SECOND: Nanos = 1_000_000_000;
+        const DAY: Nanos = 86_400 * SECOND;
         StoreLimits {
             max_registers: 16_384,
             max_servers: 16_384,
-            retention: 7 * 86_400 * S,
-            max_clock_lead: 600 * S,
+            retention: 7 * DAY,
+            max_clock_lead: 600 * SECOND,
             max_origins: 16_384,
         }
     }
 }
 
-/// A copy. Joining two is commutative, associative and idempotent: copies that have heard of the same facts are equal,
-/// in whatever order, however often and by whatever way these came.
+/// A copy of the replicated facts. Joining is commutative, associative and idempotent: copies that have received the same
+/// facts are equal, in whatever order and however often these arrived.
 #[derive(Clone, Debug)]
 pub struct StateStore {
     limits: StoreLimits,
     origin: Origin,
-    /// The number of the last word that this origin said.
+    /// The sequence number of the last command that was recorded here under this origin.
     last_sequence: u64,
     facts: BTreeMap<(u16, FactKey), FactValue>,
     tree: MerkleTree,
-    /// The same stamps as the `Spent` entries.
+    /// The same dots as in the facts with [`FactKey::Collected`].
     collected: VersionVector,
-    /// By start, to find the earliest: drains, then starts.
-    ages: [BTreeSet<(ProcessStart, String)>; 2],
+    /// Drains, then starts: the server's ids in the order of their reports.
+    servers_by_start: [BTreeSet<(ProcessStart, String)>; 2],
     register_count: usize,
-    /// Changes whenever any fact does.
     version: u64,
-    /// Somebody else uses this origin: memory that was copied.
     duplicate_origin: bool,
-    /// Keys that changed and were not looked at since.
     changed_keys: BTreeSet<FactKey>,
 }
 
 impl StateStore {
-    /// An empty copy of a process that was given this origin.
-    pub fn new(origin: Origin, bounds: StoreLimits) -> StateStore {
+    /// An empty store whose commands are recorded under this origin.
+    pub fn new(origin: Origin, limits: StoreLimits) -> StateStore {
         StateStore {
-            limits: bounds,
+            limits,
             origin,
             last_sequence: 0,
             facts: BTreeMap::new(),
             tree: MerkleTree::default(),
             collected: VersionVector::default(),
-            ages: Default::default(),
+            servers_by_start: Default::default(),
             register_count: 0,
             version: 0,
             duplicate_origin: false,
@@ -194,209 +193,223 @@
         }
     }
 
-    /// The origin of what is said here.
+    /// The origin of commands that are recorded here.
     pub fn origin(&self) -> Origin {
         self.origin
     }
 
-    /// Whether somebody else uses this origin: a new one must be drawn before the next word.
+    /// Whether another process uses this origin, so that a new one must be set before the next command.
     pub fn has_duplicate_origin(&self) -> bool {
         self.duplicate_origin
     }
 
-    /// From now on words have this origin.
+    /// Sets the origin of commands that are recorded from now on.
     pub fn set_origin(&mut self, origin: Origin) {
-        (self.origin, self.last_sequence, self.duplicate_origin) = (origin, 0, false);
+        self.origin = origin;
+        self.last_sequence = 0;
+        self.duplicate_origin = false;
     }
 
-    /// The digests.
+    /// The digests of the facts.
     pub fn tree(&self) -> &MerkleTree {
         &self.tree
     }
 
-    /// Changes whenever any fact does.
+    /// A number that changes whenever any fact does.
     pub fn version(&self) -> u64 {
         self.version
     }
 
-    /// Keys that changed since this was last asked.
+    /// Takes the keys that changed since the last call.
     pub fn take_changed_keys(&mut self) -> BTreeSet<FactKey> {
         std::mem::take(&mut self.changed_keys)
     }
 
-    /// Number of facts.
+    /// The number of facts.
     pub fn len(&self) -> usize {
         self.facts.len()
     }
 
-    /// Whether nothing is known.
+    /// Whether the store has no fact.
     pub fn is_empty(&self) -> bool {
         self.facts.is_empty()
     }
 
-    /// What is known of a key.
+    /// What is known of a subject.
     pub fn get(&self, key: &FactKey) -> Option<&FactValue> {
         self.facts.get(&(key.leaf(), key.clone()))
     }
 
-    /// The words on a key.
+    /// The commands on a subject.
     pub fn register(&self, key: &FactKey) -> Option<&Register> {
         match self.get(key) {
-            Some(FactValue::Commands(r)) => Some(r),
+            Some(FactValue::Commands(register)) => Some(register),
             _ => None,
         }
     }
 
-    /// All facts, by leaf.
+    /// All facts, ordered by leaf and key.
     pub fn facts(&self) -> impl Iterator<Item = (&FactKey, &FactValue)> {
-        self.facts.iter().map(|((_, k), e)| (k, e))
+        self.facts.iter().map(|((_, key), value)| (key, value))
     }
 
-    /// All words.
+    /// All registers, ordered by leaf and key.
     pub fn registers(&self) -> impl Iterator<Item = (&FactKey, &Register)> {
-        self.facts().filter_map(|(k, e)| if let FactValue::Commands(r) = e { Some((k, r)) } else { None })
+        self.facts().filter_map(|(key, value)| match value {
+            FactValue::Commands(register) => Some((key, register)),
+            _ => None,
+        })
     }
 
-    /// The facts of a leaf, from this key on.
+    /// The facts of a leaf in the order of their keys, from this key on or all of them.
     pub fn facts_of_leaf(
         &self,
         leaf: u16,
         from: Option<&FactKey>,
     ) -> impl Iterator<Item = (&FactKey, &FactValue)> {
-        let from = (leaf, from.unwrap_or(&FactKey::LEAST).clone());
-        let facts = self.facts.range(from..).take_while(move |((l, _), _)| *l == leaf);
-        facts.map(|((_, k), e)| (k, e))
+        let from = (leaf, from.unwrap_or(&FactKey::MIN).clone());
+        let facts = self.facts.range(from..).take_while(move |((other, _), _)| *other == leaf);
+        facts.map(|((_, key), value)| (key, value))
     }
 
-    /// The bytes of all that is known, the same in copies that are equal.
+    /// All facts in their encoded form, which is the same for stores that are equal.
     pub fn to_bytes(&self) -> Vec<u8> {
         postcard::to_allocvec(&self.facts().collect::<Vec<_>>()).unwrap_or_default()
     }
 
     /// The hash of a fact.
-    pub fn fact_hash(key: &FactKey, entry: &FactValue) -> u64 {
-        merkle_tree::hash(&postcard::to_allocvec(&(key, entry)).unwrap_or_default())
+    pub fn fact_hash(key: &FactKey, value: &FactValue) -> u64 {
+        merkle_tree::hash(&postcard::to_allocvec(&(key, value)).unwrap_or_default())
     }
 
-    /// Puts an entry in its place; none takes it away.
-    fn put(&mut self, key: &FactKey, entry: Option<FactValue>) {
+    /// Sets the value of a key, or removes the fact.
+    fn put(&mut self, key: &FactKey, value: Option<FactValue>) {
         let place = (key.leaf(), key.clone());
-        let age = |k: &FactKey| match k {
+        let index = |key: &FactKey| match key {
             FactKey::Drain(id) => Some((0, id.clone())),
             FactKey::Start(id) => Some((1, id.clone())),
             _ => None,
         };
         if let Some(old) = self.facts.get(&place) {
             self.tree.toggle(place.0, StateStore::fact_hash(key, old));
-            if let (Some((n, id)), FactValue::Latest(l)) = (age(key), old) {
-                self.ages[n].remove(&(*l, id));
+            if let (Some((n, id)), FactValue::Latest(report)) = (index(key), old) {
+                self.servers_by_start[n].remove(&(*report, id));
             }
             self.register_count -= usize::from(matches!(old, FactValue::Commands(_)));
         }
-        match entry {
+        match value {
             None => drop(self.facts.remove(&place)),
-            Some(entry) => {
-                self.tree.toggle(place.0, StateStore::fact_hash(key, &entry));
-                if let (Some((n, id)), FactValue::Latest(l)) = (age(key), &entry) {
-                    self.ages[n].insert((*l, id));
+            Some(value) => {
+                self.tree.toggle(place.0, StateStore::fact_hash(key, &value));
+                if let (Some((n, id)), FactValue::Latest(report)) = (index(key), &value) {
+                    self.servers_by_start[n].insert((*report, id));
                 }
-                self.register_count += usize::from(matches!(entry, FactValue::Commands(_)));
-                self.facts.insert(place, entry);
+                self.register_count += usize::from(matches!(value, FactValue::Commands(_)));
+                self.facts.insert(place, value);
             }
         }
         self.version += 1;
         self.changed_keys.insert(key.clone());
     }
 
-    /// Says something by hand. It takes the place of all that is known here of that key. JoinError where this copy holds
-    /// as many things as may be, or the word is too long: then nothing was said.
-    pub fn record(&mut self, key: &FactKey, said: OperatorCommand) -> Result<Dot, JoinError> {
-        let sound =
-            key.name().is_some_and(|n| !n.is_empty() && n.len() <= MAX_NAME_BYTES) && said.is_within_limits();
-        if !sound || matches!(key, FactKey::Drain(_) | FactKey::Start(_)) {
+    /// Records an operator's command. It supersedes all commands on the subject that are known here.
+    ///
+    /// # Errors
+    ///
+    /// [`JoinError::Invalid`] if the key takes no commands or a text is too long, [`JoinError::DuplicateOrigin`] if
+    /// another process uses this origin, [`JoinError::AtCapacity`] if a new register would exceed the limits. The store is
+    /// unchanged then.
+    pub fn record(&mut self, key: &FactKey, command: OperatorCommand) -> Result<Dot, JoinError> {
+        let has_name = key.name().is_some_and(|name| !name.is_empty() && name.len() <= MAX_NAME_BYTES);
+        if !has_name || !command.is_within_limits() || matches!(key, FactKey::Drain(_) | FactKey::Start(_)) {
             return Err(JoinError::Invalid);
         }
         if self.duplicate_origin {
             return Err(JoinError::DuplicateOrigin);
         }
-        let mut register = self.register(key).cloned();
+        let register = self.register(key).cloned();
         if register.is_none() && self.register_count >= self.limits.max_registers {
             return Err(JoinError::AtCapacity);
         }
         self.last_sequence += 1;
         let dot = Dot { origin: self.origin, sequence: self.last_sequence };
-        let mut r = register.take().unwrap_or_default();
-        r.record(dot, said);
-        self.put(key, Some(FactValue::Commands(r)));
+        let mut register = register.unwrap_or_default();
+        register.record(dot, command);
+        self.put(key, Some(FactValue::Commands(register)));
         Ok(dot)
     }
 
-    /// Takes in a fact. True if it was new.
-    pub fn join(&mut self, key: &FactKey, entry: &FactValue, now: Nanos) -> Result<bool, JoinError> {
-        if key.name().is_some_and(|n| n.is_empty() || n.len() > MAX_NAME_BYTES) {
+    /// Joins a fact of another copy. Returns whether it changed the store.
+    ///
+    /// # Errors
+    ///
+    /// [`JoinError::Invalid`] if the value does not fit the key or a text is too long, [`JoinError::FromTheFuture`] if a
+    /// reported start is too far ahead of `now`, [`JoinError::AtCapacity`] if the limits are exceeded.
+    pub fn join(&mut self, key: &FactKey, value: &FactValue, now: Nanos) -> Result<bool, JoinError> {
+        if key.name().is_some_and(|name| name.is_empty() || name.len() > MAX_NAME_BYTES) {
             return Err(JoinError::Invalid);
         }
-        match (key, entry) {
-            (FactKey::Collected(origin), FactValue::Collected(ranges)) => self.forget(*origin, ranges),
-            (FactKey::Drain(_) | FactKey::Start(_), FactValue::Latest(l)) => self.join_latest(key, *l, now),
+        match (key, value) {
+            (FactKey::Collected(origin), FactValue::Collected(ranges)) => {
+                self.join_collected(*origin, ranges)
+            }
+            (FactKey::Drain(_) | FactKey::Start(_), FactValue::Latest(report)) => {
+                self.join_latest(key, *report, now)
+            }
             (FactKey::Collected(_) | FactKey::Drain(_) | FactKey::Start(_), _) => Err(JoinError::Invalid),
-            (_, FactValue::Commands(r)) => self.join_words(key, r),
+            (_, FactValue::Commands(register)) => self.join_register(key, register),
             (_, _) => Err(JoinError::Invalid),
         }
     }
 
-    fn join_words(&mut self, key: &FactKey, theirs: &Register) -> Result<bool, JoinError> {
+    fn join_register(&mut self, key: &FactKey, theirs: &Register) -> Result<bool, JoinError> {
         if !theirs.is_valid() {
             return Err(JoinError::Invalid);
         }
-        // Guards stamps against a process whose memory was copied: what it said must not be said again as something else.
-        let own = theirs
-            .causal_context()
-            .ranges_of(self.origin)
-            .and_then(|r| r.iter().last())
-            .map_or(0, |(_, last)| last);
-        if own > self.last_sequence {
+        // A process whose memory was copied has the same origin: its dots must not be used for other commands here.
+        let own_dots = theirs.causal_context().ranges_of(self.origin);
+        if own_dots.and_then(Ranges::last).is_some_and(|last| last > self.last_sequence) {
             self.duplicate_origin = true;
         }
-        let old = self.register(key);
-        if old.is_none() && self.register_count >= 2 * self.limits.max_registers {
+        let ours = self.register(key);
+        if ours.is_none() && self.register_count >= 2 * self.limits.max_registers {
             return Err(JoinError::AtCapacity);
         }
-        let mut joined = old.cloned().unwrap_or_default();
+        let mut joined = ours.cloned().unwrap_or_default();
         joined.join(theirs, &self.collected);
-        if old == Some(&joined) || (old.is_none() && joined.is_empty()) {
+        if ours == Some(&joined) || (ours.is_none() && joined.is_empty()) {
             return Ok(false);
         }
-        self.put(key, Some(joined).filter(|r| !r.is_empty()).map(FactValue::Commands));
+        self.put(key, Some(joined).filter(|register| !register.is_empty()).map(FactValue::Commands));
         Ok(true)
     }
 
     fn join_latest(&mut self, key: &FactKey, theirs: ProcessStart, now: Nanos) -> Result<bool, JoinError> {
-        // Guards against a clock that runs ahead: it must not hold a server back until that time has come.
+        // A peer whose clock runs ahead must not hide later reports until that time has come.
         if theirs.started > now.saturating_add(self.limits.max_clock_lead) {
             return Err(JoinError::FromTheFuture);
         }
-        if let Some(FactValue::Latest(own)) = self.get(key)
-            && theirs <= *own
+        if let Some(FactValue::Latest(ours)) = self.get(key)
+            && theirs <= *ours
         {
             return Ok(false);
         }
         self.put(key, Some(FactValue::Latest(theirs)));
-        // The earliest goes: keeping the latest of a union is the same in any order.
-        let drains = matches!(key, FactKey::Drain(_));
-        let ages = &self.ages[usize::from(!drains)];
-        if ages.len() > self.limits.max_servers
-            && let Some((_, id)) = ages.first().cloned()
+        // Evicting the earliest keeps the join independent of order: the latest of a union remain.
+        let is_drain = matches!(key, FactKey::Drain(_));
+        let servers = &self.servers_by_start[usize::from(!is_drain)];
+        if servers.len() > self.limits.max_servers
+            && let Some((_, id)) = servers.first().cloned()
         {
-            let earliest = if drains { FactKey::Drain(id) } else { FactKey::Start(id) };
+            let earliest = if is_drain { FactKey::Drain(id) } else { FactKey::Start(id) };
             self.put(&earliest, None);
             return Ok(earliest != *key);
         }
         Ok(true)
     }
 
-    /// Stamps that are forgotten, here or elsewhere.
-    fn forget(&mut self, origin: Origin, ranges: &Ranges) -> Result<bool, JoinError> {
+    /// Joins dots that garbage collection removed, here or in another copy.
+    fn join_collected(&mut self, origin: Origin, ranges: &Ranges) -> Result<bool, JoinError> {
         if self.collected.ranges_of(origin).is_none() && self.collected.len() >= 2 * self.limits.max_origins {
             return Err(JoinError::AtCapacity);
         }
@@ -405,36 +418,37 @@
         }
         let all = self.collected.ranges_of(origin).cloned().unwrap_or_default();
         self.put(&FactKey::Collected(origin), Some(FactValue::Collected(all)));
-        let touched = |r: &Register| r.causal_context().ranges_of(origin).is_some();
+        let has_dots = |register: &Register| register.causal_context().ranges_of(origin).is_some();
         let keys: Vec<FactKey> =
-            self.registers().filter(|(_, r)| touched(r)).map(|(k, _)| k.clone()).collect();
+            self.registers().filter(|(_, register)| has_dots(register)).map(|(key, _)| key.clone()).collect();
         for key in keys {
             let Some(mut register) = self.register(&key).cloned() else { continue };
             register.remove_collected(&self.collected);
-            self.put(&key, Some(register).filter(|r| !r.is_empty()).map(FactValue::Commands));
+            self.put(&key, Some(register).filter(|register| !register.is_empty()).map(FactValue::Commands));
         }
         Ok(true)
     }
 
-    /// Forgets what has said nothing for as long as words are kept: only their stamps remain, so that no copy that was
-    /// away can bring them back. Tells the keys that changed; a bounded number of things at a time.
+    /// Removes a bounded number of expired registers. Only their dots remain, so that no copy that was away can bring them
+    /// back. Returns the keys that changed.
     pub fn collect_garbage(&mut self, now: Nanos) -> Vec<FactKey> {
-        let old = |r: &Register| r.is_expired(now, self.limits.retention);
+        let is_expired = |register: &Register| register.is_expired(now, self.limits.retention);
         let mut changed = Vec::new();
-        let mut stamps = VersionVector::default();
-        for (key, register) in self.registers().filter(|(_, r)| old(r)).take(AT_A_TIME) {
-            let new = |(origin, _): &(Origin, &Ranges)| {
-                self.collected.ranges_of(*origin).is_none() && stamps.ranges_of(*origin).is_none()
+        let mut dots = VersionVector::default();
+        let expired = self.registers().filter(|(_, register)| is_expired(register));
+        for (key, register) in expired.take(MAX_REGISTERS_PER_COLLECTION) {
+            let is_new = |(origin, _): &(Origin, &Ranges)| {
+                self.collected.ranges_of(*origin).is_none() && dots.ranges_of(*origin).is_none()
             };
-            let more = register.causal_context().iter().filter(new).count();
-            if self.collected.len() + stamps.len() + more > self.limits.max_origins {
+            let new_origins = register.causal_context().iter().filter(is_new).count();
+            if self.collected.len() + dots.len() + new_origins > self.limits.max_origins {
                 break;
             }
-            stamps.union(register.causal_context());
+            dots.union(register.causal_context());
             changed.push(key.clone());
         }
-        for (origin, ranges) in stamps.iter() {
-            if self.forget(origin, ranges) == Ok(true) {
+        for (origin, ranges) in dots.iter() {
+            if self.join_collected(origin, ranges) == Ok(true) {
                 changed.push(FactKey::Collected(origin));
             }
         }
