--- a/src/replication/derived_state.rs
+++ b/src/replication/derived_state.rs
@@ -1,97 +1,107 @@
-//! What follows from the facts for one broker. A peer's word makes more careful, never bolder: it takes servers out and
-//! sends clients away; nothing but a word by hand puts anything back.
+//! What the facts mean for one broker: which servers are disabled, which brokers paused or removed.
+//!
+//! A peer's facts make a broker more cautious, never bolder: they disable servers and send clients away. Only an
+//! operator's command ends such a condition.
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 use super::state_store::{FactKey, FactValue, ProcessStart, StateStore};
 use crate::api::Nanos;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// What holds for a broker, kept up key by key: a cluster may hold thousands of words.
+/// The conditions in effect for a broker. It is updated key by key, since a cluster may hold thousands of commands.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DerivedState {
-    /// Servers that are out by hand.
+    /// The ids of servers that operators have disabled.
     pub disabled_servers: BTreeSet<String>,
-    /// This broker sends its clients away.
+    /// Whether operators have paused this broker.
     pub paused: bool,
-    /// Brokers that were removed for good.
+    /// The names of brokers that operators have removed for good.
     pub removed_brokers: BTreeSet<String>,
-    /// Keys on which words that know nothing of each other differ.
+    /// The subjects on which concurrent commands differ in effect.
     pub conflicts: BTreeSet<FactKey>,
-    /// When words end by themselves.
-    ends: BTreeSet<(Nanos, FactKey)>,
-    by_key: BTreeMap<FactKey, Nanos>,
+    /// The next expiry of each subject that has one, in order of time.
+    expiries: BTreeSet<(Nanos, FactKey)>,
+    expiry_by_key: BTreeMap<FactKey, Nanos>,
 }
 
 impl DerivedState {
-    /// What holds for the broker of this name.
-    pub fn new(copy: &StateStore, name: &str, now: Nanos) -> DerivedState {
-        let mut effect = DerivedState::default();
-        for (key, _) in copy.registers() {
-            effect.update(copy, key, name, now);
+    /// Derives the state for the broker of this name from all registers of a store.
+    pub fn new(store: &StateStore, name: &str, now: Nanos) -> DerivedState {
+        let mut state = DerivedState::default();
+        for (key, _) in store.registers() {
+            state.update(store, key, name, now);
         }
-        effect
+        state
     }
 
-    /// When it changes by itself.
+    /// The next time at which a command expires.
     pub fn next_expiry(&self) -> Option<Nanos> {
-        self.ends.first().map(|(t, _)| *t)
+        self.expiries.first().map(|(expiry, _)| *expiry)
     }
 
-    /// Words that have ended by themselves.
+    /// The subjects on which a command has expired since their last [`update`](DerivedState::update).
     pub fn expired_keys(&self, now: Nanos) -> Vec<FactKey> {
-        self.ends.iter().take_while(|(t, _)| *t <= now).map(|(_, k)| k.clone()).collect()
+        self.expiries.iter().take_while(|(expiry, _)| *expiry <= now).map(|(_, key)| key.clone()).collect()
     }
 
-    /// Looks at a key that changed, or whose time has come.
-    pub fn update(&mut self, copy: &StateStore, key: &FactKey, name: &str, now: Nanos) {
-        if let Some(t) = self.by_key.remove(key) {
-            self.ends.remove(&(t, key.clone()));
-        }
-        let register = copy.register(key);
-        if let Some(t) = register.and_then(|r| r.next_expiry(now)) {
-            self.ends.insert((t, key.clone()));
-            self.by_key.insert(key.clone(), t);
-        }
-        let set = |into: &mut BTreeSet<String>, id: &String, yes: bool| {
-            if yes {
-                into.insert(id.clone())
-            } else {
-                into.remove(id)
-            };
-        };
-        let out = register.is_some_and(|r| r.is_set(now));
+    /// Derives the state anew for a subject that changed or expired.
+    pub fn update(&mut self, store: &StateStore, key: &FactKey, name: &str, now: Nanos) {
+        let register = store.register(key);
+        self.set_expiry(key, register.and_then(|register| register.next_expiry(now)));
+        let is_set = register.is_some_and(|register| register.is_set(now));
         match key {
-            FactKey::Server(id) => set(&mut self.disabled_servers, id, out),
-            FactKey::Pause(broker) if broker == name => self.paused = out,
-            FactKey::Removed(broker) => set(&mut self.removed_brokers, broker, out),
+            FactKey::Server(id) => set_member(&mut self.disabled_servers, id, is_set),
+            FactKey::Pause(broker) if broker == name => self.paused = is_set,
+            FactKey::Removed(broker) => set_member(&mut self.removed_brokers, broker, is_set),
             _ => {}
         }
-        if register.is_some_and(|r| r.has_conflict(now)) {
-            self.conflicts.insert(key.clone());
-        } else {
-            self.conflicts.remove(key);
+        set_member(&mut self.conflicts, key, register.is_some_and(|register| register.has_conflict(now)));
+    }
+
+    fn set_expiry(&mut self, key: &FactKey, expiry: Option<Nanos>) {
+        if let Some(old) = self.expiry_by_key.remove(key) {
+            self.expiries.remove(&(old, key.clone()));
+        }
+        if let Some(expiry) = expiry {
+            self.expiries.insert((expiry, key.clone()));
+            self.expiry_by_key.insert(key.clone(), expiry);
         }
     }
 }
 
-/// What the others have heard of a server from discovery.
+fn set_member<T: Clone + Ord>(set: &mut BTreeSet<T>, member: &T, is_member: bool) {
+    if is_member {
+        set.insert(member.clone());
+    } else {
+        set.remove(member);
+    }
+}
+
+/// What peers learnt of a server from discovery.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct NodeHints {
-    /// Its latest drain.
+    /// Its latest drain, if any is known.
     pub drain: Option<ProcessStart>,
-    /// Its latest start, unix ns.
+    /// Its latest start, in Unix nanoseconds; 0 if none is known.
     pub started: Nanos,
 }
 
-/// What the others have heard, by server.
-pub fn node_hints(copy: &StateStore) -> BTreeMap<String, NodeHints> {
-    let mut all: BTreeMap<String, NodeHints> = BTreeMap::new();
-    for (key, entry) in copy.facts() {
-        let FactValue::Latest(latest) = entry else { continue };
+/// Returns what peers learnt from discovery, by the server's id.
+pub fn node_hints(store: &StateStore) -> BTreeMap<String, NodeHints> {
+    let mut hints: BTreeMap<String, NodeHints> = BTreeMap::new();
+    for (key, value) in store.facts() {
+        let FactValue::Latest(report) = value else { continue };
         match key {
-            FactKey::Drain(id) => all.entry(id.clone()).or_default().drain = Some(*latest),
-            FactKey::Start(id) => all.entry(id.clone()).or_default().started = latest.started,
+            FactKey::Drain(id) => hints.entry(id.clone()).or_default().drain = Some(*report),
+            FactKey::Start(id) => hints.entry(id.clone()).or_default().started = report.started,
             _ => {}
         }
     }
-    all
+    hints
 }
