Split facts from the state store, and index reports by kind

Need: one file had the facts, their limits, the join and two indexes told apart by 0 and 1. Change: src/replication/fact.rs has keys, values and their hash; drains and starts have an index each; JoinError is a thiserror enum with the same texts; setting a register stands once.

--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -4,9 +4,9 @@
 //! its sender reads, and is answered in one that both do.
 
 use super::swim::{Probe, StatusUpdate};
+use crate::replication::Fact;
 use crate::replication::Origin;
 use crate::replication::anti_entropy::SyncMessage;
-use crate::replication::state_store::Fact;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::fmt;
--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -3,10 +3,10 @@
 use super::codec::{self, DATAGRAM, Datagram, FIRST, FrameError, LATEST, Sender, StreamFrame};
 use super::swim::{self, PeerEvent, PeerStatus, Probe, StatusUpdate, Swim};
 use crate::api::Nanos;
+use crate::replication::Fact;
 use crate::replication::anti_entropy::{self, SyncMessage, SyncSession};
 use crate::replication::derived_state::DerivedState;
 use crate::replication::rumor_queue::RumorQueue;
-use crate::replication::state_store::Fact;
 use crate::replication::{
     Dot, FactKey, FactValue, JoinError, OperatorCommand, Origin, ProcessStart, StateStore, StoreLimits,
 };
--- a/src/replication/anti_entropy.rs
+++ b/src/replication/anti_entropy.rs
@@ -4,8 +4,9 @@
 //! and then ours. Each message is bounded, one is under way at a time, and a walk has a budget: what is left after it is
 //! the next walk's. A walk that breaks off has lost nothing: what was taken in stays, and the next one finds less.
 
+use super::fact::{Fact, FactKey, FactValue, fact_hash};
 use super::merkle_tree::{FANOUT, LEAF_COUNT};
-use super::state_store::{Fact, FactKey, FactValue, StateStore};
+use super::state_store::StateStore;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -188,8 +189,7 @@
             }
             (Step::Facts, SyncMessage::Facts { facts, stopped }) => {
                 for fact in facts {
-                    *self.theirs.entry(fact.0.clone()).or_insert(0) ^=
-                        StateStore::fact_hash(&fact.0, &fact.1);
+                    *self.theirs.entry(fact.0.clone()).or_insert(0) ^= fact_hash(&fact.0, &fact.1);
                     self.budget = self.budget.saturating_sub(encoded_size(fact));
                 }
                 if let Some((leaf, place)) = stopped {
@@ -217,7 +217,7 @@
             for leaf in std::mem::take(&mut self.asked) {
                 for (key, entry) in copy.facts_of_leaf(leaf, None) {
                     let parts = pieces(key, entry);
-                    let own = parts.iter().fold(0, |h, (k, e)| h ^ StateStore::fact_hash(k, e));
+                    let own = parts.iter().fold(0, |h, (k, e)| h ^ fact_hash(k, e));
                     if self.theirs.get(key) != Some(&own) {
                         self.give.extend(parts);
                     }
--- a/src/replication/derived_state.rs
+++ b/src/replication/derived_state.rs
@@ -10,7 +10,8 @@
     clippy::cognitive_complexity
 )]
 
-use super::state_store::{FactKey, FactValue, ProcessStart, StateStore};
+use super::fact::{FactKey, FactValue, ProcessStart};
+use super::state_store::StateStore;
 use crate::api::Nanos;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/src/replication/rumor_queue.rs
+++ b/src/replication/rumor_queue.rs
@@ -11,7 +11,8 @@
 )]
 
 use super::anti_entropy;
-use super::state_store::{Fact, FactKey, StateStore};
+use super::fact::{Fact, FactKey};
+use super::state_store::StateStore;
 use std::collections::BTreeMap;
 
 /// Rounds in addition to the logarithm of the cluster's size.
--- a/src/replication/state_store.rs
+++ b/src/replication/state_store.rs
@@ -1,127 +1,36 @@
 //! One broker's copy of the replicated facts.
-
-use super::merkle_tree::{self, MerkleTree};
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
+
+use super::fact::{FactKey, FactValue, ProcessStart, fact_hash};
+use super::merkle_tree::MerkleTree;
 use super::multi_value_register::{MAX_NAME_BYTES, OperatorCommand, Register};
 use super::version_vector::{Dot, Origin, Ranges, VersionVector};
 use crate::api::Nanos;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
-
-/// The subject of a fact.
-#[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum FactKey {
-    /// Whether an operator has disabled a server, by its id.
-    Server(String),
-    /// Whether an operator has paused a broker, by its name.
-    Pause(String),
-    /// Whether an operator has removed a broker for good, by its name.
-    Removed(String),
-    /// A maintenance order, by its id.
-    #[serde(rename = "Work")]
-    MaintenanceOrder(String),
-    /// The state of a site, by its name.
-    Site(String),
-    /// The latest drain of a server that discovery reported, by the server's id.
-    Drain(String),
-    /// The latest start of a server that discovery reported, by the server's id.
-    Start(String),
-    /// The dots of an origin that garbage collection removed.
-    #[serde(rename = "Spent")]
-    Collected(Origin),
-}
-
-impl FactKey {
-    /// The least key of all, at which the facts of a leaf begin.
-    pub const MIN: FactKey = FactKey::Server(String::new());
-
-    /// The name or id of the subject; none for collected dots.
-    pub fn name(&self) -> Option<&str> {
-        match self {
-            FactKey::Server(name)
-            | FactKey::Pause(name)
-            | FactKey::Removed(name)
-            | FactKey::MaintenanceOrder(name)
-            | FactKey::Site(name)
-            | FactKey::Drain(name)
-            | FactKey::Start(name) => Some(name),
-            FactKey::Collected(_) => None,
-        }
-    }
-
-    fn leaf(&self) -> u16 {
-        merkle_tree::leaf_index(&postcard::to_allocvec(self).unwrap_or_default())
-    }
-}
-
-impl fmt::Display for FactKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            FactKey::Server(id) => write!(f, "server {id}"),
-            FactKey::Pause(name) => write!(f, "pause of {name}"),
-            FactKey::Removed(name) => write!(f, "removal of {name}"),
-            FactKey::MaintenanceOrder(id) => write!(f, "work {id}"),
-            FactKey::Site(name) => write!(f, "site {name}"),
-            FactKey::Drain(id) => write!(f, "drain of {id}"),
-            FactKey::Start(id) => write!(f, "start of {id}"),
-            FactKey::Collected(origin) => write!(f, "spent of {origin}"),
-        }
-    }
-}
-
-/// Which process of a server a report of discovery is about, and how recent the report is. Reports are ordered by the
-/// start of the process, those of one process by the version of the list.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ProcessStart {
-    /// When the process started, in Unix nanoseconds; 0 if that is unknown.
-    pub started: Nanos,
-    /// The version of discovery's list that reported it; 0 for starts, of which the time suffices.
-    #[serde(rename = "version")]
-    pub list_version: u64,
-}
-
-/// What is known of a subject.
-#[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, Hash)]
-pub enum FactValue {
-    /// Commands of operators: a multi-value register.
-    #[serde(rename = "Words")]
-    Commands(Register),
-    /// The latest report of discovery: a last-writer-wins register.
-    Latest(ProcessStart),
-    /// Sequence numbers that garbage collection removed: a set that only grows.
-    #[serde(rename = "Spent")]
-    Collected(Ranges),
-}
-
-/// A subject with what is known of it.
-pub type Fact = (FactKey, FactValue);
 
 /// Why a fact or a command is rejected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, thiserror::Error)]
 pub enum JoinError {
     /// This program could not have made it: its value does not fit its key, or a text in it is too long.
+    #[error("it is no sound fact")]
     Invalid,
     /// It reports a start that is too far ahead of this broker's clock.
+    #[error("it speaks of a start that is still to come")]
     FromTheFuture,
     /// The store has as many facts as its limits permit.
+    #[error("there are as many facts as may be")]
     AtCapacity,
     /// Another process uses the origin of this store; [`StateStore::set_origin`] must give it a new one first.
+    #[error("another process uses these stamps")]
     DuplicateOrigin,
 }
 
-impl fmt::Display for JoinError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            JoinError::Invalid => write!(f, "it is no sound fact"),
-            JoinError::FromTheFuture => write!(f, "it speaks of a start that is still to come"),
-            JoinError::AtCapacity => write!(f, "there are as many facts as may be"),
-            JoinError::DuplicateOrigin => write!(f, "another process uses these stamps"),
-        }
-    }
-}
-
-impl std::error::Error for JoinError {}
-
 /// Most registers that one run of garbage collection removes.
 const MAX_REGISTERS_PER_COLLECTION: usize = 1024;
 
@@ -155,6 +64,25 @@
     }
 }
 
+/// The ids of servers, ordered by their reports, to find the earliest.
+#[derive(Clone, Debug, Default)]
+struct ReportIndex(BTreeSet<(ProcessStart, String)>);
+
+impl ReportIndex {
+    fn insert(&mut self, report: ProcessStart, id: &str) {
+        self.0.insert((report, id.to_owned()));
+    }
+
+    fn remove(&mut self, report: ProcessStart, id: &str) {
+        self.0.remove(&(report, id.to_owned()));
+    }
+
+    /// The server with the earliest report, if there are more than `max_servers`.
+    fn earliest_beyond(&self, max_servers: usize) -> Option<String> {
+        self.0.first().filter(|_| self.0.len() > max_servers).map(|(_, id)| id.clone())
+    }
+}
+
 /// A copy of the replicated facts. Joining is commutative, associative and idempotent: copies that have received the same
 /// facts are equal, in whatever order and however often these arrived.
 #[derive(Clone, Debug)]
@@ -167,8 +95,8 @@
     tree: MerkleTree,
     /// The same dots as in the facts with [`FactKey::Collected`].
     collected: VersionVector,
-    /// Drains, then starts: the server's ids in the order of their reports.
-    servers_by_start: [BTreeSet<(ProcessStart, String)>; 2],
+    drains: ReportIndex,
+    starts: ReportIndex,
     register_count: usize,
     version: u64,
     duplicate_origin: bool,
@@ -185,7 +113,8 @@
             facts: BTreeMap::new(),
             tree: MerkleTree::default(),
             collected: VersionVector::default(),
-            servers_by_start: Default::default(),
+            drains: ReportIndex::default(),
+            starts: ReportIndex::default(),
             register_count: 0,
             version: 0,
             duplicate_origin: false,
@@ -277,41 +206,56 @@
         postcard::to_allocvec(&self.facts().collect::<Vec<_>>()).unwrap_or_default()
     }
 
-    /// The hash of a fact.
-    pub fn fact_hash(key: &FactKey, value: &FactValue) -> u64 {
-        merkle_tree::hash(&postcard::to_allocvec(&(key, value)).unwrap_or_default())
-    }
-
     /// Sets the value of a key, or removes the fact.
     fn put(&mut self, key: &FactKey, value: Option<FactValue>) {
-        let place = (key.leaf(), key.clone());
-        let index = |key: &FactKey| match key {
-            FactKey::Drain(id) => Some((0, id.clone())),
-            FactKey::Start(id) => Some((1, id.clone())),
-            _ => None,
-        };
-        if let Some(old) = self.facts.get(&place) {
-            self.tree.toggle(place.0, StateStore::fact_hash(key, old));
-            if let (Some((n, id)), FactValue::Latest(report)) = (index(key), old) {
-                self.servers_by_start[n].remove(&(*report, id));
-            }
-            self.register_count -= usize::from(matches!(old, FactValue::Commands(_)));
+        let leaf = key.leaf();
+        if let Some(old) = self.facts.remove(&(leaf, key.clone())) {
+            self.tree.toggle(leaf, fact_hash(key, &old));
+            self.remove_from_indexes(key, &old);
         }
-        match value {
-            None => drop(self.facts.remove(&place)),
-            Some(value) => {
-                self.tree.toggle(place.0, StateStore::fact_hash(key, &value));
-                if let (Some((n, id)), FactValue::Latest(report)) = (index(key), &value) {
-                    self.servers_by_start[n].insert((*report, id));
-                }
-                self.register_count += usize::from(matches!(value, FactValue::Commands(_)));
-                self.facts.insert(place, value);
-            }
+        if let Some(value) = value {
+            self.tree.toggle(leaf, fact_hash(key, &value));
+            self.add_to_indexes(key, &value);
+            self.facts.insert((leaf, key.clone()), value);
         }
         self.version += 1;
         self.changed_keys.insert(key.clone());
     }
 
+    /// Sets a register, or removes the fact if nothing is left of it.
+    fn put_register(&mut self, key: &FactKey, register: Register) {
+        let value = (!register.is_empty()).then_some(FactValue::Commands(register));
+        self.put(key, value);
+    }
+
+    fn add_to_indexes(&mut self, key: &FactKey, value: &FactValue) {
+        match (key, value) {
+            (_, FactValue::Commands(_)) => self.register_count += 1,
+            (FactKey::Drain(id), FactValue::Latest(report)) => self.drains.insert(*report, id),
+            (FactKey::Start(id), FactValue::Latest(report)) => self.starts.insert(*report, id),
+            _ => {}
+        }
+    }
+
+    fn remove_from_indexes(&mut self, key: &FactKey, value: &FactValue) {
+        match (key, value) {
+            (_, FactValue::Commands(_)) => self.register_count -= 1,
+            (FactKey::Drain(id), FactValue::Latest(report)) => self.drains.remove(*report, id),
+            (FactKey::Start(id), FactValue::Latest(report)) => self.starts.remove(*report, id),
+            _ => {}
+        }
+    }
+
+    /// The fact with the earliest report of the kind of this key, if there are more than the limits permit.
+    fn excess_report(&self, key: &FactKey) -> Option<FactKey> {
+        let max_servers = self.limits.max_servers;
+        match key {
+            FactKey::Drain(_) => self.drains.earliest_beyond(max_servers).map(FactKey::Drain),
+            FactKey::Start(_) => self.starts.earliest_beyond(max_servers).map(FactKey::Start),
+            _ => None,
+        }
+    }
+
     /// Records an operator's command. It supersedes all commands on the subject that are known here.
     ///
     /// # Errors
@@ -335,7 +279,7 @@
         let dot = Dot { origin: self.origin, sequence: self.last_sequence };
         let mut register = register.unwrap_or_default();
         register.record(dot, command);
-        self.put(key, Some(FactValue::Commands(register)));
+        self.put_register(key, register);
         Ok(dot)
     }
 
@@ -380,7 +324,7 @@
         if ours == Some(&joined) || (ours.is_none() && joined.is_empty()) {
             return Ok(false);
         }
-        self.put(key, Some(joined).filter(|register| !register.is_empty()).map(FactValue::Commands));
+        self.put_register(key, joined);
         Ok(true)
     }
 
@@ -396,12 +340,7 @@
         }
         self.put(key, Some(FactValue::Latest(theirs)));
         // Evicting the earliest keeps the join independent of order: the latest of a union remain.
-        let is_drain = matches!(key, FactKey::Drain(_));
-        let servers = &self.servers_by_start[usize::from(!is_drain)];
-        if servers.len() > self.limits.max_servers
-            && let Some((_, id)) = servers.first().cloned()
-        {
-            let earliest = if is_drain { FactKey::Drain(id) } else { FactKey::Start(id) };
+        if let Some(earliest) = self.excess_report(key) {
             self.put(&earliest, None);
             return Ok(earliest != *key);
         }
@@ -424,7 +363,7 @@
         for key in keys {
             let Some(mut register) = self.register(&key).cloned() else { continue };
             register.remove_collected(&self.collected);
-            self.put(&key, Some(register).filter(|register| !register.is_empty()).map(FactValue::Commands));
+            self.put_register(&key, register);
         }
         Ok(true)
     }
