Split anti-entropy into messages, responder and session

Need: one file had the messages, the stateless responder and the initiator, whose state was an enum with four collections and a flag beside it.

--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -700,7 +700,7 @@
                 (n, StreamFrame::Hello { sender: self.sender(), rumours: self.swim.all() })
             }
             (Some(n), StreamFrame::Walk(message)) => {
-                self.take_in(anti_entropy::facts(&message), from, now);
+                self.take_in(message.facts(), from, now);
                 (
                     n,
                     StreamFrame::Walk(
@@ -734,7 +734,7 @@
                 Some(first)
             }
             (StreamFrame::Walk(message), None) => {
-                self.take_in(anti_entropy::facts(&message), from, now);
+                self.take_in(message.facts(), from, now);
                 match o.walk.on_response(&self.copy, &message) {
                     Ok(next) => next,
                     Err(_) => {
--- a/src/replication/derived_state.rs
+++ b/src/replication/derived_state.rs
@@ -2,13 +2,6 @@
 //!
 //! A peer's facts make a broker more cautious, never bolder: they disable servers and send clients away. Only an
 //! operator's command ends such a condition.
-#![deny(
-    missing_docs,
-    rust_2018_idioms,
-    clippy::too_many_lines,
-    clippy::type_complexity,
-    clippy::cognitive_complexity
-)]
 
 use super::fact::{FactKey, FactValue, ProcessStart};
 use super::state_store::StateStore;
--- a/src/replication/fact.rs
+++ b/src/replication/fact.rs
@@ -1,11 +1,4 @@
 //! Facts that are replicated to all brokers: a subject, and what is known of it.
-#![deny(
-    missing_docs,
-    rust_2018_idioms,
-    clippy::too_many_lines,
-    clippy::type_complexity,
-    clippy::cognitive_complexity
-)]
 
 use super::merkle_tree;
 use super::multi_value_register::Register;
--- a/src/replication/merkle_tree.rs
+++ b/src/replication/merkle_tree.rs
@@ -4,13 +4,6 @@
 //! its facts, that of a branch combines its leaves, that of the root combines all. One change therefore updates three
 //! digests, whatever the size of the store. The hash is not cryptographic: peers belong to the operator, so nobody makes
 //! collisions on purpose; two different stores have equal roots by chance with probability 2^-64.
-#![deny(
-    missing_docs,
-    rust_2018_idioms,
-    clippy::too_many_lines,
-    clippy::type_complexity,
-    clippy::cognitive_complexity
-)]
 
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64;
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -11,6 +11,13 @@
 //! - [`anti_entropy`]: the protocol that reconciles two copies in bounded messages;
 //! - [`rumor_queue`]: facts that are new and still sent to random peers;
 //! - [`derived_state`]: what the facts mean for one broker.
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 pub mod anti_entropy;
 pub mod derived_state;
--- a/src/replication/multi_value_register.rs
+++ b/src/replication/multi_value_register.rs
@@ -2,13 +2,6 @@
 //!
 //! A command supersedes the commands that were known where it was given, and no others. Concurrent commands, each given
 //! without knowledge of the other, are both retained until the next command; they conflict if they differ in effect.
-#![deny(
-    missing_docs,
-    rust_2018_idioms,
-    clippy::too_many_lines,
-    clippy::type_complexity,
-    clippy::cognitive_complexity
-)]
 
 use super::version_vector::{Dot, VersionVector};
 use crate::api::Nanos;
--- a/src/replication/rumor_queue.rs
+++ b/src/replication/rumor_queue.rs
@@ -2,13 +2,6 @@
 //!
 //! A broker sends such a fact for a number of rounds that grows with the logarithm of the cluster's size. A peer that was
 //! missed, or was away, receives the fact by anti-entropy.
-#![deny(
-    missing_docs,
-    rust_2018_idioms,
-    clippy::too_many_lines,
-    clippy::type_complexity,
-    clippy::cognitive_complexity
-)]
 
 use super::anti_entropy;
 use super::fact::{Fact, FactKey};
--- a/src/replication/state_store.rs
+++ b/src/replication/state_store.rs
@@ -1,11 +1,4 @@
 //! One broker's copy of the replicated facts.
-#![deny(
-    missing_docs,
-    rust_2018_idioms,
-    clippy::too_many_lines,
-    clippy::type_complexity,
-    clippy::cognitive_complexity
-)]
 
 use super::fact::{FactKey, FactValue, ProcessStart, fact_hash};
 use super::merkle_tree::MerkleTree;
--- a/src/replication/version_vector.rs
+++ b/src/replication/version_vector.rs
@@ -3,13 +3,6 @@
 //! Causality is tracked by dots alone; clocks take no part in it. An origin is one process of a broker, drawn at random at
 //! each start. A disk that was restored, a copied directory or two processes under one name therefore can't use a dot
 //! twice.
-#![deny(
-    missing_docs,
-    rust_2018_idioms,
-    clippy::too_many_lines,
-    clippy::type_complexity,
-    clippy::cognitive_complexity
-)]
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
--- a/tests/cluster/frames.rs
+++ b/tests/cluster/frames.rs
@@ -3,7 +3,7 @@
 
 use pebbleturn::gossip::codec::{self, DATAGRAM, Datagram, FRAME, FrameError, LATEST, Sender, StreamFrame};
 use pebbleturn::gossip::swim::{PeerStatus, Probe, StatusUpdate};
-use pebbleturn::replication::anti_entropy::{SyncMessage, SyncSession};
+use pebbleturn::replication::anti_entropy::{SyncMessage, SyncPosition, SyncSession};
 use pebbleturn::replication::*;
 use pebbleturn::storage::Disk;
 use pebbleturn::storage::journal::{self, Journal, LOG, OLDER_LOG, OLDER_SNAPSHOT, SNAPSHOT, UNDER_WAY};
@@ -79,7 +79,8 @@
     let hello = StreamFrame::Hello { sender: sender(), rumours: vec![] };
     let give = SyncMessage::Push { facts: facts(&copy) };
     let leaves = SyncMessage::LeafDigests { digests: vec![(3, vec![1; 64])] };
-    let ask = SyncMessage::RequestFacts { leaves: vec![1, 2], from: Some((FactKey::Site("k".into()), 2)) };
+    let position = SyncPosition { key: FactKey::Site("k".into()), parts: 2 };
+    let ask = SyncMessage::RequestFacts { leaves: vec![1, 2], from: Some(position) };
     let walks = [begin, give, leaves, ask, SyncMessage::BranchDigests { digests: vec![5; 64] }]
         .map(StreamFrame::Walk);
     [hello].into_iter().chain(walks).map(|l| l.encode()[4..].to_vec()).collect()
--- a/tests/recorded_replication/replicated_state.rs
+++ b/tests/recorded_replication/replicated_state.rs
@@ -265,7 +265,7 @@
         self.recorder.count("walk");
         while !one_in(&mut self.random, 20) {
             let answer = self.answer(other, &ask);
-            anti_entropy::facts(&answer).iter().for_each(|(key, entry)| self.join(at, key, entry));
+            answer.facts().iter().for_each(|(key, entry)| self.join(at, key, entry));
             match walk.on_response(&self.replicas[at].copy, &answer).unwrap() {
                 Some(next) => ask = next,
                 None => break,
@@ -281,7 +281,7 @@
 
     fn answer(&mut self, other: usize, ask: &SyncMessage) -> SyncMessage {
         self.put_message(ask);
-        anti_entropy::facts(ask).iter().for_each(|(key, entry)| self.join(other, key, entry));
+        ask.facts().iter().for_each(|(key, entry)| self.join(other, key, entry));
         let answer = anti_entropy::respond(&self.replicas[other].copy, ask).unwrap();
         self.put_message(&answer);
         answer
@@ -289,7 +289,7 @@
 
     fn put_message(&mut self, message: &SyncMessage) {
         match message {
-            SyncMessage::Facts { stopped: Some(_), .. } => self.recorder.count("facts in parts"),
+            SyncMessage::Facts { resume_at: Some(_), .. } => self.recorder.count("facts in parts"),
             SyncMessage::Push { .. } => self.recorder.count("given"),
             _ => {}
         }
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -50,11 +50,11 @@
     for _ in 0..1000 {
         let (mut walk, mut ask) = SyncSession::begin(a, budget);
         loop {
-            for (key, entry) in anti_entropy::facts(&ask) {
+            for (key, entry) in ask.facts() {
                 b.join(key, entry, NOW).unwrap();
             }
             let answer = anti_entropy::respond(b, &ask).unwrap();
-            for (key, entry) in anti_entropy::facts(&answer) {
+            for (key, entry) in answer.facts() {
                 a.join(key, entry, NOW).unwrap();
             }
             messages += 2;
--- a/tests/stored_formats/gossip_frames.rs
+++ b/tests/stored_formats/gossip_frames.rs
@@ -4,7 +4,7 @@
 use super::samples::{BROKER, ORIGIN, SERVER, told_and_spent, words};
 use pebbleturn::gossip::codec::{self, DATAGRAM, Datagram, FIRST, FrameError, LATEST, Sender, StreamFrame};
 use pebbleturn::gossip::swim::{PeerStatus, Probe, StatusUpdate};
-use pebbleturn::replication::anti_entropy::SyncMessage;
+use pebbleturn::replication::anti_entropy::{SyncMessage, SyncPosition};
 use pebbleturn::replication::{Fact, FactKey, Origin, StateStore, StoreLimits};
 
 const FORMAT: &str = "gossip";
@@ -90,8 +90,8 @@
         SyncMessage::LeafDigests { .. } => "leaves",
         SyncMessage::RequestFacts { from: None, .. } => "ask-facts",
         SyncMessage::RequestFacts { from: Some(_), .. } => "ask-facts-from",
-        SyncMessage::Facts { stopped: None, .. } => "facts",
-        SyncMessage::Facts { stopped: Some(_), .. } => "facts-stopped",
+        SyncMessage::Facts { resume_at: None, .. } => "facts",
+        SyncMessage::Facts { resume_at: Some(_), .. } => "facts-stopped",
         SyncMessage::Push { .. } => "give",
         SyncMessage::PushAccepted => "taken",
     }
@@ -110,7 +110,7 @@
     let copy = copy();
     let tree = copy.tree();
     let branch = tree.branches().iter().position(|digest| *digest != 0).unwrap() as u8;
-    let place = (FactKey::Site("sité".into()), 300);
+    let place = SyncPosition { key: FactKey::Site("sité".into()), parts: 300 };
     [
         SyncMessage::Begin { root: ROOT },
         SyncMessage::BranchDigests { digests: tree.branches().to_vec() },
@@ -118,8 +118,8 @@
         SyncMessage::LeafDigests { digests: vec![(branch, tree.leaves(branch)), (5, vec![])] },
         SyncMessage::RequestFacts { leaves: vec![1, 4095], from: None },
         SyncMessage::RequestFacts { leaves: vec![4095], from: Some(place.clone()) },
-        SyncMessage::Facts { facts: all_facts(), stopped: None },
-        SyncMessage::Facts { facts: words(), stopped: Some((4095, place)) },
+        SyncMessage::Facts { facts: all_facts(), resume_at: None },
+        SyncMessage::Facts { facts: words(), resume_at: Some((4095, place)) },
         SyncMessage::Push { facts: told_and_spent() },
         SyncMessage::PushAccepted,
     ]
