--- a/src/maintenance/consensus.rs
+++ b/src/maintenance/consensus.rs
@@ -1,45 +1,64 @@
-//! One value that brokers agree on by majority: what the others have accepted can't be overlooked, whoever asks, crashes or
-//! is cut off. Free of I/O and clock.
+//! A single value on which a small group of brokers agrees by majority (CASPaxos). Free of I/O and clock.
 //!
-//! CASPaxos: a broker that wants a change asks a majority of the group for the last value under a ballot of its own, works
-//! out the next value from it, and has a majority accept that. There is no leader, no log and no lease: nothing that
-//! a paused process could wrongly believe that it still holds. What a voter promised or accepted is on its disk before
-//! it answers.
+//! A proposer reads the last value from a majority of the group under a ballot of its own, derives the next value from it,
+//! and has a majority accept that. There is no leader, no log and no lease, so there is nothing that a paused process could
+//! wrongly believe it still has. What an acceptor promised or accepted is on its disk before it responds.
 
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The place of an attempt in the order of all. The proposer's number makes it that proposer's alone.
+/// Orders the attempts of all proposers. The proposer's number makes each ballot unique.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ballot {
-    /// Greater than any that its proposer has heard of.
+    /// A number greater than any round that the proposer knows of.
     pub round: u64,
-    /// Who tries: one process, drawn anew at its start.
+    /// The proposer: one process, whose number is drawn anew at its start.
     pub proposer: u64,
 }
 
-/// What a proposer asks a voter.
+/// A request of a proposer to an acceptor.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Request<V> {
-    /// To take nothing of a lower ballot from now on, and to tell what it accepted last.
-    Prepare { ballot: Ballot },
+    /// To promise to accept nothing of a lower ballot, and to return the value that was accepted last.
+    Prepare {
+        /// The ballot of the attempt.
+        ballot: Ballot,
+    },
     /// To accept a value.
-    Accept { ballot: Ballot, value: V },
+    Accept {
+        /// The ballot of the attempt.
+        ballot: Ballot,
+        /// The proposed value.
+        value: V,
+    },
 }
 
-/// What a voter answers.
+/// The response of an acceptor.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Response<V> {
-    /// It takes nothing lower; what it accepted last, if anything.
-    Promised { ballot: Ballot, accepted: Option<(Ballot, V)> },
-    /// It accepted the value of this ballot.
-    Accepted { ballot: Ballot },
-    /// It has promised a higher one.
+    /// It promised to accept nothing of a lower ballot.
+    Promised {
+        /// The ballot of the request.
+        ballot: Ballot,
+        /// The value that it accepted last, with its ballot.
+        accepted: Option<(Ballot, V)>,
+    },
+    /// It accepted the value.
+    Accepted {
+        /// The ballot of the request.
+        ballot: Ballot,
+    },
+    /// It rejected the request, since it promised a higher ballot.
     #[serde(rename = "Refused")]
-    Rejected { ballot: Ballot, promised: Ballot },
+    Rejected {
+        /// The ballot of the request.
+        ballot: Ballot,
+        /// The ballot that it promised.
+        promised: Ballot,
+    },
 }
 
-/// What a voter must have on disk before it answers.
+/// An acceptor, a member of the group that votes. All of it must be on disk before a response is sent.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Acceptor<V> {
     promised: Ballot,
@@ -53,14 +72,15 @@
 }
 
 impl<V: Clone> Acceptor<V> {
-    /// Answers. The caller has the voter on disk before the answer leaves; an answer that can't be kept is not given.
-    pub fn on_request(&mut self, ask: &Request<V>) -> Response<V> {
-        match ask {
+    /// Handles a request. The caller writes the acceptor to disk before it sends the response; if that fails, it sends
+    /// none.
+    pub fn on_request(&mut self, request: &Request<V>) -> Response<V> {
+        match request {
             Request::Prepare { ballot } if *ballot > self.promised => {
                 self.promised = *ballot;
                 Response::Promised { ballot: *ballot, accepted: self.accepted.clone() }
             }
-            // The promise that holds is the one for this very ballot: its value is taken.
+            // Equal ballots are accepted: the promise was made to this very attempt.
             Request::Accept { ballot, value } if *ballot >= self.promised => {
                 self.promised = *ballot;
                 self.accepted = Some((*ballot, value.clone()));
@@ -72,82 +92,88 @@
         }
     }
 
-    /// What it accepted last.
+    /// The value that it accepted last.
     pub fn accepted_value(&self) -> Option<&V> {
-        self.accepted.as_ref().map(|(_, v)| v)
+        self.accepted.as_ref().map(|(_, value)| value)
     }
 }
 
-/// How an attempt stands.
+/// The state of an attempt.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ProposerState<V> {
-    /// Asking for promises.
+    /// Waiting for promises.
     Preparing,
-    /// A majority has told what stood: the caller works out the next value, or lets it be.
+    /// A majority has promised. The caller derives the next value from this one, which is none if no acceptor of the
+    /// majority had accepted any, and proposes it or abandons the attempt.
     Prepared(Option<V>),
-    /// Asking to accept.
+    /// Waiting for this value to be accepted.
     Proposing(V),
-    /// A majority accepted the value: it is agreed on.
+    /// A majority has accepted this value.
     Chosen(V),
-    /// Somebody has a higher ballot: to be tried again later, under a round above this.
+    /// An acceptor promised a higher ballot, with this round. The caller retries later with a higher round.
     Preempted(u64),
 }
 
-/// One attempt at a change.
+/// One attempt to change the value.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Proposer<V> {
     ballot: Ballot,
     group_size: usize,
     state: ProposerState<V>,
+    /// The values that acceptors returned with their promises, by the acceptor's number.
     promised: BTreeMap<u64, Option<(Ballot, V)>>,
     accepted: BTreeSet<u64>,
 }
 
 impl<V: Clone + Ord> Proposer<V> {
-    /// An attempt in a group of so many voters, and what all of them are to be asked.
-    pub fn begin(ballot: Ballot, group: usize) -> (Proposer<V>, Request<V>) {
-        let (promised, accepted) = (BTreeMap::new(), BTreeSet::new());
-        (
-            Proposer { ballot, group_size: group, state: ProposerState::Preparing, promised, accepted },
-            Request::Prepare { ballot },
-        )
+    /// Begins an attempt in a group of so many acceptors. Returns it with the request to all of them.
+    pub fn begin(ballot: Ballot, group_size: usize) -> (Proposer<V>, Request<V>) {
+        let proposer = Proposer {
+            ballot,
+            group_size,
+            state: ProposerState::Preparing,
+            promised: BTreeMap::new(),
+            accepted: BTreeSet::new(),
+        };
+        (proposer, Request::Prepare { ballot })
     }
 
-    /// How it stands.
+    /// The state of the attempt.
     pub fn state(&self) -> &ProposerState<V> {
         &self.state
     }
 
-    /// Its ballot.
+    /// The ballot of the attempt.
     pub fn ballot(&self) -> Ballot {
         self.ballot
     }
 
-    fn is_majority(&self, n: usize) -> bool {
-        2 * n > self.group_size
+    fn is_majority(&self, acceptors: usize) -> bool {
+        2 * acceptors > self.group_size
     }
 
-    /// A voter, by its number in the group, has answered. Answers may come twice, late, or to an earlier attempt.
-    pub fn on_response(&mut self, voter: u64, answer: &Response<V>) {
+    /// Handles the response of an acceptor, by its number in the group. Responses may be duplicated or late, or belong to
+    /// an earlier attempt; such have no effect.
+    pub fn on_response(&mut self, acceptor: u64, response: &Response<V>) {
         let (Response::Promised { ballot, .. }
         | Response::Accepted { ballot }
-        | Response::Rejected { ballot, .. }) = answer;
+        | Response::Rejected { ballot, .. }) = response;
         if *ballot != self.ballot {
             return;
         }
-        match (answer, &self.state) {
+        match (response, &self.state) {
             (Response::Rejected { promised, .. }, ProposerState::Preparing | ProposerState::Proposing(_)) => {
                 self.state = ProposerState::Preempted(promised.round);
             }
             (Response::Promised { accepted, .. }, ProposerState::Preparing) => {
-                self.promised.insert(voter, accepted.clone());
+                self.promised.insert(acceptor, accepted.clone());
                 if self.is_majority(self.promised.len()) {
-                    let last = self.promised.values().flatten().max_by_key(|(ballot, _)| *ballot);
-                    self.state = ProposerState::Prepared(last.map(|(_, v)| v.clone()));
+                    let latest = self.promised.values().flatten().max_by_key(|(ballot, _)| *ballot);
+                    self.state = ProposerState::Prepared(latest.map(|(_, value)| value.clone()));
                 }
             }
             (Response::Accepted { .. }, ProposerState::Proposing(value)) => {
-                self.accepted.insert(voter);
+                self.accepted.insert(acceptor);
                 if self.is_majority(self.accepted.len()) {
                     self.state = ProposerState::Chosen(value.clone());
                 }
@@ -156,8 +182,10 @@
         }
     }
 
-    /// The next value, worked out from the one that was read; what all voters are to be asked. Also to confirm what was
-    /// read: a value that one voter has may not be agreed on yet.
+    /// Proposes the next value, derived from the one that was read. Returns the request to all acceptors, or none unless
+    /// the state is [`ProposerState::Prepared`]. To confirm what was read, propose it unchanged: a value that one acceptor
+    /// has may not be chosen yet.
+    #[must_use]
     pub fn propose(&mut self, value: V) -> Option<Request<V>> {
         if !matches!(self.state, ProposerState::Prepared(_)) {
             return None;
--- a/src/maintenance/mod.rs
+++ b/src/maintenance/mod.rs
@@ -1,9 +1,9 @@
-//! Work on machines, in an order that the brokers settle among themselves. Free of I/O and clock.
+//! Maintenance of machines, permitted in an order on which the brokers agree. Free of I/O and clock.
 //!
-//! - [`consensus`] is one value that a small group of brokers agrees on by majority;
-//! - [`permits`] is that value: which machines may be out, and every guard on a change of it.
+//! - [`consensus`]: a single value on which a small group of brokers agrees by majority;
+//! - [`permits`]: that value, the table of machines under maintenance, and the rules for changes of it.
 //!
-//! What was weighed stands in `docs/maintenance.md`.
+//! `docs/maintenance.md` describes the design.
 
 pub mod consensus;
 pub mod permits;
--- a/src/maintenance/permits.rs
+++ b/src/maintenance/permits.rs
@@ -1,32 +1,32 @@
-//! The permits: which machines may be out for work, one table that all changes go through.
+//! Permits to take machines out of service: one table, through which all changes go.
 //!
-//! The table is the value that brokers agree on. Every guard is asked on the table itself, so what it forbids can't come
-//! about by two brokers asking at once. A permit has no time after which it ends: whose holder is silent keeps its
-//! place taken until the machine is seen warm again, or a person writes it off by name.
+//! The table is the value on which the brokers agree. Every rule is checked on the table itself, so that two brokers which
+//! ask at the same time can't break it together. A permit never expires: a machine whose broker is silent keeps its permit
+//! until the machine has warmed up, or an operator writes it off by name.
 
 use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
 
-/// How far a machine has come.
+/// The phase of a machine's maintenance.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum MaintenancePhase {
-    /// It may be taken out: brokers that are up send it nothing new.
+    /// Brokers send the machine no new requests.
     Draining,
-    /// No broker has anything out at it: the work may begin.
+    /// No broker has a request in flight at the machine: maintenance may begin.
     #[serde(rename = "Empty")]
     Drained,
-    /// The work has begun.
+    /// Maintenance has begun.
     #[serde(rename = "Out")]
     UnderMaintenance,
-    /// Its process is there again, and cold.
+    /// The machine's process runs again, and is cold.
     #[serde(rename = "Back")]
     WarmingUp,
 }
 
 impl MaintenancePhase {
-    /// What may follow, on the usual way.
+    /// The phase that follows. The last one is followed by the release of the permit.
     fn next(self) -> Option<MaintenancePhase> {
         match self {
             MaintenancePhase::Draining => Some(MaintenancePhase::Drained),
@@ -48,80 +48,100 @@
     }
 }
 
-/// Leave for one machine to be out.
+/// A permit for the maintenance of one machine.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Permit {
-    /// Greater than that of any permit before it. Whoever acts on a machine names it; an older one is not obeyed.
+    /// A number greater than that of any earlier permit. Whoever acts on the machine presents it; a stale one is rejected.
     #[serde(rename = "fence")]
     pub fencing_token: u64,
-    /// The order that it belongs to.
+    /// The id of the maintenance order to which it belongs.
     pub order: String,
-    /// How far the machine has come.
+    /// The phase of the machine's maintenance.
     #[serde(rename = "step")]
     pub phase: MaintenancePhase,
-    /// Who carries it out.
+    /// The name of the broker that carries it out.
     pub broker: String,
-    /// When it came to this step, by that broker's clock, unix ns. For people.
+    /// When the phase began, in Unix nanoseconds by that broker's clock; shown to operators only.
     pub since: Nanos,
 }
 
-/// What must be so for one more machine to be taken out.
+/// The rules for granting a permit.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
 pub struct PermitRules {
-    /// Machines that may be out together.
+    /// Most permits at a time.
     #[serde(rename = "most")]
     pub max_permits: usize,
-    /// The cell of each machine: those of neighbouring cells hold the same partitions.
+    /// The cell of each machine, by the machine's id. Machines of neighbouring cells hold the same partitions.
     pub cells: BTreeMap<String, u32>,
-    /// Number of cells, and cells in a row that hold a partition.
+    /// The number of cells, and the number of consecutive cells that hold a partition.
     pub ring: (u32, u32),
-    /// Holders of any partition that must stay.
+    /// Least machines of any partition that must have no permit.
     #[serde(rename = "holders")]
     pub min_holders: usize,
 }
 
 impl PermitRules {
-    /// Machines of a partition that are not out while these are.
-    fn left<'t>(&self, first: u32, out: impl Fn(&str) -> bool + 't) -> usize {
+    /// The number of machines without a permit that hold the partition which begins at this cell.
+    fn remaining_holders<'t>(&self, partition: u32, has_permit: impl Fn(&str) -> bool + 't) -> usize {
         let (cells, span) = (self.ring.0.max(1), self.ring.1);
-        let holds = |cell: u32| (cell + cells - first % cells) % cells < span;
-        self.cells.iter().filter(|(id, cell)| holds(**cell % cells) && !out(id)).count()
+        let holds = |cell: u32| (cell + cells - partition % cells) % cells < span;
+        self.cells.iter().filter(|(id, cell)| holds(**cell % cells) && !has_permit(id)).count()
     }
 }
 
-/// Why a change is not made.
+/// Why the table is not changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PermitError {
-    /// As many are out as may be.
-    LimitReached { active: usize, limit: usize },
-    /// A partition would be left with too few holders.
-    TooFewHolders { partition: u32, remaining: usize },
-    /// It is out already, under this fence.
+    /// As many machines have permits as may.
+    LimitReached {
+        /// Permits now.
+        active: usize,
+        /// Most permits at a time.
+        limit: usize,
+    },
+    /// A partition would have too few machines without a permit.
+    TooFewHolders {
+        /// The partition.
+        partition: u32,
+        /// Its machines that would remain.
+        remaining: usize,
+    },
+    /// The machine has a permit with this fencing token.
     AlreadyGranted(u64),
-    /// The operator's file and lists do not name it.
+    /// The rules do not name the machine.
     UnknownMachine,
-    /// The permit that is named does not stand: it has ended, or a newer one has taken its place.
-    StaleFencingToken { given: u64, current: Option<u64> },
-    /// That step does not follow the present one.
-    InvalidTransition { from: MaintenancePhase, to: MaintenancePhase },
+    /// The permit was released, or a newer one has replaced it.
+    StaleFencingToken {
+        /// The fencing token that was presented.
+        given: u64,
+        /// That of the machine's permit, if it has one.
+        current: Option<u64>,
+    },
+    /// The phase does not follow the current one.
+    InvalidTransition {
+        /// The current phase.
+        from: MaintenancePhase,
+        /// The requested phase.
+        to: MaintenancePhase,
+    },
 }
 
 impl fmt::Display for PermitError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            PermitError::LimitReached { active: out, limit: most } => {
-                write!(f, "{out} machines are out, and {most} may be")
+            PermitError::LimitReached { active, limit } => {
+                write!(f, "{active} machines are out, and {limit} may be")
             }
-            PermitError::TooFewHolders { partition, remaining: left } => {
-                write!(f, "partition {partition} would be left with {left} holders")
+            PermitError::TooFewHolders { partition, remaining } => {
+                write!(f, "partition {partition} would be left with {remaining} holders")
             }
-            PermitError::AlreadyGranted(fence) => write!(f, "it is out already, by permit {fence}"),
+            PermitError::AlreadyGranted(token) => write!(f, "it is out already, by permit {token}"),
             PermitError::UnknownMachine => write!(f, "no list names it"),
-            PermitError::StaleFencingToken { given: named, current: Some(stands) } => {
-                write!(f, "permit {named} does not stand any more, {stands} does")
+            PermitError::StaleFencingToken { given, current: Some(current) } => {
+                write!(f, "permit {given} does not stand any more, {current} does")
             }
-            PermitError::StaleFencingToken { given: named, current: None } => {
-                write!(f, "permit {named} does not stand any more")
+            PermitError::StaleFencingToken { given, current: None } => {
+                write!(f, "permit {given} does not stand any more")
             }
             PermitError::InvalidTransition { from, to } => write!(f, "{to} does not follow {from}"),
         }
@@ -130,28 +150,33 @@
 
 impl std::error::Error for PermitError {}
 
-/// All permits that stand.
+/// The table of all permits. Changes return a new table and leave the old one as it is.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Permits {
-    /// The last fence that was given out.
     #[serde(rename = "fence")]
     last_fencing_token: u64,
+    /// The permits by the machine's id.
     #[serde(rename = "stand")]
     active: BTreeMap<String, Permit>,
 }
 
 impl Permits {
-    /// The permits that stand, by machine.
+    /// All permits, with the machines' ids.
     pub fn active(&self) -> impl Iterator<Item = (&str, &Permit)> {
-        self.active.iter().map(|(m, p)| (m.as_str(), p))
+        self.active.iter().map(|(machine, permit)| (machine.as_str(), permit))
     }
 
-    /// The last fence that was given out.
+    /// The fencing token of the permit that was granted last; 0 if none was.
     pub fn last_fencing_token(&self) -> u64 {
         self.last_fencing_token
     }
 
-    /// Lets one more machine be taken out.
+    /// Grants a permit for a machine, to a broker that carries out an order.
+    ///
+    /// # Errors
+    ///
+    /// [`PermitError::UnknownMachine`], [`PermitError::AlreadyGranted`], [`PermitError::LimitReached`] or
+    /// [`PermitError::TooFewHolders`], in this order of precedence.
     pub fn grant(
         &self,
         machine: &str,
@@ -167,43 +192,52 @@
         if self.active.len() >= rules.max_permits {
             return Err(PermitError::LimitReached { active: self.active.len(), limit: rules.max_permits });
         }
-        let out = |id: &str| id == machine || self.active.contains_key(id);
+        let has_permit = |id: &str| id == machine || self.active.contains_key(id);
         let (cells, span) = (rules.ring.0.max(1), rules.ring.1);
-        // Partition p is held by the cells from p on: this machine's are those that begin at most a span before it.
-        for back in 0..span.min(cells) {
-            let first = (cell % cells + cells - back) % cells;
-            let left = rules.left(first, out);
-            if left < rules.min_holders {
-                return Err(PermitError::TooFewHolders { partition: first, remaining: left });
+        // A partition is held by the cells from its own on: the machine holds those that begin at most a span before it.
+        for distance in 0..span.min(cells) {
+            let partition = (cell % cells + cells - distance) % cells;
+            let remaining = rules.remaining_holders(partition, has_permit);
+            if remaining < rules.min_holders {
+                return Err(PermitError::TooFewHolders { partition, remaining });
             }
         }
         let mut next = self.clone();
         next.last_fencing_token += 1;
-        let (fence, order, broker) = (next.last_fencing_token, order.to_owned(), broker.to_owned());
-        let permit =
-            Permit { fencing_token: fence, order, phase: MaintenancePhase::Draining, broker, since: now };
+        let permit = Permit {
+            fencing_token: next.last_fencing_token,
+            order: order.to_owned(),
+            phase: MaintenancePhase::Draining,
+            broker: broker.to_owned(),
+            since: now,
+        };
         next.active.insert(machine.to_owned(), permit);
         Ok(next)
     }
 
-    fn checked_permit(&self, machine: &str, fence: u64) -> Result<&Permit, PermitError> {
+    fn checked_permit(&self, machine: &str, fencing_token: u64) -> Result<&Permit, PermitError> {
         match self.active.get(machine) {
-            Some(permit) if permit.fencing_token == fence => Ok(permit),
-            other => {
-                Err(PermitError::StaleFencingToken { given: fence, current: other.map(|p| p.fencing_token) })
-            }
+            Some(permit) if permit.fencing_token == fencing_token => Ok(permit),
+            other => Err(PermitError::StaleFencingToken {
+                given: fencing_token,
+                current: other.map(|permit| permit.fencing_token),
+            }),
         }
     }
 
-    /// The machine of this permit has come to its next step.
+    /// Advances a machine to its next phase.
+    ///
+    /// # Errors
+    ///
+    /// [`PermitError::StaleFencingToken`], or [`PermitError::InvalidTransition`] if `to` does not follow the current phase.
     pub fn advance(
         &self,
         machine: &str,
-        fence: u64,
+        fencing_token: u64,
         to: MaintenancePhase,
         now: Nanos,
     ) -> Result<Permits, PermitError> {
-        let permit = self.checked_permit(machine, fence)?;
+        let permit = self.checked_permit(machine, fencing_token)?;
         if permit.phase.next() != Some(to) {
             return Err(PermitError::InvalidTransition { from: permit.phase, to });
         }
@@ -212,10 +246,13 @@
         Ok(next)
     }
 
-    /// The machine is warm again, or nothing was begun at it: its place is free. One whose work has begun comes free only
-    /// once it is back.
-    pub fn release(&self, machine: &str, fence: u64) -> Result<Permits, PermitError> {
-        let permit = self.checked_permit(machine, fence)?;
+    /// Releases the permit of a machine that has warmed up, or on which maintenance has not begun.
+    ///
+    /// # Errors
+    ///
+    /// [`PermitError::StaleFencingToken`], or [`PermitError::InvalidTransition`] while maintenance is under way.
+    pub fn release(&self, machine: &str, fencing_token: u64) -> Result<Permits, PermitError> {
+        let permit = self.checked_permit(machine, fencing_token)?;
         if permit.phase == MaintenancePhase::UnderMaintenance {
             return Err(PermitError::InvalidTransition {
                 from: MaintenancePhase::UnderMaintenance,
@@ -225,9 +262,14 @@
         Ok(self.without(machine))
     }
 
-    /// A person says by name that the machine will not come back: its place is free, and it stays out by hand.
-    pub fn write_off(&self, machine: &str, fence: u64) -> Result<Permits, PermitError> {
-        self.checked_permit(machine, fence)?;
+    /// Releases the permit of a machine that will not return, in whatever phase, as an operator decided. The machine stays
+    /// disabled by that operator's command.
+    ///
+    /// # Errors
+    ///
+    /// [`PermitError::StaleFencingToken`].
+    pub fn write_off(&self, machine: &str, fencing_token: u64) -> Result<Permits, PermitError> {
+        self.checked_permit(machine, fencing_token)?;
         Ok(self.without(machine))
     }
 
