Give the ring of cells, requests for permits and their errors types of their own

Need: the ring was a pair whose arithmetic stood twice, grant took three texts in a row, and the error's texts were written by hand.

--- a/src/maintenance/mod.rs
+++ b/src/maintenance/mod.rs
@@ -4,9 +4,16 @@
 //! - [`permits`]: that value, the table of machines under maintenance, and the rules for changes of it.
 //!
 //! `docs/maintenance.md` describes the design.
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 pub mod consensus;
 pub mod permits;
 
 pub use consensus::{Acceptor, Ballot, Proposer, ProposerState, Request, Response};
-pub use permits::{MaintenancePhase, Permit, PermitError, PermitRules, Permits};
+pub use permits::{CellRing, MaintenancePhase, Permit, PermitError, PermitRequest, PermitRules, Permits};
--- a/src/maintenance/permits.rs
+++ b/src/maintenance/permits.rs
@@ -65,6 +65,43 @@
     pub since: Nanos,
 }
 
+/// A ring of cells. The partition of a number is held by the cells from that number on. Serialized as a pair.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq)]
+#[serde(from = "(u32, u32)", into = "(u32, u32)")]
+pub struct CellRing {
+    /// The number of cells, and of partitions. 0 is taken as 1.
+    pub cells: u32,
+    /// The number of consecutive cells that hold a partition.
+    pub cells_per_partition: u32,
+}
+
+impl From<(u32, u32)> for CellRing {
+    fn from((cells, cells_per_partition): (u32, u32)) -> CellRing {
+        CellRing { cells, cells_per_partition }
+    }
+}
+
+impl From<CellRing> for (u32, u32) {
+    fn from(ring: CellRing) -> (u32, u32) {
+        (ring.cells, ring.cells_per_partition)
+    }
+}
+
+impl CellRing {
+    /// Whether machines of the cell hold the partition.
+    fn holds(self, cell: u32, partition: u32) -> bool {
+        let cells = self.cells.max(1);
+        (cell % cells + cells - partition % cells) % cells < self.cells_per_partition
+    }
+
+    /// The partitions that machines of the cell hold: those that begin less than a span before it.
+    fn partitions_of(self, cell: u32) -> impl Iterator<Item = u32> {
+        let cells = self.cells.max(1);
+        (0..self.cells_per_partition.min(cells))
+            .map(move |distance| (cell % cells + cells - distance) % cells)
+    }
+}
+
 /// The rules for granting a permit.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
 pub struct PermitRules {
@@ -73,26 +110,26 @@
     pub max_permits: usize,
     /// The cell of each machine, by the machine's id. Machines of neighbouring cells hold the same partitions.
     pub cells: BTreeMap<String, u32>,
-    /// The number of cells, and the number of consecutive cells that hold a partition.
-    pub ring: (u32, u32),
+    /// How cells hold partitions.
+    pub ring: CellRing,
     /// Least machines of any partition that must have no permit.
     #[serde(rename = "holders")]
     pub min_holders: usize,
 }
 
 impl PermitRules {
-    /// The number of machines without a permit that hold the partition which begins at this cell.
-    fn remaining_holders<'t>(&self, partition: u32, has_permit: impl Fn(&str) -> bool + 't) -> usize {
-        let (cells, span) = (self.ring.0.max(1), self.ring.1);
-        let holds = |cell: u32| (cell + cells - partition % cells) % cells < span;
-        self.cells.iter().filter(|(id, cell)| holds(**cell % cells) && !has_permit(id)).count()
+    /// The number of machines without a permit that hold the partition.
+    fn remaining_holders(&self, partition: u32, has_permit: impl Fn(&str) -> bool) -> usize {
+        let holders = self.cells.iter().filter(|(_, cell)| self.ring.holds(**cell, partition));
+        holders.filter(|(id, _)| !has_permit(id)).count()
     }
 }
 
 /// Why the table is not changed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum PermitError {
     /// As many machines have permits as may.
+    #[error("{active} machines are out, and {limit} may be")]
     LimitReached {
         /// Permits now.
         active: usize,
@@ -100,6 +137,7 @@
         limit: usize,
     },
     /// A partition would have too few machines without a permit.
+    #[error("partition {partition} would be left with {remaining} holders")]
     TooFewHolders {
         /// The partition.
         partition: u32,
@@ -107,10 +145,16 @@
         remaining: usize,
     },
     /// The machine has a permit with this fencing token.
+    #[error("it is out already, by permit {0}")]
     AlreadyGranted(u64),
     /// The rules do not name the machine.
+    #[error("no list names it")]
     UnknownMachine,
     /// The permit was released, or a newer one has replaced it.
+    #[error(
+        "permit {given} does not stand any more{}",
+        .current.map_or(String::new(), |token| format!(", {token} does"))
+    )]
     StaleFencingToken {
         /// The fencing token that was presented.
         given: u64,
@@ -118,6 +162,7 @@
         current: Option<u64>,
     },
     /// The phase does not follow the current one.
+    #[error("{to} does not follow {from}")]
     InvalidTransition {
         /// The current phase.
         from: MaintenancePhase,
@@ -126,30 +171,17 @@
     },
 }
 
-impl fmt::Display for PermitError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            PermitError::LimitReached { active, limit } => {
-                write!(f, "{active} machines are out, and {limit} may be")
-            }
-            PermitError::TooFewHolders { partition, remaining } => {
-                write!(f, "partition {partition} would be left with {remaining} holders")
-            }
-            PermitError::AlreadyGranted(token) => write!(f, "it is out already, by permit {token}"),
-            PermitError::UnknownMachine => write!(f, "no list names it"),
-            PermitError::StaleFencingToken { given, current: Some(current) } => {
-                write!(f, "permit {given} does not stand any more, {current} does")
-            }
-            PermitError::StaleFencingToken { given, current: None } => {
-                write!(f, "permit {given} does not stand any more")
-            }
-            PermitError::InvalidTransition { from, to } => write!(f, "{to} does not follow {from}"),
-        }
-    }
+/// A request for a permit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PermitRequest<'a> {
+    /// The id of the machine.
+    pub machine: &'a str,
+    /// The id of the maintenance order.
+    pub order: &'a str,
+    /// The name of the broker that carries out the order.
+    pub broker: &'a str,
 }
 
-impl std::error::Error for PermitError {}
-
 /// The table of all permits. Changes return a new table and leave the old one as it is.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Permits {
@@ -179,12 +211,11 @@
     /// [`PermitError::TooFewHolders`], in this order of precedence.
     pub fn grant(
         &self,
-        machine: &str,
-        order: &str,
-        broker: &str,
+        request: &PermitRequest<'_>,
         rules: &PermitRules,
         now: Nanos,
     ) -> Result<Permits, PermitError> {
+        let machine = request.machine;
         let cell = *rules.cells.get(machine).ok_or(PermitError::UnknownMachine)?;
         if let Some(permit) = self.active.get(machine) {
             return Err(PermitError::AlreadyGranted(permit.fencing_token));
@@ -193,10 +224,7 @@
             return Err(PermitError::LimitReached { active: self.active.len(), limit: rules.max_permits });
         }
         let has_permit = |id: &str| id == machine || self.active.contains_key(id);
-        let (cells, span) = (rules.ring.0.max(1), rules.ring.1);
-        // A partition is held by the cells from its own on: the machine holds those that begin at most a span before it.
-        for distance in 0..span.min(cells) {
-            let partition = (cell % cells + cells - distance) % cells;
+        for partition in rules.ring.partitions_of(cell) {
             let remaining = rules.remaining_holders(partition, has_permit);
             if remaining < rules.min_holders {
                 return Err(PermitError::TooFewHolders { partition, remaining });
@@ -206,9 +234,9 @@
         next.last_fencing_token += 1;
         let permit = Permit {
             fencing_token: next.last_fencing_token,
-            order: order.to_owned(),
+            order: request.order.to_owned(),
             phase: MaintenancePhase::Draining,
-            broker: broker.to_owned(),
+            broker: request.broker.to_owned(),
             since: now,
         };
         next.active.insert(machine.to_owned(), permit);
--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -8,11 +8,16 @@
 /// Four machines in a ring of four cells; a partition is held by two in a row.
 fn rules(most: usize, holders: usize) -> PermitRules {
     let cells = (0..4).map(|n| (format!("m-{n}"), n)).collect();
-    PermitRules { max_permits: most, cells, ring: (4, 2), min_holders: holders }
+    PermitRules {
+        max_permits: most,
+        cells,
+        ring: CellRing { cells: 4, cells_per_partition: 2 },
+        min_holders: holders,
+    }
 }
 
 fn grant(permits: &Permits, machine: &str, rules: &PermitRules) -> Result<Permits, PermitError> {
-    permits.grant(machine, "order", "b", rules, 7)
+    permits.grant(&PermitRequest { machine, order: "order", broker: "b" }, rules, 7)
 }
 
 fn fence(permits: &Permits, machine: &str) -> u64 {
@@ -74,6 +79,41 @@
     assert!(grant(&p, "m-3", &rules).is_ok());
 }
 
+#[test]
+fn permit_errors_keep_their_printed_texts() {
+    let texts = [
+        (PermitError::LimitReached { active: 1, limit: 2 }, "1 machines are out, and 2 may be"),
+        (
+            PermitError::TooFewHolders { partition: 3, remaining: 0 },
+            "partition 3 would be left with 0 holders",
+        ),
+        (PermitError::AlreadyGranted(4), "it is out already, by permit 4"),
+        (PermitError::UnknownMachine, "no list names it"),
+        (PermitError::StaleFencingToken { given: 1, current: None }, "permit 1 does not stand any more"),
+        (
+            PermitError::StaleFencingToken { given: 1, current: Some(3) },
+            "permit 1 does not stand any more, 3 does",
+        ),
+        (
+            PermitError::InvalidTransition {
+                from: MaintenancePhase::Draining,
+                to: MaintenancePhase::Drained,
+            },
+            "Empty does not follow Draining",
+        ),
+        (
+            PermitError::InvalidTransition {
+                from: MaintenancePhase::UnderMaintenance,
+                to: MaintenancePhase::WarmingUp,
+            },
+            "Back does not follow Out",
+        ),
+    ];
+    for (error, text) in texts {
+        assert_eq!(error.to_string(), text);
+    }
+}
+
 quickcheck! {
     /// Whatever is asked in whatever order: never more out than may be, no partition without holders, no fence twice.
     fn no_run_of_changes_breaks_a_guard(asked: Vec<(u8, u8)>) -> bool {
--- a/tests/recorded_replication/permits.rs
+++ b/tests/recorded_replication/permits.rs
@@ -6,8 +6,8 @@
 
 use super::digest::{AtLeast, Recorder, Recording, SECOND, assert_recorded, one_in, pick, random};
 use pebbleturn::maintenance::{
-    Acceptor, Ballot, MaintenancePhase, PermitError, PermitRules, Permits, Proposer, ProposerState, Request,
-    Response,
+    Acceptor, Ballot, CellRing, MaintenancePhase, PermitError, PermitRequest, PermitRules, Permits, Proposer,
+    ProposerState, Request, Response,
 };
 use rand_pcg::Pcg32;
 
@@ -58,7 +58,12 @@
             random: random(seed),
             recorder: Recorder::new(),
             now: SECOND,
-            rules: PermitRules { max_permits: 2, cells, ring: (MACHINES, 2), min_holders: 1 },
+            rules: PermitRules {
+                max_permits: 2,
+                cells,
+                ring: CellRing { cells: MACHINES, cells_per_partition: 2 },
+                min_holders: 1,
+            },
             voters: vec![Acceptor::default(); VOTERS],
             proposers: (0..PROPOSERS).map(|_| ProposerProcess::default()).collect(),
             letters: Vec::new(),
@@ -192,7 +197,10 @@
         let grants = stands.is_none() && !one_in(&mut self.random, 8);
         let choice = if grants { 0 } else { pick(&mut self.random, 16) };
         match choice {
-            0 => table.grant(&machine, "order", broker, &self.rules, self.now),
+            0 => {
+                let request = PermitRequest { machine: &machine, order: "order", broker };
+                table.grant(&request, &self.rules, self.now)
+            }
             1 | 2 => table.advance(&machine, fence, STEPS[pick(&mut self.random, STEPS.len())], self.now),
             3..=5 => table.release(&machine, fence),
             6 => table.write_off(&machine, fence),
