--- a/src/maintenance/consensus.rs
+++ b/src/maintenance/consensus.rs
@@ -1,8 +1,9 @@
 //! A single value on which a small group of brokers agrees by majority (CASPaxos). Free of I/O and clock.
 //!
-//! A proposer reads the last value from a majority of the group under a ballot of its own, derives the next value from it,
-//! and has a majority accept that. There is no leader, no log and no lease, so there is nothing that a paused process could
-//! wrongly believe it still has. What an acceptor promised or accepted is on its disk before it responds.
+//! A proposer reads the last value from a majority of the group under a ballot of its own, derives the next
+//! value from it, and has a majority accept that. There is no leader, no log and no lease, so there is
+//! nothing that a paused process could wrongly believe it still has. What an acceptor promised or accepted is
+//! on its disk before it responds.
 
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -72,8 +73,8 @@
 }
 
 impl<V: Clone> Acceptor<V> {
-    /// Handles a request. The caller writes the acceptor to disk before it sends the response; if that fails, it sends
-    /// none.
+    /// Handles a request. The caller writes the acceptor to disk before it sends the response; if that fails,
+    /// it sends none.
     pub fn on_request(&mut self, request: &Request<V>) -> Response<V> {
         match request {
             Request::Prepare { ballot } if *ballot > self.promised => {
@@ -103,8 +104,8 @@
 pub enum ProposerState<V> {
     /// Waiting for promises.
     Preparing,
-    /// A majority has promised. The caller derives the next value from this one, which is none if no acceptor of the
-    /// majority had accepted any, and proposes it or abandons the attempt.
+    /// A majority has promised. The caller derives the next value from this one, which is none if no acceptor
+    /// of the majority had accepted any, and proposes it or abandons the attempt.
     Prepared(Option<V>),
     /// Waiting for this value to be accepted.
     Proposing(V),
@@ -152,8 +153,8 @@
         2 * acceptors > self.group_size
     }
 
-    /// Handles the response of an acceptor, by its number in the group. Responses may be duplicated or late, or belong to
-    /// an earlier attempt; such have no effect.
+    /// Handles the response of an acceptor, by its number in the group. Responses may be duplicated or late,
+    /// or belong to an earlier attempt; such have no effect.
     pub fn on_response(&mut self, acceptor: u64, response: &Response<V>) {
         let (Response::Promised { ballot, .. }
         | Response::Accepted { ballot }
@@ -182,9 +183,9 @@
         }
     }
 
-    /// Proposes the next value, derived from the one that was read. Returns the request to all acceptors, or none unless
-    /// the state is [`ProposerState::Prepared`]. To confirm what was read, propose it unchanged: a value that one acceptor
-    /// has may not be chosen yet.
+    /// Proposes the next value, derived from the one that was read. Returns the request to all acceptors, or
+    /// none unless the state is [`ProposerState::Prepared`]. To confirm what was read, propose it unchanged:
+    /// a value that one acceptor has may not be chosen yet.
     #[must_use]
     pub fn propose(&mut self, value: V) -> Option<Request<V>> {
         if !matches!(self.state, ProposerState::Prepared(_)) {
--- a/src/maintenance/permits.rs
+++ b/src/maintenance/permits.rs
@@ -1,8 +1,8 @@
 //! Permits to take machines out of service: one table, through which all changes go.
 //!
-//! The table is the value on which the brokers agree. Every rule is checked on the table itself, so that two brokers which
-//! ask at the same time can't break it together. A permit never expires: a machine whose broker is silent keeps its permit
-//! until the machine has warmed up, or an operator writes it off by name.
+//! The table is the value on which the brokers agree. Every rule is checked on the table itself, so that two
+//! brokers which ask at the same time can't break it together. A permit never expires: a machine whose broker
+//! is silent keeps its permit until the machine has warmed up, or an operator writes it off by name.
 
 use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
@@ -51,7 +51,8 @@
 /// A permit for the maintenance of one machine.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Permit {
-    /// A number greater than that of any earlier permit. Whoever acts on the machine presents it; a stale one is rejected.
+    /// A number greater than that of any earlier permit. Whoever acts on the machine presents it; a stale one
+    /// is rejected.
     #[serde(rename = "fence")]
     pub fencing_token: u64,
     /// The id of the maintenance order to which it belongs.
@@ -108,7 +109,8 @@
     /// Most permits at a time.
     #[serde(rename = "most")]
     pub max_permits: usize,
-    /// The cell of each machine, by the machine's id. Machines of neighbouring cells hold the same partitions.
+    /// The cell of each machine, by the machine's id. Machines of neighbouring cells hold the same
+    /// partitions.
     pub cells: BTreeMap<String, u32>,
     /// How cells hold partitions.
     pub ring: CellRing,
@@ -257,7 +259,8 @@
     ///
     /// # Errors
     ///
-    /// [`PermitError::StaleFencingToken`], or [`PermitError::InvalidTransition`] if `to` does not follow the current phase.
+    /// [`PermitError::StaleFencingToken`], or [`PermitError::InvalidTransition`] if `to` does not follow the
+    /// current phase.
     pub fn advance(
         &self,
         machine: &str,
@@ -278,7 +281,8 @@
     ///
     /// # Errors
     ///
-    /// [`PermitError::StaleFencingToken`], or [`PermitError::InvalidTransition`] while maintenance is under way.
+    /// [`PermitError::StaleFencingToken`], or [`PermitError::InvalidTransition`] while maintenance is under
+    /// way.
     pub fn release(&self, machine: &str, fencing_token: u64) -> Result<Permits, PermitError> {
         let permit = self.checked_permit(machine, fencing_token)?;
         if permit.phase == MaintenancePhase::UnderMaintenance {
@@ -290,8 +294,8 @@
         Ok(self.without(machine))
     }
 
-    /// Releases the permit of a machine that will not return, in whatever phase, as an operator decided. The machine stays
-    /// disabled by that operator's command.
+    /// Releases the permit of a machine that will not return, in whatever phase, as an operator decided. The
+    /// machine stays disabled by that operator's command.
     ///
     /// # Errors
     ///
--- a/src/replication/anti_entropy/mod.rs
+++ b/src/replication/anti_entropy/mod.rs
@@ -1,9 +1,10 @@
-//! Anti-entropy: reconciling two stores over a connection, one of which sends requests and the other only responds.
+//! Anti-entropy: reconciling two stores over a connection, one of which sends requests and the other only
+//! responds.
 //!
-//! The initiator first finds where the stores differ, by the digests of branches and then of leaves. For the leaves that
-//! differ it requests the peer's facts, joins them, and pushes what the peer lacks. Messages are bounded, one request is
-//! in flight at a time, and a session has a budget: what remains after it is left to the next session. A session that
-//! breaks off loses nothing, since the facts that were joined stay.
+//! The initiator first finds where the stores differ, by the digests of branches and then of leaves. For the
+//! leaves that differ it requests the peer's facts, joins them, and pushes what the peer lacks. Messages are
+//! bounded, one request is in flight at a time, and a session has a budget: what remains after it is left to
+//! the next session. A session that breaks off loses nothing, since the facts that were joined stay.
 //!
 //! - [`message`]: requests and responses, and facts in parts that fit them;
 //! - [`responder`]: the stateless side;
--- a/src/replication/anti_entropy/session.rs
+++ b/src/replication/anti_entropy/session.rs
@@ -42,7 +42,8 @@
 }
 
 impl SyncSession {
-    /// Begins a session that transfers about `budget_bytes` of facts at most. Returns it with its first request.
+    /// Begins a session that transfers about `budget_bytes` of facts at most. Returns it with its first
+    /// request.
     pub fn begin(store: &StateStore, budget_bytes: usize) -> (SyncSession, SyncMessage) {
         let session = SyncSession {
             state: State::AwaitingBranchDigests,
@@ -65,8 +66,8 @@
         self.is_finished() && !self.is_truncated
     }
 
-    /// Handles a response. The caller has joined the facts that it carries. Returns the next request, or none when the
-    /// session is finished.
+    /// Handles a response. The caller has joined the facts that it carries. Returns the next request, or none
+    /// when the session is finished.
     ///
     /// # Errors
     ///
@@ -149,8 +150,8 @@
         Ok(Some(SyncMessage::RequestFacts { leaves, from: Some(position.clone()) }))
     }
 
-    /// Queues our facts of the requested leaves. The peer's have been joined by now, so those that equal what arrived are
-    /// not sent back.
+    /// Queues our facts of the requested leaves. The peer's have been joined by now, so those that equal what
+    /// arrived are not sent back.
     fn queue_pushes(&mut self, store: &StateStore) {
         let State::AwaitingFacts { leaves, received } = &self.state else { return };
         for leaf in leaves {
--- a/src/replication/derived_state.rs
+++ b/src/replication/derived_state.rs
@@ -1,14 +1,15 @@
 //! What the facts mean for one broker: which servers are disabled, which brokers paused or removed.
 //!
-//! A peer's facts make a broker more cautious, never bolder: they disable servers and send clients away. Only an
-//! operator's command ends such a condition.
+//! A peer's facts make a broker more cautious, never bolder: they disable servers and send clients away. Only
+//! an operator's command ends such a condition.
 
 use super::fact::{FactKey, FactValue, ProcessStart};
 use super::state_store::StateStore;
 use crate::api::Nanos;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The conditions in effect for a broker. It is updated key by key, since a cluster may hold thousands of commands.
+/// The conditions in effect for a broker. It is updated key by key, since a cluster may hold thousands of
+/// commands.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DerivedState {
     /// The ids of servers that operators have disabled.
@@ -77,7 +78,7 @@
     }
 }
 
-/// What peers learnt of a server from discovery.
+/// What discovery reported of a server to any broker of the cluster.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct NodeHints {
     /// Its latest drain, if any is known.
@@ -86,7 +87,7 @@
     pub started: Nanos,
 }
 
-/// Returns what peers learnt from discovery, by the server's id.
+/// Returns what discovery reported to any broker of the cluster, by the server's id.
 pub fn node_hints(store: &StateStore) -> BTreeMap<String, NodeHints> {
     let mut hints: BTreeMap<String, NodeHints> = BTreeMap::new();
     for (key, value) in store.facts() {
--- a/src/replication/fact.rs
+++ b/src/replication/fact.rs
@@ -69,8 +69,8 @@
     }
 }
 
-/// Which process of a server a report of discovery is about, and how recent the report is. Reports are ordered by the
-/// start of the process, those of one process by the version of the list.
+/// Which process of a server a report of discovery is about, and how recent the report is. Reports are
+/// ordered by the start of the process, those of one process by the version of the list.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ProcessStart {
     /// When the process started, in Unix nanoseconds; 0 if that is unknown.
--- a/src/replication/merkle_tree.rs
+++ b/src/replication/merkle_tree.rs
@@ -1,9 +1,10 @@
 //! Digests of a store, by which two stores that differ find the differing facts after few comparisons.
 //!
-//! Every fact belongs to a leaf, chosen by the hash of its key. The digest of a leaf is the exclusive or of the hashes of
-//! its facts, that of a branch combines its leaves, that of the root combines all. One change therefore updates three
-//! digests, whatever the size of the store. The hash is not cryptographic: peers belong to the operator, so nobody makes
-//! collisions on purpose; two different stores have equal roots by chance with probability 2^-64.
+//! Every fact belongs to a leaf, chosen by the hash of its key. The digest of a leaf is the exclusive or of
+//! the hashes of its facts, that of a branch combines its leaves, that of the root combines all. One change
+//! therefore updates three digests, whatever the size of the store. The hash is not cryptographic: peers
+//! belong to the operator, so nobody makes collisions on purpose; two different stores have equal roots by
+//! chance with probability 2^-64.
 
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64;
@@ -41,8 +42,8 @@
 }
 
 impl MerkleTree {
-    /// Adds the hash of a fact to the digests on its path, or removes it if it was added before. To change a fact, toggle
-    /// the hash of its old value and that of its new one.
+    /// Adds the hash of a fact to the digests on its path, or removes it if it was added before. To change a
+    /// fact, toggle the hash of its old value and that of its new one.
     pub fn toggle(&mut self, leaf: u16, hash: u64) {
         let digest = self.leaves.entry(leaf).or_insert(0);
         *digest ^= hash;
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -1,7 +1,8 @@
-//! State that is replicated to all brokers of a cluster: operators' commands, and what discovery reported of drains and
-//! starts. Free of I/O and clock.
+//! State that is replicated to all brokers of a cluster: operators' commands, and what discovery reported of
+//! drains and starts. Free of I/O and clock.
 //!
-//! Every broker has a copy of all of it, a state-based CRDT. `docs/replication.md` describes the design and its proofs.
+//! Every broker has a copy of all of it, a state-based CRDT. `docs/replication.md` describes the design and
+//! its proofs.
 //!
 //! - [`version_vector`]: dots, which identify commands without clocks, and sets of them;
 //! - [`multi_value_register`]: commands on one subject, of which concurrent ones are all retained;
--- a/src/replication/multi_value_register.rs
+++ b/src/replication/multi_value_register.rs
@@ -1,7 +1,8 @@
 //! Operators' commands, and the multi-value register that holds the latest commands on one subject.
 //!
-//! A command supersedes the commands that were known where it was given, and no others. Concurrent commands, each given
-//! without knowledge of the other, are both retained until the next command; they conflict if they differ in effect.
+//! A command supersedes the commands that were known where it was given, and no others. Concurrent commands,
+//! each given without knowledge of the other, are both retained until the next command; they conflict if they
+//! differ in effect.
 
 use super::version_vector::{Dot, VersionVector};
 use crate::api::Nanos;
@@ -53,8 +54,8 @@
     /// The broker that accepted it.
     #[serde(rename = "at_broker")]
     pub broker: String,
-    /// When that broker accepted it, in Unix nanoseconds by its clock. Shown to operators and used for retention; it never
-    /// decides between commands.
+    /// When that broker accepted it, in Unix nanoseconds by its clock. Shown to operators and used for
+    /// retention; it never decides between commands.
     #[serde(rename = "at")]
     pub issued_at: Nanos,
     /// When it ceases to be in effect, in Unix nanoseconds; without it, at the next command.
@@ -68,7 +69,8 @@
         self.value == CommandValue::Set && self.expires_at.is_none_or(|expiry| now < expiry)
     }
 
-    /// Whether it has had no effect for longer than `retention`. A command that only another one can end never expires.
+    /// Whether it has had no effect for longer than `retention`. A command that only another one can end
+    /// never expires.
     fn is_expired(&self, now: Nanos, retention: Nanos) -> bool {
         let ended_at = match (&self.value, self.expires_at) {
             (CommandValue::Clear, _) => self.issued_at,
@@ -93,7 +95,8 @@
 pub struct Register {
     #[serde(rename = "said", with = "as_pairs")]
     commands: BTreeMap<Dot, OperatorCommand>,
-    /// The dots of all commands that the register ever had, superseded ones included and collected ones excluded.
+    /// The dots of all commands that the register ever had, superseded ones included and collected ones
+    /// excluded.
     #[serde(rename = "seen")]
     causal_context: VersionVector,
 }
@@ -113,7 +116,8 @@
 }
 
 impl Register {
-    /// Whether commands could have produced this register: each is in the causal context and within the limits.
+    /// Whether commands could have produced this register: each is in the causal context and within the
+    /// limits.
     pub fn is_valid(&self) -> bool {
         self.commands.iter().all(|(dot, command)| {
             dot.sequence > 0 && self.causal_context.contains(*dot) && command.is_within_limits()
@@ -136,7 +140,8 @@
         &self.causal_context
     }
 
-    /// Joins the register of another copy. `collected` are the dots that garbage collection removed, in any copy.
+    /// Joins the register of another copy. `collected` are the dots that garbage collection removed, in any
+    /// copy.
     pub fn join(&mut self, other: &Register, collected: &VersionVector) {
         let mut joined = BTreeMap::new();
         for (dot, command) in &self.commands {
@@ -211,7 +216,8 @@
             causal_context: commands.iter().map(|(dot, _)| *dot).collect(),
         };
         let mut parts: Vec<Register> = commands.chunks(max_commands.max(1)).map(part).collect();
-        // The superseded dots travel in a part without the retained ones: no part may end a command of another part.
+        // The superseded dots travel in a part without the retained ones: no part may end a command of
+        // another part.
         let mut superseded = self.causal_context.clone();
         superseded.subtract(&self.commands.keys().copied().collect());
         parts.push(Register { commands: BTreeMap::new(), causal_context: superseded });
--- a/src/replication/rumor_queue.rs
+++ b/src/replication/rumor_queue.rs
@@ -1,7 +1,7 @@
 //! Rumor mongering: a fact that is new to a broker is sent a few times, to peers drawn at random.
 //!
-//! A broker sends such a fact for a number of rounds that grows with the logarithm of the cluster's size. A peer that was
-//! missed, or was away, receives the fact by anti-entropy.
+//! A broker sends such a fact for a number of rounds that grows with the logarithm of the cluster's size. A
+//! peer that was missed, or was away, receives the fact by anti-entropy.
 
 use super::anti_entropy;
 use super::fact::{Fact, FactKey};
@@ -20,7 +20,8 @@
 }
 
 impl RumorQueue {
-    /// Queues a fact that is new here, in a cluster of so many brokers. One that is queued already starts anew.
+    /// Queues a fact that is new here, in a cluster of so many brokers. One that is queued already starts
+    /// anew.
     pub fn push(&mut self, key: FactKey, brokers: usize) {
         if self.remaining_rounds.len() < MAX_QUEUED_FACTS || self.remaining_rounds.contains_key(&key) {
             self.remaining_rounds.insert(key, dissemination_rounds(brokers));
@@ -32,9 +33,9 @@
         self.remaining_rounds.is_empty()
     }
 
-    /// Takes the facts of the next datagram, at most `max_bytes` of them, those with most rounds remaining first. Each of
-    /// them has one round less afterwards. Facts that are not in the store any more, or that alone exceed `max_bytes`, are
-    /// removed from the queue: anti-entropy transfers the latter.
+    /// Takes the facts of the next datagram, at most `max_bytes` of them, those with most rounds remaining
+    /// first. Each of them has one round less afterwards. Facts that are not in the store any more, or that
+    /// alone exceed `max_bytes`, are removed from the queue: anti-entropy transfers the latter.
     pub fn take(&mut self, store: &StateStore, max_bytes: usize) -> Vec<Fact> {
         let mut facts = Vec::new();
         let mut bytes = 0;
--- a/src/replication/state_store.rs
+++ b/src/replication/state_store.rs
@@ -19,7 +19,8 @@
     /// The store has as many facts as its limits permit.
     #[error("there are as many facts as may be")]
     AtCapacity,
-    /// Another process uses the origin of this store; [`StateStore::set_origin`] must give it a new one first.
+    /// Another process uses the origin of this store; [`StateStore::set_origin`] must give it a new one
+    /// first.
     #[error("another process uses these stamps")]
     DuplicateOrigin,
 }
@@ -30,16 +31,17 @@
 /// How many facts a store holds, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreLimits {
-    /// Most registers that commands at this broker may create. Those of peers are taken up to twice this number, since
-    /// what another broker has acknowledged must not be lost.
+    /// Most registers that commands at this broker may create. Those of peers are taken up to twice this
+    /// number, since what another broker has acknowledged must not be lost.
     pub max_registers: usize,
-    /// Most servers of which the latest drain is held, and of which the latest start is held; the earliest are evicted.
+    /// Most servers of which the latest drain is stored, and of which the latest start is stored; the
+    /// earliest are evicted.
     pub max_servers: usize,
     /// How long an expired register is retained until only its dots remain, in nanoseconds.
     pub retention: Nanos,
     /// How far ahead of this broker's clock a reported start may be, in nanoseconds.
     pub max_clock_lead: Nanos,
-    /// Most origins of which collected dots are held; beyond it nothing is collected here.
+    /// Most origins of which collected dots are stored; beyond it nothing is collected here.
     pub max_origins: usize,
 }
 
@@ -76,8 +78,8 @@
     }
 }
 
-/// A copy of the replicated facts. Joining is commutative, associative and idempotent: copies that have received the same
-/// facts are equal, in whatever order and however often these arrived.
+/// A copy of the replicated facts. Joining is commutative, associative and idempotent: copies that have
+/// received the same facts are equal, in whatever order and however often these arrived.
 #[derive(Clone, Debug)]
 pub struct StateStore {
     limits: StoreLimits,
@@ -253,9 +255,9 @@
     ///
     /// # Errors
     ///
-    /// [`JoinError::Invalid`] if the key takes no commands or a text is too long, [`JoinError::DuplicateOrigin`] if
-    /// another process uses this origin, [`JoinError::AtCapacity`] if a new register would exceed the limits. The store is
-    /// unchanged then.
+    /// [`JoinError::Invalid`] if the key takes no commands or a text is too long,
+    /// [`JoinError::DuplicateOrigin`] if another process uses this origin, [`JoinError::AtCapacity`] if a new
+    /// register would exceed the limits. The store is unchanged then.
     pub fn record(&mut self, key: &FactKey, command: OperatorCommand) -> Result<Dot, JoinError> {
         let has_name = key.name().is_some_and(|name| !name.is_empty() && name.len() <= MAX_NAME_BYTES);
         if !has_name || !command.is_within_limits() || matches!(key, FactKey::Drain(_) | FactKey::Start(_)) {
@@ -280,8 +282,9 @@
     ///
     /// # Errors
     ///
-    /// [`JoinError::Invalid`] if the value does not fit the key or a text is too long, [`JoinError::FromTheFuture`] if a
-    /// reported start is too far ahead of `now`, [`JoinError::AtCapacity`] if the limits are exceeded.
+    /// [`JoinError::Invalid`] if the value does not fit the key or a text is too long,
+    /// [`JoinError::FromTheFuture`] if a reported start is too far ahead of `now`, [`JoinError::AtCapacity`]
+    /// if the limits are exceeded.
     pub fn join(&mut self, key: &FactKey, value: &FactValue, now: Nanos) -> Result<bool, JoinError> {
         if key.name().is_some_and(|name| name.is_empty() || name.len() > MAX_NAME_BYTES) {
             return Err(JoinError::Invalid);
@@ -303,7 +306,8 @@
         if !theirs.is_valid() {
             return Err(JoinError::Invalid);
         }
-        // A process whose memory was copied has the same origin: its dots must not be used for other commands here.
+        // A process whose memory was copied has the same origin: its dots must not be used for other commands
+        // here.
         let own_dots = theirs.causal_context().ranges_of(self.origin);
         if own_dots.and_then(Ranges::last).is_some_and(|last| last > self.last_sequence) {
             self.duplicate_origin = true;
@@ -361,8 +365,8 @@
         Ok(true)
     }
 
-    /// Removes a bounded number of expired registers. Only their dots remain, so that no copy that was away can bring them
-    /// back. Returns the keys that changed.
+    /// Removes a bounded number of expired registers. Only their dots remain, so that no copy that was away
+    /// can bring them back. Returns the keys that changed.
     pub fn collect_garbage(&mut self, now: Nanos) -> Vec<FactKey> {
         let is_expired = |register: &Register| register.is_expired(now, self.limits.retention);
         let mut changed = Vec::new();
--- a/src/replication/version_vector.rs
+++ b/src/replication/version_vector.rs
@@ -1,8 +1,8 @@
 //! Version vectors: sets of dots, that is of operations by origin and sequence number.
 //!
-//! Causality is tracked by dots alone; clocks take no part in it. An origin is one process of a broker, drawn at random at
-//! each start. A disk that was restored, a copied directory or two processes under one name therefore can't use a dot
-//! twice.
+//! Causality is tracked by dots alone; clocks take no part in it. An origin is one process of a broker, drawn
+//! at random at each start. A disk that was restored, a copied directory or two processes under one name
+//! therefore can't use a dot twice.
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -122,8 +122,8 @@
         self.0.last().map(|(_, end)| *end)
     }
 
-    /// Splits the set into sets of at most `max_ranges` ranges, or of one range if that is 0. An empty set gives one empty
-    /// set.
+    /// Splits the set into sets of at most `max_ranges` ranges, or of one range if that is 0. An empty set
+    /// gives one empty set.
     pub fn split(&self, max_ranges: usize) -> Vec<Ranges> {
         if self.is_empty() {
             return vec![Ranges::default()];
