--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -1,4 +1,5 @@
-//! Permits for work on machines: the guards on the table, and a model check of the majority that agrees on it.
+//! Permits for work on machines: the guards on the table, and a model check of the majority that agrees on
+//! it.
 
 use pebbleturn::maintenance::*;
 use quickcheck::quickcheck;
@@ -25,7 +26,7 @@
 }
 
 #[test]
-fn a_machine_goes_its_way_step_by_step_and_its_place_stays_taken_until_it_is_back() {
+fn a_machine_advances_phase_by_phase_and_has_its_permit_until_released() {
     let rules = rules(1, 1);
     let none = Permits::default();
     assert_eq!(grant(&none, "m-9", &rules), Err(PermitError::UnknownMachine));
@@ -56,7 +57,7 @@
     let back = p.advance("m-0", 1, MaintenancePhase::WarmingUp, 10).unwrap();
     let next = grant(&back.release("m-0", 1).unwrap(), "m-2", &rules).unwrap();
     assert_eq!(fence(&next, "m-2"), 2);
-    // Whoever comes late with an old permit is told so.
+    // A stale fencing token is rejected.
     assert_eq!(next.release("m-0", 1), Err(PermitError::StaleFencingToken { given: 1, current: None }));
     let again = grant(&next.release("m-2", 2).unwrap(), "m-0", &rules).unwrap();
     assert_eq!(
@@ -69,7 +70,7 @@
 }
 
 #[test]
-fn no_partition_is_left_with_fewer_holders_than_must_stay() {
+fn no_partition_is_left_with_too_few_holders() {
     let rules = rules(4, 1);
     let p = grant(&Permits::default(), "m-1", &rules).unwrap();
     // Its neighbours hold partitions together with it; the one across holds none of them.
@@ -115,14 +116,17 @@
 }
 
 quickcheck! {
-    /// Whatever is asked in whatever order: never more out than may be, no partition without holders, no fence twice.
-    fn no_run_of_changes_breaks_a_guard(asked: Vec<(u8, u8)>) -> bool {
+    /// Whatever is asked in whatever order: never more out than may be, no partition without holders, no
+    /// fence twice.
+    fn no_sequence_of_changes_breaks_a_rule(asked: Vec<(u8, u8)>) -> bool {
         let rules = rules(2, 1);
         let (mut p, mut fences) = (Permits::default(), BTreeSet::new());
         for (what, n) in asked {
             let machine = format!("m-{}", n % 4);
             let standing = fence(&p, &machine);
-            let to = [MaintenancePhase::Drained, MaintenancePhase::UnderMaintenance, MaintenancePhase::WarmingUp][usize::from(n / 4 % 3)];
+            let phases =
+                [MaintenancePhase::Drained, MaintenancePhase::UnderMaintenance, MaintenancePhase::WarmingUp];
+            let to = phases[usize::from(n / 4 % 3)];
             let next = match what % 4 {
                 0 => grant(&p, &machine, &rules),
                 1 => p.advance(&machine, standing, to, 7),
@@ -130,15 +134,16 @@
                 _ => p.advance(&machine, standing.saturating_sub(1), to, 7),
             };
             if let Ok(next) = next {
-                if next.last_fencing_token() != p.last_fencing_token() && !fences.insert(fence(&next, &machine)) {
+                let is_granted = next.last_fencing_token() != p.last_fencing_token();
+                if is_granted && !fences.insert(fence(&next, &machine)) {
                     return false;
                 }
                 p = next;
             }
             let out: Vec<&str> = p.active().map(|(m, _)| m).collect();
             let together = |a: &str, b: &str| out.contains(&a) && out.contains(&b);
-            let held = (0..4).all(|n| !together(&format!("m-{n}"), &format!("m-{}", (n + 1) % 4)));
-            if out.len() > 2 || !held {
+            let has_holders = (0..4).all(|n| !together(&format!("m-{n}"), &format!("m-{}", (n + 1) % 4)));
+            if out.len() > 2 || !has_holders {
                 return false;
             }
         }
@@ -150,15 +155,15 @@
 
 /// Which rule is broken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Broken {
+enum BrokenRule {
     Nothing,
-    /// A voter that starts again has forgotten what it promised and accepted.
+    /// An acceptor that restarts has lost what it promised and accepted.
     Disk,
-    /// A voter accepts below its promise.
+    /// A acceptor accepts below its promise.
     Promise,
-    /// One voter of three is a majority.
+    /// One acceptor of three is a majority.
     Majority,
-    /// A proposer goes by the table that it knew, not by the one it was told.
+    /// A proposer derives the next table from the one that it knew, not from the one that it read.
     Read,
     /// A broker acts on what it proposed before that is agreed on.
     Early,
@@ -166,39 +171,40 @@
     Expires,
 }
 
-/// Two brokers, three voters. The first holds the only permit, for an empty machine, and wants to begin the work. The other
-/// one has not heard of it for long: it ends the permit, if it may, and takes another machine out.
+/// Two brokers, three acceptors. The first holds the only permit, for an empty machine, and wants to begin
+/// the work. The other one has not heard of it for long: it ends the permit, if it may, and takes another
+/// machine out.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct World {
-    voters: Vec<Acceptor<Permits>>,
+struct ModelState {
+    acceptors: Vec<Acceptor<Permits>>,
     attempts: Vec<Option<Proposer<Permits>>>,
     /// Attempts that each has begun.
     begun: Vec<u64>,
-    asks: BTreeSet<(usize, usize, Request<Permits>)>,
-    answers: BTreeSet<(usize, usize, Response<Permits>)>,
+    requests: BTreeSet<(usize, usize, Request<Permits>)>,
+    responses: BTreeSet<(usize, usize, Response<Permits>)>,
     /// Machines on which work goes on.
     out: BTreeSet<&'static str>,
     crashes: usize,
-    doubled: usize,
+    duplicated: usize,
 }
 
 #[derive(Clone, Debug, PartialEq)]
-enum Act {
+enum Action {
     Begin(usize),
-    Ask(usize, usize, Request<Permits>),
-    Answer(usize, usize, Response<Permits>),
+    DeliverRequest(usize, usize, Request<Permits>),
+    DeliverResponse(usize, usize, Response<Permits>),
     /// It comes, and will come once more.
-    Twice(usize, usize, Request<Permits>),
+    Duplicate(usize, usize, Request<Permits>),
     Crash(usize),
 }
 
 struct Check {
-    broken: Broken,
+    broken: BrokenRule,
     attempts: [u64; 2],
-    doubles: usize,
+    max_duplicates: usize,
 }
 
-const VOTERS: usize = 3;
+const ACCEPTORS: usize = 3;
 
 fn first_table() -> Permits {
     let p = grant(&Permits::default(), "m-0", &rules(1, 1)).unwrap();
@@ -212,7 +218,7 @@
             return Some((read.advance("m-0", 1, MaintenancePhase::UnderMaintenance, 7).ok()?, "m-0"));
         }
         let ended = match self.broken {
-            Broken::Expires => read.write_off("m-0", 1),
+            BrokenRule::Expires => read.write_off("m-0", 1),
             _ => read.release("m-0", 1),
         };
         let granted = grant(&ended.unwrap_or(read.clone()), "m-2", &rules(1, 1)).ok()?;
@@ -221,25 +227,25 @@
         Some((empty.advance("m-2", fence, MaintenancePhase::UnderMaintenance, 7).ok()?, "m-2"))
     }
 
-    fn ask_all(&self, w: &mut World, broker: usize, ask: &Request<Permits>) {
-        w.asks.extend((0..VOTERS).map(|v| (broker, v, ask.clone())));
+    fn request_all(&self, w: &mut ModelState, broker: usize, request: &Request<Permits>) {
+        w.requests.extend((0..ACCEPTORS).map(|v| (broker, v, request.clone())));
     }
 
     /// Goes on where an attempt has come to its next stage.
-    fn go_on(&self, w: &mut World, broker: usize) {
+    fn advance_attempt(&self, w: &mut ModelState, broker: usize) {
         let Some(mut attempt) = w.attempts[broker].clone() else { return };
         match attempt.state().clone() {
             ProposerState::Prepared(read) => {
-                let read = if self.broken == Broken::Read { None } else { read };
+                let read = if self.broken == BrokenRule::Read { None } else { read };
                 let Some((next, machine)) = self.change(broker, &read.unwrap_or_else(first_table)) else {
                     w.attempts[broker] = None;
                     return;
                 };
-                if self.broken == Broken::Early {
+                if self.broken == BrokenRule::Early {
                     w.out.insert(machine);
                 }
-                if let Some(ask) = attempt.propose(next) {
-                    self.ask_all(w, broker, &ask);
+                if let Some(request) = attempt.propose(next) {
+                    self.request_all(w, broker, &request);
                 }
                 w.attempts[broker] = Some(attempt);
             }
@@ -254,76 +260,77 @@
 }
 
 impl Model for Check {
-    type State = World;
-    type Action = Act;
+    type State = ModelState;
+    type Action = Action;
 
-    fn init_states(&self) -> Vec<World> {
-        vec![World {
-            voters: vec![Acceptor::default(); VOTERS],
+    fn init_states(&self) -> Vec<ModelState> {
+        vec![ModelState {
+            acceptors: vec![Acceptor::default(); ACCEPTORS],
             attempts: vec![None; 2],
             begun: vec![0; 2],
-            asks: BTreeSet::new(),
-            answers: BTreeSet::new(),
+            requests: BTreeSet::new(),
+            responses: BTreeSet::new(),
             out: BTreeSet::new(),
             crashes: 0,
-            doubled: 0,
+            duplicated: 0,
         }]
     }
 
-    fn actions(&self, w: &World, acts: &mut Vec<Act>) {
+    fn actions(&self, w: &ModelState, acts: &mut Vec<Action>) {
         for broker in 0..2 {
             // One may be given up for another: what it sent is still on its way.
             if w.begun[broker] < self.attempts[broker] {
-                acts.push(Act::Begin(broker));
+                acts.push(Action::Begin(broker));
             }
         }
         // What is on its way comes in any order, or never; one of all may come twice.
-        acts.extend(w.asks.iter().map(|(b, v, a)| Act::Ask(*b, *v, a.clone())));
-        acts.extend(w.answers.iter().map(|(b, v, a)| Act::Answer(*b, *v, a.clone())));
-        if w.doubled < self.doubles {
-            acts.extend(w.asks.iter().map(|(b, v, a)| Act::Twice(*b, *v, a.clone())));
+        acts.extend(w.requests.iter().map(|(b, v, a)| Action::DeliverRequest(*b, *v, a.clone())));
+        acts.extend(w.responses.iter().map(|(b, v, a)| Action::DeliverResponse(*b, *v, a.clone())));
+        if w.duplicated < self.max_duplicates {
+            acts.extend(w.requests.iter().map(|(b, v, a)| Action::Duplicate(*b, *v, a.clone())));
         }
-        // A voter that has all on disk is the same after a crash: only one that forgets is worth a step.
-        if w.crashes == 0 && self.broken == Broken::Disk {
-            acts.extend((0..VOTERS).map(Act::Crash));
+        // A acceptor that has all on disk is the same after a crash: only one that forgets is worth a step.
+        if w.crashes == 0 && self.broken == BrokenRule::Disk {
+            acts.extend((0..ACCEPTORS).map(Action::Crash));
         }
     }
 
-    fn next_state(&self, last: &World, act: Act) -> Option<World> {
+    fn next_state(&self, last: &ModelState, act: Action) -> Option<ModelState> {
         let mut w = last.clone();
         match act {
-            Act::Begin(broker) => {
+            Action::Begin(broker) => {
                 w.begun[broker] += 1;
                 let ballot = Ballot { round: w.begun[broker], proposer: broker as u64 + 1 };
-                let group = if self.broken == Broken::Majority { 1 } else { VOTERS };
-                let (attempt, ask) = Proposer::begin(ballot, group);
+                let group = if self.broken == BrokenRule::Majority { 1 } else { ACCEPTORS };
+                let (attempt, request) = Proposer::begin(ballot, group);
                 w.attempts[broker] = Some(attempt);
-                self.ask_all(&mut w, broker, &ask);
+                self.request_all(&mut w, broker, &request);
             }
-            Act::Ask(broker, voter, ref ask) | Act::Twice(broker, voter, ref ask) => {
+            Action::DeliverRequest(broker, acceptor, ref request)
+            | Action::Duplicate(broker, acceptor, ref request) => {
                 match act {
-                    Act::Ask(..) => {
-                        w.asks.remove(&(broker, voter, ask.clone()));
+                    Action::DeliverRequest(..) => {
+                        w.requests.remove(&(broker, acceptor, request.clone()));
                     }
-                    _ => w.doubled += 1,
+                    _ => w.duplicated += 1,
                 }
-                if self.broken == Broken::Promise && matches!(ask, Request::Accept { .. }) {
-                    w.voters[voter] = Acceptor::default();
+                if self.broken == BrokenRule::Promise && matches!(request, Request::Accept { .. }) {
+                    w.acceptors[acceptor] = Acceptor::default();
                 }
-                let answer = w.voters[voter].on_request(ask);
-                w.answers.insert((broker, voter, answer));
+                let response = w.acceptors[acceptor].on_request(request);
+                w.responses.insert((broker, acceptor, response));
             }
-            Act::Answer(broker, voter, answer) => {
-                w.answers.remove(&(broker, voter, answer.clone()));
+            Action::DeliverResponse(broker, acceptor, response) => {
+                w.responses.remove(&(broker, acceptor, response.clone()));
                 if let Some(attempt) = &mut w.attempts[broker] {
-                    attempt.on_response(voter as u64, &answer);
+                    attempt.on_response(acceptor as u64, &response);
                 }
-                self.go_on(&mut w, broker);
+                self.advance_attempt(&mut w, broker);
             }
-            Act::Crash(voter) => {
+            Action::Crash(acceptor) => {
                 w.crashes += 1;
-                if self.broken == Broken::Disk {
-                    w.voters[voter] = Acceptor::default();
+                if self.broken == BrokenRule::Disk {
+                    w.acceptors[acceptor] = Acceptor::default();
                 }
             }
         }
@@ -332,25 +339,33 @@
 
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
-            Property::always("no more machines are out than may be", |_: &Check, w: &World| w.out.len() <= 1),
-            Property::sometimes("the first may begin", |_: &Check, w: &World| w.out.contains("m-0")),
-            Property::sometimes("the other may take its place", |_: &Check, w: &World| w.out.contains("m-2")),
+            Property::always("no more machines are out than may be", |_: &Check, w: &ModelState| {
+                w.out.len() <= 1
+            }),
+            Property::sometimes("the first may begin", |_: &Check, w: &ModelState| w.out.contains("m-0")),
+            Property::sometimes("the other may take its place", |_: &Check, w: &ModelState| {
+                w.out.contains("m-2")
+            }),
         ]
     }
 }
 
-fn found(broken: Broken, attempts: [u64; 2], doubles: usize) -> (bool, usize) {
+fn check(broken: BrokenRule, attempts: [u64; 2], max_duplicates: usize) -> (bool, usize) {
     let threads = std::thread::available_parallelism().map_or(1, usize::from);
     let always = "no more machines are out than may be";
-    let first = if broken == Broken::Nothing {
+    let first = if broken == BrokenRule::Nothing {
         HasDiscoveries::All
     } else {
         HasDiscoveries::AllOf([always].into_iter().collect())
     };
-    let checker =
-        Check { broken, attempts, doubles }.checker().threads(threads).finish_when(first).spawn_dfs().join();
+    let checker = Check { broken, attempts, max_duplicates }
+        .checker()
+        .threads(threads)
+        .finish_when(first)
+        .spawn_dfs()
+        .join();
     let discoveries = checker.discoveries();
-    if broken == Broken::Nothing {
+    if broken == BrokenRule::Nothing {
         assert_eq!(
             discoveries.len() - usize::from(discoveries.contains_key(always)),
             2,
@@ -361,23 +376,28 @@
 }
 
 #[test]
-fn no_order_of_messages_and_crashes_takes_out_more_machines_than_may_be() {
-    let (wrong, states) = found(Broken::Nothing, [1, 1], 0);
+fn no_order_of_messages_and_crashes_exceeds_the_permit_limit() {
+    let (wrong, states) = check(BrokenRule::Nothing, [1, 1], 0);
     assert!(!wrong);
     assert!(states > 100_000, "{states}");
 }
 
 #[test]
-fn nor_does_a_message_that_comes_twice() {
-    let (wrong, states) = found(Broken::Nothing, [1, 1], 1);
+fn duplicated_messages_do_not_exceed_the_permit_limit() {
+    let (wrong, states) = check(BrokenRule::Nothing, [1, 1], 1);
     assert!(!wrong && states > 2_000_000, "{states}");
 }
 
 #[test]
-fn each_broken_rule_of_agreement_is_caught() {
-    for broken in
-        [Broken::Disk, Broken::Promise, Broken::Majority, Broken::Read, Broken::Early, Broken::Expires]
-    {
-        assert!(found(broken, [1, 1], 0).0, "{broken:?} was not caught");
+fn each_broken_rule_of_consensus_is_detected() {
+    for broken in [
+        BrokenRule::Disk,
+        BrokenRule::Promise,
+        BrokenRule::Majority,
+        BrokenRule::Read,
+        BrokenRule::Early,
+        BrokenRule::Expires,
+    ] {
+        assert!(check(broken, [1, 1], 0).0, "{broken:?} was not caught");
     }
 }
