--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -3,10 +3,10 @@
 use super::codec::{self, DATAGRAM, Datagram, FIRST, FrameError, LATEST, Sender, StreamFrame};
 use super::swim::{self, PeerEvent, PeerStatus, Probe, StatusUpdate, Swim};
 use crate::api::Nanos;
+use crate::replication::Fact;
 use crate::replication::anti_entropy::{self, SyncMessage, SyncSession};
 use crate::replication::derived_state::DerivedState;
 use crate::replication::rumor_queue::RumorQueue;
-use crate::replication::state_store::Fact;
 use crate::replication::{
     Dot, FactKey, FactValue, JoinError, OperatorCommand, Origin, ProcessStart, StateStore, StoreLimits,
 };
@@ -700,7 +700,7 @@
                 (n, StreamFrame::Hello { sender: self.sender(), rumours: self.swim.all() })
             }
             (Some(n), StreamFrame::Walk(message)) => {
-                self.take_in(anti_entropy::facts(&message), from, now);
+                self.take_in(message.facts(), from, now);
                 (
                     n,
                     StreamFrame::Walk(
@@ -734,7 +734,7 @@
                 Some(first)
             }
             (StreamFrame::Walk(message), None) => {
-                self.take_in(anti_entropy::facts(&message), from, now);
+                self.take_in(message.facts(), from, now);
                 match o.walk.on_response(&self.copy, &message) {
                     Ok(next) => next,
                     Err(_) => {
