Split the state directory, and make states and errors of hot_restart types

The state directory did three jobs in one file; what is held was a tuple, and why a file isn't used was a string. Now: files, worker thread and handle apart; ResourceUsage, Successor, JoinedHotRestart and LocalState in place of tuples; StateDirectoryError and StateFileError by thiserror, with source. Missing docs and long or complex functions are denied.

--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -136,8 +136,8 @@
         retry_budget_window: settings.retry_budget.map_or(0, |b| b.window),
     };
     let handed = told.operation.hand_over.as_deref().and_then(|dir| HotRestart::open(dir, limits, now));
-    if let Some((_, _, lists)) = &handed {
-        roster.restore(lists, now);
+    if let Some(joined) = &handed {
+        roster.restore(&joined.snapshots, now);
     }
     roster.restore(&kept, now);
     let path = m.nodes_file.clone();
@@ -157,7 +157,7 @@
     });
     let out = handed
         .iter()
-        .flat_map(|(_, words, _)| words.suspended_servers())
+        .flat_map(|joined| joined.overrides.suspended_servers())
         .map(str::to_owned)
         .collect::<Vec<_>>();
     let mut membership = MembershipDriver::new(roster, keeper).with_suspended(out).with_routing(routing);
@@ -205,8 +205,8 @@
     if let Some(ops) = ops {
         broker.listen_admin(ops)?;
     }
-    if let Some((handover, words, _)) = handed {
-        broker.join_hot_restart(handover, words);
+    if let Some(joined) = handed {
+        broker.join_hot_restart(joined.hot_restart, joined.overrides);
     }
     if let Some(cluster) = cluster {
         broker.join_cluster(&cluster, &name)?;
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -97,8 +97,8 @@
         retry_budget_window: settings.retry_budget.map_or(0, |b| b.window),
     };
     let handed = told.hand_over.as_deref().and_then(|dir| HotRestart::open(dir, limits_of_all, now));
-    if let Some((_, _, lists)) = &handed {
-        roster.restore(lists, now);
+    if let Some(joined) = &handed {
+        roster.restore(&joined.snapshots, now);
     }
     roster.restore(&kept, now);
     if let Some(list) = &told.known {
@@ -106,7 +106,7 @@
     }
     let out = handed
         .iter()
-        .flat_map(|(_, words, _)| words.suspended_servers())
+        .flat_map(|joined| joined.overrides.suspended_servers())
         .map(str::to_owned)
         .collect::<Vec<_>>();
     let watch = DiscoveryWatch::new(ROSTER, told.discovery, told.params.dial_timeout());
@@ -145,8 +145,8 @@
     if let Some(ops) = told.ops {
         broker.listen_admin(ops)?;
     }
-    if let Some((handover, words, _)) = handed {
-        broker.join_hot_restart(handover, words);
+    if let Some(joined) = handed {
+        broker.join_hot_restart(joined.hot_restart, joined.overrides);
     }
     Ok((broker, listening))
 }
--- a/src/hot_restart/mod.rs
+++ b/src/hot_restart/mod.rs
@@ -1,15 +1,25 @@
-//! Several processes at one address: an old one and the new one that takes over from it are one broker.
+//! Hot restart: several processes at one address, an old one and the new one that replaces it, act as one broker.
 //!
-//! - [`state`] is what they tell each other, and how what staff say is merged;
-//! - [`coordination`] decides what follows: who may have how much of the limits, and who leaves;
-//! - [`state_directory`] is the directory through which they tell it.
+//! - [`state`] is what a process publishes to the others, and how operators' overrides are merged;
+//! - [`coordination`] decides how the processes share the limits, and which of them drains;
+//! - [`state_directory`] is the directory through which the states are exchanged.
 //!
-//! The ways that were weighed are in `docs/handover.md`.
+//! The alternatives that were considered are in `docs/hot-restart.md`.
+
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 pub mod coordination;
 pub mod state;
 pub mod state_directory;
 
+pub use coordination::ResourceUsage;
+
 use crate::api::Nanos;
 use crate::membership::snapshot::Snapshot;
 use coordination::{Coordination, PeerProcess, QuotaShare, SharedLimits};
@@ -17,130 +27,133 @@
 use state_directory::{StateDirectory, StateUpdate};
 use std::path::Path;
 
-/// Time between two states that are left, and between two looks at what the others left.
+/// Time between two published states, ns.
 const PUBLISH_INTERVAL: Nanos = 100_000_000;
 
-/// How this process stands when it leaves a state.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ResourceUsage {
-    /// Descriptors.
-    pub descriptors: usize,
-    /// Queries and parts.
+/// This process, and what it inherits from the processes before it.
+#[derive(Debug)]
+pub struct JoinedHotRestart {
+    /// This process among those at its address.
+    pub hot_restart: HotRestart,
+    /// The operators' overrides that still hold.
+    pub overrides: Overrides,
+    /// The endpoint lists of the processes before, the oldest process first.
+    pub snapshots: Vec<Snapshot>,
+}
+
+/// What a process publishes of itself, beside its stage and its descriptor lease.
+#[derive(Debug)]
+pub struct LocalState<'a> {
+    /// Queries and parts in flight.
     pub in_flight: usize,
-    /// Ids of open queries.
+    /// Ids of the open queries, which the other processes reject.
     pub open_query_ids: Vec<String>,
+    /// The operators' overrides.
+    pub overrides: &'a Overrides,
+    /// Version of the endpoint list, as the membership counts it.
+    pub snapshot_version: (u32, u64),
 }
 
-/// This process's place among those at its address.
+/// This process among those at its address.
 #[derive(Debug)]
 pub struct HotRestart {
     directory: StateDirectory,
     coordination: Coordination,
     stage: ProcessStage,
-    /// The list that was last left, by its version.
+    /// Version of the endpoint list that was last published.
     published_version: Option<(u32, u64)>,
     next_publish_at: Nanos,
 }
 
 impl HotRestart {
-    /// Takes its place: what staff said to the processes before, and their lists of servers. None where the directory
-    /// can't be used: the process then starts as if it were alone.
-    pub fn open(
-        dir: &Path,
-        limits: SharedLimits,
-        now: Nanos,
-    ) -> Option<(HotRestart, Overrides, Vec<Snapshot>)> {
-        let (found, shelf) = match StateDirectory::open(dir) {
+    /// Registers this process in the state directory and reads what the processes before it have published. None where
+    /// the directory can't be used: the process then starts as if it were alone.
+    pub fn open(dir: &Path, limits: SharedLimits, now: Nanos) -> Option<JoinedHotRestart> {
+        let (found, directory) = match StateDirectory::open(dir) {
             Ok(opened) => opened,
-            Err(e) => {
-                tracing::error!("nothing is handed over: {}: {e}", dir.display());
+            Err(error) => {
+                tracing::error!(dir = %dir.display(), %error, "hot restart state directory is unusable");
                 return None;
             }
         };
         if !found.errors.is_empty() {
-            tracing::error!("handed over and not used: {}", found.errors.join("; "));
+            let errors: Vec<String> = found.errors.iter().map(ToString::to_string).collect();
+            let errors = errors.join("; ");
+            tracing::error!(%errors, "hot restart state of an earlier process is not used");
         }
-        let mut words = Overrides::default();
+        let mut overrides = Overrides::default();
         for peer in &found.peers {
-            words.merge(&peer.effective_overrides());
+            overrides.merge(&peer.effective_overrides());
         }
         tracing::info!(
-            "process {} at this address: {} before it run, {} servers are out by hand",
-            found.serial,
-            found.peers.iter().filter(|p| p.alive).count(),
-            words.suspended_servers().count()
+            process = found.serial,
+            running = found.peers.iter().filter(|p| p.alive).count(),
+            suspended_servers = overrides.suspended_servers().count(),
+            "this process joined those at this address"
         );
-        let succession = Coordination::new(found.serial, limits, found.peers, now);
-        let handover = HotRestart {
-            directory: shelf,
-            coordination: succession,
+        let hot_restart = HotRestart {
+            directory,
+            coordination: Coordination::new(found.serial, limits, found.peers, now),
             stage: ProcessStage::Starting,
             published_version: None,
             next_publish_at: now,
         };
-        Some((handover, words, found.snapshots))
+        Some(JoinedHotRestart { hot_restart, overrides, snapshots: found.snapshots })
     }
 
-    /// What this process may have now.
+    /// The share of the limits that this process has at `now`.
+    #[must_use]
     pub fn quota_share(&self, now: Nanos) -> QuotaShare {
         self.coordination.quota_share(now)
     }
 
-    /// What the other processes told last, where that was looked at since.
-    pub fn observe(&mut self, holds: &ResourceUsage, now: Nanos) -> Option<&[PeerProcess]> {
+    /// The other processes, if they were observed anew since the last call. `usage` is what this process holds.
+    pub fn observe(&mut self, usage: ResourceUsage, now: Nanos) -> Option<&[PeerProcess]> {
         let peers = self.directory.latest_peers()?;
-        self.coordination.on_peers_observed(peers, (holds.descriptors, holds.in_flight), now);
+        self.coordination.on_peers_observed(peers, usage, now);
         Some(self.coordination.peers())
     }
 
-    /// How far this process has come; told with the next state, which is due at once.
+    /// Sets the stage of this process; a change is published at once.
     pub fn set_stage(&mut self, stage: ProcessStage) {
         if std::mem::replace(&mut self.stage, stage) != stage {
-            self.next_publish_at = 0;
+            self.publish_now();
         }
     }
 
-    /// Something was said that must not be lost: the next state is due at once.
+    /// Makes the next state due at once, for a change that must not be lost.
     pub fn publish_now(&mut self) {
         self.next_publish_at = 0;
     }
 
-    /// Whether a state is due.
+    /// Whether a state is due to be published.
+    #[must_use]
     pub fn is_due(&self, now: Nanos) -> bool {
         self.next_publish_at <= now
     }
 
-    /// Leaves a state, and with it the list where it has another version than the last one.
-    pub fn publish(
-        &mut self,
-        holds: ResourceUsage,
-        words: &Overrides,
-        version: (u32, u64),
-        list: impl FnOnce() -> Snapshot,
-        now: Nanos,
-    ) {
+    /// Publishes a state, and with it the endpoint list where its version has changed.
+    pub fn publish(&mut self, local: LocalState<'_>, snapshot: impl FnOnce() -> Snapshot, now: Nanos) {
         self.next_publish_at = now + PUBLISH_INTERVAL;
-        let list = (self.published_version != Some(version)).then(list);
-        let (ResourceUsage { in_flight: held, open_query_ids: open_ids, .. }, lease) =
-            (holds, self.coordination.descriptor_lease());
+        let version = local.snapshot_version;
+        let snapshot = (self.published_version != Some(version)).then(snapshot);
+        let descriptor_lease = self.coordination.descriptor_lease();
         let state = ProcessState {
             written_at: now,
             stage: self.stage,
-            overrides: words.clone(),
-            descriptor_lease: lease,
-            in_flight: held,
-            open_query_ids: open_ids,
+            overrides: local.overrides.clone(),
+            descriptor_lease,
+            in_flight: local.in_flight,
+            open_query_ids: local.open_query_ids,
         };
-        let told = list.is_some();
-        if self.directory.publish(StateUpdate { state, snapshot: list }) {
-            self.coordination.on_lease_published(lease);
-            if told {
-                self.published_version = Some(version);
-            }
+        if self.directory.publish(StateUpdate { state, snapshot }) {
+            self.coordination.on_lease_published(descriptor_lease);
+            self.published_version = Some(version);
         }
     }
 
     /// When something is next to be done.
+    #[must_use]
     pub fn next_deadline(&self, now: Nanos) -> Nanos {
         self.coordination.next_deadline(now).map_or(self.next_publish_at, |t| t.min(self.next_publish_at))
     }
--- a/src/hot_restart/state.rs
+++ b/src/hot_restart/state.rs
@@ -1,14 +1,22 @@
-//! What one process leaves for the next: the words of staff, and what must not be taken twice.
+//! What one process publishes to the others at its address: operators' overrides, and what must not be used twice.
+
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 use crate::api::Nanos;
 use crate::storage::checksummed_file::{FileFormat, FileFormatError};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// The form on disk.
+/// Format of `N.state`.
 pub const FORMAT: FileFormat =
     FileFormat { magic: "pebbleturn-handover", what: "state handed over", version: 1, most: 1 << 20 };
-/// Most words on servers that are kept; the oldest that let one in go first.
+/// Most servers whose overrides are remembered. The oldest override that is not active is dropped first.
 const MAX_SERVER_OVERRIDES: usize = 4096;
 
 /// How far a process has come.
@@ -19,74 +27,80 @@
     Starting,
     /// It takes clients.
     Serving,
-    /// It finishes what it took.
+    /// It takes no new clients and finishes what it took.
     #[serde(rename = "Leaving")]
     Draining,
 }
 
-/// Staff's last word on something, and when it was given. The later word holds; of two at one time the stricter.
+/// An operator's last command on something, and its time. The later one holds; of two at one time, the active one.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Override {
     /// Unix time, ns.
     #[serde(rename = "at")]
     pub set_at: Nanos,
-    /// Taken out, or sent away.
+    /// Whether the server is suspended, or the broker paused.
     #[serde(rename = "out")]
     pub active: bool,
 }
 
-/// What staff have said. Merging is commutative, associative and idempotent: whoever hears what from whom in which
-/// order, all come to hold the same.
+impl Override {
+    /// An override that is later than the one before it, even if the clock went back between two processes.
+    fn after(previous: Option<Override>, active: bool, now: Nanos) -> Override {
+        let set_at = previous.map_or(now, |p| now.max(p.set_at + 1));
+        Override { set_at, active }
+    }
+}
+
+/// The operators' overrides. Merging is commutative, associative and idempotent: in whatever order processes learn of
+/// overrides, all come to the same result.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
 pub struct Overrides {
-    /// On each server by its id.
+    /// Suspensions, by server id.
     pub servers: BTreeMap<String, Override>,
-    /// On the pause.
+    /// The pause of the broker.
     pub pause: Option<Override>,
 }
 
 impl Overrides {
-    /// A word on a server, later than any before it.
-    pub fn set_server_suspended(&mut self, id: &str, out: bool, now: Nanos) {
-        // Guards against a clock that went back between two processes: what is said last holds.
-        let at = self.servers.get(id).map_or(now, |w| now.max(w.set_at + 1));
-        self.servers.insert(id.to_owned(), Override { set_at: at, active: out });
+    /// Records a command on a server, which overrides any before it.
+    pub fn set_server_suspended(&mut self, id: &str, suspended: bool, now: Nanos) {
+        let previous = self.servers.get(id).copied();
+        self.servers.insert(id.to_owned(), Override::after(previous, suspended, now));
         while self.servers.len() > MAX_SERVER_OVERRIDES {
-            let oldest =
-                self.servers.iter().min_by_key(|(_, w)| (w.active, w.set_at)).map(|(id, _)| id.clone());
+            let oldest = self.servers.iter().min_by_key(|(_, o)| (o.active, o.set_at));
+            let oldest = oldest.map(|(id, _)| id.clone());
             oldest.and_then(|id| self.servers.remove(&id));
         }
     }
 
-    /// A word on the pause.
-    pub fn set_paused(&mut self, out: bool, now: Nanos) {
-        let at = self.pause.map_or(now, |w| now.max(w.set_at + 1));
-        self.pause = Some(Override { set_at: at, active: out });
+    /// Records a command on the pause, which overrides any before it.
+    pub fn set_paused(&mut self, paused: bool, now: Nanos) {
+        self.pause = Some(Override::after(self.pause, paused, now));
     }
 
-    /// Takes in what another process holds. True if anything is new.
+    /// Takes in the overrides of another process. True if any of them is new here.
     pub fn merge(&mut self, other: &Overrides) -> bool {
-        let mut new = false;
-        for (id, word) in &other.servers {
-            if self.servers.get(id).is_none_or(|own| own < word) {
-                self.servers.insert(id.clone(), *word);
-                new = true;
+        let mut changed = false;
+        for (id, theirs) in &other.servers {
+            if self.servers.get(id).is_none_or(|own| own < theirs) {
+                self.servers.insert(id.clone(), *theirs);
+                changed = true;
             }
         }
         if self.pause < other.pause {
             self.pause = other.pause;
-            new = true;
+            changed = true;
         }
-        new
+        changed
     }
 
-    /// The ids that are out.
+    /// Ids of the suspended servers, in their order.
     pub fn suspended_servers(&self) -> impl Iterator<Item = &str> {
-        self.servers.iter().filter(|(_, w)| w.active).map(|(id, _)| id.as_str())
+        self.servers.iter().filter(|(_, o)| o.active).map(|(id, _)| id.as_str())
     }
 }
 
-/// What a process tells the others that serve at its address.
+/// What a process publishes to the others at its address.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
 pub struct ProcessState {
     /// When this was written, unix ns.
@@ -94,13 +108,13 @@
     pub written_at: Nanos,
     /// How far it has come.
     pub stage: ProcessStage,
-    /// What staff have said.
+    /// The operators' overrides that it knows.
     #[serde(rename = "words")]
     pub overrides: Overrides,
     /// The most descriptors that it may come to hold.
     #[serde(rename = "lease")]
     pub descriptor_lease: usize,
-    /// Queries and parts that it holds.
+    /// Queries and parts in flight.
     #[serde(rename = "held")]
     pub in_flight: usize,
     /// Ids of its open queries.
@@ -109,12 +123,20 @@
 }
 
 impl ProcessState {
-    /// The bytes of a file.
+    /// The bytes of `N.state`.
+    ///
+    /// # Errors
+    ///
+    /// The state is larger than [`FORMAT`] allows.
     pub fn encode(&self) -> Result<Vec<u8>, FileFormatError> {
         FORMAT.encode(self)
     }
 
-    /// Reads a file back.
+    /// Reads the bytes of `N.state`.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are damaged, too many or of another version.
     pub fn decode(bytes: &[u8]) -> Result<ProcessState, FileFormatError> {
         FORMAT.decode(bytes)
     }
--- /dev/null
+++ b/src/hot_restart/state_directory/mod.rs
@@ -0,0 +1,217 @@
+//! The directory in which processes at one address publish their states to each other.
+//!
+//! Each process has a number and three files: `N.lock`, which it holds locked for as long as it lives, so that the
+//! system itself shows which processes run; `N.state`, small and written often; `N.list`, its endpoint list. Files are
+//! replaced by renaming: a reader finds a whole file, unless the disk was full.
+
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
+
+mod files;
+mod worker;
+
+use super::coordination::PeerProcess;
+use super::state::ProcessState;
+use crate::membership::snapshot::Snapshot;
+use crate::storage::checksummed_file::FileFormatError;
+use files::FileKind;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread::JoinHandle;
+use std::time::Duration;
+use worker::DirectoryWorker;
+
+/// How long the end of the program waits for the thread: a disk that hangs must not delay it further.
+const SHUTDOWN_WAIT: Duration = Duration::from_millis(200);
+/// Updates, and observations, that may wait for their receiver.
+const CHANNEL_CAPACITY: usize = 4;
+
+/// Why the state directory can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum StateDirectoryError {
+    /// The directory could not be created.
+    #[error("creating {}: {source}", dir.display())]
+    Create {
+        /// The directory.
+        dir: PathBuf,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// No number and lock could be had for this process.
+    #[error("registering in {}: {source}", dir.display())]
+    Register {
+        /// The directory.
+        dir: PathBuf,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The files of the earlier processes could not be listed.
+    #[error("listing {}: {source}", dir.display())]
+    List {
+        /// The directory.
+        dir: PathBuf,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The thread could not be started.
+    #[error("starting the thread for {}: {source}", dir.display())]
+    StartThread {
+        /// The directory.
+        dir: PathBuf,
+        /// What the system reported.
+        source: io::Error,
+    },
+}
+
+/// Why a file of an earlier process is not used.
+#[derive(Debug, thiserror::Error)]
+pub enum StateFileError {
+    /// Its content is damaged or of another version.
+    #[error("{}: {source}", path.display())]
+    Format {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong with the content.
+        source: FileFormatError,
+    },
+    /// It could not be read.
+    #[error("{}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// Its process runs and has not written it yet.
+    #[error("{} is not there yet", path.display())]
+    Missing {
+        /// The file.
+        path: PathBuf,
+    },
+}
+
+/// Why an update could not be written.
+#[derive(Debug, thiserror::Error)]
+enum StateWriteError {
+    #[error(transparent)]
+    Encode(#[from] FileFormatError),
+    #[error(transparent)]
+    Write(#[from] io::Error),
+}
+
+/// What a process finds at its start.
+#[derive(Debug, Default)]
+pub struct StartupContents {
+    /// The number of this process.
+    pub serial: u64,
+    /// The processes before it, the oldest first.
+    pub peers: Vec<PeerProcess>,
+    /// Their endpoint lists, in the same order.
+    pub snapshots: Vec<Snapshot>,
+    /// Why files are not used.
+    pub errors: Vec<StateFileError>,
+}
+
+impl StartupContents {
+    fn read(dir: &Path, serial: u64) -> Result<StartupContents, StateDirectoryError> {
+        let serials = files::serials(dir)
+            .map_err(|source| StateDirectoryError::List { dir: dir.to_owned(), source })?;
+        let mut contents = StartupContents { serial, ..StartupContents::default() };
+        for earlier in serials.into_iter().filter(|n| *n < serial) {
+            contents.read_process(dir, earlier);
+        }
+        Ok(contents)
+    }
+
+    fn read_process(&mut self, dir: &Path, serial: u64) {
+        let (peer, error) = files::read_peer(dir, serial);
+        if peer.alive && peer.state.is_none() && error.is_none() {
+            self.errors.push(StateFileError::Missing { path: files::path(dir, serial, FileKind::State) });
+        }
+        self.errors.extend(error);
+        self.peers.push(peer);
+        match files::read_snapshot(dir, serial) {
+            Ok(snapshot) => self.snapshots.extend(snapshot),
+            Err(error) => self.errors.push(error),
+        }
+    }
+}
+
+/// What is to be written.
+#[derive(Debug)]
+pub struct StateUpdate {
+    /// The state of this process.
+    pub state: ProcessState,
+    /// Its endpoint list, where that has changed.
+    pub snapshot: Option<Snapshot>,
+}
+
+/// The directory, worked on by a thread of its own. Dropping it ends the thread.
+#[derive(Debug)]
+pub struct StateDirectory {
+    /// None while it is dropped, which ends the thread.
+    updates: Option<SyncSender<StateUpdate>>,
+    observations: Receiver<Vec<PeerProcess>>,
+    worker_done: Receiver<()>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl StateDirectory {
+    /// Registers this process, reads what earlier ones have published, and starts the thread. Blocks on the disk, so it is
+    /// called before the broker serves; from then on only the thread touches the disk.
+    ///
+    /// # Errors
+    ///
+    /// The directory can't be created, read or written, or the thread can't be started. Files of other processes that
+    /// can't be used are no error: they are listed in [`StartupContents::errors`].
+    pub fn open(dir: &Path) -> Result<(StartupContents, StateDirectory), StateDirectoryError> {
+        std::fs::create_dir_all(dir)
+            .map_err(|source| StateDirectoryError::Create { dir: dir.to_owned(), source })?;
+        let (serial, lock) = files::register(dir)?;
+        let contents = StartupContents::read(dir, serial)?;
+        let (updates, received_updates) = sync_channel(CHANNEL_CAPACITY);
+        let (observed, observations) = sync_channel(CHANNEL_CAPACITY);
+        let (done, worker_done) = sync_channel(1);
+        let worker = DirectoryWorker::new(dir.to_owned(), serial, lock);
+        let work = move || {
+            worker.run(&received_updates, &observed);
+            let _ = done.send(());
+        };
+        let thread = std::thread::Builder::new()
+            .name("handover".into())
+            .spawn(work)
+            .map_err(|source| StateDirectoryError::StartThread { dir: dir.to_owned(), source })?;
+        let directory =
+            StateDirectory { updates: Some(updates), observations, worker_done, thread: Some(thread) };
+        Ok((contents, directory))
+    }
+
+    /// Has an update written. Never blocks; false if the thread is behind, and the update is dropped.
+    #[must_use]
+    pub fn publish(&self, update: StateUpdate) -> bool {
+        self.updates.as_ref().is_some_and(|updates| updates.try_send(update).is_ok())
+    }
+
+    /// The other processes as they were last observed; none if they were not observed anew since the last call.
+    #[must_use]
+    pub fn latest_peers(&self) -> Option<Vec<PeerProcess>> {
+        self.observations.try_iter().last()
+    }
+}
+
+impl Drop for StateDirectory {
+    fn drop(&mut self) {
+        drop(self.updates.take());
+        if self.worker_done.recv_timeout(SHUTDOWN_WAIT).is_ok()
+            && let Some(thread) = self.thread.take()
+        {
+            let _ = thread.join();
+        }
+    }
+}
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -7,7 +7,7 @@
 use crate::engine::{EngineAction, QueryEngine, QueryOutcome};
 use crate::hot_restart::coordination::QuotaShare;
 use crate::hot_restart::state::{Overrides, ProcessStage};
-use crate::hot_restart::{HotRestart, ResourceUsage};
+use crate::hot_restart::{HotRestart, LocalState, ResourceUsage};
 use crate::membership::UnknownNode;
 use crate::metrics;
 use crate::net::{Clock, ConnId, NetEvent, PollLoop, Signal, Signals, Waker};
@@ -540,14 +540,12 @@
     /// Hears of the other processes at this address, and tells them how this one stands.
     fn others(&mut self, now: Nanos) {
         let Some(handover) = self.handover.as_mut().filter(|h| h.is_due(now)) else { return };
-        let holds = ResourceUsage {
-            descriptors: self.net.descriptors(),
-            in_flight: self.exchange.in_flight(),
-            open_query_ids: self.front.open_ids(),
-        };
+        let holds =
+            ResourceUsage { descriptors: self.net.descriptors(), in_flight: self.exchange.in_flight() };
+        let open_query_ids = self.front.open_ids();
         let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
         let mut paused = None;
-        for peer in handover.observe(&holds, now).unwrap_or(&[]) {
+        for peer in handover.observe(holds, now).unwrap_or(&[]) {
             let before = self.words.clone();
             if self.words.merge(&peer.effective_overrides()) {
                 for (id, word) in
@@ -586,7 +584,13 @@
             ProcessStage::Serving
         });
         let members = self.front.membership();
-        handover.publish(holds, &self.words, members.version(), || members.snapshot(now), now);
+        let state = LocalState {
+            in_flight: holds.in_flight,
+            open_query_ids,
+            overrides: &self.words,
+            snapshot_version: members.version(),
+        };
+        handover.publish(state, || members.snapshot(now), now);
     }
 
     /// Tells the front how clients are to be treated from now on.
--- a/tests/operation/handover.rs
+++ b/tests/operation/handover.rs
@@ -2,7 +2,7 @@
 
 use pebbleturn::Nanos;
 use pebbleturn::hot_restart::coordination::{
-    Coordination, MIN_DESCRIPTORS, PeerProcess, QuotaShare, SharedLimits,
+    Coordination, MIN_DESCRIPTORS, PeerProcess, QuotaShare, ResourceUsage, SharedLimits,
 };
 use pebbleturn::hot_restart::state::{Override, Overrides, ProcessStage, ProcessState};
 use quickcheck::quickcheck;
@@ -172,7 +172,7 @@
             if p.next_look <= now {
                 p.next_look = now + 90 * MS + jitter;
                 p.seen.peers = peers.clone();
-                p.view.on_peers_observed(peers, (p.holds, 0), now);
+                p.view.on_peers_observed(peers, ResourceUsage { descriptors: p.holds, in_flight: 0 }, now);
                 p.share = decide(&p.view, &p.seen, now);
                 let lease = p.view.descriptor_lease();
                 p.written =
--- a/tests/operation/upgrades.rs
+++ b/tests/operation/upgrades.rs
@@ -169,8 +169,8 @@
     for (n, cut) in [0, 1, 40, whole.len() / 2, whole.len() - 1].into_iter().enumerate() {
         std::fs::write(&state, &whole[..cut]).unwrap();
         let new = site.start();
-        new.wait("handed over and not used");
-        assert!(new.said(&format!("process {}", n + 2)) && new.figures()["pool_ejected"] == 0);
+        new.wait("hot restart state of an earlier process is not used");
+        assert!(new.said(&format!("process={}", n + 2)) && new.figures()["pool_ejected"] == 0);
         assert!(Client::connect(site.door()).ask().unwrap().starts_with("HTTP/1.1 200"));
         drop(new);
         for kind in ["state", "list", "lock"] {
--- a/tests/recorded_replication/hot_restart.rs
+++ b/tests/recorded_replication/hot_restart.rs
@@ -7,7 +7,9 @@
 use super::digest::{
     AtLeast, MILLISECOND, Recorder, Recording, SECOND, assert_recorded, one_in, pick, random,
 };
-use pebbleturn::hot_restart::coordination::{Coordination, PeerProcess, QuotaShare, SharedLimits};
+use pebbleturn::hot_restart::coordination::{
+    Coordination, PeerProcess, QuotaShare, ResourceUsage, SharedLimits,
+};
 use pebbleturn::hot_restart::state::{Overrides, ProcessStage, ProcessState};
 use pebbleturn::server::drain::{DrainPhase, DrainState};
 use rand_pcg::Pcg32;
@@ -194,7 +196,8 @@
         for peer in &others {
             self.recorder.put_bool(process.words.merge(&peer.effective_overrides()));
         }
-        process.succession.on_peers_observed(others, (process.descriptors, process.held), self.now);
+        let usage = ResourceUsage { descriptors: process.descriptors, in_flight: process.held };
+        process.succession.on_peers_observed(others, usage, self.now);
         self.recorder.count("look");
         self.recorder.put_sequence(process.succession.peers(), put_peer);
         put_words(&mut self.recorder, &process.words);
--- a/tests/stored_formats/handover_state.rs
+++ b/tests/stored_formats/handover_state.rs
@@ -82,7 +82,8 @@
         std::fs::write(directory.path().join(file), stored_file(file)).unwrap();
     }
     let found = find(directory.path());
-    assert_eq!(found.errors, Vec::<String>::new());
+    let errors: Vec<String> = found.errors.iter().map(ToString::to_string).collect();
+    assert_eq!(errors, Vec::<String>::new());
     assert_eq!((found.serial, found.snapshots), (4, vec![full_list()]));
     let read: Vec<ProcessState> = found.peers.into_iter().filter_map(|peer| peer.state).collect();
     assert_eq!(read, states());
@@ -112,7 +113,7 @@
         assert!(matches!(ProcessState::decode(&truncated(&bytes)), Err(FileFormatError::Length { .. })));
         let found = find(directory_with(file, &flipped(&bytes)).path());
         assert_eq!(found.peers[0].state, None);
-        assert_eq!(found.errors.len(), 1); // The reason is a string.
+        assert_eq!(found.errors.len(), 1);
     }
 }
 
@@ -122,5 +123,5 @@
     assert_eq!(snapshot::decode(&flipped(&bytes)), Err(FileFormatError::Checksum));
     assert!(matches!(snapshot::decode(&truncated(&bytes)), Err(FileFormatError::Length { .. })));
     let found = find(directory_with(LIST, &flipped(&bytes)).path());
-    assert_eq!((found.snapshots.len(), found.errors.len()), (0, 1)); // The reason is a string.
+    assert_eq!((found.snapshots.len(), found.errors.len()), (0, 1));
 }
