--- a/tests/operation/handover.rs
+++ b/tests/operation/hot_restart.rs
@@ -1,4 +1,4 @@
-//! What processes at one address tell each other and what follows: without disk, in simulated time.
+//! How processes at one address publish their states and share the limits: without disk, in simulated time.
 
 use pebbleturn::Nanos;
 use pebbleturn::hot_restart::coordination::{
@@ -12,14 +12,14 @@
 const MS: Nanos = 1_000_000;
 
 fn state() -> ProcessState {
-    let mut words = Overrides::default();
-    words.set_server_suspended("s-1", true, 5);
-    words.set_server_suspended("s-2", false, 6);
-    words.set_paused(true, 7);
+    let mut overrides = Overrides::default();
+    overrides.set_server_suspended("s-1", true, 5);
+    overrides.set_server_suspended("s-2", false, 6);
+    overrides.set_paused(true, 7);
     ProcessState {
         written_at: 9,
         stage: ProcessStage::Serving,
-        overrides: words,
+        overrides,
         descriptor_lease: 300,
         in_flight: 41,
         open_query_ids: vec!["9b1f".into()],
@@ -27,7 +27,7 @@
 }
 
 #[test]
-fn a_file_cut_or_changed_at_any_byte_is_one_reason_and_never_another_state() {
+fn a_state_truncated_or_corrupted_at_any_byte_is_an_error_and_never_another_state() {
     let (state, bytes) = (state(), state().encode().unwrap());
     assert_eq!(ProcessState::decode(&bytes).as_ref(), Ok(&state));
     for at in 0..bytes.len() {
@@ -43,39 +43,39 @@
     assert!(ProcessState::decode(&vec![b' '; 2 << 20]).unwrap_err().to_string().contains("more than may be"));
 }
 
-fn words_of(said: &[(u8, bool, u8)]) -> Overrides {
-    let mut words = Overrides::default();
-    for (id, out, at) in said {
-        let word = Override { set_at: Nanos::from(*at % 4), active: *out };
+fn overrides_of(commands: &[(u8, bool, u8)]) -> Overrides {
+    let mut overrides = Overrides::default();
+    for (id, out, at) in commands {
+        let one_override = Override { set_at: Nanos::from(*at % 4), active: *out };
         let mut one = Overrides::default();
         match id % 4 {
-            0 => one.pause = Some(word),
-            n => drop(one.servers.insert(format!("s-{n}"), word)),
+            0 => one.pause = Some(one_override),
+            n => drop(one.servers.insert(format!("s-{n}"), one_override)),
         }
-        words.merge(&one);
+        overrides.merge(&one);
     }
-    words
+    overrides
 }
 
 fn merged(all: &[&Overrides]) -> Overrides {
-    let mut words = Overrides::default();
+    let mut overrides = Overrides::default();
     for w in all {
-        words.merge(w);
+        overrides.merge(w);
     }
-    words
+    overrides
 }
 
 quickcheck! {
-    fn words_merge_alike_in_any_order_and_however_often(a: Vec<(u8, bool, u8)>, b: Vec<(u8, bool, u8)>, c: Vec<(u8, bool, u8)>) -> bool {
-        let (a, b, c) = (words_of(&a), words_of(&b), words_of(&c));
+    fn overrides_merge_is_commutative_associative_and_idempotent(a: Vec<(u8, bool, u8)>, b: Vec<(u8, bool, u8)>, c: Vec<(u8, bool, u8)>) -> bool {
+        let (a, b, c) = (overrides_of(&a), overrides_of(&b), overrides_of(&c));
         let all = merged(&[&a, &b, &c]);
         all == merged(&[&c, &a, &b]) && all == merged(&[&a, &b, &a, &c, &b]) && all == merged(&[&merged(&[&b, &c]), &a])
     }
 
-    fn the_last_word_of_staff_holds_whatever_the_clock_does(said: Vec<(bool, u8)>) -> bool {
-        let mut words = Overrides::default();
-        said.iter().for_each(|(out, clock)| words.set_server_suspended("s", *out, Nanos::from(*clock)));
-        words.servers.get("s").map(|w| w.active) == said.last().map(|(out, _)| *out)
+    fn the_last_override_holds_whatever_the_clock_does(commands: Vec<(bool, u8)>) -> bool {
+        let mut overrides = Overrides::default();
+        commands.iter().for_each(|(out, clock)| overrides.set_server_suspended("s", *out, Nanos::from(*clock)));
+        overrides.servers.get("s").map(|w| w.active) == commands.last().map(|(out, _)| *out)
     }
 }
 
@@ -85,7 +85,7 @@
 /// How the world turns a process's view into what it does.
 type Decide = fn(&Coordination, &Seen, Nanos) -> QuotaShare;
 
-/// What a process has seen and holds, for deciders that go wrong on purpose.
+/// What a process has observed, for the faulty variants of the rules.
 struct Seen {
     serial: u64,
     peers: Vec<PeerProcess>,
@@ -104,7 +104,7 @@
     serves_at: Nanos,
 }
 
-/// Processes at one address that start, serve, are killed and leave, and a judge over all of them.
+/// Processes at one address that start, serve, drain and are killed, with invariants checked over all of them.
 struct World {
     rng: Pcg64Mcg,
     now: Nanos,
@@ -220,14 +220,14 @@
 }
 
 #[test]
-fn two_processes_keep_the_limits_of_one_whoever_starts_ends_and_is_killed_when() {
+fn processes_together_keep_the_limits_of_one_over_starts_ends_and_kills() {
     for seed in 0..3000 {
         assert_eq!(play(seed, honest), [""; 0], "seed {seed}");
     }
 }
 
 #[test]
-fn the_judge_catches_each_rule_that_is_taken_out() {
+fn the_invariant_checks_catch_each_removed_rule() {
     let mutants: [(&str, Decide); 6] = [
         ("free attempts for all", |v, _, now| QuotaShare { free_retries: true, ..v.quota_share(now) }),
         ("free attempts without a window", |v, seen, now| {
@@ -262,7 +262,7 @@
 }
 
 #[test]
-fn a_third_on_top_gets_what_it_needs_to_start_and_no_more() {
+fn a_third_process_gets_the_minimum_of_descriptors() {
     let peer = |serial, lease| PeerProcess {
         serial,
         alive: true,
@@ -270,7 +270,7 @@
     };
     let third = Coordination::new(3, LIMITS, vec![peer(1, 200), peer(2, 150)], 0);
     assert_eq!(third.quota_share(0).descriptors, MIN_DESCRIPTORS);
-    // One that told nothing that can be read may hold all that one alone may.
+    // One without a readable state may hold all that one alone may.
     let next = Coordination::new(2, LIMITS, vec![PeerProcess { serial: 1, alive: true, state: None }], 0);
     assert_eq!(next.quota_share(0).descriptors, LIMITS.descriptors / 3);
     // Those that are dead hold nothing; their free attempts count for a window.
--- a/tests/operation/main.rs
+++ b/tests/operation/main.rs
@@ -4,7 +4,7 @@
 mod catalogue;
 #[path = "../common/mod.rs"]
 mod common;
-mod handover;
+mod hot_restart;
 mod processes;
 mod rules;
 mod upgrades;
