--- a/src/server/hot_restart_driver.rs
+++ b/src/server/hot_restart_driver.rs
@@ -3,8 +3,8 @@
 use super::broker::Broker;
 use super::frontend::{Frontend, FrontendContext};
 use crate::api::Nanos;
-use crate::hot_restart::ResourceUsage;
 use crate::hot_restart::state::ProcessStage;
+use crate::hot_restart::{LocalState, ResourceUsage};
 
 impl<F: Frontend> Broker<F> {
     /// Observes the other processes at this address, applies what follows, and publishes the state of this
@@ -13,18 +13,15 @@
         if !self.hot_restart.as_ref().is_some_and(|hot_restart| hot_restart.is_due(now)) {
             return;
         }
-        let usage = ResourceUsage {
-            descriptors: self.net.descriptors(),
-            in_flight: self.engine.in_flight(),
-            open_query_ids: self.frontend.open_ids(),
-        };
-        self.merge_peer_states(&usage, now);
+        let usage = ResourceUsage { descriptors: self.net.descriptors(), in_flight: self.engine.in_flight() };
+        let open_query_ids = self.frontend.open_ids();
+        self.merge_peer_states(usage, now);
         self.apply_quota_share(now);
-        self.publish_state(usage, now);
+        self.publish_state(usage.in_flight, open_query_ids, now);
     }
 
     /// Adopts the operator's commands and the reserved ids of the other processes.
-    fn merge_peer_states(&mut self, usage: &ResourceUsage, now: Nanos) {
+    fn merge_peer_states(&mut self, usage: ResourceUsage, now: Nanos) {
         let Some(hot_restart) = &mut self.hot_restart else { return };
         let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
         let mut pause_change = None;
@@ -66,7 +63,7 @@
         }
     }
 
-    fn publish_state(&mut self, usage: ResourceUsage, now: Nanos) {
+    fn publish_state(&mut self, in_flight: usize, open_query_ids: Vec<String>, now: Nanos) {
         let Some(hot_restart) = &mut self.hot_restart else { return };
         hot_restart.set_stage(if self.drain.is_shutting_down() {
             ProcessStage::Draining
@@ -74,7 +71,12 @@
             ProcessStage::Serving
         });
         let membership = self.frontend.membership();
-        let snapshot = || membership.snapshot(now);
-        hot_restart.publish(usage, &self.overrides, membership.version(), snapshot, now);
+        let state = LocalState {
+            in_flight,
+            open_query_ids,
+            overrides: &self.overrides,
+            snapshot_version: membership.version(),
+        };
+        hot_restart.publish(state, || membership.snapshot(now), now);
     }
 }
