--- a/lab/src/cluster/measure.rs
+++ b/lab/src/cluster/measure.rs
@@ -300,15 +300,20 @@
     clients.more(100);
     let (ticks, served, begun) = (bed.cpu_ticks(0), clients.served(), Instant::now());
     let sender = Sender {
-        cluster: codec::cluster("bed"),
+        cluster_id: codec::cluster_id("bed"),
         name: "b-1".into(),
         origin: Origin(9),
         incarnation: u64::MAX / 4,
-        reads: 2,
+        latest_version: 2,
     };
-    let flood =
-        Datagram { sender, probe: Probe::Ping { n: 1 }, rumours: vec![], facts: vec![], root: Some(1) }
-            .encode(2);
+    let flood = Datagram {
+        sender,
+        probe: Probe::Ping { sequence: 1 },
+        status_updates: vec![],
+        facts: vec![],
+        root: Some(1),
+    }
+    .encode(2);
     let mut words = 0;
     while begun.elapsed() < Duration::from_secs(seconds) {
         match how {
--- a/lab/src/cluster/world.rs
+++ b/lab/src/cluster/world.rs
@@ -164,7 +164,7 @@
             streams: BTreeMap::new(),
             next_stream: 1 << 63,
             starts: 0,
-            speaks: codec::LATEST,
+            speaks: codec::LATEST_VERSION,
             listed: (0..brokers).filter(|p| *p != n).collect(),
         };
         World {
@@ -237,9 +237,13 @@
             cluster: "kochi".into(),
             name: name(n),
             peers: node.listed.iter().map(|p| (name(*p), addr(*p))).collect(),
-            swim: swim::SwimSettings { every: self.every, timeout: self.every * 3 / 10, indirect: 3 },
-            bounds: self.bounds,
-            speaks: node.speaks,
+            swim: swim::SwimSettings {
+                probe_interval: self.every,
+                probe_timeout: self.every * 3 / 10,
+                indirect_probes: 3,
+            },
+            store_limits: self.bounds,
+            latest_version: node.speaks,
             seed,
         };
         let kept: Vec<Fact> = node.disk.iter().map(|(k, e)| (k.clone(), e.clone())).collect();
@@ -340,7 +344,7 @@
     pub fn note(&mut self, n: usize, key: FactKey, latest: ProcessStart) {
         let now = self.clock(n);
         if let Some(member) = &mut self.nodes[n].member {
-            member.note(key, latest, now);
+            member.record_process_event(key, latest, now);
             self.after(n);
         }
     }
@@ -349,7 +353,7 @@
     pub fn inject(&mut self, n: usize, from: usize, bytes: &[u8]) {
         let now = self.clock(n);
         if let Some(member) = &mut self.nodes[n].member {
-            member.datagram(addr(from), bytes, now);
+            member.on_datagram(addr(from), bytes, now);
             self.after(n);
         }
     }
@@ -412,21 +416,21 @@
             Event::Kept(n) => self.kept(n),
             Event::Datagram { to, from, bytes } => {
                 if let Some(m) = &mut self.nodes[to].member {
-                    m.datagram(from, &bytes, now);
+                    m.on_datagram(from, &bytes, now);
                 }
             }
             Event::Up { node, stream } => {
                 if self.nodes[node].streams.contains_key(&stream)
                     && let Some(m) = &mut self.nodes[node].member
                 {
-                    m.connected(stream, now);
+                    m.on_connected(stream, now);
                 }
             }
             Event::Pump { node, stream } => self.pump(node, stream, now),
             Event::Shut { node, stream } => {
                 self.nodes[node].streams.remove(&stream);
                 if let Some(m) = &mut self.nodes[node].member {
-                    m.closed(stream, now);
+                    m.on_closed(stream, now);
                 }
             }
         }
@@ -452,7 +456,7 @@
             let end = codec::frame_end(&bytes).unwrap().unwrap();
             assert_eq!(end, bytes.len());
             if let Some(m) = &mut self.nodes[node].member {
-                m.frame(stream, addr(peer), &bytes[4..], now);
+                m.on_frame(stream, addr(peer), &bytes[4..], now);
             }
         }
     }
@@ -475,23 +479,23 @@
         while let Some(out) = self.nodes[n].member.as_mut().and_then(GossipNode::take_output) {
             self.output(n, out);
         }
-        while let Some(told) = self.nodes[n].member.as_mut().and_then(GossipNode::take_told) {
+        while let Some(told) = self.nodes[n].member.as_mut().and_then(GossipNode::take_notification) {
             self.told(n, told);
         }
         let Some(m) = &mut self.nodes[n].member else { return };
-        while m.take_heard_of().is_some() {}
-        if m.is_doubled() {
+        while m.take_updated_server().is_some() {}
+        if m.has_duplicate_origin() {
             let origin = Origin(u64::from(self.rng.next_u32()));
-            m.renew(origin);
+            m.replace_origin(origin);
         }
-        let facts = m.take_unkept(usize::MAX);
+        let facts = m.take_unpersisted(usize::MAX);
         if !facts.is_empty() {
             self.nodes[n].writing.extend(facts);
             self.push(self.now + DISK, Event::Kept(n));
         }
         let now = self.clock(n);
         let Some(m) = &mut self.nodes[n].member else { return };
-        let due = m.due(now).saturating_sub(now).max(MS / 10) + self.now;
+        let due = m.next_deadline(now).saturating_sub(now).max(MS / 10) + self.now;
         if self.nodes[n].wake.is_none_or(|w| due < w || w < self.now) {
             self.nodes[n].wake = Some(due);
             self.push(due, Event::Wake(n));
@@ -500,7 +504,7 @@
 
     fn told(&mut self, n: usize, told: Notification) {
         match told {
-            Notification::Down(peer) => {
+            Notification::PeerDown(peer) => {
                 self.counts.down += 1;
                 let p = (0..self.brokers).find(|p| name(*p) == peer).unwrap_or(0);
                 if self.runs(p) && !self.cuts.contains(&(n, p)) && !self.cuts.contains(&(p, n)) {
@@ -554,7 +558,7 @@
                 self.nodes[to].streams.insert(theirs, end(n, stream));
                 let now = self.clock(to);
                 if let Some(m) = &mut self.nodes[to].member {
-                    m.accepted(theirs, addr(n), now);
+                    m.on_accepted(theirs, addr(n), now);
                 }
                 self.after(to);
                 let at = self.now + self.delay();
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -11,7 +11,7 @@
 use crate::admin::request::CommandOptions;
 use crate::api::Nanos;
 use crate::config::{ClusterConfig, ConfigError, OperatorConfig};
-use crate::gossip::codec::{DATAGRAM, frame_end};
+use crate::gossip::codec::{MAX_DATAGRAM_BYTES, frame_end};
 use crate::gossip::node::SyncStatus;
 use crate::gossip::{GossipNode, GossipSettings, Output, swim};
 use crate::net::{ConnId, ConnectionClass, Datagrams, NetEvent, PollLoop, Pool, ReadOutcome};
@@ -113,7 +113,7 @@
     reading: Option<Receiver<Result<OperatorConfig, ConfigError>>>,
     /// The longest time that one turn spent here, ns.
     longest: Nanos,
-    datagram: Box<[u8; DATAGRAM + 1]>,
+    datagram: Box<[u8; MAX_DATAGRAM_BYTES + 1]>,
 }
 
 /// What a directory holds, and what is wrong there. Nobody's origin: nothing is said with this copy.
@@ -146,9 +146,13 @@
             cluster: told.name.clone(),
             name: name.to_owned(),
             peers: told.peers.iter().map(|p| (p.name.clone(), p.address)).collect(),
-            swim: swim::SwimSettings { every, timeout: every * 3 / 10, indirect: 3 },
-            bounds,
-            speaks: told.speak,
+            swim: swim::SwimSettings {
+                probe_interval: every,
+                probe_timeout: every * 3 / 10,
+                indirect_probes: 3,
+            },
+            store_limits: bounds,
+            latest_version: told.speak,
             seed: drawn(),
         };
         let journal = Journal::start(Disk, &told.keep, bounds)?;
@@ -170,7 +174,7 @@
             file: told.file.clone(),
             reading: None,
             longest: 0,
-            datagram: Box::new([0; DATAGRAM + 1]),
+            datagram: Box::new([0; MAX_DATAGRAM_BYTES + 1]),
         };
         match found {
             Some(found) => cluster.begin(found, now),
@@ -257,8 +261,8 @@
         now: Nanos,
     ) -> Result<(), CommandError> {
         let member = self.member.as_mut().ok_or(CommandError::NotYet)?;
-        if member.is_doubled() {
-            member.renew(Origin(drawn() ^ now.rotate_left(17)));
+        if member.has_duplicate_origin() {
+            member.replace_origin(Origin(drawn() ^ now.rotate_left(17)));
         }
         let (at_broker, until) =
             (self.settings.name.clone(), aside.holds.map(|s| now.saturating_add(s * 1_000_000_000)));
@@ -305,21 +309,21 @@
         self.settings.peers = told.peers.iter().map(|p| (p.name.clone(), p.address)).collect();
         tracing::info!("cluster: file read again: {} peers", told.peers.len());
         if let Some(member) = &mut self.member {
-            member.relist(&self.settings.peers, now);
+            member.set_peers(&self.settings.peers, now);
         }
     }
 
     /// Discovery told this broker of a drain or a start.
     pub fn note(&mut self, key: FactKey, latest: ProcessStart, now: Nanos) {
         if let Some(member) = &mut self.member {
-            member.note(key, latest, now);
+            member.record_process_event(key, latest, now);
         }
     }
 
     /// A server of which others have heard something new, and what.
     pub fn heard(&mut self) -> Option<(String, NodeHints)> {
         let member = self.member.as_mut()?;
-        let key = member.take_heard_of()?;
+        let key = member.take_updated_server()?;
         let id = key.name()?.to_owned();
         let latest = |key: &FactKey| match member.store().get(key) {
             Some(FactValue::Latest(l)) => Some(*l),
@@ -355,7 +359,7 @@
                     else {
                         break;
                     };
-                    member.datagram(from, &self.datagram[..len], now);
+                    member.on_datagram(from, &self.datagram[..len], now);
                 }
             }
             NetEvent::Accepted { conn, peer, .. } => {
@@ -365,12 +369,12 @@
                 sockets.next += 1;
                 sockets.streams.insert(sockets.next, (conn, peer));
                 sockets.numbers.insert(conn, sockets.next);
-                member.accepted(sockets.next, peer, now);
+                member.on_accepted(sockets.next, peer, now);
                 self.read(conn, now, net);
             }
             NetEvent::Connected { conn, .. } => {
                 if let Some(stream) = sockets.numbers.get(&conn) {
-                    member.connected(*stream, now);
+                    member.on_connected(*stream, now);
                 }
             }
             NetEvent::Readable { conn, .. } => self.read(conn, now, net),
@@ -385,7 +389,7 @@
         if let Some(stream) = sockets.numbers.remove(&conn) {
             sockets.streams.remove(&stream);
             if let Some(member) = &mut self.member {
-                member.closed(stream, now);
+                member.on_closed(stream, now);
             }
         }
     }
@@ -413,7 +417,7 @@
             let Some(member) = &mut self.member else { return };
             let frame = net.data(conn).get(4..end).unwrap_or(&[]).to_vec();
             net.consume(conn, end);
-            member.frame(stream, from, &frame, now);
+            member.on_frame(stream, from, &frame, now);
             self.carry(now, net);
         }
     }
@@ -421,14 +425,14 @@
     /// Sends what the member wants sent, and tells people what it tells.
     fn carry(&mut self, now: Nanos, net: &mut PollLoop) {
         let Some(member) = &mut self.member else { return };
-        while let Some(told) = member.take_told() {
+        while let Some(told) = member.take_notification() {
             status_report::tell(&told, member);
         }
         let Some(sockets) = &mut self.sockets else {
             // Without its address it reaches nobody: what it would send must not add up until it has it.
             while let Some(out) = member.take_output() {
                 if let Output::Dial { stream, .. } = out {
-                    member.closed(stream, now);
+                    member.on_closed(stream, now);
                 }
             }
             return;
@@ -441,7 +445,7 @@
                         sockets.streams.insert(stream, (conn, to));
                         sockets.numbers.insert(conn, stream);
                     }
-                    Err(_) => member.closed(stream, now),
+                    Err(_) => member.on_closed(stream, now),
                 },
                 Output::Send { stream, bytes } => {
                     let Some((conn, _)) = sockets.streams.get(&stream).copied() else { continue };
@@ -449,7 +453,7 @@
                         sockets.streams.remove(&stream);
                         sockets.numbers.remove(&conn);
                         net.close(conn);
-                        member.closed(stream, now);
+                        member.on_closed(stream, now);
                     }
                 }
                 Output::Close { stream } => {
@@ -474,10 +478,10 @@
         self.bind(now, net);
         self.take_peers(now);
         if let Some(member) = &mut self.member {
-            if member.is_doubled() {
-                member.renew(Origin(drawn() ^ now.rotate_left(17)));
+            if member.has_duplicate_origin() {
+                member.replace_origin(Origin(drawn() ^ now.rotate_left(17)));
             }
-            if member.due(now) <= now {
+            if member.next_deadline(now) <= now {
                 member.tick(now);
             }
         }
@@ -508,12 +512,12 @@
                         (w.caller, Err(format!("{}: it holds here, and is not on disk: {why}", w.key)))
                     };
                     self.replies.extend(over.into_iter().map(no));
-                    member.not_kept(keys);
+                    member.persist_failed(keys);
                     self.write_again = now + WRITE_AGAIN;
                 }
             }
         }
-        if member.is_kept() || !self.journal.is_free() || now < self.write_again {
+        if member.is_persisted() || !self.journal.is_free() || now < self.write_again {
             return;
         }
         if self.journal.is_dead() {
@@ -524,7 +528,7 @@
             self.replies.extend(self.waiting.drain(..).map(no));
             return;
         }
-        let facts = member.take_unkept(IN_A_WRITE);
+        let facts = member.take_unpersisted(IN_A_WRITE);
         let keys: Vec<FactKey> = facts.iter().map(|(k, _)| k.clone()).collect();
         match self.journal.write(facts) {
             Ok(ticket) => {
@@ -533,7 +537,7 @@
                 self.writing.insert(ticket, keys);
             }
             Err(_) => {
-                member.not_kept(keys);
+                member.persist_failed(keys);
                 self.write_again = now + LOOK;
             }
         }
@@ -544,7 +548,11 @@
         let Some(member) = &self.member else { return now + BIND_AGAIN };
         let bind = self.sockets.is_none().then_some(self.bind_again);
         let look = (self.journal.is_at_work() || self.reading.is_some()).then_some(now + LOOK);
-        let write = (!member.is_kept() && self.journal.is_free()).then_some(self.write_again);
-        [Some(member.due(now)), bind, look, write].into_iter().flatten().min().unwrap_or(now + BIND_AGAIN)
+        let write = (!member.is_persisted() && self.journal.is_free()).then_some(self.write_again);
+        [Some(member.next_deadline(now)), bind, look, write]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(now + BIND_AGAIN)
     }
 }
--- a/src/cluster/status_report.rs
+++ b/src/cluster/status_report.rs
@@ -15,13 +15,13 @@
 /// One log line.
 pub fn tell(told: &Notification, member: &GossipNode) {
     match told {
-        Notification::Up(name) => tracing::info!("cluster: {name} is up"),
-        Notification::Suspected(name) => tracing::info!("cluster: {name} does not answer"),
-        Notification::Down(name) => tracing::warn!("cluster: {name} is down"),
+        Notification::PeerUp(name) => tracing::info!("cluster: {name} is up"),
+        Notification::PeerSuspected(name) => tracing::info!("cluster: {name} does not answer"),
+        Notification::PeerDown(name) => tracing::warn!("cluster: {name} is down"),
         Notification::Refuted => {
             tracing::info!("cluster: others took this broker for gone; it says that it is not")
         }
-        Notification::Late(ns) => {
+        Notification::Stalled(ns) => {
             tracing::warn!(
                 "cluster: this process did not run for {} ms; that time counts for nobody",
                 ns / 1_000_000
@@ -33,17 +33,17 @@
             member.store().len(),
             member.store().tree().root()
         ),
-        Notification::Alone => {
+        Notification::Isolated => {
             tracing::warn!("cluster: no peer can be reached; this broker goes by what it has on disk")
         }
-        Notification::Doubled => {
+        Notification::OriginReplaced => {
             tracing::error!("cluster: another process used this one's stamps; it has drawn others")
         }
-        Notification::Removed => {
+        Notification::RemovedFromCluster => {
             tracing::error!("cluster: this broker was removed by hand and tells its peers nothing more")
         }
-        Notification::Came(n) => tracing::info!("cluster: {n} words came that were missed here"),
-        Notification::Changed(key) => match member.store().register(key) {
+        Notification::FactsReceived(n) => tracing::info!("cluster: {n} words came that were missed here"),
+        Notification::FactChanged(key) => match member.store().register(key) {
             Some(r) => tracing::info!("cluster: {key} is now {}", words(r)),
             None => tracing::info!("cluster: {key} is forgotten"),
         },
@@ -127,7 +127,7 @@
             Some(_) if self.sockets.is_none() => "waiting for its address",
             Some(SyncStatus::CatchingUp) => "catching up",
             Some(SyncStatus::CaughtUp) => "caught up",
-            Some(SyncStatus::Alone) => "alone",
+            Some(SyncStatus::Isolated) => "alone",
         }
     }
 
@@ -146,11 +146,11 @@
                 let heard = ago.map(|t| t / 1_000_000);
                 peers.push(json!({ "name": name, "address": at.to_string(), "is": status, "same_copy": same, "heard_ms_ago": heard }));
             }
-            dropped.extend(member.dropped().map(|(why, n)| (why.to_string(), n.into())));
+            dropped.extend(member.drop_counts().map(|(why, n)| (why.to_string(), n.into())));
         }
         json!({
             "cluster": self.settings.cluster, "name": self.settings.name, "standing": self.standing(),
-            "slowness": self.member.as_ref().map_or(0, |m| m.health()),
+            "slowness": self.member.as_ref().map_or(0, |m| m.health_score()),
             "incarnation": self.member.as_ref().map_or(0, |m| m.incarnation()),
             "removed": self.effect().map(|e| &e.removed), "peers": peers, "dropped": dropped,
             "longest_turn_us": longest_turn / 1000, "longest_for_peers_us": self.longest / 1000,
@@ -162,7 +162,7 @@
         let Some(member) = &self.member else { return json!({ "standing": self.standing() }) };
         let copy = member.store();
         let (n, words) = registers(copy, now, MOST, |_| true);
-        let kept = member.is_kept() && self.writing.is_empty();
+        let kept = member.is_persisted() && self.writing.is_empty();
         json!({
             "standing": self.standing(), "digest": format!("{:016x}", copy.tree().root()), "facts": copy.len(),
             "on_disk": kept, "words": n, "first": words,
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -96,7 +96,7 @@
 }
 
 fn speak() -> u8 {
-    codec::LATEST
+    codec::LATEST_VERSION
 }
 
 /// An index node.
@@ -624,8 +624,16 @@
         if c.keep_words_s == 0 || c.keep_words_s > 3650 * 86_400 {
             wrong("keep_words_s", format!("keep_words_s {} must be from 1 to ten years", c.keep_words_s));
         }
-        if !(codec::FIRST..=codec::LATEST).contains(&c.speak) {
-            wrong("speak", format!("speak {} must be from {} to {}", c.speak, codec::FIRST, codec::LATEST));
+        if !(codec::FIRST_VERSION..=codec::LATEST_VERSION).contains(&c.speak) {
+            wrong(
+                "speak",
+                format!(
+                    "speak {} must be from {} to {}",
+                    c.speak,
+                    codec::FIRST_VERSION,
+                    codec::LATEST_VERSION
+                ),
+            );
         }
         for (n, peer) in c.peers.iter().enumerate() {
             let mut wrong = |field: &str, what: String| {
--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -13,21 +13,21 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The first version, which has no digest in its datagrams.
-pub const FIRST: u8 = 1;
+pub const FIRST_VERSION: u8 = 1;
 /// The latest version.
-pub const LATEST: u8 = 2;
+pub const LATEST_VERSION: u8 = 2;
 /// Largest datagram, bytes: it fits an Ethernet frame with room for tunnels.
-pub const DATAGRAM: usize = 1200;
+pub const MAX_DATAGRAM_BYTES: usize = 1200;
 /// Largest frame on a connection, bytes, without its length.
-pub const FRAME: usize = 60 * 1024;
+pub const MAX_FRAME_BYTES: usize = 60 * 1024;
 
 const MAGIC: &[u8; 3] = b"PBT";
 /// Bytes before the body: magic, kind, version, checksum.
-const HEAD: usize = 9;
+const HEADER_BYTES: usize = 9;
 
 /// What a frame is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Kind {
+enum FrameKind {
     Datagram = b'd' as isize,
     Stream = b's' as isize,
 }
@@ -36,7 +36,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
 pub struct Sender {
     /// The hash of the cluster's name.
-    pub cluster: u64,
+    #[serde(rename = "cluster")]
+    pub cluster_id: u64,
     /// Its name.
     pub name: String,
     /// Its process.
@@ -44,11 +45,12 @@
     /// Its incarnation.
     pub incarnation: u64,
     /// The latest version that it reads.
-    pub reads: u8,
+    #[serde(rename = "reads")]
+    pub latest_version: u8,
 }
 
 /// The hash of a cluster's name.
-pub fn cluster(name: &str) -> u64 {
+pub fn cluster_id(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
 }
 
@@ -60,7 +62,7 @@
     /// What for.
     pub probe: Probe,
     /// What is said of others.
-    pub rumours: Vec<StatusUpdate>,
+    pub status_updates: Vec<StatusUpdate>,
     /// News.
     pub facts: Vec<Fact>,
     /// The root of the sender's digests; none in the first version.
@@ -68,19 +70,21 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct First {
+struct DatagramV1 {
     sender: Sender,
     probe: Probe,
-    rumours: Vec<StatusUpdate>,
+    #[serde(rename = "rumours")]
+    status_updates: Vec<StatusUpdate>,
     facts: Vec<Fact>,
 }
 
 #[derive(Serialize, Deserialize)]
-struct Second {
+struct DatagramV2 {
     sender: Sender,
     probe: Probe,
     root: u64,
-    rumours: Vec<StatusUpdate>,
+    #[serde(rename = "rumours")]
+    status_updates: Vec<StatusUpdate>,
     facts: Vec<Fact>,
 }
 
@@ -88,49 +92,54 @@
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
 pub enum StreamFrame {
     /// Who speaks, and what it knows of others: the first line of either side.
-    Hello { sender: Sender, rumours: Vec<StatusUpdate> },
+    Hello {
+        sender: Sender,
+        #[serde(rename = "rumours")]
+        status_updates: Vec<StatusUpdate>,
+    },
     /// A step of a walk.
-    Walk(SyncMessage),
+    #[serde(rename = "Walk")]
+    Sync(SyncMessage),
 }
 
 /// Bytes that are no frame.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FrameError {
     /// Shorter than a head, or longer than may be.
-    Length(usize),
+    InvalidLength(usize),
     /// It is something else.
-    Foreign,
+    UnknownFormat,
     /// A version that is not read here.
-    Version(u8),
+    UnsupportedVersion(u8),
     /// Its body is not what was sent.
-    Checksum,
+    ChecksumMismatch,
     /// Its body can't be read.
-    Body,
+    MalformedBody,
 }
 
 impl fmt::Display for FrameError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            FrameError::Length(n) => write!(f, "{n} bytes are no frame"),
-            FrameError::Foreign => write!(f, "it is no frame of a cluster"),
-            FrameError::Version(v) => write!(f, "version {v} is not read here"),
-            FrameError::Checksum => write!(f, "its checksum does not fit"),
-            FrameError::Body => write!(f, "its body can't be read"),
+            FrameError::InvalidLength(n) => write!(f, "{n} bytes are no frame"),
+            FrameError::UnknownFormat => write!(f, "it is no frame of a cluster"),
+            FrameError::UnsupportedVersion(v) => write!(f, "version {v} is not read here"),
+            FrameError::ChecksumMismatch => write!(f, "its checksum does not fit"),
+            FrameError::MalformedBody => write!(f, "its body can't be read"),
         }
     }
 }
 
 impl std::error::Error for FrameError {}
 
-fn seal(kind: Kind, version: u8, body: &impl Serialize) -> Vec<u8> {
+fn encode_frame(kind: FrameKind, version: u8, body: &impl Serialize) -> Vec<u8> {
     let mut out = Vec::with_capacity(256);
     out.extend_from_slice(MAGIC);
     out.extend_from_slice(&[kind as u8, version, 0, 0, 0, 0]);
     // Into memory: only a value without a known length could fail, and there is none.
     out = postcard::to_extend(body, out).unwrap_or_default();
-    if out.len() >= HEAD {
+    if out.len() >= HEADER_BYTES {
         let sum = checksum(&out);
-        out[5..HEAD].copy_from_slice(&sum);
+        out[5..HEADER_BYTES].copy_from_slice(&sum);
     }
     out
 }
@@ -139,60 +148,73 @@
 fn checksum(frame: &[u8]) -> [u8; 4] {
     let mut hasher = crc32fast::Hasher::new();
     hasher.update(&frame[3..5]);
-    hasher.update(&frame[HEAD..]);
+    hasher.update(&frame[HEADER_BYTES..]);
     hasher.finalize().to_le_bytes()
 }
 
-fn open(kind: Kind, frame: &[u8], most: usize, reads: u8) -> Result<(u8, &[u8]), FrameError> {
-    if frame.len() < HEAD || frame.len() > most {
-        return Err(FrameError::Length(frame.len()));
+fn open_frame(
+    kind: FrameKind,
+    frame: &[u8],
+    max_bytes: usize,
+    latest_version: u8,
+) -> Result<(u8, &[u8]), FrameError> {
+    if frame.len() < HEADER_BYTES || frame.len() > max_bytes {
+        return Err(FrameError::InvalidLength(frame.len()));
     }
     if &frame[..3] != MAGIC || frame[3] != kind as u8 {
-        return Err(FrameError::Foreign);
+        return Err(FrameError::UnknownFormat);
     }
     let version = frame[4];
-    if checksum(frame) != frame[5..HEAD] {
-        return Err(FrameError::Checksum);
+    if checksum(frame) != frame[5..HEADER_BYTES] {
+        return Err(FrameError::ChecksumMismatch);
     }
-    if !(FIRST..=reads).contains(&version) {
-        return Err(FrameError::Version(version));
+    if !(FIRST_VERSION..=latest_version).contains(&version) {
+        return Err(FrameError::UnsupportedVersion(version));
     }
-    Ok((version, &frame[HEAD..]))
+    Ok((version, &frame[HEADER_BYTES..]))
 }
 
-fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, FrameError> {
+fn decode_body<T: DeserializeOwned>(body: &[u8]) -> Result<T, FrameError> {
     match postcard::take_from_bytes(body) {
         Ok((value, [])) => Ok(value),
-        _ => Err(FrameError::Body),
+        _ => Err(FrameError::MalformedBody),
     }
 }
 
 impl Datagram {
     /// The bytes, in this version.
     pub fn encode(self, version: u8) -> Vec<u8> {
-        let Datagram { sender, probe, rumours, facts, root } = self;
+        let Datagram { sender, probe, status_updates, facts, root } = self;
         match (version, root) {
-            (FIRST, _) | (_, None) => seal(Kind::Datagram, FIRST, &First { sender, probe, rumours, facts }),
-            (_, Some(root)) => seal(Kind::Datagram, LATEST, &Second { sender, probe, root, rumours, facts }),
+            (FIRST_VERSION, _) | (_, None) => encode_frame(
+                FrameKind::Datagram,
+                FIRST_VERSION,
+                &DatagramV1 { sender, probe, status_updates, facts },
+            ),
+            (_, Some(root)) => encode_frame(
+                FrameKind::Datagram,
+                LATEST_VERSION,
+                &DatagramV2 { sender, probe, root, status_updates, facts },
+            ),
         }
     }
 
-    /// Reads a datagram, of versions up to `reads`.
-    pub fn decode(bytes: &[u8], reads: u8) -> Result<Datagram, FrameError> {
-        let (version, body) = open(Kind::Datagram, bytes, DATAGRAM, reads)?;
-        if version == FIRST {
-            let First { sender, probe, rumours, facts } = read(body)?;
-            return Ok(Datagram { sender, probe, rumours, facts, root: None });
+    /// Reads a datagram, of versions up to `latest_version`.
+    pub fn decode(bytes: &[u8], latest_version: u8) -> Result<Datagram, FrameError> {
+        let (version, body) = open_frame(FrameKind::Datagram, bytes, MAX_DATAGRAM_BYTES, latest_version)?;
+        if version == FIRST_VERSION {
+            let DatagramV1 { sender, probe, status_updates, facts } = decode_body(body)?;
+            return Ok(Datagram { sender, probe, status_updates, facts, root: None });
         }
-        let Second { sender, probe, root, rumours, facts } = read(body)?;
-        Ok(Datagram { sender, probe, rumours, facts, root: Some(root) })
+        let DatagramV2 { sender, probe, root, status_updates, facts } = decode_body(body)?;
+        Ok(Datagram { sender, probe, status_updates, facts, root: Some(root) })
     }
 }
 
 impl StreamFrame {
     /// The bytes, behind their length. Lines are the same in both versions.
     pub fn encode(&self) -> Vec<u8> {
-        let frame = seal(Kind::Stream, FIRST, self);
+        let frame = encode_frame(FrameKind::Stream, FIRST_VERSION, self);
         let mut out = Vec::with_capacity(frame.len() + 4);
         out.extend_from_slice(&(frame.len() as u32).to_be_bytes());
         out.extend_from_slice(&frame);
@@ -201,8 +223,8 @@
 
     /// Reads a frame without its length.
     pub fn decode(frame: &[u8]) -> Result<StreamFrame, FrameError> {
-        let (_, body) = open(Kind::Stream, frame, FRAME, LATEST)?;
-        read(body)
+        let (_, body) = open_frame(FrameKind::Stream, frame, MAX_FRAME_BYTES, LATEST_VERSION)?;
+        decode_body(body)
     }
 }
 
@@ -210,8 +232,8 @@
 pub fn frame_end(bytes: &[u8]) -> Result<Option<usize>, FrameError> {
     let Some(length) = bytes.first_chunk::<4>() else { return Ok(None) };
     let length = u32::from_be_bytes(*length) as usize;
-    if !(HEAD..=FRAME).contains(&length) {
-        return Err(FrameError::Length(length));
+    if !(HEADER_BYTES..=MAX_FRAME_BYTES).contains(&length) {
+        return Err(FrameError::InvalidLength(length));
     }
     Ok(Some(4 + length).filter(|end| bytes.len() >= *end))
 }
--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -1,6 +1,8 @@
 //! One broker of a cluster: what it sends to whom, and what it does with what comes. Free of I/O and clock.
 
-use super::codec::{self, DATAGRAM, Datagram, FIRST, FrameError, LATEST, Sender, StreamFrame};
+use super::codec::{
+    self, Datagram, FIRST_VERSION, FrameError, LATEST_VERSION, MAX_DATAGRAM_BYTES, Sender, StreamFrame,
+};
 use super::swim::{self, PeerEvent, PeerStatus, Probe, StatusUpdate, Swim};
 use crate::api::Nanos;
 use crate::replication::anti_entropy::{self, SyncMessage, SyncSession};
@@ -16,33 +18,35 @@
 
 const MS: Nanos = 1_000_000;
 /// Time between two rounds of telling news on, and how many peers are told in each.
-const ROUND: Nanos = 100 * MS;
-const FANOUT: usize = 2;
+const GOSSIP_INTERVAL: Nanos = 100 * MS;
+const GOSSIP_FANOUT: usize = 2;
 /// Bytes of a datagram that are not for news: head, sender, probe.
-const BESIDE: usize = 320;
+const DATAGRAM_OVERHEAD_BYTES: usize = 320;
 /// Bytes of rumours in a datagram.
-const RUMOURS: usize = 300;
+const STATUS_UPDATES_BYTES: usize = 300;
 /// Datagrams that are taken from one peer in a second; what it sends beyond is dropped unread.
-const MOST_DATAGRAMS: u32 = 200;
+const MAX_DATAGRAMS_PER_SECOND: u32 = 200;
 /// How long two copies may differ before they are brought together, at least; as long again, drawn at random, is added.
-const DIFFERS: Nanos = 1_000 * MS;
+const MIN_DIVERGENCE: Nanos = 1_000 * MS;
 /// Shortest time between two walks that this broker begins; and while it catches up.
-const WALKS: (Nanos, Nanos) = (1_000 * MS, 200 * MS);
+const SYNC_INTERVAL: Nanos = 1_000 * MS;
+/// Shortest time interval two sessions that this broker begins while it catches up.
+const CATCH_UP_SYNC_INTERVAL: Nanos = 200 * MS;
 /// Bytes of facts that one walk moves.
-const WALK: usize = 1 << 20;
+const SYNC_BUDGET_BYTES: usize = 1 << 20;
 /// A walk on which nothing comes for so long is broken off.
-const SILENT: Nanos = 5_000 * MS;
+const STREAM_IDLE_TIMEOUT: Nanos = 5_000 * MS;
 /// Facts that come together and still count as news.
-const NEWS: usize = 32;
+const MAX_RUMOR_BATCH: usize = 32;
 /// Walks of others that are answered at once.
-const ANSWERED: usize = 4;
+const MAX_INCOMING_STREAMS: usize = 4;
 /// Time after which somebody is walked with whose digests are not told.
-const UNTOLD: Nanos = 10_000 * MS;
+const ROOTLESS_SYNC_INTERVAL: Nanos = 10_000 * MS;
 /// Time between two looks for what can be forgotten.
-const COLLECT: Nanos = 60_000 * MS;
+const GARBAGE_COLLECTION_INTERVAL: Nanos = 60_000 * MS;
 /// A quarter of the time for which words are kept, if that is shorter.
-fn collect_every(bounds: &StoreLimits) -> Nanos {
-    COLLECT.min(bounds.keep / 4).max(100 * MS)
+fn garbage_collection_interval(limits: &StoreLimits) -> Nanos {
+    GARBAGE_COLLECTION_INTERVAL.min(limits.keep / 4).max(100 * MS)
 }
 
 /// What a broker is told of its cluster.
@@ -57,9 +61,9 @@
     /// Times of the probing.
     pub swim: swim::SwimSettings,
     /// How much is held.
-    pub bounds: StoreLimits,
+    pub store_limits: StoreLimits,
     /// The latest version of frames that is spoken.
-    pub speaks: u8,
+    pub latest_version: u8,
     /// For all that is drawn.
     pub seed: u64,
 }
@@ -81,40 +85,40 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DropReason {
     /// It came from an address that the operator's file does not name.
-    Unlisted,
+    UnlistedAddress,
     /// Its bytes are no frame.
-    Frame,
+    MalformedFrame,
     /// It speaks a later version than this program.
-    Version,
+    UnsupportedVersion,
     /// It belongs to another cluster.
-    Cluster,
+    OtherCluster,
     /// It has another name than its address is listed under.
-    Name,
+    NameMismatch,
     /// It has this broker's own name.
     OwnName,
     /// It was removed from the cluster.
-    Removed,
+    RemovedSender,
     /// It sends more than may be.
-    Flood,
+    RateLimited,
     /// A fact could not be taken in.
-    Fact,
+    InvalidFact,
     /// A message out of turn, or a connection too many.
-    Stream,
+    ProtocolViolation,
 }
 
 impl fmt::Display for DropReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            DropReason::Unlisted => "the operator's file does not name it",
-            DropReason::Frame => "what it sends is no frame",
-            DropReason::Version => "it speaks a later version than this program",
-            DropReason::Cluster => "it belongs to another cluster",
-            DropReason::Name => "it has another name than its address is listed under",
+            DropReason::UnlistedAddress => "the operator's file does not name it",
+            DropReason::MalformedFrame => "what it sends is no frame",
+            DropReason::UnsupportedVersion => "it speaks a later version than this program",
+            DropReason::OtherCluster => "it belongs to another cluster",
+            DropReason::NameMismatch => "it has another name than its address is listed under",
             DropReason::OwnName => "it has this broker's own name",
-            DropReason::Removed => "it was removed from the cluster",
-            DropReason::Flood => "it sends more than may be",
-            DropReason::Fact => "it tells facts that can't be taken in",
-            DropReason::Stream => "it speaks out of turn, or opens too many connections",
+            DropReason::RemovedSender => "it was removed from the cluster",
+            DropReason::RateLimited => "it sends more than may be",
+            DropReason::InvalidFact => "it tells facts that can't be taken in",
+            DropReason::ProtocolViolation => "it speaks out of turn, or opens too many connections",
         })
     }
 }
@@ -123,29 +127,29 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Notification {
     /// A peer is up.
-    Up(String),
+    PeerUp(String),
     /// A peer does not answer.
-    Suspected(String),
+    PeerSuspected(String),
     /// A peer is down.
-    Down(String),
+    PeerDown(String),
     /// Others took this broker for gone; it said that it is not.
     Refuted,
     /// This process did not run for so long.
-    Late(Nanos),
+    Stalled(Nanos),
     /// Something was dropped; told once a minute for each reason.
     Dropped(DropReason, SocketAddr),
     /// This copy is as new as that of a peer.
     CaughtUp(String),
     /// No peer can be reached: it serves as a lone one.
-    Alone,
+    Isolated,
     /// Somebody else used this process's stamps; it has drawn others.
-    Doubled,
+    OriginReplaced,
     /// This broker was removed from the cluster: it tells nobody anything any more.
-    Removed,
+    RemovedFromCluster,
     /// A word or several stand on this key.
-    Changed(FactKey),
+    FactChanged(FactKey),
     /// So many words came at once.
-    Came(usize),
+    FactsReceived(usize),
 }
 
 /// How far this copy is as new as the others'.
@@ -156,23 +160,23 @@
     /// As new as a peer's, at some time since the start.
     CaughtUp,
     /// Nobody can be reached.
-    Alone,
+    Isolated,
 }
 
 #[derive(Clone, Debug)]
 struct Peer {
     name: String,
-    at: SocketAddr,
+    address: SocketAddr,
     origin: Option<Origin>,
-    reads: u8,
+    latest_version: u8,
     /// Its root, as it told last, and since when that differs from ours.
     root: Option<u64>,
-    differs: Option<Nanos>,
+    differs_since: Option<Nanos>,
     /// When it was heard last, and when walked with last.
-    heard: Option<Nanos>,
-    walked: Nanos,
+    last_received: Option<Nanos>,
+    last_synced: Nanos,
     /// Datagrams in the second that began then.
-    second: (Nanos, u32),
+    rate_window: (Nanos, u32),
     /// The operator's file names it.
     listed: bool,
 }
@@ -181,32 +185,32 @@
     fn new(name: &str, at: SocketAddr, now: Nanos) -> Peer {
         Peer {
             name: name.to_owned(),
-            at,
+            address: at,
             origin: None,
-            reads: FIRST,
+            latest_version: FIRST_VERSION,
             root: None,
-            differs: None,
-            heard: None,
-            walked: now,
-            second: (0, 0),
+            differs_since: None,
+            last_received: None,
+            last_synced: now,
+            rate_window: (0, 0),
             listed: true,
         }
     }
 }
 
 #[derive(Clone, Debug)]
-struct Outgoing {
+struct OutgoingSync {
     stream: u64,
     peer: usize,
-    walk: SyncSession,
-    first: Option<SyncMessage>,
-    silent_since: Nanos,
+    session: SyncSession,
+    first_message: Option<SyncMessage>,
+    last_activity: Nanos,
 }
 
 #[derive(Clone, Debug)]
-struct Incoming {
+struct IncomingSync {
     peer: Option<usize>,
-    silent_since: Nanos,
+    last_activity: Nanos,
 }
 
 /// One broker of a cluster.
@@ -214,26 +218,26 @@
 pub struct GossipNode {
     settings: GossipSettings,
     swim: Swim,
-    copy: StateStore,
-    news: RumorQueue,
+    store: StateStore,
+    rumor_queue: RumorQueue,
     peers: Vec<Peer>,
     by_addr: BTreeMap<SocketAddr, usize>,
-    outgoing: Option<Outgoing>,
-    incoming: BTreeMap<u64, Incoming>,
-    streams: u64,
-    next_round: Nanos,
-    next_walk: Nanos,
-    next_collect: Nanos,
-    began: Nanos,
-    standing: SyncStatus,
+    outgoing: Option<OutgoingSync>,
+    incoming: BTreeMap<u64, IncomingSync>,
+    last_stream: u64,
+    next_gossip: Nanos,
+    next_sync: Nanos,
+    next_garbage_collection: Nanos,
+    catching_up_since: Nanos,
+    sync_status: SyncStatus,
     /// Keys that changed and are not on disk.
-    unkept: BTreeSet<FactKey>,
-    effect: DerivedState,
-    heard_of: VecDeque<FactKey>,
-    out: VecDeque<Output>,
-    told: VecDeque<Notification>,
-    dropped: BTreeMap<DropReason, (u64, Nanos)>,
-    was_removed: bool,
+    unpersisted: BTreeSet<FactKey>,
+    derived_state: DerivedState,
+    updated_servers: VecDeque<FactKey>,
+    outputs: VecDeque<Output>,
+    notifications: VecDeque<Notification>,
+    drop_counts: BTreeMap<DropReason, (u64, Nanos)>,
+    is_removed: bool,
 }
 
 impl GossipNode {
@@ -241,65 +245,65 @@
     pub fn new(
         settings: GossipSettings,
         origin: Origin,
-        kept: &[Fact],
+        persisted: &[Fact],
         incarnation: u64,
         now: Nanos,
     ) -> GossipNode {
-        let mut copy = StateStore::new(origin, settings.bounds);
-        for (key, entry) in kept {
+        let mut store = StateStore::new(origin, settings.store_limits);
+        for (key, entry) in persisted {
             // A start that lies ahead was kept under another clock; discovery tells it anew.
-            let _ = copy.join(key, entry, now);
+            let _ = store.join(key, entry, now);
         }
         let names: Vec<String> = settings.peers.iter().map(|(n, _)| n.clone()).collect();
         let swim = Swim::new(settings.swim, &settings.name, &names, incarnation, settings.seed, now);
         let peers: Vec<Peer> = settings.peers.iter().map(|(name, at)| Peer::new(name, *at, now)).collect();
-        let by_addr = peers.iter().enumerate().map(|(n, p)| (p.at, n)).collect();
-        let next_collect = now + collect_every(&settings.bounds);
-        let mut member = GossipNode {
+        let by_addr = peers.iter().enumerate().map(|(n, p)| (p.address, n)).collect();
+        let next_garbage_collection = now + garbage_collection_interval(&settings.store_limits);
+        let mut node = GossipNode {
             settings,
             swim,
-            copy,
-            news: RumorQueue::default(),
+            store,
+            rumor_queue: RumorQueue::default(),
             peers,
             by_addr,
             outgoing: None,
             incoming: BTreeMap::new(),
-            streams: 0,
-            next_round: now,
-            next_walk: now,
-            next_collect,
-            began: now,
-            standing: SyncStatus::CatchingUp,
-            unkept: BTreeSet::new(),
-            effect: DerivedState::default(),
-            heard_of: VecDeque::new(),
-            out: VecDeque::new(),
-            told: VecDeque::new(),
-            dropped: BTreeMap::new(),
-            was_removed: false,
+            last_stream: 0,
+            next_gossip: now,
+            next_sync: now,
+            next_garbage_collection,
+            catching_up_since: now,
+            sync_status: SyncStatus::CatchingUp,
+            unpersisted: BTreeSet::new(),
+            derived_state: DerivedState::default(),
+            updated_servers: VecDeque::new(),
+            outputs: VecDeque::new(),
+            notifications: VecDeque::new(),
+            drop_counts: BTreeMap::new(),
+            is_removed: false,
         };
-        member.next_walk += member.swim.jitter(WALKS.1);
+        node.next_sync += node.swim.jitter(CATCH_UP_SYNC_INTERVAL);
         let from_discovery = |k: &&FactKey| matches!(k, FactKey::Drain(_) | FactKey::Start(_));
-        member.heard_of = member.copy.facts().map(|(k, _)| k).filter(from_discovery).cloned().collect();
-        member.work_out(now);
-        member
+        node.updated_servers = node.store.facts().map(|(k, _)| k).filter(from_discovery).cloned().collect();
+        node.update_derived_state(now);
+        node
     }
 
     // ---- what is asked of it ----
 
     /// The copy.
     pub fn store(&self) -> &StateStore {
-        &self.copy
+        &self.store
     }
 
     /// What holds for this broker.
     pub fn derived_state(&self) -> &DerivedState {
-        &self.effect
+        &self.derived_state
     }
 
     /// How new the copy is.
     pub fn sync_status(&self) -> SyncStatus {
-        self.standing
+        self.sync_status
     }
 
     /// Its incarnation.
@@ -308,8 +312,8 @@
     }
 
     /// How slow it finds itself.
-    pub fn health(&self) -> u32 {
-        self.swim.health()
+    pub fn health_score(&self) -> u32 {
+        self.swim.health_score()
     }
 
     /// The peers: name, address, how it stands, whether its copy was seen to be the same, ns since it was heard.
@@ -317,46 +321,46 @@
         &self,
         now: Nanos,
     ) -> impl Iterator<Item = (&str, SocketAddr, PeerStatus, Option<bool>, Option<Nanos>)> {
-        let root = self.copy.tree().root();
+        let root = self.store.tree().root();
         self.peers.iter().enumerate().filter(|(_, p)| p.listed).map(move |(n, p)| {
-            let ago = p.heard.map(|t| now.saturating_sub(t));
-            (p.name.as_str(), p.at, self.swim.status(n), p.root.map(|r| r == root), ago)
+            let ago = p.last_received.map(|t| now.saturating_sub(t));
+            (p.name.as_str(), p.address, self.swim.status(n), p.root.map(|r| r == root), ago)
         })
     }
 
     /// What was dropped, by reason.
-    pub fn dropped(&self) -> impl Iterator<Item = (DropReason, u64)> {
-        self.dropped.iter().map(|(why, (n, _))| (*why, *n))
+    pub fn drop_counts(&self) -> impl Iterator<Item = (DropReason, u64)> {
+        self.drop_counts.iter().map(|(why, (n, _))| (*why, *n))
     }
 
     /// Says something by hand.
     pub fn record(&mut self, key: &FactKey, said: OperatorCommand, now: Nanos) -> Result<Dot, JoinError> {
-        let dot = self.copy.record(key, said)?;
+        let dot = self.store.record(key, said)?;
         self.changed(key.clone());
-        self.work_out(now);
+        self.update_derived_state(now);
         Ok(dot)
     }
 
     /// Discovery told this broker of a drain or a start.
-    pub fn note(&mut self, key: FactKey, latest: ProcessStart, now: Nanos) {
-        if self.copy.join(&key, &FactValue::Latest(latest), now) == Ok(true) {
+    pub fn record_process_event(&mut self, key: FactKey, latest: ProcessStart, now: Nanos) {
+        if self.store.join(&key, &FactValue::Latest(latest), now) == Ok(true) {
             self.changed(key);
         }
     }
 
     /// A fact that is new: to be told on, kept, and looked at for what follows.
     fn changed(&mut self, key: FactKey) {
-        self.news.learnt(key.clone(), self.swim.brokers());
-        self.unkept.insert(key);
+        self.rumor_queue.learnt(key.clone(), self.swim.cluster_size());
+        self.unpersisted.insert(key);
     }
 
     /// Facts that are not on disk yet, at most so many; they count as kept from now on.
-    pub fn take_unkept(&mut self, most: usize) -> Vec<Fact> {
+    pub fn take_unpersisted(&mut self, most: usize) -> Vec<Fact> {
         let mut facts = Vec::new();
         while facts.len() < most
-            && let Some(key) = self.unkept.pop_first()
+            && let Some(key) = self.unpersisted.pop_first()
         {
-            match self.copy.get(&key) {
+            match self.store.get(&key) {
                 Some(entry) => facts.push((key, entry.clone())),
                 None => continue,
             }
@@ -365,407 +369,425 @@
     }
 
     /// Facts could not be kept: they are still to be.
-    pub fn not_kept(&mut self, keys: impl IntoIterator<Item = FactKey>) {
-        self.unkept.extend(keys);
+    pub fn persist_failed(&mut self, keys: impl IntoIterator<Item = FactKey>) {
+        self.unpersisted.extend(keys);
     }
 
     /// Whether all is on disk.
-    pub fn is_kept(&self) -> bool {
-        self.unkept.is_empty()
+    pub fn is_persisted(&self) -> bool {
+        self.unpersisted.is_empty()
     }
 
     /// Servers of which peers have heard something that is new here.
-    pub fn take_heard_of(&mut self) -> Option<FactKey> {
-        self.heard_of.pop_front()
+    pub fn take_updated_server(&mut self) -> Option<FactKey> {
+        self.updated_servers.pop_front()
     }
 
     /// What is to be sent.
     pub fn take_output(&mut self) -> Option<Output> {
-        self.out.pop_front()
+        self.outputs.pop_front()
     }
 
     /// What people are told.
-    pub fn take_told(&mut self) -> Option<Notification> {
-        self.told.pop_front()
+    pub fn take_notification(&mut self) -> Option<Notification> {
+        self.notifications.pop_front()
     }
 
     /// A new origin, where somebody else uses this one.
-    pub fn renew(&mut self, origin: Origin) {
-        self.copy.set_origin(origin);
-        self.told.push_back(Notification::Doubled);
+    pub fn replace_origin(&mut self, origin: Origin) {
+        self.store.set_origin(origin);
+        self.notifications.push_back(Notification::OriginReplaced);
     }
 
     /// Whether somebody else uses this process's stamps.
-    pub fn is_doubled(&self) -> bool {
-        self.copy.has_duplicate_origin()
+    pub fn has_duplicate_origin(&self) -> bool {
+        self.store.has_duplicate_origin()
     }
 
     fn sender(&self) -> Sender {
         Sender {
-            cluster: codec::cluster(&self.settings.cluster),
+            cluster_id: codec::cluster_id(&self.settings.cluster),
             name: self.settings.name.clone(),
-            origin: self.copy.origin(),
+            origin: self.store.origin(),
             incarnation: self.swim.incarnation(),
-            reads: self.settings.speaks,
+            latest_version: self.settings.latest_version,
         }
     }
 
-    fn drop_it(&mut self, why: DropReason, from: SocketAddr, now: Nanos) {
-        let (count, told) = self.dropped.entry(why).or_insert((0, 0));
+    fn count_drop(&mut self, why: DropReason, from: SocketAddr, now: Nanos) {
+        let (count, last_notified) = self.drop_counts.entry(why).or_insert((0, 0));
         *count += 1;
-        if *count == 1 || now >= *told + 60_000 * MS {
-            *told = now;
-            self.told.push_back(Notification::Dropped(why, from));
+        if *count == 1 || now >= *last_notified + 60_000 * MS {
+            *last_notified = now;
+            self.notifications.push_back(Notification::Dropped(why, from));
         }
     }
 
     // ---- datagrams ----
 
     /// A datagram came.
-    pub fn datagram(&mut self, from: SocketAddr, bytes: &[u8], now: Nanos) {
-        let Some(&n) = self.by_addr.get(&from) else { return self.drop_it(DropReason::Unlisted, from, now) };
-        let (since, count) = self.peers[n].second;
-        self.peers[n].second =
+    pub fn on_datagram(&mut self, from: SocketAddr, bytes: &[u8], now: Nanos) {
+        let Some(&n) = self.by_addr.get(&from) else {
+            return self.count_drop(DropReason::UnlistedAddress, from, now);
+        };
+        let (since, count) = self.peers[n].rate_window;
+        self.peers[n].rate_window =
             if now >= since + 1_000 * MS { (now, 1) } else { (since, count.saturating_add(1)) };
-        if self.peers[n].second.1 > MOST_DATAGRAMS {
-            return self.drop_it(DropReason::Flood, from, now);
+        if self.peers[n].rate_window.1 > MAX_DATAGRAMS_PER_SECOND {
+            return self.count_drop(DropReason::RateLimited, from, now);
         }
-        let d = match Datagram::decode(bytes, self.settings.speaks) {
-            Ok(d) => d,
-            Err(FrameError::Version(_)) => return self.drop_it(DropReason::Version, from, now),
-            Err(_) => return self.drop_it(DropReason::Frame, from, now),
+        let datagram = match Datagram::decode(bytes, self.settings.latest_version) {
+            Ok(datagram) => datagram,
+            Err(FrameError::UnsupportedVersion(_)) => {
+                return self.count_drop(DropReason::UnsupportedVersion, from, now);
+            }
+            Err(_) => return self.count_drop(DropReason::MalformedFrame, from, now),
         };
-        if let Err(why) = self.vouch(n, &d.sender) {
-            return self.drop_it(why, from, now);
+        if let Err(why) = self.verify_sender(n, &datagram.sender) {
+            return self.count_drop(why, from, now);
         }
         let p = &mut self.peers[n];
-        (p.origin, p.reads, p.heard) = (Some(d.sender.origin), d.sender.reads, Some(now));
-        self.take_in(&d.facts, from, now);
-        self.compare(n, d.root, now);
-        self.swim.heard(n, d.sender.incarnation, &d.probe, now);
-        self.swim.rumours(&d.sender.name, &d.rumours, now);
-        self.flush(now);
+        (p.origin, p.latest_version, p.last_received) =
+            (Some(datagram.sender.origin), datagram.sender.latest_version, Some(now));
+        self.merge_facts(&datagram.facts, from, now);
+        self.record_root(n, datagram.root, now);
+        self.swim.on_message(n, datagram.sender.incarnation, &datagram.probe, now);
+        self.swim.on_status_updates(&datagram.sender.name, &datagram.status_updates, now);
+        self.flush_failure_detector(now);
     }
 
     /// Whether somebody at the address of peer `n` is that peer.
-    fn vouch(&self, n: usize, sender: &Sender) -> Result<(), DropReason> {
+    fn verify_sender(&self, n: usize, sender: &Sender) -> Result<(), DropReason> {
         if !self.peers[n].listed {
-            return Err(DropReason::Unlisted);
+            return Err(DropReason::UnlistedAddress);
         }
-        if sender.cluster != codec::cluster(&self.settings.cluster) {
-            Err(DropReason::Cluster)
+        if sender.cluster_id != codec::cluster_id(&self.settings.cluster) {
+            Err(DropReason::OtherCluster)
         } else if sender.name == self.settings.name {
             Err(DropReason::OwnName)
         } else if sender.name != self.peers[n].name {
-            Err(DropReason::Name)
-        } else if self.effect.removed.contains(&sender.name) {
-            Err(DropReason::Removed)
+            Err(DropReason::NameMismatch)
+        } else if self.derived_state.removed.contains(&sender.name) {
+            Err(DropReason::RemovedSender)
         } else {
             Ok(())
         }
     }
 
-    fn compare(&mut self, n: usize, root: Option<u64>, now: Nanos) {
-        let same = root == Some(self.copy.tree().root());
+    fn record_root(&mut self, n: usize, root: Option<u64>, now: Nanos) {
+        let same = root == Some(self.store.tree().root());
         let p = &mut self.peers[n];
         p.root = root.or(p.root);
         if root.is_some() {
-            p.differs = if same { None } else { p.differs.or(Some(now)) };
+            p.differs_since = if same { None } else { p.differs_since.or(Some(now)) };
         }
     }
 
     /// Takes facts in.
-    fn take_in(&mut self, facts: &[Fact], from: SocketAddr, now: Nanos) {
-        let before = self.copy.version();
+    fn merge_facts(&mut self, facts: &[Fact], from: SocketAddr, now: Nanos) {
+        let before = self.store.version();
         // Many at once are what somebody missed, not news: the digests bring them to whoever missed them too.
-        let news = facts.len() <= NEWS;
-        let mut came = 0;
+        let is_news = facts.len() <= MAX_RUMOR_BATCH;
+        let mut received = 0;
         for (key, entry) in facts {
-            match self.copy.join(key, entry, now) {
+            match self.store.join(key, entry, now) {
                 Ok(true) => {
-                    if news {
+                    if is_news {
                         self.changed(key.clone());
                     } else {
-                        self.unkept.insert(key.clone());
+                        self.unpersisted.insert(key.clone());
                     }
                     match key {
-                        FactKey::Drain(_) | FactKey::Start(_) => self.heard_of.push_back(key.clone()),
-                        _ if news => self.told.push_back(Notification::Changed(key.clone())),
-                        _ => came += 1,
+                        FactKey::Drain(_) | FactKey::Start(_) => self.updated_servers.push_back(key.clone()),
+                        _ if is_news => self.notifications.push_back(Notification::FactChanged(key.clone())),
+                        _ => received += 1,
                     }
                 }
                 Ok(false) => {}
-                Err(_) => self.drop_it(DropReason::Fact, from, now),
+                Err(_) => self.count_drop(DropReason::InvalidFact, from, now),
             }
         }
-        if came > 0 {
-            self.told.push_back(Notification::Came(came));
+        if received > 0 {
+            self.notifications.push_back(Notification::FactsReceived(received));
         }
-        if self.copy.version() != before {
-            self.work_out(now);
+        if self.store.version() != before {
+            self.update_derived_state(now);
         }
     }
 
     /// What follows from the facts.
-    fn work_out(&mut self, now: Nanos) {
-        let mut keys = self.copy.take_changed_keys();
-        keys.extend(self.effect.ended(now));
+    fn update_derived_state(&mut self, now: Nanos) {
+        let mut keys = self.store.take_changed_keys();
+        keys.extend(self.derived_state.ended(now));
         if keys.is_empty() {
             return;
         }
-        let mut brokers_too = false;
+        let mut membership_changed = false;
         for key in &keys {
-            self.effect.look(&self.copy, key, &self.settings.name, now);
-            brokers_too |= matches!(key, FactKey::Removed(_));
+            self.derived_state.look(&self.store, key, &self.settings.name, now);
+            membership_changed |= matches!(key, FactKey::Removed(_));
         }
-        if brokers_too {
-            self.let_out();
+        if membership_changed {
+            self.update_removed_peers();
         }
     }
 
     /// Who was removed by hand, or is not in the operator's file any more, is not spoken to.
-    fn let_out(&mut self) {
-        let mut out = self.effect.removed.clone();
-        out.extend(self.peers.iter().filter(|p| !p.listed).map(|p| p.name.clone()));
-        self.swim.removed(&out);
-        let gone = self.effect.removed.contains(&self.settings.name);
-        if gone && !self.was_removed {
-            self.told.push_back(Notification::Removed);
+    fn update_removed_peers(&mut self) {
+        let mut removed = self.derived_state.removed.clone();
+        removed.extend(self.peers.iter().filter(|p| !p.listed).map(|p| p.name.clone()));
+        self.swim.set_removed(&removed);
+        let is_removed = self.derived_state.removed.contains(&self.settings.name);
+        if is_removed && !self.is_removed {
+            self.notifications.push_back(Notification::RemovedFromCluster);
         }
-        self.was_removed = gone;
+        self.is_removed = is_removed;
     }
 
     /// The operator's file names these peers from now on: some are new, some have moved, some are gone.
-    pub fn relist(&mut self, peers: &[(String, SocketAddr)], now: Nanos) {
+    pub fn set_peers(&mut self, peers: &[(String, SocketAddr)], now: Nanos) {
         self.peers.iter_mut().for_each(|p| p.listed = false);
         for (name, at) in peers {
-            match self.swim.number(name) {
+            match self.swim.peer_index(name) {
                 Some(n) => {
                     let p = &mut self.peers[n];
-                    if p.at != *at {
+                    if p.address != *at {
                         // Another place may be another process: it is asked anew.
-                        (p.at, p.origin, p.root, p.differs, p.heard) = (*at, None, None, None, None);
+                        (p.address, p.origin, p.root, p.differs_since, p.last_received) =
+                            (*at, None, None, None, None);
                     }
                     p.listed = true;
                 }
                 None => {
-                    self.swim.add(name);
+                    self.swim.add_peer(name);
                     self.peers.push(Peer::new(name, *at, now));
                 }
             }
         }
         let listed = self.peers.iter().enumerate().filter(|(_, p)| p.listed);
-        self.by_addr = listed.map(|(n, p)| (p.at, n)).collect();
-        self.let_out();
-        self.next_walk = self.next_walk.min(now + WALKS.1);
+        self.by_addr = listed.map(|(n, p)| (p.address, n)).collect();
+        self.update_removed_peers();
+        self.next_sync = self.next_sync.min(now + CATCH_UP_SYNC_INTERVAL);
     }
 
     /// Sends what there is to send to one peer.
-    fn send(&mut self, to: usize, probe: Probe, facts: Vec<Fact>) {
-        if self.was_removed {
+    fn send_datagram(&mut self, to: usize, probe: Probe, facts: Vec<Fact>) {
+        if self.is_removed {
             return;
         }
-        let rumours = self.swim.rumours_for(to, RUMOURS);
-        let version = self.peers[to].reads.min(self.settings.speaks).clamp(FIRST, LATEST);
-        let d =
-            Datagram { sender: self.sender(), probe, rumours, facts, root: Some(self.copy.tree().root()) };
-        let bytes = d.encode(version);
-        if bytes.len() <= DATAGRAM {
-            self.out.push_back(Output::Datagram { to: self.peers[to].at, bytes });
+        let status_updates = self.swim.updates_for(to, STATUS_UPDATES_BYTES);
+        let version = self.peers[to]
+            .latest_version
+            .min(self.settings.latest_version)
+            .clamp(FIRST_VERSION, LATEST_VERSION);
+        let datagram = Datagram {
+            sender: self.sender(),
+            probe,
+            status_updates,
+            facts,
+            root: Some(self.store.tree().root()),
+        };
+        let bytes = datagram.encode(version);
+        if bytes.len() <= MAX_DATAGRAM_BYTES {
+            self.outputs.push_back(Output::Datagram { to: self.peers[to].address, bytes });
         }
     }
 
     /// Sends what the probing wants sent, and tells what it found.
-    fn flush(&mut self, now: Nanos) {
-        for (to, probe) in self.swim.take_out() {
-            self.send(to, probe, Vec::new());
+    fn flush_failure_detector(&mut self, now: Nanos) {
+        for (to, probe) in self.swim.take_probes() {
+            self.send_datagram(to, probe, Vec::new());
         }
         for event in self.swim.take_events() {
             let name = |n: usize| self.peers[n].name.clone();
-            let told = match event {
-                PeerEvent::Up(n) => Notification::Up(name(n)),
-                PeerEvent::Suspected(n) => Notification::Suspected(name(n)),
-                PeerEvent::Down(n) => Notification::Down(name(n)),
+            let notification = match event {
+                PeerEvent::Up(n) => Notification::PeerUp(name(n)),
+                PeerEvent::Suspected(n) => Notification::PeerSuspected(name(n)),
+                PeerEvent::Down(n) => Notification::PeerDown(name(n)),
                 PeerEvent::Refuted => Notification::Refuted,
-                PeerEvent::Late(t) => {
+                PeerEvent::Stalled(t) => {
                     // What was missed meanwhile is asked for at once.
-                    if self.standing == SyncStatus::CaughtUp && t > SILENT {
-                        (self.standing, self.began, self.next_walk) = (SyncStatus::CatchingUp, now, now);
+                    if self.sync_status == SyncStatus::CaughtUp && t > STREAM_IDLE_TIMEOUT {
+                        (self.sync_status, self.catching_up_since, self.next_sync) =
+                            (SyncStatus::CatchingUp, now, now);
                     }
-                    Notification::Late(t)
+                    Notification::Stalled(t)
                 }
             };
-            self.told.push_back(told);
+            self.notifications.push_back(notification);
         }
-        self.work_out(now);
+        self.update_derived_state(now);
     }
 
     // ---- connections ----
 
     /// A peer has opened a connection, to which the caller gave this number.
-    pub fn accepted(&mut self, stream: u64, from: SocketAddr, now: Nanos) {
-        let listed = |ip: IpAddr| self.peers.iter().any(|p| p.listed && p.at.ip() == ip);
+    pub fn on_accepted(&mut self, stream: u64, from: SocketAddr, now: Nanos) {
+        let listed = |ip: IpAddr| self.peers.iter().any(|p| p.listed && p.address.ip() == ip);
         let why = if !listed(from.ip()) {
-            Some(DropReason::Unlisted)
-        } else if self.incoming.len() >= ANSWERED || self.was_removed {
-            Some(DropReason::Stream)
+            Some(DropReason::UnlistedAddress)
+        } else if self.incoming.len() >= MAX_INCOMING_STREAMS || self.is_removed {
+            Some(DropReason::ProtocolViolation)
         } else {
             None
         };
         if let Some(why) = why {
-            self.drop_it(why, from, now);
-            return self.out.push_back(Output::Close { stream });
+            self.count_drop(why, from, now);
+            return self.outputs.push_back(Output::Close { stream });
         }
-        self.incoming.insert(stream, Incoming { peer: None, silent_since: now });
+        self.incoming.insert(stream, IncomingSync { peer: None, last_activity: now });
     }
 
     /// A connection that this broker opened is up.
-    pub fn connected(&mut self, stream: u64, now: Nanos) {
-        let line = StreamFrame::Hello { sender: self.sender(), rumours: self.swim.all() };
+    pub fn on_connected(&mut self, stream: u64, now: Nanos) {
+        let frame = StreamFrame::Hello { sender: self.sender(), status_updates: self.swim.all_updates() };
         if let Some(o) = self.outgoing.as_mut().filter(|o| o.stream == stream) {
-            o.silent_since = now;
-            self.out.push_back(Output::Send { stream, bytes: line.encode() });
+            o.last_activity = now;
+            self.outputs.push_back(Output::Send { stream, bytes: frame.encode() });
         }
     }
 
     /// A connection has ended.
-    pub fn closed(&mut self, stream: u64, now: Nanos) {
+    pub fn on_closed(&mut self, stream: u64, now: Nanos) {
         self.incoming.remove(&stream);
         if self.outgoing.as_ref().is_some_and(|o| o.stream == stream) {
             self.outgoing = None;
-            self.pace(now);
+            self.schedule_sync(now);
         }
     }
 
-    fn close(&mut self, stream: u64, now: Nanos) {
-        self.out.push_back(Output::Close { stream });
-        self.closed(stream, now);
+    fn close_stream(&mut self, stream: u64, now: Nanos) {
+        self.outputs.push_back(Output::Close { stream });
+        self.on_closed(stream, now);
     }
 
-    fn pace(&mut self, now: Nanos) {
-        let between = if self.standing == SyncStatus::CaughtUp { WALKS.0 } else { WALKS.1 };
-        self.next_walk = now + between / 2 + self.swim.jitter(between);
+    fn schedule_sync(&mut self, now: Nanos) {
+        let interval =
+            if self.sync_status == SyncStatus::CaughtUp { SYNC_INTERVAL } else { CATCH_UP_SYNC_INTERVAL };
+        self.next_sync = now + interval / 2 + self.swim.jitter(interval);
     }
 
     /// A frame came on a connection, without its length.
-    pub fn frame(&mut self, stream: u64, from: SocketAddr, bytes: &[u8], now: Nanos) {
-        let heard = StreamFrame::decode(bytes).map_err(|e| match e {
-            FrameError::Version(_) => DropReason::Version,
-            _ => DropReason::Frame,
+    pub fn on_frame(&mut self, stream: u64, from: SocketAddr, bytes: &[u8], now: Nanos) {
+        let decoded = StreamFrame::decode(bytes).map_err(|e| match e {
+            FrameError::UnsupportedVersion(_) => DropReason::UnsupportedVersion,
+            _ => DropReason::MalformedFrame,
         });
-        let done = heard.and_then(|line| {
+        let handled = decoded.and_then(|frame| {
             if self.incoming.contains_key(&stream) {
-                self.answer(stream, from, line, now)
+                self.on_request(stream, from, frame, now)
             } else if self.outgoing.as_ref().is_some_and(|o| o.stream == stream) {
-                self.go_on(stream, from, line, now)
+                self.on_reply(stream, from, frame, now)
             } else {
                 Ok(())
             }
         });
-        if let Err(why) = done {
-            self.drop_it(why, from, now);
-            self.close(stream, now);
+        if let Err(why) = handled {
+            self.count_drop(why, from, now);
+            self.close_stream(stream, now);
         }
-        self.flush(now);
+        self.flush_failure_detector(now);
     }
 
-    fn hello(&mut self, n: usize, sender: &Sender, rumours: &[StatusUpdate], now: Nanos) {
+    fn on_hello(&mut self, n: usize, sender: &Sender, status_updates: &[StatusUpdate], now: Nanos) {
         let p = &mut self.peers[n];
-        p.reads = sender.reads;
+        p.latest_version = sender.latest_version;
         // Another process under that name speaks by datagram: what it says of itself there holds.
         if p.origin.is_none_or(|o| o == sender.origin) {
-            (p.origin, p.heard) = (Some(sender.origin), Some(now));
-            self.swim.heard(n, sender.incarnation, &Probe::News, now);
+            (p.origin, p.last_received) = (Some(sender.origin), Some(now));
+            self.swim.on_message(n, sender.incarnation, &Probe::Gossip, now);
         }
-        self.swim.rumours(&sender.name, rumours, now);
+        self.swim.on_status_updates(&sender.name, status_updates, now);
     }
 
-    fn answer(
+    fn on_request(
         &mut self,
         stream: u64,
         from: SocketAddr,
-        line: StreamFrame,
+        frame: StreamFrame,
         now: Nanos,
     ) -> Result<(), DropReason> {
         let known = self.incoming.get(&stream).and_then(|i| i.peer);
-        let (peer, reply) = match (known, line) {
-            (None, StreamFrame::Hello { sender, rumours }) => {
-                let n = self.swim.number(&sender.name).ok_or(if sender.name == self.settings.name {
+        let (peer, reply) = match (known, frame) {
+            (None, StreamFrame::Hello { sender, status_updates }) => {
+                let n = self.swim.peer_index(&sender.name).ok_or(if sender.name == self.settings.name {
                     DropReason::OwnName
                 } else {
-                    DropReason::Unlisted
+                    DropReason::UnlistedAddress
                 })?;
-                self.vouch(n, &sender)?;
-                self.hello(n, &sender, &rumours, now);
-                (n, StreamFrame::Hello { sender: self.sender(), rumours: self.swim.all() })
+                self.verify_sender(n, &sender)?;
+                self.on_hello(n, &sender, &status_updates, now);
+                (n, StreamFrame::Hello { sender: self.sender(), status_updates: self.swim.all_updates() })
             }
-            (Some(n), StreamFrame::Walk(message)) => {
-                self.take_in(anti_entropy::facts(&message), from, now);
+            (Some(n), StreamFrame::Sync(message)) => {
+                self.merge_facts(anti_entropy::facts(&message), from, now);
                 (
                     n,
-                    StreamFrame::Walk(
-                        anti_entropy::answer(&self.copy, &message).map_err(|_| DropReason::Stream)?,
+                    StreamFrame::Sync(
+                        anti_entropy::answer(&self.store, &message)
+                            .map_err(|_| DropReason::ProtocolViolation)?,
                     ),
                 )
             }
-            _ => return Err(DropReason::Stream),
+            _ => return Err(DropReason::ProtocolViolation),
         };
-        self.incoming.insert(stream, Incoming { peer: Some(peer), silent_since: now });
-        self.out.push_back(Output::Send { stream, bytes: reply.encode() });
+        self.incoming.insert(stream, IncomingSync { peer: Some(peer), last_activity: now });
+        self.outputs.push_back(Output::Send { stream, bytes: reply.encode() });
         Ok(())
     }
 
-    fn go_on(
+    fn on_reply(
         &mut self,
         stream: u64,
         from: SocketAddr,
-        line: StreamFrame,
+        frame: StreamFrame,
         now: Nanos,
     ) -> Result<(), DropReason> {
         let Some(mut o) = self.outgoing.take() else { return Ok(()) };
-        o.silent_since = now;
-        let next = match (line, o.first.take()) {
-            (StreamFrame::Hello { sender, rumours }, Some(first)) => {
-                if let Err(why) = self.vouch(o.peer, &sender) {
+        o.last_activity = now;
+        let next = match (frame, o.first_message.take()) {
+            (StreamFrame::Hello { sender, status_updates }, Some(first)) => {
+                if let Err(why) = self.verify_sender(o.peer, &sender) {
                     self.outgoing = Some(o);
                     return Err(why);
                 }
-                self.hello(o.peer, &sender, &rumours, now);
+                self.on_hello(o.peer, &sender, &status_updates, now);
                 Some(first)
             }
-            (StreamFrame::Walk(message), None) => {
-                self.take_in(anti_entropy::facts(&message), from, now);
-                match o.walk.next(&self.copy, &message) {
+            (StreamFrame::Sync(message), None) => {
+                self.merge_facts(anti_entropy::facts(&message), from, now);
+                match o.session.next(&self.store, &message) {
                     Ok(next) => next,
                     Err(_) => {
                         self.outgoing = Some(o);
-                        return Err(DropReason::Stream);
+                        return Err(DropReason::ProtocolViolation);
                     }
                 }
             }
             (_, first) => {
-                o.first = first;
+                o.first_message = first;
                 self.outgoing = Some(o);
-                return Err(DropReason::Stream);
+                return Err(DropReason::ProtocolViolation);
             }
         };
         match next {
             Some(message) => {
-                self.out.push_back(Output::Send { stream, bytes: StreamFrame::Walk(message).encode() });
+                self.outputs.push_back(Output::Send { stream, bytes: StreamFrame::Sync(message).encode() });
                 self.outgoing = Some(o);
             }
             None => {
-                self.out.push_back(Output::Close { stream });
-                self.peers[o.peer].differs = None;
-                self.peers[o.peer].walked = now;
-                if o.walk.is_whole() && self.standing != SyncStatus::CaughtUp {
-                    self.standing = SyncStatus::CaughtUp;
-                    self.told.push_back(Notification::CaughtUp(self.peers[o.peer].name.clone()));
+                self.outputs.push_back(Output::Close { stream });
+                self.peers[o.peer].differs_since = None;
+                self.peers[o.peer].last_synced = now;
+                if o.session.is_whole() && self.sync_status != SyncStatus::CaughtUp {
+                    self.sync_status = SyncStatus::CaughtUp;
+                    self.notifications.push_back(Notification::CaughtUp(self.peers[o.peer].name.clone()));
                 }
-                self.pace(now);
-                if !o.walk.is_whole() {
-                    self.next_walk = now + WALKS.1 / 2 + self.swim.jitter(WALKS.1);
-                    self.peers[o.peer].differs = Some(now.saturating_sub(2 * DIFFERS));
+                self.schedule_sync(now);
+                if !o.session.is_whole() {
+                    self.next_sync =
+                        now + CATCH_UP_SYNC_INTERVAL / 2 + self.swim.jitter(CATCH_UP_SYNC_INTERVAL);
+                    self.peers[o.peer].differs_since = Some(now.saturating_sub(2 * MIN_DIVERGENCE));
                 }
             }
         }
@@ -777,85 +799,97 @@
     /// Lets time go by.
     pub fn tick(&mut self, now: Nanos) {
         self.swim.tick(now);
-        self.flush(now);
-        if now >= self.next_round && !self.news.is_empty() {
-            self.next_round = now + ROUND;
-            self.tell_news();
-        }
-        let silent = |since: Nanos| since + SILENT <= now;
-        if let Some(stream) = self.outgoing.as_ref().filter(|o| silent(o.silent_since)).map(|o| o.stream) {
-            self.close(stream, now);
-        }
-        let over: Vec<u64> =
-            self.incoming.iter().filter(|(_, i)| silent(i.silent_since)).map(|(s, _)| *s).collect();
-        over.into_iter().for_each(|stream| self.close(stream, now));
-        if now >= self.next_walk && self.outgoing.is_none() {
-            self.begin_walk(now);
-        }
-        if now >= self.next_collect {
-            self.next_collect = now + collect_every(&self.settings.bounds);
-            for key in self.copy.collect_garbage(now) {
-                self.unkept.insert(key);
+        self.flush_failure_detector(now);
+        if now >= self.next_gossip && !self.rumor_queue.is_empty() {
+            self.next_gossip = now + GOSSIP_INTERVAL;
+            self.send_rumors();
+        }
+        let is_idle = |since: Nanos| since + STREAM_IDLE_TIMEOUT <= now;
+        if let Some(stream) = self.outgoing.as_ref().filter(|o| is_idle(o.last_activity)).map(|o| o.stream) {
+            self.close_stream(stream, now);
+        }
+        let idle: Vec<u64> =
+            self.incoming.iter().filter(|(_, i)| is_idle(i.last_activity)).map(|(s, _)| *s).collect();
+        idle.into_iter().for_each(|stream| self.close_stream(stream, now));
+        if now >= self.next_sync && self.outgoing.is_none() {
+            self.begin_sync(now);
+        }
+        if now >= self.next_garbage_collection {
+            self.next_garbage_collection = now + garbage_collection_interval(&self.settings.store_limits);
+            for key in self.store.collect_garbage(now) {
+                self.unpersisted.insert(key);
             }
-            self.work_out(now);
+            self.update_derived_state(now);
         }
     }
 
-    fn tell_news(&mut self) {
-        let to = self.swim.draw(FANOUT, None);
-        let facts = self.news.take(&self.copy, DATAGRAM - BESIDE - RUMOURS);
+    fn send_rumors(&mut self) {
+        let to = self.swim.sample_peers(GOSSIP_FANOUT, None);
+        let facts = self
+            .rumor_queue
+            .take(&self.store, MAX_DATAGRAM_BYTES - DATAGRAM_OVERHEAD_BYTES - STATUS_UPDATES_BYTES);
         if !facts.is_empty() {
             for peer in to {
-                self.send(peer, Probe::News, facts.clone());
+                self.send_datagram(peer, Probe::Gossip, facts.clone());
             }
         }
     }
 
     /// Begins a walk with whom it is due, if it is with anybody.
-    fn begin_walk(&mut self, now: Nanos) {
-        self.next_walk = now + WALKS.1;
-        if self.was_removed {
+    fn begin_sync(&mut self, now: Nanos) {
+        self.next_sync = now + CATCH_UP_SYNC_INTERVAL;
+        if self.is_removed {
             return;
         }
-        if self.standing == SyncStatus::CaughtUp
-            && self.swim.draw(1, None).is_empty()
+        if self.sync_status == SyncStatus::CaughtUp
+            && self.swim.sample_peers(1, None).is_empty()
             && !self.peers.is_empty()
         {
-            self.standing = SyncStatus::Alone;
-            self.told.push_back(Notification::Alone);
+            self.sync_status = SyncStatus::Isolated;
+            self.notifications.push_back(Notification::Isolated);
         }
-        let peer = if self.standing == SyncStatus::CaughtUp {
-            self.whose_copy_differs(now)
+        let peer = if self.sync_status == SyncStatus::CaughtUp {
+            self.diverged_peer(now)
         } else {
-            let lonely = 3 * self.settings.swim.every.max(1_000 * MS);
-            if self.standing == SyncStatus::CatchingUp && now >= self.began + lonely {
-                self.standing = SyncStatus::Alone;
-                self.told.push_back(Notification::Alone);
+            let isolated_after = 3 * self.settings.swim.probe_interval.max(1_000 * MS);
+            if self.sync_status == SyncStatus::CatchingUp && now >= self.catching_up_since + isolated_after {
+                self.sync_status = SyncStatus::Isolated;
+                self.notifications.push_back(Notification::Isolated);
             }
-            let up = self.swim.draw(1, None).first().copied();
-            up.or_else(|| self.swim.any())
+            let up = self.swim.sample_peers(1, None).first().copied();
+            up.or_else(|| self.swim.any_peer())
         };
         let Some(peer) = peer else {
-            self.next_walk = now + WALKS.0;
+            self.next_sync = now + SYNC_INTERVAL;
             return;
         };
-        self.streams += 1;
-        let (walk, first) = SyncSession::begin(&self.copy, WALK);
-        let stream = self.streams;
-        self.outgoing = Some(Outgoing { stream, peer, walk, first: Some(first), silent_since: now });
-        self.out.push_back(Output::Dial { stream, to: self.peers[peer].at });
+        self.last_stream += 1;
+        let (session, first_message) = SyncSession::begin(&self.store, SYNC_BUDGET_BYTES);
+        let stream = self.last_stream;
+        self.outgoing = Some(OutgoingSync {
+            stream,
+            peer,
+            session,
+            first_message: Some(first_message),
+            last_activity: now,
+        });
+        self.outputs.push_back(Output::Dial { stream, to: self.peers[peer].address });
     }
 
-    fn whose_copy_differs(&mut self, now: Nanos) -> Option<usize> {
-        let wait = DIFFERS + self.swim.jitter(DIFFERS);
+    fn diverged_peer(&mut self, now: Nanos) -> Option<usize> {
+        let wait = MIN_DIVERGENCE + self.swim.jitter(MIN_DIVERGENCE);
         // While there is news to tell, copies differ for no other reason.
-        let due = |p: &Peer| self.news.is_empty() && p.differs.is_some_and(|t| t + wait <= now);
+        let due = |p: &Peer| self.rumor_queue.is_empty() && p.differs_since.is_some_and(|t| t + wait <= now);
         // Digests are not told in the first version.
-        let speaks = self.settings.speaks;
-        let untold = |p: &Peer| p.heard.is_some() && p.reads.min(speaks) == FIRST && p.walked + UNTOLD <= now;
+        let latest_version = self.settings.latest_version;
+        let rootless = |p: &Peer| {
+            p.last_received.is_some()
+                && p.latest_version.min(latest_version) == FIRST_VERSION
+                && p.last_synced + ROOTLESS_SYNC_INTERVAL <= now
+        };
         let up = |n: &usize| self.swim.status(*n) == PeerStatus::Alive;
         let all: Vec<usize> = (0..self.peers.len())
-            .filter(|n| due(&self.peers[*n]) || untold(&self.peers[*n]))
+            .filter(|n| due(&self.peers[*n]) || rootless(&self.peers[*n]))
             .filter(up)
             .collect();
         let most = all.len() as u64;
@@ -863,21 +897,25 @@
     }
 
     /// When `tick` is next worth calling.
-    pub fn due(&self, now: Nanos) -> Nanos {
-        let round = (!self.news.is_empty()).then_some(self.next_round);
-        let walk = self.outgoing.is_none().then_some(self.next_walk);
-        let silent = self
+    pub fn next_deadline(&self, now: Nanos) -> Nanos {
+        let gossip = (!self.rumor_queue.is_empty()).then_some(self.next_gossip);
+        let sync = self.outgoing.is_none().then_some(self.next_sync);
+        let last_activity = self
             .outgoing
             .iter()
-            .map(|o| o.silent_since)
-            .chain(self.incoming.values().map(|i| i.silent_since));
+            .map(|o| o.last_activity)
+            .chain(self.incoming.values().map(|i| i.last_activity));
         let all = [
-            Some(self.swim.due()),
-            round,
-            walk,
-            Some(self.next_collect),
-            self.effect.until().map(|t| t.max(now + MS)),
+            Some(self.swim.next_deadline()),
+            gossip,
+            sync,
+            Some(self.next_garbage_collection),
+            self.derived_state.until().map(|t| t.max(now + MS)),
         ];
-        all.into_iter().flatten().chain(silent.map(|t| t + SILENT)).min().unwrap_or(now + ROUND)
+        all.into_iter()
+            .flatten()
+            .chain(last_activity.map(|t| t + STREAM_IDLE_TIMEOUT))
+            .min()
+            .unwrap_or(now + GOSSIP_INTERVAL)
     }
 }
--- a/src/gossip/swim.rs
+++ b/src/gossip/swim.rs
@@ -19,11 +19,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SwimSettings {
     /// Time between two probes.
-    pub every: Nanos,
+    pub probe_interval: Nanos,
     /// Time after which others are asked to try.
-    pub timeout: Nanos,
+    pub probe_timeout: Nanos,
     /// How many others.
-    pub indirect: usize,
+    pub indirect_probes: usize,
 }
 
 /// How a peer stands. Of one incarnation the later one in this order is believed.
@@ -52,15 +52,30 @@
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
 pub enum Probe {
     /// Only news.
-    News,
+    #[serde(rename = "News")]
+    Gossip,
     /// Asks for an answer.
-    Ping { n: u32 },
+    Ping {
+        #[serde(rename = "n")]
+        sequence: u32,
+    },
     /// The answer.
-    Ack { n: u32 },
+    Ack {
+        #[serde(rename = "n")]
+        sequence: u32,
+    },
     /// Asks to ping another.
-    Ask { n: u32, name: String },
+    #[serde(rename = "Ask")]
+    PingRequest {
+        #[serde(rename = "n")]
+        sequence: u32,
+        name: String,
+    },
     /// The other did not answer, but the one asked is there.
-    Nack { n: u32 },
+    Nack {
+        #[serde(rename = "n")]
+        sequence: u32,
+    },
 }
 
 /// What has become of a peer.
@@ -75,26 +90,28 @@
     /// Others took this broker for gone; it said that it is not.
     Refuted,
     /// This process was called so much later than it had asked for.
-    Late(Nanos),
+    Stalled(Nanos),
 }
 
 /// How late a call may come before the time counts as one in which this process did not run.
-const SLACK: Nanos = 100_000_000;
+const STALL_THRESHOLD: Nanos = 100_000_000;
 /// Worst score of one's own slowness. It multiplies times.
-const WORST: u32 = 7;
-/// Suspicion lasts so many periods for each decade of brokers, and up to so many times that while nobody shares it.
-const SUSPICION: (f64, f64) = (4.0, 6.0);
+const MAX_HEALTH_SCORE: u32 = 7;
+/// The shortest suspicion, in probe intervals for each decade of brokers.
+const SUSPICION_MULTIPLE: f64 = 4.0;
+/// How many times longer a suspicion lasts while no other peer confirms it.
+const MAX_SUSPICION_MULTIPLE: f64 = 6.0;
 /// How many that share a suspicion shorten it to its least time.
-const SHARED_BY: usize = 3;
+const MAX_CONFIRMATIONS: usize = 3;
 /// Pings on others' behalf that are under way at most.
-const RELAYS: usize = 64;
+const MAX_RELAYED_PINGS: usize = 64;
 /// A peer that is down is pinged in one period of so many, beside the usual probe.
-const DOWN_EVERY: u32 = 4;
+const DOWN_PEER_PROBE_PERIODS: u32 = 4;
 
 #[derive(Clone, Debug)]
 struct Suspicion {
-    since: Nanos,
-    by: BTreeSet<String>,
+    started: Nanos,
+    confirmed_by: BTreeSet<String>,
 }
 
 #[derive(Clone, Debug)]
@@ -104,32 +121,39 @@
     status: PeerStatus,
     suspicion: Option<Suspicion>,
     /// It speaks under a lower incarnation than is known of it: it must be told.
-    behind: bool,
+    has_stale_incarnation: bool,
     removed: bool,
 }
 
 impl Peer {
     fn new(name: &str) -> Peer {
         let (incarnation, status) = (0, PeerStatus::Down);
-        Peer { name: name.to_owned(), incarnation, status, suspicion: None, behind: false, removed: false }
+        Peer {
+            name: name.to_owned(),
+            incarnation,
+            status,
+            suspicion: None,
+            has_stale_incarnation: false,
+            removed: false,
+        }
     }
 }
 
 #[derive(Clone, Debug)]
-struct Probing {
+struct ProbeInFlight {
     peer: usize,
-    n: u32,
-    since: Nanos,
+    sequence: u32,
+    started: Nanos,
     acked: bool,
     /// Others were asked, and how many of them say that they are there.
-    asked: Option<(usize, usize)>,
+    indirect: Option<(usize, usize)>,
 }
 
 #[derive(Clone, Debug)]
-struct Relay {
-    for_whom: usize,
-    n: u32,
-    until: Nanos,
+struct RelayedPing {
+    requester: usize,
+    sequence: u32,
+    expires: Nanos,
 }
 
 /// One broker's view of its peers.
@@ -139,18 +163,18 @@
     name: String,
     incarnation: u64,
     peers: Vec<Peer>,
-    by_name: BTreeMap<String, usize>,
-    order: VecDeque<usize>,
-    probing: Option<Probing>,
-    relays: BTreeMap<u32, Relay>,
-    next: Nanos,
-    count: u32,
+    index_by_name: BTreeMap<String, usize>,
+    probe_order: VecDeque<usize>,
+    probe_in_flight: Option<ProbeInFlight>,
+    relayed_pings: BTreeMap<u32, RelayedPing>,
+    next_probe: Nanos,
+    next_sequence: u32,
     /// Rumours still to be told on: about a peer, or about oneself.
-    rumours: BTreeMap<Option<usize>, u32>,
-    health: u32,
+    pending_updates: BTreeMap<Option<usize>, u32>,
+    health_score: u32,
     /// Time in which this process did not run.
-    stood: Nanos,
-    out: Vec<(usize, Probe)>,
+    stalled_for: Nanos,
+    outgoing: Vec<(usize, Probe)>,
     events: Vec<PeerEvent>,
     rng: Pcg32,
 }
@@ -171,16 +195,16 @@
             name: name.to_owned(),
             incarnation,
             peers: peers.iter().map(|p| Peer::new(p)).collect(),
-            by_name: peers.iter().enumerate().map(|(n, p)| (p.clone(), n)).collect(),
-            order: VecDeque::new(),
-            probing: None,
-            relays: BTreeMap::new(),
-            next: now,
-            count: 0,
-            rumours: BTreeMap::new(),
-            health: 0,
-            stood: 0,
-            out: Vec::new(),
+            index_by_name: peers.iter().enumerate().map(|(n, p)| (p.clone(), n)).collect(),
+            probe_order: VecDeque::new(),
+            probe_in_flight: None,
+            relayed_pings: BTreeMap::new(),
+            next_probe: now,
+            next_sequence: 0,
+            pending_updates: BTreeMap::new(),
+            health_score: 0,
+            stalled_for: 0,
+            outgoing: Vec::new(),
             events: Vec::new(),
             rng: Pcg32::new(seed, 0xca02_7bd5),
         }
@@ -199,48 +223,48 @@
     }
 
     /// A peer's incarnation as it is known; 0: never heard of.
-    pub fn incarnation_of(&self, peer: usize) -> u64 {
+    pub fn peer_incarnation(&self, peer: usize) -> u64 {
         self.peers[peer].incarnation
     }
 
     /// How slow this broker finds itself, from 0 to 7.
-    pub fn health(&self) -> u32 {
-        self.health
+    pub fn health_score(&self) -> u32 {
+        self.health_score
     }
 
     /// The number of a peer.
-    pub fn number(&self, name: &str) -> Option<usize> {
-        self.by_name.get(name).copied()
+    pub fn peer_index(&self, name: &str) -> Option<usize> {
+        self.index_by_name.get(name).copied()
     }
 
     /// Brokers, this one among them, without those removed.
-    pub fn brokers(&self) -> usize {
+    pub fn cluster_size(&self) -> usize {
         1 + self.peers.iter().filter(|p| !p.removed).count()
     }
 
     /// Up to `n` peers drawn at random among those that are not down.
-    pub fn draw(&mut self, n: usize, but: Option<usize>) -> Vec<usize> {
+    pub fn sample_peers(&mut self, count: usize, exclude: Option<usize>) -> Vec<usize> {
         let up = |(_, p): &(usize, &Peer)| p.status != PeerStatus::Down && !p.removed;
         let mut all: Vec<usize> = self.peers.iter().enumerate().filter(up).map(|(n, _)| n).collect();
-        all.retain(|p| Some(*p) != but);
-        let n = n.min(all.len());
-        for i in 0..n {
+        all.retain(|p| Some(*p) != exclude);
+        let count = count.min(all.len());
+        for i in 0..count {
             let j = i + self.rng.next_u32() as usize % (all.len() - i);
             all.swap(i, j);
         }
-        all.truncate(n);
+        all.truncate(count);
         all
     }
 
     /// Any peer that was not removed, up or not.
-    pub fn any(&mut self) -> Option<usize> {
+    pub fn any_peer(&mut self) -> Option<usize> {
         let all: Vec<usize> = (0..self.peers.len()).filter(|n| !self.peers[*n].removed).collect();
         if all.is_empty() { None } else { Some(all[self.rng.next_u32() as usize % all.len()]) }
     }
 
     /// A random time of at most so long.
-    pub fn jitter(&mut self, most: Nanos) -> Nanos {
-        u64::from(self.rng.next_u32()) % most.max(1)
+    pub fn jitter(&mut self, limit: Nanos) -> Nanos {
+        u64::from(self.rng.next_u32()) % limit.max(1)
     }
 
     /// What has become of peers since this was last asked.
@@ -249,145 +273,157 @@
     }
 
     /// What is to be sent.
-    pub fn take_out(&mut self) -> Vec<(usize, Probe)> {
-        std::mem::take(&mut self.out)
+    pub fn take_probes(&mut self) -> Vec<(usize, Probe)> {
+        std::mem::take(&mut self.outgoing)
     }
 
     /// When `tick` is next worth calling.
-    pub fn due(&self) -> Nanos {
-        self.deadline().saturating_add(self.stood)
+    pub fn next_deadline(&self) -> Nanos {
+        self.next_local_deadline().saturating_add(self.stalled_for)
     }
 
-    fn deadline(&self) -> Nanos {
-        let asks =
-            self.probing.iter().filter(|p| !p.acked && p.asked.is_none()).map(|p| p.since + self.timeout());
-        let ends = self.peers.iter().filter_map(|p| Some(self.ends(p.suspicion.as_ref()?)));
+    fn next_local_deadline(&self) -> Nanos {
+        let asks = self
+            .probe_in_flight
+            .iter()
+            .filter(|p| !p.acked && p.indirect.is_none())
+            .map(|p| p.started + self.probe_timeout());
+        let ends = self.peers.iter().filter_map(|p| Some(self.suspicion_deadline(p.suspicion.as_ref()?)));
         asks.chain(ends)
-            .chain(self.relays.values().map(|r| r.until))
-            .chain([self.next])
+            .chain(self.relayed_pings.values().map(|r| r.expires))
+            .chain([self.next_probe])
             .min()
-            .unwrap_or(self.next)
+            .unwrap_or(self.next_probe)
     }
 
     // ---- time ----
 
     /// This process's own time: what it was called late by does not count.
-    fn own(&mut self, now: Nanos) -> Nanos {
-        let late = now.saturating_sub(self.due());
-        if late > SLACK {
-            self.stood += late - SLACK;
-            self.health = (self.health + 1).min(WORST);
-            self.events.push(PeerEvent::Late(late));
+    fn local_time(&mut self, now: Nanos) -> Nanos {
+        let stall = now.saturating_sub(self.next_deadline());
+        if stall > STALL_THRESHOLD {
+            self.stalled_for += stall - STALL_THRESHOLD;
+            self.health_score = (self.health_score + 1).min(MAX_HEALTH_SCORE);
+            self.events.push(PeerEvent::Stalled(stall));
         }
-        now.saturating_sub(self.stood)
+        now.saturating_sub(self.stalled_for)
     }
 
-    fn slowed(&self, time: Nanos) -> Nanos {
-        time * u64::from(1 + self.health)
+    fn scaled_by_health(&self, time: Nanos) -> Nanos {
+        time * u64::from(1 + self.health_score)
     }
 
-    fn timeout(&self) -> Nanos {
-        self.slowed(self.settings.timeout)
+    fn probe_timeout(&self) -> Nanos {
+        self.scaled_by_health(self.settings.probe_timeout)
     }
 
-    fn ends(&self, s: &Suspicion) -> Nanos {
-        let brokers = self.brokers() as f64;
-        let least = SUSPICION.0 * brokers.log10().max(1.0) * self.settings.every as f64;
-        let most = least * SUSPICION.1;
-        let needed = SHARED_BY.min(self.brokers().saturating_sub(2));
-        let shared = s.by.len().min(needed) as f64;
+    fn suspicion_deadline(&self, s: &Suspicion) -> Nanos {
+        let cluster_size = self.cluster_size() as f64;
+        let shortest =
+            SUSPICION_MULTIPLE * cluster_size.log10().max(1.0) * self.settings.probe_interval as f64;
+        let longest = shortest * MAX_SUSPICION_MULTIPLE;
+        let needed = MAX_CONFIRMATIONS.min(self.cluster_size().saturating_sub(2));
+        let confirmations = s.confirmed_by.len().min(needed) as f64;
         let span = if needed == 0 {
-            least
+            shortest
         } else {
-            most - (most - least) * (shared + 1.0).ln() / (needed as f64 + 1.0).ln()
+            longest - (longest - shortest) * (confirmations + 1.0).ln() / (needed as f64 + 1.0).ln()
         };
-        s.since + span as Nanos
+        s.started + span as Nanos
     }
 
     /// Lets time go by.
     pub fn tick(&mut self, now: Nanos) {
-        let now = self.own(now);
+        let now = self.local_time(now);
         for n in 0..self.peers.len() {
-            if self.peers[n].suspicion.as_ref().is_some_and(|s| self.ends(s) <= now) {
+            if self.peers[n].suspicion.as_ref().is_some_and(|s| self.suspicion_deadline(s) <= now) {
                 let incarnation = self.peers[n].incarnation;
-                self.believe(n, incarnation, PeerStatus::Down, None, now);
+                self.apply_status(n, incarnation, PeerStatus::Down, None, now);
             }
         }
-        while let Some((n, relay)) =
-            self.relays.iter().find(|(_, r)| r.until <= now).map(|(n, r)| (*n, r.clone()))
+        while let Some((sequence, relay)) =
+            self.relayed_pings.iter().find(|(_, r)| r.expires <= now).map(|(n, r)| (*n, r.clone()))
         {
-            self.relays.remove(&n);
-            self.out.push((relay.for_whom, Probe::Nack { n: relay.n }));
+            self.relayed_pings.remove(&sequence);
+            self.outgoing.push((relay.requester, Probe::Nack { sequence: relay.sequence }));
         }
-        self.ask_others(now);
-        if now >= self.next {
-            self.end_probe(now);
+        self.send_indirect_probes(now);
+        if now >= self.next_probe {
+            self.finish_probe(now);
             self.begin_probe(now);
-            self.next = now + self.slowed(self.settings.every);
+            self.next_probe = now + self.scaled_by_health(self.settings.probe_interval);
         }
     }
 
-    fn ask_others(&mut self, now: Nanos) {
-        let timeout = self.timeout();
-        let Some(p) =
-            self.probing.as_ref().filter(|p| !p.acked && p.asked.is_none() && p.since + timeout <= now)
+    fn send_indirect_probes(&mut self, now: Nanos) {
+        let timeout = self.probe_timeout();
+        let Some(p) = self
+            .probe_in_flight
+            .as_ref()
+            .filter(|p| !p.acked && p.indirect.is_none() && p.started + timeout <= now)
         else {
             return;
         };
-        let (peer, n) = (p.peer, p.n);
-        let others = self.draw(self.settings.indirect, Some(peer));
+        let (peer, sequence) = (p.peer, p.sequence);
+        let others = self.sample_peers(self.settings.indirect_probes, Some(peer));
         let name = self.peers[peer].name.clone();
         for other in &others {
-            self.out.push((*other, Probe::Ask { n, name: name.clone() }));
+            self.outgoing.push((*other, Probe::PingRequest { sequence, name: name.clone() }));
         }
-        if let Some(p) = &mut self.probing {
-            p.asked = Some((others.len(), 0));
+        if let Some(p) = &mut self.probe_in_flight {
+            p.indirect = Some((others.len(), 0));
         }
     }
 
-    fn end_probe(&mut self, now: Nanos) {
-        let Some(p) = self.probing.take() else { return };
+    fn finish_probe(&mut self, now: Nanos) {
+        let Some(p) = self.probe_in_flight.take() else { return };
         if p.acked {
-            self.health = self.health.saturating_sub(1);
+            self.health_score = self.health_score.saturating_sub(1);
             return;
         }
         // Nobody answered that was asked: it may be this broker that can't be heard.
-        if p.asked.is_some_and(|(asked, there)| asked > 0 && there == 0) {
-            self.health = (self.health + 1).min(WORST);
+        if p.indirect.is_some_and(|(indirect, reachable)| indirect > 0 && reachable == 0) {
+            self.health_score = (self.health_score + 1).min(MAX_HEALTH_SCORE);
         }
         let incarnation = self.peers[p.peer].incarnation;
-        let own = self.name.clone();
-        self.believe(p.peer, incarnation, PeerStatus::Suspect, Some(&own), now);
+        let local_name = self.name.clone();
+        self.apply_status(p.peer, incarnation, PeerStatus::Suspect, Some(&local_name), now);
     }
 
     fn begin_probe(&mut self, now: Nanos) {
-        self.count = self.count.wrapping_add(1);
-        if self.count.is_multiple_of(DOWN_EVERY) {
+        self.next_sequence = self.next_sequence.wrapping_add(1);
+        if self.next_sequence.is_multiple_of(DOWN_PEER_PROBE_PERIODS) {
             let down: Vec<usize> = (0..self.peers.len())
                 .filter(|n| self.peers[*n].status == PeerStatus::Down && !self.peers[*n].removed)
                 .collect();
             if !down.is_empty() {
                 let n = down[self.rng.next_u32() as usize % down.len()];
-                self.out.push((n, Probe::Ping { n: self.count }));
+                self.outgoing.push((n, Probe::Ping { sequence: self.next_sequence }));
             }
         }
         for _ in 0..=self.peers.len() {
-            if self.order.is_empty() {
+            if self.probe_order.is_empty() {
                 let mut all: Vec<usize> = (0..self.peers.len()).collect();
                 for i in (1..all.len()).rev() {
                     all.swap(i, self.rng.next_u32() as usize % (i + 1));
                 }
-                self.order.extend(all);
+                self.probe_order.extend(all);
             }
-            let Some(peer) = self.order.pop_front() else { return };
+            let Some(peer) = self.probe_order.pop_front() else { return };
             let p = &self.peers[peer];
             // One never heard of is probed as well: at the start that is everybody.
             if p.removed || (p.status == PeerStatus::Down && p.incarnation > 0) {
                 continue;
             }
-            self.count = self.count.wrapping_add(1);
-            self.probing = Some(Probing { peer, n: self.count, since: now, acked: false, asked: None });
-            self.out.push((peer, Probe::Ping { n: self.count }));
+            self.next_sequence = self.next_sequence.wrapping_add(1);
+            self.probe_in_flight = Some(ProbeInFlight {
+                peer,
+                sequence: self.next_sequence,
+                started: now,
+                acked: false,
+                indirect: None,
+            });
+            self.outgoing.push((peer, Probe::Ping { sequence: self.next_sequence }));
             return;
         }
     }
@@ -395,78 +431,93 @@
     // ---- what others say ----
 
     /// A peer spoke, under this incarnation.
-    pub fn heard(&mut self, from: usize, incarnation: u64, probe: &Probe, now: Nanos) {
-        let now = self.own(now);
-        self.peers[from].behind = incarnation < self.peers[from].incarnation;
-        self.believe(from, incarnation, PeerStatus::Alive, None, now);
+    pub fn on_message(&mut self, from: usize, incarnation: u64, probe: &Probe, now: Nanos) {
+        let now = self.local_time(now);
+        self.peers[from].has_stale_incarnation = incarnation < self.peers[from].incarnation;
+        self.apply_status(from, incarnation, PeerStatus::Alive, None, now);
         match probe {
-            Probe::News => {}
-            Probe::Ping { n } => self.out.push((from, Probe::Ack { n: *n })),
-            Probe::Ack { n } => {
-                if let Some(p) = self.probing.as_mut().filter(|p| p.n == *n) {
+            Probe::Gossip => {}
+            Probe::Ping { sequence } => self.outgoing.push((from, Probe::Ack { sequence: *sequence })),
+            Probe::Ack { sequence } => {
+                if let Some(p) = self.probe_in_flight.as_mut().filter(|p| p.sequence == *sequence) {
                     p.acked = true;
                 }
-                if let Some(relay) = self.relays.remove(n) {
-                    self.out.push((relay.for_whom, Probe::Ack { n: relay.n }));
+                if let Some(relay) = self.relayed_pings.remove(sequence) {
+                    self.outgoing.push((relay.requester, Probe::Ack { sequence: relay.sequence }));
                 }
             }
-            Probe::Nack { n } => {
-                if let Some((_, there)) =
-                    self.probing.as_mut().filter(|p| p.n == *n).and_then(|p| p.asked.as_mut())
+            Probe::Nack { sequence } => {
+                if let Some((_, reachable)) = self
+                    .probe_in_flight
+                    .as_mut()
+                    .filter(|p| p.sequence == *sequence)
+                    .and_then(|p| p.indirect.as_mut())
                 {
-                    *there += 1;
+                    *reachable += 1;
                 }
             }
-            Probe::Ask { n, name } => {
-                if let Some(peer) = self.number(name).filter(|p| *p != from && !self.peers[*p].removed)
-                    && self.relays.len() < RELAYS
+            Probe::PingRequest { sequence, name } => {
+                if let Some(peer) = self.peer_index(name).filter(|p| *p != from && !self.peers[*p].removed)
+                    && self.relayed_pings.len() < MAX_RELAYED_PINGS
                 {
-                    self.count = self.count.wrapping_add(1);
-                    let until = now + self.settings.timeout;
-                    self.relays.insert(self.count, Relay { for_whom: from, n: *n, until });
-                    self.out.push((peer, Probe::Ping { n: self.count }));
+                    self.next_sequence = self.next_sequence.wrapping_add(1);
+                    let expires = now + self.settings.probe_timeout;
+                    self.relayed_pings.insert(
+                        self.next_sequence,
+                        RelayedPing { requester: from, sequence: *sequence, expires },
+                    );
+                    self.outgoing.push((peer, Probe::Ping { sequence: self.next_sequence }));
                 }
             }
         }
     }
 
     /// What a peer says of others, and of this broker.
-    pub fn rumours(&mut self, from: &str, rumours: &[StatusUpdate], now: Nanos) {
-        let now = self.own(now);
-        for r in rumours {
+    pub fn on_status_updates(&mut self, from: &str, updates: &[StatusUpdate], now: Nanos) {
+        let now = self.local_time(now);
+        for r in updates {
             if r.name == self.name {
                 let doubted = r.status != PeerStatus::Alive && r.incarnation >= self.incarnation;
                 // Known under more than it has: its clock or its disk was set back.
                 if doubted || r.incarnation > self.incarnation {
                     self.incarnation = r.incarnation.saturating_add(1);
-                    self.rumours.insert(None, rounds(self.brokers()));
+                    self.pending_updates.insert(None, rounds(self.cluster_size()));
                     self.events.push(PeerEvent::Refuted);
                 }
-            } else if let Some(n) = self.number(&r.name) {
-                self.believe(n, r.incarnation, r.status, Some(from), now);
+            } else if let Some(n) = self.peer_index(&r.name) {
+                self.apply_status(n, r.incarnation, r.status, Some(from), now);
             }
         }
     }
 
-    fn believe(&mut self, n: usize, incarnation: u64, status: PeerStatus, by: Option<&str>, now: Nanos) {
-        let brokers = self.brokers();
+    fn apply_status(
+        &mut self,
+        n: usize,
+        incarnation: u64,
+        status: PeerStatus,
+        reporter: Option<&str>,
+        now: Nanos,
+    ) {
+        let cluster_size = self.cluster_size();
         let p = &mut self.peers[n];
         if (incarnation, status) <= (p.incarnation, p.status) {
             if let Some(s) =
                 p.suspicion.as_mut().filter(|_| (incarnation, status) == (p.incarnation, p.status))
-                && let Some(by) = by
-                && s.by.len() < SHARED_BY + 1
-                && s.by.insert(by.to_owned())
+                && let Some(reporter) = reporter
+                && s.confirmed_by.len() < MAX_CONFIRMATIONS + 1
+                && s.confirmed_by.insert(reporter.to_owned())
             {
-                self.rumours.insert(Some(n), rounds(brokers));
+                self.pending_updates.insert(Some(n), rounds(cluster_size));
             }
             return;
         }
         let was = p.status;
         (p.incarnation, p.status) = (incarnation, status);
-        p.suspicion = (status == PeerStatus::Suspect)
-            .then(|| Suspicion { since: now, by: by.into_iter().map(str::to_owned).collect() });
-        self.rumours.insert(Some(n), rounds(brokers));
+        p.suspicion = (status == PeerStatus::Suspect).then(|| Suspicion {
+            started: now,
+            confirmed_by: reporter.into_iter().map(str::to_owned).collect(),
+        });
+        self.pending_updates.insert(Some(n), rounds(cluster_size));
         match status {
             _ if was == status => {}
             PeerStatus::Alive => self.events.push(PeerEvent::Up(n)),
@@ -475,7 +526,7 @@
         }
     }
 
-    fn rumour(&self, about: Option<usize>) -> StatusUpdate {
+    fn status_update(&self, about: Option<usize>) -> StatusUpdate {
         let (name, incarnation, status) = match about {
             None => (&self.name, self.incarnation, PeerStatus::Alive),
             Some(n) => (&self.peers[n].name, self.peers[n].incarnation, self.peers[n].status),
@@ -484,59 +535,59 @@
     }
 
     /// Rumours for a datagram to this peer, as many as fit into so many bytes: first what it must hear of itself.
-    pub fn rumours_for(&mut self, to: usize, room: usize) -> Vec<StatusUpdate> {
+    pub fn updates_for(&mut self, to: usize, max_bytes: usize) -> Vec<StatusUpdate> {
         let mut order: Vec<(u32, Option<usize>)> =
-            self.rumours.iter().map(|(about, left)| (*left, *about)).collect();
+            self.pending_updates.iter().map(|(about, left)| (*left, *about)).collect();
         order.sort_by(|a, b| b.cmp(a));
-        let mut told = Vec::new();
+        let mut updates = Vec::new();
         let p = &self.peers[to];
-        if p.incarnation > 0 && (p.status != PeerStatus::Alive || p.behind) {
-            told.push(self.rumour(Some(to)));
+        if p.incarnation > 0 && (p.status != PeerStatus::Alive || p.has_stale_incarnation) {
+            updates.push(self.status_update(Some(to)));
         }
         let cost = |r: &StatusUpdate| r.name.len() + 13;
-        let mut bytes: usize = told.iter().map(cost).sum();
+        let mut bytes: usize = updates.iter().map(cost).sum();
         for (left, about) in order {
-            let rumour = self.rumour(about);
-            bytes += cost(&rumour);
-            if bytes > room {
+            let update = self.status_update(about);
+            bytes += cost(&update);
+            if bytes > max_bytes {
                 break;
             }
             if left <= 1 {
-                self.rumours.remove(&about);
+                self.pending_updates.remove(&about);
             } else {
-                self.rumours.insert(about, left - 1);
+                self.pending_updates.insert(about, left - 1);
             }
             if about != Some(to) {
-                told.push(rumour);
+                updates.push(update);
             }
         }
-        told
+        updates
     }
 
     /// All that is known, for one that has just come.
-    pub fn all(&self) -> Vec<StatusUpdate> {
+    pub fn all_updates(&self) -> Vec<StatusUpdate> {
         let known =
             (0..self.peers.len()).filter(|n| self.peers[*n].incarnation > 0 && !self.peers[*n].removed);
-        known.map(|n| self.rumour(Some(n))).collect()
+        known.map(|n| self.status_update(Some(n))).collect()
     }
 
     /// One more peer, which was not there before.
-    pub fn add(&mut self, name: &str) {
-        self.by_name.insert(name.to_owned(), self.peers.len());
+    pub fn add_peer(&mut self, name: &str) {
+        self.index_by_name.insert(name.to_owned(), self.peers.len());
         self.peers.push(Peer::new(name));
-        self.order.clear();
+        self.probe_order.clear();
     }
 
     /// These were removed for good, by name; the others were not.
-    pub fn removed(&mut self, names: &BTreeSet<String>) {
+    pub fn set_removed(&mut self, names: &BTreeSet<String>) {
         for p in &mut self.peers {
             p.removed = names.contains(&p.name);
             if p.removed {
                 (p.status, p.suspicion) = (PeerStatus::Down, None);
             }
         }
-        if self.probing.as_ref().is_some_and(|p| self.peers[p.peer].removed) {
-            self.probing = None;
+        if self.probe_in_flight.as_ref().is_some_and(|p| self.peers[p.peer].removed) {
+            self.probe_in_flight = None;
         }
     }
 }
--- a/tests/cluster/frames.rs
+++ b/tests/cluster/frames.rs
@@ -1,7 +1,9 @@
 //! Bytes that are not what they should be: every decoder of frames and files gives a typed error or a sound value, whatever
 //! comes, and a broker that is sent such things goes on.
 
-use pebbleturn::gossip::codec::{self, DATAGRAM, Datagram, FRAME, FrameError, LATEST, Sender, StreamFrame};
+use pebbleturn::gossip::codec::{
+    self, Datagram, FrameError, LATEST_VERSION, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, Sender, StreamFrame,
+};
 use pebbleturn::gossip::swim::{PeerStatus, Probe, StatusUpdate};
 use pebbleturn::replication::anti_entropy::{SyncMessage, SyncSession};
 use pebbleturn::replication::*;
@@ -58,29 +60,30 @@
 
 fn sender() -> Sender {
     Sender {
-        cluster: codec::cluster("kochi"),
+        cluster_id: codec::cluster_id("kochi"),
         name: name(1),
         origin: Origin(3),
         incarnation: 4,
-        reads: LATEST,
+        latest_version: LATEST_VERSION,
     }
 }
 
 fn datagram(version: u8) -> Vec<u8> {
-    let rumours = vec![StatusUpdate { name: name(2), incarnation: 5, status: PeerStatus::Suspect }];
-    let probe = Probe::Ask { n: 8, name: name(2) };
-    Datagram { sender: sender(), probe, rumours, facts: facts(&copy(6)), root: Some(77) }.encode(version)
+    let status_updates = vec![StatusUpdate { name: name(2), incarnation: 5, status: PeerStatus::Suspect }];
+    let probe = Probe::PingRequest { sequence: 8, name: name(2) };
+    Datagram { sender: sender(), probe, status_updates, facts: facts(&copy(6)), root: Some(77) }
+        .encode(version)
 }
 
 fn lines() -> Vec<Vec<u8>> {
     let copy = copy(20);
     let (_, begin) = SyncSession::begin(&copy, 1000);
-    let hello = StreamFrame::Hello { sender: sender(), rumours: vec![] };
+    let hello = StreamFrame::Hello { sender: sender(), status_updates: vec![] };
     let give = SyncMessage::Give { facts: facts(&copy) };
     let leaves = SyncMessage::Leaves { digests: vec![(3, vec![1; 64])] };
     let ask = SyncMessage::AskFacts { leaves: vec![1, 2], from: Some((FactKey::Site("k".into()), 2)) };
     let walks =
-        [begin, give, leaves, ask, SyncMessage::Branches { digests: vec![5; 64] }].map(StreamFrame::Walk);
+        [begin, give, leaves, ask, SyncMessage::Branches { digests: vec![5; 64] }].map(StreamFrame::Sync);
     [hello].into_iter().chain(walks).map(|l| l.encode()[4..].to_vec()).collect()
 }
 
@@ -118,21 +121,24 @@
 
 #[test]
 fn frames_that_were_changed_anywhere_are_not_read() {
-    for version in 1..=LATEST {
+    for version in 1..=LATEST_VERSION {
         let whole = datagram(version);
-        assert!(whole.len() <= DATAGRAM && Datagram::decode(&whole, LATEST).is_ok());
+        assert!(whole.len() <= MAX_DATAGRAM_BYTES && Datagram::decode(&whole, LATEST_VERSION).is_ok());
         for at in 0..whole.len() {
-            assert!(Datagram::decode(&whole[..at], LATEST).is_err(), "cut at {at}");
+            assert!(Datagram::decode(&whole[..at], LATEST_VERSION).is_err(), "cut at {at}");
             let mut changed = whole.clone();
             changed[at] ^= 0x10;
-            assert!(Datagram::decode(&changed, LATEST).is_err(), "changed at {at}");
+            assert!(Datagram::decode(&changed, LATEST_VERSION).is_err(), "changed at {at}");
         }
     }
-    assert_eq!(Datagram::decode(&datagram(2), 1), Err(FrameError::Version(2)));
+    assert_eq!(Datagram::decode(&datagram(2), 1), Err(FrameError::UnsupportedVersion(2)));
     assert!(Datagram::decode(&datagram(1), 1).unwrap().root.is_none());
-    assert_eq!(Datagram::decode(&vec![0; DATAGRAM + 1], LATEST), Err(FrameError::Length(DATAGRAM + 1)));
-    assert_eq!(codec::frame_end(&[0xff; 8]), Err(FrameError::Length(u32::MAX as usize)));
-    assert_eq!(codec::frame_end(&(FRAME as u32).to_be_bytes()), Ok(None));
+    assert_eq!(
+        Datagram::decode(&vec![0; MAX_DATAGRAM_BYTES + 1], LATEST_VERSION),
+        Err(FrameError::InvalidLength(MAX_DATAGRAM_BYTES + 1))
+    );
+    assert_eq!(codec::frame_end(&[0xff; 8]), Err(FrameError::InvalidLength(u32::MAX as usize)));
+    assert_eq!(codec::frame_end(&(MAX_FRAME_BYTES as u32).to_be_bytes()), Ok(None));
 }
 
 /// With a checksum that fits, whatever stands behind it: an error or a value, and a broker that takes it in goes on.
@@ -149,7 +155,7 @@
             continue;
         }
         reseal(&mut bytes);
-        match Datagram::decode(&bytes, LATEST) {
+        match Datagram::decode(&bytes, LATEST_VERSION) {
             Ok(_) => read += 1,
             Err(_) => refused += 1,
         }
@@ -161,7 +167,7 @@
             spoil(&mut line, 9, &mut rng);
             if line.len() >= 9 {
                 reseal(&mut line);
-                if let Ok(StreamFrame::Walk(m)) = StreamFrame::decode(&line) {
+                if let Ok(StreamFrame::Sync(m)) = StreamFrame::decode(&line) {
                     let _ = anti_entropy::answer(&copy(2), &m);
                 }
             }
--- a/tests/cluster/processes.rs
+++ b/tests/cluster/processes.rs
@@ -260,11 +260,11 @@
 
 fn sender(origin: u64, cluster: &str) -> Sender {
     Sender {
-        cluster: codec::cluster(cluster),
+        cluster_id: codec::cluster_id(cluster),
         name: name(1),
         origin: Origin(origin),
         incarnation: u64::MAX / 4,
-        reads: 2,
+        latest_version: 2,
     }
 }
 
@@ -274,8 +274,14 @@
     let clients = Clients::at(&bed, 0, 2);
     let ahead = FactValue::Latest(ProcessStart { started: u64::MAX / 2, version: u64::MAX });
     let frame = |facts| {
-        Datagram { sender: sender(99, "bed"), probe: Probe::News, rumours: vec![], facts, root: Some(1) }
-            .encode(2)
+        Datagram {
+            sender: sender(99, "bed"),
+            probe: Probe::Gossip,
+            status_updates: vec![],
+            facts,
+            root: Some(1),
+        }
+        .encode(2)
     };
     // A drain of a server that is to start in three hundred years.
     bed.links.inject(1, 0, &frame(vec![(FactKey::Drain("n-0".into()), ahead)]));
@@ -305,8 +311,8 @@
             1 => {
                 let other = Datagram {
                     sender: sender(5, "other"),
-                    probe: Probe::News,
-                    rumours: vec![],
+                    probe: Probe::Gossip,
+                    status_updates: vec![],
                     facts: vec![],
                     root: Some(1),
                 };
@@ -322,8 +328,8 @@
     until("of another cluster", || {
         let other = Datagram {
             sender: sender(5, "other"),
-            probe: Probe::News,
-            rumours: vec![],
+            probe: Probe::Gossip,
+            status_updates: vec![],
             facts: vec![],
             root: Some(1),
         };
--- a/tests/cluster/simulated.rs
+++ b/tests/cluster/simulated.rs
@@ -250,7 +250,7 @@
 #[test]
 fn two_versions_of_frames_work_together() {
     let mut w = World::empty(5, 11);
-    (0..3).for_each(|n| w.speaks(n, codec::FIRST));
+    (0..3).for_each(|n| w.speaks(n, codec::FIRST_VERSION));
     (0..5).for_each(|n| w.start(n));
     w.links = Links { loss: 0.1, doubled: 0.1, delay: (MS, 20 * MS) };
     w.play_for(5 * S);
@@ -260,7 +260,7 @@
     // One after the other is upgraded.
     for n in 0..3 {
         w.kill(n);
-        w.speaks(n, codec::LATEST);
+        w.speaks(n, codec::LATEST_VERSION);
         w.start(n);
         w.say(n, &server(3 + n), CommandValue::Out).unwrap();
         w.play_for(5 * S);
--- a/tests/recorded_replication/gossip.rs
+++ b/tests/recorded_replication/gossip.rs
@@ -122,14 +122,18 @@
 
     fn settings(&mut self, n: usize) -> GossipSettings {
         // The last one is of an earlier program.
-        let speaks = if n + 1 == MEMBERS { codec::FIRST } else { codec::LATEST };
+        let latest_version = if n + 1 == MEMBERS { codec::FIRST_VERSION } else { codec::LATEST_VERSION };
         GossipSettings {
             cluster: "cluster".into(),
             name: name(n),
             peers: self.peer_list(n),
-            swim: swim::SwimSettings { every: SECOND, timeout: 300 * MILLISECOND, indirect: 2 },
-            bounds: StoreLimits { keep: 20 * SECOND, ..StoreLimits::default() },
-            speaks,
+            swim: swim::SwimSettings {
+                probe_interval: SECOND,
+                probe_timeout: 300 * MILLISECOND,
+                indirect_probes: 2,
+            },
+            store_limits: StoreLimits { keep: 20 * SECOND, ..StoreLimits::default() },
+            latest_version,
             seed: pick(&mut self.random, 1 << 30) as u64,
         }
     }
@@ -161,8 +165,8 @@
     fn with_member(&mut self, n: usize, call: impl FnOnce(&mut GossipNode, u64)) {
         let Some(member) = self.nodes[n].member.as_mut() else { return };
         call(member, self.now);
-        let told: Vec<Notification> = std::iter::from_fn(|| member.take_told()).collect();
-        let heard_of: Vec<FactKey> = std::iter::from_fn(|| member.take_heard_of()).collect();
+        let told: Vec<Notification> = std::iter::from_fn(|| member.take_notification()).collect();
+        let heard_of: Vec<FactKey> = std::iter::from_fn(|| member.take_updated_server()).collect();
         let outputs: Vec<Output> = std::iter::from_fn(|| member.take_output()).collect();
         if told.is_empty() && heard_of.is_empty() && outputs.is_empty() {
             return;
@@ -177,7 +181,9 @@
 
     fn tick(&mut self, n: usize) {
         let now = self.now;
-        if self.runs(n) && self.nodes[n].member.as_ref().is_some_and(|member| member.due(now) <= now) {
+        if self.runs(n)
+            && self.nodes[n].member.as_ref().is_some_and(|member| member.next_deadline(now) <= now)
+        {
             self.with_member(n, |member, now| member.tick(now));
         }
     }
@@ -245,7 +251,7 @@
         let id = format!("server-{}", pick(&mut self.random, 30));
         let key = if one_in(&mut self.random, 2) { FactKey::Drain(id) } else { FactKey::Start(id) };
         let latest = ProcessStart { started: self.now, version: 1 };
-        self.with_member(n, |member, now| member.note(key, latest, now));
+        self.with_member(n, |member, now| member.record_process_event(key, latest, now));
     }
 
     /// Cuts a member off from some others, in one direction or in both.
@@ -266,13 +272,13 @@
         let without = pick(&mut self.random, 2 * MEMBERS);
         self.nodes[n].listed = (0..MEMBERS).filter(|peer| *peer != n && *peer != without).collect();
         let list = self.peer_list(n);
-        self.with_member(n, |member, now| member.relist(&list, now));
+        self.with_member(n, |member, now| member.set_peers(&list, now));
         self.recorder.count("reload");
     }
 
     fn renew(&mut self, n: usize) {
         let origin = Origin(1 << 60 | self.now);
-        self.with_member(n, |member, _| member.renew(origin));
+        self.with_member(n, |member, _| member.replace_origin(origin));
     }
 
     /// Datagrams of senders that are not listened to, one with a fact that is refused, and now and then a flood.
@@ -295,10 +301,17 @@
     }
 
     fn push_news(&mut self, from: SocketAddr, to: usize, cluster: &str, name: String, facts: Vec<Fact>) {
-        let cluster = codec::cluster(cluster);
-        let sender = Sender { cluster, name, origin: Origin(5), incarnation: 1, reads: codec::LATEST };
-        let datagram = Datagram { sender, probe: Probe::News, rumours: Vec::new(), facts, root: Some(1) };
-        let bytes = datagram.encode(codec::LATEST);
+        let cluster_id = codec::cluster_id(cluster);
+        let sender = Sender {
+            cluster_id,
+            name,
+            origin: Origin(5),
+            incarnation: 1,
+            latest_version: codec::LATEST_VERSION,
+        };
+        let datagram =
+            Datagram { sender, probe: Probe::Gossip, status_updates: Vec::new(), facts, root: Some(1) };
+        let bytes = datagram.encode(codec::LATEST_VERSION);
         self.push(TICK, Delivery::Datagram { from, to, bytes });
     }
 
@@ -306,21 +319,21 @@
     fn speak_out_of_turn(&mut self, to: usize) {
         self.next_accepted += 1;
         let (stream, from) = (self.next_accepted, address((to + 1) % MEMBERS));
-        let line = StreamFrame::Walk(SyncMessage::Taken).encode();
+        let line = StreamFrame::Sync(SyncMessage::Taken).encode();
         self.with_member(to, |member, now| {
-            member.accepted(stream, from, now);
-            member.frame(stream, from, &line[4..], now);
+            member.on_accepted(stream, from, now);
+            member.on_frame(stream, from, &line[4..], now);
         });
     }
 
     /// What a member knows comes to its disk.
     fn keep(&mut self, n: usize) {
         let Some(member) = self.nodes[n].member.as_mut() else { return };
-        let mut facts = member.take_unkept(20);
+        let mut facts = member.take_unpersisted(20);
         if one_in(&mut self.random, 4) {
-            member.not_kept(facts.drain(..).map(|(key, _)| key));
+            member.persist_failed(facts.drain(..).map(|(key, _)| key));
         }
-        self.recorder.put_bool(member.is_kept());
+        self.recorder.put_bool(member.is_persisted());
         self.recorder.put_stored(&facts);
         self.nodes[n].kept.extend(facts.into_iter().map(|fact| (fact.0.clone(), fact)));
         self.recorder.count("kept");
@@ -375,7 +388,7 @@
         let other = End { member: to, stream: self.next_accepted };
         self.connections.insert(end, other);
         self.connections.insert(other, end);
-        self.with_member(to, |member, now| member.accepted(other.stream, address(end.member), now));
+        self.with_member(to, |member, now| member.on_accepted(other.stream, address(end.member), now));
         self.push(STREAM_DELAY, Delivery::Connected(end));
     }
 
@@ -421,14 +434,16 @@
         }
         match delivery {
             Delivery::Datagram { from, bytes, .. } => {
-                put_datagram(&mut self.recorder, &Datagram::decode(&bytes, codec::LATEST));
-                self.with_member(n, |member, now| member.datagram(from, &bytes, now));
+                put_datagram(&mut self.recorder, &Datagram::decode(&bytes, codec::LATEST_VERSION));
+                self.with_member(n, |member, now| member.on_datagram(from, &bytes, now));
+            }
+            Delivery::Connected(end) => {
+                self.with_member(n, |member, now| member.on_connected(end.stream, now))
             }
-            Delivery::Connected(end) => self.with_member(n, |member, now| member.connected(end.stream, now)),
             Delivery::Frame { to, from, bytes } => {
-                self.with_member(n, |member, now| member.frame(to.stream, from, &bytes, now));
+                self.with_member(n, |member, now| member.on_frame(to.stream, from, &bytes, now));
             }
-            Delivery::Closed(end) => self.with_member(n, |member, now| member.closed(end.stream, now)),
+            Delivery::Closed(end) => self.with_member(n, |member, now| member.on_closed(end.stream, now)),
         }
     }
 
@@ -438,13 +453,18 @@
         recorder.put_tag(match member.sync_status() {
             SyncStatus::CatchingUp => 0,
             SyncStatus::CaughtUp => 1,
-            SyncStatus::Alone => 2,
+            SyncStatus::Isolated => 2,
         });
-        let due = member.due(now) / MILLISECOND;
-        recorder.put_stored(&(member.incarnation(), member.health(), due, member.is_doubled()));
+        let due = member.next_deadline(now) / MILLISECOND;
+        recorder.put_stored(&(
+            member.incarnation(),
+            member.health_score(),
+            due,
+            member.has_duplicate_origin(),
+        ));
         recorder.put_bytes(&member.store().bytes());
         put_effect(recorder, member.derived_state());
-        recorder.put_sequence(member.dropped(), |recorder, (why, times)| {
+        recorder.put_sequence(member.drop_counts(), |recorder, (why, times)| {
             put_dropped(recorder, why);
             recorder.put_u64(times);
         });
@@ -477,51 +497,54 @@
 
 fn put_told(recorder: &mut Recorder, told: &Notification) {
     let (tag, kind) = match told {
-        Notification::Up(_) => (0, "up"),
-        Notification::Suspected(_) => (1, "suspected"),
-        Notification::Down(_) => (2, "down"),
+        Notification::PeerUp(_) => (0, "up"),
+        Notification::PeerSuspected(_) => (1, "suspected"),
+        Notification::PeerDown(_) => (2, "down"),
         Notification::Refuted => (3, "refuted"),
-        Notification::Late(_) => (4, "late"),
+        Notification::Stalled(_) => (4, "late"),
         Notification::Dropped(..) => (5, "dropped"),
         Notification::CaughtUp(_) => (6, "caught up"),
-        Notification::Alone => (7, "alone"),
-        Notification::Doubled => (8, "new origin"),
-        Notification::Removed => (9, "removed"),
-        Notification::Changed(_) => (10, "changed"),
-        Notification::Came(_) => (11, "came"),
+        Notification::Isolated => (7, "alone"),
+        Notification::OriginReplaced => (8, "new origin"),
+        Notification::RemovedFromCluster => (9, "removed"),
+        Notification::FactChanged(_) => (10, "changed"),
+        Notification::FactsReceived(_) => (11, "came"),
     };
     recorder.count(kind);
     recorder.put_tag(tag);
     match told {
-        Notification::Up(name)
-        | Notification::Suspected(name)
-        | Notification::Down(name)
+        Notification::PeerUp(name)
+        | Notification::PeerSuspected(name)
+        | Notification::PeerDown(name)
         | Notification::CaughtUp(name) => {
             recorder.put_str(name);
         }
-        Notification::Late(time) => recorder.put_u64(*time / MILLISECOND),
+        Notification::Stalled(time) => recorder.put_u64(*time / MILLISECOND),
         Notification::Dropped(why, from) => {
             put_dropped(recorder, *why);
             recorder.put_str(&from.to_string());
         }
-        Notification::Changed(key) => recorder.put_stored(key),
-        Notification::Came(number) => recorder.put_usize(*number),
-        Notification::Refuted | Notification::Alone | Notification::Doubled | Notification::Removed => {}
+        Notification::FactChanged(key) => recorder.put_stored(key),
+        Notification::FactsReceived(number) => recorder.put_usize(*number),
+        Notification::Refuted
+        | Notification::Isolated
+        | Notification::OriginReplaced
+        | Notification::RemovedFromCluster => {}
     }
 }
 
 fn put_dropped(recorder: &mut Recorder, why: DropReason) {
     let (tag, kind) = match why {
-        DropReason::Unlisted => (0, "unlisted sender"),
-        DropReason::Frame => (1, "unreadable frame"),
-        DropReason::Version => (2, "later version"),
-        DropReason::Cluster => (3, "other cluster"),
-        DropReason::Name => (4, "other name"),
+        DropReason::UnlistedAddress => (0, "unlisted sender"),
+        DropReason::MalformedFrame => (1, "unreadable frame"),
+        DropReason::UnsupportedVersion => (2, "later version"),
+        DropReason::OtherCluster => (3, "other cluster"),
+        DropReason::NameMismatch => (4, "other name"),
         DropReason::OwnName => (5, "own name"),
-        DropReason::Removed => (6, "removed sender"),
-        DropReason::Flood => (7, "flood"),
-        DropReason::Fact => (8, "refused fact"),
-        DropReason::Stream => (9, "out of turn"),
+        DropReason::RemovedSender => (6, "removed sender"),
+        DropReason::RateLimited => (7, "flood"),
+        DropReason::InvalidFact => (8, "refused fact"),
+        DropReason::ProtocolViolation => (9, "out of turn"),
     };
     recorder.count(kind);
     recorder.put_tag(tag);
@@ -536,21 +559,21 @@
         }
     };
     match datagram.probe {
-        Probe::Ask { .. } => recorder.count("indirect probe"),
+        Probe::PingRequest { .. } => recorder.count("indirect probe"),
         Probe::Nack { .. } => recorder.count("negative answer"),
-        Probe::News | Probe::Ping { .. } | Probe::Ack { .. } => {}
+        Probe::Gossip | Probe::Ping { .. } | Probe::Ack { .. } => {}
     }
-    let Datagram { sender, probe, rumours, facts, root } = datagram;
-    recorder.put_stored(&(sender, probe, rumours, facts, root));
+    let Datagram { sender, probe, status_updates, facts, root } = datagram;
+    recorder.put_stored(&(sender, probe, status_updates, facts, root));
 }
 
 fn put_bad_frame(recorder: &mut Recorder, bad: &FrameError) {
     let (tag, value) = match bad {
-        FrameError::Length(length) => (1, *length),
-        FrameError::Foreign => (2, 0),
-        FrameError::Version(version) => (3, usize::from(*version)),
-        FrameError::Checksum => (4, 0),
-        FrameError::Body => (5, 0),
+        FrameError::InvalidLength(length) => (1, *length),
+        FrameError::UnknownFormat => (2, 0),
+        FrameError::UnsupportedVersion(version) => (3, usize::from(*version)),
+        FrameError::ChecksumMismatch => (4, 0),
+        FrameError::MalformedBody => (5, 0),
     };
     recorder.put_stored(&(tag, value));
 }
--- a/tests/stored_formats/gossip_frames.rs
+++ b/tests/stored_formats/gossip_frames.rs
@@ -2,7 +2,9 @@
 
 use super::fixtures::{Fixture, flipped, stored, truncated};
 use super::samples::{BROKER, ORIGIN, SERVER, told_and_spent, words};
-use pebbleturn::gossip::codec::{self, DATAGRAM, Datagram, FIRST, FrameError, LATEST, Sender, StreamFrame};
+use pebbleturn::gossip::codec::{
+    self, Datagram, FIRST_VERSION, FrameError, LATEST_VERSION, MAX_DATAGRAM_BYTES, Sender, StreamFrame,
+};
 use pebbleturn::gossip::swim::{PeerStatus, Probe, StatusUpdate};
 use pebbleturn::replication::anti_entropy::SyncMessage;
 use pebbleturn::replication::{Fact, FactKey, Origin, StateStore, StoreLimits};
@@ -27,21 +29,21 @@
 
 fn sender() -> Sender {
     Sender {
-        cluster: codec::cluster(CLUSTER),
+        cluster_id: codec::cluster_id(CLUSTER),
         name: BROKER.into(),
         origin: ORIGIN,
         incarnation: 1_700_000_000_000,
-        reads: LATEST,
+        latest_version: LATEST_VERSION,
     }
 }
 
 /// What is said of a peer in each status.
-fn rumours() -> Vec<StatusUpdate> {
-    let rumour = |name: &str, incarnation, status| StatusUpdate { name: name.into(), incarnation, status };
+fn status_updates() -> Vec<StatusUpdate> {
+    let update = |name: &str, incarnation, status| StatusUpdate { name: name.into(), incarnation, status };
     vec![
-        rumour("brøker-3", 7, PeerStatus::Alive),
-        rumour("broker-4", 300, PeerStatus::Suspect),
-        rumour("broker-5", u64::MAX, PeerStatus::Down),
+        update("brøker-3", 7, PeerStatus::Alive),
+        update("broker-4", 300, PeerStatus::Suspect),
+        update("broker-5", u64::MAX, PeerStatus::Down),
     ]
 }
 
@@ -50,17 +52,23 @@
 }
 
 fn probes() -> [Probe; 5] {
-    let ask = Probe::Ask { n: u32::MAX, name: "brøker-3".into() };
-    [Probe::News, Probe::Ping { n: 8 }, Probe::Ack { n: 300 }, ask, Probe::Nack { n: 9 }]
+    let ask = Probe::PingRequest { sequence: u32::MAX, name: "brøker-3".into() };
+    [
+        Probe::Gossip,
+        Probe::Ping { sequence: 8 },
+        Probe::Ack { sequence: 300 },
+        ask,
+        Probe::Nack { sequence: 9 },
+    ]
 }
 
 /// The name of a purpose. A new one does not compile before it has a name, and so a fixture.
 fn probe_name(probe: &Probe) -> &'static str {
     match probe {
-        Probe::News => "news",
+        Probe::Gossip => "news",
         Probe::Ping { .. } => "ping",
         Probe::Ack { .. } => "ack",
-        Probe::Ask { .. } => "ask",
+        Probe::PingRequest { .. } => "ask",
         Probe::Nack { .. } => "nack",
     }
 }
@@ -68,13 +76,14 @@
 /// A datagram for every purpose in each version. Only news holds rumours and facts.
 fn datagram_samples() -> Vec<DatagramSample> {
     let mut samples = Vec::new();
-    for version in FIRST..=LATEST {
+    for version in FIRST_VERSION..=LATEST_VERSION {
         for probe in probes() {
             let name = format!("{FORMAT}/datagram-v{version}-{}.frame", probe_name(&probe));
-            let is_news = probe == Probe::News;
-            let (rumours, facts) = if is_news { (rumours(), all_facts()) } else { Default::default() };
-            let root = (version == LATEST).then_some(ROOT);
-            let datagram = Datagram { sender: sender(), probe, rumours, facts, root };
+            let is_news = probe == Probe::Gossip;
+            let (status_updates, facts) =
+                if is_news { (status_updates(), all_facts()) } else { Default::default() };
+            let root = (version == LATEST_VERSION).then_some(ROOT);
+            let datagram = Datagram { sender: sender(), probe, status_updates, facts, root };
             samples.push(DatagramSample { name, version, datagram });
         }
     }
@@ -128,13 +137,13 @@
 fn line_name(line: &StreamFrame) -> &'static str {
     match line {
         StreamFrame::Hello { .. } => "hello",
-        StreamFrame::Walk(message) => message_name(message),
+        StreamFrame::Sync(message) => message_name(message),
     }
 }
 
 fn line_samples() -> Vec<LineSample> {
-    let hello = StreamFrame::Hello { sender: sender(), rumours: rumours() };
-    let lines = [hello].into_iter().chain(messages().map(StreamFrame::Walk));
+    let hello = StreamFrame::Hello { sender: sender(), status_updates: status_updates() };
+    let lines = [hello].into_iter().chain(messages().map(StreamFrame::Sync));
     let sample = |line| LineSample { name: format!("{FORMAT}/stream-{}.frame", line_name(&line)), line };
     lines.map(sample).collect()
 }
@@ -149,7 +158,7 @@
 
 /// A datagram from its fixture.
 fn read_datagram(name: &str) -> Datagram {
-    Datagram::decode(&stored(&format!("{FORMAT}/{name}")), LATEST).unwrap()
+    Datagram::decode(&stored(&format!("{FORMAT}/{name}")), LATEST_VERSION).unwrap()
 }
 
 /// The frame in a fixture of a stream, without its length.
@@ -173,8 +182,8 @@
 fn every_datagram_is_read() {
     for sample in datagram_samples() {
         let bytes = stored(&sample.name);
-        assert!(bytes.len() <= DATAGRAM);
-        assert_eq!(Datagram::decode(&bytes, LATEST), Ok(sample.datagram), "{}", sample.name);
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
+        assert_eq!(Datagram::decode(&bytes, LATEST_VERSION), Ok(sample.datagram), "{}", sample.name);
     }
 }
 
@@ -188,15 +197,15 @@
 #[test]
 fn datagrams_are_read_field_by_field() {
     let news = read_datagram("datagram-v2-news.frame");
-    assert_eq!((news.sender.cluster, news.sender.name.as_str()), (codec::cluster(CLUSTER), BROKER));
+    assert_eq!((news.sender.cluster_id, news.sender.name.as_str()), (codec::cluster_id(CLUSTER), BROKER));
     assert_eq!((news.sender.origin, news.sender.incarnation), (ORIGIN, 1_700_000_000_000));
-    assert_eq!((news.sender.reads, news.root), (2, Some(ROOT)));
-    let statuses: Vec<PeerStatus> = news.rumours.iter().map(|rumour| rumour.status).collect();
+    assert_eq!((news.sender.latest_version, news.root), (2, Some(ROOT)));
+    let statuses: Vec<PeerStatus> = news.status_updates.iter().map(|update| update.status).collect();
     assert_eq!(statuses, [PeerStatus::Alive, PeerStatus::Suspect, PeerStatus::Down]);
-    assert_eq!((news.rumours[1].name.as_str(), news.rumours[1].incarnation), ("broker-4", 300));
+    assert_eq!((news.status_updates[1].name.as_str(), news.status_updates[1].incarnation), ("broker-4", 300));
     assert_eq!(news.facts[0].0, FactKey::Server(SERVER.into()));
     let ask = read_datagram("datagram-v1-ask.frame");
-    assert_eq!(ask.probe, Probe::Ask { n: u32::MAX, name: "brøker-3".into() });
+    assert_eq!(ask.probe, Probe::PingRequest { sequence: u32::MAX, name: "brøker-3".into() });
     assert_eq!(ask.root, None);
 }
 
@@ -204,21 +213,21 @@
 fn a_datagram_without_a_root_is_of_the_first_version() {
     let sample = datagram_samples().remove(0);
     assert_eq!(sample.datagram.root, None);
-    assert_eq!(sample.datagram.encode(LATEST), stored(&sample.name));
+    assert_eq!(sample.datagram.encode(LATEST_VERSION), stored(&sample.name));
 }
 
 #[test]
 fn a_datagram_of_a_version_that_is_not_read_is_refused() {
     let bytes = stored("gossip/datagram-v2-news.frame");
-    assert_eq!(Datagram::decode(&bytes, FIRST), Err(FrameError::Version(LATEST)));
+    assert_eq!(Datagram::decode(&bytes, FIRST_VERSION), Err(FrameError::UnsupportedVersion(LATEST_VERSION)));
 }
 
 #[test]
 fn damaged_datagrams_are_refused() {
     for sample in datagram_samples() {
         let bytes = stored(&sample.name);
-        assert_eq!(Datagram::decode(&flipped(&bytes), LATEST), Err(FrameError::Checksum));
-        assert_eq!(Datagram::decode(&truncated(&bytes), LATEST), Err(FrameError::Checksum));
+        assert_eq!(Datagram::decode(&flipped(&bytes), LATEST_VERSION), Err(FrameError::ChecksumMismatch));
+        assert_eq!(Datagram::decode(&truncated(&bytes), LATEST_VERSION), Err(FrameError::ChecksumMismatch));
     }
 }
 
@@ -226,8 +235,18 @@
 fn damaged_lines_are_refused() {
     for sample in line_samples() {
         let frame = stored_frame(&sample.name);
-        assert_eq!(StreamFrame::decode(&flipped(&frame)), Err(FrameError::Checksum), "{}", sample.name);
-        assert_eq!(StreamFrame::decode(&truncated(&frame)), Err(FrameError::Checksum), "{}", sample.name);
+        assert_eq!(
+            StreamFrame::decode(&flipped(&frame)),
+            Err(FrameError::ChecksumMismatch),
+            "{}",
+            sample.name
+        );
+        assert_eq!(
+            StreamFrame::decode(&truncated(&frame)),
+            Err(FrameError::ChecksumMismatch),
+            "{}",
+            sample.name
+        );
         let whole = stored(&sample.name);
         assert_eq!(codec::frame_end(&truncated(&whole)), Ok(None), "the rest is waited for");
     }
