Give frame errors typed variants and name the offsets of the frame header

Need: the codec worked on bare offsets, and its error was written by hand with texts that no user sees.

Change: constants for the header's offsets, FrameError by thiserror, docs of every field with errors. The bytes of frames are unchanged.

--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -1,7 +1,7 @@
-//! The form of what brokers send each other: a head that names the version and holds a checksum, then the body.
+//! The frames that brokers exchange: a header with version and checksum, then a body in postcard.
 //!
-//! Two versions are spoken, so that a cluster is upgraded broker by broker: every frame tells the latest version that
-//! its sender reads, and is answered in one that both do.
+//! Two versions are understood, so that a cluster can be upgraded broker by broker: each frame names the
+//! latest version that its sender reads, and is answered in the latest version that both read.
 
 use super::swim::{Probe, StatusUpdate};
 use crate::replication::Origin;
@@ -9,33 +9,43 @@
 use crate::replication::state_store::Fact;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use std::fmt;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The first version, which has no digest in its datagrams.
+/// The first version, whose datagrams carry no Merkle root.
 pub const FIRST_VERSION: u8 = 1;
 /// The latest version.
 pub const LATEST_VERSION: u8 = 2;
-/// Largest datagram, bytes: it fits an Ethernet frame with room for tunnels.
+/// Largest datagram in bytes: it fits an Ethernet frame, with room for the headers of tunnels.
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
-/// Largest frame on a connection, bytes, without its length.
+/// Largest frame on a connection in bytes, without its length prefix.
 pub const MAX_FRAME_BYTES: usize = 60 * 1024;
 
 const MAGIC: &[u8; 3] = b"PBT";
-/// Bytes before the body: magic, kind, version, checksum.
+/// Offset of the byte that holds the kind of frame.
+const KIND_OFFSET: usize = 3;
+/// Offset of the byte that holds the version.
+const VERSION_OFFSET: usize = 4;
+/// Offset of the checksum, which ends the header.
+const CHECKSUM_OFFSET: usize = 5;
+/// Length of the header: magic, kind, version, checksum.
 const HEADER_BYTES: usize = 9;
+/// Length of the prefix that holds a frame's length on a connection.
+const LENGTH_PREFIX_BYTES: usize = 4;
+/// Room that is allocated for a frame at first.
+const INITIAL_FRAME_CAPACITY: usize = 256;
 
-/// What a frame is.
+/// How a frame is carried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
 enum FrameKind {
-    Datagram = b'd' as isize,
-    Stream = b's' as isize,
+    Datagram = b'd',
+    Stream = b's',
 }
 
-/// Who speaks.
+/// The broker that sent a frame.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
 pub struct Sender {
-    /// The hash of the cluster's name.
+    /// The hash of its cluster's name, see [`cluster_id`].
     #[serde(rename = "cluster")]
     pub cluster_id: u64,
     /// Its name.
@@ -44,31 +54,33 @@
     pub origin: Origin,
     /// Its incarnation.
     pub incarnation: u64,
-    /// The latest version that it reads.
+    /// The latest version of frames that it reads.
     #[serde(rename = "reads")]
     pub latest_version: u8,
 }
 
 /// The hash of a cluster's name.
+#[must_use]
 pub fn cluster_id(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
 }
 
-/// What is sent by datagram.
+/// What is sent by datagram: a probe, with status updates and facts piggybacked on it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Datagram {
-    /// Who speaks.
+    /// The broker that sent it.
     pub sender: Sender,
-    /// What for.
+    /// The probe.
     pub probe: Probe,
-    /// What is said of others.
+    /// Status updates of brokers.
     pub status_updates: Vec<StatusUpdate>,
-    /// News.
+    /// Facts that are new to the sender.
     pub facts: Vec<Fact>,
-    /// The root of the sender's digests; none in the first version.
+    /// The Merkle root of the sender's store; `None` in the first version.
     pub root: Option<u64>,
 }
 
+/// The body of a datagram in the first version.
 #[derive(Serialize, Deserialize)]
 struct DatagramV1 {
     sender: Sender,
@@ -78,6 +90,7 @@
     facts: Vec<Fact>,
 }
 
+/// The body of a datagram in the second version.
 #[derive(Serialize, Deserialize)]
 struct DatagramV2 {
     sender: Sender,
@@ -91,67 +104,61 @@
 /// What is sent on a connection.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
 pub enum StreamFrame {
-    /// Who speaks, and what it knows of others: the first line of either side.
+    /// The first frame of either side.
     Hello {
+        /// The broker that sent it.
         sender: Sender,
+        /// All that it knows of the status of others.
         #[serde(rename = "rumours")]
         status_updates: Vec<StatusUpdate>,
     },
-    /// A step of a walk.
+    /// One message of an anti-entropy session.
     #[serde(rename = "Walk")]
     Sync(SyncMessage),
 }
 
-/// Bytes that are no frame.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Why bytes are not a frame that can be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum FrameError {
-    /// Shorter than a head, or longer than may be.
+    /// A frame of so many bytes is shorter than its header or longer than allowed.
+    #[error("a frame of {0} bytes is shorter than its header or longer than allowed")]
     InvalidLength(usize),
-    /// It is something else.
+    /// The magic or the kind of frame in the header is another one.
+    #[error("the header is not that of a frame of this kind")]
     UnknownFormat,
-    /// A version that is not read here.
+    /// The frame has a version that is not read here.
+    #[error("frame version {0} is not supported")]
     UnsupportedVersion(u8),
-    /// Its body is not what was sent.
+    /// Version and body don't match the checksum in the header.
+    #[error("the frame's checksum does not match")]
     ChecksumMismatch,
-    /// Its body can't be read.
+    /// The body can't be decoded, or bytes follow it.
+    #[error("the frame's body can't be decoded")]
     MalformedBody,
 }
 
-impl fmt::Display for FrameError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            FrameError::InvalidLength(n) => write!(f, "{n} bytes are no frame"),
-            FrameError::UnknownFormat => write!(f, "it is no frame of a cluster"),
-            FrameError::UnsupportedVersion(v) => write!(f, "version {v} is not read here"),
-            FrameError::ChecksumMismatch => write!(f, "its checksum does not fit"),
-            FrameError::MalformedBody => write!(f, "its body can't be read"),
-        }
-    }
-}
-
-impl std::error::Error for FrameError {}
-
 fn encode_frame(kind: FrameKind, version: u8, body: &impl Serialize) -> Vec<u8> {
-    let mut out = Vec::with_capacity(256);
-    out.extend_from_slice(MAGIC);
-    out.extend_from_slice(&[kind as u8, version, 0, 0, 0, 0]);
-    // Into memory: only a value without a known length could fail, and there is none.
-    out = postcard::to_extend(body, out).unwrap_or_default();
-    if out.len() >= HEADER_BYTES {
-        let sum = checksum(&out);
-        out[5..HEADER_BYTES].copy_from_slice(&sum);
+    let mut frame = Vec::with_capacity(INITIAL_FRAME_CAPACITY);
+    frame.extend_from_slice(MAGIC);
+    frame.extend_from_slice(&[kind as u8, version, 0, 0, 0, 0]);
+    // Only a sequence of unknown length could fail to be written into memory, and there is none.
+    frame = postcard::to_extend(body, frame).unwrap_or_default();
+    if frame.len() >= HEADER_BYTES {
+        let sum = checksum(&frame);
+        frame[CHECKSUM_OFFSET..HEADER_BYTES].copy_from_slice(&sum);
     }
-    out
+    frame
 }
 
-/// Over version and body.
+/// The checksum over version and body.
 fn checksum(frame: &[u8]) -> [u8; 4] {
     let mut hasher = crc32fast::Hasher::new();
-    hasher.update(&frame[3..5]);
+    hasher.update(&frame[KIND_OFFSET..CHECKSUM_OFFSET]);
     hasher.update(&frame[HEADER_BYTES..]);
     hasher.finalize().to_le_bytes()
 }
 
+/// Checks the header of a frame, and gives its version and body.
 fn open_frame(
     kind: FrameKind,
     frame: &[u8],
@@ -161,11 +168,11 @@
     if frame.len() < HEADER_BYTES || frame.len() > max_bytes {
         return Err(FrameError::InvalidLength(frame.len()));
     }
-    if &frame[..3] != MAGIC || frame[3] != kind as u8 {
+    if &frame[..KIND_OFFSET] != MAGIC || frame[KIND_OFFSET] != kind as u8 {
         return Err(FrameError::UnknownFormat);
     }
-    let version = frame[4];
-    if checksum(frame) != frame[5..HEADER_BYTES] {
+    let version = frame[VERSION_OFFSET];
+    if checksum(frame) != frame[CHECKSUM_OFFSET..HEADER_BYTES] {
         return Err(FrameError::ChecksumMismatch);
     }
     if !(FIRST_VERSION..=latest_version).contains(&version) {
@@ -182,24 +189,27 @@
 }
 
 impl Datagram {
-    /// The bytes, in this version.
+    /// The datagram's bytes in the given version; in the first one if it has no root.
+    #[must_use]
     pub fn encode(self, version: u8) -> Vec<u8> {
         let Datagram { sender, probe, status_updates, facts, root } = self;
         match (version, root) {
-            (FIRST_VERSION, _) | (_, None) => encode_frame(
-                FrameKind::Datagram,
-                FIRST_VERSION,
-                &DatagramV1 { sender, probe, status_updates, facts },
-            ),
-            (_, Some(root)) => encode_frame(
-                FrameKind::Datagram,
-                LATEST_VERSION,
-                &DatagramV2 { sender, probe, root, status_updates, facts },
-            ),
+            (FIRST_VERSION, _) | (_, None) => {
+                let body = DatagramV1 { sender, probe, status_updates, facts };
+                encode_frame(FrameKind::Datagram, FIRST_VERSION, &body)
+            }
+            (_, Some(root)) => {
+                let body = DatagramV2 { sender, probe, root, status_updates, facts };
+                encode_frame(FrameKind::Datagram, LATEST_VERSION, &body)
+            }
         }
     }
 
-    /// Reads a datagram, of versions up to `latest_version`.
+    /// Reads a datagram of a version up to `latest_version`.
+    ///
+    /// # Errors
+    ///
+    /// [`FrameError`] if the bytes are not one whole, undamaged datagram of such a version.
     pub fn decode(bytes: &[u8], latest_version: u8) -> Result<Datagram, FrameError> {
         let (version, body) = open_frame(FrameKind::Datagram, bytes, MAX_DATAGRAM_BYTES, latest_version)?;
         if version == FIRST_VERSION {
@@ -212,28 +222,39 @@
 }
 
 impl StreamFrame {
-    /// The bytes, behind their length. Lines are the same in both versions.
+    /// The frame's bytes behind their length prefix. Frames on a connection are the same in both versions.
+    #[must_use]
     pub fn encode(&self) -> Vec<u8> {
         let frame = encode_frame(FrameKind::Stream, FIRST_VERSION, self);
-        let mut out = Vec::with_capacity(frame.len() + 4);
-        out.extend_from_slice(&(frame.len() as u32).to_be_bytes());
-        out.extend_from_slice(&frame);
-        out
+        let mut bytes = Vec::with_capacity(LENGTH_PREFIX_BYTES + frame.len());
+        bytes.extend_from_slice(&(frame.len() as u32).to_be_bytes());
+        bytes.extend_from_slice(&frame);
+        bytes
     }
 
-    /// Reads a frame without its length.
+    /// Reads a frame without its length prefix.
+    ///
+    /// # Errors
+    ///
+    /// [`FrameError`] if the bytes are not one whole, undamaged frame.
     pub fn decode(frame: &[u8]) -> Result<StreamFrame, FrameError> {
         let (_, body) = open_frame(FrameKind::Stream, frame, MAX_FRAME_BYTES, LATEST_VERSION)?;
         decode_body(body)
     }
 }
 
-/// Where the first frame of these bytes ends, if it is there; an error where its length can't be.
+/// Where the first frame in these bytes of a connection ends, its length prefix included; `None` until all of
+/// it is there.
+///
+/// # Errors
+///
+/// [`FrameError::InvalidLength`] if the prefix holds a length that no frame has.
 pub fn frame_end(bytes: &[u8]) -> Result<Option<usize>, FrameError> {
-    let Some(length) = bytes.first_chunk::<4>() else { return Ok(None) };
-    let length = u32::from_be_bytes(*length) as usize;
+    let Some(prefix) = bytes.first_chunk::<LENGTH_PREFIX_BYTES>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*prefix) as usize;
     if !(HEADER_BYTES..=MAX_FRAME_BYTES).contains(&length) {
         return Err(FrameError::InvalidLength(length));
     }
-    Ok(Some(4 + length).filter(|end| bytes.len() >= *end))
+    let end = LENGTH_PREFIX_BYTES + length;
+    Ok(Some(end).filter(|end| bytes.len() >= *end))
 }
