Split the gossip node: dissemination, sync driver, peer table, input limits, notifications

Change: node keeps the public face and the store; node::dissemination, node::sync_driver, peer_table, input_limits and notification have one job each. PeerInfo, DropCounts, DatagramRateLimit and OutgoingState are types.

--- a/lab/src/cluster/world.rs
+++ b/lab/src/cluster/world.rs
@@ -4,9 +4,8 @@
 //! both; connections keep order and stall while their link is cut. Brokers are stopped, killed and started again, with
 //! their disk as it was, an old one, or none; their clocks are off.
 
-use pebbleturn::gossip::node::SyncStatus;
 use pebbleturn::gossip::swim::{self, PeerStatus};
-use pebbleturn::gossip::{GossipNode, GossipSettings, Notification, Output, codec};
+use pebbleturn::gossip::{GossipNode, GossipSettings, Notification, Output, SyncStatus, codec};
 use pebbleturn::replication::derived_state::DerivedState;
 use pebbleturn::replication::{
     CommandValue, Dot, Fact, FactKey, FactValue, OperatorCommand, Origin, ProcessStart, StateStore,
@@ -647,7 +646,9 @@
             Some(m) => {
                 let peers: Vec<String> = m
                     .peers(self.clock(n))
-                    .map(|(name, _, s, same, ago)| format!("{name} {s:?} {same:?} {ago:?}"))
+                    .map(|p| {
+                        format!("{} {:?} {:?} {:?}", p.name, p.status, p.is_in_sync, p.since_last_received)
+                    })
                     .collect();
                 format!(
                     "{n}: {:?}, skew {}, root {:x}, {} facts, {peers:?}",
@@ -664,7 +665,10 @@
     /// Names of brokers that this one takes for up.
     pub fn up_at(&self, n: usize) -> usize {
         let now = self.clock(n);
-        self.nodes[n].member.as_ref().map_or(0, |m| m.peers(now).filter(|p| p.2 == PeerStatus::Alive).count())
+        self.nodes[n]
+            .member
+            .as_ref()
+            .map_or(0, |m| m.peers(now).filter(|p| p.status == PeerStatus::Alive).count())
     }
 
     pub fn caught_up(&self, n: usize) -> bool {
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -12,8 +12,7 @@
 use crate::api::Nanos;
 use crate::config::{ClusterConfig, ConfigError, OperatorConfig};
 use crate::gossip::codec::{MAX_DATAGRAM_BYTES, frame_end};
-use crate::gossip::node::SyncStatus;
-use crate::gossip::{GossipNode, GossipSettings, Output, swim};
+use crate::gossip::{GossipNode, GossipSettings, Output, SyncStatus, swim};
 use crate::net::{ConnId, ConnectionClass, Datagrams, NetEvent, PollLoop, Pool, ReadOutcome};
 use crate::replication::derived_state::{DerivedState, NodeHints};
 use crate::replication::{
--- a/src/cluster/status_report.rs
+++ b/src/cluster/status_report.rs
@@ -2,8 +2,8 @@
 
 use super::Cluster;
 use crate::api::Nanos;
-use crate::gossip::node::{GossipNode, Notification, SyncStatus};
 use crate::gossip::swim::PeerStatus;
+use crate::gossip::{GossipNode, Notification, SyncStatus};
 use crate::replication::derived_state;
 use crate::replication::{FactKey, FactValue, Register, StateStore, StoreLimits};
 use serde_json::{Value, json};
@@ -136,15 +136,15 @@
         let mut peers = Vec::new();
         let mut dropped = serde_json::Map::new();
         if let Some(member) = &self.member {
-            for (name, at, status, same, ago) in member.peers(now) {
-                let status = match status {
+            for peer in member.peers(now) {
+                let status = match peer.status {
                     PeerStatus::Alive => "up",
                     PeerStatus::Suspect => "suspected",
-                    PeerStatus::Down if ago.is_none() => "never heard of",
+                    PeerStatus::Down if peer.since_last_received.is_none() => "never heard of",
                     PeerStatus::Down => "down",
                 };
-                let heard = ago.map(|t| t / 1_000_000);
-                peers.push(json!({ "name": name, "address": at.to_string(), "is": status, "same_copy": same, "heard_ms_ago": heard }));
+                let heard = peer.since_last_received.map(|t| t / 1_000_000);
+                peers.push(json!({ "name": peer.name, "address": peer.address.to_string(), "is": status, "same_copy": peer.is_in_sync, "heard_ms_ago": heard }));
             }
             dropped.extend(member.drop_counts().map(|(why, n)| (why.to_string(), n.into())));
         }
--- a/tests/recorded_replication/gossip.rs
+++ b/tests/recorded_replication/gossip.rs
@@ -10,9 +10,8 @@
 };
 use super::replicated_state::put_effect;
 use pebbleturn::gossip::codec::{self, Datagram, FrameError, Sender, StreamFrame};
-use pebbleturn::gossip::node::{DropReason, SyncStatus};
 use pebbleturn::gossip::swim::{self, Probe};
-use pebbleturn::gossip::{GossipNode, GossipSettings, Notification, Output};
+use pebbleturn::gossip::{DropReason, GossipNode, GossipSettings, Notification, Output, SyncStatus};
 use pebbleturn::replication::anti_entropy::SyncMessage;
 use pebbleturn::replication::{
     CommandValue, Fact, FactKey, FactValue, OperatorCommand, Origin, ProcessStart, StoreLimits,
@@ -468,8 +467,14 @@
             put_dropped(recorder, why);
             recorder.put_u64(times);
         });
-        recorder.put_sequence(member.peers(now), |recorder, (name, at, status, same, ago)| {
-            recorder.put_stored(&(name, at, status, same, ago));
+        recorder.put_sequence(member.peers(now), |recorder, peer| {
+            recorder.put_stored(&(
+                peer.name,
+                peer.address,
+                peer.status,
+                peer.is_in_sync,
+                peer.since_last_received,
+            ));
         });
     }
 }
