Name the simulated cluster and its tests by the field's terms

Need: the lab's simulation and the tests over it used metaphors (world, walk, word, judge, told).

Change: World = SimulatedCluster in simulation.rs, its methods, schedule steps, constants with units, and the names of 21 tests. No assertion changed; random draws are in the same order.

--- a/lab/src/cluster/measure.rs
+++ b/lab/src/cluster/measure.rs
@@ -2,7 +2,7 @@
 
 use super::bed::{Bed, Clients};
 use super::links::Fault;
-use super::world::{Links, MS, S, World, name};
+use super::simulation::{LinkConditions, MILLISECOND, SECOND, SimulatedCluster, name};
 use crate::running::until;
 use pebbleturn::gossip::codec::{self, Datagram, Sender};
 use pebbleturn::gossip::swim::Probe;
@@ -64,10 +64,10 @@
 }
 
 /// The plain way: the first one sends the fact to each by itself, every half second until that one has answered.
-fn plain(brokers: usize, loss: f64, size: f64, w: &mut World) -> (f64, f64, f64) {
+fn plain(brokers: usize, loss: f64, size: f64, cluster: &mut SimulatedCluster) -> (f64, f64, f64) {
     const ANSWER: f64 = 60.0;
     let (mut first, mut others, mut longest) = (0.0, 0.0, 0.0f64);
-    let mut lost = || w.draw(1_000_000) as f64 / 1e6 < loss;
+    let mut lost = || cluster.random_below(1_000_000) as f64 / 1e6 < loss;
     for _ in 1..brokers {
         let mut known = false;
         for round in 0.. {
@@ -92,32 +92,32 @@
 pub fn spread(brokers: usize, loss: f64, plays: u64, seed: u64) -> Spread {
     let (mut sum, mut course) = ([0.0; 8], Vec::new());
     for play in 0..plays {
-        let mut w = World::new(brokers, seed + play);
-        w.play_for(20 * S);
-        w.links = Links { loss, ..Links::default() };
+        let mut cluster = SimulatedCluster::new(brokers, seed + play);
+        cluster.run_for(20 * SECOND);
+        cluster.links = LinkConditions { loss, ..LinkConditions::default() };
         // What is still told of the start is over by then.
-        w.play_for(if brokers > 100 { 160 } else { 40 } * S);
-        let before: u64 = w.bytes_of.iter().sum();
-        w.play_for(20 * S);
-        let idle = (w.bytes_of.iter().sum::<u64>() - before) as f64 / 20.0 / brokers as f64;
-        let (from, sent) = (w.now, w.bytes_of.iter().sum::<u64>());
+        cluster.run_for(if brokers > 100 { 160 } else { 40 } * SECOND);
+        let before: u64 = cluster.bytes_sent.iter().sum();
+        cluster.run_for(20 * SECOND);
+        let idle = (cluster.bytes_sent.iter().sum::<u64>() - before) as f64 / 20.0 / brokers as f64;
+        let (from, sent) = (cluster.now, cluster.bytes_sent.iter().sum::<u64>());
         let key = FactKey::Server("s-1".into());
-        let Some(dot) = w.say(0, &key, CommandValue::Out) else { continue };
+        let Some(dot) = cluster.record(0, &key, CommandValue::Out) else { continue };
         let (mut half, mut most, mut all) = (None, None, None);
-        while w.now < from + 10 * S {
-            let known = w.known_to(&key, dot);
-            let at = (w.now - from) as f64 / MS as f64;
+        while cluster.now < from + 10 * SECOND {
+            let known = cluster.count_knowing(&key, dot);
+            let at = (cluster.now - from) as f64 / MILLISECOND as f64;
             if play == 0 && all.is_none() {
                 course.push((at, known as f64 / brokers as f64));
             }
             half = half.or((2 * known >= brokers).then_some(at));
             most = most.or((100 * known >= 99 * brokers).then_some(at));
             all = all.or((known == brokers).then_some(at));
-            w.play_for(5 * MS);
+            cluster.run_for(5 * MILLISECOND);
         }
-        let extra = (w.bytes_of.iter().sum::<u64>() - sent) as f64 / brokers as f64 - idle * 10.0;
+        let extra = (cluster.bytes_sent.iter().sum::<u64>() - sent) as f64 / brokers as f64 - idle * 10.0;
         // A datagram with this one fact, as long as it is.
-        let (mean, first, longest) = plain(brokers, loss, 190.0, &mut w);
+        let (mean, first, longest) = plain(brokers, loss, 190.0, &mut cluster);
         let one = [
             half.unwrap_or(f64::NAN),
             most.unwrap_or(f64::NAN),
@@ -172,20 +172,20 @@
 
 /// Plays so many minutes with losses, and with pauses.
 pub fn deaths(brokers: usize, minutes: u64, loss: f64, pause_ms: u64, seed: u64) -> Deaths {
-    let mut w = World::new(brokers, seed);
-    w.play_for(30 * S);
-    w.links = Links { loss, ..Links::default() };
-    w.counts = Default::default();
+    let mut cluster = SimulatedCluster::new(brokers, seed);
+    cluster.run_for(30 * SECOND);
+    cluster.links = LinkConditions { loss, ..LinkConditions::default() };
+    cluster.counts = Default::default();
     for n in 0..minutes {
         if pause_ms > 0 {
             // Half as long to half as long again: no pause ends with a suspicion by design.
-            let time = pause_ms * (500 + w.draw(1000) as u64) / 1000;
-            w.stop(n as usize % brokers, time * MS);
+            let time = pause_ms * (500 + cluster.random_below(1000) as u64) / 1000;
+            cluster.pause(n as usize % brokers, time * MILLISECOND);
         }
-        w.play_for(60 * S);
+        cluster.run_for(60 * SECOND);
     }
     let hours = minutes as f64 / 60.0;
-    let (down, wrong) = (w.counts.down as f64, w.counts.false_down as f64);
+    let (down, wrong) = (cluster.counts.peers_down as f64, cluster.counts.false_positives as f64);
     Deaths {
         brokers,
         hours,
@@ -220,17 +220,17 @@
 }
 
 pub fn catch_up(facts: usize, seed: u64) -> CatchUp {
-    let mut w = World::empty(3, seed);
-    w.fill(0, facts);
-    let disk = w.disk(0);
-    w.set_disk(1, disk);
-    w.start(0);
-    w.start(1);
-    w.play_for(20 * S);
-    let (from, sent) = (w.now, w.counts.bytes);
-    w.start(2);
-    w.until(120 * S, World::equal);
-    let (ms, bytes) = ((w.now - from) as f64 / MS as f64, w.counts.bytes - sent);
+    let mut cluster = SimulatedCluster::empty(3, seed);
+    cluster.fill_disk(0, facts);
+    let disk = cluster.disk(0);
+    cluster.set_disk(1, disk);
+    cluster.start(0);
+    cluster.start(1);
+    cluster.run_for(20 * SECOND);
+    let (from, sent) = (cluster.now, cluster.counts.bytes);
+    cluster.start(2);
+    cluster.wait_for(120 * SECOND, SimulatedCluster::stores_are_equal);
+    let (ms, bytes) = ((cluster.now - from) as f64 / MILLISECOND as f64, cluster.counts.bytes - sent);
     let mut copy = StateStore::new(Origin(1), StoreLimits::default());
     let dir = tempfile::tempdir().expect("a directory for a while");
     let mut log = String::new();
--- a/lab/src/cluster/mod.rs
+++ b/lab/src/cluster/mod.rs
@@ -5,4 +5,4 @@
 pub mod links;
 pub mod measure;
 pub mod schedule;
-pub mod world;
+pub mod simulation;
--- a/lab/src/cluster/schedule.rs
+++ b/lab/src/cluster/schedule.rs
@@ -1,6 +1,6 @@
 //! Schedules of faults, drawn from a seed, played on simulated brokers, and shrunk where one fails.
 
-use super::world::{Links, MS, S, World};
+use super::simulation::{LinkConditions, MILLISECOND, SECOND, SimulatedCluster};
 use pebbleturn::replication::{CommandValue, FactKey, ProcessStart};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
@@ -9,7 +9,7 @@
 /// One step.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Step {
-    Say {
+    Record {
         at: usize,
         server: usize,
         out: bool,
@@ -19,14 +19,14 @@
         to: usize,
         both: bool,
     },
-    Mend {
+    Heal {
         a: usize,
         b: usize,
     },
-    Lossy {
+    SetLoss {
         tenths: usize,
     },
-    Stop {
+    Pause {
         at: usize,
         seconds: usize,
     },
@@ -39,16 +39,16 @@
         disk: usize,
     },
     /// Looks at a disk, for a later start.
-    Look {
+    SaveDisk {
         at: usize,
     },
     /// Seconds by which its clock is off from its next start on.
-    Clock {
+    SkewClock {
         at: usize,
-        off: i64,
+        seconds: i64,
     },
     /// Discovery tells it of a drain or a start.
-    Told {
+    ProcessEvent {
         at: usize,
         drain: bool,
         ago: usize,
@@ -60,71 +60,79 @@
 }
 
 /// A schedule of so many steps for so many brokers.
-pub fn draw(brokers: usize, steps: usize, seed: u64) -> Vec<Step> {
+pub fn generate(brokers: usize, steps: usize, seed: u64) -> Vec<Step> {
     let mut rng = Pcg32::new(seed, 0x5c4e);
     let mut pick = |n: usize| rng.next_u32() as usize % n;
-    let mut all = Vec::new();
+    let mut schedule = Vec::new();
     for _ in 0..steps {
         let (at, b) = (pick(brokers), pick(brokers));
-        all.push(match pick(15) {
-            0..=3 => Step::Say { at, server: pick(4), out: pick(2) == 0 },
+        schedule.push(match pick(15) {
+            0..=3 => Step::Record { at, server: pick(4), out: pick(2) == 0 },
             4 => Step::Cut { from: at, to: b, both: false },
             5 => Step::Cut { from: at, to: b, both: true },
-            6 => Step::Mend { a: at, b },
-            7 => Step::Lossy { tenths: pick(4) },
-            8 => Step::Stop { at, seconds: pick(25) },
+            6 => Step::Heal { a: at, b },
+            7 => Step::SetLoss { tenths: pick(4) },
+            8 => Step::Pause { at, seconds: pick(25) },
             9 => Step::Kill { at },
             10 => Step::Start { at, disk: pick(4) },
-            11 => Step::Look { at },
+            11 => Step::SaveDisk { at },
             // Within the ten minutes that clocks may differ by.
-            12 => Step::Clock { at, off: pick(580) as i64 - 290 },
-            13 => Step::Told { at, drain: pick(2) == 0, ago: pick(100), version: pick(9) },
+            12 => Step::SkewClock { at, seconds: pick(580) as i64 - 290 },
+            13 => Step::ProcessEvent { at, drain: pick(2) == 0, ago: pick(100), version: pick(9) },
             _ => Step::Wait { ms: pick(75_000) },
         });
-        all.push(Step::Wait { ms: pick(2000) });
+        schedule.push(Step::Wait { ms: pick(2000) });
     }
-    all
+    schedule
 }
 
 /// Plays a schedule.
-pub fn play(w: &mut World, steps: &[Step]) {
-    let mut looked_at: Vec<BTreeMap<_, _>> = vec![Default::default(); w.len()];
+pub fn run(cluster: &mut SimulatedCluster, steps: &[Step]) {
+    let mut saved_disks: Vec<BTreeMap<_, _>> = vec![Default::default(); cluster.len()];
     for step in steps {
         match *step {
-            Step::Say { at, server, out } => {
+            Step::Record { at, server, out } => {
                 let value = if out { CommandValue::Out } else { CommandValue::Back };
-                w.say(at, &FactKey::Server(format!("s-{server}")), value);
+                cluster.record(at, &FactKey::Server(format!("s-{server}")), value);
             }
             Step::Cut { from, to, both } if from != to => {
-                w.cut(from, to, true);
-                w.cut(to, from, both || w.cuts.contains(&(to, from)));
+                cluster.set_link_cut(from, to, true);
+                cluster.set_link_cut(to, from, both || cluster.cut_links.contains(&(to, from)));
             }
             Step::Cut { .. } => {}
-            Step::Mend { a, b } => {
-                w.cut(a, b, false);
-                w.cut(b, a, false);
+            Step::Heal { a, b } => {
+                cluster.set_link_cut(a, b, false);
+                cluster.set_link_cut(b, a, false);
             }
-            Step::Lossy { tenths } => {
-                w.links = Links { loss: tenths as f64 / 10.0, doubled: 0.2, delay: (MS, 200 * MS) };
+            Step::SetLoss { tenths } => {
+                cluster.links = LinkConditions {
+                    loss: tenths as f64 / 10.0,
+                    duplication: 0.2,
+                    delay: (MILLISECOND, 200 * MILLISECOND),
+                };
             }
-            Step::Stop { at, seconds } => w.stop(at, seconds as u64 * S),
-            Step::Kill { at } => w.kill(at),
-            Step::Start { at, disk } if w.member(at).is_none() => {
+            Step::Pause { at, seconds } => cluster.pause(at, seconds as u64 * SECOND),
+            Step::Kill { at } => cluster.kill(at),
+            Step::Start { at, disk } if cluster.member(at).is_none() => {
                 match disk {
-                    0 => w.set_disk(at, looked_at[at].clone()),
-                    1 => w.set_disk(at, BTreeMap::new()),
+                    0 => cluster.set_disk(at, saved_disks[at].clone()),
+                    1 => cluster.set_disk(at, BTreeMap::new()),
                     _ => {}
                 }
-                w.start(at);
+                cluster.start(at);
             }
             Step::Start { .. } => {}
-            Step::Look { at } => looked_at[at] = w.disk(at),
-            Step::Clock { at, off } => w.set_skew(at, off * S as i64),
-            Step::Told { at, drain, ago, version } => {
+            Step::SaveDisk { at } => saved_disks[at] = cluster.disk(at),
+            Step::SkewClock { at, seconds } => cluster.set_clock_skew(at, seconds * SECOND as i64),
+            Step::ProcessEvent { at, drain, ago, version } => {
                 let key = if drain { FactKey::Drain("s-1".into()) } else { FactKey::Start("s-1".into()) };
-                w.note(at, key, ProcessStart { started: w.now - S * ago as u64, version: version as u64 });
+                cluster.record_process_event(
+                    at,
+                    key,
+                    ProcessStart { started: cluster.now - SECOND * ago as u64, version: version as u64 },
+                );
             }
-            Step::Wait { ms } => w.play_for(ms as u64 * MS),
+            Step::Wait { ms } => cluster.run_for(ms as u64 * MILLISECOND),
         }
     }
 }
@@ -132,21 +140,21 @@
 /// The shortest schedule that is left when steps are taken out for as long as it still fails.
 pub fn shrink(steps: &[Step], fails: impl Fn(&[Step]) -> bool) -> Vec<Step> {
     let mut left = steps.to_vec();
-    let mut chunk = left.len().div_ceil(2).max(1);
+    let mut chunk_len = left.len().div_ceil(2).max(1);
     loop {
         let mut at = 0;
         while at < left.len() {
             let mut fewer = left.clone();
-            fewer.drain(at..(at + chunk).min(left.len()));
+            fewer.drain(at..(at + chunk_len).min(left.len()));
             if fails(&fewer) {
                 left = fewer;
             } else {
-                at += chunk;
+                at += chunk_len;
             }
         }
-        if chunk == 1 {
+        if chunk_len == 1 {
             return left;
         }
-        chunk = chunk.div_ceil(2);
+        chunk_len = chunk_len.div_ceil(2);
     }
 }
--- a/tests/cluster/frames.rs
+++ b/tests/cluster/frames.rs
@@ -9,22 +9,22 @@
 use pebbleturn::replication::*;
 use pebbleturn::storage::Disk;
 use pebbleturn::storage::journal::{self, Journal, LOG, OLDER_LOG, OLDER_SNAPSHOT, SNAPSHOT, UNDER_WAY};
-use pebbleturn_lab::cluster::world::{S, World, name};
+use pebbleturn_lab::cluster::simulation::{SECOND, SimulatedCluster, name};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 use std::path::Path;
 use std::time::Duration;
 
-fn copy(words: u32) -> StateStore {
+fn sample_store(words: u32) -> StateStore {
     let mut copy = StateStore::new(Origin(7), StoreLimits { keep: 0, ..StoreLimits::default() });
     for n in 0..words {
         let value =
             [CommandValue::Out, CommandValue::Back, CommandValue::Text("x".into())][n as usize % 3].clone();
-        let key =
-            [FactKey::Server(format!("s-{n}")), FactKey::Work(format!("w-{n}"))][n as usize % 2].clone();
+        let key = [FactKey::Server(format!("s-{n}")), FactKey::Work(format!("cluster-{n}"))][n as usize % 2]
+            .clone();
         let said = OperatorCommand {
             value,
-            who: "w".into(),
+            who: "cluster".into(),
             why: "y".into(),
             at_broker: "b".into(),
             at: 1,
@@ -43,7 +43,7 @@
         &FactKey::Server("s-0".into()),
         OperatorCommand {
             value: CommandValue::Out,
-            who: "w".into(),
+            who: "cluster".into(),
             why: "y".into(),
             at_broker: "b".into(),
             at: 1,
@@ -71,12 +71,12 @@
 fn datagram(version: u8) -> Vec<u8> {
     let status_updates = vec![StatusUpdate { name: name(2), incarnation: 5, status: PeerStatus::Suspect }];
     let probe = Probe::PingRequest { sequence: 8, name: name(2) };
-    Datagram { sender: sender(), probe, status_updates, facts: facts(&copy(6)), root: Some(77) }
+    Datagram { sender: sender(), probe, status_updates, facts: facts(&sample_store(6)), root: Some(77) }
         .encode(version)
 }
 
-fn lines() -> Vec<Vec<u8>> {
-    let copy = copy(20);
+fn stream_frames() -> Vec<Vec<u8>> {
+    let copy = sample_store(20);
     let (_, begin) = SyncSession::begin(&copy, 1000);
     let hello = StreamFrame::Hello { sender: sender(), status_updates: vec![] };
     let give = SyncMessage::Give { facts: facts(&copy) };
@@ -88,7 +88,7 @@
 }
 
 /// The checksum as it has to be: what follows it is read.
-fn reseal(frame: &mut [u8]) {
+fn fix_checksum(frame: &mut [u8]) {
     let mut hasher = crc32fast::Hasher::new();
     hasher.update(&frame[3..5]);
     hasher.update(&frame[9..]);
@@ -96,7 +96,7 @@
 }
 
 /// Cuts, flips, fills with the bytes of huge counts, doubles a stretch.
-fn spoil(bytes: &mut Vec<u8>, from: usize, rng: &mut Pcg32) {
+fn corrupt(bytes: &mut Vec<u8>, from: usize, rng: &mut Pcg32) {
     for _ in 0..1 + rng.next_u32() % 4 {
         if bytes.len() <= from {
             return;
@@ -120,7 +120,7 @@
 }
 
 #[test]
-fn frames_that_were_changed_anywhere_are_not_read() {
+fn damaged_frames_are_rejected() {
     for version in 1..=LATEST_VERSION {
         let whole = datagram(version);
         assert!(whole.len() <= MAX_DATAGRAM_BYTES && Datagram::decode(&whole, LATEST_VERSION).is_ok());
@@ -143,43 +143,46 @@
 
 /// With a checksum that fits, whatever stands behind it: an error or a value, and a broker that takes it in goes on.
 #[test]
-fn sound_checksums_over_spoilt_bodies_harm_no_broker() {
+fn corrupted_bodies_with_valid_checksums_harm_no_broker() {
     let mut rng = Pcg32::new(1, 1);
-    let mut w = World::new(3, 5);
-    w.play_for(3 * S);
+    let mut cluster = SimulatedCluster::new(3, 5);
+    cluster.run_for(3 * SECOND);
     let (mut read, mut refused) = (0, 0);
     for n in 0..6000 {
         let mut bytes = datagram(1 + (n % 2) as u8);
-        spoil(&mut bytes, 9, &mut rng);
+        corrupt(&mut bytes, 9, &mut rng);
         if bytes.len() < 9 {
             continue;
         }
-        reseal(&mut bytes);
+        fix_checksum(&mut bytes);
         match Datagram::decode(&bytes, LATEST_VERSION) {
             Ok(_) => read += 1,
             Err(_) => refused += 1,
         }
-        w.inject(0, 1, &bytes);
+        cluster.inject(0, 1, &bytes);
         if n % 100 == 0 {
-            w.play_for(S);
+            cluster.run_for(SECOND);
         }
-        for mut line in lines() {
-            spoil(&mut line, 9, &mut rng);
+        for mut line in stream_frames() {
+            corrupt(&mut line, 9, &mut rng);
             if line.len() >= 9 {
-                reseal(&mut line);
+                fix_checksum(&mut line);
                 if let Ok(StreamFrame::Sync(m)) = StreamFrame::decode(&line) {
-                    let _ = anti_entropy::answer(&copy(2), &m);
+                    let _ = anti_entropy::answer(&sample_store(2), &m);
                 }
             }
         }
     }
     assert!(read > 300 && refused > 300, "{read} read, {refused} refused");
     // It still hears its peers, and they it.
-    let dot = w.say(1, &FactKey::Server("after".into()), CommandValue::Out).unwrap();
-    assert!(w.until(30 * S, |w| w.known_to(&FactKey::Server("after".into()), dot) == 3));
+    let dot = cluster.record(1, &FactKey::Server("after".into()), CommandValue::Out).unwrap();
+    assert!(
+        cluster.wait_for(30 * SECOND, |cluster| cluster.count_knowing(&FactKey::Server("after".into()), dot)
+            == 3)
+    );
 }
 
-fn written(dir: &Path, batches: &[Vec<Fact>]) {
+fn write_journal(dir: &Path, batches: &[Vec<Fact>]) {
     let mut journal = Journal::start(Disk, dir, StoreLimits::default()).unwrap();
     journal.found_within(Duration::from_secs(60)).unwrap().unwrap();
     journal.begin(41);
@@ -202,11 +205,11 @@
 
 /// Half of the words in the first batch, all of them, newer, in the second.
 fn batches() -> [Vec<Fact>; 2] {
-    let mut copy = copy(8);
+    let mut copy = sample_store(8);
     let first = facts(&copy);
     let said = OperatorCommand {
         value: CommandValue::Back,
-        who: "w".into(),
+        who: "cluster".into(),
         why: "y".into(),
         at_broker: "b".into(),
         at: 2,
@@ -217,10 +220,10 @@
 }
 
 #[test]
-fn a_journal_that_was_cut_or_changed_anywhere_gives_what_is_sound_in_it() {
+fn a_damaged_journal_yields_its_intact_facts() {
     let dir = tempfile::tempdir().unwrap();
     let batches = batches();
-    written(dir.path(), &batches);
+    write_journal(dir.path(), &batches);
     let log = std::fs::read(dir.path().join(LOG)).unwrap();
     let read = || journal::read(&Disk, dir.path(), StoreLimits::default());
     let whole = read();
@@ -246,20 +249,20 @@
         std::fs::write(dir.path().join(LOG), &changed).unwrap();
         let damaged = read();
         assert!(
-            damaged.wrong.iter().all(|w| w.contains("damaged")) && !damaged.wrong.is_empty(),
+            damaged.wrong.iter().all(|cluster| cluster.contains("damaged")) && !damaged.wrong.is_empty(),
             "changed at {at}"
         );
         assert!(damaged.facts.len() + 1 >= batches[0].len(), "changed at {at}");
     }
     // A log that was cut is written on, and all of it is read.
     std::fs::write(dir.path().join(LOG), &log[..log.len() - 5]).unwrap();
-    written(dir.path(), &batches[1..]);
+    write_journal(dir.path(), &batches[1..]);
     let again = read();
     assert!(again.facts == whole_facts, "{:?}", again.wrong);
 }
 
 #[test]
-fn snapshots_are_written_as_the_log_grows_and_any_one_file_may_be_lost_but_the_newest() {
+fn snapshots_follow_the_log_and_any_one_older_file_may_be_lost() {
     let dir = tempfile::tempdir().unwrap();
     let mut all = StateStore::new(Origin(9), StoreLimits::default());
     let mut parts = Vec::new();
@@ -268,7 +271,7 @@
             let text = CommandValue::Text("t".repeat(3000));
             let said = OperatorCommand {
                 value: text,
-                who: "w".into(),
+                who: "cluster".into(),
                 why: "y".into(),
                 at_broker: "b".into(),
                 at: 2,
@@ -279,7 +282,7 @@
         let new = |(k, _): &Fact| k.name().is_some_and(|n| n.starts_with(&format!("{batch}-")));
         parts.push(facts(&all).into_iter().filter(new).collect());
     }
-    written(dir.path(), &parts);
+    write_journal(dir.path(), &parts);
     let read = || journal::read(&Disk, dir.path(), StoreLimits::default());
     assert_eq!(read().facts, facts(&all));
     assert_eq!(read().incarnation, 41);
--- a/tests/cluster/model.rs
+++ b/tests/cluster/model.rs
@@ -312,14 +312,14 @@
 }
 
 #[test]
-fn no_order_of_words_news_forgetting_and_crashes_breaks_a_promise() {
+fn no_interleaving_breaks_a_promise() {
     let (wrong, states) = found(Broken::Nothing, 2, 1);
     assert!(wrong.is_empty(), "{wrong:?}");
     assert!(states > 10_000, "{states}");
 }
 
 #[test]
-fn each_broken_rule_is_caught() {
+fn each_broken_rule_is_detected() {
     for (broken, property) in [
         (Broken::Seen, "what ended does not come back"),
         (Broken::Stamps, "what ended does not come back"),
--- a/tests/cluster/simulated.rs
+++ b/tests/cluster/simulated.rs
@@ -3,329 +3,355 @@
 use pebbleturn::gossip::codec;
 use pebbleturn::replication::{CommandValue, FactKey, ProcessStart};
 use pebbleturn_lab::cluster::schedule::{self, Step};
-use pebbleturn_lab::cluster::world::*;
+use pebbleturn_lab::cluster::simulation::*;
 
 fn server(n: usize) -> FactKey {
     FactKey::Server(format!("s-{n}"))
 }
 
-/// All faults end, all brokers run, and their copies become equal within the walks that docs/cluster.md tells; then the
+/// All faults end, all brokers run, and their copies become equal within the sessions that docs/cluster.md tells; then the
 /// judge speaks.
-fn after_all_faults(w: &mut World) -> Result<(), String> {
-    w.cuts.clear();
-    w.links = Links::default();
-    for n in 0..w.len() {
-        if w.member(n).is_none() {
-            w.start(n);
+fn converge_after_faults(cluster: &mut SimulatedCluster) -> Result<(), String> {
+    cluster.cut_links.clear();
+    cluster.links = LinkConditions::default();
+    for n in 0..cluster.len() {
+        if cluster.member(n).is_none() {
+            cluster.start(n);
         }
     }
-    let before = w.walks_of.clone();
+    let before = cluster.sessions_begun.clone();
     // Whoever stands still goes on within this time; who asks it meanwhile asks in vain.
-    w.play_for(25 * S);
-    if !w.until(60 * S, |w| w.equal() && (0..w.len()).all(|n| w.caught_up(n))) {
-        return Err(format!("copies never became equal: {}", w.tell()));
+    cluster.run_for(25 * SECOND);
+    if !cluster.wait_for(60 * SECOND, |cluster| {
+        cluster.stores_are_equal() && (0..cluster.len()).all(|n| cluster.is_caught_up(n))
+    }) {
+        return Err(format!("stores never became equal: {}", cluster.describe()));
     }
-    let most = w.len().next_power_of_two().trailing_zeros() + 8;
-    let walks = (0..w.len()).map(|n| w.walks_of[n] - before[n]).max().unwrap_or(0);
-    w.judge();
-    if walks > most {
-        w.wrong.push(format!("{walks} walks of one broker"));
+    let most = cluster.len().next_power_of_two().trailing_zeros() + 8;
+    let sessions = (0..cluster.len()).map(|n| cluster.sessions_begun[n] - before[n]).max().unwrap_or(0);
+    cluster.check_invariants();
+    if sessions > most {
+        cluster.violations.push(format!("{sessions} sessions of one broker"));
     }
-    if w.wrong.is_empty() { Ok(()) } else { Err(format!("{:?}", w.wrong)) }
+    if cluster.violations.is_empty() { Ok(()) } else { Err(format!("{:?}", cluster.violations)) }
 }
 
-fn settles(w: &mut World, what: &str) {
-    if let Err(why) = after_all_faults(w) {
+fn assert_converges(cluster: &mut SimulatedCluster, what: &str) {
+    if let Err(why) = converge_after_faults(cluster) {
         panic!("{what}: {why}");
     }
 }
 
 #[test]
-fn a_ban_reaches_all_and_its_end_too() {
-    let mut w = World::new(5, 1);
-    w.play_for(5 * S);
-    assert!((0..5).all(|n| w.up_at(n) == 4 && w.caught_up(n)));
-    w.say(0, &server(1), CommandValue::Out).unwrap();
-    assert!(w.until(2 * S, |w| (0..5).all(|n| w.effect(n).out.contains("s-1"))));
-    w.say(3, &server(1), CommandValue::Back).unwrap();
-    assert!(w.until(2 * S, |w| (0..5).all(|n| w.effect(n).out.is_empty())));
-    w.say(2, &FactKey::Pause(name(4)), CommandValue::Out).unwrap();
-    assert!(w.until(2 * S, |w| w.effect(4).paused));
-    assert!(!w.effect(3).paused);
-    settles(&mut w, "calm");
+fn a_suspension_and_its_end_reach_all_brokers() {
+    let mut cluster = SimulatedCluster::new(5, 1);
+    cluster.run_for(5 * SECOND);
+    assert!((0..5).all(|n| cluster.peers_up(n) == 4 && cluster.is_caught_up(n)));
+    cluster.record(0, &server(1), CommandValue::Out).unwrap();
+    assert!(
+        cluster.wait_for(2 * SECOND, |cluster| (0..5).all(|n| cluster.derived_state(n).out.contains("s-1")))
+    );
+    cluster.record(3, &server(1), CommandValue::Back).unwrap();
+    assert!(cluster.wait_for(2 * SECOND, |cluster| (0..5).all(|n| cluster.derived_state(n).out.is_empty())));
+    cluster.record(2, &FactKey::Pause(name(4)), CommandValue::Out).unwrap();
+    assert!(cluster.wait_for(2 * SECOND, |cluster| cluster.derived_state(4).paused));
+    assert!(!cluster.derived_state(3).paused);
+    assert_converges(&mut cluster, "calm");
 }
 
 #[test]
-fn words_on_both_sides_of_a_cut_are_a_conflict_everywhere_once_it_heals() {
-    let mut w = World::new(5, 2);
-    w.play_for(3 * S);
-    w.say(0, &server(1), CommandValue::Out).unwrap();
-    w.play_for(2 * S);
+fn concurrent_commands_across_a_partition_conflict_everywhere_after_it_heals() {
+    let mut cluster = SimulatedCluster::new(5, 2);
+    cluster.run_for(3 * SECOND);
+    cluster.record(0, &server(1), CommandValue::Out).unwrap();
+    cluster.run_for(2 * SECOND);
     let sides = |n: usize| usize::from(n < 2);
     for a in 0..5 {
-        (0..5).filter(|b| sides(a) != sides(*b)).for_each(|b| w.cut(a, b, true));
+        (0..5).filter(|b| sides(a) != sides(*b)).for_each(|b| cluster.set_link_cut(a, b, true));
     }
-    w.say(0, &server(1), CommandValue::Back).unwrap();
-    w.say(4, &server(1), CommandValue::Out).unwrap();
-    w.play_for(60 * S);
-    assert!(w.effect(1).out.is_empty() && w.effect(3).out.contains("s-1"));
-    settles(&mut w, "healed");
-    assert!((0..5).all(|n| w.effect(n).out.contains("s-1") && w.effect(n).conflicts.contains(&server(1))));
-    w.say(2, &server(1), CommandValue::Back).unwrap();
-    settles(&mut w, "settled");
-    assert!((0..5).all(|n| w.effect(n).out.is_empty() && w.effect(n).conflicts.is_empty()));
+    cluster.record(0, &server(1), CommandValue::Back).unwrap();
+    cluster.record(4, &server(1), CommandValue::Out).unwrap();
+    cluster.run_for(60 * SECOND);
+    assert!(cluster.derived_state(1).out.is_empty() && cluster.derived_state(3).out.contains("s-1"));
+    assert_converges(&mut cluster, "healed");
+    assert!((0..5).all(|n| cluster.derived_state(n).out.contains("s-1")
+        && cluster.derived_state(n).conflicts.contains(&server(1))));
+    cluster.record(2, &server(1), CommandValue::Back).unwrap();
+    assert_converges(&mut cluster, "settled");
+    assert!((0..5).all(|n| cluster.derived_state(n).out.is_empty() && cluster.derived_state(n).conflicts.is_empty()));
 }
 
 /// A cut in one direction only, and cuts that at no time leave more than two of five connected.
 #[test]
-fn facts_pass_where_no_majority_is_ever_connected() {
-    let mut w = World::new(5, 3);
-    w.play_for(3 * S);
+fn facts_spread_without_a_connected_majority() {
+    let mut cluster = SimulatedCluster::new(5, 3);
+    cluster.run_for(3 * SECOND);
     for a in 0..5 {
-        (0..5).filter(|b| a != *b).for_each(|b| w.cut(a, b, true));
+        (0..5).filter(|b| a != *b).for_each(|b| cluster.set_link_cut(a, b, true));
     }
-    w.say(0, &server(1), CommandValue::Out).unwrap();
+    cluster.record(0, &server(1), CommandValue::Out).unwrap();
     // One pair after the other.
     for pair in [(0, 1), (1, 2), (2, 3), (3, 4)] {
         for (a, b) in [pair, (pair.1, pair.0)] {
-            w.cut(a, b, false);
+            cluster.set_link_cut(a, b, false);
         }
-        assert!(w.until(60 * S, |w| w.effect(pair.1).out.contains("s-1")), "{pair:?}");
+        assert!(
+            cluster.wait_for(60 * SECOND, |cluster| cluster.derived_state(pair.1).out.contains("s-1")),
+            "{pair:?}"
+        );
         for (a, b) in [pair, (pair.1, pair.0)] {
-            w.cut(a, b, true);
+            cluster.set_link_cut(a, b, true);
         }
     }
-    settles(&mut w, "chain");
-    let mut w = World::new(3, 4);
-    w.play_for(3 * S);
-    w.cut(0, 1, true);
-    w.say(0, &server(1), CommandValue::Out).unwrap();
-    assert!(w.until(10 * S, |w| w.effect(1).out.contains("s-1")), "by way of the third");
+    assert_converges(&mut cluster, "chain");
+    let mut cluster = SimulatedCluster::new(3, 4);
+    cluster.run_for(3 * SECOND);
+    cluster.set_link_cut(0, 1, true);
+    cluster.record(0, &server(1), CommandValue::Out).unwrap();
+    assert!(
+        cluster.wait_for(10 * SECOND, |cluster| cluster.derived_state(1).out.contains("s-1")),
+        "by way of the third"
+    );
     // Who can be heard by a third is not taken for down.
-    w.play_for(60 * S);
-    assert_eq!(w.up_at(0) + w.up_at(1) + w.up_at(2), 6);
-    settles(&mut w, "one way");
+    cluster.run_for(60 * SECOND);
+    assert_eq!(cluster.peers_up(0) + cluster.peers_up(1) + cluster.peers_up(2), 6);
+    assert_converges(&mut cluster, "one way");
 }
 
 #[test]
-fn a_process_that_was_stopped_declares_nobody_dead_and_comes_back_to_the_others() {
-    let mut w = World::new(5, 5);
-    w.play_for(5 * S);
-    w.stop(2, 20 * S);
-    w.play_for(10 * S);
-    w.say(0, &server(1), CommandValue::Out).unwrap();
-    w.play_for(9 * S);
-    assert!(w.effect(2).out.is_empty());
-    w.play_for(2 * S);
-    assert_eq!(w.up_at(2), 4, "it takes all others for what they were");
-    assert!(w.until(5 * S, |w| w.effect(2).out.contains("s-1")));
-    assert!(w.until(10 * S, |w| (0..5).all(|n| w.up_at(n) == 4)));
+fn a_paused_process_takes_no_peer_for_down_and_rejoins() {
+    let mut cluster = SimulatedCluster::new(5, 5);
+    cluster.run_for(5 * SECOND);
+    cluster.pause(2, 20 * SECOND);
+    cluster.run_for(10 * SECOND);
+    cluster.record(0, &server(1), CommandValue::Out).unwrap();
+    cluster.run_for(9 * SECOND);
+    assert!(cluster.derived_state(2).out.is_empty());
+    cluster.run_for(2 * SECOND);
+    assert_eq!(cluster.peers_up(2), 4, "it takes all others for what they were");
+    assert!(cluster.wait_for(5 * SECOND, |cluster| cluster.derived_state(2).out.contains("s-1")));
+    assert!(cluster.wait_for(10 * SECOND, |cluster| (0..5).all(|n| cluster.peers_up(n) == 4)));
     // It was taken for down, if at all, while it did stand still.
-    assert_eq!(w.counts.false_down, 0);
-    settles(&mut w, "stopped");
+    assert_eq!(cluster.counts.false_positives, 0);
+    assert_converges(&mut cluster, "stopped");
 }
 
 /// What others sent meanwhile tells it that it is suspected: it says at once that it is there.
 #[test]
-fn a_process_that_stood_still_is_back_for_all_at_once() {
-    let mut w = World::new(5, 15);
-    w.play_for(5 * S);
-    w.stop(2, 4 * S);
-    w.play_for(4 * S - 10 * MS);
-    assert!((0..5).filter(|n| *n != 2).all(|n| w.up_at(n) == 3), "it is suspected");
-    w.play_for(100 * MS);
-    assert!((0..5).all(|n| w.up_at(n) == 4), "{}", w.tell());
+fn a_paused_process_refutes_its_suspicion_at_once() {
+    let mut cluster = SimulatedCluster::new(5, 15);
+    cluster.run_for(5 * SECOND);
+    cluster.pause(2, 4 * SECOND);
+    cluster.run_for(4 * SECOND - 10 * MILLISECOND);
+    assert!((0..5).filter(|n| *n != 2).all(|n| cluster.peers_up(n) == 3), "it is suspected");
+    cluster.run_for(100 * MILLISECOND);
+    assert!((0..5).all(|n| cluster.peers_up(n) == 4), "{}", cluster.describe());
 }
 
 #[test]
-fn old_disks_bring_nothing_back_and_use_no_stamp_twice() {
-    let mut w = World::new(5, 6);
-    w.play_for(3 * S);
-    w.say(0, &server(1), CommandValue::Out).unwrap();
-    w.say(1, &server(2), CommandValue::Out).unwrap();
-    w.play_for(5 * S);
-    let old = w.disk(1);
-    w.say(1, &server(2), CommandValue::Back).unwrap();
-    w.say(1, &server(3), CommandValue::Out).unwrap();
-    w.play_for(5 * S);
+fn restored_disks_revive_no_command_and_reuse_no_dot() {
+    let mut cluster = SimulatedCluster::new(5, 6);
+    cluster.run_for(3 * SECOND);
+    cluster.record(0, &server(1), CommandValue::Out).unwrap();
+    cluster.record(1, &server(2), CommandValue::Out).unwrap();
+    cluster.run_for(5 * SECOND);
+    let old = cluster.disk(1);
+    cluster.record(1, &server(2), CommandValue::Back).unwrap();
+    cluster.record(1, &server(3), CommandValue::Out).unwrap();
+    cluster.run_for(5 * SECOND);
     // All are killed; four start, one of them from its old disk; it says something at once.
-    (0..5).for_each(|n| w.kill(n));
-    w.set_disk(1, old.clone());
-    [1, 2, 3, 4].into_iter().for_each(|n| w.start(n));
-    w.say(1, &server(4), CommandValue::Out).unwrap();
-    w.play_for(20 * S);
-    assert!((1..5).all(|n| !w.effect(n).out.contains("s-2") && w.effect(n).out.contains("s-3")));
+    (0..5).for_each(|n| cluster.kill(n));
+    cluster.set_disk(1, old.clone());
+    [1, 2, 3, 4].into_iter().for_each(|n| cluster.start(n));
+    cluster.record(1, &server(4), CommandValue::Out).unwrap();
+    cluster.run_for(20 * SECOND);
+    assert!((1..5).all(
+        |n| !cluster.derived_state(n).out.contains("s-2") && cluster.derived_state(n).out.contains("s-3")
+    ));
     // Longer than words are kept: the ended ones are forgotten everywhere, and then the oldest disk comes back.
-    w.play_for(300 * S);
-    assert!(w.member(2).unwrap().store().register(&server(2)).is_none());
-    w.kill(1);
-    w.set_disk(1, old);
-    w.start(1);
-    settles(&mut w, "old disks");
-    assert!((0..5).all(|n| !w.effect(n).out.contains("s-2") && w.effect(n).out.len() == 3));
+    cluster.run_for(300 * SECOND);
+    assert!(cluster.member(2).unwrap().store().register(&server(2)).is_none());
+    cluster.kill(1);
+    cluster.set_disk(1, old);
+    cluster.start(1);
+    assert_converges(&mut cluster, "old disks");
+    assert!((0..5).all(|n| !cluster.derived_state(n).out.contains("s-2") && cluster.derived_state(n).out.len() == 3));
 }
 
 #[test]
-fn a_word_given_where_nobody_was_is_not_forgotten_however_late_it_comes() {
-    let mut w = World::new(3, 7);
-    w.play_for(3 * S);
+fn a_command_recorded_in_isolation_survives_however_late_it_arrives() {
+    let mut cluster = SimulatedCluster::new(3, 7);
+    cluster.run_for(3 * SECOND);
     for b in 0..2 {
-        w.cut(2, b, true);
-        w.cut(b, 2, true);
+        cluster.set_link_cut(2, b, true);
+        cluster.set_link_cut(b, 2, true);
     }
-    w.say(2, &server(1), CommandValue::Out).unwrap();
-    w.say(0, &server(2), CommandValue::Out).unwrap();
-    w.say(0, &server(2), CommandValue::Back).unwrap();
-    w.play_for(10 * S);
-    w.kill(2);
-    w.play_for(1000 * S);
-    settles(&mut w, "late word");
-    assert!((0..3).all(|n| w.effect(n).out.contains("s-1") && !w.effect(n).out.contains("s-2")));
+    cluster.record(2, &server(1), CommandValue::Out).unwrap();
+    cluster.record(0, &server(2), CommandValue::Out).unwrap();
+    cluster.record(0, &server(2), CommandValue::Back).unwrap();
+    cluster.run_for(10 * SECOND);
+    cluster.kill(2);
+    cluster.run_for(1000 * SECOND);
+    assert_converges(&mut cluster, "late word");
+    assert!((0..3).all(
+        |n| cluster.derived_state(n).out.contains("s-1") && !cluster.derived_state(n).out.contains("s-2")
+    ));
 }
 
 #[test]
-fn clocks_decide_nothing() {
-    let mut w = World::new(4, 8);
-    w.set_skew(1, 86_400 * S as i64);
-    w.set_skew(2, -(86_400 * S as i64));
-    w.kill(1);
-    w.kill(2);
-    w.start(1);
-    w.start(2);
-    w.play_for(5 * S);
-    w.say(1, &server(1), CommandValue::Out).unwrap();
-    w.play_for(3 * S);
-    w.say(2, &server(1), CommandValue::Back).unwrap();
-    w.play_for(3 * S);
-    assert!((0..4).all(|n| w.effect(n).out.is_empty()));
+fn clock_skew_does_not_affect_the_order_of_commands() {
+    let mut cluster = SimulatedCluster::new(4, 8);
+    cluster.set_clock_skew(1, 86_400 * SECOND as i64);
+    cluster.set_clock_skew(2, -(86_400 * SECOND as i64));
+    cluster.kill(1);
+    cluster.kill(2);
+    cluster.start(1);
+    cluster.start(2);
+    cluster.run_for(5 * SECOND);
+    cluster.record(1, &server(1), CommandValue::Out).unwrap();
+    cluster.run_for(3 * SECOND);
+    cluster.record(2, &server(1), CommandValue::Back).unwrap();
+    cluster.run_for(3 * SECOND);
+    assert!((0..4).all(|n| cluster.derived_state(n).out.is_empty()));
     // A start that lies ahead is taken from nobody.
-    let ahead = ProcessStart { started: w.now + 3600 * S, version: 1 };
-    w.note(1, FactKey::Start("s-9".into()), ahead);
-    w.play_for(3 * S);
+    let ahead = ProcessStart { started: cluster.now + 3600 * SECOND, version: 1 };
+    cluster.record_process_event(1, FactKey::Start("s-9".into()), ahead);
+    cluster.run_for(3 * SECOND);
     assert!(
-        [0, 2, 3].iter().all(|n| w.member(*n).unwrap().store().get(&FactKey::Start("s-9".into())).is_none())
+        [0, 2, 3].iter().all(|n| cluster
+            .member(*n)
+            .unwrap()
+            .store()
+            .get(&FactKey::Start("s-9".into()))
+            .is_none())
     );
     // A restart under a clock that went back still speaks for itself.
-    w.kill(3);
-    w.set_skew(3, -(3600 * S as i64));
-    w.start(3);
-    assert!(w.until(20 * S, |w| (0..3).all(|n| w.up_at(n) == 3)));
+    cluster.kill(3);
+    cluster.set_clock_skew(3, -(3600 * SECOND as i64));
+    cluster.start(3);
+    assert!(cluster.wait_for(20 * SECOND, |cluster| (0..3).all(|n| cluster.peers_up(n) == 3)));
 }
 
 #[test]
-fn brokers_that_list_others_and_one_that_joins_in_a_cut() {
-    let mut w = World::empty(5, 9);
+fn brokers_with_partial_peer_lists_converge_and_one_joins_during_a_partition() {
+    let mut cluster = SimulatedCluster::empty(5, 9);
     // A ring: each lists its neighbours only. One starts later.
     for n in 0..5 {
-        w.lists(n, vec![(n + 1) % 5, (n + 4) % 5]);
+        cluster.set_listed_peers(n, vec![(n + 1) % 5, (n + 4) % 5]);
     }
-    (0..4).for_each(|n| w.start(n));
-    w.play_for(5 * S);
-    w.say(0, &server(1), CommandValue::Out).unwrap();
-    w.cut(3, 4, true);
-    w.cut(4, 3, true);
-    w.start(4);
-    assert!(w.until(30 * S, |w| (0..5).all(|n| w.effect(n).out.contains("s-1"))));
-    settles(&mut w, "ring");
+    (0..4).for_each(|n| cluster.start(n));
+    cluster.run_for(5 * SECOND);
+    cluster.record(0, &server(1), CommandValue::Out).unwrap();
+    cluster.set_link_cut(3, 4, true);
+    cluster.set_link_cut(4, 3, true);
+    cluster.start(4);
+    assert!(
+        cluster.wait_for(30 * SECOND, |cluster| (0..5).all(|n| cluster.derived_state(n).out.contains("s-1")))
+    );
+    assert_converges(&mut cluster, "ring");
 }
 
 #[test]
-fn a_broker_that_was_removed_is_not_listened_to_until_it_is_let_in_again() {
-    let mut w = World::new(4, 10);
-    w.play_for(4 * S);
-    w.say(0, &FactKey::Removed(name(3)), CommandValue::Out).unwrap();
-    w.play_for(5 * S);
-    w.say(3, &server(1), CommandValue::Out).unwrap();
-    w.play_for(30 * S);
-    assert!((0..3).all(|n| w.effect(n).out.is_empty() && w.up_at(n) == 2));
-    w.kill(3);
-    w.say(1, &FactKey::Removed(name(3)), CommandValue::Back).unwrap();
-    w.play_for(3 * S);
-    w.set_disk(3, Default::default());
-    w.start(3);
-    assert!(w.until(30 * S, |w| (0..4).all(|n| w.up_at(n) == 3)));
-    settles(&mut w, "let in");
+fn a_removed_broker_is_ignored_until_it_is_readmitted() {
+    let mut cluster = SimulatedCluster::new(4, 10);
+    cluster.run_for(4 * SECOND);
+    cluster.record(0, &FactKey::Removed(name(3)), CommandValue::Out).unwrap();
+    cluster.run_for(5 * SECOND);
+    cluster.record(3, &server(1), CommandValue::Out).unwrap();
+    cluster.run_for(30 * SECOND);
+    assert!((0..3).all(|n| cluster.derived_state(n).out.is_empty() && cluster.peers_up(n) == 2));
+    cluster.kill(3);
+    cluster.record(1, &FactKey::Removed(name(3)), CommandValue::Back).unwrap();
+    cluster.run_for(3 * SECOND);
+    cluster.set_disk(3, Default::default());
+    cluster.start(3);
+    assert!(cluster.wait_for(30 * SECOND, |cluster| (0..4).all(|n| cluster.peers_up(n) == 3)));
+    assert_converges(&mut cluster, "let in");
 }
 
 #[test]
-fn two_versions_of_frames_work_together() {
-    let mut w = World::empty(5, 11);
-    (0..3).for_each(|n| w.speaks(n, codec::FIRST_VERSION));
-    (0..5).for_each(|n| w.start(n));
-    w.links = Links { loss: 0.1, doubled: 0.1, delay: (MS, 20 * MS) };
-    w.play_for(5 * S);
-    w.say(0, &server(1), CommandValue::Out).unwrap();
-    w.say(4, &server(2), CommandValue::Out).unwrap();
-    assert!(w.until(30 * S, |w| (0..5).all(|n| w.effect(n).out.len() == 2)));
+fn two_frame_versions_interoperate() {
+    let mut cluster = SimulatedCluster::empty(5, 11);
+    (0..3).for_each(|n| cluster.set_latest_version(n, codec::FIRST_VERSION));
+    (0..5).for_each(|n| cluster.start(n));
+    cluster.links = LinkConditions { loss: 0.1, duplication: 0.1, delay: (MILLISECOND, 20 * MILLISECOND) };
+    cluster.run_for(5 * SECOND);
+    cluster.record(0, &server(1), CommandValue::Out).unwrap();
+    cluster.record(4, &server(2), CommandValue::Out).unwrap();
+    assert!(cluster.wait_for(30 * SECOND, |cluster| (0..5).all(|n| cluster.derived_state(n).out.len() == 2)));
     // One after the other is upgraded.
     for n in 0..3 {
-        w.kill(n);
-        w.speaks(n, codec::LATEST_VERSION);
-        w.start(n);
-        w.say(n, &server(3 + n), CommandValue::Out).unwrap();
-        w.play_for(5 * S);
+        cluster.kill(n);
+        cluster.set_latest_version(n, codec::LATEST_VERSION);
+        cluster.start(n);
+        cluster.record(n, &server(3 + n), CommandValue::Out).unwrap();
+        cluster.run_for(5 * SECOND);
     }
-    settles(&mut w, "upgraded");
-    assert!((0..5).all(|n| w.effect(n).out.len() == 5));
+    assert_converges(&mut cluster, "upgraded");
+    assert!((0..5).all(|n| cluster.derived_state(n).out.len() == 5));
 }
 
 /// What goes wrong with a schedule of faults once they are over, if anything.
-fn wrong(brokers: usize, seed: u64, steps: &[Step]) -> Option<String> {
-    let mut w = World::new(brokers, seed);
-    schedule::play(&mut w, steps);
-    after_all_faults(&mut w).err()
+fn failure(brokers: usize, seed: u64, steps: &[Step]) -> Option<String> {
+    let mut cluster = SimulatedCluster::new(brokers, seed);
+    schedule::run(&mut cluster, steps);
+    converge_after_faults(&mut cluster).err()
 }
 
 /// Thousands of random schedules: words, cuts in one direction and both, loss, doubling, reordering, stops, kills,
 /// restarts with old disks or none, clocks that are off. One that fails is shrunk, to be kept as a test of its own.
 #[test]
-fn whatever_happens_copies_become_equal_and_nothing_is_forgotten_invented_or_brought_back() {
+fn random_faults_never_prevent_convergence_or_break_an_invariant() {
     for seed in 0..2000 {
         let brokers = 3 + (seed % 5) as usize;
-        let steps = schedule::draw(brokers, 30, seed);
-        if let Some(why) = wrong(brokers, seed, &steps) {
-            let least = schedule::shrink(&steps, |s| wrong(brokers, seed, s).is_some());
+        let steps = schedule::generate(brokers, 30, seed);
+        if let Some(why) = failure(brokers, seed, &steps) {
+            let least = schedule::shrink(&steps, |s| failure(brokers, seed, s).is_some());
             panic!("seed {seed}, {brokers} brokers: {why}; least schedule: {least:?}");
         }
     }
 }
 
 #[test]
-fn a_failing_schedule_is_shrunk_to_what_makes_it_fail() {
+fn a_failing_schedule_is_shrunk_to_its_minimum() {
     // A stand-in for a fault: some word that one has not heard when another is killed.
     let fails = |steps: &[Step]| {
-        let said = steps.iter().position(|s| matches!(s, Step::Say { at: 0, out: true, .. }));
+        let said = steps.iter().position(|s| matches!(s, Step::Record { at: 0, out: true, .. }));
         said.is_some_and(|n| steps[n..].iter().any(|s| matches!(s, Step::Kill { at: 1 })))
     };
-    let steps = schedule::draw(3, 300, 5);
+    let steps = schedule::generate(3, 300, 5);
     assert!(fails(&steps));
     let least = schedule::shrink(&steps, fails);
-    assert!(matches!(least[..], [Step::Say { at: 0, out: true, .. }, Step::Kill { at: 1 }]), "{least:?}");
+    assert!(matches!(least[..], [Step::Record { at: 0, out: true, .. }, Step::Kill { at: 1 }]), "{least:?}");
 }
 
 #[test]
-fn the_same_seed_plays_the_same_history() {
+fn the_same_seed_gives_the_same_run() {
     let play = || {
-        let mut w = World::new(6, 77);
-        let steps = schedule::draw(6, 60, 7);
-        schedule::play(&mut w, &steps);
-        w.play_for(60 * S);
-        let copies: Vec<Vec<u8>> = (0..6).filter_map(|n| Some(w.member(n)?.store().bytes())).collect();
-        (copies, w.counts.datagrams, w.counts.bytes)
+        let mut cluster = SimulatedCluster::new(6, 77);
+        let steps = schedule::generate(6, 60, 7);
+        schedule::run(&mut cluster, &steps);
+        cluster.run_for(60 * SECOND);
+        let copies: Vec<Vec<u8>> = (0..6).filter_map(|n| Some(cluster.member(n)?.store().bytes())).collect();
+        (copies, cluster.counts.datagrams, cluster.counts.bytes)
     };
     assert_eq!(play(), play());
 }
 
 #[test]
-fn three_hundred_brokers_learn_a_ban_in_seconds_and_are_quiet_without_news() {
-    let mut w = World::new(300, 12);
-    w.play_for(30 * S);
-    let before: u64 = w.bytes_of.iter().sum();
-    w.play_for(30 * S);
-    let idle = (w.bytes_of.iter().sum::<u64>() - before) / 30 / 300;
+fn three_hundred_brokers_converge_within_seconds_and_idle_cheaply() {
+    let mut cluster = SimulatedCluster::new(300, 12);
+    cluster.run_for(30 * SECOND);
+    let before: u64 = cluster.bytes_sent.iter().sum();
+    cluster.run_for(30 * SECOND);
+    let idle = (cluster.bytes_sent.iter().sum::<u64>() - before) / 30 / 300;
     assert!(idle < 1024, "{idle} bytes a second");
-    w.links.loss = 0.05;
-    let dot = w.say(0, &server(1), CommandValue::Out).unwrap();
-    assert!(w.until(10 * S, |w| w.known_to(&server(1), dot) == 300), "{}", w.known_to(&server(1), dot));
-    settles(&mut w, "300");
+    cluster.links.loss = 0.05;
+    let dot = cluster.record(0, &server(1), CommandValue::Out).unwrap();
+    assert!(
+        cluster.wait_for(10 * SECOND, |cluster| cluster.count_knowing(&server(1), dot) == 300),
+        "{}",
+        cluster.count_knowing(&server(1), dot)
+    );
+    assert_converges(&mut cluster, "300");
 }
