Split the simulated cluster by concern: events, faults, invariants, network

Need: one file of 724 lines held the simulated brokers, their links, the faults and the judge.

Change: simulation::{events, faults, invariants, network}; a link's delays are two fields in place of a tuple, recorded commands are records in place of tuples. Random draws are in the same order.

--- a/lab/src/cluster/schedule.rs
+++ b/lab/src/cluster/schedule.rs
@@ -108,7 +108,8 @@
                 cluster.links = LinkConditions {
                     loss: tenths as f64 / 10.0,
                     duplication: 0.2,
-                    delay: (MILLISECOND, 200 * MILLISECOND),
+                    min_delay: MILLISECOND,
+                    max_delay: 200 * MILLISECOND,
                 };
             }
             Step::Pause { at, seconds } => cluster.pause(at, seconds as u64 * SECOND),
--- /dev/null
+++ b/lab/src/cluster/simulation/invariants.rs
@@ -0,0 +1,108 @@
+//! What must hold for all simulated brokers, and what is known of each of them.
+
+use super::{Node, SimulatedCluster};
+use pebbleturn::gossip::swim::PeerStatus;
+use pebbleturn::gossip::{GossipNode, SyncStatus};
+use pebbleturn::replication::derived_state::DerivedState;
+use pebbleturn::replication::{CommandValue, Dot, FactKey};
+
+impl SimulatedCluster {
+    /// All that run have equal copies.
+    pub fn stores_are_equal(&self) -> bool {
+        let mut roots = self.nodes.iter().filter_map(|n| Some(n.member.as_ref()?.store().tree().root()));
+        let first = roots.next();
+        roots.all(|r| Some(r) == first)
+    }
+
+    /// All that run know this word.
+    pub fn count_knowing(&self, key: &FactKey, dot: Dot) -> usize {
+        let knows = |m: &&GossipNode| m.store().register(key).is_some_and(|r| r.seen().contains(dot));
+        self.nodes.iter().filter_map(|n| n.member.as_ref()).filter(knows).count()
+    }
+
+    /// What holds everywhere must follow from what was acknowledged: to be asked when all copies are equal.
+    pub fn check_invariants(&mut self) {
+        let Some(store) = self.nodes.iter().find_map(|n| n.member.as_ref()).map(|m| m.store().clone()) else {
+            return;
+        };
+        for n in &self.nodes {
+            if let Some(m) = &n.member
+                && m.store().bytes() != store.bytes()
+            {
+                self.violations.push("copies differ in their bytes".into());
+            }
+        }
+        let is_current = |key: &FactKey, dot: Dot| {
+            store.register(key).is_some_and(|r| r.commands().any(|(d, _)| d == dot))
+        };
+        for command in &self.acknowledged {
+            let superseded = self
+                .acknowledged
+                .iter()
+                .any(|later| later.supersedes.contains(&command.dot) && !later.lost_with_disk);
+            if superseded && is_current(&command.key, command.dot) {
+                self.violations.push(format!("{} of {} came back", command.dot, command.key));
+            }
+            let lost = command.value == CommandValue::Out
+                && !superseded
+                && !command.lost_with_disk
+                && !is_current(&command.key, command.dot);
+            // Somebody may have ended it by a word that was never acknowledged and yet lives.
+            let superseded_unacknowledged = store.register(&command.key).is_some_and(|r| {
+                r.commands().any(|(d, _)| d != command.dot && !self.acknowledged.iter().any(|o| o.dot == d))
+            });
+            if lost && !superseded_unacknowledged {
+                self.violations
+                    .push(format!("{} of {} was acknowledged and is forgotten", command.dot, command.key));
+            }
+        }
+        for (key, register) in store.registers() {
+            for (dot, command) in register.commands() {
+                if self.commands_by_dot.get(&dot).is_none_or(|(k, s)| k != key || s != command) {
+                    self.violations.push(format!("{dot} of {key} was never recorded"));
+                }
+            }
+        }
+    }
+
+    /// How all stand, for a failing test.
+    pub fn describe(&self) -> String {
+        let one = |(n, node): (usize, &Node)| match &node.member {
+            None => format!("{n}: does not run"),
+            Some(m) => {
+                let peers: Vec<String> = m
+                    .peers(self.local_time(n))
+                    .map(|p| {
+                        format!("{} {:?} {:?} {:?}", p.name, p.status, p.is_in_sync, p.since_last_received)
+                    })
+                    .collect();
+                format!(
+                    "{n}: {:?}, skew {}, root {:x}, {} facts, {peers:?}",
+                    m.sync_status(),
+                    node.clock_skew,
+                    m.store().tree().root(),
+                    m.store().len()
+                )
+            }
+        };
+        self.nodes.iter().enumerate().map(one).collect::<Vec<_>>().join("\n")
+    }
+
+    /// Names of brokers that this one takes for up.
+    pub fn peers_up(&self, n: usize) -> usize {
+        let now = self.local_time(n);
+        self.nodes[n]
+            .member
+            .as_ref()
+            .map_or(0, |m| m.peers(now).filter(|p| p.status == PeerStatus::Alive).count())
+    }
+
+    pub fn is_caught_up(&self, n: usize) -> bool {
+        self.nodes[n].member.as_ref().is_some_and(|m| m.sync_status() == SyncStatus::CaughtUp)
+    }
+
+    /// What holds for a broker.
+    pub fn derived_state(&self, n: usize) -> DerivedState {
+        self.nodes[n].member.as_ref().map(|m| m.derived_state().clone()).unwrap_or_default()
+    }
+}
--- a/tests/cluster/simulated.rs
+++ b/tests/cluster/simulated.rs
@@ -274,7 +274,8 @@
     let mut cluster = SimulatedCluster::empty(5, 11);
     (0..3).for_each(|n| cluster.set_latest_version(n, codec::FIRST_VERSION));
     (0..5).for_each(|n| cluster.start(n));
-    cluster.links = LinkConditions { loss: 0.1, duplication: 0.1, delay: (MILLISECOND, 20 * MILLISECOND) };
+    cluster.links =
+        LinkConditions { loss: 0.1, duplication: 0.1, min_delay: MILLISECOND, max_delay: 20 * MILLISECOND };
     cluster.run_for(5 * SECOND);
     cluster.record(0, &server(1), CommandValue::Out).unwrap();
     cluster.record(4, &server(2), CommandValue::Out).unwrap();
