--- /dev/null
+++ b/lab/src/cluster/simulation.rs
@@ -0,0 +1,256 @@
+//! Brokers of a cluster in simulated time, with faults between them and invariants over all of them.
+//!
+//! The same seed gives the same run. Links lose, duplicate, delay and reorder datagrams, and are cut in one direction
+//! or both; connections keep order and stall while their link is cut. Brokers are paused, killed and started again,
+//! with their disk as it was, an old one, or none; their clocks are skewed.
+
+mod events;
+mod faults;
+mod invariants;
+mod network;
+
+use pebbleturn::gossip::{GossipNode, codec};
+use pebbleturn::replication::{CommandValue, Dot, Fact, FactKey, FactValue, OperatorCommand, StoreLimits};
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+pub const MILLISECOND: u64 = 1_000_000;
+pub const SECOND: u64 = 1_000 * MILLISECOND;
+/// When a world begins, unix ns.
+const START_TIME: u64 = 1_700_000_000 * SECOND;
+/// Time until a change is on disk.
+const DISK_WRITE_TIME: u64 = 5 * MILLISECOND;
+
+/// How links are.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkConditions {
+    /// Shares of datagrams that are lost, and that come twice.
+    pub loss: f64,
+    pub duplication: f64,
+    /// Shortest time on the way, ns.
+    pub min_delay: u64,
+    /// Longest time on the way, ns.
+    pub max_delay: u64,
+}
+
+impl Default for LinkConditions {
+    fn default() -> LinkConditions {
+        LinkConditions { loss: 0.0, duplication: 0.0, min_delay: MILLISECOND / 5, max_delay: 3 * MILLISECOND }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Wakeup(usize),
+    Persisted(usize),
+    Datagram { to: usize, from: SocketAddr, bytes: Vec<u8> },
+    Connected { node: usize, stream: u64 },
+    DeliverFrames { node: usize, stream: u64 },
+    Closed { node: usize, stream: u64 },
+}
+
+/// One end of a connection.
+#[derive(Clone, Debug)]
+struct StreamEnd {
+    peer: usize,
+    peer_stream: u64,
+    /// Bytes on their way to this end.
+    in_transit: VecDeque<(u64, Vec<u8>)>,
+}
+
+struct Node {
+    member: Option<GossipNode>,
+    disk: BTreeMap<FactKey, FactValue>,
+    /// Changes that are on their way to the disk.
+    writing: Vec<Fact>,
+    /// Words that are acknowledged once these changes are kept.
+    unacknowledged: Vec<Dot>,
+    clock_skew: i64,
+    next_clock_skew: i64,
+    paused_until: u64,
+    next_wakeup: Option<u64>,
+    streams: BTreeMap<u64, StreamEnd>,
+    next_stream: u64,
+    starts: u64,
+    latest_version: u8,
+    listed: Vec<usize>,
+}
+
+/// A word that somebody was told is taken.
+#[derive(Clone, Debug)]
+pub struct Acknowledged {
+    pub key: FactKey,
+    pub dot: Dot,
+    pub value: CommandValue,
+    /// Words that it took the place of.
+    pub supersedes: Vec<Dot>,
+    /// A broker that had it was set back, and no disk has it any more.
+    pub lost_with_disk: bool,
+}
+
+/// What was counted.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    pub datagrams: u64,
+    pub bytes: u64,
+    pub peers_down: u64,
+    /// Of brokers that ran and could be reached at the time.
+    pub false_positives: u64,
+    pub refutations: u64,
+    pub completed_catch_ups: u64,
+}
+
+pub struct SimulatedCluster {
+    pub now: u64,
+    nodes: Vec<Node>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: HashMap<u64, Event>,
+    last_event: u64,
+    pub links: LinkConditions,
+    pub cut_links: BTreeSet<(usize, usize)>,
+    rng: Pcg32,
+    pub store_limits: StoreLimits,
+    pub acknowledged: Vec<Acknowledged>,
+    /// Words that were said and may be acknowledged: what they ended.
+    recorded: BTreeMap<Dot, Acknowledged>,
+    /// All stamps with what they stand for: one that stands for two things was used twice.
+    commands_by_dot: BTreeMap<Dot, (FactKey, OperatorCommand)>,
+    pub counts: Counts,
+    pub bytes_sent: Vec<u64>,
+    /// Walks that each has begun.
+    pub sessions_begun: Vec<u32>,
+    pub violations: Vec<String>,
+    probe_interval: u64,
+    brokers: usize,
+}
+
+fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 7000))
+}
+
+fn index_of(at: SocketAddr) -> usize {
+    let SocketAddr::V4(v4) = at else { return 0 };
+    let [_, _, high, low] = v4.ip().octets();
+    usize::from(high) << 8 | usize::from(low)
+}
+
+pub fn name(n: usize) -> String {
+    format!("b-{n:03}")
+}
+
+impl SimulatedCluster {
+    /// So many brokers, all started within a second.
+    pub fn new(brokers: usize, seed: u64) -> SimulatedCluster {
+        let mut cluster = SimulatedCluster::empty(brokers, seed);
+        for n in 0..brokers {
+            cluster.start(n);
+        }
+        cluster
+    }
+
+    /// So many brokers, none started.
+    pub fn empty(brokers: usize, seed: u64) -> SimulatedCluster {
+        let node = |n| Node {
+            member: None,
+            disk: BTreeMap::new(),
+            writing: Vec::new(),
+            unacknowledged: Vec::new(),
+            clock_skew: 0,
+            next_clock_skew: 0,
+            paused_until: 0,
+            next_wakeup: None,
+            streams: BTreeMap::new(),
+            next_stream: 1 << 63,
+            starts: 0,
+            latest_version: codec::LATEST_VERSION,
+            listed: (0..brokers).filter(|p| *p != n).collect(),
+        };
+        SimulatedCluster {
+            now: START_TIME,
+            nodes: (0..brokers).map(node).collect(),
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            last_event: 0,
+            links: LinkConditions::default(),
+            cut_links: BTreeSet::new(),
+            rng: Pcg32::new(seed, 0x1e55),
+            store_limits: StoreLimits { retention: 120 * SECOND, ..StoreLimits::default() },
+            acknowledged: Vec::new(),
+            recorded: BTreeMap::new(),
+            commands_by_dot: BTreeMap::new(),
+            counts: Counts::default(),
+            bytes_sent: vec![0; brokers],
+            sessions_begun: vec![0; brokers],
+            violations: Vec::new(),
+            probe_interval: SECOND,
+            brokers,
+        }
+    }
+
+    pub fn random_below(&mut self, limit: usize) -> usize {
+        self.rng.next_u32() as usize % limit.max(1)
+    }
+
+    fn chance(&mut self, probability: f64) -> bool {
+        f64::from(self.rng.next_u32()) / f64::from(u32::MAX) < probability
+    }
+
+    pub fn len(&self) -> usize {
+        self.brokers
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.brokers == 0
+    }
+
+    pub fn member(&self, n: usize) -> Option<&GossipNode> {
+        self.nodes[n].member.as_ref()
+    }
+
+    pub fn is_running(&self, n: usize) -> bool {
+        self.nodes[n].member.is_some() && self.nodes[n].paused_until <= self.now
+    }
+
+    fn schedule(&mut self, at: u64, event: Event) {
+        self.last_event += 1;
+        self.events.insert(self.last_event, event);
+        self.queue.push(Reverse((at, self.last_event)));
+    }
+
+    /// The time by a broker's own clock.
+    fn local_time(&self, n: usize) -> u64 {
+        self.now.saturating_add_signed(self.nodes[n].clock_skew)
+    }
+
+    /// Plays until this time.
+    pub fn run_until(&mut self, until: u64) {
+        while let Some(Reverse((at, id))) = self.queue.peek().copied().filter(|Reverse((at, _))| *at <= until)
+        {
+            self.queue.pop();
+            self.now = at.max(self.now);
+            if let Some(event) = self.events.remove(&id) {
+                self.handle_event(event);
+            }
+        }
+        self.now = until;
+    }
+
+    pub fn run_for(&mut self, span: u64) {
+        self.run_until(self.now + span);
+    }
+
+    /// Plays until something holds, or the time is over.
+    pub fn wait_for(&mut self, timeout: u64, condition: impl Fn(&SimulatedCluster) -> bool) -> bool {
+        let end = self.now + timeout;
+        while self.now < end {
+            if condition(self) {
+                return true;
+            }
+            self.run_until(self.now + 10 * MILLISECOND);
+        }
+        condition(self)
+    }
+}
--- a/src/cluster/status_report.rs
+++ b/src/cluster/status_report.rs
@@ -2,8 +2,8 @@
 
 use super::Cluster;
 use crate::api::Nanos;
-use crate::gossip::node::{GossipNode, Notification, SyncStatus};
 use crate::gossip::swim::PeerStatus;
+use crate::gossip::{GossipNode, Notification, SyncStatus};
 use crate::replication::{FactKey, FactValue, Register, StateStore, StoreLimits};
 use serde_json::{Value, json};
 
@@ -14,13 +14,13 @@
 /// One log line.
 pub fn tell(told: &Notification, member: &GossipNode) {
     match told {
-        Notification::Up(name) => tracing::info!("cluster: {name} is up"),
-        Notification::Suspected(name) => tracing::info!("cluster: {name} does not answer"),
-        Notification::Down(name) => tracing::warn!("cluster: {name} is down"),
+        Notification::PeerUp(name) => tracing::info!("cluster: {name} is up"),
+        Notification::PeerSuspected(name) => tracing::info!("cluster: {name} does not answer"),
+        Notification::PeerDown(name) => tracing::warn!("cluster: {name} is down"),
         Notification::Refuted => {
             tracing::info!("cluster: others took this broker for gone; it says that it is not")
         }
-        Notification::Late(ns) => {
+        Notification::Stalled(ns) => {
             tracing::warn!(
                 "cluster: this process did not run for {} ms; that time counts for nobody",
                 ns / 1_000_000
@@ -32,17 +32,17 @@
             member.store().len(),
             member.store().tree().root()
         ),
-        Notification::Alone => {
+        Notification::Isolated => {
             tracing::warn!("cluster: no peer can be reached; this broker goes by what it has on disk")
         }
-        Notification::Doubled => {
+        Notification::OriginReplaced => {
             tracing::error!("cluster: another process used this one's stamps; it has drawn others")
         }
-        Notification::Removed => {
+        Notification::RemovedFromCluster => {
             tracing::error!("cluster: this broker was removed by hand and tells its peers nothing more")
         }
-        Notification::Came(n) => tracing::info!("cluster: {n} words came that were missed here"),
-        Notification::Changed(key) => match member.store().register(key) {
+        Notification::FactsReceived(n) => tracing::info!("cluster: {n} words came that were missed here"),
+        Notification::FactChanged(key) => match member.store().register(key) {
             Some(r) => tracing::info!("cluster: {key} is now {}", words(r)),
             None => tracing::info!("cluster: {key} is forgotten"),
         },
@@ -126,7 +126,7 @@
             Some(_) if self.sockets.is_none() => "waiting for its address",
             Some(SyncStatus::CatchingUp) => "catching up",
             Some(SyncStatus::CaughtUp) => "caught up",
-            Some(SyncStatus::Alone) => "alone",
+            Some(SyncStatus::Isolated) => "alone",
         }
     }
 
@@ -135,21 +135,21 @@
         let mut peers = Vec::new();
         let mut dropped = serde_json::Map::new();
         if let Some(member) = &self.member {
-            for (name, at, status, same, ago) in member.peers(now) {
-                let status = match status {
+            for peer in member.peers(now) {
+                let status = match peer.status {
                     PeerStatus::Alive => "up",
                     PeerStatus::Suspect => "suspected",
-                    PeerStatus::Down if ago.is_none() => "never heard of",
+                    PeerStatus::Down if peer.since_last_received.is_none() => "never heard of",
                     PeerStatus::Down => "down",
                 };
-                let heard = ago.map(|t| t / 1_000_000);
-                peers.push(json!({ "name": name, "address": at.to_string(), "is": status, "same_copy": same, "heard_ms_ago": heard }));
+                let heard = peer.since_last_received.map(|t| t / 1_000_000);
+                peers.push(json!({ "name": peer.name, "address": peer.address.to_string(), "is": status, "same_copy": peer.is_in_sync, "heard_ms_ago": heard }));
             }
-            dropped.extend(member.dropped().map(|(why, n)| (why.to_string(), n.into())));
+            dropped.extend(member.drop_counts().map(|(why, n)| (why.to_string(), n.into())));
         }
         json!({
             "cluster": self.settings.cluster, "name": self.settings.name, "standing": self.standing(),
-            "slowness": self.member.as_ref().map_or(0, |m| m.health()),
+            "slowness": self.member.as_ref().map_or(0, |m| m.health_score()),
             "incarnation": self.member.as_ref().map_or(0, |m| m.incarnation()),
             "removed": self.effect().map(|e| &e.removed_brokers), "peers": peers, "dropped": dropped,
             "longest_turn_us": longest_turn / 1000, "longest_for_peers_us": self.longest / 1000,
@@ -161,7 +161,7 @@
         let Some(member) = &self.member else { return json!({ "standing": self.standing() }) };
         let copy = member.store();
         let (n, words) = registers(copy, now, MOST, |_| true);
-        let kept = member.is_kept() && self.writing.is_empty();
+        let kept = member.is_persisted() && self.writing.is_empty();
         json!({
             "standing": self.standing(), "digest": format!("{:016x}", copy.tree().root()), "facts": copy.len(),
             "on_disk": kept, "words": n, "first": words,
--- a/src/config/operator/cluster.rs
+++ b/src/config/operator/cluster.rs
@@ -55,7 +55,7 @@
 }
 
 fn speak() -> u8 {
-    codec::LATEST
+    codec::LATEST_VERSION
 }
 
 /// Checks the cluster and its peers against each other and against the other addresses of the file.
@@ -107,8 +107,13 @@
         let what = format!("keep_words_s {} must be from 1 to ten years", cluster.keep_words_s);
         report("keep_words_s", what);
     }
-    if !(codec::FIRST..=codec::LATEST).contains(&cluster.speak) {
-        let what = format!("speak {} must be from {} to {}", cluster.speak, codec::FIRST, codec::LATEST);
+    if !(codec::FIRST_VERSION..=codec::LATEST_VERSION).contains(&cluster.speak) {
+        let what = format!(
+            "speak {} must be from {} to {}",
+            cluster.speak,
+            codec::FIRST_VERSION,
+            codec::LATEST_VERSION
+        );
         report("speak", what);
     }
 }
--- a/tests/cluster/frames.rs
+++ b/tests/cluster/frames.rs
@@ -1,29 +1,31 @@
 //! Bytes that are not what they should be: every decoder of frames and files gives a typed error or a sound value, whatever
 //! comes, and a broker that is sent such things goes on.
 
-use pebbleturn::gossip::codec::{self, DATAGRAM, Datagram, FRAME, FrameError, LATEST, Sender, StreamFrame};
+use pebbleturn::gossip::codec::{
+    self, Datagram, FrameError, LATEST_VERSION, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, Sender, StreamFrame,
+};
 use pebbleturn::gossip::swim::{PeerStatus, Probe, StatusUpdate};
 use pebbleturn::replication::anti_entropy::{SyncMessage, SyncPosition, SyncSession};
 use pebbleturn::replication::*;
 use pebbleturn::storage::Disk;
 use pebbleturn::storage::journal::{self, Journal, LOG, OLDER_LOG, OLDER_SNAPSHOT, SNAPSHOT, TEMPORARY};
-use pebbleturn_lab::cluster::world::{S, World, name};
+use pebbleturn_lab::cluster::simulation::{SECOND, SimulatedCluster, name};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 use std::path::Path;
 use std::time::Duration;
 
-fn copy(words: u32) -> StateStore {
+fn sample_store(words: u32) -> StateStore {
     let mut copy = StateStore::new(Origin(7), StoreLimits { retention: 0, ..StoreLimits::default() });
     for n in 0..words {
         let value =
             [CommandValue::Set, CommandValue::Clear, CommandValue::Text("x".into())][n as usize % 3].clone();
-        let key = [FactKey::Server(format!("s-{n}")), FactKey::MaintenanceOrder(format!("w-{n}"))]
+        let key = [FactKey::Server(format!("s-{n}")), FactKey::MaintenanceOrder(format!("cluster-{n}"))]
             [n as usize % 2]
             .clone();
         let said = OperatorCommand {
             value,
-            author: "w".into(),
+            author: "cluster".into(),
             reason: "y".into(),
             broker: "b".into(),
             issued_at: 1,
@@ -42,7 +44,7 @@
         &FactKey::Server("s-0".into()),
         OperatorCommand {
             value: CommandValue::Set,
-            author: "w".into(),
+            author: "cluster".into(),
             reason: "y".into(),
             broker: "b".into(),
             issued_at: 1,
@@ -59,35 +61,36 @@
 
 fn sender() -> Sender {
     Sender {
-        cluster: codec::cluster("kochi"),
+        cluster_id: codec::cluster_id("kochi"),
         name: name(1),
         origin: Origin(3),
         incarnation: 4,
-        reads: LATEST,
+        latest_version: LATEST_VERSION,
     }
 }
 
 fn datagram(version: u8) -> Vec<u8> {
-    let rumours = vec![StatusUpdate { name: name(2), incarnation: 5, status: PeerStatus::Suspect }];
-    let probe = Probe::Ask { n: 8, name: name(2) };
-    Datagram { sender: sender(), probe, rumours, facts: facts(&copy(6)), root: Some(77) }.encode(version)
+    let status_updates = vec![StatusUpdate { name: name(2), incarnation: 5, status: PeerStatus::Suspect }];
+    let probe = Probe::PingRequest { sequence: 8, name: name(2) };
+    Datagram { sender: sender(), probe, status_updates, facts: facts(&sample_store(6)), root: Some(77) }
+        .encode(version)
 }
 
-fn lines() -> Vec<Vec<u8>> {
-    let copy = copy(20);
+fn stream_frames() -> Vec<Vec<u8>> {
+    let copy = sample_store(20);
     let (_, begin) = SyncSession::begin(&copy, 1000);
-    let hello = StreamFrame::Hello { sender: sender(), rumours: vec![] };
+    let hello = StreamFrame::Hello { sender: sender(), status_updates: vec![] };
     let give = SyncMessage::Push { facts: facts(&copy) };
     let leaves = SyncMessage::LeafDigests { digests: vec![(3, vec![1; 64])] };
     let position = SyncPosition { key: FactKey::Site("k".into()), parts: 2 };
     let ask = SyncMessage::RequestFacts { leaves: vec![1, 2], from: Some(position) };
     let walks = [begin, give, leaves, ask, SyncMessage::BranchDigests { digests: vec![5; 64] }]
-        .map(StreamFrame::Walk);
+        .map(StreamFrame::Sync);
     [hello].into_iter().chain(walks).map(|l| l.encode()[4..].to_vec()).collect()
 }
 
 /// The checksum as it has to be: what follows it is read.
-fn reseal(frame: &mut [u8]) {
+fn fix_checksum(frame: &mut [u8]) {
     let mut hasher = crc32fast::Hasher::new();
     hasher.update(&frame[3..5]);
     hasher.update(&frame[9..]);
@@ -95,7 +98,7 @@
 }
 
 /// Cuts, flips, fills with the bytes of huge counts, doubles a stretch.
-fn spoil(bytes: &mut Vec<u8>, from: usize, rng: &mut Pcg32) {
+fn corrupt(bytes: &mut Vec<u8>, from: usize, rng: &mut Pcg32) {
     for _ in 0..1 + rng.next_u32() % 4 {
         if bytes.len() <= from {
             return;
@@ -119,63 +122,69 @@
 }
 
 #[test]
-fn frames_that_were_changed_anywhere_are_not_read() {
-    for version in 1..=LATEST {
+fn damaged_frames_are_rejected() {
+    for version in 1..=LATEST_VERSION {
         let whole = datagram(version);
-        assert!(whole.len() <= DATAGRAM && Datagram::decode(&whole, LATEST).is_ok());
+        assert!(whole.len() <= MAX_DATAGRAM_BYTES && Datagram::decode(&whole, LATEST_VERSION).is_ok());
         for at in 0..whole.len() {
-            assert!(Datagram::decode(&whole[..at], LATEST).is_err(), "cut at {at}");
+            assert!(Datagram::decode(&whole[..at], LATEST_VERSION).is_err(), "cut at {at}");
             let mut changed = whole.clone();
             changed[at] ^= 0x10;
-            assert!(Datagram::decode(&changed, LATEST).is_err(), "changed at {at}");
+            assert!(Datagram::decode(&changed, LATEST_VERSION).is_err(), "changed at {at}");
         }
     }
-    assert_eq!(Datagram::decode(&datagram(2), 1), Err(FrameError::Version(2)));
+    assert_eq!(Datagram::decode(&datagram(2), 1), Err(FrameError::UnsupportedVersion(2)));
     assert!(Datagram::decode(&datagram(1), 1).unwrap().root.is_none());
-    assert_eq!(Datagram::decode(&vec![0; DATAGRAM + 1], LATEST), Err(FrameError::Length(DATAGRAM + 1)));
-    assert_eq!(codec::frame_end(&[0xff; 8]), Err(FrameError::Length(u32::MAX as usize)));
-    assert_eq!(codec::frame_end(&(FRAME as u32).to_be_bytes()), Ok(None));
+    assert_eq!(
+        Datagram::decode(&vec![0; MAX_DATAGRAM_BYTES + 1], LATEST_VERSION),
+        Err(FrameError::InvalidLength(MAX_DATAGRAM_BYTES + 1))
+    );
+    assert_eq!(codec::frame_end(&[0xff; 8]), Err(FrameError::InvalidLength(u32::MAX as usize)));
+    assert_eq!(codec::frame_end(&(MAX_FRAME_BYTES as u32).to_be_bytes()), Ok(None));
 }
 
 /// With a checksum that fits, whatever stands behind it: an error or a value, and a broker that takes it in goes on.
 #[test]
-fn sound_checksums_over_spoilt_bodies_harm_no_broker() {
+fn corrupted_bodies_with_valid_checksums_harm_no_broker() {
     let mut rng = Pcg32::new(1, 1);
-    let mut w = World::new(3, 5);
-    w.play_for(3 * S);
+    let mut cluster = SimulatedCluster::new(3, 5);
+    cluster.run_for(3 * SECOND);
     let (mut read, mut refused) = (0, 0);
     for n in 0..6000 {
         let mut bytes = datagram(1 + (n % 2) as u8);
-        spoil(&mut bytes, 9, &mut rng);
+        corrupt(&mut bytes, 9, &mut rng);
         if bytes.len() < 9 {
             continue;
         }
-        reseal(&mut bytes);
-        match Datagram::decode(&bytes, LATEST) {
+        fix_checksum(&mut bytes);
+        match Datagram::decode(&bytes, LATEST_VERSION) {
             Ok(_) => read += 1,
             Err(_) => refused += 1,
         }
-        w.inject(0, 1, &bytes);
+        cluster.inject(0, 1, &bytes);
         if n % 100 == 0 {
-            w.play_for(S);
+            cluster.run_for(SECOND);
         }
-        for mut line in lines() {
-            spoil(&mut line, 9, &mut rng);
+        for mut line in stream_frames() {
+            corrupt(&mut line, 9, &mut rng);
             if line.len() >= 9 {
-                reseal(&mut line);
-                if let Ok(StreamFrame::Walk(m)) = StreamFrame::decode(&line) {
-                    let _ = anti_entropy::respond(&copy(2), &m);
+                fix_checksum(&mut line);
+                if let Ok(StreamFrame::Sync(m)) = StreamFrame::decode(&line) {
+                    let _ = anti_entropy::respond(&sample_store(2), &m);
                 }
             }
         }
     }
     assert!(read > 300 && refused > 300, "{read} read, {refused} refused");
     // It still hears its peers, and they it.
-    let dot = w.say(1, &FactKey::Server("after".into()), CommandValue::Set).unwrap();
-    assert!(w.until(30 * S, |w| w.known_to(&FactKey::Server("after".into()), dot) == 3));
+    let dot = cluster.record(1, &FactKey::Server("after".into()), CommandValue::Set).unwrap();
+    assert!(
+        cluster.wait_for(30 * SECOND, |cluster| cluster.count_knowing(&FactKey::Server("after".into()), dot)
+            == 3)
+    );
 }
 
-fn written(dir: &Path, batches: &[Vec<Fact>]) {
+fn write_journal(dir: &Path, batches: &[Vec<Fact>]) {
     let mut journal = Journal::start(Disk, dir, StoreLimits::default()).unwrap();
     journal.wait_for_contents(Duration::from_secs(60)).unwrap().unwrap();
     journal.record_incarnation(41);
@@ -198,11 +207,11 @@
 
 /// Half of the words in the first batch, all of them, newer, in the second.
 fn batches() -> [Vec<Fact>; 2] {
-    let mut copy = copy(8);
+    let mut copy = sample_store(8);
     let first = facts(&copy);
     let said = OperatorCommand {
         value: CommandValue::Clear,
-        author: "w".into(),
+        author: "cluster".into(),
         reason: "y".into(),
         broker: "b".into(),
         issued_at: 2,
@@ -213,10 +222,10 @@
 }
 
 #[test]
-fn a_journal_that_was_cut_or_changed_anywhere_gives_what_is_sound_in_it() {
+fn a_damaged_journal_yields_its_intact_facts() {
     let dir = tempfile::tempdir().unwrap();
     let batches = batches();
-    written(dir.path(), &batches);
+    write_journal(dir.path(), &batches);
     let log = std::fs::read(dir.path().join(LOG)).unwrap();
     let read = || journal::read(&Disk, dir.path(), StoreLimits::default());
     let whole = read();
@@ -242,7 +251,7 @@
         std::fs::write(dir.path().join(LOG), &changed).unwrap();
         let damaged = read();
         assert!(
-            damaged.problems.iter().all(|w| w.to_string().contains("damaged"))
+            damaged.problems.iter().all(|problem| problem.to_string().contains("damaged"))
                 && !damaged.problems.is_empty(),
             "changed at {at}"
         );
@@ -250,13 +259,13 @@
     }
     // A log that was cut is written on, and all of it is read.
     std::fs::write(dir.path().join(LOG), &log[..log.len() - 5]).unwrap();
-    written(dir.path(), &batches[1..]);
+    write_journal(dir.path(), &batches[1..]);
     let again = read();
     assert!(again.facts == whole_facts, "{:?}", again.problems);
 }
 
 #[test]
-fn snapshots_are_written_as_the_log_grows_and_any_one_file_may_be_lost_but_the_newest() {
+fn snapshots_follow_the_log_and_any_one_older_file_may_be_lost() {
     let dir = tempfile::tempdir().unwrap();
     let mut all = StateStore::new(Origin(9), StoreLimits::default());
     let mut parts = Vec::new();
@@ -265,7 +274,7 @@
             let text = CommandValue::Text("t".repeat(3000));
             let said = OperatorCommand {
                 value: text,
-                author: "w".into(),
+                author: "cluster".into(),
                 reason: "y".into(),
                 broker: "b".into(),
                 issued_at: 2,
@@ -276,7 +285,7 @@
         let new = |(k, _): &Fact| k.name().is_some_and(|n| n.starts_with(&format!("{batch}-")));
         parts.push(facts(&all).into_iter().filter(new).collect());
     }
-    written(dir.path(), &parts);
+    write_journal(dir.path(), &parts);
     let read = || journal::read(&Disk, dir.path(), StoreLimits::default());
     assert_eq!(read().facts, facts(&all));
     assert_eq!(read().incarnation, 41);
