Document the simulated cluster and its schedules

Need: public fields and methods had no docs, or riddles.

Change: a doc comment on each public item with units; simulation and schedule deny missing docs, long functions and complex types. A counter of starts that nothing read is gone.

--- a/lab/src/cluster/schedule.rs
+++ b/lab/src/cluster/schedule.rs
@@ -1,4 +1,11 @@
-//! Schedules of faults, drawn from a seed, played on simulated brokers, and shrunk where one fails.
+//! Schedules of faults: generated from a seed, run on a simulated cluster, and shrunk where one fails.
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 use super::simulation::{LinkConditions, MILLISECOND, SECOND, SimulatedCluster};
 use pebbleturn::replication::{CommandValue, FactKey, ProcessStart};
@@ -6,60 +13,90 @@
 use rand_pcg::rand_core::Rng;
 use std::collections::BTreeMap;
 
-/// One step.
+/// One step of a schedule. Brokers are named by their number.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Step {
+    /// An operator suspends or restores a server.
     Record {
+        /// The broker that records it.
         at: usize,
+        /// The number of the server.
         server: usize,
+        /// Whether it is suspended.
         out: bool,
     },
+    /// A link is cut.
     Cut {
+        /// The sender.
         from: usize,
+        /// The receiver.
         to: usize,
+        /// Whether it is cut in the other direction too.
         both: bool,
     },
+    /// A link is healed in both directions.
     Heal {
+        /// One end.
         a: usize,
+        /// The other end.
         b: usize,
     },
+    /// All links lose, duplicate and delay datagrams from now on.
     SetLoss {
+        /// Tenths of datagrams that are lost.
         tenths: usize,
     },
+    /// A broker is paused.
     Pause {
+        /// The broker.
         at: usize,
+        /// For so long, s.
         seconds: usize,
     },
+    /// A broker is killed.
     Kill {
+        /// The broker.
         at: usize,
     },
-    /// With its disk as it is, as it was when it was last looked at, or empty.
+    /// A broker that does not run is started.
     Start {
+        /// The broker.
         at: usize,
+        /// 0: with its saved disk; 1: with an empty one; else with its disk as it is.
         disk: usize,
     },
-    /// Looks at a disk, for a later start.
+    /// A broker's disk is saved for a later start.
     SaveDisk {
+        /// The broker.
         at: usize,
     },
-    /// Seconds by which its clock is off from its next start on.
+    /// A broker's clock is skewed from its next start on.
     SkewClock {
+        /// The broker.
         at: usize,
+        /// How far it is ahead, s.
         seconds: i64,
     },
-    /// Discovery tells it of a drain or a start.
+    /// Discovery reports a drain or a start of a server.
     ProcessEvent {
+        /// The broker that it is reported to.
         at: usize,
+        /// Whether it is a drain.
         drain: bool,
+        /// How long ago the server's process started, s.
         ago: usize,
+        /// The version of the report.
         version: usize,
     },
+    /// Time passes.
     Wait {
+        /// So long, ms.
         ms: usize,
     },
 }
 
 /// A schedule of so many steps for so many brokers.
+#[must_use]
 pub fn generate(brokers: usize, steps: usize, seed: u64) -> Vec<Step> {
     let mut rng = Pcg32::new(seed, 0x5c4e);
     let mut pick = |n: usize| rng.next_u32() as usize % n;
@@ -86,7 +123,7 @@
     schedule
 }
 
-/// Plays a schedule.
+/// Runs a schedule.
 pub fn run(cluster: &mut SimulatedCluster, steps: &[Step]) {
     let mut saved_disks: Vec<BTreeMap<_, _>> = vec![Default::default(); cluster.len()];
     for step in steps {
@@ -138,7 +175,7 @@
     }
 }
 
-/// The shortest schedule that is left when steps are taken out for as long as it still fails.
+/// Takes steps out of a failing schedule for as long as it still fails.
 pub fn shrink(steps: &[Step], fails: impl Fn(&[Step]) -> bool) -> Vec<Step> {
     let mut left = steps.to_vec();
     let mut chunk_len = left.len().div_ceil(2).max(1);
--- a/lab/src/cluster/simulation.rs
+++ b/lab/src/cluster/simulation.rs
@@ -1,8 +1,16 @@
 //! Brokers of a cluster in simulated time, with faults between them and invariants over all of them.
 //!
-//! The same seed gives the same run. Links lose, duplicate, delay and reorder datagrams, and are cut in one direction
-//! or both; connections keep order and stall while their link is cut. Brokers are paused, killed and started again,
-//! with their disk as it was, an old one, or none; their clocks are skewed.
+//! The same seed gives the same run. Links lose, duplicate, delay and reorder datagrams, and are cut in one
+//! direction or both; connections keep order and stall while their link is cut. Brokers are paused, killed
+//! and started again, with their disk as it was, an old one, or none; their clocks are skewed. Brokers are
+//! named by their number, from 0. Times are in nanoseconds.
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
 
 mod events;
 mod faults;
@@ -17,18 +25,21 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
+/// One millisecond, ns.
 pub const MILLISECOND: u64 = 1_000_000;
+/// One second, ns.
 pub const SECOND: u64 = 1_000 * MILLISECOND;
-/// When a world begins, unix ns.
+/// When a simulation begins, ns since the Unix epoch.
 const START_TIME: u64 = 1_700_000_000 * SECOND;
-/// Time until a change is on disk.
+/// Time until a change is on disk, ns.
 const DISK_WRITE_TIME: u64 = 5 * MILLISECOND;
 
-/// How links are.
+/// The conditions of all links.
 #[derive(Clone, Copy, Debug)]
 pub struct LinkConditions {
-    /// Shares of datagrams that are lost, and that come twice.
+    /// Share of datagrams that are lost, from 0 to 1.
     pub loss: f64,
+    /// Share of datagrams that arrive twice, from 0 to 1.
     pub duplication: f64,
     /// Shortest time on the way, ns.
     pub min_delay: u64,
@@ -42,6 +53,7 @@
     }
 }
 
+/// What happens at some time.
 #[derive(Clone, Debug)]
 enum Event {
     Wakeup(usize),
@@ -61,67 +73,88 @@
     in_transit: VecDeque<(u64, Vec<u8>)>,
 }
 
+/// A broker, whether it runs or not.
 struct Node {
+    /// `None` while it does not run.
     member: Option<GossipNode>,
     disk: BTreeMap<FactKey, FactValue>,
     /// Changes that are on their way to the disk.
     writing: Vec<Fact>,
-    /// Words that are acknowledged once these changes are kept.
+    /// Commands that are acknowledged once these changes are on disk.
     unacknowledged: Vec<Dot>,
+    /// How far its clock is ahead, ns.
     clock_skew: i64,
+    /// The same from its next start on.
     next_clock_skew: i64,
     paused_until: u64,
     next_wakeup: Option<u64>,
     streams: BTreeMap<u64, StreamEnd>,
     next_stream: u64,
-    starts: u64,
     latest_version: u8,
     listed: Vec<usize>,
 }
 
-/// A word that somebody was told is taken.
+/// A command that was acknowledged to whoever gave it.
 #[derive(Clone, Debug)]
 pub struct Acknowledged {
+    /// What it is about.
     pub key: FactKey,
+    /// Its identity.
     pub dot: Dot,
+    /// What it sets.
     pub value: CommandValue,
-    /// Words that it took the place of.
+    /// Commands that it superseded.
     pub supersedes: Vec<Dot>,
-    /// A broker that had it was set back, and no disk has it any more.
+    /// The disk of a broker was set back, and no other store has the command any more.
     pub lost_with_disk: bool,
 }
 
-/// What was counted.
+/// Counters over all brokers.
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
+    /// Datagrams that were sent.
     pub datagrams: u64,
+    /// Bytes that were sent, by datagram and on connections.
     pub bytes: u64,
+    /// Peers that a broker took for down.
     pub peers_down: u64,
-    /// Of brokers that ran and could be reached at the time.
+    /// Of these, peers that ran and could be reached at the time.
     pub false_positives: u64,
+    /// Suspicions that a broker refuted.
     pub refutations: u64,
+    /// How often a broker caught up with a peer.
     pub completed_catch_ups: u64,
 }
 
+/// A cluster of brokers in simulated time.
 pub struct SimulatedCluster {
+    /// The simulated time, ns since the Unix epoch.
     pub now: u64,
     nodes: Vec<Node>,
+    /// Times of events with their numbers.
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: HashMap<u64, Event>,
     last_event: u64,
+    /// The conditions of all links.
     pub links: LinkConditions,
+    /// Links that are cut, each in one direction: sender and receiver.
     pub cut_links: BTreeSet<(usize, usize)>,
     rng: Pcg32,
+    /// The limits of the stores of brokers that start from now on.
     pub store_limits: StoreLimits,
+    /// All commands that were acknowledged, in this order.
     pub acknowledged: Vec<Acknowledged>,
-    /// Words that were said and may be acknowledged: what they ended.
+    /// Commands that were recorded and are acknowledged once they are on disk.
     recorded: BTreeMap<Dot, Acknowledged>,
-    /// All stamps with what they stand for: one that stands for two things was used twice.
+    /// All commands, to find a dot that was used for two of them.
     commands_by_dot: BTreeMap<Dot, (FactKey, OperatorCommand)>,
+    /// Counters over all brokers.
     pub counts: Counts,
+    /// Bytes that each broker has sent.
     pub bytes_sent: Vec<u64>,
-    /// Walks that each has begun.
+    /// Anti-entropy sessions that each broker has begun.
     pub sessions_begun: Vec<u32>,
+    /// Violations of invariants that were found.
     pub violations: Vec<String>,
     probe_interval: u64,
     brokers: usize,
@@ -137,12 +170,15 @@
     usize::from(high) << 8 | usize::from(low)
 }
 
+/// The name of a broker.
+#[must_use]
 pub fn name(n: usize) -> String {
     format!("b-{n:03}")
 }
 
 impl SimulatedCluster {
-    /// So many brokers, all started within a second.
+    /// So many brokers, all started.
+    #[must_use]
     pub fn new(brokers: usize, seed: u64) -> SimulatedCluster {
         let mut cluster = SimulatedCluster::empty(brokers, seed);
         for n in 0..brokers {
@@ -152,6 +188,7 @@
     }
 
     /// So many brokers, none started.
+    #[must_use]
     pub fn empty(brokers: usize, seed: u64) -> SimulatedCluster {
         let node = |n| Node {
             member: None,
@@ -164,7 +201,6 @@
             next_wakeup: None,
             streams: BTreeMap::new(),
             next_stream: 1 << 63,
-            starts: 0,
             latest_version: codec::LATEST_VERSION,
             listed: (0..brokers).filter(|p| *p != n).collect(),
         };
@@ -190,6 +226,7 @@
         }
     }
 
+    /// A random number below `limit`.
     pub fn random_below(&mut self, limit: usize) -> usize {
         self.rng.next_u32() as usize % limit.max(1)
     }
@@ -198,18 +235,26 @@
         f64::from(self.rng.next_u32()) / f64::from(u32::MAX) < probability
     }
 
+    /// The number of brokers, running or not.
+    #[must_use]
     pub fn len(&self) -> usize {
         self.brokers
     }
 
+    /// Whether there are no brokers.
+    #[must_use]
     pub fn is_empty(&self) -> bool {
         self.brokers == 0
     }
 
+    /// A broker; `None` while it does not run.
+    #[must_use]
     pub fn member(&self, n: usize) -> Option<&GossipNode> {
         self.nodes[n].member.as_ref()
     }
 
+    /// Whether a broker runs and is not paused.
+    #[must_use]
     pub fn is_running(&self, n: usize) -> bool {
         self.nodes[n].member.is_some() && self.nodes[n].paused_until <= self.now
     }
@@ -225,7 +270,7 @@
         self.now.saturating_add_signed(self.nodes[n].clock_skew)
     }
 
-    /// Plays until this time.
+    /// Runs until this time.
     pub fn run_until(&mut self, until: u64) {
         while let Some(Reverse((at, id))) = self.queue.peek().copied().filter(|Reverse((at, _))| *at <= until)
         {
@@ -238,11 +283,12 @@
         self.now = until;
     }
 
+    /// Runs for this span, ns.
     pub fn run_for(&mut self, span: u64) {
         self.run_until(self.now + span);
     }
 
-    /// Plays until something holds, or the time is over.
+    /// Runs until the condition holds, `timeout` at most. Returns whether it holds.
     pub fn wait_for(&mut self, timeout: u64, condition: impl Fn(&SimulatedCluster) -> bool) -> bool {
         let end = self.now + timeout;
         while self.now < end {
--- a/lab/src/cluster/simulation/faults.rs
+++ b/lab/src/cluster/simulation/faults.rs
@@ -1,4 +1,5 @@
-//! What operators and faults do to simulated brokers: starts, kills, pauses, disks, clocks, cut links, commands.
+//! What operators and faults do to simulated brokers: starts, kills, pauses, disks, clocks, cut links,
+//! commands.
 
 use super::{Acknowledged, Event, MILLISECOND, START_TIME, SimulatedCluster, address, name};
 use pebbleturn::gossip::{GossipNode, GossipSettings, swim};
@@ -10,13 +11,12 @@
 use std::collections::BTreeMap;
 
 impl SimulatedCluster {
-    /// Starts a broker with what its disk has.
+    /// Starts a broker with the facts on its disk.
     pub fn start(&mut self, n: usize) {
         let seed = u64::from(self.rng.next_u32()) << 32 | u64::from(self.rng.next_u32());
         self.nodes[n].clock_skew = self.nodes[n].next_clock_skew;
         let now = self.local_time(n);
         let node = &mut self.nodes[n];
-        node.starts += 1;
         let settings = GossipSettings {
             cluster: "kochi".into(),
             name: name(n),
@@ -38,7 +38,7 @@
         self.drain_outputs(n);
     }
 
-    /// Kills it: what was not on disk is gone.
+    /// Kills a broker: what was not on disk is lost.
     pub fn kill(&mut self, n: usize) {
         let node = &mut self.nodes[n];
         node.member = None;
@@ -51,31 +51,33 @@
         }
     }
 
-    /// Stops it for so long.
+    /// Pauses a broker for this span, ns.
     pub fn pause(&mut self, n: usize, span: u64) {
         self.nodes[n].paused_until = self.now + span;
     }
 
-    /// Its clock is off by so much from its next start on: a process's own clock never jumps.
+    /// Sets how far a broker's clock is ahead, ns, from its next start on: the clock of a process never
+    /// jumps.
     pub fn set_clock_skew(&mut self, n: usize, clock_skew: i64) {
         self.nodes[n].next_clock_skew = clock_skew;
     }
 
+    /// Sets the latest version of frames that a broker reads, from its next start on.
     pub fn set_latest_version(&mut self, n: usize, version: u8) {
         self.nodes[n].latest_version = version;
     }
 
-    /// The peers that its file lists; for its next start.
+    /// Sets the peers that a broker's file lists, from its next start on.
     pub fn set_listed_peers(&mut self, n: usize, listed: Vec<usize>) {
         self.nodes[n].listed = listed;
     }
 
-    /// What its disk has now.
+    /// The facts on a broker's disk.
     pub fn disk(&self, n: usize) -> BTreeMap<FactKey, FactValue> {
         self.nodes[n].disk.clone()
     }
 
-    /// Sets its disk back, or makes it empty, while it does not run. Words that no other broker has are lost with it.
+    /// Replaces the disk of a broker that does not run. Commands that no other broker has are lost with it.
     pub fn set_disk(&mut self, n: usize, disk: BTreeMap<FactKey, FactValue>) {
         self.nodes[n].disk = disk;
         let known = |dot: Dot, key: &FactKey, facts: Option<&FactValue>| {
@@ -92,7 +94,7 @@
         }
     }
 
-    /// Fills a broker's disk with so many words, as if they had been said at it long ago.
+    /// Fills a broker's disk with so many commands, as if they had been recorded there long ago.
     pub fn fill_disk(&mut self, n: usize, facts: usize) {
         let mut store = StateStore::new(Origin(0xf111 + n as u64), StoreLimits::default());
         for i in 0..facts {
@@ -112,7 +114,7 @@
         self.nodes[n].disk = store.facts().map(|(k, e)| (k.clone(), e.clone())).collect();
     }
 
-    /// Cuts or mends a link in one direction.
+    /// Cuts or heals a link in one direction.
     pub fn set_link_cut(&mut self, from: usize, to: usize, cut: bool) {
         if cut {
             self.cut_links.insert((from, to));
@@ -121,7 +123,7 @@
         }
     }
 
-    /// Says something at a broker, by hand.
+    /// Records an operator's command at a broker. `None` if it does not run or does not accept the command.
     pub fn record(&mut self, n: usize, key: &FactKey, value: CommandValue) -> Option<Dot> {
         let now = self.local_time(n);
         let command = OperatorCommand {
@@ -147,6 +149,7 @@
         Some(dot)
     }
 
+    /// Discovery reports a drain or a start of a server to a broker.
     pub fn record_process_event(&mut self, n: usize, key: FactKey, latest: ProcessStart) {
         let now = self.local_time(n);
         if let Some(member) = &mut self.nodes[n].member {
@@ -155,7 +158,7 @@
         }
     }
 
-    /// Bytes that come to a broker out of nowhere, as if from that address.
+    /// Delivers bytes to a broker as a datagram from the address of the broker `from`.
     pub fn inject(&mut self, n: usize, from: usize, bytes: &[u8]) {
         let now = self.local_time(n);
         if let Some(member) = &mut self.nodes[n].member {
--- a/lab/src/cluster/simulation/invariants.rs
+++ b/lab/src/cluster/simulation/invariants.rs
@@ -7,20 +7,21 @@
 use pebbleturn::replication::{CommandValue, Dot, FactKey};
 
 impl SimulatedCluster {
-    /// All that run have equal copies.
+    /// Whether the stores of all brokers that run are equal.
     pub fn stores_are_equal(&self) -> bool {
         let mut roots = self.nodes.iter().filter_map(|n| Some(n.member.as_ref()?.store().tree().root()));
         let first = roots.next();
         roots.all(|r| Some(r) == first)
     }
 
-    /// All that run know this word.
+    /// How many of the brokers that run know this command.
     pub fn count_knowing(&self, key: &FactKey, dot: Dot) -> usize {
         let knows = |m: &&GossipNode| m.store().register(key).is_some_and(|r| r.seen().contains(dot));
         self.nodes.iter().filter_map(|n| n.member.as_ref()).filter(knows).count()
     }
 
-    /// What holds everywhere must follow from what was acknowledged: to be asked when all copies are equal.
+    /// Checks that what holds everywhere follows from what was acknowledged, once all stores are equal. Adds
+    /// to [`SimulatedCluster::violations`].
     pub fn check_invariants(&mut self) {
         let Some(store) = self.nodes.iter().find_map(|n| n.member.as_ref()).map(|m| m.store().clone()) else {
             return;
@@ -47,7 +48,7 @@
                 && !superseded
                 && !command.lost_with_disk
                 && !is_current(&command.key, command.dot);
-            // Somebody may have ended it by a word that was never acknowledged and yet lives.
+            // It may have been superseded by a command that was never acknowledged and yet survived.
             let superseded_unacknowledged = store.register(&command.key).is_some_and(|r| {
                 r.commands().any(|(d, _)| d != command.dot && !self.acknowledged.iter().any(|o| o.dot == d))
             });
@@ -65,7 +66,7 @@
         }
     }
 
-    /// How all stand, for a failing test.
+    /// The state of all brokers, for the message of a failing test.
     pub fn describe(&self) -> String {
         let one = |(n, node): (usize, &Node)| match &node.member {
             None => format!("{n}: does not run"),
@@ -88,7 +89,7 @@
         self.nodes.iter().enumerate().map(one).collect::<Vec<_>>().join("\n")
     }
 
-    /// Names of brokers that this one takes for up.
+    /// How many peers a broker takes for up.
     pub fn peers_up(&self, n: usize) -> usize {
         let now = self.local_time(n);
         self.nodes[n]
@@ -97,11 +98,12 @@
             .map_or(0, |m| m.peers(now).filter(|p| p.status == PeerStatus::Alive).count())
     }
 
+    /// Whether a broker runs and has caught up.
     pub fn is_caught_up(&self, n: usize) -> bool {
         self.nodes[n].member.as_ref().is_some_and(|m| m.sync_status() == SyncStatus::CaughtUp)
     }
 
-    /// What holds for a broker.
+    /// What follows from a broker's store for it.
     pub fn derived_state(&self, n: usize) -> DerivedState {
         self.nodes[n].member.as_ref().map(|m| m.derived_state().clone()).unwrap_or_default()
     }
