--- a/tests/log.rs
+++ b/tests/log.rs
@@ -4,6 +4,7 @@
 use std::io::{self, Write};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tracing_subscriber::util::SubscriberInitExt;
 
 #[test]
 fn lines_over_the_rate_limit_are_dropped_and_counted() {
@@ -34,11 +35,12 @@
     let output = Output::default();
     let writer = output.clone();
     let subscriber = subscriber(LogLevel::Info, format, move || writer.clone());
-    tracing::subscriber::with_default(subscriber, || {
+    {
+        let _guard = subscriber.set_default();
         let address = "127.0.0.1:80\nerror log: forged";
         tracing::info!(target: "pebbleturn::server", node = 7, addr = %address, "node is reachable again");
         tracing::debug!(target: "pebbleturn::server", "below the level");
-    });
+    }
     let bytes = output.0.lock().unwrap().clone();
     String::from_utf8(bytes).unwrap()
 }
