--- a/tests/program.rs
+++ b/tests/program.rs
@@ -140,7 +140,8 @@
     let said = String::from_utf8(out.stderr).unwrap();
     let line: serde_json::Value = serde_json::from_str(said.trim()).unwrap();
     assert_eq!((&line["level"], &line["target"]), (&"ERROR".into(), &"pebbleturn::cli".into()));
-    assert!(line["message"].as_str().unwrap().contains("/nowhere/config.json"));
+    assert_eq!(line["message"], "broker failed");
+    assert!(line["error"].as_str().unwrap().contains("/nowhere/config.json"));
 }
 
 /// A port that is free just now.
