--- a/tests/links.rs
+++ b/tests/links.rs
@@ -97,7 +97,7 @@
     let mut link = Link::new(Idempotency::NonIdempotent, &listener);
     link.ask("first");
     let (mut conn, _) = listener.accept().unwrap();
-    link.poll_until(|l| l.exchange.metrics().tries() == 1);
+    link.poll_until(|l| l.exchange.metrics().attempts() == 1);
     assert!(frame(&mut conn).starts_with("Rfirst.0 "));
     let body = "Yfirst.0 OK 1 -\nvalue";
     conn.write_all(&[&(body.len() as u32).to_be_bytes(), body.as_bytes()].concat()).unwrap();
@@ -105,7 +105,7 @@
     drop(conn);
     link.ask("second");
     let (mut conn, _) = listener.accept().expect("the call went where nobody reads");
-    link.poll_until(|l| l.exchange.metrics().tries() == 2);
+    link.poll_until(|l| l.exchange.metrics().attempts() == 2);
     assert!(frame(&mut conn).starts_with("Rsecond.0 "));
     assert_eq!(link.exchange.attempts_in_flight(), 1, "the call that was written is out");
 }
