Name the benchmark adapter's types and functions by what they are

Change: names only (InboundMessage for In, ListKind for Form, events for heard and so on); the wire's names stay. Measured: built with rustc against the library of this tree, the five tests of tests/adapter.rs pass on that binary.

--- a/src/bin/pebbleturn-benchlink/main.rs
+++ b/src/bin/pebbleturn-benchlink/main.rs
@@ -8,19 +8,19 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
-use wire::{Form, In, Out, Row};
+use wire::{InboundMessage, ListKind, OutboundMessage, ReplicaRow};
 
 struct Instance {
     balancer: Balancer,
     names: Names,
-    heard: Vec<Event>,
-    touched: bool,
+    events: Vec<Event>,
+    in_batch: bool,
 }
 
 #[derive(Default)]
 struct Adapter {
     instances: BTreeMap<String, Instance>,
-    banks: HashMap<u32, Vec<Row>>,
+    lists: HashMap<u32, Vec<ReplicaRow>>,
     clock: Option<(u64, u64)>,
     reply: Vec<u8>,
 }
@@ -30,9 +30,9 @@
     let mut stdout = std::io::stdout().lock();
     let mut adapter = Adapter::default();
     for (n, line) in stdin.lines().enumerate() {
-        let fault = match line {
+        let error = match line {
             Ok(text) if text.trim().is_empty() => continue,
-            Ok(text) => adapter.line(&text).and_then(|ready| {
+            Ok(text) => adapter.handle_line(&text).and_then(|ready| {
                 if ready {
                     stdout
                         .write_all(&adapter.reply)
@@ -44,8 +44,8 @@
             }),
             Err(e) => Err(e.to_string()),
         };
-        if let Err(fault) = fault {
-            eprintln!("pebbleturn-benchlink: line {}: {fault}", n + 1);
+        if let Err(error) = error {
+            eprintln!("pebbleturn-benchlink: line {}: {error}", n + 1);
             return ExitCode::FAILURE;
         }
     }
@@ -58,69 +58,74 @@
 
 impl Adapter {
     /// Takes in one line; true when a whole reply stands in `reply`.
-    fn line(&mut self, text: &str) -> Result<bool, String> {
-        let message: In = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    fn handle_line(&mut self, text: &str) -> Result<bool, String> {
+        let message: InboundMessage = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let Some((now, batch)) = self.clock else {
-            let In::Clock { now_ns, batch } = message else { return Err("a batch starts with CLOCK".into()) };
+            let InboundMessage::Clock { now_ns, batch } = message else {
+                return Err("a batch starts with CLOCK".into());
+            };
             self.clock = Some((now_ns, batch));
             return Ok(false);
         };
         match message {
-            In::Clock { .. } => return Err("CLOCK inside a batch".into()),
-            In::EndOfBatch {} => {
-                self.answer(now, batch)?;
+            InboundMessage::Clock { .. } => return Err("CLOCK inside a batch".into()),
+            InboundMessage::EndOfBatch {} => {
+                self.finish_batch(now, batch)?;
                 self.clock = None;
                 return Ok(true);
             }
-            In::PowerOn { root_id, init_seed, params } => {
+            InboundMessage::PowerOn { root_id, init_seed, params } => {
                 let (settings, names) = config::settings(&params)?;
                 let balancer = Balancer::new(settings, init_seed, now).map_err(|e| e.to_string())?;
-                let heard = Vec::new();
-                self.instances.insert(root_id, Instance { balancer, names, heard, touched: true });
+                let events = Vec::new();
+                self.instances.insert(root_id, Instance { balancer, names, events, in_batch: true });
             }
-            In::Kill { root_id } => {
-                self.instances.remove(&root_id).ok_or_else(|| unknown(&root_id))?;
+            InboundMessage::Kill { root_id } => {
+                self.instances.remove(&root_id).ok_or_else(|| unknown_instance(&root_id))?;
             }
-            In::Rows { bank, entries } => {
-                self.banks.insert(bank, entries);
+            InboundMessage::Rows { bank, entries } => {
+                self.lists.insert(bank, entries);
             }
-            In::Directory { root_id, form, bank } => {
-                let instance = self.instances.get_mut(&root_id).ok_or_else(|| unknown(&root_id))?;
-                instance.touched = true;
-                if form == Form::Failed {
-                    instance.heard.push(Event::WatchFailed);
+            InboundMessage::Directory { root_id, form, bank } => {
+                let instance = self.instances.get_mut(&root_id).ok_or_else(|| unknown_instance(&root_id))?;
+                instance.in_batch = true;
+                if form == ListKind::Failed {
+                    instance.events.push(Event::WatchFailed);
                 } else {
                     let bank = bank.ok_or("a list without its bank")?;
-                    let rows = self.banks.get(&bank).ok_or_else(|| format!("no list in bank {bank}"))?;
-                    let lines = wire::listed(rows, &instance.names);
-                    instance.heard.push(Event::EndpointList { full: form != Form::Changes, entries: lines });
+                    let rows = self.lists.get(&bank).ok_or_else(|| format!("no list in bank {bank}"))?;
+                    let lines = wire::endpoint_entries(rows, &instance.names);
+                    instance
+                        .events
+                        .push(Event::EndpointList { full: form != ListKind::Changes, entries: lines });
                 }
             }
-            In::Order(o) => {
+            InboundMessage::Order(o) => {
                 let instance = self.instance(&o.root_id)?;
-                let event = wire::order(&o, &instance.names)?;
-                instance.heard.push(event);
+                let event = wire::order_event(&o, &instance.names)?;
+                instance.events.push(event);
             }
-            In::Response(r) => {
-                let event = wire::response(&r)?;
-                self.instance(&r.root_id)?.heard.push(event);
+            InboundMessage::Response(r) => {
+                let event = wire::attempt_ended(&r)?;
+                self.instance(&r.root_id)?.events.push(event);
             }
-            In::Hangup { root_id, xid } => {
-                let query = wire::request_id(&xid)?;
-                self.instance(&root_id)?.heard.push(Event::ClientDisconnected { query });
+            InboundMessage::Hangup { root_id, xid } => {
+                let query = wire::parse_id(&xid)?;
+                self.instance(&root_id)?.events.push(Event::ClientDisconnected { query });
             }
-            In::Checked { root_id, leaf, how, rtt_ns, pressure } => {
-                let (replica, ok, busy) = (pebbleturn::ReplicaId(leaf), how == "ok", wire::busy(&pressure));
-                self.instance(&root_id)?.heard.push(Event::HealthChecked {
+            InboundMessage::Checked { root_id, leaf, how, rtt_ns, pressure } => {
+                let (replica, ok, busy) =
+                    (pebbleturn::ReplicaId(leaf), how == "ok", wire::utilization(&pressure));
+                self.instance(&root_id)?.events.push(Event::HealthChecked {
                     replica,
                     ok,
                     latency: rtt_ns,
                     utilization: busy,
                 });
             }
-            In::Wakeup { root_id } => self.instance(&root_id)?.heard.push(Event::TimerFired),
+            InboundMessage::Wakeup { root_id } => self.instance(&root_id)?.events.push(Event::TimerFired),
             // Parts of a query are not streamed, and no messages are sent between roots.
-            In::UnderWay { root_id } | In::Inbox { root_id } => {
+            InboundMessage::UnderWay { root_id } | InboundMessage::Inbox { root_id } => {
                 self.instance(&root_id)?;
             }
         }
@@ -128,32 +133,32 @@
     }
 
     fn instance(&mut self, root_id: &str) -> Result<&mut Instance, String> {
-        let instance = self.instances.get_mut(root_id).ok_or_else(|| unknown(root_id))?;
-        instance.touched = true;
+        let instance = self.instances.get_mut(root_id).ok_or_else(|| unknown_instance(root_id))?;
+        instance.in_batch = true;
         Ok(instance)
     }
 
-    fn answer(&mut self, now: u64, batch: u64) -> Result<(), String> {
+    fn finish_batch(&mut self, now: u64, batch: u64) -> Result<(), String> {
         let mut actions: Vec<Action> = Vec::new();
-        for (root_id, instance) in self.instances.iter_mut().filter(|(_, i)| i.touched) {
-            instance.touched = false;
+        for (root_id, instance) in self.instances.iter_mut().filter(|(_, i)| i.in_batch) {
+            instance.in_batch = false;
             actions.clear();
-            instance.balancer.round(now, &instance.heard, &mut actions);
-            instance.heard.clear();
+            instance.balancer.round(now, &instance.events, &mut actions);
+            instance.events.clear();
             for a in &actions {
-                put(&mut self.reply, &wire::action(root_id, a))?;
+                write_message(&mut self.reply, &wire::outbound_message(root_id, a))?;
             }
         }
-        put(&mut self.reply, &Out::Next { batch })
+        write_message(&mut self.reply, &OutboundMessage::Next { batch })
     }
 }
 
-fn put(reply: &mut Vec<u8>, out: &Out) -> Result<(), String> {
+fn write_message(reply: &mut Vec<u8>, out: &OutboundMessage) -> Result<(), String> {
     serde_json::to_writer(&mut *reply, out).map_err(|e| e.to_string())?;
     reply.push(b'\n');
     Ok(())
 }
 
-fn unknown(root_id: &str) -> String {
+fn unknown_instance(root_id: &str) -> String {
     format!("unknown instance {root_id}")
 }
--- a/src/bin/pebbleturn-benchlink/wire.rs
+++ b/src/bin/pebbleturn-benchlink/wire.rs
@@ -7,7 +7,7 @@
 
 #[derive(Deserialize)]
 #[serde(tag = "verb")]
-pub enum In {
+pub enum InboundMessage {
     #[serde(rename = "CLOCK")]
     Clock { now_ns: u64, batch: u64 },
     #[serde(rename = "EOF_BATCH")]
@@ -17,19 +17,19 @@
     #[serde(rename = "KILL")]
     Kill { root_id: String },
     #[serde(rename = "SNAPSHOT_ROWS")]
-    Rows { bank: u32, entries: Vec<Row> },
+    Rows { bank: u32, entries: Vec<ReplicaRow> },
     #[serde(rename = "DIRECTORY_UPDATE")]
-    Directory { root_id: String, form: Form, bank: Option<u32> },
+    Directory { root_id: String, form: ListKind, bank: Option<u32> },
     #[serde(rename = "ORDER")]
-    Order(Order),
+    Order(OrderMessage),
     #[serde(rename = "UNDER_WAY")]
     UnderWay { root_id: String },
     #[serde(rename = "RESPONSE")]
-    Response(Response),
+    Response(ResponseMessage),
     #[serde(rename = "HANGUP")]
     Hangup { root_id: String, xid: String },
     #[serde(rename = "CHECKED")]
-    Checked { root_id: String, leaf: u32, how: String, rtt_ns: u64, pressure: Option<Report> },
+    Checked { root_id: String, leaf: u32, how: String, rtt_ns: u64, pressure: Option<LoadReport> },
     #[serde(rename = "WAKEUP")]
     Wakeup { root_id: String },
     #[serde(rename = "INBOX")]
@@ -37,21 +37,21 @@
 }
 
 #[derive(Deserialize, Clone, Copy, PartialEq)]
-pub enum Form {
+pub enum ListKind {
     #[serde(rename = "D")]
     Changes,
     #[serde(rename = "F")]
     Full,
     #[serde(rename = "C")]
-    LastHeld,
+    LastKnown,
     #[serde(rename = "X")]
     Failed,
 }
 
-pub type Report = HashMap<String, Option<f64>>;
+pub type LoadReport = HashMap<String, Option<f64>>;
 
 #[derive(Deserialize)]
-pub struct Row {
+pub struct ReplicaRow {
     pub leaf: u32,
     pub campus: Option<String>,
     #[serde(default)]
@@ -71,7 +71,7 @@
 }
 
 #[derive(Deserialize)]
-pub struct Order {
+pub struct OrderMessage {
     pub root_id: String,
     pub xid: String,
     pub repeat: Option<bool>,
@@ -85,19 +85,19 @@
 }
 
 #[derive(Deserialize)]
-pub struct Response {
+pub struct ResponseMessage {
     pub root_id: String,
     pub xid: String,
     pub leaf: u32,
     pub rtt_ns: u64,
-    pub how: How,
+    pub how: AttemptResult,
     pub attempt: u32,
-    pub pressure: Option<Report>,
+    pub pressure: Option<LoadReport>,
 }
 
 #[derive(Deserialize, Clone, Copy)]
 #[serde(rename_all = "snake_case")]
-pub enum How {
+pub enum AttemptResult {
     Ok,
     Error,
     Full,
@@ -108,7 +108,7 @@
     Moot,
 }
 
-pub fn listed(rows: &[Row], names: &Names) -> Vec<ReplicaEntry> {
+pub fn endpoint_entries(rows: &[ReplicaRow], names: &Names) -> Vec<ReplicaEntry> {
     rows.iter()
         .map(|r| ReplicaEntry {
             replica: ReplicaId(r.leaf),
@@ -125,8 +125,8 @@
         .collect()
 }
 
-pub fn order(o: &Order, names: &Names) -> Result<Event, String> {
-    let id = request_id(&o.xid)?;
+pub fn order_event(o: &OrderMessage, names: &Names) -> Result<Event, String> {
+    let id = parse_id(&o.xid)?;
     if o.segment_no >= 0 {
         let shard = u32::try_from(o.segment_no).map_err(|_| "segment_no is too large")?;
         return Ok(Event::Part { part: id, job: o.job_no, shard, weight: o.amount.unwrap_or(0.0) });
@@ -145,45 +145,45 @@
     })
 }
 
-pub fn response(r: &Response) -> Result<Event, String> {
+pub fn attempt_ended(r: &ResponseMessage) -> Result<Event, String> {
     Ok(Event::AttemptEnded {
-        part: request_id(&r.xid)?,
+        part: parse_id(&r.xid)?,
         replica: ReplicaId(r.leaf),
         attempt: r.attempt,
         latency: r.rtt_ns,
         outcome: match r.how {
-            How::Ok => Outcome::Ok,
-            How::Error => Outcome::Error,
-            How::Full => Outcome::Rejected,
-            How::Timeout => Outcome::TimedOut,
-            How::ConnectFailed => Outcome::ConnectFailed,
-            How::Reset => Outcome::ConnectionReset,
-            How::Cancelled => Outcome::Cancelled,
-            How::Moot => Outcome::NotSent,
+            AttemptResult::Ok => Outcome::Ok,
+            AttemptResult::Error => Outcome::Error,
+            AttemptResult::Full => Outcome::Rejected,
+            AttemptResult::Timeout => Outcome::TimedOut,
+            AttemptResult::ConnectFailed => Outcome::ConnectFailed,
+            AttemptResult::Reset => Outcome::ConnectionReset,
+            AttemptResult::Cancelled => Outcome::Cancelled,
+            AttemptResult::Moot => Outcome::NotSent,
         },
-        utilization: busy(&r.pressure),
+        utilization: utilization(&r.pressure),
     })
 }
 
-pub fn busy(report: &Option<Report>) -> Option<f64> {
+pub fn utilization(report: &Option<LoadReport>) -> Option<f64> {
     report.as_ref().and_then(|r| r.get("busy").copied().flatten())
 }
 
-/// Reads the 36 characters of an id; only the form that `id_text` writes back unaltered is taken.
-pub fn request_id(text: &str) -> Result<RequestId, String> {
+/// Reads the 36 characters of an id; only the form that `format_id` writes back unaltered is taken.
+pub fn parse_id(text: &str) -> Result<RequestId, String> {
     let digits: String = text.chars().filter(|c| *c != '-').collect();
     let id = u128::from_str_radix(&digits, 16).map(RequestId).map_err(|_| format!("bad id {text}"))?;
-    if id_text(id) == text { Ok(id) } else { Err(format!("bad id {text}")) }
+    if format_id(id) == text { Ok(id) } else { Err(format!("bad id {text}")) }
 }
 
-pub fn id_text(id: RequestId) -> String {
+pub fn format_id(id: RequestId) -> String {
     let h = format!("{:032x}", id.0);
     format!("{}-{}-{}-{}-{}", &h[..8], &h[8..12], &h[12..16], &h[16..20], &h[20..])
 }
 
 #[derive(Serialize)]
 #[serde(tag = "verb")]
-pub enum Out<'a> {
+pub enum OutboundMessage<'a> {
     #[serde(rename = "PASS_ON")]
     PassOn { root_id: &'a str, xid: String, leaf: u32, within_ns: u64 },
     #[serde(rename = "CALL_OFF")]
@@ -204,21 +204,23 @@
     Next { batch: u64 },
 }
 
-pub fn action<'a>(root_id: &'a str, a: &Action) -> Out<'a> {
+pub fn outbound_message<'a>(root_id: &'a str, a: &Action) -> OutboundMessage<'a> {
     match *a {
         Action::Send { part, replica, timeout } => {
-            Out::PassOn { root_id, xid: id_text(part), leaf: replica.0, within_ns: timeout }
+            OutboundMessage::PassOn { root_id, xid: format_id(part), leaf: replica.0, within_ns: timeout }
+        }
+        Action::Cancel { part, attempt } => {
+            OutboundMessage::CallOff { root_id, xid: format_id(part), attempt }
         }
-        Action::Cancel { part, attempt } => Out::CallOff { root_id, xid: id_text(part), attempt },
         Action::Answer { query, complete: whole } => {
-            Out::HandIn { root_id, xid: id_text(query), full: whole }
+            OutboundMessage::HandIn { root_id, xid: format_id(query), full: whole }
         }
         Action::Reject { query, retry_after: wait } => {
-            Out::SayNo { root_id, xid: id_text(query), not_before_for_ns: wait }
+            OutboundMessage::SayNo { root_id, xid: format_id(query), not_before_for_ns: wait }
         }
-        Action::Fail { query } => Out::ReportFailure { root_id, xid: id_text(query) },
-        Action::HealthCheck { replica } => Out::HealthCheck { root_id, leaf: replica.0 },
-        Action::WatchEndpoints => Out::Watch { root_id, full: true },
-        Action::SetTimer { after } => Out::WakeMe { root_id, token: "look", wait_ns: after },
+        Action::Fail { query } => OutboundMessage::ReportFailure { root_id, xid: format_id(query) },
+        Action::HealthCheck { replica } => OutboundMessage::HealthCheck { root_id, leaf: replica.0 },
+        Action::WatchEndpoints => OutboundMessage::Watch { root_id, full: true },
+        Action::SetTimer { after } => OutboundMessage::WakeMe { root_id, token: "look", wait_ns: after },
     }
 }
