--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -1,4 +1,4 @@
-//! The adapter end to end: it is started as a process and spoken to on its wire.
+//! The adapter end to end: it is started as a process and gets messages on its standard input.
 
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
@@ -22,7 +22,7 @@
     child.wait_with_output().expect("the adapter ends")
 }
 
-fn text(bytes: &[u8]) -> Vec<String> {
+fn lines_of(bytes: &[u8]) -> Vec<String> {
     String::from_utf8(bytes.to_vec()).expect("UTF-8").lines().map(str::to_string).collect()
 }
 
@@ -30,7 +30,7 @@
     format!(r#"{{"verb":"CLOCK","now_ns":{now},"batch":{batch}}}"#)
 }
 
-fn end() -> String {
+fn end_of_batch() -> String {
     r#"{"verb":"EOF_BATCH"}"#.to_string()
 }
 
@@ -59,7 +59,7 @@
     format!(r#"{{"verb":"SNAPSHOT_ROWS","bank":3,"entries":[{},{}]}}"#, row(40), row(41))
 }
 
-fn list(root: &str) -> String {
+fn endpoint_list(root: &str) -> String {
     format!(r#"{{"verb":"DIRECTORY_UPDATE","root_id":"{root}","form":"C","gen":1,"bank":3}}"#)
 }
 
@@ -70,14 +70,21 @@
 }
 
 fn start() -> Vec<String> {
-    let on = vec![clock(0, 1), power_on("root/0"), rows(), list("root/0"), end(), clock(5_000_000, 2)];
-    [on, vec![order("root/0", ID, -1), order("root/0", PART, 1), end()]].concat()
+    let on = vec![
+        clock(0, 1),
+        power_on("root/0"),
+        rows(),
+        endpoint_list("root/0"),
+        end_of_batch(),
+        clock(5_000_000, 2),
+    ];
+    [on, vec![order("root/0", ID, -1), order("root/0", PART, 1), end_of_batch()]].concat()
 }
 
 #[test]
-fn a_query_is_sent_answered_and_the_replies_are_whole() {
+fn a_query_is_sent_and_answered_and_the_replies_are_complete() {
     let mut lines = start();
-    let reply = text(&run(&lines).stdout);
+    let reply = lines_of(&run(&lines).stdout);
     let sent = reply.iter().find(|l| l.contains("PASS_ON")).expect("the part is sent").clone();
     assert!(sent.contains(PART), "{sent}");
     let leaf = if sent.contains(r#""leaf":40"#) { 40 } else { 41 };
@@ -85,10 +92,10 @@
     lines.push(format!(
         r#"{{"verb":"RESPONSE","root_id":"root/0","xid":"{PART}","leaf":{leaf},"rtt_ns":90000000,"how":"ok","no_more":true,"attempt":0,"pressure":{{"busy":0.2,"odd":null}}}}"#
     ));
-    lines.push(end());
+    lines.push(end_of_batch());
     let out = run(&lines);
-    assert!(out.status.success(), "{:?}", text(&out.stderr));
-    let reply = text(&out.stdout);
+    assert!(out.status.success(), "{:?}", lines_of(&out.stderr));
+    let reply = lines_of(&out.stdout);
     let answer = format!(r#"{{"verb":"HAND_IN","root_id":"root/0","xid":"{ID}","full":true}}"#);
     assert!(reply.contains(&answer), "{reply:#?}");
     for n in 1..=3 {
@@ -98,57 +105,67 @@
 }
 
 #[test]
-fn an_instance_that_is_killed_starts_empty_and_another_is_untouched() {
+fn a_killed_instance_starts_again_without_state() {
     let mut lines = start();
     lines.push(clock(10_000_000, 3));
     lines.push(r#"{"verb":"KILL","root_id":"root/0"}"#.to_string());
-    lines.extend([power_on("root/0"), rows(), list("root/0"), end(), clock(3_000_000_000, 4)]);
-    lines.extend([r#"{"verb":"WAKEUP","root_id":"root/0","token":"look"}"#.to_string(), end()]);
+    lines.extend([
+        power_on("root/0"),
+        rows(),
+        endpoint_list("root/0"),
+        end_of_batch(),
+        clock(3_000_000_000, 4),
+    ]);
+    lines.extend([r#"{"verb":"WAKEUP","root_id":"root/0","token":"look"}"#.to_string(), end_of_batch()]);
     let out = run(&lines);
-    assert!(out.status.success(), "{:?}", text(&out.stderr));
-    assert!(!text(&out.stdout).iter().any(|l| l.contains("REPORT_FAILURE") || l.contains("SAY_NO")));
+    assert!(out.status.success(), "{:?}", lines_of(&out.stderr));
+    assert!(!lines_of(&out.stdout).iter().any(|l| l.contains("REPORT_FAILURE") || l.contains("SAY_NO")));
 }
 
 #[test]
-fn the_end_of_input_is_a_clean_exit() {
-    let out = run(&[clock(0, 1), end()]);
+fn the_end_of_the_input_is_a_clean_exit() {
+    let out = run(&[clock(0, 1), end_of_batch()]);
     assert!(out.status.success());
-    assert_eq!(text(&out.stdout), [r#"{"verb":"NEXT","batch":1}"#]);
+    assert_eq!(lines_of(&out.stdout), [r#"{"verb":"NEXT","batch":1}"#]);
     assert!(out.stderr.is_empty());
 }
 
 #[test]
-fn bad_input_is_one_plain_line_with_its_number_and_no_half_reply() {
+fn bad_input_is_reported_by_line_number_without_a_partial_reply() {
     let bad: [(&str, Vec<String>); 7] = [
         ("malformed", vec![clock(1, 9), "{oops".into()]),
         ("unknown verb", vec![clock(1, 9), r#"{"verb":"DANCE"}"#.into()]),
         ("missing field", vec![clock(1, 9), r#"{"verb":"WAKEUP","token":"x"}"#.into()]),
-        ("out of frame", vec![end()]),
+        ("out of frame", vec![end_of_batch()]),
         ("clock in a batch", vec![clock(1, 9), clock(2, 10)]),
         ("unknown instance", vec![clock(1, 9), r#"{"verb":"WAKEUP","root_id":"root/8","token":"x"}"#.into()]),
         ("unknown class", vec![clock(1, 9), order("root/0", ID, -1).replace("lookup", "other")]),
     ];
     for (what, tail) in bad {
         let mut lines = start();
-        let whole = lines.iter().filter(|l| **l == end()).count();
+        let complete_batches = lines.iter().filter(|l| **l == end_of_batch()).count();
         lines.extend(tail);
         let at = lines.len();
-        lines.push(end());
+        lines.push(end_of_batch());
         let out = run(&lines);
         assert!(!out.status.success(), "{what}");
-        let complaint = text(&out.stderr);
-        assert_eq!(complaint.len(), 1, "{what}: {complaint:?}");
-        assert!(complaint[0].contains(&format!("line {at}:")), "{what}: {complaint:?}");
-        let reply = text(&out.stdout);
-        assert_eq!(reply.iter().filter(|l| l.contains("NEXT")).count(), whole, "{what}");
+        let errors = lines_of(&out.stderr);
+        assert_eq!(errors.len(), 1, "{what}: {errors:?}");
+        assert!(errors[0].contains(&format!("line {at}:")), "{what}: {errors:?}");
+        let reply = lines_of(&out.stdout);
+        assert_eq!(reply.iter().filter(|l| l.contains("NEXT")).count(), complete_batches, "{what}");
         assert!(reply.last().expect("replies").contains("NEXT"), "{what}");
     }
 }
 
 #[test]
-fn settings_that_cannot_be_used_are_a_plain_error() {
-    let out = run(&[clock(0, 1), power_on("root/0").replace(r#""positions":2"#, r#""positions":0"#), end()]);
+fn unusable_settings_are_reported() {
+    let out = run(&[
+        clock(0, 1),
+        power_on("root/0").replace(r#""positions":2"#, r#""positions":0"#),
+        end_of_batch(),
+    ]);
     assert!(!out.status.success());
-    assert!(text(&out.stderr)[0].contains("line 2: unusable settings"), "{:?}", text(&out.stderr));
+    assert!(lines_of(&out.stderr)[0].contains("line 2: unusable settings"), "{:?}", lines_of(&out.stderr));
     assert!(out.stdout.is_empty());
 }
