--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -27,7 +27,6 @@
     pub(super) quotas: Vec<TenantQuota>,
     pub(super) usual_timeouts: Vec<UsualTimeout>,
     pub(super) mean_parts: Vec<f64>,
-    /// Multiple of its expected latency within which most queries end.
     pub(super) overrun_multiple: f64,
     pub(super) tracked_requests: usize,
     /// When a query was last rejected that had its whole objective left.
--- a/src/policy/outlier_ejection.rs
+++ b/src/policy/outlier_ejection.rs
@@ -55,7 +55,6 @@
         }
     }
 
-    /// Ends slow starts, ejects silent replicas and checks the health of ejected ones.
     pub(super) fn check_replicas(&mut self, actions: &mut Vec<Action>) {
         let (now, objective) = (self.now, self.fleet.objective);
         let silence = (SILENCE_FLEET_MEANS * self.fleet.mean).max(SILENCE_MIN_OBJECTIVES * objective);
--- a/src/policy/replica_selection.rs
+++ b/src/policy/replica_selection.rs
@@ -57,7 +57,7 @@
         let faults = |id: &ReplicaId| self.replicas[id].excess_fault_rate(self.now, objective);
         let least_faults = pool.iter().map(faults).fold(f64::INFINITY, f64::min);
         let weight = |id: &ReplicaId| {
-            let sharing = if first { self.parts_sharing_call(key, *id).len() } else { 0 };
+            let sharing = if first && call > 0.0 { self.parts_sharing_call(key, *id).len() } else { 0 };
             let shared_call = (call / (1 + sharing) as f64 + work) / (call + work);
             let call_cost = if sharing > 0 { shared_call } else { 1.0 };
             let cost = self.expected_latency(*id) * call_cost + (faults(id) - least_faults) * loss;
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -20,7 +20,9 @@
     pub(super) fn expire(&mut self, now: Nanos, settings: &Settings) {
         let window = settings.retry_budget.map_or(HEDGE_WINDOW_NS, |b| b.window);
         let expire = |times: &mut VecDeque<Nanos>, now: Nanos, window: Nanos| {
-            times.drain(..times.partition_point(|t| *t <= now.saturating_sub(window)));
+            while times.front().is_some_and(|t| *t <= now.saturating_sub(window)) {
+                times.pop_front();
+            }
         };
         expire(&mut self.idempotent_parts, now, HEDGE_WINDOW_NS);
         expire(&mut self.hedges, now, HEDGE_WINDOW_NS);
