--- a/lab/src/running.rs
+++ b/lab/src/running.rs
@@ -111,7 +111,7 @@
             command.env("TMPDIR", self.tmp.path());
         }
         let process = Process::start(&mut command, &self.door, ops.unwrap_or(nowhere));
-        process.wait("list version 1");
+        process.wait("endpoint list was merged version=1");
         process
     }
 }
--- a/src/membership/registry/node_table.rs
+++ b/src/membership/registry/node_table.rs
@@ -85,12 +85,13 @@
             return;
         }
         tracing::debug!(
-            "server {} is node {id} of cell {} in zone {}: {:?}, started at {:?} ns",
-            entry.replica.0,
-            entry.cell,
-            entry.zone,
-            entry.state,
-            entry.started
+            replica = entry.replica.0,
+            node = %id,
+            cell = entry.cell,
+            zone = entry.zone,
+            state = ?entry.state,
+            started_ns = ?entry.started,
+            "replica entry was announced"
         );
         node.announced = Some(entry.clone());
         let addr = Some(node.addr);
--- a/src/membership/registry/reconciliation.rs
+++ b/src/membership/registry/reconciliation.rs
@@ -129,7 +129,7 @@
 
     fn remove_uncallable(&mut self, id: &str, kind: &str) {
         if self.uncallable.insert(id.to_owned()) {
-            tracing::error!("node {id} speaks {kind:?}, which can't be called");
+            tracing::error!(node = %id, kind = ?kind, "node has a kind that can't be called");
         }
         self.nodes.remove(id);
     }
@@ -138,7 +138,7 @@
     /// holds.
     fn track_at(&mut self, id: &str, addr: SocketAddr) {
         if self.nodes.get(id).is_some_and(|node| node.addr != addr) {
-            tracing::info!("node {id} is at {addr} now");
+            tracing::info!(node = %id, addr = %addr, "node has moved to another address");
             self.nodes.remove(id);
         }
         self.nodes.track(id, addr);
--- a/src/membership/registry/sources.rs
+++ b/src/membership/registry/sources.rs
@@ -35,12 +35,10 @@
         self.reconcile_all(now);
         if !generations.is_empty() {
             let confirmed = self.directory.last_confirmed;
-            tracing::info!(
-                "kept list: {} nodes, {} s old, trusted at {:.2}",
-                self.nodes.len(),
-                confirmed.map_or(0, |at| now.saturating_sub(at)) / 1_000_000_000,
-                confirmed.map_or(0.0, |at| self.trust(Some(at), now))
-            );
+            let age_s = confirmed.map_or(0, |at| now.saturating_sub(at)) / 1_000_000_000;
+            let trust = confirmed.map_or(0.0, |at| self.trust(Some(at), now));
+            let trust = format!("{trust:.2}");
+            tracing::info!(nodes = self.nodes.len(), age_s, %trust, "membership snapshot was restored");
         }
     }
 
@@ -97,9 +95,9 @@
         let version_reset = list.version < self.directory.version;
         if version_reset && !(first && list.full) {
             tracing::warn!(
-                "news of version {} is older than {}; it is left alone",
-                list.version,
-                self.directory.version
+                version = list.version,
+                current_version = self.directory.version,
+                "discovery update is older than the endpoint list and was ignored"
             );
             self.reconcile_all(now);
             return false;
@@ -107,9 +105,9 @@
         if version_reset {
             // Only a discovery that restarted sends a full list older than what it sent already.
             tracing::warn!(
-                "discovery counts anew: version {} after {}",
-                list.version,
-                self.directory.version
+                version = list.version,
+                previous_version = self.directory.version,
+                "discovery versions were reset"
             );
             self.directory.epoch += 1;
         }
@@ -164,15 +162,15 @@
             .iter()
             .filter(|server| server.state != NodeState::Gone && server.addr.parse::<SocketAddr>().is_err());
         for server in unusable.take(MAX_LOGGED_ENDPOINTS) {
-            tracing::error!("discovery names no usable address for {}: {:?}", server.id, server.addr);
+            tracing::error!(node = %server.id, addr = ?server.addr, "endpoint has no usable address");
         }
         let report = Report { source_version, full: list.full, after_reset, received: now };
         self.view.apply_report(report, list.servers.iter().map(|server| server.record()));
         tracing::info!(
-            "list version {}: {} {}",
-            list.version,
-            list.servers.len(),
-            if list.full { "servers" } else { "changes" }
+            version = list.version,
+            endpoints = list.servers.len(),
+            full = list.full,
+            "endpoint list was merged"
         );
     }
 
--- a/src/membership/registry/tracked_node.rs
+++ b/src/membership/registry/tracked_node.rs
@@ -60,8 +60,9 @@
     /// Records a good answer. Returns whether that admits the node.
     pub(super) fn on_success(&mut self, id: &str, now: Nanos) -> bool {
         if let Some(since) = self.unreachable_since.take() {
-            let s = now.saturating_sub(since) as f64 / 1e9;
-            tracing::info!("node {id} at {} is back after {s:.1} s", self.addr);
+            let unreachable_s = now.saturating_sub(since) as f64 / 1e9;
+            let unreachable_s = format!("{unreachable_s:.1}");
+            tracing::info!(node = %id, addr = %self.addr, %unreachable_s, "node is reachable again");
         }
         self.failures = 0;
         self.ejection_time = 0;
@@ -74,7 +75,7 @@
     pub(super) fn on_unreachable(&mut self, id: &str, now: Nanos) {
         if self.unreachable_since.is_none() {
             self.unreachable_since = Some(now);
-            tracing::warn!("node {id} at {} is down: no connection comes up", self.addr);
+            tracing::warn!(node = %id, addr = %self.addr, "node is unreachable");
         }
     }
 
--- a/src/routing/node.rs
+++ b/src/routing/node.rs
@@ -61,10 +61,11 @@
         match (before, self.health.eligibility()) {
             (Eligibility::Ejected { .. }, Eligibility::Ejected { .. }) => {}
             (_, Eligibility::Ejected { .. }) => {
-                tracing::warn!("node {id} gets no work for {} s: it failed", self.rule.retry / 1_000_000_000);
+                let retry_s = self.rule.retry / 1_000_000_000;
+                tracing::warn!(node = %id, retry_s, "node was ejected after failures");
             }
             (Eligibility::Ejected { .. } | Eligibility::Probing, Eligibility::WarmingUp { .. }) => {
-                tracing::info!("node {id} gets work again, a little at first");
+                tracing::info!(node = %id, "node gets work again and is warming up");
             }
             _ => {}
         }
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -281,10 +281,11 @@
             assert!(by_sru(addr).unwrap().starts_with("HTTP/1.1 200"), "the other holder serves");
         }
     });
-    wait_for(&mut lines, "node node-0 at");
+    wait_for(&mut lines, "node is unreachable node=node-0 addr=");
     node_at(at, Wire::Sru, 0, script);
-    let line = wait_for(&mut lines, "node node-0 at");
-    assert!(line.contains("is back after"), "nothing more was said while it was down: {line}");
+    let line = wait_for(&mut lines, "reachable");
+    let is_back = line.contains("node is reachable again node=node-0 addr=");
+    assert!(is_back && line.contains(" unreachable_s="), "nothing more was logged meanwhile: {line}");
     stop.send(()).unwrap();
     asking.join().unwrap();
     end(child, &mut lines);
@@ -340,7 +341,7 @@
     let port = free_port();
     let file = File::new("config", &config(port, "{}"));
     let (child, mut lines) = Program::start(Command::new(PROGRAM).env("GW_CONFIG", file.path()));
-    wait_for(&mut lines, "list version 1: 1 servers");
+    wait_for(&mut lines, "endpoint list was merged version=1 endpoints=1 full=true");
     wait_for(&mut lines, "listens");
     // It asks, fails, and asks again.
     wait_for(&mut lines, "watch on discovery ended");
@@ -368,14 +369,14 @@
     let files = || std::fs::read_dir(dir.path()).unwrap().count();
     for keep in [false, true] {
         let (child, mut lines) = start(keep);
-        wait_for(&mut lines, "list version 1: 1 servers");
+        wait_for(&mut lines, "endpoint list was merged version=1 endpoints=1 full=true");
         end(child, &mut lines);
         assert_eq!(files() > 0, keep);
     }
     directory.mode(Mode::Down);
     let (child, mut lines) = start(true);
-    let line = wait_for(&mut lines, "kept list: ");
-    assert!(line.contains("1 nodes") && line.contains("trusted at 1.00"), "{line}");
+    let line = wait_for(&mut lines, "membership snapshot was restored");
+    assert!(line.contains("nodes=1 ") && line.contains("trust=1.00"), "{line}");
     end(child, &mut lines);
 }
 
@@ -398,13 +399,13 @@
         Program::start(Command::new(PROGRAM).env("GW_CONFIG", file.path()).env("PEBBLETURN_KEEP", dir.path()))
     };
     let (old, mut said) = start();
-    wait_for(&mut said, "list version 1: 1 servers");
+    wait_for(&mut said, "endpoint list was merged version=1 endpoints=1 full=true");
     signal(&old, "-HUP");
     wait_for(&mut said, "discovery stays at");
     // The next one starts and serves while the old one still has the directory.
     let (new, mut next) = start();
     wait_for(&mut next, "listens");
-    wait_for(&mut next, "list version 1: 1 servers");
+    wait_for(&mut next, "endpoint list was merged version=1 endpoints=1 full=true");
     terminate(&old);
     wait_for(&mut said, "ended");
     old.ends();
