--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -13,6 +13,14 @@
 //!   hints of other brokers;
 //! - [`Registry`] combines them.
 
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
+
 pub mod endpoint_list;
 pub mod gossip_hints;
 pub mod manual_override;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -5,6 +5,14 @@
 //! reject. Free of I/O and clock: changes from membership and outcomes of attempts come in with the time,
 //! changes for the engine go out. The design and its alternatives are described in `docs/routing.md`.
 
+#![deny(
+    missing_docs,
+    rust_2018_idioms,
+    clippy::too_many_lines,
+    clippy::type_complexity,
+    clippy::cognitive_complexity
+)]
+
 mod health;
 mod node;
 mod offers;
