--- /dev/null
+++ b/tests/membership_registry/main.rs
@@ -0,0 +1,8 @@
+//! The registry by scripted reports: every hard case of the design note, with time as an argument.
+
+mod fixture;
+mod merging;
+mod peer_hints;
+mod snapshots;
+mod sources;
+mod trust;
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -3,27 +3,20 @@
 mod common;
 use common::{MS, S};
 use pebbleturn::membership::{NodeChange, PartitionLayout};
-use pebbleturn::routing::{AdminState as Put, Routing, RoutingSettings, Rule, Spare};
+use pebbleturn::routing::{AdminState, Routing, RoutingSettings, Rule, Spare};
 use pebbleturn::{Nanos, Outcome, ReplicaEntry, ReplicaId, ReplicaState};
 use std::collections::{BTreeMap, HashMap};
 
 const WARM_UP: Nanos = 10 * S;
-const HOLD: Nanos = 15 * S;
+const FAILBACK_DELAY: Nanos = 15 * S;
 
 fn rule() -> Rule {
     Rule { retry: 5 * S, ..Rule::default() }
 }
 
-fn change(n: u32, standing: ReplicaState) -> NodeChange {
+fn change(n: u32, state: ReplicaState) -> NodeChange {
     NodeChange {
-        entry: ReplicaEntry {
-            replica: ReplicaId(n),
-            zone: 0,
-            cell: 0,
-            state: standing,
-            started: None,
-            weight: 1.0,
-        },
+        entry: ReplicaEntry { replica: ReplicaId(n), zone: 0, cell: 0, state, started: None, weight: 1.0 },
         id: format!("n-{n}"),
         addr: Some(([127, 0, 0, 1], 80).into()),
         kind: "sru".into(),
@@ -31,31 +24,36 @@
 }
 
 /// Routing over one partition, and what was offered by it so far.
-struct Bench {
+struct Fixture {
     routing: Routing,
-    told: BTreeMap<u32, ReplicaEntry>,
+    announced: BTreeMap<u32, ReplicaEntry>,
     switches: usize,
 }
 
-impl Bench {
-    fn new(rules: &[Rule]) -> Bench {
+impl Fixture {
+    fn new(rules: &[Rule]) -> Fixture {
         let named = rules.iter().enumerate().map(|(n, r)| (format!("n-{n}"), r.clone()));
         let layout = PartitionLayout { cells: 1, span: 1 };
-        let settings =
-            RoutingSettings { layout, rules: named.collect(), warm_up: WARM_UP, failback_delay: HOLD };
-        let mut b = Bench { routing: Routing::new(settings), told: BTreeMap::new(), switches: 0 };
+        let settings = RoutingSettings {
+            layout,
+            rules: named.collect(),
+            warm_up: WARM_UP,
+            failback_delay: FAILBACK_DELAY,
+        };
+        let mut b = Fixture { routing: Routing::new(settings), announced: BTreeMap::new(), switches: 0 };
         b.routing.on_membership_changes(
             (0..rules.len() as u32).map(|n| change(n, ReplicaState::Active)).collect(),
             0,
         );
-        b.hear();
+        b.collect_changes();
         b
     }
 
-    fn hear(&mut self) {
+    fn collect_changes(&mut self) {
         for c in self.routing.take_changes().unwrap_or_default() {
             let n = c.entry.replica.0;
-            let was = self.told.insert(n, c.entry.clone()).is_some_and(|l| l.state == ReplicaState::Active);
+            let was =
+                self.announced.insert(n, c.entry.clone()).is_some_and(|l| l.state == ReplicaState::Active);
             self.switches += usize::from(was != (c.entry.state == ReplicaState::Active));
         }
     }
@@ -63,7 +61,7 @@
     fn outcome(&mut self, n: u32, outcome: Outcome, now: Nanos) {
         self.routing.on_attempt_end(ReplicaId(n), outcome, now);
         self.routing.tick(now);
-        self.hear();
+        self.collect_changes();
     }
 
     /// Lets time go by up to then, as the loop does; nodes that are offered answer with `answers`.
@@ -77,34 +75,34 @@
                 }
             }
             self.routing.tick(now);
-            self.hear();
+            self.collect_changes();
         }
     }
 
     fn offered(&self) -> Vec<u32> {
-        self.told.iter().filter(|(_, l)| l.state == ReplicaState::Active).map(|(n, _)| *n).collect()
+        self.announced.iter().filter(|(_, l)| l.state == ReplicaState::Active).map(|(n, _)| *n).collect()
     }
 
     fn weight(&self, n: u32) -> f64 {
-        self.told[&n].weight
+        self.announced[&n].weight
     }
 }
 
 #[test]
-fn without_rules_all_goes_through_as_it_is() {
+fn without_rules_changes_pass_unmodified() {
     let settings = RoutingSettings {
         layout: PartitionLayout { cells: 1, span: 1 },
         rules: HashMap::new(),
         warm_up: WARM_UP,
-        failback_delay: HOLD,
+        failback_delay: FAILBACK_DELAY,
     };
     let mut r = Routing::new(settings);
     let all = [ReplicaState::Active, ReplicaState::Draining, ReplicaState::Removed];
     let changes: Vec<NodeChange> = (0..).zip(all).map(|(n, s)| change(n, s)).collect();
     r.on_membership_changes(changes.clone(), 0);
-    let mut told = r.take_changes().unwrap();
-    told.sort_by_key(|c| c.entry.replica);
-    assert_eq!(told, changes);
+    let mut announced = r.take_changes().unwrap();
+    announced.sort_by_key(|c| c.entry.replica);
+    assert_eq!(announced, changes);
     for _ in 0..9 {
         r.on_attempt_end(ReplicaId(0), Outcome::ConnectFailed, S);
     }
@@ -113,34 +111,37 @@
 }
 
 #[test]
-fn what_is_switched_off_gets_nothing() {
-    let put = |standing| Rule { admin_state: standing, ..rule() };
+fn nodes_that_are_not_active_or_have_no_weight_are_not_offered() {
+    let with_state = |state| Rule { admin_state: state, ..rule() };
     let weightless = Rule { weight: 0.0, ..rule() };
-    let mut b = Bench::new(&[
-        put(Put::Active),
-        put(Put::Disabled),
-        put(Put::Stopped),
-        put(Put::Draining),
+    let mut b = Fixture::new(&[
+        with_state(AdminState::Active),
+        with_state(AdminState::Disabled),
+        with_state(AdminState::Stopped),
+        with_state(AdminState::Draining),
         weightless,
     ]);
     assert_eq!(b.offered(), [0]);
     // A rule that comes while it serves holds from then on.
-    let rules = [("n-0".to_owned(), put(Put::Stopped)), ("n-1".to_owned(), put(Put::Active))];
+    let rules = [
+        ("n-0".to_owned(), with_state(AdminState::Stopped)),
+        ("n-1".to_owned(), with_state(AdminState::Active)),
+    ];
     b.routing.set_rules(rules.into(), S);
-    b.hear();
+    b.collect_changes();
     assert_eq!(b.offered(), [1, 2, 3, 4], "those that the new rules don't name have the usual one");
 }
 
 #[test]
-fn every_node_disabled_offers_none() {
-    let b = Bench::new(&vec![Rule { admin_state: Put::Disabled, ..rule() }; 3]);
+fn no_node_is_offered_if_all_are_disabled() {
+    let b = Fixture::new(&vec![Rule { admin_state: AdminState::Disabled, ..rule() }; 3]);
     assert!(b.offered().is_empty());
 }
 
 #[test]
-fn sets_are_used_in_order_and_a_spare_only_when_its_set_has_nobody() {
+fn sets_are_used_in_order_and_a_spare_only_if_no_node_of_its_set_works() {
     let set = |set, spare| Rule { set, spare, ..rule() };
-    let mut b = Bench::new(&[
+    let mut b = Fixture::new(&[
         set(0, Spare::None),
         set(0, Spare::None),
         set(0, Spare::Hot),
@@ -161,8 +162,8 @@
 }
 
 #[test]
-fn a_spare_stays_until_a_regular_is_warm_and_has_held() {
-    let mut b = Bench::new(&[rule(), rule(), Rule { spare: Spare::Hot, ..rule() }]);
+fn a_spare_is_offered_until_a_regular_node_is_warm_and_proven() {
+    let mut b = Fixture::new(&[rule(), rule(), Rule { spare: Spare::Hot, ..rule() }]);
     for n in [0, 1] {
         b.outcome(n, Outcome::ConnectFailed, S);
     }
@@ -183,8 +184,8 @@
 }
 
 #[test]
-fn a_set_that_flaps_every_second_does_not_take_the_spare_along() {
-    let mut b = Bench::new(&[rule(), Rule { set: 1, ..rule() }]);
+fn a_flapping_set_does_not_make_the_next_set_flap() {
+    let mut b = Fixture::new(&[rule(), Rule { set: 1, ..rule() }]);
     let before = b.switches;
     // A second up, a second down, for two minutes.
     b.to(0, 120 * S, |n, now| match (n, now / S % 2) {
@@ -198,8 +199,8 @@
 }
 
 #[test]
-fn a_trial_that_fails_costs_another_wait() {
-    let mut b = Bench::new(&[rule(), rule()]);
+fn a_failed_probe_ejects_the_node_again() {
+    let mut b = Fixture::new(&[rule(), rule()]);
     b.outcome(0, Outcome::ConnectFailed, S);
     b.to(S, 6500 * MS, |n, _| (n == 1).then_some(Outcome::Ok));
     assert!(b.offered() == [0, 1] && b.weight(0) < 0.2, "on trial");
@@ -212,8 +213,8 @@
 }
 
 #[test]
-fn single_errors_and_full_queues_take_nobody_out_but_three_errors_in_a_row_do() {
-    let mut b = Bench::new(&[rule(), rule()]);
+fn three_consecutive_errors_eject_a_node_single_ones_and_rejections_do_not() {
+    let mut b = Fixture::new(&[rule(), rule()]);
     for _ in 0..9 {
         b.outcome(0, Outcome::Rejected, S);
         b.outcome(0, Outcome::Error, S);
@@ -226,26 +227,26 @@
 }
 
 #[test]
-fn a_redirect_takes_the_place_unless_it_is_down_itself() {
+fn a_redirect_target_replaces_an_ejected_node_unless_it_failed_too() {
     let to = |id: &str| Rule { redirect: Some(id.into()), ..rule() };
-    let off = Rule { admin_state: Put::Disabled, ..rule() };
-    let mut b = Bench::new(&[to("n-2"), rule(), off.clone()]);
+    let off = Rule { admin_state: AdminState::Disabled, ..rule() };
+    let mut b = Fixture::new(&[to("n-2"), rule(), off.clone()]);
     assert_eq!(b.offered(), [0, 1]);
     b.outcome(0, Outcome::ConnectFailed, S);
     assert_eq!(b.offered(), [1, 2]);
     b.outcome(2, Outcome::ConnectFailed, S);
     assert_eq!(b.offered(), [1]);
-    let mut b = Bench::new(&[to("n-1"), Rule { admin_state: Put::Stopped, ..rule() }, rule()]);
+    let mut b = Fixture::new(&[to("n-1"), Rule { admin_state: AdminState::Stopped, ..rule() }, rule()]);
     b.outcome(0, Outcome::ConnectFailed, S);
     assert_eq!(b.offered(), [2], "what is stopped stays so");
 }
 
 #[test]
-fn a_node_that_membership_drops_or_drains_is_never_offered() {
-    let mut b = Bench::new(&[rule(), rule(), Rule { spare: Spare::Hot, ..rule() }]);
+fn removed_and_draining_nodes_are_never_offered() {
+    let mut b = Fixture::new(&[rule(), rule(), Rule { spare: Spare::Hot, ..rule() }]);
     b.routing
         .on_membership_changes(vec![change(0, ReplicaState::Draining), change(1, ReplicaState::Removed)], S);
-    b.hear();
+    b.collect_changes();
     assert_eq!(b.offered(), [2]);
     for outcome in [Outcome::ConnectFailed, Outcome::ConnectFailed] {
         b.outcome(2, outcome, 2 * S);
@@ -254,12 +255,13 @@
 }
 
 #[test]
-fn partitions_fall_back_each_on_its_own() {
+fn each_partition_fails_over_on_its_own() {
     // A ring of three cells, each partition held by two; a spare in cell 0 only.
     let layout = PartitionLayout { cells: 3, span: 2 };
     let mut rules: HashMap<String, Rule> = (0..3).map(|n| (format!("n-{n}"), rule())).collect();
     rules.insert("n-3".into(), Rule { spare: Spare::Hot, ..rule() });
-    let mut r = Routing::new(RoutingSettings { layout, rules, warm_up: WARM_UP, failback_delay: HOLD });
+    let mut r =
+        Routing::new(RoutingSettings { layout, rules, warm_up: WARM_UP, failback_delay: FAILBACK_DELAY });
     let at = |n: u32| {
         let mut c = change(n, ReplicaState::Active);
         c.entry.cell = n % 3;
@@ -267,8 +269,8 @@
     };
     r.on_membership_changes((0..4).map(at).collect(), 0);
     let spare = |r: &mut Routing| {
-        let told = r.take_changes().unwrap_or_default();
-        told.into_iter().rfind(|c| c.entry.replica.0 == 3).map(|c| c.entry.state)
+        let announced = r.take_changes().unwrap_or_default();
+        announced.into_iter().rfind(|c| c.entry.replica.0 == 3).map(|c| c.entry.state)
     };
     assert_eq!(spare(&mut r), None);
     // Partition 1 loses both holders: the spare holds others, and would not help.
