--- a/src/api.rs
+++ b/src/api.rs
@@ -1,7 +1,7 @@
 //! The interface of the policy: settings, events, actions and ids.
 //!
 //! Plain types only; all decisions are in the policy itself, which has no I/O and no clock. A broker hands
-//! [`Event`]s to the policy in rounds and carries out the [`Action`]s that it gives back. All times are nanoseconds: an
+//! [`PeerEvent`]s to the policy in rounds and carries out the [`Action`]s that it gives back. All times are nanoseconds: an
 //! instant is read from the caller's own monotonic clock, a span is a difference of two.
 #![deny(
     missing_docs,
