--- a/src/config/error.rs
+++ b/src/config/error.rs
@@ -44,7 +44,7 @@
     /// An address can't be parsed.
     #[error("{variable} {text:?}: {source}")]
     Address {
-        /// Name of the variable that stands for the address.
+        /// Name of the variable for the address.
         variable: &'static str,
         /// The address as it was given.
         text: String,
--- a/src/config/operator/bounds.rs
+++ b/src/config/operator/bounds.rs
@@ -11,7 +11,7 @@
 /// Most partitions and cells.
 pub(super) const MAX_PARTITIONS: u32 = 10_000;
 
-/// The weight of whatever is told none.
+/// The weight of a node or class that has none in the file.
 pub(super) fn default_weight() -> f64 {
     1.0
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,5 +1,5 @@
 //! HTTP/1.1 messages, read piece by piece as they come in, and written. Bodies have a length or come in
-//! chunks; nothing larger than the stated limits is ever held.
+//! chunks; nothing larger than `MAX_HEAD` and `MAX_BODY` is buffered.
 #![deny(
     missing_docs,
     rust_2018_idioms,
--- a/src/http/reader.rs
+++ b/src/http/reader.rs
@@ -166,7 +166,7 @@
         match httparse::parse_chunk_size(data) {
             Ok(httparse::Status::Complete((n, size))) => {
                 let size = usize::try_from(size).unwrap_or(usize::MAX);
-                // A stream of small chunks may go on for ever; one body that is held may not.
+                // A stream of small chunks may go on for ever; a body in one buffer may not.
                 if size > MAX_BODY {
                     return Err(HttpError::TooLarge);
                 }
