--- a/src/api.rs
+++ b/src/api.rs
@@ -1,8 +1,8 @@
 //! The interface of the policy: settings, events, actions and ids.
 //!
 //! Plain types only; all decisions are in the policy itself, which has no I/O and no clock. A broker hands
-//! [`Event`]s to the policy in rounds and carries out the [`Action`]s that it gives back. All times are nanoseconds: an
-//! instant is read from the caller's own monotonic clock, a span is a difference of two.
+//! [`Event`]s to the policy in rounds and carries out the [`Action`]s that it gives back. All times are
+//! nanoseconds: an instant is read from the caller's own monotonic clock, a span is a difference of two.
 #![deny(
     missing_docs,
     rust_2018_idioms,
@@ -27,8 +27,8 @@
 pub enum Idempotency {
     /// Further attempts are harmless.
     Idempotent,
-    /// Parts carry an idempotency key: every replica of the shard drops a further attempt that comes within `window` of
-    /// the first.
+    /// Parts carry an idempotency key: every replica of the shard drops a further attempt that comes within
+    /// `window` of the first.
     IdempotencyKey {
         /// How long replicas remember a key, ns.
         window: Nanos,
@@ -44,7 +44,8 @@
     pub idempotency: Idempotency,
     /// Latency up to which an answer has its full value, ns; over 0.
     pub latency_objective: Nanos,
-    /// Multiple of the expected work of a query that is added to the objective, where that work is known; 0 or more.
+    /// Multiple of the expected work of a query that is added to the objective, where that work is known; 0
+    /// or more.
     pub objective_per_work: f64,
     /// Time after which clients give up, ns; over 0.
     pub deadline: Nanos,
@@ -104,8 +105,8 @@
     pub zone: u32,
     /// Number of shards; over 0.
     pub shards: u32,
-    /// Number of cells; over 0. The replicas of shard `s` are those in the cells `(s + j) mod cells` for `j` from 0 to
-    /// `span - 1`.
+    /// Number of cells; over 0. The replicas of shard `s` are those in the cells `(s + j) mod cells` for `j`
+    /// from 0 to `span - 1`.
     pub cells: u32,
     /// Number of cells that have each shard; over 0.
     pub span: u32,
@@ -139,7 +140,8 @@
     pub slow_start_share: f64,
     /// Time from its start after which a replica has all of its capacity, ns.
     pub slow_start_time: Nanos,
-    /// A replica that is warming up fails when its load exceeds this multiple of its capacity for `overload_time`.
+    /// A replica that is warming up fails when its load exceeds this multiple of its capacity for
+    /// `overload_time`.
     pub overload_multiple: f64,
     /// See `overload_multiple`, ns.
     pub overload_time: Nanos,
@@ -339,8 +341,8 @@
 /// Why settings can't be used.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SettingsError {
-    /// There is no class, or a class has an objective or deadline of 0, or a weight or share that is negative or not
-    /// finite.
+    /// There is no class, or a class has an objective or deadline of 0, or a weight or share that is negative
+    /// or not finite.
     #[error("unusable settings: each class needs an aim, a deadline, and sound worths and shares")]
     Classes {
         /// Index of the first such class; `None` if there is no class at all.
--- a/src/engine/admission.rs
+++ b/src/engine/admission.rs
@@ -43,8 +43,8 @@
         retry_after.min(self.max_retry_after)
     }
 
-    /// The rejection for one more query. The Retry-After time is spread by `id`, so that clients that were rejected
-    /// together do not retry together.
+    /// The rejection for one more query. The Retry-After time is spread by `id`, so that clients that were
+    /// rejected together do not retry together.
     pub(super) fn overloaded(&self, id: u64) -> Overloaded {
         let spread = (id.wrapping_mul(HASH_MULTIPLIER) >> 32) as f64 / f64::from(u32::MAX);
         let share = MIN_RETRY_AFTER_SHARE + RETRY_AFTER_SPREAD * spread;
--- a/src/engine/answer.rs
+++ b/src/engine/answer.rs
@@ -9,8 +9,8 @@
 
 /// The outcome of a query that the policy answers from the parts that have values.
 ///
-/// Checks the policy: an answer below the class's least share fails instead, and one is complete only with the share
-/// that the class needs. A class that the settings do not have needs all parts.
+/// Checks the policy: an answer below the class's least share fails instead, and one is complete only with
+/// the share that the class needs. A class that the settings do not have needs all parts.
 pub(super) fn answer<Q, V>(
     query: QueryInFlight<Q, V>,
     is_complete: bool,
--- a/src/engine/client_side.rs
+++ b/src/engine/client_side.rs
@@ -11,7 +11,8 @@
 const ANSWER_MARGIN: Nanos = 15_000_000;
 
 impl<Q, V> QueryEngine<Q, V> {
-    /// Admits a query. Its final outcome is an [`EngineAction::Respond`], unless its client disconnects before.
+    /// Admits a query. Its final outcome is an [`EngineAction::Respond`], unless its client disconnects
+    /// before.
     ///
     /// # Errors
     ///
@@ -41,8 +42,8 @@
 
     /// The event of a query that is admitted.
     ///
-    /// A shutdown may leave less time than the class's latency objective. That is not the client's doing, so such a query
-    /// is not a retry to the policy, and the policy is given the time that is really left.
+    /// A shutdown may leave less time than the class's latency objective. That is not the client's doing, so
+    /// such a query is not a retry to the policy, and the policy is given the time that is really left.
     fn query_event(&self, now: Nanos, id: u64, deadline: Nanos, request: &QueryRequest<Q>) -> Event {
         let left = (deadline + ANSWER_MARGIN).saturating_sub(now);
         let objective = self.settings.classes.get(request.class).map(|class| class.latency_objective);
@@ -61,7 +62,8 @@
         }
     }
 
-    /// The rejection of a client for which there is no capacity. Its Retry-After time differs from call to call.
+    /// The rejection of a client for which there is no capacity. Its Retry-After time differs from call to
+    /// call.
     pub fn overloaded(&mut self) -> Overloaded {
         let id = self.next_id();
         self.admission.overloaded(id)
--- a/src/engine/in_flight.rs
+++ b/src/engine/in_flight.rs
@@ -30,8 +30,8 @@
         PartInFlight { id, request, sent_attempts: 0, started: Vec::new(), value: None }
     }
 
-    /// Whether another attempt may start without a second effect. `margin` is the time after `now` within which the
-    /// attempt reaches its server.
+    /// Whether another attempt may start without a second effect. `margin` is the time after `now` within
+    /// which the attempt reaches its server.
     pub(super) fn may_start(&self, idempotency: Idempotency, now: Nanos, margin: Nanos) -> bool {
         let Some(first_start) = self.started.iter().map(|started| started.at).min() else { return true };
         match idempotency {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -1,8 +1,8 @@
 //! The query engine: where clients' queries and attempts at servers meet.
 //!
-//! [`QueryEngine`] admits queries, runs rounds of the policy, and carries out the policy's actions under the guarantees
-//! that do not depend on it: one final outcome for each query, in time, and no attempt where none is allowed. It does no
-//! I/O and has no clock; the current time is an argument. The modules below it:
+//! [`QueryEngine`] admits queries, runs rounds of the policy, and carries out the policy's actions under the
+//! guarantees that do not depend on it: one final outcome for each query, in time, and no attempt where none
+//! is allowed. It does no I/O and has no clock; the current time is an argument. The modules below it:
 //!
 //! - `messages`: what both sides hand in and are handed;
 //! - `in_flight`: queries, parts and attempts without an outcome;
--- a/src/engine/query_engine.rs
+++ b/src/engine/query_engine.rs
@@ -14,9 +14,10 @@
 
 /// Queries, parts and attempts between the client side and the server side.
 ///
-/// `Q` is the payload that a query carries to the servers, and `V` the value of a part. The client side submits queries
-/// and gets exactly one final outcome for each. The server side carries out the actions and reports one outcome for each
-/// attempt. All times are on the caller's monotonic clock, and `now` must not decrease from call to call.
+/// `Q` is the payload that a query carries to the servers, and `V` the value of a part. The client side
+/// submits queries and gets exactly one final outcome for each. The server side carries out the actions and
+/// reports one outcome for each attempt. All times are on the caller's monotonic clock, and `now` must not
+/// decrease from call to call.
 pub struct QueryEngine<Q, V> {
     pub(super) balancer: Balancer,
     pub(super) settings: Settings,
@@ -120,13 +121,14 @@
         self.queries.size()
     }
 
-    /// Sets the limit on [`QueryEngine::in_flight`], which is never above `max_in_flight` of the settings. Queries that
-    /// are in flight stay.
+    /// Sets the limit on [`QueryEngine::in_flight`], which is never above `max_in_flight` of the settings.
+    /// Queries that are in flight stay.
     pub fn limit_in_flight(&mut self, limit: usize) {
         self.admission.set_limit(limit);
     }
 
-    /// Sets whether this process has the free part of the retry budget, or another process at the same address has it.
+    /// Sets whether this process has the free part of the retry budget, or another process at the same
+    /// address has it.
     pub fn set_free_retries(&mut self, own: bool) {
         let budget = self.settings.retry_budget.map(|budget| {
             let free = if own { budget.free } else { 0.0 };
@@ -135,8 +137,8 @@
         self.events.push(Event::RetryBudget(budget));
     }
 
-    /// Ends all queries by a time at the latest: those that are open and those that are submitted later. For a graceful
-    /// shutdown, as a query that is open when the process ends has no outcome.
+    /// Ends all queries by a time at the latest: those that are open and those that are submitted later. For
+    /// a graceful shutdown, as a query that is open when the process ends has no outcome.
     pub fn end_all_by(&mut self, deadline: Nanos) {
         self.shutdown_deadline = deadline;
         for id in self.timers.take_queries_after(deadline) {
--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -16,8 +16,8 @@
         [round, self.timers.next()].into_iter().flatten().min()
     }
 
-    /// Ends what has timed out and, if one is due, runs a round of the policy. [`QueryEngine::next_action`] then gives
-    /// what is to be done.
+    /// Ends what has timed out and, if one is due, runs a round of the policy. [`QueryEngine::next_action`]
+    /// then gives what is to be done.
     pub fn advance(&mut self, now: Nanos) {
         self.now = now;
         self.time_out_attempts(now);
@@ -47,7 +47,8 @@
         }
     }
 
-    /// The outcome of a query at its deadline: rejected, if a shutdown set that and a retry is harmless, else failed.
+    /// The outcome of a query at its deadline: rejected, if a shutdown set that and a retry is harmless, else
+    /// failed.
     fn expired_outcome(&mut self, id: u64) -> QueryOutcome<V> {
         let is_safe_to_retry = self.queries.get(id).is_some_and(|query| {
             let is_idempotent = || self.settings.classes[query.class].idempotency == Idempotency::Idempotent;
@@ -111,8 +112,8 @@
         self.report_end(now, &ended, outcome, None);
     }
 
-    /// Sends an attempt, unless the engine's own rules forbid it: a part goes only to a server that has its shard, not
-    /// after its query's deadline, and not more often than the settings allow.
+    /// Sends an attempt, unless the engine's own rules forbid it: a part goes only to a server that has its
+    /// shard, not after its query's deadline, and not more often than the settings allow.
     fn send(
         &mut self,
         now: Nanos,
--- a/src/engine/server_side.rs
+++ b/src/engine/server_side.rs
@@ -10,19 +10,20 @@
 const MAX_ATTEMPT_ENDS: usize = 4096;
 
 impl<Q, V> QueryEngine<Q, V> {
-    /// Records that an attempt waits for a connection. [`QueryEngine::begin_attempt`] has to be asked before its first
-    /// byte is written.
+    /// Records that an attempt waits for a connection. [`QueryEngine::begin_attempt`] has to be asked before
+    /// its first byte is written.
     pub fn attempt_queued(&mut self, attempt: AttemptId) {
         if let Some(attempt) = self.attempts.get_mut(attempt) {
             attempt.is_queued = true;
         }
     }
 
-    /// Whether an attempt that is about to be written is still wanted. If so, it counts as started from now on. If not,
-    /// it has ended, and the server side drops it without reporting an outcome.
+    /// Whether an attempt that is about to be written is still wanted. If so, it counts as started from now
+    /// on. If not, it has ended, and the server side drops it without reporting an outcome.
     ///
-    /// An attempt may wait for its connection after the policy has sent it. It is not begun if its query has ended, its
-    /// part has a value, its server drains, it has timed out, or it could be a second effect by then.
+    /// An attempt may wait for its connection after the policy has sent it. It is not begun if its query has
+    /// ended, its part has a value, its server drains, it has timed out, or it could be a second effect by
+    /// then.
     #[must_use]
     pub fn begin_attempt(&mut self, now: Nanos, attempt: AttemptId) -> bool {
         let Some(waiting) = self.attempts.get_mut(attempt) else { return false };
@@ -129,8 +130,8 @@
         self.events.push(Event::WatchFailed);
     }
 
-    /// Reports the result of a health check. `latency` is in ns; `utilization` is the busy share of the server's
-    /// processors, where it reported that.
+    /// Reports the result of a health check. `latency` is in ns; `utilization` is the busy share of the
+    /// server's processors, where it reported that.
     pub fn health_checked(&mut self, replica: ReplicaId, ok: bool, latency: Nanos, utilization: Option<f64>) {
         self.events.push(Event::HealthChecked { replica, ok, latency, utilization });
     }
--- a/src/engine/timers.rs
+++ b/src/engine/timers.rs
@@ -1,4 +1,5 @@
-//! When the engine has something to do: time-outs of attempts, deadlines of queries, and rounds of the policy.
+//! When the engine has something to do: time-outs of attempts, deadlines of queries, and rounds of the
+//! policy.
 
 use super::messages::AttemptId;
 use crate::api::Nanos;
@@ -64,7 +65,7 @@
     Timer,
 }
 
-/// When rounds are held: for events or at the time that the policy asked for, and no closer than an interval.
+/// When rounds run: for events or at the time that the policy asked for, and no closer than an interval.
 #[derive(Debug)]
 pub(super) struct RoundSchedule {
     interval: Nanos,
@@ -92,7 +93,7 @@
         [for_events, woken].into_iter().flatten().min()
     }
 
-    /// The round that is due, which counts as held from now on.
+    /// The round that is due, which counts as run from now on.
     pub(super) fn take_due(&mut self, now: Nanos, has_events: bool) -> Option<DueRound> {
         if self.last_round.is_some_and(|last| now < last + self.interval) {
             return None;
--- a/src/storage/checksummed_file.rs
+++ b/src/storage/checksummed_file.rs
@@ -1,8 +1,8 @@
 //! The format of files that outlive a process.
 //!
-//! A file has one header line, with the name of the format, its version, and the length and CRC-32 of the body, and
-//! then the body as indented JSON, so that operators can read it. Decoding never panics: any bytes give a value or one
-//! [`FileFormatError`].
+//! A file has one header line, with the name of the format, its version, and the length and CRC-32 of the
+//! body, and then the body as indented JSON, so that operators can read it. Decoding never panics: any bytes
+//! give a value or one [`FileFormatError`].
 #![deny(
     missing_docs,
     rust_2018_idioms,
--- a/src/storage/file_system.rs
+++ b/src/storage/file_system.rs
@@ -19,8 +19,8 @@
     fn rename(&self, from: &Path, to: &Path) -> io::Result<()>;
     /// Syncs the entries of a directory to disk.
     fn sync_dir(&self, dir: &Path) -> io::Result<()>;
-    /// Takes an exclusive lock on a file, creating it if needed. Fails with [`ErrorKind::WouldBlock`] while another
-    /// process has it.
+    /// Takes an exclusive lock on a file, creating it if needed. Fails with [`ErrorKind::WouldBlock`] while
+    /// another process has it.
     fn lock(&self, path: &Path) -> io::Result<Self::Lock>;
 }
 
--- a/src/storage/journal/log_writer.rs
+++ b/src/storage/journal/log_writer.rs
@@ -70,10 +70,8 @@
                 None
             }
             WriteRequest::Facts { ticket, facts } => {
-                for fact in &facts {
-                    if !merge(&mut self.copy, fact) {
-                        tracing::debug!(key = %fact.0, "fact was rejected by the journal's copy; it stays in the log");
-                    }
+                for (key, _) in facts.iter().filter(|fact| !merge(&mut self.copy, fact)) {
+                    tracing::debug!(%key, "fact was rejected by the journal's copy; it stays in the log");
                 }
                 let records: Vec<Record> = facts.into_iter().map(Record::Fact).collect();
                 let result = self.append_and_compact(&records);
@@ -103,7 +101,8 @@
         Ok(())
     }
 
-    /// Writes a snapshot. One that fails is tried again after a later write; its facts are in the log meanwhile.
+    /// Writes a snapshot. One that fails is tried again after a later write; its facts are in the log
+    /// meanwhile.
     fn try_snapshot(&mut self) {
         if let Err(error) = self.snapshot() {
             tracing::error!(%error, "journal snapshot was not written; the log goes on");
@@ -115,7 +114,8 @@
         let bytes = SNAPSHOT_FORMAT.encode(&Snapshot { incarnation: self.incarnation, facts })?;
         let temporary = self.dir.join(TEMPORARY);
         self.files.write_synced(&temporary, &bytes).map_err(FileError::at(&temporary))?;
-        // All that is intact is in a new file now. Damaged files are stored under another name, to be looked into.
+        // All that is intact is in a new file now. Damaged files are stored under another name, to be looked
+        // into.
         for name in &self.damaged_files {
             self.rename(name, &format!("{name}.damaged"))?;
         }
--- a/src/storage/journal/mod.rs
+++ b/src/storage/journal/mod.rs
@@ -1,12 +1,13 @@
-//! The replicated facts of a cluster on disk: a log that each change is appended to, and snapshots of all facts.
+//! The replicated facts of a cluster on disk: a log that each change is appended to, and snapshots of all
+//! facts.
 //!
-//! Facts may be merged in any order and more than once, so recovery has one rule: merge all records that are intact, of
-//! all files. A crash at any byte leaves a log whose last line is incomplete. A snapshot is renamed into place only once
-//! it is complete, and the log before it is stored for as long as the snapshot before it. A damaged line is reported; a
-//! missing file is empty.
+//! Facts may be merged in any order and more than once, so recovery has one rule: merge all records that are
+//! intact, of all files. A crash at any byte leaves a log whose last line is incomplete. A snapshot is
+//! renamed into place only once it is complete, and the log before it is stored for as long as the snapshot
+//! before it. A damaged line is reported; a missing file is empty.
 //!
-//! All of this runs on a thread of its own, which has its own copy of the facts to write snapshots from, so that the
-//! poll loop never copies them all.
+//! All of this runs on a thread of its own, which has its own copy of the facts to write snapshots from, so
+//! that the poll loop never copies them all.
 #![deny(
     missing_docs,
     rust_2018_idioms,
@@ -49,7 +50,8 @@
 const MAX_PENDING_WRITES: usize = 2;
 /// Length of the queue of writes: the pending ones, and the incarnation.
 const QUEUED_WRITES: usize = 4;
-/// Length of the queue of results, over `MAX_PENDING_WRITES` so that the thread never waits for them to be taken.
+/// Length of the queue of results, over `MAX_PENDING_WRITES` so that the thread never waits for them to be
+/// taken.
 const QUEUED_RESULTS: usize = 8;
 
 /// A write for the thread of the journal.
@@ -86,8 +88,8 @@
 }
 
 impl Journal {
-    /// Starts the thread. It takes the lock of the directory, waiting while another process has it, and then reads what
-    /// is stored there.
+    /// Starts the thread. It takes the lock of the directory, waiting while another process has it, and then
+    /// reads what is stored there.
     ///
     /// # Errors
     ///
@@ -113,19 +115,22 @@
         Ok(Journal { writer, contents, completions, last_ticket: 0, pending_writes: 0 })
     }
 
-    /// What was found on disk, once, as soon as it is known. An error means that the directory can't be used at all.
+    /// What was found on disk, once, as soon as it is known. An error means that the directory can't be used
+    /// at all.
     pub fn poll_contents(&self) -> Option<Result<JournalContents, FileError>> {
         self.contents.try_recv().ok()
     }
 
-    /// As [`Journal::poll_contents`], blocking for at most `timeout`: for the start, before clients are served.
+    /// As [`Journal::poll_contents`], blocking for at most `timeout`: for the start, before clients are
+    /// served.
     pub fn wait_for_contents(&self, timeout: Duration) -> Option<Result<JournalContents, FileError>> {
         self.contents.recv_timeout(timeout).ok()
     }
 
     /// Queues a record of the incarnation of this process. Never blocks.
     pub fn record_incarnation(&self, incarnation: u64) {
-        // With a full queue it is not recorded: the next process then has the time of its start as its incarnation.
+        // With a full queue it is not recorded: the next process then has the time of its start as its
+        // incarnation.
         let _ = self.writer.try_send(WriteRequest::Incarnation(incarnation));
     }
 
@@ -173,7 +178,8 @@
     }
 }
 
-/// Creates the directory and waits for its lock. `None` if the owner is gone before, or after an error was sent.
+/// Creates the directory and waits for its lock. `None` if the owner is gone before, or after an error was
+/// sent.
 fn open<F: FileSystem>(
     files: &F,
     dir: &Path,
--- a/src/storage/journal/recovery.rs
+++ b/src/storage/journal/recovery.rs
@@ -12,7 +12,8 @@
 /// Most damaged lines of a file that are reported one by one.
 const MAX_LISTED_LINES: usize = 4;
 
-/// Something on disk that could not be used. The rest of the file, and the other files, are used nevertheless.
+/// Something on disk that could not be used. The rest of the file, and the other files, are used
+/// nevertheless.
 #[derive(Debug, thiserror::Error)]
 pub enum RecoveryProblem {
     /// A file could not be read, or is no valid snapshot.
--- a/src/storage/snapshot_store.rs
+++ b/src/storage/snapshot_store.rs
@@ -1,8 +1,8 @@
 //! Snapshots of the node list on disk: two generations in a directory, written on a thread of their own.
 //!
-//! A snapshot is written to a temporary file, synced and renamed; the one before it stays as the older generation. At the
-//! start all generations that are valid are merged, so that a crash between two steps loses nothing. A failure here
-//! never stops the broker from serving.
+//! A snapshot is written to a temporary file, synced and renamed; the one before it stays as the older
+//! generation. At the start all generations that are valid are merged, so that a crash between two steps
+//! loses nothing. A failure here never stops the broker from serving.
 #![deny(
     missing_docs,
     rust_2018_idioms,
@@ -73,8 +73,8 @@
 ///
 /// # Errors
 ///
-/// Fails when the snapshot is too large, or a step of the file system fails. A valid generation remains after any
-/// failure, if there was one before.
+/// Fails when the snapshot is too large, or a step of the file system fails. A valid generation remains after
+/// any failure, if there was one before.
 pub fn write(files: &impl FileSystem, dir: &Path, snapshot: &Snapshot) -> Result<(), WriteError> {
     let bytes = snapshot::encode(snapshot)?;
     let (current, older, temporary) = (dir.join(CURRENT), dir.join(OLDER), dir.join(TEMPORARY));
@@ -94,8 +94,8 @@
 struct LockedDirectory<F: FileSystem> {
     files: F,
     dir: PathBuf,
-    /// Locked from the first write on. While another process has the lock nothing is written: in a hot restart the new
-    /// process takes over once the draining one has ended.
+    /// Locked from the first write on. While another process has the lock nothing is written: in a hot
+    /// restart the new process takes over once the draining one has ended.
     lock: Option<F::Lock>,
     is_failing: bool,
 }
@@ -143,10 +143,11 @@
 }
 
 impl SnapshotWriter {
-    /// Creates a directory if needed, and gives the valid snapshots in it, the oldest first, and a writer for it.
+    /// Creates a directory if needed, and gives the valid snapshots in it, the oldest first, and a writer for
+    /// it.
     ///
-    /// This blocks on the disk: it is for the start, before clients are served. The writer is `None` if the directory
-    /// can't be created or the system gives no thread; problems are logged.
+    /// This blocks on the disk: it is for the start, before clients are served. The writer is `None` if the
+    /// directory can't be created or the system gives no thread; problems are logged.
     pub fn open(dir: &Path) -> (Vec<Snapshot>, Option<SnapshotWriter>) {
         if let Err(error) = std::fs::create_dir_all(dir) {
             let dir = dir.display();
--- a/src/storage/writer.rs
+++ b/src/storage/writer.rs
@@ -12,14 +12,14 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-/// How long dropping a [`WriterThread`] waits for its last write: a disk that hangs must not keep the program from
-/// ending.
+/// How long dropping a [`WriterThread`] waits for its last write: a disk that hangs must not keep the program
+/// from ending.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A named thread with a bounded queue of jobs.
 ///
-/// Dropping it closes the queue and waits at most 500 ms for the jobs in it to be done. A thread that needs longer is
-/// left to itself.
+/// Dropping it closes the queue and waits at most 500 ms for the jobs in it to be done. A thread that needs
+/// longer is left to itself.
 #[derive(Debug)]
 pub(super) struct WriterThread<T> {
     /// Is `None` only while this is dropped.
--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -27,8 +27,8 @@
     Snapshot { written: version, synced: Some(version), whole, forgotten: None, rate, nodes: vec![node] }
 }
 
-/// A disk on which the step number `from` and all later steps fail, as in a crash, on a full disk or in a directory
-/// that was removed.
+/// A disk on which the step number `from` and all later steps fail, as in a crash, on a full disk or in a
+/// directory that was removed.
 #[derive(Clone, Default)]
 struct FailingDisk {
     steps: Arc<AtomicUsize>,
