Name the items of cluster by the field's terms

Methods and fields spoke of saying, hearing, carrying and being told. They are commands, hints, outputs, turns and pending writes now. Locals, doc texts and log lines still wait.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -238,7 +238,7 @@
 fn state(dir: &Path, other: Option<Option<&Path>>, json: bool) -> ExitCode {
     let mut sound = true;
     let mut read = |dir: &Path| {
-        let (copy, wrong) = cluster::on_disk(dir);
+        let (copy, wrong) = cluster::read_directory(dir);
         wrong.iter().for_each(|w| eprintln!("{w}"));
         sound &= wrong.is_empty();
         copy
@@ -246,8 +246,8 @@
     let (first, second) = (read(dir), other.flatten().map(read));
     let now = crate::net::Clock::start().now();
     let (told, differs) = match other {
-        None => (cluster::shown(&first, now), false),
-        Some(_) => cluster::differences(&first, second.as_ref(), now),
+        None => (cluster::store_report(&first, now), false),
+        Some(_) => cluster::difference_report(&first, second.as_ref(), now),
     };
     if json {
         println!("{told}");
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -6,7 +6,7 @@
 
 mod status_report;
 
-pub use status_report::{differences, shown};
+pub use status_report::{difference_report, store_report};
 
 use crate::admin::request::CommandOptions;
 use crate::api::Nanos;
@@ -33,32 +33,32 @@
 /// The mark of its sockets: no front's owners come near it.
 pub const OWNER: u8 = 201;
 /// Connections of peers that are held at once; what it needs of descriptors beside them.
-pub const PLACES: usize = 6;
+pub const MAX_PEER_CONNECTIONS: usize = 6;
 /// See `PLACES`: a listener, a socket for datagrams, a connection of one's own, the lock and a file.
-pub const BESIDE: usize = 6;
+pub const RESERVED_DESCRIPTORS: usize = 6;
 /// Bytes of a buffer, and buffers in all: what peers may make this broker hold.
 const BUFFERS: (usize, usize) = (64 * 1024, 32);
 /// Datagrams taken in one turn; the rest waits for the next.
-const IN_A_TURN: usize = 16;
+const MAX_DATAGRAMS_PER_TURN: usize = 16;
 /// Frames taken from one connection in one turn.
-const FRAMES_IN_A_TURN: usize = 4;
+const MAX_FRAMES_PER_TURN: usize = 4;
 /// Time between two tries to take the addresses from a process that still has them.
-const BIND_AGAIN: Nanos = 200_000_000;
+const BIND_RETRY_INTERVAL: Nanos = 200_000_000;
 /// Time between two looks at the journal while it writes.
-const LOOK: Nanos = 2_000_000;
+const JOURNAL_POLL_INTERVAL: Nanos = 2_000_000;
 /// Time after which a failed write is tried again.
-const WRITE_AGAIN: Nanos = 1_000_000_000;
+const WRITE_RETRY_INTERVAL: Nanos = 1_000_000_000;
 /// Facts in one write.
-const IN_A_WRITE: usize = 512;
+const MAX_FACTS_PER_WRITE: usize = 512;
 /// How long a start waits for what is on disk.
-const AT_THE_START: Duration = Duration::from_secs(2);
+const STARTUP_READ_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A word that waits until it is on disk.
 #[derive(Debug)]
-struct Waiting {
+struct PendingCommand {
     caller: ConnId,
     key: FactKey,
-    yes: String,
+    success: String,
     ticket: Option<u64>,
 }
 
@@ -66,18 +66,18 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CommandError {
     /// The process before still has this broker's place in the cluster, or its disk is still being read.
-    NotYet,
+    NotReady,
     /// It could not be taken.
-    Refused(JoinError),
+    Rejected(JoinError),
 }
 
 impl std::fmt::Display for CommandError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            CommandError::NotYet => {
+            CommandError::NotReady => {
                 write!(f, "the cluster's facts are not here yet; say it again in a moment")
             }
-            CommandError::Refused(why) => write!(f, "{why}"),
+            CommandError::Rejected(why) => write!(f, "{why}"),
         }
     }
 }
@@ -86,38 +86,38 @@
     datagrams: Datagrams,
     pool: Pool,
     streams: BTreeMap<u64, (ConnId, SocketAddr)>,
-    numbers: BTreeMap<ConnId, u64>,
-    next: u64,
+    stream_ids: BTreeMap<ConnId, u64>,
+    last_stream_id: u64,
 }
 
 /// A broker's place in its cluster.
 pub struct Cluster {
     settings: GossipSettings,
     listen: SocketAddr,
-    dir: String,
+    directory: String,
     journal: Journal,
     /// None until what is on disk is known.
-    member: Option<Box<GossipNode>>,
+    node: Option<Box<GossipNode>>,
     /// None until the addresses are free.
     sockets: Option<Sockets>,
-    bind_again: Nanos,
-    bind_told: bool,
-    write_again: Nanos,
+    next_bind_at: Nanos,
+    bind_failure_logged: bool,
+    next_write_at: Nanos,
     /// Keys of the writes that are out.
-    writing: BTreeMap<u64, Vec<FactKey>>,
-    waiting: Vec<Waiting>,
+    writes_in_flight: BTreeMap<u64, Vec<FactKey>>,
+    pending_commands: Vec<PendingCommand>,
     replies: Vec<(ConnId, Result<String, String>)>,
-    failing: bool,
+    writes_failing: bool,
     /// The operator's file, and what it says now, while that is read.
-    file: Option<PathBuf>,
-    reading: Option<Receiver<Result<OperatorConfig, ConfigError>>>,
+    operator_file: Option<PathBuf>,
+    reload: Option<Receiver<Result<OperatorConfig, ConfigError>>>,
     /// The longest time that one turn spent here, ns.
-    longest: Nanos,
-    datagram: Box<[u8; DATAGRAM + 1]>,
+    longest_turn: Nanos,
+    datagram_buffer: Box<[u8; DATAGRAM + 1]>,
 }
 
 /// What a directory holds, and what is wrong there. Nobody's origin: nothing is said with this copy.
-pub fn on_disk(dir: &Path) -> (StateStore, Vec<String>) {
+pub fn read_directory(dir: &Path) -> (StateStore, Vec<String>) {
     let mut copy = StateStore::new(Origin(0), StoreLimits::default());
     if !dir.is_dir() {
         return (copy, vec![format!("{}: it is no directory", dir.display())]);
@@ -130,7 +130,7 @@
 }
 
 /// Sixty-four bits that no other process has drawn: the system seeds each thread's hashing anew.
-fn drawn() -> u64 {
+fn random_seed() -> u64 {
     let mut hasher = RandomState::new().build_hasher();
     hasher.write_u32(std::process::id());
     hasher.finish()
@@ -149,38 +149,40 @@
             swim: swim::SwimSettings { every, timeout: every * 3 / 10, indirect: 3 },
             bounds,
             speaks: told.speak,
-            seed: drawn(),
+            seed: random_seed(),
         };
         let journal = Journal::start(Disk, &told.keep, bounds)?;
-        let found = journal.found_within(AT_THE_START);
+        let found = journal.found_within(STARTUP_READ_TIMEOUT);
         let mut cluster = Cluster {
             settings,
             listen: told.listen,
-            dir: told.keep.display().to_string(),
+            directory: told.keep.display().to_string(),
             journal,
-            member: None,
+            node: None,
             sockets: None,
-            bind_again: now,
-            bind_told: false,
-            write_again: now,
-            writing: BTreeMap::new(),
-            waiting: Vec::new(),
+            next_bind_at: now,
+            bind_failure_logged: false,
+            next_write_at: now,
+            writes_in_flight: BTreeMap::new(),
+            pending_commands: Vec::new(),
             replies: Vec::new(),
-            failing: false,
-            file: told.file.clone(),
-            reading: None,
-            longest: 0,
-            datagram: Box::new([0; DATAGRAM + 1]),
+            writes_failing: false,
+            operator_file: told.file.clone(),
+            reload: None,
+            longest_turn: 0,
+            datagram_buffer: Box::new([0; DATAGRAM + 1]),
         };
         match found {
-            Some(found) => cluster.begin(found, now),
-            None => tracing::info!("cluster: another process has {}; its place is taken later", cluster.dir),
+            Some(found) => cluster.start_node(found, now),
+            None => {
+                tracing::info!("cluster: another process has {}; its place is taken later", cluster.directory)
+            }
         }
-        cluster.bind(now, net);
+        cluster.try_bind(now, net);
         Ok(cluster)
     }
 
-    fn begin(&mut self, found: Result<JournalContents, String>, now: Nanos) {
+    fn start_node(&mut self, found: Result<JournalContents, String>, now: Nanos) {
         let found = found.unwrap_or_else(|why| {
             tracing::error!("cluster: nothing can be kept: {why}");
             JournalContents::default()
@@ -188,7 +190,7 @@
         if !found.wrong.is_empty() {
             tracing::error!("cluster: not used: {}", found.wrong.join("; "));
         }
-        let (seed, origin) = (&self.settings, Origin(drawn() ^ now.rotate_left(17)));
+        let (seed, origin) = (&self.settings, Origin(random_seed() ^ now.rotate_left(17)));
         let incarnation = (found.incarnation + 1).max(now / 1_000_000);
         tracing::info!(
             "cluster {}: {} of {} peers as {origin}, {} facts on disk",
@@ -198,42 +200,47 @@
             found.facts.len()
         );
         self.journal.begin(incarnation);
-        self.member =
+        self.node =
             Some(Box::new(GossipNode::new(self.settings.clone(), origin, &found.facts, incarnation, now)));
     }
 
-    fn bind(&mut self, now: Nanos, net: &mut PollLoop) {
-        if self.sockets.is_some() || self.member.is_none() || now < self.bind_again {
+    fn try_bind(&mut self, now: Nanos, net: &mut PollLoop) {
+        if self.sockets.is_some() || self.node.is_none() || now < self.next_bind_at {
             return;
         }
-        self.bind_again = now + BIND_AGAIN;
+        self.next_bind_at = now + BIND_RETRY_INTERVAL;
         // Nobody else comes to this port but a process before this one: both sockets are had, or neither.
         let datagrams = match net.datagrams(self.listen, OWNER) {
             Ok(datagrams) => datagrams,
-            Err(e) if std::mem::replace(&mut self.bind_told, true) => return tracing::debug!("cluster: {e}"),
+            Err(e) if std::mem::replace(&mut self.bind_failure_logged, true) => {
+                return tracing::debug!("cluster: {e}");
+            }
             Err(e) => {
                 return tracing::warn!("cluster: {} can't be taken yet: {e}; it is tried again", self.listen);
             }
         };
         let pool = Pool::sized(BUFFERS.1, BUFFERS.0);
-        if let Err(e) = net.listen_apart(self.listen, OWNER, ConnectionClass::Peers, PLACES, pool.clone()) {
+        if let Err(e) =
+            net.listen_apart(self.listen, OWNER, ConnectionClass::Peers, MAX_PEER_CONNECTIONS, pool.clone())
+        {
             tracing::error!("cluster: no peer can connect to {}: {e}", self.listen);
         }
         let (streams, numbers) = (BTreeMap::new(), BTreeMap::new());
-        self.sockets = Some(Sockets { datagrams, pool, streams, numbers, next: 1 << 63 });
+        self.sockets =
+            Some(Sockets { datagrams, pool, streams, stream_ids: numbers, last_stream_id: 1 << 63 });
         tracing::info!("cluster: peers reach this broker at {}", self.listen);
     }
 
     // ---- what is asked of it ----
 
     /// What holds for this broker; none until what is on disk is known.
-    pub fn effect(&self) -> Option<&DerivedState> {
-        self.member.as_ref().map(|m| m.derived_state())
+    pub fn derived_state(&self) -> Option<&DerivedState> {
+        self.node.as_ref().map(|m| m.derived_state())
     }
 
     /// Whether a key was ever spoken of.
     pub fn knows(&self, key: &FactKey) -> bool {
-        self.member.as_ref().is_some_and(|m| m.store().get(key).is_some())
+        self.node.as_ref().is_some_and(|m| m.store().get(key).is_some())
     }
 
     /// Whether the operator's file names this broker.
@@ -247,7 +254,7 @@
     }
 
     /// Staff say something; it holds at once, and `caller` is answered once it is on disk.
-    pub fn say(
+    pub fn record_command(
         &mut self,
         key: FactKey,
         value: CommandValue,
@@ -256,43 +263,43 @@
         yes: String,
         now: Nanos,
     ) -> Result<(), CommandError> {
-        let member = self.member.as_mut().ok_or(CommandError::NotYet)?;
+        let member = self.node.as_mut().ok_or(CommandError::NotReady)?;
         if member.is_doubled() {
-            member.renew(Origin(drawn() ^ now.rotate_left(17)));
+            member.renew(Origin(random_seed() ^ now.rotate_left(17)));
         }
         let (at_broker, until) =
             (self.settings.name.clone(), aside.holds.map(|s| now.saturating_add(s * 1_000_000_000)));
         let word = if value == CommandValue::Out { "out" } else { "back" };
         let said = OperatorCommand { value, who: aside.by, why: aside.why, at_broker, at: now, until };
-        let dot = member.record(&key, said, now).map_err(CommandError::Refused)?;
+        let dot = member.record(&key, said, now).map_err(CommandError::Rejected)?;
         tracing::info!("cluster: {key} is said to be {word} here as {dot}");
-        self.waiting.push(Waiting { caller, key, yes, ticket: None });
+        self.pending_commands.push(PendingCommand { caller, key, success: yes, ticket: None });
         Ok(())
     }
 
     /// Whether clients may be sent here: a broker that still asks its peers what it missed waits for that a moment.
     pub fn is_ready(&self) -> bool {
-        self.member.as_ref().is_none_or(|m| m.sync_status() != SyncStatus::CatchingUp)
+        self.node.as_ref().is_none_or(|m| m.sync_status() != SyncStatus::CatchingUp)
     }
 
     /// The word to read the operator's file again has come: the peers that it names may have changed. It is read on a
     /// thread of its own; a disk that hangs must not stop the loop.
-    pub fn reload(&mut self) {
-        let Some(file) = self.file.clone() else { return };
+    pub fn start_reload(&mut self) {
+        let Some(file) = self.operator_file.clone() else { return };
         let (tell, told) = sync_channel(1);
         let read = move || drop(tell.send(OperatorConfig::from_file(&file)));
         match std::thread::Builder::new().name("peers".into()).spawn(read) {
-            Ok(_) => self.reading = Some(told),
+            Ok(_) => self.reload = Some(told),
             Err(e) => tracing::error!("cluster: the operator's file can't be read: {e}"),
         }
     }
 
-    fn take_peers(&mut self, now: Nanos) {
-        let read = match self.reading.as_ref().map(Receiver::try_recv) {
+    fn finish_reload(&mut self, now: Nanos) {
+        let read = match self.reload.as_ref().map(Receiver::try_recv) {
             None | Some(Err(TryRecvError::Empty)) => return,
             Some(read) => read,
         };
-        self.reading = None;
+        self.reload = None;
         let told = match read {
             Ok(Ok(told)) => told.cluster,
             Ok(Err(e)) => return tracing::error!("cluster: the peers stay as they were: {e}"),
@@ -304,21 +311,21 @@
         };
         self.settings.peers = told.peers.iter().map(|p| (p.name.clone(), p.address)).collect();
         tracing::info!("cluster: file read again: {} peers", told.peers.len());
-        if let Some(member) = &mut self.member {
+        if let Some(member) = &mut self.node {
             member.relist(&self.settings.peers, now);
         }
     }
 
     /// Discovery told this broker of a drain or a start.
-    pub fn note(&mut self, key: FactKey, latest: ProcessStart, now: Nanos) {
-        if let Some(member) = &mut self.member {
+    pub fn record_hint(&mut self, key: FactKey, latest: ProcessStart, now: Nanos) {
+        if let Some(member) = &mut self.node {
             member.note(key, latest, now);
         }
     }
 
     /// A server of which others have heard something new, and what.
-    pub fn heard(&mut self) -> Option<(String, NodeHints)> {
-        let member = self.member.as_mut()?;
+    pub fn next_hint(&mut self) -> Option<(String, NodeHints)> {
+        let member = self.node.as_mut()?;
         let key = member.take_heard_of()?;
         let id = key.name()?.to_owned();
         let latest = |key: &FactKey| match member.store().get(key) {
@@ -335,67 +342,68 @@
     }
 
     /// A turn spent so long here.
-    pub fn spent(&mut self, time: Nanos) {
-        self.longest = self.longest.max(time);
+    pub fn record_turn_time(&mut self, time: Nanos) {
+        self.longest_turn = self.longest_turn.max(time);
     }
 
     // ---- sockets ----
 
     /// Takes in what happened on one of its sockets.
-    pub fn event(&mut self, event: NetEvent, now: Nanos, net: &mut PollLoop) {
-        let (Some(sockets), Some(member)) = (&mut self.sockets, &mut self.member) else { return };
+    pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut PollLoop) {
+        let (Some(sockets), Some(member)) = (&mut self.sockets, &mut self.node) else { return };
         match event {
             NetEvent::Datagrams { .. } => {
                 for n in 0.. {
-                    if n == IN_A_TURN {
+                    if n == MAX_DATAGRAMS_PER_TURN {
                         net.datagrams_later(OWNER);
                         break;
                     }
-                    let Some((len, from)) = net.take_datagram(sockets.datagrams, &mut self.datagram[..])
+                    let Some((len, from)) =
+                        net.take_datagram(sockets.datagrams, &mut self.datagram_buffer[..])
                     else {
                         break;
                     };
-                    member.datagram(from, &self.datagram[..len], now);
+                    member.datagram(from, &self.datagram_buffer[..len], now);
                 }
             }
             NetEvent::Accepted { conn, peer, .. } => {
-                if net.accepted_at(ConnectionClass::Peers) > PLACES {
+                if net.accepted_at(ConnectionClass::Peers) > MAX_PEER_CONNECTIONS {
                     return net.close(conn);
                 }
-                sockets.next += 1;
-                sockets.streams.insert(sockets.next, (conn, peer));
-                sockets.numbers.insert(conn, sockets.next);
-                member.accepted(sockets.next, peer, now);
-                self.read(conn, now, net);
+                sockets.last_stream_id += 1;
+                sockets.streams.insert(sockets.last_stream_id, (conn, peer));
+                sockets.stream_ids.insert(conn, sockets.last_stream_id);
+                member.accepted(sockets.last_stream_id, peer, now);
+                self.read_frames(conn, now, net);
             }
             NetEvent::Connected { conn, .. } => {
-                if let Some(stream) = sockets.numbers.get(&conn) {
+                if let Some(stream) = sockets.stream_ids.get(&conn) {
                     member.connected(*stream, now);
                 }
             }
-            NetEvent::Readable { conn, .. } => self.read(conn, now, net),
-            NetEvent::Broken { conn, .. } => self.gone(conn, now),
+            NetEvent::Readable { conn, .. } => self.read_frames(conn, now, net),
+            NetEvent::Broken { conn, .. } => self.on_connection_closed(conn, now),
             NetEvent::Flushed { .. } | NetEvent::Signal(_) => {}
         }
-        self.carry(now, net);
+        self.perform_outputs(now, net);
     }
 
-    fn gone(&mut self, conn: ConnId, now: Nanos) {
+    fn on_connection_closed(&mut self, conn: ConnId, now: Nanos) {
         let Some(sockets) = &mut self.sockets else { return };
-        if let Some(stream) = sockets.numbers.remove(&conn) {
+        if let Some(stream) = sockets.stream_ids.remove(&conn) {
             sockets.streams.remove(&stream);
-            if let Some(member) = &mut self.member {
+            if let Some(member) = &mut self.node {
                 member.closed(stream, now);
             }
         }
     }
 
-    fn read(&mut self, conn: ConnId, now: Nanos, net: &mut PollLoop) {
+    fn read_frames(&mut self, conn: ConnId, now: Nanos, net: &mut PollLoop) {
         for n in 0.. {
             let Some(sockets) = &self.sockets else { return };
-            let Some(stream) = sockets.numbers.get(&conn).copied() else { return };
+            let Some(stream) = sockets.stream_ids.get(&conn).copied() else { return };
             let Some((_, from)) = sockets.streams.get(&stream).copied() else { return };
-            if n == FRAMES_IN_A_TURN {
+            if n == MAX_FRAMES_PER_TURN {
                 return net.read_later(conn);
             }
             let filled = net.fill(conn);
@@ -403,26 +411,26 @@
             let end = match frame_end(net.data(conn)) {
                 Ok(Some(end)) => end,
                 Ok(None) if filled == ReadOutcome::Ended => {
-                    self.gone(conn, now);
+                    self.on_connection_closed(conn, now);
                     return net.close(conn);
                 }
                 Ok(None) if matches!(filled, ReadOutcome::Some(_)) => continue,
                 Ok(None) => return,
                 Err(_) => net.data(conn).len().min(4),
             };
-            let Some(member) = &mut self.member else { return };
+            let Some(member) = &mut self.node else { return };
             let frame = net.data(conn).get(4..end).unwrap_or(&[]).to_vec();
             net.consume(conn, end);
             member.frame(stream, from, &frame, now);
-            self.carry(now, net);
+            self.perform_outputs(now, net);
         }
     }
 
     /// Sends what the member wants sent, and tells people what it tells.
-    fn carry(&mut self, now: Nanos, net: &mut PollLoop) {
-        let Some(member) = &mut self.member else { return };
+    fn perform_outputs(&mut self, now: Nanos, net: &mut PollLoop) {
+        let Some(member) = &mut self.node else { return };
         while let Some(told) = member.take_told() {
-            status_report::tell(&told, member);
+            status_report::log_notification(&told, member);
         }
         let Some(sockets) = &mut self.sockets else {
             // Without its address it reaches nobody: what it would send must not add up until it has it.
@@ -439,7 +447,7 @@
                 Output::Dial { stream, to } => match net.dial_apart(to, OWNER, sockets.pool.clone()) {
                     Ok(conn) => {
                         sockets.streams.insert(stream, (conn, to));
-                        sockets.numbers.insert(conn, stream);
+                        sockets.stream_ids.insert(conn, stream);
                     }
                     Err(_) => member.closed(stream, now),
                 },
@@ -447,14 +455,14 @@
                     let Some((conn, _)) = sockets.streams.get(&stream).copied() else { continue };
                     if net.send(conn, &bytes).is_err() {
                         sockets.streams.remove(&stream);
-                        sockets.numbers.remove(&conn);
+                        sockets.stream_ids.remove(&conn);
                         net.close(conn);
                         member.closed(stream, now);
                     }
                 }
                 Output::Close { stream } => {
                     if let Some((conn, _)) = sockets.streams.remove(&stream) {
-                        sockets.numbers.remove(&conn);
+                        sockets.stream_ids.remove(&conn);
                         net.close_after_flush(conn);
                     }
                 }
@@ -466,85 +474,91 @@
 
     /// Lets time go by.
     pub fn tick(&mut self, now: Nanos, net: &mut PollLoop) {
-        if self.member.is_none()
+        if self.node.is_none()
             && let Some(found) = self.journal.found()
         {
-            self.begin(found, now);
+            self.start_node(found, now);
         }
-        self.bind(now, net);
-        self.take_peers(now);
-        if let Some(member) = &mut self.member {
+        self.try_bind(now, net);
+        self.finish_reload(now);
+        if let Some(member) = &mut self.node {
             if member.is_doubled() {
-                member.renew(Origin(drawn() ^ now.rotate_left(17)));
+                member.renew(Origin(random_seed() ^ now.rotate_left(17)));
             }
             if member.due(now) <= now {
                 member.tick(now);
             }
         }
-        self.write(now);
-        self.carry(now, net);
+        self.drive_journal(now);
+        self.perform_outputs(now, net);
     }
 
-    fn write(&mut self, now: Nanos) {
-        let Some(member) = &mut self.member else { return };
+    fn drive_journal(&mut self, now: Nanos) {
+        let Some(member) = &mut self.node else { return };
         while let Some((ticket, done)) = self.journal.done() {
-            let keys = self.writing.remove(&ticket).unwrap_or_default();
-            let (over, rest) = self.waiting.drain(..).partition(|w: &Waiting| w.ticket == Some(ticket));
-            self.waiting = rest;
-            let over: Vec<Waiting> = over;
+            let keys = self.writes_in_flight.remove(&ticket).unwrap_or_default();
+            let (over, rest) =
+                self.pending_commands.drain(..).partition(|w: &PendingCommand| w.ticket == Some(ticket));
+            self.pending_commands = rest;
+            let over: Vec<PendingCommand> = over;
             match done {
                 Ok(()) => {
-                    if std::mem::replace(&mut self.failing, false) {
-                        tracing::info!("cluster: facts are kept again in {}", self.dir);
+                    if std::mem::replace(&mut self.writes_failing, false) {
+                        tracing::info!("cluster: facts are kept again in {}", self.directory);
                     }
-                    self.replies.extend(over.into_iter().map(|w| (w.caller, Ok(w.yes))));
+                    self.replies.extend(over.into_iter().map(|w| (w.caller, Ok(w.success))));
                 }
                 Err(why) => {
                     // Told once for each spell: a full disk stays full.
-                    if !std::mem::replace(&mut self.failing, true) {
+                    if !std::mem::replace(&mut self.writes_failing, true) {
                         tracing::error!("cluster: facts can't be kept: {why}; serving goes on");
                     }
-                    let no = |w: Waiting| {
+                    let no = |w: PendingCommand| {
                         (w.caller, Err(format!("{}: it holds here, and is not on disk: {why}", w.key)))
                     };
                     self.replies.extend(over.into_iter().map(no));
                     member.not_kept(keys);
-                    self.write_again = now + WRITE_AGAIN;
+                    self.next_write_at = now + WRITE_RETRY_INTERVAL;
                 }
             }
         }
-        if member.is_kept() || !self.journal.is_free() || now < self.write_again {
+        if member.is_kept() || !self.journal.is_free() || now < self.next_write_at {
             return;
         }
         if self.journal.is_dead() {
-            self.write_again = now + WRITE_AGAIN;
-            let no = |w: Waiting| {
+            self.next_write_at = now + WRITE_RETRY_INTERVAL;
+            let no = |w: PendingCommand| {
                 (w.caller, Err(format!("{}: it holds here, and nothing can be kept on disk", w.key)))
             };
-            self.replies.extend(self.waiting.drain(..).map(no));
+            self.replies.extend(self.pending_commands.drain(..).map(no));
             return;
         }
-        let facts = member.take_unkept(IN_A_WRITE);
+        let facts = member.take_unkept(MAX_FACTS_PER_WRITE);
         let keys: Vec<FactKey> = facts.iter().map(|(k, _)| k.clone()).collect();
         match self.journal.write(facts) {
             Ok(ticket) => {
-                let unwritten = self.waiting.iter_mut().filter(|w| w.ticket.is_none());
+                let unwritten = self.pending_commands.iter_mut().filter(|w| w.ticket.is_none());
                 unwritten.filter(|w| keys.contains(&w.key)).for_each(|w| w.ticket = Some(ticket));
-                self.writing.insert(ticket, keys);
+                self.writes_in_flight.insert(ticket, keys);
             }
             Err(_) => {
                 member.not_kept(keys);
-                self.write_again = now + LOOK;
+                self.next_write_at = now + JOURNAL_POLL_INTERVAL;
             }
         }
     }
 
     /// When `tick` is next worth calling.
-    pub fn due(&self, now: Nanos) -> Nanos {
-        let Some(member) = &self.member else { return now + BIND_AGAIN };
-        let bind = self.sockets.is_none().then_some(self.bind_again);
-        let look = (self.journal.is_at_work() || self.reading.is_some()).then_some(now + LOOK);
-        let write = (!member.is_kept() && self.journal.is_free()).then_some(self.write_again);
-        [Some(member.due(now)), bind, look, write].into_iter().flatten().min().unwrap_or(now + BIND_AGAIN)
+    pub fn next_deadline(&self, now: Nanos) -> Nanos {
+        let Some(member) = &self.node else { return now + BIND_RETRY_INTERVAL };
+        let bind = self.sockets.is_none().then_some(self.next_bind_at);
+        let look =
+            (self.journal.is_at_work() || self.reload.is_some()).then_some(now + JOURNAL_POLL_INTERVAL);
+        let write = (!member.is_kept() && self.journal.is_free()).then_some(self.next_write_at);
+        [Some(member.due(now)), bind, look, write]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(now + BIND_RETRY_INTERVAL)
     }
 }
--- a/src/cluster/status_report.rs
+++ b/src/cluster/status_report.rs
@@ -13,7 +13,7 @@
 const MOST: (usize, usize) = (200, 64 * 1024);
 
 /// One log line.
-pub fn tell(told: &Notification, member: &GossipNode) {
+pub fn log_notification(told: &Notification, member: &GossipNode) {
     match told {
         Notification::Up(name) => tracing::info!("cluster: {name} is up"),
         Notification::Suspected(name) => tracing::info!("cluster: {name} does not answer"),
@@ -44,13 +44,13 @@
         }
         Notification::Came(n) => tracing::info!("cluster: {n} words came that were missed here"),
         Notification::Changed(key) => match member.store().register(key) {
-            Some(r) => tracing::info!("cluster: {key} is now {}", words(r)),
+            Some(r) => tracing::info!("cluster: {key} is now {}", describe_register(r)),
             None => tracing::info!("cluster: {key} is forgotten"),
         },
     }
 }
 
-fn words(register: &Register) -> String {
+fn describe_register(register: &Register) -> String {
     let one = |(dot, s): (crate::replication::Dot, &crate::replication::OperatorCommand)| {
         format!("{} by {:?} at {} as {dot}", derived_state::word(&s.value), s.who, s.at_broker)
     };
@@ -59,7 +59,7 @@
 }
 
 /// The words on a key, for scripts.
-pub fn register(key: &FactKey, register: &Register, now: Nanos) -> Value {
+pub fn register_report(key: &FactKey, register: &Register, now: Nanos) -> Value {
     let said = |(dot, s): (crate::replication::Dot, &crate::replication::OperatorCommand)| {
         json!({
             "says": derived_state::word(&s.value), "by": s.who, "why": s.why, "at_broker": s.at_broker,
@@ -73,7 +73,7 @@
 }
 
 /// Words of a copy, for scripts, in the order of their keys: how many there are, and as many of them as fit.
-fn registers(
+fn register_reports(
     copy: &StateStore,
     now: Nanos,
     most: (usize, usize),
@@ -84,7 +84,7 @@
     let (n, mut bytes) = (all.len(), 0);
     let mut values = Vec::new();
     for (key, r) in all.into_iter().take(most.0) {
-        let value = register(key, r, now);
+        let value = register_report(key, r, now);
         bytes += value.to_string().len();
         if bytes > most.1 {
             break;
@@ -95,20 +95,20 @@
 }
 
 /// A copy, for `state show`.
-pub fn shown(copy: &StateStore, now: Nanos) -> Value {
-    let (n, words) = registers(copy, now, (usize::MAX, usize::MAX), |_| true);
+pub fn store_report(copy: &StateStore, now: Nanos) -> Value {
+    let (n, words) = register_reports(copy, now, (usize::MAX, usize::MAX), |_| true);
     json!({ "digest": format!("{:016x}", copy.tree().root()), "facts": copy.len(), "words": n, "first": words })
 }
 
 /// On what two copies differ, for `state diff`, and whether they do.
-pub fn differences(copy: &StateStore, other: Option<&StateStore>, now: Nanos) -> (Value, bool) {
+pub fn difference_report(copy: &StateStore, other: Option<&StateStore>, now: Nanos) -> (Value, bool) {
     let nothing = StateStore::new(copy.origin(), StoreLimits::default());
     let other = other.unwrap_or(&nothing);
     let mut all: Vec<(String, Value)> = Vec::new();
     for (side, one, two) in [("first", copy, other), ("second", other, copy)] {
         for (key, entry) in one.facts().filter(|(key, entry)| two.get(key) != Some(*entry)) {
             let mut shown = match entry {
-                FactValue::Words(r) => register(key, r, now),
+                FactValue::Words(r) => register_report(key, r, now),
                 _ => json!({ "of": key.to_string() }),
             };
             shown["of"] = format!("{side}: {key}").into();
@@ -121,8 +121,8 @@
 }
 
 impl Cluster {
-    fn standing(&self) -> &'static str {
-        match self.member.as_ref().map(|m| m.sync_status()) {
+    fn readiness(&self) -> &'static str {
+        match self.node.as_ref().map(|m| m.sync_status()) {
             None => "reading the disk",
             Some(_) if self.sockets.is_none() => "waiting for its address",
             Some(SyncStatus::CatchingUp) => "catching up",
@@ -132,10 +132,10 @@
     }
 
     /// Who the peers are and who is up.
-    pub fn peers(&self, now: Nanos, longest_turn: Nanos) -> Value {
+    pub fn peers_report(&self, now: Nanos, longest_turn: Nanos) -> Value {
         let mut peers = Vec::new();
         let mut dropped = serde_json::Map::new();
-        if let Some(member) = &self.member {
+        if let Some(member) = &self.node {
             for (name, at, status, same, ago) in member.peers(now) {
                 let status = match status {
                     PeerStatus::Alive => "up",
@@ -149,31 +149,31 @@
             dropped.extend(member.dropped().map(|(why, n)| (why.to_string(), n.into())));
         }
         json!({
-            "cluster": self.settings.cluster, "name": self.settings.name, "standing": self.standing(),
-            "slowness": self.member.as_ref().map_or(0, |m| m.health()),
-            "incarnation": self.member.as_ref().map_or(0, |m| m.incarnation()),
-            "removed": self.effect().map(|e| &e.removed), "peers": peers, "dropped": dropped,
-            "longest_turn_us": longest_turn / 1000, "longest_for_peers_us": self.longest / 1000,
+            "cluster": self.settings.cluster, "name": self.settings.name, "standing": self.readiness(),
+            "slowness": self.node.as_ref().map_or(0, |m| m.health()),
+            "incarnation": self.node.as_ref().map_or(0, |m| m.incarnation()),
+            "removed": self.derived_state().map(|e| &e.removed), "peers": peers, "dropped": dropped,
+            "longest_turn_us": longest_turn / 1000, "longest_for_peers_us": self.longest_turn / 1000,
         })
     }
 
     /// What is known.
-    pub fn state(&self, now: Nanos) -> Value {
-        let Some(member) = &self.member else { return json!({ "standing": self.standing() }) };
+    pub fn state_report(&self, now: Nanos) -> Value {
+        let Some(member) = &self.node else { return json!({ "standing": self.readiness() }) };
         let copy = member.store();
-        let (n, words) = registers(copy, now, MOST, |_| true);
-        let kept = member.is_kept() && self.writing.is_empty();
+        let (n, words) = register_reports(copy, now, MOST, |_| true);
+        let kept = member.is_kept() && self.writes_in_flight.is_empty();
         json!({
-            "standing": self.standing(), "digest": format!("{:016x}", copy.tree().root()), "facts": copy.len(),
+            "standing": self.readiness(), "digest": format!("{:016x}", copy.tree().root()), "facts": copy.len(),
             "on_disk": kept, "words": n, "first": words,
         })
     }
 
     /// On what words that know nothing of each other differ.
-    pub fn conflicts(&self, now: Nanos) -> Value {
-        let Some(member) = &self.member else { return json!({ "standing": self.standing() }) };
+    pub fn conflicts_report(&self, now: Nanos) -> Value {
+        let Some(member) = &self.node else { return json!({ "standing": self.readiness() }) };
         let conflict = |key: &FactKey| member.derived_state().conflicts.contains(key);
-        let (n, first) = registers(member.store(), now, MOST, conflict);
+        let (n, first) = register_reports(member.store(), now, MOST, conflict);
         json!({ "conflicts": n, "first": first })
     }
 }
--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -172,7 +172,7 @@
     // Guards the limit on descriptors: what connections to nodes may take is not given to clients. Where nodes may
     // come and go, that is half of them.
     let apart = told.operation.listen.map_or(0, |_| admin::PLACES)
-        + told.cluster.as_ref().map_or(0, |_| cluster::PLACES + cluster::BESIDE);
+        + told.cluster.as_ref().map_or(0, |_| cluster::MAX_PEER_CONNECTIONS + cluster::RESERVED_DESCRIPTORS);
     let most = told.limits.sockets - SPARE - apart;
     let changing = m.discovery.is_some() || files.path.is_some();
     let all = named * told.limits.connections_per_node;
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -285,7 +285,7 @@
             }
             NetEvent::Signal(Signal::Reload) => {
                 self.front.reload(&mut hands);
-                self.cluster.iter_mut().for_each(Cluster::reload);
+                self.cluster.iter_mut().for_each(Cluster::start_reload);
             }
             _ if event.owner() == Some(admin::OWNER) => {
                 if let Some(desk) = &mut self.desk {
@@ -296,8 +296,8 @@
             _ if event.owner() == Some(cluster::OWNER) => {
                 if let Some(cluster) = &mut self.cluster {
                     let begun = self.clock.now();
-                    cluster.event(event, now, &mut self.net);
-                    cluster.spent(self.clock.now().saturating_sub(begun));
+                    cluster.on_event(event, now, &mut self.net);
+                    cluster.record_turn_time(self.clock.now().saturating_sub(begun));
                 }
             }
             _ => self.front.on_event(event, &mut hands),
@@ -372,7 +372,7 @@
             }
             _ => return Err("nothing is said of that by hand".into()),
         };
-        cluster.say(key, value, aside, caller, yes, now).map_err(|e| e.to_string())?;
+        cluster.record_command(key, value, aside, caller, yes, now).map_err(|e| e.to_string())?;
         self.peers(now);
         Ok(())
     }
@@ -411,9 +411,9 @@
                     return AdminResponse::No("this broker has no peers".into());
                 };
                 let told = match call {
-                    AdminRequest::Peers => cluster.peers(now, longest),
-                    AdminRequest::State => cluster.state(now),
-                    _ => cluster.conflicts(now),
+                    AdminRequest::Peers => cluster.peers_report(now, longest),
+                    AdminRequest::State => cluster.state_report(now),
+                    _ => cluster.conflicts_report(now),
                 };
                 AdminResponse::Figures(told.to_string())
             }
@@ -459,18 +459,18 @@
         let Some(cluster) = &mut self.cluster else { return };
         let begun = self.clock.now();
         // Until what is on disk is known, as beside a process before this one, there is nobody to be told.
-        if cluster.effect().is_some() {
+        if cluster.derived_state().is_some() {
             for (key, latest) in self.front.membership_mut().take_hints() {
-                cluster.note(key, latest, now);
+                cluster.record_hint(key, latest, now);
             }
         }
         cluster.tick(now, &mut self.net);
         let mut hands = FrontendContext { now, net: &mut self.net, engine: &mut self.exchange };
-        while let Some((id, heard)) = cluster.heard() {
+        while let Some((id, heard)) = cluster.next_hint() {
             self.front.membership_mut().on_hint(&id, heard, &mut hands);
         }
         let mut paused = None;
-        if let Some(effect) = cluster.effect() {
+        if let Some(effect) = cluster.derived_state() {
             if !std::mem::replace(&mut self.held.compared, true) {
                 // What an earlier process handed over was told to the cluster too: its disk has the later word.
                 self.held.out = self.words.suspended_servers().map(str::to_owned).collect();
@@ -500,7 +500,7 @@
                 desk.answer(caller, &reply, &mut self.net);
             }
         }
-        cluster.spent(self.clock.now().saturating_sub(begun));
+        cluster.record_turn_time(self.clock.now().saturating_sub(begun));
         match paused {
             Some(true) => {
                 self.words.set_paused(true, now);
@@ -633,7 +633,7 @@
         let leave = self.leave.next_deadline(self.clock.now()).filter(|_| !gone);
         let desk = self.desk.as_ref().and_then(AdminServer::next_deadline);
         let others = self.handover.as_ref().map(|h| h.next_deadline(self.clock.now()));
-        let peers = self.cluster.as_ref().map(|c| c.due(self.clock.now()));
+        let peers = self.cluster.as_ref().map(|c| c.next_deadline(self.clock.now()));
         [
             self.exchange.next_deadline(),
             self.front.next_deadline(),
