--- a/src/cli.rs
+++ b/src/cli.rs
@@ -255,7 +255,7 @@
 
 /// Reads a broker's cluster state from a directory and prints what is unsound there; returns whether nothing is.
 fn read_cluster_state(dir: &Path) -> (StateStore, bool) {
-    let (store, faults) = cluster::on_disk(dir);
+    let (store, faults) = cluster::read_directory(dir);
     faults.iter().for_each(|fault| eprintln!("{fault}"));
     (store, faults.is_empty())
 }
@@ -271,14 +271,14 @@
 
 fn show_state(dir: &Path, json: bool) -> ExitCode {
     let (store, sound) = read_cluster_state(dir);
-    print_cluster_state(&cluster::shown(&store, Clock::start().now()), json);
+    print_cluster_state(&cluster::store_report(&store, Clock::start().now()), json);
     success_if(sound)
 }
 
 fn diff_state(dir: &Path, other: Option<&Path>, json: bool) -> ExitCode {
     let (first, first_sound) = read_cluster_state(dir);
     let (second, second_sound) = other.map(read_cluster_state).unzip();
-    let (report, differs) = cluster::differences(&first, second.as_ref(), Clock::start().now());
+    let (report, differs) = cluster::difference_report(&first, second.as_ref(), Clock::start().now());
     print_cluster_state(&report, json);
     success_if(first_sound && second_sound.unwrap_or(true) && !differs)
 }
--- a/src/server/admin_handler.rs
+++ b/src/server/admin_handler.rs
@@ -95,7 +95,9 @@
         let confirmation = self.check_command(&command)?;
         let Some(cluster) = &mut self.cluster else { return Err(AdminError::NoPeers) };
         let ClusterCommand { key, value, options } = command;
-        cluster.say(key, value, options, caller, confirmation, now).map_err(AdminError::Cluster)?;
+        cluster
+            .record_command(key, value, options, caller, confirmation, now)
+            .map_err(AdminError::Cluster)?;
         self.drive_cluster(now);
         Ok(())
     }
@@ -126,11 +128,13 @@
             AdminRequest::Clients => Ok(AdminResponse::Success(self.net.accepted().to_string())),
             AdminRequest::InFlight(id) => self.attempts_in_flight_at(id),
             AdminRequest::Peers => {
-                let report = self.cluster()?.peers(now, self.longest_iteration);
+                let report = self.cluster()?.peers_report(now, self.longest_iteration);
                 Ok(AdminResponse::Report(report.to_string()))
             }
-            AdminRequest::State => Ok(AdminResponse::Report(self.cluster()?.state(now).to_string())),
-            AdminRequest::Conflicts => Ok(AdminResponse::Report(self.cluster()?.conflicts(now).to_string())),
+            AdminRequest::State => Ok(AdminResponse::Report(self.cluster()?.state_report(now).to_string())),
+            AdminRequest::Conflicts => {
+                Ok(AdminResponse::Report(self.cluster()?.conflicts_report(now).to_string()))
+            }
             AdminRequest::Suspend(id, options) => self.suspend_or_restore(id, true, &options, now),
             AdminRequest::Restore(id, options) => self.suspend_or_restore(id, false, &options, now),
             AdminRequest::Pause(broker, options) => self.pause(broker, &options, now),
--- a/src/server/cluster_driver.rs
+++ b/src/server/cluster_driver.rs
@@ -20,7 +20,7 @@
         }
         self.answer_cluster_commands();
         if let Some(cluster) = &mut self.cluster {
-            cluster.spent(self.clock.now().saturating_sub(started));
+            cluster.record_turn_time(self.clock.now().saturating_sub(started));
         }
         if let Some(paused) = changes.paused {
             self.set_paused(paused, now);
@@ -31,20 +31,20 @@
         let Some(cluster) = &mut self.cluster else { return };
         // Until the state on disk was read, and while the process before still has it, nothing can be
         // recorded.
-        if cluster.effect().is_some() {
+        if cluster.derived_state().is_some() {
             for (key, latest) in self.frontend.membership_mut().take_hints() {
-                cluster.note(key, latest, now);
+                cluster.record_hint(key, latest, now);
             }
         }
         cluster.tick(now, &mut self.net);
         let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
-        while let Some((id, hints)) = cluster.heard() {
+        while let Some((id, hints)) = cluster.next_hint() {
             self.frontend.membership_mut().on_hint(&id, hints, &mut context);
         }
     }
 
     fn take_cluster_changes(&mut self) -> StateChanges {
-        let Some(state) = self.cluster.as_ref().and_then(|cluster| cluster.effect()) else {
+        let Some(state) = self.cluster.as_ref().and_then(|cluster| cluster.derived_state()) else {
             return StateChanges::default();
         };
         let overrides = &self.overrides;
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -66,7 +66,7 @@
             }
             NetEvent::Signal(Signal::Reload) => {
                 self.frontend.reload(&mut context);
-                self.cluster.iter_mut().for_each(Cluster::reload);
+                self.cluster.iter_mut().for_each(Cluster::start_reload);
             }
             _ if event.owner() == Some(admin::OWNER) => {
                 if let Some(admin_server) = &mut self.admin_server {
@@ -77,8 +77,8 @@
             _ if event.owner() == Some(cluster::OWNER) => {
                 if let Some(cluster) = &mut self.cluster {
                     let started = self.clock.now();
-                    cluster.event(event, now, &mut self.net);
-                    cluster.spent(self.clock.now().saturating_sub(started));
+                    cluster.on_event(event, now, &mut self.net);
+                    cluster.record_turn_time(self.clock.now().saturating_sub(started));
                 }
             }
             _ => self.frontend.on_event(event, &mut context),
@@ -148,7 +148,7 @@
         let drain = self.drain.next_deadline(self.clock.now()).filter(|_| !idle);
         let admin_server = self.admin_server.as_ref().and_then(AdminServer::next_deadline);
         let hot_restart = self.hot_restart.as_ref().map(|h| h.next_deadline(self.clock.now()));
-        let cluster = self.cluster.as_ref().map(|c| c.due(self.clock.now()));
+        let cluster = self.cluster.as_ref().map(|c| c.next_deadline(self.clock.now()));
         [
             self.engine.next_deadline(),
             self.frontend.next_deadline(),
