--- a/tests/program.rs
+++ b/tests/program.rs
@@ -412,7 +412,7 @@
     // The disk works again: who is left keeps the list.
     std::fs::remove_file(&pipe).unwrap();
     directory.change(line("s-9", node, "", 0, NodeState::Terminating));
-    wait_for(&mut next, "1 changes");
+    wait_for(&mut next, "endpoints=1 full=false");
     terminate(&new);
     wait_for(&mut next, "ended");
     new.ends();
