--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -1,8 +1,8 @@
 //! Cluster membership of a broker: drives the gossip node, its sockets and its journal from the poll loop.
 //!
-//! Decisions are in [`crate::gossip`] and [`crate::replication`]; here bytes are moved, and operators' commands wait until
-//! they are on disk. Peers have their own sockets and buffers and a bounded share of each turn: they take nothing from
-//! clients.
+//! Decisions are in [`crate::gossip`] and [`crate::replication`]; here bytes are moved, and operators'
+//! commands wait until they are on disk. Peers have their own sockets and buffers and a bounded share of each
+//! turn: they take nothing from clients.
 //!
 //! - `sockets`: datagrams, and connections that carry frames;
 //! - `persistence`: facts on disk, and commands that wait for them;
@@ -47,7 +47,8 @@
 pub const OWNER: u8 = 201;
 /// Most connections of peers at once.
 pub const MAX_PEER_CONNECTIONS: usize = 6;
-/// Descriptors that it needs beside the connections of peers: a listener, a socket for datagrams, a connection of one's own, the lock and a file.
+/// Descriptors that it needs beside the connections of peers: a listener, a socket for datagrams, a
+/// connection of one's own, the lock and a file.
 pub const RESERVED_DESCRIPTORS: usize = 6;
 /// Time between two polls of the journal, ns, while it writes.
 const JOURNAL_POLL_INTERVAL: Nanos = 2_000_000;
@@ -88,8 +89,8 @@
 }
 
 impl Cluster {
-    /// A broker of this name among its peers. Waits a moment for what is on disk, so that what staff said holds before the
-    /// first client comes; where a process before it still has the disk, that comes later.
+    /// A broker of this name among its peers. Waits a moment for what is on disk, so that what staff said
+    /// holds before the first client comes; where a process before it still has the disk, that comes later.
     pub fn open(told: &ClusterConfig, name: &str, now: Nanos, net: &mut PollLoop) -> io::Result<Cluster> {
         let bounds = StoreLimits { keep: told.keep_words_s * 1_000_000_000, ..StoreLimits::default() };
         let every = told.probe_ms * 1_000_000;
@@ -199,7 +200,8 @@
         Ok(())
     }
 
-    /// Whether clients may be sent here: a broker that still asks its peers what it missed waits for that a moment.
+    /// Whether clients may be sent here: a broker that still asks its peers what it missed waits for that a
+    /// moment.
     pub fn is_ready(&self) -> bool {
         self.node.as_ref().is_none_or(|m| m.sync_status() != SyncStatus::CatchingUp)
     }
--- a/src/cluster/persistence.rs
+++ b/src/cluster/persistence.rs
@@ -24,8 +24,8 @@
     pub(super) ticket: Option<u64>,
 }
 
-/// Reads the facts in a cluster's directory, and what is wrong there. The store has nobody's origin: no command is recorded
-/// with it.
+/// Reads the facts in a cluster's directory, and what is wrong there. The store has nobody's origin: no
+/// command is recorded with it.
 pub fn read_directory(dir: &Path) -> (StateStore, Vec<String>) {
     let mut copy = StateStore::new(Origin(0), StoreLimits::default());
     if !dir.is_dir() {
--- a/src/cluster/reload.rs
+++ b/src/cluster/reload.rs
@@ -6,8 +6,8 @@
 use std::sync::mpsc::{Receiver, TryRecvError, sync_channel};
 
 impl Cluster {
-    /// The word to read the operator's file again has come: the peers that it names may have changed. It is read on a
-    /// thread of its own; a disk that hangs must not stop the loop.
+    /// The word to read the operator's file again has come: the peers that it names may have changed. It is
+    /// read on a thread of its own; a disk that hangs must not stop the loop.
     pub fn start_reload(&mut self) {
         let Some(file) = self.operator_file.clone() else { return };
         let (tell, told) = sync_channel(1);
--- a/src/cluster/status_report.rs
+++ b/src/cluster/status_report.rs
@@ -8,8 +8,8 @@
 use crate::replication::{FactKey, FactValue, Register, StateStore, StoreLimits};
 use serde_json::{Value, json};
 
-/// Most things that an answer names, and their bytes: what the second address holds for one caller. How many there are
-/// stands beside them.
+/// Most things that an answer names, and their bytes: what the second address holds for one caller. How many
+/// there are stands beside them.
 const MOST: (usize, usize) = (200, 64 * 1024);
 
 /// One log line.
--- a/src/hot_restart/coordination.rs
+++ b/src/hot_restart/coordination.rs
@@ -1,7 +1,7 @@
 //! Divides the deployment's limits among the processes that share an address. Free of I/O and clock.
 //!
-//! Processes are numbered in the order in which they started. The limits of the deployment hold for all of them
-//! together:
+//! Processes are numbered in the order in which they started. The limits of the deployment hold for all of
+//! them together:
 //!
 //! - The free part of the retry budget belongs to the oldest process, and passes on one window after its end.
 //! - Descriptors are leased. Each process publishes the most that it may come to hold. Once a younger process runs, an
@@ -33,8 +33,9 @@
 }
 
 impl PeerProcess {
-    /// The overrides that bind other processes too. A suspended server stays suspended after the process that recorded
-    /// it has ended; a pause ends with its process, unless another process took it over while that one ran.
+    /// The overrides that bind other processes too. A suspended server stays suspended after the process that
+    /// recorded it has ended; a pause ends with its process, unless another process took it over while that
+    /// one ran.
     #[must_use]
     pub fn effective_overrides(&self) -> Overrides {
         let mut overrides = self.state.as_ref().map(|s| s.overrides.clone()).unwrap_or_default();
@@ -84,9 +85,11 @@
 const RESERVE_DIVISOR: usize = 3;
 /// Fewest descriptors that a process can work with, whatever the others hold.
 pub const MIN_DESCRIPTORS: usize = 96;
-/// One part in so many of the descriptors may be added by an older process to what it held when a younger one came.
+/// One part in so many of the descriptors may be added by an older process to what it held when a younger one
+/// came.
 const LEASE_HEADROOM_DIVISOR: usize = 8;
-/// A younger process may have at least one part in so many of the queries in flight, whatever the older ones hold.
+/// A younger process may have at least one part in so many of the queries in flight, whatever the older ones
+/// hold.
 const MIN_IN_FLIGHT_DIVISOR: usize = 8;
 /// An older process keeps at least one part in so many of the queries in flight.
 const PREDECESSOR_IN_FLIGHT_DIVISOR: usize = 2;
--- a/src/hot_restart/mod.rs
+++ b/src/hot_restart/mod.rs
@@ -1,4 +1,5 @@
-//! Hot restart: several processes at one address, an old one and the new one that replaces it, act as one broker.
+//! Hot restart: several processes at one address, an old one and the new one that replaces it, act as one
+//! broker.
 //!
 //! - [`state`] is what a process publishes to the others, and how operators' overrides are merged;
 //! - [`coordination`] decides how the processes share the limits, and which of them drains;
@@ -66,8 +67,8 @@
 }
 
 impl HotRestart {
-    /// Registers this process in the state directory and reads what the processes before it have published. None where
-    /// the directory can't be used: the process then starts as if it were alone.
+    /// Registers this process in the state directory and reads what the processes before it have published.
+    /// None where the directory can't be used: the process then starts as if it were alone.
     pub fn open(dir: &Path, limits: SharedLimits, now: Nanos) -> Option<JoinedHotRestart> {
         let (found, directory) = match StateDirectory::open(dir) {
             Ok(opened) => opened,
@@ -107,7 +108,8 @@
         self.coordination.quota_share(now)
     }
 
-    /// The other processes, if they were observed anew since the last call. `usage` is what this process holds.
+    /// The other processes, if they were observed anew since the last call. `usage` is what this process
+    /// holds.
     pub fn observe(&mut self, usage: ResourceUsage, now: Nanos) -> Option<&[PeerProcess]> {
         let peers = self.directory.latest_peers()?;
         self.coordination.on_peers_observed(peers, usage, now);
--- a/src/hot_restart/state.rs
+++ b/src/hot_restart/state.rs
@@ -1,4 +1,5 @@
-//! What one process publishes to the others at its address: operators' overrides, and what must not be used twice.
+//! What one process publishes to the others at its address: operators' overrides, and what must not be used
+//! twice.
 
 #![deny(
     missing_docs,
@@ -32,7 +33,8 @@
     Draining,
 }
 
-/// An operator's last command on something, and its time. The later one holds; of two at one time, the active one.
+/// An operator's last command on something, and its time. The later one holds; of two at one time, the active
+/// one.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Override {
     /// Unix time, ns.
@@ -51,8 +53,8 @@
     }
 }
 
-/// The operators' overrides. Merging is commutative, associative and idempotent: in whatever order processes learn of
-/// overrides, all come to the same result.
+/// The operators' overrides. Merging is commutative, associative and idempotent: in whatever order processes
+/// learn of overrides, all come to the same result.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
 pub struct Overrides {
     /// Suspensions, by server id.
--- a/src/hot_restart/state_directory/files.rs
+++ b/src/hot_restart/state_directory/files.rs
@@ -25,7 +25,8 @@
 }
 
 impl FileKind {
-    /// All files of a process. The lock is the last, so that what remains is found again if its removal is interrupted.
+    /// All files of a process. The lock is the last, so that what remains is found again if its removal is
+    /// interrupted.
     const IN_ORDER_OF_REMOVAL: [FileKind; 4] =
         [FileKind::State, FileKind::List, FileKind::Temporary, FileKind::Lock];
 
--- a/src/hot_restart/state_directory/mod.rs
+++ b/src/hot_restart/state_directory/mod.rs
@@ -1,8 +1,8 @@
 //! The directory in which processes at one address publish their states to each other.
 //!
-//! Each process has a number and three files: `N.lock`, which it holds locked for as long as it lives, so that the
-//! system itself shows which processes run; `N.state`, small and written often; `N.list`, its endpoint list. Files are
-//! replaced by renaming: a reader finds a whole file, unless the disk was full.
+//! Each process has a number and three files: `N.lock`, which it holds locked for as long as it lives, so
+//! that the system itself shows which processes run; `N.state`, small and written often; `N.list`, its
+//! endpoint list. Files are replaced by renaming: a reader finds a whole file, unless the disk was full.
 
 #![deny(
     missing_docs,
@@ -163,13 +163,13 @@
 }
 
 impl StateDirectory {
-    /// Registers this process, reads what earlier ones have published, and starts the thread. Blocks on the disk, so it is
-    /// called before the broker serves; from then on only the thread touches the disk.
+    /// Registers this process, reads what earlier ones have published, and starts the thread. Blocks on the
+    /// disk, so it is called before the broker serves; from then on only the thread touches the disk.
     ///
     /// # Errors
     ///
-    /// The directory can't be created, read or written, or the thread can't be started. Files of other processes that
-    /// can't be used are no error: they are listed in [`StartupContents::errors`].
+    /// The directory can't be created, read or written, or the thread can't be started. Files of other
+    /// processes that can't be used are no error: they are listed in [`StartupContents::errors`].
     pub fn open(dir: &Path) -> Result<(StartupContents, StateDirectory), StateDirectoryError> {
         std::fs::create_dir_all(dir)
             .map_err(|source| StateDirectoryError::Create { dir: dir.to_owned(), source })?;
@@ -198,7 +198,8 @@
         self.updates.as_ref().is_some_and(|updates| updates.try_send(update).is_ok())
     }
 
-    /// The other processes as they were last observed; none if they were not observed anew since the last call.
+    /// The other processes as they were last observed; none if they were not observed anew since the last
+    /// call.
     #[must_use]
     pub fn latest_peers(&self) -> Option<Vec<PeerProcess>> {
         self.observations.try_iter().last()
--- a/src/hot_restart/state_directory/worker.rs
+++ b/src/hot_restart/state_directory/worker.rs
@@ -11,8 +11,8 @@
 
 /// Time between two polls of the other processes' files.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Polls after the first written state until files of dead processes are removed. By then, what they published last is
-/// in this process's own state.
+/// Polls after the first written state until files of dead processes are removed. By then, what they
+/// published last is in this process's own state.
 const POLLS_BEFORE_CLEANUP: u32 = 20;
 
 /// Whether the last update could be written.
@@ -66,7 +66,8 @@
         DirectoryWorker { dir, serial, _lock: lock, write_status, cleanup }
     }
 
-    /// Writes updates as they come, and sends what it polls of the others. Returns once either channel is closed.
+    /// Writes updates as they come, and sends what it polls of the others. Returns once either channel is
+    /// closed.
     pub(super) fn run(
         mut self,
         updates: &Receiver<StateUpdate>,
@@ -111,7 +112,8 @@
         Ok(())
     }
 
-    /// The other processes. Files of dead older ones are removed once this process's own state has all that was in them.
+    /// The other processes. Files of dead older ones are removed once this process's own state has all that
+    /// was in them.
     fn poll(&mut self) -> Vec<PeerProcess> {
         self.cleanup.on_poll();
         let serials = files::serials(&self.dir).unwrap_or_default();
