Wait in the test of a moved node for the log line as it reads now

The line 'node ID is at ADDR now' is 'node has moved to another address' with fields; the test waited for the old words and never saw them.

--- a/tests/operation/processes.rs
+++ b/tests/operation/processes.rs
@@ -223,7 +223,7 @@
     let moved = node(Wire::Http, 7, site.script.clone());
     site.directory.change(line("s-1", moved, "", 1, NodeState::Ready));
     process.says_yes("SUSPEND s-1");
-    process.wait("is at");
+    process.wait("node has moved to another address");
     let before = site.script.came_to(1) + site.script.came_to(7);
     for _ in 0..20 {
         assert!(client.ask().unwrap().starts_with("HTTP/1.1 200"));
