Log each watch on discovery from its start to its end, and each attempt's first byte

The incident's logs could not tell when a broker was told of a drain, why a watch ended, whether bytes of a list were lost with it, or when an attempt left. The watch now logs its start, its connection, heartbeats and its end with progress, age and bytes that were lost; nodes that get no new attempts, the settings of the list, Req-Ids with their query and each attempt's first byte are logged too.

No decision is changed.

--- a/src/frontends/platform/downstream.rs
+++ b/src/frontends/platform/downstream.rs
@@ -260,6 +260,7 @@
         let id = ask.payload.id.clone();
         match hands.engine.submit(hands.now, ask) {
             Ok(query) => {
+                tracing::debug!(request = %id, query = query.0, "request was admitted as a query");
                 if let Some(client) = self.clients.get_mut(&conn) {
                     (client.query, client.id) = (Some(query), Some(id.clone()));
                     client.reader.reset();
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -23,6 +23,8 @@
 const SERVERS: u8 = 1;
 const ROSTER: u8 = 2;
 
+const NANOS_PER_MILLI: Nanos = 1_000_000;
+
 /// Descriptors kept for what is neither a client nor a shard server.
 const SPARE: usize = 32;
 /// Part of the descriptors that connections to shard servers may take.
@@ -72,6 +74,10 @@
     let (to_servers, most) = divide(told.sockets, apart);
     let mut net = PollLoop::new(Pool::with_byte_limit((told.memory_mb << 20) / BUFFERS), most)
         .map_err(BrokerError::io("poll"))?;
+    let grace_ms = told.params.drain_grace() / NANOS_PER_MILLI;
+    let max_poll_interval_ms = settings.max_poll_interval / NANOS_PER_MILLI;
+    let endpoint_discovery = settings.discovery;
+    tracing::info!(?endpoint_discovery, max_poll_interval_ms, grace_ms, "settings of the endpoint list");
     let limits = UpstreamLimits {
         streams: told.params.streams(),
         dial_timeout: told.params.dial_timeout(),
--- a/src/frontends/platform/upstream.rs
+++ b/src/frontends/platform/upstream.rs
@@ -21,6 +21,8 @@
 /// A connection with a part of a frame for so long gets no new call meanwhile.
 const PARTLY: Nanos = 30_000_000;
 
+const NANOS_PER_MILLI: Nanos = 1_000_000;
+
 /// Most given-up parts of one connection whose answers are still known as such.
 const MOST_GIVEN_UP: usize = 256;
 
@@ -190,6 +192,14 @@
             link.used = hands.now;
             link.unheard.get_or_insert(hands.now);
             for (p, id) in parts.iter().zip(ids) {
+                tracing::debug!(
+                    part = %id,
+                    server = link.replica.0,
+                    addr = %link.addr,
+                    waited_ms = waited / NANOS_PER_MILLI,
+                    unwritten_bytes = end - flushed,
+                    "attempt is written to its server"
+                );
                 link.riding.push(Riding { attempt: p.attempt, id, end });
             }
         }
--- a/src/log.rs
+++ b/src/log.rs
@@ -12,7 +12,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 use tracing::level_filters::LevelFilter;
-use tracing::{Event, Subscriber};
+use tracing::{Event, Level, Metadata, Subscriber};
 use tracing_subscriber::Layer;
 use tracing_subscriber::fmt::format::Writer;
 use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields, MakeWriter};
@@ -20,7 +20,7 @@
 use tracing_subscriber::registry::LookupSpan;
 use tracing_subscriber::util::SubscriberInitExt;
 
-/// Most lines in a second. Guards the poll loop: peers must not be able to make it write all day.
+/// Most lines of one class in a second. Guards the poll loop: peers must not be able to make it write all day.
 pub const MAX_LINES_PER_SECOND: u32 = 200;
 
 /// The environment variable that sets the level where the command line does not.
@@ -32,6 +32,9 @@
 /// The prefix that targets of this crate's own modules have in common.
 const TARGET_PREFIX: &str = "pebbleturn::";
 
+/// Modules whose lines at info level and above follow from what peers send.
+const PEER_TARGETS: [&str; 3] = ["frontends::", "net::", "admin::"];
+
 /// The format of a line.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
 pub enum LogFormat {
@@ -106,10 +109,39 @@
     }
 }
 
+/// What a line is about. Each has a rate limit of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LineClass {
+    /// A detail of one request or attempt, at debug level.
+    Detail,
+    /// What a client, a server or a caller did: as many lines as peers want.
+    Peer,
+    /// What changed in this broker: its endpoint list, its watch, its phase.
+    State,
+}
+
+impl LineClass {
+    fn of(metadata: &Metadata<'_>) -> LineClass {
+        let target = metadata.target().strip_prefix(TARGET_PREFIX).unwrap_or(metadata.target());
+        if *metadata.level() > Level::INFO {
+            LineClass::Detail
+        } else if PEER_TARGETS.iter().any(|peer| target.starts_with(peer)) {
+            LineClass::Peer
+        } else {
+            LineClass::State
+        }
+    }
+}
+
 /// Drops lines over the rate limit, and reports their number.
+///
+/// A flood of bad requests or of details must not displace the lines that explain a decision, so each class
+/// of lines is limited apart.
 struct RateLimitLayer {
     format: LogFormat,
-    limit: RateLimit,
+    details: RateLimit,
+    peers: RateLimit,
+    state: RateLimit,
 }
 
 impl RateLimitLayer {
@@ -128,8 +160,13 @@
 
 impl<S: Subscriber> Layer<S> for RateLimitLayer {
     /// Called before a line is formatted: a dropped one costs nothing.
-    fn event_enabled(&self, _: &Event<'_>, _: Context<'_, S>) -> bool {
-        let Some(dropped) = self.limit.admit(Instant::now()) else { return false };
+    fn event_enabled(&self, event: &Event<'_>, _: Context<'_, S>) -> bool {
+        let limit = match LineClass::of(event.metadata()) {
+            LineClass::Detail => &self.details,
+            LineClass::Peer => &self.peers,
+            LineClass::State => &self.state,
+        };
+        let Some(dropped) = limit.admit(Instant::now()) else { return false };
         if dropped > 0 {
             self.report_dropped(dropped);
         }
@@ -176,7 +213,13 @@
         LogFormat::Text => lines.event_format(TextFormat).boxed(),
         LogFormat::Json => lines.json().flatten_event(true).boxed(),
     };
-    let limit = RateLimitLayer { format, limit: RateLimit::new(Instant::now()) };
+    let start = Instant::now();
+    let limit = RateLimitLayer {
+        format,
+        details: RateLimit::new(start),
+        peers: RateLimit::new(start),
+        state: RateLimit::new(start),
+    };
     tracing_subscriber::registry().with(LevelFilter::from(level)).with(limit).with(lines)
 }
 
--- a/src/membership/registry/node_table.rs
+++ b/src/membership/registry/node_table.rs
@@ -73,6 +73,7 @@
         let Some(node) = self.nodes.remove(id) else { return };
         self.ids.remove(&node.replica);
         if let Some(announced) = node.announced {
+            tracing::info!(replica = announced.replica.0, node = %id, state = "Removed", "node gets no new attempts");
             let entry = ReplicaEntry { state: ReplicaState::Removed, ..announced };
             self.changes.push(NodeChange { entry, id: id.to_owned(), addr: None, kind: String::new() });
         }
@@ -93,6 +94,9 @@
             started_ns = ?entry.started,
             "replica entry was announced"
         );
+        if entry.state == ReplicaState::Draining {
+            tracing::info!(replica = entry.replica.0, node = %id, state = "Draining", "node gets no new attempts");
+        }
         node.announced = Some(entry.clone());
         let addr = Some(node.addr);
         self.changes.push(NodeChange { entry, id: id.to_owned(), addr, kind: kind.to_owned() });
--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -17,6 +17,8 @@
 /// late line, and 2.8 s to the next watch.
 const HEARTBEAT_TIMEOUT: Nanos = 3_200_000_000;
 
+const NANOS_PER_MILLI: Nanos = 1_000_000;
+
 /// Why a watch ended.
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
@@ -66,6 +68,8 @@
 struct ActiveWatch {
     conn: ConnId,
     reader: Reader,
+    /// When it was begun.
+    begun: Nanos,
     /// Until when something must come.
     deadline: Nanos,
     progress: ListProgress,
@@ -142,16 +146,18 @@
             self.record_end(WatchEnd::Failed);
             return;
         };
+        tracing::info!(addr = %self.discovery, version, "discovery watch begins");
         self.active = Some(ActiveWatch {
             conn,
             reader: Reader::new(Side::Responses),
+            begun: now,
             deadline: now + self.dial_timeout,
             progress: ListProgress::AwaitingFirstList,
         });
         let request =
             format!("GET /api/targets?follow=1&since={version} HTTP/1.1\r\nHost: {}\r\n\r\n", self.discovery);
         if net.send(conn, request.as_bytes()).is_err() {
-            self.fail(WatchError::RequestNotSent, net);
+            self.fail(WatchError::RequestNotSent, now, net);
         }
     }
 
@@ -168,10 +174,20 @@
         self.begin(version, now, net);
     }
 
-    fn fail(&mut self, error: WatchError, net: &mut PollLoop) {
+    fn fail(&mut self, error: WatchError, now: Nanos, net: &mut PollLoop) {
         if let Some(watch) = self.active.take() {
+            let unparsed_bytes = net.data(watch.conn).len() + watch.reader.body().len();
             net.close(watch.conn);
-            tracing::warn!(reason = %error, "discovery watch ended");
+            let age_ms = now.saturating_sub(watch.begun) / NANOS_PER_MILLI;
+            let answered = watch.reader.head().is_some();
+            tracing::warn!(
+                reason = %error,
+                progress = ?watch.progress,
+                answered,
+                age_ms,
+                unparsed_bytes,
+                "discovery watch ended"
+            );
             self.record_end(WatchEnd::Failed);
         }
     }
@@ -182,10 +198,12 @@
         match event {
             NetEvent::Connected { conn, .. } if conn == watch.conn => {
                 watch.deadline = now + RESPONSE_TIMEOUT;
+                let age_ms = now.saturating_sub(watch.begun) / NANOS_PER_MILLI;
+                tracing::debug!(age_ms, "discovery connection is established");
             }
             NetEvent::Readable { conn, .. } if conn == watch.conn => self.read(now, net, registry),
             NetEvent::Broken { conn, .. } if conn == watch.conn => {
-                self.fail(WatchError::ConnectionBroken, net);
+                self.fail(WatchError::ConnectionBroken, now, net);
             }
             _ => {}
         }
@@ -193,7 +211,7 @@
 
     fn read(&mut self, now: Nanos, net: &mut PollLoop, registry: &mut Registry) {
         if let Err(error) = self.read_available(now, net, registry) {
-            self.fail(error, net);
+            self.fail(error, now, net);
         }
     }
 
@@ -237,6 +255,7 @@
         }
         loop {
             if watch.take_heartbeat() {
+                tracing::debug!("heartbeat of discovery");
                 registry.on_heartbeat(now);
             }
             let Some(list) = watch.take_list()? else { return Ok(()) };
@@ -252,7 +271,7 @@
         if watch.reader.head().is_some() {
             self.record_end(WatchEnd::Silent);
         }
-        self.fail(WatchError::TimedOut, net);
+        self.fail(WatchError::TimedOut, now, net);
     }
 
     /// When [`DiscoveryWatch::tick`] is next worth calling.
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -62,3 +62,21 @@
     assert_eq!(line["node"], 7);
     assert_eq!(line["addr"], "127.0.0.1:80\nerror log: forged");
 }
+
+/// A client that sends nonsense, or details at debug level, must not hide what the broker was told.
+#[test]
+fn lines_that_peers_cause_do_not_displace_those_of_the_state() {
+    let output = Output::default();
+    let writer = output.clone();
+    let subscriber = subscriber(LogLevel::Debug, LogFormat::Text, move || writer.clone());
+    {
+        let _guard = subscriber.set_default();
+        for _ in 0..=MAX_LINES_PER_SECOND {
+            tracing::info!(target: "pebbleturn::frontends::platform::downstream", "a bad request");
+            tracing::debug!(target: "pebbleturn::engine::server_side", "a detail");
+        }
+        tracing::info!(target: "pebbleturn::membership::registry", "endpoint list was merged");
+    }
+    let text = String::from_utf8(output.0.lock().unwrap().clone()).unwrap();
+    assert!(text.contains("endpoint list was merged"), "{}", &text[..200]);
+}
