--- a/lab/src/standins.rs
+++ b/lab/src/standins.rs
@@ -47,7 +47,8 @@
 #[derive(Default)]
 struct State {
     acts: HashMap<(usize, u32), Act>,
-    came: Vec<usize>,
+    /// The node of each part that came, and when.
+    came: Vec<(usize, Instant)>,
     ended: usize,
     cold: HashMap<usize, Cold>,
 }
@@ -82,7 +83,12 @@
 
     /// Parts that have come to one node.
     pub fn came_to(&self, node: usize) -> usize {
-        self.0.lock().unwrap().came.iter().filter(|n| **n == node).count()
+        self.0.lock().unwrap().came.iter().filter(|(n, _)| *n == node).count()
+    }
+
+    /// When parts have come to one node.
+    pub fn times_at(&self, node: usize) -> Vec<Instant> {
+        self.0.lock().unwrap().came.iter().filter(|(n, _)| *n == node).map(|(_, at)| *at).collect()
     }
 
     /// The node has just started: it is `late` by so many milliseconds, and falls over for good once more than `most`
@@ -101,7 +107,7 @@
     fn act(&self, node: usize, partition: u32) -> Act {
         let act = {
             let mut s = self.0.lock().unwrap();
-            s.came.push(node);
+            s.came.push((node, Instant::now()));
             if let Some(cold) = s.cold.get_mut(&node) {
                 let now = Instant::now();
                 cold.came.push_back(now);
--- /dev/null
+++ b/tests/discovery_faults/broker_process.rs
@@ -0,0 +1,88 @@
+//! The program as a process, and a client that asks it without a pause.
+
+use pebbleturn_lab::standins::read_http;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_pebbleturn");
+/// Time between two queries of the client.
+const QUERY_INTERVAL: Duration = Duration::from_millis(15);
+/// Longer than any query takes.
+const HUNG: Duration = Duration::from_secs(20);
+
+/// A broker; it does not outlive its test.
+pub struct BrokerProcess {
+    child: Child,
+    pub addr: SocketAddr,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl BrokerProcess {
+    /// Starts it with this configuration, and returns once it listens.
+    pub fn start(config: &str) -> BrokerProcess {
+        let mut file = tempfile::NamedTempFile::new().unwrap();
+        file.write_all(config.as_bytes()).unwrap();
+        let mut child = Command::new(PROGRAM)
+            .env("GW_CONFIG", file.path())
+            .env_remove("GW_DISCOVERY")
+            .env("PEBBLETURN_LOG", "info")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+        let listens = lines.find(|line| line.contains(" listens at ")).expect("the broker did not start");
+        let addr = listens.rsplit(' ').next().unwrap().parse().unwrap();
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let kept = log.clone();
+        std::thread::spawn(move || lines.for_each(|line| kept.lock().unwrap().push(line)));
+        BrokerProcess { child, addr, log }
+    }
+
+    /// What it logged, for a test that fails.
+    pub fn log(&self) -> String {
+        self.log.lock().unwrap().join("\n")
+    }
+
+    /// Sends queries for this long; returns how many were served whole, and how many had no answer at all.
+    pub fn query_for(&self, time: Duration) -> Answers {
+        let mut answers = Answers::default();
+        let start = std::time::Instant::now();
+        let mut stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(HUNG)).unwrap();
+        while start.elapsed() < time {
+            let body = r#"{"segments":[{"segment":0,"boost":0.5},{"segment":1,"boost":0.5}],"text":"t"}"#;
+            let id = answers.served + answers.refused;
+            write!(
+                stream,
+                "POST /api HTTP/1.1\r\nReq-Id: q-{id}\r\nReq-Kind: whole\r\nReq-Deadline: 3000m\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            )
+            .unwrap();
+            let (head, _) = read_http(&mut stream).expect("a query without an answer");
+            if head.contains(" 200 ") {
+                answers.served += 1;
+            } else {
+                answers.refused += 1;
+            }
+            std::thread::sleep(QUERY_INTERVAL);
+        }
+        answers
+    }
+}
+
+impl Drop for BrokerProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// How queries ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Answers {
+    pub served: u64,
+    pub refused: u64,
+}
--- /dev/null
+++ b/tests/discovery_faults/scripted_discovery.rs
@@ -0,0 +1,215 @@
+//! A discovery service that treats each call as a script says, and records what its list counts as reported.
+
+use super::judge::Reports;
+use pebbleturn_lab::standins::{listen, read_http};
+use socket2::SockRef;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What becomes of one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// A watch as it should be.
+    Sound,
+    /// The same, with an answer that begins so many milliseconds late, as in a queue.
+    Late(u64),
+    /// One list, then nothing: the connection stays open.
+    SilentAfterList,
+    /// One list, then the end of the watch after so many milliseconds, whatever there is to report.
+    EndedAfterList(u64),
+    /// The connection is reset at once.
+    Reset,
+    /// Nothing is ever answered.
+    Unanswered,
+    /// 503 after 2 s, as from a queue that is too long.
+    Busy,
+    /// The head of an answer, and then nothing.
+    HeadOnly,
+    /// Half of a list, then a reset.
+    CutInList,
+    /// Half of a list, then nothing.
+    StalledInList,
+    /// A list in pieces, so many milliseconds apart.
+    Pieces(u64),
+}
+
+/// Time in a queue after which a call is refused.
+const QUEUE_LIMIT: Duration = Duration::from_secs(2);
+/// Time between two empty lines of a watch.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(2);
+/// How often a watch looks whether there is something to report.
+const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+/// Longer than any scenario.
+const FOREVER: Duration = Duration::from_secs(60);
+/// Pieces in which a list is written.
+const PIECES: usize = 5;
+
+/// The list: node 1 drains once that was said.
+#[derive(Debug)]
+pub struct Directory {
+    pub servers: Vec<SocketAddr>,
+    pub drained: Mutex<bool>,
+    pub reports: Reports,
+}
+
+/// The version before the drain, and the one with it.
+const VERSIONS: (u64, u64) = (7, 8);
+
+impl Directory {
+    pub fn drain(&self) {
+        let mut drained = self.drained.lock().unwrap();
+        *drained = true;
+        self.reports.changed(Instant::now());
+    }
+
+    /// The list in discovery's form. As real ones do, a whole list leaves out who drains.
+    fn list(&self) -> (String, bool) {
+        let drained = *self.drained.lock().unwrap();
+        let named = self.servers.iter().enumerate().filter(|(n, _)| !(drained && *n == 1));
+        let lines: Vec<String> = named
+            .map(|(n, addr)| {
+                format!(
+                    r#"{{"id":"s-{n}","addr":"{addr}","zone":"a","kind":"k","cell":{n},"state":"Ready","weight":1.0,"started_ms":0}}"#
+                )
+            })
+            .collect();
+        let version = if drained { VERSIONS.1 } else { VERSIONS.0 };
+        (format!("{{\"version\":{version},\"full\":true,\"servers\":[{}]}}\n", lines.join(",")), drained)
+    }
+}
+
+/// Starts it: each call takes the next step of the script, and is sound once that is over.
+pub fn start(directory: Arc<Directory>, script: Vec<Call>) -> SocketAddr {
+    let calls = AtomicUsize::new(0);
+    listen(move |mut stream| {
+        let number = calls.fetch_add(1, Ordering::SeqCst);
+        let call = script.get(number).copied().unwrap_or(Call::Sound);
+        if call == Call::Reset {
+            directory.reports.call_failed(Instant::now());
+            return reset(&stream);
+        }
+        read_http(&mut stream)?;
+        serve(stream, call, &directory)
+    })
+}
+
+fn serve(mut stream: TcpStream, call: Call, directory: &Directory) -> Option<()> {
+    let fails = |after: Duration| {
+        std::thread::sleep(after);
+        directory.reports.call_failed(Instant::now());
+    };
+    match call {
+        Call::Sound => watch(stream, directory),
+        Call::Late(ms) => {
+            std::thread::sleep(Duration::from_millis(ms));
+            watch(stream, directory)
+        }
+        Call::SilentAfterList => {
+            head(&mut stream)?;
+            write_list(&mut stream, directory, Duration::ZERO)?;
+            directory.reports.fell_silent(Instant::now());
+            keep_open(stream)
+        }
+        Call::EndedAfterList(ms) => {
+            head(&mut stream)?;
+            write_list(&mut stream, directory, Duration::ZERO)?;
+            fails(Duration::from_millis(ms));
+            stream.write_all(b"0\r\n\r\n").ok()
+        }
+        Call::Reset => reset(&stream),
+        Call::Unanswered => {
+            fails(Duration::ZERO);
+            keep_open(stream)
+        }
+        Call::Busy => {
+            fails(QUEUE_LIMIT);
+            write!(stream, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").ok()
+        }
+        Call::HeadOnly => {
+            fails(Duration::ZERO);
+            head(&mut stream)?;
+            keep_open(stream)
+        }
+        Call::CutInList => {
+            write_half(&mut stream, directory)?;
+            // What was written arrives before the reset does.
+            std::thread::sleep(LOOK_INTERVAL);
+            reset(&stream)
+        }
+        Call::StalledInList => {
+            write_half(&mut stream, directory)?;
+            keep_open(stream)
+        }
+        Call::Pieces(ms) => {
+            head(&mut stream)?;
+            write_list(&mut stream, directory, Duration::from_millis(ms))?;
+            report_changes(stream, directory, true)
+        }
+    }
+}
+
+fn head(stream: &mut TcpStream) -> Option<()> {
+    write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()
+}
+
+fn chunk(stream: &mut TcpStream, text: &str) -> Option<()> {
+    write!(stream, "{:x}\r\n{text}\r\n", text.len()).ok()
+}
+
+/// Writes the list in one piece, or in several with this time between them.
+fn write_list(stream: &mut TcpStream, directory: &Directory, between: Duration) -> Option<()> {
+    let (text, drained) = directory.list();
+    directory.reports.written(Instant::now(), drained);
+    if between.is_zero() {
+        return chunk(stream, &text);
+    }
+    for piece in text.as_bytes().chunks(text.len().div_ceil(PIECES)) {
+        chunk(stream, std::str::from_utf8(piece).unwrap())?;
+        std::thread::sleep(between);
+    }
+    Some(())
+}
+
+fn write_half(stream: &mut TcpStream, directory: &Directory) -> Option<()> {
+    head(stream)?;
+    let (text, drained) = directory.list();
+    directory.reports.written(Instant::now(), drained);
+    chunk(stream, &text[..text.len() / 2])
+}
+
+fn watch(mut stream: TcpStream, directory: &Directory) -> Option<()> {
+    head(&mut stream)?;
+    let (_, drained) = directory.list();
+    write_list(&mut stream, directory, Duration::ZERO)?;
+    report_changes(stream, directory, drained)
+}
+
+/// Reports the drain once it is there, and empty lines meanwhile.
+fn report_changes(mut stream: TcpStream, directory: &Directory, mut reported: bool) -> Option<()> {
+    let mut last_line = Instant::now();
+    loop {
+        std::thread::sleep(LOOK_INTERVAL);
+        if !reported && directory.list().1 {
+            reported = true;
+            write_list(&mut stream, directory, Duration::ZERO)?;
+            last_line = Instant::now();
+        } else if last_line.elapsed() >= HEARTBEAT_INTERVAL {
+            chunk(&mut stream, "\n")?;
+            last_line = Instant::now();
+        }
+    }
+}
+
+fn keep_open(stream: TcpStream) -> Option<()> {
+    std::thread::sleep(FOREVER);
+    drop(stream);
+    None
+}
+
+/// A close that the peer sees as a reset.
+fn reset(stream: &TcpStream) -> Option<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO)).ok()
+}
