Bound the time to the next list by the drain's grace, with calls beside a watch in doubt

A silent watch was closed after 3.2 s, the next call waited up to 0.8 s, a failed one cost 2 to 2.5 s, and then the decision module's wait between polls took over, which doubles up to half of the poll interval (5 s and its jitter) and knows nothing of the grace.

membership::watch_schedule decides when discovery is called, without I/O and clock: a watch that may be silent is kept while the next call is under way; a list that stops in the middle is asked for anew after 0.4 s, or at once if its connection broke; a call without an answer gets a second beside it once the list is 3.5 s old; waits are an eighth to a quarter of the grace. It serves lists that are pushed and lists that are asked for alike; the catalogue's waits are 1 s at most (8 s before).

--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -11,6 +11,7 @@
 use crate::hot_restart::HotRestart;
 use crate::hot_restart::coordination::SharedLimits;
 use crate::membership::poll_backoff::PollBackoff;
+use crate::membership::watch_schedule::WatchSchedule;
 use crate::membership::{NodeRecord, PartitionLayout, Registry, RegistrySettings};
 use crate::net::{Clock, ConnectionClass, NetEvent, PollLoop, Pool, inherited};
 use crate::routing::{Routing, RoutingSettings, Rule};
@@ -32,8 +33,9 @@
 
 /// Time in which a connection to discovery must be up.
 const DIAL: Nanos = 2_500_000_000;
-/// First and longest wait before discovery is asked again: an operator's file says nothing of it.
-const ASK: (Nanos, Nanos) = (500_000_000, 8_000_000_000);
+/// First and longest wait before discovery is asked again: an operator's file says nothing of it. Half of the 2 s after
+/// its report in which a drain has to be kept, however long discovery was down.
+const ASK: (Nanos, Nanos) = (250_000_000, 1_000_000_000);
 
 /// Time between two looks at a file of nodes that is being read.
 const LOOK: Nanos = 20_000_000;
@@ -165,8 +167,10 @@
         membership = membership.share_hints();
     }
     if let Some(discovery) = m.discovery {
-        let again = PollBackoff::new(ASK.0, ASK.1, seed);
-        membership = membership.poll_with_backoff(DiscoveryWatch::new(ROSTER, discovery, DIAL), again, now);
+        let schedule = WatchSchedule::new(DIAL, PollBackoff::new(ASK.0, ASK.1, seed), now);
+        let mut watch = DiscoveryWatch::new(ROSTER, discovery, schedule);
+        watch.request(now);
+        membership = membership.with_watch(watch);
     }
     let mut exchange = QueryEngine::new(settings, seed, now).map_err(ConfigError::rejected)?;
     // Guards the limit on descriptors: what connections to nodes may take is not given to clients. Where nodes may
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -9,6 +9,7 @@
 use crate::hot_restart::HotRestart;
 use crate::hot_restart::coordination::SharedLimits;
 use crate::membership::poll_backoff::PollBackoff;
+use crate::membership::watch_schedule::WatchSchedule;
 use crate::membership::{PartitionLayout, Registry, RegistrySettings};
 use crate::net::{Clock, ConnectionClass, NetEvent, PollLoop, Pool, inherited};
 use crate::server::discovery_watch::DiscoveryWatch;
@@ -40,9 +41,11 @@
 const CHANGES_EVERY: Nanos = 24 * 3_600_000_000_000;
 /// Age of a list that does not tell its own.
 const PRESUMED_AGE: Nanos = 300_000_000_000;
-/// Part of a drain's grace that the wait for the next watch may take, where lists are pushed: a dial that is on its
-/// way when discovery returns, the wait after it, and the answer have to fit in the grace.
-const ASK_WITHIN: Nanos = 4;
+/// Parts of a drain's grace that the waits before the next call to discovery may take: the first after a failure, and
+/// the longest. A dial that is on its way when discovery returns, the wait after it, and the answer have to fit in the
+/// grace.
+const FIRST_RETRY_SHARE: Nanos = 8;
+const RETRY_SHARE: Nanos = 4;
 /// Part of the memory that buffers may take.
 const BUFFERS: usize = 4;
 
@@ -74,7 +77,8 @@
     let (to_servers, most) = divide(told.sockets, apart);
     let mut net = PollLoop::new(Pool::with_byte_limit((told.memory_mb << 20) / BUFFERS), most)
         .map_err(BrokerError::io("poll"))?;
-    let grace_ms = told.params.drain_grace() / NANOS_PER_MILLI;
+    let grace = told.params.drain_grace();
+    let grace_ms = grace / NANOS_PER_MILLI;
     let max_poll_interval_ms = settings.max_poll_interval / NANOS_PER_MILLI;
     let endpoint_discovery = settings.discovery;
     tracing::info!(?endpoint_discovery, max_poll_interval_ms, grace_ms, "settings of the endpoint list");
@@ -115,21 +119,15 @@
         .flat_map(|joined| joined.overrides.suspended_servers())
         .map(str::to_owned)
         .collect::<Vec<_>>();
-    let watch = DiscoveryWatch::new(ROSTER, told.discovery, told.params.dial_timeout());
-    let membership = MembershipDriver::new(roster, keeper).with_suspended(out);
-    let mut membership = match settings.discovery {
-        Discovery::Polled => membership.watch_on_request(watch, told.seed),
-        // What is pushed counts as told whether or not a watch is open: one has to be, from the first moment on,
-        // and after a break soon enough that a drain is still heard of within its grace.
-        Discovery::Pushed => {
-            let grace = told.params.drain_grace();
-            membership.poll_with_backoff(
-                watch,
-                PollBackoff::new(grace / ASK_WITHIN, grace / ASK_WITHIN, told.seed),
-                now,
-            )
-        }
-    };
+    let backoff = PollBackoff::new(grace / FIRST_RETRY_SHARE, grace / RETRY_SHARE, told.seed);
+    let schedule = WatchSchedule::new(told.params.dial_timeout(), backoff, now);
+    let mut watch = DiscoveryWatch::new(ROSTER, told.discovery, schedule);
+    match settings.discovery {
+        // What is pushed counts as told whether or not a watch is open: one has to be, from the first moment on.
+        Discovery::Pushed => watch.request(now),
+        Discovery::Polled => watch.request_soon(now),
+    }
+    let mut membership = MembershipDriver::new(roster, keeper).with_suspended(out).with_watch(watch);
     let clients = Downstream::new(
         names,
         settings.shards,
@@ -186,7 +184,7 @@
             EngineAction::CancelAttempt { attempt, .. } => self.servers.give_up(attempt, hands.net),
             EngineAction::Respond { query, outcome: answer } => self.clients.finish(query, answer, hands),
             EngineAction::WatchEndpoints => {
-                self.membership.begin_watch(hands.now, hands.net);
+                self.membership.request_watch(hands.now, hands.net);
                 self.membership.pass_on(hands, |c| self.servers.place(c.entry.replica, c.addr));
             }
             // Shard servers on this port are not probed; the settings forbid it.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -8,6 +8,7 @@
 //! - [`staleness`] computes the trust in a record from its age;
 //! - [`probation`] chooses which unconfirmed nodes are admitted;
 //! - [`poll_backoff`] spaces out polls for the endpoint list;
+//! - [`watch_schedule`] decides when discovery is called, and when a call is given up;
 //! - [`snapshot`] is the stored form of the view, and [`status_report`] a report of it;
 //! - [`manual_override`] and [`gossip_hints`] restrict the announced nodes by operators' commands and by
 //!   hints of other brokers;
@@ -31,6 +32,7 @@
 pub mod snapshot;
 pub mod staleness;
 pub mod status_report;
+pub mod watch_schedule;
 
 pub use manual_override::{ManualOverrides, UnknownNode};
 pub use probation::PartitionLayout;
--- /dev/null
+++ b/src/membership/watch_schedule.rs
@@ -0,0 +1,252 @@
+//! When discovery is called for a watch, and when a call is given up.
+//!
+//! A drain counts as reported to a broker when discovery has written it, whether or not it arrives, and a few
+//! seconds after the watch fell silent at the latest; from then on only its grace is left. So the time until
+//! the next list is bounded by that grace, and never the sum of time-outs that were chosen one by one:
+//!
+//! - a watch that seems silent is kept while the next call is under way, and what answers first stays;
+//! - a list that stops in the middle is asked for anew at once: it may have reported a drain already;
+//! - once the last confirmed list is some seconds old, a call without an answer gets a second beside it;
+//! - the wait after a call that failed is bounded by the backoff that the owner chose for the grace.
+//!
+//! No I/O and no clock: the owner of the connections reports what happened, and does what is due.
+
+use super::poll_backoff::PollBackoff;
+use crate::api::Nanos;
+
+/// Time for a response to begin, or to go on, once the connection is up, ns. Discovery handles requests in
+/// turn, and answers 503 to one that has waited for 2 s.
+const RESPONSE_TIMEOUT: Nanos = 2_500_000_000;
+/// A watch without a byte for so long is silent, ns. By the protocol an empty line comes every 2 s.
+const SILENCE_TIMEOUT: Nanos = 3_200_000_000;
+/// A watch without a byte for so long may be silent, ns: the next call begins beside it. What it misses
+/// counts as reported 6 s after its last byte, and the grace is over 2 s later.
+const SUSPICION_TIMEOUT: Nanos = 2_400_000_000;
+/// A list whose rest does not come for so long has stopped in the middle, ns.
+const PARTIAL_LIST_TIMEOUT: Nanos = 400_000_000;
+/// Time after which a call without an answer gets a second beside it, ns, if the list is old.
+const SECOND_CALL_AFTER: Nanos = 1_200_000_000;
+/// Age of the last confirmed list from which a second call may begin, ns.
+const SECOND_CALL_LIST_AGE: Nanos = 3_500_000_000;
+/// Most calls without an answer at once.
+const MAX_UNANSWERED: usize = 2;
+/// The same, when lists stop in the middle.
+const MAX_UNANSWERED_PARTIAL: usize = 4;
+/// Time for which a watch must have stood to be called anew at once when it ends, ns. Guards a discovery that
+/// ends each watch as soon as it has begun.
+const MIN_WATCH_TIME: Nanos = 1_000_000_000;
+/// Share of the usual wait that passes before a call that is to begin at once: brokers whose watches end
+/// together must not call in the same moment.
+const AT_ONCE_WAIT_DIVISOR: Nanos = 8;
+
+/// Number of a call to discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallId(u64);
+
+/// What is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchAction {
+    /// A call is to begin: see [`WatchSchedule::begun`].
+    Begin,
+    /// Nothing came on this call for too long: it is to be closed. It has ended.
+    TimedOut(CallId),
+}
+
+/// How far a call is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Its connection is being established.
+    Connecting,
+    /// Its first list has not come.
+    AwaitingList,
+    /// It is a watch since that time.
+    Established { since: Nanos },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    id: CallId,
+    phase: Phase,
+    begun: Nanos,
+    /// When something last came on it.
+    heard: Nanos,
+    /// A part of a list has come whose rest has not.
+    in_list: bool,
+}
+
+impl Call {
+    fn is_established(&self) -> bool {
+        matches!(self.phase, Phase::Established { .. })
+    }
+}
+
+/// The calls to discovery that are under way, and when the next one begins.
+#[derive(Debug)]
+pub struct WatchSchedule {
+    /// Time in which a connection must be established, ns.
+    dial_timeout: Nanos,
+    backoff: PollBackoff,
+    /// The oldest first.
+    calls: Vec<Call>,
+    next_id: u64,
+    /// No call begins earlier. None until the first is requested.
+    not_before: Option<Nanos>,
+    /// When the list was last known to be current.
+    confirmed: Nanos,
+}
+
+impl WatchSchedule {
+    /// A schedule without calls. `dial_timeout`: time in which a connection must be established, ns.
+    /// `backoff`: the waits after calls that failed.
+    #[must_use]
+    pub fn new(dial_timeout: Nanos, backoff: PollBackoff, now: Nanos) -> WatchSchedule {
+        let calls = Vec::new();
+        WatchSchedule { dial_timeout, backoff, calls, next_id: 0, not_before: None, confirmed: now }
+    }
+
+    /// A call is wanted at this time, unless one is under way or due earlier.
+    pub fn request(&mut self, at: Nanos) {
+        if self.calls.is_empty() {
+            self.not_before = Some(self.not_before.map_or(at, |earlier| earlier.min(at)));
+        }
+    }
+
+    /// A call is wanted at a time of the schedule's choice, soon: brokers that start together are spread.
+    pub fn request_soon(&mut self, now: Nanos) {
+        let wait = self.backoff.on_failure();
+        self.request(now + wait);
+    }
+
+    /// All calls were closed, and discovery is elsewhere: it is called at once.
+    pub fn restart(&mut self, now: Nanos) {
+        self.calls.clear();
+        self.not_before = Some(now);
+    }
+
+    /// Whether there is a watch.
+    #[must_use]
+    pub fn is_established(&self) -> bool {
+        self.calls.iter().any(Call::is_established)
+    }
+
+    /// What is due at this time; to be called until nothing is.
+    pub fn next_action(&mut self, now: Nanos) -> Option<WatchAction> {
+        let timed_out = self.calls.iter().find(|call| self.timeout_of(call) <= now).map(|call| call.id);
+        if let Some(id) = timed_out {
+            self.ended(id, now);
+            return Some(WatchAction::TimedOut(id));
+        }
+        (self.next_call_at()? <= now).then_some(WatchAction::Begin)
+    }
+
+    /// When [`WatchSchedule::next_action`] next has something to do.
+    #[must_use]
+    pub fn next_deadline(&self) -> Option<Nanos> {
+        self.calls.iter().map(|call| self.timeout_of(call)).chain(self.next_call_at()).min()
+    }
+
+    fn timeout_of(&self, call: &Call) -> Nanos {
+        match call.phase {
+            Phase::Connecting => call.begun + self.dial_timeout,
+            Phase::AwaitingList => call.heard + RESPONSE_TIMEOUT,
+            Phase::Established { .. } => call.heard + SILENCE_TIMEOUT,
+        }
+    }
+
+    /// When the next call begins, as things stand.
+    fn next_call_at(&self) -> Option<Nanos> {
+        let not_before = self.not_before?;
+        let Some(newest) = self.calls.last() else { return Some(not_before) };
+        let unanswered = self.calls.iter().filter(|call| !call.is_established()).count();
+        let at = if newest.in_list {
+            (unanswered < MAX_UNANSWERED_PARTIAL).then_some(newest.heard + PARTIAL_LIST_TIMEOUT)
+        } else if newest.is_established() {
+            Some(newest.heard + SUSPICION_TIMEOUT)
+        } else {
+            let at = (newest.begun + SECOND_CALL_AFTER).max(self.confirmed + SECOND_CALL_LIST_AGE);
+            (unanswered < MAX_UNANSWERED).then_some(at)
+        };
+        at.map(|at| at.max(not_before))
+    }
+
+    /// A call has begun.
+    pub fn begun(&mut self, now: Nanos) -> CallId {
+        let id = CallId(self.next_id);
+        self.next_id += 1;
+        self.calls.push(Call { id, phase: Phase::Connecting, begun: now, heard: now, in_list: false });
+        id
+    }
+
+    /// A call could not begin.
+    pub fn not_begun(&mut self, now: Nanos) {
+        self.not_before = Some(now + self.backoff.on_failure());
+    }
+
+    /// The connection of a call is established.
+    pub fn connected(&mut self, id: CallId, now: Nanos) {
+        if let Some(call) = self.call_mut(id)
+            && call.phase == Phase::Connecting
+        {
+            call.phase = Phase::AwaitingList;
+            call.heard = now;
+        }
+    }
+
+    /// Something came on a call. `in_list`: it ends within a list.
+    pub fn received(&mut self, id: CallId, in_list: bool, now: Nanos) {
+        if let Some(call) = self.call_mut(id) {
+            call.heard = now;
+            call.in_list = in_list;
+        }
+    }
+
+    /// A whole list came on a call, which is the watch from now on. Gives the other calls, which have ended
+    /// and are to be closed.
+    pub fn on_list(&mut self, id: CallId, now: Nanos) -> Vec<CallId> {
+        if let Some(call) = self.call_mut(id)
+            && !call.is_established()
+        {
+            call.phase = Phase::Established { since: now };
+        }
+        self.backoff.on_success();
+        self.confirmed = now;
+        self.keep_only(id)
+    }
+
+    /// An empty line came on a call, which is the watch from now on: on one that was the watch before, it
+    /// confirms the list. Gives the other calls, which have ended and are to be closed.
+    pub fn on_heartbeat(&mut self, id: CallId, now: Nanos) -> Vec<CallId> {
+        let Some(call) = self.call_mut(id) else { return Vec::new() };
+        if call.is_established() {
+            self.confirmed = now;
+        } else {
+            call.phase = Phase::Established { since: now };
+        }
+        self.keep_only(id)
+    }
+
+    fn keep_only(&mut self, id: CallId) -> Vec<CallId> {
+        let others: Vec<CallId> =
+            self.calls.iter().map(|call| call.id).filter(|other| *other != id).collect();
+        self.calls.retain(|call| call.id == id);
+        others
+    }
+
+    /// A call has ended by itself, or failed.
+    pub fn ended(&mut self, id: CallId, now: Nanos) {
+        let Some(index) = self.calls.iter().position(|call| call.id == id) else { return };
+        let call = self.calls.remove(index);
+        let wait = self.backoff.on_failure();
+        // A drain may have been written on it that did not arrive: its grace is running.
+        let may_have_reported = match call.phase {
+            Phase::Established { since } => now >= since + MIN_WATCH_TIME,
+            Phase::Connecting | Phase::AwaitingList => call.in_list,
+        };
+        let wait = if may_have_reported { wait / AT_ONCE_WAIT_DIVISOR } else { wait };
+        self.not_before = Some(now + wait);
+    }
+
+    fn call_mut(&mut self, id: CallId) -> Option<&mut Call> {
+        self.calls.iter_mut().find(|call| call.id == id)
+    }
+}
--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -6,17 +6,10 @@
 use crate::http::{HttpError, Reader, Side};
 use crate::membership::Registry;
 use crate::membership::endpoint_list::EndpointList;
+use crate::membership::watch_schedule::{CallId, WatchAction, WatchSchedule};
 use crate::net::{ConnId, NetEvent, PollLoop, ReadOutcome};
 use std::net::SocketAddr;
 
-/// Time for a response to begin once the connection is up, nanoseconds. Discovery handles requests in turn,
-/// and answers 503 to one that has waited for 2 s.
-const RESPONSE_TIMEOUT: Nanos = 2_500_000_000;
-/// A watch without a line for so long is silent, nanoseconds. By the protocol an empty line comes every 2 s,
-/// and what a silent watch misses counts as reported 6 s after its last line. This leaves over a second to a
-/// late line, and 2.8 s to the next watch.
-const HEARTBEAT_TIMEOUT: Nanos = 3_200_000_000;
-
 const NANOS_PER_MILLI: Nanos = 1_000_000;
 
 /// Why a watch ended.
@@ -44,16 +37,6 @@
     ResponseEnded,
 }
 
-/// How a watch ended. The later variant is the stronger one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum WatchEnd {
-    /// It broke, or could not begin.
-    Failed,
-    /// It was established, and no line came for too long. What it misses counts as reported a few seconds
-    /// later, whatever time there is between two requests.
-    Silent,
-}
-
 /// Where in the response a watch is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ListProgress {
@@ -65,17 +48,17 @@
     BetweenLists,
 }
 
-struct ActiveWatch {
+/// A call to discovery: the watch, or one that is to become it.
+struct Call {
+    id: CallId,
     conn: ConnId,
     reader: Reader,
     /// When it was begun.
     begun: Nanos,
-    /// Until when something must come.
-    deadline: Nanos,
     progress: ListProgress,
 }
 
-impl ActiveWatch {
+impl Call {
     /// Consumes white space; returns whether a heartbeat was in it.
     fn take_heartbeat(&mut self) -> bool {
         let body = self.reader.body();
@@ -113,132 +96,164 @@
     /// The owner under which its connections are registered at the poll loop.
     owner: u8,
     discovery: SocketAddr,
-    /// Time in which a connection must be up, nanoseconds.
-    dial_timeout: Nanos,
-    active: Option<ActiveWatch>,
-    /// How it ended since this was last taken.
-    ended: Option<WatchEnd>,
+    schedule: WatchSchedule,
+    calls: Vec<Call>,
+    /// A call ended, and no watch is left, since this was last taken.
+    interrupted: bool,
 }
 
 impl DiscoveryWatch {
-    /// A watch whose connections belong to `owner` and must be up within `dial_timeout`. It begins with
-    /// [`DiscoveryWatch::begin`].
-    pub fn new(owner: u8, discovery: SocketAddr, dial_timeout: Nanos) -> DiscoveryWatch {
-        DiscoveryWatch { owner, discovery, dial_timeout, active: None, ended: None }
+    /// A watch whose connections belong to `owner`, with calls as `schedule` has them. It begins with
+    /// [`DiscoveryWatch::request`].
+    pub fn new(owner: u8, discovery: SocketAddr, schedule: WatchSchedule) -> DiscoveryWatch {
+        DiscoveryWatch { owner, discovery, schedule, calls: Vec::new(), interrupted: false }
     }
 
-    /// How it ended, if it did since this was last called.
-    pub fn take_end(&mut self) -> Option<WatchEnd> {
-        self.ended.take()
+    /// Whether a call ended and no watch was left, since this was last called.
+    pub fn take_interrupted(&mut self) -> bool {
+        std::mem::take(&mut self.interrupted)
     }
 
-    fn record_end(&mut self, end: WatchEnd) {
-        self.ended = self.ended.max(Some(end));
+    /// A watch is wanted at this time, unless there is one or a call for one is due earlier.
+    pub fn request(&mut self, at: Nanos) {
+        self.schedule.request(at);
     }
 
-    /// Requests the changes since `version` of the list. A watch that is active goes on.
-    pub fn begin(&mut self, version: u64, now: Nanos, net: &mut PollLoop) {
-        if self.active.is_some() {
-            return;
+    /// A watch is wanted soon, at a time that differs from broker to broker.
+    pub fn request_soon(&mut self, now: Nanos) {
+        self.schedule.request_soon(now);
+    }
+
+    /// Discovery is at this address from now on: a watch begins there with the next tick.
+    pub fn move_to(&mut self, discovery: SocketAddr, now: Nanos, net: &mut PollLoop) {
+        if discovery == self.discovery {
+            return tracing::info!(addr = %discovery, "configuration reloaded: discovery stays");
+        }
+        tracing::info!(addr = %discovery, "configuration reloaded: discovery moves");
+        self.discovery = discovery;
+        for call in self.calls.drain(..) {
+            net.close(call.conn);
         }
+        self.schedule.restart(now);
+    }
+
+    /// Begins the calls that are due, which request the changes since `version` of the list, and ends those
+    /// on which nothing came for too long: a silent peer is noticed by time alone.
+    pub fn tick(&mut self, version: u64, now: Nanos, net: &mut PollLoop) {
+        while let Some(action) = self.schedule.next_action(now) {
+            match action {
+                WatchAction::Begin => self.begin(version, now, net),
+                WatchAction::TimedOut(id) => self.end(id, WatchError::TimedOut, now, net),
+            }
+        }
+    }
+
+    /// When [`DiscoveryWatch::tick`] is next worth calling.
+    pub fn next_deadline(&self) -> Option<Nanos> {
+        self.schedule.next_deadline()
+    }
+
+    fn begin(&mut self, version: u64, now: Nanos, net: &mut PollLoop) {
         let Ok(conn) = net.dial(self.discovery, self.owner) else {
             tracing::warn!(addr = %self.discovery, "discovery can't be dialled");
-            self.record_end(WatchEnd::Failed);
+            self.schedule.not_begun(now);
+            self.interrupted |= !self.schedule.is_established();
             return;
         };
         tracing::info!(addr = %self.discovery, version, "discovery watch begins");
-        self.active = Some(ActiveWatch {
-            conn,
-            reader: Reader::new(Side::Responses),
-            begun: now,
-            deadline: now + self.dial_timeout,
-            progress: ListProgress::AwaitingFirstList,
-        });
+        let id = self.schedule.begun(now);
+        let (reader, progress) = (Reader::new(Side::Responses), ListProgress::AwaitingFirstList);
+        self.calls.push(Call { id, conn, reader, begun: now, progress });
         let request =
             format!("GET /api/targets?follow=1&since={version} HTTP/1.1\r\nHost: {}\r\n\r\n", self.discovery);
         if net.send(conn, request.as_bytes()).is_err() {
-            self.fail(WatchError::RequestNotSent, now, net);
+            self.end(id, WatchError::RequestNotSent, now, net);
         }
     }
 
-    /// Discovery is at this address from now on: a watch begins there at once.
-    pub fn move_to(&mut self, discovery: SocketAddr, version: u64, now: Nanos, net: &mut PollLoop) {
-        if discovery == self.discovery {
-            return tracing::info!(addr = %discovery, "configuration reloaded: discovery stays");
-        }
-        tracing::info!(addr = %discovery, "configuration reloaded: discovery moves");
-        self.discovery = discovery;
-        if let Some(previous) = self.active.take() {
-            net.close(previous.conn);
-        }
-        self.begin(version, now, net);
+    /// Closes a call that has ended.
+    fn end(&mut self, id: CallId, error: WatchError, now: Nanos, net: &mut PollLoop) {
+        self.schedule.ended(id, now);
+        let Some(index) = self.calls.iter().position(|call| call.id == id) else { return };
+        let call = self.calls.remove(index);
+        let unparsed_bytes = net.data(call.conn).len() + call.reader.body().len();
+        net.close(call.conn);
+        let age_ms = now.saturating_sub(call.begun) / NANOS_PER_MILLI;
+        let answered = call.reader.head().is_some();
+        let others = self.calls.len();
+        tracing::warn!(
+            reason = %error,
+            progress = ?call.progress,
+            answered,
+            age_ms,
+            unparsed_bytes,
+            others,
+            "discovery watch ended"
+        );
+        self.interrupted |= !self.schedule.is_established();
     }
 
-    fn fail(&mut self, error: WatchError, now: Nanos, net: &mut PollLoop) {
-        if let Some(watch) = self.active.take() {
-            let unparsed_bytes = net.data(watch.conn).len() + watch.reader.body().len();
-            net.close(watch.conn);
-            let age_ms = now.saturating_sub(watch.begun) / NANOS_PER_MILLI;
-            let answered = watch.reader.head().is_some();
-            tracing::warn!(
-                reason = %error,
-                progress = ?watch.progress,
-                answered,
-                age_ms,
-                unparsed_bytes,
-                "discovery watch ended"
-            );
-            self.record_end(WatchEnd::Failed);
+    /// Closes calls that another has made needless.
+    fn close_superseded(&mut self, superseded: &[CallId], net: &mut PollLoop) {
+        for call in self.calls.extract_if(.., |call| superseded.contains(&call.id)) {
+            tracing::debug!("discovery call is superseded by another");
+            net.close(call.conn);
         }
     }
 
-    /// Handles an event of its connection. Others are ignored.
+    /// Handles an event of one of its connections. Others are ignored.
     pub fn on_event(&mut self, event: NetEvent, now: Nanos, net: &mut PollLoop, registry: &mut Registry) {
-        let Some(watch) = &mut self.active else { return };
         match event {
-            NetEvent::Connected { conn, .. } if conn == watch.conn => {
-                watch.deadline = now + RESPONSE_TIMEOUT;
-                let age_ms = now.saturating_sub(watch.begun) / NANOS_PER_MILLI;
+            NetEvent::Connected { conn, .. } => {
+                let Some(call) = self.calls.iter().find(|call| call.conn == conn) else { return };
+                let age_ms = now.saturating_sub(call.begun) / NANOS_PER_MILLI;
                 tracing::debug!(age_ms, "discovery connection is established");
+                self.schedule.connected(call.id, now);
+            }
+            NetEvent::Readable { conn, .. } => {
+                let Some(id) = self.call_on(conn) else { return };
+                if let Err(error) = self.read_available(id, now, net, registry) {
+                    self.end(id, error, now, net);
+                }
             }
-            NetEvent::Readable { conn, .. } if conn == watch.conn => self.read(now, net, registry),
-            NetEvent::Broken { conn, .. } if conn == watch.conn => {
-                self.fail(WatchError::ConnectionBroken, now, net);
+            NetEvent::Broken { conn, .. } => {
+                if let Some(id) = self.call_on(conn) {
+                    self.end(id, WatchError::ConnectionBroken, now, net);
+                }
             }
             _ => {}
         }
     }
 
-    fn read(&mut self, now: Nanos, net: &mut PollLoop, registry: &mut Registry) {
-        if let Err(error) = self.read_available(now, net, registry) {
-            self.fail(error, now, net);
-        }
+    fn call_on(&self, conn: ConnId) -> Option<CallId> {
+        self.calls.iter().find(|call| call.conn == conn).map(|call| call.id)
     }
 
     /// Reads until nothing more has come.
     fn read_available(
         &mut self,
+        id: CallId,
         now: Nanos,
         net: &mut PollLoop,
         registry: &mut Registry,
     ) -> Result<(), WatchError> {
-        while let Some(watch) = &mut self.active {
-            let outcome = net.fill(watch.conn);
+        while let Some(call) = self.calls.iter_mut().find(|call| call.id == id) {
+            let conn = call.conn;
+            let outcome = net.fill(conn);
             match outcome {
                 ReadOutcome::WouldBlock | ReadOutcome::NoBuffer => return Ok(()),
                 ReadOutcome::Read(_) | ReadOutcome::BufferFull => {
-                    watch.deadline = now + HEARTBEAT_TIMEOUT;
                     let pool = net.pool().clone();
-                    let used = watch.reader.advance(net.data(watch.conn), &pool)?;
-                    net.consume(watch.conn, used);
-                    self.process_lists(now, registry)?;
+                    let used = call.reader.advance(net.data(conn), &pool)?;
+                    net.consume(conn, used);
+                    self.process_lists(id, now, net, registry)?;
                     if used == 0 && outcome == ReadOutcome::BufferFull {
                         return Err(WatchError::LineTooLong);
                     }
                 }
                 ReadOutcome::Closed => {
-                    watch.reader.end();
-                    self.process_lists(now, registry)?;
+                    call.reader.end();
+                    self.process_lists(id, now, net, registry)?;
                     return Err(WatchError::Closed);
                 }
             }
@@ -247,35 +262,38 @@
     }
 
     /// Passes on the lists that have come whole, and the heartbeats between them.
-    fn process_lists(&mut self, now: Nanos, registry: &mut Registry) -> Result<(), WatchError> {
-        let Some(watch) = &mut self.active else { return Ok(()) };
-        let Some(status) = watch.reader.head().map(|head| head.status) else { return Ok(()) };
-        if status != 200 {
-            return Err(WatchError::Status(status));
-        }
-        loop {
-            if watch.take_heartbeat() {
+    fn process_lists(
+        &mut self,
+        id: CallId,
+        now: Nanos,
+        net: &mut PollLoop,
+        registry: &mut Registry,
+    ) -> Result<(), WatchError> {
+        while let Some(call) = self.calls.iter_mut().find(|call| call.id == id) {
+            let Some(status) = call.reader.head().map(|head| head.status) else {
+                self.schedule.received(id, false, now);
+                return Ok(());
+            };
+            if status != 200 {
+                return Err(WatchError::Status(status));
+            }
+            if call.take_heartbeat() {
                 tracing::debug!("heartbeat of discovery");
                 registry.on_heartbeat(now);
+                let superseded = self.schedule.on_heartbeat(id, now);
+                self.close_superseded(&superseded, net);
+                continue;
             }
-            let Some(list) = watch.take_list()? else { return Ok(()) };
-            let is_first = watch.progress == ListProgress::AwaitingFirstList;
-            watch.progress = ListProgress::AwaitingLineEnd;
+            let Some(list) = call.take_list()? else {
+                self.schedule.received(id, !call.reader.body().is_empty(), now);
+                return Ok(());
+            };
+            let is_first = call.progress == ListProgress::AwaitingFirstList;
+            call.progress = ListProgress::AwaitingLineEnd;
             registry.on_discovery_update(&list, is_first, now);
+            let superseded = self.schedule.on_list(id, now);
+            self.close_superseded(&superseded, net);
         }
-    }
-
-    /// Ends a watch on which nothing came for too long: a silent peer is noticed by time alone.
-    pub fn tick(&mut self, now: Nanos, net: &mut PollLoop) {
-        let Some(watch) = self.active.as_ref().filter(|watch| watch.deadline <= now) else { return };
-        if watch.reader.head().is_some() {
-            self.record_end(WatchEnd::Silent);
-        }
-        self.fail(WatchError::TimedOut, now, net);
-    }
-
-    /// When [`DiscoveryWatch::tick`] is next worth calling.
-    pub fn next_deadline(&self) -> Option<Nanos> {
-        self.active.as_ref().map(|watch| watch.deadline)
+        Ok(())
     }
 }
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -1,11 +1,10 @@
 //! Membership as a frontend needs it: the registry, the watch on discovery and the list on disk, tied to the
 //! query engine.
 
-use super::discovery_watch::{DiscoveryWatch, WatchEnd};
+use super::discovery_watch::DiscoveryWatch;
 use super::frontend_context::FrontendContext;
 use super::hint_exchange::HintExchange;
 use crate::api::{Nanos, ReplicaId};
-use crate::membership::poll_backoff::PollBackoff;
 use crate::membership::snapshot::Snapshot;
 use crate::membership::{ManualOverrides, NodeChange, NodeRecord, Registry, UnknownNode};
 use crate::net::{NetEvent, PollLoop};
@@ -16,39 +15,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-/// Longest wait before discovery is asked again after a watch fell silent, however rarely the settings want
-/// it asked, nanoseconds. What a silent watch misses counts as reported 6 s after its last line: 3.2 s pass
-/// until the silence is noticed, and 2 s are left for the next request.
-const MAX_BACKOFF_AFTER_SILENCE: Nanos = 800_000_000;
-
-/// Who decides when a watch begins.
-enum PollTrigger {
-    /// The query engine, as the settings want it; the driver only after a watch fell silent.
-    Engine,
-    /// The driver.
-    Driver,
-}
-
-/// When a watch begins again after the last one ended.
-struct PollSchedule {
-    trigger: PollTrigger,
-    backoff: PollBackoff,
-    /// When the driver begins the next watch; none while it doesn't have to.
-    next_at: Option<Nanos>,
-}
-
-impl PollSchedule {
-    fn on_engine_request(seed: u64) -> PollSchedule {
-        let backoff = PollBackoff::new(MAX_BACKOFF_AFTER_SILENCE, MAX_BACKOFF_AFTER_SILENCE, seed);
-        PollSchedule { trigger: PollTrigger::Engine, backoff, next_at: None }
-    }
-}
-
 /// The registry and its sources.
 pub struct MembershipDriver {
     registry: Registry,
     watch: Option<DiscoveryWatch>,
-    poll_schedule: PollSchedule,
     /// The operator's routing rules, where there are any.
     routing: Option<Routing>,
     /// Nodes that an operator suspended, whatever the sources report.
@@ -67,7 +37,6 @@
         MembershipDriver {
             registry,
             watch: None,
-            poll_schedule: PollSchedule::on_engine_request(0),
             routing: None,
             manual_overrides: ManualOverrides::default(),
             hint_exchange: None,
@@ -76,22 +45,9 @@
         }
     }
 
-    /// Watches discovery whenever the query engine requests it, and soon after a watch fell silent.
-    pub fn watch_on_request(mut self, watch: DiscoveryWatch, seed: u64) -> MembershipDriver {
-        self.watch = Some(watch);
-        self.poll_schedule = PollSchedule::on_engine_request(seed);
-        self
-    }
-
-    /// Watches discovery from now on, and again after these waits whenever the watch breaks.
-    pub fn poll_with_backoff(
-        mut self,
-        watch: DiscoveryWatch,
-        backoff: PollBackoff,
-        now: Nanos,
-    ) -> MembershipDriver {
+    /// Watches discovery as this watch has it.
+    pub fn with_watch(mut self, watch: DiscoveryWatch) -> MembershipDriver {
         self.watch = Some(watch);
-        self.poll_schedule = PollSchedule { trigger: PollTrigger::Driver, backoff, next_at: Some(now) };
         self
     }
 
@@ -122,17 +78,19 @@
         self.registry.set_operator_nodes(nodes, now);
     }
 
-    /// Begins a watch on discovery, unless one is active or there is no discovery.
-    pub fn begin_watch(&mut self, now: Nanos, net: &mut PollLoop) {
+    /// A watch on discovery is wanted, unless there is one or there is no discovery.
+    pub fn request_watch(&mut self, now: Nanos, net: &mut PollLoop) {
         if let Some(watch) = &mut self.watch {
-            watch.begin(self.registry.version(), now, net);
+            watch.request(now);
+            watch.tick(self.registry.version(), now, net);
         }
     }
 
     /// Discovery is at this address from now on.
     pub fn move_to(&mut self, discovery: SocketAddr, now: Nanos, net: &mut PollLoop) {
         if let Some(watch) = &mut self.watch {
-            watch.move_to(discovery, self.registry.version(), now, net);
+            watch.move_to(discovery, now, net);
+            watch.tick(self.registry.version(), now, net);
         }
     }
 
@@ -154,10 +112,7 @@
         self.now = now;
         self.record_attempts(context);
         if let Some(watch) = &mut self.watch {
-            watch.tick(now, context.net);
-        }
-        if self.poll_schedule.next_at.take_if(|next_at| *next_at <= now).is_some() {
-            self.begin_watch(now, context.net);
+            watch.tick(self.registry.version(), now, context.net);
         }
         self.registry.tick(now);
         if let Some(routing) = &mut self.routing {
@@ -177,7 +132,7 @@
         }
     }
 
-    /// Passes changes on to the query engine, and schedules the next watch if the last one ended.
+    /// Passes changes on to the query engine, and that the watch was interrupted.
     pub fn pass_on<Q, V>(
         &mut self,
         context: &mut FrontendContext<'_, Q, V>,
@@ -190,16 +145,11 @@
             update_endpoints(changes, context);
         }
         self.release_by_newer_list(context);
-        if self.registry.take_discovery_answered()
-            && let PollTrigger::Driver = self.poll_schedule.trigger
-        {
-            self.poll_schedule.backoff.on_success();
-        }
         for replica in self.registry.take_warmed_up() {
             context.engine.replica_warmed_up(replica);
         }
-        if let Some(end) = self.watch.as_mut().and_then(DiscoveryWatch::take_end) {
-            self.on_watch_end(end, context);
+        if self.watch.as_mut().is_some_and(DiscoveryWatch::take_interrupted) {
+            self.registry.watch_lost();
         }
     }
 
@@ -213,21 +163,6 @@
         routing.take_changes()
     }
 
-    fn on_watch_end<Q, V>(&mut self, end: WatchEnd, context: &mut FrontendContext<'_, Q, V>) {
-        self.registry.watch_lost();
-        let schedule = &mut self.poll_schedule;
-        let driver_retries = match schedule.trigger {
-            PollTrigger::Engine => {
-                context.engine.watch_failed();
-                end == WatchEnd::Silent
-            }
-            PollTrigger::Driver => true,
-        };
-        if driver_retries {
-            schedule.next_at = Some(context.now + schedule.backoff.on_failure());
-        }
-    }
-
     fn hold_back_by_hints(&mut self, changes: Vec<NodeChange>) -> Vec<NodeChange> {
         match &mut self.hint_exchange {
             Some(hints) => hints.on_changes(changes, &self.registry),
@@ -345,7 +280,6 @@
             self.registry.next_deadline(),
             self.routing.as_ref().and_then(|routing| routing.next_deadline(self.now)),
             self.watch.as_ref().and_then(DiscoveryWatch::next_deadline),
-            self.poll_schedule.next_at,
             idle_writer.and_then(|_| self.registry.snapshot_due()),
         ]
         .into_iter()
