--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -33,9 +33,10 @@
 
 /// Time in which a connection to discovery must be up.
 const DIAL: Nanos = 2_500_000_000;
-/// First and longest wait before discovery is asked again: an operator's file says nothing of it. Half of the 2 s after
-/// its report in which a drain has to be kept, however long discovery was down.
-const ASK: (Nanos, Nanos) = (250_000_000, 1_000_000_000);
+/// First and longest wait before discovery is asked again: an operator's file says nothing of it.
+const ASK: (Nanos, Nanos) = (500_000_000, 8_000_000_000);
+/// The same while the grace of a drain may be running that a watch did not report.
+const URGENT_ASK: Nanos = 500_000_000;
 
 /// Time between two looks at a file of nodes that is being read.
 const LOOK: Nanos = 20_000_000;
@@ -167,7 +168,9 @@
         membership = membership.share_hints();
     }
     if let Some(discovery) = m.discovery {
-        let schedule = WatchSchedule::new(DIAL, PollBackoff::new(ASK.0, ASK.1, seed), now);
+        let backoff = PollBackoff::new(ASK.0, ASK.1, seed);
+        let urgent = PollBackoff::new(URGENT_ASK, URGENT_ASK, !seed);
+        let schedule = WatchSchedule::new(DIAL, backoff, urgent);
         let mut watch = DiscoveryWatch::new(ROSTER, discovery, schedule);
         watch.request(now);
         membership = membership.with_watch(watch);
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -41,11 +41,11 @@
 const CHANGES_EVERY: Nanos = 24 * 3_600_000_000_000;
 /// Age of a list that does not tell its own.
 const PRESUMED_AGE: Nanos = 300_000_000_000;
-/// Parts of a drain's grace that the waits before the next call to discovery may take: the first after a failure, and
-/// the longest. A dial that is on its way when discovery returns, the wait after it, and the answer have to fit in the
-/// grace.
-const FIRST_RETRY_SHARE: Nanos = 8;
-const RETRY_SHARE: Nanos = 4;
+/// Part of a drain's grace that the wait before the next call to discovery may take while a grace may be running: the
+/// wait, the dial and the answer have to fit in it.
+const URGENT_WAIT: Nanos = 4;
+/// First and longest wait before the next call to a discovery that all brokers share, after calls that failed.
+const SHARED_DISCOVERY_WAITS: (Nanos, Nanos) = (750_000_000, 7_500_000_000);
 /// Part of the memory that buffers may take.
 const BUFFERS: usize = 4;
 
@@ -66,6 +66,20 @@
     (both / TO_SERVERS, both - both / TO_SERVERS)
 }
 
+/// When discovery is called. One that pushes its list is this broker's own, and is called soon after each failure.
+fn watch_schedule(told: &PlatformConfig, discovery: Discovery, grace: Nanos) -> WatchSchedule {
+    let urgent = grace / URGENT_WAIT;
+    let (first, longest) = match discovery {
+        Discovery::Pushed => (urgent, urgent),
+        Discovery::Polled => SHARED_DISCOVERY_WAITS,
+    };
+    WatchSchedule::new(
+        told.params.dial_timeout(),
+        PollBackoff::new(first, longest, told.seed),
+        PollBackoff::new(urgent, urgent, !told.seed),
+    )
+}
+
 /// Builds a broker that listens; tells where.
 pub fn broker(told: PlatformConfig) -> Result<(Broker<PlatformFrontend>, SocketAddr), BrokerError> {
     let (settings, names) = config::settings(&told.params).map_err(ConfigError::from)?;
@@ -119,9 +133,8 @@
         .flat_map(|joined| joined.overrides.suspended_servers())
         .map(str::to_owned)
         .collect::<Vec<_>>();
-    let backoff = PollBackoff::new(grace / FIRST_RETRY_SHARE, grace / RETRY_SHARE, told.seed);
-    let schedule = WatchSchedule::new(told.params.dial_timeout(), backoff, now);
-    let mut watch = DiscoveryWatch::new(ROSTER, told.discovery, schedule);
+    let mut watch =
+        DiscoveryWatch::new(ROSTER, told.discovery, watch_schedule(&told, settings.discovery, grace));
     match settings.discovery {
         // What is pushed counts as told whether or not a watch is open: one has to be, from the first moment on.
         Discovery::Pushed => watch.request(now),
--- a/src/membership/watch_schedule.rs
+++ b/src/membership/watch_schedule.rs
@@ -2,21 +2,25 @@
 //!
 //! A drain counts as reported to a broker when discovery has written it, whether or not it arrives, and a few
 //! seconds after the watch fell silent at the latest; from then on only its grace is left. So the time until
-//! the next list is bounded by that grace, and never the sum of time-outs that were chosen one by one:
+//! the next list is bounded by that grace, and is not the sum of time-outs that were chosen one by one:
 //!
 //! - a watch that seems silent is kept while the next call is under way, and what answers first stays;
 //! - a list that stops in the middle is asked for anew at once: it may have reported a drain already;
-//! - once the last confirmed list is some seconds old, a call without an answer gets a second beside it;
-//! - the wait after a call that failed is bounded by the backoff that the owner chose for the grace.
+//! - a call is given up as soon as discovery would have refused it;
+//! - while the grace may be running, calls that fail are repeated after a short wait.
+//!
+//! Discovery handles calls in turn, also those whose callers have given up. Many brokers that repeat their
+//! calls too soon keep it busy with calls that nobody waits for, and none of them gets an answer. So there is
+//! one call at a time, and outside the moments above the waits double.
 //!
 //! No I/O and no clock: the owner of the connections reports what happened, and does what is due.
 
 use super::poll_backoff::PollBackoff;
 use crate::api::Nanos;
 
-/// Time for a response to begin, or to go on, once the connection is up, ns. Discovery handles requests in
-/// turn, and answers 503 to one that has waited for 2 s.
-const RESPONSE_TIMEOUT: Nanos = 2_500_000_000;
+/// Time for a response to begin, or to go on, once the connection is up, ns. Discovery refuses a call that has
+/// waited for 2 s.
+const RESPONSE_TIMEOUT: Nanos = 2_200_000_000;
 /// A watch without a byte for so long is silent, ns. By the protocol an empty line comes every 2 s.
 const SILENCE_TIMEOUT: Nanos = 3_200_000_000;
 /// A watch without a byte for so long may be silent, ns: the next call begins beside it. What it misses
@@ -24,20 +28,13 @@
 const SUSPICION_TIMEOUT: Nanos = 2_400_000_000;
 /// A list whose rest does not come for so long has stopped in the middle, ns.
 const PARTIAL_LIST_TIMEOUT: Nanos = 400_000_000;
-/// Time after which a call without an answer gets a second beside it, ns, if the list is old.
-const SECOND_CALL_AFTER: Nanos = 1_200_000_000;
-/// Age of the last confirmed list from which a second call may begin, ns.
-const SECOND_CALL_LIST_AGE: Nanos = 3_500_000_000;
-/// Most calls without an answer at once.
-const MAX_UNANSWERED: usize = 2;
-/// The same, when lists stop in the middle.
-const MAX_UNANSWERED_PARTIAL: usize = 4;
-/// Time for which a watch must have stood to be called anew at once when it ends, ns. Guards a discovery that
-/// ends each watch as soon as it has begun.
-const MIN_WATCH_TIME: Nanos = 1_000_000_000;
-/// Share of the usual wait that passes before a call that is to begin at once: brokers whose watches end
-/// together must not call in the same moment.
-const AT_ONCE_WAIT_DIVISOR: Nanos = 8;
+/// Most calls without an answer at once, when lists stop in the middle.
+const MAX_PARTIAL_CALLS: usize = 4;
+/// Age of the last confirmed list up to which calls that fail are repeated soon, ns: then the grace of what a
+/// silent watch missed is over.
+const URGENT_LIST_AGE: Nanos = 8_000_000_000;
+/// Share of the usual wait that passes before a list that was cut is asked for anew.
+const CUT_LIST_WAIT_DIVISOR: Nanos = 8;
 
 /// Number of a call to discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -59,8 +56,8 @@
     Connecting,
     /// Its first list has not come.
     AwaitingList,
-    /// It is a watch since that time.
-    Established { since: Nanos },
+    /// It is the watch.
+    Established,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -76,7 +73,7 @@
 
 impl Call {
     fn is_established(&self) -> bool {
-        matches!(self.phase, Phase::Established { .. })
+        self.phase == Phase::Established
     }
 }
 
@@ -85,23 +82,34 @@
 pub struct WatchSchedule {
     /// Time in which a connection must be established, ns.
     dial_timeout: Nanos,
+    /// The waits after calls that failed.
     backoff: PollBackoff,
+    /// The same, while the grace of a drain may be running.
+    urgent_backoff: PollBackoff,
     /// The oldest first.
     calls: Vec<Call>,
     next_id: u64,
     /// No call begins earlier. None until the first is requested.
     not_before: Option<Nanos>,
-    /// When the list was last known to be current.
-    confirmed: Nanos,
+    /// When the list was last known to be current, if it was.
+    confirmed: Option<Nanos>,
 }
 
 impl WatchSchedule {
     /// A schedule without calls. `dial_timeout`: time in which a connection must be established, ns.
-    /// `backoff`: the waits after calls that failed.
+    /// `backoff`: the waits after calls that failed. `urgent_backoff`: the same, while the grace of a drain may
+    /// be running.
     #[must_use]
-    pub fn new(dial_timeout: Nanos, backoff: PollBackoff, now: Nanos) -> WatchSchedule {
-        let calls = Vec::new();
-        WatchSchedule { dial_timeout, backoff, calls, next_id: 0, not_before: None, confirmed: now }
+    pub fn new(dial_timeout: Nanos, backoff: PollBackoff, urgent_backoff: PollBackoff) -> WatchSchedule {
+        WatchSchedule {
+            dial_timeout,
+            backoff,
+            urgent_backoff,
+            calls: Vec::new(),
+            next_id: 0,
+            not_before: None,
+            confirmed: None,
+        }
     }
 
     /// A call is wanted at this time, unless one is under way or due earlier.
@@ -113,7 +121,7 @@
 
     /// A call is wanted at a time of the schedule's choice, soon: brokers that start together are spread.
     pub fn request_soon(&mut self, now: Nanos) {
-        let wait = self.backoff.on_failure();
+        let wait = self.urgent_backoff.on_failure();
         self.request(now + wait);
     }
 
@@ -149,7 +157,7 @@
         match call.phase {
             Phase::Connecting => call.begun + self.dial_timeout,
             Phase::AwaitingList => call.heard + RESPONSE_TIMEOUT,
-            Phase::Established { .. } => call.heard + SILENCE_TIMEOUT,
+            Phase::Established => call.heard + SILENCE_TIMEOUT,
         }
     }
 
@@ -157,14 +165,12 @@
     fn next_call_at(&self) -> Option<Nanos> {
         let not_before = self.not_before?;
         let Some(newest) = self.calls.last() else { return Some(not_before) };
-        let unanswered = self.calls.iter().filter(|call| !call.is_established()).count();
-        let at = if newest.in_list {
-            (unanswered < MAX_UNANSWERED_PARTIAL).then_some(newest.heard + PARTIAL_LIST_TIMEOUT)
-        } else if newest.is_established() {
-            Some(newest.heard + SUSPICION_TIMEOUT)
-        } else {
-            let at = (newest.begun + SECOND_CALL_AFTER).max(self.confirmed + SECOND_CALL_LIST_AGE);
-            (unanswered < MAX_UNANSWERED).then_some(at)
+        let at = match newest.phase {
+            _ if newest.in_list => {
+                (self.calls.len() < MAX_PARTIAL_CALLS).then_some(newest.heard + PARTIAL_LIST_TIMEOUT)
+            }
+            Phase::Established => Some(newest.heard + SUSPICION_TIMEOUT),
+            Phase::Connecting | Phase::AwaitingList => None,
         };
         at.map(|at| at.max(not_before))
     }
@@ -179,7 +185,13 @@
 
     /// A call could not begin.
     pub fn not_begun(&mut self, now: Nanos) {
-        self.not_before = Some(now + self.backoff.on_failure());
+        self.not_before = Some(now + self.wait_after_failure(now));
+    }
+
+    fn wait_after_failure(&mut self, now: Nanos) -> Nanos {
+        let wait = self.backoff.on_failure();
+        let is_urgent = self.confirmed.is_some_and(|confirmed| now < confirmed + URGENT_LIST_AGE);
+        if is_urgent { wait.min(self.urgent_backoff.on_failure()) } else { wait }
     }
 
     /// The connection of a call is established.
@@ -206,10 +218,10 @@
         if let Some(call) = self.call_mut(id)
             && !call.is_established()
         {
-            call.phase = Phase::Established { since: now };
+            call.phase = Phase::Established;
         }
         self.backoff.on_success();
-        self.confirmed = now;
+        self.confirmed = Some(now);
         self.keep_only(id)
     }
 
@@ -218,9 +230,9 @@
     pub fn on_heartbeat(&mut self, id: CallId, now: Nanos) -> Vec<CallId> {
         let Some(call) = self.call_mut(id) else { return Vec::new() };
         if call.is_established() {
-            self.confirmed = now;
+            self.confirmed = Some(now);
         } else {
-            call.phase = Phase::Established { since: now };
+            call.phase = Phase::Established;
         }
         self.keep_only(id)
     }
@@ -236,13 +248,9 @@
     pub fn ended(&mut self, id: CallId, now: Nanos) {
         let Some(index) = self.calls.iter().position(|call| call.id == id) else { return };
         let call = self.calls.remove(index);
-        let wait = self.backoff.on_failure();
-        // A drain may have been written on it that did not arrive: its grace is running.
-        let may_have_reported = match call.phase {
-            Phase::Established { since } => now >= since + MIN_WATCH_TIME,
-            Phase::Connecting | Phase::AwaitingList => call.in_list,
-        };
-        let wait = if may_have_reported { wait / AT_ONCE_WAIT_DIVISOR } else { wait };
+        let wait = self.wait_after_failure(now);
+        // A drain may have been written on it that did not arrive whole: its grace is running.
+        let wait = if call.in_list { wait / CUT_LIST_WAIT_DIVISOR } else { wait };
         self.not_before = Some(now + wait);
     }
 
