Add a test of a drain that a crowded discovery reports after the grace, which fails

Stand-ins set TCP_NODELAY: without it their answers waited 40 ms and more for each other, and queries were refused in all scenarios.

--- a/lab/src/standins.rs
+++ b/lab/src/standins.rs
@@ -30,6 +30,8 @@
     Fail,
     /// Turns it away.
     Busy,
+    /// Serves one part in three and turns the others away.
+    Crowded,
     /// Closes the connection.
     Break,
     /// Spoils its answer, on frames: noise, a frame whose rest never comes, an answer to what was not asked,
@@ -62,6 +64,9 @@
     fell: bool,
 }
 
+/// Of so many parts a crowded node serves one.
+const CROWDED_SERVES_ONE_IN: usize = 3;
+
 /// Time over which a cold node is pushed.
 const WINDOW: Duration = Duration::from_millis(1500);
 
@@ -119,7 +124,10 @@
                     return Act::Break;
                 }
             }
-            s.acts.get(&(node, partition)).copied().unwrap_or(Act::Serve)
+            match s.acts.get(&(node, partition)).copied().unwrap_or(Act::Serve) {
+                Act::Crowded if !s.came.len().is_multiple_of(CROWDED_SERVES_ONE_IN) => Act::Busy,
+                act => act,
+            }
         };
         match act {
             Act::Late(ms) => std::thread::sleep(Duration::from_millis(ms)),
@@ -144,6 +152,7 @@
     let serve = Arc::new(serve);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            let _ = stream.set_nodelay(true);
             let serve = serve.clone();
             std::thread::spawn(move || serve(stream));
         }
--- a/tests/discovery_faults/broker_process.rs
+++ b/tests/discovery_faults/broker_process.rs
@@ -8,8 +8,10 @@
 use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_pebbleturn");
-/// Time between two queries of the client.
+/// Time between two queries of a client.
 const QUERY_INTERVAL: Duration = Duration::from_millis(15);
+/// Clients that ask at once.
+const CLIENTS: usize = 6;
 /// Longer than any query takes.
 const HUNG: Duration = Duration::from_secs(20);
 
@@ -46,21 +48,30 @@
         self.log.lock().unwrap().join("\n")
     }
 
-    /// Sends queries for this long; returns how many were served whole, and how many had no answer at all.
+    /// Sends queries from all clients for this long; says how they ended.
     pub fn query_for(&self, time: Duration) -> Answers {
+        std::thread::scope(|scope| {
+            let clients: Vec<_> =
+                (0..CLIENTS).map(|client| scope.spawn(move || self.query_as(client, time))).collect();
+            let answers = clients.into_iter().map(|client| client.join().expect("a query without an answer"));
+            answers.fold(Answers::default(), Answers::plus)
+        })
+    }
+
+    fn query_as(&self, client: usize, time: Duration) -> Answers {
         let mut answers = Answers::default();
         let start = std::time::Instant::now();
         let mut stream = TcpStream::connect(self.addr).unwrap();
         stream.set_read_timeout(Some(HUNG)).unwrap();
+        stream.set_nodelay(true).unwrap();
         while start.elapsed() < time {
             let body = r#"{"segments":[{"segment":0,"boost":0.5},{"segment":1,"boost":0.5}],"text":"t"}"#;
-            let id = answers.served + answers.refused;
-            write!(
-                stream,
-                "POST /api HTTP/1.1\r\nReq-Id: q-{id}\r\nReq-Kind: whole\r\nReq-Deadline: 3000m\r\nContent-Length: {}\r\n\r\n{body}",
+            let number = answers.served + answers.refused;
+            let request = format!(
+                "POST /api HTTP/1.1\r\nReq-Id: q-{client}-{number}\r\nReq-Kind: whole\r\nReq-Deadline: 3000m\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
-            )
-            .unwrap();
+            );
+            stream.write_all(request.as_bytes()).unwrap();
             let (head, _) = read_http(&mut stream).expect("a query without an answer");
             if head.contains(" 200 ") {
                 answers.served += 1;
@@ -86,3 +97,9 @@
     pub served: u64,
     pub refused: u64,
 }
+
+impl Answers {
+    fn plus(self, other: Answers) -> Answers {
+        Answers { served: self.served + other.served, refused: self.refused + other.refused }
+    }
+}
--- a/tests/discovery_faults/main.rs
+++ b/tests/discovery_faults/main.rs
@@ -28,3 +28,10 @@
 fn drain_that_no_watch_reported_is_kept_whatever_the_next_calls_meet() {
     judge_all([Scenario::after_start(), Scenario::after_end()].concat());
 }
+
+/// A watch ends in place of reporting, and the next list comes only once the grace is over. The server turns its parts
+/// away meanwhile.
+#[test]
+fn drain_that_a_crowded_discovery_reports_late_is_kept() {
+    judge_all(Scenario::crowded());
+}
--- a/tests/discovery_faults/scenarios.rs
+++ b/tests/discovery_faults/scenarios.rs
@@ -11,7 +11,10 @@
 const RUN: Duration = Duration::from_secs(12);
 
 /// How much slower the servers are that don't drain.
-const SLOWER_MS: u64 = 25;
+const SLOWER_MS: u64 = 60;
+
+/// Time after which discovery learns that a server drains.
+const NOTICE: Duration = Duration::from_millis(500);
 
 /// Calls that come to nothing, without a word of the list.
 const FAILING_CALLS: [Call; 4] = [Call::Reset, Call::Unanswered, Call::Busy, Call::HeadOnly];
@@ -23,11 +26,15 @@
     /// When the server begins to drain, after the start.
     drain_at: Duration,
     calls: Vec<Call>,
+    /// The server turns new parts away from a moment before discovery learns of its drain, and the others turn most
+    /// away, as under load. Otherwise it serves on, and so do the others.
+    turns_away: bool,
 }
 
 impl Scenario {
     fn new(mode: Mode, drain_ms: u64, calls: &[Call]) -> Scenario {
-        Scenario { mode, drain_at: Duration::from_millis(drain_ms), calls: calls.to_vec() }
+        let drain_at = Duration::from_millis(drain_ms);
+        Scenario { mode, drain_at, calls: calls.to_vec(), turns_away: false }
     }
 
     /// Each pair of failing calls behind a watch that falls silent, and each of them before a slow answer.
@@ -84,6 +91,20 @@
         scenarios
     }
 
+    /// Watches that end in place of reporting, as at a discovery that all brokers call at once: the next answer comes
+    /// when the grace is over.
+    pub fn crowded() -> Vec<Scenario> {
+        let mut scenarios = Vec::new();
+        for next in [&[Call::Late(1740)][..], &[Call::Busy, Call::Late(1200)], &[Call::Busy, Call::Busy]] {
+            for watch in [Call::EndedInPlaceOfReport(600), Call::ResetInPlaceOfReport(600)] {
+                let calls = [&[watch], next].concat();
+                let scenario = Scenario::new(Mode::OnRequest, 2000, &calls);
+                scenarios.push(Scenario { turns_away: true, ..scenario });
+            }
+        }
+        scenarios
+    }
+
     /// Runs it; an error says how the rule was broken.
     fn run(&self) -> Result<(), String> {
         let script = Script::default();
@@ -99,7 +120,14 @@
         let started = Instant::now();
         let answers = std::thread::scope(|scope| {
             let client = scope.spawn(|| broker.query_for(RUN));
-            std::thread::sleep(self.drain_at);
+            if self.turns_away {
+                std::thread::sleep(self.drain_at - NOTICE);
+                script.set(&[1], &[0, 1, 2], Act::Busy);
+                script.set(&[0, 2], &[0, 1, 2], Act::Crowded);
+                std::thread::sleep(NOTICE);
+            } else {
+                std::thread::sleep(self.drain_at);
+            }
             directory.drain();
             client.join().map_err(|_| "a query had no answer")
         })?;
@@ -121,7 +149,7 @@
         if times.is_empty() {
             return Err("the server got nothing before it drained".into());
         }
-        if answers.refused > 0 {
+        if answers.refused > 0 && !self.turns_away {
             return Err(format!("queries were refused though two servers are well: {answers:?}"));
         }
         match times.iter().find(|at| **at > reported + GRACE + SLACK) {
--- a/tests/discovery_faults/scripted_discovery.rs
+++ b/tests/discovery_faults/scripted_discovery.rs
@@ -20,6 +20,10 @@
     SilentAfterList,
     /// One list, then the end of the watch after so many milliseconds, whatever there is to report.
     EndedAfterList(u64),
+    /// One list, and a watch that ends, or is reset, in place of reporting the drain: that counts as written when it
+    /// was made, so many milliseconds earlier.
+    EndedInPlaceOfReport(u64),
+    ResetInPlaceOfReport(u64),
     /// The connection is reset at once.
     Reset,
     /// Nothing is ever answered.
@@ -119,6 +123,14 @@
             fails(Duration::from_millis(ms));
             stream.write_all(b"0\r\n\r\n").ok()
         }
+        Call::EndedInPlaceOfReport(ms) => {
+            list_and_lost_report(&mut stream, directory, Duration::from_millis(ms))?;
+            stream.write_all(b"0\r\n\r\n").ok()
+        }
+        Call::ResetInPlaceOfReport(ms) => {
+            list_and_lost_report(&mut stream, directory, Duration::from_millis(ms))?;
+            reset(&stream)
+        }
         Call::Reset => reset(&stream),
         Call::Unanswered => {
             fails(Duration::ZERO);
@@ -180,6 +192,18 @@
     chunk(stream, &text[..text.len() / 2])
 }
 
+/// Writes the list as it is; the report of the drain is written too, but does not arrive.
+fn list_and_lost_report(stream: &mut TcpStream, directory: &Directory, stands_on: Duration) -> Option<()> {
+    head(stream)?;
+    write_list(stream, directory, Duration::ZERO)?;
+    while !directory.list().1 {
+        std::thread::sleep(LOOK_INTERVAL);
+    }
+    directory.reports.written(Instant::now(), true);
+    std::thread::sleep(stands_on);
+    Some(())
+}
+
 fn watch(mut stream: TcpStream, directory: &Directory) -> Option<()> {
     head(&mut stream)?;
     let (_, drained) = directory.list();
