--- a/src/engine/server_side.rs
+++ b/src/engine/server_side.rs
@@ -46,6 +46,16 @@
         false
     }
 
+    /// Records that nothing of an attempt could be written after [`QueryEngine::begin_attempt`]: it has not
+    /// started, and waits on.
+    pub fn attempt_deferred(&mut self, attempt: AttemptId) {
+        let Some(waiting) = self.attempts.get_mut(attempt) else { return };
+        waiting.is_queued = true;
+        if let Some(part) = self.queries.part_mut(waiting.query, waiting.part) {
+            part.undo_start(waiting.number);
+        }
+    }
+
     /// Takes the outcome of an attempt. One that is late, repeated or of a cancelled attempt is ignored.
     pub fn attempt_ended(&mut self, now: Nanos, attempt: AttemptId, reported: AttemptOutcome<V>) {
         let Some(ended) = self.remove_attempt(attempt) else { return };
--- a/src/frontends/platform/upstream.rs
+++ b/src/frontends/platform/upstream.rs
@@ -4,7 +4,7 @@
 use super::frame::{self, End, FromServer, PartLine};
 use crate::api::{Nanos, Outcome, ReplicaId};
 use crate::engine::{AttemptId, AttemptOutcome, AttemptRequest};
-use crate::net::{ConnId, NetEvent, PollLoop, ReadOutcome};
+use crate::net::{ConnId, NetEvent, Offer, PollLoop, QueueFull, ReadOutcome};
 use crate::server::FrontendContext;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -178,13 +178,22 @@
                 text: &p.payload.text,
             });
             let message = frame::call(&lines.collect::<Vec<_>>());
-            if hands.net.send(conn, &message).is_err() {
-                tracing::warn!("call not sent: the connection takes no more");
-                for p in &parts {
-                    self.by_attempt.remove(&p.attempt);
-                    hands.engine.attempt_ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
+            match hands.net.offer(conn, &message) {
+                Ok(Offer::Begun) => {}
+                // Guards what a call may not begin after: it is looked at again once the connection takes some.
+                Ok(Offer::NotBegun) => {
+                    parts.iter().for_each(|p| hands.engine.attempt_deferred(p.attempt));
+                    link.waiting.push_front(Waiting { since, parts });
+                    return;
+                }
+                Err(QueueFull) => {
+                    tracing::warn!("call not sent: the connection takes no more");
+                    for p in &parts {
+                        self.by_attempt.remove(&p.attempt);
+                        hands.engine.attempt_ended(hands.now, p.attempt, failed(Outcome::ConnectFailed));
+                    }
+                    continue;
                 }
-                continue;
             }
             let (end, flushed) = (hands.net.queued(conn), hands.net.flushed(conn));
             link.unwritten.push_back((end, parts.len() as u64));
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -37,6 +37,15 @@
 #[error("the connection takes no more")]
 pub struct QueueFull;
 
+/// What became of a message that was offered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// Its first bytes were handed to the system; the rest is queued.
+    Begun,
+    /// The system takes nothing for now, and nothing was queued. An event follows when it does.
+    NotBegun,
+}
+
 /// Which side opened a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Origin {
@@ -83,7 +92,7 @@
 pub(super) enum FlushOutcome {
     /// Nothing: something is still queued, or nothing was, or the connection lingers.
     Nothing,
-    /// All that was queued has been written.
+    /// All that was queued has been written, and more may be.
     Flushed,
     /// The connection is to be closed.
     Close,
@@ -103,6 +112,8 @@
     output: VecDeque<Buf>,
     connected: bool,
     closing: Closing,
+    /// A message was offered of which the system took nothing.
+    awaits_writable: bool,
     bytes_queued: u64,
     bytes_flushed: u64,
 }
@@ -126,6 +137,7 @@
             output: VecDeque::new(),
             connected: origin == Origin::Accepted,
             closing: Closing::No,
+            awaits_writable: false,
             bytes_queued: 0,
             bytes_flushed: 0,
         }
@@ -237,6 +249,34 @@
         } else {
             0
         };
+        self.queue_rest(message, written)
+    }
+
+    /// Writes a message as far as the system takes it at once and queues the rest. Nothing is queued of one of
+    /// which the system takes nothing: its owner may have to look at it again before it begins.
+    pub fn offer(&mut self, message: &[u8]) -> io::Result<Offer> {
+        if !self.connected || !self.output.is_empty() {
+            return Ok(Offer::NotBegun);
+        }
+        let written = loop {
+            match self.stream.write(message) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => break n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.awaits_writable = true;
+                    return Ok(Offer::NotBegun);
+                }
+                Err(e) => return Err(e),
+            }
+        };
+        // Half a message can't be followed by another: the connection is of no more use.
+        self.queue_rest(message, written).map_err(io::Error::other)?;
+        Ok(Offer::Begun)
+    }
+
+    /// Queues what is left of a message of which so many bytes were written.
+    fn queue_rest(&mut self, message: &[u8], written: usize) -> Result<(), QueueFull> {
         self.bytes_queued += written as u64;
         self.bytes_flushed += written as u64;
         let message = &message[written..];
@@ -277,8 +317,10 @@
                 Ok(FlushOutcome::Nothing)
             }
             Closing::AfterFlush => Ok(FlushOutcome::Close),
-            Closing::No if !was_written => Ok(FlushOutcome::Flushed),
-            Closing::No => Ok(FlushOutcome::Nothing),
+            Closing::No => {
+                let awaited = std::mem::take(&mut self.awaits_writable);
+                Ok(if awaited || !was_written { FlushOutcome::Flushed } else { FlushOutcome::Nothing })
+            }
         }
     }
 
--- a/src/net/poll_loop/connections.rs
+++ b/src/net/poll_loop/connections.rs
@@ -2,7 +2,7 @@
 
 use super::PollLoop;
 use crate::net::buffer::Pool;
-use crate::net::connection::{Connection, FlushOutcome, Origin, QueueFull, ReadOutcome};
+use crate::net::connection::{Connection, FlushOutcome, Offer, Origin, QueueFull, ReadOutcome};
 use crate::net::event::{ConnId, ConnectionClass, NetEvent};
 use crate::net::source_table::Source;
 use mio::net::TcpStream;
@@ -99,6 +99,20 @@
         queued
     }
 
+    /// Writes a message as far as the system takes it now, and queues the rest; nothing is queued of one that
+    /// can't begin now. Guards messages that may begin up to a moment only. Fails where the connection is
+    /// closed, or breaks.
+    pub fn offer(&mut self, id: ConnId, message: &[u8]) -> Result<Offer, QueueFull> {
+        let Some(c) = self.sources.connection_mut(id) else { return Err(QueueFull) };
+        match c.offer(message) {
+            Ok(offer) => Ok(offer),
+            Err(_) => {
+                self.report_broken(id);
+                Err(QueueFull)
+            }
+        }
+    }
+
     pub(super) fn flush(&mut self, id: ConnId) {
         let Some(c) = self.sources.connection_mut(id) else { return };
         let owner = c.owner;
--- a/tests/discovery_faults/main.rs
+++ b/tests/discovery_faults/main.rs
@@ -1,7 +1,7 @@
 //! Drains while discovery misbehaves: the program as a process, a discovery service that fails by script, and a judge
 //! of the rule that a server gets nothing new once the grace is over after its drain counts as reported.
 //!
-//! Each scenario is a process of its own; all of them run at once.
+//! Each scenario is a process of its own; those of one test run at once.
 
 mod broker_process;
 mod judge;
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -4,7 +4,7 @@
 use common::{MS, S, line, settings};
 use pebbleturn::engine::*;
 use pebbleturn::frontends::platform::{RequestContext, Upstream, UpstreamLimits};
-use pebbleturn::net::{Clock, ConnId, NetEvent, PollLoop, Pool};
+use pebbleturn::net::{Clock, ConnId, NetEvent, Offer, PollLoop, Pool};
 use pebbleturn::server::FrontendContext;
 use pebbleturn::*;
 use std::io::{Read, Write};
@@ -162,3 +162,23 @@
     assert!(net.is_open(conn), "it lingers until its time is over");
     drop(peer);
 }
+
+/// A message that the system takes nothing of must not stand in the queue, where it would begin whenever the peer reads
+/// again, whatever its owner has learnt by then. An event says when it may be offered anew.
+#[test]
+fn a_message_that_can_not_begin_is_not_queued_and_is_awaited() {
+    let mut net = PollLoop::new(Pool::new(16), 16).unwrap();
+    let (conn, mut peer) = accepted(&mut net);
+    // Of one byte the system takes all or nothing.
+    let offers = (0..64 << 20).map(|_| net.offer(conn, b"x").unwrap());
+    let taken = offers.take_while(|offer| *offer == Offer::Begun).count() as u64;
+    assert_eq!((net.queued(conn), net.flushed(conn)), (taken, taken), "nothing waits to be written");
+    let mut events = Vec::new();
+    let start = Instant::now();
+    while !events.iter().any(|e| matches!(e, NetEvent::Flushed { conn: flushed, .. } if *flushed == conn)) {
+        assert!(start.elapsed() < TIMEOUT, "no event");
+        let _ = peer.read(&mut [0; 1 << 20]).unwrap();
+        net.wait(Some(Duration::from_millis(1)), &mut events).unwrap();
+    }
+    assert_eq!(net.offer(conn, b"x"), Ok(Offer::Begun));
+}
--- a/tests/query_engine.rs
+++ b/tests/query_engine.rs
@@ -217,6 +217,24 @@
     assert!(!harness.engine.begin_attempt(harness.now, harness.sent[waits].1.attempt));
 }
 
+/// Nothing of an attempt could be written after all: it has not started, and is looked at again before it does.
+#[test]
+fn a_deferred_attempt_is_not_begun_once_its_server_drains() {
+    for drains in [true, false] {
+        let mut harness = EngineHarness::new(|s| s.classes[0].idempotency = Idempotency::NonIdempotent);
+        harness.submit(&[0], 2 * S).unwrap();
+        let (replica, dispatch) = harness.sent[0].clone();
+        harness.engine.attempt_queued(dispatch.attempt);
+        assert!(harness.engine.begin_attempt(harness.now, dispatch.attempt));
+        harness.engine.attempt_deferred(dispatch.attempt);
+        if drains {
+            harness.engine.update_endpoints(false, vec![line(replica.0, ReplicaState::Draining, None)]);
+        }
+        // Of a class without repeats, one that had started could not start again.
+        assert_eq!(harness.engine.begin_attempt(harness.now, dispatch.attempt), !drains);
+    }
+}
+
 #[test]
 fn a_queued_attempt_past_its_timeout_is_not_begun_and_counts_as_not_sent() {
     for asked in [true, false] {
