--- a/lab/src/herd.rs
+++ b/lab/src/herd.rs
@@ -1,10 +1,9 @@
 //! Many brokers before one discovery that answers few calls a second: how their calls are spread, and when the last of
-//! them has its list. The brokers are their own exchanges with the decision module, in simulated time.
+//! them has its list. The brokers are their own schedules of calls, in simulated time.
 
-use crate::fleet::Fleet;
 use crate::sim::uniform;
-use pebbleturn::engine::{EngineAction, QueryEngine};
-use pebbleturn::{Discovery, Nanos, ReplicaEntry, ReplicaId, ReplicaState};
+use pebbleturn::Nanos;
+use pebbleturn::membership::watch_schedule::{CallId, WatchAction, WatchSchedule};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
 use serde::Serialize;
@@ -21,6 +20,10 @@
 /// Longest that a herd is watched.
 const LONGEST: Nanos = 120 * S;
 
+/// Time in which a connection must be established, and a drain's grace, as on the platform.
+const DIAL_TIMEOUT: Nanos = 250 * MS;
+const GRACE: Nanos = 2 * S;
+
 /// What makes brokers ask.
 #[derive(Clone, Copy, Debug, Serialize, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
@@ -91,11 +94,11 @@
 enum Happens {
     /// A broker has something to do.
     Due(usize),
-    /// A broker calls without having been told to by its decisions: discovery has moved.
+    /// A broker calls at once: discovery has moved.
     Calls(usize),
     /// Its call is answered, or fails.
-    Answered(usize),
-    Failed(usize),
+    Answered(usize, CallId),
+    Failed(usize, CallId),
 }
 
 struct Play {
@@ -117,16 +120,16 @@
     }
 
     /// One call comes to discovery, which handles calls in turn.
-    fn call(&mut self, broker: usize, now: Nanos) {
+    fn call(&mut self, broker: usize, call: CallId, now: Nanos) {
         self.calls.push(now);
         let begins = self.free_at.max(now);
         if now < self.up {
-            self.at(now + MS, Happens::Failed(broker));
+            self.at(now + MS, Happens::Failed(broker, call));
         } else if begins > now + PATIENCE {
-            self.at(now + PATIENCE, Happens::Failed(broker));
+            self.at(now + PATIENCE, Happens::Failed(broker, call));
         } else {
             self.free_at = begins + self.serve;
-            self.at(self.free_at, Happens::Answered(broker));
+            self.at(self.free_at, Happens::Answered(broker, call));
         }
     }
 }
@@ -134,8 +137,6 @@
 impl Herd {
     /// Plays one cause.
     pub fn play(&self, cause: Cause, seed: u64) -> Asked {
-        let mut settings = Fleet::default().settings();
-        (settings.brokers, settings.discovery) = (self.brokers as u32, Discovery::Polled);
         let mut play = Play {
             rng: Pcg64Mcg::seed_from_u64(seed),
             queue: BinaryHeap::new(),
@@ -150,53 +151,52 @@
             Cause::Moved => self.brokers,
             Cause::Started | Cause::Down => self.brokers * 7 / 10,
         };
-        let line = |n: u32| {
-            let (replica, standing) = (ReplicaId(n), ReplicaState::Active);
-            ReplicaEntry { replica, zone: 0, cell: n, state: standing, started: None, weight: 1.0 }
-        };
-        let list: Vec<ReplicaEntry> = (0..settings.cells).map(line).collect();
-        let mut brokers: Vec<QueryEngine<(), ()>> = Vec::new();
+        let mut brokers: Vec<WatchSchedule> = Vec::new();
         for n in 0..asking {
             let starts = (uniform(&mut play.rng) * S as f64) as Nanos;
             // Whoever runs while discovery moves calls the new one on the word itself.
-            let runs = cause == Cause::Moved && n % 10 != 0;
-            let mut exchange =
-                QueryEngine::new(settings.clone(), seed << 32 | n as u64, starts).expect("sound");
-            exchange.update_endpoints(true, list.clone());
+            let runs = cause == Cause::Moved && !n.is_multiple_of(10);
+            let mut broker = WatchSchedule::for_shared_discovery(DIAL_TIMEOUT, GRACE, seed << 32 | n as u64);
+            if !runs {
+                broker.request_soon(starts);
+            }
             play.at(if runs { S } else { starts }, if runs { Happens::Calls(n) } else { Happens::Due(n) });
-            brokers.push(exchange);
+            brokers.push(broker);
         }
-        // Who has a call under way or a watch that stands asks no second time.
-        let (mut under_way, mut has) = (vec![false; asking], vec![None; asking]);
+        let mut has = vec![None; asking];
         while let Some(Reverse((now, _, what))) = play.queue.pop() {
             if now > LONGEST || has.iter().all(Option::is_some) {
                 break;
             }
-            let (Happens::Due(n) | Happens::Calls(n) | Happens::Answered(n) | Happens::Failed(n)) = what;
+            let (Happens::Due(n) | Happens::Calls(n) | Happens::Answered(n, _) | Happens::Failed(n, _)) =
+                what;
+            // Its watch stands.
+            if has[n].is_some() {
+                continue;
+            }
+            let broker = &mut brokers[n];
             match what {
                 Happens::Due(_) => {}
-                Happens::Calls(_) => {
-                    under_way[n] = true;
-                    play.call(n, now);
-                }
-                Happens::Answered(_) => {
+                Happens::Calls(_) => broker.restart(now),
+                Happens::Answered(_, call) => {
                     has[n] = Some(now);
-                    brokers[n].update_endpoints(false, vec![]);
+                    broker.on_list(call, now);
+                    continue;
                 }
-                Happens::Failed(_) => {
+                Happens::Failed(_, call) => {
                     play.failed += 1;
-                    under_way[n] = false;
-                    brokers[n].watch_failed();
+                    broker.ended(call, now);
                 }
             }
-            brokers[n].advance(now);
-            while let Some(work) = brokers[n].next_action() {
-                if matches!(work, EngineAction::WatchEndpoints) && !under_way[n] {
-                    under_way[n] = true;
-                    play.call(n, now);
+            while let Some(action) = broker.next_action(now) {
+                // A call that timed out has ended: discovery may still handle it.
+                if action == WatchAction::Begin {
+                    let call = broker.begun(now);
+                    broker.connected(call, now);
+                    play.call(n, call, now);
                 }
             }
-            if let Some(due) = brokers[n].next_deadline() {
+            if let Some(due) = broker.next_deadline() {
                 play.at(due.max(now + MS), Happens::Due(n));
             }
         }
--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -10,7 +10,6 @@
 use crate::engine::{EngineAction, QueryEngine};
 use crate::hot_restart::HotRestart;
 use crate::hot_restart::coordination::SharedLimits;
-use crate::membership::poll_backoff::PollBackoff;
 use crate::membership::watch_schedule::WatchSchedule;
 use crate::membership::{NodeRecord, PartitionLayout, Registry, RegistrySettings};
 use crate::net::{Clock, ConnectionClass, NetEvent, PollLoop, Pool, inherited};
@@ -33,10 +32,6 @@
 
 /// Time in which a connection to discovery must be up.
 const DIAL: Nanos = 2_500_000_000;
-/// First and longest wait before discovery is asked again: an operator's file says nothing of it.
-const ASK: (Nanos, Nanos) = (500_000_000, 8_000_000_000);
-/// The same while the grace of a drain may be running that a watch did not report.
-const URGENT_ASK: Nanos = 500_000_000;
 /// Time after the report of a drain in which it has to be kept: an operator's file says nothing of it.
 const DRAIN_GRACE: Nanos = 2_000_000_000;
 
@@ -170,9 +165,7 @@
         membership = membership.share_hints();
     }
     if let Some(discovery) = m.discovery {
-        let backoff = PollBackoff::new(ASK.0, ASK.1, seed);
-        let urgent = PollBackoff::new(URGENT_ASK, URGENT_ASK, !seed);
-        let schedule = WatchSchedule::new(DIAL, backoff, urgent);
+        let schedule = WatchSchedule::for_shared_discovery(DIAL, DRAIN_GRACE, seed);
         let mut watch = DiscoveryWatch::new(ROSTER, discovery, schedule);
         watch.request(now);
         membership = membership.with_watch(watch, LeaseTerms::for_polled(DRAIN_GRACE), now);
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -8,7 +8,6 @@
 use crate::frontends::connection_slots::ConnectionSlots;
 use crate::hot_restart::HotRestart;
 use crate::hot_restart::coordination::SharedLimits;
-use crate::membership::poll_backoff::PollBackoff;
 use crate::membership::watch_schedule::WatchSchedule;
 use crate::membership::{PartitionLayout, Registry, RegistrySettings};
 use crate::net::{Clock, ConnectionClass, NetEvent, PollLoop, Pool, inherited};
@@ -41,11 +40,6 @@
 const CHANGES_EVERY: Nanos = 24 * 3_600_000_000_000;
 /// Age of a list that does not tell its own.
 const PRESUMED_AGE: Nanos = 300_000_000_000;
-/// Part of a drain's grace that the wait before the next call to discovery may take while a grace may be running: the
-/// wait, the dial and the answer have to fit in it.
-const URGENT_WAIT: Nanos = 4;
-/// First and longest wait before the next call to a discovery that all brokers share, after calls that failed.
-const SHARED_DISCOVERY_WAITS: (Nanos, Nanos) = (750_000_000, 7_500_000_000);
 /// Part of the memory that buffers may take.
 const BUFFERS: usize = 4;
 
@@ -66,20 +60,6 @@
     (both / TO_SERVERS, both - both / TO_SERVERS)
 }
 
-/// When discovery is called. One that pushes its list is this broker's own, and is called soon after each failure.
-fn watch_schedule(told: &PlatformConfig, discovery: Discovery, grace: Nanos) -> WatchSchedule {
-    let urgent = grace / URGENT_WAIT;
-    let (first, longest) = match discovery {
-        Discovery::Pushed => (urgent, urgent),
-        Discovery::Polled => SHARED_DISCOVERY_WAITS,
-    };
-    WatchSchedule::new(
-        told.params.dial_timeout(),
-        PollBackoff::new(first, longest, told.seed),
-        PollBackoff::new(urgent, urgent, !told.seed),
-    )
-}
-
 /// Builds a broker that listens; tells where.
 pub fn broker(told: PlatformConfig) -> Result<(Broker<PlatformFrontend>, SocketAddr), BrokerError> {
     let (settings, names) = config::settings(&told.params).map_err(ConfigError::from)?;
@@ -133,19 +113,22 @@
         .flat_map(|joined| joined.overrides.suspended_servers())
         .map(str::to_owned)
         .collect::<Vec<_>>();
-    let mut watch =
-        DiscoveryWatch::new(ROSTER, told.discovery, watch_schedule(&told, settings.discovery, grace));
-    let terms = match settings.discovery {
-        // What is pushed counts as told whether or not a watch is open: one has to be, from the first moment on.
+    let dial_timeout = told.params.dial_timeout();
+    let (schedule, terms) = match settings.discovery {
         Discovery::Pushed => {
-            watch.request(now);
-            LeaseTerms::for_pushed(grace)
-        }
-        Discovery::Polled => {
-            watch.request_soon(now);
-            LeaseTerms::for_polled(grace)
+            (WatchSchedule::for_pushed_lists(dial_timeout, grace, told.seed), LeaseTerms::for_pushed(grace))
         }
+        Discovery::Polled => (
+            WatchSchedule::for_shared_discovery(dial_timeout, grace, told.seed),
+            LeaseTerms::for_polled(grace),
+        ),
     };
+    let mut watch = DiscoveryWatch::new(ROSTER, told.discovery, schedule);
+    match settings.discovery {
+        // What is pushed counts as told whether or not a watch is open: one has to be, from the first moment on.
+        Discovery::Pushed => watch.request(now),
+        Discovery::Polled => watch.request_soon(now),
+    }
     let mut membership =
         MembershipDriver::new(roster, keeper).with_suspended(out).with_watch(watch, terms, now);
     let clients = Downstream::new(
--- a/src/membership/watch_schedule.rs
+++ b/src/membership/watch_schedule.rs
@@ -36,6 +36,12 @@
 /// Share of the usual wait that passes before a list that was cut is asked for anew.
 const CUT_LIST_WAIT_DIVISOR: Nanos = 8;
 
+/// First and longest wait after calls that failed, at a discovery that many brokers share, ns.
+const SHARED_DISCOVERY_WAITS: (Nanos, Nanos) = (750_000_000, 7_500_000_000);
+/// Share of a drain's grace that the wait before the next call may take while a grace may be running: the wait,
+/// the dial and the answer have to fit in it.
+const URGENT_WAIT_SHARE: Nanos = 4;
+
 /// Number of a call to discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallId(u64);
@@ -108,11 +114,28 @@
 }
 
 impl WatchSchedule {
+    /// Calls to a discovery that many brokers share. `dial_timeout`: time in which a connection must be
+    /// established, ns. `grace`: time after the report of a drain in which attempts must cease, ns.
+    #[must_use]
+    pub fn for_shared_discovery(dial_timeout: Nanos, grace: Nanos, seed: u64) -> WatchSchedule {
+        let (first, longest) = SHARED_DISCOVERY_WAITS;
+        let urgent = grace / URGENT_WAIT_SHARE;
+        let backoff = PollBackoff::new(first, longest, seed);
+        WatchSchedule::new(dial_timeout, backoff, PollBackoff::new(urgent, urgent, !seed))
+    }
+
+    /// Calls to an agent of this broker's own that pushes its list: soon after each failure.
+    #[must_use]
+    pub fn for_pushed_lists(dial_timeout: Nanos, grace: Nanos, seed: u64) -> WatchSchedule {
+        let urgent = grace / URGENT_WAIT_SHARE;
+        let backoff = PollBackoff::new(urgent, urgent, seed);
+        WatchSchedule::new(dial_timeout, backoff, PollBackoff::new(urgent, urgent, !seed))
+    }
+
     /// A schedule without calls. `dial_timeout`: time in which a connection must be established, ns.
     /// `backoff`: the waits after calls that failed. `urgent_backoff`: the same, while the grace of a drain may
     /// be running.
-    #[must_use]
-    pub fn new(dial_timeout: Nanos, backoff: PollBackoff, urgent_backoff: PollBackoff) -> WatchSchedule {
+    fn new(dial_timeout: Nanos, backoff: PollBackoff, urgent_backoff: PollBackoff) -> WatchSchedule {
         WatchSchedule {
             dial_timeout,
             backoff,
@@ -260,6 +283,7 @@
             self.confirmed = Some(now);
         } else {
             call.phase = Phase::Established;
+            self.confirmation = ListConfirmation::Watched;
         }
         self.keep_only(id)
     }
--- a/tests/membership_units/watch_schedule.rs
+++ b/tests/membership_units/watch_schedule.rs
@@ -2,7 +2,6 @@
 //! list may get.
 
 use pebbleturn::Nanos;
-use pebbleturn::membership::poll_backoff::PollBackoff;
 use pebbleturn::membership::watch_schedule::{CallId, ListConfirmation, WatchAction, WatchSchedule};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -10,14 +9,10 @@
 const MS: Nanos = 1_000_000;
 const S: Nanos = 1_000 * MS;
 const DIAL_TIMEOUT: Nanos = 250 * MS;
-const URGENT: Nanos = 500 * MS;
+const GRACE: Nanos = 2 * S;
 
 fn schedule(seed: u64) -> WatchSchedule {
-    WatchSchedule::new(
-        DIAL_TIMEOUT,
-        PollBackoff::new(750 * MS, 7500 * MS, seed),
-        PollBackoff::new(URGENT, URGENT, !seed),
-    )
+    WatchSchedule::for_shared_discovery(DIAL_TIMEOUT, GRACE, seed)
 }
 
 /// What discovery does with a call.
@@ -221,3 +216,17 @@
     assert_eq!(schedule.on_heartbeat(watch, 2600 * MS), [beside]);
     assert!(schedule.is_established());
 }
+
+/// A watch that has nothing to report may say so by an empty line alone.
+#[test]
+fn an_empty_line_establishes_a_watch() {
+    let mut schedule = schedule(1);
+    schedule.request(0);
+    let call = schedule.begun(0);
+    schedule.connected(call, MS);
+    assert_eq!(schedule.confirmation(), ListConfirmation::NeverWatched);
+    assert!(schedule.on_heartbeat(call, 2 * MS).is_empty());
+    assert_eq!(schedule.confirmation(), ListConfirmation::Watched);
+    schedule.ended(call, S);
+    assert_eq!(schedule.confirmation(), ListConfirmation::WatchLost(S));
+}
