Start test processes at hosts that nothing dials from, and show their log

It waits for the admin endpoint alone, which needs no list. The harness drew a port on 127.0.0.1, gave it back and told the process to listen there; any connection that another test dials from 127.0.0.1 meanwhile may take it, and the process then ends with 1. Processes now listen at hosts of their own (127.64.0.0/10), from which nothing dials, and a process that does not serve shows its log.

--- a/lab/src/running.rs
+++ b/lab/src/running.rs
@@ -9,7 +9,7 @@
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -39,6 +39,15 @@
     pub tmp: tempfile::TempDir,
 }
 
+/// An address for a process to listen at. Its host is one that nothing dials from, so that no connection takes the port
+/// before the process does.
+fn unused_address() -> SocketAddr {
+    static HOSTS: AtomicU8 = AtomicU8::new(1);
+    let [high, low, ..] = std::process::id().to_le_bytes();
+    let host = HOSTS.fetch_add(1, Ordering::Relaxed);
+    TcpListener::bind(SocketAddr::from(([127, 64 | high, low, host], 0))).unwrap().local_addr().unwrap()
+}
+
 impl Site {
     /// Around the program at this path.
     pub fn new(program: impl AsRef<Path>) -> Site {
@@ -80,7 +89,11 @@
     /// Starts a process that inherits the door as descriptor 4, and waits until it serves and knows the list.
     pub fn start(&self) -> Process {
         let process = self.begin();
-        until("the new process serves", || process.call("STATUS").starts_with("SUCCESS"));
+        let start = Instant::now();
+        while !process.call("STATUS").starts_with("SUCCESS") {
+            assert!(start.elapsed() < HANG, "the new process does not serve: {:?}", process.lines());
+            std::thread::sleep(Duration::from_millis(5));
+        }
         until("it knows the list", || process.figures()["pool_size"] == 3);
         process
     }
@@ -92,7 +105,7 @@
 
     /// The same with so many descriptors and MB of memory.
     pub fn begin_within(&self, (sockets, memory): (usize, usize)) -> Process {
-        let ops = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let ops = unused_address();
         let config = self.config(Some(ops), (sockets, memory));
         let mut command = Command::new("sh");
         command.args(["-c", "exec \"$0\" 4<&0 0</dev/null"]).arg(&self.program);
@@ -103,7 +116,7 @@
     /// Starts a process with or without a second address, and with or without a hand-over; waits until it has the list.
     pub fn start_with(&self, operated: bool, hands_over: bool) -> Process {
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
-        let ops = operated.then(|| TcpListener::bind(nowhere).unwrap().local_addr().unwrap());
+        let ops = operated.then(unused_address);
         let mut command = Command::new("sh");
         command.args(["-c", "exec \"$0\" 4<&0 0</dev/null"]).arg(&self.program);
         command.env("GW_CONFIG", self.config(ops, LIMITS)).env("GW_INHERITED_FD", "4").env_remove("TMPDIR");
