--- a/src/policy/list_lease.rs
+++ b/src/policy/list_lease.rs
@@ -1,13 +1,14 @@
-//! The lease of the endpoint list: which replicas get attempts once the list has not been confirmed for too long.
+//! The lease of the endpoint list: which replicas get attempts once the list has not been confirmed for too
+//! long.
 //!
-//! A watch that ended may have reported drains that did not arrive. While their grace lasts nothing changes. Once
-//! the lease is over, the list alone vouches for no replica: one that has accepted an attempt since was not
-//! draining when the watch ended; one that has only turned attempts away may drain, and gets none.
+//! A watch that ended may have reported drains that did not arrive. While their grace lasts nothing changes.
+//! Once the lease is over, the list alone vouches for no replica: one that has accepted an attempt since was
+//! not draining when the watch ended; one that has only turned attempts away may drain, and gets none.
 
 use super::*;
 
-/// Time after which a replica that turned attempts away is taken for an overloaded one again, ns: one that drained
-/// has ended by then.
+/// Time after which a replica that turned attempts away is taken for an overloaded one again, ns: one that
+/// drained has ended by then.
 const SUSPICION_LIFETIME: Nanos = 10_000_000_000;
 
 /// Age that a report which did not arrive may have when its watch ends, ns: a watch is silent for no longer.
