Log when discovery is called next, how old the list is, and nodes that come back

What the lines could not answer so far: how long a broker waits before it calls discovery again and how old its list is by then (discovery watch ended: next_call_ms, list_age_ms), and which drained node gets attempts again (node gets attempts again). Nothing else changes.

--- a/src/membership/registry/node_table.rs
+++ b/src/membership/registry/node_table.rs
@@ -97,6 +97,11 @@
         if entry.state == ReplicaState::Draining {
             tracing::info!(replica = entry.replica.0, node = %id, state = "Draining", "node gets no new attempts");
         }
+        if node.announced.as_ref().is_some_and(|last| last.state == ReplicaState::Draining)
+            && entry.state == ReplicaState::Active
+        {
+            tracing::info!(replica = entry.replica.0, node = %id, started_ns = ?entry.started, "node gets attempts again");
+        }
         node.announced = Some(entry.clone());
         let addr = Some(node.addr);
         self.changes.push(NodeChange { entry, id: id.to_owned(), addr, kind: kind.to_owned() });
--- a/src/membership/watch_schedule.rs
+++ b/src/membership/watch_schedule.rs
@@ -196,6 +196,18 @@
         (self.next_call_at()? <= now).then_some(WatchAction::Begin)
     }
 
+    /// Time until the next call may begin, for the log; none before the first is requested.
+    #[must_use]
+    pub fn time_to_next_call(&self, now: Nanos) -> Option<Nanos> {
+        self.next_call_at().map(|at| at.saturating_sub(now))
+    }
+
+    /// Age of the list since it was last known to be current, for the log; none if it never was.
+    #[must_use]
+    pub fn list_age(&self, now: Nanos) -> Option<Nanos> {
+        self.confirmed.map(|at| now.saturating_sub(at))
+    }
+
     /// When [`WatchSchedule::next_action`] next has something to do.
     #[must_use]
     pub fn next_deadline(&self) -> Option<Nanos> {
--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -186,6 +186,8 @@
         let age_ms = now.saturating_sub(call.begun) / NANOS_PER_MILLI;
         let answered = call.reader.head().is_some();
         let others = self.calls.len();
+        let next_call_ms = self.schedule.time_to_next_call(now).map(|wait| wait / NANOS_PER_MILLI);
+        let list_age_ms = self.schedule.list_age(now).map(|age| age / NANOS_PER_MILLI);
         tracing::warn!(
             reason = %error,
             progress = ?call.progress,
@@ -193,6 +195,8 @@
             age_ms,
             unparsed_bytes,
             others,
+            next_call_ms,
+            list_age_ms,
             "discovery watch ended"
         );
         self.interrupted |= !self.schedule.is_established();
