--- a/tests/discovery_faults/broker_process.rs
+++ b/tests/discovery_faults/broker_process.rs
@@ -6,6 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tempfile::NamedTempFile;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_pebbleturn");
 /// Time between two queries of a client.
@@ -16,6 +17,7 @@
 /// A broker; it does not outlive its test.
 pub struct BrokerProcess {
     child: Child,
+    config: NamedTempFile,
     pub addr: SocketAddr,
     log: Arc<Mutex<Vec<String>>>,
 }
@@ -23,7 +25,7 @@
 impl BrokerProcess {
     /// Starts it with this configuration, and returns once it listens.
     pub fn start(config: &str) -> BrokerProcess {
-        let mut file = tempfile::NamedTempFile::new().unwrap();
+        let mut file = NamedTempFile::new().unwrap();
         file.write_all(config.as_bytes()).unwrap();
         let mut child = Command::new(PROGRAM)
             .env("GW_CONFIG", file.path())
@@ -38,7 +40,18 @@
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = log.clone();
         std::thread::spawn(move || lines.for_each(|line| kept.lock().unwrap().push(line)));
-        BrokerProcess { child, addr, log }
+        BrokerProcess { child, config: file, addr, log }
+    }
+
+    /// Replaces its configuration, without a word.
+    pub fn write_config(&self, config: &str) {
+        std::fs::write(self.config.path(), config).unwrap();
+    }
+
+    /// Tells it to read its configuration again.
+    pub fn reload(&self) {
+        let process = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-HUP", &process]).status().unwrap().success());
     }
 
     /// What it logged, for a test that fails.
--- a/tests/discovery_faults/judge.rs
+++ b/tests/discovery_faults/judge.rs
@@ -9,6 +9,8 @@
 pub const SLACK: Duration = Duration::from_millis(50);
 /// What a silent watch misses, and what calls that failed did not bring, counts as reported so long after.
 const REPORTED_AT_THE_LATEST: Duration = Duration::from_secs(6);
+/// What the discovery of a new configuration has counts as reported so long after the signal.
+const REPORTED_AFTER_MOVE: Duration = Duration::from_secs(4);
 
 /// How discovery keeps its brokers up to date.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +27,7 @@
     written: Option<Instant>,
     silent: Option<Instant>,
     call_failed: Option<Instant>,
+    moved: Option<Instant>,
 }
 
 /// What happened that lets the drain count as reported.
@@ -54,13 +57,19 @@
         self.0.lock().unwrap().call_failed.get_or_insert(at);
     }
 
+    /// The broker was told of a new configuration, with another discovery.
+    pub fn moved(&self, at: Instant) {
+        self.0.lock().unwrap().moved.get_or_insert(at);
+    }
+
     /// When the drain counts as reported to a broker that started at this time.
     pub fn reported(&self, mode: Mode, started: Instant) -> Option<Instant> {
         let times = self.0.lock().unwrap();
         let changed = times.changed?.max(started);
         let silent = times.silent.map(|at| changed.max(at + REPORTED_AT_THE_LATEST));
         let call_failed = times.call_failed.map(|_| changed + REPORTED_AT_THE_LATEST);
+        let moved = times.moved.map(|at| changed.max(at + REPORTED_AFTER_MOVE));
         let pushed = (mode == Mode::Pushed && times.silent.is_none()).then_some(changed);
-        [times.written, silent, call_failed, pushed].into_iter().flatten().min()
+        [times.written, silent, call_failed, moved, pushed].into_iter().flatten().min()
     }
 }
--- a/tests/discovery_faults/main.rs
+++ b/tests/discovery_faults/main.rs
@@ -8,7 +8,7 @@
 mod scenarios;
 mod scripted_discovery;
 
-use scenarios::{Scenario, judge_all};
+use scenarios::{Scenario, judge_all, judge_groups};
 
 /// A watch goes silent, and the calls that follow meet one fault each, and then two.
 #[test]
@@ -35,3 +35,30 @@
 fn drain_that_a_crowded_discovery_reports_late_is_kept() {
     judge_all(Scenario::crowded());
 }
+
+/// Discovery is down for so long that calls have become rare, also for brokers that start meanwhile, or a new
+/// configuration moves it; servers drain after that, and the first calls that could be answered meet faults.
+#[test]
+fn drain_after_an_outage_a_start_or_a_reload_is_kept_whatever_the_next_calls_meet() {
+    judge_groups(vec![
+        Scenario::after_long_outages(),
+        Scenario::after_a_start_in_an_outage(),
+        Scenario::after_a_reload(),
+    ]);
+}
+
+/// The report of a drain is lost with its watch, or was pushed, and the next call gets no answer. The server accepts
+/// parts all the while.
+#[test]
+fn drain_behind_a_lost_report_and_an_unanswered_call_is_kept() {
+    judge_all(
+        [Scenario::unanswered_calls_after_a_lost_report(), Scenario::unanswered_calls_of_an_agent()].concat(),
+    );
+}
+
+/// The next instance of discovery is older than the list, or counts its versions anew; or the signal to reload comes
+/// while the file is being written.
+#[test]
+fn drain_is_kept_behind_an_older_instance_of_discovery_and_half_a_configuration() {
+    judge_all([Scenario::older_instances(), Scenario::after_a_reload_of_half_a_file()].concat());
+}
--- a/tests/discovery_faults/scenarios.rs
+++ b/tests/discovery_faults/scenarios.rs
@@ -2,13 +2,13 @@
 
 use super::broker_process::{Answers, BrokerProcess};
 use super::judge::{GRACE, Mode, SLACK};
-use super::scripted_discovery::{self, Call, Directory};
+use super::scripted_discovery::{Call, Directory, Outage, Service};
 use pebbleturn_lab::standins::{Act, Script, Wire, node};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-/// How long a scenario runs: the report of a drain, its grace and what a late broker needs to learn of it.
-const RUN: Duration = Duration::from_secs(12);
+/// How long a scenario runs after the drain: its report, its grace and what a late broker needs to learn of it.
+const RUN_AFTER_DRAIN: Duration = Duration::from_millis(10_500);
 
 /// Clients that ask at once, and the same where servers are crowded.
 const CLIENTS: usize = 2;
@@ -20,6 +20,9 @@
 /// Time after which discovery learns that a server drains.
 const NOTICE: Duration = Duration::from_millis(500);
 
+/// Later than the end of any scenario.
+const NEVER_MS: u64 = 60_000;
+
 /// Calls that come to nothing, without a word of the list.
 const FAILING_CALLS: [Call; 4] = [Call::Reset, Call::Unanswered, Call::Busy, Call::HeadOnly];
 
@@ -33,12 +36,26 @@
     /// The server turns new parts away from a moment before discovery learns of its drain, and the others turn most
     /// away, as under load. Otherwise it serves on, and so do the others.
     turns_away: bool,
+    outage: Option<Outage>,
+    reload: Option<Reload>,
+    /// Of the broker's random choices.
+    seed: u64,
+}
+
+/// A new configuration: another discovery, and what the first calls there meet.
+#[derive(Clone, Debug)]
+struct Reload {
+    at: Duration,
+    calls: Vec<Call>,
+    /// The signal comes while half of the file is written; the rest follows after this time, without a signal.
+    file_is_whole_after: Option<Duration>,
 }
 
 impl Scenario {
     fn new(mode: Mode, drain_ms: u64, calls: &[Call]) -> Scenario {
         let drain_at = Duration::from_millis(drain_ms);
-        Scenario { mode, drain_at, calls: calls.to_vec(), turns_away: false }
+        let (turns_away, outage, reload, seed) = (false, None, None, 0x1f);
+        Scenario { mode, drain_at, calls: calls.to_vec(), turns_away, outage, reload, seed }
     }
 
     /// Each pair of failing calls behind a watch that falls silent, and each of them before a slow answer.
@@ -109,30 +126,123 @@
         scenarios
     }
 
+    /// Discovery can't be reached for longer than the grace of what a silent watch missed takes; a server drains right
+    /// after its return, and the first call then meets a fault. With several brokers each, as waits are random.
+    pub fn after_long_outages() -> Vec<Scenario> {
+        let mut scenarios = Vec::new();
+        for (seed, until_ms) in (1..).zip([11_000, 12_500, 14_000]) {
+            for outage in [Call::Reset, Call::RefusedAtOnce] {
+                for first in [Call::Reset, Call::Busy, Call::Unanswered, Call::Late(1500)] {
+                    let calls = [Call::Sound, first];
+                    let scenario = Scenario::new(Mode::OnRequest, until_ms + 50, &calls);
+                    let outage = Some(outage_of(1500, until_ms, outage));
+                    scenarios.push(Scenario { outage, seed, ..scenario });
+                }
+            }
+        }
+        scenarios
+    }
+
+    /// The same for brokers that start in the outage.
+    pub fn after_a_start_in_an_outage() -> Vec<Scenario> {
+        let mut scenarios = Vec::new();
+        for (seed, until_ms) in (1..).zip([4_000, 7_000, 10_000]) {
+            for outage in [Call::Reset, Call::RefusedAtOnce] {
+                for first in [Call::Reset, Call::Busy, Call::Unanswered] {
+                    let scenario = Scenario::new(Mode::OnRequest, until_ms + 50, &[first]);
+                    let outage = Some(outage_of(0, until_ms, outage));
+                    scenarios.push(Scenario { outage, seed, ..scenario });
+                }
+            }
+        }
+        scenarios
+    }
+
+    /// A new configuration names another discovery, whose first calls meet faults: after a long outage of the one before,
+    /// or while it is well. A server drains while the old one still has its watches, or once it has closed them.
+    pub fn after_a_reload() -> Vec<Scenario> {
+        let mut scenarios = Vec::new();
+        for (seed, first) in (1..).zip([Call::Reset, Call::Busy, Call::Unanswered, Call::HeadOnly]) {
+            for second in [Call::Reset, Call::Late(300)] {
+                for (outage_ms, reload_ms, drain_ms) in
+                    [(1_500, 12_000, 13_600), (NEVER_MS, 3_000, 3_100), (NEVER_MS, 3_000, 4_600)]
+                {
+                    let at = Duration::from_millis(reload_ms);
+                    let reload = Some(Reload { at, calls: vec![first, second], file_is_whole_after: None });
+                    let scenario = Scenario::new(Mode::OnRequest, drain_ms, &[]);
+                    let outage = Some(outage_of(outage_ms, NEVER_MS, Call::Reset));
+                    scenarios.push(Scenario { outage, reload, seed, ..scenario });
+                }
+            }
+        }
+        scenarios
+    }
+
+    /// The signal comes while the file is being written.
+    pub fn after_a_reload_of_half_a_file() -> Vec<Scenario> {
+        let reload = Reload {
+            at: Duration::from_secs(3),
+            calls: Vec::new(),
+            file_is_whole_after: Some(Duration::from_millis(700)),
+        };
+        let scenario = Scenario::new(Mode::OnRequest, 5_000, &[]);
+        vec![Scenario { reload: Some(reload), ..scenario }]
+    }
+
+    /// A watch ends in place of reporting, and nobody answers the next call. The server goes on accepting.
+    pub fn unanswered_calls_after_a_lost_report() -> Vec<Scenario> {
+        let mut scenarios = Vec::new();
+        for watch in [Call::EndedInPlaceOfReport(0), Call::ResetInPlaceOfReport(100)] {
+            for next in [Call::Unanswered, Call::HeadOnly, Call::Busy] {
+                scenarios.push(Scenario::new(Mode::OnRequest, 2_000, &[watch, next]));
+            }
+        }
+        scenarios
+    }
+
+    /// The agent that pushes the list does not answer, at the start or behind a watch that ended.
+    pub fn unanswered_calls_of_an_agent() -> Vec<Scenario> {
+        let mut scenarios = Vec::new();
+        for fault in [Call::Unanswered, Call::HeadOnly] {
+            scenarios.push(Scenario::new(Mode::Pushed, 300, &[fault]));
+            scenarios.push(Scenario::new(Mode::Pushed, 1_450, &[Call::EndedAfterList(1500), fault]));
+            scenarios.push(Scenario::new(
+                Mode::Pushed,
+                1_450,
+                &[Call::EndedAfterList(1500), Call::Reset, fault],
+            ));
+        }
+        scenarios
+    }
+
+    /// The drain is known; then the watch ends, and the next instance of discovery is older than the list. Or it counts
+    /// its versions anew, and reports the drain as one of its changes.
+    pub fn older_instances() -> Vec<Scenario> {
+        let known = |next: Call| Scenario::new(Mode::OnRequest, 600, &[Call::EndedAfterReport(600), next]);
+        let lost = Scenario::new(Mode::OnRequest, 4_000, &[Call::EndedAfterList(1500), Call::CountsAnew]);
+        vec![known(Call::OlderList), lost]
+    }
+
     /// Runs it; an error says how the rule was broken.
     fn run(&self) -> Result<(), String> {
         let script = Script::default();
         // The server that drains is the fastest: it gets parts for as long as the broker takes it for ready.
         script.set(&[0, 2], &[0, 1, 2], Act::Late(SLOWER_MS));
         let servers: Vec<_> = (0..3).map(|n| node(Wire::Http, n, script.clone())).collect();
-        let directory =
-            Arc::new(Directory { servers, drained: Mutex::default(), reports: Default::default() });
-        let discovery = scripted_discovery::start(directory.clone(), self.calls.clone());
-        let nodes: Vec<_> = directory.servers.iter().map(|addr| (*addr, Wire::Http)).collect();
-        let config = platform_config(&nodes, discovery, self.mode);
-        let broker = BrokerProcess::start(&config);
+        let directory = Arc::new(Directory::new(servers));
+        let service = Service::start(directory.clone(), self.calls.clone(), self.outage);
+        let broker = BrokerProcess::start(&self.config(&directory, &service));
         let started = Instant::now();
         let clients = if self.turns_away { CLIENTS_OF_A_CROWD } else { CLIENTS };
         let answers = std::thread::scope(|scope| {
-            let client = scope.spawn(|| broker.query_for(RUN, clients));
+            let client = scope.spawn(|| broker.query_for(self.drain_at + RUN_AFTER_DRAIN, clients));
+            self.reload(&broker, &directory, &service, started);
             if self.turns_away {
-                std::thread::sleep(self.drain_at - NOTICE);
+                sleep_until(started + self.drain_at - NOTICE);
                 script.set(&[1], &[0, 1, 2], Act::Busy);
                 script.set(&[0, 2], &[0, 1, 2], Act::Crowded);
-                std::thread::sleep(NOTICE);
-            } else {
-                std::thread::sleep(self.drain_at);
             }
+            sleep_until(started + self.drain_at);
             directory.drain();
             client.join().map_err(|_| "a query had no answer")
         })?;
@@ -140,6 +250,34 @@
             .map_err(|fault| format!("{fault}\n{}", broker.log()))
     }
 
+    fn config(&self, directory: &Directory, service: &Service) -> String {
+        platform_config(&directory.servers, service.addr, self.mode, self.seed)
+    }
+
+    /// Gives the broker its new configuration, if the scenario has one.
+    fn reload(
+        &self,
+        broker: &BrokerProcess,
+        directory: &Arc<Directory>,
+        service: &Service,
+        started: Instant,
+    ) {
+        let Some(reload) = &self.reload else { return };
+        let next = Service::start(directory.clone(), reload.calls.clone(), None);
+        let config = self.config(directory, &next);
+        sleep_until(started + reload.at);
+        service.move_away();
+        directory.reports.moved(Instant::now());
+        let Some(whole_after) = reload.file_is_whole_after else {
+            broker.write_config(&config);
+            return broker.reload();
+        };
+        broker.write_config(&config[..config.len() / 2]);
+        broker.reload();
+        std::thread::sleep(whole_after);
+        broker.write_config(&config);
+    }
+
     fn judge(
         &self,
         script: &Script,
@@ -176,32 +314,50 @@
 
 /// Runs all of them at once; fails with a line for each that broke the rule.
 pub fn judge_all(scenarios: Vec<Scenario>) {
-    // A group that failed says nothing against the next one.
+    judge_groups(vec![scenarios]);
+}
+
+/// Runs the scenarios of one group at once, one group after the other; fails with a line for each that broke the rule.
+pub fn judge_groups(groups: Vec<Vec<Scenario>>) {
+    // A test that failed says nothing against the next one.
     let _turn = ONE_GROUP.lock().unwrap_or_else(PoisonError::into_inner);
+    let number: usize = groups.iter().map(Vec::len).sum();
+    let faults: Vec<String> = groups.into_iter().flat_map(faults_of).collect();
+    assert!(faults.is_empty(), "{} of {number} scenarios:\n{}", faults.len(), faults.join("\n"));
+}
+
+/// Runs all of them at once; gives a line for each that broke the rule.
+fn faults_of(scenarios: Vec<Scenario>) -> Vec<String> {
     let outcomes: Vec<Result<(), String>> = std::thread::scope(|scope| {
         let runs: Vec<_> = scenarios.iter().map(|scenario| scope.spawn(|| scenario.run())).collect();
         runs.into_iter().map(|run| run.join().unwrap_or_else(|_| Err("the run ended".into()))).collect()
     });
-    let faults: Vec<String> = scenarios
-        .iter()
-        .zip(outcomes)
-        .filter_map(|(scenario, outcome)| {
-            outcome.err().map(|fault| format!("{:?} {:?}: {fault}", scenario.mode, scenario.calls))
-        })
-        .collect();
-    assert!(faults.is_empty(), "{} of {} scenarios:\n{}", faults.len(), scenarios.len(), faults.join("\n"));
+    let outcomes = scenarios.iter().zip(outcomes);
+    let line = |(scenario, outcome): (&Scenario, Result<(), String>)| {
+        outcome.err().map(|fault| format!("{scenario:?}: {fault}"))
+    };
+    outcomes.filter_map(line).collect()
+}
+
+fn outage_of(from_ms: u64, until_ms: u64, call: Call) -> Outage {
+    Outage { from: Duration::from_millis(from_ms), until: Duration::from_millis(until_ms), call }
+}
+
+fn sleep_until(at: Instant) {
+    std::thread::sleep(at.saturating_duration_since(Instant::now()));
 }
 
 /// Two partitions, each held by two of three servers; a drained server can be done without.
 fn platform_config(
-    nodes: &[(std::net::SocketAddr, Wire)],
+    nodes: &[std::net::SocketAddr],
     discovery: std::net::SocketAddr,
     mode: Mode,
+    seed: u64,
 ) -> String {
     let lines: Vec<String> = nodes
         .iter()
         .enumerate()
-        .map(|(n, (addr, _))| {
+        .map(|(n, addr)| {
             format!(
                 r#"{{"id":"s-{n}","addr":"{addr}","zone":"a","kind":"k","cell":{n},"state":"Ready","weight":1.0,"started_ms":0}}"#
             )
@@ -212,7 +368,7 @@
         Mode::Pushed => "pushed",
     };
     format!(
-        r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1f","limits":{{"sockets":96}},
+        r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"{seed:x}","limits":{{"sockets":96}},
         "known":{{"version":7,"full":true,"servers":[{}]}},
         "settings":{{"areas":["a"],"my_zone":"a","fleet_size":1,"tick_ns":5000000,"discovery":"{mode}",
         "request_classes":[{{"name":"whole","goal_time_ns":1000000000,"deadline_ns":3000000000,"effect":"safe","worth":1.0}}],
--- a/tests/discovery_faults/scripted_discovery.rs
+++ b/tests/discovery_faults/scripted_discovery.rs
@@ -24,6 +24,8 @@
     /// was made, so many milliseconds earlier.
     EndedInPlaceOfReport(u64),
     ResetInPlaceOfReport(u64),
+    /// A watch that reports the drain, and ends so many milliseconds later.
+    EndedAfterReport(u64),
     /// The connection is reset at once.
     Reset,
     /// Nothing is ever answered.
@@ -38,6 +40,29 @@
     StalledInList,
     /// A list in pieces, so many milliseconds apart.
     Pieces(u64),
+    /// 503 at once, as from a service that is down behind its address.
+    RefusedAtOnce,
+    /// The whole list as it was before the drain, with its version of then, and no word of a change: an instance that lags
+    /// behind.
+    OlderList,
+    /// The changes since the version asked for, of an instance that counts its versions anew: none. The drain comes as
+    /// a change of its own.
+    CountsAnew,
+}
+
+/// A time in which discovery can't be reached.
+#[derive(Clone, Copy, Debug)]
+pub struct Outage {
+    pub from: Duration,
+    pub until: Duration,
+    /// What calls meet meanwhile.
+    pub call: Call,
+}
+
+impl Outage {
+    fn is_on(&self, now: Duration) -> bool {
+        (self.from..self.until).contains(&now)
+    }
 }
 
 /// Time in a queue after which a call is refused.
@@ -62,7 +87,17 @@
 /// The version before the drain, and the one with it.
 const VERSIONS: (u64, u64) = (7, 8);
 
+/// How a call of `CountsAnew` numbers the list.
+const VERSIONS_COUNTED_ANEW: (u64, u64) = (2, 3);
+/// Time after a new configuration in which the discovery of the old one closes its connections.
+const CLOSES_AFTER_MOVE: Duration = Duration::from_millis(1500);
+
 impl Directory {
+    /// A list of these servers, none of which drains.
+    pub fn new(servers: Vec<SocketAddr>) -> Directory {
+        Directory { servers, drained: Mutex::default(), reports: Reports::default() }
+    }
+
     pub fn drain(&self) {
         let mut drained = self.drained.lock().unwrap();
         *drained = true;
@@ -72,6 +107,11 @@
     /// The list in discovery's form. As real ones do, a whole list leaves out who drains.
     fn list(&self) -> (String, bool) {
         let drained = *self.drained.lock().unwrap();
+        (self.list_as_of(drained), drained)
+    }
+
+    /// The whole list before the drain, or with it.
+    fn list_as_of(&self, drained: bool) -> String {
         let named = self.servers.iter().enumerate().filter(|(n, _)| !(drained && *n == 1));
         let lines: Vec<String> = named
             .map(|(n, addr)| {
@@ -81,35 +121,83 @@
             })
             .collect();
         let version = if drained { VERSIONS.1 } else { VERSIONS.0 };
-        (format!("{{\"version\":{version},\"full\":true,\"servers\":[{}]}}\n", lines.join(",")), drained)
+        format!("{{\"version\":{version},\"full\":true,\"servers\":[{}]}}\n", lines.join(","))
     }
 }
 
-/// Starts it: each call takes the next step of the script, and is sound once that is over.
-pub fn start(directory: Arc<Directory>, script: Vec<Call>) -> SocketAddr {
-    let calls = AtomicUsize::new(0);
-    listen(move |mut stream| {
-        let number = calls.fetch_add(1, Ordering::SeqCst);
-        let call = script.get(number).copied().unwrap_or(Call::Sound);
-        if call == Call::Reset {
-            directory.reports.call_failed(Instant::now());
-            return reset(&stream);
+/// A discovery service at an address of its own.
+pub struct Service {
+    pub addr: SocketAddr,
+    state: Arc<State>,
+}
+
+/// Whether a service can be reached.
+struct State {
+    started: Instant,
+    outage: Option<Outage>,
+    moved_away: Mutex<Option<Instant>>,
+}
+
+impl State {
+    /// What calls meet now, if the service can't be reached.
+    fn fault(&self) -> Option<Call> {
+        if self.moved_away.lock().unwrap().is_some() {
+            return Some(Call::Reset);
+        }
+        self.outage.filter(|outage| outage.is_on(self.started.elapsed())).map(|outage| outage.call)
+    }
+
+    /// Whether watches end now.
+    fn ends_watches(&self) -> bool {
+        match *self.moved_away.lock().unwrap() {
+            Some(at) => at.elapsed() > CLOSES_AFTER_MOVE,
+            None => self.outage.is_some_and(|outage| outage.is_on(self.started.elapsed())),
         }
-        read_http(&mut stream)?;
-        serve(stream, call, &directory)
-    })
+    }
+}
+
+impl Service {
+    /// Starts it: each call takes the next step of the script, and is sound once that is over. Calls in an outage
+    /// take no step.
+    pub fn start(directory: Arc<Directory>, script: Vec<Call>, outage: Option<Outage>) -> Service {
+        let state = Arc::new(State { started: Instant::now(), outage, moved_away: Mutex::default() });
+        let (served, calls) = (state.clone(), AtomicUsize::new(0));
+        let addr = listen(move |mut stream| {
+            let next = || script.get(calls.fetch_add(1, Ordering::SeqCst)).copied().unwrap_or(Call::Sound);
+            let call = served.fault().unwrap_or_else(next);
+            if call == Call::Reset {
+                directory.reports.call_failed(Instant::now());
+                return reset(&stream);
+            }
+            read_http(&mut stream)?;
+            serve(stream, call, &Watched { directory: &directory, service: &served })
+        });
+        Service { addr, state }
+    }
+
+    /// A new configuration names another service: this one takes no new call, and ends its watches a little later.
+    pub fn move_away(&self) {
+        *self.state.moved_away.lock().unwrap() = Some(Instant::now());
+    }
+}
+
+/// What a watch looks at.
+struct Watched<'a> {
+    directory: &'a Directory,
+    service: &'a State,
 }
 
-fn serve(mut stream: TcpStream, call: Call, directory: &Directory) -> Option<()> {
+fn serve(mut stream: TcpStream, call: Call, watched: &Watched) -> Option<()> {
+    let directory = watched.directory;
     let fails = |after: Duration| {
         std::thread::sleep(after);
         directory.reports.call_failed(Instant::now());
     };
     match call {
-        Call::Sound => watch(stream, directory),
+        Call::Sound => watch(stream, watched),
         Call::Late(ms) => {
             std::thread::sleep(Duration::from_millis(ms));
-            watch(stream, directory)
+            watch(stream, watched)
         }
         Call::SilentAfterList => {
             head(&mut stream)?;
@@ -123,6 +211,16 @@
             fails(Duration::from_millis(ms));
             stream.write_all(b"0\r\n\r\n").ok()
         }
+        Call::EndedAfterReport(ms) => {
+            head(&mut stream)?;
+            write_list(&mut stream, directory, Duration::ZERO)?;
+            while !directory.list().1 {
+                std::thread::sleep(LOOK_INTERVAL);
+            }
+            write_list(&mut stream, directory, Duration::ZERO)?;
+            std::thread::sleep(Duration::from_millis(ms));
+            stream.write_all(b"0\r\n\r\n").ok()
+        }
         Call::EndedInPlaceOfReport(ms) => {
             list_and_lost_report(&mut stream, directory, Duration::from_millis(ms))?;
             stream.write_all(b"0\r\n\r\n").ok()
@@ -158,11 +256,37 @@
         Call::Pieces(ms) => {
             head(&mut stream)?;
             write_list(&mut stream, directory, Duration::from_millis(ms))?;
-            report_changes(stream, directory, true)
+            report_changes(stream, watched, true)
+        }
+        Call::RefusedAtOnce => {
+            fails(Duration::ZERO);
+            write!(stream, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").ok()
+        }
+        Call::OlderList => {
+            head(&mut stream)?;
+            chunk(&mut stream, &directory.list_as_of(false))?;
+            report_changes(stream, watched, true)
+        }
+        Call::CountsAnew => {
+            head(&mut stream)?;
+            chunk(&mut stream, &changes(VERSIONS_COUNTED_ANEW.0, ""))?;
+            while !directory.list().1 {
+                std::thread::sleep(LOOK_INTERVAL);
+            }
+            directory.reports.written(Instant::now(), true);
+            let drained =
+                r#"{"id":"s-1","addr":"127.0.0.1:9","zone":"a","kind":"k","cell":1,"state":"Terminating"}"#;
+            chunk(&mut stream, &changes(VERSIONS_COUNTED_ANEW.1, drained))?;
+            report_changes(stream, watched, true)
         }
     }
 }
 
+/// Changes of the list, as a line.
+fn changes(version: u64, servers: &str) -> String {
+    format!("{{\"version\":{version},\"full\":false,\"servers\":[{servers}]}}\n")
+}
+
 fn head(stream: &mut TcpStream) -> Option<()> {
     write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()
 }
@@ -204,21 +328,24 @@
     Some(())
 }
 
-fn watch(mut stream: TcpStream, directory: &Directory) -> Option<()> {
+fn watch(mut stream: TcpStream, watched: &Watched) -> Option<()> {
     head(&mut stream)?;
-    let (_, drained) = directory.list();
-    write_list(&mut stream, directory, Duration::ZERO)?;
-    report_changes(stream, directory, drained)
+    let (_, drained) = watched.directory.list();
+    write_list(&mut stream, watched.directory, Duration::ZERO)?;
+    report_changes(stream, watched, drained)
 }
 
 /// Reports the drain once it is there, and empty lines meanwhile.
-fn report_changes(mut stream: TcpStream, directory: &Directory, mut reported: bool) -> Option<()> {
+fn report_changes(mut stream: TcpStream, watched: &Watched, mut reported: bool) -> Option<()> {
     let mut last_line = Instant::now();
     loop {
         std::thread::sleep(LOOK_INTERVAL);
-        if !reported && directory.list().1 {
+        if watched.service.ends_watches() {
+            return Some(());
+        }
+        if !reported && watched.directory.list().1 {
             reported = true;
-            write_list(&mut stream, directory, Duration::ZERO)?;
+            write_list(&mut stream, watched.directory, Duration::ZERO)?;
             last_line = Instant::now();
         } else if last_line.elapsed() >= HEARTBEAT_INTERVAL {
             chunk(&mut stream, "\n")?;
