Bound the time to the next list at all times, and let no older list undo a drain

A call that nobody answered held up the next one for 2.2 s, more than a grace; a new configuration closed the old watch with all that was unread on it; one that could not be read was dropped for good. Beyond the schedule, an older whole list undid drains that were known by omission only, and lower versions were ignored for good.

Another call begins beside one without an answer after a quarter of the grace, at an agent that pushes and in fleets of up to 16 brokers, unless discovery refused before. A move keeps the old watch until the new address answers. A configuration that can't be used is read again every 0.5 s. Nodes that a full list left out stay gone over a reset of versions; changes of an instance that counts anew lead to a call for its whole list; a start undoes a drain only if it was reported later.

--- a/lab/src/herd.rs
+++ b/lab/src/herd.rs
@@ -156,7 +156,9 @@
             let starts = (uniform(&mut play.rng) * S as f64) as Nanos;
             // Whoever runs while discovery moves calls the new one on the word itself.
             let runs = cause == Cause::Moved && !n.is_multiple_of(10);
-            let mut broker = WatchSchedule::for_shared_discovery(DIAL_TIMEOUT, GRACE, seed << 32 | n as u64);
+            let fleet = self.brokers as u32;
+            let mut broker =
+                WatchSchedule::for_shared_discovery(DIAL_TIMEOUT, GRACE, fleet, seed << 32 | n as u64);
             if !runs {
                 broker.request_soon(starts);
             }
--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -165,7 +165,7 @@
         membership = membership.share_hints();
     }
     if let Some(discovery) = m.discovery {
-        let schedule = WatchSchedule::for_shared_discovery(DIAL, DRAIN_GRACE, seed);
+        let schedule = WatchSchedule::for_shared_discovery(DIAL, DRAIN_GRACE, settings.brokers, seed);
         let mut watch = DiscoveryWatch::new(ROSTER, discovery, schedule);
         watch.request(now);
         membership = membership.with_watch(watch, LeaseTerms::for_polled(DRAIN_GRACE), now);
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -42,6 +42,8 @@
 const PRESUMED_AGE: Nanos = 300_000_000_000;
 /// Part of the memory that buffers may take.
 const BUFFERS: usize = 4;
+/// Time after which a configuration that could not be used is read again: it may have been half written.
+const RELOAD_RETRY_DELAY: Nanos = 500_000_000;
 
 /// The platform's port: clients, shard servers and discovery.
 pub struct PlatformFrontend {
@@ -50,10 +52,20 @@
     membership: MembershipDriver,
     /// What is read again when the word comes.
     file: Option<PathBuf>,
+    /// A configuration that was to be read again and could not be used.
+    failed_reload: Option<FailedReload>,
     /// Descriptors for neither clients nor shard servers.
     apart: usize,
 }
 
+/// A configuration that could not be used when the signal came. It is read again until it can be: discovery may
+/// have moved, and no other signal need come.
+struct FailedReload {
+    /// Why, as it was logged.
+    error: String,
+    retry_at: Nanos,
+}
+
 /// Connections to shard servers and from clients for so many descriptors, of which `apart` are for neither.
 fn divide(descriptors: usize, apart: usize) -> (usize, usize) {
     let both = descriptors.saturating_sub(SPARE + apart);
@@ -119,7 +131,7 @@
             (WatchSchedule::for_pushed_lists(dial_timeout, grace, told.seed), LeaseTerms::for_pushed(grace))
         }
         Discovery::Polled => (
-            WatchSchedule::for_shared_discovery(dial_timeout, grace, told.seed),
+            WatchSchedule::for_shared_discovery(dial_timeout, grace, settings.brokers, told.seed),
             LeaseTerms::for_polled(grace),
         ),
     };
@@ -147,7 +159,8 @@
     };
     let listening = listening.map_err(BrokerError::io("listen"))?;
     tracing::info!("{} listens at {listening}", told.name);
-    let front = PlatformFrontend { clients, servers, membership, file: told.file, apart };
+    let front =
+        PlatformFrontend { clients, servers, membership, file: told.file, failed_reload: None, apart };
     let mut broker = BrokerBuilder::new(clock, net, exchange, front);
     if let Some(ops) = told.ops {
         broker.listen_admin(ops);
@@ -158,6 +171,27 @@
     Ok((broker.build()?, listening))
 }
 
+impl PlatformFrontend {
+    /// Reads the configuration again; the watch on discovery moves with the next tick.
+    fn read_configuration(&mut self, now: Nanos) {
+        let Some(file) = &self.file else { return };
+        match PlatformConfig::from_file(file) {
+            Ok(told) => {
+                self.failed_reload = None;
+                self.membership.move_to(told.discovery, now);
+            }
+            // Guards the service against a file that is half written or wrong: what it was told before stays.
+            Err(e) => {
+                let (error, retry_at) = (e.to_string(), now + RELOAD_RETRY_DELAY);
+                if self.failed_reload.as_ref().is_none_or(|failed| failed.error != error) {
+                    tracing::error!("the configuration stays as it was: {error}");
+                }
+                self.failed_reload = Some(FailedReload { error, retry_at });
+            }
+        }
+    }
+}
+
 impl Frontend for PlatformFrontend {
     type Query = RequestContext;
     type Value = String;
@@ -172,6 +206,9 @@
     }
 
     fn tick(&mut self, hands: &mut FrontendContext<RequestContext, String>) {
+        if self.failed_reload.as_ref().is_some_and(|failed| failed.retry_at <= hands.now) {
+            self.read_configuration(hands.now);
+        }
         self.servers.tick(hands);
         self.clients.tick(hands);
         self.membership.tick(hands, |c| self.servers.place(c.entry.replica, c.addr));
@@ -196,7 +233,11 @@
     }
 
     fn next_deadline(&self) -> Option<Nanos> {
-        [self.servers.due(), self.membership.next_deadline(), self.clients.due()].into_iter().flatten().min()
+        let retry_reload = self.failed_reload.as_ref().map(|failed| failed.retry_at);
+        [self.servers.due(), self.membership.next_deadline(), self.clients.due(), retry_reload]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     fn set_ready(&mut self, ready: bool) {
@@ -209,13 +250,8 @@
 
     /// Discovery alone may move while the broker serves; all else holds from the start to the end.
     fn reload(&mut self, hands: &mut FrontendContext<RequestContext, String>) {
-        let Some(file) = &self.file else { return };
-        match PlatformConfig::from_file(file) {
-            Ok(told) => self.membership.move_to(told.discovery, hands.now, hands.net),
-            // Guards the service against a file that is half written or wrong: what it was told before stays.
-            Err(e) => tracing::error!("the configuration stays as it was: {e}"),
-        }
-        self.membership.pass_on(hands, |c| self.servers.place(c.entry.replica, c.addr));
+        self.failed_reload = None;
+        self.read_configuration(hands.now);
     }
 
     fn close_idle(&mut self, hands: &mut FrontendContext<RequestContext, String>) {
--- a/src/membership/merged_view/source_view.rs
+++ b/src/membership/merged_view/source_view.rs
@@ -52,16 +52,23 @@
 
     fn view<'a>(&'a self, records: &'a NodeRecords) -> NodeView<'a> {
         let authoritative = records.authoritative();
-        let (state, learned) = match self.omitted_by(records) {
-            Some((_, Reverse(received))) if authoritative.record.state == NodeState::Ready => {
-                (NodeState::Gone, received)
+        let (state, version, learned) = match self.omitted_by(records) {
+            Some((version, Reverse(received))) if authoritative.record.state == NodeState::Ready => {
+                (NodeState::Gone, version, received)
             }
             // It was known to be terminating or gone before.
-            Some((_, Reverse(received))) => (NodeState::Gone, received.max(authoritative.received)),
-            None => (authoritative.record.state, authoritative.received),
+            Some((version, Reverse(received))) => {
+                (NodeState::Gone, version, received.max(authoritative.received))
+            }
+            None => (authoritative.record.state, authoritative.source_version, authoritative.received),
+        };
+        // Stored times may come from the clock of another process. So a start alone is no proof: an older
+        // report of it must not undo what was learned after that report.
+        let is_undone_by = |restart: &VersionedRecord| {
+            state != NodeState::Ready && restart.record.started > learned && restart.source_version > version
         };
         match &records.latest_start {
-            Some(restart) if state != NodeState::Ready && restart.record.started > learned => {
+            Some(restart) if is_undone_by(restart) => {
                 NodeView { versioned: restart, state: NodeState::Ready, learned: restart.received }
             }
             _ => NodeView { versioned: authoritative, state, learned },
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -8,6 +8,7 @@
 //! - [`staleness`] computes the trust in a record from its age;
 //! - [`probation`] chooses which unconfirmed nodes are admitted;
 //! - [`poll_backoff`] spaces out polls for the endpoint list;
+//! - [`retry_pacing`] decides how long to wait after a call to discovery that failed;
 //! - [`watch_schedule`] decides when discovery is called, and when a call is given up;
 //! - [`snapshot`] is the stored form of the view, and [`status_report`] a report of it;
 //! - [`manual_override`] and [`gossip_hints`] restrict the announced nodes by operators' commands and by
@@ -29,6 +30,7 @@
 pub mod poll_backoff;
 pub mod probation;
 mod registry;
+pub mod retry_pacing;
 pub mod snapshot;
 pub mod staleness;
 pub mod status_report;
--- a/src/membership/registry/sources.rs
+++ b/src/membership/registry/sources.rs
@@ -4,7 +4,7 @@
 use super::placement::{Placement, ReadyPlacements};
 use crate::api::Nanos;
 use crate::membership::endpoint_list::EndpointList;
-use crate::membership::merged_view::Report;
+use crate::membership::merged_view::{Report, VersionedRecord};
 use crate::membership::snapshot::Snapshot;
 use crate::membership::{NodeRecord, NodeState, SourcePriority, SourceVersion};
 use std::net::SocketAddr;
@@ -103,13 +103,9 @@
             return false;
         }
         if version_reset {
-            // Only a discovery that restarted sends a full list older than what it sent already.
-            tracing::warn!(
-                version = list.version,
-                previous_version = self.directory.version,
-                "discovery versions were reset"
-            );
-            self.directory.epoch += 1;
+            // A discovery that restarted sends a full list older than what it sent already; so does an instance
+            // that lags behind.
+            self.begin_epoch(list.version);
         }
         let has_all = list.full || version_reset;
         let named: Option<Vec<&str>> =
@@ -124,6 +120,45 @@
         true
     }
 
+    /// Merges the first changes of a watch that requested all changes since the beginning, from a discovery
+    /// whose versions were reset. Nodes that it does not name stay as they are.
+    pub fn on_changes_after_reset(&mut self, list: &EndpointList, now: Nanos) {
+        self.unreported_update = true;
+        self.discovery_answered = true;
+        self.begin_epoch(list.version);
+        let before = self.ready_placements(None);
+        self.merge_discovery_update(list, false, true, &before, now);
+        self.reconcile_all(now);
+    }
+
+    fn begin_epoch(&mut self, version: u64) {
+        tracing::warn!(version, previous_version = self.directory.version, "discovery versions were reset");
+        self.keep_omissions();
+        self.directory.epoch += 1;
+    }
+
+    /// Records nodes as gone that the latest full list omits. An older list that takes its place names them
+    /// perhaps, and must not undo what is known: as with drains, only a start after it or a later change does.
+    fn keep_omissions(&mut self) {
+        let Some((version, received)) = self.view.full_list(SourcePriority::Directory) else { return };
+        let is_omitted = |id: &&str| {
+            self.view.view(id).is_some_and(|view| {
+                view.state == NodeState::Gone && view.versioned.record.state == NodeState::Ready
+            })
+        };
+        let omitted: Vec<String> = self.view.ids().filter(is_omitted).map(str::to_owned).collect();
+        for id in omitted {
+            let Some(view) = self.view.view(&id) else { continue };
+            let record = NodeRecord { state: NodeState::Gone, ..view.versioned.record.clone() };
+            self.view.insert_record(VersionedRecord {
+                record,
+                source_version: version,
+                received,
+                after_reset: false,
+            });
+        }
+    }
+
     fn merge_discovery_update(
         &mut self,
         list: &EndpointList,
--- a/src/membership/watch_schedule.rs
+++ b/src/membership/watch_schedule.rs
@@ -1,21 +1,20 @@
 //! When discovery is called for a watch, and when a call is given up.
 //!
 //! A drain counts as reported to a broker when discovery has written it, whether or not it arrives, and a few
-//! seconds after the watch fell silent at the latest; from then on only its grace is left. So the time until
-//! the next list is bounded by that grace, and is not the sum of time-outs that were chosen one by one:
+//! seconds after it could have been called at the latest; from then on only its grace is left. So the time
+//! until the next list is bounded by that grace at all times, and is not the sum of time-outs that were chosen
+//! one by one:
 //!
 //! - a watch that seems silent is kept while the next call is under way, and what answers first stays;
+//! - so is the watch of an earlier configuration, until the new address answers;
 //! - a list that stops in the middle is asked for anew at once: it may have reported a drain already;
-//! - a call is given up as soon as discovery would have refused it;
-//! - while the grace may be running, calls that fail are repeated after a short wait.
-//!
-//! Discovery handles calls in turn, also those whose callers have given up. Many brokers that repeat their
-//! calls too soon keep it busy with calls that nobody waits for, and none of them gets an answer. So there is
-//! one call at a time, and outside the moments above the waits double.
+//! - a call is given up as soon as discovery would have refused it, and where discovery can bear that, another
+//!   begins beside it before;
+//! - waits after calls that failed are bounded: see [`RetryPacing`].
 //!
 //! No I/O and no clock: the owner of the connections reports what happened, and does what is due.
 
-use super::poll_backoff::PollBackoff;
+use super::retry_pacing::{CallFailure, RetryPacing};
 use crate::api::Nanos;
 
 /// Time for a response to begin, or to go on, once the connection is up, ns. Discovery refuses a call that has
@@ -30,17 +29,21 @@
 const PARTIAL_LIST_TIMEOUT: Nanos = 400_000_000;
 /// Most calls without an answer at once, when lists stop in the middle.
 const MAX_PARTIAL_CALLS: usize = 4;
-/// Age of the last confirmed list up to which calls that fail are repeated soon, ns: then the grace of what a
-/// silent watch missed is over.
-const URGENT_LIST_AGE: Nanos = 8_000_000_000;
-/// Share of the usual wait that passes before a list that was cut is asked for anew.
-const CUT_LIST_WAIT_DIVISOR: Nanos = 8;
-
-/// First and longest wait after calls that failed, at a discovery that many brokers share, ns.
-const SHARED_DISCOVERY_WAITS: (Nanos, Nanos) = (750_000_000, 7_500_000_000);
-/// Share of a drain's grace that the wait before the next call may take while a grace may be running: the wait,
-/// the dial and the answer have to fit in it.
-const URGENT_WAIT_SHARE: Nanos = 4;
+/// Time after which the grace of what was reported before is over, ns: until then calls that fail are repeated
+/// soon.
+const URGENT_PERIOD: Nanos = 8_000_000_000;
+/// A call that fails before this age did not wait in discovery's queue, ns.
+const QUEUED_CALL_AGE: Nanos = 500_000_000;
+
+/// Share of a drain's grace after which another call begins beside one that has no answer.
+const HEDGE_DELAY_SHARE: Nanos = 4;
+/// Most calls without an answer at once, at an agent that answers at once and pushes its list.
+const MAX_UNANSWERED_AT_AGENT: usize = 3;
+/// The same at a discovery that a small fleet shares.
+const MAX_UNANSWERED_IN_SMALL_FLEET: usize = 2;
+/// Most brokers of a small fleet. Discovery handles calls in turn, also those whose callers have given up: one
+/// more call of each of so many is little to it.
+const SMALL_FLEET: u32 = 16;
 
 /// Number of a call to discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -86,6 +89,8 @@
     heard: Nanos,
     /// A part of a list has come whose rest has not.
     in_list: bool,
+    /// It was made to the discovery of an earlier configuration: what it brings is news, but no watch.
+    is_retired: bool,
 }
 
 impl Call {
@@ -99,10 +104,13 @@
 pub struct WatchSchedule {
     /// Time in which a connection must be established, ns.
     dial_timeout: Nanos,
-    /// The waits after calls that failed.
-    backoff: PollBackoff,
-    /// The same, while the grace of a drain may be running.
-    urgent_backoff: PollBackoff,
+    /// Time after which another call begins beside one without an answer, ns.
+    hedge_delay: Nanos,
+    /// Most calls without an answer at once.
+    max_unanswered: usize,
+    pacing: RetryPacing,
+    /// A call waited in vain since the last list: discovery is crowded, and gets no second calls.
+    is_crowded: bool,
     /// The oldest first.
     calls: Vec<Call>,
     next_id: u64,
@@ -110,68 +118,83 @@
     not_before: Option<Nanos>,
     /// When the list was last known to be current, if it was.
     confirmed: Option<Nanos>,
+    /// When discovery last moved, if it did.
+    restarted: Option<Nanos>,
     confirmation: ListConfirmation,
 }
 
 impl WatchSchedule {
-    /// Calls to a discovery that many brokers share. `dial_timeout`: time in which a connection must be
+    /// Calls to a discovery that `brokers` brokers share. `dial_timeout`: time in which a connection must be
     /// established, ns. `grace`: time after the report of a drain in which attempts must cease, ns.
     #[must_use]
-    pub fn for_shared_discovery(dial_timeout: Nanos, grace: Nanos, seed: u64) -> WatchSchedule {
-        let (first, longest) = SHARED_DISCOVERY_WAITS;
-        let urgent = grace / URGENT_WAIT_SHARE;
-        let backoff = PollBackoff::new(first, longest, seed);
-        WatchSchedule::new(dial_timeout, backoff, PollBackoff::new(urgent, urgent, !seed))
+    pub fn for_shared_discovery(dial_timeout: Nanos, grace: Nanos, brokers: u32, seed: u64) -> WatchSchedule {
+        let max_unanswered = if brokers <= SMALL_FLEET { MAX_UNANSWERED_IN_SMALL_FLEET } else { 1 };
+        let pacing = RetryPacing::for_shared_discovery(grace, brokers, seed);
+        WatchSchedule::new(dial_timeout, grace, max_unanswered, pacing)
     }
 
     /// Calls to an agent of this broker's own that pushes its list: soon after each failure.
     #[must_use]
     pub fn for_pushed_lists(dial_timeout: Nanos, grace: Nanos, seed: u64) -> WatchSchedule {
-        let urgent = grace / URGENT_WAIT_SHARE;
-        let backoff = PollBackoff::new(urgent, urgent, seed);
-        WatchSchedule::new(dial_timeout, backoff, PollBackoff::new(urgent, urgent, !seed))
+        let pacing = RetryPacing::for_agent(grace, seed);
+        WatchSchedule::new(dial_timeout, grace, MAX_UNANSWERED_AT_AGENT, pacing)
     }
 
-    /// A schedule without calls. `dial_timeout`: time in which a connection must be established, ns.
-    /// `backoff`: the waits after calls that failed. `urgent_backoff`: the same, while the grace of a drain may
-    /// be running.
-    fn new(dial_timeout: Nanos, backoff: PollBackoff, urgent_backoff: PollBackoff) -> WatchSchedule {
+    /// A schedule without calls.
+    fn new(dial_timeout: Nanos, grace: Nanos, max_unanswered: usize, pacing: RetryPacing) -> WatchSchedule {
         WatchSchedule {
             dial_timeout,
-            backoff,
-            urgent_backoff,
+            hedge_delay: grace / HEDGE_DELAY_SHARE,
+            max_unanswered,
+            pacing,
+            is_crowded: false,
             calls: Vec::new(),
             next_id: 0,
             not_before: None,
             confirmed: None,
+            restarted: None,
             confirmation: ListConfirmation::NeverWatched,
         }
     }
 
     /// A call is wanted at this time, unless one is under way or due earlier.
     pub fn request(&mut self, at: Nanos) {
-        if self.calls.is_empty() {
+        if self.current_calls().next().is_none() {
             self.not_before = Some(self.not_before.map_or(at, |earlier| earlier.min(at)));
         }
     }
 
     /// A call is wanted at a time of the schedule's choice, soon: brokers that start together are spread.
     pub fn request_soon(&mut self, now: Nanos) {
-        let wait = self.urgent_backoff.on_failure();
+        let wait = self.pacing.first_wait();
         self.request(now + wait);
     }
 
-    /// All calls were closed, and discovery is elsewhere: it is called at once.
+    /// Discovery is elsewhere: it is called at once. Calls that are under way are kept until it answers: what
+    /// they bring until then was reported.
     pub fn restart(&mut self, now: Nanos) {
-        self.calls.clear();
+        self.calls.iter_mut().for_each(|call| call.is_retired = true);
         self.note_lost_watch(now);
+        self.pacing.reset();
+        self.is_crowded = false;
+        self.restarted = Some(now);
         self.not_before = Some(now);
     }
 
     /// Whether there is a watch.
     #[must_use]
     pub fn is_established(&self) -> bool {
-        self.calls.iter().any(Call::is_established)
+        self.current_calls().any(Call::is_established)
+    }
+
+    /// Whether a call was made to the discovery of the current configuration.
+    #[must_use]
+    pub fn is_current(&self, id: CallId) -> bool {
+        self.current_calls().any(|call| call.id == id)
+    }
+
+    fn current_calls(&self) -> impl DoubleEndedIterator<Item = &Call> {
+        self.calls.iter().filter(|call| !call.is_retired)
     }
 
     /// Whether a watch confirms the list.
@@ -225,34 +248,47 @@
     /// When the next call begins, as things stand.
     fn next_call_at(&self) -> Option<Nanos> {
         let not_before = self.not_before?;
-        let Some(newest) = self.calls.last() else { return Some(not_before) };
+        let Some(newest) = self.current_calls().next_back() else { return Some(not_before) };
         let at = match newest.phase {
             _ if newest.in_list => {
                 (self.calls.len() < MAX_PARTIAL_CALLS).then_some(newest.heard + PARTIAL_LIST_TIMEOUT)
             }
             Phase::Established => Some(newest.heard + SUSPICION_TIMEOUT),
-            Phase::Connecting | Phase::AwaitingList => None,
+            Phase::AwaitingList => self.may_hedge().then_some(newest.begun + self.hedge_delay),
+            Phase::Connecting => None,
         };
         at.map(|at| at.max(not_before))
     }
 
+    /// Whether one more call may begin beside those without an answer.
+    fn may_hedge(&self) -> bool {
+        let unanswered = self.current_calls().filter(|call| !call.is_established()).count();
+        !self.is_crowded && unanswered < self.max_unanswered
+    }
+
     /// A call has begun.
     pub fn begun(&mut self, now: Nanos) -> CallId {
         let id = CallId(self.next_id);
         self.next_id += 1;
-        self.calls.push(Call { id, phase: Phase::Connecting, begun: now, heard: now, in_list: false });
+        self.calls.push(Call {
+            id,
+            phase: Phase::Connecting,
+            begun: now,
+            heard: now,
+            in_list: false,
+            is_retired: false,
+        });
         id
     }
 
     /// A call could not begin.
     pub fn not_begun(&mut self, now: Nanos) {
-        self.not_before = Some(now + self.wait_after_failure(now));
+        self.not_before = Some(now + self.wait_after(CallFailure::Unreachable, now));
     }
 
-    fn wait_after_failure(&mut self, now: Nanos) -> Nanos {
-        let wait = self.backoff.on_failure();
-        let is_urgent = self.confirmed.is_some_and(|confirmed| now < confirmed + URGENT_LIST_AGE);
-        if is_urgent { wait.min(self.urgent_backoff.on_failure()) } else { wait }
+    fn wait_after(&mut self, failure: CallFailure, now: Nanos) -> Nanos {
+        let is_urgent = self.confirmed.max(self.restarted).is_some_and(|at| now < at + URGENT_PERIOD);
+        self.pacing.wait_after(failure, is_urgent)
     }
 
     /// The connection of a call is established.
@@ -273,16 +309,14 @@
         }
     }
 
-    /// A whole list came on a call, which is the watch from now on. Gives the other calls, which have ended
-    /// and are to be closed.
+    /// A whole list came on a call, which is the watch from now on, unless it is one to an earlier discovery.
+    /// Gives the other calls, which have ended and are to be closed.
     pub fn on_list(&mut self, id: CallId, now: Nanos) -> Vec<CallId> {
-        if let Some(call) = self.call_mut(id)
-            && !call.is_established()
-        {
-            call.phase = Phase::Established;
-        }
+        let Some(call) = self.call_mut(id).filter(|call| !call.is_retired) else { return Vec::new() };
+        call.phase = Phase::Established;
         self.confirmation = ListConfirmation::Watched;
-        self.backoff.on_success();
+        self.pacing.reset();
+        self.is_crowded = false;
         self.confirmed = Some(now);
         self.keep_only(id)
     }
@@ -290,7 +324,7 @@
     /// An empty line came on a call, which is the watch from now on: on one that was the watch before, it
     /// confirms the list. Gives the other calls, which have ended and are to be closed.
     pub fn on_heartbeat(&mut self, id: CallId, now: Nanos) -> Vec<CallId> {
-        let Some(call) = self.call_mut(id) else { return Vec::new() };
+        let Some(call) = self.call_mut(id).filter(|call| !call.is_retired) else { return Vec::new() };
         if call.is_established() {
             self.confirmed = Some(now);
         } else {
@@ -309,13 +343,36 @@
 
     /// A call has ended by itself, or failed.
     pub fn ended(&mut self, id: CallId, now: Nanos) {
-        let Some(index) = self.calls.iter().position(|call| call.id == id) else { return };
-        let call = self.calls.remove(index);
+        let Some(call) = self.remove(id) else { return };
+        let failure = match call {
+            // A drain may have been written on it that did not arrive whole: its grace is running.
+            Call { in_list: true, .. } => CallFailure::ListLost,
+            _ if call.is_established() || now < call.begun + QUEUED_CALL_AGE => CallFailure::Unreachable,
+            _ => CallFailure::Unanswered,
+        };
+        self.record_failure(&call, failure, now);
+    }
+
+    /// What a call brought can't be used, and it was closed for another one.
+    pub fn rejected(&mut self, id: CallId, now: Nanos) {
+        if let Some(call) = self.remove(id) {
+            self.record_failure(&call, CallFailure::ListLost, now);
+        }
+    }
+
+    fn remove(&mut self, id: CallId) -> Option<Call> {
+        let index = self.calls.iter().position(|call| call.id == id)?;
+        Some(self.calls.remove(index))
+    }
+
+    fn record_failure(&mut self, call: &Call, failure: CallFailure, now: Nanos) {
+        // The end of a call to an earlier discovery says nothing of this one.
+        if call.is_retired {
+            return;
+        }
         self.note_lost_watch(now);
-        let wait = self.wait_after_failure(now);
-        // A drain may have been written on it that did not arrive whole: its grace is running.
-        let wait = if call.in_list { wait / CUT_LIST_WAIT_DIVISOR } else { wait };
-        self.not_before = Some(now + wait);
+        self.is_crowded |= failure == CallFailure::Unanswered;
+        self.not_before = Some(now + self.wait_after(failure, now));
     }
 
     fn call_mut(&mut self, id: CallId) -> Option<&mut Call> {
--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -35,6 +35,8 @@
     ListIncomplete,
     #[error("its answer ended")]
     ResponseEnded,
+    #[error("its changes are older than the list")]
+    ChangesOlderThanList,
 }
 
 /// Where in the response a watch is.
@@ -55,6 +57,8 @@
     reader: Reader,
     /// When it was begun.
     begun: Nanos,
+    /// It requests the changes since this version; 0: the whole list.
+    since: u64,
     progress: ListProgress,
 }
 
@@ -100,13 +104,22 @@
     calls: Vec<Call>,
     /// A call ended, and no watch is left, since this was last taken.
     interrupted: bool,
+    /// Discovery answered with changes that are older than the list: the next call requests the whole list.
+    needs_whole_list: bool,
 }
 
 impl DiscoveryWatch {
     /// A watch whose connections belong to `owner`, with calls as `schedule` has them. It begins with
     /// [`DiscoveryWatch::request`].
     pub fn new(owner: u8, discovery: SocketAddr, schedule: WatchSchedule) -> DiscoveryWatch {
-        DiscoveryWatch { owner, discovery, schedule, calls: Vec::new(), interrupted: false }
+        DiscoveryWatch {
+            owner,
+            discovery,
+            schedule,
+            calls: Vec::new(),
+            interrupted: false,
+            needs_whole_list: false,
+        }
     }
 
     /// Whether a watch confirms the list.
@@ -129,17 +142,16 @@
         self.schedule.request_soon(now);
     }
 
-    /// Discovery is at this address from now on: a watch begins there with the next tick.
-    pub fn move_to(&mut self, discovery: SocketAddr, now: Nanos, net: &mut PollLoop) {
+    /// Discovery is at this address from now on: a watch begins there with the next tick. The one at the old
+    /// address is kept until that answers, as reports may still come on it.
+    pub fn move_to(&mut self, discovery: SocketAddr, now: Nanos) {
         if discovery == self.discovery {
             return tracing::info!(addr = %discovery, "configuration reloaded: discovery stays");
         }
         tracing::info!(addr = %discovery, "configuration reloaded: discovery moves");
         self.discovery = discovery;
-        for call in self.calls.drain(..) {
-            net.close(call.conn);
-        }
         self.schedule.restart(now);
+        self.interrupted = true;
     }
 
     /// Begins the calls that are due, which request the changes since `version` of the list, and ends those
@@ -165,12 +177,13 @@
             self.interrupted |= !self.schedule.is_established();
             return;
         };
-        tracing::info!(addr = %self.discovery, version, "discovery watch begins");
+        let since = if self.needs_whole_list { 0 } else { version };
+        tracing::info!(addr = %self.discovery, version = since, "discovery watch begins");
         let id = self.schedule.begun(now);
         let (reader, progress) = (Reader::new(Side::Responses), ListProgress::AwaitingFirstList);
-        self.calls.push(Call { id, conn, reader, begun: now, progress });
+        self.calls.push(Call { id, conn, reader, begun: now, since, progress });
         let request =
-            format!("GET /api/targets?follow=1&since={version} HTTP/1.1\r\nHost: {}\r\n\r\n", self.discovery);
+            format!("GET /api/targets?follow=1&since={since} HTTP/1.1\r\nHost: {}\r\n\r\n", self.discovery);
         if net.send(conn, request.as_bytes()).is_err() {
             self.end(id, WatchError::RequestNotSent, now, net);
         }
@@ -178,7 +191,10 @@
 
     /// Closes a call that has ended.
     fn end(&mut self, id: CallId, error: WatchError, now: Nanos, net: &mut PollLoop) {
-        self.schedule.ended(id, now);
+        match error {
+            WatchError::ChangesOlderThanList => self.schedule.rejected(id, now),
+            _ => self.schedule.ended(id, now),
+        }
         let Some(index) = self.calls.iter().position(|call| call.id == id) else { return };
         let call = self.calls.remove(index);
         let unparsed_bytes = net.data(call.conn).len() + call.reader.body().len();
@@ -288,7 +304,9 @@
             }
             if call.take_heartbeat() {
                 tracing::debug!("heartbeat of discovery");
-                registry.on_heartbeat(now);
+                if self.schedule.is_current(id) {
+                    registry.on_heartbeat(now);
+                }
                 let superseded = self.schedule.on_heartbeat(id, now);
                 self.close_superseded(&superseded, net);
                 continue;
@@ -299,7 +317,19 @@
             };
             let is_first = call.progress == ListProgress::AwaitingFirstList;
             call.progress = ListProgress::AwaitingLineEnd;
-            registry.on_discovery_update(&list, is_first, now);
+            let since = call.since;
+            let counts_anew = is_first && !list.full && list.version < registry.version();
+            if counts_anew && since > 0 {
+                // Its changes mean nothing without what it had before them.
+                self.needs_whole_list = true;
+                return Err(WatchError::ChangesOlderThanList);
+            }
+            self.needs_whole_list &= !is_first;
+            if counts_anew {
+                registry.on_changes_after_reset(&list, now);
+            } else {
+                registry.on_discovery_update(&list, is_first, now);
+            }
             let superseded = self.schedule.on_list(id, now);
             self.close_superseded(&superseded, net);
         }
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -132,11 +132,10 @@
         }
     }
 
-    /// Discovery is at this address from now on.
-    pub fn move_to(&mut self, discovery: SocketAddr, now: Nanos, net: &mut PollLoop) {
+    /// Discovery is at this address from now on. Its watch begins with the next [`MembershipDriver::tick`].
+    pub fn move_to(&mut self, discovery: SocketAddr, now: Nanos) {
         if let Some(watch) = &mut self.watch {
-            watch.move_to(discovery, now, net);
-            watch.tick(self.registry.version(), now, net);
+            watch.move_to(discovery, now);
         }
     }
 
--- a/tests/membership_registry/sources.rs
+++ b/tests/membership_registry/sources.rs
@@ -169,3 +169,62 @@
     }
     assert!(announced > 1000, "{announced}");
 }
+
+/// An instance of discovery that lags behind answers with an older full list: nodes that a newer one left out stay gone,
+/// until they start anew or a change names them.
+#[test]
+fn a_version_reset_brings_back_no_node_that_a_newer_list_left_out() {
+    let mut b = Fixture::new();
+    b.directory(&eight(41), true, NOON);
+    b.registry.watch_lost();
+    let mut without = eight(42);
+    without.servers.retain(|server| server.id != "s-3" && server.id != "s-4");
+    b.directory(&without, true, NOON + S);
+    assert_eq!(b.ready(), ["s-0", "s-1", "s-2", "s-5", "s-6", "s-7"]);
+    b.registry.watch_lost();
+    b.directory(&eight(41), true, NOON + 2 * S);
+    assert_eq!(b.ready(), ["s-0", "s-1", "s-2", "s-5", "s-6", "s-7"]);
+    // Nor does it after a restart of this process, from what was stored.
+    let stored = b.registry.snapshot(NOON + 3 * S);
+    let mut after = Fixture::from(&[&stored], NOON + 5 * S);
+    after.directory(&eight(40), true, NOON + 6 * S);
+    assert_eq!(after.ready(), ["s-0", "s-1", "s-2", "s-5", "s-6", "s-7"]);
+    // A change names one, the other starts anew.
+    b.directory(&list(43, false, vec![server(3, NodeState::Ready, 0)]), false, NOON + 4 * S);
+    let started = (NOON + 5 * S) / 1_000_000;
+    b.directory(&list(44, false, vec![server(4, NodeState::Ready, started)]), false, NOON + 6 * S);
+    assert_eq!(b.ready().len(), 8);
+}
+
+/// Changes of a discovery that counts anew count, small as their numbers are, and say nothing of other nodes.
+#[test]
+fn changes_after_a_version_reset_are_merged_without_a_full_list() {
+    let mut b = Fixture::new();
+    b.directory(&eight(41), true, NOON);
+    b.registry.watch_lost();
+    let drained = list(2, false, vec![server(3, NodeState::Terminating, 0)]);
+    b.registry.on_changes_after_reset(&drained, NOON + S);
+    b.collect_changes();
+    assert_eq!(b.ready(), ["s-0", "s-1", "s-2", "s-4", "s-5", "s-6", "s-7"]);
+    assert_eq!((b.registry.version(), b.registry.epoch()), (2, 1));
+    b.directory(&list(3, false, vec![server(4, NodeState::Gone, 0)]), false, NOON + 2 * S);
+    assert_eq!(b.ready(), ["s-0", "s-1", "s-2", "s-5", "s-6", "s-7"]);
+}
+
+/// The clock of the process that learned of a drain was behind, so that the last start seems to come after it. An older
+/// report of that start does not undo the drain.
+#[test]
+fn an_older_report_of_a_start_undoes_no_drain_of_a_wrong_clock() {
+    let started = (NOON - 100 * S) / 1_000_000;
+    let with_start = |version| list(version, true, vec![server(3, NodeState::Ready, started)]);
+    let an_hour_behind = NOON - 3600 * S;
+    let mut b = Fixture::new();
+    b.directory(&with_start(41), true, an_hour_behind);
+    let drained = list(42, false, vec![server(3, NodeState::Terminating, started)]);
+    b.directory(&drained, false, an_hour_behind + S);
+    let stored = b.registry.snapshot(an_hour_behind + 2 * S);
+    let mut after = Fixture::from(&[&stored], NOON);
+    after.registry.add_configured(&with_start(41), NOON);
+    after.collect_changes();
+    assert!(after.ready().is_empty(), "{:?}", after.ready());
+}
