Keep suspicion of a server that accepts nothing, and read a bad file again by itself

- policy::list_lease sent to a server that had only refused again 10 s after the watch ended.
One that accepted none since gets none for 60 s now; one that accepted some is taken for an overloaded one after 10 s, as before.
The lease of a broker that starts without a list is over after 0.75 s, as behind a watch, not after 6 s: what its configuration's list misses may have been reported before it started.
- The catalogue's file of nodes, which may take nodes out, was dropped when it could not be read on SIGHUP, as the platform's configuration was.
Both are read again by server::reload_retry.

Cluster's peers file is read on a signal only, still; it tells of no drains.

--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -17,6 +17,7 @@
 use crate::server::discovery_watch::DiscoveryWatch;
 use crate::server::drain::DrainPhase;
 use crate::server::membership_driver::{LeaseTerms, MembershipDriver};
+use crate::server::reload_retry::ReloadRetry;
 use crate::server::{Broker, BrokerBuilder, BrokerError, Frontend, FrontendContext};
 use crate::storage::snapshot_store::SnapshotWriter;
 use std::collections::HashMap;
@@ -61,6 +62,7 @@
     reading: Option<Receiver<Result<NodesFile, ConfigError>>>,
     /// When to look whether it was read.
     look: Nanos,
+    retry: ReloadRetry,
 }
 
 impl NodeFiles {
@@ -72,6 +74,17 @@
         config::rules(self.own.iter().chain(&file.node))
     }
 
+    /// The word to read the file has come.
+    fn reload(&mut self, now: Nanos) {
+        self.retry.clear();
+        self.begin(now);
+    }
+
+    /// When to look whether it was read, or to read it again.
+    fn due(&self) -> Option<Nanos> {
+        if self.reading.is_some() { Some(self.look) } else { self.retry.next_deadline() }
+    }
+
     /// Begins to read the file, on a thread of its own: a disk that hangs must not stop the loop.
     fn begin(&mut self, now: Nanos) {
         self.look = now + LOOK;
@@ -83,12 +96,19 @@
         let read = move || drop(tell.send(NodesFile::from_file(&path, cells)));
         match std::thread::Builder::new().name("nodes".into()).spawn(read) {
             Ok(_) => self.reading = Some(told),
-            Err(e) => tracing::error!("the file of nodes can't be read: {e}"),
+            Err(e) => {
+                if self.retry.on_failure(&e.to_string(), now) {
+                    tracing::error!("the file of nodes can't be read: {e}");
+                }
+            }
         }
     }
 
     /// What was read, once it is.
     fn take(&mut self, now: Nanos) -> Option<NodesFile> {
+        if self.reading.is_none() && self.retry.is_due(now) {
+            self.begin(now);
+        }
         let read = match self.reading.as_ref()?.try_recv() {
             Err(TryRecvError::Empty) => {
                 self.look = now + LOOK;
@@ -100,12 +120,15 @@
         self.reading = None;
         match read? {
             Ok(file) => {
+                self.retry.clear();
                 tracing::info!("file of nodes read again: {} nodes", file.node.len());
                 Some(file)
             }
             // Guards the service against a file that is half written or wrong.
             Err(e) => {
-                tracing::error!("the nodes stay as they were: {e}");
+                if self.retry.on_failure(&e.to_string(), now) {
+                    tracing::error!("the nodes stay as they were: {e}");
+                }
                 None
             }
         }
@@ -141,7 +164,14 @@
     }
     roster.restore(&kept, now);
     let path = m.nodes_file.clone();
-    let files = NodeFiles { own: told.node.clone(), path, cells: settings.cells, reading: None, look: 0 };
+    let files = NodeFiles {
+        own: told.node.clone(),
+        path,
+        cells: settings.cells,
+        reading: None,
+        look: 0,
+        retry: ReloadRetry::default(),
+    };
     let file = files.path.as_deref().map(|p| NodesFile::from_file(p, settings.cells)).transpose()?;
     let file = file.unwrap_or_default();
     let (facts, rules) = (files.facts(&file), files.rules(&file));
@@ -257,8 +287,7 @@
     }
 
     fn next_deadline(&self) -> Option<Nanos> {
-        let read = self.files.reading.as_ref().map(|_| self.files.look);
-        [self.nodes.due(), self.clients.due(), self.membership.next_deadline(), read]
+        [self.nodes.due(), self.clients.due(), self.membership.next_deadline(), self.files.due()]
             .into_iter()
             .flatten()
             .min()
@@ -274,7 +303,7 @@
 
     /// The file of nodes alone may change while the broker serves; all else holds from the start to the end.
     fn reload(&mut self, hands: &mut FrontendContext<Sought, PartValue>) {
-        self.files.begin(hands.now);
+        self.files.reload(hands.now);
     }
 
     fn close_idle(&mut self, hands: &mut FrontendContext<Sought, PartValue>) {
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -14,6 +14,7 @@
 use crate::server::discovery_watch::DiscoveryWatch;
 use crate::server::drain::DrainPhase;
 use crate::server::membership_driver::{LeaseTerms, MembershipDriver};
+use crate::server::reload_retry::ReloadRetry;
 use crate::server::{Broker, BrokerBuilder, BrokerError, Frontend, FrontendContext};
 use crate::storage::snapshot_store::SnapshotWriter;
 use std::net::SocketAddr;
@@ -42,8 +43,6 @@
 const PRESUMED_AGE: Nanos = 300_000_000_000;
 /// Part of the memory that buffers may take.
 const BUFFERS: usize = 4;
-/// Time after which a configuration that could not be used is read again: it may have been half written.
-const RELOAD_RETRY_DELAY: Nanos = 500_000_000;
 
 /// The platform's port: clients, shard servers and discovery.
 pub struct PlatformFrontend {
@@ -52,20 +51,11 @@
     membership: MembershipDriver,
     /// What is read again when the word comes.
     file: Option<PathBuf>,
-    /// A configuration that was to be read again and could not be used.
-    failed_reload: Option<FailedReload>,
+    reload_retry: ReloadRetry,
     /// Descriptors for neither clients nor shard servers.
     apart: usize,
 }
 
-/// A configuration that could not be used when the signal came. It is read again until it can be: discovery may
-/// have moved, and no other signal need come.
-struct FailedReload {
-    /// Why, as it was logged.
-    error: String,
-    retry_at: Nanos,
-}
-
 /// Connections to shard servers and from clients for so many descriptors, of which `apart` are for neither.
 fn divide(descriptors: usize, apart: usize) -> (usize, usize) {
     let both = descriptors.saturating_sub(SPARE + apart);
@@ -159,8 +149,14 @@
     };
     let listening = listening.map_err(BrokerError::io("listen"))?;
     tracing::info!("{} listens at {listening}", told.name);
-    let front =
-        PlatformFrontend { clients, servers, membership, file: told.file, failed_reload: None, apart };
+    let front = PlatformFrontend {
+        clients,
+        servers,
+        membership,
+        file: told.file,
+        reload_retry: ReloadRetry::default(),
+        apart,
+    };
     let mut broker = BrokerBuilder::new(clock, net, exchange, front);
     if let Some(ops) = told.ops {
         broker.listen_admin(ops);
@@ -177,16 +173,15 @@
         let Some(file) = &self.file else { return };
         match PlatformConfig::from_file(file) {
             Ok(told) => {
-                self.failed_reload = None;
+                self.reload_retry.clear();
                 self.membership.move_to(told.discovery, now);
             }
             // Guards the service against a file that is half written or wrong: what it was told before stays.
             Err(e) => {
-                let (error, retry_at) = (e.to_string(), now + RELOAD_RETRY_DELAY);
-                if self.failed_reload.as_ref().is_none_or(|failed| failed.error != error) {
+                let error = e.to_string();
+                if self.reload_retry.on_failure(&error, now) {
                     tracing::error!("the configuration stays as it was: {error}");
                 }
-                self.failed_reload = Some(FailedReload { error, retry_at });
             }
         }
     }
@@ -206,7 +201,7 @@
     }
 
     fn tick(&mut self, hands: &mut FrontendContext<RequestContext, String>) {
-        if self.failed_reload.as_ref().is_some_and(|failed| failed.retry_at <= hands.now) {
+        if self.reload_retry.is_due(hands.now) {
             self.read_configuration(hands.now);
         }
         self.servers.tick(hands);
@@ -233,8 +228,8 @@
     }
 
     fn next_deadline(&self) -> Option<Nanos> {
-        let retry_reload = self.failed_reload.as_ref().map(|failed| failed.retry_at);
-        [self.servers.due(), self.membership.next_deadline(), self.clients.due(), retry_reload]
+        let reload = self.reload_retry.next_deadline();
+        [self.servers.due(), self.membership.next_deadline(), self.clients.due(), reload]
             .into_iter()
             .flatten()
             .min()
@@ -250,7 +245,7 @@
 
     /// Discovery alone may move while the broker serves; all else holds from the start to the end.
     fn reload(&mut self, hands: &mut FrontendContext<RequestContext, String>) {
-        self.failed_reload = None;
+        self.reload_retry.clear();
         self.read_configuration(hands.now);
     }
 
--- a/src/policy/list_lease.rs
+++ b/src/policy/list_lease.rs
@@ -7,9 +7,10 @@
 
 use super::*;
 
-/// Time after which a replica that turned attempts away is taken for an overloaded one again, ns: one that
-/// drained has ended by then.
-const SUSPICION_LIFETIME: Nanos = 10_000_000_000;
+/// Time after which a replica that has accepted attempts since is taken for an overloaded one again, ns.
+const OVERLOAD_SUSPICION: Nanos = 10_000_000_000;
+/// The same for one that has accepted none: a drain is over by then, however long its attempts take.
+const DRAIN_SUSPICION: Nanos = 60_000_000_000;
 
 /// Age that a report which did not arrive may have when its watch ends, ns: a watch is silent for no longer.
 const LOST_REPORT_AGE: Nanos = 3_200_000_000;
@@ -35,7 +36,9 @@
     fn is_suspect(&self, r: &Replica, now: Nanos) -> bool {
         let recent = self.unconfirmed_since.saturating_sub(LOST_REPORT_AGE);
         let is_refusing = r.newest_refused_send >= recent.max(r.newest_answered_send);
-        is_refusing && now < self.unconfirmed_since + SUSPICION_LIFETIME && !self.is_proven(r, now)
+        let has_accepted_since = r.newest_answered_send >= self.unconfirmed_since;
+        let lifetime = if has_accepted_since { OVERLOAD_SUSPICION } else { DRAIN_SUSPICION };
+        is_refusing && now < self.unconfirmed_since + lifetime && !self.is_proven(r, now)
     }
 }
 
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -19,10 +19,9 @@
 /// How long the endpoint list is used without a watch that confirms it.
 #[derive(Clone, Copy, Debug)]
 pub struct LeaseTerms {
-    /// From the start, if no list comes, ns.
-    pub without_first_list: Nanos,
-    /// From the end of a watch, ns.
-    pub after_watch: Nanos,
+    /// From the end of a watch, or from the start: what the list of the configuration misses may have been
+    /// reported long ago, ns.
+    pub without_watch: Nanos,
     /// How long an attempt that a node accepted proves that it does not drain, ns.
     pub proof_lifetime: Nanos,
 }
@@ -32,18 +31,14 @@
     /// time after that in which a drain must be kept, ns.
     #[must_use]
     pub fn for_polled(grace: Nanos) -> LeaseTerms {
-        LeaseTerms {
-            without_first_list: REPORTED_AT_THE_LATEST,
-            after_watch: grace / 8 * 3,
-            proof_lifetime: REPORTED_AT_THE_LATEST + grace / 2,
-        }
+        let proof_lifetime = REPORTED_AT_THE_LATEST + grace / 2;
+        LeaseTerms { without_watch: grace / 8 * 3, proof_lifetime }
     }
 
     /// Terms for a discovery that pushes: what it has counts as reported at once.
     #[must_use]
     pub fn for_pushed(grace: Nanos) -> LeaseTerms {
-        let after_watch = grace / 8 * 3;
-        LeaseTerms { without_first_list: after_watch, after_watch, proof_lifetime: grace / 8 * 7 }
+        LeaseTerms { without_watch: grace / 8 * 3, proof_lifetime: grace / 8 * 7 }
     }
 }
 
@@ -216,17 +211,14 @@
         if lease.reported.replace(confirmation) == Some(confirmation) {
             return;
         }
-        let LeaseTerms { without_first_list, after_watch, proof_lifetime } = lease.terms;
-        match confirmation {
-            ListConfirmation::Watched => context.engine.list_confirmed(),
-            ListConfirmation::NeverWatched => {
-                let lease_end = lease.started + without_first_list;
-                context.engine.list_unconfirmed(lease.started, lease_end, proof_lifetime);
-            }
-            ListConfirmation::WatchLost(at) => {
-                context.engine.list_unconfirmed(at, at + after_watch, proof_lifetime);
-            }
-        }
+        let LeaseTerms { without_watch, proof_lifetime } = lease.terms;
+        let unconfirmed_since = match confirmation {
+            ListConfirmation::Watched => return context.engine.list_confirmed(),
+            ListConfirmation::NeverWatched => lease.started,
+            ListConfirmation::WatchLost(at) => at,
+        };
+        let lease_end = unconfirmed_since + without_watch;
+        context.engine.list_unconfirmed(unconfirmed_since, lease_end, proof_lifetime);
     }
 
     fn hold_back_by_hints(&mut self, changes: Vec<NodeChange>) -> Vec<NodeChange> {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -25,6 +25,7 @@
 mod hot_restart_driver;
 pub mod membership_driver;
 mod query_stats;
+pub mod reload_retry;
 
 pub use broker::Broker;
 pub use builder::BrokerBuilder;
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -256,6 +256,12 @@
     wait_for(&mut lines, "read again: 2 nodes");
     let before = script.came_to(0);
     assert!((0..10).all(|_| serves()) && script.came_to(0) == before && script.came_to(1) > 0);
+    // A file that was half written when the signal came is read again without another one.
+    std::fs::write(listed.path(), entry(0, "active") + "[[node]]\nid = ").unwrap();
+    signal(&child, "-HUP");
+    wait_for(&mut lines, "the nodes stay as they were");
+    std::fs::write(listed.path(), entry(0, "active")).unwrap();
+    wait_for(&mut lines, "read again: 1 nodes");
     end(child, &mut lines);
 }
 
