--- /dev/null
+++ b/tests/discovery_faults/drawn.rs
@@ -0,0 +1,95 @@
+//! Scenarios drawn by seed: combinations of faults that nobody thought of.
+//!
+//! They keep to what a broker can get right: from any moment on from which the drain may count as reported, at most one
+//! call meets a fault, and no outage hides a report that was lost.
+
+use super::judge::Mode;
+use super::scenarios::{NEVER_MS, Reload, Scenario, outage_of};
+use super::scripted_discovery::Call;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::{Rng, SeedableRng};
+use std::time::Duration;
+
+/// Longest time from the last event of a scenario to the drain, ms.
+const DRAIN_WITHIN_MS: u64 = 1_500;
+
+struct Draw(Pcg64Mcg);
+
+impl Draw {
+    fn between(&mut self, least: u64, most: u64) -> u64 {
+        least + self.0.next_u64() % (most - least + 1)
+    }
+
+    fn one_in(&mut self, n: u64) -> bool {
+        self.between(1, n) == 1
+    }
+
+    /// What one call meets that may come to nothing.
+    fn fault(&mut self) -> Call {
+        match self.between(0, 7) {
+            0 => Call::Reset,
+            1 => Call::RefusedAtOnce,
+            2 => Call::Busy,
+            3 => Call::Unanswered,
+            4 => Call::HeadOnly,
+            5 => Call::CutInList,
+            6 => Call::StalledInList,
+            _ => Call::Late(self.between(50, 900)),
+        }
+    }
+
+    /// How a watch loses the report of the drain, or does not live to bring it.
+    fn lost_watch(&mut self) -> Call {
+        match self.between(0, 3) {
+            0 => Call::EndedInPlaceOfReport(self.between(0, 400)),
+            1 => Call::ResetInPlaceOfReport(self.between(0, 400)),
+            2 => Call::SilentAfterList,
+            _ => Call::EndedAfterList(self.between(300, 2_500)),
+        }
+    }
+
+    fn outage(&mut self) -> Scenario {
+        let from = if self.one_in(3) { 0 } else { self.between(300, 3_000) };
+        let until = from + self.between(300, 11_000);
+        let call = if self.one_in(2) { Call::Reset } else { Call::RefusedAtOnce };
+        let calls = if from == 0 { vec![self.fault()] } else { vec![Call::Sound, self.fault()] };
+        let drain = until + self.between(0, DRAIN_WITHIN_MS);
+        let scenario = Scenario::new(Mode::OnRequest, drain, &calls);
+        Scenario { outage: Some(outage_of(from, until, call)), ..scenario }
+    }
+
+    fn lost_report(&mut self) -> Scenario {
+        let calls = [self.lost_watch(), self.fault()];
+        Scenario::new(Mode::OnRequest, self.between(400, 3_000), &calls)
+    }
+
+    fn pushed(&mut self) -> Scenario {
+        let calls = [Call::EndedAfterList(self.between(300, 1_500)), self.fault()];
+        let faults: &[Call] = if calls[1] == Call::Busy { &calls[..1] } else { &calls };
+        Scenario::new(Mode::Pushed, self.between(400, 3_000), faults)
+    }
+
+    fn reload(&mut self) -> Scenario {
+        let reload_ms = self.between(800, 4_000);
+        let at = Duration::from_millis(reload_ms);
+        let half = self.one_in(3).then(|| Duration::from_millis(self.between(100, 1_200)));
+        let reload = Reload { at, calls: vec![self.fault()], file_is_whole_after: half };
+        let is_down = self.one_in(2);
+        let outage = outage_of(if is_down { 300 } else { NEVER_MS }, NEVER_MS, Call::Reset);
+        let drain = reload_ms + self.between(0, 2_500);
+        let scenario = Scenario::new(Mode::OnRequest, drain, &[]);
+        Scenario { reload: Some(reload), outage: Some(outage), ..scenario }
+    }
+}
+
+/// The scenario of a seed.
+pub fn scenario(seed: u64) -> Scenario {
+    let mut draw = Draw(Pcg64Mcg::seed_from_u64(seed));
+    let scenario = match draw.between(0, 3) {
+        0 => draw.outage(),
+        1 => draw.lost_report(),
+        2 => draw.pushed(),
+        _ => draw.reload(),
+    };
+    Scenario { seed, turns_away: draw.one_in(4) && scenario.drain_at > Duration::from_secs(1), ..scenario }
+}
--- a/tests/discovery_faults/main.rs
+++ b/tests/discovery_faults/main.rs
@@ -4,6 +4,7 @@
 //! Each scenario is a process of its own; those of one test run at once.
 
 mod broker_process;
+mod drawn;
 mod judge;
 mod scenarios;
 mod scripted_discovery;
@@ -68,3 +69,25 @@
 fn drain_behind_a_lost_report_and_an_outage_is_kept() {
     judge_all(Scenario::lost_reports_before_an_outage());
 }
+
+/// Discovery writes its lists in pieces, some of which end within a number.
+#[test]
+fn drain_in_a_list_that_is_cut_in_numbers_is_kept() {
+    judge_all(Scenario::lists_cut_in_numbers());
+}
+
+/// Seeds of the combinations that are played in CI. By hand others: `DRAWN_SEEDS=FIRST..LAST`.
+const DRAWN_SEEDS: std::ops::Range<u64> = 1..25;
+
+/// Faults before, at and behind the drain, drawn by seed.
+#[test]
+fn drain_is_kept_under_faults_drawn_by_seed() {
+    let by_hand = std::env::var("DRAWN_SEEDS").ok().map(|text| {
+        let (first, last) = text.split_once("..").expect("FIRST..LAST");
+        first.parse().unwrap()..last.parse().unwrap()
+    });
+    let seeds: Vec<u64> = by_hand.unwrap_or(DRAWN_SEEDS).collect();
+    judge_groups(
+        seeds.chunks(24).map(|group| group.iter().map(|seed| drawn::scenario(*seed)).collect()).collect(),
+    );
+}
--- a/tests/discovery_faults/scenarios.rs
+++ b/tests/discovery_faults/scenarios.rs
@@ -21,7 +21,7 @@
 const NOTICE: Duration = Duration::from_millis(500);
 
 /// Later than the end of any scenario.
-const NEVER_MS: u64 = 60_000;
+pub const NEVER_MS: u64 = 60_000;
 
 /// Calls that come to nothing, without a word of the list.
 const FAILING_CALLS: [Call; 4] = [Call::Reset, Call::Unanswered, Call::Busy, Call::HeadOnly];
@@ -29,32 +29,33 @@
 /// One run of a broker.
 #[derive(Clone, Debug)]
 pub struct Scenario {
-    mode: Mode,
+    pub mode: Mode,
     /// When the server begins to drain, after the start.
-    drain_at: Duration,
-    calls: Vec<Call>,
+    pub drain_at: Duration,
+    pub calls: Vec<Call>,
     /// The server turns new parts away from a moment before discovery learns of its drain. Otherwise it serves on.
-    turns_away: bool,
+    pub turns_away: bool,
     /// The others then turn most parts away, as under load. Otherwise they serve on.
-    is_crowded: bool,
-    outage: Option<Outage>,
-    reload: Option<Reload>,
+    pub is_crowded: bool,
+    pub outage: Option<Outage>,
+    pub reload: Option<Reload>,
     /// Of the broker's random choices.
-    seed: u64,
-    run_after_drain: Duration,
+    pub seed: u64,
+    pub run_after_drain: Duration,
 }
 
 /// A new configuration: another discovery, and what the first calls there meet.
 #[derive(Clone, Debug)]
-struct Reload {
-    at: Duration,
-    calls: Vec<Call>,
+pub struct Reload {
+    pub at: Duration,
+    pub calls: Vec<Call>,
     /// The signal comes while half of the file is written; the rest follows after this time, without a signal.
-    file_is_whole_after: Option<Duration>,
+    pub file_is_whole_after: Option<Duration>,
 }
 
 impl Scenario {
-    fn new(mode: Mode, drain_ms: u64, calls: &[Call]) -> Scenario {
+    /// A server begins to drain after so long, and calls to discovery meet this.
+    pub fn new(mode: Mode, drain_ms: u64, calls: &[Call]) -> Scenario {
         let drain_at = Duration::from_millis(drain_ms);
         Scenario {
             mode,
@@ -226,6 +227,18 @@
         scenarios
     }
 
+    /// Each list behind an outage or a reload comes in pieces that end within numbers.
+    pub fn lists_cut_in_numbers() -> Vec<Scenario> {
+        let calls = [Call::CutInNumbers(30); 40];
+        let outage = Some(outage_of(0, 1_000, Call::Reset));
+        let after_outage = Scenario { outage, ..Scenario::new(Mode::OnRequest, 900, &calls) };
+        let at = Duration::from_millis(1_500);
+        let reload = Some(Reload { at, calls: calls.to_vec(), file_is_whole_after: None });
+        let after_reload = Scenario { reload, ..Scenario::new(Mode::OnRequest, 3_200, &[]) };
+        let after_watch = [&[Call::EndedInPlaceOfReport(100)][..], &calls].concat();
+        vec![after_outage, after_reload, Scenario::new(Mode::OnRequest, 1_400, &after_watch)]
+    }
+
     /// The agent that pushes the list does not answer, at the start or behind a watch that ended.
     pub fn unanswered_calls_of_an_agent() -> Vec<Scenario> {
         let mut scenarios = Vec::new();
@@ -367,7 +380,7 @@
     outcomes.filter_map(line).collect()
 }
 
-fn outage_of(from_ms: u64, until_ms: u64, call: Call) -> Outage {
+pub fn outage_of(from_ms: u64, until_ms: u64, call: Call) -> Outage {
     Outage { from: Duration::from_millis(from_ms), until: Duration::from_millis(until_ms), call }
 }
 
--- a/tests/discovery_faults/scripted_discovery.rs
+++ b/tests/discovery_faults/scripted_discovery.rs
@@ -40,6 +40,8 @@
     StalledInList,
     /// A list in pieces, so many milliseconds apart.
     Pieces(u64),
+    /// A list in pieces, so many milliseconds apart, each of which ends within a number.
+    CutInNumbers(u64),
     /// 503 at once, as from a service that is down behind its address.
     RefusedAtOnce,
     /// The whole list as it was before the drain, with its version of then, and no word of a change: an instance that lags
@@ -258,6 +260,16 @@
             write_list(&mut stream, directory, Duration::from_millis(ms))?;
             report_changes(stream, watched, true)
         }
+        Call::CutInNumbers(ms) => {
+            head(&mut stream)?;
+            let (text, drained) = directory.list();
+            directory.reports.written(Instant::now(), drained);
+            for piece in text.split_inclusive("1.") {
+                chunk(&mut stream, piece)?;
+                std::thread::sleep(Duration::from_millis(ms));
+            }
+            report_changes(stream, watched, drained)
+        }
         Call::RefusedAtOnce => {
             fails(Duration::ZERO);
             write!(stream, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").ok()
--- a/tests/races/lists.rs
+++ b/tests/races/lists.rs
@@ -87,6 +87,30 @@
     }
 }
 
+/// A list with all that discovery may write, also fields that the broker does not read: a piece of it may end behind any
+/// byte, within a number too.
+#[test]
+fn list_is_read_byte_by_byte() {
+    let script = Script::default();
+    let nodes: Vec<_> = (0..3).map(|n| (node(Wire::Http, n, script.clone()), Wire::Http)).collect();
+    let (discovery, watches) = handed_over();
+    let s = serve_told(&platform_config(&nodes, 100, Some(discovery)), script);
+    let (_, mut watch) = watches.recv_timeout(HUNG).expect("no watch");
+    begin(&mut watch);
+    chunk(&mut watch, "\n");
+    let unread =
+        r#""weight": 1.0, "load": -2.5e-3, "tags": ["\u00e9\n", null, true, -0], "started_ms": 0, "cell""#;
+    let text = drain_of_1(8, nodes[1].0).replace("\"cell\"", unread);
+    watch.set_nodelay(true).unwrap();
+    for byte in 0..text.len() {
+        chunk(&mut watch, &text[byte..=byte]);
+        // Each byte arrives by itself.
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    assert!(hears_of_the_drain(&s));
+    assert!(watches.try_recv().is_err(), "the watch was taken for a broken one");
+}
+
 /// What a silent watch misses counts as told 6 s after its last line, also where the settings want the list asked for once in
 /// two minutes only.
 #[test]
