Read a list on when its piece ends within a number, and ask at once after a bad one

Where a field is skipped a number that is cut is called an invalid one, so a sound list was thrown away when a piece of it ended behind "weight":1.

Those waits grow (membership::retry_pacing), so that a discovery which only ever sends bad lists is not called without a pause.

--- a/src/membership/retry_pacing.rs
+++ b/src/membership/retry_pacing.rs
@@ -29,7 +29,7 @@
 /// Share of a drain's grace that the wait may take while a grace may be running: the wait, the dial and the
 /// answer have to fit in it.
 const URGENT_WAIT_SHARE: Nanos = 4;
-/// Share of an urgent wait that passes before a list that was lost is asked for anew.
+/// Share of an urgent wait that passes at first before a list that was lost is asked for anew.
 const LOST_LIST_WAIT_DIVISOR: Nanos = 8;
 
 /// What a call that failed says of discovery.
@@ -48,6 +48,7 @@
 pub struct RetryPacing {
     unreachable: PollBackoff,
     unanswered: PollBackoff,
+    list_lost: PollBackoff,
     /// While the grace of a drain may be running.
     urgent: PollBackoff,
 }
@@ -66,6 +67,11 @@
         RetryPacing {
             unreachable: PollBackoff::new(urgent, longest_unreachable, seed),
             unanswered: PollBackoff::new(FIRST_CROWDED_WAIT, longest_crowded, seed.rotate_left(1)),
+            list_lost: PollBackoff::new(
+                urgent / LOST_LIST_WAIT_DIVISOR,
+                longest_unreachable,
+                seed.rotate_left(2),
+            ),
             urgent: PollBackoff::new(urgent, urgent, !seed),
         }
     }
@@ -78,6 +84,7 @@
         RetryPacing {
             unreachable: constant(seed),
             unanswered: constant(seed.rotate_left(1)),
+            list_lost: PollBackoff::new(urgent / LOST_LIST_WAIT_DIVISOR, urgent, seed.rotate_left(2)),
             urgent: constant(!seed),
         }
     }
@@ -93,7 +100,7 @@
         let wait = match failure {
             CallFailure::Unreachable => self.unreachable.on_failure(),
             CallFailure::Unanswered => self.unanswered.on_failure(),
-            CallFailure::ListLost => return urgent / LOST_LIST_WAIT_DIVISOR,
+            CallFailure::ListLost => self.list_lost.on_failure(),
         };
         if is_urgent { wait.min(urgent) } else { wait }
     }
@@ -102,5 +109,6 @@
     pub fn reset(&mut self) {
         self.unreachable.on_success();
         self.unanswered.on_success();
+        self.list_lost.on_success();
     }
 }
--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -39,6 +39,19 @@
     ChangesOlderThanList,
 }
 
+impl WatchError {
+    /// Whether a list was written that can't be used.
+    fn is_of_a_list(&self) -> bool {
+        matches!(
+            self,
+            WatchError::List(_)
+                | WatchError::ListIncomplete
+                | WatchError::LineTooLong
+                | WatchError::ChangesOlderThanList
+        )
+    }
+}
+
 /// Where in the response a watch is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ListProgress {
@@ -83,7 +96,7 @@
         let mut lists = serde_json::Deserializer::from_slice(self.reader.body()).into_iter::<EndpointList>();
         let list = match lists.next() {
             Some(Ok(list)) => list,
-            Some(Err(error)) if !error.is_eof() => return Err(error.into()),
+            Some(Err(error)) if !is_at_end(&error, self.reader.body()) => return Err(error.into()),
             Some(Err(_)) if response_ended => return Err(WatchError::ListIncomplete),
             None if response_ended => return Err(WatchError::ResponseEnded),
             // The rest of it is still to come.
@@ -95,6 +108,17 @@
     }
 }
 
+/// Whether the parser failed at the end of what has come, so that more may mend it.
+///
+/// Its category of an error is no guide: it calls a number that is cut an invalid one where the field is
+/// skipped. An error that is none for want of more bytes lies before the end as soon as more have come.
+fn is_at_end(error: &serde_json::Error, text: &[u8]) -> bool {
+    let lines_before = error.line().saturating_sub(1);
+    let line_start: usize =
+        text.split_inclusive(|byte| *byte == b'\n').take(lines_before).map(<[u8]>::len).sum();
+    error.is_eof() || line_start + error.column() >= text.len()
+}
+
 /// The client side of the watch on discovery.
 pub struct DiscoveryWatch {
     /// The owner under which its connections are registered at the poll loop.
@@ -191,9 +215,10 @@
 
     /// Closes a call that has ended.
     fn end(&mut self, id: CallId, error: WatchError, now: Nanos, net: &mut PollLoop) {
-        match error {
-            WatchError::ChangesOlderThanList => self.schedule.rejected(id, now),
-            _ => self.schedule.ended(id, now),
+        if error.is_of_a_list() {
+            self.schedule.rejected(id, now);
+        } else {
+            self.schedule.ended(id, now);
         }
         let Some(index) = self.calls.iter().position(|call| call.id == id) else { return };
         let call = self.calls.remove(index);
