--- a/tests/discovery_faults/broker_process.rs
+++ b/tests/discovery_faults/broker_process.rs
@@ -50,8 +50,19 @@
 
     /// Tells it to read its configuration again.
     pub fn reload(&self) {
+        self.signal("-HUP");
+    }
+
+    /// Stops it for this long.
+    pub fn hold_up(&self, time: Duration) {
+        self.signal("-STOP");
+        std::thread::sleep(time);
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, name: &str) {
         let process = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-HUP", &process]).status().unwrap().success());
+        assert!(Command::new("kill").args([name, &process]).status().unwrap().success());
     }
 
     /// What it logged, for a test that fails.
--- a/tests/discovery_faults/drawn.rs
+++ b/tests/discovery_faults/drawn.rs
@@ -26,7 +26,7 @@
 
     /// What one call meets that may come to nothing.
     fn fault(&mut self) -> Call {
-        match self.between(0, 7) {
+        match self.between(0, 8) {
             0 => Call::Reset,
             1 => Call::RefusedAtOnce,
             2 => Call::Busy,
@@ -34,6 +34,7 @@
             4 => Call::HeadOnly,
             5 => Call::CutInList,
             6 => Call::StalledInList,
+            7 => Call::CutInNumbers(self.between(1, 60)),
             _ => Call::Late(self.between(50, 900)),
         }
     }
@@ -73,12 +74,16 @@
         let reload_ms = self.between(800, 4_000);
         let at = Duration::from_millis(reload_ms);
         let half = self.one_in(3).then(|| Duration::from_millis(self.between(100, 1_200)));
-        let reload = Reload { at, calls: vec![self.fault()], file_is_whole_after: half };
+        let mut reloads = vec![Reload { at, calls: vec![self.fault()], file_is_whole_after: half }];
+        if half.is_none() && self.one_in(2) {
+            let at = at + Duration::from_millis(self.between(50, 1_000));
+            reloads.push(Reload { at, calls: vec![self.fault()], file_is_whole_after: None });
+        }
         let is_down = self.one_in(2);
         let outage = outage_of(if is_down { 300 } else { NEVER_MS }, NEVER_MS, Call::Reset);
         let drain = reload_ms + self.between(0, 2_500);
         let scenario = Scenario::new(Mode::OnRequest, drain, &[]);
-        Scenario { reload: Some(reload), outage: Some(outage), ..scenario }
+        Scenario { reloads, outage: Some(outage), ..scenario }
     }
 }
 
@@ -91,5 +96,7 @@
         2 => draw.pushed(),
         _ => draw.reload(),
     };
-    Scenario { seed, turns_away: draw.one_in(4) && scenario.drain_at > Duration::from_secs(1), ..scenario }
+    let turns_away = draw.one_in(4) && scenario.drain_at > Duration::from_secs(1);
+    let is_held_up = draw.one_in(2);
+    Scenario { seed, turns_away, is_held_up, ..scenario }
 }
--- a/tests/discovery_faults/scenarios.rs
+++ b/tests/discovery_faults/scenarios.rs
@@ -20,6 +20,10 @@
 /// Time after which discovery learns that a server drains.
 const NOTICE: Duration = Duration::from_millis(500);
 
+/// How long a broker may be held up, and how long it runs in between.
+const HOLD_UP: Duration = Duration::from_millis(150);
+const BETWEEN_HOLD_UPS: Duration = Duration::from_millis(370);
+
 /// Later than the end of any scenario.
 pub const NEVER_MS: u64 = 60_000;
 
@@ -38,7 +42,10 @@
     /// The others then turn most parts away, as under load. Otherwise they serve on.
     pub is_crowded: bool,
     pub outage: Option<Outage>,
-    pub reload: Option<Reload>,
+    /// New configurations, one after the other.
+    pub reloads: Vec<Reload>,
+    /// The process is stopped for `HOLD_UP` again and again.
+    pub is_held_up: bool,
     /// Of the broker's random choices.
     pub seed: u64,
     pub run_after_drain: Duration,
@@ -64,7 +71,8 @@
             turns_away: false,
             is_crowded: false,
             outage: None,
-            reload: None,
+            reloads: Vec::new(),
+            is_held_up: false,
             seed: 0x1f,
             run_after_drain: RUN_AFTER_DRAIN,
         }
@@ -180,10 +188,10 @@
                     [(1_500, 12_000, 13_600), (NEVER_MS, 3_000, 3_100), (NEVER_MS, 3_000, 4_600)]
                 {
                     let at = Duration::from_millis(reload_ms);
-                    let reload = Some(Reload { at, calls: vec![first, second], file_is_whole_after: None });
+                    let reloads = vec![Reload { at, calls: vec![first, second], file_is_whole_after: None }];
                     let scenario = Scenario::new(Mode::OnRequest, drain_ms, &[]);
                     let outage = Some(outage_of(outage_ms, NEVER_MS, Call::Reset));
-                    scenarios.push(Scenario { outage, reload, seed, ..scenario });
+                    scenarios.push(Scenario { outage, reloads, seed, ..scenario });
                 }
             }
         }
@@ -198,7 +206,7 @@
             file_is_whole_after: Some(Duration::from_millis(700)),
         };
         let scenario = Scenario::new(Mode::OnRequest, 5_000, &[]);
-        vec![Scenario { reload: Some(reload), ..scenario }]
+        vec![Scenario { reloads: vec![reload], ..scenario }]
     }
 
     /// A watch ends in place of reporting, and nobody answers the next call. The server goes on accepting.
@@ -233,8 +241,8 @@
         let outage = Some(outage_of(0, 1_000, Call::Reset));
         let after_outage = Scenario { outage, ..Scenario::new(Mode::OnRequest, 900, &calls) };
         let at = Duration::from_millis(1_500);
-        let reload = Some(Reload { at, calls: calls.to_vec(), file_is_whole_after: None });
-        let after_reload = Scenario { reload, ..Scenario::new(Mode::OnRequest, 3_200, &[]) };
+        let reloads = vec![Reload { at, calls: calls.to_vec(), file_is_whole_after: None }];
+        let after_reload = Scenario { reloads, ..Scenario::new(Mode::OnRequest, 3_200, &[]) };
         let after_watch = [&[Call::EndedInPlaceOfReport(100)][..], &calls].concat();
         vec![after_outage, after_reload, Scenario::new(Mode::OnRequest, 1_400, &after_watch)]
     }
@@ -275,7 +283,8 @@
         let clients = if self.is_crowded { CLIENTS_OF_A_CROWD } else { CLIENTS };
         let answers = std::thread::scope(|scope| {
             let client = scope.spawn(|| broker.query_for(self.drain_at + self.run_after_drain, clients));
-            self.reload(&broker, &directory, &service, started);
+            scope.spawn(|| self.hold_up(&broker, started + self.drain_at + self.run_after_drain));
+            scope.spawn(|| self.reload(&broker, &directory, service, started));
             if self.turns_away {
                 sleep_until(started + self.drain_at - NOTICE);
                 script.set(&[1], &[0, 1, 2], Act::Busy);
@@ -295,28 +304,37 @@
         platform_config(&directory.servers, service.addr, self.mode, self.seed)
     }
 
-    /// Gives the broker its new configuration, if the scenario has one.
-    fn reload(
-        &self,
-        broker: &BrokerProcess,
-        directory: &Arc<Directory>,
-        service: &Service,
-        started: Instant,
-    ) {
-        let Some(reload) = &self.reload else { return };
-        let next = Service::start(directory.clone(), reload.calls.clone(), None);
-        let config = self.config(directory, &next);
-        sleep_until(started + reload.at);
-        service.move_away();
-        directory.reports.moved(Instant::now());
-        let Some(whole_after) = reload.file_is_whole_after else {
-            broker.write_config(&config);
-            return broker.reload();
-        };
-        broker.write_config(&config[..config.len() / 2]);
-        broker.reload();
-        std::thread::sleep(whole_after);
-        broker.write_config(&config);
+    /// Gives the broker its new configurations.
+    fn reload(&self, broker: &BrokerProcess, directory: &Arc<Directory>, first: Service, started: Instant) {
+        let mut current = first;
+        for reload in &self.reloads {
+            let next = Service::start(directory.clone(), reload.calls.clone(), None);
+            let config = self.config(directory, &next);
+            sleep_until(started + reload.at);
+            current.move_away();
+            directory.reports.moved(Instant::now());
+            match reload.file_is_whole_after {
+                None => {
+                    broker.write_config(&config);
+                    broker.reload();
+                }
+                Some(whole_after) => {
+                    broker.write_config(&config[..config.len() / 2]);
+                    broker.reload();
+                    std::thread::sleep(whole_after);
+                    broker.write_config(&config);
+                }
+            }
+            current = next;
+        }
+    }
+
+    /// Stops the broker for a moment again and again, as a busy machine does, until the time is over.
+    fn hold_up(&self, broker: &BrokerProcess, until: Instant) {
+        while self.is_held_up && Instant::now() < until {
+            broker.hold_up(HOLD_UP);
+            std::thread::sleep(BETWEEN_HOLD_UPS);
+        }
     }
 
     fn judge(
