Number calls to discovery in the log, and log steps of the wall clock

Change: a number on each call's lines, a line for the first list of a call with the time it waited, the age of the latest start stamp of each merged list, the time at which the clock starts, and a warning for each step of the wall clock against the monotonic one (looked at once a second while the broker has something to do).

No decision changes.

--- a/src/membership/registry/sources.rs
+++ b/src/membership/registry/sources.rs
@@ -9,6 +9,8 @@
 use crate::membership::{NodeRecord, NodeState, SourcePriority, SourceVersion};
 use std::net::SocketAddr;
 
+const NANOS_PER_MILLI: Nanos = 1_000_000;
+
 /// Most endpoints of one list that are logged one by one.
 const MAX_LOGGED_ENDPOINTS: usize = 8;
 
@@ -201,10 +203,14 @@
         }
         let report = Report { source_version, full: list.full, after_reset, received: now };
         self.view.apply_report(report, list.servers.iter().map(|server| server.record()));
+        // Negative: by its stamp a node starts later than now, so one of the two clocks is wrong.
+        let latest_start_ms = list.servers.iter().map(|server| server.started_ms).max().filter(|ms| *ms > 0);
+        let latest_start_age_ms = latest_start_ms.map(|ms| (now / NANOS_PER_MILLI).wrapping_sub(ms) as i64);
         tracing::info!(
             version = list.version,
             endpoints = list.servers.len(),
             full = list.full,
+            latest_start_age_ms,
             "endpoint list was merged"
         );
     }
--- a/src/membership/watch_schedule.rs
+++ b/src/membership/watch_schedule.rs
@@ -49,6 +49,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallId(u64);
 
+impl CallId {
+    /// The number, for the log.
+    #[must_use]
+    pub fn number(self) -> u64 {
+        self.0
+    }
+}
+
 /// Whether a watch confirms the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListConfirmation {
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -21,9 +21,12 @@
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let offset = OFFSET_SECONDS.get().copied().unwrap_or(0).saturating_mul(1_000_000_000);
-        Clock { base: (unix.as_nanos() as u64).saturating_add_signed(offset), start: Instant::now() }
+        Clock { base: wall_clock(), start: Instant::now() }
+    }
+
+    /// How far the system's wall clock is ahead of this clock, ns: other than about 0 once it was stepped.
+    pub fn wall_clock_lead(&self) -> i64 {
+        wall_clock().wrapping_sub(self.now()) as i64
     }
 
     /// The time now, nanoseconds since the Unix epoch.
@@ -31,3 +34,10 @@
         self.base + self.start.elapsed().as_nanos() as u64
     }
 }
+
+/// The system's wall clock, nanoseconds since the Unix epoch.
+fn wall_clock() -> u64 {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let offset = OFFSET_SECONDS.get().copied().unwrap_or(0).saturating_mul(1_000_000_000);
+    (unix.as_nanos() as u64).saturating_add_signed(offset)
+}
--- a/src/server/broker.rs
+++ b/src/server/broker.rs
@@ -4,6 +4,7 @@
 use super::drain::{DrainPhase, DrainState};
 use super::frontend::{Frontend, FrontendContext};
 use super::query_stats::QueryStats;
+use super::wall_clock_monitor::WallClockMonitor;
 use crate::admin::AdminServer;
 use crate::api::Nanos;
 use crate::cluster::Cluster;
@@ -46,6 +47,7 @@
     /// The longest iteration of the event loop, ns; measured in a cluster only.
     pub(super) longest_iteration: Nanos,
     pub(super) query_stats: QueryStats,
+    pub(super) wall_clock_monitor: WallClockMonitor,
 }
 
 impl<F: Frontend> Broker<F> {
--- a/src/server/builder.rs
+++ b/src/server/builder.rs
@@ -5,7 +5,9 @@
 use super::error::BrokerError;
 use super::frontend::Frontend;
 use super::query_stats::QueryStats;
+use super::wall_clock_monitor::WallClockMonitor;
 use crate::admin::AdminServer;
+use crate::api::Nanos;
 use crate::cluster::Cluster;
 use crate::config::ClusterConfig;
 use crate::engine::QueryEngine;
@@ -14,6 +16,8 @@
 use crate::net::{Clock, PollLoop};
 use std::net::SocketAddr;
 
+const NANOS_PER_MILLI: Nanos = 1_000_000;
+
 /// Collects what a broker consists of. Nothing is opened before [`BrokerBuilder::build`].
 #[must_use = "a builder does nothing until `build` is called"]
 pub struct BrokerBuilder<F: Frontend> {
@@ -79,7 +83,12 @@
             cluster: None,
             applied: None,
             longest_iteration: 0,
+            wall_clock_monitor: WallClockMonitor::default(),
         };
+        tracing::info!(
+            unix_ms = broker.clock.now() / NANOS_PER_MILLI,
+            "clock starts at the wall clock's time"
+        );
         if let Some(address) = self.admin_address {
             broker.open_admin_endpoint(address)?;
         }
--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -202,8 +202,9 @@
             return;
         };
         let since = if self.needs_whole_list { 0 } else { version };
-        tracing::info!(addr = %self.discovery, version = since, "discovery watch begins");
         let id = self.schedule.begun(now);
+        let (call, others) = (id.number(), self.calls.len());
+        tracing::info!(call, addr = %self.discovery, version = since, others, "discovery watch begins");
         let (reader, progress) = (Reader::new(Side::Responses), ListProgress::AwaitingFirstList);
         self.calls.push(Call { id, conn, reader, begun: now, since, progress });
         let request =
@@ -230,6 +231,7 @@
         let next_call_ms = self.schedule.time_to_next_call(now).map(|wait| wait / NANOS_PER_MILLI);
         let list_age_ms = self.schedule.list_age(now).map(|age| age / NANOS_PER_MILLI);
         tracing::warn!(
+            call = id.number(),
             reason = %error,
             progress = ?call.progress,
             answered,
@@ -246,7 +248,7 @@
     /// Closes calls that another has made needless.
     fn close_superseded(&mut self, superseded: &[CallId], net: &mut PollLoop) {
         for call in self.calls.extract_if(.., |call| superseded.contains(&call.id)) {
-            tracing::debug!("discovery call is superseded by another");
+            tracing::debug!(call = call.id.number(), "discovery call is superseded by another");
             net.close(call.conn);
         }
     }
@@ -328,7 +330,7 @@
                 return Err(WatchError::Status(status));
             }
             if call.take_heartbeat() {
-                tracing::debug!("heartbeat of discovery");
+                tracing::debug!(call = id.number(), "heartbeat of discovery");
                 if self.schedule.is_current(id) {
                     registry.on_heartbeat(now);
                 }
@@ -343,6 +345,10 @@
             let is_first = call.progress == ListProgress::AwaitingFirstList;
             call.progress = ListProgress::AwaitingLineEnd;
             let since = call.since;
+            let (call, waited_ms) = (id.number(), now.saturating_sub(call.begun) / NANOS_PER_MILLI);
+            if is_first {
+                tracing::info!(call, waited_ms, version = list.version, "discovery answered");
+            }
             let counts_anew = is_first && !list.full && list.version < registry.version();
             if counts_anew && since > 0 {
                 // Its changes mean nothing without what it had before them.
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -103,6 +103,7 @@
             }
             self.frontend.perform(action, &mut context);
         }
+        self.wall_clock_monitor.check(now, || self.clock.wall_clock_lead());
         self.query_stats.log_if_due(now, context.engine.open_queries(), context.engine.attempts_in_flight());
     }
 
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -26,6 +26,7 @@
 pub mod membership_driver;
 mod query_stats;
 pub mod reload_retry;
+mod wall_clock_monitor;
 
 pub use broker::Broker;
 pub use builder::BrokerBuilder;
