Call a shared discovery once at a time, also for new configurations in a row

Cause: a broker's own calls crowded discovery. It handles calls in turn, also those that were given up, and refuses at once what would wait for over 2 s. A broker began a second call beside each that had no answer after 0.5 s, and one more for each new configuration; so six brokers kept its queue full for 6 s, were refused call after call within 5 ms, and had their lists 8 s after the drain. A refusal does not tell which call it is of: the second call's refusal ended the first one, which would have been answered.

Change: at a discovery that other brokers call too, no call begins beside one without an answer; a call to another address waits until those to the addresses before are answered, ended, or 2 s old. After a watch that stood for 0.5 s or more and ended, fleets of up to 16 call within 25 to 100 ms in place of 125 to 500: a queue of one call each is not shorter for waits. A broker alone, and one with an agent of its own, call as before.

--- a/src/membership/retry_pacing.rs
+++ b/src/membership/retry_pacing.rs
@@ -31,12 +31,18 @@
 const URGENT_WAIT_SHARE: Nanos = 4;
 /// Share of an urgent wait that passes at first before a list that was lost is asked for anew.
 const LOST_LIST_WAIT_DIVISOR: Nanos = 8;
+/// Most brokers that call at once when all their watches end: a queue of one call each is not shorter for waits.
+const MOST_CALLING_AT_ONCE: Nanos = 16;
+/// Share of an urgent wait that passes before they do.
+const WATCH_ENDED_WAIT_DIVISOR: Nanos = 5;
 
 /// What a call that failed says of discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallFailure {
-    /// It can't be reached, or a watch ended: the call did not wait in its queue.
+    /// It can't be reached: the call did not wait in its queue.
     Unreachable,
+    /// A watch ended that had stood for a while, perhaps in place of reporting a drain.
+    WatchEnded,
     /// It is crowded, or answers nobody: the call waited in vain.
     Unanswered,
     /// A list was written that did not arrive whole, or can't be used.
@@ -51,6 +57,8 @@
     list_lost: PollBackoff,
     /// While the grace of a drain may be running.
     urgent: PollBackoff,
+    /// Discovery is called at once after a watch that ended.
+    calls_at_once: bool,
 }
 
 impl RetryPacing {
@@ -73,6 +81,7 @@
                 seed.rotate_left(2),
             ),
             urgent: PollBackoff::new(urgent, urgent, !seed),
+            calls_at_once: brokers <= MOST_CALLING_AT_ONCE,
         }
     }
 
@@ -86,6 +95,7 @@
             unanswered: constant(seed.rotate_left(1)),
             list_lost: PollBackoff::new(urgent / LOST_LIST_WAIT_DIVISOR, urgent, seed.rotate_left(2)),
             urgent: constant(!seed),
+            calls_at_once: true,
         }
     }
 
@@ -98,7 +108,8 @@
     pub fn wait_after(&mut self, failure: CallFailure, is_urgent: bool) -> Nanos {
         let urgent = self.urgent.on_failure();
         let wait = match failure {
-            CallFailure::Unreachable => self.unreachable.on_failure(),
+            CallFailure::WatchEnded if self.calls_at_once => urgent / WATCH_ENDED_WAIT_DIVISOR,
+            CallFailure::Unreachable | CallFailure::WatchEnded => self.unreachable.on_failure(),
             CallFailure::Unanswered => self.unanswered.on_failure(),
             CallFailure::ListLost => self.list_lost.on_failure(),
         };
--- a/src/membership/watch_schedule.rs
+++ b/src/membership/watch_schedule.rs
@@ -8,8 +8,10 @@
 //! - a watch that seems silent is kept while the next call is under way, and what answers first stays;
 //! - so is the watch of an earlier configuration, until the new address answers;
 //! - a list that stops in the middle is asked for anew at once: it may have reported a drain already;
-//! - a call is given up as soon as discovery would have refused it, and where discovery can bear that, another
-//!   begins beside it before;
+//! - a call is given up as soon as discovery would have refused it;
+//! - at a discovery that other brokers call too, no other begins beside it: that would wait behind it in the queue, be
+//!   handled even once it was given up, and delay the lists of all brokers. Neither does one for each of several new
+//!   configurations in a row;
 //! - waits after calls that failed are bounded: see [`RetryPacing`].
 //!
 //! No I/O and no clock: the owner of the connections reports what happened, and does what is due.
@@ -34,16 +36,20 @@
 const URGENT_PERIOD: Nanos = 8_000_000_000;
 /// A call that fails before this age did not wait in discovery's queue, ns.
 const QUEUED_CALL_AGE: Nanos = 500_000_000;
+/// How long a call may wait in discovery's queue, ns, whether or not its caller has given it up.
+const QUEUE_PATIENCE: Nanos = 2_000_000_000;
+/// A watch that stood for less tells little of the next one when it ends, ns.
+const LEAST_WATCH_AGE: Nanos = 500_000_000;
 
 /// Share of a drain's grace after which another call begins beside one that has no answer.
 const HEDGE_DELAY_SHARE: Nanos = 4;
 /// Most calls without an answer at once, at an agent that answers at once and pushes its list.
 const MAX_UNANSWERED_AT_AGENT: usize = 3;
-/// The same at a discovery that a small fleet shares.
-const MAX_UNANSWERED_IN_SMALL_FLEET: usize = 2;
-/// Most brokers of a small fleet. Discovery handles calls in turn, also those whose callers have given up: one
-/// more call of each of so many is little to it.
-const SMALL_FLEET: u32 = 16;
+/// The same at a discovery that no other broker calls.
+const MAX_UNANSWERED_ALONE: usize = 2;
+/// The same at one that others call. Each of their watches may end in one moment, and then a second call of each doubles
+/// the time until the last of them has its list.
+const MAX_UNANSWERED_AT_SHARED_DISCOVERY: usize = 1;
 
 /// Number of a call to discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -117,6 +123,8 @@
     /// Most calls without an answer at once.
     max_unanswered: usize,
     pacing: RetryPacing,
+    /// Other brokers call the same discovery.
+    is_shared: bool,
     /// A call waited in vain since the last list: discovery is crowded, and gets no second calls.
     is_crowded: bool,
     /// The oldest first.
@@ -136,9 +144,12 @@
     /// established, ns. `grace`: time after the report of a drain in which attempts must cease, ns.
     #[must_use]
     pub fn for_shared_discovery(dial_timeout: Nanos, grace: Nanos, brokers: u32, seed: u64) -> WatchSchedule {
-        let max_unanswered = if brokers <= SMALL_FLEET { MAX_UNANSWERED_IN_SMALL_FLEET } else { 1 };
+        let is_shared = brokers > 1;
+        let max_unanswered =
+            if is_shared { MAX_UNANSWERED_AT_SHARED_DISCOVERY } else { MAX_UNANSWERED_ALONE };
         let pacing = RetryPacing::for_shared_discovery(grace, brokers, seed);
-        WatchSchedule::new(dial_timeout, grace, max_unanswered, pacing)
+        let schedule = WatchSchedule::new(dial_timeout, grace, max_unanswered, pacing);
+        WatchSchedule { is_shared, ..schedule }
     }
 
     /// Calls to an agent of this broker's own that pushes its list: soon after each failure.
@@ -155,6 +166,7 @@
             hedge_delay: grace / HEDGE_DELAY_SHARE,
             max_unanswered,
             pacing,
+            is_shared: false,
             is_crowded: false,
             calls: Vec::new(),
             next_id: 0,
@@ -178,8 +190,8 @@
         self.request(now + wait);
     }
 
-    /// Discovery is elsewhere: it is called at once. Calls that are under way are kept until it answers: what
-    /// they bring until then was reported.
+    /// Discovery is elsewhere: it is called at once, or once the calls to the addresses before have left the queue that
+    /// may be the same. Calls that are under way are kept until it answers: what they bring until then was reported.
     pub fn restart(&mut self, now: Nanos) {
         self.calls.iter_mut().for_each(|call| call.is_retired = true);
         self.note_lost_watch(now);
@@ -256,7 +268,9 @@
     /// When the next call begins, as things stand.
     fn next_call_at(&self) -> Option<Nanos> {
         let not_before = self.not_before?;
-        let Some(newest) = self.current_calls().next_back() else { return Some(not_before) };
+        let Some(newest) = self.current_calls().next_back() else {
+            return Some(self.queue_left_at().map_or(not_before, |at| at.max(not_before)));
+        };
         let at = match newest.phase {
             _ if newest.in_list => {
                 (self.calls.len() < MAX_PARTIAL_CALLS).then_some(newest.heard + PARTIAL_LIST_TIMEOUT)
@@ -268,6 +282,12 @@
         at.map(|at| at.max(not_before))
     }
 
+    /// When the last call to an earlier address has left the queue of a shared discovery, if one may still wait there.
+    fn queue_left_at(&self) -> Option<Nanos> {
+        let waiting = self.calls.iter().filter(|call| call.is_retired && !call.is_established());
+        waiting.map(|call| call.begun + QUEUE_PATIENCE).max().filter(|_| self.is_shared)
+    }
+
     /// Whether one more call may begin beside those without an answer.
     fn may_hedge(&self) -> bool {
         let unanswered = self.current_calls().filter(|call| !call.is_established()).count();
@@ -320,8 +340,11 @@
     /// A whole list came on a call, which is the watch from now on, unless it is one to an earlier discovery.
     /// Gives the other calls, which have ended and are to be closed.
     pub fn on_list(&mut self, id: CallId, now: Nanos) -> Vec<CallId> {
-        let Some(call) = self.call_mut(id).filter(|call| !call.is_retired) else { return Vec::new() };
+        let Some(call) = self.call_mut(id) else { return Vec::new() };
         call.phase = Phase::Established;
+        if call.is_retired {
+            return Vec::new();
+        }
         self.confirmation = ListConfirmation::Watched;
         self.pacing.reset();
         self.is_crowded = false;
@@ -332,11 +355,15 @@
     /// An empty line came on a call, which is the watch from now on: on one that was the watch before, it
     /// confirms the list. Gives the other calls, which have ended and are to be closed.
     pub fn on_heartbeat(&mut self, id: CallId, now: Nanos) -> Vec<CallId> {
-        let Some(call) = self.call_mut(id).filter(|call| !call.is_retired) else { return Vec::new() };
-        if call.is_established() {
+        let Some(call) = self.call_mut(id) else { return Vec::new() };
+        let was_established = call.is_established();
+        call.phase = Phase::Established;
+        if call.is_retired {
+            return Vec::new();
+        }
+        if was_established {
             self.confirmed = Some(now);
         } else {
-            call.phase = Phase::Established;
             self.confirmation = ListConfirmation::Watched;
         }
         self.keep_only(id)
@@ -355,6 +382,7 @@
         let failure = match call {
             // A drain may have been written on it that did not arrive whole: its grace is running.
             Call { in_list: true, .. } => CallFailure::ListLost,
+            _ if call.is_established() && now >= call.begun + LEAST_WATCH_AGE => CallFailure::WatchEnded,
             _ if call.is_established() || now < call.begun + QUEUED_CALL_AGE => CallFailure::Unreachable,
             _ => CallFailure::Unanswered,
         };
