--- a/tests/membership_registry/main.rs
+++ b/tests/membership_registry/main.rs
@@ -5,4 +5,5 @@
 mod peer_hints;
 mod snapshots;
 mod sources;
+mod start_stamps;
 mod trust;
