Take a start that is learned live for 2 s old at most, whatever the clock says

Cause: a broker's clock begins at its machine's wall clock, which may have been stepped, and the stamps of starts are wall-clock times of other machines. With the clock ahead a node that had just started was taken for a warm one.

Change: registry::start_stamps keeps each node's stamp; one that changes while the list is live is a new start, by this clock 0 to 2 s ago; within that the stamp tells. Stored, configured and first lists hold as before.

--- a/src/membership/endpoint_list.rs
+++ b/src/membership/endpoint_list.rs
@@ -1,6 +1,7 @@
 //! The endpoint list in discovery's own form, as it is sent and as the configuration carries it.
 
 use super::{NodeRecord, NodeState};
+use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
 
 /// A full endpoint list, or the changes of one.
@@ -41,6 +42,12 @@
 }
 
 impl Endpoint {
+    /// Unix time of the process start, ns; 0: long ago.
+    #[must_use]
+    pub fn started(&self) -> Nanos {
+        self.started_ms.saturating_mul(1_000_000)
+    }
+
     /// The endpoint as a record of the node. An address that can't be parsed counts as none.
     #[must_use]
     pub fn record(&self) -> NodeRecord {
@@ -51,7 +58,7 @@
             kind: self.kind.clone(),
             cell: self.cell,
             state: self.state,
-            started: self.started_ms.saturating_mul(1_000_000),
+            started: self.started(),
         }
     }
 }
--- a/src/membership/registry/mod.rs
+++ b/src/membership/registry/mod.rs
@@ -5,7 +5,7 @@
 //! - [`reconciliation`] compares the merged view with what was announced, and [`admission`] decides which of
 //!   the ready nodes get work;
 //! - [`node_table`] has the tracked nodes and the changes to announce;
-//! - [`directory_state`], [`latency_window`], [`placement`] and [`snapshot_schedule`] each hold one piece of
+//! - [`directory_state`], [`latency_window`], [`placement`], [`snapshot_schedule`] and [`start_stamps`] each hold one piece of
 //!   state.
 
 mod admission;
@@ -19,6 +19,7 @@
 mod snapshot_schedule;
 mod snapshots;
 mod sources;
+mod start_stamps;
 mod status;
 mod tracked_node;
 
@@ -33,6 +34,7 @@
 use latency_window::LatencyWindow;
 use node_table::NodeTable;
 use snapshot_schedule::SnapshotSchedule;
+use start_stamps::StartStamps;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use tracked_node::TrackedNode;
@@ -44,6 +46,7 @@
     view: MergedView,
     nodes: NodeTable,
     directory: DirectoryState,
+    start_stamps: StartStamps,
     /// Number of times that the operator's file was read.
     operator_version: u64,
     /// When the first unconfirmed node was seen.
@@ -77,6 +80,7 @@
             view: MergedView::default(),
             nodes: NodeTable::default(),
             directory: DirectoryState::default(),
+            start_stamps: StartStamps::default(),
             operator_version: 0,
             probation_start: None,
             warmed_up: Vec::new(),
--- a/src/membership/registry/reconciliation.rs
+++ b/src/membership/registry/reconciliation.rs
@@ -125,6 +125,7 @@
         let unknown: Vec<String> = self.nodes.ids().filter(|id| view.view(id).is_none()).cloned().collect();
         unknown.iter().for_each(|id| self.nodes.remove(id));
         self.uncallable.retain(|id| view.view(id).is_some());
+        self.start_stamps.retain(|id| view.view(id).is_some());
     }
 
     fn remove_uncallable(&mut self, id: &str, kind: &str) {
@@ -148,7 +149,8 @@
     pub(super) fn announce(&mut self, id: &str, record: &NodeRecord, state: ReplicaState, now: Nanos) {
         let zone = self.settings.zones.get(&record.zone).copied().unwrap_or(u32::MAX);
         if let Some(node) = self.nodes.get(id) {
-            let entry = node.replica_entry(record, zone, state, now);
+            let learned_start = self.start_stamps.learned(id, record.started);
+            let entry = node.replica_entry(record, zone, state, learned_start, now);
             self.nodes.announce(id, &record.kind, entry);
         }
     }
--- a/src/membership/registry/sources.rs
+++ b/src/membership/registry/sources.rs
@@ -30,6 +30,7 @@
             self.directory.confirm(confirmed);
         }
         for node in generations.iter().flat_map(|snapshot| &snapshot.nodes) {
+            self.start_stamps.note_stored(&node.record.id, node.record.started);
             if let Some(at) = node.confirmed.map(|at| self.clamp_stored_time(at, now)) {
                 self.confirm_node(&node.record.id, at);
             }
@@ -69,6 +70,9 @@
                 self.directory.confirm(Some(as_of));
             }
         }
+        for server in &list.servers {
+            self.start_stamps.note_stored(&server.id, server.started());
+        }
         self.merge_list(source_version, list, false, now);
         self.reconcile_all(now);
     }
@@ -169,6 +173,10 @@
         before: &ReadyPlacements,
         now: Nanos,
     ) {
+        let mut stamps = self.start_stamps.on_discovery_list();
+        for server in list.servers.iter().filter(|server| server.state == NodeState::Ready) {
+            stamps.note(&server.id, server.started(), now);
+        }
         self.directory.version = list.version;
         self.merge_list(self.directory.source_version(), list, version_reset, now);
         let confirms_all = list.full || first;
--- a/src/membership/registry/tracked_node.rs
+++ b/src/membership/registry/tracked_node.rs
@@ -99,19 +99,22 @@
         self.admission = AdmissionState::Admitted;
     }
 
-    /// The entry to announce of this node in this state.
+    /// The entry to announce of this node in this state. `learned_start`: when it started, if that was learned while the
+    /// list was live.
     pub(super) fn replica_entry(
         &self,
         record: &NodeRecord,
         zone: u32,
         state: ReplicaState,
+        learned_start: Option<Nanos>,
         now: Nanos,
     ) -> ReplicaEntry {
         // A start in the future would make the node cold for as long as its clock is wrong.
         let reported = (record.started > 0).then(|| record.started.min(now));
         // What was announced for a start in the future is not renewed each time.
         let announced = self.announced.as_ref().and_then(|entry| entry.started);
-        let started = announced.filter(|_| record.started > now).or(reported).max(self.assumed_start);
+        let stamped = announced.filter(|_| record.started > now).or(reported);
+        let started = learned_start.or(stamped).max(self.assumed_start);
         ReplicaEntry { replica: self.replica, zone, cell: record.cell, state, started, weight: 1.0 }
     }
 }
