Let a pause bind a process that ran beside the one that was paused, dead or alive

Cause: a process that finds another dead took its pause for one that ended with it, though it had run beside it and the operator's PAUSE was answered meanwhile.

Change: Coordination remembers which processes it saw running; their last published pause binds this one too after they have ended. A process that starts after the paused one has ended still isn't paused.

--- a/src/hot_restart/coordination.rs
+++ b/src/hot_restart/coordination.rs
@@ -20,6 +20,7 @@
 
 use super::state::{Overrides, ProcessStage, ProcessState};
 use crate::api::Nanos;
+use std::collections::BTreeSet;
 
 /// Another process at the same address, as it was last observed.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,9 +34,9 @@
 }
 
 impl PeerProcess {
-    /// The overrides that bind other processes too. A suspended server stays suspended after the process that
-    /// recorded it has ended; a pause ends with its process, unless another process took it over while that
-    /// one ran.
+    /// The overrides that bind a process which starts now. A suspended server stays suspended after the process that
+    /// recorded it has ended; a pause ends with its process, unless another one ran beside it:
+    /// see [`Coordination::effective_overrides`].
     #[must_use]
     pub fn effective_overrides(&self) -> Overrides {
         let mut overrides = self.state.as_ref().map(|s| s.overrides.clone()).unwrap_or_default();
@@ -112,6 +113,8 @@
     serial: u64,
     limits: SharedLimits,
     peers: Vec<PeerProcess>,
+    /// Numbers of the processes that were observed to run.
+    ran_beside: BTreeSet<u64>,
     /// When an older process was last observed to run.
     predecessor_last_seen: Option<Nanos>,
     successor: Successor,
@@ -129,6 +132,7 @@
             serial,
             limits,
             peers: Vec::new(),
+            ran_beside: BTreeSet::new(),
             predecessor_last_seen,
             successor: Successor::Absent,
             published_lease: 0,
@@ -145,6 +149,8 @@
         if runs_older(&self.peers) || runs_older(&peers) {
             self.predecessor_last_seen = Some(now);
         }
+        self.ran_beside.extend(peers.iter().filter(|p| p.alive).map(|p| p.serial));
+        self.ran_beside.retain(|serial| peers.iter().any(|p| p.serial == *serial));
         let runs_younger = peers.iter().any(|p| p.serial > self.serial && p.alive);
         self.successor = match self.successor {
             _ if !runs_younger => Successor::Absent,
@@ -187,6 +193,17 @@
         &self.peers
     }
 
+    /// The overrides of another process that bind this one. A pause binds it also after the other has ended, if that ran
+    /// beside it: it may have been commanded and answered since it was last looked at.
+    #[must_use]
+    pub fn effective_overrides(&self, peer: &PeerProcess) -> Overrides {
+        if self.ran_beside.contains(&peer.serial) {
+            peer.state.as_ref().map(|state| state.overrides.clone()).unwrap_or_default()
+        } else {
+            peer.effective_overrides()
+        }
+    }
+
     /// The share of the limits that this process has at `now`.
     #[must_use]
     pub fn quota_share(&self, now: Nanos) -> QuotaShare {
--- a/src/hot_restart/mod.rs
+++ b/src/hot_restart/mod.rs
@@ -55,6 +55,15 @@
     pub snapshot_version: (u32, u64),
 }
 
+/// What was observed of another process.
+#[derive(Clone, Debug)]
+pub struct PeerReport {
+    /// The operators' overrides that bind this process.
+    pub overrides: Overrides,
+    /// Ids of its open queries.
+    pub open_query_ids: Vec<String>,
+}
+
 /// This process among those at its address.
 #[derive(Debug)]
 pub struct HotRestart {
@@ -108,12 +117,16 @@
         self.coordination.quota_share(now)
     }
 
-    /// The other processes, if they were observed anew since the last call. `usage` is what this process
+    /// Reports of the other processes, if they were observed anew since the last call. `usage` is what this process
     /// holds.
-    pub fn observe(&mut self, usage: ResourceUsage, now: Nanos) -> Option<&[PeerProcess]> {
-        let peers = self.directory.latest_peers()?;
+    pub fn observe(&mut self, usage: ResourceUsage, now: Nanos) -> Vec<PeerReport> {
+        let Some(peers) = self.directory.latest_peers() else { return Vec::new() };
         self.coordination.on_peers_observed(peers, usage, now);
-        Some(self.coordination.peers())
+        let report = |peer: &PeerProcess| PeerReport {
+            overrides: self.coordination.effective_overrides(peer),
+            open_query_ids: peer.state.as_ref().map(|state| state.open_query_ids.clone()).unwrap_or_default(),
+        };
+        self.coordination.peers().iter().map(report).collect()
     }
 
     /// Sets the stage of this process; a change is published at once.
--- a/src/server/hot_restart_driver.rs
+++ b/src/server/hot_restart_driver.rs
@@ -25,9 +25,9 @@
         let Some(hot_restart) = &mut self.hot_restart else { return };
         let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
         let mut pause_change = None;
-        for peer in hot_restart.observe(usage, now).unwrap_or(&[]) {
+        for peer in hot_restart.observe(usage, now) {
             let previous = self.overrides.clone();
-            if self.overrides.merge(&peer.effective_overrides()) {
+            if self.overrides.merge(&peer.overrides) {
                 for (id, command) in &self.overrides.servers {
                     if previous.servers.get(id) != Some(command) {
                         self.frontend.membership_mut().apply_suspension(id, command.active, &mut context);
@@ -35,9 +35,7 @@
                 }
                 pause_change = self.overrides.pause.filter(|c| previous.pause != Some(*c)).or(pause_change);
             }
-            if let Some(state) = &peer.state {
-                self.frontend.reserve_ids(&state.open_query_ids, now);
-            }
+            self.frontend.reserve_ids(&peer.open_query_ids, now);
         }
         match pause_change {
             Some(command) if command.active => self.drain.pause(now),
