Answer commands that bind the next process once that would read them

Cause: SUSPEND, RESTORE, PAUSE and RESUME were answered when they were carried out, before the thread of the state directory had written them.

Without a folder that processes share, nothing changes.

--- a/src/hot_restart/mod.rs
+++ b/src/hot_restart/mod.rs
@@ -25,7 +25,7 @@
 use crate::membership::snapshot::Snapshot;
 use coordination::{Coordination, PeerProcess, QuotaShare, SharedLimits};
 use state::{Overrides, ProcessStage, ProcessState};
-use state_directory::{StateDirectory, StateUpdate};
+use state_directory::{StateDirectory, StateUpdate, UpdateNumber};
 use std::path::Path;
 
 /// Time between two published states, ns.
@@ -147,8 +147,14 @@
         self.next_publish_at <= now
     }
 
-    /// Publishes a state, and with it the endpoint list where its version has changed.
-    pub fn publish(&mut self, local: LocalState<'_>, snapshot: impl FnOnce() -> Snapshot, now: Nanos) {
+    /// Publishes a state, and with it the endpoint list where its version has changed. Gives the update's number; none if
+    /// the disk is behind.
+    pub fn publish(
+        &mut self,
+        local: LocalState<'_>,
+        snapshot: impl FnOnce() -> Snapshot,
+        now: Nanos,
+    ) -> Option<UpdateNumber> {
         self.next_publish_at = now + PUBLISH_INTERVAL;
         let version = local.snapshot_version;
         let snapshot = (self.published_version != Some(version)).then(snapshot);
@@ -161,10 +167,16 @@
             in_flight: local.in_flight,
             open_query_ids: local.open_query_ids,
         };
-        if self.directory.publish(StateUpdate { state, snapshot }) {
-            self.coordination.on_lease_published(descriptor_lease);
-            self.published_version = Some(version);
-        }
+        let number = self.directory.publish(StateUpdate { state, snapshot })?;
+        self.coordination.on_lease_published(descriptor_lease);
+        self.published_version = Some(version);
+        Some(number)
+    }
+
+    /// Whether an update is written: processes that start from now on read it.
+    #[must_use]
+    pub fn is_written(&self, number: UpdateNumber) -> bool {
+        self.directory.is_written(number)
     }
 
     /// When something is next to be done.
--- a/src/hot_restart/state_directory/mod.rs
+++ b/src/hot_restart/state_directory/mod.rs
@@ -22,6 +22,8 @@
 use files::FileKind;
 use std::io;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -143,6 +145,10 @@
     }
 }
 
+/// The place of an update among those of this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct UpdateNumber(u64);
+
 /// What is to be written.
 #[derive(Debug)]
 pub struct StateUpdate {
@@ -156,7 +162,10 @@
 #[derive(Debug)]
 pub struct StateDirectory {
     /// None while it is dropped, which ends the thread.
-    updates: Option<SyncSender<StateUpdate>>,
+    updates: Option<SyncSender<(UpdateNumber, StateUpdate)>>,
+    last_number: u64,
+    /// Number of the last update that was written.
+    written: Arc<AtomicU64>,
     observations: Receiver<Vec<PeerProcess>>,
     worker_done: Receiver<()>,
     thread: Option<JoinHandle<()>>,
@@ -178,7 +187,8 @@
         let (updates, received_updates) = sync_channel(CHANNEL_CAPACITY);
         let (observed, observations) = sync_channel(CHANNEL_CAPACITY);
         let (done, worker_done) = sync_channel(1);
-        let worker = DirectoryWorker::new(dir.to_owned(), serial, lock);
+        let written = Arc::new(AtomicU64::new(0));
+        let worker = DirectoryWorker::new(dir.to_owned(), serial, lock, written.clone());
         let work = move || {
             worker.run(&received_updates, &observed);
             let _ = done.send(());
@@ -187,15 +197,31 @@
             .name("handover".into())
             .spawn(work)
             .map_err(|source| StateDirectoryError::StartThread { dir: dir.to_owned(), source })?;
-        let directory =
-            StateDirectory { updates: Some(updates), observations, worker_done, thread: Some(thread) };
+        let directory = StateDirectory {
+            updates: Some(updates),
+            last_number: 0,
+            written,
+            observations,
+            worker_done,
+            thread: Some(thread),
+        };
         Ok((contents, directory))
     }
 
-    /// Has an update written. Never blocks; false if the thread is behind, and the update is dropped.
+    /// Has an update written, and gives its number. Never blocks; none if the thread is behind, and the update is
+    /// dropped.
+    #[must_use]
+    pub fn publish(&mut self, update: StateUpdate) -> Option<UpdateNumber> {
+        let number = UpdateNumber(self.last_number + 1);
+        self.updates.as_ref()?.try_send((number, update)).ok()?;
+        self.last_number = number.0;
+        Some(number)
+    }
+
+    /// Whether an update, or a later one, is written: processes that start from now on read it.
     #[must_use]
-    pub fn publish(&self, update: StateUpdate) -> bool {
-        self.updates.as_ref().is_some_and(|updates| updates.try_send(update).is_ok())
+    pub fn is_written(&self, number: UpdateNumber) -> bool {
+        number.0 <= self.written.load(Ordering::Acquire)
     }
 
     /// The other processes as they were last observed; none if they were not observed anew since the last
--- a/src/hot_restart/state_directory/worker.rs
+++ b/src/hot_restart/state_directory/worker.rs
@@ -1,11 +1,13 @@
 //! The thread that writes this process's files and polls those of the others.
 
 use super::files::{self, FileKind};
-use super::{StateUpdate, StateWriteError};
+use super::{StateUpdate, StateWriteError, UpdateNumber};
 use crate::hot_restart::coordination::PeerProcess;
 use crate::membership::snapshot;
 use std::fs::File;
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError};
 use std::time::{Duration, Instant};
 
@@ -58,25 +60,27 @@
     _lock: File,
     write_status: WriteStatus,
     cleanup: Cleanup,
+    /// Number of the last update that was written.
+    written: Arc<AtomicU64>,
 }
 
 impl DirectoryWorker {
-    pub(super) fn new(dir: PathBuf, serial: u64, lock: File) -> DirectoryWorker {
+    pub(super) fn new(dir: PathBuf, serial: u64, lock: File, written: Arc<AtomicU64>) -> DirectoryWorker {
         let (write_status, cleanup) = (WriteStatus::Ok, Cleanup::NothingWritten);
-        DirectoryWorker { dir, serial, _lock: lock, write_status, cleanup }
+        DirectoryWorker { dir, serial, _lock: lock, write_status, cleanup, written }
     }
 
     /// Writes updates as they come, and sends what it polls of the others. Returns once either channel is
     /// closed.
     pub(super) fn run(
         mut self,
-        updates: &Receiver<StateUpdate>,
+        updates: &Receiver<(UpdateNumber, StateUpdate)>,
         observations: &SyncSender<Vec<PeerProcess>>,
     ) {
         let mut next_poll = Instant::now() + POLL_INTERVAL;
         loop {
             match updates.recv_timeout(next_poll.saturating_duration_since(Instant::now())) {
-                Ok(update) => self.write(&update),
+                Ok((number, update)) => self.write(number, &update),
                 Err(RecvTimeoutError::Timeout) => {
                     next_poll = Instant::now() + POLL_INTERVAL;
                     match observations.try_send(self.poll()) {
@@ -90,9 +94,10 @@
     }
 
     /// Writes the files of this process. The first failure in a row is logged: a full disk stays full.
-    fn write(&mut self, update: &StateUpdate) {
+    fn write(&mut self, number: UpdateNumber, update: &StateUpdate) {
         match self.try_write(update) {
             Ok(()) => {
+                self.written.store(number.0, Ordering::Release);
                 self.write_status = WriteStatus::Ok;
                 self.cleanup.on_written();
             }
--- a/src/server/admin_handler.rs
+++ b/src/server/admin_handler.rs
@@ -68,7 +68,8 @@
         }
     }
 
-    /// The response; none for a command to the cluster, which is answered once it is on disk.
+    /// The response; none for a command to the cluster, which is answered once it is on disk, nor for one that binds the
+    /// next process at this address, which is answered once that would read it.
     fn handle_admin_request(
         &mut self,
         mut request: AdminRequest,
@@ -82,7 +83,15 @@
                 Err(other) => request = other,
             }
         }
-        Some(self.carry_out(request, now).unwrap_or_else(failure))
+        let binds_next_process = self.hot_restart.is_some() && is_override(&request);
+        match self.carry_out(request, now) {
+            Ok(response) if binds_next_process => {
+                self.command_confirmations.add(caller, response, now);
+                None
+            }
+            Ok(response) => Some(response),
+            Err(error) => Some(failure(error)),
+        }
     }
 
     /// Records a command in the state of the cluster.
@@ -216,6 +225,17 @@
     }
 }
 
+/// Whether a request is a command that other processes at this address have to follow.
+fn is_override(request: &AdminRequest) -> bool {
+    matches!(
+        request,
+        AdminRequest::Suspend(..)
+            | AdminRequest::Restore(..)
+            | AdminRequest::Pause(..)
+            | AdminRequest::Resume(..)
+    )
+}
+
 /// Without a cluster nothing keeps the time at which a command ends by itself.
 fn reject_expiry(options: &CommandOptions) -> Result<(), AdminError> {
     if options.valid_for_s.is_some() { Err(AdminError::ExpiryNeedsCluster) } else { Ok(()) }
--- a/src/server/broker.rs
+++ b/src/server/broker.rs
@@ -1,6 +1,7 @@
 //! The state of a running broker, which the event loop and its handlers share.
 
 use super::cluster_state::AppliedClusterState;
+use super::command_confirmation::CommandConfirmations;
 use super::drain::{DrainPhase, DrainState};
 use super::frontend::{Frontend, FrontendContext};
 use super::query_stats::QueryStats;
@@ -38,6 +39,8 @@
     pub(super) overrides: Overrides,
     /// Coordination with other processes at this address, if there may be any.
     pub(super) hot_restart: Option<HotRestart>,
+    /// Responses that wait until their commands are written.
+    pub(super) command_confirmations: CommandConfirmations,
     /// The share of the limits that was last applied.
     pub(super) quota_share: Option<QuotaShare>,
     /// Membership in a cluster, if one is configured.
--- a/src/server/builder.rs
+++ b/src/server/builder.rs
@@ -1,6 +1,7 @@
 //! Puts a broker together.
 
 use super::broker::Broker;
+use super::command_confirmation::CommandConfirmations;
 use super::drain::{DrainPhase, DrainState};
 use super::error::BrokerError;
 use super::frontend::Frontend;
@@ -79,6 +80,7 @@
             admin_server: None,
             overrides: Overrides::default(),
             hot_restart: None,
+            command_confirmations: CommandConfirmations::default(),
             quota_share: None,
             cluster: None,
             applied: None,
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -88,6 +88,7 @@
     /// Does what is due at this time, and carries out what the query engine decided.
     fn run_once(&mut self, now: Nanos) {
         self.observe_hot_restart(now);
+        self.confirm_commands(now);
         self.drive_cluster(now);
         self.update_drain_phase(now);
         let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
@@ -150,7 +151,9 @@
         let admin_server = self.admin_server.as_ref().and_then(AdminServer::next_deadline);
         let hot_restart = self.hot_restart.as_ref().map(|h| h.next_deadline(self.clock.now()));
         let cluster = self.cluster.as_ref().map(|c| c.next_deadline(self.clock.now()));
+        let confirmations = self.command_confirmations.next_deadline(self.clock.now());
         [
+            confirmations,
             self.engine.next_deadline(),
             self.frontend.next_deadline(),
             self.net.next_deadline(),
--- a/src/server/hot_restart_driver.rs
+++ b/src/server/hot_restart_driver.rs
@@ -75,6 +75,20 @@
             overrides: &self.overrides,
             snapshot_version: membership.version(),
         };
-        hot_restart.publish(state, || membership.snapshot(now), now);
+        if let Some(update) = hot_restart.publish(state, || membership.snapshot(now), now) {
+            self.command_confirmations.on_published(update);
+        }
+    }
+
+    /// Responds to the commands that are written by now.
+    pub(super) fn confirm_commands(&mut self, now: Nanos) {
+        let (Some(admin_server), Some(hot_restart)) = (&mut self.admin_server, &self.hot_restart) else {
+            return;
+        };
+        for (caller, response) in
+            self.command_confirmations.take_due(now, |update| hot_restart.is_written(update))
+        {
+            admin_server.respond(caller, &response, &mut self.net);
+        }
     }
 }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -15,6 +15,7 @@
 mod builder;
 mod cluster_driver;
 mod cluster_state;
+mod command_confirmation;
 pub mod discovery_watch;
 pub mod drain;
 mod error;
--- a/tests/stored_formats/handover_state.rs
+++ b/tests/stored_formats/handover_state.rs
@@ -46,8 +46,8 @@
     let mut shelves = Vec::new();
     let mut list = Some(full_list());
     for (state, file) in states().into_iter().zip(STATES) {
-        let (_, shelf) = StateDirectory::open(directory.path()).unwrap();
-        assert!(shelf.publish(StateUpdate { state, snapshot: list.take() }));
+        let (_, mut shelf) = StateDirectory::open(directory.path()).unwrap();
+        assert!(shelf.publish(StateUpdate { state, snapshot: list.take() }).is_some());
         // A state is renamed into its place once it is whole, after the list.
         wait_until(|| directory.path().join(file).exists());
         shelves.push(shelf);
