Let intermittent tests stand in the list of known failures by their count

Need: a test that fails now and then for a known fault could not stand in KNOWN-RED.txt, whose check fails on a listed test that passes. All other listed tests still have to fail, three lines are the most, as before.

--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -46,6 +46,22 @@
     assert!(!passes && said.contains("was not run: a::gone"), "{said}");
 }
 
+#[test]
+fn intermittent_test_may_pass_or_fail_but_has_to_run() {
+    let line = "a::two | a race, 4 of 192 runs | issue 41";
+    assert_eq!(judge(TWO, 101, Some(line)), (true, format!("known red: {line}\n")));
+    let green =
+        TWO.replace("a::two ... FAILED", "a::two ... ok").replace("FAILED. 1 passed; 1", "ok. 2 passed; 0");
+    assert_eq!(judge(&green, 0, Some(line)), (true, format!("passed this time: {line}\n")));
+    let (passes, said) = judge(GREEN, 0, Some(line));
+    assert!(!passes && said.contains("was not run: a::two"), "{said}");
+    // Without a count it has to fail, and a count excuses no other test.
+    let (passes, said) = judge(&green, 0, Some("a::two | a race, some of many runs | issue 41"));
+    assert!(!passes && said.contains("passes, and is to be taken off the list"), "{said}");
+    let (passes, said) = judge(&TWO.replace("one ... ok", "one ... FAILED"), 101, Some(line));
+    assert!(!passes && said.contains("failed: a::one"), "{said}");
+}
+
 #[test]
 fn fourth_line_or_one_without_cause_or_issue_fails() {
     let red = |n: usize| (0..n).map(|n| format!("t{n} | cause | issue 28\n")).collect::<String>();
