--- a/tests/discovery_faults/fleet.rs
+++ b/tests/discovery_faults/fleet.rs
@@ -6,7 +6,8 @@
 //! its queue, and brokers went on sending parts to a server that drained, dozens of them, for seconds after the grace.
 //! A staging run shows, of one broker, `24.312 discovery watch ended reason=status 503 ... age_ms=505 others=1`
 //! and in the same millisecond `... age_ms=5 others=0`, and then the list at `27.634`, 4.08 s after its watch ended. Here,
-//! before the mend, in two runs of two fleets, five brokers of twelve each time sent 16 to 402 parts to the drained server too late.
+//! before the mend, in three runs of two fleets, four to eight brokers of twelve sent 2 to 402 parts to the drained server
+//! after the grace.
 
 use super::broker_process::BrokerProcess;
 use super::judge::{GRACE, Mode, SLACK};
