--- a/tests/discovery_faults/main.rs
+++ b/tests/discovery_faults/main.rs
@@ -59,6 +59,13 @@
     );
 }
 
+/// The same at a discovery that another broker calls too.
+#[test]
+fn drain_behind_a_lost_report_and_an_unanswered_call_is_kept_in_a_fleet() {
+    let scenarios = Scenario::unanswered_calls_after_a_lost_report();
+    judge_all(scenarios.into_iter().map(|scenario| Scenario { fleet_size: 2, ..scenario }).collect());
+}
+
 /// The next instance of discovery is older than the list, or counts its versions anew; or the signal to reload comes
 /// while the file is being written.
 #[test]
--- a/tests/discovery_faults/scenarios.rs
+++ b/tests/discovery_faults/scenarios.rs
@@ -48,6 +48,8 @@
     pub is_held_up: bool,
     /// Of the broker's random choices.
     pub seed: u64,
+    /// Brokers that call this discovery, by the settings.
+    pub fleet_size: u32,
     pub run_after_drain: Duration,
 }
 
@@ -74,6 +76,7 @@
             reloads: Vec::new(),
             is_held_up: false,
             seed: 0x1f,
+            fleet_size: 1,
             run_after_drain: RUN_AFTER_DRAIN,
         }
     }
@@ -302,6 +305,7 @@
 
     fn config(&self, directory: &Directory, service: &Service) -> String {
         platform_config(&directory.servers, service.addr, self.mode, self.seed)
+            .replace("\"fleet_size\":1", &format!("\"fleet_size\":{}", self.fleet_size))
     }
 
     /// Gives the broker its new configurations.
