Keep the ids of open requests out of the limit on recent ids

Cause: the list of recent ids dropped its oldest entry at 8,192 entries, also if the query of that id was open. Shard servers know a part by its id alone.

Evidence: the two requests came 0.17 s apart, so the 10 s for which an id is kept are not the cause. Trial on the old code: after 8,000 other requests the id is refused, after 8,640 it is served.

Change: ids of open queries are a set of their own, which the limit on open queries bounds; the limit and the 10 s apply to ids of ended queries. The same for the ids that are open at another process at the address, which the same limit dropped. An id can now leave the set of open ones only by the end of its query, so no number of other requests matters.

--- a/lab/src/standins.rs
+++ b/lab/src/standins.rs
@@ -24,6 +24,8 @@
     Serve,
     /// Serves after this many milliseconds.
     Delayed(u64),
+    /// Serves once [`NodeScript::release_held`] is called.
+    Held,
     /// Never answers.
     Silent,
     /// Answers with an error.
@@ -55,6 +57,7 @@
     received: Vec<(usize, Instant)>,
     closed_connections: usize,
     cold: HashMap<usize, Cold>,
+    held_are_released: bool,
 }
 
 /// A node that has just started.
@@ -69,6 +72,9 @@
 /// A node with `Behavior::RejectMost` serves one in this many parts.
 const REJECT_MOST_SERVES_ONE_IN: usize = 3;
 
+/// How often a node looks whether the parts that it holds are released.
+const HELD_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Time over which the load of a cold node is counted.
 const OVERLOAD_WINDOW: Duration = Duration::from_millis(1500);
 
@@ -93,6 +99,17 @@
         self.0.lock().unwrap().received.iter().filter(|(n, _)| *n == node).count()
     }
 
+    /// Lets all nodes answer the parts that they hold.
+    pub fn release_held(&self) {
+        self.0.lock().unwrap().held_are_released = true;
+    }
+
+    fn wait_for_release(&self) {
+        while !self.0.lock().unwrap().held_are_released {
+            std::thread::sleep(HELD_POLL_INTERVAL);
+        }
+    }
+
     /// When one node has received its parts.
     pub fn receive_times(&self, node: usize) -> Vec<Instant> {
         self.0.lock().unwrap().received.iter().filter(|(n, _)| *n == node).map(|(_, at)| *at).collect()
@@ -135,6 +152,7 @@
         };
         match behavior {
             Behavior::Delayed(ms) => std::thread::sleep(Duration::from_millis(ms)),
+            Behavior::Held => self.wait_for_release(),
             Behavior::Silent => std::thread::sleep(Duration::from_secs(30)),
             _ => {}
         }
--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -370,5 +370,5 @@
         Vec::new()
     }
 
-    fn reserve_ids(&mut self, _: &[String], _: Nanos) {}
+    fn set_ids_open_at_peers(&mut self, _: Vec<String>, _: Nanos) {}
 }
--- a/src/frontends/platform/downstream.rs
+++ b/src/frontends/platform/downstream.rs
@@ -2,7 +2,7 @@
 
 use super::RequestContext;
 use super::query;
-use super::recent_request_ids::RecentRequestIds;
+use super::request_ids::RequestIds;
 use crate::api::Nanos;
 use crate::config::Names;
 use crate::engine::{QueryId, QueryOutcome, QueryRequest};
@@ -34,7 +34,7 @@
     clients: HashMap<ConnId, Client>,
     conn_by_query: HashMap<QueryId, ConnId>,
     slots: ConnectionSlots,
-    recent_ids: RecentRequestIds,
+    request_ids: RequestIds,
     /// Whether readiness checks fail, and the drain phase, which determines how clients are treated.
     not_ready: bool,
     drain_phase: DrainPhase,
@@ -45,15 +45,14 @@
 impl Downstream {
     /// The client side. `names` resolves classes and tenants, and `slots` limits the connections.
     pub fn new(names: Names, shards: u32, slots: ConnectionSlots) -> Downstream {
-        let (clients, conn_by_query, recent_ids) =
-            (HashMap::new(), HashMap::new(), RecentRequestIds::default());
+        let (clients, conn_by_query, request_ids) = (HashMap::new(), HashMap::new(), RequestIds::default());
         Downstream {
             names,
             shards,
             clients,
             conn_by_query,
             slots,
-            recent_ids,
+            request_ids,
             not_ready: false,
             drain_phase: DrainPhase::Serving,
         }
@@ -71,14 +70,12 @@
 
     /// Request ids of open queries.
     pub fn open_ids(&self) -> Vec<String> {
-        self.clients.values().filter_map(|c| c.id.as_ref()).map(|id| id.to_string()).collect()
+        self.request_ids.open().map(str::to_owned).collect()
     }
 
-    /// Reserves request ids that are in use at another process.
-    pub fn reserve_ids(&mut self, ids: &[String], now: Nanos) {
-        for id in ids {
-            self.recent_ids.insert(now, id.as_str().into());
-        }
+    /// Replaces the request ids of the queries that are open at the other processes at this address.
+    pub fn set_ids_open_at_peers(&mut self, ids: Vec<String>, now: Nanos) {
+        self.request_ids.set_open_at_peers(now, ids);
     }
 
     /// Names of the query classes, in the order of the settings.
@@ -135,7 +132,11 @@
 
     fn on_closed(&mut self, conn: ConnId, context: &mut Context) {
         self.slots.remove(conn);
-        if let Some(query) = self.clients.remove(&conn).and_then(|c| c.query) {
+        let Some(client) = self.clients.remove(&conn) else { return };
+        if let Some(id) = client.id {
+            self.request_ids.query_ended(context.now, &id);
+        }
+        if let Some(query) = client.query {
             self.conn_by_query.remove(&query);
             context.engine.client_disconnected(query);
         }
@@ -243,7 +244,7 @@
                     tracing::info!("invalid request of client {}: {why}", client.peer);
                     return self.respond(conn, 400, &[], why.as_bytes(), context);
                 }
-                Ok(request) if self.recent_ids.contains(&request.payload.id) => {
+                Ok(request) if self.request_ids.is_used(context.now, &request.payload.id) => {
                     tracing::info!("request of client {} repeats a recent request id", client.peer);
                     return self.respond(conn, 409, &[], b"this Req-Id was used", context);
                 }
@@ -268,7 +269,7 @@
                     (client.query, client.id) = (Some(query), Some(id.clone()));
                     client.reader.reset();
                 }
-                self.recent_ids.insert(context.now, id);
+                self.request_ids.query_admitted(id);
                 self.conn_by_query.insert(query, conn);
                 self.slots.query_admitted(conn);
             }
@@ -323,7 +324,10 @@
     ) {
         let Some(conn) = self.conn_by_query.remove(&query) else { return };
         if let Some(client) = self.clients.get_mut(&conn) {
-            (client.query, client.id) = (None, None);
+            client.query = None;
+            if let Some(id) = client.id.take() {
+                self.request_ids.query_ended(context.now, &id);
+            }
         }
         match answer {
             QueryOutcome::Answered(answered) => {
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -308,7 +308,7 @@
         self.clients.open_ids()
     }
 
-    fn reserve_ids(&mut self, ids: &[String], now: Nanos) {
-        self.clients.reserve_ids(ids, now);
+    fn set_ids_open_at_peers(&mut self, ids: Vec<String>, now: Nanos) {
+        self.clients.set_ids_open_at_peers(ids, now);
     }
 }
--- a/src/frontends/platform/mod.rs
+++ b/src/frontends/platform/mod.rs
@@ -4,7 +4,7 @@
 pub mod frame;
 mod frontend;
 pub mod query;
-mod recent_request_ids;
+pub mod request_ids;
 mod upstream;
 
 pub use downstream::Downstream;
--- a/src/hot_restart/mod.rs
+++ b/src/hot_restart/mod.rs
@@ -116,16 +116,16 @@
         self.coordination.quota_share(now)
     }
 
-    /// Reports of the other processes; empty if there is no new observation since the last call. `usage` is
+    /// Reports of all other processes; `None` if there is no new observation since the last call. `usage` is
     /// what this process currently uses.
-    pub fn observe(&mut self, usage: ResourceUsage, now: Nanos) -> Vec<PeerReport> {
-        let Some(peers) = self.directory.latest_peers() else { return Vec::new() };
+    pub fn observe(&mut self, usage: ResourceUsage, now: Nanos) -> Option<Vec<PeerReport>> {
+        let peers = self.directory.latest_peers()?;
         self.coordination.on_peers_observed(peers, usage, now);
         let report = |peer: &PeerProcess| PeerReport {
             overrides: self.coordination.effective_overrides(peer),
             open_query_ids: peer.state.as_ref().map(|state| state.open_query_ids.clone()).unwrap_or_default(),
         };
-        self.coordination.peers().iter().map(report).collect()
+        Some(self.coordination.peers().iter().map(report).collect())
     }
 
     /// Sets the stage of this process; a change is published at once.
--- a/src/server/frontend.rs
+++ b/src/server/frontend.rs
@@ -67,6 +67,7 @@
     /// Ids of open queries, which must not be accepted a second time.
     fn open_ids(&self) -> Vec<String>;
 
-    /// Reserves query ids that are in use at another process.
-    fn reserve_ids(&mut self, ids: &[String], now: Nanos);
+    /// Replaces the ids of the queries that are open at the other processes at this address; they must not be
+    /// accepted here.
+    fn set_ids_open_at_peers(&mut self, ids: Vec<String>, now: Nanos);
 }
--- a/src/server/hot_restart_driver.rs
+++ b/src/server/hot_restart_driver.rs
@@ -20,12 +20,14 @@
         self.publish_state(usage.in_flight, open_query_ids, now);
     }
 
-    /// Adopts the operator's commands of the other processes, and reserves the ids of their open queries.
+    /// Adopts the operator's commands of the other processes, and the ids of their open queries.
     fn merge_peer_states(&mut self, usage: ResourceUsage, now: Nanos) {
         let Some(hot_restart) = &mut self.hot_restart else { return };
+        let Some(reports) = hot_restart.observe(usage, now) else { return };
         let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
         let mut pause_change = None;
-        for peer in hot_restart.observe(usage, now) {
+        let mut ids_open_at_peers = Vec::new();
+        for peer in reports {
             let previous = self.overrides.clone();
             if self.overrides.merge(&peer.overrides) {
                 for (id, command) in &self.overrides.servers {
@@ -35,8 +37,9 @@
                 }
                 pause_change = self.overrides.pause.filter(|c| previous.pause != Some(*c)).or(pause_change);
             }
-            self.frontend.reserve_ids(&peer.open_query_ids, now);
+            ids_open_at_peers.extend(peer.open_query_ids);
         }
+        self.frontend.set_ids_open_at_peers(ids_open_at_peers, now);
         match pause_change {
             Some(command) if command.active => self.drain.pause(now),
             Some(_) => self.drain.resume(),
--- a/tests/fronts/main.rs
+++ b/tests/fronts/main.rs
@@ -2,6 +2,7 @@
 //! errors must look the same over HTTP, SRU and Z39.50.
 
 mod clients;
+mod identity;
 mod protocols;
 
 use clients::*;
--- a/tests/fronts/protocols.rs
+++ b/tests/fronts/protocols.rs
@@ -331,7 +331,7 @@
 }
 
 /// The HTTP request of a query with this id, `Req-Deadline` line and body.
-fn query_request(id: &str, deadline: &str, body: &str) -> String {
+pub fn query_request(id: &str, deadline: &str, body: &str) -> String {
     let length = body.len();
     format!(
         "POST /api HTTP/1.1\r\nReq-Id: {id}\r\nReq-Kind: whole\r\n{deadline}Content-Length: {length}\r\n\r\n{body}"
