Log each search that is sent to a node, and what has arrived behind its response

The log had no line for a part on this port.

Change: two lines at debug level with the attempt, the node and the connection; the second one counts the bytes that have arrived behind the response.

--- a/src/frontends/catalogue/upstream.rs
+++ b/src/frontends/catalogue/upstream.rs
@@ -165,6 +165,7 @@
                         self.close(conn, context);
                         continue;
                     }
+                    tracing::debug!(attempt = attempt.0, node = %node.id, ?conn, "search is sent to its node");
                     let request_end = context.net.queued(conn);
                     connection.in_flight = Some(PartInFlight {
                         attempt: Some(attempt),
@@ -345,7 +346,14 @@
     fn on_part_done(&mut self, conn: ConnId, value: Result<PartValue, Outcome>, context: &mut Context) {
         let Some(connection) = self.connections.get_mut(&conn) else { return };
         connection.last_used = context.now;
-        if let Some(attempt) = connection.in_flight.take().and_then(|r| r.attempt) {
+        let in_flight = connection.in_flight.take();
+        tracing::debug!(
+            attempt = in_flight.as_ref().and_then(|r| r.attempt).map(|a| a.0),
+            ?conn,
+            unread_bytes = context.net.data(conn).len(),
+            "node's response is complete"
+        );
+        if let Some(attempt) = in_flight.and_then(|r| r.attempt) {
             self.conn_by_attempt.remove(&attempt);
             context.engine.attempt_ended(context.now, attempt, attempt_outcome(value));
         }
