Assign a node's response to a search only if nothing else arrived on its connection

Cause: the next search was sent as soon as a response was complete, and whatever came next on the connection was taken for its response, also what had arrived behind the one before.

A response with 1,107 bytes behind it, the next search on that connection, and that search complete at once with 0 bytes left.

Change: what has arrived is looked at before each request, and data that belongs to no request closes the connection, also between two pages of one search. Z39.50 requests carry reference ids, which responses have to return. Connections without such ids rest for 5 ms before their next request. A response can now be taken for another request's only if it arrives over 5 ms late on an SRU connection while the next search is in flight; nothing in SRU identifies it.

--- a/lab/src/standins.rs
+++ b/lab/src/standins.rs
@@ -36,14 +36,17 @@
     RejectMost,
     /// Closes the connection.
     CloseConnection,
+    /// The answer twice, in one write.
+    Duplicate,
+    /// The previous answer on the same connection to a search or Present once more, and then the answer; for
+    /// Z39.50 nodes only.
+    RepeatPrevious,
     /// Bytes that are no frame; this and the following are for nodes of the frame protocol only.
     Garbage,
     /// A frame whose last bytes never arrive.
     Truncated,
     /// An answer to a query that was never sent.
     UnknownQuery,
-    /// The answer twice.
-    Duplicate,
 }
 
 /// Sets how each node answers each partition, and records the parts that nodes receive.
@@ -294,7 +297,8 @@
         let Ok(sru::Request::Search(s)) = sru::read(&sru::parameters(target, "")) else { return None };
         let mut status = "200 OK";
         let mut r = sru::Response { total: RECORDS_PER_PARTITION, ..Default::default() };
-        match script.next_behavior(number, partition) {
+        let behavior = script.next_behavior(number, partition);
+        match behavior {
             Behavior::Reject => status = "503 Service Unavailable",
             Behavior::Fail => r.diagnostics.push(Diagnostic::new(Condition::GeneralError, "broken")),
             Behavior::CloseConnection => return None,
@@ -304,8 +308,11 @@
             }
         }
         let body = sru::write(&r, s.version, s.packing, s.start);
-        write!(stream, "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len()).ok()?;
-        stream.write_all(&body).ok()?;
+        let mut response =
+            format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
+        response.extend(body);
+        let copies = if behavior == Behavior::Duplicate { 2 } else { 1 };
+        stream.write_all(&response.repeat(copies)).ok()?;
     }
 }
 
@@ -323,7 +330,9 @@
 
 fn z3950_node(mut stream: TcpStream, number: usize, script: &NodeScript) -> Option<()> {
     let mut partition = 0;
+    let mut previous = Vec::new();
     loop {
+        let mut behavior = Behavior::Serve;
         let answer = match read_apdu(&mut stream)? {
             Apdu::InitRequest(r) => Apdu::InitResponse(InitResponse {
                 reference: r.reference,
@@ -337,7 +346,8 @@
                 partition = r.databases[0].strip_prefix("part-")?.parse().ok()?;
                 let Query::Rpn(query) = &r.query else { return None };
                 rpn::read(query, &|_| None).ok()?;
-                let diagnostic = match script.next_behavior(number, partition) {
+                behavior = script.next_behavior(number, partition);
+                let diagnostic = match behavior {
                     Behavior::Reject => Some(Condition::TemporarilyUnavailable),
                     Behavior::Fail => Some(Condition::GeneralError),
                     Behavior::CloseConnection => return None,
@@ -365,7 +375,15 @@
             }
             _ => return None,
         };
-        stream.write_all(&answer.encode()).ok()?;
+        let is_init = matches!(answer, Apdu::InitResponse(_));
+        let answer = answer.encode();
+        let written = match behavior {
+            Behavior::Duplicate => answer.repeat(2),
+            Behavior::RepeatPrevious => [previous, answer.clone()].concat(),
+            _ => answer.clone(),
+        };
+        stream.write_all(&written).ok()?;
+        previous = if is_init { Vec::new() } else { answer };
     }
 }
 
--- a/src/frontends/catalogue/mod.rs
+++ b/src/frontends/catalogue/mod.rs
@@ -8,6 +8,7 @@
 mod frontend;
 mod job;
 pub mod marc;
+mod node_connection;
 mod node_session;
 pub mod plan;
 pub mod rpn;
--- a/src/frontends/catalogue/node_session.rs
+++ b/src/frontends/catalogue/node_session.rs
@@ -85,7 +85,38 @@
 #[derive(Debug)]
 enum ProtocolState {
     Sru { reader: Reader, host: String },
-    Z3950 { initialized: bool },
+    Z3950(Z3950State),
+}
+
+/// The state of a Z39.50 session.
+#[derive(Debug, Default)]
+struct Z3950State {
+    initialized: bool,
+    /// Number of the last request, which is sent as its reference id.
+    last_request: u32,
+    /// Whether the node returns reference ids, as the standard requires.
+    returns_references: bool,
+}
+
+impl Z3950State {
+    /// The reference id of the last request.
+    fn reference(&self) -> Reference {
+        Some(self.last_request.to_be_bytes().to_vec())
+    }
+
+    /// The reference id of the next request.
+    fn next_reference(&mut self) -> Reference {
+        self.last_request = self.last_request.wrapping_add(1);
+        self.reference()
+    }
+
+    /// Checks that a response belongs to the last request.
+    fn check_reference(&self, returned: &Reference) -> Result<(), SessionError> {
+        if self.returns_references && *returned != self.reference() {
+            return Err(SessionError("a response belongs to another request".into()));
+        }
+        Ok(())
+    }
 }
 
 /// The state of one session with a node.
@@ -101,18 +132,18 @@
     pub fn new(protocol: Protocol, host: String) -> NodeSession {
         let protocol_state = match protocol {
             Protocol::Sru => ProtocolState::Sru { reader: Reader::new(MessageKind::Response), host },
-            Protocol::Z3950 => ProtocolState::Z3950 { initialized: false },
+            Protocol::Z3950 => ProtocolState::Z3950(Z3950State::default()),
         };
         NodeSession { protocol_state, task: None, closing: false }
     }
 
     /// The message to send on a new connection. If there is none, the node is ready at once.
     pub fn opening_message(&self) -> Option<Vec<u8>> {
-        match self.protocol_state {
+        match &self.protocol_state {
             ProtocolState::Sru { .. } => None,
-            ProtocolState::Z3950 { .. } => Some(
+            ProtocolState::Z3950(state) => Some(
                 Apdu::InitRequest(InitRequest {
-                    reference: None,
+                    reference: state.reference(),
                     versions: VERSIONS.into(),
                     options: OPTIONS.into(),
                     preferred_size: MESSAGE_SIZE,
@@ -131,15 +162,16 @@
             reason: CloseReason::Finished as i64,
             diagnostic_information: text,
         };
-        matches!(self.protocol_state, ProtocolState::Z3950 { initialized: true }).then(|| close.encode())
+        matches!(self.protocol_state, ProtocolState::Z3950(Z3950State { initialized: true, .. }))
+            .then(|| close.encode())
     }
 
     /// Starts a task. Returns the request to send, or why the protocol can't express this search.
     pub fn start(&mut self, task: Task) -> Result<Vec<u8>, Diagnostic> {
-        let message = match &self.protocol_state {
+        let message = match &mut self.protocol_state {
             ProtocolState::Sru { host, .. } => sru_request(&task, host)?,
-            ProtocolState::Z3950 { .. } => Apdu::SearchRequest(SearchRequest {
-                reference: None,
+            ProtocolState::Z3950(state) => Apdu::SearchRequest(SearchRequest {
+                reference: state.next_reference(),
                 small_upper: 0,
                 large_lower: 1,
                 medium_number: 0,
@@ -156,6 +188,23 @@
         Ok(message)
     }
 
+    /// Whether a response states to which request it belongs. If not, it belongs to the only request in
+    /// flight.
+    pub fn identifies_responses(&self) -> bool {
+        matches!(self.protocol_state, ProtocolState::Z3950(Z3950State { returns_references: true, .. }))
+    }
+
+    /// Why data that arrives while no request is in flight ends the session.
+    pub fn unsolicited(&self, data: &[u8]) -> SessionError {
+        if let ProtocolState::Z3950(_) = &self.protocol_state
+            && let Ok(Some(size)) = ber::size(data)
+            && let Ok(Apdu::Close { reason, diagnostic_information, .. }) = Apdu::decode(&data[..size])
+        {
+            return closed_by_node(reason, &diagnostic_information);
+        }
+        SessionError("it sent data that belongs to no request".into())
+    }
+
     /// Whether the node closes the connection after the response that was just read.
     pub fn is_closing(&self) -> bool {
         self.closing
@@ -190,11 +239,11 @@
                 }
                 (consumed, step)
             }
-            ProtocolState::Z3950 { initialized } => {
+            ProtocolState::Z3950(state) => {
                 let session_error = |e: ber::BerError| SessionError(e.to_string());
                 let Some(size) = ber::size(data).map_err(session_error)? else { return Ok((0, Step::Wait)) };
                 let apdu = Apdu::decode(&data[..size]).map_err(session_error)?;
-                (size, handle_apdu(apdu, initialized, task)?)
+                (size, handle_apdu(apdu, state, task)?)
             }
         };
         if matches!(step, Step::Done(_)) {
@@ -267,9 +316,13 @@
     sru_request(task, host).map(Step::Send).map_err(|d| SessionError(d.to_string()))
 }
 
-fn present_request(task: &Task) -> Step {
+fn closed_by_node(reason: i64, diagnostic_information: &str) -> SessionError {
+    SessionError(format!("closed by the node, reason {reason} {diagnostic_information:?}"))
+}
+
+fn present_request(task: &Task, reference: Reference) -> Step {
     let request = PresentRequest {
-        reference: None,
+        reference,
         result_set: "default".into(),
         start: task.next_position() as i64,
         number: task.next_count() as i64,
@@ -280,17 +333,19 @@
     Step::Send(Apdu::PresentRequest(request).encode())
 }
 
-fn handle_apdu(apdu: Apdu, initialized: &mut bool, task: &mut Option<Task>) -> Result<Step, SessionError> {
+fn handle_apdu(apdu: Apdu, state: &mut Z3950State, task: &mut Option<Task>) -> Result<Step, SessionError> {
     let unsolicited = || SessionError("unsolicited response".into());
     match apdu {
-        Apdu::InitResponse(r) if !*initialized => {
+        Apdu::InitResponse(r) if !state.initialized => {
             if !r.accepted {
                 return Err(SessionError("the node refused the session".into()));
             }
-            *initialized = true;
+            state.initialized = true;
+            state.returns_references = r.reference == state.reference();
             Ok(Step::Ready)
         }
         Apdu::SearchResponse(r) => {
+            state.check_reference(&r.reference)?;
             let task = task.as_mut().ok_or_else(unsolicited)?;
             if let Records::Diagnostic(d) = r.records {
                 return Ok(diagnostic_step(d));
@@ -300,9 +355,14 @@
             }
             task.total =
                 Some(u64::try_from(r.count).map_err(|_| SessionError("negative result count".into()))?);
-            Ok(if task.next_count() == 0 { task.finish() } else { present_request(task) })
+            Ok(if task.next_count() == 0 {
+                task.finish()
+            } else {
+                present_request(task, state.next_reference())
+            })
         }
         Apdu::PresentResponse(r) => {
+            state.check_reference(&r.reference)?;
             let task = task.as_mut().ok_or_else(unsolicited)?;
             let records = match r.records {
                 Records::Some(records) => records,
@@ -312,10 +372,14 @@
             };
             let is_empty = records.is_empty();
             task.add_items(records.into_iter().map(to_item).collect());
-            Ok(if is_empty || task.next_count() == 0 { task.finish() } else { present_request(task) })
+            Ok(if is_empty || task.next_count() == 0 {
+                task.finish()
+            } else {
+                present_request(task, state.next_reference())
+            })
         }
         Apdu::Close { reason, diagnostic_information, .. } => {
-            Err(SessionError(format!("closed by the node, reason {reason} {diagnostic_information:?}")))
+            Err(closed_by_node(reason, &diagnostic_information))
         }
         _ => Err(unsolicited()),
     }
--- a/src/frontends/catalogue/upstream.rs
+++ b/src/frontends/catalogue/upstream.rs
@@ -1,6 +1,7 @@
 //! Upstream connections to index nodes that speak SRU or Z39.50: a few to each node, with one search at a
 //! time on each connection.
 
+use super::node_connection::{NodeConnection, PartInFlight};
 use super::node_session::{NodeSession, Step, Task};
 use super::plan::{PartValue, SearchPayload};
 use crate::api::{Nanos, Outcome, ReplicaId};
@@ -12,8 +13,8 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
-/// Time within which a cancelled search must be answered before its connection is closed, ns.
-const CANCELLED_RESPONSE_TIMEOUT: Nanos = 2_000_000_000;
+const NANOS_PER_MILLI: Nanos = 1_000_000;
+const NANOS_PER_SECOND: Nanos = 1_000_000_000;
 
 type Context<'a> = FrontendContext<'a, SearchPayload, PartValue>;
 
@@ -23,26 +24,6 @@
     task: Task,
 }
 
-/// A part whose request is in flight.
-struct PartInFlight {
-    /// None once the attempt is cancelled.
-    attempt: Option<AttemptId>,
-    /// Position of the end of its request among all bytes written on the connection.
-    request_end: u64,
-    /// Whether the request is known to be written whole.
-    written: bool,
-    cancelled_at: Nanos,
-}
-
-struct NodeConnection {
-    replica: ReplicaId,
-    session: NodeSession,
-    in_flight: Option<PartInFlight>,
-    /// When it must be ready at the latest; none once it is ready.
-    ready_deadline: Option<Nanos>,
-    last_used: Nanos,
-}
-
 struct Node {
     id: String,
     addr: SocketAddr,
@@ -127,58 +108,87 @@
 
     /// Sends queued parts on free connections, and dials further ones where there are too few.
     fn send_queued(&mut self, replica: ReplicaId, context: &mut Context) {
+        while let Some(conn) = self.free_connection(replica, context) {
+            self.send_next(replica, conn, context);
+        }
+    }
+
+    /// A connection on which the first queued part of a node can be sent. `None` if no part is queued, or if
+    /// the parts have to wait for a connection.
+    fn free_connection(&mut self, replica: ReplicaId, context: &mut Context) -> Option<ConnId> {
         loop {
-            let Some(node) = self.nodes.get_mut(&replica) else { return };
-            if node.queue.is_empty() {
-                return;
+            let queued = self.nodes.get(&replica)?.queue.len();
+            if queued == 0 {
+                return None;
             }
             let to_node = || self.connections.iter().filter(|(_, c)| c.replica == replica);
-            let free =
-                to_node().find(|(_, c)| c.ready_deadline.is_none() && c.in_flight.is_none()).map(|(c, _)| *c);
-            let (total, dialing) =
-                (to_node().count(), to_node().filter(|(_, c)| c.ready_deadline.is_some()).count());
-            let Some(conn) = free else {
-                if dialing >= node.queue.len() || total >= self.limits.connections_per_node {
-                    return;
-                }
-                if !self.dial(replica, context) {
-                    return self.fail_queued(replica, Outcome::ConnectFailed, context);
+            let free = to_node().find(|(_, c)| c.is_free(context.now)).map(|(c, _)| *c);
+            if let Some(conn) = free {
+                if self.is_quiet(conn, context) {
+                    return Some(conn);
                 }
                 continue;
-            };
-            let (Some(next), Some(connection)) = (node.queue.pop_front(), self.connections.get_mut(&conn))
-            else {
-                return;
-            };
-            let attempt = next.attempt;
-            match connection.session.start(next.task) {
-                // No node that speaks this protocol can answer the search.
-                Err(d) => context.engine.attempt_ended(context.now, attempt, attempt_outcome(Ok(Err(d)))),
-                Ok(message) => {
-                    connection.last_used = context.now;
-                    if context.net.send(conn, &message).is_err() {
-                        context.engine.attempt_ended(
-                            context.now,
-                            attempt,
-                            attempt_outcome(Err(Outcome::ConnectFailed)),
-                        );
-                        self.close(conn, context);
-                        continue;
-                    }
-                    tracing::debug!(attempt = attempt.0, node = %node.id, ?conn, "search is sent to its node");
-                    let request_end = context.net.queued(conn);
-                    connection.in_flight = Some(PartInFlight {
-                        attempt: Some(attempt),
-                        request_end,
-                        written: false,
-                        cancelled_at: 0,
-                    });
-                    self.conn_by_attempt.insert(attempt, conn);
-                    let flushed = context.net.flushed(conn);
-                    self.on_written(conn, flushed, context);
+            }
+            let free_soon =
+                to_node().filter(|(_, c)| c.ready_deadline.is_some() || c.is_resting(context.now)).count();
+            if free_soon >= queued || to_node().count() >= self.limits.connections_per_node {
+                return None;
+            }
+            if !self.dial(replica, context) {
+                self.fail_queued(replica, Outcome::ConnectFailed, context);
+                return None;
+            }
+        }
+    }
+
+    /// Whether nothing has arrived on a connection that awaits no response. Otherwise it is closed: data
+    /// that belongs to no request would be taken for the response to the next one.
+    fn is_quiet(&mut self, conn: ConnId, context: &mut Context) -> bool {
+        if !context.net.data(conn).is_empty() {
+            self.close_on_unsolicited_data(conn, context);
+            return false;
+        }
+        match context.net.fill(conn) {
+            ReadOutcome::WouldBlock => return true,
+            ReadOutcome::Read(_) | ReadOutcome::BufferFull => self.close_on_unsolicited_data(conn, context),
+            ReadOutcome::Closed => self.close(conn, context),
+            // Whether something has arrived can't be seen before a buffer is free.
+            ReadOutcome::NoBuffer => {
+                if let Some(connection) = self.connections.get_mut(&conn) {
+                    connection.rest(context.now);
                 }
             }
         }
+        false
+    }
+
+    fn send_next(&mut self, replica: ReplicaId, conn: ConnId, context: &mut Context) {
+        let Some(node) = self.nodes.get_mut(&replica) else { return };
+        let Some(connection) = self.connections.get_mut(&conn) else { return };
+        let Some(next) = node.queue.pop_front() else { return };
+        let attempt = next.attempt;
+        let message = match connection.session.start(next.task) {
+            Ok(message) => message,
+            // No node that speaks this protocol can answer the search.
+            Err(d) => {
+                return context.engine.attempt_ended(context.now, attempt, attempt_outcome(Ok(Err(d))));
+            }
+        };
+        connection.last_used = context.now;
+        if context.net.send(conn, &message).is_err() {
+            context.engine.attempt_ended(context.now, attempt, attempt_outcome(Err(Outcome::ConnectFailed)));
+            return self.close(conn, context);
+        }
+        tracing::debug!(attempt = attempt.0, node = %node.id, ?conn, "search is sent to its node");
+        connection.in_flight = Some(PartInFlight {
+            attempt: Some(attempt),
+            request_end: context.net.queued(conn),
+            written: false,
+            cancelled_at: 0,
+        });
+        self.conn_by_attempt.insert(attempt, conn);
+        let flushed = context.net.flushed(conn);
+        self.on_written(conn, flushed, context);
     }
 
     /// Reports an attempt to the engine, once, when the first `flushed` bytes include its whole request.
@@ -204,17 +214,9 @@
         match context.net.dial(node.addr, self.owner) {
             Ok(conn) => {
                 let session = NodeSession::new(node.protocol, node.addr.to_string());
-                let ready_deadline = Some(context.now + self.limits.dial_timeout_ms * 1_000_000);
-                self.connections.insert(
-                    conn,
-                    NodeConnection {
-                        replica,
-                        session,
-                        in_flight: None,
-                        ready_deadline,
-                        last_used: context.now,
-                    },
-                );
+                let ready_deadline = context.now + self.limits.dial_timeout_ms * NANOS_PER_MILLI;
+                let connection = NodeConnection::dialed(replica, session, context.now, ready_deadline);
+                self.connections.insert(conn, connection);
                 true
             }
             Err(e) => {
@@ -225,8 +227,7 @@
     }
 
     fn close_longest_idle(&mut self, context: &mut Context) -> bool {
-        let idle =
-            self.connections.iter().filter(|(_, c)| c.ready_deadline.is_none() && c.in_flight.is_none());
+        let idle = self.connections.iter().filter(|(_, c)| c.is_idle());
         let Some(conn) = idle.min_by_key(|(_, c)| c.last_used).map(|(c, _)| *c) else { return false };
         self.close_gracefully(conn, context);
         true
@@ -314,6 +315,10 @@
     fn process_input(&mut self, conn: ConnId, context: &mut Context) {
         loop {
             let Some(connection) = self.connections.get_mut(&conn) else { return };
+            let data = context.net.data(conn);
+            if !connection.awaits_data() && !data.is_empty() {
+                return self.close_on_unsolicited_data(conn, context);
+            }
             let pool = context.net.pool().clone();
             let (consumed, step) = match connection.session.receive(context.net.data(conn), &pool) {
                 Ok(received) => received,
@@ -323,11 +328,11 @@
             match step {
                 Step::Wait => return,
                 Step::Ready => self.on_ready(conn, context),
-                Step::Send(message) => {
-                    // Further pages of a cancelled search are not requested.
-                    let cancelled = connection.in_flight.as_ref().is_none_or(|r| r.attempt.is_none());
-                    if cancelled || context.net.send(conn, &message).is_err() {
-                        return self.close(conn, context);
+                Step::Send(request) => {
+                    if connection.response_received(context.now) {
+                        self.send_page(conn, &request, context);
+                    } else {
+                        connection.defer_page(request);
                     }
                 }
                 Step::Done(value) => {
@@ -343,9 +348,18 @@
         }
     }
 
+    /// Requests the next page of the search in flight on a connection, unless that is cancelled.
+    fn send_page(&mut self, conn: ConnId, request: &[u8], context: &mut Context) {
+        let in_flight = self.connections.get(&conn).and_then(|c| c.in_flight.as_ref());
+        let cancelled = in_flight.is_none_or(|r| r.attempt.is_none());
+        if cancelled || context.net.send(conn, request).is_err() {
+            self.close(conn, context);
+        }
+    }
+
     fn on_part_done(&mut self, conn: ConnId, value: Result<PartValue, Outcome>, context: &mut Context) {
         let Some(connection) = self.connections.get_mut(&conn) else { return };
-        connection.last_used = context.now;
+        connection.response_received(context.now);
         let in_flight = connection.in_flight.take();
         tracing::debug!(
             attempt = in_flight.as_ref().and_then(|r| r.attempt).map(|a| a.0),
@@ -359,6 +373,12 @@
         }
     }
 
+    fn close_on_unsolicited_data(&mut self, conn: ConnId, context: &mut Context) {
+        let Some(connection) = self.connections.get(&conn) else { return };
+        let why = connection.session.unsolicited(context.net.data(conn));
+        self.close_on_error(conn, &why.0, context);
+    }
+
     fn close_on_error(&mut self, conn: ConnId, why: &str, context: &mut Context) {
         if let Some(node) = self.connections.get(&conn).and_then(|c| self.nodes.get(&c.replica)) {
             tracing::warn!("connection to node {} closed: {why}", node.id);
@@ -401,7 +421,7 @@
     }
 
     /// Closes connections that are not established in time, whose cancelled search is not answered in time,
-    /// or that were idle for too long.
+    /// or that were idle for too long, and uses those that have rested.
     pub fn tick(&mut self, context: &mut Context) {
         let now = context.now;
         let expired: Vec<ConnId> =
@@ -409,29 +429,54 @@
         for conn in expired {
             self.close_gracefully(conn, context);
         }
+        let rested: Vec<ConnId> =
+            self.connections.iter().filter(|(_, c)| self.has_rested(c, now)).map(|(c, _)| *c).collect();
+        for conn in rested {
+            self.on_rested(conn, context);
+        }
         for attempt in std::mem::take(&mut self.orphaned) {
             context.engine.attempt_ended(now, attempt, attempt_outcome(Err(Outcome::ConnectFailed)));
         }
     }
 
-    fn expires_at(&self, c: &NodeConnection) -> Nanos {
-        match (c.ready_deadline, &c.in_flight) {
-            (Some(t), _) => t,
-            (None, Some(PartInFlight { attempt: None, cancelled_at, .. })) => {
-                cancelled_at + CANCELLED_RESPONSE_TIMEOUT
-            }
-            (None, Some(_)) => Nanos::MAX,
-            // Nothing more is sent to a removed node.
-            (None, None) if !self.nodes.contains_key(&c.replica) => 0,
-            (None, None) => c.last_used + self.limits.node_idle_s * 1_000_000_000,
+    /// Sends what has waited for the end of a connection's rest.
+    fn on_rested(&mut self, conn: ConnId, context: &mut Context) {
+        let Some(connection) = self.connections.get(&conn) else { return };
+        // Queued parts may have been sent on this connection when the rest of another one ended.
+        if !self.has_rested(connection, context.now) {
+            return;
+        }
+        let replica = connection.replica;
+        if connection.is_idle() {
+            return self.send_queued(replica, context);
         }
+        if self.is_quiet(conn, context)
+            && let Some(request) = self.connections.get_mut(&conn).and_then(|c| c.take_due_page(context.now))
+        {
+            self.send_page(conn, &request, context);
+        }
+    }
+
+    fn expires_at(&self, c: &NodeConnection) -> Nanos {
+        let is_listed = self.nodes.contains_key(&c.replica);
+        c.expires_at(is_listed, self.limits.node_idle_s * NANOS_PER_SECOND)
+    }
+
+    /// Whether something that has waited for the end of its rest can be sent.
+    fn has_rested(&self, c: &NodeConnection, now: Nanos) -> bool {
+        self.rest_ends_at(c).is_some_and(|t| t <= now)
+    }
+
+    fn rest_ends_at(&self, c: &NodeConnection) -> Option<Nanos> {
+        c.rest_ends_at(self.nodes.get(&c.replica).is_some_and(|n| !n.queue.is_empty()))
     }
 
     /// When `tick` is next worth calling.
     pub fn next_deadline(&self) -> Option<Nanos> {
         let orphaned = (!self.orphaned.is_empty()).then_some(0);
         let ends = self.connections.values().map(|c| self.expires_at(c)).min().filter(|t| *t < Nanos::MAX);
-        orphaned.or(ends)
+        let rested = self.connections.values().filter_map(|c| self.rest_ends_at(c)).min();
+        orphaned.or([ends, rested].into_iter().flatten().min())
     }
 
     /// Closes all connections, with the protocol's closing message.
