Know the ids of the old process's open requests before the new one listens

What callers saw: in the first 0.1 s of a new process at the address, a request with the id of another client's request that is open at the old process was served instead of refused.

Cause: the new process read the published states before it listened, but took only the operators' commands from them; the open ids came with the first observation 0.1 s later. Found by reading when related paths of the reused id were looked at, then shown by the test.

Change: HotRestart::open returns the ids that are open at running processes, and the platform's frontend sets them before it listens.

--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -147,11 +147,15 @@
     let mut membership = MembershipDriver::new(registry, snapshot_writer)
         .with_suspended(suspended)
         .with_watch(watch, terms, now);
-    let clients = Downstream::new(
+    let mut clients = Downstream::new(
         names,
         settings.shards,
         ConnectionSlots::new(max_clients, config.sockets / QUERIED_CLIENTS_DIVISOR, CLIENT_IDLE_TIMEOUT),
     );
+    // Known before the first client can connect; the processes are observed only later.
+    if let Some(joined) = &hot_restart_group {
+        clients.set_ids_open_at_peers(joined.open_query_ids.clone(), now);
+    }
     let mut engine = QueryEngine::new(settings, config.seed, now).map_err(ConfigError::rejected)?;
     let mut context = FrontendContext { now, net: &mut net, engine: &mut engine };
     membership.propagate_changes(&mut context, |c| servers.set_address(c.entry.replica, c.addr));
--- a/src/hot_restart/mod.rs
+++ b/src/hot_restart/mod.rs
@@ -37,6 +37,8 @@
     pub hot_restart: HotRestart,
     /// The operators' overrides that are still in effect.
     pub overrides: Overrides,
+    /// Ids of the queries that are open at the other running processes.
+    pub open_query_ids: Vec<String>,
     /// The endpoint lists of the earlier processes, the oldest process first.
     pub snapshots: Vec<Snapshot>,
 }
@@ -100,6 +102,8 @@
             suspended_servers = overrides.suspended_servers().count(),
             "registered with the other processes at this address"
         );
+        let running_states = found.peers.iter().filter(|p| p.alive).filter_map(|p| p.state.as_ref());
+        let open_query_ids = running_states.flat_map(|state| state.open_query_ids.iter().cloned()).collect();
         let hot_restart = HotRestart {
             directory,
             coordination: Coordination::new(found.serial, limits, found.peers, now),
@@ -107,7 +111,7 @@
             published_version: None,
             next_publish_at: now,
         };
-        Some(JoinedHotRestart { hot_restart, overrides, snapshots: found.snapshots })
+        Some(JoinedHotRestart { hot_restart, overrides, open_query_ids, snapshots: found.snapshots })
     }
 
     /// The share of the limits that this process has at `now`.
--- a/tests/operation/upgrades.rs
+++ b/tests/operation/upgrades.rs
@@ -2,6 +2,7 @@
 
 use super::PROGRAM;
 use pebbleturn_lab::running::*;
+use std::io::Write;
 
 #[test]
 fn upgrade_under_load_loses_no_request() {
@@ -77,6 +78,34 @@
     assert_eq!(new.metrics()["pool_ejected"], 0);
 }
 
+// Guards against a process that accepts clients before it knows the ids of the old process's open requests: for its
+// first 0.1 s it served requests with these ids.
+#[test]
+fn id_of_a_request_that_is_open_at_the_old_process_is_refused_from_the_start() {
+    use pebbleturn_lab::standins::Behavior;
+    let site = Site::new(PROGRAM);
+    let old = site.start();
+    site.script.set(&[0, 1, 2], &[0, 1, 2], Behavior::Held);
+    let mut first = Client::connect(site.listen_addr());
+    let request = first.next_request();
+    first.stream.write_all(request.as_bytes()).unwrap();
+    until("the parts are sent", || site.script.parts_received() >= 3);
+    let state = site.tmp.path().join("pebbleturn-handover").join("1.state");
+    let id = request.split("Req-Id: ").nth(1).and_then(|rest| rest.lines().next()).unwrap();
+    until("the id is published", || std::fs::read_to_string(&state).unwrap_or_default().contains(id));
+    // The old process accepts nothing, so that the second client reaches the new one.
+    old.signal("-STOP");
+    let mut second = Client::connect(site.listen_addr());
+    second.stream.write_all(request.as_bytes()).unwrap();
+    let new = site.start();
+    // On the faulty code the second request is served too, and would wait for the held parts.
+    site.script.release_held();
+    assert!(second.read_response().unwrap().starts_with("HTTP/1.1 409"));
+    old.signal("-CONT");
+    assert!(first.read_response().unwrap().starts_with("HTTP/1.1 200"));
+    new.expect_success("STATUS");
+}
+
 #[test]
 fn pause_is_handed_over_and_ends_on_resume_at_either_process() {
     let site = Site::new(PROGRAM);
