Name the check for unsolicited data after what it does

Need: is_quiet reads as a question but closes the connection where the answer is no. Change: it is check_quiet, and its comment says both; the sending of a queued part has a comment. Measured: no code is changed, clippy and rustdoc pass.

--- a/src/frontends/catalogue/upstream.rs
+++ b/src/frontends/catalogue/upstream.rs
@@ -124,7 +124,7 @@
             let to_node = || self.connections.iter().filter(|(_, c)| c.replica == replica);
             let free = to_node().find(|(_, c)| c.is_free(context.now)).map(|(c, _)| *c);
             if let Some(conn) = free {
-                if self.is_quiet(conn, context) {
+                if self.check_quiet(conn, context) {
                     return Some(conn);
                 }
                 continue;
@@ -141,9 +141,9 @@
         }
     }
 
-    /// Whether nothing has arrived on a connection that awaits no response. Otherwise it is closed: data
-    /// that belongs to no request would be taken for the response to the next one.
-    fn is_quiet(&mut self, conn: ConnId, context: &mut Context) -> bool {
+    /// Checks that nothing has arrived on a connection that awaits no response. Otherwise closes it and
+    /// returns false: data that belongs to no request would be taken for the response to the next one.
+    fn check_quiet(&mut self, conn: ConnId, context: &mut Context) -> bool {
         if !context.net.data(conn).is_empty() {
             self.close_on_unsolicited_data(conn, context);
             return false;
@@ -162,6 +162,7 @@
         false
     }
 
+    /// Sends the first queued part of a node on a free connection.
     fn send_next(&mut self, replica: ReplicaId, conn: ConnId, context: &mut Context) {
         let Some(node) = self.nodes.get_mut(&replica) else { return };
         let Some(connection) = self.connections.get_mut(&conn) else { return };
@@ -450,7 +451,7 @@
         if connection.is_idle() {
             return self.send_queued(replica, context);
         }
-        if self.is_quiet(conn, context)
+        if self.check_quiet(conn, context)
             && let Some(request) = self.connections.get_mut(&conn).and_then(|c| c.take_due_page(context.now))
         {
             self.send_page(conn, &request, context);
