Review case 7: an interim answer of an SRU node leads to foreign records

While another program takes most of the machine, some index nodes send "102 Processing" before their answer, as HTTP allows. The broker takes it for the whole answer, sends the next search on the connection and takes the first search's answer for the second one's.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,8 +2,10 @@
 //! Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
 mod common;
+mod foreign;
 mod longlist;
 mod platform;
+mod sru;
 
 use common::{Record, Run, Verdict};
 use std::path::PathBuf;
@@ -37,6 +39,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
     let run = Run { record: Record::new(), trouble, tmp: tmp.clone(), command: command.to_owned() };
     let case: fn(&Run) -> Verdict = match name {
+        "foreign" => foreign::run,
         "longlist" => longlist::run,
         _ => |_| Verdict::CannotRun("no such case".into()),
     };
