--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 
 mod common;
 mod foreign;
+mod halfway;
 mod longlist;
 mod platform;
 mod sru;
@@ -40,6 +41,7 @@
     let run = Run { record: Record::new(), trouble, tmp: tmp.clone(), command: command.to_owned() };
     let case: fn(&Run) -> Verdict = match name {
         "foreign" => foreign::run,
+        "halfway" => halfway::run,
         "longlist" => longlist::run,
         _ => |_| Verdict::CannotRun("no such case".into()),
     };
