--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod foreign;
 mod halfway;
 mod longlist;
+mod pipelined;
 mod platform;
 mod sru;
 
@@ -43,6 +44,7 @@
         "foreign" => foreign::run,
         "halfway" => halfway::run,
         "longlist" => longlist::run,
+        "pipelined" => pipelined::run,
         _ => |_| Verdict::CannotRun("no such case".into()),
     };
     let (code, text) = match case(&run) {
