Review case 10: a node that discovery's whole list leaves out stays in use

Where the operator's file names a node too, the broker ignores that a whole list of discovery leaves it out, although discovery has listed it before. By the standing test it is gone.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod foreign;
 mod halfway;
 mod longlist;
+mod omitted;
 mod pipelined;
 mod platform;
 mod sru;
@@ -44,6 +45,7 @@
         "foreign" => foreign::run,
         "halfway" => halfway::run,
         "longlist" => longlist::run,
+        "omitted" => omitted::run,
         "pipelined" => pipelined::run,
         _ => |_| Verdict::CannotRun("no such case".into()),
     };
