--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,12 +2,15 @@
 //! Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
 mod common;
+mod cutoff;
 mod foreign;
 mod halfway;
+mod left;
 mod longlist;
 mod omitted;
 mod pipelined;
 mod platform;
+mod queued;
 mod sru;
 
 use common::{Record, Run, Verdict};
@@ -44,8 +47,11 @@
     let case: fn(&Run) -> Verdict = match name {
         "foreign" => foreign::run,
         "halfway" => halfway::run,
+        "cutoff" => cutoff::run,
+        "left" => left::run,
         "longlist" => longlist::run,
         "omitted" => omitted::run,
+        "queued" => queued::run,
         "pipelined" => pipelined::run,
         _ => |_| Verdict::CannotRun("no such case".into()),
     };
--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -62,6 +62,10 @@
         read_exactly(&mut stream, &mut length[1..])?;
         let mut frame = vec![0; u32::from_be_bytes(length) as usize];
         read_exactly(&mut stream, &mut frame)?;
+        if frame[0] == b'G' {
+            let _ = writer.lock().unwrap().write_all(b"\0\0\0\x03GOK");
+            continue;
+        }
         if frame[0] != b'R' {
             let id = String::from_utf8_lossy(&frame[1..]).to_string();
             record.note(format!("server {server} was told that {id} is given up"));
