Review case 9: searches are sent to nodes after their query has its final answer

On the catalogue's port a part that waits for a connection is not looked at again before it is written, and attempts at ejected nodes are not cancelled when another node's answer is in. Beside a node that hangs for 7 s, three times, some of them are written up to 2.5 s after the client has read its answer.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 
 mod common;
 mod cutoff;
+mod ended;
 mod foreign;
 mod halfway;
 mod left;
@@ -48,6 +49,7 @@
         "foreign" => foreign::run,
         "halfway" => halfway::run,
         "cutoff" => cutoff::run,
+        "ended" => ended::run,
         "left" => left::run,
         "longlist" => longlist::run,
         "omitted" => omitted::run,
