Log how long a search waits for a connection, and which attempt it belongs to

Change: a line per attempt joins its id with its query and part; the line of a sent search has waited_ms.

--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -150,6 +150,14 @@
         if !is_allowed {
             return self.report_end(now, &sent, Outcome::NotSent, None);
         }
+        tracing::debug!(
+            id = attempt.0,
+            attempt = number,
+            part = part_id.0,
+            query = query_id,
+            server = replica.0,
+            "attempt is handed to the server side"
+        );
         calls.push(replica, AttemptRequest { attempt, shard, timeout: due - now, key, payload });
         self.timers.add_attempt(due, attempt);
         self.attempts.insert(attempt, sent);
--- a/src/frontends/catalogue/upstream.rs
+++ b/src/frontends/catalogue/upstream.rs
@@ -22,6 +22,7 @@
 struct QueuedPart {
     attempt: AttemptId,
     task: Task,
+    since: Nanos,
 }
 
 struct Node {
@@ -99,7 +100,9 @@
             let database = self.database.replace("{partition}", &p.shard.to_string());
             let task = Task::new(p.payload.search.clone(), database, run.start, run.count, self.limits.page);
             match self.nodes.get_mut(&replica) {
-                Some(node) => node.queue.push_back(QueuedPart { attempt: p.attempt, task }),
+                Some(node) => {
+                    node.queue.push_back(QueuedPart { attempt: p.attempt, task, since: context.now })
+                }
                 None => self.orphaned.push(p.attempt),
             }
         }
@@ -180,7 +183,8 @@
             context.engine.attempt_ended(context.now, attempt, attempt_outcome(Err(Outcome::ConnectFailed)));
             return self.close(conn, context);
         }
-        tracing::debug!(attempt = attempt.0, node = %node.id, ?conn, "search is sent to its node");
+        let waited_ms = context.now.saturating_sub(next.since) / NANOS_PER_MILLI;
+        tracing::debug!(attempt = attempt.0, node = %node.id, ?conn, waited_ms, "search is sent to its node");
         connection.in_flight = Some(PartInFlight {
             attempt: Some(attempt),
             request_end: context.net.queued(conn),
