Check a queued search again before it is sent to its index node

Cause: a part waits in its node's queue for a free connection, and send_next wrote it without asking the engine. Attempts at an ejected node are not cancelled when another node answers, so that its answer can show that it is back; those waited in the queue beyond the end of their query.

Why this works: queued parts are marked in the engine, and begin_attempt, which the platform's port has always asked, refuses those whose query ended, whose part has its value, whose node drains or that timed out.

--- a/src/frontends/catalogue/upstream.rs
+++ b/src/frontends/catalogue/upstream.rs
@@ -105,6 +105,7 @@
                 }
                 None => self.orphaned.push(p.attempt),
             }
+            context.engine.attempt_queued(p.attempt);
         }
         self.send_queued(replica, context);
     }
@@ -165,12 +166,16 @@
         false
     }
 
-    /// Sends the first queued part of a node on a free connection.
+    /// Takes the first queued part of a node, and sends it on a free connection if it is still needed.
     fn send_next(&mut self, replica: ReplicaId, conn: ConnId, context: &mut Context) {
         let Some(node) = self.nodes.get_mut(&replica) else { return };
         let Some(connection) = self.connections.get_mut(&conn) else { return };
         let Some(next) = node.queue.pop_front() else { return };
         let attempt = next.attempt;
+        // Its query may have ended, or its node may have begun to drain, while it waited for the connection.
+        if !context.engine.begin_attempt(context.now, attempt) {
+            return;
+        }
         let message = match connection.session.start(next.task) {
             Ok(message) => message,
             // No node that speaks this protocol can answer the search.
--- a/tests/fronts/clients.rs
+++ b/tests/fronts/clients.rs
@@ -58,8 +58,13 @@
     if wire == WireProtocol::Http {
         return start_platform_broker(&platform_config(nodes, max_open, None), script);
     }
+    start_catalogue_broker(wire, &operator_config(nodes, max_open), script)
+}
+
+/// Starts a broker of the catalogue's frontend with this operator's file.
+pub fn start_catalogue_broker(wire: WireProtocol, config: &str, script: NodeScript) -> TestBroker {
     let (sender, receiver) = mpsc::channel();
-    let operator = operator_config(nodes, max_open);
+    let operator = OperatorConfig::read(config).unwrap();
     let thread = std::thread::spawn(move || {
         let (mut broker, addrs) = catalogue::broker(operator).unwrap();
         let addr = addrs[usize::from(wire == WireProtocol::Z3950)];
@@ -88,7 +93,7 @@
 const CLASSES: [(&str, u64, u64, f64); 3] =
     [("whole", 8000, 20_000, 1.0), ("most", 3000, 20_000, 0.6), ("short", 600, 1500, 1.0)];
 
-fn operator_config(nodes: &[(SocketAddr, WireProtocol)], max_open: u32) -> OperatorConfig {
+pub fn operator_config(nodes: &[(SocketAddr, WireProtocol)], max_open: u32) -> String {
     let mut text = format!(
         "name = \"test\"\nzone = \"a\"\n[limits]\nmax_open = {max_open}\nsockets = 96\npage = 2\n[partitions]\ncount = {PARTITIONS}\n\
          cells = 3\nholders = 2\ndatabase = \"part-{{partition}}\"\nkey_index = \"music.compositionid\"\n"
@@ -108,7 +113,7 @@
             "[[node]]\nid = \"n{n}\"\nprotocol = \"{protocol}\"\naddress = \"{addr}\"\nzone = \"a\"\ncell = {n}\n"
         );
     }
-    OperatorConfig::read(&text).unwrap()
+    text
 }
 
 pub fn platform_config(
--- a/tests/fronts/main.rs
+++ b/tests/fronts/main.rs
@@ -3,6 +3,7 @@
 
 mod clients;
 mod identity;
+mod late_searches;
 mod protocols;
 
 use clients::*;
