Ask the engine before the next page of a search is requested from a node

Cause: send_page looked only at whether the attempt was cancelled. Attempts at an ejected node are not, and without the permission to cancel none is.

Change: QueryEngine::continue_attempt is asked before each page. An attempt that is not needed any more counts as answered, since its node did answer the pages before; one whose node drains counts as cancelled, and its part runs elsewhere.

--- a/src/engine/server_side.rs
+++ b/src/engine/server_side.rs
@@ -56,6 +56,27 @@
         }
     }
 
+    /// Checks whether a further request of an attempt in flight, such as the next page of its response, is still
+    /// needed. If false, the attempt has ended, and the server side drops it without reporting an outcome.
+    ///
+    /// An attempt that is needed no more has been answered so far, so it counts as answered: that shows that
+    /// its server responds. One whose part has no value yet counts as cancelled if its server is draining.
+    #[must_use]
+    pub fn continue_attempt(&mut self, now: Nanos, attempt: AttemptId) -> bool {
+        let Some(in_flight) = self.attempts.get_mut(attempt) else { return false };
+        let needs_value = self.queries.part_mut(in_flight.query, in_flight.part);
+        let needs_value = needs_value.is_some_and(|part| part.value.is_none());
+        let outcome = match (needs_value, self.placements.accepts_attempts(in_flight.replica)) {
+            (true, true) => return true,
+            (true, false) => Outcome::Cancelled,
+            (false, _) => Outcome::Ok,
+        };
+        if let Some(ended) = self.remove_attempt(attempt) {
+            self.report_end(now, &ended, outcome, None);
+        }
+        false
+    }
+
     /// Handles the outcome of an attempt. Ignores late and repeated outcomes and those of cancelled attempts.
     pub fn attempt_ended(&mut self, now: Nanos, attempt: AttemptId, reported: AttemptOutcome<V>) {
         let Some(ended) = self.remove_attempt(attempt) else { return };
--- a/src/frontends/catalogue/upstream.rs
+++ b/src/frontends/catalogue/upstream.rs
@@ -358,11 +358,13 @@
         }
     }
 
-    /// Requests the next page of the search in flight on a connection, unless that is cancelled.
+    /// Requests the next page of the search in flight on a connection. Closes the connection if that search is
+    /// cancelled or not needed any more.
     fn send_page(&mut self, conn: ConnId, request: &[u8], context: &mut Context) {
         let in_flight = self.connections.get(&conn).and_then(|c| c.in_flight.as_ref());
-        let cancelled = in_flight.is_none_or(|r| r.attempt.is_none());
-        if cancelled || context.net.send(conn, request).is_err() {
+        let attempt = in_flight.and_then(|r| r.attempt);
+        let is_needed = attempt.is_some_and(|a| context.engine.continue_attempt(context.now, a));
+        if !is_needed || context.net.send(conn, request).is_err() {
             self.close(conn, context);
         }
     }
--- a/tests/fronts/late_searches.rs
+++ b/tests/fronts/late_searches.rs
@@ -1,5 +1,6 @@
 //! Index nodes get no request for a query that has its final answer.
 
+use crate::ALL;
 use crate::clients::*;
 use pebbleturn_lab::standins::*;
 use std::net::SocketAddr;
@@ -47,3 +48,17 @@
         assert_released_node_gets_no_request(&s);
     }
 }
+
+// Guards against requesting the next page of a search after its query got its final answer.
+#[test]
+fn next_page_of_an_answered_query_is_not_requested() {
+    let s = start_broker_with_one_connection_per_node(WireProtocol::Sru, 2);
+    s.script.set(&[HELD_NODE], ALL_PARTITIONS, Behavior::Held);
+    let mut client = s.client();
+    while s.script.parts_received_by(HELD_NODE) == 0 {
+        assert_eq!(client.query("whole"), Reply::Complete);
+    }
+    assert_released_node_gets_no_request(&s);
+    s.script.set(ALL, ALL_PARTITIONS, Behavior::Serve);
+    assert_eq!(client.query("whole"), Reply::Complete);
+}
--- a/tests/query_engine.rs
+++ b/tests/query_engine.rs
@@ -261,3 +261,25 @@
         );
     }
 }
+
+// Guards against further requests of a search, such as its next page, at a server that drains.
+#[test]
+fn an_attempt_is_not_continued_once_its_server_drains() {
+    for drains in [true, false] {
+        let mut harness = EngineHarness::new(|_| ());
+        harness.submit(&[0], 2 * S).unwrap();
+        let (replica, request) = harness.sent[0].clone();
+        assert!(harness.engine.begin_attempt(harness.now, request.attempt));
+        if drains {
+            harness
+                .engine
+                .update_endpoints(false, vec![replica_entry(replica.0, ReplicaState::Draining, None)]);
+        }
+        assert_eq!(harness.engine.continue_attempt(harness.now, request.attempt), !drains);
+        let expected = drains.then_some(Outcome::Cancelled);
+        assert_eq!(harness.engine.next_attempt_end().map(|e| e.outcome), expected);
+        // The part runs elsewhere: the attempt at the draining server did not answer it.
+        harness.run_until(harness.now + 50 * MS);
+        assert_eq!(harness.sent.len(), if drains { 2 } else { 1 });
+    }
+}
