Bound a client connection's turn by requests, not by reads alone

What callers saw: while six clients sent small or invalid requests at full speed, many at a time on one connection, other clients got their answers seconds late or never.

Cause: one turn of a connection handled all requests that four full buffers of 72 KiB held, some 6,000, before any other connection got its turn. A query takes several iterations of the event loop, each of which was behind such a turn of every flooding client. On a related path, responses were queued for clients that did not read them, out of the pool that all clients share.

Change and why it works: a turn has 16 requests; what is left stays buffered for the next iteration. The next pipelined request is handled once the responses before it are written. Connections with such leftovers are not idle.

--- a/src/frontends/catalogue/downstream.rs
+++ b/src/frontends/catalogue/downstream.rs
@@ -14,6 +14,7 @@
 use crate::config::OperatorConfig;
 use crate::engine::{QueryId, QueryOutcome};
 use crate::frontends::connection_slots::ConnectionSlots;
+use crate::frontends::turn::Turn;
 use crate::http::{self, MessageKind, Reader};
 use crate::net::{ConnId, NetEvent, ReadOutcome};
 use crate::server::FrontendContext;
@@ -21,9 +22,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Most reads of one connection in a row, so that other connections get their turn.
-const MAX_CONSECUTIVE_READS: usize = 4;
-
 type Context<'a> = FrontendContext<'a, SearchPayload, PartValue>;
 
 /// What the response to a pending SRU search needs of its request.
@@ -43,6 +41,8 @@
     protocol: ProtocolState,
     job: Option<(QueryId, Job)>,
     peer: SocketAddr,
+    /// Whether a turn ended before all input that has been read was handled.
+    has_unhandled_input: bool,
 }
 
 /// The settings that client requests depend on.
@@ -119,17 +119,17 @@
                 } else {
                     ProtocolState::Z3950(Box::default())
                 };
-                self.clients.insert(conn, Client { protocol, job: None, peer });
+                let client = Client { protocol, job: None, peer, has_unhandled_input: false };
+                self.clients.insert(conn, client);
                 self.slots.add(conn, context.now);
                 self.read(conn, context);
                 self.close_excess(context);
             }
             NetEvent::Readable { conn, .. } => self.read(conn, context),
+            // Requests may have waited until the client read its responses.
+            NetEvent::Flushed { conn, .. } => self.read(conn, context),
             NetEvent::Broken { conn, .. } => self.on_closed(conn, context),
-            NetEvent::Flushed { .. }
-            | NetEvent::Connected { .. }
-            | NetEvent::Datagrams { .. }
-            | NetEvent::Signal(_) => {}
+            NetEvent::Connected { .. } | NetEvent::Datagrams { .. } | NetEvent::Signal(_) => {}
         }
     }
 
@@ -166,20 +166,20 @@
         }
     }
 
+    /// Reads and handles input of a connection for one turn. What is left is handled in a later turn, so that a
+    /// client that sends many requests at a time does not delay the others.
     fn read(&mut self, conn: ConnId, context: &mut Context) {
-        for _ in 0..MAX_CONSECUTIVE_READS {
-            let filled = context.net.fill(conn);
-            let Some(client) = self.clients.get_mut(&conn) else { return };
-            match filled {
-                ReadOutcome::Read(_) => self.process_input(conn, context),
-                // Requests that are pipelined behind a pending one stay unread once the buffer is full.
-                ReadOutcome::BufferFull if client.job.is_some() => return,
-                ReadOutcome::BufferFull => {
-                    self.process_input(conn, context);
-                    if context.net.data(conn).len() >= ber::MAX_APDU {
-                        return self.close_with_warning(conn, "request exceeds the buffer size", context);
-                    }
-                }
+        let mut turn = Turn::default();
+        if self.clients.get(&conn).is_some_and(|client| client.has_unhandled_input) {
+            self.process_input(conn, &mut turn, context);
+        }
+        while self.clients.contains_key(&conn) {
+            if turn.is_over() || !turn.take_read() {
+                return context.net.requeue_readable(conn);
+            }
+            match context.net.fill(conn) {
+                ReadOutcome::Read(_) => self.process_input(conn, &mut turn, context),
+                ReadOutcome::BufferFull => return self.on_full_buffer(conn, context),
                 ReadOutcome::WouldBlock => return,
                 ReadOutcome::NoBuffer => {
                     // No buffer is free: closes a connection that holds one with an incomplete request,
@@ -192,11 +192,15 @@
                 }
                 ReadOutcome::Closed => return self.close(conn, context),
             }
-            if !self.clients.contains_key(&conn) {
-                return;
-            }
         }
-        context.net.requeue_readable(conn);
+    }
+
+    /// Handles a full buffer. Requests behind a pending one, or behind unread responses, stay in it.
+    fn on_full_buffer(&mut self, conn: ConnId, context: &mut Context) {
+        let waits = self.clients.get(&conn).is_none_or(|client| client.has_unhandled_input);
+        if !waits && context.net.data(conn).len() >= ber::MAX_APDU {
+            self.close_with_warning(conn, "request exceeds the buffer size", context);
+        }
     }
 
     fn close_with_warning(&mut self, conn: ConnId, why: &str, context: &mut Context) {
@@ -206,21 +210,34 @@
         self.close(conn, context);
     }
 
-    /// Handles buffered requests until one is pending or the data runs out.
-    fn process_input(&mut self, conn: ConnId, context: &mut Context) {
+    /// Handles buffered requests until one is pending, the client has to read its responses, the turn is over
+    /// or the data runs out.
+    fn process_input(&mut self, conn: ConnId, turn: &mut Turn, context: &mut Context) {
         loop {
-            let Some(client) = self.clients.get_mut(&conn).filter(|c| c.job.is_none()) else { return };
+            let Some(client) = self.clients.get_mut(&conn) else { return };
+            let has_data = !context.net.data(conn).is_empty();
+            client.has_unhandled_input = client.job.is_some() || has_data;
+            if client.job.is_some() {
+                return;
+            }
             let reading = matches!(&client.protocol, ProtocolState::Sru { reader, .. } if !reader.is_idle());
-            if reading || !context.net.data(conn).is_empty() {
+            if reading || has_data {
                 self.slots.partial_request(conn, context.now);
             }
-            let more = match &mut client.protocol {
+            if !has_data || turn.is_over() || !context.net.is_flushed(conn) {
+                return;
+            }
+            let handled = match &mut client.protocol {
                 ProtocolState::Sru { .. } => self.process_sru(conn, context),
                 ProtocolState::Z3950(_) => self.process_z3950(conn, context),
             };
-            if !more {
+            if !handled {
+                if let Some(client) = self.clients.get_mut(&conn) {
+                    client.has_unhandled_input = false;
+                }
                 return;
             }
+            turn.take_request();
         }
     }
 
@@ -481,10 +498,7 @@
             },
         }
         // Pipelined requests are handled now.
-        self.process_input(conn, context);
-        if self.clients.contains_key(&conn) {
-            self.read(conn, context);
-        }
+        self.read(conn, context);
     }
 
     fn reject(&mut self, conn: ConnId, retry_after: Nanos, context: &mut Context) {
@@ -567,7 +581,7 @@
         for conn in idle {
             // A request that arrived before the close is still handled.
             self.read(conn, context);
-            if self.clients.get(&conn).is_some_and(|c| c.job.is_none()) {
+            if self.clients.get(&conn).is_some_and(|c| c.job.is_none() && !c.has_unhandled_input) {
                 self.send_and_close(
                     conn,
                     Some(Session::closing_message(CloseReason::Shutdown, "this broker ends")),
@@ -582,10 +596,11 @@
         let conns: Vec<ConnId> = self.clients.keys().copied().collect();
         for conn in conns {
             self.read(conn, context);
-            let idle = |c: &Client| match &c.protocol {
-                ProtocolState::Sru { reader, .. } => c.job.is_none() && reader.is_idle(),
-                ProtocolState::Z3950(_) => c.job.is_none(),
+            let is_between_messages = |c: &Client| match &c.protocol {
+                ProtocolState::Sru { reader, .. } => reader.is_idle(),
+                ProtocolState::Z3950(_) => true,
             };
+            let idle = |c: &Client| c.job.is_none() && !c.has_unhandled_input && is_between_messages(c);
             if !self.slots.is_fresh(conn, context.now) && self.clients.get(&conn).is_some_and(idle) {
                 self.send_and_close(conn, None, context);
             }
--- a/src/frontends/mod.rs
+++ b/src/frontends/mod.rs
@@ -3,3 +3,4 @@
 pub mod catalogue;
 pub mod connection_slots;
 pub mod platform;
+mod turn;
--- a/src/frontends/platform/downstream.rs
+++ b/src/frontends/platform/downstream.rs
@@ -7,6 +7,7 @@
 use crate::config::Names;
 use crate::engine::{QueryId, QueryOutcome, QueryRequest};
 use crate::frontends::connection_slots::ConnectionSlots;
+use crate::frontends::turn::Turn;
 use crate::http::{self, HttpError, MessageKind, Reader};
 use crate::net::{ConnId, MAX_BODY, NetEvent, ReadOutcome};
 use crate::server::FrontendContext;
@@ -15,9 +16,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Maximum number of reads from one connection before the others get their turn.
-const MAX_CONSECUTIVE_READS: usize = 4;
-
 struct Client {
     reader: Reader,
     /// The query whose answer is pending, and its request id.
@@ -25,6 +23,8 @@
     id: Option<Rc<str>>,
     keep_alive: bool,
     peer: SocketAddr,
+    /// Whether a turn ended before all input that has been read was handled.
+    has_unhandled_input: bool,
 }
 
 /// All client connections.
@@ -93,17 +93,24 @@
         match event {
             NetEvent::Accepted { conn, peer, .. } => {
                 let reader = Reader::new(MessageKind::Request);
-                self.clients.insert(conn, Client { reader, query: None, id: None, keep_alive: true, peer });
+                let client = Client {
+                    reader,
+                    query: None,
+                    id: None,
+                    keep_alive: true,
+                    peer,
+                    has_unhandled_input: false,
+                };
+                self.clients.insert(conn, client);
                 self.slots.add(conn, context.now);
                 self.read(conn, context);
                 self.close_excess(context);
             }
             NetEvent::Readable { conn, .. } => self.read(conn, context),
+            // Requests may have waited until the client read its responses.
+            NetEvent::Flushed { conn, .. } => self.read(conn, context),
             NetEvent::Broken { conn, .. } => self.on_closed(conn, context),
-            NetEvent::Flushed { .. }
-            | NetEvent::Connected { .. }
-            | NetEvent::Datagrams { .. }
-            | NetEvent::Signal(_) => {}
+            NetEvent::Connected { .. } | NetEvent::Datagrams { .. } | NetEvent::Signal(_) => {}
         }
     }
 
@@ -142,17 +149,21 @@
         }
     }
 
+    /// Reads and handles input of a connection for one turn. What is left is handled in a later turn, so that a
+    /// client that sends many requests at a time does not delay the others.
     fn read(&mut self, conn: ConnId, context: &mut Context) {
-        for _ in 0..MAX_CONSECUTIVE_READS {
+        let mut turn = Turn::default();
+        if self.clients.get(&conn).is_some_and(|client| client.has_unhandled_input) {
+            self.process_input(conn, &mut turn, context);
+        }
+        while self.clients.contains_key(&conn) {
+            if turn.is_over() || !turn.take_read() {
+                return context.net.requeue_readable(conn);
+            }
             match context.net.fill(conn) {
-                ReadOutcome::Read(_) => self.process_input(conn, context),
-                // Once the buffer is full, requests that were pipelined behind an open one stay unread.
-                ReadOutcome::BufferFull => {
-                    self.process_input(conn, context);
-                    if self.clients.get(&conn).is_none_or(|c| c.query.is_some()) {
-                        return self.close_if_ended(conn, context);
-                    }
-                }
+                ReadOutcome::Read(_) => self.process_input(conn, &mut turn, context),
+                // Requests that were pipelined behind an open one, or behind unread responses, stay unread.
+                ReadOutcome::BufferFull => return self.close_if_ended(conn, context),
                 ReadOutcome::WouldBlock => return,
                 ReadOutcome::NoBuffer if context.net.peer_ended(conn) => return self.close(conn, context),
                 ReadOutcome::NoBuffer => {
@@ -162,11 +173,7 @@
                 }
                 ReadOutcome::Closed => return self.close(conn, context),
             }
-            if !self.clients.contains_key(&conn) {
-                return;
-            }
         }
-        context.net.requeue_readable(conn);
     }
 
     /// Closes the connection if the client has ended it, which a read can't detect while the buffer is full.
@@ -186,10 +193,18 @@
         true
     }
 
-    /// Parses the received data and handles requests until one has to wait for its answer.
-    fn process_input(&mut self, conn: ConnId, context: &mut Context) {
+    /// Parses the received data and handles requests until one has to wait for its answer, the client has to
+    /// read its responses, or the turn is over.
+    fn process_input(&mut self, conn: ConnId, turn: &mut Turn, context: &mut Context) {
         loop {
-            let Some(client) = self.clients.get_mut(&conn).filter(|c| c.query.is_none()) else { return };
+            let Some(client) = self.clients.get_mut(&conn) else { return };
+            client.has_unhandled_input = client.query.is_some() || !context.net.data(conn).is_empty();
+            if client.query.is_some() || !client.has_unhandled_input {
+                return;
+            }
+            if turn.is_over() || !context.net.is_flushed(conn) {
+                return self.slots.partial_request(conn, context.now);
+            }
             let pool = context.net.pool().clone();
             let had_head = client.reader.head().is_some();
             let consumed = match client.reader.advance(context.net.data(conn), &pool) {
@@ -213,8 +228,10 @@
                 if !client.reader.is_idle() || !context.net.data(conn).is_empty() {
                     self.slots.partial_request(conn, context.now);
                 }
+                client.has_unhandled_input = false;
                 return;
             }
+            turn.take_request();
             self.handle_request(conn, context);
         }
     }
@@ -346,10 +363,7 @@
             QueryOutcome::Failed => self.respond(conn, 504, &[], b"", context),
         }
         // Handles requests that the client has pipelined.
-        self.process_input(conn, context);
-        if self.clients.contains_key(&conn) {
-            self.read(conn, context);
-        }
+        self.read(conn, context);
     }
 
     /// Sets whether readiness checks succeed.
