Keep the id of an ended request for its whole time, however many others end

Cause: of the ids of ended queries the oldest was dropped at 8,192, so an id was accepted again before its 10 s once so many others had ended.

Change and why it works: a digest of 8 bytes is kept for each ended id, and none is dropped before its time. At 262,144 ids, open ones included, queries are refused with Retry-After; memory stays bounded and no longer decides about correctness.

The test failed before (the id was free after 20,000 others, 1 ms later) and passes now, as does the model of random histories.

--- a/src/frontends/platform/downstream.rs
+++ b/src/frontends/platform/downstream.rs
@@ -299,6 +299,11 @@
                     tracing::info!("request of client {} repeats a recent request id", client.peer);
                     return self.respond(conn, 409, &[], b"this Req-Id was used", context);
                 }
+                Ok(_) if !self.request_ids.has_room(context.now) => {
+                    tracing::info!("query rejected: too many request ids are kept");
+                    let retry_after = context.engine.overloaded().retry_after;
+                    return self.reject(conn, retry_after, context);
+                }
                 Ok(request) => return self.submit(conn, request, context),
             },
             ("GET", "/-/ready") => (if self.not_ready { 503 } else { 200 }, ""),
--- a/tests/request_ids.rs
+++ b/tests/request_ids.rs
@@ -1,6 +1,6 @@
 //! Which request ids the platform's port accepts, over random histories of queries at two processes.
 
-use pebbleturn::frontends::platform::request_ids::RequestIds;
+use pebbleturn::frontends::platform::request_ids::{MAX_ENDED_IDS, RequestIds};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::Rng;
 use std::collections::BTreeSet;
@@ -38,6 +38,38 @@
     }
 }
 
+// Guards against a limit on the number of kept ids that drops those of queries that ended just now: an id whose
+// client had left was run a second time after 8,192 others.
+#[test]
+fn ids_of_ended_queries_are_used_for_their_time_however_many_queries_end() {
+    let mut ids = RequestIds::default();
+    ids.query_admitted("left".into());
+    ids.query_ended(0, "left");
+    for now in (MILLI..RETENTION).step_by(RETENTION as usize / 5) {
+        end_many_queries(&mut ids, now);
+        assert!(ids.is_used(now, "left"), "after {now} ns");
+    }
+    assert!(!ids.is_used(RETENTION, "left"));
+}
+
+// Guards against admitting queries whose ids could not be kept.
+#[test]
+fn no_query_is_admitted_while_no_more_ids_can_be_kept() {
+    let mut ids = RequestIds::default();
+    for n in 0..MAX_ENDED_IDS {
+        assert!(ids.has_room(0), "after {n} queries");
+        let id = n.to_string();
+        ids.query_admitted(id.as_str().into());
+        // Open ones count too.
+        if n % 2 == 0 {
+            ids.query_ended(0, &id);
+        }
+    }
+    assert!(!ids.has_room(RETENTION - 1));
+    assert!(ids.is_used(RETENTION - 1, "0"));
+    assert!(ids.has_room(RETENTION));
+}
+
 #[test]
 fn random_histories_agree_with_a_model_that_forgets_nothing() {
     for seed in 0..200 {
