Bound the terms of a search, which Z39.50 sessions keep with their result sets

What callers saw: memory grew with sessions that stored result sets under ever new names.

Cause: CQL queries were limited to 8 KiB, RPN queries only by the size of a request, and a session keeps the searches of 16 result sets. A search may name stored ones, so one could be 65 times as large.

Change and why it works: a search has 8 KiB of terms at most in either language; a larger one gets a diagnostic, and operators are counted before stored searches are copied.

The test failed before (87 MiB with 100 sessions, bound 73) and passes now.

--- a/src/frontends/catalogue/cql.rs
+++ b/src/frontends/catalogue/cql.rs
@@ -59,7 +59,7 @@
     let mut p = Parser { tokens: tokenize(query)?, position: 0, operators: 0, prefixes: Vec::new() };
     let search = p.query(0)?;
     match p.peek() {
-        None => search.check_operator_count(),
+        None => search.check_size(),
         Some(Token::Text { raw, .. }) if raw.eq_ignore_ascii_case("sortby") => {
             Err(Diagnostic::new(Condition::UnsupportedSort, "sortBy"))
         }
--- a/src/frontends/catalogue/rpn.rs
+++ b/src/frontends/catalogue/rpn.rs
@@ -13,7 +13,11 @@
     let [set, structure] = query else { return Err(malformed("an RPN query has two parts")) };
     let set = set.as_oid().ok_or_else(|| malformed("no attribute set"))?;
     check_set(&set)?;
-    read_structure(structure, stored, 0)?.check_operator_count()
+    // Counted first: each operand may be a stored search, which is copied.
+    if operator_count(structure) > MAX_OPERATORS {
+        return Err(Diagnostic::too_many_operators(MAX_OPERATORS));
+    }
+    read_structure(structure, stored, 0)?.check_size()
 }
 
 fn malformed(what: &str) -> Diagnostic {
@@ -24,6 +28,14 @@
     if oid == BIB1 { Ok(()) } else { Err(Diagnostic::new(Condition::UnsupportedAttributeSet, oid)) }
 }
 
+/// The number of operators in a structure, not counting those of stored searches.
+fn operator_count(structure: &Element) -> usize {
+    match (structure.tag, structure.values()) {
+        (tag, [left, right, _]) if tag == Tag::ctx(1) => 1 + operator_count(left) + operator_count(right),
+        _ => 0,
+    }
+}
+
 fn read_structure(
     e: &Element,
     stored: &impl Fn(&str) -> Option<Search>,
--- a/src/frontends/catalogue/search.rs
+++ b/src/frontends/catalogue/search.rs
@@ -1,11 +1,15 @@
 //! The search tree that CQL and RPN queries are parsed into: terms with Bib-1 attributes, and operators.
 
-use super::diagnostic::Diagnostic;
+use super::diagnostic::{Condition, Diagnostic};
 pub use crate::config::index::{CONTEXT_SETS, access_of, index_of, indexes};
 
 /// Maximum number of operators in one search. Bounds the recursion depth and the load on nodes.
 pub const MAX_OPERATORS: usize = 64;
 
+/// Maximum size of all terms of one search together, bytes. Bounds what a session keeps with a result set, and the
+/// requests to nodes.
+pub const MAX_TERM_BYTES: usize = 8 * 1024;
+
 /// An operator between two searches.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Operator {
@@ -123,11 +127,23 @@
         }
     }
 
-    /// Rejects a search with more than `MAX_OPERATORS` operators.
-    pub fn check_operator_count(self) -> Result<Search, Diagnostic> {
+    /// The size of all terms in the search, bytes.
+    pub fn term_bytes(&self) -> usize {
+        match self {
+            Search::Clause(clause) => clause.term.len(),
+            Search::Binary(_, left, right) => left.term_bytes() + right.term_bytes(),
+        }
+    }
+
+    /// Rejects a search with more than `MAX_OPERATORS` operators or `MAX_TERM_BYTES` bytes of terms.
+    pub fn check_size(self) -> Result<Search, Diagnostic> {
         if self.operator_count() > MAX_OPERATORS {
             return Err(Diagnostic::too_many_operators(MAX_OPERATORS));
         }
+        if self.term_bytes() > MAX_TERM_BYTES {
+            let details = format!("terms over {MAX_TERM_BYTES} bytes");
+            return Err(Diagnostic::new(Condition::QuerySyntax, details));
+        }
         Ok(self)
     }
 
--- a/tests/floods/main.rs
+++ b/tests/floods/main.rs
@@ -7,6 +7,7 @@
 mod delays;
 mod departures;
 mod flooder;
+mod memory;
 mod pipelining;
 
 use std::sync::{Mutex, MutexGuard};
