Answer a client whose connection is closed to free its buffer for another one

What callers saw: with hundreds of clients that stop in the middle of a request, a client in the middle of its own was disconnected without an answer; if its last bytes were on their way, its request was lost.

Cause: free_buffer closed the connection at once, where all other closes in the middle of a request send a response and linger.

Change: 503 with Retry-After on HTTP, a Close on Z39.50, and the connection lingers. It holds no buffer then.

The test failed before (an empty response) and passes now. frontends (93), operation (40), races (15) pass. The catalogue's port has the same change and no test of its own: its pool is too large to be used up in one.

--- a/src/frontends/catalogue/downstream.rs
+++ b/src/frontends/catalogue/downstream.rs
@@ -194,20 +194,30 @@
                 ReadOutcome::BufferFull => return self.on_full_buffer(conn, context),
                 ReadOutcome::WouldBlock => return,
                 ReadOutcome::NoBuffer if context.net.peer_ended(conn) => return self.close(conn, context),
-                ReadOutcome::NoBuffer => {
-                    // No buffer is free: closes a connection that holds one with an incomplete request,
-                    // so that such connections can't block other clients.
-                    if let Some(other) = self.slots.buffer_holder(conn) {
-                        tracing::debug!("client connection closed to free its buffer");
-                        self.close(other, context);
-                    }
-                    return;
-                }
+                ReadOutcome::NoBuffer => return self.free_buffer(conn, context),
                 ReadOutcome::Closed => return self.close(conn, context),
             }
         }
     }
 
+    /// Refuses the request of a connection other than `except` that holds a buffer with part of it, and closes
+    /// that connection, so that such connections can't block other clients.
+    fn free_buffer(&mut self, except: ConnId, context: &mut Context) {
+        let Some(other) = self.slots.buffer_holder(except) else { return };
+        let Some(client) = self.clients.get(&other) else { return };
+        tracing::debug!("client connection closed to free its buffer");
+        let message = match &client.protocol {
+            ProtocolState::Sru { .. } => {
+                Some(http::service_unavailable(context.engine.overloaded().retry_after))
+            }
+            ProtocolState::Z3950(session) => {
+                let why = "no buffer is free";
+                session.is_open().then(|| Session::closing_message(CloseReason::SystemProblem, why))
+            }
+        };
+        self.close_lingering(other, message, context);
+    }
+
     /// Reads SRU requests behind a pending one out of a full buffer, to refuse them later. Returns whether that
     /// made room or the turn is over.
     fn refuse_pipelined(&mut self, conn: ConnId, turn: &mut Turn, context: &mut Context) -> bool {
--- a/src/frontends/platform/downstream.rs
+++ b/src/frontends/platform/downstream.rs
@@ -205,12 +205,13 @@
         }
     }
 
-    /// Closes a connection other than `except` that holds a buffer with part of a request. Returns false if
-    /// there is none.
+    /// Refuses the request of a connection other than `except` that holds a buffer with part of it, and closes
+    /// that connection: the rest of the request may be in transit. Returns false if there is none.
     fn free_buffer(&mut self, except: ConnId, context: &mut Context) -> bool {
         let Some(other) = self.slots.buffer_holder(except) else { return false };
         tracing::debug!("client connection closed to free its buffer");
-        self.close(other, context);
+        let retry_after = context.engine.overloaded().retry_after;
+        self.close_with_response(other, &http::service_unavailable(retry_after), context);
         true
     }
 
--- a/tests/floods/memory.rs
+++ b/tests/floods/memory.rs
@@ -158,6 +158,43 @@
     }
 }
 
+/// More than there are buffers for clients with the smallest memory limit.
+const BUFFER_HOLDERS: usize = 60;
+
+/// Connects clients that write this part of a request and no more. Returns what those got that were disconnected.
+fn responses_to_disconnected_clients(addr: SocketAddr, part: &[u8]) -> Vec<String> {
+    let mut clients: Vec<TcpStream> =
+        (0..BUFFER_HOLDERS).map(|_| TcpStream::connect(addr).unwrap()).collect();
+    for client in &mut clients {
+        client.set_read_timeout(Some(WRITE_INTERVAL)).unwrap();
+        client.write_all(part).unwrap();
+    }
+    let disconnected = clients.iter_mut().filter_map(|client| {
+        let mut response = Vec::new();
+        // A client that is still connected gets nothing before its time-out.
+        client.read_to_end(&mut response).ok().map(|_| String::from_utf8_lossy(&response).into_owned())
+    });
+    disconnected.collect()
+}
+
+// Guards against closing a connection without an answer to free its buffer for another client: the rest of its
+// request may be on its way.
+#[test]
+fn client_that_is_disconnected_for_its_buffer_gets_a_refusal() {
+    let _alone = run_alone();
+    let script = NodeScript::default();
+    let nodes = [0, 1, 2].map(|n| (node(WireProtocol::Http, n, script.clone()), WireProtocol::Http));
+    let limits = r#""sockets":512,"memory_mb":16"#;
+    let config = platform_config(&nodes, 400, None).replace(r#""sockets":96"#, limits);
+    let s = start_platform_broker(&config, script);
+    let responses = responses_to_disconnected_clients(s.addr, b"POST /api HTTP/1.1\r\nContent-Le");
+    assert!(!responses.is_empty(), "all clients have a buffer");
+    assert!(responses.iter().any(|response| response.starts_with("HTTP/1.1 503 ")), "{responses:?}");
+    // On a busy machine the time limit of a request may come first.
+    let is_answer = |response: &String| ["503", "408"].contains(&response.get(9..12).unwrap_or_default());
+    assert!(responses.iter().all(is_answer), "{responses:?}");
+}
+
 const SESSIONS: usize = 100;
 const SETS_PER_SESSION: usize = 16;
 /// Of the term that each stored search has.
