Remove a node that discovery's full list leaves out, whoever else names it

Callers saw: on the catalogue's port a node that discovery's full list left out got searches for as long as the broker ran, where the operator's file names it too.

Cause: MergedView::view kept a node that the file lists as ready if discovery had merely left it out, taking the silence of a source that lists everything for no statement.

Change: the latest full list decides about all nodes, whichever source named them (DirectoryScope::AllNodes). Whether discovery named a node before isn't asked: a restart would forget that and return the node to service, and so would the pruning of old records, which the new tests show too. Nodes that only the file names are in use until discovery's first full list. A broker without discovery keeps the former rule, as no list could return its nodes.

Five tests are new, each failing before.

--- a/lab/benches/decide.rs
+++ b/lab/benches/decide.rs
@@ -5,6 +5,7 @@
 
 use divan::Bencher;
 use pebbleturn::membership::endpoint_list::{Endpoint, EndpointList};
+use pebbleturn::membership::merged_view::DirectoryScope;
 use pebbleturn::membership::{NodeState, PartitionLayout, Registry, RegistrySettings};
 use pebbleturn::metrics::{Gauges, Metrics, QueryResult};
 use pebbleturn::{Action, Balancer, Event, Nanos, Outcome, ReplicaEntry, ReplicaId, ReplicaState, RequestId};
@@ -114,6 +115,7 @@
         default_list_age: 300_000 * MS,
         silence_timeout: 400 * MS,
         zones: HashMap::new(),
+        directory_scope: DirectoryScope::AllNodes,
         kinds: vec![],
         seed: 7,
     });
--- a/lab/src/directory.rs
+++ b/lab/src/directory.rs
@@ -34,6 +34,8 @@
     /// Each change with the version that it created.
     changes: Vec<(u64, Endpoint)>,
     first_list: Option<EndpointList>,
+    /// Number of times that all watches were ended.
+    watch_resets: u64,
     call_times: Vec<Instant>,
 }
 
@@ -88,6 +90,17 @@
         });
     }
 
+    /// Removes one endpoint without reporting a change, and ends all watches: what follows is the full list
+    /// without it.
+    pub fn leave_out(&self, id: &str) {
+        self.with_state(|s| {
+            s.version += 1;
+            s.nodes.remove(id);
+            s.changes.clear();
+            s.watch_resets += 1;
+        });
+    }
+
     /// Restarts with this list; its version is 1 again.
     pub fn restart_with(&self, nodes: Vec<Endpoint>) {
         self.with_state(|s| {
@@ -131,10 +144,10 @@
     }
     let (head, _) = read_http(&mut stream)?;
     let mut since: u64 = head.split("since=").nth(1)?.split(' ').next()?.parse().ok()?;
-    let mode = {
+    let (mode, watch_resets) = {
         let mut state = state.lock().ok()?;
         state.call_times.push(Instant::now());
-        state.mode
+        (state.mode, state.watch_resets)
     };
     match mode {
         Mode::Refusing => {
@@ -149,7 +162,7 @@
     loop {
         let list = {
             let state = state.lock().ok()?;
-            if state.mode == Mode::Down {
+            if state.mode == Mode::Down || state.watch_resets != watch_resets {
                 return None;
             }
             // After a restart of the version numbers the open watches end.
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -6,6 +6,7 @@
     Counts, Disturbances, EndpointSource, Node, NodeBehavior, NodeModel, World, WorldSettings, uniform,
 };
 use pebbleturn::membership::endpoint_list::{Endpoint, EndpointList};
+use pebbleturn::membership::merged_view::DirectoryScope;
 use pebbleturn::membership::{NodeState, PartitionLayout, Registry, RegistrySettings};
 use pebbleturn::{Nanos, Settings};
 use rand_pcg::Pcg64Mcg;
@@ -262,6 +263,7 @@
                 default_list_age: 300 * S,
                 silence_timeout: 100 * MS,
                 zones: HashMap::from([("a".into(), 0), ("b".into(), 1)]),
+                directory_scope: DirectoryScope::AllNodes,
                 kinds: vec![],
                 seed: seed ^ broker << 32 | broker,
             });
--- a/lab/src/restart.rs
+++ b/lab/src/restart.rs
@@ -4,6 +4,7 @@
 use crate::sim::{
     Disturbances, EndpointSource, Node, NodeBehavior, NodeModel, World, WorldSettings, exponential, uniform,
 };
+use pebbleturn::membership::merged_view::DirectoryScope;
 use pebbleturn::membership::snapshot::{Snapshot, SnapshotNode};
 use pebbleturn::membership::staleness::ChangeRate;
 use pebbleturn::membership::{NodeRecord, NodeState, PartitionLayout, Registry, RegistrySettings};
@@ -257,6 +258,7 @@
                     default_list_age: 300 * S,
                     silence_timeout: 400 * MS,
                     zones: HashMap::new(),
+                    directory_scope: DirectoryScope::AllNodes,
                     kinds: vec![],
                     seed: seed ^ broker << 32 | broker,
                 });
--- a/lab/src/routing.rs
+++ b/lab/src/routing.rs
@@ -2,6 +2,7 @@
 //! over to its spare and back.
 
 use crate::sim::{Disturbances, EndpointSource, Node, NodeBehavior, NodeModel, World, WorldSettings};
+use pebbleturn::membership::merged_view::DirectoryScope;
 use pebbleturn::membership::{NodeRecord, NodeState, PartitionLayout, Registry, RegistrySettings};
 use pebbleturn::routing::{AdminState, Routing, RoutingSettings, Rule, Spare};
 use pebbleturn::{Class, Discovery, Idempotency, Nanos, Settings};
@@ -89,6 +90,7 @@
         default_list_age: 300 * S,
         silence_timeout: 400 * MS,
         zones: HashMap::new(),
+        directory_scope: DirectoryScope::AllNodes,
         kinds: vec![],
         seed,
     });
--- a/src/frontends/catalogue/frontend.rs
+++ b/src/frontends/catalogue/frontend.rs
@@ -10,6 +10,7 @@
 use crate::engine::{EngineAction, QueryEngine};
 use crate::hot_restart::HotRestart;
 use crate::hot_restart::coordination::SharedLimits;
+use crate::membership::merged_view::DirectoryScope;
 use crate::membership::watch_schedule::WatchSchedule;
 use crate::membership::{NodeRecord, PartitionLayout, Registry, RegistrySettings};
 use crate::net::{Clock, ConnectionClass, NetEvent, PollLoop, Pool, inherited};
@@ -145,6 +146,8 @@
     let settings = operator.settings();
     let m = &operator.membership;
     let (snapshots, snapshot_writer) = m.keep.as_deref().map_or((Vec::new(), None), SnapshotWriter::open);
+    let directory_scope =
+        if m.discovery.is_some() { DirectoryScope::AllNodes } else { DirectoryScope::NodesOfDirectory };
     let mut registry = Registry::new(RegistrySettings {
         layout: PartitionLayout { cells: settings.cells, span: settings.span },
         warm_up: settings.slow_start_time,
@@ -152,6 +155,7 @@
         default_list_age: m.presumed_age_s * 1_000_000_000,
         silence_timeout: settings.classes.iter().map(|c| c.latency_objective).min().unwrap_or(0) / 5,
         zones: operator.node.iter().map(|n| (n.zone.clone(), operator.zone_number(&n.zone))).collect(),
+        directory_scope,
         kinds: [Protocol::Sru, Protocol::Z3950].map(|p| p.name().to_owned()).into(),
         seed,
     });
--- a/src/frontends/platform/frontend.rs
+++ b/src/frontends/platform/frontend.rs
@@ -8,6 +8,7 @@
 use crate::frontends::connection_slots::ConnectionSlots;
 use crate::hot_restart::HotRestart;
 use crate::hot_restart::coordination::SharedLimits;
+use crate::membership::merged_view::DirectoryScope;
 use crate::membership::watch_schedule::WatchSchedule;
 use crate::membership::{PartitionLayout, Registry, RegistrySettings};
 use crate::net::{Clock, ConnectionClass, NetEvent, PollLoop, Pool, inherited};
@@ -106,6 +107,7 @@
         default_list_age: DEFAULT_LIST_AGE,
         silence_timeout: limits.silence_timeout / 5,
         zones: names.zones().clone(),
+        directory_scope: DirectoryScope::AllNodes,
         kinds: Vec::new(),
         seed: config.seed,
     });
--- a/src/membership/merged_view/mod.rs
+++ b/src/membership/merged_view/mod.rs
@@ -8,6 +8,9 @@
 //!
 //! A drain is undone only by a higher version or by a process start after the drain was learned. The first
 //! list after a reset of the source's versions undoes a drain only through such a start.
+//!
+//! A node that a full list of the directory omits is gone, whichever source named it before: see
+//! [`DirectoryScope`].
 
 mod records;
 mod source_view;
@@ -49,14 +52,32 @@
     pub received: Nanos,
 }
 
+/// The nodes that the directory's full lists contain.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum DirectoryScope {
+    /// All nodes: one that the latest full list omits is gone, also if only the operator has ever named it.
+    #[default]
+    AllNodes,
+    /// Only nodes that the directory has named before. For a broker without a directory, which may still have
+    /// a stored list of one: no later list could return the operator's nodes to service.
+    NodesOfDirectory,
+}
+
 /// The merged state of all nodes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct MergedView {
+    directory_scope: DirectoryScope,
     operator: SourceView,
     directory: SourceView,
 }
 
 impl MergedView {
+    /// An empty view, with a directory whose full lists have this scope.
+    #[must_use]
+    pub fn new(directory_scope: DirectoryScope) -> MergedView {
+        MergedView { directory_scope, ..MergedView::default() }
+    }
+
     fn source_mut(&mut self, priority: SourcePriority) -> &mut SourceView {
         match priority {
             SourcePriority::Operator => &mut self.operator,
@@ -103,31 +124,23 @@
         source.full_list.map(|(version, Reverse(received))| (version, received))
     }
 
-    /// The merged state of a node. A node that the operator lists as ready stays ready until the directory
-    /// reports it as terminating or gone.
+    /// The merged state of a node. The directory's records and full lists override the operator's records.
     #[must_use]
     pub fn view(&self, id: &str) -> Option<NodeView<'_>> {
-        let operator = self.operator.node(id);
-        let directory = self.directory.node(id);
-        match (operator, directory) {
-            (Some(operator), Some(directory))
-                if operator.state == NodeState::Ready
-                    && directory.state != NodeState::Ready
-                    && self.merely_omitted_by_directory(id) =>
-            {
-                Some(operator)
-            }
-            (_, Some(directory)) => Some(directory),
-            (operator, None) => operator,
-        }
+        self.directory.node(id).or_else(|| {
+            let operator = self.operator.node(id)?;
+            Some(self.unless_omitted_by_directory(operator))
+        })
     }
 
-    /// Whether the directory's full list omits a node whose last record was ready: the directory may never
-    /// have been meant to list it.
-    fn merely_omitted_by_directory(&self, id: &str) -> bool {
-        self.directory.nodes.get(id).is_some_and(|records| {
-            self.directory.omitted_by(records).is_some() && records.latest.record.state == NodeState::Ready
-        })
+    /// The state of a node that only the operator names, under the directory's latest full list.
+    fn unless_omitted_by_directory<'a>(&self, operator: NodeView<'a>) -> NodeView<'a> {
+        match (self.directory_scope, self.directory.full_list) {
+            (DirectoryScope::AllNodes, Some((_, Reverse(received)))) => {
+                NodeView { state: NodeState::Gone, learned: received.max(operator.learned), ..operator }
+            }
+            _ => operator,
+        }
     }
 
     /// Ids of all nodes with at least one record.
--- a/src/membership/registry/mod.rs
+++ b/src/membership/registry/mod.rs
@@ -77,8 +77,8 @@
     #[must_use]
     pub fn new(settings: RegistrySettings) -> Registry {
         Registry {
+            view: MergedView::new(settings.directory_scope),
             settings,
-            view: MergedView::default(),
             nodes: NodeTable::default(),
             directory: DirectoryState::default(),
             start_stamps: StartStamps::default(),
--- a/src/membership/registry/settings.rs
+++ b/src/membership/registry/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::api::Nanos;
 use crate::membership::PartitionLayout;
+use crate::membership::merged_view::DirectoryScope;
 use std::collections::HashMap;
 
 /// Settings of a [`Registry`](super::Registry).
@@ -20,6 +21,8 @@
     pub silence_timeout: Nanos,
     /// Numbers of the zones by name.
     pub zones: HashMap<String, u32>,
+    /// Which nodes discovery's full lists contain.
+    pub directory_scope: DirectoryScope,
     /// Kinds of node that can be called; empty: all.
     pub kinds: Vec<String>,
     /// Seed of the order in which unconfirmed nodes are admitted. Each broker needs a different one, so that
--- a/src/membership/registry/sources.rs
+++ b/src/membership/registry/sources.rs
@@ -146,14 +146,16 @@
         self.directory.epoch += 1;
     }
 
-    /// Records the nodes that the latest full list omits as gone. The older list that replaces it may name
-    /// them, and must not return them to service: as with drains, only a later process start or a later
-    /// change does.
+    /// Records the nodes of the directory that its latest full list omits as gone. The older list that replaces
+    /// it may name them, and must not return them to service: as with drains, only a later process start or a
+    /// later change does.
     fn record_omitted_as_gone(&mut self) {
         let Some((version, received)) = self.view.full_list(SourcePriority::Directory) else { return };
         let is_omitted = |id: &&str| {
             self.view.view(id).is_some_and(|view| {
-                view.state == NodeState::Gone && view.versioned.record.state == NodeState::Ready
+                view.state == NodeState::Gone
+                    && view.versioned.record.state == NodeState::Ready
+                    && view.versioned.source_version.priority == SourcePriority::Directory
             })
         };
         let omitted: Vec<String> = self.view.ids().filter(is_omitted).map(str::to_owned).collect();
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -32,9 +32,16 @@
 impl Fleet {
     /// Four nodes in three cells, two of them in cell 0; the last is not listed yet.
     fn new() -> Fleet {
+        Fleet::with_listed(4, &[0, 1, 2])
+    }
+
+    /// So many nodes, in three cells in turn, of which discovery lists these.
+    fn with_listed(count: usize, listed: &[usize]) -> Fleet {
         let script = NodeScript::default();
-        let nodes: Vec<SocketAddr> = (0..4).map(|n| node(WireProtocol::Sru, n, script.clone())).collect();
-        let listed = (0..3).map(|n| endpoint(&format!("n-{n}"), nodes[n], "sru", n as u32, NodeState::Ready));
+        let nodes: Vec<SocketAddr> = (0..count).map(|n| node(WireProtocol::Sru, n, script.clone())).collect();
+        let listed = listed
+            .iter()
+            .map(|n| endpoint(&format!("n-{n}"), nodes[*n], "sru", *n as u32 % 3, NodeState::Ready));
         let directory = Directory::start(listed.collect());
         Fleet { nodes, script, directory }
     }
@@ -162,6 +169,52 @@
     broker.stop();
 }
 
+/// Guards against attempts at nodes that discovery's full list leaves out: while the operator's file names
+/// them too, they stayed in use, and were in use again after a restart.
+#[test]
+fn a_full_list_removes_nodes_that_the_operators_file_names_too() {
+    // The file names the first four nodes. Discovery lists the fourth never, and the fifth from the start.
+    let (fleet, dir) = (Fleet::with_listed(6, &[0, 1, 2, 4]), tempfile::tempdir().unwrap());
+    let in_file: Vec<(SocketAddr, &str)> = fleet.nodes[..4].iter().map(|addr| (*addr, "sru")).collect();
+    let wait_until_in_use = |broker: &RunningBroker, n: usize| {
+        let before = fleet.script.parts_received_by(n);
+        wait_until("the node receives attempts", || {
+            broker.serves() && fleet.script.parts_received_by(n) > before
+        });
+    };
+    let assert_unused = |broker: &RunningBroker, nodes: &[usize]| {
+        let before: Vec<usize> = nodes.iter().map(|n| fleet.settled_attempts(*n)).collect();
+        (0..20).for_each(|_| assert!(broker.serves()));
+        let after: Vec<usize> = nodes.iter().map(|n| fleet.settled_attempts(*n)).collect();
+        assert_eq!(after, before, "nodes {nodes:?} are left out");
+    };
+    let first = RunningBroker::start(&discovery_and_store(&fleet.directory, dir.path()), &in_file);
+    // Once a node that only discovery lists is in use, its full list is known.
+    wait_until_in_use(&first, 4);
+    wait_until_in_use(&first, 0);
+    fleet.directory.leave_out("n-0");
+    fleet.report_state(5, NodeState::Ready);
+    wait_until_in_use(&first, 5);
+    assert_unused(&first, &[0]);
+    assert_unused(&first, &[3]);
+    first.stop();
+
+    // The stored list says the same while discovery is down.
+    fleet.directory.set_mode(Mode::Refusing);
+    let second = RunningBroker::start(&discovery_and_store(&fleet.directory, dir.path()), &in_file);
+    assert_unused(&second, &[0, 3]);
+    second.stop();
+
+    // So does the first full list to a process that has never seen the nodes listed.
+    fleet.directory.set_mode(Mode::Up);
+    let third = RunningBroker::start(&format!("discovery = \"{}\"", fleet.directory.addr), &in_file);
+    wait_until_in_use(&third, 4);
+    assert_unused(&third, &[0, 3]);
+    fleet.report_state(0, NodeState::Ready);
+    wait_until_in_use(&third, 0);
+    third.stop();
+}
+
 #[test]
 fn restart_without_discovery_uses_the_cached_list_and_its_drains() {
     let (fleet, dir) = (Fleet::new(), tempfile::tempdir().unwrap());
--- a/tests/membership_registry/fixture.rs
+++ b/tests/membership_registry/fixture.rs
@@ -1,6 +1,7 @@
 //! A registry driven by scripted reports and attempt outcomes, with the time as an argument.
 
 use pebbleturn::membership::endpoint_list::{Endpoint, EndpointList};
+use pebbleturn::membership::merged_view::DirectoryScope;
 use pebbleturn::membership::snapshot::Snapshot;
 use pebbleturn::membership::{NodeChange, NodeState, PartitionLayout, Registry, RegistrySettings};
 use pebbleturn::{Nanos, Outcome, ReplicaId, ReplicaState};
@@ -19,6 +20,7 @@
         default_list_age: 300 * S,
         silence_timeout: S,
         zones: [("a".to_owned(), 0)].into(),
+        directory_scope: DirectoryScope::AllNodes,
         kinds: vec![],
         seed: 7,
     }
--- a/tests/membership_registry/merging.rs
+++ b/tests/membership_registry/merging.rs
@@ -122,6 +122,32 @@
     }
 }
 
+/// Guards against nodes that stay in use although the directory's latest full list omits them, because the
+/// operator names them.
+#[test]
+fn a_node_that_the_directorys_latest_full_list_omits_is_gone() {
+    let mut rng = Pcg64Mcg::seed_from_u64(4);
+    let mut named_by_operator = 0;
+    for _ in 0..400 {
+        let all = random_reports(&mut rng);
+        let mut order: Vec<&ScriptedReport> = all.iter().collect();
+        shuffle(&mut rng, &mut order);
+        let of = |priority| order.iter().filter(move |r| r.source_version.priority == priority);
+        let full_lists = of(SourcePriority::Directory).filter(|report| report.full);
+        let Some(full_list) = full_lists.map(|report| report.source_version).max() else { continue };
+        let view = merge(&order);
+        for id in (0..6).map(|n| format!("s-{n}")) {
+            let names = |report: &&&ScriptedReport| report.records.iter().any(|record| record.id == id);
+            if of(SourcePriority::Directory).any(|r| r.source_version >= full_list && names(&r)) {
+                continue;
+            }
+            named_by_operator += usize::from(of(SourcePriority::Operator).any(|r| names(&r)));
+            assert!(view.view(&id).is_none_or(|node| node.state == NodeState::Gone), "{id}");
+        }
+    }
+    assert!(named_by_operator > 50, "{named_by_operator}");
+}
+
 #[test]
 fn a_drain_is_undone_only_by_a_newer_version_or_a_later_start() {
     let mut rng = Pcg64Mcg::seed_from_u64(3);
--- a/tests/membership_registry/sources.rs
+++ b/tests/membership_registry/sources.rs
@@ -1,8 +1,9 @@
 //! Sources that contradict each other, and the changes that are announced.
 
 use crate::fixture::*;
-use pebbleturn::membership::NodeState;
-use pebbleturn::membership::endpoint_list::Endpoint;
+use pebbleturn::membership::endpoint_list::{Endpoint, EndpointList};
+use pebbleturn::membership::merged_view::DirectoryScope;
+use pebbleturn::membership::{NodeState, Registry, RegistrySettings};
 
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -189,6 +190,92 @@
     assert!(fixture.active_ids().is_empty());
 }
 
+/// A full list with these nodes, all of them ready.
+fn full_list_of(version: u64, numbers: &[u32]) -> EndpointList {
+    list(version, true, numbers.iter().map(|n| endpoint(*n, NodeState::Ready, 0)).collect())
+}
+
+/// Guards against the use of a node that discovery's full list leaves out while the operator's file names it. The
+/// list decides until discovery names the node again.
+#[test]
+fn a_full_list_removes_a_node_that_the_operators_file_names_too() {
+    let mut fixture = Fixture::new();
+    let in_file: Vec<_> = (0..3).map(|n| endpoint(n, NodeState::Ready, 0).record()).collect();
+    fixture.registry.set_operator_nodes(in_file.clone(), START_TIME);
+    fixture.discovery_update(&full_list_of(41, &[0, 1, 2]), true, START_TIME + S);
+    assert_eq!(fixture.active_ids(), ["s-0", "s-1", "s-2"]);
+    fixture.registry.watch_lost();
+    fixture.discovery_update(&full_list_of(42, &[0, 2]), true, START_TIME + 2 * S);
+    assert_eq!(fixture.active_ids(), ["s-0", "s-2"]);
+    // Reading the file again does not return it to service, nor does a restart, with or without a stored list.
+    fixture.registry.set_operator_nodes(in_file.clone(), START_TIME + 3 * S);
+    fixture.collect_changes();
+    assert_eq!(fixture.active_ids(), ["s-0", "s-2"]);
+    let stored = fixture.registry.snapshot(START_TIME + 4 * S);
+    let mut restarted = Fixture::restored(&[&stored], START_TIME + 5 * S);
+    restarted.registry.set_operator_nodes(in_file.clone(), START_TIME + 5 * S);
+    restarted.collect_changes();
+    assert_eq!(restarted.active_ids(), ["s-0", "s-2"]);
+    let mut without_store = Fixture::new();
+    without_store.registry.set_operator_nodes(in_file, START_TIME + 5 * S);
+    without_store.discovery_update(&full_list_of(42, &[0, 2]), true, START_TIME + 6 * S);
+    assert_eq!(without_store.active_ids(), ["s-0", "s-2"]);
+    // A change or a full list that names it does.
+    let named = list(43, false, vec![endpoint(1, NodeState::Ready, 0)]);
+    fixture.discovery_update(&named, false, START_TIME + 6 * S);
+    assert_eq!(fixture.active_ids(), ["s-0", "s-1", "s-2"]);
+    restarted.discovery_update(&full_list_of(44, &[0, 1, 2]), true, START_TIME + 7 * S);
+    assert_eq!(restarted.active_ids(), ["s-0", "s-1", "s-2"]);
+}
+
+/// A node that only the operator's file names is in use until discovery's first full list, which either names
+/// it or not.
+#[test]
+fn a_full_list_decides_about_nodes_that_discovery_has_never_named() {
+    let mut fixture = Fixture::new();
+    let in_file = vec![endpoint(7, NodeState::Ready, 0).record()];
+    fixture.registry.set_operator_nodes(in_file.clone(), START_TIME);
+    fixture.collect_changes();
+    assert_eq!(fixture.active_ids(), ["s-7"]);
+    fixture.discovery_update(&full_list_of(42, &[0]), true, START_TIME + S);
+    assert_eq!(fixture.active_ids(), ["s-0"]);
+    // Discovery's versions start again with a list that names it: nothing was ever reported against it.
+    fixture.registry.watch_lost();
+    fixture.discovery_update(&full_list_of(1, &[0, 7]), true, START_TIME + 2 * S);
+    assert_eq!(fixture.active_ids(), ["s-0", "s-7"]);
+    // A broker that has no discovery any more, but still a list of one, uses the nodes of its file.
+    let mut earlier = Fixture::new();
+    earlier.discovery_update(&full_list_of(42, &[0]), true, START_TIME);
+    let stored = earlier.registry.snapshot(START_TIME + S);
+    let directory_scope = DirectoryScope::NodesOfDirectory;
+    let mut alone = Fixture {
+        registry: Registry::new(RegistrySettings { directory_scope, ..settings() }),
+        ..Fixture::new()
+    };
+    alone.registry.restore(&[stored], START_TIME + 2 * S);
+    alone.registry.set_operator_nodes(in_file, START_TIME + 2 * S);
+    alone.collect_changes();
+    assert_eq!(alone.active_ids(), ["s-0", "s-7"]);
+}
+
+/// The records of nodes that are gone are pruned. A node of the operator's file must not return to service by
+/// that.
+#[test]
+fn an_operators_node_that_discovery_removed_stays_gone_when_its_record_is_pruned() {
+    use pebbleturn::membership::merged_view::MAX_GONE_NODES;
+    let mut fixture = Fixture::new();
+    fixture.registry.set_operator_nodes(vec![endpoint(0, NodeState::Ready, 0).record()], START_TIME);
+    fixture.discovery_update(&list(1, true, vec![endpoint(0, NodeState::Ready, 0)]), true, START_TIME);
+    let numbers = 0..=MAX_GONE_NODES as u32;
+    for number in numbers {
+        let gone = Endpoint { addr: String::new(), ..endpoint(number, NodeState::Gone, 0) };
+        let version = 2 + u64::from(number);
+        fixture.discovery_update(&list(version, false, vec![gone]), false, START_TIME + S);
+    }
+    fixture.discovery_update(&list(10_000, true, vec![endpoint(9, NodeState::Ready, 0)]), true, START_TIME);
+    assert_eq!(fixture.active_ids(), ["s-9"]);
+}
+
 #[test]
 fn reconciling_named_nodes_announces_what_reconciling_all_would() {
     let mut rng = Pcg64Mcg::seed_from_u64(5);
--- a/tests/recorded_decisions/membership.rs
+++ b/tests/recorded_decisions/membership.rs
@@ -11,6 +11,7 @@
 use crate::{RandomSource, Recorded, assert_recorded};
 use pebbleturn::membership::endpoint_list::{Endpoint, EndpointList};
 use pebbleturn::membership::gossip_hints::{LocalReport, PeerHints};
+use pebbleturn::membership::merged_view::DirectoryScope;
 use pebbleturn::membership::poll_backoff::PollBackoff;
 use pebbleturn::membership::probation::{Admission, Candidate, admit};
 use pebbleturn::membership::snapshot::{Snapshot, encode};
@@ -48,6 +49,7 @@
         default_list_age: 300 * S,
         silence_timeout: S,
         zones: [("a".to_owned(), 0), ("b".to_owned(), 1)].into(),
+        directory_scope: DirectoryScope::AllNodes,
         kinds: vec!["sru".to_owned()],
         seed,
     }
