Merge what discovery reports to any process at an address into all of them

Callers saw: after an upgrade the new process sent parts to servers whose drain discovery had reported to the old one while both ran, for as long as its own calls to discovery were refused.

Cause: a process read the endpoint lists of the others once, at its start. Lists went on being published, and nobody read them.

Change: each process merges the lists that others replace into its own view, whose registers don't depend on the order of reports. The version that its own watch continues from stays, so that none of its own reports counts as older. What is new counts as learned now, as clocks of two processes may differ; after a reset of versions that only the other has seen, the whole list is requested. A list is published for every report, and once more when a process ends. The files of a dead process are removed only after their last content was passed on, and a list that could not be written is written again. Ids of open queries still cross within 0.2 s, not at once.

--- a/src/hot_restart/mod.rs
+++ b/src/hot_restart/mod.rs
@@ -52,8 +52,8 @@
     pub open_query_ids: Vec<String>,
     /// The operators' overrides.
     pub overrides: &'a Overrides,
-    /// Version of the endpoint list in the membership.
-    pub snapshot_version: (u32, u64),
+    /// Revision of the endpoint list in the membership: it is published when this has changed.
+    pub snapshot_revision: u64,
 }
 
 /// What was observed of another process.
@@ -65,14 +65,23 @@
     pub open_query_ids: Vec<String>,
 }
 
+/// What was observed of all other processes.
+#[derive(Clone, Debug, Default)]
+pub struct PeerReports {
+    /// The report of each process.
+    pub reports: Vec<PeerReport>,
+    /// The endpoint lists that were published since the last observation, in the order in which they were read.
+    pub snapshots: Vec<Snapshot>,
+}
+
 /// This process among those at its address.
 #[derive(Debug)]
 pub struct HotRestart {
     directory: StateDirectory,
     coordination: Coordination,
     stage: ProcessStage,
-    /// Version of the endpoint list that was last published.
-    published_version: Option<(u32, u64)>,
+    /// Revision of the endpoint list that was last published.
+    published_revision: Option<u64>,
     next_publish_at: Nanos,
 }
 
@@ -108,7 +117,7 @@
             directory,
             coordination: Coordination::new(found.serial, limits, found.peers, now),
             stage: ProcessStage::Starting,
-            published_version: None,
+            published_revision: None,
             next_publish_at: now,
         };
         Some(JoinedHotRestart { hot_restart, overrides, open_query_ids, snapshots: found.snapshots })
@@ -122,14 +131,15 @@
 
     /// Reports of all other processes; `None` if there is no new observation since the last call. `usage` is
     /// what this process currently uses.
-    pub fn observe(&mut self, usage: ResourceUsage, now: Nanos) -> Option<Vec<PeerReport>> {
-        let peers = self.directory.latest_peers()?;
-        self.coordination.on_peers_observed(peers, usage, now);
+    pub fn observe(&mut self, usage: ResourceUsage, now: Nanos) -> Option<PeerReports> {
+        let observation = self.directory.latest_observation()?;
+        self.coordination.on_peers_observed(observation.peers, usage, now);
         let report = |peer: &PeerProcess| PeerReport {
             overrides: self.coordination.effective_overrides(peer),
             open_query_ids: peer.state.as_ref().map(|state| state.open_query_ids.clone()).unwrap_or_default(),
         };
-        Some(self.coordination.peers().iter().map(report).collect())
+        let reports = self.coordination.peers().iter().map(report).collect();
+        Some(PeerReports { reports, snapshots: observation.snapshots })
     }
 
     /// Sets the stage of this process; a change is published at once.
@@ -150,7 +160,7 @@
         self.next_publish_at <= now
     }
 
-    /// Publishes the state, and the endpoint list if its version has changed. Returns the number of the
+    /// Publishes the state, and the endpoint list if its revision has changed. Returns the number of the
     /// update, or `None` if earlier updates still wait for the disk and this one was dropped.
     pub fn publish(
         &mut self,
@@ -159,8 +169,8 @@
         now: Nanos,
     ) -> Option<UpdateNumber> {
         self.next_publish_at = now + PUBLISH_INTERVAL;
-        let version = local.snapshot_version;
-        let snapshot = (self.published_version != Some(version)).then(snapshot);
+        let revision = local.snapshot_revision;
+        let snapshot = (self.published_revision != Some(revision)).then(snapshot);
         let descriptor_lease = self.coordination.descriptor_lease();
         let state = ProcessState {
             written_at: now,
@@ -172,7 +182,7 @@
         };
         let number = self.directory.publish(StateUpdate { state, snapshot })?;
         self.coordination.on_lease_published(descriptor_lease);
-        self.published_version = Some(version);
+        self.published_revision = Some(revision);
         Some(number)
     }
 
--- a/src/hot_restart/state_directory/files.rs
+++ b/src/hot_restart/state_directory/files.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeSet;
 use std::fs::{File, TryLockError};
 use std::io::{self, ErrorKind};
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 
 /// The kinds of files of a process, which differ by their extension.
@@ -91,6 +92,26 @@
     read(dir, serial, FileKind::List, snapshot::MAX_FILE_BYTES, snapshot::decode)
 }
 
+/// Distinguishes the contents that a file has had: each is written to a new file and renamed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct FileIdentity {
+    inode: u64,
+    bytes: u64,
+    modified_s: i64,
+    modified_ns: i64,
+}
+
+/// The identity of the endpoint list of a process; `None` if there is none.
+pub(super) fn snapshot_identity(dir: &Path, serial: u64) -> Option<FileIdentity> {
+    let metadata = std::fs::metadata(path(dir, serial, FileKind::List)).ok()?;
+    Some(FileIdentity {
+        inode: metadata.ino(),
+        bytes: metadata.size(),
+        modified_s: metadata.mtime(),
+        modified_ns: metadata.mtime_nsec(),
+    })
+}
+
 fn read<T>(
     dir: &Path,
     serial: u64,
--- a/src/hot_restart/state_directory/mod.rs
+++ b/src/hot_restart/state_directory/mod.rs
@@ -13,7 +13,9 @@
     clippy::cognitive_complexity
 )]
 
+mod cleanup;
 mod files;
+mod peer_lists;
 mod worker;
 
 use super::coordination::PeerProcess;
@@ -146,6 +148,15 @@
     }
 }
 
+/// What was observed of the other processes.
+#[derive(Debug, Default)]
+pub struct Observation {
+    /// The other processes, the oldest first.
+    pub peers: Vec<PeerProcess>,
+    /// The endpoint lists of theirs that were written since they were last observed.
+    pub snapshots: Vec<Snapshot>,
+}
+
 /// Sequence number of an update of this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct UpdateNumber(u64);
@@ -167,7 +178,7 @@
     last_number: u64,
     /// Number of the last update that was written.
     written: Arc<AtomicU64>,
-    observations: Receiver<Vec<PeerProcess>>,
+    observations: Receiver<Observation>,
     worker_done: Receiver<()>,
     thread: Option<JoinHandle<()>>,
 }
@@ -225,10 +236,14 @@
         number.0 <= self.written.load(Ordering::Acquire)
     }
 
-    /// The other processes, as last observed; `None` if there is no new observation since the last call.
+    /// The other processes, as last observed, and all endpoint lists observed since the last call; `None` if
+    /// there is no new observation.
     #[must_use]
-    pub fn latest_peers(&self) -> Option<Vec<PeerProcess>> {
-        self.observations.try_iter().last()
+    pub fn latest_observation(&self) -> Option<Observation> {
+        self.observations.try_iter().reduce(|mut earlier, latest| {
+            earlier.snapshots.extend(latest.snapshots);
+            Observation { peers: latest.peers, snapshots: earlier.snapshots }
+        })
     }
 }
 
--- a/src/hot_restart/state_directory/worker.rs
+++ b/src/hot_restart/state_directory/worker.rs
@@ -1,9 +1,12 @@
 //! The thread that writes this process's files and polls those of the others.
 
+use super::cleanup::Cleanup;
 use super::files::{self, FileKind};
-use super::{StateUpdate, StateWriteError, UpdateNumber};
-use crate::hot_restart::coordination::PeerProcess;
-use crate::membership::snapshot;
+use super::peer_lists::PeerListReader;
+use super::{Observation, StateUpdate, StateWriteError, UpdateNumber};
+use crate::hot_restart::state::ProcessState;
+use crate::membership::snapshot::{self, Snapshot};
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -13,42 +16,20 @@
 
 /// Time between two polls of the other processes' files.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Polls from the first written state until files of dead processes are removed. By then, this process's own
-/// state contains what they last published.
-const POLLS_BEFORE_CLEANUP: u32 = 20;
 
 /// Whether the last update could be written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum WriteStatus {
+    NothingWritten,
     Ok,
     Failing,
 }
 
-/// How far this process has come towards removing files of dead processes.
+/// Whether the channel of observations is still open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Cleanup {
-    /// No state of this process has been written yet.
-    NothingWritten,
-    /// Polls since the first written state, counted from 1, up to [`POLLS_BEFORE_CLEANUP`].
-    Polls(u32),
-}
-
-impl Cleanup {
-    fn on_written(&mut self) {
-        if *self == Cleanup::NothingWritten {
-            *self = Cleanup::Polls(1);
-        }
-    }
-
-    fn on_poll(&mut self) {
-        if let Cleanup::Polls(polls) = self {
-            *polls = POLLS_BEFORE_CLEANUP.min(*polls + 1);
-        }
-    }
-
-    fn is_due(self) -> bool {
-        self == Cleanup::Polls(POLLS_BEFORE_CLEANUP)
-    }
+enum ReceiverStatus {
+    Open,
+    Closed,
 }
 
 /// Reads and writes the directory until its [`super::StateDirectory`] is dropped.
@@ -59,6 +40,9 @@
     /// Held for as long as the process runs.
     _lock: File,
     write_status: WriteStatus,
+    /// The latest endpoint list of this process, until it is written.
+    unwritten_list: Option<Snapshot>,
+    peer_lists: PeerListReader,
     cleanup: Cleanup,
     /// Number of the last update that was written.
     written: Arc<AtomicU64>,
@@ -66,8 +50,16 @@
 
 impl DirectoryWorker {
     pub(super) fn new(dir: PathBuf, serial: u64, lock: File, written: Arc<AtomicU64>) -> DirectoryWorker {
-        let (write_status, cleanup) = (WriteStatus::Ok, Cleanup::NothingWritten);
-        DirectoryWorker { dir, serial, _lock: lock, write_status, cleanup, written }
+        DirectoryWorker {
+            peer_lists: PeerListReader::new(dir.clone()),
+            dir,
+            serial,
+            _lock: lock,
+            write_status: WriteStatus::NothingWritten,
+            unwritten_list: None,
+            cleanup: Cleanup::default(),
+            written,
+        }
     }
 
     /// Writes updates as they arrive, and polls the other processes and sends what was observed. Returns once
@@ -75,17 +67,16 @@
     pub(super) fn run(
         mut self,
         updates: &Receiver<(UpdateNumber, StateUpdate)>,
-        observations: &SyncSender<Vec<PeerProcess>>,
+        observations: &SyncSender<Observation>,
     ) {
         let mut next_poll = Instant::now() + POLL_INTERVAL;
         loop {
             match updates.recv_timeout(next_poll.saturating_duration_since(Instant::now())) {
-                Ok((number, update)) => self.write(number, &update),
+                Ok((number, update)) => self.write(number, update),
                 Err(RecvTimeoutError::Timeout) => {
                     next_poll = Instant::now() + POLL_INTERVAL;
-                    match observations.try_send(self.poll()) {
-                        Ok(()) | Err(TrySendError::Full(_)) => {}
-                        Err(TrySendError::Disconnected(_)) => return,
+                    if self.poll(observations) == ReceiverStatus::Closed {
+                        return;
                     }
                 }
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -95,41 +86,57 @@
 
     /// Writes the files of this process. Only the first of consecutive failures is logged, as a full disk
     /// usually stays full.
-    fn write(&mut self, number: UpdateNumber, update: &StateUpdate) {
-        match self.try_write(update) {
+    fn write(&mut self, number: UpdateNumber, update: StateUpdate) {
+        // A list that could not be written stays until it is written or there is a later one.
+        self.unwritten_list = update.snapshot.or(self.unwritten_list.take());
+        match self.try_write(&update.state) {
             Ok(()) => {
                 self.written.store(number.0, Ordering::Release);
                 self.write_status = WriteStatus::Ok;
-                self.cleanup.on_written();
             }
             Err(error) => {
-                if std::mem::replace(&mut self.write_status, WriteStatus::Failing) == WriteStatus::Ok {
+                if std::mem::replace(&mut self.write_status, WriteStatus::Failing) != WriteStatus::Failing {
                     tracing::error!(dir = %self.dir.display(), %error, "hot restart state can't be written");
                 }
             }
         }
     }
 
-    fn try_write(&self, update: &StateUpdate) -> Result<(), StateWriteError> {
-        if let Some(list) = &update.snapshot {
-            files::replace(&self.dir, self.serial, FileKind::List, &snapshot::encode(list)?)?;
+    fn try_write(&mut self, state: &ProcessState) -> Result<(), StateWriteError> {
+        if let Some(list) = self.unwritten_list.take() {
+            // A list that can't be encoded is dropped: it would keep the state from being written.
+            let bytes = snapshot::encode(&list)?;
+            if let Err(error) = files::replace(&self.dir, self.serial, FileKind::List, &bytes) {
+                self.unwritten_list = Some(list);
+                return Err(error.into());
+            }
         }
-        files::replace(&self.dir, self.serial, FileKind::State, &update.state.encode()?)?;
+        files::replace(&self.dir, self.serial, FileKind::State, &state.encode()?)?;
         Ok(())
     }
 
-    /// Reads the states of the other processes. Removes the files of dead older ones once this process's own
-    /// state contains what was in them.
-    fn poll(&mut self) -> Vec<PeerProcess> {
-        self.cleanup.on_poll();
+    /// Reads the files of the other processes and sends what was observed. Removes the files of dead older
+    /// processes once this process's own files contain what was in them.
+    fn poll(&mut self, observations: &SyncSender<Observation>) -> ReceiverStatus {
         let serials = files::serials(&self.dir).unwrap_or_default();
-        let others = serials.into_iter().filter(|n| *n != self.serial);
-        let peers: Vec<PeerProcess> = others.map(|n| files::read_peer(&self.dir, n).0).collect();
-        if self.cleanup.is_due() && self.write_status == WriteStatus::Ok {
-            for dead in peers.iter().filter(|p| !p.alive && p.serial < self.serial) {
-                files::remove_all(&self.dir, dead.serial);
+        let others: BTreeSet<u64> = serials.into_iter().filter(|n| *n != self.serial).collect();
+        let peers: Vec<_> = others.iter().map(|n| files::read_peer(&self.dir, *n).0).collect();
+        let dead: BTreeSet<u64> =
+            peers.iter().filter(|p| !p.alive && p.serial < self.serial).map(|p| p.serial).collect();
+        // Read after the processes were found dead or alive: the list of a dead one is its last.
+        let snapshots = self.peer_lists.read_changed(&others);
+        match observations.try_send(Observation { peers, snapshots }) {
+            Ok(()) => {
+                self.peer_lists.confirm_delivery();
+                self.cleanup.on_delivered(&dead);
             }
+            // The event loop is late: the next observation has all of this again.
+            Err(TrySendError::Full(_)) => self.peer_lists.discard_delivery(),
+            Err(TrySendError::Disconnected(_)) => return ReceiverStatus::Closed,
+        }
+        if self.write_status == WriteStatus::Ok {
+            self.cleanup.due().for_each(|serial| files::remove_all(&self.dir, serial));
         }
-        peers
+        ReceiverStatus::Open
     }
 }
--- a/src/membership/merged_view/mod.rs
+++ b/src/membership/merged_view/mod.rs
@@ -98,14 +98,15 @@
         source.prune(full);
     }
 
-    /// Merges one stored record, which has a version and time of its own.
-    pub fn insert_record(&mut self, record: VersionedRecord) {
-        self.source_mut(record.source_version.priority).insert(record);
+    /// Merges one stored record, which has a version and time of its own. Returns whether anything changed.
+    pub fn insert_record(&mut self, record: VersionedRecord) -> bool {
+        self.source_mut(record.source_version.priority).insert(record)
     }
 
-    /// Records that a full list with this version was received at this time, unix ns.
-    pub fn insert_full_list(&mut self, version: SourceVersion, received: Nanos) {
-        self.source_mut(version.priority).insert_full_list(version, received);
+    /// Records that a full list with this version was received at this time, unix ns. Returns whether anything
+    /// changed.
+    pub fn insert_full_list(&mut self, version: SourceVersion, received: Nanos) -> bool {
+        self.source_mut(version.priority).insert_full_list(version, received)
     }
 
     /// Removes the oldest nodes that are gone, if there are more than [`MAX_GONE_NODES`].
--- a/src/membership/merged_view/records.rs
+++ b/src/membership/merged_view/records.rs
@@ -61,25 +61,34 @@
         records
     }
 
-    pub(super) fn insert(&mut self, new: &VersionedRecord) {
+    /// Inserts a record. Returns whether it replaced any of the stored ones.
+    pub(super) fn insert(&mut self, new: &VersionedRecord) -> bool {
+        let mut replaced = false;
         if new.precedence() > self.latest.precedence() {
             self.latest = new.clone();
+            replaced = true;
         }
         let precedes = |stored: &Option<VersionedRecord>| {
             stored.as_ref().is_none_or(|stored| new.precedence() > stored.precedence())
         };
         match new.record.state {
             NodeState::Ready if new.after_reset => {}
-            NodeState::Ready if precedes(&self.ready) => self.ready = Some(new.clone()),
+            NodeState::Ready if precedes(&self.ready) => {
+                self.ready = Some(new.clone());
+                replaced = true;
+            }
             NodeState::Terminating | NodeState::Gone if precedes(&self.drain) => {
                 self.drain = Some(new.clone());
+                replaced = true;
             }
             _ => {}
         }
         let later_start = |stored: &VersionedRecord| new.start_precedence() > stored.start_precedence();
         if new.proves_restart() && self.latest_start.as_ref().is_none_or(later_start) {
             self.latest_start = Some(new.clone());
+            replaced = true;
         }
+        replaced
     }
 
     /// The record that determines the node's state, unless a restart is proved.
--- a/src/membership/merged_view/source_view.rs
+++ b/src/membership/merged_view/source_view.rs
@@ -33,16 +33,23 @@
 impl Eq for SourceView {}
 
 impl SourceView {
-    pub(super) fn insert(&mut self, record: VersionedRecord) {
+    /// Inserts a record. Returns whether anything changed.
+    pub(super) fn insert(&mut self, record: VersionedRecord) -> bool {
         if let Some(records) = self.nodes.get_mut(&record.record.id) {
-            records.insert(&record);
-        } else if self.pruned_up_to.is_none_or(|version| record.source_version > version) {
+            return records.insert(&record);
+        }
+        let is_unknown = self.pruned_up_to.is_none_or(|version| record.source_version > version);
+        if is_unknown {
             self.nodes.insert(record.record.id.clone(), NodeRecords::new(record));
         }
+        is_unknown
     }
 
-    pub(super) fn insert_full_list(&mut self, version: SourceVersion, received: Nanos) {
-        self.full_list = self.full_list.max(Some((version, Reverse(received))));
+    /// Records a full list. Returns whether anything changed.
+    pub(super) fn insert_full_list(&mut self, version: SourceVersion, received: Nanos) -> bool {
+        let previous = self.full_list;
+        self.full_list = previous.max(Some((version, Reverse(received))));
+        self.full_list != previous
     }
 
     /// Version and time of the full list that omits the node, if there is one.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -39,7 +39,7 @@
 
 pub use manual_override::{ManualOverrides, UnknownNode};
 pub use probation::PartitionLayout;
-pub use registry::{DiscoveryState, NodeChange, NodeStatus, Registry, RegistrySettings};
+pub use registry::{DiscoveryState, NodeChange, NodeStatus, PeerListNews, Registry, RegistrySettings};
 
 use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
--- a/src/membership/registry/mod.rs
+++ b/src/membership/registry/mod.rs
@@ -1,7 +1,8 @@
 //! The registry: takes the reports of all sources and the outcomes of all attempts, and produces node changes
 //! for the engine.
 //!
-//! - [`sources`] merges the reports of snapshots, configuration, operator and discovery;
+//! - [`sources`] merges the reports of snapshots, configuration, operator and discovery, and [`peer_lists`]
+//!   those of other processes at this address;
 //! - [`attempts`] updates nodes by the outcomes of attempts;
 //! - [`reconciliation`] compares the merged view with what was announced, and [`admission`] decides which of
 //!   the ready nodes get work;
@@ -14,6 +15,7 @@
 mod directory_state;
 mod latency_window;
 mod node_table;
+mod peer_lists;
 mod placement;
 mod reconciliation;
 mod settings;
@@ -25,6 +27,7 @@
 mod tracked_node;
 
 pub use node_table::NodeChange;
+pub use peer_lists::PeerListNews;
 pub use settings::RegistrySettings;
 pub use status::{DiscoveryState, NodeStatus};
 
@@ -47,6 +50,8 @@
     view: MergedView,
     nodes: NodeTable,
     directory: DirectoryState,
+    /// Number of reports of discovery's nodes that were merged, from whichever process.
+    directory_revision: u64,
     start_stamps: StartStamps,
     /// Number of times that the operator's file was read.
     operator_version: u64,
@@ -81,6 +86,7 @@
             settings,
             nodes: NodeTable::default(),
             directory: DirectoryState::default(),
+            directory_revision: 0,
             start_stamps: StartStamps::default(),
             operator_version: 0,
             probation_start: None,
--- a/src/membership/registry/sources.rs
+++ b/src/membership/registry/sources.rs
@@ -19,9 +19,7 @@
     pub fn restore(&mut self, generations: &[Snapshot], now: Nanos) {
         for snapshot in generations {
             snapshot.merge_into(&mut self.view);
-            let versions = snapshot.nodes.iter().map(|node| (node.epoch, node.version));
-            let full_list = snapshot.full_list.map(|(epoch, version, _)| (epoch, version));
-            let last = versions.chain(full_list).max().unwrap_or((0, 0));
+            let last = snapshot.last_version();
             if last >= (self.directory.epoch, self.directory.version) {
                 (self.directory.epoch, self.directory.version) = last;
                 self.directory.change_rate = snapshot.rate;
@@ -47,11 +45,11 @@
 
     /// Returns a stored time. One in the future shows that a clock was wrong, and is replaced by the default
     /// age before `now`.
-    fn clamp_stored_time(&self, at: Nanos, now: Nanos) -> Nanos {
+    pub(super) fn clamp_stored_time(&self, at: Nanos, now: Nanos) -> Nanos {
         if at <= now { at } else { now.saturating_sub(self.settings.default_list_age) }
     }
 
-    fn confirm_node(&mut self, id: &str, at: Nanos) {
+    pub(super) fn confirm_node(&mut self, id: &str, at: Nanos) {
         let Some(view) = self.view.view(id).filter(|view| view.state != NodeState::Gone) else { return };
         let Some(addr) = view.versioned.record.addr else { return };
         let node = self.nodes.track(id, addr);
@@ -198,6 +196,12 @@
             self.end_assumed_warm_ups();
         }
         self.directory.on_heartbeat(now);
+        self.mark_directory_changed();
+    }
+
+    /// Records that there is something to store and to hand over.
+    pub(super) fn mark_directory_changed(&mut self) {
+        self.directory_revision += 1;
         self.snapshot_schedule.mark_unsaved();
     }
 
--- a/src/membership/registry/start_stamps.rs
+++ b/src/membership/registry/start_stamps.rs
@@ -36,6 +36,13 @@
         LiveStampRecorder { starts: &mut self.starts, is_live }
     }
 
+    /// Starts to record the stamps of a list that another process has just received from discovery. Before any
+    /// stamp is known, a stamp shows nothing about when it was learned.
+    pub(super) fn begin_peer_list(&mut self) -> LiveStampRecorder<'_> {
+        let is_live = !self.starts.is_empty();
+        LiveStampRecorder { starts: &mut self.starts, is_live }
+    }
+
     /// Records the stamp of a node in a list that was stored or configured, unix ns; 0 means long ago.
     pub(super) fn record_stored(&mut self, id: &str, stamp: Nanos) {
         record_stamp(&mut self.starts, id, stamp, None);
--- a/src/membership/registry/status.rs
+++ b/src/membership/registry/status.rs
@@ -64,6 +64,13 @@
         self.directory.version
     }
 
+    /// Increases with every report of discovery that is merged, so that a change of it shows that
+    /// [`Registry::snapshot`] may have changed.
+    #[must_use]
+    pub fn directory_revision(&self) -> u64 {
+        self.directory_revision
+    }
+
     /// Number of times that discovery's versions were reset.
     #[must_use]
     pub fn epoch(&self) -> u32 {
--- a/src/membership/snapshot.rs
+++ b/src/membership/snapshot.rs
@@ -74,15 +74,45 @@
 impl Snapshot {
     /// Merges this snapshot into a view.
     pub fn merge_into(&self, view: &mut MergedView) {
-        self.nodes.iter().for_each(|node| view.insert_record(node.versioned()));
+        for node in &self.nodes {
+            view.insert_record(node.versioned());
+        }
         if let Some((epoch, version, received)) = self.full_list {
             view.insert_full_list(directory_version(epoch, version), received);
         }
+        self.merge_pruning_into(view);
+    }
+
+    /// Merges the list of a running process into the view of another. What is new was learned by this view at
+    /// `now`: the clocks of two processes may differ. Returns whether anything was new.
+    pub fn merge_live_into(&self, view: &mut MergedView, now: Nanos) -> bool {
+        let mut is_new = false;
+        for node in &self.nodes {
+            is_new |= view.insert_record(VersionedRecord { received: now, ..node.versioned() });
+        }
+        if let Some((epoch, version, _)) = self.full_list {
+            let version = directory_version(epoch, version);
+            let known = view.full_list(SourcePriority::Directory).is_some_and(|(known, _)| known >= version);
+            is_new |= !known && view.insert_full_list(version, now);
+        }
+        self.merge_pruning_into(view);
+        is_new
+    }
+
+    fn merge_pruning_into(&self, view: &mut MergedView) {
         if let Some((epoch, version)) = self.pruned_up_to {
             view.set_pruned_up_to(directory_version(epoch, version));
         }
         view.prune();
     }
+
+    /// Epoch and version of the latest record or full list; zero if there is none.
+    #[must_use]
+    pub fn last_version(&self) -> (u32, u64) {
+        let versions = self.nodes.iter().map(|node| (node.epoch, node.version));
+        let full_list = self.full_list.map(|(epoch, version, _)| (epoch, version));
+        versions.chain(full_list).max().unwrap_or((0, 0))
+    }
 }
 
 fn directory_version(epoch: u32, version: u64) -> SourceVersion {
--- a/src/server/discovery_watch.rs
+++ b/src/server/discovery_watch.rs
@@ -177,6 +177,13 @@
         self.interrupted = true;
     }
 
+    /// Begins a call for the whole list. The present watch is kept until that answers.
+    pub fn request_whole_list(&mut self, now: Nanos) {
+        self.needs_whole_list = true;
+        self.schedule.restart(now);
+        self.interrupted = true;
+    }
+
     /// Begins the calls that are due, which request the changes since `version` of the list, and ends those
     /// on which nothing was received within the time-out, which alone detects a peer that has gone silent.
     pub fn tick(&mut self, version: u64, now: Nanos, net: &mut PollLoop) {
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -52,6 +52,7 @@
                 self.longest_iteration = self.longest_iteration.max(iteration);
             }
         }
+        self.publish_final_state(self.clock.now());
         tracing::info!("graceful shutdown is complete");
         Ok(())
     }
--- a/src/server/hot_restart_driver.rs
+++ b/src/server/hot_restart_driver.rs
@@ -20,14 +20,18 @@
         self.publish_state(usage.in_flight, open_query_ids, now);
     }
 
-    /// Adopts the operator's commands of the other processes, and the ids of their open queries.
+    /// Adopts what the other processes have been told: the operator's commands and the endpoint lists, and the ids
+    /// of their open queries.
     fn merge_peer_states(&mut self, usage: ResourceUsage, now: Nanos) {
         let Some(hot_restart) = &mut self.hot_restart else { return };
-        let Some(reports) = hot_restart.observe(usage, now) else { return };
+        let Some(observed) = hot_restart.observe(usage, now) else { return };
+        for list in &observed.snapshots {
+            self.frontend.membership_mut().merge_peer_list(list, now);
+        }
         let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
         let mut pause_change = None;
         let mut ids_open_at_peers = Vec::new();
-        for peer in reports {
+        for peer in observed.reports {
             let previous = self.overrides.clone();
             if self.overrides.merge(&peer.overrides) {
                 for (id, command) in &self.overrides.servers {
@@ -76,13 +80,20 @@
             in_flight,
             open_query_ids,
             overrides: &self.overrides,
-            snapshot_version: membership.version(),
+            snapshot_revision: membership.list_revision(),
         };
         if let Some(update) = hot_restart.publish(state, || membership.snapshot(now), now) {
             self.command_confirmations.on_published(update);
         }
     }
 
+    /// Publishes what this process has learned since it last did, before it ends.
+    pub(super) fn publish_final_state(&mut self, now: Nanos) {
+        let in_flight = self.engine.in_flight();
+        let open_query_ids = self.frontend.open_ids();
+        self.publish_state(in_flight, open_query_ids, now);
+    }
+
     /// Responds to the commands that have been written, or whose response is due.
     pub(super) fn confirm_commands(&mut self, now: Nanos) {
         let (Some(admin_server), Some(hot_restart)) = (&mut self.admin_server, &self.hot_restart) else {
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -7,7 +7,7 @@
 use crate::api::{Nanos, ReplicaId};
 use crate::membership::snapshot::Snapshot;
 use crate::membership::watch_schedule::ListConfirmation;
-use crate::membership::{ManualOverrides, NodeChange, NodeRecord, Registry, UnknownNode};
+use crate::membership::{ManualOverrides, NodeChange, NodeRecord, PeerListNews, Registry, UnknownNode};
 use crate::net::{NetEvent, PollLoop};
 use crate::replication::derived_state::NodeHints;
 use crate::replication::{FactKey, ProcessStart};
@@ -267,9 +267,18 @@
         self.manual_overrides.replica(id)
     }
 
-    /// Epoch and version of the current list.
-    pub fn version(&self) -> (u32, u64) {
-        (self.registry.epoch(), self.registry.version())
+    /// Changes whenever the list to hand over may have changed.
+    pub fn list_revision(&self) -> u64 {
+        self.registry.directory_revision()
+    }
+
+    /// Merges the list of another process at this address. The next [`MembershipDriver::tick`] propagates the
+    /// changes.
+    pub fn merge_peer_list(&mut self, list: &Snapshot, now: Nanos) {
+        let news = self.registry.merge_peer_list(list, now);
+        if let (PeerListNews::VersionsReset, Some(watch)) = (news, &mut self.watch) {
+            watch.request_whole_list(now);
+        }
     }
 
     /// The list in the form in which it is handed over to the next process.
--- a/tests/membership_registry/main.rs
+++ b/tests/membership_registry/main.rs
@@ -4,6 +4,7 @@
 mod fixture;
 mod merging;
 mod peer_hints;
+mod peer_lists;
 mod snapshots;
 mod sources;
 mod start_stamps;
--- a/tests/operation/main.rs
+++ b/tests/operation/main.rs
@@ -7,6 +7,7 @@
 mod hot_restart;
 mod processes;
 mod rules;
+mod state_directory;
 mod upgrades;
 
 /// Path of the compiled program.
--- a/tests/operation/upgrades.rs
+++ b/tests/operation/upgrades.rs
@@ -78,6 +78,129 @@
     assert_eq!(new.metrics()["pool_ejected"], 0);
 }
 
+/// Queries in a row after which a server that got none of their parts is taken for unused.
+const QUERIES_WITHOUT_A_PART: usize = 20;
+
+fn expect_answers(site: &Site) {
+    for _ in 0..QUERIES_WITHOUT_A_PART {
+        assert!(Client::connect(site.listen_addr()).query().unwrap().starts_with("HTTP/1.1 200"));
+    }
+}
+
+fn parts_received(site: &Site) -> [usize; 3] {
+    [0, 1, 2].map(|server| site.script.parts_received_by(server))
+}
+
+fn wait_until_unused(site: &Site, server: usize) {
+    until("the server gets no more parts", || {
+        let before = parts_received(site)[server];
+        expect_answers(site);
+        parts_received(site)[server] == before
+    });
+}
+
+/// An upgrade in which discovery refuses new calls while open watches go on.
+struct UpgradeWithoutWatch {
+    site: Site,
+    /// Has its watch, and runs until its client's query is released.
+    old: Process,
+    client: Client,
+    /// Serves, with the list of the old process and no watch.
+    new: Process,
+    /// The server that gets most parts from the new process.
+    busiest: usize,
+}
+
+impl UpgradeWithoutWatch {
+    fn start() -> UpgradeWithoutWatch {
+        use pebbleturn_lab::directory::Mode;
+        use pebbleturn_lab::standins::Behavior;
+        let site = Site::new(PROGRAM);
+        let old = site.start();
+        site.script.set(&[0, 1, 2], &[0, 1, 2], Behavior::Held);
+        let mut client = Client::connect(site.listen_addr());
+        client.send().unwrap();
+        until("the parts are sent", || site.script.parts_received() >= 3);
+        site.script.set(&[0, 1, 2], &[0, 1, 2], Behavior::Delayed(0));
+        let list = first_list(&site);
+        until("the list is published", || std::fs::read_to_string(&list).unwrap_or_default().contains("s-1"));
+        site.directory.set_mode(Mode::Refusing);
+        let new = site.start();
+        old.wait_for_log("another process serves at this address");
+        let before = parts_received(&site);
+        expect_answers(&site);
+        let received = parts_received(&site);
+        let busiest = (0..3).max_by_key(|server| received[*server] - before[*server]).unwrap();
+        UpgradeWithoutWatch { site, old, client, new, busiest }
+    }
+
+    fn report_busiest(&self, state: pebbleturn::membership::NodeState) {
+        let (id, addr) = (format!("s-{}", self.busiest), self.site.nodes[self.busiest]);
+        let entry = pebbleturn_lab::directory::endpoint(&id, addr, "", self.busiest as u32, state);
+        self.site.directory.change(entry);
+    }
+}
+
+/// The file in which the first process publishes its endpoint list.
+fn first_list(site: &Site) -> std::path::PathBuf {
+    site.tmp.path().join("pebbleturn-handover").join("1.list")
+}
+
+/// Guards against drains that end with the process that was told of them: the old process's watch reported a drain
+/// after the new process had started, and the new one went on sending parts to the node for as long as discovery
+/// refused its calls.
+#[test]
+fn drain_told_to_the_old_process_after_the_new_one_started_binds_all_later_processes() {
+    use pebbleturn::membership::NodeState;
+    use pebbleturn_lab::directory::Mode;
+    let mut upgrade = UpgradeWithoutWatch::start();
+    upgrade.report_busiest(NodeState::Terminating);
+    upgrade.old.wait_for_log("endpoints=1 full=false");
+    upgrade.site.script.release_held();
+    assert!(upgrade.client.read_response().unwrap().starts_with("HTTP/1.1 200"));
+    upgrade.old.signal("-TERM");
+    upgrade.old.wait_for_exit();
+    let (site, server) = (&upgrade.site, upgrade.busiest);
+    wait_until_unused(site, server);
+    let before = parts_received(site)[server];
+    expect_answers(site);
+    // The files of the first process are gone when the third one starts.
+    until("the files of the old process are removed", || !first_list(site).exists());
+    let third = site.start();
+    upgrade.new.wait_for_exit();
+    expect_answers(site);
+    assert_eq!(parts_received(site)[server], before, "no part is sent to the draining node");
+    // Discovery can be called again and lists the node as ready. It has the only replica left of one shard.
+    upgrade.report_busiest(NodeState::Ready);
+    site.directory.set_mode(Mode::Up);
+    third.expect_success(&format!("SUSPEND s-{}", (server + 1) % 3));
+    until("the node is used again", || {
+        Client::connect(site.listen_addr()).query().unwrap().starts_with("HTTP/1.1 200")
+            && parts_received(site)[server] > before
+    });
+}
+
+/// Guards against the loss of what a process is told last: it publishes a drain and is killed while the new
+/// process is stopped, which then finds only files of a dead process.
+#[test]
+fn drain_published_by_a_process_that_is_killed_reaches_one_that_was_stopped() {
+    use pebbleturn::membership::NodeState;
+    let mut upgrade = UpgradeWithoutWatch::start();
+    upgrade.new.signal("-STOP");
+    upgrade.report_busiest(NodeState::Terminating);
+    let list = first_list(&upgrade.site);
+    until("the drain is published", || {
+        std::fs::read_to_string(&list).unwrap_or_default().contains("Terminating")
+    });
+    upgrade.old.kill();
+    upgrade.new.signal("-CONT");
+    let (site, server) = (&upgrade.site, upgrade.busiest);
+    wait_until_unused(site, server);
+    let before = parts_received(site)[server];
+    expect_answers(site);
+    assert_eq!(parts_received(site)[server], before, "no part is sent to the draining node");
+}
+
 // Guards against a process that accepts clients before it knows the ids of the old process's open requests: for its
 // first 0.1 s it served requests with these ids.
 #[test]
