Keep the old process's watch on discovery until the new process has its own

Cause: the old process ended as soon as it had no clients, within 0.4 s of the takeover, while the new one's calls to discovery were refused. The drains were written on its closed connection and reached no process. Evidence: its log ends with "another process serves", "graceful shutdown is complete" and has no list after version 41; the drains were written 0.36 s after the takeover.

Change: a process publishes whether it has a watch. An older one that has one stays until a younger one has its own, after SIGTERM until 0.4 s before it may be killed, without a signal for as long as it could already stay. The new key of N.state is written only where there is a watch, so the stored forms are unchanged otherwise; versions that don't know it ignore it.

Without the fix the new test with real processes fails: the drained server gets parts for the whole 60 s of its bound.

--- a/src/hot_restart/coordination.rs
+++ b/src/hot_restart/coordination.rs
@@ -223,6 +223,15 @@
         }
     }
 
+    /// Whether a newer process runs and none of them has a watch on discovery yet, so that this process's watch is
+    /// the only one of the broker.
+    #[must_use]
+    pub fn successor_lacks_watch(&self) -> bool {
+        let mut successors = self.peers.iter().filter(|p| p.alive && p.serial > self.serial).peekable();
+        let watches = |p: &PeerProcess| p.state.as_ref().is_some_and(|s| s.watches_discovery);
+        successors.peek().is_some() && !successors.any(watches)
+    }
+
     /// When the share next changes without a new observation.
     #[must_use]
     pub fn next_deadline(&self, now: Nanos) -> Option<Nanos> {
--- a/src/hot_restart/mod.rs
+++ b/src/hot_restart/mod.rs
@@ -54,6 +54,8 @@
     pub overrides: &'a Overrides,
     /// Revision of the endpoint list in the membership: it is published when this has changed.
     pub snapshot_revision: u64,
+    /// Whether a watch on discovery is established.
+    pub watches_discovery: bool,
 }
 
 /// What was observed of another process.
@@ -142,6 +144,12 @@
         Some(PeerReports { reports, snapshots: observation.snapshots })
     }
 
+    /// Whether a newer process runs and none of them has a watch on discovery yet.
+    #[must_use]
+    pub fn successor_lacks_watch(&self) -> bool {
+        self.coordination.successor_lacks_watch()
+    }
+
     /// Sets the stage of this process; a change is published at once.
     pub fn set_stage(&mut self, stage: ProcessStage) {
         if std::mem::replace(&mut self.stage, stage) != stage {
@@ -179,6 +187,7 @@
             descriptor_lease,
             in_flight: local.in_flight,
             open_query_ids: local.open_query_ids,
+            watches_discovery: local.watches_discovery,
         };
         let number = self.directory.publish(StateUpdate { state, snapshot })?;
         self.coordination.on_lease_published(descriptor_lease);
--- a/src/hot_restart/state.rs
+++ b/src/hot_restart/state.rs
@@ -127,6 +127,10 @@
     /// Ids of the open queries of the process.
     #[serde(rename = "open_ids")]
     pub open_query_ids: Vec<String>,
+    /// Whether the process has a watch on discovery. Not written if it has none, as by earlier versions, which
+    /// wrote it never.
+    #[serde(default, rename = "watching", skip_serializing_if = "std::ops::Not::not")]
+    pub watches_discovery: bool,
 }
 
 impl ProcessState {
--- a/src/server/broker.rs
+++ b/src/server/broker.rs
@@ -49,6 +49,8 @@
     pub(super) applied: Option<AppliedClusterState>,
     /// The longest iteration of the event loop, ns; measured only in a cluster.
     pub(super) longest_iteration: Nanos,
+    /// Whether this process has stayed for its watch on discovery, which is logged once.
+    pub(super) is_kept_for_watch: bool,
     pub(super) query_stats: QueryStats,
     pub(super) wall_clock_monitor: WallClockMonitor,
 }
--- a/src/server/builder.rs
+++ b/src/server/builder.rs
@@ -85,6 +85,7 @@
             cluster: None,
             applied: None,
             longest_iteration: 0,
+            is_kept_for_watch: false,
             wall_clock_monitor: WallClockMonitor::default(),
         };
         tracing::info!(
--- a/src/server/drain.rs
+++ b/src/server/drain.rs
@@ -88,6 +88,8 @@
 pub struct DrainState {
     longest_deadline: Nanos,
     lifecycle: Lifecycle,
+    /// When a graceful shutdown was first requested, whether or not another process had taken over by then.
+    termination_requested: Option<Nanos>,
     pause: Pause,
     address_use: AddressUse,
 }
@@ -99,6 +101,7 @@
         DrainState {
             longest_deadline,
             lifecycle: Lifecycle::Running,
+            termination_requested: None,
             pause: Pause::Inactive,
             address_use: AddressUse::ThisProcess,
         }
@@ -114,8 +117,9 @@
         self.phase(now) == DrainPhase::Serving || (self.has_successor() && !self.is_paused())
     }
 
-    /// Begins a graceful shutdown. Repeated calls have no effect.
+    /// Begins a graceful shutdown, unless one has begun. Repeated calls have no effect.
     pub fn begin_shutdown(&mut self, now: Nanos) {
+        self.termination_requested.get_or_insert(now);
         if let Lifecycle::Running = self.lifecycle {
             self.lifecycle = Lifecycle::ShuttingDown { since: now };
         }
@@ -213,8 +217,21 @@
 
     /// The earliest time at which the process may be killed.
     fn earliest_kill(&self) -> Nanos {
-        let delay = ACCEPT_GRACE_PERIOD + self.longest_deadline.min(MAX_KILL_DELAY);
-        self.shutdown_since().map_or(Nanos::MAX, |since| since + delay)
+        self.shutdown_since().map_or(Nanos::MAX, |since| since + self.kill_delay())
+    }
+
+    /// Time from the request to end the process until it may be killed.
+    fn kill_delay(&self) -> Nanos {
+        ACCEPT_GRACE_PERIOD + self.longest_deadline.min(MAX_KILL_DELAY)
+    }
+
+    /// Until when this process may stay for a process that has taken over the address: shortly before it may be
+    /// killed, or until it exits anyway; none while none has taken over.
+    pub fn may_stay_until(&self) -> Option<Nanos> {
+        let exit_by = self.exit_by().filter(|_| self.has_successor())?;
+        let before_kill =
+            self.termination_requested.map(|at| at + self.kill_delay() - LAST_ANSWER_BEFORE_KILL);
+        Some(before_kill.map_or(exit_by, |at| at.min(exit_by)))
     }
 
     /// The time by which queries that are accepted after the listeners closed must be answered, as of `now`:
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -38,7 +38,7 @@
     /// If the operating system refuses to wait for events.
     pub fn run(mut self) -> Result<(), BrokerError> {
         let mut events = Vec::new();
-        while !self.is_finished() {
+        while !self.is_finished() || self.keeps_watch_for_successor() {
             let timeout =
                 self.next_deadline().map(|t| Duration::from_nanos(t.saturating_sub(self.clock.now())));
             self.net.wait(timeout, &mut events).map_err(BrokerError::io("wait for events"))?;
@@ -60,10 +60,11 @@
     fn on_event(&mut self, event: NetEvent, now: Nanos) {
         let mut context = FrontendContext { now, net: &mut self.net, engine: &mut self.engine };
         match event {
-            NetEvent::Signal(Signal::Shutdown) if self.drain.is_shutting_down() => {}
             NetEvent::Signal(Signal::Shutdown) => {
-                let open_queries = self.engine.open_queries();
-                tracing::info!(open_queries, "graceful shutdown begins");
+                if !self.drain.is_shutting_down() {
+                    let open_queries = self.engine.open_queries();
+                    tracing::info!(open_queries, "graceful shutdown begins");
+                }
                 self.drain.begin_shutdown(now);
             }
             NetEvent::Signal(Signal::Reload) => {
--- a/src/server/hot_restart_driver.rs
+++ b/src/server/hot_restart_driver.rs
@@ -4,7 +4,7 @@
 use super::frontend::{Frontend, FrontendContext};
 use crate::api::Nanos;
 use crate::hot_restart::state::ProcessStage;
-use crate::hot_restart::{LocalState, ResourceUsage};
+use crate::hot_restart::{HotRestart, LocalState, ResourceUsage};
 
 impl<F: Frontend> Broker<F> {
     /// Observes the other processes at this address, applies their commands and this process's share of the
@@ -68,6 +68,20 @@
         }
     }
 
+    /// Whether this process has to stay although it has no clients left: its watch on discovery is the only one
+    /// of the broker until the process that took over has one, or until this one may be killed.
+    pub(super) fn keeps_watch_for_successor(&mut self) -> bool {
+        let now = self.clock.now();
+        let may_stay = self.drain.may_stay_until().is_some_and(|until| now < until);
+        let keeps = may_stay
+            && self.frontend.membership().watches_discovery()
+            && self.hot_restart.as_ref().is_some_and(HotRestart::successor_lacks_watch);
+        if keeps && !std::mem::replace(&mut self.is_kept_for_watch, true) {
+            tracing::info!("process stays for its watch on discovery: the new one has none yet");
+        }
+        keeps
+    }
+
     fn publish_state(&mut self, in_flight: usize, open_query_ids: Vec<String>, now: Nanos) {
         let Some(hot_restart) = &mut self.hot_restart else { return };
         hot_restart.set_stage(if self.drain.is_shutting_down() {
@@ -81,6 +95,7 @@
             open_query_ids,
             overrides: &self.overrides,
             snapshot_revision: membership.list_revision(),
+            watches_discovery: membership.watches_discovery(),
         };
         if let Some(update) = hot_restart.publish(state, || membership.snapshot(now), now) {
             self.command_confirmations.on_published(update);
--- a/src/server/membership_driver.rs
+++ b/src/server/membership_driver.rs
@@ -267,6 +267,11 @@
         self.manual_overrides.replica(id)
     }
 
+    /// Whether a watch on discovery is established.
+    pub fn watches_discovery(&self) -> bool {
+        self.watch.as_ref().is_some_and(|watch| watch.confirmation() == ListConfirmation::Watched)
+    }
+
     /// Changes whenever the list to hand over may have changed.
     pub fn list_revision(&self) -> u64 {
         self.registry.directory_revision()
--- a/tests/operation/hot_restart.rs
+++ b/tests/operation/hot_restart.rs
@@ -24,6 +24,7 @@
         descriptor_lease: 300,
         in_flight: 41,
         open_query_ids: vec!["9b1f".into()],
+        watches_discovery: true,
     }
 }
 
@@ -44,6 +45,24 @@
     assert!(ProcessState::decode(&vec![b' '; 2 << 20]).unwrap_err().to_string().contains("more than may be"));
 }
 
+/// A process keeps its watch for newer ones until one of them has a watch of its own, whatever older or dead
+/// processes have.
+#[test]
+fn a_watch_is_kept_while_no_newer_running_process_has_one() {
+    let process = |serial, alive, watches_discovery| {
+        let state = Some(ProcessState { watches_discovery, ..ProcessState::default() });
+        PeerProcess { serial, alive, state }
+    };
+    let limits = SharedLimits { descriptors: 384, max_in_flight: 100, retry_budget_window: 0 };
+    let lacks_watch = |peers| Coordination::new(5, limits, peers, 0).successor_lacks_watch();
+    assert!(!lacks_watch(vec![]));
+    assert!(!lacks_watch(vec![process(4, true, false), process(6, false, false)]));
+    assert!(lacks_watch(vec![process(4, true, true), process(6, true, false)]));
+    assert!(lacks_watch(vec![process(6, true, false), process(7, false, true)]));
+    assert!(lacks_watch(vec![PeerProcess { serial: 6, alive: true, state: None }]));
+    assert!(!lacks_watch(vec![process(6, true, false), process(7, true, true)]));
+}
+
 fn overrides_of(commands: &[(u8, bool, u8)]) -> Overrides {
     let mut overrides = Overrides::default();
     for (id, active, at) in commands {
--- a/tests/operation/upgrades.rs
+++ b/tests/operation/upgrades.rs
@@ -180,6 +180,25 @@
     });
 }
 
+/// Guards against a broker that gives up its only watch: the old process had no clients left and ended, and a
+/// drain that discovery wrote on its watch soon after reached no process.
+#[test]
+fn old_process_without_clients_keeps_its_watch_until_the_new_one_has_one() {
+    use pebbleturn::membership::NodeState;
+    use pebbleturn_lab::directory::Mode;
+    let mut upgrade = UpgradeWithoutWatch::start();
+    upgrade.site.script.release_held();
+    assert!(upgrade.client.read_response().unwrap().starts_with("HTTP/1.1 200"));
+    // On the faulty code the old process ends in less than this time.
+    std::thread::sleep(std::time::Duration::from_secs(1));
+    upgrade.report_busiest(NodeState::Terminating);
+    wait_until_unused(&upgrade.site, upgrade.busiest);
+    assert!(!upgrade.old.has_logged("graceful shutdown is complete"));
+    upgrade.site.directory.set_mode(Mode::Up);
+    upgrade.old.wait_for_exit();
+    assert!(upgrade.new.has_logged("discovery answered"));
+}
+
 /// Guards against the loss of what a process is told last: it publishes a drain and is killed while the new
 /// process is stopped, which then finds only files of a dead process.
 #[test]
--- a/tests/recorded_replication/hot_restart.rs
+++ b/tests/recorded_replication/hot_restart.rs
@@ -183,6 +183,7 @@
             descriptor_lease: lease,
             in_flight: process.in_flight,
             open_query_ids: (0..process.in_flight.min(3)).map(|n| format!("query-{n}")).collect(),
+            watches_discovery: false,
         };
         process.published_state = state.encode().unwrap();
         self.recorder.count("state");
--- a/tests/stored_formats/handover_state.rs
+++ b/tests/stored_formats/handover_state.rs
@@ -28,6 +28,7 @@
         descriptor_lease: 300,
         in_flight: 41,
         open_query_ids: vec!["quéry-1".into(), "query-2".into()],
+        watches_discovery: false,
     };
     let pause = Some(Override { set_at: 14, active: false });
     let pause_only = Overrides { pause, ..Overrides::default() };
@@ -91,6 +92,19 @@
     assert_eq!(read, states());
 }
 
+/// A process with a watch on discovery says so in a field that earlier versions neither write nor read.
+#[test]
+fn a_watch_is_written_only_where_there_is_one() {
+    for (watches_discovery, is_written) in [(false, false), (true, true)] {
+        let state = ProcessState { watches_discovery, ..ProcessState::default() };
+        let bytes = state.encode().unwrap();
+        assert_eq!(String::from_utf8_lossy(&bytes).contains("\"watching\": true"), is_written);
+        assert_eq!(ProcessState::decode(&bytes), Ok(state));
+    }
+    let earlier = STATES.map(|file| ProcessState::decode(&stored_file(file)).unwrap());
+    assert!(earlier.iter().all(|state| !state.watches_discovery));
+}
+
 #[test]
 fn states_are_read_field_by_field() {
     let [draining, serving, starting] = STATES.map(|file| ProcessState::decode(&stored_file(file)).unwrap());
