Hedge an unanswered call to a fast discovery again in small fleets

Callers saw: in fleets of two brokers and more, parts went to a server whose drain had been lost with a watch, for up to 2.2 s longer than the grace allows, if nobody answered the next call.

That bound was set for discoveries that are slow or crowded, and applied to all.

Change: a fleet of up to 16 hedges such a call after a quarter of the grace where that delays no list: the last answer shows that two calls of each broker take discovery a second at most, the list was confirmed in the last 8 s, and no call went unanswered since. A new address counts as unknown.

--- a/src/membership/retry_pacing.rs
+++ b/src/membership/retry_pacing.rs
@@ -118,6 +118,12 @@
         if is_urgent { wait.min(urgent) } else { wait }
     }
 
+    /// Whether discovery is called after only a short wait when a watch has ended, as in a small fleet.
+    #[must_use]
+    pub fn retries_promptly(&self) -> bool {
+        self.retries_promptly
+    }
+
     /// Resets the waits after an answer, or after the address of discovery changed.
     pub fn reset(&mut self) {
         self.unreachable.on_success();
--- a/src/membership/watch_schedule.rs
+++ b/src/membership/watch_schedule.rs
@@ -12,7 +12,9 @@
 //! - A call is abandoned as soon as discovery would have refused it.
 //! - At a discovery that other brokers also call, no second call runs concurrently. It would wait in the
 //!   queue behind the first, would be processed even after it was abandoned, and would delay the lists of all
-//!   brokers. For the same reason, several new configurations in a row do not start one call each.
+//!   brokers. For the same reason, several new configurations in a row do not start one call each. The exception
+//!   is a small fleet whose discovery answers so fast that the second calls of all brokers delay nobody: there
+//!   an unanswered call behind a watch that has just ended is hedged.
 //! - Waits after failed calls are bounded: see [`RetryPacing`].
 //!
 //! The schedule performs no I/O and reads no clock: the owner of the connections reports events to it and
@@ -56,6 +58,12 @@
 /// them has its list.
 const MAX_UNANSWERED_AT_SHARED_DISCOVERY: usize = 1;
 
+/// The same where the second calls of all brokers delay nobody.
+const MAX_UNANSWERED_AT_FAST_SHARED_DISCOVERY: usize = 2;
+/// Longest time, ns, in which a shared discovery must process that many calls of each broker for that to hold. It
+/// leaves as much of the grace to the hedge's delay and to the attempts that are being sent.
+const MAX_HEDGED_QUEUE_TIME: Nanos = 1_000_000_000;
+
 /// Identifies a call to discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallId(u64);
@@ -129,8 +137,11 @@
     /// Maximum number of concurrent unanswered calls.
     max_unanswered: usize,
     pacing: RetryPacing,
-    /// Whether other brokers call the same discovery.
-    is_shared: bool,
+    /// Number of brokers that call the same discovery, this one included.
+    brokers: u32,
+    /// Time from the beginning of the last answered call to its first list. Discovery takes no longer to
+    /// process one call, as the call also waited behind others.
+    answer_time: Option<Nanos>,
     /// Whether a call has waited without an answer since the last list. Discovery is then taken to be
     /// overloaded and calls are not hedged.
     is_overloaded: bool,
@@ -152,12 +163,14 @@
     /// must cease, ns.
     #[must_use]
     pub fn for_shared_discovery(dial_timeout: Nanos, grace: Nanos, brokers: u32, seed: u64) -> WatchSchedule {
-        let is_shared = brokers > 1;
-        let max_unanswered =
-            if is_shared { MAX_UNANSWERED_AT_SHARED_DISCOVERY } else { MAX_UNANSWERED_AT_UNSHARED_DISCOVERY };
+        let max_unanswered = if brokers > 1 {
+            MAX_UNANSWERED_AT_SHARED_DISCOVERY
+        } else {
+            MAX_UNANSWERED_AT_UNSHARED_DISCOVERY
+        };
         let pacing = RetryPacing::for_shared_discovery(grace, brokers, seed);
         let schedule = WatchSchedule::new(dial_timeout, grace, max_unanswered, pacing);
-        WatchSchedule { is_shared, ..schedule }
+        WatchSchedule { brokers, ..schedule }
     }
 
     /// Creates a schedule for an agent that serves this broker alone and pushes its list. Waits after
@@ -174,7 +187,8 @@
             hedge_delay: grace / HEDGE_DELAY_DIVISOR,
             max_unanswered,
             pacing,
-            is_shared: false,
+            brokers: 1,
+            answer_time: None,
             is_overloaded: false,
             calls: Vec::new(),
             next_id: 0,
@@ -207,6 +221,7 @@
         self.record_lost_watch(now);
         self.pacing.reset();
         self.is_overloaded = false;
+        self.answer_time = None;
         self.restarted_at = Some(now);
         self.not_before = Some(now);
     }
@@ -286,7 +301,7 @@
                 (self.calls.len() < MAX_PARTIAL_CALLS).then_some(newest.last_received + PARTIAL_LIST_TIMEOUT)
             }
             Phase::Established => Some(newest.last_received + SUSPICION_TIMEOUT),
-            Phase::AwaitingList => self.may_hedge().then_some(newest.begun + self.hedge_delay),
+            Phase::AwaitingList => self.may_hedge(newest).then_some(newest.begun + self.hedge_delay),
             Phase::Connecting => None,
         };
         at.map(|at| at.max(not_before))
@@ -296,13 +311,32 @@
     /// still be waiting there.
     fn queue_left_at(&self) -> Option<Nanos> {
         let waiting = self.calls.iter().filter(|call| call.is_retired && !call.is_established());
-        waiting.map(|call| call.begun + QUEUE_TIMEOUT).max().filter(|_| self.is_shared)
+        waiting.map(|call| call.begun + QUEUE_TIMEOUT).max().filter(|_| self.is_shared())
     }
 
-    /// Whether an unanswered call may be hedged by another one.
-    fn may_hedge(&self) -> bool {
+    /// Whether other brokers call the same discovery.
+    fn is_shared(&self) -> bool {
+        self.brokers > 1
+    }
+
+    /// Whether an unanswered call, the newest one, may be hedged by another one.
+    fn may_hedge(&self, newest: &Call) -> bool {
         let unanswered = self.current_calls().filter(|call| !call.is_established()).count();
-        !self.is_overloaded && unanswered < self.max_unanswered
+        let max_unanswered = if self.hedges_delay_nobody(newest.begun) {
+            MAX_UNANSWERED_AT_FAST_SHARED_DISCOVERY
+        } else {
+            self.max_unanswered
+        };
+        !self.is_overloaded && unanswered < max_unanswered
+    }
+
+    /// Whether the hedges of all brokers to calls that began at this time delay no list at a shared discovery,
+    /// and the grace of a drain may be running.
+    fn hedges_delay_nobody(&self, begun: Nanos) -> bool {
+        let calls = Nanos::from(self.brokers) * MAX_UNANSWERED_AT_FAST_SHARED_DISCOVERY as Nanos;
+        let fits = self.answer_time.is_some_and(|time| time.saturating_mul(calls) <= MAX_HEDGED_QUEUE_TIME);
+        let may_have_lost_report = self.confirmed_at.is_some_and(|at| begun < at + URGENT_PERIOD);
+        self.is_shared() && self.pacing.retries_promptly() && fits && may_have_lost_report
     }
 
     /// Records that a call has begun.
@@ -352,10 +386,12 @@
     /// earlier discovery. Returns the superseded calls, which have ended and must be closed.
     pub fn on_list(&mut self, id: CallId, now: Nanos) -> Vec<CallId> {
         let Some(call) = self.call_mut(id) else { return Vec::new() };
+        let answer_time = (!call.is_established()).then(|| now.saturating_sub(call.begun));
         call.phase = Phase::Established;
         if call.is_retired {
             return Vec::new();
         }
+        self.answer_time = answer_time.or(self.answer_time);
         self.confirmation = ListConfirmation::Watched;
         self.pacing.reset();
         self.is_overloaded = false;
--- a/tests/membership_units/watch_schedule.rs
+++ b/tests/membership_units/watch_schedule.rs
@@ -386,3 +386,63 @@
     schedule.ended(call, S);
     assert_eq!(schedule.confirmation(), ListConfirmation::WatchLost(S));
 }
+
+/// When the second call begins beside a call that nobody answers, in a fleet whose discovery answered the call
+/// before after this time. The watch has ended just before. None: there is no second call.
+fn hedge_delay(brokers: u32, answer_time: Nanos, seed: u64) -> Option<Nanos> {
+    let mut schedule = schedule(brokers, seed);
+    schedule.request(0);
+    let begin = |schedule: &mut WatchSchedule, now| {
+        assert_eq!(schedule.next_action(now), Some(WatchAction::Begin));
+        let id = schedule.begun(now);
+        schedule.connected(id, now);
+        id
+    };
+    let watch = begin(&mut schedule, 0);
+    schedule.on_list(watch, answer_time);
+    let ended = answer_time + S;
+    schedule.ended(watch, ended);
+    let begun = schedule.next_deadline().unwrap().max(ended);
+    begin(&mut schedule, begun);
+    let next = schedule.next_deadline().unwrap();
+    (schedule.next_action(next) == Some(WatchAction::Begin)).then_some(next - begun)
+}
+
+/// Guards against parts to a drained server behind a report that was lost with its watch: in a fleet of two a
+/// call that nobody answers held up the next one for 2.2 s, longer than the grace.
+#[test]
+fn an_unanswered_call_is_hedged_where_the_hedges_of_a_small_fleet_delay_nobody() {
+    for seed in 0..50 {
+        for brokers in [2, 5, 16] {
+            // Twice as many calls as there are brokers take a second.
+            let longest = S / 2 / Nanos::from(brokers);
+            assert_eq!(hedge_delay(brokers, longest, seed), Some(GRACE / 4), "{brokers} brokers");
+            assert_eq!(hedge_delay(brokers, longest + MS, seed), None, "{brokers} brokers");
+        }
+        assert_eq!(hedge_delay(LARGE_FLEET, 0, seed), None);
+    }
+}
+
+/// A new address of discovery has given no answer yet, and a list that is confirmed long ago leaves no grace.
+#[test]
+fn an_unanswered_call_is_not_hedged_after_a_move_or_long_after_the_last_list() {
+    for (moves, wait) in [(true, 0), (false, 10 * S)] {
+        let mut schedule = schedule(2, 1);
+        schedule.request(0);
+        assert_eq!(schedule.next_action(0), Some(WatchAction::Begin));
+        let watch = schedule.begun(0);
+        schedule.connected(watch, 0);
+        schedule.on_list(watch, MS);
+        let ended = S;
+        schedule.ended(watch, ended);
+        if moves {
+            schedule.restart(ended);
+        }
+        let begun = schedule.next_deadline().unwrap().max(ended) + wait;
+        assert_eq!(schedule.next_action(begun), Some(WatchAction::Begin));
+        let call = schedule.begun(begun);
+        schedule.connected(call, begun);
+        let next = schedule.next_deadline().unwrap();
+        assert_eq!(schedule.next_action(next), Some(WatchAction::TimedOut(call)), "moves: {moves}");
+    }
+}
