Count a restart told to the other process as recent where no start was known before

Need: a list in which no server states its start left the new process without any known start. The first restart that the old process was told of after that was then dated by the server's clock, which may be an hour off, and a cold server could be taken for a warm one.

Change: whether a list was stored or handed over is recorded, not derived from the known starts.

Measured: peer_lists::a_restart_told_to_the_other_process_is_a_recent_start has the case and fails without the change; membership_registry, recorded_decisions and membership_units pass (43, 8, 22).

--- a/src/membership/registry/start_stamps.rs
+++ b/src/membership/registry/start_stamps.rs
@@ -27,6 +27,9 @@
     starts: HashMap<String, KnownStart>,
     /// Whether a list from discovery was received: stamps that change from then on are recent starts.
     is_live: bool,
+    /// Whether a list was stored, configured or handed over: stamps that differ in the list that another process
+    /// has received since are recent starts too.
+    has_stored_list: bool,
 }
 
 impl StartStamps {
@@ -36,15 +39,16 @@
         LiveStampRecorder { starts: &mut self.starts, is_live }
     }
 
-    /// Starts to record the stamps of a list that another process has just received from discovery. Before any
-    /// stamp is known, a stamp shows nothing about when it was learned.
+    /// Starts to record the stamps of a list that another process has just received from discovery. In the first
+    /// list of this process a stamp shows nothing about when it was learned.
     pub(super) fn begin_peer_list(&mut self) -> LiveStampRecorder<'_> {
-        let is_live = !self.starts.is_empty();
+        let is_live = self.is_live || std::mem::replace(&mut self.has_stored_list, true);
         LiveStampRecorder { starts: &mut self.starts, is_live }
     }
 
     /// Records the stamp of a node in a list that was stored or configured, unix ns; 0 means long ago.
     pub(super) fn record_stored(&mut self, id: &str, stamp: Nanos) {
+        self.has_stored_list = true;
         record_stamp(&mut self.starts, id, stamp, None);
     }
 
--- a/tests/membership_registry/peer_lists.rs
+++ b/tests/membership_registry/peer_lists.rs
@@ -127,9 +127,10 @@
 #[test]
 fn a_restart_told_to_the_other_process_is_a_recent_start() {
     let started = |ms: Nanos| list(42, false, vec![endpoint(3, NodeState::Ready, ms)]);
-    for stamp in [START_TIME + HOUR, START_TIME - HOUR] {
+    let stamps = [START_TIME + HOUR, START_TIME - HOUR];
+    for (stamp, earlier) in stamps.into_iter().flat_map(|stamp| [(stamp, 0), (stamp, 1_000)]) {
         let mut old = Fixture::new();
-        let first = list(41, true, (0..8).map(|n| endpoint(n, NodeState::Ready, 1_000)).collect());
+        let first = list(41, true, (0..8).map(|n| endpoint(n, NodeState::Ready, earlier)).collect());
         old.discovery_update(&first, true, START_TIME);
         let mut new = Fixture::restored(&[&old.registry.snapshot(START_TIME)], START_TIME + S);
         old.discovery_update(&started(stamp / 1_000_000), false, START_TIME + 20 * S);
